--- /dev/null
+++ b/brambleusher/config.py
@@ -0,0 +1,123 @@
+"""The one place where configuration is read, checked and given defaults."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from brambleusher.net.machine_list import ListError, MachineListUpdate, decode_update
+from brambleusher.net.streams import parse_address
+from quillpass import api
+from quillpass.settings import WireError, parse_settings
+
+
+class ConfigError(ValueError):
+    """Configuration that can't be used; the message names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the platform gives one sidecar."""
+
+    cores: float = 1.0
+    memory_mb: int = 192
+    sockets: int = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All a sidecar is told at its start."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    limits: Limits
+    known: MachineListUpdate
+    settings: api.Settings
+
+
+def _text(raw: Mapping[str, Any], key: str, fallback: str | None) -> str:
+    value = raw.get(key, fallback)
+    if not isinstance(value, str) or not value:
+        raise ConfigError(f"{key} is missing or not a text")
+    return value
+
+
+def _address(raw: Mapping[str, Any], key: str, fallback: str | None) -> tuple[str, int]:
+    try:
+        return parse_address(_text(raw, key, fallback))
+    except ConfigError:
+        raise
+    except ValueError as error:
+        raise ConfigError(f"{key}: {error}") from None
+
+
+def _at_least(raw: Mapping[str, Any], key: str, default: float, low: float) -> float:
+    value = raw.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= low:
+        raise ConfigError(f"limits.{key} is not a number of at least {low:g}")
+    return value
+
+
+def _limits(raw: Any) -> Limits:
+    if not isinstance(raw, dict):
+        raise ConfigError("limits is not an object")
+    usual = Limits()
+    return Limits(
+        cores=_at_least(raw, "cores", usual.cores, 0.001),
+        memory_mb=int(_at_least(raw, "memory_mb", usual.memory_mb, 32)),
+        sockets=int(_at_least(raw, "sockets", usual.sockets, 64)),
+    )
+
+
+def _seed(value: Any) -> int:
+    if isinstance(value, int) and not isinstance(value, bool):
+        return value
+    try:
+        return int(value, 16)
+    except (TypeError, ValueError):
+        raise ConfigError("seed is missing or not a hexadecimal number") from None
+
+
+def parse_config(text: bytes, env: Mapping[str, str]) -> Config:
+    """The configuration; the environment stands in for the name and the addresses where the text has none."""
+    try:
+        raw = orjson.loads(text)
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"NODE_CONFIG is not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("NODE_CONFIG is not an object")
+    try:
+        settings = parse_settings(raw.get("settings"))
+    except WireError as error:
+        raise ConfigError(f"settings: {error}") from None
+    try:
+        known = decode_update(raw.get("known") or {"full": True, "version": 0, "servers": []})
+    except ListError as error:
+        raise ConfigError(f"known: {error}") from None
+    return Config(
+        name=_text(raw, "name", env.get("NODE_NAME")),
+        listen=_address(raw, "listen", env.get("NODE_LISTEN")),
+        discovery=_address(raw, "discovery", env.get("NODE_DISCOVERY")),
+        seed=_seed(raw.get("seed")),
+        limits=_limits(raw.get("limits") or {}),
+        known=known,
+        settings=settings,
+    )
+
+
+def load_config(env: Mapping[str, str]) -> Config:
+    """The configuration that the environment points at."""
+    path = env.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG is not set")
+    try:
+        text = Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(f"NODE_CONFIG can't be read: {error.strerror}") from None
+    return parse_config(text, env)
--- /dev/null
+++ b/brambleusher/counters.py
@@ -0,0 +1,52 @@
+"""Counts of what the sidecar takes in, sends and answers."""
+
+from __future__ import annotations
+
+import logging
+
+log = logging.getLogger(__name__)
+
+NAMES = (
+    "connections_accepted",
+    "requests_taken",
+    "requests_gone",
+    "bad_requests",
+    "answers_served",
+    "answers_refused",
+    "answers_failed",
+    "answers_unsent",
+    "claims_sent",
+    "claims_served",
+    "claims_connect_failed",
+    "claims_error",
+    "claims_full",
+    "claims_reset",
+    "claims_timeout",
+    "claims_cancelled",
+    "claims_moot",
+    "connections_opened",
+    "connections_reused",
+    "lists_taken",
+    "lists_rejected",
+    "watches_broken",
+    "faults",
+)
+
+
+class Counters:
+    """One count for each name; an unknown name is a fault in the program."""
+
+    def __init__(self) -> None:
+        self._counts = dict.fromkeys(NAMES, 0)
+
+    def add(self, name: str) -> None:
+        """One more."""
+        self._counts[name] += 1
+
+    def count(self, name: str) -> int:
+        """How often so far."""
+        return self._counts[name]
+
+    def report(self, why: str) -> None:
+        """All counts on one log line."""
+        log.info("counters", extra={"fields": {"why": why, **self._counts}})
--- /dev/null
+++ b/brambleusher/decisions.py
@@ -0,0 +1,217 @@
+"""The sidecar's one caller of `Balancer`: events go in, actions are routed to whom they concern.
+
+Nothing here knows how requests, answers or lists travel.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from brambleusher.counters import Counters
+from brambleusher.net.scheduler import Bell, Scheduler
+from quillpass import Balancer, api
+
+log = logging.getLogger(__name__)
+
+RESTART_TIMER_NS = 250_000_000
+
+
+class Clock:
+    """Unix time, read from the wall once and carried on by the monotonic clock.
+
+    Guards against a wall clock that is set while the sidecar runs, and against comparing monotonic
+    time with the start times in the machine list, which are Unix time.
+    """
+
+    def __init__(self) -> None:
+        self._offset = time.time_ns() - time.monotonic_ns()
+
+    def now_ns(self) -> int:
+        """Unix time in nanoseconds."""
+        return self._offset + time.monotonic_ns()
+
+    def seconds(self, at_ns: int) -> float:
+        """The scheduler's time at a moment of Unix time."""
+        return (at_ns - self._offset) / 1e9
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request as the decisions see it; `payload` is for those who pass it on."""
+
+    request: str
+    request_class: str
+    tenant: str | None
+    left_ns: int
+    work_hint_ns: int | None
+    is_retry: bool
+    payload: object
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a claim ended; `payload` is what the execute node answered, where it served."""
+
+    status: api.Status
+    latency_ns: int
+    report: api.LoadReport | None = None
+    payload: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimEnded:
+    """A claim's end, on its way to the request it was made for."""
+
+    attempt: int
+    node: str
+    outcome: Outcome
+
+
+Step = api.Send | api.Refuse | api.Fail | api.Cancel | ClaimEnded
+
+
+class Ticket:
+    """A request that is owed an answer, and the steps that wait for its task."""
+
+    __slots__ = ("bell", "claims_out", "open", "request", "steps")
+
+    def __init__(self, request: str) -> None:
+        self.request = request
+        self.steps: deque[Step] = deque()
+        self.bell = Bell()
+        self.open = True
+        self.claims_out = 0
+
+    def put(self, step: Step) -> None:
+        """Hand a step to the task."""
+        self.steps.append(step)
+        self.bell.ring()
+
+
+class DuplicateRequest(ValueError):
+    """A request whose id is in use."""
+
+
+class Decisions:
+    """Drives one `Balancer` by the clock and by what happens."""
+
+    def __init__(
+        self, settings: api.Settings, seed: int, scheduler: Scheduler, clock: Clock, counters: Counters
+    ) -> None:
+        self.settings = settings
+        self._balancer = Balancer(settings, seed)
+        self._scheduler, self._clock, self._counters = scheduler, clock, counters
+        self._tickets: dict[str, Ticket] = {}
+        self.on_let_go: Callable[[str], None] = lambda node: None
+        self.on_subscribe: Callable[[], None] = lambda: None
+
+    @property
+    def owed(self) -> int:
+        """Requests without their final answer."""
+        return sum(ticket.open for ticket in self._tickets.values())
+
+    def start(self, entries: Iterable[api.HostEntry]) -> None:
+        """Begin, with the list held from before."""
+        self._route(self._balancer.start(self._clock.now_ns()))
+        self.listed(api.ListKind.SAVED, entries)
+
+    # --- events ---------------------------------------------------------------------------------
+
+    def take(self, call: Call) -> Ticket:
+        """A request has come: its first steps wait in the ticket."""
+        if call.request in self._tickets:
+            raise DuplicateRequest(f"request {call.request} is in progress")
+        ticket = self._tickets[call.request] = Ticket(call.request)
+        event = api.RequestArrived(
+            call.request, call.request_class, call.tenant, call.left_ns, call.work_hint_ns, call.is_retry
+        )
+        try:
+            self._handle(event)
+        except Exception:
+            del self._tickets[call.request]
+            raise
+        return ticket
+
+    def ended(self, ticket: Ticket, end: ClaimEnded, closed: bool) -> None:
+        """A claim has ended."""
+        ticket.claims_out -= 1
+        outcome = end.outcome
+        self._counters.add(
+            f"claims_{outcome.status.value}" if outcome.status is not api.Status.OK else "claims_served"
+        )
+        event = api.AttemptEnded(
+            ticket.request, end.attempt, end.node, outcome.status, outcome.latency_ns, closed, outcome.report
+        )
+        try:
+            self._handle(event)
+        finally:
+            self._forget(ticket)
+
+    def left(self, ticket: Ticket) -> None:
+        """The submitter has gone, or got an answer that the module did not choose."""
+        self._handle(api.RequestGone(ticket.request))
+
+    def close(self, ticket: Ticket) -> None:
+        """The request has had its final answer; what its claims still bring goes to the module alone."""
+        ticket.open = False
+        waiting = [step for step in ticket.steps if isinstance(step, ClaimEnded)]
+        ticket.steps.clear()
+        for end in waiting:
+            self.ended(ticket, end, closed=True)
+        self._forget(ticket)
+
+    def claim_ended(self, ticket: Ticket, end: ClaimEnded) -> None:
+        """Where a claim reports its end: the request's task if it still waits, else the module."""
+        if ticket.open:
+            ticket.put(end)
+        else:
+            self.ended(ticket, end, closed=True)
+
+    def listed(self, kind: api.ListKind, entries: Iterable[api.HostEntry]) -> None:
+        """News from discovery."""
+        self._handle(api.HostList(kind, list(entries)))
+
+    # --- actions --------------------------------------------------------------------------------
+
+    def _handle(self, event: api.Event) -> None:
+        self._route(self._balancer.handle(event, self._clock.now_ns()))
+
+    def _route(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            if isinstance(action, api.Send | api.Refuse | api.Fail | api.Cancel):
+                ticket = self._tickets.get(action.request)
+                if ticket is None or not ticket.open:
+                    log.error("action for a request that is over", extra={"fields": {"action": action}})
+                    continue
+                ticket.claims_out += isinstance(action, api.Send)
+                ticket.put(action)
+            elif isinstance(action, api.SetTimer):
+                self._set_timer(action.at_ns, action.token)
+            elif isinstance(action, api.LetGo):
+                self.on_let_go(action.host)
+            elif isinstance(action, api.Subscribe):
+                self.on_subscribe()
+            elif isinstance(action, api.Log):
+                log.info(action.text)
+            else:  # a probe: this deployment forbids them
+                log.error("action not allowed", extra={"fields": {"action": action}})
+
+    def _set_timer(self, at_ns: int, token: int) -> None:
+        self._scheduler.call_at(self._clock.seconds(at_ns), lambda: self._fired(token))
+
+    def _fired(self, token: int) -> None:
+        try:
+            self._handle(api.TimerFired(token))
+        except Exception:
+            # Guards against a module that stops ticking for good after one bad moment.
+            self._counters.add("faults")
+            log.exception("timer event failed")
+            self._set_timer(self._clock.now_ns() + RESTART_TIMER_NS, token)
+
+    def _forget(self, ticket: Ticket) -> None:
+        if not ticket.open and ticket.claims_out <= 0 and self._tickets.get(ticket.request) is ticket:
+            del self._tickets[ticket.request]
--- /dev/null
+++ b/brambleusher/logs.py
@@ -0,0 +1,49 @@
+"""Log lines as `key=value`, through the standard `logging` module."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+from typing import TextIO
+
+_PLAIN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/+%@")
+
+
+def quote(value: object) -> str:
+    """A value as it stands if that is clear, else in quotes."""
+    text = str(value)
+    if text and all(char in _PLAIN for char in text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n").replace("\r", "\\r")
+    return f'"{escaped}"'
+
+
+class KeyValueFormatter(logging.Formatter):
+    """`time=… level=… part=… msg=…`, then the record's `fields`, then a traceback if there is one."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """One record, one line."""
+        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        pairs: dict[str, object] = {
+            "time": f"{stamp}.{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "part": record.name.removeprefix("brambleusher."),
+            "msg": record.getMessage(),
+        }
+        fields = getattr(record, "fields", None)
+        if isinstance(fields, dict):
+            pairs.update(fields)
+        if record.exc_info:
+            pairs["trace"] = self.formatException(record.exc_info)
+        return " ".join(f"{key}={quote(value)}" for key, value in pairs.items())
+
+
+def configure(level: int = logging.INFO, stream: TextIO | None = None) -> None:
+    """Send the package's log lines to a stream, standard error unless another is given."""
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(KeyValueFormatter())
+    root = logging.getLogger("brambleusher")
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    root.propagate = False
--- /dev/null
+++ b/brambleusher/net/__init__.py
@@ -0,0 +1,1 @@
+"""The network side: tasks, parsers, connections and the life of a request."""
--- /dev/null
+++ b/brambleusher/net/execute_nodes.py
@@ -0,0 +1,294 @@
+"""Connections to each execute node, and the claims made on them: one at a time on each."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import orjson
+
+from brambleusher.counters import Counters
+from brambleusher.decisions import Outcome
+from brambleusher.net.http import HOP_BY_HOP, HttpError, Message, MessageReader, write_request
+from brambleusher.net.machine_list import Machine, MachineListUpdate
+from brambleusher.net.scheduler import Bell, Scheduler, Timeout
+from brambleusher.net.streams import Called, Stream
+from quillpass.api import HostState, LoadReport, Settings, Status
+
+log = logging.getLogger(__name__)
+
+IDLE_PART = 0.8  # of the execute node's idle limit: past it a connection is not trusted with a claim
+_REWRITTEN = HOP_BY_HOP | {"content-length", "request-timeout-ms", "expect"}
+
+
+def parse_report(text: str | None) -> LoadReport | None:
+    """An answer's load report; one that makes no sense is left out, never guessed."""
+    if not text:
+        return None
+    try:
+        raw = orjson.loads(text)
+    except ValueError:
+        return None
+    if not isinstance(raw, dict):
+        return None
+    figures = []
+    for names in (("util", "utilization"), ("qps", "throughput")):
+        value = next((raw[name] for name in names if name in raw), None)
+        sound = isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value < math.inf
+        figures.append(float(value) if sound and value is not None else None)
+    return None if figures == [None, None] else LoadReport(*figures)
+
+
+def status_of(answer: Message) -> Status:
+    """What an answer proves; a 503 that does not say so proves nothing."""
+    if answer.status == 200:
+        return Status.OK
+    if answer.status in (503, 504) and answer.headers.get("not-started") == "1":
+        return Status.FULL
+    return Status.ERROR
+
+
+@dataclass(slots=True)
+class Node:
+    """One execute node: its place, its idle connections (the last used at the end), its open claims."""
+
+    name: str
+    address: tuple[str, int]
+    started_ns: int
+    idle: list[Stream]
+    claims: set[Claim]
+    leaving: bool = False
+
+
+class Claim:
+    """One claim: its task, and how far it has come."""
+
+    __slots__ = ("bell", "sending", "stream", "why", "written")
+
+    def __init__(self) -> None:
+        self.bell = Bell()  # rings when it is called off
+        self.why: Status | None = None  # the status it was called off with
+        self.stream: Stream | None = None
+        self.sending = False  # its first byte is on its way
+        self.written = False  # its last byte has been handed over: from here on it may have run
+
+    def call_off(self, why: Status = Status.CANCELLED) -> None:
+        """Close its connection, which gives it up at the execute node too."""
+        if self.why is None:
+            self.why = why
+            self.bell.ring()
+
+
+class ExecuteNodes:
+    """The execute nodes that the machine list names."""
+
+    def __init__(
+        self, scheduler: Scheduler, settings: Settings, counters: Counters, most_connections: int
+    ) -> None:
+        self._scheduler, self._counters = scheduler, counters
+        self._connect_seconds = settings.connect_timeout_ns / 1e9
+        idle = settings.conn_idle_ns / 1e9 or math.inf
+        self._idle_seconds = min(idle * IDLE_PART, max(idle - 1.0, idle / 2))
+        self._nodes: dict[str, Node] = {}
+        self._most, self._open = most_connections, 0
+
+    # --- the machine list -----------------------------------------------------------------------
+
+    def update(self, update: MachineListUpdate) -> None:
+        """Follow the list: from this moment no claim starts on a node that drains or is gone."""
+        if update.full:
+            named = {machine.entry.host for machine in update.machines}
+            for name in [name for name in self._nodes if name not in named]:
+                self._leave(self._nodes.pop(name))
+        for machine in update.machines:
+            self._place(machine)
+
+    def _place(self, machine: Machine) -> None:
+        entry = machine.entry
+        node = self._nodes.get(entry.host)
+        if entry.state is HostState.GONE:
+            if node is not None:
+                self._leave(self._nodes.pop(entry.host))
+            return
+        if node is None:
+            node = Node(entry.host, machine.address, entry.started_ns, [], set())
+            self._nodes[entry.host] = node
+        elif node.address != machine.address or node.started_ns != entry.started_ns:
+            # The process that held these connections is not the one listed now.
+            self._drop(node.idle)
+            node.address, node.started_ns = machine.address, entry.started_ns
+        if entry.state is HostState.DRAINING:
+            self._leave(node)
+        else:
+            node.leaving = False
+
+    def _leave(self, node: Node) -> None:
+        node.leaving = True
+        self._drop(node.idle)
+        for claim in list(node.claims):
+            if not claim.sending:  # guards against one that waits for a connect and is sent after the notice
+                claim.call_off(Status.FULL)
+
+    def let_go(self, name: str) -> None:
+        """Close the idle connections to a node."""
+        node = self._nodes.get(name)
+        if node is not None:
+            self._drop(node.idle)
+
+    def close(self) -> None:
+        """Close all that is idle."""
+        for node in self._nodes.values():
+            self._drop(node.idle)
+
+    # --- claims ---------------------------------------------------------------------------------
+
+    def claim(
+        self, name: str, payload: object, timeout_ns: int, deadline: float, ended: Callable[[Outcome], None]
+    ) -> Claim:
+        """Start a claim; `ended` is called once, whatever happens."""
+        if not isinstance(payload, Message):
+            raise TypeError("execute nodes are spoken to in HTTP alone")
+        claim, begun = Claim(), self._scheduler.now()
+        limit = min(deadline, begun + timeout_ns / 1e9) if timeout_ns else deadline
+
+        def run() -> None:
+            outcome: tuple[Status, LoadReport | None, Message | None] = Status.ERROR, None, None
+            node = self._nodes.get(name)
+            try:
+                if node is None or node.leaving:
+                    outcome = Status.FULL, None, None
+                else:
+                    node.claims.add(claim)
+                    outcome = self._attempt(node, claim, payload, limit)
+            except Exception:
+                # Guards against a claim without an end: its request would wait until the deadline.
+                self._counters.add("faults")
+                log.exception("claim failed", extra={"fields": {"node": name}})
+            finally:
+                if node is not None:
+                    node.claims.discard(claim)
+                latency = int((self._scheduler.now() - begun) * 1e9)
+                ended(Outcome(outcome[0], latency, outcome[1], outcome[2]))
+
+        self._scheduler.spawn(run, name=f"claim {name}")
+        return claim
+
+    def _attempt(
+        self, node: Node, claim: Claim, request: Message, deadline: float
+    ) -> tuple[Status, LoadReport | None, Message | None]:
+        keep = False
+        try:
+            stream = claim.stream = self._connection(node, claim, deadline)
+            if stream is None:
+                return Status.FULL, None, None
+            if claim.why is not None:
+                return self._called_off(claim), None, None
+            left_ms = max(1, int((deadline - self._scheduler.now()) * 1000))
+            self._counters.add("claims_sent")
+            claim.sending = True
+            stream.send(self._encode(request, left_ms), deadline)
+            claim.written = True
+            answer, keep = self._answer(stream, claim, deadline)
+            return status_of(answer), parse_report(answer.headers.get("server-load")), answer
+        except Called:
+            return self._called_off(claim), None, None
+        except Timeout:
+            return Status.TIMEOUT if claim.written else Status.CONNECT_FAILED, None, None
+        except OSError:
+            return Status.RESET if claim.written else Status.CONNECT_FAILED, None, None
+        except HttpError as error:
+            log.warning("bad answer", extra={"fields": {"node": node.name, "reason": error}})
+            return Status.ERROR, None, None
+        finally:
+            if claim.stream is not None:
+                self._give_back(node, claim.stream, keep)
+
+    @staticmethod
+    def _called_off(claim: Claim) -> Status:
+        return claim.why if claim.why is not None and not claim.written else Status.CANCELLED
+
+    def _connection(self, node: Node, claim: Claim, deadline: float) -> Stream | None:
+        """The most recently used idle connection that can be trusted, else a new one."""
+        now = self._scheduler.now()
+        while node.idle:
+            stream = node.idle.pop()
+            # Guards against a claim written to a connection that its node is about to close, or has.
+            if now - stream.used_at < self._idle_seconds and stream.quiet():
+                self._counters.add("connections_reused")
+                return stream
+            self._discard(stream)
+        if self._open >= self._most and not self._make_room():
+            return None
+        self._open += 1
+        try:
+            stream = Stream.connect(
+                self._scheduler, node.address, min(deadline, now + self._connect_seconds), claim.bell
+            )
+        except BaseException:
+            self._open -= 1
+            raise
+        self._counters.add("connections_opened")
+        return stream
+
+    def _encode(self, request: Message, left_ms: int) -> bytes:
+        headers = [(name.title(), value) for name, value in request.headers.items() if name not in _REWRITTEN]
+        headers.append(("Request-Timeout-Ms", str(left_ms)))
+        return write_request(*request.start, headers, request.body)
+
+    @staticmethod
+    def _answer(stream: Stream, claim: Claim, deadline: float) -> tuple[Message, bool]:
+        """The whole answer, and whether its connection can serve another claim."""
+        reader = MessageReader.responses()
+        while True:
+            data = stream.receive(deadline, claim.bell)
+            if data is None:
+                raise Called
+            if not data:
+                last = reader.end()
+                if last is None:
+                    raise ConnectionResetError("the connection ended before its answer")
+                return last, False
+            reader.feed(data)
+            while (answer := reader.take()) is not None:
+                if answer.status >= 200:
+                    return answer, answer.keep_alive and not reader.buffered
+
+    # --- connections ----------------------------------------------------------------------------
+
+    def _give_back(self, node: Node, stream: Stream, keep: bool) -> None:
+        if not keep or node.leaving or not stream.open:
+            self._discard(stream)
+            return
+        stream.used_at = self._scheduler.now()
+        node.idle.append(stream)
+
+    def _discard(self, stream: Stream) -> None:
+        if stream.open:
+            self._open -= 1
+            stream.close()
+
+    def _drop(self, idle: list[Stream]) -> None:
+        while idle:
+            self._discard(idle.pop())
+
+    def _make_room(self) -> bool:
+        """Close the idle connection unused for longest; false where none is idle."""
+        idle = [node for node in self._nodes.values() if node.idle]
+        if not idle:
+            return False
+        self._discard(min(idle, key=lambda node: node.idle[0].used_at).idle.pop(0))
+        return True
+
+    def reap(self) -> None:
+        """The task: close what has been idle for too long, or was closed from the other side."""
+        while True:
+            self._scheduler.sleep(1.0)
+            old = self._scheduler.now() - self._idle_seconds
+            for node in self._nodes.values():
+                keep = [stream for stream in node.idle if stream.used_at > old and stream.quiet()]
+                for stream in node.idle:
+                    if stream not in keep:
+                        self._discard(stream)
+                node.idle[:] = keep
--- /dev/null
+++ b/brambleusher/net/http.py
@@ -0,0 +1,324 @@
+"""HTTP/1.1 messages: parsers that are fed bytes and hold no socket, and the writers beside them.
+
+Limits are strict, and what could be read in two ways is an error: a message framed wrongly would
+hand the rest of its bytes to the next one on the connection.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+MAX_HEAD = 16 * 1024
+MAX_HEADERS = 100
+MAX_BODY = 64 * 1024
+MAX_CHUNK_LINE = 256
+
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+_TARGET = re.compile(r"[\x21-\x7e]+\Z")
+_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*\Z")
+_VERSION = re.compile(r"HTTP/1\.([01])\Z")
+_DIGITS = re.compile(r"[0-9]{1,12}\Z")
+_HEX = re.compile(rb"[0-9A-Fa-f]{1,8}\Z")
+# Headers that speak of one connection, or are written anew for the next.
+HOP_BY_HOP = frozenset(
+    {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"}
+)
+
+
+class HttpError(Exception):
+    """A message that can't be used; `status` is what its sender is told."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Message:
+    """A request or an answer; header names are in lower case."""
+
+    start: tuple[str, str]  # method and target, or status and reason
+    minor: int
+    headers: dict[str, str]
+    body: bytes = b""
+
+    @property
+    def status(self) -> int:
+        """The status of an answer."""
+        return int(self.start[0])
+
+    @property
+    def keep_alive(self) -> bool:
+        """Whether the sender lets the connection serve another message."""
+        words = {word.strip().lower() for word in self.headers.get("connection", "").split(",")}
+        return "close" not in words and (self.minor == 1 or "keep-alive" in words)
+
+
+def _headers(lines: list[str]) -> dict[str, str]:
+    if len(lines) > MAX_HEADERS:
+        raise HttpError(431, "too many headers")
+    headers: dict[str, str] = {}
+    for line in lines:
+        name, colon, value = line.partition(":")
+        value = value.strip(" \t")
+        if not colon or not _TOKEN.match(name) or not _VALUE.match(value):
+            raise HttpError(400, "bad header line")
+        name = name.lower()
+        if name in headers:
+            if name in ("content-length", "host", "transfer-encoding") and headers[name] != value:
+                raise HttpError(400, f"two different values of {name}")
+            value = value if headers[name] == value else f"{headers[name]}, {value}"
+        headers[name] = value
+    return headers
+
+
+def parse_request_head(lines: list[str]) -> Message:
+    """A request line and its headers."""
+    parts = lines[0].split(" ")
+    if len(parts) != 3 or not _TOKEN.match(parts[0]) or not _TARGET.match(parts[1]):
+        raise HttpError(400, "bad request line")
+    version = _VERSION.match(parts[2])
+    if version is None or not parts[1].startswith("/"):
+        raise HttpError(400, "bad request line")
+    return Message((parts[0], parts[1]), int(version[1]), _headers(lines[1:]))
+
+
+def parse_response_head(lines: list[str]) -> Message:
+    """A status line and its headers."""
+    version, _, rest = lines[0].partition(" ")
+    status, _, reason = rest.partition(" ")
+    found = _VERSION.match(version)
+    if found is None or len(status) != 3 or not _DIGITS.match(status):
+        raise HttpError(502, "bad status line")
+    return Message((status, reason), int(found[1]), _headers(lines[1:]))
+
+
+class ChunkedDecoder:
+    """Takes the framing off a chunked body, as its bytes come."""
+
+    __slots__ = ("_buffer", "_left", "done")
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._left = -1  # of this chunk; -1: its size line comes next; -2: the trailer
+        self.done = False
+
+    def feed(self, data: bytes) -> bytes:
+        """The body's bytes that have become readable; what follows its end is in `rest`."""
+        self._buffer += data
+        out = bytearray()
+        while not self.done:
+            if self._left > 0:
+                part = self._buffer[: self._left]
+                if not part:
+                    break
+                out += part
+                del self._buffer[: len(part)]
+                self._left -= len(part)
+                if self._left == 0:
+                    self._left = -3
+                continue
+            if self._left == -3:  # the line end that closes a chunk
+                if len(self._buffer) < 2:
+                    break
+                if self._buffer[:2] != b"\r\n":
+                    raise HttpError(400, "a chunk does not end where it should")
+                del self._buffer[:2]
+                self._left = -1
+                continue
+            end = self._buffer.find(b"\r\n")
+            if end < 0 or end > MAX_CHUNK_LINE:
+                if max(end, len(self._buffer)) > MAX_CHUNK_LINE:
+                    raise HttpError(400, "a chunk's size line is too long")
+                break
+            line = bytes(self._buffer[:end])
+            del self._buffer[: end + 2]
+            if self._left == -2:
+                self.done = not line
+                continue
+            size = line.split(b";", 1)[0].strip(b" \t")
+            if not _HEX.match(size):
+                raise HttpError(400, "bad chunk size")
+            self._left = int(size, 16) or -2
+        return bytes(out)
+
+    @property
+    def rest(self) -> bytes:
+        """What came after the body's end."""
+        return bytes(self._buffer)
+
+
+class MessageReader:
+    """Cuts a stream of bytes into messages."""
+
+    def __init__(self, parse: Callable[[list[str]], Message], answers: bool) -> None:
+        self._parse, self._answers = parse, answers
+        self._buffer = bytearray()
+        self._message: Message | None = None
+        self._length = 0  # of the body; -1: chunked; -2: up to the connection's end
+        self._chunked = ChunkedDecoder()
+        self._looked = 0
+
+    @classmethod
+    def requests(cls) -> MessageReader:
+        """A reader of requests."""
+        return cls(parse_request_head, False)
+
+    @classmethod
+    def responses(cls) -> MessageReader:
+        """A reader of answers."""
+        return cls(parse_response_head, True)
+
+    @property
+    def begun(self) -> bool:
+        """Whether part of a message has come."""
+        return self._message is not None or bool(self._buffer)
+
+    @property
+    def buffered(self) -> int:
+        """How many bytes wait for the next message."""
+        return len(self._buffer)
+
+    @property
+    def expects_continue(self) -> bool:
+        """Whether a request's head is whole and its sender waits for leave to send the body."""
+        message = self._message
+        return message is not None and message.headers.get("expect", "").lower() == "100-continue"
+
+    def feed(self, data: bytes) -> None:
+        """Take in what the connection brought."""
+        self._buffer += data
+
+    def head(self) -> Message | None:
+        """The next message's head, once it is whole; its body is read by `take`."""
+        if self._message is None:
+            self._message = self._read_head()
+            if self._message is not None:
+                self._length = self._framing(self._message)
+                self._chunked = ChunkedDecoder()
+        return self._message
+
+    def take(self) -> Message | None:
+        """The next message once all of it is here."""
+        message = self.head()
+        if message is None:
+            return None
+        if self._length == -1:
+            message.body += self._chunked.feed(bytes(self._buffer))
+            self._buffer.clear()
+            if len(message.body) > MAX_BODY:
+                raise HttpError(413, "the body is too large")
+            if not self._chunked.done:
+                return None
+            self._buffer += self._chunked.rest
+        elif self._length == -2:
+            if len(self._buffer) > MAX_BODY:
+                raise HttpError(413, "the body is too large")
+            return None
+        else:
+            if len(self._buffer) < self._length:
+                return None
+            message.body = bytes(self._buffer[: self._length])
+            del self._buffer[: self._length]
+        self._message = None
+        return message
+
+    def drain(self) -> tuple[bytes, bool]:
+        """What has come of a body without end, and whether it has ended after all."""
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        if self._length == -1:
+            return self._chunked.feed(data), self._chunked.done
+        if self._length == -2:
+            return data, False
+        part, rest = data[: self._length], data[self._length :]
+        self._length -= len(part)
+        self._buffer += rest
+        return part, self._length == 0
+
+    def end(self) -> Message | None:
+        """The connection has ended: the message that ends with it, if one does."""
+        message = self._message
+        if message is None or self._length != -2:
+            return None
+        message.body, self._message = bytes(self._buffer), None
+        self._buffer.clear()
+        return message
+
+    def _read_head(self) -> Message | None:
+        buffer = self._buffer
+        while not self._answers and buffer[:2] == b"\r\n":  # an empty line before a request is passed over
+            del buffer[:2]
+        end = buffer.find(b"\r\n\r\n", max(0, self._looked - 3))
+        if end < 0 or end > MAX_HEAD:
+            self._looked = len(buffer)
+            if len(buffer) > MAX_HEAD:
+                raise HttpError(431, "the head is too large")
+            line = buffer.find(b"\n")
+            if line == 0 or (line > 0 and buffer[line - 1] != 13):
+                raise HttpError(400, "a line ends without a carriage return")
+            if line > 0:  # a bad first line is answered at once, not when its sender tires
+                self._parse([buffer[: line - 1].decode("latin-1")])
+            return None
+        text = buffer[:end].decode("latin-1")
+        del buffer[: end + 4]
+        self._looked = 0
+        return self._parse(text.split("\r\n"))
+
+    def _framing(self, message: Message) -> int:
+        coding, length = message.headers.get("transfer-encoding"), message.headers.get("content-length")
+        if coding is not None:
+            if length is not None or coding.lower() != "chunked" or message.minor == 0:
+                raise HttpError(400, "the body's length is not clear")
+            return -1
+        if self._answers and (message.status in (204, 304) or message.status < 200):
+            return 0
+        if length is None:
+            return -2 if self._answers else 0
+        if not _DIGITS.match(length):
+            raise HttpError(400, "bad content length")
+        if int(length) > MAX_BODY:
+            raise HttpError(413, "the body is too large")
+        return int(length)
+
+
+@dataclass(slots=True)
+class Head:
+    """A head to be written."""
+
+    first: str
+    lines: list[str] = field(default_factory=list)
+
+    def add(self, name: str, value: object) -> None:
+        """One header."""
+        self.lines.append(f"{name}: {value}")
+
+    def join(self, body: bytes) -> bytes:
+        """The whole message."""
+        return ("\r\n".join([self.first, *self.lines]) + "\r\n\r\n").encode("latin-1") + body
+
+
+def write_request(method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes = b"") -> bytes:
+    """A request, framed by its length."""
+    head = Head(f"{method} {target} HTTP/1.1")
+    for name, value in headers:
+        head.add(name, value)
+    if body or method not in ("GET", "HEAD"):
+        head.add("Content-Length", len(body))
+    return head.join(body)
+
+
+def write_response(
+    status: int, headers: Iterable[tuple[str, str]], body: bytes, keep_alive: bool = True
+) -> bytes:
+    """An answer, framed by its length."""
+    head = Head(f"HTTP/1.1 {status} {HTTPStatus(status).phrase}")
+    for name, value in headers:
+        head.add(name, value)
+    head.add("Content-Length", len(body))
+    if not keep_alive:
+        head.add("Connection", "close")
+    return head.join(body)
--- /dev/null
+++ b/brambleusher/net/scheduler.py
@@ -0,0 +1,272 @@
+"""Greenlet tasks over `select.poll`: one thread, one poll set, one heap of timers.
+
+A task runs until it parks.  It may park on a socket, on a `Bell`, or on both, always with the
+choice of a deadline; whichever comes first wakes it.  Deadlines are in seconds on `Scheduler.now`.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import select
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import greenlet
+
+log = logging.getLogger(__name__)
+
+READ, WRITE = select.POLLIN, select.POLLOUT
+
+
+class Timeout(Exception):
+    """The deadline passed before what was waited for came."""
+
+
+class Cancelled(BaseException):
+    """Raised inside a task that was called off; not an `Exception`, so that handlers let it pass."""
+
+
+class Timer:
+    """A call due at some moment; `cancel` leaves an empty shell in the heap."""
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: Callable[[], object]) -> None:
+        self.call: Callable[[], object] | None = call
+
+    def cancel(self) -> None:
+        """Make it do nothing."""
+        self.call = None
+
+
+class Bell:
+    """A flag that one parked task waits on; rung while nobody waits, it stays rung."""
+
+    __slots__ = ("rung", "task")
+
+    def __init__(self) -> None:
+        self.rung = False
+        self.task: Task | None = None
+
+    def ring(self) -> None:
+        """Wake the task that waits, or let the next wait return at once."""
+        self.rung = True
+        if self.task is not None:
+            self.task.scheduler.wake(self.task, "bell")
+
+
+class Task:
+    """One greenlet and what it waits for."""
+
+    __slots__ = ("bell", "done", "glet", "name", "parked", "scheduler", "sock_fd", "timer")
+
+    def __init__(self, scheduler: Scheduler, name: str, run: Callable[[Any], None]) -> None:
+        self.scheduler, self.name = scheduler, name
+        self.glet = greenlet.greenlet(run, scheduler.hub)
+        self.parked = self.done = False
+        self.sock_fd = -1
+        self.bell: Bell | None = None
+        self.timer: Timer | None = None
+
+    def cancel(self) -> None:
+        """Raise `Cancelled` where the task is parked; a task that has ended is left alone."""
+        if not self.done:
+            self.scheduler.wake(self, Cancelled())
+
+
+class Scheduler:
+    """The hub: runs ready tasks, then polls until a socket or a timer is due."""
+
+    def __init__(self) -> None:
+        self.hub = greenlet.getcurrent()
+        self._poll = select.poll()
+        self._ready: deque[tuple[Task, Any]] = deque()
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._timer_count = 0
+        self._waiting: dict[int, Task] = {}
+        self._soon: deque[Callable[[], object]] = deque()
+        self._running: Task | None = None
+        self._stopped = False
+        # Signal handlers write here, so that a poll in progress ends.
+        self._wake_in, self._wake_out = socket.socketpair()
+        self._wake_in.setblocking(False)
+        self._wake_out.setblocking(False)
+        self._poll.register(self._wake_in, READ)
+
+    # --- what tasks call ------------------------------------------------------------------------
+
+    @staticmethod
+    def now() -> float:
+        """Seconds on a clock that only advances."""
+        return time.monotonic()
+
+    def spawn(self, call: Callable[..., Any], *args: Any, name: str = "") -> Task:
+        """Start a task; it runs for the first time in the hub's next round."""
+        task = Task(self, name or call.__qualname__, lambda why: self._body(task, call, args, why))
+        self._ready.append((task, None))
+        task.parked = True
+        return task
+
+    def park(
+        self,
+        deadline: float | None = None,
+        sock: socket.socket | None = None,
+        events: int = READ,
+        bell: Bell | None = None,
+    ) -> str:
+        """Wait for a socket, a bell or both; says which came, raises `Timeout` if neither did."""
+        if bell is not None and bell.rung:
+            bell.rung = False
+            return "bell"
+        task = self._current()
+        if sock is not None:
+            task.sock_fd = sock.fileno()
+            if task.sock_fd in self._waiting:
+                task.sock_fd = -1
+                raise RuntimeError("two tasks wait on one socket")
+            self._waiting[task.sock_fd] = task
+            self._poll.register(task.sock_fd, events)
+        if bell is not None:
+            task.bell, bell.task = bell, task
+        if deadline is not None:
+            task.timer = self.call_at(deadline, lambda: self.wake(task, Timeout()))
+        task.parked = True
+        why = self.hub.switch()
+        if bell is not None:
+            bell.rung = False
+        if isinstance(why, BaseException):
+            raise why
+        return str(why)
+
+    def sleep(self, seconds: float) -> None:
+        """Let others run for a while."""
+        try:
+            self.park(self.now() + seconds)
+        except Timeout:
+            return
+
+    def call_at(self, when: float, call: Callable[[], object]) -> Timer:
+        """Have the hub make a short call at a moment; it must not park."""
+        timer = Timer(call)
+        self._timer_count += 1
+        heapq.heappush(self._timers, (when, self._timer_count, timer))
+        return timer
+
+    def call_soon(self, call: Callable[[], object]) -> None:
+        """Have the hub make a short call in its next round; safe in a signal handler."""
+        self._soon.append(call)
+        self.nudge()
+
+    def wake(self, task: Task, why: Any) -> None:
+        """Queue a parked task to run again; the first reason to wake it counts."""
+        if not task.parked:
+            return
+        if task.sock_fd < 0 and task.bell is None and task.timer is None:
+            # Queued already.  A cancel must not be lost to a reason that came a moment earlier.
+            if isinstance(why, Cancelled):
+                for at, (queued, _) in enumerate(self._ready):
+                    if queued is task:
+                        self._ready[at] = (task, why)
+                        return
+            else:
+                return
+        self._unhook(task)
+        self._ready.append((task, why))
+
+    # --- the hub --------------------------------------------------------------------------------
+
+    def run(self, until: Callable[[], bool] | None = None) -> None:
+        """Serve until `stop` is called or `until` says so."""
+        self._stopped = False
+        while not self._stopped and not (until is not None and until()):
+            self._fire(self.now())
+            for _ in range(len(self._ready)):
+                task, why = self._ready.popleft()
+                task.parked = False
+                self._running = task
+                task.glet.switch(why)
+                self._running = None
+            self._collect(0 if self._ready else self._pause())
+
+    def stop(self) -> None:
+        """End `run` after this round; safe in a signal handler."""
+        self._stopped = True
+        self.nudge()
+
+    def nudge(self) -> None:
+        """End a poll in progress; safe in a signal handler."""
+        try:
+            self._wake_out.send(b"x")
+        except OSError:
+            return
+
+    def close(self) -> None:
+        """Release the scheduler's own sockets."""
+        self._wake_in.close()
+        self._wake_out.close()
+
+    def _pause(self) -> int:
+        while self._timers and self._timers[0][2].call is None:
+            heapq.heappop(self._timers)
+        if not self._timers:
+            return 1000
+        return max(0, min(1000, int((self._timers[0][0] - self.now()) * 1000 + 0.999)))
+
+    def _fire(self, now: float) -> None:
+        calls = [self._soon.popleft() for _ in range(len(self._soon))]
+        while self._timers and self._timers[0][0] <= now:
+            call = heapq.heappop(self._timers)[2].call
+            if call is not None:
+                calls.append(call)
+        for call in calls:
+            try:
+                call()
+            except Exception:
+                log.exception("timer failed")
+
+    def _collect(self, pause: int) -> None:
+        for fd, _ in self._poll.poll(pause):
+            task = self._waiting.get(fd)
+            if task is not None:
+                self.wake(task, "socket")
+            elif fd == self._wake_in.fileno():
+                try:
+                    self._wake_in.recv(4096)
+                except BlockingIOError:
+                    continue
+            else:  # guards against a loop at full speed over a socket nobody waits for
+                self._poll.unregister(fd)
+
+    def _unhook(self, task: Task) -> None:
+        if task.sock_fd >= 0:
+            del self._waiting[task.sock_fd]
+            self._poll.unregister(task.sock_fd)
+            task.sock_fd = -1
+        if task.bell is not None:
+            task.bell.task = None
+            task.bell = None
+        if task.timer is not None:
+            task.timer.cancel()
+            task.timer = None
+
+    def _current(self) -> Task:
+        if self._running is None:
+            raise RuntimeError("only a task may wait")
+        return self._running
+
+    def _body(self, task: Task, call: Callable[..., Any], args: tuple[Any, ...], why: Any) -> None:
+        try:
+            if isinstance(why, Cancelled):  # called off before its first step
+                return
+            call(*args)
+        except Cancelled:
+            return
+        except Exception:
+            # Guards against one task's fault ending the program.
+            log.exception("task failed", extra={"fields": {"task": task.name}})
+        finally:
+            task.done = True
--- /dev/null
+++ b/brambleusher/net/streams.py
@@ -0,0 +1,105 @@
+"""A non-blocking TCP connection for tasks: connect, receive and send with deadlines."""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+
+from brambleusher.net.scheduler import READ, WRITE, Bell, Scheduler, Timeout
+
+RECEIVE = 64 * 1024
+LINGER_SECONDS, LINGER_BYTES = 1.0, 1024 * 1024
+
+
+class Called(Exception):
+    """The bell rang: what was waited for is not wanted any more."""
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """`host:port` as a pair; raises `ValueError` where it is not one."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"{text!r} is not host:port")
+    return host, int(port)
+
+
+class Stream:
+    """One connection; a task at a time waits on it."""
+
+    __slots__ = ("open", "scheduler", "sock", "used_at")
+
+    def __init__(self, scheduler: Scheduler, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.scheduler, self.sock = scheduler, sock
+        self.open = True
+        self.used_at = scheduler.now()
+
+    @classmethod
+    def connect(
+        cls, scheduler: Scheduler, address: tuple[str, int], deadline: float, bell: Bell | None = None
+    ) -> Stream:
+        """A connection to `address`; raises `OSError`, `Timeout` at the deadline, `Called` at the bell."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        stream = cls(scheduler, sock)
+        try:
+            code = sock.connect_ex(address)
+            if code == errno.EINPROGRESS:
+                if scheduler.park(deadline, sock, WRITE, bell) == "bell":
+                    raise Called
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, os.strerror(code))
+        except BaseException:
+            stream.close()
+            raise
+        return stream
+
+    def receive(self, deadline: float | None, bell: Bell | None = None) -> bytes | None:
+        """The next bytes, empty at the end; None when the bell rang first."""
+        while True:
+            try:
+                return self.sock.recv(RECEIVE)
+            except BlockingIOError:
+                if self.scheduler.park(deadline, self.sock, READ, bell) == "bell":
+                    return None
+
+    def send(self, data: bytes, deadline: float | None) -> None:
+        """All of `data`; returns once the last byte has been handed to the system."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self.sock.send(view) :]
+            except BlockingIOError:
+                self.scheduler.park(deadline, self.sock, WRITE)
+
+    def quiet(self) -> bool:
+        """Whether the connection is open and nothing, not even its end, waits to be read."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def finish(self) -> None:
+        """End the sending side and read what is still on its way, within bounds.
+
+        Guards against a reset that overtakes the answer: closing with bytes unread sends one.
+        """
+        self.sock.shutdown(socket.SHUT_WR)
+        deadline = self.scheduler.now() + LINGER_SECONDS
+        left = LINGER_BYTES
+        try:
+            while left > 0 and (data := self.receive(deadline)):
+                left -= len(data)
+        except Timeout:
+            return
+
+    def close(self) -> None:
+        """Close it, once."""
+        if self.open:
+            self.open = False
+            self.sock.close()
--- /dev/null
+++ b/brambleusher/net/submitters.py
@@ -0,0 +1,381 @@
+"""The submitters' side: the listener, `/ready`, and the life of one request."""
+
+from __future__ import annotations
+
+import errno
+import logging
+import re
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from brambleusher.counters import Counters
+from brambleusher.decisions import Call, ClaimEnded, Clock, Decisions, DuplicateRequest, Outcome
+from brambleusher.net.execute_nodes import Claim, ExecuteNodes
+from brambleusher.net.http import HttpError, Message, MessageReader, write_response
+from brambleusher.net.scheduler import Scheduler, Task, Timeout
+from brambleusher.net.streams import Stream
+from quillpass.api import Cancel, Refuse, Send, Status
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 512
+IDLE_SECONDS = 120.0  # a submitter's connection without a request
+READ_SECONDS = 10.0  # from a request's first byte to its last
+WRITE_SECONDS = 10.0  # for a submitter that reads its answer slowly
+NO_DESCRIPTOR_SECONDS = 0.05
+# An answer leaves so much before its submitter stops waiting; a tenth of what is left, if that is less.
+ANSWER_MARGIN_NS = 10_000_000
+GUARD_SECONDS = 0.005  # past that moment: the module had its chance to answer
+
+_ID = re.compile(r"[\x21-\x7e]{1,128}\Z")
+_NUMBER = re.compile(r"[0-9]{1,9}\Z")
+
+
+class Kind(Enum):
+    """What became of a request."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A final answer, before it is worded in any protocol."""
+
+    kind: Kind
+    retry_after_ns: int = 0
+    payload: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class Submitter:
+    """The other end of a request: `watch` has its socket as long as it can be seen to leave."""
+
+    watch: Callable[[], socket.socket | None]
+    has_left: Callable[[], bool]
+
+
+class RequestLife:
+    """Lives of requests, in whatever protocol they came."""
+
+    def __init__(self, decisions: Decisions, nodes: ExecuteNodes, scheduler: Scheduler) -> None:
+        self._decisions, self._nodes, self._scheduler = decisions, nodes, scheduler
+
+    def live(self, call: Call, deadline: float, submitter: Submitter) -> Answer | None:
+        """One request from its arrival to its final answer; None if its submitter left before.
+
+        The module is asked at each point of choice: when the request comes, and whenever a claim
+        made for it has ended.  `deadline` is when the answer must leave.
+        """
+        ticket = self._decisions.take(call)
+        claims: list[Claim] = []
+        try:
+            while True:
+                # 1. Wait for the module's next step, a claim's end or the submitter's leaving.
+                while not ticket.steps:
+                    woken = self._scheduler.park(
+                        deadline + GUARD_SECONDS, submitter.watch(), bell=ticket.bell
+                    )
+                    if woken == "socket" and submitter.has_left():
+                        self._decisions.left(ticket)
+                        for claim in claims:
+                            claim.call_off()
+                        return None
+                step = ticket.steps.popleft()
+                # 2. Make a claim, or call one off.
+                if isinstance(step, Send):
+                    attempt, node = len(claims), step.host
+
+                    def ended(outcome: Outcome, attempt: int = attempt, node: str = node) -> None:
+                        self._decisions.claim_ended(ticket, ClaimEnded(attempt, node, outcome))
+
+                    claims.append(self._nodes.claim(node, call.payload, step.timeout_ns, deadline, ended))
+                elif isinstance(step, Cancel):
+                    claims[step.attempt].call_off()
+                # 3. A claim has ended: the first that served answers the request.
+                elif isinstance(step, ClaimEnded):
+                    served = step.outcome.status is Status.OK
+                    self._decisions.ended(ticket, step, closed=served)
+                    if served:
+                        return Answer(Kind.SERVED, payload=step.outcome.payload)
+                # 4. The module has given up on it: the answer goes out at once.
+                elif isinstance(step, Refuse):
+                    wait = min(step.retry_after_ns, self._decisions.settings.max_retry_after_ns)
+                    return Answer(Kind.REFUSED, wait)
+                else:
+                    return Answer(Kind.FAILED)
+        except Timeout:
+            # Guards against a module that owes an answer and never gives it.
+            log.error("no answer from the module", extra={"fields": {"request": call.request}})
+            self._decisions.left(ticket)
+            return Answer(Kind.FAILED)
+        finally:
+            self._decisions.close(ticket)
+
+
+class Connection:
+    """One submitter's connection."""
+
+    __slots__ = ("idle_since", "stream", "task")
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.task: Task | None = None
+        self.idle_since: float | None = stream.used_at  # None while a request is read or answered
+
+
+class Submitters:
+    """Accepts submitters and serves their requests, one at a time on each connection."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        decisions: Decisions,
+        nodes: ExecuteNodes,
+        clock: Clock,
+        counters: Counters,
+        most_connections: int,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._scheduler, self._decisions, self._clock = scheduler, decisions, clock
+        self._counters, self._most, self._is_ready = counters, most_connections, is_ready
+        self._life = RequestLife(decisions, nodes, scheduler)
+        self._classes = {cls.name for cls in decisions.settings.classes}
+        self._tenants = {tenant.name for tenant in decisions.settings.tenants}
+        self._listener: socket.socket | None = None
+        self._accepting: Task | None = None
+        self._connections: set[Connection] = set()
+        self._closing = False
+
+    # --- the listener ---------------------------------------------------------------------------
+
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        """Bind, and start to accept; says where."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+        self._listener = listener
+        self._accepting = self._scheduler.spawn(self._accept_all, listener, name="accept")
+        host, port = listener.getsockname()[:2]
+        return str(host), int(port)
+
+    def _accept_all(self, listener: socket.socket) -> None:
+        while True:
+            if len(self._connections) >= self._most and not self._close_one_idle():
+                self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
+            elif not self._accept_one(listener):
+                self._scheduler.park(sock=listener)
+
+    def _accept_one(self, listener: socket.socket) -> bool:
+        """Take one connection that waits; false if none does."""
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                # Guards against a loop at full speed, and against dying, while no descriptor is free.
+                log.warning("no descriptor to accept with", extra={"fields": {"error": error.strerror}})
+                self._close_one_idle()
+                self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
+            return True  # others concern the connection that was to be taken, and it is gone
+        self._counters.add("connections_accepted")
+        try:
+            connection = Connection(Stream(self._scheduler, sock))
+        except OSError:  # reset before it was looked at
+            sock.close()
+            return True
+        self._connections.add(connection)
+        connection.task = self._scheduler.spawn(self._serve, connection, name="submitter")
+        return True
+
+    def _close_one_idle(self) -> bool:
+        """Make room: close the connection that has been idle for longest, if one is."""
+        idle = [one for one in self._connections if one.idle_since is not None and one.stream.quiet()]
+        if not idle:
+            return False
+        self._close_idle(min(idle, key=lambda one: one.idle_since or 0.0))
+        return True
+
+    def _close_idle(self, connection: Connection) -> None:
+        self._connections.discard(connection)
+        if connection.task is not None:
+            connection.task.cancel()  # its task closes it
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return len(self._connections)
+
+    def wind_down(self) -> None:
+        """Take no new connection; close each one as soon as nothing is owed on it."""
+        self._closing = True
+        if self._accepting is not None:
+            self._accepting.cancel()
+        if self._listener is not None:
+            while self._accept_one(self._listener):  # what the system accepted for us is ours to serve
+                continue
+            self._listener.close()
+            self._listener = None
+        for connection in list(self._connections):
+            if connection.idle_since is not None and connection.stream.quiet():
+                self._close_idle(connection)
+
+    # --- one connection -------------------------------------------------------------------------
+
+    def _serve(self, connection: Connection) -> None:
+        """Request after request, until one side closes."""
+        reader = MessageReader.requests()
+        try:
+            while self._exchange(connection, reader):
+                connection.idle_since = self._scheduler.now()
+        except (OSError, Timeout):
+            return
+        finally:
+            self._connections.discard(connection)
+            connection.stream.close()
+
+    def _exchange(self, connection: Connection, reader: MessageReader) -> bool:
+        """One request and its answer; false when the connection is to be closed."""
+        stream = connection.stream
+        try:
+            request = self._read(connection, reader)
+        except HttpError as error:
+            self._counters.add("bad_requests")
+            stream.send(
+                write_response(error.status, [], f"{error}\n".encode(), False),
+                self._scheduler.now() + WRITE_SECONDS,
+            )
+            stream.finish()
+            return False
+        if request is None:
+            return False
+        keep = request.keep_alive
+        try:
+            answer = self._answer(stream, reader, request)
+        except HttpError as error:
+            self._counters.add("bad_requests")
+            keep = keep and error.status == 404
+            answer = error.status, [], f"{error}\n".encode()
+        except Exception:
+            # Guards against a request left without an answer by a fault of ours.
+            self._counters.add("faults")
+            self._counters.add("answers_failed")
+            log.exception("request failed")
+            answer = 500, [], b""
+        if answer is None:
+            return False
+        keep = keep and not self._closing
+        status, headers, body = answer
+        try:
+            stream.send(write_response(status, headers, body, keep), self._scheduler.now() + WRITE_SECONDS)
+        except (OSError, Timeout):
+            self._counters.add("answers_unsent")
+            raise
+        return keep
+
+    def _read(self, connection: Connection, reader: MessageReader) -> Message | None:
+        """The next request; None if the submitter closed instead."""
+        deadline = self._scheduler.now() + IDLE_SECONDS
+        told_to_go_on = False
+        while (request := reader.take()) is None:
+            if reader.begun and connection.idle_since is not None:
+                connection.idle_since = None
+                deadline = self._scheduler.now() + READ_SECONDS
+            if reader.expects_continue and not told_to_go_on:
+                told_to_go_on = True
+                connection.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n", deadline)
+            if self._closing and not reader.begun and connection.stream.quiet():
+                return None
+            try:
+                data = connection.stream.receive(deadline)
+            except Timeout:
+                if reader.begun:
+                    raise HttpError(408, "the request did not come whole in time") from None
+                return None
+            if not data:
+                return None
+            reader.feed(data)
+        connection.idle_since = None
+        return request
+
+    def _answer(
+        self, stream: Stream, reader: MessageReader, request: Message
+    ) -> tuple[int, list[tuple[str, str]], bytes] | None:
+        """Status, headers and body of the answer; None if the submitter has left."""
+        method, target = request.start
+        path = target.split("?", 1)[0]
+        if path == "/ready" and method == "GET":
+            return (200, [], b"ready\n") if self._is_ready() else (503, [], b"starting\n")
+        arrived_ns = self._clock.now_ns()
+        call = self._call(request, path)
+        deadline = self._clock.seconds(arrived_ns + call.left_ns)
+
+        def watch() -> socket.socket | None:
+            # One that sends ahead without end is not read further until its answer is out.
+            return stream.sock if reader.buffered < 2 * 64 * 1024 else None
+
+        def has_left() -> bool:
+            try:
+                data = stream.sock.recv(16 * 1024)
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+            reader.feed(data)
+            return not data
+
+        self._counters.add("requests_taken")
+        try:
+            answer = self._life.live(call, deadline, Submitter(watch, has_left))
+        except DuplicateRequest as error:
+            raise HttpError(400, str(error)) from None
+        if answer is None:
+            self._counters.add("requests_gone")
+            return None
+        self._counters.add(f"answers_{answer.kind.value}")
+        if answer.kind is Kind.REFUSED:
+            wait = f"{answer.retry_after_ns / 1e9:.3f}"
+            return 503, [("Retry-After", wait)] if answer.retry_after_ns > 0 else [], b""
+        if answer.kind is Kind.FAILED or not isinstance(answer.payload, Message):
+            return 502, [], b""
+        kind = answer.payload.headers.get("content-type")
+        return 200, [("Content-Type", kind)] if kind else [], answer.payload.body
+
+    def _call(self, request: Message, path: str) -> Call:
+        """What the decisions need to know of a request; raises `HttpError` where that makes no sense."""
+        headers = request.headers
+        named = path[1:].split("/", 1)[0]
+        if named not in self._classes:
+            raise HttpError(404, "unknown path")
+        request_class = headers.get("request-class", "")
+        if request_class and request_class not in self._classes:
+            raise HttpError(404, "unknown class")
+        if request_class != named:
+            raise HttpError(400, "Request-Class is missing or not the path's")
+        if not _ID.match(headers.get("request-id", "")):
+            raise HttpError(400, "Request-Id is missing or malformed")
+        wait = headers.get("request-timeout-ms", "")
+        if not _NUMBER.match(wait) or int(wait) == 0:
+            raise HttpError(400, "Request-Timeout-Ms is missing or not a number of milliseconds")
+        tenant = headers.get("tenant")
+        if self._tenants and tenant not in self._tenants:
+            raise HttpError(400, "Tenant is missing or unknown")
+        hint = headers.get("work-hint")
+        if hint is not None and not _NUMBER.match(hint):
+            raise HttpError(400, "Work-Hint is not a number of microseconds")
+        left_ns = int(wait) * 1_000_000
+        return Call(
+            request=headers["request-id"],
+            request_class=request_class,
+            tenant=tenant,
+            left_ns=left_ns - min(ANSWER_MARGIN_NS, left_ns // 10),
+            work_hint_ns=None if hint is None else int(hint) * 1000,
+            is_retry=headers.get("client-retry") == "1",
+            payload=request,
+        )
--- /dev/null
+++ b/brambleusher/net/watch.py
@@ -0,0 +1,63 @@
+"""Discovery's watch over HTTP: a chunked answer with one JSON object a line."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from brambleusher.net.http import MessageReader, write_request
+from brambleusher.net.scheduler import Scheduler
+from brambleusher.net.streams import Stream
+
+CONNECT_SECONDS = 1.0
+ANSWER_SECONDS = 4.0  # a call may wait its turn for 3 s before discovery fails it
+SILENT_SECONDS = 3.0  # an empty line is due every 2 s; a watch that says nothing is dead
+MAX_LINE = 4 * 1024 * 1024
+
+
+class WatchFailed(OSError):
+    """Discovery did not answer with a watch."""
+
+
+class HttpWatch:
+    """The feed of the machine list."""
+
+    def __init__(self, scheduler: Scheduler, address: tuple[str, int]) -> None:
+        self._scheduler, self._address = scheduler, address
+
+    def __call__(self, since: int | None) -> Iterator[bytes]:
+        """Lines as they come; ends with the watch, raises `Timeout` when it has gone silent."""
+        now = self._scheduler.now
+        stream = Stream.connect(self._scheduler, self._address, now() + CONNECT_SECONDS)
+        try:
+            target = "/v1/endpoints?follow=1" + ("" if since is None else f"&since={since}")
+            host = f"{self._address[0]}:{self._address[1]}"
+            stream.send(write_request("GET", target, [("Host", host)]), now() + CONNECT_SECONDS)
+            reader, deadline = MessageReader.responses(), now() + ANSWER_SECONDS
+            while (head := reader.head()) is None:
+                data = stream.receive(deadline)
+                if not data:
+                    raise WatchFailed("discovery closed the connection")
+                reader.feed(data)
+            if head.status != 200:
+                raise WatchFailed(f"discovery answered {head.status}")
+            yield from self._lines(stream, reader)
+        finally:
+            stream.close()
+
+    def _lines(self, stream: Stream, reader: MessageReader) -> Iterator[bytes]:
+        pending = bytearray()
+        while True:
+            part, done = reader.drain()
+            pending += part
+            *lines, rest = pending.split(b"\n")
+            pending = bytearray(rest)
+            for line in lines:
+                yield bytes(line)
+            if done:
+                return
+            if len(pending) > MAX_LINE:
+                raise WatchFailed("a line is too long")
+            data = stream.receive(self._scheduler.now() + SILENT_SECONDS)
+            if not data:
+                raise WatchFailed("the watch was cut")
+            reader.feed(data)
--- /dev/null
+++ b/brambleusher/sidecar.py
@@ -0,0 +1,138 @@
+"""The sidecar as a whole: its parts put together, started and wound down."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import random
+import signal
+from types import FrameType
+
+from brambleusher.config import Config
+from brambleusher.counters import Counters
+from brambleusher.decisions import Clock, Decisions
+from brambleusher.net.execute_nodes import ExecuteNodes
+from brambleusher.net.machine_list import MachineList, MachineListUpdate
+from brambleusher.net.scheduler import Scheduler
+from brambleusher.net.submitters import Submitters
+from brambleusher.net.watch import HttpWatch
+from quillpass.api import ListKind
+
+log = logging.getLogger(__name__)
+
+SPARE_DESCRIPTORS = 32  # the watch, the listener, the log, files that the runtime opens
+NODE_PART = 0.4  # of the descriptors: connections to execute nodes; the rest is for submitters
+READY_SECONDS = 1.0  # so long the sidecar waits for a fresh list before it serves with the one it had
+# After SIGTERM new connections keep coming for 0.2 to 0.4 s.
+SERVE_ON_SECONDS = 0.45
+MEMORY_PER_CONNECTION = 160 * 1024  # two bodies and what goes with them
+MEMORY_OF_RUNTIME = 64 * 1024 * 1024
+
+
+class Sidecar:
+    """One sidecar; `run` serves until it is told to end."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.scheduler = Scheduler()
+        self.clock = Clock()
+        self.counters = Counters()
+        memory = max(config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME, MEMORY_OF_RUNTIME // 8)
+        places = min(config.limits.sockets - SPARE_DESCRIPTORS, memory // MEMORY_PER_CONNECTION)
+        for_nodes = max(int(places * NODE_PART), 8)
+        self.nodes = ExecuteNodes(self.scheduler, config.settings, self.counters, for_nodes)
+        self.decisions = Decisions(config.settings, config.seed, self.scheduler, self.clock, self.counters)
+        self.machine_list = MachineList(
+            self.scheduler,
+            HttpWatch(self.scheduler, config.discovery),
+            random.Random(config.seed ^ 1),
+            self.counters,
+            self._listed,
+            lambda: self.decisions.listed(ListKind.FAILED, ()),
+        )
+        self.decisions.on_let_go = self.nodes.let_go
+        self.decisions.on_subscribe = self.machine_list.ask
+        self.submitters = Submitters(
+            self.scheduler, self.decisions, self.nodes, self.clock, self.counters,
+            max(places - for_nodes, 8), self.is_ready,
+        )  # fmt: skip
+        self._started_at = self.scheduler.now()
+        self._ending = self._wound_down = False
+
+    def is_ready(self) -> bool:
+        """Whether submitters may come."""
+        waited = self.scheduler.now() - self._started_at >= READY_SECONDS
+        return self.machine_list.fresh or (waited and bool(self.config.known.machines))
+
+    def start(self) -> tuple[str, int]:
+        """Listen and follow the machine list; says where it listens."""
+        known = self.config.known
+        self.nodes.update(known)
+        self.machine_list.hold(known.version)
+        self.decisions.start(machine.entry for machine in known.machines)
+        self.scheduler.spawn(self.machine_list.follow, name="machine list")
+        self.scheduler.spawn(self.nodes.reap, name="reap")
+        where = self.submitters.listen(self.config.listen)
+        log.info(
+            "listening", extra={"fields": {"node": self.config.name, "address": f"{where[0]}:{where[1]}"}}
+        )
+        return where
+
+    def run(self) -> None:
+        """Serve until `end` was called and nothing is owed any more."""
+        self.scheduler.run(self._over)
+        self.counters.report("exit")
+
+    def end(self) -> None:
+        """Begin to wind down; safe in a signal handler."""
+        if not self._ending:
+            self._ending = True
+            self.scheduler.call_soon(self._serve_on)
+
+    def report(self) -> None:
+        """Print the counts soon; safe in a signal handler."""
+        self.scheduler.call_soon(lambda: self.counters.report("asked"))
+
+    def install_signals(self) -> None:
+        """SIGTERM and SIGINT end the sidecar, SIGUSR1 prints the counts."""
+
+        def on_end(number: int, frame: FrameType | None) -> None:
+            self.end()
+
+        def on_report(number: int, frame: FrameType | None) -> None:
+            self.report()
+
+        signal.signal(signal.SIGTERM, on_end)
+        signal.signal(signal.SIGINT, on_end)
+        signal.signal(signal.SIGUSR1, on_report)
+
+    def _listed(self, update: MachineListUpdate) -> None:
+        # The connections first: what the module sends from here on goes by the same list.
+        self.nodes.update(update)
+        kind = ListKind.FULL if update.full else ListKind.DELTA
+        self.decisions.listed(kind, [machine.entry for machine in update.machines])
+
+    def _serve_on(self) -> None:
+        log.info("ending", extra={"fields": {"owed": self.decisions.owed}})
+        self.scheduler.call_at(
+            self.scheduler.now() + SERVE_ON_SECONDS,
+            lambda: self.scheduler.spawn(self._wind_down, name="wind down"),
+        )
+
+    def _wind_down(self) -> None:
+        self.submitters.wind_down()
+        self.nodes.close()
+        self._wound_down = True
+
+    def _over(self) -> bool:
+        return self._wound_down and not self.submitters.connections
+
+
+def serve(config: Config) -> None:
+    """Run one sidecar as this process's main program."""
+    # Records are short-lived and seldom cyclic: reference counts free them, rare collections suffice.
+    gc.set_threshold(50_000, 20, 50)
+    sidecar = Sidecar(config)
+    sidecar.install_signals()
+    sidecar.start()
+    sidecar.run()
--- a/quillpass/wirehost.py
+++ b/quillpass/wirehost.py
@@ -8,20 +8,17 @@
 from __future__ import annotations
 
 import gc
-import json
 import math
 import sys
 from collections.abc import Callable, Iterator
-from typing import Any, TextIO
+from typing import TextIO
 
 from quillpass import api
 from quillpass.balance import Balancer
+from quillpass.settings import WireError, parse_settings
+
+__all__ = ["Adapter", "WireError", "format_action", "main", "parse_report", "parse_settings"]
 
-_EFFECTS = {
-    "read_like": api.Effect.SAFE,
-    "idempotency_key": api.Effect.KEYED,
-    "non_idempotent": api.Effect.UNSAFE,
-}
 _STATES = {
     "Running": api.HostState.READY,
     "Stopping": api.HostState.DRAINING,
@@ -38,110 +35,6 @@
 _IGNORED = frozenset({"peer_data"})
 
 
-class WireError(ValueError):
-    """A line, or a setting, that cannot be used."""
-
-
-# --- settings -------------------------------------------------------------------------------
-
-
-def _number(where: dict[str, Any], key: str, path: str, low: float = 0.0) -> float:
-    """A required number of at least `low`, or one plain message naming the key."""
-    value = where.get(key)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
-        raise WireError(f"setting {path}{key} is missing or not a number")
-    if value < low:
-        raise WireError(f"setting {path}{key} is {value}, which is below {low:g}")
-    return value
-
-
-def _default(where: dict[str, Any], key: str, path: str, default: float) -> float:
-    return default if where.get(key) is None else _number(where, key, path)
-
-
-def _request_class(raw: dict[str, Any]) -> api.RequestClass:
-    name = raw.get("name")
-    if not isinstance(name, str):
-        raise WireError("setting classes[].name is missing")
-    path = f"classes[{name}]."
-    effect = _EFFECTS.get(str(raw.get("effect", "")))
-    if effect is None:
-        raise WireError(f"setting {path}effect is missing or unknown")
-    try:
-        group = api.Group(raw.get("group") or "all")
-    except ValueError:
-        raise WireError(f"setting {path}group is unknown") from None
-    return api.RequestClass(
-        name=name,
-        aim_ns=int(_number(raw, "promise_ns", path, 1)),
-        deadline_ns=int(_number(raw, "give_up_ns", path, 1)),
-        worth=_number(raw, "worth", path),
-        late_worth=_default(raw, "late_worth", path, 0.0),
-        effect=effect,
-        group=group,
-        window_ns=int(_default(raw, "window_ns", path, 0)),
-        stream=bool(raw.get("stream", False)),
-    )
-
-
-def parse_settings(text: str) -> api.Settings:
-    """Settings from the start-up object; unknown keys are skipped."""
-    try:
-        raw = json.loads(text)
-    except ValueError as error:
-        raise WireError(f"setup is not JSON: {error}") from None
-    if not isinstance(raw, dict):
-        raise WireError("setup is not an object")
-    classes = raw.get("classes")
-    if not isinstance(classes, list) or not classes:
-        raise WireError("setting classes is missing or empty")
-    zone = raw.get("zone")
-    if not isinstance(zone, str):
-        raise WireError("setting zone is missing")
-    limits, fees = raw.get("limits") or {}, raw.get("fees") or {}
-    safety, telemetry = raw.get("safety") or {}, raw.get("telemetry") or {}
-    return api.Settings(
-        zone=zone,
-        classes=tuple(_request_class(item) for item in classes),
-        fleet_size=int(_number(raw, "fleet_size", "", 1)),
-        tenants=tuple(
-            api.Tenant(
-                str(item.get("name")),
-                _default(item, "portion", "projects[].", 0.0),
-                _default(item, "quota_rps", "projects[].", 0.0),
-            )
-            for item in raw.get("projects") or ()
-        ),
-        subscribe=raw.get("membership_mode") == "subscribe",
-        ask_within_ns=int(_default(safety, "must_ask_in_ns", "safety.", 10e9)),
-        tick_ns=int(_default(raw, "tick_ns", "", 1e6)),
-        max_attempts=int(_default(limits, "max_attempts", "limits.", 1)),
-        second_copies=bool(limits.get("second_copies", False)),
-        can_cancel=bool(limits.get("cancel", False)),
-        can_probe=bool(limits.get("probing", False)),
-        max_retry_after_ns=(
-            int(_default(limits, "max_retry_after_ns", "limits.", 0)) if limits.get("retry_after") else 0
-        ),
-        connect_timeout_ns=int(_default(limits, "connect_timeout_ns", "limits.", 250e6)),
-        cross_zone_price=_default(fees, "cross_zone", "fees.", 0.0),
-        connection_price=_default(fees, "connection", "fees.", 0.0)
-        + _default(fees, "handshake", "fees.", 0.0),
-        late_price=_default(fees, "late_fail", "fees.", 0.0),
-        waste_price=_default(fees, "waste", "fees.", 0.0),
-        over_share_worth=_default(raw, "over_share_worth", "", 1.0),
-        worth_by_work=raw.get("worth_by") == "work",
-        worst_class_part=_default(raw.get("score_parts") or {}, "worst_class", "score_parts.", 0.0),
-        drain_grace_ns=int(_number(safety, "drain_grace_ns", "safety.")),
-        drain_release_ns=int(_default(safety, "drain_release_ns", "safety.", 0)),
-        conn_idle_ns=int(_default(limits, "conn_idle_ns", "limits.", 0)),
-        cold_ns=int(_number(safety, "cold_ns", "safety.")),
-        start_capacity=_number(safety, "start_capacity", "safety."),
-        fall_multiple=_number(safety, "fall_multiple", "safety."),
-        fall_ns=int(_number(safety, "fall_ns", "safety.", 1)),
-        report_fields=tuple(str(name) for name in telemetry.get("names") or ()),
-    )
-
-
 # --- lines ----------------------------------------------------------------------------------
 
 
