Tests on real sockets for the four rules and the failures guarded against

A fault in the module is answered with a failure, and its tick goes on; claims that were asked for and never made are reported as moot; the timer heap is cleared of cancelled deadlines.

--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -71,20 +71,29 @@
     outcome: Outcome
 
 
-Step = api.Send | api.Refuse | api.Fail | api.Cancel | ClaimEnded
+@dataclass(frozen=True, slots=True)
+class MakeClaim:
+    """The module wants a claim made; claims are numbered in the order it asked for them."""
+
+    attempt: int
+    node: str
+    timeout_ns: int
+
+
+Step = MakeClaim | api.Refuse | api.Fail | api.Cancel | ClaimEnded
 
 
 class Ticket:
     """A request that is owed an answer, and the steps that wait for its task."""
 
-    __slots__ = ("bell", "claims_out", "open", "request", "steps")
+    __slots__ = ("bell", "claims_ended", "claims_wanted", "open", "request", "steps")
 
     def __init__(self, request: str) -> None:
         self.request = request
         self.steps: deque[Step] = deque()
         self.bell = Bell()
         self.open = True
-        self.claims_out = 0
+        self.claims_wanted = self.claims_ended = 0
 
     def put(self, step: Step) -> None:
         """Hand a step to the task."""
@@ -129,16 +138,12 @@
         event = api.RequestArrived(
             call.request, call.request_class, call.tenant, call.left_ns, call.work_hint_ns, call.is_retry
         )
-        try:
-            self._handle(event)
-        except Exception:
-            del self._tickets[call.request]
-            raise
+        self._handle(event, ticket)
         return ticket
 
     def ended(self, ticket: Ticket, end: ClaimEnded, closed: bool) -> None:
         """A claim has ended."""
-        ticket.claims_out -= 1
+        ticket.claims_ended += 1
         outcome = end.outcome
         self._counters.add(
             f"claims_{outcome.status.value}" if outcome.status is not api.Status.OK else "claims_served"
@@ -146,10 +151,8 @@
         event = api.AttemptEnded(
             ticket.request, end.attempt, end.node, outcome.status, outcome.latency_ns, closed, outcome.report
         )
-        try:
-            self._handle(event)
-        finally:
-            self._forget(ticket)
+        self._handle(event, ticket)
+        self._forget(ticket)
 
     def left(self, ticket: Ticket) -> None:
         """The submitter has gone, or got an answer that the module did not choose."""
@@ -158,10 +161,14 @@
     def close(self, ticket: Ticket) -> None:
         """The request has had its final answer; what its claims still bring goes to the module alone."""
         ticket.open = False
-        waiting = [step for step in ticket.steps if isinstance(step, ClaimEnded)]
-        ticket.steps.clear()
-        for end in waiting:
-            self.ended(ticket, end, closed=True)
+        while ticket.steps:
+            step = ticket.steps.popleft()
+            if isinstance(
+                step, MakeClaim
+            ):  # asked for and not made any more: the module hears of each one's end
+                step = ClaimEnded(step.attempt, step.node, Outcome(api.Status.MOOT, 0))
+            if isinstance(step, ClaimEnded):
+                self.ended(ticket, step, closed=True)
         self._forget(ticket)
 
     def claim_ended(self, ticket: Ticket, end: ClaimEnded) -> None:
@@ -177,8 +184,18 @@
 
     # --- actions --------------------------------------------------------------------------------
 
-    def _handle(self, event: api.Event) -> None:
-        self._route(self._balancer.handle(event, self._clock.now_ns()))
+    def _handle(self, event: api.Event, ticket: Ticket | None = None) -> None:
+        try:
+            self._route(self._balancer.handle(event, self._clock.now_ns()))
+        except Exception:
+            # Guards against a request left without an answer, or a module that stops ticking for good,
+            # after one fault in the module.
+            self._counters.add("faults")
+            log.exception("the module failed", extra={"fields": {"event": type(event).__name__}})
+            if ticket is not None and ticket.open:
+                ticket.put(api.Fail(ticket.request))
+            if isinstance(event, api.TimerFired):
+                self._set_timer(self._clock.now_ns() + RESTART_TIMER_NS, event.token)
 
     def _route(self, actions: list[api.Action]) -> None:
         for action in actions:
@@ -186,9 +203,11 @@
                 ticket = self._tickets.get(action.request)
                 if ticket is None or not ticket.open:
                     log.error("action for a request that is over", extra={"fields": {"action": action}})
-                    continue
-                ticket.claims_out += isinstance(action, api.Send)
-                ticket.put(action)
+                elif isinstance(action, api.Send):
+                    ticket.put(MakeClaim(ticket.claims_wanted, action.host, action.timeout_ns))
+                    ticket.claims_wanted += 1
+                else:
+                    ticket.put(action)
             elif isinstance(action, api.SetTimer):
                 self._set_timer(action.at_ns, action.token)
             elif isinstance(action, api.LetGo):
@@ -201,17 +220,8 @@
                 log.error("action not allowed", extra={"fields": {"action": action}})
 
     def _set_timer(self, at_ns: int, token: int) -> None:
-        self._scheduler.call_at(self._clock.seconds(at_ns), lambda: self._fired(token))
-
-    def _fired(self, token: int) -> None:
-        try:
-            self._handle(api.TimerFired(token))
-        except Exception:
-            # Guards against a module that stops ticking for good after one bad moment.
-            self._counters.add("faults")
-            log.exception("timer event failed")
-            self._set_timer(self._clock.now_ns() + RESTART_TIMER_NS, token)
+        self._scheduler.call_at(self._clock.seconds(at_ns), lambda: self._handle(api.TimerFired(token)))
 
     def _forget(self, ticket: Ticket) -> None:
-        if not ticket.open and ticket.claims_out <= 0 and self._tickets.get(ticket.request) is ticket:
-            del self._tickets[ticket.request]
+        if not ticket.open and ticket.claims_ended >= ticket.claims_wanted:
+            self._tickets.pop(ticket.request, None)
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -188,7 +188,7 @@
             left_ms = max(1, int((deadline - self._scheduler.now()) * 1000))
             self._counters.add("claims_sent")
             claim.sending = True
-            stream.send(self._encode(request, left_ms), deadline)
+            stream.send(self._encode(request, node, left_ms), deadline)
             claim.written = True
             answer, keep = self._answer(stream, claim, deadline)
             return status_of(answer), parse_report(answer.headers.get("server-load")), answer
@@ -232,8 +232,16 @@
         self._counters.add("connections_opened")
         return stream
 
-    def _encode(self, request: Message, left_ms: int) -> bytes:
-        headers = [(name.title(), value) for name, value in request.headers.items() if name not in _REWRITTEN]
+    @staticmethod
+    def _encode(request: Message, node: Node, left_ms: int) -> bytes:
+        named = {word.strip().lower() for word in request.headers.get("connection", "").split(",")}
+        headers = [
+            (name.title(), value)
+            for name, value in request.headers.items()
+            if name not in _REWRITTEN and name not in named
+        ]
+        if "host" not in request.headers:
+            headers.insert(0, ("Host", f"{node.address[0]}:{node.address[1]}"))
         headers.append(("Request-Timeout-Ms", str(left_ms)))
         return write_request(*request.start, headers, request.body)
 
--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -135,7 +135,6 @@
 
     def follow(self) -> None:
         """The task: watch after watch, with a pause after each that grows while they bring nothing."""
-        self._asked.rung = False
         self._scheduler.park(bell=self._asked)
         pause = BACKOFF_FIRST
         while True:
--- a/brambleusher/net/scheduler.py
+++ b/brambleusher/net/scheduler.py
@@ -33,14 +33,17 @@
 class Timer:
     """A call due at some moment; `cancel` leaves an empty shell in the heap."""
 
-    __slots__ = ("call",)
+    __slots__ = ("_scheduler", "call")
 
-    def __init__(self, call: Callable[[], object]) -> None:
+    def __init__(self, scheduler: Scheduler, call: Callable[[], object]) -> None:
+        self._scheduler = scheduler
         self.call: Callable[[], object] | None = call
 
     def cancel(self) -> None:
         """Make it do nothing."""
-        self.call = None
+        if self.call is not None:
+            self.call = None
+            self._scheduler.timer_cancelled()
 
 
 class Bell:
@@ -86,7 +89,7 @@
         self._poll = select.poll()
         self._ready: deque[tuple[Task, Any]] = deque()
         self._timers: list[tuple[float, int, Timer]] = []
-        self._timer_count = 0
+        self._timer_count = self._shells = 0
         self._waiting: dict[int, Task] = {}
         self._soon: deque[Callable[[], object]] = deque()
         self._running: Task | None = None
@@ -151,11 +154,22 @@
 
     def call_at(self, when: float, call: Callable[[], object]) -> Timer:
         """Have the hub make a short call at a moment; it must not park."""
-        timer = Timer(call)
+        timer = Timer(self, call)
         self._timer_count += 1
         heapq.heappush(self._timers, (when, self._timer_count, timer))
         return timer
 
+    def timer_cancelled(self) -> None:
+        """Clear the heap of empty shells once most of it is.
+
+        Guards against a deadline of minutes for each request that was answered in milliseconds.
+        """
+        self._shells += 1
+        if self._shells > 512 and self._shells * 2 > len(self._timers):
+            self._timers = [entry for entry in self._timers if entry[2].call is not None]
+            heapq.heapify(self._timers)
+            self._shells = 0
+
     def call_soon(self, call: Callable[[], object]) -> None:
         """Have the hub make a short call in its next round; safe in a signal handler."""
         self._soon.append(call)
@@ -212,6 +226,7 @@
     def _pause(self) -> int:
         while self._timers and self._timers[0][2].call is None:
             heapq.heappop(self._timers)
+            self._shells -= 1
         if not self._timers:
             return 1000
         return max(0, min(1000, int((self._timers[0][0] - self.now()) * 1000 + 0.999)))
@@ -219,9 +234,12 @@
     def _fire(self, now: float) -> None:
         calls = [self._soon.popleft() for _ in range(len(self._soon))]
         while self._timers and self._timers[0][0] <= now:
-            call = heapq.heappop(self._timers)[2].call
-            if call is not None:
-                calls.append(call)
+            timer = heapq.heappop(self._timers)[2]
+            if timer.call is None:
+                self._shells -= 1
+            else:
+                calls.append(timer.call)
+                timer.call = None
         for call in calls:
             try:
                 call()
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -11,12 +11,21 @@
 from enum import Enum
 
 from brambleusher.counters import Counters
-from brambleusher.decisions import Call, ClaimEnded, Clock, Decisions, DuplicateRequest, Outcome
+from brambleusher.decisions import (
+    Call,
+    ClaimEnded,
+    Clock,
+    Decisions,
+    DuplicateRequest,
+    MakeClaim,
+    Outcome,
+    Ticket,
+)
 from brambleusher.net.execute_nodes import Claim, ExecuteNodes
 from brambleusher.net.http import HttpError, Message, MessageReader, write_response
 from brambleusher.net.scheduler import Scheduler, Task, Timeout
 from brambleusher.net.streams import Stream
-from quillpass.api import Cancel, Refuse, Send, Status
+from quillpass.api import Cancel, Refuse, Status
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +40,7 @@
 
 _ID = re.compile(r"[\x21-\x7e]{1,128}\Z")
 _NUMBER = re.compile(r"[0-9]{1,9}\Z")
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?\Z")
 
 
 class Kind(Enum):
@@ -71,28 +81,26 @@
         made for it has ended.  `deadline` is when the answer must leave.
         """
         ticket = self._decisions.take(call)
-        claims: list[Claim] = []
+        claims: dict[int, Claim] = {}
         try:
             while True:
                 # 1. Wait for the module's next step, a claim's end or the submitter's leaving.
                 while not ticket.steps:
-                    woken = self._scheduler.park(
-                        deadline + GUARD_SECONDS, submitter.watch(), bell=ticket.bell
-                    )
-                    if woken == "socket" and submitter.has_left():
+                    if self._wait(ticket, deadline + GUARD_SECONDS, submitter) and submitter.has_left():
                         self._decisions.left(ticket)
-                        for claim in claims:
+                        for claim in claims.values():
                             claim.call_off()
                         return None
                 step = ticket.steps.popleft()
                 # 2. Make a claim, or call one off.
-                if isinstance(step, Send):
-                    attempt, node = len(claims), step.host
+                if isinstance(step, MakeClaim):
 
-                    def ended(outcome: Outcome, attempt: int = attempt, node: str = node) -> None:
-                        self._decisions.claim_ended(ticket, ClaimEnded(attempt, node, outcome))
+                    def ended(outcome: Outcome, made: MakeClaim = step) -> None:
+                        self._decisions.claim_ended(ticket, ClaimEnded(made.attempt, made.node, outcome))
 
-                    claims.append(self._nodes.claim(node, call.payload, step.timeout_ns, deadline, ended))
+                    claims[step.attempt] = self._nodes.claim(
+                        step.node, call.payload, step.timeout_ns, deadline, ended
+                    )
                 elif isinstance(step, Cancel):
                     claims[step.attempt].call_off()
                 # 3. A claim has ended: the first that served answers the request.
@@ -112,9 +120,24 @@
             log.error("no answer from the module", extra={"fields": {"request": call.request}})
             self._decisions.left(ticket)
             return Answer(Kind.FAILED)
+        except Exception:
+            # Guards against a request left without an answer by a fault of ours.
+            log.exception("request failed", extra={"fields": {"request": call.request}})
+            self._decisions.left(ticket)
+            return Answer(Kind.FAILED)
         finally:
             self._decisions.close(ticket)
 
+    def _wait(self, ticket: Ticket, deadline: float, submitter: Submitter) -> bool:
+        """Wait for something to happen; true if the submitter is to be looked at."""
+        try:
+            return self._scheduler.park(deadline, submitter.watch(), bell=ticket.bell) == "socket"
+        except Timeout:
+            # Guards against passing over a step that came in the same moment, after a late wake-up.
+            if not ticket.steps:
+                raise
+            return False
+
 
 class Connection:
     """One submitter's connection."""
@@ -218,8 +241,9 @@
         if self._accepting is not None:
             self._accepting.cancel()
         if self._listener is not None:
-            while self._accept_one(self._listener):  # what the system accepted for us is ours to serve
-                continue
+            for _ in range(BACKLOG):  # what the system accepted for us is ours to serve
+                if not self._accept_one(self._listener):
+                    break
             self._listener.close()
             self._listener = None
         for connection in list(self._connections):
@@ -367,7 +391,7 @@
         if self._tenants and tenant not in self._tenants:
             raise HttpError(400, "Tenant is missing or unknown")
         hint = headers.get("work-hint")
-        if hint is not None and not _NUMBER.match(hint):
+        if hint is not None and not _DECIMAL.match(hint):
             raise HttpError(400, "Work-Hint is not a number of microseconds")
         left_ns = int(wait) * 1_000_000
         return Call(
@@ -375,7 +399,7 @@
             request_class=request_class,
             tenant=tenant,
             left_ns=left_ns - min(ANSWER_MARGIN_NS, left_ns // 10),
-            work_hint_ns=None if hint is None else int(hint) * 1000,
+            work_hint_ns=None if hint is None else int(float(hint) * 1000),
             is_retry=headers.get("client-retry") == "1",
             payload=request,
         )
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -71,6 +71,8 @@
         self.machine_list.hold(known.version)
         self.decisions.start(machine.entry for machine in known.machines)
         self.scheduler.spawn(self.machine_list.follow, name="machine list")
+        if not self.config.settings.subscribe:  # the module leaves the list to us
+            self.machine_list.ask()
         self.scheduler.spawn(self.nodes.reap, name="reap")
         where = self.submitters.listen(self.config.listen)
         log.info(
@@ -83,6 +85,10 @@
         self.scheduler.run(self._over)
         self.counters.report("exit")
 
+    def close(self) -> None:
+        """Release what the scheduler holds; for those who embed a sidecar and go on."""
+        self.scheduler.close()
+
     def end(self) -> None:
         """Begin to wind down; safe in a signal handler."""
         if not self._ending:
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -469,8 +469,7 @@
         request, welcome = Request(event.request, cls, now + event.left_ns), self._worth_now(density)
         host = self._pick(request, now) if welcome else None
         if host is None:
-            wait = self._unit_ns // 4 if welcome else self.settings.max_retry_after_ns
-            self._out.append(api.Refuse(event.request, wait))
+            self._out.append(api.Refuse(event.request, self._stay_away(not welcome)))
             return
         self._requests[request.id] = request
         self._send(request, host, now)
@@ -551,7 +550,16 @@
         cls = self.settings.classes[request.cls]
         harmless = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
         refuse = harmless or not (request.ran or request.out)
-        self._out.append(api.Refuse(request.id) if refuse else api.Fail(request.id))
+        wait = self._stay_away(self._tight)
+        self._out.append(api.Refuse(request.id, wait) if refuse else api.Fail(request.id))
+
+    def _stay_away(self, crowded: bool) -> int:
+        """When a refused client should come back: for as long as can be said where there is a crowd.
+
+        Guards against clients that ask again at once for what was just given up.
+        """
+        most = self.settings.max_retry_after_ns
+        return most if crowded else min(self._unit_ns // 4, most)
 
     def _attempt_ended(self, event: api.AttemptEnded, now: int) -> None:
         request = self._requests.get(event.request)
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,235 @@
+"""The four rules, and failures that were guarded against, on real sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from tests.rig import WAIT, Discovery, Node, Rig, Script, answer, hang, read, reset
+
+NOT_STARTED = answer(b"", "503 Service Unavailable", "Not-Started: 1")
+
+
+class Case(unittest.TestCase):
+    def node(self, script: Script | None = None, backlog: int = 64) -> Node:
+        node = Node(script, backlog)
+        self.addCleanup(node.close)
+        return node
+
+    def rig(self, *nodes: Node, **limits: object) -> Rig:
+        return self.rig_of(*(node.entry(f"h{at}") for at, node in enumerate(nodes)), **limits)
+
+    def rig_of(self, *entries: dict[str, object], **limits: object) -> Rig:
+        rig = Rig(list(entries), **limits)
+        self.addCleanup(rig.end)
+        return rig
+
+
+class Rules(Case):
+    def test_every_request_gets_one_answer_in_time_and_after_sigterm(self) -> None:
+        for name, script, statuses in (
+            ("serves", answer(b"yes"), {200}),
+            ("hangs", hang, {502, 503}),
+            ("resets", reset, {502, 503}),
+            ("fails", answer(b"", "500 Oops"), {502, 503}),
+            ("turns away", NOT_STARTED, {502, 503}),
+            ("talks nonsense", lambda sock, request: sock.sendall(b"what?\r\n\r\n"), {502, 503}),
+        ):
+            with self.subTest(name):
+                rig = self.rig(self.node(script), self.node(script))
+                for cls in ("look", "move"):
+                    begun = time.monotonic()
+                    got = rig.call(f"{cls}1", cls, 400)
+                    self.assertIn(got.status, statuses)
+                    self.assertLess(time.monotonic() - begun, 0.4 + WAIT / 4)
+        held: queue.Queue[socket.socket] = queue.Queue()
+        node = self.node(lambda sock, request: held.put(sock))
+        rig = Rig([node.entry("h0")])
+        before = rig.send("before")
+        first = held.get(timeout=WAIT)
+        rig.sidecar.end()
+        after = rig.send("after")  # new connections keep coming for a while
+        second = held.get(timeout=WAIT)
+        for sock in (first, second):
+            answer(b"late but whole")(sock, node.seen.get(timeout=WAIT)[0])
+        self.assertEqual([read(before).body, read(after).body], [b"late but whole"] * 2)
+        rig.end()
+
+    def test_a_move_that_may_have_run_is_not_sent_again(self) -> None:
+        for name, script, runs in (
+            ("reset after the last byte", reset, 1),
+            ("503 that proves nothing", answer(b"", "503 Service Unavailable"), 1),
+            ("500", answer(b"", "500 Oops"), 1),
+            ("turned away", NOT_STARTED, 2),
+        ):
+            with self.subTest(name):
+                nodes = self.node(script), self.node(script)
+                status = self.rig(*nodes).call("m1", "move", 1000).status
+                self.assertEqual(sum(node.seen.qsize() for node in nodes), runs)
+                self.assertEqual(status in (429, 503), runs == 2)  # a refusal only if nothing ran
+
+    def test_no_claim_starts_after_the_notice_not_even_one_that_waits_for_its_connect(self) -> None:
+        stuck = self.node(backlog=0)
+        fill = [socket.socket() for _ in range(8)]
+        for sock in fill:  # a full queue of connections: the next connect stays pending
+            self.addCleanup(sock.close)
+            sock.setblocking(False)
+            sock.connect_ex(stuck.listener.getsockname())
+        rig = self.rig(stuck)
+        waiting = rig.send("w1")
+        while rig.sidecar.decisions.owed == 0:
+            time.sleep(0.002)
+        other = self.node()
+        rig.discovery.push(Discovery.text([stuck.entry("h0", "Terminating"), other.entry("h1")], version=8))
+        self.assertEqual(read(waiting).status, 200)
+        stuck.start()
+        for n in range(20):
+            self.assertEqual(rig.call(f"r{n}").status, 200)
+        self.assertEqual((stuck.seen.qsize(), other.seen.qsize()), (0, 21))
+
+    def test_a_node_that_just_started_is_spared(self) -> None:
+        rigs = [
+            self.rig_of(self.node().entry("h0", started_ms=started_ms))
+            for started_ms in (0, int(time.time() * 1000))
+        ]
+        warm, cold = [[rig.call(f"r{n}").status for n in range(40)].count(200) for rig in rigs]
+        self.assertEqual(warm, 40)
+        self.assertLess(cold, 10)
+        until = time.monotonic() + WAIT
+        while rigs[1].call(f"late{time.monotonic_ns()}").status != 200:  # but it is let in
+            self.assertLess(time.monotonic(), until)
+
+
+class Failures(Case):
+    def test_a_connection_with_its_end_pending_is_not_reused(self) -> None:
+        """Guards against a move written to a connection that its node has closed."""
+        node = self.node()
+        rig = self.rig(node)
+        self.assertEqual(rig.call("a").status, 200)
+        for sock in node.conns:
+            sock.shutdown(socket.SHUT_RDWR)
+        node.left.get(timeout=WAIT)
+        self.assertEqual(rig.call("b", "move").status, 200)
+        self.assertEqual(len(node.conns), 2)
+
+    def test_the_most_recently_used_connection_is_reused(self) -> None:
+        node = self.node()
+        rig = self.rig(node)
+        for n in range(5):
+            rig.call(f"r{n}")
+        self.assertEqual(len(node.conns), 1)
+
+    def test_a_submitter_that_leaves_calls_its_claim_off(self) -> None:
+        node = self.node(hang)
+        rig = self.rig(node)
+        sock = rig.send("a")
+        node.seen.get(timeout=WAIT)
+        sock.close()
+        node.left.get(timeout=WAIT)
+        node.script = answer(b"mine")
+        self.assertEqual(rig.call("b").body, b"mine")  # and no late answer reaches another request
+
+    def test_a_silent_watch_is_dead(self) -> None:
+        rig = self.rig(self.node())
+        self.assertIn("since=7", rig.discovery.asked.get(timeout=WAIT))  # nothing was written: asked again
+
+    def test_a_bad_list_is_passed_over(self) -> None:
+        node = self.node()
+        rig = self.rig(node)
+        rig.listed(1)
+        rig.discovery.push(b'{"version":8,"full":true,"servers":[{"id":"h9"}]}')
+        rig.listed(2)
+        self.assertEqual(rig.call().status, 200)
+        self.assertNotIn("since", rig.discovery.asked.get(timeout=WAIT))  # the whole list is asked for
+
+    def test_a_module_that_fails_still_leaves_an_answer(self) -> None:
+        rig = self.rig(self.node())
+
+        def broken(event: object, now: int) -> list[object]:
+            raise ZeroDivisionError
+
+        rig.sidecar.decisions._balancer.handle = broken  # type: ignore[method-assign,assignment]
+        with self.assertLogs("brambleusher", "ERROR"):
+            self.assertEqual(rig.call().status, 502)
+
+    def test_a_refusal_says_when_to_come_back(self) -> None:
+        got = self.rig().call()
+        self.assertEqual(got.status, 503)
+        self.assertTrue(0 < float(got.headers["retry-after"]) <= 2)
+
+    def test_all_descriptors_in_use_is_survived(self) -> None:
+        rig = self.rig(self.node())
+        rig.sidecar.submitters._most = 2
+        idle = [rig.connect() for _ in range(6)]
+        self.assertEqual(rig.call().status, 200)  # one that is idle makes room
+        for sock in idle:
+            sock.close()
+
+    def test_bad_input_is_answered_and_harms_no_other(self) -> None:
+        rig = self.rig(self.node(hang))
+        good = b"GET /look HTTP/1.1\r\nHost: x\r\nRequest-Class: look\r\nRequest-Timeout-Ms: 50\r\n"
+        for name, text, status in (
+            ("request line", b"GARBAGE\r\n\r\n", 400),
+            ("length", b"POST /move HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+            ("body", b"POST /move HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
+            ("head", b"GET /look HTTP/1.1\r\nA: " + b"a" * 20000 + b"\r\n\r\n", 431),
+            ("no id", good + b"\r\n", 400),
+            ("bad hint", good + b"Request-Id: a\r\nWork-Hint: much\r\n\r\n", 400),
+            ("path of another class", good.replace(b"/look", b"/move") + b"Request-Id: a\r\n\r\n", 400),
+            ("path", b"GET /nowhere HTTP/1.1\r\n\r\n", 404),
+            ("class", good.replace(b"-Class: look", b"-Class: what") + b"Request-Id: a\r\n\r\n", 404),
+        ):
+            with self.subTest(name), rig.connect() as sock:
+                sock.sendall(text)
+                self.assertEqual(read(sock).status, status)
+                if status != 404:
+                    self.assertEqual(sock.recv(1), b"")
+        with rig.connect() as sock:
+            sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+            self.assertEqual(read(sock).status, 200)
+            rig.send("again", wait_ms=100, sock=sock)
+            self.assertEqual(read(sock).status, 503)
+
+
+class Program(Case):
+    def start(self, config: object) -> subprocess.Popen[str]:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "config.json"
+        path.write_text(json.dumps(config), encoding="utf-8")
+        program = subprocess.Popen(
+            [sys.executable, "-m", "brambleusher"],
+            env={**os.environ, "NODE_CONFIG": str(path)},
+            cwd=Path(__file__).parent.parent,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(program.wait)
+        self.addCleanup(program.kill)
+        return program
+
+    def test_it_starts_prints_its_counts_and_ends(self) -> None:
+        config = self.rig(self.node()).config
+        program = self.start(config)
+        assert program.stderr is not None
+        self.assertIn("msg=listening", program.stderr.readline())
+        program.send_signal(signal.SIGUSR1)
+        self.assertIn("why=asked", program.stderr.readline())
+        program.send_signal(signal.SIGTERM)
+        rest = program.communicate(timeout=WAIT)[1]
+        self.assertIn("why=exit", rest)
+        self.assertEqual(program.returncode, 0)
+
+    def test_bad_configuration_is_named(self) -> None:
+        program = self.start({"name": "n0"})
+        self.assertIn("settings", program.communicate(timeout=WAIT)[1])
+        self.assertEqual(program.returncode, 2)
