--- a/brambleusher/config.py
+++ b/brambleusher/config.py
@@ -97,7 +97,7 @@
     except WireError as error:
         raise ConfigError(f"settings: {error}") from None
     try:
-        known = decode_update(raw.get("known") or {"full": True, "version": 0, "servers": []})
+        known = decode_update(raw.get("known", {"full": True, "version": 0, "servers": []}))
     except ListError as error:
         raise ConfigError(f"known: {error}") from None
     return Config(
@@ -105,7 +105,7 @@
         listen=_address(raw, "listen", env.get("NODE_LISTEN")),
         discovery=_address(raw, "discovery", env.get("NODE_DISCOVERY")),
         seed=_seed(raw.get("seed")),
-        limits=_limits(raw.get("limits") or {}),
+        limits=_limits(raw.get("limits", {})),
         known=known,
         settings=settings,
     )
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -131,7 +131,7 @@
     def test_a_submitter_that_leaves_calls_its_claim_off(self) -> None:
         node = self.node(hang)
         rig = self.rig(node)
-        sock = rig.send("a")
+        sock = rig.send("a", wait_ms=60_000)
         node.seen.get(timeout=WAIT)
         sock.close()
         node.left.get(timeout=WAIT)
