Let a proxy that was idle take its first burst

A probe shows limit=4 with index 0 and no overload: the real sidecar is up before its clients, and quillpass/balance.py _steer_admission sets the limit of an idle proxy to the hosts in use, four. Ruled out: late answers, failed connects, full nodes. Now there is no limit while nothing is out and no answer is remembered.

--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -443,6 +443,10 @@
         floor = due / 3 * sum(host.health for host in ring) / max(len(ring), 1)
         top = due if busy or self._tight else max(due * 2, 2.0 * self._open, len(ring))
         self._limit = min(max(self._limit * (1 + change * min(gap, 1.0)), floor), top)
+        if not self._open and self._index_n < 1:
+            # Guards against the first burst of a proxy that has been idle meeting the limit of an idle one:
+            # a few attempts, as many as the hosts in use.  No answer speaks for a limit yet.
+            self._limit = math.inf
         self._offered = max(self._rate / HEALTH_WINDOW * held / self._unit_ns, 1e-9)
         self._ranked = sorted(self._densities)
         if self._tight and not was and self._ticked_ns - self._logged_ns > BEST_WINDOW * self._unit_ns:
@@ -453,6 +457,8 @@
         """Whether a request is worth its place: the fuller, the higher its rank among late arrivals."""
         # A deviation by chance is added: one place would refuse half of all.  Where less than a place is
         # due the count is no guide: the part of what comes that has none is, unless hosts turn work away.
+        if math.isinf(self._limit):
+            return True
         limit, chance = self._limit, math.sqrt(max(self._limit, 1.0))
         occupied = (self._open - limit * ROOM_FOR_ALL) / (limit * (1 - ROOM_FOR_ALL) + chance)
         occupied = max(occupied, 1 - limit / self._offered) if self._late or self._turned < 1 else occupied
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -355,3 +355,13 @@
         balancer.handle(api.RequestArrived(f"q{n}", "c", None, 2 * SECOND), SECOND)
     timer = balancer.handle(api.TimerFired(0), SECOND + MS)[-1]
     assert isinstance(timer, api.SetTimer) and timer.at_ns == SECOND + MS + balancer._tick_ns
+
+
+def test_a_proxy_that_was_idle_takes_its_first_burst() -> None:
+    """Guards against the limit of an idle proxy, as many as the hosts in use, meeting a burst after it."""
+    balancer, _ = build([f"h{n}" for n in range(12)])
+    for n in range(8):
+        balancer.handle(api.TimerFired(0), n * SECOND // 2)
+    for n in range(30):
+        (action,) = balancer.handle(api.RequestArrived(f"q{n}", "c", None, 2 * SECOND), 4 * SECOND)
+        assert isinstance(action, api.Send)
