Keep the watch alive through nonsense, and drop connections to replaced processes

Found by reading: HttpError is no ValueError, so a malformed chunk from discovery ended the task in net/machine_list.py follow for good; the sidecar would have lived on an old list. A claim in use while its node was listed with a new process gave its connection back to the new record (net/execute_nodes.py _place). A claim whose time is up before its first byte is moot, not sent. An address that can't be bound is named as the key 'listen'.

--- a/brambleusher/__main__.py
+++ b/brambleusher/__main__.py
@@ -14,11 +14,10 @@
     """Serve until told to end; 2 if the configuration can't be used."""
     configure()
     try:
-        config = load_config(os.environ)
+        serve(load_config(os.environ))
     except ConfigError as error:
         print(f"brambleusher: bad configuration: {error}", file=sys.stderr)
         return 2
-    serve(config)
     return 0
 
 
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -112,13 +112,14 @@
             if node is not None:
                 self._leave(self._nodes.pop(entry.host))
             return
+        if node is not None and (node.address, node.started_ns) != (machine.address, entry.started_ns):
+            # Guards against a claim on a connection to a process that is not the one listed now, be it
+            # idle or still in use: none of them comes back to the new record.
+            self._leave(node)
+            node = None
         if node is None:
             node = Node(entry.host, machine.address, entry.started_ns, [], set())
             self._nodes[entry.host] = node
-        elif node.address != machine.address or node.started_ns != entry.started_ns:
-            # The process that held these connections is not the one listed now.
-            self._drop(node.idle)
-            node.address, node.started_ns = machine.address, entry.started_ns
         if entry.state is HostState.DRAINING:
             self._leave(node)
         else:
@@ -185,7 +186,9 @@
                 return Status.FULL, None, None
             if claim.why is not None:
                 return self._called_off(claim), None, None
-            left_ms = max(1, int((deadline - self._scheduler.now()) * 1000))
+            left_ms = int((deadline - self._scheduler.now()) * 1000)
+            if left_ms < 1:  # guards against work begun for a request that is over
+                return Status.MOOT, None, None
             self._counters.add("claims_sent")
             claim.sending = True
             stream.send(self._encode(request, node, left_ms), deadline)
@@ -203,7 +206,7 @@
             return Status.ERROR, None, None
         finally:
             if claim.stream is not None:
-                self._give_back(node, claim.stream, keep)
+                self._give_back(node, claim.stream, keep or not claim.sending)
 
     @staticmethod
     def _called_off(claim: Claim) -> Status:
--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -9,7 +9,8 @@
 import logging
 import math
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator
+from contextlib import closing
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,7 +32,7 @@
 MAX_SERVERS = 10_000
 
 # Takes the version held (None for the whole list) and yields texts until the watch ends.
-Feed = Callable[[int | None], Iterator[bytes]]
+Feed = Callable[[int | None], Generator[bytes, None, None]]
 
 
 class ListError(ValueError):
@@ -141,11 +142,13 @@
             before = self._counters.count("lists_taken")
             self.watching = True
             try:
-                for text in self._feed(self._version):
-                    if text.strip():
-                        self._take(text)
+                with closing(self._feed(self._version)) as texts:
+                    for text in texts:
+                        if text.strip():
+                            self._take(text)
                 reason = "ended"
-            except (OSError, Timeout, ValueError) as error:
+            except Exception as error:
+                # Guards against a discovery that talks nonsense ending the watch for good.
                 reason = f"{type(error).__name__}: {error}"
             self.watching = False
             self._counters.add("watches_broken")
--- a/brambleusher/net/watch.py
+++ b/brambleusher/net/watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 
 from brambleusher.net.http import MessageReader, write_request
 from brambleusher.net.scheduler import Scheduler
@@ -24,7 +24,7 @@
     def __init__(self, scheduler: Scheduler, address: tuple[str, int]) -> None:
         self._scheduler, self._address = scheduler, address
 
-    def __call__(self, since: int | None) -> Iterator[bytes]:
+    def __call__(self, since: int | None) -> Generator[bytes, None, None]:
         """Lines as they come; ends with the watch, raises `Timeout` when it has gone silent."""
         now = self._scheduler.now
         stream = Stream.connect(self._scheduler, self._address, now() + CONNECT_SECONDS)
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -8,7 +8,7 @@
 import signal
 from types import FrameType
 
-from brambleusher.config import Config
+from brambleusher.config import Config, ConfigError
 from brambleusher.counters import Counters
 from brambleusher.decisions import Clock, Decisions
 from brambleusher.net.execute_nodes import ExecuteNodes
@@ -135,10 +135,14 @@
 
 
 def serve(config: Config) -> None:
-    """Run one sidecar as this process's main program."""
+    """Run one sidecar as this process's main program; raises `ConfigError` if it can't listen."""
     # Records are short-lived and seldom cyclic: reference counts free them, rare collections suffice.
     gc.set_threshold(50_000, 20, 50)
     sidecar = Sidecar(config)
     sidecar.install_signals()
-    sidecar.start()
+    try:
+        sidecar.start()
+    except OSError as error:
+        raise ConfigError(f"listen: {error.strerror}") from None
     sidecar.run()
+    sidecar.close()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -151,6 +151,27 @@
         self.assertEqual(rig.call().status, 200)
         self.assertNotIn("since", rig.discovery.asked.get(timeout=WAIT))  # the whole list is asked for
 
+    def test_a_discovery_that_talks_nonsense_is_asked_again(self) -> None:
+        """Guards against a watch that ends for good: the first version of the task died of it."""
+        rig = self.rig(self.node())
+        rig.listed(1)
+        rig.discovery.conns[-1].sendall(b"no chunk at all\r\n")
+        self.assertIn("since=7", rig.discovery.asked.get(timeout=WAIT))
+
+    def test_a_connection_to_a_process_that_was_replaced_is_not_kept(self) -> None:
+        held: queue.Queue[socket.socket] = queue.Queue()
+        old, new = self.node(lambda sock, request: held.put(sock)), self.node()
+        rig = self.rig(old)
+        rig.listed(1)
+        sock = rig.send("a")
+        late = held.get(timeout=WAIT)
+        rig.discovery.push(Discovery.text([new.entry("h0", started_ms=1)], version=8))
+        rig.listed(2)
+        answer(b"old")(late, old.seen.get(timeout=WAIT)[0])
+        self.assertEqual(read(sock).body, b"old")
+        self.assertEqual(rig.call("b").body, b"ok")
+        self.assertEqual(old.seen.qsize(), 0)
+
     def test_a_module_that_fails_still_leaves_an_answer(self) -> None:
         rig = self.rig(self.node())
 
@@ -233,3 +254,8 @@
         program = self.start({"name": "n0"})
         self.assertIn("settings", program.communicate(timeout=WAIT)[1])
         self.assertEqual(program.returncode, 2)
+        taken = self.node()
+        config = {**self.rig(taken).config, "listen": taken.address}
+        program = self.start(config)
+        self.assertIn("listen", program.communicate(timeout=WAIT)[1])
+        self.assertEqual(program.returncode, 2)
