Read the configuration again on SIGHUP and follow a new discovery

Cause: install_signals set no handler for SIGHUP, whose default ends the process. Change: the file is read by the same code as at the start. A bad one is logged with its key, a key that can't change is logged, a new discovery is followed from the whole list on and the list held stays until then.

--- a/brambleusher/__main__.py
+++ b/brambleusher/__main__.py
@@ -14,7 +14,7 @@
     """Serve until told to end; 2 if the configuration can't be used."""
     configure()
     try:
-        serve(load_config(os.environ))
+        serve(lambda: load_config(os.environ))
     except ConfigError as error:
         print(f"brambleusher: bad configuration: {error}", file=sys.stderr)
         return 2
--- a/brambleusher/config.py
+++ b/brambleusher/config.py
@@ -111,6 +111,15 @@
     )
 
 
+def fixed_keys_changed(old: Config, new: Config) -> list[str]:
+    """The keys that differ and that a running sidecar can't follow; `discovery` is the one it can."""
+    return [
+        name
+        for name in ("name", "listen", "seed", "limits", "known", "settings")
+        if getattr(old, name) != getattr(new, name)
+    ]
+
+
 def load_config(env: Mapping[str, str]) -> Config:
     """The configuration that the environment points at."""
     path = env.get("NODE_CONFIG")
--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -17,7 +17,7 @@
 import orjson
 
 from brambleusher.counters import Counters
-from brambleusher.net.scheduler import Bell, Scheduler, Timeout
+from brambleusher.net.scheduler import Bell, Scheduler, Task, Timeout
 from brambleusher.net.streams import parse_address
 from quillpass.api import HostEntry, HostState
 
@@ -122,6 +122,7 @@
         self._on_update, self._on_broken = on_update, on_broken
         self._version: int | None = None
         self._asked = Bell()
+        self._task: Task | None = None
         self.watching = False
         self.fresh = False  # discovery has answered since the start
 
@@ -134,7 +135,22 @@
         if not self.watching:
             self._asked.ring()
 
-    def follow(self) -> None:
+    def start(self) -> None:
+        """Start the task; its first watch waits until it is asked for."""
+        self._task = self._scheduler.spawn(self._follow, name="machine list")
+
+    def change_over(self, feed: Feed) -> None:
+        """Follow another discovery from now on; the list held stays until the new one has told its own.
+
+        Its versions need not be those of the old one, so the whole list is asked for.
+        """
+        if self._task is not None:
+            self._task.cancel()  # which ends its watch
+        self._feed, self._version, self.watching = feed, None, False
+        self.start()
+        self.ask()
+
+    def _follow(self) -> None:
         """The task: watch after watch, with a pause after each that grows while they bring nothing."""
         self._scheduler.park(bell=self._asked)
         pause = BACKOFF_FIRST
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -6,9 +6,11 @@
 import logging
 import random
 import signal
+from collections.abc import Callable
+from dataclasses import replace
 from types import FrameType
 
-from brambleusher.config import Config, ConfigError
+from brambleusher.config import Config, ConfigError, fixed_keys_changed
 from brambleusher.counters import Counters
 from brambleusher.decisions import Clock, Decisions
 from brambleusher.net.execute_nodes import ExecuteNodes
@@ -30,10 +32,10 @@
 
 
 class Sidecar:
-    """One sidecar; `run` serves until it is told to end."""
+    """One sidecar; `run` serves until it is told to end.  `load` reads its configuration again."""
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, load: Callable[[], Config] | None = None) -> None:
+        self.config, self._load = config, load
         self.scheduler = Scheduler()
         self.clock = Clock()
         self.counters = Counters()
@@ -70,7 +72,7 @@
         self.nodes.update(known)
         self.machine_list.hold(known.version)
         self.decisions.start(machine.entry for machine in known.machines)
-        self.scheduler.spawn(self.machine_list.follow, name="machine list")
+        self.machine_list.start()
         if not self.config.settings.subscribe:  # the module leaves the list to us
             self.machine_list.ask()
         self.scheduler.spawn(self.nodes.reap, name="reap")
@@ -99,8 +101,12 @@
         """Print the counts soon; safe in a signal handler."""
         self.scheduler.call_soon(lambda: self.counters.report("asked"))
 
+    def reload(self) -> None:
+        """Read the configuration again soon; safe in a signal handler."""
+        self.scheduler.call_soon(self._reload)
+
     def install_signals(self) -> None:
-        """SIGTERM and SIGINT end the sidecar, SIGUSR1 prints the counts."""
+        """SIGTERM and SIGINT end the sidecar, SIGUSR1 prints the counts, SIGHUP reads the configuration."""
 
         def on_end(number: int, frame: FrameType | None) -> None:
             self.end()
@@ -108,6 +114,11 @@
         def on_report(number: int, frame: FrameType | None) -> None:
             self.report()
 
+        def on_reload(number: int, frame: FrameType | None) -> None:
+            self.reload()
+
+        # Guards against SIGHUP ending the process, which is what it does where nobody handles it.
+        signal.signal(signal.SIGHUP, on_reload)
         signal.signal(signal.SIGTERM, on_end)
         signal.signal(signal.SIGINT, on_end)
         signal.signal(signal.SIGUSR1, on_report)
@@ -118,6 +129,27 @@
         kind = ListKind.FULL if update.full else ListKind.DELTA
         self.decisions.listed(kind, [machine.entry for machine in update.machines])
 
+    def _reload(self) -> None:
+        if self._load is None or self._ending:
+            log.info("configuration not read again", extra={"fields": {"ending": self._ending}})
+            return
+        try:
+            config = self._load()
+        except ConfigError as error:
+            # The running configuration stays: a file half written must not take a serving sidecar down.
+            log.error("bad configuration, the running one stays", extra={"fields": {"reason": error}})
+            return
+        for key in fixed_keys_changed(self.config, config):
+            log.warning("can't change in a running sidecar", extra={"fields": {"key": key}})
+        host, port = config.discovery
+        moved = config.discovery != self.config.discovery
+        log.info(
+            "configuration read again", extra={"fields": {"discovery": f"{host}:{port}", "moved": moved}}
+        )
+        if moved:
+            self.config = replace(self.config, discovery=config.discovery)
+            self.machine_list.change_over(HttpWatch(self.scheduler, config.discovery))
+
     def _serve_on(self) -> None:
         log.info("ending", extra={"fields": {"owed": self.decisions.owed}})
         self.scheduler.call_at(
@@ -134,11 +166,11 @@
         return self._wound_down and not self.submitters.connections
 
 
-def serve(config: Config) -> None:
-    """Run one sidecar as this process's main program; raises `ConfigError` if it can't listen."""
+def serve(load: Callable[[], Config]) -> None:
+    """Run one sidecar as this process's main program; raises `ConfigError` if it can't be used."""
     # Records are short-lived and seldom cyclic: reference counts free them, rare collections suffice.
     gc.set_threshold(50_000, 20, 50)
-    sidecar = Sidecar(config)
+    sidecar = Sidecar(load(), load)
     sidecar.install_signals()
     try:
         sidecar.start()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -10,10 +10,12 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import unittest
 from pathlib import Path
 
+from brambleusher.config import parse_config
 from tests.rig import WAIT, Discovery, Node, Rig, Script, answer, hang, read, reset
 
 NOT_STARTED = answer(b"", "503 Service Unavailable", "Not-Started: 1")
@@ -151,6 +153,24 @@
         self.assertEqual(rig.call().status, 200)
         self.assertNotIn("since", rig.discovery.asked.get(timeout=WAIT))  # the whole list is asked for
 
+    def test_the_list_is_kept_while_another_discovery_has_not_answered(self) -> None:
+        old, new = self.node(answer(b"old")), self.node(answer(b"new"))
+        rig = self.rig(old)
+        rig.listed(1)
+        mute = self.node(hang)
+        rig.sidecar._load = lambda: parse_config(
+            json.dumps({**rig.config, "discovery": mute.address}).encode(), {}
+        )
+        for _ in range(3):  # once more does no harm
+            rig.sidecar.reload()
+        target = mute.seen.get(timeout=WAIT)[0].start[1]
+        self.assertNotIn("since", target)
+        self.assertEqual(rig.call("a").body, b"old")
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        mute.conns[-1].sendall(head + Discovery._chunk(Discovery.text([new.entry("h1")], True, 1)))
+        rig.listed(2)
+        self.assertEqual(rig.call("b").body, b"new")
+
     def test_a_discovery_that_talks_nonsense_is_asked_again(self) -> None:
         """Guards against a watch that ends for good: the first version of the task died of it."""
         rig = self.rig(self.node())
@@ -222,11 +242,14 @@
 
 
 class Program(Case):
+    config_file: Path
+
     def start(self, config: object) -> subprocess.Popen[str]:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         path = Path(folder.name) / "config.json"
         path.write_text(json.dumps(config), encoding="utf-8")
+        self.config_file = path
         program = subprocess.Popen(
             [sys.executable, "-m", "brambleusher"],
             env={**os.environ, "NODE_CONFIG": str(path)},
@@ -250,6 +273,41 @@
         self.assertIn("why=exit", rest)
         self.assertEqual(program.returncode, 0)
 
+    def test_sighup_has_the_configuration_read_again(self) -> None:
+        """Guards against SIGHUP ending the process, as it did, and against a bad file doing so."""
+        node = self.node()
+        rig, other = self.rig(node), Discovery([node.entry("h0")])
+        self.addCleanup(other.close)
+        program = self.start(rig.config)
+        lines: queue.Queue[str] = queue.Queue()
+
+        def follow() -> None:
+            for line in program.stderr or ():
+                lines.put(line)
+
+        threading.Thread(target=follow, daemon=True).start()
+
+        def logged(text: str) -> None:
+            while text not in (line := lines.get(timeout=WAIT)):
+                print(line, end="")  # shown if the one waited for never comes
+
+        logged("msg=listening")
+        for change, line in (
+            ({"settings": {}}, "settings"),
+            ({"discovery": "nowhere"}, "discovery"),
+            ({"seed": "2b"}, "key=seed"),
+            ({"discovery": other.address}, "moved=True"),
+        ):
+            self.config_file.write_text(json.dumps({**rig.config, **change}), encoding="utf-8")
+            program.send_signal(signal.SIGHUP)
+            logged(line)
+        self.assertNotIn("since", other.asked.get(timeout=WAIT))
+        program.send_signal(signal.SIGTERM)
+        logged("msg=ending")
+        program.send_signal(signal.SIGHUP)
+        logged("why=exit")
+        self.assertEqual(program.wait(WAIT), 0)
+
     def test_bad_configuration_is_named(self) -> None:
         program = self.start({"name": "n0"})
         self.assertIn("settings", program.communicate(timeout=WAIT)[1])
