Share out connections by measured memory; bound bad submitters and spoilt answers

Cause: Sidecar.__init__ took 64 MB for the runtime and 160 KB a connection, so 64 MB left 20 connections to execute nodes; _connection then returned FULL. Measured: 17 MB in all. Ruled out: cold nodes, zones, quota (the log names the limit alone).

--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -19,6 +19,8 @@
 
 log = logging.getLogger(__name__)
 
+MAX_INTERIM = 16  # 1xx answers ahead of one claim's final answer
+REST_SECONDS = 0.5  # from an answer's first bytes to its last
 IDLE_PART = 0.8  # of the execute node's idle limit: past it a connection is not trusted with a claim
 _REWRITTEN = HOP_BY_HOP | {"content-length", "request-timeout-ms", "expect"}
 
@@ -41,6 +43,15 @@
     return None if figures == [None, None] else LoadReport(*figures)
 
 
+def report_of(answer: Message) -> LoadReport | None:
+    """An answer's load report; None where it has none, without figures where they can't be read.
+
+    Guards against taking a node whose report was spoilt for one that has fallen silent.
+    """
+    text = answer.headers.get("server-load")
+    return parse_report(text) or (None if text is None else LoadReport(None, None))
+
+
 def status_of(answer: Message) -> Status:
     """What an answer proves; a 503 that does not say so proves nothing."""
     if answer.status == 200:
@@ -194,7 +205,7 @@
             stream.send(self._encode(request, node, left_ms), deadline)
             claim.written = True
             answer, keep = self._answer(stream, claim, deadline)
-            return status_of(answer), parse_report(answer.headers.get("server-load")), answer
+            return status_of(answer), report_of(answer), answer
         except Called:
             return self._called_off(claim), None, None
         except Timeout:
@@ -250,21 +261,38 @@
 
     @staticmethod
     def _answer(stream: Stream, claim: Claim, deadline: float) -> tuple[Message, bool]:
-        """The whole answer, and whether its connection can serve another claim."""
-        reader = MessageReader.responses()
+        """The whole answer, and whether its connection can serve another claim.
+
+        What comes behind the answer spoils the connection, not the answer.
+        """
+        reader, now = MessageReader.responses(), stream.scheduler.now
+        interim, due = 0, deadline
         while True:
-            data = stream.receive(deadline, claim.bell)
+            try:
+                data = stream.receive(due, claim.bell)
+            except Timeout:
+                if due >= deadline:
+                    raise
+                # Guards against a length that does not fit: the claim would wait until its deadline.
+                raise HttpError(502, "the rest of the answer did not come") from None
             if data is None:
                 raise Called
             if not data:
-                last = reader.end()
-                if last is None:
-                    raise ConnectionResetError("the connection ended before its answer")
-                return last, False
+                raise ConnectionResetError("the connection ended before its answer")
             reader.feed(data)
             while (answer := reader.take()) is not None:
                 if answer.status >= 200:
                     return answer, answer.keep_alive and not reader.buffered
+                interim, due = interim + 1, deadline
+                if interim > MAX_INTERIM or answer.status == 101:
+                    # Guards against 1xx answers without end, at full speed.
+                    raise HttpError(502, "interim answers without end")
+            if reader.unframed:
+                # Guards against serving the part of an answer that came before a connection broke, and
+                # against waiting for an end that never comes: only framing can tell a whole one.
+                raise HttpError(502, "the answer has no framing")
+            if due >= deadline and reader.begun:
+                due = min(deadline, now() + REST_SECONDS)
 
     # --- connections ----------------------------------------------------------------------------
 
--- a/brambleusher/net/http.py
+++ b/brambleusher/net/http.py
@@ -22,6 +22,7 @@
 _VERSION = re.compile(r"HTTP/1\.([01])\Z")
 _DIGITS = re.compile(r"[0-9]{1,12}\Z")
 _HEX = re.compile(rb"[0-9A-Fa-f]{1,8}\Z")
+_FRAMING = frozenset({"content-length", "transfer-encoding"})
 # Headers that speak of one connection, or are written anew for the next.
 HOP_BY_HOP = frozenset(
     {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"}
@@ -57,19 +58,25 @@
         return "close" not in words and (self.minor == 1 or "keep-alive" in words)
 
 
-def _headers(lines: list[str]) -> dict[str, str]:
+def _headers(lines: list[str], lenient: bool = False) -> dict[str, str]:
+    """Names and values; where `lenient`, a value that can't be read is empty unless the framing needs it."""
     if len(lines) > MAX_HEADERS:
         raise HttpError(431, "too many headers")
     headers: dict[str, str] = {}
     for line in lines:
         name, colon, value = line.partition(":")
         value = value.strip(" \t")
-        if not colon or not _TOKEN.match(name) or not _VALUE.match(value):
+        if not colon or not _TOKEN.match(name):
             raise HttpError(400, "bad header line")
         name = name.lower()
+        if not _VALUE.match(value):
+            if not lenient or name in _FRAMING:
+                raise HttpError(400, "bad header line")
+            value = ""
         if name in headers:
-            if name in ("content-length", "host", "transfer-encoding") and headers[name] != value:
-                raise HttpError(400, f"two different values of {name}")
+            # Guards against framing that another reader could take from the other of the two lines.
+            if name in _FRAMING or (name == "host" and headers[name] != value):
+                raise HttpError(400, f"{name} is given twice")
             value = value if headers[name] == value else f"{headers[name]}, {value}"
         headers[name] = value
     return headers
@@ -93,7 +100,8 @@
     found = _VERSION.match(version)
     if found is None or len(status) != 3 or not _DIGITS.match(status):
         raise HttpError(502, "bad status line")
-    return Message((status, reason), int(found[1]), _headers(lines[1:]))
+    # Guards against losing a good answer to a load report that can't be read.
+    return Message((status, reason), int(found[1]), _headers(lines[1:], lenient=True))
 
 
 class ChunkedDecoder:
@@ -177,6 +185,11 @@
         """Whether part of a message has come."""
         return self._message is not None or bool(self._buffer)
 
+    @property
+    def unframed(self) -> bool:
+        """Whether a head has come of an answer that only the connection's end would end."""
+        return self.head() is not None and self._length == -2
+
     @property
     def buffered(self) -> int:
         """How many bytes wait for the next message."""
--- a/brambleusher/net/streams.py
+++ b/brambleusher/net/streams.py
@@ -9,7 +9,7 @@
 from brambleusher.net.scheduler import READ, WRITE, Bell, Scheduler, Timeout
 
 RECEIVE = 64 * 1024
-LINGER_SECONDS, LINGER_BYTES = 1.0, 1024 * 1024
+LINGER_SECONDS, LINGER_BYTES = 0.5, 1024 * 1024
 
 
 class Called(Exception):
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -25,13 +25,15 @@
 from brambleusher.net.http import HttpError, Message, MessageReader, write_response
 from brambleusher.net.scheduler import Scheduler, Task, Timeout
 from brambleusher.net.streams import Stream
-from quillpass.api import Cancel, Refuse, Status
+from quillpass.api import Cancel, Effect, Refuse, Status
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 512
-IDLE_SECONDS = 120.0  # a submitter's connection without a request
-READ_SECONDS = 10.0  # from a request's first byte to its last
+FIRST_SECONDS = 2.4  # from a connection's accept to the last byte of its first request
+READ_SECONDS = 2.4  # from the first byte of a later request to its last
+IDLE_SECONDS = 6.0  # a submitter's connection between requests; many ask once and never come back
+SILENT_SECONDS = 0.25  # one that has sent nothing for so long makes room before one that has asked
 WRITE_SECONDS = 10.0  # for a submitter that reads its answer slowly
 NO_DESCRIPTOR_SECONDS = 0.05
 # An answer leaves so much before its submitter stops waiting; a tenth of what is left, if that is less.
@@ -142,12 +144,13 @@
 class Connection:
     """One submitter's connection."""
 
-    __slots__ = ("idle_since", "stream", "task")
+    __slots__ = ("accepted_at", "asked", "stream", "task")
 
     def __init__(self, stream: Stream) -> None:
         self.stream = stream
         self.task: Task | None = None
-        self.idle_since: float | None = stream.used_at  # None while a request is read or answered
+        self.accepted_at = stream.used_at
+        self.asked = False  # a request of it was answered
 
 
 class Submitters:
@@ -166,11 +169,16 @@
         self._scheduler, self._decisions, self._clock = scheduler, decisions, clock
         self._counters, self._most, self._is_ready = counters, most_connections, is_ready
         self._life = RequestLife(decisions, nodes, scheduler)
-        self._classes = {cls.name for cls in decisions.settings.classes}
+        self._methods = {
+            cls.name: "GET" if cls.effect is Effect.SAFE else "POST" for cls in decisions.settings.classes
+        }
         self._tenants = {tenant.name for tenant in decisions.settings.tenants}
         self._listener: socket.socket | None = None
         self._accepting: Task | None = None
         self._connections: set[Connection] = set()
+        # Those between requests, longest idle first: some have sent nothing yet, the others have asked.
+        self._silent: dict[Connection, None] = {}
+        self._idle: dict[Connection, None] = {}
         self._closing = False
 
     # --- the listener ---------------------------------------------------------------------------
@@ -214,19 +222,35 @@
             sock.close()
             return True
         self._connections.add(connection)
+        self._silent[connection] = None
         connection.task = self._scheduler.spawn(self._serve, connection, name="submitter")
         return True
 
     def _close_one_idle(self) -> bool:
-        """Make room: close the connection that has been idle for longest, if one is."""
-        idle = [one for one in self._connections if one.idle_since is not None and one.stream.quiet()]
-        if not idle:
-            return False
-        self._close_idle(min(idle, key=lambda one: one.idle_since or 0.0))
-        return True
+        """Make room: close a connection without a request, if there is one.
+
+        Guards against silent connections by the hundred crowding out those that ask: the longest silent
+        goes first, then the longest idle, and one so new that its request may be on its way goes last.
+        """
+        old = self._scheduler.now() - SILENT_SECONDS
+        silent = next(iter(self._silent), None)
+        groups = [self._silent, self._idle]
+        if silent is None or silent.accepted_at > old:
+            groups.reverse()
+        for group in groups:
+            for connection in group:
+                if connection.stream.quiet():
+                    self._close_idle(connection)
+                    return True
+        return False
+
+    def _busy(self, connection: Connection) -> None:
+        self._silent.pop(connection, None)
+        self._idle.pop(connection, None)
 
     def _close_idle(self, connection: Connection) -> None:
         self._connections.discard(connection)
+        self._busy(connection)
         if connection.task is not None:
             connection.task.cancel()  # its task closes it
 
@@ -246,8 +270,8 @@
                     break
             self._listener.close()
             self._listener = None
-        for connection in list(self._connections):
-            if connection.idle_since is not None and connection.stream.quiet():
+        for connection in [*self._silent, *self._idle]:
+            if connection.stream.quiet():
                 self._close_idle(connection)
 
     # --- one connection -------------------------------------------------------------------------
@@ -257,10 +281,12 @@
         reader = MessageReader.requests()
         try:
             while self._exchange(connection, reader):
-                connection.idle_since = self._scheduler.now()
+                connection.asked = True
+                self._idle[connection] = None
         except (OSError, Timeout):
             return
         finally:
+            self._busy(connection)
             self._connections.discard(connection)
             connection.stream.close()
 
@@ -270,12 +296,9 @@
         try:
             request = self._read(connection, reader)
         except HttpError as error:
+            self._busy(connection)
             self._counters.add("bad_requests")
-            stream.send(
-                write_response(error.status, [], f"{error}\n".encode(), False),
-                self._scheduler.now() + WRITE_SECONDS,
-            )
-            stream.finish()
+            self._turn_away(stream, error)
             return False
         if request is None:
             return False
@@ -284,7 +307,9 @@
             answer = self._answer(stream, reader, request)
         except HttpError as error:
             self._counters.add("bad_requests")
-            keep = keep and error.status == 404
+            if not keep or error.status != 404:
+                self._turn_away(stream, error)
+                return False
             answer = error.status, [], f"{error}\n".encode()
         except Exception:
             # Guards against a request left without an answer by a fault of ours.
@@ -303,14 +328,30 @@
             raise
         return keep
 
+    def _turn_away(self, stream: Stream, error: HttpError) -> None:
+        """Answer what can't be used, and end the connection."""
+        stream.send(
+            write_response(error.status, [], f"{error}\n".encode(), False),
+            self._scheduler.now() + WRITE_SECONDS,
+        )
+        stream.finish()
+
     def _read(self, connection: Connection, reader: MessageReader) -> Message | None:
         """The next request; None if the submitter closed instead."""
-        deadline = self._scheduler.now() + IDLE_SECONDS
-        told_to_go_on = False
+        # Guards against connections held with half a request or with nothing: the first one is timed
+        # from the accept on, not from its first byte.
+        deadline = (
+            self._scheduler.now() + IDLE_SECONDS
+            if connection.asked
+            else connection.accepted_at + FIRST_SECONDS
+        )
+        told_to_go_on = begun = False
         while (request := reader.take()) is None:
-            if reader.begun and connection.idle_since is not None:
-                connection.idle_since = None
-                deadline = self._scheduler.now() + READ_SECONDS
+            if reader.begun and not begun:
+                begun = True
+                self._busy(connection)
+                if connection.asked:
+                    deadline = self._scheduler.now() + READ_SECONDS
             if reader.expects_continue and not told_to_go_on:
                 told_to_go_on = True
                 connection.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n", deadline)
@@ -325,7 +366,7 @@
             if not data:
                 return None
             reader.feed(data)
-        connection.idle_since = None
+        self._busy(connection)
         return request
 
     def _answer(
@@ -375,13 +416,15 @@
         """What the decisions need to know of a request; raises `HttpError` where that makes no sense."""
         headers = request.headers
         named = path[1:].split("/", 1)[0]
-        if named not in self._classes:
+        if named not in self._methods:
             raise HttpError(404, "unknown path")
         request_class = headers.get("request-class", "")
-        if request_class and request_class not in self._classes:
+        if request_class and request_class not in self._methods:
             raise HttpError(404, "unknown class")
         if request_class != named:
             raise HttpError(400, "Request-Class is missing or not the path's")
+        if request.start[0] != self._methods[named]:
+            raise HttpError(405, "not the method of this class")
         if not _ID.match(headers.get("request-id", "")):
             raise HttpError(400, "Request-Id is missing or malformed")
         wait = headers.get("request-timeout-ms", "")
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -27,8 +27,10 @@
 READY_SECONDS = 1.0  # so long the sidecar waits for a fresh list before it serves with the one it had
 # After SIGTERM new connections keep coming for 0.2 to 0.4 s.
 SERVE_ON_SECONDS = 0.45
-MEMORY_PER_CONNECTION = 160 * 1024  # two bodies and what goes with them
-MEMORY_OF_RUNTIME = 64 * 1024 * 1024
+# Measured: 11 MB at the start, 17 MB after a minute with 60 connections in use.  A figure too high leaves
+# too few connections on a small machine, and claims find none: that looks like execute nodes that are full.
+MEMORY_OF_RUNTIME = 20 * 1024 * 1024
+MEMORY_PER_CONNECTION = 64 * 1024  # a body of the largest size; usual ones have a few hundred bytes
 
 
 class Sidecar:
@@ -39,7 +41,7 @@
         self.scheduler = Scheduler()
         self.clock = Clock()
         self.counters = Counters()
-        memory = max(config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME, MEMORY_OF_RUNTIME // 8)
+        memory = config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
         places = min(config.limits.sockets - SPARE_DESCRIPTORS, memory // MEMORY_PER_CONNECTION)
         for_nodes = max(int(places * NODE_PART), 8)
         self.nodes = ExecuteNodes(self.scheduler, config.settings, self.counters, for_nodes)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,8 +14,12 @@
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from brambleusher.config import parse_config
+from brambleusher.net.http import Message
+from brambleusher.net.submitters import READ_SECONDS
+from brambleusher.sidecar import Sidecar
 from tests.rig import WAIT, Discovery, Node, Rig, Script, answer, hang, read, reset
 
 NOT_STARTED = answer(b"", "503 Service Unavailable", "Not-Started: 1")
@@ -207,6 +211,17 @@
         self.assertEqual(got.status, 503)
         self.assertTrue(0 < float(got.headers["retry-after"]) <= 2)
 
+    def test_a_small_machine_has_connections_for_its_load(self) -> None:
+        """Guards against 20 connections to execute nodes where 256 descriptors and 64 MB are there."""
+        config = self.rig(self.node()).config
+        for memory_mb, sockets, claims, submitters in ((64, 256, 80, 120), (32, 256, 70, 100)):
+            limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
+            sidecar = Sidecar(parse_config(json.dumps({**config, "limits": limits}).encode(), {}))
+            self.addCleanup(sidecar.close)
+            self.assertGreaterEqual(sidecar.nodes._most, claims)
+            self.assertGreaterEqual(sidecar.submitters._most, submitters)
+            self.assertLess(sidecar.nodes._most + sidecar.submitters._most, sockets)
+
     def test_all_descriptors_in_use_is_survived(self) -> None:
         rig = self.rig(self.node())
         rig.sidecar.submitters._most = 2
@@ -226,6 +241,7 @@
             ("no id", good + b"\r\n", 400),
             ("bad hint", good + b"Request-Id: a\r\nWork-Hint: much\r\n\r\n", 400),
             ("path of another class", good.replace(b"/look", b"/move") + b"Request-Id: a\r\n\r\n", 400),
+            ("method", good.replace(b"GET", b"PUT") + b"Request-Id: a\r\n\r\n", 405),
             ("path", b"GET /nowhere HTTP/1.1\r\n\r\n", 404),
             ("class", good.replace(b"-Class: look", b"-Class: what") + b"Request-Id: a\r\n\r\n", 404),
         ):
@@ -240,6 +256,80 @@
             rig.send("again", wait_ms=100, sock=sock)
             self.assertEqual(read(sock).status, 503)
 
+    def test_one_that_does_not_ask_is_closed_and_one_that_has_asked_is_not(self) -> None:
+        """Guards against silent connections held for minutes and half requests for ten seconds."""
+        rig = self.rig(self.node())
+        with rig.connect() as asked, rig.connect() as silent, rig.connect() as half:
+            read(rig.send("a", sock=asked))
+            half.sendall(b"GET /look HTTP/1.1\r\n")
+            for sock, got in ((half, b"HTTP/1.1 408"), (silent, b"")):
+                sock.settimeout(READ_SECONDS * 3)
+                self.assertEqual(sock.recv(12), got)
+            self.assertEqual(read(rig.send("b", sock=asked)).status, 200)
+
+    def test_silent_connections_make_room_before_those_that_ask(self) -> None:
+        rig = self.rig(self.node())
+        rig.sidecar.submitters._most = 4
+        with mock.patch("brambleusher.net.submitters.SILENT_SECONDS", 0.0), rig.connect() as asked:
+            read(rig.send("a", sock=asked))
+            silent = [rig.connect() for _ in range(8)]
+            for sock in silent[:5]:
+                self.assertEqual(sock.recv(1), b"")
+            self.assertEqual(read(rig.send("b", sock=asked)).status, 200)
+        for sock in silent:
+            sock.close()
+
+    def test_a_spoilt_answer_is_never_served_and_ends_its_connection(self) -> None:
+        def raw(data: bytes, again: bytes = b"") -> Script:
+            def script(sock: socket.socket, request: Message) -> None:
+                sock.sendall(data)
+                while again:
+                    sock.sendall(again)
+
+            return script
+
+        ok = b"HTTP/1.1 200 OK\r\n"
+        for name, script in (
+            ("noise", raw(b"\x00\xff\x13" * 40)),
+            ("a head that can't be read", raw(ok + b"what\r\n\r\nok")),
+            ("a head without end", raw(ok, b"A: " + b"a" * 1000 + b"\r\n")),
+            ("no framing", raw(ok + b"\r\nok")),
+            ("too long", raw(ok + b"Content-Length: 9\r\n\r\nok")),
+            ("two lengths", raw(ok + b"Content-Length: 2\r\nContent-Length: 2\r\n\r\nok")),
+            ("negative", raw(ok + b"Content-Length: -2\r\n\r\nok")),
+            ("3 GB", raw(ok + b"Content-Length: 3000000000\r\n\r\n", b"a" * 4096)),
+            (
+                "chunks without end",
+                raw(ok + b"Transfer-Encoding: chunked\r\n\r\n", b"1000\r\n%4096d\r\n" % 1),
+            ),
+            ("1xx without end", raw(b"", b"HTTP/1.1 102 Processing\r\n\r\n")),
+        ):
+            with self.subTest(name):
+                bad, good = self.node(script), self.node(answer(b"mine"))
+                rig = self.rig(bad, good)
+                for n in range(4):
+                    self.assertEqual(rig.call(f"a{n}").body, b"mine")
+                self.assertIn(rig.call("m", "move").status, {200, 502})
+                self.assertGreater(bad.seen.qsize(), 0)
+                for _ in range(bad.seen.qsize()):
+                    bad.left.get(timeout=WAIT)
+
+    def test_what_surrounds_a_good_answer_does_not_spoil_it(self) -> None:
+        good = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n%s\r\nmine"
+        for name, data, conns in (
+            ("a second copy", good % b"" * 2, 2),
+            ("noise behind", good % b"" + b"\x00what", 2),
+            ("1xx ahead", b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" * 3 + good % b"", 1),
+            ("a bad report", good % b'Server-Load: {"util":\r\n', 1),
+            ("control characters in the report", good % b"Server-Load: \x01\x02\r\n", 1),
+        ):
+            with self.subTest(name):
+                node = self.node(lambda sock, request, data=data: sock.sendall(data))  # type: ignore[misc]
+                rig = self.rig(node)
+                for n in range(2):
+                    self.assertEqual(rig.call(f"a{n}", "move").body, b"mine")
+                self.assertEqual(len(node.conns), conns)
+
 
 class Program(Case):
     config_file: Path
