--- a/brambleusher/counters.py
+++ b/brambleusher/counters.py
@@ -25,6 +25,7 @@
     "claims_cancelled",
     "claims_moot",
     "connections_opened",
+    "connections_lacking",
     "connections_reused",
     "lists_taken",
     "lists_rejected",
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -15,7 +15,7 @@
 from brambleusher.net.machine_list import Machine, MachineListUpdate
 from brambleusher.net.scheduler import Bell, Scheduler, Timeout
 from brambleusher.net.streams import Called, Stream
-from quillpass.api import HostState, LoadReport, Settings, Status
+from quillpass.api import CONNECT_PART, HostState, LoadReport, Settings, Status
 
 log = logging.getLogger(__name__)
 
@@ -194,7 +194,10 @@
         try:
             stream = claim.stream = self._connection(node, claim, deadline)
             if stream is None:
-                return Status.FULL, None, None
+                # Not the node's doing: told as full, a sidecar short of connections took its nodes for
+                # overloaded and refused nearly everything.
+                self._counters.add("connections_lacking")
+                return Status.MOOT, None, None
             if claim.why is not None:
                 return self._called_off(claim), None, None
             left_ms = int((deadline - self._scheduler.now()) * 1000)
@@ -236,10 +239,10 @@
         if self._open >= self._most and not self._make_room():
             return None
         self._open += 1
+        # Part of the time only, so that one node that takes no connection leaves time for another.
+        wait = min(self._connect_seconds, (deadline - now) * CONNECT_PART)
         try:
-            stream = Stream.connect(
-                self._scheduler, node.address, min(deadline, now + self._connect_seconds), claim.bell
-            )
+            stream = Stream.connect(self._scheduler, node.address, now + wait, claim.bell)
         except BaseException:
             self._open -= 1
             raise
--- a/quillpass/api.py
+++ b/quillpass/api.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+# Of an attempt's time, a connect may take this part and `connect_timeout_ns`, whichever is less.
+CONNECT_PART = 0.2
+
 
 class Effect(Enum):
     """What running a request twice would do."""
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -97,8 +97,10 @@
 class Request:
     """A request that is owed an answer, or whose attempts are still out."""
 
-    def __init__(self, rid: str, cls: int, deadline_ns: int) -> None:
-        self.id, self.cls, self.deadline_ns = rid, cls, deadline_ns
+    def __init__(self, rid: str, cls: int, now: int, left_ns: int) -> None:
+        self.id, self.cls, self.deadline_ns = rid, cls, now + left_ns
+        self.half_ns = now + left_ns // 2  # by then a request that reached no host is to be given up
+        self.reached = False  # an attempt was written whole
         self.attempts: list[tuple[Host, int, int]] = []  # host, time and idle time of its connection
         self.out = 0
         self.closed = self.ran = False
@@ -439,8 +441,11 @@
         due = self._my_share * rate * self._ready * held / SECOND * min(rate / self._best_rate, 1.0)
         goal = held / max(aim * GOAL_OF_AIM, 1.0) if counts >= 1 else PI_GOAL
         change = min(max(goal / max(index, 0.1) - 1, -0.5), 0.5)
-        # Where little is served at all, hosts still work on what was given up: wait for them.
+        # Where little is served at all, hosts still work on what was given up: wait for them.  But an attempt
+        # a host, of all proxies together, crowds nobody: a limit below that is held down by the little it
+        # lets through, and by the few of it that are never answered, while hosts are idle.
         floor = due / 3 * sum(host.health for host in ring) / max(len(ring), 1)
+        floor = max(floor, self._my_share * self._ready)
         top = due if busy or self._tight else max(due * 2, 2.0 * self._open, len(ring))
         self._limit = min(max(self._limit * (1 + change * min(gap, 1.0)), floor), top)
         if not self._open and self._index_n < 1:
@@ -472,7 +477,7 @@
         self._retries = min(self._retries + RETRY_SHARE, BUDGET_BURST)
         density = self._worth_density(event, cls, now)
         self._densities.append(density)
-        request, welcome = Request(event.request, cls, now + event.left_ns), self._worth_now(density)
+        request, welcome = Request(event.request, cls, now, event.left_ns), self._worth_now(density)
         host = self._pick(request, now) if welcome else None
         if host is None:
             self._out.append(api.Refuse(event.request, self._stay_away(not welcome)))
@@ -576,6 +581,7 @@
             return
         request.out, self._open = request.out - 1, self._open - 1
         host.used_ns = now
+        request.reached |= event.status not in (Status.CONNECT_FAILED, Status.MOOT)
         host.linked = event.status in (Status.OK, Status.ERROR, Status.FULL)
         self._release(host, now)
         if event.report is not None:
@@ -645,12 +651,21 @@
         afford = self._retries >= 1 and not self._tight if costs else not self._tight or self._retries >= 1
         if status is not Status.MOOT and afford and self._may_repeat(request, now):
             host = self._pick(request, now)
-            if host is not None:
+            if host is not None and (host.linked or not self._late_to_connect(request, now)):
                 self._retries -= costs or self._tight
                 self._send(request, host, now)
                 return
         self._finish(request)
 
+    def _late_to_connect(self, request: Request, now: int) -> bool:
+        """Whether a connect that fails would end past half of the time of a request that reached no host.
+
+        Guards against clients kept waiting for hosts that take no connection: they could ask elsewhere.
+        """
+        return not request.reached and now <= request.half_ns < now + min(
+            self.settings.connect_timeout_ns, int((request.deadline_ns - now) * api.CONNECT_PART)
+        )
+
     def _gone(self, event: api.RequestGone | api.StreamStarted, now: int) -> None:
         """The client has left, or has its stream: no answer is owed."""
         request = self._requests.get(event.request)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import unittest
 
 import pytest
 
@@ -365,3 +366,38 @@
     for n in range(30):
         (action,) = balancer.handle(api.RequestArrived(f"q{n}", "c", None, 2 * SECOND), 4 * SECOND)
         assert isinstance(action, api.Send)
+
+
+class GivingUp(unittest.TestCase):
+    def test_one_that_reached_no_host_is_given_up_before_half_of_its_time(self) -> None:
+        """Guards against clients kept waiting for hosts that take no connection."""
+        for status, at_ms, expected in (
+            (api.Status.CONNECT_FAILED, 50, api.Send),
+            (api.Status.CONNECT_FAILED, 170, api.Refuse),
+            (api.Status.FULL, 170, api.Send),  # it was written whole
+            (api.Status.CONNECT_FAILED, 300, api.Send),  # too late to be given up early
+        ):
+            with self.subTest(status=status, at_ms=at_ms):
+                balancer, _ = build(["h1", "h2"])
+                actions = balancer.handle(api.RequestArrived("q", "c", None, 400 * MS), 0)
+                (first,) = [action for action in actions if isinstance(action, api.Send)]
+                ended = api.AttemptEnded("q", 0, first.host, status, at_ms * MS, False)
+                actions = balancer.handle(ended, at_ms * MS)
+                self.assertEqual([type(a) for a in actions if not isinstance(a, api.LetGo)], [expected])
+
+
+class Admission(unittest.TestCase):
+    def test_the_limit_leaves_an_attempt_a_host(self) -> None:
+        """Guards against a limit held down by the little that it lets through, while hosts are idle."""
+        balancer, _ = build(["h1", "h2", "h3", "h4"])
+        for host in balancer._hosts.values():
+            host.sum_qps, host.sum_util = 1000.0, 10.0
+            host.util, host.throughput, host.util_ns = 0.01, 1.0, 1
+        balancer._lat_n, balancer._lat_sum, balancer._index_n = [100.0], [100.0 * 100 * MS], 100.0
+        balancer._quiet_ns, balancer._limit = [100.0 * MS], 100.0
+        balancer._weigh(1, 0.0)
+        for host in balancer._hosts.values():
+            host.pi = 2.0  # late: some answers never come
+        for _ in range(80):
+            balancer._steer_admission(0.125)
+        self.assertAlmostEqual(balancer._limit, 4.0)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -211,6 +211,17 @@
         self.assertEqual(got.status, 503)
         self.assertTrue(0 < float(got.headers["retry-after"]) <= 2)
 
+    def test_a_lack_of_connections_is_not_held_against_the_nodes(self) -> None:
+        rig = self.rig(self.node(hang), self.node(hang))
+        rig.sidecar.nodes._most = 1
+        first = rig.send("a")
+        while rig.sidecar.counters.count("claims_sent") == 0:
+            time.sleep(0.002)
+        self.assertEqual(rig.call("b").status, 503)
+        self.assertEqual(rig.sidecar.counters.count("connections_lacking"), 1)
+        self.assertEqual(rig.sidecar.decisions._balancer._full_sum, 0)
+        first.close()
+
     def test_a_small_machine_has_connections_for_its_load(self) -> None:
         """Guards against 20 connections to execute nodes where 256 descriptors and 64 MB are there."""
         config = self.rig(self.node()).config
@@ -258,8 +269,8 @@
 
     def test_one_that_does_not_ask_is_closed_and_one_that_has_asked_is_not(self) -> None:
         """Guards against silent connections held for minutes and half requests for ten seconds."""
-        rig = self.rig(self.node())
-        with rig.connect() as asked, rig.connect() as silent, rig.connect() as half:
+        rig, idle = self.rig(self.node()), mock.patch("brambleusher.net.submitters.IDLE_SECONDS", 60.0)
+        with idle, rig.connect() as asked, rig.connect() as silent, rig.connect() as half:
             read(rig.send("a", sock=asked))
             half.sendall(b"GET /look HTTP/1.1\r\n")
             for sock, got in ((half, b"HTTP/1.1 408"), (silent, b"")):
