Serve answers up to 1 MB, and let one silent attempt count for twice a miss at most

Logged: answers of 385 to 397 KB, well framed, 570 of 583 bad answers "the body is too large". Cause: MessageReader held answers to MAX_BODY, a request's limit; the failures then drove the limit on what is out to 2. The rest is due 0.5 s after the last byte now, not after the first: such answers come slowly. Their memory is bounded. Also: a deadline that passes no longer leaves a cycle of exception and frame.

--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -11,7 +11,7 @@
 
 from brambleusher.counters import Counters
 from brambleusher.decisions import Outcome
-from brambleusher.net.http import HOP_BY_HOP, HttpError, Message, MessageReader, write_request
+from brambleusher.net.http import HOP_BY_HOP, MAX_BODY, HttpError, Message, MessageReader, write_request
 from brambleusher.net.machine_list import Machine, MachineListUpdate
 from brambleusher.net.scheduler import Bell, Scheduler, Timeout
 from brambleusher.net.streams import Called, Stream
@@ -20,7 +20,7 @@
 log = logging.getLogger(__name__)
 
 MAX_INTERIM = 16  # 1xx answers ahead of one claim's final answer
-REST_SECONDS = 0.5  # from an answer's first bytes to its last
+REST_SECONDS = 0.5  # without a byte of an answer that has begun
 IDLE_PART = 0.8  # of the execute node's idle limit: past it a connection is not trusted with a claim
 _REWRITTEN = HOP_BY_HOP | {"content-length", "request-timeout-ms", "expect"}
 
@@ -76,12 +76,13 @@
 class Claim:
     """One claim: its task, and how far it has come."""
 
-    __slots__ = ("bell", "sending", "stream", "why", "written")
+    __slots__ = ("bell", "large", "sending", "stream", "why", "written")
 
     def __init__(self) -> None:
         self.bell = Bell()  # rings when it is called off
         self.why: Status | None = None  # the status it was called off with
         self.stream: Stream | None = None
+        self.large = 0  # bytes taken of the memory for large answers
         self.sending = False  # its first byte is on its way
         self.written = False  # its last byte has been handed over: from here on it may have run
 
@@ -96,7 +97,12 @@
     """The execute nodes that the machine list names."""
 
     def __init__(
-        self, scheduler: Scheduler, settings: Settings, counters: Counters, most_connections: int
+        self,
+        scheduler: Scheduler,
+        settings: Settings,
+        counters: Counters,
+        most_connections: int,
+        large_bytes: int,
     ) -> None:
         self._scheduler, self._counters = scheduler, counters
         self._connect_seconds = settings.connect_timeout_ns / 1e9
@@ -104,6 +110,7 @@
         self._idle_seconds = min(idle * IDLE_PART, max(idle - 1.0, idle / 2))
         self._nodes: dict[str, Node] = {}
         self._most, self._open = most_connections, 0
+        self._large_left = large_bytes  # for what answers have beyond the size of a request's body
 
     # --- the machine list -----------------------------------------------------------------------
 
@@ -219,6 +226,7 @@
             log.warning("bad answer", extra={"fields": {"node": node.name, "reason": error}})
             return Status.ERROR, None, None
         finally:
+            self._large_left += claim.large
             if claim.stream is not None:
                 self._give_back(node, claim.stream, keep or not claim.sending)
 
@@ -262,8 +270,7 @@
         headers.append(("Request-Timeout-Ms", str(left_ms)))
         return write_request(*request.start, headers, request.body)
 
-    @staticmethod
-    def _answer(stream: Stream, claim: Claim, deadline: float) -> tuple[Message, bool]:
+    def _answer(self, stream: Stream, claim: Claim, deadline: float) -> tuple[Message, bool]:
         """The whole answer, and whether its connection can serve another claim.
 
         What comes behind the answer spoils the connection, not the answer.
@@ -294,7 +301,12 @@
                 # Guards against serving the part of an answer that came before a connection broke, and
                 # against waiting for an end that never comes: only framing can tell a whole one.
                 raise HttpError(502, "the answer has no framing")
-            if due >= deadline and reader.begun:
+            if (more := reader.size - MAX_BODY - claim.large) > 0:
+                # Guards against large answers that together outgrow the memory.
+                if more > self._large_left:
+                    raise HttpError(502, "no memory for an answer so large")
+                self._large_left, claim.large = self._large_left - more, claim.large + more
+            if reader.begun:
                 due = min(deadline, now() + REST_SECONDS)
 
     # --- connections ----------------------------------------------------------------------------
--- a/brambleusher/net/http.py
+++ b/brambleusher/net/http.py
@@ -13,7 +13,8 @@
 
 MAX_HEAD = 16 * 1024
 MAX_HEADERS = 100
-MAX_BODY = 64 * 1024
+MAX_BODY = 64 * 1024  # of a request
+MAX_ANSWER = 1024 * 1024  # of an answer: execute nodes send several hundred KB
 MAX_CHUNK_LINE = 256
 
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
@@ -164,6 +165,7 @@
 
     def __init__(self, parse: Callable[[list[str]], Message], answers: bool) -> None:
         self._parse, self._answers = parse, answers
+        self._largest = MAX_ANSWER if answers else MAX_BODY
         self._buffer = bytearray()
         self._message: Message | None = None
         self._length = 0  # of the body; -1: chunked; -2: up to the connection's end
@@ -195,6 +197,12 @@
         """How many bytes wait for the next message."""
         return len(self._buffer)
 
+    @property
+    def size(self) -> int:
+        """How much of a body is known to come or has come."""
+        body = len(self._message.body) if self._message is not None else 0
+        return max(self._length, body) if self._message is not None else 0
+
     @property
     def expects_continue(self) -> bool:
         """Whether a request's head is whole and its sender waits for leave to send the body."""
@@ -222,13 +230,13 @@
         if self._length == -1:
             message.body += self._chunked.feed(bytes(self._buffer))
             self._buffer.clear()
-            if len(message.body) > MAX_BODY:
+            if len(message.body) > self._largest:
                 raise HttpError(413, "the body is too large")
             if not self._chunked.done:
                 return None
             self._buffer += self._chunked.rest
         elif self._length == -2:
-            if len(self._buffer) > MAX_BODY:
+            if len(self._buffer) > self._largest:
                 raise HttpError(413, "the body is too large")
             return None
         else:
@@ -293,7 +301,7 @@
             return -2 if self._answers else 0
         if not _DIGITS.match(length):
             raise HttpError(400, "bad content length")
-        if int(length) > MAX_BODY:
+        if int(length) > self._largest:
             raise HttpError(413, "the body is too large")
         return int(length)
 
--- a/brambleusher/net/scheduler.py
+++ b/brambleusher/net/scheduler.py
@@ -142,7 +142,12 @@
         if bell is not None:
             bell.rung = False
         if isinstance(why, BaseException):
-            raise why
+            try:
+                raise why
+            finally:
+                # Guards against a cycle for each deadline that passes (the exception holds this frame, and
+                # this the exception), which keeps what its task held until the collector comes by.
+                del why
         return str(why)
 
     def sleep(self, seconds: float) -> None:
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -24,6 +24,7 @@
 
 SPARE_DESCRIPTORS = 32  # the watch, the listener, the log, files that the runtime opens
 NODE_PART = 0.4  # of the descriptors: connections to execute nodes; the rest is for submitters
+LARGE_PART = 0.25  # of the memory beside the runtime's: answers of more than 64 KB, until they are whole
 READY_SECONDS = 1.0  # so long the sidecar waits for a fresh list before it serves with the one it had
 # After SIGTERM new connections keep coming for 0.2 to 0.4 s.
 SERVE_ON_SECONDS = 0.45
@@ -44,7 +45,9 @@
         memory = config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
         places = min(config.limits.sockets - SPARE_DESCRIPTORS, memory // MEMORY_PER_CONNECTION)
         for_nodes = max(int(places * NODE_PART), 8)
-        self.nodes = ExecuteNodes(self.scheduler, config.settings, self.counters, for_nodes)
+        self.nodes = ExecuteNodes(
+            self.scheduler, config.settings, self.counters, for_nodes, int(memory * LARGE_PART)
+        )
         self.decisions = Decisions(config.settings, config.seed, self.scheduler, self.clock, self.counters)
         self.machine_list = MachineList(
             self.scheduler,
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -38,6 +38,7 @@
 # The index is a mean, and answers spread about as widely as their mean: a mean at half the aim
 # already makes one answer in seven late (e^-2), so half the aim is the goal of the index.
 GOAL_OF_AIM = 0.5
+MISSED = 2 / GOAL_OF_AIM  # the most one attempt says; a few that are never answered are no crowd
 HEALTH_PRIOR = 2.0  # attempts assumed served, so that one failure does not condemn a quiet host
 RESERVE = 0.25  # below this free share of the fleet, weights lean towards capacity
 OLD_LOOKED_AT = 6  # the oldest attempts out of a host that the tick looks at: bounds its work
@@ -284,7 +285,7 @@
     def _sample(self, host: Host, cls: int, index: float) -> None:
         """One latency over its goal, to the host's index and to the fleet's."""
         host.late_n[cls] += 1
-        host.late_sum[cls] += index
+        host.late_sum[cls] += min(index, MISSED)
         self._index_n += 1
 
     def _index_of(self, host: Host, now: int) -> float:
@@ -293,7 +294,7 @@
         pi, count = aggregate_pi(mean, host.late_n, self._by_worth)
         acc, seen = pi * count, count + 1.0  # one sample of prior: evidence fades, the host comes back
         for looked, (request, sent) in enumerate(host.out.values()):
-            age = (now - sent) / (self.settings.classes[request.cls].aim_ns * GOAL_OF_AIM)
+            age = min((now - sent) / (self.settings.classes[request.cls].aim_ns * GOAL_OF_AIM), MISSED)
             if age <= pi or looked >= OLD_LOOKED_AT:
                 break
             acc += age
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import logging
 import sys
 import unittest
+import weakref
 from typing import Any
 
 from brambleusher.config import ConfigError, load_config, parse_config
@@ -125,3 +127,21 @@
         for _ in range(5000):
             scheduler.call_at(sys.maxsize, lambda: None).cancel()
         self.assertLess(len(scheduler._timers), 1100)
+
+    def test_a_deadline_that_passes_keeps_nothing(self) -> None:
+        scheduler, held = Scheduler(), list[weakref.ref[set[int]]]()
+        self.addCleanup(scheduler.close)
+
+        def waits() -> None:
+            body = {1}
+            held.append(weakref.ref(body))
+            try:
+                scheduler.park(scheduler.now())
+            except Timeout:
+                return
+
+        gc.disable()
+        self.addCleanup(gc.enable)
+        task: Task = scheduler.spawn(waits)
+        scheduler.run(lambda: task.done)
+        self.assertIsNone(held[0]())
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -401,3 +401,13 @@
         for _ in range(80):
             balancer._steer_admission(0.125)
         self.assertAlmostEqual(balancer._limit, 4.0)
+
+    def test_one_that_is_never_answered_is_no_crowd(self) -> None:
+        """Guards against a few connections that fell silent: they made whole fleets look late."""
+        balancer, _ = build(["h1"])
+        host = balancer._hosts["h1"]
+        for n in range(20):
+            balancer._sample(host, 0, 100.0 if n == 0 else 0.1)
+        self.assertLess(balancer._index_of(host, 1), 0.5)
+        balancer.handle(api.RequestArrived("q", "c", None, 100 * SECOND), 0)
+        self.assertLess(balancer._index_of(host, 50 * SECOND), 0.7)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -325,6 +325,15 @@
                 for _ in range(bad.seen.qsize()):
                     bad.left.get(timeout=WAIT)
 
+    def test_a_large_answer_is_served_as_far_as_memory_goes(self) -> None:
+        """Guards against taking the limit of a request's body for one of answers, which are larger."""
+        body = bytes(400_000)
+        rig = self.rig(self.node(answer(body)))
+        self.assertEqual(rig.call("a", "move").body, body)
+        rig.sidecar.nodes._large_left = 100_000
+        self.assertEqual(rig.call("b", "move").status, 502)
+        self.assertEqual(rig.sidecar.nodes._large_left, 100_000)
+
     def test_what_surrounds_a_good_answer_does_not_spoil_it(self) -> None:
         good = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n%s\r\nmine"
         for name, data, conns in (
