Give up a silent attempt early where it may be repeated and answers are not late

Change: while attempts timed out lately and the index is within its goal, a safe attempt ends at six times the usual answer's time, at least half an aim, if time is left for another (_send).

--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -56,6 +56,7 @@
 ROOM_FOR_ALL = 0.7  # of the limit on what is out; above, places go by worth, the last to the best
 WAIT_OF_AIM = 1 / 8  # of the aim may pass in queues under overload: a crowd forms before answers are late
 SPOILT = 0.01  # share of requests that may find every attempt used up on full hosts
+SILENCE = 6.0  # times the usual answer's time: past it an attempt is given up where some are not answered
 NEVER_RAN = frozenset({Status.FULL, Status.CONNECT_FAILED, Status.MOOT})
 SECOND = 1e9
 
@@ -215,6 +216,7 @@
         # Lately: attempts on idle connections, answered and timed out; failed connections; the most
         # attempts out; requests.
         self._idle_kept = self._idle_lost = self._unlinked = self._peak = self._rate = 0.0
+        self._silent = 0.0  # attempts that timed out lately
         self._idle_ns = float(settings.conn_idle_ns or math.inf)
         self._trust_ns = self._idle_ns  # how long an idle connection is trusted
         self._open = self._ready = 0  # attempts out, ready hosts
@@ -310,7 +312,7 @@
             host.served, host.failed = host.served * health, host.failed * health
             host.late_n = [n * late for n in host.late_n]
             host.late_sum = [s * late for s in host.late_sum]
-        self._unlinked *= health
+        self._unlinked, self._silent = self._unlinked * health, self._silent * health
         self._idle_kept, self._idle_lost = self._idle_kept * slow, self._idle_lost * slow
         # Few samples are kept for longer: two full answers in a row are no overload.
         window = min(max(LATENCY_WINDOW, SAMPLES * HEALTH_WINDOW / max(self._rate, 1.0)), CAPACITY_WINDOW)
@@ -533,6 +535,11 @@
         if doubted and cls.effect is not Effect.UNSAFE and left > 1:
             usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0) or math.inf
             timeout = int(min(3 * usual, cls.aim_ns / 2, (request.deadline_ns - now) / 2))
+        if self._silent > 1 and not self._late and cls.effect is Effect.SAFE and left > 1 and not timeout:
+            # Guards against connections that fell silent under a request, while there is room elsewhere.
+            usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
+            patience = max(SILENCE * usual, cls.aim_ns * GOAL_OF_AIM)
+            timeout = int(patience) if now + 2 * patience < request.deadline_ns else 0
         host.out[(request.id, len(request.attempts))] = (request, now)
         request.attempts.append((host, now, idle))
         request.out, self._open = request.out + 1, self._open + 1
@@ -582,6 +589,7 @@
             return
         request.out, self._open = request.out - 1, self._open - 1
         host.used_ns = now
+        self._silent += event.status is Status.TIMEOUT
         request.reached |= event.status not in (Status.CONNECT_FAILED, Status.MOOT)
         host.linked = event.status in (Status.OK, Status.ERROR, Status.FULL)
         self._release(host, now)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -411,3 +411,15 @@
         self.assertLess(balancer._index_of(host, 1), 0.5)
         balancer.handle(api.RequestArrived("q", "c", None, 100 * SECOND), 0)
         self.assertLess(balancer._index_of(host, 50 * SECOND), 0.7)
+
+
+class Silence(unittest.TestCase):
+    def test_a_safe_attempt_is_given_up_early_only_where_some_are_never_answered(self) -> None:
+        """Guards against connections that fall silent under a request until its time is up."""
+        for silent, late, expected in ((0.0, False, 0), (5.0, True, 0), (5.0, False, 250 * MS)):
+            with self.subTest(silent=silent, late=late):
+                balancer, _ = build(["h1", "h2"])
+                balancer._silent, balancer._late = silent, late
+                actions = balancer.handle(api.RequestArrived("q", "c", None, 2 * SECOND), 0)
+                (sent,) = [action for action in actions if isinstance(action, api.Send)]
+                self.assertEqual(sent.timeout_ns, expected)
