Figures for a collector, in service: statsd or influx to stderr, a file or UDP

Counters, a gauge and a timer an attempt go by class and tenant into a bounded lane; a daemon thread writes them, since pipes, disks and FIFOs block. The same thread takes the log where both go to standard error: with a pipe that figures had filled the next log line would have held up every request (a test reads nothing and asks 200 times).

Checked: an open descriptor goes on taking lines for a file that was removed, so files are opened anew for each write.

--- a/brambleusher/counters.py
+++ b/brambleusher/counters.py
@@ -40,9 +40,13 @@
     def __init__(self) -> None:
         self._counts = dict.fromkeys(NAMES, 0)
 
-    def add(self, name: str) -> None:
-        """One more."""
-        self._counts[name] += 1
+    def also(self, name: str) -> None:
+        """Count one name more, for a feature that is on."""
+        self._counts[name] = 0
+
+    def add(self, name: str, more: int = 1) -> None:
+        """One more, or several."""
+        self._counts[name] += more
 
     def count(self, name: str) -> int:
         """How often so far."""
--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -83,13 +83,61 @@
 Step = MakeClaim | api.Refuse | api.Fail | api.Cancel | ClaimEnded
 
 
+class Observer:
+    """One that is told of requests as they pass; it is quick, and parks nowhere."""
+
+    def taken(self, call: Call) -> None:
+        """A request was taken."""
+
+    def claim_ended(self, call: Call, node: str, outcome: Outcome) -> None:
+        """A claim made for a request has ended, before its final answer or after."""
+
+    def over(self, call: Call, kind: str | None, took_ns: int) -> None:
+        """A request has its final answer of some kind, or its submitter has left (None)."""
+
+
+class Observers(Observer):
+    """Several, in order; a fault in one is logged and harms neither the others nor the request."""
+
+    def __init__(self, observers: Iterable[Observer] = ()) -> None:
+        self._all = tuple(observers)
+
+    def taken(self, call: Call) -> None:
+        """Pass it on."""
+        for observer in self._all:
+            try:
+                observer.taken(call)
+            except Exception:
+                self._failed(observer)
+
+    def claim_ended(self, call: Call, node: str, outcome: Outcome) -> None:
+        """Pass it on."""
+        for observer in self._all:
+            try:
+                observer.claim_ended(call, node, outcome)
+            except Exception:
+                self._failed(observer)
+
+    def over(self, call: Call, kind: str | None, took_ns: int) -> None:
+        """Pass it on."""
+        for observer in self._all:
+            try:
+                observer.over(call, kind, took_ns)
+            except Exception:
+                self._failed(observer)
+
+    @staticmethod
+    def _failed(observer: Observer) -> None:
+        log.exception("a feature failed", extra={"fields": {"feature": type(observer).__name__}})
+
+
 class Ticket:
     """A request that is owed an answer, and the steps that wait for its task."""
 
-    __slots__ = ("bell", "claims_ended", "claims_wanted", "open", "request", "steps")
+    __slots__ = ("bell", "call", "claims_ended", "claims_wanted", "open", "request", "steps")
 
-    def __init__(self, request: str) -> None:
-        self.request = request
+    def __init__(self, call: Call) -> None:
+        self.call, self.request = call, call.request
         self.steps: deque[Step] = deque()
         self.bell = Bell()
         self.open = True
@@ -109,9 +157,15 @@
     """Drives one `Balancer` by the clock and by what happens."""
 
     def __init__(
-        self, settings: api.Settings, seed: int, scheduler: Scheduler, clock: Clock, counters: Counters
+        self,
+        settings: api.Settings,
+        seed: int,
+        scheduler: Scheduler,
+        clock: Clock,
+        counters: Counters,
+        observers: Observer | None = None,
     ) -> None:
-        self.settings = settings
+        self.settings, self.observers = settings, observers or Observer()
         self._balancer = Balancer(settings, seed)
         self._scheduler, self._clock, self._counters = scheduler, clock, counters
         self._tickets: dict[str, Ticket] = {}
@@ -134,7 +188,8 @@
         """A request has come: its first steps wait in the ticket."""
         if call.request in self._tickets:
             raise DuplicateRequest(f"request {call.request} is in progress")
-        ticket = self._tickets[call.request] = Ticket(call.request)
+        ticket = self._tickets[call.request] = Ticket(call)
+        self.observers.taken(call)
         event = api.RequestArrived(
             call.request, call.request_class, call.tenant, call.left_ns, call.work_hint_ns, call.is_retry
         )
@@ -148,6 +203,7 @@
         self._counters.add(
             f"claims_{outcome.status.value}" if outcome.status is not api.Status.OK else "claims_served"
         )
+        self.observers.claim_ended(ticket.call, end.node, outcome)
         event = api.AttemptEnded(
             ticket.request, end.attempt, end.node, outcome.status, outcome.latency_ns, closed, outcome.report
         )
--- a/brambleusher/logs.py
+++ b/brambleusher/logs.py
@@ -5,11 +5,21 @@
 import logging
 import sys
 import time
-from typing import TextIO
+from typing import Protocol
 
 _PLAIN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/+%@")
 
 
+class LogStream(Protocol):
+    """What log lines are written to."""
+
+    def write(self, text: str, /) -> object:
+        """Take one line, with its line end."""
+
+    def flush(self) -> object:
+        """Let it go out."""
+
+
 def quote(value: object) -> str:
     """A value as it stands if that is clear, else in quotes."""
     text = str(value)
@@ -39,7 +49,7 @@
         return " ".join(f"{key}={quote(value)}" for key, value in pairs.items())
 
 
-def configure(level: int = logging.INFO, stream: TextIO | None = None) -> None:
+def configure(level: int = logging.INFO, stream: LogStream | None = None) -> None:
     """Send the package's log lines to a stream, standard error unless another is given."""
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(KeyValueFormatter())
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -405,6 +405,8 @@
             answer = self._life.live(call, deadline, Submitter(watch, has_left))
         except DuplicateRequest as error:
             raise HttpError(400, str(error)) from None
+        kind = None if answer is None else answer.kind.value
+        self._decisions.observers.over(call, kind, self._clock.now_ns() - arrived_ns)
         if answer is None:
             self._counters.add("requests_gone")
             return None
--- a/brambleusher/operator_file.py
+++ b/brambleusher/operator_file.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from brambleusher.net.http import HOP_BY_HOP, is_token, is_value
+from brambleusher.net.streams import parse_address
 
 MAX_FILE = 256 * 1024
 MAX_RULES, MAX_VALUE = 256, 4096
@@ -42,11 +43,31 @@
     request_class: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Where lines go: standard error, a file's path, or an address for datagrams."""
+
+    kind: str = "stderr"
+    path: str = ""
+    address: tuple[str, int] = ("", 0)
+
+
+@dataclass(frozen=True, slots=True)
+class FiguresSettings:
+    """Figures for a collector."""
+
+    format: str = "statsd"
+    target: Target = Target()
+    flush_ms: int = 1000
+    buffer_kb: int = 64
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorFile:
     """The features' settings; None for one that is off."""
 
     rewrites: tuple[Rule, ...] | None = None
+    figures: FiguresSettings | None = None
 
 
 class Section:
@@ -80,18 +101,16 @@
             raise OperatorError(f"{self.name(key)} is not a text")
         return value
 
-    def choice(self, key: str, among: tuple[str, ...], default: str | None = None) -> str:
+    def choice(self, key: str, among: tuple[str, ...], default: str = "") -> str:
         """One of a few texts."""
-        value = self.text(key, default)
+        value = self.text(key, default) or ""
         if value not in among:
             raise OperatorError(f"{self.name(key)} is not one of {', '.join(among)}")
         return value
 
-    def whole(self, key: str, default: int | None, low: int, high: int) -> int | None:
+    def whole(self, key: str, default: int, low: int, high: int) -> int:
         """A whole number within a range."""
-        if key not in self._left:
-            return default
-        value = self._left.pop(key)
+        value = self._left.pop(key, default)
         if isinstance(value, bool) or not isinstance(value, int) or not low <= value <= high:
             raise OperatorError(f"{self.name(key)} is not a whole number from {low} to {high}")
         return value
@@ -155,6 +174,34 @@
     return tuple(_rule(rule, f"rewrites[{at}]") for at, rule in enumerate(raw))
 
 
+def _target(text: str | None, path: str) -> Target:
+    if text in (None, "stderr"):
+        return Target()
+    kind, _, rest = str(text).partition(":")
+    if kind == "file" and rest and "\0" not in rest:
+        return Target("file", path=rest)
+    if kind == "udp":
+        try:
+            host, port = parse_address(rest)
+        except ValueError as error:
+            raise OperatorError(f"{path}: {error}") from None
+        if port:
+            return Target("udp", address=(host.removeprefix("[").removesuffix("]"), port))
+    raise OperatorError(f"{path} is not stderr, file: with a path or udp: with host:port")
+
+
+def _figures(raw: Any) -> FiguresSettings:
+    section, usual = Section(raw, "figures"), FiguresSettings()
+    settings = FiguresSettings(
+        format=section.choice("format", ("statsd", "influx"), usual.format),
+        target=_target(section.text("target"), "figures.target"),
+        flush_ms=section.whole("flush_ms", usual.flush_ms, 10, 3_600_000),
+        buffer_kb=section.whole("buffer_kb", usual.buffer_kb, 4, 65_536),
+    )
+    section.end()
+    return settings
+
+
 def _decode(text: bytes) -> Any:
     """YAML by the safe loader, with texts for keys and none of them twice."""
     import yaml  # here, so that a sidecar without an operator file doesn't pay for it
@@ -189,6 +236,7 @@
     section = Section(_decode(text), "")
     settings = OperatorFile(
         rewrites=_rules(section.take("rewrites")) if section.has("rewrites") else None,
+        figures=_figures(section.take("figures")) if section.has("figures") else None,
     )
     section.end()
     return settings
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -12,14 +12,17 @@
 
 from brambleusher.config import Config, ConfigError, fixed_keys_changed
 from brambleusher.counters import Counters
-from brambleusher.decisions import Clock, Decisions
+from brambleusher.decisions import Clock, Decisions, Observer, Observers
+from brambleusher.features.figures import DROPPED, Figures
+from brambleusher.features.output import DescriptorSink, FileSink, LaneStream, Output, Sink, UdpSink
 from brambleusher.features.rewrites import Rewrites
+from brambleusher.logs import configure
 from brambleusher.net.execute_nodes import ExecuteNodes
 from brambleusher.net.machine_list import MachineList, MachineListUpdate
 from brambleusher.net.scheduler import Scheduler
 from brambleusher.net.submitters import Submitters
 from brambleusher.net.watch import HttpWatch
-from brambleusher.operator_file import OperatorFile
+from brambleusher.operator_file import FiguresSettings, OperatorFile
 from quillpass.api import ListKind
 
 log = logging.getLogger(__name__)
@@ -27,6 +30,8 @@
 SPARE_DESCRIPTORS = 32  # the watch, the listener, the log, files that the runtime opens
 NODE_PART = 0.4  # of the descriptors: connections to execute nodes; the rest is for submitters
 LARGE_PART = 0.25  # of the memory beside the runtime's: answers of more than 64 KB, until they are whole
+STDERR = "stderr"
+LOG_BYTES = 64 * 1024  # of log lines that wait for standard error, where features write to it too
 READY_SECONDS = 1.0  # so long the sidecar waits for a fresh list before it serves with the one it had
 # After SIGTERM new connections keep coming for 0.2 to 0.4 s.
 SERVE_ON_SECONDS = 0.45
@@ -50,13 +55,19 @@
         self.scheduler = Scheduler()
         self.clock = Clock()
         self.counters = Counters()
+        self.outputs: dict[str, Output] = {}  # by where they lead
+        self.figures = None if operator.figures is None else self._figures(operator.figures)
         memory = config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
         places = min(config.limits.sockets - SPARE_DESCRIPTORS, memory // MEMORY_PER_CONNECTION)
         for_nodes = max(int(places * NODE_PART), 8)
         self.nodes = ExecuteNodes(
             self.scheduler, config.settings, self.counters, for_nodes, int(memory * LARGE_PART)
         )
-        self.decisions = Decisions(config.settings, config.seed, self.scheduler, self.clock, self.counters)
+        observers: list[Observer] = [feature for feature in (self.figures,) if feature is not None]
+        self.decisions = Decisions(
+            config.settings, config.seed, self.scheduler, self.clock, self.counters,
+            Observers(observers) if observers else None,
+        )  # fmt: skip
         self.machine_list = MachineList(
             self.scheduler,
             HttpWatch(self.scheduler, config.discovery),
@@ -74,6 +85,26 @@
         self._started_at = self.scheduler.now()
         self._ending = self._wound_down = False
 
+    def _output(self, where: str, make: Callable[[], Sink]) -> Output:
+        if where not in self.outputs:
+            self.outputs[where] = Output(make(), where)
+        return self.outputs[where]
+
+    def _stderr(self) -> Output:
+        return self._output(STDERR, lambda: DescriptorSink(2))
+
+    def _figures(self, settings: FiguresSettings) -> Figures:
+        self.counters.also(DROPPED)
+        target = settings.target
+        if target.kind == "stderr":
+            output = self._stderr()
+        elif target.kind == "file":
+            output = self._output("figures", lambda: FileSink(target.path))
+        else:
+            output = self._output("figures", lambda: UdpSink(target.address))
+        lane = output.lane(settings.buffer_kb * 1024)
+        return Figures(settings, self.config.settings, self.clock, self.counters, lane)
+
     def _rewrites(self, operator: OperatorFile) -> Rewrites | None:
         if operator.rewrites is None:
             return None
@@ -97,6 +128,8 @@
         if not self.config.settings.subscribe:  # the module leaves the list to us
             self.machine_list.ask()
         self.scheduler.spawn(self.nodes.reap, name="reap")
+        if self.figures is not None:
+            self.figures.start(self.scheduler)
         where = self.submitters.listen(self.config.listen)
         log.info(
             "listening", extra={"fields": {"node": self.config.name, "address": f"{where[0]}:{where[1]}"}}
@@ -106,11 +139,19 @@
     def run(self) -> None:
         """Serve until `end` was called and nothing is owed any more."""
         self.scheduler.run(self._over)
+        if self.figures is not None:
+            self.figures.flush()
+            for where, output in self.outputs.items():
+                if where != STDERR:  # which the counters are yet to go to
+                    output.close()
+            self.figures.count_lost()
         self.counters.report("exit")
 
     def close(self) -> None:
-        """Release what the scheduler holds; for those who embed a sidecar and go on."""
+        """Release what the scheduler holds, and write what waits to be written."""
         self.scheduler.close()
+        for output in self.outputs.values():
+            output.close()
 
     def end(self) -> None:
         """Begin to wind down; safe in a signal handler."""
@@ -192,10 +233,16 @@
     # Records are short-lived and seldom cyclic: reference counts free them, rare collections suffice.
     gc.set_threshold(50_000, 20, 50)
     sidecar = Sidecar(load(), load, operator)
+    if STDERR in sidecar.outputs:
+        # Guards against a log line that waits, and requests with it, where a feature has filled the pipe.
+        configure(stream=LaneStream(sidecar.outputs[STDERR].lane(LOG_BYTES)))
     sidecar.install_signals()
     try:
-        sidecar.start()
-    except OSError as error:
-        raise ConfigError(f"listen: {error.strerror}") from None
-    sidecar.run()
-    sidecar.close()
+        try:
+            sidecar.start()
+        except OSError as error:
+            raise ConfigError(f"listen: {error.strerror}") from None
+        sidecar.run()
+    finally:
+        sidecar.close()
+        configure()
