Status page: servers with their last errors, requests and answers by class

A listener of its own on the sidecar's host serves bytes that a timer built; eight viewers at once, two seconds each, their descriptors taken from the shares. Off unless the operator file gives a port; a port in use is logged.

--- /dev/null
+++ b/brambleusher/features/status.py
@@ -0,0 +1,258 @@
+"""The status page: what this sidecar knows of its execute nodes, on a port of its own.
+
+Everything it serves is built beforehand, by a timer.  Whoever looks, and however slowly, only has
+ready bytes sent to him by one of a few tasks.
+"""
+
+from __future__ import annotations
+
+import errno
+import html
+import logging
+import socket
+from collections import Counter, deque
+from typing import Any
+
+import orjson
+
+from brambleusher import __version__
+from brambleusher.decisions import Call, Observer, Outcome
+from brambleusher.net.http import HttpError, Message, MessageReader, write_response
+from brambleusher.net.machine_list import Machine, MachineListUpdate, state_word
+from brambleusher.net.scheduler import Bell, Scheduler, Task, Timeout
+from brambleusher.net.streams import Stream
+from brambleusher.operator_file import StatusSettings
+from quillpass.api import HostState, Settings, Status
+
+log = logging.getLogger(__name__)
+
+MAX_VIEWERS = 8  # connections served at once; others wait in the system's queue
+DESCRIPTORS = MAX_VIEWERS + 1
+BACKLOG = 16
+VIEW_SECONDS = 2.0  # from the accept to the last byte that a viewer takes
+NO_DESCRIPTOR_SECONDS = 0.05
+MINUTE = 60
+ERRORS_KEPT = 3
+_NO_ERROR = frozenset({Status.OK, Status.CANCELLED, Status.MOOT})
+
+_STYLE = (
+    "body{font-family:sans-serif}table{border-collapse:collapse}td,th{border:1px solid;padding:.2em .5em}"
+)
+
+
+class StatusPage(Observer):
+    """Keeps what the page shows, builds it, serves it."""
+
+    def __init__(self, settings: StatusSettings, served: Settings, scheduler: Scheduler) -> None:
+        self._port, self._refresh_seconds = settings.port, settings.refresh_ms / 1000
+        self._scheduler, self._classes = scheduler, [cls.name for cls in served.classes]
+        self._started = scheduler.now()
+        self._machines: dict[str, Machine] = {}
+        self._errors: dict[str, deque[tuple[int, str]]] = {}
+        self._inflight = dict.fromkeys(self._classes, 0)
+        self._answers: deque[tuple[int, Counter[str]]] = deque()  # by second, the last minute's
+        self._pages: dict[str, bytes] = {}
+        self._listener: socket.socket | None = None
+        self.address: tuple[str, int] | None = None  # where it listens
+        self._accepting: Task | None = None
+        self._viewers: dict[Task, Stream] = {}
+        self._room = Bell()
+
+    def start(self, host: str) -> None:
+        """Listen on the host the sidecar itself listens on; where that can't be, it is logged."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.setblocking(False)
+            listener.bind((host, self._port))
+            listener.listen(BACKLOG)
+        except OSError as error:
+            listener.close()
+            log.error("no status page", extra={"fields": {"port": self._port, "error": error.strerror}})
+            return
+        self._listener = listener
+        self.address = str(listener.getsockname()[0]), int(listener.getsockname()[1])
+        log.info("status page", extra={"fields": {"address": "{}:{}".format(*self.address)}})
+        self._refresh()
+        self._accepting = self._scheduler.spawn(self._accept_all, listener, name="status")
+
+    @property
+    def viewers(self) -> int:
+        """Connections being served."""
+        return len(self._viewers)
+
+    def stop(self) -> None:
+        """Close the listener and the viewers' connections."""
+        if self._listener is None:
+            return
+        if self._accepting is not None:
+            self._accepting.cancel()
+        self._listener.close()
+        self._listener = None
+        for task, stream in self._viewers.items():
+            task.cancel()
+            stream.close()
+
+    # --- what is shown --------------------------------------------------------------------------
+
+    def listed(self, update: MachineListUpdate) -> None:
+        """News of the machine list; shown at the next refresh."""
+        if update.full:
+            self._machines.clear()
+        for machine in update.machines:
+            if machine.entry.state is HostState.GONE:
+                self._machines.pop(machine.entry.host, None)
+            else:
+                self._machines[machine.entry.host] = machine
+        self._errors = {name: kept for name, kept in self._errors.items() if name in self._machines}
+
+    def taken(self, call: Call) -> None:
+        """A request was taken."""
+        self._inflight[call.request_class] += 1
+
+    def claim_ended(self, call: Call, node: str, outcome: Outcome) -> None:
+        """An attempt has ended; what went wrong is kept with its node."""
+        if outcome.status not in _NO_ERROR and node in self._machines:
+            errors = self._errors.setdefault(node, deque(maxlen=ERRORS_KEPT))
+            errors.append((int(self._age() * 1000), outcome.status.value))
+
+    def over(self, call: Call, kind: str | None, took_ns: int) -> None:
+        """A request is over."""
+        self._inflight[call.request_class] -= 1
+        if kind is None:
+            return
+        second = int(self._age())
+        if not self._answers or self._answers[-1][0] != second:
+            self._forget(second)
+            self._answers.append((second, Counter()))
+        self._answers[-1][1][call.request_class] += 1
+
+    def _age(self) -> float:
+        return self._scheduler.now() - self._started
+
+    def _forget(self, second: int) -> None:
+        while self._answers and self._answers[0][0] <= second - MINUTE:
+            self._answers.popleft()
+
+    def _refresh(self) -> None:
+        if self._listener is None:
+            return
+        self._scheduler.call_at(self._scheduler.now() + self._refresh_seconds, self._refresh)
+        now = self.snapshot()
+        for path, kind, body in (
+            ("/", "text/html; charset=utf-8", page(now)),
+            ("/status.json", "application/json", orjson.dumps(now)),
+        ):
+            headers = [("Content-Type", kind), ("Cache-Control", "no-store")]
+            self._pages[path] = write_response(200, headers, body, keep_alive=False)
+
+    def snapshot(self) -> dict[str, Any]:
+        """All that is shown, as of now."""
+        self._forget(int(self._age()))
+        minute: Counter[str] = Counter()
+        for _, answers in self._answers:
+            minute.update(answers)
+        return {
+            "version": __version__,
+            "uptime_s": int(self._age()),
+            "servers": [
+                {
+                    "id": name,
+                    "addr": f"{machine.address[0]}:{machine.address[1]}",
+                    "state": state_word(machine.entry.state),
+                    "errors": [{"t_ms": at, "error": error} for at, error in self._errors.get(name, ())],
+                }
+                for name, machine in self._machines.items()
+            ],
+            "inflight": dict(self._inflight),
+            "answers_per_minute": {name: minute[name] for name in self._classes},
+        }
+
+    # --- viewers --------------------------------------------------------------------------------
+
+    def _accept_all(self, listener: socket.socket) -> None:
+        while True:
+            if len(self._viewers) >= MAX_VIEWERS:
+                self._scheduler.park(bell=self._room)
+                continue
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                self._scheduler.park(sock=listener)
+                continue
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    # Guards against a loop at full speed while no descriptor is free.
+                    self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
+                continue
+            try:
+                stream = Stream(self._scheduler, sock)
+            except OSError:  # reset before it was looked at
+                sock.close()
+                continue
+            self._view(stream)
+
+    def _view(self, stream: Stream) -> None:
+        def serve() -> None:
+            try:
+                self._serve(stream)
+            except (OSError, Timeout):
+                return
+            finally:
+                stream.close()
+                del self._viewers[task]
+                self._room.ring()
+
+        task = self._scheduler.spawn(serve, name="viewer")
+        self._viewers[task] = stream
+
+    def _serve(self, stream: Stream) -> None:
+        """One request, one answer, and the connection ends."""
+        reader, deadline = MessageReader.requests(), self._scheduler.now() + VIEW_SECONDS
+        try:
+            while (request := reader.take()) is None:
+                data = stream.receive(deadline)
+                if not data:
+                    return
+                reader.feed(data)
+            answer = self._answer(request)
+        except HttpError as error:
+            answer = write_response(error.status, [], f"{error}\n".encode(), keep_alive=False)
+        stream.send(answer, deadline)
+        stream.finish()
+
+    def _answer(self, request: Message) -> bytes:
+        method, target = request.start
+        found = self._pages.get(target.split("?", 1)[0])
+        if found is None:
+            raise HttpError(404, "there is / and /status.json")
+        if method != "GET":
+            return write_response(405, [("Allow", "GET")], b"only GET\n", keep_alive=False)
+        return found
+
+
+def page(now: dict[str, Any]) -> bytes:
+    """A snapshot as plain HTML; whatever came from outside is escaped."""
+
+    def row(cells: list[object], tag: str = "td") -> str:
+        return "<tr>" + "".join(f"<{tag}>{html.escape(str(cell))}</{tag}>" for cell in cells) + "</tr>"
+
+    servers = [
+        row([server["id"], server["addr"], server["state"],
+             ", ".join(f"{error['error']} at {error['t_ms']} ms" for error in server["errors"])])
+        for server in now["servers"]
+    ]  # fmt: skip
+    classes = [
+        row([name, inflight, now["answers_per_minute"][name]]) for name, inflight in now["inflight"].items()
+    ]
+    return "\n".join(
+        [
+            f'<!DOCTYPE html>\n<html lang="en"><head><meta charset="utf-8"><title>brambleusher</title>'
+            f"<style>{_STYLE}</style></head><body>",
+            f"<h1>brambleusher {html.escape(now['version'])}</h1><p>up for {now['uptime_s']} s</p>",
+            "<h2>Servers</h2><table>", row(["id", "addr", "state", "last errors"], "th"), *servers,
+            "</table><h2>Requests</h2><table>",
+            row(["class", "inflight", "answers per minute"], "th"), *classes,
+            "</table></body></html>\n",
+        ]
+    ).encode()  # fmt: skip
--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -56,6 +56,11 @@
     machines: tuple[Machine, ...]
 
 
+def state_word(state: HostState) -> str:
+    """A state in discovery's words."""
+    return next(word for word, meant in _STATES.items() if meant is state)
+
+
 def _whole(raw: dict[str, Any], key: str, default: int) -> int:
     value = raw.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
--- a/brambleusher/operator_file.py
+++ b/brambleusher/operator_file.py
@@ -62,12 +62,21 @@
     buffer_kb: int = 64
 
 
+@dataclass(frozen=True, slots=True)
+class StatusSettings:
+    """The status page; it has no usual port."""
+
+    port: int
+    refresh_ms: int = 1000
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorFile:
     """The features' settings; None for one that is off."""
 
     rewrites: tuple[Rule, ...] | None = None
     figures: FiguresSettings | None = None
+    status: StatusSettings | None = None
 
 
 class Section:
@@ -202,6 +211,17 @@
     return settings
 
 
+def _status(raw: Any) -> StatusSettings | None:
+    section, usual = Section(raw, "status"), StatusSettings(0)
+    on = section.has("port")
+    settings = StatusSettings(
+        port=section.whole("port", usual.port, 0, 65_535),
+        refresh_ms=section.whole("refresh_ms", usual.refresh_ms, 10, 3_600_000),
+    )
+    section.end()
+    return settings if on else None
+
+
 def _decode(text: bytes) -> Any:
     """YAML by the safe loader, with texts for keys and none of them twice."""
     import yaml  # here, so that a sidecar without an operator file doesn't pay for it
@@ -236,6 +256,7 @@
     section = Section(_decode(text), "")
     settings = OperatorFile(
         rewrites=_rules(section.take("rewrites")) if section.has("rewrites") else None,
+        status=_status(section.take("status")),
         figures=_figures(section.take("figures")) if section.has("figures") else None,
     )
     section.end()
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -16,6 +16,7 @@
 from brambleusher.features.figures import DROPPED, Figures
 from brambleusher.features.output import DescriptorSink, FileSink, LaneStream, Output, Sink, UdpSink
 from brambleusher.features.rewrites import Rewrites
+from brambleusher.features.status import DESCRIPTORS, StatusPage
 from brambleusher.logs import configure
 from brambleusher.net.execute_nodes import ExecuteNodes
 from brambleusher.net.machine_list import MachineList, MachineListUpdate
@@ -58,12 +59,16 @@
         self.outputs: dict[str, Output] = {}  # by where they lead
         self.figures = None if operator.figures is None else self._figures(operator.figures)
         memory = config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
-        places = min(config.limits.sockets - SPARE_DESCRIPTORS, memory // MEMORY_PER_CONNECTION)
+        spare = SPARE_DESCRIPTORS + (DESCRIPTORS if operator.status is not None else 0)
+        places = min(config.limits.sockets - spare, memory // MEMORY_PER_CONNECTION)
         for_nodes = max(int(places * NODE_PART), 8)
         self.nodes = ExecuteNodes(
             self.scheduler, config.settings, self.counters, for_nodes, int(memory * LARGE_PART)
         )
-        observers: list[Observer] = [feature for feature in (self.figures,) if feature is not None]
+        self.status = (
+            None if operator.status is None else StatusPage(operator.status, config.settings, self.scheduler)
+        )
+        observers: list[Observer] = [each for each in (self.figures, self.status) if each is not None]
         self.decisions = Decisions(
             config.settings, config.seed, self.scheduler, self.clock, self.counters,
             Observers(observers) if observers else None,
@@ -130,6 +135,9 @@
         self.scheduler.spawn(self.nodes.reap, name="reap")
         if self.figures is not None:
             self.figures.start(self.scheduler)
+        if self.status is not None:
+            self.status.listed(known)
+            self.status.start(self.config.listen[0])
         where = self.submitters.listen(self.config.listen)
         log.info(
             "listening", extra={"fields": {"node": self.config.name, "address": f"{where[0]}:{where[1]}"}}
@@ -186,6 +194,8 @@
         signal.signal(signal.SIGUSR1, on_report)
 
     def _listed(self, update: MachineListUpdate) -> None:
+        if self.status is not None:
+            self.status.listed(update)
         # The connections first: what the module sends from here on goes by the same list.
         self.nodes.update(update)
         kind = ListKind.FULL if update.full else ListKind.DELTA
@@ -222,6 +232,8 @@
     def _wind_down(self) -> None:
         self.submitters.wind_down()
         self.nodes.close()
+        if self.status is not None:
+            self.status.stop()
         self._wound_down = True
 
     def _over(self) -> bool:
