Capture of what the module knew and decided, in service, and its rerun by replay

Asked: disputed rulings need what the module knew. Events and actions are recorded where the one caller of the module sits. The module learns and draws random numbers, so a wrapped ring is rerun from its state: the ring is made of segments, each behind a header with list, settings and state. Tried first: a ring that made room for a third of itself; at 64 KB it held headers and hardly a record, so segments are now sized that two have room, and the oldest go as the newest grows.

Tests: wrapped rings rerun in other processes with other hash seeds differ in nothing; each kind of changed, missing, doubled or damaged record shows.

--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -8,12 +8,14 @@
 import logging
 import time
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from brambleusher.counters import Counters
 from brambleusher.net.scheduler import Bell, Scheduler
 from quillpass import Balancer, api
+from quillpass.state import save
 
 log = logging.getLogger(__name__)
 
@@ -131,6 +133,23 @@
         log.exception("a feature failed", extra={"fields": {"feature": type(observer).__name__}})
 
 
+class Recorder:
+    """One that is told of everything that passes between the sidecar and the module."""
+
+    def began(self, state: Callable[[], dict[str, Any]]) -> None:
+        """The module is made; `state` tells its state between two events."""
+
+    def record(
+        self,
+        event: api.Event | None,
+        now_ns: int,
+        actions: Sequence[api.Action],
+        error: Exception | None,
+        call: Call | None,
+    ) -> None:
+        """One event (None: the start), what it led to or raised, and the request it was about."""
+
+
 class Ticket:
     """A request that is owed an answer, and the steps that wait for its task."""
 
@@ -164,9 +183,12 @@
         clock: Clock,
         counters: Counters,
         observers: Observer | None = None,
+        recorder: Recorder | None = None,
     ) -> None:
         self.settings, self.observers = settings, observers or Observer()
-        self._balancer = Balancer(settings, seed)
+        self._balancer, self._recorder = Balancer(settings, seed), recorder
+        if recorder is not None:
+            recorder.began(lambda: save(self._balancer))
         self._scheduler, self._clock, self._counters = scheduler, clock, counters
         self._tickets: dict[str, Ticket] = {}
         self.on_let_go: Callable[[str], None] = lambda node: None
@@ -179,7 +201,11 @@
 
     def start(self, entries: Iterable[api.HostEntry]) -> None:
         """Begin, with the list held from before."""
-        self._route(self._balancer.start(self._clock.now_ns()))
+        now = self._clock.now_ns()
+        actions = self._balancer.start(now)
+        if self._recorder is not None:
+            self._recorder.record(None, now, actions, None, None)
+        self._route(actions)
         self.listed(api.ListKind.SAVED, entries)
 
     # --- events ---------------------------------------------------------------------------------
@@ -242,7 +268,7 @@
 
     def _handle(self, event: api.Event, ticket: Ticket | None = None) -> None:
         try:
-            self._route(self._balancer.handle(event, self._clock.now_ns()))
+            self._route(self._decide(event))
         except Exception:
             # Guards against a request left without an answer, or a module that stops ticking for good,
             # after one fault in the module.
@@ -253,6 +279,21 @@
             if isinstance(event, api.TimerFired):
                 self._set_timer(self._clock.now_ns() + RESTART_TIMER_NS, event.token)
 
+    def _decide(self, event: api.Event) -> list[api.Action]:
+        """The module's answer to an event."""
+        now = self._clock.now_ns()
+        if self._recorder is None:
+            return self._balancer.handle(event, now)
+        ticket = self._tickets.get(getattr(event, "request", ""))
+        call = None if ticket is None else ticket.call
+        try:
+            actions = self._balancer.handle(event, now)
+        except Exception as error:
+            self._recorder.record(event, now, (), error, call)
+            raise
+        self._recorder.record(event, now, actions, None, call)
+        return actions
+
     def _route(self, actions: list[api.Action]) -> None:
         for action in actions:
             if isinstance(action, api.Send | api.Refuse | api.Fail | api.Cancel):
--- /dev/null
+++ b/brambleusher/features/records.py
@@ -0,0 +1,123 @@
+"""What a capture is made of: events and actions of the decisions as JSON values, and back."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import orjson
+
+from brambleusher.net.machine_list import state_of, state_word
+from quillpass import api
+from quillpass.state import plain, unplain
+
+VERSION = 1
+# An action's name and its fields in order; they are texts and whole numbers.
+_ACTIONS: dict[type, Callable[[Any], list[Any]]] = {
+    api.Send: lambda act: ["send", act.request, act.host, act.timeout_ns],
+    api.Refuse: lambda act: ["refuse", act.request, act.retry_after_ns],
+    api.Fail: lambda act: ["fail", act.request],
+    api.Cancel: lambda act: ["cancel", act.request, act.attempt],
+    api.LetGo: lambda act: ["let_go", act.host],
+    api.Probe: lambda act: ["probe", act.host],
+    api.SetTimer: lambda act: ["timer", act.at_ns, act.token],
+    api.Subscribe: lambda act: ["subscribe"],
+    api.Log: lambda act: ["log", act.text],
+}
+BEGIN = "begin"  # the balancer's start, which is no event
+
+
+class RecordError(ValueError):
+    """A record that can't be read."""
+
+
+def server_entry(entry: api.HostEntry, address: str) -> dict[str, Any]:
+    """An entry of the machine list in discovery's form."""
+    return {
+        "id": entry.host, "addr": address, "zone": entry.zone, "kind": entry.kind, "cell": entry.cell,
+        "state": state_word(entry.state), "weight": plain(entry.nominal),
+        "started_ms": entry.started_ns // 1_000_000,
+    }  # fmt: skip
+
+
+def event_of(event: api.Event | None) -> tuple[str, dict[str, Any]]:
+    """An event's name, and what the module was told with it beside the request's id, class and tenant."""
+    if event is None:
+        return BEGIN, {}
+    if isinstance(event, api.RequestArrived):
+        return "request", {
+            "left_ns": event.left_ns, "work_hint_ns": event.work_hint_ns, "is_retry": event.is_retry,
+        }  # fmt: skip
+    if isinstance(event, api.AttemptEnded):
+        report = event.report
+        return "attempt", {
+            "attempt": event.attempt, "server": event.host, "status": event.status.value,
+            "latency_ns": event.latency_ns, "closed": event.closed,
+            "report": report and [plain(report.utilisation), plain(report.throughput)],
+        }  # fmt: skip
+    if isinstance(event, api.RequestGone):
+        return "gone", {}
+    if isinstance(event, api.TimerFired):
+        return "timer", {"token": event.token}
+    if isinstance(event, api.HostList):
+        return "list", {"kind": event.kind.value}
+    raise RecordError(f"a {type(event).__name__} is not recorded")
+
+
+def event_from(record: dict[str, Any]) -> api.Event | None:
+    """The event of a record, as the module was told it."""
+    name, told = record["ev"], record["in"]
+    if name == BEGIN:
+        return None
+    if name == "request":
+        return api.RequestArrived(
+            record["id"], record["class"], record["tenant"],
+            told["left_ns"], told["work_hint_ns"], told["is_retry"],
+        )  # fmt: skip
+    if name == "attempt":
+        report = told["report"]
+        return api.AttemptEnded(
+            record["id"], told["attempt"], told["server"], api.Status(told["status"]),
+            told["latency_ns"], told["closed"], report and api.LoadReport(*map(unplain, report)),
+        )  # fmt: skip
+    if name == "gone":
+        return api.RequestGone(record["id"])
+    if name == "timer":
+        return api.TimerFired(told["token"])
+    if name == "list":
+        return api.HostList(api.ListKind(told["kind"]), [entry_from(raw) for raw in told["servers"]])
+    raise RecordError(f"the event {name} is unknown")
+
+
+def entry_from(raw: dict[str, Any]) -> api.HostEntry:
+    """The entry of the machine list that the module was told."""
+    return api.HostEntry(
+        raw["id"], raw["zone"], raw["kind"], raw["cell"], state_of(raw["state"]),
+        unplain(raw["weight"]), raw["started_ns"],
+    )  # fmt: skip
+
+
+def action_of(action: api.Action) -> list[Any]:
+    """An action as a list."""
+    return _ACTIONS[type(action)](action)
+
+
+def chosen(event: api.Event | None, actions: Sequence[api.Action]) -> str | None:
+    """The server a record is about: the one sent to, else the one whose attempt has ended."""
+    for action in actions:
+        if isinstance(action, api.Send):
+            return action.host
+    return event.host if isinstance(event, api.AttemptEnded) else None
+
+
+def seal(record: dict[str, Any]) -> bytes:
+    """A record as a line, with a checksum that shows a change which leads to no other decision."""
+    text = orjson.dumps(record)
+    return b'%s,"crc":%d}\n' % (text[:-1], zlib.crc32(text))
+
+
+def sound(record: dict[str, Any]) -> bool:
+    """Whether a record's checksum, which is taken out of it, fits."""
+    told = record.pop("crc", None)
+    return type(told) is int and told == zlib.crc32(orjson.dumps(record))
--- /dev/null
+++ b/brambleusher/features/replay.py
@@ -0,0 +1,180 @@
+"""Reruns the decisions of a capture, and prints those that differ.  No sockets, no clock."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any, BinaryIO, TextIO
+
+import orjson
+
+from brambleusher.features.records import (
+    VERSION,
+    action_of,
+    chosen,
+    event_from,
+    sound,
+)
+from quillpass import Balancer, api
+from quillpass.state import StateError, hosts_held, hosts_reached, restore, restore_settings
+
+SAME, DIFFERENT, REFUSED = 0, 1, 2
+
+
+class Refused(ValueError):
+    """A file that is no capture, or not one that can be rerun here."""
+
+
+@dataclass
+class Tally:
+    """What was found so far."""
+
+    records: int = 0
+    differing: int = 0
+    missing: int = 0
+    other: int = 0
+    notes: list[str] = field(default_factory=list)
+
+
+class Rerun:
+    """The decisions from one header on."""
+
+    def __init__(self, head: dict[str, Any]) -> None:
+        version = head.get("v")
+        if type(version) is not int or version != VERSION:
+            raise Refused(f"the header's v is {json.dumps(version)}; only {VERSION} can be read")
+        listed = head.get("list")
+        if not isinstance(listed, dict) or not isinstance(listed.get("servers"), list):
+            raise Refused("the header has no list")
+        if "settings" not in head:
+            raise Refused("the header has no settings")
+        try:
+            seed = int(head.get("seed", ""), 16)
+            self._listed = {server["id"] for server in listed["servers"]}
+        except (TypeError, ValueError, KeyError):
+            raise Refused("the header's seed or list can't be read") from None
+        try:
+            settings, state = restore_settings(head["settings"]), head.get("state")
+            self._balancer = Balancer(settings, seed) if state is None else restore(settings, seed, state)
+        except StateError as error:
+            raise Refused(str(error)) from None
+        if state is not None and self._listed != hosts_held(self._balancer):
+            raise Refused("the header's list is not the one its state was taken with")
+        # An attempt may end on a server that has left the list.
+        self._ever = self._listed | hosts_reached(self._balancer)
+        next_one = head.get("n", 0)
+        self.next = next_one if isinstance(next_one, int) else 0
+
+    def check(self, record: dict[str, Any]) -> list[str]:
+        """What differs in one record."""
+        found = [] if sound(record) else ["the record was changed: its checksum does not fit"]
+        try:
+            event, now = event_from(record), record["t_ns"]
+            told, server = record["out"], record["server"]
+        except Exception as error:
+            return [*found, f"the record can't be read: {type(error).__name__}: {error}"]
+        raised, actions = None, []
+        try:
+            actions = self._balancer.start(now) if event is None else self._balancer.handle(event, now)
+        except Exception as error:
+            raised = type(error).__name__
+        if isinstance(event, api.HostList):
+            self._follow(event)
+        if raised != record.get("raised"):
+            found.append(f"recorded failure {record.get('raised')}, rerun failure {raised}")
+        again = [action_of(action) for action in actions]
+        if again != told:
+            found.append(f"recorded {_text(told)}, rerun {_text(again)}")
+        if chosen(event, actions) != server:
+            found.append(f"recorded server {_text(server)}, rerun server {_text(chosen(event, actions))}")
+        return found + self._unknown(event, server, told)
+
+    def _follow(self, event: api.HostList) -> None:
+        if event.kind is api.ListKind.FAILED:
+            return
+        if event.kind is not api.ListKind.DELTA:
+            self._listed.clear()
+        for entry in event.entries:
+            if entry.state is api.HostState.GONE:
+                self._listed.discard(entry.host)
+            else:
+                self._listed.add(entry.host)
+        self._ever |= self._listed
+
+    def _unknown(self, event: api.Event | None, server: Any, told: Any) -> list[str]:
+        """Servers that the record names and the list does not."""
+        sent = {action[2] for action in told if isinstance(action, list) and action[:1] == ["send"]}
+        ended = {event.host} if isinstance(event, api.AttemptEnded) else set()
+        if server is not None and server not in ended:
+            sent.add(server)
+        unknown = [name for name in sent if name not in self._listed]
+        unknown += [name for name in ended if name not in self._ever]
+        return [f"the server {_text(name)} is unknown" for name in unknown]
+
+
+def _text(value: Any) -> str:
+    return orjson.dumps(value).decode()
+
+
+def _lines(file: BinaryIO) -> Iterator[tuple[bytes, bool]]:
+    """Each line, and whether it is the last."""
+    before: bytes | None = None
+    for line in file:
+        if before is not None:
+            yield before, False
+        before = line
+    if before is not None:
+        yield before, True
+
+
+def rerun(file: BinaryIO, out: TextIO) -> Tally:
+    """Rerun a capture, or the log of a sidecar with dumps in it; prints as it goes."""
+    current: Rerun | None = None
+    tally = Tally()
+
+    def differs(where: str, what: str) -> None:
+        tally.differing += 1
+        print(f"{where}: {what}", file=out)
+
+    for number, (line, last) in enumerate(_lines(file), 1):
+        if not line.startswith(b"{"):  # the sidecar's log and its figures go the same way as a dump
+            tally.other += 1
+            continue
+        try:
+            record = orjson.loads(line)
+        except ValueError:
+            if last:
+                print(f"line {number}: the last line is cut off and was skipped", file=out)
+            elif current is not None:
+                differs(f"line {number}", "can't be read")
+            continue
+        if record.get("ev") == "start":
+            current = Rerun(record)
+            continue
+        if current is None:
+            raise Refused("records come before any header")
+        tally.records += 1
+        where = f"line {number}, record {_text(record.get('n'))}"
+        if record.get("n") != current.next:
+            differs(where, f"record {current.next} should stand here")
+        current.next = record["n"] + 1 if isinstance(record.get("n"), int) else current.next + 1
+        words = " ".join(f"{key}={_text(record.get(key))}" for key in ("t_ms", "ev", "id", "class", "tenant"))
+        if found := current.check(record):
+            differs(f"{where} {words}", "; ".join(found))
+    if current is None:
+        raise Refused("there is no header")
+    return tally
+
+
+def replay(path: str, out: TextIO, errors: TextIO) -> int:
+    """Rerun the capture in a file: 0 if no decision differs, 1 if some do, 2 if the file is refused."""
+    try:
+        with open(path, "rb") as file:
+            tally = rerun(file, out)
+    except (OSError, Refused) as error:
+        reason = error.strerror if isinstance(error, OSError) else error
+        print(f"brambleusher: {path} is refused: {reason}", file=errors)
+        return REFUSED
+    print(f"{tally.records} records, {tally.differing} differ", file=out)
+    return DIFFERENT if tally.differing else SAME
--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -61,6 +61,11 @@
     return next(word for word, meant in _STATES.items() if meant is state)
 
 
+def state_of(word: str) -> HostState:
+    """The state that one of discovery's words means; raises `KeyError` where it means none."""
+    return _STATES[word]
+
+
 def _whole(raw: dict[str, Any], key: str, default: int) -> int:
     value = raw.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
--- a/brambleusher/operator_file.py
+++ b/brambleusher/operator_file.py
@@ -70,6 +70,15 @@
     refresh_ms: int = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class CaptureSettings:
+    """What the module was told and decided: in memory and, with `dir`, in files."""
+
+    ring_kb: int = 768
+    dir: str | None = None
+    files: int = 4
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorFile:
     """The features' settings; None for one that is off."""
@@ -77,6 +86,7 @@
     rewrites: tuple[Rule, ...] | None = None
     figures: FiguresSettings | None = None
     status: StatusSettings | None = None
+    capture: CaptureSettings | None = None
 
 
 class Section:
@@ -222,6 +232,19 @@
     return settings if on else None
 
 
+def _capture(raw: Any) -> CaptureSettings:
+    section, usual = Section(raw, "capture"), CaptureSettings()
+    settings = CaptureSettings(
+        ring_kb=section.whole("ring_kb", usual.ring_kb, 32, 1_048_576),
+        dir=section.text("dir"),
+        files=section.whole("files", usual.files, 1, 1000),
+    )
+    section.end()
+    if settings.dir is not None and "\0" in settings.dir:
+        raise OperatorError("capture.dir is not the name of a directory")
+    return settings
+
+
 def _decode(text: bytes) -> Any:
     """YAML by the safe loader, with texts for keys and none of them twice."""
     import yaml  # here, so that a sidecar without an operator file doesn't pay for it
@@ -257,6 +280,7 @@
     settings = OperatorFile(
         rewrites=_rules(section.take("rewrites")) if section.has("rewrites") else None,
         status=_status(section.take("status")),
+        capture=_capture(section.take("capture")) if section.has("capture") else None,
         figures=_figures(section.take("figures")) if section.has("figures") else None,
     )
     section.end()
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -13,6 +13,7 @@
 from brambleusher.config import Config, ConfigError, fixed_keys_changed
 from brambleusher.counters import Counters
 from brambleusher.decisions import Clock, Decisions, Observer, Observers
+from brambleusher.features.capture import Capture, DirSink
 from brambleusher.features.figures import DROPPED, Figures
 from brambleusher.features.output import DescriptorSink, FileSink, LaneStream, Output, Sink, UdpSink
 from brambleusher.features.rewrites import Rewrites
@@ -23,7 +24,7 @@
 from brambleusher.net.scheduler import Scheduler
 from brambleusher.net.submitters import Submitters
 from brambleusher.net.watch import HttpWatch
-from brambleusher.operator_file import FiguresSettings, OperatorFile
+from brambleusher.operator_file import CaptureSettings, FiguresSettings, OperatorFile
 from quillpass.api import ListKind
 
 log = logging.getLogger(__name__)
@@ -65,13 +66,14 @@
         self.nodes = ExecuteNodes(
             self.scheduler, config.settings, self.counters, for_nodes, int(memory * LARGE_PART)
         )
+        self.capture = None if operator.capture is None else self._capture(operator.capture)
         self.status = (
             None if operator.status is None else StatusPage(operator.status, config.settings, self.scheduler)
         )
         observers: list[Observer] = [each for each in (self.figures, self.status) if each is not None]
         self.decisions = Decisions(
             config.settings, config.seed, self.scheduler, self.clock, self.counters,
-            Observers(observers) if observers else None,
+            Observers(observers) if observers else None, self.capture,
         )  # fmt: skip
         self.machine_list = MachineList(
             self.scheduler,
@@ -110,6 +112,14 @@
         lane = output.lane(settings.buffer_kb * 1024)
         return Figures(settings, self.config.settings, self.clock, self.counters, lane)
 
+    def _capture(self, settings: CaptureSettings) -> Capture:
+        config, ring = self.config, settings.ring_kb * 1024
+        dumps, files = self._stderr().lane(2 * ring), None
+        if settings.dir is not None:
+            sink = DirSink(settings.dir, config.name, settings.files, ring)
+            files = self._output("capture", lambda: sink).lane(ring)
+        return Capture(settings, config.settings, config.seed, config.known, dumps, files)
+
     def _rewrites(self, operator: OperatorFile) -> Rewrites | None:
         if operator.rewrites is None:
             return None
@@ -147,11 +157,14 @@
     def run(self) -> None:
         """Serve until `end` was called and nothing is owed any more."""
         self.scheduler.run(self._over)
+        if self.capture is not None:
+            self.capture.close()
         if self.figures is not None:
             self.figures.flush()
-            for where, output in self.outputs.items():
-                if where != STDERR:  # which the counters are yet to go to
-                    output.close()
+        for where, output in self.outputs.items():
+            if where != STDERR:  # which the counters are yet to go to
+                output.close()
+        if self.figures is not None:
             self.figures.count_lost()
         self.counters.report("exit")
 
@@ -168,8 +181,8 @@
             self.scheduler.call_soon(self._serve_on)
 
     def report(self) -> None:
-        """Print the counts soon; safe in a signal handler."""
-        self.scheduler.call_soon(lambda: self.counters.report("asked"))
+        """Print the counts soon, and the capture where it is on; safe in a signal handler."""
+        self.scheduler.call_soon(self._report)
 
     def reload(self) -> None:
         """Read the configuration again soon; safe in a signal handler."""
@@ -196,11 +209,18 @@
     def _listed(self, update: MachineListUpdate) -> None:
         if self.status is not None:
             self.status.listed(update)
+        if self.capture is not None:
+            self.capture.listed(update)
         # The connections first: what the module sends from here on goes by the same list.
         self.nodes.update(update)
         kind = ListKind.FULL if update.full else ListKind.DELTA
         self.decisions.listed(kind, [machine.entry for machine in update.machines])
 
+    def _report(self) -> None:
+        self.counters.report("asked")
+        if self.capture is not None:
+            self.capture.dump()
+
     def _reload(self) -> None:
         if self._load is None or self._ending:
             log.info("configuration not read again", extra={"fields": {"ending": self._ending}})
--- /dev/null
+++ b/tests/test_capture.py
@@ -0,0 +1,517 @@
+"""Captures: the module's state, the ring, the files, and the rerun of what they hold."""
+
+from __future__ import annotations
+
+import io
+import json
+import os
+import queue
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from brambleusher.decisions import Call
+from brambleusher.features import capture as capture_module
+from brambleusher.features.capture import Capture, DirSink
+from brambleusher.features.output import Lane
+from brambleusher.features.replay import DIFFERENT, REFUSED, SAME, replay
+from brambleusher.net.machine_list import MachineListUpdate
+from brambleusher.operator_file import CaptureSettings, OperatorError, parse_operator_file
+from quillpass import Balancer, api
+from quillpass.state import StateError, restore, restore_settings, save, save_settings
+from tests.rig import WAIT, Node, Rig, answer, reset
+from tests.rules import SECOND, World
+from tests.test_figures import ready, until
+from tests.test_rules import BASE
+
+SEED = 0x8C1F30D27A5BE964
+EMPTY = MachineListUpdate(0, True, ())
+ASKS = replace(BASE, subscribe=True)
+
+
+class Recorded(Balancer):
+    """A balancer that records what passes, as `Decisions` does; an event that it fails at is left."""
+
+    def __init__(self, settings: api.Settings, capture: Capture) -> None:
+        super().__init__(settings, SEED)
+        self.capture, self.calls = capture, dict[str, Call]()
+        capture.began(lambda: {**save(self.bare())})
+
+    def bare(self) -> Balancer:
+        """Itself, without what this class adds."""
+        bare = Balancer.__new__(Balancer)
+        vars(bare).update({name: v for name, v in vars(self).items() if name not in ("capture", "calls")})
+        return bare
+
+    def start(self, now: int) -> list[api.Action]:
+        actions = super().start(now)
+        self.capture.record(None, now, actions, None, None)
+        return actions
+
+    def handle(self, event: api.Event, now: int) -> list[api.Action]:
+        if isinstance(event, api.RequestArrived):
+            self.calls[event.request] = Call(
+                event.request, event.request_class, event.tenant, 0, None, False, 0
+            )
+        call = self.calls.get(getattr(event, "request", ""))
+        try:
+            actions = super().handle(event, now)
+        except KeyError as error:
+            self.capture.record(event, now, (), error, call)
+            return []
+        self.capture.record(event, now, actions, None, call)
+        return actions
+
+
+def lane() -> Lane:
+    return Lane(threading.Condition(), 1 << 30)
+
+
+def taken(lane: Lane) -> bytes:
+    """All that has been put."""
+    out = b""
+    while items := lane.take():
+        lane.written(0)
+        out += b"".join(items)
+    return out
+
+
+class Kept:
+    """A world of legal events, recorded."""
+
+    def __init__(self, ring_kb: int = 64, seed: int = 1, files: Lane | None = None) -> None:
+        self.dumps = lane()
+        self.capture = Capture(CaptureSettings(ring_kb), ASKS, SEED, EMPTY, self.dumps, files)
+        self.world = World(ASKS, seed, Recorded(ASKS, self.capture))
+        self.world.now = 1_700_000_000 * SECOND + 123_456_789  # what floats of milliseconds would lose
+
+    def live(self, steps: int, then: Callable[[], None] = lambda: None) -> None:
+        for step in range(steps):
+            if step % 50 == 49:  # the module fails at it, and goes on
+                self.world.give(api.RequestArrived(f"bad{step}", "unknown", None, SECOND))
+            self.world.step()
+            then()
+
+    def dump(self) -> bytes:
+        self.capture.dump()
+        return taken(self.dumps)
+
+
+class State(unittest.TestCase):
+    def test_a_balancer_goes_on_from_its_state(self) -> None:
+        for seed in range(4):
+            world = World(ASKS, seed)
+            world.start(5)
+            for _ in range(12):
+                for _ in range(60):
+                    world.step()
+                text = json.dumps(save(world.balancer))
+                json.loads(text, parse_constant=self.fail)  # NaN and infinity are no JSON
+                twin = restore(
+                    restore_settings(json.loads(json.dumps(save_settings(ASKS)))), 0, json.loads(text)
+                )
+                self.assertEqual(json.dumps(save(twin)), text)
+                self.assertEqual(twin.settings, ASKS)
+                # Objects that were one are one again: what changes a host by one way shows by the other.
+                reached = [host for r in twin._requests.values() for host, _, _ in r.attempts]
+                for host in reached:
+                    self.assertIs(host, twin._hosts.get(host.name, host))
+                self.assertTrue(all(host is twin._hosts[host.name] for host in twin._turn.ring))
+
+    def test_a_state_of_another_version_or_of_nonsense_is_refused(self) -> None:
+        world = World(ASKS, 1)
+        world.start(3)
+        for _ in range(50):
+            world.step()
+        good = save(world.balancer)
+        for name, change in (
+            ("not an object", 7),
+            ("nothing", {}),
+            ("an attribute less", {**good, "own": {k: v for k, v in good["own"].items() if k != "_limit"}}),
+            ("one more", {**good, "own": {**good["own"], "_more": 1}}),
+            ("other hosts", {**good, "host_names": [*good["host_names"][1:], "rank"]}),
+            ("a row too short", {**good, "hosts": [[1]] * len(good["hosts"])}),
+            ("a place that is not there", {**good, "own": {**good["own"], "_order": [{"h": 999}]}}),
+            ("a kind that is not there", {**good, "own": {**good["own"], "_order": {"py": "os"}}}),
+            ("no random words", {**good, "random": [3, "z!", 1, None]}),
+        ):
+            with self.subTest(name), self.assertRaises(StateError):
+                restore(ASKS, 0, json.loads(json.dumps(change)))
+        for settings in (None, {}, {**save_settings(ASKS), "classes": [1]}, {**save_settings(ASKS), "x": 1}):
+            with self.assertRaises(StateError):
+                restore_settings(settings)
+
+
+class Settings(unittest.TestCase):
+    def test_defaults_and_faults(self) -> None:
+        self.assertEqual(parse_operator_file(b"capture:").capture, CaptureSettings(768, None, 4))
+        self.assertIsNone(parse_operator_file(b"figures:").capture)
+        for key, value in (
+            ("ring_kb", "31"),
+            ("files", "0"),
+            ("dir", "1"),
+            ("dir", '"a\\0b"'),
+            ("size", "1"),
+        ):
+            with self.assertRaisesRegex(OperatorError, f"capture.{key}"):
+                parse_operator_file(f"capture: {{{key}: {value}}}".encode())
+
+
+class Replays(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def replay(self, data: bytes) -> tuple[int, str, str]:
+        path = self.folder / "capture.jsonl"
+        path.write_bytes(data)
+        out, errors = io.StringIO(), io.StringIO()
+        return replay(str(path), out, errors), out.getvalue(), errors.getvalue()
+
+    def elsewhere(self, data: bytes, hash_seed: int) -> tuple[int, str]:
+        """In another process, whose sets have another order."""
+        path = self.folder / "elsewhere.jsonl"
+        path.write_bytes(data)
+        done = subprocess.run(
+            [sys.executable, "-m", "brambleusher", "replay", str(path)],
+            env={**os.environ, "PYTHONHASHSEED": str(hash_seed)}, capture_output=True, text=True,
+        )  # fmt: skip
+        return done.returncode, done.stdout + done.stderr
+
+    def test_wrapped_many_times_nothing_differs_in_any_process(self) -> None:
+        for seed in (1, 2):
+            kept = Kept(seed=seed)
+            kept.world.start(6)
+            first = kept.dump()
+            self.assertNotIn(b'"state":{', first)
+            self.assertEqual(self.replay(first), (SAME, "2 records, 0 differ\n", ""))
+            heads: set[int] = set()
+
+            def note(kept: Kept = kept, heads: set[int] = heads) -> None:
+                ring = kept.capture
+                held = sum(len(s.head) + sum(map(len, s.lines)) for s in (*ring._sealed, ring._open) if s)
+                self.assertLessEqual(held, 64 * 1024)
+                heads.add(ring._sealed[0].opened_ns if ring._sealed else 0)
+
+            kept.live(4000, note)
+            self.assertGreater(len(heads), 20)  # so often has the oldest segment been dropped
+            data = kept.dump()
+            head = json.loads(data.split(b"\n", 1)[0])
+            self.assertEqual((head["ev"], head["v"], head["seed"]), ("start", 1, "8c1f30d27a5be964"))
+            self.assertIn(b'"raised":"KeyError"', data)
+            for hash_seed in (1, 2):
+                code, text = self.elsewhere(data, hash_seed)
+                self.assertEqual(code, SAME, text)
+                self.assertRegex(text, r"\A[1-9]\d+ records, 0 differ\n\Z")
+
+    def test_the_list_in_the_header_is_the_one_before_the_oldest_record(self) -> None:
+        kept = Kept()
+        lists: dict[int, set[str]] = {}  # by the number of the next record
+        ring, real = kept.capture, kept.capture.record
+
+        def note(*given: Any) -> None:
+            real(*given)
+            lists[ring._count] = set(kept.world.balancer._hosts)
+
+        with mock.patch.object(ring, "record", note):
+            kept.world.start(4)
+            kept.live(3000)
+        head = json.loads(kept.dump().split(b"\n", 1)[0])
+        self.assertGreater(head["n"], 1000)
+        self.assertEqual({server["id"] for server in head["list"]["servers"]}, lists[head["n"]])
+
+    def change(self, data: bytes, ev: str, change: Callable[[dict[str, Any]], object]) -> bytes:
+        """The capture with one record of a kind changed, checksum and all as they were."""
+        lines = data.splitlines(keepends=True)
+        at = [n for n, line in enumerate(lines) if f'"ev":"{ev}"'.encode() in line][-1]
+        record = json.loads(lines[at])
+        change(record)
+        lines[at] = json.dumps(record).encode() + b"\n"
+        return b"".join(lines)
+
+    def test_one_changed_record_shows(self) -> None:
+        kept = Kept(ring_kb=256)
+        kept.world.start(6)
+        kept.live(600)
+        data = kept.dump()
+        changes: list[tuple[str, str, Callable[[dict[str, Any]], object]]] = [
+            ("a server", "request", lambda r: r.update(server="h1" if r["server"] != "h1" else "h2")),
+            ("a server that is unknown", "request", lambda r: r.update(server="s-nowhere")),
+            ("a tenant", "request", lambda r: r.update(tenant="c")),
+            ("the time by a nanosecond", "request", lambda r: r.update(t_ns=r["t_ns"] + 1)),
+            ("the milliseconds", "timer", lambda r: r.update(t_ms=0)),
+            ("a latency", "attempt", lambda r: r["in"].update(latency_ns=r["in"]["latency_ns"] + 1)),
+            ("an outcome", "attempt", lambda r: r["in"].update(status="sunk")),
+            ("an action", "timer", lambda r: r["out"].pop()),
+            ("a class beside", "attempt", lambda r: r.update({"class": "other"})),
+            ("no checksum", "gone", lambda r: r.pop("crc")),
+            ("no event", "timer", lambda r: r.pop("in")),
+        ]
+        for name, ev, change in changes:
+            with self.subTest(name):
+                code, text, _ = self.replay(self.change(data, ev, change))
+                self.assertEqual(code, DIFFERENT, text)
+                self.assertIn(f'"ev":"{ev}"', text.replace(f'ev="{ev}"', f'"ev":"{ev}"'))
+        lines = data.splitlines(keepends=True)
+        for name, changed in (
+            ("one missing", [*lines[:20], *lines[21:]]),
+            ("one twice", [*lines[:20], *lines[19:]]),
+            ("one damaged", [*lines[:20], lines[20][:30] + b"\n", *lines[21:]]),
+        ):
+            with self.subTest(name):
+                code, text, _ = self.replay(b"".join(changed))
+                self.assertEqual(code, DIFFERENT, text)
+        # What decides is found out even where the checksum was made to fit.
+        changed_data = self.change(data, "request", lambda r: r.update(server="s-nowhere"))
+        _, text, _ = self.replay(changed_data)
+        self.assertIn('the server "s-nowhere" is unknown', text)
+        self.assertIn('recorded server "s-nowhere", rerun server', text)
+        self.assertEqual(text.count("\n"), 2)  # that one record, and the count
+
+    def test_what_is_no_capture_is_refused(self) -> None:
+        kept = Kept()
+        kept.world.start(3)
+        data = kept.dump()
+        first, rest = data.split(b"\n", 1)
+        head = json.loads(first)
+
+        def headed(**changes: Any) -> bytes:
+            changed = {key: value for key, value in {**head, **changes}.items() if value is not ...}
+            return json.dumps(changed).encode() + b"\n" + rest
+
+        self.assertEqual(self.replay(headed())[0], SAME)
+        for name, text, said in (
+            ("empty", b"", "no header"),
+            ("a log alone", b"time=1 msg=x\n", "no header"),
+            ("no header", rest, "before any header"),
+            ("cut in the header", first[:50], "no header"),
+            ("no list", headed(list=...), "no list"),
+            ("a list that is none", headed(list=[]), "no list"),
+            ("other v", headed(v=2), "v is 2"),
+            ("v is true", headed(v=True), "v is true"),
+            ("v is a float", headed(v=1.0), "v is 1.0"),
+            ("no v", headed(v=...), "v is null"),
+            ("no settings", headed(settings=...), "no settings"),
+            ("no seed", headed(seed=...), "seed"),
+            ("no state of ours", headed(state={}), "state"),
+        ):
+            with self.subTest(name):
+                code, _, errors = self.replay(text)
+                self.assertEqual(code, REFUSED)
+                self.assertIn(said, errors)
+        self.assertEqual(replay(str(self.folder / "absent"), io.StringIO(), io.StringIO()), REFUSED)
+        kept.live(2000)
+        first, rest = kept.dump().split(b"\n", 1)
+        head = json.loads(first)
+        head["list"]["servers"].pop()  # the list no longer fits the state
+        self.assertEqual(self.replay(headed())[0], REFUSED)
+
+    def test_a_cut_last_line_is_reported_and_lines_of_a_log_are_passed_over(self) -> None:
+        kept = Kept()
+        kept.world.start(3)
+        kept.live(300)
+        lines = kept.dump().splitlines(keepends=True)
+        mixed = b"time=1 level=info msg=x\n" + b"brambleusher.inflight:0|g\n".join(lines)
+        self.assertEqual(self.replay(mixed)[0], SAME)
+        code, text, _ = self.replay(mixed[:-20])
+        self.assertEqual(code, SAME)
+        self.assertIn("the last line is cut off and was skipped", text)
+        self.assertIn(f"{len(lines) - 2} records, 0 differ", text)
+        self.assertEqual(self.replay(mixed + kept.dump())[0], SAME)  # a second dump begins anew
+
+
+class Bounds(unittest.TestCase):
+    def test_a_header_too_large_for_the_ring_pauses_the_capture(self) -> None:
+        """Guards against a ring of nothing but headers, and against memory without bound."""
+        kept = Kept()
+        with self.assertLogs("brambleusher.features.capture", "WARNING") as logged:
+            kept.world.start(400)
+            kept.live(300)
+        self.assertLess(len(logged.output), 10)
+        self.assertIn("does not fit", logged.output[0])
+        kept.world.entries = dict(list(kept.world.entries.items())[:5])
+        kept.world.list_hosts(api.ListKind.FULL, list(kept.world.entries.values()))
+        kept.world.pass_time(2 * capture_module.AGAIN_NS)
+        kept.live(200)
+        with tempfile.NamedTemporaryFile() as file:
+            file.write(kept.dump())
+            file.flush()
+            out = io.StringIO()
+            self.assertEqual(replay(file.name, out, io.StringIO()), SAME, out.getvalue())
+
+    def test_a_fault_here_harms_no_decision(self) -> None:
+        kept = Kept()
+        kept.world.start(3)
+        with (
+            mock.patch.object(capture_module, "seal", side_effect=ValueError("made up")),
+            self.assertLogs("brambleusher.features.capture", "ERROR"),
+        ):
+            kept.live(5)
+        self.assertGreater(len(kept.world.actions), 3)
+
+
+def segments(count: int, steps: int = 150) -> list[bytes]:
+    """A few segments in a row, as they go to the files."""
+    files = lane()
+    kept = Kept(files=files)
+    kept.world.start(4)
+    with mock.patch.object(capture_module, "SEAL_NS", 0):
+        kept.live(steps)
+    data = taken(files)
+    cut = [found.start() for found in re.finditer(rb'(?m)^\{"ev":"start"', data)]
+    return [data[a:b] for a, b in zip(cut, [*cut[1:], len(data)], strict=True)][:count]
+
+
+class Files(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "captures"
+
+    def check(self, paths: Sequence[Path]) -> int:
+        """Each file alone can be rerun; says how many records there are."""
+        records = 0
+        for path in paths:
+            out = io.StringIO()
+            self.assertEqual(replay(str(path), out, io.StringIO()), SAME, out.getvalue())
+            records += int(out.getvalue().split(" ")[0])
+        return records
+
+    def test_files_are_bounded_across_restarts_and_each_can_be_rerun(self) -> None:
+        items = segments(60)
+        other = self.folder / "capture-other-00000001.jsonl"
+        self.folder.mkdir()
+        other.write_text("another sidecar's")
+        for start in range(4):
+            sink = DirSink(str(self.folder), "n/0", 3, 3 * max(map(len, items)))
+            self.assertEqual(sink.write(items[start * 15 : start * 15 + 15]), 0)
+            mine = sorted(self.folder.glob("capture-n_0-*.jsonl"))
+            self.assertLessEqual(len(mine), 3)
+            self.assertGreater(self.check(mine), 0)
+        self.assertGreater(int(mine[-1].stem.rpartition("-")[2]), 3)
+        self.assertEqual(other.read_text(), "another sidecar's")
+
+    def test_segments_in_a_row_share_a_file_and_a_gap_begins_one(self) -> None:
+        items = segments(12)
+        sink = DirSink(str(self.folder), "n0", 9, 1 << 30)
+        sink.write(items[:4])
+        (one,) = self.folder.iterdir()
+        self.assertEqual(one.read_bytes().count(b'"ev":"start"'), 1)
+        sink.write(items[6:8])
+        self.assertEqual(len(list(self.folder.iterdir())), 2)
+        one.unlink()
+        newest = max(self.folder.iterdir())
+        newest.unlink()  # under the sink's hands: it comes back with a header, or not at all
+        sink.write(items[8:10])
+        self.check(list(self.folder.iterdir()))
+        self.assertEqual(len(list(self.folder.iterdir())), 1)
+
+    def test_a_directory_that_can_not_be_written_is_logged_and_harms_nothing(self) -> None:
+        blocked = self.folder.parent / "file"
+        blocked.write_text("")
+        node = Node()
+        self.addCleanup(node.close)
+        with self.assertLogs("brambleusher.features.capture", "ERROR") as logged:
+            rig = Rig([node.entry("h0")], f"capture: {{dir: '{blocked}/x'}}")
+            for n in range(5):
+                self.assertEqual(rig.call(f"r{n}").status, 200)
+            rig.end()
+        self.assertEqual(len(logged.output), 1)
+        self.assertIn("captures can't be written", logged.output[0])
+
+    def test_a_sidecar_that_ends_leaves_its_capture(self) -> None:
+        node = Node()
+        self.addCleanup(node.close)
+        for _ in range(2):
+            rig = Rig([node.entry("h0")], f"capture: {{dir: '{self.folder}', files: 1}}")
+            for n in range(5):
+                self.assertEqual(rig.call(f"r{n}").status, 200)
+            rig.end()
+        (path,) = self.folder.iterdir()
+        self.assertGreater(self.check([path]), 10)
+
+
+class CommandLine(unittest.TestCase):
+    def run_command(self, *words: str) -> tuple[int, str]:
+        done = subprocess.run(
+            [sys.executable, "-m", "brambleusher", *words], capture_output=True, text=True, timeout=WAIT
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def test_a_dump_of_a_running_sidecar_can_be_rerun_though_it_has_wrapped(self) -> None:
+        script = answer(b"yes", "200 OK", 'Server-Load: {"util":0.31,"qps":17.25}')
+        good, bad = Node(script), Node(reset)
+        self.addCleanup(good.close)
+        self.addCleanup(bad.close)
+        rig = Rig([good.entry("h0"), bad.entry("h1")])
+        self.addCleanup(rig.end)
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        (folder / "config.json").write_text(json.dumps(rig.config))
+        (folder / "operator.yaml").write_text("capture: {ring_kb: 64}\nfigures: {flush_ms: 10}")
+        program = subprocess.Popen(
+            [sys.executable, "-m", "brambleusher", "--operator", str(folder / "operator.yaml")],
+            env={**os.environ, "NODE_CONFIG": str(folder / "config.json")}, stderr=subprocess.PIPE,
+        )  # fmt: skip
+        self.addCleanup(program.communicate)
+        self.addCleanup(program.kill)
+        lines: queue.Queue[bytes] = queue.Queue()
+        err = program.stderr
+        assert err is not None
+        threading.Thread(target=lambda: list(map(lines.put, err)), daemon=True).start()
+        found = re.search(rb"address=(\S+):(\d+)", lines.get(timeout=WAIT))
+        assert found
+        where = found[1].decode(), int(found[2])
+        until(lambda: ready(f"http://{where[0]}:{where[1]}/ready"))
+        with mock.patch.object(rig, "address", where):
+            for n in range(400):
+                rig.call(f"r{n}", "look" if n % 5 else "move")
+        self.assertEqual(self.run_command("capture", "dump", str(program.pid)), (0, ""))
+        data = b""
+        while b'"id":"r399"' not in data:  # the last request's record
+            data += lines.get(timeout=WAIT)
+        program.send_signal(signal.SIGTERM)
+        self.assertEqual(program.wait(WAIT), 0)
+        log = folder / "stderr"
+        log.write_bytes(data)
+        self.assertIn(b"msg=counters why=asked", data)
+        head = json.loads(next(line for line in data.splitlines() if line.startswith(b'{"ev":"start"')))
+        self.assertGreater(head["n"], 100)
+        self.assertEqual([server["addr"] for server in head["list"]["servers"]], [good.address, bad.address])
+        code, text = self.run_command("replay", str(log))
+        self.assertEqual(code, SAME, text)
+        self.assertRegex(text, r"\A[1-9]\d\d+ records, 0 differ\n\Z")
+        log.write_bytes(data.replace(b'"server":"h0","in":{"left_ns"', b'"server":"h1","in":{"left_ns"', 1))
+        self.assertEqual(self.run_command("replay", str(log))[0], DIFFERENT)
+
+    def test_a_dump_is_asked_only_of_what_takes_the_signal(self) -> None:
+        sleeper = subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE)
+        self.addCleanup(sleeper.communicate)
+        self.addCleanup(sleeper.kill)
+        gone = subprocess.Popen([sys.executable, "-c", ""])
+        gone.wait()
+        for pid in (str(sleeper.pid), str(gone.pid), "0", "99999999999999999999"):
+            code, text = self.run_command("capture", "dump", pid)
+            self.assertEqual(code, 1, text)
+        self.assertIsNone(sleeper.poll())
+        for words in (
+            ("capture",),
+            ("capture", "dump"),
+            ("capture", "dump", "x"),
+            ("replay",),
+            ("nonsense",),
+        ):
+            self.assertEqual(self.run_command(*words)[0], 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
