Take the features' buffers from the memory that is shared out, past their usual sizes

A ring of any size was accepted on a machine of any size: with 1 GiB asked of 64 MB the sidecar would be killed once it is full. What buffers take beyond 2 MiB now comes off the connections' memory, and more than half of it stops the start. The usual sizes change nothing: 16 MB measured with both features, 20 assumed. What the recorder is told is one record instead of five arguments in four places.

--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -133,21 +133,25 @@
         log.exception("a feature failed", extra={"fields": {"feature": type(observer).__name__}})
 
 
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """What the module was told (None: its start) and when, and what it led to or raised."""
+
+    event: api.Event | None
+    now_ns: int
+    actions: Sequence[api.Action]
+    error: Exception | None = None
+    call: Call | None = None  # the request it was about
+
+
 class Recorder:
     """One that is told of everything that passes between the sidecar and the module."""
 
     def began(self, state: Callable[[], dict[str, Any]]) -> None:
         """The module is made; `state` tells its state between two events."""
 
-    def record(
-        self,
-        event: api.Event | None,
-        now_ns: int,
-        actions: Sequence[api.Action],
-        error: Exception | None,
-        call: Call | None,
-    ) -> None:
-        """One event (None: the start), what it led to or raised, and the request it was about."""
+    def record(self, decision: Decision) -> None:
+        """One event has been decided on; its actions are not routed yet."""
 
 
 class Ticket:
@@ -204,7 +208,7 @@
         now = self._clock.now_ns()
         actions = self._balancer.start(now)
         if self._recorder is not None:
-            self._recorder.record(None, now, actions, None, None)
+            self._recorder.record(Decision(None, now, actions))
         self._route(actions)
         self.listed(api.ListKind.SAVED, entries)
 
@@ -289,9 +293,9 @@
         try:
             actions = self._balancer.handle(event, now)
         except Exception as error:
-            self._recorder.record(event, now, (), error, call)
+            self._recorder.record(Decision(event, now, (), error, call))
             raise
-        self._recorder.record(event, now, actions, None, call)
+        self._recorder.record(Decision(event, now, actions, None, call))
         return actions
 
     def _route(self, actions: list[api.Action]) -> None:
--- a/brambleusher/features/capture.py
+++ b/brambleusher/features/capture.py
@@ -18,7 +18,7 @@
 
 import orjson
 
-from brambleusher.decisions import Call, Recorder
+from brambleusher.decisions import Decision, Recorder
 from brambleusher.features.output import ITEM_BYTES, Item, Lane, append_whole
 from brambleusher.features.records import VERSION, action_of, chosen, event_of, seal, server_entry
 from brambleusher.net.machine_list import MachineListUpdate
@@ -94,21 +94,14 @@
             host, port = machine.address
             self._addresses[machine.entry.host] = f"{host}:{port}" if host else ""
 
-    def record(
-        self,
-        event: api.Event | None,
-        now_ns: int,
-        actions: Sequence[api.Action],
-        error: Exception | None,
-        call: Call | None,
-    ) -> None:
+    def record(self, decision: Decision) -> None:
         """One event and what the module decided."""
         try:
-            self._record(event, now_ns, actions, error, call)
+            self._record(decision)
         except Exception:
             # Guards against a fault here harming a request.  What is kept so far has a hole from now on.
             log.exception("capture failed")
-            self._open, self._again_ns = None, now_ns + AGAIN_NS
+            self._open, self._again_ns = None, decision.now_ns + AGAIN_NS
 
     def dump(self) -> None:
         """Send the ring to standard error."""
@@ -131,14 +124,8 @@
 
     # --- the ring -------------------------------------------------------------------------------
 
-    def _record(
-        self,
-        event: api.Event | None,
-        now_ns: int,
-        actions: Sequence[api.Action],
-        error: Exception | None,
-        call: Call | None,
-    ) -> None:
+    def _record(self, decision: Decision) -> None:
+        event, now_ns, call = decision.event, decision.now_ns, decision.call
         name, told = event_of(event)
         if isinstance(event, api.HostList):
             told["version"] = self._told
@@ -154,10 +141,11 @@
                 "id": getattr(event, "request", None),
                 "class": request.request_class if request else call and call.request_class,
                 "tenant": request.tenant if request else call and call.tenant,
-                "server": chosen(event, actions), "in": told, "out": [action_of(each) for each in actions],
+                "server": chosen(event, decision.actions), "in": told,
+                "out": [action_of(each) for each in decision.actions],
             }  # fmt: skip
-            if error is not None:
-                record["raised"] = type(error).__name__
+            if decision.error is not None:
+                record["raised"] = type(decision.error).__name__
             self._open.add(seal(record))
         self._count += 1
         if isinstance(event, api.HostList):
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -24,7 +24,7 @@
 from brambleusher.net.scheduler import Scheduler
 from brambleusher.net.submitters import Submitters
 from brambleusher.net.watch import HttpWatch
-from brambleusher.operator_file import CaptureSettings, FiguresSettings, OperatorFile
+from brambleusher.operator_file import CaptureSettings, FiguresSettings, OperatorError, OperatorFile
 from quillpass.api import ListKind
 
 log = logging.getLogger(__name__)
@@ -40,9 +40,24 @@
 # Measured: 11 MB at the start, 17 MB after a minute with 60 connections in use.  A figure too high leaves
 # too few connections on a small machine, and claims find none: that looks like execute nodes that are full.
 MEMORY_OF_RUNTIME = 20 * 1024 * 1024
+MEMORY_OF_BUFFERS = 2 * 1024 * 1024  # of the runtime's, for features; 16 MB measured with the usual ones on
 MEMORY_PER_CONNECTION = 64 * 1024  # a body of the largest size; usual ones have a few hundred bytes
 
 
+def memory_of_features(operator: OperatorFile, most: int) -> int:
+    """What the features' buffers may take beyond their usual sizes; raises `OperatorError` if over `most`."""
+    kb = 0
+    if operator.figures is not None:
+        kb += operator.figures.buffer_kb
+    if (capture := operator.capture) is not None:
+        kb += capture.ring_kb * (2 if capture.dir is None else 3)  # one on its way to each reader
+    beyond = max(0, kb * 1024 - MEMORY_OF_BUFFERS)
+    if beyond > most:
+        # Guards against a sidecar killed for its memory once the ring is full.
+        raise OperatorError("capture.ring_kb and figures.buffer_kb don't fit in limits.memory_mb")
+    return beyond
+
+
 class Sidecar:
     """One sidecar; `run` serves until it is told to end.  `load` reads its configuration again."""
 
@@ -60,6 +75,7 @@
         self.outputs: dict[str, Output] = {}  # by where they lead
         self.figures = None if operator.figures is None else self._figures(operator.figures)
         memory = config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
+        memory -= memory_of_features(operator, memory // 2)
         spare = SPARE_DESCRIPTORS + (DESCRIPTORS if operator.status is not None else 0)
         places = min(config.limits.sockets - spare, memory // MEMORY_PER_CONNECTION)
         for_nodes = max(int(places * NODE_PART), 8)
