A full disk costs one old capture file at most; a held line never outgrows its lane

Seen on reading: with a full disk each try for a new capture file left an empty one, and pruning by number then removed good files for it. The empty one is taken away again, so one old file is lost at most (test). A lane trimmed a held line only once it was half full, and what was being written could add to that. A test holds that the run line switches on figures and capture, with their defaults, and nothing else.

--- a/brambleusher/features/capture.py
+++ b/brambleusher/features/capture.py
@@ -257,9 +257,13 @@
         if self._path is not None and follows and self._append(self._path, records, 0):
             self._size += len(records)
         else:
-            self._path = self._new()
-            self._append(self._path, item, os.O_CREAT | os.O_EXCL)
-            self._size = len(item)
+            self._path, self._size = self._new(), len(item)
+            try:
+                self._append(self._path, item, os.O_CREAT | os.O_EXCL)
+            except OSError:
+                # Guards against a full disk on which each try would leave an empty file and cost an old one.
+                self._path.unlink(missing_ok=True)
+                raise
         self._next = first + records.count(b"\n")
 
     def _append(self, path: Path, data: bytes, flags: int) -> bool:
--- a/brambleusher/features/output.py
+++ b/brambleusher/features/output.py
@@ -193,8 +193,8 @@
         with self._lock:
             self._items.append(item)
             self._size += len(item) + ITEM_BYTES
+            self._trim()
             if self._size * 2 > self._limit:
-                self._trim()
                 self._call()
 
     def _trim(self) -> None:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -429,6 +429,22 @@
         self.check(list(self.folder.iterdir()))
         self.assertEqual(len(list(self.folder.iterdir())), 1)
 
+    def test_a_full_disk_costs_one_old_file_at_most(self) -> None:
+        items = segments(12)
+        sink = DirSink(str(self.folder), "n0", 3, 1)
+        sink.write(items[:4])
+        before = sorted(self.folder.iterdir())
+        with (
+            mock.patch.object(capture_module, "append_whole", side_effect=OSError(28, "full")),
+            self.assertLogs("brambleusher.features.capture", "ERROR") as logged,
+        ):
+            self.assertEqual(sink.write(items[4:8]), sum(item.count(b"\n") for item in items[4:8]))
+        self.assertEqual(len(logged.output), 1)
+        self.assertEqual(sorted(self.folder.iterdir()), before[1:])
+        self.assertEqual(sink.write(items[8:]), 0)
+        self.assertEqual(len(list(self.folder.iterdir())), 3)
+        self.check(list(self.folder.iterdir()))
+
     def test_a_directory_that_can_not_be_written_is_logged_and_harms_nothing(self) -> None:
         blocked = self.folder.parent / "file"
         blocked.write_text("")
--- a/tests/test_rewrites.py
+++ b/tests/test_rewrites.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+import tomllib
 import unittest
 from pathlib import Path
 
@@ -14,6 +15,8 @@
 from brambleusher.operator_file import (
     FRAMING,
     PROTECTED,
+    CaptureSettings,
+    FiguresSettings,
     OperatorError,
     OperatorFile,
     load_operator_file,
@@ -33,6 +36,13 @@
         self.assertEqual(load_operator_file(None), OperatorFile())
         self.assertEqual(parse_operator_file(b"rewrites: []").rewrites, ())
 
+    def test_in_service_are_capture_and_figures_alone(self) -> None:
+        deploy = Path(__file__).parent.parent / "deploy"
+        run = tomllib.loads((deploy / "balancer.toml").read_text())["run"]
+        self.assertTrue(run.endswith(" -m brambleusher --operator deploy/operator.yaml"))
+        settings = load_operator_file(str(deploy / "operator.yaml"))
+        self.assertEqual(settings, OperatorFile(figures=FiguresSettings(), capture=CaptureSettings()))
+
     def test_a_fault_names_its_key(self) -> None:
         in_rule = "{match: {}, direction: in, %s}"
         for text, said in (
