--- a/brambleusher/config.py
+++ b/brambleusher/config.py
@@ -10,7 +10,7 @@
 import orjson
 
 from brambleusher.net.machine_list import ListError, MachineListUpdate, decode_update
-from brambleusher.net.streams import parse_address
+from brambleusher.runtime.streams import parse_address
 from quillpass import api
 from quillpass.settings import WireError, parse_settings
 
--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from brambleusher.counters import Counters
-from brambleusher.net.scheduler import Bell, Scheduler
+from brambleusher.runtime.scheduler import Bell, Scheduler
 from quillpass import Balancer, api
 from quillpass.state import save
 
--- a/brambleusher/features/figures.py
+++ b/brambleusher/features/figures.py
@@ -11,8 +11,8 @@
 from brambleusher.counters import Counters
 from brambleusher.decisions import Call, Clock, Observer, Outcome
 from brambleusher.features.output import Lane
-from brambleusher.net.scheduler import Scheduler
 from brambleusher.operator_file import FiguresSettings
+from brambleusher.runtime.scheduler import Scheduler
 from quillpass import api
 
 PREFIX = "brambleusher."
--- a/brambleusher/features/status.py
+++ b/brambleusher/features/status.py
@@ -19,9 +19,9 @@
 from brambleusher.decisions import Call, Observer, Outcome
 from brambleusher.net.http import HttpError, Message, MessageReader, write_response
 from brambleusher.net.machine_list import Machine, MachineListUpdate, state_word
-from brambleusher.net.scheduler import Bell, Scheduler, Task, Timeout
-from brambleusher.net.streams import Stream
 from brambleusher.operator_file import StatusSettings
+from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
+from brambleusher.runtime.streams import Stream
 from quillpass.api import HostState, Settings, Status
 
 log = logging.getLogger(__name__)
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -13,8 +13,8 @@
 from brambleusher.decisions import Outcome
 from brambleusher.net.http import HOP_BY_HOP, MAX_BODY, HttpError, Message, MessageReader, write_request
 from brambleusher.net.machine_list import Machine, MachineListUpdate
-from brambleusher.net.scheduler import Bell, Scheduler, Timeout
-from brambleusher.net.streams import Called, Stream
+from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
+from brambleusher.runtime.streams import Called, Stream
 from quillpass.api import CONNECT_PART, HostState, LoadReport, Settings, Status
 
 log = logging.getLogger(__name__)
--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -17,8 +17,8 @@
 import orjson
 
 from brambleusher.counters import Counters
-from brambleusher.net.scheduler import Bell, Scheduler, Task, Timeout
-from brambleusher.net.streams import parse_address
+from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
+from brambleusher.runtime.streams import parse_address
 from quillpass.api import HostEntry, HostState
 
 log = logging.getLogger(__name__)
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -24,8 +24,8 @@
 from brambleusher.features.rewrites import Rewrites, end_to_end
 from brambleusher.net.execute_nodes import Claim, ExecuteNodes
 from brambleusher.net.http import Field, HttpError, Message, MessageReader, write_response
-from brambleusher.net.scheduler import Scheduler, Task, Timeout
-from brambleusher.net.streams import Stream
+from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
+from brambleusher.runtime.streams import Stream
 from quillpass.api import Cancel, Effect, Refuse, Status
 
 log = logging.getLogger(__name__)
--- a/brambleusher/net/watch.py
+++ b/brambleusher/net/watch.py
@@ -5,8 +5,8 @@
 from collections.abc import Generator, Iterator
 
 from brambleusher.net.http import MessageReader, write_request
-from brambleusher.net.scheduler import Scheduler
-from brambleusher.net.streams import Stream
+from brambleusher.runtime.scheduler import Scheduler
+from brambleusher.runtime.streams import Stream
 
 CONNECT_SECONDS = 1.0
 ANSWER_SECONDS = 4.0  # a call may wait its turn for 3 s before discovery fails it
--- a/brambleusher/operator_file.py
+++ b/brambleusher/operator_file.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from brambleusher.net.http import HOP_BY_HOP, is_token, is_value
-from brambleusher.net.streams import parse_address
+from brambleusher.runtime.streams import parse_address
 
 MAX_FILE = 256 * 1024
 MAX_RULES, MAX_VALUE = 256, 4096
--- /dev/null
+++ b/brambleusher/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What tasks run on: scheduler, streams and, below them, the seam to the machine, real or virtual."""
--- a/brambleusher/net/streams.py
+++ b/brambleusher/runtime/streams.py
@@ -6,7 +6,7 @@
 import os
 import socket
 
-from brambleusher.net.scheduler import READ, WRITE, Bell, Scheduler, Timeout
+from brambleusher.runtime.scheduler import READ, WRITE, Bell, Scheduler, Timeout
 
 RECEIVE = 64 * 1024
 LINGER_SECONDS, LINGER_BYTES = 0.5, 1024 * 1024
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -21,10 +21,10 @@
 from brambleusher.logs import configure
 from brambleusher.net.execute_nodes import ExecuteNodes
 from brambleusher.net.machine_list import MachineList, MachineListUpdate
-from brambleusher.net.scheduler import Scheduler
 from brambleusher.net.submitters import Submitters
 from brambleusher.net.watch import HttpWatch
 from brambleusher.operator_file import CaptureSettings, FiguresSettings, OperatorError, OperatorFile
+from brambleusher.runtime.scheduler import Scheduler
 from quillpass.api import ListKind
 
 log = logging.getLogger(__name__)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,7 +13,7 @@
 from brambleusher.config import ConfigError, load_config, parse_config
 from brambleusher.logs import KeyValueFormatter
 from brambleusher.net.machine_list import ListError, decode_update
-from brambleusher.net.scheduler import Bell, Scheduler, Task, Timeout
+from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
 from quillpass.api import HostState
 from tests.rig import SETTINGS
 
