One seam to the machine: clock, sockets, signals and writers through a System

Need: faults seen once can't be had again; the program must run unmodified on a machine in virtual time. Scheduler, streams, decisions, features and the sidecar called time, select, socket, signal and threading themselves.

--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
@@ -14,6 +13,7 @@
 
 from brambleusher.counters import Counters
 from brambleusher.runtime.scheduler import Bell, Scheduler
+from brambleusher.runtime.system import System
 from quillpass import Balancer, api
 from quillpass.state import save
 
@@ -29,12 +29,13 @@
     time with the start times in the machine list, which are Unix time.
     """
 
-    def __init__(self) -> None:
-        self._offset = time.time_ns() - time.monotonic_ns()
+    def __init__(self, system: System) -> None:
+        self._monotonic_ns = system.monotonic_ns
+        self._offset = system.wall_ns() - system.monotonic_ns()
 
     def now_ns(self) -> int:
         """Unix time in nanoseconds."""
-        return self._offset + time.monotonic_ns()
+        return self._offset + self._monotonic_ns()
 
     def seconds(self, at_ns: int) -> float:
         """The scheduler's time at a moment of Unix time."""
--- a/brambleusher/features/capture.py
+++ b/brambleusher/features/capture.py
@@ -19,10 +19,12 @@
 import orjson
 
 from brambleusher.decisions import Decision, Recorder
-from brambleusher.features.output import ITEM_BYTES, Item, Lane, append_whole
+from brambleusher.features.output import ITEM_BYTES, Lane
 from brambleusher.features.records import VERSION, action_of, chosen, event_of, seal, server_entry
 from brambleusher.net.machine_list import MachineListUpdate
 from brambleusher.operator_file import CaptureSettings
+from brambleusher.runtime.sinks import append_whole
+from brambleusher.runtime.system import Item
 from quillpass import api
 from quillpass.state import save_settings
 
--- a/brambleusher/features/output.py
+++ b/brambleusher/features/output.py
@@ -1,180 +1,31 @@
-"""The one way out for figures, captures and, beside them, the log: lines, written by a small thread.
+"""The one way out for figures, captures and, beside them, the log: lines, written beside the serving thread.
 
 Pipes, disks and FIFOs block, whatever they are asked, and requests must not wait for them.  So the
-serving thread only appends to a lane, which is bounded, and a daemon thread writes.  That thread
-touches no greenlet and nothing of the scheduler's.
+serving thread only appends to a lane, which is bounded, and a worker writes.  The worker touches no
+greenlet and nothing of the scheduler's.
 """
 
 from __future__ import annotations
 
 import logging
-import os
-import select
-import socket
-import stat
-import threading
 from collections import deque
-from collections.abc import Iterable, Iterator
-from typing import Protocol
+from collections.abc import Iterable
+
+from brambleusher.runtime.sinks import count_lines
+from brambleusher.runtime.system import Item, Sink, System, Worker
 
 log = logging.getLogger(__name__)
 
-PIPE_BUF = select.PIPE_BUF  # a pipe takes so much in one piece: a line is not split by another writer's
-MAX_DATAGRAM = 1400  # fits an MTU of 1,500 with room for tunnels
 TAKEN_AT_ONCE = 16 * 1024
-PATIENCE_MS = 1000  # for a FIFO whose reader has fallen behind
 EXIT_SECONDS = 1.0
 ITEM_BYTES = 41  # what Python holds for a line beside its text
 
-# Whole lines, each with its line end; one item may hold several.
-Item = bytes
-
-
-class Sink(Protocol):
-    """Where lines end up; called by the writer's thread alone."""
-
-    def write(self, items: list[Item]) -> int:
-        """Write what can be written; says how many lines were lost."""
-
-    def close(self) -> None:
-        """Let go of what it holds."""
-
-
-def count_lines(items: Iterable[Item]) -> int:
-    """How many lines the items have."""
-    return sum(item.count(b"\n") for item in items)
-
-
-def pieces(items: Iterable[Item], most: int) -> Iterator[bytes]:
-    """The items' lines in pieces of whole lines, of at most so many bytes unless one line has more."""
-    piece = bytearray()
-    for item in items:
-        for line in (item,) if item.count(b"\n") == 1 else item.splitlines(keepends=True):
-            if piece and len(piece) + len(line) > most:
-                yield bytes(piece)
-                piece.clear()
-            piece += line
-    if piece:
-        yield bytes(piece)
-
-
-class DescriptorSink:
-    """An open descriptor, such as standard error; waits for as long as it must."""
-
-    def __init__(self, fd: int) -> None:
-        self._fd = fd
-
-    def write(self, items: list[Item]) -> int:
-        """Write piece after piece; one that fails is lost."""
-        lost = 0
-        for piece in pieces(items, PIPE_BUF):
-            try:
-                _write_all(self._fd, piece, None)
-            except OSError:
-                lost += piece.count(b"\n")
-        return lost
-
-    def close(self) -> None:
-        """The descriptor is the process's, not ours."""
-
-
-class FileSink:
-    """A file, opened anew for each write.
-
-    An open descriptor would go on taking lines for a file that was removed or became unwritable.
-    """
-
-    def __init__(self, path: str) -> None:
-        self._path = path
-
-    def write(self, items: list[Item]) -> int:
-        """Append; what does not fit, or finds no file to go to, is lost."""
-        # Guards against opening a FIFO that nobody reads, which would wait for a reader.
-        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_NONBLOCK | os.O_CLOEXEC
-        try:
-            fd = os.open(self._path, flags, 0o644)
-        except OSError:
-            return count_lines(items)
-        lost = 0
-        try:
-            for piece in pieces(items, PIPE_BUF):
-                try:
-                    append_whole(fd, piece)
-                except OSError:
-                    lost += piece.count(b"\n")
-        finally:
-            os.close(fd)
-        return lost
-
-    def close(self) -> None:
-        """Nothing is held between writes."""
-
-
-class UdpSink:
-    """Datagrams of whole lines to one collector."""
-
-    def __init__(self, address: tuple[str, int]) -> None:
-        self._address = address
-        self._socket: socket.socket | None = None
-
-    def write(self, items: list[Item]) -> int:
-        """Send; a datagram that is refused is lost, and the next one finds a new socket."""
-        lost = 0
-        for piece in pieces(items, MAX_DATAGRAM):
-            try:
-                if len(piece) > MAX_DATAGRAM:
-                    raise OSError("the line is too long for a datagram")
-                self._connected().send(piece)
-            except OSError:
-                lost += piece.count(b"\n")
-                self.close()
-        return lost
-
-    def _connected(self) -> socket.socket:
-        if self._socket is None:
-            family, kind, number, _, address = socket.getaddrinfo(*self._address, type=socket.SOCK_DGRAM)[0]
-            self._socket = socket.socket(family, kind, number)
-            self._socket.setblocking(False)
-            self._socket.connect(address)
-        return self._socket
-
-    def close(self) -> None:
-        """Close the socket."""
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
-
-
-def _write_all(fd: int, data: bytes, patience_ms: int | None) -> None:
-    view = memoryview(data)
-    while view:
-        try:
-            view = view[os.write(fd, view) :]
-        except BlockingIOError:
-            waiter = select.poll()
-            waiter.register(fd, select.POLLOUT)
-            if not waiter.poll(patience_ms):
-                raise TimeoutError("the reader has fallen behind") from None
-
-
-def append_whole(fd: int, data: bytes) -> None:
-    """Append all of the data to a file, or nothing of it where the disk is full; raises `OSError`."""
-    before = os.fstat(fd)
-    try:
-        _write_all(fd, data, PATIENCE_MS)
-    except OSError:
-        # Guards against half a line with the next one stuck to it.
-        part = os.fstat(fd).st_size - before.st_size
-        if stat.S_ISREG(before.st_mode) and 0 < part < len(data):
-            os.ftruncate(fd, before.st_size)
-        raise
-
 
 class Lane:
     """Lines on their way to a writer; the oldest are dropped once they outgrow `limit` bytes."""
 
-    def __init__(self, lock: threading.Lock, wake: threading.Condition, limit: int) -> None:
-        self._lock, self._wake, self._limit = lock, wake, limit  # `wake` is a condition on `lock`
+    def __init__(self, worker: Worker, limit: int) -> None:
+        self._lock, self._worker, self._limit = worker.lock, worker, limit
         self._items: deque[Item] = deque()
         self._size = self._taken = self._lost = 0
         self.due = False  # the writer may take
@@ -206,7 +57,7 @@
     def _call(self) -> None:
         if self._items and not self.due:
             self.due = True
-            self._wake.notify()
+            self._worker.wake()
 
     def flush(self) -> None:
         """Have the writer take what there is."""
@@ -241,50 +92,50 @@
 
 
 class Output:
-    """A sink, the thread that writes to it, and the lanes that lead there."""
+    """A sink, the worker that writes to it, and the lanes that lead there."""
 
-    def __init__(self, sink: Sink, name: str) -> None:
-        self._sink, self._lock = sink, threading.Lock()
-        self._wake = threading.Condition(self._lock)
+    def __init__(self, sink: Sink, name: str, system: System) -> None:
+        self._sink, self._name = sink, name
         self._lanes: list[Lane] = []
-        self._closing = False
-        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
-        self._thread.start()
+        self._closing = self._closed = False
+        self._worker = system.worker(name, self._due, self._write)
 
     def lane(self, limit: int) -> Lane:
         """One more lane, for the serving thread."""
-        lane = Lane(self._lock, self._wake, limit)
-        with self._lock:
+        lane = Lane(self._worker, limit)
+        with self._worker.lock:
             self._lanes.append(lane)
         return lane
 
     def close(self, seconds: float = EXIT_SECONDS) -> None:
         """Write what waits; a reader that has fallen behind is not waited for any longer than that."""
-        with self._wake:
-            self._closing = True
+        with self._worker.lock:
             for lane in self._lanes:
                 lane.due = True
-            self._wake.notify()
-        self._thread.join(seconds)
-
-    def _run(self) -> None:
-        while True:
-            with self._wake:
-                while not (due := [lane for lane in self._lanes if lane.due]):
-                    if self._closing:
-                        self._sink.close()
-                        return
-                    self._wake.wait()
-                taken = [(lane, lane.take()) for lane in due]
-            for lane, items in taken:
-                try:
-                    lost = self._sink.write(items) if items else 0
-                except Exception:
-                    # Guards against one fault ending the thread, and with it all that goes this way.
-                    log.exception("output failed", extra={"fields": {"output": self._thread.name}})
-                    lost = count_lines(items)
-                with self._wake:
-                    lane.written(lost)
+            self._closing = True
+            self._worker.wake()
+        self._worker.end(seconds)
+
+    def _due(self) -> bool:
+        return any(lane.due for lane in self._lanes) or (self._closing and not self._closed)
+
+    def _write(self) -> None:
+        """One turn of the worker: what is due is taken and written."""
+        with self._worker.lock:
+            taken = [(lane, lane.take()) for lane in self._lanes if lane.due]
+            last = self._closing and not any(lane.due for lane in self._lanes)
+        for lane, items in taken:
+            try:
+                lost = self._sink.write(items) if items else 0
+            except Exception:
+                # Guards against one fault ending the worker, and with it all that goes this way.
+                log.exception("output failed", extra={"fields": {"output": self._name}})
+                lost = count_lines(items)
+            with self._worker.lock:
+                lane.written(lost)
+        if last and not self._closed:
+            self._closed = True
+            self._sink.close()
 
 
 class LaneStream:
--- a/brambleusher/features/status.py
+++ b/brambleusher/features/status.py
@@ -9,7 +9,6 @@
 import errno
 import html
 import logging
-import socket
 from collections import Counter, deque
 from typing import Any
 
@@ -22,6 +21,7 @@
 from brambleusher.operator_file import StatusSettings
 from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
+from brambleusher.runtime.system import Socket
 from quillpass.api import HostState, Settings, Status
 
 log = logging.getLogger(__name__)
@@ -52,7 +52,7 @@
         self._inflight = dict.fromkeys(self._classes, 0)
         self._answers: deque[tuple[int, Counter[str]]] = deque()  # by second, the last minute's
         self._pages: dict[str, bytes] = {}
-        self._listener: socket.socket | None = None
+        self._listener: Socket | None = None
         self.address: tuple[str, int] | None = None  # where it listens
         self._accepting: Task | None = None
         self._viewers: dict[Task, Stream] = {}
@@ -60,14 +60,9 @@
 
     def start(self, host: str) -> None:
         """Listen on the host the sidecar itself listens on; where that can't be, it is logged."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.setblocking(False)
-            listener.bind((host, self._port))
-            listener.listen(BACKLOG)
+            listener = self._scheduler.system.listen((host, self._port), BACKLOG)
         except OSError as error:
-            listener.close()
             log.error("no status page", extra={"fields": {"port": self._port, "error": error.strerror}})
             return
         self._listener = listener
@@ -170,13 +165,13 @@
 
     # --- viewers --------------------------------------------------------------------------------
 
-    def _accept_all(self, listener: socket.socket) -> None:
+    def _accept_all(self, listener: Socket) -> None:
         while True:
             if len(self._viewers) >= MAX_VIEWERS:
                 self._scheduler.park(bell=self._room)
                 continue
             try:
-                sock, _ = listener.accept()
+                sock, _ = self._scheduler.system.accept(listener)
             except BlockingIOError:
                 self._scheduler.park(sock=listener)
                 continue
@@ -185,12 +180,7 @@
                     # Guards against a loop at full speed while no descriptor is free.
                     self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
                 continue
-            try:
-                stream = Stream(self._scheduler, sock)
-            except OSError:  # reset before it was looked at
-                sock.close()
-                continue
-            self._view(stream)
+            self._view(Stream(self._scheduler, sock))
 
     def _view(self, stream: Stream) -> None:
         def serve() -> None:
--- a/brambleusher/logs.py
+++ b/brambleusher/logs.py
@@ -4,7 +4,7 @@
 
 import logging
 import sys
-import time
+from datetime import UTC, datetime
 from typing import Protocol
 
 _PLAIN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/+%@")
@@ -34,7 +34,7 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """One record, one line."""
-        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        stamp = datetime.fromtimestamp(record.created, UTC).strftime("%Y-%m-%dT%H:%M:%S")
         pairs: dict[str, object] = {
             "time": f"{stamp}.{int(record.msecs):03d}Z",
             "level": record.levelname.lower(),
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -5,7 +5,6 @@
 import errno
 import logging
 import re
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -26,6 +25,7 @@
 from brambleusher.net.http import Field, HttpError, Message, MessageReader, write_response
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
+from brambleusher.runtime.system import Socket
 from quillpass.api import Cancel, Effect, Refuse, Status
 
 log = logging.getLogger(__name__)
@@ -67,7 +67,7 @@
 class Submitter:
     """The other end of a request: `watch` has its socket as long as it can be seen to leave."""
 
-    watch: Callable[[], socket.socket | None]
+    watch: Callable[[], Socket | None]
     has_left: Callable[[], bool]
 
 
@@ -175,7 +175,7 @@
             cls.name: "GET" if cls.effect is Effect.SAFE else "POST" for cls in decisions.settings.classes
         }
         self._tenants = {tenant.name for tenant in decisions.settings.tenants}
-        self._listener: socket.socket | None = None
+        self._listener: Socket | None = None
         self._accepting: Task | None = None
         self._connections: set[Connection] = set()
         # Those between requests, longest idle first: some have sent nothing yet, the others have asked.
@@ -187,27 +187,23 @@
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         """Bind, and start to accept; says where."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(address)
-        listener.listen(BACKLOG)
+        listener = self._scheduler.system.listen(address, BACKLOG)
         self._listener = listener
         self._accepting = self._scheduler.spawn(self._accept_all, listener, name="accept")
         host, port = listener.getsockname()[:2]
         return str(host), int(port)
 
-    def _accept_all(self, listener: socket.socket) -> None:
+    def _accept_all(self, listener: Socket) -> None:
         while True:
             if len(self._connections) >= self._most and not self._close_one_idle():
                 self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
             elif not self._accept_one(listener):
                 self._scheduler.park(sock=listener)
 
-    def _accept_one(self, listener: socket.socket) -> bool:
+    def _accept_one(self, listener: Socket) -> bool:
         """Take one connection that waits; false if none does."""
         try:
-            sock, peer = listener.accept()
+            sock, peer = self._scheduler.system.accept(listener)
         except BlockingIOError:
             return False
         except OSError as error:
@@ -218,11 +214,7 @@
                 self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
             return True  # others concern the connection that was to be taken, and it is gone
         self._counters.add("connections_accepted")
-        try:
-            connection = Connection(Stream(self._scheduler, sock), str(peer[0]))
-        except OSError:  # reset before it was looked at
-            sock.close()
-            return True
+        connection = Connection(Stream(self._scheduler, sock), peer)
         self._connections.add(connection)
         self._silent[connection] = None
         connection.task = self._scheduler.spawn(self._serve, connection, name="submitter")
@@ -386,7 +378,7 @@
             call = replace(call, payload=passed)
         deadline = self._clock.seconds(arrived_ns + call.left_ns)
 
-        def watch() -> socket.socket | None:
+        def watch() -> Socket | None:
             # One that sends ahead without end is not read further until its answer is out.
             return stream.sock if reader.buffered < 2 * 64 * 1024 else None
 
--- /dev/null
+++ b/brambleusher/runtime/real.py
@@ -0,0 +1,159 @@
+"""The operating system, as `runtime/system.py` words it."""
+
+from __future__ import annotations
+
+import select
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable
+from types import FrameType
+
+from brambleusher.runtime.sinks import DescriptorSink, FileSink, UdpSink
+from brambleusher.runtime.system import Address, Poller, Sink, Socket, Waker, Worker
+
+
+class PairWaker:
+    """Two connected sockets: what is written to one makes the other readable."""
+
+    def __init__(self) -> None:
+        self._in, self._out = socket.socketpair()
+        self._in.setblocking(False)
+        self._out.setblocking(False)
+
+    def fileno(self) -> int:
+        """The descriptor to watch for `READ`."""
+        return self._in.fileno()
+
+    def wake(self) -> None:
+        """Make it readable; safe in a signal handler."""
+        try:
+            self._out.send(b"x")
+        except OSError:
+            return
+
+    def clear(self) -> None:
+        """Make it unreadable again."""
+        try:
+            self._in.recv(4096)
+        except BlockingIOError:
+            return
+
+    def close(self) -> None:
+        """Close both."""
+        self._in.close()
+        self._out.close()
+
+
+class ThreadWorker:
+    """A daemon thread; it touches no greenlet and nothing of the scheduler's."""
+
+    def __init__(self, name: str, due: Callable[[], bool], turn: Callable[[], None]) -> None:
+        self._due, self._turn = due, turn
+        self.lock = threading.Lock()
+        self._wake = threading.Condition(self.lock)
+        self._ending = False
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thread.start()
+
+    def wake(self) -> None:
+        """Something may be due; the lock is held."""
+        self._wake.notify()
+
+    def end(self, seconds: float) -> None:
+        """Have what is due done and stop; waits no longer than that."""
+        with self._wake:
+            self._ending = True
+            self._wake.notify()
+        self._thread.join(seconds)
+
+    def _run(self) -> None:
+        while True:
+            with self._wake:
+                while not self._due():
+                    if self._ending:
+                        return
+                    self._wake.wait()
+            self._turn()
+
+
+class RealSystem:
+    """This process on its machine."""
+
+    # Builtins as they are: no call of ours stands between a task and the clock.
+    monotonic = staticmethod(time.monotonic)
+    monotonic_ns = staticmethod(time.monotonic_ns)
+    wall_ns = staticmethod(time.time_ns)
+
+    def poller(self) -> Poller:
+        """A new set of descriptors."""
+        return select.poll()
+
+    def waker(self) -> Waker:
+        """A new pair of sockets."""
+        return PairWaker()
+
+    def listen(self, address: Address, backlog: int) -> Socket:
+        """A socket that listens; raises `OSError`."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.setblocking(False)
+            listener.bind(address)
+            listener.listen(backlog)
+        except BaseException:
+            listener.close()
+            raise
+        return listener
+
+    def accept(self, listener: Socket) -> tuple[Socket, str]:
+        """A connection that waits, and its peer's host; raises `BlockingIOError` and `OSError`."""
+        assert isinstance(listener, socket.socket)
+        sock, peer = listener.accept()
+        try:
+            self._prepare(sock)
+        except OSError:  # reset before it was looked at
+            sock.close()
+            raise
+        return sock, str(peer[0])
+
+    def connection(self) -> Socket:
+        """A socket that is not connected yet; raises `OSError`."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._prepare(sock)
+        return sock
+
+    @staticmethod
+    def _prepare(sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def error_of(self, sock: Socket) -> int:
+        """The error that waits on a socket, and clears it; 0 for none."""
+        assert isinstance(sock, socket.socket)
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def on_signal(self, number: int, call: Callable[[], None]) -> None:
+        """Have a signal handled."""
+
+        def handler(given: int, frame: FrameType | None) -> None:
+            call()
+
+        signal.signal(number, handler)
+
+    def worker(self, name: str, due: Callable[[], bool], turn: Callable[[], None]) -> Worker:
+        """A thread of its own."""
+        return ThreadWorker(name, due, turn)
+
+    def descriptor_sink(self, fd: int) -> Sink:
+        """An open descriptor, such as standard error."""
+        return DescriptorSink(fd)
+
+    def file_sink(self, path: str) -> Sink:
+        """A file that is opened anew for each write."""
+        return FileSink(path)
+
+    def datagram_sink(self, address: Address) -> Sink:
+        """Datagrams of whole lines to one address."""
+        return UdpSink(address)
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -1,4 +1,4 @@
-"""Greenlet tasks over `select.poll`: one thread, one poll set, one heap of timers.
+"""Greenlet tasks over a poll set: one thread, one poller, one heap of timers.
 
 A task runs until it parks.  It may park on a socket, on a `Bell`, or on both, always with the
 choice of a deadline; whichever comes first wakes it.  Deadlines are in seconds on `Scheduler.now`.
@@ -8,18 +8,17 @@
 
 import heapq
 import logging
-import select
-import socket
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 import greenlet
 
+from brambleusher.runtime.system import READ, WRITE, Socket, System
+
 log = logging.getLogger(__name__)
 
-READ, WRITE = select.POLLIN, select.POLLOUT
+__all__ = ["READ", "WRITE", "Bell", "Cancelled", "Scheduler", "Task", "Timeout", "Timer"]
 
 
 class Timeout(Exception):
@@ -84,9 +83,12 @@
 class Scheduler:
     """The hub: runs ready tasks, then polls until a socket or a timer is due."""
 
-    def __init__(self) -> None:
+    def __init__(self, system: System) -> None:
+        self.system = system
+        # Seconds on a clock that only advances.
+        self.now: Callable[[], float] = system.monotonic
         self.hub = greenlet.getcurrent()
-        self._poll = select.poll()
+        self._poll = system.poller()
         self._ready: deque[tuple[Task, Any]] = deque()
         self._timers: list[tuple[float, int, Timer]] = []
         self._timer_count = self._shells = 0
@@ -95,18 +97,11 @@
         self._running: Task | None = None
         self._stopped = False
         # Signal handlers write here, so that a poll in progress ends.
-        self._wake_in, self._wake_out = socket.socketpair()
-        self._wake_in.setblocking(False)
-        self._wake_out.setblocking(False)
-        self._poll.register(self._wake_in, READ)
+        self._waker = system.waker()
+        self._poll.register(self._waker.fileno(), READ)
 
     # --- what tasks call ------------------------------------------------------------------------
 
-    @staticmethod
-    def now() -> float:
-        """Seconds on a clock that only advances."""
-        return time.monotonic()
-
     def spawn(self, call: Callable[..., Any], *args: Any, name: str = "") -> Task:
         """Start a task; it runs for the first time in the hub's next round."""
         task = Task(self, name or call.__qualname__, lambda why: self._body(task, call, args, why))
@@ -117,7 +112,7 @@
     def park(
         self,
         deadline: float | None = None,
-        sock: socket.socket | None = None,
+        sock: Socket | None = None,
         events: int = READ,
         bell: Bell | None = None,
     ) -> str:
@@ -218,15 +213,11 @@
 
     def nudge(self) -> None:
         """End a poll in progress; safe in a signal handler."""
-        try:
-            self._wake_out.send(b"x")
-        except OSError:
-            return
+        self._waker.wake()
 
     def close(self) -> None:
         """Release the scheduler's own sockets."""
-        self._wake_in.close()
-        self._wake_out.close()
+        self._waker.close()
 
     def _pause(self) -> int:
         while self._timers and self._timers[0][2].call is None:
@@ -256,11 +247,8 @@
             task = self._waiting.get(fd)
             if task is not None:
                 self.wake(task, "socket")
-            elif fd == self._wake_in.fileno():
-                try:
-                    self._wake_in.recv(4096)
-                except BlockingIOError:
-                    continue
+            elif fd == self._waker.fileno():
+                self._waker.clear()
             else:  # guards against a loop at full speed over a socket nobody waits for
                 self._poll.unregister(fd)
 
--- a/brambleusher/runtime/streams.py
+++ b/brambleusher/runtime/streams.py
@@ -4,9 +4,9 @@
 
 import errno
 import os
-import socket
 
-from brambleusher.runtime.scheduler import READ, WRITE, Bell, Scheduler, Timeout
+from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
+from brambleusher.runtime.system import END_SENDING, PEEK, READ, WRITE, Address, Socket
 
 RECEIVE = 64 * 1024
 LINGER_SECONDS, LINGER_BYTES = 0.5, 1024 * 1024
@@ -16,7 +16,7 @@
     """The bell rang: what was waited for is not wanted any more."""
 
 
-def parse_address(text: str) -> tuple[str, int]:
+def parse_address(text: str) -> Address:
     """`host:port` as a pair; raises `ValueError` where it is not one."""
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) <= 65535:
@@ -29,26 +29,24 @@
 
     __slots__ = ("open", "scheduler", "sock", "used_at")
 
-    def __init__(self, scheduler: Scheduler, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    def __init__(self, scheduler: Scheduler, sock: Socket) -> None:
         self.scheduler, self.sock = scheduler, sock
         self.open = True
         self.used_at = scheduler.now()
 
     @classmethod
     def connect(
-        cls, scheduler: Scheduler, address: tuple[str, int], deadline: float, bell: Bell | None = None
+        cls, scheduler: Scheduler, address: Address, deadline: float, bell: Bell | None = None
     ) -> Stream:
         """A connection to `address`; raises `OSError`, `Timeout` at the deadline, `Called` at the bell."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = scheduler.system.connection()
         stream = cls(scheduler, sock)
         try:
             code = sock.connect_ex(address)
             if code == errno.EINPROGRESS:
                 if scheduler.park(deadline, sock, WRITE, bell) == "bell":
                     raise Called
-                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                code = scheduler.system.error_of(sock)
             if code:
                 raise OSError(code, os.strerror(code))
         except BaseException:
@@ -77,7 +75,7 @@
     def quiet(self) -> bool:
         """Whether the connection is open and nothing, not even its end, waits to be read."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            self.sock.recv(1, PEEK)
         except BlockingIOError:
             return True
         except OSError:
@@ -89,7 +87,7 @@
 
         Guards against a reset that overtakes the answer: closing with bytes unread sends one.
         """
-        self.sock.shutdown(socket.SHUT_WR)
+        self.sock.shutdown(END_SENDING)
         deadline = self.scheduler.now() + LINGER_SECONDS
         left = LINGER_BYTES
         try:
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -8,14 +8,13 @@
 import signal
 from collections.abc import Callable
 from dataclasses import replace
-from types import FrameType
 
 from brambleusher.config import Config, ConfigError, fixed_keys_changed
 from brambleusher.counters import Counters
 from brambleusher.decisions import Clock, Decisions, Observer, Observers
 from brambleusher.features.capture import Capture, DirSink
 from brambleusher.features.figures import DROPPED, Figures
-from brambleusher.features.output import DescriptorSink, FileSink, LaneStream, Output, Sink, UdpSink
+from brambleusher.features.output import LaneStream, Output
 from brambleusher.features.rewrites import Rewrites
 from brambleusher.features.status import DESCRIPTORS, StatusPage
 from brambleusher.logs import configure
@@ -24,7 +23,9 @@
 from brambleusher.net.submitters import Submitters
 from brambleusher.net.watch import HttpWatch
 from brambleusher.operator_file import CaptureSettings, FiguresSettings, OperatorError, OperatorFile
+from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
+from brambleusher.runtime.system import Sink, System
 from quillpass.api import ListKind
 
 log = logging.getLogger(__name__)
@@ -66,11 +67,13 @@
         config: Config,
         load: Callable[[], Config] | None = None,
         operator: OperatorFile | None = None,
+        system: System | None = None,
     ) -> None:
         self.config, self._load = config, load
         operator = operator or OperatorFile()
-        self.scheduler = Scheduler()
-        self.clock = Clock()
+        self.system: System = RealSystem() if system is None else system
+        self.scheduler = Scheduler(self.system)
+        self.clock = Clock(self.system)
         self.counters = Counters()
         self.outputs: dict[str, Output] = {}  # by where they lead
         self.figures = None if operator.figures is None else self._figures(operator.figures)
@@ -110,11 +113,11 @@
 
     def _output(self, where: str, make: Callable[[], Sink]) -> Output:
         if where not in self.outputs:
-            self.outputs[where] = Output(make(), where)
+            self.outputs[where] = Output(make(), where, self.system)
         return self.outputs[where]
 
     def _stderr(self) -> Output:
-        return self._output(STDERR, lambda: DescriptorSink(2))
+        return self._output(STDERR, lambda: self.system.descriptor_sink(2))
 
     def _figures(self, settings: FiguresSettings) -> Figures:
         self.counters.also(DROPPED)
@@ -122,9 +125,9 @@
         if target.kind == "stderr":
             output = self._stderr()
         elif target.kind == "file":
-            output = self._output("figures", lambda: FileSink(target.path))
+            output = self._output("figures", lambda: self.system.file_sink(target.path))
         else:
-            output = self._output("figures", lambda: UdpSink(target.address))
+            output = self._output("figures", lambda: self.system.datagram_sink(target.address))
         lane = output.lane(settings.buffer_kb * 1024)
         return Figures(settings, self.config.settings, self.clock, self.counters, lane)
 
@@ -206,21 +209,11 @@
 
     def install_signals(self) -> None:
         """SIGTERM and SIGINT end the sidecar, SIGUSR1 prints the counts, SIGHUP reads the configuration."""
-
-        def on_end(number: int, frame: FrameType | None) -> None:
-            self.end()
-
-        def on_report(number: int, frame: FrameType | None) -> None:
-            self.report()
-
-        def on_reload(number: int, frame: FrameType | None) -> None:
-            self.reload()
-
         # Guards against SIGHUP ending the process, which is what it does where nobody handles it.
-        signal.signal(signal.SIGHUP, on_reload)
-        signal.signal(signal.SIGTERM, on_end)
-        signal.signal(signal.SIGINT, on_end)
-        signal.signal(signal.SIGUSR1, on_report)
+        self.system.on_signal(signal.SIGHUP, self.reload)
+        self.system.on_signal(signal.SIGTERM, self.end)
+        self.system.on_signal(signal.SIGINT, self.end)
+        self.system.on_signal(signal.SIGUSR1, self.report)
 
     def _listed(self, update: MachineListUpdate) -> None:
         if self.status is not None:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -26,6 +26,7 @@
 from brambleusher.features.replay import DIFFERENT, REFUSED, SAME, replay
 from brambleusher.net.machine_list import MachineListUpdate
 from brambleusher.operator_file import CaptureSettings, OperatorError, parse_operator_file
+from brambleusher.runtime.real import RealSystem
 from brambleusher.sidecar import memory_of_features
 from quillpass import Balancer, api
 from quillpass.state import StateError, restore, restore_settings, save, save_settings
@@ -74,8 +75,7 @@
 
 
 def lane() -> Lane:
-    lock = threading.Lock()
-    return Lane(lock, threading.Condition(lock), 1 << 30)
+    return Lane(RealSystem().worker("lane", lambda: False, lambda: None), 1 << 30)
 
 
 def taken(lane: Lane) -> bytes:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,6 +13,7 @@
 from brambleusher.config import ConfigError, load_config, parse_config
 from brambleusher.logs import KeyValueFormatter
 from brambleusher.net.machine_list import ListError, decode_update
+from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
 from quillpass.api import HostState
 from tests.rig import SETTINGS
@@ -91,7 +92,7 @@
 
 class Tasks(unittest.TestCase):
     def test_what_wakes_a_task(self) -> None:
-        scheduler, bell, seen = Scheduler(), Bell(), list[str]()
+        scheduler, bell, seen = Scheduler(RealSystem()), Bell(), list[str]()
         self.addCleanup(scheduler.close)
 
         def waits() -> None:
@@ -114,7 +115,7 @@
         self.assertEqual(seen, ["bell", "timeout", "cancelled"])
 
     def test_a_fault_ends_its_task_alone(self) -> None:
-        scheduler, seen = Scheduler(), list[int]()
+        scheduler, seen = Scheduler(RealSystem()), list[int]()
         self.addCleanup(scheduler.close)
         with self.assertLogs("brambleusher", "ERROR"):
             scheduler.spawn(lambda: 1 // 0)
@@ -122,14 +123,14 @@
             scheduler.run(lambda: bool(seen))
 
     def test_cancelled_deadlines_do_not_pile_up(self) -> None:
-        scheduler = Scheduler()
+        scheduler = Scheduler(RealSystem())
         self.addCleanup(scheduler.close)
         for _ in range(5000):
             scheduler.call_at(sys.maxsize, lambda: None).cancel()
         self.assertLess(len(scheduler._timers), 1100)
 
     def test_a_deadline_that_passes_keeps_nothing(self) -> None:
-        scheduler, held = Scheduler(), list[weakref.ref[set[int]]]()
+        scheduler, held = Scheduler(RealSystem()), list[weakref.ref[set[int]]]()
         self.addCleanup(scheduler.close)
 
         def waits() -> None:
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -19,10 +19,13 @@
 from pathlib import Path
 from unittest import mock
 
-from brambleusher.features import output
 from brambleusher.features.figures import Influx, Statsd
-from brambleusher.features.output import DescriptorSink, FileSink, Item, Output, append_whole, pieces
+from brambleusher.features.output import ITEM_BYTES, Output
 from brambleusher.operator_file import FiguresSettings, OperatorError, Target, parse_operator_file
+from brambleusher.runtime import sinks
+from brambleusher.runtime.real import RealSystem
+from brambleusher.runtime.sinks import DescriptorSink, FileSink, append_whole, pieces
+from brambleusher.runtime.system import Item
 from tests.rig import WAIT, Node, Rig, answer, reset
 
 
@@ -91,8 +94,8 @@
 class Lanes(unittest.TestCase):
     def test_a_full_lane_drops_its_oldest_lines_and_counts_them(self) -> None:
         gate = Gate()
-        out = Output(gate, "gate")
-        lane = out.lane(10 * (output.ITEM_BYTES + 4))
+        out = Output(gate, "gate", RealSystem())
+        lane = out.lane(10 * (ITEM_BYTES + 4))
         lane.put([b"bad\n"])
         self.assertTrue(gate.taken.wait(WAIT))
         lane.put([b"%03d\n" % n for n in range(30)])  # one is being written and counts: nine stay
@@ -107,9 +110,9 @@
     def test_lines_wait_for_the_flush_or_for_half_a_lane(self) -> None:
         gate = Gate()
         gate.open.set()
-        out = Output(gate, "gate")
+        out = Output(gate, "gate", RealSystem())
         self.addCleanup(out.close)
-        lane = out.lane(10 * (output.ITEM_BYTES + 4))
+        lane = out.lane(10 * (ITEM_BYTES + 4))
         lane.hold(b"000\n")
         self.assertFalse(lane.due)
         for _ in range(5):
@@ -219,7 +222,7 @@
         seen = 0
         while seen < 60:
             data = collector.recv(65536)
-            self.assertLessEqual(len(data), output.MAX_DATAGRAM)
+            self.assertLessEqual(len(data), sinks.MAX_DATAGRAM)
             self.assertRegex(data.decode(), r"\A(brambleusher\.\w+:\d+\|\w+(\|#[\w:,-]+)?\n)+\Z")
             seen += data.count(b"attempt_ms")
         collector.close()  # from here on nobody listens
--- /dev/null
+++ b/tests/test_seam.py
@@ -0,0 +1,41 @@
+"""Nothing reaches the machine but through the seam: a call past it would be real in a virtual world."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import brambleusher
+
+ROOT = Path(brambleusher.__file__).parent
+FORBIDDEN = {"time", "select", "selectors", "socket", "threading", "subprocess", "asyncio"}
+# The real implementation, and programs of their own that never run in a virtual world.
+OUTSIDE = ("runtime/real.py", "runtime/sinks.py", "control/", "cli/")
+
+
+def imported(source: str) -> set[str]:
+    """The top-level modules that a source imports, wherever it does."""
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(source)):
+        if isinstance(node, ast.Import):
+            names |= {alias.name.split(".")[0] for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module and not node.level:
+            names.add(node.module.split(".")[0])
+    return names
+
+
+def test_only_the_real_implementation_touches_the_machine() -> None:
+    seen, breaches = 0, []
+    for path in sorted(ROOT.rglob("*.py")):
+        where = path.relative_to(ROOT).as_posix()
+        if where.startswith(OUTSIDE):
+            continue
+        seen += 1
+        breaches += [f"{where} imports {name}" for name in sorted(imported(path.read_text()) & FORBIDDEN)]
+    assert seen > 20
+    assert not breaches
+
+
+def test_the_scan_sees_an_import_within_a_function() -> None:
+    assert "time" in imported("def f():\n    from time import monotonic\n    return monotonic()\n")
+    assert "socket" in imported("import socket as s\n")
