An independent checker of every rule, from the bytes on the wire

The checker keeps its own books from what passes on the taps, with its own readers of HTTP and of lists, and the nodes' book of executions.

--- /dev/null
+++ b/brambleusher/lab/checker/checker.py
@@ -0,0 +1,778 @@
+"""The checker: it hears every byte on the virtual wire and says which rule was broken, when and by whom.
+
+Hang it on a world's taps, tell it of the processes that begin (`sidecar`, `node`, `discovery`, `bad_client`)
+and of what discovery knows (`true_list`, `discovery_able`), call `step` after each step and `finish` at the
+end.  Times are nanoseconds on the world's monotonic clock, except `started_ms`, which is Unix time.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import math
+from collections import deque
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import count
+from typing import Any
+
+from brambleusher.lab.checker import judge, rerun
+from brambleusher.lab.checker.books import (
+    Address,
+    Attempt,
+    Breach,
+    End,
+    Execution,
+    Life,
+    Line,
+    Named,
+    Passage,
+    Process,
+    Submission,
+    Taking,
+    Truth,
+    Watching,
+    Wire,
+    merged,
+)
+from brambleusher.lab.checker.messages import Message
+from brambleusher.lab.checker.roster import READY, Told, address_of, entries_of, read
+from brambleusher.lab.checker.rules import MS, RULES, SECOND, UNSAFE, Rules
+
+MOST_KEPT = 100  # breaches with their time lines; further ones are counted
+TIMER_LATE_NS = 500 * MS  # a process that gets no processor for so long is no world of ours
+LATE_LIST_NS = 50 * MS  # a list that takes no longer to arrive is told when it is written
+
+
+class Checker:
+    """One run's books.  `executions` is the common book of all stand-in nodes, in order of arrival."""
+
+    def __init__(self, rules: Rules, executions: Sequence[Execution] = ()) -> None:
+        self.rules, self._executions = rules, executions
+        self.breaches: list[Breach] = []
+        self.count = 0  # of breaches
+        self.taken = self.served = self.attempts = self.lists = 0
+        self._lives: dict[str, Life] = {}
+        self._listens: dict[Address, str] = {}
+        self._discoveries: set[Address] = set()
+        self._processes: dict[Address, Process] = {}
+        self._bad: dict[Address | str, int] = {}
+        self._wires: dict[int, Submission | Passage | Watching] = {}
+        self._takings: dict[tuple[str, str], list[Taking]] = {}  # by sidecar and request
+        self._allowed: dict[str, int] = {}  # how often a request may run: as often as it was taken
+        self._due: list[tuple[int, int, Taking | Submission]] = []
+        self._number = count()
+        self._doubts: list[tuple[int, Taking, str]] = []  # breaches unless the same moment explains them
+        self._seen = 0  # executions looked at
+        self._runs: dict[str, list[Execution]] = {}
+        self._twice: dict[str, list[Execution]] = {}
+        self._pushed: dict[tuple[str, int], deque[tuple[int, float, bool]]] = {}
+        self._over_budget: set[tuple[str, int]] = set()
+        self._truth = Truth()
+        self._calm_ns = -1
+        self._asked: list[Taking] = []  # since then
+
+    # --- what the fleet tells -------------------------------------------------------------------
+
+    def sidecar(self, now: int, machine: str, config: bytes | Mapping[str, Any]) -> None:
+        """A sidecar's process is about to start on a machine, with this configuration."""
+        raw = json.loads(config) if isinstance(config, bytes) else config
+        listen, discovery = address_of(raw["listen"]), address_of(raw["discovery"])
+        life = Life(machine, str(raw["name"]), listen, now, asked_ns=now)
+        self._lives[machine] = life
+        self._listens[listen] = machine
+        self._discoveries.add(discovery)
+        known = raw.get("known")
+        if known is not None:
+            told = Told(int(known.get("version", 0)), True, entries_of(known["servers"]))
+            life.roster.take(now, told)
+            life.versions[discovery] = {told.version}
+        life.say(now, "starts")
+
+    def discovery(self, address: Address) -> None:
+        """Discovery can be had at this address too."""
+        self._discoveries.add(address)
+
+    def node(self, now: int, name: str, address: Address, started_ms: int) -> None:
+        """A node's process takes connections at an address from now on; once for each address it has."""
+        self._processes[address] = Process(name, address, started_ms)
+
+    def bad_client(self, who: Address | str, wait_ns: int | None = None) -> None:
+        """A client, by its address or its machine's name, that connects from now on.
+
+        It is owed service for what can be served, and for the rest an error or a close within some time
+        of connecting.
+        """
+        self._bad[who] = self.rules.bad_ns if wait_ns is None else wait_ns
+
+    def true_list(self, now: int, servers: list[dict[str, Any]], full: bool = False) -> None:
+        """Discovery has learnt of these nodes, in its own form; `full`: those left out are gone."""
+        self._truth.roster.take(now, Told(0, full, entries_of(servers)))
+
+    def discovery_able(self, now: int, able: bool, machine: str = "") -> None:
+        """Whether discovery can tell what it has to: in good order, and reached by this sidecar or by all."""
+        self._truth.able[machine] = now if able else -1
+
+    def excuse(self, now: int, machine: str, why: str) -> None:
+        """What this sidecar owes now is excused, by a fault that no program could make good."""
+        life = self._lives.get(machine)
+        if life is not None:
+            for taking in list(life.open):
+                self._settle(now, taking, why)
+
+    def captured(self, now: int, machine: str, stderr: bytes) -> None:
+        """A sidecar's standard error, with its dumped capture in it, at the end of the run."""
+        name = self._lives[machine].name
+        for text in rerun.differences(stderr)[:1]:
+            self._breach("replay", now, name, text)
+        for text in rerun.lost_timers(stderr, TIMER_LATE_NS)[:1]:
+            self._breach("timers", now, name, text)
+
+    def calm(self, now: int) -> None:
+        """The last fault has ended, and what is asked from here on can be served."""
+        self._calm_ns = now
+
+    # --- taps -----------------------------------------------------------------------------------
+
+    def process(self, now: int, machine: Named | str, what: str) -> None:
+        """A process was started, was killed, has exited or was sent a signal."""
+        life = self._lives.get(machine if isinstance(machine, str) else machine.name)
+        if life is None or life.over:
+            return
+        life.say(now, what)
+        if what in ("signal 15", "signal 2"):
+            life.term_ns = now if life.term_ns < 0 else life.term_ns
+        elif what == "signal 1":
+            life.reload_ns = now
+        elif what in ("killed", "exited"):
+            self._end_life(now, life, what == "killed")
+
+    def opened(self, now: int, conn: Wire) -> None:
+        """A connection is wanted."""
+        server, client = conn.server, conn.client
+        target = server.ip, server.port
+        if (machine := self._listens.get(target)) is not None:
+            self._submitter(now, conn.id, self._lives[machine], client)
+            return
+        asker = self._lives.get(client.machine)
+        if asker is None or asker.over:
+            return
+        if target in self._discoveries:
+            self._wires[conn.id] = Watching(conn.id, asker, target)
+            asker.asked_ns = now
+        else:
+            self._wires[conn.id] = Passage(conn.id, asker, target)
+
+    def established(self, now: int, conn: Wire) -> None:
+        """Both ends have it."""
+        wire = self._wires.get(conn.id)
+        if isinstance(wire, Passage):
+            wire.process = self._processes.get(wire.target)
+        elif isinstance(wire, Submission):
+            wire.life = self._lives[wire.life.machine]  # it may have started since
+
+    def accepted(self, now: int, conn: Wire) -> None:
+        """The listening process has taken it."""
+        wire = self._wires.get(conn.id)
+        if isinstance(wire, Submission):
+            wire.accepted = True
+
+    def refused(self, now: int, conn: Wire) -> None:
+        """It did not come up."""
+        wire = self._wires.pop(conn.id, None)
+        if isinstance(wire, Watching):
+            wire.life.ask_failed = True
+
+    def sent(self, now: int, conn: Wire, side: str, data: bytes) -> None:
+        """A process has handed bytes to its system."""
+        wire = self._wires.get(conn.id)
+        if wire is None:
+            return
+        if isinstance(wire, Submission):
+            if side == "client":
+                self._request_sent(now, wire, data)
+            elif not wire.life.over:
+                self._answer_sent(now, wire, data)
+        elif isinstance(wire, Passage):
+            if side == "client":
+                self._attempt_sent(now, wire, data)
+        elif side == "client":
+            self._asked_discovery(now, wire, data)
+        else:
+            self._told(now, wire, data)
+
+    def arrived(self, now: int, conn: Wire, side: str, data: bytes) -> None:
+        """Bytes have become readable."""
+        wire = self._wires.get(conn.id)
+        if wire is None:
+            return
+        if isinstance(wire, Submission):
+            if side == "server":
+                wire.arrived_in += len(data)
+                self._take(now, wire)
+            else:
+                wire.arrived_back += len(data)
+                while wire.sent_whole and wire.sent_whole[0][0] <= wire.arrived_back:
+                    taking = wire.sent_whole.popleft()[1]
+                    if taking is not None:
+                        taking.answered_ns = now
+        elif isinstance(wire, Passage):
+            if side == "client":
+                wire.arrived += len(data)
+                wire.arrived_ns = now
+        elif side == "client":
+            wire.arrived += len(data)
+            self._learn(now, wire)
+
+    def read(self, now: int, conn: Wire, side: str, data: bytes) -> None:
+        """A process has read bytes."""
+        wire = self._wires.get(conn.id)
+        if isinstance(wire, Submission):
+            if side == "server":
+                wire.read_in += len(data)
+            else:
+                wire.taken_out += len(data)
+        elif isinstance(wire, Passage) and side == "client":
+            self._answer_read(now, wire, data)
+
+    def ended(self, now: int, conn: Wire, side: str, how: str) -> None:
+        """The other end's end, or a reset, has become readable at `side`."""
+        wire = self._wires.get(conn.id)
+        if isinstance(wire, Submission):
+            if side == "client":
+                wire.reset_seen = wire.reset_seen or how == "reset"
+                if not wire.closed:
+                    self._broken(now, wire)
+            else:
+                self._left(now, wire, f"its submitter has ended ({how})")
+        elif isinstance(wire, Passage) and side == "client":
+            if wire.ended_seen_ns < 0:
+                wire.ended_seen_ns = now
+            wire.ended = wire.ended or how == "reset"
+            self._note(now, wire, f"{wire.where} ended it ({how})")
+        elif isinstance(wire, Watching) and side == "client":
+            self._watch_over(now, wire)
+
+    def closed(self, now: int, conn: Wire, side: str) -> None:
+        """A process has closed its end."""
+        wire = self._wires.get(conn.id)
+        if isinstance(wire, Submission):
+            if side == "client":
+                self._left(now, wire, "its submitter has left")
+            elif not wire.closed:
+                wire.closed = True
+                self._closed_by_sidecar(now, wire)
+        elif isinstance(wire, Passage) and side == "client" and not wire.ended:
+            wire.ended = True
+            self._note(now, wire, f"closed, {wire.where}")
+        elif isinstance(wire, Watching) and side == "client":
+            self._watch_over(now, wire)
+
+    # --- after each step ------------------------------------------------------------------------
+
+    def step(self, now: int) -> None:
+        """What time alone breaks, and what nodes have written into their book."""
+        if self._doubts and self._doubts[0][0] < now:
+            self._confirm()
+        while self._due and self._due[0][0] < now:
+            at, _, item = heapq.heappop(self._due)
+            if isinstance(item, Taking):
+                self._check_due(at, item)
+            else:
+                self._check_bad(at, item)
+        if self._seen < len(self._executions):
+            self._look()
+        if self._twice:
+            self._check_twice(now)
+
+    def finish(self, now: int, left_over: Iterable[str] = ()) -> list[Breach]:
+        """The run is over; `left_over` is what the fleet found left, in words.  All breaches."""
+        self.step(now + 1)
+        for text in left_over:
+            self._breach("left-over", now, "the fleet", text)
+        self._check_recovery(now)
+        return self.breaches
+
+    # --- submitters -----------------------------------------------------------------------------
+
+    def _submitter(self, now: int, number: int, life: Life, client: End) -> None:
+        wire = self._wires[number] = Submission(number, life, now, (client.ip, client.port))
+        wire.bad_ns = self._bad.get(wire.peer, self._bad.get(client.machine))
+        if wire.bad_ns is not None:
+            self._push(now + wire.bad_ns + self.rules.slack_ns, wire)
+
+    def _request_sent(self, now: int, wire: Submission, data: bytes) -> None:
+        for message in wire.reader.feed(data):
+            fault = judge.fault_of(message, self.rules)
+            name = message.get("request-id") or ""
+            effect = self.rules.effects.get(judge.class_of(message), "")
+            taking = Taking(wire.life, wire, message, name, effect, fault)
+            taking.sent_ns, taking.behind = now, bool(wire.entries)
+            if fault is None:
+                taking.wait_ns = int(message.get("request-timeout-ms") or 0) * MS
+            elif fault == judge.READY:
+                taking.settled = fault
+            wire.entries.append(taking)
+        if wire.arrived_in >= wire.reader.begin:
+            self._take(now, wire)
+
+    def _take(self, now: int, wire: Submission) -> None:
+        """Requests whose last byte has arrived are taken."""
+        for taking in wire.entries:
+            if taking.taken_ns >= 0 or taking.message.end > wire.arrived_in:
+                continue
+            # A request that the network held up runs from its arrival: nobody here could know of it.
+            late = now - taking.sent_ns > self.rules.slack_ns // 10
+            taking.taken_ns = now if late else taking.sent_ns
+            if taking.fault is not None:
+                continue
+            self.taken += 1
+            life = wire.life
+            self._takings.setdefault((life.machine, taking.name), []).append(taking)
+            self._allowed[taking.name] = self._allowed.get(taking.name, 0) + 1
+            peer = f"{wire.peer[0]}:{wire.peer[1]}"
+            taking.trail.append((taking.taken_ns, f"{life.name} takes {taking.name} from {peer}"))
+            life.open[taking] = None
+            if self._calm_ns >= 0 and wire.bad_ns is None:
+                self._asked.append(taking)
+            if not taking.behind:
+                self._run_from(taking, taking.taken_ns)
+
+    def _run_from(self, taking: Taking, at: int) -> None:
+        taking.due_ns = at + taking.wait_ns + self.rules.slack_ns
+        self._push(taking.due_ns, taking)
+
+    def _answer_sent(self, now: int, wire: Submission, data: bytes) -> None:
+        if not (wire.answers.begun or wire.entries or wire.reader.begun):
+            wire.flagged = wire.answers.begin
+            self._unowed(now, wire, "bytes of an answer that no request is owed")
+        for answer in wire.answers.feed(data):
+            if answer.status < 200:
+                continue
+            if answer.status >= 400:
+                wire.errors += 1
+            else:
+                wire.served += 1
+            if not wire.entries:
+                # Only one that has come in part, or can't be read on, may be told so.
+                if (answer.status < 400 or not wire.reader.begun) and answer.begin != wire.flagged:
+                    self._unowed(now, wire, f"an answer {answer.status} that no request is owed")
+                wire.sent_whole.append((answer.end, None))
+                continue
+            taking = wire.entries.pop(0)
+            wire.sent_whole.append((answer.end, taking))
+            self._answered(now, taking, answer)
+            if wire.entries and wire.entries[0].behind and not wire.entries[0].fault:
+                self._run_from(wire.entries[0], now)
+
+    def _unowed(self, now: int, wire: Submission, what: str) -> None:
+        peer = f"{wire.peer[0]}:{wire.peer[1]}"
+        self._breach("one-answer", now, wire.life.name, f"{what}, to {peer}", wire.life.trail)
+
+    def _answered(self, now: int, taking: Taking, answer: Message) -> None:
+        status = taking.status = answer.status
+        taking.trail.append((now, f"{taking.life.name} answers {status}"))
+        was_open = not taking.settled
+        taking.life.open.pop(taking, None)
+        if taking.fault is not None:
+            if status < 400 and taking.fault != judge.READY:
+                self._break("unusable", now, taking, f"answered {status} though {taking.fault}")
+            return
+        if was_open and taking.due_ns >= 0 and now > taking.due_ns:
+            self._break("answer", now, taking, f"answered {(now - taking.due_ns) / 1e6:.3f} ms too late")
+        if status == 200:
+            self._check_made(now, taking, answer.body)
+        elif status in (429, 503) and taking.effect == UNSAFE:
+            risky = [each for each in taking.attempts if each.may_run]
+            if risky:
+                self._break(
+                    "refusal", now, taking, f"refused with {status}; it may have run on {risky[0].wire.where}"
+                )
+
+    def _check_made(self, now: int, taking: Taking, body: bytes) -> None:
+        self._look()
+        self.served += 1
+        if any(each.answer and each.answer == body for each in self._runs.get(taking.name, ())):
+            return
+        for each in self._executions:
+            if each.answer and each.answer == body:
+                self._break(
+                    "other-answer", now, taking, f"served with what {each.node} made for {each.request}"
+                )
+                return
+        self._break("made-answer", now, taking, f"served with {len(body)} bytes that no node made for it")
+
+    def _check_due(self, at: int, taking: Taking) -> None:
+        """Its time is up."""
+        if taking.settled:
+            return
+        wire = taking.wire
+        if taking.status:
+            if taking.answered_ns < 0 and wire.reset_seen:
+                self._settle(at, taking, "reset")
+                self._break("answer", at, taking, "its answer was overtaken by a reset")
+            return
+        if wire.arrived_back > wire.taken_out:
+            self._settle(at, taking, "its submitter does not read")
+            return
+        self._settle(at, taking, "late")
+        self._break("answer", at, taking, "no answer when its time was up")
+
+    def _closed_by_sidecar(self, now: int, wire: Submission) -> None:
+        for taking in wire.entries:
+            if taking.settled or taking.fault is not None or taking.taken_ns < 0:
+                continue
+            if wire.read_in <= taking.message.begin:
+                self._settle(now, taking, "the close crossed it unread")
+                self._allowed[taking.name] -= 1
+            elif taking.behind:
+                self._settle(now, taking, "it was sent ahead of an answer")
+            elif not wire.life.over:
+                self._doubts.append((now, taking, "its connection was closed without an answer"))
+
+    def _broken(self, now: int, wire: Submission) -> None:
+        """It has ended at its submitter, and no process of the sidecar's closed it."""
+        for taking in wire.entries:
+            if wire.accepted:
+                self._settle(now, taking, "the network broke its connection")
+            elif taking.owed and not wire.life.over:
+                self._doubts.append(
+                    (now, taking, "its connection was dropped before it was looked at")
+                )
+
+    def _left(self, now: int, wire: Submission, why: str) -> None:
+        wire.gone = True
+        for taking in wire.entries:
+            self._settle(now, taking, why)
+
+    def _settle(self, now: int, taking: Taking, why: str) -> None:
+        if not taking.settled:
+            taking.settled = why
+            taking.trail.append((now, why))
+        taking.life.open.pop(taking, None)
+
+    def _confirm(self) -> None:
+        doubts, self._doubts = self._doubts, []
+        for at, taking, what in doubts:
+            if taking.owed:
+                self._settle(at, taking, what)
+                self._break("answer", at, taking, what)
+
+    def _check_bad(self, at: int, wire: Submission) -> None:
+        if wire.closed or wire.gone or wire.errors or wire.served or wire.life.over:
+            return
+        if any(taking.fault is None and taking.taken_ns >= 0 for taking in wire.entries):
+            return  # it asked for something that can be served: that is owed as to anybody
+        peer = f"{wire.peer[0]}:{wire.peer[1]}"
+        self._breach(
+            "bad-client", at, wire.life.name,
+            f"{peer} connected at {wire.opened_ns / 1e9:.9f} and has neither an error nor a close",
+        )  # fmt: skip
+
+    def _end_life(self, now: int, life: Life, killed: bool) -> None:
+        life.over = True
+        limit = life.term_ns + self.rules.term_ns
+        for taking in list(life.open):
+            if killed and (life.term_ns < 0 or taking.taken_ns <= limit):
+                self._settle(now, taking, "its sidecar was killed")
+            elif not taking.settled:
+                self._settle(now, taking, "its sidecar has ended")
+                self._break("answer", now, taking, "its sidecar ended without answering it")
+        self._doubts = [each for each in self._doubts if each[1].life is not life]
+        if not killed and life.term_ns < 0:
+            self._breach("crash", now, life.name, "ended unasked", life.trail)
+
+    # --- nodes ----------------------------------------------------------------------------------
+
+    def _attempt_sent(self, now: int, wire: Passage, data: bytes) -> None:
+        if not wire.reader.begun:
+            self._begin_attempt(now, wire)
+        messages = wire.reader.feed(data)
+        for at, message in enumerate(messages):
+            attempt = wire.attempt
+            assert attempt is not None
+            if attempt.taking is None:
+                self._identify(now, wire, attempt, message)
+            self._written(now, wire, attempt, message)
+            if at + 1 < len(messages) or wire.reader.begun:
+                self._begin_attempt(now, wire)
+        head = wire.reader.head
+        if head is not None and wire.attempt is not None and wire.attempt.taking is None:
+            self._identify(now, wire, wire.attempt, head)
+
+    def _begin_attempt(self, now: int, wire: Passage) -> None:
+        """The first byte of a request to a node."""
+        before = wire.attempt
+        attempt = wire.attempt = Attempt(wire, now)
+        wire.asked += 1
+        if before is not None:
+            if before.status == 0:
+                self._at_node("shared", now, attempt, "another request is out on this connection")
+            elif wire.closes:
+                self._at_node("dirty", now, attempt, "the node had said that it closes this connection")
+            elif wire.answers.begun:
+                self._at_node("dirty", now, attempt, "bytes behind an answer had been read from it")
+            elif wire.arrived > wire.read and wire.arrived_ns < now:
+                self._at_node("dirty", now, attempt, f"{wire.arrived - wire.read} bytes waited on it")
+            elif 0 <= wire.ended_seen_ns < now:
+                self._at_node("dirty", now, attempt, "its end waited on it")
+        self._check_drain(now, attempt)
+
+    def _check_drain(self, now: int, attempt: Attempt) -> None:
+        wire, life, process = attempt.wire, attempt.wire.life, attempt.wire.process
+        if process is None:
+            since = life.roster.vacant(wire.target)
+        else:
+            since = life.roster.stopped(process.node, process.started_ms, wire.target)
+        if since == -1:
+            self._at_node("unlisted", now, attempt, "no list named this address")
+            return
+        how = "was told"
+        if process is not None:
+            deemed = self._deemed(now, life, process)
+            if deemed is not None and (since is None or deemed < since):
+                since, how = deemed, "counts as told"
+        if since is not None and now - since > self.rules.drain_ns:
+            late = now - since - self.rules.drain_ns
+            self._at_node(
+                "drain", now, attempt,
+                f"first byte {late} ns too late: the sidecar {how} at {since / 1e9:.9f} that it stops",
+            )  # fmt: skip
+
+    def _deemed(self, now: int, life: Life, process: Process) -> int | None:
+        """Since when a sidecar counts as told that a process takes nothing new; None if it does not."""
+        truth = self._truth.node(process.node)
+        if truth is None:
+            return None
+        if truth.started_ms > process.started_ms:
+            since = truth.restarted_ns
+        elif truth.state != READY:
+            since = truth.since_ns
+        else:
+            return None
+        rules, moments = self.rules, [math.inf]
+        able = self._truth.able_since(life.machine)
+        if able is not None:
+            start = max(since, able, life.started_ns)
+            moments.append(start + rules.told_ns)
+            if 0 <= since <= life.reload_ns:
+                moments.append(max(life.reload_ns, start) + rules.told_reload_ns)
+        if not life.watches:
+            silence = rules.must_ask_ns * (rules.must_ask_failed if life.ask_failed else 1)
+            if now - life.asked_ns > silence:
+                moments.append(max(since, life.asked_ns) + silence)
+        at = min(moments)
+        return int(at) if at <= now else None
+
+    def _identify(self, now: int, wire: Passage, attempt: Attempt, head: Message) -> None:
+        """Whose request it is, and whether it may be sent."""
+        life, name = wire.life, head.get("request-id") or ""
+        if head.get("content-length") is not None and head.get("transfer-encoding") is not None:
+            self._at_node("framing", now, attempt, f"{name} has a length and a coding")
+        taking = self._whose(life, name)
+        if taking is None:
+            self._at_node("unasked", now, attempt, f"no submitter of {life.name} made a request {name!r}")
+            return
+        attempt.taking = taking
+        earlier = taking.attempts
+        if taking.effect == UNSAFE:
+            risky = [each for each in earlier if each.may_run]
+            if risky:
+                taking.trail.append((now, f"sent again to {wire.where}"))
+                self._break(
+                    "repeat", now, taking, f"sent again though it may have run on {risky[0].wire.where}"
+                )
+        if not self.rules.second_copies and any(not each.wire.ended and not each.status for each in earlier):
+            self._break("copies", now, taking, "an earlier attempt is still out")
+        earlier.append(attempt)
+        taking.trail.append((attempt.first_ns, f"first byte to {wire.where}"))
+
+    def _whose(self, life: Life, name: str) -> Taking | None:
+        there = self._takings.get((life.machine, name))
+        if not there:
+            return None
+        live = [each for each in there if each.life is life]
+        unanswered = [each for each in live if each.owed and each.wire.read_in >= each.message.end]
+        return unanswered[0] if unanswered else (live[-1] if live else None)
+
+    def _written(self, now: int, wire: Passage, attempt: Attempt, message: Message) -> None:
+        """The last byte was handed over: from here on it may run."""
+        attempt.written_ns = now
+        self.attempts += 1
+        taking = attempt.taking
+        if taking is None:
+            return
+        taking.trail.append((now, f"written whole to {wire.where}"))
+        asked = taking.message
+        if message.start.split(" ")[:2] != asked.start.split(" ")[:2] or message.body != asked.body:
+            self._break("changed", now, taking, f"passed on as {message.start!r}, {len(message.body)} bytes")
+        if sum(each.written_ns >= 0 for each in taking.attempts) > self.rules.max_attempts:
+            self._break("attempts", now, taking, f"attempt number {len(taking.attempts)}")
+
+    def _answer_read(self, now: int, wire: Passage, data: bytes) -> None:
+        wire.read += len(data)
+        for answer in wire.answers.feed(data):
+            if answer.status < 200 or wire.attempt is None or wire.attempt.status:
+                continue
+            attempt = wire.attempt
+            attempt.status = answer.status
+            if answer.status in (503, 504) and answer.get("not-started") == "1":
+                attempt.proven = True
+            wire.closes = answer.closes
+            self._note(now, wire, f"{answer.status} from {wire.where}{', not started' * attempt.proven}")
+
+    def _note(self, now: int, wire: Passage, text: str) -> None:
+        if wire.attempt is not None and wire.attempt.taking is not None:
+            wire.attempt.taking.trail.append((now, text))
+
+    # --- the nodes' book ------------------------------------------------------------------------
+
+    def _look(self) -> None:
+        """Take in what the nodes have written since."""
+        while self._seen < len(self._executions):
+            each = self._executions[self._seen]
+            self._seen += 1
+            there = self._runs.setdefault(each.request, [])
+            there.append(each)
+            if len(there) > 1 and self._effect(each.request) == UNSAFE:
+                self._twice[each.request] = there
+            if each.cold:
+                self._check_cold(each)
+
+    def _effect(self, name: str) -> str:
+        return next((taking.effect for taking in self._of(name)), "")
+
+    def _of(self, name: str) -> list[Taking]:
+        return [
+            each for machine in self._lives for each in self._takings.get((machine, name), ())
+        ]  # fmt: skip
+
+    def _check_twice(self, now: int) -> None:
+        for name, there in list(self._twice.items()):
+            runs = [each for each in there if each.began_ns]
+            if len(runs) > max(self._allowed.get(name, 0), 1):
+                del self._twice[name]
+                at = ", ".join(each.node for each in runs)
+                self._break("once", now, self._of(name)[0], f"run {len(runs)} times: {at}")
+
+    def _check_cold(self, each: Execution) -> None:
+        """A cold node's budget for one window that ends here, over all sidecars together."""
+        rules, at, node = self.rules, each.came_ns, (each.node, each.process)
+        told = False
+        for taking in self._of(each.request):
+            for attempt in taking.attempts:
+                process = attempt.wire.process
+                if process is not None and process.node == each.node:
+                    told = told or taking.life.roster.knows_start(process.node, process.started_ms)
+        pushed = self._pushed.setdefault(node, deque())
+        pushed.append((at, each.work_s, told))
+        while pushed[0][0] <= at - rules.fall_ns:
+            pushed.popleft()
+        work = sum(item[1] for item in pushed)
+        by_told = sum(item[1] for item in pushed if item[2])
+        budget = rules.fall_multiple * each.capacity * rules.fall_ns / SECOND
+        # What chance may add: three standard deviations of the number of requests that the budget has room
+        # for, each as large as those seen.
+        usual = work / len(pushed)
+        budget += 3 * math.sqrt(budget * usual)
+        if work > budget and by_told >= rules.cold_told_part * work and node not in self._over_budget:
+            self._over_budget.add(node)
+            self._breach(
+                "cold", at, each.node,
+                f"{work:.3f} s of work in {len(pushed)} requests within {rules.fall_ns / 1e9:g} s, "
+                f"{by_told:.3f} s of it from sidecars that were told of its start; room for {budget:.3f} s",
+            )  # fmt: skip
+
+    # --- discovery ------------------------------------------------------------------------------
+
+    def _asked_discovery(self, now: int, wire: Watching, data: bytes) -> None:
+        for message in wire.asks.feed(data):
+            life = wire.life
+            life.asked_ns, life.ask_failed = now, False
+            target = message.start.split(" ")[1]
+            life.say(now, f"asks discovery at {wire.target[0]}:{wire.target[1]} for {target}")
+            words = dict(word.partition("=")[::2] for word in target.partition("?")[2].split("&"))
+            since = words.get("since")
+            if since is not None and (
+                not since.isdigit() or int(since) not in life.versions.get(wire.target, ())
+            ):
+                self._breach("versions", now, life.name, f"asked for what follows {since}", life.trail)
+
+    def _told(self, now: int, wire: Watching, data: bytes) -> None:
+        lines, life = wire.lines, wire.life
+        heard = lines.status
+        whole = lines.feed(data)
+        if lines.status and not heard:
+            life.ask_failed = lines.status != 200
+            if not life.ask_failed:
+                wire.on = True
+                life.watches += 1
+        for line in whole:
+            if not line.strip():
+                continue
+            told = read(line)
+            if told is None:
+                life.say(now, f"is told nonsense: {line[:40]!r}")
+                continue
+            self.lists += 1
+            life.versions.setdefault(wire.target, set()).add(told.version)
+            wire.pending.append((now, lines.at, told))
+
+    def _learn(self, now: int, wire: Watching) -> None:
+        """Lines have arrived."""
+        while wire.pending and wire.pending[0][1] <= wire.arrived:
+            written, _, told = wire.pending.popleft()
+            at = written
+            if now - written > LATE_LIST_NS:  # the network held it up, and it counts as told some time
+                at = min(now, written + self.rules.told_ns)
+            changed = wire.life.roster.take(at, told)
+            what = "the whole list" if told.full else "changes"
+            text = f"is told {what}, version {told.version}, written at {written / 1e9:.9f}"
+            wire.life.say(now, ": ".join([text, ", ".join(changed)]) if changed else text)
+
+    def _watch_over(self, now: int, wire: Watching) -> None:
+        if wire.on:
+            wire.on = False
+            wire.life.watches -= 1
+            wire.life.asked_ns = now
+        elif not wire.lines.done:
+            wire.life.ask_failed = True
+
+    # --- the end --------------------------------------------------------------------------------
+
+    def _check_recovery(self, now: int) -> None:
+        rules = self.rules
+        if self._calm_ns < 0:
+            return
+        start = self._calm_ns + rules.recover_ns
+        asked = [
+            each
+            for each in self._asked
+            if each.taken_ns >= start and (each.status or not each.settled) and each.due_ns <= now
+        ]
+        served = sum(each.status == 200 for each in asked)
+        if len(asked) < rules.recover_least or served >= rules.recover_part * len(asked):
+            return
+        lost = next(each for each in asked if each.status != 200)
+        self._breach(
+            "recovery", now, "the fleet",
+            f"{served} of {len(asked)} requests served from {start / 1e9:.9f} on, the last fault ended "
+            f"at {self._calm_ns / 1e9:.9f}; the first one not served follows", lost.trail,
+        )  # fmt: skip
+
+    # --- breaches -------------------------------------------------------------------------------
+
+    def _push(self, at: int, item: Taking | Submission) -> None:
+        heapq.heappush(self._due, (at, next(self._number), item))
+
+    def _at_node(self, rule: str, now: int, attempt: Attempt, what: str) -> None:
+        life = attempt.wire.life
+        self._breach(rule, now, life.name, f"to {attempt.wire.where}: {what}", life.trail)
+
+    def _break(self, rule: str, now: int, taking: Taking, what: str) -> None:
+        self._breach(rule, now, taking.life.name, f"{taking.name}: {what}", taking.trail, taking.life.trail)
+
+    def _breach(self, rule: str, now: int, who: str, what: str, *trails: Sequence[Line]) -> None:
+        assert rule in RULES
+        self.count += 1
+        if len(self.breaches) < MOST_KEPT:
+            self.breaches.append(Breach(rule, now, who, what, merged(*trails)))
--- /dev/null
+++ b/brambleusher/lab/checker/roster.py
@@ -0,0 +1,157 @@
+"""What a sidecar was told of the execute nodes, and when: the checker's own reader of lists."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+READY, DRAINING, GONE = "Ready", "Terminating", "Gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One node as a list has it."""
+
+    name: str
+    address: tuple[str, int]
+    state: str
+    started_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """One list, or the entries of one that changed."""
+
+    version: int
+    full: bool
+    entries: tuple[Entry, ...]
+
+
+def _count(raw: dict[str, Any], key: str) -> int:
+    value = raw.get(key, 0)
+    if type(value) is not int or value < 0:
+        raise ValueError(key)
+    return value
+
+
+def address_of(text: Any) -> tuple[str, int]:
+    """`host:port`; raises `ValueError`."""
+    if not isinstance(text, str):
+        raise ValueError("addr")
+    host, colon, port = text.rpartition(":")
+    if not host or not colon or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ValueError("addr")
+    return host, int(port)
+
+
+def _entry(raw: Any) -> Entry:
+    if not isinstance(raw, dict):
+        raise ValueError("entry")
+    name, state = raw.get("id"), raw.get("state")
+    weight = raw.get("weight", 1.0)
+    if not isinstance(name, str) or not name or state not in (READY, DRAINING, GONE):
+        raise ValueError("entry")
+    if isinstance(weight, bool) or not isinstance(weight, int | float) or not 0 <= weight < float("inf"):
+        raise ValueError("weight")
+    _count(raw, "cell")
+    started = _count(raw, "started_ms")
+    try:
+        address = address_of(raw.get("addr"))
+    except ValueError:
+        if state != GONE:
+            raise
+        address = ("", 0)
+    return Entry(name, address, state, started)
+
+
+def entries_of(raw: Any) -> tuple[Entry, ...]:
+    """Entries in discovery's form; raises `ValueError` where any makes no sense."""
+    if not isinstance(raw, list):
+        raise ValueError("servers")
+    return tuple(_entry(each) for each in raw)
+
+
+def read(line: bytes | dict[str, Any]) -> Told | None:
+    """A line of a watch; None where it makes no sense, and so tells nothing."""
+    try:
+        raw = json.loads(line) if isinstance(line, bytes) else line
+        if not isinstance(raw, dict):
+            return None
+        return Told(_count(raw, "version"), raw.get("full") is True, entries_of(raw.get("servers")))
+    except (ValueError, RecursionError):
+        return None
+
+
+class Known:
+    """One node as somebody was told of it."""
+
+    __slots__ = ("address", "moved_ns", "restarted_ns", "since_ns", "started_ms", "state")
+
+    def __init__(self, entry: Entry, now: int) -> None:
+        self.address, self.state, self.started_ms = entry.address, entry.state, entry.started_ms
+        self.since_ns = now  # told of this state
+        self.restarted_ns = self.moved_ns = now  # told of this start, and of this address
+
+
+class Roster:
+    """All nodes as somebody was told of them; those that are gone stay, as gone."""
+
+    __slots__ = ("nodes",)
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, Known] = {}
+
+    def take(self, now: int, told: Told) -> list[str]:
+        """Follow a list; says what changed, in words."""
+        changed = []
+        for entry in told.entries:
+            known = self.nodes.get(entry.name)
+            if known is None:
+                self.nodes[entry.name] = Known(entry, now)
+                changed.append(f"{entry.name} {entry.state}")
+                continue
+            if known.state != entry.state:
+                known.state, known.since_ns = entry.state, now
+                changed.append(f"{entry.name} {entry.state}")
+            if entry.state != GONE:
+                if known.started_ms != entry.started_ms:
+                    known.started_ms, known.restarted_ns = entry.started_ms, now
+                    changed.append(f"{entry.name} started")
+                if known.address != entry.address:
+                    known.address, known.moved_ns = entry.address, now
+                    changed.append(f"{entry.name} moved")
+        if told.full:
+            named = {entry.name for entry in told.entries}
+            for name, known in self.nodes.items():
+                if name not in named and known.state != GONE:
+                    known.state, known.since_ns = GONE, now
+                    changed.append(f"{name} {GONE}")
+        return changed
+
+    def stopped(self, name: str, started_ms: int, address: tuple[str, int]) -> int | None:
+        """Since when a process takes nothing new, as far as was told; None while it does.
+
+        -1 where no list ever named its address.  A process whose id was never told is the one that the
+        list has at its address.
+        """
+        known = self.nodes.get(name)
+        if known is None:
+            return self.vacant(address)
+        if known.started_ms > started_ms:
+            return known.restarted_ns
+        if known.state != READY:
+            return known.since_ns
+        return known.moved_ns if known.address != address else None
+
+    def vacant(self, address: tuple[str, int]) -> int | None:
+        """Since when no node is listed as ready at an address; None while one is, -1 if none ever was."""
+        there = [known for known in self.nodes.values() if known.address == address]
+        if any(known.state == READY for known in there):
+            return None
+        return max((known.since_ns for known in there), default=-1)
+
+    def knows_start(self, name: str, started_ms: int) -> bool:
+        """Whether this very start was told."""
+        known = self.nodes.get(name)
+        return known is not None and known.started_ms >= started_ms
