A virtual world: machines, processes and TCP in seeded time, first version

Works: connect, accept, send, receive, half-close, reset, full queues, refused and swallowed connects, cuts, silent connections, vanishing machines, stalls, signals, kills; taps on each step; the same seed gives the same run. Missing yet: the differential test against loopback.

--- /dev/null
+++ b/brambleusher/lab/network.py
@@ -0,0 +1,929 @@
+"""TCP in virtual time: sockets, listeners, links and what goes wrong on them.
+
+A connection carries bytes, not packets.  What a process sees of it, errno by errno and poll bit by poll
+bit, is what Linux shows: `tests/test_network_differential.py` plays the same scripts on both.  The names
+of states and errors are those of tcp(7), poll(2) and RFC 9293.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+from collections import deque
+from typing import TYPE_CHECKING, Any, Final, NamedTuple
+
+from brambleusher.runtime.system import END_SENDING, PEEK, READ, WRITE, Address
+
+if TYPE_CHECKING:
+    from brambleusher.lab.world import Machine, Process, World
+
+ERR, HUP, NVAL = 8, 16, 32  # poll(2)'s POLLERR, POLLHUP and POLLNVAL
+CLIENT, SERVER = "client", "server"
+FIN, RESET = "fin", "reset"
+SECOND = 1_000_000_000
+FIRST_PORT, LAST_PORT = 32768, 60999  # what Linux gives to those who don't ask for one
+ANY = "0.0.0.0"
+# When a connect that nothing answers is tried again, in seconds after the first try, and when it is given
+# up: Linux with tcp_syn_retries=6 and tcp_syn_linear_timeouts=4.
+CONNECT_AGAIN = (1, 2, 3, 4, 5, 7, 11, 19, 35, 67)
+CONNECT_GIVEN_UP = 131
+RETRANSMIT_NS = 200_000_000  # the least time until Linux sends again what was not acknowledged
+
+
+class State:
+    """States of a socket, as far as a process can tell them apart."""
+
+    CLOSE: Final = 0
+    SYN_SENT: Final = 1
+    SYN_RECV: Final = 2
+    OPEN: Final = 3  # ESTABLISHED and all that follow: `fin_in` and `shut_send` tell which
+
+
+class End(NamedTuple):
+    """One end of a connection."""
+
+    machine: str
+    ip: str
+    port: int
+
+
+class Connection:
+    """A connection as the world knows it, from the connect on."""
+
+    __slots__ = ("asked_ns", "client", "client_socket", "id", "server", "server_socket", "silent")
+
+    def __init__(self, number: int, client: End, server: End, asked_ns: int) -> None:
+        self.id, self.client, self.server, self.asked_ns = number, client, server, asked_ns
+        self.client_socket: VirtualSocket | None = None
+        self.server_socket: VirtualSocket | None = None
+        self.silent = False
+
+    def __repr__(self) -> str:
+        """For messages."""
+        one, other = self.client, self.server
+        return f"#{self.id} {one.machine}:{one.port} > {other.machine}:{other.port}"
+
+
+class Link:
+    """One way between two machines."""
+
+    __slots__ = ("_random", "cut", "down", "extra_ns", "from_", "jitter_ns", "latency_ns", "to")
+
+    def __init__(self, world: World, from_: Machine, to: Machine) -> None:
+        self.from_, self.to = from_, to
+        settings = world.settings
+        rng = world.stream(f"link {from_.name} {to.name}")
+        if from_ is to:
+            low, high = settings.loopback_ns
+        else:
+            low, high = settings.latency_ns
+        self.latency_ns = rng.randint(low, high)
+        self.jitter_ns = min(settings.jitter_ns, self.latency_ns) if from_ is to else settings.jitter_ns
+        self.extra_ns = 0
+        self._random = rng.random
+        self.cut = False
+        self.down = False
+        self.judge()
+
+    def judge(self) -> None:
+        """See whether anything passes."""
+        self.down = self.cut or self.from_.gone or self.to.gone
+
+    def delay(self) -> int:
+        """How long the next bytes are on their way, ns."""
+        return self.latency_ns + self.extra_ns + int(self._random() * self.jitter_ns)
+
+    def random(self) -> float:
+        """A draw, from this link's own stream."""
+        return self._random()
+
+
+def fault(number: int) -> OSError:
+    """The error with that number, as the operating system would raise it."""
+    return OSError(number, os.strerror(number))
+
+
+class Killed(BaseException):
+    """Raised by every system call of a process that is no more."""
+
+
+class VirtualListener:
+    """A socket that listens."""
+
+    __slots__ = ("backlog", "fd", "host", "machine", "open", "port", "process", "queue")
+
+    def __init__(self, machine: Machine, process: Process, host: str, port: int, backlog: int) -> None:
+        self.machine, self.process, self.host, self.port, self.backlog = machine, process, host, port, backlog
+        self.fd = -1
+        self.queue: deque[VirtualSocket] = deque()
+        self.open = True
+
+    # --- as `runtime.system.Socket` has it ------------------------------------------------------
+
+    def fileno(self) -> int:
+        """Its descriptor; -1 once it is closed."""
+        return self.fd
+
+    def connect_ex(self, address: Address, /) -> int:
+        """`EISCONN`: it listens."""
+        self._check()
+        return errno.EISCONN
+
+    def recv(self, size: int, flags: int = 0, /) -> bytes:
+        """`ENOTCONN`."""
+        self._check()
+        raise fault(errno.ENOTCONN)
+
+    def send(self, data: bytes | memoryview, /) -> int:
+        """`EPIPE`."""
+        self._check()
+        raise fault(errno.EPIPE)
+
+    def shutdown(self, how: int, /) -> None:
+        """Nothing, for the sending side."""
+        self._check()
+
+    def getsockname(self) -> Address:
+        """Host and port."""
+        self._check()
+        return self.host, self.port
+
+    def close(self) -> None:
+        """Close it; who waits in its queue is reset."""
+        if self.fd < 0 or self.process.dead:
+            return
+        self.process.release(self.fd)
+        self.fd = -1
+        self.let_go(False)
+
+    def _check(self) -> None:
+        if self.process.dead:
+            raise Killed
+        if self.fd < 0:
+            raise fault(errno.EBADF)
+
+    # --- as the world has it --------------------------------------------------------------------
+
+    def mask(self) -> int:
+        """Its poll bits."""
+        return READ if self.queue else 0
+
+    @property
+    def full(self) -> bool:
+        """Whether its queue takes no more."""
+        return len(self.queue) > self.backlog
+
+    def let_go(self, abort: bool) -> None:
+        """The process has closed it, or is no more."""
+        self.open = False
+        self.machine.listeners.pop(self.port, None)
+        while self.queue:
+            self.queue.popleft().let_go(True)
+
+    def vanish(self) -> None:
+        """Gone with its machine."""
+        self.open = False
+        self.machine.listeners.pop(self.port, None)
+        while self.queue:
+            self.queue.popleft().vanish()
+
+
+class VirtualSocket:
+    """One end of a connection, or what may become one."""
+
+    __slots__ = (
+        "_credits", "_pump_due", "_unacked", "_unsent", "_unsent_size", "_used", "_want_write",
+        "_window", "_write_due", "conn", "connecting", "disconnected", "err", "fd", "fin_acked_ns",
+        "fin_in", "fin_queued", "held", "held_since", "host", "last_arrival", "link", "machine", "network",
+        "orphan", "peer", "port", "process", "rx", "rx_size", "shut_receive", "shut_send", "side", "state",
+        "world",
+    )  # fmt: skip
+
+    def __init__(self, network: Network, machine: Machine, process: Process | None, state: int) -> None:
+        self.network, self.world = network, network.world
+        self.machine, self.process, self.state = machine, process, state
+        self.fd = -1
+        self.host, self.port = ANY, 0
+        self.conn: Connection | None = None
+        self.side = CLIENT
+        self.peer: VirtualSocket | None = None
+        self.link: Link | None = None  # the way to the peer
+        # What connect(2) goes by: it was called, and has not said yet that it worked.
+        self.connecting = self.disconnected = False
+        self.err = 0
+        self.shut_receive = self.shut_send = self.fin_in = self.orphan = False
+        self.rx: deque[bytes] = deque()
+        self.rx_size = 0
+        # Bytes on their way out: `_used` were taken from the process and not acknowledged; the part of
+        # them that found no room in the peer's window waits in `_unsent`.
+        self._used = self._unsent_size = 0
+        self._unsent: deque[bytes] = deque()
+        self._unacked: deque[tuple[int, int]] = deque()  # when the acknowledgement is here, of how many
+        self._window = network.settings.receive_buffer
+        self._credits: deque[tuple[int, int]] = deque()  # when news of a larger window is here, by how much
+        self._pump_due = self._write_due = 0  # when an event for it is due; 0 for none
+        self._want_write = False
+        self.fin_queued = False
+        self.fin_acked_ns = 0
+        self.last_arrival = 0
+        self.held: list[Any] = []  # what the peer has not got because of a fault, in order
+        self.held_since = 0
+
+    # --- as `runtime.system.Socket` has it ------------------------------------------------------
+
+    def fileno(self) -> int:
+        """Its descriptor; -1 once it is closed."""
+        return self.fd
+
+    def connect_ex(self, address: Address, /) -> int:
+        """Begin to connect, or say how far that has come; see connect(2) on calling it again."""
+        process = self.process
+        if process is None or process.dead:
+            raise Killed
+        if self.fd < 0:
+            return errno.EBADF
+        if self.conn is not None and not self.connecting and not self.disconnected:
+            return errno.EISCONN
+        if self.connecting:
+            if self.state == State.SYN_SENT:
+                return errno.EALREADY
+            if self._closed():
+                code, self.err = self.err or errno.ECONNABORTED, 0
+                self.disconnect()
+                return code
+            self.connecting = False
+            return 0
+        self._connect(address)
+        return errno.EINPROGRESS
+
+    def recv(self, size: int, flags: int = 0, /) -> bytes:
+        """Up to so many bytes, empty at the end; with `PEEK` they stay."""
+        process = self.process
+        if process is None or process.dead:
+            raise Killed
+        if self.fd < 0:
+            raise fault(errno.EBADF)
+        if self.rx and size > 0:
+            return self._read(size, flags & PEEK != 0)
+        if self.fin_in:
+            return b""
+        if self.err:
+            code, self.err = self.err, 0
+            raise fault(code)
+        if self.shut_receive:
+            return b""
+        if self.state == State.CLOSE:
+            raise fault(errno.ENOTCONN)
+        raise BlockingIOError(errno.EAGAIN, "Resource temporarily unavailable")
+
+    def send(self, data: bytes | memoryview, /) -> int:
+        """Hand over bytes; says how many were taken."""
+        process = self.process
+        if process is None or process.dead:
+            raise Killed
+        if self.fd < 0:
+            raise fault(errno.EBADF)
+        if self.state != State.OPEN or self.shut_send or self.err:
+            if self.err:
+                code, self.err = self.err, 0
+                raise fault(code)
+            if self.state == State.SYN_SENT:
+                raise BlockingIOError(errno.EAGAIN, "Resource temporarily unavailable")
+            raise fault(errno.EPIPE)
+        size = len(data)
+        if not size:
+            return 0
+        network = self.network
+        settings = network.settings
+        room = settings.send_buffer - self._used
+        if room < size:
+            self._absorb_acks()
+            room = settings.send_buffer - self._used
+            if room <= 0:
+                raise BlockingIOError(errno.EAGAIN, "Resource temporarily unavailable")
+        if size > 1 and settings.short_send and self.link.random() < settings.short_send:  # type: ignore[union-attr]
+            room = min(room, 1 + int(self.link.random() * (size - 1)))  # type: ignore[union-attr]
+        taken = bytes(data) if room >= size else bytes(data[:room])
+        size = len(taken)
+        world = self.world
+        if world.taps:
+            world.tell("sent", self.conn, self.side, taken)
+        self._used += size
+        if self._unsent or size > self._window:
+            self._unsent.append(taken)
+            self._unsent_size += size
+            self._pump()
+        else:
+            self._window -= size
+            self._transmit(taken)
+        return size
+
+    def shutdown(self, how: int, /) -> None:
+        """`END_SENDING`: the peer gets what was sent, and the end."""
+        process = self.process
+        if process is None or process.dead:
+            raise Killed
+        if self.fd < 0:
+            raise fault(errno.EBADF)
+        if how != END_SENDING:
+            raise fault(errno.EINVAL)
+        if self._closed():
+            raise fault(errno.ENOTCONN)
+        if self.state == State.SYN_SENT:
+            self.disconnect()
+            self.err = errno.ECONNRESET
+            self.notify()
+            return
+        self.connecting = False
+        if not self.shut_send:
+            self.shut_send = True
+            self._end()
+            self.notify()
+
+    def getsockname(self) -> Address:
+        """Host and port."""
+        if self.fd < 0:
+            raise fault(errno.EBADF)
+        return self.host, self.port
+
+    def close(self) -> None:
+        """Close it; bytes unread make that a reset."""
+        process = self.process
+        if self.fd < 0 or process is None or process.dead:
+            return
+        process.release(self.fd)
+        self.fd = -1
+        self.let_go(False)
+
+    def abort(self) -> None:
+        """Close it with a reset, as SO_LINGER with no time does."""
+        process = self.process
+        if self.fd < 0 or process is None or process.dead:
+            return
+        process.release(self.fd)
+        self.fd = -1
+        self.let_go(True)
+
+    def take_error(self) -> int:
+        """The error that waits on it (SO_ERROR), and clears it; 0 for none."""
+        if self.fd < 0:
+            raise fault(errno.EBADF)
+        code, self.err = self.err, 0
+        return code
+
+    # --- as the poller sees it ------------------------------------------------------------------
+
+    def mask(self) -> int:
+        """Its poll bits."""
+        mask = ERR if self.err else 0
+        state = self.state
+        if state == State.SYN_SENT:
+            return mask
+        if state == State.CLOSE or (self.shut_receive and self.shut_send):
+            mask |= HUP
+        if self.rx or self.shut_receive:
+            mask |= READ
+        if self.shut_send or state == State.CLOSE or self._writable():
+            mask |= WRITE
+        return mask
+
+    def want_write(self) -> None:
+        """Somebody waits for room: have it told."""
+        self._want_write = True
+        self._arm_write()
+
+    def _writable(self) -> bool:
+        # Linux calls a socket writable once a third of its buffer is free.
+        most = self.network.settings.send_buffer
+        if self._used * 3 <= most * 2:
+            return True
+        self._absorb_acks()
+        return self._used * 3 <= most * 2
+
+    def _arm_write(self) -> None:
+        """Have the moment told at which there is room again, if it is known."""
+        if self._write_due:
+            return
+        most = self.network.settings.send_buffer * 2
+        used = self._used
+        for when, size in self._unacked:
+            used -= size
+            if used * 3 <= most:
+                self._write_due = max(when, self.world.now_ns + 1)
+                self.world.push(self._write_due, self._room)
+                return
+
+    def _room(self) -> None:
+        self._write_due = 0
+        if self._want_write:
+            if self._writable():
+                self._want_write = False
+                self.notify()
+            else:
+                self._arm_write()
+
+    def notify(self) -> None:
+        """Its poll bits may have changed."""
+        if self.fd >= 0 and self.process is not None:
+            self.process.stir(self.fd)
+
+    # --- receiving ------------------------------------------------------------------------------
+
+    def _read(self, size: int, peek: bool) -> bytes:
+        rx = self.rx
+        if peek:
+            return b"".join(rx)[:size]
+        world, settings = self.world, self.network.settings
+        size = min(size, self.rx_size)
+        if size > 1 and settings.short_receive and self.link.random() < settings.short_receive:  # type: ignore[union-attr]
+            size = 1 + int(self.link.random() * (size - 1))  # type: ignore[union-attr]
+        first = rx.popleft()
+        if len(first) > size:
+            rx.appendleft(first[size:])
+            data = first[:size]
+        elif len(first) == size:
+            data = first
+        else:
+            parts, left = [first], size - len(first)
+            while left > 0:
+                part = rx.popleft()
+                if len(part) > left:
+                    rx.appendleft(part[left:])
+                    part = part[:left]
+                parts.append(part)
+                left -= len(part)
+            data = b"".join(parts)
+        self.rx_size -= size
+        if world.taps:
+            world.tell("read", self.conn, self.side, data)
+        peer = self.peer
+        if peer is not None and self.state == State.OPEN:
+            peer.credit(world.now_ns + self.link.latency_ns, size)  # type: ignore[union-attr]
+        return data
+
+    def credit(self, when: int, size: int) -> None:
+        """The peer has read: news of it comes at a moment."""
+        self._credits.append((when, size))
+        if self._unsent:
+            self._pump_at(when)
+        elif len(self._credits) > 64:
+            self._absorb_credits()
+
+    # --- sending --------------------------------------------------------------------------------
+
+    def _absorb_credits(self) -> None:
+        now, credits = self.world.now_ns, self._credits
+        while credits and credits[0][0] <= now:
+            self._window += credits.popleft()[1]
+
+    def _absorb_acks(self) -> None:
+        peer = self.peer
+        if (
+            peer is None
+            or peer.link is None
+            or peer.link.down
+            or (self.conn is not None and self.conn.silent)
+        ):
+            return
+        now, unacked = self.world.now_ns, self._unacked
+        while unacked and unacked[0][0] <= now:
+            self._used -= unacked.popleft()[1]
+
+    def _pump_at(self, when: int) -> None:
+        if not self._pump_due or when < self._pump_due:
+            self._pump_due = when
+            self.world.push(when, self._pump_event, when)
+
+    def _pump_event(self, when: int) -> None:
+        if self._pump_due == when:
+            self._pump_due = 0
+            self._pump()
+
+    def _pump(self) -> None:
+        """Send on what the peer has room for."""
+        if self.state != State.OPEN:
+            return
+        self._absorb_credits()
+        unsent = self._unsent
+        while unsent and self._window > 0:
+            part = unsent.popleft()
+            if len(part) > self._window:
+                unsent.appendleft(part[self._window :])
+                part = part[: self._window]
+            self._window -= len(part)
+            self._unsent_size -= len(part)
+            self._transmit(part)
+        if unsent:
+            if self._credits:
+                self._pump_at(self._credits[0][0])
+        elif self.fin_queued:
+            self.fin_queued = False
+            self.post(FIN)
+
+    def _transmit(self, data: bytes) -> None:
+        link, settings = self.link, self.network.settings
+        if link is None:
+            return
+        size = len(data)
+        if size > 1 and settings.split and link.random() < settings.split:
+            at = 1 + int(link.random() * (size - 1))
+            self.post(data[:at])
+            self.post(data[at:])
+        else:
+            self.post(data)
+
+    def post(self, what: Any) -> None:
+        """Put bytes, the end or a reset on their way, behind all that is on it already."""
+        when = self.world.now_ns + self.link.delay()  # type: ignore[union-attr]
+        if when <= self.last_arrival:
+            when = self.last_arrival + 1
+        self.last_arrival = when
+        self.world.push(when, self._reach, what)
+
+    def _reach(self, what: Any) -> None:
+        """Something has come to the other end of the link."""
+        conn, peer = self.conn, self.peer
+        if conn is None or peer is None:
+            return
+        if self.link.down or conn.silent:  # type: ignore[union-attr]
+            if what is not RESET:  # nobody sends that again
+                self._hold(what)
+        elif what is not RESET and (self.held or peer.state == State.SYN_RECV):
+            self._hold(what)
+        else:
+            self._deliver(what)
+
+    def _hold(self, what: Any) -> None:
+        if not self.held:
+            self.held_since = self.world.now_ns
+            self.network.holding[self] = None
+        self.held.append(what)
+
+    def release(self) -> None:
+        """Send again what was held, if it passes now."""
+        conn, peer = self.conn, self.peer
+        if conn is None or peer is None or self.link.down or conn.silent:  # type: ignore[union-attr]
+            return
+        if peer.state == State.SYN_RECV:
+            return
+        self.network.holding.pop(self, None)
+        held, self.held = self.held, []
+        for what in held:
+            self._deliver(what)
+
+    def _deliver(self, what: Any) -> None:
+        world, conn, peer = self.world, self.conn, self.peer
+        if peer is None or conn is None:
+            return
+        if what is RESET:
+            self.held.clear()
+            self.network.holding.pop(self, None)
+            peer.was_reset()
+            return
+        if peer._closed():
+            peer.answer_reset()
+            return
+        if what is FIN:
+            self.fin_acked_ns = world.now_ns + peer.link.latency_ns  # type: ignore[union-attr]
+            if world.taps:
+                world.tell("ended", conn, peer.side, FIN)
+            peer.fin_in = peer.shut_receive = True
+            peer.notify()
+            return
+        if peer.orphan:
+            # RFC 1122, 4.2.2.13: bytes for a process that has closed are answered with a reset.
+            peer.state = State.CLOSE
+            peer.drop_unsent()
+            peer.answer_reset()
+            return
+        size = len(what)
+        self._unacked.append((world.now_ns + peer.link.latency_ns, size))  # type: ignore[union-attr]
+        if self._want_write:
+            self._arm_write()
+        if world.taps:
+            world.tell("arrived", conn, peer.side, what)
+        peer.rx.append(what)
+        peer.rx_size += size
+        peer.notify()
+
+    def answer_reset(self) -> None:
+        """Answer what comes for a connection that is no more."""
+        if self.link is not None:
+            self.post(RESET)
+
+    # --- ends -----------------------------------------------------------------------------------
+
+    def _closed(self) -> bool:
+        """Whether it is in CLOSE; both ends sent and acknowledged lead there."""
+        if (
+            self.state == State.OPEN
+            and self.fin_in
+            and self.shut_send
+            and self.fin_acked_ns
+            and self.world.now_ns >= self.fin_acked_ns
+        ):
+            self.state = State.CLOSE
+        return self.state == State.CLOSE
+
+    def _end(self) -> None:
+        if self._unsent:
+            self.fin_queued = True
+        else:
+            self.post(FIN)
+
+    def drop_unsent(self) -> None:
+        """Forget what has not been sent."""
+        self._unsent.clear()
+        self._unacked.clear()
+        self._used = self._unsent_size = 0
+        self.fin_queued = False
+        self.held.clear()
+        self.network.holding.pop(self, None)
+
+    def was_reset(self) -> None:
+        """A reset has come."""
+        if self._closed():
+            return
+        if self.state == State.SYN_SENT:
+            self.err = errno.ECONNREFUSED
+        elif self.fin_in and not self.shut_send:
+            self.err = errno.EPIPE
+        else:
+            self.err = errno.ECONNRESET
+        self.state = State.CLOSE
+        self.shut_receive = self.shut_send = True
+        self.drop_unsent()
+        if self.world.taps and self.conn is not None:
+            self.world.tell("ended", self.conn, self.side, RESET)
+        self.notify()
+
+    def let_go(self, abort: bool) -> None:
+        """Its process has closed it, or is no more."""
+        if self.orphan:
+            return
+        self.orphan = True
+        unread = self.rx_size > 0
+        self.rx.clear()
+        self.rx_size = 0
+        world, conn = self.world, self.conn
+        if conn is not None and world.taps and self.process is not None:
+            world.tell("closed", conn, self.side)
+        if self._closed():
+            return
+        if self.state != State.OPEN:
+            self.state = State.CLOSE
+        elif unread or (abort and not (self.fin_in and self.shut_send and not self._unsent)):
+            self.state = State.CLOSE
+            self.drop_unsent()
+            self.post(RESET)
+        else:
+            self.shut_receive = True
+            if not self.shut_send:
+                self.shut_send = True
+                self._end()
+
+    def vanish(self) -> None:
+        """Gone with its machine: nobody is told."""
+        self.orphan = True
+        self.state = State.CLOSE
+        self.rx.clear()
+        self.rx_size = 0
+        self.drop_unsent()
+
+    def disconnect(self) -> None:
+        """Back to a socket that is not connected, as after a connect that failed."""
+        self.state = State.CLOSE
+        self.connecting, self.disconnected = False, True
+        self.conn = self.peer = self.link = None
+        self.rx.clear()
+        self.rx_size = 0
+        self.drop_unsent()
+        self._credits.clear()
+        self._window = self.network.settings.receive_buffer
+        self.shut_receive = self.shut_send = self.fin_in = False
+
+    # --- connecting -----------------------------------------------------------------------------
+
+    def _connect(self, address: Address) -> None:
+        network, world, machine = self.network, self.world, self.machine
+        host, port = address
+        target = machine if host.startswith("127.") or host == ANY else network.machine_at(host)
+        local = host.startswith("127.") or target is machine
+        self.host, self.port = (host if local and host != ANY else machine.ip), machine.free_port()
+        self.conn = network.new_connection(
+            End(machine.name, self.host, self.port), End("" if target is None else target.name, host, port)
+        )
+        self.conn.client_socket = self
+        self.connecting, self.disconnected = True, False
+        self.state, self.side, self.fin_acked_ns = State.SYN_SENT, CLIENT, 0
+        self.last_arrival = 0
+        if world.taps:
+            world.tell("opened", self.conn)
+        if target is None:
+            world.push(world.now_ns + CONNECT_GIVEN_UP * SECOND, self._give_up, self.conn)
+            return
+        self.link = network.link(machine, target)
+        world.push(world.now_ns + self.link.delay(), self._syn, self.conn, target, 0)
+
+    def _still_connecting(self, conn: Connection) -> bool:
+        return self.conn is conn and self.state == State.SYN_SENT
+
+    def _give_up(self, conn: Connection) -> None:
+        if self._still_connecting(conn):
+            self.state, self.err = State.CLOSE, errno.ETIMEDOUT
+            self.shut_receive = self.shut_send = True
+            self.notify()
+
+    def _again(self, conn: Connection, target: Machine, tries: int) -> None:
+        """Nothing answered: try again when Linux would."""
+        if not self._still_connecting(conn):
+            return
+        if tries >= len(CONNECT_AGAIN):
+            self.world.push(conn.asked_ns + CONNECT_GIVEN_UP * SECOND, self._give_up, conn)
+            return
+        when = conn.asked_ns + CONNECT_AGAIN[tries] * SECOND + self.link.delay()  # type: ignore[union-attr]
+        self.world.push(max(when, self.world.now_ns + 1), self._syn, conn, target, tries + 1)
+
+    def _syn(self, conn: Connection, target: Machine, tries: int) -> None:
+        """The wish to connect has come to the other machine."""
+        if not self._still_connecting(conn):
+            return
+        network, world = self.network, self.world
+        back = network.link(target, self.machine)
+        port = conn.server.port
+        listener = target.listeners.get(port)
+        if listener is not None and listener.host not in (ANY, conn.server.ip):
+            listener = None
+        if self.link.down or conn.silent or target.swallows:  # type: ignore[union-attr]
+            self._again(conn, target, tries)
+        elif listener is None or (target.name, port) in network.refusing:
+            world.push(world.now_ns + back.delay(), self._refused, conn, back, target, tries)
+        elif listener.full:
+            self._again(conn, target, tries)
+        else:
+            world.push(world.now_ns + back.delay(), self._syn_ack, conn, back, listener, tries)
+
+    def _refused(self, conn: Connection, back: Link, target: Machine, tries: int) -> None:
+        if not self._still_connecting(conn):
+            return
+        if back.down or conn.silent:
+            self._again(conn, target, tries)
+            return
+        self.state, self.err = State.CLOSE, errno.ECONNREFUSED
+        self.shut_receive = self.shut_send = True
+        if self.world.taps:
+            self.world.tell("refused", conn)
+        self.notify()
+
+    def _syn_ack(self, conn: Connection, back: Link, listener: VirtualListener, tries: int) -> None:
+        """The other machine's consent is here."""
+        if not self._still_connecting(conn):
+            return
+        if back.down or conn.silent:
+            self._again(conn, listener.machine, tries)
+            return
+        self.state = State.OPEN
+        server = VirtualSocket(self.network, listener.machine, None, State.SYN_RECV)
+        server.conn, server.side, server.peer, server.link = conn, SERVER, self, back
+        server.host, server.port = conn.server.ip, conn.server.port
+        self.peer, conn.server_socket = server, server
+        if self.world.taps:
+            self.world.tell("established", conn)
+        when = self.world.now_ns + self.link.delay()  # type: ignore[union-attr]
+        self.last_arrival = when
+        self.world.push(when, server.acknowledged, listener, 0)
+        self.notify()
+
+    def acknowledged(self, listener: VirtualListener, tries: int) -> None:
+        """The client's acknowledgement is here: the connection may wait to be accepted."""
+        if self.state != State.SYN_RECV:
+            return
+        client, conn = self.peer, self.conn
+        if client is None or conn is None:
+            return
+        if self.machine.gone:
+            self.state = State.CLOSE
+        elif client.link.down or conn.silent:  # type: ignore[union-attr]
+            self._ack_again(listener, tries)
+        elif not listener.open:
+            self.state = State.CLOSE
+            self.answer_reset()
+        elif listener.full:
+            # Linux takes no notice of it; the client believes itself connected.
+            self._ack_again(listener, tries)
+        else:
+            self.state = State.OPEN
+            listener.queue.append(self)
+            if listener.fd >= 0:
+                listener.process.stir(listener.fd)
+        if self.state != State.SYN_RECV and client.held:
+            client.release()
+
+    def _ack_again(self, listener: VirtualListener, tries: int) -> None:
+        wait = SECOND if self.peer is None or not self.peer.held else RETRANSMIT_NS
+        self.world.push(self.world.now_ns + (wait << min(tries, 5)), self.acknowledged, listener, tries + 1)
+
+
+class Network:
+    """All links and connections, and the faults one may cause on them.
+
+    Machines are given as `Machine` or by name.  Nothing here tells a process that a fault was caused.
+    """
+
+    def __init__(self, world: World) -> None:
+        self.world, self.settings = world, world.settings
+        self._links: dict[tuple[str, str], Link] = {}
+        self._connections = 0
+        self.holding: dict[VirtualSocket, None] = {}  # those whose peer has not got all, oldest first
+        self.refusing: dict[tuple[str, int], None] = {}
+
+    # --- faults ---------------------------------------------------------------------------------
+
+    def cut(self, a: Machine | str, b: Machine | str, one_way: bool = False) -> None:
+        """Nothing passes from `a` to `b`, nor back unless `one_way`; nobody is told."""
+        self._set_cut(a, b, one_way, True)
+
+    def mend(self, a: Machine | str, b: Machine | str, one_way: bool = False) -> None:
+        """It passes again; what was sent meanwhile is sent again, after a while that TCP's pauses give."""
+        self._set_cut(a, b, one_way, False)
+        self.pass_on()
+
+    def slow_link(self, a: Machine | str, b: Machine | str, extra_ns: int) -> None:
+        """Both ways take so much longer from now on; 0 ends it."""
+        one, other = self._machine(a), self._machine(b)
+        for link in (self.link(one, other), self.link(other, one)):
+            link.extra_ns = extra_ns
+
+    def silence(self, connection: Connection) -> None:
+        """Both ends of a connection stay open and nothing passes."""
+        connection.silent = True
+
+    def unsilence(self, connection: Connection) -> None:
+        """It passes again."""
+        connection.silent = False
+        self.pass_on()
+
+    def reset(self, connection: Connection) -> None:
+        """Both ends of a connection get a reset, as from something on the way."""
+        for end in (connection.client_socket, connection.server_socket):
+            if end is not None and end.state != State.CLOSE:
+                end.was_reset()
+
+    def refuse(self, machine: Machine | str, port: int) -> None:
+        """Connects to a port are refused, though somebody listens."""
+        self.refusing[self._machine(machine).name, port] = None
+
+    def stop_refusing(self, machine: Machine | str, port: int) -> None:
+        """They are taken again."""
+        self.refusing.pop((self._machine(machine).name, port), None)
+
+    def swallow_connects(self, machine: Machine | str) -> None:
+        """Connects to a machine stay unanswered; connections that are open go on."""
+        self._machine(machine).swallows = True
+
+    def stop_swallowing(self, machine: Machine | str) -> None:
+        """They are answered again; those that wait are, when they are tried again."""
+        self._machine(machine).swallows = False
+
+    # --- for the world --------------------------------------------------------------------------
+
+    def link(self, from_: Machine, to: Machine) -> Link:
+        """The way from one machine to another."""
+        key = from_.name, to.name
+        link = self._links.get(key)
+        if link is None:
+            link = self._links[key] = Link(self.world, from_, to)
+        return link
+
+    def judge(self) -> None:
+        """A machine has vanished or come back: see what passes."""
+        for link in self._links.values():
+            link.judge()
+
+    def pass_on(self) -> None:
+        """Have all that is held and would pass now sent again, when TCP would."""
+        now = self.world.now_ns
+        for sock in list(self.holding):
+            if sock.conn is None or sock.conn.silent or sock.link is None or sock.link.down:
+                continue
+            # The pauses double, so after so long an outage the next try is at most as far off.
+            longest = min(max(RETRANSMIT_NS, now - sock.held_since), self.settings.retransmit_most_ns)
+            self.world.push(now + 1 + int(sock.link.random() * longest), sock.release)
+
+    def machine_at(self, ip: str) -> Machine | None:
+        """The machine with an address."""
+        return self.world.machines_by_ip.get(ip)
+
+    def new_connection(self, client: End, server: End) -> Connection:
+        """A connection with the next number."""
+        self._connections += 1
+        return Connection(self._connections, client, server, self.world.now_ns)
+
+    def _set_cut(self, a: Machine | str, b: Machine | str, one_way: bool, cut: bool) -> None:
+        one, other = self._machine(a), self._machine(b)
+        for link in (self.link(one, other),) if one_way else (self.link(one, other), self.link(other, one)):
+            link.cut = cut
+            link.judge()
+
+    def _machine(self, which: Machine | str) -> Machine:
+        return self.world.machines[which] if isinstance(which, str) else which
