--- /dev/null
+++ b/brambleusher/cli/group.py
@@ -0,0 +1,63 @@
+"""All commands under one name, through Click."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from collections.abc import Sequence
+
+import click
+
+from brambleusher.cli import COMMANDS
+
+
+class Commands(click.Group):
+    """Commands by name, each imported when it is called for; help is worded from the table alone."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Their names in the table's order."""
+        return list(COMMANDS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """The command of a name; None where there is none."""
+        if cmd_name not in COMMANDS:
+            return None
+        command = importlib.import_module(f"brambleusher.cli.{cmd_name}").command
+        assert isinstance(command, click.Command)
+        return command
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        """The table, without importing what it names."""
+        with formatter.section("Commands"):
+            formatter.write_dl([(name, text) for name, (text, _) in COMMANDS.items()])
+
+
+@click.group(cls=Commands, invoke_without_command=True)
+@click.option("--operator", metavar="FILE", help="The operator file, in YAML: features to switch on.")
+@click.option(
+    "--log-format", type=click.Choice(["logfmt", "json"]), default="logfmt", help="How log lines are written."
+)
+@click.pass_context
+def everything(ctx: click.Context, operator: str | None, log_format: str) -> int | None:
+    """A sidecar load balancer; without a command it serves."""
+    if ctx.invoked_subcommand is not None:
+        from brambleusher.logs import configure
+
+        configure(form=log_format)
+        return None
+    from brambleusher.cli.serve import run as serve
+
+    return serve(operator, log_format)
+
+
+def run(words: Sequence[str]) -> int:
+    """One command; the exit status is what it returns, 2 where it is not worded rightly."""
+    try:
+        status = everything.main(list(words), prog_name="brambleusher", standalone_mode=False)
+    except click.ClickException as error:
+        error.show()
+        return error.exit_code
+    except click.Abort:
+        print("brambleusher: stopped", file=sys.stderr)
+        return 130
+    return status if isinstance(status, int) else 0
--- /dev/null
+++ b/brambleusher/cli/serve.py
@@ -0,0 +1,26 @@
+"""`brambleusher`, without a command: serve."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from brambleusher.config import ConfigError, load_config
+from brambleusher.logs import configure
+from brambleusher.operator_file import OperatorError, load_operator_file
+from brambleusher.sidecar import serve
+
+
+def run(operator_path: str | None, log_format: str) -> int:
+    """Serve until told to end; 2 if the configuration or the operator file can't be used."""
+    configure(form=log_format)
+    try:
+        operator = load_operator_file(operator_path)
+        serve(lambda: load_config(os.environ), operator, log_format)
+    except OperatorError as error:
+        print(f"brambleusher: bad operator file: {error}", file=sys.stderr)
+        return 2
+    except ConfigError as error:
+        print(f"brambleusher: bad configuration: {error}", file=sys.stderr)
+        return 2
+    return 0
--- a/brambleusher/logs.py
+++ b/brambleusher/logs.py
@@ -1,4 +1,4 @@
-"""Log lines as `key=value`, through the standard `logging` module."""
+"""Log lines as `key=value` or as JSON, through the standard `logging` module."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 import time
 from typing import Protocol
 
+import orjson
+
 _PLAIN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/+%@")
 
 
@@ -34,6 +36,10 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """One record, one line."""
+        return " ".join(f"{key}={quote(value)}" for key, value in self.pairs(record).items())
+
+    def pairs(self, record: logging.LogRecord) -> dict[str, object]:
+        """What a record's line has, in order."""
         stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
         pairs: dict[str, object] = {
             "time": f"{stamp}.{int(record.msecs):03d}Z",
@@ -46,13 +52,24 @@
             pairs.update(fields)
         if record.exc_info:
             pairs["trace"] = self.formatException(record.exc_info)
-        return " ".join(f"{key}={quote(value)}" for key, value in pairs.items())
+        return pairs
+
+
+class JsonFormatter(KeyValueFormatter):
+    """The same as one JSON object a line; numbers stay numbers."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """One record, one line."""
+        return orjson.dumps(self.pairs(record), default=str, option=orjson.OPT_NON_STR_KEYS).decode()
+
 
+def configure(level: int = logging.INFO, stream: LogStream | None = None, form: str = "logfmt") -> None:
+    """Send the package's log lines to a stream, standard error unless another is given.
 
-def configure(level: int = logging.INFO, stream: LogStream | None = None) -> None:
-    """Send the package's log lines to a stream, standard error unless another is given."""
+    `form` is `logfmt` or `json`.
+    """
     handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(KeyValueFormatter())
+    handler.setFormatter(JsonFormatter() if form == "json" else KeyValueFormatter())
     root = logging.getLogger("brambleusher")
     root.handlers[:] = [handler]
     root.setLevel(level)
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -276,14 +276,16 @@
         return self._wound_down and not self.submitters.connections
 
 
-def serve(load: Callable[[], Config], operator: OperatorFile | None = None) -> None:
+def serve(
+    load: Callable[[], Config], operator: OperatorFile | None = None, log_format: str = "logfmt"
+) -> None:
     """Run one sidecar as this process's main program; raises `ConfigError` if it can't be used."""
     # Records are short-lived and seldom cyclic: reference counts free them, rare collections suffice.
     gc.set_threshold(50_000, 20, 50)
     sidecar = Sidecar(load(), load, operator)
     if STDERR in sidecar.outputs:
         # Guards against a log line that waits, and requests with it, where a feature has filled the pipe.
-        configure(stream=LaneStream(sidecar.outputs[STDERR].lane(LOG_BYTES)))
+        configure(stream=LaneStream(sidecar.outputs[STDERR].lane(LOG_BYTES)), form=log_format)
     sidecar.install_signals()
     try:
         try:
@@ -293,4 +295,4 @@
         sidecar.run()
     finally:
         sidecar.close()
-        configure()
+        configure(form=log_format)
