--- a/brambleusher/lab/checker/checker.py
+++ b/brambleusher/lab/checker/checker.py
@@ -435,9 +435,7 @@
             if wire.accepted:
                 self._settle(now, taking, "the network broke its connection")
             elif taking.owed and not wire.life.over:
-                self._doubts.append(
-                    (now, taking, "its connection was dropped before it was looked at")
-                )
+                self._doubts.append((now, taking, "its connection was dropped before it was looked at"))
 
     def _left(self, now: int, wire: Submission, why: str) -> None:
         wire.gone = True
