--- a/brambleusher/logs.py
+++ b/brambleusher/logs.py
@@ -36,15 +36,11 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """One record, one line."""
-<<<<<<< HEAD
-        stamp = datetime.fromtimestamp(record.created, UTC).strftime("%Y-%m-%dT%H:%M:%S")
-=======
         return " ".join(f"{key}={quote(value)}" for key, value in self.pairs(record).items())
 
     def pairs(self, record: logging.LogRecord) -> dict[str, object]:
         """What a record's line has, in order."""
-        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
->>>>>>> main
+        stamp = datetime.fromtimestamp(record.created, UTC).strftime("%Y-%m-%dT%H:%M:%S")
         pairs: dict[str, object] = {
             "time": f"{stamp}.{int(record.msecs):03d}Z",
             "level": record.levelname.lower(),
