--- /dev/null
+++ b/brambleusher/cli/explore.py
@@ -0,0 +1,277 @@
+"""`brambleusher explore`: the program in virtual time, seed after seed, every rule checked."""
+
+from __future__ import annotations
+
+import gc
+import multiprocessing
+import os
+import re
+import sys
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import click
+
+from brambleusher.lab.breakages import BREAKAGES
+from brambleusher.lab.explore import Result, play, shrink, tidy
+from brambleusher.lab.faults import PROFILES
+from brambleusher.lab.scenario import Scenario, ScenarioError, draw_scenario, read_scenario, write_scenario
+
+FINE, BROKEN, MISUSED = 0, 1, 2
+CHUNK = 16  # seeds that a process takes at once
+SHOWN = 20  # breaches that a summary words
+MOST = 10_000_000
+MAX_FILE = 8 * 1024 * 1024
+
+
+class Misuse(click.ClickException):
+    """A call that can't be carried out: one line, status 2."""
+
+    exit_code = MISUSED
+
+    def show(self, file: object = None) -> None:
+        """One line."""
+        print(f"brambleusher: {self.message}", file=sys.stderr)
+
+
+@dataclass
+class Tally:
+    """What many runs came to."""
+
+    seeds: int = 0
+    requests: int = 0
+    served: int = 0
+    attempts: int = 0
+    events: int = 0
+    virtual_s: float = 0.0
+    fewest: int = -1
+    kinds_fewest: int = -1
+    shortest_s: float = -1.0
+    faults: Counter[str] = field(default_factory=Counter)
+    rules: Counter[str] = field(default_factory=Counter)  # seeds that broke each
+    broken: list[Result] = field(default_factory=list)
+
+    def add(self, result: Result) -> None:
+        """One run more."""
+        first = not self.seeds
+        self.seeds += 1
+        self.requests += result.requests
+        self.served += result.served
+        self.attempts += result.attempts
+        self.events += result.events
+        self.virtual_s += result.virtual_s
+        self.fewest = result.requests if first else min(self.fewest, result.requests)
+        self.kinds_fewest = len(result.faults) if first else min(self.kinds_fewest, len(result.faults))
+        self.shortest_s = result.virtual_s if first else min(self.shortest_s, result.virtual_s)
+        self.faults.update(result.faults)
+        self.rules.update(result.rules)
+        if result.breaches:
+            self.broken.append(result)
+
+
+def seeds_of(text: str) -> range:
+    """`FIRST:END`, END left out; raises `Misuse`."""
+    found = re.fullmatch(r"(\d{1,18}):(\d{1,18})", text)
+    if found is None:
+        raise Misuse(f"--seeds {text}: not FIRST:END, two whole numbers")
+    first, end = int(found[1]), int(found[2])
+    if not 0 < end - first <= MOST:
+        raise Misuse(f"--seeds {text}: END must be past FIRST, by {MOST} at most")
+    return range(first, end)
+
+
+def _chunk(task: tuple[range, str, str | None]) -> list[Result]:
+    """What one process does with a few seeds.
+
+    The collector is kept out of the runs: a world is full of cycles that live as long as it does.
+    """
+    seeds, profile, breakage = task
+    gc.disable()
+    results = []
+    for seed in seeds:
+        broken = None if breakage is None else BREAKAGES[breakage].on()
+        results.append(play(draw_scenario(seed, profile), broken))
+        tidy()
+    return results
+
+
+def _all(seeds: range, profile: str, breakage: str | None, jobs: int) -> Iterator[Result]:
+    """The results in the order of the seeds, whatever the number of processes."""
+    tasks = [(seeds[at : at + CHUNK], profile, breakage) for at in range(0, len(seeds), CHUNK)]
+    if jobs == 1:
+        for task in tasks:
+            yield from _chunk(task)
+        return
+    gc.collect()
+    gc.freeze()
+    with multiprocessing.get_context("fork").Pool(min(jobs, len(tasks))) as pool:
+        for results in pool.imap(_chunk, tasks):
+            yield from results
+
+
+def _load(path: str) -> Scenario:
+    try:
+        text = Path(path).read_bytes()
+    except OSError as error:
+        raise Misuse(f"{path}: {error.strerror}") from None
+    if len(text) > MAX_FILE:
+        raise Misuse(f"{path}: larger than {MAX_FILE} bytes")
+    try:
+        return read_scenario(text)
+    except ScenarioError as error:
+        raise Misuse(f"{path}: {error}") from None
+
+
+def _worded(result: Result, where: str) -> list[str]:
+    """A result's breaches, a line each, and what replays them."""
+    lines = [
+        f"seed {result.seed}: {breach.rule} at {breach.at_ns / 1e9:.9f}: {breach.who}: {breach.what}"
+        for breach in result.breaches[:3]
+    ]
+    if result.broken > len(lines):
+        lines.append(f"seed {result.seed}: {result.broken} breaches in all")
+    return [*lines, f"replay with: {where}"]
+
+
+def _explore(seeds: range, profile: str, breakage: str | None, jobs: int, progress: bool) -> int:
+    began, tally = time.monotonic(), Tally()
+    for result in _all(seeds, profile, breakage, jobs):
+        tally.add(result)
+        if progress and tally.seeds % 200 == 0:
+            print(f"\r{tally.seeds} seeds, {len(tally.broken)} broken", end="", file=sys.stderr, flush=True)
+    took = max(time.monotonic() - began, 1e-9)
+    if progress:
+        print("\r", end="", file=sys.stderr)
+    print(f"{tally.seeds} seeds of profile {profile} in {took:.1f} s with {jobs} jobs: "
+          f"{tally.seeds / took:.1f} seeds a second, {tally.virtual_s / took:.1f} virtual seconds a second")  # fmt: skip
+    print(f"{tally.requests} requests ({tally.requests / tally.seeds:.0f} a seed, {tally.fewest} at least), "
+          f"{tally.served} served, {tally.attempts} attempts, {tally.events} events on the wire, "
+          f"{tally.virtual_s:.0f} virtual seconds ({tally.shortest_s:.1f} at least)")  # fmt: skip
+    kinds = ", ".join(f"{kind} {count}" for kind, count in sorted(tally.faults.items()))
+    print(f"kinds of fault ({tally.kinds_fewest} a seed at least): {kinds}")
+    if not tally.broken:
+        print("no breach")
+        return FINE
+    for rule, count in sorted(tally.rules.items()):
+        print(f"broken in {count} seeds: {rule}")
+    told = "" if breakage is None else f" --breakage {breakage}"
+    shown = 0
+    for result in tally.broken[:SHOWN]:
+        where = f"brambleusher explore --replay {result.seed} --profile {result.profile}{told}"
+        for line in _worded(result, where):
+            print(line)
+        shown += 1
+    if len(tally.broken) > shown:
+        rest = " ".join(str(result.seed) for result in tally.broken[shown:])
+        print(f"further seeds with a breach: {rest}")
+    return BROKEN
+
+
+def _one(scenario: Scenario, breakage: str | None, quiet: bool, where: str) -> int:
+    """Play one scenario in this process, with its time line unless quiet."""
+    gc.disable()
+    broken = None if breakage is None else BREAKAGES[breakage].on()
+    result = play(scenario, broken, None if quiet else print)
+    gc.enable()
+    if result.breaches:
+        for line in _worded(result, where):
+            print(line)
+    else:
+        print(f"{result.requests} requests, {result.served} served, "
+              f"{result.virtual_s:.1f} virtual seconds, no breach")  # fmt: skip
+    print(f"digest {result.digest}")
+    return BROKEN if result.breaches else FINE
+
+
+def _shrink(scenario: Scenario, breakage: str | None, out: str | None) -> int:
+    """Make a scenario smaller while its first breach stays, and write it."""
+
+    def run(each: Scenario) -> Result:
+        broken = None if breakage is None else BREAKAGES[breakage].on()
+        result = play(each, broken, stop_at_breach=True)
+        tidy()
+        return result
+
+    gc.disable()
+    first = run(scenario)
+    if not first.breaches:
+        raise Misuse(f"seed {scenario.seed} breaks no rule: there is nothing to shrink")
+    rule = first.breaches[0].rule
+    small = shrink(
+        scenario, rule, lambda each: rule in run(each).rules, lambda text: print(text, file=sys.stderr)
+    )
+    text = write_scenario(small)
+    path = out or f"scenario-{scenario.seed}.yaml"
+    try:
+        Path(path).write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise Misuse(f"{path}: {error.strerror}") from None
+    print(f"{rule}: {len(scenario.faults)} faults and {len(scenario.asks)} requests became "
+          f"{len(small.faults)} and {len(small.asks)}; written to {path}")  # fmt: skip
+    return BROKEN
+
+
+@click.command(help="Play seeded days with faults in virtual time, and check every rule.")
+@click.argument("file", required=False)
+@click.option("--seeds", metavar="FIRST:END", help="A range of seeds; END is left out.")
+@click.option("--jobs", type=int, default=lambda: os.cpu_count() or 1, help="Processes; all cores.")
+@click.option("--profile", default="default", help="Which kinds of faults are drawn.", show_default=True)
+@click.option("--replay", type=int, metavar="SEED", help="Print the time line of one seed, and its digest.")
+@click.option("--shrink", "smaller", type=int, metavar="SEED", help="Find a smaller scenario that breaks.")
+@click.option("-o", "--out", metavar="FILE", help="Where --shrink writes the scenario.")
+@click.option("--write", type=int, metavar="SEED", help="Print the scenario of a seed as a file.")
+@click.option("--breakage", metavar="NAME", help="Put a deliberate fault into the program.")
+@click.option("--list-breakages", is_flag=True, help="Name the deliberate faults.")
+@click.option("--list-profiles", is_flag=True, help="Name the profiles.")
+@click.option("--quiet", is_flag=True, help="No time line, no progress.")
+def command(
+    file: str | None,
+    seeds: str | None,
+    jobs: int,
+    profile: str,
+    replay: int | None,
+    smaller: int | None,
+    out: str | None,
+    write: int | None,
+    breakage: str | None,
+    list_breakages: bool,
+    list_profiles: bool,
+    quiet: bool,
+) -> int:
+    """Status 0 without a breach, 1 with one, 2 where the call can't be carried out."""
+    if breakage is not None and breakage not in BREAKAGES:
+        raise Misuse(f"--breakage {breakage}: there is none of that name; --list-breakages names them")
+    if profile not in PROFILES:
+        raise Misuse(f"--profile {profile}: there is none of that name; there are {', '.join(PROFILES)}")
+    if jobs < 1:
+        raise Misuse(f"--jobs {jobs}: at least 1")
+    if list_breakages:
+        for name, each in BREAKAGES.items():
+            print(f"{name}: {each.text} ({', '.join(each.rules)})")
+        return FINE
+    if list_profiles:
+        for name in PROFILES:
+            print(name)
+        return FINE
+    wanted = [each is not None for each in (file, seeds, replay, smaller, write)]
+    if sum(wanted) != 1:
+        raise Misuse("say one of FILE, --seeds, --replay, --shrink, --write")
+    told = "" if breakage is None else f" --breakage {breakage}"
+    if file is not None:
+        return _one(_load(file), breakage, quiet, f"brambleusher explore {file}{told}")
+    if seeds is not None:
+        return _explore(seeds_of(seeds), profile, breakage, jobs, sys.stderr.isatty() and not quiet)
+    for seed in (replay, smaller, write):
+        if seed is not None and not 0 <= seed < 10**18:
+            raise Misuse(f"seed {seed}: a whole number from 0 on")
+    if replay is not None:
+        where = f"brambleusher explore --replay {replay} --profile {profile}{told}"
+        return _one(draw_scenario(replay, profile), breakage, quiet, where)
+    if smaller is not None:
+        return _shrink(draw_scenario(smaller, profile), breakage, out)
+    assert write is not None
+    print(write_scenario(draw_scenario(write, profile)), end="")
+    return FINE
--- /dev/null
+++ b/brambleusher/lab/explore.py
@@ -0,0 +1,320 @@
+"""One run of a scenario: the fleet in its world, the checker on its wires, a digest of all that passed.
+
+Nothing here reads a real clock or draws a real random number; the command line (`cli/explore.py`) hands
+out seeds to processes and counts what they took.
+"""
+
+from __future__ import annotations
+
+import gc
+import hashlib
+import logging
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager, nullcontext
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from brambleusher.lab.checker import Breach, Checker, Rules
+from brambleusher.lab.fleet import Fleet, world_of
+from brambleusher.lab.network import Connection
+from brambleusher.lab.scenario import Scenario
+from brambleusher.lab.world import Machine, ProcessLog, Tap, World
+from brambleusher.logs import KeyValueFormatter
+
+SECOND = 10**9
+FAULT = "fault"  # the rule that a task of the program which raises breaks; the checker can't see it
+DUMP_NS = SECOND  # so long a sidecar may take to write its capture
+OUTPUT_BYTES = 4 * 1024 * 1024  # of standard error: a whole capture has to fit
+SHORT = 100  # characters of what was sent that a time line shows
+
+
+class Digest(Tap):
+    """A hash of every step on the wire: its time, its connection, its bytes."""
+
+    def __init__(self) -> None:
+        self._hash = hashlib.blake2b(digest_size=16)
+        self.events = self.bytes = 0
+
+    def _add(self, *words: object, data: bytes = b"") -> None:
+        self.events += 1
+        self.bytes += len(data)
+        self._hash.update(repr(words).encode())
+        self._hash.update(data)
+
+    def opened(self, now: int, conn: Connection) -> None:
+        """Who asked for a connection, and to whom."""
+        self._add("o", now, conn.id, conn.client.machine, conn.client.port, conn.server.ip, conn.server.port)
+
+    def established(self, now: int, conn: Connection) -> None:
+        """It is up."""
+        self._add("e", now, conn.id)
+
+    def accepted(self, now: int, conn: Connection) -> None:
+        """It was accepted."""
+        self._add("a", now, conn.id)
+
+    def refused(self, now: int, conn: Connection) -> None:
+        """It was refused."""
+        self._add("r", now, conn.id)
+
+    def sent(self, now: int, conn: Connection, side: str, data: bytes) -> None:
+        """Bytes were sent."""
+        self._add("s", now, conn.id, side, data=data)
+
+    def arrived(self, now: int, conn: Connection, side: str, data: bytes) -> None:
+        """Bytes arrived: those that were sent, so that their count says enough."""
+        self._add("v", now, conn.id, side, len(data))
+
+    def ended(self, now: int, conn: Connection, side: str, how: str) -> None:
+        """An end came."""
+        self._add("n", now, conn.id, side, how)
+
+    def closed(self, now: int, conn: Connection, side: str) -> None:
+        """A side was closed."""
+        self._add("c", now, conn.id, side)
+
+    def process(self, now: int, machine: Machine, what: str) -> None:
+        """A process began or ended."""
+        self._add("p", now, machine.name, what)
+
+    def hex(self) -> str:
+        """So far."""
+        return self._hash.hexdigest()
+
+
+class TimeLine(Tap):
+    """Who sent what to whom, a line each, as it happens."""
+
+    def __init__(self, say: Callable[[str], object], start_ns: int) -> None:
+        self._say, self._start = say, start_ns
+
+    def line(self, now: int, text: str) -> None:
+        """One line, under its virtual time in seconds."""
+        self._say(f"{(now - self._start) / SECOND:14.9f}  {text}")
+
+    @staticmethod
+    def _ends(conn: Connection, side: str) -> str:
+        here, there = (conn.client, conn.server) if side == "client" else (conn.server, conn.client)
+        return f"{here.machine} -> {there.machine} #{conn.id}"
+
+    def opened(self, now: int, conn: Connection) -> None:
+        """A connect."""
+        self.line(now, f"{self._ends(conn, 'client')} connects to {conn.server.ip}:{conn.server.port}")
+
+    def refused(self, now: int, conn: Connection) -> None:
+        """A refused one."""
+        self.line(now, f"{self._ends(conn, 'client')} is refused")
+
+    def sent(self, now: int, conn: Connection, side: str, data: bytes) -> None:
+        """Bytes: their first line, the request's id where there is one, and how many."""
+        head = data[:2048].decode("latin-1")
+        first = head.split("\r\n", 1)[0]
+        named = next(
+            (line for line in head.split("\r\n") if line.lower().startswith("request-id:")), ""
+        ).partition(":")[2]
+        text = first if len(first) <= SHORT else first[:SHORT] + "..."
+        self.line(now, f"{self._ends(conn, side)} sends {len(data)} bytes {text!r}{named}")
+
+    def ended(self, now: int, conn: Connection, side: str, how: str) -> None:
+        """An end, as it reaches a side."""
+        other = "server" if side == "client" else "client"
+        self.line(now, f"{self._ends(conn, other)} {how}")
+
+    def process(self, now: int, machine: Machine, what: str) -> None:
+        """Processes."""
+        self.line(now, f"{machine.name} {what}")
+
+
+class Raised(logging.Handler):
+    """Notes each exception that the program logged: in a run nothing of it may raise."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(logging.ERROR)
+        self._world = world
+        self.breaches: list[Breach] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """One record."""
+        if record.exc_info and record.exc_info[0] is not None:
+            process = self._world.current
+            who = "the lab" if process is None else process.name
+            what = f"{record.getMessage()}: {record.exc_info[0].__name__}: {record.exc_info[1]}"
+            trace = logging.Formatter().formatException(record.exc_info)
+            now = self._world.now_ns
+            self.breaches.append(Breach(FAULT, now, who, what, tuple((now, row) for row in trace.split("\n"))))
+
+
+@contextmanager
+def _listening(handlers: list[logging.Handler]) -> Iterator[None]:
+    """The program's log goes to these handlers alone, for a while."""
+    log = logging.getLogger("brambleusher")
+    before = log.handlers[:], log.level, log.propagate
+    log.handlers[:], log.propagate = handlers, False
+    log.setLevel(min((handler.level for handler in handlers), default=logging.CRITICAL) or logging.INFO)
+    try:
+        yield
+    finally:
+        log.handlers[:], log.propagate = before[0], before[2]
+        log.setLevel(before[1])
+
+
+@dataclass(slots=True)
+class Result:
+    """What one run came to; everything in it can be sent to another process."""
+
+    seed: int
+    profile: str
+    digest: str
+    breaches: list[Breach]
+    requests: int  # taken by sidecars
+    served: int
+    attempts: int
+    events: int  # on the wire
+    virtual_s: float
+    faults: Counter[str] = field(default_factory=Counter)  # kinds in the plan
+    broken: int = 0  # all breaches, also those past the ones that are kept
+
+    @property
+    def rules(self) -> list[str]:
+        """The rules that were broken."""
+        return sorted({breach.rule for breach in self.breaches})
+
+
+def play(
+    scenario: Scenario,
+    breakage: AbstractContextManager[object] | None = None,
+    say: Callable[[str], object] | None = None,
+    stop_at_breach: bool = False,
+) -> Result:
+    """Play a scenario to its end and check it, `say` being given the time line.
+
+    `stop_at_breach` ends the run at the first breach: enough to know that there is one.
+    """
+    with world_of(scenario, output_bytes=OUTPUT_BYTES) as world, (breakage or nullcontext()):
+        rules = Rules.of(scenario.world.sidecar_settings(0))
+        fleet = Fleet(scenario, world)
+        checker = Checker(rules, fleet.executions)
+        fleet.audience = checker
+        digest, raised = Digest(), Raised(world)
+        world.taps += [checker, digest]
+        handlers: list[logging.Handler] = [raised]
+        line: TimeLine | None = None
+        if say is not None:
+            line = TimeLine(say, world.now_ns)
+            world.taps.append(line)
+            log = _ToLine(world, line)
+            log.setFormatter(KeyValueFormatter())
+            handlers.append(log)
+            for fault in scenario.faults:
+                at = fleet.begins_ns + int(fault.at_s * SECOND)
+                world.at(at, lambda at=at, fault=fault: line.line(at, f"fault: {_worded(fault)}"))  # type: ignore[misc]
+        world.step_done.append(lambda: checker.step(world.now_ns))
+        begun = world.now_ns
+        with _listening(handlers):
+            fleet.start()
+            if stop_at_breach:
+                world.run(fleet.ends_ns, lambda: bool(checker.breaches or raised.breaches))
+            if not (stop_at_breach and (checker.breaches or raised.breaches)):
+                _to_the_end(fleet, checker)
+        breaches = sorted(checker.breaches + raised.breaches, key=lambda breach: breach.at_ns)
+        if line is not None:
+            for breach in breaches:
+                for row in str(breach).split("\n"):
+                    line.line(breach.at_ns, f"BREACH {row}")
+        return Result(
+            seed=scenario.seed, profile=scenario.profile, digest=digest.hex(), breaches=breaches,
+            requests=checker.taken, served=checker.served, attempts=checker.attempts, events=digest.events,
+            virtual_s=(world.now_ns - begun) / SECOND,
+            faults=Counter(str(_worded(fault)["kind"]) for fault in scenario.faults),
+            broken=checker.count + len(raised.breaches),
+        )  # fmt: skip
+
+
+def _to_the_end(fleet: Fleet, checker: Checker) -> None:
+    world = fleet.world
+    world.run(fleet.ends_ns)
+    ends = fleet.quiesce()
+    left_over = [text for end in ends for text in end.left_over()]
+    fleet.dump()
+    world.run(world.now_ns + DUMP_NS)
+    for place in fleet.sidecars:
+        if place.up and place.figures.capture and place.process is not None:
+            checker.captured(world.now_ns, place.machine.name, bytes(place.process.stderr))
+    checker.finish(world.now_ns, left_over)
+
+
+def _worded(fault: object) -> dict[str, Any]:
+    """A fault as it stands in a file."""
+    raw = msgspec.to_builtins(fault)
+    assert isinstance(raw, dict)
+    return raw
+
+
+class _ToLine(ProcessLog):
+    """Log records of the program, into the time line."""
+
+    def __init__(self, world: World, line: TimeLine) -> None:
+        super().__init__(world)
+        self._line = line
+        self.setLevel(logging.INFO)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """One record."""
+        process = self._world.current
+        who = "the lab" if process is None else process.name
+        self._line.line(self._world.now_ns, f"{who} logs {self.format(record)}")
+
+
+def shrink(
+    scenario: Scenario,
+    rule: str,
+    fails: Callable[[Scenario], bool],
+    tell: Callable[[str], object] = lambda text: None,
+) -> Scenario:
+    """Take faults and requests away while `fails` still says that the rule is broken.
+
+    Delta debugging (Zeller and Hildebrandt, "Simplifying and Isolating Failure-Inducing Input", 2002),
+    complements only: parts of a list are dropped, halves first, down to single ones, until none can go.
+    """
+    for part in ("faults", "asks"):
+        scenario = _fewer(scenario, part, fails, tell)
+    asked = max((ask.at_s for ask in scenario.asks), default=0.0)
+    ended = max((fault.at_s + fault.for_s for fault in scenario.faults), default=0.0)
+    shorter = max(asked, ended) + 1.0
+    if shorter < scenario.world.length_s:
+        world = msgspec.structs.replace(
+            scenario.world, length_s=shorter, faults_s=min(scenario.world.faults_s, shorter)
+        )
+        cut = msgspec.structs.replace(scenario, world=world)
+        if fails(cut):
+            scenario = cut
+    return msgspec.structs.replace(scenario, note=f"breaks the rule {rule}")
+
+
+def _fewer(
+    scenario: Scenario, part: str, fails: Callable[[Scenario], bool], tell: Callable[[str], object]
+) -> Scenario:
+    items: tuple[Any, ...] = getattr(scenario, part)
+    size = max(1, len(items) // 2)
+    while items:
+        at, dropped = 0, False
+        while at < len(items):
+            fewer = items[:at] + items[at + size :]
+            smaller = msgspec.structs.replace(scenario, **{part: fewer})
+            if (fewer or part == "faults") and fails(smaller):
+                scenario, items, dropped = smaller, fewer, True
+                tell(f"{len(items)} {part} left")
+            else:
+                at += size
+        if size == 1 and not dropped:
+            break
+        size = max(1, size // 2)
+    return scenario
+
+
+def tidy() -> None:
+    """Have the collector take what a run left in cycles, once instead of many times within it."""
+    gc.collect()
