--- /dev/null
+++ b/brambleusher/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The lab: stand-ins for everything round the sidecar, virtual worlds, fault plans and experiments."""
--- /dev/null
+++ b/brambleusher/lab/effects.py
@@ -0,0 +1,579 @@
+"""What each kind of fault does to a fleet, and how it ends."""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+from collections.abc import Callable, Iterable
+from functools import partial, singledispatch
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from brambleusher.lab import faults
+from brambleusher.lab.network import Connection, VirtualSocket
+from brambleusher.lab.stand_ins import discovery, node
+from brambleusher.lab.stand_ins.bad_client import BadClients
+
+if TYPE_CHECKING:
+    from brambleusher.lab.fleet import Fleet, NodePlace, SidecarPlace
+
+SECOND = 10**9
+KILL_S = 3.7  # after SIGTERM: SIGKILL comes no sooner
+LOOK_AGAIN_NS = 20_000_000
+
+End = Callable[[], None] | None
+
+
+@singledispatch
+def apply(fault: faults.Fault, fleet: Fleet) -> End:
+    """Begin a fault; says what is to be called when it ends."""
+    raise NotImplementedError(f"nothing is known of {fault.kind}")
+
+
+def _nodes(fault: faults.Fault, fleet: Fleet) -> list[NodePlace]:
+    """The one aimed at, or all that belong to the fleet."""
+    if fault.target:
+        return [fleet.place(fault.target)]
+    return [place for place in fleet.places if not place.figures.spare]
+
+
+def _zone(fault: faults.Fault, fleet: Fleet) -> list[NodePlace]:
+    return [place for place in _nodes(msgspec.structs.replace(fault, target=""), fleet)
+            if place.figures.zone == fault.target]  # fmt: skip
+
+
+def _sidecars(fault: faults.Fault, fleet: Fleet) -> list[SidecarPlace]:
+    return [fleet.sidecar(fault.target)] if fault.target else fleet.sidecars
+
+
+def _rng(fault: faults.Fault, fleet: Fleet) -> random.Random:
+    """Of its own, whatever other faults there are."""
+    return random.Random(f"{fleet.scenario.seed}/{fault.kind}/{fault.at_s}/{fault.target}")
+
+
+def _switch(places: Iterable[NodePlace], trouble: object) -> End:
+    """On at all of these, and off at the end."""
+    there = list(places)
+    for place in there:
+        place.begin(trouble)
+
+    def end() -> None:
+        for place in there:
+            place.end(trouble)
+
+    return end
+
+
+def _after(fleet: Fleet, seconds: float, call: Callable[[], object]) -> None:
+    fleet.world.after(int(seconds * SECOND), call)
+
+
+def _again(fleet: Fleet, every_s: float, call: Callable[[], object]) -> Callable[[], None]:
+    """Call now and in even times, until what is returned is called."""
+    over: list[bool] = []
+
+    def turn() -> None:
+        if not over:
+            call()
+            _after(fleet, every_s, turn)
+
+    turn()
+    return lambda: over.append(True)
+
+
+# --- execute nodes --------------------------------------------------------------------------------
+
+
+@apply.register(faults.NodeSlow)
+def _node_slow(fault: faults.NodeSlow, fleet: Fleet) -> End:
+    return _switch(_nodes(fault, fleet), node.Slow(fault.factor))
+
+
+@apply.register(faults.NodeHung)
+def _node_hung(fault: faults.NodeHung, fleet: Fleet) -> End:
+    return _switch(_nodes(fault, fleet), node.Hung())
+
+
+@apply.register(faults.NeighbourBusy)
+def _neighbour(fault: faults.NeighbourBusy, fleet: Fleet) -> End:
+    return _switch(_nodes(fault, fleet), node.Neighbour(fault.share, fault.on_s, fault.off_s))
+
+
+@apply.register(faults.Resetting)
+def _resets(fault: faults.Resetting, fleet: Fleet) -> End:
+    return _switch(_nodes(fault, fleet), node.Resets(fault.where, fault.part, fault.runs))
+
+
+@apply.register(faults.AnswersSpoilt)
+def _answers_spoilt(fault: faults.AnswersSpoilt, fleet: Fleet) -> End:
+    return _switch(_nodes(fault, fleet), node.Spoilt(fault.how, fault.part))
+
+
+@apply.register(faults.TurningAway)
+def _turning_away(fault: faults.TurningAway, fleet: Fleet) -> End:
+    return _switch(_nodes(fault, fleet), node.TurnsAway(fault.part, fault.status))
+
+
+@apply.register(faults.LateReports)
+def _reports_late(fault: faults.LateReports, fleet: Fleet) -> End:
+    return _switch(_nodes(fault, fleet), node.ReportsLate(fault.by_s))
+
+
+@apply.register(faults.WrongReports)
+def _reports_wrong(fault: faults.WrongReports, fleet: Fleet) -> End:
+    return _switch(_nodes(fault, fleet), node.ReportsWrong(fault.how))
+
+
+@apply.register(faults.CloseCrossing)
+def _close_crossing(fault: faults.CloseCrossing, fleet: Fleet) -> End:
+    return _switch(_nodes(fault, fleet), node.CrossingClose(fault.within_s, fault.part, fault.unread))
+
+
+@apply.register(faults.NodeStalled)
+def _node_stalled(fault: faults.NodeStalled, fleet: Fleet) -> End:
+    for place in _nodes(fault, fleet):
+        place.machine.stall(int(fault.for_s * SECOND))
+    return None
+
+
+@apply.register(faults.NodeCrashed)
+def _node_crashed(fault: faults.NodeCrashed, fleet: Fleet) -> End:
+    notices, there = fleet.scenario.world, _nodes(fault, fleet)
+    for place in there:
+        place.stop(fault)
+        place.look(notices.silent_notice_s)
+
+    def end() -> None:
+        for place in there:
+            place.free(fault)
+            place.look(notices.notice_s)
+
+    return end
+
+
+def _drained(fault: faults.Fault, fleet: Fleet, there: list[NodePlace], drain_s: float, told_s: float) -> End:
+    """These drain, told after some time, end, and are back, cold, at the end."""
+    for place in there:
+        place.drain(fault)
+        place.look(told_s)
+
+    def stop() -> None:
+        for place in there:
+            if place.drains:
+                place.stop(fault, reset=False)
+                place.look(max(0.0, told_s - drain_s))
+
+    if drain_s < fault.for_s:
+        _after(fleet, drain_s, stop)
+
+    def end() -> None:
+        for place in there:
+            place.undrain(fault)
+            place.free(fault)
+            place.look(fleet.scenario.world.notice_s)
+
+    return end
+
+
+@apply.register(faults.NodeRestarted)
+def _node_restarted(fault: faults.NodeRestarted, fleet: Fleet) -> End:
+    notice = fleet.scenario.world.notice_s
+    return _drained(fault, fleet, _nodes(fault, fleet), fault.drain_s, notice)
+
+
+@apply.register(faults.DrainToldLate)
+def _drain_told_late(fault: faults.DrainToldLate, fleet: Fleet) -> End:
+    return _drained(fault, fleet, _nodes(fault, fleet), fault.drain_s, fault.late_s)
+
+
+@apply.register(faults.FleetShrinks)
+def _fleet_shrinks(fault: faults.FleetShrinks, fleet: Fleet) -> End:
+    up = [place for place in fleet.places if place.up]
+    count = min(len(up) - 1, max(1, round(fault.part * len(up))))
+    there = _rng(fault, fleet).sample(up, max(0, count))
+    return _drained(fault, fleet, there, fault.drain_s, fleet.scenario.world.notice_s)
+
+
+@apply.register(faults.FleetGrows)
+def _fleet_grows(fault: faults.FleetGrows, fleet: Fleet) -> End:
+    for place in fleet.places:
+        if place.figures.spare:
+            place.free("spare")
+            place.look(fleet.scenario.world.notice_s)
+    return None
+
+
+@apply.register(faults.NodeReplaced)
+def _node_replaced(fault: faults.NodeReplaced, fleet: Fleet) -> End:
+    place = fleet.place(fault.target)
+    if not place.up:
+        return None
+    notice, name = fleet.scenario.world.notice_s, f"s-{_rng(fault, fleet).getrandbits(32):08x}"
+
+    def replace() -> None:
+        if place.up:
+            place.replace(name)
+            place.look(notice)
+
+    if fault.drain_s:
+        place.drain(fault)
+        place.look(notice)
+    _after(fleet, min(fault.drain_s, fault.for_s), replace)
+    return None
+
+
+def _power(fault: faults.Fault, fleet: Fleet, there: list[NodePlace]) -> End:
+    """These lose their power, and have it again at the end."""
+    notices = fleet.scenario.world
+    for place in there:
+        place.vanish(fault)
+        place.look(notices.silent_notice_s)
+
+    def end() -> None:
+        for place in there:
+            place.come_back(fault)
+            place.look(notices.notice_s)
+
+    return end
+
+
+@apply.register(faults.NodeVanished)
+def _node_vanished(fault: faults.NodeVanished, fleet: Fleet) -> End:
+    return _power(fault, fleet, _nodes(fault, fleet))
+
+
+@apply.register(faults.ZoneLost)
+def _zone_lost(fault: faults.ZoneLost, fleet: Fleet) -> End:
+    return _power(fault, fleet, _zone(fault, fleet))
+
+
+@apply.register(faults.DrainTakenBack)
+def _drain_taken_back(fault: faults.DrainTakenBack, fleet: Fleet) -> End:
+    there = _nodes(fault, fleet)
+    for place in there:
+        place.told_draining.append(fault)
+        place.look(0.0)
+
+    def end() -> None:
+        for place in there:
+            place.told_draining.remove(fault)
+            place.look(0.0)
+
+    return end
+
+
+@apply.register(faults.DrainFlaps)
+def _drain_flaps(fault: faults.DrainFlaps, fleet: Fleet) -> End:
+    there = _nodes(fault, fleet)
+
+    def turn() -> None:
+        for place in there:
+            if fault in place.told_draining:
+                place.told_draining.remove(fault)
+            else:
+                place.told_draining.append(fault)
+            place.look(0.0)
+
+    stop = _again(fleet, fault.every_s, turn)
+
+    def end() -> None:
+        stop()
+        for place in there:
+            place.told_draining = [each for each in place.told_draining if each is not fault]
+            place.look(0.0)
+
+    return end
+
+
+# --- discovery ------------------------------------------------------------------------------------
+
+
+def _at_discovery(fleet: Fleet, trouble: object, able: bool = False) -> End:
+    fleet.discovery.begin(trouble, able)
+    return lambda: fleet.discovery.end(trouble, able)
+
+
+@apply.register(faults.DiscoveryDown)
+def _discovery_down(fault: faults.DiscoveryDown, fleet: Fleet) -> End:
+    return _at_discovery(fleet, discovery.Down(fault.how))
+
+
+@apply.register(faults.DiscoverySlow)
+def _discovery_slow(fault: faults.DiscoverySlow, fleet: Fleet) -> End:
+    return _at_discovery(fleet, discovery.SlowCalls(fault.factor))
+
+
+@apply.register(faults.DiscoverySilent)
+def _discovery_silent(fault: faults.DiscoverySilent, fleet: Fleet) -> End:
+    return _at_discovery(fleet, discovery.Silent())
+
+
+@apply.register(faults.DiscoveryGarbage)
+def _discovery_garbage(fault: faults.DiscoveryGarbage, fleet: Fleet) -> End:
+    return _at_discovery(fleet, discovery.Garbage(fault.how))
+
+
+@apply.register(faults.DiscoveryRestarted)
+def _discovery_restarted(fault: faults.DiscoveryRestarted, fleet: Fleet) -> End:
+    place = fleet.discovery
+    place.kill()
+    place.unable(1)
+
+    def end() -> None:
+        place.restart()
+        place.unable(-1)
+
+    return end
+
+
+@apply.register(faults.DiscoveryMoved)
+def _discovery_moved(fault: faults.DiscoveryMoved, fleet: Fleet) -> End:
+    fleet.discovery.move(fault.version, fault.keeps_s)
+    for sidecar in fleet.sidecars:
+        sidecar.rewrite_file()
+        sidecar.signal(signal.SIGHUP)
+    return None
+
+
+@apply.register(faults.ListChurns)
+def _list_churns(fault: faults.ListChurns, fleet: Fleet) -> End:
+    rng = _rng(fault, fleet)
+
+    def turn() -> None:
+        there = list(fleet.discovery.list.values())
+        if there:
+            entry = rng.choice(there)
+            weight = round(entry.weight * rng.uniform(0.8, 1.25), 4)
+            fleet.discovery.put([msgspec.structs.replace(entry, weight=weight)])
+
+    return _again(fleet, fault.every_s, turn)
+
+
+# --- submitters and sidecars ----------------------------------------------------------------------
+
+
+@apply.register(faults.BadClientsCome)
+def _bad_clients(fault: faults.BadClientsCome, fleet: Fleet) -> End:
+    ends: list[Callable[[], None]] = []
+
+    def come(bad: BadClients) -> None:
+        numbers = bad.begin(fault.what, fault.count)
+        ends.append(lambda: bad.scheduler.call_soon(lambda: bad.end(numbers)))
+
+    for sidecar in _sidecars(fault, fleet):
+        bad = fleet.bad[sidecar.number]
+        bad.scheduler.call_soon(partial(come, bad))
+
+    def end() -> None:
+        for each in ends:
+            each()
+
+    return end
+
+
+@apply.register(faults.SidecarTerminated)
+def _sidecar_terminated(fault: faults.SidecarTerminated, fleet: Fleet) -> End:
+    there = [(place, place.process) for place in _sidecars(fault, fleet) if place.up]
+    begun_ns = fleet.world.now_ns
+    for place, _ in there:
+        place.signal(signal.SIGTERM)
+
+    def end() -> None:
+        late = fleet.world.now_ns - begun_ns >= KILL_S * SECOND
+        waiting = [(place, process) for place, process in there if place.process is process]
+        there[:] = waiting
+        for place, _ in waiting:
+            if late or not place.up:
+                place.start()
+        if any(place.process is process for place, process in waiting):
+            fleet.world.after(LOOK_AGAIN_NS, end)
+
+    return end
+
+
+@apply.register(faults.SidecarKilled)
+def _sidecar_killed(fault: faults.SidecarKilled, fleet: Fleet) -> End:
+    there = [(place, place.process) for place in _sidecars(fault, fleet) if place.up]
+    for place, _ in there:
+        place.signal(signal.SIGKILL)
+
+    def end() -> None:
+        for place, process in there:
+            if place.process is process:
+                place.start()
+
+    return end
+
+
+@apply.register(faults.SidecarStalled)
+def _sidecar_stalled(fault: faults.SidecarStalled, fleet: Fleet) -> End:
+    for place in _sidecars(fault, fleet):
+        place.machine.stall(int(fault.stall_s * SECOND))
+    return None
+
+
+@apply.register(faults.WallClockSet)
+def _wall_clock_set(fault: faults.WallClockSet, fleet: Fleet) -> End:
+    there, by = _sidecars(fault, fleet), int(fault.by_s * SECOND)
+    for place in there:
+        place.machine.shift_wall(by)
+
+    def end() -> None:
+        for place in there:
+            place.machine.shift_wall(-by)
+
+    return end
+
+
+@apply.register(faults.DescriptorsUsedUp)
+def _descriptors_used_up(fault: faults.DescriptorsUsedUp, fleet: Fleet) -> End:
+    there = [(place.process, place.process.limit) for place in _sidecars(fault, fleet) if place.process]
+    for process, _ in there:
+        process.limit = min(process.limit, 3 + process.descriptors + fault.left)
+
+    def end() -> None:
+        for process, limit in there:
+            process.limit = limit
+
+    return end
+
+
+@apply.register(faults.BadConfiguration)
+def _bad_configuration(fault: faults.BadConfiguration, fleet: Fleet) -> End:
+    there = _sidecars(fault, fleet)
+    for place in there:
+        good = place.file
+        raw = json.loads(good)
+        raw["limits"]["sockets"] = "many"
+        place.file = {
+            "empty": b"", "half": good[: len(good) // 2], "not-json": good + b"}",
+            "bad-key": json.dumps(raw).encode(),
+        }[fault.how]  # fmt: skip
+        place.signal(signal.SIGHUP)
+
+    def end() -> None:
+        for place in there:
+            place.rewrite_file()
+            place.signal(signal.SIGHUP)
+
+    return end
+
+
+# --- the network ----------------------------------------------------------------------------------
+
+
+@apply.register(faults.LinkCut)
+def _link_cut(fault: faults.LinkCut, fleet: Fleet) -> End:
+    network = fleet.world.network
+    pairs = [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
+    if fault.way == "to-node":
+        pairs = [(to, from_) for from_, to in pairs]
+    for one, other in pairs:
+        network.cut(one, other, one_way=fault.way != "both")
+
+    def end() -> None:
+        for one, other in pairs:
+            network.mend(one, other, one_way=fault.way != "both")
+
+    return end
+
+
+@apply.register(faults.ZoneCut)
+def _zone_cut(fault: faults.ZoneCut, fleet: Fleet) -> End:
+    network = fleet.world.network
+    pairs = [
+        (place.machine, each.machine)
+        for place in _zone(fault, fleet)
+        for each in fleet.sidecars
+        if each.figures.zone != fault.target
+    ]
+    for one, other in pairs:
+        network.cut(one, other)
+
+    def end() -> None:
+        for one, other in pairs:
+            network.mend(one, other)
+
+    return end
+
+
+@apply.register(faults.LinkSlow)
+def _link_slow(fault: faults.LinkSlow, fleet: Fleet) -> End:
+    network = fleet.world.network
+    pairs = [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
+    for one, other in pairs:
+        network.slow_link(one, other, int(fault.by_s * SECOND))
+
+    def end() -> None:
+        for one, other in pairs:
+            network.slow_link(one, other, 0)
+
+    return end
+
+
+@apply.register(faults.ConnectsSwallowed)
+def _connects_swallowed(fault: faults.ConnectsSwallowed, fleet: Fleet) -> End:
+    network, there = fleet.world.network, _nodes(fault, fleet)
+    for place in there:
+        network.swallow_connects(place.machine)
+
+    def end() -> None:
+        for place in there:
+            network.stop_swallowing(place.machine)
+
+    return end
+
+
+@apply.register(faults.ConnectsRefused)
+def _connects_refused(fault: faults.ConnectsRefused, fleet: Fleet) -> End:
+    network, there = fleet.world.network, _nodes(fault, fleet)
+    for place in there:
+        network.refuse(place.machine, place.address[1])
+
+    def end() -> None:
+        for place in there:
+            network.stop_refusing(place.machine, place.address[1])
+
+    return end
+
+
+def _connections(place: NodePlace) -> list[Connection]:
+    """Those that its process has accepted, by descriptor."""
+    if place.process is None or place.process.dead:
+        return []
+    there = [thing for _, thing in sorted(place.process.fds.items()) if isinstance(thing, VirtualSocket)]
+    return [thing.conn for thing in there if thing.conn is not None]
+
+
+@apply.register(faults.ConnectionsReset)
+def _connections_reset(fault: faults.ConnectionsReset, fleet: Fleet) -> End:
+    rng, there = _rng(fault, fleet), _nodes(fault, fleet)
+
+    def turn() -> None:
+        for place in there:
+            for connection in _connections(place):
+                if rng.random() < fault.part:
+                    fleet.world.network.reset(connection)
+
+    return _again(fleet, fault.every_s, turn)
+
+
+@apply.register(faults.ConnectionsSilent)
+def _connections_silent(fault: faults.ConnectionsSilent, fleet: Fleet) -> End:
+    rng = _rng(fault, fleet)
+    those = [
+        connection
+        for place in _nodes(fault, fleet)
+        for connection in _connections(place)
+        if rng.random() < fault.part
+    ]
+    for connection in those:
+        fleet.world.network.silence(connection)
+
+    def end() -> None:
+        for connection in those:
+            fleet.world.network.unsilence(connection)
+
+    return end
--- /dev/null
+++ b/brambleusher/lab/figures.py
@@ -0,0 +1,463 @@
+"""Worlds in figures: everything a run starts from, as plain data, and its draw from ranges and a seed.
+
+The usual ranges fit the deployment `atlanta-resale` at a small size, with work and aims shortened so that
+a few virtual seconds hold faults that begin and end and the time to get well again.  What the protocol
+and the program fix (the drain's 500 ms, the watch's 2 s, idle limits) keeps its length.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from brambleusher.lab.stand_ins.settings import (
+    Ask,
+    ClientSettings,
+    Count,
+    DiscoverySettings,
+    NodeSettings,
+    Part,
+    Positive,
+    Seconds,
+    Settings,
+)
+
+Range = tuple[float, float]  # both ends may be drawn
+
+NODE_PORT, SIDECAR_PORT, DISCOVERY_PORT = 9000, 9000, 8500
+
+
+# --- a world --------------------------------------------------------------------------------------
+
+
+class ClassFigures(Settings, frozen=True):
+    """One class of request."""
+
+    name: str
+    share: Part
+    work_s: Positive  # the mean, on a standard core
+    spread: Seconds  # standard deviation of the logarithm of the work
+    aim_s: Positive
+    deadline_s: Positive
+    worth: Positive = 1.0
+    late_worth: Part = 0.3
+    unsafe: bool = False
+
+
+class TenantFigures(Settings, frozen=True):
+    """One tenant."""
+
+    name: str
+    share: Part
+    usage: Positive  # of its quota
+
+
+class NodeFigures(Settings, frozen=True):
+    """One execute node: its place, and its settings."""
+
+    id: str
+    zone: str
+    kind: str
+    cell: Count = 0
+    weight: Seconds = 1.0
+    settings: NodeSettings = NodeSettings()
+    spare: bool = False  # not there at the start; a fault may bring it
+
+
+class SidecarFigures(Settings, frozen=True):
+    """One sidecar's machine, and what it is told at its start."""
+
+    name: str
+    zone: str
+    sockets: Annotated[int, msgspec.Meta(ge=64)] = 128
+    memory_mb: Annotated[int, msgspec.Meta(ge=32)] = 64
+    known: Literal["fresh", "old", "none"] = "fresh"
+    capture: bool = True
+
+
+class NetworkFigures(Settings, frozen=True):
+    """Latencies, one way."""
+
+    same_zone_s: Seconds = 0.0002
+    cross_zone_s: Seconds = 0.0006
+    client_s: Seconds = 0.00005
+    jitter: Part = 0.2  # of the latency, at most, on top of it
+    split: Part = 0.0  # of what is sent: comes in two parts, cut at any byte
+    short_send: Part = 0.0  # of sends: takes a part only
+    short_receive: Part = 0.0  # of receives: gives a part only
+    aborted_accepts: Part = 0.0  # of connections reset before they are accepted: ECONNABORTED
+    buffer_bytes: Annotated[int, msgspec.Meta(ge=2048)] = 65536
+
+
+class RuleFigures(Settings, frozen=True):
+    """What sidecars must keep to, as their settings tell them."""
+
+    drain_grace_s: Seconds = 0.5
+    must_ask_s: Positive = 10.0
+    fall_multiple: Positive = 4.0
+    fall_s: Positive = 3.0
+    max_attempts: Annotated[int, msgspec.Meta(ge=1)] = 6
+    second_copies: bool = True
+    cancel: bool = True
+    retry_after: bool = True
+    max_retry_after_s: Positive = 2.0
+    connect_timeout_s: Positive = 0.25
+    tick_s: Positive = 0.005
+    over_share_worth: Part = 0.05
+
+
+class WorldFigures(Settings, frozen=True):
+    """A whole world, all drawn."""
+
+    length_s: Positive  # until the last arrival
+    faults_s: Positive  # by then all faults have ended
+    zones: tuple[str, ...]
+    sidecars: tuple[SidecarFigures, ...]
+    nodes: tuple[NodeFigures, ...]
+    classes: tuple[ClassFigures, ...]
+    tenants: tuple[TenantFigures, ...] = ()
+    requests_per_s: Positive = 14.0
+    discovery: DiscoverySettings = DiscoverySettings()
+    notice_s: Seconds = 0.5  # until discovery has heard of a process that starts or drains
+    silent_notice_s: Seconds = 1.5  # until it has heard of one that died without a word
+    network: NetworkFigures = NetworkFigures()
+    clients: ClientSettings = ClientSettings()
+    rules: RuleFigures = RuleFigures()
+
+    @property
+    def capacity(self) -> float:
+        """What all nodes there at the start can work, in seconds of a standard core a second."""
+        return sum(node.settings.cores * node.settings.speed for node in self.nodes if not node.spare)
+
+    @property
+    def mean_work_s(self) -> float:
+        """Of a request."""
+        return sum(each.share * each.work_s for each in self.classes) / sum(
+            each.share for each in self.classes
+        )
+
+    def sidecar_settings(self, number: int) -> dict[str, Any]:
+        """The object `settings` of a sidecar's configuration."""
+        rules, own = self.rules, self.sidecars[number]
+        rate = self.requests_per_s
+        coldest = min(node.settings.cold_from for node in self.nodes)
+        return {
+            "me": number, "fleet_size": len(self.sidecars), "zone": own.zone, "azs": list(self.zones),
+            "family": "mesh", "tick_ns": _ns(rules.tick_s), "membership_mode": "subscribe",
+            "worth_by": "work", "weights": "rough", "over_share_worth": rules.over_share_worth,
+            "host_types": sorted({node.kind for node in self.nodes}),
+            "classes": [
+                {
+                    "name": each.name, "promise_ns": _ns(each.aim_s), "give_up_ns": _ns(each.deadline_s),
+                    "effect": "non_idempotent" if each.unsafe else "read_like", "group": "all",
+                    "worth": each.worth, "late_worth": each.late_worth, "window_ns": 5 * 10**9,
+                    "stream": False,
+                }
+                for each in self.classes
+            ],
+            "projects": [
+                {"name": each.name, "portion": each.share, "quota_rps": rate * each.share / each.usage}
+                for each in self.tenants
+            ],
+            "clients": {"marks_retry": self.clients.marks_retry},
+            "limits": {
+                "cancel": rules.cancel, "conn_idle_ns": _ns(min(n.settings.idle_s for n in self.nodes)),
+                "connect_timeout_ns": _ns(rules.connect_timeout_s), "max_attempts": rules.max_attempts,
+                "max_retry_after_ns": _ns(rules.max_retry_after_s), "retry_after": rules.retry_after,
+                "second_copies": rules.second_copies, "multiplex": 1, "probing": False,
+                "peer_messages": False,
+            },
+            "safety": {
+                "answer_slack_ns": 20 * 10**6,
+                "cold_ns": _ns(max(node.settings.cold_s for node in self.nodes)),
+                "drain_grace_ns": _ns(rules.drain_grace_s), "fall_multiple": rules.fall_multiple,
+                "fall_ns": _ns(rules.fall_s), "must_ask_in_ns": _ns(rules.must_ask_s),
+                "start_capacity": coldest,
+            },
+            "score_parts": {"whole": 0.35, "worst_class": 0.2, "worst_tenant": 0.1, "worst_window": 0.35},
+            "fees": {
+                "connection": 0.075, "cross_zone": 0.1, "handshake": 0.075, "late_fail": 0.075, "waste": 0.06
+            },
+            "telemetry": {"how": "piggyback", "names": list(self.nodes[0].settings.report_fields)},
+        }  # fmt: skip
+
+
+def _ns(seconds: float) -> int:
+    return round(seconds * 1e9)
+
+
+# --- ranges ---------------------------------------------------------------------------------------
+
+
+class ClassRanges(Settings, frozen=True):
+    """What a class is drawn from."""
+
+    name: str
+    share: Range
+    work_s: Range
+    spread: Range
+    aim_s: float
+    deadline_s: float
+    worth: float
+    late_worth: float
+    unsafe: bool = False
+
+
+class KindRanges(Settings, frozen=True):
+    """What a kind of node is drawn from."""
+
+    name: str
+    share: Range
+    cores: int
+    speed: Range
+    speed_spread: Range
+    queue_per_core: Range
+    thrash: Range
+    thrash_at: Range
+    cold_from: Range
+    cold_s: Range
+
+
+class Ranges(Settings, frozen=True):
+    """What worlds are drawn from."""
+
+    faults_s: Range = (2.6, 3.4)
+    after_s: Range = (4.8, 5.4)  # of calm, for getting well again and for being seen to be
+    zones: tuple[str, ...] = ("atl-north", "atl-south", "macon", "augusta")
+    sidecars: tuple[int, int] = (1, 3)
+    nodes: tuple[int, int] = (3, 5)
+    spares: tuple[int, int] = (1, 2)
+    load: Range = (0.12, 0.6)  # of the capacity
+    requests_per_s: Range = (11.0, 15.0)
+    usage: Range = (0.54, 1.4)
+    kinds: tuple[KindRanges, ...] = (
+        KindRanges(
+            name="std-2core", share=(0.57, 0.77), cores=2, speed=(0.85, 1.1), speed_spread=(0.09, 0.21),
+            queue_per_core=(20.0, 120.0), thrash=(0.044, 0.12), thrash_at=(8.3, 14.0),
+            cold_from=(0.17, 0.34), cold_s=(3.0, 6.0),
+        ),
+        KindRanges(
+            name="small-1core", share=(0.23, 0.43), cores=1, speed=(0.64, 0.86), speed_spread=(0.035, 0.2),
+            queue_per_core=(20.0, 120.0), thrash=(0.035, 0.13), thrash_at=(8.3, 14.0),
+            cold_from=(0.18, 0.32), cold_s=(3.0, 6.0),
+        ),
+    )  # fmt: skip
+    classes: tuple[ClassRanges, ...] = (
+        ClassRanges(
+            name="listing-lookup", share=(0.35, 0.53), work_s=(0.048, 0.087), spread=(0.5, 0.9),
+            aim_s=0.5, deadline_s=1.0, worth=1.0, late_worth=0.2,
+        ),
+        ClassRanges(
+            name="price-check", share=(0.22, 0.34), work_s=(0.086, 0.16), spread=(0.5, 0.9),
+            aim_s=0.75, deadline_s=1.6, worth=5.0, late_worth=0.5,
+        ),
+        ClassRanges(
+            name="transfer-record", share=(0.22, 0.34), work_s=(0.14, 0.24), spread=(0.5, 0.9),
+            aim_s=0.75, deadline_s=2.0, worth=2.0, late_worth=0.3, unsafe=True,
+        ),
+    )  # fmt: skip
+    tenants: tuple[tuple[str, float], ...] = (("peach-seats", 0.8), ("red-clay-tix", 0.2))
+    same_zone_s: Range = (0.0001, 0.00032)
+    cross_zone_s: Range = (0.00042, 0.00078)
+    client_s: Range = (0.00002, 0.0001)
+    jitter: Range = (0.11, 0.28)
+    split: Range = (0.0, 0.1)
+    short_send: Range = (0.0, 0.04)
+    short_receive: Range = (0.0, 0.06)
+    buffer_bytes: Range = (4096.0, 65536.0)
+    notice_s: Range = (0.2, 1.0)
+    silent_notice_s: Range = (0.6, 1.5)
+    call_s: Range = (0.002, 0.05)
+    line_s: Range = (0.0002, 0.002)
+    spread_s: Range = (0.01, 0.09)
+    report_period_s: Range = (0.15, 0.5)
+    report_delay_s: Range = (0.02, 0.15)
+    report_noise: Range = (0.001, 0.07)
+    connections: Range = (24.0, 900.0)
+    full_tax: Range = (0.16, 0.38)
+    handshake_s: Range = (0.0004, 0.0024)
+    handshake_work_s: Range = (0.0009, 0.0015)
+    idle_s: Range = (2.0, 30.0)
+    work_noise: Range = (0.06, 0.5)
+    error_rate: Range = (0.0, 0.002)
+    must_ask_s: Range = (6.0, 10.0)
+    sockets: Range = (80.0, 256.0)
+    tries: tuple[int, int] = (1, 4)
+    try_part: Range = (0.5, 1.0)
+    honour: Range = (0.3, 0.9)
+    backoff_s: Range = (0.02, 0.2)
+    impatient: Range = (0.0, 0.1)
+
+
+class Drawer:
+    """Draws from ranges; one of its own for each purpose, so that none shifts the others'."""
+
+    def __init__(self, seed: int, purpose: str) -> None:
+        self.rng = random.Random(f"{seed}/{purpose}")
+
+    def of(self, range_: Range) -> float:
+        """Evenly from a range, with few enough digits to be read."""
+        return _short(self.rng.uniform(*range_))
+
+    def log(self, range_: Range) -> float:
+        """Evenly by order of magnitude."""
+        low, high = range_
+        return _short(math.exp(self.rng.uniform(math.log(low), math.log(high))))
+
+    def whole(self, range_: tuple[int, int] | Range) -> int:
+        """A whole number; both ends may be drawn."""
+        return self.rng.randint(int(range_[0]), int(range_[1]))
+
+    def chance(self, part: float) -> bool:
+        """True in that part of all draws."""
+        return self.rng.random() < part
+
+
+def _short(value: float) -> float:
+    """Four significant digits: what a scenario file can hold and still give the same run."""
+    return float(f"{value:.4g}")
+
+
+def draw_world(seed: int, ranges: Ranges | None = None) -> WorldFigures:
+    """One world: the same for the same seed and ranges, in every process."""
+    ranges = ranges or Ranges()
+    draw = Drawer(seed, "world")
+    classes = tuple(
+        ClassFigures(
+            name=each.name, share=draw.of(each.share), work_s=draw.of(each.work_s),
+            spread=draw.of(each.spread), aim_s=each.aim_s, deadline_s=each.deadline_s, worth=each.worth,
+            late_worth=each.late_worth, unsafe=each.unsafe,
+        )
+        for each in ranges.classes
+    )  # fmt: skip
+    network = NetworkFigures(
+        same_zone_s=draw.of(ranges.same_zone_s), cross_zone_s=draw.of(ranges.cross_zone_s),
+        client_s=draw.of(ranges.client_s), jitter=draw.of(ranges.jitter), split=draw.of(ranges.split),
+        short_send=draw.of(ranges.short_send), short_receive=draw.of(ranges.short_receive),
+        buffer_bytes=int(draw.log(ranges.buffer_bytes)), aborted_accepts=0.02 if draw.chance(0.3) else 0.0,
+    )  # fmt: skip
+    nodes = _draw_nodes(Drawer(seed, "nodes"), ranges)
+    capacity = sum(node.settings.cores * node.settings.speed for node in nodes if not node.spare)
+    mean_work = sum(each.share * each.work_s for each in classes) / sum(each.share for each in classes)
+    rate = draw.of(ranges.requests_per_s)
+    # The rate is what a run can afford; the work is stretched or shortened to make the load.
+    stretch = draw.of(ranges.load) * capacity / (rate * mean_work)
+    stretch = min(1.1, max(0.15, stretch))
+    classes = tuple(msgspec.structs.replace(each, work_s=_short(each.work_s * stretch)) for each in classes)
+    draw = Drawer(seed, "front")
+    count = draw.whole(ranges.sidecars)
+    sidecars = tuple(
+        SidecarFigures(
+            name=f"n{number}", zone=draw.rng.choice(ranges.zones), sockets=draw.whole(ranges.sockets),
+            known=draw.rng.choice(("fresh", "fresh", "old", "none")),
+        )
+        for number in range(count)
+    )  # fmt: skip
+    clients = ClientSettings(
+        tries=draw.whole(ranges.tries), try_part=draw.of(ranges.try_part),
+        backoff=draw.rng.choice(("none", "fixed", "exponential")), backoff_s=draw.of(ranges.backoff_s),
+        honour=draw.of(ranges.honour), marks_retry=draw.chance(0.5),
+        impatient=draw.of(ranges.impatient) if draw.chance(0.3) else 0.0,
+    )  # fmt: skip
+    discovery = DiscoverySettings(
+        call_s=draw.log(ranges.call_s), line_s=draw.log(ranges.line_s), spread_s=draw.of(ranges.spread_s),
+        fails_by=draw.rng.choice(("503", "reset")),
+    )  # fmt: skip
+    faults_s = draw.of(ranges.faults_s)
+    return WorldFigures(
+        length_s=_short(faults_s + draw.of(ranges.after_s)), faults_s=faults_s, zones=ranges.zones,
+        sidecars=sidecars, nodes=nodes, classes=classes,
+        tenants=tuple(
+            TenantFigures(name=name, share=share, usage=draw.of(ranges.usage))
+            for name, share in ranges.tenants
+        ),
+        requests_per_s=rate, discovery=discovery, notice_s=draw.of(ranges.notice_s),
+        silent_notice_s=draw.of(ranges.silent_notice_s), network=network, clients=clients,
+        rules=RuleFigures(must_ask_s=draw.of(ranges.must_ask_s), second_copies=draw.chance(0.8)),
+    )  # fmt: skip
+
+
+def _draw_nodes(draw: Drawer, ranges: Ranges) -> tuple[NodeFigures, ...]:
+    """The nodes there at the start, then the spares; each kind and, as far as they go, each zone is there."""
+    count, spares = draw.whole(ranges.nodes), draw.whole(ranges.spares)
+    shares = [draw.of(kind.share) for kind in ranges.kinds]
+    # What all nodes share: the make of the fleet.
+    period, delay = draw.of(ranges.report_period_s), draw.of(ranges.report_delay_s)
+    noise, idle = draw.log(ranges.report_noise), draw.log(ranges.idle_s)
+    handshake, handshake_work = draw.of(ranges.handshake_s), draw.of(ranges.handshake_work_s)
+    cancels: tuple[Literal["none", "queued", "all"], ...] = ("none", "queued", "all")
+    warmths: tuple[Literal["time", "work"], ...] = ("time", "work", "work")
+    cancel, drops = draw.rng.choice(cancels), draw.chance(0.3)
+    refuses, warm_by = draw.chance(0.5), draw.rng.choice(warmths)
+    tax, work_noise = draw.of(ranges.full_tax), draw.of(ranges.work_noise)
+    speeds = [draw.of(kind.speed) for kind in ranges.kinds]
+    spreads = [draw.of(kind.speed_spread) for kind in ranges.kinds]
+    nodes: list[NodeFigures] = []
+    for number in range(count + spares):
+        at = number if number < len(ranges.kinds) else _pick(draw, shares)
+        kind = ranges.kinds[at]
+        settings = NodeSettings(
+            cores=kind.cores,
+            speed=_short(max(0.2, speeds[at] * (1 + spreads[at] * draw.rng.uniform(-1, 1)))),
+            queue_per_core=draw.whole(kind.queue_per_core), thrash=draw.of(kind.thrash),
+            thrash_at=draw.of(kind.thrash_at), cold_from=draw.of(kind.cold_from), cold_s=draw.of(kind.cold_s),
+            warm_by=warm_by, connections=int(draw.log(ranges.connections)), full_tax=tax,
+            handshake_s=handshake, handshake_work_s=handshake_work, idle_s=idle, report_period_s=period,
+            report_delay_s=delay, report_noise=noise, error_rate=draw.of(ranges.error_rate), cancel=cancel,
+            drops_overdue=drops, drain_refuses=refuses, work_noise=work_noise,
+        )  # fmt: skip
+        nodes.append(
+            NodeFigures(
+                id=f"s-{draw.rng.getrandbits(32):08x}",
+                zone=ranges.zones[number % len(ranges.zones)],
+                kind=kind.name,
+                cell=number // 3,
+                weight=_short(kind.cores * settings.speed * draw.rng.uniform(0.8, 1.25)),
+                settings=settings,
+                spare=number >= count,
+            )
+        )
+    return tuple(nodes)
+
+
+def _pick(draw: Drawer, shares: list[float]) -> int:
+    return draw.rng.choices(range(len(shares)), shares)[0]
+
+
+# --- demand ---------------------------------------------------------------------------------------
+
+LEAST_REQUESTS = 60
+
+
+def draw_asks(seed: int, world: WorldFigures) -> tuple[Ask, ...]:
+    """What the submitters ask for over a run: arrivals at random, now and then many at once."""
+    draw = Drawer(seed, "asks")
+    rng = draw.rng
+    times: list[float] = []
+    count = max(LEAST_REQUESTS, round(world.length_s * world.requests_per_s))
+    if draw.chance(0.4):  # a resale opens
+        at, many = rng.uniform(0.3, 0.6) * world.faults_s, rng.randint(count // 8, count // 4)
+        times += [at + rng.uniform(0, 0.25) for _ in range(many)]
+    times += [rng.uniform(0, world.length_s - 0.05) for _ in range(count - len(times))]
+    weights = [rng.uniform(0.3, 1.7) for _ in world.sidecars]  # some get far more than others
+    asks = []
+    for at in sorted(_short(max(0.0001, time)) for time in times):
+        of = rng.choices(world.classes, [each.share for each in world.classes])[0]
+        work = of.work_s * math.exp(of.spread * rng.gauss(0, 1) - of.spread**2 / 2)
+        work = min(max(work, 0.002), of.aim_s * 0.8)
+        tenant = ""
+        if world.tenants:
+            tenant = rng.choices(world.tenants, [each.share for each in world.tenants])[0].name
+        asks.append(
+            Ask(
+                id=f"{rng.getrandbits(64):016x}", at_s=at, request_class=of.name, unsafe=of.unsafe,
+                tenant=tenant, wait_s=of.deadline_s, work_s=_short(work),
+                hint_s=_short(work * math.exp(rng.gauss(0, 0.4))) if world.clients.hints == "rough" else 0.0,
+                body_bytes=rng.choice((64, 200, 200, 4000)) if of.unsafe else 0,
+                sidecar=rng.choices(range(len(weights)), weights)[0],
+            )
+        )  # fmt: skip
+    return tuple(asks)
--- /dev/null
+++ b/brambleusher/lab/scenario.py
@@ -0,0 +1,85 @@
+"""Scenarios: a world, what is asked for and what goes wrong, whole, as plain data in a YAML file."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+import msgspec
+import yaml
+
+from brambleusher.lab.faults import AnyFault, check_faults, draw_faults
+from brambleusher.lab.figures import Ranges, WorldFigures, draw_asks, draw_world
+from brambleusher.lab.stand_ins.settings import Ask, Settings
+
+FORMAT = 1
+
+
+class ScenarioError(ValueError):
+    """A scenario that can't be used; the message names the key."""
+
+
+class Scenario(Settings, frozen=True):
+    """All that a run starts from; `seed` is for what is drawn while it goes on."""
+
+    seed: int
+    world: WorldFigures
+    asks: tuple[Ask, ...]
+    faults: tuple[AnyFault, ...]
+    profile: str = "default"
+    format: Annotated[int, msgspec.Meta(ge=FORMAT, le=FORMAT)] = FORMAT
+    note: str = ""  # what it shows
+
+
+def draw_scenario(seed: int, profile: str = "default", ranges: Ranges | None = None) -> Scenario:
+    """The scenario of a seed; raises `ValueError` for a profile that there is none of."""
+    world = draw_world(seed, ranges)
+    return Scenario(
+        seed=seed,
+        profile=profile,
+        world=world,
+        asks=draw_asks(seed, world),
+        faults=draw_faults(seed, world, profile),
+    )
+
+
+class _Dumper(yaml.SafeDumper):
+    """Leaves of the tree on a line each."""
+
+    def represent_mapping(self, tag: str, mapping: Any, flow_style: bool | None = None) -> yaml.MappingNode:
+        """A mapping without further ones in it goes on one line."""
+        flat = not any(isinstance(value, dict | list | tuple) for value in mapping.values())
+        return super().represent_mapping(tag, mapping, flow_style=flat)
+
+    def represent_sequence(
+        self, tag: str, sequence: Any, flow_style: bool | None = None
+    ) -> yaml.SequenceNode:
+        """A list of plain values too."""
+        flat = not any(isinstance(value, dict | list | tuple) for value in sequence)
+        return super().represent_sequence(tag, sequence, flow_style=flat)
+
+
+def write_scenario(scenario: Scenario) -> str:
+    """The text of a scenario file."""
+    return yaml.dump(
+        msgspec.to_builtins(scenario), Dumper=_Dumper, sort_keys=False, width=110, allow_unicode=True
+    )
+
+
+def read_scenario(text: str | bytes) -> Scenario:
+    """A scenario from a file's text; raises `ScenarioError`, which names what can't be used."""
+    try:
+        raw = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise ScenarioError(f"not YAML: {' '.join(str(error).split())}") from None
+    if not isinstance(raw, dict):
+        raise ScenarioError("not a mapping")
+    try:
+        scenario = msgspec.convert(raw, Scenario)
+        check_faults(scenario.faults, scenario.world)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise ScenarioError(str(error)) from None
+    for number, ask in enumerate(scenario.asks):
+        if ask.sidecar >= len(scenario.world.sidecars):
+            raise ScenarioError(f"asks[{number}].sidecar is {ask.sidecar}, and there are "
+                                f"{len(scenario.world.sidecars)}")  # fmt: skip
+    return scenario
--- /dev/null
+++ b/brambleusher/lab/stand_ins/bad_client.py
@@ -0,0 +1,268 @@
+"""Submitters that misbehave: each kind is a function that does its worst on one connection."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, MutableSequence
+from dataclasses import dataclass, field
+from typing import Literal, get_args
+
+from brambleusher.lab.stand_ins.client import wording_of
+from brambleusher.lab.stand_ins.settings import Ask
+from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
+from brambleusher.runtime.streams import Stream
+from brambleusher.runtime.system import Address
+
+BadKind = Literal[
+    "half-request", "half-and-close", "negative-length", "huge-length", "huge-body", "bad-length",
+    "both-framings", "two-lengths", "id-in-use", "pipelining", "leaving", "slow-reading", "slow-writing",
+    "silent", "ask-and-stay", "endless-head", "unknown-class", "no-id", "bad-deadline", "noise",
+    "again-at-once",
+]  # fmt: skip
+BAD_KINDS: tuple[BadKind, ...] = get_args(BadKind)
+
+CONNECT_SECONDS = 1.0
+PATIENCE = 8.0  # how long one stays at most
+KEPT_BYTES = 4096  # of what came back
+SLOW_PAUSE = 0.01
+
+
+@dataclass(eq=False, slots=True)
+class Misdeed:
+    """One bad connection, and what it was told.  Times are monotonic nanoseconds."""
+
+    kind: BadKind
+    opened_ns: int = 0  # 0: it never came up
+    port: int = 0
+    sent_ns: int = 0  # when the last byte it had to send was handed over
+    told_ns: int = 0  # the first byte that came back
+    ended_ns: int = 0
+    end: str = ""  # closed or reset by the sidecar, left, stayed (as long as it had patience), unreachable
+    got: bytes = b""  # its beginning
+    got_bytes: int = 0
+    ids: list[str] = field(default_factory=list)  # of whole requests that may be served
+    hidden: str = ""  # the id of one that must never be: it is inside a body
+
+
+class _Left(Exception):
+    """It closes the connection itself."""
+
+
+class BadClients:
+    """Any number of them, against one sidecar."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        target: Address,
+        sample: Ask,
+        seed: int = 0,
+        *,
+        in_use: Callable[[], list[str]] = list,
+        book: MutableSequence[Misdeed] | None = None,
+    ) -> None:
+        """`sample` words their good requests; `in_use` tells ids that other submitters have open."""
+        self.scheduler, self.target, self._sample, self._in_use = scheduler, target, sample, in_use
+        self.rng = random.Random(f"{seed}/bad/{target[0]}:{target[1]}")
+        self.book: MutableSequence[Misdeed] = [] if book is None else book
+        self._tasks: dict[int, Task] = {}
+        self._number = 0
+        self._seed = seed
+
+    @property
+    def open(self) -> int:
+        """Connections that are not over."""
+        return len(self._tasks)
+
+    def begin(self, kind: BadKind, count: int = 1, patience: float = PATIENCE) -> list[int]:
+        """Start some of a kind; says their numbers."""
+        numbers = []
+        for _ in range(count):
+            self._number += 1
+            deed = Misdeed(kind)
+            self.book.append(deed)
+            self._tasks[self._number] = self.scheduler.spawn(
+                self._run, deed, self._number, patience, name=f"bad {kind}"
+            )
+            numbers.append(self._number)
+        return numbers
+
+    def end(self, numbers: list[int] | None = None) -> None:
+        """Have some, or all, close and go."""
+        for number in list(self._tasks) if numbers is None else numbers:
+            if (task := self._tasks.get(number)) is not None:
+                task.cancel()
+
+    # --- one of them ----------------------------------------------------------------------------
+
+    def _run(self, deed: Misdeed, number: int, patience: float) -> None:
+        scheduler = self.scheduler
+        until = scheduler.now() + patience
+        stream: Stream | None = None
+        deed.end = "left"
+        try:
+            stream = Stream.connect(scheduler, self.target, min(until, scheduler.now() + CONNECT_SECONDS))
+            deed.opened_ns = scheduler.system.monotonic_ns()
+            deed.port = stream.sock.getsockname()[1]
+            _DEEDS[deed.kind](self, deed, stream, number, until)
+            self._read(deed, stream, until)
+            deed.end = "closed"
+        except _Left:
+            deed.end = "left"
+        except Timeout:
+            deed.end = "stayed" if stream is not None else "unreachable"
+        except OSError:
+            deed.end = "reset" if stream is not None else "unreachable"
+        finally:
+            deed.ended_ns = scheduler.system.monotonic_ns()
+            self._tasks.pop(number, None)
+            if stream is not None:
+                stream.close()
+
+    def _good(self, deed: Misdeed, number: int, nth: int = 0, wait: float = 1.0) -> bytes:
+        """A request that nothing is wrong with."""
+        name = f"b{self._seed & 0xFFFFFFFF:08x}{number:04x}{nth:03x}"
+        deed.ids.append(name)
+        return wording_of(self._sample, name, wait)
+
+    def _send(self, deed: Misdeed, stream: Stream, data: bytes, until: float) -> None:
+        """Send, and go on reading: one who does not might wait for room that never comes."""
+        stream.send(data, until)
+        deed.sent_ns = self.scheduler.system.monotonic_ns()
+
+    def _read(self, deed: Misdeed, stream: Stream, until: float) -> None:
+        """Read to the connection's end."""
+        while data := stream.receive(until):
+            self._note(deed, data)
+
+    def _answered(self, deed: Misdeed, stream: Stream, until: float) -> None:
+        """Read until something has come back."""
+        data = stream.receive(until)
+        if not data:
+            raise ConnectionResetError("closed without a word")
+        self._note(deed, data)
+
+    def _note(self, deed: Misdeed, data: bytes) -> None:
+        if not deed.got_bytes:
+            deed.told_ns = self.scheduler.system.monotonic_ns()
+        deed.got_bytes += len(data)
+        deed.got = (deed.got + data)[:KEPT_BYTES] if len(deed.got) < KEPT_BYTES else deed.got
+
+    def _edited(self, old: bytes, new: bytes, number: int) -> bytes:
+        """A good request with one thing wrong; its id is not one that may be served."""
+        return self._good(Misdeed("noise"), number).replace(old, new, 1)
+
+    # --- the kinds ------------------------------------------------------------------------------
+
+    def _half_request(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        data = self._good(Misdeed(deed.kind), number)
+        self._send(deed, stream, data[: len(data) // 2], until)
+
+    def _half_and_close(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._half_request(deed, stream, number, until)
+        self.scheduler.sleep(0.1 * self.rng.random())
+        raise _Left
+
+    def _wrong(self, name: str, value: str) -> bytes:
+        """A request with one header wrong."""
+        lines = [
+            f"POST /{self._sample.request_class} HTTP/1.1", "Host: api.internal", "Request-Id: bad",
+            f"Request-Class: {self._sample.request_class}", "Request-Timeout-Ms: 500",
+        ]  # fmt: skip
+        if self._sample.tenant:
+            lines.append(f"Tenant: {self._sample.tenant}")
+        lines = [line for line in lines if not line.startswith(name + ":")]
+        if value:
+            lines.append(f"{name}: {value}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+    def _negative_length(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, self._wrong("Content-Length", "-20") + b"x" * 20, until)
+
+    def _huge_length(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, self._wrong("Content-Length", str(1 << 62)) + b"x" * 20, until)
+
+    def _huge_body(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        size = 256 * 1024
+        self._send(deed, stream, self._wrong("Content-Length", str(size)) + b"x" * size, until)
+
+    def _bad_length(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, self._wrong("Content-Length", "0x14") + b"x" * 20, until)
+
+    def _both_framings(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        inner = self._good(Misdeed(deed.kind), number, 0xFFF)
+        deed.hidden = f"b{self._seed & 0xFFFFFFFF:08x}{number:04x}fff"
+        body = b"0\r\n\r\n" + inner
+        head = self._wrong("Content-Length", str(len(body)))[:-2] + b"Transfer-Encoding: chunked\r\n\r\n"
+        self._send(deed, stream, head + body, until)
+
+    def _two_lengths(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        head = self._wrong("Content-Length", "5")[:-2] + b"Content-Length: 25\r\n\r\n"
+        self._send(deed, stream, head + b"x" * 25, until)
+
+    def _id_in_use(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        ids = self._in_use()
+        if not ids:
+            raise _Left
+        name = ids[self.rng.randrange(len(ids))]
+        self._send(deed, stream, wording_of(self._sample, name, 1.0), until)
+
+    def _pipelining(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, b"".join(self._good(deed, number, nth) for nth in range(4)), until)
+
+    def _leaving(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, self._good(deed, number), until)
+        self.scheduler.sleep(0.1 * self.rng.random())
+        raise _Left
+
+    def _slow_reading(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, self._good(deed, number), until)
+        while self.scheduler.now() < until:
+            self.scheduler.park(until, stream.sock)
+            data = stream.sock.recv(1)
+            if not data:
+                return
+            self._note(deed, data)
+            self.scheduler.sleep(SLOW_PAUSE)
+
+    def _slow_writing(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        data = self._good(deed, number)
+        for at in range(len(data)):
+            self._send(deed, stream, data[at : at + 1], until)
+            self.scheduler.sleep(SLOW_PAUSE / 2)
+
+    def _silent(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        """Say nothing."""
+
+    def _ask_and_stay(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, self._good(deed, number), until)
+
+    def _endless_head(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, self._wrong("Content-Length", "0")[:-2], until)
+        while self.scheduler.now() < until:
+            self._send(deed, stream, b"X-More: " + b"m" * 500 + b"\r\n", until)
+            self.scheduler.sleep(SLOW_PAUSE)
+
+    def _unknown_class(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        known = self._sample.request_class.encode()
+        self._send(deed, stream, self._edited(known, b"no-such-class", number), until)
+
+    def _no_id(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, self._wrong("Request-Id", ""), until)
+
+    def _bad_deadline(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, self._wrong("Request-Timeout-Ms", "soon"), until)
+
+    def _noise(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        self._send(deed, stream, self.rng.randbytes(300), until)
+
+    def _again_at_once(self, deed: Misdeed, stream: Stream, number: int, until: float) -> None:
+        """Ask again as soon as it is turned away, a few times."""
+        for nth in range(5):
+            self._send(deed, stream, self._good(deed, number, nth), until)
+            self._answered(deed, stream, until)
+
+
+_DEEDS: dict[BadKind, Callable[[BadClients, Misdeed, Stream, int, float], None]] = {
+    kind: getattr(BadClients, "_" + kind.replace("-", "_")) for kind in BAD_KINDS
+}
--- /dev/null
+++ b/brambleusher/lab/stand_ins/client.py
@@ -0,0 +1,307 @@
+"""Stand-in submitters: requests at set times, kept connections, retries, and a book of every try."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, MutableSequence
+from dataclasses import dataclass, field
+
+from brambleusher.lab.stand_ins.node import WORK_HEADER
+from brambleusher.lab.stand_ins.settings import Ask, ClientSettings
+from brambleusher.net.http import Field, HttpError, Message, MessageReader, write_request
+from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
+from brambleusher.runtime.streams import Stream
+from brambleusher.runtime.system import Address
+
+READY_PAUSE = 0.05
+CONNECT_SECONDS = 1.0
+CROSSING_SECONDS = 0.02
+SHORTEST_WAIT = 0.02  # less is not worth a try
+
+
+@dataclass(eq=False, slots=True)
+class Try:
+    """One request as written to a sidecar, and what came of it.  Times are monotonic nanoseconds."""
+
+    ask: Ask
+    id: str
+    number: int  # from 0
+    wait_s: float  # told to the sidecar
+    begun_ns: int
+    port: int = 0  # of the submitter's end of the connection it last went out on
+    sent_ns: int = 0  # its last byte was handed over; 0: it never was
+    resent: bool = False  # on a new connection, after a close that crossed it
+    ended_ns: int = 0  # the answer's last byte, or when the submitter gave up; 0: not yet
+    end: str = ""  # answered, late, left, unreachable, broken, unreadable, stopped
+    status: int = 0
+    body: bytes = b""
+    retry_after_s: float | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Asked:
+    """What somebody asked for, with all its tries."""
+
+    ask: Ask
+    due_ns: int  # when it was to be sent
+    tries: list[Try] = field(default_factory=list)
+    over: bool = False
+
+    @property
+    def served(self) -> bool:
+        """Whether it got what it asked for."""
+        return bool(self.tries) and self.tries[-1].end == "answered" and self.tries[-1].status == 200
+
+
+def headers_of(ask: Ask, name: str, wait_s: float, retry: bool) -> list[Field]:
+    """A request's headers, its length apart."""
+    fields: list[Field] = [
+        ("Host", "api.internal"),
+        ("Request-Id", name),
+        ("Request-Class", ask.request_class),
+        ("Request-Timeout-Ms", str(max(1, int(wait_s * 1000)))),
+        (WORK_HEADER.title(), str(round(ask.work_s * 1e6))),
+    ]
+    if ask.tenant:
+        fields.append(("Tenant", ask.tenant))
+    if ask.hint_s:
+        fields.append(("Work-Hint", str(round(ask.hint_s * 1e6))))
+    if retry:
+        fields.append(("Client-Retry", "1"))
+    return fields
+
+
+def wording_of(ask: Ask, name: str, wait_s: float, retry: bool = False) -> bytes:
+    """A request's bytes; its body tells its id, so that a body that goes astray can be seen."""
+    target = f"/{ask.request_class}?obj={ask.id[:8]}"
+    body = b""
+    if ask.unsafe:
+        text = f"record {name} ".encode()
+        body = text + b"r" * max(0, ask.body_bytes - len(text))
+    return write_request("POST" if ask.unsafe else "GET", target, headers_of(ask, name, wait_s, retry), body)
+
+
+def pause_before_next(
+    last: Try, settings: ClientSettings, rng: random.Random, now_s: float, due_s: float
+) -> float | None:
+    """How long to wait before another try, in seconds; None where there is to be none.
+
+    What is safe to repeat is tried again after any failure; what is not, only where a refusal or the lack
+    of a connection proves that it never ran.
+    """
+    if last.end == "left" or last.end == "stopped" or (last.end == "answered" and last.status == 200):
+        return None
+    refused = last.end == "answered" and last.status in (429, 503)
+    if last.ask.unsafe and not refused and last.end != "unreachable":
+        return None
+    if last.number + 1 >= settings.tries:
+        return None
+    pause = 0.0
+    if settings.backoff != "none":
+        growth = 2**last.number if settings.backoff == "exponential" else 1
+        pause = settings.backoff_s * growth * (0.5 + rng.random())
+    if refused and last.retry_after_s is not None and rng.random() < settings.honour:
+        pause = max(pause, min(last.retry_after_s, settings.honour_most_s))
+    return pause if now_s + pause + SHORTEST_WAIT < due_s else None
+
+
+class Client:
+    """All submitters beside one sidecar."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        settings: ClientSettings,
+        target: Address,
+        asks: Iterable[Ask],
+        seed: int = 0,
+        *,
+        book: MutableSequence[Asked] | None = None,
+    ) -> None:
+        self.scheduler, self.settings, self.target = scheduler, settings, target
+        self.rng = random.Random(f"{seed}/client/{target[0]}:{target[1]}")
+        self.book: MutableSequence[Asked] = [] if book is None else book
+        self._asks = sorted(asks, key=lambda ask: (ask.at_s, ask.id))
+        self._idle: list[Stream] = []
+        self._open: dict[str, Task] = {}  # by ask
+        self._arrivals: Task | None = None
+        self.connects = 0
+        self.done = Bell()  # rings when the last request is over and none is to come
+
+    @property
+    def open(self) -> int:
+        """Requests that are not over."""
+        return len(self._open)
+
+    @property
+    def finished(self) -> bool:
+        """Whether all requests were sent and are over."""
+        return not self._open and (self._arrivals is None or self._arrivals.done)
+
+    def open_ids(self) -> list[str]:
+        """Ids that are in use right now."""
+        return [asked.tries[-1].id for asked in self.book if not asked.over and asked.tries]
+
+    def start(self, at: float | None = None) -> None:
+        """Send each request `at_s` after a moment; without one, after the sidecar says that it is ready."""
+        self._arrivals = self.scheduler.spawn(self._arrive, at, name="arrivals")
+
+    def stop(self) -> None:
+        """Send nothing new; what is open goes on to its end."""
+        if self._arrivals is not None:
+            self._arrivals.cancel()
+        if not self._open:
+            self.done.ring()
+
+    def close(self) -> None:
+        """Close the connections that are kept, and leave what is open."""
+        self.stop()
+        for task in list(self._open.values()):
+            task.cancel()
+        while self._idle:
+            self._idle.pop().close()
+
+    # --- arrivals -------------------------------------------------------------------------------
+
+    def _arrive(self, at: float | None) -> None:
+        scheduler = self.scheduler
+        if at is None:
+            while not self._ready():
+                scheduler.sleep(READY_PAUSE)
+            at = scheduler.now()
+        begin = at
+        for ask in self._asks:
+            if (wait := begin + ask.at_s - scheduler.now()) > 0:
+                scheduler.sleep(wait)
+            asked = Asked(ask, round((begin + ask.at_s) * 1e9))
+            self.book.append(asked)
+            self._open[ask.id] = scheduler.spawn(self._live, asked, begin + ask.at_s, name="ask")
+
+    def _ready(self) -> bool:
+        deadline = self.scheduler.now() + CONNECT_SECONDS
+        try:
+            stream = Stream.connect(self.scheduler, self.target, deadline)
+        except (OSError, Timeout):
+            return False
+        try:
+            stream.send(write_request("GET", "/ready", [("Host", "api.internal")]), deadline)
+            answer = self._answer(stream, deadline, [])
+            return answer is not None and answer.status == 200
+        except (OSError, Timeout, HttpError):
+            return False
+        finally:
+            stream.close()
+
+    # --- one request ----------------------------------------------------------------------------
+
+    def _live(self, asked: Asked, began: float) -> None:
+        """Try after try."""
+        ask, scheduler, settings = asked.ask, self.scheduler, self.settings
+        due = began + ask.wait_s
+        try:
+            while True:
+                number, now = len(asked.tries), scheduler.now()
+                wait = (due - now) * (settings.try_part if number + 1 < settings.tries else 1.0)
+                name = ask.id if not number else f"{ask.id}-{number}"
+                last = Try(ask, name, number, wait, scheduler.system.monotonic_ns())
+                asked.tries.append(last)
+                try:
+                    self._try(last, now + wait)
+                finally:
+                    last.ended_ns = scheduler.system.monotonic_ns()
+                    last.end = last.end or "stopped"
+                pause = pause_before_next(last, settings, self.rng, scheduler.now(), due)
+                if pause is None:
+                    return
+                if pause:
+                    scheduler.sleep(pause)
+        finally:
+            asked.over = True
+            self._open.pop(ask.id, None)
+            if self.finished:
+                self.done.ring()
+
+    def _try(self, entry: Try, deadline: float) -> None:
+        """One request on one connection; a second one, if the first was closed before it was read."""
+        rng, settings = self.rng, self.settings
+        until = deadline
+        if settings.impatient and rng.random() < settings.impatient:
+            until -= (deadline - self.scheduler.now()) * rng.random()
+        data = wording_of(entry.ask, entry.id, entry.wait_s, entry.number > 0 and settings.marks_retry)
+        stream, kept = self._kept(), True
+        while True:
+            if stream is None:
+                kept = False
+                try:
+                    stream = Stream.connect(
+                        self.scheduler, self.target, min(until, self.scheduler.now() + CONNECT_SECONDS)
+                    )
+                except (OSError, Timeout):
+                    entry.end = "unreachable"
+                    return
+                self.connects += 1
+            if not self._once(entry, stream, data, until, deadline, kept):
+                return
+            entry.resent, stream = True, None
+
+    def _once(
+        self, entry: Try, stream: Stream, data: bytes, until: float, deadline: float, kept: bool
+    ) -> bool:
+        """Write the request and read its answer; true if it is to be sent once more on a new connection."""
+        got: list[int] = []
+        keep, sent = False, self.scheduler.now()
+        try:
+            entry.port = stream.sock.getsockname()[1]
+            stream.send(data, until)
+            entry.sent_ns = self.scheduler.system.monotonic_ns()
+            answer = self._answer(stream, until, got)
+            if answer is None:
+                raise ConnectionResetError("the connection ended before the answer")
+            entry.end, entry.status, entry.body = "answered", answer.status, answer.body
+            entry.retry_after_s = _seconds(answer.headers.get("retry-after"))
+            keep = answer.keep_alive
+        except Timeout:
+            entry.end = "left" if until < deadline else "late"
+        except HttpError:
+            entry.end = "unreadable"
+        except OSError:
+            # A close that crossed the request shows within a round trip; later, it may have been read.
+            if kept and not got and self.scheduler.now() - sent < CROSSING_SECONDS:
+                return True
+            entry.end = "broken"
+        finally:
+            if keep and len(self._idle) < self.settings.idle_most:
+                self._idle.append(stream)
+            else:
+                stream.close()
+        return False
+
+    def _kept(self) -> Stream | None:
+        """The connection used last, if one is kept that still stands."""
+        while self._idle:
+            stream = self._idle.pop()
+            if stream.quiet():
+                return stream
+            stream.close()
+        return None
+
+    @staticmethod
+    def _answer(stream: Stream, deadline: float, got: list[int]) -> Message | None:
+        """The whole answer; None if the connection ended before it."""
+        reader = MessageReader.responses()
+        while True:
+            data = stream.receive(deadline)
+            if not data:
+                return reader.end()
+            got.append(len(data))
+            reader.feed(data)
+            while (answer := reader.take()) is not None:
+                if answer.status >= 200:
+                    return answer
+
+
+def _seconds(text: str | None) -> float | None:
+    try:
+        return None if text is None else max(0.0, float(text))
+    except ValueError:
+        return None
--- /dev/null
+++ b/brambleusher/lab/stand_ins/discovery.py
@@ -0,0 +1,340 @@
+"""A stand-in discovery: the whole list, watches, versions, and a book of what was told to whom and when."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, MutableSequence
+from dataclasses import dataclass
+from typing import Literal
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+import orjson
+
+from brambleusher.lab.stand_ins.server import Connection, Server, Troubles
+from brambleusher.lab.stand_ins.settings import DiscoverySettings
+from brambleusher.net.http import Message, MessageReader, write_response
+from brambleusher.runtime.scheduler import Scheduler, Timeout
+
+READ_SECONDS = 10.0
+WRITE_SECONDS = 10.0
+CATCH_UP_SECONDS = 0.5  # after an older list
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+GarbageHow = Literal["noise", "half-line", "not-a-list", "bad-entry", "bad-chunk", "older"]
+
+
+class Entry(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """An execute node as listed."""
+
+    id: str
+    addr: str
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    state: Literal["Ready", "Terminating", "Gone"] = "Ready"
+    weight: float = 1.0
+    started_ms: int = 0
+
+
+# --- troubles -----------------------------------------------------------------------------------
+
+
+@dataclass(eq=False, slots=True)
+class Down:
+    """Calls fail: refused, reset, or answered 503; watches end where the listener does."""
+
+    how: Literal["refuse", "reset", "503"] = "refuse"
+
+
+@dataclass(eq=False, slots=True)
+class SlowCalls:
+    """Calls take so many times as long."""
+
+    factor: float
+
+
+@dataclass(eq=False, slots=True)
+class Silent:
+    """Watches stay open and say nothing, no empty line either; calls wait."""
+
+
+@dataclass(eq=False, slots=True)
+class Garbage:
+    """Each watch is told nonsense, once: at the beginning, or with its first answer while this lasts."""
+
+    how: GarbageHow
+
+
+# --- the book -----------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Telling:
+    """One list, or one change, as written to one subscriber; `at_ns`: its last byte was handed over."""
+
+    at_ns: int
+    peer: str
+    connection: int
+    version: int
+    full: bool
+    entries: tuple[Entry, ...]
+    sound: bool = True  # false for nonsense, and for an older version told out of order
+
+
+@dataclass(eq=False, slots=True)
+class _Watch:
+    connection: Connection
+    held: int | None
+    due: bool = False  # there is something to tell
+    fooled: Garbage | None = None  # nonsense already told
+    nonsense: Garbage | None = None  # nonsense to tell
+
+
+class Discovery(Server):
+    """One discovery service, its versions its own."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        settings: DiscoverySettings,
+        name: str = "discovery",
+        seed: int = 0,
+        *,
+        entries: Iterable[Entry] = (),
+        version: int = 1,
+        told: MutableSequence[Telling] | None = None,
+    ) -> None:
+        super().__init__(scheduler, name)
+        self.settings, self.rng = settings, random.Random(f"{seed}/{name}")
+        self.version = version
+        self._entries: dict[str, tuple[int, Entry]] = {entry.id: (version, entry) for entry in entries}
+        self._oldest = version  # changes after this version can be told
+        self._before: tuple[int, list[Entry]] | None = None  # an older list
+        self.told: MutableSequence[Telling] = [] if told is None else told
+        self.troubles = Troubles()
+        self._watches: dict[int, _Watch] = {}
+        self._free_at = 0.0  # when the call last taken is served
+        self.calls = self.failed = 0
+
+    # --- the list -------------------------------------------------------------------------------
+
+    @property
+    def entries(self) -> list[Entry]:
+        """The list as it stands."""
+        return [entry for _, entry in self._entries.values() if entry.state != "Gone"]
+
+    def put(self, *entries: Entry) -> None:
+        """Change entries, in one version; watches are told within `spread_s`."""
+        self._before = self.version, self.entries
+        self.version += 1
+        for entry in entries:
+            self._entries.pop(entry.id, None)  # so that the newest stand last
+            self._entries[entry.id] = self.version, entry
+        oldest = self.version - self.settings.history
+        if oldest > self._oldest:
+            self._oldest = oldest
+            for name, (version, entry) in list(self._entries.items()):
+                if entry.state == "Gone" and version <= oldest:
+                    del self._entries[name]
+        for watch in self._watches.values():
+            self._call(watch, self.settings.spread_s * self.rng.random())
+
+    def put_later(self, seconds: float, *entries: Entry) -> None:
+        """Learn of a change only after some time."""
+        self.scheduler.call_at(self.scheduler.now() + seconds, lambda: self.put(*entries))
+
+    def changes(self, since: int | None) -> tuple[bool, list[Entry]]:
+        """Whether it is the whole list, and the entries, for one who holds some version."""
+        if since is None or not self._oldest <= since <= self.version:
+            return True, self.entries
+        return False, [entry for version, entry in self._entries.values() if version > since]
+
+    # --- switches -------------------------------------------------------------------------------
+
+    def begin(self, trouble: object) -> None:
+        """Switch a trouble on."""
+        self.troubles.begin(trouble)
+        if isinstance(trouble, Down):
+            if trouble.how == "refuse":
+                self.unlisten()
+            if trouble.how != "503":
+                self.drop(reset=True)
+        if isinstance(trouble, Garbage):
+            for watch in self._watches.values():
+                watch.nonsense = trouble
+                self._call(watch, 0.0)
+
+    def end(self, trouble: object) -> None:
+        """Switch it off."""
+        self.troubles.end(trouble)
+        refusing = any(each.how == "refuse" for each in self.troubles.all(Down))
+        if isinstance(trouble, Down) and not refusing and not self.listening and self.address is not None:
+            self.listen(self.address)
+        if isinstance(trouble, Silent) and not self.troubles.all(Silent):
+            for connection in self.connections.values():
+                connection.bell.ring()
+
+    def retire(self, seconds: float) -> None:
+        """Accept nothing more, and close what is open after some time, as one does that was replaced."""
+        self.unlisten()
+        self.scheduler.call_at(self.scheduler.now() + seconds, lambda: self.drop(reset=False))
+
+    # --- one connection -------------------------------------------------------------------------
+
+    def serve(self, connection: Connection) -> None:
+        """Call after call, until one of them is a watch."""
+        reader = MessageReader.requests()
+        while (request := self._read(connection, reader)) is not None:
+            url = urlsplit(request.start[1])
+            if request.start[0] != "GET" or url.path != "/v1/endpoints":
+                self._write(connection, write_response(404, [], b"not here\n"))
+                continue
+            if not self._wait(connection):
+                return
+            query = parse_qs(url.query)
+            if query.get("follow") == ["1"]:
+                since = query.get("since", [""])[0]
+                self._watch(connection, int(since) if since.isascii() and since.isdigit() else None)
+                return
+            version, entries = self.version, tuple(self.entries)
+            body = _text(version, True, entries)
+            self._write(connection, write_response(200, [("Content-Type", "application/json")], body))
+            self._note(connection, version, True, entries)
+
+    def _read(self, connection: Connection, reader: MessageReader) -> Message | None:
+        deadline = self.scheduler.now() + READ_SECONDS
+        while (request := reader.take()) is None:
+            data = connection.stream.receive(deadline)
+            if not data:
+                return None
+            reader.feed(data)
+        return request
+
+    def _wait(self, connection: Connection) -> bool:
+        """Wait this call's turn; false where it fails."""
+        settings, scheduler = self.settings, self.scheduler
+        self.calls += 1
+        down = self.troubles.last(Down)
+        now = scheduler.now()
+        factor = max((each.factor for each in self.troubles.all(SlowCalls)), default=1.0)
+        takes = (settings.call_s + settings.line_s * len(self._entries)) * factor
+        ready = max(self._free_at, now) + takes
+        fails = "" if down is None else down.how
+        if down is None:
+            if ready - now > settings.timeout_s:
+                fails = settings.fails_by
+            else:
+                self._free_at = ready
+            scheduler.sleep(min(ready - now, settings.timeout_s))
+        while self.troubles.all(Silent):  # answered once it has found its voice again
+            scheduler.park(bell=connection.bell)
+        if not fails:
+            return True
+        self.failed += 1
+        if fails == "503":
+            self._write(connection, write_response(503, [], b"not now\n", keep_alive=False))
+        else:
+            self.reset(connection)
+        return False
+
+    # --- a watch --------------------------------------------------------------------------------
+
+    def _watch(self, connection: Connection, since: int | None) -> None:
+        watch = self._watches[connection.number] = _Watch(connection, since, due=True)
+        scheduler, first = self.scheduler, True
+        watch.nonsense = self.troubles.last(Garbage)
+        connection.stream.send(HEAD, scheduler.now() + WRITE_SECONDS)
+        try:
+            while True:
+                if not self.troubles.all(Silent):
+                    if watch.nonsense is not None and watch.nonsense is not watch.fooled:
+                        watch.fooled, watch.nonsense = watch.nonsense, None
+                        if not self._fool(watch, watch.fooled.how):
+                            return
+                    elif watch.due:
+                        self._tell(watch, first)
+                        first = False
+                    else:
+                        self._write(connection, b"1\r\n\n\r\n")
+                if self._ended(watch):
+                    return
+        finally:
+            self._watches.pop(connection.number, None)
+
+    def _ended(self, watch: _Watch) -> bool:
+        """Wait for news or for the next empty line; true when the subscriber has left."""
+        deadline = self.scheduler.now() + self.settings.beat_s
+        try:
+            return watch.connection.stream.receive(deadline, watch.connection.bell) == b""
+        except Timeout:
+            return False
+
+    def _call(self, watch: _Watch, seconds: float) -> None:
+        def ring() -> None:
+            watch.due = True
+            watch.connection.bell.ring()
+
+        if seconds > 0:
+            self.scheduler.call_at(self.scheduler.now() + seconds, ring)
+        else:
+            ring()
+
+    def _tell(self, watch: _Watch, first: bool) -> None:
+        watch.due = False
+        full, entries = self.changes(watch.held)
+        if not entries and not full and not first:  # told already, with an earlier change
+            return
+        version, told = self.version, tuple(entries)
+        watch.held = version
+        self._write(watch.connection, _chunk(_text(version, full, told) + b"\n"))
+        self._note(watch.connection, version, full, told)
+
+    def _fool(self, watch: _Watch, how: GarbageHow) -> bool:
+        """Tell nonsense; false where it ends the watch."""
+        connection, entries = watch.connection, tuple(self.entries)
+        if how == "older":
+            if self._before is None:
+                return True
+            # As from a replica that is behind: it catches up a little later.
+            version, before = self._before
+            self._write(connection, _chunk(_text(version, True, before) + b"\n"))
+            self._note(connection, version, True, tuple(before), sound=False)
+            watch.held, watch.due = version, False
+            self._call(watch, CATCH_UP_SECONDS)
+            return True
+        good = _text(self.version, True, entries)
+        if how == "half-line":
+            self._write(connection, _chunk(good[: len(good) // 2]))
+            return False  # its end comes in the middle of the line
+        if how == "bad-chunk":
+            self._write(connection, b"zz\r\n" + good + b"\r\n")
+            return False
+        if how == "noise":
+            line = bytes(self.rng.choices(range(32, 127), k=80))
+        elif how == "not-a-list":
+            line = orjson.dumps({"version": self.version, "full": True, "servers": {"a": 1}})
+        else:
+            raw = orjson.loads(good)
+            raw["servers"].append({"id": "s-bad", "addr": "nowhere", "state": "Ready"})
+            line = orjson.dumps(raw)
+        self._write(connection, _chunk(line + b"\n"))
+        return True
+
+    def _write(self, connection: Connection, data: bytes) -> None:
+        connection.stream.send(data, self.scheduler.now() + WRITE_SECONDS)
+
+    def _note(
+        self, connection: Connection, version: int, full: bool, entries: tuple[Entry, ...], sound: bool = True
+    ) -> None:
+        now = self.scheduler.system.monotonic_ns()
+        self.told.append(Telling(now, connection.peer, connection.number, version, full, entries, sound))
+
+
+def _text(version: int, full: bool, entries: Iterable[Entry]) -> bytes:
+    raw = {"version": version, "full": full, "servers": [msgspec.to_builtins(entry) for entry in entries]}
+    return orjson.dumps(raw)
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
--- /dev/null
+++ b/brambleusher/lab/stand_ins/node.py
@@ -0,0 +1,575 @@
+"""A stand-in execute node: HTTP in front of a `Machine`, a book of what it ran, and switches for troubles."""
+
+from __future__ import annotations
+
+import math
+import random
+import zlib
+from collections.abc import Callable, MutableSequence
+from dataclasses import dataclass, field
+from typing import Literal
+
+import orjson
+
+from brambleusher.lab.stand_ins.machine import Job, Machine
+from brambleusher.lab.stand_ins.server import Connection, Server, Troubles
+from brambleusher.lab.stand_ins.settings import NodeSettings
+from brambleusher.net.http import Field, HttpError, Message, MessageReader, write_response
+from brambleusher.runtime.scheduler import Scheduler, Timer
+
+WORK_HEADER = "lab-work-us"  # the true work of a request, where the submitter's stand-in tells it
+WORK_UNKNOWN = 0.05
+READ_SECONDS = 10.0  # for a request that has begun
+WRITE_SECONDS = 10.0
+AHEAD_BYTES = 128 * 1024  # read while a request is in work
+ENDLESS_PIECE, ENDLESS_SECONDS, ENDLESS_PAUSE = 16 * 1024, 20.0, 0.05
+
+SpoiltHow = Literal[
+    "noise", "endless-head", "long-length", "negative-length", "two-lengths", "bad-chunk", "unframed",
+    "endless-body", "cut-body", "second-copy", "noise-behind", "interim", "bad-report", "strange-status",
+]  # fmt: skip
+ResetWhere = Literal["accept", "before", "in", "after", "answer"]
+ReportHow = Literal["absent", "noise", "negative", "huge", "idle", "not-json", "bytes"]
+
+
+# --- troubles -----------------------------------------------------------------------------------
+
+
+@dataclass(eq=False, slots=True)
+class Slow:
+    """Work takes so many times as long."""
+
+    factor: float
+
+
+@dataclass(eq=False, slots=True)
+class Hung:
+    """Nothing is worked on; connections come up and requests are read all the same."""
+
+
+@dataclass(eq=False, slots=True)
+class Neighbour:
+    """Another program takes a share of the machine, on and off in turn."""
+
+    share: float
+    on_s: float
+    off_s: float
+
+
+@dataclass(eq=False, slots=True)
+class Spoilt:
+    """A part of the answers is spoilt, or brings more than belongs to it."""
+
+    how: SpoiltHow
+    part: float = 1.0
+
+
+@dataclass(eq=False, slots=True)
+class Resets:
+    """A part of the requests meets a reset."""
+
+    where: ResetWhere
+    part: float = 1.0
+    runs: bool = True  # where the request has come whole, it is run
+
+
+@dataclass(eq=False, slots=True)
+class CrossingClose:
+    """Idle connections are closed early: after a random time, or with the next request unread on them."""
+
+    within_s: float
+    part: float = 1.0
+    unread: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class ReportsLate:
+    """Load reports come so much later."""
+
+    delay_s: float
+
+
+@dataclass(eq=False, slots=True)
+class ReportsWrong:
+    """Load reports are absent or wrong."""
+
+    how: ReportHow
+
+
+@dataclass(eq=False, slots=True)
+class TurnsAway:
+    """A part of the requests is turned away, as with a full waiting room."""
+
+    part: float = 1.0
+    status: Literal[503, 504] = 503
+
+
+# --- the book -----------------------------------------------------------------------------------
+
+
+@dataclass(eq=False, slots=True)
+class Execution:
+    """A request that came whole, and what became of it.  Times are the system's monotonic nanoseconds."""
+
+    node: str
+    process: int  # 0 for the first process under this id, then 1, 2 ...
+    connection: int
+    request: str
+    request_class: str
+    target: str
+    body_crc: int
+    work_s: float
+    capacity: float  # of the machine when it came, in seconds of a standard core a second
+    cold: bool
+    came_ns: int
+    began_ns: int = 0  # 0: it was never run
+    ended_ns: int = 0  # 0: it is still here, or the process died over it
+    end: str = ""  # made, error, turned away, dropped (before it ran), stopped (while it ran), lost
+    number: int = 0  # of the answer among all this process made
+    answer: bytes = b""  # the body made for it
+
+    @property
+    def ran(self) -> bool:
+        """Whether any of it was worked on."""
+        return self.began_ns > 0
+
+
+@dataclass(eq=False, slots=True)
+class _Work:
+    """A request on its way through the node."""
+
+    connection: Connection
+    request: Message
+    execution: Execution
+    due: float  # when its sidecar stops waiting
+    job: Job | None = None
+    answer: tuple[int, list[Field], bytes] | None = None
+    timer: Timer | None = None  # its handshake
+    gone: bool = False
+    over: bool = field(default=False)
+
+
+class Node(Server):
+    """One process of an execute node.
+
+    `process` counts the processes under this id; `executions` and `troubles` may be shared with the
+    ones before and after it.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        settings: NodeSettings,
+        name: str,
+        seed: int = 0,
+        *,
+        process: int = 0,
+        cold: bool = False,
+        executions: MutableSequence[Execution] | None = None,
+        troubles: Troubles | None = None,
+    ) -> None:
+        super().__init__(scheduler, name)
+        self.settings, self.process = settings, process
+        self.rng = random.Random(f"{seed}/{name}/{process}")
+        self.machine = Machine(settings, self.rng, scheduler.now(), cold)
+        self.executions: MutableSequence[Execution] = [] if executions is None else executions
+        self.troubles = Troubles() if troubles is None else troubles
+        self.draining = False
+        self.on_fall: Callable[[], object] | None = None  # told when too much work has brought it down
+        self.answers = self.turned_away = 0
+        self._timer: Timer | None = None
+        self._timer_at = math.inf
+        self._toggles: dict[Neighbour, tuple[Timer, bool, float]] = {}  # whether it is busy, and until when
+        self._ended = False
+        self.changed()
+
+    # --- switches -------------------------------------------------------------------------------
+
+    def begin(self, trouble: object) -> None:
+        """Switch a trouble on."""
+        self.troubles.begin(trouble)
+        self.changed()
+
+    def end(self, trouble: object) -> None:
+        """Switch it off."""
+        self.troubles.end(trouble)
+        self.changed()
+
+    def changed(self) -> None:
+        """Let the troubles that are on bear on the machine."""
+        slow = math.prod(each.factor for each in self.troubles.all(Slow))
+        taken = self._neighbours(self.troubles.all(Neighbour))
+        hung = bool(self.troubles.all(Hung))
+        self.machine.burden(self.scheduler.now(), slow=slow, taken=taken, hung=hung)
+        self._set_timer()
+
+    def _neighbours(self, there: list[Neighbour]) -> float:
+        """Start and stop neighbours; says what those that are busy take."""
+        now = self.scheduler.now()
+        for gone in [each for each in self._toggles if each not in there]:
+            self._toggles.pop(gone)[0].cancel()
+        for neighbour in there:
+            until = self._toggles[neighbour][2] if neighbour in self._toggles else now
+            if until <= now:
+                on = neighbour not in self._toggles or not self._toggles[neighbour][1]
+                until = now + max(0.001, neighbour.on_s if on else neighbour.off_s)
+                self._toggles[neighbour] = self.scheduler.call_at(until, self.changed), on, until
+        return max((each.share for each in there if self._toggles[each][1]), default=0.0)
+
+    @property
+    def capacity(self) -> float:
+        """What a cold start leaves of its capacity, in seconds of a standard core a second."""
+        self.machine.advance(self.scheduler.now())
+        return self.machine.capacity
+
+    @property
+    def busy(self) -> int:
+        """Requests in work and waiting."""
+        return self.machine.held
+
+    def close(self, reset: bool = True) -> None:
+        """The process ends; what it was working on is lost."""
+        self._ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._neighbours([])
+        super().close(reset)
+
+    # --- one connection -------------------------------------------------------------------------
+
+    def serve(self, connection: Connection) -> None:
+        """Request after request."""
+        if self._meets("accept"):
+            self.reset(connection)
+            return
+        settings, rng = self.settings, self.rng
+        self._table()
+        reader, first = MessageReader.requests(), True
+        try:
+            while True:
+                idle = settings.idle_s
+                crossing = self.troubles.last(CrossingClose)
+                crosses = crossing is not None and not first and rng.random() < crossing.part
+                if crossing is not None and crosses and not crossing.unread:
+                    idle = min(idle, crossing.within_s * rng.random())
+                unread = crossing is not None and crosses and crossing.unread
+                request = self._read(connection, reader, idle, unread)
+                if request is None or not self._exchange(connection, reader, request, first):
+                    return
+                first = False
+        finally:
+            self.connections.pop(connection.number, None)
+            self._table()
+
+    def _table(self) -> None:
+        tax = self.settings.full_tax * min(1.0, len(self.connections) / self.settings.connections)
+        self.machine.burden(self.scheduler.now(), tax=tax)
+        self._set_timer()
+
+    def _meets(self, where: ResetWhere) -> Resets | None:
+        """The reset that this request meets at some point, if one is on and its turn has come."""
+        for resets in self.troubles.all(Resets):
+            if resets.where == where and self.rng.random() < resets.part:
+                return resets
+        return None
+
+    def _read(
+        self, connection: Connection, reader: MessageReader, idle_s: float, unread: bool
+    ) -> Message | None:
+        """The next request; None if there is none and the connection is to be closed."""
+        scheduler, stream = self.scheduler, connection.stream
+        deadline = scheduler.now() + idle_s
+        while (request := reader.take()) is None:
+            if not reader.begun and (unread or self.troubles.all(Resets)):
+                scheduler.park(deadline, stream.sock)
+                if unread and not stream.quiet():
+                    return None  # closing with bytes unread is a reset
+                if self._meets("before"):
+                    self.reset(connection)
+                    return None
+                if self._meets("in"):
+                    stream.sock.recv(16)
+                    self.reset(connection)
+                    return None
+            data = stream.receive(deadline)
+            if not data:
+                return None
+            reader.feed(data)
+            if reader.begun:
+                deadline = scheduler.now() + READ_SECONDS
+        return request
+
+    def _exchange(self, connection: Connection, reader: MessageReader, request: Message, first: bool) -> bool:
+        """One request and its answer; false when the connection is of no further use."""
+        stream = connection.stream
+        try:
+            work = self._work(connection, request)
+        except HttpError as error:
+            self._send(connection, write_response(error.status, [], f"{error}\n".encode()))
+            return True
+        meets = self._meets("after")
+        if meets is not None and not meets.runs:
+            work.execution.end = "lost"
+            self.reset(connection)
+            return False
+        self._begin(work, first)
+        while not work.over:
+            data = stream.receive(None, connection.bell) if reader.buffered < AHEAD_BYTES else None
+            if data is None and not work.over:
+                self.scheduler.park(bell=connection.bell)
+            elif data == b"":
+                self._left(work)
+                return False
+            elif data:
+                reader.feed(data)
+        if work.answer is None:  # stopped: nobody is told
+            return False
+        return self._respond(connection, work, meets)
+
+    def _work(self, connection: Connection, request: Message) -> _Work:
+        headers, now_ns = request.headers, self.scheduler.system.monotonic_ns()
+        name = headers.get("request-id")
+        if not name:
+            raise HttpError(404, "no Request-Id")
+        try:
+            seconds = float(headers.get(WORK_HEADER) or headers.get("work-hint") or WORK_UNKNOWN * 1e6) / 1e6
+            wait = int(headers.get("request-timeout-ms", "0")) / 1000
+        except ValueError:
+            raise HttpError(400, "a number that is none") from None
+        spread = self.settings.work_noise
+        seconds = max(1e-5, seconds * math.exp(spread * self.rng.gauss(0.0, 1.0) - spread * spread / 2))
+        self.machine.advance(self.scheduler.now())
+        execution = Execution(
+            node=self.name, process=self.process, connection=connection.number, request=name,
+            request_class=headers.get("request-class", ""), target=request.start[1],
+            body_crc=zlib.crc32(request.body), work_s=seconds, capacity=self.machine.capacity,
+            cold=self.machine.cold, came_ns=now_ns,
+        )  # fmt: skip
+        self.executions.append(execution)
+        due = self.scheduler.now() + wait if wait else math.inf
+        return _Work(connection, request, execution, due)
+
+    # --- work -----------------------------------------------------------------------------------
+
+    def _begin(self, work: _Work, first: bool) -> None:
+        """Turn a request away, or put it into the machine, after the handshake where there was one."""
+        settings, now = self.settings, self.scheduler.now()
+        if first and settings.handshake_work_s:
+            self.machine.spend(settings.handshake_work_s, now)
+        turns = [each for each in self.troubles.all(TurnsAway) if self.rng.random() < each.part]
+        if turns:
+            self._turn_away(work, turns[-1].status)
+        elif len(self.connections) > settings.connections:
+            self._turn_away(work, 503)
+        elif first and settings.handshake_s:
+            work.timer = self.scheduler.call_at(now + settings.handshake_s, lambda: self._enter(work))
+        else:
+            self._enter(work)
+
+    def _enter(self, work: _Work) -> None:
+        now = self.scheduler.now()
+        work.timer = None
+        if work.gone:
+            return
+        self.machine.advance(now)
+        if (self.draining and self.settings.drain_refuses) or self.machine.full:
+            self._turn_away(work, 503)
+            return
+
+        def begun(at: float) -> bool:
+            if self.settings.drops_overdue and at >= work.due:
+                self._turn_away(work, 504)
+                return False
+            work.execution.began_ns = self._ns(at)
+            return True
+
+        def done(at: float) -> None:
+            self._made(work, at)
+
+        work.job = Job(work.execution.work_s, begun, done)
+        self.machine.add(work.job, now)
+        self._check_fall()
+        self._set_timer()
+
+    def _ns(self, at: float) -> int:
+        """A moment of the scheduler's in nanoseconds, no later than now."""
+        return min(self.scheduler.system.monotonic_ns(), round(at * 1e9))
+
+    def _turn_away(self, work: _Work, status: int) -> None:
+        self.turned_away += 1
+        self.machine.refused(work.execution.work_s, self.scheduler.now())
+        work.answer = status, [("Not-Started", "1")], b"not started\n"
+        self._over(work, "turned away")
+        self._check_fall()
+
+    def _made(self, work: _Work, at: float) -> None:
+        self.answers += 1
+        execution = work.execution
+        execution.number = self.answers
+        if self.settings.error_rate and self.rng.random() < self.settings.error_rate:
+            work.answer = 500, [], b"failed\n"
+            self._over(work, "error")
+            return
+        execution.answer = orjson.dumps(
+            {
+                "node": self.name, "process": self.process, "request": execution.request,
+                "number": self.answers, "target": execution.target, "body_crc": execution.body_crc,
+                "pad": "x" * self.settings.answer_bytes,
+            }
+        )  # fmt: skip
+        work.answer = 200, [("Content-Type", "application/json")], execution.answer
+        self._over(work, "made")
+
+    def _over(self, work: _Work, end: str) -> None:
+        work.over = True
+        work.execution.end, work.execution.ended_ns = end, self.scheduler.system.monotonic_ns()
+        work.connection.bell.ring()
+
+    def _left(self, work: _Work) -> None:
+        """The sidecar has given up: stop what may be stopped."""
+        work.gone = True
+        execution, settings, job = work.execution, self.settings, work.job
+        if job is None:
+            if work.timer is not None:
+                work.timer.cancel()
+                self._over(work, "dropped")
+            return
+        if settings.cancel == "none" or (self.machine.runs(job) and settings.cancel != "all"):
+            return
+        if self.machine.drop(job, self.scheduler.now()):
+            self._over(work, "stopped" if execution.ran else "dropped")
+        self._set_timer()
+
+    def _check_fall(self) -> None:
+        if self.machine.fell_at is not None and not self._ended:
+            self.close()
+            if self.on_fall is not None:
+                self.on_fall()
+
+    def _set_timer(self) -> None:
+        at = self.machine.next_at()
+        due = math.inf if at is None else at
+        if due == self._timer_at or self._ended:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = due
+        self._timer = None if at is None else self.scheduler.call_at(at, self._turn)
+
+    def _turn(self) -> None:
+        self._timer, self._timer_at = None, math.inf
+        self.machine.advance(self.scheduler.now())
+        self._set_timer()
+
+    # --- answers --------------------------------------------------------------------------------
+
+    def _respond(self, connection: Connection, work: _Work, meets: Resets | None) -> bool:
+        assert work.answer is not None
+        status, headers, body = work.answer
+        headers = headers + self._reports()
+        if meets is not None:
+            self.reset(connection)
+            return False
+        if self._meets("answer"):
+            data = write_response(status, headers, body)
+            self._send(connection, data[: self.rng.randrange(1, len(data))])
+            self.reset(connection)
+            return False
+        spoilt = self.troubles.last(Spoilt)
+        if spoilt is not None and status == 200 and self.rng.random() < spoilt.part:
+            return self._spoil(connection, spoilt.how, headers, body)
+        self._send(connection, write_response(status, headers, body))
+        return work.request.keep_alive
+
+    def _send(self, connection: Connection, data: bytes) -> None:
+        connection.stream.send(data, self.scheduler.now() + WRITE_SECONDS)
+
+    def _reports(self) -> list[Field]:
+        fields = self.settings.report_fields
+        if not fields:
+            return []
+        wrong = self.troubles.last(ReportsWrong)
+        if wrong is not None:
+            return _wrong_report(wrong.how, fields)
+        now = self.scheduler.now()
+        self.machine.advance(now)
+        delay = sum(each.delay_s for each in self.troubles.all(ReportsLate))
+        report = self.machine.report(now, delay)
+        if report is None:
+            return []
+        figures = {
+            "throughput": round(report.throughput, 3), "utilization": round(report.utilization, 4),
+            "qps": round(report.throughput, 3), "util": round(report.utilization, 4),
+            "outstanding": self.machine.held, "inflight": self.machine.held,
+        }  # fmt: skip
+        return [("Server-Load", orjson.dumps({name: figures.get(name, 0) for name in fields}).decode())]
+
+    def _spoil(self, connection: Connection, how: SpoiltHow, headers: list[Field], body: bytes) -> bool:
+        """Send an answer that is not as it should be; false once the connection is of no further use."""
+        good = write_response(200, headers, body)
+        if how in ("second-copy", "noise-behind"):
+            behind = good if how == "second-copy" else self.rng.randbytes(64)
+            self._send(connection, good + behind)
+            return True
+        if how == "interim":
+            self._send(connection, b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + good)
+            return True
+        if how == "bad-report":
+            others = [each for each in headers if each[0] != "Server-Load"]
+            self._send(connection, write_response(200, [*others, ("Server-Load", "{\x01\xff[")], body))
+            return True
+        head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        if how == "endless-head":
+            self._send(connection, head.encode())
+            self._endless(connection, b"X-More: " + b"m" * 1000 + b"\r\n")
+        elif how == "endless-body":
+            self._send(connection, (head + f"Content-Length: {3 << 30}\r\n\r\n").encode() + body)
+            self._endless(connection, b"e" * ENDLESS_PIECE)
+        else:
+            self._send(connection, _unreadable(how, head, body, self.rng))
+        # The connection stays open and is of no further use: what still comes on it is not looked at.
+        while connection.stream.receive(None):
+            continue
+        return False
+
+    def _endless(self, connection: Connection, piece: bytes) -> None:
+        until = self.scheduler.now() + ENDLESS_SECONDS
+        while self.scheduler.now() < until:
+            self._send(connection, piece)
+            self.scheduler.sleep(ENDLESS_PAUSE)
+
+
+def _unreadable(how: SpoiltHow, head: str, body: bytes, rng: random.Random) -> bytes:
+    """The bytes of an answer that can't be read to its end.
+
+    A length that is too short is not among them: nobody could tell such an answer from a good one with
+    something behind it.
+    """
+    size = len(body)
+    if how == "noise":
+        return rng.randbytes(200)
+    if how == "long-length":
+        return (head + f"Content-Length: {size + 512}\r\n\r\n").encode() + body
+    if how == "negative-length":
+        return (head + f"Content-Length: -{size}\r\n\r\n").encode() + body
+    if how == "two-lengths":
+        return (head + f"Content-Length: {size}\r\nContent-Length: {size + 7}\r\n\r\n").encode() + body
+    if how == "bad-chunk":
+        return (
+            (head + f"Transfer-Encoding: chunked\r\n\r\n{size - 3:x}\r\n").encode() + body + b"\r\n0\r\n\r\n"
+        )
+    if how == "cut-body":
+        return (head + f"Content-Length: {size}\r\n\r\n").encode() + body[: size // 2]
+    if how == "strange-status":
+        return b"HTTP/1.1 2000 FINE\r\n" + f"Content-Length: {size}\r\n\r\n".encode() + body
+    return (head + "\r\n").encode() + body  # unframed
+
+
+def _wrong_report(how: ReportHow, fields: tuple[str, ...]) -> list[Field]:
+    values: dict[ReportHow, object] = {"negative": -3.5, "huge": 1e300, "idle": 0}
+    if how == "absent":
+        return []
+    if how in values:
+        return [("Server-Load", orjson.dumps(dict.fromkeys(fields, values[how])).decode())]
+    text = {"noise": "q7!;;#", "not-json": '{"utilization":', "bytes": "\xfe\xff{}"}[how]
+    return [("Server-Load", text)]
--- /dev/null
+++ b/brambleusher/lab/stand_ins/server.py
@@ -0,0 +1,151 @@
+"""What stand-in servers share: a listener, a task for each connection, and ways to end."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Generator
+from contextlib import contextmanager
+from typing import TypeVar
+
+from brambleusher.net.http import HttpError
+from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
+from brambleusher.runtime.streams import Stream
+from brambleusher.runtime.system import Address, Socket
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 512
+NO_DESCRIPTOR_SECONDS = 0.05
+
+Trouble = TypeVar("Trouble")
+
+
+class Connection:
+    """One accepted connection; `bell` wakes its task."""
+
+    __slots__ = ("bell", "number", "peer", "stream", "task")
+
+    def __init__(self, stream: Stream, peer: str, number: int) -> None:
+        self.stream, self.peer, self.number = stream, peer, number
+        self.bell = Bell()
+        self.task: Task | None = None
+
+
+class Server:
+    """Accepts connections and has `serve` called on each, in a task of its own."""
+
+    def __init__(self, scheduler: Scheduler, name: str) -> None:
+        self.scheduler, self.name = scheduler, name
+        self.connections: dict[int, Connection] = {}  # by number, in the order they came
+        self.accepted = 0
+        self.address: Address | None = None
+        self._listener: Socket | None = None
+        self._accepting: Task | None = None
+
+    def listen(self, address: Address) -> Address:
+        """Bind and accept; says where."""
+        self._listener = self.scheduler.system.listen(address, BACKLOG)
+        self._accepting = self.scheduler.spawn(self._accept, self._listener, name=f"{self.name} accept")
+        host, port = self._listener.getsockname()[:2]
+        self.address = str(host), int(port)
+        return self.address
+
+    @property
+    def listening(self) -> bool:
+        """Whether new connections come up."""
+        return self._listener is not None
+
+    def unlisten(self) -> None:
+        """Refuse new connections."""
+        if self._accepting is not None:
+            self._accepting.cancel()
+        if self._listener is not None:
+            self._listener.close()
+        self._accepting = self._listener = None
+
+    def drop(self, reset: bool) -> None:
+        """End all connections, by a reset or in good order."""
+        for connection in list(self.connections.values()):
+            if connection.task is not None:
+                connection.task.cancel()
+            if reset:
+                self.reset(connection)
+            else:
+                connection.stream.close()
+
+    def close(self, reset: bool = True) -> None:
+        """End, as a process does that dies or exits."""
+        self.unlisten()
+        self.drop(reset)
+
+    def reset(self, connection: Connection) -> None:
+        """Break a connection: its other end sees a reset."""
+        stream = connection.stream
+        if stream.open:
+            stream.open = False
+            self.scheduler.system.reset(stream.sock)
+
+    def serve(self, connection: Connection) -> None:
+        """Serve a connection until it ends; it is closed afterwards."""
+        raise NotImplementedError
+
+    def _accept(self, listener: Socket) -> None:
+        scheduler = self.scheduler
+        while True:
+            try:
+                sock, peer = scheduler.system.accept(listener)
+            except BlockingIOError:
+                scheduler.park(sock=listener)
+                continue
+            except OSError:
+                # Guards against a loop at full speed while no descriptor is free.
+                scheduler.sleep(NO_DESCRIPTOR_SECONDS)
+                continue
+            self.accepted += 1
+            connection = Connection(Stream(scheduler, sock), peer, self.accepted)
+            self.connections[connection.number] = connection
+            connection.task = scheduler.spawn(self._run, connection, name=self.name)
+
+    def _run(self, connection: Connection) -> None:
+        try:
+            self.serve(connection)
+        except (OSError, Timeout):
+            return
+        except HttpError as error:
+            log.debug("unreadable", extra={"fields": {"server": self.name, "reason": error}})
+        finally:
+            self.connections.pop(connection.number, None)
+            connection.stream.close()
+
+
+class Troubles:
+    """What a fault plan has switched on, oldest first; a switch is an object, looked up by its class."""
+
+    def __init__(self) -> None:
+        self._on: list[object] = []
+
+    def begin(self, trouble: object) -> None:
+        """Switch on."""
+        self._on.append(trouble)
+
+    def end(self, trouble: object) -> None:
+        """Switch off; one that is not on is left alone."""
+        self._on = [each for each in self._on if each is not trouble]
+
+    def all(self, kind: type[Trouble]) -> list[Trouble]:
+        """All of a class that are on."""
+        return [each for each in self._on if isinstance(each, kind)] if self._on else []
+
+    def last(self, kind: type[Trouble]) -> Trouble | None:
+        """The one switched on last."""
+        found = self.all(kind)
+        return found[-1] if found else None
+
+    @contextmanager
+    def during(self, trouble: object) -> Generator[None, None, None]:
+        """Switched on within a block."""
+        self.begin(trouble)
+        try:
+            yield
+        finally:
+            self.end(trouble)
