--- a/brambleusher/lab/figures.py
+++ b/brambleusher/lab/figures.py
@@ -230,32 +230,32 @@
     sidecars: tuple[int, int] = (1, 3)
     nodes: tuple[int, int] = (3, 5)
     spares: tuple[int, int] = (1, 2)
-    load: Range = (0.12, 0.6)  # of the capacity
+    load: Range = (0.12, 0.55)  # of the capacity
     requests_per_s: Range = (11.0, 15.0)
     usage: Range = (0.54, 1.4)
     kinds: tuple[KindRanges, ...] = (
         KindRanges(
-            name="std-2core", share=(0.57, 0.77), cores=2, speed=(0.85, 1.1), speed_spread=(0.09, 0.21),
+            name="std-2core", share=(0.3, 0.5), cores=2, speed=(0.85, 1.1), speed_spread=(0.09, 0.21),
             queue_per_core=(20.0, 120.0), thrash=(0.044, 0.12), thrash_at=(8.3, 14.0),
             cold_from=(0.17, 0.34), cold_s=(3.0, 6.0),
         ),
         KindRanges(
-            name="small-1core", share=(0.23, 0.43), cores=1, speed=(0.64, 0.86), speed_spread=(0.035, 0.2),
+            name="small-1core", share=(0.5, 0.7), cores=1, speed=(0.64, 0.86), speed_spread=(0.035, 0.2),
             queue_per_core=(20.0, 120.0), thrash=(0.035, 0.13), thrash_at=(8.3, 14.0),
             cold_from=(0.18, 0.32), cold_s=(3.0, 6.0),
         ),
     )  # fmt: skip
     classes: tuple[ClassRanges, ...] = (
         ClassRanges(
-            name="listing-lookup", share=(0.35, 0.53), work_s=(0.048, 0.087), spread=(0.5, 0.9),
+            name="listing-lookup", share=(0.35, 0.53), work_s=(0.029, 0.052), spread=(0.5, 0.9),
             aim_s=0.5, deadline_s=1.0, worth=1.0, late_worth=0.2,
         ),
         ClassRanges(
-            name="price-check", share=(0.22, 0.34), work_s=(0.086, 0.16), spread=(0.5, 0.9),
+            name="price-check", share=(0.22, 0.34), work_s=(0.052, 0.096), spread=(0.5, 0.9),
             aim_s=0.75, deadline_s=1.6, worth=5.0, late_worth=0.5,
         ),
         ClassRanges(
-            name="transfer-record", share=(0.22, 0.34), work_s=(0.14, 0.24), spread=(0.5, 0.9),
+            name="transfer-record", share=(0.22, 0.34), work_s=(0.084, 0.144), spread=(0.5, 0.9),
             aim_s=0.75, deadline_s=2.0, worth=2.0, late_worth=0.3, unsafe=True,
         ),
     )  # fmt: skip
@@ -273,8 +273,8 @@
     call_s: Range = (0.002, 0.05)
     line_s: Range = (0.0002, 0.002)
     spread_s: Range = (0.01, 0.09)
-    report_period_s: Range = (0.15, 0.5)
-    report_delay_s: Range = (0.02, 0.15)
+    report_period_s: Range = (0.3, 0.8)
+    report_delay_s: Range = (0.06, 0.18)
     report_noise: Range = (0.001, 0.07)
     connections: Range = (24.0, 900.0)
     full_tax: Range = (0.16, 0.38)
@@ -345,7 +345,7 @@
     rate = draw.of(ranges.requests_per_s)
     # The rate is what a run can afford; the work is stretched or shortened to make the load.
     stretch = draw.of(ranges.load) * capacity / (rate * mean_work)
-    stretch = min(1.1, max(0.15, stretch))
+    stretch = min(1.6, max(0.5, stretch))
     classes = tuple(msgspec.structs.replace(each, work_s=_short(each.work_s * stretch)) for each in classes)
     draw = Drawer(seed, "front")
     count = draw.whole(ranges.sidecars)
--- /dev/null
+++ b/tests/lab.py
@@ -0,0 +1,103 @@
+"""A small virtual world for tests of the lab: machines, programs on them, and raw talk."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from brambleusher.lab.stand_ins.settings import Ask
+from brambleusher.lab.world import VirtualSystem, World, WorldSettings
+from brambleusher.runtime.scheduler import Scheduler, Timeout
+from brambleusher.runtime.streams import Stream
+from brambleusher.runtime.system import Address
+
+SECOND = 10**9
+SERVER: Address = ("10.0.0.1", 9000)
+PLAIN = WorldSettings(split=0.0, short_send=0.0, short_receive=0.0)
+
+
+def ask(name: str = "a1", **given: Any) -> Ask:
+    return Ask(**{"id": name, "at_s": 0.0, "request_class": "look", "work_s": 0.05, **given})
+
+
+class Lab:
+    """`server` and `client` machines; programs get a scheduler and may park."""
+
+    def __init__(self, seed: int = 1, settings: WorldSettings = PLAIN) -> None:
+        self.world = World(seed, settings)
+        self.server = self.world.machine("server", SERVER[0])
+        self.client = self.world.machine("client", "10.0.0.2")
+
+    def on(self, where: str, build: Callable[[Scheduler], Any]) -> Any:
+        """What `build` makes in a process of its own, once it runs."""
+        made: list[Any] = []
+
+        def main(system: VirtualSystem) -> None:
+            scheduler = Scheduler(system)
+            made.append(build(scheduler))
+            scheduler.run()
+
+        process = self.world.machines[where].start(main)
+        self.world.run(until=lambda: bool(made) or process.dead)
+        assert made, process.stderr.decode()
+        return made[0]
+
+    def call(self, scheduler: Scheduler, call: Callable[[], object]) -> None:
+        """Have a process make a call, as a fault plan does."""
+        done: list[int] = []
+        scheduler.call_soon(lambda: (call(), done.append(1)))
+        self.world.run(until=lambda: bool(done))
+
+    def do(self, task: Callable[[Scheduler], Any], seconds: float = 60.0) -> Any:
+        """What a task on the client machine returns or raises."""
+        ended: list[Any] = []
+
+        def main(system: VirtualSystem) -> None:
+            scheduler = Scheduler(system)
+
+            def run() -> None:
+                try:
+                    ended.append(task(scheduler))
+                except Exception as error:
+                    ended.append(error)
+                scheduler.stop()
+
+            scheduler.spawn(run)
+            scheduler.run()
+
+        self.client.start(main)
+        self.world.run(self.world.now_ns + int(seconds * SECOND), lambda: bool(ended))
+        assert ended, "it did not end in time"
+        if isinstance(ended[0], Exception):
+            raise ended[0]
+        return ended[0]
+
+    def talk(self, *parts: bytes, wait: float = 5.0, pause: float = 0.0) -> tuple[bytes, str]:
+        """Send bytes; what came back until the end, a reset, or until nothing came for a while."""
+
+        def task(scheduler: Scheduler) -> tuple[bytes, str]:
+            got = bytearray()
+            try:
+                stream = Stream.connect(scheduler, SERVER, scheduler.now() + 1)
+            except OSError as error:
+                return b"", type(error).__name__
+            try:
+                for part in parts:
+                    stream.send(part, scheduler.now() + wait)
+                    if pause:
+                        scheduler.sleep(pause)
+                while data := stream.receive(scheduler.now() + wait):
+                    got += data
+                return bytes(got), "end"
+            except Timeout:
+                return bytes(got), "silence"
+            except OSError as error:
+                return bytes(got), type(error).__name__
+            finally:
+                stream.close()
+
+        answer: tuple[bytes, str] = self.do(task)
+        return answer
+
+    def sleep(self, seconds: float) -> None:
+        self.world.run(self.world.now_ns + int(seconds * SECOND))
