The seam can break a connection with a reset

Stand-ins must be able to reset a connection at a point of their choice, on loopback and in virtual time. Closing with bytes unread does so only where some are left. The sidecar does not use it.

--- a/brambleusher/runtime/real.py
+++ b/brambleusher/runtime/real.py
@@ -5,6 +5,7 @@
 import select
 import signal
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
@@ -129,6 +130,14 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def reset(self, sock: Socket) -> None:
+        """Close a connection so that its other end sees a reset."""
+        assert isinstance(sock, socket.socket)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        finally:
+            sock.close()
+
     def error_of(self, sock: Socket) -> int:
         """The error that waits on a socket, and clears it; 0 for none."""
         assert isinstance(sock, socket.socket)
--- a/brambleusher/runtime/system.py
+++ b/brambleusher/runtime/system.py
@@ -130,6 +130,9 @@
     def connection(self) -> Socket:
         """A socket that is not connected yet; raises `OSError` where no descriptor is free."""
 
+    def reset(self, sock: Socket) -> None:
+        """Close a connection so that its other end sees a reset."""
+
     def error_of(self, sock: Socket) -> int:
         """The error that waits on a socket, and clears it; 0 for none."""
 
