--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -204,6 +204,11 @@
         """Requests without their final answer."""
         return sum(ticket.open for ticket in self._tickets.values())
 
+    @property
+    def tickets(self) -> int:
+        """Requests without their final answer, or with claims out."""
+        return len(self._tickets)
+
     def start(self, entries: Iterable[api.HostEntry]) -> None:
         """Begin, with the list held from before."""
         now = self._clock.now_ns()
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -161,6 +161,21 @@
         for node in self._nodes.values():
             self._drop(node.idle)
 
+    @property
+    def open_connections(self) -> int:
+        """Open connections, idle ones among them."""
+        return self._open
+
+    @property
+    def idle_connections(self) -> int:
+        """Connections kept for later."""
+        return sum(len(node.idle) for node in self._nodes.values())
+
+    @property
+    def claims_out(self) -> int:
+        """Claims that have not ended."""
+        return sum(len(node.claims) for node in self._nodes.values())
+
     # --- claims ---------------------------------------------------------------------------------
 
     def claim(
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -102,6 +102,11 @@
 
     # --- what tasks call ------------------------------------------------------------------------
 
+    @property
+    def timers(self) -> int:
+        """Calls that are due at some moment."""
+        return len(self._timers) - self._shells
+
     def spawn(self, call: Callable[..., Any], *args: Any, name: str = "") -> Task:
         """Start a task; it runs for the first time in the hub's next round."""
         task = Task(self, name or call.__qualname__, lambda why: self._body(task, call, args, why))
