--- /dev/null
+++ b/brambleusher/lab/breakages.py
@@ -0,0 +1,371 @@
+"""Deliberate breakages: faults put into the program for a while, to see that the lab finds them.
+
+Each is a patch of the program's classes in this process, undone afterwards.  None keeps anything from one
+run to the next: what happens now and then goes by the request's id or by the time.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+
+from brambleusher.decisions import Call, Decisions, Ticket
+from brambleusher.features import capture as capture_module
+from brambleusher.lab.checker.rules import RULES
+from brambleusher.net import execute_nodes as nodes_module
+from brambleusher.net import machine_list as list_module
+from brambleusher.net import submitters as submitters_module
+from brambleusher.net.execute_nodes import Claim, ExecuteNodes, Node
+from brambleusher.net.http import Message, MessageReader
+from brambleusher.net.machine_list import Feed, Machine, MachineList, MachineListUpdate
+from brambleusher.net.submitters import Answer, Kind, RequestLife, Submitter, Submitters
+from brambleusher.runtime.streams import Called, Stream
+from brambleusher.sidecar import Sidecar
+from quillpass import Balancer, api
+from quillpass.api import HostState, Status
+from quillpass.balance import Host, Request
+
+LATE_SECONDS = 0.001  # past the drain limit
+
+
+class Patches:
+    """What was replaced, to be put back."""
+
+    def __init__(self) -> None:
+        self._old: list[tuple[Any, str, Any]] = []
+
+    def set(self, owner: Any, name: str, value: Any) -> Any:
+        """Replace an attribute of a class or a module; says what was there, as one calls it."""
+        self._old.append((owner, name, vars(owner)[name]))
+        old = getattr(owner, name)
+        setattr(owner, name, value)
+        return old
+
+    def undo(self) -> None:
+        """Put all back."""
+        while self._old:
+            setattr(*self._old.pop())
+
+
+@dataclass(frozen=True, slots=True)
+class Breakage:
+    """One fault: its name, what is wrong, and the rules it must be found under, any of them."""
+
+    name: str
+    text: str
+    rules: tuple[str, ...]
+    put: Callable[[Patches], None]
+
+    @contextmanager
+    def on(self) -> Iterator[None]:
+        """The program with this fault; start its sidecars within."""
+        patches = Patches()
+        try:
+            self.put(patches)
+            yield
+        finally:
+            patches.undo()
+
+
+BREAKAGES: dict[str, Breakage] = {}
+
+
+def breakage(
+    name: str, text: str, *rules: str
+) -> Callable[[Callable[[Patches], None]], Callable[[Patches], None]]:
+    """Name a patch."""
+    assert rules and not set(rules) - set(RULES), rules
+
+    def add(put: Callable[[Patches], None]) -> Callable[[Patches], None]:
+        BREAKAGES[name] = Breakage(name, text, rules, put)
+        return put
+
+    return add
+
+
+def now_and_then(request: str, one_in: int) -> bool:
+    """Whether this is one of the few requests that are treated badly."""
+    return zlib.crc32(request.encode()) % one_in == 0
+
+
+# --- drains and lists -----------------------------------------------------------------------------
+
+
+@breakage("drain-late", "what drains or is gone is taken in 1 ms after the limit", "drain")
+def _drain_late(patches: Patches) -> None:
+    def listed(self: Sidecar, update: MachineListUpdate) -> None:
+        leaving = [each for each in update.machines if each.entry.state is not HostState.READY]
+        named = {each.entry.host for each in update.machines}
+        if not leaving and not (update.full and set(self.nodes._nodes) - named):
+            old(self, update)
+            return
+        if not update.full:
+            ready = tuple(each for each in update.machines if each.entry.state is HostState.READY)
+            old(self, replace(update, machines=ready))
+            update = replace(update, machines=tuple(leaving))
+        wait = self.config.settings.drain_grace_ns / 1e9 + LATE_SECONDS
+        self.scheduler.call_at(self.scheduler.now() + wait, lambda: old(self, update))
+
+    old = patches.set(Sidecar, "_listed", listed)
+
+
+@breakage("drain-ignored", "a node that drains is taken for one that is ready", "drain")
+def _drain_ignored(patches: Patches) -> None:
+    patches.set(list_module, "_STATES", {**list_module._STATES, "Terminating": HostState.READY})
+
+
+@breakage("old-process", "idle connections to a process that was replaced are kept", "drain", "dirty")
+def _old_process(patches: Patches) -> None:
+    def place(self: ExecuteNodes, machine: Machine) -> None:
+        node = self._nodes.get(machine.entry.host)
+        if node is not None and machine.entry.state is not HostState.GONE:
+            node.address, node.started_ns = machine.address, machine.entry.started_ns
+        old(self, machine)
+
+    old = patches.set(ExecuteNodes, "_place", place)
+
+
+@breakage("versions-kept", "a new discovery is asked for what follows the old one's version", "versions")
+def _versions_kept(patches: Patches) -> None:
+    def change_over(self: MachineList, feed: Feed) -> None:
+        version = self._version
+        old(self, feed)
+        self._version = version
+
+    old = patches.set(MachineList, "change_over", change_over)
+
+
+# --- what may not be repeated ---------------------------------------------------------------------
+
+
+@breakage("unsafe-again", "what may not be repeated is sent again after a reset", "repeat", "once")
+def _unsafe_again(patches: Patches) -> None:
+    def may_repeat(self: Balancer, request: Request, now: int) -> bool:
+        return len(request.attempts) < self.settings.max_attempts and request.deadline_ns > now
+
+    patches.set(Balancer, "_may_repeat", may_repeat)
+
+
+@breakage("refused-after", "what may have run is refused, as if it had not", "refusal")
+def _refused_after(patches: Patches) -> None:
+    def finish(self: Balancer, request: Request) -> None:
+        request.closed = True
+        self._out.append(api.Refuse(request.id, 0))
+
+    patches.set(Balancer, "_finish", finish)
+
+
+@breakage("reset-as-connect", "a reset after the last byte passes for a failed connect", "repeat", "refusal")
+def _reset_as_connect(patches: Patches) -> None:
+    def attempt(self: ExecuteNodes, node: Node, claim: Claim, request: Message, deadline: float) -> Any:
+        status, *rest = old(self, node, claim, request, deadline)
+        return (Status.CONNECT_FAILED if status is Status.RESET else status, *rest)
+
+    old = patches.set(ExecuteNodes, "_attempt", attempt)
+
+
+@breakage("error-as-full", "a 500 is taken for a node that was full and did not begin", "repeat", "refusal")
+def _error_as_full(patches: Patches) -> None:
+    def status_of(answer: Message) -> Status:
+        return Status.FULL if answer.status >= 500 else Status(old(answer))
+
+    old = patches.set(nodes_module, "status_of", status_of)
+
+
+@breakage("again-below", "a claim that met a reset is made again below the module", "repeat", "once")
+def _again_below(patches: Patches) -> None:
+    def attempt(self: ExecuteNodes, node: Node, claim: Claim, request: Message, deadline: float) -> Any:
+        outcome = old(self, node, claim, request, deadline)
+        if outcome[0] is Status.RESET and claim.why is None:
+            outcome = old(self, node, claim, request, deadline)
+        return outcome
+
+    old = patches.set(ExecuteNodes, "_attempt", attempt)
+
+
+@breakage("attempts-uncounted", "the limit on attempts is not looked at", "attempts")
+def _attempts_uncounted(patches: Patches) -> None:
+    def may_repeat(self: Balancer, request: Request, now: int) -> bool:
+        made, request.attempts = request.attempts, request.attempts[-1:]
+        try:
+            return bool(old(self, request, now))
+        finally:
+            request.attempts = made
+
+    old = patches.set(Balancer, "_may_repeat", may_repeat)
+
+
+# --- answers --------------------------------------------------------------------------------------
+
+
+@breakage("answer-swapped", "one request in sixteen gets the answer served before its own", "other-answer")
+def _answer_swapped(patches: Patches) -> None:
+    def live(self: RequestLife, call: Call, deadline: float, submitter: Submitter) -> Any:
+        answer: Answer | None = old(self, call, deadline, submitter)
+        if answer is None or answer.kind is not Kind.SERVED:
+            return answer
+        before, self._before = getattr(self, "_before", answer), answer  # type: ignore[attr-defined]
+        return before if now_and_then(call.request, 16) else answer
+
+    old = patches.set(RequestLife, "live", live)
+
+
+@breakage("connection-kept", "a connection goes back before its answer has come", "shared", "other-answer")
+def _connection_kept(patches: Patches) -> None:
+    def give_back(self: ExecuteNodes, node: Node, stream: Stream, keep: bool) -> None:
+        old(self, node, stream, True)
+
+    old = patches.set(ExecuteNodes, "_give_back", give_back)
+
+
+@breakage("reuse-unseen", "an idle connection is used again without a look at what waits on it", "dirty")
+def _reuse_unseen(patches: Patches) -> None:
+    def connection(self: ExecuteNodes, node: Node, claim: Claim, deadline: float) -> Stream | None:
+        if node.idle and self._scheduler.now() - node.idle[-1].used_at < self._idle_seconds:
+            return node.idle.pop()
+        return old(self, node, claim, deadline)  # type: ignore[no-any-return]
+
+    old = patches.set(ExecuteNodes, "_connection", connection)
+
+
+@breakage("cut-served", "what came of an answer before its connection broke is served", "made-answer")
+def _cut_served(patches: Patches) -> None:
+    def answer(self: ExecuteNodes, stream: Stream, claim: Claim, deadline: float) -> tuple[Message, bool]:
+        reader = MessageReader.responses()
+        while True:
+            try:
+                data = stream.receive(deadline, claim.bell)
+            except OSError:
+                data = b""
+            if data is None:
+                raise Called
+            if not data:
+                head = reader.head()
+                if head is None:
+                    raise ConnectionResetError("the connection ended before its answer")
+                head.body = bytes(reader._buffer)
+                return head, False
+            reader.feed(data)
+            while (whole := reader.take()) is not None:
+                if whole.status >= 200:
+                    return whole, whole.keep_alive and not reader.buffered
+
+    patches.set(ExecuteNodes, "_answer", answer)
+
+
+@breakage("two-answers", "a failure is answered twice", "one-answer")
+def _two_answers(patches: Patches) -> None:
+    def write_response(status: int, *rest: Any, **more: Any) -> bytes:
+        data: bytes = old(status, *rest, **more)
+        return data * 2 if status == 502 else data
+
+    old = patches.set(submitters_module, "write_response", write_response)
+
+
+@breakage("silent-fault", "an exception while a failure is worded ends the connection", "answer")
+def _silent_fault(patches: Patches) -> None:
+    def worded(self: Submitters, answer: Answer) -> Any:
+        if answer.kind is Kind.FAILED:
+            raise ConnectionError("a fault of ours")
+        return old(self, answer)
+
+    old = patches.set(Submitters, "_worded", worded)
+
+
+@breakage("answer-late", "requests are held for 100 ms more than their time", "answer")
+def _answer_late(patches: Patches) -> None:
+    def live(self: RequestLife, call: Call, deadline: float, submitter: Submitter) -> Any:
+        return old(self, replace(call, left_ns=call.left_ns + 100_000_000), deadline + 0.1, submitter)
+
+    old = patches.set(RequestLife, "live", live)
+
+
+@breakage("sigterm-drops", "the program ends after SIGTERM with requests unanswered", "answer")
+def _sigterm_drops(patches: Patches) -> None:
+    patches.set(Sidecar, "_over", lambda self: self._wound_down)
+
+
+# --- requests -------------------------------------------------------------------------------------
+
+
+@breakage("both-framings", "a request with a length and a coding is read by its coding", "unasked", "framing")
+def _both_framings(patches: Patches) -> None:
+    def framing(self: MessageReader, message: Message) -> int:
+        if not self._answers and "transfer-encoding" in message.headers:
+            message.headers.pop("content-length", None)
+        return old(self, message)  # type: ignore[no-any-return]
+
+    old = patches.set(MessageReader, "_framing", framing)
+
+
+@breakage("half-requests-kept", "a submitter may take half a minute over its first request", "bad-client")
+def _half_requests_kept(patches: Patches) -> None:
+    patches.set(submitters_module, "FIRST_SECONDS", 30.0)
+
+
+# --- what is left behind --------------------------------------------------------------------------
+
+
+@breakage("cold-ignored", "a node that has just started gets as much as any", "cold")
+def _cold_ignored(patches: Patches) -> None:
+    def cold_room(self: Balancer, host: Host, now: int) -> bool:
+        return True
+
+    patches.set(Balancer, "_cold_room", cold_room)
+
+
+@breakage("timer-lost", "one of the module's timers in forty is not set", "timers")
+def _timer_lost(patches: Patches) -> None:
+    def set_timer(self: Decisions, at_ns: int, token: int) -> None:
+        if at_ns // 1000 % 40:
+            old(self, at_ns, token)
+
+    old = patches.set(Decisions, "_set_timer", set_timer)
+
+
+@breakage("ticket-kept", "tickets of requests with several claims are never let go", "left-over")
+def _ticket_kept(patches: Patches) -> None:
+    def forget(self: Decisions, ticket: Ticket) -> None:
+        if ticket.claims_wanted < 2:
+            old(self, ticket)
+
+    old = patches.set(Decisions, "_forget", forget)
+
+
+@breakage("places-kept", "a connection that is closed goes on counting as open", "left-over", "recovery")
+def _places_kept(patches: Patches) -> None:
+    def discard(self: ExecuteNodes, stream: Stream) -> None:
+        stream.close()
+
+    patches.set(ExecuteNodes, "_discard", discard)
+
+
+@breakage("limit-stuck", "the module's limit on what is out only falls", "recovery")
+def _limit_stuck(patches: Patches) -> None:
+    def steer(self: Balancer, gap: float) -> None:
+        before = self._limit
+        old(self, gap)
+        self._limit = min(self._limit, before)
+
+    old = patches.set(Balancer, "_steer_admission", steer)
+
+
+@breakage("descriptor-kept", "idle connections to a node that leaves are forgotten, not closed", "left-over")
+def _descriptor_kept(patches: Patches) -> None:
+    def drop(self: ExecuteNodes, idle: list[Stream]) -> None:
+        self._open -= len(idle)
+        idle.clear()
+
+    patches.set(ExecuteNodes, "_drop", drop)
+
+
+@breakage("capture-forgets", "a capture leaves out the load reports", "replay")
+def _capture_forgets(patches: Patches) -> None:
+    def event_of(event: api.Event | None) -> tuple[str, dict[str, Any]]:
+        name, told = old(event)
+        return name, {**told, "report": None} if "report" in told else told
+
+    old = patches.set(capture_module, "event_of", event_of)
