--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -9,10 +9,11 @@
 import gc
 import hashlib
 import logging
+import traceback
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager, nullcontext
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import msgspec
@@ -26,6 +27,7 @@
 
 SECOND = 10**9
 FAULT = "fault"  # the rule that a task of the program which raises breaks; the checker can't see it
+LAB = "lab"  # the lab itself raised: a run that says nothing, and never passes for one without a breach
 DUMP_NS = SECOND  # so long a sidecar may take to write its capture
 OUTPUT_BYTES = 4 * 1024 * 1024  # of standard error: a whole capture has to fit
 SHORT = 100  # characters of what was sent that a time line shows
@@ -193,7 +195,8 @@
 
     `stop_at_breach` ends the run at the first breach: enough to know that there is one.
     """
-    with world_of(scenario, output_bytes=OUTPUT_BYTES) as world, (breakage or nullcontext()):
+    with world_of(scenario) as world, (breakage or nullcontext()):
+        world.settings = replace(world.settings, output_bytes=OUTPUT_BYTES)
         rules = Rules.of(scenario.world.sidecar_settings(0))
         fleet = Fleet(scenario, world)
         checker = Checker(rules, fleet.executions)
@@ -214,11 +217,16 @@
         world.step_done.append(lambda: checker.step(world.now_ns))
         begun = world.now_ns
         with _listening(handlers):
-            fleet.start()
-            if stop_at_breach:
-                world.run(fleet.ends_ns, lambda: bool(checker.breaches or raised.breaches))
-            if not (stop_at_breach and (checker.breaches or raised.breaches)):
-                _to_the_end(fleet, checker)
+            try:
+                fleet.start()
+                if stop_at_breach:
+                    world.run(fleet.ends_ns, lambda: bool(checker.breaches or raised.breaches))
+                if not (stop_at_breach and (checker.breaches or raised.breaches)):
+                    _to_the_end(fleet, checker)
+            except Exception as error:
+                trail = tuple((world.now_ns, row) for row in traceback.format_exc().splitlines())
+                what = f"{type(error).__name__}: {error}"
+                raised.breaches.append(Breach(LAB, world.now_ns, "the lab", what, trail))
         breaches = sorted(checker.breaches + raised.breaches, key=lambda breach: breach.at_ns)
         if line is not None:
             for breach in breaches:
