--- a/brambleusher/cli/explore.py
+++ b/brambleusher/cli/explore.py
@@ -10,13 +10,14 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import click
 
 from brambleusher.lab.breakages import BREAKAGES
-from brambleusher.lab.explore import Result, play, shrink, tidy
+from brambleusher.lab.explore import Result, play, shrink
 from brambleusher.lab.faults import PROFILES
 from brambleusher.lab.scenario import Scenario, ScenarioError, draw_scenario, read_scenario, write_scenario
 
@@ -71,6 +72,18 @@
         if result.breaches:
             self.broken.append(result)
 
+    def worded(self, profile: str, took_s: float, jobs: int) -> list[str]:
+        """The summary's lines."""
+        return [
+            f"{self.seeds} seeds of profile {profile} in {took_s:.1f} s with {jobs} jobs: "
+            f"{self.seeds / took_s:.1f} seeds and {self.virtual_s / took_s:.1f} virtual seconds a second",
+            f"{self.requests} requests ({self.requests / self.seeds:.0f} a seed, {self.fewest} at least), "
+            f"{self.served} served, {self.attempts} attempts, {self.events} events on the wire, "
+            f"{self.virtual_s:.0f} virtual seconds ({self.shortest_s:.1f} at least)",
+            f"kinds of fault ({self.kinds_fewest} a seed at least): "
+            + ", ".join(f"{kind} {count}" for kind, count in sorted(self.faults.items())),
+        ]
+
 
 def seeds_of(text: str) -> range:
     """`FIRST:END`, END left out; raises `Misuse`."""
@@ -89,15 +102,27 @@
     The collector is kept out of the runs: a world is full of cycles that live as long as it does.
     """
     seeds, profile, breakage = task
-    gc.disable()
     results = []
-    for seed in seeds:
-        broken = None if breakage is None else BREAKAGES[breakage].on()
-        results.append(play(draw_scenario(seed, profile), broken))
-        tidy()
+    with uncollected():
+        for seed in seeds:
+            broken = None if breakage is None else BREAKAGES[breakage].on()
+            results.append(play(draw_scenario(seed, profile), broken))
+            gc.collect()
     return results
 
 
+@contextmanager
+def uncollected() -> Iterator[None]:
+    """Without the collector, which is called by hand between two runs."""
+    was = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was:
+            gc.enable()
+
+
 def _all(seeds: range, profile: str, breakage: str | None, jobs: int) -> Iterator[Result]:
     """The results in the order of the seeds, whatever the number of processes."""
     tasks = [(seeds[at : at + CHUNK], profile, breakage) for at in range(0, len(seeds), CHUNK)]
@@ -145,13 +170,8 @@
     took = max(time.monotonic() - began, 1e-9)
     if progress:
         print("\r", end="", file=sys.stderr)
-    print(f"{tally.seeds} seeds of profile {profile} in {took:.1f} s with {jobs} jobs: "
-          f"{tally.seeds / took:.1f} seeds a second, {tally.virtual_s / took:.1f} virtual seconds a second")  # fmt: skip
-    print(f"{tally.requests} requests ({tally.requests / tally.seeds:.0f} a seed, {tally.fewest} at least), "
-          f"{tally.served} served, {tally.attempts} attempts, {tally.events} events on the wire, "
-          f"{tally.virtual_s:.0f} virtual seconds ({tally.shortest_s:.1f} at least)")  # fmt: skip
-    kinds = ", ".join(f"{kind} {count}" for kind, count in sorted(tally.faults.items()))
-    print(f"kinds of fault ({tally.kinds_fewest} a seed at least): {kinds}")
+    for line in tally.worded(profile, took, jobs):
+        print(line)
     if not tally.broken:
         print("no breach")
         return FINE
@@ -172,10 +192,9 @@
 
 def _one(scenario: Scenario, breakage: str | None, quiet: bool, where: str) -> int:
     """Play one scenario in this process, with its time line unless quiet."""
-    gc.disable()
     broken = None if breakage is None else BREAKAGES[breakage].on()
-    result = play(scenario, broken, None if quiet else print)
-    gc.enable()
+    with uncollected():
+        result = play(scenario, broken, None if quiet else print)
     if result.breaches:
         for line in _worded(result, where):
             print(line)
@@ -192,17 +211,17 @@
     def run(each: Scenario) -> Result:
         broken = None if breakage is None else BREAKAGES[breakage].on()
         result = play(each, broken, stop_at_breach=True)
-        tidy()
+        gc.collect()
         return result
 
-    gc.disable()
-    first = run(scenario)
-    if not first.breaches:
-        raise Misuse(f"seed {scenario.seed} breaks no rule: there is nothing to shrink")
-    rule = first.breaches[0].rule
-    small = shrink(
-        scenario, rule, lambda each: rule in run(each).rules, lambda text: print(text, file=sys.stderr)
-    )
+    with uncollected():
+        first = run(scenario)
+        if not first.breaches:
+            raise Misuse(f"seed {scenario.seed} breaks no rule: there is nothing to shrink")
+        rule = first.breaches[0].rule
+        small = shrink(
+            scenario, rule, lambda each: rule in run(each).rules, lambda text: print(text, file=sys.stderr)
+        )
     text = write_scenario(small)
     path = out or f"scenario-{scenario.seed}.yaml"
     try:
--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import gc
 import hashlib
 import logging
 import traceback
@@ -14,7 +13,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 from dataclasses import dataclass, field, replace
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 
@@ -146,7 +145,9 @@
             what = f"{record.getMessage()}: {record.exc_info[0].__name__}: {record.exc_info[1]}"
             trace = logging.Formatter().formatException(record.exc_info)
             now = self._world.now_ns
-            self.breaches.append(Breach(FAULT, now, who, what, tuple((now, row) for row in trace.split("\n"))))
+            self.breaches.append(
+                Breach(FAULT, now, who, what, tuple((now, row) for row in trace.split("\n")))
+            )
 
 
 @contextmanager
@@ -195,14 +196,14 @@
 
     `stop_at_breach` ends the run at the first breach: enough to know that there is one.
     """
-    with world_of(scenario) as world, (breakage or nullcontext()):
+    with world_of(scenario) as world, breakage or nullcontext():
         world.settings = replace(world.settings, output_bytes=OUTPUT_BYTES)
         rules = Rules.of(scenario.world.sidecar_settings(0))
         fleet = Fleet(scenario, world)
         checker = Checker(rules, fleet.executions)
         fleet.audience = checker
         digest, raised = Digest(), Raised(world)
-        world.taps += [checker, digest]
+        world.taps += [cast(Tap, checker), digest]
         handlers: list[logging.Handler] = [raised]
         line: TimeLine | None = None
         if say is not None:
@@ -321,8 +322,3 @@
             break
         size = max(1, size // 2)
     return scenario
-
-
-def tidy() -> None:
-    """Have the collector take what a run left in cycles, once instead of many times within it."""
-    gc.collect()
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -764,7 +764,8 @@
         if host.started_ns <= 0 or now - host.started_ns >= self.settings.cold_ns:
             return 1.0
         start = self.settings.start_capacity
-        return start + (1 - start) * (now - host.started_ns) / self.settings.cold_ns
+        # At least 0: guards against a wall clock behind the host's, which made weights negative.
+        return start + (1 - start) * max(now - host.started_ns, 0) / self.settings.cold_ns
 
     def _cold_room(self, host: Host, now: int) -> bool:
         """Whether one more send keeps within this proxy's slice of a cold host's budget."""
@@ -779,7 +780,7 @@
         # Only the proxies that have the host among theirs send to it: as many as chance has it.
         sharers = settings.fleet_size * (self._near_part if host.local else self._away_part)
         rate = COLD_SLICE * settings.fall_multiple * warmth * capacity / max(sharers, 1.0)
-        host.cold_level += rate * (now - host.cold_seen_ns) / SECOND
+        host.cold_level += rate * max(now - host.cold_seen_ns, 0) / SECOND
         host.cold_seen_ns = now
         # A credit too small for a burst lapses unused: hundreds of proxies would save up one send each
         # and spend them in one moment.  The phase is seeded, so that they come up spread in time.
--- /dev/null
+++ b/tests/test_explore.py
@@ -0,0 +1,137 @@
+"""The explorer: one seed is one run everywhere, its command line, and what it found once stays mended."""
+
+from __future__ import annotations
+
+import os
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from brambleusher.cli import call
+from brambleusher.cli.explore import _all, _chunk
+from brambleusher.lab.explore import play
+from brambleusher.lab.scenario import draw_scenario, read_scenario
+
+ROOT = Path(__file__).parent.parent
+SCENARIOS = sorted((ROOT / "tests" / "scenarios").glob("*.yaml"))
+BLOCKS = 6  # of seeds that CI plays: one test each, so that they spread over its processes
+SEEDS = 50  # in each
+DIGEST = re.compile(r"^digest ([0-9a-f]{32})$")
+
+
+def command(*words: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
+    """`brambleusher explore` in a process of its own."""
+    return subprocess.run(
+        [sys.executable, "-m", "brambleusher", "explore", *words],
+        cwd=ROOT, env={**os.environ, "PYTHONHASHSEED": hash_seed}, capture_output=True, text=True,
+        timeout=240, check=False,
+    )  # fmt: skip
+
+
+@pytest.mark.parametrize("block", range(BLOCKS))
+def test_seeds_break_no_rule(block: int) -> None:
+    first = 1000 + block * SEEDS
+    broken = [
+        f"brambleusher explore --replay {result.seed}: {breach}"
+        for result in _chunk((range(first, first + SEEDS), "default", None))
+        for breach in result.breaches[:1]
+    ]
+    assert not broken, "\n".join(broken)
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+def test_what_was_found_once_stays_mended(path: Path) -> None:
+    result = play(read_scenario(path.read_bytes()))
+    assert not result.breaches, "\n".join(str(breach) for breach in result.breaches)
+    assert result.requests
+
+
+def test_a_seed_is_the_same_run_in_any_process_and_under_any_hash_seed() -> None:
+    here = play(draw_scenario(7)).digest
+    for hash_seed in ("1", "4242"):
+        done = command("--replay", "7", hash_seed=hash_seed)
+        found = DIGEST.match(done.stdout.splitlines()[-1])
+        assert found, done.stdout[-500:] + done.stderr
+        assert found[1] == here
+
+
+def test_the_number_of_jobs_changes_nothing() -> None:
+    seeds = range(20, 44)
+    one, three = ([result.digest for result in _all(seeds, "default", None, jobs)] for jobs in (1, 3))
+    assert one == three
+    assert len(set(one)) == len(seeds)
+
+
+def test_the_time_line_tells_who_sent_what_to_whom() -> None:
+    said: list[str] = []
+    result = play(draw_scenario(3), say=said.append)
+    times = [float(line.split()[0]) for line in said if "BREACH" not in line]
+    assert times == sorted(times)
+    for wanted in (r"clients -> n\d #\d+ sends \d+ bytes '(GET|POST) /", r"n\d -> node \d+ #\d+ sends",
+                   r"fault: ", r"n\d started"):  # fmt: skip
+        assert any(re.search(wanted, line) for line in said), wanted
+    assert result.digest == play(draw_scenario(3)).digest  # looking changes nothing
+
+
+def test_a_breakage_is_found_shrunk_written_and_played_again(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    name, path = "ticket-kept", tmp_path / "small.yaml"
+    assert call(["explore", "--seeds", "0:4", "--jobs", "1", "--breakage", name]) == 1
+    out = capsys.readouterr().out
+    found = re.search(r"replay with: brambleusher (explore --replay (\d+) .*)", out)
+    assert found, out
+    assert call([*found[1].split(), "--quiet"]) == 1
+    assert call(["explore", "--shrink", found[2], "--breakage", name, "-o", str(path)]) == 1
+    assert call(["explore", str(path), "--quiet", "--breakage", name]) == 1
+    small, large = read_scenario(path.read_bytes()), draw_scenario(int(found[2]))
+    assert len(small.asks) < len(large.asks)
+    capsys.readouterr()
+    assert call(["explore", str(path), "--quiet"]) == 0
+    assert "no breach" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("words", "named"),
+    [
+        (["--seeds", "5"], "--seeds 5"),
+        (["--seeds", "9:9"], "--seeds 9:9"),
+        (["--seeds", "0:2", "--profile", "none-such"], "none-such"),
+        (["--seeds", "0:2", "--breakage", "none-such"], "none-such"),
+        (["--seeds", "0:2", "--jobs", "0"], "--jobs 0"),
+        (["--replay", "1", "--shrink", "2"], "say one of"),
+        (["--replay", "-1"], "-1"),
+        ([], "say one of"),
+        (["no/such/file.yaml"], "no/such/file.yaml"),
+        (["README.md"], "README.md"),
+    ],
+)
+def test_a_call_that_cannot_be_carried_out_is_one_line_and_status_2(
+    words: list[str], named: str, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.chdir(ROOT)
+    assert call(["explore", *words]) == 2
+    said = capsys.readouterr()
+    assert named in said.err
+    assert said.err.count("\n") == 1
+    assert not said.out
+
+
+def test_a_scenario_file_that_makes_no_sense_is_refused_by_name(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    good = (SCENARIOS[0]).read_text()
+    for bad, named in (
+        (good.replace("format: 1", "format: 7"), "format"),
+        (good.replace("asks:", "askz:"), "askz"),
+        (good.replace("kind: ", "kind: no-", 1), "no-"),
+    ):
+        path = tmp_path / "bad.yaml"
+        path.write_text(bad)
+        assert call(["explore", str(path)]) == 2
+        said = capsys.readouterr()
+        assert named in said.err
+        assert said.err.count("\n") == 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -243,3 +243,19 @@
         age = (start + 2 * SECOND - 10 * SECOND) / (18 * SECOND)
         budget = 2.0 * (0.13 + 0.87 * age) * full_rate * 2
         assert sum(start <= at < start + 2 * SECOND for at in sends) <= budget
+
+
+def test_a_host_started_ahead_of_the_clock_is_as_cold_as_can_be() -> None:
+    """Guards against a wall clock behind the host's: its warmth, and so its weight, became negative."""
+    world = World(replace(BASE, classes=(SAFE,)), 5)
+    world.start(2)
+    ahead = api.HostEntry("new", "z0", "k0", 0, api.HostState.READY, 1.0, world.now + 100 * SECOND)
+    world.list_hosts(api.ListKind.DELTA, [ahead])
+    for _ in range(40):
+        name = world.request(SAFE, SECOND)
+        world.pass_time(50 * MS)
+        if (name, 0) in world.out:
+            world.end(name, 0, api.Status.OK, api.LoadReport(0.5, 10.0))
+    assert all(host.weight >= 0 for host in world.balancer._turn.ring)
+    assert any(host.name == "new" for host in world.balancer._turn.ring)
+    world.finish()
--- a/tests/test_stand_in_client.py
+++ b/tests/test_stand_in_client.py
@@ -23,7 +23,9 @@
 FIXED = ClientSettings(tries=3, backoff="fixed", backoff_s=0.1, honour=1.0)
 
 
-def tried(end: str, status: int = 0, unsafe: bool = False, number: int = 0, after: float | None = None) -> Try:
+def tried(
+    end: str, status: int = 0, unsafe: bool = False, number: int = 0, after: float | None = None
+) -> Try:
     return Try(ask(unsafe=unsafe), "a1", number, 1.0, 0, end=end, status=status, retry_after_s=after)
 
 
