--- /dev/null
+++ b/brambleusher/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Further protocols on the same core, a package each."""
--- /dev/null
+++ b/brambleusher/fronts/mysql/messages.py
@@ -0,0 +1,545 @@
+"""Messages of the protocol: what stands in a greeting, a login, OK, ERR and EOF, columns and rows.
+
+Each has a reader and a writer, so that both ends of a connection can be played.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, field
+
+from brambleusher.fronts.mysql.constants import (
+    PROTOCOL_VERSION,
+    SCRAMBLE,
+    UTF8MB4,
+    Capability,
+    Errno,
+    Status,
+    Track,
+    Type,
+    sqlstate,
+)
+from brambleusher.fronts.mysql.packets import Fields, ProtocolError, lenenc, lentext
+
+MAX_ATTRIBUTES = 64 * 1024
+
+
+def utf8(data: bytes, what: str) -> str:
+    """A name as text; raises `ProtocolError` where it is not UTF-8."""
+    try:
+        return data.decode()
+    except UnicodeDecodeError:
+        raise ProtocolError(f"{what} is not UTF-8", Errno.INVALID_CHARACTER_STRING) from None
+
+
+# --- OK, ERR, EOF -------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Ok:
+    """An OK packet; `state` is the session-state news in it, undecoded."""
+
+    affected: int = 0
+    last_id: int = 0
+    status: int = 0
+    warnings: int = 0
+    info: bytes = b""
+    state: bytes = b""
+
+    @classmethod
+    def parse(cls, data: bytes, capabilities: int) -> Ok:
+        """Read one, whichever header byte it has."""
+        fields = Fields(data, 1)
+        ok = cls(fields.lenenc(), fields.lenenc(), fields.number(2), fields.number(2))
+        if capabilities & Capability.SESSION_TRACK:
+            if fields.left:
+                ok.info = fields.text()
+            if ok.status & Status.SESSION_STATE_CHANGED and fields.left:
+                ok.state = fields.text()
+        else:
+            ok.info = fields.rest()
+        return ok
+
+    def encode(self, capabilities: int, header: int = 0) -> bytes:
+        """Write one; `header` is 0xFE where it stands at the end of rows."""
+        status, tail = self.status, self.info
+        if capabilities & Capability.SESSION_TRACK:
+            news = self.state if status & Status.SESSION_STATE_CHANGED else b""
+            if not news:
+                status &= ~Status.SESSION_STATE_CHANGED
+            tail = lentext(self.info) if self.info or news else b""
+            tail += lentext(news) if news else b""
+        else:
+            status &= ~Status.SESSION_STATE_CHANGED
+        return (
+            bytes((header,))
+            + lenenc(self.affected)
+            + lenenc(self.last_id)
+            + struct.pack("<HH", status & 0xFFFF, self.warnings)
+            + tail
+        )
+
+
+@dataclass(slots=True)
+class Err:
+    """An ERR packet."""
+
+    errno: int
+    state: str
+    text: str
+
+    @classmethod
+    def of(cls, errno: int, text: str) -> Err:
+        """One with the SQLSTATE that belongs to its number."""
+        return cls(int(errno), sqlstate(errno), text)
+
+    @classmethod
+    def parse(cls, data: bytes, protocol_41: bool = True) -> Err:
+        """Read one; those before the login may lack the state."""
+        fields = Fields(data, 1)
+        errno, state = fields.number(2), "HY000"
+        if protocol_41 and fields.left and data[fields.at : fields.at + 1] == b"#":
+            fields.at += 1
+            state = fields.take(5).decode("ascii", "replace")
+        return cls(errno, state, fields.rest().decode("utf-8", "replace"))
+
+    def encode(self) -> bytes:
+        """Write one."""
+        state = self.state.encode("ascii", "replace")[:5].ljust(5, b"0")
+        return b"\xff" + struct.pack("<H", self.errno) + b"#" + state + self.text.encode()[:512]
+
+
+@dataclass(slots=True)
+class Eof:
+    """An EOF packet of the older kind."""
+
+    warnings: int = 0
+    status: int = 0
+
+    @classmethod
+    def parse(cls, data: bytes) -> Eof:
+        """Read one."""
+        fields = Fields(data, 1)
+        return cls(fields.number(2), fields.number(2)) if fields.left else cls()
+
+    def encode(self) -> bytes:
+        """Write one."""
+        status = self.status & ~Status.SESSION_STATE_CHANGED & 0xFFFF
+        return b"\xfe" + struct.pack("<HH", self.warnings, status)
+
+
+_ONE_TEXT = frozenset(
+    {Track.SCHEMA, Track.STATE_CHANGE, Track.TRANSACTION_CHARACTERISTICS, Track.TRANSACTION_STATE}
+)
+
+
+def parse_state(data: bytes) -> list[tuple[int, tuple[bytes, ...]]]:
+    """Session-state news as pairs of a kind and its texts; kinds not known have their bytes as one."""
+    fields = Fields(data)
+    out: list[tuple[int, tuple[bytes, ...]]] = []
+    while fields.left:
+        kind, body = fields.number(1), Fields(fields.text())
+        if kind == Track.SYSTEM_VARIABLES:
+            values = []
+            while body.left:
+                values += [body.text(), body.text()]
+            out.append((kind, tuple(values)))
+        elif (
+            kind in (Track.SCHEMA, Track.STATE_CHANGE, Track.TRANSACTION_CHARACTERISTICS)
+            or kind == Track.TRANSACTION_STATE
+        ):
+            out.append((kind, (body.text(),)))
+        else:
+            out.append((kind, (body.rest(),)))
+    return out
+
+
+def encode_state(news: list[tuple[int, tuple[bytes, ...]]]) -> bytes:
+    """The other way round."""
+    out = b""
+    for kind, values in news:
+        plain = kind == Track.GTIDS or kind > Track.TRANSACTION_STATE
+        body = b"".join(values if plain else map(lentext, values))
+        out += bytes((kind,)) + lentext(body)
+    return out
+
+
+# --- greeting and login -------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Greeting:
+    """The first packet of a server (handshake version 10)."""
+
+    version: str
+    thread: int
+    challenge: bytes
+    capabilities: int
+    collation: int = UTF8MB4
+    status: int = int(Status.AUTOCOMMIT)
+    plugin: str = ""
+
+    @classmethod
+    def parse(cls, data: bytes) -> Greeting:
+        """Read one; raises `ProtocolError` for another version or nonsense."""
+        fields = Fields(data)
+        version = fields.number(1)
+        if version != PROTOCOL_VERSION:
+            raise ProtocolError(f"a greeting of version {version}", Errno.BAD_HANDSHAKE)
+        name, thread, challenge = fields.until_zero(), fields.number(4), fields.take(8)
+        fields.take(1)
+        capabilities = fields.number(2)
+        if not fields.left:
+            return cls(name.decode("latin-1"), thread, challenge, capabilities)
+        collation, status = fields.number(1), fields.number(2)
+        capabilities |= fields.number(2) << 16
+        size = fields.number(1)
+        fields.take(10)
+        if capabilities & Capability.SECURE_CONNECTION:
+            challenge += fields.take(max(13, size - 8))[:12]
+        plugin = b""
+        if capabilities & Capability.PLUGIN_AUTH:
+            # Guards against servers that leave the zero byte out, as some old ones do.
+            plugin = fields.rest().split(b"\0", 1)[0]
+        return cls(
+            name.decode("latin-1"), thread, challenge, capabilities, collation, status,
+            utf8(plugin, "the name of the server's plugin"),
+        )  # fmt: skip
+
+    def encode(self) -> bytes:
+        """Write one."""
+        low, high = self.capabilities & 0xFFFF, self.capabilities >> 16
+        return (
+            bytes((PROTOCOL_VERSION,))
+            + self.version.encode("latin-1") + b"\0"
+            + struct.pack("<I", self.thread & 0xFFFFFFFF) + self.challenge[:8] + b"\0"
+            + struct.pack("<HBHHB", low, self.collation & 0xFF, self.status, high, SCRAMBLE + 1)
+            + bytes(10) + self.challenge[8:].ljust(12, b"\0") + b"\0"
+            + self.plugin.encode() + b"\0"
+        )  # fmt: skip
+
+
+@dataclass(slots=True)
+class SslRequest:
+    """The short login that asks for TLS before the rest."""
+
+    capabilities: int
+    max_packet: int = 1 << 24
+    collation: int = UTF8MB4
+
+    def encode(self) -> bytes:
+        """Write one."""
+        return struct.pack("<IIB", self.capabilities, self.max_packet, self.collation & 0xFF) + bytes(23)
+
+
+@dataclass(slots=True)
+class Login:
+    """A client's login (HandshakeResponse41)."""
+
+    capabilities: int
+    user: str
+    answer: bytes  # to the challenge
+    database: str = ""
+    plugin: str = ""
+    collation: int = UTF8MB4
+    max_packet: int = 1 << 24
+    attributes: dict[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def parse(cls, data: bytes) -> Login | SslRequest:
+        """Read one, or the request for TLS that may come first."""
+        fields = Fields(data)
+        capabilities = fields.number(2)
+        if not capabilities & Capability.PROTOCOL_41:
+            raise ProtocolError("a client of a protocol before 4.1", Errno.BAD_HANDSHAKE)
+        capabilities |= fields.number(2) << 16
+        max_packet, collation = fields.number(4), fields.number(1)
+        fields.take(23)
+        if capabilities & Capability.SSL and not fields.left:
+            return SslRequest(capabilities, max_packet, collation)
+        user = utf8(fields.until_zero(), "the user's name")
+        if capabilities & Capability.PLUGIN_AUTH_LENENC:
+            answer = fields.text()
+        elif capabilities & Capability.SECURE_CONNECTION:
+            answer = fields.take(fields.number(1))
+        else:
+            answer = fields.until_zero()
+        database = plugin = ""
+        if capabilities & Capability.CONNECT_WITH_DB:
+            database = utf8(
+                fields.until_zero() if b"\0" in data[fields.at :] else fields.rest(), "the database"
+            )
+        if capabilities & Capability.PLUGIN_AUTH and fields.left:
+            plugin = utf8(
+                fields.until_zero() if b"\0" in data[fields.at :] else fields.rest(), "the plugin's name"
+            )
+        attributes = {}
+        if capabilities & Capability.CONNECT_ATTRS and fields.left:
+            attributes = _attributes(fields)
+        return cls(capabilities, user, answer, database, plugin, collation, max_packet, attributes)
+
+    def encode(self) -> bytes:
+        """Write one."""
+        caps = self.capabilities
+        out = struct.pack("<IIB", caps, self.max_packet, self.collation & 0xFF) + bytes(23)
+        out += self.user.encode() + b"\0"
+        out += lentext(self.answer) if caps & Capability.PLUGIN_AUTH_LENENC else _short(self.answer)
+        if caps & Capability.CONNECT_WITH_DB:
+            out += self.database.encode() + b"\0"
+        if caps & Capability.PLUGIN_AUTH:
+            out += self.plugin.encode() + b"\0"
+        if caps & Capability.CONNECT_ATTRS:
+            pairs = b"".join(
+                lentext(name.encode()) + lentext(value.encode()) for name, value in self.attributes.items()
+            )
+            out += lentext(pairs)
+        return out
+
+
+def _short(answer: bytes) -> bytes:
+    if len(answer) > 255:
+        raise ProtocolError("an answer of more than 255 bytes")
+    return bytes((len(answer),)) + answer
+
+
+def _attributes(fields: Fields) -> dict[str, str]:
+    body = Fields(fields.text())
+    if len(body.data) > MAX_ATTRIBUTES:
+        raise ProtocolError("more than 64 KB of attributes")
+    out = {}
+    while body.left:
+        name = body.text().decode("utf-8", "replace")
+        out[name] = body.text().decode("utf-8", "replace")
+    return out
+
+
+@dataclass(slots=True)
+class ChangeUser:
+    """The body of COM_CHANGE_USER."""
+
+    user: str
+    answer: bytes
+    database: str
+    collation: int = UTF8MB4
+    plugin: str = ""
+
+    @classmethod
+    def parse(cls, data: bytes, capabilities: int) -> ChangeUser:
+        """Read one, command byte included."""
+        fields = Fields(data, 1)
+        user = utf8(fields.until_zero(), "the user's name")
+        answer = fields.take(fields.number(1))
+        database = utf8(fields.until_zero(), "the database")
+        out = cls(user, answer, database)
+        if fields.left >= 2:
+            out.collation = fields.number(2)
+        if capabilities & Capability.PLUGIN_AUTH and fields.left:
+            name = fields.until_zero() if b"\0" in data[fields.at :] else fields.rest()
+            out.plugin = utf8(name, "the plugin's name")
+        return out
+
+    def encode(self, capabilities: int) -> bytes:
+        """Write one, command byte included."""
+        out = b"\x11" + self.user.encode() + b"\0" + _short(self.answer) + self.database.encode() + b"\0"
+        out += struct.pack("<H", self.collation)
+        if capabilities & Capability.PLUGIN_AUTH:
+            out += self.plugin.encode() + b"\0"
+        return out
+
+
+def auth_switch(plugin: str, challenge: bytes) -> bytes:
+    """A request to log in by another plugin."""
+    return b"\xfe" + plugin.encode() + b"\0" + challenge + b"\0"
+
+
+def parse_auth_switch(data: bytes) -> tuple[str, bytes]:
+    """The plugin and the challenge; a bare one means the plugin from before 4.1."""
+    if len(data) == 1:
+        return "mysql_old_password", b""
+    fields = Fields(data, 1)
+    plugin = utf8(fields.until_zero(), "the plugin's name")
+    return plugin, fields.rest().removesuffix(b"\0")
+
+
+# --- columns and rows ---------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Column:
+    """A column's definition."""
+
+    name: bytes
+    type: int = int(Type.VAR_STRING)
+    collation: int = UTF8MB4
+    length: int = 1024
+    flags: int = 0
+    decimals: int = 0
+    schema: bytes = b""
+    table: bytes = b""
+    org_table: bytes = b""
+    org_name: bytes = b""
+    catalog: bytes = b"def"
+
+    @classmethod
+    def parse(cls, data: bytes) -> Column:
+        """Read one."""
+        fields = Fields(data)
+        catalog, schema, table, org_table, name, org_name = (fields.text() for _ in range(6))
+        body = Fields(fields.text())
+        collation, length, kind = body.number(2), body.number(4), body.number(1)
+        return cls(
+            name,
+            kind,
+            collation,
+            length,
+            body.number(2),
+            body.number(1),
+            schema,
+            table,
+            org_table,
+            org_name,
+            catalog,
+        )
+
+    def encode(self) -> bytes:
+        """Write one."""
+        names = (self.catalog, self.schema, self.table, self.org_table, self.name, self.org_name)
+        tail = struct.pack("<HIBHBH", self.collation, self.length, self.type, self.flags, self.decimals, 0)
+        return b"".join(map(lentext, names)) + lentext(tail)
+
+
+def text_row(values: list[bytes | None]) -> bytes:
+    """A row of the text protocol."""
+    return b"".join(b"\xfb" if value is None else lentext(value) for value in values)
+
+
+def parse_text_row(data: bytes, columns: int) -> list[bytes | None]:
+    """Its values; raises `ProtocolError` where they are more or fewer."""
+    fields = Fields(data)
+    out: list[bytes | None] = []
+    for _ in range(columns):
+        if fields.left and data[fields.at] == 0xFB:
+            fields.at += 1
+            out.append(None)
+        else:
+            out.append(fields.text())
+    if fields.left:
+        raise ProtocolError("a row with more values than columns")
+    return out
+
+
+_FIXED = {Type.TINY: 1, Type.SHORT: 2, Type.YEAR: 2, Type.LONG: 4, Type.INT24: 4, Type.FLOAT: 4,
+          Type.LONGLONG: 8, Type.DOUBLE: 8}  # fmt: skip
+_DATES = frozenset({Type.DATE, Type.DATETIME, Type.TIMESTAMP, Type.TIME})
+
+
+def _binary_value(fields: Fields, kind: int) -> bytes:
+    """The bytes of one value of the binary protocol, a date's or text's length byte included."""
+    size = _FIXED.get(kind)  # type: ignore[call-overload]
+    if size is not None:
+        return fields.take(size)
+    at = fields.at
+    if kind in _DATES:
+        fields.take(fields.number(1))
+    else:
+        fields.text()
+    return fields.data[at : fields.at]
+
+
+def binary_row(values: list[bytes | None]) -> bytes:
+    """A row of the binary protocol out of values already encoded for their types."""
+    nulls = bytearray((len(values) + 9) // 8)
+    for at, value in enumerate(values):
+        if value is None:
+            nulls[(at + 2) // 8] |= 1 << (at + 2) % 8
+    return b"\0" + bytes(nulls) + b"".join(value for value in values if value is not None)
+
+
+def parse_binary_row(data: bytes, types: list[int]) -> list[bytes | None]:
+    """Its values, each still encoded for its type."""
+    fields = Fields(data, 1)
+    nulls = fields.take((len(types) + 9) // 8)
+    out = [
+        None if nulls[(at + 2) // 8] >> (at + 2) % 8 & 1 else _binary_value(fields, kind)
+        for at, kind in enumerate(types)
+    ]
+    if fields.left:
+        raise ProtocolError("a row with more values than columns")
+    return out
+
+
+# --- prepared statements ------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Prepared:
+    """The first packet that answers COM_STMT_PREPARE."""
+
+    statement: int
+    columns: int
+    parameters: int
+    warnings: int = 0
+
+    @classmethod
+    def parse(cls, data: bytes) -> Prepared:
+        """Read one."""
+        fields = Fields(data, 1)
+        statement, columns, parameters = fields.number(4), fields.number(2), fields.number(2)
+        warnings = 0
+        if fields.left >= 3:
+            fields.take(1)
+            warnings = fields.number(2)
+        return cls(statement, columns, parameters, warnings)
+
+    def encode(self) -> bytes:
+        """Write one."""
+        return b"\0" + struct.pack("<IHHBH", self.statement, self.columns, self.parameters, 0, self.warnings)
+
+
+@dataclass(slots=True)
+class Execute:
+    """COM_STMT_EXECUTE, with the types of its parameters taken apart from their values."""
+
+    statement: int
+    flags: int = 0
+    nulls: bytes = b""
+    types: bytes | None = None  # two bytes a parameter; None: those of the execution before
+    values: bytes = b""
+
+    @classmethod
+    def parse(cls, data: bytes, parameters: int) -> Execute:
+        """Read one for a statement with so many parameters."""
+        fields = Fields(data, 1)
+        out = cls(fields.number(4), fields.number(1))
+        fields.take(4)  # iterations: always 1
+        if parameters:
+            out.nulls = fields.take((parameters + 7) // 8)
+            if fields.number(1):
+                out.types = fields.take(2 * parameters)
+            out.values = fields.rest()
+        return out
+
+    def encode(self, parameters: int) -> bytes:
+        """Write one, command byte included."""
+        out = b"\x17" + struct.pack("<IBI", self.statement, self.flags, 1)
+        if parameters:
+            out += self.nulls + (b"\0" if self.types is None else b"\1" + self.types) + self.values
+        return out
+
+    def parameters(self, count: int, types: bytes, long: frozenset[int] = frozenset()) -> list[bytes | None]:
+        """The values, each still encoded; those sent ahead as long data are empty here.
+
+        Raises `ProtocolError` where values and types don't fit each other.
+        """
+        fields = Fields(self.values)
+        out: list[bytes | None] = []
+        for at in range(count):
+            if self.nulls[at // 8] >> at % 8 & 1 or types[2 * at] == Type.NULL:
+                out.append(None)
+            elif at in long:
+                out.append(b"")
+            else:
+                out.append(_binary_value(fields, types[2 * at]))
+        if fields.left:
+            raise ProtocolError("more values than parameters")
+        return out
