--- a/brambleusher/lab/network.py
+++ b/brambleusher/lab/network.py
@@ -39,6 +39,15 @@
     OPEN: Final = 3  # ESTABLISHED and all that follow: `fin_in` and `shut_send` tell which
 
 
+class Wish:
+    """What connect(2) goes by: how far the process has come with it (Linux's SS_...)."""
+
+    UNCONNECTED: Final = 0
+    CONNECTING: Final = 1  # and has not been told by a second call that it worked
+    CONNECTED: Final = 2
+    DISCONNECTING: Final = 3
+
+
 class End(NamedTuple):
     """One end of a connection."""
 
@@ -193,10 +202,10 @@
 
     __slots__ = (
         "_credits", "_pump_due", "_unacked", "_unsent", "_unsent_size", "_used", "_want_write",
-        "_window", "_write_due", "conn", "connecting", "disconnected", "err", "fd", "fin_acked_ns",
-        "fin_in", "fin_queued", "held", "held_since", "host", "last_arrival", "link", "machine", "network",
-        "orphan", "peer", "port", "process", "rx", "rx_size", "shut_receive", "shut_send", "side", "state",
-        "world",
+        "_window", "_write_due", "conn", "err", "fd", "fin_acked_ns", "fin_in", "fin_out",
+        "fin_queued", "held", "held_since", "host", "last_arrival", "link", "machine", "network",
+        "orphan", "peer", "port", "process", "rx", "rx_size", "shut_receive", "shut_send", "side",
+        "state", "wish", "world",
     )  # fmt: skip
 
     def __init__(self, network: Network, machine: Machine, process: Process | None, state: int) -> None:
@@ -208,10 +217,10 @@
         self.side = CLIENT
         self.peer: VirtualSocket | None = None
         self.link: Link | None = None  # the way to the peer
-        # What connect(2) goes by: it was called, and has not said yet that it worked.
-        self.connecting = self.disconnected = False
+        self.wish = Wish.UNCONNECTED if state == State.CLOSE else Wish.CONNECTED
         self.err = 0
-        self.shut_receive = self.shut_send = self.fin_in = self.orphan = False
+        # Linux's sk_shutdown; the ends received and sent are apart from it.
+        self.shut_receive = self.shut_send = self.fin_in = self.fin_out = self.orphan = False
         self.rx: deque[bytes] = deque()
         self.rx_size = 0
         # Bytes on their way out: `_used` were taken from the process and not acknowledged; the part of
@@ -242,16 +251,18 @@
             raise Killed
         if self.fd < 0:
             return errno.EBADF
-        if self.conn is not None and not self.connecting and not self.disconnected:
+        if self.wish == Wish.CONNECTED:
             return errno.EISCONN
-        if self.connecting:
+        if self.wish == Wish.DISCONNECTING:
+            return errno.EINVAL
+        if self.wish == Wish.CONNECTING:
             if self.state == State.SYN_SENT:
                 return errno.EALREADY
             if self._closed():
                 code, self.err = self.err or errno.ECONNABORTED, 0
                 self.disconnect()
                 return code
-            self.connecting = False
+            self.wish = Wish.CONNECTED
             return 0
         self._connect(address)
         return errno.EINPROGRESS
@@ -327,18 +338,19 @@
             raise fault(errno.EBADF)
         if how != END_SENDING:
             raise fault(errno.EINVAL)
-        if self._closed():
-            raise fault(errno.ENOTCONN)
+        closed = self._closed()
+        if self.wish == Wish.CONNECTING:
+            self.wish = Wish.CONNECTED if self.state == State.OPEN else Wish.DISCONNECTING
         if self.state == State.SYN_SENT:
             self.disconnect()
             self.err = errno.ECONNRESET
-            self.notify()
-            return
-        self.connecting = False
-        if not self.shut_send:
+        else:
             self.shut_send = True
+        self.notify()
+        if closed:
+            raise fault(errno.ENOTCONN)
+        if self.state == State.OPEN:
             self._end()
-            self.notify()
 
     def getsockname(self) -> Address:
         """Host and port."""
@@ -358,8 +370,10 @@
     def abort(self) -> None:
         """Close it with a reset, as SO_LINGER with no time does."""
         process = self.process
-        if self.fd < 0 or process is None or process.dead:
-            return
+        if process is None or process.dead:
+            raise Killed
+        if self.fd < 0:
+            raise fault(errno.EBADF)
         process.release(self.fd)
         self.fd = -1
         self.let_go(True)
@@ -618,7 +632,6 @@
         if (
             self.state == State.OPEN
             and self.fin_in
-            and self.shut_send
             and self.fin_acked_ns
             and self.world.now_ns >= self.fin_acked_ns
         ):
@@ -626,6 +639,10 @@
         return self.state == State.CLOSE
 
     def _end(self) -> None:
+        """Send the end, once, behind what waits to be sent."""
+        if self.fin_out:
+            return
+        self.fin_out = True
         if self._unsent:
             self.fin_queued = True
         else:
@@ -646,7 +663,7 @@
             return
         if self.state == State.SYN_SENT:
             self.err = errno.ECONNREFUSED
-        elif self.fin_in and not self.shut_send:
+        elif self.fin_in and not self.fin_out:
             self.err = errno.EPIPE
         else:
             self.err = errno.ECONNRESET
@@ -672,15 +689,13 @@
             return
         if self.state != State.OPEN:
             self.state = State.CLOSE
-        elif unread or (abort and not (self.fin_in and self.shut_send and not self._unsent)):
+        elif unread or (abort and not (self.fin_in and self.fin_out and not self._unsent)):
             self.state = State.CLOSE
             self.drop_unsent()
             self.post(RESET)
         else:
-            self.shut_receive = True
-            if not self.shut_send:
-                self.shut_send = True
-                self._end()
+            self.shut_receive = self.shut_send = True
+            self._end()
 
     def vanish(self) -> None:
         """Gone with its machine: nobody is told."""
@@ -693,14 +708,14 @@
     def disconnect(self) -> None:
         """Back to a socket that is not connected, as after a connect that failed."""
         self.state = State.CLOSE
-        self.connecting, self.disconnected = False, True
+        self.wish = Wish.UNCONNECTED
         self.conn = self.peer = self.link = None
         self.rx.clear()
         self.rx_size = 0
         self.drop_unsent()
         self._credits.clear()
         self._window = self.network.settings.receive_buffer
-        self.shut_receive = self.shut_send = self.fin_in = False
+        self.shut_receive = self.shut_send = self.fin_in = self.fin_out = False
 
     # --- connecting -----------------------------------------------------------------------------
 
@@ -714,9 +729,8 @@
             End(machine.name, self.host, self.port), End("" if target is None else target.name, host, port)
         )
         self.conn.client_socket = self
-        self.connecting, self.disconnected = True, False
-        self.state, self.side, self.fin_acked_ns = State.SYN_SENT, CLIENT, 0
-        self.last_arrival = 0
+        self.wish, self.state, self.side = Wish.CONNECTING, State.SYN_SENT, CLIENT
+        self.fin_in, self.err, self.fin_acked_ns, self.last_arrival = False, 0, 0, 0
         if world.taps:
             world.tell("opened", self.conn)
         if target is None:
--- a/brambleusher/lab/world.py
+++ b/brambleusher/lab/world.py
@@ -102,7 +102,7 @@
         """The process at a side closed it, or came to its end."""
 
     def process(self, now: int, machine: Machine, what: str) -> None:
-        """What is "started", "killed", "exited", "vanished" or "signal N"."""
+        """What is "started", "killed" (its connections end next), "exited" (the same) or "signal N"."""
 
 
 class Event:
@@ -410,9 +410,9 @@
         if self.dead:
             return
         self._die(-int(signal.SIGKILL))
+        self.world.tell("process", self.machine, "killed")
         for _, thing in self._take_all():
             thing.vanish()
-        self.world.tell("process", self.machine, "vanished")
         self._clear_up()
 
     def forget(self) -> None:
@@ -426,9 +426,9 @@
         if self.dead:
             return
         self._die(status)
+        self.world.tell("process", self.machine, "killed")
         for _, thing in self._take_all():
             thing.let_go(reset)
-        self.world.tell("process", self.machine, "killed")
         self._clear_up()
 
     def _die(self, status: int | None) -> None:
@@ -490,9 +490,9 @@
             return
         # The last step: what its main program left waiting never runs again.
         self._die(status)
+        self.world.tell("process", self.machine, "exited")
         for _, thing in self._take_all():
             thing.let_go(False)
-        self.world.tell("process", self.machine, "exited")
         self.world.push(self.world.now_ns, self._end_greenlets)
 
     def _resume(self) -> None:
@@ -960,6 +960,13 @@
         self._check()
         return sock.take_error() if isinstance(sock, VirtualSocket) else 0
 
+    def reset(self, sock: Socket) -> None:
+        """Close a connection with a reset."""
+        if isinstance(sock, VirtualSocket):
+            sock.abort()
+        else:
+            sock.close()
+
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         """Have a signal handled."""
         self._check()
