Tasks' greenlets come from the system, so that a process can be ended with all of them

A greenlet that waits is freed only when it ends: a frame on its stack keeps what it refers to. A virtual machine that kills a process, and a world that is closed, must end every task, and could not find them. Scheduler now asks its System for the greenlet; the real one hands out greenlet.greenlet itself.

--- a/brambleusher/runtime/real.py
+++ b/brambleusher/runtime/real.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from types import FrameType
 
+import greenlet
+
 from brambleusher.runtime.sinks import DescriptorSink, FileSink, UdpSink
 from brambleusher.runtime.system import Address, Poller, Sink, Socket, Waker, Worker
 
@@ -85,6 +87,7 @@
     monotonic = staticmethod(time.monotonic)
     monotonic_ns = staticmethod(time.monotonic_ns)
     wall_ns = staticmethod(time.time_ns)
+    greenlet = staticmethod(greenlet.greenlet)
 
     def poller(self) -> Poller:
         """A new set of descriptors."""
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -68,7 +68,7 @@
 
     def __init__(self, scheduler: Scheduler, name: str, run: Callable[[Any], None]) -> None:
         self.scheduler, self.name = scheduler, name
-        self.glet = greenlet.greenlet(run, scheduler.hub)
+        self.glet = scheduler.system.greenlet(run, scheduler.hub)
         self.parked = self.done = False
         self.sock_fd = -1
         self.bell: Bell | None = None
--- a/brambleusher/runtime/system.py
+++ b/brambleusher/runtime/system.py
@@ -12,6 +12,8 @@
 from contextlib import AbstractContextManager
 from typing import Any, Protocol
 
+from greenlet import greenlet
+
 READ, WRITE = 1, 4  # poll(2)'s POLLIN and POLLOUT
 GONE_WRONG = 8 | 16 | 32  # POLLERR, POLLHUP and POLLNVAL, which come unasked
 PEEK = 2  # recv(2)'s MSG_PEEK
@@ -111,6 +113,9 @@
     def wall_ns(self) -> int:
         """Unix time in nanoseconds; it may be set, forward or back."""
 
+    def greenlet(self, run: Callable[..., Any], parent: greenlet) -> greenlet:
+        """A greenlet for a task; it is over with the process."""
+
     def poller(self) -> Poller:
         """A new set of descriptors."""
 
