--- a/brambleusher/lab/world.py
+++ b/brambleusher/lab/world.py
@@ -965,13 +965,6 @@
         self._check()
         return sock.take_error() if isinstance(sock, VirtualSocket) else 0
 
-    def reset(self, sock: Socket) -> None:
-        """Close a connection with a reset."""
-        if isinstance(sock, VirtualSocket):
-            sock.abort()
-        else:
-            sock.close()
-
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         """Have a signal handled."""
         self._check()
--- a/tests/test_network_differential.py
+++ b/tests/test_network_differential.py
@@ -12,7 +12,6 @@
 import os
 import resource
 import socket
-import struct
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -61,9 +60,6 @@
     def shape(self, sock: Socket) -> None:
         """Small buffers, where that has to be asked for."""
 
-    def abort(self, sock: Socket) -> None:
-        raise NotImplementedError
-
     def nobody(self) -> int:
         """A port on which nobody listens."""
         raise NotImplementedError
@@ -146,7 +142,7 @@
         return self.socks[name].close()
 
     def do_abort(self, name: str) -> Result:
-        return self.abort(self.socks[name])
+        return self.system.reset(self.socks[name])
 
     def do_poll(self, name: str, events: int) -> Result:
         return self.wait(self.socks[name], events, 0)
@@ -221,11 +217,6 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16384)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
 
-    def abort(self, sock: Socket) -> None:
-        assert isinstance(sock, socket.socket)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        sock.close()
-
     def nobody(self) -> int:
         return self._nobody
 
@@ -255,9 +246,6 @@
     def settle(self) -> None:
         self._still.poll(5)  # well under the second after which connects are tried again
 
-    def abort(self, sock: Socket) -> None:
-        sock.abort()  # type: ignore[attr-defined]
-
     def nobody(self) -> int:
         return 9
 
