--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -127,7 +127,7 @@
     for bad, named in (
         (good.replace("format: 1", "format: 7"), "format"),
         (good.replace("asks:", "askz:"), "askz"),
-        (good.replace("kind: ", "kind: no-", 1), "no-"),
+        (good.replace("- {kind: ", "- {kind: no-", 1), "no-"),
     ):
         path = tmp_path / "bad.yaml"
         path.write_text(bad)
