--- /dev/null
+++ b/brambleusher/cli/load.py
@@ -0,0 +1,304 @@
+"""`brambleusher load`: demand from HAR files and logs, looked at and reshaped."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from functools import wraps
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+import msgspec
+
+from brambleusher import __version__
+from brambleusher.load import demand, shape, synthetic
+from brambleusher.load.build import Plan, build
+from brambleusher.load.demand import DemandError, DemandFile
+from brambleusher.load.mapping import Mapping, MappingError, read_mapping
+from brambleusher.load.opening import Progress, size_of
+from brambleusher.load.ordering import SPREADS
+from brambleusher.load.report import texts
+from brambleusher.load.request import Request, SourceError
+from brambleusher.load.sources import FORMS, How
+from brambleusher.load.summary import Summary, plot
+from brambleusher.load.times import SECOND
+
+FILE = click.Path(path_type=Path)
+OUT = click.option("-o", "--out", type=FILE, required=True, metavar="FILE", help="The file to write.")
+SEED = click.option("--seed", default=1, show_default=True, help="For all that is drawn at random.")
+Call = TypeVar("Call", bound=Any)
+
+
+def told(call: Call) -> Call:
+    """A command whose faults are messages and exit status 1."""
+
+    @wraps(call)
+    def safely(*args: Any, **named: Any) -> Any:
+        try:
+            return call(*args, **named)
+        except (
+            SourceError, DemandError, MappingError, shape.ShapeError, synthetic.RecipeError,
+        ) as error:  # fmt: skip
+            print(f"brambleusher: {error}", file=sys.stderr)
+        except OSError as error:
+            print(f"brambleusher: {error.filename or 'output'}: {error.strerror}", file=sys.stderr)
+        return 1
+
+    return safely  # type: ignore[return-value]
+
+
+@click.group(help="Demand from HAR files, access logs, JSON lines and captures.")
+def command() -> None:
+    """Demand from HAR files, access logs, JSON lines and captures."""
+
+
+@contextmanager
+def progress_of(total: int) -> Iterator[Progress | None]:
+    """A progress bar where standard error is a terminal."""
+    if not sys.stderr.isatty():
+        yield None
+        return
+    from rich.console import Console
+    from rich.progress import BarColumn, DownloadColumn, Progress, TimeRemainingColumn, TransferSpeedColumn
+
+    columns = (BarColumn(), DownloadColumn(), TransferSpeedColumn(), TimeRemainingColumn())
+    with Progress(*columns, console=Console(stderr=True)) as bar:
+        task = bar.add_task("read", total=total)
+        yield lambda size: bar.advance(task, size)
+
+
+@command.command("build", help="Make a demand file of sources, which are put together by their times.")
+@click.argument("sources", nargs=-1, required=True, type=FILE, metavar="SOURCE...")
+@OUT
+@click.option("--form", type=click.Choice(FORMS), help="What the sources are.  [default: by how each begins]")
+@click.option(
+    "--log-format", metavar="FORMAT", help="Of access logs: a LogFormat, common, combined, platform."
+)
+@click.option("--mapping", type=FILE, metavar="FILE", help="What rows mean, in YAML.")
+@click.option(
+    "--window", type=click.FloatRange(min=0), default=5.0, show_default=True, help="Seconds to put in order."
+)
+@click.option(
+    "--spread", type=click.Choice(SPREADS), default="none", show_default=True, help="Of whole seconds."
+)
+@click.option("--processes", type=click.IntRange(1, 64), default=2, show_default=True, help="To parse lines.")
+@SEED
+@click.option("--json", "as_json", is_flag=True, help="The report as JSON.")
+@told
+def build_command(
+    sources: tuple[Path, ...], out: Path, form: str | None, log_format: str | None, mapping: Path | None,
+    window: float, spread: str, processes: int, seed: int, as_json: bool,
+) -> int:  # fmt: skip
+    """Make a demand file; 1 if a source can't be used, and then no file is left."""
+    rules = Mapping() if mapping is None else read_mapping(mapping)
+    plan = Plan(
+        sources, How(rules, form, log_format), round(window * SECOND), spread, seed, processes,
+    )  # fmt: skip
+    with progress_of(sum(map(size_of, sources))) as progress:
+        report = build(plan, out, progress)
+    plain = report.plain()
+    if as_json:
+        print(msgspec.json.encode({**plain, "spread": spread, "window_s": window}).decode())
+        return 0
+    print("\n".join(texts(plain)))
+    whole = plain["notes"].get("whole-seconds")
+    if whole:
+        how = "left bunched as they are" if spread == "none" else f"spread over their second: {spread}"
+        print(f"times in whole seconds were {how}")
+    return 0
+
+
+@command.command("inspect", help="Rate, mix, bursts and tenants of a demand file.")
+@click.argument("file", type=FILE)
+@click.option(
+    "--plot", "picture", type=FILE, metavar="FILE", help="Draw the rate by class (.svg, .png, .pdf)."
+)
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@told
+def inspect_command(file: Path, picture: Path | None, as_json: bool) -> int:
+    """Figures of a demand file, which is read whole and checked."""
+    with DemandFile(file) as source:
+        source.verify()
+        summary = Summary(source.requests())
+        report, made = source.footer.report, source.header.made
+    if picture is not None:
+        plot(summary, str(picture), file.name)
+    if as_json:
+        print(msgspec.json.encode({**summary.plain(report), "report": report, "made": made}).decode())
+        return 0
+    print("\n".join(summary.texts()))
+    if report:
+        print("\nwhen it was built:")
+        print("\n".join(texts(report)))
+        if report.get("notes", {}).get("whole-seconds"):
+            print(f"times in whole seconds: spread {origin(made).get('spread', 'none')}")
+    return 0
+
+
+def origin(made: dict[str, Any]) -> dict[str, Any]:
+    """How demand was made at first, before it was cut, scaled or mixed."""
+    while isinstance(made.get("made"), dict):
+        made = made["made"]
+    return made
+
+
+def saved(source: DemandFile, out: Path, requests: Iterator[Request], by: str, **how: Any) -> int:
+    """Write demand that was made from a file; prints how much."""
+    made = {"by": by, "of": source.path.name, **how, "made": source.header.made}
+    count = demand.write(out, requests, made, source.footer.report)
+    print(f"{count:,} requests")
+    return 0
+
+
+@command.command("cut", help="A span of time of a demand file.")
+@click.argument("file", type=FILE)
+@OUT
+@click.option(
+    "--from", "start", metavar="TIME", help="Seconds from the start, or ISO 8601.  [default: the start]"
+)
+@click.option("--to", "end", metavar="TIME", help="The same; it is not in the span.  [default: the end]")
+@told
+def cut_command(file: Path, out: Path, start: str | None, end: str | None) -> int:
+    """A span of time of a demand file."""
+    with DemandFile(file) as source:
+        first_ns = source.span_ns[0]
+        start_ns = None if start is None else shape.moment(start, first_ns)
+        end_ns = None if end is None else shape.moment(end, first_ns)
+        requests = source.requests(start_ns, end_ns)
+        return saved(source, out, requests, "cut", **{"from_ns": start_ns, "to_ns": end_ns})
+
+
+def factors(words: tuple[str, ...], option: str) -> dict[str, float]:
+    """`NAME=FACTOR` pairs."""
+    found: dict[str, float] = {}
+    for word in words:
+        name, equals, text = word.rpartition("=")
+        found[name] = factor(text, option) if equals else factor("", option)
+    return found
+
+
+def factor(text: str, option: str) -> float:
+    """A factor of at least 0."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e6:
+        raise click.BadParameter(f"{text!r} is no factor", param_hint=option)
+    return value
+
+
+def bursts(words: tuple[str, ...], start_ns: int) -> tuple[shape.Burst, ...]:
+    """`FROM..TO=FACTOR` spans."""
+    found = []
+    for word in words:
+        span, _, text = word.rpartition("=")
+        first, dots, last = span.partition("..")
+        if not dots:
+            raise click.BadParameter(f"{word!r} is not FROM..TO=FACTOR", param_hint="--burst")
+        edges = [shape.moment(each, start_ns) - start_ns for each in (first, last)]
+        found.append(shape.Burst(edges[0], edges[1], factor(text, "--burst")))
+    return tuple(found)
+
+
+@command.command("scale", help="Faster, more, another mix, one burst multiplied.")
+@click.argument("file", type=FILE)
+@OUT
+@click.option("--speed", type=click.FloatRange(min=0, min_open=True), default=1.0, help="Times as fast.")
+@click.option("--rate", type=click.FloatRange(min=0), default=1.0, help="Times as many.")
+@click.option("--class", "classes", multiple=True, metavar="NAME=FACTOR", help="Times as many of a class.")
+@click.option("--tenant", "tenants", multiple=True, metavar="NAME=FACTOR", help="Times as many of a tenant.")
+@click.option("--burst", "spans", multiple=True, metavar="FROM..TO=FACTOR", help="Times as many in a span.")
+@click.option(
+    "--jitter", type=click.FloatRange(min=0), default=1.0, show_default=True, help="Seconds, of copies."
+)
+@SEED
+@told
+def scale_command(
+    file: Path, out: Path, speed: float, rate: float, classes: tuple[str, ...], tenants: tuple[str, ...],
+    spans: tuple[str, ...], jitter: float, seed: int,
+) -> int:  # fmt: skip
+    """Demand reshaped."""
+    with DemandFile(file) as source:
+        start_ns = source.span_ns[0]
+        scale = shape.Scale(
+            speed, rate, factors(classes, "--class"), factors(tenants, "--tenant"), bursts(spans, start_ns),
+            round(jitter * SECOND), seed,
+        )  # fmt: skip
+        how = {
+            "speed": speed, "rate": rate, "classes": dict(scale.classes), "tenants": dict(scale.tenants),
+            "bursts": [[burst.start_ns, burst.end_ns, burst.times] for burst in scale.bursts], "seed": seed,
+        }  # fmt: skip
+        return saved(source, out, shape.scaled(source.requests(), start_ns, scale), "scale", **how)
+
+
+@command.command("mix", help="Several demand files as one.")
+@click.argument("files", nargs=-1, required=True, type=FILE, metavar="FILE...")
+@OUT
+@click.option("--align", type=click.Choice(["start", "clock"]), default="start", show_default=True,
+              help="All begin with the first file, or each when it did.")  # fmt: skip
+@told
+def mix_command(files: tuple[Path, ...], out: Path, align: str) -> int:
+    """Several demand files as one."""
+    sources = [DemandFile(file) for file in files]
+    try:
+        starts = [source.span_ns[0] for source in sources]
+        shifts = [starts[0] - start if align == "start" else 0 for start in starts]
+        requests = shape.mixed([source.requests() for source in sources], shifts)
+        made = {
+            "by": "mix", "align": align,
+            "of": [{"name": source.path.name, "made": source.header.made} for source in sources],
+        }  # fmt: skip
+        print(f"{demand.write(out, requests, made):,} requests")
+    finally:
+        for source in sources:
+            source.close()
+    return 0
+
+
+@command.command("export", help="A demand file as a HAR file.")
+@click.argument("file", type=FILE)
+@OUT
+@told
+def export_command(file: Path, out: Path) -> int:
+    """A demand file as a HAR file."""
+    from brambleusher.load.har import write
+
+    with DemandFile(file) as source, open(out, "w", encoding="utf-8") as har:
+        print(f"{write(source.requests(), har, __version__):,} requests")
+    return 0
+
+
+@command.command("make", help="Demand of the project's own making: marketplaces, an on-sale burst, retries.")
+@click.argument("recipe", required=False, type=FILE)
+@OUT
+@click.option(
+    "--form", type=click.Choice(["demand", "har", "access", "json"]), default="demand", show_default=True
+)
+@click.option("--whole-seconds", is_flag=True, help="An access log without parts of a second.")
+@SEED
+@told
+def make_command(recipe: Path | None, out: Path, form: str, whole_seconds: bool, seed: int) -> int:
+    """Demand by a recipe in YAML, or by the usual one."""
+    plan = synthetic.Recipe() if recipe is None else synthetic.read_recipe(recipe)
+    made = synthetic.requests(plan, seed)
+    if form == "demand":
+        count = demand.write(out, made, {"by": "make", "recipe": msgspec.to_builtins(plan), "seed": seed})
+    elif form == "har":
+        from brambleusher.load.har import write
+
+        with open(out, "w", encoding="utf-8") as har:
+            count = write(made, har, __version__)
+    else:
+        count = 0
+        with open(out, "wb") as log:
+            for request in made:
+                if form == "access":
+                    log.write(synthetic.log_line(request, whole_seconds))
+                else:
+                    log.write(msgspec.json.encode(synthetic.json_record(request)) + b"\n")
+                count += 1
+    print(f"{count:,} requests")
+    return 0
--- /dev/null
+++ b/brambleusher/load/json_lines.py
@@ -0,0 +1,139 @@
+"""Logs of one JSON object a line, with named fields."""
+
+from __future__ import annotations
+
+from datetime import tzinfo
+from typing import Any
+
+import msgspec
+
+from brambleusher.load.access_log import split_url
+from brambleusher.load.request import LeftOut, Row
+from brambleusher.load.times import from_number, from_text
+
+
+class Names(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Which field says what; a dot leads into an object.  A name that is not there says nothing."""
+
+    time: str = "time"
+    method: str = "method"
+    url: str = "url"  # whole, or a path with its query; or else path and query apart
+    path: str = "path"
+    query: str = "query"
+    status: str = "status"
+    took_ms: str = "took_ms"
+    headers: str = "headers"  # an object, or a list of pairs
+    body: str = "body"  # text
+    size: str = "size"  # of the request's body
+
+
+def found(record: Any, name: str) -> Any:
+    """A field's value, None where it is not there; a name with dots is tried as it stands first."""
+    if isinstance(record, dict) and name in record:
+        return record[name]
+    for part in name.split("."):
+        if not isinstance(record, dict):
+            return None
+        record = record.get(part)
+    return record
+
+
+class JsonLines:
+    """Lines to rows.  `unit` is that of times which are numbers: `s`, `ms`, `us` or `ns`."""
+
+    def __init__(self, names: Names | None = None, unit: str = "s", zone: tzinfo | None = None) -> None:
+        self._names, self._unit, self._zone = names or Names(), unit, zone
+        self._decode = msgspec.json.Decoder().decode
+
+    def row(self, number: int, line: bytes) -> Row:
+        """One line; raises `LeftOut`."""
+        try:
+            record = self._decode(line)
+        except (msgspec.DecodeError, RecursionError, ValueError) as error:
+            raise LeftOut("encoding" if not_text(line) else "unreadable", str(error)) from None
+        if not isinstance(record, dict):
+            raise LeftOut("unreadable", "not an object")
+        names = self._names
+        at_ns, whole, leap = self._time(found(record, names.time))
+        method = found(record, names.method)
+        if not isinstance(method, str):
+            raise LeftOut("no-request", f"{names.method} is missing or no text")
+        url = found(record, names.url)
+        if url is None:
+            url, query = found(record, names.path), found(record, names.query)
+            if isinstance(url, str) and isinstance(query, str) and query:
+                url = f"{url}{query}" if query.startswith("?") else f"{url}?{query}"
+        if not isinstance(url, str):
+            raise LeftOut("no-request", f"{names.url} or {names.path} is missing or no text")
+        origin, target = split_url(url)
+        fields = _headers(found(record, names.headers))
+        body, size = found(record, names.body), found(record, names.size)
+        if body is not None and not isinstance(body, str):
+            raise LeftOut("body-not-kept", f"{names.body} is no text")
+        if size is not None and (type(size) is not int or size < 0):
+            raise LeftOut("bad-size", f"{names.size} is {size!r}")
+        status, took = found(record, names.status), found(record, names.took_ms)
+        return Row(
+            number, at_ns, whole, method, target, joined(fields), fields,
+            None if body is None else encoded(body), size, origin,
+            status if type(status) is int else _status(status),
+            round(took * 1e6) if isinstance(took, int | float) and 0 <= took < 1e12 else None,
+            record, leap=leap,
+        )  # fmt: skip
+
+    def _time(self, value: Any) -> tuple[int, bool, bool]:
+        if value is None or value == "":
+            raise LeftOut("no-time")
+        if isinstance(value, bool) or not isinstance(value, int | float | str):
+            raise LeftOut("bad-time", repr(value)[:60])
+        if isinstance(value, str) and not value.replace(".", "", 1).strip().isdecimal():
+            return from_text(value, self._zone)
+        return *from_number(value, self._unit), False
+
+
+def encoded(text: str) -> bytes:
+    """A text's bytes; raises `LeftOut` where it has half a character."""
+    try:
+        return text.encode()
+    except UnicodeEncodeError:
+        raise LeftOut("encoding") from None
+
+
+def joined(fields: tuple[tuple[str, str], ...]) -> dict[str, str]:
+    """Headers by name in lower case, repeated ones joined."""
+    headers: dict[str, str] = {}
+    for name, value in fields:
+        name = name.lower()
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    return headers
+
+
+def not_text(line: bytes) -> bool:
+    """Whether bytes are no UTF-8."""
+    try:
+        line.decode()
+    except UnicodeDecodeError:
+        return True
+    return False
+
+
+def _status(value: Any) -> int | None:
+    return int(value) if isinstance(value, str) and len(value) == 3 and value.isdecimal() else None
+
+
+def _headers(value: Any) -> tuple[tuple[str, str], ...]:
+    if value is None:
+        return ()
+    pairs = list(value.items()) if isinstance(value, dict) else value
+    fields: list[tuple[str, str]] = []
+    if not isinstance(pairs, list):
+        raise LeftOut("bad-header", "headers are neither an object nor a list of pairs")
+    for pair in pairs:
+        if not isinstance(pair, list | tuple) or len(pair) != 2 or not isinstance(pair[0], str):
+            raise LeftOut("bad-header", repr(pair)[:60])
+        name, value = pair
+        for each in value if isinstance(value, list) else [value]:
+            if isinstance(each, bool) or not isinstance(each, str | int | float):
+                raise LeftOut("bad-header", f"{name} is neither text nor number")
+            fields.append((name, str(each)))
+    return tuple(fields)
--- /dev/null
+++ b/brambleusher/load/summary.py
@@ -0,0 +1,202 @@
+"""What a demand file holds in numbers: rate, mix, bursts, tenants; as JSON values, as a table, as a plot."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from itertools import pairwise
+from statistics import median
+from typing import Any
+
+from brambleusher.load.request import Request
+from brambleusher.load.times import SECOND, to_text
+
+MOST_BINS = 4096
+BURST = 2.5  # times the median of the windows: that and more is a burst
+BLOCKS = " ▁▂▃▄▅▆▇█"
+
+
+class Bins:
+    """Counts by class over time.  Bins begin at one second; twice as wide each time they are too many."""
+
+    def __init__(self, start_ns: int) -> None:
+        self.start_ns, self.width_ns = start_ns, SECOND
+        self.counts: dict[str, list[int]] = {}
+
+    def add(self, request: Request) -> None:
+        """One request, no earlier than the start."""
+        at = (request.at_ns - self.start_ns) // self.width_ns
+        while at >= MOST_BINS:
+            self.width_ns *= 2
+            self.counts = {name: _halved(row) for name, row in self.counts.items()}
+            at //= 2
+        row = self.counts.setdefault(request.request_class, [])
+        if len(row) <= at:
+            row.extend([0] * (at + 1 - len(row)))
+        row[at] += 1
+
+    def totals(self) -> list[int]:
+        """Counts of all classes together."""
+        length = max(map(len, self.counts.values()), default=0)
+        out = [0] * length
+        for row in self.counts.values():
+            for at, count in enumerate(row):
+                out[at] += count
+        return out
+
+
+def _halved(row: list[int]) -> list[int]:
+    return [row[at] + (row[at + 1] if at + 1 < len(row) else 0) for at in range(0, len(row), 2)]
+
+
+class Summary:
+    """The figures of a stream of requests."""
+
+    def __init__(self, requests: Iterable[Request] = ()) -> None:
+        self.requests = self.hinted = self.retries = self.body_bytes = self.largest_body = 0
+        self.by_class: Counter[str] = Counter()
+        self.by_tenant: Counter[str] = Counter()
+        self.by_status: Counter[str] = Counter()
+        self.first_ns = self.last_ns = 0
+        self.bins: Bins | None = None
+        for request in requests:
+            self.add(request)
+
+    def add(self, request: Request) -> None:
+        """One more request, in order."""
+        if self.bins is None:
+            self.first_ns = request.at_ns
+            self.bins = Bins(request.at_ns)
+        self.last_ns = request.at_ns
+        self.bins.add(request)
+        self.requests += 1
+        self.by_class[request.request_class] += 1
+        self.by_tenant[request.tenant if request.tenant is not None else ""] += 1
+        if request.status is not None:
+            self.by_status[f"{request.status // 100}xx"] += 1
+        self.hinted += request.hint_us is not None
+        self.retries += request.retry
+        self.body_bytes += request.size
+        self.largest_body = max(self.largest_body, request.size)
+
+    @property
+    def span_s(self) -> float:
+        """Seconds from the first request to the last."""
+        return (self.last_ns - self.first_ns) / SECOND
+
+    def windows(self, seconds: int = 10) -> list[int]:
+        """Requests in windows of so many seconds, or of the bins' width where that is more."""
+        if self.bins is None:
+            return []
+        totals, width = self.bins.totals(), max(1, seconds * SECOND // self.bins.width_ns)
+        return [sum(totals[at : at + width]) for at in range(0, len(totals), width)]
+
+    @property
+    def window_s(self) -> float:
+        """The width of `windows`."""
+        width = self.bins.width_ns / SECOND if self.bins is not None else 1.0
+        return max(10.0, width)
+
+    def bursts(self) -> list[dict[str, float]]:
+        """Stretches of windows with `BURST` times the median window's requests and more."""
+        windows = self.windows()
+        if len(windows) < 4:
+            return []
+        usual = median(windows)
+        if not usual:
+            return []
+        high = [False, *(count >= BURST * usual for count in windows), False]
+        edges = [at for at, (before, now) in enumerate(pairwise(high)) if before != now]
+        return [
+            {
+                "start_s": start * self.window_s,
+                "seconds": (end - start) * self.window_s,
+                "peak_rate": max(windows[start:end]) / self.window_s,
+                "times": max(windows[start:end]) / usual,
+            }
+            for start, end in zip(edges[::2], edges[1::2], strict=True)
+        ]
+
+    def plain(self, report: dict[str, Any] | None = None) -> dict[str, Any]:
+        """As JSON values; `report` is what the file says was left out."""
+        totals = self.bins.totals() if self.bins is not None else []
+        width_s = self.bins.width_ns / SECOND if self.bins is not None else 1.0
+        left = (report or {}).get("left_out", {})
+        return {
+            "requests": self.requests,
+            "left_out": {name: each["count"] for name, each in left.items()},
+            "by_class": dict(sorted(self.by_class.items())),
+            "by_tenant": dict(sorted(self.by_tenant.items())),
+            "by_status": dict(sorted(self.by_status.items())),
+            "span_s": self.span_s,
+            "first": to_text(self.first_ns) if self.requests else None,
+            "last": to_text(self.last_ns) if self.requests else None,
+            "rate": self.requests / self.span_s if self.span_s else None,
+            "peak_rate": max(totals, default=0) / width_s,
+            "bursts": self.bursts(),
+            "hinted": self.hinted,
+            "retries": self.retries,
+            "body_bytes": self.body_bytes,
+            "largest_body": self.largest_body,
+        }
+
+    def texts(self) -> list[str]:
+        """As lines for a reader."""
+        if not self.requests:
+            return ["no requests"]
+        plain = self.plain()
+        rate = f", {plain['rate']:,.1f} a second" if plain["rate"] else ""
+        lines = [
+            f"{self.requests:,} requests in {self.span_s:,.1f} s{rate}, "
+            f"at most {plain['peak_rate']:,.0f} a second",
+            f"{plain['first']} to {plain['last']}",
+            f"{self.hinted:,} with a hint, {self.retries:,} retries, bodies of {self.body_bytes:,} bytes",
+        ]
+        for title, counts in (
+            ("class", self.by_class),
+            ("tenant", self.by_tenant),
+            ("answer", self.by_status),
+        ):
+            if counts:
+                lines += ["", f"{title:<28}{'requests':>12}{'share':>9}"]
+                for name, count in counts.most_common(20):
+                    lines.append(f"{name or '(none)':<28.28}{count:>12,}{count / self.requests:>9.1%}")
+                if len(counts) > 20:
+                    lines.append(f"and {len(counts) - 20} more")
+        lines += ["", f"requests in windows of {self.window_s:g} s, from 0 to {max(self.windows()):,}"]
+        lines += sparks(self.windows())
+        for burst in plain["bursts"]:
+            lines.append(
+                f"burst at {burst['start_s']:g} s for {burst['seconds']:g} s: "
+                f"{burst['peak_rate']:,.0f} a second, "
+                f"{burst['times']:.1f} times the median window"
+            )
+        return lines
+
+
+def sparks(values: list[int], width: int = 100) -> list[str]:
+    """Values as rows of block characters, the highest a full block."""
+    most = max(values, default=0) or 1
+    text = "".join(BLOCKS[-(-value * (len(BLOCKS) - 1) // most)] for value in values)
+    return [text[at : at + width] for at in range(0, len(text), width)]
+
+
+def plot(summary: Summary, path: str, title: str) -> None:
+    """Requests a second by class over time, as a picture of the kind that the file's name says."""
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(10, 4), layout="constrained")
+    axes = figure.subplots()
+    if summary.bins is not None:
+        width_s = summary.bins.width_ns / SECOND
+        length = len(summary.bins.totals())
+        names = sorted(summary.bins.counts)
+        rows = [
+            [count / width_s for count in summary.bins.counts[name]]
+            + [0.0] * (length - len(summary.bins.counts[name]))
+            for name in names
+        ]
+        axes.stackplot([at * width_s for at in range(length)], rows, labels=names, step="post")
+        axes.legend(loc="upper right")
+    axes.set(title=title, xlabel="seconds from the first request", ylabel="requests a second")
+    figure.savefig(path)
