--- a/brambleusher/cli/__init__.py
+++ b/brambleusher/cli/__init__.py
@@ -13,6 +13,7 @@
 # Command: what it does, in a line, and the extra that brings what it needs.
 COMMANDS: dict[str, tuple[str, str]] = {
     "capture": ("Captures of a running sidecar.", "lab"),
+    "lab": ("A stand-in fleet to try things on, and experiments with reports.", "lab"),
     "load": ("Demand from HAR files, access logs, JSON lines and captures.", "lab"),
     "replay": ("Rerun the decisions of a capture and print those that differ.", "lab"),
 }
--- a/brambleusher/cli/load.py
+++ b/brambleusher/cli/load.py
@@ -56,7 +56,7 @@
 
 @contextmanager
 def progress_of(total: int) -> Iterator[Progress | None]:
-    """A progress bar where standard error is a terminal."""
+    """A progress bar where standard error is a terminal; `total` is in bytes or in requests."""
     if not sys.stderr.isatty():
         yield None
         return
@@ -302,3 +302,60 @@
                 count += 1
     print(f"{count:,} requests")
     return 0
+
+
+def addresses(words: tuple[str, ...]) -> list[tuple[str, int]]:
+    """`host:port`, several with commas between them."""
+    from brambleusher.runtime.streams import parse_address
+
+    try:
+        return [parse_address(word) for given in words for word in given.split(",")]
+    except ValueError as error:
+        raise click.BadParameter(str(error), param_hint="--target") from None
+
+
+@command.command("play", help="Play a demand file, each request at its time whatever the answers do.")
+@click.argument("file", type=FILE)
+@click.option(
+    "--target", "targets", multiple=True, required=True, metavar="HOST:PORT,...", help="Asked in turn."
+)
+@click.option("--speed", type=click.FloatRange(min=0, min_open=True), default=1.0, help="Times as fast.")
+@click.option("--processes", type=click.IntRange(1, 64), default=2, show_default=True, help="That play.")
+@click.option("--timeout-ms", type=click.IntRange(min=1), default=2000, show_default=True,
+              help="Of requests that have none.")  # fmt: skip
+@click.option("--most-open", type=click.IntRange(min=1), default=4096, show_default=True,
+              help="Requests open at once in a process; beyond, they are counted as unsent.")  # fmt: skip
+@SEED
+@click.option("--json", "as_json", is_flag=True, help="The results as JSON.")
+@told
+def play_command(
+    file: Path, targets: tuple[str, ...], speed: float, processes: int, timeout_ms: int, most_open: int,
+    seed: int, as_json: bool,
+) -> int:  # fmt: skip
+    """Play on sockets; 1 where the generator itself was late or left requests unsent."""
+    from brambleusher.load.pacing import Pace
+    from brambleusher.load.player import Play
+    from brambleusher.load.processes import PlayError, play
+
+    with DemandFile(file) as source:
+        source.verify()
+        total, start_ns = len(source), source.span_ns[0]
+    if not total:
+        raise SourceError(f"{file}: there are no requests")
+    plan = Play(addresses(targets), Pace(start_ns, speed), timeout_ms, most_open, seed=seed)
+    try:
+        with progress_of(total) as advance:
+            before = 0
+
+            def sent(count: int) -> None:
+                nonlocal before
+                if advance is not None:
+                    advance(count - before)
+                before = count
+
+            results = play(file, plan, processes, sent)
+    except PlayError as error:
+        print(f"brambleusher: {error}", file=sys.stderr)
+        return 1
+    print(msgspec.json.encode(results.plain()).decode() if as_json else "\n".join(results.texts()))
+    return 1 if results.late or results.total("unsent") else 0
--- a/brambleusher/load/demand.py
+++ b/brambleusher/load/demand.py
@@ -26,7 +26,8 @@
 
 VERSION = 1
 HEADER, BLOCK, FOOTER, TAIL = 1, 2, 3, 4
-BLOCK_ROWS, BLOCK_BYTES = 4096, 512 * 1024
+# Small enough that a player is not held up for long by reading one.
+BLOCK_ROWS, BLOCK_BYTES = 1024, 256 * 1024
 MOST_BYTES = 64 * 1024 * 1024  # of one frame, plain: no writer makes a larger one
 LEVEL = 5
 
--- a/brambleusher/load/parallel.py
+++ b/brambleusher/load/parallel.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import multiprocessing
-from collections import deque
+import signal
 from collections.abc import Iterator
-from concurrent.futures import Future, ProcessPoolExecutor
-from concurrent.futures.process import BrokenProcessPool
+from multiprocessing.connection import Connection
 from pathlib import Path
 
 import msgspec
@@ -63,15 +62,15 @@
         return msgspec.msgpack.encode(parsed)
 
 
-_worker: list[Worker] = []  # of a pool's process: a function it calls has no other place for it
-
-
-def _begin(how: How, form: str) -> None:
-    _worker[:] = [Worker(how, form)]
-
-
-def _parse(batch: Batch) -> bytes:
-    return _worker[0].parse(batch)
+def _serve(how: How, form: str, pipe: Connection) -> None:
+    """A process: batch by batch, until the pipe is closed."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the process that reads ends this one
+    worker, decode = Worker(how, form), msgspec.msgpack.Decoder(Batch).decode
+    try:
+        while True:
+            pipe.send_bytes(worker.parse(decode(pipe.recv_bytes())))
+    except (EOFError, OSError):
+        return
 
 
 def requests(
@@ -79,23 +78,35 @@
 ) -> Iterator[Timed]:
     """The requests of a file of lines in its own order, as `sources.requests` has them."""
     how.line_reader(form)  # a fault in it is told here, not by each process
-    decode = msgspec.msgpack.Decoder(Parsed).decode
-    with (
-        open_source(path, progress) as file,
-        ProcessPoolExecutor(processes, multiprocessing.get_context("spawn"), _begin, (how, form)) as pool,
-    ):
-        due: deque[Future[bytes]] = deque()
-        try:
+    context = multiprocessing.get_context("spawn")
+    encode, decode = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder(Parsed).decode
+    pipes: list[Connection] = []
+    children = []
+    try:
+        with open_source(path, progress) as file:
+            sent = 0
             for batch in _batches(lines(file)):
-                due.append(pool.submit(_parse, batch))
-                if len(due) > 2 * processes:
-                    yield from _taken(decode(due.popleft().result()), path, report)
-            while due:
-                yield from _taken(decode(due.popleft().result()), path, report)
-        except BrokenProcessPool:
-            raise SourceError(f"{path}: a process that parses it ended") from None
-        finally:
-            pool.shutdown(wait=True, cancel_futures=True)
+                if len(pipes) < processes:
+                    mine, theirs = context.Pipe()
+                    child = context.Process(target=_serve, args=(how, form, theirs), daemon=True)
+                    child.start()
+                    theirs.close()
+                    pipes.append(mine)
+                    children.append(child)
+                elif sent >= processes:
+                    # What a process has made is taken before it gets more: else both could wait to write.
+                    yield from _taken(decode(pipes[sent % processes].recv_bytes()), path, report)
+                pipes[sent % processes].send_bytes(encode(batch))
+                sent += 1
+            for number in range(max(0, sent - processes), sent):
+                yield from _taken(decode(pipes[number % processes].recv_bytes()), path, report)
+    except (EOFError, ConnectionError):
+        raise SourceError(f"{path}: a process that parses it has ended") from None
+    finally:
+        for pipe in pipes:
+            pipe.close()
+        for child in children:
+            child.join()
 
 
 def _taken(parsed: Parsed, path: Path, report: Report) -> Iterator[Timed]:
--- a/brambleusher/load/synthetic.py
+++ b/brambleusher/load/synthetic.py
@@ -60,9 +60,9 @@
     )  # fmt: skip
     classes: dict[str, Kind] = msgspec.field(
         default_factory=lambda: {
-            "listing-lookup": Kind(share=6.0, timeout_ms=1500, hint_us=8_000.0),
-            "price-check": Kind(share=3.0, timeout_ms=2000, hint_us=15_000.0, hinted=0.9),
-            "transfer-record": Kind(share=1.0, safe=False, timeout_ms=4000, hint_us=30_000.0),
+            "listing-lookup": Kind(share=6.0, timeout_ms=1500, hint_us=24_000.0),
+            "price-check": Kind(share=3.0, timeout_ms=2000, hint_us=45_000.0, hinted=0.9),
+            "transfer-record": Kind(share=1.0, safe=False, timeout_ms=4000, hint_us=90_000.0),
         }
     )
     burst: Burst | None = Burst()
