lab up: stand-in nodes, discovery and three real sidecars on loopback, with a live table

Need: a newcomer had to write a configuration, a discovery and a node before the first request. Change: worlds in YAML, a fleet on loopback of the lab's stand-ins, the command lab up.

--- /dev/null
+++ b/brambleusher/lab/real_fleet.py
@@ -0,0 +1,324 @@
+"""A fleet on loopback: stand-in nodes and discovery in this process, real sidecars as further processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections import deque
+from collections.abc import Callable, Mapping, MutableSequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import yaml
+
+from brambleusher.lab.figures import NodeFigures, WorldFigures
+from brambleusher.lab.fleet import configuration
+from brambleusher.lab.stand_ins.discovery import Discovery, Entry
+from brambleusher.lab.stand_ins.node import Execution, Node
+from brambleusher.lab.worlds import WorldFile
+from brambleusher.net.http import HttpError, MessageReader, write_request
+from brambleusher.runtime.scheduler import Scheduler, Timeout
+from brambleusher.runtime.streams import Stream
+from brambleusher.runtime.system import Address
+
+LOOPBACK = "127.0.0.1"
+READY_SECONDS = 30.0
+END_SECONDS = 4.0
+LOOK_SECONDS = 0.05
+KEPT_EXECUTIONS = 20_000
+LISTENING = re.compile(r"msg=listening .*?address=(\S+)")
+FIGURE = re.compile(r"brambleusher\.(\w+):(-?\d+)\|([cg])")
+
+
+class FleetError(RuntimeError):
+    """The fleet did not come up, or not all of it."""
+
+
+def text_of(address: Address) -> str:
+    """`host:port`."""
+    return f"{address[0]}:{address[1]}"
+
+
+@dataclass(eq=False)
+class SidecarProcess:
+    """One real sidecar: its process, its files, and the figures that it sends."""
+
+    name: str
+    zone: str
+    config: Path
+    log: Path
+    figures: socket.socket  # its figures come in here, as datagrams
+    process: subprocess.Popen[bytes] | None = None
+    address: Address | None = None
+    ready: bool = False
+    counts: dict[str, int] = field(default_factory=dict)  # by figure
+
+    @property
+    def state(self) -> str:
+        """In a word."""
+        if self.process is None:
+            return "not started"
+        code = self.process.poll()
+        if code is not None:
+            return f"ended {code}"
+        return "ready" if self.ready else "starting"
+
+    def take(self, data: bytes) -> None:
+        """A datagram of figures: counts are added up, gauges are replaced."""
+        for name, value, kind in FIGURE.findall(data.decode("latin-1")):
+            self.counts[name] = int(value) + (self.counts.get(name, 0) if kind == "c" else 0)
+
+    def last_words(self, lines: int = 5) -> str:
+        """The end of its log."""
+        try:
+            return "\n".join(self.log.read_text("utf-8", "replace").splitlines()[-lines:])
+        except OSError:
+            return ""
+
+
+class RealFleet:
+    """Nodes, discovery and sidecars of a world: `start`, run the scheduler, at last `close`."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        world: WorldFile,
+        folder: Path,
+        *,
+        operator: Mapping[str, Any] | None = None,
+        executions: MutableSequence[Execution] | None = None,
+        new_node: Callable[..., Node] = Node,
+        seed: int | None = None,
+    ) -> None:
+        """`operator` is laid over the sidecars' operator file; without `executions`, the last are kept."""
+        self.scheduler, self.world, self.folder = scheduler, world, folder
+        self.figures: WorldFigures = world.figures()
+        self.seed = world.seed if seed is None else seed
+        self.executions: MutableSequence[Execution] = (
+            deque(maxlen=KEPT_EXECUTIONS) if executions is None else executions
+        )
+        self._operator = dict(operator or {})
+        self._new_node = new_node
+        self.nodes: list[tuple[NodeFigures, Node]] = []
+        self.discovery: Discovery | None = None
+        self.sidecars: list[SidecarProcess] = []
+        self.fallen: set[str] = set()
+
+    # --- start ----------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Nodes and discovery listen, sidecars' processes begin; raises `OSError`."""
+        entries = []
+        for figures in self.figures.nodes:
+            if not figures.spare:
+                entries.append(self._start_node(figures))
+        self.discovery = Discovery(
+            self.scheduler, self.figures.discovery, "discovery", self.seed, entries=entries,
+            told=deque(maxlen=1000),
+        )  # fmt: skip
+        where = self.discovery.listen((LOOPBACK, 0))
+        for number, sidecar in enumerate(self.figures.sidecars):
+            self._start_sidecar(number, sidecar.name, sidecar.zone, where, entries)
+
+    def _start_node(self, figures: NodeFigures) -> Entry:
+        node = self._new_node(
+            self.scheduler, figures.settings, figures.id, self.seed, executions=self.executions
+        )
+        host, port = node.listen((LOOPBACK, 0))
+        entry = Entry(
+            id=figures.id, addr=f"{host}:{port}", zone=figures.zone, kind=figures.kind, cell=figures.cell,
+            weight=figures.weight,
+        )  # fmt: skip
+
+        def fell() -> None:
+            self.fallen.add(figures.id)
+            if self.discovery is not None:
+                gone = msgspec.structs.replace(entry, state="Gone")
+                self.discovery.put_later(self.figures.silent_notice_s, gone)
+
+        node.on_fall = fell
+        self.nodes.append((figures, node))
+        return entry
+
+    def _start_sidecar(
+        self, number: int, name: str, zone: str, discovery: Address, known: list[Entry]
+    ) -> None:
+        receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        receiver.setblocking(False)
+        receiver.bind((LOOPBACK, 0))
+        target = f"udp:{LOOPBACK}:{receiver.getsockname()[1]}"
+        sidecar = SidecarProcess(
+            name, zone, self.folder / f"{name}.json", self.folder / f"{name}.log", receiver
+        )
+        self.sidecars.append(sidecar)
+        seed = random.Random(f"{self.seed}/sidecar {number}").getrandbits(63)
+        sidecar.config.write_bytes(
+            configuration(self.figures, number, (LOOPBACK, 0), discovery, seed, known, 1)
+        )
+        operator = {"figures": {"target": target, "flush_ms": 500, "format": "statsd"}, **self._operator}
+        path = self.folder / f"{name}.operator.yaml"
+        path.write_text(yaml.safe_dump(operator))
+        with open(sidecar.log, "wb") as log:
+            own = {"NODE_CONFIG": str(sidecar.config), "PYTHONPATH": os.pathsep.join(sys.path)}
+            sidecar.process = subprocess.Popen(
+                [sys.executable, "-m", "brambleusher", "--operator", str(path)], env={**os.environ, **own},
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                start_new_session=True,  # a terminal's Ctrl-C is ours, and we end them in good order
+            )  # fmt: skip
+        self.scheduler.spawn(self._hear, sidecar, name=f"{name} figures")
+        self.scheduler.spawn(self._await, sidecar, name=f"{name} ready")
+
+    def _await(self, sidecar: SidecarProcess) -> None:
+        """Find out where a sidecar listens, and when it is ready."""
+        while sidecar.process is not None and sidecar.process.poll() is None:
+            if sidecar.address is None:
+                found = LISTENING.search(sidecar.log.read_text("utf-8", "replace"))
+                if found is not None:
+                    host, _, port = found[1].rpartition(":")
+                    sidecar.address = host, int(port)
+            elif self._asked_ready(sidecar.address):
+                sidecar.ready = True
+                return
+            self.scheduler.sleep(LOOK_SECONDS)
+
+    def _asked_ready(self, address: Address) -> bool:
+        deadline = self.scheduler.now() + 1.0
+        try:
+            stream = Stream.connect(self.scheduler, address, deadline)
+        except (OSError, Timeout):
+            return False
+        try:
+            stream.send(write_request("GET", "/ready", [("Host", "api.internal")]), deadline)
+            reader = MessageReader.responses()
+            while data := stream.receive(deadline):
+                reader.feed(data)
+                answer = reader.take()
+                if answer is not None:
+                    return answer.status == 200
+        except (OSError, Timeout, HttpError):
+            return False
+        finally:
+            stream.close()
+        return False
+
+    def _hear(self, sidecar: SidecarProcess) -> None:
+        while True:
+            try:
+                sidecar.take(sidecar.figures.recv(65536))
+            except BlockingIOError:
+                self.scheduler.park(sock=sidecar.figures)
+
+    # --- while it runs --------------------------------------------------------------------------
+
+    @property
+    def ready(self) -> bool:
+        """Whether submitters may come to every sidecar."""
+        return all(sidecar.ready for sidecar in self.sidecars)
+
+    def check(self) -> None:
+        """Raise `FleetError` if a sidecar has ended."""
+        for sidecar in self.sidecars:
+            if sidecar.process is not None and sidecar.process.poll() is not None:
+                raise FleetError(
+                    f"sidecar {sidecar.name} {sidecar.state}; the end of its log:\n{sidecar.last_words()}"
+                )
+
+    def wait_ready(self) -> None:
+        """Run the scheduler until all is ready; raises `FleetError`."""
+        until = time.monotonic() + READY_SECONDS
+        while not self.ready:
+            self.check()
+            if time.monotonic() > until:
+                raise FleetError(f"no sidecar became ready within {READY_SECONDS:g} s")
+            pause = self.scheduler.now() + LOOK_SECONDS
+            self.scheduler.call_at(pause, self.scheduler.stop)
+            self.scheduler.run()
+
+    @property
+    def targets(self) -> list[Address]:
+        """Where the sidecars listen."""
+        return [sidecar.address for sidecar in self.sidecars if sidecar.address is not None]
+
+    def plain(self) -> dict[str, Any]:
+        """All addresses as JSON values."""
+        return {
+            "sidecars": [
+                {
+                    "name": each.name, "zone": each.zone, "pid": each.process.pid if each.process else None,
+                    "address": text_of(each.address) if each.address else None,
+                }
+                for each in self.sidecars
+            ],
+            "nodes": [
+                {"id": figures.id, "zone": figures.zone, "kind": figures.kind,
+                 "address": text_of(node.address) if node.address else None}
+                for figures, node in self.nodes
+            ],
+            "discovery": text_of(self.discovery.address)
+            if self.discovery is not None and self.discovery.address is not None
+            else None,
+            "classes": self.world.methods,
+            "tenants": list(self.world.tenants),
+        }  # fmt: skip
+
+    # --- end ------------------------------------------------------------------------------------
+
+    def close(self) -> list[str]:
+        """End the sidecars in good order, then the rest; says which sidecars had to be killed."""
+        for sidecar in self.sidecars:
+            if sidecar.process is not None and sidecar.process.poll() is None:
+                sidecar.process.send_signal(signal.SIGTERM)
+        until = time.monotonic() + END_SECONDS
+        while time.monotonic() < until and any(
+            each.process is not None and each.process.poll() is None for each in self.sidecars
+        ):
+            self.scheduler.call_at(self.scheduler.now() + LOOK_SECONDS, self.scheduler.stop)
+            self.scheduler.run()  # nodes go on answering what is still owed
+        killed = []
+        for sidecar in self.sidecars:
+            if sidecar.process is not None and sidecar.process.poll() is None:
+                sidecar.process.kill()
+                killed.append(sidecar.name)
+            if sidecar.process is not None:
+                sidecar.process.wait()
+            sidecar.figures.close()
+        for _, node in self.nodes:
+            node.close(reset=False)
+        if self.discovery is not None:
+            self.discovery.close(reset=False)
+        return killed
+
+
+def folder_for(logs: Path | None) -> tempfile.TemporaryDirectory[str] | Path:
+    """Where the sidecars' files go: a directory that stays, or one that goes with the fleet."""
+    if logs is None:
+        return tempfile.TemporaryDirectory(prefix="brambleusher-lab-")
+    logs.mkdir(parents=True, exist_ok=True)
+    return logs
+
+
+def curl_line(fleet: RealFleet) -> str:
+    """A request by hand."""
+    name, method = next(iter(fleet.world.methods.items()))
+    tenant = next(iter(fleet.world.tenants), None)
+    fields = [("Request-Id", "by-hand-1"), ("Request-Class", name), ("Request-Timeout-Ms", "1000")]
+    if tenant is not None:
+        fields.append(("Tenant", tenant))
+    words = " ".join(f"-H '{field}: {value}'" for field, value in fields)
+    body = " -d ''" if method == "POST" else ""
+    return f"curl -i {words}{body} http://{text_of(fleet.targets[0])}/{name}"
+
+
+def json_line(fleet: RealFleet) -> str:
+    """One line with all addresses."""
+    return json.dumps({**fleet.plain(), "curl": curl_line(fleet)})
--- /dev/null
+++ b/brambleusher/lab/up.py
@@ -0,0 +1,133 @@
+"""`lab up`: a fleet on loopback for as long as somebody wants it, with a live table on a terminal."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from brambleusher.lab.real_fleet import FleetError, RealFleet, curl_line, folder_for, json_line, text_of
+from brambleusher.lab.worlds import WorldFile
+from brambleusher.runtime.real import RealSystem
+from brambleusher.runtime.scheduler import Scheduler
+
+if TYPE_CHECKING:
+    from rich.console import RenderableType
+
+BEAT_SECONDS = 0.5
+
+
+def up(world: WorldFile, seconds: float | None, as_json: bool, logs: Path | None) -> int:
+    """Run a fleet until SIGINT, SIGTERM or for so long; 1 if it did not come up or a sidecar ended."""
+    system = RealSystem()
+    scheduler = Scheduler(system)
+    folder = folder_for(logs)
+    where = Path(folder.name) if isinstance(folder, tempfile.TemporaryDirectory) else folder
+    fleet = RealFleet(scheduler, world, where)
+    ended = False
+
+    def end() -> None:
+        nonlocal ended
+        ended = True
+        scheduler.stop()
+
+    system.on_signal(signal.SIGINT, end)
+    system.on_signal(signal.SIGTERM, end)
+    status = 0
+    try:
+        fleet.start()
+        while not fleet.ready and not ended:
+            fleet.wait_ready()
+        if not ended:
+            if as_json:
+                print(json_line(fleet), flush=True)
+            else:
+                _say(fleet)
+            until = None if seconds is None else scheduler.now() + seconds
+            _watch(fleet, scheduler, until, lambda: ended, not as_json and sys.stdout.isatty())
+    except (FleetError, OSError) as error:
+        print(f"brambleusher: {error}", file=sys.stderr)
+        status = 1
+    finally:
+        for name in fleet.close():
+            print(f"brambleusher: sidecar {name} did not end in time and was killed", file=sys.stderr)
+        scheduler.close()
+        if isinstance(folder, tempfile.TemporaryDirectory):
+            folder.cleanup()
+    return status
+
+
+def _say(fleet: RealFleet) -> None:
+    targets = ",".join(map(text_of, fleet.targets))
+    zones = ", ".join(fleet.world.zones)
+    print(
+        f"{len(fleet.nodes)} stand-in nodes in {zones}; {len(fleet.sidecars)} sidecars, ready for requests:"
+    )
+    for sidecar in fleet.sidecars:
+        assert sidecar.address is not None
+        print(f"    {sidecar.name}  http://{text_of(sidecar.address)}")
+    print(f"\none request by hand:\n    {curl_line(fleet)}")
+    print(
+        f"\nten minutes of demand, played on it:\n    brambleusher load make -o demand\n"
+        f"    brambleusher load play demand --target {targets}\n\nCtrl-C ends it.",
+        flush=True,
+    )
+
+
+def _watch(fleet: RealFleet, scheduler: Scheduler, until: float | None, ended: object, live: bool) -> None:
+    assert callable(ended)
+
+    def over() -> bool:
+        return bool(ended()) or (until is not None and scheduler.now() >= until)
+
+    def step() -> None:
+        due = scheduler.now() + BEAT_SECONDS
+        scheduler.call_at(due if until is None else min(due, until), scheduler.stop)
+        scheduler.run()
+        fleet.check()
+
+    if not live:
+        while not over():
+            step()
+        return
+    from rich.console import Console
+    from rich.live import Live
+
+    with Live(table(fleet, {}), console=Console(), auto_refresh=False) as shown:
+        before: dict[str, int] = {}
+        while not over():
+            step()
+            shown.update(table(fleet, before), refresh=True)
+            before = {figures.id: node.answers for figures, node in fleet.nodes}
+
+
+def table(fleet: RealFleet, before: dict[str, int]) -> RenderableType:
+    """Sidecars and nodes as they are now; `before` has each node's answers one beat ago."""
+    from rich.console import Group
+    from rich.table import Table
+
+    sidecars = Table("sidecar", "zone", "address", "state", title_justify="left")
+    for title in ("asked", "served", "refused", "failed", "in flight"):
+        sidecars.add_column(title, justify="right")
+    for each in fleet.sidecars:
+        counts = each.counts
+        sidecars.add_row(
+            each.name, each.zone, text_of(each.address) if each.address else "", each.state,
+            *(
+                f"{counts.get(name, 0):,}"
+                for name in ("requests", "answers_served", "answers_refused", "answers_failed", "inflight")
+            ),
+        )  # fmt: skip
+    nodes = Table("node", "zone", "kind", "state")
+    for title in ("held", "connections", "answers", "a second", "turned away"):
+        nodes.add_column(title, justify="right")
+    for figures, node in fleet.nodes:
+        state = "fallen" if figures.id in fleet.fallen else "draining" if node.draining else "ready"
+        rate = (node.answers - before.get(figures.id, node.answers)) / BEAT_SECONDS
+        nodes.add_row(
+            figures.id, figures.zone, figures.kind, state, f"{node.busy}", f"{len(node.connections)}",
+            f"{node.answers:,}", f"{rate:,.0f}", f"{node.turned_away:,}",
+        )  # fmt: skip
+    return Group(sidecars, nodes)
--- /dev/null
+++ b/brambleusher/lab/worlds.py
@@ -0,0 +1,190 @@
+"""Worlds as people write them: a YAML file with what differs from the usual fleet, to figures of a world."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+import yaml
+
+from brambleusher.lab.faults import AnyFault, check_faults
+from brambleusher.lab.figures import (
+    ClassFigures,
+    NetworkFigures,
+    NodeFigures,
+    RuleFigures,
+    SidecarFigures,
+    TenantFigures,
+    WorldFigures,
+)
+from brambleusher.lab.stand_ins.settings import (
+    Count,
+    DiscoverySettings,
+    NodeSettings,
+    Part,
+    Positive,
+    Seconds,
+    Settings,
+)
+
+
+class WorldError(ValueError):
+    """A world that can't be used; the message names the key."""
+
+
+class Kind(NodeSettings, frozen=True):
+    """Some nodes of one kind."""
+
+    count: Count = 1
+    spares: Count = 0  # not there at the start; a fault may bring them
+
+
+class Class(Settings, frozen=True):
+    """One class of requests; `share` and `work_s` matter where demand is drawn."""
+
+    share: Part = 0.3
+    work_s: Positive = 0.05
+    spread: Seconds = 0.5
+    aim_s: Positive = 0.5
+    deadline_s: Positive = 1.5
+    worth: Positive = 1.0
+    late_worth: Part = 0.3
+    unsafe: bool = False
+
+
+def _kinds() -> dict[str, Kind]:
+    return {
+        "std-2core": Kind(count=8, cores=2, speed=1.0),
+        "small-1core": Kind(count=6, cores=1, speed=0.75),
+    }
+
+
+def _classes() -> dict[str, Class]:
+    return {
+        "listing-lookup": Class(share=0.6, work_s=0.027, aim_s=0.5, deadline_s=1.5, worth=1.0),
+        "price-check": Class(share=0.3, work_s=0.051, aim_s=0.75, deadline_s=2.0, worth=5.0),
+        "transfer-record": Class(share=0.1, work_s=0.1, aim_s=1.0, deadline_s=4.0, worth=2.0, unsafe=True),
+    }
+
+
+def _tenants() -> dict[str, float]:
+    return {"peach-seats": 0.5, "midtown-tickets": 0.3, "river-resale": 0.15, "box-office": 0.05}
+
+
+class WorldFile(Settings, frozen=True):
+    """A fleet: 14 nodes in four zones and three sidecars, unless the file says otherwise."""
+
+    seed: int = 1
+    zones: tuple[str, ...] = ("atl-north", "atl-south", "macon", "augusta")
+    sidecars: Annotated[int, msgspec.Meta(ge=1, le=200)] = 3
+    sockets: Annotated[int, msgspec.Meta(ge=64)] = 512  # that a sidecar may hold
+    memory_mb: Annotated[int, msgspec.Meta(ge=32)] = 96
+    known: Literal["fresh", "old", "none"] = "fresh"
+    kinds: dict[str, Kind] = msgspec.field(default_factory=_kinds)
+    classes: dict[str, Class] = msgspec.field(default_factory=_classes)
+    tenants: dict[str, float] = msgspec.field(default_factory=_tenants)  # shares
+    usage: Positive = 0.8  # of their quotas, at `requests_per_s`
+    requests_per_s: Positive = 400.0
+    discovery: DiscoverySettings = DiscoverySettings()
+    notice_s: Seconds = 0.5
+    silent_notice_s: Seconds = 1.5
+    network: NetworkFigures = NetworkFigures()
+    rules: RuleFigures = RuleFigures()
+    faults: tuple[AnyFault, ...] = ()
+
+    def figures(self, length_s: float = 60.0) -> WorldFigures:
+        """The world's figures, for a run of some length; raises `WorldError`."""
+        if not self.zones or not self.classes or not any(kind.count for kind in self.kinds.values()):
+            raise WorldError("zones, kinds and classes must not be empty")
+        rng = random.Random(f"{self.seed}/ids")
+        nodes: list[NodeFigures] = []
+        for name, kind in self.kinds.items():
+            settings = NodeSettings(**{key: getattr(kind, key) for key in NodeSettings.__struct_fields__})
+            for number in range(kind.count + kind.spares):
+                at = len(nodes)
+                nodes.append(
+                    NodeFigures(
+                        id=f"s-{rng.getrandbits(32):08x}", zone=self.zones[at % len(self.zones)], kind=name,
+                        cell=at // 3, weight=kind.cores * kind.speed, settings=settings,
+                        spare=number >= kind.count,
+                    )
+                )  # fmt: skip
+        total = sum(self.tenants.values())
+        world = WorldFigures(
+            length_s=length_s,
+            faults_s=max([0.001, *(fault.at_s + fault.for_s for fault in self.faults)]),
+            zones=self.zones,
+            sidecars=tuple(
+                SidecarFigures(
+                    name=f"n{number}", zone=self.zones[number % len(self.zones)], sockets=self.sockets,
+                    memory_mb=self.memory_mb, known=self.known, capture=False,
+                )
+                for number in range(self.sidecars)
+            ),
+            nodes=tuple(nodes),
+            classes=tuple(
+                ClassFigures(name=name, **msgspec.structs.asdict(each)) for name, each in self.classes.items()
+            ),
+            tenants=tuple(
+                TenantFigures(name=name, share=share / total, usage=self.usage)
+                for name, share in self.tenants.items()
+            ),
+            requests_per_s=self.requests_per_s, discovery=self.discovery, notice_s=self.notice_s,
+            silent_notice_s=self.silent_notice_s, network=self.network, rules=self.rules,
+        )  # fmt: skip
+        try:
+            check_faults(self.faults, world)
+        except ValueError as error:
+            raise WorldError(str(error)) from None
+        return world
+
+    @property
+    def methods(self) -> dict[str, str]:
+        """The method of each class."""
+        return {name: "POST" if each.unsafe else "GET" for name, each in self.classes.items()}
+
+
+def world_of(raw: Any, over: Mapping[str, Any] | None = None) -> WorldFile:
+    """A world from plain values, with others laid over them key by key; raises `WorldError`."""
+    plain: Any = {} if raw is None else raw
+    if not isinstance(plain, Mapping):
+        raise WorldError("a world is a mapping")
+    if over:
+        # What a world leaves out has its usual value there too, so that a key of it can be changed alone.
+        plain = laid_over({**msgspec.to_builtins(WorldFile()), **plain}, over)
+    try:
+        return msgspec.convert(plain, WorldFile, strict=True)
+    except msgspec.ValidationError as error:
+        raise WorldError(str(error)) from None
+
+
+def laid_over(below: Any, above: Any) -> Any:
+    """Mappings joined key by key, the upper one's value where both have one; anything else is replaced."""
+    if isinstance(below, Mapping) and isinstance(above, Mapping):
+        keys = {**below, **above}
+        return {
+            key: laid_over(below[key], above[key]) if key in below and key in above else keys[key]
+            for key in keys
+        }
+    return above
+
+
+def read_world(path: str | Path | None) -> WorldFile:
+    """A world file, or the usual world; raises `WorldError`."""
+    if path is None:
+        return WorldFile()
+    try:
+        raw = yaml.safe_load(Path(path).read_bytes())
+    except OSError as error:
+        raise WorldError(f"{path}: {error.strerror}") from None
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        raise WorldError(f"{path}: not YAML: {' '.join(str(error).split())}") from None
+    try:
+        world = world_of(raw)
+        world.figures()
+        return world
+    except WorldError as error:
+        raise WorldError(f"{path}: {error}") from None
