--- a/brambleusher/cli/__init__.py
+++ b/brambleusher/cli/__init__.py
@@ -14,6 +14,8 @@
 COMMANDS: dict[str, tuple[str, str]] = {
     "capture": ("Captures of a running sidecar.", "lab"),
     "explore": ("Play seeded days with faults in virtual time, and check every rule.", "lab"),
+    "lab": ("A stand-in fleet to try things on, and experiments with reports.", "lab"),
+    "load": ("Demand from HAR files, access logs, JSON lines and captures.", "lab"),
     "replay": ("Rerun the decisions of a capture and print those that differ.", "lab"),
 }
 
