--- a/brambleusher/lab/breakages.py
+++ b/brambleusher/lab/breakages.py
@@ -22,6 +22,7 @@
 from brambleusher.net.http import Message, MessageReader
 from brambleusher.net.machine_list import Feed, Machine, MachineList, MachineListUpdate
 from brambleusher.net.submitters import Answer, Kind, RequestLife, Submitter, Submitters
+from brambleusher.runtime.scheduler import Cancelled
 from brambleusher.runtime.streams import Called, Stream
 from brambleusher.sidecar import Sidecar
 from quillpass import Balancer, api
@@ -269,7 +270,7 @@
 def _silent_fault(patches: Patches) -> None:
     def worded(self: Submitters, answer: Answer) -> Any:
         if answer.kind is Kind.FAILED:
-            raise ConnectionError("a fault of ours")
+            raise Cancelled  # which no guard against exceptions holds up
         return old(self, answer)
 
     old = patches.set(Submitters, "_worded", worded)
@@ -309,12 +310,12 @@
 # --- what is left behind --------------------------------------------------------------------------
 
 
-@breakage("cold-ignored", "a node that has just started gets as much as any", "cold")
+@breakage("cold-ignored", "a node that has just started is taken for a warm one", "cold")
 def _cold_ignored(patches: Patches) -> None:
-    def cold_room(self: Balancer, host: Host, now: int) -> bool:
-        return True
+    def warmth(self: Balancer, host: Host, now: int) -> float:
+        return 1.0
 
-    patches.set(Balancer, "_cold_room", cold_room)
+    patches.set(Balancer, "_warmth", warmth)
 
 
 @breakage("timer-lost", "one of the module's timers in forty is not set", "timers")
