--- a/brambleusher/lab/effects.py
+++ b/brambleusher/lab/effects.py
@@ -22,6 +22,7 @@
 SECOND = 10**9
 KILL_S = 3.7  # after SIGTERM: SIGKILL comes no sooner
 LOOK_AGAIN_NS = 20_000_000
+BAD_STAY_S = 3.3  # bad clients stay so long, to see whether they get the error or the close they are owed
 
 End = Callable[[], None] | None
 
@@ -359,8 +360,13 @@
     ends: list[Callable[[], None]] = []
 
     def come(bad: BadClients) -> None:
-        numbers = bad.begin(fault.what, fault.count)
-        ends.append(lambda: bad.scheduler.call_soon(lambda: bad.end(numbers)))
+        numbers, scheduler = bad.begin(fault.what, fault.count), bad.scheduler
+        stays = scheduler.now() + BAD_STAY_S
+
+        def go() -> None:
+            scheduler.call_at(max(stays, scheduler.now()), lambda: bad.end(numbers))
+
+        ends.append(lambda: scheduler.call_soon(go))
 
     for sidecar in _sidecars(fault, fleet):
         bad = fleet.bad[sidecar.number]
--- a/brambleusher/lab/stand_ins/bad_client.py
+++ b/brambleusher/lab/stand_ins/bad_client.py
@@ -164,10 +164,12 @@
         raise _Left
 
     def _wrong(self, name: str, value: str) -> bytes:
-        """A request with one header wrong."""
+        """A request with one header wrong, and nothing else."""
+        method, number = "POST" if self._sample.unsafe else "GET", self.rng.getrandbits(32)
         lines = [
-            f"POST /{self._sample.request_class} HTTP/1.1", "Host: api.internal", "Request-Id: bad",
-            f"Request-Class: {self._sample.request_class}", "Request-Timeout-Ms: 500",
+            f"{method} /{self._sample.request_class} HTTP/1.1", "Host: api.internal",
+            f"Request-Id: bad-{number:08x}", f"Request-Class: {self._sample.request_class}",
+            "Request-Timeout-Ms: 500",
         ]  # fmt: skip
         if self._sample.tenant:
             lines.append(f"Tenant: {self._sample.tenant}")
--- a/brambleusher/lab/stand_ins/client.py
+++ b/brambleusher/lab/stand_ins/client.py
@@ -17,6 +17,7 @@
 CONNECT_SECONDS = 1.0
 CROSSING_SECONDS = 0.02
 SHORTEST_WAIT = 0.02  # less is not worth a try
+LINGER_SECONDS = 0.1  # past its time one who is patient still listens: sidecars have 50 ms of grace
 
 
 @dataclass(eq=False, slots=True)
@@ -254,9 +255,11 @@
             entry.port = stream.sock.getsockname()[1]
             stream.send(data, until)
             entry.sent_ns = self.scheduler.system.monotonic_ns()
-            answer = self._answer(stream, until, got)
+            answer = self._answer(stream, until + (LINGER_SECONDS if until >= deadline else 0.0), got)
             if answer is None:
                 raise ConnectionResetError("the connection ended before the answer")
+            if self.scheduler.now() > until:  # too late to be of use
+                raise Timeout
             entry.end, entry.status, entry.body = "answered", answer.status, answer.body
             entry.retry_after_s = _seconds(answer.headers.get("retry-after"))
             keep = answer.keep_alive
