A connection closed before its task began is closed

Its task, called off before its first step, closed nothing: the descriptor stayed taken until the connection object was freed, and its submitter heard nothing. Closing it no longer waits for the task.

--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -246,7 +246,9 @@
         self._connections.discard(connection)
         self._busy(connection)
         if connection.task is not None:
-            connection.task.cancel()  # its task closes it
+            connection.task.cancel()
+        # Guards against a connection left open: a task called off before its first step closes nothing.
+        connection.stream.close()
 
     @property
     def connections(self) -> int:
