--- a/brambleusher/lab/checker/books.py
+++ b/brambleusher/lab/checker/books.py
@@ -126,12 +126,18 @@
     trail: deque[Line] = field(default_factory=lambda: deque(maxlen=64))
     term_ns: int = -1
     reload_ns: int = -1
+    starved_ns: int = -1  # since when too few descriptors are left to accept with
+    fed_ns: int = -1  # when that ended last
     over: bool = False
     watches: int = 0  # open
     asked_ns: int = 0  # the last call, or the end of the last watch
     ask_failed: bool = False
     open: dict[Taking, None] = field(default_factory=dict)  # requests that are owed an answer
 
+    def was_starved(self, since: int) -> bool:
+        """Whether descriptors were lacking at some time after a moment."""
+        return self.starved_ns >= 0 or self.fed_ns >= since
+
     def say(self, now: int, text: str) -> None:
         """One more line."""
         self.trail.append((now, text))
@@ -196,7 +202,7 @@
     """A submitter's connection."""
 
     __slots__ = (
-        "accepted", "answers", "arrived_back", "arrived_in", "bad_ns", "closed", "entries", "errors",
+        "accepted_ns", "answers", "arrived_back", "arrived_in", "bad_ns", "closed", "entries", "errors",
         "flagged", "gone", "life", "number", "opened_ns", "peer", "read_in", "reader", "reset_seen",
         "sent_whole", "served", "taken_out",
     )  # fmt: skip
@@ -211,7 +217,8 @@
         self.bad_ns: int | None = None  # a bad client: how long it may wait for an error or a close
         self.errors = self.served = 0  # answers sent, by kind
         self.flagged = -1  # where an answer begins that was found to be owed to nobody
-        self.accepted = self.closed = False  # by the sidecar
+        self.accepted_ns = -1
+        self.closed = False  # by the sidecar
         self.gone = False  # the submitter has left
         self.reset_seen = False
 
--- a/brambleusher/lab/checker/checker.py
+++ b/brambleusher/lab/checker/checker.py
@@ -112,12 +112,12 @@
         """Whether discovery can tell what it has to: in good order, and reached by this sidecar or by all."""
         self._truth.able[machine] = now if able else -1
 
-    def excuse(self, now: int, machine: str, why: str) -> None:
-        """What this sidecar owes now is excused, by a fault that no program could make good."""
+    def starved(self, now: int, machine: str, on: bool) -> None:
+        """Whether a fault leaves this sidecar's process too few descriptors to accept connections with."""
         life = self._lives.get(machine)
         if life is not None:
-            for taking in list(life.open):
-                self._settle(now, taking, why)
+            life.starved_ns = now if on else -1
+            life.fed_ns = life.fed_ns if on else now
 
     def captured(self, now: int, machine: str, stderr: bytes) -> None:
         """A sidecar's standard error, with its dumped capture in it, at the end of the run."""
@@ -174,7 +174,7 @@
         """The listening process has taken it."""
         wire = self._wires.get(conn.id)
         if isinstance(wire, Submission):
-            wire.accepted = True
+            wire.accepted_ns = now
 
     def refused(self, now: int, conn: Wire) -> None:
         """It did not come up."""
@@ -414,6 +414,11 @@
         if wire.arrived_back > wire.taken_out:
             self._settle(at, taking, "its submitter does not read")
             return
+        # Nobody can tell how long a connection has waited to be accepted.
+        waited = wire.accepted_ns < 0 or wire.accepted_ns > taking.taken_ns + self.rules.slack_ns
+        if waited and wire.life.was_starved(taking.taken_ns):
+            self._settle(at, taking, "no descriptor was left to accept it with")
+            return
         self._settle(at, taking, "late")
         self._break("answer", at, taking, "no answer when its time was up")
 
@@ -432,7 +437,7 @@
     def _broken(self, now: int, wire: Submission) -> None:
         """It has ended at its submitter, and no process of the sidecar's closed it."""
         for taking in wire.entries:
-            if wire.accepted:
+            if wire.accepted_ns >= 0:
                 self._settle(now, taking, "the network broke its connection")
             elif taking.owed and not wire.life.over:
                 self._doubts.append((now, taking, "its connection was dropped before it was looked at"))
@@ -458,6 +463,9 @@
     def _check_bad(self, at: int, wire: Submission) -> None:
         if wire.closed or wire.gone or wire.errors or wire.served or wire.life.over:
             return
+        late = wire.accepted_ns < 0 or wire.accepted_ns > wire.opened_ns + self.rules.slack_ns
+        if late and wire.life.was_starved(wire.opened_ns):
+            return
         if any(taking.fault is None and taking.taken_ns >= 0 for taking in wire.entries):
             return  # it asked for something that can be served: that is owed as to anybody
         peer = f"{wire.peer[0]}:{wire.peer[1]}"
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -71,6 +71,9 @@
     def discovery_able(self, now: int, able: bool, machine: str = "") -> None:
         """Whether discovery can tell what it has learnt."""
 
+    def starved(self, now: int, machine: str, on: bool) -> None:
+        """Whether a sidecar has too few descriptors left to accept connections with."""
+
     def calm(self, now: int) -> None:
         """The last fault has ended, and what is asked from here on can be served."""
 
@@ -84,6 +87,7 @@
     def bad_client(self, who: str) -> None: ...
     def true_list(self, now: int, servers: list[dict[str, Any]], full: bool = False) -> None: ...
     def discovery_able(self, now: int, able: bool, machine: str = "") -> None: ...
+    def starved(self, now: int, machine: str, on: bool) -> None: ...
     def calm(self, now: int) -> None: ...
 
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -274,6 +274,26 @@
     play.checker.closed(play.now, conn, "client")
 
 
+@wire("")
+def not_accepted_without_descriptors(play: Play) -> None:
+    play.checker.starved(play.now, "m0", True)
+    play.take(conn=play.client(accept=False))
+    play.wait(500 * MS).checker.starved(play.now, "m0", False)
+
+
+@wire("answer")
+def not_accepted_with_descriptors(play: Play) -> None:
+    play.checker.starved(play.now, "m0", True)
+    play.wait(500 * MS).checker.starved(play.now, "m0", False)
+    play.wait(1).take(conn=play.client(accept=False))
+
+
+@wire("answer")
+def accepted_and_not_answered_without_descriptors(play: Play) -> None:
+    play.checker.starved(play.now, "m0", True)
+    play.take()
+
+
 @wire("")
 def the_submitter_leaves(play: Play) -> None:
     conn = play.take()
@@ -356,7 +376,7 @@
     play.take("r2")
     body = play.run("r2")
     play.answer(conn, 200, body)
-    play.checker.excuse(play.now, "m0", "r2 is not the point")
+    play.checker.process(play.now, "m0", "killed")
 
 
 # --- what may not be repeated ---------------------------------------------------------------------
