--- /dev/null
+++ b/brambleusher/load/parallel.py
@@ -0,0 +1,132 @@
+"""Lines read by one process and parsed by several, in order and with few lines on their way at a time."""
+
+from __future__ import annotations
+
+import multiprocessing
+import signal
+from collections.abc import Iterator
+from multiprocessing.connection import Connection
+from pathlib import Path
+
+import msgspec
+
+from brambleusher.load.mapping import Reader
+from brambleusher.load.opening import Progress, lines, open_source
+from brambleusher.load.ordering import Timed
+from brambleusher.load.report import Report
+from brambleusher.load.request import LeftOut, Request, SourceError
+from brambleusher.load.sources import How, LineReader, line_row, noted
+
+BATCH_LINES, BATCH_BYTES = 1000, 256 * 1024
+Batch = list[tuple[int, bytes | None, bool]]
+
+
+class Parsed(msgspec.Struct, array_like=True):
+    """What a batch came to."""
+
+    rows: int = 0
+    requests: list[tuple[int, bool, Request]] = []
+    left: list[tuple[int, str, str]] = []
+    notes: dict[str, int] = {}
+
+    def note(self, what: str) -> None:
+        """As a report has it."""
+        self.notes[what] = self.notes.get(what, 0) + 1
+
+
+class Worker:
+    """Parses batches in a process of its own."""
+
+    def __init__(self, how: How, form: str) -> None:
+        self._reader: LineReader = how.line_reader(form)
+        self._request = Reader(how.mapping).request
+
+    def parse(self, batch: Batch) -> bytes:
+        """A batch, parsed, as MessagePack."""
+        parsed = Parsed()
+        for number, line, whole in batch:
+            try:
+                if line is None:
+                    raise LeftOut("too-long")
+                row = line_row(self._reader, number, line)
+                if row is None:
+                    continue
+                request = self._request(row)
+            except LeftOut as why:
+                cut = not whole and why.reason in ("unreadable", "encoding")
+                parsed.left.append((number, "cut-line" if cut else why.reason, why.detail))
+                continue
+            noted(parsed.note, request, row.whole, row.leap)
+            parsed.requests.append((number, row.whole, request))
+        parsed.rows = len(parsed.requests) + len(parsed.left)
+        return msgspec.msgpack.encode(parsed)
+
+
+def _serve(how: How, form: str, pipe: Connection) -> None:
+    """A process: batch by batch, until the pipe is closed."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the process that reads ends this one
+    worker, decode = Worker(how, form), msgspec.msgpack.Decoder(Batch).decode
+    try:
+        while True:
+            pipe.send_bytes(worker.parse(decode(pipe.recv_bytes())))
+    except (EOFError, OSError):
+        return
+
+
+def requests(
+    path: Path, form: str, how: How, report: Report, processes: int, progress: Progress | None = None
+) -> Iterator[Timed]:
+    """The requests of a file of lines in its own order, as `sources.requests` has them."""
+    how.line_reader(form)  # a fault in it is told here, not by each process
+    context = multiprocessing.get_context("spawn")
+    encode, decode = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder(Parsed).decode
+    pipes: list[Connection] = []
+    children = []
+    try:
+        with open_source(path, progress) as file:
+            sent = 0
+            for batch in _batches(lines(file)):
+                if len(pipes) < processes:
+                    mine, theirs = context.Pipe()
+                    child = context.Process(target=_serve, args=(how, form, theirs), daemon=True)
+                    child.start()
+                    theirs.close()
+                    pipes.append(mine)
+                    children.append(child)
+                elif sent >= processes:
+                    # What a process has made is taken before it gets more: else both could wait to write.
+                    yield from _taken(decode(pipes[sent % processes].recv_bytes()), path, report)
+                pipes[sent % processes].send_bytes(encode(batch))
+                sent += 1
+            for number in range(max(0, sent - processes), sent):
+                yield from _taken(decode(pipes[number % processes].recv_bytes()), path, report)
+    except (EOFError, ConnectionError):
+        raise SourceError(f"{path}: a process that parses it has ended") from None
+    finally:
+        for pipe in pipes:
+            pipe.close()
+        for child in children:
+            child.join()
+
+
+def _taken(parsed: Parsed, path: Path, report: Report) -> Iterator[Timed]:
+    report.rows += parsed.rows
+    for number, reason, detail in parsed.left:
+        report.leave(reason, f"{path}: line {number}", detail)
+    for what, count in parsed.notes.items():
+        report.note(what, count)
+    for number, whole, request in parsed.requests:
+        yield Timed(request, whole, f"{path}: line {number}")
+
+
+def _batches(numbered: Iterator[tuple[int, bytes | None, bool]]) -> Iterator[Batch]:
+    batch: Batch = []
+    size = 0
+    for each in numbered:
+        batch.append(each)
+        size += len(each[1] or b"")
+        if len(batch) >= BATCH_LINES or size >= BATCH_BYTES:
+            yield batch
+            batch, size = [], 0
+    if batch:
+        yield batch
