--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -247,7 +247,7 @@
         self._busy(connection)
         if connection.task is not None:
             connection.task.cancel()
-        # Guards against a descriptor lost: a task called off before its first step closes nothing.
+        # Guards against a connection left open: a task called off before its first step closes nothing.
         connection.stream.close()
 
     @property
