--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -69,7 +69,7 @@
     address: tuple[str, int]
     started_ns: int
     idle: list[Stream]
-    claims: set[Claim]
+    claims: dict[Claim, None]  # in the order they began
     leaving: bool = False
 
 
@@ -136,7 +136,7 @@
             self._leave(node)
             node = None
         if node is None:
-            node = Node(entry.host, machine.address, entry.started_ns, [], set())
+            node = Node(entry.host, machine.address, entry.started_ns, [], {})
             self._nodes[entry.host] = node
         if entry.state is HostState.DRAINING:
             self._leave(node)
@@ -194,7 +194,7 @@
                 if node is None or node.leaving:
                     outcome = Status.FULL, None, None
                 else:
-                    node.claims.add(claim)
+                    node.claims[claim] = None
                     outcome = self._attempt(node, claim, payload, limit)
             except Exception:
                 # Guards against a claim without an end: its request would wait until the deadline.
@@ -202,7 +202,7 @@
                 log.exception("claim failed", extra={"fields": {"node": name}})
             finally:
                 if node is not None:
-                    node.claims.discard(claim)
+                    node.claims.pop(claim, None)
                 latency = int((self._scheduler.now() - begun) * 1e9)
                 ended(Outcome(outcome[0], latency, outcome[1], outcome[2]))
 
