--- a/brambleusher/operator_file.py
+++ b/brambleusher/operator_file.py
@@ -245,7 +245,7 @@
     return settings
 
 
-def _decode(text: bytes) -> Any:
+def decode_yaml(text: bytes) -> Any:
     """YAML by the safe loader, with texts for keys and none of them twice."""
     import yaml  # here, so that a sidecar without an operator file doesn't pay for it
 
@@ -276,7 +276,7 @@
     """The settings in an operator file; an empty one switches nothing on."""
     if len(text) > MAX_FILE:
         raise OperatorError(f"the file has more than {MAX_FILE} bytes")
-    section = Section(_decode(text), "")
+    section = Section(decode_yaml(text), "")
     settings = OperatorFile(
         rewrites=_rules(section.take("rewrites")) if section.has("rewrites") else None,
         status=_status(section.take("status")),
