--- a/brambleusher/cli/__init__.py
+++ b/brambleusher/cli/__init__.py
@@ -13,6 +13,7 @@
 # Command: what it does, in a line, and the extra that brings what it needs.
 COMMANDS: dict[str, tuple[str, str]] = {
     "capture": ("Captures of a running sidecar.", "lab"),
+    "control": ("Serve the decisions to other proxies over xDS.", "control"),
     "replay": ("Rerun the decisions of a capture and print those that differ.", "lab"),
 }
 
--- /dev/null
+++ b/brambleusher/control/core.py
@@ -0,0 +1,376 @@
+"""The service without its sockets, files and threads: events in, what to write and to send out.
+
+The owner tells it of discovery, subscribers, reports, other instances, the disk and the time; asks
+`to_write` for the place that must be on durable storage next; and asks each stream for its next
+response.  Nothing here waits.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+from brambleusher.control.config import ControlConfig, Group
+from brambleusher.control.faults import ProtocolError
+from brambleusher.control.loads import Loads
+from brambleusher.control.resources import Endpoints, fixed
+from brambleusher.control.roster import Roster
+from brambleusher.control.snapshot import CDS, EDS, LDS, RDS, SHORT, Draft, Library, Snapshot
+from brambleusher.control.subscriber import Request, Response, Subscriber
+from brambleusher.control.versions import Seal
+from brambleusher.control.wire import Sum, Who
+from brambleusher.net.machine_list import Machine, MachineListUpdate
+from quillpass.api import HostList, HostState, ListKind, Settings, TimerFired
+from quillpass.fleet import FleetBalancer, standings
+from quillpass.handout import Handout, Place, Why, Word
+from quillpass.shares import Rounder, Tier, tiers
+
+log = logging.getLogger(__name__)
+
+MS = 1_000_000
+FORMS = ("zones", "nodes")
+
+
+def form_of(group: Group, who: Who) -> str:
+    """How a subscriber has its endpoints: as its group says, else by what it is."""
+    return group.form or ("nodes" if who.agent.lower().startswith("grpc") else "zones")
+
+
+def restrained(before: Mapping[str, Machine], newest: Mapping[str, Machine]) -> dict[str, Machine]:
+    """The nodes of `before` less what `newest` takes away: none is added and none comes back into use."""
+    out = {}
+    for name, machine in before.items():
+        now = newest.get(name)
+        if now is None:
+            continue
+        ready = now.entry.state is HostState.READY
+        if ready and (now.address, now.entry.started_ns) != (machine.address, machine.entry.started_ns):
+            continue  # what is listed there now is another process
+        out[name] = machine if ready else now
+    return out
+
+
+class Zone:
+    """One zone of subscribers: its balancer, and the weights as they went out last."""
+
+    def __init__(self, name: str, settings: Settings, seed: int, change: float, now: int) -> None:
+        self.name = name
+        self.balancer = FleetBalancer(settings, seed)
+        self.loads = Loads()
+        self._rounder = Rounder(change)
+        self._due_at = self.balancer.next_tick(self.balancer.start(now)) or now
+        self.tiers: list[Tier] = []
+
+    def listed(self, machines: Mapping[str, Machine], now: int) -> None:
+        """The list has changed."""
+        entries = [machine.entry for machine in machines.values()]
+        self.balancer.handle(HostList(ListKind.FULL, entries), now)
+
+    def tick(self, now: int) -> None:
+        """Tell the balancer what was gathered, and the time where it wants it."""
+        for told in self.loads.tell():
+            self.balancer.tell(told, now)
+        if now >= self._due_at:
+            self._due_at = self.balancer.next_tick(self.balancer.handle(TimerFired(0), now)) or now
+
+    def weigh(self, order: Iterable[tuple[str, ...]]) -> bool:
+        """Read the weights; says whether any has moved enough to go out."""
+        before = self.tiers
+        self.tiers = tiers(self._rounder.round(standings(self.balancer)), list(order))
+        return self.tiers != before
+
+
+@dataclass(slots=True)
+class Stream:
+    """One subscriber on one stream."""
+
+    id: int
+    identity: str
+    subscriber: Subscriber
+    opened_ns: int
+    group: Group | None = None
+    who: Who = field(default_factory=Who)
+    zone: str = ""
+    form: str = ""
+    responses: int = 0
+    lag_ns: int | None = None  # from the news to the acknowledgement of the view that it led to
+    refreshed_ns: int = 0
+
+
+class Core:
+    """All that one instance knows and decides."""
+
+    def __init__(
+        self, config: ControlConfig, floor: Place | None, now: int, seed: int = 0, sure: bool = False
+    ) -> None:
+        """`floor`: the place on durable storage; None where the store is new or was lost."""
+        self.config, self.seal = config, Seal(config.secret)
+        self.roster = Roster()
+        unsure = 0 if sure else config.new_store_ms * MS
+        self.handout = Handout(floor, now, config.silence_ms * MS, unsure)
+        rng = random.Random(seed)
+        self.zones = {
+            name: Zone(
+                name, _settings_of(config, name), rng.getrandbits(32), config.spread.change_percent / 100, now
+            )
+            for name in config.zones
+        }
+        self.streams: dict[int, Stream] = {}
+        self._library = Library(self.seal)
+        self._snapshots: dict[tuple[str, str, int], Snapshot] = {}
+        self._endpoints = {
+            (zone, form): Endpoints(form, config.stale_after_ms) for zone in config.zones for form in FORMS
+        }
+        self._drafts: dict[tuple[str, str], Draft] = {}
+        self._fixed: dict[int, dict[str, list[Draft]]] = {}
+        self._written_machines: dict[str, Machine] | None = None  # the list held when it was last written
+        self.machines: dict[str, Machine] = {}  # the list that views are made of
+        self._node_at: dict[tuple[str, int], str] = {}
+        self._place: Place | None = None  # of that list
+        self._news_ns = now
+        self._store_fails = False
+        self._weighed_ns = now
+        self._next_stream = 0
+        self.nacks = 0
+        self.on_change: Callable[[], None] = lambda: None
+
+    # --- discovery --------------------------------------------------------------------------------
+
+    def listed(self, update: MachineListUpdate, now: int) -> None:
+        """An update from discovery."""
+        was_behind = self.roster.behind
+        changed = self.roster.take(update)
+        if self.roster.behind and not was_behind:
+            log.warning(
+                "discovery is back with an older list, the newer one stays",
+                extra={"fields": {"version": self.roster.version, "told": self.roster.told_version}},
+            )
+        if changed is not None:
+            self._news_ns = now
+        self.heard(now)
+
+    def heard(self, now: int) -> None:
+        """Discovery has said something, if only that nothing has changed."""
+        version = self.roster.version
+        if version is None:
+            return
+        self.handout.heard(Place(self.config.epoch, version), now)
+        self._settle(now)
+
+    def lost(self, now: int) -> None:
+        """The watch has ended."""
+        self.handout.lost()
+
+    # --- durable storage --------------------------------------------------------------------------
+
+    def to_write(self) -> Place | None:
+        """What must be on durable storage before the newest list may go out."""
+        return self.handout.to_write()
+
+    def written(self, place: Place, now: int) -> None:
+        """It is there."""
+        self._store_fails = False
+        self.handout.recorded(place)
+        self._settle(now)
+
+    def write_failed(self, now: int) -> None:
+        """It could not be written, or takes too long: what only takes nodes away goes out all the same."""
+        self._store_fails = True
+        self._settle(now)
+
+    # --- other instances --------------------------------------------------------------------------
+
+    def said(self, peer: str, word: Word, now: int) -> None:
+        """Another instance has spoken."""
+        self.handout.said(peer, word, now)
+        self.on_change()
+
+    def word(self, now: int) -> Word:
+        """What to tell the others."""
+        return self.handout.word(now)
+
+    # --- the view ---------------------------------------------------------------------------------
+
+    def _settle(self, now: int) -> None:
+        """Make views of the newest list as far as it may go out."""
+        place = self.handout.place
+        if place is None:
+            return
+        if self.handout.to_write() is None:
+            if self.handout.floor is not None and place < self.handout.floor:
+                return
+            machines = self.roster.machines
+            self._written_machines = machines
+        elif self._store_fails and self._written_machines is not None:
+            machines = restrained(self._written_machines, self.roster.machines)
+        else:
+            return
+        if machines is self.machines and place == self._place:
+            return
+        changed = machines != self.machines
+        self.machines, self._place = machines, place
+        if changed:
+            self._node_at = {machine.address: name for name, machine in machines.items()}
+            for zone in self.zones.values():
+                zone.listed(machines, now)
+                self._weigh(zone)
+        self._snapshots.clear()
+        self.on_change()
+
+    def _weigh(self, zone: Zone) -> bool:
+        priorities = self.config.spread.priorities
+        moved = zone.weigh(() if priorities is None else priorities.get(zone.name, ((zone.name,),)))
+        # The nodes' addresses may have changed where their weights have not.
+        for form in FORMS:
+            self._drafts.pop((zone.name, form), None)
+        return moved
+
+    def tick(self, now: int) -> None:
+        """Let time pass: reports are told, weights move."""
+        for zone in self.zones.values():
+            zone.tick(now)
+        if now - self._weighed_ns >= self.config.spread.weights_every_ms * MS and self.machines:
+            self._weighed_ns = now
+            moved = [zone for zone in self.zones.values() if self._weigh(zone)]
+            if moved:
+                self._news_ns = now
+                self._snapshots.clear()
+                self.on_change()
+
+    def reconfigure(self, config: ControlConfig, now: int) -> None:
+        """Another configuration; listeners, routes, clusters, groups and bounds follow it."""
+        self.config = config
+        self._fixed.clear()
+        self._snapshots.clear()
+        self._news_ns = now
+        for stream in list(self.streams.values()):
+            if stream.group is not None:
+                stream.group = config.group_of(stream.identity)
+        self.on_change()
+
+    def snapshot(self, zone: str, form: str, group: Group) -> Snapshot:
+        """What a group's subscribers in a zone may have now."""
+        at = self.config.groups.index(group)
+        held = self._snapshots.get((zone, form, at))
+        if held is not None:
+            return held
+        assert self._place is not None
+        drafts = self._fixed.get(at)
+        if drafts is None:
+            drafts = self._fixed[at] = fixed(self.config, group)
+        moving = self._drafts.get((zone, form))
+        if moving is None:
+            addresses = {name: machine.address for name, machine in self.machines.items()}
+            moving = self._endpoints[zone, form].draft(self.zones[zone].tiers, addresses)
+            self._drafts[zone, form] = moving
+        shelves = {
+            kind: self._library.shelf(f"group {at}", kind, drafts[kind], self._place)
+            for kind in (CDS, LDS, RDS)
+        }
+        endpoints = [moving] if drafts[CDS] else []
+        # One assignment for all groups of a zone: the same bytes, and the same object.
+        shelves[EDS] = self._library.shelf(f"{zone}/{form}", EDS, [moving], self._place) if endpoints else {}
+        made = Snapshot(self._place, shelves, self._news_ns)
+        self._snapshots[zone, form, at] = made
+        return made
+
+    # --- subscribers ------------------------------------------------------------------------------
+
+    def open(self, identity: str | None, incremental: bool, now: int) -> Stream:
+        """A stream has begun; `identity` is None where the first request is to tell."""
+        bounds = self.config.bounds
+        if len(self.streams) >= bounds.streams:
+            raise ProtocolError("too many streams")
+        if identity is not None:
+            self._admit(identity)
+        self._next_stream += 1
+        subscriber = Subscriber(self.seal, incremental, bounds.names, bounds.name_bytes)
+        stream = Stream(self._next_stream, identity or "", subscriber, now, refreshed_ns=now)
+        self.streams[stream.id] = stream
+        return stream
+
+    def _admit(self, identity: str) -> Group:
+        group = self.config.group_of(identity)
+        if group is None:
+            raise ProtocolError(f"{identity[:100]!r} may not subscribe")
+        same = sum(stream.identity == identity for stream in self.streams.values())
+        if same > self.config.bounds.streams_per_identity:
+            raise ProtocolError("too many streams of one subscriber")
+        return group
+
+    def close(self, stream: Stream) -> None:
+        """A stream has ended."""
+        self.streams.pop(stream.id, None)
+
+    def request(self, stream: Stream, request: Request, who: Who, now: int) -> None:
+        """A subscriber's request; raises `ProtocolError` where the stream is to end."""
+        if stream.group is None:
+            self._introduce(stream, who)
+        subscriber = stream.subscriber
+        subscriber.receive(request)
+        for place in subscriber.claims:
+            self.handout.claimed(place)
+        subscriber.claims.clear()
+        for kind, names, rejection in subscriber.rejections:
+            self.nacks += 1
+            log.warning(
+                "resource rejected",
+                extra={"fields": {"subscriber": stream.identity, "kind": SHORT[kind], "names": names,
+                                  "version": rejection.version, "reason": rejection.reason}},
+            )  # fmt: skip
+        subscriber.rejections.clear()
+        if subscriber.acked_ns:
+            stream.lag_ns = now - subscriber.acked_ns[-1]
+            subscriber.acked_ns.clear()
+
+    def _introduce(self, stream: Stream, who: Who) -> None:
+        if not stream.identity:
+            if not who.id:
+                raise ProtocolError("the first request names no node")
+            stream.identity = who.id
+        group = self._admit(stream.identity)
+        zone = group.zone or who.zone
+        if zone not in self.zones:
+            raise ProtocolError(f"zone {zone[:100]!r} is not served")
+        stream.group, stream.who, stream.zone, stream.form = group, who, zone, form_of(group, who)
+
+    def why_not(self, now: int) -> Why | None:
+        """Why nothing goes out now."""
+        if self._place is None and self.handout.place is not None:
+            return self.handout.why_not(now) or Why.UNWRITTEN
+        unwritten = self.handout.to_write() is not None
+        return self.handout.why_not(
+            now, harmless=unwritten and self._store_fails and self._place == self.handout.place
+        )
+
+    def next(self, stream: Stream, now: int) -> Response | None:
+        """A stream's next response, None as long as there is none or it is withheld."""
+        if stream.group is None:
+            return None
+        if self.why_not(now) is not None:
+            return None
+        subscriber = stream.subscriber
+        snapshot = self.snapshot(stream.zone, stream.form, stream.group)
+        if subscriber.offered is not snapshot:
+            subscriber.offer(snapshot)
+        stale_after = self.config.stale_after_ms * MS
+        if stale_after and stream.form == "zones" and now - stream.refreshed_ns > stale_after // 3:
+            stream.refreshed_ns = now
+            subscriber.refresh(EDS)
+        response = subscriber.take()
+        if response is not None:
+            self.handout.acted(response.place)
+            stream.responses += 1
+            if response.kind == EDS:
+                stream.refreshed_ns = now
+        return response
+
+    def load(self, zone: str, sums: list[Sum]) -> None:
+        """A proxy's report."""
+        self.zones[zone].loads.take(sums, self._node_at, self.machines)
+
+
+def _settings_of(config: ControlConfig, zone: str) -> Settings:
+    return replace(config.settings, zone=zone, subscribe=False)
--- /dev/null
+++ b/brambleusher/control/snapshot.py
@@ -0,0 +1,115 @@
+"""Views as the protocol knows them: named resources of four kinds, each with its version and its bytes.
+
+A resource is made once for each content and shared by all subscribers; what goes on the wire is
+put together from these bytes and never built twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from brambleusher.control.versions import Seal, digest
+from quillpass.handout import Place
+
+_TYPES = "type.googleapis.com/envoy.config."
+CDS = _TYPES + "cluster.v3.Cluster"
+EDS = _TYPES + "endpoint.v3.ClusterLoadAssignment"
+LDS = _TYPES + "listener.v3.Listener"
+RDS = _TYPES + "route.v3.RouteConfiguration"
+# Make before break: what is pointed to goes before what points there.
+ORDER = (CDS, EDS, LDS, RDS)
+# An empty subscription to these means all there are, and a response in the state of the world is whole.
+WHOLE = frozenset({CDS, LDS})
+SHORT = {CDS: "CDS", EDS: "EDS", LDS: "LDS", RDS: "RDS"}
+
+
+def varint(value: int) -> bytes:
+    """A whole number as protocol buffers have it."""
+    out = bytearray()
+    while value > 0x7F:
+        out.append(value & 0x7F | 0x80)
+        value >>= 7
+    out.append(value)
+    return bytes(out)
+
+
+def sized(number: int, data: bytes) -> bytes:
+    """A field of bytes, text or a message."""
+    return varint(number << 3 | 2) + varint(len(data)) + data
+
+
+@dataclass(frozen=True, slots=True)
+class Resource:
+    """One resource; `refers` names the resources of the next kind that it can't be used without."""
+
+    kind: str
+    name: str
+    version: str
+    digest: str
+    body: bytes  # the message itself
+    state_entry: bytes = field(repr=False)  # as one of `resources` in a whole-state response
+    delta_entry: bytes = field(repr=False)  # the same in an incremental one
+    refers: frozenset[str] = frozenset()
+
+    @classmethod
+    def make(
+        cls, kind: str, name: str, body: bytes, seal: Seal, place: Place, refers: Iterable[str] = ()
+    ) -> Resource:
+        """A resource as it first appears in the view at `place`."""
+        content = digest(body)
+        version = seal.version(place, content)
+        any_ = sized(1, kind.encode()) + sized(2, body)
+        wrapped = sized(1, version.encode()) + sized(2, any_) + sized(3, name.encode())
+        return cls(kind, name, version, content, body, sized(2, any_), sized(2, wrapped), frozenset(refers))
+
+
+@dataclass(frozen=True, slots=True)
+class Draft:
+    """A resource before it has a version."""
+
+    name: str
+    body: bytes
+    refers: frozenset[str] = frozenset()
+
+
+class Library:
+    """Makes resources, and gives the same one again for the same content.
+
+    Guards against a version that changes while the content does not, which would be sent to everyone.
+    """
+
+    def __init__(self, seal: Seal) -> None:
+        self._seal = seal
+        self._held: dict[tuple[str, str, str], Resource] = {}
+
+    def shelf(self, scope: str, kind: str, drafts: Iterable[Draft], place: Place) -> dict[str, Resource]:
+        """The resources of one kind in one scope (those of one kind of subscriber), by name."""
+        out = {}
+        for draft in drafts:
+            key = (scope, kind, draft.name)
+            held = self._held.get(key)
+            if held is None or held.body != draft.body:
+                held = Resource.make(kind, draft.name, draft.body, self._seal, place, draft.refers)
+                self._held[key] = held
+            out[draft.name] = held
+        for key in [key for key in self._held if key[:2] == (scope, kind) and key[2] not in out]:
+            del self._held[key]
+        return out
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All that one kind of subscriber may have, as of one place."""
+
+    place: Place
+    kinds: Mapping[str, Mapping[str, Resource]]
+    made_ns: int = 0  # when what led to it was heard
+
+    def get(self, kind: str, name: str) -> Resource | None:
+        """One resource."""
+        return self.kinds[kind].get(name)
+
+    def names(self, kind: str) -> Iterable[str]:
+        """All names of one kind."""
+        return self.kinds[kind]
--- /dev/null
+++ b/brambleusher/control/tls.py
@@ -0,0 +1,135 @@
+"""Certificates and keys from files: checked as a whole, taken anew when they change, else the old stay."""
+
+from __future__ import annotations
+
+import datetime as dt
+import logging
+from dataclasses import dataclass
+from pathlib import Path
+
+import grpc
+from cryptography import x509
+from cryptography.hazmat.primitives.serialization import Encoding, PublicFormat, load_pem_private_key
+
+from brambleusher.control.config import TlsFiles
+from brambleusher.control.faults import ControlError
+
+log = logging.getLogger(__name__)
+
+MAX_PEM = 1024 * 1024
+SOON = dt.timedelta(days=7)
+
+
+@dataclass(frozen=True, slots=True)
+class Material:
+    """A certificate chain with its key, and the authority whose certificates subscribers show."""
+
+    certificate: bytes
+    key: bytes
+    client_ca: bytes
+    not_after: dt.datetime
+
+
+def _read(path: str, what: str) -> bytes:
+    try:
+        with Path(path).open("rb") as file:
+            return file.read(MAX_PEM)
+    except OSError as error:
+        raise ControlError(f"tls.{what}: {path}: {error.strerror}") from None
+
+
+def check(certificate: bytes, key: bytes, client_ca: bytes, now: dt.datetime) -> Material:
+    """The three as one; raises `ControlError` where one can't be read, is out of its time or does not fit."""
+    try:
+        chain = x509.load_pem_x509_certificates(certificate)
+    except ValueError:
+        raise ControlError("tls.certificate is not a certificate in PEM") from None
+    try:
+        private = load_pem_private_key(key, None)
+    except (ValueError, TypeError):
+        raise ControlError("tls.key is not a private key in PEM without a password") from None
+    try:
+        authorities = x509.load_pem_x509_certificates(client_ca)
+    except ValueError:
+        raise ControlError("tls.client_ca is not a certificate in PEM") from None
+    for what, each in (("certificate", chain[0]), *(("client_ca", one) for one in authorities)):
+        if not each.not_valid_before_utc <= now <= each.not_valid_after_utc:
+            raise ControlError(
+                f"tls.{what} is valid from {each.not_valid_before_utc} to {each.not_valid_after_utc}"
+            )
+    form = (Encoding.DER, PublicFormat.SubjectPublicKeyInfo)
+    if chain[0].public_key().public_bytes(*form) != private.public_key().public_bytes(*form):
+        raise ControlError("tls.key is not the key of tls.certificate")
+    return Material(certificate, key, client_ca, chain[0].not_valid_after_utc)
+
+
+class Certificates:
+    """The material in use; `look` takes in changed files."""
+
+    def __init__(self, files: TlsFiles) -> None:
+        """Read the files; raises `ControlError`."""
+        self._files = files
+        self.material = self._load()
+        self.problem: str | None = None
+        self.taken = 1
+
+    def _bytes(self) -> tuple[bytes, bytes, bytes]:
+        files = self._files
+        return (
+            _read(files.certificate, "certificate"),
+            _read(files.key, "key"),
+            _read(files.client_ca, "client_ca"),
+        )
+
+    def _load(self) -> Material:
+        return check(*self._bytes(), dt.datetime.now(dt.UTC))
+
+    def look(self) -> bool:
+        """Read the files again; True where another set is in use now.  A faulty set is warned of once."""
+        held = self.material
+        try:
+            found = self._bytes()
+            if found == (held.certificate, held.key, held.client_ca):
+                self.problem = None
+                return False
+            fresh = check(*found, dt.datetime.now(dt.UTC))
+        except ControlError as error:
+            if self.problem != str(error):
+                self.problem = str(error)
+                log.warning(
+                    "certificates can't be used, the old ones stay", extra={"fields": {"reason": error}}
+                )
+            return False
+        self.material, self.problem = fresh, None
+        self.taken += 1
+        log.info("certificates taken", extra={"fields": {"valid_until": fresh.not_after.isoformat()}})
+        return True
+
+    def expires_soon(self) -> bool:
+        """Whether the certificate in use ends within a week."""
+        return self.material.not_after - dt.datetime.now(dt.UTC) < SOON
+
+    # --- for gRPC -------------------------------------------------------------------------------
+
+    def _configuration(self) -> grpc.ServerCertificateConfiguration:
+        held = self.material
+        return grpc.ssl_server_certificate_configuration([(held.key, held.certificate)], held.client_ca)
+
+    def server_credentials(self) -> grpc.ServerCredentials:
+        """Credentials that ask for the newest material at each handshake."""
+        given = [self.material]
+
+        def fetch() -> grpc.ServerCertificateConfiguration | None:
+            if given[0] is self.material:
+                return None
+            given[0] = self.material
+            return self._configuration()
+
+        return grpc.dynamic_ssl_server_credentials(
+            self._configuration(), fetch, require_client_authentication=True
+        )
+
+    def channel_credentials(self) -> grpc.ChannelCredentials:
+        """For calls to other instances, which show certificates of the same authority."""
+        held = self.material
+        return grpc.ssl_channel_credentials(held.client_ca, held.key, held.certificate)
--- /dev/null
+++ b/brambleusher/lab/xds.py
@@ -0,0 +1,230 @@
+"""Stand-ins for proxies that subscribe over xDS: both variants of the protocol, without I/O.
+
+They follow the published protocol's client side in Envoy's order (clusters, endpoints, listeners,
+routes) and share no code with the service: what they believe is read from the published messages.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from envoy.config.cluster.v3 import cluster_pb2
+from envoy.config.core.v3 import base_pb2
+from envoy.config.endpoint.v3 import endpoint_pb2
+from envoy.config.listener.v3 import listener_pb2
+from envoy.config.route.v3 import route_pb2
+from envoy.extensions.filters.network.http_connection_manager.v3 import http_connection_manager_pb2 as hcm_pb2
+from envoy.service.discovery.v3 import discovery_pb2
+from google.protobuf import any_pb2
+from google.rpc import status_pb2
+
+PREFIX = "type.googleapis.com/"
+CLUSTER = PREFIX + cluster_pb2.Cluster.DESCRIPTOR.full_name
+ASSIGNMENT = PREFIX + endpoint_pb2.ClusterLoadAssignment.DESCRIPTOR.full_name
+LISTENER = PREFIX + listener_pb2.Listener.DESCRIPTOR.full_name
+ROUTES = PREFIX + route_pb2.RouteConfiguration.DESCRIPTOR.full_name
+_KINDS: dict[str, Any] = {
+    CLUSTER: cluster_pb2.Cluster, ASSIGNMENT: endpoint_pb2.ClusterLoadAssignment,
+    LISTENER: listener_pb2.Listener, ROUTES: route_pb2.RouteConfiguration,
+}  # fmt: skip
+STREAM_METHODS = {
+    False: "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources",
+    True: "/envoy.service.discovery.v3.AggregatedDiscoveryService/DeltaAggregatedResources",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A node as a proxy was told of it."""
+
+    address: str
+    usable: bool
+    draining: bool
+    weight: int
+    priority: int
+    zone: str
+    node: str
+
+
+def endpoints_of(assignment: Any) -> Iterator[Endpoint]:
+    """The nodes in an assignment; of one locality a node, the locality's weight is its own."""
+    for part in assignment.endpoints:
+        for each in part.lb_endpoints:
+            where = each.endpoint.address.socket_address
+            alone = bool(part.locality.sub_zone)
+            weight = part.load_balancing_weight.value if alone else each.load_balancing_weight.value
+            yield Endpoint(
+                f"{where.address}:{where.port_value}", each.health_status in (0, 1),
+                each.health_status == 3, weight, part.priority, part.locality.zone, part.locality.sub_zone,
+            )  # fmt: skip
+
+
+def routes_of(listener: Any) -> str | None:
+    """The route table that a listener names."""
+    manager = hcm_pb2.HttpConnectionManager()
+    packed = listener.api_listener.api_listener
+    if not listener.HasField("api_listener"):
+        packed = listener.filter_chains[0].filters[0].typed_config
+    return manager.rds.route_config_name if packed.Unpack(manager) else None
+
+
+@dataclass(slots=True)
+class _Held:
+    """One kind: what is wanted, what is held."""
+
+    names: list[str]  # empty: all
+    version: str = ""
+    nonce: str = ""
+    resources: dict[str, Any] = field(default_factory=dict)
+    versions: dict[str, str] = field(default_factory=dict)
+
+
+class ProxyStandIn:
+    """One proxy: bytes of responses in, bytes of requests out; survives its connections.
+
+    `verdict` may refuse a response: it is given its kind and resources and gives a reason.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        incremental: bool,
+        agent: str = "stand-in",
+        verdict: Callable[[str, list[Any]], str | None] = lambda kind, resources: None,
+    ) -> None:
+        self.incremental, self.verdict = incremental, verdict
+        self.node = base_pb2.Node(id=name, user_agent_name=agent, locality=base_pb2.Locality(zone=zone))
+        self.kinds: dict[str, _Held] = {}
+        self.responses = 0
+
+    # --- requests -------------------------------------------------------------------------------
+
+    def connect(self, forget: bool = False) -> list[bytes]:
+        """A new stream's first requests; with `forget` the proxy has been started anew."""
+        if forget:
+            self.kinds.clear()
+        self.kinds.setdefault(CLUSTER, _Held([]))
+        for held in self.kinds.values():
+            held.nonce = ""
+        return [self._ask(kind, first=True) for kind in _KINDS if kind in self.kinds]
+
+    def _ask(
+        self, kind: str, first: bool = False, error: str | None = None, more: list[str] | None = None,
+        less: list[str] | None = None,
+    ) -> bytes:  # fmt: skip
+        held = self.kinds[kind]
+        message: Any
+        if self.incremental:
+            message = discovery_pb2.DeltaDiscoveryRequest(type_url=kind, response_nonce=held.nonce)
+            if first:
+                message.resource_names_subscribe.extend(held.names)
+                message.initial_resource_versions.update(held.versions)
+            message.resource_names_subscribe.extend(more or [])
+            message.resource_names_unsubscribe.extend(less or [])
+        else:
+            message = discovery_pb2.DiscoveryRequest(
+                type_url=kind, response_nonce=held.nonce, version_info=held.version, resource_names=held.names
+            )
+        if first:
+            message.node.CopyFrom(self.node)
+        if error is not None:
+            message.error_detail.CopyFrom(status_pb2.Status(code=3, message=error))
+        return bytes(message.SerializeToString())
+
+    # --- responses ------------------------------------------------------------------------------
+
+    def receive(self, data: bytes) -> list[bytes]:
+        """Take a response in; the requests that it leads to, the acknowledgement first."""
+        self.responses += 1
+        message: Any
+        if self.incremental:
+            message = discovery_pb2.DeltaDiscoveryResponse.FromString(data)
+            packed = [(each.name, each.version, each.resource) for each in message.resources]
+        else:
+            message = discovery_pb2.DiscoveryResponse.FromString(data)
+            packed = [("", message.version_info, each) for each in message.resources]
+        kind = message.type_url
+        held = self.kinds[kind]
+        held.nonce = message.nonce
+        resources = [self._unpack(kind, each) for _, _, each in packed]
+        reason = self.verdict(kind, resources)
+        if reason is not None:
+            return [self._ask(kind, error=reason)]
+        if not self.incremental:
+            held.version = message.version_info
+        if not self.incremental and kind in (CLUSTER, LISTENER):
+            held.resources, held.versions = {}, {}
+        for (_, version, _), resource in zip(packed, resources, strict=True):
+            name = resource.cluster_name if kind == ASSIGNMENT else resource.name
+            held.resources[name], held.versions[name] = resource, version
+        for name in getattr(message, "removed_resources", ()):
+            held.resources.pop(name, None)
+            held.versions.pop(name, None)
+        return [self._ask(kind), *self._follow(kind)]
+
+    @staticmethod
+    def _unpack(kind: str, packed: any_pb2.Any) -> Any:
+        assert packed.type_url == kind, "a resource of another type than the response says"
+        return _KINDS[kind].FromString(packed.value)
+
+    def _follow(self, kind: str) -> list[bytes]:
+        """What a response makes the proxy want next."""
+        if kind == CLUSTER:
+            clusters = self.kinds[CLUSTER].resources.values()
+            names = sorted({each.eds_cluster_config.service_name or each.name for each in clusters})
+            return self._want(ASSIGNMENT, names)
+        if kind == ASSIGNMENT and LISTENER not in self.kinds:
+            self.kinds[LISTENER] = _Held([])
+            return [self._ask(LISTENER, first=True)]
+        if kind == LISTENER:
+            found = {routes_of(each) for each in self.kinds[LISTENER].resources.values()}
+            return self._want(ROUTES, sorted(name for name in found if name))
+        return []
+
+    def _want(self, kind: str, names: list[str]) -> list[bytes]:
+        held = self.kinds.get(kind)
+        if held is None:
+            if not names:
+                return []
+            self.kinds[kind] = _Held(names)
+            return [self._ask(kind, first=True)]
+        if names == held.names:
+            return []
+        more = [name for name in names if name not in held.names]
+        less = [name for name in held.names if name not in names]
+        held.names = names
+        for name in less:
+            held.resources.pop(name, None)
+            held.versions.pop(name, None)
+        return [self._ask(kind, more=more, less=less)]
+
+    # --- what it believes -----------------------------------------------------------------------
+
+    def endpoints(self) -> list[Endpoint]:
+        """All nodes it was told of."""
+        held = self.kinds.get(ASSIGNMENT)
+        return [] if held is None else [e for each in held.resources.values() for e in endpoints_of(each)]
+
+    def complete(self) -> bool:
+        """Whether it has routes, and all that they lead to."""
+        if ROUTES not in self.kinds or not self.kinds[ROUTES].resources:
+            return False
+        clusters = self.kinds[CLUSTER].resources
+        for table in self.kinds[ROUTES].resources.values():
+            for host in table.virtual_hosts:
+                for route in host.routes:
+                    cluster = clusters.get(route.route.cluster)
+                    if cluster is None:
+                        return False
+                    if cluster.eds_cluster_config.service_name not in self.kinds[ASSIGNMENT].resources:
+                        return False
+        return True
+
+    def usable(self) -> dict[str, int]:
+        """The nodes of the best priority that has any, with their weights."""
+        nodes = [each for each in self.endpoints() if each.usable and each.weight]
+        best = min((each.priority for each in nodes), default=0)
+        return {each.address: each.weight for each in nodes if each.priority == best}
--- /dev/null
+++ b/quillpass/shares.py
@@ -0,0 +1,96 @@
+"""Weights as proxies take them: whole numbers, in localities, in priorities without a gap."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from quillpass.api import HostState
+from quillpass.fleet import Standing
+
+SCALE = 100  # the usual node's weight: fine enough to tell a tenth, small enough to be few bytes
+MOST = 10_000  # guards against one node's weight drowning the others' in the sums of 32 bits
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """One node's part: `weight` of 0 leaves it out though it is ready; one that drains has none either."""
+
+    host: str
+    zone: str
+    weight: int
+    draining: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Tier:
+    """A locality: the nodes of one zone in one priority, 0 first; `weight` is the sum of theirs."""
+
+    priority: int
+    zone: str
+    weight: int
+    shares: tuple[Share, ...]
+
+
+class Rounder:
+    """Weights to whole numbers that stay where they are until the weight has really moved.
+
+    Guards against a push to every proxy for each small wave in the figures.
+    """
+
+    def __init__(self, change: float) -> None:
+        self._change = change  # share of a weight by which it must have moved
+        self._last: dict[str, int] = {}
+
+    def round(self, standings: Iterable[Standing]) -> list[Share]:
+        """The nodes' shares, in the order given; `SCALE` is the mean of the ready ones."""
+        held = list(standings)
+        ready = [each for each in held if each.state is HostState.READY]
+        total = sum(each.weight for each in ready)
+        unit = SCALE * len(ready) / total if total > 0 else 0.0
+        out, now = [], {}
+        for each in held:
+            if each.state is not HostState.READY:
+                out.append(Share(each.host, each.zone, 0, True))
+                continue
+            weight = min(max(round(each.weight * unit), 1), MOST) if each.weight > 0 else 0
+            last = self._last.get(each.host)
+            if last and weight and abs(weight - last) <= last * self._change:
+                weight = last
+            now[each.host] = weight
+            out.append(Share(each.host, each.zone, weight, False))
+        self._last = now
+        return out
+
+
+def tiers(shares: Sequence[Share], order: Sequence[Sequence[str]]) -> list[Tier]:
+    """Shares by zone; `order` names the zones of each priority, and zones it does not name come last.
+
+    A priority in which no node may be used would leave a gap, which proxies refuse: it is closed up,
+    and its nodes (those that drain) go along with the first one that is used.
+    """
+    rank = {zone: at for at, zones in enumerate(order) for zone in zones}
+    by_zone: dict[str, list[Share]] = {}
+    for share in shares:
+        by_zone.setdefault(share.zone, []).append(share)
+    places: dict[int, list[str]] = {}
+    for zone in sorted(by_zone):
+        places.setdefault(rank.get(zone, len(order)), []).append(zone)
+    used = [at for at in sorted(places) if any(_sum(by_zone[zone]) for zone in places[at])]
+    number = {at: priority for priority, at in enumerate(used)}
+    return [
+        Tier(number.get(at, 0), zone, _sum(by_zone[zone]), tuple(by_zone[zone]))
+        for at in sorted(places)
+        for zone in places[at]
+    ]
+
+
+def _sum(shares: Iterable[Share]) -> int:
+    return sum(share.weight for share in shares)
+
+
+def part_of(shares: Iterable[Share]) -> Mapping[str, float]:
+    """Each node's part of the whole, from 0 to 1."""
+    held = list(shares)
+    total = _sum(held)
+    return {share.host: share.weight / total if total else 0.0 for share in held}
