--- a/quillpass/handout.py
+++ b/quillpass/handout.py
@@ -65,8 +65,6 @@
         self._words[peer] = (word, now)
         for place in (word.place if word.in_touch else None, word.floor):
             self._raise(place)
-        if word.in_touch:  # it knows the present, and with it all that was acted on
-            self._sure_at = min(self._sure_at, now)
 
     def claimed(self, place: Place) -> None:
         """A subscriber has shown that it was given the view at `place`."""
