--- a/brambleusher/control/store.py
+++ b/brambleusher/control/store.py
@@ -109,9 +109,8 @@
                 "INSERT INTO place VALUES (1, ?) ON CONFLICT (id) DO UPDATE SET row = excluded.row", (row,)
             )
         except sqlite3.Error as error:
-            if self._db.in_transaction:
-                with contextlib.suppress(sqlite3.Error):
-                    self._db.rollback()
+            with contextlib.suppress(sqlite3.Error):
+                self._db.rollback()
             raise StoreError(f"{self._path}: {error}") from None
 
     def close(self) -> None:
--- a/brambleusher/lab/control_history.py
+++ b/brambleusher/lab/control_history.py
@@ -164,7 +164,7 @@
 
 
 class _Forgetful(Roster):
-    """A breakage: the list held goes back with discovery."""
+    """A part of a breakage: the list held goes back with discovery."""
 
     def take(self, update: MachineListUpdate) -> Mapping[str, Machine | None] | None:
         self.version = None
@@ -300,8 +300,9 @@
             instance.core.handout.claimed = lambda place: None  # type: ignore[method-assign]
         if self.breakage == "silence":
             instance.core.handout.in_touch = lambda now: True  # type: ignore[method-assign]
-        if self.breakage == "roster":
+        if self.breakage == "floor":
             instance.core.roster = _Forgetful()
+            instance.core.handout._raise = lambda place: None  # type: ignore[method-assign]
         instance.writing = False
         self._watch(instance)
 
@@ -524,7 +525,7 @@
                 raise Violation(f"{proxy.name} is left without routes or what they lead to")
 
 
-BREAKAGES = ("store", "claims", "silence", "roster")
+BREAKAGES = ("store", "claims", "silence", "floor")
 
 
 def run(seed: int, folder: Path, breakage: str = "") -> Books:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,811 @@
+"""The control service without I/O: the protocol, views, who may hand out, weights, reports, the file."""
+
+from __future__ import annotations
+
+import json
+import logging
+import subprocess
+import sys
+import textwrap
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from envoy.config.cluster.v3 import cluster_pb2
+from envoy.config.endpoint.v3 import endpoint_pb2
+from envoy.config.listener.v3 import listener_pb2
+from envoy.config.route.v3 import route_pb2
+from envoy.service.load_stats.v3 import lrs_pb2
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brambleusher.control.config import ControlConfig, Group, load_control, parse_control
+from brambleusher.control.core import Core, Stream, restrained
+from brambleusher.control.faults import ControlError, ProtocolError
+from brambleusher.control.resources import ENDPOINTS, Endpoints, fixed
+from brambleusher.control.roster import Roster
+from brambleusher.control.snapshot import CDS, EDS, LDS, RDS, Draft, Library, Snapshot
+from brambleusher.control.store import Store, StoreError
+from brambleusher.control.subscriber import Request, Response, Subscriber
+from brambleusher.control.versions import Seal
+from brambleusher.control.wire import Who, decode_loads, decode_request
+from brambleusher.lab import control_history
+from brambleusher.lab.xds import ProxyStandIn
+from brambleusher.net.machine_list import Machine, MachineListUpdate
+from quillpass import Balancer, api
+from quillpass.fleet import FleetBalancer, Standing, Told, scaled, standings
+from quillpass.handout import Handout, Place, Why, Word
+from quillpass.settings import parse_settings
+from quillpass.shares import SCALE, Rounder, Share, tiers
+from tests.rig import SETTINGS
+
+MS, SECOND = 1_000_000, 1_000_000_000
+SECRET = b"a secret for the tests"
+SEAL = Seal(SECRET)
+AT_FIVE = Place(1, 5)
+
+
+# --- the protocol -------------------------------------------------------------------------------
+
+
+class Views:
+    """Snapshots out of short descriptions: name to content, or to (content, what it refers to)."""
+
+    def __init__(self) -> None:
+        self.library, self.version = Library(SEAL), 0
+
+    def make(self, **kinds: dict[str, Any]) -> Snapshot:
+        self.version += 1
+        place = Place(1, self.version)
+        shelves = {}
+        for kind, word in ((CDS, "cds"), (EDS, "eds"), (LDS, "lds"), (RDS, "rds")):
+            drafts = []
+            for name, held in kinds.get(word, {}).items():
+                body, refers = held if isinstance(held, tuple) else (held, ())
+                drafts.append(Draft(name, body.encode(), frozenset(refers)))
+            shelves[kind] = self.library.shelf("", kind, drafts, place)
+        return Snapshot(place, shelves)
+
+
+def had(response: Response | None) -> tuple[str, dict[str, bytes], tuple[str, ...]] | None:
+    if response is None:
+        return None
+    return response.kind, {each.name: each.body for each in response.resources}, response.removed
+
+
+def ack(response: Response | None, *names: str, error: str | None = None, version: str = "") -> Request:
+    assert response is not None
+    return Request(response.kind, response.nonce, error, version, names)
+
+
+def subscriber(incremental: bool = False) -> Subscriber:
+    return Subscriber(SEAL, incremental, max_names=10, max_name=50)
+
+
+def test_whole_state_is_sent_acknowledged_and_not_sent_again() -> None:
+    views, held = Views(), subscriber()
+    held.offer(views.make(cds={"a": "1", "b": "1"}))
+    assert held.take() is None
+    held.receive(Request(CDS))
+    first = held.take()
+    assert had(first) == (CDS, {"a": b"1", "b": b"1"}, ())
+    assert held.take() is None
+    held.receive(ack(first))
+    held.offer(views.make(cds={"a": "1", "b": "1"}))
+    assert held.take() is None
+    held.offer(views.make(cds={"a": "1", "b": "2"}))
+    assert had(held.take()) == (CDS, {"a": b"1", "b": b"2"}, ())  # whole, as the kind demands
+    held.offer(views.make(cds={"b": "2"}))
+    assert had(held.take()) == (CDS, {"b": b"2"}, ("a",))
+
+
+@pytest.mark.parametrize("incremental", [False, True])
+def test_a_refusal_keeps_the_last_good_version_and_is_not_answered_until_the_resource_changes(
+    incremental: bool,
+) -> None:
+    views, held = Views(), subscriber(incremental)
+    held.offer(views.make(eds={"e": "good", "other": "1"}))
+    held.receive(Request(EDS, names=("e", "other"), subscribe=("e", "other")))
+    held.receive(ack(held.take(), "e", "other"))
+    good = held.holds(EDS)["e"].version
+    held.offer(views.make(eds={"e": "bad", "other": "1"}))
+    held.receive(ack(held.take(), "e", "other", error="no such thing"))
+    assert held.holds(EDS)["e"].version == good
+    assert held.rejects(EDS)["e"].reason == "no such thing"
+    held.offer(views.make(eds={"e": "bad", "other": "2"}))
+    assert had(held.take()) == (EDS, {"other": b"2"}, ())
+    held.refresh(EDS)  # what was refused is not refreshed either
+    assert had(held.take()) == (EDS, {"other": b"2"}, ())
+    held.offer(views.make(eds={"e": "mended", "other": "2"}))
+    response = held.take()  # it waited for its turn: two are out
+    assert response is None
+    held.receive(Request(EDS, "4", None, names=("e", "other")))
+    response = held.take()
+    assert had(response) == (EDS, {"e": b"mended"}, ())
+    held.receive(ack(response, "e", "other"))
+    assert not held.rejects(EDS) and held.holds(EDS)["e"].body == b"mended"
+
+
+def test_one_that_is_slow_gets_the_newest_and_nothing_in_between() -> None:
+    views, held = Views(), subscriber()
+    held.receive(Request(EDS, names=("e",)))
+    for at in range(50):
+        held.offer(views.make(eds={"e": str(at)}))
+    assert had(held.take()) == (EDS, {"e": b"49"}, ())
+    held.offer(views.make(eds={"e": "50"}))
+    assert had(held.take()) == (EDS, {"e": b"50"}, ())  # it overtakes an acknowledgement
+    for at in range(51, 90):
+        held.offer(views.make(eds={"e": str(at)}))
+        assert held.take() is None
+    held.receive(Request(EDS, "2", names=("e",)))
+    assert had(held.take()) == (EDS, {"e": b"89"}, ())
+
+
+def test_names_are_added_and_dropped_in_whole_state() -> None:
+    views, held = Views(), subscriber()
+    held.offer(views.make(eds={"a": "1", "b": "1"}, cds={"a": "1", "b": "1"}))
+    held.receive(Request(EDS, names=("a",)))
+    first = held.take()
+    held.receive(ack(first, "a", "b"))
+    assert had(held.take()) == (EDS, {"b": b"1"}, ())
+    held.receive(Request(EDS, "2", names=("b",)))
+    held.receive(Request(EDS, "2", names=("a", "b")))
+    assert had(held.take()) == (EDS, {"a": b"1"}, ())  # dropped, and named anew
+    held.receive(Request(CDS, names=("a",)))
+    assert had(held.take()) == (CDS, {"a": b"1"}, ())
+    held.receive(Request(CDS, "1", names=("a", "b", "none")))
+    assert had(held.take()) == (CDS, {"a": b"1", "b": b"1"}, ("none",))
+    held.receive(Request(CDS, "2", names=()))  # no names, where there were some: nothing is wanted
+    held.offer(views.make(cds={"a": "2"}))
+    assert held.take() is None
+
+
+def test_requests_written_before_the_last_response_was_read_change_no_names() -> None:
+    views, held = Views(), subscriber()
+    held.offer(views.make(eds={"a": "1", "b": "1"}))
+    held.receive(Request(EDS, names=("a",)))
+    held.receive(Request(EDS, names=("a", "b")))  # before any response: counts
+    assert had(held.take()) == (EDS, {"a": b"1", "b": b"1"}, ())
+    held.receive(Request(EDS, names=("b",)))
+    assert held.subscription(EDS) == ["a", "b"]
+
+
+@pytest.mark.parametrize(
+    "request_", [
+        Request("type.googleapis.com/envoy.config.core.v3.Node"), Request(CDS, "7"), Request(CDS, "x"),
+        Request(CDS, "9" * 400), Request(CDS, "²"), Request(EDS, names=("n" * 51,)),
+        Request(EDS, names=tuple(str(at) for at in range(11))),
+    ],
+)  # fmt: skip
+def test_nonsense_is_a_fault_of_the_protocol(request_: Request) -> None:
+    with pytest.raises(ProtocolError):
+        subscriber().receive(request_)
+
+
+def test_incremental_sends_what_changed_and_names_what_is_gone() -> None:
+    views, held = Views(), subscriber(True)
+    held.offer(views.make(cds={"a": "1", "b": "1"}, eds={"e": "1"}))
+    held.receive(Request(CDS))
+    held.receive(ack(held.take()))
+    held.offer(views.make(cds={"a": "2", "c": "1"}, eds={"e": "1"}))
+    assert had(held.take()) == (CDS, {"a": b"2", "c": b"1"}, ("b",))
+    held.receive(Request(EDS, subscribe=("e", "none")))
+    assert had(held.take()) == (EDS, {"e": b"1"}, ("none",))
+    held.receive(Request(EDS, "1", subscribe=("e",)))  # asked for again: sent again
+    assert had(held.take()) == (EDS, {"e": b"1"}, ())
+    held.receive(Request(EDS, "2", unsubscribe=("e",)))
+    held.offer(views.make(cds={"a": "2", "c": "1"}, eds={"e": "2", "none": "1"}))
+    assert had(held.take()) == (EDS, {"none": b"1"}, ())
+
+
+@pytest.mark.parametrize(
+    ("claim", "sent", "claims"), [
+        ("present", False, True), ("other place, same content", False, True), ("older content", True, True),
+        ("of the future", True, True), ("made up", True, False), ("nothing", True, False),
+    ],
+)  # fmt: skip
+def test_one_that_reconnects_is_brought_to_the_present_whatever_it_claims(
+    claim: str, sent: bool, claims: bool
+) -> None:
+    views, held = Views(), subscriber(True)
+    now = views.make(eds={"e": "now"})
+    resource = now.kinds[EDS]["e"]
+    version = {
+        "present": resource.version,
+        "other place, same content": SEAL.version(Place(0, 3), resource.digest),
+        "older content": SEAL.version(Place(1, 1), "0" * 16),
+        "of the future": SEAL.version(Place(9, 99), "1" * 16),
+        "made up": f"9.99.{resource.digest}.{'0' * 16}",
+    }.get(claim)
+    held.offer(now)
+    held.receive(Request(EDS, subscribe=("e",), held={} if version is None else {"e": version}))
+    assert bool(held.claims) == claims
+    assert (held.take() is not None) == sent
+    if not sent:  # what it has proven to hold counts as accepted
+        assert held.holds(EDS)["e"] is resource
+
+
+def test_whole_state_is_sent_anew_on_a_new_stream_and_its_claim_is_kept() -> None:
+    views, held = Views(), subscriber()
+    held.offer(views.make(eds={"e": "now"}))
+    held.receive(Request(EDS, version=SEAL.version(Place(4, 2), "0" * 16), names=("e",)))
+    assert held.claims == [Place(4, 2)]
+    assert had(held.take()) == (EDS, {"e": b"now"}, ())
+
+
+def test_make_before_break() -> None:
+    old: dict[str, Any] = {
+        "cds": {"old": ("1", ("eo",))}, "eds": {"eo": "1"},
+        "lds": {"l": ("1", ("r",))}, "rds": {"r": ("to old", ("old",))},
+    }  # fmt: skip
+    new: dict[str, Any] = {
+        "cds": {"new": ("1", ("en",))}, "eds": {"en": "1"},
+        "lds": {"l": ("2", ("r",))}, "rds": {"r": ("to new", ("new",))},
+    }  # fmt: skip
+    views, held = Views(), subscriber()
+    held.offer(views.make(**old))
+    for request in (Request(CDS), Request(EDS, names=("eo",)), Request(LDS), Request(RDS, names=("r",))):
+        held.receive(request)
+    for pair in (((CDS, ()), (EDS, ("eo",))), ((LDS, ()), (RDS, ("r",)))):
+        responses = [held.take() for _ in pair]
+        assert [each and each.kind for each in responses] == [kind for kind, _ in pair]
+        assert held.take() is None  # nothing that points to it before it is there
+        for response, (_, names) in zip(responses, pair, strict=True):
+            assert held.take() is None
+            held.receive(ack(response, *names))
+    held.offer(views.make(**new))
+    response = held.take()
+    assert had(response) == (CDS, {"new": b"1", "old": b"1"}, ())  # the old one is still pointed to
+    assert held.take() is None
+    held.receive(ack(response))
+    held.receive(Request(EDS, "1", names=("eo", "en")))
+    response = held.take()
+    assert had(response) == (EDS, {"en": b"1"}, ())
+    assert held.take() is None
+    held.receive(ack(response, "eo", "en"))
+    listener, routes = held.take(), held.take()
+    assert had(listener) == (LDS, {"l": b"2"}, ()) and had(routes) == (RDS, {"r": b"to new"}, ())
+    held.receive(ack(listener))
+    assert held.take() is None  # the routes are not accepted yet: the old cluster stays
+    held.receive(ack(routes, "r"))
+    assert had(held.take()) == (CDS, {"new": b"1"}, ("old",))
+
+
+def test_a_seal_is_only_good_over_what_it_was_put_on() -> None:
+    version = SEAL.version(Place(3, 41), "0123456789abcdef")
+    claim = SEAL.read(version)
+    assert claim is not None and claim.place == Place(3, 41)
+    for other in (version.replace("41", "42"), version[:-1] + "0", version + "0", "", "3.41", "²" + version):
+        assert SEAL.read(other) is None or other == version
+    assert Seal(b"another secret, as long").read(version) is None
+
+
+# --- who may hand out ---------------------------------------------------------------------------
+
+
+def handout(floor: Place | None = AT_FIVE) -> Handout:
+    return Handout(floor, 0, silence_ns=3 * SECOND, unsure_ns=2 * SECOND)
+
+
+def test_nothing_goes_out_before_it_is_known_to_be_the_present_and_written() -> None:
+    held = handout()
+    assert held.why_not(0) is Why.NOTHING
+    held.heard(Place(1, 4), 0)
+    assert held.why_not(0) is Why.BEHIND
+    assert held.to_write() is None  # an older place is never written
+    held.heard(Place(1, 6), 0)
+    assert held.why_not(0) is Why.UNWRITTEN and held.why_not(0, harmless=True) is None
+    held.recorded(Place(1, 6))
+    assert held.why_not(0) is None
+    assert held.why_not(3 * SECOND + 1) is Why.ALONE
+    held.claimed(Place(1, 7))
+    assert held.why_not(0) is Why.BEHIND
+    held.heard(Place(2, 1), 0)  # the operator's epoch comes first
+    held.recorded(Place(2, 1))
+    assert held.why_not(0) is None
+
+
+def test_another_instance_vouches_or_shows_that_this_one_is_behind() -> None:
+    held = handout()
+    held.heard(Place(1, 6), 0)
+    held.recorded(Place(1, 6))
+    held.lost()
+    assert held.why_not(0) is Why.ALONE
+    held.said("b", Word(Place(1, 6), Place(1, 5), in_touch=False), 0)
+    assert held.why_not(0) is Why.ALONE  # it is as cut off
+    held.said("b", Word(Place(1, 6), Place(1, 6), in_touch=True), 0)
+    assert held.why_not(0) is None and held.why_not(3 * SECOND + 1) is Why.ALONE
+    held.said("b", Word(Place(1, 7), Place(1, 6), in_touch=True), 0)
+    assert held.why_not(0) is Why.BEHIND
+
+
+def test_with_a_store_that_was_lost_claims_are_awaited() -> None:
+    held = handout(None)
+    held.heard(Place(1, 6), 0)
+    held.recorded(Place(1, 6))
+    assert held.why_not(SECOND) is Why.UNSURE
+    assert held.why_not(2 * SECOND) is None
+
+
+# --- the list and the views -----------------------------------------------------------------------
+
+
+def machine(name: str, state: api.HostState = api.HostState.READY, zone: str = "z", port: int = 0) -> Machine:
+    return Machine(api.HostEntry(name, zone, "k", 0, state), ("10.0.0.1", port or 9000 + int(name[1:])))
+
+
+def update(version: int, *machines: Machine, full: bool = True) -> MachineListUpdate:
+    return MachineListUpdate(version, full, machines)
+
+
+def test_the_list_held_never_goes_back() -> None:
+    roster = Roster()
+    assert set(roster.take(update(5, machine("n1"), machine("n2"))) or ()) == {"n1", "n2"}
+    assert set(roster.take(update(6, machine("n2", api.HostState.GONE), full=False)) or ()) == {"n2"}
+    assert roster.take(update(3, machine("n1"), machine("n2"))) is None and roster.behind
+    assert roster.take(update(5, machine("n3"), full=False)) is None
+    assert set(roster.machines) == {"n1"} and roster.version == 6
+    changed = roster.take(update(7, machine("n1", api.HostState.DRAINING), full=False))
+    assert not roster.behind and set(roster.machines) == {"n1", "n2", "n3"} and set(changed or ()) == {
+        "n1", "n2", "n3"
+    }  # fmt: skip
+
+
+def test_restrained_lists_only_take_away() -> None:
+    drain = api.HostState.DRAINING
+    before = {
+        each.entry.host: each for each in (machine("n1"), machine("n2"), machine("n3", drain), machine("n4"))
+    }
+    newest = {each.entry.host: each for each in (
+        machine("n1", drain), machine("n3"), machine("n4", port=1), machine("n5"))}  # fmt: skip
+    kept = restrained(before, newest)
+    assert {name: each.entry.state for name, each in kept.items()} == {"n1": drain, "n3": drain}
+
+
+def control(folder: Path, **more: Any) -> ControlConfig:
+    return parse_control(written(folder, **more), folder)
+
+
+def written(folder: Path, **more: Any) -> bytes:
+    """A configuration as JSON, which is YAML too."""
+    (folder / "secret").write_bytes(SECRET)
+    raw = {
+        "name": "c1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "secret_file": "secret",
+        "store": {"file": "store.db", "new_ms": 0}, "settings": SETTINGS, "zones": ["z", "y"],
+        "subscribers": [{"identity": "*", "zone": "z"}],
+        "listeners": [{"name": "web", "address": "127.0.0.1:10000"}, {"name": "grpc-web"}],
+        "classes": [{"name": "look", "prefixes": ["/look", "/l"], "retries": 2}, {"name": "move"}],
+        "status": "127.0.0.1:0", **more,
+    }  # fmt: skip
+    return json.dumps({key: value for key, value in raw.items() if value is not None}).encode()
+
+
+def core_with(
+    folder: Path, *machines: Machine, version: int = 1, floor: Place | None = None, **more: Any
+) -> Core:
+    core = Core(control(folder, **more), floor, 0, sure=True)
+    core.listed(update(version, *machines), 0)
+    place = core.to_write()
+    if place is not None:
+        core.written(place, 0)
+    return core
+
+
+def join(core: Core, name: str = "p", incremental: bool = False) -> tuple[Stream, ProxyStandIn]:
+    proxy = ProxyStandIn(name, "z", incremental)
+    stream = core.open(None, incremental, 0)
+    feed(core, stream, proxy, proxy.connect())
+    return stream, proxy
+
+
+def feed(core: Core, stream: Stream, proxy: ProxyStandIn, requests: list[bytes], now: int = 0) -> None:
+    """Pass requests and responses to and fro until both are silent."""
+    for data in requests:
+        core.request(stream, *decode_request(data, proxy.incremental), now)
+    while (response := core.next(stream, now)) is not None:
+        for data in proxy.receive(response.data):
+            core.request(stream, *decode_request(data, proxy.incremental), now)
+
+
+@pytest.mark.parametrize("incremental", [False, True])
+def test_a_proxy_gets_all_and_a_drain_at_once(tmp_path: Path, incremental: bool) -> None:
+    core = core_with(tmp_path, machine("n1"), machine("n2"))
+    stream, proxy = join(core, incremental=incremental)
+    assert proxy.complete() and set(proxy.usable()) == {"10.0.0.1:9001", "10.0.0.1:9002"}
+    core.listed(update(2, machine("n1", api.HostState.DRAINING), full=False), 1)
+    feed(core, stream, proxy, [], 1)
+    assert len(proxy.usable()) == 2  # it is not written yet
+    core.written(Place(1, 2), 2)
+    feed(core, stream, proxy, [], 2)
+    assert set(proxy.usable()) == {"10.0.0.1:9002"}
+    assert [each.address for each in proxy.endpoints() if each.draining] == ["10.0.0.1:9001"]
+
+
+def test_while_the_disk_is_full_drains_go_out_and_nothing_is_added(tmp_path: Path) -> None:
+    core = core_with(tmp_path, machine("n1"), machine("n2"))
+    stream, proxy = join(core)
+    core.listed(update(2, machine("n2", api.HostState.DRAINING), machine("n3"), full=False), 1)
+    core.write_failed(1)
+    feed(core, stream, proxy, [], 1)
+    assert set(proxy.usable()) == {"10.0.0.1:9001"} and len(proxy.endpoints()) == 2
+    core.written(Place(1, 2), 2)
+    feed(core, stream, proxy, [], 2)
+    assert set(proxy.usable()) == {"10.0.0.1:9001", "10.0.0.1:9003"}
+
+
+def test_a_restarted_instance_withholds_until_discovery_has_caught_up(tmp_path: Path) -> None:
+    core = core_with(tmp_path, machine("n1"), version=4, floor=Place(1, 9))
+    stream, proxy = join(core)
+    assert core.why_not(0) is Why.BEHIND and not proxy.responses
+    core.listed(update(9, machine("n2")), 1)
+    feed(core, stream, proxy, [], 1)
+    assert set(proxy.usable()) == {"10.0.0.1:9002"}
+
+
+def test_a_claim_of_the_future_withholds_and_one_made_up_does_not(tmp_path: Path) -> None:
+    core = core_with(tmp_path, machine("n1"))
+    for version, why in (
+        (f"9.9.{'0' * 16}.{'0' * 16}", None),
+        (SEAL.version(Place(1, 2), "0" * 16), Why.BEHIND),
+    ):
+        stream = core.open(None, False, 0)
+        core.request(stream, Request(EDS, version=version, names=(ENDPOINTS,)), Who("p"), 0)
+        assert core.why_not(0) is why
+        assert (core.next(stream, 0) is None) == (why is not None)
+
+
+def test_groups_see_what_they_may(tmp_path: Path) -> None:
+    groups = [
+        {"identity": "a-*", "zone": "z", "may": ["web", "look"]},
+        {"identity": "b-*", "may": ["move"], "endpoints": "nodes"},
+    ]
+    core = core_with(tmp_path, machine("n1"), subscribers=groups)
+    _, proxy = join(core, "a-1")
+    assert [kind.rpartition(".")[2] for kind in proxy.kinds] == [
+        "Cluster", "ClusterLoadAssignment", "Listener", "RouteConfiguration"
+    ]  # fmt: skip
+    assert set(proxy.kinds[CDS].resources) == {"look"} and set(proxy.kinds[LDS].resources) == {"web"}
+    (table,) = proxy.kinds[RDS].resources.values()
+    assert {route.route.cluster for route in table.virtual_hosts[0].routes} == {"look"}
+    with pytest.raises(ProtocolError, match="may not subscribe"):
+        join(core, "c-1")
+    stream = core.open(None, False, 0)
+    with pytest.raises(ProtocolError, match="zone"):
+        core.request(stream, Request(CDS), Who("b-1", zone="elsewhere"), 0)
+
+
+def test_streams_are_bounded(tmp_path: Path) -> None:
+    core = core_with(tmp_path, machine("n1"), bounds={"streams": 3, "streams_per_identity": 1})
+    join(core, "p")
+    with pytest.raises(ProtocolError, match="one subscriber"):
+        join(core, "p")
+    join(core, "q")
+    with pytest.raises(ProtocolError, match="too many streams"):
+        join(core, "r")
+
+
+def test_another_configuration_reaches_subscribers_in_order(tmp_path: Path) -> None:
+    core = core_with(tmp_path, machine("n1"))
+    stream, proxy = join(core)
+    core.reconfigure(control(tmp_path, classes=[{"name": "look", "timeout_ms": 77}]), 1)
+    seen: list[str] = []
+
+    def verdict(kind: str, resources: list[Any]) -> str | None:
+        seen.append(kind)
+        return None if proxy.complete() else "a route leads nowhere"
+
+    proxy.verdict = verdict
+    feed(core, stream, proxy, [], 1)
+    assert seen == [CDS, RDS, CDS]  # the cluster that is no more goes last
+    assert proxy.complete() and set(proxy.kinds[CDS].resources) == {"look"}
+    assert not stream.subscriber.rejects(RDS)
+
+
+# --- resources --------------------------------------------------------------------------------------
+
+
+def test_resources_are_what_the_published_protos_say(tmp_path: Path) -> None:
+    config = control(tmp_path)
+    drafts = fixed(config, config.groups[0])
+    clusters = {draft.name: cluster_pb2.Cluster.FromString(draft.body) for draft in drafts[CDS]}
+    assert clusters["look"].eds_cluster_config.service_name == ENDPOINTS
+    assert clusters["look"].common_lb_config.healthy_panic_threshold.value == 0
+    web, api_ = (listener_pb2.Listener.FromString(draft.body) for draft in drafts[LDS])
+    assert web.address.socket_address.port_value == 10000 and api_.HasField("api_listener")
+    table = route_pb2.RouteConfiguration.FromString(drafts[RDS][0].body)
+    found = [(route.match.prefix, route.route.cluster) for route in table.virtual_hosts[0].routes]
+    assert found == [("/look", "look"), ("/move", "move"), ("/l", "look")]
+    by_class = {route.route.cluster: route.route for route in table.virtual_hosts[0].routes}
+    assert by_class["look"].retry_policy.num_retries.value == 2
+    assert not by_class["move"].HasField("retry_policy")  # what must not run twice is never repeated
+    assert by_class["move"].timeout.seconds == 5
+
+
+def test_endpoints_in_both_forms() -> None:
+    shares = [
+        Share("n1", "z", 100, False),
+        Share("n2", "z", 0, False),
+        Share("n3", "z", 0, True),
+        Share("n4", "y", 50, False),
+    ]
+    addresses = {f"n{at}": ("10.0.0.1", at) for at in range(1, 5)}
+    parts = tiers(shares, (("z",), ("y",)))
+    made = endpoint_pb2.ClusterLoadAssignment.FromString(
+        Endpoints("zones", 60_000).draft(parts, addresses).body
+    )
+    parts_ = made.endpoints
+    assert [(part.locality.zone, part.priority, part.load_balancing_weight.value) for part in parts_] == [
+        ("z", 0, 100), ("y", 1, 50),
+    ]  # fmt: skip
+    assert [each.health_status for each in made.endpoints[0].lb_endpoints] == [0, 2, 3]
+    assert made.policy.endpoint_stale_after.seconds == 60
+    made = endpoint_pb2.ClusterLoadAssignment.FromString(
+        Endpoints("nodes", 60_000).draft(parts, addresses).body
+    )
+    parts_ = made.endpoints
+    assert [(part.locality.sub_zone, part.priority, part.load_balancing_weight.value) for part in parts_] == [
+        ("n1", 0, 100), ("n4", 1, 50),
+    ]  # fmt: skip
+
+
+@settings(deadline=None)
+@given(
+    st.lists(st.tuples(st.sampled_from("abc"), st.integers(0, 3), st.booleans()), max_size=12),
+    st.lists(st.lists(st.sampled_from("abc"), max_size=2), max_size=3),
+)
+def test_priorities_have_no_gap_and_lose_no_node(
+    nodes: list[tuple[str, int, bool]], order: list[list[str]]
+) -> None:
+    shares = [
+        Share(f"n{at}", zone, 0 if drain else weight, drain) for at, (zone, weight, drain) in enumerate(nodes)
+    ]
+    made = tiers(shares, order)
+    assert sorted(share.host for tier in made for share in tier.shares) == sorted(
+        share.host for share in shares
+    )
+    used = {tier.priority for tier in made}
+    assert used == set(range(len(used)))
+    assert len({tier.zone for tier in made}) == len(made)
+
+
+# --- weights and reports ----------------------------------------------------------------------------
+
+
+def entries(count: int) -> list[api.HostEntry]:
+    return [api.HostEntry(f"n{at:02}", "z", "k", 0, api.HostState.READY) for at in range(count)]
+
+
+def test_without_reports_weights_are_those_of_a_sidecar_without_reports() -> None:
+    parsed = replace(parse_settings(SETTINGS), connection_price=0.0)
+    fleet, sidecar = FleetBalancer(parsed, 1), Balancer(parsed, 1)
+    for each in (fleet, sidecar):
+        each.start(0)
+        each.handle(api.HostList(api.ListKind.FULL, entries(12)), 0)  # a sidecar uses so many at the least
+        each.handle(api.TimerFired(0), SECOND)
+    mine, theirs = ([standing.weight for standing in standings(each)] for each in (fleet, sidecar))
+    assert mine == pytest.approx(theirs) and min(mine) > 0
+
+
+def test_reports_and_outcomes_move_weights_as_the_rules_have_it() -> None:
+    parsed = parse_settings(SETTINGS)
+    fleet = FleetBalancer(parsed, 1)
+    fleet.start(0)
+    fleet.handle(api.HostList(api.ListKind.FULL, entries(40)), 0)
+    now = 0
+    for _ in range(8):
+        now += SECOND // 2
+        for at, entry in enumerate(entries(40)):
+            busy = api.LoadReport(0.95 if at == 0 else 0.4, 100.0)
+            failed, latency = (30 if at == 1 else 0), (900 * MS if at == 2 else 100 * MS)
+            fleet.tell(Told(entry.host, "look", 30 - failed, failed, latency, busy), now)
+        fleet.handle(api.TimerFired(0), now)
+    weights = {each.host: each.weight for each in standings(fleet)}
+    usual = weights["n10"]
+    assert usual > 0 and weights["n00"] < usual / 2  # busy
+    assert weights["n01"] < usual / 2 and weights["n02"] < usual / 2  # failing, late
+    fleet.tell(Told("nobody", "look", 1, 1), now)
+    fleet.tell(Told("n03", "no class", 1, 1), now)
+
+
+@given(st.integers(0, 10**9), st.integers(0, 10**9))
+def test_many_attempts_count_as_a_few_in_proportion(served: int, failed: int) -> None:
+    good, bad = scaled(served, failed)
+    assert good >= 0 and bad >= 0 and good + bad == min(served + failed, 64)
+    assert (bad > 0) == (failed > 0)
+
+
+def test_rounding_stays_until_a_weight_has_moved() -> None:
+    rounder = Rounder(0.1)
+
+    def standing(name: str, weight: float, state: api.HostState = api.HostState.READY) -> Standing:
+        return Standing(name, "z", state, weight, 0.0, 1.0, None)
+
+    first = rounder.round([standing("a", 32), standing("b", 32), standing("c", 0, api.HostState.DRAINING)])
+    assert [(share.weight, share.draining) for share in first] == [(SCALE, False), (SCALE, False), (0, True)]
+    assert rounder.round([standing("a", 33), standing("b", 31)]) == first[:2]
+    moved = rounder.round([standing("a", 64), standing("b", 0.001)])
+    assert [share.weight for share in moved] == [2 * SCALE, 1]
+    assert [share.weight for share in rounder.round([standing("a", 64), standing("b", 0.0)])] == [
+        2 * SCALE,
+        0,
+    ]
+
+
+def test_reports_of_both_kinds_are_read_and_nonsense_passed_over(tmp_path: Path) -> None:
+    report = lrs_pb2.LoadStatsRequest()
+    report.node.id = "p"
+    cluster = report.cluster_stats.add(cluster_name="look")
+    part = cluster.upstream_locality_stats.add()
+    each = part.upstream_endpoint_stats.add(total_successful_requests=9, total_error_requests=1)
+    each.address.socket_address.address, each.address.socket_address.port_value = "10.0.0.1", 9001
+    for name, total in (
+        ("cpu_utilization", 4.5),
+        ("named_metrics.rps_fractional", 900.0),
+        ("latency_ms", float("nan")),
+    ):
+        each.load_metric_stats.add(
+            metric_name=name, num_requests_finished_with_metric=9, total_metric_value=total
+        )
+    part = cluster.upstream_locality_stats.add(total_successful_requests=5)
+    part.locality.sub_zone = "n2"
+    part.cpu_utilization.num_requests_finished_with_metric, part.cpu_utilization.total_metric_value = 5, 1.0
+    stranger = cluster.upstream_locality_stats.add(total_successful_requests=5)
+    stranger.locality.sub_zone = "n9"
+    sums, who = decode_loads(report.SerializeToString())
+    assert who.id == "p"
+    core = core_with(tmp_path, machine("n1"), machine("n2"))
+    core.load("z", sums)
+    assert core.zones["z"].loads.unknown == 1
+    told = {each.host: each for each in core.zones["z"].loads.tell()}
+    assert told["n1"].report == api.LoadReport(0.5, 100.0) and told["n1"].latency_ns is None
+    assert (told["n1"].served, told["n1"].failed, told["n2"].served) == (9, 1, 5)
+    with pytest.raises(ProtocolError):
+        decode_loads(b"\xff\xff")
+
+
+# --- storage --------------------------------------------------------------------------------------
+
+
+def test_the_store_keeps_the_highest_place_and_counts_starts(tmp_path: Path) -> None:
+    path = str(tmp_path / "s.db")
+    for start in (1, 2, 3):
+        store = Store(path, SEAL)
+        store.begin()
+        assert store.starts == start and store.floor == (None if start == 1 else Place(1, start + 5))
+        store.write(Place(1, 6 + start))
+        store.write(Place(1, 2))
+        store.close()
+
+
+@pytest.mark.parametrize("harm", ["torn", "not a database", "another's row", "empty"])
+def test_a_store_that_cannot_be_read_is_put_aside(tmp_path: Path, harm: str) -> None:
+    path = tmp_path / "s.db"
+    store = Store(str(path), SEAL if harm != "another's row" else Seal(b"another secret, as long"))
+    store.write(Place(1, 9))
+    store.close()
+    whole = path.read_bytes()
+    if harm == "torn":
+        path.write_bytes(whole[: len(whole) // 2 + 100])
+    elif harm == "not a database":
+        path.write_bytes(b"\0" * 100 + whole[::-1])
+    elif harm == "empty":
+        path.write_bytes(b"")
+    store = Store(str(path), SEAL)
+    assert store.floor is None and store.lost == (harm != "empty")
+    store.write(Place(1, 10))
+    store.close()
+    assert Store(str(path), SEAL).floor == Place(1, 10)
+
+
+def test_a_disk_that_is_full_fails_the_write_and_keeps_what_was_there(tmp_path: Path) -> None:
+    """In a process of its own that may write no file past a size."""
+    script = textwrap.dedent("""
+        import resource, signal, sys
+        from brambleusher.control.store import Store, StoreError
+        from brambleusher.control.versions import Seal
+        from quillpass.handout import Place
+        signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+        path, seal = sys.argv[1], Seal(b"a secret for the tests")
+        store = Store(path, seal)
+        store.begin()
+        store.write(Place(1, 1))
+        resource.setrlimit(resource.RLIMIT_FSIZE, (100, resource.RLIM_INFINITY))
+        try:
+            store.write(Place(1, 2))
+        except StoreError:
+            print("failed")
+        print(tuple(store.floor))
+        resource.setrlimit(resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+        store.write(Place(1, 3))
+        print(tuple(store.floor))
+    """)
+    done = subprocess.run(
+        [sys.executable, "-c", script, str(tmp_path / "s.db")],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+    )
+    assert done.stdout.split("\n")[:3] == ["failed", "(1, 1)", "(1, 3)"]
+    assert Store(str(tmp_path / "s.db"), SEAL).floor == Place(1, 3)
+
+
+def test_writes_fail_alone(tmp_path: Path) -> None:
+    store = Store(str(tmp_path / "s.db"), SEAL)
+    store.write(Place(1, 1))
+    store.close()
+    with pytest.raises(StoreError):
+        store.write(Place(1, 2))
+
+
+# --- the file ---------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("change", "names"),
+    [
+        ({"name": None}, "name is missing"),
+        ({"listen": "10.0.0.1:1"}, "listen: without tls"),
+        ({"status": "10.0.0.1:1"}, "status: only a loopback"),
+        ({"discovery": "x"}, "discovery: 'x' is not host:port"),
+        ({"unknown": 1}, "unknown is unknown"),
+        ({"epoch": 0}, "epoch is not a whole number"),
+        ({"secret_file": "none"}, "secret_file: .* can't be read"),
+        ({"settings": {}}, "settings: setting classes"),
+        ({"settings_file": "x"}, "not exactly one of settings and settings_file"),
+        ({"store": {}}, "store.file is missing"),
+        ({"subscribers": []}, "subscribers is not a list"),
+        ({"subscribers": [{"identity": "a", "zone": "q"}]}, r"subscribers\[0\].zone: q is not among zones"),
+        ({"classes": [{"name": "none"}]}, r"classes\[0\].name: the settings have no class none"),
+        ({"classes": [{"name": "move", "retries": 1}]}, r"classes\[0\].retries: .* must not be sent twice"),
+        ({"classes": [{"name": "look", "retries": 9}]}, r"classes\[0\].retries: the settings allow 3"),
+        ({"classes": [{"name": "look", "prefixes": ["x"]}]}, r"classes\[0\].prefixes: x does not begin"),
+        ({"classes": [{"name": "look"}, {"name": "look"}]}, "class look is given twice"),
+        ({"spread": {"priorities": {"z": "y"}}}, "spread.priorities.z is not a list"),
+        ({"bounds": {"streams": 0}}, "bounds.streams is not a whole number"),
+        ({"peers": [{"name": "b", "address": "10.0.0.2:1"}]}, "peers: without tls"),
+        ({"tls": {"certificate": "c"}}, "tls.key is missing"),
+    ],
+)
+def test_faults_in_the_file_name_the_key(tmp_path: Path, change: dict[str, Any], names: str) -> None:
+    with pytest.raises(ControlError, match=names):
+        control(tmp_path, **change)
+
+
+def test_the_file_is_read_from_disk_with_a_sidecars_settings(tmp_path: Path) -> None:
+    (tmp_path / "sidecar.json").write_text(json.dumps({"settings": SETTINGS}))
+    path = tmp_path / "control.yaml"
+    path.write_bytes(written(tmp_path, settings=None, settings_file="sidecar.json"))
+    config = load_control(str(path))
+    assert [cls.name for cls in config.settings.classes] == ["look", "move"]
+    assert config.group_of("x") == Group("*", "z")
+
+
+# --- random schedules ---------------------------------------------------------------------------------
+
+
+@pytest.fixture
+def quiet() -> Iterator[None]:
+    """Thousands of warnings are what these schedules are about."""
+    logging.disable(logging.CRITICAL)
+    yield
+    logging.disable(logging.NOTSET)
+
+
+@pytest.mark.usefixtures("quiet")
+def test_no_view_is_older_than_one_accepted_before_whatever_happens(tmp_path: Path) -> None:
+    judged = sum(control_history.run(seed, tmp_path).judged for seed in range(25))
+    assert judged > 1000
+
+
+@pytest.mark.usefixtures("quiet")
+@pytest.mark.parametrize("breakage", control_history.BREAKAGES)
+def test_the_checker_catches_what_would_break_that(tmp_path: Path, breakage: str) -> None:
+    for seed in range(200):
+        try:
+            control_history.run(seed, tmp_path, breakage)
+        except control_history.Violation:
+            return
+    pytest.fail(f"a service without its {breakage} went unnoticed")
