--- a/brambleusher/runtime/real.py
+++ b/brambleusher/runtime/real.py
@@ -5,11 +5,14 @@
 import select
 import signal
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
 from types import FrameType
 
+import greenlet
+
 from brambleusher.runtime.sinks import DescriptorSink, FileSink, UdpSink
 from brambleusher.runtime.system import Address, Poller, Sink, Socket, Waker, Worker
 
@@ -85,6 +88,7 @@
     monotonic = staticmethod(time.monotonic)
     monotonic_ns = staticmethod(time.monotonic_ns)
     wall_ns = staticmethod(time.time_ns)
+    greenlet = staticmethod(greenlet.greenlet)
 
     def poller(self) -> Poller:
         """A new set of descriptors."""
@@ -129,6 +133,14 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def reset(self, sock: Socket) -> None:
+        """Close a connection so that its other end sees a reset."""
+        assert isinstance(sock, socket.socket)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        finally:
+            sock.close()
+
     def error_of(self, sock: Socket) -> int:
         """The error that waits on a socket, and clears it; 0 for none."""
         assert isinstance(sock, socket.socket)
--- a/brambleusher/runtime/system.py
+++ b/brambleusher/runtime/system.py
@@ -12,6 +12,8 @@
 from contextlib import AbstractContextManager
 from typing import Any, Protocol
 
+from greenlet import greenlet
+
 READ, WRITE = 1, 4  # poll(2)'s POLLIN and POLLOUT
 GONE_WRONG = 8 | 16 | 32  # POLLERR, POLLHUP and POLLNVAL, which come unasked
 PEEK = 2  # recv(2)'s MSG_PEEK
@@ -111,6 +113,9 @@
     def wall_ns(self) -> int:
         """Unix time in nanoseconds; it may be set, forward or back."""
 
+    def greenlet(self, run: Callable[..., Any], parent: greenlet) -> greenlet:
+        """A greenlet for a task; it is over with the process."""
+
     def poller(self) -> Poller:
         """A new set of descriptors."""
 
@@ -130,6 +135,9 @@
     def connection(self) -> Socket:
         """A socket that is not connected yet; raises `OSError` where no descriptor is free."""
 
+    def reset(self, sock: Socket) -> None:
+        """Close a connection so that its other end sees a reset."""
+
     def error_of(self, sock: Socket) -> int:
         """The error that waits on a socket, and clears it; 0 for none."""
 
