--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -36,7 +36,8 @@
 def test_seeds_break_no_rule(block: int) -> None:
     """All rules hold; of the one that docs/ROADMAP.md has as open, so few seeds at most tell."""
     first = 1000 + block * SEEDS
-    broken, slow = [], []
+    broken: list[str] = []
+    slow: list[str] = []
     for result in _chunk((range(first, first + SEEDS), "default", None)):
         for breach in result.breaches[:1]:
             told = f"brambleusher explore --replay {result.seed}: {breach}"
