--- a/brambleusher/lab/network.py
+++ b/brambleusher/lab/network.py
@@ -22,12 +22,13 @@
 FIN, RESET = "fin", "reset"
 SECOND = 1_000_000_000
 FIRST_PORT, LAST_PORT = 32768, 60999  # what Linux gives to those who don't ask for one
-ANY = "0.0.0.0"
+ANY, LOCAL = "0.0.0.0", "127.0.0.1"
 # When a connect that nothing answers is tried again, in seconds after the first try, and when it is given
 # up: Linux with tcp_syn_retries=6 and tcp_syn_linear_timeouts=4.
 CONNECT_AGAIN = (1, 2, 3, 4, 5, 7, 11, 19, 35, 67)
 CONNECT_GIVEN_UP = 131
 RETRANSMIT_NS = 200_000_000  # the least time until Linux sends again what was not acknowledged
+GIVEN_UP_NS = 924 * SECOND  # until it gives that up: tcp_retries2=15
 
 
 class State:
@@ -112,6 +113,14 @@
     return OSError(number, os.strerror(number))
 
 
+def octets_of(host: str) -> list[int]:
+    """An address's numbers; raises what a name that can't be looked up raises: there are no names here."""
+    parts = host.split(".")
+    if not all(part.isascii() and part.isdigit() and int(part) < 256 for part in parts):
+        raise OSError(-2, "Name or service not known")
+    return [int(part) for part in parts]
+
+
 class Killed(BaseException):
     """Raised by every system call of a process that is no more."""
 
@@ -141,6 +150,8 @@
     def recv(self, size: int, flags: int = 0, /) -> bytes:
         """`ENOTCONN`."""
         self._check()
+        if not size:
+            return b""
         raise fault(errno.ENOTCONN)
 
     def send(self, data: bytes | memoryview, /) -> int:
@@ -264,17 +275,20 @@
                 return code
             self.wish = Wish.CONNECTED
             return 0
-        self._connect(address)
-        return errno.EINPROGRESS
+        return self._connect(address)
 
     def recv(self, size: int, flags: int = 0, /) -> bytes:
         """Up to so many bytes, empty at the end; with `PEEK` they stay."""
         process = self.process
         if process is None or process.dead:
             raise Killed
+        if size <= 0:
+            if size < 0:
+                raise ValueError("negative buffersize in recv")
+            return b""
         if self.fd < 0:
             raise fault(errno.EBADF)
-        if self.rx and size > 0:
+        if self.rx:
             return self._read(size, flags & PEEK != 0)
         if self.fin_in:
             return b""
@@ -569,10 +583,16 @@
 
     def _hold(self, what: Any) -> None:
         if not self.held:
-            self.held_since = self.world.now_ns
+            now = self.held_since = self.world.now_ns
             self.network.holding[self] = None
+            self.world.push(now + GIVEN_UP_NS, self._unanswered, now)
         self.held.append(what)
 
+    def _unanswered(self, since: int) -> None:
+        """So long nothing of what was sent has been acknowledged."""
+        if self.held and self.held_since == since and not self._closed():
+            self.was_reset(errno.ETIMEDOUT)
+
     def release(self) -> None:
         """Send again what was held, if it passes now."""
         conn, peer = self.conn, self.peer
@@ -657,11 +677,13 @@
         self.held.clear()
         self.network.holding.pop(self, None)
 
-    def was_reset(self) -> None:
-        """A reset has come."""
+    def was_reset(self, why: int = 0) -> None:
+        """A reset has come, or it has failed otherwise."""
         if self._closed():
             return
-        if self.state == State.SYN_SENT:
+        if why:
+            self.err = why
+        elif self.state == State.SYN_SENT:
             self.err = errno.ECONNREFUSED
         elif self.fin_in and not self.fin_out:
             self.err = errno.EPIPE
@@ -670,7 +692,7 @@
         self.state = State.CLOSE
         self.shut_receive = self.shut_send = True
         self.drop_unsent()
-        if self.world.taps and self.conn is not None:
+        if not why and self.world.taps and self.conn is not None:
             self.world.tell("ended", self.conn, self.side, RESET)
         self.notify()
 
@@ -708,7 +730,7 @@
     def disconnect(self) -> None:
         """Back to a socket that is not connected, as after a connect that failed."""
         self.state = State.CLOSE
-        self.wish = Wish.UNCONNECTED
+        self.wish, self.host = Wish.UNCONNECTED, ANY
         self.conn = self.peer = self.link = None
         self.rx.clear()
         self.rx_size = 0
@@ -719,12 +741,18 @@
 
     # --- connecting -----------------------------------------------------------------------------
 
-    def _connect(self, address: Address) -> None:
+    def _connect(self, address: Address) -> int:
         network, world, machine = self.network, self.world, self.machine
         host, port = address
-        target = machine if host.startswith("127.") or host == ANY else network.machine_at(host)
-        local = host.startswith("127.") or target is machine
-        self.host, self.port = (host if local and host != ANY else machine.ip), machine.free_port()
+        octets = octets_of(host or ANY)
+        if octets[0] >= 224:
+            return errno.ENETUNREACH
+        if octets[0] in (0, 127):
+            target: Machine | None = machine
+            self.host, host = LOCAL, LOCAL if octets[0] == 0 else host
+        else:
+            target, self.host = network.machine_at(host), machine.ip
+        self.port = machine.free_port()
         self.conn = network.new_connection(
             End(machine.name, self.host, self.port), End("" if target is None else target.name, host, port)
         )
@@ -735,9 +763,10 @@
             world.tell("opened", self.conn)
         if target is None:
             world.push(world.now_ns + CONNECT_GIVEN_UP * SECOND, self._give_up, self.conn)
-            return
+            return errno.EINPROGRESS
         self.link = network.link(machine, target)
         world.push(world.now_ns + self.link.delay(), self._syn, self.conn, target, 0)
+        return errno.EINPROGRESS
 
     def _still_connecting(self, conn: Connection) -> bool:
         return self.conn is conn and self.state == State.SYN_SENT
--- a/tests/test_network_differential.py
+++ b/tests/test_network_differential.py
@@ -105,11 +105,11 @@
         self.shape(sock)
         return sock.getsockname()
 
-    def do_connect(self, name: str, to: str) -> Result:
+    def do_connect(self, name: str, to: str, host: str = "127.0.0.1") -> Result:
         if name not in self.socks:
             self.do_new(name)
         port = self.nobody() if to == "nobody" else self.ports[to]
-        code = self.socks[name].connect_ex(("127.0.0.1", port))
+        code = self.socks[name].connect_ex((host, port))
         return errno.errorcode[code] if code else 0
 
     def do_accept(self, name: str, listener: str) -> Result:
@@ -164,15 +164,17 @@
     def do_fill(self, name: str) -> Result:
         """Send until nothing is taken any more, however long one waits."""
         blocked = 0
-        while blocked < 3:
+        for _ in range(1000):
             try:
                 if self.do_send(name, CHUNK):
                     blocked = 0
             except BlockingIOError:
                 blocked += 1
                 self.settle()
-        self.filled[name] = self.sent[name]
-        return "blocked"
+            if blocked == 3:
+                self.filled[name] = self.sent[name]
+                return "blocked"
+        return "never blocked"
 
     def do_drain(self, name: str, from_: str) -> Result:
         """Receive all that the other end handed over."""
@@ -314,6 +316,16 @@
 
 SCRIPTS = {
     "a new socket": "new c; look c; name c",
+    "nothing at all": (
+        "new c; recv c 0; send c 0; listen L 4; recv L 0; connect c L; recv c 0; send c 0; accept s L; "
+        "recv s 0; send s 0; send c 3; recv s 0; close c; recv s 9; recv s 0; send s 0; close s; "
+        "recv s 0; send s 0"
+    ),
+    "other addresses": (
+        "listen L 4; connect c L 0.0.0.0; name c; accept s L; name s; connect d L 127.0.0.9; name d; "
+        "error d; connect e nobody 0.0.0.0; error e; connect f L 224.0.0.1; name f; error f; connect f L; "
+        "accept t L; name t"
+    ),
     "half closed, then connected": (
         "listen L 4; new c; shutdown c; connect c L; accept s L; send c 3; poll c RW; recv s 3; "
         "shutdown c; look s"
@@ -445,9 +457,9 @@
     st.tuples(st.just("connect"), st.sampled_from(CLIENTS), st.sampled_from(["L", "L", "nobody"])),
     st.tuples(st.just("connect"), st.sampled_from([*SERVERS, "L"]), st.just("L")),
     st.tuples(st.just("accept"), st.sampled_from(SERVERS), st.sampled_from(["L", "L", "L", "c"])),
-    st.tuples(st.just("send"), st.sampled_from(ENDS), st.integers(1, 60)),
-    st.tuples(st.just("recv"), st.sampled_from(ENDS), st.integers(1, 90)),
-    st.tuples(st.just("peek"), st.sampled_from(ENDS), st.integers(1, 90)),
+    st.tuples(st.just("send"), st.sampled_from(ENDS), st.integers(0, 60)),
+    st.tuples(st.just("recv"), st.sampled_from(ENDS), st.integers(0, 90)),
+    st.tuples(st.just("peek"), st.sampled_from(ENDS), st.integers(0, 90)),
     st.tuples(st.sampled_from(["shutdown", "close", "abort", "error", "name"]), st.sampled_from(ENDS)),
     st.tuples(st.just("poll"), st.sampled_from(["L", *ENDS]), st.sampled_from([0, *EVENTS.values()])),
     st.tuples(st.sampled_from(["close", "shutdown", "listen_again"]), st.just("L")),
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -9,6 +9,7 @@
 import sys
 import zlib
 from collections.abc import Callable
+from functools import partial
 from itertools import pairwise
 from typing import Any
 
@@ -37,39 +38,12 @@
 
     def __init__(self) -> None:
         self.lines: list[tuple[Any, ...]] = []
+        for name in vars(Tap):
+            if not name.startswith("_"):
+                setattr(self, name, partial(self._note, name))
 
-    def _note(self, now: int, what: str, *args: Any) -> None:
-        self.lines.append((now, what, *args))
-
-    def opened(self, now: int, conn: Connection) -> None:
-        self._note(now, "opened", conn.id)
-
-    def established(self, now: int, conn: Connection) -> None:
-        self._note(now, "established", conn.id)
-
-    def accepted(self, now: int, conn: Connection) -> None:
-        self._note(now, "accepted", conn.id)
-
-    def refused(self, now: int, conn: Connection) -> None:
-        self._note(now, "refused", conn.id)
-
-    def sent(self, now: int, conn: Connection, side: str, data: bytes) -> None:
-        self._note(now, "sent", conn.id, side, data)
-
-    def arrived(self, now: int, conn: Connection, side: str, data: bytes) -> None:
-        self._note(now, "arrived", conn.id, side, data)
-
-    def read(self, now: int, conn: Connection, side: str, data: bytes) -> None:
-        self._note(now, "read", conn.id, side, data)
-
-    def ended(self, now: int, conn: Connection, side: str, how: str) -> None:
-        self._note(now, "ended", conn.id, side, how)
-
-    def closed(self, now: int, conn: Connection, side: str) -> None:
-        self._note(now, "closed", conn.id, side)
-
-    def process(self, now: int, machine: Machine, what: str) -> None:
-        self._note(now, "process", machine.name, what)
+    def _note(self, what: str, now: int, about: Connection | Machine, *args: Any) -> None:
+        self.lines.append((now, what, about.name if isinstance(about, Machine) else about.id, *args))
 
     def what(self, *names: str) -> list[tuple[Any, ...]]:
         """The lines with these names, without their times."""
@@ -524,6 +498,35 @@
         assert heard == [b"hello"] * 40
 
 
+def test_what_is_sent_after_a_mend_waits_for_what_was_held() -> None:
+    heard = bytearray()
+
+    def server(system: VirtualSystem) -> None:
+        wait, listener = Waits(system), system.listen(("0.0.0.0", 7), 0)
+        wait.on(listener, READ)
+        sock, _ = system.accept(listener)
+        while wait.on(sock, READ):
+            heard.extend(sock.recv(10))
+
+    def client(system: VirtualSystem) -> None:
+        wait, sock = Waits(system), system.connection()
+        sock.connect_ex(("10.0.0.1", 7))
+        wait.on(sock, WRITE)
+        for number in range(100):
+            sock.send(bytes([number]))
+            wait.pause(10)
+        wait.pause(60_000)
+
+    with World(1, PLAIN) as world:
+        world.machine("server", "10.0.0.1").start(server)
+        world.run(START_NS + 10 * MILLISECOND)
+        world.machine("client", "10.0.0.2").start(client)
+        world.at(START_NS + 200 * MILLISECOND, lambda: world.network.cut("server", "client"))
+        world.at(START_NS + 700 * MILLISECOND, lambda: world.network.mend("server", "client"))
+        world.run(START_NS + 10 * SECOND)
+    assert heard == bytes(range(100))
+
+
 def test_faults_of_connects() -> None:
     with World(1, PLAIN) as world:
         notes = Notes()
@@ -599,6 +602,7 @@
             world.machine(name, f"10.0.1.{ord(name)}").start(client(name))
         world.run(START_NS + 400 * MILLISECOND)
         assert sorted(up) == list("abcd")  # all were consented to before the first acknowledgement came
+        assert len(world.machines["server"].listeners[7].queue) == 1
         world.run(START_NS + 20 * SECOND)
         assert sorted(heard) == [b"a", b"b", b"c", b"d"]
 
