--- a/brambleusher/lab/effects.py
+++ b/brambleusher/lab/effects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import random
 import signal
 from collections.abc import Callable, Iterable
@@ -225,6 +226,15 @@
     return None
 
 
+@apply.register(faults.FleetRenewed)
+def _fleet_renewed(fault: faults.FleetRenewed, fleet: Fleet) -> End:
+    rng, there = _rng(fault, fleet), [place for place in fleet.places if place.up]
+    for place in rng.sample(there, math.ceil(len(there) * fault.part)):
+        place.replace(f"s-{rng.getrandbits(32):08x}")
+        place.look(fleet.scenario.world.notice_s)
+    return None
+
+
 def _power(fault: faults.Fault, fleet: Fleet, there: list[NodePlace]) -> End:
     """These lose their power, and have it again at the end."""
     notices = fleet.scenario.world
--- a/tests/test_fault_plans.py
+++ b/tests/test_fault_plans.py
@@ -281,6 +281,10 @@
 # What these leave behind does not go away, or they can only be seen over a while.
 STAYING: dict[str, tuple[dict[str, Any], See]] = {
     "node-replaced": ({}, lambda fleet, _: place(fleet).id != NODE.id and state(fleet) == "Gone"),
+    "fleet-renewed": (
+        {"part": 1.0},
+        lambda fleet, _: all(each.former and cold(each.node) for each in fleet.places if each.up),
+    ),
     "fleet-grows": (
         {}, lambda fleet, _: all(each.up and cold(each.node) for each in fleet.places[-1:])
     ),
