--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -9,8 +9,8 @@
 import hashlib
 import logging
 import traceback
-from collections import Counter
-from collections.abc import Callable, Iterator
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 from dataclasses import dataclass, field, replace
 from typing import Any, cast
@@ -89,11 +89,20 @@
 class TimeLine(Tap):
     """Who sent what to whom, a line each, as it happens."""
 
-    def __init__(self, say: Callable[[str], object], start_ns: int) -> None:
+    def __init__(
+        self, say: Callable[[str], object], start_ns: int, faults: Iterable[tuple[int, str]] = ()
+    ) -> None:
         self._say, self._start = say, start_ns
+        # Told when their time is seen to have come: an event of ours in the world would change the run.
+        self._faults = deque(sorted(faults))
 
     def line(self, now: int, text: str) -> None:
         """One line, under its virtual time in seconds."""
+        while self._faults and self._faults[0][0] <= now:
+            self._tell(*self._faults.popleft())
+        self._tell(now, text)
+
+    def _tell(self, now: int, text: str) -> None:
         self._say(f"{(now - self._start) / SECOND:14.9f}  {text}")
 
     @staticmethod
@@ -207,14 +216,18 @@
         handlers: list[logging.Handler] = [raised]
         line: TimeLine | None = None
         if say is not None:
-            line = TimeLine(say, world.now_ns)
+            line = TimeLine(
+                say,
+                world.now_ns,
+                (
+                    (fleet.begins_ns + int(fault.at_s * SECOND), f"fault: {_worded(fault)}")
+                    for fault in scenario.faults
+                ),
+            )
             world.taps.append(line)
             log = _ToLine(world, line)
             log.setFormatter(KeyValueFormatter())
             handlers.append(log)
-            for fault in scenario.faults:
-                at = fleet.begins_ns + int(fault.at_s * SECOND)
-                world.at(at, lambda at=at, fault=fault: line.line(at, f"fault: {_worded(fault)}"))  # type: ignore[misc]
         world.step_done.append(lambda: checker.step(world.now_ns))
         begun = world.now_ns
         with _listening(handlers):
