--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -82,7 +82,7 @@
     timeout_ns: int
 
 
-Step = MakeClaim | api.Refuse | api.Fail | api.Cancel | ClaimEnded
+Step = MakeClaim | api.Refuse | api.Fail | ClaimEnded
 
 
 class Observer:
@@ -157,7 +157,7 @@
 class Ticket:
     """A request that is owed an answer, and the steps that wait for its task."""
 
-    __slots__ = ("bell", "call", "claims_ended", "claims_wanted", "open", "request", "steps")
+    __slots__ = ("bell", "call", "call_off", "claims_ended", "claims_wanted", "open", "request", "steps")
 
     def __init__(self, call: Call) -> None:
         self.call, self.request = call, call.request
@@ -165,6 +165,8 @@
         self.bell = Bell()
         self.open = True
         self.claims_wanted = self.claims_ended = 0
+        # Where a claim is called off, also once the request is over; set by whoever makes the claims.
+        self.call_off: Callable[[int], None] = lambda attempt: None
 
     def put(self, step: Step) -> None:
         """Hand a step to the task."""
@@ -302,7 +304,10 @@
         for action in actions:
             if isinstance(action, api.Send | api.Refuse | api.Fail | api.Cancel):
                 ticket = self._tickets.get(action.request)
-                if ticket is None or not ticket.open:
+                if isinstance(action, api.Cancel):
+                    if ticket is not None:
+                        ticket.call_off(action.attempt)
+                elif ticket is None or not ticket.open:
                     log.error("action for a request that is over", extra={"fields": {"action": action}})
                 elif isinstance(action, api.Send):
                     ticket.put(MakeClaim(ticket.claims_wanted, action.host, action.timeout_ns))
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -26,7 +26,7 @@
 from brambleusher.net.http import Field, HttpError, Message, MessageReader, write_response
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
-from quillpass.api import Cancel, Effect, Refuse, Status
+from quillpass.api import Effect, Refuse, Status
 
 log = logging.getLogger(__name__)
 
@@ -85,6 +85,7 @@
         """
         ticket = self._decisions.take(call)
         claims: dict[int, Claim] = {}
+        ticket.call_off = lambda attempt: claims[attempt].call_off() if attempt in claims else None
         try:
             while True:
                 # 1. Wait for the module's next step, a claim's end or the submitter's leaving.
@@ -95,7 +96,7 @@
                             claim.call_off()
                         return None
                 step = ticket.steps.popleft()
-                # 2. Make a claim, or call one off.
+                # 2. Make a claim.
                 if isinstance(step, MakeClaim):
 
                     def ended(outcome: Outcome, made: MakeClaim = step) -> None:
@@ -104,8 +105,6 @@
                     claims[step.attempt] = self._nodes.claim(
                         step.node, call.payload, step.timeout_ns, deadline, ended
                     )
-                elif isinstance(step, Cancel):
-                    claims[step.attempt].call_off()
                 # 3. A claim has ended: the first that served answers the request.
                 elif isinstance(step, ClaimEnded):
                     served = step.outcome.status is Status.OK
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -19,6 +19,7 @@
 
 from quillpass import api
 from quillpass.api import Effect, Group, HostState, ListKind, Status
+from quillpass.retries import Retries
 
 # The source's figures.
 WEIGHT_TOTAL = 64.0
@@ -42,8 +43,8 @@
 HEALTH_PRIOR = 2.0  # attempts assumed served, so that one failure does not condemn a quiet host
 RESERVE = 0.25  # below this free share of the fleet, weights lean towards capacity
 OLD_LOOKED_AT = 6  # the oldest attempts out of a host that the tick looks at: bounds its work
-RETRY_SHARE = 0.2  # retries after work may have been done, per request
-BUDGET_BURST = 5.0
+OVERTAKEN = 2  # attempts sent later and answered sooner by the same host: in a queue there are none
+WRITE_OFF = 3.0  # times the usual answer's time: one so old and overtaken is lost, not waiting
 TENANT_BURST = 2.0  # requests of a tenant that may come at once: one place flags half of what is in its share
 RING_MIN = 4  # hosts a quiet proxy uses: choice enough to pass over a bad one, and few connections
 RING_FREE = 3  # times as many where connections have no price
@@ -69,6 +70,7 @@
         self.name, self.zone, self.kind, self.cell = entry.host, entry.zone, entry.kind, entry.cell
         self.local, self.ready = local, True
         self.out: dict[tuple[str, int], tuple[Request, int]] = {}  # oldest first
+        self.lost: dict[tuple[str, int], tuple[Request, int]] = {}  # out, and not expected to be answered
         self.weight = self.room = self.credit = 0.0
         self.tokens = 0
         self.forget(entry.started_ns, classes)
@@ -79,7 +81,8 @@
         self.sum_qps = self.sum_util = self.throughput = self.util = 0.0
         self.util_ns = -1
         self.late_n, self.late_sum = [0.0] * classes, [0.0] * classes
-        self.served = self.failed = self.pi = 0.0
+        self.served = self.failed = self.turned = self.pi = 0.0
+        self.passed = [-1] * OVERTAKEN  # when the attempts answered here that were sent last were sent
         self.shut_ns = self.used_ns = self.closing_ns = 0
         self.draining = self.linked = False  # told to drain; a connection is thought to be open
         self.cold_level, self.cold_seen_ns = self.rank, started_ns
@@ -90,6 +93,15 @@
         good = self.served + HEALTH_PRIOR
         return good / (good + self.failed)
 
+    @property
+    def welcome(self) -> float:
+        """What it takes of what it is sent, where it turns work away with room left.
+
+        Guards against a host that turns away at once and reports that it is idle: it draws the most turns.
+        """
+        good = self.served + HEALTH_PRIOR
+        return good / (good + self.turned) if self.util < 1 - RESERVE else 1.0
+
     @property
     def capacity(self) -> float | None:
         """Requests a second at full use; summed before dividing, so quiet moments weigh little."""
@@ -104,7 +116,7 @@
         self.half_ns = now + left_ns // 2  # by then a request that reached no host is to be given up
         self.reached = False  # an attempt was written whole
         self.attempts: list[tuple[Host, int, int]] = []  # host, time and idle time of its connection
-        self.out = 0
+        self.out = self.lost = 0  # attempts out, and those of them that are written off
         self.closed = self.ran = False
         self.origin: Host | None = None  # of the first attempt that ran, or may yet: its group binds
         self.first_ran_ns = 0
@@ -230,7 +242,7 @@
         # Own traffic.
         self._lat_n, self._lat_sum = [0.0] * count, [0.0] * count
         self._quiet_ns = [float(cls.aim_ns) for cls in settings.classes]
-        self._index_n, self._served_rate, self._span, self._retries = 0.0, 0.0, 1e-9, BUDGET_BURST
+        self._index_n, self._served_rate, self._span, self._retries = 0.0, 0.0, 1e-9, Retries()
         # Admission.
         self._limit, self._offered, self._logged_ns = math.inf, 1e-9, 0
         self._full_sum = self._turned = self._best_rate = 0.0
@@ -310,9 +322,11 @@
         for host in self._turn.ring:
             host.sum_qps, host.sum_util = host.sum_qps * slow, host.sum_util * slow
             host.served, host.failed = host.served * health, host.failed * health
+            host.turned *= health
             host.late_n = [n * late for n in host.late_n]
             host.late_sum = [s * late for s in host.late_sum]
         self._unlinked, self._silent = self._unlinked * health, self._silent * health
+        self._retries.fade(health)
         self._idle_kept, self._idle_lost = self._idle_kept * slow, self._idle_lost * slow
         # Few samples are kept for longer: two full answers in a row are no overload.
         window = min(max(LATENCY_WINDOW, SAMPLES * HEALTH_WINDOW / max(self._rate, 1.0)), CAPACITY_WINDOW)
@@ -363,7 +377,8 @@
         # When most of the fleet misses its goal the goal judges no host: the usual index does, or the
         # few hosts under it would get everything and be the next to drop out.
         yard = max(1.0, median(host.pi for host in ring))
-        weights = final_weights(base, [host.pi / yard for host in ring], [host.health for host in ring])
+        well = [host.health * host.welcome for host in ring]
+        weights = final_weights(base, [host.pi / yard for host in ring], well)
         for host, weight in zip(ring, weights, strict=True):
             host.weight = weight
         self._turn.cut()
@@ -477,12 +492,16 @@
     def _arrived(self, event: api.RequestArrived, now: int) -> None:
         cls = self._classes[event.request_class]
         self._rate += 1
-        self._retries = min(self._retries + RETRY_SHARE, BUDGET_BURST)
         density = self._worth_density(event, cls, now)
         self._densities.append(density)
         request, welcome = Request(event.request, cls, now, event.left_ns), self._worth_now(density)
+        if not event.is_retry:
+            self._retries.asked()
+        elif welcome:
+            welcome = self._retries.repeated()
         host = self._pick(request, now) if welcome else None
         if host is None:
+            self._retries.unworked()
             self._out.append(api.Refuse(event.request, self._stay_away(not welcome)))
             return
         self._requests[request.id] = request
@@ -566,6 +585,9 @@
     def _finish(self, request: Request) -> None:
         """The final answer: a refusal where trying again does no harm, a failure otherwise."""
         request.closed = True
+        if not (request.ran or request.out):
+            self._retries.unworked()
+        self._call_off(request)
         cls = self.settings.classes[request.cls]
         harmless = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
         refuse = harmless or not (request.ran or request.out)
@@ -585,9 +607,12 @@
         if request is None or event.attempt >= len(request.attempts):
             return
         host, sent, idle = request.attempts[event.attempt]
-        if host.out.pop((event.request, event.attempt), None) is None:
+        key = event.request, event.attempt
+        known = host.out.pop(key, None) is not None
+        if not known and host.lost.pop(key, None) is None:
             return
-        request.out, self._open = request.out - 1, self._open - 1
+        request.out, request.lost = request.out - 1, request.lost - (not known)
+        self._open -= known
         host.used_ns = now
         self._silent += event.status is Status.TIMEOUT
         request.reached |= event.status not in (Status.CONNECT_FAILED, Status.MOOT)
@@ -599,17 +624,20 @@
             # It reported before and answers without: some hosts fall silent just when they are busy.
             host.util, host.util_ns = max(host.util, 1 - RESERVE), now
         lost = idle > self._unit_ns * IDLE_DOUBT and self._lost_idle(event.status, idle)
-        if not lost:
+        if event.status is Status.OK and sent > host.passed[0]:
+            host.passed = sorted([*host.passed[1:], sent])
+        if not lost and (known or event.status is not Status.TIMEOUT):  # of one written off all was learnt
             self._learn(host, request.cls, event.status, event.latency_ns, now)
         if event.closed:
             request.closed = True
+            self._call_off(request)
         if event.status not in NEVER_RAN and event.status is not Status.OK:
             if not request.ran or sent < request.first_ran_ns:
                 request.origin, request.first_ran_ns = host, sent
             request.ran = True
         elif not request.out and not request.ran:
             request.origin = None  # proof that nothing ran: the request is free again
-        if not request.closed and not request.out:
+        if not request.closed and request.out == request.lost:
             self._retry(request, event.status, now, lost)
         if request.closed and not request.out:
             del self._requests[request.id]
@@ -644,6 +672,7 @@
             # No wait, but no room either: the admission limit sees it.  The health does not: a full host
             # is well, and cutting it fills the next one.
             self._index_n += 1
+            host.turned += 1
             self._full_sum, self._turned = self._full_sum + 1, self._turned + 1
         elif status not in (Status.CANCELLED, Status.MOOT):
             host.failed += 1
@@ -657,15 +686,50 @@
     def _retry(self, request: Request, status: Status, now: int, lost: bool) -> None:
         """Try elsewhere while the rules, the time and the budget allow; else answer."""
         costs = status not in NEVER_RAN and not lost
-        afford = self._retries >= 1 and not self._tight if costs else not self._tight or self._retries >= 1
+        afford = self._retries.left and not self._tight if costs else not self._tight or self._retries.left
         if status is not Status.MOOT and afford and self._may_repeat(request, now):
             host = self._pick(request, now)
             if host is not None and (host.linked or not self._late_to_connect(request, now)):
-                self._retries -= costs or self._tight
+                if costs or self._tight:
+                    self._retries.spend()
                 self._send(request, host, now)
                 return
         self._finish(request)
 
+    def _write_off(self, now: int) -> None:
+        """Attempts overtaken on their host, and old, are lost: count them no more, and send a copy elsewhere.
+
+        Guards against connections that fall silent under a request.  A crowd answers in the order in which
+        it was asked; one that later ones overtake is not waiting its turn.  Counted as out, a few such hold
+        every place under the limit, and their age makes idle hosts look late.
+        """
+        for host in self._turn.ring:
+            if not host.out or next(iter(host.out.values()))[1] >= host.passed[0]:
+                continue
+            for key, (request, sent) in list(host.out.items()):
+                if sent >= host.passed[0]:
+                    break
+                usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
+                if now - sent <= WRITE_OFF * usual:
+                    continue
+                host.lost[key] = host.out.pop(key)
+                self._open, request.lost = self._open - 1, request.lost + 1
+                host.failed, self._silent = host.failed + 1, self._silent + 1
+        for request in [request for host in self._turn.ring for request, _ in host.lost.values()]:
+            room = self._open < self._limit * ROOM_FOR_ALL and not self._tight and self._retries.left
+            if room and not request.closed and request.out == request.lost and self._may_repeat(request, now):
+                other = self._pick(request, now)
+                if other is not None:
+                    self._retries.spend()
+                    self._send(request, other, now)
+
+    def _call_off(self, request: Request) -> None:
+        """The request is over: what is still out for it is no use to anyone."""
+        if request.out and self.settings.can_cancel:
+            for attempt, (host, _, _) in enumerate(request.attempts):
+                if (request.id, attempt) in host.out or (request.id, attempt) in host.lost:
+                    self._out.append(api.Cancel(request.id, attempt))
+
     def _late_to_connect(self, request: Request, now: int) -> bool:
         """Whether a connect that fails would end past half of the time of a request that reached no host.
 
@@ -805,6 +869,7 @@
         self._peak = max(float(self._open), self._peak * math.exp(-gap / CAPACITY_WINDOW))
         if min(size := self._ring_size(), self._ready) > (used := len(self._turn.ring)) or size * 2 < used:
             self._choose()
+        self._write_off(now)
         self._weigh(now, gap)
         self._steer_admission(gap)
         seen = [host.throughput for host in self._turn.ring if host.util_ns >= 0]
--- /dev/null
+++ b/quillpass/places.py
@@ -0,0 +1,311 @@
+"""The budget of submitters' connections: which of them keep their places.
+
+A place is worth what its connection does with it: how soon it asks, and whether it asks at all.  That is
+learnt from what connections of its sort did lately, sort by sort and age by age, as a table of hazards
+(asks for each second waited; the discrete form of the Kaplan-Meier estimate, with old evidence fading).
+The worth of a place is then the Gittins index of its wait: the most asks for each second of the place that
+any stopping time gives.  Where places are plenty nothing of this acts.  Where they are not, those of the
+least worth go: one that has just been answered with its answer, which no request can cross, and only then
+one that waits.
+
+Pure: times are seconds on the caller's clock, connections are whatever hashable thing the caller names.
+"""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_right
+from collections import Counter
+from collections.abc import Hashable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+# Ages of a wait, in seconds: hazards are taken as even between two of them.
+AGES = (0.0, 0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.25, 0.4, 0.6, 0.9, 1.3, 1.8, 2.4)
+ASKS = (1, 2, 4)  # those that asked so often are a sort apart; 0 is a sort of its own, the silent
+PRIOR_SECONDS, PRIOR_ASKS = 0.5, 0.5  # what is assumed of a sort never seen: it asks again within a second
+EVIDENCE = 256.0  # waits of one sort; beyond, the oldest fade
+SORTS = 64  # tenants told apart; further ones share a sort and a share
+FRESH_SECONDS = 0.25  # that a silent connection has, come what may, for its first request to arrive
+LEARN_SECONDS = 0.25  # between two looks at the waits that are still going on
+PEAK_SECONDS = 5.0  # in which the most places in use are forgotten
+SILENT = ""
+
+
+@dataclass(slots=True)
+class Sort:
+    """What connections of one sort did: seconds waited and asks, age by age."""
+
+    waited: list[float] = field(default_factory=lambda: [0.0] * len(AGES))
+    asks: list[float] = field(default_factory=lambda: [0.0] * len(AGES))
+    waits: float = 0.0
+
+    def saw(self, age: float, asked: bool) -> None:
+        """A wait has ended at this age, by an ask or otherwise."""
+        for at, begin in enumerate(AGES):
+            if age <= begin and at:
+                break
+            end = AGES[at + 1] if at + 1 < len(AGES) else math.inf
+            self.waited[at] += min(age, end) - begin
+        if asked:
+            self.asks[bisect_right(AGES, age) - 1] += 1.0
+        self.waits += 1.0
+        if self.waits > EVIDENCE:
+            self.waited = [value / 2 for value in self.waited]
+            self.asks = [value / 2 for value in self.asks]
+            self.waits /= 2
+
+    def index(self, going_on: list[float]) -> list[float]:
+        """The Gittins index by age, in asks a second of a place; `going_on` are waits not ended yet."""
+        hazards = []
+        for at in range(len(AGES)):
+            length = AGES[at + 1] - AGES[at] if at + 1 < len(AGES) else 1.0
+            waited = self.waited[at] + going_on[at] + PRIOR_SECONDS * min(length, 1.0)
+            hazards.append((self.asks[at] + PRIOR_ASKS * min(length, 1.0)) / waited)
+        best = []
+        for start in range(len(AGES)):
+            left, asked, held, most = 1.0, 0.0, 0.0, 0.0
+            for at in range(start, len(AGES)):
+                length = AGES[at + 1] - AGES[at] if at + 1 < len(AGES) else 1.0
+                leaves = left * -math.expm1(-hazards[at] * length)
+                asked, held, left = asked + leaves, held + leaves / hazards[at], left - leaves
+                most = max(most, asked / held)
+            best.append(most)
+        return best
+
+
+@dataclass(slots=True)
+class _Held:
+    """One connection: whose it is, and since when it waits (None: a request of it is in work)."""
+
+    peer: str
+    tenant: str = SILENT
+    asks: int = 0
+    since: float | None = 0.0
+
+    @property
+    def holder(self) -> tuple[str, str]:
+        return self.peer, self.tenant
+
+    @property
+    def group(self) -> tuple[str, str, int]:
+        return self.peer, self.tenant, bisect_right(ASKS, self.asks)
+
+
+class Places:
+    """Decides on `most` places; of them `asking` are all that clients can ever hold to ask on."""
+
+    def __init__(self, most: int, asking: int | None = None) -> None:
+        self.most, self.asking = most, min(most, asking or most)
+        self._held: dict[Hashable, _Held] = {}
+        # Those that wait, by group, longest first; and how many of those that have asked each holder has.
+        self._waiting: dict[tuple[str, str, int], dict[Hashable, float]] = {}
+        self._idle_of: Counter[tuple[str, str]] = Counter()
+        self._sorts: dict[tuple[str, int], Sort] = {}
+        self._index: dict[tuple[str, int], list[float]] = {}
+        self._learnt = -math.inf
+        self._peak, self._peaked = 0.0, 0.0
+        self.idle = self.silent = 0
+        self.let_go = Counter[str]()  # what was closed for room: with its answer, idle, silent
+
+    # --- what happens -----------------------------------------------------------------------------
+
+    def opened(self, conn: Hashable, peer: str, now: float) -> None:
+        """A connection was accepted; it has said nothing yet."""
+        held = self._held[conn] = _Held(peer)
+        self._wait(conn, held, now)
+
+    def asked(self, conn: Hashable, now: float) -> None:
+        """A request has begun to come: the wait is over."""
+        held = self._held.get(conn)
+        if held is None or held.since is None:
+            return
+        self._end_wait(conn, held, now, asked=True)
+        held.asks += 1
+        self._use(now)
+
+    def named(self, conn: Hashable, tenant: str) -> None:
+        """Whose request it was."""
+        held = self._held.get(conn)
+        if held is None or held.tenant == tenant:
+            return
+        if (tenant, 1) not in self._sorts and len(self._sorts) >= SORTS * len(ASKS):
+            tenant = "other"
+        held.tenant = tenant
+
+    def may_stay(self, conn: Hashable, now: float) -> bool:
+        """Whether a connection that is about to get its answer keeps its place; it is told if it does not."""
+        held = self._held.get(conn)
+        if held is None:
+            return True
+        self._use(now)
+        if self._short(1) <= 0:
+            return True
+        sort = self._sort(held)
+        self._sorts.setdefault(sort, Sort())
+        own, worst = self._indices(now)[sort][0], self._worst(now, held.holder)
+        if worst is not None and worst[0] < own:
+            return True
+        self.let_go["answered"] += 1
+        return False
+
+    def rests(self, conn: Hashable, now: float) -> None:
+        """A connection has its answer and waits."""
+        held = self._held.get(conn)
+        if held is not None and held.since is None:
+            self._wait(conn, held, now)
+
+    def waiting(self) -> list[Hashable]:
+        """All that have no request in work."""
+        return [conn for waiting in self._waiting.values() for conn in waiting]
+
+    def closed(self, conn: Hashable, now: float) -> None:
+        """A connection has ended."""
+        held = self._held.pop(conn, None)
+        if held is None:
+            return
+        if held.since is not None:
+            self._end_wait(conn, held, now, asked=False)
+
+    # --- what follows -----------------------------------------------------------------------------
+
+    @property
+    def taken(self) -> int:
+        """Places taken."""
+        return len(self._held)
+
+    def surplus(self, now: float) -> Iterator[Hashable]:
+        """Those that wait and are to be closed, least worth first, until there is room again.
+
+        The caller closes each before it asks for the next, or passes over one whose request has come.
+        """
+        passed: set[Hashable] = set()
+        while self._short(0) > 0:
+            worst = self._worst(now, None, passed)
+            if worst is None:
+                return
+            passed.add(worst[1])
+            yield worst[1]
+
+    def for_one_more(self, now: float) -> Iterator[Hashable]:
+        """The same for a connection that waits to be accepted while every place is taken."""
+        passed: set[Hashable] = set()
+        while len(self._held) >= self.most:
+            worst = self._worst(now, None, passed)
+            if worst is None:
+                return
+            passed.add(worst[1])
+            yield worst[1]
+
+    @property
+    def need(self) -> int:
+        """Places kept for requests in work: what they had at most lately, and as much as chance adds."""
+        return math.ceil(self._peak + 2 * math.sqrt(self._peak + 1))
+
+    @property
+    def _crowd(self) -> int:
+        return self.idle + self.silent + self.need - self.most
+
+    def _short(self, more: int) -> int:
+        """How many of those that wait are too many, `more` included."""
+        return max(self.idle + more + self.need - self.asking, self._crowd + more)
+
+    def _worst(
+        self, now: float, own: tuple[str, str] | None, passed: set[Hashable] | None = None
+    ) -> tuple[float, Hashable] | None:
+        """The waiting connection of least worth among holders that have more than an even share.
+
+        A silent one is not among them before its first request had time to come.
+        """
+        indices, found = self._indices(now), None
+        holders = len(self._idle_of) + (own is not None and own not in self._idle_of)
+        share = (self.idle + (own is not None)) / max(holders, 1)
+        silent_too = self._crowd + (own is not None) > 0 or len(self._held) >= self.most
+        for (peer, tenant, asks), waiting in self._waiting.items():
+            holder = (peer, tenant)
+            if asks and self._idle_of[holder] + (holder == own) < share:
+                continue
+            if not asks and not silent_too:
+                continue
+            for conn, since in waiting.items():
+                if passed and conn in passed:
+                    continue
+                age = now - since
+                if asks or age >= FRESH_SECONDS:
+                    worth = indices[(tenant, asks)][bisect_right(AGES, max(age, 0.0)) - 1]
+                    if found is None or worth < found[0]:
+                        found = worth, conn
+                break
+        return found
+
+    # --- books ------------------------------------------------------------------------------------
+
+    def _sort(self, held: _Held) -> tuple[str, int]:
+        return held.tenant, bisect_right(ASKS, held.asks)
+
+    def _wait(self, conn: Hashable, held: _Held, now: float) -> None:
+        held.since = now
+        self._waiting.setdefault(held.group, {})[conn] = now
+        if held.asks:
+            self.idle += 1
+            self._idle_of[held.holder] += 1
+        else:
+            self.silent += 1
+
+    def _end_wait(self, conn: Hashable, held: _Held, now: float, asked: bool) -> None:
+        group = held.group
+        waiting = self._waiting[group]
+        del waiting[conn]
+        if not waiting:
+            del self._waiting[group]
+        if held.asks:
+            self.idle -= 1
+            self._less(self._idle_of, held.holder)
+        else:
+            self.silent -= 1
+        assert held.since is not None
+        self._sorts.setdefault(self._sort(held), Sort()).saw(max(now - held.since, 0.0), asked)
+        held.since = None
+
+    def _use(self, now: float) -> None:
+        in_work = len(self._held) - self.idle - self.silent
+        self._peak = max(float(in_work), self._peak * math.exp((self._peaked - now) / PEAK_SECONDS))
+        self._peaked = now
+
+    @staticmethod
+    def _less(counts: Counter[tuple[str, str]], holder: tuple[str, str]) -> None:
+        counts[holder] -= 1
+        if not counts[holder]:
+            del counts[holder]
+
+    def _indices(self, now: float) -> dict[tuple[str, int], list[float]]:
+        """The index of every sort, looked at anew now and then."""
+        if now - self._learnt < LEARN_SECONDS and all(sort in self._index for sort in self._sorts):
+            return self._index
+        self._learnt = now
+        going_on = {sort: [0.0] * len(AGES) for sort in self._sorts}
+        for (_, tenant, asks), waiting in self._waiting.items():
+            seconds = going_on.setdefault((tenant, asks), [0.0] * len(AGES))
+            for since in waiting.values():
+                for at, begin in enumerate(AGES):
+                    if now - since <= begin:
+                        break
+                    end = AGES[at + 1] if at + 1 < len(AGES) else math.inf
+                    seconds[at] += min(now - since, end) - begin
+        self._index = {
+            sort: self._sorts.setdefault(sort, Sort()).index(seconds) for sort, seconds in going_on.items()
+        }
+        return self._index
+
+    def state(self) -> dict[str, Any]:
+        """What is believed, for people to look at."""
+        return {
+            "most": self.most, "asking": self.asking, "taken": len(self._held),
+            "idle": self.idle, "silent": self.silent, "peak_in_work": round(self._peak, 1),
+            "short_by": max(self._short(0), 0), "closed_for_room": dict(self.let_go),
+            "sorts": [
+                {"tenant": tenant, "asked": ASKS[asks - 1] if asks else 0, "waits": round(sort.waits),
+                 "ask_again": round(sum(sort.asks) / sort.waits, 3) if sort.waits else None}
+                for (tenant, asks), sort in sorted(self._sorts.items())
+            ],
+        }  # fmt: skip
--- /dev/null
+++ b/quillpass/retries.py
@@ -0,0 +1,58 @@
+"""The budget for work that is asked for again.
+
+Everything that makes hosts work a second time for one request draws on one budget: a client that asks
+again, an attempt made anew after one that may have run, and a second copy beside one that is still out.
+The work that reaches hosts is at most `1 + SHARE` times what is first asked for, and `BURST` attempts.
+
+Kept as two counts, so that the bound holds by construction (the form of the retry budgets in Finagle and
+in "Addressing cascading failures" of Google's SRE book, carried on to the client's own repeats):
+
+- each first request lays `SHARE` of an attempt aside; what is done again takes a whole one;
+- a first request that ended without any work at a host leaves one attempt that its repeat may have: that
+  repeat is the first work done for it.
+"""
+
+from __future__ import annotations
+
+SHARE = 0.2  # of an attempt, laid aside by each first request
+BURST = 5.0  # attempts that may be laid aside at once
+UNSERVED = 4096.0  # repeats waited for at once: bounds what a wave of refusals can bring back
+
+
+class Retries:
+    """What may still be done again; one for each balancer."""
+
+    def __init__(self) -> None:
+        self.spare = BURST
+        self.unserved = 0.0
+
+    def asked(self) -> None:
+        """A first request has come."""
+        self.spare = min(self.spare + SHARE, BURST)
+
+    def unworked(self) -> None:
+        """A request ended without work at any host: its client may ask for it again."""
+        self.unserved = min(self.unserved + 1.0, UNSERVED)
+
+    def repeated(self) -> bool:
+        """A client asks again: whether the budget has an attempt for it, which is taken."""
+        if self.unserved >= 1.0:
+            self.unserved -= 1.0
+            return True
+        return self.spend()
+
+    @property
+    def left(self) -> bool:
+        """Whether one more attempt can be afforded."""
+        return self.spare >= 1.0
+
+    def spend(self) -> bool:
+        """Take one attempt, if there is one."""
+        if self.spare < 1.0:
+            return False
+        self.spare -= 1.0
+        return True
+
+    def fade(self, kept: float) -> None:
+        """Clients that have not come back by now won't: forget a part of them."""
+        self.unserved *= kept
--- a/quillpass/state.py
+++ b/quillpass/state.py
@@ -17,6 +17,7 @@
 
 from quillpass import api
 from quillpass.balance import Balancer, Host, Request, Turn
+from quillpass.retries import Retries
 
 # Made anew from the settings, or of no meaning between two events.
 _DERIVED = frozenset(
@@ -92,6 +93,8 @@
             return {"q": [self.value(item) for item in value], "most": value.maxlen}
         if kind is Turn:
             return {"turn": {name: self.value(item) for name, item in vars(value).items() if name != "_rng"}}
+        if kind is Retries:
+            return {"retries": {name: self.value(item) for name, item in vars(value).items()}}
         raise StateError(f"a {kind.__name__} can't be kept")
 
     def rows(self) -> tuple[list[list[Any]], list[list[Any]]]:
@@ -150,6 +153,8 @@
             return deque((self.value(item) for item in held), maxlen=dict(more)["most"])
         if key == "turn":
             return _fill(Turn(self._rng), {name: self.value(item) for name, item in held.items()}, {"_rng"})
+        if key == "retries":
+            return _fill(Retries(), {name: self.value(item) for name, item in held.items()})
         raise StateError(f"a value of kind {key} is unknown")
 
 
