--- a/brambleusher/counters.py
+++ b/brambleusher/counters.py
@@ -8,6 +8,10 @@
 
 NAMES = (
     "connections_accepted",
+    "accepts_put_off",
+    "submitters_told_to_close",
+    "submitters_closed",
+    "submitters_closed_silent",
     "requests_taken",
     "requests_gone",
     "bad_requests",
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -27,6 +27,7 @@
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
 from quillpass.api import Effect, Refuse, Status
+from quillpass.places import Places
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +35,6 @@
 FIRST_SECONDS = 2.4  # from a connection's accept to the last byte of its first request
 READ_SECONDS = 2.4  # from the first byte of a later request to its last
 IDLE_SECONDS = 2.2  # a submitter's connection between requests; many ask once and never come back
-SILENT_SECONDS = 0.25  # one that has sent nothing for so long makes room before one that has asked
 WRITE_SECONDS = 10.0  # for a submitter that reads its answer slowly
 NO_DESCRIPTOR_SECONDS = 0.05
 # An answer leaves so much before its submitter stops waiting; a tenth of what is left, if that is less.
@@ -163,12 +163,12 @@
         nodes: ExecuteNodes,
         clock: Clock,
         counters: Counters,
-        most_connections: int,
+        places: Places,
         is_ready: Callable[[], bool],
         rewrites: Rewrites | None = None,
     ) -> None:
         self._scheduler, self._decisions, self._clock = scheduler, decisions, clock
-        self._counters, self._most, self._is_ready = counters, most_connections, is_ready
+        self._counters, self._places, self._is_ready = counters, places, is_ready
         self._life, self._rewrites = RequestLife(decisions, nodes, scheduler), rewrites
         self._methods = {
             cls.name: "GET" if cls.effect is Effect.SAFE else "POST" for cls in decisions.settings.classes
@@ -177,9 +177,6 @@
         self._listener: socket.socket | None = None
         self._accepting: Task | None = None
         self._connections: set[Connection] = set()
-        # Those between requests, longest idle first: some have sent nothing yet, the others have asked.
-        self._silent: dict[Connection, None] = {}
-        self._idle: dict[Connection, None] = {}
         self._closing = False
 
     # --- the listener ---------------------------------------------------------------------------
@@ -198,7 +195,8 @@
 
     def _accept_all(self, listener: socket.socket) -> None:
         while True:
-            if len(self._connections) >= self._most and not self._close_one_idle():
+            if self._places.taken >= self._places.most and not self._make_room(one_more=True):
+                self._counters.add("accepts_put_off")
                 self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
             elif not self._accept_one(listener):
                 self._scheduler.park(sock=listener)
@@ -213,7 +211,7 @@
             if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                 # Guards against a loop at full speed, and against dying, while no descriptor is free.
                 log.warning("no descriptor to accept with", extra={"fields": {"error": error.strerror}})
-                self._close_one_idle()
+                self._make_room(one_more=True)
                 self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
             return True  # others concern the connection that was to be taken, and it is gone
         self._counters.add("connections_accepted")
@@ -223,38 +221,31 @@
             sock.close()
             return True
         self._connections.add(connection)
-        self._silent[connection] = None
+        self._places.opened(connection, connection.peer, connection.accepted_at)
         connection.task = self._scheduler.spawn(self._serve, connection, name="submitter")
         return True
 
-    def _close_one_idle(self) -> bool:
-        """Make room: close a connection without a request, if there is one.
-
-        Guards against silent connections by the hundred crowding out those that ask: the longest silent
-        goes first, then the longest idle, and one so new that its request may be on its way goes last.
-        """
-        old = self._scheduler.now() - SILENT_SECONDS
-        silent = next(iter(self._silent), None)
-        groups = [self._silent, self._idle]
-        if silent is None or silent.accepted_at > old:
-            groups.reverse()
-        for group in groups:
-            for connection in group:
-                if connection.stream.quiet():
-                    self._close_idle(connection)
-                    return True
-        return False
-
-    def _busy(self, connection: Connection) -> None:
-        self._silent.pop(connection, None)
-        self._idle.pop(connection, None)
+    def _make_room(self, one_more: bool = False) -> bool:
+        """Close those between requests that the budget gives up; false if that closed none."""
+        now, closed = self._scheduler.now(), False
+        for each in self._places.for_one_more(now) if one_more else self._places.surplus(now):
+            assert isinstance(each, Connection)
+            if each.stream.quiet():  # guards against a request that has come and was not read yet
+                silent = "" if each.asked else "_silent"
+                self._counters.add(f"submitters_closed{silent}")
+                self._close_idle(each)
+                closed = True
+        return closed
 
     def _close_idle(self, connection: Connection) -> None:
-        self._connections.discard(connection)
-        self._busy(connection)
+        self._forget(connection)
         if connection.task is not None:
             connection.task.cancel()  # its task closes it
 
+    def _forget(self, connection: Connection) -> None:
+        self._connections.discard(connection)
+        self._places.closed(connection, self._scheduler.now())
+
     @property
     def connections(self) -> int:
         """Open connections."""
@@ -271,7 +262,8 @@
                     break
             self._listener.close()
             self._listener = None
-        for connection in [*self._silent, *self._idle]:
+        for connection in self._places.waiting():
+            assert isinstance(connection, Connection)
             if connection.stream.quiet():
                 self._close_idle(connection)
 
@@ -283,12 +275,12 @@
         try:
             while self._exchange(connection, reader):
                 connection.asked = True
-                self._idle[connection] = None
+                self._places.rests(connection, self._scheduler.now())
+                self._make_room()
         except (OSError, Timeout):
             return
         finally:
-            self._busy(connection)
-            self._connections.discard(connection)
+            self._forget(connection)
             connection.stream.close()
 
     def _exchange(self, connection: Connection, reader: MessageReader) -> bool:
@@ -297,7 +289,7 @@
         try:
             request = self._read(connection, reader)
         except HttpError as error:
-            self._busy(connection)
+            self._places.asked(connection, self._scheduler.now())
             self._counters.add("bad_requests")
             self._turn_away(stream, error)
             return False
@@ -321,6 +313,9 @@
         if answer is None:
             return False
         keep = keep and not self._closing
+        if keep and not self._places.may_stay(connection, self._scheduler.now()):
+            self._counters.add("submitters_told_to_close")
+            keep = False
         status, headers, body = answer
         try:
             stream.send(write_response(status, headers, body, keep), self._scheduler.now() + WRITE_SECONDS)
@@ -350,7 +345,7 @@
         while (request := reader.take()) is None:
             if reader.begun and not begun:
                 begun = True
-                self._busy(connection)
+                self._places.asked(connection, self._scheduler.now())
                 if connection.asked:
                     deadline = self._scheduler.now() + READ_SECONDS
             if reader.expects_continue and not told_to_go_on:
@@ -367,7 +362,7 @@
             if not data:
                 return None
             reader.feed(data)
-        self._busy(connection)
+        self._places.asked(connection, self._scheduler.now())
         return request
 
     def _answer(
@@ -380,6 +375,7 @@
             return (200, [], b"ready\n") if self._is_ready() else (503, [], b"starting\n")
         arrived_ns = self._clock.now_ns()
         call = self._call(request, path)
+        self._places.named(connection, call.tenant or "")
         if self._rewrites is not None:
             passed = self._rewrites.inward(request, path, call.request_class, connection.peer)
             call = replace(call, payload=passed)
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -26,10 +26,12 @@
 from brambleusher.operator_file import CaptureSettings, FiguresSettings, OperatorError, OperatorFile
 from brambleusher.runtime.scheduler import Scheduler
 from quillpass.api import ListKind
+from quillpass.places import Places
 
 log = logging.getLogger(__name__)
 
 SPARE_DESCRIPTORS = 32  # the watch, the listener, the log, files that the runtime opens
+ASKING_PART = 1 / 3  # of the descriptors: submitters never hold more connections to ask on, says the platform
 NODE_PART = 0.4  # of the descriptors: connections to execute nodes; the rest is for submitters
 LARGE_PART = 0.25  # of the memory beside the runtime's: answers of more than 64 KB, until they are whole
 STDERR = "stderr"
@@ -103,7 +105,8 @@
         self.decisions.on_subscribe = self.machine_list.ask
         self.submitters = Submitters(
             self.scheduler, self.decisions, self.nodes, self.clock, self.counters,
-            max(places - for_nodes, 8), self.is_ready, self._rewrites(operator),
+            Places(max(places - for_nodes, 8), max(int(config.limits.sockets * ASKING_PART), 8)),
+            self.is_ready, self._rewrites(operator),
         )  # fmt: skip
         self._started_at = self.scheduler.now()
         self._ending = self._wound_down = False
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -230,12 +230,12 @@
             sidecar = Sidecar(parse_config(json.dumps({**config, "limits": limits}).encode(), {}))
             self.addCleanup(sidecar.close)
             self.assertGreaterEqual(sidecar.nodes._most, claims)
-            self.assertGreaterEqual(sidecar.submitters._most, submitters)
-            self.assertLess(sidecar.nodes._most + sidecar.submitters._most, sockets)
+            self.assertGreaterEqual(sidecar.submitters._places.most, submitters)
+            self.assertLess(sidecar.nodes._most + sidecar.submitters._places.most, sockets)
 
     def test_all_descriptors_in_use_is_survived(self) -> None:
         rig = self.rig(self.node())
-        rig.sidecar.submitters._most = 2
+        rig.sidecar.submitters._places.most = 2
         idle = [rig.connect() for _ in range(6)]
         self.assertEqual(rig.call().status, 200)  # one that is idle makes room
         for sock in idle:
@@ -280,8 +280,8 @@
 
     def test_silent_connections_make_room_before_those_that_ask(self) -> None:
         rig = self.rig(self.node())
-        rig.sidecar.submitters._most = 4
-        with mock.patch("brambleusher.net.submitters.SILENT_SECONDS", 0.0), rig.connect() as asked:
+        rig.sidecar.submitters._places.most = 4
+        with mock.patch("quillpass.places.FRESH_SECONDS", 0.0), rig.connect() as asked:
             read(rig.send("a", sock=asked))
             silent = [rig.connect() for _ in range(8)]
             for sock in silent[:5]:
