--- a/quillpass/places.py
+++ b/quillpass/places.py
@@ -23,12 +23,15 @@
 # Ages of a wait, in seconds: hazards are taken as even between two of them.
 AGES = (0.0, 0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.25, 0.4, 0.6, 0.9, 1.3, 1.8, 2.4)
 ASKS = (1, 2, 4)  # those that asked so often are a sort apart; 0 is a sort of its own, the silent
-PRIOR_SECONDS, PRIOR_ASKS = 0.5, 0.5  # what is assumed of a sort never seen: it asks again within a second
+PRIOR_SECONDS = (
+    0.5  # weight of what is assumed: a sort never seen asks once a second, an age as the one before
+)
 EVIDENCE = 256.0  # waits of one sort; beyond, the oldest fade
 SORTS = 64  # tenants told apart; further ones share a sort and a share
 FRESH_SECONDS = 0.25  # that a silent connection has, come what may, for its first request to arrive
 LEARN_SECONDS = 0.25  # between two looks at the waits that are still going on
-PEAK_SECONDS = 5.0  # in which the most places in use are forgotten
+AHEAD_SECONDS = 0.25  # new connections of so long find a place at once: by then others have ended
+PEAK_SECONDS = 5.0  # in which the most that came at once is forgotten
 SILENT = ""
 
 
@@ -57,11 +60,12 @@
 
     def index(self, going_on: list[float]) -> list[float]:
         """The Gittins index by age, in asks a second of a place; `going_on` are waits not ended yet."""
-        hazards = []
+        hazards, usual = [], 1.0
         for at in range(len(AGES)):
             length = AGES[at + 1] - AGES[at] if at + 1 < len(AGES) else 1.0
-            waited = self.waited[at] + going_on[at] + PRIOR_SECONDS * min(length, 1.0)
-            hazards.append((self.asks[at] + PRIOR_ASKS * min(length, 1.0)) / waited)
+            assumed = PRIOR_SECONDS * length
+            usual = (self.asks[at] + usual * assumed) / (self.waited[at] + going_on[at] + assumed)
+            hazards.append(usual)
         best = []
         for start in range(len(AGES)):
             left, asked, held, most = 1.0, 0.0, 0.0, 0.0
@@ -74,6 +78,26 @@
         return best
 
 
+class Inflow:
+    """How many come in `AHEAD_SECONDS`: the most of lately, and as many as chance may add."""
+
+    __slots__ = ("_at", "_lately", "_peak")
+
+    def __init__(self) -> None:
+        self._lately = self._peak = self._at = 0.0
+
+    def came(self, now: float) -> None:
+        """One more."""
+        gap = max(now - self._at, 0.0)
+        self._lately = self._lately * math.exp(-gap / AHEAD_SECONDS) + 1.0
+        self._peak, self._at = max(self._lately, self._peak * math.exp(-gap / PEAK_SECONDS)), now
+
+    def due(self, now: float) -> int:
+        """Places to keep free for them."""
+        peak = self._peak * math.exp(-max(now - self._at, 0.0) / PEAK_SECONDS)
+        return math.ceil(peak + 2.0 * math.sqrt(peak)) if peak >= 0.5 else 0
+
+
 @dataclass(slots=True)
 class _Held:
     """One connection: whose it is, and since when it waits (None: a request of it is in work)."""
@@ -104,15 +128,15 @@
         self._sorts: dict[tuple[str, int], Sort] = {}
         self._index: dict[tuple[str, int], list[float]] = {}
         self._learnt = -math.inf
-        self._peak, self._peaked = 0.0, 0.0
+        self._accepts, self._firsts = Inflow(), Inflow()  # connections, and of them those that asked
         self.idle = self.silent = 0
-        self.let_go = Counter[str]()  # what was closed for room: with its answer, idle, silent
 
     # --- what happens -----------------------------------------------------------------------------
 
     def opened(self, conn: Hashable, peer: str, now: float) -> None:
         """A connection was accepted; it has said nothing yet."""
         held = self._held[conn] = _Held(peer)
+        self._accepts.came(now)
         self._wait(conn, held, now)
 
     def asked(self, conn: Hashable, now: float) -> None:
@@ -121,8 +145,9 @@
         if held is None or held.since is None:
             return
         self._end_wait(conn, held, now, asked=True)
+        if not held.asks:
+            self._firsts.came(now)
         held.asks += 1
-        self._use(now)
 
     def named(self, conn: Hashable, tenant: str) -> None:
         """Whose request it was."""
@@ -138,16 +163,14 @@
         held = self._held.get(conn)
         if held is None:
             return True
-        self._use(now)
-        if self._short(1) <= 0:
+        if self._short(now) <= 0:
             return True
         sort = self._sort(held)
         self._sorts.setdefault(sort, Sort())
-        own, worst = self._indices(now)[sort][0], self._worst(now, held.holder)
-        if worst is not None and worst[0] < own:
+        if self._idle_of[held.holder] + 1 < self._share(held.holder):
             return True
-        self.let_go["answered"] += 1
-        return False
+        own, worst = self._indices(now)[sort][0], self._worst(now, held.holder)
+        return worst is not None and worst[0] < own
 
     def rests(self, conn: Hashable, now: float) -> None:
         """A connection has its answer and waits."""
@@ -180,7 +203,7 @@
         The caller closes each before it asks for the next, or passes over one whose request has come.
         """
         passed: set[Hashable] = set()
-        while self._short(0) > 0:
+        while self._short(now) > 0:
             worst = self._worst(now, None, passed)
             if worst is None:
                 return
@@ -197,18 +220,18 @@
             passed.add(worst[1])
             yield worst[1]
 
-    @property
-    def need(self) -> int:
-        """Places kept for requests in work: what they had at most lately, and as much as chance adds."""
-        return math.ceil(self._peak + 2 * math.sqrt(self._peak + 1))
+    def _crowd(self, now: float) -> int:
+        return len(self._held) + self._accepts.due(now) - self.most
 
-    @property
-    def _crowd(self) -> int:
-        return self.idle + self.silent + self.need - self.most
+    def _short(self, now: float) -> int:
+        """How many places are wanting for those that will come."""
+        asking = len(self._held) - self.silent + self._firsts.due(now) - self.asking
+        return max(asking, self._crowd(now))
 
-    def _short(self, more: int) -> int:
-        """How many of those that wait are too many, `more` included."""
-        return max(self.idle + more + self.need - self.asking, self._crowd + more)
+    def _share(self, own: tuple[str, str] | None) -> float:
+        """An even share of those that wait between requests, one more of `own` included."""
+        holders = len(self._idle_of) + (own is not None and own not in self._idle_of)
+        return (self.idle + (own is not None)) / max(holders, 1)
 
     def _worst(
         self, now: float, own: tuple[str, str] | None, passed: set[Hashable] | None = None
@@ -218,9 +241,8 @@
         A silent one is not among them before its first request had time to come.
         """
         indices, found = self._indices(now), None
-        holders = len(self._idle_of) + (own is not None and own not in self._idle_of)
-        share = (self.idle + (own is not None)) / max(holders, 1)
-        silent_too = self._crowd + (own is not None) > 0 or len(self._held) >= self.most
+        share = self._share(own)
+        silent_too = self._crowd(now) > 0
         for (peer, tenant, asks), waiting in self._waiting.items():
             holder = (peer, tenant)
             if asks and self._idle_of[holder] + (holder == own) < share:
@@ -233,7 +255,7 @@
                 age = now - since
                 if asks or age >= FRESH_SECONDS:
                     worth = indices[(tenant, asks)][bisect_right(AGES, max(age, 0.0)) - 1]
-                    if found is None or worth < found[0]:
+                    if found is None or worth < found[0] or (worth == found[0] and not asks):
                         found = worth, conn
                 break
         return found
@@ -245,6 +267,7 @@
 
     def _wait(self, conn: Hashable, held: _Held, now: float) -> None:
         held.since = now
+        self._sorts.setdefault(self._sort(held), Sort())
         self._waiting.setdefault(held.group, {})[conn] = now
         if held.asks:
             self.idle += 1
@@ -264,14 +287,9 @@
         else:
             self.silent -= 1
         assert held.since is not None
-        self._sorts.setdefault(self._sort(held), Sort()).saw(max(now - held.since, 0.0), asked)
+        self._sorts[self._sort(held)].saw(max(now - held.since, 0.0), asked)
         held.since = None
 
-    def _use(self, now: float) -> None:
-        in_work = len(self._held) - self.idle - self.silent
-        self._peak = max(float(in_work), self._peak * math.exp((self._peaked - now) / PEAK_SECONDS))
-        self._peaked = now
-
     @staticmethod
     def _less(counts: Counter[tuple[str, str]], holder: tuple[str, str]) -> None:
         counts[holder] -= 1
@@ -292,17 +310,15 @@
                         break
                     end = AGES[at + 1] if at + 1 < len(AGES) else math.inf
                     seconds[at] += min(now - since, end) - begin
-        self._index = {
-            sort: self._sorts.setdefault(sort, Sort()).index(seconds) for sort, seconds in going_on.items()
-        }
+        self._index = {sort: self._sorts[sort].index(seconds) for sort, seconds in going_on.items()}
         return self._index
 
-    def state(self) -> dict[str, Any]:
+    def state(self, now: float) -> dict[str, Any]:
         """What is believed, for people to look at."""
         return {
             "most": self.most, "asking": self.asking, "taken": len(self._held),
-            "idle": self.idle, "silent": self.silent, "peak_in_work": round(self._peak, 1),
-            "short_by": max(self._short(0), 0), "closed_for_room": dict(self.let_go),
+            "idle": self.idle, "silent": self.silent, "kept_free": self._firsts.due(now),
+            "short_by": max(self._short(now), 0),
             "sorts": [
                 {"tenant": tenant, "asked": ASKS[asks - 1] if asks else 0, "waits": round(sort.waits),
                  "ask_again": round(sum(sort.asks) / sort.waits, 3) if sort.waits else None}
