--- a/quillpass/places.py
+++ b/quillpass/places.py
@@ -23,14 +23,12 @@
 # Ages of a wait, in seconds: hazards are taken as even between two of them.
 AGES = (0.0, 0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.25, 0.4, 0.6, 0.9, 1.3, 1.8, 2.4)
 ASKS = (1, 2, 4)  # those that asked so often are a sort apart; 0 is a sort of its own, the silent
-PRIOR_SECONDS = (
-    0.5  # weight of what is assumed: a sort never seen asks once a second, an age as the one before
-)
+PRIOR_SECONDS = 0.5  # the weight of what is assumed: once a second, or less if that holds of the age before
 EVIDENCE = 256.0  # waits of one sort; beyond, the oldest fade
 SORTS = 64  # tenants told apart; further ones share a sort and a share
 FRESH_SECONDS = 0.25  # that a silent connection has, come what may, for its first request to arrive
 LEARN_SECONDS = 0.25  # between two looks at the waits that are still going on
-AHEAD_SECONDS = 0.25  # new connections of so long find a place at once: by then others have ended
+AHEAD_SECONDS = 0.1  # new connections of so long find a place at once: by then others have ended
 PEAK_SECONDS = 5.0  # in which the most that came at once is forgotten
 SILENT = ""
 
@@ -64,7 +62,7 @@
         for at in range(len(AGES)):
             length = AGES[at + 1] - AGES[at] if at + 1 < len(AGES) else 1.0
             assumed = PRIOR_SECONDS * length
-            usual = (self.asks[at] + usual * assumed) / (self.waited[at] + going_on[at] + assumed)
+            usual = (self.asks[at] + min(usual, 1.0) * assumed) / (self.waited[at] + going_on[at] + assumed)
             hazards.append(usual)
         best = []
         for start in range(len(AGES)):
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -106,7 +106,7 @@
         world.run(8.0)
         self.assertGreater(world.served["once"], 0.97 * world.asked["once"] - 40)
         self.assertGreater(world.served["pool"], 300)
-        self.assertLess(world.closed["pool"], 0.03 * world.served["pool"])
+        self.assertLess(world.closed.get("pool", 0), 0.01 * world.served["pool"])
 
     def test_a_peer_with_few_is_not_crowded_out_by_one_with_many(self) -> None:
         """Even where the many ask sooner: below an even share nothing is taken away."""
