--- a/brambleusher/logs.py
+++ b/brambleusher/logs.py
@@ -4,7 +4,7 @@
 
 import logging
 import sys
-import time
+from datetime import UTC, datetime
 from typing import Protocol
 
 import orjson
@@ -40,7 +40,7 @@
 
     def pairs(self, record: logging.LogRecord) -> dict[str, object]:
         """What a record's line has, in order."""
-        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        stamp = datetime.fromtimestamp(record.created, UTC).strftime("%Y-%m-%dT%H:%M:%S")
         pairs: dict[str, object] = {
             "time": f"{stamp}.{int(record.msecs):03d}Z",
             "level": record.levelname.lower(),
