--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -44,7 +44,7 @@
 RESERVE = 0.25  # below this free share of the fleet, weights lean towards capacity
 OLD_LOOKED_AT = 6  # the oldest attempts out of a host that the tick looks at: bounds its work
 OVERTAKEN = 2  # attempts sent later and answered sooner by the same host: in a queue there are none
-WRITE_OFF = 3.0  # times the usual answer's time: one so old and overtaken is lost, not waiting
+WRITE_OFF = 2.5  # times the usual answer's time, of its class and of its host: so old and overtaken is lost
 TENANT_BURST = 2.0  # requests of a tenant that may come at once: one place flags half of what is in its share
 RING_MIN = 4  # hosts a quiet proxy uses: choice enough to pass over a bad one, and few connections
 RING_FREE = 3  # times as many where connections have no price
@@ -709,8 +709,9 @@
             for key, (request, sent) in list(host.out.items()):
                 if sent >= host.passed[0]:
                     break
-                usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
-                if now - sent <= WRITE_OFF * usual:
+                cls, goal = request.cls, self.settings.classes[request.cls].aim_ns * GOAL_OF_AIM
+                here = host.late_sum[cls] / max(host.late_n[cls], 0.1) * goal
+                if now - sent <= WRITE_OFF * max(self._lat_sum[cls] / max(self._lat_n[cls], 1.0), here):
                     continue
                 host.lost[key] = host.out.pop(key)
                 self._open, request.lost = self._open - 1, request.lost + 1
