--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,500 @@
+"""What ways of limiting make of overload: served worth by load, a pulse, a failing third, a greedy tenant.
+
+Virtual time: the balancers' own code and the lab's machines, driven by one queue of events, without
+sockets.  Clients come in an open loop and ask again when they are refused or fail.  All ways choose their
+nodes by the same code and differ in what they let in alone:
+
+- `ours`: the balancer as deployed;
+- `none`: no limit, and no budget for what is done again;
+- `fixed`: a fixed number of attempts out, tuned for this fleet by hand;
+- `gradient`: Gradient2 of Netflix's concurrency-limits, with its usual settings;
+- `throttle`: client-side adaptive throttling of Google's SRE book, K = 2.
+
+Served worth is the worth answered within its aim (late answers count for what the settings say), as a
+part of what the fleet can serve at full use.  Worth is even by work here, so that what is best does not
+move with the load.  Exits with 1 where a figure in `misses` is not reached.
+
+    python -m benchmarks.overload [--quick] [--seed 1] [--jobs 4]
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from brambleusher.lab.stand_ins.machine import Job, Machine
+from brambleusher.lab.stand_ins.settings import NodeSettings
+from quillpass import Balancer, api
+
+SECOND, MS = 10**9, 10**6
+LATENCY = 0.0004  # one way, seconds
+SIDECARS = 3
+TRIES, BACKOFF, HONOUR = 3, (0.05, 0.15), 0.6
+WARM_UP, MEASURED = 4.0, 8.0
+PULSE_LOAD, PULSE_AT, PULSE_SECONDS, PULSE_TIMES = 0.6, 5.0, 10.0, 10.0
+WINDOW = 0.5
+WHOLE = 0.95  # of what is asked for in a window, answered within its aim
+GREEDY_TIMES = 20.0
+NODES = tuple(
+    NodeSettings(
+        cores=cores, speed=speed, queue_per_core=300, thrash=0.08, thrash_at=10.0, report_period_s=0.3,
+        report_delay_s=0.08, report_noise=0.03, cold_s=0.0, work_noise=0.3,
+    )
+    for cores, speed in ((2, 1.0), (2, 0.9), (2, 1.1), (1, 0.7), (1, 0.75), (1, 0.8))
+)  # fmt: skip
+
+
+@dataclass(frozen=True)
+class Class:
+    """A class: its mean work in seconds of a standard core, and the rest as the settings have it."""
+
+    name: str
+    share: float
+    work: float
+    aim: float
+    deadline: float
+    effect: api.Effect = api.Effect.SAFE
+
+
+CLASSES = (
+    Class("listing-lookup", 0.45, 0.017, 0.285, 0.57),
+    Class("price-check", 0.28, 0.035, 0.43, 1.14),
+    Class("transfer-record", 0.27, 0.054, 0.43, 1.7, api.Effect.UNSAFE),
+)
+MEAN_WORK = sum(each.share * each.work for each in CLASSES)
+CAPACITY = sum(node.cores * node.speed for node in NODES)  # seconds of a standard core a second
+RATE = CAPACITY / MEAN_WORK  # requests a second at full use
+
+
+def settings(tenants: tuple[api.Tenant, ...] = ()) -> api.Settings:
+    """What each sidecar is told."""
+    return api.Settings(
+        zone="z0", fleet_size=SIDECARS, tenants=tenants, tick_ns=5 * MS, max_attempts=6,
+        classes=tuple(
+            api.RequestClass(
+                each.name, int(each.aim * SECOND), int(each.deadline * SECOND), 1.0, 0.3, each.effect
+            )
+            for each in CLASSES
+        ),
+        second_copies=True, can_cancel=True, max_retry_after_ns=570 * MS, over_share_worth=0.05,
+        worth_by_work=True, conn_idle_ns=30 * SECOND, cross_zone_price=0.1,
+        report_fields=("throughput", "utilization"),
+    )  # fmt: skip
+
+
+# --- other ways ------------------------------------------------------------------------------------
+
+
+class Way:
+    """What lets requests in: asked for each, and told how each attempt ended."""
+
+    def admits(self, out: int, now: float) -> bool:
+        """Whether one more may go out, with so many attempts out already."""
+        raise NotImplementedError
+
+    def ended(self, status: api.Status, seconds: float, out: int, now: float) -> None:
+        """An attempt has ended."""
+
+
+class NoLimit(Way):
+    """Everything."""
+
+    def admits(self, out: int, now: float) -> bool:
+        """Always."""
+        return True
+
+
+class FixedLimit(Way):
+    """So many attempts out."""
+
+    def __init__(self, most: float) -> None:
+        self.most = most
+
+    def admits(self, out: int, now: float) -> bool:
+        """Below the limit."""
+        return out < self.most
+
+
+class GradientLimit(Way):
+    """Gradient2: the limit follows the long-term round trip over the present one, and a queue's allowance."""
+
+    def __init__(self) -> None:
+        self.limit, self.least, self.most = 20.0, 4.0, 200.0
+        self.tolerance, self.smoothing, self.queue, self.window = 1.5, 0.2, 4.0, 600.0
+        self.long = 0.0
+        self.count = 0
+
+    def admits(self, out: int, now: float) -> bool:
+        """Below the limit."""
+        return out < self.limit
+
+    def ended(self, status: api.Status, seconds: float, out: int, now: float) -> None:
+        """A round trip more, if there was one."""
+        if status not in (api.Status.OK, api.Status.TIMEOUT) or seconds <= 0:
+            return
+        self.count += 1
+        warm = min(self.count, 10)
+        factor = 2.0 / (self.window + 1.0)
+        self.long = (
+            self.long + (seconds - self.long) / warm
+            if self.count <= 10
+            else self.long * (1 - factor) + seconds * factor
+        )
+        if self.long / seconds > 2.0:
+            self.long *= 0.95
+        if out < self.limit / 2:
+            return
+        gradient = max(0.5, min(1.0, self.tolerance * self.long / seconds))
+        aimed = self.limit * gradient + self.queue
+        self.limit = min(
+            max(self.limit * (1 - self.smoothing) + aimed * self.smoothing, self.least), self.most
+        )
+
+
+class AdaptiveThrottle(Way):
+    """Turns away by chance once backends accept less than half of what is asked for, over two minutes."""
+
+    K, SECONDS = 2.0, 120.0
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng, self._requests, self._accepts, self._at = rng, 0.0, 0.0, 0.0
+
+    def _fade(self, now: float) -> None:
+        kept = math.exp((self._at - now) / self.SECONDS)
+        self._requests, self._accepts, self._at = self._requests * kept, self._accepts * kept, now
+
+    def admits(self, out: int, now: float) -> bool:
+        """By the odds of the book."""
+        self._fade(now)
+        odds = max(0.0, (self._requests - self.K * self._accepts) / (self._requests + 1.0))
+        self._requests += 1.0
+        return self._rng.random() >= odds
+
+    def ended(self, status: api.Status, seconds: float, out: int, now: float) -> None:
+        """An answer counts as accepted; what is turned away or not answered does not."""
+        self._fade(now)
+        self._accepts += status in (api.Status.OK, api.Status.ERROR)
+
+
+class Guarded(Balancer):
+    """The balancer with another way in place of its own limit."""
+
+    def __init__(self, told: api.Settings, seed: int, way: Way, budget: bool = True) -> None:
+        super().__init__(told, seed)
+        self._way, self._budget, self._now = way, budget, 0
+
+    def handle(self, event: api.Event, now: int) -> list[api.Action]:
+        """As ever; the way hears of what ends."""
+        self._now = now
+        if not self._budget:
+            self._retries.spare = 5.0
+        actions = super().handle(event, now)
+        if isinstance(event, api.AttemptEnded):
+            self._way.ended(event.status, event.latency_ns / SECOND, self._open, now / SECOND)
+        return actions
+
+    def _worth_now(self, density: float) -> bool:
+        return self._way.admits(self._open, self._now / SECOND)
+
+
+def build(way: str, told: api.Settings, seed: int) -> Balancer:
+    """One sidecar's balancer."""
+    if way == "ours":
+        return Balancer(told, seed)
+    if way == "none":
+        return Guarded(told, seed, NoLimit(), budget=False)
+    if way == "fixed":
+        cores = sum(node.cores for node in NODES)
+        return Guarded(told, seed, FixedLimit(3.0 * cores / SIDECARS))
+    if way == "gradient":
+        return Guarded(told, seed, GradientLimit())
+    return Guarded(told, seed, AdaptiveThrottle(random.Random(seed)))
+
+
+WAYS = ("ours", "none", "fixed", "gradient", "throttle")
+
+
+# --- the world -------------------------------------------------------------------------------------
+
+
+@dataclass(eq=False, slots=True)
+class Asked:
+    """What somebody asks for, over all its tries."""
+
+    cls: int
+    tenant: str | None
+    at: float
+    work: float
+    sidecar: int
+    tries: int = 0
+    answered: float | None = None
+
+    @property
+    def worth(self) -> float:
+        """What its answer was worth, in seconds of work."""
+        if self.answered is None:
+            return 0.0
+        return CLASSES[self.cls].work * (1.0 if self.answered - self.at <= CLASSES[self.cls].aim else 0.3)
+
+    @property
+    def in_time(self) -> bool:
+        """Whether it was answered within its aim."""
+        return self.answered is not None and self.answered - self.at <= CLASSES[self.cls].aim
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One attempt on its way."""
+
+    request: str
+    number: int
+    node: int
+    sent: float
+    job: Job | None = None
+    over: bool = False
+
+
+@dataclass
+class Demand:
+    """Requests a second over time, by tenant, and faults of nodes."""
+
+    seconds: float
+    rate: Callable[[float], float]
+    peak: float
+    tenants: Sequence[tuple[str | None, float]] = ((None, 1.0),)  # and their parts of the rate
+    fails: frozenset[int] = frozenset()  # nodes that answer 500 to everything
+
+
+@dataclass
+class World:
+    """Nodes, sidecars and clients; `run` plays a demand to its end."""
+
+    way: str
+    seed: int
+    told: api.Settings = field(default_factory=settings)
+    marks: bool = False
+    asked: list[Asked] = field(default_factory=list)
+    attempts: int = 0  # that nodes worked on, or failed
+
+    def run(self, demand: Demand) -> World:
+        """All that is asked within `demand.seconds`, and what comes of it."""
+        self.rng, self.now, self._count = random.Random(self.seed), 0.0, 0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.demand = demand
+        self.machines = [Machine(node, random.Random(f"{self.seed}/{n}"), 0.0, False)
+                         for n, node in enumerate(NODES)]  # fmt: skip
+        self.timers = [math.inf] * len(NODES)
+        self.balancers = [build(self.way, self.told, self.seed * 100 + n) for n in range(SIDECARS)]
+        self.open: dict[str, tuple[Asked, int, list[Attempt]]] = {}
+        entries = [
+            api.HostEntry(f"h{n}", f"z{n % 3}", f"k{node.cores}", 0, api.HostState.READY)
+            for n, node in enumerate(NODES)
+        ]
+        for number, balancer in enumerate(self.balancers):
+            self._act(number, balancer.start(0))
+            self._give(number, api.HostList(api.ListKind.SAVED, entries))
+        self._arrive()
+        end = demand.seconds + 2.0
+        while self.events and self.events[0][0] <= end:
+            self.now, _, call = heapq.heappop(self.events)
+            call()
+        return self
+
+    def _at(self, when: float, call: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self.events, (when, self._count, call))
+
+    # --- clients ---
+
+    def _arrive(self) -> None:
+        """The next first request: a Poisson stream, thinned to the rate of the moment."""
+        rng, demand = self.rng, self.demand
+        at = self.now
+        while True:
+            at += rng.expovariate(demand.peak)
+            if at > demand.seconds:
+                return
+            if rng.random() * demand.peak <= demand.rate(at):
+                break
+
+        def come() -> None:
+            cls = rng.choices(range(len(CLASSES)), [each.share for each in CLASSES])[0]
+            tenant = rng.choices(*zip(*demand.tenants, strict=True))[0]  # type: ignore[arg-type]
+            work = CLASSES[cls].work * rng.lognormvariate(-0.32, 0.8)
+            asked = Asked(cls, tenant, self.now, work, rng.randrange(SIDECARS))
+            self.asked.append(asked)
+            self._try(asked)
+            self._arrive()
+
+        self._at(at, come)
+
+    def _try(self, asked: Asked) -> None:
+        cls = CLASSES[asked.cls]
+        left = asked.at + cls.deadline - self.now
+        asked.tries += 1
+        self._count += 1
+        name = f"q{self._count}"
+        self.open[name] = asked, 0, []
+        self._give(
+            asked.sidecar,
+            api.RequestArrived(name, cls.name, asked.tenant, int(left * SECOND), None,
+                               self.marks and asked.tries > 1),
+        )  # fmt: skip
+
+    def _answered(self, name: str, refused: bool, wait: float) -> None:
+        """A refusal or a failure: the client may ask again."""
+        asked = self.open[name][0]
+        cls = CLASSES[asked.cls]
+        if asked.tries >= TRIES or (cls.effect is api.Effect.UNSAFE and not refused):
+            return
+        pause = self.rng.uniform(*BACKOFF)
+        if wait and self.rng.random() < HONOUR:
+            pause = max(pause, wait)
+        if self.now + pause < asked.at + cls.deadline - 0.02:
+            self._at(self.now + pause, lambda: self._try(asked))
+
+    # --- sidecars ---
+
+    def _give(self, number: int, event: api.Event) -> None:
+        self._act(number, self.balancers[number].handle(event, int(self.now * SECOND)))
+
+    def _act(self, number: int, actions: list[api.Action]) -> None:
+        for action in list(actions):
+            if isinstance(action, api.SetTimer):
+                token = action.token
+                self._at(
+                    max(action.at_ns / SECOND, self.now),
+                    lambda: self._give(number, api.TimerFired(token)),
+                )
+            elif isinstance(action, api.Send):
+                self._send(number, action)
+            elif isinstance(action, api.Refuse):
+                self._answered(action.request, True, action.retry_after_ns / SECOND)
+            elif isinstance(action, api.Fail):
+                self._answered(action.request, False, 0.0)
+            elif isinstance(action, api.Cancel):
+                attempt = self.open[action.request][2][action.attempt]
+                self._end(number, attempt, api.Status.CANCELLED)
+
+    def _send(self, number: int, action: api.Send) -> None:
+        asked, _, attempts = self.open[action.request]
+        attempt = Attempt(action.request, len(attempts), int(action.host[1:]), self.now)
+        attempts.append(attempt)
+        due = asked.at + CLASSES[asked.cls].deadline
+        if action.timeout_ns:
+            due = min(due, self.now + action.timeout_ns / SECOND)
+        self._at(self.now + LATENCY, lambda: self._reach(number, attempt, asked))
+        self._at(due, lambda: self._end(number, attempt, api.Status.TIMEOUT))
+
+    def _end(self, number: int, attempt: Attempt, status: api.Status,
+             report: api.LoadReport | None = None) -> None:  # fmt: skip
+        if attempt.over:
+            return
+        attempt.over = True
+        if status is not api.Status.OK and attempt.job is not None:
+            machine = self.machines[attempt.node]
+            if not machine.runs(attempt.job) and machine.drop(attempt.job, self.now):
+                self._wake(attempt.node)
+        asked = self.open[attempt.request][0]
+        served = status is api.Status.OK
+        if served and asked.answered is None:
+            asked.answered = self.now
+        closed = served or self.now >= asked.at + CLASSES[asked.cls].deadline + 0.01
+        latency = int((self.now - attempt.sent) * SECOND)
+        self._give(number, api.AttemptEnded(attempt.request, attempt.number, f"h{attempt.node}", status,
+                                            latency, closed, report))  # fmt: skip
+
+    # --- nodes ---
+
+    def _reach(self, number: int, attempt: Attempt, asked: Asked) -> None:
+        node, machine = attempt.node, self.machines[attempt.node]
+        if attempt.over:
+            return
+
+        def reply(status: api.Status) -> None:
+            seen = machine.report(self.now)
+            report = api.LoadReport(seen.utilization, seen.throughput) if seen else None
+            self._at(self.now + LATENCY, lambda: self._end(number, attempt, status, report))
+
+        machine.advance(self.now)
+        if node in self.demand.fails:
+            self.attempts += 1
+            reply(api.Status.ERROR)
+        elif machine.full:
+            reply(api.Status.FULL)
+        else:
+            self.attempts += 1
+            noise = NODES[node].work_noise
+            work = asked.work * math.exp(noise * self.rng.gauss(0, 1) - noise**2 / 2)
+            attempt.job = Job(work, lambda at: True, lambda at: reply(api.Status.OK))
+            machine.add(attempt.job, self.now)
+            self._wake(node)
+
+    def _wake(self, node: int) -> None:
+        at = self.machines[node].next_at()
+        if at is None or at >= self.timers[node]:
+            return
+        self.timers[node] = at
+
+        def turn() -> None:
+            if self.timers[node] == at:
+                self.timers[node] = math.inf
+            self.machines[node].advance(self.now)
+            self._wake(node)
+
+        self._at(max(at, self.now), turn)
+
+
+# --- experiments -----------------------------------------------------------------------------------
+
+
+def steady(way: str, load: float, seed: int) -> float:
+    """Served worth at a load, as a part of what the fleet can serve."""
+    rate = load * RATE
+    world = World(way, seed).run(Demand(WARM_UP + MEASURED, lambda at: rate, rate))
+    worth = sum(asked.worth for asked in world.asked if asked.at >= WARM_UP)
+    return worth / (CAPACITY * MEASURED)
+
+
+def pulse(way: str, seed: int) -> tuple[float, float]:
+    """Seconds after a pulse until service is whole again for good, and worth served during the pulse."""
+    usual, until = PULSE_LOAD * RATE, PULSE_AT + PULSE_SECONDS
+
+    def rate(at: float) -> float:
+        return usual * (PULSE_TIMES if PULSE_AT <= at < until else 1.0)
+
+    demand = Demand(until + 8.0, rate, usual * PULSE_TIMES)
+    world = World(way, seed).run(demand)
+    windows: dict[int, list[bool]] = {}
+    for asked in world.asked:
+        if asked.at >= until:
+            windows.setdefault(int((asked.at - until) / WINDOW), []).append(asked.in_time)
+    bad = [at for at, seen in windows.items() if sum(seen) < WHOLE * len(seen)]
+    worth = sum(asked.worth for asked in world.asked if PULSE_AT <= asked.at < until)
+    return (max(bad) + 1) * WINDOW if bad else 0.0, worth / (CAPACITY * PULSE_SECONDS)
+
+
+def failing(way: str, seed: int, marks: bool) -> tuple[float, float]:
+    """Work that reaches nodes over what is first asked, and the part served, with a third failing."""
+    rate = 0.4 * RATE
+    world = World(way, seed, marks=marks)
+    world.run(Demand(10.0, lambda at: rate, rate, fails=frozenset({1, 4})))
+    return world.attempts / len(world.asked), sum(a.answered is not None for a in world.asked) / len(
+        world.asked
+    )
+
+
+def greedy(way: str, seed: int) -> tuple[float, float]:
+    """The part served of a marketplace within its share, and of one that sends 20 times its own."""
+    shares = {"modest": 0.3, "greedy": 0.5}  # of what the fleet can serve
+    told = settings(tuple(api.Tenant(name, share, share * RATE) for name, share in shares.items()))
+    rates = {"modest": 0.9 * shares["modest"] * RATE, "greedy": GREEDY_TIMES * shares["greedy"] * RATE}
+    rate = sum(rates.values())
+    tenants = [(name, part / rate) for name, part in rates.items()]
+    world = World(way, seed, told)
+    world.run(Demand(8.0, lambda at: rate, rate, tenants))
+    served = {name: [a.in_time for a in world.asked if a.tenant == name and a.at >= 3.0] for name in shares}
+    return tuple(sum(each) / len(each) for each in served.values())  # type: ignore[return-value]
