--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -24,6 +24,7 @@
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 from brambleusher.lab.stand_ins.machine import Job, Machine
 from brambleusher.lab.stand_ins.settings import NodeSettings
@@ -322,7 +323,7 @@
 
         def come() -> None:
             cls = rng.choices(range(len(CLASSES)), [each.share for each in CLASSES])[0]
-            tenant = rng.choices(*zip(*demand.tenants, strict=True))[0]  # type: ignore[arg-type]
+            tenant = rng.choices(*zip(*demand.tenants, strict=True))[0]
             work = CLASSES[cls].work * rng.lognormvariate(-0.32, 0.8)
             asked = Asked(cls, tenant, self.now, work, rng.randrange(SIDECARS))
             self.asked.append(asked)
@@ -364,11 +365,8 @@
     def _act(self, number: int, actions: list[api.Action]) -> None:
         for action in list(actions):
             if isinstance(action, api.SetTimer):
-                token = action.token
-                self._at(
-                    max(action.at_ns / SECOND, self.now),
-                    lambda: self._give(number, api.TimerFired(token)),
-                )
+                when = max(action.at_ns / SECOND, self.now)
+                self._at(when, partial(self._give, number, api.TimerFired(action.token)))
             elif isinstance(action, api.Send):
                 self._send(number, action)
             elif isinstance(action, api.Refuse):
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -701,11 +701,10 @@
 
         Guards against connections that fall silent under a request.  A crowd answers in the order in which
         it was asked; one that later ones overtake is not waiting its turn.  Counted as out, a few such hold
-        every place under the limit, and their age makes idle hosts look late.
+        every place under the limit, and their age makes idle hosts look late.  Where hosts are busy, heavy
+        requests are overtaken too: nothing is written off there.
         """
-        for host in self._turn.ring:
-            if not host.out or next(iter(host.out.values()))[1] >= host.passed[0]:
-                continue
+        for host in self._turn.ring if self._mean_util < 1 - RESERVE else ():
             for key, (request, sent) in list(host.out.items()):
                 if sent >= host.passed[0]:
                     break
--- a/quillpass/places.py
+++ b/quillpass/places.py
@@ -126,7 +126,7 @@
         self._sorts: dict[tuple[str, int], Sort] = {}
         self._index: dict[tuple[str, int], list[float]] = {}
         self._learnt = -math.inf
-        self._accepts, self._firsts = Inflow(), Inflow()  # connections, and of them those that asked
+        self._firsts = Inflow()  # of connections that asked
         self.idle = self.silent = 0
 
     # --- what happens -----------------------------------------------------------------------------
@@ -134,7 +134,6 @@
     def opened(self, conn: Hashable, peer: str, now: float) -> None:
         """A connection was accepted; it has said nothing yet."""
         held = self._held[conn] = _Held(peer)
-        self._accepts.came(now)
         self._wait(conn, held, now)
 
     def asked(self, conn: Hashable, now: float) -> None:
@@ -219,7 +218,7 @@
             yield worst[1]
 
     def _crowd(self, now: float) -> int:
-        return len(self._held) + self._accepts.due(now) - self.most
+        return len(self._held) + self._firsts.due(now) - self.most
 
     def _short(self, now: float) -> int:
         """How many places are wanting for those that will come."""
@@ -240,7 +239,7 @@
         """
         indices, found = self._indices(now), None
         share = self._share(own)
-        silent_too = self._crowd(now) > 0
+        silent_too = self._crowd(now) > 0 or len(self._held) >= self.most
         for (peer, tenant, asks), waiting in self._waiting.items():
             holder = (peer, tenant)
             if asks and self._idle_of[holder] + (holder == own) < share:
