--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -673,6 +673,7 @@
             # is well, and cutting it fills the next one.
             self._index_n += 1
             host.turned += 1
+            host.shut_ns = now + int(self._unit_ns * (1 - host.welcome))
             self._full_sum, self._turned = self._full_sum + 1, self._turned + 1
         elif status not in (Status.CANCELLED, Status.MOOT):
             host.failed += 1
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,175 @@
+"""What holds in a crowd and lets go after it: written-off attempts, hosts that turn away, one budget."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from quillpass import Balancer, api
+from quillpass.retries import BURST, SHARE, Retries
+from tests.rules import MS, SECOND
+from tests.test_design import entry
+
+SAFE = api.RequestClass("safe", 500 * MS, 2 * SECOND, 1.0)
+ONCE = api.RequestClass("once", 500 * MS, 2 * SECOND, 1.0, effect=api.Effect.UNSAFE)
+
+
+def build(hosts: int = 3, **changes: object) -> Balancer:
+    settings = api.Settings(
+        zone="a", classes=(SAFE, ONCE), fleet_size=1, max_attempts=4, second_copies=True, can_cancel=True,
+        **changes,  # type: ignore[arg-type]
+    )  # fmt: skip
+    balancer = Balancer(settings, 3)
+    balancer.start(0)
+    balancer.handle(api.HostList(api.ListKind.SAVED, [entry(f"h{n}") for n in range(hosts)]), 0)
+    return balancer
+
+
+class Drive:
+    """Requests that are answered within 20 ms, but for some that never are."""
+
+    def __init__(self, balancer: Balancer) -> None:
+        self.balancer, self.now, self.count = balancer, 0, 0
+        self.sent: dict[str, list[str]] = {}
+        self.actions: list[api.Action] = []
+
+    def ask(self, cls: str = "safe", answered: bool = True) -> str:
+        self.count += 1
+        name = f"q{self.count}"
+        self._take(self.balancer.handle(api.RequestArrived(name, cls, None, 2 * SECOND), self.now))
+        self.now += 20 * MS
+        if answered and name in self.sent:
+            self.end(name, 0, api.Status.OK)
+        return name
+
+    def end(self, name: str, attempt: int, status: api.Status, util: float = 0.2) -> list[api.Action]:
+        host, report = self.sent[name][attempt], api.LoadReport(util, 50.0)
+        event = api.AttemptEnded(name, attempt, host, status, 20 * MS, status is api.Status.OK, report)
+        return self._take(self.balancer.handle(event, self.now))
+
+    def tick(self) -> list[api.Action]:
+        return self._take(self.balancer.handle(api.TimerFired(0), self.now))
+
+    def _take(self, actions: list[api.Action]) -> list[api.Action]:
+        self.actions += actions
+        for action in actions:
+            if isinstance(action, api.Send):
+                self.sent.setdefault(action.request, []).append(action.host)
+        return list(actions)
+
+
+class WrittenOff(unittest.TestCase):
+    def silent(self, cls: str, util: float = 0.2) -> tuple[Drive, str]:
+        """One that is never answered, among rounds of eight that are."""
+        drive = Drive(build())
+
+        def rounds(count: int) -> None:
+            for _ in range(count):
+                names = [drive.ask(answered=False) for _ in range(8)]
+                for each in names:
+                    drive.end(each, 0, api.Status.OK, util)
+                drive.tick()
+
+        rounds(2)
+        name = drive.ask(cls, answered=False)
+        rounds(4)
+        return drive, name
+
+    def test_one_that_was_overtaken_is_sent_elsewhere_and_counted_no_more(self) -> None:
+        drive, name = self.silent("safe")
+        first, second = drive.sent[name]
+        self.assertNotEqual(first, second)
+        self.assertEqual(drive.balancer._open, 1)  # the copy
+        actions = drive.end(name, 1, api.Status.OK)
+        self.assertIn(api.Cancel(name, 0), actions)  # what is out for it is called off
+        drive.end(name, 0, api.Status.CANCELLED)
+        self.assertEqual((drive.balancer._open, drive.balancer._requests), (0, {}))
+
+    def test_one_that_must_not_run_twice_is_not_copied_and_holds_no_place(self) -> None:
+        drive, name = self.silent("once")
+        self.assertEqual(len(drive.sent[name]), 1)
+        self.assertEqual(drive.balancer._open, 0)
+        late = drive.end(name, 0, api.Status.OK)  # it was answered after all
+        self.assertEqual([action for action in late if isinstance(action, api.Cancel)], [])
+        self.assertEqual((drive.balancer._open, drive.balancer._requests), (0, {}))
+
+    def test_where_hosts_are_busy_nothing_is_written_off(self) -> None:
+        """Guards against a heavy request on a busy host being taken for a silent connection."""
+        drive, name = self.silent("safe", util=0.95)
+        self.assertEqual(len(drive.sent[name]), 1)
+        self.assertEqual(drive.balancer._open, 1)
+
+    def test_a_copy_that_fails_ends_the_request_at_once(self) -> None:
+        """Guards against a client kept waiting for a silent connection after its copy has failed."""
+        drive, name = self.silent("safe")
+        drive.balancer._retries.spare = 0.0
+        actions = drive.end(name, 1, api.Status.ERROR)
+        self.assertIn(api.Refuse, [type(action) for action in actions])
+        self.assertIn(api.Cancel(name, 0), actions)
+
+    def test_in_a_queue_nothing_is_overtaken(self) -> None:
+        """Guards against a crowd taken for silence: answers in the order of the sends, late as they are."""
+        drive = Drive(build(1))
+        names = [drive.ask(answered=False) for _ in range(40)]
+        for name in names:
+            drive.now += 30 * MS
+            if name in drive.sent:
+                drive.end(name, 0, api.Status.OK)
+            drive.tick()
+        self.assertTrue(all(len(sent) == 1 for sent in drive.sent.values()))
+
+
+class TurnedAway(unittest.TestCase):
+    def test_a_host_that_turns_away_with_room_left_draws_few_turns(self) -> None:
+        """Guards against the recorded day: five of twelve turned away and reported that they were idle."""
+        for util, expected in ((0.1, True), (0.95, False)):
+            with self.subTest(util=util):
+                drive = Drive(build(4))
+                for _ in range(240):
+                    name = drive.ask(answered=False)
+                    for attempt in range(4):
+                        if len(drive.sent[name]) > attempt:
+                            bad = drive.sent[name][attempt] == "h0"
+                            drive.end(name, attempt, api.Status.FULL if bad else api.Status.OK, util)
+                    drive.tick()
+                weights = {host.name: host.weight for host in drive.balancer._hosts.values()}
+                asked = sum(sent.count("h0") for sent in drive.sent.values())
+                self.assertEqual(asked < 24, expected, f"{asked} of 240")
+                self.assertEqual(weights["h0"] < 8.0, expected)
+
+
+class Budget(unittest.TestCase):
+    def test_work_stays_within_the_share_over_random_histories(self) -> None:
+        """The bound is on what was worked on: first work for a repeat of what was never worked on is free."""
+        for seed in range(50):
+            rng, retries = random.Random(seed), Retries()
+            firsts, work, refused = 0, 0, 0
+            for _ in range(2000):
+                roll = rng.random()
+                if roll < 0.4:
+                    firsts += 1
+                    retries.asked()
+                    if rng.random() < 0.5:
+                        work += 1
+                    else:
+                        refused += 1
+                        retries.unworked()
+                elif roll < 0.7:
+                    work += retries.repeated()
+                elif roll < 0.9:
+                    work += retries.spend()
+                else:
+                    retries.fade(rng.random())
+            self.assertLessEqual(work, (1 + SHARE) * firsts + BURST, f"seed {seed}")
+            self.assertGreater(refused, 0)
+
+    def test_a_client_that_asks_again_draws_on_it(self) -> None:
+        drive = Drive(build(3))
+        drive.balancer._retries.spare = 1.0
+        asked = [
+            drive.balancer.handle(api.RequestArrived(f"r{n}", "safe", None, SECOND, is_retry=True), 1)
+            for n in range(3)
+        ]
+        self.assertEqual(
+            [type(actions[0]) for actions in asked], [api.Send, api.Refuse, api.Send]
+        )  # the third is the repeat of the second, which nobody worked on
