--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -353,8 +353,8 @@
         self._mean_capacity = sum(seen) / len(seen) if seen else self._mean_capacity
         for kind in {host.kind for host, _ in warm}:
             self._kind_capacity[kind] = median(cap for host, cap in warm if host.kind == kind)
-        used = sum(host.util * cap for host, cap in warm)
-        self._mean_util = used / sum(cap for _, cap in warm) if warm else 0.0
+        used = sum(host.util * cap * host.welcome for host, cap in warm)
+        self._mean_util = used / sum(cap * host.welcome for host, cap in warm) if warm else 0.0
         lean = max(0.0, RESERVE - (1 - self._mean_util))
         spares: list[float | None] = []
         for host, part in zip(ring, warmth, strict=True):
@@ -456,7 +456,8 @@
         rate = sum(rates) / len(rates) if rates else self._mean_capacity
         best = self._best_rate * math.exp(-gap / BEST_WINDOW) or max(rate, 1e-9)
         self._best_rate = best + max(rate - best, 0.0) * min(gap / HEALTH_WINDOW, 1.0)
-        due = self._my_share * rate * self._ready * held / SECOND * min(rate / self._best_rate, 1.0)
+        takes = sum(host.welcome for host in ring) / max(len(ring), 1)
+        due = self._my_share * rate * takes * self._ready * held / SECOND * min(rate / self._best_rate, 1.0)
         goal = held / max(aim * GOAL_OF_AIM, 1.0) if counts >= 1 else PI_GOAL
         change = min(max(goal / max(index, 0.1) - 1, -0.5), 0.5)
         # Where little is served at all, hosts still work on what was given up: wait for them.  But an attempt
--- a/quillpass/places.py
+++ b/quillpass/places.py
@@ -30,6 +30,7 @@
 LEARN_SECONDS = 0.25  # between two looks at the waits that are still going on
 AHEAD_SECONDS = 0.1  # new connections of so long find a place at once: by then others have ended
 PEAK_SECONDS = 5.0  # in which the most that came at once is forgotten
+VALUED = 2.0  # asks a second: a place that does so much is given up only when there is no other left
 SILENT = ""
 
 
@@ -167,7 +168,8 @@
         if self._idle_of[held.holder] + 1 < self._share(held.holder):
             return True
         own, worst = self._indices(now)[sort][0], self._worst(now, held.holder)
-        return worst is not None and worst[0] < own
+        # One that asks again soon takes no place from anyone: its client opens no further one for that.
+        return own >= VALUED or (worst is not None and worst[0] < own)
 
     def rests(self, conn: Hashable, now: float) -> None:
         """A connection has its answer and waits."""
@@ -202,7 +204,7 @@
         passed: set[Hashable] = set()
         while self._short(now) > 0:
             worst = self._worst(now, None, passed)
-            if worst is None:
+            if worst is None or worst[0] >= VALUED:
                 return
             passed.add(worst[1])
             yield worst[1]
