--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -241,8 +241,8 @@
         self._kind_capacity: dict[str, float] = {}
         # Own traffic.
         self._lat_n, self._lat_sum = [0.0] * count, [0.0] * count
-        self._quiet_ns = [cls.aim_ns * WAIT_OF_AIM for cls in settings.classes]
-        self._index_n, self._served_rate, self._span, self._retries = 0.0, 0.0, 1e-9, Retries(count)
+        self._quiet_ns = [float(cls.aim_ns) for cls in settings.classes]
+        self._index_n, self._served_rate, self._span, self._retries = 0.0, 0.0, 1e-9, Retries()
         # Admission.
         self._limit, self._offered, self._logged_ns = math.inf, 1e-9, 0
         self._full_sum = self._turned = self._best_rate = 0.0
@@ -414,11 +414,10 @@
 
     # --- admission ----------------------------------------------------------------------------
 
-    def _worth_density(self, event: api.RequestArrived, cls: int, now: int, spent: float) -> float:
+    def _worth_density(self, event: api.RequestArrived, cls: int, now: int) -> float:
         """Worth per unit of work, as it is counted here; beyond a tenant's share little is left."""
         settings = self.settings
-        kind, worth = settings.classes[cls], settings.classes[cls].worth
-        worth *= kind.late_worth if spent >= kind.aim_ns else 1.0  # its client has waited before
+        worth = settings.classes[cls].worth
         tenant = self._quota.get(event.tenant or "")
         if tenant is not None and tenant.quota_per_s > 0:
             rate = tenant.quota_per_s * self._my_share
@@ -458,17 +457,15 @@
         best = self._best_rate * math.exp(-gap / BEST_WINDOW) or max(rate, 1e-9)
         self._best_rate = best + max(rate - best, 0.0) * min(gap / HEALTH_WINDOW, 1.0)
         takes = sum(host.welcome for host in ring) / max(len(ring), 1)
-        part = max(self._my_share, 1 / settings.fleet_size)  # by its share alone, one cut down would stay so
-        due = part * rate * takes * self._ready * held / SECOND * min(rate / self._best_rate, 1.0)
+        due = self._my_share * rate * takes * self._ready * held / SECOND * min(rate / self._best_rate, 1.0)
         goal = held / max(aim * GOAL_OF_AIM, 1.0) if counts >= 1 else PI_GOAL
-        change = min(max(goal / max(index, 0.1) - 1, -0.5), 1.0)
+        change = min(max(goal / max(index, 0.1) - 1, -0.5), 0.5)
         # Where little is served at all, hosts still work on what was given up: wait for them.  But an attempt
         # a host, of all proxies together, crowds nobody: a limit below that is held down by the little it
         # lets through, and by the few of it that are never answered, while hosts are idle.
-        crowded = busy or self._tight
-        floor = due * (sum(host.health for host in ring) / max(len(ring), 1) / 3 if crowded else 1.0)
+        floor = due / 3 * sum(host.health for host in ring) / max(len(ring), 1)
         floor = max(floor, self._my_share * self._ready)
-        top = due if crowded else max(due * 2, 2.0 * self._open, len(ring))
+        top = due if busy or self._tight else max(due * 2, 2.0 * self._open, len(ring))
         self._limit = min(max(self._limit * (1 + change * min(gap, 1.0)), floor), top)
         if not self._open and self._index_n < 1:
             # Guards against the first burst of a proxy that has been idle meeting the limit of an idle one:
@@ -496,14 +493,13 @@
     def _arrived(self, event: api.RequestArrived, now: int) -> None:
         cls = self._classes[event.request_class]
         self._rate += 1
-        spent, again = self._retries.waited(cls, event.left_ns)
-        density = self._worth_density(event, cls, now, spent)
+        density = self._worth_density(event, cls, now)
         self._densities.append(density)
         request, welcome = Request(event.request, cls, now, event.left_ns), self._worth_now(density)
-        if not (event.is_retry or again):
+        if not event.is_retry:
             self._retries.asked()
-        else:
-            welcome = welcome and self._retries.repeated()
+        elif welcome:
+            welcome = self._retries.repeated()
         host = self._pick(request, now) if welcome else None
         if host is None:
             self._retries.unworked()
@@ -556,11 +552,12 @@
             self._out.append(api.LetGo(host.name))
             idle = 0
         doubted = idle > self._unit_ns * IDLE_DOUBT and self._trust_ns < self._idle_ns
-        usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
         if doubted and cls.effect is not Effect.UNSAFE and left > 1:
-            timeout = int(min(3 * usual or math.inf, cls.aim_ns / 2, (request.deadline_ns - now) / 2))
+            usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0) or math.inf
+            timeout = int(min(3 * usual, cls.aim_ns / 2, (request.deadline_ns - now) / 2))
         if self._silent > 1 and not self._late and cls.effect is Effect.SAFE and left > 1 and not timeout:
             # Guards against connections that fell silent under a request, while there is room elsewhere.
+            usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
             patience = max(SILENCE * usual, cls.aim_ns * GOAL_OF_AIM)
             timeout = int(patience) if now + 2 * patience < request.deadline_ns else 0
         host.out[(request.id, len(request.attempts))] = (request, now)
@@ -577,8 +574,10 @@
             return False
         if request.out and not self.settings.second_copies:
             return False
-        if cls.effect is not Effect.KEYED or not (request.ran or request.out):
-            return cls.effect is Effect.SAFE or not (request.ran or request.out)
+        if cls.effect is Effect.SAFE or not (request.ran or request.out):
+            return True
+        if cls.effect is Effect.UNSAFE:
+            return False
         # Keyed: the resend has to arrive, connection and all, while the group still remembers.
         if request.origin is None:
             request.origin, request.first_ran_ns, _ = request.attempts[-1]
@@ -880,12 +879,9 @@
         if throughput > 0 and self._served_rate > 0:
             mine = self._served_rate / self._span  # the span is short after a restart, and so unbiased
             self._my_share = min(1.0, max(mine / throughput, 0.1 / self.settings.fleet_size))
-        for cls, (count, quiet) in enumerate(zip(self._lat_n, self._quiet_ns, strict=True)):
-            # Down soon, up slowly and in calm alone: a crowd's first answers must not pass for usual ones.
-            mean = self._lat_sum[cls] / max(count, 1e-9)
-            if count >= 1 and (mean < quiet or (not self._tight and self._mean_util < 1 - RESERVE)):
-                down = quiet - (quiet - mean) * min(count / SAMPLES, 1.0)
-                self._quiet_ns[cls] = min(quiet * math.exp(gap / BEST_WINDOW), down)
+        for cls, count in enumerate(self._lat_n):
+            if count >= 1 and not self._tight and self._mean_util < 1 - RESERVE:
+                self._quiet_ns[cls] = self._lat_sum[cls] / count
         if self._ask_at is not None and now >= self._ask_at:
             self._ask_at = None
             self._out.append(api.Subscribe())
