--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -232,7 +232,9 @@
     def _close_idle(self, connection: Connection) -> None:
         self._forget(connection)
         if connection.task is not None:
-            connection.task.cancel()  # its task closes it
+            connection.task.cancel()
+        # Guards against a connection left open: a task called off before its first step closes nothing.
+        connection.stream.close()
 
     def _forget(self, connection: Connection) -> None:
         self._connections.discard(connection)
