--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -191,7 +191,7 @@
 
     def _accept_all(self, listener: Socket) -> None:
         while True:
-            if self._places.taken >= self._places.most and not self._make_room(one_more=True):
+            if self._places.taken >= self._places.most and not self._make_room(self._places.most):
                 self._counters.add("accepts_put_off")
                 self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
             elif not self._accept_one(listener):
@@ -207,7 +207,7 @@
             if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                 # Guards against a loop at full speed, and against dying, while no descriptor is free.
                 log.warning("no descriptor to accept with", extra={"fields": {"error": error.strerror}})
-                self._make_room(one_more=True)
+                self._make_room(self._places.taken)
                 self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
             return True  # others concern the connection that was to be taken, and it is gone
         self._counters.add("connections_accepted")
@@ -217,10 +217,14 @@
         connection.task = self._scheduler.spawn(self._serve, connection, name="submitter")
         return True
 
-    def _make_room(self, one_more: bool = False) -> bool:
-        """Close those between requests that the budget gives up; false if that closed none."""
+    def _make_room(self, most: int | None = None) -> bool:
+        """Close those between requests that the budget gives up, or one more; false if that closed none.
+
+        With `most`, one more is waiting to be accepted and there can't be more than so many.
+        """
         now, closed = self._scheduler.now(), False
-        for each in self._places.for_one_more(now) if one_more else self._places.surplus(now):
+        places = self._places
+        for each in places.surplus(now) if most is None else places.for_one_more(now, most):
             assert isinstance(each, Connection)
             if each.stream.quiet():  # guards against a request that has come and was not read yet
                 silent = "" if each.asked else "_silent"
--- a/quillpass/places.py
+++ b/quillpass/places.py
@@ -209,11 +209,12 @@
             passed.add(worst[1])
             yield worst[1]
 
-    def for_one_more(self, now: float) -> Iterator[Hashable]:
-        """The same for a connection that waits to be accepted while every place is taken."""
+    def for_one_more(self, now: float, most: int | None = None) -> Iterator[Hashable]:
+        """The same for a connection that waits to be accepted while every place is taken, or `most` are."""
+        most = self.most if most is None else most
         passed: set[Hashable] = set()
-        while len(self._held) >= self.most:
-            worst = self._worst(now, None, passed)
+        while len(self._held) >= most:
+            worst = self._worst(now, None, passed, silent_too=True)
             if worst is None:
                 return
             passed.add(worst[1])
@@ -233,7 +234,11 @@
         return (self.idle + (own is not None)) / max(holders, 1)
 
     def _worst(
-        self, now: float, own: tuple[str, str] | None, passed: set[Hashable] | None = None
+        self,
+        now: float,
+        own: tuple[str, str] | None,
+        passed: set[Hashable] | None = None,
+        silent_too: bool = False,
     ) -> tuple[float, Hashable] | None:
         """The waiting connection of least worth among holders that have more than an even share.
 
@@ -241,7 +246,7 @@
         """
         indices, found = self._indices(now), None
         share = self._share(own)
-        silent_too = self._crowd(now) > 0 or len(self._held) >= self.most
+        silent_too |= self._crowd(now) > 0
         for (peer, tenant, asks), waiting in self._waiting.items():
             holder = (peer, tenant)
             if asks and self._idle_of[holder] + (holder == own) < share:
--- a/tests/test_virtual_sidecar.py
+++ b/tests/test_virtual_sidecar.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from unittest import mock
 
 from brambleusher.config import parse_config
 from brambleusher.lab.world import VirtualSystem
@@ -46,7 +47,8 @@
             stream.close()
         return answers
 
-    assert [bool(each) for each in lab.do(two)] == [False, True]
+    with mock.patch("quillpass.places.FRESH_SECONDS", 0.0):
+        assert [bool(each) for each in lab.do(two)] == [False, True]
     lab.world.run(lab.world.now_ns + SECOND)
     assert made[0].submitters.connections == 0
     assert process.descriptors == before
