--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -64,6 +64,8 @@
         self.node.script = lambda sock, request: held.put(sock)
         waiting = rig.send("waits")
         sock = held.get(timeout=WAIT)
+        # Guards against a page built while the request before it was still in flight.
+        until(lambda: self.shown(rig)["answers_per_minute"] != {"look": 0, "move": 4})
         until(lambda: self.shown(rig)["inflight"] == {"look": 1, "move": 0})
         now = json.loads(self.ask(rig).body)
         (server,) = now["servers"]
