Experiments: a matrix in virtual time or on sockets, results in SQLite, comparisons, a page

Need: what a setting is worth could only be guessed; demand could be played, but not again and again. Change: worlds, demands, settings and seeds as a matrix; each run checked against every rule in virtual time; results that a stopped run goes on from; paired differences with bootstrap intervals; one HTML page. A fleet can be given another kind of node.

--- a/brambleusher/cli/lab.py
+++ b/brambleusher/cli/lab.py
@@ -30,3 +30,80 @@
     except WorldError as error:
         print(f"brambleusher: {error}", file=sys.stderr)
         return 1
+
+
+@command.command("run", help="Run an experiment: a matrix of worlds, demands, settings and seeds.")
+@click.argument("experiment", type=FILE)
+@click.option("-o", "--out", type=FILE, metavar="FILE", help="Results.  [default: beside it, .sqlite]")
+@click.option("--jobs", type=click.IntRange(1, 256), metavar="N", help="Processes.  [default: one a core]")
+@click.option("--json", "as_json", is_flag=True, help="The figures of every cell as JSON at the end.")
+def run_command(experiment: Path, out: Path | None, jobs: int | None, as_json: bool) -> int:
+    """Run what the results don't have yet; 1 if a cell failed or a rule was broken."""
+    import json
+
+    from brambleusher.lab.experiments.matrix import run_all, told
+    from brambleusher.lab.experiments.plan import ExperimentError, read_experiment
+    from brambleusher.lab.experiments.store import Store, StoreError
+
+    out = out or experiment.with_suffix(".sqlite")
+    try:
+        file, cells = read_experiment(experiment)
+        failed = run_all(file, cells, out, jobs, told)
+        with Store(out) as store:
+            figures = {cell.title: store.figures(cell.id) for cell in store.cells()}
+    except (ExperimentError, StoreError) as error:
+        print(f"brambleusher: {error}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        return 130
+    if as_json:
+        print(json.dumps(figures))
+    print(f"{len(cells) - failed} of {len(cells)} cells are in {out}", file=sys.stderr)
+    return 1 if failed or any(each.get("breaches") for each in figures.values()) else 0
+
+
+@command.command("compare", help="Paired differences of A and B, each a results file or FILE:SETTINGS.")
+@click.argument("first", metavar="A")
+@click.argument("second", metavar="B")
+@click.option("--all", "everything", is_flag=True, help="Each node's load, too.")
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+def compare_command(first: str, second: str, everything: bool, as_json: bool) -> int:
+    """Differences over pairs of cells with the same world, demand, seed and place."""
+    import json
+    from dataclasses import asdict
+
+    from brambleusher.lab.experiments.compare import Side, compare, texts
+    from brambleusher.lab.experiments.store import StoreError
+
+    try:
+        differences = compare(Side.of(first), Side.of(second))
+    except StoreError as error:
+        print(f"brambleusher: {error}", file=sys.stderr)
+        return 1
+    if as_json:
+        print(json.dumps([{**asdict(each), "clear": each.clear} for each in differences]))
+    else:
+        print("\n".join(texts(differences, everything)))
+    return 0
+
+
+@command.command("report", help="One page on an experiment, with everything in it.")
+@click.argument("results", type=FILE)
+@click.option("-o", "--out", type=FILE, metavar="FILE", help="The page.  [default: beside it, .html]")
+def report_command(results: Path, out: Path | None) -> int:
+    """One HTML page."""
+    from brambleusher.lab.experiments.report import page
+    from brambleusher.lab.experiments.store import Store, StoreError
+
+    out = out or results.with_suffix(".html")
+    try:
+        with Store(results) as store:
+            out.write_text(page(store), encoding="utf-8")
+    except StoreError as error:
+        print(f"brambleusher: {error}", file=sys.stderr)
+        return 1
+    except OSError as error:
+        print(f"brambleusher: {out}: {error.strerror}", file=sys.stderr)
+        return 1
+    print(out)
+    return 0
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -210,7 +210,7 @@
 
         def main(system: VirtualSystem) -> None:
             scheduler = Scheduler(system)
-            self.node = Node(
+            self.node = fleet.new_node(
                 scheduler, self.figures.settings, name, fleet.scenario.seed, process=number, cold=cold,
                 executions=fleet.executions, troubles=self.troubles,
             )  # fmt: skip
@@ -526,6 +526,7 @@
         self.begins_ns = self.world.now_ns + int(LEAD_IN_S * SECOND)
         self.ends_ns = self.begins_ns + int(figures.length_s * SECOND)
         self.running: list[Fault] = []
+        self.new_node: Callable[..., Node] = Node  # for experiments that need another one
 
     # --- figures --------------------------------------------------------------------------------
 
--- a/brambleusher/lab/real_fleet.py
+++ b/brambleusher/lab/real_fleet.py
@@ -13,7 +13,7 @@
 import tempfile
 import time
 from collections import deque
-from collections.abc import Callable, Mapping, MutableSequence
+from collections.abc import Callable, MutableSequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -95,19 +95,19 @@
         world: WorldFile,
         folder: Path,
         *,
-        operator: Mapping[str, Any] | None = None,
         executions: MutableSequence[Execution] | None = None,
         new_node: Callable[..., Node] = Node,
         seed: int | None = None,
+        sidecars: bool = True,
     ) -> None:
-        """`operator` is laid over the sidecars' operator file; without `executions`, the last are kept."""
+        """Without `executions` the last ones are kept; without `sidecars` there are nodes alone."""
         self.scheduler, self.world, self.folder = scheduler, world, folder
         self.figures: WorldFigures = world.figures()
         self.seed = world.seed if seed is None else seed
         self.executions: MutableSequence[Execution] = (
             deque(maxlen=KEPT_EXECUTIONS) if executions is None else executions
         )
-        self._operator = dict(operator or {})
+        self._with_sidecars = sidecars
         self._new_node = new_node
         self.nodes: list[tuple[NodeFigures, Node]] = []
         self.discovery: Discovery | None = None
@@ -127,7 +127,7 @@
             told=deque(maxlen=1000),
         )  # fmt: skip
         where = self.discovery.listen((LOOPBACK, 0))
-        for number, sidecar in enumerate(self.figures.sidecars):
+        for number, sidecar in enumerate(self.figures.sidecars if self._with_sidecars else ()):
             self._start_sidecar(number, sidecar.name, sidecar.zone, where, entries)
 
     def _start_node(self, figures: NodeFigures) -> Entry:
@@ -165,7 +165,7 @@
         sidecar.config.write_bytes(
             configuration(self.figures, number, (LOOPBACK, 0), discovery, seed, known, 1)
         )
-        operator = {"figures": {"target": target, "flush_ms": 500, "format": "statsd"}, **self._operator}
+        operator = {"figures": {"target": target, "flush_ms": 500, "format": "statsd"}}
         path = self.folder / f"{name}.operator.yaml"
         path.write_text(yaml.safe_dump(operator))
         with open(sidecar.log, "wb") as log:
--- a/brambleusher/load/player.py
+++ b/brambleusher/load/player.py
@@ -99,9 +99,10 @@
         finally:
             self.ended = True
 
-    def name(self, number: int) -> str:
+    @staticmethod
+    def name_of(seed: int, number: int) -> str:
         """The id of a request: the same in each play with the same seed, and in no other."""
-        return hashlib.blake2b(f"{self.play.seed}/{number}".encode(), digest_size=8).hexdigest()
+        return hashlib.blake2b(f"{seed}/{number}".encode(), digest_size=8).hexdigest()
 
     def _live(self, due: Due) -> None:
         """One request to its end."""
@@ -111,7 +112,7 @@
         # What was lost before it was begun is the player's fault; the client of then would not wait longer.
         deadline = (self._start_ns + due.at_ns) / 1e9 + timeout_ms / 1e3
         target = play.targets[due.number % len(play.targets)]
-        data = worded(request, self.name(due.number), timeout_ms, play.methods)
+        data = worded(request, self.name_of(play.seed, due.number), timeout_ms, play.methods)
         try:
             end, status = self._ask(target, data, deadline)
         finally:
--- a/brambleusher/load/synthetic.py
+++ b/brambleusher/load/synthetic.py
@@ -79,7 +79,9 @@
         return checked(msgspec.convert({} if raw is None else raw, Recipe))
     except OSError as error:
         raise RecipeError(f"{path}: {error.strerror}") from None
-    except (yaml.YAMLError, msgspec.ValidationError, RecipeError) as error:
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        raise RecipeError(f"{path}: not YAML: {' '.join(str(error).split())}") from None
+    except (msgspec.ValidationError, RecipeError) as error:
         raise RecipeError(f"{path}: {error}") from None
 
 
--- /dev/null
+++ b/tests/test_lab_experiments.py
@@ -0,0 +1,247 @@
+"""Experiments: worlds and plans, cells in virtual time, results that go on, comparisons, the page."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from html.parser import HTMLParser
+from pathlib import Path
+
+import numpy as np
+import pytest
+
+from brambleusher.__main__ import main
+from brambleusher.lab.experiments.compare import Side, compare, interval, texts
+from brambleusher.lab.experiments.matrix import run_all
+from brambleusher.lab.experiments.plan import Cell, ExperimentError, read_experiment
+from brambleusher.lab.experiments.report import page
+from brambleusher.lab.experiments.run import run
+from brambleusher.lab.experiments.store import CellResult, Store, StoreError
+from brambleusher.lab.worlds import WorldError, WorldFile, world_of
+from brambleusher.load import demand, synthetic
+
+ROOT = Path(__file__).parent.parent
+EXPERIMENT = """
+name: tries
+worlds:
+  small:
+    kinds: {k: {count: 3, cores: 1, error_rate: 0.2}}
+    sidecars: 2
+    faults: [{kind: node-crashed, target: %s, at_s: 0.5, for_s: 2.2}]
+demands: {short: {recipe: {seconds: 4, rate: 12, burst: null}}, file: d}
+settings: {usual: , one: {rules: {max_attempts: 1}}}
+seeds: [1, 2]
+"""
+
+
+def experiment(folder: Path, text: str = EXPERIMENT) -> Path:
+    node = world_of({"kinds": {"k": {"count": 3}}}).figures().nodes[0].id
+    recipe = synthetic.Recipe(seconds=3, rate=10, burst=None)
+    demand.write(folder / "d", synthetic.requests(recipe, 3))
+    path = folder / "e.yaml"
+    path.write_text(text % node if "%s" in text else text)
+    return path
+
+
+# --- worlds and plans -----------------------------------------------------------------------------
+
+
+def test_the_usual_world_has_14_nodes_in_four_zones_and_three_sidecars() -> None:
+    world = WorldFile().figures()
+    assert (len(world.nodes), len({node.zone for node in world.nodes}), len(world.sidecars)) == (14, 4, 3)
+    assert world == WorldFile().figures()
+
+
+@pytest.mark.parametrize(
+    ("raw", "said"),
+    [
+        ({"sidecar": 3}, "unknown field `sidecar`"),
+        ({"kinds": {"k": {"cores": 0}}}, r"Expected `int` >= 1 - at `\$.kinds\[...\].cores`"),
+        ({"kinds": {"k": {"count": 0}}}, "must not be empty"),
+        ({"faults": [{"kind": "node-hung", "target": "s-1", "at_s": 1, "for_s": 1}]}, "aimed at 's-1'"),
+        ([], "a world is a mapping"),
+    ],
+)
+def test_a_world_that_can_not_be_used_is_refused_by_name(raw: object, said: str) -> None:
+    with pytest.raises(WorldError, match=said):
+        world_of(raw).figures()
+
+
+def test_settings_are_laid_over_a_world_key_by_key() -> None:
+    over = world_of({"rules": {"tick_s": 0.01}}, {"rules": {"max_attempts": 1}, "sidecars": 5})
+    assert (over.rules.tick_s, over.rules.max_attempts, over.sidecars) == (0.01, 1, 5)
+    assert len(world_of({}, {"kinds": {"std-2core": {"speed": 2.0}}}).figures().nodes) == 14
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("sed: 1", "unknown field `sed`"),
+        ("worlds: {a: nowhere.yaml}", "worlds.a: nowhere.yaml: No such file"),
+        ("demands: {a: nowhere}", "demands.a: .*nowhere: No such file"),
+        ("demands: {a: {recipe: {rate: -1}}}", "demands.a.recipe: rate is not at least 0"),
+        ("demands: {a: {recipe: {}, file: d}}", "has both a file and a recipe"),
+        ("settings: {a: {rules: {maxattempts: 1}}}", "worlds.usual with settings.a: .*`maxattempts`"),
+        ("seeds: []", "length >= 1"),
+        ("[", "not YAML"),
+    ],
+)
+def test_an_experiment_that_can_not_be_run_is_refused_by_name(text: str, said: str, tmp_path: Path) -> None:
+    with pytest.raises(ExperimentError, match=said):
+        read_experiment(experiment(tmp_path, text))
+
+
+# --- cells, results, comparisons, the page --------------------------------------------------------
+
+
+class Links(HTMLParser):
+    """What a page would fetch, and the tags left open."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fetched: list[str] = []
+        self.open: list[str] = []
+
+    def handle_starttag(self, tag: str, attrs: list[tuple[str, str | None]]) -> None:
+        if tag in ("script", "link", "img", "iframe"):
+            self.fetched.append(tag)
+        if tag in ("table", "details", "svg", "div", "body"):
+            self.open.append(tag)
+
+    def handle_endtag(self, tag: str) -> None:
+        if tag in ("table", "details", "svg", "div", "body"):
+            assert self.open.pop() == tag
+
+
+def test_a_matrix_is_run_once_and_goes_on_where_it_was_stopped(tmp_path: Path) -> None:
+    file, cells = read_experiment(experiment(tmp_path))
+    assert len(cells) == 8 and len({cell.id for cell in cells}) == 8
+    out, said = tmp_path / "r.sqlite", list[str]()
+    with Store(out, new=True) as store:  # as if it had been stopped after five cells, one of which failed
+        assert store.begin(file, cells) == cells
+        for cell in cells[:4]:
+            store.save(cell, run(cell), 0.1)
+        store.fail(cells[4], "ValueError: no")
+    assert run_all(file, cells, out, 2, said.append) == 0
+    assert said[0] == "4 of 8 cells are there already" and len(said) == 5
+    assert run_all(file, cells, out, 2, said.append) == 0 and len(said) == 6
+    with Store(out) as store:
+        stored = store.cells()
+        assert [cell.id for cell in stored] == [cell.id for cell in cells]
+        assert {cell.state for cell in stored} == {"done"}
+        # What another process came to is what this one comes to: a cell is its seed's alone.
+        assert store.result(cells[6].id) == json_form(run(cells[6]))
+        rules = store.result(cells[0].id).documents["rules"]
+        assert len(rules) > 20 and not any(rules.values())
+        assert any("node-crashed" in text for _, text in store.result(cells[0].id).events)
+        assert any("is Gone" in text for _, text in store.result(cells[0].id).events)
+        figures = store.figures(cells[0].id)
+        assert figures["requests"] == len(list(cells[0].requests())) and 0.5 < figures["share.served"] <= 1
+        # Faults change: cells of the old world go, the page shows what is left.
+        text = page(store)
+        links = Links()
+        links.feed(text)
+        assert not links.fetched and not links.open and text.count("<svg") == 8
+        assert "http" not in re.sub(r'(xmlns[:\w]*="|rdf:resource=")[^"]*"|http://www.w3.org[^"]*"', "", text)
+        for word in ("Latency by class", "All 24 rules were kept", "node-crashed", "max_attempts: 1"):
+            assert word.replace("24", str(len(rules))) in text
+    both = compare(Side.of(f"{out}:usual"), Side.of(f"{out}:one"))
+    attempts = next(each for each in both if each.name == "attempts")
+    assert attempts.pairs == 4 and attempts.high < 0 and attempts.clear
+    assert any(line.startswith("attempts") and line.endswith("*") for line in texts(both))
+    assert all(each.mean == 0 for each in compare(Side.of(str(out)), Side.of(str(out))))
+    with pytest.raises(StoreError, match="no cells are done with the settings none"):
+        compare(Side.of(f"{out}:none"), Side.of(str(out)))
+    with Store(out) as store:
+        assert store.begin(file, cells[:2]) == [] and len(store.cells()) == 2
+
+
+def json_form(result: CellResult) -> CellResult:
+    """A result as it comes back from a file: series without their order of names."""
+    return CellResult(
+        figures=dict(sorted(result.figures.items())),
+        series={name: sorted(row) for name, row in sorted(result.series.items())},
+        events=result.events,
+        documents=json.loads(json.dumps(result.documents)),
+    )
+
+
+def test_a_cell_that_can_not_be_run_is_kept_as_failed(tmp_path: Path) -> None:
+    file, cells = read_experiment(experiment(tmp_path, "demands: {d: {recipe: {rate: 0}}}"))
+    said: list[str] = []
+    assert run_all(file, cells, tmp_path / "r", 1, said.append) == 1
+    with Store(tmp_path / "r") as store:
+        assert store.cells()[0].error == "ValueError: the demand has no requests"
+        assert "1 runs failed" in page(store)
+    (tmp_path / "bad").write_text("no results")
+    with pytest.raises(StoreError, match="not a database"):
+        Store(tmp_path / "bad")
+
+
+def test_straight_to_the_nodes_every_request_comes_as_it_stands() -> None:
+    recipe = "{seconds: 40, rate: 15, burst: {start_s: 10, seconds: 9}}"
+    file = f"through: nodes\nspeed: 2\ndemands: {{d: {{recipe: {recipe}}}}}"
+    (cell,) = _cells(file)
+    result = run(cell)
+    assert result.figures["fidelity.exact"] == 1.0
+    assert result.figures["fidelity.rate_off"] <= 0.02 and result.figures["fidelity.mix_off"] <= 0.02
+    windows = result.documents["fidelity"]["windows"]
+    assert (
+        len(windows) == 4
+        and sum(sum(each["came"].values()) for each in windows) == result.figures["requests"]
+    )
+
+
+def _cells(text: str) -> list[Cell]:
+    import msgspec
+    import yaml
+
+    from brambleusher.lab.experiments.plan import ExperimentFile, cells
+
+    return cells(msgspec.convert(yaml.safe_load(text), ExperimentFile), ROOT)
+
+
+def test_bootstrap_intervals_cover_the_mean_as_often_as_they_say() -> None:
+    rng = np.random.default_rng(5)
+    samples = [rng.normal(1.0, 2.0, 20) for _ in range(200)]
+    covered = sum(low <= 1.0 <= high for low, high in (interval(sample) for sample in samples))
+    assert 0.87 <= covered / 200 <= 0.98
+    assert interval(np.array([0.5])) == (0.5, 0.5)
+
+
+# --- on sockets -----------------------------------------------------------------------------------
+
+
+def test_a_fleet_comes_up_is_played_on_and_ends_without_a_trace(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    world = tmp_path / "w.yaml"
+    world.write_text("kinds: {k: {count: 2}}\nsidecars: 2\n")
+    fleet = subprocess.Popen(
+        [sys.executable, "-m", "brambleusher", "lab", "up", str(world), "--json"],
+        cwd=ROOT, stdout=subprocess.PIPE, text=True,
+    )  # fmt: skip
+    try:
+        assert fleet.stdout is not None
+        told = json.loads(fleet.stdout.readline())
+        assert len(told["sidecars"]) == len(told["nodes"]) == 2 and "curl -i" in told["curl"]
+        pids = [each["pid"] for each in told["sidecars"]]
+        targets = ",".join(each["address"] for each in told["sidecars"])
+        path = str(tmp_path / "d")
+        recipe = synthetic.Recipe(seconds=1.5, rate=30, burst=None)
+        count = demand.write(path, synthetic.requests(recipe, 1))
+        main(["load", "play", path, "--target", targets, "--processes", "2", "--speed", "2", "--json"])
+        results = json.loads(capsys.readouterr().out)
+        assert results["requests"] == count == sum(results["ends"].values())
+        assert results["ends"]["served"] > count * 0.8
+        assert set(results["statuses"]) <= {"200", "502", "503"}
+    finally:
+        fleet.send_signal(signal.SIGINT)
+        assert fleet.wait(60) == 0
+    for pid in pids:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
