--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -71,6 +71,9 @@
     def discovery_able(self, now: int, able: bool, machine: str = "") -> None:
         """Whether discovery can tell what it has learnt."""
 
+    def starved(self, now: int, machine: str, on: bool) -> None:
+        """Whether a sidecar has too few descriptors left to accept connections with."""
+
     def calm(self, now: int) -> None:
         """The last fault has ended, and what is asked from here on can be served."""
 
@@ -84,6 +87,7 @@
     def bad_client(self, who: str) -> None: ...
     def true_list(self, now: int, servers: list[dict[str, Any]], full: bool = False) -> None: ...
     def discovery_able(self, now: int, able: bool, machine: str = "") -> None: ...
+    def starved(self, now: int, machine: str, on: bool) -> None: ...
     def calm(self, now: int) -> None: ...
 
 
@@ -394,7 +398,7 @@
     def __init__(self, fleet: Fleet, number: int, figures: SidecarFigures) -> None:
         self.fleet, self.number, self.figures = fleet, number, figures
         self.machine = fleet.world.machine(figures.name, f"10.0.0.{number + 1}")
-        self.file = self._started_with = b""
+        self.file = self.good_file = b""  # what is there, and what the platform wrote
         self.sidecar: Sidecar | None = None
         self.process: Process | None = None
         self.starts = 0
@@ -428,8 +432,8 @@
     def rewrite_file(self) -> None:
         """Write it anew with the discovery that there is now, and all else as it was at the start."""
         host, port = self.fleet.discovery.address
-        raw = json.loads(self._started_with)
-        self.file = json.dumps({**raw, "discovery": f"{host}:{port}"}).encode()
+        raw = json.loads(self.good_file)
+        self.file = self.good_file = json.dumps({**raw, "discovery": f"{host}:{port}"}).encode()
 
     def start(self) -> None:
         """Start its process; one that still runs is killed."""
@@ -437,7 +441,7 @@
             self.process.kill()
             self.ended.append(self.process)
         self.write_file()
-        self._started_with = self.file
+        self.good_file = self.file
         self.starts += 1
         fleet = self.fleet
         fleet.audience.sidecar(fleet.world.now_ns, self.machine.name, self.file)
