--- a/brambleusher/cli/serve.py
+++ b/brambleusher/cli/serve.py
@@ -16,7 +16,9 @@
     configure(form=log_format)
     try:
         operator = load_operator_file(operator_path)
-        serve(lambda: load_config(os.environ), operator, log_format)
+        serve(
+            lambda: load_config(os.environ), operator, log_format, lambda: load_operator_file(operator_path)
+        )
     except OperatorError as error:
         print(f"brambleusher: bad operator file: {error}", file=sys.stderr)
         return 2
--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -16,6 +16,7 @@
 from brambleusher.runtime.system import System
 from quillpass import Balancer, api
 from quillpass.state import save
+from quillpass.zoned import ZonedBalancer, balancer_for
 
 log = logging.getLogger(__name__)
 
@@ -191,9 +192,10 @@
         counters: Counters,
         observers: Observer | None = None,
         recorder: Recorder | None = None,
+        make: Callable[[api.Settings, int], Balancer] = balancer_for,
     ) -> None:
         self.settings, self.observers = settings, observers or Observer()
-        self._balancer, self._recorder = Balancer(settings, seed), recorder
+        self._balancer, self._recorder = make(settings, seed), recorder
         if recorder is not None:
             recorder.began(lambda: save(self._balancer))
         self._scheduler, self._clock, self._counters = scheduler, clock, counters
@@ -276,6 +278,19 @@
         """News from discovery."""
         self._handle(api.HostList(kind, list(entries)))
 
+    def rules_changed(self, rules: api.ZoneRules | None) -> bool:
+        """The operator says something else of zones; false where the decisions began without rules."""
+        if not isinstance(self._balancer, ZonedBalancer):
+            return rules is None
+        self._handle(api.RulesChanged(rules))
+        return True
+
+    def standing(self) -> dict[str, object] | None:
+        """What is made of zones, as plain values; None where the decisions began without rules."""
+        if not isinstance(self._balancer, ZonedBalancer):
+            return None
+        return self._balancer.standing(self._clock.now_ns())
+
     # --- actions --------------------------------------------------------------------------------
 
     def _handle(self, event: api.Event, ticket: Ticket | None = None) -> None:
--- a/brambleusher/features/records.py
+++ b/brambleusher/features/records.py
@@ -10,7 +10,7 @@
 
 from brambleusher.net.machine_list import state_of, state_word
 from quillpass import api
-from quillpass.state import plain, unplain
+from quillpass.state import plain, restore_rules, save_rules, unplain
 
 VERSION = 1
 # An action's name and its fields in order; they are texts and whole numbers.
@@ -62,6 +62,7 @@
     api.RequestGone: ("gone", lambda event: {}),
     api.TimerFired: ("timer", lambda event: {"token": event.token}),
     api.HostList: ("list", lambda event: {"kind": event.kind.value}),
+    api.RulesChanged: ("rules", lambda event: {"zones": save_rules(event.zones)}),
     type(None): (BEGIN, lambda event: {}),
 }  # fmt: skip
 
@@ -94,6 +95,8 @@
         return api.TimerFired(told["token"])
     if name == "list":
         return api.HostList(api.ListKind(told["kind"]), [entry_from(raw) for raw in told["servers"]])
+    if name == "rules":
+        return api.RulesChanged(restore_rules(told["zones"]))
     raise RecordError(f"the event {name} is unknown")
 
 
--- a/brambleusher/features/replay.py
+++ b/brambleusher/features/replay.py
@@ -16,8 +16,9 @@
     event_from,
     sound,
 )
-from quillpass import Balancer, api
+from quillpass import api
 from quillpass.state import StateError, hosts_held, hosts_reached, restore, restore_settings
+from quillpass.zoned import balancer_for
 
 SAME, DIFFERENT, REFUSED = 0, 1, 2
 
@@ -56,7 +57,7 @@
             raise Refused("the header's seed or list can't be read") from None
         try:
             settings, state = restore_settings(head["settings"]), head.get("state")
-            self._balancer = Balancer(settings, seed) if state is None else restore(settings, seed, state)
+            self._balancer = balancer_for(settings, seed) if state is None else restore(settings, seed, state)
         except StateError as error:
             raise Refused(str(error)) from None
         if state is not None and self._listed != hosts_held(self._balancer):
--- a/brambleusher/features/status.py
+++ b/brambleusher/features/status.py
@@ -10,6 +10,7 @@
 import html
 import logging
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -43,7 +44,14 @@
 class StatusPage(Observer):
     """Keeps what the page shows, builds it, serves it."""
 
-    def __init__(self, settings: StatusSettings, served: Settings, scheduler: Scheduler) -> None:
+    def __init__(
+        self,
+        settings: StatusSettings,
+        served: Settings,
+        scheduler: Scheduler,
+        standing: Callable[[], dict[str, object] | None] = lambda: None,
+    ) -> None:
+        self._standing = standing  # what the decisions make of zones, where there are rules on them
         self._port, self._refresh_seconds = settings.port, settings.refresh_ms / 1000
         self._scheduler, self._classes = scheduler, [cls.name for cls in served.classes]
         self._started = scheduler.now()
@@ -147,7 +155,9 @@
         minute: Counter[str] = Counter()
         for _, answers in self._answers:
             minute.update(answers)
+        standing = self._standing()
         return {
+            **({} if standing is None else {"zones": standing}),
             "version": __version__,
             "uptime_s": int(self._age()),
             "servers": [
@@ -235,6 +245,13 @@
     classes = [
         row([name, inflight, now["answers_per_minute"][name]]) for name, inflight in now["inflight"].items()
     ]
+    zones: list[str] = []
+    if (told := now.get("zones")) is not None:
+        names = list(told["zones"][0]) if told["zones"] else []
+        zones = [
+            f"<h2>Zones</h2><p>panic: {told['panic']}, fits nowhere: {told['beyond']}</p><table>",
+            row(list(names), "th"), *(row(list(zone.values())) for zone in told["zones"]), "</table>",
+        ]  # fmt: skip
     return "\n".join(
         [
             f'<!DOCTYPE html>\n<html lang="en"><head><meta charset="utf-8"><title>brambleusher</title>'
@@ -243,6 +260,6 @@
             "<h2>Servers</h2><table>", row(["id", "addr", "state", "last errors"], "th"), *servers,
             "</table><h2>Requests</h2><table>",
             row(["class", "inflight", "answers per minute"], "th"), *classes,
-            "</table></body></html>\n",
+            "</table>", *zones, "</body></html>\n",
         ]
     ).encode()  # fmt: skip
--- a/brambleusher/lab/figures.py
+++ b/brambleusher/lab/figures.py
@@ -128,6 +128,7 @@
     network: NetworkFigures = NetworkFigures()
     clients: ClientSettings = ClientSettings()
     rules: RuleFigures = RuleFigures()
+    operator: dict[str, Any] = {}  # sections of the sidecars' operator file beside `capture`  # noqa: RUF012
 
     @property
     def capacity(self) -> float:
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -34,10 +34,13 @@
 from brambleusher.lab.stand_ins.node import Execution, Node
 from brambleusher.lab.stand_ins.server import Troubles
 from brambleusher.lab.world import START_NS, WALL_NS, Machine, Process, VirtualSystem, World, WorldSettings
-from brambleusher.operator_file import parse_operator_file
+from brambleusher.operator_file import OperatorFile, parse_operator_file
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Address
 from brambleusher.sidecar import Sidecar
+from quillpass import Balancer
+from quillpass.api import Settings
+from quillpass.zoned import balancer_for
 
 SECOND = 10**9
 LEAD_IN_S = 1.2  # from the start of the processes to the first request that may come
@@ -47,7 +50,7 @@
 CALM_AGAIN_S = 0.25
 GOOD_LOAD = 0.6  # of the capacity after the faults: above it nobody is asked to get well in time
 CLIENTS, BAD_CLIENTS = "clients", "bad clients"  # machines
-OPERATOR = b"capture: {ring_kb: 768}\n"
+CAPTURE = {"ring_kb": 768}
 
 
 class Audience(Protocol):
@@ -399,6 +402,7 @@
         self.fleet, self.number, self.figures = fleet, number, figures
         self.machine = fleet.world.machine(figures.name, f"10.0.0.{number + 1}")
         self.file = self.good_file = b""  # what is there, and what the platform wrote
+        self.operator = b""  # the operator file that is there
         self.sidecar: Sidecar | None = None
         self.process: Process | None = None
         self.starts = 0
@@ -429,6 +433,14 @@
             fleet.draw_seed(f"sidecar {self.number} {self.starts}"), entries, version,
         )  # fmt: skip
 
+    def operator_file(self, **zones: Any) -> bytes:
+        """Its operator file, with some keys of the section on zones laid over."""
+        sections: dict[str, Any] = {"capture": CAPTURE} if self.figures.capture else {}
+        sections |= self.fleet.scenario.world.operator
+        if "zones" in sections:
+            sections["zones"] = {**sections["zones"], **zones}
+        return json.dumps(sections).encode() if sections else b""
+
     def rewrite_file(self) -> None:
         """Write it anew with the discovery that there is now, and all else as it was at the start."""
         host, port = self.fleet.discovery.address
@@ -445,13 +457,18 @@
         self.starts += 1
         fleet = self.fleet
         fleet.audience.sidecar(fleet.world.now_ns, self.machine.name, self.file)
-        operator = parse_operator_file(OPERATOR if self.figures.capture else b"")
+        self.operator = self.operator_file()
 
         def load() -> Config:
             return parse_config(self.file, {})
 
+        def load_operator() -> OperatorFile:
+            return parse_operator_file(self.operator)
+
         def main(system: VirtualSystem) -> None:
-            sidecar = self.sidecar = Sidecar(load(), load, operator, system)
+            sidecar = self.sidecar = Sidecar(
+                load(), load, load_operator(), system, load_operator, fleet.new_balancer
+            )
             sidecar.install_signals()
             sidecar.start()
             sidecar.run()
@@ -531,6 +548,7 @@
         self.ends_ns = self.begins_ns + int(figures.length_s * SECOND)
         self.running: list[Fault] = []
         self.new_node: Callable[..., Node] = Node  # for experiments that need another one
+        self.new_balancer: Callable[[Settings, int], Balancer] = balancer_for  # likewise
 
     # --- figures --------------------------------------------------------------------------------
 
--- a/brambleusher/operator_file.py
+++ b/brambleusher/operator_file.py
@@ -11,9 +11,11 @@
 
 from brambleusher.net.http import HOP_BY_HOP, is_token, is_value
 from brambleusher.runtime.streams import parse_address
+from quillpass.api import Tier, ZoneRules
 
 MAX_FILE = 256 * 1024
 MAX_RULES, MAX_VALUE = 256, 4096
+MAX_ZONES = 64
 # What the decisions, the execute nodes and the bookkeeping of both rely on.
 PROTECTED = frozenset(
     {
@@ -87,6 +89,7 @@
     figures: FiguresSettings | None = None
     status: StatusSettings | None = None
     capture: CaptureSettings | None = None
+    zones: ZoneRules | None = None
 
 
 class Section:
@@ -134,6 +137,27 @@
             raise OperatorError(f"{self.name(key)} is not a whole number from {low} to {high}")
         return value
 
+    def number(self, key: str, default: float, low: float, high: float) -> float:
+        """A number within a range."""
+        value = self._left.pop(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value <= high:
+            raise OperatorError(f"{self.name(key)} is not a number from {low:g} to {high:g}")
+        return float(value)
+
+    def names(self, key: str, most: int) -> tuple[str, ...]:
+        """A list of texts, none of them twice."""
+        value = self._left.pop(key, None)
+        if value is None:
+            return ()
+        if not isinstance(value, list) or len(value) > most:
+            raise OperatorError(f"{self.name(key)} is not a list of at most {most} names")
+        for at, name in enumerate(value):
+            if not isinstance(name, str) or not name:
+                raise OperatorError(f"{self.name(key)}[{at}] is not a text")
+            if name in value[:at]:
+                raise OperatorError(f"{self.name(key)} names {name} twice")
+        return tuple(value)
+
     def end(self) -> None:
         """Refuse what is left over."""
         for key in self._left:
@@ -245,6 +269,81 @@
     return settings
 
 
+def _tier(raw: Any, path: str) -> Tier:
+    """Zones that are as near: one's name, a list of names, or names with weights."""
+    if isinstance(raw, str) and raw:
+        return ((raw, 1.0),)
+    if isinstance(raw, list) and raw:
+        for at, name in enumerate(raw):
+            if not isinstance(name, str) or not name:
+                raise OperatorError(f"{path}[{at}] is not the name of a zone")
+        return tuple((name, 1.0) for name in raw)
+    if isinstance(raw, dict) and raw:
+        weights = []
+        for name, weight in raw.items():
+            if isinstance(weight, bool) or not isinstance(weight, int | float) or not 0 < weight <= 1000:
+                raise OperatorError(f"{path}.{name} is not a weight over 0 and up to 1000")
+            weights.append((name, float(weight)))
+        return tuple(weights)
+    raise OperatorError(f"{path} is not a zone, a list of zones, or zones with weights")
+
+
+def _neighbours(raw: Any) -> tuple[tuple[str, tuple[Tier, ...]], ...]:
+    """What comes after each zone: a list of tiers, one by weight, or one zone and what comes after that."""
+    path = "zones.neighbours"
+    if raw is None:
+        return ()
+    if not isinstance(raw, dict) or len(raw) > MAX_ZONES:
+        raise OperatorError(f"{path} is not a mapping of at most {MAX_ZONES} zones")
+    out: list[tuple[str, tuple[Tier, ...]]] = []
+    for zone in raw:
+        tiers: list[Tier] = []
+        way, at = [zone], zone
+        while isinstance(then := raw.get(at), str) and then:
+            if then in way:
+                raise OperatorError(f"{path}.{zone} goes in a circle: {' to '.join([*way, then])}")
+            tiers.append(((then, 1.0),))
+            way.append(then)
+            at = then
+        if at == zone or at in raw:
+            rest = raw[at]
+            if isinstance(rest, list) and rest and len(rest) <= MAX_ZONES:
+                tiers += [_tier(tier, f"{path}.{at}[{place}]") for place, tier in enumerate(rest)]
+            else:
+                tiers.append(_tier(rest, f"{path}.{at}"))
+        if at != zone:  # what a zone on the way has for its own neighbours may lead back
+            tiers = [tuple(each for each in tier if each[0] not in way[:1]) for tier in tiers]
+            seen: set[str] = set()
+            for place, tier in enumerate(tiers):
+                tiers[place] = tuple(each for each in tier if each[0] not in seen)
+                seen |= {name for name, _ in tier}
+            tiers = [tier for tier in tiers if tier]
+        names = [name for tier in tiers for name, _ in tier]
+        for name in names:
+            if name == zone:
+                raise OperatorError(f"{path}.{zone} goes in a circle: {zone} to {zone}")
+            if names.count(name) > 1:
+                raise OperatorError(f"{path}.{zone} names {name} twice")
+        out.append((zone, tuple(tiers)))
+    return tuple(out)
+
+
+def _zones(raw: Any) -> ZoneRules:
+    section, usual = Section(raw, "zones"), ZoneRules()
+    rules = ZoneRules(
+        neighbours=_neighbours(section.take("neighbours")),
+        spill=section.number("spill", usual.spill, 0.01, 10.0),
+        strain=section.number("strain", usual.strain, 0.1, 1.0),
+        panic=section.number("panic", usual.panic, 0.0, 1.0),
+        half_life_ns=int(section.number("half_life_s", usual.half_life_ns / 1e9, 1.0, 3600.0) * 1e9),
+        hold_most_ns=int(section.number("hold_most_s", usual.hold_most_ns / 1e9, 0.0, 86_400.0) * 1e9),
+        trust=section.names("trust", MAX_ZONES),
+        evacuate=section.names("evacuate", MAX_ZONES),
+    )
+    section.end()
+    return rules
+
+
 def decode_yaml(text: bytes) -> Any:
     """YAML by the safe loader, with texts for keys and none of them twice."""
     import yaml  # here, so that a sidecar without an operator file doesn't pay for it
@@ -281,6 +380,7 @@
         rewrites=_rules(section.take("rewrites")) if section.has("rewrites") else None,
         status=_status(section.take("status")),
         capture=_capture(section.take("capture")) if section.has("capture") else None,
+        zones=_zones(section.take("zones")) if section.has("zones") else None,
         figures=_figures(section.take("figures")) if section.has("figures") else None,
     )
     section.end()
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -26,8 +26,10 @@
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Sink, System
-from quillpass.api import ListKind
+from quillpass import Balancer
+from quillpass.api import ListKind, Settings
 from quillpass.places import Places
+from quillpass.zoned import balancer_for
 
 log = logging.getLogger(__name__)
 
@@ -70,9 +72,13 @@
         load: Callable[[], Config] | None = None,
         operator: OperatorFile | None = None,
         system: System | None = None,
+        load_operator: Callable[[], OperatorFile] | None = None,
+        make: Callable[[Settings, int], Balancer] = balancer_for,
     ) -> None:
-        self.config, self._load = config, load
         operator = operator or OperatorFile()
+        self.config = replace(config, settings=replace(config.settings, zones=operator.zones))
+        self._load, self._load_operator = load, load_operator
+        config = self.config
         self.system: System = RealSystem() if system is None else system
         self.scheduler = Scheduler(self.system)
         self.clock = Clock(self.system)
@@ -89,12 +95,14 @@
         )
         self.capture = None if operator.capture is None else self._capture(operator.capture)
         self.status = (
-            None if operator.status is None else StatusPage(operator.status, config.settings, self.scheduler)
+            None
+            if operator.status is None
+            else StatusPage(operator.status, config.settings, self.scheduler, self._standing)
         )
         observers: list[Observer] = [each for each in (self.figures, self.status) if each is not None]
         self.decisions = Decisions(
             config.settings, config.seed, self.scheduler, self.clock, self.counters,
-            Observers(observers) if observers else None, self.capture,
+            Observers(observers) if observers else None, self.capture, make,
         )  # fmt: skip
         self.machine_list = MachineList(
             self.scheduler,
@@ -114,6 +122,9 @@
         self._started_at = self.scheduler.now()
         self._ending = self._wound_down = False
 
+    def _standing(self) -> dict[str, object] | None:
+        return self.decisions.standing()
+
     def _output(self, where: str, make: Callable[[], Sink]) -> Output:
         if where not in self.outputs:
             self.outputs[where] = Output(make(), where, self.system)
@@ -237,6 +248,7 @@
         if self._load is None or self._ending:
             log.info("configuration not read again", extra={"fields": {"ending": self._ending}})
             return
+        self._reload_zones()
         try:
             config = self._load()
         except ConfigError as error:
@@ -254,6 +266,20 @@
             self.config = replace(self.config, discovery=config.discovery)
             self.machine_list.change_over(HttpWatch(self.scheduler, config.discovery))
 
+    def _reload_zones(self) -> None:
+        """Take the operator file's section on zones; a faulty file, checked whole, changes nothing."""
+        if self._load_operator is None:
+            return
+        try:
+            rules = self._load_operator().zones
+        except OperatorError as error:
+            log.error("bad operator file, the rules on zones stay", extra={"fields": {"reason": error}})
+            return
+        if self.decisions.rules_changed(rules):
+            log.info("rules on zones read again", extra={"fields": {"on": rules is not None}})
+        else:
+            log.warning("can't change in a running sidecar", extra={"fields": {"key": "zones"}})
+
     def _serve_on(self) -> None:
         log.info("ending", extra={"fields": {"owed": self.decisions.owed}})
         self.scheduler.call_at(
@@ -273,12 +299,15 @@
 
 
 def serve(
-    load: Callable[[], Config], operator: OperatorFile | None = None, log_format: str = "logfmt"
+    load: Callable[[], Config],
+    operator: OperatorFile | None = None,
+    log_format: str = "logfmt",
+    load_operator: Callable[[], OperatorFile] | None = None,
 ) -> None:
     """Run one sidecar as this process's main program; raises `ConfigError` if it can't be used."""
     # Records are short-lived and seldom cyclic: reference counts free them, rare collections suffice.
     gc.set_threshold(50_000, 20, 50)
-    sidecar = Sidecar(load(), load, operator)
+    sidecar = Sidecar(load(), load, operator, load_operator=load_operator)
     if STDERR in sidecar.outputs:
         # Guards against a log line that waits, and requests with it, where a feature has filled the pipe.
         configure(stream=LaneStream(sidecar.outputs[STDERR].lane(LOG_BYTES)), form=log_format)
--- a/quillpass/api.py
+++ b/quillpass/api.py
@@ -83,6 +83,30 @@
     quota_per_s: float
 
 
+Tier = tuple[tuple[str, float], ...]  # zones that are as near, with weights
+
+
+@dataclass(frozen=True)
+class ZoneRules:
+    """What the operator says of zones.
+
+    `neighbours` has, for a zone, the tiers after it, nearest first; without any they are learned.  `spill`
+    is the part of a zone's spare that all proxies together may be granted anew in a second, `strain` the
+    use of a zone up to which there is spare.
+    """
+
+    neighbours: tuple[tuple[str, tuple[Tier, ...]], ...] = ()
+    spill: float = 1.0
+    strain: float = 0.95
+    panic: float = 0.5  # of all nodes seem well: with fewer the evidence is doubted; 0: never
+    half_life_ns: int = 20_000_000_000  # of the penalty for a loss
+    hold_most_ns: int = (
+        60_000_000_000  # the longest that a zone which answers is not trusted; 0: flaps cost nothing
+    )
+    trust: tuple[str, ...] = ()  # held for flapping no more
+    evacuate: tuple[str, ...] = ()  # to be sent less and less, and then nothing
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All the module is told at start-up."""
@@ -115,6 +139,7 @@
     fall_multiple: float = 1.0
     fall_ns: int = 1_000_000_000
     report_fields: tuple[str, ...] = ()
+    zones: ZoneRules | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,7 +233,23 @@
     token: int
 
 
-Event = HostList | RequestArrived | AttemptEnded | StreamStarted | RequestGone | ProbeEnded | TimerFired
+@dataclass(slots=True)
+class RulesChanged:
+    """The operator says something else of zones; None: nothing any more."""
+
+    zones: ZoneRules | None
+
+
+Event = (
+    HostList
+    | RequestArrived
+    | AttemptEnded
+    | StreamStarted
+    | RequestGone
+    | ProbeEnded
+    | TimerFired
+    | RulesChanged
+)
 
 
 # --- actions --------------------------------------------------------------------------------
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -369,7 +369,7 @@
         usual = median(told) if (told := [spare for spare in spares if spare is not None]) else 1.0
         self._steer_zones(gap)
         base = [
-            (usual * part if spare is None else spare) * (1.0 if host.local else self._remote)
+            (usual * part if spare is None else spare) * self._offer(host)
             for host, spare, part in zip(ring, spares, warmth, strict=True)
         ]
         for host in ring:
@@ -383,6 +383,10 @@
             host.weight = weight
         self._turn.cut()
 
+    def _offer(self, host: Host) -> float:
+        """The part of its spare that a host offers."""
+        return 1.0 if host.local else self._remote
+
     def _steer_zones(self, gap: float) -> None:
         """How much of its spare a remote host may offer: what crossing costs against what it saves.
 
@@ -399,15 +403,12 @@
         here, there = [0.0, 0.0], [0.0, 0.0]  # used and whole capacity
         for host in self._turn.ring:
             side, cap = here if host.local else there, host.capacity or 0.0
-            side[0] += host.util * cap
-            side[1] += cap
-        util = here[0] / here[1] if here[1] else hold
-        away = there[0] / there[1] if there[1] else 0.0
+            side[0], side[1] = side[0] + host.util * cap, side[1] + cap
+        util, away = here[0] / here[1] if here[1] else hold, there[0] / there[1] if there[1] else 0.0
         if sum(1 for host in local if host.pi > PI_GOAL or host.health < 0.5) * 2 > len(local):
             util = 1.0
-        error = (util - hold) / (1 - hold) if util > hold else (util - hold) / hold
-        if util > hold:  # zones as busy as each other gain nothing by exchanging work
-            error = min(error, (util - away) / (1 - hold))
+        # Zones as busy as each other gain nothing by exchanging work.
+        error = min(util - hold, util - away) / (1 - hold) if util > hold else (util - hold) / hold
         # Below one lateness in twenty nobody would notice: so cheap a crossing is always partly used.
         floor = max(0.01, 1 - price * 20)
         self._remote = min(1.0, max(floor, self._remote + 0.5 * error * gap))
--- a/quillpass/state.py
+++ b/quillpass/state.py
@@ -12,17 +12,25 @@
 import struct
 from base64 import b64decode, b64encode
 from collections import deque
+from collections.abc import Callable
 from dataclasses import fields
 from typing import Any
 
 from quillpass import api
 from quillpass.balance import Balancer, Host, Request, Turn
 from quillpass.retries import Retries
+from quillpass.zoned import balancer_for
+from quillpass.zones import Node, State, Zone, Zones
 
 # Made anew from the settings, or of no meaning between two events.
 _DERIVED = frozenset(
     {"settings", "_rng", "_classes", "_by_worth", "_unit_ns", "_tick_ns", "_quota", "_handlers", "_out"}
 )
+# Of zones: plain objects by name, and how to make an empty one that is filled with what was kept.
+_KEPT: dict[str, Callable[[], Any]] = {
+    "zones": lambda: Zones(None, "", 0, 0), "zone": lambda: Zone(""), "node": Node, "rules": api.ZoneRules
+}  # fmt: skip
+_KEPT_AS = {Zones: "zones", Zone: "zone", Node: "node", api.ZoneRules: "rules"}
 _WORDS = struct.Struct(">624I")  # the random generator's
 
 
@@ -95,6 +103,10 @@
             return {"turn": {name: self.value(item) for name, item in vars(value).items() if name != "_rng"}}
         if kind is Retries:
             return {"retries": {name: self.value(item) for name, item in vars(value).items()}}
+        if kind in _KEPT_AS:
+            return {_KEPT_AS[kind]: {name: self.value(item) for name, item in vars(value).items()}}
+        if kind is State:
+            return {"state": value.value}
         raise StateError(f"a {kind.__name__} can't be kept")
 
     def rows(self) -> tuple[list[list[Any]], list[list[Any]]]:
@@ -155,6 +167,10 @@
             return _fill(Turn(self._rng), {name: self.value(item) for name, item in held.items()}, {"_rng"})
         if key == "retries":
             return _fill(Retries(), {name: self.value(item) for name, item in held.items()})
+        if key in _KEPT:
+            return _fill(_KEPT[key](), {name: self.value(item) for name, item in held.items()})
+        if key == "state":
+            return State(held)
         raise StateError(f"a value of kind {key} is unknown")
 
 
@@ -168,7 +184,7 @@
 
 def restore(settings: api.Settings, seed: int, state: Any) -> Balancer:
     """A balancer that goes on where `save` was called."""
-    balancer = Balancer(settings, seed)
+    balancer = balancer_for(settings, seed)
     try:
         version, words, at, gauss = state["random"]
         balancer._rng.setstate((version, (*_WORDS.unpack(b64decode(words, validate=True)), at), gauss))
@@ -209,11 +225,32 @@
     return {part.name: _setting(getattr(item, part.name)) for part in fields(item)}
 
 
+def save_rules(rules: api.ZoneRules | None) -> dict[str, Any] | None:
+    """Rules on zones as plain JSON values."""
+    return None if rules is None else {part.name: plain(getattr(rules, part.name)) for part in fields(rules)}
+
+
+def restore_rules(raw: Any) -> api.ZoneRules | None:
+    """The rules that `save_rules` was given; raises `StateError`."""
+    if raw is None:
+        return None
+    try:
+        if set(raw) != {part.name for part in fields(api.ZoneRules)}:
+            raise StateError("the rules on zones are not this version's")
+        return api.ZoneRules(**{name: unplain(value) for name, value in raw.items()})
+    except StateError:
+        raise
+    except Exception as error:
+        raise StateError(f"the rules on zones can't be read: {type(error).__name__}: {error}") from None
+
+
 def _setting(value: Any) -> Any:
     if isinstance(value, api.Effect | api.Group):
         return value.value
     if isinstance(value, api.RequestClass | api.Tenant):
         return _record(value)
+    if isinstance(value, api.ZoneRules):
+        return save_rules(value)
     if isinstance(value, tuple):
         return [_setting(item) for item in value]
     return plain(value)
@@ -227,8 +264,10 @@
 def restore_settings(raw: Any) -> api.Settings:
     """The settings that `save_settings` was given."""
     try:
-        values = {name: unplain(value) for name, value in raw.items() if name not in _RECORDS}
+        beside = _RECORDS.keys() | {"zones"}
+        values = {name: unplain(value) for name, value in raw.items() if name not in beside}
         values |= {name: tuple(made(item) for item in raw[name]) for name, made in _RECORDS.items()}
+        values["zones"] = restore_rules(raw["zones"])
         values["report_fields"] = tuple(values["report_fields"])
         if set(values) != {part.name for part in fields(api.Settings)}:
             raise StateError("the settings are not this version's")
--- /dev/null
+++ b/quillpass/zoned.py
@@ -0,0 +1,304 @@
+"""The balancer with `quillpass.zones` asked: which zones take part, what each may get, what fits nowhere.
+
+All that is decided of a host, a request or a repeat is decided by `Balancer`.  A zone that is out is to it
+as if discovery had left it out; what may go to a zone is one more thing that a host must fit.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+from quillpass import api
+from quillpass.api import Effect, Status
+from quillpass.balance import (
+    CAPACITY_WINDOW,
+    COLD_SLICE,
+    GOAL_OF_AIM,
+    HEALTH_WINDOW,
+    OLD_LOOKED_AT,
+    PI_GOAL,
+    RESERVE,
+    SECOND,
+    SILENCE,
+    Balancer,
+    Host,
+    Request,
+)
+from quillpass.zones import Load, Zones
+
+STILL_AIMS = 0.25  # a timer that fires so late: this proxy stood still
+DARK_AIMS = 0.5  # a host that answers nothing for so long, though asked, is dark
+STRAINED_PART = 0.5  # of a zone's hosts miss the goal or fail: it is under strain
+
+
+def balancer_for(settings: api.Settings, seed: int) -> Balancer:
+    """The balancer that settings ask for: without rules on zones, the plain one."""
+    return Balancer(settings, seed) if settings.zones is None else ZonedBalancer(settings, seed)
+
+
+class ZonedBalancer(Balancer):
+    """One client proxy's decisions, with rules on zones."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self._zones = Zones(settings.zones, settings.zone, self._unit_ns, settings.fleet_size)
+        self._probing: list[str] = []  # requests whose last attempt is a probe
+        self._due_ns = 0  # when the timer is to fire
+        self._handlers[api.RulesChanged] = self._rules_changed
+
+    @property
+    def _on(self) -> bool:
+        return self._zones.rules is not None
+
+    def standing(self, now: int) -> dict[str, object]:
+        """What is made of zones, for people: plain values."""
+        zones = self._zones
+        return {"panic": zones.panic, "beyond": round(zones.beyond, 3), "zones": zones.standing(now)}
+
+    def _rules_changed(self, event: api.RulesChanged, now: int) -> None:
+        self._zones.set_rules(event.zones, now)
+        self._choose()
+        self._weigh(now, 0.0)
+
+    # --- membership -----------------------------------------------------------------------------
+
+    def _listed(self, event: api.HostList, now: int) -> None:
+        super()._listed(event, now)
+        ready: dict[str, list[str]] = {}
+        draining: dict[str, list[str]] = {}
+        for host in self._hosts.values():
+            (draining if host.draining else ready).setdefault(host.zone, []).append(host.name)
+        self._zones.listed(ready, draining, now)
+        if self._on:
+            self._choose()
+            self._weigh(now, 0.0)
+
+    def _choose(self) -> None:
+        """Hosts of zones that are out are left out, and nearer tiers come first among those elsewhere."""
+        if self._on:
+            zones = self._zones
+            for host in self._hosts.values():
+                host.ready = not host.draining and not zones.shut(host.zone)
+                zone = zones.zones.get(host.zone)
+                host.rank = host.rank % 1.0 + (zone.tier if zone is not None else 0)
+        super()._choose()
+
+    # --- the tick -------------------------------------------------------------------------------
+
+    def _timer(self, event: api.TimerFired, now: int) -> None:
+        if self._on and self._due_ns and now - self._due_ns > STILL_AIMS * self._unit_ns:
+            self._zones.stood_still(now)
+        super()._timer(event, now)
+        self._due_ns = max((act.at_ns for act in self._out if isinstance(act, api.SetTimer)), default=0)
+
+    def _weigh(self, now: int, gap: float) -> None:
+        if self._on:
+            self._judge(now, gap)
+        super()._weigh(now, gap)
+
+    def _judge(self, now: int, gap: float) -> None:
+        """Have all zones judged by what their hosts report and owe; act on a change."""
+        asked = self._rate / HEALTH_WINDOW / self._unit_ns * SECOND
+        hold, floor = self._hold()
+        before = {name for name in self._zones.zones if self._zones.shut(name)}
+        changed = self._zones.tick(now, gap, self._loads(now), asked, hold, floor)
+        self._out += [api.Log(text) for text in self._zones.said]
+        self._zones.said.clear()
+        if changed:
+            out = {name for name in self._zones.zones if self._zones.shut(name)}
+            self._choose()
+            for name in before - out:
+                self._welcome_back(name)
+            for name in out - before:
+                self._give_up(name, now)
+
+    def _hold(self) -> tuple[float, float]:
+        """The use of near hosts above which crossing pays, and the part that is always offered.
+
+        As `Balancer._steer_zones` has them, tier by tier in place of here and elsewhere.
+        """
+        price = self.settings.cross_zone_price
+        if price <= 0 or not self._mean_capacity:
+            return 1 - RESERVE, 1.0 if price <= 0 else 0.01
+        service = SECOND / self._mean_capacity
+        hold = min(max(1 - math.log(1 / min(price, 0.99)) * service / self._unit_ns, 0.2), 1 - RESERVE)
+        return hold, max(0.01, 1 - price * 20)
+
+    def _loads(self, now: int) -> dict[str, Load]:
+        """What the ready hosts of each zone report, and which owe answers for too long."""
+        loads: dict[str, Load] = {}
+        missing: dict[str, list[int]] = {}
+        used = {host.name for host in self._turn.ring}
+        for host in self._hosts.values():
+            if host.draining:
+                continue
+            load = loads.get(host.zone)
+            if load is None:
+                load, missing[host.zone] = loads.setdefault(host.zone, Load()), [0, 0]
+            if (since := self._dark_since(host, now)) > 0:
+                load.dark[host.name] = since
+            if host.name not in used and host.ready:  # not among this proxy's few: as those that are
+                missing[host.zone][0] += 1
+                continue
+            warmth = self._warmth(host, now)
+            usual = self._kind_capacity.get(host.kind, self._mean_capacity)
+            capacity = ((host.capacity if warmth >= 1 else None) or usual) * warmth
+            age = now - host.util_ns if host.util_ns >= 0 else math.inf
+            fade = min(1.0, age / (self._unit_ns * CAPACITY_WINDOW))
+            util = host.util + fade * (self._mean_util - host.util) if host.util_ns >= 0 else self._mean_util
+            load.hosts += 1
+            load.capacity += capacity
+            load.used += util * capacity
+            load.throughput += host.throughput if host.util_ns >= 0 else 0.0
+            load.mass += capacity * max(1 - util, 0.01) * host.health * host.welcome
+            missing[host.zone][1] += host.pi > PI_GOAL or host.health < 0.5
+        for name, load in loads.items():
+            others, bad = missing[name]
+            if load.hosts:
+                load.strained = bad > STRAINED_PART * load.hosts
+                scale = 1 + others / load.hosts
+                load.capacity, load.used = load.capacity * scale, load.used * scale
+                load.throughput, load.mass = load.throughput * scale, load.mass * scale
+        return loads
+
+    def _dark_since(self, host: Host, now: int) -> int:
+        """Since when a host has left attempts unanswered for too long; 0 where it has not."""
+        zone = self._zones.zones.get(host.zone)
+        node = zone.nodes.get(host.name) if zone is not None else None
+        heard = max(node.heard_ns if node is not None else 0, self._zones.blind_ns)
+        for looked, (request, sent) in enumerate(host.out.values()):
+            if looked >= OLD_LOOKED_AT:
+                break
+            usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
+            patience = max(self._unit_ns * DARK_AIMS, min(SILENCE / 2 * usual, 2.0 * self._unit_ns))
+            if now - max(sent, heard) > patience:
+                return max(sent, heard)
+        return 0
+
+    def _give_up(self, name: str, now: int) -> None:
+        """A zone is lost: what is out there is counted no more, and goes elsewhere too where that is safe."""
+        stuck: list[Request] = []
+        for host in self._hosts.values():
+            if host.zone != name:
+                continue
+            for key in list(host.out):
+                request, _ = host.lost[key] = host.out.pop(key)
+                self._open, request.lost = self._open - 1, request.lost + 1
+                stuck.append(request)
+        for request in stuck:
+            if not request.closed and request.out == request.lost and self._may_repeat(request, now):
+                other = self._pick(request, now)
+                if other is not None:
+                    self._retries.spend()
+                    self._send(request, other, now)
+
+    def _welcome_back(self, name: str) -> None:
+        """What was held against its hosts when it was lost says nothing of them now."""
+        for host in self._hosts.values():
+            if host.zone == name:
+                host.served = host.failed = host.turned = 0.0
+                host.late_n, host.late_sum = [0.0] * len(host.late_n), [0.0] * len(host.late_sum)
+                host.shut_ns = 0
+
+    # --- weights and admission ------------------------------------------------------------------
+
+    def _steer_zones(self, gap: float) -> None:
+        if not self._on:
+            super()._steer_zones(gap)
+
+    def _offer(self, host: Host) -> float:
+        return self._zones.part_of(host.zone) if self._on else super()._offer(host)
+
+    def _worth_now(self, density: float) -> bool:
+        """What fits nowhere is refused, the cheapest worth first."""
+        if not super()._worth_now(density):
+            return False
+        beyond = self._zones.beyond if self._on else 0.0
+        if beyond <= 0 or not self._ranked:
+            return True
+        return density >= self._ranked[min(int(beyond * len(self._ranked)), len(self._ranked) - 1)]
+
+    # --- attempts -------------------------------------------------------------------------------
+
+    def _fits(self, request: Request, now: int) -> Callable[[Host], bool]:
+        plain = super()._fits(request, now)
+        if not self._on:
+            return plain
+        zones, unsafe = self._zones, self.settings.classes[request.cls].effect is Effect.UNSAFE
+        let = {name: zones.admits(name, now) for name in zones.zones}
+        if unsafe:
+            sure = {name: each and not zones.doubtful(name) for name, each in let.items()}
+            let = sure if any(sure.values()) else let
+
+        def fits(host: Host) -> bool:
+            return let.get(host.zone, True) and plain(host)
+
+        return fits
+
+    def _pick(self, request: Request, now: int) -> Host | None:
+        if self._on and not request.attempts and (probe := self._probe(request, now)) is not None:
+            return probe
+        return super()._pick(request, now)
+
+    def _probe(self, request: Request, now: int) -> Host | None:
+        """A host of a zone that is out, if it is due to be tried and this request may be the one.
+
+        It may where it can be sent again in time if nobody answers.
+        """
+        zone = self._zones.probe(now)
+        cls = self.settings.classes[request.cls]
+        if zone is None or cls.effect is not Effect.SAFE or self.settings.max_attempts < 2:
+            return None
+        if request.deadline_ns - now < 3 * self._patience(request):
+            return None
+        plain, count = super()._fits(request, now), len(zone.ready)
+        for step in range(count):
+            host = self._hosts.get(zone.ready[(zone.probe_at + step) % count])
+            if host is None or host.draining:
+                continue
+            was, host.ready = host.ready, True
+            fits = plain(host)
+            host.ready = was
+            if fits:
+                self._zones.probed(zone, now)
+                self._probing.append(request.id)
+                return host
+        return None
+
+    def _patience(self, request: Request) -> int:
+        return int(self.settings.classes[request.cls].aim_ns * GOAL_OF_AIM)
+
+    def _send(self, request: Request, host: Host, now: int) -> None:
+        super()._send(request, host, now)
+        if not self._on:
+            return
+        self._zones.sent(host.zone, now)
+        if host.started_ns > 0 and self._warmth(host, now) < 1:
+            # The rule's budget is more than a cold host can do: here all proxies together keep to that.
+            host.cold_level -= max(0.0, COLD_SLICE * self.settings.fall_multiple - 1)
+        if request.id in self._probing:
+            sent = self._out[-1]
+            assert isinstance(sent, api.Send)
+            sent.timeout_ns = self._patience(request)
+
+    def _attempt_ended(self, event: api.AttemptEnded, now: int) -> None:
+        request = self._requests.get(event.request)
+        if request is not None and event.attempt < len(request.attempts):
+            host, sent, _ = request.attempts[event.attempt]
+            key = event.request, event.attempt
+            if self._on and (key in host.out or key in host.lost):
+                self._zones.ended(host.zone, host.name, event.status, sent, event.latency_ns, now)
+        super()._attempt_ended(event, now)
+        if event.request in self._probing and event.attempt == 0:
+            self._probing.remove(event.request)
+
+    def _retry(self, request: Request, status: Status, now: int, lost: bool) -> None:
+        """An unanswered probe costs its request no more than the time: it goes elsewhere at once."""
+        if request.id in self._probing and status is not Status.MOOT and self._may_repeat(request, now):
+            self._probing.remove(request.id)
+            host = self._pick(request, now)
+            if host is not None:
+                self._send(request, host, now)
+                return
+        super()._retry(request, status, now, lost)
