--- a/brambleusher/lab/breakages.py
+++ b/brambleusher/lab/breakages.py
@@ -363,6 +363,17 @@
     patches.set(ExecuteNodes, "_drop", drop)
 
 
+@breakage("report-halved", "the module is told half of what a load report says", "report")
+def _report_halved(patches: Patches) -> None:
+    def parse_report(text: str | None) -> api.LoadReport | None:
+        report: api.LoadReport | None = old(text)
+        if report is None or report.utilisation is None:
+            return report
+        return replace(report, utilisation=report.utilisation / 2)
+
+    old = patches.set(nodes_module, "parse_report", parse_report)
+
+
 @breakage("capture-forgets", "a capture leaves out the load reports", "replay")
 def _capture_forgets(patches: Patches) -> None:
     def event_of(event: api.Event | None) -> tuple[str, dict[str, Any]]:
--- a/brambleusher/lab/checker/books.py
+++ b/brambleusher/lab/checker/books.py
@@ -189,6 +189,7 @@
     written_ns: int = -1  # its last byte was handed over
     status: int = 0  # of its answer, once read whole
     proven: bool = False  # by the answer: it never ran
+    report: tuple[float | None, float | None] | None = None  # the load report in it
 
     @property
     def may_run(self) -> bool:
--- a/brambleusher/lab/checker/checker.py
+++ b/brambleusher/lab/checker/checker.py
@@ -34,7 +34,7 @@
     Wire,
     merged,
 )
-from brambleusher.lab.checker.messages import Message
+from brambleusher.lab.checker.messages import Message, load_report
 from brambleusher.lab.checker.roster import READY, Told, address_of, entries_of, read
 from brambleusher.lab.checker.rules import MS, RULES, SECOND, UNSAFE, Rules
 
@@ -124,8 +124,14 @@
         name = self._lives[machine].name
         for text in rerun.differences(stderr)[:1]:
             self._breach("replay", now, name, text)
-        for text in rerun.lost_timers(stderr, TIMER_LATE_NS)[:1]:
+        captures = list(rerun.captures(stderr))
+        for text in rerun.lost_timers(captures, TIMER_LATE_NS)[:1]:
             self._breach("timers", now, name, text)
+        for record in (record for records in captures for record in records if record["ev"] == "attempt"):
+            if not self._same_report(machine, record):
+                text = f"{record['id']}: told {record['in']['report']} of {record['in']['server']}"
+                self._breach("report", now, name, text)
+                break
 
     def calm(self, now: int) -> None:
         """The last fault has ended, and what is asked from here on can be served."""
@@ -623,6 +629,7 @@
             attempt.status = answer.status
             if answer.status in (503, 504) and answer.get("not-started") == "1":
                 attempt.proven = True
+            attempt.report = load_report(answer)
             wire.closes = answer.closes
             self._note(now, wire, f"{answer.status} from {wire.where}{', not started' * attempt.proven}")
 
@@ -688,6 +695,19 @@
                 f"{by_told:.3f} s of it from sidecars that were told of its start; room for {budget:.3f} s",
             )  # fmt: skip
 
+    def _same_report(self, machine: str, record: dict[str, Any]) -> bool:
+        """Whether an end that the module was told of came with a load report that was on the wire.
+
+        That of any attempt of the request: which one it was is not recorded.
+        """
+        told = record["in"]["report"]
+        takings = self._takings.get((machine, record["id"]), ())
+        brought = [attempt.report for taking in takings for attempt in taking.attempts]
+        if told is not None:
+            return tuple(told) in brought
+        # What is served was read whole; other answers may have been given up half read.
+        return record["in"]["status"] != "ok" or not brought or None in brought
+
     # --- discovery ------------------------------------------------------------------------------
 
     def _asked_discovery(self, now: int, wire: Watching, data: bytes) -> None:
--- a/brambleusher/lab/checker/messages.py
+++ b/brambleusher/lab/checker/messages.py
@@ -5,7 +5,10 @@
 
 from __future__ import annotations
 
+import json
+import math
 from collections.abc import Sequence
+from typing import Any
 
 MOST_HEAD = 64 * 1024  # a head that has not ended by then has no end
 MOST_LINE = 16 * 1024 * 1024
@@ -296,6 +299,27 @@
                 self.fault = "framing that can't be read"
 
 
+def load_report(answer: Message) -> tuple[float | None, float | None] | None:
+    """Utilisation and requests a second as an answer tells them; None where it tells nothing."""
+    text = answer.get("server-load")
+    if text is None:
+        return None
+    try:
+        raw = json.loads(text)
+    except (ValueError, RecursionError):
+        raw = None
+    if not isinstance(raw, dict):
+        return None, None
+    return _figure(raw, "util", "utilization"), _figure(raw, "qps", "throughput")
+
+
+def _figure(raw: dict[str, Any], *names: str) -> float | None:
+    told = [raw[name] for name in names if name in raw]
+    if not told or type(told[0]) not in (int, float) or not 0 <= told[0] < math.inf:
+        return None
+    return float(told[0])
+
+
 def _field(line: str) -> tuple[str, str]:
     name, _, value = line.partition(":")
     return name.strip().lower(), value.strip(" \t")
--- a/brambleusher/lab/checker/rules.py
+++ b/brambleusher/lab/checker/rules.py
@@ -36,6 +36,7 @@
     "left-over": "something was left at the end",
     "recovery": "service did not come back after the last fault",
     "replay": "the run's own capture, rerun, differs",
+    "report": "the module was told another load report than the answer brought",
     "timers": "a timer that the module asked for never came",
 }
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import ast
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import pytest
 
+from brambleusher.lab import checker
 from brambleusher.lab.checker import Checker, Rules
-from brambleusher.lab.checker.messages import Chunks, Lines, Reader
+from brambleusher.lab.checker.messages import Chunks, Lines, Message, Reader, load_report
 from brambleusher.lab.checker.rules import RULES
 
 MS, S = 10**6, 10**9
@@ -807,7 +810,7 @@
 
 
 def test_every_rule_can_be_broken() -> None:
-    elsewhere = {"left-over", "replay", "timers"}
+    elsewhere = {"left-over", "replay", "timers", "report"}
     assert {rule for rule, _, _ in WIRES if rule} == set(RULES) - elsewhere
 
 
@@ -828,6 +831,36 @@
 # --- captures -------------------------------------------------------------------------------------
 
 
+def told(play: Play, *figures: float | None) -> list[str]:
+    """What is found when the module is told these figures, the answer having brought others."""
+    conn = play.take(cls="look")
+    claim, body = play.claim(cls="look"), play.run()
+    play.node_answers(claim, "200 OK", body, Server_Load='{"util":0.5,"qps":14}')
+    play.answer(conn, 200, body)
+    end = {"server": A, "status": "ok", "report": list(figures) or None}
+    return captured(play, {"t_ns": 1, "ev": "attempt", "id": "r1", "in": end, "out": []})
+
+
+def test_reports_that_the_module_was_told() -> None:
+    assert "report" not in told(Play(), 0.5, 14.0)
+    assert "report" in told(Play(), 0.5, 13.0)
+    assert "report" in told(Play(), None, None)
+    assert "report" in told(Play())
+
+
+@pytest.mark.parametrize(
+    ("text", "figures"),
+    [
+        ('{"util":0.61,"qps":7}', (0.61, 7.0)), ('{"utilization":1,"throughput":2.5}', (1.0, 2.5)),
+        ('{"util":-1,"qps":true}', (None, None)), ("[1]", (None, None)), ("q7!", (None, None)),
+        ('{"qps":1e999}', (None, None)), ('{"util":0}', (0.0, None)), (None, None),
+    ],
+)  # fmt: skip
+def test_load_reports(text: str | None, figures: object) -> None:
+    headers = [] if text is None else [("server-load", text)]
+    assert load_report(Message("HTTP/1.1 200 OK", headers, 0)) == figures
+
+
 def captured(play: Play, *records: dict[str, Any]) -> list[str]:
     lines = [json.dumps({"ev": "start", "v": 1}), *map(json.dumps, records), "time=1 level=info"]
     play.checker.captured(play.now, "m0", "\n".join(lines).encode())
@@ -903,3 +936,18 @@
     found = [line for at in range(0, len(data), step) for line in lines.feed(data[at : at + step])]
     assert found == [b"abc", b""] and not lines.done
     assert lines.feed(b"1\r\n\n\r\n0\r\n\r\n") == [b"de"] and lines.done
+
+
+# --- independence ---------------------------------------------------------------------------------
+
+
+def test_the_checker_shares_no_code_with_the_program() -> None:
+    folder = Path(checker.__file__).parent
+    for path in sorted(folder.glob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text())):
+            names = [node.module or ""] if isinstance(node, ast.ImportFrom) else []
+            names += [each.name for each in node.names] if isinstance(node, ast.Import) else []
+            ours = [name for name in names if name.partition(".")[0] in ("brambleusher", "quillpass")]
+            shared = [name for name in ours if not name.startswith("brambleusher.lab.checker")]
+            # The program's own replay is what `rerun` checks.
+            assert shared == (["brambleusher.features.replay"] if path.name == "rerun.py" and shared else [])
