--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,579 @@
+"""The control service under load: drains to many subscribers, clients of three kinds, weights in use.
+
+python benchmarks/control.py             # all tables
+python benchmarks/control.py --quick     # 100 subscribers, under 50 s; 1 where a figure is missed
+python benchmarks/control.py --part drains|growth|clients|weights
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import heapq
+import json
+import math
+import multiprocessing as mp
+import os
+import queue
+import random
+import re
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import partial
+from multiprocessing.connection import Connection
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+import grpc
+import grpc.aio
+
+from brambleusher.lab.xds import ASSIGNMENT, STREAM_METHODS, ProxyStandIn
+from brambleusher.lab.xds_live import (
+    Backend,
+    ControlProgram,
+    LiveDiscovery,
+    LiveProxy,
+    caller_commands,
+    callers,
+    entry,
+    modules,
+)
+from quillpass import Balancer, api
+from quillpass.fleet import FleetBalancer, Told, standings
+from quillpass.settings import parse_settings
+from quillpass.shares import Rounder
+
+ROOT = Path(__file__).resolve().parent.parent
+LIMIT_MS = 500.0
+MS, SECOND = 1_000_000, 1_000_000_000
+PROCESSES = 3
+_NONCE = re.compile(rb"\x2a[\x01-\x0a]([0-9]{1,10})\Z")
+KB_A_SUBSCRIBER = 250.0  # the most that one may cost, with the bytes that are on their way to it
+SETTINGS: dict[str, Any] = {
+    "zone": "z", "fleet_size": 1,
+    "classes": [
+        {"name": "look", "promise_ns": 400 * MS, "give_up_ns": 2 * SECOND, "effect": "read_like", "worth": 1},
+        {"name": "move", "promise_ns": SECOND, "give_up_ns": 5 * SECOND, "effect": "non_idempotent",
+         "worth": 1},
+    ],
+    "limits": {"max_attempts": 3},
+    "safety": {
+        "drain_grace_ns": 500 * MS, "cold_ns": 0, "start_capacity": 1, "fall_multiple": 4, "fall_ns": SECOND
+    },
+}  # fmt: skip
+
+
+def configuration(folder: Path, discovery: str) -> Path:
+    """The service's file."""
+    (folder / "secret").write_text("a secret of the benchmark")
+    path = folder / "control.yaml"
+    path.write_text(
+        json.dumps({
+            "name": "bench", "listen": "127.0.0.1:0", "discovery": discovery, "secret_file": "secret",
+            "store": {"file": "store.db", "new_ms": 0}, "settings": SETTINGS, "status": "127.0.0.1:0",
+            "subscribers": [{"identity": "*", "zone": "z"}],
+            "listeners": [{"name": "web", "address": "127.0.0.1:10000"}, {"name": "grpc-web"}],
+            "classes": [{"name": "look", "retries": 2}, {"name": "move"}],
+        })
+    )  # fmt: skip
+    return path
+
+
+@contextlib.contextmanager
+def service(nodes: list[dict[str, Any]]) -> Iterator[tuple[ControlProgram, LiveDiscovery]]:
+    """The program and its discovery."""
+    with tempfile.TemporaryDirectory() as folder:
+        discovery = LiveDiscovery(nodes)
+        program = ControlProgram(configuration(Path(folder), discovery.address))
+        try:
+            yield program, discovery
+        finally:
+            program.kill()
+            discovery.close()
+
+
+def usage(pid: int) -> tuple[float, float]:
+    """A process's processor seconds so far, and its memory in MB."""
+    stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK"), pages * os.sysconf(
+        "SC_PAGE_SIZE"
+    ) / 2**20
+
+
+def share(values: list[float], part: float) -> float:
+    """The value that `part` of all do not exceed."""
+    held = sorted(values)
+    return held[min(len(held) - 1, math.ceil(part * len(held)) - 1)]
+
+
+# --- drains to many subscribers --------------------------------------------------------------------
+
+
+class _Light:
+    """A subscriber that acknowledges and notes when each response came, and parses none but the first.
+
+    It keeps to the protocol by the fields it needs; the machine's cores are for the service, not for a
+    thousand proxies' parsing.
+    """
+
+    def __init__(self, name: str, incremental: bool, target: str) -> None:
+        self.proxy, self.target = ProxyStandIn(name, "z", incremental), target
+        self.came: list[tuple[float, int]] = []  # when, and how many bytes
+        self.complete = asyncio.Event()
+
+    async def run(self, stalls: bool) -> None:
+        channel = grpc.aio.insecure_channel(
+            self.target,
+            options=[("grpc.use_local_subchannel_pool", 1), ("grpc.max_receive_message_length", -1)],
+        )
+        call = channel.stream_stream(STREAM_METHODS[self.proxy.incremental])()
+        for data in self.proxy.connect():
+            await call.write(data)
+        while (data := await call.read()) is not grpc.aio.EOF:
+            at = time.monotonic()
+            if self.proxy.complete():
+                self.came.append((at, len(data)))
+                await call.write(_acknowledge(self.proxy, data))
+                continue
+            for request in self.proxy.receive(data):
+                await call.write(request)
+            if self.proxy.complete():
+                self.complete.set()
+                if stalls:
+                    await asyncio.Event().wait()
+
+
+def _acknowledge(proxy: ProxyStandIn, data: bytes) -> bytes:
+    """The answer to an assignment, read from the response's end alone, where its nonce is."""
+    found = _NONCE.search(data[-16:])
+    if found is None:
+        raise ValueError("the response does not end in its nonce")
+    return proxy.acknowledge(ASSIGNMENT, found[1].decode())
+
+
+def subscribers(target: str, names: list[str], pipe: Connection, stalls: int) -> None:
+    """A process full of subscribers; tells when all have all, then at each ask what came since."""
+    asyncio.run(_subscribers(target, names, pipe, stalls))
+
+
+async def _subscribers(target: str, names: list[str], pipe: Connection, stalls: int) -> None:
+    held = [_Light(name, bool(at % 2), target) for at, name in enumerate(names)]
+    tasks = [asyncio.create_task(each.run(at < stalls)) for at, each in enumerate(held)]
+    for each in held:
+        await each.complete.wait()
+    pipe.send("complete")
+    loop = asyncio.get_running_loop()
+    while await loop.run_in_executor(None, pipe.recv) != "end":
+        pipe.send([each.came for each in held[stalls:]])
+        for each in held:
+            each.came = []
+    for task in tasks:
+        task.cancel()
+    os._exit(0)
+
+
+@dataclass
+class Drains:
+    """What a run with so many subscribers and nodes came to."""
+
+    subscribers: int
+    nodes: int
+    last_ms: list[float]  # for each drain: to the last receipt
+    kb_each: float
+    cpu_ms: float  # a drain
+    bytes_each: int
+
+    def row(self) -> tuple[str, ...]:
+        """For the table."""
+        last = self.last_ms
+        return (
+            str(self.subscribers), str(self.nodes), f"{share(last, 0.5):.0f}", f"{share(last, 0.99):.0f}",
+            f"{max(last):.0f}", f"{self.kb_each:.0f}", f"{self.cpu_ms:.0f}", f"{self.bytes_each / 1024:.0f}",
+        )  # fmt: skip
+
+
+DRAINS_HEAD = ("subscribers", "nodes", "median ms", "99th ms", "worst ms", "KB each", "CPU ms", "update KB")
+
+
+def drains(count: int, nodes: int, rounds: int) -> Drains:
+    """Drain nodes one after another; one subscriber stalls, a whole list goes just before every tenth."""
+    listed = [entry(f"n{at:05}", 10_000 + at) for at in range(nodes)]
+    with service(listed) as (program, discovery):
+        before = usage(program.process.pid)
+        names = [f"p{at}" for at in range(count)]
+        parts = [names[at::PROCESSES] for at in range(PROCESSES)]
+        pipes, running = [], []
+        context = mp.get_context("spawn")
+        for at, part in enumerate(part for part in parts if part):
+            ours, theirs = context.Pipe()
+            stalls = 1 if at == 0 and count > 1 else 0
+            job = context.Process(
+                target=subscribers, args=(program.addresses["xds"], part, theirs, stalls), daemon=True
+            )
+            job.start()
+            pipes.append(ours)
+            running.append(job)
+        for pipe in pipes:
+            assert pipe.recv() == "complete"
+        connected = usage(program.process.pid)
+        last, cpu, sizes = [], [], []
+        reading = count - (1 if count > 1 else 0)
+        for at in range(rounds):
+            victim = listed[at % nodes]
+            victim = victim | {"state": "Terminating" if victim["state"] == "Ready" else "Ready"}
+            listed[at % nodes] = victim
+            if at % 10 == 9:
+                discovery.whole(listed[: at % nodes] + listed[at % nodes + 1 :])
+                listed[at % nodes] = victim = victim | {"state": "Terminating"}
+            began = usage(program.process.pid)[0]
+            told = discovery.change(victim)
+            seen: Counter[int] = Counter()
+            worst = 0.0
+            until = time.monotonic() + 10
+            came: dict[tuple[int, int], float] = {}
+            while len(came) < reading and time.monotonic() < until:
+                time.sleep(0.02)
+                for part_at, pipe in enumerate(pipes):
+                    pipe.send("what came")
+                    for one, events in enumerate(pipe.recv()):
+                        for moment, size in events:
+                            if moment >= told:
+                                # The last one after the notice counts: it is the newest.
+                                came[part_at, one] = moment
+                                sizes.append(size)
+                                seen[part_at] += 1
+            if len(came) < reading:
+                raise RuntimeError(f"{reading - len(came)} of {reading} subscribers heard nothing for 10 s")
+            worst = max(came.values()) - told
+            last.append(worst * 1000)
+            cpu.append((usage(program.process.pid)[0] - began) * 1000)
+        after = usage(program.process.pid)
+        for pipe in pipes:
+            pipe.send("end")
+        for job in running:
+            job.join(10)
+        kb = (max(connected[1], after[1]) - before[1]) * 1024 / count
+        return Drains(count, nodes, last, kb, sum(cpu) / len(cpu), sorted(sizes)[len(sizes) // 2])
+
+
+# --- three kinds of client ---------------------------------------------------------------------------
+
+
+def _without(live: LiveProxy, address: str) -> bool:
+    return address not in live.proxy.usable()
+
+
+async def _kinds(rounds: int) -> dict[str, float]:
+    """For each kind of client the slowest: a call to the drained node, or receipt, in ms after the notice."""
+    seen: queue.Queue[tuple[str, str, float]] = queue.Queue()
+    backends = [Backend(f"n{at}", seen) for at in range(6)]
+    slowest: dict[str, float] = {}
+    listed = [entry(each.name, each.port) for each in backends]
+    with service(listed) as (program, discovery), tempfile.TemporaryDirectory() as folder:
+        bootstrap = Path(folder) / "bootstrap.json"
+        server = {
+            "server_uri": program.addresses["xds"], "channel_creds": [{"type": "insecure"}],
+            "server_features": ["xds_v3"],
+        }  # fmt: skip
+        node = {"id": "g", "locality": {"zone": "z"}}
+        bootstrap.write_text(json.dumps({"xds_servers": [server], "node": node}))
+        commands = caller_commands(ROOT)
+        environment = {**os.environ, "GRPC_XDS_BOOTSTRAP": str(bootstrap), "NODE_PATH": str(modules(ROOT))}
+        live = {}
+        for name, incremental in (("stand-in, whole state", False), ("stand-in, incremental", True)):
+            live[name] = LiveProxy(ProxyStandIn(name, "z", incremental), program.addresses["xds"])
+            live[name].start()
+            await live[name].until(live[name].proxy.complete)
+        with callers(commands, environment):
+            for at in range(rounds):
+                victim = backends[at % len(backends)]
+                await _called(seen, victim.name, set(commands))
+                told = discovery.change(entry(victim.name, victim.port, "Terminating"))
+                for name, each in live.items():
+                    await each.until(partial(_without, each, f"127.0.0.1:{victim.port}"))
+                    slowest[name] = max(slowest.get(name, 0.0), (each.heard_at - told) * 1000)
+                calls: Counter[str] = Counter()
+                while any(calls[name] < 20 for name in commands):
+                    caller, served, moment = await asyncio.to_thread(seen.get, timeout=30)
+                    after = (moment - told) * 1000
+                    if served == victim.name and after > 0:
+                        slowest[caller] = max(slowest.get(caller, 0.0), after)
+                    calls[caller] += after > LIMIT_MS
+                discovery.change(entry(victim.name, victim.port))
+        for name in commands:
+            slowest.setdefault(name, 0.0)  # none of its calls came after a notice
+        for each in live.values():
+            await each.stop()
+    for backend in backends:
+        backend.stop()
+    return slowest
+
+
+async def _called(seen: queue.Queue[tuple[str, str, float]], node: str, callers: set[str]) -> None:
+    """Wait until every caller calls a node."""
+    left = set(callers)
+    while left:
+        caller, served, _ = await asyncio.to_thread(seen.get, timeout=30)
+        if served == node:
+            left.discard(caller)
+
+
+# --- weights ---------------------------------------------------------------------------------------
+
+
+class Fleet:
+    """Execute nodes in virtual time: places to work in, a queue, a speed; no two alike."""
+
+    def __init__(self, rng: random.Random, count: int) -> None:
+        self.rng = rng
+        self.names = [f"n{at:02}" for at in range(count)]
+        self.places = dict.fromkeys(self.names, 4)
+        self.speed = {name: rng.choice((0.6, 1.0, 1.0, 1.4)) for name in self.names}
+        self.free: dict[str, list[float]] = {name: [0.0] * 4 for name in self.names}
+        self.busy_s: dict[str, float] = dict.fromkeys(self.names, 0.0)
+        self.recent: dict[str, list[tuple[float, float, float]]] = {name: [] for name in self.names}
+
+    def capacity(self, mean: float) -> float:
+        """Requests a second of all nodes together, at a mean of so many seconds' work."""
+        return sum(self.places[name] * self.speed[name] / mean for name in self.names)
+
+    def serve(self, name: str, now: float, work: float) -> tuple[float, api.LoadReport]:
+        """When a request that arrives now is answered, and the node's own figures then."""
+        if not self.free[name]:
+            self.free[name] = [0.0]
+        begins = max(now, self.free[name][0])
+        ends = begins + work / self.speed[name]
+        heapq.heapreplace(self.free[name], ends)
+        self.busy_s[name] += ends - begins
+        self.recent[name].append((now, begins, ends))
+        return ends, self.report(name, ends)
+
+    def report(self, name: str, now: float, window: float = 1.0) -> api.LoadReport:
+        """A node's share of its places in use, and its answers a second, over the last `window` seconds."""
+        held = [each for each in self.recent[name] if each[2] > now - 2 * window]
+        self.recent[name] = held
+        busy = sum(max(0.0, min(end, now) - max(begin, now - window)) for _, begin, end in held)
+        done = sum(now - window < end <= now for _, _, end in held)
+        return api.LoadReport(min(1.0, busy / window / self.places[name]), done / window)
+
+
+@dataclass
+class Day:
+    """What a day came to."""
+
+    served: float
+    worst: float
+    mean: float
+
+
+def day(
+    seed: int, proxies: bool, use: float = 0.7, nodes: int = 24, senders: int = 16, seconds: float = 60.0
+) -> Day:
+    """The same arrivals, work and slow spells, sent by sidecars or by weighted proxies.
+
+    A third of the way through a node slows to a fifth for a third of the day; at half of it one drains.
+    """
+    rng = random.Random(seed)
+    fleet = Fleet(rng, nodes)
+    mean, settings = 0.05, parse_settings(SETTINGS | {"fleet_size": senders})
+    aim, deadline = 0.4, 2.0
+    rate = fleet.capacity(mean) * use
+    slow, drained = fleet.names[1], fleet.names[2]
+    usual = fleet.speed[slow]
+    listed = [api.HostEntry(name, "z", "k", 0, api.HostState.READY) for name in fleet.names]
+    served = judged = 0
+    events: list[tuple[float, int, str, Any]] = []
+    count = 0
+
+    def at(when: float, kind: str, what: Any = None) -> None:
+        nonlocal count
+        count += 1
+        heapq.heappush(events, (when, count, kind, what))
+
+    def ns(seconds_: float) -> int:
+        return int(seconds_ * SECOND)
+
+    sidecars = [Balancer(settings, seed * 1000 + each) for each in range(senders)]
+    tries: dict[str, int] = {}
+    zone = FleetBalancer(settings, seed)
+    rounder = Rounder(0.1)
+    weights: dict[str, int] = {}
+    current = [
+        dict.fromkeys(fleet.names, 0.0) for _ in range(senders)
+    ]  # smooth weighted round robin, as proxies do
+    gathered: dict[str, list[Any]] = {}
+
+    def route(sender: int, actions: list[api.Action], now: float) -> None:
+        nonlocal judged
+        for action in actions:
+            if isinstance(action, api.SetTimer):
+                at(action.at_ns / SECOND, "timer", sender)
+            elif isinstance(action, api.Send):
+                attempt = tries[action.request]
+                tries[action.request] += 1
+                ends, report = fleet.serve(action.host, now, work[action.request])
+                at(ends, "answer", (sender, action.request, attempt, action.host, now, report))
+            elif isinstance(action, api.Refuse | api.Fail):
+                arrived.pop(action.request, None)
+
+    def reweigh(now: float) -> None:
+        weights.clear()
+        weights.update({each.host: each.weight for each in rounder.round(standings(zone)) if each.weight})
+
+    arrived: dict[str, float] = {}
+    work: dict[str, float] = {}
+    if proxies:
+        zone.start(0)
+        zone.handle(api.HostList(api.ListKind.FULL, listed), 0)
+        reweigh(0)
+        at(1.0, "report")
+    else:
+        for sender, each in enumerate(sidecars):
+            route(sender, each.start(0), 0)
+            route(sender, each.handle(api.HostList(api.ListKind.FULL, list(listed)), 0), 0)
+    at(seconds / 3, "slow")
+    at(seconds * 2 / 3, "well")
+    at(seconds / 2, "drain")
+    at(rng.expovariate(rate), "arrival", 0)
+    turn = 0
+    while events:
+        now, _, kind, what = heapq.heappop(events)
+        if kind == "arrival":
+            if now > seconds:
+                continue
+            at(now + rng.expovariate(rate), "arrival", what + 1)
+            name, needs, sender = f"r{what}", rng.expovariate(1 / mean), rng.randrange(senders)
+            judged += 1
+            arrived[name], work[name], tries[name] = now, needs, 0
+            if proxies:
+                held = current[sender]
+                total = sum(weights.values())
+                for host, weight in weights.items():
+                    held[host] += weight
+                host = max(weights, key=lambda host: (held[host], host))
+                held[host] -= total
+                ends, report = fleet.serve(host, now, needs)
+                at(ends, "answered", (name, host, now, report))
+            else:
+                route(
+                    sender,
+                    sidecars[sender].handle(api.RequestArrived(name, "look", None, ns(deadline)), ns(now)),
+                    now,
+                )
+        elif kind == "answered":
+            name, host, began, report = what
+            served += now - began <= aim
+            sums = gathered.setdefault(host, [0, 0.0, 0.0, 0.0])
+            sums[0] += 1
+            sums[1] += now - began
+            sums[2] += report.utilisation
+            sums[3] += report.throughput
+        elif kind == "report":
+            for host, (n, took, util, rps) in sorted(gathered.items()):
+                zone.tell(Told(host, "look", n, 0, ns(took / n), api.LoadReport(util / n, rps / n)), ns(now))
+            gathered.clear()
+            zone.handle(api.TimerFired(0), ns(now))
+            turn += 1
+            if turn % 2 == 0:  # weights go out every two seconds
+                reweigh(now)
+            if now < seconds + 5:
+                at(now + 1.0, "report")
+        elif kind == "timer":
+            if now < seconds + 5:
+                route(what, sidecars[what].handle(api.TimerFired(0), ns(now)), now)
+        elif kind == "answer":
+            sender, name, attempt, host, began, report = what
+            if name in arrived:
+                served += now - arrived.pop(name) <= aim
+            event = api.AttemptEnded(name, attempt, host, api.Status.OK, ns(now - began), True, report)
+            route(sender, sidecars[sender].handle(event, ns(now)), now)
+        elif kind in ("slow", "well"):
+            fleet.speed[slow] = usual / 5 if kind == "slow" else usual
+        elif kind == "drain":
+            gone = [api.HostEntry(drained, "z", "k", 0, api.HostState.DRAINING)]
+            if proxies:
+                zone.handle(api.HostList(api.ListKind.DELTA, gone), ns(now))
+                reweigh(now)
+            else:
+                for sender, each in enumerate(sidecars):
+                    route(sender, each.handle(api.HostList(api.ListKind.DELTA, list(gone)), ns(now)), now)
+    loads = [fleet.busy_s[name] / fleet.places[name] / seconds for name in fleet.names if name != drained]
+    return Day(served / max(judged, 1), max(loads), sum(loads) / len(loads))
+
+
+# --- tables ------------------------------------------------------------------------------------------
+
+
+def table(title: str, head: tuple[str, ...], rows: list[tuple[str, ...]]) -> None:
+    """Print one."""
+    widths = [max(len(row[at]) for row in [head, *rows]) for at in range(len(head))]
+    print(f"\n{title}")
+    for row in [head, *rows]:
+        cells = [
+            row[0].ljust(widths[0]),
+            *(cell.rjust(width) for cell, width in zip(row[1:], widths[1:], strict=True)),
+        ]
+        print("  ".join(cells))
+
+
+def main() -> int:
+    """Print the tables; 1 where a figure is missed."""
+    words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    words.add_argument("--quick", action="store_true")
+    words.add_argument("--part", choices=("drains", "growth", "clients", "weights"))
+    given = words.parse_args()
+    parts = [given.part] if given.part else ["drains", "growth", "clients", "weights"]
+    if given.quick and not given.part:
+        parts.remove("growth")
+    missed = []
+    if "drains" in parts:
+        made = drains(100, 2000, 30) if given.quick else drains(1000, 2000, 100)
+        table(
+            f"from a drain's notice to the last receipt, {len(made.last_ms)} drains",
+            DRAINS_HEAD,
+            [made.row()],
+        )
+        if max(made.last_ms) > LIMIT_MS:
+            missed.append(f"the slowest drain took {max(made.last_ms):.0f} ms")
+        if made.kb_each > KB_A_SUBSCRIBER * (2 if given.quick else 1):
+            missed.append(f"a subscriber costs {made.kb_each:.0f} KB")
+    if "growth" in parts:
+        sizes = [(10, 2000), (100, 2000), (1000, 2000), (1000, 20), (1000, 200)]
+        rows = [drains(count, nodes, 20).row() for count, nodes in sizes]
+        table("how it grows, 20 drains each", DRAINS_HEAD, rows)
+    if "clients" in parts:
+        slowest = asyncio.run(_kinds(2 if given.quick else 6))
+        rows = [(name, f"{ms:.1f}") for name, ms in sorted(slowest.items())]
+        table(
+            "slowest ms after the notice: the last call to the drained node, or the news' receipt",
+            ("client", "ms"),
+            rows,
+        )
+        missed += [f"{name} took {ms:.0f} ms" for name, ms in slowest.items() if ms > LIMIT_MS]
+    if "weights" in parts:
+        rows = []
+        for use in (0.5, 0.7, 0.85):
+            pairs = [(day(seed, False, use), day(seed, True, use)) for seed in range(1 if given.quick else 3)]
+            for at, name in enumerate(("sidecars", "weighted proxies")):
+                days = [pair[at] for pair in pairs]
+                served, worst, mean = (
+                    sum(getattr(each, key) for each in days) / len(days)
+                    for key in ("served", "worst", "mean")
+                )
+                rows.append((name, f"{use:.0%}", f"{served:.1%}", f"{worst:.2f}", f"{worst / mean:.2f}"))
+        table("the same days", ("sent by", "use", "in the aim", "worst node's load", "of the mean"), rows)
+    for each in missed:
+        print(f"missed: {each}")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/brambleusher/lab/xds.py
+++ b/brambleusher/lab/xds.py
@@ -134,6 +134,11 @@
             message.error_detail.CopyFrom(status_pb2.Status(code=3, message=error))
         return bytes(message.SerializeToString())
 
+    def acknowledge(self, kind: str, nonce: str) -> bytes:
+        """Accept a response by its nonce alone, for one that does not look at what is in it."""
+        self.kinds[kind].nonce = nonce
+        return self._ask(kind)
+
     # --- responses ------------------------------------------------------------------------------
 
     def receive(self, data: bytes) -> list[bytes]:
--- /dev/null
+++ b/brambleusher/lab/xds_caller.py
@@ -0,0 +1,30 @@
+"""Calls through gRPC's own xDS client, one after another, until it is ended.
+
+GRPC_XDS_BOOTSTRAP=FILE python -m brambleusher.lab.xds_caller xds:///NAME CALLER
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+
+import grpc
+
+PAUSE = 0.002
+
+
+def main(target: str, name: str) -> None:
+    """Call `/look/Get`, with the caller's name for a body; failures are told on standard error."""
+    with grpc.insecure_channel(target) as channel:
+        call = channel.unary_unary("/look/Get")
+        while True:
+            try:
+                call(name.encode(), timeout=5)
+            except grpc.RpcError as error:
+                print(f"{name}: {error}", file=sys.stderr)
+                time.sleep(0.1)
+            time.sleep(PAUSE)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/brambleusher/lab/xds_live.py
@@ -0,0 +1,257 @@
+"""Stand-in proxies on real streams, stand-in gRPC backends, and a control service to try them on."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import queue
+import shutil
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import grpc
+import grpc.aio
+
+from brambleusher.lab.xds import STREAM_METHODS, ProxyStandIn
+
+WAIT = 30.0  # a bound on what must come, not a time anything should take
+METHODS = ("look", "move")
+
+
+class LiveProxy:
+    """A stand-in proxy on a connection of its own; `heard_at` is when its last response came."""
+
+    def __init__(
+        self,
+        proxy: ProxyStandIn,
+        target: str,
+        credentials: grpc.ChannelCredentials | None = None,
+    ) -> None:
+        self.proxy, self.heard_at = proxy, 0.0
+        options = [("grpc.use_local_subchannel_pool", 1), ("grpc.max_receive_message_length", -1)]
+        if credentials is None:
+            self._channel = grpc.aio.insecure_channel(target, options=options)
+        else:
+            self._channel = grpc.aio.secure_channel(target, credentials, options=options)
+        self._news = asyncio.Event()
+        self.reading = asyncio.Event()  # cleared: it stops reading
+        self.reading.set()
+        self.ended: grpc.StatusCode | None = None
+        self.why = ""
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self, forget: bool = False) -> None:
+        """Begin a stream."""
+        self.ended = None
+        self._task = asyncio.get_running_loop().create_task(self._run(forget))
+
+    async def _run(self, forget: bool) -> None:
+        call = self._channel.stream_stream(STREAM_METHODS[self.proxy.incremental])()
+        try:
+            for data in self.proxy.connect(forget):
+                await call.write(data)
+            while (data := await call.read()) is not grpc.aio.EOF:
+                at = time.monotonic()
+                for answer in self.proxy.receive(data):
+                    await call.write(answer)
+                self.heard_at = at
+                self._news.set()
+                await self.reading.wait()
+            self.ended, self.why = await call.code(), await call.details()
+        except grpc.aio.AioRpcError as error:
+            self.ended, self.why = error.code(), error.details() or ""
+        except asyncio.InvalidStateError:  # a write to a stream that has ended
+            self.ended, self.why = await call.code(), await call.details()
+        finally:
+            call.cancel()
+            self._news.set()
+
+    async def until(self, what: Callable[[], bool]) -> None:
+        """Wait for something that a response brings about."""
+        async with asyncio.timeout(WAIT):
+            while not what():
+                self._news.clear()
+                await self._news.wait()
+
+    async def stop(self) -> None:
+        """End the stream and the connection."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        await self._channel.close()
+
+
+class Backend:
+    """A gRPC execute node; `seen` has the caller's name, the node's and the time of each call."""
+
+    def __init__(self, name: str, seen: queue.Queue[tuple[str, str, float]]) -> None:
+        self.name, self.seen = name, seen
+        self._server = grpc.server(ThreadPoolExecutor(8))
+        for service in METHODS:
+            handler = grpc.unary_unary_rpc_method_handler(self._call)
+            self._server.add_generic_rpc_handlers(
+                (grpc.method_handlers_generic_handler(service, {"Get": handler}),)
+            )
+        self.port = self._server.add_insecure_port("127.0.0.1:0")
+        self._server.start()
+
+    def _call(self, data: bytes, context: Any) -> bytes:
+        self.seen.put((data.decode(), self.name, time.monotonic()))
+        return self.name.encode()
+
+    def stop(self) -> None:
+        """Serve no more."""
+        self._server.stop(None)
+
+
+def entry(name: str, port: int, state: str = "Ready", zone: str = "z", started_ms: int = 0) -> dict[str, Any]:
+    """A node in discovery's words."""
+    return {
+        "id": name, "addr": f"127.0.0.1:{port}", "zone": zone, "kind": "k", "cell": 0,
+        "state": state, "weight": 1.0, "started_ms": started_ms,
+    }  # fmt: skip
+
+
+class LiveDiscovery:
+    """A discovery on a socket: each watch gets the whole list, then what is pushed."""
+
+    def __init__(self, servers: list[dict[str, Any]], version: int = 1) -> None:
+        self.version, self.servers = version, {each["id"]: each for each in servers}
+        self._lock = threading.Lock()
+        self._watches: list[socket.socket] = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.ended = False
+        threading.Thread(target=self._accept, daemon=True).start()
+        threading.Thread(target=self._beat, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+                sock.recv(65536)
+                with self._lock:
+                    sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + self._whole())
+                    self._watches.append(sock)
+            except OSError:
+                if self.ended:
+                    return
+
+    def _beat(self) -> None:
+        while not self.ended:
+            time.sleep(1.0)
+            with self._lock:
+                self._send(b"1\r\n\n\r\n")
+
+    @staticmethod
+    def _chunk(version: int, full: bool, servers: list[dict[str, Any]]) -> bytes:
+        line = json.dumps({"version": version, "full": full, "servers": servers}).encode() + b"\n"
+        return b"%x\r\n%s\r\n" % (len(line), line)
+
+    def _whole(self) -> bytes:
+        return self._chunk(self.version, True, list(self.servers.values()))
+
+    def _send(self, data: bytes) -> None:
+        for sock in list(self._watches):
+            try:
+                sock.sendall(data)
+            except OSError:
+                self._watches.remove(sock)
+
+    def change(self, *servers: dict[str, Any]) -> float:
+        """Write a change to all watches; says when it was written."""
+        with self._lock:
+            self.version += 1
+            self.servers.update({each["id"]: each for each in servers})
+            data = self._chunk(self.version, False, list(servers))
+            at = time.monotonic()
+            self._send(data)
+            return at
+
+    def whole(self, servers: list[dict[str, Any]]) -> float:
+        """Write a whole new list to all watches."""
+        with self._lock:
+            self.version += 1
+            self.servers = {each["id"]: each for each in servers}
+            data = self._whole()
+            at = time.monotonic()
+            self._send(data)
+            return at
+
+    def cut(self, version: int | None = None, servers: list[dict[str, Any]] | None = None) -> None:
+        """End all watches; the next ones get another list where one is given."""
+        with self._lock:
+            if version is not None and servers is not None:
+                self.version, self.servers = version, {each["id"]: each for each in servers}
+            for sock in self._watches:
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+                sock.close()
+            self._watches.clear()
+
+    def close(self) -> None:
+        """Be no more."""
+        self.ended = True
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self.cut()
+
+
+class ControlProgram:
+    """`brambleusher control` as a process."""
+
+    def __init__(self, config: Path) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "brambleusher", "control", "--config", str(config), "--json"],
+            stdout=subprocess.PIPE, stderr=(config.parent / "control.log").open("ab"), text=True,
+        )  # fmt: skip
+        assert self.process.stdout is not None
+        line = self.process.stdout.readline()
+        assert line, "the control service did not start: see control.log"
+        self.addresses: dict[str, str] = json.loads(line)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def end(self) -> int:
+        """Have it end; its exit status."""
+        self.process.terminate()
+        return self.process.wait(WAIT)
+
+
+def modules(root: Path) -> Path:
+    """Where the packages of gRPC's client for Node are installed, if they are."""
+    return root / ".venv" / "js" / "node_modules"
+
+
+def caller_commands(root: Path) -> dict[str, list[str]]:
+    """Programs that call through xDS, by the client that they use: each that is there."""
+    out = {"gRPC, C core": [sys.executable, "-m", "brambleusher.lab.xds_caller", "xds:///grpc-web"]}
+    node = shutil.which("node")
+    if node is not None and (modules(root) / "@grpc" / "grpc-js-xds").exists():
+        out["gRPC, JavaScript"] = [node, str(Path(__file__).parent / "xds_caller.js"), "xds:///grpc-web"]
+    return out
+
+
+@contextlib.contextmanager
+def callers(commands: dict[str, list[str]], environment: dict[str, str]) -> Iterator[None]:
+    """Programs that call through xDS until they are ended."""
+    running = [subprocess.Popen([*command, name], env=environment) for name, command in commands.items()]
+    try:
+        yield
+    finally:
+        for each in running:
+            each.kill()
+            each.wait()
--- /dev/null
+++ b/tests/test_control_live.py
@@ -0,0 +1,438 @@
+"""The control service on real sockets: the program, its clients, TLS, faults in mid-service."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime as dt
+import json
+import os
+import queue
+import re
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import grpc
+import yaml
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives.serialization import Encoding, NoEncryption, PrivateFormat
+from cryptography.x509.oid import NameOID
+from envoy.config.bootstrap.v3 import bootstrap_pb2
+from envoy.extensions.transport_sockets.tls.v3 import tls_pb2
+from envoy.extensions.upstreams.http.v3 import http_protocol_options_pb2
+from google.protobuf.json_format import ParseDict
+
+from brambleusher.control.config import parse_control
+from brambleusher.control.service import Service
+from brambleusher.lab.xds import ASSIGNMENT, ProxyStandIn
+from brambleusher.lab.xds_live import (
+    Backend,
+    ControlProgram,
+    LiveDiscovery,
+    LiveProxy,
+    caller_commands,
+    callers,
+    entry,
+    modules,
+)
+from tests.test_control import written
+
+ROOT = Path(__file__).resolve().parent.parent
+WAIT = 30.0
+LIMIT = 0.5  # from discovery's word that a node drains to the last new call to it
+
+
+def run(main: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(main, 3 * WAIT))
+
+
+def without(live: LiveProxy, address: str) -> bool:
+    return address not in live.proxy.usable()
+
+
+def over(live: LiveProxy) -> bool:
+    return live.ended is not None
+
+
+def sends(data: list[bytes], forget: bool = False) -> list[bytes]:
+    return data
+
+
+def look(address: str) -> dict[str, Any]:
+    """The service's status."""
+    with urllib.request.urlopen(f"http://{address}/status.json", timeout=WAIT) as answer:
+        found: dict[str, Any] = json.load(answer)
+        return found
+
+
+async def until(what: Callable[[], bool]) -> None:
+    """Wait for something that nothing announces."""
+    async with asyncio.timeout(WAIT):
+        while not what():
+            await asyncio.sleep(0.005)
+
+
+async def serving(
+    folder: Path, discovery: LiveDiscovery, proxies: Callable[[Service, str], Awaitable[None]], **more: Any
+) -> None:
+    """A service in this process for as long as `proxies` runs."""
+    config = parse_control(written(folder, discovery=discovery.address, **more), folder)
+    service = Service(config, seed=1)
+    addresses = await service.start()
+    try:
+        await proxies(service, addresses["xds"])
+    finally:
+        await service.stop()
+        discovery.close()
+
+
+def bootstraps() -> dict[str, Any]:
+    """The bootstraps in the operator's page, by their language."""
+    page = (ROOT / "docs" / "operate" / "control.md").read_text()
+    found = re.findall(r"```(yaml|json)\n(.*?)```", page, re.S)
+    out = {}
+    for kind, text in found:
+        raw = yaml.safe_load(text)
+        if "static_resources" in raw or "xds_servers" in raw:
+            out[kind] = raw
+    return out
+
+
+def test_the_bootstraps_in_the_page_are_what_the_protos_say() -> None:
+    assert tls_pb2.DESCRIPTOR and http_protocol_options_pb2.DESCRIPTOR  # what is packed in it must be known
+    envoy = ParseDict(bootstraps()["yaml"], bootstrap_pb2.Bootstrap())
+    assert envoy.dynamic_resources.HasField("ads_config")
+    named = {cluster.name for cluster in envoy.static_resources.clusters}
+    used = {service.envoy_grpc.cluster_name for service in envoy.dynamic_resources.ads_config.grpc_services}
+    used |= {s.envoy_grpc.cluster_name for s in envoy.cluster_manager.load_stats_config.grpc_services}
+    assert used <= named and used
+    assert bootstraps()["json"]["xds_servers"][0]["channel_creds"]
+
+
+def test_a_drained_node_gets_no_new_call_from_any_kind_of_client(tmp_path: Path) -> None:
+    """The program, gRPC's own two clients, and stand-ins of both variants."""
+    seen: queue.Queue[tuple[str, str, float]] = queue.Queue()
+    nodes = [Backend(f"n{at}", seen) for at in range(4)]
+    discovery = LiveDiscovery([entry(node.name, node.port) for node in nodes])
+    config = tmp_path / "control.yaml"
+    config.write_bytes(written(tmp_path, discovery=discovery.address))
+    program = ControlProgram(config)
+    bootstrap = bootstraps()["json"]
+    bootstrap["xds_servers"][0] |= {
+        "server_uri": program.addresses["xds"], "channel_creds": [{"type": "insecure"}]
+    }  # fmt: skip
+    bootstrap["node"]["locality"] = {"zone": "z"}
+    (tmp_path / "bootstrap.json").write_text(json.dumps(bootstrap))
+    commands = caller_commands(ROOT)
+    environment = {
+        **os.environ, "GRPC_XDS_BOOTSTRAP": str(tmp_path / "bootstrap.json"), "NODE_PATH": str(modules(ROOT))
+    }  # fmt: skip
+
+    async def main() -> None:
+        live = [LiveProxy(ProxyStandIn(f"p{at}", "z", bool(at)), program.addresses["xds"]) for at in (0, 1)]
+        for each in live:
+            each.start()
+            await each.until(each.proxy.complete)
+        before: Counter[tuple[str, str]] = Counter()
+        while any(before[name, "n2"] < 3 for name in commands):
+            caller, served, _ = await asyncio.to_thread(seen.get, timeout=WAIT)
+            before[caller, served] += 1
+        drained = f"127.0.0.1:{nodes[2].port}"
+        told = discovery.change(entry("n2", nodes[2].port, "Terminating"))
+        for each in live:
+            await each.until(partial(without, each, drained))
+            assert time.monotonic() - told < LIMIT
+        late: Counter[str] = Counter()
+        while any(late[name] < 30 for name in commands):
+            caller, served, at = await asyncio.to_thread(seen.get, timeout=WAIT)
+            if at > told + LIMIT:
+                assert served != "n2", f"{caller} called a drained node {at - told:.3f} s after the notice"
+                late[caller] += 1
+        for each in live:
+            await each.stop()
+        await until(lambda: look(program.addresses["status"])["zones"]["z"]["reports"] > 0)  # gRPC's clients'
+
+    try:
+        with callers(commands, environment):
+            run(main())
+        status = look(program.addresses["status"])
+        assert status["handing_out"] and status["zones"]["z"]["draining"] == ["n2"]
+        assert program.end() == 0
+    finally:
+        program.kill()
+        discovery.close()
+        for each in nodes:
+            each.stop()
+
+
+def test_one_that_stops_reading_holds_nobody_up_and_gets_the_newest(tmp_path: Path) -> None:
+    many = [entry(f"n{at}", 10_000 + at) for at in range(2000)]
+    discovery = LiveDiscovery(many)
+
+    async def main(service: Service, target: str) -> None:
+        stalled, reading = (
+            LiveProxy(ProxyStandIn(name, "z", False), target) for name in ("stalled", "reading")
+        )
+        for each in (stalled, reading):
+            each.start()
+            await each.until(each.proxy.complete)
+        stalled.reading.clear()
+        for at in range(60):
+            told = discovery.change(entry(f"n{at}", 10_000 + at, "Terminating"))
+            drained = f"127.0.0.1:{10_000 + at}"
+            await reading.until(partial(without, reading, drained))
+            assert time.monotonic() - told < LIMIT
+        before = stalled.proxy.responses
+        stalled.reading.set()
+        await stalled.until(lambda: len(stalled.proxy.usable()) == 1940)
+        # What had been handed over, one that waited for its turn, and the newest.
+        assert stalled.proxy.responses - before < 20
+        for each in (stalled, reading):
+            await each.stop()
+
+    run(serving(tmp_path, discovery, main))
+
+
+def test_a_stream_that_sends_nonsense_or_too_much_ends_alone(tmp_path: Path) -> None:
+    discovery = LiveDiscovery([entry("n1", 10_001)])
+
+    async def main(service: Service, target: str) -> None:
+        good = LiveProxy(ProxyStandIn("good", "z", True), target)
+        good.start()
+        await good.until(good.proxy.complete)
+        first = ProxyStandIn("p", "z", False).connect()[0]
+        for data, codes in (
+            ([b"\xff\xff\xff"], {grpc.StatusCode.INVALID_ARGUMENT}),
+            ([b"x" * 300_000], {grpc.StatusCode.RESOURCE_EXHAUSTED}),
+            # Or what gRPC makes of a write to a stream that has ended.
+            ([first] * 300, {grpc.StatusCode.RESOURCE_EXHAUSTED, grpc.StatusCode.INTERNAL}),
+        ):
+            bad = LiveProxy(ProxyStandIn("bad", "z", False), target)
+            bad.proxy.connect = partial(sends, data)  # type: ignore[method-assign]
+            bad.start()
+            await bad.until(partial(over, bad))
+            assert bad.ended in codes, bad.why
+            await bad.stop()
+        assert service.server.ended_for_cause == 2  # the long message was refused before it got here
+        discovery.change(entry("n2", 10_002))
+        await good.until(lambda: len(good.proxy.usable()) == 2)
+        assert good.ended is None
+        await good.stop()
+
+    run(serving(tmp_path, discovery, main, bounds={"requests_per_s": 100}))
+
+
+def test_killed_in_a_push_and_started_again_it_hands_out_nothing_older(tmp_path: Path) -> None:
+    """The program is killed; discovery comes back with an older list, then with the newest."""
+
+    def listed(*names: str) -> list[dict[str, Any]]:
+        return [entry(name, 10_000 + int(name[1:])) for name in names]
+
+    discovery = LiveDiscovery(listed("n1", "n2"), version=40)
+    config = tmp_path / "control.yaml"
+    config.write_bytes(written(tmp_path, discovery=discovery.address))
+    program = ControlProgram(config)
+
+    async def main() -> None:
+        nonlocal program
+        proxies = [
+            LiveProxy(ProxyStandIn(f"p{at}", "z", bool(at % 2)), program.addresses["xds"]) for at in range(20)
+        ]
+        for each in proxies:
+            each.start()
+            await each.until(each.proxy.complete)
+        discovery.change(*listed("n3"))
+        await proxies[0].until(lambda: len(proxies[0].proxy.usable()) == 3)
+        program.kill()  # the others are being told
+        for each in proxies:
+            await each.until(partial(over, each))
+            await each.stop()
+        discovery.cut(39, listed("n1"))
+        program = ControlProgram(config)
+        again = LiveProxy(proxies[0].proxy, program.addresses["xds"])
+        again.start(forget=True)  # it does not even remember what it was told
+        await until(lambda: "withheld" in (tmp_path / "control.log").read_text())
+        assert not again.proxy.kinds["type.googleapis.com/envoy.config.cluster.v3.Cluster"].resources
+        discovery.cut(42, listed("n1", "n2", "n3", "n4"))
+        await again.until(lambda: len(again.proxy.usable()) == 4)
+        await again.stop()
+
+    try:
+        run(main())
+        assert program.end() == 0
+    finally:
+        program.kill()
+        discovery.close()
+
+
+def test_two_instances_watch_each_other(tmp_path: Path) -> None:
+    """One is cut off from discovery: the other's word lets it hand out, and shows that it is behind."""
+    (tmp_path / "a").mkdir()
+    (tmp_path / "b").mkdir()
+    one, other = (
+        LiveDiscovery([entry("n1", 10_001)], version=7),
+        LiveDiscovery([entry("n1", 10_001)], version=7),
+    )
+
+    async def with_other(first: Service, target: str) -> None:
+        peers = [{"name": "one", "address": target}]
+
+        async def both(second: Service, target: str) -> None:
+            await until(lambda: second.core.why_not(second.now()) is None)
+            other.close()
+            await until(lambda: not second.core.handout.in_touch(second.now()))
+            await until(lambda: second.core.why_not(second.now()) is None)  # the first one vouches
+            proxy = LiveProxy(ProxyStandIn("p", "z", True), target)
+            proxy.start()
+            await proxy.until(proxy.proxy.complete)
+            one.change(entry("n2", 10_002))
+            await until(lambda: second.core.why_not(second.now()) is not None)
+            await proxy.until(lambda: proxy.ended is grpc.StatusCode.UNAVAILABLE)  # and moves its subscribers
+            await proxy.stop()
+
+        await serving(tmp_path / "b", other, both, peers=peers, silence_ms=1500)
+
+    run(serving(tmp_path / "a", one, with_other))
+
+
+class Authority:
+    """Makes certificates."""
+
+    def __init__(self) -> None:
+        self.key = ec.generate_private_key(ec.SECP256R1())
+        self.pem, _ = self.certificate("authority", own=True)
+
+    def certificate(self, name: str, days: int = 1, own: bool = False) -> tuple[bytes, bytes]:
+        key = self.key if own else ec.generate_private_key(ec.SECP256R1())
+        subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+        issuer = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "authority")])
+        now = dt.datetime.now(dt.UTC)
+        made = (
+            x509.CertificateBuilder().subject_name(subject).issuer_name(issuer).public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - dt.timedelta(days=3)).not_valid_after(now + dt.timedelta(days=days))
+            .add_extension(x509.BasicConstraints(ca=own, path_length=None), critical=True)
+            .add_extension(x509.SubjectAlternativeName([x509.DNSName(name)]), critical=False)
+            .sign(self.key, hashes.SHA256())
+        )  # fmt: skip
+        private = key.private_bytes(Encoding.PEM, PrivateFormat.PKCS8, NoEncryption())
+        return made.public_bytes(Encoding.PEM), private
+
+
+def test_mutual_tls_names_subscribers_and_takes_new_certificates_whole_or_not_at_all(tmp_path: Path) -> None:
+    ours, theirs = Authority(), Authority()
+    discovery = LiveDiscovery([entry("n1", 10_001)])
+
+    def put(certificate: bytes, key: bytes) -> None:
+        (tmp_path / "cert.pem").write_bytes(certificate)
+        (tmp_path / "key.pem").write_bytes(key)
+
+    def proxy(target: str, name: str, authority: Authority = ours) -> LiveProxy:
+        certificate, key = authority.certificate(name)
+        credentials = grpc.ssl_channel_credentials(ours.pem, key, certificate)
+        port = target.rpartition(":")[2]
+        return LiveProxy(ProxyStandIn("whatever it says", "z", False), f"localhost:{port}", credentials)
+
+    async def main(service: Service, target: str) -> None:
+        assert service.certificates is not None
+        good = proxy(target, "p.market")
+        good.start()
+        await good.until(good.proxy.complete)
+        (stream,) = service.core.streams.values()
+        assert stream.identity == "p.market"
+        for stranger, code in (
+            (proxy(target, "p.elsewhere"), grpc.StatusCode.PERMISSION_DENIED),
+            (proxy(target, "p.market", theirs), grpc.StatusCode.UNAVAILABLE),
+        ):
+            stranger.start()
+            await stranger.until(partial(over, stranger))
+            assert stranger.ended is code and not stranger.proxy.responses
+            await stranger.stop()
+        held = service.certificates.material
+        for bad, says in (
+            ((ours.certificate("localhost")[0], held.key), "not the key"),
+            (ours.certificate("localhost", days=-1), "valid from"),
+            ((held.certificate[:100], held.key), "not a certificate"),
+        ):
+            put(*bad)
+            assert not service.certificates.look() and says in (service.certificates.problem or "")
+            assert service.certificates.material is held
+        put(*ours.certificate("localhost"))
+        assert service.certificates.look() and service.certificates.material is not held
+        fresh = proxy(target, "q.market")
+        fresh.start()
+        await fresh.until(fresh.proxy.complete)
+        assert good.ended is None  # what is up stays up
+        for each in (good, fresh):
+            await each.stop()
+
+    put(*ours.certificate("localhost"))
+    (tmp_path / "ca.pem").write_bytes(ours.pem)
+    tls = {"certificate": "cert.pem", "key": "key.pem", "client_ca": "ca.pem"}
+    groups = [{"identity": "*.market", "zone": "z"}]
+    run(serving(tmp_path, discovery, main, tls=tls, subscribers=groups, listen="127.0.0.1:0"))
+
+
+def test_the_command_line_and_the_page(tmp_path: Path) -> None:
+    discovery = LiveDiscovery([entry("n1", 10_001), entry("n2", 10_002)])
+    config = tmp_path / "control.yaml"
+    config.write_bytes(written(tmp_path, discovery=discovery.address))
+    program = ControlProgram(config)
+    status = program.addresses["status"]
+
+    def diff(name: str) -> tuple[int, str]:
+        done = subprocess.run(
+            [sys.executable, "-m", "brambleusher", "control", "diff", name, "--status", status],
+            capture_output=True, text=True, timeout=WAIT,
+        )  # fmt: skip
+        return done.returncode, done.stdout + done.stderr
+
+    async def main() -> None:
+        def refuses(kind: str, resources: list[Any]) -> str | None:
+            two_zones = kind == ASSIGNMENT and any(len(each.endpoints) > 1 for each in resources)
+            return "I won't <b>" if two_zones else None
+
+        proxy = LiveProxy(ProxyStandIn("p/1", "z", True, verdict=refuses), program.addresses["xds"])
+        proxy.start()
+        await proxy.until(proxy.proxy.complete)
+        assert (await asyncio.to_thread(diff, "p/1"))[0] == 0
+        before = proxy.proxy.responses
+        discovery.change(entry("n9", 10_009, zone="y"))
+        await proxy.until(lambda: proxy.proxy.responses > before)
+        await until(lambda: diff("p/1")[0] == 1)
+        _, text = await asyncio.to_thread(diff, "p/1")
+        assert "+127.0.0.1:10009 in use weight=100" in text and "EDS execute-nodes: differs" in text
+        page = await asyncio.to_thread(lambda: urllib.request.urlopen(f"http://{status}/").read().decode())
+        assert "p/1" in page and "EDS execute-nodes: I won&#x27;t &lt;b&gt;" in page
+        await proxy.stop()
+
+    try:
+        run(main())
+        assert diff("nobody")[0] == 2
+        log = tmp_path / "control.log"
+        config.write_bytes(written(tmp_path, discovery=discovery.address, classes=[{"name": "none"}]))
+        program.process.send_signal(signal.SIGHUP)
+        run(until(lambda: "bad configuration, the running one stays" in log.read_text()))
+        config.write_bytes(written(tmp_path, discovery="127.0.0.1:1", classes=[{"name": "look"}]))
+        program.process.send_signal(signal.SIGHUP)
+        run(until(lambda: "configuration read again" in log.read_text()))
+        assert "key=discovery" in log.read_text()
+        assert program.end() == 0
+        config.write_text("name: [")
+        done = subprocess.run(
+            [sys.executable, "-m", "brambleusher", "control", "--config", str(config)],
+            capture_output=True, text=True, timeout=WAIT,
+        )  # fmt: skip
+        assert done.returncode == 2 and "bad control configuration: not YAML" in done.stderr
+    finally:
+        program.kill()
+        discovery.close()
