Control service: weights followed in damped steps, bounds on reports and on subscribers that don't answer

Proxies follow weights blindly for a period: above half use each step undid more than the last one did, and the whole zone swung.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -48,7 +48,7 @@
 from quillpass import Balancer, api
 from quillpass.fleet import FleetBalancer, Told, standings
 from quillpass.settings import parse_settings
-from quillpass.shares import Rounder
+from quillpass.shares import Damper, Rounder
 
 ROOT = Path(__file__).resolve().parent.parent
 LIMIT_MS = 500.0
@@ -377,10 +377,18 @@
 
 
 def day(
-    seed: int, proxies: bool, use: float = 0.7, nodes: int = 24, senders: int = 16, seconds: float = 60.0
+    seed: int,
+    proxies: bool,
+    use: float,
+    limit: float = math.inf,
+    nodes: int = 24,
+    senders: int = 16,
+    seconds: float = 60.0,
 ) -> Day:
     """The same arrivals, work and slow spells, sent by sidecars or by weighted proxies.
 
+    A proxy with a `limit` (the cluster's `requests`) refuses what would be out beyond it.
+
     A third of the way through a node slows to a fifth for a third of the day; at half of it one drains.
     """
     rng = random.Random(seed)
@@ -406,12 +414,13 @@
     sidecars = [Balancer(settings, seed * 1000 + each) for each in range(senders)]
     tries: dict[str, int] = {}
     zone = FleetBalancer(settings, seed)
-    rounder = Rounder(0.1)
+    damper, rounder = Damper(), Rounder(0.1)
     weights: dict[str, int] = {}
     current = [
         dict.fromkeys(fleet.names, 0.0) for _ in range(senders)
     ]  # smooth weighted round robin, as proxies do
     gathered: dict[str, list[Any]] = {}
+    out = [0] * senders
 
     def route(sender: int, actions: list[api.Action], now: float) -> None:
         nonlocal judged
@@ -426,16 +435,17 @@
             elif isinstance(action, api.Refuse | api.Fail):
                 arrived.pop(action.request, None)
 
-    def reweigh(now: float) -> None:
+    def reweigh(step: bool) -> None:
         weights.clear()
-        weights.update({each.host: each.weight for each in rounder.round(standings(zone)) if each.weight})
+        shares = rounder.round(damper.follow(standings(zone), step))
+        weights.update({each.host: each.weight for each in shares if each.weight})
 
     arrived: dict[str, float] = {}
     work: dict[str, float] = {}
     if proxies:
         zone.start(0)
         zone.handle(api.HostList(api.ListKind.FULL, listed), 0)
-        reweigh(0)
+        reweigh(False)
         at(1.0, "report")
     else:
         for sender, each in enumerate(sidecars):
@@ -456,6 +466,9 @@
             judged += 1
             arrived[name], work[name], tries[name] = now, needs, 0
             if proxies:
+                if out[sender] >= limit:
+                    continue
+                out[sender] += 1
                 held = current[sender]
                 total = sum(weights.values())
                 for host, weight in weights.items():
@@ -463,7 +476,7 @@
                 host = max(weights, key=lambda host: (held[host], host))
                 held[host] -= total
                 ends, report = fleet.serve(host, now, needs)
-                at(ends, "answered", (name, host, now, report))
+                at(ends, "answered", (sender, host, now, report))
             else:
                 route(
                     sender,
@@ -471,7 +484,8 @@
                     now,
                 )
         elif kind == "answered":
-            name, host, began, report = what
+            sender, host, began, report = what
+            out[sender] -= 1
             served += now - began <= aim
             sums = gathered.setdefault(host, [0, 0.0, 0.0, 0.0])
             sums[0] += 1
@@ -485,7 +499,7 @@
             zone.handle(api.TimerFired(0), ns(now))
             turn += 1
             if turn % 2 == 0:  # weights go out every two seconds
-                reweigh(now)
+                reweigh(True)
             if now < seconds + 5:
                 at(now + 1.0, "report")
         elif kind == "timer":
@@ -503,7 +517,7 @@
             gone = [api.HostEntry(drained, "z", "k", 0, api.HostState.DRAINING)]
             if proxies:
                 zone.handle(api.HostList(api.ListKind.DELTA, gone), ns(now))
-                reweigh(now)
+                reweigh(False)
             else:
                 for sender, each in enumerate(sidecars):
                     route(sender, each.handle(api.HostList(api.ListKind.DELTA, list(gone)), ns(now)), now)
@@ -511,13 +525,31 @@
     return Day(served / max(judged, 1), max(loads), sum(loads) / len(loads))
 
 
+def weights(seeds: int, nodes: int, seconds: float) -> list[tuple[str, ...]]:
+    """Days of three kinds of sender at three levels of use."""
+    senders = 16
+    rows: list[tuple[str, ...]] = []
+    limit = nodes * 4 * 2 / senders  # what is out is twice the places that nodes work in
+    for use in (0.5, 0.7, 0.85):
+        for name, proxies, most in (
+            ("sidecars", False, math.inf),
+            ("weighted proxies", True, math.inf),
+            ("weighted proxies with a limit", True, limit),
+        ):
+            days = [day(seed, proxies, use, most, nodes, senders, seconds) for seed in range(seeds)]
+            served = sum(each.served for each in days) / seeds
+            worst, mean = sum(each.worst for each in days) / seeds, sum(each.mean for each in days) / seeds
+            rows.append((name, f"{use:.0%}", f"{served:.1%}", f"{worst:.2f}", f"{worst / mean:.2f}"))
+    return rows
+
+
 # --- tables ------------------------------------------------------------------------------------------
 
 
 def table(title: str, head: tuple[str, ...], rows: list[tuple[str, ...]]) -> None:
     """Print one."""
     widths = [max(len(row[at]) for row in [head, *rows]) for at in range(len(head))]
-    print(f"\n{title}")
+    print(f"\n{title}", flush=True)
     for row in [head, *rows]:
         cells = [
             row[0].ljust(widths[0]),
@@ -561,16 +593,7 @@
         )
         missed += [f"{name} took {ms:.0f} ms" for name, ms in slowest.items() if ms > LIMIT_MS]
     if "weights" in parts:
-        rows = []
-        for use in (0.5, 0.7, 0.85):
-            pairs = [(day(seed, False, use), day(seed, True, use)) for seed in range(1 if given.quick else 3)]
-            for at, name in enumerate(("sidecars", "weighted proxies")):
-                days = [pair[at] for pair in pairs]
-                served, worst, mean = (
-                    sum(getattr(each, key) for each in days) / len(days)
-                    for key in ("served", "worst", "mean")
-                )
-                rows.append((name, f"{use:.0%}", f"{served:.1%}", f"{worst:.2f}", f"{worst / mean:.2f}"))
+        rows = weights(1, 12, 30.0) if given.quick else weights(3, 24, 60.0)
         table("the same days", ("sent by", "use", "in the aim", "worst node's load", "of the mean"), rows)
     for each in missed:
         print(f"missed: {each}")
--- a/brambleusher/control/core.py
+++ b/brambleusher/control/core.py
@@ -25,7 +25,7 @@
 from quillpass.api import HostList, HostState, ListKind, Settings, TimerFired
 from quillpass.fleet import FleetBalancer, standings
 from quillpass.handout import Handout, Place, Why, Word
-from quillpass.shares import Rounder, Tier, tiers
+from quillpass.shares import Damper, Rounder, Tier, tiers
 
 log = logging.getLogger(__name__)
 
@@ -58,8 +58,8 @@
     def __init__(self, name: str, settings: Settings, seed: int, change: float, now: int) -> None:
         self.name = name
         self.balancer = FleetBalancer(settings, seed)
-        self.loads = Loads()
-        self._rounder = Rounder(change)
+        self.loads = Loads(cls.name for cls in settings.classes)
+        self._damper, self._rounder = Damper(), Rounder(change)
         self._due_at = self.balancer.next_tick(self.balancer.start(now)) or now
         self.tiers: list[Tier] = []
 
@@ -75,10 +75,11 @@
         if now >= self._due_at:
             self._due_at = self.balancer.next_tick(self.balancer.handle(TimerFired(0), now)) or now
 
-    def weigh(self, order: Iterable[tuple[str, ...]]) -> bool:
-        """Read the weights; says whether any has moved enough to go out."""
+    def weigh(self, order: Iterable[tuple[str, ...]], step: bool) -> bool:
+        """Read the weights, and go a step towards them; says whether any has moved enough to go out."""
         before = self.tiers
-        self.tiers = tiers(self._rounder.round(standings(self.balancer)), list(order))
+        followed = self._damper.follow(standings(self.balancer), step)
+        self.tiers = tiers(self._rounder.round(followed), list(order))
         return self.tiers != before
 
 
@@ -215,13 +216,14 @@
             self._node_at = {machine.address: name for name, machine in machines.items()}
             for zone in self.zones.values():
                 zone.listed(machines, now)
-                self._weigh(zone)
+                self._weigh(zone, step=False)
         self._snapshots.clear()
         self.on_change()
 
-    def _weigh(self, zone: Zone) -> bool:
+    def _weigh(self, zone: Zone, step: bool) -> bool:
         priorities = self.config.spread.priorities
-        moved = zone.weigh(() if priorities is None else priorities.get(zone.name, ((zone.name,),)))
+        order = () if priorities is None else priorities.get(zone.name, ((zone.name,),))
+        moved = zone.weigh(order, step)
         # The nodes' addresses may have changed where their weights have not.
         for form in FORMS:
             self._drafts.pop((zone.name, form), None)
@@ -233,7 +235,7 @@
             zone.tick(now)
         if now - self._weighed_ns >= self.config.spread.weights_every_ms * MS and self.machines:
             self._weighed_ns = now
-            moved = [zone for zone in self.zones.values() if self._weigh(zone)]
+            moved = [zone for zone in self.zones.values() if self._weigh(zone, step=True)]
             if moved:
                 self._news_ns = now
                 self._snapshots.clear()
--- a/brambleusher/control/loads.py
+++ b/brambleusher/control/loads.py
@@ -31,16 +31,18 @@
 class Loads:
     """One zone's reports since the balancer was told last."""
 
-    def __init__(self) -> None:
+    def __init__(self, classes: Iterable[str]) -> None:
+        """`classes`: whose clusters are reported on; sums of any other are passed over."""
+        self._classes = frozenset(classes)
         self._sums: dict[tuple[str, str], _Gathered] = {}
         self.taken = self.unknown = 0  # sums, and those of nodes that are not listed
 
     def take(self, sums: Iterable[Sum], node_at: Mapping[tuple[str, int], str], nodes: Iterable[str]) -> None:
-        """Add one report; sums of nodes that nobody lists are counted and passed over."""
+        """Add one report; sums of nodes that nobody lists, or of no class, are counted and passed over."""
         known = nodes if isinstance(nodes, set | frozenset | dict) else set(nodes)
         for each in sums:
             node = each.node if each.node in known else node_at.get(each.address)
-            if node is None:
+            if node is None or each.cluster not in self._classes:
                 self.unknown += 1
                 continue
             self.taken += 1
--- a/brambleusher/control/server.py
+++ b/brambleusher/control/server.py
@@ -56,6 +56,7 @@
         self.news = asyncio.Event()
         self.task = asyncio.current_task()
         self.writing_since: float | None = None
+        self.stuck_since: float | None = None
         self.end: tuple[grpc.StatusCode, str] | None = None
 
     def stop(self, code: grpc.StatusCode, why: str) -> None:
@@ -139,6 +140,12 @@
         for each in list(self._open.values()):
             if each.writing_since is not None and now - each.writing_since > stall:
                 each.stop(EXHAUSTED, "nothing was read for too long")
+            if not each.stream.subscriber.stuck:
+                each.stuck_since = None
+            elif each.stuck_since is None:
+                each.stuck_since = now
+            elif now - each.stuck_since > stall:
+                each.stop(EXHAUSTED, "nothing was answered for too long")
         why = core.why_not(self._now())
         if why is None:
             self._withheld_since = None
--- a/brambleusher/control/subscriber.py
+++ b/brambleusher/control/subscriber.py
@@ -395,6 +395,11 @@
             head + sized(5, nonce.encode()),
         )  # fmt: skip
 
+    @property
+    def stuck(self) -> bool:
+        """Whether it has as many responses as may wait for an answer; it gets no more of that kind."""
+        return any(len(kind.waiting) >= OUTSTANDING for kind in self._kinds.values())
+
     # --- to look at -----------------------------------------------------------------------------
 
     def holds(self, kind: str) -> Mapping[str, Resource]:
--- a/brambleusher/lab/xds_live.py
+++ b/brambleusher/lab/xds_live.py
@@ -34,9 +34,12 @@
         proxy: ProxyStandIn,
         target: str,
         credentials: grpc.ChannelCredentials | None = None,
+        window: int | None = None,
     ) -> None:
         self.proxy, self.heard_at = proxy, 0.0
         options = [("grpc.use_local_subchannel_pool", 1), ("grpc.max_receive_message_length", -1)]
+        if window is not None:  # how many bytes may be on their way to it
+            options += [("grpc.http2.bdp_probe", 0), ("grpc.http2.lookahead_bytes", window)]
         if credentials is None:
             self._channel = grpc.aio.insecure_channel(target, options=options)
         else:
@@ -59,10 +62,9 @@
             for data in self.proxy.connect(forget):
                 await call.write(data)
             while (data := await call.read()) is not grpc.aio.EOF:
-                at = time.monotonic()
+                self.heard_at = time.monotonic()
                 for answer in self.proxy.receive(data):
                     await call.write(answer)
-                self.heard_at = at
                 self._news.set()
                 await self.reading.wait()
             self.ended, self.why = await call.code(), await call.details()
--- a/quillpass/shares.py
+++ b/quillpass/shares.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from quillpass.api import HostState
+from quillpass.balance import WEIGHT_TOTAL
 from quillpass.fleet import Standing
 
 SCALE = 100  # the usual node's weight: fine enough to tell a tenth, small enough to be few bytes
+LEAST_STEP = 0.05  # of the way to a weight: a zone in full use still follows
 MOST = 10_000  # guards against one node's weight drowning the others' in the sums of 32 bits
 
 
@@ -32,6 +34,39 @@
     shares: tuple[Share, ...]
 
 
+class Damper:
+    """Weights followed in steps, for those who go by weights alone.
+
+    Weights go by what nodes have to spare.  A sidecar's own attempts out correct them at once; proxies
+    follow them blindly until the next ones come.  At a use of u, a weight that is too high by a part takes
+    off u / (1 - u) times that part of the node's spare: above half use each step would undo more than the
+    last one did, and the whole zone would swing.  A step of 1 - u of the way lands where it should; half of
+    that leaves room for reports that are late.  What is left out goes at once.
+    """
+
+    def __init__(self) -> None:
+        self._held: dict[str, float] = {}
+
+    def follow(self, standings: Iterable[Standing], step: bool) -> list[Standing]:
+        """The weights to go by; between two steps only nodes that come and go make a difference."""
+        held = list(standings)
+        told = [each.utilisation for each in held if each.utilisation is not None]
+        part = max(LEAST_STEP, (1 - sum(told) / len(told)) / 2) if told else 1.0
+        total = sum(each.weight for each in held) or 1.0
+        out, now = [], {}
+        for each in held:
+            goal = each.weight / total * WEIGHT_TOTAL
+            before = self._held.get(each.host)
+            if before is None or goal <= 0:
+                weight = goal
+            else:
+                weight = before + (part if step else 0.0) * (goal - before)
+            now[each.host] = weight
+            out.append(replace(each, weight=weight))
+        self._held = now
+        return out
+
+
 class Rounder:
     """Weights to whole numbers that stay where they are until the weight has really moved.
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -38,7 +38,7 @@
 from quillpass.fleet import FleetBalancer, Standing, Told, scaled, standings
 from quillpass.handout import Handout, Place, Why, Word
 from quillpass.settings import parse_settings
-from quillpass.shares import SCALE, Rounder, Share, tiers
+from quillpass.shares import SCALE, Damper, Rounder, Share, tiers
 from tests.rig import SETTINGS
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -444,6 +444,29 @@
     assert set(proxy.usable()) == {"10.0.0.1:9002"}
 
 
+def test_discovery_down_for_a_minute_and_back_with_an_older_list(tmp_path: Path) -> None:
+    core = core_with(tmp_path, machine("n1"), machine("n2"), version=9)
+    stream, proxy = join(core)
+    core.lost(SECOND)
+    minute = 60 * SECOND
+    core.tick(minute)
+    assert core.why_not(minute) is Why.ALONE
+    later = core.open(None, True, minute)
+    newcomer = ProxyStandIn("q", "z", True)
+    feed(core, later, newcomer, newcomer.connect(), minute)
+    assert not newcomer.responses and len(proxy.usable()) == 2  # the last good view stays
+    core.listed(update(7, machine("n1")), minute)
+    feed(core, stream, proxy, [], minute)
+    feed(core, later, newcomer, [], minute)
+    assert set(newcomer.usable()) == set(proxy.usable()) == {"10.0.0.1:9001", "10.0.0.1:9002"}
+    core.listed(update(8, machine("n2", api.HostState.DRAINING), full=False), minute)
+    assert core.to_write() is None and core.roster.behind
+    core.listed(update(10, machine("n3"), full=False), minute)
+    core.written(Place(1, 10), minute)
+    feed(core, stream, proxy, [], minute)
+    assert set(proxy.usable()) == {"10.0.0.1:9001", "10.0.0.1:9003"}
+
+
 def test_a_claim_of_the_future_withholds_and_one_made_up_does_not(tmp_path: Path) -> None:
     core = core_with(tmp_path, machine("n1"))
     for version, why in (
@@ -633,6 +656,28 @@
     ]
 
 
+@pytest.mark.parametrize("use", [0.3, 0.6, 0.8, 0.9])
+def test_weights_that_are_followed_blindly_settle(use: float) -> None:
+    """Nodes of unlike capacity, whose use follows from the weights of a period ago."""
+    capacity = {"a": 60.0, "b": 100.0, "c": 140.0, "d": 100.0}
+    offered = use * sum(capacity.values())
+    damper = Damper()
+    weight = dict.fromkeys(capacity, 16.0)
+    for _ in range(60):
+        total = sum(weight.values())
+        util = {name: min(1.0, offered * weight[name] / total / size) for name, size in capacity.items()}
+        spare = {name: size * (1 - util[name]) + 1e-6 for name, size in capacity.items()}
+        goal = {name: 64 * each / sum(spare.values()) for name, each in spare.items()}
+        states = [
+            Standing(name, "z", api.HostState.READY, each, 0.0, 1.0, util[name])
+            for name, each in goal.items()
+        ]
+        weight = {each.host: each.weight for each in damper.follow(states, step=True)}
+    assert max(util.values()) - min(util.values()) < 0.05
+    gone = [replace(each, weight=0.0) for each in states[:1]] + states[1:]
+    assert [each.weight for each in damper.follow(gone, step=False)] == [0.0, *list(weight.values())[1:]]
+
+
 def test_reports_of_both_kinds_are_read_and_nonsense_passed_over(tmp_path: Path) -> None:
     report = lrs_pb2.LoadStatsRequest()
     report.node.id = "p"
--- a/tests/test_control_live.py
+++ b/tests/test_control_live.py
@@ -15,6 +15,7 @@
 import urllib.request
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -31,7 +32,7 @@
 from envoy.extensions.upstreams.http.v3 import http_protocol_options_pb2
 from google.protobuf.json_format import ParseDict
 
-from brambleusher.control.config import parse_control
+from brambleusher.control.config import Bounds, parse_control
 from brambleusher.control.service import Service
 from brambleusher.lab.xds import ASSIGNMENT, ProxyStandIn
 from brambleusher.lab.xds_live import (
@@ -177,27 +178,34 @@
 
 
 def test_one_that_stops_reading_holds_nobody_up_and_gets_the_newest(tmp_path: Path) -> None:
-    many = [entry(f"n{at}", 10_000 + at) for at in range(2000)]
+    many = [entry(f"n{at}", 10_000 + at) for at in range(500)]
     discovery = LiveDiscovery(many)
 
     async def main(service: Service, target: str) -> None:
-        stalled, reading = (
-            LiveProxy(ProxyStandIn(name, "z", False), target) for name in ("stalled", "reading")
-        )
+        stalled = LiveProxy(ProxyStandIn("stalled", "z", False), target, window=65_536)
+        reading = LiveProxy(ProxyStandIn("reading", "z", False), target)
         for each in (stalled, reading):
             each.start()
             await each.until(each.proxy.complete)
         stalled.reading.clear()
-        for at in range(60):
+        for at in range(100):
             told = discovery.change(entry(f"n{at}", 10_000 + at, "Terminating"))
             drained = f"127.0.0.1:{10_000 + at}"
             await reading.until(partial(without, reading, drained))
             assert time.monotonic() - told < LIMIT
         before = stalled.proxy.responses
         stalled.reading.set()
-        await stalled.until(lambda: len(stalled.proxy.usable()) == 1940)
-        # What had been handed over, one that waited for its turn, and the newest.
-        assert stalled.proxy.responses - before < 20
+        await stalled.until(lambda: len(stalled.proxy.usable()) == 400)
+        assert stalled.proxy.responses - before <= 3  # two that it had not answered, and the newest
+        stalled.reading.clear()
+        service.core.config = replace(service.core.config, bounds=Bounds(stall_ms=300))
+        # It does not read on: its stream is ended, and the other's is not.
+        discovery.change(entry("n499", 10_499, "Terminating"))
+        await reading.until(lambda: len(reading.proxy.usable()) == 399)
+        discovery.change(entry("n499", 10_499))
+        await reading.until(lambda: len(reading.proxy.usable()) == 400)
+        await until(lambda: len(service.core.streams) == 1)
+        assert service.server.ended_for_cause == 1
         for each in (stalled, reading):
             await each.stop()
 
