--- a/brambleusher/control/core.py
+++ b/brambleusher/control/core.py
@@ -62,11 +62,19 @@
         self._damper, self._rounder = Damper(), Rounder(change)
         self._due_at = self.balancer.next_tick(self.balancer.start(now)) or now
         self.tiers: list[Tier] = []
-
-    def listed(self, machines: Mapping[str, Machine], now: int) -> None:
-        """The list has changed."""
-        entries = [machine.entry for machine in machines.values()]
-        self.balancer.handle(HostList(ListKind.FULL, entries), now)
+        self._machines: Mapping[str, Machine] = {}
+
+    def listed(self, machines: Mapping[str, Machine], now: int) -> bool:
+        """Take the list in; False where it is the one held."""
+        before, self._machines = self._machines, machines
+        if before is machines:
+            return False
+        entries = [each.entry for name, each in machines.items() if before.get(name) != each]
+        entries += [
+            replace(each.entry, state=HostState.GONE) for name, each in before.items() if name not in machines
+        ]
+        self.balancer.handle(HostList(ListKind.DELTA, entries), now)
+        return True
 
     def tick(self, now: int) -> None:
         """Tell the balancer what was gathered, and the time where it wants it."""
@@ -214,12 +222,18 @@
         self.machines, self._place = machines, place
         if changed:
             self._node_at = {machine.address: name for name, machine in machines.items()}
+            served = {stream.zone for stream in self.streams.values()}
             for zone in self.zones.values():
-                zone.listed(machines, now)
-                self._weigh(zone, step=False)
+                if zone.name in served:  # the others when somebody asks, or at the next tick
+                    self._listed(zone, now)
         self._snapshots.clear()
         self.on_change()
 
+    def _listed(self, zone: Zone, now: int) -> None:
+        """Have a zone know the list; between two steps of the weights only this changes them."""
+        if zone.listed(self.machines, now):
+            self._weigh(zone, step=False)
+
     def _weigh(self, zone: Zone, step: bool) -> bool:
         priorities = self.config.spread.priorities
         order = () if priorities is None else priorities.get(zone.name, ((zone.name,),))
@@ -232,6 +246,7 @@
     def tick(self, now: int) -> None:
         """Let time pass: reports are told, weights move."""
         for zone in self.zones.values():
+            self._listed(zone, now)
             zone.tick(now)
         if now - self._weighed_ns >= self.config.spread.weights_every_ms * MS and self.machines:
             self._weighed_ns = now
@@ -252,7 +267,7 @@
                 stream.group = config.group_of(stream.identity)
         self.on_change()
 
-    def snapshot(self, zone: str, form: str, group: Group) -> Snapshot:
+    def snapshot(self, zone: str, form: str, group: Group, now: int) -> Snapshot:
         """What a group's subscribers in a zone may have now."""
         at = self.config.groups.index(group)
         held = self._snapshots.get((zone, form, at))
@@ -264,6 +279,7 @@
             drafts = self._fixed[at] = fixed(self.config, group)
         moving = self._drafts.get((zone, form))
         if moving is None:
+            self._listed(self.zones[zone], now)
             addresses = {name: machine.address for name, machine in self.machines.items()}
             moving = self._endpoints[zone, form].draft(self.zones[zone].tiers, addresses)
             self._drafts[zone, form] = moving
@@ -354,7 +370,7 @@
         if self.why_not(now) is not None:
             return None
         subscriber = stream.subscriber
-        snapshot = self.snapshot(stream.zone, stream.form, stream.group)
+        snapshot = self.snapshot(stream.zone, stream.form, stream.group, now)
         if subscriber.offered is not snapshot:
             subscriber.offer(snapshot)
         stale_after = self.config.stale_after_ms * MS
--- a/brambleusher/control/service.py
+++ b/brambleusher/control/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import logging
 import random
@@ -226,6 +227,9 @@
 
 def serve(path: str, tell: bool) -> int:
     """Run one instance as this process's main program; 2 where its file can't be used."""
+    # Most of what is made lives for one push, and reference counts free it; a full collection takes as
+    # long as a push and would fall into one.
+    gc.set_threshold(50_000, 20, 50)
     try:
         asyncio.run(_serve(path, tell))
     except ControlError as error:
--- a/brambleusher/control/snapshot.py
+++ b/brambleusher/control/snapshot.py
@@ -81,20 +81,23 @@
 
     def __init__(self, seal: Seal) -> None:
         self._seal = seal
-        self._held: dict[tuple[str, str, str], Resource] = {}
+        self._shelves: dict[tuple[str, str], dict[str, Resource]] = {}
 
-    def shelf(self, scope: str, kind: str, drafts: Iterable[Draft], place: Place) -> dict[str, Resource]:
-        """The resources of one kind in one scope (those of one kind of subscriber), by name."""
-        out = {}
+    def shelf(self, scope: str, kind: str, drafts: Iterable[Draft], place: Place) -> Mapping[str, Resource]:
+        """The resources of one kind in one scope (those of one kind of subscriber), by name.
+
+        As long as nothing changes it is the same object: a subscriber need not look into it again.
+        """
+        before, out = self._shelves.get((scope, kind), {}), {}
         for draft in drafts:
-            key = (scope, kind, draft.name)
-            held = self._held.get(key)
+            held = before.get(draft.name)
             if held is None or held.body != draft.body:
                 held = Resource.make(kind, draft.name, draft.body, self._seal, place, draft.refers)
-                self._held[key] = held
             out[draft.name] = held
-        for key in [key for key in self._held if key[:2] == (scope, kind) and key[2] not in out]:
-            del self._held[key]
+        if (scope, kind) in self._shelves and len(out) == len(before):
+            if all(before.get(name) is held for name, held in out.items()):
+                return before
+        self._shelves[scope, kind] = out
         return out
 
 
@@ -105,6 +108,8 @@
     place: Place
     kinds: Mapping[str, Mapping[str, Resource]]
     made_ns: int = 0  # when what led to it was heard
+    # Responses as far as they are the same for all subscribers: their version and their bytes.
+    heads: dict[tuple[object, ...], tuple[str, bytes]] = field(default_factory=dict, repr=False)
 
     def get(self, kind: str, name: str) -> Resource | None:
         """One resource."""
--- a/brambleusher/control/status.py
+++ b/brambleusher/control/status.py
@@ -175,7 +175,7 @@
             return None if not found else []
         stream = found[-1]
         assert stream.group is not None
-        newest = core.snapshot(stream.zone, stream.form, stream.group)
+        newest = core.snapshot(stream.zone, stream.form, stream.group, self._now())
         out = []
         for kind in ORDER:
             wants = stream.subscriber.subscription(kind)
--- a/brambleusher/control/subscriber.py
+++ b/brambleusher/control/subscriber.py
@@ -19,6 +19,7 @@
 STAR = "*"
 OUTSTANDING = 2  # responses of a kind that may wait for their acknowledgement: news overtakes a long list
 MAX_REASON = 500
+MAX_HEADS = 64  # of a snapshot: subscribers may ask for as many selections of names as they like
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +85,7 @@
         self.again = False  # names were added: a whole-state response is due though nothing changed
         self.version = self.acked_version = ""
         self.nonces = 0
+        self.settled: object = None  # the shelf of which it has all that it wants, as long as it asks nothing
 
     def wants(self, name: str) -> bool:
         return self.star or name in self.wanted
@@ -119,6 +121,9 @@
         if request.nonce and int(request.nonce[:18]) > kind.nonces:
             raise ProtocolError("a nonce that was never given")
         self._kinds[request.kind] = kind
+        for each, held in self._kinds.items():  # what is kept for a subscriber hangs on routes and clusters
+            if each == request.kind or (each in (CDS, EDS) and request.kind in (CDS, RDS)):
+                held.settled = None
         if request.nonce:
             self._answer(request, kind)
         if self.incremental:
@@ -236,6 +241,7 @@
             for each in [each for each in kind.sent if each not in kind.rejected]:
                 del kind.sent[each]
                 kind.assumed.pop(each, None)
+            kind.settled = None
 
     @property
     def offered(self) -> Snapshot | None:
@@ -249,13 +255,16 @@
             return None
         for name in ORDER:
             kind = self._kinds.get(name)
-            if kind is None or len(kind.waiting) >= OUTSTANDING or not self._turn(name, snapshot):
+            if kind is None or len(kind.waiting) >= OUTSTANDING or kind.settled is snapshot.kinds[name]:
+                continue
+            if not self._turn(name, snapshot):
                 continue
             response = (
                 self._delta(name, kind, snapshot) if self.incremental else self._state(name, kind, snapshot)
             )
             if response is not None:
                 return response
+            kind.settled = snapshot.kinds[name]
         return None
 
     def _turn(self, name: str, snapshot: Snapshot) -> bool:
@@ -349,11 +358,7 @@
             kind.gone.update(missing)
             return None
         kind.again = False
-        version = self._seal.version(snapshot.place, _digest_of(view.values()))
-        head = (
-            sized(1, version.encode()) + b"".join(each.state_entry for each in due) + sized(4, name.encode())
-        )
-        return self._sent(name, kind, snapshot, version, due, missing, head)
+        return self._sent(name, kind, snapshot, view, due, missing)
 
     def _delta(self, name: str, kind: _Kind, snapshot: Snapshot) -> Response | None:
         view = self._view(name, kind, snapshot)
@@ -365,17 +370,30 @@
                 kind.sent[each] = kind.acked[each] = resource
         if not due and not missing and (kind.answered or not kind.star):
             return None
+        return self._sent(name, kind, snapshot, view, due, missing)
+
+    def _head(
+        self, name: str, snapshot: Snapshot, view: Mapping[str, Resource],
+        due: list[Resource], missing: list[str],
+    ) -> tuple[str, bytes]:  # fmt: skip
+        """A response's version and all of its bytes but the nonce; put together once for all subscribers."""
+        key = (self.incremental, name, *(each.name for each in due), None, *missing)
+        shared = view is snapshot.kinds[name]
+        if shared and (held := snapshot.heads.get(key)) is not None:
+            return held
         version = self._seal.version(snapshot.place, _digest_of(view.values()))
-        head = (
-            sized(1, version.encode()) + b"".join(each.delta_entry for each in due) + sized(4, name.encode())
-        )
-        head += b"".join(sized(6, each.encode()) for each in missing)
-        return self._sent(name, kind, snapshot, version, due, missing, head)
+        entries = [each.delta_entry if self.incremental else each.state_entry for each in due]
+        gone = [sized(6, each.encode()) for each in missing] if self.incremental else []
+        made = version, b"".join([sized(1, version.encode()), *entries, sized(4, name.encode()), *gone])
+        if shared and len(snapshot.heads) < MAX_HEADS:
+            snapshot.heads[key] = made
+        return made
 
     def _sent(
-        self, name: str, kind: _Kind, snapshot: Snapshot, version: str,
-        due: list[Resource], missing: list[str], head: bytes,
+        self, name: str, kind: _Kind, snapshot: Snapshot, view: Mapping[str, Resource],
+        due: list[Resource], missing: list[str],
     ) -> Response:  # fmt: skip
+        version, head = self._head(name, snapshot, view, due, missing)
         kind.nonces += 1
         nonce = str(kind.nonces)
         for resource in due:
--- a/quillpass/fleet.py
+++ b/quillpass/fleet.py
@@ -57,6 +57,14 @@
         super().__init__(settings, seed)
         self._handlers[Told] = self._told
 
+    def _choose(self) -> None:
+        """All ready hosts are in use: nothing is chosen, and there are no connections to let go of."""
+        ready = sorted((host for host in self._hosts.values() if host.ready), key=lambda host: host.rank)
+        self._order, self._ready = ready, len(ready)
+        self._near_part = self._away_part = 1.0
+        if {host.name for host in ready} != {host.name for host in self._turn.ring}:
+            self._turn.seat(list(ready))
+
     def _ring_size(self) -> int:
         # Guards against a subset made for one small proxy becoming that of a whole zone.
         return max(len(self._hosts), 1)
--- a/quillpass/shares.py
+++ b/quillpass/shares.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from quillpass.api import HostState
 from quillpass.balance import WEIGHT_TOTAL
@@ -62,7 +62,9 @@
             else:
                 weight = before + (part if step else 0.0) * (goal - before)
             now[each.host] = weight
-            out.append(replace(each, weight=weight))
+            out.append(
+                Standing(each.host, each.zone, each.state, weight, each.pi, each.health, each.utilisation)
+            )
         self._held = now
         return out
 
