--- a/quillpass/shares.py
+++ b/quillpass/shares.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from quillpass.api import HostState
-from quillpass.balance import WEIGHT_TOTAL
 from quillpass.fleet import Standing
 
 SCALE = 100  # the usual node's weight: fine enough to tell a tenth, small enough to be few bytes
@@ -52,10 +51,12 @@
         held = list(standings)
         told = [each.utilisation for each in held if each.utilisation is not None]
         part = max(LEAST_STEP, (1 - sum(told) / len(told)) / 2) if told else 1.0
-        total = sum(each.weight for each in held) or 1.0
+        # As parts of the usual weight, which are the same however many nodes come and go.
+        ready = sum(each.state is HostState.READY for each in held)
+        usual = sum(each.weight for each in held) / ready if ready else 1.0
         out, now = [], {}
         for each in held:
-            goal = each.weight / total * WEIGHT_TOTAL
+            goal = each.weight / usual if usual > 0 else 0.0
             before = self._held.get(each.host)
             if before is None or goal <= 0:
                 weight = goal
