Plays straight to nodes have nodes and players in processes of their own

Cause: at ten times the speed of a burst one process was both, and the play was 9.4% off in its worst window.

--- a/brambleusher/lab/experiments/figures.py
+++ b/brambleusher/lab/experiments/figures.py
@@ -29,6 +29,19 @@
         self._worth = self._most_worth = 0.0
         self._on_time = 0
 
+    @classmethod
+    def of(cls, world: WorldFigures, results: Results, span_s: float) -> Tally:
+        """What several processes came to, whose windows are the steps; worth and aims are not known then."""
+        tally = cls(world, results.speed, span_s)
+        tally.results = results
+        tally._step_ns = round(results.window_ns / results.speed)
+        for at, classes in results.windows.items():
+            for row in classes.values():
+                tally._rows["asked"][at] += row[0]
+                for end, count in zip(ENDS, row[1:], strict=True):
+                    tally._rows[end][at] += count
+        return tally
+
     def add(self, outcome: Outcome) -> None:
         """One request that is over."""
         self.results.add(outcome)
@@ -57,8 +70,9 @@
         figures: dict[str, float] = {"requests": float(results.sent)}
         for end in ENDS:
             figures[f"share.{end}"] = results.total(end) / sent
-        figures["share.on_time"] = self._on_time / sent
-        figures["worth"] = self._worth / self._most_worth if self._most_worth else 0.0
+        if self._most_worth:
+            figures["share.on_time"] = self._on_time / sent
+            figures["worth"] = self._worth / self._most_worth
         for name, hist in results.latency.items():
             for each in PERCENTILES:
                 figures[f"latency_ms.{name}.p{each:g}"] = hist.get_value_at_percentile(each) / 1000
--- a/brambleusher/lab/experiments/run.py
+++ b/brambleusher/lab/experiments/run.py
@@ -5,7 +5,7 @@
 import gc
 import re
 import tempfile
-from collections.abc import Callable, MutableSequence
+from collections.abc import Callable
 from datetime import datetime
 from functools import partial
 from pathlib import Path
@@ -15,15 +15,15 @@
 
 from brambleusher.lab.checker.checker import Checker
 from brambleusher.lab.checker.rules import RULES, Rules
+from brambleusher.lab.experiments.direct import run_direct
 from brambleusher.lab.experiments.figures import MOST_EVENTS, Tally
+from brambleusher.lab.experiments.noting import noting
 from brambleusher.lab.experiments.plan import Cell
 from brambleusher.lab.experiments.store import CellResult
-from brambleusher.lab.figures import WorldFigures
 from brambleusher.lab.fleet import SECOND, Fleet
 from brambleusher.lab.real_fleet import RealFleet
 from brambleusher.lab.scenario import Scenario
-from brambleusher.lab.stand_ins.node import Execution, Node, _Work
-from brambleusher.lab.stand_ins.server import Connection
+from brambleusher.lab.stand_ins.node import Execution
 from brambleusher.lab.stand_ins.settings import Ask
 from brambleusher.lab.world import START_NS, WALL_NS, Tap, VirtualSystem
 from brambleusher.load.fidelity import Heard, compared
@@ -31,7 +31,6 @@
 from brambleusher.load.player import Play, Player
 from brambleusher.load.request import Request
 from brambleusher.load.wording import target_of
-from brambleusher.net.http import Message
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Address
@@ -44,31 +43,6 @@
 NewPlayer = Callable[[Scheduler, list[Address]], Player]  # by what it asks
 
 
-class NotingNode(Node):
-    """A node that notes each request as it came; `notes` and `start_ns` are shared by all of them."""
-
-    notes: MutableSequence[Heard]
-    start_ns: Callable[[], int]
-
-    def _work(self, connection: Connection, request: Message) -> _Work:
-        headers = request.headers
-        self.notes.append(
-            Heard(
-                self.scheduler.system.monotonic_ns() - self.start_ns(), headers.get("request-id", ""),
-                headers.get("request-class", ""), headers.get("tenant"), headers.get("work-hint"),
-                headers.get("client-retry") == "1", request.start[1], len(request.body),
-            )
-        )  # fmt: skip
-        return super()._work(connection, request)
-
-
-def noting(notes: MutableSequence[Heard], start_ns: Callable[[], int], *args: Any, **named: Any) -> Node:
-    """A new node that notes."""
-    node = NotingNode(*args, **named)
-    node.notes, node.start_ns = notes, start_ns
-    return node
-
-
 class DemandFleet(Fleet):
     """A fleet in virtual time whose submitters are a player; `direct`: it asks the nodes themselves."""
 
@@ -219,26 +193,23 @@
 
 def sockets(cell: Cell, requests: list[Request]) -> CellResult:
     """On loopback: sidecars are processes; nodes, discovery and the player are in this one."""
-    span_s, direct = span_of(cell, requests), cell.through == "nodes"
-    world: WorldFigures = cell.figures.figures(span_s)
-    tally, notes, executions = Tally(world, cell.speed, span_s), list[Heard](), list[Execution]()
+    span_s = span_of(cell, requests)
+    if cell.through == "nodes":
+        tally, heard, ran, began_ns = run_direct(cell, requests, play_of(cell, requests, []), span_s)
+        document, off = _fidelity(cell, requests, heard)
+        off["was_late"] = float(tally.results.late)
+        return tally.result(ran, began_ns, (), off, {"fidelity": document})
+    tally, executions = Tally(cell.figures.figures(span_s), cell.speed, span_s), list[Execution]()
     scheduler = Scheduler(RealSystem())
-    start_ns = 0
     gc.collect()
     gc.freeze()
     gc.set_threshold(100_000, 50, 1000)
     with tempfile.TemporaryDirectory(prefix="brambleusher-lab-") as folder:
-        new_node = partial(noting, notes, lambda: start_ns) if direct else Node
-        fleet = RealFleet(
-            scheduler, cell.figures, Path(folder), executions=executions, new_node=new_node, seed=cell.seed,
-            sidecars=not direct,
-        )  # fmt: skip
+        fleet = RealFleet(scheduler, cell.figures, Path(folder), executions=executions, seed=cell.seed)
         try:
             fleet.start()
             fleet.wait_ready()
-            nodes = [node.address for _, node in fleet.nodes if node.address is not None]
-            targets = nodes if direct else fleet.targets
-            player = Player(scheduler, play_of(cell, requests, targets), requests, tally.add)
+            player = Player(scheduler, play_of(cell, requests, fleet.targets), requests, tally.add)
             start_ns = scheduler.system.monotonic_ns() + LEAD_NS
             player.start(start_ns)
             until = start_ns / SECOND + span_s + OVERTIME_S
@@ -253,9 +224,4 @@
         finally:
             fleet.close()
             scheduler.close()
-    documents: dict[str, object] = {}
-    more = {"was_late": float(tally.results.late)}
-    if direct:
-        documents["fidelity"], off = _fidelity(cell, requests, notes)
-        more |= off
-    return tally.result(executions, start_ns, sorted(events), more, documents)
+    return tally.result(executions, start_ns, sorted(events), {"was_late": float(tally.results.late)})
--- a/brambleusher/lab/real_fleet.py
+++ b/brambleusher/lab/real_fleet.py
@@ -13,7 +13,7 @@
 import tempfile
 import time
 from collections import deque
-from collections.abc import Callable, MutableSequence
+from collections.abc import MutableSequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -96,19 +96,15 @@
         folder: Path,
         *,
         executions: MutableSequence[Execution] | None = None,
-        new_node: Callable[..., Node] = Node,
         seed: int | None = None,
-        sidecars: bool = True,
     ) -> None:
-        """Without `executions` the last ones are kept; without `sidecars` there are nodes alone."""
+        """Without `executions` the last ones are kept."""
         self.scheduler, self.world, self.folder = scheduler, world, folder
         self.figures: WorldFigures = world.figures()
         self.seed = world.seed if seed is None else seed
         self.executions: MutableSequence[Execution] = (
             deque(maxlen=KEPT_EXECUTIONS) if executions is None else executions
         )
-        self._with_sidecars = sidecars
-        self._new_node = new_node
         self.nodes: list[tuple[NodeFigures, Node]] = []
         self.discovery: Discovery | None = None
         self.sidecars: list[SidecarProcess] = []
@@ -127,13 +123,11 @@
             told=deque(maxlen=1000),
         )  # fmt: skip
         where = self.discovery.listen((LOOPBACK, 0))
-        for number, sidecar in enumerate(self.figures.sidecars if self._with_sidecars else ()):
+        for number, sidecar in enumerate(self.figures.sidecars):
             self._start_sidecar(number, sidecar.name, sidecar.zone, where, entries)
 
     def _start_node(self, figures: NodeFigures) -> Entry:
-        node = self._new_node(
-            self.scheduler, figures.settings, figures.id, self.seed, executions=self.executions
-        )
+        node = Node(self.scheduler, figures.settings, figures.id, self.seed, executions=self.executions)
         host, port = node.listen((LOOPBACK, 0))
         entry = Entry(
             id=figures.id, addr=f"{host}:{port}", zone=figures.zone, kind=figures.kind, cell=figures.cell,
--- a/brambleusher/load/processes.py
+++ b/brambleusher/load/processes.py
@@ -110,7 +110,8 @@
         gc.freeze()
         gc.set_threshold(100_000, 50, 1000)
         pipe.send_bytes(b"ready")
-        player.start(int(pipe.recv_bytes()))
+        results.start_ns = int(pipe.recv_bytes())
+        player.start(results.start_ns)
         beat = scheduler.now()
 
         def over() -> bool:
--- a/brambleusher/load/results.py
+++ b/brambleusher/load/results.py
@@ -58,6 +58,7 @@
     lateness: HdrHistogram = field(default_factory=histogram)
     windows: dict[int, dict[str, list[int]]] = field(default_factory=dict)  # class: sent, then by end
     connects: int = 0
+    start_ns: int = 0  # when the play began, on the system's monotonic clock
 
     def add(self, outcome: Outcome) -> None:
         """One request that is over."""
@@ -98,6 +99,7 @@
                 had = window.setdefault(name, [0] * len(row))
                 window[name] = [a + b for a, b in zip(had, row, strict=True)]
         self.connects += other.connects
+        self.start_ns = self.start_ns or other.start_ns
 
     def encode(self) -> bytes:
         """For the way to another process."""
@@ -107,6 +109,7 @@
                 "statuses": self.statuses,
                 "latency": {name: hist.encode() for name, hist in self.latency.items()},
                 "lateness": self.lateness.encode(), "windows": self.windows, "connects": self.connects,
+                "start_ns": self.start_ns,
             }
         )  # fmt: skip
 
@@ -118,6 +121,7 @@
             raw["window_ns"], raw["speed"], raw["ends"], raw["statuses"],
             {name: HdrHistogram.decode(hist) for name, hist in raw["latency"].items()},
             HdrHistogram.decode(raw["lateness"]), raw["windows"], raw["connects"],
+            raw["start_ns"],
         )  # fmt: skip
 
     @property
