--- a/brambleusher/lab/experiments/report.py
+++ b/brambleusher/lab/experiments/report.py
@@ -68,12 +68,17 @@
         """The largest."""
         return max((each.figures[name] for _, each in self.cells if name in each.figures), default=None)
 
+    @property
+    def speed(self) -> float:
+        """Times as fast as the demand."""
+        return self.cells[0][0].plan.speed
+
     def series(self, name: str) -> tuple[list[float], list[float]]:
-        """A series' mean over the seeds."""
+        """A series' mean over the seeds; times are the demand's own, so that speeds can be compared."""
         rows: dict[float, list[float]] = defaultdict(list)
         for _, result in self.cells:
             for at_s, value in result.series.get(name, ()):
-                rows[at_s].append(value)
+                rows[at_s * self.speed].append(value)
         times = sorted(rows)
         return times, [fmean(rows[at]) for at in times]
 
@@ -351,10 +356,10 @@
 ) -> None:
     rows = figure.subplots(len(groups), 1, sharex=True, sharey=True, squeeze=False)
     for axes, group in zip(rows[:, 0], groups, strict=True):
-        times, asked = group.series("asked")
+        times, asked = _slowed(group, "asked")
         bottom = [0.0] * len(times)
         for end in ENDS:
-            had = dict(zip(*group.series(end), strict=True))
+            had = dict(zip(*_slowed(group, end), strict=True))
             if any(had.values()):
                 top = [low + had.get(at, 0.0) for low, at in zip(bottom, times, strict=True)]
                 axes.fill_between(
@@ -370,11 +375,17 @@
                 bottom = top
         axes.step(times, asked, where="post", color="#333333", linewidth=0.9, label="asked")
         for at_s, _ in events[:MOST_MARKS]:
-            axes.axvline(at_s, color="#888888", linewidth=0.5, linestyle=":")
+            axes.axvline(at_s * group.speed, color="#888888", linewidth=0.5, linestyle=":")
         axes.set_ylabel("requests / s")
         axes.set_title(label(group), loc="left", fontsize=9)
     rows[0, 0].legend(loc="upper right", ncols=4, frameon=False)
-    rows[-1, 0].set_xlabel("seconds")
+    rows[-1, 0].set_xlabel("seconds of the demand")
+
+
+def _slowed(group: Group, name: str) -> tuple[list[float], list[float]]:
+    """A series of counts a second, as seconds of the demand have them."""
+    times, values = group.series(name)
+    return times, [value / group.speed for value in values]
 
 
 def _latencies(figure: Figure, groups: list[Group], label: Callable[[Group], str]) -> None:
@@ -431,7 +442,7 @@
         _zone_lines(axes, group)
         axes.set_title(label(group), loc="left", fontsize=9)
     rows[0, 0].legend(loc="upper right", ncols=4, frameon=False)
-    rows[-1, 0].set_xlabel("seconds")
+    rows[-1, 0].set_xlabel("seconds of the demand")
 
 
 def _zone_lines(axes: Axes, group: Group) -> None:
--- a/tests/test_load_sources.py
+++ b/tests/test_load_sources.py
@@ -25,8 +25,9 @@
 from brambleusher.load.mapping import Mapping, MappingError, parse_mapping
 from brambleusher.load.report import Report
 from brambleusher.load.request import REASONS, LeftOut, Request, SourceError
-from brambleusher.load.sources import How
+from brambleusher.load.sources import How, form_of
 from brambleusher.load.times import SECOND
+from tests.rig import Node, Rig
 
 NOON = synthetic.NOON_NS
 LOG = (
@@ -241,6 +242,23 @@
         built(tmp_path, b'{"ev":"start","v":2}')
 
 
+def test_a_running_sidecars_capture_is_demand(tmp_path: Path) -> None:
+    node = Node()
+    rig = Rig([node.entry("h0")], f"capture: {{dir: '{tmp_path / 'captures'}'}}")
+    try:
+        for number in range(3):
+            assert rig.call(f"r{number}", wait_ms=900).status == 200
+    finally:
+        rig.end()
+        node.close()
+    (path,) = (tmp_path / "captures").iterdir()
+    requests, report = built(tmp_path, path.read_bytes())
+    assert [(each.key, each.request_class, each.method, each.timeout_ms) for each in requests] == [
+        (f"r{number}", "look", "GET", 890) for number in range(3)
+    ]
+    assert not report.left_out and form_of(path) == "capture"
+
+
 MAPPING = b"""
 classes:
   - {leave_out: pictures, path: ^/static/}
