Zones: tiers, limits on spill, loss and return as states, flaps damped, rules at SIGHUP

A zone that goes dark sends its traffic elsewhere at once, and nothing holds back when it returns or flaps. quillpass/zones.py judges zones by evidence from their nodes and limits what each is sent; quillpass/zoned.py is the balancer that asks it. The operator file's section 'zones' switches it on and is taken at SIGHUP; without it the balancer is the plain one, event for event.

--- a/brambleusher/operator_file.py
+++ b/brambleusher/operator_file.py
@@ -288,44 +288,41 @@
     raise OperatorError(f"{path} is not a zone, a list of zones, or zones with weights")
 
 
+def _tiers(raw: dict[str, Any], zone: str, path: str) -> tuple[Tier, ...]:
+    """The tiers after a zone: a list of them, one by weight, or another zone and then as that one has it."""
+    way, tiers = [zone], list[Tier]()
+    while isinstance(then := raw.get(way[-1]), str):
+        if then in way:
+            raise OperatorError(f"{path}.{zone} goes in a circle: {' to '.join([*way, then])}")
+        tiers.append(_tier(then, f"{path}.{way[-1]}"))
+        way.append(then)
+    if (rest := raw.get(way[-1])) is None:
+        if way[-1] in raw:
+            raise OperatorError(f"{path}.{way[-1]} names no zone")
+        return tuple(tiers)
+    listed = rest if isinstance(rest, list) else [rest]
+    if not 0 < len(listed) <= MAX_ZONES:
+        raise OperatorError(f"{path}.{way[-1]} is not a list of 1 to {MAX_ZONES} tiers")
+    own = [_tier(tier, f"{path}.{way[-1]}[{place}]") for place, tier in enumerate(listed)]
+    if len(way) > 1:  # what the last one has may lead back: zones on the way have their place already
+        own = [tuple(each for each in tier if each[0] not in way) for tier in own]
+        return (*tiers, *(tier for tier in own if tier))
+    names = [name for tier in own for name, _ in tier]
+    for name in names:
+        if name == zone:
+            raise OperatorError(f"{path}.{zone} goes in a circle: {zone} to {zone}")
+        if names.count(name) > 1:
+            raise OperatorError(f"{path}.{zone} names {name} twice")
+    return tuple(own)
+
+
 def _neighbours(raw: Any) -> tuple[tuple[str, tuple[Tier, ...]], ...]:
-    """What comes after each zone: a list of tiers, one by weight, or one zone and what comes after that."""
     path = "zones.neighbours"
     if raw is None:
         return ()
     if not isinstance(raw, dict) or len(raw) > MAX_ZONES:
         raise OperatorError(f"{path} is not a mapping of at most {MAX_ZONES} zones")
-    out: list[tuple[str, tuple[Tier, ...]]] = []
-    for zone in raw:
-        tiers: list[Tier] = []
-        way, at = [zone], zone
-        while isinstance(then := raw.get(at), str) and then:
-            if then in way:
-                raise OperatorError(f"{path}.{zone} goes in a circle: {' to '.join([*way, then])}")
-            tiers.append(((then, 1.0),))
-            way.append(then)
-            at = then
-        if at == zone or at in raw:
-            rest = raw[at]
-            if isinstance(rest, list) and rest and len(rest) <= MAX_ZONES:
-                tiers += [_tier(tier, f"{path}.{at}[{place}]") for place, tier in enumerate(rest)]
-            else:
-                tiers.append(_tier(rest, f"{path}.{at}"))
-        if at != zone:  # what a zone on the way has for its own neighbours may lead back
-            tiers = [tuple(each for each in tier if each[0] not in way[:1]) for tier in tiers]
-            seen: set[str] = set()
-            for place, tier in enumerate(tiers):
-                tiers[place] = tuple(each for each in tier if each[0] not in seen)
-                seen |= {name for name, _ in tier}
-            tiers = [tier for tier in tiers if tier]
-        names = [name for tier in tiers for name, _ in tier]
-        for name in names:
-            if name == zone:
-                raise OperatorError(f"{path}.{zone} goes in a circle: {zone} to {zone}")
-            if names.count(name) > 1:
-                raise OperatorError(f"{path}.{zone} names {name} twice")
-        out.append((zone, tuple(tiers)))
-    return tuple(out)
+    return tuple((zone, _tiers(raw, zone, path)) for zone in raw)
 
 
 def _zones(raw: Any) -> ZoneRules:
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -255,6 +255,7 @@
             # The running configuration stays: a file half written must not take a serving sidecar down.
             log.error("bad configuration, the running one stays", extra={"fields": {"reason": error}})
             return
+        config = replace(config, settings=replace(config.settings, zones=self.config.settings.zones))
         for key in fixed_keys_changed(self.config, config):
             log.warning("can't change in a running sidecar", extra={"fields": {"key": key}})
         host, port = config.discovery
--- a/quillpass/zoned.py
+++ b/quillpass/zoned.py
@@ -109,7 +109,7 @@
             out = {name for name in self._zones.zones if self._zones.shut(name)}
             self._choose()
             for name in before - out:
-                self._welcome_back(name)
+                self._welcome_back(name, now)
             for name in out - before:
                 self._give_up(name, now)
 
@@ -193,13 +193,14 @@
                     self._retries.spend()
                     self._send(request, other, now)
 
-    def _welcome_back(self, name: str) -> None:
+    def _welcome_back(self, name: str, now: int) -> None:
         """What was held against its hosts when it was lost says nothing of them now."""
         for host in self._hosts.values():
             if host.zone == name:
                 host.served = host.failed = host.turned = 0.0
                 host.late_n, host.late_sum = [0.0] * len(host.late_n), [0.0] * len(host.late_sum)
                 host.shut_ns = 0
+                host.cold_level, host.cold_seen_ns = host.rank % 1.0, now  # saved up while it was shut: void
 
     # --- weights and admission ------------------------------------------------------------------
 
@@ -210,6 +211,25 @@
     def _offer(self, host: Host) -> float:
         return self._zones.part_of(host.zone) if self._on else super()._offer(host)
 
+    def _steer_admission(self, gap: float) -> None:
+        """In trouble the limit is the goal's, as long as answers keep to it.
+
+        Guards against refusing what the zones that are left could carry: the plain limit holds answers near
+        what they take in quiet times, and full zones are not quiet.
+        """
+        super()._steer_admission(gap)
+        counts = sum(self._lat_n)
+        if not self._on or self._late or counts < 1 or not self._zones.troubled:
+            return
+        ring, classes = self._turn.ring, self.settings.classes
+        aim = sum(n * cls.aim_ns for n, cls in zip(self._lat_n, classes, strict=True)) / counts
+        rates = [host.throughput / max(host.util, 0.5) for host in ring if host.util_ns >= 0]
+        if rates:
+            share = max(self._my_share, 1 / self.settings.fleet_size)
+            takes = sum(host.welcome for host in ring) / len(ring)
+            due = share * sum(rates) / len(rates) * takes * self._ready * aim * GOAL_OF_AIM / SECOND
+            self._limit = max(self._limit, due)
+
     def _worth_now(self, density: float) -> bool:
         """What fits nowhere is refused, the cheapest worth first."""
         if not super()._worth_now(density):
@@ -250,7 +270,7 @@
         cls = self.settings.classes[request.cls]
         if zone is None or cls.effect is not Effect.SAFE or self.settings.max_attempts < 2:
             return None
-        if request.deadline_ns - now < 3 * self._patience(request):
+        if request.deadline_ns - now < 2 * self._patience(request):
             return None
         plain, count = super()._fits(request, now), len(zone.ready)
         for step in range(count):
@@ -275,8 +295,10 @@
             return
         self._zones.sent(host.zone, now)
         if host.started_ns > 0 and self._warmth(host, now) < 1:
-            # The rule's budget is more than a cold host can do: here all proxies together keep to that.
-            host.cold_level -= max(0.0, COLD_SLICE * self.settings.fall_multiple - 1)
+            # The rule's budget is more than a cold host can do: here all proxies together keep to that, each
+            # by its part of the zone's traffic.
+            even = self._zones.share_of(host.zone) * self.settings.fleet_size
+            host.cold_level -= max(0.0, COLD_SLICE * self.settings.fall_multiple / max(even, 0.25) - 1)
         if request.id in self._probing:
             sent = self._out[-1]
             assert isinstance(sent, api.Send)
@@ -288,7 +310,9 @@
             host, sent, _ = request.attempts[event.attempt]
             key = event.request, event.attempt
             if self._on and (key in host.out or key in host.lost):
-                self._zones.ended(host.zone, host.name, event.status, sent, event.latency_ns, now)
+                self._zones.ended(
+                    host.zone, host.name, request.cls, event.status, sent, event.latency_ns, now
+                )
         super()._attempt_ended(event, now)
         if event.request in self._probing and event.attempt == 0:
             self._probing.remove(event.request)
--- a/quillpass/zones.py
+++ b/quillpass/zones.py
@@ -22,11 +22,13 @@
 from quillpass.api import Status, ZoneRules
 
 SECOND = 1e9
+HALVING = 0.693  # a count that halves in a time is its rate by that time over this
 
 # Evidence.  A node is dark when what it was sent is not answered; a zone is lost when all of its nodes that
 # were sent anything are, for so many shortest aims by the number of them: several at once count for more.
 LOST_AIMS = (2.0, 1.0, 0.5)
 SUSPECT_PART = 0.5  # of that time: suspected
+MISSING = 4.0  # answers that should have come by then, at the rate of lately: silence by chance is shorter
 DARK_STREAK = 2  # ends in a row without any answer: dark, whatever their age
 HEARD_AIMS = 2.0  # a node that answered within these counts as heard of
 GREY_PART = 0.15  # of the ends lately went wrong, at two nodes or more: suspected
@@ -41,12 +43,15 @@
 
 # Probes: single requests that may be sent again, to a zone that is out.
 PROBE_AIMS, PROBE_AIMS_MOST = 1.0, 4.0  # the pause between two, doubled while they fail
+UNTRIED_AIMS = 8.0  # without a request that may try it, a zone is taken back unseen, as gently as ever
 MISSED = 2  # probes of a zone that is held, unanswered in a row: it is lost once more
 
 # The way back.
 TRUSTED = 0.5  # a penalty below this trusts the zone again; each loss adds 1
-START_PART = 0.05  # of what the zone can do is offered at first, by all proxies together
-DOUBLING_S = 1.0  # the grant of a returning zone doubles in this time, while it answers
+ONLY_NODE = 0.4  # what the loss of a zone adds whose only node left the list: nodes are replaced every day
+NEED, NEED_AIMS = 0.1, 4.0  # of what comes fits nowhere for so long: zones held for flapping are let in
+START_PART = 0.1  # of what the zone can do is offered at first, by all proxies together
+DOUBLING_S = 0.6  # the grant of a returning zone doubles in this time, while it answers
 ANSWERED_TIMES = 2.0  # and is never over so many times what it answers
 WELL_AIMS = 6.0  # so long without want or trouble: it is healthy
 
@@ -56,16 +61,18 @@
 HEADROOM_S = 0.25  # of spill is granted ahead of use
 BURST_S = 0.3  # of a grant may come at once, or one request
 WANTED = 0.98  # of a grant is given out: more is wanted
+LEAST_AN_AIM = 0.25  # request that a zone which takes part is granted at least, by each proxy
 KEEP = 1.25  # times what is used stays granted
 SHARE_AIMS = 16.0  # half-life of this proxy's part of a zone's traffic
-USED_AIMS = 2.0  # half-life of what a zone answers
-STRAIN_PULL = 2.0  # how fast a grant falls where a zone is over its strain, an aim
+USED_AIMS = 1.0  # half-life of what a zone answers
+STRAIN_PULL = 0.5  # of a grant goes in a second where the zone is full, less as it is less over its strain
 EVACUATION_S = 10.0  # an evacuated zone is offered less over this time, down to nothing
 
 # Learned tiers.
 COST_PART = 0.02  # of the shortest aim: what costs less more to cross to is as near
-COST_DRIFT = 0.01  # an aim: the least time of an answer is forgotten so fast
-COST_ENDS = 20  # answers before a zone's cost counts
+COST_QUANTILE = 0.2  # of the times of a class's answers: the low ones say more of the way than of the work
+COST_STEP = 0.002  # of the shortest aim: a quantile moves so far at each answer, up and down by its odds
+COST_ENDS = 40  # answers of a class before its times count
 RANK_AIMS = 4.0  # between two rankings
 
 
@@ -120,7 +127,9 @@
     penalty: float = 0.0
     losses: int = 0
     held: bool = False  # it answers, and is not trusted yet
+    listed_out: bool = False  # lost because its nodes left the list, and for nothing else
     probe_ns: int = 0  # the next one is due
+    tried_ns: int = 0  # the last one was made
     probe_pause_ns: int = 0
     probe_at: int = 0  # turn among its hosts
     wanted_ns: int = 0  # the last time its grant was too small
@@ -134,8 +143,9 @@
     level: float = 0.0  # requests that may go now, under a limit
     level_ns: int = 0
     part: float = 1.0  # of its spare that it may offer
-    cost_ns: float = 0.0  # the least time of an answer lately
-    cost_n: int = 0
+    calm: bool = True  # well and not busy: the times of its answers speak of the way there
+    cost_ns: dict[int, float] = field(default_factory=dict)  # by class, a low quantile of answers' times
+    cost_n: dict[int, int] = field(default_factory=dict)
     tier: int = 0
 
     @property
@@ -190,6 +200,7 @@
         self.zones: dict[str, Zone] = {}
         self.panic = False
         self.beyond = 0.0  # the part of what comes that fits nowhere
+        self.short_ns = 0  # since when that is too much; 0: it is not
         self.said: list[str] = []  # for the log
         self.open: dict[int, float] = {}  # by tier: the part of its spare that it offers, by use
         self.weights: dict[str, float] = {}  # within a tier, as the rules have them
@@ -236,11 +247,27 @@
             self.zones[self.own].tier = 0
 
     def _rank_by_cost(self) -> None:
-        """Zones whose answers take as long at the least are as near; one not known yet is in tier 1."""
-        known = sorted(
-            (zone.cost_ns, name) for name, zone in self.zones.items()
-            if name != self.own and zone.cost_n >= COST_ENDS
-        )  # fmt: skip
+        """Zones that quick answers take as long from are as near; one not known yet is in tier 1.
+
+        Classes are compared each with itself: the mean of what a zone's quick answers take more than those
+        of the nearest.
+        """
+        usual: dict[int, list[float]] = {}
+        far = {name: zone for name, zone in self.zones.items() if name != self.own}
+        for zone in far.values():
+            for cls, count in zone.cost_n.items():
+                if count >= COST_ENDS:
+                    usual.setdefault(cls, []).append(zone.cost_ns[cls])
+        known = []
+        for name, zone in far.items():
+            more = [
+                zone.cost_ns[cls] - min(times)
+                for cls, times in usual.items()
+                if len(times) > 1 and zone.cost_n.get(cls, 0) >= COST_ENDS
+            ]
+            if more:
+                known.append((sum(more) / len(more), name))
+        known.sort()
         for zone in self.zones.values():
             zone.tier = 1
         tier, first = 1, known[0][0] if known else 0.0
@@ -265,11 +292,16 @@
             if before and not zone.ready and self.rules is not None and zone.state is not State.LOST:
                 if draining.get(name):
                     zone.reason = "drained in order"
+                elif len(before) > 1:
+                    self._lose(zone, f"all its {len(before)} nodes left the list without a drain", now)
+                    zone.listed_out = True
                 else:
-                    hosts = f"all its {len(before)} nodes" if len(before) > 1 else "its only node"
-                    self._lose(zone, f"{hosts} left the list without a drain", now)
+                    self._lose(zone, "its only node left the list without a drain", now, ONLY_NODE)
+                    zone.listed_out = True
             elif zone.ready and not before and zone.out:
                 zone.probe_ns, zone.probe_pause_ns, zone.unreached = now, 0, 0
+                if zone.listed_out and self.rules is not None:  # as it said that it was not
+                    self._back(zone, "it is listed again", now)
         self._rank()
 
     def sent(self, name: str, now: int) -> None:
@@ -279,7 +311,9 @@
             self._refill(zone, now)
             zone.level = max(zone.level - 1.0, -1.0)
 
-    def ended(self, name: str, host: str, status: Status, sent_ns: int, latency_ns: int, now: int) -> None:
+    def ended(
+        self, name: str, host: str, cls: int, status: Status, sent_ns: int, latency_ns: int, now: int
+    ) -> None:
         """How an attempt there ended."""
         zone = self.zones.get(name)
         if zone is None or host not in zone.ready or status not in ANSWERED | UNANSWERED:
@@ -294,9 +328,8 @@
             zone.probe_pause_ns = 0
             zone.answered += status is Status.OK
             node.gone_wrong += status is Status.ERROR
-            if status is Status.OK and latency_ns > 0:
-                zone.cost_ns = min(zone.cost_ns, latency_ns) if zone.cost_n else float(latency_ns)
-                zone.cost_n += 1
+            if status is Status.OK and zone.calm:
+                self._time(zone, cls, float(latency_ns))
             return
         if not node.streak:
             node.since_ns = sent_ns
@@ -305,6 +338,15 @@
         zone.missed += 1
         zone.unreached = zone.unreached + 1 if status is Status.CONNECT_FAILED else 0
 
+    def _time(self, zone: Zone, cls: int, latency_ns: float) -> None:
+        """Stochastic approximation of a quantile (Robbins and Monro): up and down by its odds."""
+        count = zone.cost_n.get(cls, 0)
+        zone.cost_n[cls] = min(count + 1, COST_ENDS)
+        was, step = zone.cost_ns.get(cls, latency_ns), COST_STEP * self.unit_ns
+        if count < COST_ENDS:
+            step *= 4
+        zone.cost_ns[cls] = was + step * (COST_QUANTILE if latency_ns > was else COST_QUANTILE - 1)
+
     def stood_still(self, now: int) -> None:
         """This proxy did nothing for a while: that nothing was answered meanwhile says nothing."""
         self.blind_ns = now
@@ -328,6 +370,16 @@
         zone = self.zones.get(name)
         return 1.0 if zone is None else zone.part
 
+    @property
+    def troubled(self) -> bool:
+        """Whether any zone is out or on its way back, so that the others have more to carry."""
+        return any(zone.out or zone.ramps for zone in self.zones.values())
+
+    def share_of(self, name: str) -> float:
+        """This proxy's part of a zone's traffic, as it was before there was trouble."""
+        zone = self.zones.get(name)
+        return 1.0 / self.fleet_size if zone is None else max(self._part(zone), 0.25 / self.fleet_size)
+
     def admits(self, name: str, now: int) -> bool:
         """Whether one more request may go to a zone now."""
         zone = self.zones.get(name)
@@ -350,6 +402,7 @@
             min(max(2 * zone.probe_pause_ns, PROBE_AIMS * unit), PROBE_AIMS_MOST * unit)
         )
         zone.probe_ns, zone.probe_at = now + zone.probe_pause_ns, zone.probe_at + 1
+        zone.tried_ns = now
 
     @staticmethod
     def _refill(zone: Zone, now: int) -> None:
@@ -387,7 +440,6 @@
         zone.ended *= kept
         for node in zone.nodes.values():
             node.gone_wrong *= kept
-        zone.cost_ns *= 1 + COST_DRIFT * gap
         zone.answered *= 0.5 ** (gap / USED_AIMS)
         zone.grown *= 0.5 ** (gap / LAG_AIMS)
         zone.penalty *= 0.5 ** (gap * self.unit_ns / self.rules.half_life_ns)
@@ -413,10 +465,13 @@
         quiet = now - max(zone.heard_ns, self.blind_ns, min(dark.values(), default=now))
         all_dark = len(dark) >= max(least, 1) and len(dark) >= heard
         need = LOST_AIMS[min(len(dark), len(LOST_AIMS)) - 1] * unit if dark else 0.0
+        chance = MISSING * unit * USED_AIMS / (HALVING * max(zone.answered, 1e-9))
+        need = max(need, min(chance, LOST_AIMS[0] * unit))
         wrong = sum(node.gone_wrong for node in zone.nodes.values())
         several = sum(node.gone_wrong >= 0.5 for node in zone.nodes.values()) >= least
         grey = several and zone.ended >= GREY_ENDS and wrong >= GREY_PART * zone.ended
-        if grey or (all_dark and quiet >= need * SUSPECT_PART):
+        suspect = grey or (all_dark and quiet >= need * SUSPECT_PART)
+        if suspect:
             zone.wrong_ns = now
         told = f"{len(dark)} of {len(zone.ready)} nodes dark, no answer for {quiet / SECOND:.2f} s"
         if all_dark and quiet >= need:
@@ -424,20 +479,21 @@
         elif zone.state is State.RETURNING:
             if now - max(zone.since_ns, zone.wanted_ns, zone.wrong_ns) > WELL_AIMS * unit:
                 self._to(zone, State.HEALTHY, "it answers all that it is sent", now)
-        elif zone.wrong_ns == now:
+        elif suspect:
             if grey:
                 told = f"{wrong / zone.ended:.0%} of what ended lately went wrong, at several nodes"
             self._to(zone, State.SUSPECT, told, now)
         elif zone.state is State.SUSPECT and now - zone.wrong_ns > CLEAR_AIMS * unit:
             self._to(zone, State.HEALTHY, "nothing speaks against it any more", now)
 
-    def _lose(self, zone: Zone, reason: str, now: int) -> None:
+    def _lose(self, zone: Zone, reason: str, now: int, penalty: float = 1.0) -> None:
         rules, flapping = self.rules, zone.held
         assert rules is not None
         zone.losses += 1
+        zone.listed_out = False
         if rules.hold_most_ns > 0:
             most = TRUSTED * 2.0 ** (rules.hold_most_ns / rules.half_life_ns)
-            zone.penalty = min(zone.penalty + 1.0, most)
+            zone.penalty = min(zone.penalty + penalty, most)
         zone.grant = zone.grown = zone.level = 0.0
         zone.held, zone.missed = False, 0
         zone.probe_pause_ns = int(PROBE_AIMS * self.unit_ns)
@@ -448,11 +504,16 @@
 
     def _return(self, zone: Zone, now: int) -> None:
         """A lost zone that has answered since is on its way back, once its penalty trusts it."""
-        if zone.heard_ns <= zone.since_ns or not zone.ready:
+        if not zone.ready:
             return
+        if zone.heard_ns > zone.since_ns:
+            self._back(zone, "it answers again", now)
+        elif now - max(zone.since_ns, zone.tried_ns) > UNTRIED_AIMS * self.unit_ns:
+            self._back(zone, "no request came that may try it", now)
+
+    def _back(self, zone: Zone, reason: str, now: int) -> None:
         flaps = zone.losses > 1
         zone.held = zone.penalty >= TRUSTED
-        reason = "it answers again"
         if zone.held:
             reason += f", and is held after {zone.losses} losses"
         self._to(zone, State.RETURNING, reason, now, quiet=zone.held and flaps)
@@ -461,10 +522,14 @@
         if zone.missed >= MISSED:
             self._lose(zone, f"{zone.missed} probes in a row were not answered", now)
         elif not zone.ready:
-            self._lose(zone, "its nodes left the list", now)
+            self._lose(zone, "its nodes left the list", now, ONLY_NODE)
+            zone.listed_out = True
         elif zone.penalty < TRUSTED:
             zone.held = False
             self._to(zone, State.RETURNING, "it answers and is trusted again", now)
+        elif self.short_ns and now - self.short_ns > NEED_AIMS * self.unit_ns:
+            zone.held = False
+            self._to(zone, State.RETURNING, "it answers and is needed, trusted or not", now)
 
     def _to(self, zone: Zone, state: State, reason: str, now: int, quiet: bool = False) -> None:
         if zone.state is state and state is State.SUSPECT:
@@ -561,7 +626,7 @@
         rules = self.rules
         assert rules is not None
         seconds = gap * self.unit_ns / SECOND
-        per_s = 0.693 / (USED_AIMS * self.unit_ns / SECOND)  # of a count that halves in `USED_AIMS`
+        per_s = HALVING / (USED_AIMS * self.unit_ns / SECOND)  # of a count that halves in `USED_AIMS`
         share = self._share(loads, hold)
         masses: dict[str, float] = {}
         for name, zone in self.zones.items():
@@ -570,6 +635,7 @@
                 part = min(1.0, used / load.throughput)
                 kept = 0.5 ** (gap / SHARE_AIMS) if zone.own_part >= 0 else 0.0
                 zone.own_part = zone.own_part * kept + part * (1 - kept)
+            zone.calm = zone.state is State.HEALTHY and load.used < hold * load.capacity
             if not load.hosts or self.shut(name):
                 zone.limit = -1.0
                 continue
@@ -597,6 +663,7 @@
         # What fits nowhere: only where each zone that could take it has a limit.
         short = rate > 0 and limits and all(self.zones[name].limit >= 0 for name in masses)
         self.beyond = max(0.0, 1.0 - sum(given.values()) / rate) if short else 0.0
+        self.short_ns = (self.short_ns or now) if self.beyond > NEED else 0
 
     def _tier_offer(self, tier: int) -> float:
         """What a tier offers once those before it do."""
@@ -612,14 +679,16 @@
         assert rules is not None
         wanted = zone.wanted_ns == self._ticked_ns  # at the last tick
         if zone.state is State.RETURNING:
-            start = START_PART * load.capacity * max(self._part(zone), 0.25 / self.fleet_size)
+            start = START_PART * load.capacity * self.share_of(zone.name)
+            start = max(start, LEAST_AN_AIM * SECOND / self.unit_ns)
             if wanted:
                 most = max(ANSWERED_TIMES * used, start)
                 zone.grant = min(zone.grant * 2 ** (seconds / DOUBLING_S), most)
             zone.grant = max(zone.grant, start)
             return
         over = load.used / load.capacity - rules.strain if load.capacity else 0.0
-        over = max(over, 0.1) if load.strained else over
+        over = min(over / max(1 - rules.strain, 0.01), 1.0)
+        over = max(over, 0.5) if load.strained else over
         if over > 0:
             zone.grant *= max(0.0, 1.0 - STRAIN_PULL * over * seconds)
         elif wanted:
@@ -628,6 +697,8 @@
         else:
             keep = KEEP * used + rules.spill * spare * HEADROOM_S
             zone.grant += (keep - zone.grant) * min(seconds / UNUSED_S, 1.0)
+        # One request in a few aims at least: a zone that nothing is sent to tells nothing.
+        zone.grant = max(zone.grant, used if over <= 0 else 0.0, LEAST_AN_AIM * SECOND / self.unit_ns)
 
     def _limit_of(self, zone: Zone, load: Load, rate: float, now: int) -> float:
         """Requests a second that a zone may be sent by this proxy; below 0: any."""
@@ -637,9 +708,10 @@
             left = 1.0 - (now - zone.leaving_ns) / (EVACUATION_S * SECOND)
             return max(left, 0.0) * rate
         if zone.state is State.RETURNING:
-            most = max(self._part(zone), 0.25 / self.fleet_size) * rules.strain * load.capacity
-            return min(zone.grant, most)
-        return -1.0 if zone.name == self.own else zone.grant
+            most = self.share_of(zone.name) * rules.strain * load.capacity
+            return min(zone.grant, most) if load.capacity else zone.grant
+        # Before any report there is nothing to go by.
+        return -1.0 if zone.name == self.own or not load.capacity else zone.grant
 
     # --- to be looked at ------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,505 @@
+"""Zones: tiers, evidence, spill, the way back, flaps, panic; and that without rules nothing is different."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+import math
+import random
+import signal
+from dataclasses import replace
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brambleusher.features.records import event_from, event_of
+from brambleusher.features.replay import rerun
+from brambleusher.features.status import page
+from brambleusher.lab.fleet import Fleet
+from brambleusher.lab.scenario import draw_scenario
+from brambleusher.operator_file import OperatorError, parse_operator_file
+from quillpass import Balancer, api
+from quillpass.api import Status, ZoneRules
+from quillpass.state import StateError, restore, restore_settings, save, save_settings
+from quillpass.zoned import ZonedBalancer, balancer_for
+from quillpass.zones import Load, State, Zones, fill
+from tests.rules import MS, SECOND, World
+from tests.test_rules import BASE
+
+UNIT = 500 * MS
+RULES = ZoneRules()
+TICK = UNIT // 8
+
+
+class Seen:
+    """Zones of four hosts each, as one proxy in zone `a` sees them, ticked in steps."""
+
+    def __init__(self, rules: ZoneRules = RULES, names: str = "abcd", hosts: int = 4, fleet: int = 8) -> None:
+        self.zones, self.now = Zones(rules, "a", UNIT, fleet), 10 * SECOND
+        self.ready = {name: [f"{name}{at}" for at in range(hosts)] for name in names}
+        self.loads = {
+            name: Load(hosts, 20.0 * hosts, 12.0 * hosts, 12.0 * hosts, 8.0 * hosts) for name in names
+        }
+        self.zones.listed(self.ready, {}, self.now)
+        self.rate = 25.0
+        self.dead: set[str] = set()
+        self.trace: list[tuple[float, str]] = []
+
+    def end(self, host: str, status: Status = Status.OK, after: int = 60 * MS, cls: int = 0) -> None:
+        self.zones.ended(host[0], host, cls, status, self.now - after, after, self.now)
+
+    def answers(self, *hosts: str) -> None:
+        for host in hosts or [each for hosts in self.ready.values() for each in hosts]:
+            if host not in self.dead and not self.zones.shut(host[0]):
+                self.end(host)
+        while (zone := self.zones.probe(self.now)) is not None:
+            host = zone.ready[zone.probe_at % len(zone.ready)]
+            self.zones.probed(zone, self.now)
+            self.end(host, Status.CONNECT_FAILED if host in self.dead else Status.OK)
+
+    def tick(self, seconds: float = TICK / SECOND, dark: tuple[str, ...] = ()) -> None:
+        """Time passes; all live hosts answer; `dark` ones have owed answers since the first of it."""
+        begin, until = self.now, self.now + int(seconds * SECOND)
+        while self.now < until:
+            self.now += TICK
+            self.answers()
+            for name, load in self.loads.items():
+                load.dark = {host: begin for host in dark if host[0] == name and self.now - begin > UNIT // 2}
+            self.zones.tick(self.now, TICK / UNIT, self.loads, self.rate, 0.7, 0.01)
+
+    def state(self, name: str) -> State:
+        return self.zones.zones[name].state
+
+    def lose(self, name: str = "b", seconds: float = 1.5) -> None:
+        self.dead.update(self.ready[name])
+        self.tick(seconds, dark=tuple(self.ready[name]))
+
+    def regain(self, name: str = "b") -> None:
+        self.dead.difference_update(self.ready[name])
+
+
+# --- rules ----------------------------------------------------------------------------------------
+
+
+def rules_of(text: str) -> ZoneRules:
+    rules = parse_operator_file(f"zones: {text}".encode()).zones
+    assert rules is not None
+    return rules
+
+
+def test_tiers_are_read_in_order_by_weight_or_along_a_chain() -> None:
+    assert parse_operator_file(b"").zones is None
+    assert rules_of("") == ZoneRules()
+    read = dict(rules_of("{neighbours: {a: [b, [c, d]], b: {a: 3, c: 1}, c: d, d: a}}").neighbours)
+    assert read["a"] == ((("b", 1.0),), (("c", 1.0), ("d", 1.0)))
+    assert read["b"] == ((("a", 3.0), ("c", 1.0)),)
+    assert read["c"] == ((("d", 1.0),), (("a", 1.0),), (("b", 1.0),))  # d, and then as d has it
+    seen = Seen(rules_of("{neighbours: {a: [c]}}"))
+    assert {name: zone.tier for name, zone in seen.zones.zones.items()} == {"a": 0, "c": 1, "b": 2, "d": 2}
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("{neighbours: {a: [b, b]}}", "zones.neighbours.a names b twice"),
+        ("{neighbours: {a: [b, [c, b]]}}", "zones.neighbours.a names b twice"),
+        ("{neighbours: {a: [b], a: [c]}}", "a in line 1 is given twice"),
+        ("{neighbours: {a: [a]}}", "a goes in a circle: a to a"),
+        ("{neighbours: {a: b, b: c, c: a}}", "a goes in a circle: a to b to c to a"),
+        ("{neighbours: {a: {b: 0}}}", "zones.neighbours.a\\[0\\].b is not a weight"),
+        ("{neighbours: {a: []}}", "zones.neighbours.a is not a list"),
+        ("{neighbours: {a: }}", "zones.neighbours.a names no zone"),
+        ("{neighbours: {a: [[7]]}}", "zones.neighbours.a\\[0\\]\\[0\\] is not the name"),
+        ("{neighbours: {a: ''}}", "zones.neighbours.a is not a zone"),
+        ("{neighbours: [a]}", "zones.neighbours is not a mapping"),
+        ("{spill: 0}", "zones.spill is not a number"),
+        ("{strain: yes}", "zones.strain is not a number"),
+        ("{trust: a}", "zones.trust is not a list"),
+        ("{trust: [a, a]}", "zones.trust names a twice"),
+        ("{evacuate: [1]}", "zones.evacuate\\[0\\] is not a text"),
+        ("{spills: 1}", "zones.spills is unknown"),
+        ("[]", "zones is not a mapping"),
+    ],
+)
+def test_bad_rules_are_named(text: str, named: str) -> None:
+    with pytest.raises(OperatorError, match=named):
+        rules_of(text)
+
+
+def test_tiers_are_learned_from_what_quick_answers_take() -> None:
+    seen, rng = Seen(), random.Random(5)
+    extra = {"a": 0, "b": 1, "c": 25, "d": 26}  # ms
+    for _ in range(400):
+        for name, more in extra.items():
+            work = 40 * math.exp(0.5 * rng.gauss(0, 1))
+            seen.end(f"{name}{rng.randrange(4)}", after=int((work + more) * MS))
+    seen.zones._rank()
+    assert {name: zone.tier for name, zone in seen.zones.zones.items()} == {"a": 0, "b": 1, "c": 2, "d": 2}
+
+
+# --- evidence -------------------------------------------------------------------------------------
+
+
+def test_several_dark_nodes_lose_a_zone_sooner_than_few() -> None:
+    took: dict[int, int] = {}
+    for count in (1, 2, 4):
+        seen = Seen(hosts=count)
+        seen.tick(3.0)
+        seen.dead.update(seen.ready["b"])
+        begin = seen.now
+        for _ in range(100):
+            seen.tick(dark=())
+            dark = dict.fromkeys(seen.ready["b"], begin) if seen.now - begin > UNIT // 4 else {}
+            seen.loads["b"].dark = dark
+            seen.zones.tick(seen.now, 0.0, seen.loads, 25.0, 0.7, 0.01)
+            if seen.state("b") is State.LOST:
+                break
+        assert seen.state("b") is State.LOST
+        assert f"{count} of {count} nodes dark" in seen.zones.zones["b"].reason
+        took[count] = seen.now - begin
+    assert took[4] < took[2] < took[1] <= 3 * UNIT
+
+
+def test_one_dark_node_among_others_is_no_lost_zone() -> None:
+    seen = Seen()
+    seen.dead.add("b0")
+    seen.tick(5.0, dark=("b0",))
+    assert seen.state("b") is State.HEALTHY
+
+
+def test_a_zone_where_one_node_answers_is_not_lost() -> None:
+    seen = Seen()
+    seen.dead.update(("b0", "b1", "b2"))
+    seen.tick(5.0, dark=("b0", "b1", "b2"))
+    assert seen.state("b") is not State.LOST
+
+
+def test_ends_that_say_nothing_of_a_node_don_t_count() -> None:
+    seen = Seen()
+    for _ in range(20):
+        for host in seen.ready["b"]:
+            seen.end(host, Status.TIMEOUT, after=UNIT // 10)  # its client had no time
+            seen.end(host, Status.CANCELLED)
+            seen.end(host, Status.MOOT)
+    seen.dead.update(seen.ready["b"])
+    seen.tick(1.0)
+    assert seen.state("b") is State.HEALTHY
+
+
+def test_silence_while_this_proxy_stood_still_says_nothing() -> None:
+    seen = Seen()
+    seen.tick(2.0)
+    before = seen.now
+    seen.now += 3 * SECOND
+    seen.zones.stood_still(seen.now)
+    for name in "abcd":
+        seen.loads[name].dark = dict.fromkeys(seen.ready[name], before)
+    seen.zones.tick(seen.now, 6.0, seen.loads, 25.0, 0.7, 0.01)
+    assert {seen.state(name) for name in "abcd"} == {State.HEALTHY}
+
+
+def test_a_grey_zone_is_suspected_and_what_must_not_run_twice_goes_elsewhere() -> None:
+    seen = Seen()
+    for at in range(24):
+        seen.end(f"b{at % 4}", Status.RESET if at % 3 == 0 else Status.OK)
+    seen.tick()
+    assert seen.state("b") is State.SUSPECT and "went wrong" in seen.zones.zones["b"].reason
+    assert seen.zones.doubtful("b") and not seen.zones.doubtful("a") and not seen.zones.shut("b")
+    seen.tick(15.0)
+    assert seen.state("b") is State.HEALTHY
+
+
+def test_a_zone_drained_in_order_is_not_lost_and_one_that_left_the_list_is() -> None:
+    seen = Seen()
+    drained, gone = Seen(), Seen()
+    drained.zones.listed({**seen.ready, "b": []}, {"b": seen.ready["b"]}, seen.now)
+    drained.zones.listed({**seen.ready, "b": []}, {}, seen.now)
+    assert drained.state("b") is State.HEALTHY and drained.zones.zones["b"].reason == "drained in order"
+    gone.zones.listed({**seen.ready, "b": []}, {}, seen.now)
+    assert gone.state("b") is State.LOST and gone.zones.zones["b"].penalty == 1.0
+
+
+# --- the way back ---------------------------------------------------------------------------------
+
+
+def test_a_lost_zone_is_probed_comes_back_by_what_it_answers_and_is_healthy_at_last() -> None:
+    seen = Seen()
+    seen.tick(5.0)
+    seen.lose(seconds=25.0)
+    zone = seen.zones.zones["b"]
+    assert seen.zones.shut("b") and zone.penalty < 0.5
+    tried = zone.probe_at
+    seen.tick(10.0)
+    assert 4 <= zone.probe_at - tried <= 6  # a request each four aims: the pause has grown
+    seen.regain()
+    seen.tick(2.5)
+    assert seen.state("b") is State.RETURNING and not seen.zones.shut("b")
+    grants: list[float] = []
+    while seen.state("b") is State.RETURNING and len(grants) < 400:
+        used = zone.answered * 0.693 / (UNIT / SECOND)
+        seen.tick()
+        grants.append(zone.grant)
+        start = 0.1 * 80.0 * zone.own_part
+        assert zone.grant <= max(2.0 * max(used, zone.answered * 0.693 / (UNIT / SECOND)), start) + 1e-6
+    assert seen.state("b") is State.HEALTHY and grants == sorted(grants)
+
+
+@pytest.mark.parametrize("period", [2.0, 5.0, 10.0])
+def test_flaps_hold_a_zone_longer_each_time_up_to_a_bound(period: float) -> None:
+    seen = Seen()
+    seen.tick(5.0)
+    zone = seen.zones.zones["b"]
+    for _ in range(12):
+        seen.lose(seconds=period)
+        seen.regain()
+        seen.tick(period)
+    assert zone.losses >= 10 and zone.held
+    begin = seen.now
+    while zone.held:
+        seen.tick(0.5)
+        assert seen.now - begin <= RULES.hold_most_ns
+    assert seen.now - begin > 10 * SECOND and seen.state("b") is State.RETURNING
+
+
+def test_a_zone_is_trusted_at_once_when_the_operator_says_so() -> None:
+    seen = Seen()
+    seen.tick(5.0)
+    for _ in range(3):
+        seen.lose()
+        seen.regain()
+        seen.tick(1.0)
+    assert seen.zones.zones["b"].held
+    seen.zones.set_rules(replace(RULES, trust=("b",)), seen.now)
+    seen.tick()
+    assert seen.state("b") is State.RETURNING and not seen.zones.shut("b")
+
+
+def test_without_a_hold_flaps_cost_nothing() -> None:
+    seen = Seen(replace(RULES, hold_most_ns=0))
+    for _ in range(3):
+        seen.lose()
+        assert seen.zones.shut("b")
+        seen.regain()
+        seen.tick(2.5)
+        assert not seen.zones.shut("b")
+
+
+def test_an_evacuated_zone_is_offered_less_and_less_and_comes_back_gently() -> None:
+    seen = Seen()
+    seen.tick(3.0)
+    seen.zones.set_rules(replace(RULES, evacuate=("a",)), seen.now)
+    seen.tick(5.0)
+    half = seen.zones.zones["a"].limit
+    seen.tick(5.5)
+    assert 0 < half < 0.75 * seen.rate and seen.zones.zones["a"].limit == 0
+    assert not seen.zones.admits("a", seen.now + SECOND) or seen.zones.zones["a"].level < 2
+    assert seen.state("a") is State.HEALTHY
+    seen.zones.set_rules(RULES, seen.now)
+    seen.tick()
+    assert seen.state("a") is State.RETURNING and 0 < seen.zones.zones["a"].limit < seen.rate
+
+
+# --- spill ----------------------------------------------------------------------------------------
+
+AMOUNT = st.floats(0.0, 1e3)
+
+
+@given(st.floats(0.0, 1e3), st.lists(st.tuples(AMOUNT, st.one_of(st.just(-1.0), AMOUNT)), max_size=6))
+@settings(max_examples=200, derandomize=True, deadline=None)
+def test_a_demand_is_shared_out_within_the_limits(demand: float, zones: list[tuple[float, float]]) -> None:
+    masses = {f"z{at}": mass for at, (mass, _) in enumerate(zones)}
+    limits = {f"z{at}": limit for at, (_, limit) in enumerate(zones)}
+    given_ = fill(demand, masses, limits)
+    assert set(given_) == {name for name, mass in masses.items() if mass > 0}
+    for name, amount in given_.items():
+        assert amount >= 0 and (limits[name] < 0 or amount <= limits[name] * (1 + 1e-9))
+    room = sum(math.inf if limits[name] < 0 else limits[name] for name in given_)
+    assert sum(given_.values()) == pytest.approx(min(demand, room), rel=1e-6, abs=1e-6)
+
+
+@given(st.lists(st.floats(0.05, 1.0), min_size=1, max_size=8), st.floats(0.1, 2.0))
+@settings(max_examples=25, derandomize=True, deadline=None)
+def test_all_proxies_together_are_granted_no_more_than_the_limit_on_spill(
+    parts: list[float], spill: float
+) -> None:
+    """Each knows its own part of the lost zone's traffic alone; whatever the parts are, they add up."""
+    total, rules = sum(parts), replace(RULES, spill=spill)
+    proxies = [Seen(rules, fleet=len(parts)) for _ in parts]
+    for proxy, part in zip(proxies, parts, strict=True):
+        proxy.tick(1.0)
+        for name in "bcd":
+            proxy.zones.zones[name].grant = proxy.zones.zones[name].answered = 0.0
+        proxy.zones.zones["a"].own_part = part / total
+        proxy.rate = 48.0 * part / total
+        proxy.dead.update(host for hosts in proxy.ready.values() for host in hosts)  # what is sent is out yet
+        proxy.zones._lose(proxy.zones.zones["a"], "told so", proxy.now)
+    spare = 0.95 * 80.0 - 48.0
+    before = 0.5 * len(parts)  # each has that little always
+    for _ in range(24):
+        for proxy in proxies:
+            proxy.tick()
+        granted = sum(proxy.zones.zones["b"].grant for proxy in proxies)
+        assert granted - before <= 1.25 * spill * spare * TICK / SECOND + 1e-6
+        before = granted
+    assert before > 0.5 * len(parts)
+
+
+def test_a_strained_zone_is_granted_less_and_what_fits_nowhere_is_said() -> None:
+    seen = Seen()
+    seen.tick(3.0)
+    seen.dead.update(seen.ready["a"])
+    seen.zones._lose(seen.zones.zones["a"], "told so", seen.now)
+    seen.tick(3.0)
+    assert seen.zones.beyond < 0.2 and seen.zones.zones["b"].grant > 1
+    seen.dead.update(host for hosts in seen.ready.values() for host in hosts)  # nothing is used there
+    for name in "bcd":
+        seen.loads[name].used = seen.loads[name].capacity
+    before = {name: seen.zones.zones[name].grant for name in "bcd"}
+    seen.tick(10.0)
+    assert all(seen.zones.zones[name].grant < before[name] for name in "bcd")
+    assert seen.zones.beyond > 0.2
+
+
+def test_few_well_nodes_that_are_pressed_are_panic_and_proof_is_not_doubted() -> None:
+    seen = Seen()
+    seen.tick(2.0)
+    lost = ("b", "c", "d")
+    for name in lost:
+        seen.lose(name, 0.0)
+    seen.tick(2.0, dark=tuple(host for name in lost for host in seen.ready[name]))
+    assert all(seen.state(name) is State.LOST for name in lost)
+    assert not seen.zones.panic and seen.zones.shut("b")  # the zone that is left has room
+    for host in seen.ready["b"]:
+        seen.end(host, Status.CONNECT_FAILED)
+    seen.loads["a"].used = seen.loads["a"].capacity
+    seen.tick()
+    assert seen.zones.panic
+    assert [seen.zones.shut(name) for name in "abcd"] == [False, True, False, False]
+    assert seen.zones.doubtful("c")
+    seen.loads["a"].used = 0.5 * seen.loads["a"].capacity
+    seen.tick()
+    assert not seen.zones.panic and seen.zones.shut("c")
+
+
+def test_when_every_zone_is_out_all_take_part() -> None:
+    seen = Seen(replace(RULES, panic=0.0))
+    seen.tick(2.0)
+    seen.dead.update(host for hosts in seen.ready.values() for host in hosts)
+    seen.tick(3.0, dark=tuple(seen.dead))
+    assert all(seen.state(name) is State.LOST for name in "abcd")
+    assert not any(seen.zones.shut(name) for name in "abcd")
+
+
+# --- the balancer ---------------------------------------------------------------------------------
+
+
+def drive(balancer: Balancer, seed: int, steps: int = 250) -> World:
+    world = World(balancer.settings, seed, balancer)
+    world.start(6)
+    for _ in range(steps):
+        world.step()
+    return world
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_without_rules_two_balancers_act_alike(seed: int) -> None:
+    """Guards against the module changing anything for those who have not asked for it."""
+    told = replace(BASE, cross_zone_price=0.1, subscribe=True)
+    assert type(balancer_for(told, seed)) is Balancer
+    plain, off = drive(Balancer(told, seed), seed), drive(ZonedBalancer(told, seed), seed)
+    assert plain.actions == off.actions and plain.sends > 50
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_with_rules_the_rules_of_the_module_hold(seed: int) -> None:
+    told = replace(BASE, cross_zone_price=0.1, subscribe=True, zones=RULES)
+    world = drive(balancer_for(told, seed), seed, 400)
+    world.finish()
+    assert world.sends > 20
+
+
+def test_a_state_with_zones_is_kept_whole() -> None:
+    told = replace(BASE, cross_zone_price=0.1, subscribe=True, zones=replace(RULES, neighbours=(("z0", ()),)))
+    world = drive(balancer_for(told, 4), 4)
+    kept = json.loads(json.dumps(save(world.balancer)))
+    settings_kept = restore_settings(json.loads(json.dumps(save_settings(told))))
+    assert settings_kept == told
+    again = restore(settings_kept, 4, kept)
+    assert isinstance(again, ZonedBalancer) and save(again) == save(world.balancer)
+    for at in range(1, 30):
+        event = api.RequestArrived(f"again{at}", told.classes[0].name, None, SECOND)
+        now = world.now + at * 40 * MS
+        assert again.handle(event, now) == world.balancer.handle(event, now)
+        timer = api.TimerFired(0)
+        assert again.handle(timer, now) == world.balancer.handle(timer, now)
+    with pytest.raises(StateError, match="zones"):
+        restore_settings({**save_settings(told), "zones": {"spill": 1.0}})
+
+
+def test_a_change_of_rules_is_recorded_and_read_back() -> None:
+    for rules in (None, replace(RULES, trust=("b",), neighbours=(("a", ((("b", 2.0),),)),))):
+        name, told = event_of(api.RulesChanged(rules))
+        record = json.loads(json.dumps({"ev": name, "in": told}))
+        assert event_from(record) == api.RulesChanged(rules)
+
+
+def test_rules_that_go_leave_a_plain_balancer() -> None:
+    told = replace(BASE, cross_zone_price=0.1, zones=RULES)
+    world = drive(balancer_for(told, 3), 3)
+    world.give(api.RulesChanged(None))
+    balancer = world.balancer
+    assert isinstance(balancer, ZonedBalancer)
+    assert all(not balancer._zones.shut(name) for name in balancer._zones.zones)
+    for _ in range(100):
+        world.step()
+    world.give(api.RulesChanged(RULES))
+    for _ in range(100):
+        world.step()
+    world.finish()
+
+
+# --- the program ----------------------------------------------------------------------------------
+
+
+def test_the_program_takes_new_rules_at_sighup_shows_zones_and_its_capture_can_be_rerun(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    drawn = draw_scenario(11)
+    world = msgspec.structs.replace(
+        drawn.world, operator={"zones": {"evacuate": ["macon"]}, "status": {"port": 0}}
+    )
+    fleet = Fleet(msgspec.structs.replace(drawn, world=world, faults=()))
+    with fleet.world, caplog.at_level(logging.INFO, "brambleusher"):
+        fleet.start()
+        fleet.world.run(fleet.begins_ns + 2 * SECOND)
+        place = fleet.sidecars[0]
+        assert place.sidecar is not None and place.sidecar.status is not None
+
+        def shown() -> dict[str, bool]:
+            assert place.sidecar is not None and place.sidecar.status is not None
+            now = place.sidecar.status.snapshot()
+            assert b"macon" in page(now)
+            return {zone["zone"]: zone["evacuating"] for zone in now["zones"]["zones"]}
+
+        assert shown()["macon"]
+        for operator, said, evacuated in (
+            (b"zones: {evacuate: [macon], evacuate: []}", "bad operator file, the rules on zones stay", True),
+            (place.operator_file(evacuate=[]), "rules on zones read again", False),
+        ):
+            place.operator = operator
+            place.signal(signal.SIGHUP)
+            fleet.world.run(fleet.world.now_ns + SECOND // 10)
+            assert said in caplog.text and shown()["macon"] is evacuated
+        assert "can't change" not in caplog.text
+        fleet.world.run(fleet.world.now_ns + SECOND // 2)
+        place.signal(signal.SIGUSR1)
+        fleet.world.run(fleet.world.now_ns + SECOND)
+        assert place.process is not None
+        dump = bytes(place.process.stderr)
+    assert b'"ev":"rules"' in dump and b"evacuates it no more" in dump
+    out = io.StringIO()
+    tally = rerun(io.BytesIO(dump), out)
+    assert tally.records > 20 and not tally.differing, out.getvalue()
