--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -74,6 +74,16 @@
     outcome: Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerBegun:
+    """A claim's answer has begun to go out, or its node is held: it can't be repeated any more."""
+
+    attempt: int
+    node: str
+    latency_ns: int
+    payload: object
+
+
 @dataclass(frozen=True, slots=True)
 class MakeClaim:
     """The module wants a claim made; claims are numbered in the order it asked for them."""
@@ -83,7 +93,7 @@
     timeout_ns: int
 
 
-Step = MakeClaim | api.Refuse | api.Fail | api.Cancel | ClaimEnded
+Step = MakeClaim | api.Refuse | api.Fail | api.Cancel | ClaimEnded | AnswerBegun
 
 
 class Observer:
@@ -246,6 +256,10 @@
         self._handle(event, ticket)
         self._forget(ticket)
 
+    def began(self, ticket: Ticket, step: AnswerBegun) -> None:
+        """A claim's answer has begun: the request is closed, the claim stays out until it ends."""
+        self._handle(api.StreamStarted(ticket.request, step.attempt, step.node, step.latency_ns))
+
     def left(self, ticket: Ticket) -> None:
         """The submitter has gone, or got an answer that the module did not choose."""
         self._handle(api.RequestGone(ticket.request))
@@ -270,6 +284,11 @@
         else:
             self.ended(ticket, end, closed=True)
 
+    def claim_begun(self, ticket: Ticket, step: AnswerBegun) -> None:
+        """Where a claim reports that its answer has begun; nobody waits for it any more if it is late."""
+        if ticket.open:
+            ticket.put(step)
+
     def listed(self, kind: api.ListKind, entries: Iterable[api.HostEntry]) -> None:
         """News from discovery."""
         self._handle(api.HostList(kind, list(entries)))
--- a/brambleusher/features/records.py
+++ b/brambleusher/features/records.py
@@ -59,6 +59,10 @@
         },
     ),
     api.AttemptEnded: ("attempt", _attempt),
+    api.StreamStarted: (
+        "stream",
+        lambda event: {"attempt": event.attempt, "server": event.host, "latency_ns": event.latency_ns},
+    ),
     api.RequestGone: ("gone", lambda event: {}),
     api.TimerFired: ("timer", lambda event: {"token": event.token}),
     api.HostList: ("list", lambda event: {"kind": event.kind.value}),
@@ -88,6 +92,8 @@
             record["id"], told["attempt"], told["server"], api.Status(told["status"]),
             told["latency_ns"], told["closed"], report and api.LoadReport(*map(unplain, report)),
         )  # fmt: skip
+    if name == "stream":
+        return api.StreamStarted(record["id"], told["attempt"], told["server"], told["latency_ns"])
     if name == "gone":
         return api.RequestGone(record["id"])
     if name == "timer":
--- a/brambleusher/fronts/mysql/auth.py
+++ b/brambleusher/fronts/mysql/auth.py
@@ -333,6 +333,11 @@
         """Whether the client has sent something that is not a whole message yet."""
         return self._reader.begun
 
+    @property
+    def seq(self) -> int:
+        """The number of the next packet, either way."""
+        return self._reader.seq
+
     def rest(self) -> bytes:
         """Bytes behind the last message read, given up: a TLS handshake's, or commands sent ahead."""
         return self._reader.leftover()
--- /dev/null
+++ b/brambleusher/fronts/mysql/front.py
@@ -0,0 +1,1030 @@
+"""The MySQL front: the listener, the clients' sessions, and their commands.
+
+A command of a session that nothing ties is a request: it goes through `RequestLife`, and the decisions
+choose its node.  One of a tied session goes to the connection that the session holds.  Nothing here, nor
+anything below, sends a command a second time but the decisions' own repeats of plain reads.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import logging
+import os
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from brambleusher.counters import Counters
+from brambleusher.decisions import Call, Clock, Decisions
+from brambleusher.fronts.mysql.auth import RsaKey, Secret, ServerLogin, Turn
+from brambleusher.fronts.mysql.channel import Channel, server_context
+from brambleusher.fronts.mysql.constants import (
+    CURSOR_READ_ONLY,
+    SCRAMBLE,
+    UTF8_COLLATIONS,
+    Capability,
+    Command,
+    Errno,
+    Type,
+)
+from brambleusher.fronts.mysql.constants import (
+    Status as Flag,
+)
+from brambleusher.fronts.mysql.mapping import Mapping
+from brambleusher.fronts.mysql.messages import Column, Eof, Err, Execute, Ok, text_row
+from brambleusher.fronts.mysql.nodes import Conn, Held, Mode, MysqlNodes, Reply, TuneFailed, Work
+from brambleusher.fronts.mysql.packets import PacketReader, ProtocolError, frame, lenenc
+from brambleusher.fronts.mysql.replies import ReplyRelay
+from brambleusher.fronts.mysql.session import PreparedText, Session
+from brambleusher.fronts.mysql.settings import MysqlSettings
+from brambleusher.fronts.mysql.statements import Kind, Statement, Statements, words
+from brambleusher.net.submitters import Answer, RequestLife, Submitter
+from brambleusher.net.submitters import Kind as AnswerKind
+from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
+from brambleusher.runtime.streams import Stream
+from brambleusher.runtime.system import Address, Socket
+from quillpass.api import Status
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 512
+WRITE_SECONDS = 30.0  # for a client that reads its rows slowly, a piece at a time
+READ_SECONDS = 30.0  # without a byte of a command that has begun
+WATCH_SECONDS = 0.05  # while a node is waited for, its client is looked at so often
+SOFT_SECONDS = 1.0  # without a command: what softly ties a session is let go
+NO_DESCRIPTOR_SECONDS = 0.05
+ANSWER_MARGIN_NS = 10_000_000  # of its deadline: the error leaves before the client stops waiting
+FREE_BYTES = 64 * 1024  # a command may have, before it counts against the memory of all
+OFFERED = int(
+    Capability.LONG_PASSWORD | Capability.FOUND_ROWS | Capability.LONG_FLAG | Capability.CONNECT_WITH_DB
+    | Capability.NO_SCHEMA | Capability.ODBC | Capability.IGNORE_SPACE | Capability.PROTOCOL_41
+    | Capability.INTERACTIVE | Capability.IGNORE_SIGPIPE | Capability.TRANSACTIONS
+    | Capability.SECURE_CONNECTION | Capability.MULTI_STATEMENTS | Capability.MULTI_RESULTS
+    | Capability.PS_MULTI_RESULTS | Capability.PLUGIN_AUTH | Capability.CONNECT_ATTRS
+    | Capability.PLUGIN_AUTH_LENENC | Capability.SESSION_TRACK | Capability.DEPRECATE_EOF
+)  # fmt: skip
+COUNTS = (
+    "mysql_sessions", "mysql_logins_refused", "mysql_bad_packets", "mysql_commands", "mysql_tied_commands",
+    "mysql_waits", "mysql_kills", "mysql_kills_failed", "mysql_connections_refused", "mysql_ids_carried",
+    "mysql_prepared_anew", "mysql_outcomes_unknown", "mysql_drained", "mysql_broken_answers",
+)  # fmt: skip
+_KNOWN_COMMANDS = frozenset(int(command) for command in Command)
+
+
+class Lost(Exception):
+    """A connection of a session broke, or was given up; the client is to be told once."""
+
+    def __init__(self, error: Err, status: Status, stop: bool = False) -> None:
+        super().__init__(error.text)
+        self.error, self.status, self.stop = error, status, stop
+
+
+class Left(Exception):
+    """The client has gone."""
+
+
+class Client:
+    """One client: its connection, its session, and the node's connection that the session holds."""
+
+    __slots__ = (
+        "accepted_at", "bell", "channel", "charged", "deadline", "held", "id_conn", "last", "leave_at",
+        "lost", "peer", "reader", "request_class", "session", "task", "thread", "work",
+    )  # fmt: skip
+
+    def __init__(self, channel: Channel, peer: str, thread: int, most: int) -> None:
+        self.channel, self.peer, self.thread = channel, peer, thread
+        self.reader = PacketReader(most)
+        self.session = Session("", "", 0, 0)
+        self.bell = Bell()  # rings when something about its connection has changed
+        self.held: Held | None = None
+        self.last: Conn | None = None
+        self.id_conn: Conn | None = None
+        self.work: Work | None = None  # the command that is on its way
+        self.task: Task | None = None
+        self.accepted_at = channel.stream.used_at
+        self.charged = 0  # bytes of the memory of all
+        self.deadline: float | None = None  # of its transaction
+        self.leave_at: float | None = None  # its node drains
+        self.lost: Err | None = None  # told with the next command, and the session is over
+        self.request_class = ""  # of the request that it is tied by
+
+    def leave(self, held: Held) -> None:
+        """Its node drains: `Front` says until when it may stay."""
+        self.leave_at = -1.0
+        self.bell.ring()
+
+
+class Front:
+    """Accepts MySQL clients and serves their sessions."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        decisions: Decisions,
+        nodes: MysqlNodes,
+        clock: Clock,
+        counters: Counters,
+        settings: MysqlSettings,
+        users: dict[str, Secret],
+        rsa: RsaKey,
+        rng: random.Random,
+        entropy: Callable[[int], bytes] = os.urandom,
+    ) -> None:
+        self._scheduler, self._decisions, self._nodes, self._clock = scheduler, decisions, nodes, clock
+        self._counters, self._settings, self._users, self._rsa = counters, settings, users, rsa
+        self._rng, self._entropy = rng, entropy
+        self._mapping = Mapping(settings, decisions.settings)
+        self._statements = Statements()
+        self._life = RequestLife(decisions, nodes, scheduler)
+        self._most = settings.max_packet_mb * 1024 * 1024
+        self._memory_left = settings.memory_mb * 1024 * 1024
+        self._listener: Socket | None = None
+        self._accepting: Task | None = None
+        self._clients: dict[int, Client] = {}
+        self._threads = self._requests = 0
+        self._closing = False
+        self._context = (
+            server_context(settings.tls.cert_file, settings.tls.key_file)
+            if settings.tls.mode != "off"
+            else None
+        )
+        for name in COUNTS:
+            counters.also(name)
+        self._handlers: dict[int, Callable[[Client, bytes], bool]] = {
+            Command.QUIT: lambda client, body: False,
+            Command.PING: self._ping,
+            Command.QUERY: self._query,
+            Command.INIT_DB: self._init_db,
+            Command.FIELD_LIST: self._field_list,
+            Command.STATISTICS: self._statistics,
+            Command.CHANGE_USER: self._change_user,
+            Command.RESET_CONNECTION: self._reset_connection,
+            Command.SET_OPTION: self._set_option,
+            Command.PROCESS_KILL: self._process_kill,
+            Command.STMT_PREPARE: self._prepare,
+            Command.STMT_EXECUTE: self._execute,
+            Command.STMT_FETCH: self._fetch,
+            Command.STMT_SEND_LONG_DATA: self._long_data,
+            Command.STMT_CLOSE: self._close_prepared,
+            Command.STMT_RESET: self._reset_prepared,
+        }
+
+    # --- the listener ---------------------------------------------------------------------------
+
+    def listen(self, address: Address) -> Address:
+        """Bind, and start to accept; says where."""
+        listener = self._scheduler.system.listen(address, BACKLOG)
+        self._listener = listener
+        self._accepting = self._scheduler.spawn(self._accept_all, listener, name="mysql accept")
+        host, port = listener.getsockname()[:2]
+        return str(host), int(port)
+
+    def _accept_all(self, listener: Socket) -> None:
+        while True:
+            if not self._accept_one(listener):
+                self._scheduler.park(sock=listener)
+
+    def _accept_one(self, listener: Socket) -> bool:
+        """Take one connection that waits; false if none does."""
+        try:
+            sock, peer = self._scheduler.system.accept(listener)
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                # Guards against a loop at full speed while no descriptor is free.
+                log.warning("no descriptor to accept with", extra={"fields": {"error": error.strerror}})
+                self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
+            return True
+        self._threads = self._threads % 0xFFFFFFFF + 1
+        while self._threads in self._clients:
+            self._threads = self._threads % 0xFFFFFFFF + 1
+        client = Client(Channel(Stream(self._scheduler, sock)), peer, self._threads, self._most)
+        if len(self._clients) >= self._settings.sessions:
+            self._turn_away(client)
+            return True
+        self._clients[client.thread] = client
+        self._counters.add("mysql_sessions")
+        client.task = self._scheduler.spawn(self._serve, client, name="mysql session")
+        return True
+
+    def _turn_away(self, client: Client) -> None:
+        """One session too many: an error for a greeting, as far as it goes out at once."""
+        error = Err.of(Errno.CON_COUNT, "Too many connections")
+        with contextlib.suppress(OSError):
+            client.channel.stream.sock.send(frame(error.encode(), 0))
+        client.channel.close()
+
+    @property
+    def connections(self) -> int:
+        """Sessions that are open."""
+        return len(self._clients)
+
+    def wind_down(self) -> None:
+        """Take no new session; end each one as soon as nothing ties it and nothing is owed on it."""
+        self._closing = True
+        if self._accepting is not None:
+            self._accepting.cancel()
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        for client in self._clients.values():
+            if client.held is not None and client.leave_at is None:
+                client.leave(client.held)
+            client.bell.ring()
+
+    def state(self) -> dict[str, object]:
+        """What is known of sessions and nodes, for JSON; no texts and no secrets."""
+        return {
+            "sessions": {
+                str(client.thread): {**client.session.state(), "node": client.held and client.held.node.name}
+                for client in self._clients.values()
+            },
+            "nodes": self._nodes.state(),
+        }
+
+    # --- one session ----------------------------------------------------------------------------
+
+    def _serve(self, client: Client) -> None:
+        try:
+            if self._log_in(client):
+                while self._command(client):
+                    self._uncharge(client)
+        except ProtocolError as error:
+            self._counters.add("mysql_bad_packets")
+            log.info("bad packet", extra={"fields": {"peer": client.peer, "reason": error}})
+            self._last_word(client, Err(error.errno, error.state, str(error)))
+        except (OSError, Timeout, Left):
+            return
+        except Exception:
+            # Guards against a session that ends without a word over a fault of ours.
+            self._counters.add("faults")
+            log.exception("session failed")
+            self._last_word(client, Err.of(Errno.UNKNOWN, "a fault in the sidecar"))
+        finally:
+            self._over(client)
+
+    def _over(self, client: Client) -> None:
+        """Let go of all that a session has; what runs for it is stopped."""
+        self._clients.pop(client.thread, None)
+        self._uncharge(client)
+        work, client.work = client.work, None
+        if work is not None:
+            work.over = True
+        if client.held is not None:
+            held, client.held = client.held, None
+            if work is not None and work.conn is held.conn:
+                held.stop(Status.CANCELLED)
+            else:
+                held.drop(Status.CANCELLED)
+        client.channel.close()
+
+    def _last_word(self, client: Client, error: Err) -> None:
+        """An error that ends the session, numbered as the client awaits it."""
+        try:
+            client.channel.send(
+                frame(error.encode(), client.reader.seq), self._scheduler.now() + WRITE_SECONDS
+            )
+            client.channel.stream.finish()
+        except (OSError, Timeout):
+            return
+
+    def _uncharge(self, client: Client) -> None:
+        self._memory_left += client.charged
+        client.charged = 0
+
+    def _say(self, client: Client, *messages: bytes) -> bool:
+        """Messages that answer a command; true, since the session goes on."""
+        out = b"".join(frame(message, at + 1) for at, message in enumerate(messages))
+        client.channel.send(out, self._scheduler.now() + WRITE_SECONDS)
+        return True
+
+    def _say_ok(self, client: Client) -> bool:
+        return self._say(client, Ok(status=client.session.status).encode(client.session.capabilities))
+
+    def _say_error(self, client: Client, error: Err) -> bool:
+        return self._say(client, error.encode())
+
+    # --- the login ------------------------------------------------------------------------------
+
+    def _challenge(self) -> bytes:
+        """Twenty bytes without a zero, which would end them."""
+        return bytes(byte % 127 + 1 for byte in self._entropy(SCRAMBLE))
+
+    def _log_in(self, client: Client) -> bool:
+        settings = self._settings
+        offered = OFFERED | (int(Capability.SSL) if self._context is not None else 0)
+        login = ServerLogin(
+            client.thread, self._challenge(), offered, self._users.get, self._rsa, settings.server_version,
+            settings.auth_plugin, settings.tls.mode == "required",
+        )  # fmt: skip
+        deadline = client.accepted_at + settings.login_ms / 1000
+        client.channel.send(login.greet(), deadline)
+        client.reader.seq = 1
+        return self._meet(client, login, deadline)
+
+    def _meet(self, client: Client, login: ServerLogin, deadline: float) -> bool:
+        """A login's messages to and fro; false where it was refused."""
+        channel = client.channel
+        while True:
+            turn = login.step()
+            if turn is Turn.DONE:
+                break
+            if login.out:
+                out, login.out = login.out, b""
+                channel.send(out, deadline)
+            if turn is Turn.REFUSED:
+                self._counters.add("mysql_logins_refused")
+                fields = {
+                    "peer": client.peer,
+                    "user": login.login.user if login.login is not None else "",
+                    "errno": login.error.errno if login.error is not None else 0,
+                }
+                log.info("login refused", extra={"fields": fields})
+                channel.stream.finish()
+                return False
+            if turn is Turn.AGAIN:
+                self._scheduler.sleep(0.0)
+                continue
+            if turn is Turn.TLS:
+                assert self._context is not None
+                channel.start_tls(self._context, True, "", login.rest(), deadline)
+                continue
+            try:
+                data = channel.receive(deadline)
+            except Timeout:
+                client.reader.seq = login.seq
+                raise ProtocolError(
+                    "the login did not come to its end in time", Errno.NET_READ_INTERRUPTED
+                ) from None
+            if not data:
+                return False
+            login.feed(data)
+        assert login.login is not None
+        request = login.login
+        rule = self._settings.users.get(request.user)
+        account = request.user if rule is None else rule.account
+        client.session = Session(
+            request.user, account, login.capabilities, request.collation, request.database
+        )
+        channel.send(login.let_in(), deadline)
+        client.reader.feed(login.rest())
+        return True
+
+    # --- commands -------------------------------------------------------------------------------
+
+    def _command(self, client: Client) -> bool:
+        """One command and its answer; false when the session is over."""
+        body = self._next(client)
+        if body is None:
+            return False
+        if client.lost is not None:
+            self._say_error(client, client.lost)
+            return False
+        if not body:
+            raise ProtocolError("an empty command", Errno.UNKNOWN_COM)
+        self._counters.add("mysql_commands")
+        handler = self._handlers.get(body[0])
+        if handler is None:
+            if body[0] not in _KNOWN_COMMANDS:
+                raise ProtocolError(f"Unknown command {body[0]:#04x}", Errno.UNKNOWN_COM)
+            name = Command(body[0]).name
+            return self._say_error(client, Err.of(Errno.UNKNOWN_COM, f"COM_{name} is not supported here"))
+        try:
+            return handler(client, body)
+        except ProtocolError as error:
+            if error.errno not in (Errno.UNKNOWN_STMT_HANDLER, Errno.WRONG_ARGUMENTS, 1461):
+                raise
+            return self._say_error(client, Err(error.errno, error.state, str(error)))
+
+    def _next(self, client: Client) -> bytes | None:
+        """The next command; None where the session ends without one."""
+        reader = client.reader
+        reader.expect()
+        begun_at = self._scheduler.now()
+        while (body := reader.take()) is None:
+            if self._closing and not client.session.tied and not reader.begun:
+                self._say_unasked(client, Err.of(Errno.SERVER_SHUTDOWN, "Server shutdown in progress"))
+                return None
+            deadline, late = self._waits_until(client, begun_at)
+            try:
+                data = client.channel.receive(deadline, client.bell)
+            except Timeout:
+                if not late(client):
+                    return None
+                continue
+            if data is None:
+                continue
+            if not data:
+                return None
+            if not reader.begun:
+                begun_at = self._scheduler.now()
+            reader.feed(data)
+            self._charge(client)
+        return body
+
+    def _say_unasked(self, client: Client, error: Err) -> None:
+        """An error that no command asked for, ahead of the end."""
+        client.channel.send(frame(error.encode(), 0), self._scheduler.now() + WRITE_SECONDS)
+        client.channel.stream.finish()
+
+    def _charge(self, client: Client) -> None:
+        more = client.reader.buffered - FREE_BYTES - client.charged
+        if more <= 0:
+            return
+        if more > self._memory_left:
+            # Guards against clients that together send more than the sidecar may hold.
+            raise ProtocolError("no memory for a command so large", Errno.OUT_OF_RESOURCES)
+        self._memory_left -= more
+        client.charged += more
+
+    def _waits_until(self, client: Client, begun_at: float) -> tuple[float, Callable[[Client], bool]]:
+        """How long the next command is waited for, and what is done then; that says whether to go on."""
+        now, settings = self._scheduler.now(), self._settings
+        if client.reader.begun:
+            waits = [(begun_at + READ_SECONDS, self._too_slow)]
+        else:
+            waits = [(now + settings.session_idle_ms / 1000, self._too_idle)]
+        if client.held is not None and client.lost is None:
+            if client.leave_at is not None:
+                waits.append((self._leaves_at(client, now), self._drained))
+            if client.deadline is not None:
+                waits.append((client.deadline, self._too_late))
+            if client.session.softly_tied:
+                waits.append((begun_at + SOFT_SECONDS, self._let_go))
+        return min(waits, key=lambda each: each[0])
+
+    def _leaves_at(self, client: Client, now: float) -> float:
+        """Until when a session may stay on its node that drains: its class's grace, and a part by chance."""
+        if client.leave_at is None or client.leave_at < 0:
+            grace = self._mapping.grace_ns(client.request_class or self._settings.strict_class) / 1e9
+            client.leave_at = now + grace + self._rng.random() * self._settings.drain_spread_ms / 1000
+        return client.leave_at
+
+    def _too_slow(self, client: Client) -> bool:
+        raise ProtocolError("the rest of a command did not come", Errno.NET_READ_INTERRUPTED)
+
+    def _too_idle(self, client: Client) -> bool:
+        self._say_unasked(
+            client,
+            Err.of(
+                Errno.CLIENT_INTERACTION_TIMEOUT,
+                "The client was disconnected by the server because of inactivity.",
+            ),
+        )
+        return False
+
+    def _drained(self, client: Client) -> bool:
+        self._counters.add("mysql_drained")
+        return self._lose(client, _drain_error(client.session), Status.CANCELLED)
+
+    def _too_late(self, client: Client) -> bool:
+        text = "the transaction's time is over; it was rolled back"
+        return self._lose(client, Err.of(Errno.QUERY_TIMEOUT, text), Status.TIMEOUT)
+
+    def _lose(self, client: Client, error: Err, status: Status) -> bool:
+        """Give up what the session holds; the client hears of it with its next command."""
+        held, client.held = client.held, None
+        if held is not None:
+            held.drop(status)
+        client.session.lost()
+        client.lost = error
+        return True
+
+    def _let_go(self, client: Client) -> bool:
+        """Let go of what softly ties a session."""
+        for tie in list(client.session.ties):
+            client.session.lift(tie)
+        self._release(client)
+        return True
+
+    def _release(self, client: Client) -> None:
+        held, client.held = client.held, None
+        client.deadline = client.leave_at = None
+        client.request_class = ""
+        if held is not None:
+            held.release()
+
+    # --- a command that a node runs -------------------------------------------------------------
+
+    def _run(
+        self,
+        client: Client,
+        command: int,
+        body: bytes,
+        statement: Statement,
+        prepared: PreparedText | None = None,
+        run: Execute | None = None,
+        number: int | None = None,
+    ) -> bool:
+        """Have a command run and its answer passed on."""
+        work = Work(
+            client, command, body, lambda reply: self._accept(client, statement, work, reply), run, prepared,
+            statement.reads_last_id, statement.about_previous, number,
+        )  # fmt: skip
+        client.work = work
+        try:
+            if client.held is not None:
+                self._counters.add("mysql_tied_commands")
+                return self._run_tied(client, work, statement)
+            return self._request(client, work, statement)
+        finally:
+            client.work = None
+
+    def _request(self, client: Client, work: Work, statement: Statement) -> bool:
+        """A command of a session that nothing ties, by way of the decisions."""
+        session = client.session
+        opens = statement.kind is Kind.BEGIN or (
+            not session.autocommit and statement.kind not in (Kind.SET, Kind.USE)
+        )
+        given = self._mapping.assign(statement, session.user, opens)
+        if self._mapping.news(statement, session.user, given):
+            log.info(
+                "statement assigned",
+                extra={"fields": {
+                    "user": session.user, "class": given.request_class, "reason": given.reason,
+                    "digest": statement.digest[:200],
+                }},
+            )  # fmt: skip
+        arrived_ns = self._clock.now_ns()
+        left_ns = given.deadline_ms * 1_000_000
+        left_ns -= min(ANSWER_MARGIN_NS, left_ns // 10)
+        self._requests += 1
+        call = Call(
+            f"mysql {self._requests}",  # with a space: no id of an HTTP request has one
+            given.request_class, given.tenant, left_ns,
+            None if given.work_us is None else given.work_us * 1000, False, work,
+        )  # fmt: skip
+        deadline = self._clock.seconds(arrived_ns + left_ns)
+        client.request_class, client.leave_at = given.request_class, None
+        client.deadline = deadline
+        self._counters.add("requests_taken")
+        answer = self._life.live(
+            call, deadline, Submitter(self._watch(client), lambda: self._has_left(client))
+        )
+        work.over = True
+        kind: str | None = None
+        try:
+            if work.taken is not None:
+                done = self._pass_on(client, work, statement, work.taken, deadline)
+                kind = "served" if work.taken.relay.error is None or done else "failed"
+                return done
+            if answer is None:
+                raise Left
+            kind = answer.kind.value
+            return self._say_error(client, self._sorry(answer, work, statement))
+        finally:
+            self._decisions.observers.over(call, kind, self._clock.now_ns() - arrived_ns)
+            self._counters.add(f"answers_{kind}" if kind else "requests_gone")
+
+    def _watch(self, client: Client) -> Callable[[], Socket | None]:
+        # One that sends ahead without end is not read further until its answer is out.
+        return lambda: client.channel.sock if client.reader.buffered < 2 * FREE_BYTES else None
+
+    def _has_left(self, client: Client) -> bool:
+        data = client.channel.receive_now()
+        if data:
+            client.reader.feed(data)
+        return data == b""
+
+    def _sorry(self, answer: Answer, work: Work, statement: Statement) -> Err:
+        """The one error for a request that has no answer."""
+        if work.error is not None and (not work.reached or answer.kind is AnswerKind.REFUSED):
+            return work.error
+        if answer.kind is AnswerKind.REFUSED:
+            wait = f"{answer.retry_after_ns / 1e9:.3f}"
+            text = f"turned away, not run: it may be tried again in {wait} s"
+            if work.reached:
+                text = f"no node answered; it is a plain read and may be tried again in {wait} s"
+            return Err.of(Errno.SERVER_ISNT_AVAILABLE, text)
+        if not work.reached:
+            return Err.of(Errno.SERVER_ISNT_AVAILABLE, "no node could be reached; it did not run")
+        return work.error or self._lost_error(False, statement)
+
+    def _lost_error(self, in_transaction: bool, statement: Statement) -> Err:
+        """What a client is told whose statement was sent and whose answer did not come whole."""
+        kind = statement.kind
+        commits = (
+            kind in (Kind.COMMIT, Kind.DEFINE, Kind.UNKNOWN)
+            or bool(statement.autocommit)
+            or (statement.count > 1 and not statement.plain_read)
+        )
+        if kind is Kind.BEGIN:
+            return Err.of(Errno.NET_READ, "the node was lost; no transaction is open")
+        if kind is Kind.ROLLBACK or (in_transaction and not commits):
+            return Err.of(
+                Errno.NET_READ,
+                "the node was lost within the transaction, which it rolls back; nothing is repeated",
+            )
+        if kind in (Kind.READ, Kind.SET, Kind.USE) or statement.plain_read:
+            return Err.of(Errno.NET_READ, "the node was lost before the answer was whole")
+        self._counters.add("mysql_outcomes_unknown")
+        what = "COMMIT" if kind is Kind.COMMIT else "statement"
+        return Err.of(
+            Errno.ERROR_DURING_COMMIT,
+            f"the outcome of this {what} is unknown: it was sent, its answer was lost, it is not repeated",
+        )
+
+    def _accept(self, client: Client, statement: Statement, work: Work, reply: Reply) -> Mode:
+        """An answer is whole, or has begun to come: whether anyone waits for it, and who keeps what."""
+        if work.over:
+            return Mode.REFUSED
+        work.over, work.taken = True, reply
+        if not reply.relay.done:
+            client.held = reply.held
+            return Mode.HOLD
+        mode = self._settle(client, statement, work, reply)
+        client.held = reply.held if mode is not Mode.RELEASE else None
+        return mode
+
+    def _settle(self, client: Client, statement: Statement, work: Work, reply: Reply) -> Mode:
+        """The whole answer is here: what it changed in the session and on its connection."""
+        session, relay, conn = client.session, reply.relay, reply.held.conn
+        if work.command == Command.STMT_PREPARE:
+            if relay.prepared is not None and relay.error is None and work.statement_id is not None:
+                session.was_prepared(work.statement_id, work.body[1:], statement, relay.prepared)
+                self._nodes.prepared(conn, work.body[1:], relay)
+        elif work.command == Command.STMT_FETCH:
+            session.fetched(work.statement_id or 0, relay)
+        else:
+            session.after(statement, relay)
+            if work.prepared is not None and work.run is not None:
+                session.executed(work.prepared, work.run.flags, relay)
+        if session.last_id is None and (relay.last_id or statement.sets_last_id):
+            client.id_conn, conn.id_owner = conn, client
+        if relay.error is None:
+            conn.settings, conn.schema = tuple(session.settings.items()), session.schema
+            conn.autocommit = bool(relay.status & Flag.AUTOCOMMIT)
+        if session.in_transaction:
+            return Mode.HOLD
+        return Mode.KEEP if session.tied else Mode.RELEASE
+
+    def _pass_on(
+        self, client: Client, work: Work, statement: Statement, reply: Reply, deadline: float | None
+    ) -> bool:
+        """Send an answer to the client, as it comes; false when the session is over.
+
+        What breaks ends in one error behind what has gone out, or in the end of the connection where a
+        packet had begun.
+        """
+        relay, held, session = reply.relay, reply.held, client.session
+        was_tied, whole = session.tied, relay.done
+        try:
+            if reply.out:
+                client.channel.send(reply.out, self._scheduler.now() + WRITE_SECONDS)
+            while not relay.done:
+                out = relay.feed(self._from_node(client, held, deadline, statement))
+                if relay.extra:
+                    held.conn.doomed = True
+                if relay.done:
+                    # Before the client can act on the end of its answer.
+                    mode = self._settle(client, statement, work, reply)
+                    self._keep(client, held, mode)
+                if out:
+                    client.channel.send(out, self._scheduler.now() + WRITE_SECONDS)
+            return not (statement.release and relay.error is None)
+        except Lost as lost:
+            client.held = None
+            self._counters.add("mysql_broken_answers")
+            if lost.stop:
+                held.stop(lost.status)
+            else:
+                held.drop(lost.status)
+            session.lost()
+            if relay.packet_open:
+                return False
+            client.channel.send(relay.fail(lost.error), self._scheduler.now() + WRITE_SECONDS)
+            if was_tied:
+                # Guards against a client that goes on without the transaction or the variables it relies on.
+                client.channel.stream.finish()
+                return False
+            return True
+        except (OSError, Timeout, Left):
+            if not whole and not relay.done:  # the client has gone: the statement has nobody to run for
+                client.held = None
+                held.stop(Status.CANCELLED)
+            raise Left from None
+
+    def _keep(self, client: Client, held: Held, mode: Mode) -> None:
+        if mode is Mode.RELEASE:
+            client.held = held
+            self._release(client)
+            return
+        client.held = held
+        if mode is Mode.KEEP:
+            held.finish(Status.OK)
+            client.deadline = None
+
+    def _from_node(self, client: Client, held: Held, deadline: float | None, statement: Statement) -> bytes:
+        """The next bytes of an answer; raises `Lost` where none will come, `Left` where none are wanted."""
+        channel, begun = held.conn.channel, self._scheduler.now()
+        in_transaction = client.session.in_transaction
+        commit = statement.kind is Kind.COMMIT
+        try:
+            while True:
+                now = self._scheduler.now()
+                if deadline is not None and now >= deadline:
+                    text = "Query execution was interrupted, maximum statement execution time exceeded"
+                    error = self._late_error(in_transaction, statement, text)
+                    raise Lost(error, Status.TIMEOUT, stop=not commit)
+                if client.leave_at is not None and now >= self._leaves_at(client, now) and not commit:
+                    self._counters.add("mysql_drained")
+                    raise Lost(_drain_error(client.session), Status.CANCELLED, stop=True)
+                until = now + WATCH_SECONDS if deadline is None else min(now + WATCH_SECONDS, deadline)
+                try:
+                    data = channel.receive(until, client.bell)
+                except Timeout:
+                    if self._has_left(client):
+                        raise Left from None
+                    continue
+                if data:
+                    return data
+                if data is not None:
+                    raise ConnectionResetError
+        except _BROKEN as error:
+            raise Lost(self._lost_error(in_transaction, statement), Status.RESET) from error
+        finally:
+            held.waited_ns += int((self._scheduler.now() - begun) * 1e9)
+
+    def _late_error(self, in_transaction: bool, statement: Statement, text: str) -> Err:
+        error = self._lost_error(in_transaction, statement)
+        return error if error.errno == Errno.ERROR_DURING_COMMIT else Err.of(Errno.QUERY_TIMEOUT, text)
+
+    def _run_tied(self, client: Client, work: Work, statement: Statement) -> bool:
+        """A command of a tied session, on the connection it holds."""
+        held, session = client.held, client.session
+        assert held is not None
+        conn, in_transaction = held.conn, session.in_transaction
+        deadline = client.deadline
+        if not in_transaction:
+            given = self._mapping.assign(statement, session.user)
+            deadline = self._scheduler.now() + given.deadline_ms / 1000
+            client.request_class = given.request_class
+        relay = ReplyRelay(
+            work.command, conn.capabilities, session.capabilities, work.statement_id, status=session.status
+        )
+        work.conn = conn
+        limit = deadline if deadline is not None else self._scheduler.now() + WRITE_SECONDS
+        reply = Reply(b"", relay, held)
+        try:
+            try:
+                ahead, body = b"", work.body
+                if work.prepared is not None and work.run is not None:
+                    ahead, body = self._nodes.execute(conn, work.prepared, work.run, None, limit)
+                conn.channel.send(ahead + frame(body, 0), limit)
+            except TuneFailed as failed:
+                return self._say_error(client, failed.error)
+            work.reached = True
+        except (OSError, Timeout, ProtocolError) as error:
+            log.info("tied session lost its node", extra={"fields": {"reason": type(error).__name__}})
+            client.held = None
+            held.drop(Status.RESET)
+            session.lost()
+            text = "the node was lost; this statement did not run, and what was open there is rolled back"
+            self._say_error(client, Err.of(Errno.NET_READ, text))
+            client.channel.stream.finish()
+            return False
+        return self._pass_on(client, work, statement, reply, deadline)
+
+    # --- the commands one by one ----------------------------------------------------------------
+
+    def _ping(self, client: Client, body: bytes) -> bool:
+        if client.held is not None:
+            return self._run(client, Command.PING, body, _QUIET)
+        return self._say_ok(client)
+
+    def _query(self, client: Client, body: bytes) -> bool:
+        session, text = client.session, body[1:]
+        self._check_text(session, text)
+        statement = self._statements.tell(text, session.multi, session.opaque)
+        kind = statement.kind
+        if kind is Kind.EMPTY:
+            return self._say_error(client, Err(1065, "42000", "Query was empty"))
+        if kind is Kind.LOCAL_FILE:
+            return self._say_error(client, _NO_LOCAL)
+        if statement.kill is not None:
+            return self._kill(client, *statement.kill)
+        if client.held is None:
+            if kind is Kind.SET and statement.autocommit is not None and _only_autocommit(statement):
+                session.autocommit = statement.autocommit
+                flag = int(Flag.AUTOCOMMIT)
+                session.status = session.status | flag if statement.autocommit else session.status & ~flag
+                return self._say_ok(client)
+            if statement.digest == "select connection_id ()":
+                return self._say_number(client, b"CONNECTION_ID()", client.thread)
+        return self._run(client, Command.QUERY, body, statement)
+
+    def _check_text(self, session: Session, text: bytes) -> None:
+        """Refuse a text that is not in the client's character set; literals may hold any bytes."""
+        if text.isascii() or session.collation not in UTF8_COLLATIONS:
+            return
+        try:
+            text.decode()
+        except UnicodeDecodeError:
+            for kind, part in words(text)[0]:
+                if kind == "string":
+                    continue
+                try:
+                    part.decode()
+                except UnicodeDecodeError:
+                    raise ProtocolError(
+                        "Invalid utf8mb4 character string in a statement", Errno.INVALID_CHARACTER_STRING
+                    ) from None
+
+    def _say_number(self, client: Client, name: bytes, value: int) -> bool:
+        """A result of one row with one number."""
+        session = client.session
+        caps, status = session.capabilities, session.status
+        column = Column(name, Type.LONGLONG, 63, 21, 0x81).encode()
+        row = text_row([str(value).encode()])
+        if caps & Capability.DEPRECATE_EOF:
+            return self._say(client, lenenc(1), column, row, Ok(status=status).encode(caps, 0xFE))
+        eof = Eof(0, status).encode()
+        return self._say(client, lenenc(1), column, eof, row, eof)
+
+    def _init_db(self, client: Client, body: bytes) -> bool:
+        try:
+            name = body[1:].decode()
+        except UnicodeDecodeError:
+            raise ProtocolError("the schema's name is not UTF-8", Errno.INVALID_CHARACTER_STRING) from None
+        return self._run(client, Command.INIT_DB, body, replace(_USE, schema=name))
+
+    def _field_list(self, client: Client, body: bytes) -> bool:
+        return self._run(client, Command.FIELD_LIST, body, _FIELDS)
+
+    def _statistics(self, client: Client, body: bytes) -> bool:
+        up = int(self._scheduler.now() - client.accepted_at)
+        return self._say(client, f"Uptime: {up}  Threads: {len(self._clients)}".encode())
+
+    def _set_option(self, client: Client, body: bytes) -> bool:
+        option = int.from_bytes(body[1:3], "little")
+        if len(body) != 3 or option > 1:
+            raise ProtocolError("an unknown option", Errno.UNKNOWN_COM)
+        client.session.multi = option == 0
+        if client.held is not None:
+            client.held.conn.multi = client.session.multi
+            return self._run(client, Command.SET_OPTION, body, _QUIET)
+        caps, status = client.session.capabilities, client.session.status
+        if caps & Capability.DEPRECATE_EOF:
+            return self._say(client, Ok(status=status).encode(caps, 0xFE))
+        return self._say(client, Eof(0, status).encode())
+
+    def _reset_connection(self, client: Client, body: bytes) -> bool:
+        held = client.held
+        if held is not None:
+            # What is tied goes with the connection: closing it is what a reset would come to.
+            client.held = None
+            held.drop(Status.OK)
+        client.session.reset()
+        client.last = client.id_conn = None
+        client.deadline = client.leave_at = None
+        return self._say_ok(client)
+
+    def _change_user(self, client: Client, body: bytes) -> bool:
+        held, client.held = client.held, None
+        if held is not None:
+            held.drop(Status.OK)
+        client.last = client.id_conn = None
+        client.deadline = client.leave_at = None
+        capabilities = client.session.capabilities
+        client.session = Session("", "", capabilities, 0)
+        login = ServerLogin(
+            client.thread, b"", capabilities, self._users.get, self._rsa, self._settings.server_version,
+            self._settings.auth_plugin,
+        )  # fmt: skip
+        login.secure = client.channel.secure
+        login.change_user(body, capabilities, self._challenge())
+        return self._meet(client, login, self._scheduler.now() + self._settings.login_ms / 1000)
+
+    def _process_kill(self, client: Client, body: bytes) -> bool:
+        if len(body) != 5:
+            raise ProtocolError("a kill without its number")
+        return self._kill(client, False, int.from_bytes(body[1:], "little"))
+
+    def _kill(self, client: Client, query: bool, thread: int) -> bool:
+        """KILL of another session of the same user, by the number that this front gave it."""
+        target = self._clients.get(thread)
+        if target is None:
+            return self._say_error(client, Err.of(Errno.NO_SUCH_THREAD, f"Unknown thread id: {thread}"))
+        if target.session.user != client.session.user:
+            return self._say_error(client, Err.of(Errno.KILL_DENIED, f"You are not owner of thread {thread}"))
+        if target is client:
+            return self._say_error(client, Err.of(Errno.QUERY_INTERRUPTED, "Query execution was interrupted"))
+        work = target.work
+        if work is not None and work.conn is not None:
+            work.conn.doomed = True  # else the kill could hit whoever has the connection next
+            self._nodes.kill(work.conn)
+        if not query and target.task is not None:
+            target.task.cancel()
+        return self._say_ok(client)
+
+    # --- prepared statements --------------------------------------------------------------------
+
+    def _prepare(self, client: Client, body: bytes) -> bool:
+        session, text = client.session, body[1:]
+        self._check_text(session, text)
+        statement = self._statements.tell(text, False, session.opaque)
+        if statement.kind is Kind.LOCAL_FILE:
+            return self._say_error(client, _NO_LOCAL)
+        number = session.next_prepared()
+        # Preparing changes nothing: it may be repeated, whatever the statement does.
+        harmless = Statement(Kind.READ, statement.digest, plain_read=True, hint=statement.hint)
+        return self._run(client, Command.STMT_PREPARE, body, harmless, number=number) and self._remember(
+            client, number, statement
+        )
+
+    @staticmethod
+    def _remember(client: Client, number: int, statement: Statement) -> bool:
+        if (found := client.session.prepared.get(number)) is not None:
+            found.statement = statement
+        return True
+
+    def _execute(self, client: Client, body: bytes) -> bool:
+        found, run = client.session.execute(body)
+        statement = found.statement
+        if statement.kill is not None:
+            return self._kill(client, *statement.kill)
+        if run.flags & CURSOR_READ_ONLY:
+            # With a cursor the rows come by later commands: what is read is not over with this answer.
+            statement = replace(statement, plain_read=False) if not statement.plain_read else statement
+        return self._run(client, Command.STMT_EXECUTE, body, statement, found, run, found.id)
+
+    def _fetch(self, client: Client, body: bytes) -> bool:
+        if len(body) != 9:
+            raise ProtocolError("a fetch cut short")
+        number = int.from_bytes(body[1:5], "little")
+        found = client.session.find(number)
+        here = self._here(client, found)
+        if here is None or number not in client.session.cursors:
+            return self._say_error(
+                client, Err(1421, "HY000", f"The statement ({number}) has no open cursor.")
+            )
+        moved = body[:1] + here.to_bytes(4, "little") + body[5:]
+        return self._run(client, Command.STMT_FETCH, moved, _FETCH, number=number)
+
+    @staticmethod
+    def _here(client: Client, found: PreparedText) -> int | None:
+        """The id of a statement on the connection that the session holds."""
+        if client.held is None:
+            return None
+        conn = client.held.conn
+        known = conn.prepared.get((conn.schema, conn.settings, found.text))
+        return None if known is None else known[0]
+
+    def _long_data(self, client: Client, body: bytes) -> bool:
+        client.session.long_data(body, self._most)
+        return True
+
+    def _close_prepared(self, client: Client, body: bytes) -> bool:
+        number = int.from_bytes(body[1:5], "little")
+        self._close_cursor(client, number)
+        client.session.close_prepared(number)
+        self._after_cursor(client)
+        return True
+
+    def _reset_prepared(self, client: Client, body: bytes) -> bool:
+        number = int.from_bytes(body[1:5], "little")
+        client.session.find(number)
+        self._close_cursor(client, number)
+        client.session.reset_prepared(number)
+        self._after_cursor(client)
+        return self._say_ok(client)
+
+    def _close_cursor(self, client: Client, number: int) -> None:
+        """Close a cursor at the node, where one is open."""
+        found = client.session.prepared.get(number)
+        if found is None or number not in client.session.cursors or client.held is None:
+            return
+        here = self._here(client, found)
+        if here is None:
+            return
+        try:
+            limit = self._scheduler.now() + 1.0
+            self._nodes.ask(client.held.conn, b"\x1a" + here.to_bytes(4, "little"), limit)
+        except (OSError, Timeout, ProtocolError):
+            client.held.conn.doomed = True
+
+    def _after_cursor(self, client: Client) -> None:
+        if client.held is not None and not client.session.tied:
+            self._release(client)
+
+
+_BROKEN = (OSError, ProtocolError)
+_QUIET = Statement(Kind.SET, "a command without effects", plain_read=True)
+_USE = Statement(Kind.USE, "use", plain_read=True)
+_FIELDS = Statement(Kind.READ, "field list", plain_read=True)
+_FETCH = Statement(Kind.READ, "fetch")
+_NO_LOCAL = Err.of(
+    Errno.CLIENT_LOCAL_FILES_DISABLED,
+    "Loading local data is disabled; this must be enabled on both the client and server sides",
+)
+
+
+def _only_autocommit(statement: Statement) -> bool:
+    return not (statement.settings or statement.ties or statement.lifts) and statement.count == 1
+
+
+def _drain_error(session: Session) -> Err:
+    what = "its transaction was rolled back" if session.in_transaction else "what it held there is lost"
+    return Err.of(Errno.SERVER_SHUTDOWN, f"Server shutdown in progress: this session's node drains, {what}")
--- /dev/null
+++ b/brambleusher/fronts/mysql/mapping.py
@@ -0,0 +1,87 @@
+"""From statements to requests: class, tenant, deadline and hint, each with the reason for it."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from brambleusher.fronts.mysql.settings import MysqlSettings, UserRule
+from brambleusher.fronts.mysql.statements import Hint, Kind, Statement
+from quillpass import api
+
+REASONS = 4096  # digests whose reason was told; past it the oldest may be told again
+
+
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """A statement as a request."""
+
+    request_class: str
+    tenant: str | None
+    deadline_ms: int  # 0 never stands here
+    work_us: int | None
+    reason: str
+
+
+class Mapping:
+    """The mapping of the operator file."""
+
+    def __init__(self, settings: MysqlSettings, platform: api.Settings) -> None:
+        self._settings = settings
+        self._classes = {cls.name: cls for cls in platform.classes}
+        self._tenants = {tenant.name for tenant in platform.tenants}
+        self._by_digest = {rule.digest: rule for rule in settings.statements}
+        self._told: OrderedDict[tuple[str, str, str], None] = OrderedDict()
+
+    def assign(self, statement: Statement, user: str, transaction: bool = False) -> Assignment:
+        """What a statement is to the decisions; `transaction`: it begins one, which is one request.
+
+        Only a plain read may have a class that is repeated: all else gets the strictest.
+        """
+        settings = self._settings
+        rule = settings.users.get(user) or UserRule(user)
+        hint = statement.hint if settings.hints and statement.hint is not None else Hint()
+        listed = self._by_digest.get(statement.digest)
+        wanted: tuple[str | None, str] = None, ""
+        if hint.request_class in self._classes and self._effect(hint.request_class) is not api.Effect.KEYED:
+            wanted = hint.request_class, "hint"
+        elif listed is not None:
+            wanted = listed.request_class, "digest"
+        elif statement.kind is Kind.UNKNOWN:
+            wanted = settings.strict_class, f"unknown: {statement.why}"
+        elif rule.request_class is not None:
+            wanted = rule.request_class, "user"
+        elif settings.default_class is not None:
+            wanted = settings.default_class, "default"
+        name, reason = wanted
+        if name is None:
+            name, reason = settings.strict_class, "nothing else fits"
+        elif self._effect(name) is not api.Effect.UNSAFE and (transaction or not statement.plain_read):
+            what = "a transaction" if transaction else "no plain read"
+            name, reason = settings.strict_class, f"{reason} says {name}, but it is {what}"
+        deadline_ms = (
+            hint.deadline_ms
+            or (listed.deadline_ms if listed is not None else None)
+            or rule.deadline_ms
+            or max(1, self._classes[name].deadline_ns // 1_000_000)
+        )
+        tenant = hint.tenant if hint.tenant in self._tenants else rule.tenant or settings.tenant
+        return Assignment(name, tenant, deadline_ms, hint.work_us, reason)
+
+    def news(self, statement: Statement, user: str, given: Assignment) -> bool:
+        """Whether the reason for this digest and user has not been told yet; it counts as told from now."""
+        key = (statement.digest, user, given.reason)
+        if key in self._told:
+            return False
+        self._told[key] = None
+        if len(self._told) > REASONS:
+            self._told.popitem(last=False)
+        return True
+
+    def grace_ns(self, request_class: str) -> int:
+        """How long a session tied in a request of this class may stay on a node that drains."""
+        ms = self._settings.grace_ms.get(request_class)
+        return self._classes[request_class].deadline_ns if ms is None else ms * 1_000_000
+
+    def _effect(self, name: str | None) -> api.Effect:
+        return self._classes[name or ""].effect
--- /dev/null
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -0,0 +1,893 @@
+"""Connections to each node's MySQL port, pooled by node and account, and the claims made on them.
+
+The counterpart of `net.execute_nodes.ExecuteNodes`: a claim is one statement, or a transaction as a
+whole.  A claim that has ended well gives its connection back; one whose answer goes on, or whose session
+is tied, hands it to the session as a `Held`.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from brambleusher.counters import Counters
+from brambleusher.decisions import Outcome
+from brambleusher.fronts.mysql.auth import ClientLogin, LoginRefused, Turn
+from brambleusher.fronts.mysql.channel import Channel, client_context
+from brambleusher.fronts.mysql.constants import Capability, Command, Errno
+from brambleusher.fronts.mysql.constants import Status as Flag
+from brambleusher.fronts.mysql.messages import Err, Execute, parse_text_row
+from brambleusher.fronts.mysql.packets import PacketReader, ProtocolError, frame
+from brambleusher.fronts.mysql.replies import ReplyRelay
+from brambleusher.fronts.mysql.session import Flavour, PreparedText, Session, Setup, replay_text
+from brambleusher.fronts.mysql.settings import MysqlSettings, Passwords
+from brambleusher.net.machine_list import Machine, MachineListUpdate
+from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
+from brambleusher.runtime.streams import Called, Stream
+from quillpass.api import CONNECT_PART, HostState, LoadReport, Settings, Status
+
+log = logging.getLogger(__name__)
+
+WANTED = int(
+    Capability.LONG_PASSWORD | Capability.LONG_FLAG | Capability.PROTOCOL_41 | Capability.TRANSACTIONS
+    | Capability.SECURE_CONNECTION | Capability.MULTI_RESULTS | Capability.PS_MULTI_RESULTS
+    | Capability.PLUGIN_AUTH | Capability.PLUGIN_AUTH_LENENC | Capability.SESSION_TRACK
+    | Capability.DEPRECATE_EOF
+)  # fmt: skip
+KEPT_PREPARED = 64  # statements that stay prepared on a connection
+SIDE_CONNECTIONS = 2  # to one node at a time, for KILL
+SIDE_QUEUE = 256
+SIDE_SECONDS = 2.0
+LEARNED_SECONDS = 30.0  # after a 1040 the node is asked for one connection more only so often
+NODE_ERRORS = frozenset({Errno.CON_COUNT, Errno.SERVER_SHUTDOWN, Errno.SERVER_ISNT_AVAILABLE})
+MAX_KILLED_SECONDS = 5.0
+
+
+class Mode(Enum):
+    """What becomes of a connection once its statement has its whole answer."""
+
+    RELEASE = "release"
+    KEEP = "keep"  # for a session that is tied; its claim is over
+    HOLD = "hold"  # for a transaction: its claim stays out until it ends
+    REFUSED = "refused"  # nobody waits for the answer any more
+
+
+class TuneFailed(Exception):
+    """A connection could not be made what the session needs; nothing of the statement was sent."""
+
+    def __init__(self, error: Err) -> None:
+        super().__init__(error.text)
+        self.error = error
+
+
+class Owner(Protocol):
+    """The session's side of a connection, as the pool knows it."""
+
+    session: Session
+    last: Conn | None  # the connection that its last statement ran on
+    id_conn: Conn | None  # the one that knows its LAST_INSERT_ID
+
+    def leave(self, held: Held) -> None:
+        """The node of its connection drains."""
+
+
+class Conn:
+    """One connection to a node, and what is known of its state."""
+
+    __slots__ = (
+        "account", "autocommit", "capabilities", "channel", "collation", "doomed", "id_owner", "meaning",
+        "multi", "node", "owner", "prepared", "schema", "settings", "thread", "used_at",
+    )  # fmt: skip
+
+    def __init__(self, node: Node, channel: Channel, flavour: Flavour, login: ClientLogin) -> None:
+        assert login.greeting is not None
+        assert login.ok is not None
+        self.node, self.channel, self.account = node, channel, flavour.account
+        self.collation, self.meaning = flavour.collation, flavour.meaning
+        self.thread, self.capabilities = login.greeting.thread, login.capabilities
+        self.autocommit = bool(login.ok.status & Flag.AUTOCOMMIT)
+        self.multi = bool(login.capabilities & Capability.MULTI_STATEMENTS)
+        self.schema = ""
+        self.settings: tuple[tuple[str, str], ...] = ()
+        # By schema, settings and text: the id and the number of parameters.
+        self.prepared: OrderedDict[tuple[str, object, bytes], tuple[int, int]] = OrderedDict()
+        self.used_at = channel.stream.used_at
+        self.owner: Owner | None = None  # whose statement ran on it last
+        self.id_owner: Owner | None = None  # whose LAST_INSERT_ID it may have
+        self.doomed = False  # a KILL may be on its way to it: nobody else gets it
+
+    def suits(self, flavour: Flavour) -> bool:
+        """Whether sessions of a flavour may use it."""
+        return (
+            self.account == flavour.account
+            and self.collation == flavour.collation
+            and self.meaning == flavour.meaning
+            and not (flavour.no_schema and self.schema)
+        )
+
+    @property
+    def carries(self) -> Owner | None:
+        """One whose LAST_INSERT_ID only this connection knows."""
+        owner = self.id_owner
+        if owner is not None and owner.id_conn is self and owner.session.last_id is None:
+            return owner
+        return None
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    """One node: its place, its connections, who waits for one."""
+
+    name: str
+    address: tuple[str, int]
+    started_ns: int
+    idle: list[Conn] = field(default_factory=list)  # the last used at the end
+    claims: set[Claim] = field(default_factory=set)
+    held: set[Held] = field(default_factory=set)
+    waiters: deque[Claim] = field(default_factory=deque)
+    open: int = 0
+    by_account: dict[str, int] = field(default_factory=dict)
+    most: int = 1 << 30  # learned from error 1040
+    learned_at: float = 0.0
+    side: int = 0
+    side_waits: deque[Callable[[], None]] = field(default_factory=deque)
+    leaving: bool = False
+
+
+class Claim:
+    """One claim: its task, and how far it has come."""
+
+    __slots__ = ("bell", "flavour", "granted", "sending", "why", "written")
+
+    def __init__(self, flavour: Flavour) -> None:
+        self.bell = Bell()  # rings when it is called off, and when a connection may be had
+        self.flavour = flavour
+        self.granted: Conn | None = None
+        self.why: Status | None = None
+        self.sending = self.written = False
+
+    def call_off(self, why: Status = Status.CANCELLED) -> None:
+        """Give it up; a statement under way is stopped at the node."""
+        if self.why is None:
+            self.why = why
+            self.bell.ring()
+
+    def check(self) -> None:
+        """Raises `Called` once it was called off."""
+        if self.why is not None:
+            raise Called
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """One command of a session, on its way to some node."""
+
+    owner: Owner
+    command: int
+    body: bytes
+    accept: Callable[[Reply], Mode]  # told at once when an answer is whole or has begun to come
+    run: Execute | None = None  # with `prepared`: to be executed
+    prepared: PreparedText | None = None
+    reads_last_id: bool = False
+    about_previous: bool = False
+    statement_id: int | None = None  # the client's, for what it has prepared
+    reached: bool = False  # some node may have run it
+    taken: Reply | None = None  # the answer that was taken
+    over: bool = False  # an answer was taken, or nobody waits for one
+    conn: Conn | None = None  # where it was sent last
+    error: Err | None = None  # what a node said that could not run it
+
+    @property
+    def session(self) -> Session:
+        """Whose it is."""
+        return self.owner.session
+
+
+@dataclass(slots=True, eq=False)
+class Reply:
+    """An answer, or its beginning: bytes for the client and the relay that goes on with them."""
+
+    out: bytes
+    relay: ReplyRelay
+    held: Held
+
+
+class Held:
+    """A connection in a session's hands, and the claim that stays out as long as it is."""
+
+    __slots__ = ("_began", "_ended", "_nodes", "conn", "first_ns", "waited_ns")
+
+    def __init__(self, nodes: MysqlNodes, conn: Conn, ended: Callable[[Outcome], None] | None) -> None:
+        self._nodes, self.conn, self._ended = nodes, conn, ended
+        self.waited_ns = 0  # time that the node took, without the client's
+        conn.node.held.add(self)
+
+    @property
+    def node(self) -> Node:
+        """Where it leads."""
+        return self.conn.node
+
+    def finish(self, status: Status) -> None:
+        """The claim is over; the second time nothing happens."""
+        if self._ended is not None:
+            ended, self._ended = self._ended, None
+            ended(Outcome(status, self.waited_ns, LoadReport() if status is Status.OK else None))
+
+    def release(self) -> None:
+        """Give the connection back, in a state that any session may find it in."""
+        self.finish(Status.OK)
+        self.node.held.discard(self)
+        self._nodes.give_back(self.conn)
+
+    def drop(self, status: Status) -> None:
+        """Close the connection: what was open on it is rolled back by the node."""
+        self.finish(status)
+        self.node.held.discard(self)
+        self._nodes.discard(self.conn)
+
+    def stop(self, status: Status) -> None:
+        """Stop the statement at the node, and close the connection."""
+        self.finish(status)
+        self.node.held.discard(self)
+        self._nodes.stop(self.conn)
+
+
+class MysqlNodes:
+    """The nodes that the machine list names, as MySQL servers."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        platform: Settings,
+        settings: MysqlSettings,
+        passwords: Passwords,
+        counters: Counters,
+        node_key: bytes | None = None,
+    ) -> None:
+        self._scheduler, self._settings, self._passwords = scheduler, settings, passwords
+        self._counters, self._node_key = counters, node_key
+        self._connect_seconds = platform.connect_timeout_ns / 1e9
+        self._idle_seconds = settings.idle_ms / 1000
+        self._wait_seconds = settings.pool_wait_ms / 1000
+        self._nodes: dict[str, Node] = {}
+        self._total = 0  # connections open, to all nodes
+        tls = settings.node_tls
+        self._context = (
+            client_context(tls.ca_file, tls.host, tls.cert_file, tls.key_file) if tls.mode != "off" else None
+        )
+
+    # --- the machine list -----------------------------------------------------------------------
+
+    def update(self, update: MachineListUpdate) -> None:
+        """Follow the list: no claim starts on a node that drains or is gone, tied sessions are told."""
+        if update.full:
+            named = {machine.entry.host for machine in update.machines}
+            for name in [name for name in self._nodes if name not in named]:
+                self._leave(self._nodes.pop(name))
+        for machine in update.machines:
+            self._place(machine)
+
+    def _place(self, machine: Machine) -> None:
+        entry = machine.entry
+        node = self._nodes.get(entry.host)
+        if entry.state is HostState.GONE:
+            if node is not None:
+                self._leave(self._nodes.pop(entry.host))
+            return
+        address = self._settings.addresses.get(entry.host) or (machine.address[0], self._settings.port)
+        if node is not None and (node.address, node.started_ns) != (address, entry.started_ns):
+            self._leave(node)
+            node = None
+        if node is None:
+            node = self._nodes[entry.host] = Node(entry.host, address, entry.started_ns)
+        if entry.state is HostState.DRAINING:
+            self._leave(node)
+        else:
+            node.leaving = False
+
+    def _leave(self, node: Node) -> None:
+        node.leaving = True
+        while node.idle:
+            self.discard(node.idle.pop())
+        for claim in list(node.claims):
+            if not claim.sending:
+                claim.call_off(Status.FULL)
+        for held in list(node.held):
+            if held.conn.owner is not None:
+                held.conn.owner.leave(held)
+
+    def let_go(self, name: str) -> None:
+        """Close the idle connections to a node."""
+        node = self._nodes.get(name)
+        while node is not None and node.idle:
+            self.discard(node.idle.pop())
+
+    def close(self) -> None:
+        """Close all that is idle."""
+        for name in self._nodes:
+            self.let_go(name)
+
+    def reap(self) -> None:
+        """The task: close what has been idle for too long, or was closed from the other side."""
+        while True:
+            self._scheduler.sleep(1.0)
+            old = self._scheduler.now() - self._idle_seconds
+            for node in list(self._nodes.values()):
+                for conn in [conn for conn in node.idle if conn.used_at < old or not conn.channel.quiet()]:
+                    if conn in node.idle:
+                        node.idle.remove(conn)
+                        self.discard(conn)
+
+    def state(self) -> dict[str, dict[str, object]]:
+        """What is known of each node, for JSON."""
+        return {
+            node.name: {
+                "address": f"{node.address[0]}:{node.address[1]}", "open": node.open,
+                "idle": len(node.idle), "held": len(node.held), "waiting": len(node.waiters),
+                "most": node.most if node.most < 1 << 30 else None, "leaving": node.leaving,
+            }
+            for node in self._nodes.values()
+        }  # fmt: skip
+
+    # --- claims ---------------------------------------------------------------------------------
+
+    def claim(
+        self,
+        name: str,
+        payload: object,
+        timeout_ns: int,
+        deadline: float,
+        ended: Callable[[Outcome], None],
+        begun: Callable[[object], None],
+    ) -> Claim:
+        """Start a claim; `ended` is called once, whatever happens, and `begun` before it where the answer
+        goes on or the session holds the connection."""
+        if not isinstance(payload, Work):
+            raise TypeError("these nodes are spoken to in MySQL alone")
+        claim, start = Claim(payload.session.flavour), self._scheduler.now()
+        limit = min(deadline, start + timeout_ns / 1e9) if timeout_ns else deadline
+
+        def run() -> None:
+            status, reply, left = Status.ERROR, None, False
+            node = self._nodes.get(name)
+            try:
+                if node is None or node.leaving:
+                    status = Status.FULL
+                else:
+                    node.claims.add(claim)
+                    status, reply, left = self._attempt(node, claim, payload, limit, ended, start)
+            except Exception:
+                # Guards against a claim without an end: its request would wait until the deadline.
+                self._counters.add("faults")
+                log.exception("claim failed", extra={"fields": {"node": name}})
+            finally:
+                if node is not None:
+                    node.claims.discard(claim)
+            if left:
+                begun(reply)
+            else:
+                took = int((self._scheduler.now() - start) * 1e9)
+                ended(Outcome(status, took, LoadReport() if status is Status.OK else None, reply))
+
+        self._scheduler.spawn(run, name=f"mysql claim {name}")
+        return claim
+
+    def _attempt(
+        self,
+        node: Node,
+        claim: Claim,
+        work: Work,
+        limit: float,
+        ended: Callable[[Outcome], None],
+        start: float,
+    ) -> tuple[Status, Reply | None, bool]:
+        """How it ended, with what answer; whether the claim is now in the session's hands."""
+        conn: Conn | None = None
+        try:
+            conn = self._take(node, claim, work, limit)
+            if conn is None:
+                self._counters.add("connections_lacking")
+                return Status.MOOT, None, False
+            self._tune(conn, work, claim, limit)
+            data, relay = self._worded(conn, work, claim, limit)
+            work.conn = conn
+            claim.check()
+            if limit - self._scheduler.now() < 0.001:  # guards against work begun for what is over
+                self.give_back(conn)
+                return Status.MOOT, None, False
+            self._counters.add("claims_sent")
+            claim.sending = True
+            conn.channel.send(data, limit)
+            claim.written = work.reached = True
+            out = b""
+            while not out and not relay.done:
+                out = relay.feed(self._receive(conn, claim, limit))
+        except TuneFailed as failed:
+            # Not the node's doing: an unknown schema of one client's must not count against it.
+            work.error = failed.error
+            self._stop_or_drop(conn, claim)
+            own = failed.error.errno in NODE_ERRORS
+            return Status.FULL if own else Status.MOOT, None, False
+        except Called:
+            self._stop_or_drop(conn, claim)
+            return self._called_off(claim), None, False
+        except Timeout:
+            self._stop_or_drop(conn, claim)
+            return Status.TIMEOUT if claim.written else Status.CONNECT_FAILED, None, False
+        except LoginRefused as refused:
+            return self._refused(node, work, refused.error), None, False
+        except ProtocolError as error:
+            log.warning("bad answer", extra={"fields": {"node": node.name, "reason": error}})
+            self._stop_or_drop(conn, claim)
+            if not claim.written:
+                return Status.CONNECT_FAILED, None, False
+            work.error = Err(error.errno, error.state, str(error))
+            return Status.ERROR, None, False
+        except OSError:
+            if conn is not None:
+                self.discard(conn)
+            return Status.RESET if claim.written else Status.CONNECT_FAILED, None, False
+        if relay.done and relay.error is not None and relay.error.errno in NODE_ERRORS:
+            work.error = relay.error
+            self.discard(conn)
+            return Status.ERROR, None, False
+        held = Held(self, conn, None)
+        reply = Reply(out, relay, held)
+        if relay.extra:
+            conn.doomed = True  # what follows is spoilt, the answer is not
+            log.warning("bytes behind an answer", extra={"fields": {"node": node.name}})
+        mode = work.accept(reply)
+        if mode is Mode.REFUSED:
+            if relay.done and relay.prepared is None:
+                held.release()
+            else:
+                held.stop(Status.CANCELLED)
+            return Status.OK if relay.done else Status.CANCELLED, None, False
+        if mode is Mode.RELEASE:
+            held.release()
+            return Status.OK, reply, False
+        if mode is Mode.KEEP and relay.done:
+            return Status.OK, reply, False
+        held.waited_ns = int((self._scheduler.now() - start) * 1e9)
+        held._ended = ended
+        return Status.OK, reply, True
+
+    @staticmethod
+    def _called_off(claim: Claim) -> Status:
+        return claim.why if claim.why is not None and not claim.written else Status.CANCELLED
+
+    def _stop_or_drop(self, conn: Conn | None, claim: Claim) -> None:
+        if conn is None:
+            return
+        if claim.written:
+            self.stop(conn)
+        else:
+            self.discard(conn)
+
+    def _refused(self, node: Node, work: Work, error: Err) -> Status:
+        """What a node's refusal of a login means; how many connections it has is learned from a 1040."""
+        if error.errno in (Errno.CON_COUNT, Errno.TOO_MANY_USER_CONNECTIONS):
+            node.most = max(1, node.open)
+            node.learned_at = self._scheduler.now()
+            self._counters.add("mysql_connections_refused")
+            log.warning(
+                "node is out of connections", extra={"fields": {"node": node.name, "most": node.most}}
+            )
+            return Status.FULL
+        log.warning(
+            "login refused", extra={"fields": {"node": node.name, "errno": error.errno, "state": error.state}}
+        )
+        work.error = Err.of(
+            Errno.SERVER_ISNT_AVAILABLE, f"the node refused the sidecar's login ({error.errno})"
+        )
+        return Status.CONNECT_FAILED
+
+    def _receive(self, conn: Conn, claim: Claim, limit: float) -> bytes:
+        """The next bytes; raises `Called` where they are not wanted any more."""
+        while True:
+            data = conn.channel.receive(limit, claim.bell)
+            if data is None:
+                claim.check()
+                continue
+            if not data:
+                raise ConnectionResetError("the connection ended before its answer")
+            return data
+
+    # --- connections ----------------------------------------------------------------------------
+
+    def _take(self, node: Node, claim: Claim, work: Work, limit: float) -> Conn | None:
+        """A connection for a session: its last one, else one like it, else a new one, else the next that
+        comes free; None where none did in time."""
+        flavour, until = claim.flavour, min(limit, self._scheduler.now() + self._wait_seconds)
+        while True:
+            claim.check()
+            conn = claim.granted or self._idle(node, work.owner, flavour)
+            claim.granted = None
+            if conn is not None:
+                if self._fresh(conn):
+                    self._counters.add("connections_reused")
+                    return conn
+                self.discard(conn)
+                continue
+            if node.leaving:
+                claim.call_off(Status.FULL)
+                continue
+            if self._room(node, flavour.account):
+                return self._open(node, claim, flavour, limit)
+            if not self._make_room(node, flavour) and not self._wait(node, claim, until):
+                return None
+
+    def _idle(self, node: Node, owner: Owner, flavour: Flavour) -> Conn | None:
+        best = None
+        setup = owner.session.setup()
+        for conn in reversed(node.idle):
+            if not conn.suits(flavour):
+                continue
+            if conn is owner.last:
+                best = conn
+                break
+            if best is None or (
+                _distance(conn, setup) < _distance(best, setup)
+            ):  # the most recently used of those that are nearest
+                best = conn
+        if best is not None:
+            node.idle.remove(best)
+        return best
+
+    def _fresh(self, conn: Conn) -> bool:
+        age = self._scheduler.now() - conn.used_at
+        return age < self._idle_seconds and conn.channel.quiet()
+
+    def _room(self, node: Node, account: str) -> bool:
+        if node.open >= node.most:
+            # Some time after a refusal one more is tried: the node's other clients come and go.
+            if self._scheduler.now() - node.learned_at < LEARNED_SECONDS:
+                return False
+            node.most, node.learned_at = node.most + 1, self._scheduler.now()
+        if node.by_account.get(account, 0) >= self._settings.connections:
+            return False
+        return self._total < self._settings.connections_total or self._close_longest_idle()
+
+    def _close_longest_idle(self) -> bool:
+        """Close the connection that is idle for longest, whichever node it leads to."""
+        idle = [node.idle[0] for node in self._nodes.values() if node.idle]
+        if not idle:
+            return False
+        conn = min(idle, key=lambda each: each.used_at)
+        conn.node.idle.remove(conn)
+        self.discard(conn, wake=False)
+        return True
+
+    def _make_room(self, node: Node, flavour: Flavour) -> bool:
+        """Close an idle connection of another kind, where that lets a new one be opened."""
+        full = node.by_account.get(flavour.account, 0) >= self._settings.connections
+        for conn in node.idle:  # the longest idle first
+            if not full or conn.account == flavour.account:
+                node.idle.remove(conn)
+                self.discard(conn, wake=False)
+                return True
+        return False
+
+    def _wait(self, node: Node, claim: Claim, until: float) -> bool:
+        """Wait for a connection that comes free; false where none did in time."""
+        node.waiters.append(claim)
+        self._counters.add("mysql_waits")
+        try:
+            self._scheduler.park(until, bell=claim.bell)
+        except Timeout:
+            return claim.granted is not None
+        finally:
+            if claim in node.waiters:
+                node.waiters.remove(claim)
+            if claim.why is not None and claim.granted is not None:
+                granted, claim.granted = claim.granted, None
+                self.give_back(granted)
+        return True
+
+    def _open(self, node: Node, claim: Claim, flavour: Flavour, limit: float) -> Conn:
+        node.open += 1
+        self._total += 1
+        node.by_account[flavour.account] = node.by_account.get(flavour.account, 0) + 1
+        channel: Channel | None = None
+        try:
+            now = self._scheduler.now()
+            wait = min(self._connect_seconds, (limit - now) * CONNECT_PART)
+            stream = Stream.connect(self._scheduler, node.address, now + wait, claim.bell)
+            channel = Channel(stream)
+            login = self._log_in(channel, flavour, limit, claim)
+        except BaseException:
+            if channel is not None:
+                channel.close()
+            self._closed(node, flavour.account)
+            raise
+        self._counters.add("connections_opened")
+        return Conn(node, channel, flavour, login)
+
+    def _log_in(self, channel: Channel, flavour: Flavour, limit: float, claim: Claim | None) -> ClientLogin:
+        settings = self._settings
+        login = ClientLogin(
+            flavour.account, self._passwords.of(flavour.account), WANTED | flavour.meaning, flavour.collation,
+            settings.node_tls.mode, public_key=self._node_key, ask_key=settings.ask_node_key,
+        )  # fmt: skip
+        while True:
+            turn = login.step()
+            if login.out:
+                out, login.out = login.out, b""
+                channel.send(out, limit)
+            if turn is Turn.TLS:
+                assert self._context is not None
+                channel.start_tls(self._context, False, settings.node_tls.host, b"", limit)
+                continue
+            if turn is Turn.DONE:
+                if login.extra:
+                    raise ProtocolError("bytes behind the login's end")
+                return login
+            data = channel.receive(limit, claim.bell if claim is not None else None)
+            if data is None and claim is not None:
+                claim.check()
+            elif not data:
+                raise ConnectionResetError("the connection ended in the login")
+            else:
+                login.feed(data)
+
+    def give_back(self, conn: Conn) -> None:
+        """A connection is free: for whoever waits for one like it, else it idles."""
+        node = conn.node
+        if node.leaving or conn.doomed or not conn.channel.open or not conn.channel.quiet():
+            self.discard(conn)
+            return
+        conn.used_at = self._scheduler.now()
+        for claim in node.waiters:
+            if conn.suits(claim.flavour):
+                node.waiters.remove(claim)
+                claim.granted = conn
+                claim.bell.ring()
+                return
+        node.idle.append(conn)
+        if node.waiters:
+            node.waiters[0].bell.ring()  # it makes room for one of its own kind
+
+    def discard(self, conn: Conn, wake: bool = True) -> None:
+        """Close a connection, once."""
+        if conn.channel.open:
+            conn.channel.close()
+            self._closed(conn.node, conn.account, wake)
+
+    def _closed(self, node: Node, account: str, wake: bool = True) -> None:
+        node.open -= 1
+        self._total -= 1
+        node.by_account[account] -= 1
+        if not node.by_account[account]:
+            del node.by_account[account]
+        if wake and node.waiters:
+            node.waiters[0].bell.ring()
+
+    # --- to the state that a session needs ------------------------------------------------------
+
+    def ask(
+        self, conn: Conn, body: bytes, limit: float, claim: Claim | None = None
+    ) -> tuple[ReplyRelay, bytes]:
+        """One command of the sidecar's own and its whole answer."""
+        relay = ReplyRelay(body[0], conn.capabilities, conn.capabilities)
+        conn.channel.send(frame(body, 0), limit)
+        out = b""
+        while not relay.done:
+            data = conn.channel.receive(limit, claim.bell if claim is not None else None)
+            if data is None:
+                assert claim is not None
+                claim.check()
+            elif not data:
+                raise ConnectionResetError("the connection ended before its answer")
+            else:
+                out += relay.feed(data)
+        if relay.extra:
+            raise ProtocolError("bytes behind an answer")
+        return relay, out
+
+    def _sure(self, conn: Conn, body: bytes, limit: float, claim: Claim) -> ReplyRelay:
+        relay, _ = self.ask(conn, body, limit, claim)
+        if relay.error is not None:
+            raise TuneFailed(relay.error)
+        return relay
+
+    def _tune(self, conn: Conn, work: Work, claim: Claim, limit: float) -> None:
+        """Make a connection what the statement's session needs; its own last one is that already."""
+        owner, session = work.owner, work.session
+        if work.about_previous and not (conn.owner is owner and owner.last is conn):
+            raise TuneFailed(_GONE)
+        known = owner.id_conn
+        if work.reads_last_id and session.last_id is None and known is not conn:
+            if known is None or known.carries is not owner or known not in known.node.idle:
+                raise TuneFailed(_GONE)
+            known.node.idle.remove(known)
+            try:
+                self._carry(known, claim, limit)
+            except BaseException:
+                self.discard(known)
+                raise
+            self.give_back(known)
+        if conn.carries is not None and conn.carries is not owner:
+            self._carry(conn, claim, limit)
+        setup = session.setup(work.reads_last_id and session.last_id is not None)
+        if conn.settings != setup.settings[: len(conn.settings)]:
+            self._sure(conn, bytes((Command.RESET_CONNECTION,)), limit, claim)
+            conn.settings, conn.prepared, conn.autocommit = (), OrderedDict(), True
+        missing = list(setup.settings[len(conn.settings) :])
+        for alone in [pair for pair in missing if pair[0].startswith("transaction")]:
+            missing.remove(alone)
+            self._sure(conn, b"\3" + replay_text([alone]), limit, claim)
+        if conn.autocommit != setup.autocommit:
+            missing.append(("autocommit", f"SESSION autocommit = {int(setup.autocommit)}"))
+        if setup.last_id is not None:
+            missing.append(("last_insert_id", f"SESSION last_insert_id = {setup.last_id}"))
+        if missing:
+            relay = self._sure(conn, b"\3" + replay_text(missing), limit, claim)
+            conn.autocommit = bool(relay.status & Flag.AUTOCOMMIT)
+        conn.settings = setup.settings
+        if conn.schema != setup.schema and setup.schema:
+            self._sure(conn, b"\2" + setup.schema.encode(), limit, claim)
+            conn.schema = setup.schema
+        if conn.multi != setup.multi:
+            option = 0 if setup.multi else 1
+            self._sure(conn, bytes((Command.SET_OPTION, option, 0)), limit, claim)
+            conn.multi = setup.multi
+        conn.owner = owner
+        owner.last = conn
+
+    def _carry(self, conn: Conn, claim: Claim, limit: float) -> None:
+        """Ask for the LAST_INSERT_ID that a session left on a connection, before another uses it."""
+        owner = conn.carries
+        assert owner is not None
+        relay, out = self.ask(conn, b"\3SELECT LAST_INSERT_ID()", limit, claim)
+        reader = PacketReader(1 << 16, seq=1)
+        reader.feed(out)
+        packets = []
+        while (packet := reader.take()) is not None:
+            packets.append(packet)
+        try:
+            value = parse_text_row(packets[-2], 1)[0] if relay.rows == 1 else None
+            owner.session.last_id = int(value) if value is not None else 0
+        except (ValueError, IndexError):
+            raise ProtocolError("the node's LAST_INSERT_ID() is no number") from None
+        owner.id_conn = conn.id_owner = None
+        self._counters.add("mysql_ids_carried")
+
+    def _worded(self, conn: Conn, work: Work, claim: Claim, limit: float) -> tuple[bytes, ReplyRelay]:
+        """The command's bytes for this connection, and what reads its answer."""
+        session, body = work.session, work.body
+        data = b""
+        if work.prepared is not None and work.run is not None:
+            data, body = self.execute(conn, work.prepared, work.run, claim, limit)
+        relay = ReplyRelay(
+            work.command, conn.capabilities, session.capabilities, work.statement_id, status=session.status
+        )
+        return data + frame(body, 0), relay
+
+    def execute(
+        self, conn: Conn, found: PreparedText, run: Execute, claim: Claim | None, limit: float
+    ) -> tuple[bytes, bytes]:
+        """What goes ahead of an execute, and the execute as this connection knows it.
+
+        The statement is prepared anew where it is not prepared here yet.
+        """
+        key = (conn.schema, conn.settings, found.text)
+        known = conn.prepared.get(key)
+        ahead = b""
+        if known is None:
+            relay, _ = self.ask(conn, b"\x16" + found.text, limit, claim)
+            if relay.error is not None:
+                raise TuneFailed(relay.error)
+            assert relay.prepared is not None
+            self.prepared(conn, found.text, relay)
+            known = conn.prepared[key]
+            self._counters.add("mysql_prepared_anew")
+        conn.prepared.move_to_end(key)
+        if known[1] != found.parameters:
+            raise TuneFailed(Err.of(Errno.NEED_REPREPARE, "Prepared statement needs to be re-prepared"))
+        number = known[0]
+        for parameter, value in found.long.items():
+            head = b"\x18" + number.to_bytes(4, "little") + parameter.to_bytes(2, "little")
+            ahead += frame(head + bytes(value), 0)
+        here = Execute(number, run.flags, run.nulls, run.types, run.values)
+        return ahead, here.encode(found.parameters)
+
+    def prepared(self, conn: Conn, text: bytes, relay: ReplyRelay) -> None:
+        """A statement was prepared on a connection; the one unused for longest makes room."""
+        if relay.prepared is None:
+            return
+        key = (conn.schema, conn.settings, text)
+        old = conn.prepared.pop(key, None)
+        conn.prepared[key] = relay.prepared.statement, relay.prepared.parameters
+        if old is None and len(conn.prepared) > KEPT_PREPARED:
+            old = conn.prepared.popitem(last=False)[1]
+        if old is not None:
+            try:  # it has no answer, and a few bytes always fit
+                conn.channel.send(frame(b"\x19" + old[0].to_bytes(4, "little"), 0), self._scheduler.now() + 1)
+            except (OSError, Timeout):
+                conn.doomed = True
+
+    # --- stopping a statement at the node -------------------------------------------------------
+
+    def stop(self, conn: Conn) -> None:
+        """Stop what runs on a connection through another, and close it."""
+        conn.doomed = True
+        self.kill(conn, lambda: self.discard(conn))
+
+    def kill(self, conn: Conn, over: Callable[[], None] | None = None, query: bool = True) -> None:
+        """KILL what runs on a connection, within bounds; `over` is called once, whatever came of it."""
+        node = conn.node
+
+        def run() -> None:
+            try:
+                self._kill(node, conn, query)
+                self._counters.add("mysql_kills")
+            except Exception as error:
+                self._counters.add("mysql_kills_failed")
+                log.warning(
+                    "a statement could not be stopped",
+                    extra={"fields": {"node": node.name, "reason": type(error).__name__}},
+                )
+            finally:
+                if over is not None:
+                    over()
+                node.side -= 1
+                if node.side_waits:
+                    node.side_waits.popleft()()
+
+        def start() -> None:
+            node.side += 1
+            self._scheduler.spawn(run, name=f"kill {node.name}")
+
+        if node.side < SIDE_CONNECTIONS:
+            start()
+        elif len(node.side_waits) < SIDE_QUEUE:
+            node.side_waits.append(start)
+        else:
+            self._counters.add("mysql_kills_failed")
+            if over is not None:
+                over()
+
+    def _kill(self, node: Node, conn: Conn, query: bool) -> None:
+        """On an idle connection of the account if there is one, else on a new one beside the pool."""
+        limit = self._scheduler.now() + SIDE_SECONDS
+        text = b"\3KILL " + (b"QUERY " if query else b"CONNECTION ") + str(conn.thread).encode()
+        for idle in reversed(node.idle):
+            if idle.account == conn.account and idle.carries is None:
+                node.idle.remove(idle)
+                try:
+                    self.ask(idle, text, limit)
+                except BaseException:
+                    self.discard(idle)
+                    raise
+                idle.owner = None
+                self.give_back(idle)
+                return
+        stream = Stream.connect(self._scheduler, node.address, limit)
+        channel = Channel(stream)
+        try:
+            flavour = Flavour(conn.account, conn.collation, conn.meaning)
+            login = self._log_in(channel, flavour, limit, None)
+            side = Conn(node, channel, flavour, login)
+            self.ask(side, text, limit)
+        finally:
+            channel.close()
+
+
+def _distance(conn: Conn, setup: Setup) -> int:
+    """How many commands it takes to make a connection what a session needs, roughly."""
+    far = 0 if conn.settings == setup.settings else 1
+    if conn.settings != setup.settings[: len(conn.settings)]:
+        far += 1
+    far += conn.carries is not None
+    return far + (conn.schema != setup.schema) + (conn.multi != setup.multi)
+
+
+_GONE = Err.of(
+    Errno.NOT_SUPPORTED_YET,
+    "This asks for what an earlier statement left on its connection, which has passed on: "
+    "ask right after it, or within a transaction",
+)
--- /dev/null
+++ b/brambleusher/fronts/mysql/service.py
@@ -0,0 +1,64 @@
+"""The front and its nodes put together, as the sidecar takes them."""
+
+from __future__ import annotations
+
+import importlib.util
+import logging
+import os
+import random
+from collections.abc import Callable
+
+from brambleusher.counters import Counters
+from brambleusher.decisions import Clock, Decisions
+from brambleusher.fronts.mysql.front import Front
+from brambleusher.fronts.mysql.nodes import MysqlNodes
+from brambleusher.fronts.mysql.settings import MysqlSettings, check_against, load_secrets
+from brambleusher.net.machine_list import MachineListUpdate
+from brambleusher.operator_file import OperatorError
+from brambleusher.runtime.scheduler import Scheduler
+from quillpass.api import Settings
+
+log = logging.getLogger(__name__)
+
+
+class MysqlService:
+    """MySQL on the sidecar's decisions; raises `OperatorError` where its section or a file is of no use."""
+
+    def __init__(
+        self,
+        settings: MysqlSettings,
+        platform: Settings,
+        seed: int,
+        scheduler: Scheduler,
+        decisions: Decisions,
+        clock: Clock,
+        counters: Counters,
+        entropy: Callable[[int], bytes] = os.urandom,
+    ) -> None:
+        for name in ("sqlglot", "cryptography"):
+            if importlib.util.find_spec(name) is None:
+                raise OperatorError(f"mysql: {name} is missing: install brambleusher[mysql]")
+        check_against(settings, platform)
+        users, passwords, rsa, node_key = load_secrets(settings)
+        self._settings, self._scheduler = settings, scheduler
+        try:
+            self.nodes = MysqlNodes(scheduler, platform, settings, passwords, counters, node_key)
+            self.front = Front(
+                scheduler, decisions, self.nodes, clock, counters, settings, users, rsa,
+                random.Random(seed ^ 0x6D7973716C), entropy,
+            )  # fmt: skip
+        except OSError as error:  # certificates
+            raise OperatorError(f"mysql: TLS files can't be used: {error}") from None
+
+    def start(self, known: MachineListUpdate) -> tuple[str, int]:
+        """Listen; says where."""
+        self.nodes.update(known)
+        self._scheduler.spawn(self.nodes.reap, name="mysql reap")
+        where = self.front.listen(self._settings.listen)
+        log.info("listening for MySQL", extra={"fields": {"address": f"{where[0]}:{where[1]}"}})
+        return where
+
+    def wind_down(self) -> None:
+        """Take no new session; the tied ones get until their class's grace."""
+        self.front.wind_down()
+        self.nodes.close()
--- /dev/null
+++ b/brambleusher/fronts/mysql/settings.py
@@ -0,0 +1,325 @@
+"""The `mysql:` section of the operator file, and the files it names."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from brambleusher.fronts.mysql.auth import RsaKey, Secret
+from brambleusher.fronts.mysql.constants import CACHING_SHA2, NATIVE
+from brambleusher.fronts.mysql.statements import digest_of, words
+from brambleusher.operator_file import OperatorError, Section
+from brambleusher.runtime.streams import parse_address
+from quillpass import api
+
+MAX_FILE = 1024 * 1024
+MAX_ENTRIES = 10_000
+TLS_MODES = ("off", "preferred", "required")
+
+
+@dataclass(frozen=True, slots=True)
+class UserRule:
+    """What is known of a client's user beside the password."""
+
+    account: str  # by which the nodes know it
+    request_class: str | None = None  # of its plain reads
+    tenant: str | None = None
+    deadline_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StatementRule:
+    """A class for one digest."""
+
+    digest: str
+    request_class: str
+    deadline_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Tls:
+    """Certificates as files; empty where there is none."""
+
+    mode: str = "off"
+    cert_file: str = ""
+    key_file: str = ""
+    ca_file: str = ""
+    host: str = ""  # the name that the nodes' certificates have; empty: not looked at
+
+
+@dataclass(frozen=True, slots=True)
+class MysqlSettings:
+    """All of the section."""
+
+    listen: tuple[str, int]
+    users_file: str
+    accounts_file: str
+    strict_class: str
+    default_class: str | None = None
+    port: int = 3306
+    addresses: Mapping[str, tuple[str, int]] = field(default_factory=dict)
+    users: Mapping[str, UserRule] = field(default_factory=dict)
+    statements: tuple[StatementRule, ...] = ()
+    hints: bool = True
+    tenant: str | None = None
+    server_version: str = "8.0.36-brambleusher"
+    auth_plugin: str = CACHING_SHA2
+    tls: Tls = Tls()
+    node_tls: Tls = Tls()
+    rsa_key_file: str = ""
+    node_key_file: str = ""
+    ask_node_key: bool = False
+    sessions: int = 300
+    connections: int = 64  # to one node by one account
+    connections_total: int = 128  # to all of them
+    idle_ms: int = 60_000
+    pool_wait_ms: int = 1000
+    login_ms: int = 10_000
+    session_idle_ms: int = 28_800_000
+    max_packet_mb: int = 16
+    memory_mb: int = 16  # of statements on their way, of all sessions
+    grace_ms: Mapping[str, int] = field(default_factory=dict)
+    drain_spread_ms: int = 1000
+
+
+def _address(text: str | None, path: str) -> tuple[str, int]:
+    try:
+        return parse_address(text or "")
+    except ValueError as error:
+        raise OperatorError(f"{path}: {error}") from None
+
+
+def _mapping(section: Section, key: str) -> dict[str, Any]:
+    raw = section.take(key)
+    if raw is None:
+        return {}
+    if not isinstance(raw, dict) or len(raw) > MAX_ENTRIES:
+        raise OperatorError(f"{section.name(key)} is not a mapping of at most {MAX_ENTRIES}")
+    return raw
+
+
+def _flag(section: Section, key: str, default: bool) -> bool:
+    value = section.take(key, default)
+    if not isinstance(value, bool):
+        raise OperatorError(f"{section.name(key)} is not true or false")
+    return value
+
+
+def _optional_ms(section: Section, key: str) -> int | None:
+    return section.whole(key, 0, 1, 86_400_000) if section.has(key) else None
+
+
+def _tls(raw: Any, path: str, server: bool) -> Tls:
+    section = Section(raw, path)
+    tls = Tls(
+        section.choice("mode", TLS_MODES, "off"),
+        section.text("cert_file", "") or "",
+        section.text("key_file", "") or "",
+        section.text("ca_file", "") or "",
+        (section.text("host", "") or "") if not server else "",
+    )
+    section.end()
+    if server and tls.mode != "off" and not (tls.cert_file and tls.key_file):
+        raise OperatorError(f"{path} needs cert_file and key_file")
+    if not server and tls.mode == "required" and not tls.ca_file:
+        # Guards against a required TLS that anyone in between could answer.
+        raise OperatorError(f"{path}.ca_file is missing: without it the nodes' certificates prove nothing")
+    return tls
+
+
+def parse_mysql(raw: Any) -> MysqlSettings:
+    """The section, checked; raises `OperatorError` naming the key."""
+    section = Section(raw, "mysql")
+    for key in ("listen", "users_file", "accounts_file", "strict_class"):
+        if not section.has(key):
+            raise OperatorError(f"mysql.{key} is missing")
+    addresses = {
+        str(name): _address(text if isinstance(text, str) else None, f"mysql.addresses.{name}")
+        for name, text in _mapping(section, "addresses").items()
+    }
+    users = {}
+    for name, given in _mapping(section, "users").items():
+        rule = Section(given, f"mysql.users.{name}")
+        users[str(name)] = UserRule(
+            rule.text("account", str(name)) or str(name), rule.text("class"), rule.text("tenant"),
+            _optional_ms(rule, "deadline_ms"),
+        )  # fmt: skip
+        rule.end()
+    grace = {}
+    if section.has("grace_ms"):
+        given_grace = _mapping(section, "grace_ms")
+        each = Section(given_grace, "mysql.grace_ms")
+        grace = {str(name): each.whole(name, 0, 0, 3_600_000) for name in given_grace}
+    usual = MysqlSettings(("", 0), "", "", "")
+    settings = MysqlSettings(
+        listen=_address(section.text("listen"), "mysql.listen"),
+        users_file=section.text("users_file") or "",
+        accounts_file=section.text("accounts_file") or "",
+        strict_class=section.text("strict_class") or "",
+        default_class=section.text("default_class"),
+        port=section.whole("port", usual.port, 1, 65_535),
+        addresses=addresses,
+        users=users,
+        statements=_statements(section.take("statements")),
+        hints=_flag(section, "hints", usual.hints),
+        tenant=section.text("tenant"),
+        server_version=section.text("server_version", usual.server_version) or "",
+        auth_plugin=section.choice("auth_plugin", (CACHING_SHA2, NATIVE), usual.auth_plugin),
+        tls=_tls(section.take("tls"), "mysql.tls", server=True),
+        node_tls=_tls(section.take("node_tls"), "mysql.node_tls", server=False),
+        rsa_key_file=section.text("rsa_key_file", "") or "",
+        node_key_file=section.text("node_key_file", "") or "",
+        ask_node_key=_flag(section, "ask_node_key", usual.ask_node_key),
+        sessions=section.whole("sessions", usual.sessions, 1, 100_000),
+        connections=section.whole("connections", usual.connections, 1, 10_000),
+        connections_total=section.whole("connections_total", usual.connections_total, 1, 100_000),
+        idle_ms=section.whole("idle_ms", usual.idle_ms, 10, 86_400_000),
+        pool_wait_ms=section.whole("pool_wait_ms", usual.pool_wait_ms, 0, 3_600_000),
+        login_ms=section.whole("login_ms", usual.login_ms, 10, 600_000),
+        session_idle_ms=section.whole("session_idle_ms", usual.session_idle_ms, 10, 604_800_000),
+        max_packet_mb=section.whole("max_packet_mb", usual.max_packet_mb, 1, 1024),
+        memory_mb=section.whole("memory_mb", usual.memory_mb, 1, 65_536),
+        grace_ms=grace,
+        drain_spread_ms=section.whole("drain_spread_ms", usual.drain_spread_ms, 0, 600_000),
+    )
+    section.end()
+    return settings
+
+
+def _statements(raw: Any) -> tuple[StatementRule, ...]:
+    if raw is None:
+        return ()
+    if not isinstance(raw, list) or len(raw) > MAX_ENTRIES:
+        raise OperatorError(f"mysql.statements is not a list of at most {MAX_ENTRIES}")
+    out = []
+    for at, given in enumerate(raw):
+        path = f"mysql.statements[{at}]"
+        rule = Section(given, path)
+        text, request_class = rule.text("text"), rule.text("class")
+        if text is None or request_class is None:
+            raise OperatorError(f"{path} needs text and class")
+        parts, _, sound = words(text.encode())
+        if not sound or not parts:
+            raise OperatorError(f"{path}.text can't be read as a statement")
+        out.append(StatementRule(digest_of(parts), request_class, _optional_ms(rule, "deadline_ms")))
+        rule.end()
+    return tuple(out)
+
+
+def check_against(settings: MysqlSettings, platform: api.Settings) -> None:
+    """That classes and tenants are those of the platform; raises `OperatorError` naming the key."""
+    classes = {cls.name: cls for cls in platform.classes}
+    tenants = {tenant.name for tenant in platform.tenants}
+    named = [("mysql.strict_class", settings.strict_class), ("mysql.default_class", settings.default_class)]
+    named += [(f"mysql.users.{name}.class", rule.request_class) for name, rule in settings.users.items()]
+    named += [(f"mysql.statements[{at}].class", r.request_class) for at, r in enumerate(settings.statements)]
+    named += [(f"mysql.grace_ms.{name}", name) for name in settings.grace_ms]
+    for path, name in named:
+        if name is None:
+            continue
+        if name not in classes:
+            raise OperatorError(f"{path}: there is no class {name}")
+        if classes[name].effect is api.Effect.KEYED:
+            # Guards against repeats that the nodes would have to recognise: MySQL carries no key for that.
+            raise OperatorError(f"{path}: {name} is repeated by a key, which MySQL does not carry")
+    if classes[settings.strict_class].effect is not api.Effect.UNSAFE:
+        raise OperatorError(f"mysql.strict_class: {settings.strict_class} may be repeated")
+    given = [("mysql.tenant", settings.tenant)]
+    given += [(f"mysql.users.{name}.tenant", rule.tenant) for name, rule in settings.users.items()]
+    for path, name in given:
+        if name is not None and tenants and name not in tenants:
+            raise OperatorError(f"{path}: there is no tenant {name}")
+    if tenants and settings.tenant is None:
+        raise OperatorError("mysql.tenant is missing: this deployment has tenants")
+
+
+# --- the files ----------------------------------------------------------------------------------
+
+
+def _lines(path: str, key: str) -> list[tuple[int, str]]:
+    try:
+        with Path(path).open("rb") as file:
+            raw = file.read(MAX_FILE + 1)
+    except OSError as error:
+        raise OperatorError(f"{key}: {path} can't be read: {error.strerror}") from None
+    if len(raw) > MAX_FILE:
+        raise OperatorError(f"{key}: {path} has more than {MAX_FILE} bytes")
+    try:
+        text = raw.decode()
+    except UnicodeDecodeError:
+        raise OperatorError(f"{key}: {path} is not UTF-8") from None
+    return [
+        (number, line)
+        for number, line in enumerate(text.splitlines(), 1)
+        if line.strip() and not line.lstrip().startswith("#")
+    ]
+
+
+def load_users(path: str) -> dict[str, Secret]:
+    """Names and hashes: a name, a plugin and a hash on each line, with tabs or spaces between."""
+    out: dict[str, Secret] = {}
+    for number, line in _lines(path, "mysql.users_file"):
+        parts = line.split()
+        if len(parts) != 3:
+            raise OperatorError(f"mysql.users_file: line {number} is not a name, a plugin and a hash")
+        try:
+            secret = Secret.parse(parts[1], parts[2])
+        except ValueError as error:
+            raise OperatorError(f"mysql.users_file: line {number}: {error}") from None
+        if parts[0] in out:
+            raise OperatorError(f"mysql.users_file: line {number} has {parts[0]} for the second time")
+        out[parts[0]] = secret
+    return out
+
+
+class Passwords:
+    """Passwords of the accounts on the nodes; never shown."""
+
+    def __init__(self, by_account: Mapping[str, bytes]) -> None:
+        self._by_account = dict(by_account)
+
+    def __contains__(self, account: str) -> bool:
+        """Whether there is such an account."""
+        return account in self._by_account
+
+    def of(self, account: str) -> bytes:
+        """The password of an account; empty where it has none."""
+        return self._by_account[account]
+
+
+def load_accounts(path: str) -> Passwords:
+    """An account and its password on each line, with a tab or a space between; no password: none is sent."""
+    out: dict[str, bytes] = {}
+    for number, line in _lines(path, "mysql.accounts_file"):
+        name, _, password = line.replace("\t", " ", 1).partition(" ")
+        if name in out:
+            raise OperatorError(f"mysql.accounts_file: line {number} has {name} for the second time")
+        out[name] = password.strip(" \t").encode()
+    return Passwords(out)
+
+
+def load_secrets(settings: MysqlSettings) -> tuple[dict[str, Secret], Passwords, RsaKey, bytes | None]:
+    """Users, accounts' passwords, this side's RSA key and the nodes' public key, from the files named."""
+    users, accounts = load_users(settings.users_file), load_accounts(settings.accounts_file)
+    for name in users:
+        account = settings.users[name].account if name in settings.users else name
+        if account not in accounts:
+            raise OperatorError(f"mysql.accounts_file has no account {account}, which user {name} needs")
+    rsa = RsaKey(_raw(settings.rsa_key_file, "mysql.rsa_key_file"))
+    if settings.rsa_key_file:
+        try:
+            rsa.check()
+        except ValueError as error:
+            raise OperatorError(f"mysql.rsa_key_file: {error}") from None
+    return users, accounts, rsa, _raw(settings.node_key_file, "mysql.node_key_file")
+
+
+def _raw(path: str, key: str) -> bytes | None:
+    if not path:
+        return None
+    try:
+        return Path(path).read_bytes()
+    except OSError as error:
+        raise OperatorError(f"{key}: {path} can't be read: {error.strerror}") from None
--- /dev/null
+++ b/brambleusher/fronts/mysql/statements.py
@@ -0,0 +1,695 @@
+"""Statements told apart: what one does to its session, and whether it is a plain read.
+
+A statement is brought to a digest first, in which literals, comments and spaces make no difference.
+What sqlglot says of a digest is kept, within bounds, so that it is asked once.  Whatever can't be told
+for certain is `UNKNOWN`: it is never repeated and its session stays where it is.
+"""
+
+from __future__ import annotations
+
+import logging
+import re
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import Any
+
+MAX_TEXT = 64 * 1024  # longer ones are told apart by their first word and a few marks
+MAX_STATEMENTS = 32  # in one text; more are not told apart
+CACHED_DIGESTS, CACHED_TEXTS, CACHED_TEXT_BYTES = 4096, 2048, 1024
+
+log = logging.getLogger(__name__)
+
+
+class Kind(Enum):
+    """What sort of statement it is."""
+
+    READ = "read"
+    WRITE = "write"
+    DEFINE = "define"  # commits what is open
+    BEGIN = "begin"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SAVEPOINT = "savepoint"
+    SET = "set"
+    USE = "use"
+    KILL = "kill"
+    LOCK = "lock"
+    UNLOCK = "unlock"
+    LOCAL_FILE = "local file"
+    EMPTY = "empty"
+    UNKNOWN = "unknown"
+
+
+class Tie(Enum):
+    """What can hold a session to one connection; `session.TIES` has the table."""
+
+    TRANSACTION = "open transaction"
+    AUTOCOMMIT_OFF = "autocommit off"
+    TABLE_LOCKS = "locked tables"
+    NAMED_LOCK = "named lock"
+    TEMPORARY_TABLE = "temporary table"
+    USER_VARIABLE = "user variable"
+    SETTING = "setting that can't be replayed"
+    NEXT_TRANSACTION = "setting of the next transaction"
+    PREPARED = "statement prepared in SQL"
+    UNREAD = "rows not fetched"
+    DIAGNOSTICS = "warnings not asked for"
+    UNKNOWN = "statement with unknown effects"
+
+
+@dataclass(frozen=True, slots=True)
+class Hint:
+    """What a comment in a statement asks for."""
+
+    request_class: str | None = None
+    tenant: str | None = None
+    deadline_ms: int | None = None
+    work_us: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """One text of a client's, told apart; several statements in it are taken together."""
+
+    kind: Kind
+    digest: str
+    plain_read: bool = False  # may be repeated without harm
+    ties: tuple[tuple[Tie, str], ...] = ()  # made where it runs
+    lifts: tuple[tuple[Tie, str], ...] = ()  # an empty name: all of that kind
+    settings: tuple[tuple[str, str], ...] = ()  # to be replayed: a key and the text behind SET
+    autocommit: bool | None = None
+    schema: str | None = None
+    kill: tuple[bool, int] | None = None  # the query alone, and whose
+    about_previous: bool = False  # asks for what the statement before left
+    reads_last_id: bool = False
+    sets_last_id: bool = False
+    opaque_after: bool = False  # from here on texts can't be told apart byte by byte
+    chain: bool = False
+    release: bool = False
+    count: int = 1
+    hint: Hint | None = None
+    why: str = ""  # why it is unknown
+
+
+# --- texts to words -----------------------------------------------------------------------------
+
+_WORDS = re.compile(
+    rb"""
+      (?P<string>'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*")
+    | (?P<quoted>`(?:[^`]|``)*`)
+    | (?P<comment>/\*.*?\*/|--(?=[\x00-\x20]|\Z)[^\n]*|\#[^\n]*)
+    | (?P<number>(?:0[xX][0-9A-Fa-f]+|[0-9]+(?:\.[0-9]*)?(?:[eE][+-]?[0-9]+)?|\.[0-9]+)(?![\w$\x80-\xff]))
+    | (?P<variable>@@?(?:[\w$\x80-\xff][\w$.\x80-\xff]*|`(?:[^`]|``)*`
+        |'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*"))
+    | (?P<word>[\w$\x80-\xff]+)
+    | (?P<space>[\x00-\x20]+)
+    | (?P<sign>:=|<=>|<<|>>|<>|!=|<=|>=|\|\||&&|->>|->|.)
+    """,
+    re.X | re.S,
+)
+_HINT = re.compile(rb"/\*\s*brambleusher:(.*)\*/\Z", re.S)
+_LISTS = re.compile(r"\?(?:, \?)+")
+_ROWS = re.compile(r"\(\?\+?\)(?:, \(\?\+?\))+")
+Word = tuple[str, bytes]  # a kind as the pattern names it, and the bytes
+
+
+def words(text: bytes) -> tuple[list[Word], list[bytes], bool]:
+    """The words of a text, its comments, and whether it can be read at all."""
+    out: list[Word] = []
+    comments: list[bytes] = []
+    sound = True
+    for match in _WORDS.finditer(text):
+        kind = match.lastgroup or ""
+        if kind == "space":
+            continue
+        part = match[0]
+        if kind == "comment":
+            comments.append(part)
+            # Comments that the server runs, or half of one: their text is part of the statement.
+            sound &= not part.startswith((b"/*!", b"/*M!"))
+            continue
+        if kind == "sign" and part in b"'\"`":
+            sound = False  # a quote without its end
+        out.append((kind, part))
+    for at in range(len(out) - 1):
+        if out[at][1] == b"/" and out[at + 1][1] == b"*":
+            sound = False  # a comment without its end
+    return out, comments, sound
+
+
+def digest_of(parts: Iterable[Word]) -> str:
+    """The text without literals and with single spaces; lists of literals have one length."""
+    out = []
+    for kind, part in parts:
+        if kind in ("string", "number"):
+            out.append("?")
+        elif kind in ("word", "variable"):
+            out.append(part.decode("utf-8", "replace").lower())
+        else:
+            out.append(part.decode("utf-8", "replace"))
+    text = " ".join(out)
+    text = text.replace(" , ", ", ").replace("( ", "(").replace(" )", ")").replace(" . ", ".")
+    return _ROWS.sub("(?+)+", _LISTS.sub("?+", text))
+
+
+def hint_of(comments: Iterable[bytes]) -> Hint | None:
+    """What a comment asks for: `/* brambleusher: class=… tenant=… deadline_ms=… work_us=… */`.
+
+    What can't be read is left out; a word of it that is wrong harms nothing.
+    """
+    for comment in comments:
+        found = _HINT.match(comment)
+        if found is None:
+            continue
+        given = dict(
+            pair.split("=", 1) for pair in found[1].decode("utf-8", "replace").split() if "=" in pair
+        )
+
+        def number(name: str, given: dict[str, str] = given) -> int | None:
+            value = given.get(name, "")
+            return int(value) if re.fullmatch(r"[0-9]{1,9}", value) else None
+
+        return Hint(
+            given.get("class") or None, given.get("tenant") or None, number("deadline_ms"), number("work_us")
+        )
+    return None
+
+
+# --- words to meaning ---------------------------------------------------------------------------
+
+
+def _names(text: str) -> frozenset[str]:
+    return frozenset(text.split())
+
+
+_DEFINING = _names(
+    "create drop alter truncate rename grant revoke analyze optimize repair check checksum reset purge"
+    " install uninstall flush import cache stop start_replica change"
+)
+# Functions that neither change anything nor depend on what ran before; others may be stored ones.
+_PURE = _names(
+    """abs acos adddate addtime aes_decrypt aes_encrypt any_value ascii asin atan atan2 avg bin
+    bin_to_uuid bit_and bit_count bit_length bit_or bit_xor cast ceil ceiling char char_length
+    character_length charset coalesce coercibility collation compress concat concat_ws connection_id conv
+    convert convert_tz cos cot count crc32 cume_dist curdate current_date current_time current_timestamp
+    current_user current_role curtime database date date_add date_format date_sub datediff day dayname
+    dayofmonth dayofweek dayofyear default degrees dense_rank div elt exists exp export_set extract
+    extractvalue field find_in_set first_value floor format format_bytes from_base64 from_days
+    from_unixtime geomcollection geometrycollection get_format greatest group_concat grouping hex hour
+    icu_version if ifnull in inet6_aton inet6_ntoa inet_aton inet_ntoa insert instr interval is_ipv4
+    is_ipv6 is_uuid isnull json_array json_array_append json_array_insert json_arrayagg json_contains
+    json_contains_path json_depth json_extract json_insert json_keys json_length json_merge
+    json_merge_patch json_merge_preserve json_object json_objectagg json_overlaps json_pretty json_quote
+    json_remove json_replace json_search json_set json_storage_size json_table json_type json_unquote
+    json_valid json_value lag last_day last_value lcase lead least left length linestring ln localtime
+    localtimestamp locate log log10 log2 lower lpad ltrim make_set makedate maketime max md5 member
+    microsecond mid min minute mod month monthname multilinestring multipoint multipolygon not now
+    nth_value ntile nullif oct octet_length ord percent_rank period_add period_diff pi point polygon
+    position pow power quarter quote radians rand random_bytes rank regexp_instr regexp_like
+    regexp_replace regexp_substr repeat replace reverse right round row row_number rpad rtrim schema
+    sec_to_time second session_user sha sha1 sha2 sign sin soundex space sqrt st_area st_asgeojson
+    st_astext st_contains st_distance st_distance_sphere st_geomfromtext st_intersects st_within st_x
+    st_y std stddev stddev_pop stddev_samp str_to_date strcmp subdate substr substring substring_index
+    subtime sum sysdate system_user tan time time_format time_to_sec timediff timestamp timestampadd
+    timestampdiff to_base64 to_days to_seconds trim truncate ucase uncompress uncompressed_length unhex
+    unix_timestamp updatexml upper user utc_date utc_time utc_timestamp uuid uuid_short uuid_to_bin
+    validate_password_strength values var_pop var_samp variance version week weekday weekofyear
+    weight_string year yearweek"""
+)
+_ABOUT_PREVIOUS = frozenset({"row_count", "found_rows"})
+_NEVER_REPLAYED = _names(
+    "insert_id last_insert_id identity timestamp rand_seed1 rand_seed2 pseudo_thread_id pseudo_slave_mode"
+    " pseudo_replica_mode gtid_next sql_log_bin session_track_gtids debug proxy_user external_user"
+)
+_NEXT_ONLY = frozenset({"transaction_isolation", "transaction_read_only", "tx_isolation", "tx_read_only"})
+_OPAQUE_MODES = ("ansi", "no_backslash_escapes")
+_OPAQUE_CHARSETS = _names("big5 sjis gbk gb2312 cp932 gb18030 euckr eucjpms ujis")
+_SCOPES = frozenset({"global", "persist", "persist_only", "session", "local"})
+_ON, _OFF = frozenset({"1", "on", "true"}), frozenset({"0", "off", "false"})
+
+
+def _plain(part: bytes) -> str:
+    """A word or a quoted name without its quotes, in lower case."""
+    text = part.decode("utf-8", "replace")
+    if text[:1] == "`":
+        text = text[1:-1].replace("``", "`")
+    return text.lower()
+
+
+def _unquoted(part: bytes) -> str:
+    text = part.decode("utf-8", "surrogateescape")
+    if text[:1] not in "'\"":
+        return text
+    quote = text[0]
+    return re.sub(r"\\(.)", r"\1", text[1:-1].replace(quote * 2, quote), flags=re.S)
+
+
+class _Reader:
+    """Reads the meaning of one statement out of its words."""
+
+    def __init__(self, parts: list[Word], digest: str) -> None:
+        self.parts, self.digest = parts, digest
+        self.names = [_plain(part) if kind in ("word", "quoted", "variable") else "" for kind, part in parts]
+
+    def unknown(self, why: str) -> Statement:
+        return Statement(Kind.UNKNOWN, self.digest, ties=((Tie.UNKNOWN, ""),), why=why)
+
+    def read(self) -> Statement:
+        """The statement's meaning."""
+        if not self.parts:
+            return Statement(Kind.EMPTY, self.digest)
+        names, first = self.names, self.names[0]
+        second = names[1] if len(names) > 1 else ""
+        if first in ("begin",) or (first, second) == ("start", "transaction"):
+            return Statement(Kind.BEGIN, self.digest)
+        if first in ("commit", "rollback"):
+            return self._end_of_transaction(first)
+        if first == "savepoint" or (first, second) == ("release", "savepoint"):
+            return Statement(Kind.SAVEPOINT, self.digest)
+        if first == "set":
+            return self._set()
+        if first == "use" and len(self.parts) == 2:
+            name = self.parts[1][1].decode("utf-8", "replace").strip("`").replace("``", "`")
+            return Statement(Kind.USE, self.digest, schema=name)
+        if first == "kill":
+            return self._kill()
+        if first == "lock" or (first == "flush" and "lock" in names):
+            return Statement(Kind.LOCK, self.digest, ties=((Tie.TABLE_LOCKS, ""),))
+        if first == "unlock":
+            return Statement(Kind.UNLOCK, self.digest, lifts=((Tie.TABLE_LOCKS, ""),))
+        if first == "load":
+            return Statement(Kind.LOCAL_FILE if "local" in names[:4] else Kind.WRITE, self.digest)
+        if first in ("prepare", "execute", "deallocate"):
+            return Statement(Kind.UNKNOWN, self.digest, ties=((Tie.PREPARED, ""),), why="prepared in SQL")
+        if first == "get" and "diagnostics" in names[:3]:
+            return replace(self.unknown("diagnostics into variables"), about_previous=True)
+        if first in _DEFINING:
+            return self._define()
+        if first == "show":
+            return self._show(second, names)
+        if first in ("select", "with", "values", "table", "insert", "replace", "update", "delete", "explain",
+                     "describe", "desc", "do") or self.parts[0][1] == b"(":  # fmt: skip
+            return self._query(first)
+        return self.unknown(f"{first or 'it'} is not told apart")
+
+    def _end_of_transaction(self, first: str) -> Statement:
+        names = [name for name in self.names[1:] if name != "work"]
+        if first == "rollback" and names[:1] == ["to"]:
+            return Statement(Kind.SAVEPOINT, self.digest)
+        text = " ".join(names)
+        known = {"": (False, False), "and chain": (True, False), "and no chain": (False, False),
+                 "release": (False, True), "no release": (False, False),
+                 "and no chain release": (False, True), "and no chain no release": (False, False),
+                 "and chain no release": (True, False)}  # fmt: skip
+        if text not in known:
+            return self.unknown("an end of a transaction that is not told apart")
+        kind = Kind.COMMIT if first == "commit" else Kind.ROLLBACK
+        return Statement(kind, self.digest, chain=known[text][0], release=known[text][1])
+
+    def _kill(self) -> Statement:
+        names, (kind, last) = self.names, self.parts[-1]
+        if kind != "number" or not last.isdigit() or len(last) > 20:
+            return self.unknown("KILL of something other than a number")
+        if len(names) == 2 or (len(names) == 3 and names[1] in ("query", "connection")):
+            return Statement(Kind.KILL, self.digest, kill=(names[1] == "query", int(last)))
+        return self.unknown("KILL of something other than a number")
+
+    def _define(self) -> Statement:
+        names = self.names
+        if names[0] == "create" and "temporary" in names[1:4]:
+            at = names.index("table") + 1 if "table" in names else len(names)
+            if names[at : at + 3] == ["if", "not", "exists"]:
+                at += 3
+            return Statement(
+                Kind.DEFINE, self.digest, ties=((Tie.TEMPORARY_TABLE, self._name(at)[0]),), plain_read=False
+            )
+        if names[0] == "drop" and "table" in names[1:3]:
+            at = names.index("table") + 1
+            if names[at : at + 2] == ["if", "exists"]:
+                at += 2
+            lifts = []
+            while at < len(names):
+                name, at = self._name(at)
+                lifts.append((Tie.TEMPORARY_TABLE, name))
+                if at >= len(names) or self.parts[at][1] != b",":
+                    break
+                at += 1
+            return Statement(Kind.DEFINE, self.digest, lifts=tuple(lifts))
+        return Statement(Kind.DEFINE, self.digest)
+
+    def _name(self, at: int) -> tuple[str, int]:
+        """A table's name without its schema, and where the words go on."""
+        if at >= len(self.names):
+            return "", at
+        name = self.names[at]
+        if at + 2 < len(self.names) and self.parts[at + 1][1] == b".":
+            return self.names[at + 2], at + 3
+        return name, at + 1
+
+    def _show(self, second: str, names: list[str]) -> Statement:
+        about = second in ("warnings", "errors") or (
+            second == "count" and bool({"warnings", "errors"} & set(names))
+        )
+        return Statement(Kind.READ, self.digest, plain_read=not about, about_previous=about)
+
+    # --- SET ------------------------------------------------------------------------------------
+
+    def _set(self) -> Statement:
+        items: list[list[int]] = [[]]
+        depth = 0
+        for at in range(1, len(self.parts)):
+            part = self.parts[at][1]
+            depth += (part == b"(") - (part == b")")
+            if part == b"," and not depth:
+                items.append([])
+            else:
+                items[-1].append(at)
+        out = Statement(Kind.SET, self.digest)
+        scope = ""
+        for item in items:
+            if not item:
+                return self.unknown("a SET without a name")
+            out, scope = self._set_item(out, item, scope)
+            if out.kind is Kind.UNKNOWN:
+                return out
+        return out
+
+    def _text(self, item: list[int]) -> str:
+        return b" ".join(self.parts[at][1] for at in item).decode("utf-8", "surrogateescape")
+
+    def _set_item(self, out: Statement, item: list[int], scope: str) -> tuple[Statement, str]:
+        names = [self.names[at] for at in item]
+        first = names[0]
+        if first in ("names", "charset") or names[:2] == ["character", "set"]:
+            rest = item[1:] if first != "character" else item[2:]
+            charset = _unquoted(self.parts[rest[0]][1]).lower() if rest else ""
+            opaque = charset in _OPAQUE_CHARSETS
+            pair = ("names", self._text(item))
+            opaque = opaque or out.opaque_after
+            return replace(out, settings=(*out.settings, pair), opaque_after=opaque), scope
+        if first in ("password", "default") or (first == "resource"):
+            return replace(self.unknown("a SET of accounts"), kind=Kind.UNKNOWN), scope
+        if first == "role":
+            return replace(out, ties=(*out.ties, (Tie.SETTING, "role"))), scope
+        if first in _SCOPES:
+            scope, item, names = first, item[1:], names[1:]
+            first = names[0] if names else ""
+        if first == "transaction":
+            if scope in ("session", "local"):
+                words_ = [each for each in names[1:] if each]
+                key = "transaction access" if "read" in words_[:1] else "transaction isolation"
+                return replace(out, settings=(*out.settings, (key, "SESSION " + self._text(item)))), scope
+            tie = () if scope else ((Tie.NEXT_TRANSACTION, ""),)
+            return replace(out, ties=(*out.ties, *tie)), scope
+        if len(item) < 3 or self.parts[item[1]][1] not in (b"=", b":="):
+            return self.unknown("a SET that is not told apart"), scope
+        value = item[2:]
+        kind, part = self.parts[item[0]]
+        if kind == "variable" and not part.startswith(b"@@"):
+            return replace(out, ties=(*out.ties, (Tie.USER_VARIABLE, first[1:]))), scope
+        explicit = scope
+        if kind == "variable":
+            name = first[2:]
+            head, dot, tail = name.partition(".")
+            explicit = head if dot and head in _SCOPES else ""
+            name = tail if explicit else name
+            if not explicit and name in _NEXT_ONLY:
+                return replace(out, ties=(*out.ties, (Tie.NEXT_TRANSACTION, name))), scope
+        else:
+            name = first
+        if explicit in ("global", "persist", "persist_only"):
+            return out, scope
+        return self._setting(out, name, value), scope
+
+    def _setting(self, out: Statement, name: str, value: list[int]) -> Statement:
+        sign = self.parts[value[0]][1] in (b"-", b"+")
+        kind, part = self.parts[value[-1]]
+        constant = len(value) == 1 + sign and kind in ("string", "number", "word")
+        if not constant or name in _NEVER_REPLAYED or not re.fullmatch(r"[a-z0-9_.]+", name):
+            last_id = name in ("last_insert_id", "identity")
+            return replace(
+                out, ties=(*out.ties, (Tie.SETTING, name)), sets_last_id=out.sets_last_id or last_id
+            )
+        text = _unquoted(part).lower()
+        if name == "autocommit":
+            if text in _ON | _OFF:
+                return replace(out, autocommit=text in _ON)
+            return replace(out, ties=(*out.ties, (Tie.SETTING, name)))
+        opaque = out.opaque_after or (name == "sql_mode" and any(mode in text for mode in _OPAQUE_MODES))
+        opaque = opaque or (name == "character_set_client" and text in _OPAQUE_CHARSETS)
+        pair = (name, f"SESSION {name} = {self._text(value).replace(' ', '') if sign else self._text(value)}")
+        return replace(out, settings=(*out.settings, pair), opaque_after=opaque)
+
+    # --- what sqlglot is asked ------------------------------------------------------------------
+
+    def _query(self, first: str) -> Statement:
+        """SELECT and the like, by the tree that sqlglot makes of it with its literals put aside."""
+        names = self.names
+        source = []
+        for kind, part in self.parts:
+            if kind == "string":
+                source.append("'s'")
+            elif kind == "number":
+                source.append("1")
+            else:
+                source.append(part.decode("utf-8", "replace"))
+        if first == "replace":
+            source[0] = "INSERT"
+        elif first == "do":
+            source[0] = "SELECT"
+        if first == "insert" or first == "replace":
+            how = ("low_priority", "high_priority", "delayed", "ignore")
+            source = [word for at, word in enumerate(source) if not 0 < at <= 2 or word.lower() not in how]
+        tree = _parse(" ".join(source))
+        if tree is None:
+            return self.unknown("it can't be parsed")
+        return self._judge(first, tree, names)
+
+    def _judge(self, first: str, tree: Any, names: list[str]) -> Statement:
+        from sqlglot import exp
+
+        writes = (exp.Insert, exp.Update, exp.Delete, exp.Merge)
+        ties: list[tuple[Tie, str]] = []
+        plain, about, reads_id, sets_id = True, False, False, False
+        lifts: list[tuple[Tie, str]] = []
+        for node in tree.walk():
+            if isinstance(node, (*writes, exp.Lock, exp.Into, exp.Command, exp.Create, exp.Drop)):
+                plain = False
+                if isinstance(node, exp.Command):
+                    return self.unknown("part of it is not told apart")
+                if isinstance(node, exp.Into):
+                    ties += [(Tie.USER_VARIABLE, _sql(each)) for each in node.find_all(exp.Parameter)]
+            elif isinstance(node, exp.PropertyEQ) and isinstance(node.this, exp.Parameter):
+                plain = False
+                ties.append((Tie.USER_VARIABLE, _sql(node.this)))
+        # What looks like a call, told by its words: sqlglot renames some functions and drops others.
+        for at, name in enumerate(names):
+            if not name or at + 1 >= len(names) or self.parts[at + 1][1] != b"(":
+                continue
+            if self.parts[at][0] != "word" or name in _PURE or not self._is_call(at):
+                continue
+            if name in ("get_lock", "release_lock", "release_all_locks", "is_free_lock", "is_used_lock"):
+                plain = False
+                lock = self._literal(at + 2)
+                if name == "get_lock":
+                    ties.append((Tie.NAMED_LOCK, lock or "?"))
+                elif name == "release_all_locks":
+                    lifts.append((Tie.NAMED_LOCK, ""))
+                elif name == "release_lock" and lock:
+                    lifts.append((Tie.NAMED_LOCK, lock))
+            elif name == "last_insert_id":
+                bare = self.parts[at + 2][1] == b")" if at + 2 < len(self.parts) else False
+                reads_id, sets_id = reads_id or bare, sets_id or not bare
+                plain = plain and bare
+            elif name in _ABOUT_PREVIOUS:
+                about, plain = True, False
+            else:
+                plain = False  # it may be a stored function, and those may write
+        for name in names:
+            if name in ("@@identity", "@@last_insert_id", "@@session.identity", "@@session.last_insert_id"):
+                reads_id = True
+            elif name in ("@@warning_count", "@@error_count"):
+                about, plain = True, False
+        if ":=" in {part.decode("latin-1") for _, part in self.parts}:
+            plain = False
+            if not any(tie is Tie.USER_VARIABLE for tie, _ in ties):
+                ties.append((Tie.USER_VARIABLE, "?"))
+        if "into" in names and first in ("select", "with") and not ties:
+            plain = False
+            if any(kind == "variable" for kind, _ in self.parts[names.index("into") :]):
+                ties.append((Tie.USER_VARIABLE, "?"))
+        if "sql_calc_found_rows" in names:
+            ties.append((Tie.DIAGNOSTICS, ""))
+        write = first in ("insert", "replace", "update", "delete") or any(
+            isinstance(node, writes) for node in tree.walk()
+        )
+        if first in ("explain", "describe", "desc"):
+            write, plain = False, plain and not write
+        return Statement(
+            Kind.WRITE if write else Kind.READ, self.digest, plain and not write, tuple(ties), tuple(lifts),
+            about_previous=about, reads_last_id=reads_id, sets_last_id=sets_id,
+        )  # fmt: skip
+
+    def _is_call(self, at: int) -> bool:
+        """Whether a word before a parenthesis may be a function's name."""
+        name = self.names[at]
+        if name in _NO_CALL:
+            return False
+        before = self.names[at - 1] if at else ""
+        return before not in _NAME_FOLLOWS
+
+    def _literal(self, at: int) -> str:
+        if at < len(self.parts) and self.parts[at][0] == "string":
+            return _unquoted(self.parts[at][1]).lower()
+        return ""
+
+
+_NAME_FOLLOWS = _names("into table from join as update index key using with recursive partition")
+_NO_CALL = _names(
+    """and or not in values value select from where on using set as when then else case by having limit
+    union all any some exists between like is row over partition key index primary unique into table join
+    interval with except intersect distinct match against binary return rows range xor div mod order group
+    references check default offset update for decimal numeric float double char varchar varbinary
+    signed unsigned bit datetime text blob enum fulltext spatial columns tables current"""
+)
+
+
+def _sql(node: Any) -> str:
+    return str(node.sql(dialect="mysql")).lstrip("@").lower()
+
+
+def _parse(source: str) -> Any:
+    """The tree of one statement; None where sqlglot makes none."""
+    try:
+        import sqlglot
+        from sqlglot.errors import SqlglotError
+    except ImportError:
+        raise RuntimeError("statements are told apart by sqlglot: install brambleusher[mysql]") from None
+    try:
+        trees = sqlglot.parse(source, dialect="mysql")
+    except (SqlglotError, RecursionError, ValueError, AttributeError, TypeError, IndexError, KeyError):
+        # Guards against a session that ends over a statement which the parser trips on.
+        return None
+    return trees[0] if len(trees) == 1 and trees[0] is not None else None
+
+
+# --- texts to statements ------------------------------------------------------------------------
+
+_DATA_WORDS = (b"insert", b"replace", b"update", b"delete")
+_MARKS = re.compile(rb"@|get_lock|release_|last_insert_id|/\*!|found_rows|row_count", re.I)
+
+
+class Statements:
+    """Tells texts apart, and remembers what it was told of their digests."""
+
+    def __init__(self, digests: int = CACHED_DIGESTS, texts: int = CACHED_TEXTS) -> None:
+        self._by_digest: OrderedDict[tuple[str, bool], Statement] = OrderedDict()
+        self._by_text: OrderedDict[tuple[bytes, bool], Statement] = OrderedDict()
+        self._most_digests, self._most_texts = digests, texts
+        self.parsed = 0
+        # Guards against the texts of statements in a log: sqlglot warns with them.
+        logging.getLogger("sqlglot").setLevel(logging.CRITICAL)
+
+    def __len__(self) -> int:
+        """Digests that are remembered."""
+        return len(self._by_digest)
+
+    def tell(self, text: bytes, multi: bool = False, opaque: bool = False) -> Statement:
+        """What a text means; `multi`: it may hold several statements, `opaque`: it can't be read."""
+        if opaque:
+            return Statement(Kind.UNKNOWN, "?", ties=((Tie.UNKNOWN, ""),), why="quotes can't be told here")
+        key = (text, multi)
+        if (known := self._by_text.get(key)) is not None:
+            self._by_text.move_to_end(key)
+            return known
+        statement = self._long(text, multi) if len(text) > MAX_TEXT else self._tell(text, multi)
+        if len(text) <= CACHED_TEXT_BYTES:
+            self._by_text[key] = statement
+            if len(self._by_text) > self._most_texts:
+                self._by_text.popitem(last=False)
+        return statement
+
+    def _long(self, text: bytes, multi: bool) -> Statement:
+        """One too long to be read: by its first word, and by marks that it might do more."""
+        first = text[:64].lstrip().split(None, 1)[0].lower() if text[:64].strip() else b""
+        if first in _DATA_WORDS and not multi and not _MARKS.search(text):
+            return Statement(Kind.WRITE, f"{first.decode()} …")
+        return Statement(
+            Kind.UNKNOWN, "…", ties=((Tie.UNKNOWN, ""),), why=f"it is longer than {MAX_TEXT} bytes"
+        )
+
+    def _tell(self, text: bytes, multi: bool) -> Statement:
+        parts, comments, sound = words(text)
+        hint = hint_of(comments)
+        digest = digest_of(parts)
+        if not sound:
+            why = "comments that run, or quotes without end"
+            return Statement(Kind.UNKNOWN, digest, ties=((Tie.UNKNOWN, ""),), hint=hint, why=why)
+        key = (digest, multi)
+        statement_ = self._by_digest.get(key)
+        if statement_ is not None:
+            self._by_digest.move_to_end(key)
+        else:
+            statement_ = self._read(parts, digest, multi)
+            if not _by_literals(statement_):
+                self._by_digest[key] = statement_
+                if len(self._by_digest) > self._most_digests:
+                    self._by_digest.popitem(last=False)
+        return statement_ if hint is None else replace(statement_, hint=hint)
+
+    def _read(self, parts: list[Word], digest: str, multi: bool) -> Statement:
+        self.parsed += 1
+        while parts and parts[-1][1] == b";":
+            parts = parts[:-1]
+        single: list[list[Word]] = [[]]
+        for part in parts:
+            if part[1] == b";":
+                single.append([])
+            else:
+                single[-1].append(part)
+        if len(single) == 1:
+            return _Reader(parts, digest).read()
+        if not multi or len(single) > MAX_STATEMENTS:
+            # Without the flag the server refuses it; whatever it does is not guessed.
+            return _Reader(parts, digest).unknown("several statements in one text")
+        return _together([_Reader(each, digest).read() for each in single if each], digest)
+
+
+def _by_literals(statement: Statement) -> bool:
+    """Whether two texts of one digest may differ in meaning."""
+    named = {Tie.NAMED_LOCK, Tie.TEMPORARY_TABLE, Tie.USER_VARIABLE}
+    return (
+        bool(statement.settings or statement.kill is not None or statement.autocommit is not None)
+        or statement.kind is Kind.SET
+        or any(tie in named for tie, _ in (*statement.ties, *statement.lifts))
+    )
+
+
+def _together(each: list[Statement], digest: str) -> Statement:
+    """Several statements of one text as one: whatever any of them does."""
+    if not each:
+        return Statement(Kind.EMPTY, digest)
+    reads = all(one.plain_read for one in each)
+    kinds = {one.kind for one in each}
+    if kinds & {Kind.KILL, Kind.LOCAL_FILE}:
+        return Statement(
+            Kind.UNKNOWN, digest, ties=((Tie.UNKNOWN, ""),), why="KILL or LOCAL among several statements"
+        )
+    ties = tuple(dict.fromkeys(tie for one in each for tie in one.ties))
+    # What is lifted among several is not counted on: an error may have ended them before.
+    return Statement(
+        Kind.READ if reads else Kind.UNKNOWN if Kind.UNKNOWN in kinds else Kind.WRITE,
+        digest, reads, ties,
+        settings=tuple(pair for one in each for pair in one.settings),
+        autocommit=next((one.autocommit for one in reversed(each) if one.autocommit is not None), None),
+        schema=next((one.schema for one in reversed(each) if one.schema is not None), None),
+        about_previous=each[0].about_previous,
+        reads_last_id=any(one.reads_last_id for one in each),
+        sets_last_id=any(one.sets_last_id for one in each),
+        opaque_after=any(one.opaque_after for one in each),
+        release=any(one.release for one in each),
+        count=len(each),
+        why="; ".join(one.why for one in each if one.why),
+    )  # fmt: skip
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -179,13 +179,22 @@
     # --- claims ---------------------------------------------------------------------------------
 
     def claim(
-        self, name: str, payload: object, timeout_ns: int, deadline: float, ended: Callable[[Outcome], None]
+        self,
+        name: str,
+        payload: object,
+        timeout_ns: int,
+        deadline: float,
+        ended: Callable[[Outcome], None],
+        begun: Callable[[object], None] | None = None,
     ) -> Claim:
-        """Start a claim; `ended` is called once, whatever happens."""
+        """Start a claim; `ended` is called once, whatever happens.
+
+        `begun` is never called: an answer of HTTP is whole before any of it goes out.
+        """
         if not isinstance(payload, Message):
             raise TypeError("execute nodes are spoken to in HTTP alone")
-        claim, begun = Claim(), self._scheduler.now()
-        limit = min(deadline, begun + timeout_ns / 1e9) if timeout_ns else deadline
+        claim, start = Claim(), self._scheduler.now()
+        limit = min(deadline, start + timeout_ns / 1e9) if timeout_ns else deadline
 
         def run() -> None:
             outcome: tuple[Status, LoadReport | None, Message | None] = Status.ERROR, None, None
@@ -203,7 +212,7 @@
             finally:
                 if node is not None:
                     node.claims.discard(claim)
-                latency = int((self._scheduler.now() - begun) * 1e9)
+                latency = int((self._scheduler.now() - start) * 1e9)
                 ended(Outcome(outcome[0], latency, outcome[1], outcome[2]))
 
         self._scheduler.spawn(run, name=f"claim {name}")
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum
+from typing import Protocol
 
 from brambleusher.counters import Counters
 from brambleusher.decisions import (
+    AnswerBegun,
     Call,
     ClaimEnded,
     Clock,
@@ -21,7 +23,7 @@
     Ticket,
 )
 from brambleusher.features.rewrites import Rewrites, end_to_end
-from brambleusher.net.execute_nodes import Claim, ExecuteNodes
+from brambleusher.net.execute_nodes import ExecuteNodes
 from brambleusher.net.http import Field, HttpError, Message, MessageReader, write_response
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
@@ -71,10 +73,36 @@
     has_left: Callable[[], bool]
 
 
+class ClaimUnderWay(Protocol):
+    """A claim, as the request it was made for sees it."""
+
+    def call_off(self) -> None:
+        """Give it up; its end is told all the same."""
+
+
+class ClaimSide(Protocol):
+    """The nodes, in some protocol."""
+
+    def claim(
+        self,
+        name: str,
+        payload: object,
+        timeout_ns: int,
+        deadline: float,
+        ended: Callable[[Outcome], None],
+        begun: Callable[[object], None],
+        /,
+    ) -> ClaimUnderWay:
+        """Start a claim; `ended` is called once, whatever happens.
+
+        `begun` may be called once before, with a payload: the answer is on its way out from then on.
+        """
+
+
 class RequestLife:
     """Lives of requests, in whatever protocol they came."""
 
-    def __init__(self, decisions: Decisions, nodes: ExecuteNodes, scheduler: Scheduler) -> None:
+    def __init__(self, decisions: Decisions, nodes: ClaimSide, scheduler: Scheduler) -> None:
         self._decisions, self._nodes, self._scheduler = decisions, nodes, scheduler
 
     def live(self, call: Call, deadline: float, submitter: Submitter) -> Answer | None:
@@ -83,8 +111,8 @@
         The module is asked at each point of choice: when the request comes, and whenever a claim
         made for it has ended.  `deadline` is when the answer must leave.
         """
-        ticket = self._decisions.take(call)
-        claims: dict[int, Claim] = {}
+        ticket, began_at = self._decisions.take(call), self._scheduler.now()
+        claims: dict[int, ClaimUnderWay] = {}
         try:
             while True:
                 # 1. Wait for the module's next step, a claim's end or the submitter's leaving.
@@ -101,8 +129,13 @@
                     def ended(outcome: Outcome, made: MakeClaim = step) -> None:
                         self._decisions.claim_ended(ticket, ClaimEnded(made.attempt, made.node, outcome))
 
+                    def begun(payload: object, made: MakeClaim = step) -> None:
+                        took = int((self._scheduler.now() - began_at) * 1e9)
+                        news = AnswerBegun(made.attempt, made.node, took, payload)
+                        self._decisions.claim_begun(ticket, news)
+
                     claims[step.attempt] = self._nodes.claim(
-                        step.node, call.payload, step.timeout_ns, deadline, ended
+                        step.node, call.payload, step.timeout_ns, deadline, ended, begun
                     )
                 elif isinstance(step, Cancel):
                     claims[step.attempt].call_off()
@@ -112,7 +145,14 @@
                     self._decisions.ended(ticket, step, closed=served)
                     if served:
                         return Answer(Kind.SERVED, payload=step.outcome.payload)
-                # 4. The module has given up on it: the answer goes out at once.
+                # 4. An answer has begun: from here on it is its protocol's, and no other claim is wanted.
+                elif isinstance(step, AnswerBegun):
+                    self._decisions.began(ticket, step)
+                    for attempt, claim in claims.items():
+                        if attempt != step.attempt:
+                            claim.call_off()
+                    return Answer(Kind.SERVED, payload=step.payload)
+                # 5. The module has given up on it: the answer goes out at once.
                 elif isinstance(step, Refuse):
                     wait = min(step.retry_after_ns, self._decisions.settings.max_retry_after_ns)
                     return Answer(Kind.REFUSED, wait)
--- a/brambleusher/operator_file.py
+++ b/brambleusher/operator_file.py
@@ -7,11 +7,14 @@
 
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brambleusher.net.http import HOP_BY_HOP, is_token, is_value
 from brambleusher.runtime.streams import parse_address
 
+if TYPE_CHECKING:
+    from brambleusher.fronts.mysql.settings import MysqlSettings
+
 MAX_FILE = 256 * 1024
 MAX_RULES, MAX_VALUE = 256, 4096
 # What the decisions, the execute nodes and the bookkeeping of both rely on.
@@ -87,6 +90,7 @@
     figures: FiguresSettings | None = None
     status: StatusSettings | None = None
     capture: CaptureSettings | None = None
+    mysql: MysqlSettings | None = None
 
 
 class Section:
@@ -245,6 +249,12 @@
     return settings
 
 
+def _mysql(raw: Any) -> MysqlSettings:
+    from brambleusher.fronts.mysql.settings import parse_mysql  # here: a sidecar without it loads none of it
+
+    return parse_mysql(raw)
+
+
 def _decode(text: bytes) -> Any:
     """YAML by the safe loader, with texts for keys and none of them twice."""
     import yaml  # here, so that a sidecar without an operator file doesn't pay for it
@@ -282,6 +292,7 @@
         status=_status(section.take("status")),
         capture=_capture(section.take("capture")) if section.has("capture") else None,
         figures=_figures(section.take("figures")) if section.has("figures") else None,
+        mysql=_mysql(section.take("mysql")) if section.has("mysql") else None,
     )
     section.end()
     return settings
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -8,6 +8,7 @@
 import signal
 from collections.abc import Callable
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from brambleusher.config import Config, ConfigError, fixed_keys_changed
 from brambleusher.counters import Counters
@@ -28,6 +29,10 @@
 from brambleusher.runtime.system import Sink, System
 from quillpass.api import ListKind
 
+if TYPE_CHECKING:
+    from brambleusher.fronts.mysql.service import MysqlService
+    from brambleusher.fronts.mysql.settings import MysqlSettings
+
 log = logging.getLogger(__name__)
 
 SPARE_DESCRIPTORS = 32  # the watch, the listener, the log, files that the runtime opens
@@ -42,6 +47,8 @@
 # too few connections on a small machine, and claims find none: that looks like execute nodes that are full.
 MEMORY_OF_RUNTIME = 20 * 1024 * 1024
 MEMORY_OF_BUFFERS = 2 * 1024 * 1024  # of the runtime's, for features; 16 MB measured with the usual ones on
+MEMORY_OF_MYSQL = 48 * 1024 * 1024  # its libraries and what it remembers of statements
+MEMORY_PER_SESSION = 48 * 1024  # one that waits has less than half of it
 MEMORY_PER_CONNECTION = 64 * 1024  # a body of the largest size; usual ones have a few hundred bytes
 
 
@@ -80,6 +87,9 @@
         memory = config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
         memory -= memory_of_features(operator, memory // 2)
         spare = SPARE_DESCRIPTORS + (DESCRIPTORS if operator.status is not None else 0)
+        if operator.mysql is not None:
+            memory -= self._memory_of_mysql(operator.mysql, memory)
+            spare += self._descriptors_of_mysql(operator.mysql, config.limits.sockets - spare)
         places = min(config.limits.sockets - spare, memory // MEMORY_PER_CONNECTION)
         for_nodes = max(int(places * NODE_PART), 8)
         self.nodes = ExecuteNodes(
@@ -102,12 +112,13 @@
             self._listed,
             lambda: self.decisions.listed(ListKind.FAILED, ()),
         )
-        self.decisions.on_let_go = self.nodes.let_go
+        self.decisions.on_let_go = self._let_go
         self.decisions.on_subscribe = self.machine_list.ask
         self.submitters = Submitters(
             self.scheduler, self.decisions, self.nodes, self.clock, self.counters,
             max(places - for_nodes, 8), self.is_ready, self._rewrites(operator),
         )  # fmt: skip
+        self.mysql = None if operator.mysql is None else self._mysql(operator.mysql)
         self._started_at = self.scheduler.now()
         self._ending = self._wound_down = False
 
@@ -147,6 +158,34 @@
             log.warning("a rewrite names a class that is not served", extra={"fields": {"class": name}})
         return rewrites
 
+    @staticmethod
+    def _memory_of_mysql(settings: MysqlSettings, most: int) -> int:
+        need = MEMORY_OF_MYSQL + settings.sessions * MEMORY_PER_SESSION + settings.memory_mb * 1024 * 1024
+        if need > most // 2:
+            # Guards against a sidecar killed for its memory once its sessions are all there.
+            raise OperatorError("mysql.sessions and mysql.memory_mb don't fit in limits.memory_mb")
+        return need
+
+    @staticmethod
+    def _descriptors_of_mysql(settings: MysqlSettings, most: int) -> int:
+        need = settings.sessions + settings.connections_total
+        if need > most // 2:
+            raise OperatorError("mysql.sessions and mysql.connections_total don't fit in limits.sockets")
+        return need
+
+    def _mysql(self, settings: MysqlSettings) -> MysqlService:
+        from brambleusher.fronts.mysql.service import MysqlService  # here: it loads what an extra brings
+
+        return MysqlService(
+            settings, self.config.settings, self.config.seed, self.scheduler, self.decisions, self.clock,
+            self.counters,
+        )  # fmt: skip
+
+    def _let_go(self, node: str) -> None:
+        self.nodes.let_go(node)
+        if self.mysql is not None:
+            self.mysql.nodes.let_go(node)
+
     def is_ready(self) -> bool:
         """Whether submitters may come."""
         waited = self.scheduler.now() - self._started_at >= READY_SECONDS
@@ -167,6 +206,8 @@
         if self.status is not None:
             self.status.listed(known)
             self.status.start(self.config.listen[0])
+        if self.mysql is not None:
+            self.mysql.start(known)
         where = self.submitters.listen(self.config.listen)
         log.info(
             "listening", extra={"fields": {"node": self.config.name, "address": f"{where[0]}:{where[1]}"}}
@@ -222,6 +263,8 @@
             self.capture.listed(update)
         # The connections first: what the module sends from here on goes by the same list.
         self.nodes.update(update)
+        if self.mysql is not None:
+            self.mysql.nodes.update(update)
         kind = ListKind.FULL if update.full else ListKind.DELTA
         self.decisions.listed(kind, [machine.entry for machine in update.machines])
 
@@ -261,12 +304,15 @@
     def _wind_down(self) -> None:
         self.submitters.wind_down()
         self.nodes.close()
+        if self.mysql is not None:
+            self.mysql.wind_down()
         if self.status is not None:
             self.status.stop()
         self._wound_down = True
 
     def _over(self) -> bool:
-        return self._wound_down and not self.submitters.connections
+        open_sessions = 0 if self.mysql is None else self.mysql.front.connections
+        return self._wound_down and not self.submitters.connections and not open_sessions
 
 
 def serve(
