--- a/brambleusher/fronts/mysql/service.py
+++ b/brambleusher/fronts/mysql/service.py
@@ -41,6 +41,7 @@
         check_against(settings, platform)
         users, passwords, rsa, node_key = load_secrets(settings)
         self._settings, self._scheduler = settings, scheduler
+        self.address: tuple[str, int] | None = None  # where it listens
         try:
             self.nodes = MysqlNodes(scheduler, platform, settings, passwords, counters, node_key)
             self.front = Front(
@@ -54,7 +55,7 @@
         """Listen; says where."""
         self.nodes.update(known)
         self._scheduler.spawn(self.nodes.reap, name="mysql reap")
-        where = self.front.listen(self._settings.listen)
+        self.address = where = self.front.listen(self._settings.listen)
         log.info("listening for MySQL", extra={"fields": {"address": f"{where[0]}:{where[1]}"}})
         return where
 
--- a/brambleusher/fronts/mysql/session.py
+++ b/brambleusher/fronts/mysql/session.py
@@ -63,7 +63,7 @@
     ),
     Tie.UNKNOWN: TieRule("a statement with unknown effects (CALL, HANDLER, XA, …)", "a reset"),
 }
-_TO_RESET = frozenset({Tie.USER_VARIABLE, Tie.SETTING, Tie.PREPARED, Tie.UNKNOWN})
+_LASTING = int(Status.IN_TRANS | Status.AUTOCOMMIT | Status.NO_BACKSLASH_ESCAPES | Status.IN_TRANS_READONLY)
 _NO_DATA = frozenset({Kind.SET, Kind.USE, Kind.KILL, Kind.EMPTY, Kind.BEGIN})
 
 
@@ -219,7 +219,7 @@
     def _settle_status(self, reply: ReplyRelay, told: bool) -> None:
         if not told:
             return  # an error has no status: whatever was open may still be
-        self.status = reply.status
+        self.status = reply.status & _LASTING
         if reply.status & Status.IN_TRANS:
             self.tie(Tie.TRANSACTION)
         else:
--- a/brambleusher/fronts/mysql/statements.py
+++ b/brambleusher/fronts/mysql/statements.py
@@ -111,7 +111,8 @@
 )
 _HINT = re.compile(rb"/\*\s*brambleusher:(.*)\*/\Z", re.S)
 _LISTS = re.compile(r"\?(?:, \?)+")
-_ROWS = re.compile(r"\(\?\+?\)(?:, \(\?\+?\))+")
+_ROWS = re.compile(r"(\(\?\+?\))(?:, \(\?\+?\))+")
+_ONE = re.compile(r"\b(in|values|value) \(\?\)")
 Word = tuple[str, bytes]  # a kind as the pattern names it, and the bytes
 
 
@@ -151,7 +152,7 @@
             out.append(part.decode("utf-8", "replace"))
     text = " ".join(out)
     text = text.replace(" , ", ", ").replace("( ", "(").replace(" )", ")").replace(" . ", ".")
-    return _ROWS.sub("(?+)+", _LISTS.sub("?+", text))
+    return _ONE.sub(r"\1 (?+)", _ROWS.sub(r"\1", _LISTS.sub("?+", text)))
 
 
 def hint_of(comments: Iterable[bytes]) -> Hint | None:
@@ -272,7 +273,7 @@
             return self._set()
         if first == "use" and len(self.parts) == 2:
             name = self.parts[1][1].decode("utf-8", "replace").strip("`").replace("``", "`")
-            return Statement(Kind.USE, self.digest, schema=name)
+            return Statement(Kind.USE, self.digest, plain_read=True, schema=name)
         if first == "kill":
             return self._kill()
         if first == "lock" or (first == "flush" and "lock" in names):
@@ -374,7 +375,9 @@
             out, scope = self._set_item(out, item, scope)
             if out.kind is Kind.UNKNOWN:
                 return out
-        return out
+        constants = len(out.settings) + (out.autocommit is not None)
+        # Nothing but constants of this session: it may be repeated.
+        return replace(out, plain_read=not out.ties and constants == len(items))
 
     def _text(self, item: list[int]) -> str:
         return b" ".join(self.parts[at][1] for at in item).decode("utf-8", "surrogateescape")
--- /dev/null
+++ b/tests/test_mysql_statements.py
@@ -0,0 +1,304 @@
+"""Statements told apart, and what each does to its session: the table of ties, line by line."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from brambleusher.fronts.mysql.constants import Capability, Command, Errno, Status
+from brambleusher.fronts.mysql.messages import Err, Execute, Ok, Prepared
+from brambleusher.fronts.mysql.packets import ProtocolError, frame
+from brambleusher.fronts.mysql.replies import ReplyRelay
+from brambleusher.fronts.mysql.session import MAX_PREPARED, TIES, Session, replay_text
+from brambleusher.fronts.mysql.statements import Hint, Kind, Statement, Statements, Tie, digest_of, words
+
+TELL = Statements()
+CAPS = int(Capability.PROTOCOL_41 | Capability.DEPRECATE_EOF)
+
+
+def tell(text: str, multi: bool = False) -> Statement:
+    return TELL.tell(text.encode("utf-8", "surrogateescape"), multi)
+
+
+@pytest.mark.parametrize(
+    ("text", "kind", "plain"),
+    [
+        ("select * from listings where id = 7", Kind.READ, True),
+        (
+            "SELECT count(*), max(price) FROM `listings` WHERE name LIKE 'a%' ORDER BY 1 LIMIT 3",
+            Kind.READ,
+            True,
+        ),
+        ("with a as (select 1) select * from a union select 2", Kind.READ, True),
+        ("(select 1)", Kind.READ, True),
+        ("table listings", Kind.READ, True),
+        ("show tables", Kind.READ, True),
+        ("explain select * from t", Kind.READ, True),
+        ("select last_insert_id()", Kind.READ, True),
+        ("select @a, @@session.sql_mode", Kind.READ, True),
+        ("select 'insert into t', `delete` from t -- update", Kind.READ, True),
+        ("select * from t for update", Kind.READ, False),
+        ("select * from t lock in share mode", Kind.READ, False),
+        ("select my_function(1)", Kind.READ, False),
+        ("select sleep(1)", Kind.READ, False),
+        ("select get_lock('a', 1)", Kind.READ, False),
+        ("select * into outfile '/tmp/x' from t", Kind.UNKNOWN, False),
+        ("select a into @x from t", Kind.READ, False),
+        ("select @x := 1", Kind.READ, False),
+        ("insert into t values (1, 'x')", Kind.WRITE, False),
+        ("insert ignore into t (a) select b from u", Kind.WRITE, False),
+        ("replace into t values (1)", Kind.WRITE, False),
+        ("update t set a = a + 1 where b = 'c'", Kind.WRITE, False),
+        ("delete from t where a in (1, 2, 3)", Kind.WRITE, False),
+        ("with x as (select 1) delete from t", Kind.WRITE, False),
+        ("explain analyze select 1", Kind.READ, True),
+        ("do sleep(1)", Kind.READ, False),
+        ("begin", Kind.BEGIN, False),
+        ("START TRANSACTION READ ONLY", Kind.BEGIN, False),
+        ("commit work", Kind.COMMIT, False),
+        ("rollback", Kind.ROLLBACK, False),
+        ("rollback to savepoint a", Kind.SAVEPOINT, False),
+        ("release savepoint a", Kind.SAVEPOINT, False),
+        ("create table t (a int)", Kind.DEFINE, False),
+        ("truncate t", Kind.DEFINE, False),
+        ("set names utf8mb4", Kind.SET, True),
+        ("set global max_connections = 5", Kind.SET, False),
+        ("use shop", Kind.USE, True),
+        ("lock tables t write", Kind.LOCK, False),
+        ("unlock tables", Kind.UNLOCK, False),
+        ("load data local infile 'x' into table t", Kind.LOCAL_FILE, False),
+        ("load data infile 'x' into table t", Kind.WRITE, False),
+        ("", Kind.EMPTY, False),
+        ("/* nothing */ -- at all", Kind.EMPTY, False),
+        ("call p(1)", Kind.UNKNOWN, False),
+        ("xa start 'a'", Kind.UNKNOWN, False),
+        ("handler t open", Kind.UNKNOWN, False),
+        ("prepare s from 'select 1'", Kind.UNKNOWN, False),
+        ("select 1; select 2", Kind.UNKNOWN, False),  # without the flag
+        ("/*!50000 select */ 1", Kind.UNKNOWN, False),
+        ("select 'open", Kind.UNKNOWN, False),
+        ("select 1 /* open", Kind.UNKNOWN, False),
+        ("gibberish", Kind.UNKNOWN, False),
+    ],
+)
+def test_what_a_statement_is(text: str, kind: Kind, plain: bool) -> None:
+    told = tell(text)
+    assert (told.kind, told.plain_read) == (kind, plain)
+    assert (Tie.UNKNOWN in dict(told.ties) or Tie.PREPARED in dict(told.ties)) is (kind is Kind.UNKNOWN)
+
+
+def test_several_statements_are_what_the_worst_of_them_is() -> None:
+    assert tell("select 1; select 2;", True).plain_read
+    mixed = tell("select 1; set @a = 2; insert into t values (1)", True)
+    assert (mixed.kind, mixed.plain_read, mixed.count) == (Kind.WRITE, False, 3)
+    assert dict(mixed.ties) == {Tie.USER_VARIABLE: "a"}
+    assert tell("select 1; call p()", True).kind is Kind.UNKNOWN
+    assert tell("select 1; kill 5", True).kind is Kind.UNKNOWN
+
+
+def test_digests_leave_out_literals_comments_and_spaces() -> None:
+    one = "SELECT *\n FROM t WHERE a IN (1, 2, 3) /* here */ AND b='x''y' -- there"
+    assert tell(one).digest == tell('select * from t where a in (4) and b = "z"').digest
+    assert tell("insert into t values (1,'a'),(2,'b')").digest == tell("insert into t values (1,'a')").digest
+    assert "secret" not in tell("set password = 'secret'").digest
+    assert digest_of(words(b"select -1.5e3, 0x1F, .5, a1 from t2")[0]) == "select - ?+, a1 from t2"
+
+
+def test_sqlglot_is_asked_once_a_digest_and_what_is_kept_is_bounded() -> None:
+    told = Statements(digests=50, texts=50)
+    for at in range(200):
+        told.tell(f"select * from t where id = {at}".encode())
+    assert told.parsed == 1
+    for at in range(200):
+        told.tell(f"select c{at} from t".encode())
+    assert (told.parsed, len(told), len(told._by_text)) == (201, 50, 50)
+
+
+def test_hints() -> None:
+    told = tell("/* brambleusher: class=look tenant=acme deadline_ms=250 work_us=900 */ select 1")
+    assert told.hint == Hint("look", "acme", 250, 900)
+    assert told.digest == "select ?"
+    assert tell("select 1 /* brambleusher: deadline_ms=soon class= x */").hint == Hint()
+    assert tell("select 1").hint is None
+
+
+def test_long_texts_are_told_by_their_first_word() -> None:
+    long = "x" * 70_000
+    assert tell(f"insert into t values ('{long}')").kind is Kind.WRITE
+    assert tell(f"insert into t values ('{long}', @a)").kind is Kind.UNKNOWN
+    assert tell(f"select '{long}'").kind is Kind.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("text", "settings", "ties"),
+    [
+        ("set sql_mode = 'ANSI_X', @@session.time_zone='+00:00'",
+         {"sql_mode": "SESSION sql_mode = 'ANSI_X'", "time_zone": "SESSION time_zone = '+00:00'"}, set()),
+        ("set names latin1 collate latin1_bin", {"names": "names latin1 collate latin1_bin"}, set()),
+        ("set session transaction isolation level read committed",
+         {"transaction isolation": "SESSION transaction isolation level read committed"}, set()),
+        ("set wait_timeout = -1", {"wait_timeout": "SESSION wait_timeout = -1"}, set()),
+        ("set transaction isolation level serializable", {}, {Tie.NEXT_TRANSACTION}),
+        ("set @@transaction_isolation = 'SERIALIZABLE'", {}, {Tie.NEXT_TRANSACTION}),
+        ("set transaction_isolation = 'SERIALIZABLE'",
+         {"transaction_isolation": "SESSION transaction_isolation = 'SERIALIZABLE'"}, set()),
+        ("set sql_select_limit = @@max_join_size", {}, {Tie.SETTING}),
+        ("set timestamp = 5", {}, {Tie.SETTING}),
+        ("set @a = 1, sql_mode = ''", {"sql_mode": "SESSION sql_mode = ''"}, {Tie.USER_VARIABLE}),
+        ("set global sort_buffer_size = 5", {}, set()),
+        ("set role admin", {}, {Tie.SETTING}),
+    ],
+)  # fmt: skip
+def test_what_is_replayed_and_what_ties(text: str, settings: dict[str, str], ties: set[Tie]) -> None:
+    told = tell(text)
+    assert dict(told.settings) == settings
+    assert {tie for tie, _ in told.ties} == ties
+
+
+def test_settings_after_which_no_text_can_be_told_apart() -> None:
+    for text in ("set sql_mode = 'NO_BACKSLASH_ESCAPES'", "set sql_mode='ANSI_QUOTES'", "set names gbk"):
+        assert tell(text).opaque_after
+    session = fresh()
+    run(session, "set names gbk")
+    assert session.opaque
+    assert TELL.tell(b"select 1", opaque=True).kind is Kind.UNKNOWN
+    assert replay_text(session.settings.items()) == b"SET names gbk"
+
+
+# --- sessions -----------------------------------------------------------------------------------
+
+
+def fresh() -> Session:
+    return Session("web", "registry", CAPS, 45, "shop")
+
+
+def reply(status: int = int(Status.AUTOCOMMIT), error: Err | None = None, **ok: Any) -> ReplyRelay:
+    relay = ReplyRelay(Command.QUERY, CAPS, CAPS)
+    relay.feed(frame(error.encode() if error is not None else Ok(status=status, **ok).encode(CAPS), 1))
+    assert relay.done
+    return relay
+
+
+def run(session: Session, text: str, relay: ReplyRelay | None = None) -> Session:
+    session.after(tell(text, True), relay or reply())
+    return session
+
+
+OPEN = int(Status.AUTOCOMMIT | Status.IN_TRANS)
+TABLE: dict[Tie, list[tuple[str, ReplyRelay | None, bool]]] = {
+    Tie.TRANSACTION: [
+        ("begin", reply(OPEN), True), ("update t set a = 1", reply(OPEN), True), ("commit", None, False),
+    ],
+    Tie.AUTOCOMMIT_OFF: [
+        ("set autocommit = 0", reply(0), False), ("select 1", reply(0), True), ("commit", reply(0), False),
+        ("update t set a = 1", reply(int(Status.IN_TRANS)), True), ("rollback", reply(0), False),
+        ("select 1", reply(0), True), ("set autocommit = 1", None, False),
+    ],
+    Tie.TABLE_LOCKS: [("lock tables t read", None, True), ("unlock tables", None, False)],
+    Tie.NAMED_LOCK: [
+        ("select get_lock('a', 1)", None, True), ("select get_lock('b', 1)", None, True),
+        ("select release_lock('a')", None, True), ("select release_lock('b')", None, False),
+        ("select get_lock('a', 1)", None, True), ("select release_all_locks()", None, False),
+    ],
+    Tie.TEMPORARY_TABLE: [
+        ("create temporary table if not exists shop.x (a int)", None, True), ("drop table y", None, True),
+        ("drop temporary table if exists shop.x", None, False),
+    ],
+    Tie.USER_VARIABLE: [("set @a = 1", None, True), ("set @a = null", None, True)],
+    Tie.SETTING: [("set timestamp = 7", None, True)],
+    Tie.NEXT_TRANSACTION: [
+        ("set transaction isolation level serializable", None, True), ("begin", reply(OPEN), True),
+        ("commit", None, False),
+    ],
+    Tie.PREPARED: [("prepare s from 'select 1'", None, True), ("deallocate prepare s", None, True)],
+    Tie.DIAGNOSTICS: [
+        ("insert into t values ('x')", reply(warnings=1), True), ("show warnings", None, True),
+        ("select 1", None, False), ("select sql_calc_found_rows 1", None, True),
+        ("select found_rows()", None, True), ("select 1", None, False),
+    ],
+    Tie.UNKNOWN: [("call p()", None, True), ("select 1", None, True)],
+}  # fmt: skip
+
+
+def test_every_tie_of_the_table_has_its_test() -> None:
+    assert set(TABLE) | {Tie.UNREAD} == set(TIES) == set(Tie)
+
+
+@pytest.mark.parametrize("tie", list(TABLE))
+def test_how_each_tie_is_made_and_lifted(tie: Tie) -> None:
+    session = fresh()
+    assert not session.tied
+    for text, answer, tied in TABLE[tie]:
+        run(session, text, answer)
+        assert (tie in session.ties) is tied, text
+        assert session.tied is tied, (text, session.why)
+        assert Session.of_state(session.state()).state() == session.state()
+    session.reset()
+    assert not session.tied
+
+
+def test_a_cursor_with_rows_left_ties() -> None:
+    session = fresh()
+    number = session.next_prepared()
+    session.was_prepared(number, b"select 1", tell("select 1"), Prepared(9, 1, 0))
+    found = session.find(number)
+    session.executed(found, 1, reply(int(Status.CURSOR_EXISTS)))
+    assert Tie.UNREAD in session.ties
+    session.fetched(number, reply(int(Status.CURSOR_EXISTS)))
+    assert session.tied
+    session.fetched(number, reply(int(Status.LAST_ROW_SENT)))
+    assert not session.tied
+    session.executed(found, 1, reply(int(Status.CURSOR_EXISTS)))
+    session.close_prepared(number)
+    assert not session.tied
+
+
+def test_what_did_not_run_ties_nothing_and_what_may_have_does() -> None:
+    syntax = Err(1064, "42000", "no")
+    assert not run(fresh(), "call p()", reply(error=syntax)).tied
+    assert run(fresh(), "call p()", reply(error=Err(1305, "HY000", "half way"))).tied
+    assert not run(fresh(), "create temporary table x (a int)", reply(error=Err(1050, "42S01", "no"))).tied
+    assert run(fresh(), "set @a = 1; selct", reply(error=syntax)).tied  # the first of two ran
+    failed = run(run(fresh(), "begin", reply(OPEN)), "commit", reply(error=Err(1105, "HY000", "no")))
+    assert Tie.TRANSACTION in failed.ties  # an error tells no status
+
+
+def test_a_setting_made_twice_is_replayed_as_it_was_made_last() -> None:
+    session = run(run(run(fresh(), "set sql_mode = 'A'"), "set time_zone = 'B'"), "set sql_mode = 'C'")
+    assert replay_text(session.settings.items()) == b"SET SESSION time_zone = 'B', SESSION sql_mode = 'C'"
+    run(session, "set sql_mode = 'D'", reply(error=Err(1231, "42000", "no")))
+    assert session.settings["sql_mode"].endswith("'C'")
+
+
+def test_an_id_given_is_the_connections_to_tell() -> None:
+    session = run(fresh(), "insert into t values (null)", reply(last_id=7))
+    assert session.last_id is None
+    assert not session.tied
+    assert session.setup(True).last_id is None
+
+
+def test_prepared_statements_keep_types_and_long_data() -> None:
+    session = fresh()
+    number = session.next_prepared()
+    session.was_prepared(
+        number, b"insert into t values (?, ?)", tell("insert into t values (?, ?)"), Prepared(9, 0, 2)
+    )
+    types = b"\x08\0\xfc\0"
+    session.long_data(b"\x18" + number.to_bytes(4, "little") + b"\1\0" + b"abc", 1000)
+    first = Execute(number, 0, b"\0", types, bytes(8))
+    assert session.execute(first.encode(2))[1].types == types
+    again = Execute(number, 0, b"\0", None, bytes(8))
+    assert (
+        session.execute(again.encode(2))[1].types == types
+    )  # filled in for a connection that never saw them
+    with pytest.raises(ProtocolError) as caught:
+        session.long_data(b"\x18" + number.to_bytes(4, "little") + b"\1\0" + bytes(2000), 1000)
+    assert caught.value.errno == Errno.NET_PACKET_TOO_LARGE
+    with pytest.raises(ProtocolError) as caught:
+        session.find(number + 1)
+    assert caught.value.errno == Errno.UNKNOWN_STMT_HANDLER
+    for _ in range(MAX_PREPARED - 1):
+        session.was_prepared(session.next_prepared(), b"", tell("select 1"), Prepared(1, 0, 0))
+    with pytest.raises(ProtocolError):
+        session.next_prepared()
