--- a/brambleusher/lab/stand_ins/mysql_engine.py
+++ b/brambleusher/lab/stand_ins/mysql_engine.py
@@ -610,8 +610,8 @@
             if unknown:
                 raise SqlError(1054, "42S22", f"Unknown column '{min(unknown)}' in 'field list'")
             if table.columns[0].auto and row[0] is None:
-                row[0] = table.next_id + len(rows)
-                first_id = first_id or int(row[0])
+                fresh_id = table.next_id + len(rows)
+                row[0], first_id = fresh_id, first_id or fresh_id
             rows.append((row[0], row))
         replaces = bool(tree.args.get("replace_"))
         self._lock_rows(table, [key for key, _ in rows])
