--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -34,7 +34,7 @@
 from brambleusher.fronts.mysql.mapping import Mapping
 from brambleusher.fronts.mysql.messages import Column, Eof, Err, Execute, Ok, text_row
 from brambleusher.fronts.mysql.nodes import Conn, Held, Mode, MysqlNodes, Reply, TuneFailed, Work
-from brambleusher.fronts.mysql.packets import PacketReader, ProtocolError, frame, lenenc
+from brambleusher.fronts.mysql.packets import PacketReader, ProtocolError, frame, frames, lenenc
 from brambleusher.fronts.mysql.replies import ReplyRelay
 from brambleusher.fronts.mysql.session import PreparedText, Session
 from brambleusher.fronts.mysql.settings import MysqlSettings
@@ -88,13 +88,14 @@
     """One client: its connection, its session, and the node's connection that the session holds."""
 
     __slots__ = (
-        "accepted_at", "bell", "channel", "charged", "deadline", "held", "id_conn", "last", "leave_at",
-        "lost", "peer", "reader", "request_class", "session", "task", "thread", "work",
+        "accepted_at", "bell", "challenge", "channel", "charged", "deadline", "held", "id_conn", "last",
+        "leave_at", "lost", "peer", "reader", "request_class", "session", "task", "thread", "work",
     )  # fmt: skip
 
     def __init__(self, channel: Channel, peer: str, thread: int, most: int) -> None:
         self.channel, self.peer, self.thread = channel, peer, thread
         self.reader = PacketReader(most)
+        self.challenge = b""  # of its first login
         self.session = Session("", "", 0, 0)
         self.bell = Bell()  # rings when something about its connection has changed
         self.held: Held | None = None
@@ -296,7 +297,8 @@
 
     def _say(self, client: Client, *messages: bytes) -> bool:
         """Messages that answer a command; true, since the session goes on."""
-        out = b"".join(frame(message, at + 1) for at, message in enumerate(messages))
+        first = client.reader.seq
+        out = b"".join(frame(message, first + at) for at, message in enumerate(messages))
         client.channel.send(out, self._scheduler.now() + WRITE_SECONDS)
         return True
 
@@ -315,8 +317,9 @@
     def _log_in(self, client: Client) -> bool:
         settings = self._settings
         offered = OFFERED | (int(Capability.SSL) if self._context is not None else 0)
+        client.challenge = self._challenge()
         login = ServerLogin(
-            client.thread, self._challenge(), offered, self._users.get, self._rsa, settings.server_version,
+            client.thread, client.challenge, offered, self._users.get, self._rsa, settings.server_version,
             settings.auth_plugin, settings.tls.mode == "required",
         )  # fmt: skip
         deadline = client.accepted_at + settings.login_ms / 1000
@@ -521,7 +524,7 @@
         """Have a command run and its answer passed on."""
         work = Work(
             client, command, body, lambda reply: self._accept(client, statement, work, reply), run, prepared,
-            statement.reads_last_id, statement.about_previous, number,
+            statement.reads_last_id, statement.about_previous, number, client.reader.seq,
         )  # fmt: skip
         client.work = work
         try:
@@ -761,12 +764,8 @@
             given = self._mapping.assign(statement, session.user)
             deadline = self._scheduler.now() + given.deadline_ms / 1000
             client.request_class = given.request_class
-        relay = ReplyRelay(
-            work.command, conn.capabilities, session.capabilities, work.statement_id, status=session.status
-        )
         work.conn = conn
         limit = deadline if deadline is not None else self._scheduler.now() + WRITE_SECONDS
-        reply = Reply(b"", relay, held)
         try:
             try:
                 ahead, body = b"", work.body
@@ -785,7 +784,11 @@
             self._say_error(client, Err.of(Errno.NET_READ, text))
             client.channel.stream.finish()
             return False
-        return self._pass_on(client, work, statement, reply, deadline)
+        relay = ReplyRelay(
+            work.command, conn.capabilities, session.capabilities, work.statement_id,
+            frames(len(body)), work.seq, session.status,
+        )  # fmt: skip
+        return self._pass_on(client, work, statement, Reply(b"", relay, held), deadline)
 
     # --- the commands one by one ----------------------------------------------------------------
 
@@ -894,7 +897,7 @@
             self._settings.auth_plugin,
         )  # fmt: skip
         login.secure = client.channel.secure
-        login.change_user(body, capabilities, self._challenge())
+        login.change_user(body, capabilities, client.challenge, self._challenge())
         return self._meet(client, login, self._scheduler.now() + self._settings.login_ms / 1000)
 
     def _process_kill(self, client: Client, body: bytes) -> bool:
--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -21,7 +21,7 @@
 from brambleusher.fronts.mysql.constants import Capability, Command, Errno
 from brambleusher.fronts.mysql.constants import Status as Flag
 from brambleusher.fronts.mysql.messages import Err, Execute, parse_text_row
-from brambleusher.fronts.mysql.packets import PacketReader, ProtocolError, frame
+from brambleusher.fronts.mysql.packets import PacketReader, ProtocolError, frame, frames
 from brambleusher.fronts.mysql.replies import ReplyRelay
 from brambleusher.fronts.mysql.session import Flavour, PreparedText, Session, Setup, replay_text
 from brambleusher.fronts.mysql.settings import MysqlSettings, Passwords
@@ -175,6 +175,7 @@
     reads_last_id: bool = False
     about_previous: bool = False
     statement_id: int | None = None  # the client's, for what it has prepared
+    seq: int = 1  # of the answer's first packet
     reached: bool = False  # some node may have run it
     taken: Reply | None = None  # the answer that was taken
     over: bool = False  # an answer was taken, or nobody waits for one
@@ -672,7 +673,7 @@
         self, conn: Conn, body: bytes, limit: float, claim: Claim | None = None
     ) -> tuple[ReplyRelay, bytes]:
         """One command of the sidecar's own and its whole answer."""
-        relay = ReplyRelay(body[0], conn.capabilities, conn.capabilities)
+        relay = ReplyRelay(body[0], conn.capabilities, conn.capabilities, seq=frames(len(body)))
         conn.channel.send(frame(body, 0), limit)
         out = b""
         while not relay.done:
@@ -763,8 +764,9 @@
         if work.prepared is not None and work.run is not None:
             data, body = self.execute(conn, work.prepared, work.run, claim, limit)
         relay = ReplyRelay(
-            work.command, conn.capabilities, session.capabilities, work.statement_id, status=session.status
-        )
+            work.command, conn.capabilities, session.capabilities, work.statement_id,
+            frames(len(body)), work.seq, session.status,
+        )  # fmt: skip
         return data + frame(body, 0), relay
 
     def execute(
--- a/brambleusher/fronts/mysql/replies.py
+++ b/brambleusher/fronts/mysql/replies.py
@@ -57,11 +57,13 @@
         client: int,
         statement: int | None = None,
         seq: int = 1,
+        client_seq: int = 1,
         status: int = int(Status.AUTOCOMMIT),
     ) -> None:
         """`server` and `client` are the capabilities agreed on with each, `status` the last one told.
 
-        `statement` is the id by which the client is to know what it had prepared.
+        `statement` is the id by which the client is to know what it had prepared; `seq` and `client_seq`
+        number the answer's first packet, which depends on how many the command took.
         """
         self._server, self._client, self._statement = server, client, statement
         self._new = bool(server & Capability.DEPRECATE_EOF)
@@ -69,7 +71,7 @@
         self._same_ok = server & Capability.SESSION_TRACK == client & Capability.SESSION_TRACK
         self._stage = _FIRST_STAGE.get(command, Stage.SIMPLE)  # type: ignore[call-overload]
         self._buffer = bytearray()
-        self._in_seq, self.seq = seq, seq  # of the next packet from the server, and to the client
+        self._in_seq, self.seq = seq, client_seq  # of the next packet from the server, and to the client
         self._passing = 0  # bytes still to come of a packet that goes out in pieces
         self._continued = False  # the next packet belongs to the message of the one before
         self._left = self._columns = 0  # definitions still to come
--- a/brambleusher/lab/stand_ins/mysql.py
+++ b/brambleusher/lab/stand_ins/mysql.py
@@ -470,7 +470,7 @@
         )  # fmt: skip
         login.secure = peer.channel.secure
         challenge = bytes(self._rng.randrange(1, 128) for _ in range(SCRAMBLE))
-        login.change_user(body, peer.capabilities, challenge)
+        login.change_user(body, peer.capabilities, b"", challenge)
         peer.statements.clear()
         if not self._meet(peer, login):
             raise Broken
--- a/brambleusher/lab/stand_ins/mysql_engine.py
+++ b/brambleusher/lab/stand_ins/mysql_engine.py
@@ -1019,7 +1019,7 @@
         return str(node.alias)
     if isinstance(node, exp.Column):
         return str(node.name)
-    return str(node.sql(dialect="mysql"))
+    return str(node.sql(dialect="mysql"))[:255]
 
 
 def _sortable(value: Value) -> tuple[int, Any]:
--- a/tests/mysql_rig.py
+++ b/tests/mysql_rig.py
@@ -68,6 +68,14 @@
         self.scheduler.call_soon(lambda: out.put(call()))
         return out.get(timeout=WAIT)
 
+    def clear(self) -> None:
+        """No faults, nothing seen, and the tables as they were."""
+        self.troubles[:] = [lambda moment: None] * len(self.servers)
+        for server in self.servers:
+            server.seen.clear()
+            server.database.tables.clear()
+            accounts(NAMES, server.database)
+
     def address(self, at: int = 0) -> tuple[str, int]:
         where = self.servers[at].address
         assert where is not None
@@ -99,6 +107,7 @@
 
     def __init__(self, folder: Path, servers: Servers, more: str = "", **limits: Any) -> None:
         self.servers = servers
+        self._before: dict[str, int] = {}
         names = [server.name for server in servers.servers]
         self.entries = [self.entry(name) for name in names]
         self.discovery = Discovery(self.entries)
@@ -136,6 +145,13 @@
         self.sidecar, self.address = up.get(timeout=WAIT)
         self.discovery.asked.get(timeout=WAIT)
 
+    def count(self, name: str) -> int:
+        """How often something was counted since `forget_counts`."""
+        return self.sidecar.counters.count(name) - self._before.get(name, 0)
+
+    def forget_counts(self) -> None:
+        self._before = dict(self.sidecar.counters._counts)
+
     def entry(self, name: str, state: str = "Ready") -> dict[str, Any]:
         return {"id": name, "addr": "127.0.0.1:9", "zone": "z", "kind": "k", "state": state, "weight": 1.0}
 
