--- a/brambleusher/lab/stand_ins/mysql_engine.py
+++ b/brambleusher/lab/stand_ins/mysql_engine.py
@@ -710,9 +710,8 @@
         temporary_only = bool(tree.args.get("temporary"))
         if not temporary_only:
             self.commit()
-        for node in [tree.this, *(tree.expressions or [])]:
-            if node is None:
-                continue
+        named = tree.args.get("tables") or [tree.this]
+        for node in named:
             key = (node.db or self.schema, node.name.lower())
             if key in self.temporary:
                 del self.temporary[key]
