--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -28,7 +28,8 @@
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import Socket
-from quillpass.api import Cancel, Effect, Refuse, Status
+from quillpass.api import Effect, Refuse, Status
+from quillpass.places import Places
 
 log = logging.getLogger(__name__)
 
@@ -36,7 +37,6 @@
 FIRST_SECONDS = 2.4  # from a connection's accept to the last byte of its first request
 READ_SECONDS = 2.4  # from the first byte of a later request to its last
 IDLE_SECONDS = 2.2  # a submitter's connection between requests; many ask once and never come back
-SILENT_SECONDS = 0.25  # one that has sent nothing for so long makes room before one that has asked
 WRITE_SECONDS = 10.0  # for a submitter that reads its answer slowly
 NO_DESCRIPTOR_SECONDS = 0.05
 # An answer leaves so much before its submitter stops waiting; a tenth of what is left, if that is less.
@@ -113,6 +113,7 @@
         """
         ticket, began_at = self._decisions.take(call), self._scheduler.now()
         claims: dict[int, ClaimUnderWay] = {}
+        ticket.call_off = lambda attempt: claims[attempt].call_off() if attempt in claims else None
         try:
             while True:
                 # 1. Wait for the module's next step, a claim's end or the submitter's leaving.
@@ -123,7 +124,7 @@
                             claim.call_off()
                         return None
                 step = ticket.steps.popleft()
-                # 2. Make a claim, or call one off.
+                # 2. Make a claim.
                 if isinstance(step, MakeClaim):
 
                     def ended(outcome: Outcome, made: MakeClaim = step) -> None:
@@ -137,8 +138,6 @@
                     claims[step.attempt] = self._nodes.claim(
                         step.node, call.payload, step.timeout_ns, deadline, ended, begun
                     )
-                elif isinstance(step, Cancel):
-                    claims[step.attempt].call_off()
                 # 3. A claim has ended: the first that served answers the request.
                 elif isinstance(step, ClaimEnded):
                     served = step.outcome.status is Status.OK
@@ -204,12 +203,12 @@
         nodes: ExecuteNodes,
         clock: Clock,
         counters: Counters,
-        most_connections: int,
+        places: Places,
         is_ready: Callable[[], bool],
         rewrites: Rewrites | None = None,
     ) -> None:
         self._scheduler, self._decisions, self._clock = scheduler, decisions, clock
-        self._counters, self._most, self._is_ready = counters, most_connections, is_ready
+        self._counters, self._places, self._is_ready = counters, places, is_ready
         self._life, self._rewrites = RequestLife(decisions, nodes, scheduler), rewrites
         self._methods = {
             cls.name: "GET" if cls.effect is Effect.SAFE else "POST" for cls in decisions.settings.classes
@@ -218,9 +217,6 @@
         self._listener: Socket | None = None
         self._accepting: Task | None = None
         self._connections: set[Connection] = set()
-        # Those between requests, longest idle first: some have sent nothing yet, the others have asked.
-        self._silent: dict[Connection, None] = {}
-        self._idle: dict[Connection, None] = {}
         self._closing = False
 
     # --- the listener ---------------------------------------------------------------------------
@@ -235,7 +231,8 @@
 
     def _accept_all(self, listener: Socket) -> None:
         while True:
-            if len(self._connections) >= self._most and not self._close_one_idle():
+            if self._places.taken >= self._places.most and not self._make_room(self._places.most):
+                self._counters.add("accepts_put_off")
                 self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
             elif not self._accept_one(listener):
                 self._scheduler.park(sock=listener)
@@ -250,46 +247,43 @@
             if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                 # Guards against a loop at full speed, and against dying, while no descriptor is free.
                 log.warning("no descriptor to accept with", extra={"fields": {"error": error.strerror}})
-                self._close_one_idle()
+                self._make_room(self._places.taken)
                 self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
             return True  # others concern the connection that was to be taken, and it is gone
         self._counters.add("connections_accepted")
         connection = Connection(Stream(self._scheduler, sock), peer)
         self._connections.add(connection)
-        self._silent[connection] = None
+        self._places.opened(connection, connection.peer, connection.accepted_at)
         connection.task = self._scheduler.spawn(self._serve, connection, name="submitter")
         return True
 
-    def _close_one_idle(self) -> bool:
-        """Make room: close a connection without a request, if there is one.
+    def _make_room(self, most: int | None = None) -> bool:
+        """Close those between requests that the budget gives up, or one more; false if that closed none.
 
-        Guards against silent connections by the hundred crowding out those that ask: the longest silent
-        goes first, then the longest idle, and one so new that its request may be on its way goes last.
+        With `most`, one more is waiting to be accepted and there can't be more than so many.
         """
-        old = self._scheduler.now() - SILENT_SECONDS
-        silent = next(iter(self._silent), None)
-        groups = [self._silent, self._idle]
-        if silent is None or silent.accepted_at > old:
-            groups.reverse()
-        for group in groups:
-            for connection in group:
-                if connection.stream.quiet():
-                    self._close_idle(connection)
-                    return True
-        return False
-
-    def _busy(self, connection: Connection) -> None:
-        self._silent.pop(connection, None)
-        self._idle.pop(connection, None)
+        now, closed = self._scheduler.now(), False
+        places = self._places
+        for each in places.surplus(now) if most is None else places.for_one_more(now, most):
+            assert isinstance(each, Connection)
+            if each.stream.quiet():  # guards against a request that has come and was not read yet
+                silent = "" if each.asked else "_silent"
+                self._counters.add(f"submitters_closed{silent}")
+                self._close_idle(each)
+                closed = True
+        return closed
 
     def _close_idle(self, connection: Connection) -> None:
-        self._connections.discard(connection)
-        self._busy(connection)
+        self._forget(connection)
         if connection.task is not None:
             connection.task.cancel()
         # Guards against a connection left open: a task called off before its first step closes nothing.
         connection.stream.close()
 
+    def _forget(self, connection: Connection) -> None:
+        self._connections.discard(connection)
+        self._places.closed(connection, self._scheduler.now())
+
     @property
     def connections(self) -> int:
         """Open connections."""
@@ -306,7 +300,8 @@
                     break
             self._listener.close()
             self._listener = None
-        for connection in [*self._silent, *self._idle]:
+        for connection in self._places.waiting():
+            assert isinstance(connection, Connection)
             if connection.stream.quiet():
                 self._close_idle(connection)
 
@@ -318,12 +313,12 @@
         try:
             while self._exchange(connection, reader):
                 connection.asked = True
-                self._idle[connection] = None
+                self._places.rests(connection, self._scheduler.now())
+                self._make_room()
         except (OSError, Timeout):
             return
         finally:
-            self._busy(connection)
-            self._connections.discard(connection)
+            self._forget(connection)
             connection.stream.close()
 
     def _exchange(self, connection: Connection, reader: MessageReader) -> bool:
@@ -332,7 +327,7 @@
         try:
             request = self._read(connection, reader)
         except HttpError as error:
-            self._busy(connection)
+            self._places.asked(connection, self._scheduler.now())
             self._counters.add("bad_requests")
             self._turn_away(stream, error)
             return False
@@ -356,6 +351,9 @@
         if answer is None:
             return False
         keep = keep and not self._closing
+        if keep and not self._places.may_stay(connection, self._scheduler.now()):
+            self._counters.add("submitters_told_to_close")
+            keep = False
         status, headers, body = answer
         try:
             stream.send(write_response(status, headers, body, keep), self._scheduler.now() + WRITE_SECONDS)
@@ -385,7 +383,7 @@
         while (request := reader.take()) is None:
             if reader.begun and not begun:
                 begun = True
-                self._busy(connection)
+                self._places.asked(connection, self._scheduler.now())
                 if connection.asked:
                     deadline = self._scheduler.now() + READ_SECONDS
             if reader.expects_continue and not told_to_go_on:
@@ -402,7 +400,7 @@
             if not data:
                 return None
             reader.feed(data)
-        self._busy(connection)
+        self._places.asked(connection, self._scheduler.now())
         return request
 
     def _answer(
@@ -415,6 +413,7 @@
             return (200, [], b"ready\n") if self._is_ready() else (503, [], b"starting\n")
         arrived_ns = self._clock.now_ns()
         call = self._call(request, path)
+        self._places.named(connection, call.tenant or "")
         if self._rewrites is not None:
             passed = self._rewrites.inward(request, path, call.request_class, connection.peer)
             call = replace(call, payload=passed)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import errno
+import logging
 import os
 import signal
 import subprocess
 import sys
 import zlib
 from collections.abc import Callable
+from functools import partial
 from itertools import pairwise
 from typing import Any
 
@@ -21,6 +23,7 @@
     START_NS,
     Machine,
     Process,
+    ProcessLog,
     Tap,
     VirtualSystem,
     World,
@@ -37,39 +40,12 @@
 
     def __init__(self) -> None:
         self.lines: list[tuple[Any, ...]] = []
+        for name in vars(Tap):
+            if not name.startswith("_"):
+                setattr(self, name, partial(self._note, name))
 
-    def _note(self, now: int, what: str, *args: Any) -> None:
-        self.lines.append((now, what, *args))
-
-    def opened(self, now: int, conn: Connection) -> None:
-        self._note(now, "opened", conn.id)
-
-    def established(self, now: int, conn: Connection) -> None:
-        self._note(now, "established", conn.id)
-
-    def accepted(self, now: int, conn: Connection) -> None:
-        self._note(now, "accepted", conn.id)
-
-    def refused(self, now: int, conn: Connection) -> None:
-        self._note(now, "refused", conn.id)
-
-    def sent(self, now: int, conn: Connection, side: str, data: bytes) -> None:
-        self._note(now, "sent", conn.id, side, data)
-
-    def arrived(self, now: int, conn: Connection, side: str, data: bytes) -> None:
-        self._note(now, "arrived", conn.id, side, data)
-
-    def read(self, now: int, conn: Connection, side: str, data: bytes) -> None:
-        self._note(now, "read", conn.id, side, data)
-
-    def ended(self, now: int, conn: Connection, side: str, how: str) -> None:
-        self._note(now, "ended", conn.id, side, how)
-
-    def closed(self, now: int, conn: Connection, side: str) -> None:
-        self._note(now, "closed", conn.id, side)
-
-    def process(self, now: int, machine: Machine, what: str) -> None:
-        self._note(now, "process", machine.name, what)
+    def _note(self, what: str, now: int, about: Connection | Machine, *args: Any) -> None:
+        self.lines.append((now, what, about.name if isinstance(about, Machine) else about.id, *args))
 
     def what(self, *names: str) -> list[tuple[Any, ...]]:
         """The lines with these names, without their times."""
@@ -437,7 +413,8 @@
     assert found == [5, 3, 4, "EMFILE", 3]
 
 
-def test_workers_and_sinks() -> None:
+@pytest.mark.parametrize("unblocked", [True, False])
+def test_workers_and_sinks(unblocked: bool) -> None:
     lost: list[int] = []
     items: list[bytes] = []
     waited: list[int] = []
@@ -470,10 +447,13 @@
         world.run(START_NS + 3 * SECOND // 2)
         assert lost == [0, 1]
         process.sinks["fd 2"].block()
-        world.run(START_NS + 5 * SECOND)
+        world.run(START_NS + 3 * SECOND + SECOND // 10)
         assert process.stderr == b"one\ntwo\n" and process.ended is None
+        if unblocked:
+            process.sinks["fd 2"].unblock()
         world.run(START_NS + 10 * SECOND)
-    assert waited[0] >= 3 * SECOND and process.ended == 0
+    assert process.ended == 0
+    assert process.stderr.endswith(b"three\n") == unblocked == (waited[0] < SECOND)
 
 
 # --- faults -------------------------------------------------------------------------------------
@@ -496,6 +476,59 @@
         assert isinstance(late.error, ConnectionRefusedError)
 
 
+def test_bytes_that_nobody_acknowledges_are_given_up() -> None:
+    with World(1, PLAIN) as world:
+        server, _, ends = idle_pair(world, sends_later=True)
+        server.machine.vanish()
+        world.run(START_NS + 900 * SECOND)
+        assert ends == []
+        world.run(START_NS + 1000 * SECOND)
+        assert ends == ["ETIMEDOUT"]
+
+
+@pytest.mark.parametrize("to", ["server", "client"])
+def test_a_connect_over_a_cut_comes_up_later(to: str) -> None:
+    with World(1, PLAIN) as world:
+        notes, heard = Notes(), list[bytes]()
+        world.taps.append(notes)
+        world.network.cut(
+            world.machine("client", "10.0.0.2"), world.machine("server", "10.0.0.1"), one_way=True
+        )
+        if to == "client":
+            world.network.mend("client", "server")
+            world.network.cut("server", "client", one_way=True)
+        world.machines["server"].start(echo)
+        world.run(START_NS + 10 * MILLISECOND)
+        client = world.machines["client"].start(asks(heard))
+        world.run(START_NS + 2 * SECOND)
+        assert notes.what("opened", "established", "accepted") == [("opened", 1)]
+        world.network.mend("client", "server")
+        finish(world, client)
+        assert notes.what("established", "accepted") == [("established", 1), ("accepted", 1)]
+        assert heard == [b"hello"] * 3
+
+
+def test_logs_go_to_the_process_that_wrote_them() -> None:
+    log = logging.getLogger("tests.world")
+
+    def main(system: VirtualSystem) -> None:
+        for number in range(200):
+            log.warning("%s %d", system.machine.name, number)
+
+    with World(1, WorldSettings(output_bytes=1000)) as world:
+        handler = ProcessLog(world)
+        log.addHandler(handler)
+        try:
+            processes = [world.machine(name, f"10.0.0.{at}").start(main) for at, name in enumerate("ab")]
+            world.run(START_NS + SECOND)
+            log.warning("nobody's")
+        finally:
+            log.removeHandler(handler)
+        for process in processes:
+            assert process.stderr.endswith(process.name.encode() + b" 199\n")
+            assert len(process.stderr) == 1000 and process.stderr_lost > 0
+
+
 @pytest.mark.parametrize("how", ["cut", "back", "silence"])
 def test_what_was_cut_comes_later(how: str) -> None:
     with World(1, PLAIN) as world:
@@ -524,6 +557,35 @@
         assert heard == [b"hello"] * 40
 
 
+def test_what_is_sent_after_a_mend_waits_for_what_was_held() -> None:
+    heard = bytearray()
+
+    def server(system: VirtualSystem) -> None:
+        wait, listener = Waits(system), system.listen(("0.0.0.0", 7), 0)
+        wait.on(listener, READ)
+        sock, _ = system.accept(listener)
+        while wait.on(sock, READ):
+            heard.extend(sock.recv(10))
+
+    def client(system: VirtualSystem) -> None:
+        wait, sock = Waits(system), system.connection()
+        sock.connect_ex(("10.0.0.1", 7))
+        wait.on(sock, WRITE)
+        for number in range(100):
+            sock.send(bytes([number]))
+            wait.pause(10)
+        wait.pause(60_000)
+
+    with World(1, PLAIN) as world:
+        world.machine("server", "10.0.0.1").start(server)
+        world.run(START_NS + 10 * MILLISECOND)
+        world.machine("client", "10.0.0.2").start(client)
+        world.at(START_NS + 200 * MILLISECOND, lambda: world.network.cut("server", "client"))
+        world.at(START_NS + 700 * MILLISECOND, lambda: world.network.mend("server", "client"))
+        world.run(START_NS + 10 * SECOND)
+    assert heard == bytes(range(100))
+
+
 def test_faults_of_connects() -> None:
     with World(1, PLAIN) as world:
         notes = Notes()
@@ -599,6 +661,7 @@
             world.machine(name, f"10.0.1.{ord(name)}").start(client(name))
         world.run(START_NS + 400 * MILLISECOND)
         assert sorted(up) == list("abcd")  # all were consented to before the first acknowledgement came
+        assert len(world.machines["server"].listeners[7].queue) == 1
         world.run(START_NS + 20 * SECOND)
         assert sorted(heard) == [b"a", b"b", b"c", b"d"]
 
