--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -874,11 +874,15 @@
         return self._say(client, Eof(0, status).encode())
 
     def _reset_connection(self, client: Client, body: bytes) -> bool:
-        held = client.held
+        held, client.held = client.held, None
         if held is not None:
-            # What is tied goes with the connection: closing it is what a reset would come to.
-            client.held = None
-            held.drop(Status.OK)
+            # The node takes back what is tied, so that the connection can serve others.
+            try:
+                self._nodes.reset(held.conn)
+                held.release()
+            except (OSError, Timeout, ProtocolError) as error:
+                log.info("a reset failed", extra={"fields": {"reason": type(error).__name__}})
+                held.drop(Status.RESET)
         client.session.reset()
         client.last = client.id_conn = None
         client.deadline = client.leave_at = None
--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -109,6 +109,11 @@
             and not (flavour.no_schema and self.schema)
         )
 
+    def was_reset(self) -> None:
+        """COM_RESET_CONNECTION was answered: all but the schema is as after the login."""
+        self.settings, self.autocommit, self.owner = (), True, None
+        self.prepared.clear()
+
     @property
     def carries(self) -> Owner | None:
         """One whose LAST_INSERT_ID only this connection knows."""
@@ -716,7 +721,7 @@
         setup = session.setup(work.reads_last_id and session.last_id is not None)
         if conn.settings != setup.settings[: len(conn.settings)]:
             self._sure(conn, bytes((Command.RESET_CONNECTION,)), limit, claim)
-            conn.settings, conn.prepared, conn.autocommit = (), OrderedDict(), True
+            conn.was_reset()
         missing = list(setup.settings[len(conn.settings) :])
         for alone in [pair for pair in missing if pair[0].startswith("transaction")]:
             missing.remove(alone)
@@ -739,6 +744,13 @@
         conn.owner = owner
         owner.last = conn
 
+    def reset(self, conn: Conn) -> None:
+        """Have a node take back all that a session left on a connection; raises as `ask` does."""
+        relay, _ = self.ask(conn, bytes((Command.RESET_CONNECTION,)), self._scheduler.now() + SIDE_SECONDS)
+        if relay.error is not None:
+            raise ProtocolError("the node refused a reset")
+        conn.was_reset()
+
     def _carry(self, conn: Conn, claim: Claim, limit: float) -> None:
         """Ask for the LAST_INSERT_ID that a session left on a connection, before another uses it."""
         owner = conn.carries
--- a/brambleusher/lab/stand_ins/mysql_engine.py
+++ b/brambleusher/lab/stand_ins/mysql_engine.py
@@ -646,7 +646,7 @@
             if column.type == Type.DATETIME and isinstance(value, str):
                 return dt.datetime.fromisoformat(value)
             if column.type == Type.DATE and isinstance(value, str):
-                return dt.date.fromisoformat(value)
+                return dt.date(*(int(part) for part in value.split(" ")[0].split("-")))
         except (ValueError, ArithmeticError):
             self._warn(1366, f"Incorrect value: '{value}' for column '{column.name}'")
             return None if column.type == Type.DATETIME else 0
