--- a/tests/test_mysql_clients.py
+++ b/tests/test_mysql_clients.py
@@ -256,10 +256,10 @@
         for secret in rig[0].sidecar.mysql.front._users.values():  # type: ignore[union-attr]
             secret.twice = b""  # the full exchange anew
     for pure in (True, False):
-        conn: Any = mysql.connector.connect(
+        other: Any = mysql.connector.connect(
             host=host, port=port, user="sha", password="front-sha", use_pure=pure
         )
-        cursor = conn.cursor()
+        cursor = other.cursor()
         cursor.execute("select 1")
         assert cursor.fetchall() == [(1,)]
-        conn.close()
+        other.close()
