A client's thinking within its transaction does not make its node look slow

Cause: a transaction's claim is out as long as the transaction is, so that a client that dawdles aged the claim; the decisions took the node for slow and turned requests away (seen under load in the clients' test). Change: after 100 ms of the client's own time the claim counts as served, with the node's time alone.

--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -54,6 +54,9 @@
 WATCH_SECONDS = 0.05  # while a node is waited for, its client is looked at so often
 SOFT_SECONDS = 1.0  # without a command: what softly ties a session is let go
 NO_DESCRIPTOR_SECONDS = 0.05
+# While a claim is out, its client may take so much time in all; then the claim counts as served.  Guards
+# against a node that looks slow, or full, because clients think within their transactions.
+THINK_SECONDS = 0.1
 ANSWER_MARGIN_NS = 10_000_000  # of its deadline: the error leaves before the client stops waiting
 FREE_BYTES = 64 * 1024  # a command may have, before it counts against the memory of all
 OFFERED = int(
@@ -450,6 +453,8 @@
         else:
             waits = [(now + settings.session_idle_ms / 1000, self._too_idle)]
         if client.held is not None and client.lost is None:
+            if client.held.claimed:
+                waits.append((now + max(0.0, THINK_SECONDS - client.held.client_took(now)), self._thinks))
             if client.leave_at is not None:
                 waits.append((self._leaves_at(client, now), self._drained))
             if client.deadline is not None:
@@ -478,6 +483,11 @@
         )
         return False
 
+    def _thinks(self, client: Client) -> bool:
+        if client.held is not None:
+            client.held.finish(Status.OK)
+        return True
+
     def _drained(self, client: Client) -> bool:
         self._counters.add("mysql_drained")
         return self._lose(client, _drain_error(client.session), Status.CANCELLED)
@@ -686,6 +696,8 @@
                     self._keep(client, held, mode)
                 if out:
                     client.channel.send(out, self._scheduler.now() + WRITE_SECONDS)
+                if held.claimed and held.client_took(self._scheduler.now()) > THINK_SECONDS:
+                    held.finish(Status.OK)  # it reads slowly: that is not the node's doing
             return not (statement.release and relay.error is None)
         except Lost as lost:
             client.held = None
--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -205,10 +205,12 @@
 class Held:
     """A connection in a session's hands, and the claim that stays out as long as it is."""
 
-    __slots__ = ("_began", "_ended", "_nodes", "conn", "first_ns", "waited_ns")
+    __slots__ = ("_ended", "_nodes", "began_at", "conn", "waited_ns")
 
-    def __init__(self, nodes: MysqlNodes, conn: Conn, ended: Callable[[Outcome], None] | None) -> None:
-        self._nodes, self.conn, self._ended = nodes, conn, ended
+    def __init__(self, nodes: MysqlNodes, conn: Conn) -> None:
+        self._nodes, self.conn = nodes, conn
+        self._ended: Callable[[Outcome], None] | None = None
+        self.began_at = 0.0  # when its claim was made
         self.waited_ns = 0  # time that the node took, without the client's
         conn.node.held.add(self)
 
@@ -217,6 +219,20 @@
         """Where it leads."""
         return self.conn.node
 
+    def client_took(self, now: float) -> float:
+        """Seconds that the client took while the claim was out; 0 once it is over."""
+        return now - self.began_at - self.waited_ns / 1e9 if self._ended is not None else 0.0
+
+    @property
+    def claimed(self) -> bool:
+        """Whether its claim is still out."""
+        return self._ended is not None
+
+    def claim(self, ended: Callable[[Outcome], None], began_at: float, now: float) -> None:
+        """The claim that it was got by stays out."""
+        self._ended, self.began_at = ended, began_at
+        self.waited_ns = int((now - began_at) * 1e9)
+
     def finish(self, status: Status) -> None:
         """The claim is over; the second time nothing happens."""
         if self._ended is not None:
@@ -441,7 +457,7 @@
             work.error = relay.error
             self.discard(conn)
             return Status.ERROR, None, False
-        held = Held(self, conn, None)
+        held = Held(self, conn)
         reply = Reply(out, relay, held)
         if relay.extra:
             conn.doomed = True  # what follows is spoilt, the answer is not
@@ -458,8 +474,7 @@
             return Status.OK, reply, False
         if mode is Mode.KEEP and relay.done:
             return Status.OK, reply, False
-        held.waited_ns = int((self._scheduler.now() - start) * 1e9)
-        held._ended = ended
+        held.claim(ended, start, self._scheduler.now())
         return Status.OK, reply, True
 
     @staticmethod
