--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -548,9 +548,7 @@
     def _request(self, client: Client, work: Work, statement: Statement) -> bool:
         """A command of a session that nothing ties, by way of the decisions."""
         session = client.session
-        opens = statement.kind is Kind.BEGIN or (
-            not session.autocommit and statement.kind not in (Kind.SET, Kind.USE)
-        )
+        opens = self._opens(session, statement)
         given = self._mapping.assign(statement, session.user, opens)
         if self._mapping.news(statement, session.user, given):
             log.info(
@@ -585,12 +583,19 @@
                 return done
             if answer is None:
                 raise Left
-            kind = answer.kind.value
+            kind = "failed" if answer.kind is AnswerKind.SERVED else answer.kind.value
             return self._say_error(client, self._sorry(answer, work, statement))
         finally:
             self._decisions.observers.over(call, kind, self._clock.now_ns() - arrived_ns)
             self._counters.add(f"answers_{kind}" if kind else "requests_gone")
 
+    @staticmethod
+    def _opens(session: Session, statement: Statement) -> bool:
+        """Whether a statement begins a transaction, which is one request."""
+        return statement.kind is Kind.BEGIN or (
+            not session.autocommit and statement.kind not in (Kind.SET, Kind.USE)
+        )
+
     def _watch(self, client: Client) -> Callable[[], Socket | None]:
         # One that sends ahead without end is not read further until its answer is out.
         return lambda: client.channel.sock if client.reader.buffered < 2 * FREE_BYTES else None
@@ -613,6 +618,8 @@
             return Err.of(Errno.SERVER_ISNT_AVAILABLE, text)
         if not work.reached:
             return Err.of(Errno.SERVER_ISNT_AVAILABLE, "no node could be reached; it did not run")
+        if work.nonsense is not None:
+            return self._spoilt_error(False, statement, work.nonsense)
         return work.error or self._lost_error(False, statement)
 
     def _lost_error(self, in_transaction: bool, statement: Statement) -> Err:
@@ -639,6 +646,13 @@
             f"the outcome of this {what} is unknown: it was sent, its answer was lost, it is not repeated",
         )
 
+    def _spoilt_error(self, in_transaction: bool, statement: Statement, error: ProtocolError) -> Err:
+        """The same for an answer that makes no sense: what may have run is still unknown."""
+        lost = self._lost_error(in_transaction, statement)
+        if lost.errno == Errno.ERROR_DURING_COMMIT:
+            return lost
+        return Err(error.errno, error.state, str(error))
+
     def _accept(self, client: Client, statement: Statement, work: Work, reply: Reply) -> Mode:
         """An answer is whole, or has begun to come: whether anyone waits for it, and who keeps what."""
         if work.over:
@@ -687,7 +701,13 @@
             if reply.out:
                 client.channel.send(reply.out, self._scheduler.now() + WRITE_SECONDS)
             while not relay.done:
-                out = relay.feed(self._from_node(client, held, deadline, statement))
+                data = self._from_node(client, held, deadline, statement)
+                try:
+                    out = relay.feed(data)
+                except ProtocolError as error:
+                    log.warning("bad answer", extra={"fields": {"node": held.node.name, "reason": error}})
+                    text = self._spoilt_error(session.in_transaction, statement, error)
+                    raise Lost(text, Status.ERROR) from None
                 if relay.extra:
                     held.conn.doomed = True
                 if relay.done:
@@ -773,9 +793,11 @@
         conn, in_transaction = held.conn, session.in_transaction
         deadline = client.deadline
         if not in_transaction:
-            given = self._mapping.assign(statement, session.user)
+            opens = self._opens(session, statement)
+            given = self._mapping.assign(statement, session.user, opens)
             deadline = self._scheduler.now() + given.deadline_ms / 1000
             client.request_class = given.request_class
+            client.deadline = deadline if opens else None
         work.conn = conn
         limit = deadline if deadline is not None else self._scheduler.now() + WRITE_SECONDS
         try:
--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -131,8 +131,8 @@
     address: tuple[str, int]
     started_ns: int
     idle: list[Conn] = field(default_factory=list)  # the last used at the end
-    claims: set[Claim] = field(default_factory=set)
-    held: set[Held] = field(default_factory=set)
+    claims: dict[Claim, None] = field(default_factory=dict)  # dicts, so that their order is their own
+    held: dict[Held, None] = field(default_factory=dict)
     waiters: deque[Claim] = field(default_factory=deque)
     open: int = 0
     by_account: dict[str, int] = field(default_factory=dict)
@@ -185,6 +185,8 @@
     taken: Reply | None = None  # the answer that was taken
     over: bool = False  # an answer was taken, or nobody waits for one
     conn: Conn | None = None  # where it was sent last
+    broke: bool = False  # an answer broke off behind its first byte: no other node is asked
+    nonsense: ProtocolError | None = None  # what was wrong with an answer
     error: Err | None = None  # what a node said that could not run it
 
     @property
@@ -212,7 +214,7 @@
         self._ended: Callable[[Outcome], None] | None = None
         self.began_at = 0.0  # when its claim was made
         self.waited_ns = 0  # time that the node took, without the client's
-        conn.node.held.add(self)
+        conn.node.held[self] = None
 
     @property
     def node(self) -> Node:
@@ -242,19 +244,19 @@
     def release(self) -> None:
         """Give the connection back, in a state that any session may find it in."""
         self.finish(Status.OK)
-        self.node.held.discard(self)
+        self.node.held.pop(self, None)
         self._nodes.give_back(self.conn)
 
     def drop(self, status: Status) -> None:
         """Close the connection: what was open on it is rolled back by the node."""
         self.finish(status)
-        self.node.held.discard(self)
+        self.node.held.pop(self, None)
         self._nodes.discard(self.conn)
 
     def stop(self, status: Status) -> None:
         """Stop the statement at the node, and close the connection."""
         self.finish(status)
-        self.node.held.discard(self)
+        self.node.held.pop(self, None)
         self._nodes.stop(self.conn)
 
 
@@ -380,7 +382,7 @@
                 if node is None or node.leaving:
                     status = Status.FULL
                 else:
-                    node.claims.add(claim)
+                    node.claims[claim] = None
                     status, reply, left = self._attempt(node, claim, payload, limit, ended, start)
             except Exception:
                 # Guards against a claim without an end: its request would wait until the deadline.
@@ -388,10 +390,10 @@
                 log.exception("claim failed", extra={"fields": {"node": name}})
             finally:
                 if node is not None:
-                    node.claims.discard(claim)
-            if left:
+                    node.claims.pop(claim, None)
+            if left or payload.broke:
                 begun(reply)
-            else:
+            if not left:
                 took = int((self._scheduler.now() - start) * 1e9)
                 ended(Outcome(status, took, LoadReport() if status is Status.OK else None, reply))
 
@@ -409,6 +411,7 @@
     ) -> tuple[Status, Reply | None, bool]:
         """How it ended, with what answer; whether the claim is now in the session's hands."""
         conn: Conn | None = None
+        relay: ReplyRelay | None = None
         try:
             conn = self._take(node, claim, work, limit)
             if conn is None:
@@ -439,6 +442,7 @@
             return self._called_off(claim), None, False
         except Timeout:
             self._stop_or_drop(conn, claim)
+            work.broke = relay is not None and relay.begun
             return Status.TIMEOUT if claim.written else Status.CONNECT_FAILED, None, False
         except LoginRefused as refused:
             return self._refused(node, work, refused.error), None, False
@@ -447,11 +451,12 @@
             self._stop_or_drop(conn, claim)
             if not claim.written:
                 return Status.CONNECT_FAILED, None, False
-            work.error = Err(error.errno, error.state, str(error))
+            work.nonsense, work.broke = error, relay is not None and relay.begun
             return Status.ERROR, None, False
         except OSError:
             if conn is not None:
                 self.discard(conn)
+            work.broke = relay is not None and relay.begun
             return Status.RESET if claim.written else Status.CONNECT_FAILED, None, False
         if relay.done and relay.error is not None and relay.error.errno in NODE_ERRORS:
             work.error = relay.error
@@ -770,6 +775,8 @@
         """Ask for the LAST_INSERT_ID that a session left on a connection, before another uses it."""
         owner = conn.carries
         assert owner is not None
+        # Whatever comes of it: what only this connection knew is told now, or lost, and never guessed.
+        owner.id_conn = conn.id_owner = None
         relay, out = self.ask(conn, b"\3SELECT LAST_INSERT_ID()", limit, claim)
         reader = PacketReader(1 << 16, seq=1)
         reader.feed(out)
@@ -777,11 +784,10 @@
         while (packet := reader.take()) is not None:
             packets.append(packet)
         try:
-            value = parse_text_row(packets[-2], 1)[0] if relay.rows == 1 else None
-            owner.session.last_id = int(value) if value is not None else 0
+            value = parse_text_row(packets[-2], 1)[0] if relay.rows == 1 and relay.error is None else None
+            owner.session.last_id = int(value or b"")
         except (ValueError, IndexError):
-            raise ProtocolError("the node's LAST_INSERT_ID() is no number") from None
-        owner.id_conn = conn.id_owner = None
+            raise ProtocolError("the node does not tell its LAST_INSERT_ID()") from None
         self._counters.add("mysql_ids_carried")
 
     def _worded(self, conn: Conn, work: Work, claim: Claim, limit: float) -> tuple[bytes, ReplyRelay]:
--- a/brambleusher/lab/stand_ins/mysql_client.py
+++ b/brambleusher/lab/stand_ins/mysql_client.py
@@ -181,7 +181,11 @@
         if at != len(first) or not 0 < columns < 100:
             raise Nonsense("no number of columns")
         for _ in range(columns):
-            if self._packet(deadline)[:4] != b"\x03def":
+            definition = self._packet(deadline)
+            if definition[0] == 0xFF:
+                self._error(told, definition)
+                return False
+            if definition[:4] != b"\x03def":
                 raise Nonsense("no definition of a column")
         if not self._new:
             end = self._packet(deadline)
