--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -619,7 +619,8 @@
         if not work.reached:
             return Err.of(Errno.SERVER_ISNT_AVAILABLE, "no node could be reached; it did not run")
         if work.nonsense is not None:
-            return self._spoilt_error(False, statement, work.nonsense)
+            spoilt = Err(work.nonsense.errno, work.nonsense.state, str(work.nonsense))
+            return self._unless_unknown(False, statement, spoilt)
         return work.error or self._lost_error(False, statement)
 
     def _lost_error(self, in_transaction: bool, statement: Statement) -> Err:
@@ -646,13 +647,6 @@
             f"the outcome of this {what} is unknown: it was sent, its answer was lost, it is not repeated",
         )
 
-    def _spoilt_error(self, in_transaction: bool, statement: Statement, error: ProtocolError) -> Err:
-        """The same for an answer that makes no sense: what may have run is still unknown."""
-        lost = self._lost_error(in_transaction, statement)
-        if lost.errno == Errno.ERROR_DURING_COMMIT:
-            return lost
-        return Err(error.errno, error.state, str(error))
-
     def _accept(self, client: Client, statement: Statement, work: Work, reply: Reply) -> Mode:
         """An answer is whole, or has begun to come: whether anyone waits for it, and who keeps what."""
         if work.over:
@@ -696,6 +690,8 @@
         packet had begun.
         """
         relay, held, session = reply.relay, reply.held, client.session
+        if not relay.done:
+            held.measure()
         was_tied, whole = session.tied, relay.done
         try:
             if reply.out:
@@ -706,11 +702,13 @@
                     out = relay.feed(data)
                 except ProtocolError as error:
                     log.warning("bad answer", extra={"fields": {"node": held.node.name, "reason": error}})
-                    text = self._spoilt_error(session.in_transaction, statement, error)
-                    raise Lost(text, Status.ERROR) from None
+                    spoilt = Err(error.errno, error.state, str(error))
+                    told = self._unless_unknown(session.in_transaction, statement, spoilt)
+                    raise Lost(told, Status.ERROR) from None
                 if relay.extra:
                     held.conn.doomed = True
                 if relay.done:
+                    held.measured_whole()
                     # Before the client can act on the end of its answer.
                     mode = self._settle(client, statement, work, reply)
                     self._keep(client, held, mode)
@@ -761,11 +759,13 @@
                 now = self._scheduler.now()
                 if deadline is not None and now >= deadline:
                     text = "Query execution was interrupted, maximum statement execution time exceeded"
-                    error = self._late_error(in_transaction, statement, text)
+                    late = Err.of(Errno.QUERY_TIMEOUT, text)
+                    error = self._unless_unknown(in_transaction, statement, late)
                     raise Lost(error, Status.TIMEOUT, stop=not commit)
                 if client.leave_at is not None and now >= self._leaves_at(client, now) and not commit:
                     self._counters.add("mysql_drained")
-                    raise Lost(_drain_error(client.session), Status.CANCELLED, stop=True)
+                    error = self._unless_unknown(in_transaction, statement, _drain_error(client.session))
+                    raise Lost(error, Status.CANCELLED, stop=True)
                 until = now + WATCH_SECONDS if deadline is None else min(now + WATCH_SECONDS, deadline)
                 try:
                     data = channel.receive(until, client.bell)
@@ -782,9 +782,10 @@
         finally:
             held.waited_ns += int((self._scheduler.now() - begun) * 1e9)
 
-    def _late_error(self, in_transaction: bool, statement: Statement, text: str) -> Err:
-        error = self._lost_error(in_transaction, statement)
-        return error if error.errno == Errno.ERROR_DURING_COMMIT else Err.of(Errno.QUERY_TIMEOUT, text)
+    def _unless_unknown(self, in_transaction: bool, statement: Statement, error: Err) -> Err:
+        """An error, or where the statement may have run and stays so, that its outcome is unknown."""
+        lost = self._lost_error(in_transaction, statement)
+        return lost if lost.errno == Errno.ERROR_DURING_COMMIT else error
 
     def _run_tied(self, client: Client, work: Work, statement: Statement) -> bool:
         """A command of a tied session, on the connection it holds."""
--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -20,6 +20,7 @@
 from brambleusher.fronts.mysql.channel import Channel, client_context
 from brambleusher.fronts.mysql.constants import Capability, Command, Errno
 from brambleusher.fronts.mysql.constants import Status as Flag
+from brambleusher.fronts.mysql.load import Meter
 from brambleusher.fronts.mysql.messages import Err, Execute, parse_text_row
 from brambleusher.fronts.mysql.packets import PacketReader, ProtocolError, frame, frames
 from brambleusher.fronts.mysql.replies import ReplyRelay
@@ -141,12 +142,13 @@
     side: int = 0
     side_waits: deque[Callable[[], None]] = field(default_factory=deque)
     leaving: bool = False
+    meter: Meter = field(default_factory=Meter)
 
 
 class Claim:
     """One claim: its task, and how far it has come."""
 
-    __slots__ = ("bell", "flavour", "granted", "sending", "why", "written")
+    __slots__ = ("bell", "flavour", "granted", "measured", "sending", "why", "written")
 
     def __init__(self, flavour: Flavour) -> None:
         self.bell = Bell()  # rings when it is called off, and when a connection may be had
@@ -154,6 +156,7 @@
         self.granted: Conn | None = None
         self.why: Status | None = None
         self.sending = self.written = False
+        self.measured = False  # its statement counts as one at the node
 
     def call_off(self, why: Status = Status.CANCELLED) -> None:
         """Give it up; a statement under way is stopped at the node."""
@@ -207,13 +210,14 @@
 class Held:
     """A connection in a session's hands, and the claim that stays out as long as it is."""
 
-    __slots__ = ("_ended", "_nodes", "began_at", "conn", "waited_ns")
+    __slots__ = ("_ended", "_nodes", "began_at", "conn", "measured", "waited_ns")
 
     def __init__(self, nodes: MysqlNodes, conn: Conn) -> None:
         self._nodes, self.conn = nodes, conn
         self._ended: Callable[[Outcome], None] | None = None
         self.began_at = 0.0  # when its claim was made
         self.waited_ns = 0  # time that the node took, without the client's
+        self.measured = False  # a statement of it counts as one at the node
         conn.node.held[self] = None
 
     @property
@@ -239,22 +243,38 @@
         """The claim is over; the second time nothing happens."""
         if self._ended is not None:
             ended, self._ended = self._ended, None
-            ended(Outcome(status, self.waited_ns, LoadReport() if status is Status.OK else None))
+            report = self._nodes.report(self.node) if status is Status.OK else None
+            ended(Outcome(status, self.waited_ns, report))
+
+    def measure(self) -> None:
+        """A statement goes out on it."""
+        if not self.measured:
+            self.measured = True
+            self.node.meter.begin(self._nodes.now())
+
+    def measured_whole(self, answered: bool = True) -> None:
+        """Its answer is whole, or none will be."""
+        if self.measured:
+            self.measured = False
+            self.node.meter.end(self._nodes.now(), answered)
 
     def release(self) -> None:
         """Give the connection back, in a state that any session may find it in."""
+        self.measured_whole()
         self.finish(Status.OK)
         self.node.held.pop(self, None)
         self._nodes.give_back(self.conn)
 
     def drop(self, status: Status) -> None:
         """Close the connection: what was open on it is rolled back by the node."""
+        self.measured_whole(answered=False)
         self.finish(status)
         self.node.held.pop(self, None)
         self._nodes.discard(self.conn)
 
     def stop(self, status: Status) -> None:
         """Stop the statement at the node, and close the connection."""
+        self.measured_whole(answered=False)
         self.finish(status)
         self.node.held.pop(self, None)
         self._nodes.stop(self.conn)
@@ -284,6 +304,16 @@
             client_context(tls.ca_file, tls.host, tls.cert_file, tls.key_file) if tls.mode != "off" else None
         )
 
+    def now(self) -> float:
+        """The scheduler's time."""
+        return self._scheduler.now()
+
+    def report(self, node: Node | None) -> LoadReport:
+        """What the decisions are told of a node's load; without figures where they are told by others."""
+        if node is None or self._settings.load == "none":
+            return LoadReport()
+        return node.meter.report(self.now(), min(self._settings.connections, node.most))
+
     # --- the machine list -----------------------------------------------------------------------
 
     def update(self, update: MachineListUpdate) -> None:
@@ -391,11 +421,13 @@
             finally:
                 if node is not None:
                     node.claims.pop(claim, None)
+                    if claim.measured:
+                        node.meter.end(self._scheduler.now(), status in (Status.OK, Status.ERROR))
             if left or payload.broke:
                 begun(reply)
             if not left:
                 took = int((self._scheduler.now() - start) * 1e9)
-                ended(Outcome(status, took, LoadReport() if status is Status.OK else None, reply))
+                ended(Outcome(status, took, self.report(node) if status is Status.OK else None, reply))
 
         self._scheduler.spawn(run, name=f"mysql claim {name}")
         return claim
@@ -425,7 +457,8 @@
                 self.give_back(conn)
                 return Status.MOOT, None, False
             self._counters.add("claims_sent")
-            claim.sending = True
+            claim.sending = claim.measured = True
+            node.meter.begin(self._scheduler.now())
             conn.channel.send(data, limit)
             claim.written = work.reached = True
             out = b""
@@ -463,6 +496,8 @@
             self.discard(conn)
             return Status.ERROR, None, False
         held = Held(self, conn)
+        if not relay.done:
+            held.measured, claim.measured = True, False  # until the rest of its answer is here
         reply = Reply(out, relay, held)
         if relay.extra:
             conn.doomed = True  # what follows is spoilt, the answer is not
--- a/brambleusher/fronts/mysql/settings.py
+++ b/brambleusher/fronts/mysql/settings.py
@@ -82,6 +82,7 @@
     memory_mb: int = 16  # of statements on their way, of all sessions
     grace_ms: Mapping[str, int] = field(default_factory=dict)
     drain_spread_ms: int = 1000
+    load: str = "pool"  # what stands in for load reports
 
 
 def _address(text: str | None, path: str) -> tuple[str, int]:
@@ -182,6 +183,7 @@
         max_packet_mb=section.whole("max_packet_mb", usual.max_packet_mb, 1, 1024),
         memory_mb=section.whole("memory_mb", usual.memory_mb, 1, 65_536),
         grace_ms=grace,
+        load=section.choice("load", ("pool", "none"), usual.load),
         drain_spread_ms=section.whole("drain_spread_ms", usual.drain_spread_ms, 0, 600_000),
     )
     section.end()
