--- a/brambleusher/control/core.py
+++ b/brambleusher/control/core.py
@@ -25,7 +25,7 @@
 from quillpass.api import HostList, HostState, ListKind, Settings, TimerFired
 from quillpass.fleet import FleetBalancer, standings
 from quillpass.handout import Handout, Place, Why, Word
-from quillpass.shares import Rounder, Tier, tiers
+from quillpass.shares import Damper, Rounder, Tier, tiers
 
 log = logging.getLogger(__name__)
 
@@ -58,15 +58,23 @@
     def __init__(self, name: str, settings: Settings, seed: int, change: float, now: int) -> None:
         self.name = name
         self.balancer = FleetBalancer(settings, seed)
-        self.loads = Loads()
-        self._rounder = Rounder(change)
+        self.loads = Loads(cls.name for cls in settings.classes)
+        self._damper, self._rounder = Damper(), Rounder(change)
         self._due_at = self.balancer.next_tick(self.balancer.start(now)) or now
         self.tiers: list[Tier] = []
-
-    def listed(self, machines: Mapping[str, Machine], now: int) -> None:
-        """The list has changed."""
-        entries = [machine.entry for machine in machines.values()]
-        self.balancer.handle(HostList(ListKind.FULL, entries), now)
+        self._machines: Mapping[str, Machine] = {}
+
+    def listed(self, machines: Mapping[str, Machine], now: int) -> bool:
+        """Take the list in; False where it is the one held."""
+        before, self._machines = self._machines, machines
+        if before is machines:
+            return False
+        entries = [each.entry for name, each in machines.items() if before.get(name) != each]
+        entries += [
+            replace(each.entry, state=HostState.GONE) for name, each in before.items() if name not in machines
+        ]
+        self.balancer.handle(HostList(ListKind.DELTA, entries), now)
+        return True
 
     def tick(self, now: int) -> None:
         """Tell the balancer what was gathered, and the time where it wants it."""
@@ -75,10 +83,11 @@
         if now >= self._due_at:
             self._due_at = self.balancer.next_tick(self.balancer.handle(TimerFired(0), now)) or now
 
-    def weigh(self, order: Iterable[tuple[str, ...]]) -> bool:
-        """Read the weights; says whether any has moved enough to go out."""
+    def weigh(self, order: Iterable[tuple[str, ...]], step: bool) -> bool:
+        """Read the weights, and go a step towards them; says whether any has moved enough to go out."""
         before = self.tiers
-        self.tiers = tiers(self._rounder.round(standings(self.balancer)), list(order))
+        followed = self._damper.follow(standings(self.balancer), step)
+        self.tiers = tiers(self._rounder.round(followed), list(order))
         return self.tiers != before
 
 
@@ -213,15 +222,22 @@
         self.machines, self._place = machines, place
         if changed:
             self._node_at = {machine.address: name for name, machine in machines.items()}
+            served = {stream.zone for stream in self.streams.values()}
             for zone in self.zones.values():
-                zone.listed(machines, now)
-                self._weigh(zone)
+                if zone.name in served:  # the others when somebody asks, or at the next tick
+                    self._listed(zone, now)
         self._snapshots.clear()
         self.on_change()
 
-    def _weigh(self, zone: Zone) -> bool:
+    def _listed(self, zone: Zone, now: int) -> None:
+        """Have a zone know the list; between two steps of the weights only this changes them."""
+        if zone.listed(self.machines, now):
+            self._weigh(zone, step=False)
+
+    def _weigh(self, zone: Zone, step: bool) -> bool:
         priorities = self.config.spread.priorities
-        moved = zone.weigh(() if priorities is None else priorities.get(zone.name, ((zone.name,),)))
+        order = () if priorities is None else priorities.get(zone.name, ((zone.name,),))
+        moved = zone.weigh(order, step)
         # The nodes' addresses may have changed where their weights have not.
         for form in FORMS:
             self._drafts.pop((zone.name, form), None)
@@ -230,10 +246,11 @@
     def tick(self, now: int) -> None:
         """Let time pass: reports are told, weights move."""
         for zone in self.zones.values():
+            self._listed(zone, now)
             zone.tick(now)
         if now - self._weighed_ns >= self.config.spread.weights_every_ms * MS and self.machines:
             self._weighed_ns = now
-            moved = [zone for zone in self.zones.values() if self._weigh(zone)]
+            moved = [zone for zone in self.zones.values() if self._weigh(zone, step=True)]
             if moved:
                 self._news_ns = now
                 self._snapshots.clear()
@@ -250,7 +267,7 @@
                 stream.group = config.group_of(stream.identity)
         self.on_change()
 
-    def snapshot(self, zone: str, form: str, group: Group) -> Snapshot:
+    def snapshot(self, zone: str, form: str, group: Group, now: int) -> Snapshot:
         """What a group's subscribers in a zone may have now."""
         at = self.config.groups.index(group)
         held = self._snapshots.get((zone, form, at))
@@ -262,6 +279,7 @@
             drafts = self._fixed[at] = fixed(self.config, group)
         moving = self._drafts.get((zone, form))
         if moving is None:
+            self._listed(self.zones[zone], now)
             addresses = {name: machine.address for name, machine in self.machines.items()}
             moving = self._endpoints[zone, form].draft(self.zones[zone].tiers, addresses)
             self._drafts[zone, form] = moving
@@ -352,7 +370,7 @@
         if self.why_not(now) is not None:
             return None
         subscriber = stream.subscriber
-        snapshot = self.snapshot(stream.zone, stream.form, stream.group)
+        snapshot = self.snapshot(stream.zone, stream.form, stream.group, now)
         if subscriber.offered is not snapshot:
             subscriber.offer(snapshot)
         stale_after = self.config.stale_after_ms * MS
