--- a/brambleusher/fronts/mysql/constants.py
+++ b/brambleusher/fronts/mysql/constants.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from enum import IntEnum, IntFlag
+from enum import IntEnum
 
 MAX_PAYLOAD = 0xFFFFFF  # of one packet; a longer message goes on in the next
 SCRAMBLE = 20  # bytes of the challenge in a greeting
@@ -12,7 +12,7 @@
 CACHING_SHA2 = "caching_sha2_password"
 
 
-class Capability(IntFlag):
+class Capability(IntEnum):
     """What the two ends of a connection agree on."""
 
     LONG_PASSWORD = 1 << 0
@@ -45,7 +45,7 @@
     QUERY_ATTRIBUTES = 1 << 27
 
 
-class Status(IntFlag):
+class Status(IntEnum):
     """The server's state, as OK and EOF packets tell it."""
 
     IN_TRANS = 1 << 0
--- a/brambleusher/fronts/mysql/statements.py
+++ b/brambleusher/fronts/mysql/statements.py
@@ -592,6 +592,7 @@
         self._by_text: OrderedDict[tuple[bytes, bool], Statement] = OrderedDict()
         self._most_digests, self._most_texts = digests, texts
         self.parsed = 0
+        _parse("select 1 from t")  # guards against a first statement that waits for the parser to be loaded
         # Guards against the texts of statements in a log: sqlglot warns with them.
         logging.getLogger("sqlglot").setLevel(logging.CRITICAL)
 
--- /dev/null
+++ b/tests/test_mysql_replay.py
@@ -0,0 +1,71 @@
+"""A fixed few of the fault schedules, and breakages that they must find."""
+
+from __future__ import annotations
+
+import pytest
+
+from brambleusher.fronts.mysql.load import Meter
+from brambleusher.lab.mysql_replay import BREAKAGES, main, run_seed
+from quillpass.api import LoadReport
+
+# The first seeds that find each; `python -m brambleusher.lab.mysql_replay --table` prints them anew.
+FOUND_AT = {
+    "resend-after-commit": 1, "error-swallowed": 0, "lost-commit-told-as-done": 0,
+    "unknown-told-as-failed": 0, "moved-in-a-transaction": 0, "variable-lost-on-a-move": 1,
+    "rows-of-two-results-mixed": 0,
+    "kill-hits-the-next": 46, "settings-not-replayed": 0, "id-not-carried": 1, "write-repeated": 21,
+    "read-repeated-after-a-byte": 0, "connection-not-dropped": 0,
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_schedule_breaks_a_rule(seed: int) -> None:
+    verdict = run_seed(seed)
+    assert verdict.breaches == [], f"python -m brambleusher.lab.mysql_replay --replay {seed}"
+    assert verdict.commands > 100
+
+
+def test_the_same_seed_is_the_same_run() -> None:
+    one, other = run_seed(3), run_seed(3)
+    assert one.lines == other.lines
+    assert one.digest == other.digest != run_seed(4).digest
+
+
+def test_every_breakage_is_listed() -> None:
+    assert set(FOUND_AT) == set(BREAKAGES)
+
+
+@pytest.mark.parametrize("name", list(FOUND_AT))
+def test_each_breakage_is_found(name: str) -> None:
+    assert run_seed(FOUND_AT[name], name).breaches
+    assert not run_seed(FOUND_AT[name]).breaches
+
+
+def test_the_command(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["--replay", "0"]) == 0
+    assert capsys.readouterr().out.splitlines()[-1] == f"digest {run_seed(0).digest}"
+    assert main(["--replay", "0", "--breakage", "settings-not-replayed"]) == 1
+    assert "BREACH" in capsys.readouterr().out
+    with pytest.raises(SystemExit) as ended:
+        main(["--seeds", "5:5"])
+    assert ended.value.code == 2
+
+
+def test_a_nodes_load_as_it_looks_from_here() -> None:
+    meter, now = Meter(), 100.0
+    for _ in range(1000):  # four at once, each 20 ms: 200 a second
+        for _ in range(4):
+            meter.begin(now)
+        now += 0.02
+        for _ in range(4):
+            meter.end(now, answered=True)
+    report = meter.report(now, 8)
+    assert report.utilisation == pytest.approx(0.5, rel=0.05)
+    assert report.throughput == pytest.approx(200, rel=0.05)
+    assert meter.report(now, 2).utilisation == 1.0
+    meter.begin(now)
+    meter.end(now + 20, answered=False)
+    later = meter.report(now + 20, 8)
+    assert later.utilisation == pytest.approx(1 / 8, rel=0.05)
+    assert later.throughput == pytest.approx(0, abs=0.01)
+    assert Meter().report(5.0, 8) == LoadReport(0.0, 0.0)
