--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -849,6 +849,9 @@
                 flag = int(Flag.AUTOCOMMIT)
                 session.status = session.status | flag if statement.autocommit else session.status & ~flag
                 return self._say_ok(client)
+            if kind in (Kind.COMMIT, Kind.ROLLBACK) and not (statement.chain or statement.release):
+                # Nothing is open: drivers and pools end transactions that never began, again and again.
+                return self._say_ok(client)
             if statement.digest == "select connection_id ()":
                 return self._say_number(client, b"CONNECTION_ID()", client.thread)
         return self._run(client, Command.QUERY, body, statement)
