--- a/brambleusher/operator_file.py
+++ b/brambleusher/operator_file.py
@@ -7,12 +7,15 @@
 
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brambleusher.net.http import HOP_BY_HOP, is_token, is_value
 from brambleusher.runtime.streams import parse_address
 from quillpass.api import Tier, ZoneRules
 
+if TYPE_CHECKING:
+    from brambleusher.fronts.mysql.settings import MysqlSettings
+
 MAX_FILE = 256 * 1024
 MAX_RULES, MAX_VALUE = 256, 4096
 MAX_ZONES = 64
@@ -90,6 +93,7 @@
     status: StatusSettings | None = None
     capture: CaptureSettings | None = None
     zones: ZoneRules | None = None
+    mysql: MysqlSettings | None = None
 
 
 class Section:
@@ -341,6 +345,12 @@
     return rules
 
 
+def _mysql(raw: Any) -> MysqlSettings:
+    from brambleusher.fronts.mysql.settings import parse_mysql  # here: a sidecar without it loads none of it
+
+    return parse_mysql(raw)
+
+
 def decode_yaml(text: bytes) -> Any:
     """YAML by the safe loader, with texts for keys and none of them twice."""
     import yaml  # here, so that a sidecar without an operator file doesn't pay for it
@@ -379,6 +389,7 @@
         capture=_capture(section.take("capture")) if section.has("capture") else None,
         zones=_zones(section.take("zones")) if section.has("zones") else None,
         figures=_figures(section.take("figures")) if section.has("figures") else None,
+        mysql=_mysql(section.take("mysql")) if section.has("mysql") else None,
     )
     section.end()
     return settings
--- a/tests/test_mysql_auth.py
+++ b/tests/test_mysql_auth.py
@@ -182,7 +182,7 @@
 def test_change_user_is_a_login_of_its_own() -> None:
     login, other = server(None), bytes(range(60, 80))
     login = ServerLogin(9, CHALLENGE, CAPS, {"new": Secret.of(NATIVE, b"pw")}.get, KEY, "8.0.36")
-    login.change_user(ChangeUser("new", b"", "shop", plugin=CACHING_SHA2).encode(CAPS), CAPS, other)
+    login.change_user(ChangeUser("new", b"", "shop", plugin=CACHING_SHA2).encode(CAPS), CAPS, b"", other)
     assert login.step() is Turn.READ
     reader = PacketReader(1000, seq=1)
     reader.feed(login.out)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -18,6 +18,7 @@
 from brambleusher.features.records import event_from, event_of
 from brambleusher.features.replay import rerun
 from brambleusher.features.status import page
+from brambleusher.lab.explore import OUTPUT_BYTES
 from brambleusher.lab.fleet import Fleet
 from brambleusher.lab.scenario import draw_scenario
 from brambleusher.operator_file import OperatorError, parse_operator_file
@@ -473,6 +474,7 @@
     )
     fleet = Fleet(msgspec.structs.replace(drawn, world=world, faults=()))
     with fleet.world, caplog.at_level(logging.INFO, "brambleusher"):
+        fleet.world.settings = replace(fleet.world.settings, output_bytes=OUTPUT_BYTES)
         fleet.start()
         fleet.world.run(fleet.begins_ns + 2 * SECOND)
         place = fleet.sidecars[0]
@@ -499,7 +501,7 @@
         fleet.world.run(fleet.world.now_ns + SECOND)
         assert place.process is not None
         dump = bytes(place.process.stderr)
-    assert b'"ev":"rules"' in dump and b"evacuates it no more" in dump
+    assert b'"ev":"rules"' in dump and b"evacuate it no more" in dump
     out = io.StringIO()
     tally = rerun(io.BytesIO(dump), out)
     assert tally.records > 20 and not tally.differing, out.getvalue()
