--- a/brambleusher/lab/experiments/matrix.py
+++ b/brambleusher/lab/experiments/matrix.py
@@ -21,11 +21,21 @@
 Outcome = CellResult | str  # or what went wrong
 
 
+def _stop(number: int, frame: object) -> None:
+    """Guards against sidecars that outlive the process they were started by: it unwinds, and is let do so."""
+    signal.signal(signal.SIGINT, _unheard)
+    signal.signal(signal.SIGTERM, _unheard)
+    raise KeyboardInterrupt
+
+
+def _unheard(number: int, frame: object) -> None:
+    """The process is ending already."""
+
+
 def _child(cell: Cell, pipe: Connection) -> None:
     """One cell in a process of its own: its result and seconds, or in words what went wrong."""
-    # Guards against sidecars that outlive the process they were started by: both signals unwind it.
-    signal.signal(signal.SIGINT, signal.default_int_handler)
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, _stop)
+    signal.signal(signal.SIGTERM, _stop)
     began = RealSystem.monotonic()
     try:
         outcome: Outcome = run(cell)
--- a/tests/test_lab_experiments.py
+++ b/tests/test_lab_experiments.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import time
 from html.parser import HTMLParser
 from pathlib import Path
 
@@ -24,6 +25,7 @@
 from brambleusher.lab.worlds import WorldError, WorldFile, world_of
 from brambleusher.load import demand, synthetic
 
+WAIT = 60.0
 ROOT = Path(__file__).parent.parent
 EXPERIMENT = """
 name: tries
@@ -213,9 +215,44 @@
     assert interval(np.array([0.5])) == (0.5, 0.5)
 
 
+def processes_of(folder: Path) -> list[Path]:
+    """Processes whose command line names something in a directory."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/cmdline"):
+        try:
+            if f"{folder}{os.sep}".encode() in path.read_bytes():
+                found.append(path)
+        except OSError:
+            continue
+    return found
+
+
 # --- on sockets -----------------------------------------------------------------------------------
 
 
+def test_an_experiment_that_is_stopped_leaves_no_sidecar(tmp_path: Path) -> None:
+    path, folder = tmp_path / "e.yaml", tmp_path / "tmp"
+    folder.mkdir()
+    recipe = "{seconds: 300, rate: 5, burst: null}"
+    path.write_text(f"where: [sockets]\nworlds: {{w: {{sidecars: 2}}}}\ndemands: {{d: {{recipe: {recipe}}}}}")
+    run = subprocess.Popen(
+        [sys.executable, "-c", f"import signal; signal.signal(2, signal.default_int_handler)\n"
+         f"from brambleusher.__main__ import main; raise SystemExit(main(['lab', 'run', {str(path)!r}]))"],
+        cwd=ROOT, stderr=subprocess.PIPE, text=True, env={**os.environ, "TMPDIR": str(folder)},
+        start_new_session=True,
+    )  # fmt: skip
+    until = time.monotonic() + WAIT
+    while len(processes_of(folder)) < 2:
+        assert time.monotonic() < until and run.poll() is None
+        time.sleep(0.02)
+    os.killpg(run.pid, signal.SIGINT)
+    assert "stopped: what is done is kept" in run.communicate(timeout=WAIT)[1]
+    assert run.returncode == 130
+    assert not processes_of(folder) and not list(folder.iterdir())
+    with Store(tmp_path / "e.sqlite") as store:
+        assert [cell.state for cell in store.cells()] == ["waiting"]
+
+
 def test_a_fleet_comes_up_is_played_on_and_ends_without_a_trace(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
