--- a/brambleusher/lab/up.py
+++ b/brambleusher/lab/up.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -75,11 +76,11 @@
     )
 
 
-def _watch(fleet: RealFleet, scheduler: Scheduler, until: float | None, ended: object, live: bool) -> None:
-    assert callable(ended)
-
+def _watch(
+    fleet: RealFleet, scheduler: Scheduler, until: float | None, ended: Callable[[], bool], live: bool
+) -> None:
     def over() -> bool:
-        return bool(ended()) or (until is not None and scheduler.now() >= until)
+        return ended() or (until is not None and scheduler.now() >= until)
 
     def step() -> None:
         due = scheduler.now() + BEAT_SECONDS
