Faults of zones: flaps, cuts for one sidecar or one way, grey ones, drains in order, rules at SIGHUP

The lab could cut a zone off or take its power; what a zone's rules are for could not be caused. Five kinds of fault and the profile zones-ruled, in which sidecars have rules on zones.

--- a/brambleusher/lab/effects.py
+++ b/brambleusher/lab/effects.py
@@ -518,6 +518,108 @@
     return end
 
 
+@apply.register(faults.ZoneFlaps)
+def _zone_flaps(fault: faults.ZoneFlaps, fleet: Fleet) -> End:
+    length, ends = fault.every_s, list[End]()
+
+    def turn() -> None:
+        if ends:
+            over = ends.pop()
+            assert over is not None
+            over()
+        else:
+            once: faults.Fault = faults.ZoneLost(at_s=0.0, target=fault.target)
+            if fault.how == "cut":
+                once = faults.ZoneUnreachable(at_s=0.0, target=fault.target, way="both")
+            ends.append(apply(once, fleet))
+
+    stop = _again(fleet, length, turn)
+
+    def end() -> None:
+        stop()
+        if ends:
+            turn()
+
+    return end
+
+
+@apply.register(faults.ZoneUnreachable)
+def _zone_unreachable(fault: faults.ZoneUnreachable, fleet: Fleet) -> End:
+    network = fleet.world.network
+    pairs = [
+        (place.machine, each.machine)
+        for place in _zone(fault, fleet)
+        for each in fleet.sidecars
+        if fault.sidecar in ("", each.figures.name)
+    ]
+    if fault.way == "to-nodes":
+        pairs = [(to, from_) for from_, to in pairs]
+    for one, other in pairs:
+        network.cut(one, other, one_way=fault.way != "both")
+
+    def end() -> None:
+        for one, other in pairs:
+            network.mend(one, other, one_way=fault.way != "both")
+
+    return end
+
+
+@apply.register(faults.ZoneGrey)
+def _zone_grey(fault: faults.ZoneGrey, fleet: Fleet) -> End:
+    there = _zone(fault, fleet)
+    slow = _switch(there, node.SlowNow(fault.every, fault.factor))
+    resets = _switch(there, node.Resets("after", fault.resets))
+
+    def end() -> None:
+        for over in (slow, resets):
+            assert over is not None
+            over()
+
+    return end
+
+
+@apply.register(faults.ZoneDrained)
+def _zone_drained(fault: faults.ZoneDrained, fleet: Fleet) -> End:
+    notice = fleet.scenario.world.notice_s
+    ends: list[End] = []
+    over: list[bool] = []
+
+    def drain(place: NodePlace) -> None:
+        if not over:
+            ends.append(_drained(fault, fleet, [place], fault.drain_s, notice))
+
+    for number, place in enumerate(_zone(fault, fleet)):
+        if number:
+            _after(fleet, number * fault.gap_s, partial(drain, place))
+        else:
+            drain(place)
+
+    def end() -> None:
+        over.append(True)
+        for each in ends:
+            if each is not None:
+                each()
+
+    return end
+
+
+@apply.register(faults.ZoneRulesRead)
+def _zone_rules_read(fault: faults.ZoneRulesRead, fleet: Fleet) -> End:
+    def write(what: str) -> None:
+        for place in fleet.sidecars:
+            if what in ("trust", "evacuate"):
+                place.operator = place.operator_file(**{what: [fault.target]})
+            elif what == "none":
+                raw = json.loads(place.operator_file() or b"{}")
+                place.operator = json.dumps({k: v for k, v in raw.items() if k != "zones"}).encode()
+            else:
+                place.operator = place.operator_file() + (b"}" if what == "bad" else b"")
+            place.signal(signal.SIGHUP)
+
+    write(fault.what)
+    return lambda: write("as before")
+
+
 @apply.register(faults.LinkSlow)
 def _link_slow(fault: faults.LinkSlow, fleet: Fleet) -> End:
     network = fleet.world.network
--- a/brambleusher/lab/faults.py
+++ b/brambleusher/lab/faults.py
@@ -492,6 +492,73 @@
     targets: ClassVar[Target] = "zone"
 
 
+class ZoneFlaps(Fault, frozen=True, tag="zone-flaps"):
+    """A zone goes and comes in turn, each for so long: its power, or the way to it from elsewhere."""
+
+    targets: ClassVar[Target] = "zone"
+    every_s: Positive
+    how: Literal["power", "cut"]
+
+    @classmethod
+    def parameters(cls, draw: Drawer, world: WorldFigures) -> dict[str, Any]:
+        """Several times within a run."""
+        return {"every_s": draw.of((0.15, 0.7)), "how": draw.rng.choice(("power", "cut"))}
+
+
+class ZoneUnreachable(Fault, frozen=True, tag="zone-unreachable"):
+    """Nothing passes between a zone and one sidecar, or all of them, or one way only."""
+
+    targets: ClassVar[Target] = "zone"
+    way: Literal["both", "to-nodes", "from-nodes"]
+    sidecar: str = ""
+
+    @classmethod
+    def parameters(cls, draw: Drawer, world: WorldFigures) -> dict[str, Any]:
+        """Any way, mostly for one sidecar."""
+        names = ["", *(sidecar.name for sidecar in world.sidecars)]
+        way = draw.rng.choice(("both", "to-nodes", "from-nodes"))
+        return {"way": way, "sidecar": draw.rng.choice(names)}
+
+
+class ZoneGrey(Fault, frozen=True, tag="zone-grey"):
+    """In a zone each n-th answer is slow, and a part of the requests meets a reset."""
+
+    targets: ClassVar[Target] = "zone"
+    every: Annotated[int, msgspec.Meta(ge=1)]
+    factor: Annotated[float, msgspec.Meta(ge=1)]
+    resets: Part
+
+    @classmethod
+    def parameters(cls, draw: Drawer, world: WorldFigures) -> dict[str, Any]:
+        """Every second to fifth."""
+        return {"every": draw.whole((2, 5)), "factor": draw.log((3.0, 12.0)), "resets": draw.of((0.0, 0.2))}
+
+
+class ZoneDrained(Fault, frozen=True, tag="zone-drained"):
+    """A zone's nodes drain and end in order, one after the other; they are back, cold, at the end."""
+
+    targets: ClassVar[Target] = "zone"
+    gap_s: Seconds
+    drain_s: Seconds
+
+    @classmethod
+    def parameters(cls, draw: Drawer, world: WorldFigures) -> dict[str, Any]:
+        """Quickly, so that a run holds it."""
+        return {"gap_s": draw.of((0.0, 0.3)), "drain_s": draw.of((0.2, 0.8))}
+
+
+class ZoneRulesRead(Fault, frozen=True, tag="zone-rules-read"):
+    """The operator file says something else of zones and SIGHUP comes; as before, both again, at the end."""
+
+    targets: ClassVar[Target] = "zone"
+    what: Literal["trust", "evacuate", "bad", "none"]
+
+    @classmethod
+    def parameters(cls, draw: Drawer, world: WorldFigures) -> dict[str, Any]:
+        """Any of them."""
+        return {"what": draw.rng.choice(("trust", "evacuate", "bad", "none"))}
+
+
 FAULTS: tuple[type[Fault], ...] = (
     NodeSlow, NodeHung, NodeStalled, NodeCrashed, NodeRestarted, NodeReplaced, NodeVanished, FleetShrinks,
     FleetRenewed, FleetGrows, NeighbourBusy, DrainToldLate, DrainTakenBack, DrainFlaps, Resetting,
@@ -499,7 +566,7 @@
     DiscoverySilent, DiscoveryGarbage, DiscoveryMoved, DiscoveryRestarted, ListChurns, BadClientsCome,
     SidecarTerminated, SidecarKilled, SidecarStalled, WallClockSet, DescriptorsUsedUp, BadConfiguration,
     LinkCut, LinkSlow, ConnectsSwallowed, ConnectsRefused, ConnectionsReset, ConnectionsSilent, ZoneLost,
-    ZoneCut,
+    ZoneCut, ZoneFlaps, ZoneUnreachable, ZoneGrey, ZoneDrained, ZoneRulesRead,
 )  # fmt: skip
 KINDS: Mapping[str, type[Fault]] = {kind_of(fault): fault for fault in FAULTS}
 
@@ -510,7 +577,8 @@
     | DiscoverySlow | DiscoverySilent | DiscoveryGarbage | DiscoveryMoved | DiscoveryRestarted | ListChurns
     | BadClientsCome | SidecarTerminated | SidecarKilled | SidecarStalled | WallClockSet
     | DescriptorsUsedUp | BadConfiguration | LinkCut | LinkSlow | ConnectsSwallowed | ConnectsRefused
-    | ConnectionsReset | ConnectionsSilent | ZoneLost | ZoneCut
+    | ConnectionsReset | ConnectionsSilent | ZoneLost | ZoneCut | ZoneFlaps | ZoneUnreachable | ZoneGrey
+    | ZoneDrained | ZoneRulesRead
 )  # fmt: skip
 
 _NODES = (
@@ -533,13 +601,19 @@
     "connections-silent", "node-vanished", "close-crossing", "resets", "zone-cut",
 )  # fmt: skip
 _ZONES = ("zone-lost", "zone-cut", "link-slow", "fleet-shrinks", "node-slow", "fleet-grows")
+_ZONES_RULED = (
+    "zone-lost", "zone-cut", "zone-flaps", "zone-flaps", "zone-unreachable", "zone-unreachable", "zone-grey",
+    "zone-drained", "zone-rules-read", "sidecar-killed", "fleet-shrinks", "node-slow", "link-cut",
+)  # fmt: skip
+# In the profile that is about them alone: what the others draw for a seed stays what it was.
+_APART = ("zone-flaps", "zone-unreachable", "zone-grey", "zone-drained", "zone-rules-read")
 _RESTARTS = (
     "sidecar-terminated", "sidecar-killed", "wall-clock-set", "bad-configuration", "discovery-moved",
     "node-restarted", "node-crashed", "descriptors-used-up", "sidecar-stalled",
 )  # fmt: skip
 # The kinds that a profile draws from; one named twice comes twice as often.
 PROFILES: Mapping[str, tuple[str, ...]] = {
-    "default": tuple(KINDS),
+    "default": tuple(kind for kind in KINDS if kind not in _APART),
     "nodes": _NODES,
     "membership": _MEMBERSHIP,
     "answers": _ANSWERS,
@@ -547,6 +621,7 @@
     "clients": (*_CLIENTS, "bad-clients", "bad-clients", "bad-clients"),
     "network": _NETWORK,
     "zones": _ZONES,
+    "zones-ruled": _ZONES_RULED,
     "restarts": _RESTARTS,
 }
 
--- a/brambleusher/lab/scenario.py
+++ b/brambleusher/lab/scenario.py
@@ -8,7 +8,7 @@
 import yaml
 
 from brambleusher.lab.faults import AnyFault, check_faults, draw_faults
-from brambleusher.lab.figures import Ranges, WorldFigures, draw_asks, draw_world
+from brambleusher.lab.figures import Drawer, Ranges, WorldFigures, draw_asks, draw_world
 from brambleusher.lab.stand_ins.settings import Ask, Settings
 
 FORMAT = 1
@@ -30,9 +30,34 @@
     note: str = ""  # what it shows
 
 
+# Worlds of profiles that need others than the usual ones.
+PROFILE_RANGES = {"zones-ruled": Ranges(nodes=(5, 8), sidecars=(2, 3), requests_per_s=(14.0, 20.0))}
+RULED = ("zones-ruled",)  # profiles in which operators say something of zones
+
+
+def draw_rules(seed: int, world: WorldFigures) -> dict[str, Any]:
+    """The section on zones of an operator file."""
+    draw = Drawer(seed, "zone rules")
+    rules: dict[str, Any] = {"half_life_s": draw.of((1.0, 4.0)), "hold_most_s": draw.of((1.0, 6.0))}
+    if draw.chance(0.5):
+        order = {}
+        for zone in world.zones:
+            others = [each for each in world.zones if each != zone]
+            draw.rng.shuffle(others)
+            order[zone] = draw.rng.choice(
+                ([others[0]], [[others[0], others[1]], others[2]], {others[0]: 2.0, others[1]: 1.0})
+            )
+        rules["neighbours"] = order
+    if draw.chance(0.5):
+        rules |= {"spill": draw.of((0.1, 1.5)), "strain": draw.of((0.7, 1.0)), "panic": draw.of((0.0, 0.8))}
+    return rules
+
+
 def draw_scenario(seed: int, profile: str = "default", ranges: Ranges | None = None) -> Scenario:
     """The scenario of a seed; raises `ValueError` for a profile that there is none of."""
-    world = draw_world(seed, ranges)
+    world = draw_world(seed, ranges or PROFILE_RANGES.get(profile))
+    if profile in RULED:
+        world = msgspec.structs.replace(world, operator={"zones": draw_rules(seed, world)})
     return Scenario(
         seed=seed,
         profile=profile,
--- a/brambleusher/lab/stand_ins/node.py
+++ b/brambleusher/lab/stand_ins/node.py
@@ -42,6 +42,14 @@
     factor: float
 
 
+@dataclass(eq=False, slots=True)
+class SlowNow:
+    """Each n-th request takes so many times the work."""
+
+    every: int
+    factor: float
+
+
 @dataclass(eq=False, slots=True)
 class Hung:
     """Nothing is worked on; connections come up and requests are read all the same."""
@@ -176,7 +184,7 @@
         self.troubles = Troubles() if troubles is None else troubles
         self.draining = False
         self.on_fall: Callable[[], object] | None = None  # told when too much work has brought it down
-        self.answers = self.turned_away = 0
+        self.answers = self.turned_away = self._taken = 0
         self._timer: Timer | None = None
         self._timer_at = math.inf
         self._toggles: dict[Neighbour, tuple[Timer, bool, float]] = {}  # whether it is busy, and until when
@@ -338,6 +346,9 @@
             raise HttpError(400, "a number that is none") from None
         spread = self.settings.work_noise
         seconds = max(1e-5, seconds * math.exp(spread * self.rng.gauss(0.0, 1.0) - spread * spread / 2))
+        for slow in self.troubles.all(SlowNow):
+            self._taken += 1
+            seconds *= slow.factor if self._taken % slow.every == 0 else 1.0
         self.machine.advance(self.scheduler.now())
         execution = Execution(
             node=self.name, process=self.process, connection=connection.number, request=name,
--- a/tests/test_fault_plans.py
+++ b/tests/test_fault_plans.py
@@ -277,6 +277,19 @@
     "connects-refused": ({}, lambda fleet, _: bool(fleet.world.network.refusing)),
     "zone-lost": ({}, lambda fleet, _: place(fleet).machine.gone and not fleet.places[1].machine.gone),
     "zone-cut": ({}, lambda fleet, _: not linked(fleet, True) and not linked(fleet, False)),
+    "zone-flaps": ({"every_s": 1.3, "how": "cut"}, lambda fleet, _: not linked(fleet, True)),
+    "zone-unreachable": (
+        {"way": "from-nodes", "sidecar": SIDECAR.name},
+        lambda fleet, _: linked(fleet, True) and not linked(fleet, False),
+    ),
+    "zone-grey": (
+        {"every": 3, "factor": 5.0, "resets": 0.1},
+        lambda fleet, _: trouble(fleet, at_node.SlowNow) is not None,
+    ),
+    "zone-drained": (
+        {"gap_s": 0.1, "drain_s": 0.3}, lambda fleet, _: not place(fleet).up and state(fleet) == "Gone",
+    ),
+    "zone-rules-read": ({"what": "bad"}, lambda fleet, _: sidecar(fleet).operator.endswith(b"}}}")),
 }  # fmt: skip
 # What these leave behind does not go away, or they can only be seen over a while.
 STAYING: dict[str, tuple[dict[str, Any], See]] = {
