Zones on their way back are taken faster where nothing else has room; chance is no reason to refuse

A zone that is needed ramps in fractions of a second, up to the rule on cold nodes; a grant may be used a burst ahead.

--- a/quillpass/zoned.py
+++ b/quillpass/zoned.py
@@ -45,6 +45,7 @@
         self._zones = Zones(settings.zones, settings.zone, self._unit_ns, settings.fleet_size)
         self._probing: list[str] = []  # requests whose last attempt is a probe
         self._due_ns = 0  # when the timer is to fire
+        self._ahead = False  # zones' grants may be used a burst ahead
         self._handlers[api.RulesChanged] = self._rules_changed
 
     @property
@@ -246,7 +247,7 @@
         if not self._on:
             return plain
         zones, unsafe = self._zones, self.settings.classes[request.cls].effect is Effect.UNSAFE
-        let = {name: zones.admits(name, now) for name in zones.zones}
+        let = {name: zones.admits(name, now, self._ahead) for name in zones.zones}
         if unsafe:
             sure = {name: each and not zones.doubtful(name) for name, each in let.items()}
             let = sure if any(sure.values()) else let
@@ -259,7 +260,13 @@
     def _pick(self, request: Request, now: int) -> Host | None:
         if self._on and not request.attempts and (probe := self._probe(request, now)) is not None:
             return probe
-        return super()._pick(request, now)
+        host = super()._pick(request, now)
+        if host is None and self._on and self._zones.beyond <= 0:
+            # What comes fits as a whole, and not at this moment: chance is no reason to refuse.
+            self._ahead = True
+            host = super()._pick(request, now)
+            self._ahead = False
+        return host
 
     def _probe(self, request: Request, now: int) -> Host | None:
         """A host of a zone that is out, if it is due to be tried and this request may be the one.
@@ -298,7 +305,8 @@
             # The rule's budget is more than a cold host can do: here all proxies together keep to that, each
             # by its part of the zone's traffic.
             even = self._zones.share_of(host.zone) * self.settings.fleet_size
-            host.cold_level -= max(0.0, COLD_SLICE * self.settings.fall_multiple / max(even, 0.25) - 1)
+            cost = COLD_SLICE * self.settings.fall_multiple / max(even, 0.25)
+            host.cold_level -= 0.0 if self._zones.needed(now) else max(0.0, cost - 1)
         if request.id in self._probing:
             sent = self._out[-1]
             assert isinstance(sent, api.Send)
--- a/quillpass/zones.py
+++ b/quillpass/zones.py
@@ -49,7 +49,10 @@
 # The way back.
 TRUSTED = 0.5  # a penalty below this trusts the zone again; each loss adds 1
 ONLY_NODE = 0.4  # what the loss of a zone adds whose only node left the list: nodes are replaced every day
-NEED, NEED_AIMS = 0.1, 4.0  # of what comes fits nowhere for so long: zones held for flapping are let in
+NEED, NEED_AIMS = 0.1, 1.0  # of what comes fits nowhere for so long: zones held for flapping are let in
+NEEDED_AIMS = 4.0  # so long after anything fitted nowhere zones on their way back are needed
+NEEDED_TIMES = 2.0  # what a returning zone can do is then granted: nodes queue for a while
+NEEDED_S = 0.15  # the grant of a returning zone doubles in this time where what comes fits nowhere else
 START_PART = 0.1  # of what the zone can do is offered at first, by all proxies together
 DOUBLING_S = 0.6  # the grant of a returning zone doubles in this time, while it answers
 ANSWERED_TIMES = 2.0  # and is never over so many times what it answers
@@ -200,6 +203,7 @@
         self.zones: dict[str, Zone] = {}
         self.panic = False
         self.beyond = 0.0  # the part of what comes that fits nowhere
+        self.pressed_ns = 0  # the last time any did
         self.short_ns = 0  # since when that is too much; 0: it is not
         self.said: list[str] = []  # for the log
         self.open: dict[int, float] = {}  # by tier: the part of its spare that it offers, by use
@@ -309,7 +313,7 @@
         zone = self.zones.get(name)
         if zone is not None and zone.limit >= 0:
             self._refill(zone, now)
-            zone.level = max(zone.level - 1.0, -1.0)
+            zone.level -= 1.0
 
     def ended(
         self, name: str, host: str, cls: int, status: Status, sent_ns: int, latency_ns: int, now: int
@@ -376,17 +380,25 @@
         return any(zone.out or zone.ramps for zone in self.zones.values())
 
     def share_of(self, name: str) -> float:
-        """This proxy's part of a zone's traffic, as it was before there was trouble."""
+        """This proxy's part of what a zone can do: half by its part of the traffic before, half evenly.
+
+        Over all proxies both halves add up, and one that had no traffic there can still come.
+        """
         zone = self.zones.get(name)
-        return 1.0 / self.fleet_size if zone is None else max(self._part(zone), 0.25 / self.fleet_size)
+        part = 1.0 / self.fleet_size if zone is None else self._part(zone)
+        return (part + 1.0 / self.fleet_size) / 2
+
+    def needed(self, now: int) -> bool:
+        """Whether what comes did not fit lately, so that zones on their way back must take more."""
+        return bool(self.pressed_ns) and now - self.pressed_ns <= NEEDED_AIMS * self.unit_ns
 
-    def admits(self, name: str, now: int) -> bool:
-        """Whether one more request may go to a zone now."""
+    def admits(self, name: str, now: int, ahead: bool = False) -> bool:
+        """Whether one more request may go to a zone now; `ahead`: or could soon, by a burst at most."""
         zone = self.zones.get(name)
         if self.rules is None or zone is None or zone.limit < 0:
             return True
         self._refill(zone, now)
-        return zone.level >= 1.0
+        return zone.level >= (1.0 - max(1.0, zone.limit * BURST_S) if ahead else 1.0)
 
     def probe(self, now: int) -> Zone | None:
         """A zone that is out and due to be tried with one request."""
@@ -653,8 +665,10 @@
         limits = {name: self.zones[name].limit for name, mass in masses.items() if mass > 0}
         given = fill(rate, masses, limits)
         for name, limit in limits.items():
-            if limit >= 0 and given[name] >= WANTED * limit:
-                self.zones[name].wanted_ns = now
+            zone = self.zones[name]
+            full = zone.state is State.RETURNING and zone.grant >= self._most(zone, loads[name], now)
+            if limit >= 0 and given[name] >= WANTED * limit and not full:
+                zone.wanted_ns = now
         parts = {name: amount / loads[name].mass for name, amount in given.items()}
         most = max(parts.values(), default=0.0)
         for name in masses:
@@ -664,6 +678,8 @@
         short = rate > 0 and limits and all(self.zones[name].limit >= 0 for name in masses)
         self.beyond = max(0.0, 1.0 - sum(given.values()) / rate) if short else 0.0
         self.short_ns = (self.short_ns or now) if self.beyond > NEED else 0
+        if self.beyond > 0:
+            self.pressed_ns = now
 
     def _tier_offer(self, tier: int) -> float:
         """What a tier offers once those before it do."""
@@ -681,7 +697,9 @@
         if zone.state is State.RETURNING:
             start = START_PART * load.capacity * self.share_of(zone.name)
             start = max(start, LEAST_AN_AIM * SECOND / self.unit_ns)
-            if wanted:
+            if wanted and self.needed(now):  # up to its limit; it is told that it is no more by its silence
+                zone.grant *= 2 ** (seconds / NEEDED_S)
+            elif wanted:
                 most = max(ANSWERED_TIMES * used, start)
                 zone.grant = min(zone.grant * 2 ** (seconds / DOUBLING_S), most)
             zone.grant = max(zone.grant, start)
@@ -708,11 +726,17 @@
             left = 1.0 - (now - zone.leaving_ns) / (EVACUATION_S * SECOND)
             return max(left, 0.0) * rate
         if zone.state is State.RETURNING:
-            most = self.share_of(zone.name) * rules.strain * load.capacity
+            most = self._most(zone, load, now)
             return min(zone.grant, most) if load.capacity else zone.grant
         # Before any report there is nothing to go by.
         return -1.0 if zone.name == self.own or not load.capacity else zone.grant
 
+    def _most(self, zone: Zone, load: Load, now: int) -> float:
+        """The most that a returning zone is granted: this proxy's part of what it can do at this moment."""
+        assert self.rules is not None
+        times = NEEDED_TIMES if self.needed(now) else self.rules.strain
+        return self.share_of(zone.name) * times * load.capacity
+
     # --- to be looked at ------------------------------------------------------------------------
 
     def standing(self, now: int) -> list[dict[str, object]]:
