--- /dev/null
+++ b/benchmarks/zones.py
@@ -0,0 +1,456 @@
+"""What becomes of service when zones are lost, flap and return, by ways of preferring zones.
+
+Virtual time: the program's own sidecars, eight in four zones, with 16 stand-in nodes and some 200 requests a
+second at 70% use (`brambleusher/lab/zone_days.py`).  The same seeds for all ways:
+
+- `none`: no zones, all nodes alike;
+- `strict`: own zone alone;
+- `envoy`: priority levels, own zone and then all others, overprovisioning factor 1.4, panic threshold 50%,
+  outlier ejection after five failures in a row;
+- `plain`: the balancer without rules on zones;
+- `rules`: this, with the rules' usual values.
+
+The choice within a zone, admission and repeats are the same code for all.  What the rest can carry when a
+zone is dark is not reckoned but measured: `rest` is a fleet that never had that zone, under the plain
+balancer, asked for the same.  Clients ask once.
+
+    python -m benchmarks.zones [--quick] [--jobs 5] [--only dark,flaps,others] [--seeds 3]
+
+Exits with 1 where a figure in `misses` is not reached.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import logging
+import multiprocessing
+import os
+import sys
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, replace
+from itertools import pairwise
+from typing import Any
+
+from brambleusher.lab.faults import (
+    SidecarKilled,
+    ZoneDrained,
+    ZoneFlaps,
+    ZoneGrey,
+    ZoneLost,
+    ZoneUnreachable,
+)
+from brambleusher.lab.zone_days import FALL_MULTIPLE, ZONES, Books, Day, play
+from quillpass import Balancer, api
+from quillpass.balance import Host, Request
+from quillpass.zoned import balancer_for
+
+ZONE = "macon"
+WHOLE = 0.95
+SECOND = 10**9
+
+# --- other ways -----------------------------------------------------------------------------------
+
+
+class StrictZone(Balancer):
+    """Own zone alone."""
+
+    def _fits(self, request: Request, now: int) -> Callable[[Host], bool]:
+        plain = super()._fits(request, now)
+        return lambda host: host.local and plain(host)
+
+
+class PriorityLevels(Balancer):
+    """Envoy's priority levels with its usual figures, and its outlier ejection.
+
+    Level 0 is the own zone, level 1 all others.  A level's health is its healthy part times 1.4; level 0
+    has that part of the traffic, level 1 what is left; where all health together is under 100% it is scaled
+    up, and a level less than half healthy then uses all its hosts.
+    """
+
+    OVERPROVISIONING, PANIC, FAILURES, EJECTED_S, EJECTED_MOST_S = 1.4, 0.5, 5, 30.0, 300.0
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self._failed: dict[str, int] = {}
+        self._ejected: dict[str, tuple[int, int]] = {}  # how often, and until when
+        self._offers: dict[str, float] = {}
+        self._now = 0
+
+    def handle(self, event: api.Event, now: int) -> list[api.Action]:
+        """As ever, and failures in a row are counted."""
+        self._now = now
+        if isinstance(event, api.AttemptEnded):
+            bad = event.status in (
+                api.Status.CONNECT_FAILED, api.Status.RESET, api.Status.TIMEOUT, api.Status.ERROR
+            )  # fmt: skip
+            self._failed[event.host] = self._failed.get(event.host, 0) + 1 if bad else 0
+            if self._failed[event.host] >= self.FAILURES and not self._is_out(event.host):
+                times = self._ejected.get(event.host, (0, 0))[0] + 1
+                length = min(self.EJECTED_S * times, self.EJECTED_MOST_S)
+                self._ejected[event.host] = times, now + int(length * SECOND)
+                self._failed[event.host] = 0
+        return super().handle(event, now)
+
+    def _is_out(self, name: str) -> bool:
+        return self._ejected.get(name, (0, 0))[1] > self._now
+
+    def _steer_zones(self, gap: float) -> None:
+        levels: list[list[Host]] = [[], []]
+        for host in self._turn.ring:
+            levels[not host.local].append(host)
+        well = [[host for host in level if not self._is_out(host.name)] for level in levels]
+        health = [
+            min(1.0, self.OVERPROVISIONING * len(good) / len(level)) if level else 0.0
+            for level, good in zip(levels, well, strict=True)
+        ]
+        total = sum(health)
+        if 0 < total < 1:
+            health = [each / total for each in health]
+        loads = [health[0], min(health[1], 1 - health[0])]
+        self._offers = {}
+        for level, good, load in zip(levels, well, loads, strict=True):
+            panics = bool(level) and total < 1 and len(good) < self.PANIC * len(level)
+            used = level if panics or not total else good
+            spare = sum(self._spare(host) for host in used)
+            for host in used:
+                self._offers[host.name] = load / max(spare, 1e-9)
+
+    def _spare(self, host: Host) -> float:
+        util = host.util if host.util_ns >= 0 else self._mean_util
+        return (host.capacity or self._mean_capacity or 1.0) * max(1 - util, 0.01)
+
+    def _offer(self, host: Host) -> float:
+        return self._offers.get(host.name, 0.0)
+
+    def _fits(self, request: Request, now: int) -> Callable[[Host], bool]:
+        plain = super()._fits(request, now)
+        return lambda host: self._offers.get(host.name, 0.0) > 0 and plain(host)
+
+
+def no_zones(settings: api.Settings, seed: int) -> Balancer:
+    """All hosts alike."""
+    return Balancer(replace(settings, cross_zone_price=0.0), seed)
+
+
+WAYS: dict[str, Callable[[api.Settings, int], Balancer]] = {
+    "none": no_zones, "strict": StrictZone, "envoy": PriorityLevels, "plain": Balancer,
+    "rules": balancer_for, "undamped": balancer_for, "rest": Balancer,
+}  # fmt: skip
+
+# --- days -----------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True)
+class Job:
+    """One run."""
+
+    day: Day
+    way: str
+    seed: int
+    returns: tuple[str, float] | None = None
+
+    def run(self) -> Books:
+        """Play it; quiet."""
+        logging.getLogger("brambleusher").setLevel(logging.CRITICAL + 1)
+        gc.collect()
+        gc.disable()
+        zones = {"rules": {}, "undamped": {"hold_most_s": 0}}.get(self.way)
+        nodes = {**self.day.nodes, ZONE: 0} if self.way == "rest" else self.day.nodes
+        faults = () if self.way == "rest" else self.day.faults
+        day = replace(self.day, zones=zones, nodes=nodes, faults=faults)
+        return play(day, self.seed, self.returns, WAYS[self.way])
+
+
+def _run(job: Job) -> tuple[Job, Books]:
+    return job, job.run()
+
+
+Results = dict[tuple[str, str], list[Books]]
+
+
+def run_all(jobs: Sequence[Job], processes: int) -> Results:
+    """All runs, by day and way."""
+    found: dict[tuple[str, str], dict[int, Books]] = {}
+    longest = sorted(jobs, key=lambda job: -job.day.length_s)
+    if processes == 1:
+        done: Iterable[tuple[Job, Books]] = map(_run, longest)
+    else:
+        pool = multiprocessing.get_context("fork").Pool(processes, maxtasksperchild=4)
+        done = pool.imap_unordered(_run, longest)
+    for job, books in done:
+        found.setdefault((job.day.name, job.way), {})[job.seed] = books
+    return {key: [books for _, books in sorted(by.items())] for key, by in found.items()}
+
+
+# --- figures --------------------------------------------------------------------------------------
+
+
+def mean(values: Iterable[float]) -> float:
+    """Of some figures."""
+    there = list(values)
+    return sum(there) / max(len(there), 1)
+
+
+def worst(
+    runs: Sequence[Books], begin: int, end: int, rest: Sequence[Books] = (), window: int = 2
+) -> tuple[float, int, str]:
+    """The least part served by class and window, over all seeds; of what `rest` served, where it is given.
+
+    Says also when, and of which class.
+    """
+    least = (9.0, 0, "")
+    for at in range(begin, end - window + 1):
+        for name in runs[0].asked:
+            served = sum(sum(books.served[name][at : at + window]) for books in runs)
+            of = (
+                sum(sum(books.served[name][at : at + window]) for books in rest)
+                if rest
+                else sum(sum(books.asked[name][at : at + window]) for books in runs)
+            )
+            if of >= 20:
+                least = min(least, (served / of, at, name))
+    return least
+
+
+def moving(runs: Sequence[Books], begin: int, end: int, zone: str = ZONE) -> float:
+    """The part of all requests that changes between a zone and the others from one second to the next.
+
+    Shares are of all seeds together, whose flaps come at the same moments.
+    """
+    shares = [
+        sum(books.went[at].get(zone, 0) for books in runs)
+        / max(sum(sum(books.went[at].values()) for books in runs), 1)
+        for at in range(begin, end)
+    ]
+    return mean(abs(one - two) for one, two in pairwise(shares))
+
+
+def back_after(runs: Sequence[Books], since: int, usual: tuple[int, int], part: float = 0.8) -> float:
+    """Seconds until a zone has that part again of what it had, for good as far as the day goes."""
+    had = mean(books.share(ZONE, *usual) for books in runs)
+    end = len(runs[0].went) - 1
+    at = end
+    while at > since and mean(books.share(ZONE, at - 1, at + 1) for books in runs) >= part * had:
+        at -= 1
+    return float(at - since)
+
+
+def table(title: str, heads: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
+    """Print one."""
+    texts = [[f"{cell:.3f}" if isinstance(cell, float) else str(cell) for cell in row] for row in rows]
+    widths = [max(len(row[at]) for row in [list(heads), *texts]) for at in range(len(heads))]
+    print(f"\n{title}\n")
+    for row in [list(heads), ["-" * width for width in widths], *texts]:
+        cells = [cell.ljust(width) if not at else cell.rjust(width)
+                 for at, (cell, width) in enumerate(zip(row, widths, strict=True))]  # fmt: skip
+        print("| " + " | ".join(cells) + " |")
+    sys.stdout.flush()
+
+
+# --- experiments ----------------------------------------------------------------------------------
+
+LOST_AT, FIRST_S = 10, 2
+
+
+@dataclass(frozen=True)
+class Plan:
+    """How much of it is run."""
+
+    quick: bool
+    seeds: tuple[int, ...]
+    jobs: int
+
+
+def dark_day(plan: Plan) -> Day:
+    """One zone of four without power, and back."""
+    for_s, after_s = (8, 11) if plan.quick else (30, 26)
+    return Day(
+        "dark", LOST_AT + for_s + after_s, (ZoneLost(at_s=LOST_AT, for_s=for_s, target=ZONE),),
+        notice_s=for_s + 5.0,
+    )  # fmt: skip
+
+
+def dark(plan: Plan) -> list[str]:
+    """The first two demands, and the comparison."""
+    day = dark_day(plan)
+    back = LOST_AT + int(day.faults[0].for_s)
+    end = int(day.length_s) - 2
+    ways = ("envoy", "rules", "rest") if plan.quick else ("none", "strict", "envoy", "plain", "rules", "rest")
+    runs = run_all(
+        [Job(day, way, seed, (ZONE, float(back))) for way in ways for seed in plan.seeds], plan.jobs
+    )
+    rest = runs["dark", "rest"]
+    rows: list[list[object]] = []
+    found: dict[str, Any] = {}
+    # Windows of a quick run are longer: it has one seed, and chance would speak.
+    window = 2 if len(plan.seeds) > 2 else 4
+    for way in ways:
+        books = runs["dark", way]
+        during, after = (
+            worst(books, LOST_AT + FIRST_S, back, rest, window),
+            worst(books, back, end, rest, window),
+        )
+        over = max(each.over_slots(LOST_AT, back, (ZONE,)) for each in books)
+        sent = max((value for each in books for value in each.pushed.values()), default=0.0)
+        found[way] = during, after, over, sent, books
+        rows.append(
+            [
+                way, mean(each.service(LOST_AT, LOST_AT + FIRST_S) for each in books),
+                mean(each.service(LOST_AT + FIRST_S, back) for each in books),
+                f"{during[0]:.3f}", mean(each.service(back, end) for each in books), f"{after[0]:.3f}",
+                mean(each.crossings(LOST_AT + FIRST_S, back) for each in books),
+                mean(each.crossings(2, LOST_AT) for each in books),
+                max(max(each.held.values()) for each in books), over,
+                back_after(books, back, (2, LOST_AT)) if way != "rest" else "-",
+                sent, sum(each.fallen for each in books), sum(each.run_twice for each in books),
+            ]
+        )  # fmt: skip
+    table(
+        f"One zone of four dark for {back - LOST_AT} s at 70% use, then back; {len(plan.seeds)} seeds, "
+        f"windows of {window} s",
+        ("way", "first 2 s", "dark", "worst/rest", "after", "worst/rest", "crossed", "before", "held/slots",
+         "over s", "back s", "sent/can", "fell", "twice"),
+        rows,
+    )  # fmt: skip
+    during, after, over, sent, books = found["rules"]
+    misses = []
+    if during[0] < WHOLE:
+        misses.append(f"dark: {during[2]} at {during[0]:.1%} of what the rest carry, {during[1]} s")
+    if after[0] < WHOLE:
+        misses.append(f"return: {after[2]} at {after[0]:.1%} of what the rest carry, {after[1]} s")
+    if over > 1.0:
+        misses.append(f"dark: a node of another zone was over its slots for {over:.2f} s")
+    if sent > 1.0 or any(each.fallen for each in books):
+        misses.append(f"return: a node was sent {sent:.2f} times what it can do")
+    if any(each.run_twice for each in books):
+        misses.append("a request that must not run twice did")
+    print(f"\nrules: the cold rule's own books, at most {sent / FALL_MULTIPLE:.3f} of its limit; unsafe "
+          f"requests that failed, by seed: {[each.lost for each in books]}")  # fmt: skip
+    return misses
+
+
+def flaps(plan: Plan) -> list[str]:
+    """A zone that comes and goes."""
+    periods = (2.0,) if plan.quick else (2.0, 5.0, 10.0)
+    length = 16 if plan.quick else 120
+    after = 2 if plan.quick else 70
+    jobs: list[Job] = []
+    days: dict[float, Day] = {}
+    for period in periods:
+        fault = ZoneFlaps(at_s=10.0, for_s=float(length), target=ZONE, every_s=period, how="cut")
+        days[period] = Day(f"flaps {period:g}", 10 + length + after, (fault,), notice_s=600.0)
+        for seed in plan.seeds:
+            jobs.append(Job(days[period], "rules", seed))
+            short = replace(days[period], length_s=10 + length + 2)
+            jobs.append(Job(short, "undamped", seed))
+    quiet = Day("quiet", 10 + min(length, 40), ())
+    jobs += [Job(quiet, "rules", seed) for seed in plan.seeds]
+    runs = run_all(jobs, plan.jobs)
+    chance = moving(runs["quiet", "rules"], 10, int(quiet.length_s))
+    rows: list[list[object]] = [["none", chance, "-", "-", "-", "-", "-"]]
+    misses = []
+    for period, day in days.items():
+        damped, free = (runs[day.name, way] for way in ("rules", "undamped"))
+        a, b = (moving(each, 10, 10 + length) for each in (damped, free))
+        down = 1 - max(a - chance, 0.0) / max(b - chance, 1e-9)
+        hold = back_after(damped, 10 + length, (2, 10), 0.5)
+        rows.append(
+            [
+                f"{period:g} s", b, a, f"{down:.0%}", mean(each.service(10, 10 + length) for each in free),
+                mean(each.service(10, 10 + length) for each in damped), hold if not plan.quick else "-",
+            ]
+        )  # fmt: skip
+        if down < 0.8:
+            misses.append(f"flaps of {period:g} s: traffic that changes zone is down by {down:.0%}")
+        if not plan.quick and hold > 60 + 15:
+            misses.append(f"flaps of {period:g} s: trusted again after {hold:.0f} s")
+    table(
+        f"A zone that flaps for {length} s: the part of requests that changes zone a second, "
+        f"{len(plan.seeds)} seeds (none: chance alone; 'down' has it taken off)",
+        ("flaps", "undamped", "damped", "down", "service", "damped", "back s"), rows,
+    )  # fmt: skip
+    return misses
+
+
+def others(plan: Plan) -> list[str]:
+    """The table of outcomes."""
+    end = 20.0 if plan.quick else 40.0
+    length = 6.0 if plan.quick else 20.0
+    one = {zone: 1 for zone in ZONES if zone == ZONE}
+    days = [
+        Day("grey zone", end, (ZoneGrey(at_s=8, for_s=length, target=ZONE, every=3, factor=8, resets=0.05),)),
+        Day("one-way cut", end,
+            (ZoneUnreachable(at_s=8, for_s=length, target=ZONE, way="from-nodes", sidecar="n2"),),
+            notice_s=600),
+        Day("two zones", end, (ZoneLost(at_s=8, for_s=length, target=ZONE),
+                               ZoneLost(at_s=8, for_s=length, target="augusta")), use=0.45),
+        Day("lost as another returns", end, (ZoneLost(at_s=8, for_s=length / 2, target="augusta"),
+            ZoneLost(at_s=8 + length / 2, for_s=length / 2, target=ZONE)), use=0.6),
+        Day("zone of one node", end, (ZoneLost(at_s=8, for_s=length, target=ZONE),), use=0.6, nodes=one),
+        Day("sidecars restarted", end, (ZoneLost(at_s=8, for_s=length, target=ZONE),
+            SidecarKilled(at_s=8 + length / 2, for_s=0.5, target="n2"),
+            SidecarKilled(at_s=8 + length / 2, for_s=0.5, target="n0"))),
+        Day("drained in order", end,
+            (ZoneDrained(at_s=8, for_s=length, target=ZONE, gap_s=1.0, drain_s=1.0),)),
+    ]  # fmt: skip
+    if plan.quick:
+        days = days[:2]
+    ways = ("rules",) if plan.quick else ("plain", "rules")
+    seeds = plan.seeds[:2]
+    jobs = [Job(day, way, seed, (ZONE, 8 + length)) for day in days for way in ways for seed in seeds]
+    runs = run_all(jobs, plan.jobs)
+    rows: list[list[object]] = []
+    misses = []
+    for day in days:
+        for way in ways:
+            books = runs[day.name, way]
+            begin, back, over = 8, int(8 + length), int(end) - 2
+            price = mean(each.service(begin + 2, back, "price-check") for each in books)
+            rows.append(
+                [
+                    day.name, way, mean(each.service(2, 8) for each in books),
+                    mean(each.service(begin + 2, back) for each in books), price,
+                    mean(each.service(back, over) for each in books),
+                    mean(each.crossings(begin + 2, back) for each in books),
+                    max(each.over_slots(begin, back, (ZONE,)) for each in books),
+                    back_after(books, back, (2, 8)),
+                    max((value for each in books for value in each.pushed.values()), default=0.0),
+                    sum(each.fallen for each in books), sum(each.run_twice for each in books),
+                    sum(each.lost for each in books),
+                ]
+            )  # fmt: skip
+            if way == "rules" and any(each.run_twice or each.fallen for each in books):
+                misses.append(f"{day.name}: a request ran twice that must not, or a node fell")
+    table(
+        f"Other days, {len(seeds)} seeds",
+        ("day", "way", "before", "during", "price-check", "after", "crossed", "over s", "back s", "sent/can",
+         "fell", "twice", "failed"),
+        rows,
+    )  # fmt: skip
+    return misses
+
+
+PARTS: dict[str, Callable[[Plan], list[str]]] = {"dark": dark, "flaps": flaps, "others": others}
+
+
+def main() -> int:
+    """All tables."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--only", default=",".join(PARTS))
+    parser.add_argument("--jobs", type=int, default=min(5, os.cpu_count() or 1))
+    parser.add_argument("--seeds", type=int)
+    given = parser.parse_args()
+    plan = Plan(given.quick, tuple(range(1, 1 + (given.seeds or (1 if given.quick else 4)))), given.jobs)
+    misses = [miss for name in given.only.split(",") for miss in PARTS[name](plan)]
+    print()
+    for miss in misses:
+        print(f"missed: {miss}")
+    if not misses:
+        print("no figure is missed")
+    return 1 if misses else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
