--- a/tests/mysql_rig.py
+++ b/tests/mysql_rig.py
@@ -108,7 +108,7 @@
     def __init__(
         self, folder: Path, servers: Servers, more: str = "", promise_s: int = 1, **limits: Any
     ) -> None:
-        self.servers = servers
+        self.servers, self.folder = servers, folder
         self._before: dict[str, int] = {}
         names = [server.name for server in servers.servers]
         self.entries = [self.entry(name) for name in names]
--- a/tests/test_mysql_clients.py
+++ b/tests/test_mysql_clients.py
@@ -40,7 +40,8 @@
     folder = tmp_path_factory.mktemp("clients")
     subprocess.run(
         ["openssl", "req", "-x509", "-newkey", "rsa:2048", "-nodes", "-keyout", folder / "key.pem", "-out",
-         folder / "cert.pem", "-days", "2", "-subj", "/CN=localhost"],
+         folder / "cert.pem", "-days", "2", "-subj", "/CN=localhost",
+         "-addext", "subjectAltName=DNS:localhost"],
         check=True, capture_output=True,
     )  # fmt: skip
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
@@ -266,3 +267,29 @@
         cursor.execute("select 1")
         assert cursor.fetchall() == [(1,)]
         other.close()
+
+
+def test_tls_to_the_nodes(rig: tuple[MysqlRig, Servers], tmp_path: Path) -> None:
+    certificate = Path(rig[0].folder) / "cert.pem"
+    for host, works in (("localhost", True), ("elsewhere", False)):
+        more = f"  node_tls: {{mode: required, ca_file: {certificate}, host: {host}}}\n"
+        other = MysqlRig(tmp_path, rig[1], more)
+        where, port = other.address
+
+        def count(where: str = where, port: int = port) -> int:
+            with (
+                pymysql.connect(
+                    host=where, port=port, user="sha", password="front-sha", database="shop", autocommit=True
+                ) as conn,
+                conn.cursor() as cursor,
+            ):
+                cursor.execute(BIG)
+                return len(cursor.fetchall())
+
+        if works:
+            assert count() == 20000
+            assert rig[1].do(lambda: any(peer.channel.secure for peer in rig[1].servers[0].peers.values()))
+        else:
+            with pytest.raises(pymysql.err.Error):
+                count()
+        other.end()
