--- a/tests/test_mysql_front.py
+++ b/tests/test_mysql_front.py
@@ -15,16 +15,28 @@
 from pymysql.constants import CLIENT
 
 from brambleusher.fronts.mysql.auth import ClientLogin, Turn, native_answer
-from brambleusher.fronts.mysql.constants import NATIVE, Capability, Command, Errno
-from brambleusher.fronts.mysql.messages import ChangeUser, Err, Login, SslRequest, parse_auth_switch
+from brambleusher.fronts.mysql.constants import NATIVE, Capability, Command, Errno, Status, Track
+from brambleusher.fronts.mysql.messages import (
+    ChangeUser,
+    Eof,
+    Err,
+    Login,
+    Ok,
+    Prepared,
+    SslRequest,
+    parse_auth_switch,
+    parse_state,
+)
 from brambleusher.fronts.mysql.packets import PacketReader, frame
-from brambleusher.lab.stand_ins.mysql import Fault, Moment
+from brambleusher.fronts.mysql.session import Session
+from brambleusher.lab.stand_ins.mysql import CAPABILITIES, Fault, Moment
 from brambleusher.lab.stand_ins.mysql_engine import ColumnInfo, Table
 from tests.mysql_rig import MysqlRig, Servers
 from tests.rig import WAIT, Discovery
 
 Make = Callable[..., tuple[MysqlRig, Servers]]
 ROW = "select * from accounts where name = 'n1'"
+OLD_SERVER = CAPABILITIES & ~int(Capability.DEPRECATE_EOF | Capability.SESSION_TRACK)
 NEW = int(
     Capability.PROTOCOL_41 | Capability.SECURE_CONNECTION | Capability.PLUGIN_AUTH
     | Capability.CONNECT_WITH_DB | Capability.DEPRECATE_EOF | Capability.MULTI_RESULTS
@@ -645,3 +657,98 @@
         assert cursor.fetchall() == ((2,),)
         assert cursor.nextset()
         assert cursor.rowcount == 1
+
+
+# --- prepared statements, old servers, session tracking, a full pool ----------------------------
+
+
+def prepare(client: Raw, text: str) -> Prepared:
+    client.send(b"\x16" + text.encode())
+    answer = Prepared.parse(client.take())
+    for count in (answer.parameters, answer.columns):
+        for _ in range(count):
+            client.take()
+        if count and not client.caps & Capability.DEPRECATE_EOF:
+            client.take()
+    return answer
+
+
+@pytest.mark.parametrize("server", [OLD_SERVER, CAPABILITIES])
+@pytest.mark.parametrize("caps", [NEW, NEW & ~Capability.DEPRECATE_EOF])
+def test_cursors_long_data_and_resets(make: Make, server: int, caps: int) -> None:
+    rig, _ = make(2, kept_for="cursors", capabilities=server)
+    client, new = Raw(rig, caps), bool(caps & Capability.DEPRECATE_EOF)
+    many = prepare(client, "select id, pad from generated where n = 5 and width = 3")
+    length = prepare(client, "select length(?)")
+
+    def execute(number: int, flags: int = 0, parameter: bytes = b"") -> list[bytes]:
+        client.send(b"\x17" + struct.pack("<IBI", number, flags, 1) + parameter)
+        out = [client.take()]
+        while out[-1][:1] not in (b"\xfe", b"\xff") or (len(out) < 4 and not new and not flags):
+            out.append(client.take())
+            if not new and not flags and out[-1][:1] == b"\xfe" and len(out) == 2 + out[0][0]:
+                out.append(client.take())
+        return out
+
+    def fetch(number: int, count: int) -> tuple[int, int]:
+        client.send(b"\x1c" + struct.pack("<II", number, count))
+        out = [client.take()]
+        while out[-1][:1] not in (b"\xfe", b"\xff"):
+            out.append(client.take())
+        if out[-1][:1] == b"\xff":
+            return -1, Err.parse(out[-1]).errno
+        status = Ok.parse(out[-1], caps).status if new else Eof.parse(out[-1]).status
+        return len(out) - 1, status & (Status.CURSOR_EXISTS | Status.LAST_ROW_SENT)
+
+    opened = execute(many.statement, 1)
+    assert len(opened) == 4  # the count, two columns, one end: no rows yet
+    for rows, status in ((2, Status.CURSOR_EXISTS), (2, Status.CURSOR_EXISTS), (1, Status.LAST_ROW_SENT)):
+        assert fetch(many.statement, 2) == (rows, status)
+    assert fetch(many.statement, 2) == (-1, 1421)
+    execute(many.statement, 1)
+    client.send(b"\x1a" + struct.pack("<I", many.statement))
+    assert client.take()[0] == 0
+    assert fetch(many.statement, 2) == (-1, 1421)
+    assert not session_of(rig, client).tied
+    for part in (b"abc", b"defg"):
+        client.send(b"\x18" + struct.pack("<IH", length.statement, 0) + part)
+    parameter = b"\0\1\xfc\0"
+    assert any(message.endswith(struct.pack("<q", 7)) for message in execute(length.statement, 0, parameter))
+    again = execute(length.statement, 0, b"\0\0\x02zz")  # the types of before, and no long data any more
+    assert any(message.endswith(struct.pack("<q", 2)) for message in again)
+    client.send(b"\x19" + struct.pack("<I", length.statement))
+    client.send(b"\x17" + struct.pack("<IBI", length.statement, 0, 1) + parameter)
+    assert client.error().errno == Errno.UNKNOWN_STMT_HANDLER
+    client.close()
+
+
+def session_of(rig: MysqlRig, client: Raw) -> Session:
+    assert rig.sidecar.mysql is not None
+    return rig.sidecar.mysql.front._clients[client.thread].session
+
+
+@pytest.mark.parametrize("server", [OLD_SERVER, CAPABILITIES])
+def test_session_state_is_told_to_clients_that_track_it(make: Make, server: int) -> None:
+    rig, _ = make(1, kept_for="tracking", capabilities=server)
+    for caps in (NEW, NEW | int(Capability.SESSION_TRACK)):
+        client = Raw(rig, caps)
+        client.send(b"\x02shop")
+        ok = Ok.parse(client.take(), caps)
+        tracked = bool(caps & server & Capability.SESSION_TRACK)
+        assert (parse_state(ok.state) == [(Track.SCHEMA, (b"shop",))]) is tracked
+        assert bool(ok.status & Status.SESSION_STATE_CHANGED) is tracked
+        client.send(b"\x03" + ROW.encode())
+        assert len(client.whole()) == 5
+        client.close()
+
+
+def test_a_pool_whose_connections_are_all_held_refuses_within_its_wait(make: Make) -> None:
+    rig, servers = make(1, more="  connections: 1\n  pool_wait_ms: 100\n")
+    holder, other = connect(rig), connect(rig)
+    ask(holder, "set @a = 1")
+    assert fails(other, ROW) == Errno.SERVER_ISNT_AVAILABLE
+    assert rig.count("connections_lacking") == 1
+    assert ask(holder, "select @a") == ((1,),)
+    holder.close()
+    assert insist(other, ROW) == (("n1", 1000),)
+    assert servers.servers[0].most_open == 1
