An earlier node's refusal is not told for what a later one may have run

Cause: a login refused by one node stayed with the request; when the next node broke after the write was sent, its client was told that it did not run.

--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -457,6 +457,8 @@
                 self.give_back(conn)
                 return Status.MOOT, None, False
             self._counters.add("claims_sent")
+            # Guards against an earlier node's refusal told for what this one may have run.
+            work.error = work.nonsense = None
             claim.sending = claim.measured = True
             node.meter.begin(self._scheduler.now())
             conn.channel.send(data, limit)
