Two faults that use up descriptors end in the limit there was before; fewer half requests

The second of two overlapping ones put back what the first had left: the sidecar kept one descriptor for good. Half requests by the hundred take every place of a sidecar with 80 descriptors, which none can mend.

--- a/brambleusher/lab/faults.py
+++ b/brambleusher/lab/faults.py
@@ -339,10 +339,10 @@
 
     @classmethod
     def parameters(cls, draw: Drawer, world: WorldFigures) -> dict[str, Any]:
-        """A few; those that only take up connections come in numbers."""
+        """A few; those that only take up connections come in numbers, more than a sidecar may hold."""
         what = draw.rng.choice(BAD_KINDS)
-        many = what in ("silent", "ask-and-stay", "half-request")
-        return {"what": what, "count": draw.whole((20, 60)) if many else draw.whole((1, 4))}
+        numbers = {"silent": (20.0, 160.0), "ask-and-stay": (20.0, 100.0), "half-request": (4.0, 20.0)}
+        return {"what": what, "count": int(draw.log(numbers.get(what, (1.0, 5.0))))}
 
 
 # --- sidecars -------------------------------------------------------------------------------------
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -33,7 +33,16 @@
 from brambleusher.lab.stand_ins.discovery import Discovery, Entry, Telling
 from brambleusher.lab.stand_ins.node import Execution, Node
 from brambleusher.lab.stand_ins.server import Troubles
-from brambleusher.lab.world import START_NS, WALL_NS, Machine, Process, VirtualSystem, World, WorldSettings
+from brambleusher.lab.world import (
+    START_NS,
+    STANDARD,
+    WALL_NS,
+    Machine,
+    Process,
+    VirtualSystem,
+    World,
+    WorldSettings,
+)
 from brambleusher.operator_file import parse_operator_file
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Address
@@ -403,6 +412,7 @@
         self.process: Process | None = None
         self.starts = 0
         self.ended: list[Process] = []  # the processes before this one
+        self._squeezes: list[tuple[object, int]] = []  # what keeps it from opening more than so many
 
     @property
     def address(self) -> Address:
@@ -459,6 +469,22 @@
 
         self.sidecar = None
         self.process = self.machine.start(main, self.figures.name, descriptors=self.figures.sockets)
+        self._squeezes.clear()
+
+    def squeeze(self, why: object, left: int) -> None:
+        """Let its process open only so many descriptors more, until `relax`."""
+        if self.process is not None:
+            self._squeezes.append((why, STANDARD + self.process.descriptors + left))
+        self._set_limit()
+
+    def relax(self, why: object) -> None:
+        """That reason for few descriptors is gone; it has as many as before unless there is another."""
+        self._squeezes = [each for each in self._squeezes if each[0] is not why]
+        self._set_limit()
+
+    def _set_limit(self) -> None:
+        if self.process is not None:
+            self.process.limit = min([self.figures.sockets, *(limit for _, limit in self._squeezes)])
 
     def signal(self, number: int) -> None:
         """Send its process a signal."""
