--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -34,8 +34,8 @@
 from brambleusher.lab.stand_ins.node import Execution, Node
 from brambleusher.lab.stand_ins.server import Troubles
 from brambleusher.lab.world import (
-    START_NS,
     STANDARD,
+    START_NS,
     WALL_NS,
     Machine,
     Process,
