--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -485,6 +485,7 @@
     def _set_limit(self) -> None:
         if self.process is not None:
             self.process.limit = min([self.figures.sockets, *(limit for _, limit in self._squeezes)])
+        self.fleet.audience.starved(self.fleet.world.now_ns, self.machine.name, bool(self._squeezes))
 
     def signal(self, number: int) -> None:
         """Send its process a signal."""
