--- a/brambleusher/lab/effects.py
+++ b/brambleusher/lab/effects.py
@@ -42,8 +42,12 @@
 
 
 def _zone(fault: faults.Fault, fleet: Fleet) -> list[NodePlace]:
-    return [place for place in _nodes(msgspec.structs.replace(fault, target=""), fleet)
-            if place.figures.zone == fault.target]  # fmt: skip
+    """Those in the zone aimed at, or all that belong to the fleet."""
+    return [
+        place
+        for place in fleet.places
+        if not place.figures.spare and fault.target in ("", place.figures.zone)
+    ]
 
 
 def _sidecars(fault: faults.Fault, fleet: Fleet) -> list[SidecarPlace]:
@@ -209,19 +213,20 @@
 
 @apply.register(faults.NodeReplaced)
 def _node_replaced(fault: faults.NodeReplaced, fleet: Fleet) -> End:
-    place = fleet.place(fault.target)
-    if not place.up:
-        return None
-    notice, name = fleet.scenario.world.notice_s, f"s-{_rng(fault, fleet).getrandbits(32):08x}"
+    there = [place for place in _nodes(fault, fleet) if place.up]
+    notice, rng = fleet.scenario.world.notice_s, _rng(fault, fleet)
 
     def replace() -> None:
-        if place.up:
-            place.replace(name)
-            place.look(notice)
+        for place in there:
+            name = f"s-{rng.getrandbits(32):08x}"
+            if place.up:
+                place.replace(name)
+                place.look(notice)
 
     if fault.drain_s:
-        place.drain(fault)
-        place.look(notice)
+        for place in there:
+            place.drain(fault)
+            place.look(notice)
     _after(fleet, min(fault.drain_s, fault.for_s), replace)
     return None
 
--- a/tests/test_fault_plans.py
+++ b/tests/test_fault_plans.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -346,6 +347,57 @@
         assert len(fleet.discovery.list) >= sum(not each.figures.spare for each in fleet.places)
 
 
+@pytest.mark.parametrize("kind", [kind for kind, of in KINDS.items() if of.targets != "none"])
+def test_no_target_means_all(kind: str) -> None:
+    given, _ = {**CASES, **STAYING}[kind]
+    fault = msgspec.structs.replace(fault_of(kind, given), target="")
+    with (fleet := Fleet(scenario_with(fault))).world as world:
+        fleet.start()
+        world.run(fleet.begins_ns + int((FROM_S + FOR_S + 1.5) * SECOND))
+        assert not fleet.running and all(each.up for each in fleet.sidecars)
+        assert all(each.up for each in fleet.places if not each.figures.spare)
+
+
+def test_two_faults_that_use_up_descriptors_end_in_the_limit_there_was() -> None:
+    one = fault_of("descriptors-used-up", {"left": 3})
+    two = msgspec.structs.replace(one, at_s=FROM_S + 0.5, for_s=1.0)
+    with (fleet := Fleet(scenario_with(one, two))).world as world:
+        fleet.start()
+        limits = []
+        for at in (0.7, 1.2, 2.2, 3.0):
+            world.run(fleet.begins_ns + int(at * SECOND))
+            limits.append(sidecar(fleet).process.limit)
+        assert limits[1] <= limits[0] == limits[2] < limits[3] == SIDECAR.sockets
+
+
+def test_a_node_that_is_down_for_two_faults_starts_when_both_have_ended() -> None:
+    one = fault_of("node-crashed", {})
+    two = msgspec.structs.replace(fault_of("node-vanished", {}), at_s=1.0, for_s=2.5)
+    with (fleet := Fleet(scenario_with(one, two))).world as world:
+        fleet.start()
+        up = []
+        for at in (0.4, 0.8, 2.7, 3.6):
+            world.run(fleet.begins_ns + int(at * SECOND))
+            up.append(place(fleet).up)
+        assert up == [True, False, False, True]
+
+
+def test_the_operators_page_has_every_kind() -> None:
+    rows = {}
+    for line in Path("docs/operate/scenarios.md").read_text().splitlines():
+        cells = [cell.strip() for cell in line.split("|")]
+        if len(cells) > 4 and cells[1].startswith("`"):
+            rows[cells[1].strip("`")] = cells[2], re.findall(r"`(\w+)`", cells[3])
+    told = {
+        kind: (
+            "" if of.targets == "none" else of.targets,
+            [name for name in of.__struct_fields__ if name not in Fault.__struct_fields__],
+        )
+        for kind, of in KINDS.items()
+    }
+    assert rows == told
+
+
 # --- whole runs -----------------------------------------------------------------------------------
 
 
