Demand with names without end takes bounded room; each play has ids of its own

Cause: a mapping that took an id for a class would have made a histogram for each request, and two plays at once had the same request ids. Change: 100 classes have histograms and bins, 10,000 names have counts, the rest go together; compressed sources are unpacked from 2 KiB at a time. Result: 300 classes come to 101 (tests/test_load_play.py).

--- a/brambleusher/cli/load.py
+++ b/brambleusher/cli/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -325,12 +326,12 @@
               help="Of requests that have none.")  # fmt: skip
 @click.option("--most-open", type=click.IntRange(min=1), default=4096, show_default=True,
               help="Requests open at once in a process; beyond, they are counted as unsent.")  # fmt: skip
-@SEED
+@click.option("--seed", type=int, help="Of the requests' ids.  [default: a new one]")
 @click.option("--json", "as_json", is_flag=True, help="The results as JSON.")
 @told
 def play_command(
     file: Path, targets: tuple[str, ...], speed: float, processes: int, timeout_ms: int, most_open: int,
-    seed: int, as_json: bool,
+    seed: int | None, as_json: bool,
 ) -> int:  # fmt: skip
     """Play on sockets; 1 where the generator itself was late or left requests unsent."""
     from brambleusher.load.pacing import Pace
@@ -342,7 +343,9 @@
         total, start_ns = len(source), source.span_ns[0]
     if not total:
         raise SourceError(f"{file}: there are no requests")
-    plan = Play(addresses(targets), Pace(start_ns, speed), timeout_ms, most_open, seed=seed)
+    # Two plays at once must not have the same ids.
+    ids = random.SystemRandom().getrandbits(63) if seed is None else seed
+    plan = Play(addresses(targets), Pace(start_ns, speed), timeout_ms, most_open, seed=ids)
     try:
         with progress_of(total) as advance:
             before = 0
--- a/brambleusher/load/opening.py
+++ b/brambleusher/load/opening.py
@@ -12,7 +12,8 @@
 from brambleusher.load.request import SourceError
 
 GZIP, ZSTD = b"\x1f\x8b", b"\x28\xb5\x2f\xfd"
-INPUT = 16 * 1024
+# Of the file at a time: what it unpacks to is held whole, and may be thirty thousand times as much.
+INPUT = 2 * 1024
 MOST_WINDOW = 128 * 1024 * 1024  # bytes that a zstd stream may look back over
 MAX_LINE = 1024 * 1024
 Progress = Callable[[int], None]  # told how many more bytes of the file have been read
--- a/brambleusher/load/results.py
+++ b/brambleusher/load/results.py
@@ -14,6 +14,8 @@
 # What a request may come to.  `unsent`: the player had too many open itself, and says so.
 ENDS = ("served", "refused", "failed", "broken", "timed out", "unreachable", "unsent")
 LATE_NS = 5_000_000  # of the player's own lateness, at its 99th percentile: above it, it was late
+MOST_CLASSES = 100  # each has a histogram
+OTHERS = "(others)"  # classes beyond that, together
 MOST_US = 3_600_000_000
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
@@ -63,6 +65,8 @@
     def add(self, outcome: Outcome) -> None:
         """One request that is over."""
         name, end = outcome.request.request_class, outcome.end
+        if name not in self.ends and len(self.ends) >= MOST_CLASSES:
+            name = OTHERS
         ends = self.ends.setdefault(name, {})
         ends[end] = ends.get(end, 0) + 1
         if outcome.status:
--- a/brambleusher/load/summary.py
+++ b/brambleusher/load/summary.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from itertools import pairwise
 from statistics import median
 from typing import Any
@@ -12,10 +12,17 @@
 from brambleusher.load.times import SECOND, to_text
 
 MOST_BINS = 4096
+MOST_ROWS, MOST_NAMES = 100, 10_000  # classes with bins; classes and tenants with a count
+OTHERS = "(others)"
 BURST = 2.5  # times the median of the windows: that and more is a burst
 BLOCKS = " ▁▂▃▄▅▆▇█"
 
 
+def _bounded(known: Mapping[str, object], name: str, most: int = MOST_NAMES) -> str:
+    """A name, or the one that those beyond a bound share: a mapping may take anything for a tenant."""
+    return name if name in known or len(known) < most else OTHERS
+
+
 class Bins:
     """Counts by class over time.  Bins begin at one second; twice as wide each time they are too many."""
 
@@ -30,7 +37,7 @@
             self.width_ns *= 2
             self.counts = {name: _halved(row) for name, row in self.counts.items()}
             at //= 2
-        row = self.counts.setdefault(request.request_class, [])
+        row = self.counts.setdefault(_bounded(self.counts, request.request_class, MOST_ROWS), [])
         if len(row) <= at:
             row.extend([0] * (at + 1 - len(row)))
         row[at] += 1
@@ -70,8 +77,8 @@
         self.last_ns = request.at_ns
         self.bins.add(request)
         self.requests += 1
-        self.by_class[request.request_class] += 1
-        self.by_tenant[request.tenant if request.tenant is not None else ""] += 1
+        self.by_class[_bounded(self.by_class, request.request_class)] += 1
+        self.by_tenant[_bounded(self.by_tenant, request.tenant or "")] += 1
         if request.status is not None:
             self.by_status[f"{request.status // 100}xx"] += 1
         self.hinted += request.hint_us is not None
--- a/tests/test_load_play.py
+++ b/tests/test_load_play.py
@@ -292,6 +292,17 @@
         assert int(times) * had <= got <= (int(times) + (times % 1 > 0)) * had
 
 
+def test_names_without_end_take_no_more_room() -> None:
+    results, summary = Results(), Summary()
+    for n in range(300):
+        request = look(n, request_class=f"c{n}", tenant=f"t{n}")
+        results.add(Outcome(n, request, n, n, n + 1000, "served", 200))
+        summary.add(request)
+    assert len(results.ends) == len(results.latency) == 101 and results.ends["(others)"] == {"served": 200}
+    assert summary.bins is not None and len(summary.bins.counts) == 101
+    assert len(summary.by_class) == 300 and sum(summary.windows()) == 300
+
+
 def test_a_recipe_that_makes_no_sense_is_refused_by_name(tmp_path: Path) -> None:
     for text, said in (
         ("rate: -1", "rate is not at least 0"), ("burst: {share: {x: 1}}", "burst.share.x is no class"),
