--- a/brambleusher/operator_file.py
+++ b/brambleusher/operator_file.py
@@ -11,12 +11,14 @@
 
 from brambleusher.net.http import HOP_BY_HOP, is_token, is_value
 from brambleusher.runtime.streams import parse_address
+from quillpass.api import Tier, ZoneRules
 
 if TYPE_CHECKING:
     from brambleusher.fronts.mysql.settings import MysqlSettings
 
 MAX_FILE = 256 * 1024
 MAX_RULES, MAX_VALUE = 256, 4096
+MAX_ZONES = 64
 # What the decisions, the execute nodes and the bookkeeping of both rely on.
 PROTECTED = frozenset(
     {
@@ -90,6 +92,7 @@
     figures: FiguresSettings | None = None
     status: StatusSettings | None = None
     capture: CaptureSettings | None = None
+    zones: ZoneRules | None = None
     mysql: MysqlSettings | None = None
 
 
@@ -138,6 +141,27 @@
             raise OperatorError(f"{self.name(key)} is not a whole number from {low} to {high}")
         return value
 
+    def number(self, key: str, default: float, low: float, high: float) -> float:
+        """A number within a range."""
+        value = self._left.pop(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value <= high:
+            raise OperatorError(f"{self.name(key)} is not a number from {low:g} to {high:g}")
+        return float(value)
+
+    def names(self, key: str, most: int) -> tuple[str, ...]:
+        """A list of texts, none of them twice."""
+        value = self._left.pop(key, None)
+        if value is None:
+            return ()
+        if not isinstance(value, list) or len(value) > most:
+            raise OperatorError(f"{self.name(key)} is not a list of at most {most} names")
+        for at, name in enumerate(value):
+            if not isinstance(name, str) or not name:
+                raise OperatorError(f"{self.name(key)}[{at}] is not a text")
+            if name in value[:at]:
+                raise OperatorError(f"{self.name(key)} names {name} twice")
+        return tuple(value)
+
     def end(self) -> None:
         """Refuse what is left over."""
         for key in self._left:
@@ -249,6 +273,78 @@
     return settings
 
 
+def _tier(raw: Any, path: str) -> Tier:
+    """Zones that are as near: one's name, a list of names, or names with weights."""
+    if isinstance(raw, str) and raw:
+        return ((raw, 1.0),)
+    if isinstance(raw, list) and raw:
+        for at, name in enumerate(raw):
+            if not isinstance(name, str) or not name:
+                raise OperatorError(f"{path}[{at}] is not the name of a zone")
+        return tuple((name, 1.0) for name in raw)
+    if isinstance(raw, dict) and raw:
+        weights = []
+        for name, weight in raw.items():
+            if isinstance(weight, bool) or not isinstance(weight, int | float) or not 0 < weight <= 1000:
+                raise OperatorError(f"{path}.{name} is not a weight over 0 and up to 1000")
+            weights.append((name, float(weight)))
+        return tuple(weights)
+    raise OperatorError(f"{path} is not a zone, a list of zones, or zones with weights")
+
+
+def _tiers(raw: dict[str, Any], zone: str, path: str) -> tuple[Tier, ...]:
+    """The tiers after a zone: a list of them, one by weight, or another zone and then as that one has it."""
+    way, tiers = [zone], list[Tier]()
+    while isinstance(then := raw.get(way[-1]), str):
+        if then in way:
+            raise OperatorError(f"{path}.{zone} goes in a circle: {' to '.join([*way, then])}")
+        tiers.append(_tier(then, f"{path}.{way[-1]}"))
+        way.append(then)
+    if (rest := raw.get(way[-1])) is None:
+        if way[-1] in raw:
+            raise OperatorError(f"{path}.{way[-1]} names no zone")
+        return tuple(tiers)
+    listed = rest if isinstance(rest, list) else [rest]
+    if not 0 < len(listed) <= MAX_ZONES:
+        raise OperatorError(f"{path}.{way[-1]} is not a list of 1 to {MAX_ZONES} tiers")
+    own = [_tier(tier, f"{path}.{way[-1]}[{place}]") for place, tier in enumerate(listed)]
+    if len(way) > 1:  # what the last one has may lead back: zones on the way have their place already
+        own = [tuple(each for each in tier if each[0] not in way) for tier in own]
+        return (*tiers, *(tier for tier in own if tier))
+    names = [name for tier in own for name, _ in tier]
+    for name in names:
+        if name == zone:
+            raise OperatorError(f"{path}.{zone} goes in a circle: {zone} to {zone}")
+        if names.count(name) > 1:
+            raise OperatorError(f"{path}.{zone} names {name} twice")
+    return tuple(own)
+
+
+def _neighbours(raw: Any) -> tuple[tuple[str, tuple[Tier, ...]], ...]:
+    path = "zones.neighbours"
+    if raw is None:
+        return ()
+    if not isinstance(raw, dict) or len(raw) > MAX_ZONES:
+        raise OperatorError(f"{path} is not a mapping of at most {MAX_ZONES} zones")
+    return tuple((zone, _tiers(raw, zone, path)) for zone in raw)
+
+
+def _zones(raw: Any) -> ZoneRules:
+    section, usual = Section(raw, "zones"), ZoneRules()
+    rules = ZoneRules(
+        neighbours=_neighbours(section.take("neighbours")),
+        spill=section.number("spill", usual.spill, 0.01, 10.0),
+        strain=section.number("strain", usual.strain, 0.1, 1.0),
+        panic=section.number("panic", usual.panic, 0.0, 1.0),
+        half_life_ns=int(section.number("half_life_s", usual.half_life_ns / 1e9, 1.0, 3600.0) * 1e9),
+        hold_most_ns=int(section.number("hold_most_s", usual.hold_most_ns / 1e9, 0.0, 86_400.0) * 1e9),
+        trust=section.names("trust", MAX_ZONES),
+        evacuate=section.names("evacuate", MAX_ZONES),
+    )
+    section.end()
+    return rules
+
+
 def _mysql(raw: Any) -> MysqlSettings:
     from brambleusher.fronts.mysql.settings import parse_mysql  # here: a sidecar without it loads none of it
 
@@ -291,6 +387,7 @@
         rewrites=_rules(section.take("rewrites")) if section.has("rewrites") else None,
         status=_status(section.take("status")),
         capture=_capture(section.take("capture")) if section.has("capture") else None,
+        zones=_zones(section.take("zones")) if section.has("zones") else None,
         figures=_figures(section.take("figures")) if section.has("figures") else None,
         mysql=_mysql(section.take("mysql")) if section.has("mysql") else None,
     )
