Nodes' load counts claims, and fades as slowly as the module's own counts

Cause: behind a busy moment one client alone was turned away, since the figures that stand in for load reports faded faster than the module's count of what is asked, and counted statements where it counts requests. A sidecar that goes from idle to hundreds of statements a second at once still has a few turned away in the first second: the admission's own ramp.

--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -20,7 +20,7 @@
 from brambleusher.fronts.mysql.channel import Channel, client_context
 from brambleusher.fronts.mysql.constants import Capability, Command, Errno
 from brambleusher.fronts.mysql.constants import Status as Flag
-from brambleusher.fronts.mysql.load import Meter
+from brambleusher.fronts.mysql.load import WINDOW_OF_AIM, Meter
 from brambleusher.fronts.mysql.messages import Err, Execute, parse_text_row
 from brambleusher.fronts.mysql.packets import PacketReader, ProtocolError, frame, frames
 from brambleusher.fronts.mysql.replies import ReplyRelay
@@ -131,6 +131,7 @@
     name: str
     address: tuple[str, int]
     started_ns: int
+    meter: Meter
     idle: list[Conn] = field(default_factory=list)  # the last used at the end
     claims: dict[Claim, None] = field(default_factory=dict)  # dicts, so that their order is their own
     held: dict[Held, None] = field(default_factory=dict)
@@ -142,7 +143,6 @@
     side: int = 0
     side_waits: deque[Callable[[], None]] = field(default_factory=deque)
     leaving: bool = False
-    meter: Meter = field(default_factory=Meter)
 
 
 class Claim:
@@ -252,11 +252,11 @@
             self.measured = True
             self.node.meter.begin(self._nodes.now())
 
-    def measured_whole(self, answered: bool = True) -> None:
+    def measured_whole(self) -> None:
         """Its answer is whole, or none will be."""
         if self.measured:
             self.measured = False
-            self.node.meter.end(self._nodes.now(), answered)
+            self.node.meter.end(self._nodes.now())
 
     def release(self) -> None:
         """Give the connection back, in a state that any session may find it in."""
@@ -267,14 +267,14 @@
 
     def drop(self, status: Status) -> None:
         """Close the connection: what was open on it is rolled back by the node."""
-        self.measured_whole(answered=False)
+        self.measured_whole()
         self.finish(status)
         self.node.held.pop(self, None)
         self._nodes.discard(self.conn)
 
     def stop(self, status: Status) -> None:
         """Stop the statement at the node, and close the connection."""
-        self.measured_whole(answered=False)
+        self.measured_whole()
         self.finish(status)
         self.node.held.pop(self, None)
         self._nodes.stop(self.conn)
@@ -294,6 +294,7 @@
     ) -> None:
         self._scheduler, self._settings, self._passwords = scheduler, settings, passwords
         self._counters, self._node_key = counters, node_key
+        self._window = WINDOW_OF_AIM * min(cls.aim_ns for cls in platform.classes) / 1e9
         self._connect_seconds = platform.connect_timeout_ns / 1e9
         self._idle_seconds = settings.idle_ms / 1000
         self._wait_seconds = settings.pool_wait_ms / 1000
@@ -309,9 +310,13 @@
         return self._scheduler.now()
 
     def report(self, node: Node | None) -> LoadReport:
-        """What the decisions are told of a node's load; without figures where they are told by others."""
+        """What the decisions are told of a node's load with a claim that was served.
+
+        Without figures where the nodes tell theirs over HTTP.
+        """
         if node is None or self._settings.load == "none":
             return LoadReport()
+        node.meter.served(self.now())
         return node.meter.report(self.now(), min(self._settings.connections, node.most))
 
     # --- the machine list -----------------------------------------------------------------------
@@ -337,7 +342,7 @@
             self._leave(node)
             node = None
         if node is None:
-            node = self._nodes[entry.host] = Node(entry.host, address, entry.started_ns)
+            node = self._nodes[entry.host] = Node(entry.host, address, entry.started_ns, Meter(self._window))
         if entry.state is HostState.DRAINING:
             self._leave(node)
         else:
@@ -422,7 +427,7 @@
                 if node is not None:
                     node.claims.pop(claim, None)
                     if claim.measured:
-                        node.meter.end(self._scheduler.now(), status in (Status.OK, Status.ERROR))
+                        node.meter.end(self._scheduler.now())
             if left or payload.broke:
                 begun(reply)
             if not left:
