--- a/tests/test_mysql_front.py
+++ b/tests/test_mysql_front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import struct
 import time
@@ -14,7 +15,7 @@
 import pytest
 from pymysql.constants import CLIENT
 
-from brambleusher.fronts.mysql.auth import ClientLogin, Turn, native_answer
+from brambleusher.fronts.mysql.auth import ClientLogin, Turn, native_answer, native_hash
 from brambleusher.fronts.mysql.constants import NATIVE, Capability, Command, Errno, Status, Track
 from brambleusher.fronts.mysql.messages import (
     ChangeUser,
@@ -234,6 +235,39 @@
     client.close()
 
 
+def test_an_unknown_schema_is_the_clients_own_fault(make: Make) -> None:
+    rig, _ = make()
+    with pytest.raises(pymysql.err.Error) as caught:
+        connect(rig, database="nowhere")  # told with the first statement, which the driver sends at once
+    assert caught.value.args[0] == 1049
+    for at in range(4):  # and counts against no node
+        assert ask(connect(rig), f"select {at} from accounts where name = 'n1'") == ((at,),)
+
+
+def test_no_secret_and_no_literal_gets_into_the_log(make: Make, caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.DEBUG)
+    rig, servers = make(once=True)
+    logging.getLogger("brambleusher").propagate = True
+    client = connect(rig)
+    ask(client, "select 'literal-1' from accounts")
+    fails(client, "call p('literal-2')")
+    fails(client, "set password = 'literal-3'")
+    with pytest.raises(pymysql.err.Error):
+        connect(rig, password="literal-4")
+    everywhere(servers, on(Command.QUERY, "select 5", Fault("nonsense")))
+    fails(client, "select 5, 'literal-5'")
+    text = caplog.text + str([record.__dict__.get("fields") for record in caplog.records])
+    assert "statement assigned" in text
+    assert "login refused" in text
+    for secret in (
+        "literal-",
+        "node-secret",
+        native_hash(b"front").hex(),
+        native_hash(b"front").hex().upper(),
+    ):
+        assert secret not in text
+
+
 # --- ties and moves -----------------------------------------------------------------------------
 
 
