--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -53,7 +53,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 LIMIT_MS = 500.0
 MS, SECOND = 1_000_000, 1_000_000_000
-PROCESSES = 3
+PROCESSES = 4
+_VERSION = re.compile(rb"\x0a.[0-9]+\.([0-9]+)\.", re.S)  # a response begins with its version
 _NONCE = re.compile(rb"\x2a[\x01-\x0a]([0-9]{1,10})\Z")
 KB_A_SUBSCRIBER = 250.0  # the most that one may cost, with the bytes that are on their way to it
 SETTINGS: dict[str, Any] = {
@@ -126,7 +127,7 @@
 
     def __init__(self, name: str, incremental: bool, target: str) -> None:
         self.proxy, self.target = ProxyStandIn(name, "z", incremental), target
-        self.came: list[tuple[float, int]] = []  # when, and how many bytes
+        self.came: list[tuple[float, int, int]] = []  # when, of which list's version, and how many bytes
         self.complete = asyncio.Event()
 
     async def run(self, stalls: bool) -> None:
@@ -140,7 +141,8 @@
         while (data := await call.read()) is not grpc.aio.EOF:
             at = time.monotonic()
             if self.proxy.complete():
-                self.came.append((at, len(data)))
+                found = _VERSION.match(data)
+                self.came.append((at, int(found[1]) if found is not None else 0, len(data)))
                 await call.write(_acknowledge(self.proxy, data))
                 continue
             for request in self.proxy.receive(data):
@@ -207,25 +209,28 @@
     """Drain nodes one after another; one subscriber stalls, a whole list goes just before every tenth."""
     listed = [entry(f"n{at:05}", 10_000 + at) for at in range(nodes)]
     with service(listed) as (program, discovery):
-        before = usage(program.process.pid)
-        names = [f"p{at}" for at in range(count)]
-        parts = [names[at::PROCESSES] for at in range(PROCESSES)]
-        pipes, running = [], []
         context = mp.get_context("spawn")
-        for at, part in enumerate(part for part in parts if part):
+        pipes, running = [], []
+
+        def begin(names: list[str], stalls: int) -> None:
             ours, theirs = context.Pipe()
-            stalls = 1 if at == 0 and count > 1 else 0
-            job = context.Process(
-                target=subscribers, args=(program.addresses["xds"], part, theirs, stalls), daemon=True
-            )
-            job.start()
+            given = (program.addresses["xds"], names, theirs, stalls)
+            running.append(context.Process(target=subscribers, args=given, daemon=True))
+            running[-1].start()
             pipes.append(ours)
-            running.append(job)
-        for pipe in pipes:
+
+        begin(["first"], 0)  # has the views made, which all share
+        assert pipes[0].recv() == "complete"
+        before = usage(program.process.pid)
+        names = [f"p{at}" for at in range(count)]
+        parts = [part for part in (names[at::PROCESSES] for at in range(PROCESSES)) if part]
+        for at, part in enumerate(parts):
+            begin(part, int(at == 0))
+        for pipe in pipes[1:]:
             assert pipe.recv() == "complete"
         connected = usage(program.process.pid)
         last, cpu, sizes = [], [], []
-        reading = count - (1 if count > 1 else 0)
+        reading = count  # with the first, and without the one that stalls
         for at in range(rounds):
             victim = listed[at % nodes]
             victim = victim | {"state": "Terminating" if victim["state"] == "Ready" else "Ready"}
@@ -235,8 +240,6 @@
                 listed[at % nodes] = victim = victim | {"state": "Terminating"}
             began = usage(program.process.pid)[0]
             told = discovery.change(victim)
-            seen: Counter[int] = Counter()
-            worst = 0.0
             until = time.monotonic() + 10
             came: dict[tuple[int, int], float] = {}
             while len(came) < reading and time.monotonic() < until:
@@ -244,16 +247,13 @@
                 for part_at, pipe in enumerate(pipes):
                     pipe.send("what came")
                     for one, events in enumerate(pipe.recv()):
-                        for moment, size in events:
-                            if moment >= told:
-                                # The last one after the notice counts: it is the newest.
-                                came[part_at, one] = moment
-                                sizes.append(size)
-                                seen[part_at] += 1
+                        for moment, version, size in events:
+                            sizes.append(size)
+                            if version >= discovery.version:
+                                came.setdefault((part_at, one), moment)
             if len(came) < reading:
                 raise RuntimeError(f"{reading - len(came)} of {reading} subscribers heard nothing for 10 s")
-            worst = max(came.values()) - told
-            last.append(worst * 1000)
+            last.append((max(came.values()) - told) * 1000)
             cpu.append((usage(program.process.pid)[0] - began) * 1000)
         after = usage(program.process.pid)
         for pipe in pipes:
--- a/brambleusher/control/config.py
+++ b/brambleusher/control/config.py
@@ -422,6 +422,8 @@
         "tls",
         "peers",
         "status",
+        "silence_ms",
+        "new_store_ms",
     )
     differs = [key for key in fixed if getattr(old, key) != getattr(new, key)]
     return replace(new, **{key: getattr(old, key) for key in fixed}), differs
--- a/brambleusher/control/core.py
+++ b/brambleusher/control/core.py
@@ -83,6 +83,10 @@
         if now >= self._due_at:
             self._due_at = self.balancer.next_tick(self.balancer.handle(TimerFired(0), now)) or now
 
+    def round_anew(self, change: float) -> None:
+        """Another share by which weights must have moved to go out."""
+        self._rounder = Rounder(change)
+
     def weigh(self, order: Iterable[tuple[str, ...]], step: bool) -> bool:
         """Read the weights, and go a step towards them; says whether any has moved enough to go out."""
         before = self.tiers
@@ -129,9 +133,7 @@
         self.streams: dict[int, Stream] = {}
         self._library = Library(self.seal)
         self._snapshots: dict[tuple[str, str, int], Snapshot] = {}
-        self._endpoints = {
-            (zone, form): Endpoints(form, config.stale_after_ms) for zone in config.zones for form in FORMS
-        }
+        self._endpoints = self._builders()
         self._drafts: dict[tuple[str, str], Draft] = {}
         self._fixed: dict[int, dict[str, list[Draft]]] = {}
         self._written_machines: dict[str, Machine] | None = None  # the list held when it was last written
@@ -145,6 +147,10 @@
         self.nacks = 0
         self.on_change: Callable[[], None] = lambda: None
 
+    def _builders(self) -> dict[tuple[str, str], Endpoints]:
+        stale = self.config.stale_after_ms
+        return {(zone, form): Endpoints(form, stale) for zone in self.config.zones for form in FORMS}
+
     # --- discovery --------------------------------------------------------------------------------
 
     def listed(self, update: MachineListUpdate, now: int) -> None:
@@ -261,10 +267,14 @@
         self.config = config
         self._fixed.clear()
         self._snapshots.clear()
+        self._drafts.clear()
+        self._endpoints = self._builders()
         self._news_ns = now
-        for stream in list(self.streams.values()):
+        for zone in self.zones.values():
+            zone.round_anew(config.spread.change_percent / 100)
+        for stream in self.streams.values():
             if stream.group is not None:
-                stream.group = config.group_of(stream.identity)
+                self._place_in(stream, config.group_of(stream.identity))
         self.on_change()
 
     def snapshot(self, zone: str, form: str, group: Group, now: int) -> Snapshot:
@@ -348,11 +358,17 @@
             if not who.id:
                 raise ProtocolError("the first request names no node")
             stream.identity = who.id
-        group = self._admit(stream.identity)
-        zone = group.zone or who.zone
-        if zone not in self.zones:
-            raise ProtocolError(f"zone {zone[:100]!r} is not served")
-        stream.group, stream.who, stream.zone, stream.form = group, who, zone, form_of(group, who)
+        stream.who = who
+        self._place_in(stream, self._admit(stream.identity))
+        if stream.group is None:
+            raise ProtocolError(f"zone {who.zone[:100]!r} is not served")
+
+    def _place_in(self, stream: Stream, group: Group | None) -> None:
+        """Give a stream its group, and with it zone and form; none where it may not subscribe any more."""
+        zone = (group.zone or stream.who.zone) if group is not None else ""
+        stream.group = group if zone in self.zones else None
+        if group is not None and stream.group is not None:
+            stream.zone, stream.form = zone, form_of(group, stream.who)
 
     def why_not(self, now: int) -> Why | None:
         """Why nothing goes out now."""
--- a/brambleusher/control/server.py
+++ b/brambleusher/control/server.py
@@ -138,6 +138,8 @@
         now, core = time.monotonic(), self._core
         stall = core.config.bounds.stall_ms / 1000
         for each in list(self._open.values()):
+            if each.stream.group is None and each.stream.responses:
+                each.stop(DENIED, "it may not subscribe any more")
             if each.writing_since is not None and now - each.writing_since > stall:
                 each.stop(EXHAUSTED, "nothing was read for too long")
             if not each.stream.subscriber.stuck:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -526,6 +526,17 @@
     assert not stream.subscriber.rejects(RDS)
 
 
+def test_another_configuration_moves_subscribers_and_turns_some_away(tmp_path: Path) -> None:
+    core = core_with(tmp_path, machine("n1"))
+    stays, proxy = join(core, "stays")
+    goes, _ = join(core, "goes")
+    core.reconfigure(control(tmp_path, subscribers=[{"identity": "stays", "zone": "y"}], stale_after_ms=0), 1)
+    assert (stays.zone, goes.group) == ("y", None) and core.next(goes, 1) is None
+    feed(core, stays, proxy, [], 1)
+    (made,) = proxy.kinds[EDS].resources.values()
+    assert not made.policy.HasField("endpoint_stale_after")
+
+
 # --- resources --------------------------------------------------------------------------------------
 
 
