--- a/brambleusher/control/resources.py
+++ b/brambleusher/control/resources.py
@@ -21,7 +21,7 @@
 from google.protobuf.message import Message
 
 from brambleusher.control.config import ClassPlan, ControlConfig, Group, ListenerPlan
-from brambleusher.control.snapshot import CDS, EDS, LDS, RDS, Draft, sized, varint
+from brambleusher.control.snapshot import CDS, LDS, RDS, Draft, sized, varint
 from quillpass.shares import Tier
 
 ROUTES, ENDPOINTS = "routes", "execute-nodes"
@@ -252,7 +252,3 @@
             made = sized(2, made + sized(4, b"\x08" + varint(weight)))
         fresh[key] = made
         return made
-
-
-KINDS_FIXED = (CDS, LDS, RDS)
-KIND_MOVING = EDS
--- a/quillpass/shares.py
+++ b/quillpass/shares.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from quillpass.api import HostState
@@ -125,10 +125,3 @@
 
 def _sum(shares: Iterable[Share]) -> int:
     return sum(share.weight for share in shares)
-
-
-def part_of(shares: Iterable[Share]) -> Mapping[str, float]:
-    """Each node's part of the whole, from 0 to 1."""
-    held = list(shares)
-    total = _sum(held)
-    return {share.host: share.weight / total if total else 0.0 for share in held}
