--- a/brambleusher/control/status.py
+++ b/brambleusher/control/status.py
@@ -25,7 +25,7 @@
 log = logging.getLogger(__name__)
 
 MAX_VIEWERS, PATIENCE_SECONDS, MAX_LINES = 16, 5.0, 2000
-_MESSAGES: dict[str, type[Message]] = {
+MESSAGES: dict[str, type[Message]] = {
     CDS: cluster_pb2.Cluster, EDS: endpoint_pb2.ClusterLoadAssignment,
     LDS: listener_pb2.Listener, RDS: route_pb2.RouteConfiguration,
 }  # fmt: skip
@@ -55,7 +55,7 @@
         return []
     if kind == EDS:
         return [f"{node} {what}" for node, what in sorted(nodes_of(body).items())]
-    message = _MESSAGES[kind].FromString(body)
+    message = MESSAGES[kind].FromString(body)
     return json.dumps(MessageToDict(message), indent=1, sort_keys=True).splitlines()
 
 
--- /dev/null
+++ b/brambleusher/lab/xds_rules.py
@@ -0,0 +1,113 @@
+"""The rules that the published protos carry for their fields, checked as Envoy checks them.
+
+Envoy refuses a resource that breaks one.  They stand in the protos as options (`validate.rules`);
+a rule of a kind that is not known here is an error, so that nothing passes unlooked at.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from google.protobuf import any_pb2, duration_pb2, symbol_database
+from google.protobuf.descriptor import FieldDescriptor
+from google.protobuf.message import Message
+from validate import validate_pb2
+
+_PASSED_OVER = {"ignore_empty", "strict", "well_known_regex", "unique"}
+_TESTS: dict[str, Callable[[Any, Any], bool]] = {
+    "const": lambda value, rule: value == rule,
+    "lt": lambda value, rule: value < rule,
+    "lte": lambda value, rule: value <= rule,
+    "gt": lambda value, rule: value > rule,
+    "gte": lambda value, rule: value >= rule,
+    "in": lambda value, rule: value in rule,
+    "not_in": lambda value, rule: value not in rule,
+    "len": lambda value, rule: len(value) == rule,
+    "min_len": lambda value, rule: len(value) >= rule,
+    "max_len": lambda value, rule: len(value) <= rule,
+    "min_bytes": lambda value, rule: len(value.encode()) >= rule,
+    "max_bytes": lambda value, rule: len(value.encode()) <= rule,
+    "min_items": lambda value, rule: len(value) >= rule,
+    "max_items": lambda value, rule: len(value) <= rule,
+    "prefix": lambda value, rule: value.startswith(rule),
+    "suffix": lambda value, rule: value.endswith(rule),
+    "pattern": lambda value, rule: re.search(rule, value) is not None,
+    "address": lambda value, rule: bool(value),
+    "uri": lambda value, rule: ":" in value,
+}
+
+
+def _number(value: Any) -> Any:
+    """A duration in nanoseconds; anything else as it is."""
+    return value.ToNanoseconds() if isinstance(value, duration_pb2.Duration) else value
+
+
+def _breaks(value: Any, kind: str, rules: Message, field: FieldDescriptor) -> Iterator[str]:
+    if getattr(rules, "ignore_empty", False) and not value:
+        return
+    for option, rule in rules.ListFields():
+        name = option.name
+        if name in _PASSED_OVER or name in ("required", "skip"):
+            continue
+        if name == "defined_only":
+            good = not rule or value in field.enum_type.values_by_number
+        elif name == "items":
+            for item in value:
+                yield from _field_rules(item, rule, field)
+            continue
+        elif name in _TESTS:
+            good = _TESTS[name](_number(value), _number(rule))
+        else:
+            raise NotImplementedError(f"the rule {kind}.{name}")
+        if not good:
+            yield f"is {str(value)[:60]!r}, against {kind}.{name} {str(rule)[:60]}"
+
+
+def _field_rules(value: Any, rules: Any, field: FieldDescriptor) -> Iterator[str]:
+    kind = rules.WhichOneof("type")
+    if kind is None:
+        return
+    if kind == "map":
+        raise NotImplementedError("rules of a map")
+    if isinstance(value, Message) and hasattr(value, "value") and not isinstance(value, any_pb2.Any):
+        value = value.value  # a wrapped number has the number's rules
+    yield from _breaks(value, kind, getattr(rules, kind), field)
+
+
+def _missing(message: Message, field: FieldDescriptor, rules: Any) -> bool:
+    """Whether a field that must be there is not."""
+    if field.containing_oneof is not None:  # required where it is the one that was chosen
+        return False
+    kind = rules.WhichOneof("type")
+    required = rules.message.required or (
+        kind in ("any", "duration", "timestamp") and getattr(rules, kind).required
+    )
+    return bool(required) and not message.HasField(field.name)
+
+
+def faults(message: Message, path: str = "") -> Iterator[str]:
+    """Every rule that a message, or one within it, breaks; what is packed in it is unpacked."""
+    path = path or message.DESCRIPTOR.name
+    if isinstance(message, any_pb2.Any):
+        inner = symbol_database.Default().GetSymbol(message.TypeName())()
+        assert message.Unpack(inner)
+        yield from faults(inner, f"{path}<{inner.DESCRIPTOR.name}>")
+        return
+    for group in message.DESCRIPTOR.oneofs:
+        if group.GetOptions().Extensions[validate_pb2.required] and not message.WhichOneof(group.name):
+            yield f"{path}.{group.name} has none of its fields"
+    for field in message.DESCRIPTOR.fields:
+        rules = field.GetOptions().Extensions[validate_pb2.rules]
+        if _missing(message, field, rules):
+            yield f"{path}.{field.name} is missing"
+            continue
+        value, repeated = getattr(message, field.name), field.is_repeated
+        present = repeated or not field.has_presence or message.HasField(field.name)
+        if not present:
+            continue
+        yield from (f"{path}.{field.name} {text}" for text in _field_rules(value, rules, field))
+        if field.type == FieldDescriptor.TYPE_MESSAGE and not field.message_type.GetOptions().map_entry:
+            for at, each in enumerate(value if repeated else [value]):
+                yield from faults(each, f"{path}.{field.name}" + (f"[{at}]" if repeated else ""))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -16,7 +16,7 @@
 from envoy.config.cluster.v3 import cluster_pb2
 from envoy.config.endpoint.v3 import endpoint_pb2
 from envoy.config.listener.v3 import listener_pb2
-from envoy.config.route.v3 import route_pb2
+from envoy.config.route.v3 import route_components_pb2, route_pb2
 from envoy.service.load_stats.v3 import lrs_pb2
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -27,12 +27,14 @@
 from brambleusher.control.resources import ENDPOINTS, Endpoints, fixed
 from brambleusher.control.roster import Roster
 from brambleusher.control.snapshot import CDS, EDS, LDS, RDS, Draft, Library, Snapshot
+from brambleusher.control.status import MESSAGES
 from brambleusher.control.store import Store, StoreError
 from brambleusher.control.subscriber import Request, Response, Subscriber
 from brambleusher.control.versions import Seal
 from brambleusher.control.wire import Who, decode_loads, decode_request
 from brambleusher.lab import control_history
 from brambleusher.lab.xds import ProxyStandIn
+from brambleusher.lab.xds_rules import faults
 from brambleusher.net.machine_list import Machine, MachineListUpdate
 from quillpass import Balancer, api
 from quillpass.fleet import FleetBalancer, Standing, Told, scaled, standings
@@ -557,6 +559,25 @@
     assert by_class["move"].timeout.seconds == 5
 
 
+def test_resources_keep_the_rules_that_the_protos_carry(tmp_path: Path) -> None:
+    core = core_with(tmp_path, machine("n1"), machine("n2", api.HostState.DRAINING), machine("n3", zone="y"))
+    for name, form in (("a", "zones"), ("b", "nodes")):
+        snapshot = core.snapshot("z", form, core.config.groups[0], 0)
+        for kind, message in MESSAGES.items():
+            for resource in snapshot.kinds[kind].values():
+                assert not list(faults(message.FromString(resource.body))), name
+    bad = cluster_pb2.Cluster()
+    bad.connect_timeout.seconds = 0
+    bad.outlier_detection.max_ejection_percent.value = 101
+    bad.load_assignment.endpoints.add().load_balancing_weight.value = 0
+    found = " | ".join(faults(bad))
+    for part in ("Cluster.name is", "connect_timeout", "max_ejection_percent", "load_balancing_weight"):
+        assert part in found
+    assert list(faults(route_components_pb2.RouteMatch())) == [
+        "RouteMatch.path_specifier has none of its fields"
+    ]
+
+
 def test_endpoints_in_both_forms() -> None:
     shares = [
         Share("n1", "z", 100, False),
@@ -759,7 +780,8 @@
     """In a process of its own that may write no file past a size."""
     script = textwrap.dedent("""
         import resource, signal, sys
-        from brambleusher.control.store import Store, StoreError
+        from brambleusher.control.status import MESSAGES
+from brambleusher.control.store import Store, StoreError
         from brambleusher.control.versions import Seal
         from quillpass.handout import Place
         signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
--- a/tests/test_control_live.py
+++ b/tests/test_control_live.py
@@ -44,6 +44,7 @@
     entry,
     modules,
 )
+from brambleusher.lab.xds_rules import faults
 from tests.test_control import written
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -110,6 +111,7 @@
 def test_the_bootstraps_in_the_page_are_what_the_protos_say() -> None:
     assert tls_pb2.DESCRIPTOR and http_protocol_options_pb2.DESCRIPTOR  # what is packed in it must be known
     envoy = ParseDict(bootstraps()["yaml"], bootstrap_pb2.Bootstrap())
+    assert not list(faults(envoy))
     assert envoy.dynamic_resources.HasField("ads_config")
     named = {cluster.name for cluster in envoy.static_resources.clusters}
     used = {service.envoy_grpc.cluster_name for service in envoy.dynamic_resources.ads_config.grpc_services}
