--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -861,6 +861,23 @@
     assert config.group_of("x") == Group("*", "z")
 
 
+def test_the_example_is_one_that_can_be_used(tmp_path: Path) -> None:
+    example = Path(__file__).resolve().parent.parent / "deploy" / "control.yaml"
+    names = (
+        ("listing-lookup", "read_like"),
+        ("price-check", "read_like"),
+        ("transfer-record", "non_idempotent"),
+    )
+    classes = [SETTINGS["classes"][0] | {"name": name, "effect": effect} for name, effect in names]
+    (tmp_path / "config.json").write_text(json.dumps({"settings": SETTINGS | {"classes": classes}}))
+    (tmp_path / "control.secret").write_bytes(SECRET)
+    config = parse_control(example.read_bytes(), tmp_path)
+    assert [plan.retries for plan in config.classes] == [2, 2, 0]
+    assert config.group_of("market-one-3") == config.groups[0] and not config.groups[0].sees(
+        "transfer-record"
+    )
+
+
 # --- random schedules ---------------------------------------------------------------------------------
 
 
