--- a/brambleusher/fronts/mysql/auth.py
+++ b/brambleusher/fronts/mysql/auth.py
@@ -333,6 +333,11 @@
         """Whether the client has sent something that is not a whole message yet."""
         return self._reader.begun
 
+    @property
+    def seq(self) -> int:
+        """The number of the next packet, either way."""
+        return self._reader.seq
+
     def rest(self) -> bytes:
         """Bytes behind the last message read, given up: a TLS handshake's, or commands sent ahead."""
         return self._reader.leftover()
@@ -349,15 +354,26 @@
         )
         return frame(greeting.encode(), 0)
 
-    def change_user(self, body: bytes, capabilities: int, challenge: bytes) -> None:
-        """Begin a login anew with a COM_CHANGE_USER that came."""
+    def change_user(self, body: bytes, capabilities: int, first: bytes, challenge: bytes) -> None:
+        """Begin a login anew with a COM_CHANGE_USER that came.
+
+        A client that can be switched to another plugin answers the new challenge; an older one has
+        answered that of its first login.
+        """
         self._reader = PacketReader(MAX_LOGIN, seq=1)
-        self.capabilities, self.error, self._challenge = capabilities, None, challenge
+        self.capabilities, self.error = capabilities, None
         change = ChangeUser.parse(body, capabilities)
+        anew = bool(capabilities & Capability.PLUGIN_AUTH)
+        self._challenge = challenge if anew else first
         self.login = Login(
-            capabilities, change.user, change.answer, change.database, change.plugin, change.collation
+            capabilities,
+            change.user,
+            change.answer,
+            change.database,
+            "" if anew else NATIVE,
+            change.collation,
         )
-        self._talk = self._check(self.login, b"" if not change.answer else None)
+        self._talk = self._check(self.login)
 
     def step(self) -> Turn:
         """Go on as far as the bytes reach; raises `ProtocolError` for what makes no sense."""
@@ -403,14 +419,14 @@
             self._refuse(Errno.NOT_SUPPORTED_YET, "Compression is not supported")
             return
         self.login, self.capabilities = request, request.capabilities & self._offered
-        yield from self._check(request, None)
+        yield from self._check(request)
 
-    def _check(self, login: Login, first: bytes | None) -> Iterator[Turn]:
+    def _check(self, login: Login) -> Iterator[Turn]:
         """Ask for what the user's plugin needs, and compare."""
         secret = self._find(login.user)
         # Guards against telling who exists: an unknown name is asked as any other is, and refused.
         plugin = secret.plugin if secret is not None else self._plugin
-        answer = login.answer if first is None else first
+        answer = login.answer
         if login.plugin != plugin or len(self._challenge) != SCRAMBLE:
             if not login.capabilities & Capability.PLUGIN_AUTH:
                 if plugin != NATIVE:
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -8,6 +8,7 @@
 import signal
 from collections.abc import Callable
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from brambleusher.config import Config, ConfigError, fixed_keys_changed
 from brambleusher.counters import Counters
@@ -26,8 +27,14 @@
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Sink, System
-from quillpass.api import ListKind
+from quillpass import Balancer
+from quillpass.api import ListKind, Settings
 from quillpass.places import Places
+from quillpass.zoned import balancer_for
+
+if TYPE_CHECKING:
+    from brambleusher.fronts.mysql.service import MysqlService
+    from brambleusher.fronts.mysql.settings import MysqlSettings
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +51,8 @@
 # too few connections on a small machine, and claims find none: that looks like execute nodes that are full.
 MEMORY_OF_RUNTIME = 20 * 1024 * 1024
 MEMORY_OF_BUFFERS = 2 * 1024 * 1024  # of the runtime's, for features; 16 MB measured with the usual ones on
+MEMORY_OF_MYSQL = 48 * 1024 * 1024  # its libraries and what it remembers of statements
+MEMORY_PER_SESSION = 48 * 1024  # one that waits has less than half of it
 MEMORY_PER_CONNECTION = 64 * 1024  # a body of the largest size; usual ones have a few hundred bytes
 
 
@@ -70,9 +79,13 @@
         load: Callable[[], Config] | None = None,
         operator: OperatorFile | None = None,
         system: System | None = None,
+        load_operator: Callable[[], OperatorFile] | None = None,
+        make: Callable[[Settings, int], Balancer] = balancer_for,
     ) -> None:
-        self.config, self._load = config, load
         operator = operator or OperatorFile()
+        self.config = replace(config, settings=replace(config.settings, zones=operator.zones))
+        self._load, self._load_operator = load, load_operator
+        config = self.config
         self.system: System = RealSystem() if system is None else system
         self.scheduler = Scheduler(self.system)
         self.clock = Clock(self.system)
@@ -82,6 +95,9 @@
         memory = config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
         memory -= memory_of_features(operator, memory // 2)
         spare = SPARE_DESCRIPTORS + (DESCRIPTORS if operator.status is not None else 0)
+        if operator.mysql is not None:
+            memory -= self._memory_of_mysql(operator.mysql, memory)
+            spare += self._descriptors_of_mysql(operator.mysql, config.limits.sockets - spare)
         places = min(config.limits.sockets - spare, memory // MEMORY_PER_CONNECTION)
         for_nodes = max(int(places * NODE_PART), 8)
         self.nodes = ExecuteNodes(
@@ -89,12 +105,14 @@
         )
         self.capture = None if operator.capture is None else self._capture(operator.capture)
         self.status = (
-            None if operator.status is None else StatusPage(operator.status, config.settings, self.scheduler)
+            None
+            if operator.status is None
+            else StatusPage(operator.status, config.settings, self.scheduler, self._standing)
         )
         observers: list[Observer] = [each for each in (self.figures, self.status) if each is not None]
         self.decisions = Decisions(
             config.settings, config.seed, self.scheduler, self.clock, self.counters,
-            Observers(observers) if observers else None, self.capture,
+            Observers(observers) if observers else None, self.capture, make,
         )  # fmt: skip
         self.machine_list = MachineList(
             self.scheduler,
@@ -104,16 +122,20 @@
             self._listed,
             lambda: self.decisions.listed(ListKind.FAILED, ()),
         )
-        self.decisions.on_let_go = self.nodes.let_go
+        self.decisions.on_let_go = self._let_go
         self.decisions.on_subscribe = self.machine_list.ask
         self.submitters = Submitters(
             self.scheduler, self.decisions, self.nodes, self.clock, self.counters,
             Places(max(places - for_nodes, 8), max(int(config.limits.sockets * ASKING_PART), 8)),
             self.is_ready, self._rewrites(operator),
         )  # fmt: skip
+        self.mysql = None if operator.mysql is None else self._mysql(operator.mysql)
         self._started_at = self.scheduler.now()
         self._ending = self._wound_down = False
 
+    def _standing(self) -> dict[str, object] | None:
+        return self.decisions.standing()
+
     def _output(self, where: str, make: Callable[[], Sink]) -> Output:
         if where not in self.outputs:
             self.outputs[where] = Output(make(), where, self.system)
@@ -150,6 +172,34 @@
             log.warning("a rewrite names a class that is not served", extra={"fields": {"class": name}})
         return rewrites
 
+    @staticmethod
+    def _memory_of_mysql(settings: MysqlSettings, most: int) -> int:
+        need = MEMORY_OF_MYSQL + settings.sessions * MEMORY_PER_SESSION + settings.memory_mb * 1024 * 1024
+        if need > most // 2:
+            # Guards against a sidecar killed for its memory once its sessions are all there.
+            raise OperatorError("mysql.sessions and mysql.memory_mb don't fit in limits.memory_mb")
+        return need
+
+    @staticmethod
+    def _descriptors_of_mysql(settings: MysqlSettings, most: int) -> int:
+        need = settings.sessions + settings.connections_total
+        if need > most // 2:
+            raise OperatorError("mysql.sessions and mysql.connections_total don't fit in limits.sockets")
+        return need
+
+    def _mysql(self, settings: MysqlSettings) -> MysqlService:
+        from brambleusher.fronts.mysql.service import MysqlService  # here: it loads what an extra brings
+
+        return MysqlService(
+            settings, self.config.settings, self.config.seed, self.scheduler, self.decisions, self.clock,
+            self.counters,
+        )  # fmt: skip
+
+    def _let_go(self, node: str) -> None:
+        self.nodes.let_go(node)
+        if self.mysql is not None:
+            self.mysql.nodes.let_go(node)
+
     def is_ready(self) -> bool:
         """Whether submitters may come."""
         waited = self.scheduler.now() - self._started_at >= READY_SECONDS
@@ -170,6 +220,8 @@
         if self.status is not None:
             self.status.listed(known)
             self.status.start(self.config.listen[0])
+        if self.mysql is not None:
+            self.mysql.start(known)
         where = self.submitters.listen(self.config.listen)
         log.info(
             "listening", extra={"fields": {"node": self.config.name, "address": f"{where[0]}:{where[1]}"}}
@@ -225,6 +277,8 @@
             self.capture.listed(update)
         # The connections first: what the module sends from here on goes by the same list.
         self.nodes.update(update)
+        if self.mysql is not None:
+            self.mysql.nodes.update(update)
         kind = ListKind.FULL if update.full else ListKind.DELTA
         self.decisions.listed(kind, [machine.entry for machine in update.machines])
 
@@ -237,12 +291,14 @@
         if self._load is None or self._ending:
             log.info("configuration not read again", extra={"fields": {"ending": self._ending}})
             return
+        self._reload_zones()
         try:
             config = self._load()
         except ConfigError as error:
             # The running configuration stays: a file half written must not take a serving sidecar down.
             log.error("bad configuration, the running one stays", extra={"fields": {"reason": error}})
             return
+        config = replace(config, settings=replace(config.settings, zones=self.config.settings.zones))
         for key in fixed_keys_changed(self.config, config):
             log.warning("can't change in a running sidecar", extra={"fields": {"key": key}})
         host, port = config.discovery
@@ -254,6 +310,20 @@
             self.config = replace(self.config, discovery=config.discovery)
             self.machine_list.change_over(HttpWatch(self.scheduler, config.discovery))
 
+    def _reload_zones(self) -> None:
+        """Take the operator file's section on zones; a faulty file, checked whole, changes nothing."""
+        if self._load_operator is None:
+            return
+        try:
+            rules = self._load_operator().zones
+        except OperatorError as error:
+            log.error("bad operator file, the rules on zones stay", extra={"fields": {"reason": error}})
+            return
+        if self.decisions.rules_changed(rules):
+            log.info("rules on zones read again", extra={"fields": {"on": rules is not None}})
+        else:
+            log.warning("can't change in a running sidecar", extra={"fields": {"key": "zones"}})
+
     def _serve_on(self) -> None:
         log.info("ending", extra={"fields": {"owed": self.decisions.owed}})
         self.scheduler.call_at(
@@ -264,21 +334,27 @@
     def _wind_down(self) -> None:
         self.submitters.wind_down()
         self.nodes.close()
+        if self.mysql is not None:
+            self.mysql.wind_down()
         if self.status is not None:
             self.status.stop()
         self._wound_down = True
 
     def _over(self) -> bool:
-        return self._wound_down and not self.submitters.connections
+        open_sessions = 0 if self.mysql is None else self.mysql.front.connections
+        return self._wound_down and not self.submitters.connections and not open_sessions
 
 
 def serve(
-    load: Callable[[], Config], operator: OperatorFile | None = None, log_format: str = "logfmt"
+    load: Callable[[], Config],
+    operator: OperatorFile | None = None,
+    log_format: str = "logfmt",
+    load_operator: Callable[[], OperatorFile] | None = None,
 ) -> None:
     """Run one sidecar as this process's main program; raises `ConfigError` if it can't be used."""
     # Records are short-lived and seldom cyclic: reference counts free them, rare collections suffice.
     gc.set_threshold(50_000, 20, 50)
-    sidecar = Sidecar(load(), load, operator)
+    sidecar = Sidecar(load(), load, operator, load_operator=load_operator)
     if STDERR in sidecar.outputs:
         # Guards against a log line that waits, and requests with it, where a feature has filled the pipe.
         configure(stream=LaneStream(sidecar.outputs[STDERR].lane(LOG_BYTES)), form=log_format)
