--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -780,8 +780,7 @@
     """In a process of its own that may write no file past a size."""
     script = textwrap.dedent("""
         import resource, signal, sys
-        from brambleusher.control.status import MESSAGES
-from brambleusher.control.store import Store, StoreError
+        from brambleusher.control.store import Store, StoreError
         from brambleusher.control.versions import Seal
         from quillpass.handout import Place
         signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
