--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -318,9 +318,7 @@
 
 @wire("")
 def the_network_breaks_its_connection(play: Play) -> None:
-    conn = play.take()
-    play.checker.ended(play.now, conn, "client", "reset")
-    play.checker.closed(play.now, conn, "client")
+    play.checker.ended(play.now, play.take(), "client", "reset")
 
 
 @wire("")
@@ -356,6 +354,16 @@
     held_up(play, 1050 * MS + 1)
 
 
+@wire("")
+def held_up_in_part(play: Play) -> None:
+    conn, data = play.client(), ask("r1")
+    play.checker.sent(play.now, conn, "client", data)
+    play.checker.arrived(play.now, conn, "server", data[:9])
+    play.wait(100 * MS).checker.arrived(play.now, conn, "server", data[9:])
+    play.checker.read(play.now, conn, "server", data)
+    play.wait(1050 * MS).answer(conn, 502)
+
+
 def ahead(play: Play, after: int) -> Conn:
     """Two requests at once: the second one's time runs from the answer to the first."""
     conn = play.client()
@@ -509,6 +517,14 @@
     play.answer(conn, 503)
 
 
+@wire("refusal")
+def refused_after_a_proof_that_came_behind_an_answer(play: Play) -> None:
+    conn, claim = play.take(), play.claim()
+    play.node_answers(claim, "500 X")
+    play.node_answers(claim, "503 X", Not_Started="1")
+    play.answer(conn, 503)
+
+
 @wire("")
 def sent_again_after_proof(play: Play) -> None:
     conn = play.take()
@@ -581,6 +597,26 @@
     drained(play, 500_000_001, listing(entry(A, "Gone")))
 
 
+def fetched(play: Play, **headers: str) -> None:
+    """The whole list, asked for once."""
+    conn, body = play.connect(DISCOVERY), listing(entry(A, "Terminating"), entry(B), full=True)
+    play.pass_(conn, "client", http("GET /v1/endpoints HTTP/1.1"))
+    play.pass_(conn, "server", http("HTTP/1.1 200 OK", body[:-1], **headers))
+    play.checker.closed(play.now, conn, "client")
+
+
+@wire("drain")
+def sent_though_a_fetched_list_tells(play: Play) -> None:
+    fetched(play)
+    play.wait(500_000_001).serve(cls="look")
+
+
+@wire("")
+def a_fetched_list_that_is_cut_short(play: Play) -> None:
+    fetched(play, Content_Length="9999")
+    play.wait(500_000_001).serve(cls="look")
+
+
 @wire("drain")
 def sent_though_missing_from_the_list(play: Play) -> None:
     drained(play, 500_000_001, listing(entry(B), full=True))
@@ -909,6 +945,17 @@
     bad(play, lambda conn: play.pass_(conn, "client", b"GET"))
 
 
+@wire("bad-client")
+def kept_waiting_with_a_whole_request(play: Play) -> None:
+    bad(play, lambda conn: play.take(conn=conn, wait_ms="soon"))
+
+
+@wire("bad-client")
+def accepted_and_kept_waiting_without_descriptors(play: Play) -> None:
+    play.checker.starved(play.now, "m0", True)
+    bad(play, lambda conn: None)
+
+
 @wire("")
 def closed_in_time(play: Play) -> None:
     bad(play, lambda conn: play.wait(3 * S).checker.closed(play.now, conn, "server"))
