--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -16,6 +16,7 @@
 from brambleusher.runtime.system import System
 from quillpass import Balancer, api
 from quillpass.state import save
+from quillpass.zoned import ZonedBalancer, balancer_for
 
 log = logging.getLogger(__name__)
 
@@ -74,6 +75,16 @@
     outcome: Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerBegun:
+    """A claim's answer has begun to go out, or its node is held: it can't be repeated any more."""
+
+    attempt: int
+    node: str
+    latency_ns: int
+    payload: object
+
+
 @dataclass(frozen=True, slots=True)
 class MakeClaim:
     """The module wants a claim made; claims are numbered in the order it asked for them."""
@@ -83,7 +94,7 @@
     timeout_ns: int
 
 
-Step = MakeClaim | api.Refuse | api.Fail | ClaimEnded
+Step = MakeClaim | api.Refuse | api.Fail | ClaimEnded | AnswerBegun
 
 
 class Observer:
@@ -191,9 +202,10 @@
         counters: Counters,
         observers: Observer | None = None,
         recorder: Recorder | None = None,
+        make: Callable[[api.Settings, int], Balancer] = balancer_for,
     ) -> None:
         self.settings, self.observers = settings, observers or Observer()
-        self._balancer, self._recorder = Balancer(settings, seed), recorder
+        self._balancer, self._recorder = make(settings, seed), recorder
         if recorder is not None:
             recorder.began(lambda: save(self._balancer))
         self._scheduler, self._clock, self._counters = scheduler, clock, counters
@@ -248,6 +260,10 @@
         self._handle(event, ticket)
         self._forget(ticket)
 
+    def began(self, ticket: Ticket, step: AnswerBegun) -> None:
+        """A claim's answer has begun: the request is closed, the claim stays out until it ends."""
+        self._handle(api.StreamStarted(ticket.request, step.attempt, step.node, step.latency_ns))
+
     def left(self, ticket: Ticket) -> None:
         """The submitter has gone, or got an answer that the module did not choose."""
         self._handle(api.RequestGone(ticket.request))
@@ -272,10 +288,28 @@
         else:
             self.ended(ticket, end, closed=True)
 
+    def claim_begun(self, ticket: Ticket, step: AnswerBegun) -> None:
+        """Where a claim reports that its answer has begun; nobody waits for it any more if it is late."""
+        if ticket.open:
+            ticket.put(step)
+
     def listed(self, kind: api.ListKind, entries: Iterable[api.HostEntry]) -> None:
         """News from discovery."""
         self._handle(api.HostList(kind, list(entries)))
 
+    def rules_changed(self, rules: api.ZoneRules | None) -> bool:
+        """The operator says something else of zones; false where the decisions began without rules."""
+        if not isinstance(self._balancer, ZonedBalancer):
+            return rules is None
+        self._handle(api.RulesChanged(rules))
+        return True
+
+    def standing(self) -> dict[str, object] | None:
+        """What is made of zones, as plain values; None where the decisions began without rules."""
+        if not isinstance(self._balancer, ZonedBalancer):
+            return None
+        return self._balancer.standing(self._clock.now_ns())
+
     # --- actions --------------------------------------------------------------------------------
 
     def _handle(self, event: api.Event, ticket: Ticket | None = None) -> None:
--- /dev/null
+++ b/tests/test_mysql_front.py
@@ -0,0 +1,647 @@
+"""The MySQL front on loopback: logins, commands, ties, pools, drains, kills, faults, bad input."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import time
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import pymysql
+import pytest
+from pymysql.constants import CLIENT
+
+from brambleusher.fronts.mysql.auth import ClientLogin, Turn, native_answer
+from brambleusher.fronts.mysql.constants import NATIVE, Capability, Command, Errno
+from brambleusher.fronts.mysql.messages import ChangeUser, Err, Login, SslRequest, parse_auth_switch
+from brambleusher.fronts.mysql.packets import PacketReader, frame
+from brambleusher.lab.stand_ins.mysql import Fault, Moment
+from brambleusher.lab.stand_ins.mysql_engine import ColumnInfo, Table
+from tests.mysql_rig import MysqlRig, Servers
+from tests.rig import WAIT, Discovery
+
+Make = Callable[..., tuple[MysqlRig, Servers]]
+ROW = "select * from accounts where name = 'n1'"
+NEW = int(
+    Capability.PROTOCOL_41 | Capability.SECURE_CONNECTION | Capability.PLUGIN_AUTH
+    | Capability.CONNECT_WITH_DB | Capability.DEPRECATE_EOF | Capability.MULTI_RESULTS
+)  # fmt: skip
+
+
+class Rigs:
+    """Rigs by what they were asked for; tests that leave one as it was share it."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._kept: dict[str, tuple[MysqlRig, Servers]] = {}
+        self._once: list[tuple[MysqlRig, Servers]] = []
+
+    def make(
+        self, count: int = 2, more: str = "", once: bool = False, kept_for: str = "", **settings: Any
+    ) -> tuple[MysqlRig, Servers]:
+        key = f"{count} {more} {kept_for} {settings}"
+        if once or key not in self._kept:
+            servers = Servers(count, **settings)
+            made = MysqlRig(self._folder, servers, more), servers
+            if once:
+                self._once.append(made)
+                return made
+            self._kept[key] = made
+        rig, servers = self._kept[key]
+        servers.do(servers.clear)
+        rig.forget_counts()
+        return rig, servers
+
+    def after_test(self) -> None:
+        self._end(self._once)
+        self._once = []
+
+    def end(self) -> None:
+        self._end(self._kept.values())
+
+    @staticmethod
+    def _end(made: Iterable[tuple[MysqlRig, Servers]]) -> None:
+        for rig, _ in made:
+            rig.sidecar.end()  # all at once: each goes on for a while
+        for rig, servers in made:
+            rig.end()
+            servers.end()
+
+
+@pytest.fixture(scope="module")
+def rigs(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Rigs]:
+    rigs = Rigs(tmp_path_factory.mktemp("mysql"))
+    yield rigs
+    rigs.end()
+
+
+@pytest.fixture
+def make(rigs: Rigs) -> Iterator[Make]:
+    yield rigs.make
+    rigs.after_test()
+
+
+def connect(rig: MysqlRig, **how: Any) -> Any:
+    given: dict[str, Any] = {"user": "web", "password": "front", "database": "shop", "autocommit": True}
+    host, port = rig.address
+    return pymysql.connect(host=host, port=port, read_timeout=WAIT, write_timeout=WAIT, **{**given, **how})
+
+
+def ask(conn: Any, text: str, *values: Any) -> Any:
+    with conn.cursor() as cursor:
+        cursor.execute(text, values or None)
+        return cursor.fetchall()
+
+
+def fails(conn: Any, text: str) -> int:
+    with pytest.raises(pymysql.err.Error) as caught:
+        ask(conn, text)
+    return int(caught.value.args[0])
+
+
+def insist(conn: Any, text: str) -> Any:
+    """Ask again as long as it is turned away: the decisions let a node be for a while that was full."""
+    end = time.monotonic() + WAIT
+    while True:
+        try:
+            return ask(conn, text)
+        except pymysql.err.Error as error:
+            assert error.args[0] == Errno.SERVER_ISNT_AVAILABLE
+            assert time.monotonic() < end
+
+
+def on(command: int, text: str, fault: Fault, times: int = 1) -> Callable[[Moment], Fault | None]:
+    """A fault for the first commands of a kind whose text begins so."""
+    left = [times]
+
+    def trouble(moment: Moment) -> Fault | None:
+        if moment.command == command and moment.text.lower().startswith(text) and left[0]:
+            left[0] -= 1
+            return fault
+        return None
+
+    return trouble
+
+
+def everywhere(servers: Servers, trouble: Callable[[Moment], Fault | None]) -> None:
+    servers.do(lambda: servers.troubles.__setitem__(slice(None), [trouble] * len(servers.servers)))
+
+
+class Raw:
+    """A client that says what a test wants, byte by byte."""
+
+    def __init__(self, rig: MysqlRig, caps: int = NEW, user: str = "web", password: bytes = b"front") -> None:
+        self.sock = socket.create_connection(rig.address, WAIT)
+        self.caps = caps
+        login = ClientLogin(user, password, caps, 45, database="shop", ask_key=True)
+        while login.step() is not Turn.DONE:
+            if login.out:
+                self.sock.sendall(login.out)
+                login.out = b""
+            data = self.sock.recv(65536)
+            assert data
+            login.feed(data)
+        assert login.greeting is not None
+        self.thread = login.greeting.thread
+        self.reader = PacketReader(1 << 26, seq=1)
+
+    def send(self, body: bytes, seq: int = 0) -> None:
+        self.reader.expect(1)
+        self.sock.sendall(frame(body, seq))
+
+    def take(self) -> bytes:
+        """The next message."""
+        while (message := self.reader.take()) is None:
+            data = self.sock.recv(65536)
+            assert data, "the connection ended"
+            self.reader.feed(data)
+        return message
+
+    def whole(self) -> list[bytes]:
+        """The messages of a result, up to its end."""
+        out = [self.take()]
+        while out[0][:1] not in (b"\0", b"\xff") and (len(out) == 1 or out[-1][:1] not in (b"\xfe", b"\xff")):
+            out.append(self.take())
+        return out
+
+    def error(self) -> Err:
+        message = self.take()
+        assert message[:1] == b"\xff", message
+        return Err.parse(message)
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+# --- logins -------------------------------------------------------------------------------------
+
+
+def test_logins_good_and_bad(make: Make) -> None:
+    rig, _ = make()
+    assert ask(connect(rig), "select user()") == (("registry@localhost",),)
+    assert ask(connect(rig, user="sha", password="front-sha"), "select user()") == (("sha@localhost",),)
+    for user, password in (("web", "wrong"), ("who", "front")):
+        with pytest.raises(pymysql.err.OperationalError) as caught:
+            connect(rig, user=user, password=password)
+        assert caught.value.args[0] == Errno.ACCESS_DENIED
+    client = connect(rig)
+    client.ping(reconnect=False)
+    assert ask(client, "select connection_id()") == ((client.thread_id(),),)
+
+
+def test_change_user_reset_and_init_db(make: Make) -> None:
+    rig, _ = make()
+    client = Raw(rig)
+    for body, first in (
+        (b"\x02shop", 0), (b"\x02nowhere", 0xFF), (b"\x1f", 0), (b"\x0e", 0), (b"\x1b\0\0", 0xFE),
+        (b"\x1b\1\0", 0xFE), (b"\x09", 0x55),
+    ):  # fmt: skip
+        client.send(body)
+        assert client.take()[0] == first, body
+    client.send(b"\x04accounts\0")
+    assert [message[:4] for message in (client.take(), client.take())] == [b"\3def"] * 2
+    assert client.take()[0] == 0xFE
+    answer = native_answer(b"front", bytes(20))
+    change = ChangeUser("web", answer, "shop", 45, NATIVE)
+    client.send(change.encode(NEW))
+    switch = client.take()
+    assert switch.startswith(b"\xfe" + NATIVE.encode())
+    client.sock.sendall(frame(native_answer(b"front", parse_auth_switch(switch)[1]), 2))
+    client.reader.expect(3)
+    assert client.take()[0] == 0
+    client.send(b"\x03" + ROW.encode())
+    assert len(client.whole()) == 5
+    client.send(ChangeUser("web", answer, "shop", 45, NATIVE).encode(NEW))
+    client.take()
+    client.sock.sendall(frame(native_answer(b"wrong", bytes(20)), 2))
+    client.reader.expect(3)
+    assert Err.parse(client.take()).errno == Errno.ACCESS_DENIED
+    client.close()
+
+
+# --- ties and moves -----------------------------------------------------------------------------
+
+
+def test_reads_move_between_nodes_and_what_is_tied_stays(make: Make) -> None:
+    rig, _ = make()
+    client = connect(rig)
+    for at in range(12):
+        ask(client, f"select {at} + 0 from accounts where name = 'n1'")
+    places = {rig.seen(f"select {at} + 0 from accounts where name = 'n1'")[0][0] for at in range(12)}
+    assert places == {0, 1}
+    ask(client, "set @a = 5")
+    for at in range(6):
+        assert ask(client, f"select @a, {at}") == ((5, at),)
+    assert len({rig.seen(f"select @a, {at}")[0] for at in range(6)}) == 1
+    Raw_reset(client)
+    assert ask(client, "select @a") == ((None,),)
+
+
+def Raw_reset(client: Any) -> None:
+    client._execute_command(Command.RESET_CONNECTION, b"")
+    client._read_ok_packet()
+
+
+def test_settings_schema_and_ids_go_along(make: Make) -> None:
+    rig, servers = make()
+    client, other = connect(rig), connect(rig)
+    for server in servers.servers:
+        servers.do(partial(server.database.tables.update, {("shop", "t"): Table("t", _columns())}))
+    ask(client, "set sql_mode = 'ONLY_X', time_zone = '+02:00'")
+    seen = set()
+    for at in range(10):
+        ask(other, "select 1 from accounts")
+        assert ask(client, f"select @@sql_mode, @@time_zone, {at}") == (("ONLY_X", "+02:00", at),)
+        seen.add(rig.seen(f"select @@sql_mode, @@time_zone, {at}")[0])
+        assert ask(other, "select @@sql_mode")[0][0].startswith("ONLY_FULL")
+    assert len({place for place, _ in seen}) == 2
+    for at in range(6):
+        ask(client, f"insert into t (v) values ('{at}')")
+        ask(other, "insert into t (v) values ('other')")
+        with client.cursor() as cursor:
+            cursor.execute("select last_insert_id()")
+            (mine,) = cursor.fetchone()
+        found = {
+            key
+            for server in servers.servers
+            for key, row in servers.do(partial(server.database.snapshot, "shop", "t")).items()
+            if row[1] == str(at)
+        }
+        assert found == {mine}
+    assert rig.count("mysql_ids_carried") > 0
+
+
+def _columns() -> list[ColumnInfo]:
+    return [ColumnInfo("id", 3, True, "t"), ColumnInfo("v", 253, False, "t")]
+
+
+def test_warnings_are_asked_for_where_they_were_made(make: Make) -> None:
+    rig, _ = make()
+    client, other = connect(rig), connect(rig)
+    ask(client, "insert into transfers values ('x', 'no number')")
+    ask(other, "select 1 from accounts")
+    assert "Incorrect value" in ask(client, "show warnings")[0][2]
+    ask(client, "select 1 from accounts")
+    for _ in range(3):
+        ask(other, "select 1 from accounts")
+        ask(other, "select 2 from accounts")
+    assert fails(client, "select row_count()") in (Errno.NOT_SUPPORTED_YET,)
+
+
+def test_prepared_statements_are_prepared_anew(make: Make) -> None:
+    import mysql.connector
+
+    rig, _ = make()
+    host, port = rig.address
+    client = mysql.connector.connect(
+        host=host, port=port, user="web", password="front", database="shop", use_pure=True, autocommit=True
+    )
+    cursor = client.cursor(prepared=True)
+    for at in range(8):
+        cursor.execute("select name, money + ? from accounts where name = ?", (at, "n1"))
+        assert cursor.fetchall() == [("n1", 1000 + at)]
+    assert rig.count("mysql_prepared_anew") >= 1
+    client.close()
+
+
+def test_many_sessions_share_few_connections(make: Make) -> None:
+    rig, servers = make(2, more="  sessions: 120\n  connections: 3\n  pool_wait_ms: 15000\n")
+    clients = [Raw(rig) for _ in range(100)]
+    for _ in range(2):
+        for client in clients:
+            client.send(b"\x03" + ROW.encode())
+        for client in clients:
+            assert len(client.whole()) == 5
+    assert max(server.most_open for server in servers.servers) <= 3
+    assert rig.count("mysql_waits") > 0
+
+
+def test_max_connections_is_learned(make: Make) -> None:
+    rig, servers = make(1, once=True, max_connections=2)
+    clients = [connect(rig) for _ in range(4)]
+    for client in clients[:2]:
+        ask(client, "set @a = 1")
+    assert fails(clients[2], ROW) == Errno.SERVER_ISNT_AVAILABLE
+    assert rig.count("mysql_connections_refused") == 1
+    Raw_reset(clients[0])
+    assert insist(clients[2], ROW) == (("n1", 1000),)
+    assert servers.servers[0].refused == 1
+    for client in clients:
+        client.close()
+
+
+# --- promises -----------------------------------------------------------------------------------
+
+
+def transfer(client: Any, name: str) -> None:
+    client.begin()
+    ask(client, f"insert into transfers values ('{name}', 10)")
+    ask(client, "update accounts set money = money - 10 where name = 'n1'")
+    ask(client, "update accounts set money = money + 10 where name = 'n2'")
+    client.commit()
+
+
+def done(servers: Servers, name: str) -> int:
+    return sum(
+        name in servers.do(partial(server.database.snapshot, "shop", "transfers"))
+        for server in servers.servers
+    )
+
+
+def test_a_commit_whose_answer_is_lost_is_one_error_and_is_not_repeated(make: Make) -> None:
+    rig, servers = make()
+    client = connect(rig)
+    transfer(client, "a")
+    everywhere(servers, on(Command.QUERY, "commit", Fault("after")))
+    with pytest.raises(pymysql.err.OperationalError) as caught:
+        transfer(client, "b")
+    assert caught.value.args[0] == Errno.ERROR_DURING_COMMIT
+    assert "unknown" in caught.value.args[1]
+    assert [done(servers, name) for name in "ab"] == [1, 1]
+    assert len(rig.seen("COMMIT")) == 2
+    assert ask(connect(rig), ROW)[0][1] in (980, 990, 1000)
+
+
+@pytest.mark.parametrize("how", ["before", "after"])
+def test_what_breaks_within_a_transaction_is_rolled_back_and_never_sent_again(make: Make, how: str) -> None:
+    rig, servers = make()
+    client = connect(rig)
+    everywhere(servers, on(Command.QUERY, "update accounts set money = money +", Fault(how)))
+    with pytest.raises(pymysql.err.OperationalError) as caught:
+        transfer(client, "a")
+    assert caught.value.args[0] == Errno.NET_READ
+    assert done(servers, "a") == 0
+    assert len(rig.seen("update accounts set money = money + 10 where name = 'n2'")) == 1
+    with pytest.raises(pymysql.err.Error):  # the session is over: nothing of it runs outside the transaction
+        ask(client, "select 1")
+
+
+@pytest.mark.parametrize(
+    "fault", [Fault("after"), Fault("amid", bytes=5), Fault("nonsense"), Fault("number")]
+)
+def test_a_write_outside_a_transaction_is_not_repeated(make: Make, fault: Fault) -> None:
+    rig, servers = make()
+    client = connect(rig)
+    text = "update accounts set money = money - 1 where name = 'n3'"
+    everywhere(servers, on(Command.QUERY, "update", fault))
+    assert fails(client, text) in (
+        Errno.ERROR_DURING_COMMIT,
+        Errno.MALFORMED_PACKET,
+        Errno.NET_PACKETS_OUT_OF_ORDER,
+    )
+    assert len(rig.seen(text)) == 1
+    assert ask(client, "select 1 from accounts where name = 'n1'") == ((1,),)  # the session goes on
+
+
+def test_a_plain_read_goes_to_another_node_until_a_byte_has_come(make: Make) -> None:
+    rig, servers = make()
+    client = connect(rig)
+    for how in ("before", "after"):
+        left = [1]  # of both servers together
+
+        def once(moment: Moment, how: str = how, left: list[int] = left) -> Fault | None:
+            if moment.command == Command.QUERY and moment.text == ROW and left[0]:
+                left[0] -= 1
+                return Fault(how)
+            return None
+
+        everywhere(servers, once)
+        before = len(rig.seen(ROW))
+        assert ask(client, ROW) == (("n1", 1000),)
+        assert len(rig.seen(ROW)) == before + 2
+    big = "select * from generated where n = 50000 and width = 100"
+    everywhere(servers, on(Command.QUERY, "select * from generated", Fault("amid", bytes=200_000), times=9))
+    with pytest.raises(pymysql.err.Error):
+        ask(client, big)
+    assert len(rig.seen(big)) == 1
+
+
+def test_a_result_that_breaks_ends_in_exactly_one_error(make: Make) -> None:
+    rig, servers = make()
+    for size in (30, 5_000, 150_000):
+        everywhere(servers, on(Command.QUERY, "select * from generated", Fault("amid", bytes=size)))
+        client = Raw(rig)
+        client.send(b"\x03select * from generated where n = 3000 and width = 90")
+        messages = client.whole()
+        assert Err.parse(messages[-1]).errno == Errno.NET_READ
+        assert sum(message[:1] == b"\xff" for message in messages) == 1
+        everywhere(servers, lambda moment: None)
+        client.send(b"\x03select 1 from accounts where name = 'n1'")  # an untied session goes on
+        assert client.whole()[0] == b"\x01"
+        client.close()
+    everywhere(servers, on(Command.QUERY, "select * from generated", Fault("amid", bytes=200_000)))
+    client = Raw(rig)  # within a packet of 400 KB: only an end tells
+    client.send(b"\x03select * from generated where n = 1 and width = 400000")
+    got = 0
+    while data := client.sock.recv(65536):
+        got += len(data)
+    assert 100_000 < got < 400_000
+
+
+def test_a_deadline_stops_the_statement_at_the_node(make: Make) -> None:
+    rig, servers = make(1)
+    client = connect(rig)
+    text = "/* brambleusher: deadline_ms=150 */ select sleep(30)"
+    assert fails(client, text) in (Errno.ERROR_DURING_COMMIT, Errno.QUERY_TIMEOUT, Errno.NET_READ)
+    rig.until(lambda: rig.count("mysql_kills") >= 1)
+    until_idle(servers)
+    ask(client, "/* brambleusher: deadline_ms=200 */ begin")
+    assert fails(client, "select sleep(60)") in (Errno.QUERY_TIMEOUT, Errno.NET_READ)
+
+
+def until_idle(servers: Servers) -> None:
+    end = time.monotonic() + WAIT
+    while servers.do(lambda: any(p.running for s in servers.servers for p in s.peers.values())):
+        assert time.monotonic() < end
+        time.sleep(0.005)
+
+
+def test_a_client_that_leaves_and_one_that_is_killed(make: Make) -> None:
+    rig, servers = make(1)
+    for text in ("select sleep(60)", "select sleep(61) from accounts"):
+        client = Raw(rig)
+        client.send(b"\x03" + text.encode())
+        while not rig.seen(text):
+            pass
+        client.close()
+        until_idle(servers)
+    client, killer = Raw(rig), connect(rig)
+    client.send(b"\x03select sleep(62)")
+    while not rig.seen("select sleep(62)"):
+        pass
+    ask(killer, f"kill query {client.thread}")
+    assert client.error().errno == Errno.QUERY_INTERRUPTED
+    client.send(b"\x03select 7")
+    assert client.whole()[0] == b"\x01"
+    assert fails(killer, "kill 999999") == Errno.NO_SUCH_THREAD
+    stranger = connect(rig, user="sha", password="front-sha")
+    assert fails(stranger, f"kill {client.thread}") == Errno.KILL_DENIED
+    ask(killer, f"kill {client.thread}")
+    client.sock.settimeout(WAIT)
+    while client.sock.recv(65536):
+        pass
+
+
+def test_a_drain_lets_the_untied_go_and_gives_the_tied_their_grace(make: Make) -> None:
+    rig, servers = make(2, "  grace_ms: {move: 200, look: 200}\n  drain_spread_ms: 100\n", once=True)
+    free, tied, busy = connect(rig), connect(rig), connect(rig)
+    for client in (tied, busy):
+        client.begin()
+        ask(client, "select connection_id(), 1")
+    places = [server.name for server in servers.servers]
+    rig.discovery.push(
+        Discovery.text([rig.entry(places[0], "Terminating"), rig.entry(places[1], "Terminating")], version=9)
+    )
+    rig.until(lambda: rig.count("lists_taken") >= 2)
+    rig.until(lambda: rig.count("mysql_drained") >= 2)
+    assert fails(tied, "select 1") == Errno.SERVER_SHUTDOWN
+    with pytest.raises(pymysql.err.Error):  # told once, and over
+        ask(tied, "select 1")
+    assert fails(busy, "commit") == Errno.SERVER_SHUTDOWN
+    assert fails(free, ROW) == Errno.SERVER_ISNT_AVAILABLE
+    rig.discovery.push(Discovery.text([rig.entry(places[1])], version=10))
+    rig.until(lambda: rig.count("lists_taken") >= 3)
+    assert insist(free, ROW) == (("n1", 1000),)
+    assert servers.do(lambda: len(servers.servers[0].peers)) == 0
+
+
+def test_an_end_waits_for_the_tied_within_their_grace(make: Make) -> None:
+    rig, _ = make(1, "  grace_ms: {move: 300}\n  drain_spread_ms: 0\n", once=True)
+    free, tied = Raw(rig), connect(rig)
+    tied.begin()
+    rig.sidecar.end()
+    rig.until(lambda: rig.sidecar._wound_down)
+    tied.commit()
+    message = free.sock.recv(65536)
+    assert Err.parse(message[4:]).errno == Errno.SERVER_SHUTDOWN
+
+
+# --- nodes that speak nonsense ------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "fault", [Fault("error", errno=1129), Fault("nonsense"), Fault("before"), Fault("error", errno=1040)]
+)
+def test_a_node_that_greets_badly_is_passed_over(make: Make, fault: Fault) -> None:
+    rig, servers = make()
+    servers.do(lambda: servers.troubles.__setitem__(0, lambda moment: fault if moment.command < 0 else None))
+    client = connect(rig)
+    for at in range(4):
+        assert ask(client, f"select {at} from accounts where name = 'n1'") == ((at,),)
+
+
+def test_no_node_at_all_is_a_refusal(make: Make) -> None:
+    rig, servers = make(once=True)
+    everywhere(servers, lambda moment: Fault("before") if moment.command < 0 else None)
+    with pytest.raises(pymysql.err.Error) as caught:
+        ask(connect(rig), ROW)
+    assert caught.value.args[0] == Errno.SERVER_ISNT_AVAILABLE
+
+
+# --- bad input ----------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("name", "data", "errno", "state"),
+    [
+        ("an unknown command", frame(b"\xf0", 0), Errno.UNKNOWN_COM, "08S01"),
+        ("an empty command", frame(b"", 0), Errno.UNKNOWN_COM, "08S01"),
+        ("a wrong number", frame(b"\x0e", 3), Errno.NET_PACKETS_OUT_OF_ORDER, "08S01"),
+        ("a length beyond all bounds",
+         struct.pack("<I", 0xFFFFFF) + b"\x03" + bytes(0xFFFFFE) + struct.pack("<I", 0xFFFFFF | 1 << 24),
+         Errno.NET_PACKET_TOO_LARGE, "08S01"),
+        ("invalid UTF-8", frame(b"\x03select \xff\xfe", 0), Errno.INVALID_CHARACTER_STRING, "HY000"),
+        ("invalid UTF-8 in a schema", frame(b"\x02\xff", 0), Errno.INVALID_CHARACTER_STRING, "HY000"),
+        ("a kill cut short", frame(b"\x0c\1", 0), Errno.MALFORMED_PACKET, "HY000"),
+        ("an execute cut short", frame(b"\x17\1\0", 0), Errno.MALFORMED_PACKET, "HY000"),
+    ],
+)  # fmt: skip
+def test_bad_packets_end_in_one_error_and_harm_nobody(
+    make: Make, name: str, data: bytes, errno: int, state: str
+) -> None:
+    rig, _ = make(1, kept_for="bad input")
+    client, other = Raw(rig), connect(rig)
+    client.sock.sendall(data)
+    reader, got = PacketReader(1 << 20, seq=1), b""
+    while more := client.sock.recv(65536):
+        got += more
+    reader.seq = got[3]
+    reader.feed(got)
+    error = Err.parse(reader.take() or b"")
+    assert (error.errno, error.state, reader.buffered) == (errno, state, 0)
+    assert ask(other, ROW) == (("n1", 1000),)
+
+
+@pytest.mark.parametrize(
+    ("body", "errno"),
+    [
+        (b"\x07\x01", Errno.UNKNOWN_COM),  # refresh
+        (b"\x08", Errno.UNKNOWN_COM),  # shutdown
+        (b"\x12" + bytes(10), Errno.UNKNOWN_COM),  # binlog dump
+        (b"\x17" + b"\x63\0\0\0" + bytes(5), Errno.UNKNOWN_STMT_HANDLER),
+        (b"\x1c" + b"\x63\0\0\0" + bytes(4), Errno.UNKNOWN_STMT_HANDLER),
+        (b"\x03load data local infile '/etc/passwd' into table t", Errno.CLIENT_LOCAL_FILES_DISABLED),
+        (b"\x03", 1065),
+        (b"\x03select 1; select 2", Errno.PARSE),
+        (b"\x03selct", Errno.PARSE),
+    ],
+)
+def test_what_is_not_supported_is_one_error_and_the_session_goes_on(
+    make: Make, body: bytes, errno: int
+) -> None:
+    rig, _ = make(1, kept_for="bad input")
+    client = Raw(rig)
+    client.send(body)
+    assert client.error().errno == errno
+    client.send(b"\x0e")
+    assert client.take()[:1] == b"\0"
+
+
+def test_logins_that_break_the_protocol(make: Make) -> None:
+    rig, _ = make(1, more="  login_ms: 400\n  sessions: 3\n")
+    caps = NEW & ~Capability.CONNECT_WITH_DB
+    for data, errno in (
+        (frame(b"\x00\x02\x00\x00", 1), Errno.MALFORMED_PACKET),
+        (frame(b"\x01\x00", 1), Errno.BAD_HANDSHAKE),
+        (frame(SslRequest(caps | Capability.SSL).encode(), 1), Errno.BAD_HANDSHAKE),
+        (frame(Login(caps | Capability.COMPRESS, "web", b"x" * 20).encode(), 1), Errno.NOT_SUPPORTED_YET),
+        (
+            frame(Login(caps, "web", b"").encode().replace(b"web", b"\xff\xff\xff"), 1),
+            Errno.INVALID_CHARACTER_STRING,
+        ),
+        (b"\x20\0\0\x01abc", Errno.NET_READ_INTERRUPTED),  # a login that never ends
+        (b"", Errno.NET_READ_INTERRUPTED),
+    ):
+        sock = socket.create_connection(rig.address, WAIT)
+        sock.sendall(data)
+        got = b""
+        while more := sock.recv(65536):
+            got += more
+        greeting = int.from_bytes(got[:3], "little") + 4
+        assert Err.parse(got[greeting + 4 :]).errno == errno
+        sock.close()
+    rig.until(lambda: rig.sidecar.mysql is not None and not rig.sidecar.mysql.front.connections)
+    held = [socket.create_connection(rig.address, WAIT) for _ in range(4)]
+    firsts = [sock.recv(65536)[4] for sock in held]
+    assert sorted(firsts) == [10, 10, 10, 0xFF]
+    for sock in held:
+        sock.close()
+
+
+def test_a_message_over_16_mb_goes_through_whole(make: Make) -> None:
+    rig, _ = make(1, more="  max_packet_mb: 40\n  memory_mb: 80\n")
+    client = connect(rig, max_allowed_packet=1 << 26, client_flag=CLIENT.MULTI_STATEMENTS)
+    text = "x" * (17 * 1024 * 1024)
+    assert ask(client, f"select length('{text}')") == ((len(text),),)
+    with client.cursor() as cursor:
+        cursor.execute("select repeat('y', 17000000)")
+        assert cursor.fetchone() == ("y" * 17_000_000,)
+        cursor.execute("select 1; select 2; update accounts set money = 5 where name = 'n9'")
+        assert cursor.fetchall() == ((1,),)
+        assert cursor.nextset()
+        assert cursor.fetchall() == ((2,),)
+        assert cursor.nextset()
+        assert cursor.rowcount == 1
