--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -16,7 +16,7 @@
 from envoy.config.cluster.v3 import cluster_pb2
 from envoy.config.endpoint.v3 import endpoint_pb2
 from envoy.config.listener.v3 import listener_pb2
-from envoy.config.route.v3 import route_pb2
+from envoy.config.route.v3 import route_components_pb2, route_pb2
 from envoy.service.load_stats.v3 import lrs_pb2
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -27,12 +27,14 @@
 from brambleusher.control.resources import ENDPOINTS, Endpoints, fixed
 from brambleusher.control.roster import Roster
 from brambleusher.control.snapshot import CDS, EDS, LDS, RDS, Draft, Library, Snapshot
+from brambleusher.control.status import MESSAGES
 from brambleusher.control.store import Store, StoreError
 from brambleusher.control.subscriber import Request, Response, Subscriber
 from brambleusher.control.versions import Seal
 from brambleusher.control.wire import Who, decode_loads, decode_request
 from brambleusher.lab import control_history
 from brambleusher.lab.xds import ProxyStandIn
+from brambleusher.lab.xds_rules import faults
 from brambleusher.net.machine_list import Machine, MachineListUpdate
 from quillpass import Balancer, api
 from quillpass.fleet import FleetBalancer, Standing, Told, scaled, standings
@@ -526,6 +528,17 @@
     assert not stream.subscriber.rejects(RDS)
 
 
+def test_another_configuration_moves_subscribers_and_turns_some_away(tmp_path: Path) -> None:
+    core = core_with(tmp_path, machine("n1"))
+    stays, proxy = join(core, "stays")
+    goes, _ = join(core, "goes")
+    core.reconfigure(control(tmp_path, subscribers=[{"identity": "stays", "zone": "y"}], stale_after_ms=0), 1)
+    assert (stays.zone, goes.group) == ("y", None) and core.next(goes, 1) is None
+    feed(core, stays, proxy, [], 1)
+    (made,) = proxy.kinds[EDS].resources.values()
+    assert not made.policy.HasField("endpoint_stale_after")
+
+
 # --- resources --------------------------------------------------------------------------------------
 
 
@@ -546,6 +559,25 @@
     assert by_class["move"].timeout.seconds == 5
 
 
+def test_resources_keep_the_rules_that_the_protos_carry(tmp_path: Path) -> None:
+    core = core_with(tmp_path, machine("n1"), machine("n2", api.HostState.DRAINING), machine("n3", zone="y"))
+    for name, form in (("a", "zones"), ("b", "nodes")):
+        snapshot = core.snapshot("z", form, core.config.groups[0], 0)
+        for kind, message in MESSAGES.items():
+            for resource in snapshot.kinds[kind].values():
+                assert not list(faults(message.FromString(resource.body))), name
+    bad = cluster_pb2.Cluster()
+    bad.connect_timeout.seconds = 0
+    bad.outlier_detection.max_ejection_percent.value = 101
+    bad.load_assignment.endpoints.add().load_balancing_weight.value = 0
+    found = " | ".join(faults(bad))
+    for part in ("Cluster.name is", "connect_timeout", "max_ejection_percent", "load_balancing_weight"):
+        assert part in found
+    assert list(faults(route_components_pb2.RouteMatch())) == [
+        "RouteMatch.path_specifier has none of its fields"
+    ]
+
+
 def test_endpoints_in_both_forms() -> None:
     shares = [
         Share("n1", "z", 100, False),
@@ -828,6 +860,23 @@
     assert config.group_of("x") == Group("*", "z")
 
 
+def test_the_example_is_one_that_can_be_used(tmp_path: Path) -> None:
+    example = Path(__file__).resolve().parent.parent / "deploy" / "control.yaml"
+    names = (
+        ("listing-lookup", "read_like"),
+        ("price-check", "read_like"),
+        ("transfer-record", "non_idempotent"),
+    )
+    classes = [SETTINGS["classes"][0] | {"name": name, "effect": effect} for name, effect in names]
+    (tmp_path / "config.json").write_text(json.dumps({"settings": SETTINGS | {"classes": classes}}))
+    (tmp_path / "control.secret").write_bytes(SECRET)
+    config = parse_control(example.read_bytes(), tmp_path)
+    assert [plan.retries for plan in config.classes] == [2, 2, 0]
+    assert config.group_of("market-one-3") == config.groups[0] and not config.groups[0].sees(
+        "transfer-record"
+    )
+
+
 # --- random schedules ---------------------------------------------------------------------------------
 
 
