--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -12,8 +12,17 @@
 import pytest
 
 from brambleusher.lab import checker
-from brambleusher.lab.checker import Checker, Rules
-from brambleusher.lab.checker.messages import Chunks, Lines, Message, Reader, load_report
+from brambleusher.lab.checker import Checker, Rules, judge
+from brambleusher.lab.checker.messages import (
+    MOST_BODY,
+    MOST_HEAD,
+    Chunks,
+    Lines,
+    Message,
+    Reader,
+    load_report,
+)
+from brambleusher.lab.checker.roster import read
 from brambleusher.lab.checker.rules import RULES
 
 MS, S = 10**6, 10**9
@@ -744,6 +753,15 @@
     play.wait(500 * MS).serve(cls="look")
 
 
+@wire("drain")
+def sent_to_where_a_node_was(play: Play) -> None:
+    claim = play.serve(cls="look")
+    play.tell(play.watch(), listing(entry(A, at=B)))
+    conn = play.wait(500_000_001).take("r2", "look")
+    play.claim("r2", "look", conn=claim)
+    play.answer(conn, 502)
+
+
 @wire("unlisted")
 def sent_to_nobody(play: Play) -> None:
     conn = play.take()
@@ -1234,6 +1252,79 @@
     assert lines.feed(b"1\r\n\n\r\n0\r\n\r\n") == [b"de"] and lines.done
 
 
+LOOK = "GET /look HTTP/1.1"
+GOOD = {"Request_Id": "r1", "Request_Class": "look", "Tenant": "acme", "Request_Timeout_Ms": "500"}
+
+
+@pytest.mark.parametrize(
+    ("first", "headers", "fault"),
+    [
+        (LOOK, {}, None), ("GET /look/a?b=c HTTP/1.0", {}, None),
+        ("GET /look HTTP/2", {}, "line"),
+        ("GET look HTTP/1.1", {}, "line"), ("GET /look", {}, "line"), ("GET", {}, "line"),
+        ("GET /ready HTTP/1.1", {}, judge.READY), ("POST /ready HTTP/1.1", {}, "class does not"),
+        ("POST /look HTTP/1.1", {}, "method"), ("GET /move HTTP/1.1", {"Request_Class": "move"}, "method"),
+        ("GET /other HTTP/1.1", {}, "class does not"),
+        (LOOK, {"Request_Class": "move"}, "path"),
+        (LOOK, {"Request_Id": ""}, "id"), (LOOK, {"Request_Id": "a b"}, "id"),
+        (LOOK, {"Request_Id": "!" + "~" * 127}, None),
+        (LOOK, {"Request_Id": "x" * 129}, "id"),
+        (LOOK, {"Request_Timeout_Ms": "0"}, "deadline"),
+        (LOOK, {"Request_Timeout_Ms": "-5"}, "deadline"),
+        (LOOK, {"Request_Timeout_Ms": "1" * 9}, None),
+        (LOOK, {"Request_Timeout_Ms": "1" * 10}, "deadline"),
+        (LOOK, {"Tenant": "other"}, "tenant"),
+        (LOOK, {"Work_Hint": "12.5"}, None), (LOOK, {"Work_Hint": "x"}, "hint"),
+    ],
+)  # fmt: skip
+def test_requests_that_can_be_served(first: str, headers: dict[str, str], fault: str | None) -> None:
+    (message,) = Reader(answers=False).feed(http(first, b"", **{**GOOD, **headers}))
+    told = judge.fault_of(message, Rules.of(SETTINGS))
+    assert told is None if fault is None else told is not None and fault in told
+
+
+@pytest.mark.parametrize(("size", "sound"), [(64 * 1024, True), (64 * 1024 + 1, False)])
+def test_a_body_that_is_too_large(size: int, sound: bool) -> None:
+    (message,) = Reader(answers=False).feed(
+        http("POST /move HTTP/1.1", b"x" * size, **{**GOOD, "Request_Class": "move"})
+    )
+    assert (judge.fault_of(message, Rules.of(SETTINGS)) is None) is sound
+
+
+@pytest.mark.parametrize(
+    ("changed", "sound"),
+    [
+        ({}, True), ({"id": ""}, False), ({"id": 5}, False), ({"state": "Odd"}, False),
+        ({"addr": "a"}, False),
+        ({"addr": ":80"}, False), ({"addr": "a:65535"}, True), ({"addr": "a:65536"}, False),
+        ({"addr": 5, "state": "Gone"}, True), ({"weight": -1}, False), ({"weight": True}, False),
+        ({"weight": 0}, True), ({"weight": "1"}, False), ({"weight": 1e999}, False), ({"cell": -1}, False),
+        ({"cell": 1.5}, False), ({"started_ms": -1}, False), ({"started_ms": 7}, True),
+    ],
+)  # fmt: skip
+def test_entries_that_make_sense(changed: dict[str, Any], sound: bool) -> None:
+    line = listing({**entry(A), **changed})
+    assert (read(line) is not None) is sound
+
+
+def test_lists_that_make_no_sense() -> None:
+    for line in (b"[]", b"{}", b'{"servers":{}}', b'{"version":-1,"servers":[]}', b"{", b"\xff", b"[" * 9999):
+        assert read(line) is None
+    assert read(b'{"version":3,"servers":[]}') is not None
+
+
+def test_what_has_no_end_is_not_waited_for() -> None:
+    for data in (b"x" * (MOST_HEAD + 1), b"GET / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (MOST_BODY + 1)):
+        reader = Reader(answers=False)
+        reader.feed(data)
+        assert reader.fault is not None
+    reader, part = Reader(answers=True), b"%x\r\n%s\r\n" % (1 << 20, b"x" * (1 << 20))
+    reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(5):
+        reader.feed(part)
+    assert reader.fault is not None
+
+
 # --- independence ---------------------------------------------------------------------------------
 
 
