Bounds on what MySQL sessions hold: prepared texts, settings, names, remembered digests

Cause: a session's prepared texts and a connection's remembered ones were bounded in number, not in bytes; a digest of 64 KB was remembered as one of 100 bytes. Change: prepared texts and long data count against mysql.memory_mb, a prepared text has 256 KB at most, settings beyond 16 KB tie instead of being replayed. The last word of a session has the number that its client awaits, in the middle of a command and of a login.

--- a/brambleusher/fronts/mysql/auth.py
+++ b/brambleusher/fronts/mysql/auth.py
@@ -335,8 +335,8 @@
 
     @property
     def seq(self) -> int:
-        """The number of the next packet, either way."""
-        return self._reader.seq
+        """The number of an answer to what has come so far."""
+        return self._reader.answer_seq
 
     def rest(self) -> bytes:
         """Bytes behind the last message read, given up: a TLS handshake's, or commands sent ahead."""
--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -91,8 +91,8 @@
     """One client: its connection, its session, and the node's connection that the session holds."""
 
     __slots__ = (
-        "accepted_at", "bell", "challenge", "channel", "charged", "deadline", "held", "id_conn", "last",
-        "leave_at", "lost", "peer", "reader", "request_class", "session", "task", "thread", "work",
+        "accepted_at", "bell", "challenge", "channel", "charged", "deadline", "held", "id_conn", "kept",
+        "last", "leave_at", "lost", "peer", "reader", "request_class", "session", "task", "thread", "work",
     )  # fmt: skip
 
     def __init__(self, channel: Channel, peer: str, thread: int, most: int) -> None:
@@ -107,7 +107,8 @@
         self.work: Work | None = None  # the command that is on its way
         self.task: Task | None = None
         self.accepted_at = channel.stream.used_at
-        self.charged = 0  # bytes of the memory of all
+        self.charged = 0  # bytes of the memory of all, for the command under way
+        self.kept = 0  # and for what it has prepared
         self.deadline: float | None = None  # of its transaction
         self.leave_at: float | None = None  # its node drains
         self.lost: Err | None = None  # told with the next command, and the session is over
@@ -273,6 +274,8 @@
         """Let go of all that a session has; what runs for it is stopped."""
         self._clients.pop(client.thread, None)
         self._uncharge(client)
+        self._memory_left += client.kept
+        client.kept = 0
         work, client.work = client.work, None
         if work is not None:
             work.over = True
@@ -288,12 +291,20 @@
         """An error that ends the session, numbered as the client awaits it."""
         try:
             client.channel.send(
-                frame(error.encode(), client.reader.seq), self._scheduler.now() + WRITE_SECONDS
+                frame(error.encode(), client.reader.answer_seq), self._scheduler.now() + WRITE_SECONDS
             )
             client.channel.stream.finish()
         except (OSError, Timeout):
             return
 
+    def _keep_in_mind(self, client: Client, more: int = 0) -> None:
+        """Charge what a session holds of prepared statements, and what is to come, to the memory of all."""
+        held = client.session.held_bytes + more
+        if held - client.kept > self._memory_left:
+            raise ProtocolError("no memory for what is prepared", Errno.OUT_OF_RESOURCES)
+        self._memory_left -= held - client.kept
+        client.kept = held
+
     def _uncharge(self, client: Client) -> None:
         self._memory_left += client.charged
         client.charged = 0
@@ -334,7 +345,11 @@
         """A login's messages to and fro; false where it was refused."""
         channel = client.channel
         while True:
-            turn = login.step()
+            try:
+                turn = login.step()
+            except ProtocolError:
+                client.reader.seq = login.seq
+                raise
             if turn is Turn.DONE:
                 break
             if login.out:
@@ -400,7 +415,7 @@
         try:
             return handler(client, body)
         except ProtocolError as error:
-            if error.errno not in (Errno.UNKNOWN_STMT_HANDLER, Errno.WRONG_ARGUMENTS, 1461):
+            if error.errno not in _SESSION_GOES_ON:
                 raise
             return self._say_error(client, Err(error.errno, error.state, str(error)))
 
@@ -922,6 +937,7 @@
                 log.info("a reset failed", extra={"fields": {"reason": type(error).__name__}})
                 held.drop(Status.RESET)
         client.session.reset()
+        self._keep_in_mind(client)
         client.last = client.id_conn = None
         client.deadline = client.leave_at = None
         return self._say_ok(client)
@@ -934,6 +950,7 @@
         client.deadline = client.leave_at = None
         capabilities = client.session.capabilities
         client.session = Session("", "", capabilities, 0)
+        self._keep_in_mind(client)
         login = ServerLogin(
             client.thread, b"", capabilities, self._users.get, self._rsa, self._settings.server_version,
             self._settings.auth_plugin,
@@ -972,7 +989,8 @@
         statement = self._statements.tell(text, False, session.opaque)
         if statement.kind is Kind.LOCAL_FILE:
             return self._say_error(client, _NO_LOCAL)
-        number = session.next_prepared()
+        number = session.next_prepared(len(text))
+        self._keep_in_mind(client, len(text))
         # Preparing changes nothing: it may be repeated, whatever the statement does.
         harmless = Statement(Kind.READ, statement.digest, plain_read=True, hint=statement.hint)
         return self._run(client, Command.STMT_PREPARE, body, harmless, number=number) and self._remember(
@@ -1018,6 +1036,7 @@
         return None if known is None else known[0]
 
     def _long_data(self, client: Client, body: bytes) -> bool:
+        self._keep_in_mind(client, len(body))
         client.session.long_data(body, self._most)
         return True
 
@@ -1025,6 +1044,7 @@
         number = int.from_bytes(body[1:5], "little")
         self._close_cursor(client, number)
         client.session.close_prepared(number)
+        self._keep_in_mind(client)
         self._after_cursor(client)
         return True
 
@@ -1056,6 +1076,9 @@
 
 
 _BROKEN = (OSError, ProtocolError)
+_SESSION_GOES_ON = frozenset(
+    {Errno.UNKNOWN_STMT_HANDLER, Errno.WRONG_ARGUMENTS, Errno.NOT_SUPPORTED_YET, 1461}
+)
 _QUIET = Statement(Kind.SET, "a command without effects", plain_read=True)
 _USE = Statement(Kind.USE, "use", plain_read=True)
 _FIELDS = Statement(Kind.READ, "field list", plain_read=True)
--- a/brambleusher/fronts/mysql/mapping.py
+++ b/brambleusher/fronts/mysql/mapping.py
@@ -70,7 +70,7 @@
 
     def news(self, statement: Statement, user: str, given: Assignment) -> bool:
         """Whether the reason for this digest and user has not been told yet; it counts as told from now."""
-        key = (statement.digest, user, given.reason)
+        key = (statement.digest[:256], user, given.reason[:256])
         if key in self._told:
             return False
         self._told[key] = None
--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -39,7 +39,7 @@
     | Capability.PLUGIN_AUTH | Capability.PLUGIN_AUTH_LENENC | Capability.SESSION_TRACK
     | Capability.DEPRECATE_EOF
 )  # fmt: skip
-KEPT_PREPARED = 64  # statements that stay prepared on a connection
+KEPT_PREPARED, KEPT_PREPARED_BYTES = 64, 512 * 1024  # statements that stay prepared on a connection
 SIDE_CONNECTIONS = 2  # to one node at a time, for KILL
 SIDE_QUEUE = 256
 SIDE_SECONDS = 2.0
@@ -877,13 +877,17 @@
         if relay.prepared is None:
             return
         key = (conn.schema, conn.settings, text)
-        old = conn.prepared.pop(key, None)
+        gone = [conn.prepared.pop(key)] if key in conn.prepared else []
         conn.prepared[key] = relay.prepared.statement, relay.prepared.parameters
-        if old is None and len(conn.prepared) > KEPT_PREPARED:
-            old = conn.prepared.popitem(last=False)[1]
-        if old is not None:
+        size = sum(len(each[2]) for each in conn.prepared)
+        while len(conn.prepared) > KEPT_PREPARED or (len(conn.prepared) > 1 and size > KEPT_PREPARED_BYTES):
+            oldest, known = conn.prepared.popitem(last=False)
+            gone.append(known)
+            size -= len(oldest[2])
+        if gone:
+            close = b"".join(frame(b"\x19" + number.to_bytes(4, "little"), 0) for number, _ in gone)
             try:  # it has no answer, and a few bytes always fit
-                conn.channel.send(frame(b"\x19" + old[0].to_bytes(4, "little"), 0), self._scheduler.now() + 1)
+                conn.channel.send(close, self._scheduler.now() + 1)
             except (OSError, Timeout):
                 conn.doomed = True
 
--- a/brambleusher/fronts/mysql/packets.py
+++ b/brambleusher/fronts/mysql/packets.py
@@ -70,6 +70,11 @@
         """Whether part of a message is here."""
         return bool(self._buffer or self._parts)
 
+    @property
+    def answer_seq(self) -> int:
+        """The number that an answer has for whoever sent what is here, be it whole or not."""
+        return self.seq + bool(self._buffer)
+
     def leftover(self) -> bytes:
         """The bytes that belong to no message yet, given up to whoever reads on from here."""
         out = bytes(self._buffer)
--- a/brambleusher/fronts/mysql/session.py
+++ b/brambleusher/fronts/mysql/session.py
@@ -23,7 +23,9 @@
 from brambleusher.fronts.mysql.statements import Kind, Statement, Tie
 
 MAX_PREPARED = 1024  # of one session
-MAX_SETTINGS = 64
+MAX_PREPARED_TEXT = 256 * 1024  # of one statement
+MAX_SETTINGS, MAX_SETTINGS_BYTES = 64, 16 * 1024  # that are replayed
+MAX_NAME = 256  # of a lock or a table, as far as they are told apart
 MAX_NAMES = 256  # of locks or tables that are told apart; past it only a reset lifts the tie
 # Capabilities that change what a statement means: a connection is used for sessions with the same ones.
 MEANING = int(
@@ -207,8 +209,12 @@
         for key, text in statement.settings:
             self.settings.pop(key, None)  # the later of two comes last when they are replayed
             self.settings[key] = text
-        if len(self.settings) > MAX_SETTINGS:
-            self.tie(Tie.SETTING, "too many")
+        size = sum(map(len, self.settings.values()))
+        while self.settings and (len(self.settings) > MAX_SETTINGS or size > MAX_SETTINGS_BYTES):
+            # Too much to replay: what is dropped stands on this connection alone.
+            key = next(iter(self.settings))
+            size -= len(self.settings.pop(key))
+            self.tie(Tie.SETTING, key)
         if statement.autocommit is not None:
             self.autocommit = statement.autocommit
         if statement.schema is not None:
@@ -240,7 +246,7 @@
         """Make a tie."""
         names = self.ties.setdefault(tie, set())
         if len(names) < MAX_NAMES:
-            names.add(name)
+            names.add(name[:MAX_NAME])
         else:
             names.add("?")  # which nothing lifts
 
@@ -250,7 +256,7 @@
         if names is None:
             return
         if name:
-            names.discard(name)
+            names.discard(name[:MAX_NAME])
         else:
             names.clear()
         if not names:
@@ -272,8 +278,19 @@
 
     # --- prepared statements --------------------------------------------------------------------
 
-    def next_prepared(self) -> int:
-        """The id of the statement to be prepared next; raises `ProtocolError` where there are too many."""
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of prepared texts and of parameters sent ahead."""
+        return sum(len(each.text) + each.long_bytes for each in self.prepared.values())
+
+    def next_prepared(self, size: int = 0) -> int:
+        """The id of the statement to be prepared next.
+
+        Raises `ProtocolError` where there are too many, or its text of `size` bytes is too long.
+        """
+        if size > MAX_PREPARED_TEXT:
+            text = f"a prepared statement of more than {MAX_PREPARED_TEXT} bytes"
+            raise ProtocolError(text, Errno.NOT_SUPPORTED_YET)
         if len(self.prepared) >= MAX_PREPARED:
             raise ProtocolError(f"more than {MAX_PREPARED} prepared statements", 1461, "42000")
         while self._next_prepared in self.prepared:
--- a/brambleusher/fronts/mysql/statements.py
+++ b/brambleusher/fronts/mysql/statements.py
@@ -17,7 +17,8 @@
 
 MAX_TEXT = 64 * 1024  # longer ones are told apart by their first word and a few marks
 MAX_STATEMENTS = 32  # in one text; more are not told apart
-CACHED_DIGESTS, CACHED_TEXTS, CACHED_TEXT_BYTES = 4096, 2048, 1024
+CACHED_DIGESTS, CACHED_DIGEST_LENGTH = 4096, 4096
+CACHED_TEXTS, CACHED_TEXT_BYTES = 2048, 1024
 
 log = logging.getLogger(__name__)
 
@@ -637,7 +638,7 @@
             self._by_digest.move_to_end(key)
         else:
             statement_ = self._read(parts, digest, multi)
-            if not _by_literals(statement_):
+            if len(digest) <= CACHED_DIGEST_LENGTH and not _by_literals(statement_):
                 self._by_digest[key] = statement_
                 if len(self._by_digest) > self._most_digests:
                     self._by_digest.popitem(last=False)
--- a/tests/test_mysql_front.py
+++ b/tests/test_mysql_front.py
@@ -611,10 +611,9 @@
     rig, _ = make(1, kept_for="bad input")
     client, other = Raw(rig), connect(rig)
     client.sock.sendall(data)
-    reader, got = PacketReader(1 << 20, seq=1), b""
+    reader, got = PacketReader(1 << 20, seq=1 + len(data) // 0x1000000), b""
     while more := client.sock.recv(65536):
         got += more
-    reader.seq = got[3]
     reader.feed(got)
     error = Err.parse(reader.take() or b"")
     assert (error.errno, error.state, reader.buffered) == (errno, state, 0)
@@ -786,3 +785,21 @@
     holder.close()
     assert insist(other, ROW) == (("n1", 1000),)
     assert servers.servers[0].most_open == 1
+
+
+def test_what_is_prepared_counts_against_the_memory_of_all(make: Make) -> None:
+    rig, _ = make(1, more="  memory_mb: 1\n  max_packet_mb: 4\n")
+    clients = [Raw(rig) for _ in range(6)]
+    text = b"\x16select length('" + b"x" * 240_000 + b"')"
+    answers = []
+    for client in clients:
+        client.send(text)
+        answers.append(client.take()[:3])
+    refused = b"\xff" + struct.pack("<H", Errno.OUT_OF_RESOURCES)
+    assert answers.count(refused) >= 2
+    assert answers.count(refused) < 6
+    for client in clients:
+        client.close()
+    rig.until(lambda: rig.sidecar.mysql is not None and not rig.sidecar.mysql.front.connections)
+    assert rig.sidecar.mysql is not None
+    assert rig.sidecar.mysql.front._memory_left == 1024 * 1024
--- a/tests/test_mysql_statements.py
+++ b/tests/test_mysql_statements.py
@@ -10,7 +10,15 @@
 from brambleusher.fronts.mysql.messages import Err, Execute, Ok, Prepared
 from brambleusher.fronts.mysql.packets import ProtocolError, frame
 from brambleusher.fronts.mysql.replies import ReplyRelay
-from brambleusher.fronts.mysql.session import MAX_PREPARED, TIES, Session, replay_text
+from brambleusher.fronts.mysql.session import (
+    MAX_NAMES,
+    MAX_PREPARED,
+    MAX_PREPARED_TEXT,
+    MAX_SETTINGS,
+    TIES,
+    Session,
+    replay_text,
+)
 from brambleusher.fronts.mysql.statements import Hint, Kind, Statement, Statements, Tie, digest_of, words
 
 TELL = Statements()
@@ -302,3 +310,22 @@
         session.was_prepared(session.next_prepared(), b"", tell("select 1"), Prepared(1, 0, 0))
     with pytest.raises(ProtocolError):
         session.next_prepared()
+
+
+def test_what_a_session_holds_is_bounded() -> None:
+    session = fresh()
+    for at in range(MAX_SETTINGS + 5):
+        run(session, f"set s{at} = {at}")
+    assert len(session.settings) == MAX_SETTINGS
+    assert Tie.SETTING in session.ties  # what is dropped stands on this connection alone
+    long = run(fresh(), f"set sql_mode = '{'x' * 20_000}'")
+    assert (long.settings, long.tied) == ({}, True)
+    for at in range(MAX_NAMES + 5):
+        run(session, f"select get_lock('{at}', 1)")
+    assert len(session.ties[Tie.NAMED_LOCK]) <= MAX_NAMES + 1
+    with pytest.raises(ProtocolError) as caught:
+        fresh().next_prepared(MAX_PREPARED_TEXT + 1)
+    assert caught.value.errno == Errno.NOT_SUPPORTED_YET
+    told = Statements()
+    told.tell(b"select " + b", ".join(b"c%d" % at for at in range(2000)))
+    assert len(told) == 0
