--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -241,11 +241,11 @@
         self._kind_capacity: dict[str, float] = {}
         # Own traffic.
         self._lat_n, self._lat_sum = [0.0] * count, [0.0] * count
-        self._quiet_ns = [float(cls.aim_ns) for cls in settings.classes]
-        self._index_n, self._served_rate, self._span, self._retries = 0.0, 0.0, 1e-9, Retries()
+        self._quiet_ns = [cls.aim_ns * WAIT_OF_AIM for cls in settings.classes]
+        self._index_n, self._served_rate, self._span, self._retries = 0.0, 0.0, 1e-9, Retries(count)
         # Admission.
         self._limit, self._offered, self._logged_ns = math.inf, 1e-9, 0
-        self._full_sum = self._turned = self._best_rate = 0.0
+        self._full_sum = self._turned = self._best_rate = self._beside = 0.0
         self._tight = self._late = False
         self._ranked: list[float] = []
         self._densities: deque[float] = deque(maxlen=128)
@@ -414,13 +414,14 @@
 
     # --- admission ----------------------------------------------------------------------------
 
-    def _worth_density(self, event: api.RequestArrived, cls: int, now: int) -> float:
+    def _worth_density(self, event: api.RequestArrived, cls: int, now: int, spent: float) -> float:
         """Worth per unit of work, as it is counted here; beyond a tenant's share little is left."""
         settings = self.settings
-        worth = settings.classes[cls].worth
+        kind, worth = settings.classes[cls], settings.classes[cls].worth
+        worth *= kind.late_worth if spent >= kind.aim_ns else 1.0  # its client has waited before
         tenant = self._quota.get(event.tenant or "")
         if tenant is not None and tenant.quota_per_s > 0:
-            rate = tenant.quota_per_s * self._my_share
+            rate = tenant.quota_per_s * max(self._my_share, 1 / settings.fleet_size)
             level = self._tenant_level[tenant.name]
             level += rate * (now - self._tenant_seen.get(tenant.name, now)) / SECOND
             level, self._tenant_seen[tenant.name] = min(level, max(rate, TENANT_BURST)), now
@@ -457,21 +458,25 @@
         best = self._best_rate * math.exp(-gap / BEST_WINDOW) or max(rate, 1e-9)
         self._best_rate = best + max(rate - best, 0.0) * min(gap / HEALTH_WINDOW, 1.0)
         takes = sum(host.welcome for host in ring) / max(len(ring), 1)
-        due = self._my_share * rate * takes * self._ready * held / SECOND * min(rate / self._best_rate, 1.0)
+        part = max(self._my_share, 1 / settings.fleet_size)  # by its share alone, one cut down would stay so
+        due = part * rate * takes * self._ready * held / SECOND * min(rate / self._best_rate, 1.0)
         goal = held / max(aim * GOAL_OF_AIM, 1.0) if counts >= 1 else PI_GOAL
-        change = min(max(goal / max(index, 0.1) - 1, -0.5), 0.5)
+        change = min(max(goal / max(index, 0.1) - 1, -0.5), 1.0)
         # Where little is served at all, hosts still work on what was given up: wait for them.  But an attempt
         # a host, of all proxies together, crowds nobody: a limit below that is held down by the little it
         # lets through, and by the few of it that are never answered, while hosts are idle.
-        floor = due / 3 * sum(host.health for host in ring) / max(len(ring), 1)
+        crowded = busy or self._tight
+        floor = due * (sum(host.health for host in ring) / max(len(ring), 1) / 3 if crowded else 1.0)
         floor = max(floor, self._my_share * self._ready)
-        top = due if busy or self._tight else max(due * 2, 2.0 * self._open, len(ring))
+        top = due if crowded else max(due * 2, 2.0 * self._open, len(ring))
         self._limit = min(max(self._limit * (1 + change * min(gap, 1.0)), floor), top)
         if not self._open and self._index_n < 1:
             # Guards against the first burst of a proxy that has been idle meeting the limit of an idle one:
             # a few attempts, as many as the hosts in use.  No answer speaks for a limit yet.
             self._limit = math.inf
         self._offered = max(self._rate / HEALTH_WINDOW * held / self._unit_ns, 1e-9)
+        part = self._served_rate / self._span / max(self._rate / HEALTH_WINDOW / self._unit_ns * SECOND, 1e-9)
+        self._beside = min(max(1 - ROOM_FOR_ALL * part, 0.0), 0.99)
         self._ranked = sorted(self._densities)
         if self._tight and not was and self._ticked_ns - self._logged_ns > BEST_WINDOW * self._unit_ns:
             self._logged_ns = self._ticked_ns
@@ -488,18 +493,22 @@
         occupied = max(occupied, 1 - limit / self._offered) if self._late or self._turned < 1 else occupied
         if occupied <= 0 or not self._ranked:
             return True
+        # The best, as many as are surely served, don't compete for places with what comes beside them.
+        if self._open < 2 * limit and density >= self._ranked[int(self._beside * len(self._ranked))]:
+            return True
         return occupied < 1 and density >= self._ranked[int(occupied * len(self._ranked))]
 
     def _arrived(self, event: api.RequestArrived, now: int) -> None:
         cls = self._classes[event.request_class]
         self._rate += 1
-        density = self._worth_density(event, cls, now)
+        spent, again = self._retries.waited(cls, event.left_ns)
+        density = self._worth_density(event, cls, now, spent)
         self._densities.append(density)
         request, welcome = Request(event.request, cls, now, event.left_ns), self._worth_now(density)
-        if not event.is_retry:
+        if not (event.is_retry or again):
             self._retries.asked()
-        elif welcome:
-            welcome = self._retries.repeated()
+        elif not self._retries.repeated():  # what is only taken for a repeat is held to it in a crowd
+            welcome = welcome and not (event.is_retry or self._tight)
         host = self._pick(request, now) if welcome else None
         if host is None:
             self._retries.unworked()
@@ -552,12 +561,11 @@
             self._out.append(api.LetGo(host.name))
             idle = 0
         doubted = idle > self._unit_ns * IDLE_DOUBT and self._trust_ns < self._idle_ns
+        usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
         if doubted and cls.effect is not Effect.UNSAFE and left > 1:
-            usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0) or math.inf
-            timeout = int(min(3 * usual, cls.aim_ns / 2, (request.deadline_ns - now) / 2))
+            timeout = int(min(3 * usual or math.inf, cls.aim_ns / 2, (request.deadline_ns - now) / 2))
         if self._silent > 1 and not self._late and cls.effect is Effect.SAFE and left > 1 and not timeout:
             # Guards against connections that fell silent under a request, while there is room elsewhere.
-            usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
             patience = max(SILENCE * usual, cls.aim_ns * GOAL_OF_AIM)
             timeout = int(patience) if now + 2 * patience < request.deadline_ns else 0
         host.out[(request.id, len(request.attempts))] = (request, now)
@@ -574,10 +582,8 @@
             return False
         if request.out and not self.settings.second_copies:
             return False
-        if cls.effect is Effect.SAFE or not (request.ran or request.out):
-            return True
-        if cls.effect is Effect.UNSAFE:
-            return False
+        if cls.effect is not Effect.KEYED or not (request.ran or request.out):
+            return cls.effect is Effect.SAFE or not (request.ran or request.out)
         # Keyed: the resend has to arrive, connection and all, while the group still remembers.
         if request.origin is None:
             request.origin, request.first_ran_ns, _ = request.attempts[-1]
@@ -701,10 +707,8 @@
     def _write_off(self, now: int) -> None:
         """Attempts overtaken on their host, and old, are lost: count them no more, and send a copy elsewhere.
 
-        Guards against connections that fall silent under a request.  A crowd answers in the order in which
-        it was asked; one that later ones overtake is not waiting its turn.  Counted as out, a few such hold
-        every place under the limit, and their age makes idle hosts look late.  Where hosts are busy, heavy
-        requests are overtaken too: nothing is written off there.
+        Guards against connections that fall silent: a queue answers in order.  Counted as out, a few hold
+        every place and make idle hosts look late.  Where hosts are busy, heavy requests are overtaken too.
         """
         for host in self._turn.ring if self._mean_util < 1 - RESERVE else ():
             for key, (request, sent) in list(host.out.items()):
--- a/quillpass/retries.py
+++ b/quillpass/retries.py
@@ -16,15 +16,29 @@
 
 SHARE = 0.2  # of an attempt, laid aside by each first request
 BURST = 5.0  # attempts that may be laid aside at once
+RISES, FALLS = 0.25, 0.002  # each request's pull on the time that first tries have
+AGAIN = 0.1  # of that time: with so much less left, it is a client's later try
 UNSERVED = 4096.0  # repeats waited for at once: bounds what a wave of refusals can bring back
 
 
 class Retries:
     """What may still be done again; one for each balancer."""
 
-    def __init__(self) -> None:
+    def __init__(self, classes: int = 1) -> None:
         self.spare = BURST
         self.unserved = 0.0
+        self.first_left = [0.0] * classes  # ns that clients have for a first try
+
+    def waited(self, cls: int, left_ns: int) -> tuple[float, bool]:
+        """How long a client has waited before this try, in ns, and whether it asks again, marked or not.
+
+        A client that asks again has less time left than first tries of its class have, by as much as has
+        passed since.  Ids are always new, and nothing else tells.  Where clients give each try a time of
+        its own, a later try can't be told from a first one.
+        """
+        spent = self.first_left[cls] - left_ns
+        self.first_left[cls] -= spent * (FALLS if spent > 0 else RISES)
+        return spent, spent > AGAIN * self.first_left[cls]
 
     def asked(self) -> None:
         """A first request has come."""
--- a/quillpass/state.py
+++ b/quillpass/state.py
@@ -154,7 +154,7 @@
         if key == "turn":
             return _fill(Turn(self._rng), {name: self.value(item) for name, item in held.items()}, {"_rng"})
         if key == "retries":
-            return _fill(Retries(), {name: self.value(item) for name, item in held.items()})
+            return _fill(Retries(0), {name: self.value(item) for name, item in held.items()})
         raise StateError(f"a value of kind {key} is unknown")
 
 
