--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -19,10 +19,14 @@
 
 from __future__ import annotations
 
+import argparse
 import heapq
 import math
 import random
+import sys
+import time
 from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from functools import partial
 
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -494,9 +494,8 @@
         if occupied <= 0 or not self._ranked:
             return True
         # The best, as many as are surely served, don't compete for places with what comes beside them.
-        if self._open < 2 * limit and density >= self._ranked[int(self._beside * len(self._ranked))]:
-            return True
-        return occupied < 1 and density >= self._ranked[int(occupied * len(self._ranked))]
+        rank = min(occupied, self._beside) if self._open < 2 * limit else occupied
+        return rank < 1 and density >= self._ranked[int(rank * len(self._ranked))]
 
     def _arrived(self, event: api.RequestArrived, now: int) -> None:
         cls = self._classes[event.request_class]
