--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -45,6 +45,7 @@
 OLD_LOOKED_AT = 6  # the oldest attempts out of a host that the tick looks at: bounds its work
 OVERTAKEN = 2  # attempts sent later and answered sooner by the same host: in a queue there are none
 WRITE_OFF = 2.5  # times the usual answer's time, of its class and of its host: so old and overtaken is lost
+OVER_SHARE = 1e9  # off the worth of what is beyond a tenant's share: it comes last, and to spare room alone
 TENANT_BURST = 2.0  # requests of a tenant that may come at once: one place flags half of what is in its share
 RING_MIN = 4  # hosts a quiet proxy uses: choice enough to pass over a bad one, and few connections
 RING_FREE = 3  # times as many where connections have no price
@@ -95,10 +96,7 @@
 
     @property
     def welcome(self) -> float:
-        """What it takes of what it is sent, where it turns work away with room left.
-
-        Guards against a host that turns away at once and reports that it is idle: it draws the most turns.
-        """
+        """What it takes of what it is sent: one that turns away at once looks idle and draws most turns."""
         good = self.served + HEALTH_PRIOR
         return good / (good + self.turned) if self.util < 1 - RESERVE else 1.0
 
@@ -231,7 +229,7 @@
         self._silent = 0.0  # attempts that timed out lately
         self._idle_ns = float(settings.conn_idle_ns or math.inf)
         self._trust_ns = self._idle_ns  # how long an idle connection is trusted
-        self._open = self._ready = 0  # attempts out, ready hosts
+        self._open = self._ready = self._come = 0  # attempts out, ready hosts, requests since the tick
         self._order: list[Host] = []  # the ready hosts in this proxy's order of preference
         self._closing: list[Host] = []  # draining hosts whose connections are to be closed
         self._out: list[api.Action] = []
@@ -419,17 +417,18 @@
         settings = self.settings
         kind, worth = settings.classes[cls], settings.classes[cls].worth
         worth *= kind.late_worth if spent >= kind.aim_ns else 1.0  # its client has waited before
-        tenant = self._quota.get(event.tenant or "")
+        over, tenant = False, self._quota.get(event.tenant or "")
         if tenant is not None and tenant.quota_per_s > 0:
             rate = tenant.quota_per_s * max(self._my_share, 1 / settings.fleet_size)
             level = self._tenant_level[tenant.name]
             level += rate * (now - self._tenant_seen.get(tenant.name, now)) / SECOND
             level, self._tenant_seen[tenant.name] = min(level, max(rate, TENANT_BURST)), now
-            worth *= 1.0 if level >= 1 else settings.over_share_worth
+            over = level < 1
             self._tenant_level[tenant.name] = level - (level >= 1)
         if not settings.worth_by_work:
             worth /= max(self._quiet_ns[cls], 1.0) / SECOND
-        return worth * (1 + 0.01 * self._rng.random())  # breaks ties between equal requests
+        worth *= 1 + 0.01 * self._rng.random()  # breaks ties between equal requests
+        return worth - OVER_SHARE if over else worth
 
     def _steer_admission(self, gap: float) -> None:
         """How many own attempts may be out, by Little's law: the wait is what is out over the rate served.
@@ -449,7 +448,7 @@
         counts = sum(self._lat_n) + 1e-9
         aim = sum(n * cls.aim_ns for n, cls in zip(self._lat_n, settings.classes, strict=True)) / counts
         usual = sum(n * quiet for n, quiet in zip(self._lat_n, self._quiet_ns, strict=True)) / counts
-        held = min(usual, aim * GOAL_OF_AIM) + aim * WAIT_OF_AIM if counts >= 1 else float(self._unit_ns)
+        held = min(usual, aim * GOAL_OF_AIM / 2) + aim * WAIT_OF_AIM if counts >= 1 else float(self._unit_ns)
         # Hosts that are crowded serve less than they did, and go on so until the crowd has left: the
         # part falls with the rate they reach now and once more with what that is of their best (followed
         # upwards slowly: of a few noisy figures the highest is no measure).
@@ -475,7 +474,8 @@
             # a few attempts, as many as the hosts in use.  No answer speaks for a limit yet.
             self._limit = math.inf
         self._offered = max(self._rate / HEALTH_WINDOW * held / self._unit_ns, 1e-9)
-        part = self._served_rate / self._span / max(self._rate / HEALTH_WINDOW / self._unit_ns * SECOND, 1e-9)
+        come = max(self._rate / HEALTH_WINDOW, self._come / max(gap, TICK)) / self._unit_ns * SECOND
+        part, self._come = self._served_rate / self._span / max(come, 1e-9), 0
         self._beside = min(max(1 - ROOM_FOR_ALL * part, 0.0), 0.99)
         self._ranked = sorted(self._densities)
         if self._tight and not was and self._ticked_ns - self._logged_ns > BEST_WINDOW * self._unit_ns:
@@ -491,15 +491,15 @@
         limit, chance = self._limit, math.sqrt(max(self._limit, 1.0))
         occupied = (self._open - limit * ROOM_FOR_ALL) / (limit * (1 - ROOM_FOR_ALL) + chance)
         occupied = max(occupied, 1 - limit / self._offered) if self._late or self._turned < 1 else occupied
-        if occupied <= 0 or not self._ranked:
-            return True
+        if occupied <= 0 or not self._ranked or density < 0:
+            return occupied <= 0 or density >= 0
         # The best, as many as are surely served, don't compete for places with what comes beside them.
         rank = min(occupied, self._beside) if self._open < 2 * limit else occupied
         return rank < 1 and density >= self._ranked[int(rank * len(self._ranked))]
 
     def _arrived(self, event: api.RequestArrived, now: int) -> None:
         cls = self._classes[event.request_class]
-        self._rate += 1
+        self._rate, self._come = self._rate + 1, self._come + 1
         spent, again = self._retries.waited(cls, event.left_ns)
         density = self._worth_density(event, cls, now, spent)
         self._densities.append(density)
@@ -596,9 +596,8 @@
         self._call_off(request)
         cls = self.settings.classes[request.cls]
         harmless = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
-        refuse = harmless or not (request.ran or request.out)
-        wait = self._stay_away(self._tight)
-        self._out.append(api.Refuse(request.id, wait) if refuse else api.Fail(request.id))
+        refusal = api.Refuse(request.id, self._stay_away(self._tight))
+        self._out.append(refusal if harmless or not (request.ran or request.out) else api.Fail(request.id))
 
     def _stay_away(self, crowded: bool) -> int:
         """When a refused client should come back: for as long as can be said where there is a crowd.
