--- a/brambleusher/counters.py
+++ b/brambleusher/counters.py
@@ -29,6 +29,7 @@
     "claims_cancelled",
     "claims_moot",
     "connections_opened",
+    "connects_put_off",
     "connections_lacking",
     "connections_reused",
     "lists_taken",
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -4,8 +4,9 @@
 
 import logging
 import math
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import orjson
 
@@ -16,12 +17,12 @@
 from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
 from brambleusher.runtime.streams import Called, Stream
 from quillpass.api import CONNECT_PART, HostState, LoadReport, Settings, Status
+from quillpass.links import Link, Pace
 
 log = logging.getLogger(__name__)
 
 MAX_INTERIM = 16  # 1xx answers ahead of one claim's final answer
 REST_SECONDS = 0.5  # without a byte of an answer that has begun
-IDLE_PART = 0.8  # of the execute node's idle limit: past it a connection is not trusted with a claim
 _REWRITTEN = HOP_BY_HOP | {"content-length", "request-timeout-ms", "expect"}
 
 
@@ -70,18 +71,21 @@
     started_ns: int
     idle: list[Stream]
     claims: dict[Claim, None]  # in the order they began
+    link: Link
+    waiting: deque[Claim] = field(default_factory=deque)  # for a connection
     leaving: bool = False
 
 
 class Claim:
     """One claim: its task, and how far it has come."""
 
-    __slots__ = ("bell", "large", "sending", "stream", "why", "written")
+    __slots__ = ("bell", "fresh", "large", "sending", "stream", "why", "written")
 
     def __init__(self) -> None:
         self.bell = Bell()  # rings when it is called off
         self.why: Status | None = None  # the status it was called off with
         self.stream: Stream | None = None
+        self.fresh = False  # its connection was opened for it
         self.large = 0  # bytes taken of the memory for large answers
         self.sending = False  # its first byte is on its way
         self.written = False  # its last byte has been handed over: from here on it may have run
@@ -106,8 +110,7 @@
     ) -> None:
         self._scheduler, self._counters = scheduler, counters
         self._connect_seconds = settings.connect_timeout_ns / 1e9
-        idle = settings.conn_idle_ns / 1e9 or math.inf
-        self._idle_seconds = min(idle * IDLE_PART, max(idle - 1.0, idle / 2))
+        self._pace = Pace.of(settings.fleet_size, settings.conn_idle_ns / 1e9 or math.inf)
         self._nodes: dict[str, Node] = {}
         self._most, self._open = most_connections, 0
         self._large_left = large_bytes  # for what answers have beyond the size of a request's body
@@ -136,7 +139,7 @@
             self._leave(node)
             node = None
         if node is None:
-            node = Node(entry.host, machine.address, entry.started_ns, [], {})
+            node = Node(entry.host, machine.address, entry.started_ns, [], {}, Link(self._pace))
             self._nodes[entry.host] = node
         if entry.state is HostState.DRAINING:
             self._leave(node)
@@ -145,7 +148,7 @@
 
     def _leave(self, node: Node) -> None:
         node.leaving = True
-        self._drop(node.idle)
+        self._drop(node)
         for claim in list(node.claims):
             if not claim.sending:  # guards against one that waits for a connect and is sent after the notice
                 claim.call_off(Status.FULL)
@@ -154,12 +157,12 @@
         """Close the idle connections to a node."""
         node = self._nodes.get(name)
         if node is not None:
-            self._drop(node.idle)
+            self._drop(node)
 
     def close(self) -> None:
         """Close all that is idle."""
         for node in self._nodes.values():
-            self._drop(node.idle)
+            self._drop(node)
 
     @property
     def open_connections(self) -> int:
@@ -230,7 +233,11 @@
             stream.send(self._encode(request, node, left_ms), deadline)
             claim.written = True
             answer, keep = self._answer(stream, claim, deadline)
-            return status_of(answer), report_of(answer), answer
+            status = status_of(answer)
+            if status is Status.FULL and claim.fresh:
+                node.link.full(self._scheduler.now())
+                keep = False  # guards against a place held in a full table
+            return status, report_of(answer), answer
         except Called:
             return self._called_off(claim), None, None
         except Timeout:
@@ -243,6 +250,7 @@
         finally:
             self._large_left += claim.large
             if claim.stream is not None:
+                node.link.gives_back(self._scheduler.now(), keep)
                 self._give_back(node, claim.stream, keep or not claim.sending)
 
     @staticmethod
@@ -250,28 +258,68 @@
         return claim.why if claim.why is not None and not claim.written else Status.CANCELLED
 
     def _connection(self, node: Node, claim: Claim, deadline: float) -> Stream | None:
-        """The most recently used idle connection that can be trusted, else a new one."""
+        """The most recently used idle connection that can be trusted, else a new one, in its turn.
+
+        None where this sidecar has no place left for one.  Raises as `Stream.connect` does, also where the
+        budget of connections to the node leaves none in time.
+        """
         now = self._scheduler.now()
+        # Part of the time only, so that one node that takes no connection leaves time for another.
+        until = now + min(self._connect_seconds, (deadline - now) * CONNECT_PART)
+        while True:
+            if (stream := self._idle(node, now)) is not None:
+                self._counters.add("connections_reused")
+                break
+            if (pause := node.link.pause(now)) <= 0:
+                if self._open >= self._most and not self._make_room():
+                    return None
+                stream = self._connect(node, claim, until)
+                break
+            self._counters.add("connects_put_off")
+            self._await_turn(node, claim, min(until, now + pause))
+            now = self._scheduler.now()
+            if now >= until:
+                raise Timeout
+        node.link.takes(self._scheduler.now())
+        return stream
+
+    def _idle(self, node: Node, now: float) -> Stream | None:
         while node.idle:
             stream = node.idle.pop()
             # Guards against a claim written to a connection that its node is about to close, or has.
-            if now - stream.used_at < self._idle_seconds and stream.quiet():
-                self._counters.add("connections_reused")
+            if now - stream.used_at < self._pace.idle and stream.quiet():
                 return stream
-            self._discard(stream)
-        if self._open >= self._most and not self._make_room():
-            return None
+            self._discard(node, stream)
+        return None
+
+    def _connect(self, node: Node, claim: Claim, until: float) -> Stream:
         self._open += 1
-        # Part of the time only, so that one node that takes no connection leaves time for another.
-        wait = min(self._connect_seconds, (deadline - now) * CONNECT_PART)
+        node.link.opens()
         try:
-            stream = Stream.connect(self._scheduler, node.address, now + wait, claim.bell)
-        except BaseException:
+            stream = Stream.connect(self._scheduler, node.address, until, claim.bell)
+        except BaseException as error:
+            if isinstance(error, OSError):
+                node.link.full(self._scheduler.now())
             self._open -= 1
+            node.link.closed()
             raise
+        claim.fresh = True
         self._counters.add("connections_opened")
         return stream
 
+    def _await_turn(self, node: Node, claim: Claim, until: float) -> None:
+        """Wait for a connection to come back, or for the moment when one may be opened."""
+        node.waiting.append(claim)
+        try:
+            self._scheduler.park(until, bell=claim.bell)
+        except Timeout:
+            return
+        finally:
+            if claim in node.waiting:
+                node.waiting.remove(claim)
+        if claim.why is not None:
+            raise Called
+
     @staticmethod
     def _encode(request: Message, node: Node, left_ms: int) -> bytes:
         if request.passed is not None:
@@ -331,36 +379,42 @@
 
     def _give_back(self, node: Node, stream: Stream, keep: bool) -> None:
         if not keep or node.leaving or not stream.open:
-            self._discard(stream)
-            return
-        stream.used_at = self._scheduler.now()
-        node.idle.append(stream)
+            self._discard(node, stream)
+        else:
+            stream.used_at = self._scheduler.now()
+            node.idle.append(stream)
+        if node.waiting:
+            node.waiting.popleft().bell.ring()
 
-    def _discard(self, stream: Stream) -> None:
+    def _discard(self, node: Node, stream: Stream) -> None:
         if stream.open:
             self._open -= 1
+            node.link.closed()
             stream.close()
 
-    def _drop(self, idle: list[Stream]) -> None:
-        while idle:
-            self._discard(idle.pop())
+    def _drop(self, node: Node) -> None:
+        while node.idle:
+            self._discard(node, node.idle.pop())
 
     def _make_room(self) -> bool:
         """Close the idle connection unused for longest; false where none is idle."""
         idle = [node for node in self._nodes.values() if node.idle]
         if not idle:
             return False
-        self._discard(min(idle, key=lambda node: node.idle[0].used_at).idle.pop(0))
+        node = min(idle, key=lambda node: node.idle[0].used_at)
+        self._discard(node, node.idle.pop(0))
         return True
 
     def reap(self) -> None:
-        """The task: close what has been idle for too long, or was closed from the other side."""
+        """The task: close what has been idle for too long, was closed from the other side or is too much."""
         while True:
             self._scheduler.sleep(1.0)
-            old = self._scheduler.now() - self._idle_seconds
+            now = self._scheduler.now()
+            old = now - self._pace.idle
             for node in self._nodes.values():
                 keep = [stream for stream in node.idle if stream.used_at > old and stream.quiet()]
+                keep = keep[max(0, len(keep) - max(node.link.keeps(now), 1)) :]  # the last used
                 for stream in node.idle:
                     if stream not in keep:
-                        self._discard(stream)
+                        self._discard(node, stream)
                 node.idle[:] = keep
