--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -45,6 +45,7 @@
 OLD_LOOKED_AT = 6  # the oldest attempts out of a host that the tick looks at: bounds its work
 OVERTAKEN = 2  # attempts sent later and answered sooner by the same host: in a queue there are none
 WRITE_OFF = 2.5  # times the usual answer's time, of its class and of its host: so old and overtaken is lost
+OVER_ROOM = 0.3  # of the room above, for what is beyond a tenant's share
 OVER_SHARE = 1e9  # off the worth of what is beyond a tenant's share: it comes last, and to spare room alone
 TENANT_BURST = 2.0  # requests of a tenant that may come at once: one place flags half of what is in its share
 RING_MIN = 4  # hosts a quiet proxy uses: choice enough to pass over a bad one, and few connections
@@ -57,6 +58,7 @@
 COLD_SLICE = 0.5  # of a cold host's budget: the rest is for chance and for unequal proxies
 ROOM_FOR_ALL = 0.7  # of the limit on what is out; above, places go by worth, the last to the best
 WAIT_OF_AIM = 1 / 8  # of the aim may pass in queues under overload: a crowd forms before answers are late
+USUAL_OF_AIM = 0.35  # at most: a crowd's first answers come before its reports, and pass for usual ones
 SPOILT = 0.01  # share of requests that may find every attempt used up on full hosts
 SILENCE = 6.0  # times the usual answer's time: past it an attempt is given up where some are not answered
 NEVER_RAN = frozenset({Status.FULL, Status.CONNECT_FAILED, Status.MOOT})
@@ -229,7 +231,7 @@
         self._silent = 0.0  # attempts that timed out lately
         self._idle_ns = float(settings.conn_idle_ns or math.inf)
         self._trust_ns = self._idle_ns  # how long an idle connection is trusted
-        self._open = self._ready = self._come = 0  # attempts out, ready hosts, requests since the tick
+        self._open = self._ready = 0  # attempts out, ready hosts
         self._order: list[Host] = []  # the ready hosts in this proxy's order of preference
         self._closing: list[Host] = []  # draining hosts whose connections are to be closed
         self._out: list[api.Action] = []
@@ -243,7 +245,7 @@
         self._index_n, self._served_rate, self._span, self._retries = 0.0, 0.0, 1e-9, Retries(count)
         # Admission.
         self._limit, self._offered, self._logged_ns = math.inf, 1e-9, 0
-        self._full_sum = self._turned = self._best_rate = self._beside = 0.0
+        self._full_sum = self._turned = self._best_rate = 0.0
         self._tight = self._late = False
         self._ranked: list[float] = []
         self._densities: deque[float] = deque(maxlen=128)
@@ -448,7 +450,7 @@
         counts = sum(self._lat_n) + 1e-9
         aim = sum(n * cls.aim_ns for n, cls in zip(self._lat_n, settings.classes, strict=True)) / counts
         usual = sum(n * quiet for n, quiet in zip(self._lat_n, self._quiet_ns, strict=True)) / counts
-        held = min(usual, aim * GOAL_OF_AIM / 2) + aim * WAIT_OF_AIM if counts >= 1 else float(self._unit_ns)
+        held = min(usual, aim * USUAL_OF_AIM) + aim * WAIT_OF_AIM if counts >= 1 else float(self._unit_ns)
         # Hosts that are crowded serve less than they did, and go on so until the crowd has left: the
         # part falls with the rate they reach now and once more with what that is of their best (followed
         # upwards slowly: of a few noisy figures the highest is no measure).
@@ -474,9 +476,6 @@
             # a few attempts, as many as the hosts in use.  No answer speaks for a limit yet.
             self._limit = math.inf
         self._offered = max(self._rate / HEALTH_WINDOW * held / self._unit_ns, 1e-9)
-        come = max(self._rate / HEALTH_WINDOW, self._come / max(gap, TICK)) / self._unit_ns * SECOND
-        part, self._come = self._served_rate / self._span / max(come, 1e-9), 0
-        self._beside = min(max(1 - ROOM_FOR_ALL * part, 0.0), 0.99)
         self._ranked = sorted(self._densities)
         if self._tight and not was and self._ticked_ns - self._logged_ns > BEST_WINDOW * self._unit_ns:
             self._logged_ns = self._ticked_ns
@@ -492,14 +491,12 @@
         occupied = (self._open - limit * ROOM_FOR_ALL) / (limit * (1 - ROOM_FOR_ALL) + chance)
         occupied = max(occupied, 1 - limit / self._offered) if self._late or self._turned < 1 else occupied
         if occupied <= 0 or not self._ranked or density < 0:
-            return occupied <= 0 or density >= 0
-        # The best, as many as are surely served, don't compete for places with what comes beside them.
-        rank = min(occupied, self._beside) if self._open < 2 * limit else occupied
-        return rank < 1 and density >= self._ranked[int(rank * len(self._ranked))]
+            return occupied <= OVER_ROOM or density >= 0
+        return occupied < 1 and density >= self._ranked[int(occupied * len(self._ranked))]
 
     def _arrived(self, event: api.RequestArrived, now: int) -> None:
         cls = self._classes[event.request_class]
-        self._rate, self._come = self._rate + 1, self._come + 1
+        self._rate += 1
         spent, again = self._retries.waited(cls, event.left_ns)
         density = self._worth_density(event, cls, now, spent)
         self._densities.append(density)
