--- a/quillpass/links.py
+++ b/quillpass/links.py
@@ -65,11 +65,11 @@
         """Seconds until one more may be opened: 0 for now, infinite if one has to come back first."""
         if self.cap < math.inf:
             self.cap += max(now - self._cap_at, 0.0) / GROWTH_SECONDS
-            self._cap_at = now
+            self._cap_at = max(self._cap_at, now)
         if self.held >= max(self.cap, 1.0):
             return math.inf
         self._tokens = min(self._tokens + self._pace.rate * max(now - self._token_at, 0.0), self._pace.burst)
-        self._token_at = now
+        self._token_at = max(self._token_at, now)
         return 0.0 if self._tokens >= 1.0 else (1.0 - self._tokens) / self._pace.rate
 
     def opens(self) -> None:
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,142 @@
+"""The budget of connections to execute nodes: pace, cap, and what is kept."""
+
+from __future__ import annotations
+
+import math
+import random
+import unittest
+
+from quillpass.links import ALIVE_SECONDS, OPEN_PART, OPEN_WORK, Link, Pace
+
+
+class Pacing(unittest.TestCase):
+    def test_a_storm_of_opens_stays_within_its_part_of_the_node(self) -> None:
+        """Guards against the next trouble after a reset: every sidecar opens all it had, at once."""
+        for sidecars in (1, 2, 5, 40):
+            pace = Pace.of(sidecars)
+            link, opened, now = Link(pace), 0, 0.0
+            for step in range(2000):
+                now = step / 1000
+                while link.pause(now) <= 0:
+                    link.opens()
+                    opened += 1
+            self.assertLessEqual(opened, pace.burst + pace.rate * now + 1)
+            self.assertGreater(opened, pace.rate * now - 1)
+            self.assertLessEqual(pace.rate * sidecars * OPEN_WORK, OPEN_PART + 1e-9)
+
+    def test_a_pause_is_as_long_as_it_says(self) -> None:
+        link = Link(Pace.of(1))
+        while link.pause(1.0) <= 0:
+            link.opens()
+        pause = link.pause(1.0)
+        self.assertGreater(pause, 0.0)
+        self.assertGreater(link.pause(1.0 + pause / 2), 0.0)
+        self.assertEqual(link.pause(1.0 + pause * 1.001), 0.0)
+
+    def test_a_clock_that_stands_or_goes_back_gives_nothing_away(self) -> None:
+        link = Link(Pace.of(1))
+        for now in (5.0, 5.0, 4.0, 5.0):
+            while link.pause(now) <= 0:
+                link.opens()
+        self.assertLessEqual(link.held, link._pace.burst + 1)
+
+
+class Cap(unittest.TestCase):
+    def answered(self, held: int, now: float) -> Link:
+        link = Link(Pace.of(1))
+        for _ in range(held):
+            link.opens()
+        link.takes(now)
+        link.gives_back(now, True)
+        return link
+
+    def test_it_is_learnt_from_a_failed_connect_only_while_others_are_answered(self) -> None:
+        for after, expected in ((0.1, 8.0), (ALIVE_SECONDS * 2, math.inf)):
+            link = self.answered(10, 1.0)
+            link.opens()
+            link.full(1.0 + after)  # of 10 others
+            link.closed()
+            self.assertEqual(link.cap, expected)
+        lone = self.answered(0, 1.0)
+        lone.opens()
+        lone.full(1.1)
+        self.assertEqual(lone.cap, math.inf)  # the node is down, for all that is known
+
+    def test_it_holds_further_opens_until_one_comes_back_or_it_has_grown(self) -> None:
+        link = self.answered(10, 1.0)
+        link.opens()
+        link.full(1.1)
+        link.closed()
+        self.assertEqual(link.pause(1.1), math.inf)
+        for _ in range(3):
+            link.closed()
+        self.assertEqual(link.pause(1.1), 0.0)
+        for _ in range(3):
+            link.opens()
+        self.assertEqual(link.pause(5.0), 0.0)  # one more a second
+
+    def test_sidecars_that_cannot_talk_come_to_even_parts_of_a_table(self) -> None:
+        """One began with nearly all of it; after five minutes both hold a fair part."""
+        for seed in range(5):
+            rng, table = random.Random(seed), 60
+            links = [Link(Pace.of(2)) for _ in range(2)]
+            for _ in range(55):
+                links[0].opens()
+            for step in range(3000):
+                now = 1.0 + step / 10
+                for link in rng.sample(links, 2):
+                    if link.held:
+                        link.takes(now)
+                        link.gives_back(now, True)
+                    if link.pause(now) <= 0:
+                        link.opens()
+                        if sum(each.held for each in links) > table:
+                            link.full(now)
+                            link.closed()
+                    while link.held > max(link.cap, 1.0):
+                        link.closed()
+            self.assertLess(max(link.held for link in links), 2.2 * min(link.held for link in links))
+            self.assertGreater(sum(link.held for link in links), 0.7 * table)
+
+
+class Kept(unittest.TestCase):
+    def test_idle_ones_are_kept_for_what_was_used_at_once_lately(self) -> None:
+        link = Link(Pace.of(1))
+        for _ in range(9):
+            link.takes(1.0)
+        self.assertEqual(link.keeps(1.0), 3)
+        for _ in range(9):
+            link.gives_back(1.0, True)
+        self.assertEqual(link.keeps(1.0), 12)
+        self.assertLess(link.keeps(30.0), 4)
+
+    def test_trust_ends_well_before_the_nodes_limit(self) -> None:
+        for idle, trusted in ((30.0, 24.0), (2.0, 1.0), (math.inf, math.inf)):
+            self.assertEqual(Pace.of(1, idle).idle, trusted)
+
+    def test_books_balance_over_random_steps(self) -> None:
+        for seed in range(20):
+            rng, link, now, used, held = random.Random(seed), Link(Pace.of(3)), 0.0, 0, 0
+            for _ in range(500):
+                now += rng.expovariate(20.0)
+                roll = rng.random()
+                if roll < 0.35 and link.pause(now) <= 0:
+                    link.opens()
+                    held += 1
+                    if rng.random() < 0.2:
+                        link.full(now)
+                        link.closed()
+                        held -= 1
+                elif roll < 0.6 and used < held:
+                    link.takes(now)
+                    used += 1
+                elif roll < 0.85 and used:
+                    link.gives_back(now, rng.random() < 0.8)
+                    used -= 1
+                elif held > used:
+                    link.closed()
+                    held -= 1
+                self.assertEqual((link.held, link.used), (held, used))
+                self.assertGreaterEqual(link.cap, 1.0)
+                self.assertGreaterEqual(link.keeps(now), 0)
+                link.state(now)
