--- a/brambleusher/lab/up.py
+++ b/brambleusher/lab/up.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -38,8 +39,7 @@
     status = 0
     try:
         fleet.start()
-        while not fleet.ready and not ended:
-            fleet.wait_ready()
+        fleet.wait_ready(lambda: ended)
         if not ended:
             if as_json:
                 print(json_line(fleet), flush=True)
@@ -76,11 +76,11 @@
     )
 
 
-def _watch(fleet: RealFleet, scheduler: Scheduler, until: float | None, ended: object, live: bool) -> None:
-    assert callable(ended)
-
+def _watch(
+    fleet: RealFleet, scheduler: Scheduler, until: float | None, ended: Callable[[], bool], live: bool
+) -> None:
     def over() -> bool:
-        return bool(ended()) or (until is not None and scheduler.now() >= until)
+        return ended() or (until is not None and scheduler.now() >= until)
 
     def step() -> None:
         due = scheduler.now() + BEAT_SECONDS
