--- a/brambleusher/lab/stand_ins/client.py
+++ b/brambleusher/lab/stand_ins/client.py
@@ -124,6 +124,8 @@
         self.book: MutableSequence[Asked] = [] if book is None else book
         self._asks = sorted(asks, key=lambda ask: (ask.at_s, ask.id))
         self._idle: list[Stream] = []
+        self._held: list[Stream] = []  # asked on once
+        self._used = 0  # connections with a request on them
         self._open: dict[str, Task] = {}  # by ask
         self._arrivals: Task | None = None
         self.connects = 0
@@ -161,6 +163,8 @@
             task.cancel()
         while self._idle:
             self._idle.pop().close()
+        while self._held:
+            self._held.pop().close()
 
     # --- arrivals -------------------------------------------------------------------------------
 
@@ -233,6 +237,9 @@
         while True:
             if stream is None:
                 kept = False
+                if not self._room():
+                    entry.end = "unreachable"
+                    return
                 try:
                     stream = Stream.connect(
                         self.scheduler, self.target, min(until, self.scheduler.now() + CONNECT_SECONDS)
@@ -251,6 +258,7 @@
         """Write the request and read its answer; true if it is to be sent once more on a new connection."""
         got: list[int] = []
         keep, sent = False, self.scheduler.now()
+        self._used += 1
         try:
             entry.port = stream.sock.getsockname()[1]
             stream.send(data, until)
@@ -273,12 +281,24 @@
                 return True
             entry.end = "broken"
         finally:
-            if keep and len(self._idle) < self.settings.idle_most:
+            self._used -= 1
+            if keep and self.settings.asks_once and self.rng.random() < self.settings.asks_once:
+                self._held.append(stream)
+            elif keep and len(self._idle) < self.settings.idle_most:
                 self._idle.append(stream)
             else:
                 stream.close()
         return False
 
+    def _room(self) -> bool:
+        """Whether one more connection may be opened; those that the sidecar has closed make room."""
+        most = self.settings.most_open
+        if most and self._used + len(self._idle) + len(self._held) >= most:
+            for stream in [stream for stream in self._held if not stream.quiet()]:
+                stream.close()
+                self._held.remove(stream)
+        return not most or self._used + len(self._idle) + len(self._held) < most
+
     def _kept(self) -> Stream | None:
         """The connection used last, if one is kept that still stands."""
         while self._idle:
--- a/brambleusher/lab/stand_ins/settings.py
+++ b/brambleusher/lab/stand_ins/settings.py
@@ -73,6 +73,8 @@
     marks_retry: bool = False
     impatient: Part = 0.0  # of the tries: left some time into the wait
     idle_most: Count = 64  # connections kept
+    asks_once: Part = 0.0  # of the connections: asked on once, and held as long as they stand
+    most_open: Count = 0  # connections held at once; a request that finds none left fails; 0: no bound
     hints: Literal["none", "rough"] = "rough"
 
 
