Limits that come back from any state; the three measured states as tests on whole sidecars

A property test drew states that the limit did not come back from within 2 s: under a crowd its top, the due, went under its floor (lim 0.3 with an idle fleet), the floor went by what was served lately alone, the cut by what is offered held while nothing was out, and what is offered remembered a pulse for four aims.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -303,6 +303,7 @@
         for number, balancer in enumerate(self.balancers):
             self._act(number, balancer.start(0))
             self._give(number, api.HostList(api.ListKind.SAVED, entries))
+        self.prepared()
         self._arrive()
         end = demand.seconds + 2.0
         while self.events and self.events[0][0] <= end:
@@ -310,6 +311,9 @@
             call()
         return self
 
+    def prepared(self) -> None:
+        """Nothing has come yet: for those who want more to happen."""
+
     def _at(self, when: float, call: Callable[[], None]) -> None:
         self._count += 1
         heapq.heappush(self.events, (when, self._count, call))
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -227,7 +227,7 @@
         self._turn = Turn(self._rng)
         # Lately: attempts on idle connections, answered and timed out; failed connections; the most
         # attempts out; requests.
-        self._idle_kept = self._idle_lost = self._unlinked = self._peak = self._rate = 0.0
+        self._idle_kept = self._idle_lost = self._unlinked = self._peak = self._rate = self._lately = 0.0
         self._silent = 0.0  # attempts that timed out lately
         self._idle_ns = float(settings.conn_idle_ns or math.inf)
         self._trust_ns = self._idle_ns  # how long an idle connection is trusted
@@ -468,14 +468,15 @@
         # lets through, and by the few of it that are never answered, while hosts are idle.
         crowded = busy or self._tight
         floor = due * (sum(host.health for host in ring) / max(len(ring), 1) / 3 if crowded else 1.0)
-        floor = max(floor, self._my_share * self._ready)
+        floor = max(floor, part * self._ready)
         top = due if crowded else max(due * 2, 2.0 * self._open, len(ring))
-        self._limit = min(max(self._limit * (1 + change * min(gap, 1.0)), floor), top)
+        self._limit = max(min(self._limit * (1 + change * min(gap, 1.0)), top), floor)
         if not self._open and self._index_n < 1:
             # Guards against the first burst of a proxy that has been idle meeting the limit of an idle one:
             # a few attempts, as many as the hosts in use.  No answer speaks for a limit yet.
             self._limit = math.inf
-        self._offered = max(self._rate / HEALTH_WINDOW * held / self._unit_ns, 1e-9)
+        come = min(self._rate / HEALTH_WINDOW, self._lately + math.sqrt(self._lately) + 1)  # in an aim
+        self._offered = max(come * held / self._unit_ns, 1e-9)
         self._ranked = sorted(self._densities)
         if self._tight and not was and self._ticked_ns - self._logged_ns > BEST_WINDOW * self._unit_ns:
             self._logged_ns = self._ticked_ns
@@ -489,14 +490,15 @@
             return True
         limit, chance = self._limit, math.sqrt(max(self._limit, 1.0))
         occupied = (self._open - limit * ROOM_FOR_ALL) / (limit * (1 - ROOM_FOR_ALL) + chance)
-        occupied = max(occupied, 1 - limit / self._offered) if self._late or self._turned < 1 else occupied
+        if (self._late or self._turned < 1) and (self._open or limit < 1):  # else nothing is learnt
+            occupied = max(occupied, 1 - limit / self._offered)
         if occupied <= 0 or not self._ranked or density < 0:
             return occupied <= OVER_ROOM or density >= 0
         return occupied < 1 and density >= self._ranked[int(occupied * len(self._ranked))]
 
     def _arrived(self, event: api.RequestArrived, now: int) -> None:
         cls = self._classes[event.request_class]
-        self._rate += 1
+        self._rate, self._lately = self._rate + 1, self._lately + 1
         spent, again = self._retries.waited(cls, event.left_ns)
         density = self._worth_density(event, cls, now, spent)
         self._densities.append(density)
@@ -867,7 +869,7 @@
         self._ticked_ns = now
         self._decay(gap)
         self._trust_ns = min(self._trust_ns * math.exp(gap / IDLE_WINDOW), self._idle_ns)
-        self._rate = self._rate * math.exp(-gap / HEALTH_WINDOW)
+        self._rate, self._lately = self._rate * math.exp(-gap / HEALTH_WINDOW), self._lately * math.exp(-gap)
         self._peak = max(float(self._open), self._peak * math.exp(-gap / CAPACITY_WINDOW))
         if min(size := self._ring_size(), self._ready) > (used := len(self._turn.ring)) or size * 2 < used:
             self._choose()
