--- a/brambleusher/lab/breakages.py
+++ b/brambleusher/lab/breakages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -349,16 +350,17 @@
     def steer(self: Balancer, gap: float) -> None:
         before = self._limit
         old(self, gap)
-        self._limit = min(self._limit, before)
+        if before < math.inf:
+            self._limit = min(self._limit, before * 0.5**gap)
 
     old = patches.set(Balancer, "_steer_admission", steer)
 
 
 @breakage("descriptor-kept", "idle connections to a node that leaves are forgotten, not closed", "left-over")
 def _descriptor_kept(patches: Patches) -> None:
-    def drop(self: ExecuteNodes, idle: list[Stream]) -> None:
-        self._open -= len(idle)
-        idle.clear()
+    def drop(self: ExecuteNodes, node: Node) -> None:
+        self._open -= len(node.idle)
+        node.idle.clear()
 
     patches.set(ExecuteNodes, "_drop", drop)
 
