--- a/brambleusher/features/records.py
+++ b/brambleusher/features/records.py
@@ -10,7 +10,7 @@
 
 from brambleusher.net.machine_list import state_of, state_word
 from quillpass import api
-from quillpass.state import plain, unplain
+from quillpass.state import plain, restore_rules, save_rules, unplain
 
 VERSION = 1
 # An action's name and its fields in order; they are texts and whole numbers.
@@ -59,9 +59,14 @@
         },
     ),
     api.AttemptEnded: ("attempt", _attempt),
+    api.StreamStarted: (
+        "stream",
+        lambda event: {"attempt": event.attempt, "server": event.host, "latency_ns": event.latency_ns},
+    ),
     api.RequestGone: ("gone", lambda event: {}),
     api.TimerFired: ("timer", lambda event: {"token": event.token}),
     api.HostList: ("list", lambda event: {"kind": event.kind.value}),
+    api.RulesChanged: ("rules", lambda event: {"zones": save_rules(event.zones)}),
     type(None): (BEGIN, lambda event: {}),
 }  # fmt: skip
 
@@ -88,12 +93,16 @@
             record["id"], told["attempt"], told["server"], api.Status(told["status"]),
             told["latency_ns"], told["closed"], report and api.LoadReport(*map(unplain, report)),
         )  # fmt: skip
+    if name == "stream":
+        return api.StreamStarted(record["id"], told["attempt"], told["server"], told["latency_ns"])
     if name == "gone":
         return api.RequestGone(record["id"])
     if name == "timer":
         return api.TimerFired(told["token"])
     if name == "list":
         return api.HostList(api.ListKind(told["kind"]), [entry_from(raw) for raw in told["servers"]])
+    if name == "rules":
+        return api.RulesChanged(restore_rules(told["zones"]))
     raise RecordError(f"the event {name} is unknown")
 
 
