--- a/quillpass/state.py
+++ b/quillpass/state.py
@@ -166,7 +166,7 @@
         if key == "turn":
             return _fill(Turn(self._rng), {name: self.value(item) for name, item in held.items()}, {"_rng"})
         if key == "retries":
-            return _fill(Retries(), {name: self.value(item) for name, item in held.items()})
+            return _fill(Retries(0), {name: self.value(item) for name, item in held.items()})
         if key in _KEPT:
             return _fill(_KEPT[key](), {name: self.value(item) for name, item in held.items()})
         if key == "state":
