--- a/brambleusher/lab/breakages.py
+++ b/brambleusher/lab/breakages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -225,7 +226,7 @@
 @breakage("reuse-unseen", "an idle connection is used again without a look at what waits on it", "dirty")
 def _reuse_unseen(patches: Patches) -> None:
     def connection(self: ExecuteNodes, node: Node, claim: Claim, deadline: float) -> Stream | None:
-        if node.idle and self._scheduler.now() - node.idle[-1].used_at < self._idle_seconds:
+        if node.idle and self._scheduler.now() - node.idle[-1].used_at < self._pace.idle:
             return node.idle.pop()
         return old(self, node, claim, deadline)  # type: ignore[no-any-return]
 
@@ -349,16 +350,17 @@
     def steer(self: Balancer, gap: float) -> None:
         before = self._limit
         old(self, gap)
-        self._limit = min(self._limit, before)
+        if before < math.inf:
+            self._limit = min(self._limit, before * 0.5**gap)
 
     old = patches.set(Balancer, "_steer_admission", steer)
 
 
 @breakage("descriptor-kept", "idle connections to a node that leaves are forgotten, not closed", "left-over")
 def _descriptor_kept(patches: Patches) -> None:
-    def drop(self: ExecuteNodes, idle: list[Stream]) -> None:
-        self._open -= len(idle)
-        idle.clear()
+    def drop(self: ExecuteNodes, node: Node) -> None:
+        self._open -= len(node.idle)
+        node.idle.clear()
 
     patches.set(ExecuteNodes, "_drop", drop)
 
--- a/tests/test_mysql_front.py
+++ b/tests/test_mysql_front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import struct
 import time
@@ -14,17 +15,29 @@
 import pytest
 from pymysql.constants import CLIENT
 
-from brambleusher.fronts.mysql.auth import ClientLogin, Turn, native_answer
-from brambleusher.fronts.mysql.constants import NATIVE, Capability, Command, Errno
-from brambleusher.fronts.mysql.messages import ChangeUser, Err, Login, SslRequest, parse_auth_switch
+from brambleusher.fronts.mysql.auth import ClientLogin, Turn, native_answer, native_hash
+from brambleusher.fronts.mysql.constants import NATIVE, Capability, Command, Errno, Status, Track
+from brambleusher.fronts.mysql.messages import (
+    ChangeUser,
+    Eof,
+    Err,
+    Login,
+    Ok,
+    Prepared,
+    SslRequest,
+    parse_auth_switch,
+    parse_state,
+)
 from brambleusher.fronts.mysql.packets import PacketReader, frame
-from brambleusher.lab.stand_ins.mysql import Fault, Moment
+from brambleusher.fronts.mysql.session import Session
+from brambleusher.lab.stand_ins.mysql import CAPABILITIES, Fault, Moment
 from brambleusher.lab.stand_ins.mysql_engine import ColumnInfo, Table
 from tests.mysql_rig import MysqlRig, Servers
 from tests.rig import WAIT, Discovery
 
 Make = Callable[..., tuple[MysqlRig, Servers]]
 ROW = "select * from accounts where name = 'n1'"
+OLD_SERVER = CAPABILITIES & ~int(Capability.DEPRECATE_EOF | Capability.SESSION_TRACK)
 NEW = int(
     Capability.PROTOCOL_41 | Capability.SECURE_CONNECTION | Capability.PLUGIN_AUTH
     | Capability.CONNECT_WITH_DB | Capability.DEPRECATE_EOF | Capability.MULTI_RESULTS
@@ -222,6 +235,39 @@
     client.close()
 
 
+def test_an_unknown_schema_is_the_clients_own_fault(make: Make) -> None:
+    rig, _ = make()
+    with pytest.raises(pymysql.err.Error) as caught:
+        connect(rig, database="nowhere")  # told with the first statement, which the driver sends at once
+    assert caught.value.args[0] == 1049
+    for at in range(4):  # and counts against no node
+        assert ask(connect(rig), f"select {at} from accounts where name = 'n1'") == ((at,),)
+
+
+def test_no_secret_and_no_literal_gets_into_the_log(make: Make, caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.DEBUG)
+    rig, servers = make(once=True)
+    logging.getLogger("brambleusher").propagate = True
+    client = connect(rig)
+    ask(client, "select 'literal-1' from accounts")
+    fails(client, "call p('literal-2')")
+    fails(client, "set password = 'literal-3'")
+    with pytest.raises(pymysql.err.Error):
+        connect(rig, password="literal-4")
+    everywhere(servers, on(Command.QUERY, "select 5", Fault("nonsense")))
+    fails(client, "select 5, 'literal-5'")
+    text = caplog.text + str([record.__dict__.get("fields") for record in caplog.records])
+    assert "statement assigned" in text
+    assert "login refused" in text
+    for secret in (
+        "literal-",
+        "node-secret",
+        native_hash(b"front").hex(),
+        native_hash(b"front").hex().upper(),
+    ):
+        assert secret not in text
+
+
 # --- ties and moves -----------------------------------------------------------------------------
 
 
@@ -565,10 +611,9 @@
     rig, _ = make(1, kept_for="bad input")
     client, other = Raw(rig), connect(rig)
     client.sock.sendall(data)
-    reader, got = PacketReader(1 << 20, seq=1), b""
+    reader, got = PacketReader(1 << 20, seq=1 + len(data) // 0x1000000), b""
     while more := client.sock.recv(65536):
         got += more
-    reader.seq = got[3]
     reader.feed(got)
     error = Err.parse(reader.take() or b"")
     assert (error.errno, error.state, reader.buffered) == (errno, state, 0)
@@ -645,3 +690,116 @@
         assert cursor.fetchall() == ((2,),)
         assert cursor.nextset()
         assert cursor.rowcount == 1
+
+
+# --- prepared statements, old servers, session tracking, a full pool ----------------------------
+
+
+def prepare(client: Raw, text: str) -> Prepared:
+    client.send(b"\x16" + text.encode())
+    answer = Prepared.parse(client.take())
+    for count in (answer.parameters, answer.columns):
+        for _ in range(count):
+            client.take()
+        if count and not client.caps & Capability.DEPRECATE_EOF:
+            client.take()
+    return answer
+
+
+@pytest.mark.parametrize("server", [OLD_SERVER, CAPABILITIES])
+@pytest.mark.parametrize("caps", [NEW, NEW & ~Capability.DEPRECATE_EOF])
+def test_cursors_long_data_and_resets(make: Make, server: int, caps: int) -> None:
+    rig, _ = make(2, kept_for="cursors", capabilities=server)
+    client, new = Raw(rig, caps), bool(caps & Capability.DEPRECATE_EOF)
+    many = prepare(client, "select id, pad from generated where n = 5 and width = 3")
+    length = prepare(client, "select length(?)")
+
+    def execute(number: int, flags: int = 0, parameter: bytes = b"") -> list[bytes]:
+        client.send(b"\x17" + struct.pack("<IBI", number, flags, 1) + parameter)
+        out = [client.take()]
+        while out[-1][:1] not in (b"\xfe", b"\xff") or (len(out) < 4 and not new and not flags):
+            out.append(client.take())
+            if not new and not flags and out[-1][:1] == b"\xfe" and len(out) == 2 + out[0][0]:
+                out.append(client.take())
+        return out
+
+    def fetch(number: int, count: int) -> tuple[int, int]:
+        client.send(b"\x1c" + struct.pack("<II", number, count))
+        out = [client.take()]
+        while out[-1][:1] not in (b"\xfe", b"\xff"):
+            out.append(client.take())
+        if out[-1][:1] == b"\xff":
+            return -1, Err.parse(out[-1]).errno
+        status = Ok.parse(out[-1], caps).status if new else Eof.parse(out[-1]).status
+        return len(out) - 1, status & (Status.CURSOR_EXISTS | Status.LAST_ROW_SENT)
+
+    opened = execute(many.statement, 1)
+    assert len(opened) == 4  # the count, two columns, one end: no rows yet
+    for rows, status in ((2, Status.CURSOR_EXISTS), (2, Status.CURSOR_EXISTS), (1, Status.LAST_ROW_SENT)):
+        assert fetch(many.statement, 2) == (rows, status)
+    assert fetch(many.statement, 2) == (-1, 1421)
+    execute(many.statement, 1)
+    client.send(b"\x1a" + struct.pack("<I", many.statement))
+    assert client.take()[0] == 0
+    assert fetch(many.statement, 2) == (-1, 1421)
+    assert not session_of(rig, client).tied
+    for part in (b"abc", b"defg"):
+        client.send(b"\x18" + struct.pack("<IH", length.statement, 0) + part)
+    parameter = b"\0\1\xfc\0"
+    assert any(message.endswith(struct.pack("<q", 7)) for message in execute(length.statement, 0, parameter))
+    again = execute(length.statement, 0, b"\0\0\x02zz")  # the types of before, and no long data any more
+    assert any(message.endswith(struct.pack("<q", 2)) for message in again)
+    client.send(b"\x19" + struct.pack("<I", length.statement))
+    client.send(b"\x17" + struct.pack("<IBI", length.statement, 0, 1) + parameter)
+    assert client.error().errno == Errno.UNKNOWN_STMT_HANDLER
+    client.close()
+
+
+def session_of(rig: MysqlRig, client: Raw) -> Session:
+    assert rig.sidecar.mysql is not None
+    return rig.sidecar.mysql.front._clients[client.thread].session
+
+
+@pytest.mark.parametrize("server", [OLD_SERVER, CAPABILITIES])
+def test_session_state_is_told_to_clients_that_track_it(make: Make, server: int) -> None:
+    rig, _ = make(1, kept_for="tracking", capabilities=server)
+    for caps in (NEW, NEW | int(Capability.SESSION_TRACK)):
+        client = Raw(rig, caps)
+        client.send(b"\x02shop")
+        ok = Ok.parse(client.take(), caps)
+        tracked = bool(caps & server & Capability.SESSION_TRACK)
+        assert (parse_state(ok.state) == [(Track.SCHEMA, (b"shop",))]) is tracked
+        assert bool(ok.status & Status.SESSION_STATE_CHANGED) is tracked
+        client.send(b"\x03" + ROW.encode())
+        assert len(client.whole()) == 5
+        client.close()
+
+
+def test_a_pool_whose_connections_are_all_held_refuses_within_its_wait(make: Make) -> None:
+    rig, servers = make(1, more="  connections: 1\n  pool_wait_ms: 100\n")
+    holder, other = connect(rig), connect(rig)
+    ask(holder, "set @a = 1")
+    assert fails(other, ROW) == Errno.SERVER_ISNT_AVAILABLE
+    assert rig.count("connections_lacking") == 1
+    assert ask(holder, "select @a") == ((1,),)
+    holder.close()
+    assert insist(other, ROW) == (("n1", 1000),)
+    assert servers.servers[0].most_open == 1
+
+
+def test_what_is_prepared_counts_against_the_memory_of_all(make: Make) -> None:
+    rig, _ = make(1, more="  memory_mb: 1\n  max_packet_mb: 4\n")
+    clients = [Raw(rig) for _ in range(6)]
+    text = b"\x16select length('" + b"x" * 240_000 + b"')"
+    answers = []
+    for client in clients:
+        client.send(text)
+        answers.append(client.take()[:3])
+    refused = b"\xff" + struct.pack("<H", Errno.OUT_OF_RESOURCES)
+    assert answers.count(refused) >= 2
+    assert answers.count(refused) < 6
+    for client in clients:
+        client.close()
+    rig.until(lambda: rig.sidecar.mysql is not None and not rig.sidecar.mysql.front.connections)
+    assert rig.sidecar.mysql is not None
+    assert rig.sidecar.mysql.front._memory_left == 1024 * 1024
