--- a/brambleusher/lab/effects.py
+++ b/brambleusher/lab/effects.py
@@ -42,8 +42,12 @@
 
 
 def _zone(fault: faults.Fault, fleet: Fleet) -> list[NodePlace]:
-    return [place for place in _nodes(msgspec.structs.replace(fault, target=""), fleet)
-            if place.figures.zone == fault.target]  # fmt: skip
+    """Those in the zone aimed at, or all that belong to the fleet."""
+    return [
+        place
+        for place in fleet.places
+        if not place.figures.spare and fault.target in ("", place.figures.zone)
+    ]
 
 
 def _sidecars(fault: faults.Fault, fleet: Fleet) -> list[SidecarPlace]:
@@ -209,19 +213,20 @@
 
 @apply.register(faults.NodeReplaced)
 def _node_replaced(fault: faults.NodeReplaced, fleet: Fleet) -> End:
-    place = fleet.place(fault.target)
-    if not place.up:
-        return None
-    notice, name = fleet.scenario.world.notice_s, f"s-{_rng(fault, fleet).getrandbits(32):08x}"
+    there = [place for place in _nodes(fault, fleet) if place.up]
+    notice, rng = fleet.scenario.world.notice_s, _rng(fault, fleet)
 
     def replace() -> None:
-        if place.up:
-            place.replace(name)
-            place.look(notice)
+        for place in there:
+            name = f"s-{rng.getrandbits(32):08x}"
+            if place.up:
+                place.replace(name)
+                place.look(notice)
 
     if fault.drain_s:
-        place.drain(fault)
-        place.look(notice)
+        for place in there:
+            place.drain(fault)
+            place.look(notice)
     _after(fleet, min(fault.drain_s, fault.for_s), replace)
     return None
 
@@ -445,16 +450,13 @@
 
 @apply.register(faults.DescriptorsUsedUp)
 def _descriptors_used_up(fault: faults.DescriptorsUsedUp, fleet: Fleet) -> End:
-    audience, world = fleet.audience, fleet.world
-    there = [(place.process, place.process.limit) for place in _sidecars(fault, fleet) if place.process]
-    for process, _ in there:
-        process.limit = min(process.limit, 3 + process.descriptors + fault.left)
-        audience.starved(world.now_ns, process.machine.name, True)
+    there = _sidecars(fault, fleet)
+    for place in there:
+        place.squeeze(fault, fault.left)
 
     def end() -> None:
-        for process, limit in there:
-            process.limit = limit
-            audience.starved(world.now_ns, process.machine.name, False)
+        for place in there:
+            place.relax(fault)
 
     return end
 
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -33,11 +33,23 @@
 from brambleusher.lab.stand_ins.discovery import Discovery, Entry, Telling
 from brambleusher.lab.stand_ins.node import Execution, Node
 from brambleusher.lab.stand_ins.server import Troubles
-from brambleusher.lab.world import START_NS, WALL_NS, Machine, Process, VirtualSystem, World, WorldSettings
-from brambleusher.operator_file import parse_operator_file
+from brambleusher.lab.world import (
+    STANDARD,
+    START_NS,
+    WALL_NS,
+    Machine,
+    Process,
+    VirtualSystem,
+    World,
+    WorldSettings,
+)
+from brambleusher.operator_file import OperatorFile, parse_operator_file
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Address
 from brambleusher.sidecar import Sidecar
+from quillpass import Balancer
+from quillpass.api import Settings
+from quillpass.zoned import balancer_for
 
 SECOND = 10**9
 LEAD_IN_S = 1.2  # from the start of the processes to the first request that may come
@@ -47,7 +59,7 @@
 CALM_AGAIN_S = 0.25
 GOOD_LOAD = 0.6  # of the capacity after the faults: above it nobody is asked to get well in time
 CLIENTS, BAD_CLIENTS = "clients", "bad clients"  # machines
-OPERATOR = b"capture: {ring_kb: 768}\n"
+CAPTURE = {"ring_kb": 768}
 
 
 class Audience(Protocol):
@@ -399,10 +411,12 @@
         self.fleet, self.number, self.figures = fleet, number, figures
         self.machine = fleet.world.machine(figures.name, f"10.0.0.{number + 1}")
         self.file = self.good_file = b""  # what is there, and what the platform wrote
+        self.operator = b""  # the operator file that is there
         self.sidecar: Sidecar | None = None
         self.process: Process | None = None
         self.starts = 0
         self.ended: list[Process] = []  # the processes before this one
+        self._squeezes: list[tuple[object, int]] = []  # what keeps it from opening more than so many
 
     @property
     def address(self) -> Address:
@@ -429,6 +443,14 @@
             fleet.draw_seed(f"sidecar {self.number} {self.starts}"), entries, version,
         )  # fmt: skip
 
+    def operator_file(self, **zones: Any) -> bytes:
+        """Its operator file, with some keys of the section on zones laid over."""
+        sections: dict[str, Any] = {"capture": CAPTURE} if self.figures.capture else {}
+        sections |= self.fleet.scenario.world.operator
+        if "zones" in sections:
+            sections["zones"] = {**sections["zones"], **zones}
+        return json.dumps(sections).encode() if sections else b""
+
     def rewrite_file(self) -> None:
         """Write it anew with the discovery that there is now, and all else as it was at the start."""
         host, port = self.fleet.discovery.address
@@ -445,13 +467,18 @@
         self.starts += 1
         fleet = self.fleet
         fleet.audience.sidecar(fleet.world.now_ns, self.machine.name, self.file)
-        operator = parse_operator_file(OPERATOR if self.figures.capture else b"")
+        self.operator = self.operator_file()
 
         def load() -> Config:
             return parse_config(self.file, {})
 
+        def load_operator() -> OperatorFile:
+            return parse_operator_file(self.operator)
+
         def main(system: VirtualSystem) -> None:
-            sidecar = self.sidecar = Sidecar(load(), load, operator, system)
+            sidecar = self.sidecar = Sidecar(
+                load(), load, load_operator(), system, load_operator, fleet.new_balancer
+            )
             sidecar.install_signals()
             sidecar.start()
             sidecar.run()
@@ -459,6 +486,23 @@
 
         self.sidecar = None
         self.process = self.machine.start(main, self.figures.name, descriptors=self.figures.sockets)
+        self._squeezes.clear()
+
+    def squeeze(self, why: object, left: int) -> None:
+        """Let its process open only so many descriptors more, until `relax`."""
+        if self.process is not None:
+            self._squeezes.append((why, STANDARD + self.process.descriptors + left))
+        self._set_limit()
+
+    def relax(self, why: object) -> None:
+        """That reason for few descriptors is gone; it has as many as before unless there is another."""
+        self._squeezes = [each for each in self._squeezes if each[0] is not why]
+        self._set_limit()
+
+    def _set_limit(self) -> None:
+        if self.process is not None:
+            self.process.limit = min([self.figures.sockets, *(limit for _, limit in self._squeezes)])
+        self.fleet.audience.starved(self.fleet.world.now_ns, self.machine.name, bool(self._squeezes))
 
     def signal(self, number: int) -> None:
         """Send its process a signal."""
@@ -531,6 +575,7 @@
         self.ends_ns = self.begins_ns + int(figures.length_s * SECOND)
         self.running: list[Fault] = []
         self.new_node: Callable[..., Node] = Node  # for experiments that need another one
+        self.new_balancer: Callable[[Settings, int], Balancer] = balancer_for  # likewise
 
     # --- figures --------------------------------------------------------------------------------
 
