--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -14,11 +14,14 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from itertools import islice
 from statistics import median
 from typing import Any
 
 from quillpass import api
 from quillpass.api import Effect, Group, HostState, ListKind, Status
+from quillpass.hosts import NOTHING, RESERVE, Host
+from quillpass.ranks import Ranks
 from quillpass.retries import Retries
 
 # The source's figures.
@@ -40,16 +43,14 @@
 # already makes one answer in seven late (e^-2), so half the aim is the goal of the index.
 GOAL_OF_AIM = 0.5
 MISSED = 2 / GOAL_OF_AIM  # the most one attempt says; a few that are never answered are no crowd
-HEALTH_PRIOR = 2.0  # attempts assumed served, so that one failure does not condemn a quiet host
-RESERVE = 0.25  # below this free share of the fleet, weights lean towards capacity
 OLD_LOOKED_AT = 6  # the oldest attempts out of a host that the tick looks at: bounds its work
-OVERTAKEN = 2  # attempts sent later and answered sooner by the same host: in a queue there are none
 WRITE_OFF = 2.5  # times the usual answer's time, of its class and of its host: so old and overtaken is lost
 OVER_ROOM = 0.3  # of the room above, for what is beyond a tenant's share
 OVER_SHARE = 1e9  # off the worth of what is beyond a tenant's share: it comes last, and to spare room alone
 TENANT_BURST = 2.0  # requests of a tenant that may come at once: one place flags half of what is in its share
 RING_MIN = 4  # hosts a quiet proxy uses: choice enough to pass over a bad one, and few connections
 RING_FREE = 3  # times as many where connections have no price
+REST_LOOKED_AT = 1000  # hosts beyond those in use that one request may look through: bounds its work
 RING_SPREAD = 2.0  # hosts in use for each own attempt at the busiest: a turn seldom finds one occupied
 IDLE_DOUBT = 1 / 4  # of the aim: a connection used since is not lost for being idle
 IDLE_CUT = 0.7  # of the idle time at which one was lost: the next loss would teach little
@@ -65,49 +66,6 @@
 SECOND = 1e9
 
 
-class Host:
-    """A host, what is known of it, and its tokens."""
-
-    def __init__(self, entry: api.HostEntry, local: bool, classes: int, rank: float = 0.0) -> None:
-        self.rank = rank  # a seeded place in this proxy's order of preference, and the phase of cold credit
-        self.name, self.zone, self.kind, self.cell = entry.host, entry.zone, entry.kind, entry.cell
-        self.local, self.ready = local, True
-        self.out: dict[tuple[str, int], tuple[Request, int]] = {}  # oldest first
-        self.lost: dict[tuple[str, int], tuple[Request, int]] = {}  # out, and not expected to be answered
-        self.weight = self.room = self.credit = 0.0
-        self.tokens = 0
-        self.forget(entry.started_ns, classes)
-
-    def forget(self, started_ns: int, classes: int) -> None:
-        """A (re)started process shares nothing with what ran under this name before."""
-        self.started_ns = started_ns
-        self.sum_qps = self.sum_util = self.throughput = self.util = 0.0
-        self.util_ns = -1
-        self.late_n, self.late_sum = [0.0] * classes, [0.0] * classes
-        self.served = self.failed = self.turned = self.pi = 0.0
-        self.passed = [-1] * OVERTAKEN  # when the attempts answered here that were sent last were sent
-        self.shut_ns = self.used_ns = self.closing_ns = 0
-        self.draining = self.linked = False  # told to drain; a connection is thought to be open
-        self.cold_level, self.cold_seen_ns = self.rank, started_ns
-
-    @property
-    def health(self) -> float:
-        """Served share of recent attempts, from 0 to 1."""
-        good = self.served + HEALTH_PRIOR
-        return good / (good + self.failed)
-
-    @property
-    def welcome(self) -> float:
-        """What it takes of what it is sent: one that turns away at once looks idle and draws most turns."""
-        good = self.served + HEALTH_PRIOR
-        return good / (good + self.turned) if self.util < 1 - RESERVE else 1.0
-
-    @property
-    def capacity(self) -> float | None:
-        """Requests a second at full use; summed before dividing, so quiet moments weigh little."""
-        return self.sum_qps / self.sum_util if self.sum_util > 0.01 and self.sum_qps > 0 else None
-
-
 class Request:
     """A request that is owed an answer, or whose attempts are still out."""
 
@@ -232,8 +190,8 @@
         self._idle_ns = float(settings.conn_idle_ns or math.inf)
         self._trust_ns = self._idle_ns  # how long an idle connection is trusted
         self._open = self._ready = 0  # attempts out, ready hosts
-        self._order: list[Host] = []  # the ready hosts in this proxy's order of preference
-        self._closing: list[Host] = []  # draining hosts whose connections are to be closed
+        self._ranks: Ranks[Host] = Ranks()  # the ready hosts in this proxy's order of preference
+        self._closing: dict[str, Host] = {}  # draining hosts whose connections are to be closed
         self._out: list[api.Action] = []
         self._ticked_ns = 0
         # Fleet figures of the last tick.
@@ -543,8 +501,8 @@
         host = self._turn.spend(lambda host: host.linked and fits(host), self._open) if connected else None
         host = host or self._turn.spend(fits, self._open)
         # None of those in use: any warm one, in this proxy's own order.
-        rest = (host for host in self._order if self._warmth(host, now) >= 1 and fits(host))
-        return host or next(rest, None)
+        order = islice(self._ranks, REST_LOOKED_AT) if host is None else ()
+        return host or next((host for host in order if self._warmth(host, now) >= 1 and fits(host)), None)
 
     def _send(self, request: Request, host: Host, now: int) -> None:
         """One attempt; on a connection that was idle too long to be trusted, a new one is opened for it.
@@ -567,6 +525,7 @@
             # Guards against connections that fell silent under a request, while there is room elsewhere.
             patience = max(SILENCE * usual, cls.aim_ns * GOAL_OF_AIM)
             timeout = int(patience) if now + 2 * patience < request.deadline_ns else 0
+        host.begin(len(self._classes))
         host.out[(request.id, len(request.attempts))] = (request, now)
         request.attempts.append((host, now, idle))
         request.out, self._open = request.out + 1, self._open + 1
@@ -630,7 +589,7 @@
             host.util, host.util_ns = max(host.util, 1 - RESERVE), now
         lost = idle > self._unit_ns * IDLE_DOUBT and self._lost_idle(event.status, idle)
         if event.status is Status.OK and sent > host.passed[0]:
-            host.passed = sorted([*host.passed[1:], sent])
+            host.passed = tuple(sorted([*host.passed[1:], sent]))
         if not lost and (known or event.status is not Status.TIMEOUT):  # of one written off all was learnt
             self._learn(host, request.cls, event.status, event.latency_ns, now)
         if event.closed:
@@ -765,6 +724,7 @@
             named = {entry.host for entry in event.entries}
             for name in [name for name in self._hosts if name not in named]:
                 self._remove(name)
+        changed = []
         for entry in event.entries:
             host = self._hosts.get(entry.host)
             if entry.state is HostState.GONE:
@@ -772,14 +732,18 @@
                 continue
             if host is None:
                 local = entry.zone == self.settings.zone
-                self._hosts[entry.host] = host = Host(entry, local, len(self._classes), self._rng.random())
+                self._hosts[entry.host] = host = Host(entry, local, 0, self._rng.random())
+                changed.append(host)
             elif entry.started_ns > host.started_ns:
-                host.forget(entry.started_ns, len(self.settings.classes))
-            host.ready = entry.state is HostState.READY
-            host.draining = not host.ready
+                host.forget(entry.started_ns, len(host.late_n))
+            if host.ready is not (ready := entry.state is HostState.READY):
+                host.ready = ready
+                changed.append(host)
+            host.draining = not ready
             if host.draining:
                 host.weight, host.tokens, host.credit = 0.0, 0, 0.0
             self._release(host, now)
+        self._ranks.follow(self._hosts.values(), changed)
         self._choose()
         self._weigh(now, 0.0)
 
@@ -794,30 +758,29 @@
         request and idle until it is dropped, and against reports too rare to tell hosts apart.
         Harm: a proxy whose few hosts are all bad is slow to find better ones.
         """
-        ready = sorted((host for host in self._hosts.values() if host.ready), key=lambda host: host.rank)
-        self._order, self._ready = ready, len(ready)
-        size = self._ring_size()
-        local = [host for host in ready if host.local]
-        near = local[: max(size // 2, size - len(ready) + len(local))]
-        away = [host for host in ready if not host.local][: max(size - len(near), 0)]
-        self._near_part = len(near) / max(len(local), 1)
-        self._away_part = len(away) / max(len(ready) - len(local), 1)
+        self._ready = len(self._ranks)
+        near, away = self._ranks.first(self._ring_size())
+        self._near_part = len(near) / max(len(self._ranks.near), 1)
+        self._away_part = len(away) / max(len(self._ranks.away), 1)
         ring = near + away
-        if {host.name for host in ring} == {host.name for host in self._turn.ring}:
+        used = {host.name for host in ring}
+        if used == {host.name for host in self._turn.ring}:
             return
-        for host in [host for host in self._turn.ring if host not in ring]:
+        for host in [host for host in self._turn.ring if host.name not in used]:
             host.weight, host.tokens = 0.0, 0
             if host.linked:  # each open one has a price and takes of the host's capacity
                 host.linked = False
                 self._out.append(api.LetGo(host.name))
+        for host in ring:
+            host.begin(len(self._classes))
         self._turn.seat(ring)
 
     def _release(self, host: Host, now: int) -> None:
         """Close what is idle to a draining host: at the notice, at each outcome and, since what was given
         up becomes idle without an outcome, at each tick until the time for it has passed."""
         if host.draining and self.settings.drain_release_ns > 0:
-            if host not in self._closing:
-                self._closing.append(host)
+            if host.out is not NOTHING:  # one never used has no connections
+                self._closing[host.name] = host
             host.closing_ns = now + self.settings.drain_release_ns
             self._out.append(api.LetGo(host.name))
 
@@ -825,6 +788,7 @@
         host = self._hosts.pop(name, None)
         if host is not None:
             host.ready, host.weight, host.tokens = False, 0.0, 0
+            self._ranks.discard(host)
             self._turn.ring = [other for other in self._turn.ring if other is not host]
 
     def _warmth(self, host: Host, now: int) -> float:
@@ -888,8 +852,9 @@
         if self._ask_at is not None and now >= self._ask_at:
             self._ask_at = None
             self._out.append(api.Subscribe())
-        self._out += [api.LetGo(host.name) for host in self._closing]
-        self._closing = [host for host in self._closing if host.draining and host.closing_ns > now]
+        self._out += [api.LetGo(name) for name in self._closing]
+        for host in [host for host in self._closing.values() if not host.draining or host.closing_ns <= now]:
+            del self._closing[host.name]
         # About one recompute a request: no oftener than there is news, and the cost goes by traffic.
         pause = self._unit_ns * min(HEALTH_WINDOW / max(self._rate, 1.0), PAUSE_MAX)
         self._out.append(api.SetTimer(now + max(self._tick_ns, int(pause)), 0))
--- a/quillpass/fleet.py
+++ b/quillpass/fleet.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 
 from quillpass import api
-from quillpass.balance import Balancer, Host
+from quillpass.balance import Balancer
+from quillpass.hosts import Host
 
 MOST_TOLD = 64  # attempts that one event counts for: evidence fades within a few aims, and more says no more
 
@@ -59,11 +60,13 @@
 
     def _choose(self) -> None:
         """All ready hosts are in use: nothing is chosen, and there are no connections to let go of."""
-        ready = sorted((host for host in self._hosts.values() if host.ready), key=lambda host: host.rank)
-        self._order, self._ready = ready, len(ready)
+        ready = list(self._ranks)
+        self._ready = len(ready)
         self._near_part = self._away_part = 1.0
         if {host.name for host in ready} != {host.name for host in self._turn.ring}:
-            self._turn.seat(list(ready))
+            for host in ready:
+                host.begin(len(self._classes))
+            self._turn.seat(ready)
 
     def _ring_size(self) -> int:
         # Guards against a subset made for one small proxy becoming that of a whole zone.
--- /dev/null
+++ b/quillpass/ranks.py
@@ -0,0 +1,86 @@
+"""The ready hosts in one proxy's order of preference, kept in order while hosts come and go.
+
+Each host has a rank, a seeded number; the subset that a proxy uses is the first so many by rank, part of
+them local.  Sorting all hosts for each change costs their number; here a change costs a search and a move
+within a list (`bisect`).  Equal ranks go by name, so that the order depends on the hosts alone.
+"""
+
+from __future__ import annotations
+
+import heapq
+from bisect import bisect_left
+from collections.abc import Collection, Iterator
+from typing import Generic, Protocol, TypeVar
+
+SORT_PART = 8  # of all hosts, one in so many changed at once: sorting anew is cheaper
+
+
+class Ranked(Protocol):
+    """What is asked of a host."""
+
+    rank: float
+    name: str
+    local: bool
+    ready: bool
+
+
+H = TypeVar("H", bound=Ranked)
+
+
+def _key(host: Ranked) -> tuple[float, str]:
+    return host.rank, host.name
+
+
+class Ranks(Generic[H]):
+    """The ready hosts by rank: those of the own zone, and the others."""
+
+    __slots__ = ("away", "near")
+
+    def __init__(self) -> None:
+        self.near: list[H] = []
+        self.away: list[H] = []
+
+    def __len__(self) -> int:
+        """How many are ready."""
+        return len(self.near) + len(self.away)
+
+    def __iter__(self) -> Iterator[H]:
+        """All by rank, merged as far as they are asked for."""
+        return heapq.merge(self.near, self.away, key=_key)
+
+    def sort(self, hosts: Collection[H]) -> None:
+        """Begin anew with those of `hosts` that are ready."""
+        self.near = sorted((host for host in hosts if host.ready and host.local), key=_key)
+        self.away = sorted((host for host in hosts if host.ready and not host.local), key=_key)
+
+    def follow(self, hosts: Collection[H], changed: Collection[H]) -> None:
+        """Take in that `changed` became ready or ceased to be; ranks and zones are those they had.
+
+        `hosts` are all there are, from which the order is made anew where much has changed.
+        """
+        if len(changed) * SORT_PART > len(hosts):
+            self.sort(hosts)
+            return
+        for host in changed:
+            if host.ready:
+                held, at, there = self._place(host)
+                if not there:
+                    held.insert(at, host)
+            else:
+                self.discard(host)
+
+    def discard(self, host: H) -> None:
+        """It is not ready any more, or gone; nothing happens where it was not there."""
+        held, at, there = self._place(host)
+        if there:
+            del held[at]
+
+    def _place(self, host: H) -> tuple[list[H], int, bool]:
+        held = self.near if host.local else self.away
+        at = bisect_left(held, _key(host), key=_key)
+        return held, at, at < len(held) and held[at] is host
+
+    def first(self, size: int) -> tuple[list[H], list[H]]:
+        """The subset of `size`, in its parts: half of it near, and what one part lacks from the other."""
+        near = self.near[: max(size // 2, size - len(self.away))]
+        return near, self.away[: max(size - len(near), 0)]
--- a/quillpass/state.py
+++ b/quillpass/state.py
@@ -17,14 +17,15 @@
 from typing import Any
 
 from quillpass import api
-from quillpass.balance import Balancer, Host, Request, Turn
+from quillpass.balance import Balancer, Request, Turn
+from quillpass.hosts import NOTHING, Host
 from quillpass.retries import Retries
 from quillpass.zoned import balancer_for
 from quillpass.zones import Node, State, Zone, Zones
 
 # Made anew from the settings, or of no meaning between two events.
 _DERIVED = frozenset(
-    {"settings", "_rng", "_classes", "_by_worth", "_unit_ns", "_tick_ns", "_quota", "_handlers", "_out"}
+    "settings _rng _classes _by_worth _unit_ns _tick_ns _quota _handlers _out _ranks".split()  # noqa: SIM905
 )
 # Of zones: plain objects by name, and how to make an empty one that is filled with what was kept.
 _KEPT: dict[str, Callable[[], Any]] = {
@@ -97,6 +98,8 @@
             return {"t": [self.value(item) for item in value]}
         if kind is dict:
             return {"d": [[self.value(key), self.value(item)] for key, item in value.items()]}
+        if value is NOTHING:
+            return {"none": 0}
         if kind is deque:
             return {"q": [self.value(item) for item in value], "most": value.maxlen}
         if kind is Turn:
@@ -115,12 +118,13 @@
         requests: list[list[Any]] = []
         while len(hosts) < len(self.hosts) or len(requests) < len(self.requests):
             items, rows = (self.hosts, hosts) if len(hosts) < len(self.hosts) else (self.requests, requests)
-            rows.append([self.value(value) for value in vars(items[len(rows)]).values()])
+            item = items[len(rows)]
+            rows.append([self.value(getattr(item, name)) for name in _names(item)])
         return hosts, requests
 
 
-def _names(items: list[Any]) -> list[str]:
-    return list(vars(items[0])) if items else []
+def _names(item: Host | Request) -> list[str]:
+    return list(Host.__slots__) if isinstance(item, Host) else list(vars(item))
 
 
 def save(balancer: Balancer) -> dict[str, Any]:
@@ -131,8 +135,8 @@
     version, words, gauss = balancer._rng.getstate()
     return {
         "own": own,
-        "host_names": _names(saver.hosts), "hosts": hosts,
-        "request_names": _names(saver.requests), "requests": requests,
+        "host_names": _names(saver.hosts[0]) if hosts else [], "hosts": hosts,
+        "request_names": _names(saver.requests[0]) if requests else [], "requests": requests,
         "random": [version, b64encode(_WORDS.pack(*words[:-1])).decode(), words[-1], gauss],
     }  # fmt: skip
 
@@ -161,6 +165,8 @@
             return tuple(self.value(item) for item in held)
         if key == "d":
             return {self.value(name): self.value(item) for name, item in held}
+        if key == "none":
+            return NOTHING
         if key == "q":
             return deque((self.value(item) for item in held), maxlen=dict(more)["most"])
         if key == "turn":
@@ -194,12 +200,14 @@
             (loader.hosts, Host(entry, False, 0), state["host_names"], state["hosts"]),
             (loader.requests, Request("", 0, 0, 0), state["request_names"], state["requests"]),
         ):
-            if made and names != list(vars(sample)):
+            if made and names != _names(sample):
                 raise StateError(f"the state of a {type(sample).__name__} is not this version's")
             for item, row in zip(made, rows, strict=True):
-                vars(item).update(zip(names, [loader.value(value) for value in row], strict=True))
+                for name, value in zip(names, row, strict=True):
+                    setattr(item, name, loader.value(value))
         own = {name: loader.value(value) for name, value in state["own"].items()}
         _fill(balancer, own, _DERIVED)
+        balancer._ranks.sort(balancer._hosts.values())
     except StateError:
         raise
     except Exception as error:
--- a/quillpass/zoned.py
+++ b/quillpass/zoned.py
@@ -18,13 +18,12 @@
     HEALTH_WINDOW,
     OLD_LOOKED_AT,
     PI_GOAL,
-    RESERVE,
     SECOND,
     SILENCE,
     Balancer,
-    Host,
     Request,
 )
+from quillpass.hosts import RESERVE, Host
 from quillpass.zones import Load, Zones
 
 STILL_AIMS = 0.25  # a timer that fires so late: this proxy stood still
@@ -82,6 +81,7 @@
                 host.ready = not host.draining and not zones.shut(host.zone)
                 zone = zones.zones.get(host.zone)
                 host.rank = host.rank % 1.0 + (zone.tier if zone is not None else 0)
+            self._ranks.sort(self._hosts.values())
         super()._choose()
 
     # --- the tick -------------------------------------------------------------------------------
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -8,7 +8,8 @@
 import pytest
 
 from quillpass import Balancer, api
-from quillpass.balance import Host, Turn, aggregate_pi, final_weights
+from quillpass.balance import Turn, aggregate_pi, final_weights
+from quillpass.hosts import Host
 from tests.rules import MS, SECOND
 
 CLS = api.RequestClass("c", 500 * MS, 2 * SECOND, 1.0)
