--- a/quillpass/zoned.py
+++ b/quillpass/zoned.py
@@ -108,9 +108,9 @@
         if changed:
             out = {name for name in self._zones.zones if self._zones.shut(name)}
             self._choose()
-            for name in before - out:
+            for name in sorted(before - out):
                 self._welcome_back(name, now)
-            for name in out - before:
+            for name in sorted(out - before):
                 self._give_up(name, now)
 
     def _hold(self) -> tuple[float, float]:
