--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -162,6 +162,7 @@
             except StopIteration as end:
                 return end.value  # type: ignore[no-any-return]
             self.on_step()
+            self._more.ring()  # what is urgent need not wait for the last step
             self._scheduler.breathe()
 
     def _tell(self, slices: Slices) -> None:
--- a/brambleusher/net/slices.py
+++ b/brambleusher/net/slices.py
@@ -93,6 +93,7 @@
         self.held: dict[str, Machine] = {}  # as told
         self._urgent: dict[str, Machine] = {}
         self._rest: dict[str, Machine] = {}
+        self._taking = False
 
     @property
     def waiting(self) -> int:
@@ -112,7 +113,17 @@
             self._hold(machine)
 
     def take(self, update: MachineListUpdate) -> Generator[None, None, None]:
-        """Have an update told in slices; it may overtake parts of earlier ones.  In steps as well."""
+        """Have an update told in slices; it may overtake parts of earlier ones.  In steps as well.
+
+        What is urgent may be told between two steps; the rest waits for the last one.
+        """
+        self._taking = True
+        try:
+            yield from self._take(update)
+        finally:
+            self._taking = False
+
+    def _take(self, update: MachineListUpdate) -> Generator[None, None, None]:
         named = set()
         for at, machine in enumerate(update.machines):
             self._put(machine)
@@ -132,7 +143,9 @@
                 yield
 
     def next(self) -> tuple[Machine, ...]:
-        """The next slice, which counts as told; empty where nothing waits."""
+        """The next slice, which counts as told; empty where nothing is to be told now."""
+        if self._taking and not self._urgent:
+            return ()
         share = min(len(self._rest), self._most // REST_PART if self._urgent else self._most)
         some = [*self._first(self._urgent, self._most - share), *self._first(self._rest, share)]
         for machine in some:
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -18,7 +18,7 @@
 
 log = logging.getLogger(__name__)
 
-BREATH_SECONDS = 0.001  # that others may have between two steps of long work, where they never rest
+BREATH_SECONDS = 0.0005  # that others may have between two steps of long work, where they never rest
 
 __all__ = ["READ", "WRITE", "Bell", "Cancelled", "Scheduler", "Task", "Timeout", "Timer"]
 
@@ -230,7 +230,7 @@
         now = self.now()
         if self._breath_at is None:
             self._breath_at = now
-        if not self._ready or now - self._breath_at >= BREATH_SECONDS:
+        if (not self._ready and self._pause() > 0) or now - self._breath_at >= BREATH_SECONDS:
             self._breathing.popleft().ring()
             self._breath_at = None
 
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,341 @@
+"""Lists of thousands: the order kept, the text read in steps, the slices told, the page in blocks."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Generator
+from itertools import pairwise
+from typing import Any
+
+import orjson
+import pytest
+
+from brambleusher.features.blocks import BLOCK, Blocks
+from brambleusher.net.entries import ListError, Machine, MachineListUpdate, decode_update
+from brambleusher.net.slices import Slices, decode_steps
+from brambleusher.runtime.real import RealSystem
+from brambleusher.runtime.scheduler import BREATH_SECONDS, Scheduler
+from quillpass import Balancer, api
+from quillpass.hosts import Host
+from quillpass.links import Link, Pace
+from quillpass.ranks import Ranks
+from quillpass.state import restore, save
+from tests.rig import Discovery, Node, Rig
+from tests.test_figures import until
+
+READY, DRAINING, GONE = api.HostState.READY, api.HostState.DRAINING, api.HostState.GONE
+MS = 1_000_000
+
+
+def end_of(steps: Generator[None, None, Any]) -> tuple[Any, int]:
+    """A generator's value, and how often it let others run."""
+    count = 0
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value, count
+        count += 1
+
+
+# --- the order of hosts ---------------------------------------------------------------------------
+
+
+def sorted_anew(hosts: dict[str, Host], size: int) -> tuple[list[Host], list[Host]]:
+    """The subset as it was chosen before the order was kept: all ready hosts sorted for each change."""
+    ready = sorted((host for host in hosts.values() if host.ready), key=lambda host: host.rank)
+    local = [host for host in ready if host.local]
+    near = local[: max(size // 2, size - len(ready) + len(local))]
+    return near, [host for host in ready if not host.local][: max(size - len(near), 0)]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_the_subset_kept_is_the_one_that_sorting_all_hosts_gives(seed: int) -> None:
+    rng = random.Random(seed)
+    ranks: Ranks[Host] = Ranks()
+    hosts: dict[str, Host] = {}
+    for _ in range(60):
+        changed = []
+        for _ in range(rng.choice((1, 1, 2, 40))):
+            name = f"h{rng.randrange(120)}"
+            host = hosts.get(name)
+            if host is None:
+                entry = api.HostEntry(name, "z", "k", 0, READY)
+                host = hosts[name] = Host(entry, rng.random() < 0.3, 0, rng.random())
+            elif rng.random() < 0.3:
+                hosts.pop(name).ready = False
+                ranks.discard(host)
+                continue
+            else:
+                host.ready = not host.ready
+            changed.append(host)
+        ranks.follow(hosts.values(), [host for host in changed if host.name in hosts])
+        for size in (4, 12, 50, 200):
+            assert ranks.first(size) == sorted_anew(hosts, size), f"seed {seed}"
+        assert list(ranks) == sorted((h for h in hosts.values() if h.ready), key=lambda host: host.rank)
+        assert len(ranks) == sum(host.ready for host in hosts.values())
+
+
+def settings() -> api.Settings:
+    """A proxy that uses a few of its hosts."""
+    return api.Settings(
+        zone="z0", classes=(api.RequestClass("a", 100 * MS, 1000 * MS, 1.0),), fleet_size=5, max_attempts=3,
+        drain_release_ns=500 * MS, connection_price=0.1, conn_idle_ns=5000 * MS, cold_ns=3000 * MS,
+    )  # fmt: skip
+
+
+def test_a_state_with_hosts_never_used_goes_on_as_it_would_have() -> None:
+    rng, first = random.Random(5), Balancer(settings(), 9)
+    first.start(0)
+
+    def entry(at: int, state: api.HostState = READY) -> api.HostEntry:
+        return api.HostEntry(f"h{at}", f"z{at % 3}", "k", at % 5, state, 1.0, 0)
+
+    first.handle(api.HostList(api.ListKind.FULL, [entry(at) for at in range(300)]), 1)
+    second: Balancer | None = None
+    out: list[api.Send] = []
+    for step in range(400):
+        now = step * 5 * MS
+        events: list[api.Event] = [api.RequestArrived(f"r{step}", "a", None, 1000 * MS), api.TimerFired(0)]
+        state = rng.choice((READY, DRAINING, GONE))
+        events.append(api.HostList(api.ListKind.DELTA, [entry(rng.randrange(300), state)]))
+        if len(out) > 5:
+            sent = out.pop(0)
+            events.append(api.AttemptEnded(sent.request, 0, sent.host, api.Status.OK, 20 * MS, True, None))
+        if step == 200:
+            second = restore(settings(), 9, orjson.loads(orjson.dumps(save(first))))
+        for event in events:
+            actions = first.handle(event, now)
+            assert second is None or second.handle(event, now) == actions
+            out += [action for action in actions if isinstance(action, api.Send)]
+    assert second is not None and len(out) > 3
+
+
+# --- reading in steps -----------------------------------------------------------------------------
+
+ODD = ('a"},{"b', "},", '"servers": [', "\\", "é😀", "]}", "{", "plain")
+
+
+def raw_list(rng: random.Random, count: int) -> dict[str, Any]:
+    """A list as discovery has it, with what might be taken for an entry's end within entries."""
+    servers: list[dict[str, Any]] = []
+    for at in range(count):
+        entry: dict[str, Any] = {"id": f"n{at}", "addr": f"127.0.0.1:{at % 60000 + 1}", "state": "Ready"}
+        entry |= {"zone": rng.choice(ODD), "kind": rng.choice(ODD), "weight": rng.random()}
+        if rng.random() < 0.2:
+            entry["more"] = {"a": [{"b": 1}, {"c": {}}], "d": {}}
+        servers.append(entry)
+    return {"version": 9, "servers": servers, "full": True}
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_a_text_read_in_steps_is_the_text_read_whole(seed: int) -> None:
+    rng = random.Random(seed)
+    raw = raw_list(rng, 1500)
+    if seed % 2:
+        raw = {"full": False, "more": '"servers"' * (seed % 4), **{"servers": raw["servers"]}, "version": 3}
+    text = orjson.dumps(raw, option=orjson.OPT_INDENT_2 if seed % 3 == 0 else 0)
+    update, steps = end_of(decode_steps(text))
+    assert update == decode_update(orjson.loads(text)), f"seed {seed}"
+    assert steps > 3 or text.count(b'"servers"') > 1, f"seed {seed}"
+
+
+def test_a_bad_entry_anywhere_spoils_the_whole_list() -> None:
+    rng = random.Random(3)
+    good = orjson.dumps(raw_list(rng, 900))
+    assert end_of(decode_steps(good))[1] > 3
+    cut = good.index(b'{"id":"n500"')
+    for bad in (
+        good[:-1], good[:-2] + b",]}", good[:cut] + b"," + good[cut:], good[:cut] + b"]" + good[cut:],
+        good.replace(b'"n700"', b'""'), good.replace(b'"id":"n10"', b'"id":7'),
+        good[:cut] + b"\xff" + good[cut:],
+        good.replace(b'"version":9', b'"version":"x"'), b"[" + good + b"]", good.replace(b"[", b"", 1),
+        good[:-1] + b',"servers":[]}' + b"x",
+    ):  # fmt: skip
+        with pytest.raises(ValueError):
+            decode_update(orjson.loads(bad))
+        with pytest.raises(ValueError):
+            end_of(decode_steps(bad))
+    many = orjson.dumps({"version": 1, "full": True, "servers": raw_list(rng, 1)["servers"] * 25_001})
+    with pytest.raises(ListError):
+        end_of(decode_steps(many))
+
+
+# --- telling in slices ----------------------------------------------------------------------------
+
+
+def machine(name: str, state: api.HostState = READY, started: int = 0) -> Machine:
+    """A machine as listed."""
+    return Machine(api.HostEntry(name, "z", "k", 0, state, 1.0, started), ("127.0.0.1", 1))
+
+
+def applied(held: dict[str, Machine], update: MachineListUpdate) -> None:
+    """Hold what an update says."""
+    if update.full:
+        held.clear()
+    for each in update.machines:
+        if each.entry.state is GONE:
+            held.pop(each.entry.host, None)
+        else:
+            held[each.entry.host] = each
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_slices_come_to_what_the_lists_say_whatever_overtakes_what(seed: int) -> None:
+    rng = random.Random(seed)
+    slices, said, heard = Slices(8, 16), dict[str, Machine](), dict[str, Machine]()
+
+    def hear(count: int) -> None:
+        for _ in range(count):
+            some = slices.next()
+            assert len(some) <= 16
+            applied(heard, MachineListUpdate(0, False, some))
+
+    for version in range(25):
+        full = rng.random() < 0.3
+        names = rng.sample(range(1500), rng.choice((1, 5, 40, 900)))
+        states = (READY, READY, DRAINING) if full else (READY, DRAINING, GONE)
+        machines = tuple(machine(f"n{at}", rng.choice(states), rng.choice((0, 0, 5))) for at in names)
+        update = MachineListUpdate(version, full, machines)
+        applied(said, update)
+        if slices.is_small(update):
+            slices.told(update)
+            applied(heard, update)
+            continue
+        for _ in slices.take(update):
+            hear(rng.randrange(3))
+        hear(rng.randrange(60))
+    hear(200)
+    assert not slices.waiting and heard == said == slices.held, f"seed {seed}"
+
+
+def test_what_leaves_goes_first_and_never_all_at_once() -> None:
+    slices = Slices(8, 16)
+    end_of(slices.take(MachineListUpdate(1, True, tuple(machine(f"n{at}") for at in range(1000)))))
+    while slices.waiting:
+        slices.next()
+    new = tuple(machine(f"m{at}") for at in range(1000))
+    end_of(slices.take(MachineListUpdate(2, True, (*new, machine("n7", DRAINING), machine("n8", READY, 5)))))
+    leave, slice_of = {f"n{at}" for at in range(1000)}, list[int]()
+    while leave:
+        some = slices.next()
+        slice_of.append(len(some))
+        leave -= {each.entry.host for each in some}
+        assert any(each.entry.state is READY for each in slices.held.values())
+    assert slices.waiting == 1000 - len(slice_of) * 4 and len(slice_of) <= 1000 / 12 + 1
+    end_of(slices.take(MachineListUpdate(3, False, (machine("m3", DRAINING), machine("m999", GONE)))))
+    first = slices.next()  # at once, though others have waited for longer
+    assert first[0] == machine("m3", DRAINING)
+    while slices.waiting:
+        assert all(each.entry.host != "m999" for each in slices.next())
+
+
+def test_a_long_list_on_sockets_while_requests_go_on() -> None:
+    node = Node()
+    many = [node.entry(f"h{at}") for at in range(900)]
+    rig = Rig(many, "status: {port: 0, refresh_ms: 10}")
+    try:
+        rig.listed(1)
+        assert len(rig.sidecar.nodes.listed) == 900
+        others = [node.entry(f"o{at}") for at in range(899)]
+        rig.discovery.push(Discovery.text([*others, node.entry("h5", "Terminating")], True, 8))
+        answered = 0
+        while set(rig.sidecar.nodes.listed) != {"h5", *(entry["id"] for entry in others)}:
+            answered += rig.call(f"r{answered}").status == 200
+            assert answered < 5000
+        assert rig.sidecar.nodes.listed["h5"].entry.state is DRAINING
+        assert rig.call("last").status == 200
+        rig.discovery.push(Discovery.text([*others[:200], {"id": "bad", "state": "Ready"}], True, 9))
+        rig.discovery.asked.get(timeout=20.0)  # it asks for the whole list again, and gets the first one
+        rig.listed(4)
+        assert rig.sidecar.counters.count("lists_rejected") == 1
+        until(lambda: set(rig.sidecar.nodes.listed) == {entry["id"] for entry in many})
+    finally:
+        rig.end()
+        node.close()
+
+
+def test_long_work_has_the_time_that_is_left_and_a_part_where_none_is() -> None:
+    scheduler, seen, clock = Scheduler(RealSystem()), list[str](), [0.0]
+    scheduler.now = lambda: clock[0]
+
+    def works() -> None:
+        for _ in range(3):
+            scheduler.breathe()
+            seen.append("step")
+
+    def busy(turns: int) -> None:
+        for _ in range(turns):
+            seen.append("turn")
+            clock[0] += BREATH_SECONDS / 4
+            scheduler.sleep(0)
+
+    scheduler.spawn(works)
+    scheduler.spawn(busy, 30)
+    scheduler.run(lambda: len(seen) == 33)
+    scheduler.close()
+    steps = [at for at, what in enumerate(seen) if what == "step"]
+    assert 3 <= steps[0] <= 6 and all(3 <= late - early <= 6 for early, late in pairwise(steps))
+
+    scheduler, alone = Scheduler(RealSystem()), seen.copy()
+    seen.clear()
+    scheduler.now = lambda: 0.0
+    scheduler.spawn(works)
+    scheduler.run(lambda: len(seen) == 3)
+    scheduler.close()
+    assert seen == ["step"] * 3 and len(alone) == 33
+
+
+# --- the page, and records of nodes -----------------------------------------------------------------
+
+
+def test_only_blocks_with_a_change_are_made_anew() -> None:
+    made: list[str] = []
+
+    def render(name: str) -> tuple[bytes, bytes]:
+        made.append(name)
+        return name.encode() + b"\n", f'"{name}"'.encode()
+
+    def all_made() -> list[str]:
+        while blocks.step():
+            pass
+        rows, parts = blocks.made()
+        names = b"".join(rows).decode().split()
+        assert orjson.loads(b"[" + b"".join(parts) + b"]") == names
+        return names
+
+    blocks, names = Blocks(render), [f"n{at}" for at in range(3 * BLOCK)]
+    assert all_made() == []
+    for name in names:
+        blocks.changed(name)
+    assert all_made() == names and len(made) == 3 * BLOCK
+    made.clear()
+    blocks.changed(names[BLOCK + 1])
+    assert all_made() == names and made == names[BLOCK : 2 * BLOCK]
+    for name in names[:BLOCK]:
+        blocks.removed(name)
+    assert all_made() == names[BLOCK:]
+    blocks.changed("new")
+    assert all_made() == ["new", *names[BLOCK:]] and len(blocks) == 3
+
+
+def test_a_link_rests_once_nothing_is_left_of_its_use() -> None:
+    link = Link(Pace.of(100, 30.0))
+    assert link.rests(0.0)
+    for _ in range(3):
+        link.opens()
+        link.takes(1.0)
+    for _ in range(3):
+        link.gives_back(1.1, True)
+    link.closed()
+    link.full(1.1)
+    for _ in range(2):
+        link.closed()
+    assert not link.rests(1.2) and not link.rests(600.0)  # it believes in a cap
+    other = Link(Pace.of(100, 30.0))
+    other.opens()
+    other.takes(1.0)
+    assert not other.rests(100.0)
+    other.gives_back(1.4, True)
+    other.closed()
+    assert not other.rests(1.5) and other.rests(200.0)
