--- a/brambleusher/features/capture.py
+++ b/brambleusher/features/capture.py
@@ -31,6 +31,7 @@
 log = logging.getLogger(__name__)
 
 SEGMENTS = 4  # in a ring, where headers are small; each more is one more header to make and to hold
+NODE_BYTES = 250  # of a header, for each node at the least
 HEAD_MOST = 0.75  # of the ring; past that nothing is kept
 SEAL_NS = 5_000_000_000  # where there are files, a segment goes to them after so long at the latest
 AGAIN_NS = 10_000_000_000  # after a header that did not fit the ring, or a fault
@@ -182,11 +183,14 @@
 
     def _begin(self, now_ns: int) -> None:
         """Open a segment at the state of this moment, and drop the oldest ones that it leaves no room for."""
-        head = self._head(self._state())
-        self._open = Segment(head, now_ns, self._due(len(head)))
-        if len(head) > self._limit * HEAD_MOST:
+        size = len(self._servers) * NODE_BYTES
+        if size <= self._limit * HEAD_MOST:  # guards against making one of megabytes that can't fit
+            head = self._head(self._state())
+            size = len(head)
+            self._open = Segment(head, now_ns, self._due(size))
+        if size > self._limit * HEAD_MOST:
             # Guards against a ring of hardly anything but headers, and against making them again and again.
-            log.warning("the capture's header does not fit the ring", extra={"fields": {"bytes": len(head)}})
+            log.warning("the capture's header does not fit the ring", extra={"fields": {"bytes": size}})
             self._open, self._again_ns = None, now_ns + AGAIN_NS
         taken = 0 if self._open is None else self._open.size
         while self._sealed and self._sealed_size + taken > self._limit:
