--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -12,8 +12,17 @@
 import pytest
 
 from brambleusher.lab import checker
-from brambleusher.lab.checker import Checker, Rules
-from brambleusher.lab.checker.messages import Chunks, Lines, Message, Reader, load_report
+from brambleusher.lab.checker import Checker, Rules, judge
+from brambleusher.lab.checker.messages import (
+    MOST_BODY,
+    MOST_HEAD,
+    Chunks,
+    Lines,
+    Message,
+    Reader,
+    load_report,
+)
+from brambleusher.lab.checker.roster import read
 from brambleusher.lab.checker.rules import RULES
 
 MS, S = 10**6, 10**9
@@ -318,9 +327,7 @@
 
 @wire("")
 def the_network_breaks_its_connection(play: Play) -> None:
-    conn = play.take()
-    play.checker.ended(play.now, conn, "client", "reset")
-    play.checker.closed(play.now, conn, "client")
+    play.checker.ended(play.now, play.take(), "client", "reset")
 
 
 @wire("")
@@ -356,6 +363,16 @@
     held_up(play, 1050 * MS + 1)
 
 
+@wire("")
+def held_up_in_part(play: Play) -> None:
+    conn, data = play.client(), ask("r1")
+    play.checker.sent(play.now, conn, "client", data)
+    play.checker.arrived(play.now, conn, "server", data[:9])
+    play.wait(100 * MS).checker.arrived(play.now, conn, "server", data[9:])
+    play.checker.read(play.now, conn, "server", data)
+    play.wait(1050 * MS).answer(conn, 502)
+
+
 def ahead(play: Play, after: int) -> Conn:
     """Two requests at once: the second one's time runs from the answer to the first."""
     conn = play.client()
@@ -509,6 +526,14 @@
     play.answer(conn, 503)
 
 
+@wire("refusal")
+def refused_after_a_proof_that_came_behind_an_answer(play: Play) -> None:
+    conn, claim = play.take(), play.claim()
+    play.node_answers(claim, "500 X")
+    play.node_answers(claim, "503 X", Not_Started="1")
+    play.answer(conn, 503)
+
+
 @wire("")
 def sent_again_after_proof(play: Play) -> None:
     conn = play.take()
@@ -581,6 +606,26 @@
     drained(play, 500_000_001, listing(entry(A, "Gone")))
 
 
+def fetched(play: Play, **headers: str) -> None:
+    """The whole list, asked for once."""
+    conn, body = play.connect(DISCOVERY), listing(entry(A, "Terminating"), entry(B), full=True)
+    play.pass_(conn, "client", http("GET /v1/endpoints HTTP/1.1"))
+    play.pass_(conn, "server", http("HTTP/1.1 200 OK", body[:-1], **headers))
+    play.checker.closed(play.now, conn, "client")
+
+
+@wire("drain")
+def sent_though_a_fetched_list_tells(play: Play) -> None:
+    fetched(play)
+    play.wait(500_000_001).serve(cls="look")
+
+
+@wire("")
+def a_fetched_list_that_is_cut_short(play: Play) -> None:
+    fetched(play, Content_Length="9999")
+    play.wait(500_000_001).serve(cls="look")
+
+
 @wire("drain")
 def sent_though_missing_from_the_list(play: Play) -> None:
     drained(play, 500_000_001, listing(entry(B), full=True))
@@ -708,6 +753,15 @@
     play.wait(500 * MS).serve(cls="look")
 
 
+@wire("drain")
+def sent_to_where_a_node_was(play: Play) -> None:
+    claim = play.serve(cls="look")
+    play.tell(play.watch(), listing(entry(A, at=B)))
+    conn = play.wait(500_000_001).take("r2", "look")
+    play.claim("r2", "look", conn=claim)
+    play.answer(conn, 502)
+
+
 @wire("unlisted")
 def sent_to_nobody(play: Play) -> None:
     conn = play.take()
@@ -909,6 +963,17 @@
     bad(play, lambda conn: play.pass_(conn, "client", b"GET"))
 
 
+@wire("bad-client")
+def kept_waiting_with_a_whole_request(play: Play) -> None:
+    bad(play, lambda conn: play.take(conn=conn, wait_ms="soon"))
+
+
+@wire("bad-client")
+def accepted_and_kept_waiting_without_descriptors(play: Play) -> None:
+    play.checker.starved(play.now, "m0", True)
+    bad(play, lambda conn: None)
+
+
 @wire("")
 def closed_in_time(play: Play) -> None:
     bad(play, lambda conn: play.wait(3 * S).checker.closed(play.now, conn, "server"))
@@ -1187,6 +1252,79 @@
     assert lines.feed(b"1\r\n\n\r\n0\r\n\r\n") == [b"de"] and lines.done
 
 
+LOOK = "GET /look HTTP/1.1"
+GOOD = {"Request_Id": "r1", "Request_Class": "look", "Tenant": "acme", "Request_Timeout_Ms": "500"}
+
+
+@pytest.mark.parametrize(
+    ("first", "headers", "fault"),
+    [
+        (LOOK, {}, None), ("GET /look/a?b=c HTTP/1.0", {}, None),
+        ("GET /look HTTP/2", {}, "line"),
+        ("GET look HTTP/1.1", {}, "line"), ("GET /look", {}, "line"), ("GET", {}, "line"),
+        ("GET /ready HTTP/1.1", {}, judge.READY), ("POST /ready HTTP/1.1", {}, "class does not"),
+        ("POST /look HTTP/1.1", {}, "method"), ("GET /move HTTP/1.1", {"Request_Class": "move"}, "method"),
+        ("GET /other HTTP/1.1", {}, "class does not"),
+        (LOOK, {"Request_Class": "move"}, "path"),
+        (LOOK, {"Request_Id": ""}, "id"), (LOOK, {"Request_Id": "a b"}, "id"),
+        (LOOK, {"Request_Id": "!" + "~" * 127}, None),
+        (LOOK, {"Request_Id": "x" * 129}, "id"),
+        (LOOK, {"Request_Timeout_Ms": "0"}, "deadline"),
+        (LOOK, {"Request_Timeout_Ms": "-5"}, "deadline"),
+        (LOOK, {"Request_Timeout_Ms": "1" * 9}, None),
+        (LOOK, {"Request_Timeout_Ms": "1" * 10}, "deadline"),
+        (LOOK, {"Tenant": "other"}, "tenant"),
+        (LOOK, {"Work_Hint": "12.5"}, None), (LOOK, {"Work_Hint": "x"}, "hint"),
+    ],
+)  # fmt: skip
+def test_requests_that_can_be_served(first: str, headers: dict[str, str], fault: str | None) -> None:
+    (message,) = Reader(answers=False).feed(http(first, b"", **{**GOOD, **headers}))
+    told = judge.fault_of(message, Rules.of(SETTINGS))
+    assert told is None if fault is None else told is not None and fault in told
+
+
+@pytest.mark.parametrize(("size", "sound"), [(64 * 1024, True), (64 * 1024 + 1, False)])
+def test_a_body_that_is_too_large(size: int, sound: bool) -> None:
+    (message,) = Reader(answers=False).feed(
+        http("POST /move HTTP/1.1", b"x" * size, **{**GOOD, "Request_Class": "move"})
+    )
+    assert (judge.fault_of(message, Rules.of(SETTINGS)) is None) is sound
+
+
+@pytest.mark.parametrize(
+    ("changed", "sound"),
+    [
+        ({}, True), ({"id": ""}, False), ({"id": 5}, False), ({"state": "Odd"}, False),
+        ({"addr": "a"}, False),
+        ({"addr": ":80"}, False), ({"addr": "a:65535"}, True), ({"addr": "a:65536"}, False),
+        ({"addr": 5, "state": "Gone"}, True), ({"weight": -1}, False), ({"weight": True}, False),
+        ({"weight": 0}, True), ({"weight": "1"}, False), ({"weight": 1e999}, False), ({"cell": -1}, False),
+        ({"cell": 1.5}, False), ({"started_ms": -1}, False), ({"started_ms": 7}, True),
+    ],
+)  # fmt: skip
+def test_entries_that_make_sense(changed: dict[str, Any], sound: bool) -> None:
+    line = listing({**entry(A), **changed})
+    assert (read(line) is not None) is sound
+
+
+def test_lists_that_make_no_sense() -> None:
+    for line in (b"[]", b"{}", b'{"servers":{}}', b'{"version":-1,"servers":[]}', b"{", b"\xff", b"[" * 9999):
+        assert read(line) is None
+    assert read(b'{"version":3,"servers":[]}') is not None
+
+
+def test_what_has_no_end_is_not_waited_for() -> None:
+    for data in (b"x" * (MOST_HEAD + 1), b"GET / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (MOST_BODY + 1)):
+        reader = Reader(answers=False)
+        reader.feed(data)
+        assert reader.fault is not None
+    reader, part = Reader(answers=True), b"%x\r\n%s\r\n" % (1 << 20, b"x" * (1 << 20))
+    reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(5):
+        reader.feed(part)
+    assert reader.fault is not None
+
+
 # --- independence ---------------------------------------------------------------------------------
 
 
