--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -313,8 +313,10 @@
         try:
             while self._exchange(connection, reader):
                 connection.asked = True
-                self._places.rests(connection, self._scheduler.now())
-                self._make_room()
+                now = self._scheduler.now()
+                self._places.rests(connection, now)
+                if self._places.scarce(now):
+                    self._make_room()
         except (OSError, Timeout):
             return
         finally:
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -630,7 +630,8 @@
             host.util, host.util_ns = max(host.util, 1 - RESERVE), now
         lost = idle > self._unit_ns * IDLE_DOUBT and self._lost_idle(event.status, idle)
         if event.status is Status.OK and sent > host.passed[0]:
-            host.passed = sorted([*host.passed[1:], sent])
+            host.passed[0] = sent
+            host.passed.sort()
         if not lost and (known or event.status is not Status.TIMEOUT):  # of one written off all was learnt
             self._learn(host, request.cls, event.status, event.latency_ns, now)
         if event.closed:
--- a/quillpass/places.py
+++ b/quillpass/places.py
@@ -80,16 +80,18 @@
 class Inflow:
     """How many come in `AHEAD_SECONDS`: the most of lately, and as many as chance may add."""
 
-    __slots__ = ("_at", "_lately", "_peak")
+    __slots__ = ("_at", "_lately", "_peak", "most")
 
     def __init__(self) -> None:
         self._lately = self._peak = self._at = 0.0
+        self.most = 0  # `due` is no more, whatever the time
 
     def came(self, now: float) -> None:
         """One more."""
         gap = max(now - self._at, 0.0)
         self._lately = self._lately * math.exp(-gap / AHEAD_SECONDS) + 1.0
         self._peak, self._at = max(self._lately, self._peak * math.exp(-gap / PEAK_SECONDS)), now
+        self.most = math.ceil(self._peak + 2.0 * math.sqrt(self._peak))
 
     def due(self, now: float) -> int:
         """Places to keep free for them."""
@@ -105,15 +107,12 @@
     tenant: str = SILENT
     asks: int = 0
     since: float | None = 0.0
+    group: tuple[str, str, int] = (SILENT, SILENT, 0)  # while it waits
 
     @property
     def holder(self) -> tuple[str, str]:
         return self.peer, self.tenant
 
-    @property
-    def group(self) -> tuple[str, str, int]:
-        return self.peer, self.tenant, bisect_right(ASKS, self.asks)
-
 
 class Places:
     """Decides on `most` places; of them `asking` are all that clients can ever hold to ask on."""
@@ -121,9 +120,8 @@
     def __init__(self, most: int, asking: int | None = None) -> None:
         self.most, self.asking = most, min(most, asking or most)
         self._held: dict[Hashable, _Held] = {}
-        # Those that wait, by group, longest first; and how many of those that have asked each holder has.
+        # Those that wait, by group, longest first.
         self._waiting: dict[tuple[str, str, int], dict[Hashable, float]] = {}
-        self._idle_of: Counter[tuple[str, str]] = Counter()
         self._sorts: dict[tuple[str, int], Sort] = {}
         self._index: dict[tuple[str, int], list[float]] = {}
         self._learnt = -math.inf
@@ -161,11 +159,12 @@
         held = self._held.get(conn)
         if held is None:
             return True
-        if self._short(now) <= 0:
+        if not self.scarce(now):
             return True
         sort = self._sort(held)
         self._sorts.setdefault(sort, Sort())
-        if self._idle_of[held.holder] + 1 < self._share(held.holder):
+        counts = self._idle_of()
+        if counts[held.holder] + 1 < self._share(counts, held.holder):
             return True
         own, worst = self._indices(now)[sort][0], self._worst(now, held.holder)
         # One that asks again soon takes no place from anyone: its client opens no further one for that.
@@ -223,14 +222,18 @@
     def _crowd(self, now: float) -> int:
         return len(self._held) + self._firsts.due(now) - self.most
 
+    def scarce(self, now: float) -> bool:
+        """Whether places are wanting for those that will come; quick where they are plenty."""
+        return len(self._held) + self._firsts.most > self.asking and self._short(now) > 0
+
     def _short(self, now: float) -> int:
         """How many places are wanting for those that will come."""
-        asking = len(self._held) - self.silent + self._firsts.due(now) - self.asking
-        return max(asking, self._crowd(now))
+        taken = len(self._held) + self._firsts.due(now)
+        return max(taken - self.silent - self.asking, taken - self.most)
 
-    def _share(self, own: tuple[str, str] | None) -> float:
+    def _share(self, counts: Counter[tuple[str, str]], own: tuple[str, str] | None) -> float:
         """An even share of those that wait between requests, one more of `own` included."""
-        holders = len(self._idle_of) + (own is not None and own not in self._idle_of)
+        holders = len(counts) + (own is not None and own not in counts)
         return (self.idle + (own is not None)) / max(holders, 1)
 
     def _worst(
@@ -245,11 +248,12 @@
         A silent one is not among them before its first request had time to come.
         """
         indices, found = self._indices(now), None
-        share = self._share(own)
+        counts = self._idle_of()
+        share = self._share(counts, own)
         silent_too |= self._crowd(now) > 0
         for (peer, tenant, asks), waiting in self._waiting.items():
             holder = (peer, tenant)
-            if asks and self._idle_of[holder] + (holder == own) < share:
+            if asks and counts[holder] + (holder == own) < share:
                 continue
             if not asks and not silent_too:
                 continue
@@ -271,11 +275,14 @@
 
     def _wait(self, conn: Hashable, held: _Held, now: float) -> None:
         held.since = now
-        self._sorts.setdefault(self._sort(held), Sort())
-        self._waiting.setdefault(held.group, {})[conn] = now
+        sort = self._sort(held)
+        held.group = held.peer, *sort
+        if (waiting := self._waiting.get(held.group)) is None:
+            waiting = self._waiting[held.group] = {}
+            self._sorts.setdefault(sort, Sort())
+        waiting[conn] = now
         if held.asks:
             self.idle += 1
-            self._idle_of[held.holder] += 1
         else:
             self.silent += 1
 
@@ -287,18 +294,19 @@
             del self._waiting[group]
         if held.asks:
             self.idle -= 1
-            self._less(self._idle_of, held.holder)
         else:
             self.silent -= 1
         assert held.since is not None
-        self._sorts[self._sort(held)].saw(max(now - held.since, 0.0), asked)
+        self._sorts[group[1:]].saw(max(now - held.since, 0.0), asked)
         held.since = None
 
-    @staticmethod
-    def _less(counts: Counter[tuple[str, str]], holder: tuple[str, str]) -> None:
-        counts[holder] -= 1
-        if not counts[holder]:
-            del counts[holder]
+    def _idle_of(self) -> Counter[tuple[str, str]]:
+        """How many of those that have asked wait, by holder."""
+        counts: Counter[tuple[str, str]] = Counter()
+        for (peer, tenant, asks), waiting in self._waiting.items():
+            if asks:
+                counts[peer, tenant] += len(waiting)
+        return counts
 
     def _indices(self, now: float) -> dict[tuple[str, int], list[float]]:
         """The index of every sort, looked at anew now and then."""
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -188,4 +188,4 @@
                     places.state(now)
                 for conn in list(at):
                     places.closed(conn, now)
-                self.assertEqual((places.taken, places.waiting(), places._idle_of), (0, [], {}))
+                self.assertEqual((places.taken, places.waiting()), (0, []))
