--- a/quillpass/hosts.py
+++ b/quillpass/hosts.py
@@ -17,7 +17,7 @@
 HEALTH_PRIOR = 2.0  # attempts assumed served, so that one failure does not condemn a quiet host
 RESERVE = 0.25  # below this free share of the fleet, weights lean towards capacity
 OVERTAKEN = 2  # attempts sent later and answered sooner by the same host: in a queue there are none
-FIRST = (-1,) * OVERTAKEN  # where no answer has come yet
+FIRST: Any = (-1,) * OVERTAKEN  # where no answer has come yet
 NOTHING: Any = MappingProxyType({})  # what a host has out that was never in use: of thousands, most are
 UNUSED: Any = ()  # and what it was seen to do
 
@@ -40,6 +40,7 @@
         self.lost: dict[tuple[str, int], tuple[Request, int]] = NOTHING  # out, and no answer is expected
         self.late_n: list[float] = UNUSED
         self.late_sum: list[float] = UNUSED
+        self.passed: list[int] = FIRST
         self.weight = self.room = self.credit = 0.0
         self.tokens = 0
         self.forget(entry.started_ns, 0)
@@ -51,6 +52,7 @@
         if self.out is NOTHING:
             self.out, self.lost = {}, {}
             self.late_n, self.late_sum = [0.0] * classes, [0.0] * classes
+            self.passed = list(FIRST)
 
     def forget(self, started_ns: int, classes: int) -> None:
         """A (re)started process shares nothing with what ran under this name before."""
@@ -60,7 +62,7 @@
         self.late_n = [0.0] * classes if classes else UNUSED
         self.late_sum = [0.0] * classes if classes else UNUSED
         self.served = self.failed = self.turned = self.pi = 0.0
-        self.passed = FIRST  # when the attempts answered here that were sent last were sent
+        self.passed = list(FIRST) if classes else FIRST  # when the attempts answered here that were sent last were sent
         self.shut_ns = self.used_ns = self.closing_ns = 0
         self.draining = self.linked = False  # told to drain; a connection is thought to be open
         self.cold_level, self.cold_seen_ns = self.rank, started_ns
