Sidecars and cells end with what started them; words and files that make no sense are refused

Found by trying the commands with bad input. Cause: a lab up or lab run killed by SIGKILL or with its terminal left sidecars running; nan and inf as options, worlds whose tenants have no share and a picture of an unknown kind gave tracebacks; load export onto its own source emptied it; lab report made tables in any file; a name that can't be looked up held the player up for 100 s; scale took unknown classes without a word.

Change: children ask for SIGTERM at their parent's end (prctl); SIGHUP ends lab up in good order; options are finite and bounded; outputs are written beside their name and never over their source; results are opened without making them; targets are looked up once; a play that sends less than all of it has status 1.

--- a/brambleusher/cli/lab.py
+++ b/brambleusher/cli/lab.py
@@ -7,6 +7,8 @@
 
 import click
 
+from brambleusher.cli.ranges import SECONDS
+
 FILE = click.Path(path_type=Path)
 
 
@@ -17,7 +19,7 @@
 
 @command.command("up", help="A fleet on loopback: stand-in nodes, discovery, real sidecars.  Ctrl-C ends it.")
 @click.argument("world", required=False, type=FILE)
-@click.option("--for", "seconds", type=click.FloatRange(min=0), metavar="SECONDS", help="End it by itself.")
+@click.option("--for", "seconds", type=SECONDS, metavar="SECONDS", help="End it by itself.")
 @click.option("--json", "as_json", is_flag=True, help="One line with all addresses, once all is ready.")
 @click.option("--logs", type=FILE, metavar="DIR", help="Keep the sidecars' files and logs here.")
 def up_command(world: Path | None, seconds: float | None, as_json: bool, logs: Path | None) -> int:
--- a/brambleusher/cli/load.py
+++ b/brambleusher/cli/load.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import os
 import random
+import socket
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -14,9 +16,10 @@
 import msgspec
 
 from brambleusher import __version__
+from brambleusher.cli.ranges import SECONDS, SPEED, TIMES
 from brambleusher.load import demand, shape, synthetic
 from brambleusher.load.build import Plan, build
-from brambleusher.load.demand import DemandError, DemandFile
+from brambleusher.load.demand import DemandError, DemandFile, beside
 from brambleusher.load.mapping import Mapping, MappingError, read_mapping
 from brambleusher.load.opening import Progress, size_of
 from brambleusher.load.ordering import SPREADS
@@ -27,6 +30,7 @@
 from brambleusher.load.times import SECOND
 
 FILE = click.Path(path_type=Path)
+PICTURES = (".svg", ".png", ".pdf")
 OUT = click.option("-o", "--out", type=FILE, required=True, metavar="FILE", help="The file to write.")
 SEED = click.option("--seed", default=1, show_default=True, help="For all that is drawn at random.")
 Call = TypeVar("Call", bound=Any)
@@ -70,6 +74,16 @@
         yield lambda size: bar.advance(task, size)
 
 
+def apart(out: Path, *sources: Path) -> None:
+    """Refuse an output that would take the place of what it is made of; raises `SourceError`."""
+    for source in sources:
+        try:
+            if os.path.samefile(source, out):
+                raise SourceError(f"{out}: the output would take the place of what it is made of")
+        except OSError:
+            continue  # one of them is not there; what is missing is told by whoever opens it
+
+
 @command.command("build", help="Make a demand file of sources, which are put together by their times.")
 @click.argument("sources", nargs=-1, required=True, type=FILE, metavar="SOURCE...")
 @OUT
@@ -78,9 +92,7 @@
     "--log-format", metavar="FORMAT", help="Of access logs: a LogFormat, common, combined, platform."
 )
 @click.option("--mapping", type=FILE, metavar="FILE", help="What rows mean, in YAML.")
-@click.option(
-    "--window", type=click.FloatRange(min=0), default=5.0, show_default=True, help="Seconds to put in order."
-)
+@click.option("--window", type=SECONDS, default=5.0, show_default=True, help="Seconds to put in order.")
 @click.option(
     "--spread", type=click.Choice(SPREADS), default="none", show_default=True, help="Of whole seconds."
 )
@@ -93,6 +105,7 @@
     window: float, spread: str, processes: int, seed: int, as_json: bool,
 ) -> int:  # fmt: skip
     """Make a demand file; 1 if a source can't be used, and then no file is left."""
+    apart(out, *sources, *([mapping] if mapping else []))
     rules = Mapping() if mapping is None else read_mapping(mapping)
     plan = Plan(
         sources, How(rules, form, log_format), round(window * SECOND), spread, seed, processes,
@@ -120,6 +133,10 @@
 @told
 def inspect_command(file: Path, picture: Path | None, as_json: bool) -> int:
     """Figures of a demand file, which is read whole and checked."""
+    if picture is not None and picture.suffix.lower() not in PICTURES:
+        raise click.BadParameter(
+            f"{str(picture)!r} ends in none of {', '.join(PICTURES)}", param_hint="--plot"
+        )
     with DemandFile(file) as source:
         source.verify()
         summary = Summary(source.requests())
@@ -147,6 +164,7 @@
 
 def saved(source: DemandFile, out: Path, requests: Iterator[Request], by: str, **how: Any) -> int:
     """Write demand that was made from a file; prints how much."""
+    apart(out, source.path)
     made = {"by": by, "of": source.path.name, **how, "made": source.header.made}
     count = demand.write(out, requests, made, source.footer.report)
     print(f"{count:,} requests")
@@ -167,6 +185,8 @@
         first_ns = source.span_ns[0]
         start_ns = None if start is None else shape.moment(start, first_ns)
         end_ns = None if end is None else shape.moment(end, first_ns)
+        if start_ns is not None and end_ns is not None and end_ns <= start_ns:
+            raise shape.ShapeError(f"the span ends at {end}, which is not after its start at {start}")
         requests = source.requests(start_ns, end_ns)
         return saved(source, out, requests, "cut", **{"from_ns": start_ns, "to_ns": end_ns})
 
@@ -200,6 +220,8 @@
         if not dots:
             raise click.BadParameter(f"{word!r} is not FROM..TO=FACTOR", param_hint="--burst")
         edges = [shape.moment(each, start_ns) - start_ns for each in (first, last)]
+        if edges[1] <= edges[0]:
+            raise click.BadParameter(f"{word!r} ends before it begins", param_hint="--burst")
         found.append(shape.Burst(edges[0], edges[1], factor(text, "--burst")))
     return tuple(found)
 
@@ -207,14 +229,12 @@
 @command.command("scale", help="Faster, more, another mix, one burst multiplied.")
 @click.argument("file", type=FILE)
 @OUT
-@click.option("--speed", type=click.FloatRange(min=0, min_open=True), default=1.0, help="Times as fast.")
-@click.option("--rate", type=click.FloatRange(min=0), default=1.0, help="Times as many.")
+@click.option("--speed", type=SPEED, default=1.0, help="Times as fast.")
+@click.option("--rate", type=TIMES, default=1.0, help="Times as many.")
 @click.option("--class", "classes", multiple=True, metavar="NAME=FACTOR", help="Times as many of a class.")
 @click.option("--tenant", "tenants", multiple=True, metavar="NAME=FACTOR", help="Times as many of a tenant.")
 @click.option("--burst", "spans", multiple=True, metavar="FROM..TO=FACTOR", help="Times as many in a span.")
-@click.option(
-    "--jitter", type=click.FloatRange(min=0), default=1.0, show_default=True, help="Seconds, of copies."
-)
+@click.option("--jitter", type=SECONDS, default=1.0, show_default=True, help="Seconds, of copies.")
 @SEED
 @told
 def scale_command(
@@ -243,6 +263,7 @@
 @told
 def mix_command(files: tuple[Path, ...], out: Path, align: str) -> int:
     """Several demand files as one."""
+    apart(out, *files)
     sources = [DemandFile(file) for file in files]
     try:
         starts = [source.span_ns[0] for source in sources]
@@ -267,7 +288,8 @@
     """A demand file as a HAR file."""
     from brambleusher.load.har import write
 
-    with DemandFile(file) as source, open(out, "w", encoding="utf-8") as har:
+    apart(out, file)
+    with DemandFile(file) as source, beside(out) as part, open(part, "w", encoding="utf-8") as har:
         print(f"{write(source.requests(), har, __version__):,} requests")
     return 0
 
@@ -283,6 +305,8 @@
 @told
 def make_command(recipe: Path | None, out: Path, form: str, whole_seconds: bool, seed: int) -> int:
     """Demand by a recipe in YAML, or by the usual one."""
+    if recipe is not None:
+        apart(out, recipe)
     plan = synthetic.Recipe() if recipe is None else synthetic.read_recipe(recipe)
     made = synthetic.requests(plan, seed)
     if form == "demand":
@@ -290,11 +314,11 @@
     elif form == "har":
         from brambleusher.load.har import write
 
-        with open(out, "w", encoding="utf-8") as har:
+        with beside(out) as part, open(part, "w", encoding="utf-8") as har:
             count = write(made, har, __version__)
     else:
         count = 0
-        with open(out, "wb") as log:
+        with beside(out) as part, open(part, "wb") as log:
             for request in made:
                 if form == "access":
                     log.write(synthetic.log_line(request, whole_seconds))
@@ -310,9 +334,15 @@
     from brambleusher.runtime.streams import parse_address
 
     try:
-        return [parse_address(word) for given in words for word in given.split(",")]
+        found = [parse_address(word) for given in words for word in given.split(",")]
     except ValueError as error:
         raise click.BadParameter(str(error), param_hint="--target") from None
+    # A name is looked up once: looked up for each connection, it would hold up all that is due meanwhile.
+    try:
+        return [(socket.gethostbyname(host), port) for host, port in found]
+    except (OSError, UnicodeError) as error:
+        names = ",".join(host for host, _ in found)
+        raise click.BadParameter(f"{names}: {error}", param_hint="--target") from None
 
 
 @command.command("play", help="Play a demand file, each request at its time whatever the answers do.")
@@ -320,7 +350,7 @@
 @click.option(
     "--target", "targets", multiple=True, required=True, metavar="HOST:PORT,...", help="Asked in turn."
 )
-@click.option("--speed", type=click.FloatRange(min=0, min_open=True), default=1.0, help="Times as fast.")
+@click.option("--speed", type=SPEED, default=1.0, help="Times as fast.")
 @click.option("--processes", type=click.IntRange(1, 64), default=2, show_default=True, help="That play.")
 @click.option("--timeout-ms", type=click.IntRange(min=1), default=2000, show_default=True,
               help="Of requests that have none.")  # fmt: skip
@@ -361,4 +391,7 @@
         print(f"brambleusher: {error}", file=sys.stderr)
         return 1
     print(msgspec.json.encode(results.plain()).decode() if as_json else "\n".join(results.texts()))
+    if results.sent < total:
+        print(f"brambleusher: {results.sent:,} of {total:,} requests were played", file=sys.stderr)
+        return 1
     return 1 if results.late or results.total("unsent") else 0
--- a/brambleusher/lab/experiments/matrix.py
+++ b/brambleusher/lab/experiments/matrix.py
@@ -14,6 +14,7 @@
 from brambleusher.lab.experiments.plan import Cell, ExperimentFile
 from brambleusher.lab.experiments.run import run
 from brambleusher.lab.experiments.store import CellResult, Store
+from brambleusher.lab.parent import tied_to
 from brambleusher.runtime.real import RealSystem
 
 END_SECONDS = 10.0
@@ -36,6 +37,9 @@
     """One cell in a process of its own: its result and seconds, or in words what went wrong."""
     signal.signal(signal.SIGINT, _stop)
     signal.signal(signal.SIGTERM, _stop)
+    parent = multiprocessing.parent_process()
+    if parent is not None and parent.pid is not None:
+        tied_to(parent.pid)()
     began = RealSystem.monotonic()
     try:
         outcome: Outcome = run(cell)
@@ -43,7 +47,10 @@
         outcome = f"{type(error).__name__}: {error}"
     except KeyboardInterrupt:
         return
-    pipe.send((outcome, RealSystem.monotonic() - began))
+    try:
+        pipe.send((outcome, RealSystem.monotonic() - began))
+    except (BrokenPipeError, KeyboardInterrupt):
+        return  # nobody is there to take it
 
 
 def run_all(file: ExperimentFile, cells: list[Cell], out: Path, jobs: int | None, say: Say) -> int:
--- a/brambleusher/lab/experiments/plan.py
+++ b/brambleusher/lab/experiments/plan.py
@@ -10,7 +10,7 @@
 import msgspec
 import yaml
 
-from brambleusher.lab.stand_ins.settings import Positive, Settings
+from brambleusher.lab.stand_ins.settings import Settings
 from brambleusher.lab.worlds import WorldError, WorldFile, world_of
 from brambleusher.load import shape, synthetic
 from brambleusher.load.demand import DemandError, DemandFile
@@ -18,6 +18,8 @@
 
 FORMAT = 1
 Where = Literal["virtual", "sockets"]
+Speed = Annotated[float, msgspec.Meta(ge=1e-6, le=1e6)]
+Times = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 
 
 class ExperimentError(ValueError):
@@ -29,8 +31,8 @@
 
     file: str | None = None
     recipe: dict[str, Any] | None = None
-    rate: Positive = 1.0
-    classes: dict[str, float] = msgspec.field(default_factory=dict)  # times as many of a class
+    rate: Times = 1.0
+    classes: dict[str, Times] = msgspec.field(default_factory=dict)  # times as many of a class
 
 
 class ExperimentFile(Settings, frozen=True):
@@ -46,7 +48,7 @@
         default_factory=lambda: ["virtual"]
     )
     through: Literal["sidecars", "nodes"] = "sidecars"  # nodes: straight, to see how true a play is
-    speed: Positive | dict[Where, Positive] = 1.0
+    speed: Speed | dict[Where, Speed] = 1.0
     timeout_ms: Annotated[int, msgspec.Meta(ge=1)] = 2000  # of requests that have none
     check: bool = True  # in virtual time, every rule
 
--- a/brambleusher/lab/experiments/store.py
+++ b/brambleusher/lab/experiments/store.py
@@ -77,15 +77,31 @@
             raise StoreError(f"{path}: No such file")
         self.path = path
         try:
-            self._base = sqlite3.connect(path)
-            self._base.executescript(SCHEMA)
-            had = self.about("format")
-            if had is None:
-                self._about("format", str(FORMAT))
-            elif had != str(FORMAT):
-                raise StoreError(f"{path}: the results are of format {had}; only {FORMAT} can be read")
+            # What is only looked at gets no tables, whatever it turns out to be.
+            where = path if new else f"{path.resolve().as_uri()}?mode=rw"
+            self._base = sqlite3.connect(where, uri=not new)
+        except sqlite3.Error as error:
+            raise StoreError(f"{path}: {error}") from None
+        try:
+            self._open(new)
         except sqlite3.Error as error:
+            self._base.close()
             raise StoreError(f"{path}: {error}") from None
+        except StoreError:
+            self._base.close()
+            raise
+
+    def _open(self, new: bool) -> None:
+        there = {row[0] for row in self._base.execute("SELECT name FROM sqlite_master WHERE type = 'table'")}
+        if new and (not there or "about" in there):
+            self._base.executescript(SCHEMA)
+        elif not {"about", "cells"} <= there:
+            raise StoreError(f"{self.path}: these are no results of an experiment")
+        had = self.about("format")
+        if had is None and new:
+            self._about("format", str(FORMAT))
+        elif had != str(FORMAT):
+            raise StoreError(f"{self.path}: the results are of format {had}; only {FORMAT} can be read")
 
     def __enter__(self) -> Self:
         """Itself."""
--- a/brambleusher/lab/figures.py
+++ b/brambleusher/lab/figures.py
@@ -107,6 +107,8 @@
     connect_timeout_s: Positive = 0.25
     tick_s: Positive = 0.005
     over_share_worth: Part = 0.05
+    connection_fee: Seconds = 0.075  # of each open one, and of each that is opened; with both at 0 a
+    handshake_fee: Seconds = 0.075  # sidecar uses more nodes
 
 
 class WorldFigures(Settings, frozen=True):
@@ -182,7 +184,8 @@
             },
             "score_parts": {"whole": 0.35, "worst_class": 0.2, "worst_tenant": 0.1, "worst_window": 0.35},
             "fees": {
-                "connection": 0.075, "cross_zone": 0.1, "handshake": 0.075, "late_fail": 0.075, "waste": 0.06
+                "connection": rules.connection_fee, "cross_zone": 0.1, "handshake": rules.handshake_fee,
+                "late_fail": 0.075, "waste": 0.06,
             },
             "telemetry": {"how": "piggyback", "names": list(self.nodes[0].settings.report_fields)},
         }  # fmt: skip
--- a/brambleusher/lab/real_fleet.py
+++ b/brambleusher/lab/real_fleet.py
@@ -23,6 +23,7 @@
 
 from brambleusher.lab.figures import NodeFigures, WorldFigures
 from brambleusher.lab.fleet import configuration
+from brambleusher.lab.parent import tied_to
 from brambleusher.lab.stand_ins.discovery import Discovery, Entry
 from brambleusher.lab.stand_ins.node import Execution, Node
 from brambleusher.lab.worlds import WorldFile
@@ -168,6 +169,7 @@
                 [sys.executable, "-m", "brambleusher", "--operator", str(path)], env={**os.environ, **own},
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                 start_new_session=True,  # a terminal's Ctrl-C is ours, and we end them in good order
+                preexec_fn=tied_to(os.getpid()),  # and where this process is killed, they end all the same
             )  # fmt: skip
         self.scheduler.spawn(self._hear, sidecar, name=f"{name} figures")
         self.scheduler.spawn(self._await, sidecar, name=f"{name} ready")
--- a/brambleusher/lab/stand_ins/settings.py
+++ b/brambleusher/lab/stand_ins/settings.py
@@ -7,8 +7,8 @@
 import msgspec
 
 Count = Annotated[int, msgspec.Meta(ge=0)]
-Seconds = Annotated[float, msgspec.Meta(ge=0)]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]  # an infinite one can't be told to a sidecar
+Positive = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
 Part = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
--- a/brambleusher/lab/up.py
+++ b/brambleusher/lab/up.py
@@ -21,10 +21,14 @@
 
 
 def up(world: WorldFile, seconds: float | None, as_json: bool, logs: Path | None) -> int:
-    """Run a fleet until SIGINT, SIGTERM or for so long; 1 if it did not come up or a sidecar ended."""
+    """Run a fleet until SIGINT, SIGTERM, SIGHUP or its time; 1 if it did not come up or a sidecar ended."""
+    try:
+        folder = folder_for(logs)
+    except OSError as error:
+        print(f"brambleusher: {logs}: {error.strerror}", file=sys.stderr)
+        return 1
     system = RealSystem()
     scheduler = Scheduler(system)
-    folder = folder_for(logs)
     where = Path(folder.name) if isinstance(folder, tempfile.TemporaryDirectory) else folder
     fleet = RealFleet(scheduler, world, where)
     ended = False
@@ -34,8 +38,8 @@
         ended = True
         scheduler.stop()
 
-    system.on_signal(signal.SIGINT, end)
-    system.on_signal(signal.SIGTERM, end)
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        system.on_signal(number, end)
     status = 0
     try:
         fleet.start()
--- a/brambleusher/lab/worlds.py
+++ b/brambleusher/lab/worlds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated, Any, Literal
@@ -29,6 +30,10 @@
     Seconds,
     Settings,
 )
+from brambleusher.load.request import TOKEN
+
+TENANT = re.compile(r"[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?\Z")
+Share = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 
 
 class WorldError(ValueError):
@@ -85,7 +90,7 @@
     known: Literal["fresh", "old", "none"] = "fresh"
     kinds: dict[str, Kind] = msgspec.field(default_factory=_kinds)
     classes: dict[str, Class] = msgspec.field(default_factory=_classes)
-    tenants: dict[str, float] = msgspec.field(default_factory=_tenants)  # shares
+    tenants: dict[str, Share] = msgspec.field(default_factory=_tenants)  # shares
     usage: Positive = 0.8  # of their quotas, at `requests_per_s`
     requests_per_s: Positive = 400.0
     discovery: DiscoverySettings = DiscoverySettings()
@@ -99,6 +104,12 @@
         """The world's figures, for a run of some length; raises `WorldError`."""
         if not self.zones or not self.classes or not any(kind.count for kind in self.kinds.values()):
             raise WorldError("zones, kinds and classes must not be empty")
+        for name in self.classes:
+            if not TOKEN.match(name):
+                raise WorldError(f"classes: {name!r} can't stand in a path")
+        for name in self.tenants:
+            if not TENANT.match(name):
+                raise WorldError(f"tenants: {name!r} can't stand in a header")
         rng = random.Random(f"{self.seed}/ids")
         nodes: list[NodeFigures] = []
         for name, kind in self.kinds.items():
@@ -113,6 +124,8 @@
                     )
                 )  # fmt: skip
         total = sum(self.tenants.values())
+        if self.tenants and not total > 0:
+            raise WorldError("tenants have no share")
         world = WorldFigures(
             length_s=length_s,
             faults_s=max([0.001, *(fault.at_s + fault.for_s for fault in self.faults)]),
--- a/brambleusher/load/demand.py
+++ b/brambleusher/load/demand.py
@@ -15,6 +15,7 @@
 import zlib
 from bisect import bisect_left
 from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from itertools import pairwise
 from pathlib import Path
 from typing import Any, BinaryIO, Self
@@ -69,13 +70,36 @@
     report: dict[str, Any] = {}  # what was left out, and what was noted
 
 
+def part_of(path: Path) -> Path:
+    """A name beside a file's own, to write to; raises `DemandError` where there can be no such file."""
+    if path.is_dir():
+        raise DemandError(f"{path}: Is a directory")
+    if not path.parent.is_dir():
+        raise DemandError(f"{path}: there is no directory {path.parent}")
+    return path.with_name(f".{path.name}.{os.getpid()}.part")
+
+
+@contextmanager
+def beside(path: Path) -> Iterator[Path]:
+    """The name to write to; it becomes the file's own at the end.  What fails leaves no trace."""
+    part = part_of(path)
+    try:
+        yield part
+        os.replace(part, path)
+    finally:
+        part.unlink(missing_ok=True)
+
+
 class DemandWriter:
     """Writes one file: to a name beside it first, so that a file that is there is a whole one."""
 
     def __init__(self, path: str | Path, made: dict[str, Any] | None = None) -> None:
         self.path, self._made = Path(path), made or {}
-        self._part = self.path.with_name(f".{self.path.name}.{os.getpid()}.part")
-        self._file = open(self._part, "wb")  # noqa: SIM115
+        self._part = part_of(self.path)
+        try:
+            self._file = open(self._part, "wb")  # noqa: SIM115
+        except OSError as error:
+            raise DemandError(f"{path}: {error.strerror}") from None
         self._sum = hashlib.sha256()
         self._offset = 0
         self._rows: list[Request] = []
--- a/brambleusher/load/processes.py
+++ b/brambleusher/load/processes.py
@@ -98,7 +98,15 @@
 
 
 def _child(path: str, plan: Play, pipe: Connection) -> None:
-    """One process: says that it is ready, is told when to begin, says how far it is, sends its results."""
+    """One process; it ends without a word where the one that started it has ended."""
+    try:
+        _play(path, plan, pipe)
+    except (EOFError, BrokenPipeError, ConnectionResetError):
+        return
+
+
+def _play(path: str, plan: Play, pipe: Connection) -> None:
+    """Says that it is ready, is told when to begin, says how far it is, sends its results."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # the parent has it, and tells
     system = RealSystem()
     scheduler = Scheduler(system)
--- a/brambleusher/load/shape.py
+++ b/brambleusher/load/shape.py
@@ -72,12 +72,16 @@
     """Demand as `scale` says.
 
     A request that is to stand 2.3 times stands twice, or with a chance of 0.3 three times.  It stays where
-    it is; its copies follow it at random within the jitter, but not across a burst's edge.
+    it is; its copies follow it at random within the jitter, but not across a burst's edge.  Raises
+    `ShapeError` at the end where a factor is for a class or tenant that no request has.
     """
     rng = random.Random(scale.seed)
     held: list[tuple[int, int, Request]] = []
     count = 0
+    classes, tenants = set(scale.classes), set(scale.tenants)  # that no request has had yet
     for request in requests:
+        classes.discard(request.request_class)
+        tenants.discard(request.tenant or "")
         while held and held[0][0] <= request.at_ns:
             yield _sped(heapq.heappop(held)[2], start_ns, scale.speed)
         passed_ns = request.at_ns - start_ns
@@ -92,6 +96,9 @@
             heapq.heappush(held, (at_ns, count, msgspec.structs.replace(request, at_ns=at_ns)))
     while held:
         yield _sped(heapq.heappop(held)[2], start_ns, scale.speed)
+    for kind, names in (("class", classes), ("tenant", tenants)):
+        if names:
+            raise ShapeError(f"no request is of the {kind} {', '.join(sorted(names))}")
 
 
 def _sped(request: Request, start_ns: int, speed: float) -> Request:
--- a/brambleusher/load/synthetic.py
+++ b/brambleusher/load/synthetic.py
@@ -85,8 +85,17 @@
         raise RecipeError(f"{path}: {error}") from None
 
 
+def _finite(value: Any, name: str) -> None:
+    if isinstance(value, float) and not math.isfinite(value):
+        raise RecipeError(f"{name} is no finite number")
+    if isinstance(value, dict):
+        for key, each in value.items():
+            _finite(each, f"{name}.{key}" if name else str(key))
+
+
 def checked(recipe: Recipe) -> Recipe:
     """The recipe, if its figures make sense; raises `RecipeError`."""
+    _finite(msgspec.to_builtins(recipe), "")
     for name, value, low in (
         ("seconds", recipe.seconds, 0.001), ("rate", recipe.rate, 0.0), ("refused", recipe.refused, 0.0),
         ("retry_after_s", recipe.retry_after_s, 0.001), ("retries", recipe.retries, 0),
--- a/tests/test_lab_experiments.py
+++ b/tests/test_lab_experiments.py
@@ -5,6 +5,7 @@
 import json
 import os
 import re
+import select
 import signal
 import subprocess
 import sys
@@ -66,6 +67,11 @@
         ({"kinds": {"k": {"count": 0}}}, "must not be empty"),
         ({"faults": [{"kind": "node-hung", "target": "s-1", "at_s": 1, "for_s": 1}]}, "aimed at 's-1'"),
         ([], "a world is a mapping"),
+        ({"tenants": {"a": 0}}, "tenants have no share"),
+        ({"tenants": {"a": -1}}, r">= 0.0 - at `\$.tenants"),
+        ({"tenants": {"a\n": 1}}, "tenants: 'a.n' can't stand in a header"),
+        ({"classes": {"a b": {}}}, "classes: 'a b' can't stand in a path"),
+        ({"requests_per_s": float("inf")}, r"<= 1000000000.0 - at `\$.requests_per_s`"),
     ],
 )
 def test_a_world_that_can_not_be_used_is_refused_by_name(raw: object, said: str) -> None:
@@ -253,6 +259,65 @@
         assert [cell.state for cell in store.cells()] == ["waiting"]
 
 
+def ended(handles: list[int]) -> bool:
+    """Whether processes end, by their pidfds: those of others too, and also where one has ended already."""
+    try:
+        return all(select.select([handle], [], [], WAIT)[0] for handle in handles)
+    finally:
+        for handle in handles:
+            os.close(handle)
+
+
+def test_an_experiment_that_is_killed_leaves_no_process(tmp_path: Path) -> None:
+    path, folder = tmp_path / "e.yaml", tmp_path / "tmp"
+    folder.mkdir()
+    recipe = "{seconds: 300, rate: 5, burst: null}"
+    path.write_text(f"where: [sockets]\nworlds: {{w: {{sidecars: 1}}}}\ndemands: {{d: {{recipe: {recipe}}}}}")
+    run = subprocess.Popen(
+        [sys.executable, "-m", "brambleusher", "lab", "run", str(path)],
+        cwd=ROOT, stderr=subprocess.DEVNULL, env={**os.environ, "TMPDIR": str(folder)},
+    )  # fmt: skip
+    until = time.monotonic() + WAIT
+    while not (sidecars := processes_of(folder)):
+        assert time.monotonic() < until and run.poll() is None
+        time.sleep(0.02)
+    handles = [os.pidfd_open(int(each.parent.name)) for each in sidecars]
+    run.kill()
+    assert ended(handles)
+    run.wait()
+
+
+@pytest.mark.parametrize(
+    ("number", "at_sidecar", "status"),
+    [
+        (signal.SIGTERM, False, 0),
+        (signal.SIGHUP, False, 0),
+        (signal.SIGKILL, False, -9),
+        (signal.SIGKILL, True, 1),
+    ],
+)
+def test_however_a_fleet_ends_it_leaves_no_sidecar(
+    number: signal.Signals, at_sidecar: bool, status: int, tmp_path: Path
+) -> None:
+    world = tmp_path / "w.yaml"
+    world.write_text("kinds: {k: {count: 1}}\nsidecars: 2\n")
+    fleet = subprocess.Popen(
+        [sys.executable, "-m", "brambleusher", "lab", "up", str(world), "--json"],
+        cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+        env={**os.environ, "TMPDIR": str(tmp_path)},
+    )  # fmt: skip
+    assert fleet.stdout is not None
+    pids = [each["pid"] for each in json.loads(fleet.stdout.readline())["sidecars"]]
+    handles = [os.pidfd_open(pid) for pid in pids]
+    os.kill(pids[0] if at_sidecar else fleet.pid, number)
+    said = fleet.communicate(timeout=WAIT)[1]
+    assert fleet.returncode == status
+    assert said.startswith("brambleusher: sidecar n0 ended -9") if at_sidecar else said == ""
+    assert ended(handles)
+    if status >= 0:
+        assert not processes_of(tmp_path) and list(tmp_path.iterdir()) == [world]
+
+
 def test_a_fleet_comes_up_is_played_on_and_ends_without_a_trace(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
