--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -45,6 +45,8 @@
 OLD_LOOKED_AT = 6  # the oldest attempts out of a host that the tick looks at: bounds its work
 OVERTAKEN = 2  # attempts sent later and answered sooner by the same host: in a queue there are none
 WRITE_OFF = 2.5  # times the usual answer's time, of its class and of its host: so old and overtaken is lost
+OVER_ROOM = 0.3  # of the room above, for what is beyond a tenant's share
+OVER_SHARE = 1e9  # off the worth of what is beyond a tenant's share: it comes last, and to spare room alone
 TENANT_BURST = 2.0  # requests of a tenant that may come at once: one place flags half of what is in its share
 RING_MIN = 4  # hosts a quiet proxy uses: choice enough to pass over a bad one, and few connections
 RING_FREE = 3  # times as many where connections have no price
@@ -56,6 +58,7 @@
 COLD_SLICE = 0.5  # of a cold host's budget: the rest is for chance and for unequal proxies
 ROOM_FOR_ALL = 0.7  # of the limit on what is out; above, places go by worth, the last to the best
 WAIT_OF_AIM = 1 / 8  # of the aim may pass in queues under overload: a crowd forms before answers are late
+USUAL_OF_AIM = 0.35  # at most: a crowd's first answers come before its reports, and pass for usual ones
 SPOILT = 0.01  # share of requests that may find every attempt used up on full hosts
 SILENCE = 6.0  # times the usual answer's time: past it an attempt is given up where some are not answered
 NEVER_RAN = frozenset({Status.FULL, Status.CONNECT_FAILED, Status.MOOT})
@@ -95,10 +98,7 @@
 
     @property
     def welcome(self) -> float:
-        """What it takes of what it is sent, where it turns work away with room left.
-
-        Guards against a host that turns away at once and reports that it is idle: it draws the most turns.
-        """
+        """What it takes of what it is sent: one that turns away at once looks idle and draws most turns."""
         good = self.served + HEALTH_PRIOR
         return good / (good + self.turned) if self.util < 1 - RESERVE else 1.0
 
@@ -227,7 +227,7 @@
         self._turn = Turn(self._rng)
         # Lately: attempts on idle connections, answered and timed out; failed connections; the most
         # attempts out; requests.
-        self._idle_kept = self._idle_lost = self._unlinked = self._peak = self._rate = 0.0
+        self._idle_kept = self._idle_lost = self._unlinked = self._peak = self._rate = self._lately = 0.0
         self._silent = 0.0  # attempts that timed out lately
         self._idle_ns = float(settings.conn_idle_ns or math.inf)
         self._trust_ns = self._idle_ns  # how long an idle connection is trusted
@@ -241,8 +241,8 @@
         self._kind_capacity: dict[str, float] = {}
         # Own traffic.
         self._lat_n, self._lat_sum = [0.0] * count, [0.0] * count
-        self._quiet_ns = [float(cls.aim_ns) for cls in settings.classes]
-        self._index_n, self._served_rate, self._span, self._retries = 0.0, 0.0, 1e-9, Retries()
+        self._quiet_ns = [cls.aim_ns * WAIT_OF_AIM for cls in settings.classes]
+        self._index_n, self._served_rate, self._span, self._retries = 0.0, 0.0, 1e-9, Retries(count)
         # Admission.
         self._limit, self._offered, self._logged_ns = math.inf, 1e-9, 0
         self._full_sum = self._turned = self._best_rate = 0.0
@@ -415,21 +415,23 @@
 
     # --- admission ----------------------------------------------------------------------------
 
-    def _worth_density(self, event: api.RequestArrived, cls: int, now: int) -> float:
+    def _worth_density(self, event: api.RequestArrived, cls: int, now: int, spent: float) -> float:
         """Worth per unit of work, as it is counted here; beyond a tenant's share little is left."""
         settings = self.settings
-        worth = settings.classes[cls].worth
-        tenant = self._quota.get(event.tenant or "")
+        kind, worth = settings.classes[cls], settings.classes[cls].worth
+        worth *= kind.late_worth if spent >= kind.aim_ns else 1.0  # its client has waited before
+        over, tenant = False, self._quota.get(event.tenant or "")
         if tenant is not None and tenant.quota_per_s > 0:
-            rate = tenant.quota_per_s * self._my_share
+            rate = tenant.quota_per_s * max(self._my_share, 1 / settings.fleet_size)
             level = self._tenant_level[tenant.name]
             level += rate * (now - self._tenant_seen.get(tenant.name, now)) / SECOND
             level, self._tenant_seen[tenant.name] = min(level, max(rate, TENANT_BURST)), now
-            worth *= 1.0 if level >= 1 else settings.over_share_worth
+            over = level < 1
             self._tenant_level[tenant.name] = level - (level >= 1)
         if not settings.worth_by_work:
             worth /= max(self._quiet_ns[cls], 1.0) / SECOND
-        return worth * (1 + 0.01 * self._rng.random())  # breaks ties between equal requests
+        worth *= 1 + 0.01 * self._rng.random()  # breaks ties between equal requests
+        return worth - OVER_SHARE if over else worth
 
     def _steer_admission(self, gap: float) -> None:
         """How many own attempts may be out, by Little's law: the wait is what is out over the rate served.
@@ -449,7 +451,7 @@
         counts = sum(self._lat_n) + 1e-9
         aim = sum(n * cls.aim_ns for n, cls in zip(self._lat_n, settings.classes, strict=True)) / counts
         usual = sum(n * quiet for n, quiet in zip(self._lat_n, self._quiet_ns, strict=True)) / counts
-        held = min(usual, aim * GOAL_OF_AIM) + aim * WAIT_OF_AIM if counts >= 1 else float(self._unit_ns)
+        held = min(usual, aim * USUAL_OF_AIM) + aim * WAIT_OF_AIM if counts >= 1 else float(self._unit_ns)
         # Hosts that are crowded serve less than they did, and go on so until the crowd has left: the
         # part falls with the rate they reach now and once more with what that is of their best (followed
         # upwards slowly: of a few noisy figures the highest is no measure).
@@ -458,21 +460,24 @@
         best = self._best_rate * math.exp(-gap / BEST_WINDOW) or max(rate, 1e-9)
         self._best_rate = best + max(rate - best, 0.0) * min(gap / HEALTH_WINDOW, 1.0)
         takes = sum(host.welcome for host in ring) / max(len(ring), 1)
-        due = self._my_share * rate * takes * self._ready * held / SECOND * min(rate / self._best_rate, 1.0)
+        part = max(self._my_share, 1 / settings.fleet_size)  # by its share alone, one cut down would stay so
+        due = part * rate * takes * self._ready * held / SECOND * min(rate / self._best_rate, 1.0)
         goal = held / max(aim * GOAL_OF_AIM, 1.0) if counts >= 1 else PI_GOAL
-        change = min(max(goal / max(index, 0.1) - 1, -0.5), 0.5)
+        change = min(max(goal / max(index, 0.1) - 1, -0.5), 1.0)
         # Where little is served at all, hosts still work on what was given up: wait for them.  But an attempt
         # a host, of all proxies together, crowds nobody: a limit below that is held down by the little it
         # lets through, and by the few of it that are never answered, while hosts are idle.
-        floor = due / 3 * sum(host.health for host in ring) / max(len(ring), 1)
-        floor = max(floor, self._my_share * self._ready)
-        top = due if busy or self._tight else max(due * 2, 2.0 * self._open, len(ring))
-        self._limit = min(max(self._limit * (1 + change * min(gap, 1.0)), floor), top)
+        crowded = busy or self._tight
+        floor = due * (sum(host.health for host in ring) / max(len(ring), 1) / 3 if crowded else 1.0)
+        floor = max(floor, part * self._ready)
+        top = due if crowded else max(due * 2, 2.0 * self._open, len(ring))
+        self._limit = max(min(self._limit * (1 + change * min(gap, 1.0)), top), floor)
         if not self._open and self._index_n < 1:
             # Guards against the first burst of a proxy that has been idle meeting the limit of an idle one:
             # a few attempts, as many as the hosts in use.  No answer speaks for a limit yet.
             self._limit = math.inf
-        self._offered = max(self._rate / HEALTH_WINDOW * held / self._unit_ns, 1e-9)
+        come = min(self._rate / HEALTH_WINDOW, self._lately + math.sqrt(self._lately) + 1)  # in an aim
+        self._offered = max(come * held / self._unit_ns, 1e-9)
         self._ranked = sorted(self._densities)
         if self._tight and not was and self._ticked_ns - self._logged_ns > BEST_WINDOW * self._unit_ns:
             self._logged_ns = self._ticked_ns
@@ -486,21 +491,23 @@
             return True
         limit, chance = self._limit, math.sqrt(max(self._limit, 1.0))
         occupied = (self._open - limit * ROOM_FOR_ALL) / (limit * (1 - ROOM_FOR_ALL) + chance)
-        occupied = max(occupied, 1 - limit / self._offered) if self._late or self._turned < 1 else occupied
-        if occupied <= 0 or not self._ranked:
-            return True
+        if (self._late or self._turned < 1) and (self._open or limit < 1):  # else nothing is learnt
+            occupied = max(occupied, 1 - limit / self._offered)
+        if occupied <= 0 or not self._ranked or density < 0:
+            return occupied <= OVER_ROOM or density >= 0
         return occupied < 1 and density >= self._ranked[int(occupied * len(self._ranked))]
 
     def _arrived(self, event: api.RequestArrived, now: int) -> None:
         cls = self._classes[event.request_class]
-        self._rate += 1
-        density = self._worth_density(event, cls, now)
+        self._rate, self._lately = self._rate + 1, self._lately + 1
+        spent, again = self._retries.waited(cls, event.left_ns)
+        density = self._worth_density(event, cls, now, spent)
         self._densities.append(density)
         request, welcome = Request(event.request, cls, now, event.left_ns), self._worth_now(density)
-        if not event.is_retry:
+        if not (event.is_retry or again):
             self._retries.asked()
-        elif welcome:
-            welcome = self._retries.repeated()
+        elif not self._retries.repeated():  # what is only taken for a repeat is held to it in a crowd
+            welcome = welcome and not (event.is_retry or self._tight)
         host = self._pick(request, now) if welcome else None
         if host is None:
             self._retries.unworked()
@@ -553,12 +560,11 @@
             self._out.append(api.LetGo(host.name))
             idle = 0
         doubted = idle > self._unit_ns * IDLE_DOUBT and self._trust_ns < self._idle_ns
+        usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
         if doubted and cls.effect is not Effect.UNSAFE and left > 1:
-            usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0) or math.inf
-            timeout = int(min(3 * usual, cls.aim_ns / 2, (request.deadline_ns - now) / 2))
+            timeout = int(min(3 * usual or math.inf, cls.aim_ns / 2, (request.deadline_ns - now) / 2))
         if self._silent > 1 and not self._late and cls.effect is Effect.SAFE and left > 1 and not timeout:
             # Guards against connections that fell silent under a request, while there is room elsewhere.
-            usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
             patience = max(SILENCE * usual, cls.aim_ns * GOAL_OF_AIM)
             timeout = int(patience) if now + 2 * patience < request.deadline_ns else 0
         host.out[(request.id, len(request.attempts))] = (request, now)
@@ -575,10 +581,8 @@
             return False
         if request.out and not self.settings.second_copies:
             return False
-        if cls.effect is Effect.SAFE or not (request.ran or request.out):
-            return True
-        if cls.effect is Effect.UNSAFE:
-            return False
+        if cls.effect is not Effect.KEYED or not (request.ran or request.out):
+            return cls.effect is Effect.SAFE or not (request.ran or request.out)
         # Keyed: the resend has to arrive, connection and all, while the group still remembers.
         if request.origin is None:
             request.origin, request.first_ran_ns, _ = request.attempts[-1]
@@ -592,9 +596,8 @@
         self._call_off(request)
         cls = self.settings.classes[request.cls]
         harmless = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
-        refuse = harmless or not (request.ran or request.out)
-        wait = self._stay_away(self._tight)
-        self._out.append(api.Refuse(request.id, wait) if refuse else api.Fail(request.id))
+        refusal = api.Refuse(request.id, self._stay_away(self._tight))
+        self._out.append(refusal if harmless or not (request.ran or request.out) else api.Fail(request.id))
 
     def _stay_away(self, crowded: bool) -> int:
         """When a refused client should come back: for as long as can be said where there is a crowd.
@@ -702,10 +705,8 @@
     def _write_off(self, now: int) -> None:
         """Attempts overtaken on their host, and old, are lost: count them no more, and send a copy elsewhere.
 
-        Guards against connections that fall silent under a request.  A crowd answers in the order in which
-        it was asked; one that later ones overtake is not waiting its turn.  Counted as out, a few such hold
-        every place under the limit, and their age makes idle hosts look late.  Where hosts are busy, heavy
-        requests are overtaken too: nothing is written off there.
+        Guards against connections that fall silent: a queue answers in order.  Counted as out, a few hold
+        every place and make idle hosts look late.  Where hosts are busy, heavy requests are overtaken too.
         """
         for host in self._turn.ring if self._mean_util < 1 - RESERVE else ():
             for key, (request, sent) in list(host.out.items()):
@@ -869,7 +870,7 @@
         self._ticked_ns = now
         self._decay(gap)
         self._trust_ns = min(self._trust_ns * math.exp(gap / IDLE_WINDOW), self._idle_ns)
-        self._rate = self._rate * math.exp(-gap / HEALTH_WINDOW)
+        self._rate, self._lately = self._rate * math.exp(-gap / HEALTH_WINDOW), self._lately * math.exp(-gap)
         self._peak = max(float(self._open), self._peak * math.exp(-gap / CAPACITY_WINDOW))
         if min(size := self._ring_size(), self._ready) > (used := len(self._turn.ring)) or size * 2 < used:
             self._choose()
