--- a/brambleusher/control/faults.py
+++ b/brambleusher/control/faults.py
@@ -7,12 +7,5 @@
     """A configuration, file or answer that can't be used; the message names the key or the file."""
 
 
-class MissingExtra(ControlError):
-    """A library of the extra `control` is not installed."""
-
-    def __init__(self, library: str) -> None:
-        super().__init__(f"{library} is missing: install the extra, pip install 'brambleusher[control]'")
-
-
 class ProtocolError(ValueError):
     """A subscriber broke a rule of the protocol or a bound; its stream ends, and nothing else."""
