--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -616,6 +616,8 @@
         return lambda: client.channel.sock if client.reader.buffered < 2 * FREE_BYTES else None
 
     def _has_left(self, client: Client) -> bool:
+        if client.reader.buffered >= 2 * FREE_BYTES:
+            return False
         data = client.channel.receive_now()
         if data:
             client.reader.feed(data)
--- a/tests/test_mysql_front.py
+++ b/tests/test_mysql_front.py
@@ -5,6 +5,7 @@
 import logging
 import socket
 import struct
+import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
 from functools import partial
@@ -803,3 +804,28 @@
     rig.until(lambda: rig.sidecar.mysql is not None and not rig.sidecar.mysql.front.connections)
     assert rig.sidecar.mysql is not None
     assert rig.sidecar.mysql.front._memory_left == 1024 * 1024
+
+
+def test_a_client_that_sends_ahead_is_read_within_bounds_and_answered_in_turn(make: Make) -> None:
+    rig, _ = make(1, kept_for="sending ahead")
+    client, count = Raw(rig), 60
+    text = b"\x03select 1 /* " + b"x" * 10_000 + b" */"
+    client.send(b"\x03begin")
+    assert client.take()[0] == 0
+    client.send(b"\x03select sleep(0.5)")
+    ahead = threading.Thread(target=client.sock.sendall, args=(frame(text, 0) * count,))
+    ahead.start()
+    mysql = rig.sidecar.mysql
+    assert mysql is not None
+    most = 0
+    while not rig.do(lambda: mysql.front._clients[client.thread].reader.buffered > 128 * 1024):
+        pass
+    for _ in range(20):
+        most = max(most, rig.do(lambda: mysql.front._clients[client.thread].reader.buffered))
+    assert most < 256 * 1024
+    assert len(client.whole()) == 4
+    for _ in range(count):
+        client.reader.expect(1)
+        assert client.whole()[0] == b"\x01"
+    ahead.join()
+    client.close()
