Silent connections let in late leave as early as those let in first

A connection that is accepted while accepts are put off now counts from when that began, with 0.25 s left at least.

--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -29,7 +29,7 @@
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import Socket
 from quillpass.api import Effect, Refuse, Status
-from quillpass.places import Places
+from quillpass.places import FRESH_SECONDS, Places
 
 log = logging.getLogger(__name__)
 
@@ -217,6 +217,7 @@
         self._listener: Socket | None = None
         self._accepting: Task | None = None
         self._connections: set[Connection] = set()
+        self._put_off_since: float | None = None  # accepts, while connections wait in the system's queue
         self._closing = False
 
     # --- the listener ---------------------------------------------------------------------------
@@ -233,10 +234,17 @@
         while True:
             if self._places.taken >= self._places.most and not self._make_room(self._places.most):
                 self._counters.add("accepts_put_off")
-                self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
+                self._put_off()
             elif not self._accept_one(listener):
+                self._put_off_since = None
                 self._scheduler.park(sock=listener)
 
+    def _put_off(self) -> None:
+        """Leave those that wait to be accepted waiting for a moment."""
+        if self._put_off_since is None:
+            self._put_off_since = self._scheduler.now()
+        self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
+
     def _accept_one(self, listener: Socket) -> bool:
         """Take one connection that waits; false if none does."""
         try:
@@ -248,10 +256,15 @@
                 # Guards against a loop at full speed, and against dying, while no descriptor is free.
                 log.warning("no descriptor to accept with", extra={"fields": {"error": error.strerror}})
                 self._make_room(self._places.taken)
-                self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
+                self._put_off()
             return True  # others concern the connection that was to be taken, and it is gone
         self._counters.add("connections_accepted")
         connection = Connection(Stream(self._scheduler, sock), peer)
+        if self._put_off_since is not None:
+            # Guards against silent ones by the hundred that are held too long: each group let in after
+            # another would have its whole time again, though it may have connected when the first did.
+            least = connection.accepted_at - FIRST_SECONDS + FRESH_SECONDS
+            connection.accepted_at = max(self._put_off_since, least)
         self._connections.add(connection)
         self._places.opened(connection, connection.peer, connection.accepted_at)
         connection.task = self._scheduler.spawn(self._serve, connection, name="submitter")
