A last request that is milliseconds late no longer makes a window of its own

Cause: fidelity.yaml on sockets said that rate and mix were off by 100%: two requests came 8 ms after the 600th second, in a 61st window that had none due. Change: what comes within a window after the end counts in the last one that has demand.

--- a/brambleusher/load/fidelity.py
+++ b/brambleusher/load/fidelity.py
@@ -133,9 +133,21 @@
                 if len(fidelity.first) < 5:
                     fidelity.first.append(f"request {number}: {what} is {is_now!r} in place of {stood!r}")
     fidelity.strange = len(came)
+    _close_last(windows)
     return fidelity
 
 
+def _close_last(windows: list[Window]) -> None:
+    """Count what came within a window after the demand's end in the last one that has demand.
+
+    Guards against a last request that is milliseconds late: alone in a window of its own it would be off by
+    all of nothing.  What comes later still keeps its windows.
+    """
+    if len(windows) > 1 and not windows[-1].due and windows[-2].due:
+        for name, count in windows.pop().came.items():
+            windows[-1].came[name] = windows[-1].came.get(name, 0) + count
+
+
 def _window(windows: list[Window], at: int) -> Window:
     while len(windows) <= at:
         windows.append(Window())
--- a/tests/test_load_play.py
+++ b/tests/test_load_play.py
@@ -262,6 +262,15 @@
     assert type(false).restored(msgspec.json.decode(msgspec.json.encode(false.plain()))) == false
 
 
+def test_the_last_window_takes_what_is_a_little_late_and_no_more() -> None:
+    requests = [look(n) for n in range(20)]
+    heard = [Heard(n * SECOND, str(n), "look", None, None, False, "/look?a=1", 0) for n in range(20)]
+    for late_s, windows, off in ((0.5, 2, 0.0), (1.5, 2, 0.0), (11.5, 4, 1.0)):
+        heard[19] = heard[19]._replace(at_ns=int((19 + late_s) * SECOND))
+        found = compared(requests, heard, str, target_of)
+        assert (len(found.windows), found.rate_off) == (windows, off)
+
+
 def test_bursts_are_found_and_long_spans_take_no_more_room() -> None:
     summary = Summary(synthetic.requests(synthetic.Recipe(rate=20.0), 1))
     (burst,) = summary.bursts()
