Demand without requests can be scaled by any class

Cause: the refusal of unknown classes, found by a property test whose demand was empty. Change: it asks for a request to have been there. Result: a test of its own.

--- a/brambleusher/load/shape.py
+++ b/brambleusher/load/shape.py
@@ -73,13 +73,14 @@
 
     A request that is to stand 2.3 times stands twice, or with a chance of 0.3 three times.  It stays where
     it is; its copies follow it at random within the jitter, but not across a burst's edge.  Raises
-    `ShapeError` at the end where a factor is for a class or tenant that no request has.
+    `ShapeError` at the end where a factor is for a class or tenant that none of its requests has.
     """
     rng = random.Random(scale.seed)
     held: list[tuple[int, int, Request]] = []
-    count = 0
+    count, asked = 0, False
     classes, tenants = set(scale.classes), set(scale.tenants)  # that no request has had yet
     for request in requests:
+        asked = True
         classes.discard(request.request_class)
         tenants.discard(request.tenant or "")
         while held and held[0][0] <= request.at_ns:
@@ -97,7 +98,7 @@
     while held:
         yield _sped(heapq.heappop(held)[2], start_ns, scale.speed)
     for kind, names in (("class", classes), ("tenant", tenants)):
-        if names:
+        if names and asked:
             raise ShapeError(f"no request is of the {kind} {', '.join(sorted(names))}")
 
 
--- a/tests/test_load_faults.py
+++ b/tests/test_load_faults.py
@@ -8,7 +8,7 @@
 import pytest
 
 from brambleusher.__main__ import main
-from brambleusher.load import demand, processes, synthetic
+from brambleusher.load import demand, processes, shape, synthetic
 from brambleusher.load.demand import DemandFile
 from brambleusher.load.pacing import Pace
 from brambleusher.load.player import Play
@@ -89,3 +89,7 @@
     mine, theirs = multiprocessing.Pipe()
     mine.close()
     processes._child(str(made / "d"), Play([("127.0.0.1", 1)], Pace(0)), theirs)
+
+
+def test_demand_without_requests_can_be_scaled() -> None:
+    assert list(shape.scaled([], 0, shape.Scale(classes={"x": 2.0}))) == []
