--- a/brambleusher/cli/explore.py
+++ b/brambleusher/cli/explore.py
@@ -43,12 +43,14 @@
     """What many runs came to."""
 
     seeds: int = 0
-    requests: int = 0
+    asked: int = 0
+    taken: int = 0
     served: int = 0
     attempts: int = 0
     events: int = 0
     virtual_s: float = 0.0
-    fewest: int = -1
+    fewest_asked: int = -1
+    fewest_taken: int = -1
     kinds_fewest: int = -1
     shortest_s: float = -1.0
     faults: Counter[str] = field(default_factory=Counter)
@@ -59,12 +61,14 @@
         """One run more."""
         first = not self.seeds
         self.seeds += 1
-        self.requests += result.requests
+        self.asked += result.asked
+        self.taken += result.taken
         self.served += result.served
         self.attempts += result.attempts
         self.events += result.events
         self.virtual_s += result.virtual_s
-        self.fewest = result.requests if first else min(self.fewest, result.requests)
+        self.fewest_asked = result.asked if first else min(self.fewest_asked, result.asked)
+        self.fewest_taken = result.taken if first else min(self.fewest_taken, result.taken)
         self.kinds_fewest = len(result.faults) if first else min(self.kinds_fewest, len(result.faults))
         self.shortest_s = result.virtual_s if first else min(self.shortest_s, result.virtual_s)
         self.faults.update(result.faults)
@@ -77,8 +81,10 @@
         return [
             f"{self.seeds} seeds of profile {profile} in {took_s:.1f} s with {jobs} jobs: "
             f"{self.seeds / took_s:.1f} seeds and {self.virtual_s / took_s:.1f} virtual seconds a second",
-            f"{self.requests} requests ({self.requests / self.seeds:.0f} a seed, {self.fewest} at least), "
-            f"{self.served} served, {self.attempts} attempts, {self.events} events on the wire, "
+            f"{self.asked} requests asked ({self.asked / self.seeds:.0f} a seed, "
+            f"{self.fewest_asked} at least), "
+            f"{self.taken} tries taken by sidecars ({self.fewest_taken} at least), {self.served} served, "
+            f"{self.attempts} attempts at nodes, {self.events} events on the wire, "
             f"{self.virtual_s:.0f} virtual seconds ({self.shortest_s:.1f} at least)",
             f"kinds of fault ({self.kinds_fewest} a seed at least): "
             + ", ".join(f"{kind} {count}" for kind, count in sorted(self.faults.items())),
@@ -199,7 +205,7 @@
         for line in _worded(result, where):
             print(line)
     else:
-        print(f"{result.requests} requests, {result.served} served, "
+        print(f"{result.asked} requests asked, {result.taken} tries taken, {result.served} served, "
               f"{result.virtual_s:.1f} virtual seconds, no breach")  # fmt: skip
     print(f"digest {result.digest}")
     return BROKEN if result.breaches else FINE
--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -181,7 +181,8 @@
     profile: str
     digest: str
     breaches: list[Breach]
-    requests: int  # taken by sidecars
+    asked: int  # requests that submitters went out with, each counted once, however often it was tried
+    taken: int  # tries that sidecars had whole
     served: int
     attempts: int
     events: int  # on the wire
@@ -248,7 +249,8 @@
                     line.line(breach.at_ns, f"BREACH {row}")
         return Result(
             seed=scenario.seed, profile=scenario.profile, digest=digest.hex(), breaches=breaches,
-            requests=checker.taken, served=checker.served, attempts=checker.attempts, events=digest.events,
+            asked=sum(bool(each.tries) for each in fleet.asked), taken=checker.taken, served=checker.served,
+            attempts=checker.attempts, events=digest.events,
             virtual_s=(world.now_ns - begun) / SECOND,
             faults=Counter(str(_worded(fault)["kind"]) for fault in scenario.faults),
             broken=checker.count + len(raised.breaches),
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -8,11 +8,14 @@
 import sys
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from brambleusher.cli import call
-from brambleusher.cli.explore import _all, _chunk
+from brambleusher.cli.explore import Tally, _all, _chunk
 from brambleusher.lab.explore import play
+from brambleusher.lab.faults import LEAST_KINDS, SidecarKilled
+from brambleusher.lab.figures import LEAST_REQUESTS
 from brambleusher.lab.scenario import draw_scenario, read_scenario
 
 ROOT = Path(__file__).parent.parent
@@ -39,6 +42,7 @@
     broken: list[str] = []
     slow: list[str] = []
     for result in _chunk((range(first, first + SEEDS), "default", None)):
+        assert result.asked >= LEAST_REQUESTS and result.virtual_s >= 5 and len(result.faults) >= LEAST_KINDS
         for breach in result.breaches[:1]:
             told = f"brambleusher explore --replay {result.seed}: {breach}"
             (slow if breach.rule == "recovery" else broken).append(told)
@@ -50,7 +54,7 @@
 def test_what_was_found_once_stays_mended(path: Path) -> None:
     result = play(read_scenario(path.read_bytes()))
     assert not result.breaches, "\n".join(str(breach) for breach in result.breaches)
-    assert result.requests
+    assert result.asked and result.taken
 
 
 def test_a_seed_is_the_same_run_in_any_process_and_under_any_hash_seed() -> None:
@@ -69,6 +73,28 @@
     assert len(set(one)) == len(seeds)
 
 
+def test_a_summary_tells_what_was_asked_apart_from_what_arrived() -> None:
+    """A sidecar that is down takes nothing; what is then asked of it is asked all the same."""
+    scenario = draw_scenario(7)
+    whole = play(scenario)
+    assert whole.asked == len(scenario.asks) and whole.taken > 0
+    down = msgspec.structs.replace(
+        scenario,
+        faults=tuple(
+            SidecarKilled(at_s=0.02, for_s=scenario.world.faults_s, target=sidecar.name)
+            for sidecar in scenario.world.sidecars
+        ),
+    )
+    less = play(down)
+    assert less.asked == len(scenario.asks) and less.taken < whole.taken
+    tally = Tally()
+    for result in (whole, less):
+        tally.add(result)
+    said = "\n".join(tally.worded("default", 1.0, 1))
+    assert f"{2 * len(scenario.asks)} requests asked" in said and f"{len(scenario.asks)} at least" in said
+    assert f"{whole.taken + less.taken} tries taken by sidecars ({less.taken} at least)" in said
+
+
 def test_the_time_line_tells_who_sent_what_to_whom() -> None:
     said: list[str] = []
     result = play(draw_scenario(3), say=said.append)
