--- a/quillpass/hosts.py
+++ b/quillpass/hosts.py
@@ -62,7 +62,8 @@
         self.late_n = [0.0] * classes if classes else UNUSED
         self.late_sum = [0.0] * classes if classes else UNUSED
         self.served = self.failed = self.turned = self.pi = 0.0
-        self.passed = list(FIRST) if classes else FIRST  # when the attempts answered here that were sent last were sent
+        # When the attempts answered here that were sent last were sent.
+        self.passed = list(FIRST) if classes else FIRST
         self.shut_ns = self.used_ns = self.closing_ns = 0
         self.draining = self.linked = False  # told to drain; a connection is thought to be open
         self.cold_level, self.cold_seen_ns = self.rank, started_ns
