--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -42,7 +42,8 @@
 )
 from brambleusher.lab.zone_days import FALL_MULTIPLE, ZONES, Books, Day, play
 from quillpass import Balancer, api
-from quillpass.balance import Host, Request
+from quillpass.balance import Request
+from quillpass.hosts import Host
 from quillpass.zoned import balancer_for
 
 ZONE = "macon"
@@ -179,6 +180,8 @@
         pool = multiprocessing.get_context("fork").Pool(processes, maxtasksperchild=4)
         done = pool.imap_unordered(_run, longest)
     for job, books in done:
+        if books.service(1, len(books.went)) < 0.2:  # a program that does not serve has no figures
+            raise RuntimeError(f"{job.day.name}, {job.way}, seed {job.seed}: next to nothing was served")
         found.setdefault((job.day.name, job.way), {})[job.seed] = books
     return {key: [books for _, books in sorted(by.items())] for key, by in found.items()}
 
--- a/quillpass/zones.py
+++ b/quillpass/zones.py
@@ -341,6 +341,8 @@
         node.streak += 1
         node.gone_wrong += 1
         zone.missed += 1
+        if zone.held:  # soon once more: is it lost again?
+            zone.probe_ns, zone.probe_pause_ns = min(zone.probe_ns, now + int(PROBE_AIMS * self.unit_ns)), 0
         zone.unreached = zone.unreached + 1 if status is Status.CONNECT_FAILED else 0
 
     def _time(self, zone: Zone, cls: int, latency_ns: float) -> None:
@@ -412,7 +414,6 @@
         """It is being tried; the next try comes later while none is answered."""
         unit = self.unit_ns
         pause = min(max(2 * zone.probe_pause_ns, int(PROBE_AIMS * unit)), int(PROBE_AIMS_MOST * unit))
-        # After one that was missed, soon again: whether it is lost once more.
         zone.probe_pause_ns = int(HELD_AIMS * unit) if zone.held and not zone.missed else pause
         zone.probe_ns, zone.probe_at = now + zone.probe_pause_ns, zone.probe_at + 1
         zone.tried_ns = now
