--- a/brambleusher/lab/checker/checker.py
+++ b/brambleusher/lab/checker/checker.py
@@ -290,12 +290,18 @@
         if self._twice:
             self._check_twice(now)
 
-    def finish(self, now: int, left_over: Iterable[str] = ()) -> list[Breach]:
-        """The run is over; `left_over` is what the fleet found left, in words.  All breaches."""
+    def finish(
+        self, now: int, left_over: Iterable[str] = (), unreached: Iterable[tuple[int, str]] = ()
+    ) -> list[Breach]:
+        """The run is over.  All breaches.
+
+        `left_over` is what the fleet found left, in words; `unreached` the requests whose submitters came
+        by no connection in any try, with the moments (ns) at which they were due: no wire shows these.
+        """
         self.step(now + 1)
         for text in left_over:
             self._breach("left-over", now, "the fleet", text)
-        self._check_recovery(now)
+        self._check_recovery(now, unreached)
         return self.breaches
 
     # --- submitters -----------------------------------------------------------------------------
@@ -387,6 +393,8 @@
             self._break("answer", now, taking, f"answered {(now - taking.due_ns) / 1e6:.3f} ms too late")
         if status == 200:
             self._check_made(now, taking, answer.body)
+        elif status < 500 and status != 429:
+            self._check_told_off(now, taking)
         elif status in (429, 503) and taking.effect == UNSAFE:
             risky = [each for each in taking.attempts if each.may_run]
             if risky:
@@ -394,6 +402,13 @@
                     "refusal", now, taking, f"refused with {status}; it may have run on {risky[0].wire.where}"
                 )
 
+    def _check_told_off(self, now: int, taking: Taking) -> None:
+        """It can be served: only its id, used by another one too, or a body not read may speak against it."""
+        unread = taking.taken_ns < 0 or taking.wire.read_in < taking.message.end
+        twins = len(self._takings.get((taking.life.machine, taking.name), ())) > 1
+        if not unread and not twins:
+            self._break("told-off", now, taking, f"answered {taking.status}, and nothing is wrong with it")
+
     def _check_made(self, now: int, taking: Taking, body: bytes) -> None:
         self._look()
         self.served += 1
@@ -764,7 +779,7 @@
 
     # --- the end --------------------------------------------------------------------------------
 
-    def _check_recovery(self, now: int) -> None:
+    def _check_recovery(self, now: int, unreached: Iterable[tuple[int, str]]) -> None:
         rules = self.rules
         if self._calm_ns < 0:
             return
@@ -781,13 +796,18 @@
             and (first.status or not first.settled)
         ]
         lost = [tries for tries in counted if not any(each.status == 200 for each in tries)]
-        if len(counted) < rules.recover_least or len(lost) <= (1 - rules.recover_part) * len(counted):
+        away = [(at, name) for at, name in unreached if at >= start]
+        count, missed = len(counted) + len(away), len(lost) + len(away)
+        if count < rules.recover_least or missed <= max(1, (1 - rules.recover_part) * count):
             return
+        trails = (
+            [each.trail for each in lost[0]] if lost else [[(away[0][0], f"{away[0][1]} was not let in")]]
+        )
         self._breach(
             "recovery", now, "the fleet",
-            f"{len(counted) - len(lost)} of {len(counted)} requests served from {start / 1e9:.9f} on, the "
+            f"{count - missed} of {count} requests served from {start / 1e9:.9f} on, the "
             f"last fault ended at {self._calm_ns / 1e9:.9f}; the first one not served follows",
-            *(each.trail for each in lost[0]),
+            *trails,
         )  # fmt: skip
 
     # --- breaches -------------------------------------------------------------------------------
--- a/brambleusher/lab/checker/rules.py
+++ b/brambleusher/lab/checker/rules.py
@@ -17,6 +17,7 @@
     "made-answer": "an answer served that no execute node made for this request",
     "other-answer": "an answer served that was made for another request",
     "unusable": "a request that can't be used was served or passed on",
+    "told-off": "a request that can be served was told that it can't be used",
     "refusal": "a refusal of what may not be repeated and may have run",
     "repeat": "what may not be repeated was sent again though it may have run",
     "once": "what may not be repeated was run twice",
@@ -63,7 +64,7 @@
     term_ns: int = 700 * MS  # what comes later than this after SIGTERM must not be left unanswered
     recover_ns: int = 3 * SECOND
     recover_part: float = 0.95
-    recover_least: int = 20  # fewer requests than this tell nothing
+    recover_least: int = 8  # fewer requests than this tell nothing, and one lost of fewer than 20 neither
     max_body: int = 64 * 1024
     extra: Mapping[str, Any] = field(default_factory=dict)
 
--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -159,6 +159,23 @@
             )
 
 
+class Fallen(Tap):
+    """Notes each process whose main program raised, be it a sidecar's or a stand-in's."""
+
+    def __init__(self) -> None:
+        self.breaches: list[Breach] = []
+
+    def process(self, now: int, machine: Machine, what: str) -> None:
+        """One that has just exited is still its machine's last."""
+        process = machine.process
+        if what != "exited" or process is None or process.error is None:
+            return
+        what = f"its main program raised {type(process.error).__name__}: {process.error}"
+        rows = traceback.format_exception(process.error)
+        trail = tuple((now, row) for row in "".join(rows).splitlines())
+        self.breaches.append(Breach(FAULT, now, process.name, what, trail))
+
+
 @contextmanager
 def _listening(handlers: list[logging.Handler]) -> Iterator[None]:
     """The program's log goes to these handlers alone, for a while."""
@@ -212,8 +229,8 @@
         fleet = Fleet(scenario, world)
         checker = Checker(rules, fleet.executions)
         fleet.audience = checker
-        digest, raised = Digest(), Raised(world)
-        world.taps += [cast(Tap, checker), digest]
+        digest, raised, fallen = Digest(), Raised(world), Fallen()
+        world.taps += [cast(Tap, checker), digest, fallen]
         handlers: list[logging.Handler] = [raised]
         line: TimeLine | None = None
         if say is not None:
@@ -242,7 +259,8 @@
                 trail = tuple((world.now_ns, row) for row in traceback.format_exc().splitlines())
                 what = f"{type(error).__name__}: {error}"
                 raised.breaches.append(Breach(LAB, world.now_ns, "the lab", what, trail))
-        breaches = sorted(checker.breaches + raised.breaches, key=lambda breach: breach.at_ns)
+        others = raised.breaches + fallen.breaches
+        breaches = sorted(checker.breaches + others, key=lambda breach: breach.at_ns)
         if line is not None:
             for breach in breaches:
                 for row in str(breach).split("\n"):
@@ -253,7 +271,7 @@
             attempts=checker.attempts, events=digest.events,
             virtual_s=(world.now_ns - begun) / SECOND,
             faults=Counter(str(_worded(fault)["kind"]) for fault in scenario.faults),
-            broken=checker.count + len(raised.breaches),
+            broken=checker.count + len(others),
         )  # fmt: skip
 
 
@@ -267,7 +285,12 @@
     for place in fleet.sidecars:
         if place.up and place.figures.capture and place.process is not None:
             checker.captured(world.now_ns, place.machine.name, bytes(place.process.stderr))
-    checker.finish(world.now_ns, left_over)
+    unreached = [
+        (each.due_ns, each.ask.id)
+        for each in fleet.asked
+        if each.tries and all(last.end == "unreachable" for last in each.tries)
+    ]
+    checker.finish(world.now_ns, left_over, unreached)
 
 
 def _worded(fault: object) -> dict[str, Any]:
--- a/brambleusher/lab/world.py
+++ b/brambleusher/lab/world.py
@@ -483,6 +483,8 @@
             return
         except SystemExit as error:
             status = error.code if isinstance(error.code, int) else 0 if error.code is None else 1
+        except KeyboardInterrupt:
+            raise  # meant for who runs the world
         except BaseException as error:
             status, self.error = 1, error
             self.write_stderr(traceback.format_exc().encode("utf-8", "backslashreplace"))
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -939,6 +939,30 @@
     play.answer(conn, 502)
 
 
+@wire("told-off")
+def told_off_though_it_can_be_served(play: Play) -> None:
+    play.answer(play.take(), 400)
+
+
+@wire("told-off")
+def sent_elsewhere(play: Play) -> None:
+    play.answer(play.take(cls="look"), 302)
+
+
+@wire("")
+def told_off_for_an_id_in_use(play: Play) -> None:
+    conn = play.take()
+    play.answer(play.take(), 400)
+    play.answer(conn, 429)
+
+
+@wire("")
+def told_off_before_its_end_was_read(play: Play) -> None:
+    conn = play.client()
+    play.pass_(conn, "client", ask("r1"), read=False)
+    play.answer(conn, 408)
+
+
 @wire("unusable")
 def served_without_a_deadline(play: Play) -> None:
     play.answer(play.take(wait_ms="soon"), 200, b"")
@@ -1068,12 +1092,22 @@
 
 @wire("")
 def too_few_to_tell(play: Play) -> None:
-    afterwards(play, 0, 19, 3)
+    afterwards(play, 0, 7, 3)
 
 
 @wire("recovery")
 def just_enough_to_tell(play: Play) -> None:
-    afterwards(play, 0, 20, 3)
+    afterwards(play, 0, 8, 3)
+
+
+@wire("")
+def one_lost_of_few(play: Play) -> None:
+    afterwards(play, 11, 12, 3)
+
+
+@wire("recovery")
+def two_lost_of_few(play: Play) -> None:
+    afterwards(play, 17, 19, 3)
 
 
 @wire("")
@@ -1099,6 +1133,15 @@
     afterwards(play, 0, 100, 2)
 
 
+@pytest.mark.parametrize(("lost", "rules"), [(1, []), (2, ["recovery"])])
+def test_who_is_not_let_in_is_not_served(lost: int, rules: list[str]) -> None:
+    play = Play()
+    afterwards(play, 10, 10, 3)
+    before = [(10 * S, "long before")] * 9
+    found = play.checker.finish(play.now + 60 * S, (), before + [(play.now, "r99")] * lost)
+    assert [each.rule for each in found] == rules
+
+
 @pytest.mark.parametrize(("rule", "name", "call"), WIRES, ids=[name for _, name, _ in WIRES])
 def test_wire(rule: str, name: str, call: Callable[[Play], object]) -> None:
     play = Play()
