explore: Ctrl-C ends all processes with one line; a misworded option is one line too

Ctrl-C printed a traceback for each process, and amid the forks it left one behind that ran on.

The processes leave SIGINT to the parent, which blocks it while it forks; the pool is closed with the call. Usage errors of all commands are one line with status 2. The file is tried first.

--- a/brambleusher/cli/explore.py
+++ b/brambleusher/cli/explore.py
@@ -6,11 +6,12 @@
 import multiprocessing
 import os
 import re
+import signal
 import sys
 import time
 from collections import Counter
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import Generator, Iterator
+from contextlib import closing, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -117,6 +118,20 @@
     return results
 
 
+def _leave_stopping_to_the_parent() -> None:
+    """A terminal's Ctrl-C reaches every process: one of them has to answer for all."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+
+
+@contextmanager
+def _stoppable() -> Iterator[None]:
+    """Ctrl-C ends the call with one line."""
+    try:
+        yield
+    except KeyboardInterrupt:
+        raise click.Abort from None
+
+
 @contextmanager
 def uncollected() -> Iterator[None]:
     """Without the collector, which is called by hand between two runs."""
@@ -129,7 +144,7 @@
             gc.enable()
 
 
-def _all(seeds: range, profile: str, breakage: str | None, jobs: int) -> Iterator[Result]:
+def _all(seeds: range, profile: str, breakage: str | None, jobs: int) -> Generator[Result, None, None]:
     """The results in the order of the seeds, whatever the number of processes."""
     tasks = [(seeds[at : at + CHUNK], profile, breakage) for at in range(0, len(seeds), CHUNK)]
     if jobs == 1:
@@ -138,7 +153,11 @@
         return
     gc.collect()
     gc.freeze()
-    with multiprocessing.get_context("fork").Pool(min(jobs, len(tasks))) as pool:
+    # A Ctrl-C amid the forks would leave behind those that the pool does not know of yet.
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGINT})
+    pool = multiprocessing.get_context("fork").Pool(min(jobs, len(tasks)), _leave_stopping_to_the_parent)
+    with pool:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
         for results in pool.imap(_chunk, tasks):
             yield from results
 
@@ -169,10 +188,13 @@
 
 def _explore(seeds: range, profile: str, breakage: str | None, jobs: int, progress: bool) -> int:
     began, tally = time.monotonic(), Tally()
-    for result in _all(seeds, profile, breakage, jobs):
-        tally.add(result)
-        if progress and tally.seeds % 200 == 0:
-            print(f"\r{tally.seeds} seeds, {len(tally.broken)} broken", end="", file=sys.stderr, flush=True)
+    with closing(_all(seeds, profile, breakage, jobs)) as results:
+        for result in results:
+            tally.add(result)
+            if progress and tally.seeds % 200 == 0:
+                print(
+                    f"\r{tally.seeds} seeds, {len(tally.broken)} broken", end="", file=sys.stderr, flush=True
+                )
     took = max(time.monotonic() - began, 1e-9)
     if progress:
         print("\r", end="", file=sys.stderr)
@@ -220,6 +242,9 @@
         gc.collect()
         return result
 
+    path = Path(out or f"scenario-{scenario.seed}.yaml")
+    if path.is_dir() or not os.access(path if path.exists() else path.parent, os.W_OK):
+        raise Misuse(f"{path}: can't be written")
     with uncollected():
         first = run(scenario)
         if not first.breaches:
@@ -229,9 +254,8 @@
             scenario, rule, lambda each: rule in run(each).rules, lambda text: print(text, file=sys.stderr)
         )
     text = write_scenario(small)
-    path = out or f"scenario-{scenario.seed}.yaml"
     try:
-        Path(path).write_text(text, encoding="utf-8")
+        path.write_text(text, encoding="utf-8")
     except OSError as error:
         raise Misuse(f"{path}: {error.strerror}") from None
     print(f"{rule}: {len(scenario.faults)} faults and {len(scenario.asks)} requests became "
@@ -285,18 +309,19 @@
     if sum(wanted) != 1:
         raise Misuse("say one of FILE, --seeds, --replay, --shrink, --write")
     told = "" if breakage is None else f" --breakage {breakage}"
-    if file is not None:
-        return _one(_load(file), breakage, quiet, f"brambleusher explore {file}{told}")
-    if seeds is not None:
-        return _explore(seeds_of(seeds), profile, breakage, jobs, sys.stderr.isatty() and not quiet)
-    for seed in (replay, smaller, write):
-        if seed is not None and not 0 <= seed < 10**18:
-            raise Misuse(f"seed {seed}: a whole number from 0 on")
-    if replay is not None:
-        where = f"brambleusher explore --replay {replay} --profile {profile}{told}"
-        return _one(draw_scenario(replay, profile), breakage, quiet, where)
-    if smaller is not None:
-        return _shrink(draw_scenario(smaller, profile), breakage, out)
-    assert write is not None
-    print(write_scenario(draw_scenario(write, profile)), end="")
-    return FINE
+    with _stoppable():
+        if file is not None:
+            return _one(_load(file), breakage, quiet, f"brambleusher explore {file}{told}")
+        if seeds is not None:
+            return _explore(seeds_of(seeds), profile, breakage, jobs, sys.stderr.isatty() and not quiet)
+        for seed in (replay, smaller, write):
+            if seed is not None and not 0 <= seed < 10**18:
+                raise Misuse(f"seed {seed}: a whole number from 0 on")
+        if replay is not None:
+            where = f"brambleusher explore --replay {replay} --profile {profile}{told}"
+            return _one(draw_scenario(replay, profile), breakage, quiet, where)
+        if smaller is not None:
+            return _shrink(draw_scenario(smaller, profile), breakage, out)
+        assert write is not None
+        print(write_scenario(draw_scenario(write, profile)), end="")
+        return FINE
--- a/brambleusher/cli/group.py
+++ b/brambleusher/cli/group.py
@@ -54,6 +54,9 @@
     """One command; the exit status is what it returns, 2 where it is not worded rightly."""
     try:
         status = everything.main(list(words), prog_name="brambleusher", standalone_mode=False)
+    except click.UsageError as error:
+        print(f"brambleusher: {error.format_message()}", file=sys.stderr)
+        return error.exit_code
     except click.ClickException as error:
         error.show()
         return error.exit_code
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import re
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -16,7 +18,9 @@
 from brambleusher.lab.explore import play
 from brambleusher.lab.faults import LEAST_KINDS, SidecarKilled
 from brambleusher.lab.figures import LEAST_REQUESTS
+from brambleusher.lab.fleet import Fleet
 from brambleusher.lab.scenario import draw_scenario, read_scenario
+from brambleusher.lab.world import VirtualSystem
 
 ROOT = Path(__file__).parent.parent
 SCENARIOS = sorted((ROOT / "tests" / "scenarios").glob("*.yaml"))
@@ -124,6 +128,43 @@
     assert "no breach" in capsys.readouterr().out
 
 
+def test_ctrl_c_ends_all_processes_with_one_line() -> None:
+    ignores = 1 << (signal.SIGINT - 1)
+    with subprocess.Popen(
+        [sys.executable, "-m", "brambleusher", "explore", "--seeds", "0:1000000", "--jobs", "2"],
+        cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, start_new_session=True,
+    ) as run:  # fmt: skip
+        ready, rounds = 0, 0
+        while ready < 2 and rounds < 3000 and run.poll() is None:
+            with contextlib.suppress(subprocess.TimeoutExpired):  # the kernel tells nobody of a mask
+                run.wait(0.02)
+            children = Path(f"/proc/{run.pid}/task/{run.pid}/children").read_text().split()
+            masks = [Path(f"/proc/{child}/status").read_text().partition("SigIgn:")[2] for child in children]
+            ready, rounds = sum(bool(int(mask.split()[0], 16) & ignores) for mask in masks), rounds + 1
+        os.killpg(run.pid, signal.SIGINT)
+        out, err = run.communicate(timeout=60)
+    assert ready == 2
+    assert (run.returncode, out, err) == (130, "", "brambleusher: stopped\n")
+
+
+def test_a_stand_in_whose_main_program_raises_spoils_the_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fall(self: Fleet, system: VirtualSystem) -> None:
+        raise RuntimeError("out of order")
+
+    monkeypatch.setattr(Fleet, "_submit", fall)
+    breaches = play(draw_scenario(3), stop_at_breach=True).breaches
+    assert any(each.rule == "fault" and "out of order" in each.what for each in breaches)
+
+
+def test_ctrl_c_within_a_process_of_the_world_ends_the_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    def stop(self: Fleet, system: VirtualSystem) -> None:
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(Fleet, "_submit", stop)
+    with pytest.raises(KeyboardInterrupt):
+        play(draw_scenario(3))
+
+
 @pytest.mark.parametrize(
     ("words", "named"),
     [
@@ -135,6 +176,9 @@
         (["--replay", "1", "--shrink", "2"], "say one of"),
         (["--replay", "-1"], "-1"),
         ([], "say one of"),
+        (["--replay", "x"], "--replay"),
+        (["--none-such"], "--none-such"),
+        (["--shrink", "0", "--breakage", "ticket-kept", "-o", "no/such/small.yaml"], "no/such"),
         (["no/such/file.yaml"], "no/such/file.yaml"),
         (["README.md"], "README.md"),
     ],
