--- a/brambleusher/lab/figures.py
+++ b/brambleusher/lab/figures.py
@@ -444,7 +444,7 @@
 
 # --- demand ---------------------------------------------------------------------------------------
 
-LEAST_REQUESTS = 60
+LEAST_REQUESTS = 60  # that come after the faults
 CROWD_S = 0.25  # within so long a crowd comes
 # Once the faults are over the crowd goes home: at most so much of the capacity is asked for, in even steps,
 # so that whoever is not served then is owed to the program and not to chance.
@@ -458,14 +458,15 @@
     rng = draw.rng
     times: list[float] = []
     count = max(LEAST_REQUESTS, round(world.length_s * world.requests_per_s))
-    times += [world.opens_s + rng.uniform(0, CROWD_S) for _ in range(int(count * world.crowd))]
+    times = [world.opens_s + rng.uniform(0, CROWD_S) for _ in range(int(count * world.crowd))]
     times += [rng.uniform(0, world.length_s - 0.05) for _ in range(count - len(times))]
     calm_from = world.faults_s + CALM_AFTER_S
-    late = sum(at > calm_from for at in times)
-    gap = (world.length_s - 0.05 - calm_from) / max(1, late)
+    # Enough of them when all sidecars are up: what comes while one is down is not taken by anybody.
+    late = max(LEAST_REQUESTS, sum(at > calm_from for at in times))
+    gap = (world.length_s - 0.05 - calm_from) / late
     times = [at for at in times if at <= calm_from]
     times += [calm_from + gap * (number + rng.random()) for number in range(late)]
-    calm = min(1.0, CALM_LOAD * world.capacity / (world.requests_per_s * world.mean_work_s))
+    calm = min(1.0, CALM_LOAD * world.capacity * gap / world.mean_work_s)
     weights = [rng.uniform(0.3, 1.7) for _ in world.sidecars]  # some get far more than others
     asks = []
 
--- a/tests/test_fault_plans.py
+++ b/tests/test_fault_plans.py
@@ -51,7 +51,8 @@
     for seed in SEEDS:
         scenario = draw_scenario(seed)
         world = scenario.world
-        assert len(scenario.asks) >= LEAST_REQUESTS and world.length_s >= 5
+        assert sum(ask.at_s > world.faults_s for ask in scenario.asks) >= LEAST_REQUESTS
+        assert world.length_s >= 5
         assert len({fault.kind for fault in scenario.faults}) >= LEAST_KINDS
         assert all(0 < fault.at_s <= fault.end_s <= world.faults_s + 1e-3 for fault in scenario.faults)
         assert all(0 <= ask.at_s <= world.length_s for ask in scenario.asks)
