--- a/brambleusher/cli/explore.py
+++ b/brambleusher/cli/explore.py
@@ -6,11 +6,12 @@
 import multiprocessing
 import os
 import re
+import signal
 import sys
 import time
 from collections import Counter
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import Generator, Iterator
+from contextlib import closing, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -43,12 +44,14 @@
     """What many runs came to."""
 
     seeds: int = 0
-    requests: int = 0
+    asked: int = 0
+    taken: int = 0
     served: int = 0
     attempts: int = 0
     events: int = 0
     virtual_s: float = 0.0
-    fewest: int = -1
+    fewest_asked: int = -1
+    fewest_taken: int = -1
     kinds_fewest: int = -1
     shortest_s: float = -1.0
     faults: Counter[str] = field(default_factory=Counter)
@@ -59,12 +62,14 @@
         """One run more."""
         first = not self.seeds
         self.seeds += 1
-        self.requests += result.requests
+        self.asked += result.asked
+        self.taken += result.taken
         self.served += result.served
         self.attempts += result.attempts
         self.events += result.events
         self.virtual_s += result.virtual_s
-        self.fewest = result.requests if first else min(self.fewest, result.requests)
+        self.fewest_asked = result.asked if first else min(self.fewest_asked, result.asked)
+        self.fewest_taken = result.taken if first else min(self.fewest_taken, result.taken)
         self.kinds_fewest = len(result.faults) if first else min(self.kinds_fewest, len(result.faults))
         self.shortest_s = result.virtual_s if first else min(self.shortest_s, result.virtual_s)
         self.faults.update(result.faults)
@@ -77,8 +82,10 @@
         return [
             f"{self.seeds} seeds of profile {profile} in {took_s:.1f} s with {jobs} jobs: "
             f"{self.seeds / took_s:.1f} seeds and {self.virtual_s / took_s:.1f} virtual seconds a second",
-            f"{self.requests} requests ({self.requests / self.seeds:.0f} a seed, {self.fewest} at least), "
-            f"{self.served} served, {self.attempts} attempts, {self.events} events on the wire, "
+            f"{self.asked} requests asked ({self.asked / self.seeds:.0f} a seed, "
+            f"{self.fewest_asked} at least), "
+            f"{self.taken} tries taken by sidecars ({self.fewest_taken} at least), {self.served} served, "
+            f"{self.attempts} attempts at nodes, {self.events} events on the wire, "
             f"{self.virtual_s:.0f} virtual seconds ({self.shortest_s:.1f} at least)",
             f"kinds of fault ({self.kinds_fewest} a seed at least): "
             + ", ".join(f"{kind} {count}" for kind, count in sorted(self.faults.items())),
@@ -111,6 +118,20 @@
     return results
 
 
+def _leave_stopping_to_the_parent() -> None:
+    """A terminal's Ctrl-C reaches every process: one of them has to answer for all."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+
+
+@contextmanager
+def _stoppable() -> Iterator[None]:
+    """Ctrl-C ends the call with one line."""
+    try:
+        yield
+    except KeyboardInterrupt:
+        raise click.Abort from None
+
+
 @contextmanager
 def uncollected() -> Iterator[None]:
     """Without the collector, which is called by hand between two runs."""
@@ -123,7 +144,7 @@
             gc.enable()
 
 
-def _all(seeds: range, profile: str, breakage: str | None, jobs: int) -> Iterator[Result]:
+def _all(seeds: range, profile: str, breakage: str | None, jobs: int) -> Generator[Result, None, None]:
     """The results in the order of the seeds, whatever the number of processes."""
     tasks = [(seeds[at : at + CHUNK], profile, breakage) for at in range(0, len(seeds), CHUNK)]
     if jobs == 1:
@@ -132,7 +153,11 @@
         return
     gc.collect()
     gc.freeze()
-    with multiprocessing.get_context("fork").Pool(min(jobs, len(tasks))) as pool:
+    # A Ctrl-C amid the forks would leave behind those that the pool does not know of yet.
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGINT})
+    pool = multiprocessing.get_context("fork").Pool(min(jobs, len(tasks)), _leave_stopping_to_the_parent)
+    with pool:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
         for results in pool.imap(_chunk, tasks):
             yield from results
 
@@ -163,10 +188,13 @@
 
 def _explore(seeds: range, profile: str, breakage: str | None, jobs: int, progress: bool) -> int:
     began, tally = time.monotonic(), Tally()
-    for result in _all(seeds, profile, breakage, jobs):
-        tally.add(result)
-        if progress and tally.seeds % 200 == 0:
-            print(f"\r{tally.seeds} seeds, {len(tally.broken)} broken", end="", file=sys.stderr, flush=True)
+    with closing(_all(seeds, profile, breakage, jobs)) as results:
+        for result in results:
+            tally.add(result)
+            if progress and tally.seeds % 200 == 0:
+                print(
+                    f"\r{tally.seeds} seeds, {len(tally.broken)} broken", end="", file=sys.stderr, flush=True
+                )
     took = max(time.monotonic() - began, 1e-9)
     if progress:
         print("\r", end="", file=sys.stderr)
@@ -199,7 +227,7 @@
         for line in _worded(result, where):
             print(line)
     else:
-        print(f"{result.requests} requests, {result.served} served, "
+        print(f"{result.asked} requests asked, {result.taken} tries taken, {result.served} served, "
               f"{result.virtual_s:.1f} virtual seconds, no breach")  # fmt: skip
     print(f"digest {result.digest}")
     return BROKEN if result.breaches else FINE
@@ -214,6 +242,9 @@
         gc.collect()
         return result
 
+    path = Path(out or f"scenario-{scenario.seed}.yaml")
+    if path.is_dir() or not os.access(path if path.exists() else path.parent, os.W_OK):
+        raise Misuse(f"{path}: can't be written")
     with uncollected():
         first = run(scenario)
         if not first.breaches:
@@ -223,9 +254,8 @@
             scenario, rule, lambda each: rule in run(each).rules, lambda text: print(text, file=sys.stderr)
         )
     text = write_scenario(small)
-    path = out or f"scenario-{scenario.seed}.yaml"
     try:
-        Path(path).write_text(text, encoding="utf-8")
+        path.write_text(text, encoding="utf-8")
     except OSError as error:
         raise Misuse(f"{path}: {error.strerror}") from None
     print(f"{rule}: {len(scenario.faults)} faults and {len(scenario.asks)} requests became "
@@ -279,18 +309,19 @@
     if sum(wanted) != 1:
         raise Misuse("say one of FILE, --seeds, --replay, --shrink, --write")
     told = "" if breakage is None else f" --breakage {breakage}"
-    if file is not None:
-        return _one(_load(file), breakage, quiet, f"brambleusher explore {file}{told}")
-    if seeds is not None:
-        return _explore(seeds_of(seeds), profile, breakage, jobs, sys.stderr.isatty() and not quiet)
-    for seed in (replay, smaller, write):
-        if seed is not None and not 0 <= seed < 10**18:
-            raise Misuse(f"seed {seed}: a whole number from 0 on")
-    if replay is not None:
-        where = f"brambleusher explore --replay {replay} --profile {profile}{told}"
-        return _one(draw_scenario(replay, profile), breakage, quiet, where)
-    if smaller is not None:
-        return _shrink(draw_scenario(smaller, profile), breakage, out)
-    assert write is not None
-    print(write_scenario(draw_scenario(write, profile)), end="")
-    return FINE
+    with _stoppable():
+        if file is not None:
+            return _one(_load(file), breakage, quiet, f"brambleusher explore {file}{told}")
+        if seeds is not None:
+            return _explore(seeds_of(seeds), profile, breakage, jobs, sys.stderr.isatty() and not quiet)
+        for seed in (replay, smaller, write):
+            if seed is not None and not 0 <= seed < 10**18:
+                raise Misuse(f"seed {seed}: a whole number from 0 on")
+        if replay is not None:
+            where = f"brambleusher explore --replay {replay} --profile {profile}{told}"
+            return _one(draw_scenario(replay, profile), breakage, quiet, where)
+        if smaller is not None:
+            return _shrink(draw_scenario(smaller, profile), breakage, out)
+        assert write is not None
+        print(write_scenario(draw_scenario(write, profile)), end="")
+        return FINE
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import re
+import signal
 import subprocess
 import sys
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from brambleusher.cli import call
-from brambleusher.cli.explore import _all, _chunk
+from brambleusher.cli.explore import Tally, _all, _chunk
 from brambleusher.lab.explore import play
+from brambleusher.lab.faults import LEAST_KINDS, SidecarKilled
+from brambleusher.lab.figures import LEAST_REQUESTS
+from brambleusher.lab.fleet import Fleet
 from brambleusher.lab.scenario import draw_scenario, read_scenario
+from brambleusher.lab.world import VirtualSystem
 
 ROOT = Path(__file__).parent.parent
 SCENARIOS = sorted((ROOT / "tests" / "scenarios").glob("*.yaml"))
@@ -39,6 +46,7 @@
     broken: list[str] = []
     slow: list[str] = []
     for result in _chunk((range(first, first + SEEDS), "default", None)):
+        assert result.asked >= LEAST_REQUESTS and result.virtual_s >= 5 and len(result.faults) >= LEAST_KINDS
         for breach in result.breaches[:1]:
             told = f"brambleusher explore --replay {result.seed}: {breach}"
             (slow if breach.rule == "recovery" else broken).append(told)
@@ -50,7 +58,7 @@
 def test_what_was_found_once_stays_mended(path: Path) -> None:
     result = play(read_scenario(path.read_bytes()))
     assert not result.breaches, "\n".join(str(breach) for breach in result.breaches)
-    assert result.requests
+    assert result.asked and result.taken
 
 
 def test_a_seed_is_the_same_run_in_any_process_and_under_any_hash_seed() -> None:
@@ -69,6 +77,28 @@
     assert len(set(one)) == len(seeds)
 
 
+def test_a_summary_tells_what_was_asked_apart_from_what_arrived() -> None:
+    """A sidecar that is down takes nothing; what is then asked of it is asked all the same."""
+    scenario = draw_scenario(7)
+    whole = play(scenario)
+    assert whole.asked == len(scenario.asks) and whole.taken > 0
+    down = msgspec.structs.replace(
+        scenario,
+        faults=tuple(
+            SidecarKilled(at_s=0.02, for_s=scenario.world.faults_s, target=sidecar.name)
+            for sidecar in scenario.world.sidecars
+        ),
+    )
+    less = play(down)
+    assert less.asked == len(scenario.asks) and less.taken < whole.taken
+    tally = Tally()
+    for result in (whole, less):
+        tally.add(result)
+    said = "\n".join(tally.worded("default", 1.0, 1))
+    assert f"{2 * len(scenario.asks)} requests asked" in said and f"{len(scenario.asks)} at least" in said
+    assert f"{whole.taken + less.taken} tries taken by sidecars ({less.taken} at least)" in said
+
+
 def test_the_time_line_tells_who_sent_what_to_whom() -> None:
     said: list[str] = []
     result = play(draw_scenario(3), say=said.append)
@@ -98,6 +128,43 @@
     assert "no breach" in capsys.readouterr().out
 
 
+def test_ctrl_c_ends_all_processes_with_one_line() -> None:
+    ignores = 1 << (signal.SIGINT - 1)
+    with subprocess.Popen(
+        [sys.executable, "-m", "brambleusher", "explore", "--seeds", "0:1000000", "--jobs", "2"],
+        cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, start_new_session=True,
+    ) as run:  # fmt: skip
+        ready, rounds = 0, 0
+        while ready < 2 and rounds < 3000 and run.poll() is None:
+            with contextlib.suppress(subprocess.TimeoutExpired):  # the kernel tells nobody of a mask
+                run.wait(0.02)
+            children = Path(f"/proc/{run.pid}/task/{run.pid}/children").read_text().split()
+            masks = [Path(f"/proc/{child}/status").read_text().partition("SigIgn:")[2] for child in children]
+            ready, rounds = sum(bool(int(mask.split()[0], 16) & ignores) for mask in masks), rounds + 1
+        os.killpg(run.pid, signal.SIGINT)
+        out, err = run.communicate(timeout=60)
+    assert ready == 2
+    assert (run.returncode, out, err) == (130, "", "brambleusher: stopped\n")
+
+
+def test_a_stand_in_whose_main_program_raises_spoils_the_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fall(self: Fleet, system: VirtualSystem) -> None:
+        raise RuntimeError("out of order")
+
+    monkeypatch.setattr(Fleet, "_submit", fall)
+    breaches = play(draw_scenario(3), stop_at_breach=True).breaches
+    assert any(each.rule == "fault" and "out of order" in each.what for each in breaches)
+
+
+def test_ctrl_c_within_a_process_of_the_world_ends_the_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    def stop(self: Fleet, system: VirtualSystem) -> None:
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(Fleet, "_submit", stop)
+    with pytest.raises(KeyboardInterrupt):
+        play(draw_scenario(3))
+
+
 @pytest.mark.parametrize(
     ("words", "named"),
     [
@@ -109,6 +176,9 @@
         (["--replay", "1", "--shrink", "2"], "say one of"),
         (["--replay", "-1"], "-1"),
         ([], "say one of"),
+        (["--replay", "x"], "--replay"),
+        (["--none-such"], "--none-such"),
+        (["--shrink", "0", "--breakage", "ticket-kept", "-o", "no/such/small.yaml"], "no/such"),
         (["no/such/file.yaml"], "no/such/file.yaml"),
         (["README.md"], "README.md"),
     ],
--- a/tests/test_mysql_front.py
+++ b/tests/test_mysql_front.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import struct
+import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
 from functools import partial
@@ -14,7 +16,7 @@
 import pytest
 from pymysql.constants import CLIENT
 
-from brambleusher.fronts.mysql.auth import ClientLogin, Turn, native_answer
+from brambleusher.fronts.mysql.auth import ClientLogin, Turn, native_answer, native_hash
 from brambleusher.fronts.mysql.constants import NATIVE, Capability, Command, Errno, Status, Track
 from brambleusher.fronts.mysql.messages import (
     ChangeUser,
@@ -234,6 +236,39 @@
     client.close()
 
 
+def test_an_unknown_schema_is_the_clients_own_fault(make: Make) -> None:
+    rig, _ = make()
+    with pytest.raises(pymysql.err.Error) as caught:
+        connect(rig, database="nowhere")  # told with the first statement, which the driver sends at once
+    assert caught.value.args[0] == 1049
+    for at in range(4):  # and counts against no node
+        assert ask(connect(rig), f"select {at} from accounts where name = 'n1'") == ((at,),)
+
+
+def test_no_secret_and_no_literal_gets_into_the_log(make: Make, caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.DEBUG)
+    rig, servers = make(once=True)
+    logging.getLogger("brambleusher").propagate = True
+    client = connect(rig)
+    ask(client, "select 'literal-1' from accounts")
+    fails(client, "call p('literal-2')")
+    fails(client, "set password = 'literal-3'")
+    with pytest.raises(pymysql.err.Error):
+        connect(rig, password="literal-4")
+    everywhere(servers, on(Command.QUERY, "select 5", Fault("nonsense")))
+    fails(client, "select 5, 'literal-5'")
+    text = caplog.text + str([record.__dict__.get("fields") for record in caplog.records])
+    assert "statement assigned" in text
+    assert "login refused" in text
+    for secret in (
+        "literal-",
+        "node-secret",
+        native_hash(b"front").hex(),
+        native_hash(b"front").hex().upper(),
+    ):
+        assert secret not in text
+
+
 # --- ties and moves -----------------------------------------------------------------------------
 
 
@@ -577,10 +612,9 @@
     rig, _ = make(1, kept_for="bad input")
     client, other = Raw(rig), connect(rig)
     client.sock.sendall(data)
-    reader, got = PacketReader(1 << 20, seq=1), b""
+    reader, got = PacketReader(1 << 20, seq=1 + len(data) // 0x1000000), b""
     while more := client.sock.recv(65536):
         got += more
-    reader.seq = got[3]
     reader.feed(got)
     error = Err.parse(reader.take() or b"")
     assert (error.errno, error.state, reader.buffered) == (errno, state, 0)
@@ -752,3 +786,46 @@
     holder.close()
     assert insist(other, ROW) == (("n1", 1000),)
     assert servers.servers[0].most_open == 1
+
+
+def test_what_is_prepared_counts_against_the_memory_of_all(make: Make) -> None:
+    rig, _ = make(1, more="  memory_mb: 1\n  max_packet_mb: 4\n")
+    clients = [Raw(rig) for _ in range(6)]
+    text = b"\x16select length('" + b"x" * 240_000 + b"')"
+    answers = []
+    for client in clients:
+        client.send(text)
+        answers.append(client.take()[:3])
+    refused = b"\xff" + struct.pack("<H", Errno.OUT_OF_RESOURCES)
+    assert answers.count(refused) >= 2
+    assert answers.count(refused) < 6
+    for client in clients:
+        client.close()
+    rig.until(lambda: rig.sidecar.mysql is not None and not rig.sidecar.mysql.front.connections)
+    assert rig.sidecar.mysql is not None
+    assert rig.sidecar.mysql.front._memory_left == 1024 * 1024
+
+
+def test_a_client_that_sends_ahead_is_read_within_bounds_and_answered_in_turn(make: Make) -> None:
+    rig, _ = make(1, kept_for="sending ahead")
+    client, count = Raw(rig), 60
+    text = b"\x03select 1 /* " + b"x" * 10_000 + b" */"
+    client.send(b"\x03begin")
+    assert client.take()[0] == 0
+    client.send(b"\x03select sleep(0.5)")
+    ahead = threading.Thread(target=client.sock.sendall, args=(frame(text, 0) * count,))
+    ahead.start()
+    mysql = rig.sidecar.mysql
+    assert mysql is not None
+    most = 0
+    while not rig.do(lambda: mysql.front._clients[client.thread].reader.buffered > 128 * 1024):
+        pass
+    for _ in range(20):
+        most = max(most, rig.do(lambda: mysql.front._clients[client.thread].reader.buffered))
+    assert most < 256 * 1024
+    assert len(client.whole()) == 4
+    for _ in range(count):
+        client.reader.expect(1)
+        assert client.whole()[0] == b"\x01"
+    ahead.join()
+    client.close()
