--- a/quillpass/zones.py
+++ b/quillpass/zones.py
@@ -413,8 +413,9 @@
     def probed(self, zone: Zone, now: int) -> None:
         """It is being tried; the next try comes later while none is answered."""
         unit = self.unit_ns
-        pause = min(max(2 * zone.probe_pause_ns, int(PROBE_AIMS * unit)), int(PROBE_AIMS_MOST * unit))
-        zone.probe_pause_ns = int(HELD_AIMS * unit) if zone.held and not zone.missed else pause
+        often = max(1.0, zone.penalty)  # one that flaps is tried the less, the more it does
+        pause = min(max(2 * zone.probe_pause_ns, int(PROBE_AIMS * unit)), int(PROBE_AIMS_MOST * often * unit))
+        zone.probe_pause_ns = int(HELD_AIMS * often * unit) if zone.held and not zone.missed else pause
         zone.probe_ns, zone.probe_at = now + zone.probe_pause_ns, zone.probe_at + 1
         zone.tried_ns = now
 
