Names asked for beside the star and dropped again are forgotten

A subscriber to all of a kind that named ever new resources beside the star left each in the list of those it had been told don't exist: memory without a bound, at 100 requests of 1,000 names a second. A name that is no longer wanted leaves that list.

--- a/brambleusher/control/subscriber.py
+++ b/brambleusher/control/subscriber.py
@@ -179,7 +179,9 @@
         kind.named |= bool(request.names)
         added = names - kind.wanted or (star and not kind.star)
         for name in kind.wanted - names:
-            if not star:
+            if star:  # guards against a list that grows with every name that was ever asked for
+                kind.gone.discard(name)
+            else:
                 self._drop(kind, name)
         kind.wanted, kind.star = names, star
         if added:
@@ -205,7 +207,9 @@
                     self._drop(kind, held)
             else:
                 kind.wanted.discard(name)
-                if not kind.star:
+                if kind.star:
+                    kind.gone.discard(name)
+                else:
                     self._drop(kind, name)
         for name in request.subscribe:
             if name == STAR:
