No retries through another class's wide prefix for what must not run twice

A group that may not have transfer-record, or a file that does not list it, has no route for its path: a class with a prefix such as / and retries took it along. The route table now has the path without retries; it leads where it led before.

--- a/brambleusher/control/resources.py
+++ b/brambleusher/control/resources.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import replace
 
 from envoy.config.cluster.v3 import circuit_breaker_pb2, cluster_pb2, outlier_detection_pb2
 from envoy.config.core.v3 import address_pb2, config_source_pb2
@@ -22,6 +23,7 @@
 
 from brambleusher.control.config import ClassPlan, ControlConfig, Group, ListenerPlan
 from brambleusher.control.snapshot import CDS, LDS, RDS, Draft, sized, varint
+from quillpass.api import Effect
 from quillpass.shares import Tier
 
 ROUTES, ENDPOINTS = "routes", "execute-nodes"
@@ -118,12 +120,18 @@
     )
 
 
-def routes(plans: Iterable[ClassPlan]) -> route_pb2.RouteConfiguration:
-    """The route table: a class by its path's beginning, the longest first."""
-    pairs = sorted(
-        ((prefix, plan) for plan in plans for prefix in plan.prefixes),
-        key=lambda pair: (-len(pair[0]), pair[0]),
-    )
+def routes(plans: Iterable[ClassPlan], never: Iterable[str] = ()) -> route_pb2.RouteConfiguration:
+    """The route table: a class by its path's beginning, the longest first.
+
+    `never`: beginnings of paths that have no route here and must not be sent twice.
+    """
+    pairs = [(prefix, plan) for plan in plans for prefix in plan.prefixes]
+    named = list(pairs)
+    for path in sorted(set(never)):
+        over = [pair for pair in named if path.startswith(pair[0]) and path != pair[0]]
+        if over:  # guards against the retries of a class whose prefix is wide enough to take them along
+            pairs.append((path, replace(max(over, key=lambda pair: len(pair[0]))[1], retries=0)))
+    pairs.sort(key=lambda pair: (-len(pair[0]), pair[0]))
     host = route_components_pb2.VirtualHost(
         name=ROUTES, domains=["*"], routes=[_route(plan, prefix) for prefix, plan in pairs]
     )
@@ -169,6 +177,18 @@
     )
 
 
+def _never_twice(config: ControlConfig, plans: Sequence[ClassPlan]) -> list[str]:
+    """Prefixes of classes that are not among `plans` and must not be sent twice."""
+    given = {plan.name for plan in config.classes}
+    usual = [
+        f"/{cls.name}"
+        for cls in config.settings.classes
+        if cls.effect is not Effect.SAFE and cls.name not in given
+    ]
+    hidden = [plan for plan in config.classes if plan not in plans and not plan.retries]
+    return usual + [prefix for plan in hidden for prefix in plan.prefixes]
+
+
 def fixed(config: ControlConfig, group: Group) -> dict[str, list[Draft]]:
     """Listeners, routes and clusters that a group may have."""
     plans = [plan for plan in config.classes if group.sees(plan.name)]
@@ -177,7 +197,9 @@
     return {
         CDS: [Draft(plan.name, _bytes(cluster(plan, config)), frozenset({ENDPOINTS})) for plan in plans],
         LDS: [Draft(plan.name, _bytes(listener(plan)), frozenset({ROUTES})) for plan in listeners],
-        RDS: [Draft(ROUTES, _bytes(routes(plans)), named)] if plans and listeners else [],
+        RDS: [Draft(ROUTES, _bytes(routes(plans, _never_twice(config, plans))), named)]
+        if plans and listeners
+        else [],
     }
 
 
