One that may not subscribe any more may not report loads either

The group was looked up at the first report alone, so that a proxy which a reload had turned away went on changing the weights. It is looked up at each report.

--- a/brambleusher/control/server.py
+++ b/brambleusher/control/server.py
@@ -257,17 +257,18 @@
         if self.load_streams >= core.config.bounds.streams:
             raise ProtocolError("too many streams of load reports")
         identity = self._identity(context)
-        zone: str | None = None
+        name, zone = identity, None
         self.load_streams += 1
         try:
             while (data := await context.read()) is not grpc.aio.EOF:
                 if not rate.take():
                     raise ProtocolError("too many load reports a second")
                 sums, who = decode_loads(data)
+                name = name or who.id
+                group = core.config.group_of(name)  # each time: the file may have been read again
+                if group is None:
+                    raise ProtocolError(f"{name[:100]!r} may not subscribe")
                 if zone is None:
-                    group = core.config.group_of(identity or who.id)
-                    if group is None:
-                        raise ProtocolError(f"{(identity or who.id)[:100]!r} may not subscribe")
                     zone = group.zone or who.zone
                     if zone not in core.zones:
                         raise ProtocolError(f"zone {zone[:100]!r} is not served")
