A certificate file cut within its second certificate is not taken

Of a chain or an authority file that was half written, the whole certificates before the cut were taken as if they were all, and subscribers of the lost authority were turned away. A file in which a block begins and does not end keeps the old ones. A key of an unknown kind is a problem named in the log, where it ended the task that looks for new files.

--- a/brambleusher/control/tls.py
+++ b/brambleusher/control/tls.py
@@ -4,11 +4,13 @@
 
 import datetime as dt
 import logging
+import re
 from dataclasses import dataclass
 from pathlib import Path
 
 import grpc
 from cryptography import x509
+from cryptography.exceptions import UnsupportedAlgorithm
 from cryptography.hazmat.primitives.serialization import Encoding, PublicFormat, load_pem_private_key
 
 from brambleusher.control.config import TlsFiles
@@ -18,6 +20,7 @@
 
 MAX_PEM = 1024 * 1024
 SOON = dt.timedelta(days=7)
+_END = re.compile(rb"-----END [A-Z0-9 ]+-----")
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,27 +41,38 @@
         raise ControlError(f"tls.{what}: {path}: {error.strerror}") from None
 
 
-def check(certificate: bytes, key: bytes, client_ca: bytes, now: dt.datetime) -> Material:
-    """The three as one; raises `ControlError` where one can't be read, is out of its time or does not fit."""
+def _certificates(data: bytes, what: str) -> list[x509.Certificate]:
+    """All of a file, or nothing: one that ends within a certificate is half written."""
     try:
-        chain = x509.load_pem_x509_certificates(certificate)
+        found = x509.load_pem_x509_certificates(data)
     except ValueError:
-        raise ControlError("tls.certificate is not a certificate in PEM") from None
+        found = []
+    if not found:
+        raise ControlError(f"tls.{what} is not a certificate in PEM")
+    if data.count(b"-----BEGIN ") != len(_END.findall(data)):
+        raise ControlError(f"tls.{what} ends within a certificate")
+    return found
+
+
+def check(certificate: bytes, key: bytes, client_ca: bytes, now: dt.datetime) -> Material:
+    """The three as one; raises `ControlError` where one can't be read, is out of its time or does not fit."""
+    chain = _certificates(certificate, "certificate")
     try:
         private = load_pem_private_key(key, None)
-    except (ValueError, TypeError):
+    except (ValueError, TypeError, UnsupportedAlgorithm):
         raise ControlError("tls.key is not a private key in PEM without a password") from None
-    try:
-        authorities = x509.load_pem_x509_certificates(client_ca)
-    except ValueError:
-        raise ControlError("tls.client_ca is not a certificate in PEM") from None
+    authorities = _certificates(client_ca, "client_ca")
     for what, each in (("certificate", chain[0]), *(("client_ca", one) for one in authorities)):
         if not each.not_valid_before_utc <= now <= each.not_valid_after_utc:
             raise ControlError(
                 f"tls.{what} is valid from {each.not_valid_before_utc} to {each.not_valid_after_utc}"
             )
     form = (Encoding.DER, PublicFormat.SubjectPublicKeyInfo)
-    if chain[0].public_key().public_bytes(*form) != private.public_key().public_bytes(*form):
+    try:
+        public = chain[0].public_key()
+    except (ValueError, UnsupportedAlgorithm):
+        raise ControlError("tls.certificate has a key of a kind that is not known") from None
+    if public.public_bytes(*form) != private.public_key().public_bytes(*form):
         raise ControlError("tls.key is not the key of tls.certificate")
     return Material(certificate, key, client_ca, chain[0].not_valid_after_utc)
 
