--- a/brambleusher/control/service.py
+++ b/brambleusher/control/service.py
@@ -51,6 +51,7 @@
         self._tasks: list[asyncio.Task[Any]] = []
         self.store_problem: str | None = None
         self.write_ms = 0.0
+        self._viewers: asyncio.Server | None = None
 
     async def start(self) -> dict[str, Any]:
         """Serve; says on which addresses.  Raises `OSError` where one can't be listened on."""
@@ -86,7 +87,7 @@
         self.discovery.stop()
         await cancel_all(self._tasks)
         await self.server.stop()
-        if self.config.status is not None:
+        if self._viewers is not None:
             self._viewers.close()
         self._pool.shutdown(wait=True)
         self.store.close()
@@ -116,7 +117,11 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.end)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        addresses = await self.start()
+        try:
+            addresses = await self.start()
+        except OSError:
+            await self.stop()
+            raise
         if tell:
             print(json.dumps(addresses), flush=True)
         await self._ending.wait()
