Tests of what the review of the control service mended

The test that Node's client is among the callers is skipped with a reason where Node or its packages are not there.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -164,6 +164,21 @@
     assert held.take() is None
 
 
+@pytest.mark.parametrize("incremental", [False, True])
+def test_names_that_come_and_go_beside_the_star_leave_nothing_behind(incremental: bool) -> None:
+    views, held = Views(), subscriber(incremental)
+    held.offer(views.make(cds={"a": "1"}))
+    held.receive(Request(CDS, names=("*",), subscribe=("*",)))
+    nonce = ""
+    for at in range(50):
+        if (response := held.take()) is not None:
+            nonce = response.nonce
+        now = (f"{at}-1", f"{at}-2")
+        was = (f"{at - 1}-1", f"{at - 1}-2")
+        held.receive(Request(CDS, nonce, names=("*", *now), subscribe=now, unsubscribe=was))
+    assert len(held._kinds[CDS].gone) <= 4
+
+
 def test_requests_written_before_the_last_response_was_read_change_no_names() -> None:
     views, held = Views(), subscriber()
     held.offer(views.make(eds={"a": "1", "b": "1"}))
@@ -575,6 +590,23 @@
     assert by_class["move"].timeout.seconds == 5
 
 
+@pytest.mark.parametrize("classes", [("look", "move"), ("look",)])
+def test_a_wide_prefix_does_not_take_what_must_not_run_twice_into_its_retries(
+    tmp_path: Path, classes: tuple[str, ...]
+) -> None:
+    """The class that must not is one that the group may not have, or not one of the file's at all."""
+    plans = [{"name": "look", "prefixes": ["/"], "retries": 2}, {"name": "move"}]
+    config = control(
+        tmp_path,
+        classes=[each for each in plans if each["name"] in classes],
+        subscribers=[{"identity": "*", "zone": "z", "may": ["web", "look"]}],
+    )
+    (draft,) = fixed(config, config.groups[0])[RDS]
+    table = route_pb2.RouteConfiguration.FromString(draft.body).virtual_hosts[0].routes
+    found = [(route.match.prefix, route.route.retry_policy.num_retries.value) for route in table]
+    assert found == [("/move", 0), ("/", 2)]
+
+
 def test_resources_keep_the_rules_that_the_protos_carry(tmp_path: Path) -> None:
     core = core_with(tmp_path, machine("n1"), machine("n2", api.HostState.DRAINING), machine("n3", zone="y"))
     for name, form in (("a", "zones"), ("b", "nodes")):
--- a/tests/test_control_live.py
+++ b/tests/test_control_live.py
@@ -8,7 +8,9 @@
 import os
 import queue
 import re
+import shutil
 import signal
+import socket
 import subprocess
 import sys
 import urllib.request
@@ -20,6 +22,7 @@
 from typing import Any
 
 import grpc
+import pytest
 import yaml
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes
@@ -29,10 +32,12 @@
 from envoy.config.bootstrap.v3 import bootstrap_pb2
 from envoy.extensions.transport_sockets.tls.v3 import tls_pb2
 from envoy.extensions.upstreams.http.v3 import http_protocol_options_pb2
+from envoy.service.load_stats.v3 import lrs_pb2
 from google.protobuf.json_format import ParseDict
 
 from brambleusher.control.config import Bounds, parse_control
 from brambleusher.control.service import Service
+from brambleusher.control.wire import LRS
 from brambleusher.lab.xds import ASSIGNMENT, ProxyStandIn
 from brambleusher.lab.xds_live import (
     Backend,
@@ -45,7 +50,7 @@
     modules,
 )
 from brambleusher.lab.xds_rules import faults
-from tests.test_control import written
+from tests.test_control import control, written
 
 ROOT = Path(__file__).resolve().parent.parent
 WAIT = 30.0
@@ -175,6 +180,12 @@
             each.stop()
 
 
+def test_the_client_for_node_is_among_the_callers() -> None:
+    if shutil.which("node") is None or not (modules(ROOT) / "@grpc" / "grpc-js-xds").exists():
+        pytest.skip("no Node, or not its gRPC packages in .venv/js: only the C core is called through")
+    assert set(caller_commands(ROOT)) == {"gRPC, C core", "gRPC, JavaScript"}
+
+
 def test_one_that_stops_reading_holds_nobody_up_and_gets_the_newest(tmp_path: Path) -> None:
     many = [entry(f"n{at}", 10_000 + at) for at in range(500)]
     discovery = LiveDiscovery(many)
@@ -238,6 +249,25 @@
     run(serving(tmp_path, discovery, main, bounds={"requests_per_s": 100}))
 
 
+def test_who_may_not_subscribe_any_more_may_not_report_either(tmp_path: Path) -> None:
+    discovery = LiveDiscovery([entry("n1", 10_001)])
+
+    async def main(service: Service, target: str) -> None:
+        report = lrs_pb2.LoadStatsRequest()
+        report.node.id = "p"
+        async with grpc.aio.insecure_channel(target) as channel:
+            call = channel.stream_stream(f"/{LRS}/StreamLoadStats")()
+            await call.write(report.SerializeToString())
+            assert await call.read() is not grpc.aio.EOF
+            service.core.reconfigure(control(tmp_path, subscribers=[{"identity": "q"}]), service.now())
+            await call.write(report.SerializeToString())
+            with pytest.raises(grpc.aio.AioRpcError) as ended:
+                await call.read()
+            assert ended.value.code() is grpc.StatusCode.PERMISSION_DENIED
+
+    run(serving(tmp_path, discovery, main))
+
+
 def test_killed_in_a_push_and_started_again_it_hands_out_nothing_older(tmp_path: Path) -> None:
     """The program is killed; discovery comes back with an older list, then with the newest."""
 
@@ -369,6 +399,7 @@
             ((ours.certificate("localhost")[0], held.key), "not the key"),
             (ours.certificate("localhost", days=-1), "valid from"),
             ((held.certificate[:100], held.key), "not a certificate"),
+            ((held.certificate + ours.pem[:-10], held.key), "ends within a certificate"),
         ):
             put(*bad)
             assert not service.certificates.look() and says in (service.certificates.problem or "")
@@ -434,12 +465,19 @@
         run(until(lambda: "configuration read again" in log.read_text()))
         assert "key=discovery" in log.read_text()
         assert program.end() == 0
-        config.write_text("name: [")
-        done = subprocess.run(
-            [sys.executable, "-m", "brambleusher", "control", "--config", str(config)],
-            capture_output=True, text=True, timeout=WAIT,
-        )  # fmt: skip
-        assert done.returncode == 2 and "bad control configuration: not YAML" in done.stderr
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            busy = f"127.0.0.1:{taken.getsockname()[1]}"
+            for text, says in (
+                (b"name: [", "bad control configuration: not YAML"),
+                (written(tmp_path, listen=busy), f"{busy} can't be listened on"),
+                (written(tmp_path, status=busy), "address already in use"),
+            ):
+                config.write_bytes(text)
+                done = subprocess.run(
+                    [sys.executable, "-m", "brambleusher", "control", "--config", str(config)],
+                    capture_output=True, text=True, timeout=WAIT,
+                )  # fmt: skip
+                assert done.returncode == 2 and says in done.stderr and "Traceback" not in done.stderr
     finally:
         program.kill()
         discovery.close()
