MySQL: nothing new starts on a draining node past the drain's time, whatever the grace

A session tied by a variable, a lock or a setting went on sending statements to a node that drains until the grace of its class and its part of drain_spread_ms, by default well past 500 ms; each of them is a request of its own. BEGIN and COMMIT AND CHAIN began transactions there as late. A session whose answer was awaited when the news came was never told of it, and each later list that told the drain again began the grace anew.

What starts a request on such a node is refused (1053) from 0.8 of drain_grace_ns on; sessions with nothing open end by then, spread over the second half of that time. The rest of a transaction, of a cursor's rows or of a statement under way keeps its grace, counted once. A session tied by warnings alone goes elsewhere.

--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -91,8 +91,9 @@
     """One client: its connection, its session, and the node's connection that the session holds."""
 
     __slots__ = (
-        "accepted_at", "bell", "challenge", "channel", "charged", "deadline", "held", "id_conn", "kept",
-        "last", "leave_at", "lost", "peer", "reader", "request_class", "session", "task", "thread", "work",
+        "accepted_at", "bell", "challenge", "chance", "channel", "charged", "deadline", "held", "id_conn",
+        "kept", "last", "leave_at", "lost", "peer", "reader", "request_class", "session", "task", "thread",
+        "work",
     )  # fmt: skip
 
     def __init__(self, channel: Channel, peer: str, thread: int, most: int) -> None:
@@ -111,13 +112,15 @@
         self.kept = 0  # and for what it has prepared
         self.deadline: float | None = None  # of its transaction
         self.leave_at: float | None = None  # its node drains
+        self.chance = 0.0  # which part of what drains are spread over it is given
         self.lost: Err | None = None  # told with the next command, and the session is over
         self.request_class = ""  # of the request that it is tied by
 
     def leave(self, held: Held) -> None:
         """Its node drains: `Front` says until when it may stay."""
-        self.leave_at = -1.0
-        self.bell.ring()
+        if self.leave_at is None:  # guards against a grace that begins anew with each list
+            self.leave_at = -1.0
+            self.bell.ring()
 
 
 class Front:
@@ -471,7 +474,7 @@
             if client.held.claimed:
                 waits.append((now + max(0.0, THINK_SECONDS - client.held.client_took(now)), self._thinks))
             if client.leave_at is not None:
-                waits.append((self._leaves_at(client, now), self._drained))
+                waits.append((self._rests_until(client, now), self._drained))
             if client.deadline is not None:
                 waits.append((client.deadline, self._too_late))
             if client.session.softly_tied:
@@ -482,9 +485,34 @@
         """Until when a session may stay on its node that drains: its class's grace, and a part by chance."""
         if client.leave_at is None or client.leave_at < 0:
             grace = self._mapping.grace_ns(client.request_class or self._settings.strict_class) / 1e9
-            client.leave_at = now + grace + self._rng.random() * self._settings.drain_spread_ms / 1000
+            client.chance = self._rng.random()
+            client.leave_at = now + grace + client.chance * self._settings.drain_spread_ms / 1000
         return client.leave_at
 
+    def _rests_until(self, client: Client, now: float) -> float:
+        """Until when a session without a command may stay on its node that drains.
+
+        Where nothing of a request is open, whatever it asks next would be new to the node.
+        """
+        until, held, session = self._leaves_at(client, now), client.held, client.session
+        if held is None or session.in_transaction or session.cursors:
+            return until
+        starts = self._nodes.starts_until(held.node)
+        if starts is None or until <= starts:
+            return until
+        # All come to this bound where the grace is longer: they are spread over the second half before it.
+        return starts - client.chance * (starts - held.node.left_at) / 2
+
+    def _starts_too_late(self, client: Client, work: Work, statement: Statement) -> bool:
+        """Whether a command of a tied session is something new to a node that drains for too long."""
+        held, session = client.held, client.session
+        starts = None if held is None else self._nodes.starts_until(held.node)
+        if starts is None or self._scheduler.now() < starts:
+            return False
+        if work.command == Command.STMT_FETCH:
+            return False
+        return not session.in_transaction or statement.kind is Kind.BEGIN or statement.renews
+
     def _too_slow(self, client: Client) -> bool:
         raise ProtocolError("the rest of a command did not come", Errno.NET_READ_INTERRUPTED)
 
@@ -553,6 +581,13 @@
         )  # fmt: skip
         client.work = work
         try:
+            if (
+                client.held is not None
+                and client.leave_at is not None
+                and client.session.softly_tied
+                and not statement.about_previous
+            ):
+                self._let_go(client)  # its node drains, and what ties it is not asked for
             if client.held is not None:
                 self._counters.add("mysql_tied_commands")
                 return self._run_tied(client, work, statement)
@@ -823,6 +858,12 @@
                 ahead, body = b"", work.body
                 if work.prepared is not None and work.run is not None:
                     ahead, body = self._nodes.execute(conn, work.prepared, work.run, None, limit)
+                if self._starts_too_late(client, work, statement):
+                    self._drained(client)
+                    assert client.lost is not None
+                    self._say_error(client, client.lost)
+                    client.channel.stream.finish()
+                    return False
                 conn.channel.send(ahead + frame(body, 0), limit)
             except TuneFailed as failed:
                 return self._say_error(client, failed.error)
@@ -840,7 +881,10 @@
             work.command, conn.capabilities, session.capabilities, work.statement_id,
             frames(len(body)), work.seq, session.status,
         )  # fmt: skip
-        return self._pass_on(client, work, statement, Reply(b"", relay, held), deadline)
+        goes_on = self._pass_on(client, work, statement, Reply(b"", relay, held), deadline)
+        if goes_on and statement.chain and self._starts_too_late(client, work, _CHAINED):
+            self._drained(client)  # the transaction that the COMMIT chained to itself is new to the node
+        return goes_on
 
     # --- the commands one by one ----------------------------------------------------------------
 
@@ -1081,6 +1125,7 @@
 _SESSION_GOES_ON = frozenset(
     {Errno.UNKNOWN_STMT_HANDLER, Errno.WRONG_ARGUMENTS, Errno.NOT_SUPPORTED_YET, 1461}
 )
+_CHAINED = Statement(Kind.BEGIN, "a chained transaction")
 _QUIET = Statement(Kind.SET, "a command without effects", plain_read=True)
 _USE = Statement(Kind.USE, "use", plain_read=True)
 _FIELDS = Statement(Kind.READ, "field list", plain_read=True)
--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -46,6 +46,7 @@
 LEARNED_SECONDS = 30.0  # after a 1040 the node is asked for one connection more only so often
 NODE_ERRORS = frozenset({Errno.CON_COUNT, Errno.SERVER_SHUTDOWN, Errno.SERVER_ISNT_AVAILABLE})
 MAX_KILLED_SECONDS = 5.0
+STARTS_PART = 0.8  # of the time after a drain's news in which a node may be sent something new
 
 
 class Mode(Enum):
@@ -143,6 +144,7 @@
     side: int = 0
     side_waits: deque[Callable[[], None]] = field(default_factory=deque)
     leaving: bool = False
+    left_at: float = 0.0  # when we were told so
 
 
 class Claim:
@@ -297,6 +299,8 @@
         self._window = WINDOW_OF_AIM * min(cls.aim_ns for cls in platform.classes) / 1e9
         self._connect_seconds = platform.connect_timeout_ns / 1e9
         self._idle_seconds = settings.idle_ms / 1000
+        # After the news of a drain, less what a command of ours ahead of a statement may take.
+        self._start_seconds = platform.drain_grace_ns / 1e9 * STARTS_PART
         self._wait_seconds = settings.pool_wait_ms / 1000
         self._nodes: dict[str, Node] = {}
         self._total = 0  # connections open, to all nodes
@@ -309,6 +313,10 @@
         """The scheduler's time."""
         return self._scheduler.now()
 
+    def starts_until(self, node: Node) -> float | None:
+        """Until when a tied session may start a request on a node; None where it does not drain."""
+        return node.left_at + self._start_seconds if node.leaving else None
+
     def report(self, node: Node | None) -> LoadReport:
         """What the decisions are told of a node's load with a claim that was served.
 
@@ -349,7 +357,8 @@
             node.leaving = False
 
     def _leave(self, node: Node) -> None:
-        node.leaving = True
+        if not node.leaving:  # each later list tells it again
+            node.leaving, node.left_at = True, self._scheduler.now()
         while node.idle:
             self.discard(node.idle.pop())
         for claim in list(node.claims):
@@ -519,6 +528,8 @@
         if mode is Mode.RELEASE:
             held.release()
             return Status.OK, reply, False
+        if node.leaving:
+            work.owner.leave(held)  # the news came while its answer was awaited
         if mode is Mode.KEEP and relay.done:
             return Status.OK, reply, False
         held.claim(ended, start, self._scheduler.now())
--- a/brambleusher/fronts/mysql/statements.py
+++ b/brambleusher/fronts/mysql/statements.py
@@ -90,6 +90,7 @@
     chain: bool = False
     release: bool = False
     count: int = 1
+    renews: bool = False  # may end a transaction and begin another
     hint: Hint | None = None
     why: str = ""  # why it is unknown
 
@@ -696,5 +697,6 @@
         opaque_after=any(one.opaque_after for one in each),
         release=any(one.release for one in each),
         count=len(each),
+        renews=bool(kinds & {Kind.BEGIN, Kind.COMMIT, Kind.ROLLBACK, Kind.DEFINE}),
         why="; ".join(one.why for one in each if one.why),
     )  # fmt: skip
--- a/tests/test_mysql_front.py
+++ b/tests/test_mysql_front.py
@@ -555,6 +555,56 @@
     assert servers.do(lambda: len(servers.servers[0].peers)) == 0
 
 
+def test_nothing_new_starts_on_a_draining_node_whatever_the_grace(make: Make) -> None:
+    rig, servers = make(1, "  grace_ms: {move: 15000, look: 15000}\n  drain_spread_ms: 0\n", once=True)
+    flag = CLIENT.MULTI_STATEMENTS
+    kept, opened, chained, again, several = (connect(rig, client_flag=flag) for _ in range(5))
+    ask(kept, "set @a = 1")
+    for client in (opened, chained, again, several):
+        client.begin()
+        ask(client, "select connection_id(), 1")
+    soft = connect(rig)
+    ask(soft, "select sql_calc_found_rows 1")
+    waiting = Raw(rig)
+    everywhere(servers, on(Command.QUERY, "set @late", Fault("late", seconds=0.3)))
+    waiting.send(b"\x03set @late = 1")
+    while not rig.seen("set @late = 1"):
+        pass
+    entry = rig.entry(servers.servers[0].name, "Terminating")
+    rig.discovery.push(Discovery.text([entry], version=9))
+    rig.until(lambda: rig.count("lists_taken") >= 2)
+    assert fails(soft, "select 1") == Errno.SERVER_ISNT_AVAILABLE  # it may go elsewhere: there is no other
+    # What ties `kept` and `waiting` is no request: they end within the time of the drain, not the grace.
+    rig.until(lambda: rig.count("mysql_drained") >= 2)
+    assert fails(kept, "select 1") == Errno.SERVER_SHUTDOWN
+    assert waiting.take()[:1] == b"\0"
+    waiting.send(b"\x03select 1")
+    assert waiting.error().errno == Errno.SERVER_SHUTDOWN
+    node = rig.sidecar.mysql.nodes._nodes[entry["id"]]  # type: ignore[union-attr]
+    rig.until(lambda: rig.sidecar.scheduler.now() > node.left_at + 0.5)
+    assert fails(again, "begin") == Errno.SERVER_SHUTDOWN
+    assert fails(several, "commit; begin; select 1") == Errno.SERVER_SHUTDOWN
+    ask(chained, "commit and chain")
+    assert fails(chained, "select 1") == Errno.SERVER_SHUTDOWN
+    ask(opened, "update accounts set money = 7 where name = 'n2'")  # the rest of a request
+    opened.commit()
+    assert not rig.seen("commit; begin; select 1")
+
+
+def test_a_grace_does_not_begin_anew_with_each_list(make: Make) -> None:
+    rig, servers = make(1, "  grace_ms: {move: 300}\n  drain_spread_ms: 0\n", once=True)
+    tied = connect(rig)
+    tied.begin()
+    ask(tied, "select connection_id(), 1")
+    entry, version, end = rig.entry(servers.servers[0].name, "Terminating"), 8, time.monotonic() + WAIT
+    while not rig.count("mysql_drained"):
+        assert time.monotonic() < end
+        version += 1
+        rig.discovery.push(Discovery.text([entry], version=version))
+        rig.until(lambda: rig.count("lists_taken") >= version - 7 or bool(rig.count("mysql_drained")))  # noqa: B023
+    assert fails(tied, "commit") == Errno.SERVER_SHUTDOWN
+
+
 def test_an_end_waits_for_the_tied_within_their_grace(make: Make) -> None:
     rig, _ = make(1, "  grace_ms: {move: 300}\n  drain_spread_ms: 0\n", once=True)
     free, tied = Raw(rig), connect(rig)
