--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -32,7 +32,8 @@
 log = logging.getLogger(__name__)
 
 BACKOFF_FIRST, BACKOFF_MOST = 0.1, 2.0
-SMALL, SLICE = 128, 40  # machines: told as they come; told in one go of a longer list, a third of a millisecond
+# Machines: told as they come; told in one go of a longer list, which takes a third of a millisecond.
+SMALL, SLICE = 128, 40
 
 # Takes the version held (None for the whole list) and yields texts until the watch ends.
 Feed = Callable[[int | None], Generator[bytes, None, None]]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -595,7 +595,7 @@
     tmp_path: Path, classes: tuple[str, ...]
 ) -> None:
     """The class that must not is one that the group may not have, or not one of the file's at all."""
-    plans = [{"name": "look", "prefixes": ["/"], "retries": 2}, {"name": "move"}]
+    plans: list[dict[str, Any]] = [{"name": "look", "prefixes": ["/"], "retries": 2}, {"name": "move"}]
     config = control(
         tmp_path,
         classes=[each for each in plans if each["name"] in classes],
