--- a/brambleusher/fronts/mysql/statements.py
+++ b/brambleusher/fronts/mysql/statements.py
@@ -90,6 +90,7 @@
     chain: bool = False
     release: bool = False
     count: int = 1
+    renews: bool = False  # may end a transaction and begin another
     hint: Hint | None = None
     why: str = ""  # why it is unknown
 
@@ -631,6 +632,9 @@
         digest = digest_of(parts)
         if not sound:
             why = "comments that run, or quotes without end"
+            if any(kind == "sign" and part in b"'\"`" for kind, part in parts):
+                # Guards against a literal in the log: where one has no end, any of the words may be of it.
+                digest = f"{digest_of(parts[:1])} …"
             return Statement(Kind.UNKNOWN, digest, ties=((Tie.UNKNOWN, ""),), hint=hint, why=why)
         key = (digest, multi)
         statement_ = self._by_digest.get(key)
@@ -696,5 +700,6 @@
         opaque_after=any(one.opaque_after for one in each),
         release=any(one.release for one in each),
         count=len(each),
+        renews=bool(kinds & {Kind.BEGIN, Kind.COMMIT, Kind.ROLLBACK, Kind.DEFINE}),
         why="; ".join(one.why for one in each if one.why),
     )  # fmt: skip
