--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -15,6 +15,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from brambleusher.cli.explore import _chunk
 from brambleusher.features.records import event_from, event_of
 from brambleusher.features.replay import rerun
 from brambleusher.features.status import page
@@ -511,3 +512,19 @@
     out = io.StringIO()
     tally = rerun(io.BytesIO(dump), out)
     assert tally.records > 20 and not tally.differing, out.getvalue()
+
+
+SEEDS, BLOCKS = 12, 3
+
+
+@pytest.mark.parametrize("block", range(BLOCKS))
+def test_drawn_faults_of_zones_break_no_rule(block: int) -> None:
+    """Rules on zones under faults of zones; captures are rerun. `recovery` is looked at over many seeds."""
+    first = 7000 + block * SEEDS
+    broken = [
+        f"brambleusher explore --replay {result.seed} --profile zones-ruled: {breach}"
+        for result in _chunk((range(first, first + SEEDS), "zones-ruled", None))
+        for breach in result.breaches
+        if breach.rule != "recovery"
+    ]
+    assert not broken, "\n".join(broken)
