--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -336,7 +336,7 @@
 def flaps(plan: Plan) -> list[str]:
     """A zone that comes and goes."""
     periods = (2.0,) if plan.quick else (2.0, 5.0, 10.0)
-    length = 16 if plan.quick else 120
+    length = 60 if plan.quick else 120
     after = 2 if plan.quick else 70
     jobs: list[Job] = []
     days: dict[float, Day] = {}
