A door for operators, bans laid over the list, and a drain that sends clients away

Change: brambleusher/admin (table of calls, figures, listener with a reserve of its own and tasks that go ahead), quillpass/upkeep.py (bans over discovery's states; who may rest in a drain), a tally at the last byte written, admin_addr and NODE_ADMIN_ADDR in config. Without them nothing differs.

Tests: tables of calls and of bans, the calls on real sockets.

--- a/brambleusher/config.py
+++ b/brambleusher/config.py
@@ -39,6 +39,7 @@
     limits: Limits
     known: MachineListUpdate
     settings: api.Settings
+    admin: tuple[str, int] | None = None  # where operators call; None: nowhere
 
 
 def _text(raw: Mapping[str, Any], key: str, fallback: str | None) -> str:
@@ -84,6 +85,16 @@
         raise ConfigError("seed is missing or not a hexadecimal number") from None
 
 
+def _admin(env: Mapping[str, str]) -> tuple[str, int] | None:
+    """Where operators call, as the environment has it; what it has is not taken for a key of the text."""
+    if not (text := env.get("NODE_ADMIN_ADDR")):
+        return None
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise ConfigError(f"NODE_ADMIN_ADDR: {error}") from None
+
+
 def parse_config(text: bytes, env: Mapping[str, str]) -> Config:
     """The configuration; the environment stands in for the name and the addresses where the text has none."""
     try:
@@ -108,16 +119,16 @@
         limits=_limits(raw.get("limits", {})),
         known=known,
         settings=settings,
+        admin=_address(raw, "admin_addr", None) if "admin_addr" in raw else _admin(env),
     )
 
 
 def fixed_keys_changed(old: Config, new: Config) -> list[str]:
     """The keys that differ and that a running sidecar can't follow; `discovery` is the one it can."""
-    return [
-        name
-        for name in ("name", "listen", "seed", "limits", "known", "settings")
-        if getattr(old, name) != getattr(new, name)
-    ]
+    keys = {"admin_addr": "admin"} | {
+        name: name for name in ("name", "listen", "seed", "limits", "known", "settings")
+    }
+    return [key for key, name in keys.items() if getattr(old, name) != getattr(new, name)]
 
 
 def load_config(env: Mapping[str, str]) -> Config:
--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -15,7 +15,7 @@
 from brambleusher.runtime.scheduler import Bell, Scheduler
 from brambleusher.runtime.system import System
 from quillpass import Balancer, api
-from quillpass.state import save
+from quillpass.state import hosts_avoided, save
 from quillpass.zoned import ZonedBalancer, balancer_for
 
 log = logging.getLogger(__name__)
@@ -310,6 +310,10 @@
             return None
         return self._balancer.standing(self._clock.now_ns())
 
+    def avoided(self) -> int:
+        """How many execute nodes of the list get nothing now."""
+        return hosts_avoided(self._balancer, self._clock.now_ns())
+
     # --- actions --------------------------------------------------------------------------------
 
     def _handle(self, event: api.Event, ticket: Ticket | None = None) -> None:
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -107,8 +107,10 @@
         counters: Counters,
         most_connections: int,
         large_bytes: int,
+        written: Callable[[], None] = lambda: None,
     ) -> None:
-        self._scheduler, self._counters = scheduler, counters
+        """`written` is told of each claim whose last byte has been handed over."""
+        self._scheduler, self._counters, self._written = scheduler, counters, written
         self._connect_seconds = settings.connect_timeout_ns / 1e9
         self._pace = Pace.of(settings.fleet_size, settings.conn_idle_ns / 1e9 or math.inf)
         self.listed: dict[str, Machine] = {}
@@ -257,6 +259,7 @@
             claim.sending = True
             stream.send(self._encode(request, node, left_ms), deadline)
             claim.written = True
+            self._written()
             answer, keep = self._answer(stream, claim, deadline)
             status = status_of(answer)
             if status is Status.FULL and claim.fresh:
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -28,8 +28,10 @@
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import Socket
+from brambleusher.tally import FAILED, REFUSED, SERVED, Tally
 from quillpass.api import Effect, Refuse, Status
 from quillpass.places import FRESH_SECONDS, Places
+from quillpass.upkeep import Service
 
 log = logging.getLogger(__name__)
 
@@ -43,6 +45,8 @@
 ANSWER_MARGIN_NS = 10_000_000
 GUARD_SECONDS = 0.005  # past that moment: the module had its chance to answer
 
+LEAVE_LOOK_SECONDS = 0.05  # between two looks at connections that are to leave
+
 _ID = re.compile(r"[\x21-\x7e]{1,128}\Z")
 _NUMBER = re.compile(r"[0-9]{1,9}\Z")
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?\Z")
@@ -65,6 +69,20 @@
     payload: object = None
 
 
+_ENDS = {Kind.SERVED: SERVED, Kind.REFUSED: REFUSED, Kind.FAILED: FAILED}
+
+
+@dataclass(slots=True)
+class Reply:
+    """An answer as it is worded for HTTP; `end` is what it counts as, for the class of its request."""
+
+    status: int
+    headers: list[Field]
+    body: bytes
+    request_class: str | None = None  # None: it answers nothing that was taken
+    end: str = FAILED
+
+
 @dataclass(frozen=True, slots=True)
 class Submitter:
     """The other end of a request: `watch` has its socket as long as it can be seen to leave."""
@@ -206,6 +224,8 @@
         places: Places,
         is_ready: Callable[[], bool],
         rewrites: Rewrites | None = None,
+        tally: Tally | None = None,
+        service: Service | None = None,
     ) -> None:
         self._scheduler, self._decisions, self._clock = scheduler, decisions, clock
         self._counters, self._places, self._is_ready = counters, places, is_ready
@@ -214,6 +234,8 @@
             cls.name: "GET" if cls.effect is Effect.SAFE else "POST" for cls in decisions.settings.classes
         }
         self._tenants = {tenant.name for tenant in decisions.settings.tenants}
+        self.tally, self._service = tally or Tally(self._methods), service or Service()
+        self._leaving: Task | None = None
         self._listener: Socket | None = None
         self._accepting: Task | None = None
         self._connections: set[Connection] = set()
@@ -302,6 +324,23 @@
         """Open connections."""
         return len(self._connections)
 
+    def leave(self) -> None:
+        """Submitters are sent away: see that their connections go."""
+        if self._leaving is None:
+            self._leaving = self._scheduler.spawn(self._leave, name="leave")
+
+    def _leave(self) -> None:
+        """The task: close what may not rest any longer, until submitters are wanted again."""
+        while not self._service.wanted:
+            now = self._scheduler.now()
+            for connection in self._places.waiting():
+                assert isinstance(connection, Connection)
+                since = connection.stream.used_at
+                if not self._service.may_rest(now, since, connection.asked) and connection.stream.quiet():
+                    self._close_idle(connection)
+            self._scheduler.sleep(LEAVE_LOOK_SECONDS)
+        self._leaving = None
+
     def wind_down(self) -> None:
         """Take no new connection; close each one as soon as nothing is owed on it."""
         self._closing = True
@@ -326,7 +365,7 @@
         try:
             while self._exchange(connection, reader):
                 connection.asked = True
-                now = self._scheduler.now()
+                now = connection.stream.used_at = self._scheduler.now()
                 self._places.rests(connection, now)
                 if self._places.scarce(now):
                     self._make_room()
@@ -350,33 +389,42 @@
             return False
         keep = request.keep_alive
         try:
-            answer = self._answer(connection, reader, request)
+            reply = self._answer(connection, reader, request)
         except HttpError as error:
             self._counters.add("bad_requests")
             if not keep or error.status != 404:
                 self._turn_away(stream, error)
                 return False
-            answer = error.status, [], f"{error}\n".encode()
+            reply = Reply(error.status, [], f"{error}\n".encode())
         except Exception:
             # Guards against a request left without an answer by a fault of ours.
             self._counters.add("faults")
             self._counters.add("answers_failed")
             log.exception("request failed")
-            answer = 500, [], b""
-        if answer is None:
+            reply = Reply(500, [], b"")
+        if reply is None:
             return False
-        keep = keep and not self._closing
+        keep = keep and not self._closing and self._service.wanted
         if keep and not self._places.may_stay(connection, self._scheduler.now()):
             self._counters.add("submitters_told_to_close")
             keep = False
-        status, headers, body = answer
         try:
-            stream.send(write_response(status, headers, body, keep), self._scheduler.now() + WRITE_SECONDS)
+            self._write(stream, reply, keep)
         except (OSError, Timeout):
             self._counters.add("answers_unsent")
             raise
         return keep
 
+    def _write(self, stream: Stream, reply: Reply, keep: bool) -> None:
+        """The answer to its last byte, with which its request ends."""
+        try:
+            text = write_response(reply.status, reply.headers, reply.body, keep)
+            stream.send(text, self._scheduler.now() + WRITE_SECONDS)
+            if reply.request_class is not None:
+                self.tally.ends[reply.request_class][reply.end] += 1
+        finally:
+            self.tally.open -= reply.request_class is not None
+
     def _turn_away(self, stream: Stream, error: HttpError) -> None:
         """Answer what can't be used, and end the connection."""
         stream.send(
@@ -418,14 +466,14 @@
         self._places.asked(connection, self._scheduler.now())
         return request
 
-    def _answer(
-        self, connection: Connection, reader: MessageReader, request: Message
-    ) -> tuple[int, list[Field], bytes] | None:
-        """Status, headers and body of the answer; None if the submitter has left."""
+    def _answer(self, connection: Connection, reader: MessageReader, request: Message) -> Reply | None:
+        """The answer; None if the submitter has left."""
         stream, (method, target) = connection.stream, request.start
         path = target.split("?", 1)[0]
         if path == "/ready" and method == "GET":
-            return (200, [], b"ready\n") if self._is_ready() else (503, [], b"starting\n")
+            if not self._service.wanted:
+                return Reply(503, [], b"out of service\n")
+            return Reply(200, [], b"ready\n") if self._is_ready() else Reply(503, [], b"starting\n")
         arrived_ns = self._clock.now_ns()
         call = self._call(request, path)
         self._places.named(connection, call.tenant or "")
@@ -449,20 +497,25 @@
             return not data
 
         self._counters.add("requests_taken")
+        self.tally.open += 1
+        reply: Reply | None = None
         try:
             answer = self._life.live(call, deadline, Submitter(watch, has_left))
+            kind = None if answer is None else answer.kind.value
+            self._decisions.observers.over(call, kind, self._clock.now_ns() - arrived_ns)
+            if answer is None:
+                self._counters.add("requests_gone")
+                return None
+            self._counters.add(f"answers_{answer.kind.value}")
+            status, headers, body = self._worded(answer)
+            if self._rewrites is not None:
+                headers = self._rewrites.outward(headers, path, call.request_class)
+            reply = Reply(status, headers, body, call.request_class, _ENDS[answer.kind])
+            return reply
         except DuplicateRequest as error:
             raise HttpError(400, str(error)) from None
-        kind = None if answer is None else answer.kind.value
-        self._decisions.observers.over(call, kind, self._clock.now_ns() - arrived_ns)
-        if answer is None:
-            self._counters.add("requests_gone")
-            return None
-        self._counters.add(f"answers_{answer.kind.value}")
-        status, headers, body = self._worded(answer)
-        if self._rewrites is not None:
-            headers = self._rewrites.outward(headers, path, call.request_class)
-        return status, headers, body
+        finally:
+            self.tally.open -= reply is None  # else it ends with its answer's last byte
 
     def _worded(self, answer: Answer) -> tuple[int, list[Field], bytes]:
         if answer.kind is Kind.REFUSED:
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -66,10 +66,12 @@
 class Task:
     """One greenlet and what it waits for."""
 
-    __slots__ = ("bell", "done", "glet", "name", "parked", "scheduler", "sock_fd", "timer")
+    __slots__ = ("bell", "done", "glet", "name", "parked", "scheduler", "sock_fd", "timer", "urgent")
 
-    def __init__(self, scheduler: Scheduler, name: str, run: Callable[[Any], None]) -> None:
-        self.scheduler, self.name = scheduler, name
+    def __init__(
+        self, scheduler: Scheduler, name: str, run: Callable[[Any], None], urgent: bool = False
+    ) -> None:
+        self.scheduler, self.name, self.urgent = scheduler, name, urgent
         self.glet = scheduler.system.greenlet(run, scheduler.hub)
         self.parked = self.done = False
         self.sock_fd = -1
@@ -111,13 +113,22 @@
         """Calls that are due at some moment."""
         return len(self._timers) - self._shells
 
-    def spawn(self, call: Callable[..., Any], *args: Any, name: str = "") -> Task:
-        """Start a task; it runs for the first time in the hub's next round."""
-        task = Task(self, name or call.__qualname__, lambda why: self._body(task, call, args, why))
-        self._ready.append((task, None))
+    def spawn(self, call: Callable[..., Any], *args: Any, name: str = "", urgent: bool = False) -> Task:
+        """Start a task; it runs for the first time in the hub's next round.
+
+        One that is `urgent` goes ahead of all that is ready whenever it is.
+        """
+        task = Task(self, name or call.__qualname__, lambda why: self._body(task, call, args, why), urgent)
+        self._queue(task, None)
         task.parked = True
         return task
 
+    def _queue(self, task: Task, why: Any) -> None:
+        if task.urgent:
+            self._ready.appendleft((task, why))
+        else:
+            self._ready.append((task, why))
+
     def park(
         self,
         deadline: float | None = None,
@@ -207,7 +218,7 @@
             else:
                 return
         self._unhook(task)
-        self._ready.append((task, why))
+        self._queue(task, why)
 
     # --- the hub --------------------------------------------------------------------------------
 
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -10,6 +10,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from brambleusher.admin import figures as service_figures
+from brambleusher.admin.door import DESCRIPTORS as DOOR_DESCRIPTORS
+from brambleusher.admin.door import Door
 from brambleusher.config import Config, ConfigError, fixed_keys_changed
 from brambleusher.counters import Counters
 from brambleusher.decisions import Clock, Decisions, Observer, Observers
@@ -27,9 +30,11 @@
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Sink, System
+from brambleusher.tally import Tally
 from quillpass import Balancer
-from quillpass.api import ListKind, Settings
+from quillpass.api import HostEntry, ListKind, Settings
 from quillpass.places import Places
+from quillpass.upkeep import Bans, Service
 from quillpass.zoned import balancer_for
 
 if TYPE_CHECKING:
@@ -96,14 +101,20 @@
         memory = config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
         memory -= memory_of_features(operator, memory // 2)
         spare = SPARE_DESCRIPTORS + (DESCRIPTORS if operator.status is not None else 0)
+        if config.admin is not None:
+            spare += DOOR_DESCRIPTORS
         if operator.mysql is not None:
             memory -= self._memory_of_mysql(operator.mysql, memory)
             spare += self._descriptors_of_mysql(operator.mysql, config.limits.sockets - spare)
         places = min(config.limits.sockets - spare, memory // MEMORY_PER_CONNECTION)
         for_nodes = max(int(places * NODE_PART), 8)
+        self.tally = Tally(cls.name for cls in config.settings.classes)
         self.nodes = ExecuteNodes(
-            self.scheduler, config.settings, self.counters, for_nodes, int(memory * LARGE_PART)
+            self.scheduler, config.settings, self.counters, for_nodes, int(memory * LARGE_PART), self._relayed
         )
+        self.bans, self.service = Bans(), Service()
+        self.door = None if config.admin is None else Door(self.scheduler, self)
+        self.door_address: tuple[str, int] | None = None  # where it listens
         self.capture = None if operator.capture is None else self._capture(operator.capture)
         self.status = (
             None
@@ -129,11 +140,12 @@
         self.submitters = Submitters(
             self.scheduler, self.decisions, self.nodes, self.clock, self.counters,
             Places(max(places - for_nodes, 8), max(int(config.limits.sockets * ASKING_PART), 8)),
-            self.is_ready, self._rewrites(operator),
+            self.is_ready, self._rewrites(operator), self.tally, self.service,
         )  # fmt: skip
         self.mysql = None if operator.mysql is None else self._mysql(operator.mysql)
         self._started_at = self.scheduler.now()
         self._ending = self._wound_down = False
+        self._version = 0  # of the list that was told last
 
     def _standing(self) -> dict[str, object] | None:
         return self.decisions.standing()
@@ -210,8 +222,9 @@
     def start(self) -> tuple[str, int]:
         """Listen and follow the machine list; says where it listens."""
         known = self.config.known
-        self.nodes.update(known)
         self.machine_list.hold(known)
+        known = self._effective(known)
+        self.nodes.update(known)
         self.decisions.start(machine.entry for machine in known.machines)
         self.machine_list.start()
         if not self.config.settings.subscribe:  # the module leaves the list to us
@@ -224,6 +237,12 @@
             self.status.start(self.config.listen[0])
         if self.mysql is not None:
             self.mysql.start(known)
+        if self.door is not None and self.config.admin is not None:
+            try:
+                self.door_address = host, port = self.door.listen(self.config.admin)
+            except OSError as error:
+                raise ConfigError(f"admin_addr: {error.strerror}") from None
+            log.info("operators' door", extra={"fields": {"address": f"{host}:{port}"}})
         where = self.submitters.listen(self.config.listen)
         log.info(
             "listening", extra={"fields": {"node": self.config.name, "address": f"{where[0]}:{where[1]}"}}
@@ -246,6 +265,8 @@
 
     def close(self) -> None:
         """Release what the scheduler holds, and write what waits to be written."""
+        if self.door is not None:
+            self.door.close()
         self.scheduler.close()
         for output in self.outputs.values():
             output.close()
@@ -272,7 +293,63 @@
         self.system.on_signal(signal.SIGINT, self.end)
         self.system.on_signal(signal.SIGUSR1, self.report)
 
+    # --- what operators call --------------------------------------------------------------------
+
+    def is_serving(self) -> bool:
+        """Whether this process can serve, wanted or not."""
+        return self.is_ready()
+
+    def figures_text(self) -> bytes:
+        """The figures as they stand."""
+        return service_figures.render(self.tally, len(self.nodes.listed), self.decisions.avoided())
+
+    def offline(self, node: str) -> bool:
+        """Leave an execute node out from now on; false for one that was never listed."""
+        if not self.bans.knows(node):
+            return False
+        self._tell(self.bans.offline(node, self.clock.now_ns()))
+        return True
+
+    def online(self, node: str) -> bool:
+        """Use it again from now on; false for one that was never listed."""
+        if not self.bans.knows(node):
+            return False
+        self._tell(self.bans.online(node, self.clock.now_ns()))
+        return True
+
+    def out_of_service(self) -> None:
+        """Send submitters away; this process runs on."""
+        self.service.leave(self.scheduler.now())
+        self.submitters.leave()
+
+    def in_service(self) -> None:
+        """Take submitters again."""
+        self.service.resume()
+
+    def _tell(self, entry: HostEntry | None) -> None:
+        """What a ban makes of a node, where it makes a difference."""
+        if entry is None or (machine := self.nodes.listed.get(entry.host)) is None:
+            return
+        self._told(MachineListUpdate(self._version, False, (replace(machine, entry=entry),)))
+
+    def _effective(self, update: MachineListUpdate) -> MachineListUpdate:
+        """What bans make of news from discovery."""
+        self._version = update.version
+        self.bans.listed(update.full, (machine.entry for machine in update.machines))
+        machines = tuple(
+            machine if (entry := self.bans.effective(machine.entry)) is machine.entry
+            else replace(machine, entry=entry)
+            for machine in update.machines
+        )  # fmt: skip
+        return replace(update, machines=machines)
+
+    def _relayed(self) -> None:
+        self.tally.relayed += 1
+
     def _listed(self, update: MachineListUpdate) -> None:
+        self._told(self._effective(update))
+
+    def _told(self, update: MachineListUpdate) -> None:
         if self.status is not None:
             self.status.listed(update)
         if self.capture is not None:
--- a/quillpass/state.py
+++ b/quillpass/state.py
@@ -226,6 +226,15 @@
     return {host.name for request in balancer._requests.values() for host, _, _ in request.attempts}
 
 
+def hosts_avoided(balancer: Balancer, now: int) -> int:
+    """How many hosts of its list get no attempt now: draining, shut for a while, or left without weight."""
+    used = {host.name for host in balancer._turn.ring}
+    return sum(
+        not host.ready or host.shut_ns > now or (host.name in used and host.weight <= 0)
+        for host in balancer._hosts.values()
+    )
+
+
 # --- settings -------------------------------------------------------------------------------
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -147,13 +147,16 @@
 class Rig:
     """A running sidecar."""
 
-    def __init__(self, servers: list[dict[str, Any]], operator: str = "", **limits: Any) -> None:
+    def __init__(
+        self, servers: list[dict[str, Any]], operator: str = "", admin: bool = False, **limits: Any
+    ) -> None:
         self.discovery = Discovery(servers)
         settings = {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
         self.config = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "2a",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"version": 6, "full": True, "servers": servers}, "settings": settings,
+            **({"admin_addr": "127.0.0.1:0"} if admin else {}),
         }  # fmt: skip
         up: queue.Queue[tuple[Sidecar, tuple[str, int]]] = queue.Queue()
 
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,164 @@
+"""The operators' door: the table of calls, and the calls on real sockets."""
+
+from __future__ import annotations
+
+import queue
+import socket
+import time
+import unittest
+
+from brambleusher.admin.calls import Call, find
+from brambleusher.admin.door import MOST
+from brambleusher.net.http import HttpError, Message
+from tests.rig import WAIT, Discovery, Node, Rig, Script, answer, read
+
+
+class Calls(unittest.TestCase):
+    def test_the_table(self) -> None:
+        for method, target, call, node in (
+            ("GET", "/control/ready", Call.READY, ""),
+            ("GET", "/control/counters?now", Call.COUNTERS, ""),
+            ("POST", "/control/registry-nodes/s-5be2a07c/offline", Call.OFFLINE, "s-5be2a07c"),
+            ("POST", "/control/registry-nodes/a%2Fb%C3%A9/online", Call.ONLINE, "a/bé"),
+            ("POST", "/control/out-of-service", Call.OUT_OF_SERVICE, ""),
+            ("POST", "/control/in-service", Call.IN_SERVICE, ""),
+        ):
+            with self.subTest(target):
+                asked = find(method, target)
+                self.assertEqual((asked.call, asked.node), (call, node))
+
+    def test_what_is_no_call(self) -> None:
+        for method, target, status in (
+            ("POST", "/control/ready", 405),
+            ("GET", "/control/registry-nodes/a/offline", 405),
+            ("PUT", "/control/in-service", 405),
+            ("GET", "/control", 404),
+            ("GET", "/ready", 404),
+            ("POST", "/control/registry-nodes/a/b/offline", 404),
+            ("POST", "/control/registry-nodes/a/sideways", 404),
+            ("POST", "/control/registry-nodes/%zz/offline", 400),
+            ("POST", "/control/registry-nodes/%ff/offline", 400),
+        ):
+            with self.subTest(target), self.assertRaises(HttpError) as caught:
+                find(method, target)
+            self.assertEqual(caught.exception.status, status)
+
+
+class Door(unittest.TestCase):
+    def rig(self, *nodes: Node) -> Rig:
+        rig = Rig([node.entry(f"h{at}") for at, node in enumerate(nodes)], admin=True)
+        self.addCleanup(rig.end)
+        return rig
+
+    def node(self, script: Script | None = None) -> Node:
+        node = Node(script)
+        self.addCleanup(node.close)
+        return node
+
+    def connect(self, rig: Rig) -> socket.socket:
+        assert rig.sidecar.door_address is not None
+        sock = socket.create_connection(rig.sidecar.door_address, WAIT)
+        self.addCleanup(sock.close)
+        return sock
+
+    def call(self, rig: Rig, method: str, path: str) -> Message:
+        sock = self.connect(rig)
+        sock.sendall(f"{method} /control/{path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n".encode())
+        got = read(sock)
+        self.assertEqual(sock.recv(1), b"", "one call to a connection")
+        return got
+
+    def figures(self, rig: Rig) -> dict[str, int]:
+        lines = self.call(rig, "GET", "counters").body.decode().splitlines()
+        return {name: int(value) for name, value in (line.split("=") for line in lines)}
+
+    def test_a_banned_node_gets_nothing_until_the_call_back_whatever_discovery_says(self) -> None:
+        nodes = self.node(), self.node()
+        rig = self.rig(*nodes)
+        self.assertEqual(self.call(rig, "POST", "registry-nodes/h9/offline").status, 404)
+        for _ in range(2):
+            self.assertEqual(self.call(rig, "POST", "registry-nodes/h0/offline").status, 200)
+        rig.discovery.push(Discovery.text([nodes[0].entry("h0"), nodes[1].entry("h1")], True, 8))
+        rig.listed(2)
+        for n in range(20):
+            self.assertEqual(rig.call(f"r{n}").status, 200)
+        self.assertEqual((nodes[0].seen.qsize(), nodes[1].seen.qsize()), (0, 20))
+        self.assertEqual(self.figures(rig)["edge_node.out_of_rotation"], 1)
+        self.assertEqual(self.call(rig, "POST", "registry-nodes/h0/online").status, 200)
+        until = time.monotonic() + WAIT
+        while not nodes[0].seen.qsize():  # cold: a part of what it could take
+            rig.call(f"late{time.monotonic_ns()}")
+            self.assertLess(time.monotonic(), until)
+        self.assertEqual(self.figures(rig)["edge_node.out_of_rotation"], 0)
+
+    def test_the_last_node_can_be_banned(self) -> None:
+        rig = self.rig(self.node())
+        self.assertEqual(self.call(rig, "POST", "registry-nodes/h0/offline").status, 200)
+        self.assertEqual(rig.call("a").status, 503)
+
+    def test_figures_are_what_the_other_sides_saw(self) -> None:
+        held: queue.Queue[socket.socket] = queue.Queue()
+
+        def script(sock: socket.socket, request: Message) -> None:
+            if request.headers["request-id"] == "held":
+                held.put(sock)
+            else:
+                answer(b"", "200 OK" if request.headers["request-id"] != "bad" else "500 Oops")(sock, request)
+
+        rig = self.rig(self.node(script))
+        waiting = rig.send("held", "move")
+        first = held.get(timeout=WAIT)
+        self.assertEqual([rig.call("a").status, rig.call("bad", "move").status], [200, 502])
+        got = self.figures(rig)
+        self.assertEqual(got["edge_node.operations.look.fulfilled"], 1)
+        self.assertEqual(got["edge_node.operations.move.faulted"], 1)
+        self.assertEqual(got["edge_node.operations.move.throttled"], 0)
+        self.assertEqual((got["edge_node.relayed"], got["edge_node.open_requests"]), (3, 1))
+        self.assertEqual((got["edge_node.registry_entries"], got["edge_node.out_of_rotation"]), (1, 0))
+        answer(b"")(first, Message(("GET", "/"), 1, {}))
+        self.assertEqual(read(waiting).status, 200)
+        rig.send("left").close()  # left before its answer: it ends, and is nothing else
+        until = time.monotonic() + WAIT
+        while (got := self.figures(rig))["edge_node.open_requests"]:
+            self.assertLess(time.monotonic(), until)
+        self.assertEqual(got["edge_node.operations.move.fulfilled"], 1)
+
+    def test_callers_that_say_nothing_or_half_a_call_hold_up_nobody(self) -> None:
+        rig = self.rig(self.node())
+        silent = [self.connect(rig) for _ in range(MOST * 2)]
+        for sock in silent[::2]:
+            sock.sendall(b"GET /control/rea")
+        begun = time.monotonic()
+        self.assertEqual(self.call(rig, "GET", "ready").status, 200)
+        self.assertLess(time.monotonic() - begun, 1.0)
+        for text, status in ((b"GET / HTTP/1.1\r\n\r\n", 404), (b"nonsense\r\n\r\n", 400)):
+            sock = self.connect(rig)
+            sock.sendall(text)
+            self.assertEqual(read(sock).status, status)
+        self.assertEqual(read(silent[-2]).status, 408)  # in time, half a call is told so
+
+    def test_out_of_service_sends_submitters_away_and_back(self) -> None:
+        rig = self.rig(self.node())
+        resting, idle = rig.connect(), rig.connect()
+        rig.send("a", sock=resting)
+        self.assertTrue(read(resting).keep_alive)
+        rig.send("b", sock=idle)
+        read(idle)
+        self.assertEqual(self.call(rig, "POST", "out-of-service").status, 200)
+        self.assertEqual(self.ready(rig), 503)
+        self.assertEqual(self.call(rig, "GET", "ready").status, 200, "it can serve, and is not wanted")
+        rig.send("c", sock=resting)
+        got = read(resting)  # served, and told to leave
+        self.assertEqual((got.status, got.keep_alive), (200, False))
+        self.assertEqual((idle.recv(1), resting.recv(1)), (b"", b""))
+        self.assertEqual(rig.call("d").status, 200)  # the front's last ones
+        self.assertEqual(self.call(rig, "POST", "in-service").status, 200)
+        self.assertEqual(self.ready(rig), 200)
+        rig.send("e", sock=(again := rig.connect()))
+        self.assertTrue(read(again).keep_alive)
+
+    @staticmethod
+    def ready(rig: Rig) -> int:
+        with rig.connect() as sock:
+            sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+            return read(sock).status
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -33,6 +33,14 @@
         self.assertEqual((config.name, config.listen), ("n7", ("127.0.0.1", 1)))
         self.assertEqual((config.limits.sockets, config.limits.memory_mb), (1024, 192))
         self.assertEqual((config.seed, config.known.machines), (0x8C1F, ()))
+        self.assertIsNone(config.admin)
+        for raw, more, admin in (
+            (few, {"NODE_ADMIN_ADDR": "127.0.0.1:3"}, ("127.0.0.1", 3)),
+            ({**few, "admin_addr": "127.0.0.1:4"}, {"NODE_ADMIN_ADDR": "127.0.0.1:3"}, ("127.0.0.1", 4)),
+        ):
+            self.assertEqual(parse_config(json.dumps(raw).encode(), {**env, **more}).admin, admin)
+        with self.assertRaisesRegex(ConfigError, "NODE_ADMIN_ADDR"):
+            parse_config(json.dumps(few).encode(), {**env, "NODE_ADMIN_ADDR": "door"})
 
     def test_the_faulty_key_is_named(self) -> None:
         for key, value, named in (
@@ -40,6 +48,7 @@
             ("listen", "here", "listen"),
             ("discovery", "127.0.0.1:99999", "discovery"),
             ("seed", "xyz", "seed"),
+            ("admin_addr", "door", "admin_addr"),
             ("limits", {"sockets": 3}, "limits.sockets"),
             ("limits", {"memory_mb": "big"}, "limits.memory_mb"),
             ("known", {"servers": [{}]}, "known"),
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,6 +14,7 @@
 import time
 import unittest
 from pathlib import Path
+from typing import Any
 from unittest import mock
 
 from brambleusher.config import parse_config
@@ -31,10 +32,10 @@
         self.addCleanup(node.close)
         return node
 
-    def rig(self, *nodes: Node, **limits: object) -> Rig:
+    def rig(self, *nodes: Node, **limits: Any) -> Rig:
         return self.rig_of(*(node.entry(f"h{at}") for at, node in enumerate(nodes)), **limits)
 
-    def rig_of(self, *entries: dict[str, object], **limits: object) -> Rig:
+    def rig_of(self, *entries: dict[str, object], **limits: Any) -> Rig:
         rig = Rig(list(entries), "", **limits)
         self.addCleanup(rig.end)
         return rig
--- /dev/null
+++ b/tests/test_upkeep.py
@@ -0,0 +1,105 @@
+"""Bans over what discovery says, and who may stay with a sidecar that is out of service."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from quillpass.api import HostEntry, HostState
+from quillpass.upkeep import LEAVE_SECONDS, REMEMBERED, SILENT_SECONDS, Bans, Service
+
+READY, DRAINING, GONE = HostState.READY, HostState.DRAINING, HostState.GONE
+
+
+def entry(host: str = "a", state: HostState = READY, started_ns: int = 0) -> HostEntry:
+    return HostEntry(host, "z", "k", 0, state, started_ns=started_ns)
+
+
+class BansTest(unittest.TestCase):
+    def bans(self) -> Bans:
+        bans = Bans()
+        bans.listed(True, [entry("a"), entry("b")])
+        return bans
+
+    def test_a_ban_holds_whatever_discovery_says(self) -> None:
+        bans = self.bans()
+        told = bans.offline("a", 100)
+        assert told is not None
+        self.assertIs(told.state, DRAINING)
+        for news in ([entry("a")], [entry("a", DRAINING)], [entry("a", started_ns=150)]):
+            bans.listed(False, news)
+            self.assertIs(bans.effective(news[0]).state, DRAINING)
+        bans.listed(True, [entry("b")])  # gone, and back under the same id
+        bans.listed(True, [entry("a"), entry("b")])
+        self.assertIs(bans.effective(entry("a")).state, DRAINING)
+        self.assertIs(bans.effective(entry("a", GONE)).state, GONE)
+        self.assertIs(bans.effective(entry("b")).state, READY)
+
+    def test_calls_may_be_repeated_and_one_call_back_ends_the_ban(self) -> None:
+        bans = self.bans()
+        self.assertIsNone(bans.online("a", 90))
+        bans.offline("a", 100)
+        self.assertIsNone(bans.offline("a", 110))
+        told = bans.online("a", 200)
+        assert told is not None
+        self.assertIs(told.state, READY)
+        self.assertIsNone(bans.online("a", 210))
+
+    def test_one_that_comes_back_is_taken_for_started_unless_discovery_told(self) -> None:
+        for listed, believed in ((0, 200), (99, 200), (150, 150)):
+            with self.subTest(listed=listed):
+                bans = self.bans()
+                bans.offline("a", 100)
+                bans.listed(False, [entry("a", started_ns=listed)])
+                told = bans.online("a", 200)
+                assert told is not None
+                self.assertEqual(told.started_ns, believed)
+                later = bans.effective(entry("a", started_ns=300))
+                self.assertEqual(later.started_ns, 300)
+
+    def test_a_ban_that_ends_while_discovery_drains_the_node_leaves_it_draining(self) -> None:
+        bans = self.bans()
+        bans.offline("a", 100)
+        bans.listed(False, [entry("a", DRAINING)])
+        told = bans.online("a", 200)
+        assert told is not None
+        self.assertIs(told.state, DRAINING)
+
+    def test_ids_once_listed_are_known_and_others_are_not(self) -> None:
+        bans = self.bans()
+        self.assertFalse(bans.knows("c"))
+        bans.listed(False, [entry("a", GONE)])
+        self.assertTrue(bans.knows("a"))
+        self.assertIsNone(bans.offline("a", 100))  # nothing to tell, and banned when it comes back
+        self.assertIs(bans.effective(entry("a")).state, DRAINING)
+        for n in range(REMEMBERED + 1):
+            bans.listed(False, [entry(f"x{n}"), entry(f"x{n}", GONE)])
+        self.assertFalse(bans.knows("x0"))
+        self.assertTrue(bans.knows("a"), "a banned one is never forgotten")
+        self.assertTrue(bans.knows(f"x{REMEMBERED}"))
+
+    def test_an_entry_that_nothing_is_laid_over_is_passed_as_it_is(self) -> None:
+        plain = entry("b")
+        self.assertIs(self.bans().effective(plain), plain)
+        self.assertEqual(replace(plain), plain)
+
+
+class ServiceTest(unittest.TestCase):
+    def test_who_may_rest(self) -> None:
+        service = Service()
+        self.assertTrue(service.wanted and service.may_rest(5.0, 0.0, True))
+        service.leave(10.0)
+        service.leave(11.0)  # again: the first call counts
+        self.assertFalse(service.wanted)
+        for now, since, asked, may in (
+            (10.5, 9.0, True, True),  # its next request is served, and it leaves with the answer
+            (10.0 + LEAVE_SECONDS, 9.0, True, False),
+            (10.0 + LEAVE_SECONDS, 9.0, False, False),
+            (10.5, 10.4, False, True),  # new: the front has not looked yet
+            (10.4 + SILENT_SECONDS, 10.4, False, False),
+            (13.0, 12.9, False, True),
+        ):
+            with self.subTest(now=now, since=since, asked=asked):
+                self.assertEqual(service.may_rest(now, since, asked), may)
+        service.resume()
+        self.assertTrue(service.wanted and service.may_rest(20.0, 0.0, True))
