A new version takes over under load: the held listener adopted, bans and what was learnt handed on

Change: NODE_FD is adopted (System.adopt), never bound nor shut down; brambleusher/takeover.py lets processes of one sidecar find each other in a folder of $TMPDIR (a locked file each), share bans and out-of-service, and hands what the module learnt to a newcomer (quillpass/legacy.py). The new one accepts once it can serve; the old one, at SIGTERM with a successor, accepts no more, serves what it took and closes what rests after 0.65 s. Descriptors, memory and the budget of cold nodes are divided by the number of processes (one line in the module, an event ProcessesCounted that captures hold).

--- a/brambleusher/config.py
+++ b/brambleusher/config.py
@@ -40,6 +40,8 @@
     known: MachineListUpdate
     settings: api.Settings
     admin: tuple[str, int] | None = None  # where operators call; None: nowhere
+    listener_fd: int | None = None  # a socket that listens on `listen` already; None: there is none
+    shared_dir: str | None = None  # what all processes of this sidecar can write; None: nothing
 
 
 def _text(raw: Mapping[str, Any], key: str, fallback: str | None) -> str:
@@ -95,6 +97,15 @@
         raise ConfigError(f"NODE_ADMIN_ADDR: {error}") from None
 
 
+def _descriptor(env: Mapping[str, str]) -> int | None:
+    """The listening socket that the platform holds, where it holds one."""
+    if not (text := env.get("NODE_FD")):
+        return None
+    if not text.isascii() or not text.isdigit() or not 3 <= int(text) < 2**20:
+        raise ConfigError("NODE_FD is not the number of a descriptor")
+    return int(text)
+
+
 def parse_config(text: bytes, env: Mapping[str, str]) -> Config:
     """The configuration; the environment stands in for the name and the addresses where the text has none."""
     try:
@@ -119,6 +130,8 @@
         limits=_limits(raw.get("limits", {})),
         known=known,
         settings=settings,
+        listener_fd=_descriptor(env),
+        shared_dir=env.get("TMPDIR") or None,
         admin=_address(raw, "admin_addr", None) if "admin_addr" in raw else _admin(env),
     )
 
--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -15,7 +15,8 @@
 from brambleusher.runtime.scheduler import Bell, Scheduler
 from brambleusher.runtime.system import System
 from quillpass import Balancer, api
-from quillpass.state import hosts_avoided, save
+from quillpass.legacy import bequeath, inherit
+from quillpass.state import StateError, hosts_avoided, save
 from quillpass.zoned import ZonedBalancer, balancer_for
 
 log = logging.getLogger(__name__)
@@ -159,8 +160,8 @@
 class Recorder:
     """One that is told of everything that passes between the sidecar and the module."""
 
-    def began(self, state: Callable[[], dict[str, Any]]) -> None:
-        """The module is made; `state` tells its state between two events."""
+    def began(self, state: Callable[[], dict[str, Any]], inherited: bool = False) -> None:
+        """The module is made, from nothing or not; `state` tells its state between two events."""
 
     def record(self, decision: Decision) -> None:
         """One event has been decided on; its actions are not routed yet."""
@@ -203,11 +204,19 @@
         observers: Observer | None = None,
         recorder: Recorder | None = None,
         make: Callable[[api.Settings, int], Balancer] = balancer_for,
+        learnt: Any = None,
     ) -> None:
+        """`learnt` is what another process's `learnt` told: this one goes on from it, if it can."""
         self.settings, self.observers = settings, observers or Observer()
-        self._balancer, self._recorder = make(settings, seed), recorder
+        inherited = None
+        if learnt is not None:
+            try:
+                inherited = inherit(settings, seed, learnt)
+            except StateError as error:
+                log.warning("what was learnt can't be used", extra={"fields": {"reason": error}})
+        self._balancer, self._recorder = inherited or make(settings, seed), recorder
         if recorder is not None:
-            recorder.began(lambda: save(self._balancer))
+            recorder.began(lambda: save(self._balancer), inherited is not None)
         self._scheduler, self._clock, self._counters = scheduler, clock, counters
         self._tickets: dict[str, Ticket] = {}
         self.on_let_go: Callable[[str], None] = lambda node: None
@@ -310,6 +319,14 @@
             return None
         return self._balancer.standing(self._clock.now_ns())
 
+    def processes(self, count: int) -> None:
+        """This sidecar is so many processes from now on."""
+        self._handle(api.ProcessesCounted(count))
+
+    def learnt(self) -> dict[str, Any] | None:
+        """What the module has learnt, for another process of this sidecar."""
+        return bequeath(self._balancer)
+
     def avoided(self) -> int:
         """How many execute nodes of the list get nothing now."""
         return hosts_avoided(self._balancer, self._clock.now_ns())
--- a/brambleusher/features/capture.py
+++ b/brambleusher/features/capture.py
@@ -82,9 +82,12 @@
         self._open: Segment | None = Segment(head := self._head(None), 0, self._due(len(head)))
         self._again_ns = 0
 
-    def began(self, state: Callable[[], dict[str, Any]]) -> None:
-        """From here on `state` tells the module's."""
+    def began(self, state: Callable[[], dict[str, Any]], inherited: bool = False) -> None:
+        """From here on `state` tells the module's; one that was inherited stands in the first header."""
         self._state = state
+        if inherited:
+            head = self._head(state())
+            self._open = Segment(head, 0, self._due(len(head)))
 
     def listed(self, update: MachineListUpdate) -> None:
         """What the module is told next of the machine list, with what only this side knows of it."""
--- a/brambleusher/features/records.py
+++ b/brambleusher/features/records.py
@@ -67,6 +67,7 @@
     api.TimerFired: ("timer", lambda event: {"token": event.token}),
     api.HostList: ("list", lambda event: {"kind": event.kind.value}),
     api.RulesChanged: ("rules", lambda event: {"zones": save_rules(event.zones)}),
+    api.ProcessesCounted: ("processes", lambda event: {"count": event.count}),
     type(None): (BEGIN, lambda event: {}),
 }  # fmt: skip
 
@@ -103,6 +104,8 @@
         return api.HostList(api.ListKind(told["kind"]), [entry_from(raw) for raw in told["servers"]])
     if name == "rules":
         return api.RulesChanged(restore_rules(told["zones"]))
+    if name == "processes":
+        return api.ProcessesCounted(told["count"])
     raise RecordError(f"the event {name} is unknown")
 
 
--- a/brambleusher/lab/world.py
+++ b/brambleusher/lab/world.py
@@ -927,6 +927,14 @@
         machine.listeners[listener.port] = listener
         return listener
 
+    def sleep(self, seconds: float) -> None:
+        """No process here stands still."""
+        raise NotImplementedError
+
+    def adopt(self, fd: int) -> Socket:
+        """No process here is given a socket; raises `OSError`."""
+        raise fault(errno.ENOTSOCK)
+
     def accept(self, listener: Socket) -> tuple[Socket, str]:
         """A connection that waits, and its peer's host; raises `BlockingIOError` and `OSError`."""
         self._check()
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -118,6 +118,10 @@
         self._most, self._open = most_connections, 0
         self._large_left = large_bytes  # for what answers have beyond the size of a request's body
 
+    def resize(self, most_connections: int, more_large_bytes: int) -> None:
+        """There may be so many connections from now on, and so much more (or less) of large answers."""
+        self._most, self._large_left = most_connections, self._large_left + more_large_bytes
+
     # --- the machine list -----------------------------------------------------------------------
 
     def update(self, update: MachineListUpdate) -> None:
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -246,12 +246,42 @@
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         """Bind, and start to accept; says where."""
-        listener = self._scheduler.system.listen(address, BACKLOG)
-        self._listener = listener
-        self._accepting = self._scheduler.spawn(self._accept_all, listener, name="accept")
+        self._listener = self._scheduler.system.listen(address, BACKLOG)
+        self.accept()
+        return self._where(self._listener)
+
+    def adopt(self, fd: int) -> tuple[str, int]:
+        """Take over a socket that listens already, and don't accept yet; says where.  Raises `OSError`.
+
+        Other processes hold it too: it is never bound, never shut down, and outlives this process.
+        """
+        self._listener = self._scheduler.system.adopt(fd)
+        return self._where(self._listener)
+
+    @staticmethod
+    def _where(listener: Socket) -> tuple[str, int]:
         host, port = listener.getsockname()[:2]
         return str(host), int(port)
 
+    @property
+    def accepting(self) -> bool:
+        """Whether connections are taken."""
+        return self._accepting is not None and self._listener is not None
+
+    def accept(self) -> None:
+        """Start to accept."""
+        if self._accepting is None and self._listener is not None:
+            self._accepting = self._scheduler.spawn(self._accept_all, self._listener, name="accept")
+
+    def hand_over(self) -> None:
+        """Accept no more: another process does, from the same queue.  All that was taken is served."""
+        if self._accepting is not None:
+            self._accepting.cancel()
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        self.leave()
+
     def _accept_all(self, listener: Socket) -> None:
         while True:
             if self._places.taken >= self._places.most and not self._make_room(self._places.most):
@@ -471,7 +501,7 @@
         stream, (method, target) = connection.stream, request.start
         path = target.split("?", 1)[0]
         if path == "/ready" and method == "GET":
-            if not self._service.wanted:
+            if not self._service.ready:
                 return Reply(503, [], b"out of service\n")
             return Reply(200, [], b"ready\n") if self._is_ready() else Reply(503, [], b"starting\n")
         arrived_ns = self._clock.now_ns()
--- a/brambleusher/runtime/real.py
+++ b/brambleusher/runtime/real.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import signal
 import socket
@@ -88,6 +89,7 @@
     monotonic = staticmethod(time.monotonic)
     monotonic_ns = staticmethod(time.monotonic_ns)
     wall_ns = staticmethod(time.time_ns)
+    sleep = staticmethod(time.sleep)
     greenlet = staticmethod(greenlet.greenlet)
 
     def poller(self) -> Poller:
@@ -111,6 +113,19 @@
             raise
         return listener
 
+    def adopt(self, fd: int) -> Socket:
+        """A listening socket that this process was given; raises `OSError` where it is none."""
+        listener = socket.socket(fileno=fd)
+        try:
+            if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise OSError(errno.EINVAL, "it does not listen")
+            listener.setblocking(False)
+            listener.set_inheritable(False)
+        except BaseException:
+            listener.detach()  # not ours after all
+            raise
+        return listener
+
     def accept(self, listener: Socket) -> tuple[Socket, str]:
         """A connection that waits, and its peer's host; raises `BlockingIOError` and `OSError`."""
         assert isinstance(listener, socket.socket)
--- a/brambleusher/runtime/system.py
+++ b/brambleusher/runtime/system.py
@@ -113,6 +113,9 @@
     def wall_ns(self) -> int:
         """Unix time in nanoseconds; it may be set, forward or back."""
 
+    def sleep(self, seconds: float) -> None:
+        """Stand still, all of this process; only before it serves."""
+
     def greenlet(self, run: Callable[..., Any], parent: greenlet) -> greenlet:
         """A greenlet for a task; it is over with the process."""
 
@@ -125,6 +128,9 @@
     def listen(self, address: Address, backlog: int) -> Socket:
         """A socket that listens; raises `OSError`."""
 
+    def adopt(self, fd: int) -> Socket:
+        """A listening socket that this process was given; raises `OSError` where it is none."""
+
     def accept(self, listener: Socket) -> tuple[Socket, str]:
         """A connection that waits, and its peer's host.
 
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -7,8 +7,8 @@
 import random
 import signal
 from collections.abc import Callable
-from dataclasses import replace
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
 
 from brambleusher.admin import figures as service_figures
 from brambleusher.admin.door import DESCRIPTORS as DOOR_DESCRIPTORS
@@ -19,20 +19,24 @@
 from brambleusher.features.capture import Capture, DirSink
 from brambleusher.features.figures import DROPPED, Figures
 from brambleusher.features.output import LaneStream, Output
+from brambleusher.features.records import server_entry
 from brambleusher.features.rewrites import Rewrites
 from brambleusher.features.status import DESCRIPTORS, StatusPage
 from brambleusher.logs import configure
 from brambleusher.net.execute_nodes import ExecuteNodes
-from brambleusher.net.machine_list import MachineList, MachineListUpdate
+from brambleusher.net.machine_list import ListError, MachineList, MachineListUpdate, decode_update
 from brambleusher.net.submitters import Submitters
 from brambleusher.net.watch import HttpWatch
 from brambleusher.operator_file import CaptureSettings, FiguresSettings, OperatorError, OperatorFile
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Sink, System
+from brambleusher.takeover import DESCRIPTORS as TAKEOVER_DESCRIPTORS
+from brambleusher.takeover import Stage, Takeover, folder_for
 from brambleusher.tally import Tally
 from quillpass import Balancer
 from quillpass.api import HostEntry, ListKind, Settings
+from quillpass.legacy import MOST_HOSTS
 from quillpass.places import Places
 from quillpass.upkeep import Bans, Service
 from quillpass.zoned import balancer_for
@@ -49,7 +53,9 @@
 LARGE_PART = 0.25  # of the memory beside the runtime's: answers of more than 64 KB, until they are whole
 STDERR = "stderr"
 LOG_BYTES = 64 * 1024  # of log lines that wait for standard error, where features write to it too
+READY_LOOK_SECONDS = 0.02  # between two looks at whether this process can take over
 READY_SECONDS = 1.0  # so long the sidecar waits for a fresh list before it serves with the one it had
+LEAST_PLACES = 32  # connections of one of several processes, however little memory there is
 COLLECT_STEPS = 4  # of a long list: each leaves some hundred records
 # After SIGTERM new connections keep coming for 0.2 to 0.4 s.
 SERVE_ON_SECONDS = 0.45
@@ -76,6 +82,15 @@
     return beyond
 
 
+@dataclass(frozen=True, slots=True)
+class Rooms:
+    """What one process may hold: connections to execute nodes and of submitters, bytes of large answers."""
+
+    nodes: int
+    submitters: int
+    large_bytes: int
+
+
 class Sidecar:
     """One sidecar; `run` serves until it is told to end.  `load` reads its configuration again."""
 
@@ -89,6 +104,8 @@
         make: Callable[[Settings, int], Balancer] = balancer_for,
     ) -> None:
         operator = operator or OperatorFile()
+        self.bans, self.service, self._service_said = Bans(), Service(), 0
+        self._version = 0  # of the list that was told last
         self.config = replace(config, settings=replace(config.settings, zones=operator.zones))
         self._load, self._load_operator = load, load_operator
         config = self.config
@@ -98,21 +115,17 @@
         self.counters = Counters()
         self.outputs: dict[str, Output] = {}  # by where they lead
         self.figures = None if operator.figures is None else self._figures(operator.figures)
-        memory = config.limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
-        memory -= memory_of_features(operator, memory // 2)
-        spare = SPARE_DESCRIPTORS + (DESCRIPTORS if operator.status is not None else 0)
-        if config.admin is not None:
-            spare += DOOR_DESCRIPTORS
-        if operator.mysql is not None:
-            memory -= self._memory_of_mysql(operator.mysql, memory)
-            spare += self._descriptors_of_mysql(operator.mysql, config.limits.sockets - spare)
-        places = min(config.limits.sockets - spare, memory // MEMORY_PER_CONNECTION)
-        for_nodes = max(int(places * NODE_PART), 8)
+        self.takeover, learnt = self._join(config), None
+        if self.takeover is not None and (self._succeeds or self.takeover.processes > 1):
+            learnt = self._taught(self.takeover)
+        config = self.config
+        self._operator = operator
+        rooms = self._rooms(1 if self.takeover is None else self.takeover.processes)
+        self._room = rooms
         self.tally = Tally(cls.name for cls in config.settings.classes)
         self.nodes = ExecuteNodes(
-            self.scheduler, config.settings, self.counters, for_nodes, int(memory * LARGE_PART), self._relayed
+            self.scheduler, config.settings, self.counters, rooms.nodes, rooms.large_bytes, self._relayed
         )
-        self.bans, self.service = Bans(), Service()
         self.door = None if config.admin is None else Door(self.scheduler, self)
         self.door_address: tuple[str, int] | None = None  # where it listens
         self.capture = None if operator.capture is None else self._capture(operator.capture)
@@ -124,7 +137,7 @@
         observers: list[Observer] = [each for each in (self.figures, self.status) if each is not None]
         self.decisions = Decisions(
             config.settings, config.seed, self.scheduler, self.clock, self.counters,
-            Observers(observers) if observers else None, self.capture, make,
+            Observers(observers) if observers else None, self.capture, make, learnt,
         )  # fmt: skip
         self.machine_list = MachineList(
             self.scheduler,
@@ -137,15 +150,88 @@
         )
         self.decisions.on_let_go = self._let_go
         self.decisions.on_subscribe = self.machine_list.ask
+        self.places = Places(rooms.submitters, max(int(config.limits.sockets * ASKING_PART), 8))
         self.submitters = Submitters(
             self.scheduler, self.decisions, self.nodes, self.clock, self.counters,
-            Places(max(places - for_nodes, 8), max(int(config.limits.sockets * ASKING_PART), 8)),
+            self.places,
             self.is_ready, self._rewrites(operator), self.tally, self.service,
         )  # fmt: skip
         self.mysql = None if operator.mysql is None else self._mysql(operator.mysql)
         self._started_at = self.scheduler.now()
         self._ending = self._wound_down = False
-        self._version = 0  # of the list that was told last
+
+    def _rooms(self, processes: int) -> Rooms:
+        """What this process may hold, where the sidecar is so many; raises `OperatorError` for one alone."""
+        limits, operator = self.config.limits, self._operator
+        memory = limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
+        memory -= memory_of_features(operator, memory // 2)
+        spare = SPARE_DESCRIPTORS + (DESCRIPTORS if operator.status is not None else 0)
+        if self.config.admin is not None:
+            spare += DOOR_DESCRIPTORS
+        if self.takeover is not None:
+            spare += TAKEOVER_DESCRIPTORS
+        if operator.mysql is not None:
+            memory -= self._memory_of_mysql(operator.mysql, memory)
+            spare += self._descriptors_of_mysql(operator.mysql, limits.sockets - spare)
+        if processes > 1:
+            memory = (memory - (processes - 1) * MEMORY_OF_RUNTIME) // processes
+            memory = max(memory, LEAST_PLACES * MEMORY_PER_CONNECTION)
+        places = min(limits.sockets // processes - spare, memory // MEMORY_PER_CONNECTION)
+        for_nodes = max(int(places * NODE_PART), 8)
+        return Rooms(for_nodes, max(places - for_nodes, 8), int(memory * LARGE_PART))
+
+    def _join(self, config: Config) -> Takeover | None:
+        """Be one of this sidecar's processes, where the platform lets it be several."""
+        self._succeeds = False  # another process serves
+        if config.listener_fd is None or config.shared_dir is None:
+            return None
+        takeover = Takeover(folder_for(config.shared_dir, config.name), self.scheduler)
+        try:
+            self._succeeds = takeover.join()
+        except OSError as error:
+            # Guards against a sidecar that doesn't serve for want of what is a help in an upgrade alone.
+            log.error("no folder to share", extra={"fields": {"error": error}})
+            return None
+        takeover.on_shared, takeover.on_others = self._shared, self._counted
+        takeover.learnt = self._learnt
+        return takeover
+
+    def _taught(self, takeover: Takeover) -> Any:
+        """Take over the list of the process that serves; what its module has learnt."""
+        taught = takeover.taught(self.system.sleep, self.system.monotonic)
+        if taught is None:
+            return None
+        try:
+            update = decode_update(taught["list"])
+            if taught["discovery"] != "{}:{}".format(*self.config.discovery):
+                update = replace(update, version=0)  # another discovery's
+        except (ListError, KeyError, TypeError) as error:
+            log.warning("what was handed on can't be used", extra={"fields": {"error": error}})
+            return None
+        self.config = replace(self.config, known=update)
+        return taught.get("state")
+
+    def _learnt(self) -> dict[str, Any] | None:
+        if len(self.nodes.listed) > MOST_HOSTS:
+            return None
+        servers = [
+            server_entry(self.bans.raw(name) or machine.entry, "{}:{}".format(*machine.address))
+            for name, machine in self.nodes.listed.items()
+        ]
+        return {
+            "list": {"version": self._version, "full": True, "servers": servers},
+            "discovery": "{}:{}".format(*self.config.discovery),
+            "state": self.decisions.learnt(),
+        }
+
+    def _counted(self, processes: int) -> None:
+        """There are so many processes now: what each may hold, and send to cold nodes."""
+        before, self._room = self._room, self._rooms(processes)
+        room = self._room
+        self.nodes.resize(room.nodes, room.large_bytes - before.large_bytes)
+        self.places.most = room.submitters
+        self.places.asking = min(room.submitters, max(int(self.config.limits.sockets * ASKING_PART), 8))
+        self.decisions.processes(processes)
 
     def _standing(self) -> dict[str, object] | None:
         return self.decisions.standing()
@@ -222,6 +308,8 @@
     def start(self) -> tuple[str, int]:
         """Listen and follow the machine list; says where it listens."""
         known = self.config.known
+        if self.takeover is not None and (shared := self.takeover.shared()) is not None:
+            self._shared(shared)  # said before this process began
         self.machine_list.hold(known)
         known = self._effective(known)
         self.nodes.update(known)
@@ -243,12 +331,39 @@
             except OSError as error:
                 raise ConfigError(f"admin_addr: {error.strerror}") from None
             log.info("operators' door", extra={"fields": {"address": f"{host}:{port}"}})
-        where = self.submitters.listen(self.config.listen)
+        if self.takeover is not None:
+            if self.takeover.processes > 1:
+                self.decisions.processes(self.takeover.processes)
+            self.scheduler.spawn(self.takeover.watch, name="takeover", urgent=True)
+        where = self._listen()
         log.info(
             "listening", extra={"fields": {"node": self.config.name, "address": f"{where[0]}:{where[1]}"}}
         )
         return where
 
+    def _listen(self) -> tuple[str, int]:
+        if self.config.listener_fd is None:
+            return self.submitters.listen(self.config.listen)
+        try:
+            where = self.submitters.adopt(self.config.listener_fd)
+        except OSError as error:
+            raise ConfigError(f"NODE_FD: {error.strerror}") from None
+        if not self._succeeds:
+            self.submitters.accept()
+        self.scheduler.spawn(self._begin_to_serve, name="begin to serve")
+        return where
+
+    def _begin_to_serve(self) -> None:
+        """The task: accept once this process can serve, and not before: until then the other one does."""
+        while not self.is_ready():
+            self.scheduler.sleep(READY_LOOK_SECONDS)
+        if self._ending:
+            return
+        self.submitters.accept()
+        if self.takeover is not None:
+            self.takeover.stage(Stage.SERVING)
+        log.info("serving", extra={"fields": {"succeeds": self._succeeds}})
+
     def run(self) -> None:
         """Serve until `end` was called and nothing is owed any more."""
         self.scheduler.run(self._over)
@@ -267,6 +382,8 @@
         """Release what the scheduler holds, and write what waits to be written."""
         if self.door is not None:
             self.door.close()
+        if self.takeover is not None:
+            self.takeover.leave()
         self.scheduler.close()
         for output in self.outputs.values():
             output.close()
@@ -297,7 +414,7 @@
 
     def is_serving(self) -> bool:
         """Whether this process can serve, wanted or not."""
-        return self.is_ready()
+        return self.submitters.accepting and self.is_ready()
 
     def figures_text(self) -> bytes:
         """The figures as they stand."""
@@ -308,6 +425,7 @@
         if not self.bans.knows(node):
             return False
         self._tell(self.bans.offline(node, self.clock.now_ns()))
+        self._share()
         return True
 
     def online(self, node: str) -> bool:
@@ -315,16 +433,52 @@
         if not self.bans.knows(node):
             return False
         self._tell(self.bans.online(node, self.clock.now_ns()))
+        self._share()
         return True
 
     def out_of_service(self) -> None:
         """Send submitters away; this process runs on."""
-        self.service.leave(self.scheduler.now())
-        self.submitters.leave()
+        self._want(False, self.clock.now_ns())
+        self._share()
 
     def in_service(self) -> None:
         """Take submitters again."""
-        self.service.resume()
+        self._want(True, self.clock.now_ns())
+        self._share()
+
+    def _want(self, wanted: bool, said_ns: int) -> None:
+        self._service_said = said_ns
+        if wanted:
+            self.service.resume()
+        else:
+            self.service.leave(self.scheduler.now())
+            self.submitters.leave()
+
+    def _share(self) -> None:
+        """Tell the other processes of this sidecar what operators have said, and what they will have."""
+        if self.takeover is None:
+            return
+
+        def merge(shared: dict[str, Any]) -> dict[str, Any]:
+            self._shared(shared)
+            service = {"said": self._service_said, "wanted": self.service.ready}
+            return {"bans": self.bans.said(), "service": service}
+
+        self.takeover.share(merge)
+
+    def _shared(self, shared: dict[str, Any]) -> None:
+        """Another process, now or before, was told this by operators: the last call counts."""
+        try:
+            bans = Bans.read(shared.get("bans", {}))
+            service = shared.get("service", {"said": 0, "wanted": True})
+            said, wanted = int(service["said"]), bool(service["wanted"])
+        except (ValueError, KeyError, TypeError) as error:
+            log.warning("what is shared can't be used", extra={"fields": {"error": error}})
+            return
+        for entry in self.bans.merge(bans):
+            self._tell(entry)
+        if said > self._service_said:
+            self._want(wanted, said)
 
     def _tell(self, entry: HostEntry | None) -> None:
         """What a ban makes of a node, where it makes a difference."""
@@ -404,7 +558,15 @@
             log.warning("can't change in a running sidecar", extra={"fields": {"key": "zones"}})
 
     def _serve_on(self) -> None:
-        log.info("ending", extra={"fields": {"owed": self.decisions.owed}})
+        handed = self.takeover is not None and self.takeover.has_successor()
+        log.info("ending", extra={"fields": {"owed": self.decisions.owed, "handed_over": handed}})
+        if self.takeover is not None:
+            self.takeover.stage(Stage.LEAVING)
+        if handed:
+            self.service.retire(self.scheduler.now())
+            self.submitters.hand_over()
+            self._wound_down = True
+            return
         self.scheduler.call_at(
             self.scheduler.now() + SERVE_ON_SECONDS,
             lambda: self.scheduler.spawn(self._wind_down, name="wind down"),
--- /dev/null
+++ b/brambleusher/takeover.py
@@ -0,0 +1,240 @@
+"""One sidecar in two processes, while a new version takes over from an old one.
+
+The processes share a folder.  Each has a file in it, locked as long as it lives, whose name says how far it
+is; so who is there is known without trusting process ids, and one that was killed is gone with its lock.
+`shared.json` is what operators have said (bans, out of service): merged by the time of each call, replaced
+whole.  `learnt-PID.json` is what an old process has learnt, written once for a newcomer.
+
+A file that is torn, foreign, old or missing means a start from nothing, with a warning.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import logging
+import os
+import re
+from collections.abc import Callable
+from contextlib import contextmanager
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from brambleusher.runtime.scheduler import Scheduler
+
+log = logging.getLogger(__name__)
+
+VERSION = 1
+LOOK_SECONDS = 0.05  # between two looks at the folder
+LIVES_SECONDS = 0.25  # between two looks at whether the others live, which changes no file
+LEARNT_SECONDS = 0.5  # that a newcomer waits for what the old process has learnt
+MOST_BYTES = 4 * 1024 * 1024  # of a file that is read
+DESCRIPTORS = 3  # the own lock, the lock on the shared file, and a file that is read or written
+_PROCESS = re.compile(r"(starting|serving|leaving)-(\d+)\Z")
+
+
+class Stage(Enum):
+    """How far a process is."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+def folder_for(tmpdir: str, name: str) -> Path:
+    """The folder that all processes of one sidecar share."""
+    return Path(tmpdir) / ("brambleusher-" + re.sub(r"[^A-Za-z0-9_.]", "_", name))
+
+
+class Takeover:
+    """This process among those of its sidecar.
+
+    `on_shared` is told of what another process shares, `on_others` how many processes there are, and
+    `learnt` makes what a newcomer is told.  `OSError` in any step is logged: a sidecar that can't use the
+    folder serves alone.
+    """
+
+    def __init__(self, folder: Path, scheduler: Scheduler, pid: int | None = None) -> None:
+        self._folder, self._scheduler = folder, scheduler
+        self._pid = os.getpid() if pid is None else pid
+        self._lock = -1
+        self._path: Path | None = None
+        self._changed = 0  # the folder's time of change at the last look
+        self._told: set[int] = set()  # newcomers that were told what was learnt
+        self._others: dict[int, Stage] = {}
+        self.on_shared: Callable[[dict[str, Any]], None] = lambda shared: None
+        self.on_others: Callable[[int], None] = lambda count: None
+        self.learnt: Callable[[], dict[str, Any] | None] = lambda: None
+
+    # --- this process ---------------------------------------------------------------------------
+
+    def join(self) -> bool:
+        """Be seen; true where another process serves already.  Raises `OSError`."""
+        self._folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        path = self._folder / f"{Stage.STARTING.value}-{self._pid}"
+        self._lock = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        self._path = path
+        self._others = self._look_round()
+        return Stage.SERVING in self._others.values()
+
+    def stage(self, stage: Stage) -> None:
+        """Say how far this process is."""
+        if self._path is None:
+            return
+        try:
+            self._path = self._path.rename(self._folder / f"{stage.value}-{self._pid}")
+        except OSError as error:
+            log.warning("can't say how far this process is", extra={"fields": {"error": error}})
+
+    def leave(self) -> None:
+        """Be gone."""
+        if self._path is not None:
+            self._path.unlink(missing_ok=True)
+            self._path = None
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
+
+    # --- the others -----------------------------------------------------------------------------
+
+    @property
+    def processes(self) -> int:
+        """How many there are, this one too."""
+        return 1 + len(self._others)
+
+    def has_successor(self) -> bool:
+        """Whether another process serves, as it stands now."""
+        try:
+            self._others = self._look_round()
+        except OSError:
+            return False
+        return Stage.SERVING in self._others.values()
+
+    def _look_round(self) -> dict[int, Stage]:
+        """The other processes that live; files of those that don't are removed."""
+        found: dict[int, Stage] = {}
+        for name in os.listdir(self._folder):
+            match = _PROCESS.match(name)
+            if match is None or int(match[2]) == self._pid:
+                continue
+            path = self._folder / name
+            if self._lives(path):
+                found[int(match[2])] = Stage(match[1])
+            else:
+                path.unlink(missing_ok=True)
+        return found
+
+    @staticmethod
+    def _lives(path: Path) -> bool:
+        try:
+            fd = os.open(path, os.O_RDWR | os.O_CLOEXEC)
+        except FileNotFoundError:
+            return False  # renamed since: the folder's change brings another look
+        try:
+            fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return True
+        finally:
+            os.close(fd)
+        return False
+
+    def watch(self) -> None:
+        """The task: follow what happens in the folder."""
+        lives_at = 0.0
+        while True:
+            try:
+                now, changed = self._scheduler.now(), os.stat(self._folder).st_mtime_ns
+                if changed != self._changed or (self._others and now >= lives_at):
+                    lives_at = now + LIVES_SECONDS
+                    self._look(changed != self._changed)
+                    self._changed = changed
+            except OSError as error:
+                log.warning("the shared folder can't be read", extra={"fields": {"error": error}})
+                self._scheduler.sleep(1.0)
+            self._scheduler.sleep(LOOK_SECONDS)
+
+    def _look(self, changed: bool) -> None:
+        before = len(self._others)
+        self._others = self._look_round()
+        if len(self._others) != before:
+            log.info("processes of this sidecar", extra={"fields": {"count": self.processes}})
+            self.on_others(self.processes)
+        if not changed:
+            return
+        if (shared := self.shared()) is not None:
+            self.on_shared(shared)
+        for pid, stage in self._others.items():
+            if stage is Stage.STARTING and pid not in self._told and self._is_serving():
+                self._told.add(pid)
+                self._tell(pid)
+
+    def _is_serving(self) -> bool:
+        return self._path is not None and self._path.name.startswith(Stage.SERVING.value)
+
+    # --- what goes across -----------------------------------------------------------------------
+
+    def shared(self) -> dict[str, Any] | None:
+        """What operators have said; None where nothing can be read."""
+        return self._read(self._folder / "shared.json")
+
+    def share(self, merge: Callable[[dict[str, Any]], dict[str, Any]]) -> None:
+        """Replace what is shared by what `merge` makes of it; logged where that can't be done."""
+        try:
+            with self._alone():
+                self._write(self._folder / "shared.json", merge(self.shared() or {}))
+        except OSError as error:
+            log.error("what operators said can't be shared", extra={"fields": {"error": error}})
+
+    @contextmanager
+    def _alone(self) -> Any:
+        """Guards against two processes that both read, and each overwrite what the other has written."""
+        fd = os.open(self._folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(fd, fcntl.LOCK_EX)
+            yield
+        finally:
+            os.close(fd)
+
+    def _tell(self, pid: int) -> None:
+        try:
+            if (learnt := self.learnt()) is not None:
+                self._write(self._folder / f"learnt-{pid}.json", learnt)
+        except Exception as error:
+            # Guards against a fault in what is only a help to the newcomer.
+            log.warning("what was learnt can't be handed on", extra={"fields": {"error": error}})
+
+    def taught(self, sleep: Callable[[float], None], now: Callable[[], float]) -> dict[str, Any] | None:
+        """What the process that serves has learnt; None where it does not come in time."""
+        path, until = self._folder / f"learnt-{self._pid}.json", now() + LEARNT_SECONDS
+        while not path.exists():
+            if now() >= until:
+                log.warning("the process that serves has handed on nothing")
+                return None
+            sleep(LOOK_SECONDS / 5)
+        try:
+            return self._read(path)
+        finally:
+            path.unlink(missing_ok=True)
+
+    def _write(self, path: Path, values: dict[str, Any]) -> None:
+        beside = path.with_name(f"{path.name}.{self._pid}")
+        beside.write_bytes(orjson.dumps({"v": VERSION, **values}))
+        beside.replace(path)
+
+    @staticmethod
+    def _read(path: Path) -> dict[str, Any] | None:
+        try:
+            with path.open("rb") as file:
+                raw = orjson.loads(file.read(MOST_BYTES + 1))
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError) as error:
+            log.warning("a shared file can't be read", extra={"fields": {"file": path.name, "error": error}})
+            return None
+        if not isinstance(raw, dict) or raw.get("v") != VERSION:
+            log.warning("a shared file is not this version's", extra={"fields": {"file": path.name}})
+            return None
+        return raw
--- a/quillpass/api.py
+++ b/quillpass/api.py
@@ -240,6 +240,13 @@
     zones: ZoneRules | None
 
 
+@dataclass(slots=True)
+class ProcessesCounted:
+    """This proxy is so many processes, which share what it may do to cold hosts."""
+
+    count: int
+
+
 Event = (
     HostList
     | RequestArrived
@@ -249,6 +256,7 @@
     | ProbeEnded
     | TimerFired
     | RulesChanged
+    | ProcessesCounted
 )
 
 
--- /dev/null
+++ b/quillpass/legacy.py
@@ -0,0 +1,40 @@
+"""What one process of a proxy hands on to the next: what its balancer has learnt, and none of its requests.
+
+The successor goes on with the same figures of hosts, classes and limits, with a random generator of its own:
+two processes that draw the same numbers would march in step.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from quillpass import api
+from quillpass.balance import Balancer
+from quillpass.state import StateError, restore, save
+
+MOST_HOSTS = 512  # beyond, a successor starts from nothing: writing and reading it would take too long
+
+
+def bequeath(balancer: Balancer) -> dict[str, Any] | None:
+    """The balancer's state without requests, as JSON values; None where it is too large."""
+    if len(balancer._hosts) > MOST_HOSTS:
+        return None
+    state = save(balancer)
+    names = state["host_names"]
+    for row in state["hosts"]:
+        for name in ("out", "lost"):
+            at = names.index(name)
+            if "d" in row[at]:  # else it was never in use
+                row[at] = {"d": []}
+    state["requests"] = []
+    state["own"] |= {"_requests": {"d": []}, "_open": 0}
+    return state
+
+
+def inherit(settings: api.Settings, seed: int, state: Any) -> Balancer:
+    """A balancer that goes on from there; raises `StateError`."""
+    balancer = restore(settings, seed, state)
+    if balancer._requests:
+        raise StateError("requests can't be handed on")
+    balancer._rng.seed(seed)
+    return balancer
--- a/quillpass/upkeep.py
+++ b/quillpass/upkeep.py
@@ -9,39 +9,63 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import replace
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
 
 from quillpass.api import HostEntry, HostState
 
 REMEMBERED = 4096  # hosts that have left the list and can still be named
+HAND_OVER_SECONDS = 0.65  # as long where another process takes over: a later request may be cut off
 LEAVE_SECONDS = 1.0  # after the call: so long those that rest may still ask, and are told to leave then
 SILENT_SECONDS = 0.4  # that a connection which came after the call has for its first request
 
 
+@dataclass(frozen=True, slots=True)
+class Ban:
+    """When operators took a host out of use, and when they took it back; 0: not yet."""
+
+    since: int
+    ended: int = 0
+
+    @property
+    def on(self) -> bool:
+        """Whether it holds."""
+        return not self.ended
+
+    @property
+    def said(self) -> int:
+        """When the last call about it was."""
+        return max(self.since, self.ended)
+
+
 class Bans:
     """Hosts that operators keep out of use, over what discovery says."""
 
     def __init__(self) -> None:
-        self.since: dict[str, int] = {}  # when each ban began
+        self.bans: dict[str, Ban] = {}  # those that hold, and the last to have ended
         self._listed: dict[str, HostEntry] = {}  # as discovery has it
         self._left: dict[str, None] = {}  # listed once, the last to leave at the end
-        # Banned hosts are restarted, and discovery tells so seconds late: the least start to believe in.
-        self._started: dict[str, int] = {}
 
     def knows(self, host: str) -> bool:
         """Whether discovery has ever named it, as far as is remembered."""
-        return host in self._listed or host in self._left or host in self.since
+        return host in self._listed or host in self._left or host in self.bans
+
+    def raw(self, host: str) -> HostEntry | None:
+        """What discovery says of a host; None where it is not listed."""
+        return self._listed.get(host)
 
     def effective(self, entry: HostEntry) -> HostEntry:
         """What is to be made of an entry."""
-        started = max(entry.started_ns, self._started.get(entry.host, 0))
-        state = entry.state
-        if state is HostState.READY and entry.host in self.since:
-            state = HostState.DRAINING
-        if state is entry.state and started == entry.started_ns:
+        ban = self.bans.get(entry.host)
+        if ban is None or entry.state is HostState.GONE:
             return entry
-        return replace(entry, state=state, started_ns=started)
+        if ban.on:
+            return replace(entry, state=HostState.DRAINING)
+        if entry.started_ns < ban.since:
+            # Guards against a host pushed over: it was restarted meanwhile, and discovery tells so late.
+            return replace(entry, started_ns=ban.ended)
+        return entry
 
     def listed(self, full: bool, entries: Iterable[HostEntry]) -> None:
         """News from discovery, or a whole list."""
@@ -58,33 +82,54 @@
                 self._left.pop(entry.host, None)
 
     def _leaves(self, host: str) -> None:
-        if self._listed.pop(host, None) is None:
-            return
-        self._left[host] = None
-        if len(self._left) > REMEMBERED:
-            oldest = next(iter(self._left))
-            del self._left[oldest]
-            self._started.pop(oldest, None)
+        if self._listed.pop(host, None) is not None:
+            self._left[host] = None
+            if len(self._left) > REMEMBERED:
+                del self._left[next(iter(self._left))]
 
     def offline(self, host: str, now: int) -> HostEntry | None:
         """Ban it; the entry that is to be told now, None where nothing changes."""
-        if host in self.since:
-            return None
-        self.since[host] = now
-        return self._told(host)
+        ban = self.bans.get(host)
+        return None if ban is not None and ban.on else self._say(host, Ban(now))
 
     def online(self, host: str, now: int) -> HostEntry | None:
         """End its ban; the entry that is to be told now, None where nothing changes."""
-        began = self.since.pop(host, None)
-        if began is None:
-            return None
-        entry = self._listed.get(host)
-        if entry is None or entry.started_ns < began:
-            # Guards against a host pushed over: it was restarted, and discovery has not said so yet.
-            self._started[host] = now
-        return self._told(host)
-
-    def _told(self, host: str) -> HostEntry | None:
+        ban = self.bans.get(host)
+        return None if ban is None or not ban.on else self._say(host, Ban(ban.since, max(now, ban.since + 1)))
+
+    def merge(self, bans: Mapping[str, Ban]) -> list[HostEntry]:
+        """Take in what was said elsewhere, the last call about a host counts; the entries to be told now."""
+        newer = {
+            host: ban for host, ban in bans.items()
+            if host not in self.bans or ban.said > self.bans[host].said
+        }  # fmt: skip
+        told = [self._say(host, ban) for host, ban in newer.items()]
+        return [entry for entry in told if entry is not None]
+
+    def said(self) -> dict[str, list[int]]:
+        """All bans as JSON has them."""
+        return {host: [ban.since, ban.ended] for host, ban in self.bans.items()}
+
+    @staticmethod
+    def read(raw: Any) -> dict[str, Ban]:
+        """Bans as `said` told them; raises `ValueError` where they make no sense."""
+        if not isinstance(raw, dict):
+            raise ValueError("bans are not an object")
+        read = {}
+        for host, times in raw.items():
+            if not isinstance(times, list) or len(times) != 2 or any(type(time) is not int for time in times):
+                raise ValueError(f"the ban of {host} is not two times")
+            read[host] = Ban(*times)
+        return read
+
+    def _say(self, host: str, ban: Ban) -> HostEntry | None:
+        self.bans.pop(host, None)
+        self.bans[host] = ban
+        if len(self.bans) > REMEMBERED:
+            # Those that hold are never forgotten: there are no more than were ever listed.
+            ended = next((name for name, each in self.bans.items() if not each.on), None)
+            if ended is not None:
+                del self.bans[ended]
         entry = self._listed.get(host)
         return None if entry is None else self.effective(entry)
 
@@ -93,21 +138,32 @@
     """Whether the proxy wants clients; where it does not, what becomes of their connections."""
 
     def __init__(self) -> None:
-        self.left_at: float | None = None  # when it was taken out of service
+        self.left_at: float | None = None  # since when clients are to leave
+        self.retired = False  # for good: another process takes over
+        self.ready = True  # what the front is told: a successor is as good
+        self._patience = LEAVE_SECONDS
 
     @property
     def wanted(self) -> bool:
-        """Whether clients may come, and may stay."""
+        """Whether clients may stay."""
         return self.left_at is None
 
     def leave(self, now: float) -> None:
         """Out of service; calling it again changes nothing."""
+        self.ready = False
         if self.left_at is None:
-            self.left_at = now
+            self.left_at, self._patience = now, LEAVE_SECONDS
 
     def resume(self) -> None:
         """Back to work."""
-        self.left_at = None
+        self.ready = True
+        if not self.retired:
+            self.left_at = None
+
+    def retire(self, now: float) -> None:
+        """Another process takes over: clients are to come to it in good time."""
+        if not self.retired:
+            self.retired, self.left_at, self._patience = True, now, HAND_OVER_SECONDS
 
     def may_rest(self, now: float, since: float, asked: bool) -> bool:
         """Whether a connection that has waited since some moment may go on waiting."""
@@ -115,4 +171,4 @@
             return True
         if not asked and since > self.left_at:
             return now < since + SILENT_SECONDS
-        return now < self.left_at + LEAVE_SECONDS
+        return now < self.left_at + self._patience
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from quillpass.api import HostEntry, HostState
-from quillpass.upkeep import LEAVE_SECONDS, REMEMBERED, SILENT_SECONDS, Bans, Service
+from quillpass.upkeep import LEAVE_SECONDS, REMEMBERED, SILENT_SECONDS, Ban, Bans, Service
 
 READY, DRAINING, GONE = HostState.READY, HostState.DRAINING, HostState.GONE
 
@@ -78,6 +78,15 @@
         self.assertTrue(bans.knows("a"), "a banned one is never forgotten")
         self.assertTrue(bans.knows(f"x{REMEMBERED}"))
 
+    def test_what_was_said_elsewhere_counts_if_it_was_said_later(self) -> None:
+        bans = self.bans()
+        bans.offline("a", 100)
+        self.assertEqual(bans.merge({"a": Ban(90, 95)}), [])
+        (told,) = bans.merge({"a": Ban(100, 120), "x": Ban(110)})  # x is not listed here yet
+        self.assertEqual((told.host, told.state, told.started_ns), ("a", READY, 120))
+        self.assertIs(bans.effective(entry("x")).state, DRAINING)
+        self.assertEqual(bans.merge(dict(bans.bans)), [])
+
     def test_an_entry_that_nothing_is_laid_over_is_passed_as_it_is(self) -> None:
         plain = entry("b")
         self.assertIs(self.bans().effective(plain), plain)
