In an overlap each process takes a part by how far it is, in place of a half

Change: of descriptors and memory a serving process takes two parts, one that starts or leaves one; of the budget of cold nodes four, one and none (takeover.ROOM, SENDS; event PartChanged). Test: over all stages of three processes the parts never come to more than the whole.

--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -331,9 +331,9 @@
             return None
         return self._balancer.standing(self._clock.now_ns())
 
-    def processes(self, count: int) -> None:
-        """This sidecar is so many processes from now on."""
-        self._handle(api.ProcessesCounted(count))
+    def part(self, part: float) -> None:
+        """This process does so much of this sidecar's work from now on."""
+        self._handle(api.PartChanged(part))
 
     def learnt(self) -> dict[str, Any] | None:
         """What the module has learnt, for another process of this sidecar."""
--- a/brambleusher/features/records.py
+++ b/brambleusher/features/records.py
@@ -71,7 +71,7 @@
         "body",
         lambda event: {"attempt": event.attempt, "whole": event.whole, "left_ns": event.left_ns},
     ),
-    api.ProcessesCounted: ("processes", lambda event: {"count": event.count}),
+    api.PartChanged: ("part", lambda event: {"part": event.part}),
     type(None): (BEGIN, lambda event: {}),
 }  # fmt: skip
 
@@ -110,8 +110,8 @@
         return api.RulesChanged(restore_rules(told["zones"]))
     if name == "body":
         return api.BodyPassing(record["id"], told["attempt"], told["whole"], told["left_ns"])
-    if name == "processes":
-        return api.ProcessesCounted(told["count"])
+    if name == "part":
+        return api.PartChanged(told["part"])
     raise RecordError(f"the event {name} is unknown")
 
 
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -118,7 +118,7 @@
             learnt = self._taught(self.takeover)
         config = self.config
         self._operator = operator
-        rooms = self._rooms(1 if self.takeover is None else self.takeover.processes)
+        rooms = self._rooms(1.0 if self.takeover is None else self.takeover.room)
         self.tally = Tally(cls.name for cls in config.settings.classes)
         self.nodes = ExecuteNodes(self.scheduler, config.settings, self.counters, rooms.nodes, self._relayed)
         self.door = None if config.admin is None else Door(self.scheduler, self)
@@ -155,8 +155,8 @@
         self._started_at = self.scheduler.now()
         self._ending = self._wound_down = False
 
-    def _rooms(self, processes: int) -> Rooms:
-        """What this process may hold, where the sidecar is so many; raises `OperatorError` for one alone."""
+    def _rooms(self, part: float) -> Rooms:
+        """What a process that takes a part may hold; raises `OperatorError` where features need more."""
         limits, operator = self.config.limits, self._operator
         memory = limits.memory_mb * 1024 * 1024 - MEMORY_OF_RUNTIME  # the least allowed is 32 MB
         memory -= memory_of_features(operator, memory // 2)
@@ -168,10 +168,10 @@
         if operator.mysql is not None:
             memory -= self._memory_of_mysql(operator.mysql, memory)
             spare += self._descriptors_of_mysql(operator.mysql, limits.sockets - spare)
-        if processes > 1:
-            memory = (memory - (processes - 1) * MEMORY_OF_RUNTIME) // processes
+        if part < 1:
+            memory = int((memory - MEMORY_OF_RUNTIME) * part)  # another process has its own
             memory = max(memory, LEAST_PLACES * MEMORY_PER_CONNECTION)
-        places = min(limits.sockets // processes - spare, memory // MEMORY_PER_CONNECTION)
+        places = min(int(limits.sockets * part) - spare, memory // MEMORY_PER_CONNECTION)
         for_nodes = max(int(places * NODE_PART), 8)
         return Rooms(for_nodes, max(places - for_nodes, 8))
 
@@ -187,7 +187,7 @@
             # Guards against a sidecar that doesn't serve for want of what is a help in an upgrade alone.
             log.error("no folder to share", extra={"fields": {"error": error}})
             return None
-        takeover.on_shared, takeover.on_others = self._shared, self._counted
+        takeover.on_shared, takeover.on_parts = self._shared, self._parted
         takeover.learnt = self._learnt
         return takeover
 
@@ -219,13 +219,15 @@
             "state": self.decisions.learnt(),
         }
 
-    def _counted(self, processes: int) -> None:
-        """There are so many processes now: what each may hold, and send to cold nodes."""
-        room = self._rooms(processes)
+    def _parted(self) -> None:
+        """Other processes came, went or went on: what this one may hold, and send to cold nodes."""
+        if self.takeover is None:
+            return
+        room = self._rooms(self.takeover.room)
         self.nodes.resize(room.nodes)
         self.places.most = room.submitters
         self.places.asking = min(room.submitters, max(int(self.config.limits.sockets * ASKING_PART), 8))
-        self.decisions.processes(processes)
+        self.decisions.part(self.takeover.sends)
 
     def _standing(self) -> dict[str, object] | None:
         return self.decisions.standing()
@@ -327,7 +329,7 @@
             log.info("operators' door", extra={"fields": {"address": f"{host}:{port}"}})
         if self.takeover is not None:
             if self.takeover.processes > 1:
-                self.decisions.processes(self.takeover.processes)
+                self.decisions.part(self.takeover.sends)
             self.scheduler.spawn(self.takeover.watch, name="takeover", urgent=True)
         where = self._listen()
         log.info(
--- a/brambleusher/takeover.py
+++ b/brambleusher/takeover.py
@@ -14,7 +14,7 @@
 import logging
 import os
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import contextmanager
 from enum import Enum
 from pathlib import Path
@@ -43,6 +43,17 @@
     LEAVING = "leaving"
 
 
+# How the processes of a sidecar share what it may hold, and what it may send to cold nodes.
+ROOM = {Stage.STARTING: 1, Stage.SERVING: 2, Stage.LEAVING: 1}
+SENDS = {Stage.STARTING: 0, Stage.SERVING: 4, Stage.LEAVING: 1}
+
+
+def part_of(parts: dict[Stage, int], own: Stage, others: Iterable[Stage]) -> float:
+    """The part that a process of one stage takes beside others."""
+    rest = sum(parts[stage] for stage in others)
+    return parts[own] / (parts[own] + rest) if rest else 1.0
+
+
 def folder_for(tmpdir: str, name: str) -> Path:
     """The folder that all processes of one sidecar share."""
     return Path(tmpdir) / ("brambleusher-" + re.sub(r"[^A-Za-z0-9_.]", "_", name))
@@ -51,7 +62,7 @@
 class Takeover:
     """This process among those of its sidecar.
 
-    `on_shared` is told of what another process shares, `on_others` how many processes there are, and
+    `on_shared` is told of what another process shares, `on_parts` that its parts have changed, and
     `learnt` makes what a newcomer is told.  `OSError` in any step is logged: a sidecar that can't use the
     folder serves alone.
     """
@@ -61,11 +72,12 @@
         self._pid = os.getpid() if pid is None else pid
         self._lock = -1
         self._path: Path | None = None
+        self._stage = Stage.STARTING
         self._changed = 0  # the folder's time of change at the last look
         self._told: set[int] = set()  # newcomers that were told what was learnt
         self._others: dict[int, Stage] = {}
         self.on_shared: Callable[[dict[str, Any]], None] = lambda shared: None
-        self.on_others: Callable[[int], None] = lambda count: None
+        self.on_parts: Callable[[], None] = lambda: None
         self.learnt: Callable[[], dict[str, Any] | None] = lambda: None
 
     # --- this process ---------------------------------------------------------------------------
@@ -84,6 +96,8 @@
         """Say how far this process is."""
         if self._path is None:
             return
+        self._stage = stage
+        self.on_parts()
         try:
             self._path = self._path.rename(self._folder / f"{stage.value}-{self._pid}")
         except OSError as error:
@@ -100,6 +114,16 @@
 
     # --- the others -----------------------------------------------------------------------------
 
+    @property
+    def room(self) -> float:
+        """The part that this process has of what the sidecar may hold."""
+        return part_of(ROOM, self._stage, self._others.values())
+
+    @property
+    def sends(self) -> float:
+        """The part that this process has of what the sidecar may send to cold nodes."""
+        return part_of(SENDS, self._stage, self._others.values())
+
     @property
     def processes(self) -> int:
         """How many there are, this one too."""
@@ -157,23 +181,20 @@
             self._scheduler.sleep(LOOK_SECONDS)
 
     def _look(self, changed: bool) -> None:
-        before = len(self._others)
+        before = self._others
         self._others = self._look_round()
-        if len(self._others) != before:
+        if self._others != before:
             log.info("processes of this sidecar", extra={"fields": {"count": self.processes}})
-            self.on_others(self.processes)
+            self.on_parts()
         if not changed:
             return
         if (shared := self.shared()) is not None:
             self.on_shared(shared)
         for pid, stage in self._others.items():
-            if stage is Stage.STARTING and pid not in self._told and self._is_serving():
+            if stage is Stage.STARTING and pid not in self._told and self._stage is Stage.SERVING:
                 self._told.add(pid)
                 self._tell(pid)
 
-    def _is_serving(self) -> bool:
-        return self._path is not None and self._path.name.startswith(Stage.SERVING.value)
-
     # --- what goes across -----------------------------------------------------------------------
 
     def shared(self) -> dict[str, Any] | None:
--- a/quillpass/api.py
+++ b/quillpass/api.py
@@ -254,10 +254,10 @@
 
 
 @dataclass(slots=True)
-class ProcessesCounted:
-    """This proxy is so many processes, which share what it may do to cold hosts."""
+class PartChanged:
+    """This process does so much of what its proxy does; the rest is other processes' of the same proxy."""
 
-    count: int
+    part: float
 
 
 Event = (
@@ -269,7 +269,7 @@
     | ProbeEnded
     | TimerFired
     | RulesChanged
-    | ProcessesCounted
+    | PartChanged
     | BodyPassing
 )
 
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -190,7 +190,7 @@
         self._idle_ns = float(settings.conn_idle_ns or math.inf)
         self._trust_ns = self._idle_ns  # how long an idle connection is trusted
         self._open = self._ready = 0  # attempts out, ready hosts
-        self._processes = 1  # that this proxy is, while a new version of it takes over
+        self._part = 1.0  # of this proxy's work, while a new version of it takes over
         self._ranks: Ranks[Host] = Ranks()  # the ready hosts in this proxy's order of preference
         self._closing: dict[str, Host] = {}  # draining hosts whose connections are to be closed
         self._out: list[api.Action] = []
@@ -219,7 +219,7 @@
         self._handlers: dict[type, Callable[[Any, int], None]] = {
             api.AttemptEnded: self._attempt_ended, api.RequestArrived: self._arrived,
             api.TimerFired: self._timer, api.RequestGone: self._gone, api.HostList: self._listed,
-            api.ProbeEnded: self._probed, api.StreamStarted: self._gone, api.ProcessesCounted: self._counted,
+            api.ProbeEnded: self._probed, api.StreamStarted: self._gone, api.PartChanged: self._part_changed,
             api.BodyPassing: self._passing,
         }  # fmt: skip
 
@@ -831,7 +831,7 @@
         least = min(self._kind_capacity.values(), default=self._mean_capacity or SECOND / self._unit_ns)
         capacity = self._kind_capacity.get(host.kind, least)
         # Only the proxies that have the host among theirs send to it: as many as chance has it.
-        sharers = self._processes * settings.fleet_size * (self._near_part if host.local else self._away_part)
+        sharers = settings.fleet_size * (self._near_part if host.local else self._away_part) / self._part
         rate = COLD_SLICE * settings.fall_multiple * warmth * capacity / max(sharers, 1.0)
         host.cold_level += rate * max(now - host.cold_seen_ns, 0) / SECOND
         host.cold_seen_ns = now
@@ -844,8 +844,8 @@
 
     # --- the tick -------------------------------------------------------------------------------
 
-    def _counted(self, event: api.ProcessesCounted, now: int) -> None:
-        self._processes = max(event.count, 1)
+    def _part_changed(self, event: api.PartChanged, now: int) -> None:
+        self._part = min(max(event.part, 0.01), 1.0)
 
     def _probed(self, event: api.ProbeEnded, now: int) -> None:
         host = self._hosts.get(event.host)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -13,13 +13,14 @@
 import threading
 import time
 import unittest
+from itertools import product
 from pathlib import Path
 from typing import Any
 
 from brambleusher.net.http import Message
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
-from brambleusher.takeover import Stage, Takeover, folder_for
+from brambleusher.takeover import ROOM, SENDS, Stage, Takeover, folder_for, part_of
 from quillpass import Balancer, api
 from quillpass.legacy import bequeath, inherit
 from quillpass.state import StateError, save
@@ -55,6 +56,17 @@
         self.assertFalse(second.has_successor())
         self.assertEqual((second.processes, len(os.listdir(self.folder))), (1, 1))
 
+    def test_parts_never_come_to_more_than_the_whole(self) -> None:
+        for stages in product(Stage, repeat=3):
+            for parts in (ROOM, SENDS):
+                with self.subTest(stages):
+                    taken = [
+                        part_of(parts, own, stages[:at] + stages[at + 1 :]) for at, own in enumerate(stages)
+                        if parts[own]
+                    ]  # fmt: skip
+                    self.assertLessEqual(sum(taken), 1.0 + 1e-9)
+        self.assertEqual(part_of(SENDS, Stage.SERVING, [Stage.STARTING]), 1.0)
+
     def test_what_is_said_to_both_is_merged(self) -> None:
         first, second = self.process(1), self.process(2)
         first.join(), second.join()
@@ -116,8 +128,8 @@
             with self.subTest(str(bad)[:40]), self.assertRaises(StateError):
                 inherit(settings, 8, bad)
 
-    def test_a_cold_host_is_sent_half_by_each_of_two_processes(self) -> None:
-        def sends(processes: int) -> int:
+    def test_a_cold_host_is_sent_a_part_by_each_of_two_processes(self) -> None:
+        def sends(part: float) -> int:
             cls = api.RequestClass("look", aim_ns=10**9, deadline_ns=2 * 10**9, worth=1.0)
             settings = api.Settings(
                 zone="z", classes=(cls,), fleet_size=1, cold_ns=21 * 10**9, start_capacity=0.17,
@@ -125,7 +137,7 @@
             )  # fmt: skip
             balancer = Balancer(settings, 7)
             balancer.start(10**12)
-            balancer.handle(api.ProcessesCounted(processes), 10**12)
+            balancer.handle(api.PartChanged(part), 10**12)
             node = api.HostEntry("h", "z", "k", 0, api.HostState.READY, started_ns=10**12)
             balancer.handle(api.HostList(api.ListKind.SAVED, [node]), 10**12)
             count = 0
@@ -138,7 +150,7 @@
                         balancer.handle(ok, now)
             return count
 
-        self.assertAlmostEqual(sends(1) / sends(2), 2.0, delta=0.4)
+        self.assertAlmostEqual(sends(1.0) / sends(0.5), 2.0, delta=0.4)
 
 
 class Processes(unittest.TestCase):
