--- a/brambleusher/lab/real_fleet.py
+++ b/brambleusher/lab/real_fleet.py
@@ -37,6 +37,7 @@
 END_SECONDS = 4.0
 LOOK_SECONDS = 0.05
 KEPT_EXECUTIONS = 20_000
+DOOR = re.compile(r"msg=\"operators' door\" .*?address=(\S+)")
 LISTENING = re.compile(r"msg=listening .*?address=(\S+)")
 FIGURE = re.compile(r"brambleusher\.(\w+):(-?\d+)\|([cg])")
 
@@ -61,6 +62,7 @@
     figures: socket.socket  # its figures come in here, as datagrams
     process: subprocess.Popen[bytes] | None = None
     address: Address | None = None
+    door: str = ""  # where operators call it
     ready: bool = False
     counts: dict[str, int] = field(default_factory=dict)  # by figure
 
@@ -164,7 +166,10 @@
         path = self.folder / f"{name}.operator.yaml"
         path.write_text(yaml.safe_dump(operator))
         with open(sidecar.log, "wb") as log:
-            own = {"NODE_CONFIG": str(sidecar.config), "PYTHONPATH": os.pathsep.join(sys.path)}
+            own = {
+                "NODE_CONFIG": str(sidecar.config), "PYTHONPATH": os.pathsep.join(sys.path),
+                "NODE_ADMIN_ADDR": f"{LOOPBACK}:0",
+            }  # fmt: skip
             sidecar.process = subprocess.Popen(
                 [sys.executable, "-m", "brambleusher", "--operator", str(path)], env={**os.environ, **own},
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log,
@@ -182,6 +187,8 @@
                 if found is not None:
                     host, _, port = found[1].rpartition(":")
                     sidecar.address = host, int(port)
+                    door = DOOR.search(sidecar.log.read_text("utf-8", "replace"))
+                    sidecar.door = "" if door is None else door[1]
             elif self._asked_ready(sidecar.address):
                 sidecar.ready = True
                 return
--- a/brambleusher/net/bodies.py
+++ b/brambleusher/net/bodies.py
@@ -11,6 +11,7 @@
 from brambleusher.runtime.scheduler import Bell, Timeout
 from brambleusher.runtime.streams import Stream
 
+PIECE = 32 * 1024  # bytes: one of them and what is made of it is what a body costs
 REST_SECONDS = 5.0  # without a byte of an answer that passes on
 LOOK_SECONDS = 0.2  # between two looks at the other end, while nothing comes
 LONGEST_SECONDS = 900.0  # that a body of the largest size may take
@@ -38,7 +39,7 @@
                 return data
             if self.done:
                 break
-            data = self._stream.receive(self._stream.scheduler.now() + REST_SECONDS) or b""
+            data = self._stream.receive(self._stream.scheduler.now() + REST_SECONDS, size=PIECE) or b""
             if not data:
                 if not self._reader.ends_with_connection:
                     raise ConnectionResetError("the connection ended before its answer")
@@ -113,7 +114,7 @@
                     self._stream.scheduler.now,
                 )
                 try:
-                    got = self._stream.receive(min(due, now() + LOOK_SECONDS), bell)
+                    got = self._stream.receive(min(due, now() + LOOK_SECONDS), bell, PIECE)
                 except Timeout:
                     if now() < due:
                         continue
--- a/brambleusher/net/http.py
+++ b/brambleusher/net/http.py
@@ -113,7 +113,8 @@
         raise HttpError(400, "bad request line")
     version = _VERSION.match(parts[2])
     target = parts[1]
-    if (absolute := _ABSOLUTE.match(target)) is not None:  # as sent to proxies: what it names is all here
+    if not target.startswith("/") and (absolute := _ABSOLUTE.match(target)) is not None:
+        # As sent to proxies: what it names is all here.
         target = target[absolute.end() :]
         target = target if target.startswith("/") else f"/{target}"
     if version is None or not target.startswith("/"):
--- a/brambleusher/runtime/streams.py
+++ b/brambleusher/runtime/streams.py
@@ -54,11 +54,11 @@
             raise
         return stream
 
-    def receive(self, deadline: float | None, bell: Bell | None = None) -> bytes | None:
-        """The next bytes, empty at the end; None when the bell rang first."""
+    def receive(self, deadline: float | None, bell: Bell | None = None, size: int = RECEIVE) -> bytes | None:
+        """The next bytes, at most so many, empty at the end; None when the bell rang first."""
         while True:
             try:
-                return self.sock.recv(RECEIVE)
+                return self.sock.recv(size)
             except BlockingIOError:
                 if self.scheduler.park(deadline, self.sock, READ, bell) == "bell":
                     return None
