A small request looks less often at what only large bodies need

Change: readers compare lengths before they ask whether a body is large; a submitter's connection looks at sizes once a request has begun; waking a task costs no call more. A first form looked whether a body is large ahead of marking that a request had begun, so one that was whole in the buffer waited for more: the order is mended.

--- a/brambleusher/net/http.py
+++ b/brambleusher/net/http.py
@@ -295,7 +295,7 @@
             self._check(len(self._buffer))
             return None
         else:
-            if self.large or len(self._buffer) < self._length:
+            if len(self._buffer) < self._length or self._length > MAX_BODY or self._passed:
                 return None
             message.body = bytes(self._buffer[: self._length])
             del self._buffer[: self._length]
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -545,21 +545,23 @@
         told_to_go_on = begun = False
         started_at: float | None = None
         while (request := reader.take()) is None:
-            if reader.large:
-                return self._upload(connection, reader, started_at)
             if reader.begun and not begun:
                 begun = True
                 self._places.asked(connection, self._scheduler.now())
                 started_at = self._scheduler.now()
                 if connection.asked:
                     deadline = started_at + READ_SECONDS
+            if begun and reader.large:
+                return self._upload(connection, reader, started_at)
             if reader.expects_continue and not told_to_go_on:
                 told_to_go_on = True
                 connection.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n", deadline)
             if self._closing and not reader.begun and connection.stream.quiet():
                 return None
             try:
-                data = connection.stream.receive(deadline + reader.size_so_far / LEAST_RATE)
+                data = connection.stream.receive(
+                    deadline + reader.size_so_far / LEAST_RATE if begun else deadline
+                )
             except Timeout:
                 if reader.begun:
                     raise HttpError(408, "the request did not come whole in time") from None
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -230,7 +230,10 @@
             else:
                 return
         self._unhook(task)
-        self._queue(task, why)
+        if task.urgent:
+            self._ready.appendleft((task, why))
+        else:
+            self._ready.append((task, why))
 
     # --- the hub --------------------------------------------------------------------------------
 
