--- a/brambleusher/admin/door.py
+++ b/brambleusher/admin/door.py
@@ -62,11 +62,6 @@
         host, port = listener.getsockname()[:2]
         return str(host), int(port)
 
-    @property
-    def callers(self) -> int:
-        """Connections whose call is not whole yet."""
-        return len(self._callers)
-
     def close(self) -> None:
         """Take no more calls."""
         if self._accepting is not None:
--- a/brambleusher/config.py
+++ b/brambleusher/config.py
@@ -87,14 +87,11 @@
         raise ConfigError("seed is missing or not a hexadecimal number") from None
 
 
-def _admin(env: Mapping[str, str]) -> tuple[str, int] | None:
-    """Where operators call, as the environment has it; what it has is not taken for a key of the text."""
-    if not (text := env.get("NODE_ADMIN_ADDR")):
-        return None
-    try:
-        return parse_address(text)
-    except ValueError as error:
-        raise ConfigError(f"NODE_ADMIN_ADDR: {error}") from None
+def _admin(raw: Mapping[str, Any], env: Mapping[str, str]) -> tuple[str, int] | None:
+    """Where operators call; a fault names the key of the text or the variable, whichever has it."""
+    if "admin_addr" in raw:
+        return _address(raw, "admin_addr", None)
+    return _address(env, "NODE_ADMIN_ADDR", None) if env.get("NODE_ADMIN_ADDR") else None
 
 
 def _descriptor(env: Mapping[str, str]) -> int | None:
@@ -132,7 +129,7 @@
         settings=settings,
         listener_fd=_descriptor(env),
         shared_dir=env.get("TMPDIR") or None,
-        admin=_address(raw, "admin_addr", None) if "admin_addr" in raw else _admin(env),
+        admin=_admin(raw, env),
     )
 
 
--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -57,7 +57,7 @@
     payload: object
 
 
-def _nothing() -> None:
+def nothing() -> None:
     """What most payloads need done to them."""
 
 
@@ -69,7 +69,7 @@
     latency_ns: int
     report: api.LoadReport | None = None
     payload: object = None
-    drop: Callable[[], None] = _nothing  # called where nobody takes the payload
+    drop: Callable[[], None] = nothing  # called where nobody takes the payload
 
 
 @dataclass(frozen=True, slots=True)
--- a/brambleusher/net/bodies.py
+++ b/brambleusher/net/bodies.py
@@ -21,13 +21,12 @@
 class Tail:
     """The rest of an answer whose first bytes have come; its claim waits until it is `over`."""
 
-    __slots__ = ("_reader", "_stream", "done", "length", "over", "taken")
+    __slots__ = ("_reader", "_stream", "done", "length", "over")
 
     def __init__(self, stream: Stream, reader: MessageReader) -> None:
         self._stream, self._reader = stream, reader
         self.length = reader.length  # of the whole body; None: it is not known
         self.over = Bell()
-        self.taken = False  # by a task that will close it
         self.done = False  # to its last byte
 
     def piece(self) -> bytes:
@@ -109,10 +108,8 @@
                 if self.done:
                     break
                 look()
-                due, now = (
-                    self._begun_at + self._patience + self.size / LEAST_RATE,
-                    self._stream.scheduler.now,
-                )
+                now = self._stream.scheduler.now
+                due = self._begun_at + self._patience + self.size / LEAST_RATE
                 try:
                     got = self._stream.receive(min(due, now() + LOOK_SECONDS), bell, PIECE)
                 except Timeout:
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -11,7 +11,7 @@
 import orjson
 
 from brambleusher.counters import Counters
-from brambleusher.decisions import Outcome
+from brambleusher.decisions import Outcome, nothing
 from brambleusher.net.bodies import Answered, Tail, Upload
 from brambleusher.net.http import (
     HOP_BY_HOP,
@@ -40,10 +40,6 @@
 Ended = tuple[Status, LoadReport | None, Message | None]
 
 
-def nothing() -> None:
-    """What an answer that is held needs done where nobody takes it."""
-
-
 def parse_report(text: str | None) -> LoadReport | None:
     """An answer's load report; one that makes no sense is left out, never guessed."""
     if not text:
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -230,10 +230,7 @@
             else:
                 return
         self._unhook(task)
-        if task.urgent:
-            self._ready.appendleft((task, why))
-        else:
-            self._ready.append((task, why))
+        self._queue(task, why)
 
     # --- the hub --------------------------------------------------------------------------------
 
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -114,7 +114,7 @@
         self.outputs: dict[str, Output] = {}  # by where they lead
         self.figures = None if operator.figures is None else self._figures(operator.figures)
         self.takeover, learnt = self._join(config), None
-        if self.takeover is not None and (self._succeeds or self.takeover.processes > 1):
+        if self.takeover is not None and self.takeover.processes > 1:
             learnt = self._taught(self.takeover)
         config = self.config
         self._operator = operator
@@ -418,17 +418,16 @@
 
     def offline(self, node: str) -> bool:
         """Leave an execute node out from now on; false for one that was never listed."""
-        if not self.bans.knows(node):
-            return False
-        self._tell(self.bans.offline(node, self.clock.now_ns()))
-        self._share()
-        return True
+        return self._said(node, self.bans.offline)
 
     def online(self, node: str) -> bool:
         """Use it again from now on; false for one that was never listed."""
+        return self._said(node, self.bans.online)
+
+    def _said(self, node: str, say: Callable[[str, int], HostEntry | None]) -> bool:
         if not self.bans.knows(node):
             return False
-        self._tell(self.bans.online(node, self.clock.now_ns()))
+        self._tell(say(node, self.clock.now_ns()))
         self._share()
         return True
 
--- a/brambleusher/takeover.py
+++ b/brambleusher/takeover.py
@@ -14,7 +14,7 @@
 import logging
 import os
 import re
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from enum import Enum
 from pathlib import Path
@@ -210,7 +210,7 @@
             log.error("what operators said can't be shared", extra={"fields": {"error": error}})
 
     @contextmanager
-    def _alone(self) -> Any:
+    def _alone(self) -> Iterator[None]:
         """Guards against two processes that both read, and each overwrite what the other has written."""
         fd = os.open(self._folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
