A request that has come is looked at once when room is made, not with each answer

Cause: where places are scarce, each answer looked (recv, PEEK) at every connection whose request had come and was not read yet, and searched through those passed over for the next.

Change: whoever sees that a request has come tells Places that its connection has asked; it is no candidate from then on. One whose other end has left is closed at that look (Stream.peek tells the two apart).

Test: tests/test_making_room.py, two of three fail without the change.

--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -354,7 +354,11 @@
         places = self._places
         for each in places.surplus(now) if most is None else places.for_one_more(now, most):
             assert isinstance(each, Connection)
-            if each.stream.quiet():  # guards against a request that has come and was not read yet
+            if each.stream.peek():
+                # Its request has come and was not read yet.  Guards against looking at it again with each
+                # answer: where most have asked and are not read, that is what keeps them unread.
+                places.asked(each, now)
+            else:
                 silent = "" if each.asked else "_silent"
                 self._counters.add(f"submitters_closed{silent}")
                 self._close_idle(each)
--- a/brambleusher/runtime/streams.py
+++ b/brambleusher/runtime/streams.py
@@ -72,15 +72,18 @@
             except BlockingIOError:
                 self.scheduler.park(deadline, self.sock, WRITE)
 
-    def quiet(self) -> bool:
-        """Whether the connection is open and nothing, not even its end, waits to be read."""
+    def peek(self) -> bytes | None:
+        """The first byte that waits to be read, empty at the end, None where neither has come."""
         try:
-            self.sock.recv(1, PEEK)
+            return self.sock.recv(1, PEEK)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            return False
-        return False
+            return b""
+
+    def quiet(self) -> bool:
+        """Whether the connection is open and nothing, not even its end, waits to be read."""
+        return self.peek() is None
 
     def finish(self, seconds: float = LINGER_SECONDS, most: int = LINGER_BYTES) -> None:
         """End the sending side and read what is still on its way, within bounds.
--- a/quillpass/places.py
+++ b/quillpass/places.py
@@ -198,7 +198,7 @@
     def surplus(self, now: float) -> Iterator[Hashable]:
         """Those that wait and are to be closed, least worth first, until there is room again.
 
-        The caller closes each before it asks for the next, or passes over one whose request has come.
+        The caller closes each before it asks for the next, or says that it has `asked`.
         """
         passed: set[Hashable] = set()
         while self._short(now) > 0:
--- /dev/null
+++ b/tests/test_making_room.py
@@ -0,0 +1,77 @@
+"""Submitters' connections where places are scarce and the process is behind with reading."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from brambleusher.config import parse_config
+from brambleusher.net.submitters import Connection
+from brambleusher.runtime.real import RealSystem
+from brambleusher.runtime.scheduler import Scheduler
+from brambleusher.runtime.streams import Stream
+from brambleusher.sidecar import Sidecar
+from tests.rig import SETTINGS
+
+
+class Waiting(Stream):
+    """A stream on which `waits` can be read, that counts the looks at it."""
+
+    def __init__(self, scheduler: Scheduler, waits: bytes | None) -> None:
+        super().__init__(scheduler, RealSystem().connection())
+        self.waits, self.looks = waits, 0
+
+    def peek(self) -> bytes | None:
+        self.looks += 1
+        return self.waits
+
+    def quiet(self) -> bool:
+        return self.peek() is None
+
+
+class Room(unittest.TestCase):
+    def setUp(self) -> None:
+        config = {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "2a",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "known": {"version": 6, "full": True, "servers": []}, "settings": SETTINGS,
+        }  # fmt: skip
+        self.sidecar = Sidecar(parse_config(json.dumps(config).encode(), {}))
+        self.addCleanup(self.sidecar.close)
+        self.places, self.submitters = self.sidecar.places, self.sidecar.submitters
+        self.places.most = self.places.asking = 20
+
+    def rest(self, count: int, waits: bytes | None) -> list[Waiting]:
+        streams = []
+        for _ in range(count):
+            stream = Waiting(self.sidecar.scheduler, waits)
+            self.addCleanup(stream.close)
+            connection = Connection(stream, "p")
+            connection.asked = True
+            self.submitters._connections.add(connection)
+            self.places.opened(connection, "p", 0.0)
+            self.places.asked(connection, 0.1)
+            self.places.rests(connection, 0.2)
+            streams.append(stream)
+        return streams
+
+    def test_a_request_that_has_come_is_looked_at_once(self) -> None:
+        """Guards against each answer looking at every request that waits: being behind kept itself up."""
+        streams = self.rest(30, b"G")
+        for _ in range(25):
+            self.assertFalse(self.submitters._make_room())
+            self.assertFalse(self.submitters._make_room(20))
+        self.assertLessEqual(sum(stream.looks for stream in streams), 30)
+        self.assertEqual(self.places.taken, 30, "none of them is turned back unheard")
+
+    def test_one_whose_other_end_has_left_goes(self) -> None:
+        streams = self.rest(30, b"")
+        self.assertTrue(self.submitters._make_room())
+        self.assertLessEqual(self.places.taken, 20)
+        self.assertEqual(sum(not stream.open for stream in streams), 30 - self.places.taken)
+
+    def test_what_is_quiet_goes_as_ever(self) -> None:
+        self.rest(15, b"G"), self.rest(15, None)
+        self.assertTrue(self.submitters._make_room())
+        self.assertGreaterEqual(self.places.taken, 15)
+        self.assertLess(self.places.taken, 30)
