A process that joins is seen only once it holds its lock

Cause, found by reading: join() made its file under the name that others look for and locked it in a second step. Another process that looked in between (it looks within 50 ms of any change) took the file for that of a killed one, removed it, and never knew of the newcomer: SIGTERM then ended the old one as if nobody took over.

Change: the file is made and locked under another name, then renamed.

Test: a look round just before the lock is taken; fails without the change.

--- a/brambleusher/takeover.py
+++ b/brambleusher/takeover.py
@@ -86,9 +86,11 @@
         """Be seen; true where another process serves already.  Raises `OSError`."""
         self._folder.mkdir(mode=0o700, parents=True, exist_ok=True)
         path = self._folder / f"{Stage.STARTING.value}-{self._pid}"
-        self._lock = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        unseen = self._folder / f"joining-{self._pid}"
+        self._lock = os.open(unseen, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        self._path = path
+        # Guards against another that looks round between the two, and takes us for one that was killed.
+        self._path = unseen.rename(path)
         self._others = self._look_round()
         return Stage.SERVING in self._others.values()
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import os
 import queue
@@ -16,6 +17,7 @@
 from itertools import product
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from brambleusher.net.http import Message
 from brambleusher.runtime.real import RealSystem
@@ -56,6 +58,23 @@
         self.assertFalse(second.has_successor())
         self.assertEqual((second.processes, len(os.listdir(self.folder))), (1, 1))
 
+    def test_one_that_joins_is_never_seen_without_its_lock(self) -> None:
+        """Guards against being taken for a process that was killed, whose file is removed."""
+        old, new = self.process(1), self.process(2)
+        old.join()
+        real, seen = fcntl.flock, []
+
+        def flock(fd: int, how: int) -> None:
+            with mock.patch("fcntl.flock", real):
+                seen.append(old.has_successor())  # which looks round, and clears up
+            real(fd, how)
+
+        with mock.patch("fcntl.flock", flock):
+            new.join()
+        self.assertTrue(seen)
+        new.stage(Stage.SERVING)
+        self.assertTrue(old.has_successor())
+
     def test_parts_never_come_to_more_than_the_whole(self) -> None:
         for stages in product(Stage, repeat=3):
             for parts in (ROOM, SENDS):
