A sidecar that discovery turns away is ready with the list it has

Change: MachineList says when a watch has failed since the start; is_ready counts that as having waited.

--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -66,6 +66,7 @@
         self.on_step: Callable[[], None] = lambda: None  # told of each step of a long list
         self.watching = False
         self.fresh = False  # discovery has answered since the start
+        self.turned_away = False  # a watch has failed since the start: another may be long in coming
 
     def hold(self, known: MachineListUpdate) -> None:
         """The list taken from the configuration, which was told; its version is 0 where there was none."""
@@ -112,6 +113,7 @@
                 # Guards against a discovery that talks nonsense ending the watch for good.
                 reason = f"{type(error).__name__}: {error}"
             self.watching = False
+            self.turned_away = True
             self._counters.add("watches_broken")
             log.warning("watch broken", extra={"fields": {"reason": reason, "version": self._version}})
             self._on_broken()
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -298,7 +298,7 @@
 
     def is_ready(self) -> bool:
         """Whether submitters may come."""
-        waited = self.scheduler.now() - self._started_at >= READY_SECONDS
+        waited = self.scheduler.now() - self._started_at >= READY_SECONDS or self.machine_list.turned_away
         return self.machine_list.fresh or (waited and bool(self.config.known.machines))
 
     def start(self) -> tuple[str, int]:
