Lab: operators and releases as faults, six breakages, and a bound on a run without end

Change: stand-in operators who call at doors over the virtual wire, and a front that asks /ready each 0.1 s; the faults node-banned, sidecar-out-of-service and sidecars-released, in a profile of their own (operators), so that other profiles draw what they drew; the checker hears the door itself: a ban binds from the yes or 1 s after the call until the call back (rule drain), and a rule 'service' for /ready and for connections that rest. Breakages ban-lifted, ban-unknown, ready-while-out, kept-while-out, not-back, ready-late.

Not built: two processes on one listener (takeover uses files and locks, which are outside the seam), large bodies.

--- a/benchmarks/breakages.py
+++ b/benchmarks/breakages.py
@@ -19,9 +19,11 @@
 from brambleusher.lab.scenario import draw_scenario
 
 
-def rules_broken(seed: int, breakage: AbstractContextManager[object] | None = None) -> frozenset[str]:
+def rules_broken(
+    seed: int, profile: str, breakage: AbstractContextManager[object] | None = None
+) -> frozenset[str]:
     """What one run breaks."""
-    return frozenset(play(draw_scenario(seed), breakage).rules)
+    return frozenset(play(draw_scenario(seed, profile), breakage).rules)
 
 
 def measure(task: tuple[str, int, int]) -> tuple[str, int | None, int, Counter[str]]:
@@ -32,8 +34,8 @@
     for seed in range(most):
         if first is not None and seed >= share:
             break
-        found = rules_broken(seed, breakage.on()) & set(breakage.rules)
-        if found and not rules_broken(seed) & found:
+        found = rules_broken(seed, breakage.profile, breakage.on()) & set(breakage.rules)
+        if found and not rules_broken(seed, breakage.profile) & found:
             first = seed if first is None else first
             told += seed < share
             rules.update(found)
--- a/brambleusher/cli/explore.py
+++ b/brambleusher/cli/explore.py
@@ -14,11 +14,12 @@
 from contextlib import closing, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from types import FrameType
 
 import click
 
 from brambleusher.lab.breakages import BREAKAGES
-from brambleusher.lab.explore import Result, play, shrink
+from brambleusher.lab.explore import Endless, Result, play, shrink
 from brambleusher.lab.faults import PROFILES
 from brambleusher.lab.scenario import Scenario, ScenarioError, draw_scenario, read_scenario, write_scenario
 
@@ -26,6 +27,8 @@
 CHUNK = 16  # seeds that a process takes at once
 SHOWN = 20  # breaches that a summary words
 MOST = 10_000_000
+SEED_SECONDS = 30.0  # of processor time that one run may take; a usual one takes a tenth of one
+AGAIN_SECONDS = 1.0  # then it is ended, and ended again as long as that does not help
 MAX_FILE = 8 * 1024 * 1024
 
 
@@ -113,11 +116,32 @@
     with uncollected():
         for seed in seeds:
             broken = None if breakage is None else BREAKAGES[breakage].on()
-            results.append(play(draw_scenario(seed, profile), broken))
+            scenario = draw_scenario(seed, profile)
+            with bounded():
+                results.append(play(scenario, broken))
             gc.collect()
     return results
 
 
+@contextmanager
+def bounded(seconds: float = SEED_SECONDS) -> Iterator[None]:
+    """End what takes more processor time than that, and say where it was.
+
+    Guards against one run without end holding up a whole range, and hiding itself.
+    """
+
+    def end(number: int, frame: FrameType | None) -> None:
+        raise Endless(f"no end after {seconds:g} s of processor time")
+
+    before = signal.signal(signal.SIGVTALRM, end)
+    signal.setitimer(signal.ITIMER_VIRTUAL, seconds, AGAIN_SECONDS)
+    try:
+        yield
+    finally:
+        signal.setitimer(signal.ITIMER_VIRTUAL, 0)
+        signal.signal(signal.SIGVTALRM, before)
+
+
 def _leave_stopping_to_the_parent() -> None:
     """A terminal's Ctrl-C reaches every process: one of them has to answer for all."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)
--- a/brambleusher/lab/breakages.py
+++ b/brambleusher/lab/breakages.py
@@ -30,6 +30,7 @@
 from quillpass.api import HostState, Status
 from quillpass.balance import Request
 from quillpass.hosts import Host
+from quillpass.upkeep import Service
 
 LATE_SECONDS = 0.001  # past the drain limit
 
@@ -61,6 +62,7 @@
     text: str
     rules: tuple[str, ...]
     put: Callable[[Patches], None]
+    profile: str = "default"  # of fault plans that can tell
 
     @contextmanager
     def on(self) -> Iterator[None]:
@@ -77,13 +79,13 @@
 
 
 def breakage(
-    name: str, text: str, *rules: str
+    name: str, text: str, *rules: str, profile: str = "default"
 ) -> Callable[[Callable[[Patches], None]], Callable[[Patches], None]]:
     """Name a patch."""
     assert rules and not set(rules) - set(RULES), rules
 
     def add(put: Callable[[Patches], None]) -> Callable[[Patches], None]:
-        BREAKAGES[name] = Breakage(name, text, rules, put)
+        BREAKAGES[name] = Breakage(name, text, rules, put, profile)
         return put
 
     return add
@@ -141,6 +143,65 @@
     old = patches.set(MachineList, "change_over", change_over)
 
 
+# --- what operators say ---------------------------------------------------------------------------
+
+
+@breakage(
+    "ban-lifted", "news of a node from discovery ends the operators' ban", "drain", profile="operators",
+)  # fmt: skip
+def _ban_lifted(patches: Patches) -> None:
+    def effective(self: Sidecar, update: MachineListUpdate) -> MachineListUpdate:
+        old(self, update)  # which keeps the books
+        return update
+
+    old = patches.set(Sidecar, "_effective", effective)
+
+
+@breakage(
+    "ban-unknown", "a yes to a node that is to be left out, and nothing is done", "drain",
+    profile="operators",
+)  # fmt: skip
+def _ban_unknown(patches: Patches) -> None:
+    patches.set(Sidecar, "offline", lambda self, node: self.bans.knows(node))
+
+
+@breakage(
+    "ready-while-out", "out of service, and /ready still says yes", "service", profile="operators",
+)  # fmt: skip
+def _ready_while_out(patches: Patches) -> None:
+    def leave(self: Service, now: float) -> None:
+        old(self, now)
+        self.ready = True
+
+    old = patches.set(Service, "leave", leave)
+
+
+@breakage(
+    "kept-while-out", "out of service, and connections that rest are kept", "service", profile="operators",
+)  # fmt: skip
+def _kept_while_out(patches: Patches) -> None:
+    patches.set(Service, "may_rest", lambda self, now, since, asked: True)
+
+
+@breakage(
+    "not-back", "back in service, and /ready goes on saying no", "service", profile="operators",
+)  # fmt: skip
+def _not_back(patches: Patches) -> None:
+    def resume(self: Service) -> None:
+        old(self)
+        self.ready = False
+
+    old = patches.set(Service, "resume", resume)
+
+
+@breakage(
+    "ready-late", "a sidecar that discovery turns away waits for a list, with one in hand", "service",
+    profile="operators",
+)  # fmt: skip
+def _ready_late(patches: Patches) -> None:
+    patches.set(Sidecar, "is_ready", lambda self: self.machine_list.fresh)
+
+
 # --- what may not be repeated ---------------------------------------------------------------------
 
 
--- a/brambleusher/lab/checker/books.py
+++ b/brambleusher/lab/checker/books.py
@@ -133,6 +133,11 @@
     asked_ns: int = 0  # the last call, or the end of the last watch
     ask_failed: bool = False
     open: dict[Taking, None] = field(default_factory=dict)  # requests that are owed an answer
+    asked_out: dict[str, int] = field(default_factory=dict)  # nodes that operators called out, since when
+    banned: dict[str, int] = field(default_factory=dict)  # those of them that it said yes to, since when
+    called_out: bool = False  # operators want it out of service
+    out_ns: int = -1  # since when it has said that it is
+    back_ns: int = -1  # when it was called back last
 
     def was_starved(self, since: int) -> bool:
         """Whether descriptors were lacking at some time after a moment."""
@@ -204,8 +209,8 @@
 
     __slots__ = (
         "accepted_ns", "answers", "arrived_back", "arrived_in", "bad_ns", "closed", "entries", "errors",
-        "flagged", "gone", "life", "number", "opened_ns", "peer", "read_in", "reader", "reset_seen",
-        "sent_whole", "served", "taken_out",
+        "flagged", "gone", "last_ns", "life", "number", "opened_ns", "peer", "read_in", "reader",
+        "reset_seen", "sent_whole", "served", "taken_out",
     )  # fmt: skip
 
     def __init__(self, number: int, life: Life, opened_ns: int, peer: Address) -> None:
@@ -219,6 +224,7 @@
         self.errors = self.served = 0  # answers sent, by kind
         self.flagged = -1  # where an answer begins that was found to be owed to nobody
         self.accepted_ns = -1
+        self.last_ns = opened_ns  # that something was sent on it, either way
         self.closed = False  # by the sidecar
         self.gone = False  # the submitter has left
         self.reset_seen = False
@@ -251,6 +257,19 @@
         return f"{name} at {self.target[0]}:{self.target[1]}"
 
 
+class Calling:
+    """An operators' connection to a sidecar's door."""
+
+    __slots__ = ("answers", "arrived", "asked", "calls", "life", "reader")
+
+    def __init__(self, life: Life) -> None:
+        self.life = life
+        self.reader, self.answers = Reader(answers=False), Reader(answers=True)
+        self.arrived = 0  # bytes that the sidecar could read
+        self.calls: list[Message] = []  # on their way
+        self.asked: list[Message] = []  # arrived, and not answered
+
+
 class Watching:
     """A sidecar's connection to discovery."""
 
--- a/brambleusher/lab/checker/checker.py
+++ b/brambleusher/lab/checker/checker.py
@@ -20,6 +20,7 @@
     Address,
     Attempt,
     Breach,
+    Calling,
     End,
     Execution,
     Life,
@@ -56,10 +57,11 @@
         self._discoveries: set[Address] = set()
         self._processes: dict[Address, Process] = {}
         self._bad: dict[Address | str, int] = {}
-        self._wires: dict[int, Submission | Passage | Watching] = {}
+        self._wires: dict[int, Submission | Passage | Watching | Calling] = {}
+        self._doors: dict[Address, str] = {}
         self._takings: dict[tuple[str, str], list[Taking]] = {}  # by sidecar and request
         self._allowed: dict[str, int] = {}  # how often a request may run: as often as it was taken
-        self._due: list[tuple[int, int, Taking | Submission]] = []
+        self._due: list[tuple[int, int, Taking | Submission | Life]] = []
         self._number = count()
         self._doubts: list[tuple[int, Taking, str]] = []  # breaches unless the same moment explains them
         self._seen = 0  # executions looked at
@@ -81,6 +83,8 @@
         self._lives[machine] = life
         self._listens[listen] = machine
         self._discoveries.add(discovery)
+        if (door := raw.get("admin_addr")) is not None:
+            self._doors[address_of(door)] = machine
         known = raw.get("known")
         if known is not None:
             told = Told(int(known.get("version", 0)), True, entries_of(known["servers"]))
@@ -159,6 +163,9 @@
         if (machine := self._listens.get(target)) is not None:
             self._submitter(now, conn.id, self._lives[machine], client)
             return
+        if (machine := self._doors.get(target)) is not None:
+            self._wires[conn.id] = Calling(self._lives[machine])
+            return
         asker = self._lives.get(client.machine)
         if asker is None or asker.over:
             return
@@ -173,7 +180,7 @@
         wire = self._wires.get(conn.id)
         if isinstance(wire, Passage):
             wire.process = self._processes.get(wire.target)
-        elif isinstance(wire, Submission):
+        elif isinstance(wire, Submission | Calling):
             wire.life = self._lives[wire.life.machine]  # it may have started since
 
     def accepted(self, now: int, conn: Wire) -> None:
@@ -193,7 +200,10 @@
         wire = self._wires.get(conn.id)
         if wire is None:
             return
-        if isinstance(wire, Submission):
+        if isinstance(wire, Calling):
+            self._call_sent(now, wire, side, data)
+        elif isinstance(wire, Submission):
+            wire.last_ns = now
             if side == "client":
                 self._request_sent(now, wire, data)
             elif not wire.life.over:
@@ -211,7 +221,12 @@
         wire = self._wires.get(conn.id)
         if wire is None:
             return
-        if isinstance(wire, Submission):
+        if isinstance(wire, Calling):
+            if side == "server":
+                wire.arrived += len(data)
+                self._called(now, wire)
+        elif isinstance(wire, Submission):
+            wire.last_ns = now
             if side == "server":
                 wire.arrived_in += len(data)
                 self._take(now, wire)
@@ -283,6 +298,8 @@
             at, _, item = heapq.heappop(self._due)
             if isinstance(item, Taking):
                 self._check_due(at, item)
+            elif isinstance(item, Life):
+                self._check_out(at, item)
             else:
                 self._check_bad(at, item)
         if self._seen < len(self._executions):
@@ -386,7 +403,9 @@
         was_open = not taking.settled
         taking.life.open.pop(taking, None)
         if taking.fault is not None:
-            if status < 400 and taking.fault != judge.READY:
+            if taking.fault == judge.READY:
+                self._check_ready(now, taking, status)
+            elif status < 400:
                 self._break("unusable", now, taking, f"answered {status} though {taking.fault}")
             return
         if was_open and taking.due_ns >= 0 and now > taking.due_ns:
@@ -508,6 +527,79 @@
         if not killed and life.term_ns < 0:
             self._breach("crash", now, life.name, "ended unasked", life.trail)
 
+    # --- operators ------------------------------------------------------------------------------
+
+    def _call_sent(self, now: int, wire: Calling, side: str, data: bytes) -> None:
+        life = wire.life
+        if side == "client":
+            wire.calls += wire.reader.feed(data)
+            return
+        for answer in wire.answers.feed(data):
+            call = wire.asked.pop(0) if wire.asked else None
+            if call is None or life.over or not 200 <= answer.status < 300:
+                continue
+            node, what = self._meant(call)
+            if what == "offline" and node in life.asked_out:
+                life.banned.setdefault(node, now)
+            elif what == "out-of-service" and life.out_ns < 0 and life.called_out:
+                life.out_ns = now
+                life.say(now, "says yes to out-of-service")
+                self._push(now + self.rules.leave_ns, life)
+
+    def _called(self, now: int, wire: Calling) -> None:
+        """Calls have arrived: a call out binds by its yes, or some time later; a call back from here on."""
+        while wire.calls and wire.calls[0].end <= wire.arrived:
+            call, life = wire.calls.pop(0), wire.life
+            wire.asked.append(call)
+            node, what = self._meant(call)
+            if what == "offline":
+                life.asked_out.setdefault(node, now)
+            elif what == "online":
+                life.asked_out.pop(node, None)
+                life.banned.pop(node, None)
+            elif what == "out-of-service":
+                life.called_out = True
+            elif what == "in-service":
+                life.called_out, life.out_ns, life.back_ns = False, -1, now
+            life.say(now, f"is called: {call.start}")
+
+    @staticmethod
+    def _meant(call: Message) -> tuple[str, str]:
+        """The node and the deed; ids here have no sign that would be written otherwise."""
+        parts = call.start.split(" ")[1].split("/")
+        return (parts[3], parts[4]) if len(parts) == 5 else ("", parts[-1])
+
+    def _banned(self, now: int, life: Life, node: str) -> int | None:
+        """Since when a sidecar is bound to leave a node out; None if it is not."""
+        moments = [life.banned[node]] if node in life.banned else []
+        if node in life.asked_out and now >= life.asked_out[node] + self.rules.yes_ns:
+            moments.append(life.asked_out[node] + self.rules.yes_ns)
+        return min(moments, default=None)
+
+    def _check_ready(self, now: int, taking: Taking, status: int) -> None:
+        life, rules = taking.life, self.rules
+        if status == 200 and 0 <= life.out_ns <= taking.taken_ns:
+            self._break("service", now, taking, "out of service, and says that it is ready")
+        wanted = life.term_ns < 0 and not life.called_out and bool(life.roster.nodes)
+        since = max(life.started_ns, life.back_ns)
+        if status != 200 and wanted and taking.taken_ns > since + rules.ready_ns:
+            self._break("service", now, taking, f"in service, and answers {status}")
+
+    def _check_out(self, at: int, life: Life) -> None:
+        """It is out of service for some time: nothing rests on its connections any more."""
+        if life.over or life.out_ns < 0 or at < life.out_ns + self.rules.leave_ns:
+            return
+        for wire in self._wires.values():
+            if not isinstance(wire, Submission) or wire.life is not life or wire.accepted_ns < 0:
+                continue
+            if wire.closed or wire.gone or wire.reset_seen or wire.entries or wire.reader.begun:
+                continue
+            if wire.arrived_back <= wire.taken_out and at - wire.last_ns > self.rules.rest_ns:
+                peer = f"{wire.peer[0]}:{wire.peer[1]}"
+                what = f"out of service since {life.out_ns / 1e9:.9f}, and keeps the connection of {peer}"
+                self._breach("service", at, life.name, what, life.trail)
+                return
+
     # --- nodes ----------------------------------------------------------------------------------
 
     def _attempt_sent(self, now: int, wire: Passage, data: bytes) -> None:
@@ -558,6 +650,9 @@
             deemed = self._deemed(now, life, process)
             if deemed is not None and (since is None or deemed < since):
                 since, how = deemed, "counts as told"
+            banned = self._banned(now, life, process.node)
+            if banned is not None and (since is None or banned < since):
+                since, how = banned, "was told by operators"
         if since is not None and now - since > self.rules.drain_ns:
             late = now - since - self.rules.drain_ns
             self._at_node(
@@ -812,7 +907,7 @@
 
     # --- breaches -------------------------------------------------------------------------------
 
-    def _push(self, at: int, item: Taking | Submission) -> None:
+    def _push(self, at: int, item: Taking | Submission | Life) -> None:
         heapq.heappush(self._due, (at, next(self._number), item))
 
     def _at_node(self, rule: str, now: int, attempt: Attempt, what: str) -> None:
--- a/brambleusher/lab/checker/rules.py
+++ b/brambleusher/lab/checker/rules.py
@@ -25,6 +25,7 @@
     "copies": "two attempts out at once where that is not allowed",
     "drain": "a send too late after the sidecar was told that its node drains, is gone or was replaced",
     "unlisted": "a send to an address that no list named",
+    "service": "a sidecar out of service says that it is ready or keeps clients, or one in service does not",
     "cold": "more work sent to a cold node than its budget",
     "framing": "a request with a length and a coding was passed on",
     "unasked": "a request passed on that no submitter made",
@@ -62,6 +63,10 @@
     cold_told_part: float = 2 / 3  # of the work, from sidecars that were told of the start
     bad_ns: int = 3 * SECOND  # a bad client is owed an error or a close
     term_ns: int = 700 * MS  # what comes later than this after SIGTERM must not be left unanswered
+    yes_ns: int = 1 * SECOND  # after a call of operators it binds, answered or not
+    leave_ns: int = 1400 * MS  # after the yes to out-of-service no connection rests any more
+    rest_ns: int = 1200 * MS  # that rests for so long by then
+    ready_ns: int = 1500 * MS  # after its start one that had a list is ready, whatever discovery does
     recover_ns: int = 3 * SECOND
     recover_part: float = 0.95
     recover_least: int = 8  # fewer requests than this tell nothing, and one lost of fewer than 20 neither
--- a/brambleusher/lab/effects.py
+++ b/brambleusher/lab/effects.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from functools import partial, singledispatch
 from typing import TYPE_CHECKING
+from urllib.parse import quote
 
 import msgspec
 
@@ -23,6 +24,7 @@
 SECOND = 10**9
 KILL_S = 3.7  # after SIGTERM: SIGKILL comes no sooner
 LOOK_AGAIN_NS = 20_000_000
+RESTING, REST_S = 3, 0.3  # connections that rest when a sidecar is called out of service, and since when
 BAD_STAY_S = 3.3  # bad clients stay so long, to see whether they get the error or the close they are owed
 
 End = Callable[[], None] | None
@@ -461,6 +463,74 @@
     return end
 
 
+@apply.register(faults.NodeBanned)
+def _node_banned(fault: faults.NodeBanned, fleet: Fleet) -> End:
+    there, operators = _nodes(fault, fleet), fleet.operators
+    if operators is None:
+        return None
+    stops: list[Callable[[], None]] = []
+
+    def begin() -> None:
+        for place in there:
+            path = f"/control/registry-nodes/{quote(place.id, safe='')}/"
+            for sidecar in fleet.sidecars:
+                stops.append(operators.say(sidecar.door, path + "offline", path + "online"))
+
+    operators.scheduler.call_soon(begin)
+    down_s = fault.for_s / 4
+    for place in there if fault.restart else ():
+        crash = faults.NodeCrashed(at_s=0.0, target=place.figures.id)
+        _after(fleet, down_s, partial(_for_a_while, crash, fleet, down_s))
+
+    def end() -> None:
+        operators.scheduler.call_soon(lambda: [stop() for stop in stops])
+
+    return end
+
+
+def _for_a_while(fault: faults.Fault, fleet: Fleet, seconds: float) -> None:
+    """A fault within another one."""
+    over = apply(fault, fleet)
+    if over is not None:
+        _after(fleet, seconds, over)
+
+
+@apply.register(faults.SidecarOutOfService)
+def _sidecar_out_of_service(fault: faults.SidecarOutOfService, fleet: Fleet) -> End:
+    operators, stops = fleet.operators, list[Callable[[], None]]()
+    if operators is None:
+        return None
+
+    def begin() -> None:
+        for place in _sidecars(fault, fleet):
+            stops.append(operators.say(place.door, "/control/out-of-service", "/control/in-service"))
+
+    for place in _sidecars(fault, fleet):
+        # Connections that rest when the call comes, and that nobody uses again.
+        bad = fleet.bad[place.number]
+        bad.scheduler.call_soon(partial(bad.begin, "ask-and-stay", RESTING))
+    operators.scheduler.call_soon(
+        lambda: operators.scheduler.call_at(operators.scheduler.now() + REST_S, begin)
+    )
+    return lambda: operators.scheduler.call_soon(lambda: [stop() for stop in stops])
+
+
+@apply.register(faults.SidecarsReleased)
+def _sidecars_released(fault: faults.SidecarsReleased, fleet: Fleet) -> End:
+    there = [(place, place.process) for place in fleet.sidecars if place.up]
+    away = apply(faults.DiscoveryDown(at_s=0.0, how="503"), fleet)
+    for place, _ in there:
+        place.signal(signal.SIGKILL)
+
+    def start() -> None:
+        for place, process in there:
+            if place.process is process:
+                place.start()
+
+    _after(fleet, fault.down_s, start)
+    return away
+
+
 @apply.register(faults.BadConfiguration)
 def _bad_configuration(fault: faults.BadConfiguration, fleet: Fleet) -> End:
     there = _sidecars(fault, fleet)
--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -27,11 +27,19 @@
 SECOND = 10**9
 FAULT = "fault"  # the rule that a task of the program which raises breaks; the checker can't see it
 LAB = "lab"  # the lab itself raised: a run that says nothing, and never passes for one without a breach
+ENDLESS = "endless"  # the run took more processor time than its caller allows
 DUMP_NS = SECOND  # so long a sidecar may take to write its capture
 OUTPUT_BYTES = 4 * 1024 * 1024  # of standard error: a whole capture has to fit
 SHORT = 100  # characters of what was sent that a time line shows
 
 
+class Endless(BaseException):
+    """Raised by a caller of `play`, wherever the run is, to end one that goes on and on.
+
+    Not an `Exception`, so that the program's guards let it pass.
+    """
+
+
 class Digest(Tap):
     """A hash of every step on the wire: its time, its connection, its bytes."""
 
@@ -173,7 +181,8 @@
         what = f"its main program raised {type(process.error).__name__}: {process.error}"
         rows = traceback.format_exception(process.error)
         trail = tuple((now, row) for row in "".join(rows).splitlines())
-        self.breaches.append(Breach(FAULT, now, process.name, what, trail))
+        rule = ENDLESS if isinstance(process.error, Endless) else FAULT
+        self.breaches.append(Breach(rule, now, process.name, what, trail))
 
 
 @contextmanager
@@ -255,10 +264,11 @@
                     world.run(fleet.ends_ns, lambda: bool(checker.breaches or raised.breaches))
                 if not (stop_at_breach and (checker.breaches or raised.breaches)):
                     _to_the_end(fleet, checker)
-            except Exception as error:
+            except (Exception, Endless) as error:
                 trail = tuple((world.now_ns, row) for row in traceback.format_exc().splitlines())
                 what = f"{type(error).__name__}: {error}"
-                raised.breaches.append(Breach(LAB, world.now_ns, "the lab", what, trail))
+                rule = ENDLESS if isinstance(error, Endless) else LAB
+                raised.breaches.append(Breach(rule, world.now_ns, "the lab", what, trail))
         others = raised.breaches + fallen.breaches
         breaches = sorted(checker.breaches + others, key=lambda breach: breach.at_ns)
         if line is not None:
--- a/brambleusher/lab/faults.py
+++ b/brambleusher/lab/faults.py
@@ -416,6 +416,35 @@
         return {"left": draw.whole((0, 6))}
 
 
+class NodeBanned(Fault, frozen=True, tag="node-banned"):
+    """Operators leave it out at every sidecar's door; meanwhile it is started again, or not."""
+
+    restart: bool
+
+    @classmethod
+    def parameters(cls, draw: Drawer, world: WorldFigures) -> dict[str, Any]:
+        """Mostly for a restart."""
+        return {"restart": draw.chance(0.7)}
+
+
+class SidecarOutOfService(Fault, frozen=True, tag="sidecar-out-of-service"):
+    """Operators send its clients away; the process runs on, and is back in service at the end."""
+
+    targets: ClassVar[Target] = "sidecar"
+
+
+class SidecarsReleased(Fault, frozen=True, tag="sidecars-released"):
+    """All sidecars are killed together and started again; discovery turns callers away until the end."""
+
+    targets: ClassVar[Target] = "none"
+    down_s: Seconds
+
+    @classmethod
+    def parameters(cls, draw: Drawer, world: WorldFigures) -> dict[str, Any]:
+        """Down for a moment."""
+        return {"down_s": draw.of((0.0, 0.3))}
+
+
 class BadConfiguration(Fault, frozen=True, tag="bad-configuration"):
     """Its configuration file is spoilt and SIGHUP comes; the file is whole again when the fault ends."""
 
@@ -570,7 +599,8 @@
     DiscoverySilent, DiscoveryGarbage, DiscoveryMoved, DiscoveryRestarted, ListChurns, BadClientsCome,
     SidecarTerminated, SidecarKilled, SidecarStalled, WallClockSet, DescriptorsUsedUp, BadConfiguration,
     LinkCut, LinkSlow, ConnectsSwallowed, ConnectsRefused, ConnectionsReset, ConnectionsSilent, ZoneLost,
-    ZoneCut, ZoneFlaps, ZoneUnreachable, ZoneGrey, ZoneDrained, ZoneRulesRead,
+    ZoneCut, ZoneFlaps, ZoneUnreachable, ZoneGrey, ZoneDrained, ZoneRulesRead, NodeBanned,
+    SidecarOutOfService, SidecarsReleased,
 )  # fmt: skip
 KINDS: Mapping[str, type[Fault]] = {kind_of(fault): fault for fault in FAULTS}
 
@@ -582,7 +612,7 @@
     | BadClientsCome | SidecarTerminated | SidecarKilled | SidecarStalled | WallClockSet
     | DescriptorsUsedUp | BadConfiguration | LinkCut | LinkSlow | ConnectsSwallowed | ConnectsRefused
     | ConnectionsReset | ConnectionsSilent | ZoneLost | ZoneCut | ZoneFlaps | ZoneUnreachable | ZoneGrey
-    | ZoneDrained | ZoneRulesRead
+    | ZoneDrained | ZoneRulesRead | NodeBanned | SidecarOutOfService | SidecarsReleased
 )  # fmt: skip
 
 _NODES = (
@@ -610,7 +640,17 @@
     "zone-drained", "zone-rules-read", "sidecar-killed", "fleet-shrinks", "node-slow", "link-cut",
 )  # fmt: skip
 # In the profile that is about them alone: what the others draw for a seed stays what it was.
-_APART = ("zone-flaps", "zone-unreachable", "zone-grey", "zone-drained", "zone-rules-read")
+_APART = (
+    "zone-flaps", "zone-unreachable", "zone-grey", "zone-drained", "zone-rules-read", "node-banned",
+    "sidecar-out-of-service", "sidecars-released",
+)  # fmt: skip
+# What operators do, and what happens to the fleet meanwhile.
+CALLED = ("node-banned", "sidecar-out-of-service", "sidecars-released")  # in these runs sidecars have doors
+_OPERATORS = (
+    *CALLED, *CALLED, "node-crashed", "node-restarted", "fleet-shrinks", "drain-taken-back", "discovery-down",
+    "discovery-moved", "discovery-garbage", "sidecar-killed", "sidecar-terminated", "descriptors-used-up",
+    "bad-clients", "node-slow", "resets",
+)  # fmt: skip
 _RESTARTS = (
     "sidecar-terminated", "sidecar-killed", "wall-clock-set", "bad-configuration", "discovery-moved",
     "node-restarted", "node-crashed", "descriptors-used-up", "sidecar-stalled",
@@ -627,6 +667,7 @@
     "zones": _ZONES,
     "zones-ruled": _ZONES_RULED,
     "restarts": _RESTARTS,
+    "operators": _OPERATORS,
 }
 
 
--- a/brambleusher/lab/figures.py
+++ b/brambleusher/lab/figures.py
@@ -27,7 +27,7 @@
 
 Range = tuple[float, float]  # both ends may be drawn
 
-NODE_PORT, SIDECAR_PORT, DISCOVERY_PORT = 9000, 9000, 8500
+NODE_PORT, SIDECAR_PORT, DISCOVERY_PORT, DOOR_PORT = 9000, 9000, 8500, 9100
 
 
 # --- a world --------------------------------------------------------------------------------------
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -18,9 +18,10 @@
 
 from brambleusher.config import Config, parse_config
 from brambleusher.lab.effects import apply
-from brambleusher.lab.faults import Fault
+from brambleusher.lab.faults import CALLED, Fault
 from brambleusher.lab.figures import (
     DISCOVERY_PORT,
+    DOOR_PORT,
     NODE_PORT,
     SIDECAR_PORT,
     NodeFigures,
@@ -32,6 +33,7 @@
 from brambleusher.lab.stand_ins.client import Asked, Client
 from brambleusher.lab.stand_ins.discovery import Discovery, Entry, Telling
 from brambleusher.lab.stand_ins.node import Execution, Node
+from brambleusher.lab.stand_ins.operators import Operators
 from brambleusher.lab.stand_ins.server import Troubles
 from brambleusher.lab.world import (
     STANDARD,
@@ -58,7 +60,7 @@
 LOOK_AGAIN_NS = 50_000_000
 CALM_AGAIN_S = 0.25
 GOOD_LOAD = 0.6  # of the capacity after the faults: above it nobody is asked to get well in time
-CLIENTS, BAD_CLIENTS = "clients", "bad clients"  # machines
+CLIENTS, BAD_CLIENTS, OPERATORS = "clients", "bad clients", "operators"  # machines
 CAPTURE = {"ring_kb": 768}
 
 
@@ -128,6 +130,7 @@
     seed: int,
     known: Iterable[Entry] = (),
     version: int = 0,
+    door: Address | None = None,
 ) -> bytes:
     """A sidecar's configuration file, in whichever world."""
     own = world.sidecars[number]
@@ -140,6 +143,7 @@
                 "version": version, "full": True, "servers": [msgspec.to_builtins(each) for each in known]
             },
             "settings": world.sidecar_settings(number),
+            **({} if door is None else {"admin_addr": f"{door[0]}:{door[1]}"}),
         }
     ).encode()  # fmt: skip
 
@@ -423,6 +427,11 @@
         """Where submitters connect."""
         return self.machine.ip, SIDECAR_PORT
 
+    @property
+    def door(self) -> Address:
+        """Where operators call, in runs in which they do."""
+        return self.machine.ip, DOOR_PORT
+
     @property
     def up(self) -> bool:
         """Whether its process runs."""
@@ -441,6 +450,7 @@
         self.file = configuration(
             fleet.scenario.world, self.number, self.address, fleet.discovery.address,
             fleet.draw_seed(f"sidecar {self.number} {self.starts}"), entries, version,
+            self.door if fleet.called else None,
         )  # fmt: skip
 
     def operator_file(self, **zones: Any) -> bytes:
@@ -569,6 +579,10 @@
         self._bad_machine = self.world.machine(BAD_CLIENTS, "10.3.0.2")
         self.clients: list[Client] = []
         self.bad: list[BadClients] = []
+        # Runs without operators stay what they were: no door, no machine more.
+        self.called = any(fault.kind in CALLED for fault in scenario.faults)
+        self.operators: Operators | None = None
+        self._operators_machine = self.world.machine(OPERATORS, "10.4.0.1") if self.called else None
         for machine in list(self.world.machines.values()):
             self.set_latency(machine)
         self.begins_ns = self.world.now_ns + int(LEAD_IN_S * SECOND)
@@ -600,7 +614,7 @@
     def set_latency(self, machine: Machine) -> None:
         """Give the links of a machine the scenario's latencies."""
         figures, network = self.scenario.world.network, self.world.network
-        fronts = (CLIENTS, BAD_CLIENTS)
+        fronts = (CLIENTS, BAD_CLIENTS, OPERATORS)
         zone = self.zone_of(machine)
         for other in self.world.machines.values():
             if other is machine:
@@ -640,6 +654,8 @@
         self._client_machine.start(self._submit, "clients", descriptors=20_000)
         self.audience.bad_client(self._bad_machine.name)
         self._bad_machine.start(self._misbehave, "bad clients", descriptors=20_000)
+        if self._operators_machine is not None:
+            self._operators_machine.start(self._operate, OPERATORS)
         for fault in self.scenario.faults:
             self.world.at(self.begins_ns + int(fault.at_s * SECOND), self._starter(fault))
         self.world.at(self.begins_ns + int(self.scenario.world.faults_s * SECOND), self._calm)
@@ -667,6 +683,13 @@
             self.bad.append(bad)
         scheduler.run()
 
+    def _operate(self, system: VirtualSystem) -> None:
+        scheduler = Scheduler(system)
+        self.operators = Operators(scheduler)
+        for sidecar in self.sidecars:
+            self.operators.front(sidecar.address)
+        scheduler.run()
+
     def _open_ids(self, number: int) -> list[str]:
         return self.clients[number].open_ids()
 
@@ -704,6 +727,8 @@
             client.scheduler.call_soon(client.stop)
         for bad in self.bad:
             bad.scheduler.call_soon(bad.end)
+        if self.operators is not None:
+            self.operators.scheduler.call_soon(self.operators.end)
         limit = self.world.now_ns + int(SETTLE_S * SECOND)
         self.world.run(limit, lambda: all(client.finished for client in self.clients))
         for client in self.clients:
@@ -726,8 +751,9 @@
             submitters=sidecar.submitters.connections, claims=nodes.claims_out,
             node_connections=nodes.open_connections, node_idle=idle, timers=sidecar.scheduler.timers,
             descriptors=process.descriptors,
-            # The waker's two, the listener, the watch, and connections to nodes.
-            descriptors_due=3 + sidecar.machine_list.watching + idle, stderr=bytes(process.stderr),
+            # The waker's two, the listener, the door, the watch, and connections to nodes.
+            descriptors_due=3 + (sidecar.door is not None) + sidecar.machine_list.watching + idle,
+            stderr=bytes(process.stderr),
         )  # fmt: skip
 
     def dump(self) -> None:
--- a/tests/test_breakages.py
+++ b/tests/test_breakages.py
@@ -29,7 +29,8 @@
 
 @pytest.mark.parametrize("name", sorted(set(BREAKAGES) - set(FILES)))
 def test_is_found_in_the_first_seeds(name: str) -> None:
-    assert any(found(name, draw_scenario(seed)) for seed in range(LOOKED_AT))
+    profile = BREAKAGES[name].profile
+    assert any(found(name, draw_scenario(seed, profile)) for seed in range(LOOKED_AT))
 
 
 @pytest.mark.parametrize("name", sorted(FILES))
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -105,7 +105,13 @@
         self.checker.sidecar(
             self.now,
             "m0",
-            {"name": "n0", "listen": "10.0.0.1:80", "discovery": "10.2.0.1:8500", "known": known},
+            {
+                "name": "n0",
+                "listen": "10.0.0.1:80",
+                "discovery": "10.2.0.1:8500",
+                "known": known,
+                "admin_addr": "10.0.0.1:81",
+            },
         )
         self.checker.true_list(self.now, known["servers"], True)  # type: ignore[arg-type]
         for name, place in PLACES.items():
@@ -1080,6 +1086,123 @@
         play.wait(MS)
 
 
+# --- operators ------------------------------------------------------------------------------------
+
+
+def called(play: Play, target: str, status: int | None = 200) -> None:
+    """A call at the door; None: it is not answered."""
+    conn = play.connect(("10.0.0.1", 81), "operators")
+    play.pass_(conn, "client", http(f"POST /control/{target} HTTP/1.1"))
+    if status is not None:
+        play.pass_(conn, "server", http(f"HTTP/1.1 {status} ", b"done"))
+
+
+def out(play: Play, node: str = A, status: int | None = 200) -> None:
+    called(play, f"registry-nodes/{node}/offline", status)
+
+
+def is_ready(play: Play, status: int) -> None:
+    conn = play.client()
+    play.pass_(conn, "client", http("GET /ready HTTP/1.1"))
+    play.pass_(conn, "server", http(f"HTTP/1.1 {status} ", b"said"))
+    play.checker.closed(play.now, conn, "client")
+
+
+@wire("")
+def sent_to_a_node_taken_out_at_the_limit(play: Play) -> None:
+    out(play)
+    play.wait(500 * MS).serve()
+
+
+@wire("drain")
+def sent_to_a_node_taken_out_1_ns_past_the_limit(play: Play) -> None:
+    out(play)
+    play.wait(500 * MS + 1).serve()
+
+
+@wire("drain")
+def taken_out_whatever_discovery_says(play: Play) -> None:
+    out(play)
+    play.wait(300 * MS)
+    out(play)  # again, which begins nothing anew
+    play.tell(play.watch(), listing(entry(A), entry(B), full=True))
+    play.wait(300 * MS).serve()
+
+
+@wire("")
+def taken_out_and_back(play: Play) -> None:
+    out(play)
+    play.wait(S)
+    called(play, f"registry-nodes/{A}/online")
+    play.serve()
+
+
+@wire("")
+def a_no_binds_nobody(play: Play) -> None:
+    out(play, B)
+    called(play, "registry-nodes/x/offline", 404)
+    play.wait(900 * MS).serve()
+
+
+@wire("drain")
+def a_call_binds_after_a_second_without_a_yes(play: Play) -> None:
+    out(play, status=None)
+    play.wait(1500 * MS + 1).serve()
+
+
+@wire("")
+def a_call_without_a_yes_has_a_second(play: Play) -> None:
+    out(play, status=None)
+    play.wait(1500 * MS).serve()
+
+
+@wire("service")
+def ready_while_out_of_service(play: Play) -> None:
+    called(play, "out-of-service")
+    is_ready(play, 200)
+
+
+@wire("")
+def out_of_service_and_back(play: Play) -> None:
+    is_ready(play, 200)
+    called(play, "out-of-service")
+    is_ready(play, 503)
+    play.wait(S)
+    called(play, "in-service")
+    is_ready(play, 200)
+
+
+@wire("service")
+def not_ready_long_after_it_is_back(play: Play) -> None:
+    called(play, "out-of-service")
+    called(play, "in-service")
+    play.wait(1500 * MS + 1)
+    is_ready(play, 503)
+
+
+@wire("")
+def not_ready_yet(play: Play) -> None:
+    play.wait(1500 * MS)
+    is_ready(play, 503)
+
+
+@wire("service")
+def a_connection_rests_while_out_of_service(play: Play) -> None:
+    play.serve()
+    called(play, "out-of-service")
+    play.wait(2 * S)
+
+
+@wire("")
+def a_connection_that_rests_is_closed_in_time(play: Play) -> None:
+    conn = play.client()
+    play.serve("r1", "look", conn=conn)
+    called(play, "out-of-service")
+    play.wait(S)
+    play.checker.closed(play.now, conn, "server")
+    play.wait(2 * S)
+
+
 @wire("recovery")
 def still_ill(play: Play) -> None:
     afterwards(play, 94, 100, 3)
--- a/tests/test_fault_plans.py
+++ b/tests/test_fault_plans.py
@@ -214,6 +214,10 @@
     return fleet.sidecars[0]
 
 
+def bans(fleet: Fleet) -> dict[str, Any]:
+    return dict(sidecar(fleet).sidecar.bans.bans)
+
+
 # For each kind: its parameters, what can be seen while it lasts, and what can't before and after.
 CASES: dict[str, tuple[dict[str, Any], See]] = {
     "node-slow": ({"factor": 4.0}, lambda fleet, _: place(fleet).node.machine._slow == 4.0),
@@ -292,6 +296,15 @@
         {"gap_s": 0.1, "drain_s": 0.3}, lambda fleet, _: not place(fleet).up and state(fleet) == "Gone",
     ),
     "zone-rules-read": ({"what": "bad"}, lambda fleet, _: sidecar(fleet).operator.endswith(b"}}}")),
+    "node-banned": (
+        {"restart": True},
+        lambda fleet, _: any(name == NODE.id and ban.on for name, ban in bans(fleet).items()),
+    ),
+    "sidecar-out-of-service": ({}, lambda fleet, _: not sidecar(fleet).sidecar.service.ready),
+    "sidecars-released": (
+        {"down_s": 0.1},
+        lambda fleet, _: sidecar(fleet).starts == 2 and not sidecar(fleet).sidecar.machine_list.fresh,
+    ),
 }  # fmt: skip
 # What these leave behind does not go away, or they can only be seen over a while.
 STAYING: dict[str, tuple[dict[str, Any], See]] = {
--- /dev/null
+++ b/tests/test_operators_in_virtual_time.py
@@ -0,0 +1,53 @@
+"""Operators in virtual time: what they say holds, and a range of seeds ends whatever one of them does."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from brambleusher.cli.explore import bounded
+from brambleusher.lab.explore import ENDLESS, play
+from brambleusher.lab.fleet import SECOND, Fleet
+from brambleusher.lab.scenario import draw_scenario
+from brambleusher.sidecar import READY_SECONDS
+from quillpass import Balancer
+from tests.test_fault_plans import FROM_S, fault_of, scenario_with
+
+
+def test_a_sidecar_that_discovery_turns_away_is_ready_with_the_list_it_had() -> None:
+    """Guards against each of a herd that starts together standing idle for the whole wait."""
+    scenario = scenario_with(fault_of("sidecars-released", {"down_s": 0.0}))
+    sidecars = tuple(msgspec.structs.replace(each, known="current") for each in scenario.world.sidecars)
+    world = msgspec.structs.replace(scenario.world, sidecars=sidecars)
+    with (fleet := Fleet(msgspec.structs.replace(scenario, world=world))).world as run:
+        fleet.start()
+        run.run(fleet.begins_ns + int((FROM_S + 0.01) * SECOND))
+        begun, there = run.now_ns, fleet.sidecars
+        assert run.run(
+            begun + 5 * SECOND, lambda: all(each.sidecar and each.sidecar.is_ready() for each in there)
+        )
+        assert run.now_ns - begun < 0.8 * READY_SECONDS * SECOND
+        assert not any(each.sidecar and each.sidecar.machine_list.fresh for each in there)
+
+
+@pytest.mark.parametrize("where", ["the program", "the lab"])
+def test_a_run_without_end_is_ended_and_named(where: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    def without_end(*_: Any) -> None:
+        while True:
+            pass
+
+    if where == "the program":
+        monkeypatch.setattr(Balancer, "_steer_admission", without_end)
+    else:
+        monkeypatch.setattr(Fleet, "_calm", without_end)
+    with bounded(0.5):
+        result = play(draw_scenario(1))
+    ended = [breach for breach in result.breaches if breach.rule == ENDLESS]
+    assert ended and any("without_end" in text for _, text in ended[0].trail)
+
+
+def test_a_run_that_ends_is_left_alone() -> None:
+    with bounded():
+        assert ENDLESS not in play(draw_scenario(1)).rules
