--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -506,7 +506,8 @@
                 rig.call(f"r{n}", "look" if n % 5 else "move")
         self.assertEqual(self.run_command("capture", "dump", str(program.pid)), (0, ""))
         data = b""
-        while b'"id":"r399"' not in data:  # the last request's record
+        # The last request's record, and the counters: two lanes to one pipe, in either order.
+        while b'"id":"r399"' not in data or b"msg=counters why=asked" not in data:
             data += lines.get(timeout=WAIT)
         program.send_signal(signal.SIGTERM)
         self.assertEqual(program.wait(WAIT), 0)
