Operators' faults share one piece, and each run of explore has the bound

Change: _said calls out and back for both; sidecars-released is sidecar-killed for a while; replay, scenario files and shrink are bounded as a range is. No rule or bound changes.

Test: what was not said by the end is never said; fails without the change.

--- a/brambleusher/cli/explore.py
+++ b/brambleusher/cli/explore.py
@@ -245,7 +245,7 @@
 def _one(scenario: Scenario, breakage: str | None, quiet: bool, where: str) -> int:
     """Play one scenario in this process, with its time line unless quiet."""
     broken = None if breakage is None else BREAKAGES[breakage].on()
-    with uncollected():
+    with uncollected(), bounded():
         result = play(scenario, broken, None if quiet else print)
     if result.breaches:
         for line in _worded(result, where):
@@ -262,7 +262,8 @@
 
     def run(each: Scenario) -> Result:
         broken = None if breakage is None else BREAKAGES[breakage].on()
-        result = play(each, broken, stop_at_breach=True)
+        with bounded():
+            result = play(each, broken, stop_at_breach=True)
         gc.collect()
         return result
 
--- a/brambleusher/lab/effects.py
+++ b/brambleusher/lab/effects.py
@@ -20,6 +20,8 @@
 
 if TYPE_CHECKING:
     from brambleusher.lab.fleet import Fleet, NodePlace, SidecarPlace
+    from brambleusher.lab.stand_ins.operators import Operators
+    from brambleusher.runtime.system import Address
 
 SECOND = 10**9
 KILL_S = 3.7  # after SIGTERM: SIGKILL comes no sooner
@@ -463,29 +465,23 @@
     return end
 
 
-@apply.register(faults.NodeBanned)
-def _node_banned(fault: faults.NodeBanned, fleet: Fleet) -> End:
-    there, operators = _nodes(fault, fleet), fleet.operators
-    if operators is None:
-        return None
+def _said(operators: Operators, calls: list[tuple[Address, str, str]], wait_s: float = 0.0) -> End:
+    """Operators say these at doors after a while, and call each back at the end, if it was said by then."""
     stops: list[Callable[[], None]] = []
+    over: list[bool] = []
+    scheduler = operators.scheduler
 
     def begin() -> None:
-        for place in there:
-            path = f"/control/registry-nodes/{quote(place.id, safe='')}/"
-            for sidecar in fleet.sidecars:
-                stops.append(operators.say(sidecar.door, path + "offline", path + "online"))
-
-    operators.scheduler.call_soon(begin)
-    down_s = fault.for_s / 4
-    for place in there if fault.restart else ():
-        crash = faults.NodeCrashed(at_s=0.0, target=place.figures.id)
-        _after(fleet, down_s, partial(_for_a_while, crash, fleet, down_s))
+        if not over:
+            stops.extend(operators.say(*call) for call in calls)
 
-    def end() -> None:
-        operators.scheduler.call_soon(lambda: [stop() for stop in stops])
+    def stop() -> None:
+        over.append(True)
+        for each in stops:
+            each()
 
-    return end
+    scheduler.call_soon(lambda: scheduler.call_at(scheduler.now() + wait_s, begin))
+    return lambda: scheduler.call_soon(stop)
 
 
 def _for_a_while(fault: faults.Fault, fleet: Fleet, seconds: float) -> None:
@@ -495,39 +491,36 @@
         _after(fleet, seconds, over)
 
 
-@apply.register(faults.SidecarOutOfService)
-def _sidecar_out_of_service(fault: faults.SidecarOutOfService, fleet: Fleet) -> End:
-    operators, stops = fleet.operators, list[Callable[[], None]]()
-    if operators is None:
+@apply.register(faults.NodeBanned)
+def _node_banned(fault: faults.NodeBanned, fleet: Fleet) -> End:
+    if fleet.operators is None:
         return None
+    there, down_s = _nodes(fault, fleet), fault.for_s / 4
+    for place in there if fault.restart else ():
+        crash = faults.NodeCrashed(at_s=0.0, target=place.figures.id)
+        _after(fleet, down_s, partial(_for_a_while, crash, fleet, down_s))
+    paths = [f"/control/registry-nodes/{quote(place.id, safe='')}/" for place in there]
+    calls = [(each.door, path + "offline", path + "online") for path in paths for each in fleet.sidecars]
+    return _said(fleet.operators, calls)
 
-    def begin() -> None:
-        for place in _sidecars(fault, fleet):
-            stops.append(operators.say(place.door, "/control/out-of-service", "/control/in-service"))
 
-    for place in _sidecars(fault, fleet):
+@apply.register(faults.SidecarOutOfService)
+def _sidecar_out_of_service(fault: faults.SidecarOutOfService, fleet: Fleet) -> End:
+    if fleet.operators is None:
+        return None
+    there = _sidecars(fault, fleet)
+    for place in there:
         # Connections that rest when the call comes, and that nobody uses again.
         bad = fleet.bad[place.number]
         bad.scheduler.call_soon(partial(bad.begin, "ask-and-stay", RESTING))
-    operators.scheduler.call_soon(
-        lambda: operators.scheduler.call_at(operators.scheduler.now() + REST_S, begin)
-    )
-    return lambda: operators.scheduler.call_soon(lambda: [stop() for stop in stops])
+    calls = [(place.door, "/control/out-of-service", "/control/in-service") for place in there]
+    return _said(fleet.operators, calls, REST_S)
 
 
 @apply.register(faults.SidecarsReleased)
 def _sidecars_released(fault: faults.SidecarsReleased, fleet: Fleet) -> End:
-    there = [(place, place.process) for place in fleet.sidecars if place.up]
     away = apply(faults.DiscoveryDown(at_s=0.0, how="503"), fleet)
-    for place, _ in there:
-        place.signal(signal.SIGKILL)
-
-    def start() -> None:
-        for place, process in there:
-            if place.process is process:
-                place.start()
-
-    _after(fleet, fault.down_s, start)
+    _for_a_while(faults.SidecarKilled(at_s=0.0), fleet, fault.down_s)
     return away
 
 
--- a/tests/test_operators_in_virtual_time.py
+++ b/tests/test_operators_in_virtual_time.py
@@ -32,6 +32,16 @@
         assert not any(each.sidecar and each.sidecar.machine_list.fresh for each in there)
 
 
+def test_what_was_not_said_by_the_end_is_never_said() -> None:
+    """Guards against a sidecar called out of service for good by a fault that ends before its call."""
+    fault = msgspec.structs.replace(fault_of("sidecar-out-of-service", {}), for_s=0.1)
+    with (fleet := Fleet(scenario_with(fault))).world as run:
+        fleet.start()
+        run.run(fleet.begins_ns + int((FROM_S + 2) * SECOND))
+        assert fleet.operators is not None
+        assert {call.target for call in fleet.operators.book} == {"/ready"}
+
+
 @pytest.mark.parametrize("where", ["the program", "the lab"])
 def test_a_run_without_end_is_ended_and_named(where: str, monkeypatch: pytest.MonkeyPatch) -> None:
     def without_end(*_: Any) -> None:
