One list of the errors of accept that concern this process

Four listeners (submitters, door, status page, MySQL) each wrote the same four errnos; runtime.system has them as SHORT_OF_ROOM now. No behaviour changes.

--- a/brambleusher/admin/door.py
+++ b/brambleusher/admin/door.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 from collections.abc import Callable
 from typing import Protocol
@@ -11,7 +10,7 @@
 from brambleusher.net.http import HttpError, Message, MessageReader, write_response
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
-from brambleusher.runtime.system import Socket
+from brambleusher.runtime.system import SHORT_OF_ROOM, Socket
 
 log = logging.getLogger(__name__)
 
@@ -80,7 +79,7 @@
                 self._scheduler.park(sock=listener)
                 continue
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                if error.errno in SHORT_OF_ROOM:
                     log.warning("no descriptor for a call", extra={"fields": {"error": error.strerror}})
                     self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
                 continue
--- a/brambleusher/features/status.py
+++ b/brambleusher/features/status.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import errno
 import html
 import logging
 from collections import Counter, deque
@@ -23,7 +22,7 @@
 from brambleusher.operator_file import StatusSettings
 from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
-from brambleusher.runtime.system import Socket
+from brambleusher.runtime.system import SHORT_OF_ROOM, Socket
 from quillpass.api import HostState, Settings, Status
 
 log = logging.getLogger(__name__)
@@ -211,7 +210,7 @@
                 self._scheduler.park(sock=listener)
                 continue
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                if error.errno in SHORT_OF_ROOM:
                     # Guards against a loop at full speed while no descriptor is free.
                     self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
                 continue
--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import logging
 import os
 import random
@@ -43,7 +42,7 @@
 from brambleusher.net.submitters import Kind as AnswerKind
 from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
-from brambleusher.runtime.system import Address, Socket
+from brambleusher.runtime.system import SHORT_OF_ROOM, Address, Socket
 from quillpass.api import Status
 
 log = logging.getLogger(__name__)
@@ -200,7 +199,7 @@
         except BlockingIOError:
             return False
         except OSError as error:
-            if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+            if error.errno in SHORT_OF_ROOM:
                 # Guards against a loop at full speed while no descriptor is free.
                 log.warning("no descriptor to accept with", extra={"fields": {"error": error.strerror}})
                 self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 import re
 from collections.abc import Callable
@@ -37,7 +36,7 @@
 )
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
-from brambleusher.runtime.system import Socket
+from brambleusher.runtime.system import SHORT_OF_ROOM, Socket
 from brambleusher.tally import FAILED, REFUSED, SERVED, Tally
 from quillpass.api import Effect, Refuse, Status
 from quillpass.places import FRESH_SECONDS, Places
@@ -327,7 +326,7 @@
         except BlockingIOError:
             return False
         except OSError as error:
-            if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+            if error.errno in SHORT_OF_ROOM:
                 # Guards against a loop at full speed, and against dying, while no descriptor is free.
                 log.warning("no descriptor to accept with", extra={"fields": {"error": error.strerror}})
                 self._make_room(self._places.taken)
--- a/brambleusher/runtime/system.py
+++ b/brambleusher/runtime/system.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable
 from contextlib import AbstractContextManager
 from typing import Any, Protocol
@@ -18,6 +19,8 @@
 GONE_WRONG = 8 | 16 | 32  # POLLERR, POLLHUP and POLLNVAL, which come unasked
 PEEK = 2  # recv(2)'s MSG_PEEK
 END_SENDING = 1  # shutdown(2)'s SHUT_WR
+# Errors of accept that concern this process; others concern the connection, which is gone then.
+SHORT_OF_ROOM = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 Address = tuple[str, int]
 Item = bytes  # whole lines, each with its line end; one item may hold several
