--- a/brambleusher/cli/explore.py
+++ b/brambleusher/cli/explore.py
@@ -21,12 +21,14 @@
 from brambleusher.lab.breakages import BREAKAGES
 from brambleusher.lab.explore import Endless, Result, play, shrink
 from brambleusher.lab.faults import PROFILES
+from brambleusher.lab.mass import DAYS, draw_mass
 from brambleusher.lab.scenario import Scenario, ScenarioError, draw_scenario, read_scenario, write_scenario
 
 FINE, BROKEN, MISUSED = 0, 1, 2
 CHUNK = 16  # seeds that a process takes at once
 SHOWN = 20  # breaches that a summary words
 MOST = 10_000_000
+MASS_SECONDS = 1800.0  # the same of a day of a whole fleet
 SEED_SECONDS = 30.0  # of processor time that one run may take; a usual one takes a tenth of one
 AGAIN_SECONDS = 1.0  # then it is ended, and ended again as long as that does not help
 MAX_FILE = 8 * 1024 * 1024
@@ -116,13 +118,23 @@
     with uncollected():
         for seed in seeds:
             broken = None if breakage is None else BREAKAGES[breakage].on()
-            scenario = draw_scenario(seed, profile)
-            with bounded():
+            scenario = drawn(seed, profile)
+            with bounded(allowed(scenario)):
                 results.append(play(scenario, broken))
             gc.collect()
     return results
 
 
+def drawn(seed: int, profile: str) -> Scenario:
+    """The scenario of a seed in a profile, be it of faults on a small fleet or a day of a large one."""
+    return draw_mass(seed, profile) if profile in DAYS else draw_scenario(seed, profile)
+
+
+def allowed(scenario: Scenario) -> float:
+    """Seconds of processor time that a run may take."""
+    return MASS_SECONDS if scenario.profile in DAYS else SEED_SECONDS
+
+
 @contextmanager
 def bounded(seconds: float = SEED_SECONDS) -> Iterator[None]:
     """End what takes more processor time than that, and say where it was.
@@ -242,11 +254,11 @@
     return BROKEN
 
 
-def _one(scenario: Scenario, breakage: str | None, quiet: bool, where: str) -> int:
-    """Play one scenario in this process, with its time line unless quiet."""
+def _one(scenario: Scenario, breakage: str | None, quiet: bool, where: str, sums: bool) -> int:
+    """Play one scenario in this process, with its time line unless quiet, and the sums over its fleet."""
     broken = None if breakage is None else BREAKAGES[breakage].on()
-    with uncollected(), bounded():
-        result = play(scenario, broken, None if quiet else print)
+    with uncollected(), bounded(allowed(scenario)):
+        result = play(scenario, broken, None if quiet else print, sums=sums)
     if result.breaches:
         for line in _worded(result, where):
             print(line)
@@ -254,7 +266,12 @@
         print(f"{result.asked} requests asked, {result.taken} tries taken, {result.served} served, "
               f"{result.virtual_s:.1f} virtual seconds, no breach")  # fmt: skip
     print(f"digest {result.digest}")
-    return BROKEN if result.breaches else FINE
+    passed: list[str] = []
+    if result.sums is not None:
+        passed = result.sums.passed()
+        for line in [*result.sums.table(), *(f"passed {text}" for text in passed)]:
+            print(line)
+    return BROKEN if result.breaches or passed else FINE
 
 
 def _shrink(scenario: Scenario, breakage: str | None, out: str | None) -> int:
@@ -262,7 +279,7 @@
 
     def run(each: Scenario) -> Result:
         broken = None if breakage is None else BREAKAGES[breakage].on()
-        with bounded():
+        with bounded(allowed(each)):
             result = play(each, broken, stop_at_breach=True)
         gc.collect()
         return result
@@ -301,6 +318,7 @@
 @click.option("--list-breakages", is_flag=True, help="Name the deliberate faults.")
 @click.option("--list-profiles", is_flag=True, help="Name the profiles.")
 @click.option("--quiet", is_flag=True, help="No time line, no progress.")
+@click.option("--sums", is_flag=True, help="Print the sums over the fleet of FILE or --replay.")
 def command(
     file: str | None,
     seeds: str | None,
@@ -314,12 +332,14 @@
     list_breakages: bool,
     list_profiles: bool,
     quiet: bool,
+    sums: bool,
 ) -> int:
     """Status 0 without a breach, 1 with one, 2 where the call can't be carried out."""
     if breakage is not None and breakage not in BREAKAGES:
         raise Misuse(f"--breakage {breakage}: there is none of that name; --list-breakages names them")
-    if profile not in PROFILES:
-        raise Misuse(f"--profile {profile}: there is none of that name; there are {', '.join(PROFILES)}")
+    profiles = [*PROFILES, *DAYS]
+    if profile not in profiles:
+        raise Misuse(f"--profile {profile}: there is none of that name; there are {', '.join(profiles)}")
     if jobs < 1:
         raise Misuse(f"--jobs {jobs}: at least 1")
     if list_breakages:
@@ -327,16 +347,18 @@
             print(f"{name}: {each.text} ({', '.join(each.rules)})")
         return FINE
     if list_profiles:
-        for name in PROFILES:
+        for name in profiles:
             print(name)
         return FINE
     wanted = [each is not None for each in (file, seeds, replay, smaller, write)]
     if sum(wanted) != 1:
         raise Misuse("say one of FILE, --seeds, --replay, --shrink, --write")
+    if sums and file is None and replay is None:
+        raise Misuse("--sums goes with FILE or --replay: sums are of one run")
     told = "" if breakage is None else f" --breakage {breakage}"
     with _stoppable():
         if file is not None:
-            return _one(_load(file), breakage, quiet, f"brambleusher explore {file}{told}")
+            return _one(_load(file), breakage, quiet, f"brambleusher explore {file}{told}", sums)
         if seeds is not None:
             return _explore(seeds_of(seeds), profile, breakage, jobs, sys.stderr.isatty() and not quiet)
         for seed in (replay, smaller, write):
@@ -344,9 +366,9 @@
                 raise Misuse(f"seed {seed}: a whole number from 0 on")
         if replay is not None:
             where = f"brambleusher explore --replay {replay} --profile {profile}{told}"
-            return _one(draw_scenario(replay, profile), breakage, quiet, where)
+            return _one(drawn(replay, profile), breakage, quiet, where, sums)
         if smaller is not None:
-            return _shrink(draw_scenario(smaller, profile), breakage, out)
+            return _shrink(drawn(smaller, profile), breakage, out)
         assert write is not None
-        print(write_scenario(draw_scenario(write, profile)), end="")
+        print(write_scenario(drawn(write, profile)), end="")
         return FINE
--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -18,7 +18,9 @@
 import msgspec
 
 from brambleusher.lab.checker import Breach, Checker, Rules
-from brambleusher.lab.fleet import Fleet, world_of
+from brambleusher.lab.checker.sums import FleetLimits, NodeLimits, Sums, limits_of
+from brambleusher.lab.figures import DISCOVERY_PORT
+from brambleusher.lab.fleet import Fleet, node_address, world_of
 from brambleusher.lab.network import Connection
 from brambleusher.lab.scenario import Scenario
 from brambleusher.lab.world import Machine, ProcessLog, Tap, World
@@ -215,6 +217,7 @@
     virtual_s: float
     faults: Counter[str] = field(default_factory=Counter)  # kinds in the plan
     broken: int = 0  # all breaches, also those past the ones that are kept
+    sums: Sums | None = None  # over the fleet, where they were asked for
 
     @property
     def rules(self) -> list[str]:
@@ -227,8 +230,9 @@
     breakage: AbstractContextManager[object] | None = None,
     say: Callable[[str], object] | None = None,
     stop_at_breach: bool = False,
+    sums: bool = False,
 ) -> Result:
-    """Play a scenario to its end and check it, `say` being given the time line.
+    """Play a scenario to its end and check it, `say` being given the time line; `sums` has the fleet's kept.
 
     `stop_at_breach` ends the run at the first breach: enough to know that there is one.
     """
@@ -240,6 +244,10 @@
         fleet.audience = checker
         digest, raised, fallen = Digest(), Raised(world), Fallen()
         world.taps += [cast(Tap, checker), digest, fallen]
+        books: Sums | None = None
+        if sums:
+            books = Sums(world.now_ns, fleet_limits(scenario), DISCOVERY_PORT)
+            world.taps.append(cast(Tap, books))
         handlers: list[logging.Handler] = [raised]
         line: TimeLine | None = None
         if say is not None:
@@ -269,6 +277,8 @@
                 what = f"{type(error).__name__}: {error}"
                 rule = ENDLESS if isinstance(error, Endless) else LAB
                 raised.breaches.append(Breach(rule, world.now_ns, "the lab", what, trail))
+        if books is not None:
+            books.finish(fleet.executions)
         others = raised.breaches + fallen.breaches
         breaches = sorted(checker.breaches + others, key=lambda breach: breach.at_ns)
         if line is not None:
@@ -281,10 +291,22 @@
             attempts=checker.attempts, events=digest.events,
             virtual_s=(world.now_ns - begun) / SECOND,
             faults=Counter(str(_worded(fault)["kind"]) for fault in scenario.faults),
-            broken=checker.count + len(others),
+            broken=checker.count + len(others), sums=books,
         )  # fmt: skip
 
 
+def fleet_limits(scenario: Scenario) -> FleetLimits:
+    """What a scenario's world sets to the sums over its fleet."""
+    world = scenario.world
+    nodes = [
+        NodeLimits(node.id, node_address(number), node.settings.connections, node.settings.handshake_work_s)
+        for number, node in enumerate(world.nodes)
+    ]
+    rules = {"fall_multiple": world.rules.fall_multiple, "fall_s": world.rules.fall_s}
+    listed = sum(not node.spare for node in world.nodes)
+    return limits_of(nodes, rules, listed, world.discovery.call_s, world.discovery.line_s)
+
+
 def _to_the_end(fleet: Fleet, checker: Checker) -> None:
     world = fleet.world
     world.run(fleet.ends_ns)
--- a/brambleusher/lab/figures.py
+++ b/brambleusher/lab/figures.py
@@ -111,6 +111,13 @@
     handshake_fee: Seconds = 0.075  # sidecar uses more nodes
 
 
+class ProcessorFigures(Settings, frozen=True):
+    """What a sidecar's part of a core makes of its work, in time, on average; 0 where it is plenty."""
+
+    start_s: Seconds = 0.0  # from a start to the first step of the program
+    round_s: Seconds = 0.0  # from one poll to the next
+
+
 class WorldFigures(Settings, frozen=True):
     """A whole world, all drawn."""
 
@@ -130,6 +137,7 @@
     network: NetworkFigures = NetworkFigures()
     clients: ClientSettings = ClientSettings()
     rules: RuleFigures = RuleFigures()
+    processor: ProcessorFigures = ProcessorFigures()
     operator: dict[str, Any] = {}  # sections of the sidecars' operator file beside `capture`  # noqa: RUF012
 
     @property
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -40,6 +40,7 @@
     START_NS,
     WALL_NS,
     Machine,
+    Pace,
     Process,
     VirtualSystem,
     World,
@@ -122,6 +123,20 @@
     )
 
 
+def node_address(number: int) -> Address:
+    """Where the node of that place in the scenario listens."""
+    return f"10.1.0.{number + 1}", NODE_PORT
+
+
+def pace_of(world: WorldFigures) -> Pace | None:
+    """How a sidecar's process gets on with its part of a core; None where that is plenty."""
+    processor = world.processor
+    if not processor.start_s and not processor.round_s:
+        return None
+    start, round_ = int(processor.start_s * SECOND), int(processor.round_s * SECOND)
+    return Pace(start_ns=(start // 2, start * 3 // 2), round_ns=(round_ // 2, round_ * 3 // 2))
+
+
 def configuration(
     world: WorldFigures,
     number: int,
@@ -495,7 +510,9 @@
             sidecar.close()
 
         self.sidecar = None
-        self.process = self.machine.start(main, self.figures.name, descriptors=self.figures.sockets)
+        self.process = self.machine.start(
+            main, self.figures.name, descriptors=self.figures.sockets, pace=fleet.pace
+        )
         self._squeezes.clear()
 
     def squeeze(self, why: object, left: int) -> None:
@@ -569,7 +586,7 @@
         figures = scenario.world
         self.discovery = DiscoveryPlace(self)
         self.places = [
-            NodePlace(self, node, self.world.machine(f"node {number}", f"10.1.0.{number + 1}"))
+            NodePlace(self, node, self.world.machine(f"node {number}", node_address(number)[0]))
             for number, node in enumerate(figures.nodes)
         ]
         self.sidecars = [
@@ -588,6 +605,7 @@
         self.begins_ns = self.world.now_ns + int(LEAD_IN_S * SECOND)
         self.ends_ns = self.begins_ns + int(figures.length_s * SECOND)
         self.running: list[Fault] = []
+        self.pace = pace_of(figures)
         self.new_node: Callable[..., Node] = Node  # for experiments that need another one
         self.new_balancer: Callable[[Settings, int], Balancer] = balancer_for  # likewise
 
--- /dev/null
+++ b/brambleusher/lab/mass.py
@@ -0,0 +1,244 @@
+"""Days of a whole fleet: hundreds of sidecars with thin, uneven traffic, hundreds of nodes.
+
+A day of a seed is a scenario like any other: it can be written to a file, replayed and checked.  Sizes of
+work, aims and cold starts are those of the deployment, not shortened as the usual ranges are; a start and a
+round of a sidecar take the time that a part of a core gives them.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from brambleusher.lab import faults
+from brambleusher.lab.figures import (
+    ClassFigures,
+    Drawer,
+    NetworkFigures,
+    NodeFigures,
+    ProcessorFigures,
+    RuleFigures,
+    SidecarFigures,
+    TenantFigures,
+    WorldFigures,
+)
+from brambleusher.lab.scenario import Scenario
+from brambleusher.lab.stand_ins.settings import Ask, ClientSettings, DiscoverySettings, NodeSettings
+
+ZONES = ("atl-north", "atl-south", "macon", "augusta")
+SIDECARS = NODES = 200
+LENGTH_S, FAULTS_FROM_S, FAULTS_S = 30.0, 4.0, 18.0
+PARETO = 1.5  # of sidecars' parts of the traffic: some get several times the mean
+MOST_OF_MEAN = 8.0
+BURST = 1.5  # times the usual rate, for a while
+PROCESSOR = ProcessorFigures(start_s=0.6, round_s=0.0004)
+
+Plan = Callable[[Drawer, WorldFigures], list[faults.Fault]]
+
+
+def draw_mass(
+    seed: int, day: str, sidecars: int = SIDECARS, nodes: int = NODES, length_s: float = LENGTH_S
+) -> Scenario:
+    """The day of a seed; raises `ValueError` for a day that there is none of."""
+    if day not in DAYS:
+        raise ValueError(f"no day {day!r}; there are {', '.join(DAYS)}")
+    world = _world(seed, sidecars, nodes, length_s)
+    draw = Drawer(seed, f"faults {day}")
+    plan = sorted(DAYS[day](draw, world), key=lambda fault: (fault.at_s, fault.kind, fault.target))
+    return Scenario(
+        seed=seed, profile=day, world=world, asks=_asks(Drawer(seed, "asks"), world),
+        faults=tuple(plan),  # type: ignore[arg-type]
+    )  # fmt: skip
+
+
+def _world(seed: int, sidecars: int, count: int, length_s: float) -> WorldFigures:
+    draw = Drawer(seed, "mass")
+    classes = (
+        ClassFigures(name="listing-lookup", share=0.44, work_s=draw.of((0.048, 0.087)), spread=0.8,
+                     aim_s=1.0, deadline_s=2.0, worth=1.0, late_worth=0.2),
+        ClassFigures(name="price-check", share=0.28, work_s=draw.of((0.086, 0.16)), spread=0.8,
+                     aim_s=1.5, deadline_s=4.0, worth=5.0, late_worth=0.5),
+        ClassFigures(name="transfer-record", share=0.28, work_s=draw.of((0.14, 0.24)), spread=0.8,
+                     aim_s=1.5, deadline_s=6.0, worth=2.0, late_worth=0.3, unsafe=True),
+    )  # fmt: skip
+    usual = NodeSettings(
+        cold_from=draw.of((0.17, 0.34)), cold_s=draw.of((10.0, 21.0)), warm_by="work", warm_work=0.3,
+        connections=draw.whole((40, 160)), full_tax=draw.of((0.16, 0.38)), handshake_s=0.0012,
+        handshake_work_s=draw.of((0.00088, 0.0015)), idle_s=30.0, queue_per_core=300, thrash=0.08,
+        thrash_at=10.0, report_period_s=draw.of((0.55, 1.5)), report_delay_s=draw.of((0.13, 0.37)),
+        report_noise=0.03, work_noise=0.2, error_rate=0.001, cancel="queued",
+    )  # fmt: skip
+    nodes = []
+    for number in range(count):
+        cores, speed = (2, draw.of((0.85, 1.1))) if draw.chance(0.67) else (1, draw.of((0.64, 0.86)))
+        nodes.append(
+            NodeFigures(
+                id=f"s-{draw.rng.getrandbits(32):08x}", zone=ZONES[number % len(ZONES)],
+                kind="std-2core" if cores == 2 else "small-1core", cell=number // 4, weight=cores * speed,
+                settings=msgspec.structs.replace(usual, cores=cores, speed=speed),
+            )
+        )  # fmt: skip
+    capacity = sum(node.settings.cores * node.settings.speed for node in nodes)
+    work = sum(each.share * each.work_s for each in classes)
+    tries = draw.whole((1, 3))
+    return WorldFigures(
+        length_s=length_s,
+        faults_s=min(FAULTS_S, length_s * 0.6),
+        zones=ZONES,
+        sidecars=tuple(
+            SidecarFigures(
+                name=f"n{number}", zone=ZONES[number % len(ZONES)], sockets=576, memory_mb=96,
+                known="fresh", capture=False,
+            )
+            for number in range(sidecars)
+        ),
+        nodes=tuple(nodes),
+        classes=classes,
+        tenants=(TenantFigures(name="peach-seats", share=0.8, usage=draw.of((0.54, 1.4))),
+                 TenantFigures(name="red-clay-tix", share=0.2, usage=draw.of((0.7, 1.2)))),
+        requests_per_s=draw.of((0.5, 0.65)) * capacity / work,
+        # As many calls as the deployment's roster bears, for a fleet that is so much larger.
+        discovery=DiscoverySettings(call_s=draw.of((0.006, 0.012)), line_s=0.0001, spread_s=0.05),
+        notice_s=draw.of((1.3, 2.3)),
+        silent_notice_s=draw.of((4.5, 8.0)),
+        network=NetworkFigures(same_zone_s=0.0002, cross_zone_s=draw.of((0.00042, 0.00078))),
+        clients=ClientSettings(
+            tries=tries, try_part=draw.of((0.5, 1.0)), backoff_s=draw.of((0.05, 0.4)), hints="rough"
+        ),
+        rules=RuleFigures(fall_s=3.0, fall_multiple=4.0, must_ask_s=10.0),
+        processor=PROCESSOR,
+    )  # fmt: skip
+
+
+def _asks(draw: Drawer, world: WorldFigures) -> tuple[Ask, ...]:
+    """Arrivals at random, with a burst, sidecars having unequal parts that shift between zones."""
+    rng = draw.rng
+    parts = [min(rng.paretovariate(PARETO) / 3.0, MOST_OF_MEAN) for _ in world.sidecars]
+    burst = draw.of((0.2, 0.5)) * world.length_s
+    favoured = rng.choice(world.zones)
+    shifted = [
+        part * (1.4 if own.zone == favoured else 0.87)
+        for part, own in zip(parts, world.sidecars, strict=True)
+    ]
+    asks, at = [], 0.0
+    numbers = range(len(parts))
+    while (at := at + rng.expovariate(world.requests_per_s * BURST)) < world.length_s - 0.05:
+        if not burst <= at < burst + 4.0 and rng.random() > 1 / BURST:
+            continue
+        of = rng.choices(world.classes, [each.share for each in world.classes])[0]
+        work = of.work_s * math.exp(of.spread * rng.gauss(0, 1) - of.spread**2 / 2)
+        work = min(max(work, 0.002), of.aim_s * 0.8)
+        asks.append(
+            Ask(
+                id=f"{rng.getrandbits(64):016x}", at_s=round(at, 5), request_class=of.name, unsafe=of.unsafe,
+                tenant=rng.choices(world.tenants, [each.share for each in world.tenants])[0].name,
+                wait_s=of.deadline_s, work_s=round(work, 5),
+                hint_s=round(work * math.exp(rng.gauss(0, 0.4)), 5),
+                body_bytes=200 if of.unsafe else 0,
+                sidecar=rng.choices(numbers, shifted if at > burst else parts)[0],
+            )
+        )  # fmt: skip
+    return tuple(asks)
+
+
+# --- the days -------------------------------------------------------------------------------------
+
+
+def _some(draw: Drawer, world: WorldFigures, part: float) -> list[str]:
+    """A part of the nodes."""
+    names = [node.id for node in world.nodes]
+    return draw.rng.sample(names, max(1, round(part * len(names))))
+
+
+def _span(world: WorldFigures, part: float) -> tuple[float, float]:
+    """When faults begin, and how long they go on: a part of the time there is."""
+    begin = min(FAULTS_FROM_S, world.faults_s / 3)
+    return begin, round((world.faults_s - begin) * part, 3)
+
+
+def _replaced(draw: Drawer, world: WorldFigures, part: float, steps: int, within: float) -> list[Any]:
+    """A part of the nodes is replaced, in so many steps."""
+    begin, length = _span(world, within)
+    names, plan = _some(draw, world, part), []
+    for at, name in enumerate(names):
+        step = at * steps // len(names)
+        plan.append(
+            faults.NodeReplaced(
+                at_s=round(begin + length * step / steps, 3), for_s=length / steps, target=name, drain_s=2.0
+            )
+        )
+    return plan
+
+
+def _slow(draw: Drawer, world: WorldFigures, part: float) -> list[Any]:
+    begin, length = _span(world, 1.0)
+    return [
+        faults.NodeSlow(at_s=begin, for_s=length, target=name, factor=draw.of((3.0, 9.0)))
+        for name in _some(draw, world, part)
+    ]
+
+
+def _calm(draw: Drawer, world: WorldFigures) -> list[faults.Fault]:
+    return []
+
+
+def _roll(draw: Drawer, world: WorldFigures) -> list[faults.Fault]:
+    """Half of the nodes in steps, all sidecars a tenth at a time, and discovery moves."""
+    begin, length = _span(world, 1.0)
+    plan = _replaced(draw, world, 0.5, 5, 0.8)
+    step = length / 10
+    for number, own in enumerate(world.sidecars):
+        at = round(begin + step * (number * 10 // len(world.sidecars)), 3)
+        plan.append(faults.SidecarTerminated(at_s=at, for_s=0.5, target=own.name))
+    plan.append(faults.DiscoveryMoved(at_s=round(begin + length * 0.5, 3), for_s=0.0, version=40))
+    return plan
+
+
+def _herd(draw: Drawer, world: WorldFigures) -> list[faults.Fault]:
+    """Seven in ten sidecars are killed in one moment, discovery is slow, one of eight nodes is bad."""
+    begin, length = _span(world, 1.0)
+    plan = _slow(draw, world, 1 / 8) + _replaced(draw, world, 0.3, 3, 0.8)
+    at = round(begin + 0.2 * length, 3)
+    for own in draw.rng.sample(list(world.sidecars), max(1, round(0.7 * len(world.sidecars)))):
+        plan.append(faults.SidecarKilled(at_s=at, for_s=0.2, target=own.name))
+    plan.append(faults.DiscoverySlow(at_s=at, for_s=length / 2, factor=4.0))
+    return plan
+
+
+def _zone(draw: Drawer, world: WorldFigures) -> list[faults.Fault]:
+    """A zone is lost and returns cold; another is cut off; one of eight nodes is slow."""
+    begin, length = _span(world, 1.0)
+    lost, cut = draw.rng.sample(world.zones, 2)
+    for_s = min(5.0, length * 0.4)
+    return [
+        *_slow(draw, world, 1 / 8),
+        faults.ZoneLost(at_s=begin, for_s=for_s, target=lost),
+        faults.ZoneCut(at_s=round(begin + length * 0.6, 3), for_s=round(length * 0.3, 3), target=cut),
+    ]
+
+
+def _split(draw: Drawer, world: WorldFigures) -> list[faults.Fault]:
+    """A zone is cut off; connections are reset under requests."""
+    begin, length = _span(world, 1.0)
+    for_s = min(6.0, length * 0.5)
+    return [
+        faults.ZoneCut(at_s=begin, for_s=for_s, target=draw.rng.choice(world.zones)),
+        faults.Resetting(at_s=begin, for_s=length, where="after", part=0.02),
+    ]
+
+
+def _join(draw: Drawer, world: WorldFigures) -> list[faults.Fault]:
+    """Six in ten nodes are replaced within 7 s; some answers are spoilt."""
+    begin, length = _span(world, 1.0)
+    plan = _replaced(draw, world, 0.6, 2, min(7.0 / length, 0.9))
+    plan.append(faults.AnswersSpoilt(at_s=begin, for_s=length, how="noise", part=0.002))
+    return plan
+
+
+DAYS: dict[str, Plan] = {
+    "mass-calm": _calm, "mass-roll": _roll, "mass-herd": _herd, "mass-zone": _zone, "mass-split": _split,
+    "mass-join": _join,
+}  # fmt: skip
--- a/brambleusher/lab/world.py
+++ b/brambleusher/lab/world.py
@@ -49,6 +49,14 @@
 Range = tuple[int, int]  # both ends included
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How long a process takes that has a part of a core, in nanoseconds."""
+
+    start_ns: Range  # from a start to the first step of the program
+    round_ns: Range  # from one poll to the next
+
+
 @dataclass(frozen=True, slots=True)
 class WorldSettings:
     """What a world is like; times in nanoseconds, sizes in bytes, shares from 0 to 1."""
@@ -268,12 +276,16 @@
         return f"<Machine {self.name} {self.ip}>"
 
     def start(
-        self, main: Callable[[VirtualSystem], object], name: str = "", descriptors: int | None = None
+        self,
+        main: Callable[[VirtualSystem], object],
+        name: str = "",
+        descriptors: int | None = None,
+        pace: Pace | None = None,
     ) -> Process:
-        """Start a process: `main` is called with its system, soon."""
+        """Start a process: `main` is called with its system, soon, or at its own pace."""
         if self.gone:
             raise RuntimeError(f"{self.name} has vanished")
-        process = Process(self, main, name or self.name, descriptors)
+        process = Process(self, main, name or self.name, descriptors, pace)
         self.processes.append(process)
         self.process = process
         return process
@@ -333,8 +345,11 @@
         main: Callable[[VirtualSystem], object],
         name: str,
         descriptors: int | None,
+        pace: Pace | None = None,
     ) -> None:
         world = machine.world
+        settings = world.settings
+        self._pace = pace or Pace(settings.start_ns, settings.round_ns)
         self.world, self.machine, self.name = world, machine, name
         self.limit = descriptors or world.settings.descriptors
         self.dead = False
@@ -363,7 +378,7 @@
         self._timer_at = 0
         self.system = VirtualSystem(self)
         self._woken = True
-        world.push(world.now_ns + self.draw(world.settings.start_ns), self._first)
+        world.push(world.now_ns + self.draw(self._pace.start_ns), self._first)
 
     def __repr__(self) -> str:
         """For messages."""
@@ -530,7 +545,7 @@
         if self.dead:
             raise Killed
         world = self.world
-        busy = self.busy_until = world.now_ns + self.draw(world.settings.round_ns)
+        busy = self.busy_until = world.now_ns + self.draw(self._pace.round_ns)
         deadline: int | None = None
         if pause_ms is not None and pause_ms >= 0:
             deadline = max(busy, world.now_ns + int(pause_ms) * MILLISECOND)
