Stand-in proxies forget at the call to start, not when their task first runs

The restarted service had logged "withheld" already, so the test's wait returned without a pause, before the proxy's task had run and forgotten. 2 of 16 copies side by side failed so; ruled out: the service, which had told it nothing. Change: `LiveProxy.start` forgets and words its first requests itself. Measured: 16 of 16 copies side by side pass.

--- a/brambleusher/lab/xds_live.py
+++ b/brambleusher/lab/xds_live.py
@@ -54,12 +54,14 @@
     def start(self, forget: bool = False) -> None:
         """Begin a stream."""
         self.ended = None
-        self._task = asyncio.get_running_loop().create_task(self._run(forget))
+        # Now, not when the task first runs: who looks at the proxy before that would see what it held.
+        opening = list(self.proxy.connect(forget))
+        self._task = asyncio.get_running_loop().create_task(self._run(opening))
 
-    async def _run(self, forget: bool) -> None:
+    async def _run(self, opening: list[bytes]) -> None:
         call = self._channel.stream_stream(STREAM_METHODS[self.proxy.incremental])()
         try:
-            for data in self.proxy.connect(forget):
+            for data in opening:
                 await call.write(data)
             while (data := await call.read()) is not grpc.aio.EOF:
                 self.heard_at = time.monotonic()
