Lab: one draw of a request's work, one budget of a cold node, plain limits of sums

The lognormal draw of work stood in three places, the budget of a cold node in the checker and in the sums, the list of zones in one more; limits of sums went through a mapping of two keys, with a name that nobody read and a branch that could not be reached.

Change: `ClassFigures.draw_work`, `Rules.cold_budget`, `Ranges().zones`; `FleetLimits` holds the checker's `Rules`. No behaviour changes, no assertion either.

--- a/brambleusher/cli/explore.py
+++ b/brambleusher/cli/explore.py
@@ -28,8 +28,8 @@
 CHUNK = 16  # seeds that a process takes at once
 SHOWN = 20  # breaches that a summary words
 MOST = 10_000_000
-MASS_SECONDS = 1800.0  # the same of a day of a whole fleet
 SEED_SECONDS = 30.0  # of processor time that one run may take; a usual one takes a tenth of one
+MASS_SECONDS = 1800.0  # the same of a day of a whole fleet
 AGAIN_SECONDS = 1.0  # then it is ended, and ended again as long as that does not help
 MAX_FILE = 8 * 1024 * 1024
 
--- a/brambleusher/lab/checker/checker.py
+++ b/brambleusher/lab/checker/checker.py
@@ -37,7 +37,7 @@
 )
 from brambleusher.lab.checker.messages import Message, load_report
 from brambleusher.lab.checker.roster import READY, Told, address_of, entries_of, read
-from brambleusher.lab.checker.rules import MS, RULES, SECOND, UNSAFE, Rules
+from brambleusher.lab.checker.rules import MS, RULES, UNSAFE, Rules
 
 MOST_KEPT = 100  # breaches with their time lines; further ones are counted
 TIMER_LATE_NS = 500 * MS  # a process that gets no processor for so long is no world of ours
@@ -792,7 +792,7 @@
             pushed.popleft()
         work = sum(item[1] for item in pushed)
         by_told = sum(item[1] for item in pushed if item[2])
-        budget = rules.fall_multiple * each.capacity * rules.fall_ns / SECOND
+        budget = rules.cold_budget(each.capacity)
         # What chance may add: one standard deviation of the work that comes with so much room, requests
         # being as unequal as those seen (Campbell's theorem for a compound Poisson process).
         budget += math.sqrt(budget * sum(item[1] ** 2 for item in pushed) / work)
--- a/brambleusher/lab/checker/rules.py
+++ b/brambleusher/lab/checker/rules.py
@@ -73,6 +73,10 @@
     max_body: int = 64 * 1024
     extra: Mapping[str, Any] = field(default_factory=dict)
 
+    def cold_budget(self, capacity: float) -> float:
+        """The work that a cold node may be sent in a window, in seconds of a standard core; slack apart."""
+        return self.fall_multiple * capacity * self.fall_ns / SECOND
+
     @classmethod
     def of(cls, settings: Mapping[str, Any], **changed: Any) -> Rules:
         """The figures of a sidecar's settings; raises `ValueError` for an effect without a rule here."""
--- a/brambleusher/lab/checker/sums.py
+++ b/brambleusher/lab/checker/sums.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from brambleusher.lab.checker.books import Address, Execution, Named, Wire
+from brambleusher.lab.checker.rules import Rules
 
 SECOND = 10**9
 OPEN_PART = 0.2  # of a core of a node, that handshakes may take
@@ -20,9 +21,8 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeLimits:
-    """One node: its id, where it is, the connections it holds, what a handshake costs it in core seconds."""
+    """One node: where it is, the connections it holds, what a handshake costs it in core seconds."""
 
-    name: str
     address: Address
     connections: int
     handshake_s: float
@@ -34,8 +34,7 @@
 
     nodes: tuple[NodeLimits, ...]
     calls: float  # a second, that discovery can answer with the whole list
-    fall_multiple: float
-    fall_ns: int
+    rules: Rules
 
 
 @dataclass(slots=True)
@@ -49,8 +48,6 @@
 
     def raise_to(self, step: int, value: float) -> None:
         """The most of a second."""
-        if step < 0:
-            return
         while len(self.values) <= step:
             self.values.append(0.0)
         self.values[step] = max(self.values[step], value)
@@ -169,15 +166,15 @@
     def finish(self, executions: Sequence[Execution]) -> None:
         """The run is over: take what cold nodes were sent from their book, in order of arrival."""
         pushed: dict[tuple[str, int], deque[tuple[int, float]]] = {}
-        window, limits = self._limits.fall_ns, self._limits
+        rules = self._limits.rules
         for each in executions:
             if not each.cold:
                 continue
             lately = pushed.setdefault((each.node, each.process), deque())
             lately.append((each.came_ns, each.work_s))
-            while lately[0][0] <= each.came_ns - window:
+            while lately[0][0] <= each.came_ns - rules.fall_ns:
                 lately.popleft()
-            budget = limits.fall_multiple * each.capacity * window / SECOND
+            budget = rules.cold_budget(each.capacity)
             self.cold.raise_to(self._step(each.came_ns), sum(work for _, work in lately) / budget)
 
     def passed(self) -> list[str]:
@@ -204,16 +201,3 @@
 
 def _at(curve: Curve) -> int:
     return max(range(len(curve.values)), key=lambda step: curve.values[step])
-
-
-def limits_of(
-    nodes: Iterable[NodeLimits], rules: Mapping[str, float], listed: int, call_s: float, line_s: float
-) -> FleetLimits:
-    """From figures of a world; `rules` has `fall_multiple` and `fall_s`, costs are in seconds."""
-    whole = call_s + line_s * listed
-    return FleetLimits(
-        nodes=tuple(nodes),
-        calls=1 / whole if whole > 0 else float("inf"),
-        fall_multiple=rules["fall_multiple"],
-        fall_ns=int(rules["fall_s"] * SECOND),
-    )
--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import logging
+import math
 import traceback
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator
@@ -18,7 +19,7 @@
 import msgspec
 
 from brambleusher.lab.checker import Breach, Checker, Rules
-from brambleusher.lab.checker.sums import FleetLimits, NodeLimits, Sums, limits_of
+from brambleusher.lab.checker.sums import FleetLimits, NodeLimits, Sums
 from brambleusher.lab.figures import DISCOVERY_PORT
 from brambleusher.lab.fleet import Fleet, node_address, world_of
 from brambleusher.lab.network import Connection
@@ -246,7 +247,7 @@
         world.taps += [cast(Tap, checker), digest, fallen]
         books: Sums | None = None
         if sums:
-            books = Sums(world.now_ns, fleet_limits(scenario), DISCOVERY_PORT)
+            books = Sums(world.now_ns, fleet_limits(scenario, rules), DISCOVERY_PORT)
             world.taps.append(cast(Tap, books))
         handlers: list[logging.Handler] = [raised]
         line: TimeLine | None = None
@@ -295,16 +296,15 @@
         )  # fmt: skip
 
 
-def fleet_limits(scenario: Scenario) -> FleetLimits:
+def fleet_limits(scenario: Scenario, rules: Rules) -> FleetLimits:
     """What a scenario's world sets to the sums over its fleet."""
-    world = scenario.world
-    nodes = [
-        NodeLimits(node.id, node_address(number), node.settings.connections, node.settings.handshake_work_s)
+    world, discovery = scenario.world, scenario.world.discovery
+    nodes = (
+        NodeLimits(node_address(number), node.settings.connections, node.settings.handshake_work_s)
         for number, node in enumerate(world.nodes)
-    ]
-    rules = {"fall_multiple": world.rules.fall_multiple, "fall_s": world.rules.fall_s}
-    listed = sum(not node.spare for node in world.nodes)
-    return limits_of(nodes, rules, listed, world.discovery.call_s, world.discovery.line_s)
+    )
+    whole_s = discovery.call_s + discovery.line_s * sum(not node.spare for node in world.nodes)
+    return FleetLimits(tuple(nodes), 1 / whole_s if whole_s > 0 else math.inf, rules)
 
 
 def _to_the_end(fleet: Fleet, checker: Checker) -> None:
--- a/brambleusher/lab/figures.py
+++ b/brambleusher/lab/figures.py
@@ -46,6 +46,11 @@
     late_worth: Part = 0.3
     unsafe: bool = False
 
+    def draw_work(self, rng: random.Random) -> float:
+        """One request's work in seconds of a standard core: lognormal, and never near the whole aim."""
+        work = self.work_s * math.exp(self.spread * rng.gauss(0, 1) - self.spread**2 / 2)
+        return min(max(work, 0.002), self.aim_s * 0.8)
+
 
 class TenantFigures(Settings, frozen=True):
     """One tenant."""
@@ -488,8 +493,7 @@
         # A crowd has come to buy: what costs more is asked for more often.
         shares = [each.share * (each.work_s if crowded(at) else 1.0) for each in world.classes]
         of = rng.choices(world.classes, shares)[0]
-        work = of.work_s * math.exp(of.spread * rng.gauss(0, 1) - of.spread**2 / 2)
-        work = min(max(work, 0.002), of.aim_s * 0.8)
+        work = of.draw_work(rng)
         if at > calm_from:
             work *= calm
         tenant = ""
--- a/brambleusher/lab/mass.py
+++ b/brambleusher/lab/mass.py
@@ -20,6 +20,7 @@
     NetworkFigures,
     NodeFigures,
     ProcessorFigures,
+    Ranges,
     RuleFigures,
     SidecarFigures,
     TenantFigures,
@@ -28,7 +29,6 @@
 from brambleusher.lab.scenario import Scenario
 from brambleusher.lab.stand_ins.settings import Ask, ClientSettings, DiscoverySettings, NodeSettings
 
-ZONES = ("atl-north", "atl-south", "macon", "augusta")
 SIDECARS = NODES = 200
 LENGTH_S, FAULTS_FROM_S, FAULTS_S = 30.0, 4.0, 18.0
 PARETO = 1.5  # of sidecars' parts of the traffic: some get several times the mean
@@ -55,7 +55,7 @@
 
 
 def _world(seed: int, sidecars: int, count: int, length_s: float) -> WorldFigures:
-    draw = Drawer(seed, "mass")
+    draw, zones = Drawer(seed, "mass"), Ranges().zones
     classes = (
         ClassFigures(name="listing-lookup", share=0.44, work_s=draw.of((0.048, 0.087)), spread=0.8,
                      aim_s=1.0, deadline_s=2.0, worth=1.0, late_worth=0.2),
@@ -76,7 +76,7 @@
         cores, speed = (2, draw.of((0.85, 1.1))) if draw.chance(0.67) else (1, draw.of((0.64, 0.86)))
         nodes.append(
             NodeFigures(
-                id=f"s-{draw.rng.getrandbits(32):08x}", zone=ZONES[number % len(ZONES)],
+                id=f"s-{draw.rng.getrandbits(32):08x}", zone=zones[number % len(zones)],
                 kind="std-2core" if cores == 2 else "small-1core", cell=number // 4, weight=cores * speed,
                 settings=msgspec.structs.replace(usual, cores=cores, speed=speed),
             )
@@ -87,10 +87,10 @@
     return WorldFigures(
         length_s=length_s,
         faults_s=min(FAULTS_S, length_s * 0.6),
-        zones=ZONES,
+        zones=zones,
         sidecars=tuple(
             SidecarFigures(
-                name=f"n{number}", zone=ZONES[number % len(ZONES)], sockets=576, memory_mb=96,
+                name=f"n{number}", zone=zones[number % len(zones)], sockets=576, memory_mb=96,
                 known="fresh", capture=False,
             )
             for number in range(sidecars)
@@ -129,8 +129,7 @@
         if not burst <= at < burst + 4.0 and rng.random() > 1 / BURST:
             continue
         of = rng.choices(world.classes, [each.share for each in world.classes])[0]
-        work = of.work_s * math.exp(of.spread * rng.gauss(0, 1) - of.spread**2 / 2)
-        work = min(max(work, 0.002), of.aim_s * 0.8)
+        work = of.draw_work(rng)
         asks.append(
             Ask(
                 id=f"{rng.getrandbits(64):016x}", at_s=round(at, 5), request_class=of.name, unsafe=of.unsafe,
--- a/brambleusher/lab/zone_days.py
+++ b/brambleusher/lab/zone_days.py
@@ -110,11 +110,11 @@
     at = 0.0
     while (at := at + rng.expovariate(world.requests_per_s)) < world.length_s - 0.05:
         of = rng.choices(world.classes, [each.share for each in world.classes])[0]
-        work = of.work_s * math.exp(of.spread * rng.gauss(0, 1) - of.spread**2 / 2)
+        work = of.draw_work(rng)
         asks.append(
             Ask(
                 id=f"{rng.getrandbits(64):016x}", at_s=round(at, 6), request_class=of.name, unsafe=of.unsafe,
-                wait_s=of.deadline_s, work_s=round(min(max(work, 0.002), of.aim_s * 0.8), 6),
+                wait_s=of.deadline_s, work_s=round(work, 6),
                 body_bytes=64 if of.unsafe else 0, sidecar=rng.randrange(len(world.sidecars)),
             )
         )  # fmt: skip
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from brambleusher.lab.checker import Rules
 from brambleusher.lab.checker.sums import FleetLimits, NodeLimits, Sums
 from brambleusher.lab.explore import play
 from brambleusher.lab.mass import DAYS, draw_mass
@@ -16,8 +17,8 @@
 from quillpass import Balancer, cold
 
 SECOND = 10**9
-NODE = NodeLimits("s-1", ("10.1.0.1", 9000), 3, 0.001)
-LIMITS = FleetLimits((NODE,), calls=2.0, fall_multiple=4.0, fall_ns=3 * SECOND)
+NODE = NodeLimits(("10.1.0.1", 9000), 3, 0.001)
+LIMITS = FleetLimits((NODE,), calls=2.0, rules=Rules({}))
 
 
 def link(number: int, port: int = 9000) -> Connection:
