Lab: a fleet and its faults need a stage, not virtual time itself

Need: drills with real processes are to play the same fault plans as virtual time; fleet.py and effects.py were written against the virtual world alone.

Change: stage.py says what a fleet needs of its world (machines, processes, links, cuts, a clock); AnyFleet stands on any stage and Fleet is the one in virtual time. Stand-ins are built on a scheduler that a machine gives them (Machine.serve), a sidecar reaches others by addresses that the network names (seen_from), and discovery can tell each caller addresses of its own.

Conclusion: the whole vocabulary of faults can be given to real processes by one more stage.

--- a/brambleusher/lab/effects.py
+++ b/brambleusher/lab/effects.py
@@ -14,12 +14,11 @@
 import msgspec
 
 from brambleusher.lab import faults
-from brambleusher.lab.network import Connection, VirtualSocket
 from brambleusher.lab.stand_ins import discovery, node
 from brambleusher.lab.stand_ins.bad_client import BadClients
 
 if TYPE_CHECKING:
-    from brambleusher.lab.fleet import Fleet, NodePlace, SidecarPlace
+    from brambleusher.lab.fleet import AnyFleet, NodePlace, SidecarPlace
     from brambleusher.lab.stand_ins.operators import Operators
     from brambleusher.runtime.system import Address
 
@@ -33,19 +32,19 @@
 
 
 @singledispatch
-def apply(fault: faults.Fault, fleet: Fleet) -> End:
+def apply(fault: faults.Fault, fleet: AnyFleet) -> End:
     """Begin a fault; says what is to be called when it ends."""
     raise NotImplementedError(f"nothing is known of {fault.kind}")
 
 
-def _nodes(fault: faults.Fault, fleet: Fleet) -> list[NodePlace]:
+def _nodes(fault: faults.Fault, fleet: AnyFleet) -> list[NodePlace]:
     """The one aimed at, or all that belong to the fleet."""
     if fault.target:
         return [fleet.place(fault.target)]
     return [place for place in fleet.places if not place.figures.spare]
 
 
-def _zone(fault: faults.Fault, fleet: Fleet) -> list[NodePlace]:
+def _zone(fault: faults.Fault, fleet: AnyFleet) -> list[NodePlace]:
     """Those in the zone aimed at, or all that belong to the fleet."""
     return [
         place
@@ -54,11 +53,11 @@
     ]
 
 
-def _sidecars(fault: faults.Fault, fleet: Fleet) -> list[SidecarPlace]:
+def _sidecars(fault: faults.Fault, fleet: AnyFleet) -> list[SidecarPlace]:
     return [fleet.sidecar(fault.target)] if fault.target else fleet.sidecars
 
 
-def _rng(fault: faults.Fault, fleet: Fleet) -> random.Random:
+def _rng(fault: faults.Fault, fleet: AnyFleet) -> random.Random:
     """Of its own, whatever other faults there are."""
     return random.Random(f"{fleet.scenario.seed}/{fault.kind}/{fault.at_s}/{fault.target}")
 
@@ -76,11 +75,11 @@
     return end
 
 
-def _after(fleet: Fleet, seconds: float, call: Callable[[], object]) -> None:
+def _after(fleet: AnyFleet, seconds: float, call: Callable[[], object]) -> None:
     fleet.world.after(int(seconds * SECOND), call)
 
 
-def _again(fleet: Fleet, every_s: float, call: Callable[[], object]) -> Callable[[], None]:
+def _again(fleet: AnyFleet, every_s: float, call: Callable[[], object]) -> Callable[[], None]:
     """Call now and in even times, until what is returned is called."""
     over: list[bool] = []
 
@@ -97,59 +96,59 @@
 
 
 @apply.register(faults.NodeSlow)
-def _node_slow(fault: faults.NodeSlow, fleet: Fleet) -> End:
+def _node_slow(fault: faults.NodeSlow, fleet: AnyFleet) -> End:
     return _switch(_nodes(fault, fleet), node.Slow(fault.factor))
 
 
 @apply.register(faults.NodeHung)
-def _node_hung(fault: faults.NodeHung, fleet: Fleet) -> End:
+def _node_hung(fault: faults.NodeHung, fleet: AnyFleet) -> End:
     return _switch(_nodes(fault, fleet), node.Hung())
 
 
 @apply.register(faults.NeighbourBusy)
-def _neighbour(fault: faults.NeighbourBusy, fleet: Fleet) -> End:
+def _neighbour(fault: faults.NeighbourBusy, fleet: AnyFleet) -> End:
     return _switch(_nodes(fault, fleet), node.Neighbour(fault.share, fault.on_s, fault.off_s))
 
 
 @apply.register(faults.Resetting)
-def _resets(fault: faults.Resetting, fleet: Fleet) -> End:
+def _resets(fault: faults.Resetting, fleet: AnyFleet) -> End:
     return _switch(_nodes(fault, fleet), node.Resets(fault.where, fault.part, fault.runs))
 
 
 @apply.register(faults.AnswersSpoilt)
-def _answers_spoilt(fault: faults.AnswersSpoilt, fleet: Fleet) -> End:
+def _answers_spoilt(fault: faults.AnswersSpoilt, fleet: AnyFleet) -> End:
     return _switch(_nodes(fault, fleet), node.Spoilt(fault.how, fault.part))
 
 
 @apply.register(faults.TurningAway)
-def _turning_away(fault: faults.TurningAway, fleet: Fleet) -> End:
+def _turning_away(fault: faults.TurningAway, fleet: AnyFleet) -> End:
     return _switch(_nodes(fault, fleet), node.TurnsAway(fault.part, fault.status))
 
 
 @apply.register(faults.LateReports)
-def _reports_late(fault: faults.LateReports, fleet: Fleet) -> End:
+def _reports_late(fault: faults.LateReports, fleet: AnyFleet) -> End:
     return _switch(_nodes(fault, fleet), node.ReportsLate(fault.by_s))
 
 
 @apply.register(faults.WrongReports)
-def _reports_wrong(fault: faults.WrongReports, fleet: Fleet) -> End:
+def _reports_wrong(fault: faults.WrongReports, fleet: AnyFleet) -> End:
     return _switch(_nodes(fault, fleet), node.ReportsWrong(fault.how))
 
 
 @apply.register(faults.CloseCrossing)
-def _close_crossing(fault: faults.CloseCrossing, fleet: Fleet) -> End:
+def _close_crossing(fault: faults.CloseCrossing, fleet: AnyFleet) -> End:
     return _switch(_nodes(fault, fleet), node.CrossingClose(fault.within_s, fault.part, fault.unread))
 
 
 @apply.register(faults.NodeStalled)
-def _node_stalled(fault: faults.NodeStalled, fleet: Fleet) -> End:
+def _node_stalled(fault: faults.NodeStalled, fleet: AnyFleet) -> End:
     for place in _nodes(fault, fleet):
         place.machine.stall(int(fault.for_s * SECOND))
     return None
 
 
 @apply.register(faults.NodeCrashed)
-def _node_crashed(fault: faults.NodeCrashed, fleet: Fleet) -> End:
+def _node_crashed(fault: faults.NodeCrashed, fleet: AnyFleet) -> End:
     notices, there = fleet.scenario.world, _nodes(fault, fleet)
     for place in there:
         place.stop(fault)
@@ -163,7 +162,9 @@
     return end
 
 
-def _drained(fault: faults.Fault, fleet: Fleet, there: list[NodePlace], drain_s: float, told_s: float) -> End:
+def _drained(
+    fault: faults.Fault, fleet: AnyFleet, there: list[NodePlace], drain_s: float, told_s: float
+) -> End:
     """These drain, told after some time, end, and are back, cold, at the end."""
     for place in there:
         place.drain(fault)
@@ -188,18 +189,18 @@
 
 
 @apply.register(faults.NodeRestarted)
-def _node_restarted(fault: faults.NodeRestarted, fleet: Fleet) -> End:
+def _node_restarted(fault: faults.NodeRestarted, fleet: AnyFleet) -> End:
     notice = fleet.scenario.world.notice_s
     return _drained(fault, fleet, _nodes(fault, fleet), fault.drain_s, notice)
 
 
 @apply.register(faults.DrainToldLate)
-def _drain_told_late(fault: faults.DrainToldLate, fleet: Fleet) -> End:
+def _drain_told_late(fault: faults.DrainToldLate, fleet: AnyFleet) -> End:
     return _drained(fault, fleet, _nodes(fault, fleet), fault.drain_s, fault.late_s)
 
 
 @apply.register(faults.FleetShrinks)
-def _fleet_shrinks(fault: faults.FleetShrinks, fleet: Fleet) -> End:
+def _fleet_shrinks(fault: faults.FleetShrinks, fleet: AnyFleet) -> End:
     up = [place for place in fleet.places if place.up]
     count = min(len(up) - 1, max(1, round(fault.part * len(up))))
     there = _rng(fault, fleet).sample(up, max(0, count))
@@ -207,7 +208,7 @@
 
 
 @apply.register(faults.FleetGrows)
-def _fleet_grows(fault: faults.FleetGrows, fleet: Fleet) -> End:
+def _fleet_grows(fault: faults.FleetGrows, fleet: AnyFleet) -> End:
     for place in fleet.places:
         if place.figures.spare:
             place.free("spare")
@@ -216,7 +217,7 @@
 
 
 @apply.register(faults.NodeReplaced)
-def _node_replaced(fault: faults.NodeReplaced, fleet: Fleet) -> End:
+def _node_replaced(fault: faults.NodeReplaced, fleet: AnyFleet) -> End:
     there = [place for place in _nodes(fault, fleet) if place.up]
     notice, rng = fleet.scenario.world.notice_s, _rng(fault, fleet)
 
@@ -236,7 +237,7 @@
 
 
 @apply.register(faults.FleetRenewed)
-def _fleet_renewed(fault: faults.FleetRenewed, fleet: Fleet) -> End:
+def _fleet_renewed(fault: faults.FleetRenewed, fleet: AnyFleet) -> End:
     rng, there = _rng(fault, fleet), [place for place in fleet.places if place.up]
     for place in rng.sample(there, math.ceil(len(there) * fault.part)):
         place.replace(f"s-{rng.getrandbits(32):08x}")
@@ -244,7 +245,7 @@
     return None
 
 
-def _power(fault: faults.Fault, fleet: Fleet, there: list[NodePlace]) -> End:
+def _power(fault: faults.Fault, fleet: AnyFleet, there: list[NodePlace]) -> End:
     """These lose their power, and have it again at the end."""
     notices = fleet.scenario.world
     for place in there:
@@ -260,17 +261,17 @@
 
 
 @apply.register(faults.NodeVanished)
-def _node_vanished(fault: faults.NodeVanished, fleet: Fleet) -> End:
+def _node_vanished(fault: faults.NodeVanished, fleet: AnyFleet) -> End:
     return _power(fault, fleet, _nodes(fault, fleet))
 
 
 @apply.register(faults.ZoneLost)
-def _zone_lost(fault: faults.ZoneLost, fleet: Fleet) -> End:
+def _zone_lost(fault: faults.ZoneLost, fleet: AnyFleet) -> End:
     return _power(fault, fleet, _zone(fault, fleet))
 
 
 @apply.register(faults.DrainTakenBack)
-def _drain_taken_back(fault: faults.DrainTakenBack, fleet: Fleet) -> End:
+def _drain_taken_back(fault: faults.DrainTakenBack, fleet: AnyFleet) -> End:
     there = _nodes(fault, fleet)
     for place in there:
         place.told_draining.append(fault)
@@ -285,7 +286,7 @@
 
 
 @apply.register(faults.DrainFlaps)
-def _drain_flaps(fault: faults.DrainFlaps, fleet: Fleet) -> End:
+def _drain_flaps(fault: faults.DrainFlaps, fleet: AnyFleet) -> End:
     there = _nodes(fault, fleet)
 
     def turn() -> None:
@@ -310,33 +311,33 @@
 # --- discovery ------------------------------------------------------------------------------------
 
 
-def _at_discovery(fleet: Fleet, trouble: object, able: bool = False) -> End:
+def _at_discovery(fleet: AnyFleet, trouble: object, able: bool = False) -> End:
     fleet.discovery.begin(trouble, able)
     return lambda: fleet.discovery.end(trouble, able)
 
 
 @apply.register(faults.DiscoveryDown)
-def _discovery_down(fault: faults.DiscoveryDown, fleet: Fleet) -> End:
+def _discovery_down(fault: faults.DiscoveryDown, fleet: AnyFleet) -> End:
     return _at_discovery(fleet, discovery.Down(fault.how))
 
 
 @apply.register(faults.DiscoverySlow)
-def _discovery_slow(fault: faults.DiscoverySlow, fleet: Fleet) -> End:
+def _discovery_slow(fault: faults.DiscoverySlow, fleet: AnyFleet) -> End:
     return _at_discovery(fleet, discovery.SlowCalls(fault.factor))
 
 
 @apply.register(faults.DiscoverySilent)
-def _discovery_silent(fault: faults.DiscoverySilent, fleet: Fleet) -> End:
+def _discovery_silent(fault: faults.DiscoverySilent, fleet: AnyFleet) -> End:
     return _at_discovery(fleet, discovery.Silent())
 
 
 @apply.register(faults.DiscoveryGarbage)
-def _discovery_garbage(fault: faults.DiscoveryGarbage, fleet: Fleet) -> End:
+def _discovery_garbage(fault: faults.DiscoveryGarbage, fleet: AnyFleet) -> End:
     return _at_discovery(fleet, discovery.Garbage(fault.how))
 
 
 @apply.register(faults.DiscoveryRestarted)
-def _discovery_restarted(fault: faults.DiscoveryRestarted, fleet: Fleet) -> End:
+def _discovery_restarted(fault: faults.DiscoveryRestarted, fleet: AnyFleet) -> End:
     place = fleet.discovery
     place.kill()
     place.unable(1)
@@ -349,7 +350,7 @@
 
 
 @apply.register(faults.DiscoveryMoved)
-def _discovery_moved(fault: faults.DiscoveryMoved, fleet: Fleet) -> End:
+def _discovery_moved(fault: faults.DiscoveryMoved, fleet: AnyFleet) -> End:
     fleet.discovery.move(fault.version, fault.keeps_s)
     for sidecar in fleet.sidecars:
         sidecar.rewrite_file()
@@ -358,7 +359,7 @@
 
 
 @apply.register(faults.ListChurns)
-def _list_churns(fault: faults.ListChurns, fleet: Fleet) -> End:
+def _list_churns(fault: faults.ListChurns, fleet: AnyFleet) -> End:
     rng = _rng(fault, fleet)
 
     def turn() -> None:
@@ -375,7 +376,7 @@
 
 
 @apply.register(faults.BadClientsCome)
-def _bad_clients(fault: faults.BadClientsCome, fleet: Fleet) -> End:
+def _bad_clients(fault: faults.BadClientsCome, fleet: AnyFleet) -> End:
     ends: list[Callable[[], None]] = []
 
     def come(bad: BadClients) -> None:
@@ -399,7 +400,7 @@
 
 
 @apply.register(faults.SidecarTerminated)
-def _sidecar_terminated(fault: faults.SidecarTerminated, fleet: Fleet) -> End:
+def _sidecar_terminated(fault: faults.SidecarTerminated, fleet: AnyFleet) -> End:
     there = [(place, place.process) for place in _sidecars(fault, fleet) if place.up]
     begun_ns = fleet.world.now_ns
     for place, _ in there:
@@ -419,7 +420,7 @@
 
 
 @apply.register(faults.SidecarKilled)
-def _sidecar_killed(fault: faults.SidecarKilled, fleet: Fleet) -> End:
+def _sidecar_killed(fault: faults.SidecarKilled, fleet: AnyFleet) -> End:
     there = [(place, place.process) for place in _sidecars(fault, fleet) if place.up]
     for place, _ in there:
         place.signal(signal.SIGKILL)
@@ -433,14 +434,14 @@
 
 
 @apply.register(faults.SidecarStalled)
-def _sidecar_stalled(fault: faults.SidecarStalled, fleet: Fleet) -> End:
+def _sidecar_stalled(fault: faults.SidecarStalled, fleet: AnyFleet) -> End:
     for place in _sidecars(fault, fleet):
         place.machine.stall(int(fault.stall_s * SECOND))
     return None
 
 
 @apply.register(faults.WallClockSet)
-def _wall_clock_set(fault: faults.WallClockSet, fleet: Fleet) -> End:
+def _wall_clock_set(fault: faults.WallClockSet, fleet: AnyFleet) -> End:
     there, by = _sidecars(fault, fleet), int(fault.by_s * SECOND)
     for place in there:
         place.machine.shift_wall(by)
@@ -453,7 +454,7 @@
 
 
 @apply.register(faults.DescriptorsUsedUp)
-def _descriptors_used_up(fault: faults.DescriptorsUsedUp, fleet: Fleet) -> End:
+def _descriptors_used_up(fault: faults.DescriptorsUsedUp, fleet: AnyFleet) -> End:
     there = _sidecars(fault, fleet)
     for place in there:
         place.squeeze(fault, fault.left)
@@ -484,7 +485,7 @@
     return lambda: scheduler.call_soon(stop)
 
 
-def _for_a_while(fault: faults.Fault, fleet: Fleet, seconds: float) -> None:
+def _for_a_while(fault: faults.Fault, fleet: AnyFleet, seconds: float) -> None:
     """A fault within another one."""
     over = apply(fault, fleet)
     if over is not None:
@@ -492,7 +493,7 @@
 
 
 @apply.register(faults.NodeBanned)
-def _node_banned(fault: faults.NodeBanned, fleet: Fleet) -> End:
+def _node_banned(fault: faults.NodeBanned, fleet: AnyFleet) -> End:
     if fleet.operators is None:
         return None
     there, down_s = _nodes(fault, fleet), fault.for_s / 4
@@ -505,7 +506,7 @@
 
 
 @apply.register(faults.SidecarOutOfService)
-def _sidecar_out_of_service(fault: faults.SidecarOutOfService, fleet: Fleet) -> End:
+def _sidecar_out_of_service(fault: faults.SidecarOutOfService, fleet: AnyFleet) -> End:
     if fleet.operators is None:
         return None
     there = _sidecars(fault, fleet)
@@ -518,14 +519,14 @@
 
 
 @apply.register(faults.SidecarsReleased)
-def _sidecars_released(fault: faults.SidecarsReleased, fleet: Fleet) -> End:
+def _sidecars_released(fault: faults.SidecarsReleased, fleet: AnyFleet) -> End:
     away = apply(faults.DiscoveryDown(at_s=0.0, how="503"), fleet)
     _for_a_while(faults.SidecarKilled(at_s=0.0), fleet, fault.down_s)
     return away
 
 
 @apply.register(faults.BadConfiguration)
-def _bad_configuration(fault: faults.BadConfiguration, fleet: Fleet) -> End:
+def _bad_configuration(fault: faults.BadConfiguration, fleet: AnyFleet) -> End:
     there = _sidecars(fault, fleet)
     for place in there:
         good = place.good_file
@@ -549,7 +550,7 @@
 
 
 @apply.register(faults.LinkCut)
-def _link_cut(fault: faults.LinkCut, fleet: Fleet) -> End:
+def _link_cut(fault: faults.LinkCut, fleet: AnyFleet) -> End:
     network = fleet.world.network
     pairs = [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
     if fault.way == "to-node":
@@ -565,7 +566,7 @@
 
 
 @apply.register(faults.ZoneCut)
-def _zone_cut(fault: faults.ZoneCut, fleet: Fleet) -> End:
+def _zone_cut(fault: faults.ZoneCut, fleet: AnyFleet) -> End:
     network = fleet.world.network
     pairs = [
         (place.machine, each.machine)
@@ -584,7 +585,7 @@
 
 
 @apply.register(faults.ZoneFlaps)
-def _zone_flaps(fault: faults.ZoneFlaps, fleet: Fleet) -> End:
+def _zone_flaps(fault: faults.ZoneFlaps, fleet: AnyFleet) -> End:
     length, ends = fault.every_s, list[End]()
 
     def turn() -> None:
@@ -609,7 +610,7 @@
 
 
 @apply.register(faults.ZoneUnreachable)
-def _zone_unreachable(fault: faults.ZoneUnreachable, fleet: Fleet) -> End:
+def _zone_unreachable(fault: faults.ZoneUnreachable, fleet: AnyFleet) -> End:
     network = fleet.world.network
     pairs = [
         (place.machine, each.machine)
@@ -630,7 +631,7 @@
 
 
 @apply.register(faults.ZoneGrey)
-def _zone_grey(fault: faults.ZoneGrey, fleet: Fleet) -> End:
+def _zone_grey(fault: faults.ZoneGrey, fleet: AnyFleet) -> End:
     there = _zone(fault, fleet)
     slow = _switch(there, node.SlowNow(fault.every, fault.factor))
     resets = _switch(there, node.Resets("after", fault.resets))
@@ -644,7 +645,7 @@
 
 
 @apply.register(faults.ZoneDrained)
-def _zone_drained(fault: faults.ZoneDrained, fleet: Fleet) -> End:
+def _zone_drained(fault: faults.ZoneDrained, fleet: AnyFleet) -> End:
     notice = fleet.scenario.world.notice_s
     ends: list[End] = []
     over: list[bool] = []
@@ -669,7 +670,7 @@
 
 
 @apply.register(faults.ZoneRulesRead)
-def _zone_rules_read(fault: faults.ZoneRulesRead, fleet: Fleet) -> End:
+def _zone_rules_read(fault: faults.ZoneRulesRead, fleet: AnyFleet) -> End:
     def write(what: str) -> None:
         for place in fleet.sidecars:
             if what in ("trust", "evacuate"):
@@ -686,7 +687,7 @@
 
 
 @apply.register(faults.LinkSlow)
-def _link_slow(fault: faults.LinkSlow, fleet: Fleet) -> End:
+def _link_slow(fault: faults.LinkSlow, fleet: AnyFleet) -> End:
     network = fleet.world.network
     pairs = [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
     for one, other in pairs:
@@ -700,7 +701,7 @@
 
 
 @apply.register(faults.ConnectsSwallowed)
-def _connects_swallowed(fault: faults.ConnectsSwallowed, fleet: Fleet) -> End:
+def _connects_swallowed(fault: faults.ConnectsSwallowed, fleet: AnyFleet) -> End:
     network, there = fleet.world.network, _nodes(fault, fleet)
     for place in there:
         network.swallow_connects(place.machine)
@@ -713,7 +714,7 @@
 
 
 @apply.register(faults.ConnectsRefused)
-def _connects_refused(fault: faults.ConnectsRefused, fleet: Fleet) -> End:
+def _connects_refused(fault: faults.ConnectsRefused, fleet: AnyFleet) -> End:
     network, there = fleet.world.network, _nodes(fault, fleet)
     for place in there:
         network.refuse(place.machine, place.address[1])
@@ -725,21 +726,13 @@
     return end
 
 
-def _connections(place: NodePlace) -> list[Connection]:
-    """Those that its process has accepted, by descriptor."""
-    if place.process is None or place.process.dead:
-        return []
-    there = [thing for _, thing in sorted(place.process.fds.items()) if isinstance(thing, VirtualSocket)]
-    return [thing.conn for thing in there if thing.conn is not None]
-
-
 @apply.register(faults.ConnectionsReset)
-def _connections_reset(fault: faults.ConnectionsReset, fleet: Fleet) -> End:
+def _connections_reset(fault: faults.ConnectionsReset, fleet: AnyFleet) -> End:
     rng, there = _rng(fault, fleet), _nodes(fault, fleet)
 
     def turn() -> None:
         for place in there:
-            for connection in _connections(place):
+            for connection in fleet.world.network.connections(place.machine):
                 if rng.random() < fault.part:
                     fleet.world.network.reset(connection)
 
@@ -747,12 +740,12 @@
 
 
 @apply.register(faults.ConnectionsSilent)
-def _connections_silent(fault: faults.ConnectionsSilent, fleet: Fleet) -> End:
+def _connections_silent(fault: faults.ConnectionsSilent, fleet: AnyFleet) -> End:
     rng = _rng(fault, fleet)
     those = [
         connection
         for place in _nodes(fault, fleet)
-        for connection in _connections(place)
+        for connection in fleet.world.network.connections(place.machine)
         if rng.random() < fault.part
     ]
     for connection in those:
--- a/brambleusher/lab/experiments/run.py
+++ b/brambleusher/lab/experiments/run.py
@@ -25,7 +25,7 @@
 from brambleusher.lab.scenario import Scenario
 from brambleusher.lab.stand_ins.node import Execution
 from brambleusher.lab.stand_ins.settings import Ask
-from brambleusher.lab.world import START_NS, WALL_NS, Tap, VirtualSystem
+from brambleusher.lab.world import START_NS, WALL_NS, Tap
 from brambleusher.load.fidelity import Heard, compared
 from brambleusher.load.pacing import Pace
 from brambleusher.load.player import Play, Player
@@ -53,13 +53,11 @@
         self._new_player, self._direct = new_player, direct
         self.player: Player | None = None
 
-    def _submit(self, system: VirtualSystem) -> None:
-        scheduler = Scheduler(system)
+    def _submit(self, scheduler: Scheduler) -> None:
         nodes = [place.address for place in self.places if place.up]
         targets = nodes if self._direct else [sidecar.address for sidecar in self.sidecars]
         self.player = self._new_player(scheduler, targets)
         self.player.start(self.begins_ns)
-        scheduler.run()
 
     @property
     def played(self) -> bool:
--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -315,8 +315,8 @@
     fleet.dump()
     world.run(world.now_ns + DUMP_NS)
     for place in fleet.sidecars:
-        if place.up and place.figures.capture and place.process is not None:
-            checker.captured(world.now_ns, place.machine.name, bytes(place.process.stderr))
+        if place.up and place.figures.capture:
+            checker.captured(world.now_ns, place.machine.name, place.stderr)
     unreached = [
         (each.due_ns, each.ask.id)
         for each in fleet.asked
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -29,23 +29,16 @@
     WorldFigures,
 )
 from brambleusher.lab.scenario import Scenario
+from brambleusher.lab.stage import Machine, Process, Stage
 from brambleusher.lab.stand_ins.bad_client import BadClients, Misdeed
 from brambleusher.lab.stand_ins.client import Asked, Client
 from brambleusher.lab.stand_ins.discovery import Discovery, Entry, Telling
 from brambleusher.lab.stand_ins.node import Execution, Node
 from brambleusher.lab.stand_ins.operators import Operators
-from brambleusher.lab.stand_ins.server import Troubles
-from brambleusher.lab.world import (
-    STANDARD,
-    START_NS,
-    WALL_NS,
-    Machine,
-    Pace,
-    Process,
-    VirtualSystem,
-    World,
-    WorldSettings,
-)
+from brambleusher.lab.stand_ins.server import Server, Troubles
+from brambleusher.lab.world import STANDARD, Pace, VirtualSystem, World, WorldSettings
+from brambleusher.lab.world import Machine as VirtualMachine
+from brambleusher.lab.world import Process as VirtualProcess
 from brambleusher.operator_file import OperatorFile, parse_operator_file
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Address
@@ -169,7 +162,7 @@
 class NodePlace:
     """Where a node stands: its machine, the process there now, and why there may be none."""
 
-    def __init__(self, fleet: Fleet, figures: NodeFigures, machine: Machine) -> None:
+    def __init__(self, fleet: AnyFleet, figures: NodeFigures, machine: Machine) -> None:
         self.fleet, self.figures, self.machine = fleet, figures, machine
         self.id = figures.id
         self.troubles = Troubles()
@@ -188,7 +181,7 @@
     @property
     def address(self) -> Address:
         """Where it listens."""
-        return self.machine.ip, NODE_PORT
+        return self.machine.address(NODE_PORT)
 
     @property
     def up(self) -> bool:
@@ -243,18 +236,17 @@
         fleet.audience.node(fleet.world.now_ns, self.id, self.address, self.started_ms)
         name = self.id
 
-        def main(system: VirtualSystem) -> None:
-            scheduler = Scheduler(system)
+        def build(scheduler: Scheduler) -> Server:
             self.node = fleet.new_node(
                 scheduler, self.figures.settings, name, fleet.scenario.seed, process=number, cold=cold,
                 executions=fleet.executions, troubles=self.troubles,
             )  # fmt: skip
             self.node.on_fall = lambda: self.look(fleet.scenario.world.silent_notice_s)
             self.node.listen(self.address)
-            scheduler.run()
+            return self.node
 
         self.node = None
-        self.process = self.machine.start(main, name)
+        self.process = self.machine.serve(build, name)
 
     def kill(self, reset: bool = True) -> None:
         """End its process at once."""
@@ -313,7 +305,7 @@
 class DiscoveryPlace:
     """The discovery in use: the list as it has learnt it, its machine, its process."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: AnyFleet) -> None:
         self.fleet = fleet
         self.machine = fleet.world.machine("discovery", "10.2.0.1")
         self.version = 1
@@ -328,26 +320,25 @@
     @property
     def address(self) -> Address:
         """Where it is now."""
-        return self.machine.ip, DISCOVERY_PORT
+        return self.machine.address(DISCOVERY_PORT)
 
     def start(self) -> None:
         """Start its process, with the list as it stands."""
         fleet = self.fleet
         fleet.audience.discovery(self.address)
 
-        def main(system: VirtualSystem) -> None:
-            scheduler = Scheduler(system)
+        def build(scheduler: Scheduler) -> Server:
             service = self.service = Discovery(
                 scheduler, fleet.scenario.world.discovery, "discovery", fleet.scenario.seed,
-                entries=self.list.values(), version=self.version, told=self.told,
+                entries=self.list.values(), version=self.version, told=self.told, seen=fleet.seen_by,
             )  # fmt: skip
             service.listen(self.address)
             for trouble in self.troubles.all(object):
                 service.begin(trouble)
-            scheduler.run()
+            return service
 
         self.service = None
-        self.process = self.machine.start(main, "discovery")
+        self.process = self.machine.serve(build, "discovery")
 
     def kill(self) -> None:
         """End its process."""
@@ -423,10 +414,45 @@
             service.scheduler.call_soon(lambda: call(service))
 
 
+@dataclass(frozen=True, slots=True)
+class SidecarEnd:
+    """What a sidecar still has when all is over and nothing is asked of it."""
+
+    name: str
+    up: bool
+    tickets: int
+    submitters: int  # connections
+    claims: int
+    node_connections: int  # open ones
+    node_idle: int  # of these, kept for later
+    timers: int
+    descriptors: int
+    descriptors_due: int  # that it should have, so many connections being kept
+    stderr: bytes
+
+    def left_over(self) -> list[str]:
+        """What should not be there, in words."""
+        if not self.up:
+            return []
+        found = [
+            f"{self.name}: {count} {what}"
+            for count, what in (
+                (self.tickets, "tickets"), (self.submitters, "submitters' connections"),
+                (self.claims, "claims"),
+                (self.node_connections - self.node_idle, "connections to nodes that are not idle"),
+                (max(0, self.timers - LIVE_TIMERS), f"timers more than {LIVE_TIMERS}"),
+            )
+            if count
+        ]  # fmt: skip
+        if self.descriptors != self.descriptors_due:
+            found.append(f"{self.name}: {self.descriptors} descriptors, and {self.descriptors_due} are due")
+        return found
+
+
 class SidecarPlace:
     """Where a sidecar stands: its machine, its configuration file, its process."""
 
-    def __init__(self, fleet: Fleet, number: int, figures: SidecarFigures) -> None:
+    def __init__(self, fleet: AnyFleet, number: int, figures: SidecarFigures) -> None:
         self.fleet, self.number, self.figures = fleet, number, figures
         self.machine = fleet.world.machine(figures.name, f"10.0.0.{number + 1}")
         self.file = self.good_file = b""  # what is there, and what the platform wrote
@@ -435,17 +461,18 @@
         self.process: Process | None = None
         self.starts = 0
         self.ended: list[Process] = []  # the processes before this one
+        self._own: VirtualProcess | None = None
         self._squeezes: list[tuple[object, int]] = []  # what keeps it from opening more than so many
 
     @property
     def address(self) -> Address:
         """Where submitters connect."""
-        return self.machine.ip, SIDECAR_PORT
+        return self.machine.address(SIDECAR_PORT)
 
     @property
     def door(self) -> Address:
         """Where operators call, in runs in which they do."""
-        return self.machine.ip, DOOR_PORT
+        return self.machine.address(DOOR_PORT)
 
     @property
     def up(self) -> bool:
@@ -463,11 +490,17 @@
             lost = Entry(id="s-0ld0ne", addr=f"10.1.9.9:{NODE_PORT}", zone=entries[0].zone, kind="std-2core")
             entries, version = [*entries[1:], lost], max(1, version - 1)
         self.file = configuration(
-            fleet.scenario.world, self.number, self.address, fleet.discovery.address,
-            fleet.draw_seed(f"sidecar {self.number} {self.starts}"), entries, version,
+            fleet.scenario.world, self.number, self.address, self.discovery_address,
+            fleet.draw_seed(f"sidecar {self.number} {self.starts}"),
+            [fleet.seen_by(self.machine.ip, entry) for entry in entries], version,
             self.door if fleet.called else None,
         )  # fmt: skip
 
+    @property
+    def discovery_address(self) -> Address:
+        """Where it reaches the discovery in use."""
+        return self.fleet.world.network.seen_from(self.machine, self.fleet.discovery.address)
+
     def operator_file(self, **zones: Any) -> bytes:
         """Its operator file, with some keys of the section on zones laid over."""
         sections: dict[str, Any] = {"capture": CAPTURE} if self.figures.capture else {}
@@ -478,7 +511,7 @@
 
     def rewrite_file(self) -> None:
         """Write it anew with the discovery that there is now, and all else as it was at the start."""
-        host, port = self.fleet.discovery.address
+        host, port = self.discovery_address
         raw = json.loads(self.good_file)
         self.file = self.good_file = json.dumps({**raw, "discovery": f"{host}:{port}"}).encode()
 
@@ -493,7 +526,10 @@
         fleet = self.fleet
         fleet.audience.sidecar(fleet.world.now_ns, self.machine.name, self.file)
         self.operator = self.operator_file()
+        self.process = self._launch()
+        self._squeezes.clear()
 
+    def _launch(self) -> Process:
         def load() -> Config:
             return parse_config(self.file, {})
 
@@ -510,10 +546,12 @@
             sidecar.close()
 
         self.sidecar = None
-        self.process = self.machine.start(
+        fleet = self.fleet
+        assert isinstance(self.machine, VirtualMachine)
+        self._own = self.machine.start(
             main, self.figures.name, descriptors=self.figures.sockets, pace=fleet.pace
         )
-        self._squeezes.clear()
+        return self._own
 
     def squeeze(self, why: object, left: int) -> None:
         """Let its process open only so many descriptors more, until `relax`."""
@@ -536,49 +574,38 @@
         if self.process is not None:
             self.process.signal(number)
 
+    def state(self) -> SidecarEnd:
+        """What it has now."""
+        sidecar, process = self.sidecar, self._own
+        if sidecar is None or process is None or process.dead:
+            stderr = b"" if process is None else bytes(process.stderr)
+            return SidecarEnd(self.figures.name, False, 0, 0, 0, 0, 0, 0, 0, 0, stderr)
+        nodes = sidecar.nodes
+        idle = nodes.idle_connections
+        return SidecarEnd(
+            name=self.figures.name, up=True, tickets=sidecar.decisions.tickets,
+            submitters=sidecar.submitters.connections, claims=nodes.claims_out,
+            node_connections=nodes.open_connections, node_idle=idle, timers=sidecar.scheduler.timers,
+            descriptors=process.descriptors,
+            # The waker's two, the listener, the door, the watch, and connections to nodes.
+            descriptors_due=3 + (sidecar.door is not None) + sidecar.machine_list.watching + idle,
+            stderr=bytes(process.stderr),
+        )  # fmt: skip
 
-@dataclass(frozen=True, slots=True)
-class SidecarEnd:
-    """What a sidecar still has when all is over and nothing is asked of it."""
-
-    name: str
-    up: bool
-    tickets: int
-    submitters: int  # connections
-    claims: int
-    node_connections: int  # open ones
-    node_idle: int  # of these, kept for later
-    timers: int
-    descriptors: int
-    descriptors_due: int  # that it should have, so many connections being kept
-    stderr: bytes
+    @property
+    def stderr(self) -> bytes:
+        """What its process has written there."""
+        return b"" if self._own is None else bytes(self._own.stderr)
 
-    def left_over(self) -> list[str]:
-        """What should not be there, in words."""
-        if not self.up:
-            return []
-        found = [
-            f"{self.name}: {count} {what}"
-            for count, what in (
-                (self.tickets, "tickets"), (self.submitters, "submitters' connections"),
-                (self.claims, "claims"),
-                (self.node_connections - self.node_idle, "connections to nodes that are not idle"),
-                (max(0, self.timers - LIVE_TIMERS), f"timers more than {LIVE_TIMERS}"),
-            )
-            if count
-        ]  # fmt: skip
-        if self.descriptors != self.descriptors_due:
-            found.append(f"{self.name}: {self.descriptors} descriptors, and {self.descriptors_due} are due")
-        return found
 
+class AnyFleet:
+    """All of it, in whichever world.
 
-class Fleet:
-    """All of it.  `play` runs a scenario to its end; or `start`, run the world, and `quiesce`."""
+    `play` runs a scenario to its end; or `start`, run the world, and `quiesce`.
+    """
 
-    def __init__(
-        self, scenario: Scenario, world: World | None = None, audience: Audience | None = None
-    ) -> None:
-        self.scenario, self.world = scenario, world or world_of(scenario)
+    def __init__(self, scenario: Scenario, world: Stage, audience: Audience | None = None) -> None:
+        self.scenario, self.world = scenario, world
         self.audience: Audience = audience or _Nobody()
         self.executions: list[Execution] = []  # of all nodes, as they came
         self.asked: list[Asked] = []  # of all submitters
@@ -589,9 +616,7 @@
             NodePlace(self, node, self.world.machine(f"node {number}", node_address(number)[0]))
             for number, node in enumerate(figures.nodes)
         ]
-        self.sidecars = [
-            SidecarPlace(self, number, sidecar) for number, sidecar in enumerate(figures.sidecars)
-        ]
+        self.sidecars = [self.new_sidecar(number, sidecar) for number, sidecar in enumerate(figures.sidecars)]
         self._client_machine = self.world.machine(CLIENTS, "10.3.0.1")
         self._bad_machine = self.world.machine(BAD_CLIENTS, "10.3.0.2")
         self.clients: list[Client] = []
@@ -609,11 +634,19 @@
         self.new_node: Callable[..., Node] = Node  # for experiments that need another one
         self.new_balancer: Callable[[Settings, int], Balancer] = balancer_for  # likewise
 
+    def new_sidecar(self, number: int, figures: SidecarFigures) -> SidecarPlace:
+        """A place for one, in this kind of world."""
+        return SidecarPlace(self, number, figures)
+
     # --- figures --------------------------------------------------------------------------------
 
     def wall_ms(self) -> int:
         """Unix time in milliseconds, as machines have it whose clock is right."""
-        return (WALL_NS + self.world.now_ns - START_NS) // 1_000_000
+        return self.world.wall_ns // 1_000_000
+
+    def seen_by(self, ip: str, entry: Entry) -> Entry:
+        """A node's entry with the address at which one machine reaches it."""
+        return entry
 
     def draw_seed(self, purpose: str) -> int:
         """A seed for one purpose."""
@@ -669,44 +702,48 @@
         self.discovery.start()
         for sidecar in self.sidecars:
             sidecar.start()
-        self._client_machine.start(self._submit, "clients", descriptors=20_000)
+        self.admit()
+
+    def admit(self) -> None:
+        """Start those who ask, and have the faults begin in time."""
+        self._client_machine.serve(self._submit, "clients", descriptors=20_000)
         self.audience.bad_client(self._bad_machine.name)
-        self._bad_machine.start(self._misbehave, "bad clients", descriptors=20_000)
+        self._bad_machine.serve(self._misbehave, "bad clients", descriptors=20_000)
         if self._operators_machine is not None:
-            self._operators_machine.start(self._operate, OPERATORS)
+            self._operators_machine.serve(self._operate, OPERATORS)
         for fault in self.scenario.faults:
             self.world.at(self.begins_ns + int(fault.at_s * SECOND), self._starter(fault))
         self.world.at(self.begins_ns + int(self.scenario.world.faults_s * SECOND), self._calm)
 
-    def _submit(self, system: VirtualSystem) -> None:
-        scheduler, scenario = Scheduler(system), self.scenario
+    def _submit(self, scheduler: Scheduler) -> None:
+        scenario = self.scenario
         begin = self.begins_ns / SECOND
         for sidecar in self.sidecars:
             asks = [ask for ask in scenario.asks if ask.sidecar == sidecar.number]
             client = Client(
-                scheduler, scenario.world.clients, sidecar.address, asks, scenario.seed, book=self.asked
-            )
+                scheduler, scenario.world.clients, self._reach(self._client_machine, sidecar), asks,
+                scenario.seed, book=self.asked,
+            )  # fmt: skip
             self.clients.append(client)
             client.start(begin)
-        scheduler.run()
 
-    def _misbehave(self, system: VirtualSystem) -> None:
-        scheduler, scenario = Scheduler(system), self.scenario
+    def _reach(self, machine: Machine, sidecar: SidecarPlace) -> Address:
+        return self.world.network.seen_from(machine, sidecar.address)
+
+    def _misbehave(self, scheduler: Scheduler) -> None:
+        scenario = self.scenario
         sample = next((ask for ask in scenario.asks if not ask.unsafe), None) or scenario.asks[0]
         for sidecar in self.sidecars:
             bad = BadClients(
-                scheduler, sidecar.address, sample, scenario.seed + sidecar.number,
+                scheduler, self._reach(self._bad_machine, sidecar), sample, scenario.seed + sidecar.number,
                 in_use=partial(self._open_ids, sidecar.number), book=self.misdeeds,
             )  # fmt: skip
             self.bad.append(bad)
-        scheduler.run()
 
-    def _operate(self, system: VirtualSystem) -> None:
-        scheduler = Scheduler(system)
+    def _operate(self, scheduler: Scheduler) -> None:
         self.operators = Operators(scheduler)
         for sidecar in self.sidecars:
             self.operators.front(sidecar.address)
-        scheduler.run()
 
     def _open_ids(self, number: int) -> list[str]:
         return self.clients[number].open_ids()
@@ -752,28 +789,11 @@
         for client in self.clients:
             client.scheduler.call_soon(client.close)
         while True:
-            ends = [self._end_of(sidecar) for sidecar in self.sidecars]
+            ends = [sidecar.state() for sidecar in self.sidecars]
             if self.world.now_ns >= limit or not any(end.left_over() for end in ends):
                 return ends
             self.world.run(self.world.now_ns + LOOK_AGAIN_NS)
 
-    def _end_of(self, place: SidecarPlace) -> SidecarEnd:
-        sidecar, process = place.sidecar, place.process
-        if sidecar is None or process is None or process.dead:
-            stderr = b"" if process is None else bytes(process.stderr)
-            return SidecarEnd(place.figures.name, False, 0, 0, 0, 0, 0, 0, 0, 0, stderr)
-        nodes = sidecar.nodes
-        idle = nodes.idle_connections
-        return SidecarEnd(
-            name=place.figures.name, up=True, tickets=sidecar.decisions.tickets,
-            submitters=sidecar.submitters.connections, claims=nodes.claims_out,
-            node_connections=nodes.open_connections, node_idle=idle, timers=sidecar.scheduler.timers,
-            descriptors=process.descriptors,
-            # The waker's two, the listener, the door, the watch, and connections to nodes.
-            descriptors_due=3 + (sidecar.door is not None) + sidecar.machine_list.watching + idle,
-            stderr=bytes(process.stderr),
-        )  # fmt: skip
-
     def dump(self) -> None:
         """Have each sidecar write its capture to its standard error."""
         for sidecar in self.sidecars:
@@ -799,3 +819,14 @@
         figures = self.scenario.world
         work = math.fsum(ask.work_s for ask in self.scenario.asks)
         return work / figures.length_s / figures.capacity
+
+
+class Fleet(AnyFleet):
+    """A fleet in virtual time."""
+
+    world: World
+
+    def __init__(
+        self, scenario: Scenario, world: World | None = None, audience: Audience | None = None
+    ) -> None:
+        super().__init__(scenario, world or world_of(scenario), audience)
--- a/brambleusher/lab/network.py
+++ b/brambleusher/lab/network.py
@@ -884,6 +884,18 @@
         self.holding: dict[VirtualSocket, None] = {}  # those whose peer has not got all, oldest first
         self.refusing: dict[tuple[str, int], None] = {}
 
+    def seen_from(self, machine: Machine, address: Address) -> Address:
+        """Where a machine connects to, to reach an address: that very one."""
+        return address
+
+    def connections(self, machine: Machine) -> list[Connection]:
+        """Those that the last process on a machine has accepted, by descriptor."""
+        process = machine.process
+        if process is None or process.dead:
+            return []
+        there = [thing for _, thing in sorted(process.fds.items()) if isinstance(thing, VirtualSocket)]
+        return [thing.conn for thing in there if thing.conn is not None]
+
     # --- faults ---------------------------------------------------------------------------------
 
     def cut(self, a: Machine | str, b: Machine | str, one_way: bool = False) -> None:
--- a/brambleusher/lab/stand_ins/discovery.py
+++ b/brambleusher/lab/stand_ins/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, MutableSequence
+from collections.abc import Callable, Iterable, MutableSequence
 from dataclasses import dataclass
 from typing import Literal
 from urllib.parse import parse_qs, urlsplit
@@ -104,7 +104,9 @@
         entries: Iterable[Entry] = (),
         version: int = 1,
         told: MutableSequence[Telling] | None = None,
+        seen: Callable[[str, Entry], Entry] | None = None,
     ) -> None:
+        """`seen` has an entry as the caller from some host is to be told it."""
         super().__init__(scheduler, name)
         self.settings, self.rng = settings, random.Random(f"{seed}/{name}")
         self.version = version
@@ -116,6 +118,7 @@
         self._watches: dict[int, _Watch] = {}
         self._free_at = 0.0  # when the call last taken is served
         self.calls = self.failed = 0
+        self._seen = seen
 
     # --- the list -------------------------------------------------------------------------------
 
@@ -198,7 +201,7 @@
                 self._watch(connection, int(since) if since.isascii() and since.isdigit() else None)
                 return
             version, entries = self.version, tuple(self.entries)
-            body = _text(version, True, entries)
+            body = self._text(connection, version, True, entries)
             self._write(connection, write_response(200, [("Content-Type", "application/json")], body))
             self._note(connection, version, True, entries)
 
@@ -287,7 +290,7 @@
             return
         version, told = self.version, tuple(entries)
         watch.held = version
-        self._write(watch.connection, _chunk(_text(version, full, told) + b"\n"))
+        self._write(watch.connection, _chunk(self._text(watch.connection, version, full, told) + b"\n"))
         self._note(watch.connection, version, full, told)
 
     def _fool(self, watch: _Watch, how: GarbageHow) -> bool:
@@ -298,12 +301,12 @@
                 return True
             # As from a replica that is behind: it catches up a little later.
             version, before = self._before
-            self._write(connection, _chunk(_text(version, True, before) + b"\n"))
+            self._write(connection, _chunk(self._text(connection, version, True, before) + b"\n"))
             self._note(connection, version, True, tuple(before), sound=False)
             watch.held, watch.due = version, False
             self._call(watch, CATCH_UP_SECONDS)
             return True
-        good = _text(self.version, True, entries)
+        good = self._text(connection, self.version, True, entries)
         if how == "half-line":
             self._write(connection, _chunk(good[: len(good) // 2]))
             return False  # its end comes in the middle of the line
@@ -321,6 +324,12 @@
         self._write(connection, _chunk(line + b"\n"))
         return True
 
+    def _text(self, connection: Connection, version: int, full: bool, entries: Iterable[Entry]) -> bytes:
+        seen = self._seen
+        if seen is not None:
+            entries = [seen(connection.peer, entry) for entry in entries]
+        return _text(version, full, entries)
+
     def _write(self, connection: Connection, data: bytes) -> None:
         connection.stream.send(data, self.scheduler.now() + WRITE_SECONDS)
 
--- a/brambleusher/lab/world.py
+++ b/brambleusher/lab/world.py
@@ -36,6 +36,7 @@
     VirtualSocket,
     fault,
 )
+from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import READ, WRITE, Address, Item, Poller, Sink, Socket, Waker, Worker
 
 START_NS = 1_000_000_000_000  # on every clock that only advances, when a world begins
@@ -158,6 +159,11 @@
         """Virtual time since the world began."""
         return self.now_ns - START_NS
 
+    @property
+    def wall_ns(self) -> int:
+        """Unix time, as machines have it whose clock is right."""
+        return WALL_NS + self.now_ns - START_NS
+
     def at(self, when_ns: int, call: Callable[[], object]) -> Event:
         """Have a call made at a moment, at once if it has passed; it must not wait."""
         return self.push(max(when_ns, self.now_ns), call)
@@ -290,6 +296,22 @@
         self.process = process
         return process
 
+    def address(self, port: int) -> Address:
+        """Where a process of it listens that is to listen on some port."""
+        return self.ip, port
+
+    def serve(
+        self, build: Callable[[Scheduler], object], name: str = "", descriptors: int | None = None
+    ) -> Process:
+        """Start a process that builds something on a scheduler and runs it."""
+
+        def main(system: VirtualSystem) -> None:
+            scheduler = Scheduler(system)
+            build(scheduler)
+            scheduler.run()
+
+        return self.start(main, name, descriptors)
+
     def stall(self, wait_ns: int) -> None:
         """No process on it runs for a while; its kernel goes on accepting and acknowledging."""
         for process in self.processes:
--- a/tests/test_fault_plans.py
+++ b/tests/test_fault_plans.py
@@ -207,7 +207,10 @@
 
 
 def extra(fleet: Fleet) -> int:
-    return fleet.world.network.link(place(fleet).machine, fleet.sidecars[0].machine).extra_ns
+    machines = fleet.world.machines
+    return fleet.world.network.link(
+        machines[place(fleet).machine.name], machines[fleet.sidecars[0].machine.name]
+    ).extra_ns
 
 
 def sidecar(fleet: Fleet) -> Any:
