Lab: drills with real sidecars, a relay on every link, and the checker on what they see

Need: virtual time runs the program in one process; what the operating system does with several, and with faults between them, could not be shown.

Change: lab/processes/ has a stage of real processes. Each pair of machines has a loopback address of its own; relays hold, delay, reset, refuse or leave unanswered what passes on it. Stand-ins live in the rig's process on its scheduler (epoll there: thousands of listeners), sidecars are processes of the program. The fault plans are those of virtual time, applied by the same effects.py; the checker is the same one, fed with what the relays see. It now knows a process that is stopped, and how long bytes may lie unseen. brambleusher lab drill FILE plays one in either world, or both.

--- a/brambleusher/cli/lab.py
+++ b/brambleusher/cli/lab.py
@@ -109,3 +109,26 @@
         return 1
     print(out)
     return 0
+
+
+@command.command("drill", help="Play drills: real processes with faults between them, checked.")
+@click.argument("drills", nargs=-1, required=True, type=FILE, metavar="FILE...")
+@click.option("--processes", "where", flag_value="processes", default=True, help="Real processes (usual).")
+@click.option("--virtual", "where", flag_value="virtual", help="In virtual time.")
+@click.option("--both", "where", flag_value="both", help="In both worlds, side by side.")
+@click.option("--logs", type=FILE, metavar="DIR", help="Keep the sidecars' files and logs here.")
+@click.option("--breakage", default="", metavar="NAME", help="Put a deliberate fault into every sidecar.")
+@click.option("--json", "as_json", is_flag=True, help="One line of JSON a play.")
+def drill_command(
+    drills: tuple[Path, ...], where: str, logs: Path | None, breakage: str, as_json: bool
+) -> int:
+    """One line a play; 1 if a drill failed, 2 if one can't be used, 3 if a rig was too late to tell."""
+    from brambleusher.lab.processes.drill import DrillError, read_drill
+    from brambleusher.lab.processes.told import play_all
+
+    try:
+        files = [(path, read_drill(path)) for path in drills]
+    except DrillError as error:
+        print(f"brambleusher: {error}", file=sys.stderr)
+        return 2
+    return play_all(files, where, logs, breakage, as_json)
--- a/brambleusher/cli/serve.py
+++ b/brambleusher/cli/serve.py
@@ -8,16 +8,21 @@
 from brambleusher.config import ConfigError, load_config
 from brambleusher.logs import configure
 from brambleusher.operator_file import OperatorError, load_operator_file
+from brambleusher.runtime.system import System
 from brambleusher.sidecar import serve
 
 
-def run(operator_path: str | None, log_format: str) -> int:
+def run(operator_path: str | None, log_format: str, system: System | None = None) -> int:
     """Serve until told to end; 2 if the configuration or the operator file can't be used."""
     configure(form=log_format)
     try:
         operator = load_operator_file(operator_path)
         serve(
-            lambda: load_config(os.environ), operator, log_format, lambda: load_operator_file(operator_path)
+            lambda: load_config(os.environ),
+            operator,
+            log_format,
+            lambda: load_operator_file(operator_path),
+            system,
         )
     except OperatorError as error:
         print(f"brambleusher: bad operator file: {error}", file=sys.stderr)
--- a/brambleusher/lab/checker/books.py
+++ b/brambleusher/lab/checker/books.py
@@ -128,6 +128,8 @@
     reload_ns: int = -1
     starved_ns: int = -1  # since when too few descriptors are left to accept with
     fed_ns: int = -1  # when that ended last
+    paused_ns: int = -1  # since when its process is stopped
+    woken_ns: int = -1  # when it went on last
     over: bool = False
     watches: int = 0  # open
     asked_ns: int = 0  # the last call, or the end of the last watch
--- a/brambleusher/lab/checker/rules.py
+++ b/brambleusher/lab/checker/rules.py
@@ -62,6 +62,8 @@
     fall_ns: int = 3 * SECOND
     cold_told_part: float = 2 / 3  # of the work, from sidecars that were told of the start
     bad_ns: int = 3 * SECOND  # a bad client is owed an error or a close
+    seen_ns: int = 0  # so long bytes may have lain at a process that has not seen them
+    wake_ns: int = 500 * MS  # after a stop: by then what came due meanwhile is answered
     term_ns: int = 700 * MS  # what comes later than this after SIGTERM must not be left unanswered
     yes_ns: int = 1 * SECOND  # after a call of operators it binds, answered or not
     leave_ns: int = 1400 * MS  # after the yes to out-of-service no connection rests any more
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -82,6 +82,9 @@
     def starved(self, now: int, machine: str, on: bool) -> None:
         """Whether a sidecar has too few descriptors left to accept connections with."""
 
+    def paused(self, now: int, machine: str, on: bool) -> None:
+        """Whether a sidecar's process is stopped."""
+
     def calm(self, now: int) -> None:
         """The last fault has ended, and what is asked from here on can be served."""
 
@@ -96,6 +99,7 @@
     def true_list(self, now: int, servers: list[dict[str, Any]], full: bool = False) -> None: ...
     def discovery_able(self, now: int, able: bool, machine: str = "") -> None: ...
     def starved(self, now: int, machine: str, on: bool) -> None: ...
+    def paused(self, now: int, machine: str, on: bool) -> None: ...
     def calm(self, now: int) -> None: ...
 
 
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -606,10 +606,11 @@
     operator: OperatorFile | None = None,
     log_format: str = "logfmt",
     load_operator: Callable[[], OperatorFile] | None = None,
+    system: System | None = None,
 ) -> None:
     """Run one sidecar as this process's main program; raises `ConfigError` if it can't be used."""
     collector = Collector()
-    sidecar = Sidecar(load(), load, operator, load_operator=load_operator)
+    sidecar = Sidecar(load(), load, operator, system, load_operator)
     sidecar.machine_list.on_step = collector.step
     if STDERR in sidecar.outputs:
         # Guards against a log line that waits, and requests with it, where a feature has filled the pipe.
