--- a/brambleusher/lab/effects.py
+++ b/brambleusher/lab/effects.py
@@ -26,6 +26,8 @@
 KILL_S = 3.7  # after SIGTERM: SIGKILL comes no sooner
 LOOK_AGAIN_NS = 20_000_000
 RESTING, REST_S = 3, 0.3  # connections that rest when a sidecar is called out of service, and since when
+STARVED_S = 0.04  # in each such time a starved process has its part
+JITTER_S = 0.02  # so often a jittery link changes
 BAD_STAY_S = 3.3  # bad clients stay so long, to see whether they get the error or the close they are owed
 
 End = Callable[[], None] | None
@@ -440,6 +442,64 @@
     return None
 
 
+@apply.register(faults.SidecarPaused)
+def _sidecar_paused(fault: faults.SidecarPaused, fleet: AnyFleet) -> End:
+    for place in _sidecars(fault, fleet):
+        place.pause(int(fault.for_s * SECOND))
+    return None
+
+
+@apply.register(faults.SidecarStarved)
+def _sidecar_starved(fault: faults.SidecarStarved, fleet: AnyFleet) -> End:
+    there = _sidecars(fault, fleet)
+    for place in there:
+        place.signal(signal.SIGKILL)
+        place.start()
+
+    def turn() -> None:
+        for place in there:
+            if place.up:
+                place.pause(int(STARVED_S * (1 - fault.part) * SECOND))
+
+    return _again(fleet, STARVED_S, turn)
+
+
+@apply.register(faults.SidecarUnreachable)
+def _sidecar_unreachable(fault: faults.SidecarUnreachable, fleet: AnyFleet) -> End:
+    network, front = fleet.world.network, fleet.client_machine
+    pairs = [(front, place.machine) for place in _sidecars(fault, fleet)]
+    if fault.way == "from-sidecar":
+        pairs = [(to, from_) for from_, to in pairs]
+    for one, other in pairs:
+        network.cut(one, other, one_way=fault.way != "both")
+
+    def end() -> None:
+        for one, other in pairs:
+            network.mend(one, other, one_way=fault.way != "both")
+
+    return end
+
+
+@apply.register(faults.DiscoveryUnreachable)
+def _discovery_unreachable(fault: faults.DiscoveryUnreachable, fleet: AnyFleet) -> End:
+    network, machine, there = fleet.world.network, fleet.discovery.machine, _sidecars(fault, fleet)
+    for place in there:
+        network.cut(machine, place.machine)
+        fleet.audience.discovery_able(fleet.world.now_ns, False, place.machine.name)
+
+    def end() -> None:
+        for place in there:
+            network.mend(machine, place.machine)
+            fleet.audience.discovery_able(fleet.world.now_ns, True, place.machine.name)
+
+    return end
+
+
+@apply.register(faults.ListsDiffer)
+def _lists_differ(fault: faults.ListsDiffer, fleet: AnyFleet) -> End:
+    return _at_discovery(fleet, discovery.Behind(fault.part, fault.by_s), able=True)
+
+
 @apply.register(faults.WallClockSet)
 def _wall_clock_set(fault: faults.WallClockSet, fleet: AnyFleet) -> End:
     there, by = _sidecars(fault, fleet), int(fault.by_s * SECOND)
@@ -700,6 +760,39 @@
     return end
 
 
+@apply.register(faults.LinkJitter)
+def _link_jitter(fault: faults.LinkJitter, fleet: AnyFleet) -> End:
+    network, rng = fleet.world.network, _rng(fault, fleet)
+    pairs = [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
+
+    def turn() -> None:
+        for one, other in pairs:
+            network.slow_link(one, other, int(fault.by_s * rng.random() * SECOND))
+
+    stop = _again(fleet, JITTER_S, turn)
+
+    def end() -> None:
+        stop()
+        for one, other in pairs:
+            network.slow_link(one, other, 0)
+
+    return end
+
+
+@apply.register(faults.LinkThrottled)
+def _link_throttled(fault: faults.LinkThrottled, fleet: AnyFleet) -> End:
+    network = fleet.world.network
+    pairs = [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
+    for one, other in pairs:
+        network.throttle(one, other, fault.bytes_per_s)
+
+    def end() -> None:
+        for one, other in pairs:
+            network.throttle(one, other, 0.0)
+
+    return end
+
+
 @apply.register(faults.ConnectsSwallowed)
 def _connects_swallowed(fault: faults.ConnectsSwallowed, fleet: AnyFleet) -> End:
     network, there = fleet.world.network, _nodes(fault, fleet)
--- a/brambleusher/lab/faults.py
+++ b/brambleusher/lab/faults.py
@@ -34,6 +34,7 @@
     target: str = ""
 
     targets: ClassVar[Target] = "node"
+    worlds: ClassVar[str] = "both"  # that have it: both, processes
     broad: ClassVar[float] = 0.0  # of the draws: the target is left empty
 
     @property
@@ -325,6 +326,20 @@
         return {"version": draw.rng.choice((1, 2, 3, 5, 40, 1000)), "keeps_s": draw.of((0.2, 1.5))}
 
 
+class DiscoveryUnreachable(Fault, frozen=True, tag="discovery-unreachable"):
+    """Nothing passes between discovery and a sidecar."""
+
+    targets: ClassVar[Target] = "sidecar"
+
+
+class ListsDiffer(Fault, frozen=True, tag="lists-differ"):
+    """A part of the sidecars is told each change so much later than the others."""
+
+    targets: ClassVar[Target] = "none"
+    part: Part = 0.5
+    by_s: Seconds = 2.0
+
+
 class DiscoveryRestarted(Fault, frozen=True, tag="discovery-restarted"):
     """Its process dies, and is started again with the list as it stands."""
 
@@ -392,6 +407,26 @@
         return {"stall_s": draw.log((0.001, 0.008))}
 
 
+class SidecarPaused(Fault, frozen=True, tag="sidecar-paused"):
+    """Its process is stopped all the while, longer than any deadline if need be, and goes on at the end."""
+
+    targets: ClassVar[Target] = "sidecar"
+
+
+class SidecarStarved(Fault, frozen=True, tag="sidecar-starved"):
+    """It is killed and started again at once, and has only a part of a core until the end."""
+
+    targets: ClassVar[Target] = "sidecar"
+    part: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.2
+
+
+class SidecarUnreachable(Fault, frozen=True, tag="sidecar-unreachable"):
+    """Nothing passes between it and its submitters, or one way only."""
+
+    targets: ClassVar[Target] = "sidecar"
+    way: Literal["both", "to-sidecar", "from-sidecar"] = "both"
+
+
 class WallClockSet(Fault, frozen=True, tag="wall-clock-set"):
     """Its wall clock is set forward or back, and put right when the fault ends."""
 
@@ -482,6 +517,19 @@
         return {"by_s": draw.log((0.003, 0.2))}
 
 
+class LinkJitter(Fault, frozen=True, tag="link-jitter"):
+    """What passes between a node and the sidecars takes longer by a time that keeps changing."""
+
+    by_s: Seconds = 0.05  # at most
+
+
+class LinkThrottled(Fault, frozen=True, tag="link-throttled"):
+    """Only so many bytes a second pass between a node and a sidecar, each way."""
+
+    worlds: ClassVar[str] = "processes"
+    bytes_per_s: Positive = 2000.0
+
+
 class ConnectsSwallowed(Fault, frozen=True, tag="connects-swallowed"):
     """Connects to a node are never answered."""
 
@@ -600,7 +648,8 @@
     SidecarTerminated, SidecarKilled, SidecarStalled, WallClockSet, DescriptorsUsedUp, BadConfiguration,
     LinkCut, LinkSlow, ConnectsSwallowed, ConnectsRefused, ConnectionsReset, ConnectionsSilent, ZoneLost,
     ZoneCut, ZoneFlaps, ZoneUnreachable, ZoneGrey, ZoneDrained, ZoneRulesRead, NodeBanned,
-    SidecarOutOfService, SidecarsReleased,
+    SidecarOutOfService, SidecarsReleased, SidecarPaused, SidecarStarved, SidecarUnreachable,
+    DiscoveryUnreachable, ListsDiffer, LinkJitter, LinkThrottled,
 )  # fmt: skip
 KINDS: Mapping[str, type[Fault]] = {kind_of(fault): fault for fault in FAULTS}
 
@@ -612,7 +661,8 @@
     | BadClientsCome | SidecarTerminated | SidecarKilled | SidecarStalled | WallClockSet
     | DescriptorsUsedUp | BadConfiguration | LinkCut | LinkSlow | ConnectsSwallowed | ConnectsRefused
     | ConnectionsReset | ConnectionsSilent | ZoneLost | ZoneCut | ZoneFlaps | ZoneUnreachable | ZoneGrey
-    | ZoneDrained | ZoneRulesRead | NodeBanned | SidecarOutOfService | SidecarsReleased
+    | ZoneDrained | ZoneRulesRead | NodeBanned | SidecarOutOfService | SidecarsReleased | SidecarPaused
+    | SidecarStarved | SidecarUnreachable | DiscoveryUnreachable | ListsDiffer | LinkJitter | LinkThrottled
 )  # fmt: skip
 
 _NODES = (
@@ -642,7 +692,8 @@
 # In the profile that is about them alone: what the others draw for a seed stays what it was.
 _APART = (
     "zone-flaps", "zone-unreachable", "zone-grey", "zone-drained", "zone-rules-read", "node-banned",
-    "sidecar-out-of-service", "sidecars-released",
+    "sidecar-out-of-service", "sidecars-released", "sidecar-paused", "sidecar-starved",
+    "sidecar-unreachable", "discovery-unreachable", "lists-differ", "link-jitter", "link-throttled",
 )  # fmt: skip
 # What operators do, and what happens to the fleet meanwhile.
 CALLED = ("node-banned", "sidecar-out-of-service", "sidecars-released")  # in these runs sidecars have doors
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -573,6 +573,13 @@
             self.process.limit = min([self.figures.sockets, *(limit for _, limit in self._squeezes)])
         self.fleet.audience.starved(self.fleet.world.now_ns, self.machine.name, bool(self._squeezes))
 
+    def pause(self, wait_ns: int) -> None:
+        """Its process is stopped for a while."""
+        world, name = self.fleet.world, self.machine.name
+        self.fleet.audience.paused(world.now_ns, name, True)
+        self.machine.stall(wait_ns)
+        world.after(wait_ns, lambda: self.fleet.audience.paused(world.now_ns, name, False))
+
     def signal(self, number: int) -> None:
         """Send its process a signal."""
         if self.process is not None:
@@ -621,7 +628,7 @@
             for number, node in enumerate(figures.nodes)
         ]
         self.sidecars = [self.new_sidecar(number, sidecar) for number, sidecar in enumerate(figures.sidecars)]
-        self._client_machine = self.world.machine(CLIENTS, "10.3.0.1")
+        self.client_machine = self.world.machine(CLIENTS, "10.3.0.1")
         self._bad_machine = self.world.machine(BAD_CLIENTS, "10.3.0.2")
         self.clients: list[Client] = []
         self.bad: list[BadClients] = []
@@ -710,7 +717,7 @@
 
     def admit(self) -> None:
         """Start those who ask, and have the faults begin in time."""
-        self._client_machine.serve(self._submit, "clients", descriptors=20_000)
+        self.client_machine.serve(self._submit, "clients", descriptors=20_000)
         self.audience.bad_client(self._bad_machine.name)
         self._bad_machine.serve(self._misbehave, "bad clients", descriptors=20_000)
         if self._operators_machine is not None:
@@ -725,7 +732,7 @@
         for sidecar in self.sidecars:
             asks = [ask for ask in scenario.asks if ask.sidecar == sidecar.number]
             client = Client(
-                scheduler, scenario.world.clients, self._reach(self._client_machine, sidecar), asks,
+                scheduler, scenario.world.clients, self._reach(self.client_machine, sidecar), asks,
                 scenario.seed, book=self.asked,
             )  # fmt: skip
             self.clients.append(client)
@@ -833,4 +840,7 @@
     def __init__(
         self, scenario: Scenario, world: World | None = None, audience: Audience | None = None
     ) -> None:
+        for fault in scenario.faults:
+            if fault.worlds != "both":
+                raise ValueError(f"faults: {fault.kind} is there for real processes alone")
         super().__init__(scenario, world or world_of(scenario), audience)
--- a/brambleusher/lab/network.py
+++ b/brambleusher/lab/network.py
@@ -913,6 +913,10 @@
         for link in (self.link(one, other), self.link(other, one)):
             link.extra_ns = extra_ns
 
+    def throttle(self, a: Machine | str, b: Machine | str, bytes_per_s: float) -> None:
+        """Links here have no width: a plan that needs one is for real processes."""
+        raise NotImplementedError("links in virtual time can't be throttled")
+
     def silence(self, connection: Connection) -> None:
         """Both ends of a connection stay open and nothing passes."""
         connection.silent = True
--- a/brambleusher/lab/processes/drill.py
+++ b/brambleusher/lab/processes/drill.py
@@ -115,6 +115,9 @@
         laid = _laid(msgspec.to_builtins(world), drill.world)
         world = msgspec.convert(laid, WorldFigures)
     check_faults(drill.faults, world)
+    only = [fault.kind for fault in drill.faults if fault.worlds == "processes"]
+    if only and drill.needs != "processes":
+        raise ValueError(f"needs: {only[0]} is there for processes alone")
     return Scenario(
         seed=drill.seed, profile="drill", world=world, asks=_asks(drill.seed, world), faults=drill.faults,
         note=drill.note,
--- a/brambleusher/lab/processes/fleet.py
+++ b/brambleusher/lab/processes/fleet.py
@@ -60,19 +60,19 @@
     def _wait(self) -> None:
         self.stage.scheduler.park(sock=self)  # type: ignore[arg-type]
         os.close(self._fd)
+        # The relays may still have its last bytes: they come first, and only then another process may.
+        self.stage.scheduler.sleep(LOOK_SECONDS)
         self._over()
 
     def _over(self) -> None:
-        """It has ended: the relays may still have its last bytes, which come first."""
+        """It has ended."""
         if self.ended is not None:
             return
         self.ended = self._popen.wait()
         self.place.has_ended(self)
-        what = "killed" if self.ended < 0 else "exited"
-        scheduler, machine = self.stage.scheduler, self.place.machine
-        if self._killed:
-            return
-        scheduler.call_at(scheduler.now() + LOOK_SECONDS, lambda: self.stage.tell("process", machine, what))
+        if not self._killed:
+            what = "killed" if self.ended < 0 else "exited"
+            self.stage.tell("process", self.place.machine, what)
 
     @property
     def dead(self) -> bool:
@@ -229,6 +229,10 @@
             self.stage.network.heard(self.address, False)
             self.stage.network.heard(self.door, False)
 
+    def pause(self, wait_ns: int) -> None:
+        """Its process is stopped for a while."""
+        self.real.stall(wait_ns)
+
     def paused(self, on: bool) -> None:
         """Its process has been stopped, or goes on."""
         self.fleet.audience.paused(self.stage.now_ns, self.machine.name, on)
--- a/brambleusher/lab/processes/relays.py
+++ b/brambleusher/lab/processes/relays.py
@@ -612,6 +612,10 @@
         """Both ways take so much longer; 0 ends it."""
         self.link(a, b).extra_ns = self.link(b, a).extra_ns = extra_ns
 
+    def throttle(self, a: RealMachine, b: RealMachine, bytes_per_s: float) -> None:
+        """So many bytes a second pass each way at most; 0 ends it."""
+        self.link(a, b).bytes_per_s = self.link(b, a).bytes_per_s = bytes_per_s
+
     def silence(self, connection: RelayedConnection) -> None:
         """Nothing passes on it."""
         connection.silent = True
--- a/brambleusher/lab/stage.py
+++ b/brambleusher/lab/stage.py
@@ -102,6 +102,9 @@
     def slow_link(self, a: Any, b: Any, extra_ns: int) -> None:
         """Both ways take so much longer; 0 ends it."""
 
+    def throttle(self, a: Any, b: Any, bytes_per_s: float) -> None:
+        """So many bytes a second pass each way at most; 0 ends it."""
+
     def silence(self, connection: Any) -> None:
         """Both ends stay open and nothing passes."""
 
--- a/brambleusher/lab/stand_ins/discovery.py
+++ b/brambleusher/lab/stand_ins/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import zlib
 from collections.abc import Callable, Iterable, MutableSequence
 from dataclasses import dataclass
 from typing import Literal
@@ -66,6 +67,14 @@
     how: GarbageHow
 
 
+@dataclass(eq=False, slots=True)
+class Behind:
+    """A part of the callers, by their hosts, is told changes so much later."""
+
+    part: float
+    by_s: float
+
+
 # --- the book -----------------------------------------------------------------------------------
 
 
@@ -141,7 +150,11 @@
                 if entry.state == "Gone" and version <= oldest:
                     del self._entries[name]
         for watch in self._watches.values():
-            self._call(watch, self.settings.spread_s * self.rng.random())
+            self._call(watch, self.settings.spread_s * self.rng.random() + self._behind(watch))
+
+    def _behind(self, watch: _Watch) -> float:
+        share = zlib.crc32(watch.connection.peer.encode()) % 1000 / 1000
+        return max((each.by_s for each in self.troubles.all(Behind) if share < each.part), default=0.0)
 
     def put_later(self, seconds: float, *entries: Entry) -> None:
         """Learn of a change only after some time."""
--- a/tests/test_fault_plans.py
+++ b/tests/test_fault_plans.py
@@ -217,6 +217,12 @@
     return fleet.sidecars[0]
 
 
+def down(fleet: Fleet, name: str) -> bool:
+    """Nothing passes from a machine to the first sidecar."""
+    machines = fleet.world.machines
+    return fleet.world.network.link(machines[name], machines[SIDECAR.name]).down
+
+
 def bans(fleet: Fleet) -> dict[str, Any]:
     return dict(sidecar(fleet).sidecar.bans.bans)
 
@@ -299,6 +305,19 @@
         {"gap_s": 0.1, "drain_s": 0.3}, lambda fleet, _: not place(fleet).up and state(fleet) == "Gone",
     ),
     "zone-rules-read": ({"what": "bad"}, lambda fleet, _: sidecar(fleet).operator.endswith(b"}}}")),
+    "sidecar-paused": ({}, lambda fleet, _: sidecar(fleet).process.stalled_until > fleet.world.now_ns),
+    "sidecar-unreachable": (
+        {"way": "to-sidecar"},
+        lambda fleet, _: down(fleet, fleet.client_machine.name),
+    ),
+    "discovery-unreachable": (
+        {}, lambda fleet, _: down(fleet, fleet.discovery.machine.name),
+    ),
+    "lists-differ": (
+        {"part": 1.0, "by_s": 0.2},
+        lambda fleet, _: service(fleet).troubles.last(at_discovery.Behind) is not None,
+    ),
+    "link-jitter": ({"by_s": 0.1}, lambda fleet, _: extra(fleet) > 0),
     "node-banned": (
         {"restart": True},
         lambda fleet, _: any(name == NODE.id and ban.on for name, ban in bans(fleet).items()),
@@ -325,6 +344,10 @@
         ),
     ),
     "list-churns": ({"every_s": 0.1}, lambda fleet, _: fleet.discovery.version > 10),
+    "sidecar-starved": (
+        {"part": 0.1},
+        lambda fleet, _: sidecar(fleet).starts == 2 and bool(sidecar(fleet).process.stalled_until),
+    ),
     "sidecar-stalled": ({"stall_s": 0.005}, lambda fleet, _: sidecar(fleet).process.stalled_until > 0),
     "connections-reset": ({"every_s": 0.1, "part": 1.0}, lambda fleet, tap: tap.resets > 0),
     "connections-silent": ({"part": 1.0}, lambda fleet, tap: fleet.world.now_ns > 0),
@@ -351,11 +374,19 @@
     return made  # type: ignore[no-any-return]
 
 
+VIRTUAL = {kind: of for kind, of in KINDS.items() if of.worlds == "both"}
+
+
+def test_what_virtual_time_lacks_is_refused_by_name() -> None:
+    with pytest.raises(ValueError, match="link-throttled is there for real processes alone"):
+        Fleet(scenario_with(fault_of("link-throttled", {})))
+
+
 def test_every_kind_is_here() -> None:
-    assert set(CASES) | set(STAYING) == set(KINDS) and not set(CASES) & set(STAYING)
+    assert set(CASES) | set(STAYING) == set(VIRTUAL) and not set(CASES) & set(STAYING)
 
 
-@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("kind", VIRTUAL)
 def test_kinds_begin_and_end(kind: str) -> None:
     given, seen = {**CASES, **STAYING}[kind]
     tap = Resets()
@@ -377,7 +408,7 @@
         assert len(fleet.discovery.list) >= sum(not each.figures.spare for each in fleet.places)
 
 
-@pytest.mark.parametrize("kind", [kind for kind, of in KINDS.items() if of.targets != "none"])
+@pytest.mark.parametrize("kind", [kind for kind, of in VIRTUAL.items() if of.targets != "none"])
 def test_no_target_means_all(kind: str) -> None:
     given, _ = {**CASES, **STAYING}[kind]
     fault = msgspec.structs.replace(fault_of(kind, given), target="")
