Drills and faults: one way to cut links, one question of readiness, no state kept twice

Change: effects.py cuts and slows pairs of machines in one place (four kinds had the loop each). Whether a sidecar is ready is asked by one function (three had it). The rig listens and connects as RealSystem does instead of by a copy of it. A sidecar's place keeps its process once (fleet.py had _own beside process, the rig here and past beside process and ended). Deliberate breakages stand in one table. Gone: a jitter that nothing set, a time that nothing read, two fields.

--- a/brambleusher/lab/effects.py
+++ b/brambleusher/lab/effects.py
@@ -6,7 +6,7 @@
 import math
 import random
 import signal
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from functools import partial, singledispatch
 from typing import TYPE_CHECKING
 from urllib.parse import quote
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from brambleusher.lab.fleet import AnyFleet, NodePlace, SidecarPlace
+    from brambleusher.lab.stage import Machine
     from brambleusher.lab.stand_ins.operators import Operators
     from brambleusher.runtime.system import Address
 
@@ -31,6 +32,7 @@
 BAD_STAY_S = 3.3  # bad clients stay so long, to see whether they get the error or the close they are owed
 
 End = Callable[[], None] | None
+Pairs = Sequence[tuple["Machine", "Machine"]]
 
 
 @singledispatch
@@ -59,6 +61,30 @@
     return [fleet.sidecar(fault.target)] if fault.target else fleet.sidecars
 
 
+def _links(fault: faults.Fault, fleet: AnyFleet) -> Pairs:
+    """Those nodes with every sidecar."""
+    return [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
+
+
+def _cut(fleet: AnyFleet, pairs: Pairs, one_way: bool = False) -> Callable[[], None]:
+    """Nothing passes between these, nor back unless `one_way`, until what is returned is called."""
+    network = fleet.world.network
+    for one, other in pairs:
+        network.cut(one, other, one_way)
+
+    def mend() -> None:
+        for one, other in pairs:
+            network.mend(one, other, one_way)
+
+    return mend
+
+
+def _slow(fleet: AnyFleet, pairs: Pairs, by_s: float) -> None:
+    """What passes between these takes so much longer; 0 ends it."""
+    for one, other in pairs:
+        fleet.world.network.slow_link(one, other, int(by_s * SECOND))
+
+
 def _rng(fault: faults.Fault, fleet: AnyFleet) -> random.Random:
     """Of its own, whatever other faults there are."""
     return random.Random(f"{fleet.scenario.seed}/{fault.kind}/{fault.at_s}/{fault.target}")
@@ -466,31 +492,27 @@
 
 @apply.register(faults.SidecarUnreachable)
 def _sidecar_unreachable(fault: faults.SidecarUnreachable, fleet: AnyFleet) -> End:
-    network, front = fleet.world.network, fleet.client_machine
-    pairs = [(front, place.machine) for place in _sidecars(fault, fleet)]
+    front = fleet.client_machine
+    pairs: Pairs = [(front, place.machine) for place in _sidecars(fault, fleet)]
     if fault.way == "from-sidecar":
         pairs = [(to, from_) for from_, to in pairs]
-    for one, other in pairs:
-        network.cut(one, other, one_way=fault.way != "both")
-
-    def end() -> None:
-        for one, other in pairs:
-            network.mend(one, other, one_way=fault.way != "both")
-
-    return end
+    return _cut(fleet, pairs, one_way=fault.way != "both")
 
 
 @apply.register(faults.DiscoveryUnreachable)
 def _discovery_unreachable(fault: faults.DiscoveryUnreachable, fleet: AnyFleet) -> End:
-    network, machine, there = fleet.world.network, fleet.discovery.machine, _sidecars(fault, fleet)
-    for place in there:
-        network.cut(machine, place.machine)
-        fleet.audience.discovery_able(fleet.world.now_ns, False, place.machine.name)
+    machine, there = fleet.discovery.machine, _sidecars(fault, fleet)
 
-    def end() -> None:
+    def able(on: bool) -> None:
         for place in there:
-            network.mend(machine, place.machine)
-            fleet.audience.discovery_able(fleet.world.now_ns, True, place.machine.name)
+            fleet.audience.discovery_able(fleet.world.now_ns, on, place.machine.name)
+
+    mend = _cut(fleet, [(machine, place.machine) for place in there])
+    able(False)
+
+    def end() -> None:
+        mend()
+        able(True)
 
     return end
 
@@ -611,37 +633,21 @@
 
 @apply.register(faults.LinkCut)
 def _link_cut(fault: faults.LinkCut, fleet: AnyFleet) -> End:
-    network = fleet.world.network
-    pairs = [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
+    pairs = _links(fault, fleet)
     if fault.way == "to-node":
         pairs = [(to, from_) for from_, to in pairs]
-    for one, other in pairs:
-        network.cut(one, other, one_way=fault.way != "both")
-
-    def end() -> None:
-        for one, other in pairs:
-            network.mend(one, other, one_way=fault.way != "both")
-
-    return end
+    return _cut(fleet, pairs, one_way=fault.way != "both")
 
 
 @apply.register(faults.ZoneCut)
 def _zone_cut(fault: faults.ZoneCut, fleet: AnyFleet) -> End:
-    network = fleet.world.network
     pairs = [
         (place.machine, each.machine)
         for place in _zone(fault, fleet)
         for each in fleet.sidecars
         if each.figures.zone != fault.target
     ]
-    for one, other in pairs:
-        network.cut(one, other)
-
-    def end() -> None:
-        for one, other in pairs:
-            network.mend(one, other)
-
-    return end
+    return _cut(fleet, pairs)
 
 
 @apply.register(faults.ZoneFlaps)
@@ -671,7 +677,6 @@
 
 @apply.register(faults.ZoneUnreachable)
 def _zone_unreachable(fault: faults.ZoneUnreachable, fleet: AnyFleet) -> End:
-    network = fleet.world.network
     pairs = [
         (place.machine, each.machine)
         for place in _zone(fault, fleet)
@@ -680,14 +685,7 @@
     ]
     if fault.way == "to-nodes":
         pairs = [(to, from_) for from_, to in pairs]
-    for one, other in pairs:
-        network.cut(one, other, one_way=fault.way != "both")
-
-    def end() -> None:
-        for one, other in pairs:
-            network.mend(one, other, one_way=fault.way != "both")
-
-    return end
+    return _cut(fleet, pairs, one_way=fault.way != "both")
 
 
 @apply.register(faults.ZoneGrey)
@@ -748,33 +746,24 @@
 
 @apply.register(faults.LinkSlow)
 def _link_slow(fault: faults.LinkSlow, fleet: AnyFleet) -> End:
-    network = fleet.world.network
-    pairs = [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
-    for one, other in pairs:
-        network.slow_link(one, other, int(fault.by_s * SECOND))
-
-    def end() -> None:
-        for one, other in pairs:
-            network.slow_link(one, other, 0)
-
-    return end
+    pairs = _links(fault, fleet)
+    _slow(fleet, pairs, fault.by_s)
+    return lambda: _slow(fleet, pairs, 0.0)
 
 
 @apply.register(faults.LinkJitter)
 def _link_jitter(fault: faults.LinkJitter, fleet: AnyFleet) -> End:
-    network, rng = fleet.world.network, _rng(fault, fleet)
-    pairs = [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
+    rng, pairs = _rng(fault, fleet), _links(fault, fleet)
 
     def turn() -> None:
-        for one, other in pairs:
-            network.slow_link(one, other, int(fault.by_s * rng.random() * SECOND))
+        for pair in pairs:
+            _slow(fleet, [pair], fault.by_s * rng.random())
 
     stop = _again(fleet, JITTER_S, turn)
 
     def end() -> None:
         stop()
-        for one, other in pairs:
-            network.slow_link(one, other, 0)
+        _slow(fleet, pairs, 0.0)
 
     return end
 
@@ -782,7 +771,7 @@
 @apply.register(faults.LinkThrottled)
 def _link_throttled(fault: faults.LinkThrottled, fleet: AnyFleet) -> End:
     network = fleet.world.network
-    pairs = [(place.machine, each.machine) for place in _nodes(fault, fleet) for each in fleet.sidecars]
+    pairs = _links(fault, fleet)
     for one, other in pairs:
         network.throttle(one, other, fault.bytes_per_s)
 
--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -189,7 +189,7 @@
 
 
 @contextmanager
-def _listening(handlers: list[logging.Handler]) -> Iterator[None]:
+def listening(handlers: list[logging.Handler]) -> Iterator[None]:
     """The program's log goes to these handlers alone, for a while."""
     log = logging.getLogger("brambleusher")
     before = log.handlers[:], log.level, log.propagate
@@ -266,7 +266,7 @@
             handlers.append(log)
         world.step_done.append(lambda: checker.step(world.now_ns))
         begun = world.now_ns
-        with _listening(handlers):
+        with listening(handlers):
             try:
                 fleet.start()
                 if stop_at_breach:
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -38,7 +38,6 @@
 from brambleusher.lab.stand_ins.server import Server, Troubles
 from brambleusher.lab.world import STANDARD, Pace, VirtualSystem, World, WorldSettings
 from brambleusher.lab.world import Machine as VirtualMachine
-from brambleusher.lab.world import Process as VirtualProcess
 from brambleusher.operator_file import OperatorFile, parse_operator_file
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Address
@@ -465,7 +464,6 @@
         self.process: Process | None = None
         self.starts = 0
         self.ended: list[Process] = []  # the processes before this one
-        self._own: VirtualProcess | None = None
         self._squeezes: list[tuple[object, int]] = []  # what keeps it from opening more than so many
 
     @property
@@ -552,10 +550,7 @@
         self.sidecar = None
         fleet = self.fleet
         assert isinstance(self.machine, VirtualMachine)
-        self._own = self.machine.start(
-            main, self.figures.name, descriptors=self.figures.sockets, pace=fleet.pace
-        )
-        return self._own
+        return self.machine.start(main, self.figures.name, descriptors=self.figures.sockets, pace=fleet.pace)
 
     def squeeze(self, why: object, left: int) -> None:
         """Let its process open only so many descriptors more, until `relax`."""
@@ -587,7 +582,7 @@
 
     def state(self) -> SidecarEnd:
         """What it has now."""
-        sidecar, process = self.sidecar, self._own
+        sidecar, process = self.sidecar, self.process
         if sidecar is None or process is None or process.dead:
             stderr = b"" if process is None else bytes(process.stderr)
             return SidecarEnd(self.figures.name, False, 0, 0, 0, 0, 0, 0, 0, 0, stderr)
@@ -606,7 +601,7 @@
     @property
     def stderr(self) -> bytes:
         """What its process has written there."""
-        return b"" if self._own is None else bytes(self._own.stderr)
+        return b"" if self.process is None else bytes(self.process.stderr)
 
 
 class AnyFleet:
--- a/brambleusher/lab/processes/breakages.py
+++ b/brambleusher/lab/processes/breakages.py
@@ -48,8 +48,9 @@
         _lost_in_accept,
     ),
 }  # fmt: skip
+ALL = {**BREAKAGES, **OWN}
 
 
 def on(name: str) -> AbstractContextManager[None]:
     """The program with one of them; raises `KeyError` where there is none of that name."""
-    return (OWN.get(name) or BREAKAGES[name]).on()
+    return ALL[name].on()
--- a/brambleusher/lab/processes/drill.py
+++ b/brambleusher/lab/processes/drill.py
@@ -14,7 +14,7 @@
 import yaml
 
 from brambleusher.lab.checker import Breach, Checker, Rules
-from brambleusher.lab.explore import Raised, _listening
+from brambleusher.lab.explore import Raised, listening
 from brambleusher.lab.faults import AnyFault, check_faults
 from brambleusher.lab.figures import Drawer, Ranges, WorldFigures, draw_world
 from brambleusher.lab.fleet import AnyFleet, Fleet, world_of
@@ -24,6 +24,7 @@
 from brambleusher.lab.scenario import Scenario
 from brambleusher.lab.stand_ins.settings import Ask, Part, Positive, Seconds, Settings
 from brambleusher.lab.world import Tap
+from brambleusher.lab.worlds import laid_over
 
 SECOND, MS = 10**9, 10**6
 WELL = 0.95  # of what is asked in a second: it has been served well
@@ -113,8 +114,7 @@
         length_s=max(drill.length_s, faults_s + drill.after_s),
     )  # fmt: skip
     if drill.world:
-        laid = _laid(msgspec.to_builtins(world), drill.world)
-        world = msgspec.convert(laid, WorldFigures)
+        world = msgspec.convert(laid_over(msgspec.to_builtins(world), drill.world), WorldFigures)
     check_faults(drill.faults, world)
     only = [fault.kind for fault in drill.faults if fault.worlds == "processes"]
     if only and drill.needs != "processes":
@@ -125,14 +125,6 @@
     )  # fmt: skip
 
 
-def _laid(below: Any, above: Any) -> Any:
-    if isinstance(below, dict) and isinstance(above, dict):
-        if unknown := set(above) - set(below):
-            raise ValueError(f"world has no {min(unknown)!r}")
-        return {key: _laid(value, above[key]) if key in above else value for key, value in below.items()}
-    return above
-
-
 def _asks(seed: int, world: WorldFigures) -> tuple[Ask, ...]:
     """Arrivals at random, evenly over the sidecars."""
     rng = Drawer(seed, "drill asks").rng
@@ -213,7 +205,7 @@
         raised = Raised(world)
         world.taps.append(cast(Tap, checker))
         world.step_done.append(lambda: checker.step(world.now_ns))
-        with _listening([raised]):
+        with listening([raised]):
             ends = fleet.play()
         checker.finish(world.now_ns, [text for end in ends for text in end.left_over()])
         _judge(drill, fleet, checker, outcome)
@@ -256,11 +248,10 @@
     outcome.rig_cpu_s, outcome.wall_s = stage.cpu_s, stage.measured_s
     outcome.opened = stage.network.count
     for place in fleet.real_places:
-        for process in (*place.past, place.here):
-            if process is not None:
-                process.look()
-                outcome.sidecar_cpu_s += process.cpu_s
-                outcome.sidecar_mb = max(outcome.sidecar_mb, process.rss_kb / 1024)
+        for process in place.lives:
+            process.look()
+            outcome.sidecar_cpu_s += process.cpu_s
+            outcome.sidecar_mb = max(outcome.sidecar_mb, process.rss_kb / 1024)
     if outcome.beat_p99_ms > BEAT_LATE_S * 1000:
         outcome.late.append(f"the rig's timers were {outcome.beat_p99_ms:.0f} ms late (p99)")
     if outcome.relay_p99_ms > ROUND_LATE_S * 1000:
--- a/brambleusher/lab/processes/fleet.py
+++ b/brambleusher/lab/processes/fleet.py
@@ -17,8 +17,9 @@
 from brambleusher.lab.parent import tied_to
 from brambleusher.lab.processes.stage import RealStage
 from brambleusher.lab.scenario import Scenario
+from brambleusher.lab.stand_ins.client import says_ready
 from brambleusher.lab.stand_ins.discovery import Entry
-from brambleusher.net.http import HttpError, MessageReader, write_request
+from brambleusher.net.http import HttpError
 from brambleusher.runtime.scheduler import Timeout
 from brambleusher.runtime.streams import Stream, parse_address
 from brambleusher.runtime.system import Address
@@ -156,8 +157,6 @@
         super().__init__(fleet, number, figures)
         self.stage = fleet.stage
         self.real = self.stage.machines[figures.name]
-        self.here: SidecarProcess | None = None
-        self.past: list[SidecarProcess] = []
         self.ready = False
         self.at_rest = 0  # descriptors beside its connections
         self._config = self.stage.folder / f"{figures.name}.json"
@@ -169,8 +168,6 @@
         self._operator_path.write_bytes(self.operator)
 
     def _launch(self) -> SidecarProcess:
-        if self.here is not None:
-            self.past.append(self.here)
         self.write_files()
         self.ready = False
         command = [
@@ -181,7 +178,7 @@
         environment = {"NODE_CONFIG": str(self._config), "PYTHONPATH": os.pathsep.join(sys.path)}
         if self.fleet.called:
             environment["NODE_ADMIN_ADDR"] = "{}:{}".format(*self.door)
-        process = self.here = SidecarProcess(self, command, environment)
+        process = SidecarProcess(self, command, environment)
         self.real.process = process
         self.stage.scheduler.spawn(self._await, process, name="sidecar ready")
         return process
@@ -202,7 +199,7 @@
                 self.stage.network.heard(self.address, True)
                 if self.fleet.called:
                     self.stage.network.heard(self.door, True)
-                self.ready = self._says_ready(stream, deadline)
+                self.ready = says_ready(stream, deadline)
             except (OSError, Timeout, HttpError):
                 pass
             finally:
@@ -213,19 +210,9 @@
         if self.at_rest == 0 and not process.dead:
             self.at_rest = process.descriptors - self.stage.network.open_at(self.real)
 
-    @staticmethod
-    def _says_ready(stream: Stream, deadline: float) -> bool:
-        stream.send(write_request("GET", "/ready", [("Host", "api.internal")]), deadline)
-        reader = MessageReader.responses()
-        while data := stream.receive(deadline):
-            reader.feed(data)
-            if (answer := reader.take()) is not None:
-                return answer.status == 200
-        return False
-
     def has_ended(self, process: SidecarProcess) -> None:
         """Nobody listens there any more."""
-        if process is self.here:
+        if process is self.process:
             self.ready = False
             self.stage.network.heard(self.address, False)
             self.stage.network.heard(self.door, False)
@@ -248,11 +235,9 @@
 
     def state(self) -> SidecarEnd:
         """What can be seen of it from outside: descriptors beyond its connections are left over."""
-        process = self.here
-        name = self.figures.name
+        process, name = self.process, self.figures.name
         if process is None or process.dead:
             return SidecarEnd(name, False, 0, 0, 0, 0, 0, 0, 0, 0, self.stderr)
-        process.look()
         relays = self.stage.network.relays.values()
         asked = sum(each.way.server is self.real for each in relays)
         return SidecarEnd(
@@ -262,9 +247,9 @@
         )  # fmt: skip
 
     @property
-    def stderr(self) -> bytes:
-        """What its process has written there."""
-        return b"" if self.here is None else self.here.stderr
+    def lives(self) -> list[SidecarProcess]:
+        """All its processes, in the order in which they were started."""
+        return [each for each in (*self.ended, self.process) if isinstance(each, SidecarProcess)]
 
 
 class PairAudience:
@@ -337,9 +322,8 @@
         """End all sidecars: SIGTERM to all, SIGKILL to those that are there some seconds later."""
         self.end(END_SECONDS)
         for place in self.real_places:
-            for process in (*place.past, place.here):
-                if process is not None and not process.dead:
-                    process.kill()
+            for process in place.lives:
+                process.kill()
 
 
 def raise_limit() -> None:
--- a/brambleusher/lab/processes/relays.py
+++ b/brambleusher/lab/processes/relays.py
@@ -10,7 +10,6 @@
 
 import errno
 import os
-import random
 import select
 import socket
 from collections import Counter, deque
@@ -95,15 +94,10 @@
 
     def listen(self, address: Address, backlog: int) -> Socket:
         """A socket that listens; raises `OSError`."""
-        listener = _Listener(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.setblocking(False)
-            listener.bind(address)
-            listener.listen(backlog)
-        except BaseException:
-            listener.close()
-            raise
+        plain = super().listen(address, backlog)
+        assert isinstance(plain, socket.socket)
+        listener = _Listener(fileno=plain.detach())
+        listener.setblocking(False)
         at: Address = listener.getsockname()[:2]
         listener.on_close = lambda: self.heard(at, False)
         self.heard(at, True)
@@ -120,7 +114,7 @@
 
     def __init__(self, stage: RealStage) -> None:
         self._stage = stage
-        self._batch: list[tuple[int, int, str, tuple[Any, ...]]] = []
+        self._batch: list[tuple[int, str, tuple[Any, ...]]] = []
         self._last: dict[int, int] = {}
 
     def tell(self, order: int, what: str, conn: RelayedConnection, *args: Any) -> None:
@@ -128,13 +122,13 @@
         if not self._batch:
             self._stage.scheduler.call_at(0.0, self.flush)
         order = self._last[conn.id] = max(order, self._last.get(conn.id, EARLY))
-        self._batch.append((order, self._stage.now_ns, what, (conn, *args)))
+        self._batch.append((order, what, (conn, *args)))
 
     def flush(self) -> None:
         """Tell what there is."""
         batch, self._batch = self._batch, []
         self._last.clear()
-        for _, _, what, args in sorted(batch, key=lambda each: each[0]):
+        for _, what, args in sorted(batch, key=lambda each: each[0]):
             self._stage.tell(what, *args)
         self._stage.stepped()
 
@@ -142,17 +136,14 @@
 class RealLink:
     """One way between two machines."""
 
-    def __init__(self, seed: str) -> None:
-        self.latency_ns = self.extra_ns = self.jitter_ns = 0
+    def __init__(self) -> None:
+        self.latency_ns = self.extra_ns = 0
         self.bytes_per_s = 0.0  # 0: as many as come
         self.cut = False
-        self._rng = random.Random(seed)
 
     def delay(self, size: int) -> int:
         """How long so many bytes take, in ns; 0 where it is too short to tell."""
         delay = self.latency_ns + self.extra_ns
-        if self.jitter_ns:
-            delay += int(self.jitter_ns * self._rng.random())
         if self.bytes_per_s:
             delay += int(size / self.bytes_per_s * 1e9)
         return delay if delay >= SHORTEST_NS else 0
@@ -225,17 +216,17 @@
             direction.tasks.append(task)
 
     def _connect(self) -> Stream:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        system = self.stage.system
+        sock = system.connection()
+        assert isinstance(sock, socket.socket)
         stream = Stream(self.scheduler, sock)
         try:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
             sock.bind((self.way.client.ip, 0))
             code = sock.connect_ex(self.way.target)
             if code == errno.EINPROGRESS:
                 self.scheduler.park(self.scheduler.now() + CONNECT_SECONDS, sock, WRITE)
-                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                code = system.error_of(sock)
             if code:
                 raise OSError(code, os.strerror(code))
         except BaseException:
@@ -582,7 +573,7 @@
         """The way from one machine to another."""
         key = from_.name, to.name
         if key not in self._links:
-            self._links[key] = RealLink(f"{self.stage.seed}/link {key}")
+            self._links[key] = RealLink()
         return self._links[key]
 
     def connections(self, machine: RealMachine) -> list[RelayedConnection]:
--- a/brambleusher/lab/processes/stage.py
+++ b/brambleusher/lab/processes/stage.py
@@ -34,8 +34,8 @@
 class StandIn:
     """A stand-in as a process: it lives on the rig's scheduler, and ends when it is told to."""
 
-    def __init__(self, machine: RealMachine, server: object) -> None:
-        self._machine, self._server = machine, server
+    def __init__(self, server: object) -> None:
+        self._server = server
         self.dead = False
         self.ended: int | None = None
         self.limit = 0
@@ -88,7 +88,7 @@
         """Build a stand-in, at once."""
         if self.gone:
             raise RuntimeError(f"{self.name} has vanished")
-        stand_in = StandIn(self, build(self.stage.scheduler))
+        stand_in = StandIn(build(self.stage.scheduler))
         self._stand_ins = [each for each in self._stand_ins if not each.dead]
         self._stand_ins.append(stand_in)
         return stand_in
@@ -152,7 +152,6 @@
         self.cpu_s = self.measured_s = 0.0
         self._octet = FIRST_OCTET + os.getpid() % OCTETS
         self._soon: set[Callable[[], None]] = set()
-        self._started_ns = self.now_ns
         self._beat(self.scheduler.now())
 
     @property
--- a/brambleusher/lab/processes/told.py
+++ b/brambleusher/lab/processes/told.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import json
+import shutil
 import sys
 import tempfile
 from collections.abc import Iterable
 from dataclasses import asdict
 from pathlib import Path
 
-from brambleusher.lab.processes.breakages import OWN
+from brambleusher.lab.processes.breakages import ALL
 from brambleusher.lab.processes.drill import Drill, Outcome, Where, play
 
 MOST_TOLD = 5  # breaches with their time lines
@@ -19,9 +20,7 @@
     files: Iterable[tuple[Path, Drill]], where: str, logs: Path | None, breakage: str, as_json: bool
 ) -> int:
     """Play them; the exit status: 1 if one failed, 3 if a rig was late, else 0."""
-    from brambleusher.lab.breakages import BREAKAGES
-
-    if breakage and breakage not in {*OWN, *BREAKAGES}:
+    if breakage and breakage not in ALL:
         print(f"brambleusher: --breakage: there is no {breakage!r}", file=sys.stderr)
         return 2
     verdicts = set()
@@ -41,16 +40,10 @@
             if outcome.verdict != "ok":
                 tell(path, outcome, folder, breakage)
             elif folder is not None and logs is None:
-                _remove(folder)
+                shutil.rmtree(folder)
     return 1 if "FAILED" in verdicts else 3 if "LATE" in verdicts else 0
 
 
-def _remove(folder: Path) -> None:
-    for each in folder.iterdir():
-        each.unlink()
-    folder.rmdir()
-
-
 def heading() -> str:
     """Of the lines."""
     return (
--- a/brambleusher/lab/real_fleet.py
+++ b/brambleusher/lab/real_fleet.py
@@ -24,10 +24,11 @@
 from brambleusher.lab.figures import NodeFigures, WorldFigures
 from brambleusher.lab.fleet import configuration
 from brambleusher.lab.parent import tied_to
+from brambleusher.lab.stand_ins.client import says_ready
 from brambleusher.lab.stand_ins.discovery import Discovery, Entry
 from brambleusher.lab.stand_ins.node import Execution, Node
 from brambleusher.lab.worlds import WorldFile
-from brambleusher.net.http import HttpError, MessageReader, write_request
+from brambleusher.net.http import HttpError
 from brambleusher.runtime.scheduler import Scheduler, Timeout
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import Address
@@ -201,18 +202,11 @@
         except (OSError, Timeout):
             return False
         try:
-            stream.send(write_request("GET", "/ready", [("Host", "api.internal")]), deadline)
-            reader = MessageReader.responses()
-            while data := stream.receive(deadline):
-                reader.feed(data)
-                answer = reader.take()
-                if answer is not None:
-                    return answer.status == 200
+            return says_ready(stream, deadline)
         except (OSError, Timeout, HttpError):
             return False
         finally:
             stream.close()
-        return False
 
     def _hear(self, sidecar: SidecarProcess) -> None:
         while True:
--- a/brambleusher/lab/stand_ins/client.py
+++ b/brambleusher/lab/stand_ins/client.py
@@ -106,6 +106,13 @@
     return pause if now_s + pause + SHORTEST_WAIT < due_s else None
 
 
+def says_ready(stream: Stream, deadline: float) -> bool:
+    """Ask a sidecar on a connection whether submitters may come; raises `OSError`, `Timeout`, `HttpError`."""
+    stream.send(write_request("GET", "/ready", [("Host", "api.internal")]), deadline)
+    answer = Client.answer(stream, deadline, [])
+    return answer is not None and answer.status == 200
+
+
 class Client:
     """All submitters beside one sidecar."""
 
@@ -190,9 +197,7 @@
         except (OSError, Timeout):
             return False
         try:
-            stream.send(write_request("GET", "/ready", [("Host", "api.internal")]), deadline)
-            answer = self._answer(stream, deadline, [])
-            return answer is not None and answer.status == 200
+            return says_ready(stream, deadline)
         except (OSError, Timeout, HttpError):
             return False
         finally:
@@ -264,7 +269,7 @@
             entry.port = stream.sock.getsockname()[1]
             stream.send(data, until)
             entry.sent_ns = self.scheduler.system.monotonic_ns()
-            answer = self._answer(stream, until + (self.linger_s if until >= deadline else 0.0), got)
+            answer = self.answer(stream, until + (self.linger_s if until >= deadline else 0.0), got)
             if answer is None:
                 raise ConnectionResetError("the connection ended before the answer")
             if self.scheduler.now() > until:  # too late to be of use
@@ -310,7 +315,7 @@
         return None
 
     @staticmethod
-    def _answer(stream: Stream, deadline: float, got: list[int]) -> Message | None:
+    def answer(stream: Stream, deadline: float, got: list[int]) -> Message | None:
         """The whole answer; None if the connection ended before it."""
         reader = MessageReader.responses()
         while True:
--- a/brambleusher/lab/world.py
+++ b/brambleusher/lab/world.py
@@ -930,7 +930,7 @@
 
     def wall_ns(self) -> int:
         """Unix time in nanoseconds; it may be set, forward or back."""
-        return WALL_NS + self.world.now_ns - START_NS + self.machine.wall_offset_ns
+        return self.world.wall_ns + self.machine.wall_offset_ns
 
     def greenlet(self, run: Callable[..., Any], hub: greenlet.greenlet) -> greenlet.greenlet:
         """A greenlet that ends with the process."""
