--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -42,8 +42,7 @@
 )
 from brambleusher.lab.zone_days import FALL_MULTIPLE, ZONES, Books, Day, play
 from quillpass import Balancer, api
-from quillpass.balance import Request
-from quillpass.hosts import Host
+from quillpass.hosts import Host, Request
 from quillpass.zoned import balancer_for
 
 ZONE = "macon"
--- a/brambleusher/lab/breakages.py
+++ b/brambleusher/lab/breakages.py
@@ -28,8 +28,7 @@
 from brambleusher.sidecar import Sidecar
 from quillpass import Balancer, api
 from quillpass.api import HostState, Status
-from quillpass.balance import Request
-from quillpass.hosts import Host
+from quillpass.hosts import Host, Request
 from quillpass.upkeep import Service
 
 LATE_SECONDS = 0.001  # past the drain limit
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -20,7 +20,7 @@
 
 from quillpass import api, cold
 from quillpass.api import Effect, Group, HostState, ListKind, Status
-from quillpass.hosts import NOTHING, RESERVE, Host
+from quillpass.hosts import NOTHING, RESERVE, Host, Request
 from quillpass.ranks import Ranks
 from quillpass.retries import Retries
 
@@ -66,20 +66,6 @@
 SECOND = 1e9
 
 
-class Request:
-    """A request that is owed an answer, or whose attempts are still out."""
-
-    def __init__(self, rid: str, cls: int, now: int, left_ns: int) -> None:
-        self.id, self.cls, self.deadline_ns = rid, cls, now + left_ns
-        self.half_ns = now + left_ns // 2  # by then a request that reached no host is to be given up
-        self.reached = False  # an attempt was written whole
-        self.attempts: list[tuple[Host, int, int]] = []  # host, time and idle time of its connection
-        self.out = self.lost = 0  # attempts out, and those of them that are written off
-        self.closed = self.ran = self.passing = False  # passing: its body leaves as it comes, once
-        self.origin: Host | None = None  # of the first attempt that ran, or may yet: its group binds
-        self.first_ran_ns = 0
-
-
 def aggregate_pi(index: list[float], count: list[float], order: list[int]) -> tuple[float, float]:
     """Count-weighted PI over the most important classes that cover 75% of the counts."""
     total = sum(count)
--- a/quillpass/hosts.py
+++ b/quillpass/hosts.py
@@ -1,4 +1,4 @@
-"""A host, and what a balancer knows of it.
+"""A host and a request, and what a balancer knows of them; each refers to the other.
 
 A list may have thousands of hosts of which a proxy uses a few.  What only those in use need is made when
 they are first used; the others are a record of plain fields.
@@ -7,13 +7,10 @@
 from __future__ import annotations
 
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from quillpass import api
 
-if TYPE_CHECKING:
-    from quillpass.balance import Request
-
 HEALTH_PRIOR = 2.0  # attempts assumed served, so that one failure does not condemn a quiet host
 RESERVE = 0.25  # below this free share of the fleet, weights lean towards capacity
 OVERTAKEN = 2  # attempts sent later and answered sooner by the same host: in a queue there are none
@@ -84,3 +81,17 @@
     def capacity(self) -> float | None:
         """Requests a second at full use; summed before dividing, so quiet moments weigh little."""
         return self.sum_qps / self.sum_util if self.sum_util > 0.01 and self.sum_qps > 0 else None
+
+
+class Request:
+    """A request that is owed an answer, or whose attempts are still out."""
+
+    def __init__(self, rid: str, cls: int, now: int, left_ns: int) -> None:
+        self.id, self.cls, self.deadline_ns = rid, cls, now + left_ns
+        self.half_ns = now + left_ns // 2  # by then a request that reached no host is to be given up
+        self.reached = False  # an attempt was written whole
+        self.attempts: list[tuple[Host, int, int]] = []  # host, time and idle time of its connection
+        self.out = self.lost = 0  # attempts out, and those of them that are written off
+        self.closed = self.ran = self.passing = False  # passing: its body leaves as it comes, once
+        self.origin: Host | None = None  # of the first attempt that ran, or may yet: its group binds
+        self.first_ran_ns = 0
--- a/quillpass/state.py
+++ b/quillpass/state.py
@@ -17,8 +17,8 @@
 from typing import Any
 
 from quillpass import api
-from quillpass.balance import Balancer, Request, Turn
-from quillpass.hosts import NOTHING, Host
+from quillpass.balance import Balancer, Turn
+from quillpass.hosts import NOTHING, Host, Request
 from quillpass.retries import Retries
 from quillpass.zoned import balancer_for
 from quillpass.zones import Node, State, Zone, Zones
--- a/quillpass/zoned.py
+++ b/quillpass/zoned.py
@@ -21,9 +21,8 @@
     SECOND,
     SILENCE,
     Balancer,
-    Request,
 )
-from quillpass.hosts import RESERVE, Host
+from quillpass.hosts import RESERVE, Host, Request
 from quillpass.zones import Load, Zones
 
 STILL_AIMS = 0.25  # a timer that fires so late: this proxy stood still
