Reports of use without throughput count: the list's sizes stand in for capacity

Its settings name utilization and recent_ms, no throughput, and Balancer._report returned where either was missing: no report counted, no host had a capacity, _weigh gave all the same weight.

Where the settings name use and no throughput, the size that the list registers (weights nominal or rough) is the capacity. It is known before the limit is steered: a rate of 0 in the first tick with reports cut the limit to 0.4. A cold host's warmth and budget do not go by sizes: a host would count as warm at its first reports.

Four of the new tests fail without the change. With throughput reported every factor is 1.

--- a/quillpass/api.py
+++ b/quillpass/api.py
@@ -139,6 +139,7 @@
     fall_multiple: float = 1.0
     fall_ns: int = 1_000_000_000
     report_fields: tuple[str, ...] = ()
+    weights: str = "silent"  # what `HostEntry.nominal` is: `nominal` or `rough` sizes, `live` spare, nothing
     zones: ZoneRules | None = None
 
 
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -18,7 +18,7 @@
 from statistics import median
 from typing import Any
 
-from quillpass import api, cold
+from quillpass import api, cold, sizes
 from quillpass.api import Effect, Group, HostState, ListKind, Status
 from quillpass.hosts import NOTHING, RESERVE, Host, Request
 from quillpass.ranks import Ranks
@@ -184,6 +184,10 @@
         # Fleet figures of the last tick.
         self._mean_capacity, self._mean_util, self._remote = 0.0, 0.0, 0.5
         self._kind_capacity: dict[str, float] = {}
+        # Where the list's sizes are the capacities: size seconds in use lately and requests asked for in that
+        # time, and from them the requests a second of one.
+        self._sized, self._size_used, self._size_asked = sizes.stand_in(settings), 0.0, 0.0
+        self._size_rate = 0.0 if self._sized else 1.0
         # Own traffic.
         self._lat_n, self._lat_sum = [0.0] * count, [0.0] * count
         self._quiet_ns = [cls.aim_ns * WAIT_OF_AIM for cls in settings.classes]
@@ -229,6 +233,8 @@
     def _report(self, host: Host, report: api.LoadReport, now: int) -> None:
         """Take in a host's own figures; the same report may come with several answers."""
         util, qps = report.utilisation, report.throughput
+        if self._sized and util is not None:
+            qps = util * host.size
         if util is None or qps is None or not (math.isfinite(util) and math.isfinite(qps)):
             return
         util, qps = min(max(util, 0.0), 1.0), max(qps, 0.0)
@@ -281,6 +287,7 @@
         self._index_n, self._full_sum = self._index_n * kept, self._full_sum * kept
         self._turned *= long  # whether hosts turn work away is a property of the deployment
         self._served_rate *= slow
+        self._size_used, self._size_asked = self._size_used * slow, self._size_asked * slow
         self._span = self._span * slow + gap * self._unit_ns / SECOND
         self._lat_n = [n * slow for n in self._lat_n]
         self._lat_sum = [s * slow for s in self._lat_sum]
@@ -342,10 +349,10 @@
         """
         price = self.settings.cross_zone_price
         local = [host for host in self._turn.ring if host.local]
-        if not local or price <= 0 or not self._mean_capacity:
+        if not local or price <= 0 or not self._mean_capacity * self._size_rate:
             self._remote = 1.0 if not local or price <= 0 else self._remote
             return
-        service = SECOND / self._mean_capacity
+        service = SECOND / (self._mean_capacity * self._size_rate)
         hold = min(max(1 - math.log(1 / min(price, 0.99)) * service / self._unit_ns, 0.2), 1 - RESERVE)
         here, there = [0.0, 0.0], [0.0, 0.0]  # used and whole capacity
         for host in self._turn.ring:
@@ -408,7 +415,8 @@
         self._best_rate = best + max(rate - best, 0.0) * min(gap / HEALTH_WINDOW, 1.0)
         takes = sum(host.welcome for host in ring) / max(len(ring), 1)
         part = max(self._my_share, 1 / settings.fleet_size)  # by its share alone, one cut down would stay so
-        due = part * rate * takes * self._ready * held / SECOND * min(rate / self._best_rate, 1.0)
+        rate *= min(rate / self._best_rate, 1.0) * self._size_rate
+        due = part * rate * takes * self._ready * held / SECOND
         goal = held / max(aim * GOAL_OF_AIM, 1.0) if counts >= 1 else PI_GOAL
         change = min(max(goal / max(index, 0.1) - 1, -0.5), 1.0)
         # Where little is served at all, hosts still work on what was given up: wait for them.  But an attempt
@@ -453,7 +461,7 @@
 
     def _arrived(self, event: api.RequestArrived, now: int) -> None:
         cls = self._classes[event.request_class]
-        self._rate, self._lately = self._rate + 1, self._lately + 1
+        self._rate, self._lately, self._size_asked = self._rate + 1, self._lately + 1, self._size_asked + 1
         gap, self._came_ns = max(now - self._came_ns, 0) / self._unit_ns, now
         self._mean_open += (self._open - self._mean_open) * -math.expm1(-gap / LATENCY_WINDOW)
         spent, again = self._retries.waited(cls, event.left_ns)
@@ -756,7 +764,7 @@
             if host.ready is not (ready := entry.state is HostState.READY):
                 host.ready = ready
                 changed.append(host)
-            host.draining = not ready
+            host.draining, host.size = not ready, sizes.size_of(self.settings, entry)
             if host.draining:
                 host.weight, host.tokens, host.credit = 0.0, 0, 0.0
             self._release(host, now)
@@ -812,7 +820,7 @@
         age, settings = now - host.started_ns, self.settings
         if host.started_ns <= 0 or age >= settings.cold_ns:
             return 1.0
-        told = cold.told(host, self._kind_capacity.get(host.kind))
+        told = 0.0 if self._sized else cold.told(host, self._kind_capacity.get(host.kind))
         return cold.warmth(age, settings.start_capacity, settings.cold_ns, told)
 
     def _cold_room(self, host: Host, now: int) -> bool:
@@ -823,8 +831,8 @@
         settings, (near, away) = self.settings, self._used
         # Its kind's capacity, else the least of the kinds; before any report one request an aim, which
         # a host that keeps any goal can do.
-        least = min(self._kind_capacity.values(), default=self._mean_capacity or SECOND / self._unit_ns)
-        capacity = self._kind_capacity.get(host.kind, least)
+        kinds, mean = ({}, 0.0) if self._sized else (self._kind_capacity, self._mean_capacity)
+        capacity = kinds.get(host.kind, min(kinds.values(), default=mean or SECOND / self._unit_ns))
         # Only the proxies that have the host among theirs send to it: as many as chance has it.
         sharers = cold.sharers(settings.fleet_size, self._ranks.zones, host.zone, near, away, self._part)
         rate = COLD_SLICE * settings.fall_multiple * warmth * capacity / sharers
@@ -851,11 +859,13 @@
         if min(size := self._ring_size(), self._ready) > (used := len(self._turn.ring)) or size * 2 < used:
             self._choose()
         self._write_off(now)
+        throughput = sizes.in_use(self._turn.ring, self._ready)
+        if self._sized and throughput > 0:  # before the limit, which takes a rate of 0 for no capacity
+            self._size_used += throughput * gap * self._unit_ns / SECOND
+            self._size_rate = self._size_asked * self.settings.fleet_size / self._size_used
         self._weigh(now, gap)
         self._steer_admission(gap)
-        seen = [host.throughput for host in self._turn.ring if host.util_ns >= 0]
-        throughput = sum(seen) / len(seen) * self._ready if seen else 0.0
-        if throughput > 0 and self._served_rate > 0:
+        if throughput > 0 and self._served_rate > 0 and not self._sized:
             mine = self._served_rate / self._span  # the span is short after a restart, and so unbiased
             self._my_share = min(1.0, max(mine / throughput, 0.1 / self.settings.fleet_size))
         for cls, count in enumerate(self._lat_n):
--- a/quillpass/hosts.py
+++ b/quillpass/hosts.py
@@ -26,13 +26,13 @@
         "rank", "name", "zone", "kind", "cell", "local", "ready", "out", "lost", "weight", "room", "credit",
         "tokens", "started_ns", "sum_qps", "sum_util", "throughput", "util", "util_ns", "late_n", "late_sum",
         "served", "failed", "turned", "pi", "passed", "shut_ns", "used_ns", "closing_ns", "draining",
-        "linked", "cold_level", "cold_seen_ns",
+        "linked", "cold_level", "cold_seen_ns", "size",
     )  # fmt: skip
 
     def __init__(self, entry: api.HostEntry, local: bool, classes: int, rank: float = 0.0) -> None:
         self.rank = rank  # a seeded place in this proxy's order of preference, and the phase of cold credit
         self.name, self.zone, self.kind, self.cell = entry.host, entry.zone, entry.kind, entry.cell
-        self.local, self.ready = local, True
+        self.local, self.ready, self.size = local, True, 1.0
         self.out: dict[tuple[str, int], tuple[Request, int]] = NOTHING  # oldest first
         self.lost: dict[tuple[str, int], tuple[Request, int]] = NOTHING  # out, and no answer is expected
         self.late_n: list[float] = UNUSED
--- a/quillpass/settings.py
+++ b/quillpass/settings.py
@@ -129,4 +129,5 @@
         fall_multiple=_number(safety, "fall_multiple", "safety."),
         fall_ns=int(_number(safety, "fall_ns", "safety.", 1)),
         report_fields=tuple(str(name) for name in names),
+        weights=str(raw.get("weights") or "silent"),
     )
--- a/quillpass/zoned.py
+++ b/quillpass/zoned.py
@@ -119,9 +119,9 @@
         As `Balancer._steer_zones` has them, tier by tier in place of here and elsewhere.
         """
         price = self.settings.cross_zone_price
-        if price <= 0 or not self._mean_capacity:
+        if price <= 0 or not self._mean_capacity * self._size_rate:
             return 1 - RESERVE, 1.0 if price <= 0 else 0.01
-        service = SECOND / self._mean_capacity
+        service = SECOND / (self._mean_capacity * self._size_rate)
         hold = min(max(1 - math.log(1 / min(price, 0.99)) * service / self._unit_ns, 0.2), 1 - RESERVE)
         return hold, max(0.01, 1 - price * 20)
 
@@ -130,6 +130,7 @@
         loads: dict[str, Load] = {}
         missing: dict[str, list[int]] = {}
         used = {host.name for host in self._turn.ring}
+        rate = self._size_rate or 1.0  # before it is known, hosts' capacities beside each other
         for host in self._hosts.values():
             if host.draining:
                 continue
@@ -143,14 +144,14 @@
                 continue
             warmth = self._warmth(host, now)
             usual = self._kind_capacity.get(host.kind, self._mean_capacity)
-            capacity = ((host.capacity if warmth >= 1 else None) or usual) * warmth
+            capacity = ((host.capacity if warmth >= 1 else None) or usual) * warmth * rate
             age = now - host.util_ns if host.util_ns >= 0 else math.inf
             fade = min(1.0, age / (self._unit_ns * CAPACITY_WINDOW))
             util = host.util + fade * (self._mean_util - host.util) if host.util_ns >= 0 else self._mean_util
             load.hosts += 1
             load.capacity += capacity
             load.used += util * capacity
-            load.throughput += host.throughput if host.util_ns >= 0 else 0.0
+            load.throughput += host.throughput * rate if host.util_ns >= 0 else 0.0
             load.mass += capacity * max(1 - util, 0.01) * host.health * host.welcome
             missing[host.zone][1] += host.pi > PI_GOAL or host.health < 0.5
         for name, load in loads.items():
@@ -227,7 +228,8 @@
         if rates:
             share = max(self._my_share, 1 / self.settings.fleet_size)
             takes = sum(host.welcome for host in ring) / len(ring)
-            due = share * sum(rates) / len(rates) * takes * self._ready * aim * GOAL_OF_AIM / SECOND
+            rate = sum(rates) / len(rates) * self._size_rate
+            due = share * rate * takes * self._ready * aim * GOAL_OF_AIM / SECOND
             self._limit = max(self._limit, due)
 
     def _worth_now(self, density: float) -> bool:
--- /dev/null
+++ b/tests/test_sizes.py
@@ -0,0 +1,106 @@
+"""Hosts that report how busy they are and not how much they do: the list's sizes in place of it."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+
+import pytest
+
+from quillpass import Balancer, api, cold, sizes
+from quillpass.settings import parse_settings
+from tests.test_wirehost import SETUP
+
+SECOND, STEP = 10**9, 5_000_000
+FLEET, ANSWER_NS = 20, 200_000_000
+
+
+class Served:
+    """One proxy beside hosts of the sizes given, all as busy as `use` says of them."""
+
+    def __init__(self, nominal: dict[str, float], use: dict[str, float], **settings: object) -> None:
+        told: dict[str, object] = {"report_fields": ("utilization",), "weights": "nominal"} | settings
+        self.balancer = Balancer(
+            api.Settings(
+                zone="a", fleet_size=FLEET, worth_by_work=True, cold_ns=10 * SECOND, start_capacity=0.3,
+                fall_multiple=4.0, classes=(api.RequestClass("r", SECOND, 2 * SECOND, 1.0),), **told,  # type: ignore[arg-type]
+            ),
+            7,
+        )  # fmt: skip
+        self.use, self.now, self.tick, self.refused = use, 100 * SECOND, 0, 0
+        self.out: deque[tuple[int, str, str]] = deque()
+        self.sent: Counter[str] = Counter()
+        self.balancer.start(self.now)
+        ready = api.HostState.READY
+        self.act(
+            api.HostList(
+                api.ListKind.SAVED, [api.HostEntry(h, "a", "k", 0, ready, s) for h, s in nominal.items()]
+            )
+        )
+
+    def act(self, event: api.Event) -> None:
+        for action in self.balancer.handle(event, self.now):
+            if isinstance(action, api.Send):
+                self.out.append((self.now + ANSWER_NS, action.request, action.host))
+                self.sent[action.host] += 1
+            elif isinstance(action, api.SetTimer):
+                self.tick = action.at_ns
+            self.refused += isinstance(action, api.Refuse)
+
+    def run(self, asked_a_second: float, seconds: int) -> None:
+        rng = random.Random(3)
+        for _ in range(seconds * SECOND // STEP):
+            self.now += STEP
+            while self.out and self.out[0][0] <= self.now:
+                _, request, host = self.out.popleft()
+                report = api.LoadReport(self.use[host], None)
+                self.act(api.AttemptEnded(request, 0, host, api.Status.OK, ANSWER_NS, True, report))
+            if self.now >= self.tick:
+                self.act(api.TimerFired(0))
+            if rng.random() < asked_a_second * STEP / SECOND:
+                self.act(api.RequestArrived(f"{self.now}", "r", None, 2 * SECOND))
+
+
+def test_turns_go_by_what_is_spare_of_a_size() -> None:
+    """Without it hosts that report use alone were all sent the same, whatever they are and however busy."""
+    seen = Served({"large": 4.0, "busy": 4.0, "small": 1.0}, {"large": 0.5, "busy": 0.75, "small": 0.5})
+    seen.run(60.0, 20)
+    parts = {host.name: host.weight / 64 for host in seen.balancer._turn.ring}
+    assert parts == pytest.approx({"large": 2 / 3.5, "busy": 1 / 3.5, "small": 0.5 / 3.5}, abs=0.02)
+    assert seen.sent["large"] > 1.3 * seen.sent["busy"] > 1.3 * 1.3 * seen.sent["small"]
+
+
+@pytest.mark.parametrize("weights", ["live", "silent"])
+def test_what_the_list_does_not_have_as_sizes_is_none(weights: str) -> None:
+    seen = Served({"a": 4.0, "b": 1.0}, {"a": 0.5, "b": 0.5}, weights=weights)
+    seen.run(60.0, 10)
+    assert seen.sent["a"] / seen.sent.total() == pytest.approx(0.5, abs=0.05)
+
+
+@pytest.mark.parametrize("asked", [10.0, 80.0])
+def test_admission_knows_requests_a_second_from_own_traffic_and_use(asked: float) -> None:
+    """The due is what is out at full use, for light and heavy alike: asked / use times the time held."""
+    use = {f"h{at}": 0.9 for at in range(8)}
+    seen = Served(dict.fromkeys(use, 2.0), use)
+    seen.run(asked, 20)
+    assert seen.balancer._size_rate * 8 * 2.0 * 0.9 / FLEET == pytest.approx(asked, rel=0.2)
+    assert seen.balancer._limit > asked * ANSWER_NS / SECOND  # of what is out on average
+    assert seen.refused < 0.03 * seen.sent.total()
+
+
+def test_sizes_say_nothing_of_how_warm_a_host_is() -> None:
+    """A cold host's capacity is its size at every moment: it would count as warm at its first reports."""
+    seen = Served({"a": 2.0, "b": 2.0}, {"a": 0.9, "b": 0.9})
+    seen.run(40.0, 5)
+    host = seen.balancer._hosts["a"]
+    host.started_ns = seen.now
+    assert cold.told(host, 2.0) == pytest.approx(1.0)
+    assert seen.balancer._warmth(host, seen.now) == pytest.approx(0.3)
+
+
+def test_where_throughput_is_reported_sizes_are_not_asked() -> None:
+    told: dict[str, object] = {"telemetry": {"names": ["throughput", "utilization"]}, "weights": "rough"}
+    assert not sizes.stand_in(parse_settings(SETUP | told))
+    told["telemetry"] = {"names": ["recent_ms", "utilization"]}
+    assert sizes.stand_in(parse_settings(SETUP | told))
+    assert parse_settings(SETUP | told).weights == "rough"
