Bans of nodes not listed yet hold from when they are; requests behind a lack of descriptors are timed

Ruled out: the ban itself, its order with the list (Bans.listed comes first), the door's time. Lines at fault: Submitters._answer (Scheduler.late alone), Sidecar._said (an unknown id was forgotten).

Change: a connection knows how long it may have been in the queue; its first request is looked at as after a stop. A call out for an unknown id is still answered no, and kept (256 at most) until the node is listed or called back.

Conclusion: not handed to another process of the same sidecar in an upgrade: what was asked before its node was listed. That is open.

--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -224,12 +224,13 @@
 class Connection:
     """One submitter's connection."""
 
-    __slots__ = ("accepted_at", "asked", "peer", "stream", "task")
+    __slots__ = ("accepted_at", "asked", "peer", "stream", "task", "waited")
 
     def __init__(self, stream: Stream, peer: str) -> None:
         self.stream, self.peer = stream, peer
         self.task: Task | None = None
         self.accepted_at = stream.used_at
+        self.waited = 0.0  # seconds that it may have been in the system's queue, with a request
         self.asked = False  # a request of it was answered
 
 
@@ -337,6 +338,7 @@
         if self._put_off_since is not None:
             # Guards against silent ones by the hundred that are held too long: each group let in after
             # another would have its whole time again, though it may have connected when the first did.
+            connection.waited = connection.accepted_at - self._put_off_since
             least = connection.accepted_at - FIRST_SECONDS + FRESH_SECONDS
             connection.accepted_at = max(self._put_off_since, least)
         self._connections.add(connection)
@@ -598,8 +600,8 @@
                 return Reply(503, [], b"out of service\n")
             return Reply(200, [], b"ready\n") if self._is_ready() else Reply(503, [], b"starting\n")
         arrived_ns = now_ns = self._clock.now_ns()
-        late = self._scheduler.late if upload is None else 0.0
         call = self._call(request, path)
+        late = 0.0 if upload is not None else self._late(connection)
         if late:
             # Guards against answers that come when nobody waits any more: its time began when it came.
             waited_ns = int(min(self._scheduler.system.waited(stream.sock), late) * 1e9)
@@ -669,6 +671,10 @@
             # Else it ends with its answer's last byte.
             self.tally.open -= reply is None and (upload is None or upload.done)
 
+    def _late(self, connection: Connection) -> float:
+        """Seconds for which a request that was read now may have waited unseen."""
+        return max(self._scheduler.late, 0.0 if connection.asked else connection.waited)
+
     def _await_body(self, upload: Upload, left_ns: int) -> None:
         """The request's time begins, and it is taken, when its last byte has come."""
         left = left_ns / 1e9
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -417,11 +417,14 @@
         return service_figures.render(self.tally, len(self.nodes.listed), self.decisions.avoided())
 
     def offline(self, node: str) -> bool:
-        """Leave an execute node out from now on; false for one that was never listed."""
+        """Leave an execute node out from now on; false for one never listed: from when it is."""
+        if not self.bans.knows(node):
+            self.bans.wish(node, self.clock.now_ns())
         return self._said(node, self.bans.offline)
 
     def online(self, node: str) -> bool:
         """Use it again from now on; false for one that was never listed."""
+        self.bans.unwish(node)
         return self._said(node, self.bans.online)
 
     def _said(self, node: str, say: Callable[[str, int], HostEntry | None]) -> bool:
--- a/quillpass/upkeep.py
+++ b/quillpass/upkeep.py
@@ -2,7 +2,8 @@
 
 A ban is laid over what discovery says of a host: listed state and ban make the effective state, which is
 what the balancer and everyone else is told.  A banned host is a draining one, whatever the list says of it
-meanwhile; one call back ends the ban.
+meanwhile; one call back ends the ban.  A call about a host that discovery has not named is answered with no,
+and kept: the proxy may only not have heard of it yet, and the ban holds from the moment that it has.
 
 Pure: times are nanoseconds (hosts) or seconds (the proxy) on the caller's clock.
 """
@@ -16,6 +17,7 @@
 from quillpass.api import HostEntry, HostState
 
 REMEMBERED = 4096  # hosts that have left the list and can still be named
+WISHES = 256  # bans of hosts that were never listed; the oldest goes first
 HAND_OVER_SECONDS = 0.65  # as long where another process takes over: a later request may be cut off
 LEAVE_SECONDS = 1.0  # after the call: so long those that rest may still ask, and are told to leave then
 SILENT_SECONDS = 0.4  # that a connection which came after the call has for its first request
@@ -46,6 +48,7 @@
         self.bans: dict[str, Ban] = {}  # those that hold, and the last to have ended
         self._listed: dict[str, HostEntry] = {}  # as discovery has it
         self._left: dict[str, None] = {}  # listed once, the last to leave at the end
+        self._wishes: dict[str, int] = {}  # when a ban of a host was asked for that was not listed by then
 
     def knows(self, host: str) -> bool:
         """Whether discovery has ever named it, as far as is remembered."""
@@ -80,6 +83,8 @@
             else:
                 self._listed[entry.host] = entry
                 self._left.pop(entry.host, None)
+                if (since := self._wishes.pop(entry.host, None)) is not None:
+                    self._say(entry.host, Ban(since))
 
     def _leaves(self, host: str) -> None:
         if self._listed.pop(host, None) is not None:
@@ -87,6 +92,16 @@
             if len(self._left) > REMEMBERED:
                 del self._left[next(iter(self._left))]
 
+    def wish(self, host: str, now: int) -> None:
+        """Ban a host as soon as it is listed."""
+        self._wishes.setdefault(host, now)
+        if len(self._wishes) > WISHES:
+            del self._wishes[next(iter(self._wishes))]
+
+    def unwish(self, host: str) -> None:
+        """It is to be used again, once it is listed."""
+        self._wishes.pop(host, None)
+
     def offline(self, host: str, now: int) -> HostEntry | None:
         """Ban it; the entry that is to be told now, None where nothing changes."""
         ban = self.bans.get(host)
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -312,6 +312,17 @@
     play.take()
 
 
+@wire("")
+def told_late_what_was_not_accepted_without_descriptors(play: Play) -> None:
+    play.checker.starved(play.now, "m0", True)
+    conn = play.client(accept=False)
+    play.take(conn=conn)
+    play.wait(1050 * MS - 2)
+    play.checker.accepted(play.now, conn)
+    play.now += 4
+    play.answer(conn, 503)
+
+
 @wire("")
 def the_submitter_leaves(play: Play) -> None:
     conn = play.take()
