--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -21,6 +21,7 @@
 from quillpass import api, cold, sizes
 from quillpass.api import Effect, Group, HostState, ListKind, Status
 from quillpass.hosts import NOTHING, RESERVE, Host, Request
+from quillpass.idle import Trust
 from quillpass.ranks import Ranks
 from quillpass.retries import Retries
 
@@ -53,8 +54,6 @@
 REST_LOOKED_AT = 1000  # hosts beyond those in use that one request may look through: bounds its work
 RING_SPREAD = 2.0  # hosts in use for each own attempt at the busiest: a turn seldom finds one occupied
 IDLE_DOUBT = 1 / 4  # of the aim: a connection used since is not lost for being idle
-IDLE_CUT = 0.7  # of the idle time at which one was lost: the next loss would teach little
-IDLE_WINDOW = 32.0  # trust comes back slowly, each test costs a request
 SAMPLES = 16.0  # admission rests on so many answers, as far as they come within the slow window
 COLD_SLICE = 0.5  # of a cold host's budget: the rest is for chance and for unequal proxies
 ROOM_FOR_ALL = 0.7  # of the limit on what is out; above, places go by worth, the last to the best
@@ -169,12 +168,10 @@
         self._hosts: dict[str, Host] = {}
         self._requests: dict[str, Request] = {}
         self._turn = Turn(self._rng)
-        # Lately: attempts on idle connections, answered and timed out; failed connections; the most
-        # attempts out; requests.
-        self._idle_kept = self._idle_lost = self._unlinked = self._peak = self._rate = self._lately = 0.0
+        # Lately: failed connections; the most attempts out; requests.
+        self._unlinked = self._peak = self._rate = self._lately = 0.0
         self._silent = 0.0  # attempts that timed out lately
-        self._idle_ns = float(settings.conn_idle_ns or math.inf)
-        self._trust_ns = self._idle_ns  # how long an idle connection is trusted
+        self._trust = Trust(float(settings.conn_idle_ns or math.inf), self._unit_ns * IDLE_DOUBT)
         self._open = self._ready = 0  # attempts out, ready hosts
         self._part = 1.0  # of this proxy's work, while a new version of it takes over
         self._ranks: Ranks[Host] = Ranks()  # the ready hosts in this proxy's order of preference
@@ -280,7 +277,7 @@
             host.late_sum = [s * late for s in host.late_sum]
         self._unlinked, self._silent = self._unlinked * health, self._silent * health
         self._retries.fade(health)
-        self._idle_kept, self._idle_lost = self._idle_kept * slow, self._idle_lost * slow
+        self._trust.pass_time(gap, slow)
         # Few samples are kept for longer: two full answers in a row are no overload.
         window = min(max(LATENCY_WINDOW, SAMPLES * HEALTH_WINDOW / max(self._rate, 1.0)), CAPACITY_WINDOW)
         kept, long = math.exp(-gap / window), math.exp(-gap / BEST_WINDOW)
@@ -521,10 +518,10 @@
             host.cold_level -= 1
         idle, timeout = now - host.used_ns if host.linked and not host.out else 0, 0
         cls, left = self.settings.classes[request.cls], self.settings.max_attempts - len(request.attempts)
-        if idle > self._trust_ns:
+        if idle > self._trust.trust_ns:
             self._out.append(api.LetGo(host.name))
             idle = 0
-        doubted = idle > self._unit_ns * IDLE_DOUBT and self._trust_ns < self._idle_ns
+        doubted = idle > self._trust.least_ns and self._trust.cut
         usual = self._lat_sum[request.cls] / max(self._lat_n[request.cls], 1.0)
         if doubted and cls.effect is not Effect.UNSAFE and left > 1:
             timeout = int(min(3 * usual or math.inf, cls.aim_ns / 2, (request.deadline_ns - now) / 2))
@@ -596,7 +593,7 @@
         elif event.status is Status.OK and host.util_ns >= 0:
             # It reported before and answers without: some hosts fall silent just when they are busy.
             host.util, host.util_ns = max(host.util, 1 - RESERVE), now
-        lost = idle > self._unit_ns * IDLE_DOUBT and self._lost_idle(event.status, idle)
+        lost = idle > self._trust.least_ns and self._trust.ended(event.status, idle)
         if event.status is Status.OK and sent > host.passed[0]:
             host.passed[0] = sent
             host.passed.sort()
@@ -616,19 +613,6 @@
         if request.closed and not request.out:
             del self._requests[request.id]
 
-    def _lost_idle(self, status: Status, idle: int) -> bool:
-        """Whether an end says more of how long idle connections can be trusted than of its host.
-
-        A reset does; a time-out, which may be a busy host's, where most sent on idle ones lately were.
-        """
-        self._idle_kept += status is Status.OK
-        self._idle_lost += status is Status.TIMEOUT
-        silent = status is Status.TIMEOUT and self._idle_lost > max(1.0, self._idle_kept)
-        if status is not Status.RESET and not silent:
-            return False
-        self._trust_ns = max(min(self._trust_ns, idle * IDLE_CUT), self._unit_ns * IDLE_DOUBT)
-        return True
-
     def _learn(self, host: Host, cls: int, status: Status, latency_ns: int, now: int) -> None:
         """What an attempt's end says of its host: late answers of ended requests teach as well."""
         aim = self.settings.classes[cls].aim_ns
@@ -854,7 +838,6 @@
         gap = max(0, now - self._ticked_ns) / self._unit_ns
         self._ticked_ns = now
         self._decay(gap)
-        self._trust_ns = min(self._trust_ns * math.exp(gap / IDLE_WINDOW), self._idle_ns)
         self._rate, self._lately = self._rate * math.exp(-gap / HEALTH_WINDOW), self._lately * math.exp(-gap)
         self._peak = max(float(self._open), self._peak * math.exp(-gap / CAPACITY_WINDOW))
         if min(size := self._ring_size(), self._ready) > (used := len(self._turn.ring)) or size * 2 < used:
--- /dev/null
+++ b/quillpass/idle.py
@@ -0,0 +1,56 @@
+"""How long a connection may have been idle and still be trusted, from what became of attempts on such ones.
+
+Guards against connections that are dropped unseen while idle: the next request on one is lost.  Pure: times
+are nanoseconds, gaps are aims.
+"""
+
+from __future__ import annotations
+
+import math
+
+from quillpass.api import Status
+
+CUT = 0.7  # of the idle time at which one was lost: the next loss would teach little
+WINDOW = 32.0  # aims; trust comes back slowly, each test costs a request
+CHANCE = 0.05  # of those kept: so many resets, and one, say nothing of how long their connections were idle
+
+
+class Trust:
+    """One proxy's trust in its idle connections, to all hosts alike."""
+
+    def __init__(self, limit_ns: float = math.inf, least_ns: float = 0.0) -> None:
+        """Hosts close what was idle for `limit_ns`; what was for up to `least_ns` is always trusted."""
+        self.limit_ns, self.least_ns = limit_ns, least_ns
+        self.trust_ns = limit_ns
+        # Lately, on connections idle for longer: answered, timed out, reset; the longest that was kept.
+        self.kept = self.lost = self.reset = self.proven_ns = 0.0
+
+    @property
+    def cut(self) -> bool:
+        """Whether it is less than hosts allow."""
+        return self.trust_ns < self.limit_ns
+
+    def ended(self, status: Status, idle_ns: int) -> bool:
+        """An attempt has ended; whether that says more of idle connections than of its host.
+
+        A reset does, unless resets are rare and one that was idle for longer was kept lately: where traffic
+        is thin, one by chance would have most requests open anew.  A time-out, which may be a busy host's,
+        does where most sent on idle ones lately were.
+        """
+        if status is Status.OK:
+            self.kept, self.proven_ns = self.kept + 1, max(self.proven_ns, idle_ns)
+            return False
+        self.lost += status is Status.TIMEOUT
+        self.reset += status is Status.RESET
+        by_chance = idle_ns < self.proven_ns and self.reset <= 1 + self.kept * CHANCE
+        silent = status is Status.TIMEOUT and self.lost > max(1.0, self.kept)
+        if not silent and (status is not Status.RESET or by_chance):
+            return False
+        self.trust_ns = max(min(self.trust_ns, idle_ns * CUT), self.least_ns)
+        return True
+
+    def pass_time(self, gap: float, kept: float) -> None:
+        """Some aims have passed: trust comes back, and of the counts a part is kept."""
+        self.trust_ns = min(self.trust_ns * math.exp(gap / WINDOW), self.limit_ns)
+        self.proven_ns *= math.exp(-gap / WINDOW)
+        self.kept, self.lost, self.reset = self.kept * kept, self.lost * kept, self.reset * kept
--- a/quillpass/state.py
+++ b/quillpass/state.py
@@ -19,6 +19,7 @@
 from quillpass import api
 from quillpass.balance import Balancer, Turn
 from quillpass.hosts import NOTHING, Host, Request
+from quillpass.idle import Trust
 from quillpass.retries import Retries
 from quillpass.zoned import balancer_for
 from quillpass.zones import Node, State, Zone, Zones
@@ -27,11 +28,12 @@
 _DERIVED = frozenset(
     "settings _rng _classes _by_worth _unit_ns _tick_ns _quota _handlers _out _ranks".split()  # noqa: SIM905
 )
-# Of zones: plain objects by name, and how to make an empty one that is filled with what was kept.
+# Plain objects by name, and how to make an empty one that is filled with what was kept.
 _KEPT: dict[str, Callable[[], Any]] = {
-    "zones": lambda: Zones(None, "", 0, 0), "zone": lambda: Zone(""), "node": Node, "rules": api.ZoneRules
+    "zones": lambda: Zones(None, "", 0, 0), "zone": lambda: Zone(""), "node": Node, "rules": api.ZoneRules,
+    "trust": Trust,
 }  # fmt: skip
-_KEPT_AS = {Zones: "zones", Zone: "zone", Node: "node", api.ZoneRules: "rules"}
+_KEPT_AS = {Zones: "zones", Zone: "zone", Node: "node", api.ZoneRules: "rules", Trust: "trust"}
 _WORDS = struct.Struct(">624I")  # the random generator's
 
 
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -299,12 +299,24 @@
     assert [type(action) for action in later] == [api.LetGo, api.Send]
 
 
+@pytest.mark.parametrize(("kept_ms", "trusted"), [(1200, True), (800, False)])
+def test_a_reset_costs_no_trust_where_longer_idle_ones_were_kept(kept_ms: int, trusted: bool) -> None:
+    """Guards against resets by chance: most requests of thin traffic would open a connection anew."""
+    balancer, host, now = used_once(kept_ms * MS)
+    for name, status in (("b", api.Status.OK), ("c", api.Status.RESET)):
+        balancer.handle(api.RequestArrived(name, "c", None, 2 * SECOND), now)
+        balancer.handle(api.AttemptEnded(name, 0, host, status, MS, False), now + MS)
+        now += SECOND
+    assert (balancer._trust.trust_ns == 60 * SECOND) is trusted
+    assert (balancer._hosts[host].health < 1.0) is trusted  # else its idle time is to blame
+
+
 def test_a_lone_time_out_does_not_cost_idle_connections_their_trust() -> None:
     """Guards against impatient clients and busy hosts: closing for them costs a handshake a request."""
     balancer, host, now = used_once(SECOND)
     balancer.handle(api.RequestArrived("b", "c", None, 100 * MS), now)
     balancer.handle(api.AttemptEnded("b", 0, host, api.Status.TIMEOUT, 100 * MS, False), now + 100 * MS)
-    assert balancer._trust_ns == 60 * SECOND
+    assert balancer._trust.trust_ns == 60 * SECOND
 
 
 def test_an_early_leaver_is_no_failure_of_the_host() -> None:
