One connect, one use to hold, and one way to put the collector of cycles off

Change: Stream.connect takes what prepares a socket; Balancer._use_to_hold serves both; lab/collection.py serves drills and experiments. A ban of a node not listed is wished for where the call says no. Behaviour stays.

--- a/brambleusher/lab/experiments/run.py
+++ b/brambleusher/lab/experiments/run.py
@@ -15,6 +15,7 @@
 
 from brambleusher.lab.checker.checker import Checker
 from brambleusher.lab.checker.rules import RULES, Rules
+from brambleusher.lab.collection import put_off
 from brambleusher.lab.experiments.direct import run_direct
 from brambleusher.lab.experiments.figures import MOST_EVENTS, Tally
 from brambleusher.lab.experiments.noting import noting
@@ -199,9 +200,7 @@
         return tally.result(ran, began_ns, (), off, {"fidelity": document})
     tally, executions = Tally(cell.figures.figures(span_s), cell.speed, span_s), list[Execution]()
     scheduler = Scheduler(RealSystem())
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(100_000, 50, 1000)
+    put_off()
     with tempfile.TemporaryDirectory(prefix="brambleusher-lab-") as folder:
         fleet = RealFleet(scheduler, cell.figures, Path(folder), executions=executions, seed=cell.seed)
         try:
--- a/brambleusher/lab/processes/drill.py
+++ b/brambleusher/lab/processes/drill.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import gc
 import math
 import tempfile
-from collections.abc import Iterable, Iterator
-from contextlib import contextmanager, nullcontext
+from collections.abc import Iterable
+from contextlib import nullcontext
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated, Any, Literal, cast
@@ -15,6 +14,7 @@
 import yaml
 
 from brambleusher.lab.checker import Breach, Checker, Rules
+from brambleusher.lab.collection import uncollected
 from brambleusher.lab.explore import Raised, listening
 from brambleusher.lab.faults import AnyFault, check_faults
 from brambleusher.lab.figures import Drawer, Ranges, WorldFigures, draw_world
@@ -246,24 +246,6 @@
     return outcome
 
 
-@contextmanager
-def uncollected() -> Iterator[None]:
-    """What there is now is left alone by the collector of cycles, and what comes is looked at rarely.
-
-    Guards against a rig that stands still: with thousands of relays one collection takes longer than an
-    answer may be late.
-    """
-    before = gc.get_threshold()
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(100_000, 50, 1000)
-    try:
-        yield
-    finally:
-        gc.set_threshold(*before)
-        gc.unfreeze()
-
-
 def _measure(stage: RealStage, fleet: RealFleet, outcome: Outcome) -> None:
     outcome.beat_p99_ms = _p99(stage.beats_late) * 1000
     outcome.once_late_ms = max(stage.beats_late, default=0.0) * 1000
--- a/brambleusher/lab/processes/relays.py
+++ b/brambleusher/lab/processes/relays.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import errno
-import os
 import select
 import socket
 from collections import Counter, deque
@@ -20,7 +19,7 @@
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Bell, Task, Timeout
 from brambleusher.runtime.streams import Stream
-from brambleusher.runtime.system import END_SENDING, WRITE, Address, Poller, Socket
+from brambleusher.runtime.system import END_SENDING, Address, Poller, Socket
 
 if TYPE_CHECKING:
     from brambleusher.lab.processes.stage import RealMachine, RealStage
@@ -216,23 +215,14 @@
             direction.tasks.append(task)
 
     def _connect(self) -> Stream:
-        system = self.stage.system
-        sock = system.connection()
+        """To its server, from its client's own address."""
+        deadline = self.scheduler.now() + CONNECT_SECONDS
+        return Stream.connect(self.scheduler, self.way.target, deadline, prepare=self._bind)
+
+    def _bind(self, sock: Socket) -> None:
         assert isinstance(sock, socket.socket)
-        stream = Stream(self.scheduler, sock)
-        try:
-            sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
-            sock.bind((self.way.client.ip, 0))
-            code = sock.connect_ex(self.way.target)
-            if code == errno.EINPROGRESS:
-                self.scheduler.park(self.scheduler.now() + CONNECT_SECONDS, sock, WRITE)
-                code = system.error_of(sock)
-            if code:
-                raise OSError(code, os.strerror(code))
-        except BaseException:
-            stream.close()
-            raise
-        return stream
+        sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
+        sock.bind((self.way.client.ip, 0))
 
     def accepted(self) -> None:
         """Its server is known to have it."""
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -121,7 +121,7 @@
 
         A process that was stopped, or is short of processor time, is behind for as long again as it was late.
         """
-        return self._late if self._late and self.now() < self._late_until else 0.0
+        return self._late if self.now() < self._late_until else 0.0
 
     def spawn(self, call: Callable[..., Any], *args: Any, name: str = "", urgent: bool = False) -> Task:
         """Start a task; it runs for the first time in the hub's next round.
@@ -295,8 +295,9 @@
             if timer.call is None:
                 self._shells -= 1
             else:
-                if now - due > LATE_SECONDS and now + (now - due) > self._late_until:
-                    self._late, self._late_until = now - due, now + (now - due)
+                late = now - due
+                if late > LATE_SECONDS and now + late > self._late_until:
+                    self._late, self._late_until = late, now + late
                 calls.append(timer.call)
                 timer.call = None
         for call in calls:
--- a/brambleusher/runtime/streams.py
+++ b/brambleusher/runtime/streams.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+from collections.abc import Callable
 
 from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
 from brambleusher.runtime.system import END_SENDING, PEEK, READ, WRITE, Address, Socket
@@ -36,12 +37,22 @@
 
     @classmethod
     def connect(
-        cls, scheduler: Scheduler, address: Address, deadline: float, bell: Bell | None = None
+        cls,
+        scheduler: Scheduler,
+        address: Address,
+        deadline: float,
+        bell: Bell | None = None,
+        prepare: Callable[[Socket], None] | None = None,
     ) -> Stream:
-        """A connection to `address`; raises `OSError`, `Timeout` at the deadline, `Called` at the bell."""
+        """A connection to `address`; raises `OSError`, `Timeout` at the deadline, `Called` at the bell.
+
+        `prepare` is called with the socket before it connects.
+        """
         sock = scheduler.system.connection()
         stream = cls(scheduler, sock)
         try:
+            if prepare is not None:
+                prepare(sock)
             code = sock.connect_ex(address)
             if code == errno.EINPROGRESS:
                 if scheduler.park(deadline, sock, WRITE, bell) == "bell":
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -418,9 +418,10 @@
 
     def offline(self, node: str) -> bool:
         """Leave an execute node out from now on; false for one never listed: from when it is."""
-        if not self.bans.knows(node):
-            self.bans.wish(node, self.clock.now_ns())
-        return self._said(node, self.bans.offline)
+        if self._said(node, self.bans.offline):
+            return True
+        self.bans.wish(node, self.clock.now_ns())
+        return False
 
     def online(self, node: str) -> bool:
         """Use it again from now on; false for one that was never listed."""
--- a/quillpass/balance.py
+++ b/quillpass/balance.py
@@ -338,6 +338,14 @@
         """The part of its spare that a host offers."""
         return 1.0 if host.local else self._remote
 
+    def _use_to_hold(self) -> float | None:
+        """The local use above which crossing pays; None where it has no price, or capacity is not known."""
+        price, capacity = self.settings.cross_zone_price, self._mean_capacity * self._size_rate
+        if price <= 0 or not capacity:
+            return None
+        late = math.log(1 / min(price, 0.99)) * (SECOND / capacity) / self._unit_ns
+        return min(max(1 - late, 0.2), 1 - RESERVE)
+
     def _steer_zones(self, gap: float) -> None:
         """How much of its spare a remote host may offer: what crossing costs against what it saves.
 
@@ -346,11 +354,10 @@
         """
         price = self.settings.cross_zone_price
         local = [host for host in self._turn.ring if host.local]
-        if not local or price <= 0 or not self._mean_capacity * self._size_rate:
+        hold = self._use_to_hold()
+        if not local or hold is None:
             self._remote = 1.0 if not local or price <= 0 else self._remote
             return
-        service = SECOND / (self._mean_capacity * self._size_rate)
-        hold = min(max(1 - math.log(1 / min(price, 0.99)) * service / self._unit_ns, 0.2), 1 - RESERVE)
         here, there = [0.0, 0.0], [0.0, 0.0]  # used and whole capacity
         for host in self._turn.ring:
             side, cap = here if host.local else there, host.capacity or 0.0
--- a/quillpass/zoned.py
+++ b/quillpass/zoned.py
@@ -118,11 +118,9 @@
 
         As `Balancer._steer_zones` has them, tier by tier in place of here and elsewhere.
         """
-        price = self.settings.cross_zone_price
-        if price <= 0 or not self._mean_capacity * self._size_rate:
+        price, hold = self.settings.cross_zone_price, self._use_to_hold()
+        if hold is None:
             return 1 - RESERVE, 1.0 if price <= 0 else 0.01
-        service = SECOND / (self._mean_capacity * self._size_rate)
-        hold = min(max(1 - math.log(1 / min(price, 0.99)) * service / self._unit_ns, 0.2), 1 - RESERVE)
         return hold, max(0.01, 1 - price * 20)
 
     def _loads(self, now: int) -> dict[str, Load]:
