--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -129,11 +129,19 @@
 
 
 def test_ctrl_c_ends_all_processes_with_one_line() -> None:
+    """As at a terminal, also where these tests were started in the background, with SIGINT ignored."""
     ignores = 1 << (signal.SIGINT - 1)
+    # An ignored signal stays so over an exec, and Python leaves it so.
+    call_explore = (
+        "import signal; signal.signal(signal.SIGINT, signal.default_int_handler)\n"
+        "from brambleusher.__main__ import main\n"
+        "raise SystemExit(main(['explore', '--seeds', '0:1000000', '--jobs', '2']))"
+    )
     with subprocess.Popen(
-        [sys.executable, "-m", "brambleusher", "explore", "--seeds", "0:1000000", "--jobs", "2"],
+        [sys.executable, "-c", call_explore],
         cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, start_new_session=True,
-    ) as run:  # fmt: skip
+    ) as run, contextlib.ExitStack() as at_end:  # fmt: skip
+        at_end.callback(os.killpg, run.pid, signal.SIGKILL)  # else `with` waits for it for good
         ready, rounds = 0, 0
         while ready < 2 and rounds < 3000 and run.poll() is None:
             with contextlib.suppress(subprocess.TimeoutExpired):  # the kernel tells nobody of a mask
@@ -143,6 +151,7 @@
             ready, rounds = sum(bool(int(mask.split()[0], 16) & ignores) for mask in masks), rounds + 1
         os.killpg(run.pid, signal.SIGINT)
         out, err = run.communicate(timeout=60)
+        at_end.pop_all()  # it has ended: its number may be another's
     assert ready == 2
     assert (run.returncode, out, err) == (130, "", "brambleusher: stopped\n")
 
