A node of a test counts a request before it breaks off, not after the sidecar's answer

The node's thread closed the connection first and counted after; the sidecar's 503 could be read in between (tests/test_bodies.py, Breaking.serve). Change: it counts, then closes; the twin that answers 503 likewise.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -298,14 +298,14 @@
         class Breaking(Node):
             def serve(self, sock: socket.socket) -> None:
                 sock.recv(65536)
+                self.left.put(1)  # before the sidecar can answer: what is counted after the answer is whole
                 sock.close()
-                self.left.put(1)
 
         class Turning(Breaking):
             def serve(self, sock: socket.socket) -> None:
                 sock.recv(65536)
-                answer(b"", "503 Service Unavailable", "Not-Started: 1")(sock, Message(("", ""), 1, {}))
                 self.left.put(1)
+                answer(b"", "503 Service Unavailable", "Not-Started: 1")(sock, Message(("", ""), 1, {}))
                 while sock.recv(65536):
                     pass
 
