Drills: sums over the fleet, memory and descriptors of real processes, each against its limit

Need: drills judged service and rules; what a fleet adds up to was seen in virtual time alone, and what a process takes nowhere (open in the drills' list).

Change: the sums go by the names of machines, since between real processes each pair has addresses of its own; one tap serves both worlds. lab/processes/watch.py looks at each process's resident memory and descriptors once a second, one after the other.

--- a/brambleusher/cli/lab.py
+++ b/brambleusher/cli/lab.py
@@ -118,9 +118,10 @@
 @click.option("--both", "where", flag_value="both", help="In both worlds, side by side.")
 @click.option("--logs", type=FILE, metavar="DIR", help="Keep the sidecars' files and logs here.")
 @click.option("--breakage", default="", metavar="NAME", help="Put a deliberate fault into every sidecar.")
-@click.option("--json", "as_json", is_flag=True, help="One line of JSON a play.")
+@click.option("--sums", is_flag=True, help="Print the sums over the fleet, memory and descriptors by second.")
+@click.option("--json", "as_json", is_flag=True, help="One line of JSON a play, its curves with it.")
 def drill_command(
-    drills: tuple[Path, ...], where: str, logs: Path | None, breakage: str, as_json: bool
+    drills: tuple[Path, ...], where: str, logs: Path | None, breakage: str, sums: bool, as_json: bool
 ) -> int:
     """One line a play; 1 if a drill failed, 2 if one can't be used, 3 if a rig was too late to tell."""
     from brambleusher.lab.processes.drill import DrillError, read_drill
@@ -131,4 +132,4 @@
     except DrillError as error:
         print(f"brambleusher: {error}", file=sys.stderr)
         return 2
-    return play_all(files, where, logs, breakage, as_json)
+    return play_all(files, where, logs, breakage, as_json, sums)
--- a/brambleusher/lab/checker/sums.py
+++ b/brambleusher/lab/checker/sums.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from brambleusher.lab.checker.books import Address, Execution, Named, Wire
+from brambleusher.lab.checker.books import Execution, Named, Wire
 from brambleusher.lab.checker.rules import Rules
 
 SECOND = 10**9
@@ -21,9 +21,9 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeLimits:
-    """One node: where it is, the connections it holds, what a handshake costs it in core seconds."""
+    """One node: its machine, the connections it holds, what a handshake costs it in core seconds."""
 
-    address: Address
+    machine: str
     connections: int
     handshake_s: float
 
@@ -35,6 +35,7 @@
     nodes: tuple[NodeLimits, ...]
     calls: float  # a second, that discovery can answer with the whole list
     rules: Rules
+    discovery: str = "discovery"  # its machine; those that it moves to have names that begin so
 
 
 @dataclass(slots=True)
@@ -64,18 +65,20 @@
 
 
 class Sums:
-    """One run's sums.  Times are nanoseconds on the world's monotonic clock."""
+    """One run's sums.  Times are nanoseconds on the world's monotonic clock.
 
-    def __init__(self, now: int, limits: FleetLimits, discovery_port: int) -> None:
+    Ends are told apart by their machines: between real processes each pair has addresses of its own.
+    """
+
+    def __init__(self, now: int, limits: FleetLimits) -> None:
         self._start, self._limits = now, limits
-        self._nodes = {node.address: node for node in limits.nodes}
-        self._discovery_port = discovery_port  # the same wherever discovery moves to
-        self._open: dict[int, Address] = {}  # connections that are up, by number
+        self._nodes = {node.machine: node for node in limits.nodes}
+        self._open: dict[int, str] = {}  # connections that are up, by number
         self._waiting: dict[int, str] = {}  # those with a request out: whose
-        self._held: Counter[Address] = Counter()
-        self._opens: Counter[tuple[int, Address]] = Counter()
+        self._held: Counter[str] = Counter()
+        self._opens: Counter[tuple[int, str]] = Counter()
         self._calls: Counter[int] = Counter()
-        self._failed: dict[Address, deque[tuple[int, str]]] = {}
+        self._failed: dict[str, deque[tuple[int, str]]] = {}
         self.opened_in_all = self.called_in_all = 0
         self.held = Curve("held", "connections at a node, of those it can hold", 1.0)
         self.all_held = Curve("held in all", "connections at all nodes", None)
@@ -96,8 +99,8 @@
 
     def opened(self, now: int, conn: Wire) -> None:
         """A connection is asked for: at a node it costs a handshake, at discovery it is a call."""
-        step, target = self._step(now), (conn.server.ip, conn.server.port)
-        if conn.server.port == self._discovery_port:
+        step, target = self._step(now), conn.server.machine
+        if target.startswith(self._limits.discovery):
             self.called_in_all += 1
             self._calls[step] += 1
             self.calls.raise_to(step, self._calls[step])
@@ -108,7 +111,7 @@
 
     def established(self, now: int, conn: Wire) -> None:
         """It is up, and holds a place."""
-        target = conn.server.ip, conn.server.port
+        target = conn.server.machine
         if (node := self._nodes.get(target)) is None or conn.id in self._open:
             return
         self._open[conn.id] = target
@@ -179,24 +182,33 @@
 
     def passed(self) -> list[str]:
         """The limits that were passed, in words, with the second in which most was."""
-        return [
-            f"{curve.name}: {curve.most:.3g} of at most {curve.limit:.3g} at {_at(curve)} s: {curve.what}"
-            for curve in self.curves
-            if curve.passed
-        ]
+        return passed(self.curves)
 
     def table(self) -> list[str]:
         """A line a second, and one of limits."""
-        head = "  s " + "".join(f"{curve.name:>13}" for curve in self.curves)
-        lines = [head]
-        for step in range(max((len(curve.values) for curve in self.curves), default=0)):
-            cells = (curve.values[step] if step < len(curve.values) else 0.0 for curve in self.curves)
-            lines.append(f"{step:3d} " + "".join(f"{value:13.3g}" for value in cells))
-        told = ("-" if curve.limit is None else f"{curve.limit:.3g}" for curve in self.curves)
-        lines.append("most" + "".join(f"{curve.most:13.3g}" for curve in self.curves))
-        lines.append("lim." + "".join(f"{limit:>13}" for limit in told))
-        lines.append(f"{self.opened_in_all} connections opened, {self.called_in_all} calls for the list")
-        return lines
+        told = f"{self.opened_in_all} connections opened, {self.called_in_all} calls for the list"
+        return [*table(self.curves), told]
+
+
+def passed(curves: Sequence[Curve]) -> list[str]:
+    """The limits that curves pass, in words, with the second in which most was."""
+    return [
+        f"{curve.name}: {curve.most:.3g} of at most {curve.limit:.3g} at {_at(curve)} s: {curve.what}"
+        for curve in curves
+        if curve.passed
+    ]
+
+
+def table(curves: Sequence[Curve]) -> list[str]:
+    """A line a second, then the most and the limits."""
+    lines = ["  s " + "".join(f"{curve.name:>13}" for curve in curves)]
+    for step in range(max((len(curve.values) for curve in curves), default=0)):
+        cells = (curve.values[step] if step < len(curve.values) else 0.0 for curve in curves)
+        lines.append(f"{step:3d} " + "".join(f"{value:13.3g}" for value in cells))
+    told = ("-" if curve.limit is None else f"{curve.limit:.3g}" for curve in curves)
+    lines.append("most" + "".join(f"{curve.most:13.3g}" for curve in curves))
+    lines.append("lim." + "".join(f"{limit:>13}" for limit in told))
+    return lines
 
 
 def _at(curve: Curve) -> int:
--- a/brambleusher/lab/explore.py
+++ b/brambleusher/lab/explore.py
@@ -20,8 +20,7 @@
 
 from brambleusher.lab.checker import Breach, Checker, Rules
 from brambleusher.lab.checker.sums import FleetLimits, NodeLimits, Sums
-from brambleusher.lab.figures import DISCOVERY_PORT
-from brambleusher.lab.fleet import Fleet, node_address, world_of
+from brambleusher.lab.fleet import Fleet, node_machine, world_of
 from brambleusher.lab.network import Connection
 from brambleusher.lab.scenario import Scenario
 from brambleusher.lab.world import Machine, ProcessLog, Tap, World
@@ -247,7 +246,7 @@
         world.taps += [cast(Tap, checker), digest, fallen]
         books: Sums | None = None
         if sums:
-            books = Sums(world.now_ns, fleet_limits(scenario, rules), DISCOVERY_PORT)
+            books = Sums(world.now_ns, fleet_limits(scenario, rules))
             world.taps.append(cast(Tap, books))
         handlers: list[logging.Handler] = [raised]
         line: TimeLine | None = None
@@ -300,7 +299,7 @@
     """What a scenario's world sets to the sums over its fleet."""
     world, discovery = scenario.world, scenario.world.discovery
     nodes = (
-        NodeLimits(node_address(number), node.settings.connections, node.settings.handshake_work_s)
+        NodeLimits(node_machine(number), node.settings.connections, node.settings.handshake_work_s)
         for number, node in enumerate(world.nodes)
     )
     whole_s = discovery.call_s + discovery.line_s * sum(not node.spare for node in world.nodes)
--- a/brambleusher/lab/fleet.py
+++ b/brambleusher/lab/fleet.py
@@ -124,6 +124,11 @@
     return f"10.1.0.{number + 1}", NODE_PORT
 
 
+def node_machine(number: int) -> str:
+    """The name of the machine that it stands on."""
+    return f"node {number}"
+
+
 def pace_of(world: WorldFigures) -> Pace | None:
     """How a sidecar's process gets on with its part of a core; None where that is plenty."""
     processor = world.processor
@@ -621,7 +626,7 @@
         figures = scenario.world
         self.discovery = DiscoveryPlace(self)
         self.places = [
-            NodePlace(self, node, self.world.machine(f"node {number}", node_address(number)[0]))
+            NodePlace(self, node, self.world.machine(node_machine(number), node_address(number)[0]))
             for number, node in enumerate(figures.nodes)
         ]
         self.sidecars = [self.new_sidecar(number, sidecar) for number, sidecar in enumerate(figures.sidecars)]
--- a/brambleusher/lab/processes/drill.py
+++ b/brambleusher/lab/processes/drill.py
@@ -14,14 +14,16 @@
 import yaml
 
 from brambleusher.lab.checker import Breach, Checker, Rules
+from brambleusher.lab.checker.sums import Curve, Sums, passed
 from brambleusher.lab.collection import uncollected
-from brambleusher.lab.explore import Raised, listening
+from brambleusher.lab.explore import Raised, fleet_limits, listening
 from brambleusher.lab.faults import AnyFault, check_faults
 from brambleusher.lab.figures import Drawer, Ranges, WorldFigures, draw_world
 from brambleusher.lab.fleet import AnyFleet, Fleet, world_of
 from brambleusher.lab.processes.breakages import on
 from brambleusher.lab.processes.fleet import PairAudience, RealFleet, raise_limit
 from brambleusher.lab.processes.stage import RealStage
+from brambleusher.lab.processes.watch import Watch
 from brambleusher.lab.scenario import Scenario
 from brambleusher.lab.stand_ins.settings import Ask, Part, Positive, Seconds, Settings
 from brambleusher.lab.world import Tap
@@ -50,6 +52,9 @@
     served: Part = 0.0  # of all that was asked, at least
     refused: Part = 1.0  # of all tries, at most
     well_s: Seconds = 1e9  # after the last fault, by when every second is served well
+    limits: bool = (
+        True  # no sum over the fleet passes its limit, nor a sidecar's memory or descriptors theirs
+    )
 
 
 class Drill(Settings, frozen=True):
@@ -173,6 +178,8 @@
     sidecar_mb: float = 0.0  # the largest
     opened: int = 0  # connections in all
     wall_s: float = 0.0
+    begins_s: float = 0.0  # from the start of the curves to the first request that may come
+    curves: tuple[Curve, ...] = ()  # sums over the fleet, and what processes take, second by second
 
     @property
     def verdict(self) -> str:
@@ -206,11 +213,15 @@
         checker = Checker(rules, fleet.executions)
         fleet.audience = checker
         raised = Raised(world)
-        world.taps.append(cast(Tap, checker))
+        sums = Sums(world.now_ns, fleet_limits(scenario, rules))
+        world.taps += [cast(Tap, checker), cast(Tap, sums)]
         world.step_done.append(lambda: checker.step(world.now_ns))
+        begun = world.now_ns
         with listening([raised]):
             ends = fleet.play()
         checker.finish(world.now_ns, [text for end in ends for text in end.left_over()])
+        sums.finish(fleet.executions)
+        outcome.curves, outcome.begins_s = sums.curves, (fleet.begins_ns - begun) / SECOND
         _judge(drill, fleet, checker, outcome)
         outcome.breaches += raised.breaches
     return outcome
@@ -228,7 +239,8 @@
         fleet = RealFleet(scenario, stage, breakage=breakage)
         checker = Checker(rules, fleet.executions)
         fleet.audience = cast(Any, PairAudience(fleet, checker))
-        stage.taps.append(checker)
+        sums, watch, made = Sums(stage.now_ns, fleet_limits(scenario, rules)), Watch(fleet), stage.now_ns
+        stage.taps += [checker, sums]
         stage.step_done.append(lambda: checker.step(stage.now_ns))
         fleet.start()
         with uncollected():
@@ -237,6 +249,9 @@
             stage.end_measure(begun)
         ends = fleet.quiesce()
         checker.finish(stage.now_ns, [text for end in ends for text in end.left_over()])
+        sums.finish(fleet.executions)
+        outcome.curves = (*sums.curves, *watch.curves)
+        outcome.begins_s = (fleet.begins_ns - made) / SECOND
         _judge(drill, fleet, checker, outcome)
         _measure(stage, fleet, outcome)
     finally:
@@ -301,6 +316,8 @@
         outcome.missed.append(f"refused {outcome.refused:.3f} of tries, at most {expect.refused:g} expected")
     if outcome.well_s > expect.well_s:
         outcome.missed.append(f"well {outcome.well_s:g} s after the last fault, {expect.well_s:g} s expected")
+    if expect.limits:
+        outcome.missed += [f"limit passed: {text}" for text in passed(outcome.curves)]
 
 
 def _well_after(windows: Iterable[tuple[int, int]], over_s: float) -> float:
--- a/brambleusher/lab/processes/fleet.py
+++ b/brambleusher/lab/processes/fleet.py
@@ -28,7 +28,7 @@
 ASK_SECONDS = 1.0
 LOOK_SECONDS = 0.03
 STANDARD = 3
-TICKS = os.sysconf("SC_CLK_TCK")
+TICKS, PAGE_BYTES = os.sysconf("SC_CLK_TCK"), os.sysconf("SC_PAGESIZE")
 END_SECONDS = 5.0
 LINGER_SECONDS = 0.5  # of submitters past their time, so that an answer that is late can be seen
 
@@ -105,6 +105,15 @@
         """Its log."""
         return self.log.read_bytes()
 
+    @property
+    def resident_mb(self) -> float:
+        """Memory that it has now; 0 once it has ended."""
+        try:
+            pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+        except (OSError, IndexError):
+            return 0.0
+        return pages * PAGE_BYTES / 2**20
+
     def look(self) -> None:
         """Note its memory and its processor time."""
         try:
--- a/brambleusher/lab/processes/told.py
+++ b/brambleusher/lab/processes/told.py
@@ -10,6 +10,7 @@
 from dataclasses import asdict
 from pathlib import Path
 
+from brambleusher.lab.checker.sums import table
 from brambleusher.lab.processes.breakages import ALL
 from brambleusher.lab.processes.drill import Drill, Outcome, Where, play
 
@@ -17,7 +18,12 @@
 
 
 def play_all(
-    files: Iterable[tuple[Path, Drill]], where: str, logs: Path | None, breakage: str, as_json: bool
+    files: Iterable[tuple[Path, Drill]],
+    where: str,
+    logs: Path | None,
+    breakage: str,
+    as_json: bool,
+    sums: bool = False,
 ) -> int:
     """Play them; the exit status: 1 if one failed, 3 if a rig was late, else 0."""
     if breakage and breakage not in ALL:
@@ -37,6 +43,8 @@
             outcome = play(drill, world, folder, breakage)
             verdicts.add(outcome.verdict)
             print(as_line(path, outcome) if as_json else row(path, outcome), flush=True)
+            if sums and not as_json:
+                print("\n".join(f"    {line}" for line in curves(outcome)), flush=True)
             if outcome.verdict != "ok":
                 tell(path, outcome, folder, breakage)
             elif folder is not None and logs is None:
@@ -64,6 +72,11 @@
     return f"{line} {out.relay_p99_ms:6.1f} ms {rig:5.2f} {out.sidecar_cpu_s:7.1f} s {out.sidecar_mb:4.0f}"
 
 
+def curves(out: Outcome) -> list[str]:
+    """Sums over the fleet and what processes take, a line a second."""
+    return [*table(out.curves), f"requests come from {out.begins_s:.1f} s on"]
+
+
 def as_line(path: Path, out: Outcome) -> str:
     """One play as JSON."""
     raw = asdict(out)
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -17,16 +17,16 @@
 from quillpass import Balancer, cold
 
 SECOND = 10**9
-NODE = NodeLimits(("10.1.0.1", 9000), 3, 0.001)
+NODE = NodeLimits("node 0", 3, 0.001)
 LIMITS = FleetLimits((NODE,), calls=2.0, rules=Rules({}))
 
 
-def link(number: int, port: int = 9000) -> Connection:
-    return Connection(number, End(f"n{number}", "10.0.0.1", 40000), End("s-1", "10.1.0.1", port), 0)
+def link(number: int, to: str = "node 0") -> Connection:
+    return Connection(number, End(f"n{number}", "10.0.0.1", 40000), End(to, "10.1.0.1", 9000), 0)
 
 
 def test_places_are_counted_while_they_are_held_and_failures_by_who_met_them() -> None:
-    sums = Sums(0, LIMITS, 8500)
+    sums = Sums(0, LIMITS)
     for number in range(4):
         sums.opened(1, link(number))
         sums.established(2, link(number))
@@ -46,11 +46,11 @@
 
 
 def test_calls_are_counted_by_the_second() -> None:
-    sums = Sums(0, LIMITS, 8500)
+    sums = Sums(0, LIMITS)
     for number in range(6):
-        sums.opened(number * SECOND // 2, link(number, 8500))
+        sums.opened(number * SECOND // 2, link(number, "discovery"))
     assert not sums.calls.passed
-    sums.opened(2 * SECOND, link(7, 8500))
+    sums.opened(2 * SECOND, link(7, "discovery 2"))
     assert sums.calls.most == 3
     assert sums.passed()
     assert sums.called_in_all == 7
