--- a/brambleusher/lab/processes/breakages.py
+++ b/brambleusher/lab/processes/breakages.py
@@ -11,6 +11,7 @@
 
 STOPPED_SECONDS = 0.5  # a round that was so late: the process had been stopped
 LOST_AT_ONCE = 3
+KEPT_BYTES = 4 * 2**20  # for each connection, by one that forgets to let go
 
 
 def _accept_blocks(patches: Patches) -> None:
@@ -40,6 +41,17 @@
     old = patches.set(RealSystem, "accept", accept)
 
 
+def _memory_kept(patches: Patches) -> None:
+    """Each connection leaves something behind: only a process of its own has memory to be looked at."""
+
+    def accept(self: RealSystem, listener: Socket) -> tuple[Socket, str]:
+        taken: tuple[Socket, str] = old(self, listener)
+        self.__dict__.setdefault("kept", []).append(bytearray(b"\1" * KEPT_BYTES))
+        return taken
+
+    old = patches.set(RealSystem, "accept", accept)
+
+
 def _unread_ones_served(patches: Patches) -> None:
     """A process that was stopped takes what has waited for it as if it had just come."""
     patches.set(Scheduler, "late", property(lambda self: 0.0))
@@ -57,6 +69,9 @@
         "lost-in-accept", "descriptors are lost at the first accept after a stop", ("left-over",),
         _lost_in_accept,
     ),
+    "memory-kept": Breakage(
+        "memory-kept", "4 MB are kept for each connection", (), _memory_kept
+    ),
 }  # fmt: skip
 ALL = {**BREAKAGES, **OWN}
 
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -29,6 +29,16 @@
     told = [*outcome.late, *outcome.missed, *map(str, outcome.breaches[:3])]
     assert outcome.verdict == "ok" and outcome.served > 0.8, "\n".join(told)
     assert outcome.asked > 80 and outcome.opened > 20
+    curves = {curve.name: curve for curve in outcome.curves}
+    assert 0 < curves["held"].most <= 1 and 0 < curves["descriptors"].most < 1
+    assert min(curves["MB"].values[2:-2]) > 10  # each second has been looked at
+
+
+def test_memory_that_only_grows_passes_its_limit() -> None:
+    """Nothing that is served tells of it: what is seen of processes from outside does."""
+    many = faults.BadClientsCome(at_s=0.3, for_s=1.5, what="silent", count=30)
+    outcome = play(small(many, sidecars=2), "processes", breakage="memory-kept")
+    assert [text for text in outcome.missed if text.startswith("limit passed: MB")], outcome.missed
 
 
 @pytest.mark.parametrize(
