A fleet told of another discovery goes over at moments of its own, not in one

Change: each goes over within min(fleet size / 50, a fifth of the time in which one must have asked) seconds, drawn; the old discovery is followed until then, a second SIGHUP before that counts alone.

Two tests fail without it.

--- a/brambleusher/lab/faults/breakages.py
+++ b/brambleusher/lab/faults/breakages.py
@@ -134,12 +134,12 @@
 
 @breakage("versions-kept", "a new discovery is asked for what follows the old one's version", "versions")
 def _versions_kept(patches: Patches) -> None:
-    def change_over(self: MachineList, feed: Feed) -> None:
+    def change_now(self: MachineList, feed: Feed) -> None:
         version = self._version
         old(self, feed)
         self._version = version
 
-    old = patches.set(MachineList, "change_over", change_over)
+    old = patches.set(MachineList, "_change_now", change_now)
 
 
 # --- what operators say ---------------------------------------------------------------------------
--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -22,7 +22,7 @@
     state_word,
 )
 from brambleusher.net.slices import Slices, decode_steps
-from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
+from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout, Timer
 
 __all__ = [
     "Feed", "ListError", "Machine", "MachineList", "MachineListUpdate", "decode_update", "state_of",
@@ -63,6 +63,7 @@
         self._version: int | None = None
         self._asked = Bell()
         self._task: Task | None = None
+        self._change: Timer | None = None  # to another discovery, at its moment
         self.on_step: Callable[[], None] = lambda: None  # told of each step of a long list
         self.watching = False
         self.fresh = False  # discovery has answered since the start
@@ -85,11 +86,20 @@
         if self._slices is not None and self._telling is None:
             self._telling = self._scheduler.spawn(self._tell, self._slices, name="list slices")
 
-    def change_over(self, feed: Feed) -> None:
-        """Follow another discovery from now on; the list held stays until the new one has told its own.
+    def change_over(self, feed: Feed, within: float = 0.0) -> None:
+        """Follow another discovery; the list held stays until the new one has told its own.
 
-        Its versions need not be those of the old one, so the whole list is asked for.
+        Guards against a fleet that is told of it in one moment and calls for the whole list in one: each
+        goes over at a moment of its own within so many seconds, and follows the old one until then.
         """
+        if self._change is not None:
+            self._change.cancel()
+        moment = self._scheduler.now() + self._rng.random() * within
+        self._change = self._scheduler.call_at(moment, lambda: self._change_now(feed))
+
+    def _change_now(self, feed: Feed) -> None:
+        """Its versions need not be those of the old one, so the whole list is asked for."""
+        self._change = None
         if self._task is not None:
             self._task.cancel()  # which ends its watch
         self._feed, self._version, self.watching = feed, None, False
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -53,6 +53,8 @@
 NODE_PART = 0.4  # of the descriptors: connections to execute nodes; the rest is for submitters
 STDERR = "stderr"
 LOG_BYTES = 64 * 1024  # of log lines that wait for standard error, where features write to it too
+LISTS_A_SECOND = 50.0  # that a discovery may answer where it is new to a whole fleet
+MOVE_PART = 0.2  # of the time in which one must have asked: by then a new discovery has been called
 READY_LOOK_SECONDS = 0.02  # between two looks at whether this process can take over
 READY_SECONDS = 1.0  # so long the sidecar waits for a fresh list before it serves with the one it had
 LEAST_PLACES = 32  # connections of one of several processes, however little memory there is
@@ -541,7 +543,9 @@
         )
         if moved:
             self.config = replace(self.config, discovery=config.discovery)
-            self.machine_list.change_over(HttpWatch(self.scheduler, config.discovery))
+            settings = self.config.settings
+            within = min(settings.fleet_size / LISTS_A_SECOND, settings.ask_within_ns / 1e9 * MOVE_PART)
+            self.machine_list.change_over(HttpWatch(self.scheduler, config.discovery), within)
 
     def _reload_zones(self) -> None:
         """Take the operator file's section on zones; a faulty file, checked whole, changes nothing."""
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -5,13 +5,16 @@
 import random
 from collections.abc import Generator
 from itertools import pairwise
-from typing import Any
+from typing import Any, cast
+from unittest import mock
 
 import orjson
 import pytest
 
+from brambleusher.counters import Counters
 from brambleusher.features.blocks import BLOCK, Blocks
 from brambleusher.net.entries import ListError, Machine, MachineListUpdate, decode_update
+from brambleusher.net.machine_list import MachineList
 from brambleusher.net.slices import Slices, decode_steps
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import BREATH_SECONDS, Scheduler
@@ -339,3 +342,49 @@
     other.gives_back(1.4, True)
     other.closed()
     assert not other.rests(1.5) and other.rests(200.0)
+
+
+class Moments:
+    """A scheduler's clock and timers, so far as a move to another discovery needs them."""
+
+    def __init__(self) -> None:
+        self.due: list[tuple[float, Any]] = []
+        self.spawned: list[str] = []
+
+    def now(self) -> float:
+        return 100.0
+
+    def call_at(self, when: float, call: Any) -> Any:
+        self.due.append((when, call))
+        return mock.Mock(cancel=lambda: self.due.pop())
+
+    def spawn(self, call: Any, *args: Any, name: str = "") -> Any:
+        self.spawned.append(name)
+        return mock.Mock()
+
+
+def test_a_fleet_goes_over_to_another_discovery_at_moments_of_its_own() -> None:
+    """Guards against hundreds of calls for the whole list in the moment in which all are told of the move."""
+    moments = Moments()
+
+    def old(version: int | None) -> Generator[bytes, None, None]:
+        yield from ()
+
+    def new(version: int | None) -> Generator[bytes, None, None]:
+        yield from ()
+
+    lists = [
+        MachineList(cast(Any, moments), old, random.Random(seed), Counters(), lambda _: None, lambda: None)
+        for seed in range(40)
+    ]
+    for each in lists:
+        each.change_over(old, 2.0)
+        each.change_over(new, 2.0)  # told again before its moment: the last one counts
+    assert len(moments.due) == 40 and not moments.spawned
+    whens = [when - 100 for when, _ in moments.due]
+    assert all(0 <= when < 2 for when in whens)
+    assert all(sum(part <= 2 * when < part + 1 for when in whens) >= 4 for part in range(4))
+    for _, call in moments.due:
+        call()
+    assert moments.spawned == ["machine list"] * 40
+    assert all(each._feed is new for each in lists)
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -14,6 +14,7 @@
 from brambleusher.lab.virtual.mass import DAYS, draw_mass
 from brambleusher.lab.virtual.network import Connection, End
 from brambleusher.net.execute_nodes import ExecuteNodes
+from brambleusher.net.machine_list import MachineList
 from quillpass import Balancer, cold
 
 SECOND = 10**9
@@ -64,7 +65,7 @@
 def whole() -> dict[str, Sums]:
     """The sums of the program as it is."""
     found = {}
-    for day in ("mass-calm", "mass-join"):
+    for day in ("mass-calm", "mass-join", "mass-roll"):
         result = play(small(day), sums=True)
         assert result.sums is not None
         assert result.rules == []
@@ -134,3 +135,16 @@
     sums = play(small(day), sums=True).sums
     assert sums is not None
     assert getattr(sums, curve).most > times * getattr(whole[day], curve).most
+
+
+def test_a_fleet_that_is_told_of_another_discovery_does_not_call_it_in_one_moment(
+    whole: dict[str, Sums], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    old = MachineList.change_over
+    monkeypatch.setattr(MachineList, "change_over", lambda self, feed, within: old(self, feed, 0.0))
+    at_once = play(small("mass-roll"), sums=True).sums
+    assert at_once is not None
+    spread, calls = whole["mass-roll"].calls.values, at_once.calls.values
+    moved = max(range(len(calls)), key=lambda second: calls[second] - spread[second])
+    assert calls[moved] > 1.5 * spread[moved] > 0
+    assert whole["mass-roll"].called_in_all <= at_once.called_in_all  # and it costs no call more
