--- a/brambleusher/lab/processes/drill.py
+++ b/brambleusher/lab/processes/drill.py
@@ -52,9 +52,7 @@
     served: Part = 0.0  # of all that was asked, at least
     refused: Part = 1.0  # of all tries, at most
     well_s: Seconds = 1e9  # after the last fault, by when every second is served well
-    limits: bool = (
-        True  # no sum over the fleet passes its limit, nor a sidecar's memory or descriptors theirs
-    )
+    limits: bool = True  # no sum over the fleet passes its limit, nor does what a process takes
 
 
 class Drill(Settings, frozen=True):
--- a/brambleusher/lab/processes/watch.py
+++ b/brambleusher/lab/processes/watch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from brambleusher.lab.checker.sums import SECOND, Curve
 from brambleusher.lab.processes.fleet import RealFleet, RealSidecarPlace, SidecarProcess
 
@@ -14,10 +16,11 @@
     def __init__(self, fleet: RealFleet) -> None:
         self._stage, self._start = fleet.stage, fleet.stage.now_ns
         places = fleet.real_places
-        self.memory = Curve("MB", "resident memory of the largest sidecar", min(_memory_of(places)))
+        least_mb = float(min(place.figures.memory_mb for place in places))
+        self.memory = Curve("MB", "resident memory of the largest sidecar", least_mb)
         self.descriptors = Curve("descriptors", "of those that a sidecar may open, at the fullest", 1.0)
         for number, place in enumerate(places):
-            self._stage.after(number * LOOK_NS // len(places), lambda place=place: self._look(place))  # type: ignore[misc]
+            self._stage.after(number * LOOK_NS // len(places), partial(self._look, place))
 
     @property
     def curves(self) -> tuple[Curve, ...]:
@@ -30,8 +33,4 @@
             step = (self._stage.now_ns - self._start) // SECOND
             self.memory.raise_to(step, process.resident_mb)
             self.descriptors.raise_to(step, process.descriptors / place.figures.sockets)
-        self._stage.after(LOOK_NS, lambda: self._look(place))
-
-
-def _memory_of(places: list[RealSidecarPlace]) -> list[float]:
-    return [float(place.figures.memory_mb) for place in places]
+        self._stage.after(LOOK_NS, partial(self._look, place))
