Requests that cross a close or a leaving client: half-close, a look before each attempt

Seen by reading, then forced on real sockets with hooks right before the calls that cross (tests/crossing.py). Ruled out: a client that leaves in the very moment of a refusal was seen already (its test passes without the mend and stays as a guard).

Now: connections end by half-close, with what crosses read and not served; the listener stays open until no connection has come for 50 ms (0.65 s after SIGTERM at most); a client is looked at right before the first byte of each attempt and before each refusal, floods included; what has come already is answered before its connection ends.

--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -412,6 +412,7 @@
         ended: Callable[[Outcome], None],
         begun: Callable[[object], None],
         passing: Callable[[bool], None] | None = None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Claim:
         """Start a claim; `ended` is called once, whatever happens, and `begun` before it where the answer
         goes on or the session holds the connection."""
@@ -428,7 +429,7 @@
                     status = Status.FULL
                 else:
                     node.claims[claim] = None
-                    status, reply, left = self._attempt(node, claim, payload, limit, ended, start)
+                    status, reply, left = self._attempt(node, claim, payload, limit, ended, start, wanted)
             except Exception:
                 # Guards against a claim without an end: its request would wait until the deadline.
                 self._counters.add("faults")
@@ -455,6 +456,7 @@
         limit: float,
         ended: Callable[[Outcome], None],
         start: float,
+        wanted: Callable[[], bool],
     ) -> tuple[Status, Reply | None, bool]:
         """How it ended, with what answer; whether the claim is now in the session's hands."""
         conn: Conn | None = None
@@ -468,7 +470,8 @@
             data, relay = self._worded(conn, work, claim, limit)
             work.conn = conn
             claim.check()
-            if limit - self._scheduler.now() < 0.001:  # guards against work begun for what is over
+            # Guards against work begun for what is over.
+            if limit - self._scheduler.now() < 0.001 or not wanted():
                 self.give_back(conn)
                 return Status.MOOT, None, False
             self._counters.add("claims_sent")
--- a/brambleusher/lab/processes/breakages.py
+++ b/brambleusher/lab/processes/breakages.py
@@ -5,6 +5,7 @@
 from contextlib import AbstractContextManager
 
 from brambleusher.lab.faults.breakages import BREAKAGES, Breakage, Patches
+from brambleusher.net.presence import ClientPresence
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Socket
@@ -53,8 +54,12 @@
 
 
 def _unread_ones_served(patches: Patches) -> None:
-    """A process that was stopped takes what has waited for it as if it had just come."""
+    """A process that was stopped takes what has waited for it as if it had just come.
+
+    Two guards are taken out: the look at requests found late, and that before each attempt.
+    """
     patches.set(Scheduler, "late", property(lambda self: 0.0))
+    patches.set(ClientPresence, "look", lambda self: False)
 
 
 OWN = {
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -225,12 +225,14 @@
         ended: Callable[[Outcome], None],
         begun: Callable[[object], None] | None = None,
         passing: Callable[[bool], None] = lambda whole: None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Claim:
         """Start a claim; `ended` is called once, whatever happens.
 
         It is told of an answer that is not held when its first bytes have come: the payload's `rest` is a
         `Tail` then, and whoever takes it closes it.  `passing` is told when a body begins to pass on, and
-        when it is whole.  `begun` is never called: what it would say, `ended` does.
+        when it is whole.  `begun` is never called: what it would say, `ended` does.  `wanted` is asked right
+        before the first byte is sent; where it says no, nothing is.
         """
         if not isinstance(payload, Message):
             raise TypeError("execute nodes are spoken to in HTTP alone")
@@ -251,7 +253,7 @@
                     outcome = Status.FULL, None, None
                 else:
                     node.claims[claim] = None
-                    outcome = self._attempt(node, claim, payload, limit, tell, passing)
+                    outcome = self._attempt(node, claim, payload, limit, tell, passing, wanted)
             except Exception:
                 # Guards against a claim without an end: its request would wait until the deadline.
                 self._counters.add("faults")
@@ -273,6 +275,7 @@
         deadline: float,
         tell: Callable[[Status, LoadReport | None, Message | None], None],
         passing: Callable[[bool], None],
+        wanted: Callable[[], bool],
     ) -> Ended | None:
         """How it ended; None where that was told already and the rest of its answer has passed on."""
         keep, stream = False, None
@@ -289,7 +292,7 @@
             if claim.why is not None:
                 return self._called_off(claim), None, None
             left_ms = int((deadline - self._scheduler.now()) * 1000) if upload is None else upload.wait_ms
-            if left_ms < 1:  # guards against work begun for a request that is over
+            if left_ms < 1 or not wanted():  # guards against work begun for a request that is over
                 return Status.MOOT, None, None
             self._counters.add("claims_sent")
             claim.sending = True
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -34,11 +35,12 @@
     write_response,
 )
 from brambleusher.net.passing import Passing, end_to_end
+from brambleusher.net.presence import ClientPresence
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import SHORT_OF_ROOM, Socket
 from brambleusher.tally import FAILED, REFUSED, SERVED, Tally
-from quillpass.api import Effect, Refuse, Status
+from quillpass.api import Effect, Fail, Refuse, Status
 from quillpass.places import FRESH_SECONDS, Places
 from quillpass.upkeep import Service
 
@@ -55,6 +57,10 @@
 ANSWER_MARGIN_NS = 10_000_000
 GUARD_SECONDS = 0.005  # past that moment: the module had its chance to answer
 
+# Both end 0.7 s after SIGTERM at the latest: what comes later may be cut off unanswered.
+LAST_CONNECTS_SECONDS = 0.2  # that the listener stays open at the most once the sidecar winds down
+LAST_REQUESTS_SECONDS = 0.2  # that a request which is there when the one before it is answered is taken
+CONNECT_PAUSE_SECONDS = 0.05  # without a new connection that end it sooner
 LEAVE_LOOK_SECONDS = 0.05  # between two looks at connections that are to leave
 
 _ID = re.compile(r"[\x21-\x7e]{1,128}\Z")
@@ -93,6 +99,7 @@
     end: str = FAILED
     taken: bool = True  # its request came whole
     rest: Tail | None = None  # in place of `body`
+    last: bool = False  # its connection can't carry another request
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,12 +129,14 @@
         ended: Callable[[Outcome], None],
         begun: Callable[[object], None],
         passing: Callable[[bool], None],
+        wanted: Callable[[], bool],
         /,
     ) -> ClaimUnderWay:
         """Start a claim; `ended` is called once, whatever happens.
 
         `begun` may be called once before, with a payload: the answer is on its way out from then on.
         `passing` is told when the request's body begins to go out as it comes, and when that is whole.
+        `wanted` is asked right before the first byte is sent: where it says no, nothing is.
         """
 
 
@@ -151,16 +160,22 @@
         ticket, began_at = self._decisions.take(call), self._scheduler.now()
         claims: dict[int, ClaimUnderWay] = {}
         ticket.call_off = lambda attempt: claims[attempt].call_off() if attempt in claims else None
+
+        def wanted() -> bool:
+            return not submitter.has_left()
+
         try:
             while True:
                 # 1. Wait for the module's next step, a claim's end or the submitter's leaving.
                 while not ticket.steps:
                     if self._wait(ticket, deadline() + GUARD_SECONDS, submitter) and submitter.has_left():
-                        self._decisions.left(ticket)
-                        for claim in claims.values():
-                            claim.call_off()
+                        self._abandon(ticket, claims)
                         return None
                 step = ticket.steps.popleft()
+                if isinstance(step, MakeClaim | Refuse | Fail) and submitter.has_left():
+                    ticket.steps.appendleft(step)  # `close` tells the module that it is not made
+                    self._abandon(ticket, claims)
+                    return None
                 # 2. Make a claim.
                 if isinstance(step, MakeClaim):
 
@@ -176,7 +191,7 @@
                         self._decisions.body_passing(ticket, made.attempt, whole)
 
                     claims[step.attempt] = self._nodes.claim(
-                        step.node, call.payload, step.timeout_ns, deadline(), ended, begun, passing
+                        step.node, call.payload, step.timeout_ns, deadline(), ended, begun, passing, wanted
                     )
                 # 3. A claim has ended: the first that served answers the request.
                 elif isinstance(step, ClaimEnded):
@@ -210,6 +225,12 @@
         finally:
             self._decisions.close(ticket)
 
+    def _abandon(self, ticket: Ticket, claims: dict[int, ClaimUnderWay]) -> None:
+        """The client has left: nothing more is sent for it, and what is out is called off."""
+        self._decisions.left(ticket)
+        for claim in claims.values():
+            claim.call_off()
+
     def _wait(self, ticket: Ticket, deadline: float, submitter: Submitter) -> bool:
         """Wait for something to happen; true if the submitter is to be looked at."""
         try:
@@ -224,7 +245,7 @@
 class Connection:
     """One submitter's connection."""
 
-    __slots__ = ("accepted_at", "asked", "peer", "stream", "task", "waited")
+    __slots__ = ("accepted_at", "asked", "peer", "released", "stream", "task", "waited")
 
     def __init__(self, stream: Stream, peer: str) -> None:
         self.stream, self.peer = stream, peer
@@ -232,6 +253,7 @@
         self.accepted_at = stream.used_at
         self.waited = 0.0  # seconds that it may have been in the system's queue, with a request
         self.asked = False  # a request of it was answered
+        self.released = False  # its task serves it no more, and does not close it
 
 
 class Submitters:
@@ -263,7 +285,8 @@
         self._accepting: Task | None = None
         self._connections: set[Connection] = set()
         self._put_off_since: float | None = None  # accepts, while connections wait in the system's queue
-        self._closing = False
+        self._closing, self._closing_at = False, math.inf
+        self._accepted = 0  # connections, since the start
 
     # --- the listener ---------------------------------------------------------------------------
 
@@ -334,6 +357,7 @@
                 self._put_off()
             return True  # others concern the connection that was to be taken, and it is gone
         self._counters.add("connections_accepted")
+        self._accepted += 1
         connection = Connection(Stream(self._scheduler, sock), peer)
         if self._put_off_since is not None:
             # Guards against silent ones by the hundred that are held too long: each group let in after
@@ -367,12 +391,33 @@
         return closed
 
     def _close_idle(self, connection: Connection) -> None:
-        self._forget(connection)
-        if connection.task is not None:
-            connection.task.cancel()
+        """Close it now: its place is needed."""
+        self._release(connection)
+        self._connections.discard(connection)
         # Guards against a connection left open: a task called off before its first step closes nothing.
         connection.stream.close()
 
+    def _dismiss(self, connection: Connection) -> None:
+        """End its sending, and close it once its client has, so that no reset overtakes what was sent."""
+        self._release(connection)
+        self._scheduler.spawn(self._part_with, connection, name="part with client")
+
+    def _release(self, connection: Connection) -> None:
+        connection.released = True
+        self._places.closed(connection, self._scheduler.now())
+        if connection.task is not None:
+            connection.task.cancel()
+
+    def _part_with(self, connection: Connection) -> None:
+        """Half-close, and read for a bounded time what crossed that: it is not served, but asked for anew."""
+        try:
+            connection.stream.finish()
+        except OSError:
+            return
+        finally:
+            self._forget(connection)
+            connection.stream.close()
+
     def _forget(self, connection: Connection) -> None:
         self._connections.discard(connection)
         self._places.closed(connection, self._scheduler.now())
@@ -395,13 +440,18 @@
                 assert isinstance(connection, Connection)
                 since = connection.stream.used_at
                 if not self._service.may_rest(now, since, connection.asked) and connection.stream.quiet():
-                    self._close_idle(connection)
+                    self._dismiss(connection)
             self._scheduler.sleep(LEAVE_LOOK_SECONDS)
         self._leaving = None
 
     def wind_down(self) -> None:
-        """Take no new connection; close each one as soon as nothing is owed on it."""
-        self._closing = True
+        """Close each connection as soon as nothing is owed on it, then take no new ones; a task calls it."""
+        self._closing, self._closing_at = True, self._scheduler.now()
+        for connection in self._places.waiting():
+            assert isinstance(connection, Connection)
+            if connection.stream.quiet():
+                self._dismiss(connection)
+        self._await_last_connects()
         if self._accepting is not None:
             self._accepting.cancel()
         if self._listener is not None:
@@ -410,10 +460,19 @@
                     break
             self._listener.close()
             self._listener = None
-        for connection in self._places.waiting():
-            assert isinstance(connection, Connection)
-            if connection.stream.quiet():
-                self._close_idle(connection)
+
+    def _await_last_connects(self) -> None:
+        """Accept until no connection has come for a moment.
+
+        Guards against resetting what the system accepted between the last accept and the close of the
+        listener, and against clients whose request crossed the end of a resting connection: they connect
+        anew for it.
+        """
+        until = self._scheduler.now() + LAST_CONNECTS_SECONDS
+        came = -1
+        while came != self._accepted and self._scheduler.now() < until:
+            came = self._accepted
+            self._scheduler.sleep(CONNECT_PAUSE_SECONDS)
 
     # --- one connection -------------------------------------------------------------------------
 
@@ -423,15 +482,26 @@
         try:
             while self._exchange(connection, reader):
                 connection.asked = True
-                now = connection.stream.used_at = self._scheduler.now()
-                self._places.rests(connection, now)
-                if self._places.scarce(now):
-                    self._make_room()
+                self._rest(connection, reader)
+                if connection.released:
+                    return
+            if connection.stream.open and not connection.stream.finished:
+                connection.stream.finish()
         except (OSError, Timeout):
             return
         finally:
-            self._forget(connection)
-            connection.stream.close()
+            if not connection.released:
+                self._forget(connection)
+                connection.stream.close()
+
+    def _rest(self, connection: Connection, reader: MessageReader) -> None:
+        """An answer is out: its connection waits for the next request, unless that has come already."""
+        now = connection.stream.used_at = self._scheduler.now()
+        if reader.buffered:
+            return
+        self._places.rests(connection, now)
+        if self._places.scarce(now):
+            self._make_room()
 
     def _exchange(self, connection: Connection, reader: MessageReader) -> bool:
         """One request and its answer; false when the connection is to be closed."""
@@ -463,10 +533,8 @@
             reply = Reply(500, [], b"")
         if reply is None:
             return False
-        keep = keep and not self._closing and self._service.wanted and (upload is None or upload.done)
-        if keep and not self._places.may_stay(connection, self._scheduler.now()):
-            self._counters.add("submitters_told_to_close")
-            keep = False
+        keep = keep and not reply.last and (upload is None or upload.done)
+        keep = keep and self._may_stay(connection, reader)
         try:
             keep = self._write(stream, reply, keep, request.minor)
             if upload is not None and not upload.done:
@@ -477,6 +545,22 @@
             raise
         return keep
 
+    def _may_stay(self, connection: Connection, reader: MessageReader) -> bool:
+        """Whether a connection that is about to get its answer may have another request after it."""
+        now = self._scheduler.now()
+        ending = self._closing or not self._service.wanted
+        if not ending and self._places.may_stay(connection, now):
+            return True
+        if now < self._closing_at + LAST_REQUESTS_SECONDS and self._has_more(connection, reader):
+            return True  # what has come already is taken, and owed an answer
+        if not ending:
+            self._counters.add("submitters_told_to_close")
+        return False
+
+    @staticmethod
+    def _has_more(connection: Connection, reader: MessageReader) -> bool:
+        return reader.buffered > 0 or not connection.stream.quiet()
+
     def _write(self, stream: Stream, reply: Reply, keep: bool, minor: int) -> bool:
         """The answer to its last byte, with which its request ends; whether the connection may be kept."""
         try:
@@ -570,7 +654,9 @@
             except Timeout:
                 if reader.begun:
                     raise HttpError(408, "the request did not come whole in time") from None
-                return None
+                if connection.stream.quiet():
+                    return None
+                continue  # it came in the moment in which the wait ended
             if not data:
                 return None
             reader.feed(data)
@@ -619,23 +705,16 @@
         def deadline() -> float:
             return due if upload is None else upload.due
 
+        presence = ClientPresence(stream, reader)
+
         def watch() -> Socket | None:
-            if upload is not None and not upload.done:
-                return None  # the claim reads it
-            # One that sends ahead without end is not read further until its answer is out.
-            return stream.sock if reader.buffered < 2 * 64 * 1024 else None
+            # A body that passes on is read by its claim.
+            return presence.socket() if upload is None or upload.done else None
 
         def has_left() -> bool:
-            if upload is not None and upload.left:
-                return True
-            try:
-                data = stream.sock.recv(16 * 1024)
-            except BlockingIOError:
-                return False
-            except OSError:
-                return True
-            reader.feed(data)
-            return not data
+            if upload is not None and not upload.done:
+                return upload.left
+            return presence.look()
 
         if late and has_left():
             # Guards against work for nobody that takes the places of those who still wait: a process that
@@ -662,6 +741,7 @@
                 headers = self._rewrites.outward(headers, path, call.request_class)
             reply = Reply(status, headers, body, call.request_class, _ENDS[answer.kind])
             reply.taken = upload is None or upload.done
+            reply.last = presence.dropped > 0
             if isinstance(answer.payload, Message) and isinstance(answer.payload.rest, Tail):
                 reply.rest = answer.payload.rest
             return reply
--- a/brambleusher/runtime/streams.py
+++ b/brambleusher/runtime/streams.py
@@ -28,11 +28,12 @@
 class Stream:
     """One connection; a task at a time waits on it."""
 
-    __slots__ = ("open", "scheduler", "sock", "used_at")
+    __slots__ = ("finished", "open", "scheduler", "sock", "used_at")
 
     def __init__(self, scheduler: Scheduler, sock: Socket) -> None:
         self.scheduler, self.sock = scheduler, sock
         self.open = True
+        self.finished = False  # its sending side was ended
         self.used_at = scheduler.now()
 
     @classmethod
@@ -101,6 +102,7 @@
 
         Guards against a reset that overtakes the answer: closing with bytes unread sends one.
         """
+        self.finished = True
         self.sock.shutdown(END_SENDING)
         deadline, left = self.scheduler.now() + seconds, most
         try:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,6 +14,7 @@
 from brambleusher.config import parse_config
 from brambleusher.net.http import Message, MessageReader
 from brambleusher.operator_file import parse_operator_file
+from brambleusher.runtime.system import System
 from brambleusher.sidecar import Sidecar
 
 WAIT = 20.0  # a bound on what must come, not a time anything should take
@@ -148,7 +149,12 @@
     """A running sidecar."""
 
     def __init__(
-        self, servers: list[dict[str, Any]], operator: str = "", admin: bool = False, **limits: Any
+        self,
+        servers: list[dict[str, Any]],
+        operator: str = "",
+        admin: bool = False,
+        system: System | None = None,
+        **limits: Any,
     ) -> None:
         self.discovery = Discovery(servers)
         settings = {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
@@ -162,7 +168,7 @@
 
         def run() -> None:
             config = parse_config(json.dumps(self.config).encode(), {})
-            sidecar = Sidecar(config, operator=parse_operator_file(operator.encode()))
+            sidecar = Sidecar(config, operator=parse_operator_file(operator.encode()), system=system)
             up.put((sidecar, sidecar.start()))
             sidecar.run()
             sidecar.close()
--- /dev/null
+++ b/tests/test_crossings_client.py
@@ -0,0 +1,249 @@
+"""Events that cross on a client's connection, forced on real sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import queue
+import socket
+import threading
+import time
+import unittest
+from unittest import mock
+
+from brambleusher.net import submitters
+from brambleusher.net.http import Message, MessageReader
+from tests.crossing import HookedSystem, held_still
+from tests.rig import WAIT, Node, Rig, Script, answer, read
+
+NOT_STARTED = answer(b"", "503 Service Unavailable", "Not-Started: 1")
+
+
+def request(name: str, *headers: str, cls: str = "look") -> bytes:
+    lines = [
+        f"GET /{cls}?q=1 HTTP/1.1", "Host: api.internal", f"Request-Id: {name}",
+        f"Request-Class: {cls}", "Request-Timeout-Ms: 5000", *headers,
+    ]  # fmt: skip
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def drain(sock: socket.socket) -> bytes:
+    """All that comes up to the connection's end."""
+    got = bytearray()
+    while data := sock.recv(65536):
+        got += data
+    return bytes(got)
+
+
+def answers(data: bytes) -> list[Message]:
+    reader, found = MessageReader.responses(), []
+    reader.feed(data)
+    while (message := reader.take()) is not None:
+        found.append(message)
+    assert not reader.begun, "a part of an answer"
+    return found
+
+
+class Holding(Node):
+    """A node that answers when a test says so."""
+
+    def __init__(self) -> None:
+        self.held: queue.Queue[tuple[socket.socket, Message]] = queue.Queue()
+        super().__init__(lambda sock, request: self.held.put((sock, request)))
+
+    def let_go(self, script: Script) -> None:
+        sock, message = self.held.get(timeout=WAIT)
+        script(sock, message)
+
+
+class Case(unittest.TestCase):
+    def setUp(self) -> None:
+        self.system = HookedSystem()
+        self.hooks = self.system.hooks
+
+    def holding(self) -> Holding:
+        node = Holding()
+        self.addCleanup(node.close)
+        return node
+
+    def rig(self, *nodes: Node) -> Rig:
+        rig = Rig([node.entry(f"h{at}") for at, node in enumerate(nodes)], system=self.system)
+        self.addCleanup(rig.end)
+        return rig
+
+    def connect(self, rig: Rig, receive_bytes: int = 0) -> socket.socket:
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        if receive_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        sock.settimeout(WAIT)
+        sock.connect(rig.address)
+        return sock
+
+    def counted(self, rig: Rig, name: str, count: int = 1) -> None:
+        until = time.monotonic() + WAIT
+        while rig.sidecar.counters.count(name) < count:
+            self.assertLess(time.monotonic(), until, f"{name} stays under {count}")
+            time.sleep(0.002)
+
+
+class Closes(Case):
+    def test_an_answer_is_whole_where_its_client_sent_more_before_the_close(self) -> None:
+        """Guards against a reset, sent by a close over unread bytes, that overtakes the answer."""
+        node = self.holding()
+        rig = self.rig(node)
+        sock = self.connect(rig, receive_bytes=4096)
+        sock.sendall(request("r1", "Connection: close"))
+        body = bytes(range(256)) * 224
+        held = node.held.get(timeout=WAIT)
+        # The bytes arrive right before the sidecar shuts or closes the connection.
+        self.hooks.before("client", "shutdown", "close", do=lambda: sock.sendall(b"x" * 1000))
+        answer(body)(*held)
+        self.counted(rig, "answers_served")
+        until = time.monotonic() + WAIT
+        while rig.sidecar.submitters.connections:
+            self.assertLess(time.monotonic(), until)
+            time.sleep(0.002)
+        (got,) = answers(drain(sock))
+        self.assertEqual((got.status, got.body), (200, body))
+
+    def test_a_request_that_crosses_the_end_of_a_resting_connection_is_not_sent_on(self) -> None:
+        node = Node(answer(b"yes"))
+        self.addCleanup(node.close)
+        rig = self.rig(node)
+        sock = self.connect(rig)
+        sock.sendall(request("r1"))
+        self.assertEqual(read(sock).status, 200)
+        anew: queue.Queue[Message] = queue.Queue()
+
+        def cross() -> None:
+            sock.sendall(request("r2"))
+            other = self.connect(rig)  # what a client does whose request crossed the end
+            other.sendall(request("r2b"))
+            threading.Thread(target=lambda: anew.put(read(other)), daemon=True).start()
+
+        self.hooks.before("client", "shutdown", "close", do=cross)
+        rig.sidecar.end()
+        self.assertEqual(drain(sock), b"", "an end, and no reset")
+        self.assertEqual(anew.get(timeout=WAIT).status, 200, "the listener is open a moment longer")
+        rig.thread.join(WAIT)
+        seen = [node.seen.get(timeout=WAIT)[0].headers["request-id"] for _ in range(node.seen.qsize())]
+        self.assertEqual(seen, ["r1", "r2b"])
+
+    def test_a_request_that_comes_as_the_wait_for_it_ends_is_served(self) -> None:
+        node = Node(answer(b"yes"))
+        self.addCleanup(node.close)
+        with mock.patch.object(submitters, "IDLE_SECONDS", 0.3):
+            rig = self.rig(node)
+            sock = self.connect(rig)
+            sock.sendall(request("r1"))
+            self.assertEqual(read(sock).status, 200)
+            rig.sidecar.scheduler.call_soon(lambda: self.send_at_the_end_of_the_wait(rig, sock))
+            self.assertEqual(read(sock).status, 200)
+
+    @staticmethod
+    def send_at_the_end_of_the_wait(rig: Rig, sock: socket.socket) -> None:
+        """Send when the timer of the wait has fired, before the task that waited runs."""
+        scheduler = rig.sidecar.scheduler
+        (connection,) = rig.sidecar.places.waiting()
+        assert isinstance(connection, submitters.Connection) and connection.task is not None
+        timer = connection.task.timer
+        (due,) = [when for when, _, each in scheduler._timers if each is timer]
+        scheduler.call_at(due, lambda: sock.sendall(request("r2")))
+
+    def test_what_was_sent_ahead_is_answered_while_the_sidecar_ends(self) -> None:
+        node = self.holding()
+        rig = self.rig(node)
+        sock = self.connect(rig)
+        sock.sendall(request("r1"))
+        held = node.held.get(timeout=WAIT)
+        wind_down = threading.Event()
+        real = rig.sidecar.submitters.wind_down
+
+        def winding_down() -> None:
+            wind_down.set()
+            real()
+
+        with mock.patch.object(rig.sidecar.submitters, "wind_down", winding_down):
+            rig.sidecar.end()
+            self.assertTrue(wind_down.wait(WAIT))
+        sock.sendall(request("r2"))
+        answer(b"one")(*held)
+        node.let_go(answer(b"two"))
+        self.assertEqual([message.body for message in answers(drain(sock))], [b"one", b"two"])
+
+    def test_a_connection_that_is_given_up_carries_no_further_request(self) -> None:
+        """Guards against a request read ahead that is sent on, and whose connection is closed already."""
+        node = self.holding()
+        rig = self.rig(node)
+        sock = self.connect(rig)
+        sock.sendall(request("r1"))
+        held = node.held.get(timeout=WAIT)
+        places = rig.sidecar.places
+        sock.sendall(request("r2"))
+        with (
+            mock.patch.object(places, "scarce", lambda now: True),
+            mock.patch.object(places, "surplus", lambda now: iter(places.waiting())),
+            mock.patch.object(places, "may_stay", lambda conn, now: True),
+        ):
+            answer(b"one")(*held)
+            first = MessageReader.responses()
+            while (message := first.take()) is None:
+                first.feed(sock.recv(65536))
+            self.assertEqual(message.body, b"one")
+            # Either it is answered, or it was never sent on.
+            with contextlib.suppress(queue.Empty):
+                node.let_go(answer(b"two"))
+                while (message := first.take()) is None:
+                    data = sock.recv(65536)
+                    self.assertTrue(data, "sent on, and then cut off")
+                    first.feed(data)
+                self.assertEqual(message.body, b"two")
+
+
+class Leaves(Case):
+    def test_nothing_is_sent_for_a_client_that_leaves_while_its_node_is_connected(self) -> None:
+        node = self.holding()
+        rig = self.rig(node)
+        sock = self.connect(rig)
+        self.hooks.before("upstream", "connected", do=sock.close)
+        sock.sendall(request("r1"))
+        self.counted(rig, "requests_gone")
+        self.assertEqual(self.hooks.made, [("upstream", "connected")])
+        rig.sidecar.end()
+        rig.thread.join(WAIT)
+        self.assertEqual(node.seen.qsize(), 0)
+
+    def test_a_flood_that_leaves_is_seen_to_leave_and_gets_no_further_attempt(self) -> None:
+        nodes = [self.holding(), self.holding()]
+        rig = self.rig(*nodes)
+        sock = self.connect(rig)
+        sock.sendall(request("r1") + b"x" * 600_000)
+        sock.close()
+        self.counted(rig, "requests_gone")
+        for node in nodes:
+            with contextlib.suppress(queue.Empty, OSError):
+                NOT_STARTED(*node.held.get_nowait())
+        rig.sidecar.end()
+        rig.thread.join(WAIT)
+        self.assertLessEqual(sum(node.seen.qsize() for node in nodes), 1)
+
+    def test_a_client_that_left_in_the_moment_of_a_refusal_gets_no_further_attempt(self) -> None:
+        nodes = [self.holding(), self.holding()]
+        rig = self.rig(*nodes)
+        sock = self.connect(rig)
+        sock.sendall(request("r1"))
+        until = time.monotonic() + WAIT
+        while not (taken := [node for node in nodes if node.held.qsize()]):
+            self.assertLess(time.monotonic(), until)
+            time.sleep(0.002)
+        with held_still(rig):
+            taken[0].let_go(NOT_STARTED)
+            sock.close()
+        self.counted(rig, "requests_gone")
+        rig.sidecar.end()
+        rig.thread.join(WAIT)
+        self.assertEqual(sum(node.seen.qsize() for node in nodes), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
