Watch of the list: a trickle is silence, indented texts are read, waits leave time to be told

By reading alone: waits after calls that brought nothing grew to 3 s, on top of a call of up to 4 s; a watch of hours with heartbeats alone counted as one that brought nothing. Ruled out: silence before and after the head, in the middle of a line, an end in place of telling, a refusal, a node that a whole list leaves out, one back under its id, a version that goes back and an old discovery that still speaks were dealt with already.

--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/machine_list.py
@@ -23,6 +23,7 @@
 )
 from brambleusher.net.slices import Slices, decode_steps
 from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout, Timer
+from quillpass.backoff import Backoff
 
 __all__ = [
     "Feed", "ListError", "Machine", "MachineList", "MachineListUpdate", "decode_update", "state_of",
@@ -31,7 +32,6 @@
 
 log = logging.getLogger(__name__)
 
-BACKOFF_FIRST, BACKOFF_MOST = 0.1, 2.0
 SMALL, SLICE = 128, 40  # machines: told as they come; told at once of a longer list (0.3 ms)
 
 # Takes the version held (None for the whole list) and yields texts until the watch ends.
@@ -52,10 +52,15 @@
         on_update: Callable[[MachineListUpdate], None],
         on_broken: Callable[[], None],
         slices: bool = False,
+        sidecars: int = 1,
     ) -> None:
-        """With `slices`, a long list is told as updates of some machines each, drains and removals first."""
+        """`sidecars` of them call discovery.
+
+        With `slices`, a long list is told as updates of some machines each, drains and removals first.
+        """
         self._scheduler, self._feed, self._rng, self._counters = scheduler, feed, rng, counters
         self._on_update, self._on_broken = on_update, on_broken
+        self._sidecars = sidecars
         self._slices = Slices(SMALL, SLICE) if slices else None
         self._of = 0  # the version of the list that slices come of
         self._more = Bell()  # rings when something waits in `_slices`
@@ -109,15 +114,15 @@
     def _follow(self) -> None:
         """The task: watch after watch, with a pause after each that grows while they bring nothing."""
         self._scheduler.park(bell=self._asked)
-        pause = BACKOFF_FIRST
+        backoff = Backoff(self._sidecars, self._rng)
         while True:
-            before = self._counters.count("lists_taken")
-            self.watching = True
+            began, heard, self.watching = self._scheduler.now(), False, True
             try:
                 with closing(self._feed(self._version)) as texts:
                     for text in texts:
                         if text.strip():
                             self._take(text)
+                        heard = True
                 reason = "ended"
             except Exception as error:
                 # Guards against a discovery that talks nonsense ending the watch for good.
@@ -127,15 +132,9 @@
             self._counters.add("watches_broken")
             log.warning("watch broken", extra={"fields": {"reason": reason, "version": self._version}})
             self._on_broken()
-            pause = (
-                BACKOFF_FIRST
-                if self._counters.count("lists_taken") > before
-                else min(pause * 2, BACKOFF_MOST)
-            )
+            now = self._scheduler.now()
             try:
-                self._scheduler.park(
-                    self._scheduler.now() + pause * (0.5 + self._rng.random()), bell=self._asked
-                )
+                self._scheduler.park(now + backoff.pause(heard, now - began), bell=self._asked)
             except Timeout:
                 continue
 
--- a/brambleusher/net/watch.py
+++ b/brambleusher/net/watch.py
@@ -4,13 +4,16 @@
 
 from collections.abc import Generator, Iterator
 
+from brambleusher.net.bodies import LEAST_RATE
 from brambleusher.net.http import MessageReader, write_request
-from brambleusher.runtime.scheduler import Scheduler
+from brambleusher.net.texts import TextAssembler
+from brambleusher.runtime.scheduler import Scheduler, Timeout
 from brambleusher.runtime.streams import Stream
 
 CONNECT_SECONDS = 1.0
 ANSWER_SECONDS = 4.0  # a call may wait its turn for 3 s before discovery fails it
-SILENT_SECONDS = 3.0  # an empty line is due every 2 s; a watch that says nothing is dead
+SILENT_SECONDS = 3.0  # without a whole line: an empty one is due every 2 s; pieces of one are no sign of life
+TEXT_SECONDS = 1.0  # from the first line of an indented text to its last
 MAX_LINE = 6 * 1024 * 1024
 LONG_LINE = 64 * 1024  # past it, others run after each piece of one
 
@@ -46,7 +49,9 @@
             stream.close()
 
     def _lines(self, stream: Stream, reader: MessageReader) -> Iterator[bytes]:
-        pending = bytearray()
+        now = self._scheduler.now
+        pending, texts = bytearray(), TextAssembler()
+        heard_at = now()  # when the last whole line had been dealt with
         while True:
             part, done = reader.drain()
             looked = len(pending)
@@ -55,14 +60,23 @@
                 line = bytes(pending[:end])
                 del pending[: end + 1]
                 looked = 0
-                yield line
+                yield from texts.add(line)
+                heard_at = now()
             if done:
                 return
-            if len(pending) > MAX_LINE:
+            if len(pending) + texts.size > MAX_LINE:
                 raise WatchFailed("a line is too long")
             if len(pending) > LONG_LINE:
                 self._scheduler.breathe()
-            data = stream.receive(self._scheduler.now() + SILENT_SECONDS)
+            patience = TEXT_SECONDS if texts.incomplete else SILENT_SECONDS
+            # Guards against a watch that trickles: a long line has as much longer as its bytes take.
+            try:
+                data = stream.receive(heard_at + patience + len(pending) / LEAST_RATE)
+            except Timeout:
+                if not texts.incomplete:
+                    raise
+                yield texts.give_up()
+                raise
             if not data:
                 raise WatchFailed("the watch was cut")
             reader.feed(data)
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -145,6 +145,7 @@
             self._listed,
             lambda: self.decisions.listed(ListKind.FAILED, ()),
             slices=True,
+            sidecars=config.settings.fleet_size,
         )
         self.decisions.on_let_go = self._let_go
         self.decisions.on_subscribe = self.machine_list.ask
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -154,9 +154,10 @@
         operator: str = "",
         admin: bool = False,
         system: System | None = None,
+        discovery: Discovery | None = None,
         **limits: Any,
     ) -> None:
-        self.discovery = Discovery(servers)
+        self.discovery = discovery or Discovery(servers)
         settings = {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
         self.config = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "2a",
