Connections to nodes rest for 20 ms between requests: a late second answer reaches no other

Seen by reading: an answer with a second one some milliseconds behind it left a connection that was used again at once, and the second answer was taken for that of the next request. The test holds both answers by hand; with the program as it was the client of the second request got the first one's (`stale` in place of `two`). The rest is waited for where the time allows, else a new connection is opened. Further crossings upstream are forced and were dealt with already: an end or bytes on a resting connection, a reset before and after the last byte, an answer without length that is reset, interim answers, and the time told with each attempt.

--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -34,6 +34,9 @@
 REST_SECONDS = 0.5  # without a byte of an answer that has begun, and is held
 HELD_SECONDS = 0.3  # that the begin of an answer of unknown length is held
 PIECE_SECONDS = 10.0  # for a node that takes a piece of a body slowly
+# After an answer, before its connection is used again: a second answer to the same request, some
+# milliseconds late, would be taken for that of the next one.
+REUSE_REST_SECONDS = 0.02
 _REWRITTEN = HOP_BY_HOP | {"content-length", "request-timeout-ms", "expect"}
 
 
@@ -391,7 +394,8 @@
             if (stream := self._idle(node, now)) is not None:
                 self._counters.add("connections_reused")
                 break
-            if (pause := node.link.pause(now)) <= 0:
+            pause = self._rest_left(node, now)
+            if not 0 < pause < until - now and (pause := node.link.pause(now)) <= 0:
                 if self._open >= self._most and not self._make_room():
                     return None
                 stream = self._connect(node, claim, until)
@@ -405,14 +409,22 @@
         return stream
 
     def _idle(self, node: Node, now: float) -> Stream | None:
-        while node.idle:
-            stream = node.idle.pop()
+        for at in range(len(node.idle) - 1, -1, -1):
+            stream = node.idle[at]
+            if now < stream.used_at + REUSE_REST_SECONDS:
+                continue
+            del node.idle[at]
             # Guards against a claim written to a connection that its node is about to close, or has.
             if now - stream.used_at < self._pace.idle and stream.quiet():
                 return stream
             self._discard(node, stream)
         return None
 
+    @staticmethod
+    def _rest_left(node: Node, now: float) -> float:
+        """Seconds until the first of the idle connections has rested; 0 where none is idle."""
+        return node.idle[0].used_at + REUSE_REST_SECONDS - now if node.idle else 0.0
+
     def _connect(self, node: Node, claim: Claim, until: float) -> Stream:
         self._open += 1
         node.link.opens()
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -5,9 +5,11 @@
 import contextlib
 import queue
 import socket
+import struct
 import threading
 import time
 import unittest
+from collections.abc import Callable
 from unittest import mock
 
 from brambleusher.net import submitters
@@ -54,6 +56,13 @@
         sock, message = self.held.get(timeout=WAIT)
         script(sock, message)
 
+    def reset(self, sock: socket.socket) -> None:
+        """Reset a connection; done when this returns, since the thread that reads it has left."""
+        sock.shutdown(socket.SHUT_RD)
+        self.left.get(timeout=WAIT)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+
 
 class Case(unittest.TestCase):
     def setUp(self) -> None:
@@ -79,12 +88,15 @@
         sock.connect(rig.address)
         return sock
 
-    def counted(self, rig: Rig, name: str, count: int = 1) -> None:
-        until = time.monotonic() + WAIT
-        while rig.sidecar.counters.count(name) < count:
-            self.assertLess(time.monotonic(), until, f"{name} stays under {count}")
+    def until(self, what: Callable[[], bool], why: str = "") -> None:
+        end = time.monotonic() + WAIT
+        while not what():
+            self.assertLess(time.monotonic(), end, why)
             time.sleep(0.002)
 
+    def counted(self, rig: Rig, name: str, count: int = 1) -> None:
+        self.until(lambda: rig.sidecar.counters.count(name) >= count, f"{name} stays under {count}")
+
 
 class Closes(Case):
     def test_an_answer_is_whole_where_its_client_sent_more_before_the_close(self) -> None:
@@ -99,10 +111,7 @@
         self.hooks.before("client", "shutdown", "close", do=lambda: sock.sendall(b"x" * 1000))
         answer(body)(*held)
         self.counted(rig, "answers_served")
-        until = time.monotonic() + WAIT
-        while rig.sidecar.submitters.connections:
-            self.assertLess(time.monotonic(), until)
-            time.sleep(0.002)
+        self.until(lambda: not rig.sidecar.submitters.connections)
         (got,) = answers(drain(sock))
         self.assertEqual((got.status, got.body), (200, body))
 
@@ -232,10 +241,8 @@
         rig = self.rig(*nodes)
         sock = self.connect(rig)
         sock.sendall(request("r1"))
-        until = time.monotonic() + WAIT
-        while not (taken := [node for node in nodes if node.held.qsize()]):
-            self.assertLess(time.monotonic(), until)
-            time.sleep(0.002)
+        self.until(lambda: any(node.held.qsize() for node in nodes))
+        taken = [node for node in nodes if node.held.qsize()]
         with held_still(rig):
             taken[0].let_go(NOT_STARTED)
             sock.close()
--- /dev/null
+++ b/tests/test_crossings_upstream.py
@@ -0,0 +1,170 @@
+"""Events that cross on a connection to a node, forced on real sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import queue
+import socket
+import unittest
+from unittest import mock
+
+from brambleusher.net import execute_nodes
+from brambleusher.net.http import Message
+from tests.rig import WAIT, Rig, answer, read
+from tests.test_crossings_client import Case, Holding
+
+
+class Answers(Case):
+    def test_a_second_answer_that_comes_late_reaches_no_other_request(self) -> None:
+        """It comes after the first one was passed on, and before the next request's answer."""
+        with mock.patch.object(execute_nodes, "REUSE_REST_SECONDS", 2.0, create=True):
+            node = self.holding()
+            rig = self.rig(node)
+            client = self.connect(rig)
+            rig.send("r1", sock=client)
+            upstream, _ = node.held.get(timeout=WAIT)
+            upstream.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none")
+            self.assertEqual(read(client).body, b"one")
+            rig.send("r2", sock=client, wait_ms=60_000)
+            with contextlib.suppress(queue.Empty):  # at once, were the connection used again at once
+                node.held.put(node.held.get(timeout=0.3))
+            upstream.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+            with contextlib.suppress(OSError):  # the connection of the first may be closed by now
+                node.let_go(answer(b"two"))
+            self.assertEqual(read(client).body, b"two")
+
+    def test_a_connection_with_more_behind_its_answer_is_not_used_again(self) -> None:
+        node = self.holding()
+        rig = self.rig(node)
+        client = self.connect(rig)
+        rig.send("r1", sock=client)
+        answer(b"one")(*self.doubled(node))
+        self.assertEqual(read(client).body, b"one")
+        rig.send("r2", sock=client)
+        node.let_go(answer(b"two"))
+        self.assertEqual(read(client).body, b"two")
+
+    @staticmethod
+    def doubled(node: Holding) -> tuple[socket.socket, Message]:
+        sock, message = node.held.get(timeout=WAIT)
+
+        class Twice:
+            @staticmethod
+            def sendall(data: bytes) -> None:
+                sock.sendall(data + data.replace(b"one", b"two"))
+
+        return Twice(), message  # type: ignore[return-value]
+
+    def test_a_reset_before_the_end_of_an_answer_without_length_is_no_end(self) -> None:
+        node = self.holding()
+        rig = self.rig(node)
+        client = rig.send("m1", "move")
+        upstream, _ = node.held.get(timeout=WAIT)
+        upstream.sendall(b"HTTP/1.1 200 OK\r\n\r\npart of an answ")
+        node.reset(upstream)
+        self.assertNotEqual(read(client).status, 200)
+
+    def test_interim_answers_do_not_end_a_request(self) -> None:
+        node = self.holding()
+        rig = self.rig(node)
+        client = rig.send("r1")
+        upstream, message = node.held.get(timeout=WAIT)
+        upstream.sendall(b"HTTP/1.1 102 Processing\r\n\r\n" * 3)
+        answer(b"one")(upstream, message)
+        self.assertEqual(read(client).body, b"one")
+
+
+class Idle(Case):
+    """A resting connection on which something happens right before the next request is written to it."""
+
+    def reused(self, rig: Rig, node: Holding) -> socket.socket:
+        """A connection to the node that rests, and its node's end."""
+        client = self.connect(rig)
+        rig.send("r1", sock=client)
+        upstream, message = node.held.get(timeout=WAIT)
+        answer(b"one")(upstream, message)
+        self.assertEqual(read(client).body, b"one")
+        return upstream
+
+    def test_its_end_comes_as_it_is_taken_up(self) -> None:
+        """Nothing was written: it has not run, whatever its class, and may be asked for again."""
+        for cls in ("look", "move"):
+            with self.subTest(cls):
+                node = self.holding()
+                rig = self.rig(node)
+                upstream = self.reused(rig, node)
+                self.hooks.before("upstream", "send", do=functools.partial(node.reset, upstream))
+                self.assertEqual(read(rig.send("x1", cls)).status, 503)
+                self.assertIn(("upstream", "send"), self.hooks.made)
+                self.assertEqual(node.held.qsize(), 0)
+
+    def test_bytes_that_came_while_it_rested_spoil_it(self) -> None:
+        node = self.holding()
+        rig = self.rig(node)
+        upstream = self.reused(rig, node)
+        upstream.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+        client = rig.send("r2")
+        node.let_go(answer(b"two"))
+        self.assertEqual(read(client).body, b"two")
+
+    def test_its_end_while_it_rested_costs_no_attempt(self) -> None:
+        node = self.holding()
+        rig = self.rig(node)
+        node.reset(self.reused(rig, node))
+        client = rig.send("m2", "move")
+        node.let_go(answer(b"two"))
+        self.assertEqual(read(client).body, b"two")
+
+
+class Attempts(Case):
+    def test_each_attempt_is_told_what_is_left_of_the_time(self) -> None:
+        nodes = [self.holding(), self.holding()]
+        rig = self.rig(*nodes)
+        client = rig.send("r1", wait_ms=3000)
+        told: list[int] = []
+        for _ in range(2):
+            self.until(lambda: any(node.held.qsize() for node in nodes))
+            node = next(node for node in nodes if node.held.qsize())
+            upstream, message = node.held.get(timeout=WAIT)
+            told.append(int(message.headers["request-timeout-ms"]))
+            if len(told) == 1:
+                answer(b"", "503 Service Unavailable", "Not-Started: 1")(upstream, message)
+            else:
+                answer(b"done")(upstream, message)
+        self.assertEqual(read(client).body, b"done")
+        self.assertLessEqual(told[0], 3000)
+        self.assertLess(told[1], told[0] + 1)
+
+    def test_a_reset_before_the_last_byte_has_not_run(self) -> None:
+        """The connect comes up and is reset before anything is sent: a move is sent to the other node."""
+        nodes = [self.holding(), self.holding()]
+        rig = self.rig(*nodes)
+
+        def break_off() -> None:
+            self.until(lambda: any(node.conns for node in nodes))
+            for node in nodes:
+                for sock in node.conns:
+                    node.reset(sock)
+
+        self.hooks.before("upstream", "connected", do=break_off)
+        client = rig.send("m1", "move")
+        self.until(lambda: any(node.held.qsize() for node in nodes))
+        node = next(node for node in nodes if node.held.qsize())
+        node.let_go(answer(b"done"))
+        self.assertEqual(read(client).body, b"done")
+        self.assertEqual(sum(node.seen.qsize() for node in nodes), 1)
+
+    def test_a_reset_after_the_last_byte_may_have_run(self) -> None:
+        nodes = [self.holding(), self.holding()]
+        rig = self.rig(*nodes)
+        client = rig.send("m1", "move")
+        self.until(lambda: any(node.held.qsize() for node in nodes))
+        node = next(node for node in nodes if node.held.qsize())
+        node.reset(node.held.get(timeout=WAIT)[0])
+        self.assertEqual(read(client).status, 502)
+        self.assertEqual(sum(node.seen.qsize() for node in nodes), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
