Nonsense of peers is counted and logged, sparsely; ends of a sidecar are forced to cross

A load report that made no sense was dropped without a word, a bad answer was logged and not counted, a bad request counted and not logged. Each has a count (`bad_answers`, `bad_reports`, `bad_requests`) and a line that names the fault, one a second at most with how many were left out.

tests/test_crossings_shutdown.py forces the end of a sidecar beside a head, a body, an attempt, a further attempt, an answer half written, connections in the listener's queue, clients that send on, a second signal, a reload, a bad reload, and a start without a list; descriptors filled by idle clients while the watch is cut, with a limit on sockets in the test's system.

--- a/brambleusher/counters.py
+++ b/brambleusher/counters.py
@@ -35,6 +35,8 @@
     "connects_put_off",
     "connections_lacking",
     "connections_reused",
+    "bad_answers",
+    "bad_reports",
     "lists_taken",
     "lists_rejected",
     "watches_broken",
--- a/brambleusher/lab/faults/breakages.py
+++ b/brambleusher/lab/faults/breakages.py
@@ -432,8 +432,8 @@
 
 @breakage("report-halved", "the module is told half of what a load report says", "report")
 def _report_halved(patches: Patches) -> None:
-    def parse_report(text: str | None) -> api.LoadReport | None:
-        report: api.LoadReport | None = old(text)
+    def parse_report(text: str | None, *more: Any) -> api.LoadReport | None:
+        report: api.LoadReport | None = old(text, *more)
         if report is None or report.utilisation is None:
             return report
         return replace(report, utilisation=report.utilisation / 2)
--- a/brambleusher/logs.py
+++ b/brambleusher/logs.py
@@ -4,6 +4,7 @@
 
 import logging
 import sys
+from collections.abc import Callable
 from datetime import UTC, datetime
 from typing import Protocol
 
@@ -74,3 +75,25 @@
     root.handlers[:] = [handler]
     root.setLevel(level)
     root.propagate = False
+
+
+class SparseLog:
+    """Warnings of one kind, one in so many seconds; the next one says how many were left out.
+
+    Guards against a peer that talks nonsense at full speed, and a log that holds up everything else.
+    """
+
+    def __init__(self, log: logging.Logger, now: Callable[[], float], seconds: float = 1.0) -> None:
+        self._log, self._now, self._seconds = log, now, seconds
+        self._next_at = -seconds
+        self._left_out = 0
+
+    def warning(self, message: str, **fields: object) -> None:
+        """Log it, unless one was logged a moment ago."""
+        if self._now() < self._next_at:
+            self._left_out += 1
+            return
+        if self._left_out:
+            fields["left_out"] = self._left_out
+        self._next_at, self._left_out = self._now() + self._seconds, 0
+        self._log.warning(message, extra={"fields": fields})
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -12,6 +12,7 @@
 
 from brambleusher.counters import Counters
 from brambleusher.decisions import Outcome, nothing
+from brambleusher.logs import SparseLog
 from brambleusher.net.bodies import Answered, Tail, Upload
 from brambleusher.net.http import (
     HOP_BY_HOP,
@@ -43,31 +44,36 @@
 Ended = tuple[Status, LoadReport | None, Message | None]
 
 
-def parse_report(text: str | None) -> LoadReport | None:
-    """An answer's load report; one that makes no sense is left out, never guessed."""
+def parse_report(text: str | None, tell: Callable[[str], object] = lambda fault: None) -> LoadReport | None:
+    """An answer's load report; what makes no sense is left out, never guessed, and told."""
     if not text:
         return None
     try:
         raw = orjson.loads(text)
     except ValueError:
+        tell("not JSON")
         return None
     if not isinstance(raw, dict):
+        tell("not an object")
         return None
     figures = []
     for names in (("util", "utilization"), ("qps", "throughput")):
-        value = next((raw[name] for name in names if name in raw), None)
+        name = next((name for name in names if name in raw), None)
+        value = None if name is None else raw[name]
         sound = isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value < math.inf
+        if not sound and value is not None:
+            tell(f"{name} is not a number of 0 or more")
         figures.append(float(value) if sound and value is not None else None)
     return None if figures == [None, None] else LoadReport(*figures)
 
 
-def report_of(answer: Message) -> LoadReport | None:
+def report_of(answer: Message, tell: Callable[[str], object] = lambda fault: None) -> LoadReport | None:
     """An answer's load report; None where it has none, without figures where they can't be read.
 
     Guards against taking a node whose report was spoilt for one that has fallen silent.
     """
     text = answer.headers.get("server-load")
-    return parse_report(text) or (None if text is None else LoadReport(None, None))
+    return parse_report(text, tell) or (None if text is None else LoadReport(None, None))
 
 
 def status_of(answer: Message) -> Status:
@@ -133,6 +139,8 @@
         self.listed: dict[str, Machine] = {}
         self._nodes: dict[str, Node] = {}  # those of them in use, and no others: a list may have thousands
         self._most, self._open = most_connections, 0
+        self._bad_answers = SparseLog(log, scheduler.now)
+        self._bad_reports = SparseLog(log, scheduler.now)
 
     def resize(self, most_connections: int) -> None:
         """There may be so many connections from now on."""
@@ -314,16 +322,16 @@
                 node.link.full(self._scheduler.now())
                 keep = False  # guards against a place held in a full table
             if not isinstance(answer.rest, Tail):
-                return status, report_of(answer), answer
+                return status, self._report(node, answer), answer
             if status is not Status.OK:
-                return status, report_of(answer), None
+                return status, self._report(node, answer), None
             claim.begun = True
-            tell(status, report_of(answer), answer)
+            tell(status, self._report(node, answer), answer)
             self._scheduler.park(bell=answer.rest.over)
             keep = answer.keep_alive and answer.rest.reusable
             return None
         except Answered:
-            return self._early(stream, claim)
+            return self._early(node, stream, claim)
         except Called:
             return self._called_off(claim), None, None
         except Timeout:
@@ -331,20 +339,21 @@
         except OSError:
             return Status.RESET if claim.written else Status.CONNECT_FAILED, None, None
         except HttpError as error:
-            log.warning("bad answer", extra={"fields": {"node": node.name, "reason": error}})
+            self._counters.add("bad_answers")
+            self._bad_answers.warning("bad answer", node=node.name, reason=error)
             return Status.ERROR, None, None
         finally:
             if claim.stream is not None:
                 node.link.gives_back(self._scheduler.now(), keep)
                 self._give_back(node, claim.stream, keep or not claim.sending)
 
-    def _early(self, stream: Stream | None, claim: Claim) -> Ended:
+    def _early(self, node: Node, stream: Stream | None, claim: Claim) -> Ended:
         """What a node says of a request that is not whole: it has not run, and may have been turned away."""
         try:
             assert stream is not None
             answer, _ = self._answer(stream, claim, self._scheduler.now() + REST_SECONDS)
             if status_of(answer) is Status.FULL:
-                return Status.FULL, report_of(answer), None
+                return Status.FULL, self._report(node, answer), None
         except (OSError, Timeout, HttpError, Called):
             pass
         return Status.CONNECT_FAILED, None, None
@@ -377,6 +386,13 @@
         if chunked:
             stream.send(chunk(b""), min(now() + PIECE_SECONDS, upload.due))
 
+    def _report(self, node: Node, answer: Message) -> LoadReport | None:
+        def bad(fault: str) -> None:
+            self._counters.add("bad_reports")
+            self._bad_reports.warning("bad load report", node=node.name, reason=fault)
+
+        return report_of(answer, bad)
+
     @staticmethod
     def _called_off(claim: Claim) -> Status:
         return claim.why if claim.why is not None and not claim.written else Status.CANCELLED
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -22,6 +22,7 @@
     Outcome,
     Ticket,
 )
+from brambleusher.logs import SparseLog
 from brambleusher.net.bodies import LEAST_RATE, Tail, Upload
 from brambleusher.net.execute_nodes import ExecuteNodes
 from brambleusher.net.http import (
@@ -287,6 +288,7 @@
         self._put_off_since: float | None = None  # accepts, while connections wait in the system's queue
         self._closing, self._closing_at = False, math.inf
         self._accepted = 0  # connections, since the start
+        self._bad_requests = SparseLog(log, scheduler.now)
 
     # --- the listener ---------------------------------------------------------------------------
 
@@ -510,7 +512,7 @@
             request = self._read(connection, reader)
         except HttpError as error:
             self._places.asked(connection, self._scheduler.now())
-            self._counters.add("bad_requests")
+            self._count_bad(connection, error)
             self._turn_away(stream, error)
             return False
         if request is None:
@@ -520,7 +522,7 @@
         try:
             reply = self._answer(connection, reader, request, upload)
         except HttpError as error:
-            self._counters.add("bad_requests")
+            self._count_bad(connection, error)
             if not keep or error.status != 404 or upload is not None:
                 self._turn_away(stream, error)
                 return False
@@ -614,6 +616,10 @@
         except (HttpError, OSError, Timeout) as error:
             raise Cut(f"{type(error).__name__}: {error}") from None
 
+    def _count_bad(self, connection: Connection, error: HttpError) -> None:
+        self._counters.add("bad_requests")
+        self._bad_requests.warning("bad request", peer=connection.peer, status=error.status, reason=error)
+
     def _turn_away(self, stream: Stream, error: HttpError) -> None:
         """Answer what can't be used, and end the connection."""
         stream.send(
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -24,6 +26,7 @@
     def __init__(self) -> None:
         self._hooks: dict[tuple[str, str], Hook] = {}
         self.made: list[tuple[str, str]] = []  # calls that had a hook
+        self.open = 0  # sockets
 
     def before(self, kind: str, *methods: str, do: Hook) -> None:
         """Once, before the first of these methods on a socket of this kind."""
@@ -51,6 +54,7 @@
         hooked = cls(fileno=sock.detach())
         hooked.setblocking(False)
         hooked.kind, hooked.hooks = kind, hooks
+        hooks.open += 1
         return hooked
 
     def shutdown(self, how: int, /) -> None:
@@ -60,6 +64,7 @@
     def close(self) -> None:
         if self.fileno() >= 0:
             self.hooks.run(self.kind, "close")
+            self.hooks.open -= 1
         super().close()
 
     def send(self, data: bytes | memoryview, flags: int = 0, /) -> int:  # type: ignore[override]
@@ -72,15 +77,24 @@
 
     def __init__(self) -> None:
         self.hooks = Hooks()
+        self.most_sockets = 1 << 30  # more of them are refused as the system refuses descriptors
+        self.most_seen = 0
+
+    def _need_one(self) -> None:
+        if self.hooks.open >= self.most_sockets:
+            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+        self.most_seen = max(self.most_seen, self.hooks.open + 1)
 
     def listen(self, address: Address, backlog: int) -> Socket:
         return HookedSocket.of(super().listen(address, backlog), "listener", self.hooks)
 
     def accept(self, listener: Socket) -> tuple[Socket, str]:
+        self._need_one()
         sock, peer = super().accept(listener)
         return HookedSocket.of(sock, "client", self.hooks), peer
 
     def connection(self) -> Socket:
+        self._need_one()
         return HookedSocket.of(super().connection(), "upstream", self.hooks)
 
     def error_of(self, sock: Socket) -> int:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -155,13 +155,14 @@
         admin: bool = False,
         system: System | None = None,
         discovery: Discovery | None = None,
+        sockets: int = 1024,
         **limits: Any,
     ) -> None:
         self.discovery = discovery or Discovery(servers)
         settings = {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
         self.config = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "2a",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "known": {"version": 6, "full": True, "servers": servers}, "settings": settings,
             **({"admin_addr": "127.0.0.1:0"} if admin else {}),
         }  # fmt: skip
--- /dev/null
+++ b/tests/test_crossings_shutdown.py
@@ -0,0 +1,225 @@
+"""The end of a sidecar crossing with what is under way, forced on real sockets."""
+
+from __future__ import annotations
+
+import functools
+import queue
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from brambleusher.config import ConfigError
+from tests.crossing import held_still
+from tests.rig import WAIT, Discovery, Node, Rig, answer, read
+from tests.test_crossings_client import NOT_STARTED, Case, Holding, answers, drain, request
+from tests.test_crossings_lists import Scripted
+
+
+class Ends(Case):
+    def winding_down(self, rig: Rig) -> None:
+        """End it, and wait until it closes what rests."""
+        rig.sidecar.end()
+        self.until(lambda: rig.sidecar.submitters._closing)
+
+    def ended(self, rig: Rig) -> None:
+        rig.thread.join(WAIT)
+        self.assertFalse(rig.thread.is_alive())
+
+    def held(self, *nodes: Holding) -> tuple[Holding, socket.socket, Any]:
+        """The node that has been sent a request, its connection, and the request."""
+        self.until(lambda: any(node.held.qsize() for node in nodes))
+        node = next(node for node in nodes if node.held.qsize())
+        return node, *node.held.get(timeout=WAIT)
+
+    @staticmethod
+    def reads_one(rig: Rig) -> bool:
+        """Whether the one client's request has begun to come."""
+        return rig.sidecar.places.taken == 1 and not rig.sidecar.places.silent
+
+    def test_before_it_is_ready(self) -> None:
+        """No list, and a discovery that says nothing: what comes is refused, and the process ends."""
+        rig = Rig([], discovery=Scripted([], lambda sock: None), system=self.system)
+        self.addCleanup(rig.end)
+        sock = self.connect(rig)
+        rig.sidecar.end()
+        sock.sendall(request("r1"))
+        self.assertIn(read(sock).status, (429, 503))
+        self.ended(rig)
+
+    def test_while_a_request_head_or_a_body_comes(self) -> None:
+        whole = request("r1")
+        post = request("m1", "Content-Length: 6").replace(b"GET /look", b"POST /move")
+        post = post.replace(b"Class: look", b"Class: move") + b"abcdef"
+        for text, cut in ((whole, 30), (post, len(post) - 3)):
+            with self.subTest(text[:10]):
+                node = Node(answer(b"yes"))
+                self.addCleanup(node.close)
+                rig = self.rig(node)
+                sock = self.connect(rig)
+                sock.sendall(text[:cut])
+                self.until(functools.partial(self.reads_one, rig))
+                self.winding_down(rig)
+                sock.sendall(text[cut:])
+                (got,) = answers(drain(sock))
+                self.assertEqual(got.body, b"yes")
+                self.ended(rig)
+
+    def test_during_an_attempt_and_before_a_further_one(self) -> None:
+        nodes = [self.holding(), self.holding()]
+        rig = self.rig(*nodes)
+        sock = rig.send("r1")
+        _, first, message = self.held(*nodes)
+        self.winding_down(rig)
+        NOT_STARTED(first, message)
+        _, second, message = self.held(*nodes)
+        answer(b"from the other")(second, message)
+        self.assertEqual(read(sock).body, b"from the other")
+        self.ended(rig)
+
+    def test_while_an_answer_is_half_written(self) -> None:
+        node = self.holding()
+        rig = self.rig(node)
+        sock = self.connect(rig, receive_bytes=4096)
+        sock.sendall(request("r1"))
+        _, upstream, message = self.held(node)
+        body = bytes(range(256)) * 16_000
+        writer = threading.Thread(target=answer(body), args=(upstream, message), daemon=True)
+        writer.start()
+        got = sock.recv(100)
+        self.winding_down(rig)
+        head, _, whole = (got + drain(sock)).partition(b"\r\n\r\n")
+        self.assertIn(b"200 OK", head)
+        self.assertTrue(whole == body, f"{len(whole)} of {len(body)} bytes")
+        self.ended(rig)
+
+    def test_with_connections_in_the_queue_of_the_listener(self) -> None:
+        """They come while the hub stands still, in the round in which the sidecar begins to close."""
+        node = Node(answer(b"yes"))
+        self.addCleanup(node.close)
+        rig = self.rig(node)
+        rig.sidecar.end()
+        with held_still(rig):
+            self.assertFalse(rig.sidecar.submitters._closing)
+            socks = [self.connect(rig) for _ in range(40)]
+            for number, sock in enumerate(socks):
+                sock.sendall(request(f"q{number}"))
+            time.sleep(0.6)  # past the moment in which it begins to close
+        self.assertEqual([read(sock).body for sock in socks], [b"yes"] * 40)
+        self.ended(rig)
+
+    def test_clients_that_send_on_as_long_as_their_connection_is_open(self) -> None:
+        """Each request is answered, or not sent on by the sidecar: it crossed the end."""
+        node = Node(answer(b"yes"))
+        self.addCleanup(node.close)
+        rig = self.rig(node)
+        results: queue.Queue[tuple[int, str]] = queue.Queue()
+
+        def send_on(name: str) -> None:
+            sock, count = self.connect(rig), 0
+            while True:
+                sock.sendall(request(f"{name}-{count}"))
+                data = sock.recv(65536)
+                if not data:
+                    results.put((count, f"{name}-{count}"))
+                    return
+                count += 1
+
+        threads = [threading.Thread(target=send_on, args=(f"c{n}",), daemon=True) for n in range(4)]
+        for thread in threads:
+            thread.start()
+        self.until(lambda: node.seen.qsize() > 20)
+        rig.sidecar.end()
+        self.ended(rig)
+        seen = {node.seen.get()[0].headers["request-id"] for _ in range(node.seen.qsize())}
+        for _ in threads:
+            answered, last = results.get(timeout=WAIT)
+            self.assertGreater(answered, 0)
+            self.assertNotIn(last, seen)
+
+    def test_a_second_signal_and_a_reload_beside_the_first(self) -> None:
+        for order in ("reload first", "end first"):
+            with self.subTest(order):
+                node = self.holding()
+                rig = self.rig(node)
+                other = Discovery([node.entry("h0")])
+                self.addCleanup(other.close)
+                host, port = other.address.split(":")
+                moved = replace(rig.sidecar.config, discovery=(host, int(port)))
+                rig.sidecar._load = lambda moved=moved: moved
+                sock = rig.send("r1")
+                _, upstream, message = self.held(node)
+                calls: list[Callable[[], None]] = [rig.sidecar.reload, rig.sidecar.end, rig.sidecar.end]
+                with held_still(rig):
+                    for call in calls if order == "reload first" else [*calls[1:], calls[0]]:
+                        call()
+                answer(b"whole")(upstream, message)
+                self.assertEqual(read(sock).body, b"whole")
+                self.ended(rig)
+
+    def test_a_reload_that_fails_beside_the_end(self) -> None:
+        node = self.holding()
+        rig = self.rig(node)
+
+        def load() -> Any:
+            raise ConfigError("settings: half written")
+
+        rig.sidecar._load = load
+        sock = rig.send("r1")
+        _, upstream, message = self.held(node)
+        with held_still(rig):
+            rig.sidecar.reload()
+            rig.sidecar.end()
+        answer(b"whole")(upstream, message)
+        self.assertEqual(read(sock).body, b"whole")
+        self.ended(rig)
+
+
+class Descriptors(Case):
+    def test_the_watch_and_the_nodes_find_theirs_where_idle_clients_fill_the_rest(self) -> None:
+        """The list is cut off while clients hold all there is: it is called for again, and told."""
+        old, new = Node(answer(b"old")), Node(answer(b"new"))
+        for node in (old, new):
+            self.addCleanup(node.close)
+        self.system.most_sockets = 64
+        rig = Rig([old.entry("h0")], system=self.system, sockets=64)
+        self.addCleanup(rig.end)
+        idle = [self.connect(rig) for _ in range(100)]
+        self.until(lambda: rig.sidecar.places.taken >= rig.sidecar.places.most)
+        rig.discovery.first = Discovery.text([new.entry("h1")], True, version=9)
+        rig.discovery.conns[-1].shutdown(socket.SHUT_RDWR)
+        rig.discovery.asked.get(timeout=WAIT)
+        self.until(lambda: list(rig.sidecar.nodes.listed) == ["h1"])
+        self.assertEqual(rig.call("r1").body, b"new")
+        self.assertLessEqual(self.system.most_seen, 64)
+        self.assertEqual(len(idle), 100)
+
+
+class Nonsense(Case):
+    def test_each_kind_is_counted_and_logged_with_what_it_is(self) -> None:
+        node = self.holding()
+        rig = self.rig(node)
+        with self.assertLogs("brambleusher", "WARNING") as logged:
+            bad = self.connect(rig)
+            bad.sendall(b"GET /look HTTP/1.1\r\nContent-Length: -5\r\n\r\n")
+            self.assertEqual(read(bad).status, 400)
+            client = rig.send("r1")
+            _, message = upstream = node.held.get(timeout=WAIT)
+            answer(b"ok", "200 OK", 'Server-Load: {"util": "much", "qps": 3}')(*upstream)
+            self.assertEqual(read(client).body, b"ok")
+            client = rig.send("r2")
+            sock, message = node.held.get(timeout=WAIT)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: lots\r\n\r\n")
+            self.assertIn(read(client).status, (502, 503))
+            rig.discovery.push(b'{"version": 8, "full": false, "servers": [{"id": "h1", "state": "Odd"}]}')
+            self.until(lambda: rig.sidecar.counters.count("lists_rejected") == 1)
+            self.until(lambda: rig.sidecar.counters.count("watches_broken") == 1)
+        counts = rig.sidecar.counters
+        for name in ("bad_requests", "bad_reports", "bad_answers"):
+            self.assertEqual(counts.count(name), 1, name)
+        told = [str(getattr(record, "fields", {})) for record in logged.records]
+        for what in ("bad content length", "util is not a number", "the state of h1 is unknown"):
+            self.assertTrue(any(what in text for text in told), what)
+        self.assertTrue(message)
