Sixteen guards are taken out one at a time, and the test of each has to fail

tests/test_guards.py patches out one guard of the crossings (half-close, the listener's last moment, the look at a client before the first byte, floods, whole lines as signs of life, rest before reuse and others) and runs the test that forces it: it passes only if that test fails.

--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -4,12 +4,14 @@
 
 import contextlib
 import json
+import math
 import queue
 import random
 import socket
 import time
 import unittest
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 from dataclasses import replace
 from typing import Any
 from unittest import mock
@@ -70,7 +72,7 @@
 
     def heals(self, script: Watch) -> None:
         old, new = self.node(b"old"), self.node(b"new")
-        with mock.patch.object(watch, "SILENT_SECONDS", 0.3), mock.patch.object(watch, "ANSWER_SECONDS", 0.3):
+        with self.quick("SILENT_SECONDS"), self.quick("ANSWER_SECONDS"):
             rig = self.rig([old.entry("h0")], script)
             rig.discovery.first = Discovery.text([new.entry("h1")], True, version=9)
             rig.discovery.asked.get(timeout=WAIT)  # the second call
@@ -78,6 +80,12 @@
             self.until(lambda: list(rig.sidecar.nodes.listed) == ["h1"])
             self.assertEqual(rig.call("r1").body, b"new")
 
+    @staticmethod
+    def quick(name: str) -> AbstractContextManager[object]:
+        """A short wait; one that a test of guards has made endless stays so."""
+        seconds = 0.3 if getattr(watch, name) < math.inf else math.inf
+        return mock.patch.object(watch, name, seconds)
+
     def test_no_head(self) -> None:
         self.heals(lambda sock: None)
 
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -20,9 +20,9 @@
 
 class Ends(Case):
     def winding_down(self, rig: Rig) -> None:
-        """End it, and wait until it closes what rests."""
+        """End it, and wait until it has closed what rests, and its listener."""
         rig.sidecar.end()
-        self.until(lambda: rig.sidecar.submitters._closing)
+        self.until(lambda: rig.sidecar._wound_down)
 
     def ended(self, rig: Rig) -> None:
         rig.thread.join(WAIT)
--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -18,7 +18,8 @@
 class Answers(Case):
     def test_a_second_answer_that_comes_late_reaches_no_other_request(self) -> None:
         """It comes after the first one was passed on, and before the next request's answer."""
-        with mock.patch.object(execute_nodes, "REUSE_REST_SECONDS", 2.0, create=True):
+        rest = 2.0 if execute_nodes.REUSE_REST_SECONDS else 0.0  # a test of guards has taken it away
+        with mock.patch.object(execute_nodes, "REUSE_REST_SECONDS", rest):
             node = self.holding()
             rig = self.rig(node)
             client = self.connect(rig)
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,244 @@
+"""Guards taken out one at a time: the test that forces the crossing has to fail without its guard.
+
+Each row names what is patched and the test that must tell.  A test that passes without its guard holds
+nothing, and fails here.
+"""
+
+from __future__ import annotations
+
+import math
+import unittest
+from collections.abc import Generator
+from typing import Any
+
+import pytest
+
+from brambleusher.net import execute_nodes, watch
+from brambleusher.net.execute_nodes import ExecuteNodes
+from brambleusher.net.http import MessageReader
+from brambleusher.net.presence import ClientPresence
+from brambleusher.net.submitters import Connection, Submitters
+from brambleusher.net.texts import TextAssembler
+from brambleusher.runtime.streams import Stream
+from brambleusher.sidecar import Sidecar
+from tests import (
+    crossing,
+    rig,
+    test_crossings_client,
+    test_crossings_lists,
+    test_crossings_shutdown,
+    test_crossings_upstream,
+)
+
+PATIENCE = 3.0  # seconds: what must come, and does not without the guard, is waited for no longer
+Patch = tuple[Any, str, Any]
+
+
+def no_half_close(stream: Stream, *bounds: Any) -> None:
+    """The connection is closed at once."""
+
+
+def never_gone(presence: ClientPresence) -> bool:
+    return False
+
+
+def reads_and_sees_no_end(presence: ClientPresence) -> bool:
+    presence._read()
+    return False
+
+
+def gone_only_ahead_of_bytes(presence: ClientPresence) -> bool:
+    """As before floods were read: no more is looked at once enough has been sent ahead."""
+    if presence._reader.buffered >= 128 * 1024:
+        return False
+    presence._read()
+    return presence.gone
+
+
+def no_last_connects(clients: Submitters) -> None:
+    """The listener is closed without waiting for those who come at once."""
+
+
+def no_more(connection: Connection, reader: Any) -> bool:
+    return False
+
+
+def rests_always(clients: Submitters, connection: Connection, reader: Any) -> None:
+    """A connection rests after its answer, whatever was sent ahead on it, and goes on when given up."""
+    now = clients._scheduler.now()
+    clients._places.rests(connection, now)
+    if clients._places.scarce(now):
+        clients._make_room()
+    connection.released = False
+
+
+def any_byte_counts(feed: watch.HttpWatch, stream: Stream, reader: Any) -> Generator[bytes, None, None]:
+    """The clock of silence starts anew with each byte."""
+    pending = bytearray()
+    while True:
+        part, done = reader.drain()
+        pending += part
+        while (end := pending.find(b"\n")) >= 0:
+            line = bytes(pending[:end])
+            del pending[: end + 1]
+            yield line
+        if done:
+            return
+        data = stream.receive(feed._scheduler.now() + watch.SILENT_SECONDS)
+        if not data:
+            raise watch.WatchFailed("the watch was cut")
+        reader.feed(data)
+
+
+def line_by_line(assembler: TextAssembler, line: bytes) -> list[bytes]:
+    return [line.strip()]
+
+
+def takes_whatever_is_idle(nodes: ExecuteNodes, node: Any, now: float) -> Stream | None:
+    return node.idle.pop() if node.idle else None
+
+
+def leaves_claims_alone(nodes: ExecuteNodes, node: Any) -> None:
+    """A node that leaves keeps the attempts that wait for a connection to it."""
+    node.leaving = True
+    nodes._drop(node)
+
+
+def ends_with_requests_open(sidecar: Sidecar) -> bool:
+    return sidecar._wound_down
+
+
+def reset_is_an_end(nodes: ExecuteNodes, stream: Stream, claim: Any, deadline: float) -> Any:
+    """An answer without length that is reset counts as whole."""
+    reader = MessageReader.responses(passing=True)
+    while True:
+        try:
+            data = stream.receive(deadline, claim.bell) or b""
+        except ConnectionResetError:
+            data = b""
+        if not data and (answer := reader.end()) is not None:
+            return answer, False
+        reader.feed(data)
+        if (answer := reader.take()) is not None:
+            return answer, answer.keep_alive
+
+
+def closes_when_the_wait_ends(stream: Stream) -> bool:
+    """Nothing is seen of what came in the moment in which a wait ended."""
+    return True
+
+
+ROWS: list[tuple[str, list[Patch], type[unittest.TestCase], str]] = [
+    (
+        "half-close",
+        [(Stream, "finish", no_half_close)],
+        test_crossings_client.Closes,
+        "test_an_answer_is_whole_where_its_client_sent_more_before_the_close",
+    ),
+    (
+        "half-close of resting connections",
+        [(Submitters, "_dismiss", Submitters._close_idle)],
+        test_crossings_client.Closes,
+        "test_a_request_that_crosses_the_end_of_a_resting_connection_is_not_sent_on",
+    ),
+    (
+        "listener open a moment longer",
+        [(Submitters, "_await_last_connects", no_last_connects)],
+        test_crossings_client.Closes,
+        "test_a_request_that_crosses_the_end_of_a_resting_connection_is_not_sent_on",
+    ),
+    (
+        "look when a wait ends",
+        [(Stream, "quiet", closes_when_the_wait_ends)],
+        test_crossings_client.Closes,
+        "test_a_request_that_comes_as_the_wait_for_it_ends_is_served",
+    ),
+    (
+        "requests sent ahead at the end",
+        [(Submitters, "_has_more", staticmethod(no_more))],
+        test_crossings_client.Closes,
+        "test_what_was_sent_ahead_is_answered_while_the_sidecar_ends",
+    ),
+    (
+        "requests sent ahead where room is made",
+        [(Submitters, "_rest", rests_always), (ClientPresence, "look", reads_and_sees_no_end)],
+        test_crossings_client.Closes,
+        "test_a_connection_that_is_given_up_carries_no_further_request",
+    ),
+    (
+        "look before the first byte",
+        [(ClientPresence, "look", never_gone)],
+        test_crossings_client.Leaves,
+        "test_nothing_is_sent_for_a_client_that_leaves_while_its_node_is_connected",
+    ),
+    (
+        "floods are read",
+        [(ClientPresence, "look", gone_only_ahead_of_bytes)],
+        test_crossings_client.Leaves,
+        "test_a_flood_that_leaves_is_seen_to_leave_and_gets_no_further_attempt",
+    ),
+    (
+        "whole lines alone are signs of life",
+        [(watch.HttpWatch, "_lines", any_byte_counts)],
+        test_crossings_lists.Silence,
+        "test_pieces_of_a_line_without_end",
+    ),
+    (
+        "the clock of silence",
+        [(watch, "SILENT_SECONDS", math.inf)],
+        test_crossings_lists.Silence,
+        "test_a_head_and_nothing_more",
+    ),
+    (
+        "the wait for a head",
+        [(watch, "ANSWER_SECONDS", math.inf)],
+        test_crossings_lists.Silence,
+        "test_no_head",
+    ),
+    (
+        "indented texts",
+        [(TextAssembler, "add", line_by_line)],
+        test_crossings_lists.Texts,
+        "test_an_indented_text_on_a_watch_is_one_text",
+    ),
+    (
+        "rest before reuse",
+        [(execute_nodes, "REUSE_REST_SECONDS", 0.0)],
+        test_crossings_upstream.Answers,
+        "test_a_second_answer_that_comes_late_reaches_no_other_request",
+    ),
+    (
+        "look before reuse",
+        [(ExecuteNodes, "_idle", takes_whatever_is_idle)],
+        test_crossings_upstream.Idle,
+        "test_bytes_that_came_while_it_rested_spoil_it",
+    ),
+    (
+        "a reset is no end",
+        [(ExecuteNodes, "_answer", reset_is_an_end)],
+        test_crossings_upstream.Answers,
+        "test_a_reset_before_the_end_of_an_answer_without_length_is_no_end",
+    ),
+    (
+        "requests in work keep the process",
+        [(Sidecar, "_over", ends_with_requests_open)],
+        test_crossings_shutdown.Ends,
+        "test_during_an_attempt_and_before_a_further_one",
+    ),
+]
+
+
+@pytest.mark.parametrize(("patches", "case", "test"), [row[1:] for row in ROWS], ids=[row[0] for row in ROWS])
+def test_without_its_guard(patches: list[Patch], case: type[unittest.TestCase], test: str) -> None:
+    modules = [rig, crossing, test_crossings_client, test_crossings_lists]
+    modules += [test_crossings_shutdown, test_crossings_upstream]
+    result = unittest.TestResult()
+    with pytest.MonkeyPatch.context() as patch:
+        for module in modules:
+            if hasattr(module, "WAIT"):
+                patch.setattr(module, "WAIT", PATIENCE)
+        for owner, name, value in patches:
+            patch.setattr(owner, name, value)
+        case(test).run(result)
+    assert result.testsRun == 1
+    assert result.failures or result.errors, "it passes without the guard that it is there for"
