--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -189,6 +189,8 @@
         held = node.held.get(timeout=WAIT)
         places = rig.sidecar.places
         sock.sendall(request("r2"))
+        (connection,) = rig.sidecar.submitters._connections
+        self.until(lambda: connection.stream.peek() is None, "it is read ahead")
         with (
             mock.patch.object(places, "scarce", lambda now: True),
             mock.patch.object(places, "surplus", lambda now: iter(places.waiting())),
