Cold hosts under the sum of 5, 30 and 200 balancers, after restarts and with a wrong fleet size

Balancers without any word to each other are driven at 1.3 times what the fleet can do; what each cold host gets in the fall window is held against N + 2 root N + 2.

--- /dev/null
+++ b/tests/test_crossings_fleet.py
@@ -0,0 +1,142 @@
+"""What many sidecars send a cold node in sum, with a few processes and with hundreds, also after restarts."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from itertools import count
+
+import pytest
+
+from quillpass import Balancer, api
+
+SECOND = 10**9
+CAPACITY = 20.0  # requests a second of a warm host
+USE = 1.3  # of the fleet: more than there is, so that all that may be sent is
+WORK_S = 0.05
+ZONES = ("a", "b", "c")
+START, COLD_S, MULTIPLE, FALL_S = 0.17, 21.0, 4.0, 3.0
+BEGIN = 1_000 * SECOND
+
+
+class Fleet:
+    """Balancers that share nothing, hosts that only report, and the sends to those that are cold."""
+
+    def __init__(self, sidecars: int, hosts: int, cold: int, told: int, seed: int) -> None:
+        self.rng, self.told = random.Random(seed), told
+        self.now, self.order = BEGIN, count()
+        self.names = [f"h{n}" for n in range(hosts)]
+        self.new = set(self.names[:cold])
+        self.entries = [
+            api.HostEntry(
+                name, ZONES[n % 3], "k", 0, api.HostState.READY, 1.0, BEGIN if name in self.new else 0
+            )
+            for n, name in enumerate(self.names)
+        ]
+        self.sent: dict[str, list[float]] = {name: [] for name in self.new}
+        self.events: list[tuple[int, int, int, Balancer, api.Event]] = []
+        self.fleet = [self.balancer(number) for number in range(sidecars)]
+        for number in range(sidecars):
+            self.begin(number)
+        self.rate = USE * CAPACITY * hosts
+
+    def balancer(self, number: int) -> Balancer:
+        settings = api.Settings(
+            zone=ZONES[number % 3], fleet_size=self.told, cold_ns=int(COLD_S * SECOND),
+            start_capacity=START, fall_multiple=MULTIPLE, fall_ns=int(FALL_S * SECOND),
+            classes=(api.RequestClass("r", SECOND, 2 * SECOND, 1.0),),
+        )  # fmt: skip
+        return Balancer(settings, self.rng.getrandbits(32))
+
+    def begin(self, number: int) -> None:
+        self.act(number, self.fleet[number].start(self.now))
+        kind = api.HostList(api.ListKind.SAVED, self.entries)
+        self.act(number, self.fleet[number].handle(kind, self.now))
+
+    def restart(self, number: int) -> None:
+        self.fleet[number] = self.balancer(number)
+        self.begin(number)
+
+    def push(self, at: int, number: int, event: api.Event) -> None:
+        heapq.heappush(self.events, (at, next(self.order), number, self.fleet[number], event))
+
+    def act(self, number: int, actions: list[api.Action]) -> None:
+        for action in actions:
+            if isinstance(action, api.Send):
+                if action.host in self.new:
+                    self.sent[action.host].append((self.now - BEGIN) / SECOND)
+                took = int(WORK_S * SECOND)
+                ended = api.AttemptEnded(
+                    action.request, 0, action.host, api.Status.OK, took, True, self.report(action.host)
+                )
+                self.push(self.now + took, number, ended)
+            elif isinstance(action, api.SetTimer):
+                self.push(action.at_ns, number, api.TimerFired(action.token))
+
+    def report(self, host: str) -> api.LoadReport:
+        part = self.part((self.now - BEGIN) / SECOND) if host in self.new else 1.0
+        return api.LoadReport(0.9, 0.9 * CAPACITY * part)
+
+    @staticmethod
+    def part(age_s: float) -> float:
+        """Of its capacity, that a host which started so long ago has."""
+        return min(1.0, START + (1 - START) * age_s / COLD_S)
+
+    def play(self, seconds: float, restarts: int = 0) -> None:
+        end = BEGIN + int(seconds * SECOND)
+        requests, at = count(), BEGIN
+        restart_at = sorted(self.rng.randrange(BEGIN, end) for _ in range(restarts))
+        while at < end:
+            at += int(self.rng.expovariate(self.rate) * SECOND)
+            while self.events and self.events[0][0] <= at:
+                self.now, _, number, balancer, event = heapq.heappop(self.events)
+                if balancer is self.fleet[number]:
+                    self.act(number, balancer.handle(event, self.now))
+            self.now = at
+            while restart_at and restart_at[0] <= at:
+                restart_at.pop(0)
+                self.restart(self.rng.randrange(len(self.fleet)))
+            number = self.rng.randrange(len(self.fleet))
+            arrived = api.RequestArrived(f"r{next(requests)}", "r", None, 2 * SECOND)
+            self.act(number, self.fleet[number].handle(arrived, at))
+
+    def worst(self) -> float:
+        """The most that any cold host got in a window, over what it may get: N, and chance beside it."""
+        most = 0.0
+        for times in self.sent.values():
+            first = 0
+            for last, at in enumerate(times):
+                while times[first] <= at - FALL_S:
+                    first += 1
+                allowed = MULTIPLE * CAPACITY * self.part(times[first]) * FALL_S
+                most = max(most, (last - first + 1) / (allowed + 2 * math.sqrt(allowed) + 2))
+        return most
+
+
+@pytest.mark.parametrize(
+    ("sidecars", "hosts", "cold", "told", "restarts"),
+    [
+        (5, 9, 1, 5, 0),
+        (5, 9, 7, 5, 5),
+        (30, 18, 16, 30, 0),
+        (30, 18, 16, 30, 30),
+        (30, 18, 16, 20, 30),  # told of two thirds of the fleet: the slices leave so much
+        (200, 60, 36, 200, 200),
+    ],
+)
+def test_a_cold_host_stays_within_its_budget_of_the_whole_fleet(
+    sidecars: int, hosts: int, cold: int, told: int, restarts: int
+) -> None:
+    for seed in range(2):
+        fleet = Fleet(sidecars, hosts, cold, told, seed)
+        fleet.play(8.0, restarts)
+        assert any(fleet.sent.values()), "it is let in"
+        assert fleet.worst() <= 1.0, f"seed {seed}: {fleet.worst():.2f}"
+
+
+def test_the_budget_is_passed_where_the_fleet_is_told_to_be_a_sixth_of_what_it_is() -> None:
+    """What the test above can see; nothing in one sidecar can, since none hears of the others."""
+    fleet = Fleet(30, 18, 16, 5, 1)
+    fleet.play(8.0)
+    assert fleet.worst() > 1.0
