--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -233,7 +233,7 @@
             parse_config(json.dumps(config).encode(), {}),
             operator=parse_operator_file(b"status: {port: 0, refresh_ms: 1000}"),
         )
-        self.sidecar.machine_list.on_step = collector.step
+        self.sidecar.endpoint_list.on_step = collector.step
         self.hub = self.sidecar.scheduler
         self.version, self.asked = 1, 0
         self.times: list[float] = []
@@ -305,7 +305,7 @@
 
     def _all_told(self, lists: int) -> bool:
         taken = self.sidecar.counters.count("lists_taken")
-        slices = self.sidecar.machine_list._slices
+        slices = self.sidecar.endpoint_list._slices
         return taken >= lists and (slices is None or not slices.waiting)
 
     def _drive(self, address: tuple[str, int]) -> None:
@@ -366,7 +366,7 @@
             entry = rng.choice(entries)
             entry["state"] = ("Terminating", "Ready")[at % 2]
             text = text_of([entry], self.version, False)
-            self.changes.append(spent(lambda text=text: self.sidecar.machine_list._take(text)))  # type: ignore[misc]
+            self.changes.append(spent(lambda text=text: self.sidecar.endpoint_list._take(text)))  # type: ignore[misc]
             if at % 10 == 0:
                 self.hub.sleep(0.001)
 
@@ -386,8 +386,8 @@
         try:
             gc.collect()
             tracemalloc.start()
-            sidecar.machine_list._take(text)
-            slices = sidecar.machine_list._slices
+            sidecar.endpoint_list._take(text)
+            slices = sidecar.endpoint_list._slices
             while slices is not None and slices.waiting:
                 sidecar.scheduler.sleep(0.001)
             sidecar.scheduler.sleep(1.5 if sidecar.status is not None else 0.0)
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -68,7 +68,7 @@
 
 
 def listed(port: int) -> dict[str, Any]:
-    """The machine list: names enough for the connections, all of them the one server."""
+    """The endpoint list: names enough for the connections, all of them the one server."""
     return {
         "version": 1, "full": True,
         "servers": [
--- a/brambleusher/config.py
+++ b/brambleusher/config.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from brambleusher.net.machine_list import ListError, MachineListUpdate, decode_update
+from brambleusher.net.endpoint_list import EndpointListUpdate, ListError, decode_update
 from brambleusher.runtime.streams import parse_address
 from quillpass import api
 from quillpass.settings import WireError, parse_settings
@@ -37,7 +37,7 @@
     discovery: tuple[str, int]
     seed: int
     limits: Limits
-    known: MachineListUpdate
+    known: EndpointListUpdate
     settings: api.Settings
     admin: tuple[str, int] | None = None  # where operators call; None: nowhere
     listener_fd: int | None = None  # a socket that listens on `listen` already; None: there is none
--- a/brambleusher/control/core.py
+++ b/brambleusher/control/core.py
@@ -21,7 +21,7 @@
 from brambleusher.control.subscriber import Request, Response, Subscriber
 from brambleusher.control.versions import Seal
 from brambleusher.control.wire import Sum, Who
-from brambleusher.net.machine_list import Machine, MachineListUpdate
+from brambleusher.net.endpoint_list import Endpoint, EndpointListUpdate
 from quillpass.api import HostList, HostState, ListKind, Settings, TimerFired
 from quillpass.fleet import FleetBalancer, standings
 from quillpass.handout import Handout, Place, Why, Word
@@ -38,17 +38,17 @@
     return group.form or ("nodes" if who.agent.lower().startswith("grpc") else "zones")
 
 
-def restrained(before: Mapping[str, Machine], newest: Mapping[str, Machine]) -> dict[str, Machine]:
+def restrained(before: Mapping[str, Endpoint], newest: Mapping[str, Endpoint]) -> dict[str, Endpoint]:
     """The nodes of `before` less what `newest` takes away: none is added and none comes back into use."""
     out = {}
-    for name, machine in before.items():
+    for name, endpoint in before.items():
         now = newest.get(name)
         if now is None:
             continue
         ready = now.entry.state is HostState.READY
-        if ready and (now.address, now.entry.started_ns) != (machine.address, machine.entry.started_ns):
+        if ready and (now.address, now.entry.started_ns) != (endpoint.address, endpoint.entry.started_ns):
             continue  # what is listed there now is another process
-        out[name] = machine if ready else now
+        out[name] = endpoint if ready else now
     return out
 
 
@@ -62,16 +62,18 @@
         self._damper, self._rounder = Damper(), Rounder(change)
         self._due_at = self.balancer.next_tick(self.balancer.start(now)) or now
         self.tiers: list[Tier] = []
-        self._machines: Mapping[str, Machine] = {}
+        self._endpoints: Mapping[str, Endpoint] = {}
 
-    def listed(self, machines: Mapping[str, Machine], now: int) -> bool:
+    def listed(self, endpoints: Mapping[str, Endpoint], now: int) -> bool:
         """Take the list in; False where it is the one held."""
-        before, self._machines = self._machines, machines
-        if before is machines:
+        before, self._endpoints = self._endpoints, endpoints
+        if before is endpoints:
             return False
-        entries = [each.entry for name, each in machines.items() if before.get(name) != each]
+        entries = [each.entry for name, each in endpoints.items() if before.get(name) != each]
         entries += [
-            replace(each.entry, state=HostState.GONE) for name, each in before.items() if name not in machines
+            replace(each.entry, state=HostState.GONE)
+            for name, each in before.items()
+            if name not in endpoints
         ]
         self.balancer.handle(HostList(ListKind.DELTA, entries), now)
         return True
@@ -136,8 +138,8 @@
         self._endpoints = self._builders()
         self._drafts: dict[tuple[str, str], Draft] = {}
         self._fixed: dict[int, dict[str, list[Draft]]] = {}
-        self._written_machines: dict[str, Machine] | None = None  # the list held when it was last written
-        self.machines: dict[str, Machine] = {}  # the list that views are made of
+        self._written_endpoints: dict[str, Endpoint] | None = None  # the list held when it was last written
+        self.endpoints: dict[str, Endpoint] = {}  # the list that views are made of
         self._node_at: dict[tuple[str, int], str] = {}
         self._place: Place | None = None  # of that list
         self._news_ns = now
@@ -153,7 +155,7 @@
 
     # --- discovery --------------------------------------------------------------------------------
 
-    def listed(self, update: MachineListUpdate, now: int) -> None:
+    def listed(self, update: EndpointListUpdate, now: int) -> None:
         """An update from discovery."""
         was_behind = self.roster.behind
         changed = self.roster.take(update)
@@ -216,18 +218,18 @@
         if self.handout.to_write() is None:
             if self.handout.floor is not None and place < self.handout.floor:
                 return
-            machines = self.roster.machines
-            self._written_machines = machines
-        elif self._store_fails and self._written_machines is not None:
-            machines = restrained(self._written_machines, self.roster.machines)
+            endpoints = self.roster.endpoints
+            self._written_endpoints = endpoints
+        elif self._store_fails and self._written_endpoints is not None:
+            endpoints = restrained(self._written_endpoints, self.roster.endpoints)
         else:
             return
-        if machines is self.machines and place == self._place:
+        if endpoints is self.endpoints and place == self._place:
             return
-        changed = machines != self.machines
-        self.machines, self._place = machines, place
+        changed = endpoints != self.endpoints
+        self.endpoints, self._place = endpoints, place
         if changed:
-            self._node_at = {machine.address: name for name, machine in machines.items()}
+            self._node_at = {endpoint.address: name for name, endpoint in endpoints.items()}
             served = {stream.zone for stream in self.streams.values()}
             for zone in self.zones.values():
                 if zone.name in served:  # the others when somebody asks, or at the next tick
@@ -237,7 +239,7 @@
 
     def _listed(self, zone: Zone, now: int) -> None:
         """Have a zone know the list; between two steps of the weights only this changes them."""
-        if zone.listed(self.machines, now):
+        if zone.listed(self.endpoints, now):
             self._weigh(zone, step=False)
 
     def _weigh(self, zone: Zone, step: bool) -> bool:
@@ -254,7 +256,7 @@
         for zone in self.zones.values():
             self._listed(zone, now)
             zone.tick(now)
-        if now - self._weighed_ns >= self.config.spread.weights_every_ms * MS and self.machines:
+        if now - self._weighed_ns >= self.config.spread.weights_every_ms * MS and self.endpoints:
             self._weighed_ns = now
             moved = [zone for zone in self.zones.values() if self._weigh(zone, step=True)]
             if moved:
@@ -290,7 +292,7 @@
         moving = self._drafts.get((zone, form))
         if moving is None:
             self._listed(self.zones[zone], now)
-            addresses = {name: machine.address for name, machine in self.machines.items()}
+            addresses = {name: endpoint.address for name, endpoint in self.endpoints.items()}
             moving = self._endpoints[zone, form].draft(self.zones[zone].tiers, addresses)
             self._drafts[zone, form] = moving
         shelves = {
@@ -403,7 +405,7 @@
 
     def load(self, zone: str, sums: list[Sum]) -> None:
         """A proxy's report."""
-        self.zones[zone].loads.take(sums, self._node_at, self.machines)
+        self.zones[zone].loads.take(sums, self._node_at, self.endpoints)
 
 
 def _settings_of(config: ControlConfig, zone: str) -> Settings:
--- a/brambleusher/control/discovery.py
+++ b/brambleusher/control/discovery.py
@@ -1,4 +1,4 @@
-"""Follows discovery with the sidecar's own machine list, in a thread with its own scheduler."""
+"""Follows discovery with the sidecar's own endpoint list, in a thread with its own scheduler."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from brambleusher.counters import Counters
 from brambleusher.decisions import Clock
-from brambleusher.net.machine_list import MachineList, MachineListUpdate
+from brambleusher.net.endpoint_list import EndpointList, EndpointListUpdate
 from brambleusher.net.watch import HttpWatch
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
@@ -25,7 +25,7 @@
         address: tuple[str, int],
         seed: int,
         loop: asyncio.AbstractEventLoop,
-        on_update: Callable[[MachineListUpdate, int], None],
+        on_update: Callable[[EndpointListUpdate, int], None],
         on_heard: Callable[[int], None],
         on_lost: Callable[[int], None],
     ) -> None:
@@ -65,12 +65,12 @@
                 else:
                     self._hand(self._on_heard, self.clock.now_ns())
 
-        machine_list = MachineList(
+        endpoint_list = EndpointList(
             scheduler, feed, random.Random(self._seed), self.counters,
             lambda update: self._hand(self._on_update, update, self.clock.now_ns()),
             lambda: self._hand(self._on_lost, self.clock.now_ns()),
         )  # fmt: skip
-        machine_list.start()
-        machine_list.ask()
+        endpoint_list.start()
+        endpoint_list.ask()
         scheduler.run(lambda: self._ended)
         scheduler.close()
--- a/brambleusher/control/roster.py
+++ b/brambleusher/control/roster.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Mapping
 
-from brambleusher.net.machine_list import Machine, MachineListUpdate
+from brambleusher.net.endpoint_list import Endpoint, EndpointListUpdate
 from quillpass.api import HostState
 
 
@@ -17,8 +17,8 @@
 
     def __init__(self) -> None:
         self.version: int | None = None
-        self.machines: dict[str, Machine] = {}
-        self._told: dict[str, Machine] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self._told: dict[str, Endpoint] = {}
         self._told_version: int | None = None
 
     @property
@@ -33,29 +33,29 @@
             self.version is not None and self._told_version is not None and self._told_version < self.version
         )
 
-    def take(self, update: MachineListUpdate) -> Mapping[str, Machine | None] | None:
+    def take(self, update: EndpointListUpdate) -> Mapping[str, Endpoint | None] | None:
         """The nodes that have changed (None: gone); None where the list held stays as it is."""
         if update.full:
             self._told = {}
-        for machine in update.machines:
-            if machine.entry.state is HostState.GONE:
-                self._told.pop(machine.entry.host, None)
+        for endpoint in update.endpoints:
+            if endpoint.entry.state is HostState.GONE:
+                self._told.pop(endpoint.entry.host, None)
             else:
-                self._told[machine.entry.host] = machine
+                self._told[endpoint.entry.host] = endpoint
         self._told_version = update.version
         if self.behind:
             return None
-        before, self.machines = self.machines, dict(self._told)
+        before, self.endpoints = self.endpoints, dict(self._told)
         self.version = update.version
-        changed: dict[str, Machine | None] = {
-            name: machine for name, machine in self.machines.items() if before.get(name) != machine
+        changed: dict[str, Endpoint | None] = {
+            name: endpoint for name, endpoint in self.endpoints.items() if before.get(name) != endpoint
         }
-        changed.update({name: None for name in before if name not in self.machines})
+        changed.update({name: None for name in before if name not in self.endpoints})
         return changed
 
 
-def only_takes(changed: Mapping[str, Machine | None]) -> bool:
+def only_takes(changed: Mapping[str, Endpoint | None]) -> bool:
     """Whether a change does no more than take nodes out of use."""
     return bool(changed) and all(
-        machine is None or machine.entry.state is not HostState.READY for machine in changed.values()
+        endpoint is None or endpoint.entry.state is not HostState.READY for endpoint in changed.values()
     )
--- a/brambleusher/control/service.py
+++ b/brambleusher/control/service.py
@@ -21,7 +21,7 @@
 from brambleusher.control.store import Store, StoreError
 from brambleusher.control.tls import Certificates
 from brambleusher.control.versions import Seal
-from brambleusher.net.machine_list import MachineListUpdate
+from brambleusher.net.endpoint_list import EndpointListUpdate
 from quillpass.handout import Place
 
 log = logging.getLogger(__name__)
@@ -129,7 +129,7 @@
 
     # --- what happens -------------------------------------------------------------------------------
 
-    def _listed(self, update: MachineListUpdate, at: int) -> None:
+    def _listed(self, update: EndpointListUpdate, at: int) -> None:
         self.core.listed(update, at)
         self._to_write.set()
 
--- a/brambleusher/control/status.py
+++ b/brambleusher/control/status.py
@@ -138,7 +138,7 @@
                 "told": core.roster.told_version,
                 "behind": core.roster.behind,
             },
-            "nodes": len(core.machines),
+            "nodes": len(core.endpoints),
             "zones": {
                 zone.name: {
                     "reports": zone.loads.taken,
@@ -171,7 +171,7 @@
             for stream in core.streams.values()
             if stream.group is not None and name in (stream.identity, stream.who.id, str(stream.id))
         ]
-        if not found or not core.machines:
+        if not found or not core.endpoints:
             return None if not found else []
         stream = found[-1]
         assert stream.group is not None
--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -28,7 +28,7 @@
     """Unix time, read from the wall once and carried on by the monotonic clock.
 
     Guards against a wall clock that is set while the sidecar runs, and against comparing monotonic
-    time with the start times in the machine list, which are Unix time.
+    time with the start times in the endpoint list, which are Unix time.
     """
 
     def __init__(self, system: System) -> None:
--- a/brambleusher/features/capture.py
+++ b/brambleusher/features/capture.py
@@ -2,7 +2,7 @@
 
 The module learns and draws random numbers, so its decisions can be rerun only from its state at the
 oldest record that is left.  The ring is therefore made of segments: each begins with a header that
-holds the machine list and the module's state as they stood before its first record, and only whole
+holds the endpoint list and the module's state as they stood before its first record, and only whole
 segments are dropped.  The header in front of the oldest segment is the ring's.
 """
 
@@ -21,7 +21,7 @@
 from brambleusher.decisions import Decision, Recorder
 from brambleusher.features.output import ITEM_BYTES, Lane
 from brambleusher.features.records import VERSION, action_of, chosen, event_of, seal, server_entry
-from brambleusher.net.machine_list import MachineListUpdate
+from brambleusher.net.endpoint_list import EndpointListUpdate
 from brambleusher.operator_file import CaptureSettings
 from brambleusher.runtime.sinks import append_whole
 from brambleusher.runtime.system import Item
@@ -62,7 +62,7 @@
         settings: CaptureSettings,
         served: api.Settings,
         seed: int,
-        known: MachineListUpdate,
+        known: EndpointListUpdate,
         dumps: Lane,
         files: Lane | None,
     ) -> None:
@@ -75,7 +75,7 @@
         self._servers: dict[str, dict[str, Any]] = {}
         self._version = self._told = 0
         self.listed(known)
-        self._fold(api.ListKind.FULL, [machine.entry for machine in known.machines])
+        self._fold(api.ListKind.FULL, [endpoint.entry for endpoint in known.endpoints])
         self._count = 0  # of records so far: the number of the next one
         self._sealed: deque[Segment] = deque()
         self._sealed_size = 0
@@ -89,12 +89,12 @@
             head = self._head(state())
             self._open = Segment(head, 0, self._due(len(head)))
 
-    def listed(self, update: MachineListUpdate) -> None:
-        """What the module is told next of the machine list, with what only this side knows of it."""
+    def listed(self, update: EndpointListUpdate) -> None:
+        """What the module is told next of the endpoint list, with what only this side knows of it."""
         self._told = update.version
-        for machine in update.machines:
-            host, port = machine.address
-            self._addresses[machine.entry.host] = f"{host}:{port}" if host else ""
+        for endpoint in update.endpoints:
+            host, port = endpoint.address
+            self._addresses[endpoint.entry.host] = f"{host}:{port}" if host else ""
 
     def record(self, decision: Decision) -> None:
         """One event and what the module decided."""
--- a/brambleusher/features/records.py
+++ b/brambleusher/features/records.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from brambleusher.net.machine_list import state_of, state_word
+from brambleusher.net.endpoint_list import state_of, state_word
 from quillpass import api
 from quillpass.state import plain, restore_rules, save_rules, unplain
 
@@ -33,7 +33,7 @@
 
 
 def server_entry(entry: api.HostEntry, address: str) -> dict[str, Any]:
-    """An entry of the machine list in discovery's form."""
+    """An entry of the endpoint list in discovery's form."""
     return {
         "id": entry.host, "addr": address, "zone": entry.zone, "kind": entry.kind, "cell": entry.cell,
         "state": state_word(entry.state), "weight": plain(entry.nominal),
@@ -116,7 +116,7 @@
 
 
 def entry_from(raw: dict[str, Any]) -> api.HostEntry:
-    """The entry of the machine list that the module was told."""
+    """The entry of the endpoint list that the module was told."""
     return api.HostEntry(
         raw["id"], raw["zone"], raw["kind"], raw["cell"], state_of(raw["state"]),
         unplain(raw["weight"]), raw["started_ns"],
--- a/brambleusher/features/status.py
+++ b/brambleusher/features/status.py
@@ -17,8 +17,8 @@
 from brambleusher import __version__
 from brambleusher.decisions import Call, Observer, Outcome
 from brambleusher.features.blocks import Blocks
+from brambleusher.net.endpoint_list import Endpoint, EndpointListUpdate, state_word
 from brambleusher.net.http import HttpError, Message, MessageReader, write_response
-from brambleusher.net.machine_list import Machine, MachineListUpdate, state_word
 from brambleusher.operator_file import StatusSettings
 from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
@@ -56,7 +56,7 @@
         self._port, self._refresh_seconds = settings.port, settings.refresh_ms / 1000
         self._scheduler, self._classes = scheduler, [cls.name for cls in served.classes]
         self._started = scheduler.now()
-        self._machines: dict[str, Machine] = {}
+        self._endpoints: dict[str, Endpoint] = {}
         self._rows = Blocks(self._rendered)
         self._errors: dict[str, deque[tuple[int, str]]] = {}
         self._inflight = dict.fromkeys(self._classes, 0)
@@ -105,22 +105,22 @@
 
     # --- what is shown --------------------------------------------------------------------------
 
-    def listed(self, update: MachineListUpdate) -> None:
-        """News of the machine list; shown at the next refresh."""
+    def listed(self, update: EndpointListUpdate) -> None:
+        """News of the endpoint list; shown at the next refresh."""
         if update.full:
-            self._machines.clear()
+            self._endpoints.clear()
             self._rows = Blocks(self._rendered)
-        for machine in update.machines:
-            name = machine.entry.host
-            if machine.entry.state is HostState.GONE:
-                self._machines.pop(name, None)
+        for endpoint in update.endpoints:
+            name = endpoint.entry.host
+            if endpoint.entry.state is HostState.GONE:
+                self._endpoints.pop(name, None)
                 self._errors.pop(name, None)
                 self._rows.removed(name)
             else:
-                self._machines[name] = machine
+                self._endpoints[name] = endpoint
                 self._rows.changed(name)
         if update.full:
-            self._errors = {name: kept for name, kept in self._errors.items() if name in self._machines}
+            self._errors = {name: kept for name, kept in self._errors.items() if name in self._endpoints}
 
     def taken(self, call: Call) -> None:
         """A request was taken."""
@@ -128,7 +128,7 @@
 
     def claim_ended(self, call: Call, node: str, outcome: Outcome) -> None:
         """An attempt has ended; what went wrong is kept with its node."""
-        if outcome.status not in _NO_ERROR and node in self._machines:
+        if outcome.status not in _NO_ERROR and node in self._endpoints:
             errors = self._errors.setdefault(node, deque(maxlen=ERRORS_KEPT))
             errors.append((int(self._age() * 1000), outcome.status.value))
             self._rows.changed(node)
@@ -187,12 +187,12 @@
         }
 
     def _rendered(self, name: str) -> tuple[bytes, bytes]:
-        machine = self._machines[name]
+        endpoint = self._endpoints[name]
         return row_of(
             {
                 "id": name,
-                "addr": f"{machine.address[0]}:{machine.address[1]}",
-                "state": state_word(machine.entry.state),
+                "addr": f"{endpoint.address[0]}:{endpoint.address[1]}",
+                "state": state_word(endpoint.entry.state),
                 "errors": [{"t_ms": at, "error": error} for at, error in self._errors.get(name, ())],
             }
         )
--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -26,7 +26,7 @@
 from brambleusher.fronts.mysql.replies import ReplyRelay
 from brambleusher.fronts.mysql.session import Flavour, PreparedText, Session, Setup, replay_text
 from brambleusher.fronts.mysql.settings import MysqlSettings, Passwords
-from brambleusher.net.machine_list import Machine, MachineListUpdate
+from brambleusher.net.endpoint_list import Endpoint, EndpointListUpdate
 from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
 from brambleusher.runtime.streams import Called, Stream
 from quillpass.api import CONNECT_PART, HostState, LoadReport, Settings, Status
@@ -283,7 +283,7 @@
 
 
 class MysqlNodes:
-    """The nodes that the machine list names, as MySQL servers."""
+    """The nodes that the endpoint list names, as MySQL servers."""
 
     def __init__(
         self,
@@ -327,18 +327,18 @@
         node.meter.served(self.now())
         return node.meter.report(self.now(), min(self._settings.connections, node.most))
 
-    # --- the machine list -----------------------------------------------------------------------
+    # --- the endpoint list -----------------------------------------------------------------------
 
-    def update(self, update: MachineListUpdate) -> None:
+    def update(self, update: EndpointListUpdate) -> None:
         """Follow the list: no claim starts on a node that drains or is gone, tied sessions are told."""
         if update.full:
-            named = {machine.entry.host for machine in update.machines}
+            named = {machine.entry.host for machine in update.endpoints}
             for name in [name for name in self._nodes if name not in named]:
                 self._leave(self._nodes.pop(name))
-        for machine in update.machines:
+        for machine in update.endpoints:
             self._place(machine)
 
-    def _place(self, machine: Machine) -> None:
+    def _place(self, machine: Endpoint) -> None:
         entry = machine.entry
         node = self._nodes.get(entry.host)
         if entry.state is HostState.GONE:
--- a/brambleusher/fronts/mysql/service.py
+++ b/brambleusher/fronts/mysql/service.py
@@ -13,7 +13,7 @@
 from brambleusher.fronts.mysql.front import Front
 from brambleusher.fronts.mysql.nodes import MysqlNodes
 from brambleusher.fronts.mysql.settings import MysqlSettings, check_against, load_secrets
-from brambleusher.net.machine_list import MachineListUpdate
+from brambleusher.net.endpoint_list import EndpointListUpdate
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.sections import OperatorError
 from quillpass.api import Settings
@@ -51,7 +51,7 @@
         except OSError as error:  # certificates
             raise OperatorError(f"mysql: TLS files can't be used: {error}") from None
 
-    def start(self, known: MachineListUpdate) -> tuple[str, int]:
+    def start(self, known: EndpointListUpdate) -> tuple[str, int]:
         """Listen; says where."""
         self.nodes.update(known)
         self._scheduler.spawn(self.nodes.reap, name="mysql reap")
--- a/brambleusher/lab/control/history.py
+++ b/brambleusher/lab/control/history.py
@@ -31,7 +31,7 @@
 from brambleusher.control.roster import Roster
 from brambleusher.control.wire import decode_request
 from brambleusher.lab.control.xds import ASSIGNMENT, ProxyStandIn, endpoints_of
-from brambleusher.net.machine_list import Machine, MachineListUpdate
+from brambleusher.net.endpoint_list import Endpoint, EndpointListUpdate
 from quillpass.api import HostEntry, HostState
 from quillpass.handout import Place
 
@@ -166,7 +166,7 @@
 class _Forgetful(Roster):
     """A part of a breakage: the list held goes back with discovery."""
 
-    def take(self, update: MachineListUpdate) -> Mapping[str, Machine | None] | None:
+    def take(self, update: EndpointListUpdate) -> Mapping[str, Endpoint | None] | None:
         self.version = None
         return super().take(update)
 
@@ -181,7 +181,7 @@
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._count = 0
         self._watches = 0
-        self.lists: list[dict[str, Machine]] = []
+        self.lists: list[dict[str, Endpoint]] = []
         self.serves: int | None = None  # an older version that discovery tells; None: the newest
         self.down = False
         names = [f"control-{at}" for at in range(INSTANCES)]
@@ -239,9 +239,9 @@
             state = was.entry.state if was is not None else HostState.READY
             if was is not None and at == flip:
                 state = HostState.DRAINING if state is HostState.READY else HostState.READY
-            machines[name] = Machine(HostEntry(name, "z", "k", 0, state), ("10.0.0.1", 1 + at))
+            machines[name] = Endpoint(HostEntry(name, "z", "k", 0, state), ("10.0.0.1", 1 + at))
         stamp = HostEntry(STAMP, "z", "k", 0, HostState.DRAINING)
-        machines[STAMP] = Machine(stamp, ("10.0.0.2", PORT + version))
+        machines[STAMP] = Endpoint(stamp, ("10.0.0.2", PORT + version))
         self.lists.append(machines)
         self.books.change(version, self.now)
 
@@ -256,7 +256,7 @@
         if self.down or instance.cut or not watch:
             return
         version = self.serves or len(self.lists)
-        update = MachineListUpdate(version, True, tuple(self.lists[version - 1].values()))
+        update = EndpointListUpdate(version, True, tuple(self.lists[version - 1].values()))
 
         def arrive() -> None:
             core = instance.core
--- a/brambleusher/lab/faults/breakages.py
+++ b/brambleusher/lab/faults/breakages.py
@@ -19,9 +19,9 @@
 from brambleusher.net import entries as list_module
 from brambleusher.net import execute_nodes as nodes_module
 from brambleusher.net import submitters as submitters_module
+from brambleusher.net.endpoint_list import Endpoint, EndpointList, EndpointListUpdate, Feed
 from brambleusher.net.execute_nodes import Claim, ExecuteNodes, Node
 from brambleusher.net.http import Message, MessageReader
-from brambleusher.net.machine_list import Feed, Machine, MachineList, MachineListUpdate
 from brambleusher.net.submitters import Answer, Kind, RequestLife, Submitter, Submitters
 from brambleusher.runtime.scheduler import Cancelled
 from brambleusher.runtime.streams import Called, Stream
@@ -100,16 +100,16 @@
 
 @breakage("drain-late", "what drains or is gone is taken in 1 ms after the limit", "drain")
 def _drain_late(patches: Patches) -> None:
-    def listed(self: Sidecar, update: MachineListUpdate) -> None:
-        leaving = [each for each in update.machines if each.entry.state is not HostState.READY]
-        named = {each.entry.host for each in update.machines}
+    def listed(self: Sidecar, update: EndpointListUpdate) -> None:
+        leaving = [each for each in update.endpoints if each.entry.state is not HostState.READY]
+        named = {each.entry.host for each in update.endpoints}
         if not leaving and not (update.full and set(self.nodes.listed) - named):
             old(self, update)
             return
         if not update.full:
-            ready = tuple(each for each in update.machines if each.entry.state is HostState.READY)
-            old(self, replace(update, machines=ready))
-            update = replace(update, machines=tuple(leaving))
+            ready = tuple(each for each in update.endpoints if each.entry.state is HostState.READY)
+            old(self, replace(update, endpoints=ready))
+            update = replace(update, endpoints=tuple(leaving))
         wait = self.config.settings.drain_grace_ns / 1e9 + LATE_SECONDS
         self.scheduler.call_at(self.scheduler.now() + wait, lambda: old(self, update))
 
@@ -123,7 +123,7 @@
 
 @breakage("old-process", "idle connections to a process that was replaced are kept", "drain", "dirty")
 def _old_process(patches: Patches) -> None:
-    def place(self: ExecuteNodes, machine: Machine) -> None:
+    def place(self: ExecuteNodes, machine: Endpoint) -> None:
         node = self._nodes.get(machine.entry.host)
         if node is not None and machine.entry.state is not HostState.GONE:
             node.address, node.started_ns = machine.address, machine.entry.started_ns
@@ -134,12 +134,12 @@
 
 @breakage("versions-kept", "a new discovery is asked for what follows the old one's version", "versions")
 def _versions_kept(patches: Patches) -> None:
-    def change_now(self: MachineList, feed: Feed) -> None:
+    def change_now(self: EndpointList, feed: Feed) -> None:
         version = self._version
         old(self, feed)
         self._version = version
 
-    old = patches.set(MachineList, "_change_now", change_now)
+    old = patches.set(EndpointList, "_change_now", change_now)
 
 
 # --- what operators say ---------------------------------------------------------------------------
@@ -149,7 +149,7 @@
     "ban-lifted", "news of a node from discovery ends the operators' ban", "drain", profile="operators",
 )  # fmt: skip
 def _ban_lifted(patches: Patches) -> None:
-    def effective(self: Sidecar, update: MachineListUpdate) -> MachineListUpdate:
+    def effective(self: Sidecar, update: EndpointListUpdate) -> EndpointListUpdate:
         old(self, update)  # which keeps the books
         return update
 
@@ -198,7 +198,7 @@
     profile="operators",
 )  # fmt: skip
 def _ready_late(patches: Patches) -> None:
-    patches.set(Sidecar, "is_ready", lambda self: self.machine_list.fresh)
+    patches.set(Sidecar, "is_ready", lambda self: self.endpoint_list.fresh)
 
 
 # --- what may not be repeated ---------------------------------------------------------------------
--- a/brambleusher/net/machine_list.py
+++ b/brambleusher/net/endpoint_list.py
@@ -1,4 +1,4 @@
-"""The machine list: what discovery says of the execute nodes, kept up by a watch.
+"""The endpoint list: what discovery says of the execute nodes, kept up by a watch.
 
 How a watch travels is the feed's affair: it yields one JSON text a change, and an empty one as
 long as nothing changes.
@@ -14,9 +14,9 @@
 
 from brambleusher.counters import Counters
 from brambleusher.net.entries import (
+    Endpoint,
+    EndpointListUpdate,
     ListError,
-    Machine,
-    MachineListUpdate,
     decode_update,
     state_of,
     state_word,
@@ -26,13 +26,19 @@
 from quillpass.backoff import Backoff
 
 __all__ = [
-    "Feed", "ListError", "Machine", "MachineList", "MachineListUpdate", "decode_update", "state_of",
+    "Endpoint",
+    "EndpointList",
+    "EndpointListUpdate",
+    "Feed",
+    "ListError",
+    "decode_update",
+    "state_of",
     "state_word",
 ]  # fmt: skip
 
 log = logging.getLogger(__name__)
 
-SMALL, SLICE = 128, 40  # machines: told as they come; told at once of a longer list (0.3 ms)
+SMALL, SLICE = 128, 40  # endpoints: told as they come; told at once of a longer list (0.3 ms)
 
 # Takes the version held (None for the whole list) and yields texts until the watch ends.
 Feed = Callable[[int | None], Generator[bytes, None, None]]
@@ -40,7 +46,7 @@
 T = TypeVar("T")
 
 
-class MachineList:
+class EndpointList:
     """Follows discovery, and says when it can't."""
 
     def __init__(
@@ -49,14 +55,14 @@
         feed: Feed,
         rng: random.Random,
         counters: Counters,
-        on_update: Callable[[MachineListUpdate], None],
+        on_update: Callable[[EndpointListUpdate], None],
         on_broken: Callable[[], None],
         slices: bool = False,
         sidecars: int = 1,
     ) -> None:
         """`sidecars` of them call discovery.
 
-        With `slices`, a long list is told as updates of some machines each, drains and removals first.
+        With `slices`, a long list is told as updates of some endpoints each, drains and removals first.
         """
         self._scheduler, self._feed, self._rng, self._counters = scheduler, feed, rng, counters
         self._on_update, self._on_broken = on_update, on_broken
@@ -74,7 +80,7 @@
         self.fresh = False  # discovery has answered since the start
         self.turned_away = False  # a watch has failed since the start: another may be long in coming
 
-    def hold(self, known: MachineListUpdate) -> None:
+    def hold(self, known: EndpointListUpdate) -> None:
         """The list taken from the configuration, which was told; its version is 0 where there was none."""
         self._version = known.version or None
         if self._slices is not None:
@@ -87,7 +93,7 @@
 
     def start(self) -> None:
         """Start the task; its first watch waits until it is asked for."""
-        self._task = self._scheduler.spawn(self._follow, name="machine list")
+        self._task = self._scheduler.spawn(self._follow, name="endpoint list")
         if self._slices is not None and self._telling is None:
             self._telling = self._scheduler.spawn(self._tell, self._slices, name="list slices")
 
@@ -146,7 +152,7 @@
         except ValueError as error:
             # The last good list stays.  What this one changed is unknown now: ask for all of it.
             self._counters.add("lists_rejected")
-            raise ListError(f"bad machine list: {error}") from None
+            raise ListError(f"bad endpoint list: {error}") from None
         slices = self._slices
         if slices is None or slices.is_small(update):
             if slices is not None:
@@ -162,7 +168,7 @@
         self._version = update.version
         self._counters.add("lists_taken")
         if not slices.waiting:  # that discovery answered is news even where nothing has changed
-            self._on_update(MachineListUpdate(update.version, False, ()))
+            self._on_update(EndpointListUpdate(update.version, False, ()))
         self._more.ring()
 
     def _stepwise(self, steps: Generator[None, None, T]) -> T:
@@ -182,7 +188,7 @@
             self._scheduler.park(bell=self._more)
             while some := slices.next():
                 try:
-                    self._on_update(MachineListUpdate(self._of, False, some))
+                    self._on_update(EndpointListUpdate(self._of, False, some))
                 except Exception:
                     # Guards against one fault keeping all that is still to be told.
                     self._counters.add("faults")
--- a/brambleusher/net/entries.py
+++ b/brambleusher/net/entries.py
@@ -1,4 +1,4 @@
-"""The machine list's entries: what discovery says of an execute node, checked and decoded."""
+"""The endpoint list's entries: what discovery says of an execute node, checked and decoded."""
 
 from __future__ import annotations
 
@@ -19,11 +19,11 @@
 
 
 class ListError(ValueError):
-    """A machine list that makes no sense."""
+    """A endpoint list that makes no sense."""
 
 
 @dataclass(frozen=True, slots=True)
-class Machine:
+class Endpoint:
     """An execute node as listed: what the module is told, and where it listens."""
 
     entry: HostEntry
@@ -31,12 +31,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MachineListUpdate:
+class EndpointListUpdate:
     """A whole list, or the entries that changed."""
 
     version: int
     full: bool
-    machines: tuple[Machine, ...]
+    endpoints: tuple[Endpoint, ...]
 
 
 def state_word(state: HostState) -> str:
@@ -56,7 +56,7 @@
     return value
 
 
-def decode_machine(raw: Any) -> Machine:
+def decode_endpoint(raw: Any) -> Endpoint:
     """One entry; raises `ListError` where it makes no sense."""
     if not isinstance(raw, dict):
         raise ListError("an entry is not an object")
@@ -86,7 +86,7 @@
         nominal=float(weight),
         started_ns=_whole(raw, "started_ms", 0) * 1_000_000,
     )
-    return Machine(entry, where)
+    return Endpoint(entry, where)
 
 
 def decode_version(raw: dict[str, Any]) -> int:
@@ -94,13 +94,13 @@
     return _whole(raw, "version", 0)
 
 
-def decode_update(raw: Any) -> MachineListUpdate:
+def decode_update(raw: Any) -> EndpointListUpdate:
     """One object from discovery, checked whole before any of it is used."""
     if not isinstance(raw, dict):
         raise ListError("the list is not an object")
     servers = raw.get("servers")
     if not isinstance(servers, list) or len(servers) > MAX_SERVERS:
         raise ListError("servers is missing or not a list")
-    return MachineListUpdate(
-        decode_version(raw), raw.get("full") is True, tuple(decode_machine(entry) for entry in servers)
+    return EndpointListUpdate(
+        decode_version(raw), raw.get("full") is True, tuple(decode_endpoint(entry) for entry in servers)
     )
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/execute_nodes.py
@@ -14,6 +14,7 @@
 from brambleusher.decisions import Outcome, nothing
 from brambleusher.logs import SparseLog
 from brambleusher.net.bodies import Answered, Tail, Upload
+from brambleusher.net.endpoint_list import Endpoint, EndpointListUpdate
 from brambleusher.net.http import (
     HOP_BY_HOP,
     Framing,
@@ -23,7 +24,6 @@
     chunk,
     write_request,
 )
-from brambleusher.net.machine_list import Machine, MachineListUpdate
 from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
 from brambleusher.runtime.streams import Called, Stream
 from quillpass.api import CONNECT_PART, HostState, LoadReport, Settings, Status
@@ -122,7 +122,7 @@
 
 
 class ExecuteNodes:
-    """The execute nodes that the machine list names."""
+    """The execute nodes that the endpoint list names."""
 
     def __init__(
         self,
@@ -136,7 +136,7 @@
         self._scheduler, self._counters, self._written = scheduler, counters, written
         self._connect_seconds = settings.connect_timeout_ns / 1e9
         self._pace = Pace.of(settings.fleet_size, settings.conn_idle_ns / 1e9 or math.inf)
-        self.listed: dict[str, Machine] = {}
+        self.listed: dict[str, Endpoint] = {}
         self._nodes: dict[str, Node] = {}  # those of them in use, and no others: a list may have thousands
         self._most, self._open = most_connections, 0
         self._bad_answers = SparseLog(log, scheduler.now)
@@ -146,32 +146,32 @@
         """There may be so many connections from now on."""
         self._most = most_connections
 
-    # --- the machine list -----------------------------------------------------------------------
+    # --- the endpoint list -----------------------------------------------------------------------
 
-    def update(self, update: MachineListUpdate) -> None:
+    def update(self, update: EndpointListUpdate) -> None:
         """Follow the list: from this moment no claim starts on a node that drains or is gone."""
         if update.full:
-            named = {machine.entry.host for machine in update.machines}
+            named = {endpoint.entry.host for endpoint in update.endpoints}
             for name in [name for name in self.listed if name not in named]:
                 self._gone(name)
-        for machine in update.machines:
-            self._place(machine)
+        for endpoint in update.endpoints:
+            self._place(endpoint)
 
     def _gone(self, name: str) -> None:
         self.listed.pop(name, None)
         if (node := self._nodes.pop(name, None)) is not None:
             self._leave(node)
 
-    def _place(self, machine: Machine) -> None:
-        entry = machine.entry
+    def _place(self, endpoint: Endpoint) -> None:
+        entry = endpoint.entry
         if entry.state is HostState.GONE:
             self._gone(entry.host)
             return
-        self.listed[entry.host] = machine
+        self.listed[entry.host] = endpoint
         node = self._nodes.get(entry.host)
         if node is None:
             return
-        if (node.address, node.started_ns) != (machine.address, entry.started_ns):
+        if (node.address, node.started_ns) != (endpoint.address, entry.started_ns):
             # Guards against a claim on a connection to a process that is not the one listed now, be it
             # idle or still in use: none of them comes back to the record that its next claim makes.
             self._leave(self._nodes.pop(entry.host))
@@ -185,10 +185,10 @@
         node = self._nodes.get(name)
         if node is not None:
             return None if node.leaving else node
-        machine = self.listed.get(name)
-        if machine is None or machine.entry.state is not HostState.READY:
+        endpoint = self.listed.get(name)
+        if endpoint is None or endpoint.entry.state is not HostState.READY:
             return None
-        node = Node(name, machine.address, machine.entry.started_ns, [], {}, Link(self._pace))
+        node = Node(name, endpoint.address, endpoint.entry.started_ns, [], {}, Link(self._pace))
         self._nodes[name] = node
         return node
 
--- a/brambleusher/net/watch.py
+++ b/brambleusher/net/watch.py
@@ -23,7 +23,7 @@
 
 
 class HttpWatch:
-    """The feed of the machine list."""
+    """The feed of the endpoint list."""
 
     def __init__(self, scheduler: Scheduler, address: tuple[str, int]) -> None:
         self._scheduler, self._address = scheduler, address
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -23,8 +23,8 @@
 from brambleusher.features.rewrites import Rewrites
 from brambleusher.features.status import DESCRIPTORS, StatusPage
 from brambleusher.logs import configure
+from brambleusher.net.endpoint_list import EndpointList, EndpointListUpdate, ListError, decode_update
 from brambleusher.net.execute_nodes import ExecuteNodes
-from brambleusher.net.machine_list import ListError, MachineList, MachineListUpdate, decode_update
 from brambleusher.net.submitters import Submitters
 from brambleusher.net.watch import HttpWatch
 from brambleusher.operator_file import CaptureSettings, FiguresSettings, OperatorFile
@@ -67,7 +67,7 @@
 LAST_ANSWER_SECONDS = 0.25  # ahead of it what came after SIGTERM is answered, whatever became of it
 ENDING_LOOK_SECONDS = 0.02  # between two looks at whether clients are still connected
 # Measured: 11 MB at the start, 17 MB after a minute with 60 connections in use.  A figure too high leaves
-# too few connections on a small machine, and claims find none: that looks like execute nodes that are full.
+# too few connections on a small endpoint, and claims find none: that looks like execute nodes that are full.
 MEMORY_OF_RUNTIME = 20 * 1024 * 1024
 MEMORY_OF_BUFFERS = 2 * 1024 * 1024  # of the runtime's, for features; 16 MB measured with the usual ones on
 MEMORY_OF_MYSQL = 48 * 1024 * 1024  # its libraries and what it remembers of statements
@@ -142,7 +142,7 @@
             config.settings, config.seed, self.scheduler, self.clock, self.counters,
             Observers(observers) if observers else None, self.capture, make, learnt,
         )  # fmt: skip
-        self.machine_list = MachineList(
+        self.endpoint_list = EndpointList(
             self.scheduler,
             HttpWatch(self.scheduler, config.discovery),
             random.Random(config.seed ^ 1),
@@ -153,7 +153,7 @@
             sidecars=config.settings.fleet_size,
         )
         self.decisions.on_let_go = self._let_go
-        self.decisions.on_subscribe = self.machine_list.ask
+        self.decisions.on_subscribe = self.endpoint_list.ask
         self.places = Places(rooms.submitters, max(int(config.limits.sockets * ASKING_PART), 8))
         self.submitters = Submitters(
             self.scheduler, self.decisions, self.nodes, self.clock, self.counters,
@@ -219,8 +219,8 @@
         if len(self.nodes.listed) > MOST_HOSTS:
             return None
         servers = [
-            server_entry(self.bans.raw(name) or machine.entry, "{}:{}".format(*machine.address))
-            for name, machine in self.nodes.listed.items()
+            server_entry(self.bans.raw(name) or endpoint.entry, "{}:{}".format(*endpoint.address))
+            for name, endpoint in self.nodes.listed.items()
         ]
         return {
             "list": {"version": self._version, "full": True, "servers": servers},
@@ -307,21 +307,21 @@
 
     def is_ready(self) -> bool:
         """Whether submitters may come."""
-        waited = self.scheduler.now() - self._started_at >= READY_SECONDS or self.machine_list.turned_away
-        return self.machine_list.fresh or (waited and bool(self.config.known.machines))
+        waited = self.scheduler.now() - self._started_at >= READY_SECONDS or self.endpoint_list.turned_away
+        return self.endpoint_list.fresh or (waited and bool(self.config.known.endpoints))
 
     def start(self) -> tuple[str, int]:
-        """Listen and follow the machine list; says where it listens."""
+        """Listen and follow the endpoint list; says where it listens."""
         known = self.config.known
         if self.takeover is not None and (shared := self.takeover.shared()) is not None:
             self._shared(shared)  # said before this process began
-        self.machine_list.hold(known)
+        self.endpoint_list.hold(known)
         known = self._effective(known)
         self.nodes.update(known)
-        self.decisions.start(machine.entry for machine in known.machines)
-        self.machine_list.start()
+        self.decisions.start(endpoint.entry for endpoint in known.endpoints)
+        self.endpoint_list.start()
         if not self.config.settings.subscribe:  # the module leaves the list to us
-            self.machine_list.ask()
+            self.endpoint_list.ask()
         self.scheduler.spawn(self.nodes.reap, name="reap")
         if self.figures is not None:
             self.figures.start(self.scheduler)
@@ -490,28 +490,28 @@
 
     def _tell(self, entry: HostEntry | None) -> None:
         """What a ban makes of a node, where it makes a difference."""
-        if entry is None or (machine := self.nodes.listed.get(entry.host)) is None:
+        if entry is None or (endpoint := self.nodes.listed.get(entry.host)) is None:
             return
-        self._told(MachineListUpdate(self._version, False, (replace(machine, entry=entry),)))
+        self._told(EndpointListUpdate(self._version, False, (replace(endpoint, entry=entry),)))
 
-    def _effective(self, update: MachineListUpdate) -> MachineListUpdate:
+    def _effective(self, update: EndpointListUpdate) -> EndpointListUpdate:
         """What bans make of news from discovery."""
         self._version = update.version
-        self.bans.listed(update.full, (machine.entry for machine in update.machines))
-        machines = tuple(
-            machine if (entry := self.bans.effective(machine.entry)) is machine.entry
-            else replace(machine, entry=entry)
-            for machine in update.machines
+        self.bans.listed(update.full, (endpoint.entry for endpoint in update.endpoints))
+        endpoints = tuple(
+            endpoint if (entry := self.bans.effective(endpoint.entry)) is endpoint.entry
+            else replace(endpoint, entry=entry)
+            for endpoint in update.endpoints
         )  # fmt: skip
-        return replace(update, machines=machines)
+        return replace(update, endpoints=endpoints)
 
     def _relayed(self) -> None:
         self.tally.relayed += 1
 
-    def _listed(self, update: MachineListUpdate) -> None:
+    def _listed(self, update: EndpointListUpdate) -> None:
         self._told(self._effective(update))
 
-    def _told(self, update: MachineListUpdate) -> None:
+    def _told(self, update: EndpointListUpdate) -> None:
         if self.status is not None:
             self.status.listed(update)
         if self.capture is not None:
@@ -521,7 +521,7 @@
         if self.mysql is not None:
             self.mysql.nodes.update(update)
         kind = ListKind.FULL if update.full else ListKind.DELTA
-        self.decisions.listed(kind, [machine.entry for machine in update.machines])
+        self.decisions.listed(kind, [endpoint.entry for endpoint in update.endpoints])
 
     def _report(self) -> None:
         self.counters.report("asked")
@@ -551,7 +551,7 @@
             self.config = replace(self.config, discovery=config.discovery)
             settings = self.config.settings
             within = min(settings.fleet_size / LISTS_A_SECOND, settings.ask_within_ns / 1e9 * MOVE_PART)
-            self.machine_list.change_over(HttpWatch(self.scheduler, config.discovery), within)
+            self.endpoint_list.change_over(HttpWatch(self.scheduler, config.discovery), within)
 
     def _reload_zones(self) -> None:
         """Take the operator file's section on zones; a faulty file, checked whole, changes nothing."""
@@ -634,7 +634,7 @@
     """Run one sidecar as this process's main program; raises `ConfigError` if it can't be used."""
     collector = Collector()
     sidecar = Sidecar(load(), load, operator, system, load_operator)
-    sidecar.machine_list.on_step = collector.step
+    sidecar.endpoint_list.on_step = collector.step
     if STDERR in sidecar.outputs:
         # Guards against a log line that waits, and requests with it, where a feature has filled the pipe.
         configure(stream=LaneStream(sidecar.outputs[STDERR].lane(LOG_BYTES)), form=log_format)
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -24,7 +24,7 @@
 from brambleusher.features.capture import Capture, DirSink
 from brambleusher.features.output import Lane
 from brambleusher.features.replay import DIFFERENT, REFUSED, SAME, replay
-from brambleusher.net.machine_list import MachineListUpdate
+from brambleusher.net.endpoint_list import EndpointListUpdate
 from brambleusher.operator_file import CaptureSettings, parse_operator_file
 from brambleusher.runtime.real import RealSystem
 from brambleusher.sections import OperatorError
@@ -37,7 +37,7 @@
 from tests.test_rules import BASE
 
 SEED = 0x8C1F30D27A5BE964
-EMPTY = MachineListUpdate(0, True, ())
+EMPTY = EndpointListUpdate(0, True, ())
 ASKS = replace(BASE, subscribe=True)
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,4 +1,4 @@
-"""Configuration, the machine list's texts, log lines, and the scheduler's corners."""
+"""Configuration, the endpoint list's texts, log lines, and the scheduler's corners."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 from brambleusher.config import ConfigError, load_config, parse_config
 from brambleusher.logs import KeyValueFormatter
-from brambleusher.net.machine_list import ListError, decode_update
+from brambleusher.net.endpoint_list import ListError, decode_update
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
 from quillpass.api import HostState
@@ -32,7 +32,7 @@
         config = parse_config(json.dumps(few).encode(), env)
         self.assertEqual((config.name, config.listen), ("n7", ("127.0.0.1", 1)))
         self.assertEqual((config.limits.sockets, config.limits.memory_mb), (1024, 192))
-        self.assertEqual((config.seed, config.known.machines), (0x8C1F, ()))
+        self.assertEqual((config.seed, config.known.endpoints), (0x8C1F, ()))
         self.assertIsNone(config.admin)
         for raw, more, admin in (
             (few, {"NODE_ADMIN_ADDR": "127.0.0.1:3"}, ("127.0.0.1", 3)),
@@ -69,7 +69,7 @@
     def test_entries(self) -> None:
         gone = {"id": "h1", "state": "Gone"}
         update = decode_update({"version": 4, "full": False, "servers": [ENTRY, gone]})
-        first, second = update.machines
+        first, second = update.endpoints
         self.assertEqual((first.address, first.entry.started_ns), (("127.0.0.1", 80), 3_000_000))
         self.assertEqual((second.entry.state, update.full), (HostState.GONE, False))
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -35,7 +35,7 @@
 from brambleusher.lab.control import history as control_history
 from brambleusher.lab.control.xds import ProxyStandIn
 from brambleusher.lab.control.xds_rules import faults
-from brambleusher.net.machine_list import Machine, MachineListUpdate
+from brambleusher.net.endpoint_list import Endpoint, EndpointListUpdate
 from quillpass import Balancer, api
 from quillpass.fleet import FleetBalancer, Standing, Told, scaled, standings
 from quillpass.handout import Handout, Place, Why, Word
@@ -349,23 +349,25 @@
 # --- the list and the views -----------------------------------------------------------------------
 
 
-def machine(name: str, state: api.HostState = api.HostState.READY, zone: str = "z", port: int = 0) -> Machine:
-    return Machine(api.HostEntry(name, zone, "k", 0, state), ("10.0.0.1", port or 9000 + int(name[1:])))
+def endpoint(
+    name: str, state: api.HostState = api.HostState.READY, zone: str = "z", port: int = 0
+) -> Endpoint:
+    return Endpoint(api.HostEntry(name, zone, "k", 0, state), ("10.0.0.1", port or 9000 + int(name[1:])))
 
 
-def update(version: int, *machines: Machine, full: bool = True) -> MachineListUpdate:
-    return MachineListUpdate(version, full, machines)
+def update(version: int, *machines: Endpoint, full: bool = True) -> EndpointListUpdate:
+    return EndpointListUpdate(version, full, machines)
 
 
 def test_the_list_held_never_goes_back() -> None:
     roster = Roster()
-    assert set(roster.take(update(5, machine("n1"), machine("n2"))) or ()) == {"n1", "n2"}
-    assert set(roster.take(update(6, machine("n2", api.HostState.GONE), full=False)) or ()) == {"n2"}
-    assert roster.take(update(3, machine("n1"), machine("n2"))) is None and roster.behind
-    assert roster.take(update(5, machine("n3"), full=False)) is None
-    assert set(roster.machines) == {"n1"} and roster.version == 6
-    changed = roster.take(update(7, machine("n1", api.HostState.DRAINING), full=False))
-    assert not roster.behind and set(roster.machines) == {"n1", "n2", "n3"} and set(changed or ()) == {
+    assert set(roster.take(update(5, endpoint("n1"), endpoint("n2"))) or ()) == {"n1", "n2"}
+    assert set(roster.take(update(6, endpoint("n2", api.HostState.GONE), full=False)) or ()) == {"n2"}
+    assert roster.take(update(3, endpoint("n1"), endpoint("n2"))) is None and roster.behind
+    assert roster.take(update(5, endpoint("n3"), full=False)) is None
+    assert set(roster.endpoints) == {"n1"} and roster.version == 6
+    changed = roster.take(update(7, endpoint("n1", api.HostState.DRAINING), full=False))
+    assert not roster.behind and set(roster.endpoints) == {"n1", "n2", "n3"} and set(changed or ()) == {
         "n1", "n2", "n3"
     }  # fmt: skip
 
@@ -373,10 +375,11 @@
 def test_restrained_lists_only_take_away() -> None:
     drain = api.HostState.DRAINING
     before = {
-        each.entry.host: each for each in (machine("n1"), machine("n2"), machine("n3", drain), machine("n4"))
+        each.entry.host: each
+        for each in (endpoint("n1"), endpoint("n2"), endpoint("n3", drain), endpoint("n4"))
     }
     newest = {each.entry.host: each for each in (
-        machine("n1", drain), machine("n3"), machine("n4", port=1), machine("n5"))}  # fmt: skip
+        endpoint("n1", drain), endpoint("n3"), endpoint("n4", port=1), endpoint("n5"))}  # fmt: skip
     kept = restrained(before, newest)
     assert {name: each.entry.state for name, each in kept.items()} == {"n1": drain, "n3": drain}
 
@@ -400,7 +403,7 @@
 
 
 def core_with(
-    folder: Path, *machines: Machine, version: int = 1, floor: Place | None = None, **more: Any
+    folder: Path, *machines: Endpoint, version: int = 1, floor: Place | None = None, **more: Any
 ) -> Core:
     core = Core(control(folder, **more), floor, 0, sure=True)
     core.listed(update(version, *machines), 0)
@@ -430,10 +433,10 @@
 
 @pytest.mark.parametrize("incremental", [False, True])
 def test_a_proxy_gets_all_and_a_drain_at_once(tmp_path: Path, incremental: bool) -> None:
-    core = core_with(tmp_path, machine("n1"), machine("n2"))
+    core = core_with(tmp_path, endpoint("n1"), endpoint("n2"))
     stream, proxy = join(core, incremental=incremental)
     assert proxy.complete() and set(proxy.usable()) == {"10.0.0.1:9001", "10.0.0.1:9002"}
-    core.listed(update(2, machine("n1", api.HostState.DRAINING), full=False), 1)
+    core.listed(update(2, endpoint("n1", api.HostState.DRAINING), full=False), 1)
     feed(core, stream, proxy, [], 1)
     assert len(proxy.usable()) == 2  # it is not written yet
     core.written(Place(1, 2), 2)
@@ -443,9 +446,9 @@
 
 
 def test_while_the_disk_is_full_drains_go_out_and_nothing_is_added(tmp_path: Path) -> None:
-    core = core_with(tmp_path, machine("n1"), machine("n2"))
+    core = core_with(tmp_path, endpoint("n1"), endpoint("n2"))
     stream, proxy = join(core)
-    core.listed(update(2, machine("n2", api.HostState.DRAINING), machine("n3"), full=False), 1)
+    core.listed(update(2, endpoint("n2", api.HostState.DRAINING), endpoint("n3"), full=False), 1)
     core.write_failed(1)
     feed(core, stream, proxy, [], 1)
     assert set(proxy.usable()) == {"10.0.0.1:9001"} and len(proxy.endpoints()) == 2
@@ -456,7 +459,7 @@
 
 @pytest.mark.parametrize(("agent", "renewed"), [("stand-in", True), ("gRPC C++", False)])
 def test_what_a_proxy_would_let_go_stale_is_renewed(tmp_path: Path, agent: str, renewed: bool) -> None:
-    core = core_with(tmp_path, machine("n1"), stale_after_ms=3000)
+    core = core_with(tmp_path, endpoint("n1"), stale_after_ms=3000)
     stream, proxy = join(core, agent=agent)
     before = proxy.responses
     for now, more in ((900 * MS, 0), (1100 * MS, 1), (1200 * MS, 1), (2200 * MS, 2)):
@@ -469,16 +472,16 @@
 
 
 def test_a_restarted_instance_withholds_until_discovery_has_caught_up(tmp_path: Path) -> None:
-    core = core_with(tmp_path, machine("n1"), version=4, floor=Place(1, 9))
+    core = core_with(tmp_path, endpoint("n1"), version=4, floor=Place(1, 9))
     stream, proxy = join(core)
     assert core.why_not(0) is Why.BEHIND and not proxy.responses
-    core.listed(update(9, machine("n2")), 1)
+    core.listed(update(9, endpoint("n2")), 1)
     feed(core, stream, proxy, [], 1)
     assert set(proxy.usable()) == {"10.0.0.1:9002"}
 
 
 def test_discovery_down_for_a_minute_and_back_with_an_older_list(tmp_path: Path) -> None:
-    core = core_with(tmp_path, machine("n1"), machine("n2"), version=9)
+    core = core_with(tmp_path, endpoint("n1"), endpoint("n2"), version=9)
     stream, proxy = join(core)
     core.lost(SECOND)
     minute = 60 * SECOND
@@ -488,20 +491,20 @@
     newcomer = ProxyStandIn("q", "z", True)
     feed(core, later, newcomer, newcomer.connect(), minute)
     assert not newcomer.responses and len(proxy.usable()) == 2  # the last good view stays
-    core.listed(update(7, machine("n1")), minute)
+    core.listed(update(7, endpoint("n1")), minute)
     feed(core, stream, proxy, [], minute)
     feed(core, later, newcomer, [], minute)
     assert set(newcomer.usable()) == set(proxy.usable()) == {"10.0.0.1:9001", "10.0.0.1:9002"}
-    core.listed(update(8, machine("n2", api.HostState.DRAINING), full=False), minute)
+    core.listed(update(8, endpoint("n2", api.HostState.DRAINING), full=False), minute)
     assert core.to_write() is None and core.roster.behind
-    core.listed(update(10, machine("n3"), full=False), minute)
+    core.listed(update(10, endpoint("n3"), full=False), minute)
     core.written(Place(1, 10), minute)
     feed(core, stream, proxy, [], minute)
     assert set(proxy.usable()) == {"10.0.0.1:9001", "10.0.0.1:9003"}
 
 
 def test_a_claim_of_the_future_withholds_and_one_made_up_does_not(tmp_path: Path) -> None:
-    core = core_with(tmp_path, machine("n1"))
+    core = core_with(tmp_path, endpoint("n1"))
     for version, why in (
         (f"9.9.{'0' * 16}.{'0' * 16}", None),
         (SEAL.version(Place(1, 2), "0" * 16), Why.BEHIND),
@@ -517,7 +520,7 @@
         {"identity": "a-*", "zone": "z", "may": ["web", "look"]},
         {"identity": "b-*", "may": ["move"], "endpoints": "nodes"},
     ]
-    core = core_with(tmp_path, machine("n1"), subscribers=groups)
+    core = core_with(tmp_path, endpoint("n1"), subscribers=groups)
     _, proxy = join(core, "a-1")
     assert [kind.rpartition(".")[2] for kind in proxy.kinds] == [
         "Cluster", "ClusterLoadAssignment", "Listener", "RouteConfiguration"
@@ -533,7 +536,7 @@
 
 
 def test_streams_are_bounded(tmp_path: Path) -> None:
-    core = core_with(tmp_path, machine("n1"), bounds={"streams": 3, "streams_per_identity": 1})
+    core = core_with(tmp_path, endpoint("n1"), bounds={"streams": 3, "streams_per_identity": 1})
     join(core, "p")
     with pytest.raises(ProtocolError, match="one subscriber"):
         join(core, "p")
@@ -543,7 +546,7 @@
 
 
 def test_another_configuration_reaches_subscribers_in_order(tmp_path: Path) -> None:
-    core = core_with(tmp_path, machine("n1"))
+    core = core_with(tmp_path, endpoint("n1"))
     stream, proxy = join(core)
     core.reconfigure(control(tmp_path, classes=[{"name": "look", "timeout_ms": 77}]), 1)
     seen: list[str] = []
@@ -560,7 +563,7 @@
 
 
 def test_another_configuration_moves_subscribers_and_turns_some_away(tmp_path: Path) -> None:
-    core = core_with(tmp_path, machine("n1"))
+    core = core_with(tmp_path, endpoint("n1"))
     stays, proxy = join(core, "stays")
     goes, _ = join(core, "goes")
     core.reconfigure(control(tmp_path, subscribers=[{"identity": "stays", "zone": "y"}], stale_after_ms=0), 1)
@@ -608,7 +611,9 @@
 
 
 def test_resources_keep_the_rules_that_the_protos_carry(tmp_path: Path) -> None:
-    core = core_with(tmp_path, machine("n1"), machine("n2", api.HostState.DRAINING), machine("n3", zone="y"))
+    core = core_with(
+        tmp_path, endpoint("n1"), endpoint("n2", api.HostState.DRAINING), endpoint("n3", zone="y")
+    )
     for name, form in (("a", "zones"), ("b", "nodes")):
         snapshot = core.snapshot("z", form, core.config.groups[0], 0)
         for kind, message in MESSAGES.items():
@@ -780,7 +785,7 @@
     stranger.locality.sub_zone = "n9"
     sums, who = decode_loads(report.SerializeToString())
     assert who.id == "p"
-    core = core_with(tmp_path, machine("n1"), machine("n2"))
+    core = core_with(tmp_path, endpoint("n1"), endpoint("n2"))
     core.load("z", sums)
     assert core.zones["z"].loads.unknown == 1
     told = {each.host: each for each in core.zones["z"].loads.tell()}
--- a/tests/test_fault_plans.py
+++ b/tests/test_fault_plans.py
@@ -330,7 +330,7 @@
     "sidecar-out-of-service": ({}, lambda fleet, _: not sidecar(fleet).sidecar.service.ready),
     "sidecars-released": (
         {"down_s": 0.1},
-        lambda fleet, _: sidecar(fleet).starts == 2 and not sidecar(fleet).sidecar.machine_list.fresh,
+        lambda fleet, _: sidecar(fleet).starts == 2 and not sidecar(fleet).sidecar.endpoint_list.fresh,
     ),
 }  # fmt: skip
 # What these leave behind does not go away, or they can only be seen over a while.
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -13,8 +13,8 @@
 
 from brambleusher.counters import Counters
 from brambleusher.features.blocks import BLOCK, Blocks
-from brambleusher.net.entries import ListError, Machine, MachineListUpdate, decode_update
-from brambleusher.net.machine_list import MachineList
+from brambleusher.net.endpoint_list import EndpointList
+from brambleusher.net.entries import Endpoint, EndpointListUpdate, ListError, decode_update
 from brambleusher.net.slices import Slices, decode_steps
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import BREATH_SECONDS, Scheduler
@@ -167,16 +167,16 @@
 # --- telling in slices ----------------------------------------------------------------------------
 
 
-def machine(name: str, state: api.HostState = READY, started: int = 0) -> Machine:
+def machine(name: str, state: api.HostState = READY, started: int = 0) -> Endpoint:
     """A machine as listed."""
-    return Machine(api.HostEntry(name, "z", "k", 0, state, 1.0, started), ("127.0.0.1", 1))
+    return Endpoint(api.HostEntry(name, "z", "k", 0, state, 1.0, started), ("127.0.0.1", 1))
 
 
-def applied(held: dict[str, Machine], update: MachineListUpdate) -> None:
+def applied(held: dict[str, Endpoint], update: EndpointListUpdate) -> None:
     """Hold what an update says."""
     if update.full:
         held.clear()
-    for each in update.machines:
+    for each in update.endpoints:
         if each.entry.state is GONE:
             held.pop(each.entry.host, None)
         else:
@@ -186,20 +186,20 @@
 @pytest.mark.parametrize("seed", range(20))
 def test_slices_come_to_what_the_lists_say_whatever_overtakes_what(seed: int) -> None:
     rng = random.Random(seed)
-    slices, said, heard = Slices(8, 16), dict[str, Machine](), dict[str, Machine]()
+    slices, said, heard = Slices(8, 16), dict[str, Endpoint](), dict[str, Endpoint]()
 
     def hear(count: int) -> None:
         for _ in range(count):
             some = slices.next()
             assert len(some) <= 16
-            applied(heard, MachineListUpdate(0, False, some))
+            applied(heard, EndpointListUpdate(0, False, some))
 
     for version in range(25):
         full = rng.random() < 0.3
         names = rng.sample(range(1500), rng.choice((1, 5, 40, 900)))
         states = (READY, READY, DRAINING) if full else (READY, DRAINING, GONE)
         machines = tuple(machine(f"n{at}", rng.choice(states), rng.choice((0, 0, 5))) for at in names)
-        update = MachineListUpdate(version, full, machines)
+        update = EndpointListUpdate(version, full, machines)
         applied(said, update)
         if slices.is_small(update):
             slices.told(update)
@@ -214,11 +214,11 @@
 
 def test_what_leaves_goes_first_and_never_all_at_once() -> None:
     slices = Slices(8, 16)
-    end_of(slices.take(MachineListUpdate(1, True, tuple(machine(f"n{at}") for at in range(1000)))))
+    end_of(slices.take(EndpointListUpdate(1, True, tuple(machine(f"n{at}") for at in range(1000)))))
     while slices.waiting:
         slices.next()
     new = tuple(machine(f"m{at}") for at in range(1000))
-    end_of(slices.take(MachineListUpdate(2, True, (*new, machine("n7", DRAINING), machine("n8", READY, 5)))))
+    end_of(slices.take(EndpointListUpdate(2, True, (*new, machine("n7", DRAINING), machine("n8", READY, 5)))))
     leave, slice_of = {f"n{at}" for at in range(1000)}, list[int]()
     while leave:
         some = slices.next()
@@ -226,7 +226,7 @@
         leave -= {each.entry.host for each in some}
         assert any(each.entry.state is READY for each in slices.held.values())
     assert slices.waiting == 1000 - len(slice_of) * 4 and len(slice_of) <= 1000 / 12 + 1
-    end_of(slices.take(MachineListUpdate(3, False, (machine("m3", DRAINING), machine("m999", GONE)))))
+    end_of(slices.take(EndpointListUpdate(3, False, (machine("m3", DRAINING), machine("m999", GONE)))))
     first = slices.next()  # at once, though others have waited for longer
     assert first[0] == machine("m3", DRAINING)
     while slices.waiting:
@@ -374,7 +374,7 @@
         yield from ()
 
     lists = [
-        MachineList(cast(Any, moments), old, random.Random(seed), Counters(), lambda _: None, lambda: None)
+        EndpointList(cast(Any, moments), old, random.Random(seed), Counters(), lambda _: None, lambda: None)
         for seed in range(40)
     ]
     for each in lists:
@@ -386,5 +386,5 @@
     assert all(sum(part <= 2 * when < part + 1 for when in whens) >= 4 for part in range(4))
     for _, call in moments.due:
         call()
-    assert moments.spawned == ["machine list"] * 40
+    assert moments.spawned == ["endpoint list"] * 40
     assert all(each._feed is new for each in lists)
--- a/tests/test_stand_in_discovery.py
+++ b/tests/test_stand_in_discovery.py
@@ -12,8 +12,8 @@
 from brambleusher.lab.stand_ins import discovery as at_discovery
 from brambleusher.lab.stand_ins.discovery import Discovery, Entry, GarbageHow
 from brambleusher.lab.stand_ins.settings import DiscoverySettings
+from brambleusher.net.endpoint_list import ListError, decode_update
 from brambleusher.net.http import HttpError, MessageReader
-from brambleusher.net.machine_list import ListError, decode_update
 from brambleusher.runtime.scheduler import Scheduler, Timeout
 from brambleusher.runtime.streams import Stream
 from tests.lab import SERVER, Lab
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -13,8 +13,8 @@
 from brambleusher.lab.virtual.explore import play
 from brambleusher.lab.virtual.mass import DAYS, draw_mass
 from brambleusher.lab.virtual.network import Connection, End
+from brambleusher.net.endpoint_list import EndpointList
 from brambleusher.net.execute_nodes import ExecuteNodes
-from brambleusher.net.machine_list import MachineList
 from quillpass import Balancer, cold
 
 SECOND = 10**9
@@ -140,8 +140,8 @@
 def test_a_fleet_that_is_told_of_another_discovery_does_not_call_it_in_one_moment(
     whole: dict[str, Sums], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    old = MachineList.change_over
-    monkeypatch.setattr(MachineList, "change_over", lambda self, feed, within: old(self, feed, 0.0))
+    old = EndpointList.change_over
+    monkeypatch.setattr(EndpointList, "change_over", lambda self, feed, within: old(self, feed, 0.0))
     at_once = play(small("mass-roll"), sums=True).sums
     assert at_once is not None
     spread, calls = whole["mass-roll"].calls.values, at_once.calls.values
