--- a/benchmarks/bodies.py
+++ b/benchmarks/bodies.py
@@ -33,7 +33,7 @@
 
 
 def serve(listener: socket.socket, body: bytes) -> None:
-    """An execute node that answers everything with one body, as fast as it is taken."""
+    """An endpoint that answers everything with one body, as fast as it is taken."""
     head = b'HTTP/1.1 200 OK\r\nServer-Load: {"qps":9,"util":0.3}\r\nContent-Length: %d\r\n\r\n' % len(body)
 
     def one(sock: socket.socket) -> None:
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -332,7 +332,7 @@
 
 
 class Fleet:
-    """Execute nodes in virtual time: places to work in, a queue, a speed; no two alike."""
+    """Endpoints in virtual time: places to work in, a queue, a speed; no two alike."""
 
     def __init__(self, rng: random.Random, count: int) -> None:
         self.rng = rng
--- a/brambleusher/admin/calls.py
+++ b/brambleusher/admin/calls.py
@@ -20,7 +20,7 @@
     IN_SERVICE = "in-service"
 
 
-ID = "ID"  # stands for the id of an execute node
+ID = "ID"  # stands for the id of an endpoint
 # Method and path; what is done and what comes back is `door.Door.answer`'s, call by call.
 TABLE: tuple[tuple[str, tuple[str, ...], Call], ...] = (
     ("GET", ("control", "ready"), Call.READY),
--- a/brambleusher/admin/door.py
+++ b/brambleusher/admin/door.py
@@ -33,7 +33,7 @@
         """The figures as they stand."""
 
     def offline(self, node: str) -> bool:
-        """Leave an execute node out; false for one that was never listed."""
+        """Leave an endpoint out; false for one that was never listed."""
 
     def online(self, node: str) -> bool:
         """Use it again; false for one that was never listed."""
--- a/brambleusher/admin/figures.py
+++ b/brambleusher/admin/figures.py
@@ -6,7 +6,7 @@
 
 
 def render(tally: Tally, listed: int, avoided: int) -> bytes:
-    """All of them as they stand; `listed` and `avoided` are execute nodes."""
+    """All of them as they stand; `listed` and `avoided` are endpoints."""
     lines = [
         f"edge_node.operations.{name}.{end}={count}"
         for name, ends in tally.ends.items()
--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """How a claim ended; `payload` is what the execute node answered, where it served."""
+    """How a claim ended; `payload` is what the endpoint answered, where it served."""
 
     status: api.Status
     latency_ns: int
@@ -340,7 +340,7 @@
         return bequeath(self._balancer)
 
     def avoided(self) -> int:
-        """How many execute nodes of the list get nothing now."""
+        """How many endpoints of the list get nothing now."""
         return hosts_avoided(self._balancer, self._clock.now_ns())
 
     # --- actions --------------------------------------------------------------------------------
--- a/brambleusher/features/rewrites.py
+++ b/brambleusher/features/rewrites.py
@@ -1,4 +1,4 @@
-"""Header rewrites: what passes on to execute nodes and to submitters, changed by the operator's rules.
+"""Header rewrites: what passes on to endpoints and to submitters, changed by the operator's rules.
 
 No sockets here.  Hop-by-hop fields go first, then the rules act in file order, and `Forwarded` is
 written last, so that a rule can drop what came of it but not what this sidecar says.
@@ -65,7 +65,7 @@
         return {name for name in every if name is not None}
 
     def inward(self, request: Message, path: str, request_class: str, client: str) -> Message:
-        """The request as the execute node is to get it."""
+        """The request as the endpoint is to get it."""
         fields = self._apply("in", end_to_end(request), path, request_class)
         return replace(request, passed=forward(fields, client))
 
--- a/brambleusher/features/status.py
+++ b/brambleusher/features/status.py
@@ -1,4 +1,4 @@
-"""The status page: what this sidecar knows of its execute nodes, on a port of its own.
+"""The status page: what this sidecar knows of its endpoints, on a port of its own.
 
 Everything it serves is built beforehand, by a timer.  Whoever looks, and however slowly, only has
 ready bytes sent to him by one of a few tasks.
--- a/brambleusher/fronts/mysql/nodes.py
+++ b/brambleusher/fronts/mysql/nodes.py
@@ -1,6 +1,6 @@
 """Connections to each node's MySQL port, pooled by node and account, and the claims made on them.
 
-The counterpart of `net.execute_nodes.ExecuteNodes`: a claim is one statement, or a transaction as a
+The counterpart of `net.upstream_pool.UpstreamPool`: a claim is one statement, or a transaction as a
 whole.  A claim that has ended well gives its connection back; one whose answer goes on, or whose session
 is tied, hands it to the session as a `Held`.
 """
--- a/brambleusher/lab/checker/books.py
+++ b/brambleusher/lab/checker/books.py
@@ -152,7 +152,7 @@
 
 @dataclass(eq=False, slots=True)
 class Process:
-    """One process of an execute node, at one of its addresses."""
+    """One process of an endpoint, at one of its addresses."""
 
     node: str
     address: Address
--- a/brambleusher/lab/checker/roster.py
+++ b/brambleusher/lab/checker/roster.py
@@ -1,4 +1,4 @@
-"""What a sidecar was told of the execute nodes, and when: the checker's own reader of lists."""
+"""What a sidecar was told of the endpoints, and when: the checker's own reader of lists."""
 
 from __future__ import annotations
 
--- a/brambleusher/lab/checker/rules.py
+++ b/brambleusher/lab/checker/rules.py
@@ -14,7 +14,7 @@
 RULES = {
     "answer": "a request that was taken has no whole answer in time",
     "one-answer": "an answer that no request is owed, or a second one",
-    "made-answer": "an answer served that no execute node made for this request",
+    "made-answer": "an answer served that no endpoint made for this request",
     "other-answer": "an answer served that was made for another request",
     "unusable": "a request that can't be used was served or passed on",
     "told-off": "a request that can be served was told that it can't be used",
--- a/brambleusher/lab/control/xds_live.py
+++ b/brambleusher/lab/control/xds_live.py
@@ -95,7 +95,7 @@
 
 
 class Backend:
-    """A gRPC execute node; `seen` has the caller's name, the node's and the time of each call."""
+    """A gRPC endpoint; `seen` has the caller's name, the node's and the time of each call."""
 
     def __init__(self, name: str, seen: queue.Queue[tuple[str, str, float]]) -> None:
         self.name, self.seen = name, seen
--- a/brambleusher/lab/faults/breakages.py
+++ b/brambleusher/lab/faults/breakages.py
@@ -17,12 +17,12 @@
 from brambleusher.features import capture as capture_module
 from brambleusher.lab.checker.rules import RULES
 from brambleusher.net import entries as list_module
-from brambleusher.net import execute_nodes as nodes_module
 from brambleusher.net import submitters as submitters_module
+from brambleusher.net import upstream_pool as nodes_module
 from brambleusher.net.endpoint_list import Endpoint, EndpointList, EndpointListUpdate, Feed
-from brambleusher.net.execute_nodes import Claim, ExecuteNodes, Node
 from brambleusher.net.http import Message, MessageReader
 from brambleusher.net.submitters import Answer, Kind, RequestLife, Submitter, Submitters
+from brambleusher.net.upstream_pool import Claim, Node, UpstreamPool
 from brambleusher.runtime.scheduler import Cancelled
 from brambleusher.runtime.streams import Called, Stream
 from brambleusher.sidecar import Sidecar
@@ -123,13 +123,13 @@
 
 @breakage("old-process", "idle connections to a process that was replaced are kept", "drain", "dirty")
 def _old_process(patches: Patches) -> None:
-    def place(self: ExecuteNodes, machine: Endpoint) -> None:
+    def place(self: UpstreamPool, machine: Endpoint) -> None:
         node = self._nodes.get(machine.entry.host)
         if node is not None and machine.entry.state is not HostState.GONE:
             node.address, node.started_ns = machine.address, machine.entry.started_ns
         old(self, machine)
 
-    old = patches.set(ExecuteNodes, "_place", place)
+    old = patches.set(UpstreamPool, "_place", place)
 
 
 @breakage("versions-kept", "a new discovery is asked for what follows the old one's version", "versions")
@@ -223,14 +223,14 @@
 
 @breakage("reset-as-connect", "a reset after the last byte passes for a failed connect", "repeat", "refusal")
 def _reset_as_connect(patches: Patches) -> None:
-    def attempt(self: ExecuteNodes, node: Node, claim: Claim, *how: Any) -> Any:
+    def attempt(self: UpstreamPool, node: Node, claim: Claim, *how: Any) -> Any:
         outcome = old(self, node, claim, *how)
         if outcome is None:  # told already
             return None
         status, *rest = outcome
         return (Status.CONNECT_FAILED if status is Status.RESET else status, *rest)
 
-    old = patches.set(ExecuteNodes, "_attempt", attempt)
+    old = patches.set(UpstreamPool, "_attempt", attempt)
 
 
 @breakage("error-as-full", "a 500 is taken for a node that was full and did not begin", "repeat", "refusal")
@@ -243,13 +243,13 @@
 
 @breakage("again-below", "a claim that met a reset is made again below the module", "repeat", "once")
 def _again_below(patches: Patches) -> None:
-    def attempt(self: ExecuteNodes, node: Node, claim: Claim, *how: Any) -> Any:
+    def attempt(self: UpstreamPool, node: Node, claim: Claim, *how: Any) -> Any:
         outcome = old(self, node, claim, *how)
         if outcome is not None and outcome[0] is Status.RESET and claim.why is None:
             outcome = old(self, node, claim, *how)
         return outcome
 
-    old = patches.set(ExecuteNodes, "_attempt", attempt)
+    old = patches.set(UpstreamPool, "_attempt", attempt)
 
 
 @breakage("attempts-uncounted", "the limit on attempts is not looked at", "attempts")
@@ -281,25 +281,25 @@
 
 @breakage("connection-kept", "a connection goes back before its answer has come", "shared", "other-answer")
 def _connection_kept(patches: Patches) -> None:
-    def give_back(self: ExecuteNodes, node: Node, stream: Stream, keep: bool) -> None:
+    def give_back(self: UpstreamPool, node: Node, stream: Stream, keep: bool) -> None:
         old(self, node, stream, True)
 
-    old = patches.set(ExecuteNodes, "_give_back", give_back)
+    old = patches.set(UpstreamPool, "_give_back", give_back)
 
 
 @breakage("reuse-unseen", "an idle connection is used again without a look at what waits on it", "dirty")
 def _reuse_unseen(patches: Patches) -> None:
-    def connection(self: ExecuteNodes, node: Node, claim: Claim, deadline: float) -> Stream | None:
+    def connection(self: UpstreamPool, node: Node, claim: Claim, deadline: float) -> Stream | None:
         if node.idle and self._scheduler.now() - node.idle[-1].used_at < self._pace.idle:
             return node.idle.pop()
         return old(self, node, claim, deadline)  # type: ignore[no-any-return]
 
-    old = patches.set(ExecuteNodes, "_connection", connection)
+    old = patches.set(UpstreamPool, "_connection", connection)
 
 
 @breakage("cut-served", "what came of an answer before its connection broke is served", "made-answer")
 def _cut_served(patches: Patches) -> None:
-    def answer(self: ExecuteNodes, stream: Stream, claim: Claim, deadline: float) -> tuple[Message, bool]:
+    def answer(self: UpstreamPool, stream: Stream, claim: Claim, deadline: float) -> tuple[Message, bool]:
         reader = MessageReader.responses()
         while True:
             try:
@@ -319,7 +319,7 @@
                 if whole.status >= 200:
                     return whole, whole.keep_alive and not reader.buffered
 
-    patches.set(ExecuteNodes, "_answer", answer)
+    patches.set(UpstreamPool, "_answer", answer)
 
 
 @breakage("two-answers", "a failure is answered twice", "one-answer")
@@ -404,10 +404,10 @@
 
 @breakage("places-kept", "a connection that is closed goes on counting as open", "left-over", "recovery")
 def _places_kept(patches: Patches) -> None:
-    def discard(self: ExecuteNodes, stream: Stream) -> None:
+    def discard(self: UpstreamPool, stream: Stream) -> None:
         stream.close()
 
-    patches.set(ExecuteNodes, "_discard", discard)
+    patches.set(UpstreamPool, "_discard", discard)
 
 
 @breakage("limit-stuck", "the module's limit on what is out only falls", "recovery")
@@ -423,11 +423,11 @@
 
 @breakage("descriptor-kept", "idle connections to a node that leaves are forgotten, not closed", "left-over")
 def _descriptor_kept(patches: Patches) -> None:
-    def drop(self: ExecuteNodes, node: Node) -> None:
+    def drop(self: UpstreamPool, node: Node) -> None:
         self._open -= len(node.idle)
         node.idle.clear()
 
-    patches.set(ExecuteNodes, "_drop", drop)
+    patches.set(UpstreamPool, "_drop", drop)
 
 
 @breakage("report-halved", "the module is told half of what a load report says", "report")
--- a/brambleusher/lab/faults/effects.py
+++ b/brambleusher/lab/faults/effects.py
@@ -120,7 +120,7 @@
     return lambda: over.append(True)
 
 
-# --- execute nodes --------------------------------------------------------------------------------
+# --- endpoints --------------------------------------------------------------------------------
 
 
 @apply.register(faults.NodeSlow)
--- a/brambleusher/lab/faults/kinds.py
+++ b/brambleusher/lab/faults/kinds.py
@@ -58,7 +58,7 @@
     return str(fault.__struct_config__.tag)
 
 
-# --- execute nodes --------------------------------------------------------------------------------
+# --- endpoints --------------------------------------------------------------------------------
 
 
 class NodeSlow(Fault, frozen=True, tag="node-slow"):
--- a/brambleusher/lab/fleets/figures.py
+++ b/brambleusher/lab/fleets/figures.py
@@ -61,7 +61,7 @@
 
 
 class NodeFigures(Settings, frozen=True):
-    """One execute node: its place, and its settings."""
+    """One endpoint: its place, and its settings."""
 
     id: str
     zone: str
--- a/brambleusher/lab/stand_ins/discovery.py
+++ b/brambleusher/lab/stand_ins/discovery.py
@@ -26,7 +26,7 @@
 
 
 class Entry(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """An execute node as listed."""
+    """An endpoint as listed."""
 
     id: str
     addr: str
--- a/brambleusher/lab/stand_ins/machine.py
+++ b/brambleusher/lab/stand_ins/machine.py
@@ -1,4 +1,4 @@
-"""The machine under an execute node: cores shared by requests, a waiting room, a cold start, load reports.
+"""The machine under an endpoint: cores shared by requests, a waiting room, a cold start, load reports.
 
 No sockets, timers or clock: every call says what time it is, in seconds, and `next_at` says when to
 call `advance` again.
--- a/brambleusher/lab/stand_ins/node.py
+++ b/brambleusher/lab/stand_ins/node.py
@@ -1,4 +1,4 @@
-"""A stand-in execute node: HTTP in front of a `Machine`, a book of what it ran, and switches for troubles."""
+"""A stand-in endpoint: HTTP in front of a `Machine`, a book of what it ran, and switches for troubles."""
 
 from __future__ import annotations
 
@@ -158,7 +158,7 @@
 
 
 class Node(Server):
-    """One process of an execute node.
+    """One process of an endpoint.
 
     `process` counts the processes under this id; `executions` and `troubles` may be shared with the
     ones before and after it.
--- a/brambleusher/lab/stand_ins/settings.py
+++ b/brambleusher/lab/stand_ins/settings.py
@@ -17,7 +17,7 @@
 
 
 class NodeSettings(Settings, frozen=True):
-    """One execute node: its machine, what it takes, and how it answers."""
+    """One endpoint: its machine, what it takes, and how it answers."""
 
     cores: Annotated[int, msgspec.Meta(ge=1)] = 2
     speed: Positive = 1.0  # of a standard core
--- a/brambleusher/net/endpoint_list.py
+++ b/brambleusher/net/endpoint_list.py
@@ -1,4 +1,4 @@
-"""The endpoint list: what discovery says of the execute nodes, kept up by a watch.
+"""The endpoint list: what discovery says of the endpoints, kept up by a watch.
 
 How a watch travels is the feed's affair: it yields one JSON text a change, and an empty one as
 long as nothing changes.
--- a/brambleusher/net/entries.py
+++ b/brambleusher/net/entries.py
@@ -1,4 +1,4 @@
-"""The endpoint list's entries: what discovery says of an execute node, checked and decoded."""
+"""The endpoint list's entries: what discovery says of an endpoint, checked and decoded."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """An execute node as listed: what the module is told, and where it listens."""
+    """An endpoint as listed: what the module is told, and where it listens."""
 
     entry: HostEntry
     address: tuple[str, int]
--- a/brambleusher/net/passing.py
+++ b/brambleusher/net/passing.py
@@ -6,7 +6,7 @@
 
 from brambleusher.net.http import HOP_BY_HOP, Field, Message
 
-# What the decisions, the execute nodes and the bookkeeping of both rely on.
+# What the decisions, the endpoints and the bookkeeping of both rely on.
 PROTECTED = frozenset(
     {
         "request-id", "request-class", "tenant", "request-timeout-ms", "client-retry",
@@ -20,7 +20,7 @@
     """What is made of requests and answers on their way; `features.rewrites` is one."""
 
     def inward(self, request: Message, path: str, request_class: str, client: str) -> Message:
-        """The request as the execute node is to get it."""
+        """The request as the endpoint is to get it."""
 
     def outward(self, fields: list[Field], path: str, request_class: str) -> list[Field]:
         """The fields of an answer as the submitter is to get them."""
@@ -29,7 +29,7 @@
 def end_to_end(message: Message) -> list[Field]:
     """The fields that pass on, repeated ones kept, as RFC 9110 section 7.6.1 has it."""
     named = {word.strip().lower() for word in message.headers.get("connection", "").split(",")}
-    # Guards against a `Connection: Request-Id` that would take off what the execute node goes by.
+    # Guards against a `Connection: Request-Id` that would take off what the endpoint goes by.
     gone = (named - PROTECTED - {"host"}) | _OWN_FRAMING
     fields: list[Field] = []
     seen: set[str] = set()
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/submitters.py
@@ -24,7 +24,6 @@
 )
 from brambleusher.logs import SparseLog
 from brambleusher.net.bodies import LEAST_RATE, Tail, Upload
-from brambleusher.net.execute_nodes import ExecuteNodes
 from brambleusher.net.http import (
     MAX_PASSED,
     Field,
@@ -37,6 +36,7 @@
 )
 from brambleusher.net.passing import Passing, end_to_end
 from brambleusher.net.presence import ClientPresence
+from brambleusher.net.upstream_pool import UpstreamPool
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import SHORT_OF_ROOM, Socket
@@ -264,7 +264,7 @@
         self,
         scheduler: Scheduler,
         decisions: Decisions,
-        nodes: ExecuteNodes,
+        nodes: UpstreamPool,
         clock: Clock,
         counters: Counters,
         places: Places,
--- a/brambleusher/net/execute_nodes.py
+++ b/brambleusher/net/upstream_pool.py
@@ -1,4 +1,4 @@
-"""Connections to each execute node, and the claims made on them: one at a time on each."""
+"""Connections to each endpoint, and the claims made on them: one at a time on each."""
 
 from __future__ import annotations
 
@@ -87,7 +87,7 @@
 
 @dataclass(slots=True)
 class Node:
-    """One execute node: its place, its idle connections (the last used at the end), its open claims."""
+    """One endpoint: its place, its idle connections (the last used at the end), its open claims."""
 
     name: str
     address: tuple[str, int]
@@ -115,14 +115,14 @@
         self.written = False  # its last byte has been handed over: from here on it may have run
 
     def call_off(self, why: Status = Status.CANCELLED) -> None:
-        """Close its connection, which gives it up at the execute node too."""
+        """Close its connection, which gives it up at the endpoint too."""
         if self.why is None and not self.begun:
             self.why = why
             self.bell.ring()
 
 
-class ExecuteNodes:
-    """The execute nodes that the endpoint list names."""
+class UpstreamPool:
+    """The endpoints that the endpoint list names."""
 
     def __init__(
         self,
@@ -246,7 +246,7 @@
         before the first byte is sent; where it says no, nothing is.
         """
         if not isinstance(payload, Message):
-            raise TypeError("execute nodes are spoken to in HTTP alone")
+            raise TypeError("endpoints are spoken to in HTTP alone")
         start = self._scheduler.now()
         claim = Claim(start)
         limit = min(deadline, start + timeout_ns / 1e9) if timeout_ns else deadline
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -24,8 +24,8 @@
 from brambleusher.features.status import DESCRIPTORS, StatusPage
 from brambleusher.logs import configure
 from brambleusher.net.endpoint_list import EndpointList, EndpointListUpdate, ListError, decode_update
-from brambleusher.net.execute_nodes import ExecuteNodes
 from brambleusher.net.submitters import Submitters
+from brambleusher.net.upstream_pool import UpstreamPool
 from brambleusher.net.watch import HttpWatch
 from brambleusher.operator_file import CaptureSettings, FiguresSettings, OperatorFile
 from brambleusher.runtime.real import RealSystem
@@ -50,7 +50,7 @@
 
 SPARE_DESCRIPTORS = 32  # the watch, the listener, the log, files that the runtime opens
 ASKING_PART = 1 / 3  # of the descriptors: submitters never hold more connections to ask on, says the platform
-NODE_PART = 0.4  # of the descriptors: connections to execute nodes; the rest is for submitters
+NODE_PART = 0.4  # of the descriptors: connections to endpoints; the rest is for submitters
 STDERR = "stderr"
 LOG_BYTES = 64 * 1024  # of log lines that wait for standard error, where features write to it too
 LISTS_A_SECOND = 50.0  # that a discovery may answer where it is new to a whole fleet
@@ -67,7 +67,7 @@
 LAST_ANSWER_SECONDS = 0.25  # ahead of it what came after SIGTERM is answered, whatever became of it
 ENDING_LOOK_SECONDS = 0.02  # between two looks at whether clients are still connected
 # Measured: 11 MB at the start, 17 MB after a minute with 60 connections in use.  A figure too high leaves
-# too few connections on a small endpoint, and claims find none: that looks like execute nodes that are full.
+# too few connections on a small endpoint, and claims find none: that looks like endpoints that are full.
 MEMORY_OF_RUNTIME = 20 * 1024 * 1024
 MEMORY_OF_BUFFERS = 2 * 1024 * 1024  # of the runtime's, for features; 16 MB measured with the usual ones on
 MEMORY_OF_MYSQL = 48 * 1024 * 1024  # its libraries and what it remembers of statements
@@ -91,7 +91,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Rooms:
-    """What one process may hold: connections to execute nodes, and of submitters."""
+    """What one process may hold: connections to endpoints, and of submitters."""
 
     nodes: int
     submitters: int
@@ -128,7 +128,7 @@
         self._operator = operator
         rooms = self._rooms(1.0 if self.takeover is None else self.takeover.room)
         self.tally = Tally(cls.name for cls in config.settings.classes)
-        self.nodes = ExecuteNodes(self.scheduler, config.settings, self.counters, rooms.nodes, self._relayed)
+        self.nodes = UpstreamPool(self.scheduler, config.settings, self.counters, rooms.nodes, self._relayed)
         self.door = None if config.admin is None else Door(self.scheduler, self)
         self.door_address: tuple[str, int] | None = None  # where it listens
         self.capture = None if operator.capture is None else self._capture(operator.capture)
@@ -426,7 +426,7 @@
         return service_figures.render(self.tally, len(self.nodes.listed), self.decisions.avoided())
 
     def offline(self, node: str) -> bool:
-        """Leave an execute node out from now on; false for one never listed: from when it is."""
+        """Leave an endpoint out from now on; false for one never listed: from when it is."""
         if self._said(node, self.bans.offline):
             return True
         self.bans.wish(node, self.clock.now_ns())
--- a/quillpass/links.py
+++ b/quillpass/links.py
@@ -1,4 +1,4 @@
-"""The budget of connections to execute nodes: how many, how fast they are opened, which are kept.
+"""The budget of connections to endpoints: how many, how fast they are opened, which are kept.
 
 Opening one costs its node a handshake's work, and a node holds only so many.  So opens are paced, node by
 node, such that all sidecars together take `OPEN_PART` of a core; what a node's table seems to hold is
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -1,4 +1,4 @@
-"""A sidecar in a thread, with execute nodes and a discovery that do as a test says.  No load is made."""
+"""A sidecar in a thread, with endpoints and a discovery that do as a test says.  No load is made."""
 
 from __future__ import annotations
 
@@ -72,7 +72,7 @@
 
 
 class Node(Server):
-    """An execute node; `seen` has each request that came whole, `left` each connection that ended."""
+    """An endpoint; `seen` has each request that came whole, `left` each connection that ended."""
 
     def __init__(self, script: Script | None = None, backlog: int = 64) -> None:
         super().__init__(backlog)
--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -9,7 +9,7 @@
 import unittest
 from unittest import mock
 
-from brambleusher.net import execute_nodes
+from brambleusher.net import upstream_pool
 from brambleusher.net.http import Message
 from quillpass import Balancer, api
 from tests.rig import WAIT, Rig, answer, read
@@ -19,8 +19,8 @@
 class Answers(Case):
     def test_a_second_answer_that_comes_late_reaches_no_other_request(self) -> None:
         """It comes after the first one was passed on, and before the next request's answer."""
-        rest = 2.0 if execute_nodes.REUSE_REST_SECONDS else 0.0  # a test of guards has taken it away
-        with mock.patch.object(execute_nodes, "REUSE_REST_SECONDS", rest):
+        rest = 2.0 if upstream_pool.REUSE_REST_SECONDS else 0.0  # a test of guards has taken it away
+        with mock.patch.object(upstream_pool, "REUSE_REST_SECONDS", rest):
             node = self.holding()
             rig = self.rig(node)
             client = self.connect(rig)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -13,12 +13,12 @@
 
 import pytest
 
-from brambleusher.net import execute_nodes, watch
-from brambleusher.net.execute_nodes import ExecuteNodes
+from brambleusher.net import upstream_pool, watch
 from brambleusher.net.http import MessageReader
 from brambleusher.net.presence import ClientPresence
 from brambleusher.net.submitters import Connection, Submitters
 from brambleusher.net.texts import TextAssembler
+from brambleusher.net.upstream_pool import UpstreamPool
 from brambleusher.runtime.streams import Stream
 from brambleusher.sidecar import Sidecar
 from tests import (
@@ -94,11 +94,11 @@
     return [line.strip()]
 
 
-def takes_whatever_is_idle(nodes: ExecuteNodes, node: Any, now: float) -> Stream | None:
+def takes_whatever_is_idle(nodes: UpstreamPool, node: Any, now: float) -> Stream | None:
     return node.idle.pop() if node.idle else None
 
 
-def leaves_claims_alone(nodes: ExecuteNodes, node: Any) -> None:
+def leaves_claims_alone(nodes: UpstreamPool, node: Any) -> None:
     """A node that leaves keeps the attempts that wait for a connection to it."""
     node.leaving = True
     nodes._drop(node)
@@ -108,7 +108,7 @@
     return sidecar._wound_down
 
 
-def reset_is_an_end(nodes: ExecuteNodes, stream: Stream, claim: Any, deadline: float) -> Any:
+def reset_is_an_end(nodes: UpstreamPool, stream: Stream, claim: Any, deadline: float) -> Any:
     """An answer without length that is reset counts as whole."""
     reader = MessageReader.responses(passing=True)
     while True:
@@ -203,19 +203,19 @@
     ),
     (
         "rest before reuse",
-        [(execute_nodes, "REUSE_REST_SECONDS", 0.0)],
+        [(upstream_pool, "REUSE_REST_SECONDS", 0.0)],
         test_crossings_upstream.Answers,
         "test_a_second_answer_that_comes_late_reaches_no_other_request",
     ),
     (
         "look before reuse",
-        [(ExecuteNodes, "_idle", takes_whatever_is_idle)],
+        [(UpstreamPool, "_idle", takes_whatever_is_idle)],
         test_crossings_upstream.Idle,
         "test_bytes_that_came_while_it_rested_spoil_it",
     ),
     (
         "a reset is no end",
-        [(ExecuteNodes, "_answer", reset_is_an_end)],
+        [(UpstreamPool, "_answer", reset_is_an_end)],
         test_crossings_upstream.Answers,
         "test_a_reset_before_the_end_of_an_answer_without_length_is_no_end",
     ),
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,7 +4,6 @@
 
 import unittest
 
-from brambleusher.net.execute_nodes import parse_report, status_of
 from brambleusher.net.http import (
     MAX_BODY,
     MAX_HEAD,
@@ -15,6 +14,7 @@
     write_request,
     write_response,
 )
+from brambleusher.net.upstream_pool import parse_report, status_of
 from quillpass.api import LoadReport, Status
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,4 +1,4 @@
-"""The budget of connections to execute nodes: pace, cap, and what is kept."""
+"""The budget of connections to endpoints: pace, cap, and what is kept."""
 
 from __future__ import annotations
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -224,7 +224,7 @@
         first.close()
 
     def test_a_small_machine_has_connections_for_its_load(self) -> None:
-        """Guards against 20 connections to execute nodes where 256 descriptors and 64 MB are there."""
+        """Guards against 20 connections to endpoints where 256 descriptors and 64 MB are there."""
         config = self.rig(self.node()).config
         for memory_mb, sockets, claims, submitters in ((64, 256, 80, 120), (32, 256, 70, 100)):
             limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
--- a/tests/test_stand_in_node.py
+++ b/tests/test_stand_in_node.py
@@ -13,8 +13,8 @@
 from brambleusher.lab.stand_ins.client import wording_of
 from brambleusher.lab.stand_ins.node import Execution, Node, ReportHow, SpoiltHow
 from brambleusher.lab.stand_ins.settings import NodeSettings
-from brambleusher.net.execute_nodes import parse_report
 from brambleusher.net.http import HttpError, Message, MessageReader
+from brambleusher.net.upstream_pool import parse_report
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.streams import Stream
 from tests.lab import SERVER, Lab, ask
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -14,7 +14,7 @@
 from brambleusher.lab.virtual.mass import DAYS, draw_mass
 from brambleusher.lab.virtual.network import Connection, End
 from brambleusher.net.endpoint_list import EndpointList
-from brambleusher.net.execute_nodes import ExecuteNodes
+from brambleusher.net.upstream_pool import UpstreamPool
 from quillpass import Balancer, cold
 
 SECOND = 10**9
@@ -110,8 +110,8 @@
 
 
 def closed_after_use(patch: pytest.MonkeyPatch) -> None:
-    old = ExecuteNodes._give_back
-    patch.setattr(ExecuteNodes, "_give_back", lambda self, node, stream, keep: old(self, node, stream, False))
+    old = UpstreamPool._give_back
+    patch.setattr(UpstreamPool, "_give_back", lambda self, node, stream, keep: old(self, node, stream, False))
 
 
 @pytest.mark.parametrize(
