--- a/benchmarks/bodies.py
+++ b/benchmarks/bodies.py
@@ -1,6 +1,6 @@
 """What large bodies and an upgrade cost in memory: the sidecar as deployed, on loopback.
 
-`answers` submitters ask for bodies of 32 MB at once and read them slowly, all together many times the memory
+`answers` clients ask for bodies of 32 MB at once and read them slowly, all together many times the memory
 limit; then, while half of them still read, a second process takes over from the first.  Memory is the
 processes' proportional set size (what they share counts once), sampled every 50 ms.  Prints a table and
 keeps nothing.
--- a/brambleusher/admin/door.py
+++ b/brambleusher/admin/door.py
@@ -39,7 +39,7 @@
         """Use it again; false for one that was never listed."""
 
     def out_of_service(self) -> None:
-        """Send submitters away."""
+        """Send clients away."""
 
     def in_service(self) -> None:
         """Back to work."""
--- a/brambleusher/decisions.py
+++ b/brambleusher/decisions.py
@@ -113,7 +113,7 @@
         """A claim made for a request has ended, before its final answer or after."""
 
     def over(self, call: Call, kind: str | None, took_ns: int) -> None:
-        """A request has its final answer of some kind, or its submitter has left (None)."""
+        """A request has its final answer of some kind, or its client has left (None)."""
 
 
 class Observers(Observer):
@@ -279,7 +279,7 @@
         self._handle(api.StreamStarted(ticket.request, step.attempt, step.node, step.latency_ns))
 
     def left(self, ticket: Ticket) -> None:
-        """The submitter has gone, or got an answer that the module did not choose."""
+        """The client has gone, or got an answer that the module did not choose."""
         self._handle(api.RequestGone(ticket.request))
 
     def close(self, ticket: Ticket) -> None:
--- a/brambleusher/features/figures.py
+++ b/brambleusher/features/figures.py
@@ -130,7 +130,7 @@
         self._lane.hold(self._format.line(name, kind, value, words, self._clock.now_ns()))
 
     def _tags_of(self, call: Call) -> Tags:
-        # Guards against a tag for each text that submitters think up.
+        # Guards against a tag for each text that clients think up.
         known = call.tenant in self._tenants
         tenant = call.tenant if known and call.tenant else "other" if call.tenant else "none"
         return call.request_class, tenant
--- a/brambleusher/features/rewrites.py
+++ b/brambleusher/features/rewrites.py
@@ -1,4 +1,4 @@
-"""Header rewrites: what passes on to endpoints and to submitters, changed by the operator's rules.
+"""Header rewrites: what passes on to endpoints and to clients, changed by the operator's rules.
 
 No sockets here.  Hop-by-hop fields go first, then the rules act in file order, and `Forwarded` is
 written last, so that a rule can drop what came of it but not what this sidecar says.
@@ -70,7 +70,7 @@
         return replace(request, passed=forward(fields, client))
 
     def outward(self, fields: list[Field], path: str, request_class: str) -> list[Field]:
-        """The fields of an answer as the submitter is to get them."""
+        """The fields of an answer as the client is to get them."""
         return self._apply("out", fields, path, request_class)
 
     def _apply(self, direction: str, fields: list[Field], path: str, request_class: str) -> list[Field]:
--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -38,8 +38,8 @@
 from brambleusher.fronts.mysql.session import PreparedText, Session
 from brambleusher.fronts.mysql.settings import MysqlSettings
 from brambleusher.fronts.mysql.statements import Kind, Statement, Statements, words
-from brambleusher.net.submitters import Answer, RequestLife, Submitter
-from brambleusher.net.submitters import Kind as AnswerKind
+from brambleusher.net.client_listener import Answer, ClientHandle, RequestLife
+from brambleusher.net.client_listener import Kind as AnswerKind
 from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import SHORT_OF_ROOM, Address, Socket
@@ -621,7 +621,7 @@
         client.deadline = deadline
         self._counters.add("requests_taken")
         answer = self._life.live(
-            call, lambda: deadline, Submitter(self._watch(client), lambda: self._has_left(client))
+            call, lambda: deadline, ClientHandle(self._watch(client), lambda: self._has_left(client))
         )
         work.over = True
         kind: str | None = None
--- a/brambleusher/lab/checker/books.py
+++ b/brambleusher/lab/checker/books.py
@@ -161,7 +161,7 @@
 
 @dataclass(eq=False, slots=True)
 class Taking:
-    """A request on a submitter's connection."""
+    """A request on a client's connection."""
 
     life: Life
     wire: Submission
@@ -174,7 +174,7 @@
     taken_ns: int = -1  # and had arrived
     due_ns: int = -1
     settled: str = ""  # why no answer is owed any more
-    left_ns: int = -1  # its submitter's end could be seen, read or not
+    left_ns: int = -1  # its client's end could be seen, read or not
     status: int = 0  # of its answer, once that is sent whole
     answered_ns: int = -1  # once it has arrived whole
     behind: bool = False  # it was written before the one ahead of it was answered
@@ -208,7 +208,7 @@
 
 
 class Submission:
-    """A submitter's connection."""
+    """A client's connection."""
 
     __slots__ = (
         "accepted_ns", "answers", "arrived_back", "arrived_in", "bad_ns", "closed", "entries", "errors",
@@ -222,14 +222,14 @@
         self.entries: list[Taking] = []  # whole requests without a whole answer, in order
         self.sent_whole: deque[tuple[int, Taking | None]] = deque()  # answers on their way: where each ends
         self.read_in = self.arrived_in = 0  # bytes that the sidecar has read, and could
-        self.arrived_back = self.taken_out = 0  # bytes that the submitter could read, and has
+        self.arrived_back = self.taken_out = 0  # bytes that the client could read, and has
         self.bad_ns: int | None = None  # a bad client: how long it may wait for an error or a close
         self.errors = self.served = 0  # answers sent, by kind
         self.flagged = -1  # where an answer begins that was found to be owed to nobody
         self.accepted_ns = -1
         self.last_ns = opened_ns  # that something was sent on it, either way
         self.closed = False  # by the sidecar
-        self.gone = False  # the submitter has left
+        self.gone = False  # the client has left
         self.reset_seen = False
 
 
--- a/brambleusher/lab/checker/checker.py
+++ b/brambleusher/lab/checker/checker.py
@@ -175,7 +175,7 @@
         server, client = conn.server, conn.client
         target = server.ip, server.port
         if (machine := self._listens.get(target)) is not None:
-            self._submitter(now, conn.id, self._lives[machine], client)
+            self._client(now, conn.id, self._lives[machine], client)
             return
         if (machine := self._doors.get(target)) is not None:
             self._wires[conn.id] = Calling(self._lives[machine])
@@ -278,7 +278,7 @@
                 if not wire.closed:
                     self._broken(now, wire)
             else:
-                self._left(now, wire, f"its submitter has ended ({how})")
+                self._left(now, wire, f"its client has ended ({how})")
                 for taking in wire.entries:
                     taking.left_ns = now if taking.left_ns < 0 else taking.left_ns
         elif isinstance(wire, Passage) and side == "client":
@@ -294,7 +294,7 @@
         wire = self._wires.get(conn.id)
         if isinstance(wire, Submission):
             if side == "client":
-                self._left(now, wire, "its submitter has left")
+                self._left(now, wire, "its client has left")
             elif not wire.closed:
                 wire.closed = True
                 self._closed_by_sidecar(now, wire)
@@ -328,7 +328,7 @@
     ) -> list[Breach]:
         """The run is over.  All breaches.
 
-        `left_over` is what the fleet found left, in words; `unreached` the requests whose submitters came
+        `left_over` is what the fleet found left, in words; `unreached` the requests whose clients came
         by no connection in any try, with the moments (ns) at which they were due: no wire shows these.
         """
         self.step(now + 1)
@@ -337,9 +337,9 @@
         self._check_recovery(now, unreached)
         return self.breaches
 
-    # --- submitters -----------------------------------------------------------------------------
+    # --- clients -----------------------------------------------------------------------------
 
-    def _submitter(self, now: int, number: int, life: Life, client: End) -> None:
+    def _client(self, now: int, number: int, life: Life, client: End) -> None:
         wire = self._wires[number] = Submission(number, life, now, (client.ip, client.port))
         wire.bad_ns = self._bad.get(wire.peer, self._bad.get(client.machine))
         if wire.bad_ns is not None:
@@ -487,7 +487,7 @@
                 self._break("answer", at, taking, "its answer was overtaken by a reset")
             return
         if wire.arrived_back > wire.taken_out:
-            self._settle(at, taking, "its submitter does not read")
+            self._settle(at, taking, "its client does not read")
             return
         if self._not_accepted(taking):
             self._settle(at, taking, "no descriptor was left to accept it with")
@@ -508,7 +508,7 @@
                 self._doubts.append((now, taking, "its connection was closed without an answer"))
 
     def _broken(self, now: int, wire: Submission) -> None:
-        """It has ended at its submitter, and no process of the sidecar's closed it."""
+        """It has ended at its client, and no process of the sidecar's closed it."""
         for taking in wire.entries:
             if wire.accepted_ns >= 0:
                 self._settle(now, taking, "the network broke its connection")
@@ -726,7 +726,7 @@
             self._at_node("framing", now, attempt, f"{name} has a length and a coding")
         taking = self._whose(life, name)
         if taking is None:
-            self._at_node("unasked", now, attempt, f"no submitter of {life.name} made a request {name!r}")
+            self._at_node("unasked", now, attempt, f"no client of {life.name} made a request {name!r}")
             return
         attempt.taking = taking
         earlier = taking.attempts
@@ -741,7 +741,7 @@
             self._break("copies", now, taking, "an earlier attempt is still out")
         if 0 <= taking.left_ns < attempt.first_ns - self.rules.gone_ns:
             taking.trail.append((attempt.first_ns, f"first byte to {wire.where}"))
-            self._break("for-nobody", now, taking, "its submitter had left, which could be seen long before")
+            self._break("for-nobody", now, taking, "its client had left, which could be seen long before")
         earlier.append(attempt)
         taking.trail.append((attempt.first_ns, f"first byte to {wire.where}"))
 
@@ -920,7 +920,7 @@
         if self._calm_ns < 0:
             return
         start = self._calm_ns + rules.recover_ns
-        # A submitter's retries belong to its first try, whose id theirs begin with.
+        # A client's retries belong to its first try, whose id theirs begin with.
         asked: dict[str, list[Taking]] = {}
         for each in self._asked:
             asked.setdefault(each.name.partition("-")[0], []).append(each)
--- a/brambleusher/lab/checker/judge.py
+++ b/brambleusher/lab/checker/judge.py
@@ -5,7 +5,7 @@
 from brambleusher.lab.checker.messages import Message
 from brambleusher.lab.checker.rules import SAFE, Rules
 
-READY = "it asks whether submitters may come"  # no request of the application's
+READY = "it asks whether clients may come"  # no request of the application's
 
 
 def class_of(message: Message) -> str:
--- a/brambleusher/lab/checker/rules.py
+++ b/brambleusher/lab/checker/rules.py
@@ -28,12 +28,12 @@
     "service": "a sidecar out of service says that it is ready or keeps clients, or one in service does not",
     "cold": "more work sent to a cold node than its budget",
     "framing": "a request with a length and a coding was passed on",
-    "for-nobody": "a request passed on long after its submitter had left",
-    "unasked": "a request passed on that no submitter made",
+    "for-nobody": "a request passed on long after its client had left",
+    "unasked": "a request passed on that no client made",
     "changed": "a request passed on with another method, target or body",
     "shared": "a request written to a connection that another one was out on",
     "dirty": "a request written to a connection with bytes or an end waiting on it",
-    "bad-client": "a submitter that can't be served got neither an error nor a close in time",
+    "bad-client": "a client that can't be served got neither an error nor a close in time",
     "versions": "discovery was asked for what follows a version that it never told",
     "crash": "a sidecar ended unasked",
     "left-over": "something was left at the end",
@@ -65,7 +65,7 @@
     bad_ns: int = 3 * SECOND  # a bad client is owed an error or a close
     seen_ns: int = 0  # so long bytes may have lain at a process that has not seen them
     wake_ns: int = 500 * MS  # after a stop: by then what came due meanwhile is answered
-    gone_ns: int = 300 * MS  # after its submitter's end could be seen nothing begins for a request
+    gone_ns: int = 300 * MS  # after its client's end could be seen nothing begins for a request
     term_ns: int = 700 * MS  # what comes later than this after SIGTERM must not be left unanswered
     yes_ns: int = 1 * SECOND  # after a call of operators it binds, answered or not
     leave_ns: int = 1400 * MS  # after the yes to out-of-service no connection rests any more
--- a/brambleusher/lab/experiments/run.py
+++ b/brambleusher/lab/experiments/run.py
@@ -45,7 +45,7 @@
 
 
 class DemandFleet(Fleet):
-    """A fleet in virtual time whose submitters are a player; `direct`: it asks the nodes themselves."""
+    """A fleet in virtual time whose clients are a player; `direct`: it asks the nodes themselves."""
 
     def __init__(
         self, scenario: Scenario, new_player: Callable[[Scheduler, list[Address]], Player], direct: bool
--- a/brambleusher/lab/faults/breakages.py
+++ b/brambleusher/lab/faults/breakages.py
@@ -16,12 +16,12 @@
 from brambleusher.decisions import Call, Decisions, Ticket
 from brambleusher.features import capture as capture_module
 from brambleusher.lab.checker.rules import RULES
+from brambleusher.net import client_listener as listener_module
 from brambleusher.net import entries as list_module
-from brambleusher.net import submitters as submitters_module
 from brambleusher.net import upstream_pool as nodes_module
+from brambleusher.net.client_listener import Answer, ClientHandle, ClientListener, Kind, RequestLife
 from brambleusher.net.endpoint_list import Endpoint, EndpointList, EndpointListUpdate, Feed
 from brambleusher.net.http import Message, MessageReader
-from brambleusher.net.submitters import Answer, Kind, RequestLife, Submitter, Submitters
 from brambleusher.net.upstream_pool import Claim, Node, UpstreamPool
 from brambleusher.runtime.scheduler import Cancelled
 from brambleusher.runtime.streams import Called, Stream
@@ -269,8 +269,8 @@
 
 @breakage("answer-swapped", "one request in sixteen gets the answer served before its own", "other-answer")
 def _answer_swapped(patches: Patches) -> None:
-    def live(self: RequestLife, call: Call, deadline: Callable[[], float], submitter: Submitter) -> Any:
-        answer: Answer | None = old(self, call, deadline, submitter)
+    def live(self: RequestLife, call: Call, deadline: Callable[[], float], client: ClientHandle) -> Any:
+        answer: Answer | None = old(self, call, deadline, client)
         if answer is None or answer.kind is not Kind.SERVED:
             return answer
         before, self._before = getattr(self, "_before", answer), answer  # type: ignore[attr-defined]
@@ -328,24 +328,24 @@
         data: bytes = old(status, *rest, **more)
         return data * 2 if status == 502 else data
 
-    old = patches.set(submitters_module, "write_response", write_response)
+    old = patches.set(listener_module, "write_response", write_response)
 
 
 @breakage("silent-fault", "an exception while a failure is worded ends the connection", "answer")
 def _silent_fault(patches: Patches) -> None:
-    def worded(self: Submitters, answer: Answer) -> Any:
+    def worded(self: ClientListener, answer: Answer) -> Any:
         if answer.kind is Kind.FAILED:
             raise Cancelled  # which no guard against exceptions holds up
         return old(self, answer)
 
-    old = patches.set(Submitters, "_worded", worded)
+    old = patches.set(ClientListener, "_worded", worded)
 
 
 @breakage("answer-late", "requests are held for 100 ms more than their time", "answer")
 def _answer_late(patches: Patches) -> None:
-    def live(self: RequestLife, call: Call, deadline: Callable[[], float], submitter: Submitter) -> Any:
+    def live(self: RequestLife, call: Call, deadline: Callable[[], float], client: ClientHandle) -> Any:
         late = replace(call, left_ns=call.left_ns + 100_000_000)
-        return old(self, late, lambda: deadline() + 0.1, submitter)
+        return old(self, late, lambda: deadline() + 0.1, client)
 
     old = patches.set(RequestLife, "live", live)
 
@@ -368,9 +368,9 @@
     old = patches.set(MessageReader, "_framing", framing)
 
 
-@breakage("half-requests-kept", "a submitter may take half a minute over its first request", "bad-client")
+@breakage("half-requests-kept", "a client may take half a minute over its first request", "bad-client")
 def _half_requests_kept(patches: Patches) -> None:
-    patches.set(submitters_module, "FIRST_SECONDS", 30.0)
+    patches.set(listener_module, "FIRST_SECONDS", 30.0)
 
 
 # --- what is left behind --------------------------------------------------------------------------
--- a/brambleusher/lab/faults/effects.py
+++ b/brambleusher/lab/faults/effects.py
@@ -400,7 +400,7 @@
     return _again(fleet, fault.every_s, turn)
 
 
-# --- submitters and sidecars ----------------------------------------------------------------------
+# --- clients and sidecars ----------------------------------------------------------------------
 
 
 @apply.register(faults.BadClientsCome)
--- a/brambleusher/lab/faults/kinds.py
+++ b/brambleusher/lab/faults/kinds.py
@@ -358,11 +358,11 @@
         return {"every_s": draw.log((0.05, 0.3))}
 
 
-# --- submitters -----------------------------------------------------------------------------------
+# --- clients -----------------------------------------------------------------------------------
 
 
 class BadClientsCome(Fault, frozen=True, tag="bad-clients"):
-    """Submitters that misbehave, so many at once."""
+    """Clients that misbehave, so many at once."""
 
     targets: ClassVar[Target] = "sidecar"
     what: BadKind
@@ -372,7 +372,7 @@
     def parameters(cls, draw: Drawer, world: WorldFigures) -> dict[str, Any]:
         """A few; those that only take up connections come in numbers, more than a sidecar may hold.
 
-        Those that ask are fewer: submitters hold a third of the descriptors at most for requests.
+        Those that ask are fewer: clients hold a third of the descriptors at most for requests.
         """
         what = draw.rng.choice(BAD_KINDS)
         asking = min(sidecar.sockets for sidecar in world.sidecars) / 4
@@ -421,7 +421,7 @@
 
 
 class SidecarUnreachable(Fault, frozen=True, tag="sidecar-unreachable"):
-    """Nothing passes between it and its submitters, or one way only."""
+    """Nothing passes between it and its clients, or one way only."""
 
     targets: ClassVar[Target] = "sidecar"
     way: Literal["both", "to-sidecar", "from-sidecar"] = "both"
--- a/brambleusher/lab/fleets/figures.py
+++ b/brambleusher/lab/fleets/figures.py
@@ -469,7 +469,7 @@
 
 
 def draw_asks(seed: int, world: WorldFigures) -> tuple[Ask, ...]:
-    """What the submitters ask for over a run: arrivals at random, now and then many at once."""
+    """What the clients ask for over a run: arrivals at random, now and then many at once."""
     draw = Drawer(seed, "asks")
     rng = draw.rng
     times: list[float] = []
--- a/brambleusher/lab/fleets/fleet.py
+++ b/brambleusher/lab/fleets/fleet.py
@@ -1,4 +1,4 @@
-"""A whole fleet in a virtual world, built from a scenario: discovery, nodes, sidecars, submitters.
+"""A whole fleet in a virtual world, built from a scenario: discovery, nodes, sidecars, clients.
 
 The sidecars are the program's own `Sidecar`, given a configuration as the platform writes it.  What the
 fleet does to others goes through their own schedulers (`call_soon`), so that it happens in their process.
@@ -429,7 +429,7 @@
     name: str
     up: bool
     tickets: int
-    submitters: int  # connections
+    clients: int  # connections
     claims: int
     node_connections: int  # open ones
     node_idle: int  # of these, kept for later
@@ -445,7 +445,7 @@
         found = [
             f"{self.name}: {count} {what}"
             for count, what in (
-                (self.tickets, "tickets"), (self.submitters, "submitters' connections"),
+                (self.tickets, "tickets"), (self.clients, "clients' connections"),
                 (self.claims, "claims"),
                 (self.node_connections - self.node_idle, "connections to nodes that are not idle"),
                 (max(0, self.timers - LIVE_TIMERS), f"timers more than {LIVE_TIMERS}"),
@@ -473,7 +473,7 @@
 
     @property
     def address(self) -> Address:
-        """Where submitters connect."""
+        """Where clients connect."""
         return self.machine.address(SIDECAR_PORT)
 
     @property
@@ -595,7 +595,7 @@
         idle = nodes.idle_connections
         return SidecarEnd(
             name=self.figures.name, up=True, tickets=sidecar.decisions.tickets,
-            submitters=sidecar.submitters.connections, claims=nodes.claims_out,
+            clients=sidecar.clients.connections, claims=nodes.claims_out,
             node_connections=nodes.open_connections, node_idle=idle, timers=sidecar.scheduler.timers,
             descriptors=process.descriptors,
             # The waker's two, the listener, the door, the watch, and connections to nodes.
@@ -615,13 +615,13 @@
     `play` runs a scenario to its end; or `start`, run the world, and `quiesce`.
     """
 
-    linger_s = LINGER_SECONDS  # past their time submitters listen for so long: more than the checker's slack
+    linger_s = LINGER_SECONDS  # past their time clients listen for so long: more than the checker's slack
 
     def __init__(self, scenario: Scenario, world: Stage, audience: Audience | None = None) -> None:
         self.scenario, self.world = scenario, world
         self.audience: Audience = audience or _Nobody()
         self.executions: list[Execution] = []  # of all nodes, as they came
-        self.asked: list[Asked] = []  # of all submitters
+        self.asked: list[Asked] = []  # of all clients
         self.misdeeds: list[Misdeed] = []
         figures = scenario.world
         self.discovery = DiscoveryPlace(self)
--- a/brambleusher/lab/processes/breakages.py
+++ b/brambleusher/lab/processes/breakages.py
@@ -64,7 +64,7 @@
 
 OWN = {
     "unread-ones-served": Breakage(
-        "unread-ones-served", "requests of submitters that have left are served first after a stop",
+        "unread-ones-served", "requests of clients that have left are served first after a stop",
         ("for-nobody",), _unread_ones_served,
     ),
     "accept-blocks": Breakage(
--- a/brambleusher/lab/processes/fleet.py
+++ b/brambleusher/lab/processes/fleet.py
@@ -30,7 +30,7 @@
 STANDARD = 3
 TICKS, PAGE_BYTES = os.sysconf("SC_CLK_TCK"), os.sysconf("SC_PAGESIZE")
 END_SECONDS = 5.0
-LINGER_SECONDS = 0.5  # of submitters past their time, so that an answer that is late can be seen
+LINGER_SECONDS = 0.5  # of clients past their time, so that an answer that is late can be seen
 
 
 class SidecarProcess:
@@ -193,7 +193,7 @@
         return process
 
     def _await(self, process: SidecarProcess) -> None:
-        """Let submitters come as soon as it listens; note when it is ready."""
+        """Let clients come as soon as it listens; note when it is ready."""
         scheduler = self.stage.scheduler
         while not process.dead and not self.ready:
             deadline = scheduler.now() + ASK_SECONDS
@@ -250,7 +250,7 @@
         relays = self.stage.network.relays.values()
         asked = sum(each.way.server is self.real for each in relays)
         return SidecarEnd(
-            name=name, up=True, tickets=0, submitters=asked, claims=0, node_connections=0, node_idle=0,
+            name=name, up=True, tickets=0, clients=asked, claims=0, node_connections=0, node_idle=0,
             timers=0, descriptors=process.descriptors,
             descriptors_due=self.at_rest + self.stage.network.open_at(self.real), stderr=b"",
         )  # fmt: skip
--- a/brambleusher/lab/processes/real_fleet.py
+++ b/brambleusher/lab/processes/real_fleet.py
@@ -219,7 +219,7 @@
 
     @property
     def ready(self) -> bool:
-        """Whether submitters may come to every sidecar."""
+        """Whether clients may come to every sidecar."""
         return all(sidecar.ready for sidecar in self.sidecars)
 
     def check(self) -> None:
--- a/brambleusher/lab/stand_ins/bad_client.py
+++ b/brambleusher/lab/stand_ins/bad_client.py
@@ -1,4 +1,4 @@
-"""Submitters that misbehave: each kind is a function that does its worst on one connection."""
+"""Clients that misbehave: each kind is a function that does its worst on one connection."""
 
 from __future__ import annotations
 
@@ -61,7 +61,7 @@
         in_use: Callable[[], list[str]] = list,
         book: MutableSequence[Misdeed] | None = None,
     ) -> None:
-        """`sample` words their good requests; `in_use` tells ids that other submitters have open."""
+        """`sample` words their good requests; `in_use` tells ids that other clients have open."""
         self.scheduler, self.target, self._sample, self._in_use = scheduler, target, sample, in_use
         self.rng = random.Random(f"{seed}/bad/{target[0]}:{target[1]}")
         self.book: MutableSequence[Misdeed] = [] if book is None else book
--- a/brambleusher/lab/stand_ins/client.py
+++ b/brambleusher/lab/stand_ins/client.py
@@ -1,4 +1,4 @@
-"""Stand-in submitters: requests at set times, kept connections, retries, and a book of every try."""
+"""Stand-in clients: requests at set times, kept connections, retries, and a book of every try."""
 
 from __future__ import annotations
 
@@ -29,10 +29,10 @@
     number: int  # from 0
     wait_s: float  # told to the sidecar
     begun_ns: int
-    port: int = 0  # of the submitter's end of the connection it last went out on
+    port: int = 0  # of the client's end of the connection it last went out on
     sent_ns: int = 0  # its last byte was handed over; 0: it never was
     resent: bool = False  # on a new connection, after a close that crossed it
-    ended_ns: int = 0  # the answer's last byte, or when the submitter gave up; 0: not yet
+    ended_ns: int = 0  # the answer's last byte, or when the client gave up; 0: not yet
     end: str = ""  # answered, late, left, unreachable, broken, unreadable, stopped
     status: int = 0
     body: bytes = b""
@@ -107,14 +107,14 @@
 
 
 def says_ready(stream: Stream, deadline: float) -> bool:
-    """Ask a sidecar on a connection whether submitters may come; raises `OSError`, `Timeout`, `HttpError`."""
+    """Ask a sidecar on a connection whether clients may come; raises `OSError`, `Timeout`, `HttpError`."""
     stream.send(write_request("GET", "/ready", [("Host", "api.internal")]), deadline)
     answer = Client.answer(stream, deadline, [])
     return answer is not None and answer.status == 200
 
 
 class Client:
-    """All submitters beside one sidecar."""
+    """All clients beside one sidecar."""
 
     def __init__(
         self,
--- a/brambleusher/lab/stand_ins/node.py
+++ b/brambleusher/lab/stand_ins/node.py
@@ -17,7 +17,7 @@
 from brambleusher.net.http import Field, HttpError, Message, MessageReader, write_response
 from brambleusher.runtime.scheduler import Scheduler, Timer
 
-WORK_HEADER = "lab-work-us"  # the true work of a request, where the submitter's stand-in tells it
+WORK_HEADER = "lab-work-us"  # the true work of a request, where the client's stand-in tells it
 WORK_UNKNOWN = 0.05
 READ_SECONDS = 10.0  # for a request that has begun
 WRITE_SECONDS = 10.0
--- a/brambleusher/lab/stand_ins/operators.py
+++ b/brambleusher/lab/stand_ins/operators.py
@@ -53,12 +53,12 @@
         self._tasks.append(self.scheduler.spawn(run, name=f"operators say {out}"))
         return lambda: over.append(True)
 
-    def front(self, submitters: Address) -> None:
-        """Ask at the submitters' address whether clients may come, until `end`."""
+    def front(self, clients: Address) -> None:
+        """Ask at the clients' address whether clients may come, until `end`."""
 
         def run() -> None:
             while True:
-                self.call(submitters, "GET", "/ready")
+                self.call(clients, "GET", "/ready")
                 self.scheduler.sleep(FRONT_SECONDS)
 
         self._tasks.append(self.scheduler.spawn(run, name="front"))
--- a/brambleusher/lab/stand_ins/settings.py
+++ b/brambleusher/lab/stand_ins/settings.py
@@ -62,7 +62,7 @@
 
 
 class ClientSettings(Settings, frozen=True):
-    """How submitters behave."""
+    """How clients behave."""
 
     tries: Annotated[int, msgspec.Meta(ge=1)] = 3
     try_part: Annotated[float, msgspec.Meta(gt=0, le=1)] = 1.0  # of the time left, for one try
@@ -90,4 +90,4 @@
     work_s: Positive = 0.05
     hint_s: Seconds = 0.0  # 0: none is given
     body_bytes: Count = 0
-    sidecar: Count = 0  # the one beside its submitter
+    sidecar: Count = 0  # the one beside its client
--- a/brambleusher/lab/virtual/explore.py
+++ b/brambleusher/lab/virtual/explore.py
@@ -209,7 +209,7 @@
     profile: str
     digest: str
     breaches: list[Breach]
-    asked: int  # requests that submitters went out with, each counted once, however often it was tried
+    asked: int  # requests that clients went out with, each counted once, however often it was tried
     taken: int  # tries that sidecars had whole
     served: int
     attempts: int
--- a/brambleusher/lab/virtual/zone_days.py
+++ b/brambleusher/lab/virtual/zone_days.py
@@ -1,7 +1,7 @@
 """Days on which zones are lost, cut off, grey, flapping and back again, and the books kept of them.
 
 A day is a scenario: four zones of four nodes, eight sidecars, some 200 requests a second.  The books are
-made from what nodes ran and submitters asked, and from nodes' waiting rooms looked at twenty times a
+made from what nodes ran and clients asked, and from nodes' waiting rooms looked at twenty times a
 second; they know nothing of what sidecars believe.
 """
 
--- a/brambleusher/net/bodies.py
+++ b/brambleusher/net/bodies.py
@@ -79,10 +79,10 @@
         self.held, self.done = reader.drain()
         self.size = len(self.held)
         self.spent = False  # part of it has left for a node: it can't be sent again
-        self.left = False  # its submitter has
-        self.error: HttpError | None = None  # what the submitter is to be told
+        self.left = False  # its client has
+        self.error: HttpError | None = None  # what the client is to be told
         self.due = stream.scheduler.now() + LONGEST_SECONDS  # its answer; sooner, once it is whole
-        self.wait_ms = 1  # that its submitter waits from then on
+        self.wait_ms = 1  # that its client waits from then on
         self.whole: Callable[[], None] = lambda: None
 
     def start(self) -> bytes:
@@ -94,7 +94,7 @@
         """The next bytes, empty at the end, None where the bell rang.
 
         `look` is called ahead of each piece and now and then while none comes; what it raises ends the wait.
-        Raises `HttpError` where the rest is spoilt, late or too much, `OSError` where the submitter left.
+        Raises `HttpError` where the rest is spoilt, late or too much, `OSError` where the client left.
         """
         try:
             while not self.done:
@@ -120,7 +120,7 @@
                     return None
                 if not got:
                     self.left = True
-                    raise ConnectionResetError("the submitter has left")
+                    raise ConnectionResetError("the client has left")
                 self._reader.feed(got)
         except HttpError as error:
             self.error = error
--- a/brambleusher/net/submitters.py
+++ b/brambleusher/net/client_listener.py
@@ -1,4 +1,4 @@
-"""The submitters' side: the listener, `/ready`, and the life of one request."""
+"""The clients' side: the listener, `/ready`, and the life of one request."""
 
 from __future__ import annotations
 
@@ -50,11 +50,11 @@
 BACKLOG = 512
 FIRST_SECONDS = 2.4  # from a connection's accept to the last byte of its first request
 READ_SECONDS = 2.4  # from the first byte of a later request to its last
-IDLE_SECONDS = 2.2  # a submitter's connection between requests; many ask once and never come back
-WRITE_SECONDS = 10.0  # for a submitter that reads its answer, or a piece of it, slowly
+IDLE_SECONDS = 2.2  # a client's connection between requests; many ask once and never come back
+WRITE_SECONDS = 10.0  # for a client that reads its answer, or a piece of it, slowly
 BODY_LINGER_SECONDS = 2.0  # that a body whose request was answered early may still come
 NO_DESCRIPTOR_SECONDS = 0.05
-# An answer leaves so much before its submitter stops waiting; a tenth of what is left, if that is less.
+# An answer leaves so much before its client stops waiting; a tenth of what is left, if that is less.
 ANSWER_MARGIN_NS = 10_000_000
 GUARD_SECONDS = 0.005  # past that moment: the module had its chance to answer
 
@@ -104,7 +104,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Submitter:
+class ClientHandle:
     """The other end of a request: `watch` has its socket as long as it can be seen to leave."""
 
     watch: Callable[[], Socket | None]
@@ -151,8 +151,8 @@
     def __init__(self, decisions: Decisions, nodes: ClaimSide, scheduler: Scheduler) -> None:
         self._decisions, self._nodes, self._scheduler = decisions, nodes, scheduler
 
-    def live(self, call: Call, deadline: Callable[[], float], submitter: Submitter) -> Answer | None:
-        """One request from its arrival to its final answer; None if its submitter left before.
+    def live(self, call: Call, deadline: Callable[[], float], client: ClientHandle) -> Answer | None:
+        """One request from its arrival to its final answer; None if its client left before.
 
         The module is asked at each point of choice: when the request comes, and whenever a claim
         made for it has ended.  `deadline` is when the answer must leave; it comes nearer where a body that
@@ -163,17 +163,17 @@
         ticket.call_off = lambda attempt: claims[attempt].call_off() if attempt in claims else None
 
         def wanted() -> bool:
-            return not submitter.has_left()
+            return not client.has_left()
 
         try:
             while True:
-                # 1. Wait for the module's next step, a claim's end or the submitter's leaving.
+                # 1. Wait for the module's next step, a claim's end or the client's leaving.
                 while not ticket.steps:
-                    if self._wait(ticket, deadline() + GUARD_SECONDS, submitter) and submitter.has_left():
+                    if self._wait(ticket, deadline() + GUARD_SECONDS, client) and client.has_left():
                         self._abandon(ticket, claims)
                         return None
                 step = ticket.steps.popleft()
-                if isinstance(step, MakeClaim | Refuse | Fail) and submitter.has_left():
+                if isinstance(step, MakeClaim | Refuse | Fail) and client.has_left():
                     ticket.steps.appendleft(step)  # `close` tells the module that it is not made
                     self._abandon(ticket, claims)
                     return None
@@ -232,10 +232,10 @@
         for claim in claims.values():
             claim.call_off()
 
-    def _wait(self, ticket: Ticket, deadline: float, submitter: Submitter) -> bool:
-        """Wait for something to happen; true if the submitter is to be looked at."""
+    def _wait(self, ticket: Ticket, deadline: float, client: ClientHandle) -> bool:
+        """Wait for something to happen; true if the client is to be looked at."""
         try:
-            return self._scheduler.park(deadline, submitter.watch(), bell=ticket.bell) == "socket"
+            return self._scheduler.park(deadline, client.watch(), bell=ticket.bell) == "socket"
         except Timeout:
             # Guards against passing over a step that came in the same moment, after a late wake-up.
             if not ticket.steps:
@@ -244,7 +244,7 @@
 
 
 class Connection:
-    """One submitter's connection."""
+    """One client's connection."""
 
     __slots__ = ("accepted_at", "asked", "peer", "released", "stream", "task", "waited")
 
@@ -257,8 +257,8 @@
         self.released = False  # its task serves it no more, and does not close it
 
 
-class Submitters:
-    """Accepts submitters and serves their requests, one at a time on each connection."""
+class ClientListener:
+    """Accepts clients and serves their requests, one at a time on each connection."""
 
     def __init__(
         self,
@@ -370,7 +370,7 @@
             connection.accepted_at = max(self._put_off_since, least)
         self._connections.add(connection)
         self._places.opened(connection, connection.peer, connection.accepted_at)
-        connection.task = self._scheduler.spawn(self._serve, connection, name="submitter")
+        connection.task = self._scheduler.spawn(self._serve, connection, name="client")
         return True
 
     def _make_room(self, most: int | None = None) -> bool:
@@ -431,12 +431,12 @@
         return len(self._connections)
 
     def leave(self) -> None:
-        """Submitters are sent away: see that their connections go."""
+        """Clients are sent away: see that their connections go."""
         if self._leaving is None:
             self._leaving = self._scheduler.spawn(self._leave, name="leave")
 
     def _leave(self) -> None:
-        """The task: close what may not rest any longer, until submitters are wanted again."""
+        """The task: close what may not rest any longer, until clients are wanted again."""
         while not self._service.wanted:
             now = self._scheduler.now()
             for connection in self._places.waiting():
@@ -599,7 +599,7 @@
                 head = b""
                 piece = self._next(rest)
         except Cut as cut:
-            # Once, and so that the submitter can tell: short of its length, or without its last chunk.
+            # Once, and so that the client can tell: short of its length, or without its last chunk.
             self._counters.add("answers_cut")
             log.warning("an answer broke off", extra={"fields": {"reason": cut}})
             if framing is Framing.END:
@@ -630,7 +630,7 @@
         stream.finish()
 
     def _read(self, connection: Connection, reader: MessageReader) -> Message | None:
-        """The next request; None if the submitter closed instead."""
+        """The next request; None if the client closed instead."""
         # Guards against connections held with half a request or with nothing: the first one is timed
         # from the accept on, not from its first byte.
         deadline = (
@@ -685,7 +685,7 @@
     def _answer(
         self, connection: Connection, reader: MessageReader, request: Message, upload: Upload | None
     ) -> Reply | None:
-        """The answer; None if the submitter has left."""
+        """The answer; None if the client has left."""
         stream, (method, target) = connection.stream, request.start
         path = target.split("?", 1)[0]
         if path == "/ready" and method == "GET":
@@ -732,7 +732,7 @@
         self.tally.open += upload is None
         reply: Reply | None = None
         try:
-            answer = self._life.live(call, deadline, Submitter(watch, has_left))
+            answer = self._life.live(call, deadline, ClientHandle(watch, has_left))
             if upload is not None and upload.left:
                 answer = None
             kind = None if answer is None else answer.kind.value
--- a/brambleusher/net/passing.py
+++ b/brambleusher/net/passing.py
@@ -23,7 +23,7 @@
         """The request as the endpoint is to get it."""
 
     def outward(self, fields: list[Field], path: str, request_class: str) -> list[Field]:
-        """The fields of an answer as the submitter is to get them."""
+        """The fields of an answer as the client is to get them."""
 
 
 def end_to_end(message: Message) -> list[Field]:
--- a/brambleusher/net/upstream_pool.py
+++ b/brambleusher/net/upstream_pool.py
@@ -375,7 +375,7 @@
             try:
                 piece = upload.piece(claim.bell, look)
             except (HttpError, OSError):
-                # Its submitter's doing, and no last byte was written: the node has not run it.
+                # Its client's doing, and no last byte was written: the node has not run it.
                 claim.call_off(Status.MOOT)
                 raise Called from None
             if piece is None:
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -23,8 +23,8 @@
 from brambleusher.features.rewrites import Rewrites
 from brambleusher.features.status import DESCRIPTORS, StatusPage
 from brambleusher.logs import configure
+from brambleusher.net.client_listener import ClientListener
 from brambleusher.net.endpoint_list import EndpointList, EndpointListUpdate, ListError, decode_update
-from brambleusher.net.submitters import Submitters
 from brambleusher.net.upstream_pool import UpstreamPool
 from brambleusher.net.watch import HttpWatch
 from brambleusher.operator_file import CaptureSettings, FiguresSettings, OperatorFile
@@ -49,8 +49,8 @@
 log = logging.getLogger(__name__)
 
 SPARE_DESCRIPTORS = 32  # the watch, the listener, the log, files that the runtime opens
-ASKING_PART = 1 / 3  # of the descriptors: submitters never hold more connections to ask on, says the platform
-NODE_PART = 0.4  # of the descriptors: connections to endpoints; the rest is for submitters
+ASKING_PART = 1 / 3  # of the descriptors: clients never hold more connections to ask on, says the platform
+NODE_PART = 0.4  # of the descriptors: connections to endpoints; the rest is for clients
 STDERR = "stderr"
 LOG_BYTES = 64 * 1024  # of log lines that wait for standard error, where features write to it too
 LISTS_A_SECOND = 50.0  # that a discovery may answer where it is new to a whole fleet
@@ -91,10 +91,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Rooms:
-    """What one process may hold: connections to endpoints, and of submitters."""
+    """What one process may hold: connections to endpoints, and of clients."""
 
     nodes: int
-    submitters: int
+    clients: int
 
 
 class Sidecar:
@@ -154,8 +154,8 @@
         )
         self.decisions.on_let_go = self._let_go
         self.decisions.on_subscribe = self.endpoint_list.ask
-        self.places = Places(rooms.submitters, max(int(config.limits.sockets * ASKING_PART), 8))
-        self.submitters = Submitters(
+        self.places = Places(rooms.clients, max(int(config.limits.sockets * ASKING_PART), 8))
+        self.clients = ClientListener(
             self.scheduler, self.decisions, self.nodes, self.clock, self.counters,
             self.places,
             self.is_ready, self._rewrites(operator), self.tally, self.service,
@@ -234,8 +234,8 @@
             return
         room = self._rooms(self.takeover.room)
         self.nodes.resize(room.nodes)
-        self.places.most = room.submitters
-        self.places.asking = min(room.submitters, max(int(self.config.limits.sockets * ASKING_PART), 8))
+        self.places.most = room.clients
+        self.places.asking = min(room.clients, max(int(self.config.limits.sockets * ASKING_PART), 8))
         self.decisions.part(self.takeover.sends)
 
     def _standing(self) -> dict[str, object] | None:
@@ -306,7 +306,7 @@
             self.mysql.nodes.let_go(node)
 
     def is_ready(self) -> bool:
-        """Whether submitters may come."""
+        """Whether clients may come."""
         waited = self.scheduler.now() - self._started_at >= READY_SECONDS or self.endpoint_list.turned_away
         return self.endpoint_list.fresh or (waited and bool(self.config.known.endpoints))
 
@@ -348,13 +348,13 @@
 
     def _listen(self) -> tuple[str, int]:
         if self.config.listener_fd is None:
-            return self.submitters.listen(self.config.listen)
+            return self.clients.listen(self.config.listen)
         try:
-            where = self.submitters.adopt(self.config.listener_fd)
+            where = self.clients.adopt(self.config.listener_fd)
         except OSError as error:
             raise ConfigError(f"NODE_FD: {error.strerror}") from None
         if not self._succeeds:
-            self.submitters.accept()
+            self.clients.accept()
         self.scheduler.spawn(self._begin_to_serve, name="begin to serve")
         return where
 
@@ -364,7 +364,7 @@
             self.scheduler.sleep(READY_LOOK_SECONDS)
         if self._ending:
             return
-        self.submitters.accept()
+        self.clients.accept()
         if self.takeover is not None:
             self.takeover.stage(Stage.SERVING)
         log.info("serving", extra={"fields": {"succeeds": self._succeeds}})
@@ -419,7 +419,7 @@
 
     def is_serving(self) -> bool:
         """Whether this process can serve, wanted or not."""
-        return self.submitters.accepting and self.is_ready()
+        return self.clients.accepting and self.is_ready()
 
     def figures_text(self) -> bytes:
         """The figures as they stand."""
@@ -445,12 +445,12 @@
         return True
 
     def out_of_service(self) -> None:
-        """Send submitters away; this process runs on."""
+        """Send clients away; this process runs on."""
         self._want(False, self.clock.now_ns())
         self._share()
 
     def in_service(self) -> None:
-        """Take submitters again."""
+        """Take clients again."""
         self._want(True, self.clock.now_ns())
         self._share()
 
@@ -460,7 +460,7 @@
             self.service.resume()
         else:
             self.service.leave(self.scheduler.now())
-            self.submitters.leave()
+            self.clients.leave()
 
     def _share(self) -> None:
         """Tell the other processes of this sidecar what operators have said, and what they will have."""
@@ -574,7 +574,7 @@
             self.takeover.stage(Stage.LEAVING)
         if handed:
             self.service.retire(self.scheduler.now())
-            self.submitters.hand_over()
+            self.clients.hand_over()
             self._wound_down = True
             return
         self.scheduler.spawn(self._wind_down, name="wind down")
@@ -582,11 +582,11 @@
     def _wind_down(self) -> None:
         """The task: serve on as long as clients may send and be answered, then close what rests."""
         killed_at = self.scheduler.now() + self._grace_seconds()
-        self.submitters.answer_by = killed_at - LAST_ANSWER_SECONDS
+        self.clients.answer_by = killed_at - LAST_ANSWER_SECONDS
         self.scheduler.sleep(SERVE_ON_SECONDS)
-        while self.submitters.connections and self.scheduler.now() < killed_at - LAST_ANSWERS_SECONDS:
+        while self.clients.connections and self.scheduler.now() < killed_at - LAST_ANSWERS_SECONDS:
             self.scheduler.sleep(ENDING_LOOK_SECONDS)
-        self.submitters.wind_down()
+        self.clients.wind_down()
         self.nodes.close()
         if self.mysql is not None:
             self.mysql.wind_down()
@@ -601,7 +601,7 @@
 
     def _over(self) -> bool:
         open_sessions = 0 if self.mysql is None else self.mysql.front.connections
-        return self._wound_down and not self.submitters.connections and not open_sessions
+        return self._wound_down and not self.clients.connections and not open_sessions
 
 
 class Collector:
--- a/brambleusher/tally.py
+++ b/brambleusher/tally.py
@@ -1,7 +1,7 @@
 """What operators are told of requests, counted where their other ends know of it too.
 
 An answer counts when its last byte is written, an attempt when its request's last byte is.  A request that
-its submitter left counts as ended and as nothing else; one answered in part has failed.  What can't be read
+its client left counts as ended and as nothing else; one answered in part has failed.  What can't be read
 as a request was never taken.
 """
 
--- a/quillpass/places.py
+++ b/quillpass/places.py
@@ -1,4 +1,4 @@
-"""The budget of submitters' connections: which of them keep their places.
+"""The budget of clients' connections: which of them keep their places.
 
 A place is worth what its connection does with it: how soon it asks, and whether it asks at all.  That is
 learnt from what connections of its sort did lately, sort by sort and age by age, as a table of hazards
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -137,7 +137,7 @@
             self.assertEqual(read(sock).status, status)
         self.assertEqual(read(silent[-2]).status, 408)  # in time, half a call is told so
 
-    def test_out_of_service_sends_submitters_away_and_back(self) -> None:
+    def test_out_of_service_sends_clients_away_and_back(self) -> None:
         rig = self.rig(self.node())
         resting, idle = rig.connect(), rig.connect()
         rig.send("a", sock=resting)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -159,7 +159,7 @@
                     first = sock.recv(65536)
                     self.assertTrue(first.startswith(OK))
                     self.assertEqual(rig.sidecar.decisions.tickets, 0, "for the module it is over")
-                    self.assertEqual(rig.sidecar.tally.open, 1, "for its submitter it is not")
+                    self.assertEqual(rig.sidecar.tally.open, 1, "for its client it is not")
                     go.put(1)
                     reader, body, done = MessageReader.responses(passing=True), b"", False
                     reader.feed(first)
@@ -208,7 +208,7 @@
         self.assertLessEqual(len(body), MAX_PASSED)
         node.left.get(timeout=WAIT)
 
-    def test_a_submitter_that_reads_nothing_holds_up_its_node_and_nobody_else(self) -> None:
+    def test_a_client_that_reads_nothing_holds_up_its_node_and_nobody_else(self) -> None:
         sent: queue.Queue[int] = queue.Queue()
 
         def script(sock: socket.socket, request: Message) -> None:
@@ -282,7 +282,7 @@
         self.assertEqual(rig.sidecar.tally.ends["move"]["fulfilled"], 6)
         self.assertEqual((rig.sidecar.tally.relayed, rig.sidecar.tally.open), (6, 0))
 
-    def test_a_submitter_that_leaves_half_way_leaves_a_node_that_has_not_run_it(self) -> None:
+    def test_a_client_that_leaves_half_way_leaves_a_node_that_has_not_run_it(self) -> None:
         node, got = self.taking()
         rig = self.rig(node)
         with rig.connect() as sock:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -324,7 +324,7 @@
 
 
 @wire("")
-def the_submitter_leaves(play: Play) -> None:
+def the_client_leaves(play: Play) -> None:
     conn = play.take()
     play.checker.closed(play.now, conn, "client")
 
@@ -338,7 +338,7 @@
 
 
 @wire("")
-def the_submitter_ends_its_sending(play: Play) -> None:
+def the_client_ends_its_sending(play: Play) -> None:
     play.checker.ended(play.now, play.take(), "server", "fin")
 
 
@@ -356,7 +356,7 @@
 
 
 @wire("")
-def the_submitter_does_not_read(play: Play) -> None:
+def the_client_does_not_read(play: Play) -> None:
     conn = play.take(cls="look")
     play.pass_(conn, "server", b"HTTP/1.1 502 X\r\nContent-Length: 5\r\n\r\nab", read=False)
 
@@ -598,12 +598,12 @@
 
 
 @wire("for-nobody")
-def passed_on_long_after_its_submitter_left(play: Play) -> None:
+def passed_on_long_after_its_client_left(play: Play) -> None:
     asked_for_nobody(play, 301 * MS)
 
 
 @wire("")
-def passed_on_as_its_submitter_left(play: Play) -> None:
+def passed_on_as_its_client_left(play: Play) -> None:
     asked_for_nobody(play, 299 * MS)
 
 
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -13,7 +13,7 @@
 from unittest import mock
 
 from brambleusher import sidecar
-from brambleusher.net import submitters
+from brambleusher.net import client_listener
 from brambleusher.net.http import Message, MessageReader
 from tests.crossing import HookedSystem, held_still
 from tests.rig import WAIT, Node, Rig, Script, answer, read
@@ -116,7 +116,7 @@
         self.hooks.before("client", "shutdown", "close", do=lambda: sock.sendall(b"x" * 1000))
         answer(body)(*held)
         self.counted(rig, "answers_served")
-        self.until(lambda: not rig.sidecar.submitters.connections)
+        self.until(lambda: not rig.sidecar.clients.connections)
         (got,) = answers(drain(sock))
         self.assertEqual((got.status, got.body), (200, body))
 
@@ -146,7 +146,7 @@
     def test_a_request_that_comes_as_the_wait_for_it_ends_is_served(self) -> None:
         node = Node(answer(b"yes"))
         self.addCleanup(node.close)
-        with mock.patch.object(submitters, "IDLE_SECONDS", 0.3):
+        with mock.patch.object(client_listener, "IDLE_SECONDS", 0.3):
             rig = self.rig(node)
             sock = self.connect(rig)
             sock.sendall(request("r1"))
@@ -159,7 +159,7 @@
         """Send when the timer of the wait has fired, before the task that waited runs."""
         scheduler = rig.sidecar.scheduler
         (connection,) = rig.sidecar.places.waiting()
-        assert isinstance(connection, submitters.Connection) and connection.task is not None
+        assert isinstance(connection, client_listener.Connection) and connection.task is not None
         timer = connection.task.timer
         (due,) = [when for when, _, each in scheduler._timers if each is timer]
         scheduler.call_at(due, lambda: sock.sendall(request("r2")))
@@ -171,13 +171,13 @@
         sock.sendall(request("r1"))
         held = node.held.get(timeout=WAIT)
         wind_down = threading.Event()
-        real = rig.sidecar.submitters.wind_down
+        real = rig.sidecar.clients.wind_down
 
         def winding_down() -> None:
             wind_down.set()
             real()
 
-        with mock.patch.object(rig.sidecar.submitters, "wind_down", winding_down):
+        with mock.patch.object(rig.sidecar.clients, "wind_down", winding_down):
             rig.sidecar.end()
             self.assertTrue(wind_down.wait(WAIT))
         sock.sendall(request("r2"))
@@ -194,7 +194,7 @@
         held = node.held.get(timeout=WAIT)
         places = rig.sidecar.places
         sock.sendall(request("r2"))
-        (connection,) = rig.sidecar.submitters._connections
+        (connection,) = rig.sidecar.clients._connections
         self.until(lambda: connection.stream.peek() is None, "it is read ahead")
         with (
             mock.patch.object(places, "scarce", lambda now: True),
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -105,7 +105,7 @@
         rig = self.rig(node)
         rig.sidecar.end()
         with held_still(rig):
-            self.assertFalse(rig.sidecar.submitters._closing)
+            self.assertFalse(rig.sidecar.clients._closing)
             socks = [self.connect(rig) for _ in range(40)]
             for number, sock in enumerate(socks):
                 sock.sendall(request(f"q{number}"))
@@ -168,7 +168,7 @@
         sock = self.connect(rig)
         with held_still(rig):
             rig.sidecar.end()
-        self.until(lambda: rig.sidecar.submitters.answer_by < math.inf)
+        self.until(lambda: rig.sidecar.clients.answer_by < math.inf)
         sock.sendall(
             request("m1", "Content-Length: 0")
             .replace(b"GET /look", b"POST /move")
@@ -177,7 +177,7 @@
         _, _, message = self.held(node)
         self.assertLess(int(message.headers["request-timeout-ms"]), 1100)
         self.assertEqual(read(sock).status, 502)
-        self.assertLess(rig.sidecar.scheduler.now(), rig.sidecar.submitters.answer_by + WAIT / 10)
+        self.assertLess(rig.sidecar.scheduler.now(), rig.sidecar.clients.answer_by + WAIT / 10)
         self.ended(rig)
 
     def test_a_second_signal_and_a_reload_beside_the_first(self) -> None:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -14,9 +14,9 @@
 import pytest
 
 from brambleusher.net import upstream_pool, watch
+from brambleusher.net.client_listener import ClientListener, Connection
 from brambleusher.net.http import MessageReader
 from brambleusher.net.presence import ClientPresence
-from brambleusher.net.submitters import Connection, Submitters
 from brambleusher.net.texts import TextAssembler
 from brambleusher.net.upstream_pool import UpstreamPool
 from brambleusher.runtime.streams import Stream
@@ -55,7 +55,7 @@
     return presence.gone
 
 
-def no_last_connects(clients: Submitters) -> None:
+def no_last_connects(clients: ClientListener) -> None:
     """The listener is closed without waiting for those who come at once."""
 
 
@@ -63,7 +63,7 @@
     return False
 
 
-def rests_always(clients: Submitters, connection: Connection, reader: Any) -> None:
+def rests_always(clients: ClientListener, connection: Connection, reader: Any) -> None:
     """A connection rests after its answer, whatever was sent ahead on it, and goes on when given up."""
     now = clients._scheduler.now()
     clients._places.rests(connection, now)
@@ -137,13 +137,13 @@
     ),
     (
         "half-close of resting connections",
-        [(Submitters, "_dismiss", Submitters._close_idle)],
+        [(ClientListener, "_dismiss", ClientListener._close_idle)],
         test_crossings_client.Closes,
         "test_a_request_that_crosses_the_end_of_a_resting_connection_is_not_sent_on",
     ),
     (
         "listener open a moment longer",
-        [(Submitters, "_await_last_connects", no_last_connects)],
+        [(ClientListener, "_await_last_connects", no_last_connects)],
         test_crossings_client.Closes,
         "test_a_request_that_crosses_the_end_of_a_resting_connection_is_not_sent_on",
     ),
@@ -155,13 +155,13 @@
     ),
     (
         "requests sent ahead at the end",
-        [(Submitters, "_has_more", staticmethod(no_more))],
+        [(ClientListener, "_has_more", staticmethod(no_more))],
         test_crossings_client.Closes,
         "test_what_was_sent_ahead_is_answered_while_the_sidecar_ends",
     ),
     (
         "requests sent ahead where room is made",
-        [(Submitters, "_rest", rests_always), (ClientPresence, "look", reads_and_sees_no_end)],
+        [(ClientListener, "_rest", rests_always), (ClientPresence, "look", reads_and_sees_no_end)],
         test_crossings_client.Closes,
         "test_a_connection_that_is_given_up_carries_no_further_request",
     ),
--- a/tests/test_making_room.py
+++ b/tests/test_making_room.py
@@ -6,7 +6,7 @@
 import unittest
 
 from brambleusher.config import parse_config
-from brambleusher.net.submitters import Connection
+from brambleusher.net.client_listener import Connection
 from brambleusher.runtime.real import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.streams import Stream
@@ -38,7 +38,7 @@
         }  # fmt: skip
         self.sidecar = Sidecar(parse_config(json.dumps(config).encode(), {}))
         self.addCleanup(self.sidecar.close)
-        self.places, self.submitters = self.sidecar.places, self.sidecar.submitters
+        self.places, self.clients = self.sidecar.places, self.sidecar.clients
         self.places.most = self.places.asking = 20
 
     def rest(self, count: int, waits: bytes | None) -> list[Waiting]:
@@ -48,7 +48,7 @@
             self.addCleanup(stream.close)
             connection = Connection(stream, "p")
             connection.asked = True
-            self.submitters._connections.add(connection)
+            self.clients._connections.add(connection)
             self.places.opened(connection, "p", 0.0)
             self.places.asked(connection, 0.1)
             self.places.rests(connection, 0.2)
@@ -59,19 +59,19 @@
         """Guards against each answer looking at every request that waits: being behind kept itself up."""
         streams = self.rest(30, b"G")
         for _ in range(25):
-            self.assertFalse(self.submitters._make_room())
-            self.assertFalse(self.submitters._make_room(20))
+            self.assertFalse(self.clients._make_room())
+            self.assertFalse(self.clients._make_room(20))
         self.assertLessEqual(sum(stream.looks for stream in streams), 30)
         self.assertEqual(self.places.taken, 30, "none of them is turned back unheard")
 
     def test_one_whose_other_end_has_left_goes(self) -> None:
         streams = self.rest(30, b"")
-        self.assertTrue(self.submitters._make_room())
+        self.assertTrue(self.clients._make_room())
         self.assertLessEqual(self.places.taken, 20)
         self.assertEqual(sum(not stream.open for stream in streams), 30 - self.places.taken)
 
     def test_what_is_quiet_goes_as_ever(self) -> None:
         self.rest(15, b"G"), self.rest(15, None)
-        self.assertTrue(self.submitters._make_room())
+        self.assertTrue(self.clients._make_room())
         self.assertGreaterEqual(self.places.taken, 15)
         self.assertLess(self.places.taken, 30)
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -1,4 +1,4 @@
-"""The budget of submitters' connections, in a world of clients that behave as a table says."""
+"""The budget of clients' connections, in a world of clients that behave as a table says."""
 
 from __future__ import annotations
 
--- a/tests/test_rewrites.py
+++ b/tests/test_rewrites.py
@@ -172,7 +172,7 @@
 
 class OnSockets(unittest.TestCase):
     def exchange(self, operator: str, node: Node, cls: str, *lines: str) -> tuple[list[Field], list[Field]]:
-        """One request with such lines: what the endpoint got, and what the submitter got."""
+        """One request with such lines: what the endpoint got, and what the client got."""
         rig = Rig([node.entry("h0")], operator)
         self.addCleanup(rig.end)
         with rig.connect() as sock:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -18,8 +18,8 @@
 from unittest import mock
 
 from brambleusher.config import parse_config
+from brambleusher.net.client_listener import READ_SECONDS
 from brambleusher.net.http import Message
-from brambleusher.net.submitters import READ_SECONDS
 from brambleusher.sidecar import Sidecar
 from tests.rig import WAIT, Discovery, Node, Rig, Script, answer, hang, read, reset
 
@@ -135,7 +135,7 @@
             rig.call(f"r{n}")
         self.assertEqual(len(node.conns), 1)
 
-    def test_a_submitter_that_leaves_calls_its_claim_off(self) -> None:
+    def test_a_client_that_leaves_calls_its_claim_off(self) -> None:
         node = self.node(hang)
         rig = self.rig(node)
         sock = rig.send("a", wait_ms=60_000)
@@ -226,17 +226,17 @@
     def test_a_small_machine_has_connections_for_its_load(self) -> None:
         """Guards against 20 connections to endpoints where 256 descriptors and 64 MB are there."""
         config = self.rig(self.node()).config
-        for memory_mb, sockets, claims, submitters in ((64, 256, 80, 120), (32, 256, 70, 100)):
+        for memory_mb, sockets, claims, clients in ((64, 256, 80, 120), (32, 256, 70, 100)):
             limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
             sidecar = Sidecar(parse_config(json.dumps({**config, "limits": limits}).encode(), {}))
             self.addCleanup(sidecar.close)
             self.assertGreaterEqual(sidecar.nodes._most, claims)
-            self.assertGreaterEqual(sidecar.submitters._places.most, submitters)
-            self.assertLess(sidecar.nodes._most + sidecar.submitters._places.most, sockets)
+            self.assertGreaterEqual(sidecar.clients._places.most, clients)
+            self.assertLess(sidecar.nodes._most + sidecar.clients._places.most, sockets)
 
     def test_all_descriptors_in_use_is_survived(self) -> None:
         rig = self.rig(self.node())
-        rig.sidecar.submitters._places.most = 2
+        rig.sidecar.clients._places.most = 2
         idle = [rig.connect() for _ in range(6)]
         self.assertEqual(rig.call().status, 200)  # one that is idle makes room
         for sock in idle:
@@ -270,7 +270,7 @@
 
     def test_one_that_does_not_ask_is_closed_and_one_that_has_asked_is_not(self) -> None:
         """Guards against silent connections held for minutes and half requests for ten seconds."""
-        rig, idle = self.rig(self.node()), mock.patch("brambleusher.net.submitters.IDLE_SECONDS", 60.0)
+        rig, idle = self.rig(self.node()), mock.patch("brambleusher.net.client_listener.IDLE_SECONDS", 60.0)
         with idle, rig.connect() as asked, rig.connect() as silent, rig.connect() as half:
             read(rig.send("a", sock=asked))
             half.sendall(b"GET /look HTTP/1.1\r\n")
@@ -281,7 +281,7 @@
 
     def test_silent_connections_make_room_for_those_that_ask(self) -> None:
         rig = self.rig(self.node())
-        rig.sidecar.submitters._places.most = 16
+        rig.sidecar.clients._places.most = 16
         with mock.patch("quillpass.places.FRESH_SECONDS", 0.0):
             silent = [rig.connect() for _ in range(24)]
             for sock in silent[:8]:
--- a/tests/test_stand_in_client.py
+++ b/tests/test_stand_in_client.py
@@ -1,4 +1,4 @@
-"""Stand-in submitters: when they try again, what they do when a close crosses, and the bad ones."""
+"""Stand-in clients: when they try again, what they do when a close crosses, and the bad ones."""
 
 from __future__ import annotations
 
@@ -162,7 +162,7 @@
 
 
 def exchange(system: System, listen: tuple[str, int]) -> list[Any]:
-    """A node, a discovery and submitters in one process; what came of it, times apart."""
+    """A node, a discovery and clients in one process; what came of it, times apart."""
     scheduler = Scheduler(system)
     node = Node(scheduler, NodeSettings(**{**USUAL, "report_fields": ()}), "s-1", 7)
     address = node.listen(listen)
@@ -197,7 +197,7 @@
     assert [status for status, _ in ended[0][0]] == [200] * 6
 
 
-# --- bad submitters -------------------------------------------------------------------------------
+# --- bad clients -------------------------------------------------------------------------------
 
 
 @pytest.mark.parametrize("kind", BAD_KINDS)
