Move: the life of a request stands in net/request_life.py

RequestLife, its answer, and the two interfaces it needs of a front and of a pool leave client_listener.py (822 lines, 662 now). Nothing is changed in them; types, and the tests of both fronts and of the listener pass.

--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -38,8 +38,8 @@
 from brambleusher.fronts.mysql.session import PreparedText, Session
 from brambleusher.fronts.mysql.settings import MysqlSettings
 from brambleusher.fronts.mysql.statements import Kind, Statement, Statements, words
-from brambleusher.net.client_listener import Answer, ClientHandle, RequestLife
-from brambleusher.net.client_listener import Kind as AnswerKind
+from brambleusher.net.request_life import Answer, ClientHandle, RequestLife
+from brambleusher.net.request_life import Kind as AnswerKind
 from brambleusher.runtime.scheduler import Bell, Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import SHORT_OF_ROOM, Address, Socket
--- a/brambleusher/lab/faults/breakages.py
+++ b/brambleusher/lab/faults/breakages.py
@@ -19,9 +19,10 @@
 from brambleusher.net import client_listener as listener_module
 from brambleusher.net import entries as list_module
 from brambleusher.net import upstream_pool as nodes_module
-from brambleusher.net.client_listener import Answer, ClientHandle, ClientListener, Kind, RequestLife
+from brambleusher.net.client_listener import ClientListener
 from brambleusher.net.endpoint_list import Endpoint, EndpointList, EndpointListUpdate, Feed
 from brambleusher.net.http import Message, MessageReader
+from brambleusher.net.request_life import Answer, ClientHandle, Kind, RequestLife
 from brambleusher.net.upstream_pool import Claim, Node, UpstreamPool
 from brambleusher.runtime.scheduler import Cancelled
 from brambleusher.runtime.streams import Called, Stream
--- a/brambleusher/net/client_listener.py
+++ b/brambleusher/net/client_listener.py
@@ -1,4 +1,4 @@
-"""The clients' side: the listener, `/ready`, and the life of one request."""
+"""The clients' side: the listener, `/ready`, connections, and requests as HTTP has them."""
 
 from __future__ import annotations
 
@@ -7,20 +7,13 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from enum import Enum
-from typing import Protocol
 
 from brambleusher.counters import Counters
 from brambleusher.decisions import (
-    AnswerBegun,
     Call,
-    ClaimEnded,
     Clock,
     Decisions,
     DuplicateRequest,
-    MakeClaim,
-    Outcome,
-    Ticket,
 )
 from brambleusher.logs import SparseLog
 from brambleusher.net.bodies import LEAST_RATE, Tail, Upload
@@ -36,12 +29,13 @@
 )
 from brambleusher.net.passing import Passing, end_to_end
 from brambleusher.net.presence import ClientPresence
+from brambleusher.net.request_life import Answer, ClientHandle, Kind, RequestLife
 from brambleusher.net.upstream_pool import UpstreamPool
 from brambleusher.runtime.scheduler import Scheduler, Task, Timeout
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import SHORT_OF_ROOM, Socket
 from brambleusher.tally import FAILED, REFUSED, SERVED, Tally
-from quillpass.api import Effect, Fail, Refuse, Status
+from quillpass.api import Effect
 from quillpass.places import FRESH_SECONDS, Places
 from quillpass.upkeep import Service
 
@@ -56,7 +50,6 @@
 NO_DESCRIPTOR_SECONDS = 0.05
 # An answer leaves so much before its client stops waiting; a tenth of what is left, if that is less.
 ANSWER_MARGIN_NS = 10_000_000
-GUARD_SECONDS = 0.005  # past that moment: the module had its chance to answer
 
 # Both end 0.7 s after SIGTERM at the latest: what comes later may be cut off unanswered.
 LAST_CONNECTS_SECONDS = 0.2  # that the listener stays open at the most once the sidecar winds down
@@ -69,23 +62,6 @@
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?\Z")
 
 
-class Kind(Enum):
-    """What became of a request."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A final answer, before it is worded in any protocol."""
-
-    kind: Kind
-    retry_after_ns: int = 0
-    payload: object = None
-
-
 _ENDS = {Kind.SERVED: SERVED, Kind.REFUSED: REFUSED, Kind.FAILED: FAILED}
 
 
@@ -103,146 +79,10 @@
     last: bool = False  # its connection can't carry another request
 
 
-@dataclass(frozen=True, slots=True)
-class ClientHandle:
-    """The other end of a request: `watch` has its socket as long as it can be seen to leave."""
-
-    watch: Callable[[], Socket | None]
-    has_left: Callable[[], bool]
-
-
-class ClaimUnderWay(Protocol):
-    """A claim, as the request it was made for sees it."""
-
-    def call_off(self) -> None:
-        """Give it up; its end is told all the same."""
-
-
-class ClaimSide(Protocol):
-    """The nodes, in some protocol."""
-
-    def claim(
-        self,
-        name: str,
-        payload: object,
-        timeout_ns: int,
-        deadline: float,
-        ended: Callable[[Outcome], None],
-        begun: Callable[[object], None],
-        passing: Callable[[bool], None],
-        wanted: Callable[[], bool],
-        /,
-    ) -> ClaimUnderWay:
-        """Start a claim; `ended` is called once, whatever happens.
-
-        `begun` may be called once before, with a payload: the answer is on its way out from then on.
-        `passing` is told when the request's body begins to go out as it comes, and when that is whole.
-        `wanted` is asked right before the first byte is sent: where it says no, nothing is.
-        """
-
-
 class Cut(Exception):
     """The rest of an answer that passes on does not come."""
 
 
-class RequestLife:
-    """Lives of requests, in whatever protocol they came."""
-
-    def __init__(self, decisions: Decisions, nodes: ClaimSide, scheduler: Scheduler) -> None:
-        self._decisions, self._nodes, self._scheduler = decisions, nodes, scheduler
-
-    def live(self, call: Call, deadline: Callable[[], float], client: ClientHandle) -> Answer | None:
-        """One request from its arrival to its final answer; None if its client left before.
-
-        The module is asked at each point of choice: when the request comes, and whenever a claim
-        made for it has ended.  `deadline` is when the answer must leave; it comes nearer where a body that
-        goes out as it comes is whole.
-        """
-        ticket, began_at = self._decisions.take(call), self._scheduler.now()
-        claims: dict[int, ClaimUnderWay] = {}
-        ticket.call_off = lambda attempt: claims[attempt].call_off() if attempt in claims else None
-
-        def wanted() -> bool:
-            return not client.has_left()
-
-        try:
-            while True:
-                # 1. Wait for the module's next step, a claim's end or the client's leaving.
-                while not ticket.steps:
-                    if self._wait(ticket, deadline() + GUARD_SECONDS, client) and client.has_left():
-                        self._abandon(ticket, claims)
-                        return None
-                step = ticket.steps.popleft()
-                if isinstance(step, MakeClaim | Refuse | Fail) and client.has_left():
-                    ticket.steps.appendleft(step)  # `close` tells the module that it is not made
-                    self._abandon(ticket, claims)
-                    return None
-                # 2. Make a claim.
-                if isinstance(step, MakeClaim):
-
-                    def ended(outcome: Outcome, made: MakeClaim = step) -> None:
-                        self._decisions.claim_ended(ticket, ClaimEnded(made.attempt, made.node, outcome))
-
-                    def begun(payload: object, made: MakeClaim = step) -> None:
-                        took = int((self._scheduler.now() - began_at) * 1e9)
-                        news = AnswerBegun(made.attempt, made.node, took, payload)
-                        self._decisions.claim_begun(ticket, news)
-
-                    def passing(whole: bool, made: MakeClaim = step) -> None:
-                        self._decisions.body_passing(ticket, made.attempt, whole)
-
-                    claims[step.attempt] = self._nodes.claim(
-                        step.node, call.payload, step.timeout_ns, deadline(), ended, begun, passing, wanted
-                    )
-                # 3. A claim has ended: the first that served answers the request.
-                elif isinstance(step, ClaimEnded):
-                    served = step.outcome.status is Status.OK
-                    self._decisions.ended(ticket, step, closed=served)
-                    if served:
-                        return Answer(Kind.SERVED, payload=step.outcome.payload)
-                # 4. An answer has begun: from here on it is its protocol's, and no other claim is wanted.
-                elif isinstance(step, AnswerBegun):
-                    self._decisions.began(ticket, step)
-                    for attempt, claim in claims.items():
-                        if attempt != step.attempt:
-                            claim.call_off()
-                    return Answer(Kind.SERVED, payload=step.payload)
-                # 5. The module has given up on it: the answer goes out at once.
-                elif isinstance(step, Refuse):
-                    wait = min(step.retry_after_ns, self._decisions.settings.max_retry_after_ns)
-                    return Answer(Kind.REFUSED, wait)
-                else:
-                    return Answer(Kind.FAILED)
-        except Timeout:
-            # Guards against a module that owes an answer and never gives it.
-            log.error("no answer from the module", extra={"fields": {"request": call.request}})
-            self._decisions.left(ticket)
-            return Answer(Kind.FAILED)
-        except Exception:
-            # Guards against a request left without an answer by a fault of ours.
-            log.exception("request failed", extra={"fields": {"request": call.request}})
-            self._decisions.left(ticket)
-            return Answer(Kind.FAILED)
-        finally:
-            self._decisions.close(ticket)
-
-    def _abandon(self, ticket: Ticket, claims: dict[int, ClaimUnderWay]) -> None:
-        """The client has left: nothing more is sent for it, and what is out is called off."""
-        self._decisions.left(ticket)
-        for claim in claims.values():
-            claim.call_off()
-
-    def _wait(self, ticket: Ticket, deadline: float, client: ClientHandle) -> bool:
-        """Wait for something to happen; true if the client is to be looked at."""
-        try:
-            return self._scheduler.park(deadline, client.watch(), bell=ticket.bell) == "socket"
-        except Timeout:
-            # Guards against passing over a step that came in the same moment, after a late wake-up.
-            if not ticket.steps:
-                raise
-            return False
-
-
 class Connection:
     """One client's connection."""
 
