--- /dev/null
+++ b/tests/test_names.py
@@ -0,0 +1,40 @@
+"""House terms that were withdrawn stay off the serving path; those still to be renamed are not listed yet."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+PATHS = (
+    "quillpass",
+    "brambleusher/net",
+    "brambleusher/runtime",
+    "brambleusher/decisions.py",
+    "brambleusher/sidecar.py",
+)
+WITHDRAWN = ("submitter", "execute.?node", "machine.?list", "requeue.?notice")
+# Counters keep the names that operators read.
+KEPT = ("submitters_closed_silent", "submitters_closed", "submitters_told_to_close")
+
+
+def sources() -> list[Path]:
+    found: list[Path] = []
+    for path in PATHS:
+        where = ROOT / path
+        found += sorted(where.rglob("*.py")) if where.is_dir() else [where]
+    return found
+
+
+@pytest.mark.parametrize("term", WITHDRAWN)
+def test_a_withdrawn_term_is_gone(term: str) -> None:
+    files = sources()
+    assert len(files) > 30
+    for path in files:
+        text = path.read_text(encoding="utf-8")
+        for name in KEPT:
+            text = text.replace(name, "")
+        found = re.search(term, text, re.IGNORECASE)
+        assert found is None, f"{path.relative_to(ROOT)}: {found and found[0]}"
