A first byte that comes 0.3 s after its head no longer counts as an answer that does not come

Now the hold ends, the 0.5 s go on, and the answer passes on with its first byte. The test holds the first byte back by hand: 502 without the mend, the answer with it.

--- a/brambleusher/net/upstream_pool.py
+++ b/brambleusher/net/upstream_pool.py
@@ -503,8 +503,11 @@
             try:
                 data = stream.receive(wait, claim.bell)
             except Timeout:
-                if patience is not None and wait == patience and reader.size:
-                    return self._begun(stream, reader)
+                if patience is not None and wait == patience:
+                    if reader.size:
+                        return self._begun(stream, reader)
+                    patience = math.inf  # held for long enough: it passes on with its first byte
+                    continue
                 if due >= deadline:
                     raise
                 # Guards against a length that does not fit: the claim would wait until its deadline.
@@ -523,7 +526,7 @@
                 if interim > MAX_INTERIM or answer.status == 101:
                     # Guards against 1xx answers without end, at full speed.
                     raise HttpError(502, "interim answers without end")
-            if reader.large:
+            if reader.large or (patience == math.inf and reader.size):
                 return self._begun(stream, reader)
             if reader.begun:
                 due = min(deadline, now() + REST_SECONDS)
--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -5,6 +5,7 @@
 import contextlib
 import functools
 import queue
+import select
 import socket
 import unittest
 from unittest import mock
@@ -67,6 +68,22 @@
         node.reset(upstream)
         self.assertNotEqual(read(client).status, 200)
 
+    def test_a_first_byte_that_comes_after_the_hold_is_no_broken_answer(self) -> None:
+        """Guards against a cut where a node sends its head, and thinks before its first byte."""
+        with (
+            mock.patch.object(upstream_pool, "HELD_SECONDS", 0.01),
+            mock.patch.object(upstream_pool, "REST_SECONDS", WAIT),
+        ):
+            node = self.holding()
+            rig = self.rig(node)
+            client = rig.send("r1")
+            upstream, _ = node.held.get(timeout=WAIT)
+            upstream.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            select.select([client], [], [], 0.2)  # were it cut, its client would be told by now
+            upstream.sendall(b"5\r\nfirst\r\n0\r\n\r\n")
+            got = read(client)
+            self.assertEqual((got.status, got.body), (200, b"first"))
+
     def test_interim_answers_do_not_end_a_request(self) -> None:
         node = self.holding()
         rig = self.rig(node)
