Names of the two times ahead of SIGKILL say which is which

LAST_ANSWERS_SECONDS and LAST_ANSWER_SECONDS stood for the close of resting connections and for the last answer; they are CLOSE_AHEAD_SECONDS and ANSWER_AHEAD_SECONDS. Names alone; the tests of the end pass.

--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -63,8 +63,8 @@
 # are closed.  SIGKILL comes no sooner than the longest deadline, 3 s where that is longer, and 0.7 s more.
 SERVE_ON_SECONDS = 0.45
 LONGEST_GRACE_SECONDS, GRACE_BEYOND_SECONDS = 3.0, 0.7
-LAST_ANSWERS_SECONDS = 0.75  # ahead of SIGKILL resting connections are closed
-LAST_ANSWER_SECONDS = 0.25  # ahead of it what came after SIGTERM is answered, whatever became of it
+CLOSE_AHEAD_SECONDS = 0.75  # of SIGKILL: resting connections are closed
+ANSWER_AHEAD_SECONDS = 0.25  # of SIGKILL: what came after SIGTERM is answered, whatever became of it
 ENDING_LOOK_SECONDS = 0.02  # between two looks at whether clients are still connected
 # Measured: 11 MB at the start, 17 MB after a minute with 60 connections in use.  A figure too high leaves
 # too few connections on a small endpoint, and claims find none: that looks like endpoints that are full.
@@ -582,9 +582,9 @@
     def _wind_down(self) -> None:
         """The task: serve on as long as clients may send and be answered, then close what rests."""
         killed_at = self.scheduler.now() + self._grace_seconds()
-        self.clients.answer_by = killed_at - LAST_ANSWER_SECONDS
+        self.clients.answer_by = killed_at - ANSWER_AHEAD_SECONDS
         self.scheduler.sleep(SERVE_ON_SECONDS)
-        while self.clients.connections and self.scheduler.now() < killed_at - LAST_ANSWERS_SECONDS:
+        while self.clients.connections and self.scheduler.now() < killed_at - CLOSE_AHEAD_SECONDS:
             self.scheduler.sleep(ENDING_LOOK_SECONDS)
         self.clients.wind_down()
         self.nodes.close()
