Tests of crossings share one bounded wait; a queue that nothing read is gone

The same loop, and the same assertion in it, stood in the cases of two files; both take it from tests/crossing.py. Scripted discovery kept a queue of calls that no test read.

--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -10,6 +10,8 @@
 import os
 import socket
 import threading
+import time
+import unittest
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -103,6 +105,16 @@
         return super().error_of(sock)
 
 
+class Patient(unittest.TestCase):
+    """A test case that waits for what has to come."""
+
+    def until(self, what: Callable[[], bool], why: str = "") -> None:
+        end = time.monotonic() + WAIT
+        while not what():
+            self.assertLess(time.monotonic(), end, why)
+            time.sleep(0.002)
+
+
 @contextmanager
 def held_still(rig: Rig) -> Iterator[None]:
     """The sidecar's hub stands still: what happens here has all happened when it looks again."""
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -7,15 +7,13 @@
 import socket
 import struct
 import threading
-import time
 import unittest
-from collections.abc import Callable
 from unittest import mock
 
 from brambleusher import sidecar
 from brambleusher.net import client_listener
 from brambleusher.net.http import Message, MessageReader
-from tests.crossing import HookedSystem, held_still
+from tests.crossing import HookedSystem, Patient, held_still
 from tests.rig import WAIT, Node, Rig, Script, answer, read
 
 NOT_STARTED = answer(b"", "503 Service Unavailable", "Not-Started: 1")
@@ -65,7 +63,7 @@
         sock.close()
 
 
-class Case(unittest.TestCase):
+class Case(Patient):
     def setUp(self) -> None:
         # What rests is closed 0.55 s after the end began, and not as late as the platform lets it be.
         short = mock.patch.object(sidecar, "LONGEST_GRACE_SECONDS", 0.6)
@@ -93,12 +91,6 @@
         sock.connect(rig.address)
         return sock
 
-    def until(self, what: Callable[[], bool], why: str = "") -> None:
-        end = time.monotonic() + WAIT
-        while not what():
-            self.assertLess(time.monotonic(), end, why)
-            time.sleep(0.002)
-
     def counted(self, rig: Rig, name: str, count: int = 1) -> None:
         self.until(lambda: rig.sidecar.counters.count(name) >= count, f"{name} stays under {count}")
 
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -5,7 +5,6 @@
 import contextlib
 import json
 import math
-import queue
 import random
 import socket
 import time
@@ -21,7 +20,7 @@
 from brambleusher.net import watch
 from brambleusher.net.texts import TextAssembler
 from quillpass.backoff import MOST_OF_FEW_SECONDS, MOST_SECONDS, Backoff
-from tests.crossing import held_still
+from tests.crossing import Patient, held_still
 from tests.rig import WAIT, Discovery, Node, Rig, answer, read
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -33,7 +32,6 @@
 
     def __init__(self, servers: list[dict[str, Any]], *scripts: Watch) -> None:
         self.scripts = list(scripts)
-        self.calls: queue.Queue[str] = queue.Queue()
         super().__init__(servers)
 
     def serve(self, sock: socket.socket) -> None:
@@ -49,7 +47,7 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-class Case(unittest.TestCase):
+class Case(Patient):
     def node(self, body: bytes = b"ok") -> Node:
         node = Node(answer(body))
         self.addCleanup(node.close)
@@ -60,12 +58,6 @@
         self.addCleanup(rig.end)
         return rig
 
-    def until(self, what: Callable[[], bool], why: str = "") -> None:
-        end = time.monotonic() + WAIT
-        while not what():
-            self.assertLess(time.monotonic(), end, why)
-            time.sleep(0.002)
-
 
 class Silence(Case):
     """In each case the sidecar has to call again by itself, and to learn what it has missed."""
