--- /dev/null
+++ b/brambleusher/controller.py
@@ -0,0 +1,165 @@
+"""The controller: assembles the control plane of one core machine, and its life from start to SIGTERM."""
+
+from __future__ import annotations
+
+import logging
+import random
+import signal
+from typing import Any
+
+from brambleusher.controlplane import registry
+from brambleusher.controlplane.announcer import Announcer
+from brambleusher.controlplane.orders import Orders
+from brambleusher.controlplane.platform_list import PlatformList
+from brambleusher.controlplane.replica import Replica
+from brambleusher.logs import SparseLog
+from brambleusher.membership.line_connection import LineSender, LineServer
+from brambleusher.membership.settings_watch import SettingsWatch
+from brambleusher.membership.views import PartialView, Peer, State
+from brambleusher.runtime.disk import Disk
+from brambleusher.runtime.http_server import HttpRequest, HttpResponse, HttpServer
+from brambleusher.runtime.scheduler import Scheduler
+from brambleusher.runtime.streams import parse_address
+from brambleusher.runtime.system import System
+from brambleusher.wire.errors import InvalidMessage
+from brambleusher.wire.settings import Settings
+
+log = logging.getLogger(__name__)
+
+SHUFFLE_S = 0.4
+SENDERS_MAX = 64
+CONFIGURATION_BYTES = 8 * 1024 * 1024
+LEAVE_S = 1.2  # after SIGTERM: time to hand the lead over and to answer what was taken
+CONNECTIONS_MAX = 900
+
+
+class Controller:
+    """One process of the control plane."""
+
+    def __init__(self, system: System, settings: Settings, disk: Disk, path: str = "") -> None:
+        self.scheduler = Scheduler(system)
+        self.settings = settings
+        self._rng = random.Random(f"{settings.node_name} {system.wall_ns()}")
+        self._incarnation = system.wall_ns() // 1_000_000
+        self._state = State.READY
+        self._senders: dict[str, LineSender] = {}
+        self._sparse = SparseLog(log, self.scheduler.now)
+        self._announcer: Announcer | None = None
+        self.view = PartialView(self._rng)
+        self.replica = Replica(self.scheduler, settings, disk, self._send, self._rng, self._changed)
+        self.replica.known_controllers = self._known_controllers
+        self.instances = PlatformList(
+            self.scheduler, settings, self._rng, lambda: len(self._known_controllers()) + 1, self._changed
+        )
+        self._announcer = Announcer(
+            self.scheduler, settings.node_name, self.replica, self.instances, self.view, self._controllers
+        )
+        self._lines = LineServer(
+            self.scheduler, parse_address(settings.peer_address), self._message, self._invalid, CONNECTIONS_MAX
+        )
+        orders = Orders(self.scheduler, self.replica, frozenset(settings.zones))
+        self._control = HttpServer(
+            self.scheduler, parse_address(settings.bind.control), orders.handle, CONFIGURATION_BYTES
+        )
+        self._directory: HttpServer | None = None
+        if settings.bind.directory:
+            self._directory = HttpServer(
+                self.scheduler, parse_address(settings.bind.directory), self._resolve, 4096
+            )
+        self._watch = SettingsWatch(self.scheduler, path, self._settings_changed)
+        self.scheduler.spawn(self._shuffle, name="shuffle")
+
+    def run(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        system = self.scheduler.system
+        for number in (signal.SIGTERM, signal.SIGINT):
+            system.on_signal(number, lambda: self.scheduler.call_soon(self.leave))
+        system.on_signal(signal.SIGHUP, lambda: self.scheduler.call_soon(self._watch.look))
+        log.info("controller started", extra={"fields": {"name": self.settings.node_name}})
+        self.scheduler.run()
+
+    def leave(self) -> None:
+        """Hand the lead over and end soon."""
+        if self._state is State.LEAVING:
+            return
+        self._state = State.LEAVING
+        log.info("controller leaves")
+        self._control.closing = True
+        if self._directory is not None:
+            self._directory.closing = True
+        self.replica.transfer()
+        self.scheduler.call_at(self.scheduler.now() + LEAVE_S, self.scheduler.stop)
+
+    # --- others ----------------------------------------------------------------------------------
+
+    def _changed(self) -> None:
+        if self._announcer is not None:
+            self._announcer.announce()
+
+    def _self(self) -> Peer:
+        settings = self.settings
+        return Peer(
+            settings.node_name,
+            "controller",
+            settings.peer_address,
+            settings.zone,
+            settings.region,
+            self._state,
+            self._incarnation,
+        )
+
+    def _known_controllers(self) -> list[str]:
+        """Addresses of the other controllers: members, and those heard of lately."""
+        now = self.scheduler.now()
+        known = {member.address for member in self.replica.consensus.log.members}
+        known |= {peer.address for peer in self.view.alive("controller", now)}
+        return sorted(known - {self.settings.peer_address, ""})
+
+    def _controllers(self) -> list[str]:
+        return [*self._known_controllers(), self.settings.peer_address]
+
+    def _send(self, address: str, message: dict[str, Any]) -> None:
+        sender = self._senders.get(address)
+        if sender is None:
+            if len(self._senders) >= SENDERS_MAX:
+                oldest = next(iter(self._senders))
+                self._senders.pop(oldest).close()
+            sender = self._senders[address] = LineSender(self.scheduler, parse_address(address))
+        sender.send({"from": self.settings.peer_address, **message})
+
+    def _message(self, message: dict[str, Any], host: str) -> dict[str, Any] | None:
+        kind = message.get("kind")
+        if kind == "watch" and self._announcer is not None:
+            return self._announcer.watch(message)
+        sender = message.get("from")
+        if not isinstance(sender, str):
+            raise InvalidMessage("a message has no sender")
+        if kind == "shuffle":
+            self.view.merge(message.get("sample"), self.scheduler.now())
+            return None
+        self.replica.handle(message, sender)
+        return None
+
+    def _invalid(self, host: str, reason: str) -> None:
+        self._sparse.warning("a message can't be read", host=host, why=reason)
+
+    def _shuffle(self) -> None:
+        while True:
+            now = self.scheduler.now()
+            self.view.heard(self._self(), now)
+            self.view.expire(now)
+            others = self._known_controllers() or [
+                peer for peer in self.replica.seeds if peer != self.settings.peer_address
+            ]
+            if others:
+                self._send(self._rng.choice(others), {"kind": "shuffle", "sample": self.view.sample(now)})
+            self.scheduler.sleep(SHUFFLE_S * self._rng.uniform(0.8, 1.2))
+
+    def _resolve(self, request: HttpRequest) -> HttpResponse:
+        gateways = self.view.alive("gateway", self.scheduler.now())
+        return registry.answer(request, gateways, self._rng, self.settings.bounds.ttl_max_s)
+
+    def _settings_changed(self, settings: Settings) -> None:
+        self.settings = settings
+        self.replica.seeds = settings.seed_peers()
+        log.info("settings read again", extra={"fields": {"seeds": ",".join(settings.seeds)}})
--- /dev/null
+++ b/brambleusher/controlplane/__init__.py
@@ -0,0 +1,1 @@
+"""The control plane: agreement, storage, configuration, instances, registry, announcements."""
--- /dev/null
+++ b/brambleusher/controlplane/announcer.py
@@ -0,0 +1,81 @@
+"""The long poll's server: a gateway asks with the versions it holds, and is answered once one is newer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from brambleusher.controlplane.platform_list import PlatformList
+from brambleusher.controlplane.replica import Replica
+from brambleusher.membership.views import PartialView, peer_of
+from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
+from brambleusher.wire.errors import InvalidMessage
+
+HOLD_S = 0.5  # a gateway that hears nothing for longer leaves this controller for another
+COUNTED_S = 10.0  # gateways heard of so lately share budgets
+
+
+class Announcer:
+    """Answers `watch` messages; `announce` wakes all that wait."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        name: str,
+        replica: Replica,
+        instances: PlatformList,
+        view: PartialView,
+        controllers: Callable[[], list[str]],
+    ) -> None:
+        self._scheduler, self._name = scheduler, name
+        self._replica, self._instances, self._view = replica, instances, view
+        self._controllers = controllers
+        self._waiting: set[Bell] = set()
+
+    def announce(self) -> None:
+        """Something has a new version."""
+        for bell in self._waiting:
+            bell.ring()
+
+    def watch(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Wait for news and answer; raises `InvalidMessage`."""
+        peer = peer_of(message.get("me"))
+        held, source, version = message.get("index"), message.get("source"), message.get("version")
+        if not isinstance(held, int) or not isinstance(version, int):
+            raise InvalidMessage("a watch has no versions")
+        self._view.heard(peer, self._scheduler.now())
+        deadline = self._scheduler.now() + HOLD_S
+        bell = Bell()
+        self._waiting.add(bell)
+        try:
+            while not self._news(held, source, version):
+                self._scheduler.park(deadline, bell=bell)
+        except Timeout:
+            pass
+        finally:
+            self._waiting.discard(bell)
+        return self._answer(held, source, version)
+
+    def _news(self, held: int, source: object, version: int) -> bool:
+        listed = self._instances.read_at is not None
+        other = source != self._name or version != self._instances.version
+        return self._replica.state.index > held or (listed and other)
+
+    def _answer(self, held: int, source: object, version: int) -> dict[str, Any]:
+        now = self._scheduler.now()
+        state, listed = self._replica.state, self._instances
+        answer: dict[str, Any] = {
+            "index": state.index,
+            "contact": self._replica.consensus.in_contact(now),
+            "gateways": len(self._view.alive("gateway", now, COUNTED_S)),
+            "controllers": self._controllers(),
+            "source": self._name,
+            "version": listed.version,
+        }
+        if state.index > held:
+            answer["body"], answer["evacuated"] = state.body, state.evacuated
+        if listed.read_at is not None:
+            answer["age_ms"] = int((now - listed.read_at) * 1000)
+            if source != self._name or version != listed.version:
+                answer["instances"] = listed.instances
+        return answer
--- /dev/null
+++ b/brambleusher/controlplane/consensus.py
@@ -0,0 +1,644 @@
+"""Agreement of the replicas of one shard: Raft as a state machine without I/O.
+
+Messages, ticks and finished syncs go in; messages, records for the disk and committed entries come out.
+Times are seconds of a clock that only advances.  What must be durable before a message may leave carries
+the number of the record that it waits for.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from typing import Any
+
+from brambleusher.controlplane.log import Log
+from brambleusher.controlplane.membership_changes import next_members
+from brambleusher.wire import consensus_messages as wire
+from brambleusher.wire.consensus_messages import Entry, Member
+
+HEARTBEAT_S = 0.12  # three of them fit into the shortest election timeout, with a round trip between regions
+ELECTION_MIN_S, ELECTION_MAX_S = 0.7, 1.2
+ENTRIES_A_MESSAGE = 64
+SNAPSHOT_EVERY_S = 1.0  # to one replica: a snapshot on a slow link takes a while
+TRANSFER_S = 1.0  # for a planned successor to show up, then proposals are taken again
+JOIN_FORGET_S = 3.0  # after which a request to join has to be repeated
+
+
+class Role(Enum):
+    """What a replica is at the moment."""
+
+    LEARNER = "learner"
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message to a member, to be sent once the record numbered `after` is synced (0: at once)."""
+
+    to: Member
+    message: wire.Message
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class HardState:
+    """Record: term and vote."""
+
+    term: int
+    vote: str
+
+
+@dataclass(frozen=True, slots=True)
+class Truncate:
+    """Record: entries from an index on are void."""
+
+    first: int
+
+
+@dataclass(frozen=True, slots=True)
+class Restore:
+    """Record: a snapshot received from the leader replaces everything before it."""
+
+    index: int
+    term: int
+    members: tuple[Member, ...]
+    state: Any
+
+
+Record = HardState | Truncate | Restore | Entry
+
+
+@dataclass(slots=True)
+class Progress:
+    """What a leader knows of one other member."""
+
+    next_index: int
+    matched: int = 0
+    heard_at: float = 0.0
+    round: int = 0
+    snapshot_at: float = -SNAPSHOT_EVERY_S
+
+
+@dataclass(slots=True)
+class Output:
+    """What came out since it was last taken."""
+
+    messages: list[Outgoing] = field(default_factory=list)
+    records: list[Record] = field(default_factory=list)
+    committed: list[Entry] = field(default_factory=list)
+    restored: list[Restore] = field(default_factory=list)
+
+
+class Consensus:
+    """One replica of one shard."""
+
+    def __init__(
+        self,
+        identity: Member,
+        log: Log,
+        term: int,
+        vote: str,
+        now: float,
+        rng: random.Random,
+        voters_wanted: int = 3,
+    ) -> None:
+        self.identity, self.log = identity, log
+        self.term, self.vote = term, vote
+        self.commit = log.base_index
+        self.role = Role.FOLLOWER if self._is_voter() else Role.LEARNER
+        self.leader = ""
+        self.voters_wanted = voters_wanted
+        self.output = Output()
+        self._rng = rng
+        self._now = now
+        self._recorded = 0  # records handed out
+        self._synced_index = log.last_index
+        self._entry_records: list[tuple[int, int]] = []  # (record number, index) not synced yet
+        self._votes: set[str] = set()
+        self._progress: dict[str, Progress] = {}
+        self._round = 0
+        self._heard_at = now
+        self._majority_at = now
+        self._joining: dict[str, tuple[Member, float]] = {}
+        self._transfer_until = 0.0
+        self._successor = ""
+        self._reads: list[tuple[int, int, Callable[[bool], None]]] = []
+        self._heartbeat_at = now
+        self._election_at = now + self._timeout()
+
+    # --- what callers ask ------------------------------------------------------------------------
+
+    @property
+    def voters(self) -> list[Member]:
+        """Members whose votes count."""
+        return [member for member in self.log.members if member.voter]
+
+    @property
+    def leading(self) -> bool:
+        """Whether this replica is the leader, as far as it knows."""
+        return self.role is Role.LEADER
+
+    def leader_member(self) -> Member | None:
+        """The leader as far as it is known."""
+        return self._member(self.leader)
+
+    def in_contact(self, now: float) -> bool:
+        """Whether this replica heard of a majority lately: as a leader itself, else from a leader."""
+        heard = self._majority_at if self.leading else self._heard_at
+        return bool(self.leader) and now - heard < ELECTION_MIN_S
+
+    def quiet_for(self, now: float) -> float:
+        """Seconds since a leader was heard from."""
+        return now - self._heard_at
+
+    def taking_proposals(self) -> bool:
+        """Whether a proposal made here now would be appended."""
+        return self.leading and self._now >= self._transfer_until
+
+    def status(self) -> dict[str, Any]:
+        """The state as one JSON object."""
+        return {
+            "id": self.identity.id,
+            "role": self.role.value,
+            "term": self.term,
+            "leader": self.leader,
+            "commit": self.commit,
+            "last_index": self.log.last_index,
+            "synced_index": self._synced_index,
+            "members": [member.as_json() for member in self.log.members],
+        }
+
+    # --- events ----------------------------------------------------------------------------------
+
+    def tick(self, now: float) -> None:
+        """Time has passed."""
+        self._now = now
+        if self.role is Role.LEADER:
+            self._lead()
+        elif now >= self._election_at:
+            self._election_at = now + self._timeout()
+            if self._is_voter():
+                self._stand(pre=True)
+
+    def due_at(self) -> float:
+        """When `tick` has something to do next."""
+        return self._heartbeat_at if self.role is Role.LEADER else self._election_at
+
+    def propose(self, command: Any) -> tuple[int, int] | None:
+        """Append a command; its index and term, or None where this replica does not take any."""
+        if not self.taking_proposals():
+            return None
+        entry = self._append_own("command", command)
+        self._replicate()
+        return entry.index, entry.term
+
+    def read(self, done: Callable[[bool], None]) -> None:
+        """Call `done(True)` once a majority still follows and all committed before is applied here."""
+        if not self.leading or self.log.term_at(self.commit) != self.term:
+            done(False)
+            return
+        self._round += 1
+        self._reads.append((self._round, self.commit, done))
+        self._replicate(heartbeat=True)
+        self._finish_reads()
+
+    def synced(self, record: int) -> None:
+        """Records up to this number are on the disk."""
+        while self._entry_records and self._entry_records[0][0] <= record:
+            _, index = self._entry_records.pop(0)
+            self._synced_index = min(max(self._synced_index, index), self.log.last_index)
+        if self.leading:
+            self._advance_commit()
+
+    def transfer(self) -> bool:
+        """Ask the voter that is furthest to take over; False where there is none or this is no leader."""
+        if not self.leading:
+            return False
+        ready = [
+            (self._progress[member.id].matched, member)
+            for member in self.voters
+            if member.id in self._progress and self._now - self._progress[member.id].heard_at < ELECTION_MIN_S
+        ]
+        if not ready:
+            return False
+        matched, successor = max(ready, key=lambda pair: pair[0])
+        self._transfer_until, self._successor = self._now + TRANSFER_S, successor.id
+        if matched == self.log.last_index:
+            self._send(successor, wire.TransferLeadership(self.term, self.identity.id))
+        return True
+
+    def compacted(self, index: int) -> None:
+        """A snapshot up to an index is on the disk."""
+        self.log.compact(index)
+
+    def handle(self, message: wire.Message, now: float) -> None:
+        """A message of another replica."""
+        self._now = now
+        if isinstance(message, wire.JoinRequest):
+            self._joined(message.member)
+            return
+        if message.sender == self.identity.id:
+            return
+        if isinstance(message, wire.VoteRequest):
+            self._vote_asked(message)
+            return
+        if message.term > self.term and not (isinstance(message, wire.VoteReply) and message.pre):
+            self._follow(message.term, "")
+        if isinstance(message, wire.VoteReply):
+            self._voted(message)
+        elif isinstance(message, wire.AppendReply):
+            self._appended(message)
+        elif message.term < self.term:
+            self._send_to(
+                message.sender,
+                wire.AppendReply(self.term, self.identity.id, False, self.log.last_index, 0),
+            )
+        elif isinstance(message, wire.Append):
+            self._append(message)
+        elif isinstance(message, wire.InstallSnapshot):
+            self._install(message)
+        elif isinstance(message, wire.TransferLeadership) and self._is_voter():
+            self._stand(pre=False, transfer=True)
+
+    def _joined(self, newcomer: Member) -> None:
+        """Keep the latest process at an address: an earlier one there has lost its disk and is gone."""
+        for identity, (member, _) in list(self._joining.items()):
+            if member.address == newcomer.address:
+                del self._joining[identity]
+        self._joining[newcomer.id] = (newcomer, self._now)
+
+    # --- elections -------------------------------------------------------------------------------
+
+    def _timeout(self) -> float:
+        return self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
+
+    def _is_voter(self) -> bool:
+        own = self._member(self.identity.id)
+        return own is not None and own.voter
+
+    def _member(self, identity: str) -> Member | None:
+        return next((member for member in self.log.members if member.id == identity), None)
+
+    def _majority(self, count: int) -> bool:
+        return count * 2 > len(self.voters)
+
+    def _become(self, role: Role) -> None:
+        """The one place where the role changes."""
+        if self.role is Role.LEADER and role is not Role.LEADER:
+            reads, self._reads = self._reads, []
+            for _, _, done in reads:
+                done(False)
+            self._progress, self._transfer_until = {}, 0.0
+        self.role = role
+
+    def _follow(self, term: int, leader: str) -> None:
+        if term > self.term:
+            self.term, self.vote = term, ""
+            self._record(HardState(self.term, self.vote))
+        self._become(Role.FOLLOWER if self._is_voter() else Role.LEARNER)
+        self.leader = leader
+
+    def _stand(self, pre: bool, transfer: bool = False) -> None:
+        self.leader = ""
+        self._votes = {self.identity.id}
+        after = 0
+        if pre:
+            self._become(Role.PRE_CANDIDATE)
+        else:
+            self._become(Role.CANDIDATE)
+            self.term, self.vote = self.term + 1, self.identity.id
+            after = self._record(HardState(self.term, self.vote))
+        self._election_at = self._now + self._timeout()
+        asked = self.term + 1 if pre else self.term
+        request = wire.VoteRequest(
+            asked, self.identity.id, self.log.last_index, self.log.last_term, pre, transfer
+        )
+        for member in self.voters:
+            if member.id != self.identity.id:
+                self._send(member, request, after)
+        self._count_votes()
+
+    def _vote_asked(self, request: wire.VoteRequest) -> None:
+        heard = self.leading or (bool(self.leader) and self._now - self._heard_at < ELECTION_MIN_S)
+        if heard and not request.transfer:
+            # A member that was cut off, or is none any more, must not unseat a leader that is well.
+            self._reply_vote(request, False)
+            return
+        newer = (request.last_term, request.last_index) >= (self.log.last_term, self.log.last_index)
+        if request.pre:
+            self._reply_vote(request, newer and request.term > self.term)
+            return
+        if request.term > self.term:
+            self._follow(request.term, "")
+        granted = (
+            newer
+            and request.term == self.term
+            and self._is_voter()
+            and self.vote in ("", request.sender)
+        )
+        if granted and not self.vote:
+            self.vote = request.sender
+            self._record(HardState(self.term, self.vote))
+        if granted:
+            self._election_at = self._now + self._timeout()
+        self._reply_vote(request, granted)
+
+    def _reply_vote(self, request: wire.VoteRequest, granted: bool) -> None:
+        reply = wire.VoteReply(self.term, self.identity.id, request.term, request.pre, granted)
+        self._send_to(request.sender, reply, 0 if request.pre else self._recorded)
+
+    def _voted(self, reply: wire.VoteReply) -> None:
+        if reply.term > self.term:
+            self._follow(reply.term, "")
+            return
+        if not reply.granted:
+            return
+        waited_for = self.term + 1 if reply.pre else self.term
+        role = Role.PRE_CANDIDATE if reply.pre else Role.CANDIDATE
+        if self.role is role and reply.asked == waited_for:
+            self._votes.add(reply.sender)
+            self._count_votes()
+
+    def _count_votes(self) -> None:
+        counted = sum(member.id in self._votes for member in self.voters)
+        if not self._majority(counted):
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self._stand(pre=False)
+        elif self.role is Role.CANDIDATE:
+            self._win()
+
+    def _win(self) -> None:
+        self._become(Role.LEADER)
+        self.leader = self.identity.id
+        self._majority_at = self._heartbeat_at = self._now
+        self._progress = {}
+        self._follow_members()
+        self._append_own("none", None)
+        self._replicate()
+
+    # --- the leader ------------------------------------------------------------------------------
+
+    def _follow_members(self) -> None:
+        others = {member.id for member in self.log.members} - {self.identity.id}
+        for identity in others - set(self._progress):
+            self._progress[identity] = Progress(self.log.last_index + 1, heard_at=self._now)
+        for identity in set(self._progress) - others:
+            del self._progress[identity]
+
+    def _lead(self) -> None:
+        if self._now < self._heartbeat_at:
+            return
+        live = 1 + sum(
+            self._now - self._progress[member.id].heard_at < ELECTION_MAX_S
+            for member in self.voters
+            if member.id in self._progress
+        )
+        if self._majority(live) and self._is_voter():
+            self._majority_at = max(self._majority_at, self._heard_majority_at())
+        else:
+            self._follow(self.term, "")
+            self._election_at = self._now + self._timeout()
+            return
+        self._heartbeat_at = self._now + HEARTBEAT_S
+        self._change_members()
+        self._round += 1
+        self._replicate(heartbeat=True)
+
+    def _heard_majority_at(self) -> float:
+        """When a majority had been heard from last, this replica included."""
+        times = [
+            self._now if member.id == self.identity.id else self._progress[member.id].heard_at
+            for member in self.voters
+        ]
+        return sorted(times, reverse=True)[len(times) // 2]
+
+    def _change_members(self) -> None:
+        for identity, (_, at) in list(self._joining.items()):
+            if self._now - at > JOIN_FORGET_S:
+                del self._joining[identity]
+        if self.log.members_index > self.commit or self.log.term_at(self.commit) != self.term:
+            return  # one change at a time, and none before this term has committed something
+        quiet = {identity: self._now - known.heard_at for identity, known in self._progress.items()}
+        caught_up = {
+            identity
+            for identity, known in self._progress.items()
+            if known.matched >= self.commit and self._now - known.heard_at < ELECTION_MIN_S
+        }
+        joining = [member for member, _ in self._joining.values()]
+        changed = next_members(
+            self.log.members, joining, quiet, caught_up, self.identity.id, self.voters_wanted
+        )
+        if changed is not None:
+            self._append_own("members", [member.as_json() for member in changed])
+
+    def _append_own(self, kind: str, data: Any) -> Entry:
+        entry = Entry(self.log.last_index + 1, self.term, kind, data)
+        self._append_entry(entry)
+        if kind == "members":
+            self._follow_members()
+        self._advance_commit()
+        return entry
+
+    def _append_entry(self, entry: Entry) -> None:
+        self.log.append(entry)
+        self._entry_records.append((self._record(entry), entry.index))
+
+    def _replicate(self, heartbeat: bool = False) -> None:
+        for member in self.log.members:
+            known = self._progress.get(member.id)
+            if known is not None and (heartbeat or known.next_index <= self.log.last_index):
+                self._send_entries(member, known)
+
+    def _send_entries(self, member: Member, known: Progress) -> None:
+        previous = known.next_index - 1
+        term = self.log.term_at(previous)
+        if term is None:
+            self._send_snapshot(member, known)
+            return
+        entries = self.log.after(previous, ENTRIES_A_MESSAGE)
+        known.next_index += len(entries)
+        self._send(
+            member,
+            wire.Append(self.term, self.identity.id, previous, term, entries, self.commit, self._round),
+        )
+
+    def _send_snapshot(self, member: Member, known: Progress) -> None:
+        if self._now - known.snapshot_at < SNAPSHOT_EVERY_S:
+            beat = wire.Append(self.term, self.identity.id, 0, 0, [], 0, self._round)
+            self._send(member, beat)
+            return
+        known.snapshot_at = self._now
+        # The driver fills in what is applied when the message leaves: see `with_state`.
+        self._send(
+            member, wire.InstallSnapshot(self.term, self.identity.id, 0, 0, [], None, self._round)
+        )
+
+    def with_state(self, message: wire.InstallSnapshot, state: Any) -> wire.InstallSnapshot:
+        """The message with the state of the state machine, which has applied all that is committed."""
+        return replace(
+            message,
+            index=self.commit,
+            index_term=self.log.term_at(self.commit) or 0,
+            members=list(self.log.members_at(self.commit)),
+            state=state,
+        )
+
+    def _appended(self, reply: wire.AppendReply) -> None:
+        known = self._progress.get(reply.sender)
+        if not self.leading or reply.term != self.term or known is None:
+            return
+        known.heard_at = self._now
+        known.round = max(known.round, reply.round)
+        if reply.accepted:
+            known.matched = max(known.matched, reply.matched)
+            known.next_index = max(known.next_index, known.matched + 1)
+            self._advance_commit()
+            self._hand_over(reply.sender, known)
+        else:
+            known.next_index = max(min(known.next_index - 1, reply.matched + 1), known.matched + 1, 1)
+        self._finish_reads()
+        member = self._member(reply.sender)
+        if member is not None and known.next_index <= self.log.last_index:
+            self._send_entries(member, known)
+
+    def _hand_over(self, identity: str, known: Progress) -> None:
+        """The planned successor holds everything now: let it stand."""
+        if identity == self._successor and self._now < self._transfer_until:
+            member = self._member(identity)
+            if member is not None and known.matched == self.log.last_index:
+                self._send(member, wire.TransferLeadership(self.term, self.identity.id))
+
+    def _advance_commit(self) -> None:
+        matched = sorted(
+            (
+                self._synced_index if member.id == self.identity.id else self._matched_of(member.id)
+                for member in self.voters
+            ),
+            reverse=True,
+        )
+        if not matched:
+            return
+        agreed = matched[len(matched) // 2]
+        if agreed > self.commit and self.log.term_at(agreed) == self.term:
+            self._commit_to(agreed)
+            self._replicate(heartbeat=True)  # followers announce it too, and should not wait for a beat
+
+    def _matched_of(self, identity: str) -> int:
+        known = self._progress.get(identity)
+        return known.matched if known is not None else 0
+
+    def _finish_reads(self) -> None:
+        if not self._reads:
+            return
+        rounds = sorted(
+            (
+                self._round if member.id == self.identity.id else self._progress[member.id].round
+                for member in self.voters
+                if member.id == self.identity.id or member.id in self._progress
+            ),
+            reverse=True,
+        )
+        agreed = rounds[len(self.voters) // 2] if len(rounds) > len(self.voters) // 2 else -1
+        ready = [read for read in self._reads if read[0] <= agreed]
+        self._reads = [read for read in self._reads if read[0] > agreed]
+        for _, _, done in ready:
+            done(True)
+
+    # --- the follower ----------------------------------------------------------------------------
+
+    def _heard_leader(self, leader: str) -> None:
+        self._follow(self.term, leader)
+        self._heard_at = self._now
+        self._election_at = self._now + self._timeout()
+
+    def _append(self, message: wire.Append) -> None:
+        self._heard_leader(message.sender)
+        if self.log.term_at(message.previous_index) != message.previous_term:
+            if message.previous_index < self.log.base_index:
+                self._append_past_base(message)
+                return
+            hint = min(self.log.last_index, max(message.previous_index - 1, self.log.base_index))
+            self._reply_append(False, hint, message.round)
+            return
+        self._take_entries(message.entries)
+        last = message.previous_index + len(message.entries)
+        self._reply_append(True, last, message.round)
+        self._commit_to(min(message.commit, last))
+
+    def _append_past_base(self, message: wire.Append) -> None:
+        """Entries that begin before the own snapshot: what the snapshot holds is agreed on already."""
+        last = message.previous_index + len(message.entries)
+        if last < self.log.base_index:
+            self._reply_append(True, last, message.round)
+            return
+        self._take_entries([entry for entry in message.entries if entry.index > self.log.base_index])
+        self._reply_append(True, last, message.round)
+        self._commit_to(min(message.commit, last))
+
+    def _take_entries(self, entries: list[Entry]) -> None:
+        for entry in entries:
+            held = self.log.term_at(entry.index)
+            if held == entry.term:
+                continue
+            if held is not None:
+                self.log.truncate(entry.index)
+                self._record(Truncate(entry.index))
+                self._entry_records = [pair for pair in self._entry_records if pair[1] < entry.index]
+                self._synced_index = min(self._synced_index, entry.index - 1)
+            self._append_entry(entry)
+        if entries:
+            self._become(Role.FOLLOWER if self._is_voter() else Role.LEARNER)
+
+    def _install(self, message: wire.InstallSnapshot) -> None:
+        self._heard_leader(message.sender)
+        if message.index > self.commit:
+            members = tuple(message.members)
+            self.log = Log(message.index, message.index_term, members)
+            restore = Restore(message.index, message.index_term, members, message.state)
+            self._entry_records = [(self._record(restore), message.index)]
+            self._synced_index = 0
+            self.commit = message.index
+            self.output.restored.append(restore)
+        self._become(Role.FOLLOWER if self._is_voter() else Role.LEARNER)
+        self._reply_append(True, min(message.index, self.log.last_index), message.round)
+
+    def _reply_append(self, accepted: bool, matched: int, number: int) -> None:
+        reply = wire.AppendReply(self.term, self.identity.id, accepted, matched, number)
+        # A heartbeat of what is synced already is answered at once, however slow the disk is.
+        waits = accepted and (matched > self._synced_index)
+        self._send_to(self.leader, reply, self._recorded if waits else 0)
+
+    # --- shared ----------------------------------------------------------------------------------
+
+    def _commit_to(self, index: int) -> None:
+        index = min(index, self.log.last_index)
+        if index <= self.commit:
+            return
+        begin = self.commit - self.log.base_index
+        self.output.committed += self.log.entries[begin : index - self.log.base_index]
+        self.commit = index
+
+    def _record(self, record: Record) -> int:
+        self._recorded += 1
+        self.output.records.append(record)
+        return self._recorded
+
+    def _send(self, to: Member, message: wire.Message, after: int = 0) -> None:
+        self.output.messages.append(Outgoing(to, message, after))
+
+    def _send_to(self, identity: str, message: wire.Message, after: int = 0) -> None:
+        member = self._member(identity)
+        if member is None:
+            member = Member(identity, "", "", "", False)  # the driver knows who sent it
+        self._send(member, message, after)
+
+    def take_output(self) -> Output:
+        """What came out since the last call; the driver stores, sends and applies it."""
+        output, self.output = self.output, Output()
+        return output
--- /dev/null
+++ b/brambleusher/controlplane/replica.py
@@ -0,0 +1,408 @@
+"""One replica of the configuration shard: joins agreement, disk and state machine; a task and a worker."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from brambleusher.controlplane.consensus import Consensus, HardState, Outgoing, Record
+from brambleusher.controlplane.log import Log
+from brambleusher.controlplane.state_machine import Command, SharedState, Verdict, command_of
+from brambleusher.controlplane.storage import CorruptStorage, Recovered, Storage
+from brambleusher.runtime.disk import Disk
+from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
+from brambleusher.wire import consensus_messages as wire
+from brambleusher.wire.consensus_messages import Entry, Member
+from brambleusher.wire.settings import Settings
+
+log = logging.getLogger(__name__)
+
+DISK_RETRY_S = 0.2
+JOIN_EVERY_S = 0.5
+JOIN_QUIET_S = 1.5  # without a leader for so long, a replica asks whether it still is a member
+FORWARD_S = 0.45  # for the leader to answer what was forwarded; then the way is looked for anew
+LOOK_AGAIN_S = 0.03
+LEAST_SLEEP_S = 0.005
+WAITERS_MAX = 256
+FOUNDER = "founder-"  # begins the identities of the first group, followed by the address
+
+
+@dataclass(frozen=True, slots=True)
+class NoLeader:
+    """Failure: no leader could be reached in time; whether the command was taken is unknown."""
+
+
+OrderResult = Result[Verdict, NoLeader]
+ReadResult = Result[SharedState, NoLeader]
+
+
+class Waiter:
+    """A task that waits for an answer to what it proposed, forwarded or read."""
+
+    __slots__ = ("answer", "bell")
+
+    def __init__(self) -> None:
+        self.bell = Bell()
+        self.answer: Any = None
+
+    def done(self, answer: Any) -> None:
+        """Wake it with an answer."""
+        self.answer = answer
+        self.bell.ring()
+
+
+@dataclass(slots=True)
+class SnapshotJob:
+    """Work for the disk: a snapshot and the entries after it."""
+
+    header: dict[str, Any]
+    hard: HardState
+    rest: list[Entry]
+
+
+class Replica:
+    """Serves commands and reads; `changed` is called whenever the state has a new version."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        settings: Settings,
+        disk: Disk,
+        send: Callable[[str, dict[str, Any]], None],
+        rng: random.Random,
+        changed: Callable[[], None],
+    ) -> None:
+        self._scheduler, self._settings, self._send = scheduler, settings, send
+        self._changed = changed
+        self._rng = rng
+        self._storage = Storage(disk)
+        found = self._recover(disk)
+        self.state = SharedState.from_json(found.state)
+        self.identity = self._identity(found)
+        self.consensus = Consensus(
+            self.identity,
+            found.log,
+            found.term,
+            found.vote,
+            scheduler.now(),
+            rng,
+            max(3, settings.tolerance.machines * 2 + 1),
+        )
+        self._routes: dict[str, str] = {}  # identity: address, of replicas that are no members
+        self._jobs: deque[tuple[int, list[Record] | SnapshotJob]] = deque()
+        self._handed = self._synced = 0
+        self._held: deque[Outgoing] = deque()
+        self._waiting: dict[int, tuple[int, Waiter]] = {}
+        self._forwarded: dict[int, Waiter] = {}
+        self._forward_count = rng.randrange(1 << 40)
+        self._snapshot_under_way = False
+        self._joined_at = self._sleeps_until = 0.0
+        self.seeds: tuple[str, ...] = settings.seed_peers()
+        self.known_controllers: Callable[[], list[str]] = list
+        self._bell = Bell()
+        self._worker = scheduler.system.worker("disk", lambda: bool(self._jobs), self._disk_turn)
+        self._pump()
+        scheduler.spawn(self._run, name="replica")
+
+    # --- start -----------------------------------------------------------------------------------
+
+    def _recover(self, disk: Disk) -> Recovered:
+        try:
+            return self._storage.recover()
+        except CorruptStorage as error:
+            # What can't be trusted is a lost disk: the replica comes back as a new member.
+            log.error("the disk can't be read and is emptied", extra={"fields": {"why": str(error)}})
+            for name in disk.names():
+                disk.remove(name)
+            disk.sync_folder()
+            self._storage = Storage(disk)
+            return self._storage.recover()
+
+    def _identity(self, found: Recovered) -> Member:
+        """Who this replica is: as the disk says, else anew; the seeds of the first start are known to all."""
+        settings = self._settings
+        identity = found.identity
+        if not identity:
+            seeds = dict(zip(settings.seed_peers(), settings.seeds, strict=True))
+            founders: tuple[Member, ...] = ()
+            identity = f"{self._rng.getrandbits(64):016x}"
+            if settings.bootstrap and settings.peer_address in seeds:
+                identity = FOUNDER + settings.peer_address
+                founders = tuple(Member(FOUNDER + peer, peer, seeds[peer], "", True) for peer in sorted(seeds))
+            self._begin(identity, founders)
+            found.log = Log(0, 0, founders)
+        return Member(identity, settings.peer_address, settings.bind.control, settings.zone, False)
+
+    def _begin(self, identity: str, founders: tuple[Member, ...]) -> None:
+        """Write the new identity before anything is said under it, however long the disk takes."""
+        while True:
+            try:
+                self._storage.begin(identity, founders)
+                return
+            except OSError as error:
+                log.warning("the disk refuses the first write", extra={"fields": {"why": str(error)}})
+                self._scheduler.system.sleep(DISK_RETRY_S)
+
+    # --- what callers ask ------------------------------------------------------------------------
+
+    def submit(self, command: Command, deadline: float) -> OrderResult:
+        """Have a command applied, here or by the leader; waits until the deadline at the latest."""
+        while self._scheduler.now() < deadline:
+            answer = (
+                self._propose(command, deadline)
+                if self.consensus.taking_proposals()
+                else self._forward({"command": command.as_json()}, deadline)
+            )
+            if isinstance(answer, Verdict):
+                return Ok(answer)
+            if isinstance(answer, str):
+                return Ok(Verdict(answer))
+        return Err(NoLeader())
+
+    def read(self, deadline: float) -> ReadResult:
+        """The state as a majority has it at this moment."""
+        while self._scheduler.now() < deadline:
+            if self.consensus.leading:
+                waiter = Waiter()
+                self.consensus.read(waiter.done)
+                self._pump()
+                if self._wait(waiter, min(deadline, self._scheduler.now() + FORWARD_S)) is True:
+                    return Ok(self.state)
+                self._scheduler.sleep(LOOK_AGAIN_S)
+                continue
+            answer = self._forward({"read": True}, deadline)
+            if isinstance(answer, dict):
+                return Ok(SharedState.from_json(answer))
+        return Err(NoLeader())
+
+    def transfer(self) -> None:
+        """Hand the lead over, where this replica has it."""
+        self.consensus.transfer()
+        self._pump()
+
+    def status(self) -> dict[str, Any]:
+        """The state as one JSON object."""
+        return {
+            **self.consensus.status(),
+            "revision": self.state.revision,
+            "version": self.state.index,
+            "evacuated": self.state.evacuated,
+            "disk_jobs": len(self._jobs),
+        }
+
+    # --- messages of others ----------------------------------------------------------------------
+
+    def handle(self, data: dict[str, Any], sender: str) -> None:
+        """A message between replicas; raises `InvalidMessage`."""
+        kind = data.get("kind")
+        if kind == "forward":
+            self._scheduler.spawn(self._serve_forward, data, sender, name="forwarded")
+            return
+        if kind == "forwarded":
+            waiter = self._forwarded.get(int(data.get("number", -1)))
+            if waiter is not None:
+                waiter.done(data.get("answer"))
+            return
+        message = wire.from_json(data)
+        if isinstance(message, wire.JoinRequest):
+            leader = self.consensus.leader_member()
+            if not self.consensus.leading:
+                if leader is not None and leader.address != sender:
+                    self._send(leader.address, data)
+                return
+        else:
+            self._route(message.sender, sender)
+        self.consensus.handle(message, self._scheduler.now())
+        self._pump()
+
+    def _route(self, identity: str, address: str) -> None:
+        self._routes[identity] = address
+        if len(self._routes) > WAITERS_MAX:
+            del self._routes[next(iter(self._routes))]
+
+    def _serve_forward(self, data: dict[str, Any], sender: str) -> None:
+        deadline = self._scheduler.now() + FORWARD_S
+        answer: Any = None
+        if "command" in data and self.consensus.taking_proposals():
+            verdict = self._propose(command_of(data["command"]), deadline)
+            answer = verdict.value if verdict is not None else None
+        elif data.get("read") and self.consensus.leading:
+            waiter = Waiter()
+            self.consensus.read(waiter.done)
+            self._pump()
+            if self._wait(waiter, deadline) is True:
+                answer = self.state.as_json()
+        self._send(sender, {"kind": "forwarded", "number": data.get("number", -1), "answer": answer})
+
+    def _propose(self, command: Command, deadline: float) -> Verdict | None:
+        if len(self._waiting) >= WAITERS_MAX:
+            self._scheduler.sleep(LOOK_AGAIN_S)
+            return None
+        place = self.consensus.propose(command.as_json())
+        if place is None:
+            return None
+        index, term = place
+        waiter = Waiter()
+        self._waiting[index] = (term, waiter)
+        self._pump()
+        answer = self._wait(waiter, deadline)
+        self._waiting.pop(index, None)
+        return answer if isinstance(answer, Verdict) else None
+
+    def _forward(self, request: dict[str, Any], deadline: float) -> Any:
+        leader = self.consensus.leader_member()
+        if leader is None or leader.id == self.identity.id or len(self._forwarded) >= WAITERS_MAX:
+            self._scheduler.sleep(LOOK_AGAIN_S)
+            return None
+        self._forward_count += 1
+        number, waiter = self._forward_count, Waiter()
+        self._forwarded[number] = waiter
+        self._send(leader.address, {"kind": "forward", "number": number, **request})
+        answer = self._wait(waiter, min(deadline, self._scheduler.now() + FORWARD_S))
+        del self._forwarded[number]
+        if answer is None:
+            self._scheduler.sleep(LOOK_AGAIN_S)
+        return answer
+
+    def _wait(self, waiter: Waiter, deadline: float) -> Any:
+        try:
+            self._scheduler.park(deadline, bell=waiter.bell)
+        except Timeout:
+            return None
+        return waiter.answer
+
+    # --- the task --------------------------------------------------------------------------------
+
+    def _run(self) -> None:
+        while True:
+            now = self._scheduler.now()
+            self.consensus.tick(now)
+            self._join(now)
+            self._sleeps_until = 0.0
+            self._pump()
+            self._sleeps_until = max(self.consensus.due_at(), now + LEAST_SLEEP_S)
+            try:
+                self._scheduler.park(self._sleeps_until, bell=self._bell)
+            except Timeout:
+                continue
+
+    def _join(self, now: float) -> None:
+        consensus = self.consensus
+        member = any(member.id == self.identity.id for member in consensus.log.members)
+        if consensus.leading or (member and consensus.quiet_for(now) < JOIN_QUIET_S):
+            return
+        if now - self._joined_at < JOIN_EVERY_S:
+            return
+        self._joined_at = now
+        request = wire.as_json(wire.JoinRequest(self.identity.id, self.identity))
+        for address in {*self.seeds, *self.known_controllers()} - {self.identity.address}:
+            self._send(address, request)
+
+    def _pump(self) -> None:
+        """Carry out what the agreement decided."""
+        output = self.consensus.take_output()
+        if output.records:
+            self._handed += len(output.records)
+            self._queue(self._handed, output.records)
+        before = self.state.index
+        for restore in output.restored:
+            self.state = SharedState.from_json(restore.state)
+        for entry in output.committed:
+            self._apply(entry)
+        for message in output.messages:
+            if message.after > self._synced:
+                self._held.append(message)
+            else:
+                self._post(message)
+        if self.consensus.due_at() < self._sleeps_until:
+            self._bell.ring()
+        if self.state.index != before:
+            self._changed()
+
+    def _apply(self, entry: Entry) -> None:
+        verdict = None
+        if entry.kind == "command":
+            verdict = self.state.apply(entry.index, command_of(entry.data))
+        term, waiter = self._waiting.pop(entry.index, (0, None))
+        if waiter is not None:
+            waiter.done(verdict if term == entry.term else None)
+
+    def _post(self, outgoing: Outgoing) -> None:
+        address = outgoing.to.address or self._routes.get(outgoing.to.id, "")
+        if not address:
+            return
+        message = outgoing.message
+        if isinstance(message, wire.InstallSnapshot):
+            if not self.consensus.leading:
+                return
+            message = self.consensus.with_state(message, self.state.as_json())
+        self._send(address, wire.as_json(message))
+
+    # --- the disk --------------------------------------------------------------------------------
+
+    def _queue(self, number: int, job: list[Record] | SnapshotJob) -> None:
+        with self._worker.lock:
+            self._jobs.append((number, job))
+            self._worker.wake()
+
+    def _disk_turn(self) -> None:
+        """In the worker: write what is queued; a disk that refuses is asked again."""
+        with self._worker.lock:
+            number, job = self._jobs[0]
+            records = list(job) if isinstance(job, list) else []
+            taken = 1
+            while isinstance(job, list) and taken < len(self._jobs):
+                following, more = self._jobs[taken]
+                if not isinstance(more, list):
+                    break
+                number, taken = following, taken + 1
+                records += more
+        try:
+            if isinstance(job, SnapshotJob):
+                self._storage.write_snapshot(job.header, self.identity.id, job.hard, job.rest)
+            else:
+                self._storage.write(records)
+        except OSError as error:
+            self._scheduler.call_soon(lambda error=error: self._disk_failed(error))  # type: ignore[misc]
+            time.sleep(DISK_RETRY_S)
+            return
+        with self._worker.lock:
+            for _ in range(taken):
+                self._jobs.popleft()
+        self._scheduler.call_soon(lambda: self._disk_done(number, job))
+
+    def _disk_failed(self, error: OSError) -> None:
+        log.warning("the disk refuses a write", extra={"fields": {"why": str(error)}})
+
+    def _disk_done(self, number: int, job: list[Record] | SnapshotJob) -> None:
+        if isinstance(job, SnapshotJob):
+            self._snapshot_under_way = False
+            self.consensus.compacted(job.header["index"])
+            return
+        self._synced = max(self._synced, number)
+        self.consensus.synced(self._synced)
+        while self._held and self._held[0].after <= self._synced:
+            self._post(self._held.popleft())
+        self._pump()
+        if self._storage.snapshot_due and not self._snapshot_under_way:
+            self._begin_snapshot()
+
+    def _begin_snapshot(self) -> None:
+        consensus = self.consensus
+        index = consensus.commit
+        header = {
+            "index": index,
+            "term": consensus.log.term_at(index),
+            "members": [member.as_json() for member in consensus.log.members_at(index)],
+            "state": self.state.as_json(),
+        }
+        rest = consensus.log.after(index, consensus.log.last_index - index)
+        self._snapshot_under_way = True
+        self._queue(self._handed, SnapshotJob(header, HardState(consensus.term, consensus.vote), rest))
--- /dev/null
+++ b/brambleusher/controlplane/state_machine.py
@@ -0,0 +1,111 @@
+"""What the commands of the configuration shard do: the configuration in force and evacuated zones; pure."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+HISTORY_MAX = 4096  # digests of configurations taken; a day holds hundreds
+
+
+class Verdict(Enum):
+    """How a command ended where it was applied."""
+
+    ACCEPTED = "accepted"
+    REPEATED = "repeated"  # it had been taken before
+    STALE = "stale"  # another version is current
+    NOT_HIGHER = "not_higher"  # its revision is not above the current one
+
+
+@dataclass(frozen=True, slots=True)
+class PutConfiguration:
+    """Command: a checked configuration on top of the revision `base`."""
+
+    base: int
+    revision: int
+    body: str
+
+    @property
+    def digest(self) -> str:
+        """Tells this very order from all others."""
+        return hashlib.sha256(f"{self.base}\n{self.body}".encode()).hexdigest()
+
+    def as_json(self) -> dict[str, Any]:
+        """The form in the log."""
+        return {"op": "put", "base": self.base, "revision": self.revision, "body": self.body}
+
+
+@dataclass(frozen=True, slots=True)
+class SetEvacuation:
+    """Command: a zone is evacuated, or taken back."""
+
+    zone: str
+    evacuated: bool
+
+    def as_json(self) -> dict[str, Any]:
+        """The form in the log."""
+        return {"op": "evacuate", "zone": self.zone, "evacuated": self.evacuated}
+
+
+Command = PutConfiguration | SetEvacuation
+
+
+def command_of(data: dict[str, Any]) -> Command:
+    """A command from its form in the log."""
+    if data["op"] == "put":
+        return PutConfiguration(data["base"], data["revision"], data["body"])
+    return SetEvacuation(data["zone"], data["evacuated"])
+
+
+@dataclass(slots=True)
+class SharedState:
+    """The state that all replicas of the configuration shard agree on."""
+
+    index: int = 0  # of the last command that changed something: the version that gateways hold
+    revision: int = 0
+    body: str = ""
+    digests: list[str] = field(default_factory=list)
+    evacuated: list[str] = field(default_factory=list)
+
+    def apply(self, index: int, command: Command) -> Verdict:
+        """Apply a committed command; says how it ended."""
+        if isinstance(command, PutConfiguration):
+            return self._put(index, command)
+        return self._evacuate(index, command)
+
+    def _put(self, index: int, command: PutConfiguration) -> Verdict:
+        digest = command.digest
+        if digest in self.digests:
+            return Verdict.REPEATED
+        if command.base != self.revision:
+            return Verdict.STALE
+        if command.revision <= self.revision:
+            return Verdict.NOT_HIGHER
+        self.index, self.revision, self.body = index, command.revision, command.body
+        self.digests = [*self.digests, digest][-HISTORY_MAX:]
+        return Verdict.ACCEPTED
+
+    def _evacuate(self, index: int, command: SetEvacuation) -> Verdict:
+        if (command.zone in self.evacuated) is command.evacuated:
+            return Verdict.REPEATED
+        rest = [zone for zone in self.evacuated if zone != command.zone]
+        self.evacuated = [*rest, command.zone] if command.evacuated else rest
+        self.index = index
+        return Verdict.ACCEPTED
+
+    def as_json(self) -> dict[str, Any]:
+        """The form in snapshots."""
+        return {
+            "index": self.index,
+            "revision": self.revision,
+            "body": self.body,
+            "digests": self.digests,
+            "evacuated": self.evacuated,
+        }
+
+    @classmethod
+    def from_json(cls, data: dict[str, Any] | None) -> SharedState:
+        """The state of a snapshot; an empty one without."""
+        return cls() if data is None else cls(**data)
--- /dev/null
+++ b/brambleusher/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: what a gateway does with a request."""
--- /dev/null
+++ b/brambleusher/dataplane/client_connection.py
@@ -0,0 +1,181 @@
+"""One connection of a client, by h11: whole requests in, answers out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import h11
+import orjson
+
+from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
+from brambleusher.runtime.streams import RECEIVE, Stream
+from brambleusher.wire.configuration import Limits
+
+SEND_S = 10.0  # for a client to take what is sent to it
+BODY_S = 10.0
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One request of a client, whole."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]  # names in lower case
+    body: bytes
+    read_at: float
+
+    def header(self, name: bytes) -> bytes:
+        """A header's value; empty where it is not there."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return b""
+
+    def end_to_end(self) -> list[tuple[bytes, bytes]]:
+        """The headers that go on to the instance."""
+        listed = {
+            part.strip().lower()
+            for name, value in self.headers
+            if name == b"connection"
+            for part in value.split(b",")
+        }
+        return [
+            (name, value)
+            for name, value in self.headers
+            if name not in CONNECTION_HEADERS and name not in listed
+        ]
+
+
+class RequestTooLarge(Exception):
+    """A request is over the limits."""
+
+
+class ClientConnection:
+    """Reads requests and writes answers; one at a time."""
+
+    def __init__(self, scheduler: Scheduler, stream: Stream, limits: Limits) -> None:
+        self._scheduler, self.stream = scheduler, stream
+        self.limits = limits
+        self.wake = Bell()  # rung to end a connection that rests
+        self.idle = True
+        self.ending = False
+        self._begun = False  # the head of an answer was sent
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+
+    def read(self) -> Request | None:
+        """The next request; None where the client left, stayed silent or the gateway ends.
+
+        Raises `h11.RemoteProtocolError` and `RequestTooLarge`.
+        """
+        self.idle, self._begun = True, False
+        head: h11.Request | None = None
+        parts: list[bytes] = []
+        held = 0
+        deadline = self._scheduler.now() + self.limits.idle_ms / 1000
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                data = self._receive(deadline)
+                if data is None:
+                    return None
+                if self.idle:
+                    self.idle = False
+                    deadline = self._scheduler.now() + max(self.limits.header_ms / 1000, 1.0)
+                self._h11.receive_data(data)
+            elif isinstance(event, h11.Request):
+                self.idle = False
+                head, deadline = event, self._scheduler.now() + BODY_S
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                held += len(event.data)
+                if held > self.limits.body_bytes:
+                    raise RequestTooLarge
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                headers = list(head.headers)
+                return Request(head.method, head.target, headers, b"".join(parts), self._scheduler.now())
+            else:
+                return None
+
+    def _receive(self, deadline: float) -> bytes | None:
+        if self._h11.they_are_waiting_for_100_continue:
+            informational = h11.InformationalResponse(status_code=100, headers=[])
+            self._write(self._h11.send(informational) or b"")
+        while True:
+            if self.idle and self.ending:
+                return None
+            try:
+                data = self.stream.receive(deadline, self.wake if self.idle else None, RECEIVE)
+            except Timeout:
+                return None
+            if data is not None:
+                return data
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head of the answer has been sent."""
+        return self._begun
+
+    def begin(self, status: int, headers: list[tuple[bytes, bytes]], length: int | None) -> None:
+        """Send the head of an answer, with a length or in chunks."""
+        self._write(self._head(status, headers, length))
+
+    def _head(self, status: int, headers: list[tuple[bytes, bytes]], length: int | None) -> bytes:
+        framing = (
+            (b"Transfer-Encoding", b"chunked") if length is None else (b"Content-Length", str(length).encode())
+        )
+        sent = [pair for pair in headers if pair[0].lower() not in CONNECTION_HEADERS]
+        sent.append(framing)
+        if self.ending:
+            sent.append((b"Connection", b"close"))
+        self._begun = True
+        return self._h11.send(h11.Response(status_code=status, headers=sent)) or b""
+
+    def data(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        self._write(self._h11.send(h11.Data(data=data)) or b"")
+
+    def end(self) -> None:
+        """The answer is whole."""
+        self._write(self._h11.send(h11.EndOfMessage()) or b"")
+
+    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        """Send a whole answer."""
+        data = self._head(status, headers, len(body))
+        data += self._h11.send(h11.Data(data=body)) or b""
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        self._write(data)
+
+    def error(self, status: int, reason: str, attempt_id: bytes = b"", retry_after_s: float | None = None) -> None:
+        """Send an answer of the gateway's own; with a time to come back where the request has not run."""
+        headers = [(b"Content-Type", b"application/json")]
+        if attempt_id:
+            headers.append((b"X-Attempt-Id", attempt_id))
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
+        self.answer(status, headers, orjson.dumps({"error": reason}))
+
+    def next(self) -> bool:
+        """Make ready for the next request; False where the connection is over."""
+        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+    def _write(self, data: bytes) -> None:
+        self.stream.send(data, self._scheduler.now() + SEND_S)
--- /dev/null
+++ b/brambleusher/dataplane/placement.py
@@ -0,0 +1,62 @@
+"""Which instance a request goes to: homes, evacuations, kept prefixes, then the weights of the design."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from brambleusher.dataplane.instances import Instance, Instances
+from brambleusher.dataplane.prefixes import LARGE_PREFIX_TOKENS, keepers
+from brambleusher.wire.configuration import Route
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What placement has to know of a request."""
+
+    route: Route
+    service: str
+    prefix_key: str
+    prefix_tokens: int
+
+
+class Placement:
+    """Chooses among the instances of one gateway."""
+
+    def __init__(self, instances: Instances, region: str) -> None:
+        self._instances, self._region = instances, region
+
+    def choose(self, wanted: Wanted, tried: Collection[str], now: float) -> Instance | None:
+        """The instance for the next attempt, none of those tried; None where none may be used now."""
+        usable = [
+            instance
+            for instance in self._instances.usable(wanted.route, wanted.service, now)
+            if instance.id not in tried
+        ]
+        near = [instance for instance in usable if instance.region == self._region]
+        far = [instance for instance in usable if instance.region != self._region]
+        for group in (near, far):
+            chosen = self._among(wanted, group, now, only_well=True)
+            if chosen is not None:
+                return chosen
+        return self._among(wanted, usable, now, only_well=False)
+
+    def _among(self, wanted: Wanted, group: list[Instance], now: float, only_well: bool) -> Instance | None:
+        weights = self._instances.weights.get(wanted.service)
+        if weights is None:
+            return None
+        by_id = {instance.id: instance for instance in group if not only_well or weights.well(instance.id)}
+        if wanted.prefix_tokens >= LARGE_PREFIX_TOKENS:
+            for name in keepers(wanted.prefix_key, by_id):
+                if self._instances.admits(by_id[name], now):
+                    weights.choose([name])
+                    return by_id[name]
+            return None
+        while by_id:
+            chosen = weights.choose(list(by_id))
+            if chosen is None:
+                return None
+            if self._instances.admits(by_id[chosen], now):
+                return by_id[chosen]
+            del by_id[chosen]
+        return None
--- /dev/null
+++ b/brambleusher/dataplane/upstream.py
@@ -0,0 +1,271 @@
+"""Connections to instances, kept between requests, and one attempt over one of them, by h11."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import h11
+from result import Err, Ok, Result
+
+from brambleusher.dataplane.budgets import connections_of
+from brambleusher.dataplane.failures import AnswerBroken, AttemptFailure, Lost, NotReached, Rejected
+from brambleusher.dataplane.instances import Instance, Instances
+from brambleusher.runtime.scheduler import Scheduler, Timeout
+from brambleusher.runtime.streams import RECEIVE, Stream
+
+CONNECT_S = 0.4  # at most for a connection within a region; half the time left if that is less
+SILENT_S = 0.9  # sent bytes or probes unacknowledged for so long: the instance's machine is gone
+IDLE_DEFAULT_S = 3.0  # for a connection whose `Keep-Alive` says nothing
+IDLE_MARGIN_S = 1.0  # before the time that `Keep-Alive` says a connection is not used any more
+ANSWER_HEAD_MAX = 64 * 1024
+STRAY_ANSWERS_MAX = 4
+ATTEMPT_HEADER = b"x-attempt-id"
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+def _nothing(*_: object) -> None:
+    """Nobody wants to know."""
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """One open connection to an instance."""
+
+    stream: Stream
+    h11: h11.Connection
+    idle_until: float = 0.0
+
+
+class Answer:
+    """An answer whose head has come; its body is read in pieces."""
+
+    def __init__(self, upstream: Upstream, instance: Instance, connection: Connection, head: h11.Response) -> None:
+        self._upstream, self.instance, self._connection = upstream, instance, connection
+        self.status = head.status_code
+        self.headers: list[tuple[bytes, bytes]] = list(head.headers)
+        self._over = self._first = False
+        # What becomes of the attempt: the first bytes of the body, and how it ended (None: nobody's fault).
+        self.on_first: Callable[[], object] = _nothing
+        self.on_end: Callable[[bool | None], object] = _nothing
+
+    def read(self, deadline: float) -> bytes:
+        """The next bytes of the body, empty at its end; raises `AnswerBroken` and `Timeout`."""
+        connection = self._connection
+        while True:
+            try:
+                event = connection.h11.next_event()
+                if event is h11.NEED_DATA:
+                    connection.h11.receive_data(connection.stream.receive(deadline, size=RECEIVE) or b"")
+                    continue
+            except (OSError, h11.ProtocolError) as error:
+                self.abandon()
+                raise AnswerBroken from error
+            except Timeout:
+                self.abandon()
+                raise
+            if isinstance(event, h11.Data):
+                if not self._first:
+                    self._first = True
+                    self.on_first()
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                self._release()
+                return b""
+            self.abandon()
+            raise AnswerBroken
+
+    def abandon(self, well: bool | None = False) -> None:
+        """Close the connection: the rest of the answer can't be had, or (`well` None) is not wanted."""
+        if not self._over:
+            self._over = True
+            self._upstream.close(self.instance, self._connection)
+            self.on_end(well)
+
+    def _release(self) -> None:
+        if not self._over:
+            self._over = True
+            self._upstream.keep(self.instance, self._connection, self.headers)
+            self.on_end(self.status < 500)
+
+
+class Upstream:
+    """The pools of connections, one an instance."""
+
+    def __init__(self, scheduler: Scheduler, instances: Instances) -> None:
+        self._scheduler, self._instances = scheduler, instances
+
+    # --- the pool --------------------------------------------------------------------------------
+
+    def has_room(self, instance: Instance) -> bool:
+        """Whether a connection is idle or may be made."""
+        if instance.idle:
+            return True
+        service = self._instances.services.get(instance.service)
+        limit = service.conn_limit if service is not None else 1
+        return instance.connections < connections_of(limit, self._instances.gateways)
+
+    def close(self, instance: Instance, connection: Connection) -> None:
+        """End a connection."""
+        connection.stream.close()
+        instance.connections -= 1
+
+    def close_idle(self, instance: Instance) -> None:
+        """End the connections that rest: the instance leaves."""
+        idle, instance.idle = instance.idle, []
+        for connection in idle:
+            self.close(instance, connection)
+
+    def expire(self, instances: Sequence[Instance]) -> None:
+        """End connections that rested too long."""
+        now = self._scheduler.now()
+        for instance in instances:
+            for connection in [kept for kept in instance.idle if kept.idle_until <= now]:
+                instance.idle.remove(connection)
+                self.close(instance, connection)
+
+    def keep(self, instance: Instance, connection: Connection, headers: Headers) -> None:
+        """Put a connection back, if its answer allows another request."""
+        state = connection.h11
+        clean = state.our_state is h11.DONE and state.their_state is h11.DONE and not state.trailing_data[0]
+        idle_s = _keep_alive_s(headers)
+        if not clean or idle_s <= 0 or instance.standing.value != "ready":
+            self.close(instance, connection)
+            return
+        state.start_next_cycle()
+        connection.idle_until = self._scheduler.now() + idle_s
+        instance.idle.append(connection)
+
+    def _take(self, instance: Instance) -> Connection | None:
+        now = self._scheduler.now()
+        while instance.idle:
+            connection: Connection = instance.idle.pop()
+            if connection.idle_until > now and connection.stream.quiet():
+                return connection
+            self.close(instance, connection)
+        return None
+
+    def _connect(self, instance: Instance, deadline: float) -> Connection | None:
+        now = self._scheduler.now()
+        instance.connections += 1
+        try:
+            stream = Stream.connect(
+                self._scheduler,
+                instance.address,
+                min(now + CONNECT_S, now + (deadline - now) / 2),
+                prepare=lambda sock: self._scheduler.system.bound_silence(sock, SILENT_S),
+            )
+        except (OSError, Timeout):
+            instance.connections -= 1
+            instance.failed_to_connect(self._scheduler.now())
+            return None
+        except BaseException:
+            instance.connections -= 1
+            raise
+        instance.connected()
+        return Connection(stream, h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_MAX))
+
+    # --- one attempt -----------------------------------------------------------------------------
+
+    def attempt(
+        self,
+        instance: Instance,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        attempt_id: bytes,
+        deadline: float,
+    ) -> Result[Answer, AttemptFailure]:
+        """Send a request and wait for the head of its answer."""
+        connection = self._take(instance) or self._connect(instance, deadline)
+        if connection is None:
+            return Err(NotReached())
+        try:
+            request = h11.Request(method=method, target=target, headers=headers)
+            data = connection.h11.send(request) or b""
+            data += connection.h11.send(h11.Data(data=body)) or b"" if body else b""
+            data += connection.h11.send(h11.EndOfMessage()) or b""
+            connection.stream.send(data, deadline)
+            head = self._head(connection, attempt_id, deadline)
+        except (OSError, h11.ProtocolError):
+            self.close(instance, connection)
+            return Err(Lost(timed_out=False))
+        except Timeout:
+            self.close(instance, connection)
+            return Err(Lost(timed_out=True))
+        except BaseException:
+            self.close(instance, connection)
+            raise
+        if head is None:
+            self.close(instance, connection)
+            return Err(Lost(timed_out=False))
+        answer = Answer(self, instance, connection, head)
+        if head.status_code == 421 or any(name == b"x-not-executed" for name, _ in head.headers):
+            return self._rejected(answer, deadline)
+        return Ok(answer)
+
+    @staticmethod
+    def _rejected(answer: Answer, deadline: float) -> Result[Answer, AttemptFailure]:
+        try:
+            while answer.read(deadline):
+                pass
+        except (AnswerBroken, Timeout):
+            pass
+        return Err(Rejected(answer.status))
+
+    def _head(self, connection: Connection, attempt_id: bytes, deadline: float) -> h11.Response | None:
+        """The head of the answer to this very request; answers to others are read and dropped."""
+        for _ in range(STRAY_ANSWERS_MAX):
+            head = self._next_head(connection, deadline)
+            if head is None:
+                return None
+            echoed = dict(head.headers).get(ATTEMPT_HEADER)
+            if echoed is None or not attempt_id or echoed == attempt_id:
+                return head
+            if not self._drop_answer(connection, deadline):
+                return None
+        return None
+
+    @staticmethod
+    def _next_head(connection: Connection, deadline: float) -> h11.Response | None:
+        while True:
+            event = connection.h11.next_event()
+            if event is h11.NEED_DATA:
+                connection.h11.receive_data(connection.stream.receive(deadline, size=RECEIVE) or b"")
+            elif isinstance(event, h11.Response):
+                return event
+            elif not isinstance(event, h11.InformationalResponse):
+                return None
+
+    @staticmethod
+    def _drop_answer(connection: Connection, deadline: float) -> bool:
+        """Read an answer that belongs to another request, and make ready for the one that is due."""
+        while True:
+            event = connection.h11.next_event()
+            if event is h11.NEED_DATA:
+                connection.h11.receive_data(connection.stream.receive(deadline, size=RECEIVE) or b"")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif not isinstance(event, h11.Data):
+                return False
+        rest = connection.h11.trailing_data[0]
+        connection.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_MAX)
+        connection.h11.send(h11.Request(method=b"GET", target=b"/", headers=[(b"Host", b"-")]))
+        connection.h11.send(h11.EndOfMessage())
+        connection.h11.receive_data(rest) if rest else None
+        return True
+
+
+def _keep_alive_s(headers: Headers) -> float:
+    """How long a connection may rest, with a margin; 0 where it is to be closed."""
+    for name, value in headers:
+        if name == b"connection" and b"close" in value.lower():
+            return 0.0
+        if name == b"keep-alive":
+            for part in value.split(b","):
+                key, _, number = part.strip().partition(b"=")
+                if key.strip().lower() == b"timeout" and number.strip().isdigit():
+                    return float(number) - IDLE_MARGIN_S
+    return IDLE_DEFAULT_S
--- /dev/null
+++ b/brambleusher/dataplane/watcher.py
@@ -0,0 +1,121 @@
+"""The long poll's client: follows controllers and takes what is newer, never what is older."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from brambleusher.dataplane.controllers import Controllers
+from brambleusher.dataplane.instances import Instance, Instances
+from brambleusher.dataplane.routes import RouteTable
+from brambleusher.membership.line_connection import LineClient
+from brambleusher.membership.views import Peer
+from brambleusher.runtime.scheduler import Scheduler, Timeout
+from brambleusher.runtime.streams import parse_address
+from brambleusher.wire import configuration
+from brambleusher.wire.errors import InvalidConfiguration, InvalidMessage
+
+log = logging.getLogger(__name__)
+
+WATCHERS = 2  # controllers followed at once: one that freezes or is cut off holds nothing up
+ANSWER_S = 1.1  # twice the time that a controller holds a question, and a round trip between regions
+PAUSE_S = 0.05
+STALE_LIST_S = 2.5  # a controller whose reading of the list is older is left for another
+COUNT_KEPT_S = 30.0  # the most gateways counted within this time share the budgets
+
+
+class Watcher:
+    """What the gateway holds of the control plane's state."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        controllers: Controllers,
+        instances: Instances,
+        describe: Callable[[], Peer],
+        unusable: Callable[[list[Instance]], None],
+    ) -> None:
+        self._scheduler, self._controllers = scheduler, controllers
+        self._instances, self._describe, self._unusable = instances, describe, unusable
+        self.index = -1
+        self.routes: RouteTable | None = None
+        self._counts: list[tuple[float, int]] = []
+        for number in range(WATCHERS):
+            scheduler.spawn(self._run, number, name=f"watcher_{number}")
+
+    def _run(self, number: int) -> None:
+        while True:
+            address = self._controllers.take(number, self._scheduler.now())
+            try:
+                self._follow(address)
+            except (OSError, Timeout, InvalidMessage) as error:
+                log.debug("a controller is left", extra={"fields": {"address": address, "why": repr(error)}})
+            self._controllers.failed(address, self._scheduler.now())
+            self._scheduler.sleep(PAUSE_S)
+
+    def _follow(self, address: str) -> None:
+        """Ask one controller again and again, until it is no use."""
+        client = LineClient(self._scheduler, parse_address(address))
+        source, version = "", -1
+        try:
+            while True:
+                question = {
+                    "kind": "watch",
+                    "me": self._describe().as_json(),
+                    "index": self.index,
+                    "source": source,
+                    "version": version,
+                }
+                answer = client.call(question, ANSWER_S)
+                source, version = str(answer.get("source")), int(answer.get("version", -1))
+                self._take(answer)
+                if not self._useful(answer):
+                    return
+                self._controllers.worked(address)
+        finally:
+            client.close()
+
+    def _useful(self, answer: dict[str, Any]) -> bool:
+        age_ms = answer.get("age_ms")
+        fresh = not self._instances.listed or (age_ms is not None and age_ms < STALE_LIST_S * 1000)
+        return bool(answer.get("contact")) and fresh
+
+    # --- what is newer ---------------------------------------------------------------------------
+
+    def _take(self, answer: dict[str, Any]) -> None:
+        now = self._scheduler.now()
+        try:
+            self._take_state(answer, now)
+            self._take_instances(answer, now)
+            self._take_count(int(answer["gateways"]), now)
+            known = answer.get("controllers")
+            if isinstance(known, list) and known and answer.get("contact"):
+                self._controllers.learn([str(address) for address in known])
+        except (KeyError, TypeError, ValueError, InvalidConfiguration) as error:
+            raise InvalidMessage(f"an answer can't be read: {error!r}") from error
+
+    def _take_state(self, answer: dict[str, Any], now: float) -> None:
+        index = int(answer["index"])
+        if index <= self.index or "body" not in answer:
+            return
+        body = answer["body"]
+        routes = RouteTable(configuration.read(body.encode())) if body else None
+        self.index = index
+        if routes is not None:
+            self.routes = routes
+            self._instances.services = routes.services
+        self._instances.set_evacuated(frozenset(answer["evacuated"]), now)
+
+    def _take_instances(self, answer: dict[str, Any], now: float) -> None:
+        if "age_ms" not in answer:
+            return
+        read_at = now - int(answer["age_ms"]) / 1000
+        if "instances" in answer and read_at > self._instances.read_at:
+            self._unusable(self._instances.take_list(answer["instances"], read_at, now))
+
+    def _take_count(self, gateways: int, now: float) -> None:
+        self._counts = [(at, count) for at, count in self._counts if now - at < COUNT_KEPT_S]
+        if not self._counts or self._counts[-1][1] != gateways or now - self._counts[-1][0] > 1.0:
+            self._counts.append((now, gateways))
+        self._instances.gateways = float(max(1, *(count for _, count in self._counts)))
--- /dev/null
+++ b/brambleusher/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who else is there: partial views, failure detection, size estimates."""
--- /dev/null
+++ b/brambleusher/membership/views.py
@@ -0,0 +1,114 @@
+"""Peer sampling: who serves, as a partial view that processes shuffle among each other; pure.
+
+Each entry has an age.  A process refreshes its own entry where it calls, views are merged by the younger
+age, and what nobody has heard of for a while falls out.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from brambleusher.wire.errors import InvalidMessage
+
+VIEW_MAX = 512
+SAMPLE = 64  # entries in one shuffle
+FORGET_S = 12.0
+ALIVE_S = 2.5  # a process that was heard of this lately is taken for alive
+
+
+class State(Enum):
+    """What a process says of itself."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """One process as it described itself."""
+
+    name: str
+    role: str
+    address: str  # where clients (gateway) or peers (controller) reach it
+    zone: str
+    region: str
+    state: State
+    incarnation: int  # Unix time of its start in ms; orders two starts of one name that overlap
+
+    def as_json(self) -> dict[str, Any]:
+        """The form on the wire."""
+        return {
+            "name": self.name,
+            "role": self.role,
+            "address": self.address,
+            "zone": self.zone,
+            "region": self.region,
+            "state": self.state.value,
+            "incarnation": self.incarnation,
+        }
+
+
+def peer_of(data: Any) -> Peer:
+    """A peer from its form on the wire; raises `InvalidMessage`."""
+    try:
+        return Peer(
+            str(data["name"]),
+            str(data["role"]),
+            str(data["address"]),
+            str(data["zone"]),
+            str(data["region"]),
+            State(data["state"]),
+            int(data["incarnation"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise InvalidMessage(f"no peer: {error}") from error
+
+
+class PartialView:
+    """The peers that this process has heard of lately, and when."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._heard: dict[str, tuple[Peer, float]] = {}
+
+    def heard(self, peer: Peer, at: float) -> None:
+        """A peer was heard of, itself or through others, as of a moment on the local clock."""
+        known = self._heard.get(peer.name)
+        if known is not None and (known[1] >= at and known[0].incarnation >= peer.incarnation):
+            return
+        self._heard[peer.name] = (peer, max(at, known[1]) if known else at)
+        if len(self._heard) > VIEW_MAX:
+            oldest = min(self._heard, key=lambda name: self._heard[name][1])
+            del self._heard[oldest]
+
+    def expire(self, now: float) -> None:
+        """Forget those that nobody has heard of for long."""
+        for name in [name for name, (_, at) in self._heard.items() if now - at > FORGET_S]:
+            del self._heard[name]
+
+    def sample(self, now: float) -> list[dict[str, Any]]:
+        """A shuffled part of the view for another process, with ages in ms."""
+        known = list(self._heard.values())
+        chosen = self._rng.sample(known, min(SAMPLE, len(known)))
+        return [{**peer.as_json(), "age_ms": int((now - at) * 1000)} for peer, at in chosen]
+
+    def merge(self, sample: Any, now: float) -> None:
+        """Take in another process's sample; raises `InvalidMessage`."""
+        if not isinstance(sample, list):
+            raise InvalidMessage("a sample is no list")
+        for part in sample[:SAMPLE]:
+            peer = peer_of(part)
+            age_ms = part.get("age_ms")
+            if not isinstance(age_ms, int) or age_ms < 0:
+                raise InvalidMessage("an age is no count of ms")
+            if age_ms < FORGET_S * 1000:
+                self.heard(peer, now - age_ms / 1000)
+
+    def alive(self, role: str, now: float, within_s: float = ALIVE_S) -> list[Peer]:
+        """Peers of a role that were heard of lately, in the order of their names."""
+        known = [peer for peer, at in self._heard.values() if peer.role == role and now - at <= within_s]
+        return sorted(known, key=lambda peer: peer.name)
--- /dev/null
+++ b/brambleusher/runtime/http_client.py
@@ -0,0 +1,85 @@
+"""A small HTTP/1.1 client for calls with short answers, by h11; one connection, kept between calls."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import h11
+
+from brambleusher.runtime.scheduler import Scheduler, Timeout
+from brambleusher.runtime.streams import Stream
+from brambleusher.runtime.system import Address
+
+BODY_BYTES_MAX = 8 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed(Exception):
+    """A call had no whole answer."""
+
+    reason: str
+
+    def __str__(self) -> str:
+        return self.reason
+
+
+class HttpClient:
+    """Calls to one server."""
+
+    def __init__(self, scheduler: Scheduler, address: Address) -> None:
+        self._scheduler, self._address = scheduler, address
+        self._stream: Stream | None = None
+        self._connection = h11.Connection(h11.CLIENT)
+
+    def get(self, target: str, timeout_s: float) -> tuple[int, bytes]:
+        """Status and body of a GET; raises `CallFailed`."""
+        deadline = self._scheduler.now() + timeout_s
+        reused = self._stream is not None
+        try:
+            return self._get(target, deadline)
+        except (OSError, Timeout, h11.ProtocolError) as error:
+            self.close()
+            if not reused or self._scheduler.now() >= deadline:
+                raise CallFailed(f"{type(error).__name__}: {error}") from error
+        try:  # the kept connection had ended
+            return self._get(target, deadline)
+        except (OSError, Timeout, h11.ProtocolError) as error:
+            self.close()
+            raise CallFailed(f"{type(error).__name__}: {error}") from error
+
+    def close(self) -> None:
+        """End the connection that is kept."""
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    def _get(self, target: str, deadline: float) -> tuple[int, bytes]:
+        if self._stream is None:
+            self._stream = Stream.connect(self._scheduler, self._address, deadline)
+            self._connection = h11.Connection(h11.CLIENT)
+        stream, connection = self._stream, self._connection
+        host = f"{self._address[0]}:{self._address[1]}".encode()
+        request = h11.Request(method=b"GET", target=target.encode(), headers=[(b"Host", host)])
+        data = (connection.send(request) or b"") + (connection.send(h11.EndOfMessage()) or b"")
+        stream.send(data, deadline)
+        status, parts, held = 0, [], 0
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(stream.receive(deadline) or b"")
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                held += len(event.data)
+                if held > BODY_BYTES_MAX:
+                    raise OSError("an answer is too long")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                raise OSError("the connection ended before the answer")
+        if connection.our_state is h11.DONE and connection.their_state is h11.DONE:
+            connection.start_next_cycle()
+        else:
+            self.close()
+        return status, b"".join(parts)
--- /dev/null
+++ b/brambleusher/runtime/http_server.py
@@ -0,0 +1,125 @@
+"""A small HTTP/1.1 server for calls with short bodies, by h11: one handler, one answer a request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+import orjson
+
+from brambleusher.runtime.acceptor import Acceptor
+from brambleusher.runtime.scheduler import Scheduler
+from brambleusher.runtime.streams import RECEIVE, Stream
+from brambleusher.runtime.system import Address
+
+IDLE_S = 60.0
+REQUEST_S = 10.0  # from the first byte of a request to its last
+SEND_S = 5.0
+JSON_TYPE = (b"Content-Type", b"application/json")
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One request, whole."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """One answer; the body is JSON."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[bytes, bytes], ...] = field(default=())
+
+
+def json_response(status: int, data: object, *headers: tuple[bytes, bytes]) -> HttpResponse:
+    """An answer from data."""
+    return HttpResponse(status, orjson.dumps(data), headers)
+
+
+class BodyTooLarge(Exception):
+    """A request's body is over the server's bound."""
+
+
+class HttpServer:
+    """Listens on one address and calls the handler, which may wait, for each request."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        address: Address,
+        handler: Callable[[HttpRequest], HttpResponse],
+        body_bytes: int = 64 * 1024,
+        connections: int = 1024,
+    ) -> None:
+        self._scheduler, self._handler, self._body_bytes = scheduler, handler, body_bytes
+        self.acceptor = Acceptor(scheduler, address, self._serve, connections)
+        self.closing = False
+
+    def _serve(self, stream: Stream, peer: str) -> None:
+        connection = h11.Connection(h11.SERVER)
+        while True:
+            try:
+                request = self._read(stream, connection)
+            except BodyTooLarge:
+                self._answer(stream, connection, json_response(413, {"error": "the body is too large"}))
+                return
+            except h11.RemoteProtocolError as error:
+                if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    status = error.error_status_hint
+                    self._answer(stream, connection, json_response(status, {"error": str(error)}))
+                return
+            if request is None:
+                return
+            self._answer(stream, connection, self._handler(request))
+            if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
+                stream.finish()
+                return
+            connection.start_next_cycle()
+
+    def _read(self, stream: Stream, connection: h11.Connection) -> HttpRequest | None:
+        head: h11.Request | None = None
+        parts: list[bytes] = []
+        held = 0
+        deadline = self._scheduler.now() + IDLE_S
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                if connection.they_are_waiting_for_100_continue:
+                    informational = h11.InformationalResponse(status_code=100, headers=[])
+                    stream.send(connection.send(informational) or b"", self._scheduler.now() + SEND_S)
+                connection.receive_data(stream.receive(deadline, size=RECEIVE) or b"")
+            elif isinstance(event, h11.Request):
+                head, deadline = event, self._scheduler.now() + REQUEST_S
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                held += len(event.data)
+                if held > self._body_bytes:
+                    raise BodyTooLarge
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return self._whole(head, b"".join(parts))
+            else:
+                return None
+
+    @staticmethod
+    def _whole(head: h11.Request, body: bytes) -> HttpRequest:
+        target = urlsplit(head.target.decode("latin-1"))
+        query = dict(parse_qsl(target.query))
+        return HttpRequest(head.method.decode("latin-1"), target.path, query, dict(head.headers), body)
+
+    def _answer(self, stream: Stream, connection: h11.Connection, response: HttpResponse) -> None:
+        headers = [JSON_TYPE, (b"Content-Length", str(len(response.body)).encode()), *response.headers]
+        if self.closing:
+            headers.append((b"Connection", b"close"))
+        data = connection.send(h11.Response(status_code=response.status, headers=headers)) or b""
+        data += connection.send(h11.Data(data=response.body)) or b""
+        data += connection.send(h11.EndOfMessage()) or b""
+        stream.send(data, self._scheduler.now() + SEND_S)
--- a/brambleusher/runtime/real.py
+++ b/brambleusher/runtime/real.py
@@ -173,6 +173,18 @@
             return 0.0
         return float(milliseconds) / 1000
 
+    def bound_silence(self, sock: Socket, seconds: float) -> None:
+        """Have a connection fail once bytes sent, or probes, stay unacknowledged for so long."""
+        assert isinstance(sock, socket.socket)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * 1000))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+        except OSError:
+            return  # the machine has no such bound: deadlines are left
+
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         """Have a signal handled."""
 
--- a/brambleusher/runtime/system.py
+++ b/brambleusher/runtime/system.py
@@ -153,6 +153,12 @@
     def waited(self, sock: Socket) -> float:
         """Seconds since bytes last came on a connection, read or not; 0 where the machine does not tell."""
 
+    def bound_silence(self, sock: Socket, seconds: float) -> None:
+        """Have a connection fail once sent bytes, or probes on an idle one, stay unacknowledged so long.
+
+        Guards against a peer without power, or behind a cut: it says nothing, and waits would never end.
+        """
+
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         """Have a signal handled."""
 
--- /dev/null
+++ b/brambleusher/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and their codecs, without I/O."""
--- /dev/null
+++ b/brambleusher/wire/errors.py
@@ -0,0 +1,38 @@
+"""Typed failures of reading what came over the wire or from a file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidMessage(Exception):
+    """A message between processes that can't be read."""
+
+    reason: str
+
+    def __str__(self) -> str:
+        return self.reason
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidConfiguration(Exception):
+    """A configuration of the operator that must not come into force; `key` names what is wrong in it."""
+
+    key: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.key}: {self.reason}"
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidSettings(Exception):
+    """A settings file that can't be used; names the file and the key."""
+
+    path: str
+    key: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.key}: {self.reason}"
--- /dev/null
+++ b/brambleusher/wire/settings.py
@@ -0,0 +1,110 @@
+"""The settings file of a process (TOML), checked; unknown keys are ignored."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from brambleusher.wire.errors import InvalidSettings
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class Bind(_Section):
+    """Addresses (`host:port`) to listen on; which are there goes by the role."""
+
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+    directory: str = ""
+
+
+class MachineLimits(_Section):
+    """What the machine has."""
+
+    memory_mb: int = 256
+    fd_limit: int = 1024
+
+
+class Tolerance(_Section):
+    """What may be lost at once while every rule still holds."""
+
+    machines: int = 1
+    zones: int = 1
+
+
+class Bounds(_Section):
+    """Figures of the rules in force; times in the unit of the name."""
+
+    ack_ms: float = 5000
+    drain_ms: float = 4000
+    grace_s: float = 8
+    apply_ms: float = 2500
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 50
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5
+    ttl_max_s: float = 5
+    reuse_s: float = 2
+
+
+class Platform(_Section):
+    """Where the list of instances is, and how often all processes together may ask."""
+
+    address: str = ""
+    rate_per_s: float = 10
+    lag_ms: float = 1000
+
+
+class Settings(_Section):
+    """Everything that a process is told at its start."""
+
+    node_name: str
+    serves: tuple[str, ...] = ()
+    ip: str
+    zone: str
+    region: str
+    port_range: tuple[int, int]
+    seeds: tuple[str, ...] = ()
+    bootstrap: bool = False
+    data_dir: str = ""
+    zones: dict[str, str] = Field(default_factory=dict)
+    bind: Bind = Bind()
+    limits: MachineLimits = MachineLimits()
+    tolerance: Tolerance = Tolerance()
+    bounds: Bounds = Bounds()
+    cloud_api: Platform = Platform()
+
+    @property
+    def peer_address(self) -> str:
+        """Where this process takes messages of others (`host:port`)."""
+        return f"{self.ip}:{self.port_range[0]}"
+
+    def seed_peers(self) -> tuple[str, ...]:
+        """The peer addresses of the seeds: their hosts, with the first port of the range."""
+        return tuple(f"{seed.rpartition(':')[0]}:{self.port_range[0]}" for seed in self.seeds)
+
+
+def read(path: str) -> Settings:
+    """The settings in a file; raises `InvalidSettings` that names file and key."""
+    try:
+        return parse(Path(path).read_text(encoding="utf-8"), path)
+    except (OSError, UnicodeDecodeError) as error:
+        raise InvalidSettings(path, "file", str(error)) from error
+
+
+def parse(text: str, path: str) -> Settings:
+    """The settings in a text; `path` is for messages."""
+    try:
+        return Settings.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise InvalidSettings(path, "file", f"no TOML: {error}") from error
+    except ValidationError as error:
+        first = error.errors()[0]
+        key = ".".join(str(part) for part in first["loc"]) or "file"
+        raise InvalidSettings(path, key, f"{first['msg']}, not {first.get('input')!r}") from error
--- /dev/null
+++ b/quillpass/instance_weights.py
@@ -0,0 +1,238 @@
+"""Weights of a service's instances as one gateway sees them: the design's path without reports; pure.
+
+Instances send no figures of their own.  A gateway derives an instance's throughput and utilisation from
+its own traffic and the capacity on the list: of so many slots, this gateway's part is used by its own
+attempts.  Spare capacity is throughput over utilisation times one minus utilisation.  From there on it is
+the path of `quillpass/balance.py`, with the same functions.  Times are seconds.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from statistics import median
+
+from quillpass.balance import MIN_SPARE_SHARE, PI_GOAL, WEIGHT_TOTAL, aggregate_pi, final_weights
+
+TICK_S = 0.5  # weights are recomputed so often: news is acted on within the shortest aim
+FIGURES_S = 20.0  # window of throughput and utilisation
+INDEX_S = 4.0  # window of latencies
+HEALTH_S = 6.0  # window of successes and failures
+PRIOR = 1.0  # successes that an instance without a history is credited with
+AGE_CAP = 4.0  # the most that one unanswered attempt says, in aims
+PRIORITIES = 10
+
+
+@dataclass(slots=True)
+class Figures:
+    """What is known of one instance."""
+
+    name: str
+    capacity: float
+    out: dict[int, tuple[int, float, float]] = field(default_factory=dict)  # attempt: priority, sent, aim
+    rate: float = 0.0
+    used: float = 0.0  # mean of own attempts out
+    seen: float = 0.0  # seconds of history within the window
+    ended: int = 0  # since the last tick
+    late_n: list[float] = field(default_factory=lambda: [0.0] * PRIORITIES)
+    late_sum: list[float] = field(default_factory=lambda: [0.0] * PRIORITIES)
+    served: float = PRIOR
+    failed: float = 0.0
+    quiet_index: float = 0.0  # of the last quiet spell, which counts where nothing is recent
+    weight: float = 0.0
+    tokens: int = 0
+    credit: float = 0.0
+
+    def health(self) -> float:
+        """The served share of recent attempts."""
+        return self.served / (self.served + self.failed)
+
+    def index(self, now: float) -> float:
+        """Latency over aim, with the age of attempts that are out: a hung instance sends no answers."""
+        means = [total / n if n > 0.01 else 0.0 for total, n in zip(self.late_sum, self.late_n, strict=True)]
+        index, count = aggregate_pi(means, self.late_n, list(range(PRIORITIES)))
+        if count <= 0.01:
+            index, count = self.quiet_index, 1.0
+        total, seen = index * count, count
+        for _, sent, aim in self.out.values():
+            age = min((now - sent) / aim, AGE_CAP)
+            if age > max(index, PI_GOAL):
+                total, seen = total + age, seen + 1
+        return total / seen
+
+    def spare(self, gateways: float) -> float | None:
+        """Requests a second that could be taken beside what is; None without figures."""
+        if self.seen < TICK_S or self.rate <= 0 or self.used <= 0:
+            return None
+        utilisation = min(1.0, self.used * gateways / self.capacity)
+        spare = self.rate / utilisation * (1.0 - utilisation)
+        return 0.0 if 1.0 - utilisation < MIN_SPARE_SHARE else spare
+
+
+class InstanceWeights:
+    """Weights and tokens of one service's ready instances."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._known: dict[str, Figures] = {}
+        self._ring: list[Figures] = []
+        self._at = 0
+        self._attempts = 0
+        self._ticked: float | None = None
+
+    def follow(self, ready: Mapping[str, float]) -> None:
+        """The ready instances and their capacities; all others lose weight and tokens at once."""
+        for name, capacity in ready.items():
+            if name in self._known:
+                self._known[name].capacity = capacity
+            else:
+                self._known[name] = Figures(name, max(capacity, 1.0))
+        for figures in self._known.values():
+            if figures.name not in ready:
+                figures.weight, figures.tokens, figures.credit = 0.0, 0, 0.0
+        for name in [name for name, kept in self._known.items() if name not in ready and not kept.out]:
+            del self._known[name]
+        if {figures.name for figures in self._ring} != set(ready):
+            self._ring = [self._known[name] for name in ready]
+            self._rng.shuffle(self._ring)
+            self._at = self._rng.randrange(len(self._ring)) if self._ring else 0
+            self._weigh(self._ticked or 0.0, 1.0)
+
+    # --- own traffic -----------------------------------------------------------------------------
+
+    def started(self, name: str, priority: int, aim_s: float, now: float) -> int:
+        """An attempt was sent; its number is for `answered` and `ended`."""
+        self._attempts += 1
+        figures = self._known.get(name)
+        if figures is not None:
+            level = min(max(priority, 0), PRIORITIES - 1)
+            figures.out[self._attempts] = (level, now, max(aim_s, 0.01))
+        return self._attempts
+
+    def answered(self, name: str, attempt: int, now: float) -> None:
+        """The first bytes of an answer came."""
+        figures = self._known.get(name)
+        if figures is None or attempt not in figures.out:
+            return
+        priority, sent, aim = figures.out[attempt]
+        figures.late_n[priority] += 1
+        figures.late_sum[priority] += (now - sent) / aim
+        figures.out[attempt] = (priority, now, math.inf)  # its wait is over, its slot is not
+
+    def ended(self, name: str, attempt: int, well: bool | None) -> None:
+        """An attempt is over: well, as a failure, or (None) with nothing to say of the instance."""
+        figures = self._known.get(name)
+        if figures is None or figures.out.pop(attempt, None) is None:
+            return
+        if well is not None:
+            figures.served += well
+            figures.failed += not well
+        figures.ended += bool(well)
+
+    def unreachable(self, name: str) -> None:
+        """A connection to an instance failed."""
+        figures = self._known.get(name)
+        if figures is not None:
+            figures.failed += 1
+
+    # --- weights ---------------------------------------------------------------------------------
+
+    def tick(self, now: float, gateways: float) -> None:
+        """Recompute, where it is time to."""
+        if self._ticked is None:
+            self._ticked = now
+        gap = now - self._ticked
+        if gap < TICK_S:
+            return
+        self._ticked = now
+        for figures in self._known.values():
+            self._fade(figures, gap)
+        self._weigh(now, gateways)
+
+    @staticmethod
+    def _fade(figures: Figures, gap: float) -> None:
+        kept = math.exp(-gap / FIGURES_S)
+        figures.rate = figures.rate * kept + (figures.ended / gap) * (1 - kept)
+        figures.used = figures.used * kept + len(figures.out) * (1 - kept)
+        figures.seen = min(FIGURES_S, figures.seen + gap)
+        figures.ended = 0
+        recent, health = math.exp(-gap / INDEX_S), math.exp(-gap / HEALTH_S)
+        if sum(figures.late_n) >= 1 and not figures.failed > 0.5:
+            figures.quiet_index = min(PI_GOAL, sum(figures.late_sum) / sum(figures.late_n))
+        figures.late_n = [n * recent for n in figures.late_n]
+        figures.late_sum = [total * recent for total in figures.late_sum]
+        figures.served = max(PRIOR, figures.served * health)
+        figures.failed *= health
+
+    def _weigh(self, now: float, gateways: float) -> None:
+        spares = [figures.spare(gateways) for figures in self._ring]
+        known = [spare for spare in spares if spare is not None]
+        middle = median(known) if known else 1.0
+        base = [middle if spare is None else spare for spare in spares]
+        weights = final_weights(
+            base,
+            [figures.index(now) for figures in self._ring],
+            [figures.health() for figures in self._ring],
+        )
+        scale = len(self._ring) / WEIGHT_TOTAL
+        for figures, weight in zip(self._ring, weights, strict=True):
+            figures.weight = weight
+            figures.tokens = min(figures.tokens, math.ceil(weight * scale))
+
+    def well(self, name: str) -> bool:
+        """Whether an instance has a fair part of the weight: a prompt kept there is worth going for."""
+        figures = self._known.get(name)
+        return figures is not None and figures.weight * len(self._ring) >= WEIGHT_TOTAL / 4
+
+    def in_use(self, name: str) -> int:
+        """Own attempts out at an instance."""
+        figures = self._known.get(name)
+        return len(figures.out) if figures is not None else 0
+
+    def weights(self) -> dict[str, float]:
+        """The weights, for operators."""
+        return {figures.name: round(figures.weight, 2) for figures in self._ring}
+
+    # --- spending --------------------------------------------------------------------------------
+
+    def choose(self, candidates: Sequence[str]) -> str | None:
+        """Spend a token of a candidate, in round robin.
+
+        Open case of the design: the candidates have no tokens while others have some.  Then the one that is
+        least occupied for its weight is borrowed from, and no token is reloaded: others keep their turn.
+        """
+        wanted = set(candidates)
+        if not any(figures.tokens > 0 for figures in self._ring):
+            self._load()
+        for step in range(len(self._ring)):
+            place = (self._at + step) % len(self._ring)
+            figures = self._ring[place]
+            if figures.tokens > 0 and figures.name in wanted:
+                figures.tokens -= 1
+                self._at = place + 1
+                return figures.name
+        return self._borrow(figures for figures in self._ring if figures.name in wanted)
+
+    def _load(self) -> None:
+        scale = len(self._ring) / WEIGHT_TOTAL
+        for figures in self._ring:
+            figures.credit += figures.weight * scale
+            fresh = int(figures.credit)
+            figures.credit -= fresh
+            figures.tokens = max(figures.tokens, fresh)
+
+    @staticmethod
+    def _borrow(candidates: Iterable[Figures]) -> str | None:
+        """Those without weight come last: all-zero candidates count as equal."""
+        best = min(
+            candidates,
+            key=lambda figures: (
+                figures.weight <= 0,
+                (len(figures.out) + 1) / (figures.weight or 1.0),
+                figures.name,
+            ),
+            default=None,
+        )
+        return best.name if best is not None else None
