--- a/brambleusher/controller.py
+++ b/brambleusher/controller.py
@@ -55,7 +55,11 @@
             self.scheduler, settings.node_name, self.replica, self.instances, self.view, self._controllers
         )
         self._lines = LineServer(
-            self.scheduler, parse_address(settings.peer_address), self._message, self._invalid, CONNECTIONS_MAX
+            self.scheduler,
+            parse_address(settings.peer_address),
+            self._message,
+            self._invalid,
+            CONNECTIONS_MAX,
         )
         orders = Orders(self.scheduler, self.replica, frozenset(settings.zones))
         self._control = HttpServer(
--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -336,10 +336,7 @@
         if request.term > self.term:
             self._follow(request.term, "")
         granted = (
-            newer
-            and request.term == self.term
-            and self._is_voter()
-            and self.vote in ("", request.sender)
+            newer and request.term == self.term and self._is_voter() and self.vote in ("", request.sender)
         )
         if granted and not self.vote:
             self.vote = request.sender
@@ -475,9 +472,7 @@
             return
         known.snapshot_at = self._now
         # The driver fills in what is applied when the message leaves: see `with_state`.
-        self._send(
-            member, wire.InstallSnapshot(self.term, self.identity.id, 0, 0, [], None, self._round)
-        )
+        self._send(member, wire.InstallSnapshot(self.term, self.identity.id, 0, 0, [], None, self._round))
 
     def with_state(self, message: wire.InstallSnapshot, state: Any) -> wire.InstallSnapshot:
         """The message with the state of the state machine, which has applied all that is committed."""
--- a/brambleusher/controlplane/orders.py
+++ b/brambleusher/controlplane/orders.py
@@ -87,5 +87,9 @@
             return _error(412, "If-Match: another version is current")
         if verdict is Verdict.NOT_HIGHER:
             return _error(400, "revision: it is not above the current one")
-        answer = {"revision": command.revision} if isinstance(command, PutConfiguration) else {"zone": command.zone}
+        answer = (
+            {"revision": command.revision}
+            if isinstance(command, PutConfiguration)
+            else {"zone": command.zone}
+        )
         return HttpResponse(200, orjson.dumps(answer))
--- a/brambleusher/controlplane/platform_list.py
+++ b/brambleusher/controlplane/platform_list.py
@@ -63,7 +63,9 @@
         instances: list[dict[str, Any]] = []
         token = ""
         for page in range(PAGES_MAX):
-            status, body = self._client.get(f"/instances?page_token={token}" if token else "/instances", CALL_S)
+            status, body = self._client.get(
+                f"/instances?page_token={token}" if token else "/instances", CALL_S
+            )
             if status != 200:
                 raise CallFailed(f"status {status}")
             try:
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -107,7 +106,8 @@
         self.seeds: tuple[str, ...] = settings.seed_peers()
         self.known_controllers: Callable[[], list[str]] = list
         self._bell = Bell()
-        self._worker = scheduler.system.worker("disk", lambda: bool(self._jobs), self._disk_turn)
+        self._resting = False  # after an error of the disk
+        self._worker = scheduler.system.worker("disk", self._disk_due, self._disk_turn)
         self._pump()
         scheduler.spawn(self._run, name="replica")
 
@@ -135,7 +135,9 @@
             identity = f"{self._rng.getrandbits(64):016x}"
             if settings.bootstrap and settings.peer_address in seeds:
                 identity = FOUNDER + settings.peer_address
-                founders = tuple(Member(FOUNDER + peer, peer, seeds[peer], "", True) for peer in sorted(seeds))
+                founders = tuple(
+                    Member(FOUNDER + peer, peer, seeds[peer], "", True) for peer in sorted(seeds)
+                )
             self._begin(identity, founders)
             found.log = Log(0, 0, founders)
         return Member(identity, settings.peer_address, settings.bind.control, settings.zone, False)
@@ -352,6 +354,9 @@
             self._jobs.append((number, job))
             self._worker.wake()
 
+    def _disk_due(self) -> bool:
+        return bool(self._jobs) and not self._resting
+
     def _disk_turn(self) -> None:
         """In the worker: write what is queued; a disk that refuses is asked again."""
         with self._worker.lock:
@@ -370,16 +375,24 @@
             else:
                 self._storage.write(records)
         except OSError as error:
-            self._scheduler.call_soon(lambda error=error: self._disk_failed(error))  # type: ignore[misc]
-            time.sleep(DISK_RETRY_S)
+            with self._worker.lock:
+                self._resting = True
+            reason = str(error)
+            self._scheduler.call_soon(lambda: self._disk_failed(reason))
             return
         with self._worker.lock:
             for _ in range(taken):
                 self._jobs.popleft()
         self._scheduler.call_soon(lambda: self._disk_done(number, job))
 
-    def _disk_failed(self, error: OSError) -> None:
-        log.warning("the disk refuses a write", extra={"fields": {"why": str(error)}})
+    def _disk_failed(self, reason: str) -> None:
+        log.warning("the disk refuses a write", extra={"fields": {"why": reason}})
+        self._scheduler.call_at(self._scheduler.now() + DISK_RETRY_S, self._disk_again)
+
+    def _disk_again(self) -> None:
+        with self._worker.lock:
+            self._resting = False
+            self._worker.wake()
 
     def _disk_done(self, number: int, job: list[Record] | SnapshotJob) -> None:
         if isinstance(job, SnapshotJob):
--- a/brambleusher/controlplane/storage.py
+++ b/brambleusher/controlplane/storage.py
@@ -26,7 +26,7 @@
 SEGMENT, SNAPSHOT, UNFINISHED = "log-", "snapshot-", "unfinished-"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class CorruptStorage(Exception):
     """Records that had been synced can't be read any more."""
 
@@ -34,6 +34,7 @@
     reason: str
 
     def __str__(self) -> str:
+        """For logs and answers."""
         return f"{self.name}: {self.reason}"
 
 
@@ -98,6 +99,16 @@
 
     # --- recovery --------------------------------------------------------------------------------
 
+    def read_only(self) -> Recovered:
+        """What recovery would find, changing nothing; raises `CorruptStorage`."""
+        found = Recovered()
+        names = self._disk.names()
+        self._newest_snapshot(found, [name for name in names if name.startswith(SNAPSHOT)])
+        segments = sorted(name for name in names if name.startswith(SEGMENT))
+        for name in segments:
+            self._read_segment(found, name, last=name == segments[-1])
+        return found
+
     def recover(self) -> Recovered:
         """Read everything, repair a torn end and make what was read durable; raises `CorruptStorage`.
 
@@ -139,6 +150,13 @@
         found.state = data["state"]
 
     def _replay(self, found: Recovered, name: str, last: bool) -> None:
+        good, size = self._read_segment(found, name, last)
+        if good < size:
+            self._disk.truncate(name, good)
+        self._disk.sync(name)
+
+    def _read_segment(self, found: Recovered, name: str, last: bool) -> tuple[int, int]:
+        """Apply a segment's records; bytes of whole records, and of all. Only the last one may end torn."""
         data = self._disk.read(name)
         good = 0
         while (end := data.find(b"\n", good)) >= 0:
@@ -149,11 +167,9 @@
                     raise CorruptStorage(name, str(error)) from error
                 break
             good = end + 1
-        if good < len(data):
-            if not last:
-                raise CorruptStorage(name, "it ends within a record")
-            self._disk.truncate(name, good)
-        self._disk.sync(name)
+        if good < len(data) and not last:
+            raise CorruptStorage(name, "it ends within a record")
+        return good, len(data)
 
     def _apply(self, found: Recovered, data: dict[str, Any]) -> None:
         found.records += 1
@@ -189,7 +205,7 @@
     # --- writing ---------------------------------------------------------------------------------
 
     def begin(self, identity: str, founders: tuple[Member, ...] = ()) -> None:
-        """First write to an empty disk: who this replica is from now on, and the first group if it is of it."""
+        """First write to an empty disk: who this replica is, and the first group where it is part of it."""
         head: list[dict[str, Any]] = [{"t": "identity", "id": identity}]
         if founders:
             head.append({"t": "founders", "members": [member.as_json() for member in founders]})
@@ -252,3 +268,20 @@
         if self._suspect:
             self._disk.truncate(self._segment, self._good_bytes)
             self._suspect = False
+
+
+def inspect(disk: Disk) -> dict[str, Any]:
+    """What a disk holds, for operators; changes nothing and raises `CorruptStorage`."""
+    found = Storage(disk).read_only()
+    state = found.state or {}
+    return {
+        "identity": found.identity,
+        "term": found.term,
+        "vote": found.vote,
+        "snapshot_index": found.log.base_index,
+        "last_index": found.log.last_index,
+        "records": found.records,
+        "members": [member.as_json() for member in found.log.members],
+        "revision_in_snapshot": state.get("revision", 0),
+        "files": disk.names(),
+    }
--- a/brambleusher/dataplane/budgets.py
+++ b/brambleusher/dataplane/budgets.py
@@ -7,7 +7,9 @@
 RETRY_PART = 0.4  # of the common slack that is shared out: gateways may be miscounted
 RETRY_RATIO_PART = 0.5
 COLD_PART = 0.8
-COLD_GATEWAYS_PART = 1 / 3  # of the rate of a cold instance: so many gateways use it, each with a burst of one
+COLD_GATEWAYS_PART = (
+    1 / 3
+)  # of the rate of a cold instance: so many gateways use it, each with a burst of one
 CONNECTION_PART = 0.8
 
 
--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -137,7 +137,9 @@
 
     def _head(self, status: int, headers: list[tuple[bytes, bytes]], length: int | None) -> bytes:
         framing = (
-            (b"Transfer-Encoding", b"chunked") if length is None else (b"Content-Length", str(length).encode())
+            (b"Transfer-Encoding", b"chunked")
+            if length is None
+            else (b"Content-Length", str(length).encode())
         )
         sent = [pair for pair in headers if pair[0].lower() not in CONNECTION_HEADERS]
         sent.append(framing)
@@ -161,7 +163,9 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         self._write(data)
 
-    def error(self, status: int, reason: str, attempt_id: bytes = b"", retry_after_s: float | None = None) -> None:
+    def error(
+        self, status: int, reason: str, attempt_id: bytes = b"", retry_after_s: float | None = None
+    ) -> None:
         """Send an answer of the gateway's own; with a time to come back where the request has not run."""
         headers = [(b"Content-Type", b"application/json")]
         if attempt_id:
--- a/brambleusher/dataplane/controllers.py
+++ b/brambleusher/dataplane/controllers.py
@@ -36,7 +36,9 @@
         if rested:
             chosen = self._rng.choice(rested)
         else:
-            chosen = min(free or list(self._known), key=lambda address: self._rests.get(address, (0.0, 0.0))[0])
+            chosen = min(
+                free or list(self._known), key=lambda address: self._rests.get(address, (0.0, 0.0))[0]
+            )
         self._held[watcher] = chosen
         return chosen
 
--- a/brambleusher/dataplane/prefixes.py
+++ b/brambleusher/dataplane/prefixes.py
@@ -22,5 +22,9 @@
 
 
 def keepers(key: str, instances: Iterable[str]) -> list[str]:
-    """Instances in the order in which they should keep a prefix: rendezvous hashing, alike at all gateways."""
-    return sorted(instances, key=lambda name: hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest())
+    """Instances in the order in which they should keep a prefix: rendezvous hashing, alike everywhere."""
+
+    def rank(name: str) -> bytes:
+        return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
+
+    return sorted(instances, key=rank)
--- a/brambleusher/dataplane/upstream.py
+++ b/brambleusher/dataplane/upstream.py
@@ -41,7 +41,9 @@
 class Answer:
     """An answer whose head has come; its body is read in pieces."""
 
-    def __init__(self, upstream: Upstream, instance: Instance, connection: Connection, head: h11.Response) -> None:
+    def __init__(
+        self, upstream: Upstream, instance: Instance, connection: Connection, head: h11.Response
+    ) -> None:
         self._upstream, self.instance, self._connection = upstream, instance, connection
         self.status = head.status_code
         self.headers: list[tuple[bytes, bytes]] = list(head.headers)
@@ -183,7 +185,7 @@
         if connection is None:
             return Err(NotReached())
         try:
-            request = h11.Request(method=method, target=target, headers=headers)
+            request = h11.Request(method=method, target=target, headers=list(headers))
             data = connection.h11.send(request) or b""
             data += connection.h11.send(h11.Data(data=body)) or b"" if body else b""
             data += connection.h11.send(h11.EndOfMessage()) or b""
--- a/brambleusher/gateway.py
+++ b/brambleusher/gateway.py
@@ -67,9 +67,7 @@
             rng,
         )
         self._ready = HttpServer(self.scheduler, parse_address(settings.bind.ready), self._answer_ready)
-        self._front = Acceptor(
-            self.scheduler, parse_address(settings.bind.front), self._serve, CLIENTS_MAX
-        )
+        self._front = Acceptor(self.scheduler, parse_address(settings.bind.front), self._serve, CLIENTS_MAX)
         self._watch = SettingsWatch(self.scheduler, path, self._settings_changed)
         self.scheduler.spawn(self._upkeep, name="upkeep")
 
--- a/brambleusher/lab/virtual/world.py
+++ b/brambleusher/lab/virtual/world.py
@@ -1020,6 +1020,9 @@
             return 0.0
         return (self.world.now_ns - sock.received_ns) / 1e9
 
+    def bound_silence(self, sock: Socket, seconds: float) -> None:
+        """Nothing: connections of this world have no bound of their own; deadlines end waits."""
+
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         """Have a signal handled."""
         self._check()
--- a/brambleusher/runtime/http_client.py
+++ b/brambleusher/runtime/http_client.py
@@ -13,13 +13,14 @@
 BODY_BYTES_MAX = 8 * 1024 * 1024
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class CallFailed(Exception):
     """A call had no whole answer."""
 
     reason: str
 
     def __str__(self) -> str:
+        """For logs and answers."""
         return self.reason
 
 
--- a/brambleusher/wire/consensus_messages.py
+++ b/brambleusher/wire/consensus_messages.py
@@ -113,15 +113,7 @@
     member: Member
 
 
-Message = (
-    VoteRequest
-    | VoteReply
-    | Append
-    | AppendReply
-    | InstallSnapshot
-    | TransferLeadership
-    | JoinRequest
-)
+Message = VoteRequest | VoteReply | Append | AppendReply | InstallSnapshot | TransferLeadership | JoinRequest
 KINDS: dict[str, type[Any]] = {
     "vote": VoteRequest,
     "voted": VoteReply,
--- a/brambleusher/wire/errors.py
+++ b/brambleusher/wire/errors.py
@@ -5,17 +5,18 @@
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class InvalidMessage(Exception):
     """A message between processes that can't be read."""
 
     reason: str
 
     def __str__(self) -> str:
+        """For logs and answers."""
         return self.reason
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class InvalidConfiguration(Exception):
     """A configuration of the operator that must not come into force; `key` names what is wrong in it."""
 
@@ -23,10 +24,11 @@
     reason: str
 
     def __str__(self) -> str:
+        """For logs and answers."""
         return f"{self.key}: {self.reason}"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class InvalidSettings(Exception):
     """A settings file that can't be used; names the file and the key."""
 
@@ -35,4 +37,5 @@
     reason: str
 
     def __str__(self) -> str:
+        """For logs and answers."""
         return f"{self.path}: {self.key}: {self.reason}"
--- /dev/null
+++ b/tests/system/cluster.py
@@ -0,0 +1,295 @@
+"""Replicas of one shard without sockets or disks: a test decides on each message and each sync.
+
+The checker reads what each replica applied and what was acknowledged; it uses none of the program's code.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from brambleusher.controlplane.consensus import Consensus, HardState, Outgoing, Restore, Truncate
+from brambleusher.controlplane.log import Log
+from brambleusher.wire import consensus_messages as wire
+from brambleusher.wire.consensus_messages import Entry, Member
+
+STEP_S = 0.02
+DELAY_STEPS = 40  # of a message that is held back: past the heartbeat and half an election
+
+
+def member(name: str, voter: bool = True) -> Member:
+    return Member(name, f"at-{name}", f"control-{name}", "z", voter)
+
+
+class Broken(AssertionError):
+    """The checker found that a promise was broken."""
+
+
+class Checker:
+    """Nothing acknowledged is lost, all replicas apply the same, one leader a term."""
+
+    def __init__(self) -> None:
+        self.applied: dict[int, Any] = {}
+        self.leaders: dict[int, str] = {}
+        self.acknowledged: dict[int, Any] = {}
+
+    def saw_applied(self, index: int, content: Any) -> None:
+        if self.applied.setdefault(index, content) != content:
+            raise Broken(f"two contents at {index}")
+
+    def saw_leader(self, term: int, name: str) -> None:
+        if self.leaders.setdefault(term, name) != name:
+            raise Broken(f"two leaders in term {term}")
+
+    def saw_acknowledged(self, index: int, content: Any) -> None:
+        self.acknowledged[index] = content
+
+    def check_end(self, states: Sequence[dict[int, Any]]) -> None:
+        for state in states:
+            for index, content in self.acknowledged.items():
+                if state.get(index) != content:
+                    raise Broken(f"what was acknowledged at {index} is lost")
+
+
+@dataclass
+class Node:
+    """A replica, and its disk as a list of records of which the first `synced` are durable."""
+
+    name: str
+    consensus: Consensus
+    records: list[Any] = field(default_factory=list)
+    synced: int = 0
+    base: int = 0  # added to a place in `records` gives the number of the record
+    held: deque[Outgoing] = field(default_factory=deque)
+    state: dict[int, Any] = field(default_factory=dict)
+    up: bool = True
+    slow_disk: bool = False
+    frozen_until: int = 0  # the step at which it runs again
+
+
+class Cluster:
+    """Replicas and the messages between them."""
+
+    make: type[Consensus] = Consensus
+
+    def __init__(self, names: str, seed: int, founders: str | None = None) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.checker = Checker()
+        self.messages: list[tuple[str, str, wire.Message]] = []
+        self.later: list[tuple[int, tuple[str, str, wire.Message]]] = []
+        self.steps = 0
+        self.sent = 0
+        self.mutate: Callable[[int, str, str, wire.Message], str] = lambda *_: "deliver"
+        self.delay_steps: Callable[[], int] = lambda: DELAY_STEPS
+        self.cut: set[frozenset[str]] = set()
+        self.founders = tuple(member(name) for name in founders or names)
+        self.nodes: dict[str, Node] = {}
+        for name in names:
+            self.start(name, [] if name in (founders or names) else None)
+
+    # --- nodes -----------------------------------------------------------------------------------
+
+    def start(self, name: str, records: list[Any] | None, identity: str = "") -> Node:
+        """Start a replica from its durable records; None: an empty disk and no part in the first group."""
+        log = Log(0, 0, self.founders) if records is not None else Log()
+        term, vote, state = 0, "", dict[int, Any]()
+        for record in records or []:
+            if isinstance(record, HardState):
+                term, vote = record.term, record.vote
+            elif isinstance(record, Truncate):
+                log.truncate(record.first)
+            elif isinstance(record, Restore):
+                log = Log(record.index, record.term, record.members)
+                state = {int(key): value for key, value in record.state.items()}
+            else:
+                log.append(record)
+        own = member(identity or name, voter=False)
+        own = Member(own.id, f"at-{name}", own.control, own.zone, False)
+        consensus = self.make(own, log, term, vote, self.now, random.Random(self.rng.random()), 3)
+        node = Node(name, consensus, list(records or []), len(records or []), state=state)
+        node.base = -len(node.records)  # record numbers begin anew
+        self.nodes[name] = node
+        return node
+
+    def crash(self, name: str, keep_unsynced: bool = False) -> None:
+        node = self.nodes[name]
+        node.up = False
+        if not keep_unsynced:
+            del node.records[node.synced :]
+        self.messages = [message for message in self.messages if message[1] != name]
+
+    def restart(self, name: str) -> None:
+        self.start(name, self.nodes[name].records)
+
+    def wipe(self, name: str, identity: str) -> None:
+        """Come back with an empty disk, under another identity."""
+        self.crash(name)
+        self.start(name, None, identity)
+
+    def leader(self) -> Node | None:
+        leading = [node for node in self.nodes.values() if node.up and node.consensus.leading]
+        return max(leading, key=lambda node: node.consensus.term, default=None)
+
+    # --- steps -----------------------------------------------------------------------------------
+
+    def step(self, sync: bool = True) -> None:
+        """A little time passes: ticks, joins, syncs, and all messages that are due."""
+        self.steps += 1
+        self.now += STEP_S
+        self._deliver_held_back()
+        for node in list(self.nodes.values()):
+            if node.up and node.frozen_until <= self.steps:
+                node.consensus.tick(self.now)
+                self._join(node)
+                self.pump(node)
+                if sync and not node.slow_disk:
+                    self.sync(node)
+        queue, self.messages = self.messages, []
+        for sender, to, message in queue:
+            self.deliver(sender, to, message)
+
+    def _deliver_held_back(self) -> None:
+        """Ahead of the ticks: a replica that was frozen finds old messages before it looks at the clock."""
+        due = [message for at, message in self.later if at <= self.steps]
+        self.later = [(at, message) for at, message in self.later if at > self.steps]
+        for sender, to, message in due:
+            self.deliver(sender, to, message)
+
+    def _join(self, node: Node) -> None:
+        known = {member.id for member in node.consensus.log.members}
+        if node.consensus.identity.id not in known and self.steps % 10 == 0:
+            request = wire.JoinRequest(node.consensus.identity.id, node.consensus.identity)
+            for other in self.nodes.values():
+                if other.up and other.consensus.leading and other is not node:
+                    self.post(node.name, other.name, request)
+
+    def deliver(self, sender: str, to: str, message: wire.Message) -> None:
+        node = self.nodes.get(to)
+        if node is None or not node.up or frozenset((sender, to)) in self.cut:
+            return
+        if node.frozen_until > self.steps:
+            self.later.append((node.frozen_until, (sender, to, message)))
+            return
+        copy = wire.from_json(wire.as_json(message))
+        node.consensus.handle(copy, self.now)
+        self.pump(node)
+
+    def post(self, sender: str, to: str, message: wire.Message) -> None:
+        self.sent += 1
+        fate = self.mutate(self.sent, sender, to, message)
+        if fate == "drop":
+            return
+        if fate == "delay":
+            self.later.append((self.steps + self.delay_steps(), (sender, to, message)))
+            return
+        if fate == "first":
+            self.messages.insert(0, (sender, to, message))
+            return
+        self.messages.append((sender, to, message))
+        if fate == "double":
+            self.messages.append((sender, to, message))
+
+    def pump(self, node: Node) -> None:
+        output = node.consensus.take_output()
+        node.records += output.records
+        for restore in output.restored:
+            node.state = {int(key): value for key, value in restore.state.items()}
+        for entry in output.committed:
+            self._apply(node, entry)
+        for outgoing in output.messages:
+            if self._waits(node, outgoing):
+                node.held.append(outgoing)
+            else:
+                self._post(node, outgoing)
+        if node.consensus.leading:
+            self.checker.saw_leader(node.consensus.term, node.consensus.identity.id)
+
+    @staticmethod
+    def _waits(node: Node, outgoing: Outgoing) -> bool:
+        return outgoing.after > node.synced + node.base
+
+    def _apply(self, node: Node, entry: Entry) -> None:
+        content = (entry.term, entry.kind, entry.data)
+        node.state[entry.index] = content
+        self.checker.saw_applied(entry.index, content)
+
+    def _post(self, node: Node, outgoing: Outgoing) -> None:
+        message = outgoing.message
+        if isinstance(message, wire.InstallSnapshot):
+            if not node.consensus.leading:
+                return
+            message = node.consensus.with_state(
+                message, {str(key): value for key, value in node.state.items()}
+            )
+        to = next(
+            (other.name for other in self.nodes.values() if other.consensus.identity.id == outgoing.to.id),
+            None,
+        )
+        if to is not None:
+            self.post(node.name, to, message)
+
+    def sync(self, node: Node) -> None:
+        """All records handed out so far become durable."""
+        node.synced = len(node.records)
+        node.consensus.synced(node.synced + node.base)
+        while node.held and not self._waits(node, node.held[0]):
+            self._post(node, node.held.popleft())
+        self.pump(node)
+
+    # --- what tests do ---------------------------------------------------------------------------
+
+    def run(self, until: Callable[[], bool], steps: int = 600) -> bool:
+        for _ in range(steps):
+            if until():
+                return True
+            self.step()
+        return until()
+
+    def propose(self, content: Any) -> tuple[int, int] | None:
+        """Have the leader propose; index and term, where there is one."""
+        leader = self.leader()
+        if leader is None:
+            return None
+        place = leader.consensus.propose(content)
+        self.pump(leader)
+        return place
+
+    def commit(self, content: Any, steps: int = 600) -> bool:
+        """Propose until it is applied at a leader that proposed it, as a caller that repeats itself would."""
+        for _ in range(steps):
+            leader, place = self.leader(), self.propose(content)
+            if leader is not None and place is not None:
+                index, term = place
+                for _ in range(60):
+                    self.step()
+                    applied = leader.state.get(index)
+                    if applied is not None:
+                        if applied == (term, "command", content):
+                            self.checker.saw_acknowledged(index, applied)
+                            return True
+                        break
+                    if not leader.up:
+                        break
+            self.step()
+        return False
+
+    def settle(self) -> bool:
+        """Whether all live members come to hold the same."""
+
+        def same() -> bool:
+            live = [node for node in self.nodes.values() if node.up]
+            commits = {node.consensus.commit for node in live}
+            leader = self.leader()
+            return leader is not None and commits == {leader.consensus.log.last_index}
+
+        return self.run(same)
+
+    def check(self) -> None:
+        """Everything that was acknowledged is at every live replica."""
+        if not self.settle():
+            raise Broken("the replicas do not come to agree")
+        self.checker.check_end([node.state for node in self.nodes.values() if node.up])
--- /dev/null
+++ b/tests/system/test_consensus.py
@@ -0,0 +1,454 @@
+"""Agreement: one message at a time is lost, doubled, held back or overtakes; and the checker can fail."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from brambleusher.controlplane.consensus import Consensus, HardState, Outgoing, Role
+from brambleusher.controlplane.membership_changes import next_members
+from brambleusher.wire import consensus_messages as wire
+from brambleusher.wire.errors import InvalidMessage
+from tests.system.cluster import Broken, Cluster, member
+
+MUTATIONS = ("drop", "double", "delay", "first")
+
+
+def change(cluster: Cluster) -> None:
+    """An election and three commands."""
+    for number in range(3):
+        assert cluster.commit(number)
+
+
+def transfer(cluster: Cluster) -> None:
+    """The leader hands over, and commands go on."""
+    change(cluster)
+    first = cluster.leader()
+    assert first is not None
+    first.consensus.transfer()
+    cluster.pump(first)
+    assert cluster.run(lambda: cluster.leader() not in (None, first))
+    assert cluster.commit("after")
+
+
+def crash(cluster: Cluster) -> None:
+    """The leader loses power, another takes over, the first comes back."""
+    change(cluster)
+    first = cluster.leader()
+    assert first is not None
+    cluster.crash(first.name)
+    assert cluster.commit("without")
+    cluster.restart(first.name)
+    assert cluster.commit("with")
+
+
+def rejoin(cluster: Cluster) -> None:
+    """A replica loses its disk and comes back as a new member."""
+    change(cluster)
+    lost = next(node for node in cluster.nodes.values() if not node.consensus.leading)
+    cluster.wipe(lost.name, "again")
+    assert cluster.commit("meanwhile")
+
+    def votes() -> bool:
+        leader = cluster.leader()
+        return leader is not None and any(each.id == "again" for each in leader.consensus.voters)
+
+    assert cluster.run(votes)
+    assert cluster.commit("after")
+
+
+def replace(cluster: Cluster) -> None:
+    """A replica is gone for good, and an empty one at another address takes its vote."""
+    change(cluster)
+    gone = next(node for node in cluster.nodes.values() if not node.consensus.leading)
+    cluster.crash(gone.name)
+    cluster.start("d", None)
+
+    def replaced() -> bool:
+        leader = cluster.leader()
+        return leader is not None and "d" in {each.id for each in leader.consensus.voters}
+
+    assert cluster.run(replaced)
+    assert cluster.commit("after")
+    del cluster.nodes[gone.name]
+
+
+SCENARIOS: list[Callable[[Cluster], None]] = [change, transfer, crash, rejoin, replace]
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda scenario: scenario.__name__)
+def test_one_message_at_a_time(scenario: Callable[[Cluster], None], record_property: Any) -> None:
+    plain = Cluster("abc", seed=5)
+    scenario(plain)
+    plain.check()
+    for at in range(1, plain.sent + 1):
+        for how in MUTATIONS:
+            cluster = Cluster("abc", seed=5)
+            cluster.mutate = lambda number, *_, at=at, how=how: how if number == at else "deliver"
+            scenario(cluster)
+            cluster.check()
+    print(f"{scenario.__name__}: {plain.sent * len(MUTATIONS)} mutations of one message")
+    assert plain.sent > 30
+
+
+def explore(
+    make: type[Consensus], seed: int, names: str = "abc", cluster_type: type[Cluster] = Cluster
+) -> None:
+    """A day of crashes, cuts, slow syncs and lost messages; raises `Broken` where a promise is."""
+    cluster = cluster_type(names, seed)
+    cluster.make = make
+    for name in names:
+        cluster.start(name, [])
+    rng = random.Random(f"faults {seed}")
+    pending: list[tuple[str, int, int, Any]] = []
+    cluster.mutate = lambda *_: rng.choice(("deliver",) * 12 + MUTATIONS)
+    cluster.delay_steps = lambda: rng.randrange(20, 200)
+    for step in range(500):
+        roll = rng.random()
+        down = [node.name for node in cluster.nodes.values() if not node.up]
+        if roll < 0.02:
+            cluster.cut = {frozenset(rng.sample(names, 2)) for _ in range(rng.randrange(3))}
+        elif roll < 0.04 and not down:
+            cluster.crash(rng.choice(names))
+        elif roll < 0.09 and down:
+            cluster.restart(down[0])
+        elif roll < 0.11:
+            node = rng.choice(list(cluster.nodes.values()))
+            node.slow_disk = not node.slow_disk
+        elif roll < 0.13:
+            frozen = cluster.leader() or rng.choice(list(cluster.nodes.values()))
+            frozen.frozen_until = cluster.steps + rng.randrange(20, 120)
+        elif roll < 0.14:
+            for name in names:
+                cluster.crash(name)
+            for name in names:
+                cluster.restart(name)
+        elif roll < 0.3:
+            for node in cluster.nodes.values():
+                if node.up and node.consensus.leading:
+                    place = node.consensus.propose(step)
+                    cluster.pump(node)
+                    if place is not None:
+                        pending.append((node.name, *place, step))
+        cluster.step()
+        for waiting in list(pending):
+            name, index, term, content = waiting
+            applied = cluster.nodes[name].state.get(index)
+            if cluster.nodes[name].up and applied is not None:
+                pending.remove(waiting)
+                if applied == (term, "command", content):
+                    cluster.checker.saw_acknowledged(index, applied)
+    cluster.cut = set()
+    cluster.mutate = lambda *_: "deliver"
+    for node in list(cluster.nodes.values()):
+        node.slow_disk = False
+        node.frozen_until = 0
+        if not node.up:
+            cluster.restart(node.name)
+    cluster.check()
+
+
+@pytest.mark.parametrize("block", range(6))
+def test_days_of_faults(block: int) -> None:
+    for seed in range(block * 25, block * 25 + 25):
+        explore(Consensus, seed)
+
+
+def test_days_of_faults_with_five() -> None:
+    for seed in range(25):
+        explore(Consensus, seed, "abcde")
+
+
+# --- faults put into the program on purpose: each has to be found --------------------------------
+
+
+class VotesTwice(Consensus):
+    def _vote_asked(self, request: wire.VoteRequest) -> None:
+        if not request.pre:
+            self.vote = ""
+        super()._vote_asked(request)
+
+
+class ForgetsVotes(Consensus):
+    def _record(self, record: Any) -> int:
+        if isinstance(record, HardState):
+            return self._recorded
+        return super()._record(record)
+
+
+class AnswersBeforeSync(Consensus):
+    def _send(self, to: wire.Member, message: wire.Message, after: int = 0) -> None:
+        super()._send(to, message, 0)
+
+
+class CountsItselfUnsynced(Consensus):
+    def _append_entry(self, entry: wire.Entry) -> None:
+        super()._append_entry(entry)
+        self._synced_index = self.log.last_index
+
+
+class VotesForTheShorter(Consensus):
+    def _vote_asked(self, request: wire.VoteRequest) -> None:
+        longest = wire.VoteRequest(request.term, request.sender, 10**9, 10**9, request.pre, request.transfer)
+        super()._vote_asked(longest)
+
+
+class KeepsConflicts(Consensus):
+    def _take_entries(self, entries: list[wire.Entry]) -> None:
+        super()._take_entries([entry for entry in entries if self.log.term_at(entry.index) is None])
+
+
+class CommitsAlone(Consensus):
+    def _majority(self, count: int) -> bool:
+        return count >= 1
+
+
+class CommitsOldTerms(Consensus):
+    def _commit_to(self, index: int) -> None:
+        super()._commit_to(self.log.last_index)
+
+
+class FollowsOldLeaders(Consensus):
+    def handle(self, message: wire.Message, now: float) -> None:
+        if isinstance(message, wire.Append) and message.term < self.term:
+            message = wire.Append(
+                self.term,
+                message.sender,
+                message.previous_index,
+                message.previous_term,
+                message.entries,
+                message.commit,
+                message.round,
+            )
+        super().handle(message, now)
+
+
+class AgreesWithAnything(Consensus):
+    def _append(self, message: wire.Append) -> None:
+        known = self.log.term_at(message.previous_index)
+        if known is not None and known != message.previous_term:
+            message = wire.Append(
+                message.term, message.sender, message.previous_index, known, message.entries, message.commit,
+                message.round,
+            )  # fmt: skip
+        super()._append(message)
+
+
+class SkipsTheLastMatch(Consensus):
+    def _advance_commit(self) -> None:
+        if self.leading:
+            matched = max([self._synced_index, *(known.matched for known in self._progress.values())])
+            if matched > self.commit and self.log.term_at(matched) == self.term:
+                self._commit_to(matched)
+
+
+FAULTS = [
+    VotesTwice,
+    ForgetsVotes,
+    AnswersBeforeSync,
+    CountsItselfUnsynced,
+    VotesForTheShorter,
+    KeepsConflicts,
+    CommitsAlone,
+    CommitsOldTerms,
+    AgreesWithAnything,
+    SkipsTheLastMatch,
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_a_fault_put_in_on_purpose_is_found(fault: type[Consensus]) -> None:
+    for seed in range(150):
+        try:
+            explore(fault, seed)
+        except (Broken, AssertionError, KeyError, IndexError):
+            return
+    pytest.fail("no day of faults found it")
+
+
+def old_leader_speaks(make: type[Consensus]) -> bool:
+    """Whether an old leader's late message leaves what a follower synced for its successor as it is."""
+    cluster = Cluster("abc", seed=9)
+    cluster.make = make
+    for name in "abc":
+        cluster.start(name, [])
+    change(cluster)
+    old = cluster.leader()
+    assert old is not None
+    late = wire.Append(
+        old.consensus.term, old.name, old.consensus.log.last_index, old.consensus.log.last_term,
+        [wire.Entry(old.consensus.log.last_index + 1, old.consensus.term, "command", "late")],
+        old.consensus.commit, 1,
+    )  # fmt: skip
+    cluster.crash(old.name)
+    assert cluster.commit("of the successor")
+    follower = next(node for node in cluster.nodes.values() if node.up and not node.consensus.leading)
+    before = list(follower.consensus.log.entries)
+    cluster.deliver(old.name, follower.name, late)
+    return follower.consensus.log.entries == before
+
+
+def test_an_old_leader_changes_nothing() -> None:
+    assert old_leader_speaks(Consensus)
+    assert not old_leader_speaks(FollowsOldLeaders)
+
+
+def test_a_wiped_replica_that_kept_its_identity_would_lose_what_was_acknowledged() -> None:
+    """The reason why a lost disk makes a new member: with the old identity two empty votes make a leader."""
+    cluster = Cluster("abc", seed=3)
+    change(cluster)
+    leader = cluster.leader()
+    assert leader is not None
+    one, two = (name for name in "abc" if name != leader.name)
+    cluster.crash(two)
+    assert cluster.commit("on two of three")
+    for name in (leader.name, one):
+        cluster.crash(name)
+    cluster.start(one, [])  # an empty disk, and the identity of the old one
+    cluster.restart(two)
+    assert cluster.run(lambda: cluster.leader() is not None)
+    with pytest.raises(Broken):
+        cluster.check()
+
+
+def test_a_wiped_replica_does_not_vote_and_nothing_is_lost() -> None:
+    cluster = Cluster("abc", seed=3)
+    change(cluster)
+    leader = cluster.leader()
+    assert leader is not None
+    one, two = (name for name in "abc" if name != leader.name)
+    cluster.crash(two)
+    assert cluster.commit("on two of three")
+    for name in (leader.name, one):
+        cluster.crash(name)
+    cluster.wipe(one, "again")
+    cluster.restart(two)
+    assert not cluster.run(lambda: cluster.leader() is not None, steps=300)
+    cluster.restart(leader.name)
+    assert cluster.commit("after")
+    cluster.check()
+
+
+# --- single rules ---------------------------------------------------------------------------------
+
+
+def test_a_leader_without_a_majority_steps_down_and_answers_no_read() -> None:
+    cluster = Cluster("abc", seed=1)
+    change(cluster)
+    leader = cluster.leader()
+    assert leader is not None
+    answers: list[bool] = []
+    cluster.cut = {frozenset((leader.name, other)) for other in "abc" if other != leader.name}
+    leader.consensus.read(answers.append)
+    cluster.pump(leader)
+    for _ in range(100):
+        cluster.step()
+    assert answers == [False]
+    assert leader.consensus.role is not Role.LEADER
+    assert not leader.consensus.in_contact(cluster.now)
+
+
+def test_a_read_is_answered_once_a_majority_confirmed_the_leader() -> None:
+    cluster = Cluster("abc", seed=1)
+    change(cluster)
+    leader = cluster.leader()
+    assert leader is not None
+    answers: list[bool] = []
+    leader.consensus.read(answers.append)
+    cluster.pump(leader)
+    assert answers == []
+    cluster.step()
+    cluster.step()
+    assert answers == [True]
+
+
+def test_a_member_that_was_cut_off_does_not_unseat_the_leader() -> None:
+    cluster = Cluster("abc", seed=2)
+    change(cluster)
+    leader = cluster.leader()
+    assert leader is not None
+    other = next(name for name in "abc" if name != leader.name)
+    cluster.cut = {frozenset((other, name)) for name in "abc" if name != other}
+    for _ in range(200):
+        cluster.step()
+    term = leader.consensus.term
+    cluster.cut = set()
+    for _ in range(100):
+        cluster.step()
+    assert leader.consensus.leading
+    assert leader.consensus.term == term
+
+
+def test_a_leader_whose_disk_stands_still_goes_on_with_the_others() -> None:
+    cluster = Cluster("abc", seed=4)
+    change(cluster)
+    leader = cluster.leader()
+    assert leader is not None
+    leader.slow_disk = True
+    assert cluster.commit("others have it")
+    assert cluster.leader() is leader
+
+
+def test_a_snapshot_brings_back_a_replica_whose_entries_are_gone() -> None:
+    cluster = Cluster("abc", seed=6)
+    change(cluster)
+    leader = cluster.leader()
+    assert leader is not None
+    late = next(name for name in "abc" if name != leader.name)
+    cluster.crash(late)
+    for number in range(5):
+        assert cluster.commit(f"more {number}")
+    leader.consensus.compacted(leader.consensus.commit)
+    cluster.restart(late)
+    cluster.check()
+    assert cluster.nodes[late].consensus.log.base_index > 0
+
+
+def test_votes_and_members_change_one_at_a_time() -> None:
+    members = (member("a"), member("b"), member("c"))
+    joining = [member("d", voter=False), member("e", voter=False)]
+    first = next_members(members, joining, {}, set(), "a", 5)
+    assert first is not None
+    assert [each.id for each in first] == ["a", "b", "c", "d"]
+    assert not first[-1].voter
+    second = next_members(first, [], {}, {"d"}, "a", 5)
+    assert second is not None
+    assert second[-1].voter
+
+
+def test_a_lost_voter_keeps_its_vote_while_nobody_can_take_it() -> None:
+    members = (member("a"), member("b"), member("c"))
+    assert next_members(members, [], {"c": 9.0}, {"b"}, "a", 3) is None
+
+
+def test_a_lost_voter_makes_room_for_a_learner_that_holds_everything() -> None:
+    members = (member("a"), member("b"), member("c"), member("d", voter=False))
+    changed = next_members(members, [], {"c": 9.0}, {"b", "d"}, "a", 3)
+    assert changed is not None
+    assert {each.id for each in changed if each.voter} == {"a", "b"}
+
+
+def test_messages_survive_the_wire_and_faults_in_them_are_told() -> None:
+    message = wire.Append(3, "a", 1, 1, [wire.Entry(2, 3, "command", {"op": "x"})], 1, 9)
+    data = wire.as_json(message)
+    assert wire.from_json(data) == message
+    for key in list(data):
+        broken = {name: value for name, value in data.items() if name != key}
+        with pytest.raises(InvalidMessage):
+            wire.from_json(broken)
+    for key, value in (("term", "3"), ("entries", 7), ("entries", [[1, 2]]), ("kind", "else")):
+        with pytest.raises(InvalidMessage):
+            wire.from_json({**data, key: value})
+
+
+def test_held_messages_wait_for_their_record() -> None:
+    cluster = Cluster("abc", seed=7)
+    node = cluster.nodes["a"]
+    node.consensus.handle(wire.VoteRequest(5, "b", 9, 9, False, False), 10.0)
+    sent = node.consensus.take_output()
+    replies = [out for out in sent.messages if isinstance(out.message, wire.VoteReply)]
+    assert [type(out) for out in replies] == [Outgoing]
+    assert replies[0].after == len(sent.records) > 0
--- /dev/null
+++ b/tests/system/test_storage.py
@@ -0,0 +1,197 @@
+"""The log on disk: torn ends, holes, full disks and power lost at every change."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from brambleusher.controlplane.consensus import HardState, Record, Restore, Truncate
+from brambleusher.controlplane.storage import CorruptStorage, Storage, inspect
+from brambleusher.wire.consensus_messages import Entry, Member
+from tests.system.memory_disk import MemoryDisk, PowerLost
+
+MEMBERS = tuple(Member(name, f"10.0.0.{at}:1", f"10.0.0.{at}:2", "z", True) for at, name in enumerate("abc"))
+
+
+def entry(index: int, term: int = 1) -> Entry:
+    return Entry(index, term, "command", {"op": "evacuate", "zone": f"z{index}", "evacuated": True})
+
+
+def begun(disk: MemoryDisk) -> Storage:
+    storage = Storage(disk)
+    storage.recover()
+    storage.begin("a", MEMBERS)
+    return storage
+
+
+def test_what_was_written_is_recovered() -> None:
+    disk = MemoryDisk()
+    storage = begun(disk)
+    storage.write([HardState(3, "b"), entry(1), entry(2)])
+    storage.write([Truncate(2), entry(2, term=3), HardState(4, "")])
+    found = Storage(disk).recover()
+    assert (found.identity, found.term, found.vote) == ("a", 4, "")
+    assert [(each.index, each.term) for each in found.log.entries] == [(1, 1), (2, 3)]
+    assert found.log.members == MEMBERS
+
+
+def test_a_restored_snapshot_replaces_what_was_before() -> None:
+    disk = MemoryDisk()
+    storage = begun(disk)
+    storage.write([entry(1), Restore(7, 2, MEMBERS[:2], {"revision": 5}), entry(8, 2)])
+    found = Storage(disk).recover()
+    assert (found.log.base_index, found.log.last_index, found.state) == (7, 8, {"revision": 5})
+    assert found.log.members == MEMBERS[:2]
+
+
+def test_a_torn_end_is_cut_at_every_byte() -> None:
+    disk = MemoryDisk()
+    storage = begun(disk)
+    storage.write([entry(1)])
+    name = disk.names()[-1]
+    whole = len(disk.files[name].data)
+    storage.write([entry(2)])
+    full = bytes(disk.files[name].data)
+    for size in range(whole, len(full)):
+        disk.files[name].data = bytearray(full[:size])
+        found = Storage(disk).recover()
+        assert found.log.last_index == 1
+        assert len(disk.files[name].data) == whole
+
+
+def test_a_changed_byte_ends_the_log_before_it() -> None:
+    disk = MemoryDisk()
+    storage = begun(disk)
+    storage.write([entry(1)])
+    name = disk.names()[-1]
+    before = len(disk.files[name].data)
+    storage.write([entry(2)])
+    for at in range(before, len(disk.files[name].data)):
+        kept = disk.files[name].data[at]
+        disk.files[name].data[at] = kept ^ 1
+        assert Storage(disk).read_only().log.last_index == 1
+        disk.files[name].data[at] = kept
+
+
+def test_a_fault_before_the_last_segment_is_not_repaired_in_silence() -> None:
+    disk = MemoryDisk()
+    storage = begun(disk)
+    storage.write([entry(1), entry(2)])
+    first = disk.names()[-1]
+    old = bytes(disk.files[first].data)
+    storage.write_snapshot(header(1), "a", HardState(1, ""), [entry(2)])
+    disk.append(first, old[:-4])
+    with pytest.raises(CorruptStorage, match=first):
+        Storage(disk).recover()
+
+
+def header(index: int) -> dict[str, object]:
+    return {
+        "index": index,
+        "term": 1,
+        "members": [member.as_json() for member in MEMBERS],
+        "state": {"revision": index},
+    }
+
+
+def test_a_snapshot_leaves_one_segment_and_what_follows_it() -> None:
+    disk = MemoryDisk()
+    storage = begun(disk)
+    storage.write([HardState(2, "c"), entry(1), entry(2), entry(3)])
+    storage.write_snapshot(header(2), "a", HardState(2, "c"), [entry(3)])
+    storage.write([entry(4)])
+    assert len(disk.names()) == 2
+    found = Storage(disk).recover()
+    assert (found.identity, found.term, found.vote, found.state) == ("a", 2, "c", {"revision": 2})
+    assert (found.log.base_index, found.log.last_index) == (2, 4)
+
+
+def test_a_full_disk_loses_nothing_and_goes_on_once_it_has_room() -> None:
+    disk = MemoryDisk()
+    storage = begun(disk)
+    storage.write([entry(1)])
+    disk.full = True
+    for _ in range(3):
+        with pytest.raises(OSError, match="No space"):
+            storage.write([entry(2)])
+    disk.full = False
+    storage.write([entry(2)])
+    assert Storage(disk).recover().log.last_index == 2
+
+
+def play(disk: MemoryDisk, acknowledged: list[int]) -> None:
+    """A life with two snapshots; says what was written and synced."""
+    storage = Storage(disk)
+    found = storage.recover()
+    if not found.identity:
+        storage.begin("a", MEMBERS)
+    index = found.log.last_index
+    for step in range(1, 14):
+        index += 1
+        records: list[Record] = [entry(index)]
+        storage.write(records)
+        acknowledged.append(index)
+        if step % 3 == 0:
+            storage.write_snapshot(header(index - 1), "a", HardState(1, ""), [entry(index)])
+
+
+def test_power_lost_at_every_change_loses_nothing_that_was_synced() -> None:
+    whole = MemoryDisk()
+    play(whole, [])
+    assert whole.changes > 60
+    for at in range(1, whole.changes + 1):
+        for seed in range(12):
+            disk, acknowledged = MemoryDisk(), list[int]()
+
+            def lose(change: int, what: str, at: int = at) -> None:
+                if change == at:
+                    raise PowerLost
+
+            disk.before = lose
+            with pytest.raises(PowerLost):
+                play(disk, acknowledged)
+            disk.before = None
+            disk.lose_power(random.Random(seed), nothing_unsynced=seed == 0)
+            found = Storage(disk).recover()
+            assert found.log.last_index >= (acknowledged or [0])[-1], (at, seed)
+            assert found.identity in ("", "a")
+            assert found.identity or not acknowledged
+            play(disk, [])  # and it goes on
+
+
+def test_a_forgotten_sync_of_the_folder_is_found() -> None:
+    """The check above can fail: without syncs of the folder some loss of power loses a synced entry."""
+    lost = 0
+    whole = MemoryDisk()
+    play(whole, [])
+    for at in range(1, whole.changes + 1):
+        for seed in range(4):
+            disk, acknowledged = MemoryDisk(), list[int]()
+            disk.folder_syncs = False
+
+            def lose(change: int, what: str, at: int = at) -> None:
+                if change == at:
+                    raise PowerLost
+
+            disk.before = lose
+            with pytest.raises(PowerLost):
+                play(disk, acknowledged)
+            disk.before = None
+            disk.lose_power(random.Random(seed))
+            try:
+                lost += Storage(disk).recover().log.last_index < (acknowledged or [0])[-1]
+            except CorruptStorage:
+                lost += 1
+    assert lost
+
+
+def test_a_folder_is_shown_without_being_changed() -> None:
+    disk = MemoryDisk()
+    storage = begun(disk)
+    storage.write([entry(1)])
+    disk.append(disk.names()[-1], b"torn")
+    before = {name: disk.read(name) for name in disk.names()}
+    shown = inspect(disk)
+    assert (shown["identity"], shown["last_index"]) == ("a", 1)
+    assert {name: disk.read(name) for name in disk.names()} == before
