--- a/brambleusher/dataplane/placement.py
+++ b/brambleusher/dataplane/placement.py
@@ -33,14 +33,22 @@
             for instance in self._instances.usable(wanted.route, wanted.service, now)
             if instance.id not in tried
         ]
-        near = [instance for instance in usable if instance.region == self._region]
-        far = [instance for instance in usable if instance.region != self._region]
-        for group in (near, far):
+        for group in self._groups(wanted, usable):
             chosen = self._among(wanted, group, now, only_well=True)
             if chosen is not None:
                 return chosen
         return self._among(wanted, usable, now, only_well=False)
 
+    def _groups(self, wanted: Wanted, usable: list[Instance]) -> list[list[Instance]]:
+        """Nearer instances first; for a large prefix all together, so that it has one keeper everywhere.
+
+        A prompt on its way to another region is far less than its shared part read once more there.
+        """
+        if wanted.prefix_tokens >= LARGE_PREFIX_TOKENS:
+            return [usable]
+        near = [instance for instance in usable if instance.region == self._region]
+        return [near, [instance for instance in usable if instance.region != self._region]]
+
     def _among(self, wanted: Wanted, group: list[Instance], now: float, only_well: bool) -> Instance | None:
         weights = self._instances.weights.get(wanted.service)
         if weights is None:
