Weights by the service's throughput and own attempts out; whole-system tests in virtual time

Cause: an instance's own throughput told which kinds of requests it had got, so the one with few long prompts drew 60 in 100 of a burst and its connections ran out. Spare capacity now takes the service's throughput; an instance that holds more attempts than its weight explains is passed over; one that answered nothing since an attempt was sent is judged by its age. The first election after a start is quick. Gateways know their rank, so the users of a cold instance are exact. Found by the new tests and mended: a gateway that had got SIGTERM closed new connections unread; a head over the limit was served when it came in one piece; the first retries of a service were fewer than its part.

--- a/brambleusher/controlplane/announcer.py
+++ b/brambleusher/controlplane/announcer.py
@@ -7,7 +7,7 @@
 
 from brambleusher.controlplane.platform_list import PlatformList
 from brambleusher.controlplane.replica import Replica
-from brambleusher.membership.views import PartialView, peer_of
+from brambleusher.membership.views import PartialView, Peer, peer_of
 from brambleusher.runtime.scheduler import Bell, Scheduler, Timeout
 from brambleusher.wire.errors import InvalidMessage
 
@@ -54,20 +54,22 @@
             pass
         finally:
             self._waiting.discard(bell)
-        return self._answer(held, source, version)
+        return self._answer(peer, held, source, version)
 
     def _news(self, held: int, source: object, version: int) -> bool:
         listed = self._instances.read_at is not None
         other = source != self._name or version != self._instances.version
         return self._replica.state.index > held or (listed and other)
 
-    def _answer(self, held: int, source: object, version: int) -> dict[str, Any]:
+    def _answer(self, peer: Peer, held: int, source: object, version: int) -> dict[str, Any]:
         now = self._scheduler.now()
+        gateways = [each.name for each in self._view.alive("gateway", now, COUNTED_S)]
         state, listed = self._replica.state, self._instances
         answer: dict[str, Any] = {
             "index": state.index,
             "contact": self._replica.consensus.in_contact(now),
-            "gateways": len(self._view.alive("gateway", now, COUNTED_S)),
+            "gateways": len(gateways),
+            "rank": gateways.index(peer.name) if peer.name in gateways else 0,
             "controllers": self._controllers(),
             "source": self._name,
             "version": listed.version,
--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -20,6 +20,9 @@
 
 HEARTBEAT_S = 0.12  # three of them fit into the shortest election timeout, with a round trip between regions
 ELECTION_MIN_S, ELECTION_MAX_S = 0.7, 1.2
+FIRST_ELECTION_S = (
+    0.35  # at most, after a start: a leader that is there shows itself sooner, or votes are denied
+)
 ENTRIES_A_MESSAGE = 64
 SNAPSHOT_EVERY_S = 1.0  # to one replica: a snapshot on a slow link takes a while
 TRANSFER_S = 1.0  # for a planned successor to show up, then proposals are taken again
@@ -129,7 +132,7 @@
         self._successor = ""
         self._reads: list[tuple[int, int, Callable[[bool], None]]] = []
         self._heartbeat_at = now
-        self._election_at = now + self._timeout()
+        self._election_at = now + rng.uniform(0.05, FIRST_ELECTION_S)
 
     # --- what callers ask ------------------------------------------------------------------------
 
--- a/brambleusher/dataplane/budgets.py
+++ b/brambleusher/dataplane/budgets.py
@@ -6,7 +6,7 @@
 
 RETRY_PART = 0.4  # of the common slack that is shared out: gateways may be miscounted
 RETRY_RATIO_PART = 0.5
-COLD_PART = 0.8
+COLD_PART = 0.7
 COLD_GATEWAYS_PART = (
     1 / 3
 )  # of the rate of a cold instance: so many gateways use it, each with a burst of one
@@ -43,17 +43,19 @@
 class RetryBudget:
     """Arrivals past the first of each request at one service, of this gateway."""
 
-    def __init__(self, ratio: float, slack: float, window_s: float, now: float) -> None:
+    def __init__(self, ratio: float, slack: float, window_s: float, gateways: float, now: float) -> None:
         self._ratio, self._slack, self._window = ratio, slack, window_s
-        self._burst = 1.0
+        self._burst = self._part_of(gateways)
         self._bucket = TokenBucket(self._burst, now)
-        self.share_among(8)
 
     def share_among(self, gateways: float) -> None:
         """So many gateways share the slack."""
-        self._burst = max(1.0, self._slack * RETRY_PART / max(gateways, 1.0))
+        self._burst = self._part_of(gateways)
         self._bucket.resize(self._burst)
 
+    def _part_of(self, gateways: float) -> float:
+        return max(1.0, self._slack * RETRY_PART / max(gateways, 1.0))
+
     def request(self) -> None:
         """A request of a client: it earns a part of a retry."""
         self._bucket.earn(self._ratio * RETRY_RATIO_PART)
@@ -66,19 +68,19 @@
 class ColdBudget:
     """Sends to one cold instance, of this gateway."""
 
-    def __init__(self, gateway: str, instance: str, now: float) -> None:
-        digest = hashlib.blake2b(f"{gateway} {instance}".encode(), digest_size=8).digest()
-        self._lot = int.from_bytes(digest, "big") / 2**64
+    def __init__(self, instance: str, now: float) -> None:
+        digest = hashlib.blake2b(instance.encode(), digest_size=8).digest()
+        self._lot = int.from_bytes(digest, "big")
         self._bucket = TokenBucket(1.0, now)
 
-    def take(self, rate_per_s: float, gateways: float, now: float) -> bool:
-        """Whether one more send keeps within this gateway's part.
+    def take(self, rate_per_s: float, rank: int, gateways: int, now: float) -> bool:
+        """Whether one more send keeps within this gateway's part; `rank` is its place among all gateways.
 
         Each gateway may send one at once; were there as many gateways as the rate allows sends, that
-        alone would break the bound.  So only some gateways, drawn by lot, use a cold instance.
+        alone would break the bound.  So only some gateways use a cold instance, others for each.
         """
-        users = min(gateways, max(1.0, rate_per_s * COLD_GATEWAYS_PART))
-        if self._lot >= users / max(gateways, 1.0):
+        users = min(gateways, max(1, int(rate_per_s * COLD_GATEWAYS_PART)))
+        if (rank + self._lot) % max(gateways, 1) >= users:
             return False
         return self._bucket.take(rate_per_s * COLD_PART / users, now)
 
--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -13,6 +13,7 @@
 
 SEND_S = 10.0  # for a client to take what is sent to it
 BODY_S = 10.0
+BODY_TOO_LARGE, HEAD_TOO_LARGE = 413, 431
 CONNECTION_HEADERS = frozenset(
     {
         b"connection",
@@ -63,7 +64,11 @@
 
 
 class RequestTooLarge(Exception):
-    """A request is over the limits."""
+    """A request is over the limits; `status` says which."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
 
 
 class ClientConnection:
@@ -74,7 +79,8 @@
         self.limits = limits
         self.wake = Bell()  # rung to end a connection that rests
         self.idle = True
-        self.ending = False
+        self.ending = False  # each answer is the connection's last
+        self.closing = False  # it ends where it rests
         self._begun = False  # the head of an answer was sent
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
 
@@ -101,11 +107,13 @@
             elif isinstance(event, h11.Request):
                 self.idle = False
                 head, deadline = event, self._scheduler.now() + BODY_S
+                if sum(len(name) + len(value) + 4 for name, value in head.headers) > self.limits.header_bytes:
+                    raise RequestTooLarge(HEAD_TOO_LARGE)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 held += len(event.data)
                 if held > self.limits.body_bytes:
-                    raise RequestTooLarge
+                    raise RequestTooLarge(BODY_TOO_LARGE)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 headers = list(head.headers)
                 return Request(head.method, head.target, headers, b"".join(parts), self._scheduler.now())
@@ -117,7 +125,7 @@
             informational = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._h11.send(informational) or b"")
         while True:
-            if self.idle and self.ending:
+            if self.idle and self.closing and self.stream.quiet():
                 return None
             try:
                 data = self.stream.receive(deadline, self.wake if self.idle else None, RECEIVE)
--- a/brambleusher/dataplane/instances.py
+++ b/brambleusher/dataplane/instances.py
@@ -67,14 +67,15 @@
 class Instances:
     """All instances, and the weights of each service."""
 
-    def __init__(self, gateway: str, zones: Mapping[str, str], rng: random.Random) -> None:
-        self._gateway, self._zones, self._rng = gateway, zones, rng
+    def __init__(self, zones: Mapping[str, str], rng: random.Random) -> None:
+        self._zones, self._rng = zones, rng
         self._known: dict[str, Instance] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self.weights: dict[str, InstanceWeights] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.services: Mapping[str, Service] = {}
         self.gateways = DEFAULT_GATEWAYS
+        self.rank = 0  # of this gateway among them, in the order of their names
         self.read_at = -1.0  # when the platform gave the list that is held, on the local clock
 
     @property
@@ -177,8 +178,8 @@
         if instance.cold_until <= now or service is None or service.cold_per_s <= 0:
             return True
         if instance.cold_budget is None:
-            instance.cold_budget = ColdBudget(self._gateway, instance.id, now)
-        return instance.cold_budget.take(service.cold_per_s, self.gateways, now)
+            instance.cold_budget = ColdBudget(instance.id, now)
+        return instance.cold_budget.take(service.cold_per_s, self.rank, int(self.gateways), now)
 
     def is_cold(self, instance: Instance, now: float) -> bool:
         """Whether an instance is warming up."""
--- a/brambleusher/dataplane/serving.py
+++ b/brambleusher/dataplane/serving.py
@@ -44,6 +44,7 @@
     sends: int = 0  # arrivals at instances
     runs: int = 0  # instances that may have run it
     ran: bool = False
+    refusal: str = ""  # why no further attempt was made
 
 
 class Serving:
@@ -100,7 +101,11 @@
         if budget is None:
             bounds = self._bounds
             budget = self._budgets[service] = RetryBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, self._scheduler.now()
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_s,
+                self._instances.gateways,
+                self._scheduler.now(),
             )
         budget.share_among(self._instances.gateways)
         return budget
@@ -113,15 +118,18 @@
         while reached < SENDS_MAX:
             now = self._scheduler.now()
             if work.deadline - now < LEAST_SEND_S or (work.ran and not self._may_run_again(work)):
+                work.refusal = "time" if work.deadline - now < LEAST_SEND_S else "ran"
                 return None
             instance = self._placement.choose(work.wanted, work.tried, now)
             if instance is None:
+                work.refusal = work.refusal or "no_instance"
                 return None
             work.tried.add(instance.id)
             if not self._upstream.has_room(instance):
+                work.refusal = "connections"
                 continue
             if work.sends and not budget.take(now):
-                self._counters.add("retry_budget_spent")
+                work.refusal = "retry_budget"
                 return None
             result = self._attempt(work, instance)
             if isinstance(result, Ok):
@@ -129,6 +137,7 @@
                 return result.ok_value
             failure = result.err_value
             reached += 1
+            work.refusal = type(failure).__name__.lower()
             self._note(work, instance, failure)
         return None
 
@@ -199,7 +208,7 @@
             status = 504 if left < LEAST_SEND_S else 502
             client.error(status, "no whole answer came", work.attempt_id)
             return
-        self._counters.add("refused")
+        self._counters.add(f"refused_{work.refusal}")
         wait = max(0.0, min(RETRY_AFTER_S, left * RETRY_AFTER_PART))
         client.error(503, "no instance can take it now", work.attempt_id, wait)
 
--- a/brambleusher/dataplane/watcher.py
+++ b/brambleusher/dataplane/watcher.py
@@ -89,6 +89,7 @@
             self._take_state(answer, now)
             self._take_instances(answer, now)
             self._take_count(int(answer["gateways"]), now)
+            self._instances.rank = int(answer["rank"])
             known = answer.get("controllers")
             if isinstance(known, list) and known and answer.get("contact"):
                 self._controllers.learn([str(address) for address in known])
--- a/brambleusher/gateway.py
+++ b/brambleusher/gateway.py
@@ -51,7 +51,7 @@
         self._active = 0
         self._clients: set[ClientConnection] = set()
         self.counters = Counters()
-        self.instances = Instances(settings.node_name, settings.zones, rng)
+        self.instances = Instances(settings.zones, rng)
         self._upstream = Upstream(self.scheduler, self.instances)
         self._controllers = Controllers(settings.seed_peers(), rng)
         self._watcher = Watcher(
@@ -121,9 +121,9 @@
             client.error(error.error_status_hint, str(error))
             client.stream.finish()
             return False
-        except RequestTooLarge:
+        except RequestTooLarge as error:
             self.counters.add("too_large")
-            client.error(413, "the body is too large")
+            client.error(error.status, "the request is over the limits")
             client.stream.finish()
             return False
         if request is None:
@@ -164,6 +164,7 @@
             self.scheduler.sleep(0.05)
         self._front.close()
         for client in list(self._clients):
+            client.closing = True
             if client.idle:
                 client.wake.ring()
         while self._active and self.scheduler.now() < last:
--- a/quillpass/instance_weights.py
+++ b/quillpass/instance_weights.py
@@ -23,6 +23,7 @@
 PRIOR = 1.0  # successes that an instance without a history is credited with
 AGE_CAP = 4.0  # the most that one unanswered attempt says, in aims
 PRIORITIES = 10
+ROOM_ABOVE_SHARE = 1.25  # times its share of the attempts out that an instance may hold
 
 
 @dataclass(slots=True)
@@ -40,6 +41,7 @@
     late_sum: list[float] = field(default_factory=lambda: [0.0] * PRIORITIES)
     served: float = PRIOR
     failed: float = 0.0
+    answered_at: float = -math.inf  # when an answer began last
     quiet_index: float = 0.0  # of the last quiet spell, which counts where nothing is recent
     weight: float = 0.0
     tokens: int = 0
@@ -50,25 +52,31 @@
         return self.served / (self.served + self.failed)
 
     def index(self, now: float) -> float:
-        """Latency over aim, with the age of attempts that are out: a hung instance sends no answers."""
+        """Latency over aim, with the age of attempts that are out: a hung instance sends no answers.
+
+        Open case of the design: a hung instance with figures that are old and good.  Where nothing at all was
+        answered since an attempt was sent, its age over the aim is the index, whatever the mean says.
+        """
         means = [total / n if n > 0.01 else 0.0 for total, n in zip(self.late_sum, self.late_n, strict=True)]
         index, count = aggregate_pi(means, self.late_n, list(range(PRIORITIES)))
         if count <= 0.01:
             index, count = self.quiet_index, 1.0
-        total, seen = index * count, count
+        total, seen, silent = index * count, count, 0.0
         for _, sent, aim in self.out.values():
             age = min((now - sent) / aim, AGE_CAP)
+            if sent > self.answered_at:
+                silent = max(silent, age)
             if age > max(index, PI_GOAL):
                 total, seen = total + age, seen + 1
-        return total / seen
+        return max(total / seen, silent)
 
-    def spare(self, gateways: float) -> float | None:
-        """Requests a second that could be taken beside what is; None without figures."""
-        if self.seen < TICK_S or self.rate <= 0 or self.used <= 0:
-            return None
-        utilisation = min(1.0, self.used * gateways / self.capacity)
-        spare = self.rate / utilisation * (1.0 - utilisation)
-        return 0.0 if 1.0 - utilisation < MIN_SPARE_SHARE else spare
+    def has_room(self, out: int, weights: float) -> bool:
+        """Whether its part of `out` attempts is within its weight, out of the candidates' `weights`."""
+        return weights <= 0 or len(self.out) < ROOM_ABOVE_SHARE * out * self.weight / weights + 1
+
+    def utilisation(self, gateways: float) -> float | None:
+        """The part of its capacity in use, were all gateways like this one; None without figures."""
+        return min(1.0, self.used * gateways / self.capacity) if self.seen >= TICK_S else None
 
 
 class InstanceWeights:
@@ -116,6 +124,7 @@
         figures = self._known.get(name)
         if figures is None or attempt not in figures.out:
             return
+        figures.answered_at = now
         priority, sent, aim = figures.out[attempt]
         figures.late_n[priority] += 1
         figures.late_sum[priority] += (now - sent) / aim
@@ -167,7 +176,8 @@
         figures.failed *= health
 
     def _weigh(self, now: float, gateways: float) -> None:
-        spares = [figures.spare(gateways) for figures in self._ring]
+        throughput = self._throughput(gateways)
+        spares = [self._spare(figures, throughput, gateways) for figures in self._ring]
         known = [spare for spare in spares if spare is not None]
         middle = median(known) if known else 1.0
         base = [middle if spare is None else spare for spare in spares]
@@ -181,6 +191,25 @@
             figures.weight = weight
             figures.tokens = min(figures.tokens, math.ceil(weight * scale))
 
+    def _throughput(self, gateways: float) -> float:
+        """Requests a second that one slot serves, over all instances.
+
+        An instance's own figure would tell what kinds of requests it has got, rather than what it can do:
+        one that keeps long prompts looks ten times as slow as its neighbours.
+        """
+        used = sum(figures.used for figures in self._ring)
+        rate = sum(figures.rate for figures in self._ring)
+        return rate / used if used > 0 and rate > 0 else 1.0
+
+    @staticmethod
+    def _spare(figures: Figures, throughput: float, gateways: float) -> float | None:
+        """Requests a second that an instance could take beside what it does; None without figures."""
+        utilisation = figures.utilisation(gateways)
+        if utilisation is None:
+            return None
+        spare = throughput * figures.capacity * (1.0 - utilisation)
+        return 0.0 if 1.0 - utilisation < MIN_SPARE_SHARE else spare
+
     def well(self, name: str) -> bool:
         """Whether an instance has a fair part of the weight: a prompt kept there is worth going for."""
         figures = self._known.get(name)
@@ -202,14 +231,20 @@
 
         Open case of the design: the candidates have no tokens while others have some.  Then the one that is
         least occupied for its weight is borrowed from, and no token is reloaded: others keep their turn.
+
+        An instance that holds more of the attempts out than its weight explains is passed over and keeps its
+        token: own attempts out show at once what figures show late, that it has slowed down or hangs.
         """
         wanted = set(candidates)
+        out = sum(len(figures.out) for figures in self._ring if figures.name in wanted) + 1
+        share = sum(figures.weight for figures in self._ring if figures.name in wanted)
         if not any(figures.tokens > 0 for figures in self._ring):
             self._load()
         for step in range(len(self._ring)):
             place = (self._at + step) % len(self._ring)
             figures = self._ring[place]
-            if figures.tokens > 0 and figures.name in wanted:
+            fits = figures.name in wanted and figures.has_room(out, share)
+            if figures.tokens > 0 and fits:
                 figures.tokens -= 1
                 self._at = place + 1
                 return figures.name
--- /dev/null
+++ b/tests/system/test_control_plane.py
@@ -0,0 +1,324 @@
+"""The control plane as a whole, in virtual time: orders, leaders, losses, long polls, the registry."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from tests.system.whole import DIRECTORY, Whole, configuration, route
+
+
+@pytest.fixture
+def whole() -> Iterator[Whole]:
+    made = Whole()
+    yield made
+    made.close()
+
+
+def others(whole: Whole) -> list[str]:
+    return [name for name in whole.controllers if name != whole.leader()]
+
+
+def in_force(whole: Whole, revision: int) -> bool:
+    tables = [gateway._watcher.routes for gateway in whole.gateways.values()]
+    return all(table is not None and table.revision == revision for table in tables)
+
+
+def test_a_configuration_is_acknowledged_and_brought_to_all(whole: Whole) -> None:
+    whole.add_server("a")
+    body = configuration(3)
+    reply = whole.put("c2", 0, body)
+    assert (reply.status, reply.json()) == (200, {"revision": 3})
+    acknowledged = whole.now
+    whole.wait(lambda: in_force(whole, 3))
+    assert whole.now - acknowledged < 1.0
+    for core in ("c1", "c2", "c3"):
+        read = whole.control(core, "GET", "/api/config")
+        assert (read.status, read.body) == (200, body)
+
+
+def test_the_same_order_sent_again_is_acknowledged_by_anyone_even_after_others(whole: Whole) -> None:
+    first, second = configuration(3), configuration(7, route("/t/"))
+    assert whole.put("c1", 0, first).status == 200
+    for core in ("c1", "c2", "c3"):
+        assert whole.put(core, 0, first).status == 200
+    assert whole.put("c1", 3, second).status == 200
+    assert whole.put("c2", 0, first).status == 200
+    assert whole.control("c3", "GET", "/api/config").body == second
+
+
+def test_two_changes_on_one_version_have_one_winner(whole: Whole) -> None:
+    whole.served()
+    bodies = [configuration(5, route("/x/")), configuration(5, route("/y/"))]
+    replies = [
+        whole.start_call(
+            (whole.world.machines[core].ip, 8166),
+            "PUT",
+            "/api/config",
+            headers={"If-Match": "1"},
+            body=body,
+        )
+        for core, body in zip(("c2", "c3"), bodies, strict=True)
+    ]
+    whole.wait(lambda: all(reply.error for reply in replies))
+    assert sorted(reply.status for reply in replies) == [200, 412]
+    winner = bodies[[reply.status for reply in replies].index(200)]
+    assert whole.control("c1", "GET", "/api/config").body == winner
+
+
+INVALID = [
+    (b"{", "body"),
+    (b'{"revision": 9', "body"),
+    (configuration(9, route(service="unknown")), "routes.0"),
+    (configuration(9, route(), route()), "routes.1"),
+    (configuration(9, route(service=None, split=[{"service": "llm", "gain": 0}])), "routes.0"),
+    (configuration(9, route(deadline_ms=0)), "routes.0.deadline_ms"),
+    (configuration(9, route(service=None)), "routes.0"),
+    (configuration(1, route("/other/")), "revision"),
+    (b'{"revision":9,"revision":10,"routes":[],"services":[]}', "body"),
+    (b"[]", "body"),
+    (b"\xff\xfe", "body"),
+]
+
+
+@pytest.mark.parametrize(("body", "key"), INVALID, ids=[str(at) for at in range(len(INVALID))])
+def test_an_invalid_configuration_says_why_and_leaves_no_trace(whole: Whole, body: bytes, key: str) -> None:
+    whole.served()
+    reply = whole.put("c2", 1, body)
+    assert reply.status == 400
+    assert key in reply.json()["error"]
+    assert whole.control("c1", "GET", "/api/config").body == configuration(1)
+
+
+def test_a_change_on_an_old_version_is_refused(whole: Whole) -> None:
+    whole.served()
+    assert whole.put("c1", 0, configuration(4, route("/n/"))).status == 412
+    assert whole.put("c1", 3, configuration(4, route("/n/"))).status == 412
+
+
+def test_calls_that_are_none_are_told_so(whole: Whole) -> None:
+    whole.served()
+    assert whole.control("c1", "GET", "/else").status == 404
+    assert whole.control("c1", "POST", "/api/evacuations/nowhere").status == 404
+    reply = whole.control("c1", "PUT", "/api/config", headers={"If-Match": "x"}, body=configuration(2))
+    assert reply.status == 400
+    assert "If-Match" in reply.json()["error"]
+
+
+def test_an_evacuation_reaches_all_gateways_and_is_taken_back(whole: Whole) -> None:
+    whole.add_server("a", zone="n1")
+    whole.add_server("b", zone="n2")
+    whole.served()
+    whole.sleep(6)
+    assert whole.control("c3", "POST", "/api/evacuations/n1").status == 200
+    whole.sleep(1.0)
+    for number in range(6):
+        assert whole.request("g1", attempt=f"e{number}").status == 200
+    assert {whole.arrivals(f"e{number}")[0].instance for number in range(6)} == {"b"}
+    assert whole.control("c1", "POST", "/api/evacuations/n1").status == 200
+    assert whole.control("c1", "DELETE", "/api/evacuations/n1").status == 200
+    whole.sleep(6.0)
+    for number in range(6):
+        assert whole.request("g1", attempt=f"f{number}").status == 200
+    assert {whole.arrivals(f"f{number}")[0].instance for number in range(6)} == {"a", "b"}
+
+
+def test_the_leader_loses_power_right_after_it_acknowledged(whole: Whole) -> None:
+    whole.served()
+    leader = whole.leader()
+    assert leader is not None
+    assert whole.put(leader, 1, configuration(2, route("/n/"))).status == 200
+    whole.power_off(leader, nothing_unsynced=True)
+    whole.wait(lambda: in_force(whole, 2), 6.0)
+    core = others(whole)[0] if others(whole)[0] != leader else others(whole)[1]
+    whole.wait(lambda: whole.control(core, "GET", "/api/config").status == 200)
+    assert whole.put(core, 2, configuration(3)).status == 200
+    whole.power_on(leader)
+    whole.sleep(3)
+    assert whole.control(leader, "GET", "/api/config").body == configuration(3)
+
+
+@pytest.mark.parametrize("unsynced", [True, False])
+def test_all_lose_power_and_nothing_acknowledged_is_lost(whole: Whole, unsynced: bool) -> None:
+    whole.served()
+    assert whole.control("c1", "POST", "/api/evacuations/n2").status == 200
+    assert whole.put("c2", 1, configuration(2, route("/n/"))).status == 200
+    for name in ("c1", "c2", "c3", "g1", "g2"):
+        whole.power_off(name, nothing_unsynced=unsynced)
+    whole.sleep(1.0)
+    for name in ("c1", "c2", "c3", "g1", "g2"):
+        whole.power_on(name)
+    back = whole.now
+    whole.wait(lambda: whole.leader() is not None and in_force(whole, 2))
+    assert whole.now - back < 2.0
+    assert whole.control("c3", "GET", "/api/config").body == configuration(2, route("/n/"))
+    assert all(gateway.instances.evacuated == {"n2"} for gateway in whole.gateways.values())
+
+
+@pytest.mark.parametrize("lost", ["c1", "c2", "c3"])
+def test_one_loses_its_disk_while_the_others_lose_power(whole: Whole, lost: str) -> None:
+    whole.served()
+    assert whole.put("c2", 1, configuration(2, route("/n/"))).status == 200
+    for name in ("c1", "c2", "c3"):
+        whole.power_off(name, nothing_unsynced=True)
+    whole.disks[lost].__init__()  # type: ignore[misc]
+    whole.sleep(0.5)
+    for name in ("c1", "c2", "c3"):
+        whole.power_on(name)
+    whole.wait(lambda: whole.control("c1", "GET", "/api/config").status == 200)
+    assert whole.control("c1", "GET", "/api/config").body == configuration(2, route("/n/"))
+
+    def again_a_voter() -> bool:
+        leader = whole.leader()
+        if leader is None:
+            return False
+        voters = whole.controllers[leader].replica.consensus.voters
+        own = whole.controllers[lost].replica.identity.id
+        return own in {member.id for member in voters}
+
+    whole.wait(again_a_voter, 4.0)
+    rest = next(name for name in ("c1", "c2", "c3") if name != lost)
+    whole.power_off(rest)
+    whole.wait(lambda: whole.put(lost, 2, configuration(3)).status == 200)
+
+
+def test_a_machine_gone_for_good_is_replaced_at_another_address(whole: Whole) -> None:
+    whole.served()
+    gone = others(whole)[0]
+    whole.power_off(gone)
+    whole.add_core("c4", "10.1.0.4")
+
+    def replaced() -> bool:
+        leader = whole.leader()
+        if leader is None:
+            return False
+        return "10.1.0.4:7720" in {
+            each.address for each in whole.controllers[leader].replica.consensus.voters
+        }
+
+    whole.wait(replaced)
+    second = next(name for name in ("c1", "c2", "c3") if name not in (gone, whole.leader()))
+    whole.power_off(second)
+    whole.wait(lambda: whole.put("c4", 1, configuration(2)).status == 200)
+
+
+def test_sigterm_hands_the_lead_over_at_once(whole: Whole) -> None:
+    whole.served()
+    leader = whole.leader()
+    assert leader is not None
+    whole.process(leader).signal(15)
+    begun = whole.now
+    whole.wait(lambda: whole.leader() not in (None, leader))
+    assert whole.now - begun < 0.3
+    whole.wait(lambda: whole.process(leader).dead)
+    assert whole.process(leader).ended == 0
+
+
+def test_a_leader_that_is_cut_off_acknowledges_nothing(whole: Whole) -> None:
+    whole.served()
+    leader = whole.leader()
+    assert leader is not None
+    for name in others(whole):
+        whole.world.network.cut(leader, name)
+    reply = whole.put(leader, 1, configuration(2))
+    assert reply.status == 503
+    assert reply.seconds < 1.0
+    assert whole.control(leader, "GET", "/api/config").status == 503
+    rest = next(name for name in ("c1", "c2", "c3") if name != leader)
+    whole.wait(lambda: whole.put(rest, 1, configuration(3, route("/n/"))).status == 200)
+    whole.wait(lambda: in_force(whole, 3), 4.0)
+
+
+def test_a_full_disk_of_one_holds_nothing_up(whole: Whole) -> None:
+    whole.served()
+    leader = whole.leader()
+    assert leader is not None
+    whole.disks[leader].full = True
+    assert whole.put(leader, 1, configuration(2)).status == 200
+    whole.disks[leader].full = False
+    whole.sleep(1)
+    for name in ("c1", "c2", "c3"):
+        whole.power_off(name, nothing_unsynced=True)
+    for name in ("c1", "c2", "c3"):
+        whole.power_on(name)
+    whole.wait(lambda: whole.control("c1", "GET", "/api/config").status == 200)
+    assert whole.control("c1", "GET", "/api/config").body == configuration(2)
+
+
+def test_the_registry_names_ready_gateways_near_ones_first() -> None:
+    whole = Whole(gateways=6)
+    whole.add_server("a")
+    ask = ((whole.world.machines["c2"].ip, DIRECTORY), "GET", "/api/resolution?name=h&region=south&zone=s1")
+    assert whole.call(*ask).status == 503
+    whole.served()
+    whole.sleep(3)
+    reply = whole.call(*ask)
+    assert sorted(reply.json()["addresses"]) == ["10.2.0.3:8161", "10.2.0.6:8161"]
+    whole.process("g3").signal(15)
+    whole.sleep(1.0)
+    addresses = whole.call(*ask).json()["addresses"]
+    assert "10.2.0.3:8161" not in addresses
+    assert "10.2.0.6:8161" in addresses
+    whole.power_off("g6")
+    whole.sleep(4.0)
+    assert set(whole.call(*ask).json()["addresses"]) == {f"10.2.0.{at}:8161" for at in (1, 2, 4, 5)}
+    whole.close()
+
+
+def test_a_gateway_leaves_a_controller_that_freezes(whole: Whole) -> None:
+    whole.served()
+    whole.process("c1").stall(8 * 10**9)
+    whole.wait(lambda: whole.put("c2", 1, configuration(2, route("/n/"))).status == 200)
+    acknowledged = whole.now
+    whole.wait(lambda: in_force(whole, 2))
+    assert whole.now - acknowledged < 2.0
+
+
+def test_no_version_goes_back(whole: Whole) -> None:
+    whole.served()
+    seen: dict[str, int] = dict.fromkeys(whole.gateways, 0)
+    revision = 1
+    for turn in range(6):
+        leader = whole.leader()
+        if leader is not None:
+            whole.process(leader).stall(2 * 10**9) if turn % 2 else whole.process(leader).signal(9)
+        for _ in range(60):
+            whole.sleep(0.1)
+            for name, gateway in whole.gateways.items():
+                table = gateway._watcher.routes
+                assert table is not None
+                assert table.revision >= seen[name]
+                seen[name] = table.revision
+        for name in ("c1", "c2", "c3"):
+            if whole.process(name).dead:
+                whole.start_core(name)
+        core = f"c{turn % 3 + 1}"
+        whole.sleep(1.5)
+        if whole.put(core, revision, configuration(revision + 1)).status == 200:
+            revision += 1
+    assert revision > 3
+
+
+def test_a_broken_message_is_dropped_and_the_replica_goes_on(whole: Whole) -> None:
+    whole.served()
+    for junk in (b"{}\n", b"nonsense\n", b'{"kind":"append","from":"x"}\n', b'{"kind":"watch"}\n', b"[1]\n"):
+        reply = whole.call(("10.1.0.1", 7720), "POST", "/x", body=junk)
+        assert not reply.whole
+    assert whole.put("c1", 1, configuration(2)).status == 200
+
+
+def test_the_platform_is_called_about_once_a_second_by_each_controller(whole: Whole) -> None:
+    whole.served()
+    before = whole.platform_calls
+    whole.sleep(10)
+    assert 30 <= whole.platform_calls - before <= 60
+
+
+def test_a_list_that_can_not_be_read_changes_nothing(whole: Whole) -> None:
+    whole.add_server("a")
+    whole.served()
+    whole.sleep(2)
+    whole.platform_down = True
+    whole.sleep(5)
+    assert whole.request("g1").status == 200
--- /dev/null
+++ b/tests/system/test_instance_weights.py
@@ -0,0 +1,146 @@
+"""The design's path at a gateway: weights, tokens, and the open cases."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from quillpass.instance_weights import TICK_S, InstanceWeights
+
+AIM_S = 0.5
+
+
+def weights_of(*names: str, capacity: float = 64.0) -> InstanceWeights:
+    weights = InstanceWeights(random.Random(1))
+    weights.follow(dict.fromkeys(names, capacity))
+    weights.tick(0.0, 1.0)
+    return weights
+
+
+def send(weights: InstanceWeights, name: str, now: float, latency: float = 0.05, well: bool = True) -> None:
+    attempt = weights.started(name, 0, AIM_S, now)
+    if well:
+        weights.answered(name, attempt, now + latency)
+    weights.ended(name, attempt, well)
+
+
+def ticks(weights: InstanceWeights, begin: float, count: int) -> float:
+    for step in range(1, count + 1):
+        weights.tick(begin + step * TICK_S, 1.0)
+    return begin + count * TICK_S
+
+
+def test_instances_without_figures_share_equally() -> None:
+    assert weights_of("a", "b", "c", "d").weights() == dict.fromkeys("abcd", 16.0) | {}
+
+
+def test_the_less_used_instance_gets_more() -> None:
+    weights = weights_of("a", "b", capacity=4.0)
+    for _ in range(3):
+        weights.started("a", 0, 1000.0, 0.0)
+    send(weights, "b", 0.0)
+    ticks(weights, 0.0, 200)
+    assert weights.weights()["b"] == pytest.approx(4 * weights.weights()["a"], rel=0.1)
+
+
+def test_a_full_instance_gets_nothing() -> None:
+    weights = weights_of("a", "b", capacity=2.0)
+    for _ in range(2):
+        weights.started("a", 0, 1000.0, 0.0)
+    send(weights, "b", 0.0)
+    ticks(weights, 0.0, 400)
+    assert weights.weights()["a"] == 0.0
+
+
+@pytest.mark.parametrize(
+    ("latency", "factor"), [(0.4 * AIM_S, 1.0), (1.25 * AIM_S, 0.75), (1.6 * AIM_S, 0.0)]
+)
+def test_the_index_cuts(latency: float, factor: float) -> None:
+    weights = weights_of("a", "b")
+    for _ in range(200):
+        send(weights, "a", 0.0, latency)
+        send(weights, "b", 0.0, 0.1 * AIM_S)
+    ticks(weights, 0.0, 1)
+    shares = weights.weights()
+    assert shares["a"] / shares["b"] == pytest.approx(factor, abs=0.02)
+
+
+def test_health_scales() -> None:
+    weights = weights_of("a", "b")
+    for turn in range(100):
+        send(weights, "a", 0.0, well=turn % 2 == 0)
+        send(weights, "b", 0.0)
+    ticks(weights, 0.0, 1)
+    shares = weights.weights()
+    assert shares["a"] / shares["b"] == pytest.approx(0.5, abs=0.05)
+
+
+def test_weights_add_up_to_64_and_all_zero_become_equal() -> None:
+    weights = weights_of("a", "b")
+    for name in "ab":
+        for _ in range(50):
+            send(weights, name, 0.0, 3 * AIM_S)
+    ticks(weights, 0.0, 1)
+    assert weights.weights() == {"a": 32.0, "b": 32.0} or set(weights.weights().values()) == {32.0}
+
+
+def test_an_instance_that_hangs_loses_weight_though_its_figures_are_old() -> None:
+    """Open case: a hung instance with stale figures.  The age of its unanswered attempts counts."""
+    weights = weights_of("a", "b")
+    for _ in range(20):
+        send(weights, "a", 0.0)
+        send(weights, "b", 0.0)
+    for _ in range(5):
+        weights.started("a", 0, AIM_S, 0.1)
+    ticks(weights, 0.0, 2)
+    assert weights.weights()["a"] == 0.0
+
+
+def test_tokens_go_by_weight() -> None:
+    weights = weights_of("a", "b", "c")
+    chosen = [weights.choose(["a", "b", "c"]) for _ in range(30)]
+    assert [chosen.count(name) for name in "abc"] == [10, 10, 10]
+
+
+def test_candidates_without_tokens_borrow_and_reload_nothing() -> None:
+    """Open case: placement leaves only candidates without tokens while others still hold some."""
+    weights = weights_of("a", "b", "c")
+    assert weights.choose(["a"]) == "a"
+    for _ in range(5):
+        assert weights.choose(["a"]) == "a"
+    assert {weights.choose(["b", "c"]), weights.choose(["b", "c"])} == {"b", "c"}
+
+
+def test_no_candidates_no_choice() -> None:
+    assert weights_of("a").choose([]) is None
+    assert weights_of("a").choose(["gone"]) is None
+
+
+def test_an_instance_that_holds_more_than_its_share_is_passed_over() -> None:
+    weights = weights_of("a", "b", "c", "d")
+    for _ in range(8):
+        weights.started("a", 0, AIM_S, 0.0)
+    assert "a" not in {weights.choose(["a", "b", "c", "d"]) for _ in range(3)}
+
+
+def test_those_that_leave_lose_weight_and_tokens_at_once() -> None:
+    weights = weights_of("a", "b")
+    attempt = weights.started("a", 0, AIM_S, 0.0)
+    weights.follow({"b": 64.0})
+    assert weights.weights() == {"b": 64.0}
+    assert weights.choose(["a", "b"]) == "b"
+    assert weights.choose(["a"]) is None
+    weights.ended("a", attempt, True)
+    weights.follow({"b": 64.0})
+    assert weights.in_use("a") == 0
+
+
+def test_the_weight_of_a_moment_is_a_cut_for_tokens() -> None:
+    weights = weights_of("a", "b", "c", "d")
+    weights.choose(["a"])
+    for _ in range(30):
+        send(weights, "b", 0.0, well=False)
+    ticks(weights, 0.0, 1)
+    rest = [weights.choose(["a", "b", "c", "d"]) for _ in range(16)]
+    assert rest.count("b") <= 2
--- /dev/null
+++ b/tests/system/whole.py
@@ -0,0 +1,502 @@
+"""The whole system in virtual time: real controllers and gateways, with stand-ins for all that is outside."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import h11
+
+from brambleusher.controller import Controller
+from brambleusher.gateway import Gateway
+from brambleusher.lab.virtual.world import Machine, Process, VirtualSystem, World, WorldSettings
+from brambleusher.runtime.acceptor import Acceptor
+from brambleusher.runtime.http_server import HttpRequest, HttpResponse, HttpServer, json_response
+from brambleusher.runtime.scheduler import Scheduler, Timeout
+from brambleusher.runtime.streams import Stream
+from brambleusher.wire import settings as settings_reader
+from tests.system.memory_disk import MemoryDisk
+
+SECOND = 10**9
+ZONES = {"n1": "north", "n2": "north", "s1": "south"}
+CONTROL, DIRECTORY, FRONT, READY, PEER = 8166, 8164, 8161, 8167, 7720
+PLATFORM = "10.9.0.1"
+PLAIN = WorldSettings(split=0.0, short_send=0.0, short_receive=0.0)
+
+SETTINGS = """
+node_name = "{name}"
+serves = {serves}
+ip = "{ip}"
+zone = "{zone}"
+region = "{region}"
+port_range = [7720, 7735]
+seeds = {seeds}
+bootstrap = {bootstrap}
+data_dir = "{data_dir}"
+unknown_key = "is ignored"
+[zones]
+n1 = "north"
+n2 = "north"
+s1 = "south"
+[bind]
+{bind}
+[tolerance]
+machines = 1
+[bounds]
+grace_s = 8
+[cloud_api]
+address = "10.9.0.1:8169"
+rate_per_s = 40.0
+"""
+
+
+def configuration(revision: int, *routes: dict[str, Any], **given: Any) -> bytes:
+    """A configuration of the operator; `llm` and `desk` are its services."""
+    services = [
+        {"name": "llm", "conn_limit": 100, "warmup_s": 3.0, "cold_per_s": 10.0},
+        {"name": "desk", "conn_limit": 100},
+    ]
+    return json.dumps(
+        {
+            "revision": revision,
+            "routes": list(routes) or [route()],
+            "services": services,
+            "limits": {"idle_ms": 15000},
+            **given,
+        }
+    ).encode()
+
+
+def route(prefix: str = "/s/", **given: Any) -> dict[str, Any]:
+    """A route of the operator."""
+    return {
+        "name": prefix,
+        "host": "h",
+        "path_prefix": prefix,
+        "kind": "streaming",
+        "deadline_ms": 4000,
+        "setpoint_ms": 500,
+        "service": "llm",
+        "tries": 2,
+        "resumable": True,
+        "affine": True,
+        **given,
+    }
+
+
+@dataclass
+class Arrival:
+    """A request as an instance saw it."""
+
+    instance: str
+    attempt: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    at: float
+
+
+class Server:
+    """A stand-in for an instance: streams events, or answers with a body; told how to fail."""
+
+    def __init__(self, system: Whole, name: str, service: str, zone: str, ip: str) -> None:
+        self.system, self.name, self.service, self.zone, self.ip = system, name, service, zone, ip
+        self.state, self.listed, self.warmup_ms = "ready", True, 0
+        self.events = 5
+        self.pause_s = 0.02
+        self.cut_after: int | None = None  # events, then a reset in the middle of the next
+        self.status = 200
+        self.shed = False
+        self.silent = False
+        self.stray = 0  # answers to other requests ahead of the one that is due
+        self.arrivals: list[Arrival] = []
+        self.machine = system.world.machine(name, ip)
+        self.scheduler: Scheduler | None = None
+        self.start()
+
+    def start(self) -> None:
+        def build(scheduler: Scheduler) -> object:
+            self.scheduler = scheduler
+            return Acceptor(scheduler, (self.ip, 80), self._serve)
+
+        self.machine.serve(build, self.name)
+
+    def entry(self) -> dict[str, Any]:
+        return {
+            "id": self.name,
+            "service": self.service,
+            "address": f"{self.ip}:80",
+            "zone": self.zone,
+            "revision": "v1",
+            "capacity": 8,
+            "state": self.state,
+            "warmup_ms": self.warmup_ms,
+        }
+
+    def _serve(self, stream: Stream, peer: str) -> None:
+        assert self.scheduler is not None
+        connection = h11.Connection(h11.SERVER)
+        while True:
+            got = read_message(self.scheduler, stream, connection)
+            if got is None:
+                return
+            head, body = got
+            headers = {key.decode(): value.decode() for key, value in head.headers}
+            attempt = headers.get("x-attempt-id", "")
+            self.arrivals.append(
+                Arrival(
+                    self.name, attempt, head.method.decode(), head.target.decode(), headers, body,
+                    self.scheduler.now(),
+                )
+            )  # fmt: skip
+            if not self._answer(stream, connection, headers, attempt):
+                return
+            connection.start_next_cycle()
+
+    def _answer(
+        self, stream: Stream, connection: h11.Connection, headers: dict[str, str], attempt: str
+    ) -> bool:
+        assert self.scheduler is not None
+        deadline = self.scheduler.now() + 5
+
+        def send(event: Any) -> None:
+            stream.send(connection.send(event) or b"", deadline)
+
+        if self.silent:
+            self.scheduler.sleep(30.0)
+            return False
+        named = headers.get("x-target-instance")
+        plain = [("X-Attempt-Id", attempt), ("Content-Length", "0")]
+        if named not in (None, self.name) or self.shed:
+            status = 503 if self.shed else 421
+            send(h11.Response(status_code=status, headers=[*plain, ("X-Not-Executed", "1")]))
+            send(h11.EndOfMessage())
+            return True
+        for _ in range(self.stray):
+            stream.send(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 5\r\n\r\nother", deadline)
+        own = [("X-Attempt-Id", attempt), ("X-Server-Seal", f"{self.name}.{attempt}")]
+        if self.service == "desk" or self.status != 200:
+            body = f"{self.name} ran {attempt}".encode()
+            length = ("Content-Length", str(len(body)))
+            send(h11.Response(status_code=self.status, headers=[*own, length]))
+            if self.cut_after is not None:
+                stream.send(body[:3], deadline)
+                self.scheduler.system.reset(stream.sock)
+                return False
+            send(h11.Data(data=body))
+            send(h11.EndOfMessage())
+            return True
+        return self._stream(stream, send, own, int(headers.get("last-event-id", "0")))
+
+    def _stream(self, stream: Stream, send: Callable[[Any], None], own: list[Any], last: int) -> bool:
+        assert self.scheduler is not None
+        kind = ("Content-Type", "text/event-stream")
+        send(h11.Response(status_code=200, headers=[*own, kind, ("Transfer-Encoding", "chunked")]))
+        for number in range(last + 1, self.events + 1):
+            self.scheduler.sleep(self.pause_s)
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if self.cut_after is not None and number > self.cut_after:
+                send(h11.Data(data=event[:7]))
+                self.scheduler.sleep(self.pause_s)
+                self.scheduler.system.reset(stream.sock)
+                return False
+            send(h11.Data(data=event))
+        send(h11.EndOfMessage())
+        return True
+
+
+def read_message(
+    scheduler: Scheduler, stream: Stream, connection: h11.Connection
+) -> tuple[h11.Request, bytes] | None:
+    """A whole request at a stand-in's side."""
+    head, parts = None, []
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(stream.receive(scheduler.now() + 60) or b"")
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return head, b"".join(parts)
+        else:
+            return None
+
+
+@dataclass
+class Reply:
+    """What a client got; `whole` is false where the connection ended within an answer."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+    error: str = ""
+    seconds: float = 0.0
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+class Whole:
+    """Machines, processes, the platform's list, and calls from outside."""
+
+    def __init__(self, seed: int = 1, cores: int = 3, gateways: int = 2) -> None:
+        self.world = World(seed, PLAIN)
+        self.rng = random.Random(seed)
+        self.disks: dict[str, MemoryDisk] = {}
+        self.controllers: dict[str, Controller] = {}
+        self.gateways: dict[str, Gateway] = {}
+        self.servers: dict[str, Server] = {}
+        self.platform_down = False
+        self.platform_calls = 0
+        self.zones = list(ZONES)
+        self.seeds = [f"10.1.0.{at + 1}:{CONTROL}" for at in range(min(cores, 3))]
+        self.caller = self.world.machine("caller", "10.8.0.1")
+        platform = self.world.machine("platform", PLATFORM)
+        platform.serve(lambda scheduler: HttpServer(scheduler, (PLATFORM, 8169), self._list))
+        for at in range(cores):
+            self.add_core(f"c{at + 1}", f"10.1.0.{at + 1}", bootstrap=True)
+        for at in range(gateways):
+            self.add_gateway(f"g{at + 1}", f"10.2.0.{at + 1}", self.zones[at % len(self.zones)])
+        self.wait(lambda: len(self.controllers) == cores and len(self.gateways) == gateways)
+
+    # --- machines --------------------------------------------------------------------------------
+
+    def _list(self, request: HttpRequest) -> HttpResponse:
+        self.platform_calls += 1
+        if self.platform_down:
+            return json_response(429, {})
+        entries = [server.entry() for server in self.servers.values() if server.listed]
+        return json_response(200, {"instances": entries, "next_token": None})
+
+    def add_server(self, name: str, service: str = "llm", zone: str = "n1") -> Server:
+        server = Server(self, name, service, zone, f"10.3.0.{len(self.servers) + 1}")
+        self.servers[name] = server
+        return server
+
+    def _settings(
+        self, name: str, ip: str, zone: str, bootstrap: bool, core: bool
+    ) -> settings_reader.Settings:
+        bind = (
+            f'control = "{ip}:{CONTROL}"\ndirectory = "{ip}:{DIRECTORY}"'
+            if core
+            else f'front = "{ip}:{FRONT}"\nready = "{ip}:{READY}"'
+        )
+        text = SETTINGS.format(
+            name=name,
+            ip=ip,
+            zone=zone,
+            region=ZONES[zone],
+            seeds=json.dumps(self.seeds),
+            bootstrap=str(bootstrap).lower(),
+            data_dir="/data" if core else "",
+            serves='["controller", "registry"]' if core else '["edge"]',
+            bind=bind,
+        )
+        return settings_reader.parse(text, "local.toml")
+
+    def add_core(self, name: str, ip: str, bootstrap: bool = False) -> None:
+        self.world.machine(name, ip)
+        self.disks[name] = MemoryDisk()
+        self.start_core(name, bootstrap)
+
+    def start_core(self, name: str, bootstrap: bool = False) -> Process:
+        machine = self.world.machines[name]
+        zone = self.zones[(int(name[1:]) - 1) % len(self.zones)]
+        settings = self._settings(name, machine.ip, zone, bootstrap, core=True)
+
+        def main(system: VirtualSystem) -> None:
+            controller = Controller(system, settings, self.disks[name])
+            self.controllers[name] = controller
+            controller.run()
+
+        return machine.start(main, name)
+
+    def add_gateway(self, name: str, ip: str, zone: str) -> None:
+        self.world.machine(name, ip)
+        self.start_gateway(name, zone)
+
+    def start_gateway(self, name: str, zone: str = "n1") -> Process:
+        machine = self.world.machines[name]
+        settings = self._settings(name, machine.ip, zone, bootstrap=False, core=False)
+
+        def main(system: VirtualSystem) -> None:
+            gateway = Gateway(system, settings)
+            self.gateways[name] = gateway
+            gateway.run()
+
+        return machine.start(main, name)
+
+    def power_off(self, name: str, nothing_unsynced: bool = False) -> None:
+        """A machine loses power, and what it had not synced."""
+        self.world.machines[name].vanish()
+        if name in self.disks:
+            self.disks[name].lose_power(self.rng, nothing_unsynced)
+
+    def power_on(self, name: str) -> None:
+        self.world.machines[name].come_back()
+        if name in self.disks:
+            self.start_core(name)
+        else:
+            self.start_gateway(name)
+
+    def process(self, name: str) -> Process:
+        process = self.world.machines[name].process
+        assert process is not None
+        return process
+
+    def cut(self, *names: str) -> None:
+        """Cut machines off from all others."""
+        for name in names:
+            for other in self.world.machines:
+                if other not in names:
+                    self.world.network.cut(name, other)
+
+    def mend(self, *names: str) -> None:
+        """Join machines to all others again."""
+        for name in names:
+            for other in self.world.machines:
+                if other not in names:
+                    self.world.network.mend(name, other)
+
+    # --- time ------------------------------------------------------------------------------------
+
+    @property
+    def now(self) -> float:
+        return self.world.now_ns / SECOND
+
+    def sleep(self, seconds: float) -> None:
+        self.world.run(self.world.now_ns + int(seconds * SECOND))
+
+    def wait(self, until: Callable[[], bool], seconds: float = 20.0) -> None:
+        end = self.world.now_ns + int(seconds * SECOND)
+        while not until():
+            assert self.world.now_ns < end, f"it did not come about within {seconds} s"
+            self.world.run(self.world.now_ns + SECOND // 50)
+
+    def leader(self) -> str | None:
+        for name, controller in self.controllers.items():
+            alive = self.world.machines[name].processes
+            if alive and controller.replica.consensus.leading:
+                return name
+        return None
+
+    def close(self) -> None:
+        self.world.close()
+
+    # --- calls -----------------------------------------------------------------------------------
+
+    def start_call(
+        self,
+        address: tuple[str, int],
+        method: str,
+        target: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+    ) -> Reply:
+        """Begin a call from outside; the reply fills in as the world runs."""
+        reply = Reply()
+
+        def run(scheduler: Scheduler) -> None:
+            begun = scheduler.now()
+            try:
+                self._call(scheduler, reply, address, method, target, headers or {}, body, begun + timeout_s)
+            except (OSError, Timeout, h11.ProtocolError) as error:
+                reply.error = type(error).__name__
+            reply.seconds = scheduler.now() - begun
+            reply.error = reply.error or "none"
+            scheduler.stop()
+
+        self.caller.serve(lambda scheduler: scheduler.spawn(run, scheduler), "call")
+        return reply
+
+    @staticmethod
+    def _call(
+        scheduler: Scheduler,
+        reply: Reply,
+        address: tuple[str, int],
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        deadline: float,
+    ) -> None:
+        stream = Stream.connect(scheduler, address, deadline)
+        connection = h11.Connection(h11.CLIENT)
+        sent = [("Host", headers.pop("Host", "h")), *headers.items(), ("Content-Length", str(len(body)))]
+        data = connection.send(h11.Request(method=method, target=target, headers=sent)) or b""
+        data += connection.send(h11.Data(data=body)) or b""
+        data += connection.send(h11.EndOfMessage()) or b""
+        try:
+            stream.send(data, deadline)
+            while True:
+                event = connection.next_event()
+                if event is h11.NEED_DATA:
+                    connection.receive_data(stream.receive(deadline) or b"")
+                elif isinstance(event, h11.Response):
+                    reply.status = event.status_code
+                    reply.headers = {key.decode(): value.decode() for key, value in event.headers}
+                elif isinstance(event, h11.Data):
+                    reply.body += bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    reply.whole = True
+                    return
+                else:
+                    return
+        finally:
+            stream.close()
+
+    def call(self, address: tuple[str, int], method: str, target: str, **given: Any) -> Reply:
+        """A call from outside, to its end."""
+        reply = self.start_call(address, method, target, **given)
+        self.wait(lambda: bool(reply.error), 30.0)
+        return reply
+
+    def control(self, core: str, method: str, target: str, **given: Any) -> Reply:
+        """A call of the operator."""
+        return self.call((self.world.machines[core].ip, CONTROL), method, target, **given)
+
+    def put(self, core: str, base: int, body: bytes) -> Reply:
+        """A configuration on top of a revision."""
+        return self.control(core, "PUT", "/api/config", headers={"If-Match": str(base)}, body=body)
+
+    def request(self, gateway: str, target: str = "/s/x", attempt: str = "a1", **given: Any) -> Reply:
+        """A client's request, to its end."""
+        return self.call(*self._request(gateway, target, attempt, given), **given)
+
+    def start_request(self, gateway: str, target: str = "/s/x", attempt: str = "a1", **given: Any) -> Reply:
+        """A client's request that goes on while the world runs."""
+        return self.start_call(*self._request(gateway, target, attempt, given), **given)
+
+    def _request(
+        self, gateway: str, target: str, attempt: str, given: dict[str, Any]
+    ) -> tuple[tuple[str, int], str, str]:
+        given["headers"] = {
+            "X-Attempt-Id": attempt,
+            "X-Deadline-Remaining": "4000",
+            **given.get("headers", {}),
+        }
+        given.setdefault("body", b"prompt")
+        return (self.world.machines[gateway].ip, FRONT), "POST", target
+
+    def arrivals(self, attempt: str) -> list[Arrival]:
+        """What instances saw of a request."""
+        seen = [arrival for server in self.servers.values() for arrival in server.arrivals]
+        return sorted((each for each in seen if each.attempt == attempt), key=lambda each: each.at)
+
+    def served(self, body: bytes | None = None) -> Whole:
+        """With a configuration in force at all gateways."""
+        reply = self.put("c1", 0, body or configuration(1))
+        assert reply.status == 200, reply
+        self.wait(lambda: all(gateway.ready for gateway in self.gateways.values()))
+        return self
+
+
+__all__ = ["Arrival", "Machine", "Reply", "Server", "Whole", "configuration", "route"]
