--- a/brambleusher/controlplane/announcer.py
+++ b/brambleusher/controlplane/announcer.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from brambleusher.controlplane.fleet_figures import FleetFigures, checked
 from brambleusher.controlplane.platform_list import PlatformList
 from brambleusher.controlplane.replica import Replica
 from brambleusher.membership.views import PartialView, Peer, peer_of
@@ -31,6 +32,7 @@
         self._replica, self._instances, self._view = replica, instances, view
         self._controllers = controllers
         self._waiting: set[Bell] = set()
+        self._figures = FleetFigures()
 
     def announce(self) -> None:
         """Something has a new version."""
@@ -44,6 +46,8 @@
         if not isinstance(held, int) or not isinstance(version, int):
             raise InvalidMessage("a watch has no versions")
         self._view.heard(peer, self._scheduler.now())
+        if "figures" in message:
+            self._figures.take(peer.name, checked(message["figures"]), self._scheduler.now())
         deadline = self._scheduler.now() + HOLD_S
         bell = Bell()
         self._waiting.add(bell)
@@ -74,6 +78,7 @@
             "source": self._name,
             "version": listed.version,
         }
+        answer["reporters"], answer["figures"] = self._figures.others(peer.name, now)
         if state.index > held:
             answer["body"], answer["evacuated"] = state.body, state.evacuated
         if listed.read_at is not None:
--- a/brambleusher/dataplane/instances.py
+++ b/brambleusher/dataplane/instances.py
@@ -158,6 +158,18 @@
         for weights in self.weights.values():
             weights.tick(now, self.gateways)
 
+    def report(self) -> dict[str, list[float]]:
+        """What this gateway saw of all instances, for the others."""
+        reports: dict[str, list[float]] = {}
+        for weights in self.weights.values():
+            reports.update(weights.report())
+        return reports
+
+    def hear(self, reporters: int, sums: Mapping[str, list[float]], now: float) -> None:
+        """What so many other gateways saw, added up."""
+        for weights in self.weights.values():
+            weights.hear(reporters, sums, now)
+
     # --- which may be used -----------------------------------------------------------------------
 
     def usable(self, route: Route, service: str, now: float) -> list[Instance]:
--- a/brambleusher/dataplane/placement.py
+++ b/brambleusher/dataplane/placement.py
@@ -57,11 +57,11 @@
         if wanted.prefix_tokens >= LARGE_PREFIX_TOKENS:
             for name in keepers(wanted.prefix_key, by_id):
                 if self._instances.admits(by_id[name], now):
-                    weights.choose([name])
+                    weights.choose([name], now)
                     return by_id[name]
             return None
         while by_id:
-            chosen = weights.choose(list(by_id))
+            chosen = weights.choose(list(by_id), now)
             if chosen is None:
                 return None
             if self._instances.admits(by_id[chosen], now):
--- a/brambleusher/dataplane/serving.py
+++ b/brambleusher/dataplane/serving.py
@@ -170,6 +170,7 @@
                 work.request.body,
                 work.attempt_id,
                 work.deadline,
+                not work.route.repeatable,
             )
         except BaseException:
             weights.ended(instance.id, number, None)
--- a/brambleusher/dataplane/upstream.py
+++ b/brambleusher/dataplane/upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -13,13 +14,20 @@
 from brambleusher.dataplane.instances import Instance, Instances
 from brambleusher.runtime.scheduler import Scheduler, Timeout
 from brambleusher.runtime.streams import RECEIVE, Stream
+from quillpass.api import Status
+from quillpass.idle import Trust
 
-CONNECT_S = 0.4  # at most for a connection within a region; half the time left if that is less
-SILENT_S = 0.9  # sent bytes or probes unacknowledged for so long: the instance's machine is gone
+CONNECT_S = 0.25  # two round trips between far regions; half the time left if that is less
+SILENT_S = 0.6  # sent bytes or probes unacknowledged for so long: the instance's machine is gone
 IDLE_DEFAULT_S = 3.0  # for a connection whose `Keep-Alive` says nothing
 IDLE_MARGIN_S = 1.0  # before the time that `Keep-Alive` says a connection is not used any more
 ANSWER_HEAD_MAX = 64 * 1024
 STRAY_ANSWERS_MAX = 4
+SECOND = 1e9  # of the nanoseconds that `Trust` counts in
+IDLE_MOST_S = 60.0
+TRUSTED_S = 0.5  # of rest that is always trusted
+TRUST_AIM_S = 0.5  # an aim, in whose multiples trust comes back
+TRUST_WINDOW = 10.0  # aims for which resets are remembered
 ATTEMPT_HEADER = b"x-attempt-id"
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -35,7 +43,9 @@
 
     stream: Stream
     h11: h11.Connection
+    idle_since: float = 0.0
     idle_until: float = 0.0
+    rested_s: float = 0.0  # before the attempt under way
 
 
 class Answer:
@@ -95,8 +105,11 @@
 class Upstream:
     """The pools of connections, one an instance."""
 
-    def __init__(self, scheduler: Scheduler, instances: Instances) -> None:
+    def __init__(self, scheduler: Scheduler, instances: Instances, forgetful: bool = False) -> None:
+        """With `forgetful` instances may drop idle connections unseen, at any time."""
         self._scheduler, self._instances = scheduler, instances
+        self._trust = Trust(IDLE_MOST_S * SECOND, TRUSTED_S * SECOND)
+        self._forgetful = forgetful
 
     # --- the pool --------------------------------------------------------------------------------
 
@@ -136,14 +149,25 @@
             self.close(instance, connection)
             return
         state.start_next_cycle()
-        connection.idle_until = self._scheduler.now() + idle_s
+        connection.idle_since = self._scheduler.now()
+        connection.idle_until = connection.idle_since + idle_s
         instance.idle.append(connection)
 
-    def _take(self, instance: Instance) -> Connection | None:
+    def tick(self, seconds: float) -> None:
+        """Time has passed: trust in idle connections comes back."""
+        aims = seconds / TRUST_AIM_S
+        self._trust.pass_time(aims, math.exp(-aims / TRUST_WINDOW))
+
+    def _take(self, instance: Instance, once: bool) -> Connection | None:
         now = self._scheduler.now()
+        trusted = self._trust.trust_ns / SECOND
+        if once and self._forgetful:
+            trusted = min(trusted, TRUSTED_S)
         while instance.idle:
             connection: Connection = instance.idle.pop()
-            if connection.idle_until > now and connection.stream.quiet():
+            rested = now - connection.idle_since
+            if connection.idle_until > now and rested <= trusted and connection.stream.quiet():
+                connection.rested_s = rested
                 return connection
             self.close(instance, connection)
         return None
@@ -179,9 +203,10 @@
         body: bytes,
         attempt_id: bytes,
         deadline: float,
+        once: bool,
     ) -> Result[Answer, AttemptFailure]:
-        """Send a request and wait for the head of its answer."""
-        connection = self._take(instance) or self._connect(instance, deadline)
+        """Send a request and wait for the head of its answer; one that may run `once` takes no chances."""
+        connection = self._take(instance, once) or self._connect(instance, deadline)
         if connection is None:
             return Err(NotReached())
         try:
@@ -193,6 +218,8 @@
             head = self._head(connection, attempt_id, deadline)
         except (OSError, h11.ProtocolError):
             self.close(instance, connection)
+            if connection.rested_s:
+                self._trust.ended(Status.RESET, int(connection.rested_s * SECOND))
             return Err(Lost(timed_out=False))
         except Timeout:
             self.close(instance, connection)
@@ -203,6 +230,9 @@
         if head is None:
             self.close(instance, connection)
             return Err(Lost(timed_out=False))
+        if connection.rested_s:
+            self._trust.ended(Status.OK, int(connection.rested_s * SECOND))
+            connection.rested_s = 0.0
         answer = Answer(self, instance, connection, head)
         if head.status_code == 421 or any(name == b"x-not-executed" for name, _ in head.headers):
             return self._rejected(answer, deadline)
--- a/brambleusher/dataplane/watcher.py
+++ b/brambleusher/dataplane/watcher.py
@@ -66,6 +66,7 @@
                     "index": self.index,
                     "source": source,
                     "version": version,
+                    "figures": self._instances.report(),
                 }
                 answer = client.call(question, ANSWER_S)
                 source, version = str(answer.get("source")), int(answer.get("version", -1))
@@ -90,6 +91,7 @@
             self._take_instances(answer, now)
             self._take_count(int(answer["gateways"]), now)
             self._instances.rank = int(answer["rank"])
+            self._instances.hear(int(answer["reporters"]), answer["figures"], now)
             known = answer.get("controllers")
             if isinstance(known, list) and known and answer.get("contact"):
                 self._controllers.learn([str(address) for address in known])
--- a/brambleusher/gateway.py
+++ b/brambleusher/gateway.py
@@ -28,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 UPKEEP_S = 0.25
+POOL_CONTRACT = "pool"  # in `in_force` where idle connections may be forgotten unseen
 CLIENTS_MAX = 2500
 READY_PATH = "/api/readiness"
 STATUS_PATH = "/api/status"
@@ -52,7 +53,7 @@
         self._clients: set[ClientConnection] = set()
         self.counters = Counters()
         self.instances = Instances(settings.zones, rng)
-        self._upstream = Upstream(self.scheduler, self.instances)
+        self._upstream = Upstream(self.scheduler, self.instances, POOL_CONTRACT in settings.in_force)
         self._controllers = Controllers(settings.seed_peers(), rng)
         self._watcher = Watcher(
             self.scheduler, self._controllers, self.instances, self._self, self._close_idle
@@ -218,6 +219,7 @@
                 self.scheduler.park(self.scheduler.now() + UPKEEP_S)
             except Timeout:
                 self.instances.tick(self.scheduler.now())
+                self._upstream.tick(UPKEEP_S)
                 for service in list(self.instances.weights):
                     self._upstream.expire(self.instances.of(service))
 
--- a/brambleusher/wire/settings.py
+++ b/brambleusher/wire/settings.py
@@ -73,6 +73,7 @@
     seeds: tuple[str, ...] = ()
     bootstrap: bool = False
     data_dir: str = ""
+    in_force: tuple[str, ...] = ()
     zones: dict[str, str] = Field(default_factory=dict)
     bind: Bind = Bind()
     limits: MachineLimits = MachineLimits()
--- a/quillpass/instance_weights.py
+++ b/quillpass/instance_weights.py
@@ -20,12 +20,19 @@
 FIGURES_S = 20.0  # window of throughput and utilisation
 INDEX_S = 4.0  # window of latencies
 HEALTH_S = 6.0  # window of successes and failures
+HEALTH_POWER = 6  # of the served share: an instance that fails two in five is next to no use to anyone
+OWN_EVIDENCE = 2.0  # times as much as others': a gateway may be cut off from what they reach
+OTHERS_FRESH_S = 3.0  # without news of the other gateways for so long, a gateway judges alone
 PRIOR = 1.0  # successes that an instance without a history is credited with
 AGE_CAP = 4.0  # the most that one unanswered attempt says, in aims
 PRIORITIES = 10
+SILENCE_PASSED_OVER = 0.6  # of an aim: usual answers begin within a third
 ROOM_ABOVE_SHARE = 1.25  # times its share of the attempts out that an instance may hold
 
 
+NO_FIGURES = (0.0,) * 6
+
+
 @dataclass(slots=True)
 class Figures:
     """What is known of one instance."""
@@ -43,13 +50,17 @@
     failed: float = 0.0
     answered_at: float = -math.inf  # when an answer began last
     quiet_index: float = 0.0  # of the last quiet spell, which counts where nothing is recent
+    # Sums over the other gateways: served, failed, in use, answers, latencies in aims, requests a second.
+    others: Sequence[float] = NO_FIGURES
     weight: float = 0.0
     tokens: int = 0
     credit: float = 0.0
 
     def health(self) -> float:
-        """The served share of recent attempts."""
-        return self.served / (self.served + self.failed)
+        """The served share of recent attempts, of all gateways, as an estimate of what it is good for."""
+        served = self.served * OWN_EVIDENCE + self.others[0]
+        failed = self.failed * OWN_EVIDENCE + self.others[1]
+        return float((served / (served + failed)) ** HEALTH_POWER)
 
     def index(self, now: float) -> float:
         """Latency over aim, with the age of attempts that are out: a hung instance sends no answers.
@@ -59,24 +70,45 @@
         """
         means = [total / n if n > 0.01 else 0.0 for total, n in zip(self.late_sum, self.late_n, strict=True)]
         index, count = aggregate_pi(means, self.late_n, list(range(PRIORITIES)))
+        if self.others[3] > 0:
+            answers = count * OWN_EVIDENCE + self.others[3]
+            index, count = (index * count * OWN_EVIDENCE + self.others[4]) / answers, answers
         if count <= 0.01:
             index, count = self.quiet_index, 1.0
-        total, seen, silent = index * count, count, 0.0
+        total, seen = index * count, count
         for _, sent, aim in self.out.values():
             age = min((now - sent) / aim, AGE_CAP)
-            if sent > self.answered_at:
-                silent = max(silent, age)
             if age > max(index, PI_GOAL):
                 total, seen = total + age, seen + 1
-        return max(total / seen, silent)
+        return max(total / seen, self.silence(now))
+
+    def silence(self, now: float) -> float:
+        """The age over the aim of the oldest attempt, where nothing at all was answered since it was sent."""
+        ages = [(now - sent) / aim for _, sent, aim in self.out.values() if sent > self.answered_at]
+        return min(max(ages, default=0.0), AGE_CAP)
 
     def has_room(self, out: int, weights: float) -> bool:
         """Whether its part of `out` attempts is within its weight, out of the candidates' `weights`."""
         return weights <= 0 or len(self.out) < ROOM_ABOVE_SHARE * out * self.weight / weights + 1
 
-    def utilisation(self, gateways: float) -> float | None:
-        """The part of its capacity in use, were all gateways like this one; None without figures."""
-        return min(1.0, self.used * gateways / self.capacity) if self.seen >= TICK_S else None
+    def utilisation(self, gateways: float, reporters: int) -> float | None:
+        """The part of its capacity in use, were all gateways like those heard of; None without figures."""
+        if self.seen < TICK_S:
+            return None
+        used = (self.used + self.others[2]) * gateways / (reporters + 1)
+        return min(1.0, used / self.capacity)
+
+    def report(self) -> list[float]:
+        """What this gateway saw, for the others: see `others`."""
+        figures = (
+            self.served - PRIOR,
+            self.failed,
+            self.used,
+            sum(self.late_n),
+            sum(self.late_sum),
+            self.rate,
+        )
+        return [round(max(0.0, figure), 2) for figure in figures]
 
 
 class InstanceWeights:
@@ -89,6 +121,7 @@
         self._at = 0
         self._attempts = 0
         self._ticked: float | None = None
+        self._reporters, self._heard_at = 0, -math.inf
 
     def follow(self, ready: Mapping[str, float]) -> None:
         """The ready instances and their capacities; all others lose weight and tokens at once."""
@@ -146,6 +179,23 @@
         if figures is not None:
             figures.failed += 1
 
+    # --- other gateways ---------------------------------------------------------------------------
+
+    def report(self) -> dict[str, list[float]]:
+        """What this gateway saw lately, by instance."""
+        reports = {figures.name: figures.report() for figures in self._known.values()}
+        return {name: report for name, report in reports.items() if any(report)}
+
+    def hear(self, reporters: int, sums: Mapping[str, Sequence[float]], now: float) -> None:
+        """What so many other gateways saw, added up."""
+        self._reporters, self._heard_at = reporters, now
+        for figures in self._known.values():
+            figures.others = sums.get(figures.name, NO_FIGURES)
+
+    def _forget_others(self, now: float) -> None:
+        if self._reporters and now - self._heard_at > OTHERS_FRESH_S:
+            self.hear(0, {}, now)
+
     # --- weights ---------------------------------------------------------------------------------
 
     def tick(self, now: float, gateways: float) -> None:
@@ -156,6 +206,7 @@
         if gap < TICK_S:
             return
         self._ticked = now
+        self._forget_others(now)
         for figures in self._known.values():
             self._fade(figures, gap)
         self._weigh(now, gateways)
@@ -176,7 +227,7 @@
         figures.failed *= health
 
     def _weigh(self, now: float, gateways: float) -> None:
-        throughput = self._throughput(gateways)
+        throughput = self._throughput()
         spares = [self._spare(figures, throughput, gateways) for figures in self._ring]
         known = [spare for spare in spares if spare is not None]
         middle = median(known) if known else 1.0
@@ -191,20 +242,19 @@
             figures.weight = weight
             figures.tokens = min(figures.tokens, math.ceil(weight * scale))
 
-    def _throughput(self, gateways: float) -> float:
+    def _throughput(self) -> float:
         """Requests a second that one slot serves, over all instances.
 
         An instance's own figure would tell what kinds of requests it has got, rather than what it can do:
         one that keeps long prompts looks ten times as slow as its neighbours.
         """
-        used = sum(figures.used for figures in self._ring)
-        rate = sum(figures.rate for figures in self._ring)
+        used = sum(figures.used + figures.others[2] for figures in self._ring)
+        rate = sum(figures.rate + figures.others[5] for figures in self._ring)
         return rate / used if used > 0 and rate > 0 else 1.0
 
-    @staticmethod
-    def _spare(figures: Figures, throughput: float, gateways: float) -> float | None:
+    def _spare(self, figures: Figures, throughput: float, gateways: float) -> float | None:
         """Requests a second that an instance could take beside what it does; None without figures."""
-        utilisation = figures.utilisation(gateways)
+        utilisation = figures.utilisation(gateways, self._reporters)
         if utilisation is None:
             return None
         spare = throughput * figures.capacity * (1.0 - utilisation)
@@ -226,14 +276,15 @@
 
     # --- spending --------------------------------------------------------------------------------
 
-    def choose(self, candidates: Sequence[str]) -> str | None:
+    def choose(self, candidates: Sequence[str], now: float) -> str | None:
         """Spend a token of a candidate, in round robin.
 
         Open case of the design: the candidates have no tokens while others have some.  Then the one that is
         least occupied for its weight is borrowed from, and no token is reloaded: others keep their turn.
 
         An instance that holds more of the attempts out than its weight explains is passed over and keeps its
-        token: own attempts out show at once what figures show late, that it has slowed down or hangs.
+        token: own attempts out show at once what figures show late, that it has slowed down or hangs.  So is
+        one that has been silent for most of an aim.
         """
         wanted = set(candidates)
         out = sum(len(figures.out) for figures in self._ring if figures.name in wanted) + 1
@@ -243,12 +294,12 @@
         for step in range(len(self._ring)):
             place = (self._at + step) % len(self._ring)
             figures = self._ring[place]
-            fits = figures.name in wanted and figures.has_room(out, share)
-            if figures.tokens > 0 and fits:
+            fits = figures.tokens > 0 and figures.name in wanted and figures.has_room(out, share)
+            if fits and figures.silence(now) < SILENCE_PASSED_OVER:
                 figures.tokens -= 1
                 self._at = place + 1
                 return figures.name
-        return self._borrow(figures for figures in self._ring if figures.name in wanted)
+        return self._borrow((figures for figures in self._ring if figures.name in wanted), now)
 
     def _load(self) -> None:
         scale = len(self._ring) / WEIGHT_TOTAL
@@ -259,12 +310,13 @@
             figures.tokens = max(figures.tokens, fresh)
 
     @staticmethod
-    def _borrow(candidates: Iterable[Figures]) -> str | None:
+    def _borrow(candidates: Iterable[Figures], now: float) -> str | None:
         """Those without weight come last: all-zero candidates count as equal."""
         best = min(
             candidates,
             key=lambda figures: (
                 figures.weight <= 0,
+                figures.silence(now) >= SILENCE_PASSED_OVER,
                 (len(figures.out) + 1) / (figures.weight or 1.0),
                 figures.name,
             ),
--- /dev/null
+++ b/tests/system/test_system_tools.py
@@ -0,0 +1,133 @@
+"""The command line of the whole system: checks that name what is wrong, and a state folder."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from brambleusher import system_main
+from brambleusher.controlplane.consensus import HardState
+from brambleusher.controlplane.storage import Storage
+from brambleusher.runtime.disk import FolderDisk
+from tests.system.whole import SETTINGS, configuration, route
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def settings_text(**given: str) -> str:
+    values = {
+        "name": "core-1",
+        "serves": '["controller"]',
+        "ip": "10.0.0.1",
+        "zone": "n1",
+        "region": "north",
+        "seeds": '["10.0.0.1:1"]',
+        "bootstrap": "true",
+        "data_dir": "/data",
+        "bind": 'control = "10.0.0.1:1"',
+    }
+    return SETTINGS.format(**{**values, **given})
+
+
+def test_the_deploy_file_of_this_project_is_whole(capsys: pytest.CaptureFixture[str]) -> None:
+    assert system_main.main(["check-deploy", str(ROOT / "deploy" / "system.toml")]) == 0
+    assert "2 roles" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("build = 1", "build"),
+        ('build = "x"\n[roles.a]\nrun = "x"\non = "edge"\nserves = ["edge"]', "controller, registry"),
+        ('build = "x"\n[roles.a]\non = "edge"', "roles.a.run"),
+        ('build = "x"\n[roles.a]\nrun = "x"\non = "edge"\nserves = ["all"]', "roles.a.serves"),
+        ("build = ", "Invalid value"),
+    ],
+)
+def test_a_wrong_deploy_file_is_told_by_key(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], text: str, named: str
+) -> None:
+    path = tmp_path / "system.toml"
+    path.write_text(text)
+    assert system_main.main(["check-deploy", str(path)]) == 1
+    assert named in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        (("[7720, 7735]", '"all"'), "port_range"),
+        (('node_name = "core-1"', ""), "node_name"),
+        (("machines = 1", 'machines = "one"'), "tolerance.machines"),
+        (("[bounds]", "[bounds"), "no TOML"),
+    ],
+)
+def test_wrong_settings_are_told_by_file_and_key(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], change: tuple[str, str], named: str
+) -> None:
+    path = tmp_path / "local.toml"
+    path.write_text(settings_text().replace(*change))
+    assert system_main.main(["check-settings", str(path)]) == 1
+    message = capsys.readouterr().err
+    assert named in message
+    assert str(path) in message
+
+
+def test_settings_with_unknown_keys_are_taken(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "local.toml"
+    path.write_text(settings_text())
+    assert system_main.main(["check-settings", str(path)]) == 0
+    assert "core-1 serves controller" in capsys.readouterr().out
+
+
+def test_a_configuration_is_checked(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "config.json"
+    path.write_bytes(configuration(4))
+    assert system_main.main(["check-configuration", str(path)]) == 0
+    path.write_bytes(configuration(4, route(service="none")))
+    assert system_main.main(["check-configuration", str(path)]) == 1
+    assert "routes.0: service none is unknown" in capsys.readouterr().err
+
+
+def test_a_state_folder_is_shown_and_verified(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    disk = FolderDisk(str(tmp_path / "state"))
+    storage = Storage(disk)
+    storage.recover()
+    storage.begin("m1")
+    storage.write([HardState(7, "m2")])
+    assert system_main.main(["state", str(tmp_path / "state")]) == 0
+    shown = capsys.readouterr().out
+    assert '"identity": "m1"' in shown
+    assert '"term": 7' in shown
+    assert system_main.main(["state", str(tmp_path / "none")]) == 1
+
+
+def test_a_role_without_settings_ends_with_2(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    monkeypatch.delenv(system_main.SETTINGS_VARIABLE, raising=False)
+    assert system_main.main(["gateway"]) == 2
+    assert system_main.SETTINGS_VARIABLE in capsys.readouterr().err
+    monkeypatch.setenv(system_main.SETTINGS_VARIABLE, str(tmp_path / "none.toml"))
+    assert system_main.main(["controller"]) == 2
+    assert "none.toml" in capsys.readouterr().err
+
+
+def test_a_wrong_call_ends_with_2(capsys: pytest.CaptureFixture[str]) -> None:
+    assert system_main.main(["no-such-tool"]) == 2
+
+
+def test_a_process_that_is_not_there_is_told(capsys: pytest.CaptureFixture[str]) -> None:
+    assert system_main.main(["status", "nonsense"]) == 1
+    assert "nonsense" in capsys.readouterr().err
+
+
+def test_the_two_lists_of_packages_agree() -> None:
+    """What the build installs is what the tests run with."""
+    import tomllib
+
+    listed = (ROOT / "deploy" / "requirements-system.txt").read_text().split()
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    assert set(listed) <= set(project["optional-dependencies"]["system"] + project["dependencies"])
+    assert set(project["optional-dependencies"]["system"]) <= set(listed)
