Near controllers first, figures by one of two long polls, readings of the list shared

Gateways follow controllers of their zone, then region; a controller sends a reading that is new to the others and all together read three times a second; samples of views are lists.

--- a/brambleusher/controller.py
+++ b/brambleusher/controller.py
@@ -15,7 +15,7 @@
 from brambleusher.logs import SparseLog
 from brambleusher.membership.line_connection import LineSender, LineServer
 from brambleusher.membership.settings_watch import SettingsWatch
-from brambleusher.membership.views import PartialView, Peer, State
+from brambleusher.membership.views import FORGET_S, PartialView, Peer, State
 from brambleusher.runtime.disk import Disk
 from brambleusher.runtime.http_server import HttpRequest, HttpResponse, HttpServer
 from brambleusher.runtime.scheduler import Scheduler
@@ -26,7 +26,7 @@
 
 log = logging.getLogger(__name__)
 
-SHUFFLE_S = 0.4
+SHUFFLE_S = 0.6
 SENDERS_MAX = 64
 CONFIGURATION_BYTES = 8 * 1024 * 1024
 LEAVE_S = 1.2  # after SIGTERM: time to hand the lead over and to answer what was taken
@@ -49,7 +49,11 @@
         self.replica = Replica(self.scheduler, settings, disk, self._send, self._rng, self._changed)
         self.replica.known_controllers = self._known_controllers
         self.instances = PlatformList(
-            self.scheduler, settings, self._rng, lambda: len(self._known_controllers()) + 1, self._changed
+            self.scheduler,
+            settings,
+            self._rng,
+            lambda: len(self._known_controllers()) + 1,
+            self._list_changed,
         )
         self._announcer = Announcer(
             self.scheduler, settings.node_name, self.replica, self.instances, self.view, self._controllers
@@ -100,6 +104,12 @@
         if self._announcer is not None:
             self._announcer.announce()
 
+    def _list_changed(self, read_here: bool) -> None:
+        self._changed()
+        if read_here:
+            for address in self._known_controllers():
+                self._send(address, {"kind": "instances", **self.instances.announcement()})
+
     def _self(self) -> Peer:
         settings = self.settings
         return Peer(
@@ -119,8 +129,14 @@
         known |= {peer.address for peer in self.view.alive("controller", now)}
         return sorted(known - {self.settings.peer_address, ""})
 
-    def _controllers(self) -> list[str]:
-        return [*self._known_controllers(), self.settings.peer_address]
+    def _controllers(self) -> list[tuple[str, str, str]]:
+        """Address, zone and region of all controllers; zone and region are empty until they were heard of."""
+        heard = {peer.address: peer for peer in self.view.alive("controller", self.scheduler.now(), FORGET_S)}
+        named = [*self._known_controllers(), self.settings.peer_address]
+        return [
+            (address, heard[address].zone, heard[address].region) if address in heard else (address, "", "")
+            for address in named
+        ]
 
     def _send(self, address: str, message: dict[str, Any]) -> None:
         sender = self._senders.get(address)
@@ -138,6 +154,9 @@
         sender = message.get("from")
         if not isinstance(sender, str):
             raise InvalidMessage("a message has no sender")
+        if kind == "instances":
+            self.instances.hear(message)
+            return None
         if kind == "shuffle":
             self.view.merge(message.get("sample"), self.scheduler.now())
             return None
--- a/brambleusher/controlplane/announcer.py
+++ b/brambleusher/controlplane/announcer.py
@@ -26,7 +26,7 @@
         replica: Replica,
         instances: PlatformList,
         view: PartialView,
-        controllers: Callable[[], list[str]],
+        controllers: Callable[[], list[tuple[str, str, str]]],
     ) -> None:
         self._scheduler, self._name = scheduler, name
         self._replica, self._instances, self._view = replica, instances, view
@@ -58,7 +58,11 @@
             pass
         finally:
             self._waiting.discard(bell)
-        return self._answer(peer, held, source, version)
+        answer = self._answer(peer, held, source, version)
+        if "figures" in message:
+            reporters, figures = self._figures.others(peer.name, self._scheduler.now())
+            answer["reporters"], answer["figures"] = reporters, figures
+        return answer
 
     def _news(self, held: int, source: object, version: int) -> bool:
         listed = self._instances.read_at is not None
@@ -78,7 +82,6 @@
             "source": self._name,
             "version": listed.version,
         }
-        answer["reporters"], answer["figures"] = self._figures.others(peer.name, now)
         if state.index > held:
             answer["body"], answer["evacuated"] = state.body, state.evacuated
         if listed.read_at is not None:
--- a/brambleusher/controlplane/platform_list.py
+++ b/brambleusher/controlplane/platform_list.py
@@ -12,11 +12,15 @@
 from brambleusher.runtime.http_client import CallFailed, HttpClient
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.streams import parse_address
+from brambleusher.wire.errors import InvalidMessage
 from brambleusher.wire.settings import Settings
 
 log = logging.getLogger(__name__)
 
-READ_EVERY_S = 0.7  # with the platform's own lag and the long poll well inside the shortest `drain_ms`
+# Times the number of controllers: one of them reads so often, and what is new it sends to the others.
+# With the platform's own lag and the long poll that is well inside the shortest `drain_ms`.
+READ_EVERY_S = 0.35
+READ_MOST_S = 2.2
 CALL_S = 1.5
 RATE_SHARE = 0.5  # of the platform's rate that all controllers together may use
 PAGES_MAX = 200
@@ -31,7 +35,7 @@
         settings: Settings,
         rng: random.Random,
         readers: Callable[[], int],
-        changed: Callable[[], None],
+        changed: Callable[[bool], None],
     ) -> None:
         self._scheduler, self._rng, self._readers, self._changed = scheduler, rng, readers, changed
         self._rate = settings.cloud_api.rate_per_s
@@ -55,7 +59,10 @@
             else:
                 self._failures = 0
                 self._take(instances, begun)
-            pause = max(READ_EVERY_S, self._readers() * self._pages / (self._rate * RATE_SHARE))
+            readers = self._readers()
+            pause = max(
+                min(READ_EVERY_S * readers, READ_MOST_S), readers * self._pages / (self._rate * RATE_SHARE)
+            )
             spent = self._scheduler.now() - begun
             self._scheduler.sleep(max(0.1, pause * self._rng.uniform(0.9, 1.1) - spent))
 
@@ -79,10 +86,23 @@
                 return instances
         raise CallFailed(f"the list has over {PAGES_MAX} pages")
 
-    def _take(self, instances: list[dict[str, Any]], begun: float) -> None:
-        first = self.read_at is None
-        self.read_at = begun
+    def announcement(self) -> dict[str, Any]:
+        """The reading for another controller, with its age."""
+        age_s = self._scheduler.now() - (self.read_at or 0.0)
+        return {"instances": self.instances, "age_ms": int(age_s * 1000)}
+
+    def hear(self, message: dict[str, Any]) -> None:
+        """Another controller's reading; raises `InvalidMessage`."""
+        instances, age_ms = message.get("instances"), message.get("age_ms")
+        if not isinstance(instances, list) or not isinstance(age_ms, int) or age_ms < 0:
+            raise InvalidMessage("a reading has no list or no age")
+        self._take(instances, self._scheduler.now() - age_ms / 1000, read_here=False)
+
+    def _take(self, instances: list[dict[str, Any]], read_at: float, read_here: bool = True) -> None:
+        if self.read_at is not None and read_at <= self.read_at:
+            return
+        first, self.read_at = self.read_at is None, read_at
         if first or instances != self.instances:
             self.instances = instances
             self.version += 1
-            self._changed()
+            self._changed(read_here)
--- a/brambleusher/dataplane/controllers.py
+++ b/brambleusher/dataplane/controllers.py
@@ -3,30 +3,47 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 KNOWN_MAX = 32
 REST_S = 1.0  # for a controller that failed, before it is tried again, doubled each time
 REST_MOST_S = 4.0
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a process is; empty where that is not known."""
+
+    zone: str = ""
+    region: str = ""
+
+    def distance(self, other: Place) -> int:
+        """0 within a zone, 1 within a region, 2 beyond: what bytes between the two cost goes by it."""
+        if self.zone == other.zone:
+            return 0
+        return 1 if self.region == other.region else 2
+
+
 class Controllers:
-    """Known controllers; each watcher holds one, all different while there are enough."""
+    """Known controllers; each watcher holds one, all different while there are enough, near ones first."""
 
-    def __init__(self, seeds: tuple[str, ...], rng: random.Random) -> None:
-        self._rng = rng
+    def __init__(self, seeds: tuple[str, ...], rng: random.Random, here: Place) -> None:
+        self._rng, self._here = rng, here
         self._seeds = seeds
-        self._known: dict[str, None] = dict.fromkeys(seeds)
+        self._known: dict[str, Place] = dict.fromkeys(seeds, Place())
         self._rests: dict[str, tuple[float, float]] = {}  # address: until, for how long
         self._held: dict[int, str] = {}
 
-    def learn(self, addresses: list[str]) -> None:
+    def learn(self, named: Iterable[tuple[str, Place]]) -> None:
         """A controller named others: they replace what was known, but for the seeds."""
-        self._known = dict.fromkeys([*addresses[:KNOWN_MAX], *self._seeds])
+        places = dict(list(named)[:KNOWN_MAX])
+        self._known = {**dict.fromkeys(self._seeds, Place()), **places}
 
     def reseed(self, seeds: tuple[str, ...]) -> None:
         """The settings name other seeds."""
         self._seeds = seeds
-        self._known.update(dict.fromkeys(seeds))
+        self._known = {**dict.fromkeys(seeds, Place()), **self._known}
 
     def take(self, watcher: int, now: float) -> str:
         """A controller for a watcher: one that rested enough, and that no other watcher holds."""
@@ -34,7 +51,10 @@
         free = [address for address in self._known if address not in others]
         rested = [address for address in free if self._rests.get(address, (0.0, 0.0))[0] <= now]
         if rested:
-            chosen = self._rng.choice(rested)
+            near = min(self._here.distance(self._known[address]) for address in rested)
+            chosen = self._rng.choice(
+                [address for address in rested if self._here.distance(self._known[address]) == near]
+            )
         else:
             chosen = min(
                 free or list(self._known), key=lambda address: self._rests.get(address, (0.0, 0.0))[0]
--- a/brambleusher/dataplane/watcher.py
+++ b/brambleusher/dataplane/watcher.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from brambleusher.dataplane.controllers import Controllers
+from brambleusher.dataplane.controllers import Controllers, Place
 from brambleusher.dataplane.instances import Instance, Instances
 from brambleusher.dataplane.routes import RouteTable
 from brambleusher.membership.line_connection import LineClient
@@ -21,7 +21,8 @@
 WATCHERS = 2  # controllers followed at once: one that freezes or is cut off holds nothing up
 ANSWER_S = 1.1  # twice the time that a controller holds a question, and a round trip between regions
 PAUSE_S = 0.05
-STALE_LIST_S = 2.5  # a controller whose reading of the list is older is left for another
+STALE_LIST_S = 3.2  # a controller whose reading of the list is older is left for another
+FIGURES_EVERY_S = 0.8  # what this gateway saw of instances goes out, and what others saw comes in
 COUNT_KEPT_S = 30.0  # the most gateways counted within this time share the budgets
 
 
@@ -40,6 +41,7 @@
         self._instances, self._describe, self._unusable = instances, describe, unusable
         self.index = -1
         self.routes: RouteTable | None = None
+        self._figures_at = 0.0
         self._counts: list[tuple[float, int]] = []
         for number in range(WATCHERS):
             scheduler.spawn(self._run, number, name=f"watcher_{number}")
@@ -48,26 +50,28 @@
         while True:
             address = self._controllers.take(number, self._scheduler.now())
             try:
-                self._follow(address)
+                self._follow(address, first=number == 0)
             except (OSError, Timeout, InvalidMessage) as error:
                 log.debug("a controller is left", extra={"fields": {"address": address, "why": repr(error)}})
             self._controllers.failed(address, self._scheduler.now())
             self._scheduler.sleep(PAUSE_S)
 
-    def _follow(self, address: str) -> None:
-        """Ask one controller again and again, until it is no use."""
+    def _follow(self, address: str, first: bool) -> None:
+        """Ask one controller again and again, until it is no use; the first watcher exchanges figures too."""
         client = LineClient(self._scheduler, parse_address(address))
         source, version = "", -1
         try:
             while True:
-                question = {
+                question: dict[str, Any] = {
                     "kind": "watch",
                     "me": self._describe().as_json(),
                     "index": self.index,
                     "source": source,
                     "version": version,
-                    "figures": self._instances.report(),
                 }
+                if first and self._scheduler.now() >= self._figures_at:
+                    self._figures_at = self._scheduler.now() + FIGURES_EVERY_S
+                    question["figures"] = self._instances.report()
                 answer = client.call(question, ANSWER_S)
                 source, version = str(answer.get("source")), int(answer.get("version", -1))
                 self._take(answer)
@@ -91,10 +95,13 @@
             self._take_instances(answer, now)
             self._take_count(int(answer["gateways"]), now)
             self._instances.rank = int(answer["rank"])
-            self._instances.hear(int(answer["reporters"]), answer["figures"], now)
+            if "figures" in answer:
+                self._instances.hear(int(answer["reporters"]), answer["figures"], now)
             known = answer.get("controllers")
             if isinstance(known, list) and known and answer.get("contact"):
-                self._controllers.learn([str(address) for address in known])
+                self._controllers.learn(
+                    (str(address), Place(str(zone), str(region))) for address, zone, region in known
+                )
         except (KeyError, TypeError, ValueError, InvalidConfiguration) as error:
             raise InvalidMessage(f"an answer can't be read: {error!r}") from error
 
--- a/brambleusher/gateway.py
+++ b/brambleusher/gateway.py
@@ -9,7 +9,7 @@
 import h11
 
 from brambleusher.dataplane.client_connection import ClientConnection, RequestTooLarge
-from brambleusher.dataplane.controllers import Controllers
+from brambleusher.dataplane.controllers import Controllers, Place
 from brambleusher.dataplane.counters import Counters
 from brambleusher.dataplane.instances import Instance, Instances
 from brambleusher.dataplane.serving import Serving
@@ -54,7 +54,7 @@
         self.counters = Counters()
         self.instances = Instances(settings.zones, rng)
         self._upstream = Upstream(self.scheduler, self.instances, POOL_CONTRACT in settings.in_force)
-        self._controllers = Controllers(settings.seed_peers(), rng)
+        self._controllers = Controllers(settings.seed_peers(), rng, Place(settings.zone, settings.region))
         self._watcher = Watcher(
             self.scheduler, self._controllers, self.instances, self._self, self._close_idle
         )
--- a/brambleusher/membership/views.py
+++ b/brambleusher/membership/views.py
@@ -16,7 +16,7 @@
 VIEW_MAX = 512
 SAMPLE = 64  # entries in one shuffle
 FORGET_S = 12.0
-ALIVE_S = 2.5  # a process that was heard of this lately is taken for alive
+ALIVE_S = 3.0  # a process that was heard of this lately is taken for alive
 
 
 class State(Enum):
@@ -52,6 +52,10 @@
         }
 
 
+# In the order of `as_json`.
+KEYS = ("name", "role", "address", "zone", "region", "state", "incarnation")
+
+
 def peer_of(data: Any) -> Peer:
     """A peer from its form on the wire; raises `InvalidMessage`."""
     try:
@@ -90,19 +94,21 @@
         for name in [name for name, (_, at) in self._heard.items() if now - at > FORGET_S]:
             del self._heard[name]
 
-    def sample(self, now: float) -> list[dict[str, Any]]:
-        """A shuffled part of the view for another process, with ages in ms."""
+    def sample(self, now: float) -> list[list[Any]]:
+        """A shuffled part of the view for another process: peers as lists, which are short, with ages in ms."""
         known = list(self._heard.values())
         chosen = self._rng.sample(known, min(SAMPLE, len(known)))
-        return [{**peer.as_json(), "age_ms": int((now - at) * 1000)} for peer, at in chosen]
+        return [[*peer.as_json().values(), int((now - at) * 1000)] for peer, at in chosen]
 
     def merge(self, sample: Any, now: float) -> None:
         """Take in another process's sample; raises `InvalidMessage`."""
         if not isinstance(sample, list):
             raise InvalidMessage("a sample is no list")
         for part in sample[:SAMPLE]:
-            peer = peer_of(part)
-            age_ms = part.get("age_ms")
+            if not isinstance(part, list) or len(part) != len(KEYS) + 1:
+                raise InvalidMessage("a part of a sample is no list of its length")
+            peer = peer_of(dict(zip(KEYS, part, strict=False)))
+            age_ms = part[-1]
             if not isinstance(age_ms, int) or age_ms < 0:
                 raise InvalidMessage("an age is no count of ms")
             if age_ms < FORGET_S * 1000:
--- /dev/null
+++ b/tests/system/test_views.py
@@ -0,0 +1,95 @@
+"""Partial views: merged by the younger age, shuffled, bounded."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from brambleusher.membership.views import ALIVE_S, FORGET_S, SAMPLE, VIEW_MAX, PartialView, Peer, State
+from brambleusher.wire.errors import InvalidMessage
+
+
+def peer(name: str, state: State = State.READY, incarnation: int = 1) -> Peer:
+    return Peer(name, "gateway", f"{name}:80", "n1", "north", state, incarnation)
+
+
+def view(*names: str, at: float = 0.0) -> PartialView:
+    made = PartialView(random.Random(1))
+    for name in names:
+        made.heard(peer(name), at)
+    return made
+
+
+def test_a_view_passes_on_what_it_knows_with_its_age() -> None:
+    first, second = view("a", "b"), view()
+    second.merge(first.sample(2.0), 102.0)
+    assert [each.name for each in second.alive("gateway", 102.0)] == ["a", "b"]
+    assert second.alive("gateway", 100.1 + ALIVE_S) == []
+
+
+def test_the_younger_news_wins_whichever_comes_first() -> None:
+    for order in (0, 1):
+        made = view()
+        news = [(peer("a"), 1.0), (peer("a", State.LEAVING), 2.0)]
+        for each, at in news[::-1] if order else news:
+            made.heard(each, at)
+        assert made.alive("gateway", 2.0)[0].state is State.LEAVING
+
+
+def test_a_new_start_counts_though_the_old_one_was_heard_of_later() -> None:
+    made = view()
+    made.heard(peer("a", State.LEAVING, 1), 5.0)
+    made.heard(peer("a", State.STARTING, 2), 4.9)
+    assert made.alive("gateway", 5.0)[0].incarnation == 2
+
+
+def test_what_nobody_hears_of_is_forgotten() -> None:
+    made = view("a")
+    made.heard(peer("b"), FORGET_S)
+    made.expire(FORGET_S + 1)
+    assert [part[0] for part in made.sample(FORGET_S + 1)] == ["b"]
+
+
+def test_views_and_samples_are_bounded() -> None:
+    made = view(*(f"g{number}" for number in range(VIEW_MAX + 50)))
+    assert len(made.sample(0.0)) == SAMPLE
+    assert len(made.alive("gateway", 0.0)) <= VIEW_MAX
+
+
+def test_a_fleet_comes_to_know_itself_by_shuffling() -> None:
+    """Eight views that know one process each; every round each sends a sample to another one."""
+    rng = random.Random(7)
+    views = {f"g{number}": view(f"g{number}") for number in range(8)}
+    for step in range(12):
+        now = step * 0.1
+        for name, mine in views.items():
+            mine.heard(peer(name), now)
+            views[rng.choice([other for other in views if other != name])].merge(mine.sample(now), now)
+    assert all(len(each.alive("gateway", 1.2)) == 8 for each in views.values())
+
+
+GOOD = [*peer("a").as_json().values(), 5]
+
+
+@pytest.mark.parametrize(
+    "sample",
+    [
+        {},
+        [1],
+        [GOOD[:-1]],
+        [[*GOOD[:-1], -1]],
+        [[*GOOD[:-1], "5"]],
+        [[*GOOD[:5], "unknown", *GOOD[6:]]],
+        [[*GOOD[:6], "x", 5]],
+    ],
+)
+def test_a_sample_that_is_none_is_refused(sample: Any) -> None:
+    with pytest.raises(InvalidMessage):
+        view().merge(sample, 0.0)
+
+
+def test_peers_are_compared_by_what_they_say() -> None:
+    assert replace(peer("a"), zone="n2") != peer("a")
