--- a/brambleusher/membership/views.py
+++ b/brambleusher/membership/views.py
@@ -95,7 +95,7 @@
             del self._heard[name]
 
     def sample(self, now: float) -> list[list[Any]]:
-        """A shuffled part of the view for another process: peers as lists, which are short, with ages in ms."""
+        """A shuffled part of the view for another process: peers as lists, with ages in ms."""
         known = list(self._heard.values())
         chosen = self._rng.sample(known, min(SAMPLE, len(known)))
         return [[*peer.as_json().values(), int((now - at) * 1000)] for peer, at in chosen]
