--- a/brambleusher/controlplane/announcer.py
+++ b/brambleusher/controlplane/announcer.py
@@ -40,7 +40,11 @@
             event.set()
 
     def watch(self, message: dict[str, Any]) -> dict[str, Any]:
-        """Wait for news and answer; raises `InvalidMessage`."""
+        """Wait for news and answer; raises `InvalidMessage`.
+
+        To a question that is `brief` the answer only says that there is news: the gateway follows two
+        controllers, and large news should come once.
+        """
         peer = peer_of(message.get("me"))
         held, source, version = message.get("index"), message.get("source"), message.get("version")
         if not isinstance(held, int) or not isinstance(version, int):
@@ -58,7 +62,7 @@
             pass
         finally:
             self._waiting.discard(event)
-        answer = self._answer(peer, held, source, version)
+        answer = self._answer(peer, held, source, version, bool(message.get("brief")))
         if "figures" in message:
             reporters, figures = self._figures.others(peer.name, self._scheduler.now())
             answer["reporters"], answer["figures"] = reporters, figures
@@ -69,7 +73,7 @@
         other = source != self._name or version != self._instances.version
         return self._replica.state.index > held or (listed and other)
 
-    def _answer(self, peer: Peer, held: int, source: object, version: int) -> dict[str, Any]:
+    def _answer(self, peer: Peer, held: int, source: object, version: int, brief: bool) -> dict[str, Any]:
         now = self._scheduler.now()
         gateways = [each.name for each in self._view.alive("gateway", now, COUNTED_S)]
         state, listed = self._replica.state, self._instances
@@ -82,10 +86,12 @@
             "source": self._name,
             "version": listed.version,
         }
-        if state.index > held:
-            answer["body"], answer["evacuated"] = state.body, state.evacuated
+        if state.index > held and not brief:
+            answer["packed"], answer["evacuated"] = state.packed, state.evacuated
         if listed.read_at is not None:
             answer["age_ms"] = int((now - listed.read_at) * 1000)
+            if brief:
+                return answer
             if source != self._name or version != listed.version:
                 answer["instances"] = listed.instances
         return answer
--- a/brambleusher/controlplane/orders.py
+++ b/brambleusher/controlplane/orders.py
@@ -13,6 +13,7 @@
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.wire import configuration
 from brambleusher.wire.errors import InvalidConfiguration
+from brambleusher.wire.packing import unpack
 
 log = logging.getLogger(__name__)
 
@@ -54,9 +55,9 @@
         if isinstance(read, Err):
             return _error(503, "no majority answered in time")
         state = read.ok_value
-        if not state.body:
+        if not state.packed:
             return _error(404, "there is no configuration yet")
-        return HttpResponse(200, state.body.encode())
+        return HttpResponse(200, unpack(state.packed))
 
     def _put(self, request: HttpRequest) -> HttpResponse:
         base = request.headers.get(b"if-match", b"").strip().strip(b'"')
@@ -64,14 +65,11 @@
             return _error(400, "If-Match: it is no revision")
         try:
             checked = configuration.read(request.body)
-            text = request.body.decode()
         except InvalidConfiguration as error:
             return _error(400, str(error))
-        except UnicodeDecodeError as error:
-            return _error(400, f"body: {error}")
         if checked.revision > REVISION_MAX:
             return _error(400, "revision: it is too large")
-        return self._submit(PutConfiguration(int(base), checked.revision, text))
+        return self._submit(PutConfiguration.of(int(base), checked.revision, request.body))
 
     def _evacuate(self, zone: str, evacuated: bool) -> HttpResponse:
         if zone not in self._zones:
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -240,7 +240,7 @@
             self.consensus.read(waiter.done)
             self._pump()
             if self._wait(waiter, deadline) is True:
-                answer = self.state.as_json()
+                answer = self.state.answer_as_json()
         self._send(sender, {"kind": "forwarded", "number": data.get("number", -1), "answer": answer})
 
     def _propose(self, command: Command, deadline: float) -> Verdict | None:
--- a/brambleusher/controlplane/state_machine.py
+++ b/brambleusher/controlplane/state_machine.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from typing import Any
 
+from brambleusher.wire.packing import pack
+
 HISTORY_MAX = 4096  # digests of configurations taken; a day holds hundreds
 
 
@@ -21,20 +23,31 @@
 
 @dataclass(frozen=True, slots=True)
 class PutConfiguration:
-    """Command: a checked configuration on top of the revision `base`."""
+    """Command: a checked configuration on top of the revision `base`.
+
+    `packed` is its body (see `wire.packing`); `digest` tells this very order from all others.
+    """
 
     base: int
     revision: int
-    body: str
+    digest: str
+    packed: str
 
-    @property
-    def digest(self) -> str:
-        """Tells this very order from all others."""
-        return hashlib.sha256(f"{self.base}\n{self.body}".encode()).hexdigest()
+    @classmethod
+    def of(cls, base: int, revision: int, body: bytes) -> PutConfiguration:
+        """The command for a body as it was sent."""
+        digest = hashlib.sha256(b"%d\n%b" % (base, body)).hexdigest()
+        return cls(base, revision, digest, pack(body))
 
     def as_json(self) -> dict[str, Any]:
         """The form in the log."""
-        return {"op": "put", "base": self.base, "revision": self.revision, "body": self.body}
+        return {
+            "op": "put",
+            "base": self.base,
+            "revision": self.revision,
+            "digest": self.digest,
+            "packed": self.packed,
+        }
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +68,7 @@
 def command_of(data: dict[str, Any]) -> Command:
     """A command from its form in the log."""
     if data["op"] == "put":
-        return PutConfiguration(data["base"], data["revision"], data["body"])
+        return PutConfiguration(data["base"], data["revision"], data["digest"], data["packed"])
     return SetEvacuation(data["zone"], data["evacuated"])
 
 
@@ -65,7 +78,7 @@
 
     index: int = 0  # of the last command that changed something: the version that gateways hold
     revision: int = 0
-    body: str = ""
+    packed: str = ""  # the body of the configuration in force; empty before the first
     digests: list[str] = field(default_factory=list)
     evacuated: list[str] = field(default_factory=list)
 
@@ -83,7 +96,7 @@
             return Verdict.STALE
         if command.revision <= self.revision:
             return Verdict.NOT_HIGHER
-        self.index, self.revision, self.body = index, command.revision, command.body
+        self.index, self.revision, self.packed = index, command.revision, command.packed
         self.digests = [*self.digests, digest][-HISTORY_MAX:]
         return Verdict.ACCEPTED
 
@@ -100,11 +113,15 @@
         return {
             "index": self.index,
             "revision": self.revision,
-            "body": self.body,
+            "packed": self.packed,
             "digests": self.digests,
             "evacuated": self.evacuated,
         }
 
+    def answer_as_json(self) -> dict[str, Any]:
+        """The form for a reader, who needs nothing of the past."""
+        return {**self.as_json(), "digests": []}
+
     @classmethod
     def from_json(cls, data: dict[str, Any] | None) -> SharedState:
         """The state of a snapshot; an empty one without."""
--- a/brambleusher/dataplane/watcher.py
+++ b/brambleusher/dataplane/watcher.py
@@ -15,12 +15,15 @@
 from brambleusher.runtime.streams import parse_address
 from brambleusher.wire import configuration
 from brambleusher.wire.errors import InvalidConfiguration, InvalidMessage
+from brambleusher.wire.packing import unpack
 
 log = logging.getLogger(__name__)
 
 WATCHERS = 2  # controllers followed at once: one that freezes or is cut off holds nothing up
 ANSWER_S = 1.1  # twice the time that a controller holds a question, and a round trip between regions
 PAUSE_S = 0.05
+BRIEF_WAIT_S = 0.25  # for news to come from the other controller before it is asked for twice
+LIST_OLDER_S = 1.0  # behind another controller's reading: worth having that one sent
 STALE_LIST_S = 3.2  # a controller whose reading of the list is older is left for another
 FIGURES_EVERY_S = 0.8  # what this gateway saw of instances goes out, and what others saw comes in
 COUNT_KEPT_S = 30.0  # the most gateways counted within this time share the budgets
@@ -59,7 +62,7 @@
     def _follow(self, address: str, first: bool) -> None:
         """Ask one controller again and again, until it is no use; the first watcher exchanges figures too."""
         client = LineClient(self._scheduler, parse_address(address))
-        source, version = "", -1
+        source, version, brief = "", -1, True
         try:
             while True:
                 question: dict[str, Any] = {
@@ -69,18 +72,34 @@
                     "source": source,
                     "version": version,
                 }
+                if not first:
+                    question["brief"] = brief
+                if not first and not brief:
+                    question["source"], question["version"] = "", -1
                 if first and self._scheduler.now() >= self._figures_at:
                     self._figures_at = self._scheduler.now() + FIGURES_EVERY_S
                     question["figures"] = self._instances.report()
                 answer = client.call(question, ANSWER_S)
-                source, version = str(answer.get("source")), int(answer.get("version", -1))
                 self._take(answer)
+                if not first and brief and self._behind(answer):
+                    # The other controller should bring it; if it does not, this one is asked for it all.
+                    self._scheduler.sleep(BRIEF_WAIT_S)
+                    brief = not self._behind(answer)
+                    continue
+                brief = True
+                source, version = str(answer.get("source")), int(answer.get("version", -1))
                 if not self._useful(answer):
                     return
                 self._controllers.worked(address)
         finally:
             client.close()
 
+    def _behind(self, answer: dict[str, Any]) -> bool:
+        """Whether a controller that answered briefly has what this gateway still lacks."""
+        read_at = self._scheduler.now() - int(answer.get("age_ms", 0)) / 1000
+        newer_list = "age_ms" in answer and read_at > self._instances.read_at + LIST_OLDER_S
+        return int(answer["index"]) > self.index or newer_list
+
     def _useful(self, answer: dict[str, Any]) -> bool:
         age_ms = answer.get("age_ms")
         fresh = not self._instances.listed or (age_ms is not None and age_ms < STALE_LIST_S * 1000)
@@ -107,10 +126,10 @@
 
     def _take_state(self, answer: dict[str, Any], now: float) -> None:
         index = int(answer["index"])
-        if index <= self.index or "body" not in answer:
+        if index <= self.index or "packed" not in answer:
             return
-        body = answer["body"]
-        routes = RouteTable(configuration.read(body.encode())) if body else None
+        packed = answer["packed"]
+        routes = RouteTable(configuration.read_checked(unpack(packed))) if packed else None
         self.index = index
         if routes is not None:
             self.routes = routes
--- a/brambleusher/wire/configuration.py
+++ b/brambleusher/wire/configuration.py
@@ -111,6 +111,14 @@
     return configuration
 
 
+def read_checked(body: bytes) -> Configuration:
+    """A configuration that a controller has checked; raises `InvalidConfiguration` where it is none."""
+    try:
+        return Configuration.model_validate_json(body)
+    except ValidationError as error:
+        raise InvalidConfiguration("body", str(error.errors()[0]["msg"])) from error
+
+
 def _check(configuration: Configuration) -> None:
     known = {service.name for service in configuration.services}
     places: set[tuple[str, str]] = set()
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
@@ -350,3 +351,40 @@
         controller.replica.consensus.tick = counted  # type: ignore[method-assign]
     whole.sleep(2)
     assert all(1 <= count <= 60 for count in steps.values()), steps
+
+
+def test_a_large_configuration_comes_once_to_each_gateway(whole: Whole) -> None:
+    """Two controllers are followed; large news comes from one of them."""
+    whole.served()
+    whole.sleep(2)
+    sent = dict.fromkeys(whole.controllers, 0)
+    for name, controller in whole.controllers.items():
+        announcer = controller._announcer
+        assert announcer is not None
+        answer = announcer._answer
+
+        def counted(*given: Any, name: str = name, answer: Any = answer) -> Any:
+            made = answer(*given)
+            sent[name] += "packed" in made
+            return made
+
+        announcer._answer = counted  # type: ignore[method-assign, assignment]
+    body = configuration(2, *(route(f"/r{number}/") for number in range(600)))
+    assert whole.put("c1", 1, body).status == 200
+    whole.wait(lambda: in_force(whole, 2), 2.0)
+    whole.sleep(2)
+    assert sum(sent.values()) == len(whole.gateways)
+    assert whole.control("c2", "GET", "/api/config").body == body
+
+
+def test_news_come_from_the_second_controller_where_the_first_is_silent(whole: Whole) -> None:
+    whole.served()
+    whole.sleep(2)
+    held = whole.gateways["g1"]._controllers._held
+    first = next(name for name in whole.controllers if f"{whole.world.machines[name].ip}:7720" == held[0])
+    whole.process(first).stall(6 * 10**9)
+    core = next(name for name in whole.controllers if name != first)
+    whole.wait(lambda: whole.put(core, 1, configuration(2, route("/n/"))).status == 200)
+    acknowledged = whole.now
+    whole.wait(lambda: in_force(whole, 2))
+    assert whole.now - acknowledged < 1.5
--- /dev/null
+++ b/tests/system/test_packing.py
@@ -0,0 +1,34 @@
+"""Packed texts: whole, bounded, and refused where they are none."""
+
+from __future__ import annotations
+
+import pytest
+
+from brambleusher.wire import packing
+from brambleusher.wire.errors import InvalidMessage
+from brambleusher.wire.packing import pack, unpack
+from tests.system.whole import configuration, route
+
+
+def test_what_is_packed_comes_back() -> None:
+    for data in (b"", b"{}", bytes(range(256)) * 100):
+        assert unpack(pack(data)) == data
+
+
+def test_a_large_configuration_packs_into_a_tenth() -> None:
+    body = configuration(3, *(route(f"/r{number * 7919 % 100003}/") for number in range(1400)))
+    assert len(body) > 250_000
+    assert len(pack(body)) < len(body) / 10
+
+
+@pytest.mark.parametrize("text", ["", "!", "~~~~~~", pack(b"x" * 100)[:-10], " "])
+def test_what_is_none_is_refused(text: str) -> None:
+    with pytest.raises(InvalidMessage):
+        unpack(text)
+
+
+def test_what_would_unpack_beyond_the_bound_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    packed = pack(b"x" * 5000)
+    monkeypatch.setattr(packing, "UNPACKED_BYTES_MAX", 4000)
+    with pytest.raises(InvalidMessage):
+        unpack(packed)
