--- a/brambleusher/wire/packing.py
+++ b/brambleusher/wire/packing.py
@@ -1,7 +1,7 @@
 """Large texts within JSON: compressed, as base 85.
 
-A configuration of 1,400 routes has 370 kB and packs into 35; it goes to every replica, to its disk and to every
-gateway.
+A configuration of 1,400 routes has 370 kB and packs into 35; it goes to every replica, to its disk and to
+every gateway.
 """
 
 from __future__ import annotations
