--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -9,10 +9,20 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
-from enum import Enum
+from dataclasses import replace
 from typing import Any
 
+from brambleusher.controlplane.consensus_types import (
+    SNAPSHOT_EVERY_S,
+    HardState,
+    Outgoing,
+    Output,
+    Progress,
+    Record,
+    Restore,
+    Role,
+    Truncate,
+)
 from brambleusher.controlplane.log import Log
 from brambleusher.controlplane.membership_changes import next_members
 from brambleusher.wire import consensus_messages as wire
@@ -24,79 +34,10 @@
     0.35  # at most, after a start: a leader that is there shows itself sooner, or votes are denied
 )
 ENTRIES_A_MESSAGE = 64
-SNAPSHOT_EVERY_S = 1.0  # to one replica: a snapshot on a slow link takes a while
 TRANSFER_S = 1.0  # for a planned successor to show up, then proposals are taken again
 JOIN_FORGET_S = 3.0  # after which a request to join has to be repeated
 
 
-class Role(Enum):
-    """What a replica is at the moment."""
-
-    LEARNER = "learner"
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre_candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-@dataclass(frozen=True, slots=True)
-class Outgoing:
-    """A message to a member, to be sent once the record numbered `after` is synced (0: at once)."""
-
-    to: Member
-    message: wire.Message
-    after: int
-
-
-@dataclass(frozen=True, slots=True)
-class HardState:
-    """Record: term and vote."""
-
-    term: int
-    vote: str
-
-
-@dataclass(frozen=True, slots=True)
-class Truncate:
-    """Record: entries from an index on are void."""
-
-    first: int
-
-
-@dataclass(frozen=True, slots=True)
-class Restore:
-    """Record: a snapshot received from the leader replaces everything before it."""
-
-    index: int
-    term: int
-    members: tuple[Member, ...]
-    state: Any
-
-
-Record = HardState | Truncate | Restore | Entry
-
-
-@dataclass(slots=True)
-class Progress:
-    """What a leader knows of one other member."""
-
-    next_index: int
-    matched: int = 0
-    heard_at: float = 0.0
-    round: int = 0
-    snapshot_at: float = -SNAPSHOT_EVERY_S
-
-
-@dataclass(slots=True)
-class Output:
-    """What came out since it was last taken."""
-
-    messages: list[Outgoing] = field(default_factory=list)
-    records: list[Record] = field(default_factory=list)
-    committed: list[Entry] = field(default_factory=list)
-    restored: list[Restore] = field(default_factory=list)
-
-
 class Consensus:
     """One replica of one shard."""
 
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -11,7 +11,8 @@
 
 from result import Err, Ok, Result
 
-from brambleusher.controlplane.consensus import Consensus, HardState, Outgoing, Record
+from brambleusher.controlplane.consensus import Consensus
+from brambleusher.controlplane.consensus_types import HardState, Outgoing, Record
 from brambleusher.controlplane.log import Log
 from brambleusher.controlplane.state_machine import Command, SharedState, Verdict, command_of
 from brambleusher.controlplane.storage import CorruptStorage, Recovered, Storage
--- a/brambleusher/controlplane/storage.py
+++ b/brambleusher/controlplane/storage.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from brambleusher.controlplane.consensus import HardState, Record, Restore, Truncate
+from brambleusher.controlplane.consensus_types import HardState, Record, Restore, Truncate
 from brambleusher.controlplane.log import Log
 from brambleusher.runtime.disk import Disk
 from brambleusher.wire.consensus_messages import Entry, Member, entry_of, member_of
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from brambleusher.controlplane.consensus import Consensus, HardState, Outgoing, Role
+from brambleusher.controlplane.consensus import Consensus
+from brambleusher.controlplane.consensus_types import HardState, Outgoing, Role
 from brambleusher.controlplane.membership_changes import next_members
 from brambleusher.wire import consensus_messages as wire
 from brambleusher.wire.errors import InvalidMessage
@@ -296,8 +297,8 @@
     assert not old_leader_speaks(FollowsOldLeaders)
 
 
-def test_a_wiped_replica_that_kept_its_identity_would_lose_what_was_acknowledged() -> None:
-    """The reason why a lost disk makes a new member: with the old identity two empty votes make a leader."""
+def acknowledged_by_two() -> tuple[Cluster, str, str, str]:
+    """All are down; the leader and one other hold a command that the third lacks; names in that order."""
     cluster = Cluster("abc", seed=3)
     change(cluster)
     leader = cluster.leader()
@@ -307,6 +308,12 @@
     assert cluster.commit("on two of three")
     for name in (leader.name, one):
         cluster.crash(name)
+    return cluster, leader.name, one, two
+
+
+def test_a_wiped_replica_that_kept_its_identity_would_lose_what_was_acknowledged() -> None:
+    """The reason why a lost disk makes a new member: with the old identity two empty votes make a leader."""
+    cluster, _, one, two = acknowledged_by_two()
     cluster.start(one, [])  # an empty disk, and the identity of the old one
     cluster.restart(two)
     assert cluster.run(lambda: cluster.leader() is not None)
@@ -315,19 +322,11 @@
 
 
 def test_a_wiped_replica_does_not_vote_and_nothing_is_lost() -> None:
-    cluster = Cluster("abc", seed=3)
-    change(cluster)
-    leader = cluster.leader()
-    assert leader is not None
-    one, two = (name for name in "abc" if name != leader.name)
-    cluster.crash(two)
-    assert cluster.commit("on two of three")
-    for name in (leader.name, one):
-        cluster.crash(name)
+    cluster, leader, one, two = acknowledged_by_two()
     cluster.wipe(one, "again")
     cluster.restart(two)
     assert not cluster.run(lambda: cluster.leader() is not None, steps=300)
-    cluster.restart(leader.name)
+    cluster.restart(leader)
     assert cluster.commit("after")
     cluster.check()
 
--- a/tests/system/test_storage.py
+++ b/tests/system/test_storage.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from brambleusher.controlplane.consensus import HardState, Record, Restore, Truncate
+from brambleusher.controlplane.consensus_types import HardState, Record, Restore, Truncate
 from brambleusher.controlplane.storage import CorruptStorage, Storage, inspect
 from brambleusher.wire.consensus_messages import Entry, Member
 from tests.system.memory_disk import MemoryDisk, PowerLost
@@ -136,6 +136,19 @@
             storage.write_snapshot(header(index - 1), "a", HardState(1, ""), [entry(index)])
 
 
+def play_until(disk: MemoryDisk, at: int, acknowledged: list[int]) -> None:
+    """The same life up to a change of the disk, at which power is lost."""
+
+    def lose(change: int, what: str) -> None:
+        if change == at:
+            raise PowerLost
+
+    disk.before = lose
+    with pytest.raises(PowerLost):
+        play(disk, acknowledged)
+    disk.before = None
+
+
 def test_power_lost_at_every_change_loses_nothing_that_was_synced() -> None:
     whole = MemoryDisk()
     play(whole, [])
@@ -143,15 +156,7 @@
     for at in range(1, whole.changes + 1):
         for seed in range(12):
             disk, acknowledged = MemoryDisk(), list[int]()
-
-            def lose(change: int, what: str, at: int = at) -> None:
-                if change == at:
-                    raise PowerLost
-
-            disk.before = lose
-            with pytest.raises(PowerLost):
-                play(disk, acknowledged)
-            disk.before = None
+            play_until(disk, at, acknowledged)
             disk.lose_power(random.Random(seed), nothing_unsynced=seed == 0)
             found = Storage(disk).recover()
             assert found.log.last_index >= (acknowledged or [0])[-1], (at, seed)
@@ -169,15 +174,7 @@
         for seed in range(4):
             disk, acknowledged = MemoryDisk(), list[int]()
             disk.folder_syncs = False
-
-            def lose(change: int, what: str, at: int = at) -> None:
-                if change == at:
-                    raise PowerLost
-
-            disk.before = lose
-            with pytest.raises(PowerLost):
-                play(disk, acknowledged)
-            disk.before = None
+            play_until(disk, at, acknowledged)
             disk.lose_power(random.Random(seed))
             try:
                 lost += Storage(disk).recover().log.last_index < (acknowledged or [0])[-1]
