--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Tests listed in KNOWN-RED.txt have to fail, and are printed."""
+"""Tests listed in KNOWN-RED.txt have to fail, and are printed; so is how many messages were mutated."""
 
 from __future__ import annotations
 
@@ -23,6 +23,10 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Print them."""
+    """Print them, and the sum that tests recorded as `mutations_of_one_message`."""
+    passed = terminalreporter.stats.get("passed", [])
+    counts = [dict(report.user_properties).get("mutations_of_one_message", 0) for report in passed]
+    if any(counts):
+        terminalreporter.write_line(f"mutations of one message played: {sum(counts)}")
     for entry in known_red():
         terminalreporter.write_line(f"KNOWN-RED {entry.test}: {entry.cause} ({entry.issue})")
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -91,7 +91,7 @@
             cluster.mutate = lambda number, *_, at=at, how=how: how if number == at else "deliver"
             scenario(cluster)
             cluster.check()
-    print(f"{scenario.__name__}: {plain.sent * len(MUTATIONS)} mutations of one message")
+    record_property("mutations_of_one_message", plain.sent * len(MUTATIONS))
     assert plain.sent > 30
 
 
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -388,3 +388,30 @@
     acknowledged = whole.now
     whole.wait(lambda: in_force(whole, 2))
     assert whole.now - acknowledged < 1.5
+
+
+def test_six_cores_have_five_voters_and_bear_the_loss_of_two() -> None:
+    whole = Whole(cores=6, tolerated=2)
+
+    def voters() -> set[str]:
+        leader = whole.leader()
+        known = whole.controllers[leader].replica.consensus.voters if leader is not None else []
+        return {member.address for member in known}
+
+    whole.served()
+    whole.wait(lambda: len(voters()) == 5)
+    leader = whole.leader()
+    assert leader is not None
+    others_with_a_vote = [
+        name
+        for name in whole.controllers
+        if name != leader and f"{whole.world.machines[name].ip}:7720" in voters()
+    ]
+    assert whole.put("c6", 1, configuration(2)).status == 200
+    for name in (leader, others_with_a_vote[0]):
+        whole.power_off(name, nothing_unsynced=True)
+    rest = others_with_a_vote[1]
+    whole.wait(lambda: whole.put(rest, 2, configuration(3, route("/n/"))).status == 200)
+    whole.wait(lambda: in_force(whole, 3))
+    assert whole.control(rest, "GET", "/api/config").body == configuration(3, route("/n/"))
+    whole.close()
--- a/tests/system/whole.py
+++ b/tests/system/whole.py
@@ -44,7 +44,7 @@
 [bind]
 {bind}
 [tolerance]
-machines = 1
+machines = {tolerated}
 [bounds]
 grace_s = 8
 [cloud_api]
@@ -246,9 +246,10 @@
 class Whole:
     """Machines, processes, the platform's list, and calls from outside."""
 
-    def __init__(self, seed: int = 1, cores: int = 3, gateways: int = 2) -> None:
+    def __init__(self, seed: int = 1, cores: int = 3, gateways: int = 2, tolerated: int = 1) -> None:
         self.world = World(seed, PLAIN)
         self.rng = random.Random(seed)
+        self.tolerated = tolerated
         self.disks: dict[str, MemoryDisk] = {}
         self.controllers: dict[str, Controller] = {}
         self.gateways: dict[str, Gateway] = {}
@@ -298,6 +299,7 @@
             data_dir="/data" if core else "",
             serves='["controller", "registry"]' if core else '["edge"]',
             bind=bind,
+            tolerated=self.tolerated,
         )
         return settings_reader.parse(text, "local.toml")
 
