Bodies of all clients together stay within a quarter of the memory

Cause: each body had a bound, their sum had none. Beyond it a request gets 503 with a time to come back, unread by any instance. Test: two bodies beside each other, the second is refused, the sum goes back to nothing.

--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -13,7 +13,7 @@
 
 SEND_S = 10.0  # for a client to take what is sent to it
 BODY_S = 10.0
-BODY_TOO_LARGE, HEAD_TOO_LARGE = 413, 431
+BODY_TOO_LARGE, HEAD_TOO_LARGE, NO_MEMORY = 413, 431, 503
 CONNECTION_HEADERS = frozenset(
     {
         b"connection",
@@ -71,11 +71,31 @@
         self.status = status
 
 
+class BodyMemory:
+    """The bytes of request bodies that all connections hold together, within a bound."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self.held = 0
+
+    def take(self, size: int) -> bool:
+        """Account for bytes, unless they are beyond the bound."""
+        if self.held + size > self._most:
+            return False
+        self.held += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Bytes were let go."""
+        self.held -= size
+
+
 class ClientConnection:
     """Reads requests and writes answers; one at a time."""
 
-    def __init__(self, scheduler: Scheduler, stream: Stream, limits: Limits) -> None:
+    def __init__(self, scheduler: Scheduler, stream: Stream, limits: Limits, memory: BodyMemory) -> None:
         self._scheduler, self.stream = scheduler, stream
+        self._memory, self._taken = memory, 0
         self.limits = limits
         self.wake = Event()  # rung to end a connection that rests
         self.idle = True
@@ -89,6 +109,7 @@
 
         Raises `h11.RemoteProtocolError` and `RequestTooLarge`.
         """
+        self.release()
         self.idle, self._begun = True, False
         head: h11.Request | None = None
         parts: list[bytes] = []
@@ -114,12 +135,20 @@
                 held += len(event.data)
                 if held > self.limits.body_bytes:
                     raise RequestTooLarge(BODY_TOO_LARGE)
+                if not self._memory.take(len(event.data)):
+                    raise RequestTooLarge(NO_MEMORY)
+                self._taken += len(event.data)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 headers = list(head.headers)
                 return Request(head.method, head.target, headers, b"".join(parts), self._scheduler.now())
             else:
                 return None
 
+    def release(self) -> None:
+        """The body of the last request is held no more."""
+        self._memory.give_back(self._taken)
+        self._taken = 0
+
     def _receive(self, deadline: float) -> bytes | None:
         if self._h11.they_are_waiting_for_100_continue:
             informational = h11.InformationalResponse(status_code=100, headers=[])
--- a/brambleusher/gateway.py
+++ b/brambleusher/gateway.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from brambleusher.dataplane.client_connection import ClientConnection, RequestTooLarge
+from brambleusher.dataplane.client_connection import NO_MEMORY, BodyMemory, ClientConnection, RequestTooLarge
 from brambleusher.dataplane.controllers import Controllers, Place
 from brambleusher.dataplane.counters import Counters
 from brambleusher.dataplane.instances import Instance, Instances
@@ -27,6 +27,8 @@
 
 log = logging.getLogger(__name__)
 
+BYTES_A_MB = 1024 * 1024
+BODIES_PART = 4  # one over the part of the machine's memory that clients' bodies may take
 UPKEEP_S = 0.25
 POOL_CONTRACT = "pool"  # in `in_force` where idle connections may be forgotten unseen
 CLIENTS_MAX = 2500
@@ -51,6 +53,7 @@
         self._last_request_at = 0.0
         self._active = 0
         self._clients: set[ClientConnection] = set()
+        self._body_memory = BodyMemory(settings.limits.memory_mb * BYTES_A_MB // BODIES_PART)
         self.counters = Counters()
         self.instances = Instances(settings.zones, rng)
         self._upstream = Upstream(self.scheduler, self.instances, POOL_CONTRACT in settings.in_force)
@@ -102,7 +105,8 @@
 
     def _serve(self, stream: Stream, peer: str) -> None:
         routes = self._watcher.routes
-        client = ClientConnection(self.scheduler, stream, routes.limits if routes is not None else Limits())
+        limits = routes.limits if routes is not None else Limits()
+        client = ClientConnection(self.scheduler, stream, limits, self._body_memory)
         client.ending = self._leaving_at is not None
         self._clients.add(client)
         try:
@@ -111,6 +115,7 @@
         except h11.LocalProtocolError:
             log.exception("an answer could not be worded")
         finally:
+            client.release()
             self._clients.discard(client)
 
     def _serve_one(self, client: ClientConnection) -> bool:
@@ -124,7 +129,8 @@
             return False
         except RequestTooLarge as error:
             self.counters.add("too_large")
-            client.error(error.status, "the request is over the limits")
+            wait = NOT_YET_S if error.status == NO_MEMORY else None
+            client.error(error.status, "the request is over the limits", retry_after_s=wait)
             client.stream.finish()
             return False
         if request is None:
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -244,3 +244,23 @@
     assert status["revision"] == 1
     assert status["counters"]["served"] == 1
     assert set(status["weights"]) == {"llm", "desk"}
+
+
+def test_bodies_of_all_clients_together_are_bounded(whole: Whole) -> None:
+    memory = whole.gateways["g1"]._body_memory
+    whole.request("g1", attempt="fits", body=b"x" * 50_000)
+    assert memory.held == 0
+    memory._most = 60_000
+    for server in whole.servers.values():
+        server.pause_s = 0.3
+    first = whole.start_request("g1", attempt="first", body=b"x" * 50_000)
+    whole.sleep(0.2)
+    second = whole.request("g1", attempt="second", body=b"x" * 50_000)
+    assert second.status == 503
+    assert float(second.headers["retry-after"]) > 0
+    assert whole.arrivals("second") == []
+    whole.wait(lambda: bool(first.error))
+    assert first.whole
+    whole.sleep(0.5)
+    assert memory.held == 0
+    assert whole.request("g1", attempt="third", body=b"x" * 50_000).status == 200
