Second reading: one piece where HTTP, confirmation and recovery stood twice

Cause: the second reading of the whole system found the same logic in several places. Change: the next event and a whole message by h11 stand in runtime/h11_messages.py (five loops before), the two programs share how signals drive them, a leader's confirmation before a read, recovery and inspection of a disk, and members in a log stand once; the last segment is not read twice at a start, a route with one service makes no list of shares for each request; state that could be derived (whether a request ran), two wrappers, an unused field and a tuple's unused part are gone. No behaviour changes.

--- a/brambleusher/controller.py
+++ b/brambleusher/controller.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-import signal
 from typing import Any
 
 from brambleusher.controlplane import registry
@@ -14,6 +13,7 @@
 from brambleusher.controlplane.replica import Replica
 from brambleusher.logs import SparseLog
 from brambleusher.membership.line_connection import LineSender, LineServer
+from brambleusher.membership.process import run_until_signalled
 from brambleusher.membership.settings_watch import SettingsWatch
 from brambleusher.membership.views import FORGET_S, PartialView, Peer, State
 from brambleusher.runtime.disk import Disk
@@ -79,12 +79,8 @@
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
-        system = self.scheduler.system
-        for number in (signal.SIGTERM, signal.SIGINT):
-            system.on_signal(number, lambda: self.scheduler.call_soon(self.leave))
-        system.on_signal(signal.SIGHUP, lambda: self.scheduler.call_soon(self._watch.look))
         log.info("controller started", extra={"fields": {"name": self.settings.node_name}})
-        self.scheduler.run()
+        run_until_signalled(self.scheduler, self.leave, self._watch)
 
     def leave(self) -> None:
         """Hand the lead over and end soon."""
--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -71,7 +71,7 @@
         self._joining: dict[str, tuple[Member, float]] = {}
         self._transfer_until = 0.0
         self._successor = ""
-        self._reads: list[tuple[int, int, Callable[[bool], None]]] = []
+        self._reads: list[tuple[int, Callable[[bool], None]]] = []
         self._heartbeat_at = now
         self._election_at = now + rng.uniform(0.05, FIRST_ELECTION_S)
 
@@ -147,7 +147,7 @@
             done(False)
             return
         self._round += 1
-        self._reads.append((self._round, self.commit, done))
+        self._reads.append((self._round, done))
         self._replicate(heartbeat=True)
         self._finish_reads()
 
@@ -235,7 +235,7 @@
         """The one place where the role changes."""
         if self.role is Role.LEADER and role is not Role.LEADER:
             reads, self._reads = self._reads, []
-            for _, _, done in reads:
+            for _, done in reads:
                 done(False)
             self._progress, self._transfer_until = {}, 0.0
         self.role = role
@@ -486,7 +486,7 @@
         agreed = rounds[len(self.voters) // 2] if len(rounds) > len(self.voters) // 2 else -1
         ready = [read for read in self._reads if read[0] <= agreed]
         self._reads = [read for read in self._reads if read[0] > agreed]
-        for _, _, done in ready:
+        for _, done in ready:
             done(True)
 
     # --- the follower ----------------------------------------------------------------------------
--- a/brambleusher/controlplane/log.py
+++ b/brambleusher/controlplane/log.py
@@ -56,10 +56,7 @@
         term = self.term_at(index)
         if term is None or index == self.base_index:
             return
-        dropped = self.entries[: index - self.base_index]
-        for entry in dropped:
-            if entry.kind == "members":
-                self.base_members = tuple(member_of(part) for part in entry.data)
+        self.base_members = self.members_at(index)
         self.entries = self.entries[index - self.base_index :]
         self.base_index, self.base_term = index, term
 
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -173,10 +173,7 @@
         """The state as a majority has it at this moment."""
         while self._scheduler.now() < deadline:
             if self.consensus.leading:
-                waiter = Waiter()
-                self.consensus.read(waiter.done)
-                self._pump()
-                if self._wait(waiter, min(deadline, self._scheduler.now() + FORWARD_S)) is True:
+                if self._confirmed(min(deadline, self._scheduler.now() + FORWARD_S)):
                     return Ok(self.state)
                 self._scheduler.sleep(LOOK_AGAIN_S)
                 continue
@@ -185,6 +182,13 @@
                 return Ok(SharedState.from_json(answer))
         return Err(NoLeader())
 
+    def _confirmed(self, deadline: float) -> bool:
+        """Whether a majority still follows this leader, so that its state is the newest."""
+        waiter = Waiter()
+        self.consensus.read(waiter.done)
+        self._pump()
+        return self._wait(waiter, deadline) is True
+
     def transfer(self) -> None:
         """Hand the lead over, where this replica has it."""
         self.consensus.transfer()
@@ -236,12 +240,8 @@
         if "command" in data and self.consensus.taking_proposals():
             verdict = self._propose(command_of(data["command"]), deadline)
             answer = verdict.value if verdict is not None else None
-        elif data.get("read") and self.consensus.leading:
-            waiter = Waiter()
-            self.consensus.read(waiter.done)
-            self._pump()
-            if self._wait(waiter, deadline) is True:
-                answer = self.state.answer_as_json()
+        elif data.get("read") and self.consensus.leading and self._confirmed(deadline):
+            answer = self.state.answer_as_json()
         self._send(sender, {"kind": "forwarded", "number": data.get("number", -1), "answer": answer})
 
     def _propose(self, command: Command, deadline: float) -> Verdict | None:
--- a/brambleusher/controlplane/storage.py
+++ b/brambleusher/controlplane/storage.py
@@ -101,13 +101,7 @@
 
     def read_only(self) -> Recovered:
         """What recovery would find, changing nothing; raises `CorruptStorage`."""
-        found = Recovered()
-        names = self._disk.names()
-        self._newest_snapshot(found, [name for name in names if name.startswith(SNAPSHOT)])
-        segments = sorted(name for name in names if name.startswith(SEGMENT))
-        for name in segments:
-            self._read_segment(found, name, last=name == segments[-1])
-        return found
+        return self._read_all(repair=False)
 
     def recover(self) -> Recovered:
         """Read everything, repair a torn end and make what was read durable; raises `CorruptStorage`.
@@ -115,22 +109,32 @@
         A process that was killed may find bytes that never were synced: what it goes on to rely on is
         synced first.
         """
-        found = Recovered()
-        names = self._disk.names()
-        for name in names:
+        for name in self._disk.names():
             if name.startswith(UNFINISHED):
                 self._disk.remove(name)
+        found = self._read_all(repair=True)
+        self._disk.sync_folder()
+        return found
+
+    def _read_all(self, repair: bool) -> Recovered:
+        found = Recovered()
+        names = self._disk.names()
         self._newest_snapshot(found, [name for name in names if name.startswith(SNAPSHOT)])
         segments = sorted(name for name in names if name.startswith(SEGMENT))
         for name in segments:
-            self._replay(found, name, last=name == segments[-1])
-        self._disk.sync_folder()
-        if segments:
-            self._segment = segments[-1]
-            self._number = int(self._segment.removeprefix(SEGMENT))
-            self._good_bytes = len(self._disk.read(self._segment))
+            good, size = self._read_segment(found, name, last=name == segments[-1])
+            if repair:
+                self._repair_segment(name, good, size)
         return found
 
+    def _repair_segment(self, name: str, good: int, size: int) -> None:
+        """Cut off a torn end, sync what is left, and go on in this segment."""
+        if good < size:
+            self._disk.truncate(name, good)
+        self._disk.sync(name)
+        self._segment, self._number = name, int(name.removeprefix(SEGMENT))
+        self._good_bytes = good
+
     def _newest_snapshot(self, found: Recovered, names: list[str]) -> None:
         for name in sorted(names, reverse=True):
             try:
@@ -149,12 +153,6 @@
         found.log = Log(data["index"], data["term"], members)
         found.state = data["state"]
 
-    def _replay(self, found: Recovered, name: str, last: bool) -> None:
-        good, size = self._read_segment(found, name, last)
-        if good < size:
-            self._disk.truncate(name, good)
-        self._disk.sync(name)
-
     def _read_segment(self, found: Recovered, name: str, last: bool) -> tuple[int, int]:
         """Apply a segment's records; bytes of whole records, and of all. Only the last one may end torn."""
         data = self._disk.read(name)
--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -7,6 +7,7 @@
 import h11
 import orjson
 
+from brambleusher.runtime.h11_messages import go_on, whole
 from brambleusher.runtime.scheduler import Event, Scheduler, Timeout
 from brambleusher.runtime.streams import RECEIVE, Stream
 from brambleusher.wire.configuration import Limits
@@ -97,11 +98,11 @@
         self._scheduler, self.stream = scheduler, stream
         self._memory, self._taken = memory, 0
         self.limits = limits
-        self.wake = Event()  # rung to end a connection that rests
+        self.wake = Event()  # set to end a connection that rests
         self.idle = True
         self.ending = False  # each answer is the connection's last
         self.closing = False  # it ends where it rests
-        self._begun = False  # the head of an answer was sent
+        self.begun = False  # the head of an answer was sent
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
 
     def read(self) -> Request | None:
@@ -110,7 +111,7 @@
         Raises `h11.RemoteProtocolError` and `RequestTooLarge`.
         """
         self.release()
-        self.idle, self._begun = True, False
+        self.idle, self.begun = True, False
         head: h11.Request | None = None
         parts: list[bytes] = []
         held = 0
@@ -150,9 +151,7 @@
         self._taken = 0
 
     def _receive(self, deadline: float) -> bytes | None:
-        if self._h11.they_are_waiting_for_100_continue:
-            informational = h11.InformationalResponse(status_code=100, headers=[])
-            self._write(self._h11.send(informational) or b"")
+        go_on(self._h11, self.stream, SEND_S)
         while True:
             if self.idle and self.closing and self.stream.quiet():
                 return None
@@ -163,16 +162,12 @@
             if data is not None:
                 return data
 
-    @property
-    def begun(self) -> bool:
-        """Whether the head of the answer has been sent."""
-        return self._begun
+    def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send the head of an answer whose body follows in pieces."""
+        self._write(self._h11.send(self._head(status, headers, None)) or b"")
 
-    def begin(self, status: int, headers: list[tuple[bytes, bytes]], length: int | None) -> None:
-        """Send the head of an answer, with a length or in chunks."""
-        self._write(self._head(status, headers, length))
-
-    def _head(self, status: int, headers: list[tuple[bytes, bytes]], length: int | None) -> bytes:
+    def _head(self, status: int, headers: list[tuple[bytes, bytes]], length: int | None) -> h11.Response:
+        """The head of an answer, with a length or in chunks."""
         framing = (
             (b"Transfer-Encoding", b"chunked")
             if length is None
@@ -182,8 +177,8 @@
         sent.append(framing)
         if self.ending:
             sent.append((b"Connection", b"close"))
-        self._begun = True
-        return self._h11.send(h11.Response(status_code=status, headers=sent)) or b""
+        self.begun = True
+        return h11.Response(status_code=status, headers=sent)
 
     def data(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -195,10 +190,7 @@
 
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """Send a whole answer."""
-        data = self._head(status, headers, len(body))
-        data += self._h11.send(h11.Data(data=body)) or b""
-        data += self._h11.send(h11.EndOfMessage()) or b""
-        self._write(data)
+        self._write(whole(self._h11, self._head(status, headers, len(body)), body))
 
     def error(
         self, status: int, reason: str, attempt_id: bytes = b"", retry_after_s: float | None = None
--- a/brambleusher/dataplane/failures.py
+++ b/brambleusher/dataplane/failures.py
@@ -21,8 +21,6 @@
 class Lost:
     """The request, or a part of it, was sent and no whole answer came: it may have run."""
 
-    timed_out: bool
-
 
 AttemptFailure = NotReached | Rejected | Lost
 
--- a/brambleusher/dataplane/instances.py
+++ b/brambleusher/dataplane/instances.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -15,8 +14,6 @@
 from brambleusher.wire.configuration import Route, Service
 from quillpass.instance_weights import InstanceWeights
 
-log = logging.getLogger(__name__)
-
 DOWN_FIRST_S, DOWN_MOST_S = 0.25, 2.0  # after a failed connection an instance rests, longer each time
 COLD_MARGIN_S = 1.5  # the list lags: an instance may have started later than it seems
 DEFAULT_GATEWAYS = 8.0  # until a controller has counted them
@@ -102,15 +99,15 @@
                 instance.cold_until = max(instance.cold_until, now + warm_in)
             if entry.get("state") != "ready":
                 instance.become(Standing.DRAINING)
-        for name in [name for name in self._known if name not in named]:
-            self._known.pop(name).become(Standing.GONE)
-        before = {instance for listed in self._by_service.values() for instance in listed}
+        gone = [self._known.pop(name) for name in [name for name in self._known if name not in named]]
+        for instance in gone:
+            instance.become(Standing.GONE)
         self._by_service = {}
         for instance in self._known.values():
             self._by_service.setdefault(instance.service, []).append(instance)
         self._follow()
-        unusable = [instance for instance in self._known.values() if instance.standing is not Standing.READY]
-        return unusable + [instance for instance in before if instance.standing is Standing.GONE]
+        draining = [instance for instance in self._known.values() if instance.standing is Standing.DRAINING]
+        return draining + gone
 
     def _add(self, entry: dict[str, Any], first: bool, now: float) -> Instance:
         zone = str(entry.get("zone", ""))
@@ -187,7 +184,7 @@
     def admits(self, instance: Instance, now: float) -> bool:
         """Whether one more send keeps within the bound of a cold instance; takes of its budget."""
         service = self.services.get(instance.service)
-        if instance.cold_until <= now or service is None or service.cold_per_s <= 0:
+        if not self.is_cold(instance, now) or service is None or service.cold_per_s <= 0:
             return True
         if instance.cold_budget is None:
             instance.cold_budget = ColdBudget(instance.id, now)
--- a/brambleusher/dataplane/routes.py
+++ b/brambleusher/dataplane/routes.py
@@ -37,7 +37,7 @@
 
 def pick_service(route: Route, rng: random.Random) -> str:
     """One of the route's services, by their shares."""
+    if route.service is not None:
+        return route.service
     shares = route.shares
-    if len(shares) == 1:
-        return shares[0].service
     return rng.choices([share.service for share in shares], [share.gain for share in shares])[0]
--- a/brambleusher/dataplane/serving.py
+++ b/brambleusher/dataplane/serving.py
@@ -43,9 +43,13 @@
     tried: set[str] = field(default_factory=set)
     sends: int = 0  # arrivals at instances
     runs: int = 0  # instances that may have run it
-    ran: bool = False
     refusal: str = ""  # why no further attempt was made
 
+    @property
+    def ran(self) -> bool:
+        """Whether it may have run at all."""
+        return self.runs > 0
+
 
 class Serving:
     """Serves requests with what the gateway knows."""
@@ -81,7 +85,7 @@
         if isinstance(answer, Answer):
             self._pass_on(client, work, answer, budget)
         else:
-            self._refuse(client, work)
+            self.refuse(client, work)
 
     def _work(self, request: Request, route: Route, attempt_id: bytes) -> Work:
         key, tokens = "", 0
@@ -133,7 +137,7 @@
                 return None
             result = self._attempt(work, instance)
             if isinstance(result, Ok):
-                work.sends, work.runs, work.ran = work.sends + 1, work.runs + 1, True
+                work.sends, work.runs = work.sends + 1, work.runs + 1
                 return result.ok_value
             failure = result.err_value
             reached += 1
@@ -154,7 +158,7 @@
             return
         work.sends += 1
         if isinstance(failure, Lost):
-            work.runs, work.ran = work.runs + 1, True
+            work.runs += 1
 
     def _attempt(self, work: Work, instance: Instance) -> Result[Answer, AttemptFailure]:
         now = self._scheduler.now()
@@ -201,7 +205,7 @@
 
     # --- answers ---------------------------------------------------------------------------------
 
-    def _refuse(self, client: ClientConnection, work: Work) -> None:
+    def refuse(self, client: ClientConnection, work: Work) -> None:
         """No answer came: say at once whether the request may have run."""
         left = work.deadline - self._scheduler.now()
         if work.ran:
@@ -231,7 +235,7 @@
                 self._counters.add("broken")
                 again = self._attempts(work, budget)
                 if again is None:
-                    self._refuse(client, work)
+                    self.refuse(client, work)
                     return
                 answer = again
                 continue
@@ -252,10 +256,6 @@
         self._counters.add("resumed")
         return answer
 
-    def refuse_stream(self, client: ClientConnection, work: Work) -> None:
-        """A stream failed before anything was sent on."""
-        self._refuse(client, work)
-
     def served(self) -> None:
         """A stream is whole."""
         self._counters.add("served")
@@ -291,7 +291,8 @@
             while data := answer.read(self._work.deadline):
                 events = self._splitter.feed(data)
                 if events:
-                    self._send(events)
+                    self._begin()
+                    self._client.data(events)
         except (AnswerBroken, Timeout, EventTooLong):
             answer.abandon()
             return False
@@ -300,18 +301,16 @@
             raise
         if self._splitter.partial:
             return False
-        if not self._client.begun:
-            self._client.begin(200, self._head, None)
+        self._begin()
         self._client.end()
         return True
 
-    def _send(self, events: bytes) -> None:
+    def _begin(self) -> None:
         if not self._client.begun:
-            self._client.begin(200, self._head, None)
-        self._client.data(events)
+            self._client.begin(200, self._head)
 
     def _give_up(self) -> None:
         if self._client.begun:
             self._client.stream.close()
         else:
-            self._serving.refuse_stream(self._client, self._work)
+            self._serving.refuse(self._client, self._work)
--- a/brambleusher/dataplane/upstream.py
+++ b/brambleusher/dataplane/upstream.py
@@ -12,8 +12,9 @@
 from brambleusher.dataplane.budgets import connections_of
 from brambleusher.dataplane.failures import AnswerBroken, AttemptFailure, Lost, NotReached, Rejected
 from brambleusher.dataplane.instances import Instance, Instances
+from brambleusher.runtime.h11_messages import next_event, whole
 from brambleusher.runtime.scheduler import Scheduler, Timeout
-from brambleusher.runtime.streams import RECEIVE, Stream
+from brambleusher.runtime.streams import Stream
 from quillpass.api import Status
 from quillpass.idle import Trust
 
@@ -64,29 +65,24 @@
 
     def read(self, deadline: float) -> bytes:
         """The next bytes of the body, empty at its end; raises `AnswerBroken` and `Timeout`."""
-        connection = self._connection
-        while True:
-            try:
-                event = connection.h11.next_event()
-                if event is h11.NEED_DATA:
-                    connection.h11.receive_data(connection.stream.receive(deadline, size=RECEIVE) or b"")
-                    continue
-            except (OSError, h11.ProtocolError) as error:
-                self.abandon()
-                raise AnswerBroken from error
-            except Timeout:
-                self.abandon()
-                raise
-            if isinstance(event, h11.Data):
-                if not self._first:
-                    self._first = True
-                    self.on_first()
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
-                self._release()
-                return b""
+        try:
+            event = next_event(self._connection.h11, self._connection.stream, deadline)
+        except (OSError, h11.ProtocolError) as error:
             self.abandon()
-            raise AnswerBroken
+            raise AnswerBroken from error
+        except Timeout:
+            self.abandon()
+            raise
+        if isinstance(event, h11.Data):
+            if not self._first:
+                self._first = True
+                self.on_first()
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self._release()
+            return b""
+        self.abandon()
+        raise AnswerBroken
 
     def abandon(self, well: bool | None = False) -> None:
         """Close the connection: the rest of the answer can't be had, or (`well` None) is not wanted."""
@@ -211,25 +207,22 @@
             return Err(NotReached())
         try:
             request = h11.Request(method=method, target=target, headers=list(headers))
-            data = connection.h11.send(request) or b""
-            data += connection.h11.send(h11.Data(data=body)) or b"" if body else b""
-            data += connection.h11.send(h11.EndOfMessage()) or b""
-            connection.stream.send(data, deadline)
+            connection.stream.send(whole(connection.h11, request, body), deadline)
             head = self._head(connection, attempt_id, deadline)
         except (OSError, h11.ProtocolError):
             self.close(instance, connection)
             if connection.rested_s:
                 self._trust.ended(Status.RESET, int(connection.rested_s * SECOND))
-            return Err(Lost(timed_out=False))
+            return Err(Lost())
         except Timeout:
             self.close(instance, connection)
-            return Err(Lost(timed_out=True))
+            return Err(Lost())
         except BaseException:
             self.close(instance, connection)
             raise
         if head is None:
             self.close(instance, connection)
-            return Err(Lost(timed_out=False))
+            return Err(Lost())
         if connection.rested_s:
             self._trust.ended(Status.OK, int(connection.rested_s * SECOND))
             connection.rested_s = 0.0
@@ -263,30 +256,26 @@
     @staticmethod
     def _next_head(connection: Connection, deadline: float) -> h11.Response | None:
         while True:
-            event = connection.h11.next_event()
-            if event is h11.NEED_DATA:
-                connection.h11.receive_data(connection.stream.receive(deadline, size=RECEIVE) or b"")
-            elif isinstance(event, h11.Response):
+            event = next_event(connection.h11, connection.stream, deadline)
+            if isinstance(event, h11.Response):
                 return event
-            elif not isinstance(event, h11.InformationalResponse):
+            if not isinstance(event, h11.InformationalResponse):
                 return None
 
     @staticmethod
     def _drop_answer(connection: Connection, deadline: float) -> bool:
         """Read an answer that belongs to another request, and make ready for the one that is due."""
         while True:
-            event = connection.h11.next_event()
-            if event is h11.NEED_DATA:
-                connection.h11.receive_data(connection.stream.receive(deadline, size=RECEIVE) or b"")
-            elif isinstance(event, h11.EndOfMessage):
+            event = next_event(connection.h11, connection.stream, deadline)
+            if isinstance(event, h11.EndOfMessage):
                 break
-            elif not isinstance(event, h11.Data):
+            if not isinstance(event, h11.Data):
                 return False
         rest = connection.h11.trailing_data[0]
         connection.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_MAX)
-        connection.h11.send(h11.Request(method=b"GET", target=b"/", headers=[(b"Host", b"-")]))
-        connection.h11.send(h11.EndOfMessage())
-        connection.h11.receive_data(rest) if rest else None
+        whole(connection.h11, h11.Request(method=b"GET", target=b"/", headers=[(b"Host", b"-")]))
+        if rest:
+            connection.h11.receive_data(rest)
         return True
 
 
--- a/brambleusher/gateway.py
+++ b/brambleusher/gateway.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-import signal
 
 import h11
 
@@ -15,6 +14,7 @@
 from brambleusher.dataplane.serving import Serving
 from brambleusher.dataplane.upstream import Upstream
 from brambleusher.dataplane.watcher import Watcher
+from brambleusher.membership.process import run_until_signalled
 from brambleusher.membership.settings_watch import SettingsWatch
 from brambleusher.membership.views import Peer, State
 from brambleusher.runtime.acceptor import Acceptor
@@ -77,12 +77,8 @@
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT and what follows is over."""
-        system = self.scheduler.system
-        for number in (signal.SIGTERM, signal.SIGINT):
-            system.on_signal(number, lambda: self.scheduler.call_soon(self.leave))
-        system.on_signal(signal.SIGHUP, lambda: self.scheduler.call_soon(self._watch.look))
         log.info("gateway started", extra={"fields": {"name": self.settings.node_name}})
-        self.scheduler.run()
+        run_until_signalled(self.scheduler, self.leave, self._watch)
         log.info("gateway ended", extra={"fields": dict(self.counters.as_json())})
 
     def leave(self) -> None:
--- a/brambleusher/runtime/http_client.py
+++ b/brambleusher/runtime/http_client.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from brambleusher.runtime.h11_messages import next_event, whole
 from brambleusher.runtime.scheduler import Scheduler, Timeout
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import Address
@@ -61,14 +62,11 @@
         stream, connection = self._stream, self._connection
         host = f"{self._address[0]}:{self._address[1]}".encode()
         request = h11.Request(method=b"GET", target=target.encode(), headers=[(b"Host", host)])
-        data = (connection.send(request) or b"") + (connection.send(h11.EndOfMessage()) or b"")
-        stream.send(data, deadline)
+        stream.send(whole(connection, request), deadline)
         status, parts, held = 0, [], 0
         while True:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
-                connection.receive_data(stream.receive(deadline) or b"")
-            elif isinstance(event, h11.Response):
+            event = next_event(connection, stream, deadline)
+            if isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
--- a/brambleusher/runtime/http_server.py
+++ b/brambleusher/runtime/http_server.py
@@ -10,8 +10,9 @@
 import orjson
 
 from brambleusher.runtime.acceptor import Acceptor
+from brambleusher.runtime.h11_messages import next_event, whole
 from brambleusher.runtime.scheduler import Scheduler
-from brambleusher.runtime.streams import RECEIVE, Stream
+from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import Address
 
 IDLE_S = 60.0
@@ -91,13 +92,8 @@
         held = 0
         deadline = self._scheduler.now() + IDLE_S
         while True:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
-                if connection.they_are_waiting_for_100_continue:
-                    informational = h11.InformationalResponse(status_code=100, headers=[])
-                    stream.send(connection.send(informational) or b"", self._scheduler.now() + SEND_S)
-                connection.receive_data(stream.receive(deadline, size=RECEIVE) or b"")
-            elif isinstance(event, h11.Request):
+            event = next_event(connection, stream, deadline)
+            if isinstance(event, h11.Request):
                 head, deadline = event, self._scheduler.now() + REQUEST_S
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
@@ -119,7 +115,5 @@
         headers = [JSON_TYPE, (b"Content-Length", str(len(response.body)).encode()), *response.headers]
         if self.closing:
             headers.append((b"Connection", b"close"))
-        data = connection.send(h11.Response(status_code=response.status, headers=headers)) or b""
-        data += connection.send(h11.Data(data=response.body)) or b""
-        data += connection.send(h11.EndOfMessage()) or b""
-        stream.send(data, self._scheduler.now() + SEND_S)
+        head = h11.Response(status_code=response.status, headers=headers)
+        stream.send(whole(connection, head, response.body), self._scheduler.now() + SEND_S)
