--- a/brambleusher/controller.py
+++ b/brambleusher/controller.py
@@ -30,6 +30,8 @@
 SENDERS_MAX = 64
 CONFIGURATION_BYTES = 8 * 1024 * 1024
 LEAVE_S = 1.2  # after SIGTERM: time to hand the lead over and to answer what was taken
+LEAVE_LOOK_S = 0.1
+KILL_MARGIN_S = 1.0  # before `grace_s` is over the process has ended
 CONNECTIONS_MAX = 900
 
 
@@ -91,8 +93,24 @@
         self._control.closing = True
         if self._directory is not None:
             self._directory.closing = True
-        self.replica.transfer()
-        self.scheduler.call_at(self.scheduler.now() + LEAVE_S, self.scheduler.stop)
+        self.replica.leave()
+        self.scheduler.spawn(self._end, name="end")
+
+    def _end(self) -> None:
+        """End once another has this one's vote; where nobody can get it, once what was taken is answered."""
+        begin = self.scheduler.now()
+        latest = begin + self.settings.bounds.grace_s - KILL_MARGIN_S
+        self.scheduler.sleep(LEAVE_S)
+        while self.scheduler.now() < latest and self.replica.has_vote() and self._successors():
+            self.scheduler.sleep(LEAVE_LOOK_S)
+        self.scheduler.stop()
+
+    def _successors(self) -> list[str]:
+        """Controllers that are there and have no vote yet."""
+        voters = self.replica.voters()
+        peers = self.view.alive("controller", self.scheduler.now())
+        ready = [peer.address for peer in peers if peer.state is not State.LEAVING]
+        return [address for address in ready if address not in voters]
 
     # --- others ----------------------------------------------------------------------------------
 
--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -17,14 +17,16 @@
     HardState,
     Outgoing,
     Output,
-    Progress,
     Record,
     Restore,
     Role,
     Truncate,
 )
 from brambleusher.controlplane.log import Log
-from brambleusher.controlplane.membership_changes import next_members
+from brambleusher.controlplane.membership_changes import Group, next_members
+from brambleusher.controlplane.membership_requests import MembershipRequests
+from brambleusher.controlplane.quorum import agreed_value, has_quorum
+from brambleusher.controlplane.replication import Progress, Replication
 from brambleusher.wire import consensus_messages as wire
 from brambleusher.wire.consensus_messages import Entry, Member
 
@@ -33,9 +35,9 @@
 FIRST_ELECTION_S = (
     0.35  # at most, after a start: a leader that is there shows itself sooner, or votes are denied
 )
-ENTRIES_A_MESSAGE = 64
 TRANSFER_S = 1.0  # for a planned successor to show up, then proposals are taken again
-JOIN_FORGET_S = 3.0  # after which a request to join has to be repeated
+JOIN_QUIET_S = 1.5  # without a leader for so long, a replica asks whether it still is a member
+UNLIKELY_WAITS_S = 0.6  # longer than others a replica without a vote, or about to end, waits before it stands
 
 
 class Consensus:
@@ -64,11 +66,12 @@
         self._synced_index = log.last_index
         self._entry_records: list[tuple[int, int]] = []  # (record number, index) not synced yet
         self._votes: set[str] = set()
-        self._progress: dict[str, Progress] = {}
+        self._replication = Replication()
         self._round = 0
         self._heard_at = now
         self._majority_at = now
-        self._joining: dict[str, tuple[Member, float]] = {}
+        self._requests = MembershipRequests(identity.id)
+        self.leaves = False  # whether this process is about to end
         self._transfer_until = 0.0
         self._successor = ""
         self._reads: list[tuple[int, Callable[[bool], None]]] = []
@@ -100,10 +103,20 @@
         """Seconds since a leader was heard from."""
         return now - self._heard_at
 
+    def wants_to_join(self, now: float) -> bool:
+        """Whether to ask others for membership: not known as a member, or perhaps none any more."""
+        if self.leading:
+            return False
+        return self._member(self.identity.id) is None or self.quiet_for(now) >= JOIN_QUIET_S
+
     def taking_proposals(self) -> bool:
         """Whether a proposal made here now would be appended."""
         return self.leading and self._now >= self._transfer_until
 
+    def has_vote(self) -> bool:
+        """Whether this replica may be needed for a quorum: its vote is not known to be taken away."""
+        return self._is_voter() or self.log.members_index > self.commit
+
     def status(self) -> dict[str, Any]:
         """The state as one JSON object."""
         return {
@@ -122,11 +135,12 @@
     def tick(self, now: float) -> None:
         """Time has passed."""
         self._now = now
+        self._requests.forget(self.log.members, now)
         if self.role is Role.LEADER:
             self._lead()
         elif now >= self._election_at:
             self._election_at = now + self._timeout()
-            if self._is_voter():
+            if self.voters:
                 self._stand(pre=True)
 
     def due_at(self) -> float:
@@ -163,10 +177,12 @@
         """Ask the voter that is furthest to take over; False where there is none or this is no leader."""
         if not self.leading:
             return False
+        near = self._replication.heard_within(ELECTION_MIN_S, self._now)
+        leaving = self._requests.leaving()
         ready = [
-            (self._progress[member.id].matched, member)
+            (self._replication.progress[member.id].matched, member)
             for member in self.voters
-            if member.id in self._progress and self._now - self._progress[member.id].heard_at < ELECTION_MIN_S
+            if member.id in near and member.id not in leaving
         ]
         if not ready:
             return False
@@ -184,10 +200,16 @@
         """A message of another replica."""
         self._now = now
         if isinstance(message, wire.JoinRequest):
-            self._joined(message.member)
+            self._requests.joined(message.member, now)
             return
         if message.sender == self.identity.id:
             return
+        self._requests.heard(message.sender, now)
+        if isinstance(message, wire.LeaveRequest):
+            self._requests.asked_to_leave(message.sender, now)
+            if self.leading:
+                self._change_members()
+            return
         if isinstance(message, wire.VoteRequest):
             self._vote_asked(message)
             return
@@ -206,20 +228,24 @@
             self._append(message)
         elif isinstance(message, wire.InstallSnapshot):
             self._install(message)
-        elif isinstance(message, wire.TransferLeadership) and self._is_voter():
+        elif isinstance(message, wire.TransferLeadership) and self._is_voter() and not self.leaves:
             self._stand(pre=False, transfer=True)
 
-    def _joined(self, newcomer: Member) -> None:
-        """Keep the latest process at an address: an earlier one there has lost its disk and is gone."""
-        for identity, (member, _) in list(self._joining.items()):
-            if member.address == newcomer.address:
-                del self._joining[identity]
-        self._joining[newcomer.id] = (newcomer, self._now)
+    def _lost(self) -> set[str]:
+        """Members whose disks are proven to be lost, while that may count: see `quorum`.
+
+        Not while a change of members is under way, since a quorum of the earlier members might not be met.
+        """
+        if self.log.members_index > self.commit:
+            return set()
+        return self._requests.lost(self.log.members, self._now)
 
     # --- elections -------------------------------------------------------------------------------
 
     def _timeout(self) -> float:
-        return self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
+        """Until it stands: one without a vote may have to, where the voters lack what it holds, but last."""
+        longer = UNLIKELY_WAITS_S if self.leaves or not self._is_voter() else 0.0
+        return self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S) + longer
 
     def _is_voter(self) -> bool:
         own = self._member(self.identity.id)
@@ -228,8 +254,8 @@
     def _member(self, identity: str) -> Member | None:
         return next((member for member in self.log.members if member.id == identity), None)
 
-    def _majority(self, count: int) -> bool:
-        return count * 2 > len(self.voters)
+    def _quorum(self, agreeing: set[str]) -> bool:
+        return has_quorum(self.voters, agreeing, self._lost())
 
     def _become(self, role: Role) -> None:
         """The one place where the role changes."""
@@ -237,7 +263,7 @@
             reads, self._reads = self._reads, []
             for _, done in reads:
                 done(False)
-            self._progress, self._transfer_until = {}, 0.0
+            self._replication, self._transfer_until = Replication(), 0.0
         self.role = role
 
     def _follow(self, term: int, leader: str) -> None:
@@ -279,9 +305,8 @@
             return
         if request.term > self.term:
             self._follow(request.term, "")
-        granted = (
-            newer and request.term == self.term and self._is_voter() and self.vote in ("", request.sender)
-        )
+        # Whose votes count is for the candidate to say: this replica may not know yet that it got one.
+        granted = newer and request.term == self.term and self.vote in ("", request.sender)
         if granted and not self.vote:
             self.vote = request.sender
             self._record(HardState(self.term, self.vote))
@@ -306,8 +331,7 @@
             self._count_votes()
 
     def _count_votes(self) -> None:
-        counted = sum(member.id in self._votes for member in self.voters)
-        if not self._majority(counted):
+        if not self._quorum(self._votes):
             return
         if self.role is Role.PRE_CANDIDATE:
             self._stand(pre=False)
@@ -318,7 +342,7 @@
         self._become(Role.LEADER)
         self.leader = self.identity.id
         self._majority_at = self._heartbeat_at = self._now
-        self._progress = {}
+        self._replication = Replication()
         self._follow_members()
         self._append_own("none", None)
         self._replicate()
@@ -326,57 +350,45 @@
     # --- the leader ------------------------------------------------------------------------------
 
     def _follow_members(self) -> None:
-        others = {member.id for member in self.log.members} - {self.identity.id}
-        for identity in others - set(self._progress):
-            self._progress[identity] = Progress(self.log.last_index + 1, heard_at=self._now)
-        for identity in set(self._progress) - others:
-            del self._progress[identity]
+        self._replication.follow(self.log.members, self.identity.id, self.log.last_index + 1, self._now)
 
     def _lead(self) -> None:
         if self._now < self._heartbeat_at:
             return
-        live = 1 + sum(
-            self._now - self._progress[member.id].heard_at < ELECTION_MAX_S
-            for member in self.voters
-            if member.id in self._progress
-        )
-        if self._majority(live) and self._is_voter():
-            self._majority_at = max(self._majority_at, self._heard_majority_at())
-        else:
+        live = self._replication.heard_within(ELECTION_MAX_S, self._now) | {self.identity.id}
+        if not self._quorum(live):
             self._follow(self.term, "")
             self._election_at = self._now + self._timeout()
             return
+        if not self._is_voter() and self.taking_proposals():
+            self.transfer()
+        self._majority_at = max(self._majority_at, self._heard_majority_at())
         self._heartbeat_at = self._now + HEARTBEAT_S
         self._change_members()
         self._round += 1
         self._replicate(heartbeat=True)
 
     def _heard_majority_at(self) -> float:
-        """When a majority had been heard from last, this replica included."""
-        times = [
-            self._now if member.id == self.identity.id else self._progress[member.id].heard_at
-            for member in self.voters
-        ]
-        return sorted(times, reverse=True)[len(times) // 2]
+        """When a quorum had been heard from last, this replica included."""
+        times = {identity: known.heard_at for identity, known in self._replication.progress.items()}
+        return agreed_value(self.voters, {**times, self.identity.id: self._now}, self._lost())
 
     def _change_members(self) -> None:
-        for identity, (_, at) in list(self._joining.items()):
-            if self._now - at > JOIN_FORGET_S:
-                del self._joining[identity]
         if self.log.members_index > self.commit or self.log.term_at(self.commit) != self.term:
             return  # one change at a time, and none before this term has committed something
-        quiet = {identity: self._now - known.heard_at for identity, known in self._progress.items()}
-        caught_up = {
-            identity
-            for identity, known in self._progress.items()
-            if known.matched >= self.commit and self._now - known.heard_at < ELECTION_MIN_S
-        }
-        joining = [member for member, _ in self._joining.values()]
-        changed = next_members(
-            self.log.members, joining, quiet, caught_up, self.identity.id, self.voters_wanted
+        near = self._replication.heard_within(ELECTION_MIN_S, self._now)
+        group = Group(
+            self.log.members,
+            self.identity.id,
+            self.voters_wanted,
+            self._replication.quiet_s(self._now),
+            self._replication.holding(self.commit, near),
+            self._requests.leaving(),
         )
+        changed = next_members(group, self._requests.admissible(self.log.members, self._now))
         if changed is not None:
             self._append_own("members", [member.as_json() for member in changed])
+            self._replicate()
 
     def _append_own(self, kind: str, data: Any) -> Entry:
         entry = Entry(self.log.last_index + 1, self.term, kind, data)
@@ -392,7 +404,7 @@
 
     def _replicate(self, heartbeat: bool = False) -> None:
         for member in self.log.members:
-            known = self._progress.get(member.id)
+            known = self._replication.progress.get(member.id)
             if known is not None and (heartbeat or known.next_index <= self.log.last_index):
                 self._send_entries(member, known)
 
@@ -402,8 +414,7 @@
         if term is None:
             self._send_snapshot(member, known)
             return
-        entries = self.log.after(previous, ENTRIES_A_MESSAGE)
-        known.next_index += len(entries)
+        entries = self._replication.next_entries(self.log, known)
         self._send(
             member,
             wire.Append(self.term, self.identity.id, previous, term, entries, self.commit, self._round),
@@ -418,29 +429,23 @@
         # The driver fills in what is applied when the message leaves: see `with_state`.
         self._send(member, wire.InstallSnapshot(self.term, self.identity.id, 0, 0, [], None, self._round))
 
-    def with_state(self, message: wire.InstallSnapshot, state: Any) -> wire.InstallSnapshot:
-        """The message with the state of the state machine, which has applied all that is committed."""
-        return replace(
-            message,
-            index=self.commit,
-            index_term=self.log.term_at(self.commit) or 0,
-            members=list(self.log.members_at(self.commit)),
-            state=state,
-        )
+    def with_state(self, message: wire.InstallSnapshot, applied: int, state: Any) -> wire.InstallSnapshot:
+        """The message with a state that holds just what is committed up to the index `applied`."""
+        term = self.log.term_at(applied)
+        if term is None or applied > self.commit:
+            raise AssertionError(f"{applied} is no index of a state: {self.log.base_index}..{self.commit}")
+        members = list(self.log.members_at(applied))
+        return replace(message, index=applied, index_term=term, members=members, state=state)
 
     def _appended(self, reply: wire.AppendReply) -> None:
-        known = self._progress.get(reply.sender)
-        if not self.leading or reply.term != self.term or known is None:
+        if not self.leading or reply.term != self.term:
+            return
+        known = self._replication.replied(reply, self._now)
+        if known is None:
             return
-        known.heard_at = self._now
-        known.round = max(known.round, reply.round)
         if reply.accepted:
-            known.matched = max(known.matched, reply.matched)
-            known.next_index = max(known.next_index, known.matched + 1)
             self._advance_commit()
             self._hand_over(reply.sender, known)
-        else:
-            known.next_index = max(min(known.next_index - 1, reply.matched + 1), known.matched + 1, 1)
         self._finish_reads()
         member = self._member(reply.sender)
         if member is not None and known.next_index <= self.log.last_index:
@@ -454,36 +459,22 @@
                 self._send(member, wire.TransferLeadership(self.term, self.identity.id))
 
     def _advance_commit(self) -> None:
-        matched = sorted(
-            (
-                self._synced_index if member.id == self.identity.id else self._matched_of(member.id)
-                for member in self.voters
-            ),
-            reverse=True,
-        )
-        if not matched:
+        matched = {identity: known.matched for identity, known in self._replication.progress.items()}
+        matched[self.identity.id] = self._synced_index
+        agreed = int(agreed_value(self.voters, matched, self._lost()))
+        if agreed <= self.commit or self.log.term_at(agreed) != self.term:
             return
-        agreed = matched[len(matched) // 2]
-        if agreed > self.commit and self.log.term_at(agreed) == self.term:
-            self._commit_to(agreed)
-            self._replicate(heartbeat=True)  # followers announce it too, and should not wait for a beat
-
-    def _matched_of(self, identity: str) -> int:
-        known = self._progress.get(identity)
-        return known.matched if known is not None else 0
+        members_agreed = self.commit < self.log.members_index <= agreed
+        self._commit_to(agreed)
+        self._replicate(heartbeat=True)  # followers announce it too, and should not wait for a beat
+        if members_agreed:
+            self._change_members()
 
     def _finish_reads(self) -> None:
         if not self._reads:
             return
-        rounds = sorted(
-            (
-                self._round if member.id == self.identity.id else self._progress[member.id].round
-                for member in self.voters
-                if member.id == self.identity.id or member.id in self._progress
-            ),
-            reverse=True,
-        )
-        agreed = rounds[len(self.voters) // 2] if len(rounds) > len(self.voters) // 2 else -1
+        rounds = {identity: known.round for identity, known in self._replication.progress.items()}
+        agreed = agreed_value(self.voters, {**rounds, self.identity.id: self._round}, self._lost())
         ready = [read for read in self._reads if read[0] <= agreed]
         self._reads = [read for read in self._reads if read[0] > agreed]
         for _, done in ready:
@@ -536,17 +527,24 @@
 
     def _install(self, message: wire.InstallSnapshot) -> None:
         self._heard_leader(message.sender)
-        if message.index > self.commit:
-            members = tuple(message.members)
-            self.log = Log(message.index, message.index_term, members)
-            restore = Restore(message.index, message.index_term, members, message.state)
-            self._entry_records = [(self._record(restore), message.index)]
-            self._synced_index = 0
-            self.commit = message.index
-            self.output.restored.append(restore)
+        if self.log.term_at(message.index) == message.index_term:
+            # The log goes on behind it, and what follows may be confirmed already: it stays.
+            self._commit_to(message.index)
+        elif message.index > self.commit:
+            self._restore(message)
         self._become(Role.FOLLOWER if self._is_voter() else Role.LEARNER)
         self._reply_append(True, min(message.index, self.log.last_index), message.round)
 
+    def _restore(self, message: wire.InstallSnapshot) -> None:
+        """Begin anew from a snapshot that the log does not reach, or contradicts."""
+        members = tuple(message.members)
+        self.log = Log(message.index, message.index_term, members)
+        restore = Restore(message.index, message.index_term, members, message.state)
+        self._entry_records = [(self._record(restore), message.index)]
+        self._synced_index = 0
+        self.commit = message.index
+        self.output.restored.append(restore)
+
     def _reply_append(self, accepted: bool, matched: int, number: int) -> None:
         reply = wire.AppendReply(self.term, self.identity.id, accepted, matched, number)
         # A heartbeat of what is synced already is answered at once, however slow the disk is.
--- a/brambleusher/controlplane/consensus_types.py
+++ b/brambleusher/controlplane/consensus_types.py
@@ -59,17 +59,6 @@
 Record = HardState | Truncate | Restore | Entry
 
 
-@dataclass(slots=True)
-class Progress:
-    """What a leader knows of one other member."""
-
-    next_index: int
-    matched: int = 0
-    heard_at: float = 0.0
-    round: int = 0
-    snapshot_at: float = -SNAPSHOT_EVERY_S
-
-
 @dataclass(slots=True)
 class Output:
     """What came out since it was last taken."""
--- a/brambleusher/controlplane/membership_changes.py
+++ b/brambleusher/controlplane/membership_changes.py
@@ -1,92 +1,147 @@
-"""Which single change of its members a replica group makes next; pure."""
+"""Which single change of its members a replica group makes next; pure.
+
+A voter that leaves, is lost or is one too many in its zone is replaced in two changes: first another member
+gets a vote, then the one that is too many loses its own.  In between the group has an even number of voters,
+of which a lost disk takes nothing away (see `quorum`).
+"""
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
-from dataclasses import replace
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 
+from brambleusher.controlplane.quorum import votes_needed
 from brambleusher.wire.consensus_messages import Member
 
-LOST_VOTER_S = 2.0  # a voter this long without an answer gives its vote to a learner that is there
+LOST_VOTER_S = 1.0  # a voter this long without an answer gives its vote to a learner that is there
 LOST_LEARNER_S = 60.0  # a learner this long without an answer is no member any more
 MEMBERS_MAX = 16
 
 
-def next_members(
-    members: Sequence[Member],
-    joining: Sequence[Member],
-    quiet: Mapping[str, float],
-    caught_up: set[str],
-    leader: str,
-    voters_wanted: int,
-) -> tuple[Member, ...] | None:
-    """The members after the next change, at most one vote apart; None where nothing is to change.
+@dataclass(frozen=True, slots=True)
+class Group:
+    """What a leader knows of its group.
 
-    `quiet` has the seconds since each other member answered, `caught_up` those that hold everything.
+    `quiet_s` has the seconds since each other member answered, `caught_up` those that hold everything,
+    `leaving` those that are about to end.
     """
+
+    members: Sequence[Member]
+    leader: str
+    voters_wanted: int
+    quiet_s: Mapping[str, float] = field(default_factory=dict)
+    caught_up: Collection[str] = ()
+    leaving: Collection[str] = ()
+
+    @property
+    def voters(self) -> list[Member]:
+        """Members whose votes count."""
+        return [member for member in self.members if member.voter]
+
+    def lost(self, member: Member) -> bool:
+        """Whether a member has said nothing for too long."""
+        return member.id != self.leader and self.quiet_s.get(member.id, 0.0) > LOST_VOTER_S
+
+    def going(self, member: Member) -> bool:
+        """Whether a member should not keep a vote that another can have."""
+        return member.id != self.leader and (member.id in self.leaving or self.lost(member))
+
+    def zone_load(self, zone: str) -> int:
+        """Votes in a zone that are to stay."""
+        return sum(member.zone == zone and not self.going(member) for member in self.voters)
+
+    def with_vote(self, identity: str, voter: bool) -> tuple[Member, ...]:
+        """The members with one vote changed."""
+        return tuple(replace(each, voter=voter) if each.id == identity else each for each in self.members)
+
+
+def next_members(group: Group, joining: Sequence[Member]) -> tuple[Member, ...] | None:
+    """The members after the next change, at most one vote apart; None where nothing is to change."""
     return (
-        _lost_disk(members, joining)
-        or _newcomer(members, joining)
-        or _promotion(members, caught_up, voters_wanted)
-        or _demotion(members, quiet, caught_up, leader, voters_wanted)
-        or _forgotten(members, quiet)
+        _lost_disk(group, joining)
+        or _demotion(group)
+        or _promotion(group)
+        or _newcomer(group, joining)
+        or _forgotten(group)
     )
 
 
-def _lost_disk(members: Sequence[Member], joining: Sequence[Member]) -> tuple[Member, ...] | None:
+def _lost_disk(group: Group, joining: Sequence[Member]) -> tuple[Member, ...] | None:
     """A newcomer at the address of a member: that member's disk is gone, and it can never vote again."""
-    known = {member.id for member in members}
+    known = {member.id for member in group.members}
     for newcomer in joining:
-        old = next((member for member in members if member.address == newcomer.address), None)
+        old = next((member for member in group.members if member.address == newcomer.address), None)
         if newcomer.id not in known and old is not None:
-            rest = [member for member in members if member.id != old.id]
+            rest = [member for member in group.members if member.id != old.id]
             return (*rest, replace(newcomer, voter=False)) if any(m.voter for m in rest) else None
     return None
 
 
-def _newcomer(members: Sequence[Member], joining: Sequence[Member]) -> tuple[Member, ...] | None:
-    known = {member.id for member in members}
+def _newcomer(group: Group, joining: Sequence[Member]) -> tuple[Member, ...] | None:
+    known = {member.id for member in group.members}
     for newcomer in joining:
-        if newcomer.id not in known and len(members) < MEMBERS_MAX:
-            return (*members, replace(newcomer, voter=False))
+        if newcomer.id not in known and len(group.members) < MEMBERS_MAX:
+            return (*group.members, replace(newcomer, voter=False))
     return None
 
 
-def _voters(members: Sequence[Member]) -> list[Member]:
-    return [member for member in members if member.voter]
+def _promotion(group: Group) -> tuple[Member, ...] | None:
+    """A learner that holds everything becomes a voter, from the zone with the fewest votes."""
+    learners = [
+        member
+        for member in group.members
+        if not member.voter and member.id in group.caught_up and member.id not in group.leaving
+    ]
+    if not learners:
+        return None
+    chosen = min(learners, key=lambda member: (group.zone_load(member.zone), member.id))
+    missing = len(group.voters) < group.voters_wanted
+    if not missing and not (_may_exceed(group) and _improves(group, chosen)):
+        return None
+    return group.with_vote(chosen.id, True)
 
 
-def _zone_load(members: Sequence[Member], zone: str) -> int:
-    return sum(member.zone == zone for member in _voters(members))
+def _may_exceed(group: Group) -> bool:
+    """Whether the group is complete and one more vote can be agreed on by those that are there."""
+    voters = group.voters
+    if len(voters) != group.voters_wanted:
+        return False
+    live = sum(not group.lost(member) for member in voters)
+    return live + 1 >= votes_needed(len(voters) + 1, 0)
 
 
-def _promotion(members: Sequence[Member], caught_up: set[str], wanted: int) -> tuple[Member, ...] | None:
-    """A learner that holds everything becomes a voter, from the zone with the fewest voters."""
-    learners = [member for member in members if not member.voter and member.id in caught_up]
-    if len(_voters(members)) >= wanted or not learners:
+def _improves(group: Group, learner: Member) -> bool:
+    """Whether a vote for this learner in place of another's leaves the group better off."""
+    if any(group.going(member) for member in group.voters):
+        return True
+    least = group.zone_load(learner.zone)
+    return any(
+        group.zone_load(member.zone) >= least + 2 for member in group.voters if member.id != group.leader
+    )
+
+
+def _demotion(group: Group) -> tuple[Member, ...] | None:
+    """With a vote too many: one that leaves or is lost loses it, else one of the fullest zone."""
+    voters = group.voters
+    others = [member for member in voters if member.id != group.leader]
+    if len(voters) <= group.voters_wanted or not others:
         return None
-    chosen = min(learners, key=lambda member: (_zone_load(members, member.zone), member.id))
-    return tuple(replace(member, voter=True) if member is chosen else member for member in members)
-
-
-def _demotion(
-    members: Sequence[Member],
-    quiet: Mapping[str, float],
-    caught_up: set[str],
-    leader: str,
-    wanted: int,
-) -> tuple[Member, ...] | None:
-    """A voter that is lost makes room for a learner, while the others keep a majority without it."""
-    voters = _voters(members)
-    lost = [member for member in voters if quiet.get(member.id, 0.0) > LOST_VOTER_S and member.id != leader]
-    learners = [member for member in members if not member.voter and member.id in caught_up]
-    live = len(voters) - len(lost)
-    if not lost or not learners or len(voters) < wanted or live * 2 <= len(voters) - 1:
+    gone = max(
+        others,
+        key=lambda member: (
+            group.lost(member),
+            member.id in group.leaving,
+            group.zone_load(member.zone),
+            member.id,
+        ),
+    )
+    live = sum(not group.lost(member) for member in voters if member is not gone)
+    if live < votes_needed(len(voters) - 1, 0):
         return None
-    gone = max(lost, key=lambda member: (quiet[member.id], member.id))
-    return tuple(replace(member, voter=False) if member is gone else member for member in members)
+    return group.with_vote(gone.id, False)
 
 
-def _forgotten(members: Sequence[Member], quiet: Mapping[str, float]) -> tuple[Member, ...] | None:
-    gone = [m for m in members if not m.voter and quiet.get(m.id, 0.0) > LOST_LEARNER_S]
-    return tuple(member for member in members if member is not gone[0]) if gone else None
+def _forgotten(group: Group) -> tuple[Member, ...] | None:
+    quiet_s = group.quiet_s
+    gone = [each for each in group.members if not each.voter and quiet_s.get(each.id, 0.0) > LOST_LEARNER_S]
+    return tuple(member for member in group.members if member is not gone[0]) if gone else None
--- a/brambleusher/controlplane/orders.py
+++ b/brambleusher/controlplane/orders.py
@@ -74,13 +74,15 @@
     def _evacuate(self, zone: str, evacuated: bool) -> HttpResponse:
         if zone not in self._zones:
             return _error(404, f"zone {zone} is unknown")
-        return self._submit(SetEvacuation(zone, evacuated))
+        return self._submit(SetEvacuation(zone, evacuated, self._replica.applied))
 
     def _submit(self, command: Command) -> HttpResponse:
         submitted = self._replica.submit(command, self._deadline())
         if isinstance(submitted, Err):
             return _error(503, "no majority took it in time; it may be in force or not")
         verdict = submitted.ok_value
+        if verdict is Verdict.OUTDATED:
+            return _error(503, "the zone was changed since this controller knew of it; send it again")
         if verdict is Verdict.STALE:
             return _error(412, "If-Match: another version is current")
         if verdict is Verdict.NOT_HIGHER:
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -26,9 +26,9 @@
 
 DISK_RETRY_S = 0.2
 JOIN_EVERY_S = 0.5
-JOIN_QUIET_S = 1.5  # without a leader for so long, a replica asks whether it still is a member
 FORWARD_S = 0.45  # for the leader to answer what was forwarded; then the way is looked for anew
 LOOK_AGAIN_S = 0.03
+LEAVE_EVERY_S = 0.1  # a replica that is about to end asks again for another to get its vote
 LEAST_SLEEP_S = 0.005
 WAITERS_MAX = 256
 FOUNDER = "founder-"  # begins the identities of the first group, followed by the address
@@ -85,6 +85,7 @@
         self._storage = Storage(disk)
         found = self._recover(disk)
         self.state = SharedState.from_json(found.state)
+        self._applied = found.log.base_index  # up to which `state` holds everything
         self.identity = self._identity(found)
         self.consensus = Consensus(
             self.identity,
@@ -100,7 +101,7 @@
         self._handed = self._synced = 0
         self._held: deque[Outgoing] = deque()
         self._waiting: dict[int, tuple[int, Waiter]] = {}
-        self._forwarded: dict[int, Waiter] = {}
+        self._forwarded: dict[int, tuple[str, Waiter]] = {}  # by number: who was asked, who waits
         self._forward_count = rng.randrange(1 << 40)
         self._snapshot_under_way = False
         self._joined_at = self._sleeps_until = 0.0
@@ -169,6 +170,11 @@
                 return Ok(Verdict(answer))
         return Err(NoLeader())
 
+    @property
+    def applied(self) -> int:
+        """The index up to which `state` holds everything."""
+        return self._applied
+
     def read(self, deadline: float) -> ReadResult:
         """The state as a majority has it at this moment."""
         while self._scheduler.now() < deadline:
@@ -189,10 +195,29 @@
         self._pump()
         return self._wait(waiter, deadline) is True
 
-    def transfer(self) -> None:
-        """Hand the lead over, where this replica has it."""
-        self.consensus.transfer()
-        self._pump()
+    def leave(self) -> None:
+        """This process is about to end: hand over the lead and the vote, where others can have them."""
+        if not self.consensus.leaves:
+            self.consensus.leaves = True
+            self._scheduler.spawn(self._give_away, name="leave")
+
+    def _give_away(self) -> None:
+        while True:
+            leader = self.consensus.leader_member()
+            if self.consensus.taking_proposals():
+                self.consensus.transfer()
+                self._pump()
+            elif leader is not None and leader.id != self.identity.id:
+                self._send(leader.address, wire.as_json(wire.LeaveRequest(self.identity.id)))
+            self._scheduler.sleep(LEAVE_EVERY_S)
+
+    def has_vote(self) -> bool:
+        """Whether a quorum may need this replica."""
+        return self.consensus.has_vote()
+
+    def voters(self) -> list[str]:
+        """Addresses of those that have a vote."""
+        return [member.address for member in self.consensus.voters]
 
     def status(self) -> dict[str, Any]:
         """The state as one JSON object."""
@@ -213,22 +238,30 @@
             self._scheduler.spawn(self._serve_forward, data, sender, name="forwarded")
             return
         if kind == "forwarded":
-            waiter = self._forwarded.get(int(data.get("number", -1)))
-            if waiter is not None:
-                waiter.done(data.get("answer"))
+            self._take_forwarded(data, sender)
             return
         message = wire.from_json(data)
         if isinstance(message, wire.JoinRequest):
-            leader = self.consensus.leader_member()
-            if not self.consensus.leading:
-                if leader is not None and leader.address != sender:
-                    self._send(leader.address, data)
-                return
+            self._pass_join(message, sender)
         else:
             self._route(message.sender, sender)
         self.consensus.handle(message, self._scheduler.now())
         self._pump()
 
+    def _pass_join(self, request: wire.JoinRequest, sender: str) -> None:
+        """A newcomer may not know the leader: what it says itself is passed on, once."""
+        leader = self.consensus.leader_member()
+        itself = sender == request.member.address
+        if itself and leader is not None and leader.address not in (sender, self.identity.address):
+            self._send(leader.address, wire.as_json(request))
+
+    def _take_forwarded(self, data: dict[str, Any], sender: str) -> None:
+        """An answer to what was forwarded: only from the replica that was asked."""
+        number = data.get("number")
+        asked, waiter = self._forwarded.get(number, ("", None)) if isinstance(number, int) else ("", None)
+        if waiter is not None and asked == sender:
+            waiter.done(data.get("answer"))
+
     def _route(self, identity: str, address: str) -> None:
         self._routes[identity] = address
         if len(self._routes) > WAITERS_MAX:
@@ -253,10 +286,14 @@
             return None
         index, term = place
         waiter = Waiter()
+        _, earlier = self._waiting.get(index, (0, None))
+        if earlier is not None:  # of a term in which this replica led before: its entry is gone
+            earlier.done(None)
         self._waiting[index] = (term, waiter)
         self._pump()
         answer = self._wait(waiter, deadline)
-        self._waiting.pop(index, None)
+        if self._waiting.get(index, (0, None))[1] is waiter:  # else another leader's entry has the index
+            del self._waiting[index]
         return answer if isinstance(answer, Verdict) else None
 
     def _forward(self, request: dict[str, Any], deadline: float) -> Any:
@@ -266,7 +303,7 @@
             return None
         self._forward_count += 1
         number, waiter = self._forward_count, Waiter()
-        self._forwarded[number] = waiter
+        self._forwarded[number] = (leader.address, waiter)
         self._send(leader.address, {"kind": "forward", "number": number, **request})
         answer = self._wait(waiter, min(deadline, self._scheduler.now() + FORWARD_S))
         del self._forwarded[number]
@@ -297,9 +334,7 @@
                 continue
 
     def _join(self, now: float) -> None:
-        consensus = self.consensus
-        member = any(member.id == self.identity.id for member in consensus.log.members)
-        if consensus.leading or (member and consensus.quiet_for(now) < JOIN_QUIET_S):
+        if not self.consensus.wants_to_join(now):
             return
         if now - self._joined_at < JOIN_EVERY_S:
             return
@@ -316,7 +351,7 @@
             self._queue(self._handed, output.records)
         before = self.state.index
         for restore in output.restored:
-            self.state = SharedState.from_json(restore.state)
+            self.state, self._applied = SharedState.from_json(restore.state), restore.index
         for entry in output.committed:
             self._apply(entry)
         for message in output.messages:
@@ -331,6 +366,7 @@
 
     def _apply(self, entry: Entry) -> None:
         verdict = None
+        self._applied = entry.index
         if entry.kind == "command":
             verdict = self.state.apply(entry.index, command_of(entry.data))
         term, waiter = self._waiting.pop(entry.index, (0, None))
@@ -345,7 +381,7 @@
         if isinstance(message, wire.InstallSnapshot):
             if not self.consensus.leading:
                 return
-            message = self.consensus.with_state(message, self.state.as_json())
+            message = self.consensus.with_state(message, self._applied, self.state.as_json())
         self._send(address, wire.as_json(message))
 
     # --- the disk --------------------------------------------------------------------------------
@@ -410,7 +446,7 @@
 
     def _begin_snapshot(self) -> None:
         consensus = self.consensus
-        index = consensus.commit
+        index = self._applied
         header = {
             "index": index,
             "term": consensus.log.term_at(index),
--- /dev/null
+++ b/brambleusher/controlplane/replication.py
@@ -0,0 +1,92 @@
+"""What a leader knows of the other members, and what it sends each of them next; no I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+import orjson
+
+from brambleusher.controlplane.consensus_types import SNAPSHOT_EVERY_S
+from brambleusher.controlplane.log import Log
+from brambleusher.wire.consensus_messages import AppendReply, Entry, Member
+
+ENTRIES_A_MESSAGE = 64
+MESSAGE_BYTES = 128 * 1024  # of entries in one message: 0.2 s of a link with 5 Mbit/s, ahead of a heartbeat
+UNCONFIRMED_BYTES = 256 * 1024  # sent to one member and not confirmed yet
+
+
+@dataclass(slots=True)
+class Progress:
+    """What a leader knows of one other member; times in seconds of its clock."""
+
+    next_index: int
+    matched: int = 0
+    heard_at: float = 0.0
+    round: int = 0
+    snapshot_at: float = -SNAPSHOT_EVERY_S
+
+
+def wire_bytes(entry: Entry) -> int:
+    """About how many bytes an entry has in a message."""
+    return len(orjson.dumps(entry.data)) + 32
+
+
+@dataclass(slots=True)
+class Replication:
+    """The progress of each other member while this replica leads."""
+
+    progress: dict[str, Progress] = field(default_factory=dict)
+
+    def follow(self, members: Iterable[Member], own: str, next_index: int, now: float) -> None:
+        """Keep track of just these members."""
+        others = {member.id for member in members} - {own}
+        for identity in others - set(self.progress):
+            self.progress[identity] = Progress(next_index, heard_at=now)
+        for identity in set(self.progress) - others:
+            del self.progress[identity]
+
+    def replied(self, reply: AppendReply, now: float) -> Progress | None:
+        """Take in an answer; None where it is of no member.
+
+        A refusal sets back what is sent next, below what had been confirmed if need be: sending an entry
+        twice does no harm.  One that is older than another answer says nothing any more.
+        """
+        known = self.progress.get(reply.sender)
+        if known is None:
+            return None
+        known.heard_at = now
+        if reply.accepted:
+            known.matched = max(known.matched, reply.matched)
+            known.next_index = max(known.next_index, known.matched + 1)
+        elif reply.round >= known.round:
+            known.next_index = max(1, min(known.next_index - 1, reply.matched + 1))
+        known.round = max(known.round, reply.round)
+        return known
+
+    def next_entries(self, log: Log, known: Progress) -> list[Entry]:
+        """Entries to send a member now: within the bounds, and counted as sent."""
+        unconfirmed = log.between(known.matched, known.next_index - 1)
+        if sum(wire_bytes(entry) for entry in unconfirmed) >= UNCONFIRMED_BYTES:
+            return []
+        chosen: list[Entry] = []
+        total = 0
+        for entry in log.after(known.next_index - 1, ENTRIES_A_MESSAGE):
+            total += wire_bytes(entry)
+            if chosen and total > MESSAGE_BYTES:
+                break
+            chosen.append(entry)
+        known.next_index += len(chosen)
+        return chosen
+
+    def heard_within(self, seconds: float, now: float) -> set[str]:
+        """Members that answered lately."""
+        return {identity for identity, known in self.progress.items() if now - known.heard_at < seconds}
+
+    def holding(self, index: int, among: Collection[str]) -> set[str]:
+        """Members, of those named, that confirmed everything up to an index."""
+        return {identity for identity in among if self.progress[identity].matched >= index}
+
+    def quiet_s(self, now: float) -> dict[str, float]:
+        """Seconds since each member answered."""
+        return {identity: now - known.heard_at for identity, known in self.progress.items()}
--- a/brambleusher/controlplane/state_machine.py
+++ b/brambleusher/controlplane/state_machine.py
@@ -19,6 +19,7 @@
     REPEATED = "repeated"  # it had been taken before
     STALE = "stale"  # another version is current
     NOT_HIGHER = "not_higher"  # its revision is not above the current one
+    OUTDATED = "outdated"  # its subject was changed after the order was received: it may be an old copy
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,14 +53,20 @@
 
 @dataclass(frozen=True, slots=True)
 class SetEvacuation:
-    """Command: a zone is evacuated, or taken back."""
+    """Command: a zone is evacuated, or taken back.
+
+    `seen` is the index up to which the replica that received the order had applied the log at that moment
+    (None: written by a version that did not say).  It tells a copy that was held back on its way from a new
+    order: what was changed after it does not change again.
+    """
 
     zone: str
     evacuated: bool
+    seen: int | None = None
 
     def as_json(self) -> dict[str, Any]:
         """The form in the log."""
-        return {"op": "evacuate", "zone": self.zone, "evacuated": self.evacuated}
+        return {"op": "evacuate", "zone": self.zone, "evacuated": self.evacuated, "seen": self.seen}
 
 
 Command = PutConfiguration | SetEvacuation
@@ -69,7 +76,7 @@
     """A command from its form in the log."""
     if data["op"] == "put":
         return PutConfiguration(data["base"], data["revision"], data["digest"], data["packed"])
-    return SetEvacuation(data["zone"], data["evacuated"])
+    return SetEvacuation(data["zone"], data["evacuated"], data.get("seen"))
 
 
 @dataclass(slots=True)
@@ -81,6 +88,7 @@
     packed: str = ""  # the body of the configuration in force; empty before the first
     digests: list[str] = field(default_factory=list)
     evacuated: list[str] = field(default_factory=list)
+    zones_changed: dict[str, int] = field(default_factory=dict)  # index of each zone's last change
 
     def apply(self, index: int, command: Command) -> Verdict:
         """Apply a committed command; says how it ended."""
@@ -103,8 +111,11 @@
     def _evacuate(self, index: int, command: SetEvacuation) -> Verdict:
         if (command.zone in self.evacuated) is command.evacuated:
             return Verdict.REPEATED
+        if command.seen is not None and command.seen < self.zones_changed.get(command.zone, 0):
+            return Verdict.OUTDATED
         rest = [zone for zone in self.evacuated if zone != command.zone]
         self.evacuated = [*rest, command.zone] if command.evacuated else rest
+        self.zones_changed = {**self.zones_changed, command.zone: index}
         self.index = index
         return Verdict.ACCEPTED
 
@@ -116,6 +127,7 @@
             "packed": self.packed,
             "digests": self.digests,
             "evacuated": self.evacuated,
+            "zones_changed": self.zones_changed,
         }
 
     def answer_as_json(self) -> dict[str, Any]:
--- a/brambleusher/wire/consensus_messages.py
+++ b/brambleusher/wire/consensus_messages.py
@@ -113,7 +113,23 @@
     member: Member
 
 
-Message = VoteRequest | VoteReply | Append | AppendReply | InstallSnapshot | TransferLeadership | JoinRequest
+@dataclass(frozen=True, slots=True)
+class LeaveRequest:
+    """A member that is about to end asks for another to get its vote."""
+
+    sender: str
+
+
+Message = (
+    VoteRequest
+    | VoteReply
+    | Append
+    | AppendReply
+    | InstallSnapshot
+    | TransferLeadership
+    | JoinRequest
+    | LeaveRequest
+)
 KINDS: dict[str, type[Any]] = {
     "vote": VoteRequest,
     "voted": VoteReply,
@@ -122,6 +138,7 @@
     "snapshot": InstallSnapshot,
     "transfer": TransferLeadership,
     "join": JoinRequest,
+    "leave": LeaveRequest,
 }
 NAMES = {kind: name for name, kind in KINDS.items()}
 
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -63,10 +63,12 @@
     consensus: Consensus
     records: list[Any] = field(default_factory=list)
     synced: int = 0
+    applied: int = 0  # index up to which `state` holds everything
     base: int = 0  # added to a place in `records` gives the number of the record
     held: deque[Outgoing] = field(default_factory=deque)
     state: dict[int, Any] = field(default_factory=dict)
     up: bool = True
+    founder: bool = True  # part of the first group, as its disk says
     slow_disk: bool = False
     frozen_until: int = 0  # the step at which it runs again
 
@@ -76,7 +78,7 @@
 
     make: type[Consensus] = Consensus
 
-    def __init__(self, names: str, seed: int, founders: str | None = None) -> None:
+    def __init__(self, names: Sequence[str], seed: int, founders: str | None = None) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
         self.checker = Checker()
@@ -94,9 +96,12 @@
 
     # --- nodes -----------------------------------------------------------------------------------
 
-    def start(self, name: str, records: list[Any] | None, identity: str = "") -> Node:
+    def start(
+        self, name: str, records: list[Any] | None, identity: str = "", founder: bool | None = None
+    ) -> Node:
         """Start a replica from its durable records; None: an empty disk and no part in the first group."""
-        log = Log(0, 0, self.founders) if records is not None else Log()
+        founder = records is not None if founder is None else founder
+        log = Log(0, 0, self.founders) if founder else Log()
         term, vote, state = 0, "", dict[int, Any]()
         for record in records or []:
             if isinstance(record, HardState):
@@ -105,13 +110,16 @@
                 log.truncate(record.first)
             elif isinstance(record, Restore):
                 log = Log(record.index, record.term, record.members)
-                state = {int(key): value for key, value in record.state.items()}
+                state = dict(record.state)
             else:
                 log.append(record)
         own = member(identity or name, voter=False)
         own = Member(own.id, f"at-{name}", own.control, own.zone, False)
-        consensus = self.make(own, log, term, vote, self.now, random.Random(self.rng.random()), 3)
-        node = Node(name, consensus, list(records or []), len(records or []), state=state)
+        consensus = self.make(
+            own, log, term, vote, self.now, random.Random(self.rng.random()), max(3, len(self.founders))
+        )
+        node = Node(name, consensus, list(records or []), len(records or []), state=state, founder=founder)
+        node.applied = log.base_index
         node.base = -len(node.records)  # record numbers begin anew
         self.nodes[name] = node
         return node
@@ -124,13 +132,28 @@
         self.messages = [message for message in self.messages if message[1] != name]
 
     def restart(self, name: str) -> None:
-        self.start(name, self.nodes[name].records)
+        node = self.nodes[name]
+        self.start(name, node.records, node.consensus.identity.id, node.founder)
 
     def wipe(self, name: str, identity: str) -> None:
         """Come back with an empty disk, under another identity."""
         self.crash(name)
         self.start(name, None, identity)
 
+    def compact(self, node: Node) -> None:
+        """Write a snapshot of what is applied, and drop from the disk and from memory what it holds."""
+        if node.synced < len(node.records):
+            return  # the snapshot waits for what is written before it
+        consensus, log = node.consensus, node.consensus.log
+        snapshot = Restore(
+            node.applied, log.term_at(node.applied) or 0, log.members_at(node.applied), dict(node.state)
+        )
+        rest = log.after(node.applied, log.last_index - node.applied)
+        records = [snapshot, HardState(consensus.term, consensus.vote), *rest]
+        node.base += len(node.records) - len(records)
+        node.records, node.synced = records, len(records)
+        consensus.compacted(node.applied)
+
     def leader(self) -> Node | None:
         leading = [node for node in self.nodes.values() if node.up and node.consensus.leading]
         return max(leading, key=lambda node: node.consensus.term, default=None)
@@ -161,11 +184,10 @@
             self.deliver(sender, to, message)
 
     def _join(self, node: Node) -> None:
-        known = {member.id for member in node.consensus.log.members}
-        if node.consensus.identity.id not in known and self.steps % 10 == 0:
+        if node.consensus.wants_to_join(self.now) and self.steps % 10 == 0:
             request = wire.JoinRequest(node.consensus.identity.id, node.consensus.identity)
             for other in self.nodes.values():
-                if other.up and other.consensus.leading and other is not node:
+                if other.up and other is not node:
                     self.post(node.name, other.name, request)
 
     def deliver(self, sender: str, to: str, message: wire.Message) -> None:
@@ -198,7 +220,7 @@
         output = node.consensus.take_output()
         node.records += output.records
         for restore in output.restored:
-            node.state = {int(key): value for key, value in restore.state.items()}
+            node.state, node.applied = dict(restore.state), restore.index
         for entry in output.committed:
             self._apply(node, entry)
         for outgoing in output.messages:
@@ -215,7 +237,9 @@
 
     def _apply(self, node: Node, entry: Entry) -> None:
         content = (entry.term, entry.kind, entry.data)
-        node.state[entry.index] = content
+        if entry.index != node.applied + 1:
+            raise Broken(f"entry {entry.index} is applied after {node.applied}")
+        node.state[entry.index], node.applied = content, entry.index
         self.checker.saw_applied(entry.index, content)
 
     def _post(self, node: Node, outgoing: Outgoing) -> None:
@@ -223,9 +247,7 @@
         if isinstance(message, wire.InstallSnapshot):
             if not node.consensus.leading:
                 return
-            message = node.consensus.with_state(
-                message, {str(key): value for key, value in node.state.items()}
-            )
+            message = node.consensus.with_state(message, node.applied, dict(node.state))
         to = next(
             (other.name for other in self.nodes.values() if other.consensus.identity.id == outgoing.to.id),
             None,
--- /dev/null
+++ b/tests/system/exploration.py
@@ -0,0 +1,207 @@
+"""Days of faults for a replica group, drawn from a seed; what breaks a promise raises `Broken`."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from brambleusher.controlplane.consensus import Consensus
+from brambleusher.wire import consensus_messages as wire
+from tests.system.cluster import Broken, Cluster, Node
+
+MUTATIONS = ("drop", "double", "delay", "first")
+STEPS = 500
+RECOVERED_STEPS = 200  # 4 s: `sync_s`, after which a replica that came back counts again
+LEAVE_STEPS = 150  # for another to get the vote of one that leaves, before it is stopped
+
+
+@dataclass
+class Day:
+    """One day: a cluster, what happens to it, and what callers wait for."""
+
+    cluster: Cluster
+    rng: random.Random
+    names: list[str]
+    pending: list[tuple[str, int, int, Any]] = field(default_factory=list)
+    disturbed_at: int = 0  # the last step at which a disk or a member was lost
+    leaving: dict[str, int] = field(default_factory=dict)  # when each asked to leave
+    started: int = 0  # identities given to empty disks
+
+    # --- faults that keep the disks --------------------------------------------------------------
+
+    def plain_fault(self, roll: float) -> None:
+        """Cuts, crashes, slow disks and standstills, by the thresholds of a roll from 0 to 1."""
+        cluster, rng = self.cluster, self.rng
+        down = [node.name for node in cluster.nodes.values() if not node.up]
+        if roll < 0.02:
+            cluster.cut = {frozenset(rng.sample(self.names, 2)) for _ in range(rng.randrange(3))}
+        elif roll < 0.04 and not down:
+            cluster.crash(rng.choice(self.names))
+        elif roll < 0.09 and down:
+            cluster.restart(down[0])
+        elif roll < 0.11:
+            node = rng.choice(list(cluster.nodes.values()))
+            node.slow_disk = not node.slow_disk
+        elif roll < 0.13:
+            frozen = cluster.leader() or rng.choice(list(cluster.nodes.values()))
+            frozen.frozen_until = cluster.steps + rng.randrange(20, 120)
+        elif roll < 0.14:
+            for name in self.names:
+                cluster.crash(name)
+            for name in self.names:
+                cluster.restart(name)
+        elif roll < 0.3:
+            self.propose()
+
+    def propose(self) -> None:
+        """A command at whoever believes to lead."""
+        for node in self.cluster.nodes.values():
+            if node.up and node.consensus.leading:
+                content = self.cluster.steps
+                place = node.consensus.propose(content)
+                self.cluster.pump(node)
+                if place is not None:
+                    self.pending.append((node.name, *place, content))
+
+    def acknowledge(self) -> None:
+        """Callers that wait where their command is applied are told."""
+        for waiting in list(self.pending):
+            name, index, term, content = waiting
+            node = self.cluster.nodes.get(name)
+            applied = None if node is None else node.state.get(index)
+            if node is not None and node.up and applied is not None:
+                self.pending.remove(waiting)
+                if applied == (term, "command", content):
+                    self.cluster.checker.saw_acknowledged(index, applied)
+
+    # --- losses ----------------------------------------------------------------------------------
+
+    def loss(self, roll: float) -> None:
+        """Snapshots, lost disks, members that leave or are replaced, by the thresholds of a roll."""
+        cluster, rng = self.cluster, self.rng
+        up = [node for node in cluster.nodes.values() if node.up]
+        if roll < 0.04 and up:
+            cluster.compact(rng.choice(up))
+        elif roll < 0.06 and self.recovered():
+            self.lose_disk(rng.choice(self.names), rng.random() < 0.5)
+        elif roll < 0.07 and self.recovered():
+            self.replace(rng.choice(self.names))
+        elif roll < 0.08 and self.recovered():
+            self.start_leaving(rng.choice(self.names))
+
+    def recovered(self) -> bool:
+        """Whether all that was lost has had its time and all have their votes: one more loss is borne."""
+        leader = self.cluster.leader()
+        if leader is None or self.cluster.steps - self.disturbed_at < RECOVERED_STEPS or self.leaving:
+            return False
+        consensus = leader.consensus
+        voters = {member.id for member in consensus.voters}
+        all_there = all(
+            node.up and node.frozen_until <= self.cluster.steps for node in self.cluster.nodes.values()
+        )
+        held = {node.consensus.identity.id for node in self.cluster.nodes.values()}
+        return all_there and voters == held and consensus.log.members_index <= consensus.commit
+
+    def lose_disk(self, name: str, power_of_all: bool) -> None:
+        """A replica comes back empty; the others may lose power at that moment."""
+        self.disturbed_at = self.cluster.steps
+        self.started += 1
+        self.cluster.wipe(name, f"{name}{self.started}")
+        for other in self.names if power_of_all else ():
+            if other != name:
+                self.cluster.crash(other)
+                self.cluster.restart(other)
+
+    def replace(self, name: str) -> None:
+        """A machine is gone for good, an empty one comes at another address."""
+        self.disturbed_at = self.cluster.steps
+        self.cluster.crash(name)
+        del self.cluster.nodes[name]
+        self.names.remove(name)
+        self.add()
+
+    def add(self) -> Node:
+        """One more machine, with an empty disk."""
+        self.started += 1
+        name = f"new{self.started}"
+        self.names.append(name)
+        return self.cluster.start(name, None)
+
+    def start_leaving(self, name: str) -> None:
+        """The successor first, then SIGTERM; the one that leaves asks for another to get its vote."""
+        self.disturbed_at = self.cluster.steps
+        self.leaving[name] = self.cluster.steps + self.rng.randrange(20, 100)
+        self.add()
+
+    def go_on_leaving(self) -> None:
+        """Those that leave ask again and again, and end once they have no vote, or are stopped."""
+        cluster = self.cluster
+        for name, begin in list(self.leaving.items()):
+            node = cluster.nodes[name]
+            if cluster.steps < begin:
+                continue
+            node.consensus.leaves = True
+            if node.up and cluster.steps % 5 == 0:
+                self._ask_to_leave(node)
+            without_vote = not node.consensus.has_vote() and bool(node.consensus.log.members)
+            if (node.up and without_vote) or cluster.steps > begin + LEAVE_STEPS:
+                cluster.crash(name)
+                del cluster.nodes[name]
+                self.names.remove(name)
+                del self.leaving[name]
+                self.disturbed_at = cluster.steps
+
+    def _ask_to_leave(self, node: Node) -> None:
+        if node.consensus.leading:
+            node.consensus.transfer()
+            self.cluster.pump(node)
+            return
+        leader = node.consensus.leader_member()
+        for other in self.cluster.nodes.values():
+            if leader is not None and other.consensus.identity.id == leader.id:
+                request = wire.LeaveRequest(node.consensus.identity.id)
+                self.cluster.post(node.name, other.name, request)
+
+    def end(self) -> None:
+        """All faults are over: everything acknowledged has to be everywhere."""
+        cluster = self.cluster
+        cluster.cut = set()
+        cluster.mutate = lambda *_: "deliver"
+        for node in list(cluster.nodes.values()):
+            node.slow_disk = False
+            node.frozen_until = 0
+            node.consensus.leaves = False
+            if not node.up:
+                cluster.restart(node.name)
+        cluster.check()
+
+
+def explore(
+    make: type[Consensus],
+    seed: int,
+    names: Sequence[str] = "abc",
+    cluster_type: type[Cluster] = Cluster,
+    losses: bool = False,
+) -> None:
+    """A day of crashes, cuts, slow syncs and lost messages, with `losses` also of disks and members."""
+    cluster = cluster_type(names, seed)
+    cluster.make = make
+    for name in names:
+        cluster.start(name, [])
+    rng = random.Random(f"faults {seed}")
+    day = Day(cluster, rng, list(names))
+    cluster.mutate = lambda *_: rng.choice(("deliver",) * 12 + MUTATIONS)
+    cluster.delay_steps = lambda: rng.randrange(20, 200)
+    for _ in range(STEPS * (2 if losses else 1)):
+        day.plain_fault(rng.random())
+        if losses:
+            day.loss(rng.random())
+            day.go_on_leaving()
+        cluster.step()
+        day.acknowledge()
+    day.end()
+
+
+__all__ = ["MUTATIONS", "Broken", "Day", "explore"]
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
+from dataclasses import replace as replace_in
 from typing import Any
 
 import pytest
 
 from brambleusher.controlplane.consensus import Consensus
 from brambleusher.controlplane.consensus_types import HardState, Outgoing, Role
-from brambleusher.controlplane.membership_changes import next_members
+from brambleusher.controlplane.membership_changes import Group, next_members
 from brambleusher.wire import consensus_messages as wire
 from brambleusher.wire.errors import InvalidMessage
 from tests.system.cluster import Broken, Cluster, member
-
-MUTATIONS = ("drop", "double", "delay", "first")
+from tests.system.exploration import MUTATIONS, explore
 
 
 def change(cluster: Cluster) -> None:
@@ -95,63 +94,6 @@
     assert plain.sent > 30
 
 
-def explore(
-    make: type[Consensus], seed: int, names: str = "abc", cluster_type: type[Cluster] = Cluster
-) -> None:
-    """A day of crashes, cuts, slow syncs and lost messages; raises `Broken` where a promise is."""
-    cluster = cluster_type(names, seed)
-    cluster.make = make
-    for name in names:
-        cluster.start(name, [])
-    rng = random.Random(f"faults {seed}")
-    pending: list[tuple[str, int, int, Any]] = []
-    cluster.mutate = lambda *_: rng.choice(("deliver",) * 12 + MUTATIONS)
-    cluster.delay_steps = lambda: rng.randrange(20, 200)
-    for step in range(500):
-        roll = rng.random()
-        down = [node.name for node in cluster.nodes.values() if not node.up]
-        if roll < 0.02:
-            cluster.cut = {frozenset(rng.sample(names, 2)) for _ in range(rng.randrange(3))}
-        elif roll < 0.04 and not down:
-            cluster.crash(rng.choice(names))
-        elif roll < 0.09 and down:
-            cluster.restart(down[0])
-        elif roll < 0.11:
-            node = rng.choice(list(cluster.nodes.values()))
-            node.slow_disk = not node.slow_disk
-        elif roll < 0.13:
-            frozen = cluster.leader() or rng.choice(list(cluster.nodes.values()))
-            frozen.frozen_until = cluster.steps + rng.randrange(20, 120)
-        elif roll < 0.14:
-            for name in names:
-                cluster.crash(name)
-            for name in names:
-                cluster.restart(name)
-        elif roll < 0.3:
-            for node in cluster.nodes.values():
-                if node.up and node.consensus.leading:
-                    place = node.consensus.propose(step)
-                    cluster.pump(node)
-                    if place is not None:
-                        pending.append((node.name, *place, step))
-        cluster.step()
-        for waiting in list(pending):
-            name, index, term, content = waiting
-            applied = cluster.nodes[name].state.get(index)
-            if cluster.nodes[name].up and applied is not None:
-                pending.remove(waiting)
-                if applied == (term, "command", content):
-                    cluster.checker.saw_acknowledged(index, applied)
-    cluster.cut = set()
-    cluster.mutate = lambda *_: "deliver"
-    for node in list(cluster.nodes.values()):
-        node.slow_disk = False
-        node.frozen_until = 0
-        if not node.up:
-            cluster.restart(node.name)
-    cluster.check()
-
-
 @pytest.mark.parametrize("block", range(6))
 def test_days_of_faults(block: int) -> None:
     for seed in range(block * 25, block * 25 + 25):
@@ -203,8 +145,8 @@
 
 
 class CommitsAlone(Consensus):
-    def _majority(self, count: int) -> bool:
-        return count >= 1
+    def _quorum(self, agreeing: set[str]) -> bool:
+        return len(agreeing) >= 1
 
 
 class CommitsOldTerms(Consensus):
@@ -241,7 +183,8 @@
 class SkipsTheLastMatch(Consensus):
     def _advance_commit(self) -> None:
         if self.leading:
-            matched = max([self._synced_index, *(known.matched for known in self._progress.values())])
+            progress = self._replication.progress.values()
+            matched = max([self._synced_index, *(known.matched for known in progress)])
             if matched > self.commit and self.log.term_at(matched) == self.term:
                 self._commit_to(matched)
 
@@ -409,25 +352,56 @@
 def test_votes_and_members_change_one_at_a_time() -> None:
     members = (member("a"), member("b"), member("c"))
     joining = [member("d", voter=False), member("e", voter=False)]
-    first = next_members(members, joining, {}, set(), "a", 5)
+    first = next_members(Group(members, "a", 5), joining)
     assert first is not None
     assert [each.id for each in first] == ["a", "b", "c", "d"]
     assert not first[-1].voter
-    second = next_members(first, [], {}, {"d"}, "a", 5)
+    second = next_members(Group(first, "a", 5, {}, {"d"}), [])
     assert second is not None
     assert second[-1].voter
 
 
 def test_a_lost_voter_keeps_its_vote_while_nobody_can_take_it() -> None:
     members = (member("a"), member("b"), member("c"))
-    assert next_members(members, [], {"c": 9.0}, {"b"}, "a", 3) is None
+    assert next_members(Group(members, "a", 3, {"c": 9.0}, {"b"}), []) is None
+
+
+def votes_after(group: Group) -> str | None:
+    """The voters after the next change, in the order of their names; None where nothing changes."""
+    changed = next_members(group, [])
+    return None if changed is None else "".join(sorted(each.id for each in changed if each.voter))
 
 
 def test_a_lost_voter_makes_room_for_a_learner_that_holds_everything() -> None:
     members = (member("a"), member("b"), member("c"), member("d", voter=False))
-    changed = next_members(members, [], {"c": 9.0}, {"b", "d"}, "a", 3)
-    assert changed is not None
-    assert {each.id for each in changed if each.voter} == {"a", "b"}
+    group = Group(members, "a", 3, {"c": 9.0}, {"b", "d"})
+    assert votes_after(group) == "abcd"
+    assert votes_after(replace_in(group, members=group.with_vote("d", True))) == "abd"
+
+
+def test_a_voter_that_leaves_is_replaced_before_it_loses_its_vote() -> None:
+    members = (member("a"), member("b"), member("c"), member("d", voter=False))
+    group = Group(members, "a", 3, {}, {"b", "c", "d"}, {"c"})
+    assert votes_after(group) == "abcd"
+    assert votes_after(replace_in(group, members=group.with_vote("d", True))) == "abd"
+    assert votes_after(replace_in(group, caught_up={"b", "c"})) is None
+    assert votes_after(replace_in(group, leaving={"c", "d"})) is None
+
+
+def test_nobody_is_replaced_while_too_few_are_there_to_agree_on_one_more_vote() -> None:
+    members = (member("a"), member("b"), member("c"), member("d", voter=False))
+    group = Group(members, "a", 3, {"b": 9.0, "c": 9.0}, {"d"})
+    assert votes_after(group) is None
+
+
+def test_votes_spread_over_zones_again_once_a_zone_is_back() -> None:
+    zones = {"a": "1", "b": "2", "c": "3", "d": "2"}
+    members = tuple(replace_in(member(name, voter=name != "c"), zone=zone) for name, zone in zones.items())
+    group = Group(members, "a", 3, {}, {"b", "c", "d"})
+    assert votes_after(group) == "abcd"
+    following = replace_in(group, members=group.with_vote("c", True))
+    assert votes_after(following) == "abc"
+    assert votes_after(replace_in(following, members=following.with_vote("d", False))) is None
 
 
 def test_messages_survive_the_wire_and_faults_in_them_are_told() -> None:
