Orders: an evacuation whose caller has hung up meanwhile is not begun

Cause: an order that a cut or a standstill held back at the operator's own connection has no id, and would act after a later one was confirmed. Change: the request says whether its caller is gone; such an evacuation is answered 503.

--- a/brambleusher/controlplane/orders.py
+++ b/brambleusher/controlplane/orders.py
@@ -42,7 +42,7 @@
             return self._get()
         if request.path.startswith(EVACUATIONS_PATH) and request.method in ("POST", "DELETE"):
             zone = request.path.removeprefix(EVACUATIONS_PATH)
-            return self._evacuate(zone, request.method == "POST")
+            return self._evacuate(request, zone)
         if request.path == STATUS_PATH and request.method == "GET":
             return json_response(200, self._replica.status())
         return _error(404, f"{request.method} {request.path} is no call of this controller")
@@ -71,9 +71,13 @@
             return _error(400, "revision: it is too large")
         return self._submit(PutConfiguration.of(int(base), checked.revision, request.body))
 
-    def _evacuate(self, zone: str, evacuated: bool) -> HttpResponse:
+    def _evacuate(self, request: HttpRequest, zone: str) -> HttpResponse:
+        evacuated = request.method == "POST"
         if zone not in self._zones:
             return _error(404, f"zone {zone} is unknown")
+        if request.hung_up():
+            # It was held back on its way, and its caller has sent it again elsewhere or given it up.
+            return _error(503, "the caller has gone")
         return self._submit(SetEvacuation(zone, evacuated, self._replica.applied))
 
     def _submit(self, command: Command) -> HttpResponse:
--- a/brambleusher/runtime/http_server.py
+++ b/brambleusher/runtime/http_server.py
@@ -21,15 +21,20 @@
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 
+def _still_there() -> bool:
+    return False
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """One request, whole."""
+    """One request, whole; `hung_up` says whether its caller has ended the connection meanwhile."""
 
     method: str
     path: str
     query: dict[str, str]
     headers: dict[bytes, bytes]
     body: bytes
+    hung_up: Callable[[], bool] = _still_there
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,15 +106,17 @@
                 if held > self._body_bytes:
                     raise BodyTooLarge
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return self._whole(head, b"".join(parts))
+                return self._whole(head, b"".join(parts), stream)
             else:
                 return None
 
     @staticmethod
-    def _whole(head: h11.Request, body: bytes) -> HttpRequest:
+    def _whole(head: h11.Request, body: bytes, stream: Stream) -> HttpRequest:
         target = urlsplit(head.target.decode("latin-1"))
         query = dict(parse_qsl(target.query))
-        return HttpRequest(head.method.decode("latin-1"), target.path, query, dict(head.headers), body)
+        method = head.method.decode("latin-1")
+        headers = dict(head.headers)
+        return HttpRequest(method, target.path, query, headers, body, lambda: stream.peek() == b"")
 
     def _answer(self, stream: Stream, connection: h11.Connection, response: HttpResponse) -> None:
         headers = [JSON_TYPE, (b"Content-Length", str(len(response.body)).encode()), *response.headers]
