--- a/brambleusher/lab/virtual/network.py
+++ b/brambleusher/lab/virtual/network.py
@@ -217,7 +217,7 @@
         "_window", "_write_due", "conn", "err", "fd", "fin_acked_ns", "fin_in", "fin_out",
         "fin_queued", "held", "held_since", "host", "last_arrival", "link", "machine", "network",
         "orphan", "peer", "port", "process", "received_ns", "rx", "rx_size", "shut_receive",
-        "shut_send", "side", "state", "wish", "world",
+        "shut_send", "side", "silence_ns", "state", "wish", "world",
     )  # fmt: skip
 
     def __init__(self, network: Network, machine: Machine, process: Process | None, state: int) -> None:
@@ -250,6 +250,7 @@
         self.received_ns = 0  # when bytes last came, on the world's monotonic clock; 0: none have
         self.held: list[Any] = []  # what the peer has not got because of a fault, in order
         self.held_since = 0
+        self.silence_ns = GIVEN_UP_NS  # sent bytes unacknowledged for so long end the connection
 
     # --- as `runtime.system.Socket` has it ------------------------------------------------------
 
@@ -590,7 +591,7 @@
         if not self.held:
             now = self.held_since = self.world.now_ns
             self.network.holding[self] = None
-            self.world.push(now + GIVEN_UP_NS, self._unanswered, now)
+            self.world.push(now + self.silence_ns, self._unanswered, now)
         self.held.append(what)
 
     def _unanswered(self, since: int) -> None:
--- a/brambleusher/lab/virtual/world.py
+++ b/brambleusher/lab/virtual/world.py
@@ -1021,7 +1021,9 @@
         return (self.world.now_ns - sock.received_ns) / 1e9
 
     def bound_silence(self, sock: Socket, seconds: float) -> None:
-        """Nothing: connections of this world have no bound of their own; deadlines end waits."""
+        """Have a connection fail once bytes sent stay unacknowledged for so long; there are no probes."""
+        assert isinstance(sock, VirtualSocket)
+        sock.silence_ns = int(seconds * 1e9)
 
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         """Have a signal handled."""
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -206,8 +206,9 @@
         fate = self.mutate(self.sent, sender, to, message)
         if fate == "drop":
             return
-        if fate == "delay":
+        if fate in ("delay", "again"):
             self.later.append((self.steps + self.delay_steps(), (sender, to, message)))
+        if fate == "delay":
             return
         if fate == "first":
             self.messages.insert(0, (sender, to, message))
--- a/tests/system/exploration.py
+++ b/tests/system/exploration.py
@@ -12,6 +12,7 @@
 from tests.system.cluster import Broken, Cluster, Node
 
 MUTATIONS = ("drop", "double", "delay", "first")
+SNAPSHOT_FATES = ("deliver", "delay", "again")  # large messages wait longest, and in more than one connection
 STEPS = 500
 RECOVERED_STEPS = 200  # 4 s: `sync_s`, after which a replica that came back counts again
 LEAVE_STEPS = 150  # for another to get the vote of one that leaves, before it is stopped
@@ -84,6 +85,8 @@
         up = [node for node in cluster.nodes.values() if node.up]
         if roll < 0.04 and up:
             cluster.compact(rng.choice(up))
+        elif roll < 0.05 and cluster.leader() is not None:
+            self.shorten()
         elif roll < 0.06 and self.recovered():
             self.lose_disk(rng.choice(self.names), rng.random() < 0.5)
         elif roll < 0.07 and self.recovered():
@@ -91,6 +94,14 @@
         elif roll < 0.08 and self.recovered():
             self.start_leaving(rng.choice(self.names))
 
+    def shorten(self) -> None:
+        """The leader keeps no entries that others still lack: they need a snapshot."""
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.cluster.compact(leader)
+            for known in leader.consensus._replication.progress.values():
+                known.snapshot_at = -10.0
+
     def recovered(self) -> bool:
         """Whether all that was lost has had its time and all have their votes: one more loss is borne."""
         leader = self.cluster.leader()
@@ -192,7 +203,13 @@
         cluster.start(name, [])
     rng = random.Random(f"faults {seed}")
     day = Day(cluster, rng, list(names))
-    cluster.mutate = lambda *_: rng.choice(("deliver",) * 12 + MUTATIONS)
+
+    def fate(number: int, sender: str, to: str, message: wire.Message) -> str:
+        if losses and isinstance(message, wire.InstallSnapshot):
+            return rng.choice(SNAPSHOT_FATES)
+        return rng.choice(("deliver",) * 12 + MUTATIONS)
+
+    cluster.mutate = fate
     cluster.delay_steps = lambda: rng.randrange(20, 200)
     for _ in range(STEPS * (2 if losses else 1)):
         day.plain_fault(rng.random())
--- /dev/null
+++ b/tests/system/worst_days.py
@@ -0,0 +1,566 @@
+"""Days of the control side in virtual time, drawn from a seed: losses, cuts, operators that race and repeat.
+
+The checker knows only what operators sent and were answered, and what gateways hold.  Losses keep to the
+deployment's tolerance: one counted machine at a time, and the next no sooner than `sync_s` after the last
+is back, or its successor is there.  Beyond that all may lose power at once and keep their disks.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from functools import partial
+
+from brambleusher.controlplane import storage
+from tests.system.cluster import Broken
+from tests.system.memory_disk import MemoryDisk
+from tests.system.whole import SECOND, Reply, Whole, configuration, route
+
+STEP_S = 0.05
+SYNC_S = 4.0
+ACK_S = 1.0  # an operator that hears nothing for so long calls another controller
+GIVE_UP_S = 12.0
+APPLY_S = 2.5
+RECOVERY_S = 12.0
+FINAL = (400, 409, 412, 413, 422)
+GRACE_S = 8.0
+SHORT_SEGMENT = 6 * 1024  # bytes: a snapshot after some five changes
+
+
+@dataclass
+class Order:
+    """A call of an operator, sent again until its answer is clear."""
+
+    method: str
+    target: str
+    base: int = 0
+    revision: int = 0
+    body: bytes = b""
+    begun_at: float = 0.0
+    reply: Reply | None = None
+    send_at: float = 0.0
+    calls: int = 0
+    status: int = 0  # the clear answer; 0: none yet, -1: given up
+    answer: bytes = b""
+    on_end: Callable[[Order], None] | None = None
+
+
+@dataclass
+class History:
+    """What operators were told, and what may follow from it."""
+
+    sent: dict[bytes, int] = field(default_factory=dict)  # body: revision
+    acknowledged: dict[int, bytes] = field(default_factory=dict)
+    refused: set[bytes] = field(default_factory=set)
+    newest: int = 0  # that was acknowledged or read
+    orders: list[Order] = field(default_factory=list)  # acknowledged ones
+
+    def ended(self, order: Order, newest_at_begin: int) -> None:
+        """An order has a clear answer."""
+        if order.method == "PUT" and order.status == 200:
+            if order.body in self.refused:
+                raise Broken(f"revision {order.revision} is acknowledged after it was refused")
+            if self.acknowledged.setdefault(order.revision, order.body) != order.body:
+                raise Broken(f"two changes are acknowledged as revision {order.revision}")
+            self.newest = max(self.newest, order.revision)
+            self.orders.append(order)
+        elif order.method == "PUT" and order.status in FINAL:
+            if self.acknowledged.get(order.revision) == order.body:
+                raise Broken(f"revision {order.revision} is refused after it was acknowledged")
+            self.refused.add(order.body)
+        elif order.method == "GET" and order.status == 200:
+            self._read(order, newest_at_begin)
+
+    def _read(self, order: Order, newest_at_begin: int) -> None:
+        revision = self.sent.get(order.answer)
+        if revision is None:
+            raise Broken("what was read is nothing that was sent")
+        if revision < newest_at_begin:
+            raise Broken(f"revision {revision} was read after {newest_at_begin}")
+        if order.answer in self.refused:
+            raise Broken(f"revision {revision} is in force though it was refused")
+        if self.acknowledged.get(revision, order.answer) != order.answer:
+            raise Broken(f"revision {revision} has another content than what was acknowledged")
+        self.newest = max(self.newest, revision)
+
+
+class Operators:
+    """Several operators at once: they change, race, evacuate, read, and repeat what was taken."""
+
+    def __init__(self, whole: Whole, rng: random.Random, addresses: Callable[[], list[str]]) -> None:
+        self.whole, self.rng, self._addresses = whole, rng, addresses
+        self.history = History()
+        self.under_way: list[tuple[Order, int]] = []
+        self.zone_orders: dict[str, str] = {}  # zone: the last order that was begun, "" once given up
+        self.evacuated: dict[str, bool] = {}  # zone: as the last clear answer has it
+        self.settled_at: dict[str, float] = {}
+        self._count = 0
+
+    def begin(self, order: Order, on_end: Callable[[Order], None] | None = None) -> Order:
+        """Send an order, and go on with it at each step."""
+        order.begun_at = self.whole.now
+        order.on_end = on_end
+        if order.body:
+            self.history.sent[order.body] = order.revision
+        self.under_way.append((order, self.history.newest))
+        return order
+
+    def change(self, base: int, revision: int) -> Order:
+        """A configuration of its own content."""
+        self._count += 1
+        body = configuration(revision, route(), route(f"/n{self._count}/"))
+        return Order("PUT", "/api/config", base, revision, body)
+
+    def step(self) -> None:
+        """Look at what came back, send again what has to be."""
+        for pair in list(self.under_way):
+            order, newest = pair
+            self._look(order)
+            if order.status:
+                self.under_way.remove(pair)
+                self.history.ended(order, newest)
+                if order.on_end is not None:
+                    order.on_end(order)
+
+    def _look(self, order: Order) -> None:
+        reply = order.reply
+        if reply is None:
+            if self.whole.now >= order.send_at:
+                self._send(order)
+            return
+        if not reply.error:
+            return
+        order.reply = None
+        lost = self.rng.random() < 0.15
+        clear = reply.whole and (reply.status in FINAL or reply.status == 200)
+        if clear and not lost:
+            order.status, order.answer = reply.status, reply.body
+        elif reply.whole and reply.status == 404 and order.method == "GET" and not lost:
+            raise Broken("there is no configuration any more")
+        elif self.whole.now - order.begun_at > GIVE_UP_S:
+            order.status = -1
+        else:
+            order.send_at = self.whole.now + min(0.05 * 2**order.calls, 0.5) * self.rng.random()
+
+    def _send(self, order: Order) -> None:
+        order.calls += 1
+        host = self.rng.choice(self._addresses())
+        headers = {"If-Match": str(order.base)} if order.method == "PUT" else {}
+        order.reply = self.whole.start_call(
+            (host, 8166), order.method, order.target, headers=headers, body=order.body, timeout_s=ACK_S
+        )
+
+    # --- what they want --------------------------------------------------------------------------
+
+    def want(self) -> None:
+        """Begin something at random."""
+        if len(self.under_way) >= 6:
+            return
+        roll = self.rng.random()
+        base = self.history.newest
+        if roll < 0.35:
+            self.begin(Order("GET", "/api/config"))
+        elif roll < 0.55:
+            self.begin(self.change(base, base + self.rng.randrange(1, 4)))
+        elif roll < 0.7:
+            revision = base + self.rng.randrange(1, 4)
+            for _ in range(2):
+                self.begin(self.change(base, revision))
+        elif roll < 0.8 and self.history.orders:
+            taken = self.rng.choice(self.history.orders)
+            self.begin(Order("PUT", taken.target, taken.base, taken.revision, taken.body))
+        elif roll < 1.0:
+            self._turn_zone(self.rng.choice(["n1", "n2"]))
+
+    def _turn_zone(self, zone: str) -> None:
+        """Evacuate a zone or take it back, one order after the other."""
+        if self.zone_orders.get(zone) or self.whole.now - self.settled_at.get(zone, 0.0) < APPLY_S:
+            return
+        self.check_zone(zone)
+        method = "DELETE" if self.evacuated.get(zone) else "POST"
+        self.zone_orders[zone] = method
+
+        def ended(order: Order) -> None:
+            self.zone_orders[zone] = ""
+            self.settled_at[zone] = self.whole.now
+            if order.status == 200:
+                self.evacuated[zone] = method == "POST"
+            else:
+                self.evacuated.pop(zone, None)  # it may have acted or not
+
+        self.begin(Order(method, f"/api/evacuations/{zone}"), ended)
+
+    def check_zone(self, zone: str) -> None:
+        """What was acknowledged last is what holds, at the leader."""
+        leader = self.whole.leader()
+        if zone not in self.evacuated or self.zone_orders.get(zone) or leader is None:
+            return
+        replica = self.whole.controllers[leader].replica
+        if replica.consensus.in_contact(self.whole.now) and replica.consensus.commit > 0:
+            holds = zone in replica.state.evacuated
+            newest = replica.consensus.log.term_at(replica.consensus.commit) == replica.consensus.term
+            if newest and holds is not self.evacuated[zone]:
+                raise Broken(f"zone {zone}: acknowledged {self.evacuated[zone]}, in force {holds}")
+
+
+class Day:
+    """One day: the system, its operators, and one loss after the other."""
+
+    def __init__(self, seed: int, cores: int = 3, tolerated: int = 1) -> None:
+        self.rng = random.Random(f"worst day {seed}")
+        self.whole = Whole(seed, cores=cores, gateways=2, tolerated=tolerated)
+        self.names = [f"c{at + 1}" for at in range(cores)]
+        self.gone: list[str] = []
+        self.log: list[str] = []
+        self.operators = Operators(self.whole, self.rng, self._addresses)
+        self.free_at = 0.0  # when the next loss is borne
+        self._plans: list[tuple[float, Callable[[], None]]] = []
+        self._added = cores
+
+    def _addresses(self) -> list[str]:
+        """The operator's list lags: machines that left lately are on it."""
+        return [self.whole.world.machines[name].ip for name in [*self.names, *self.gone[-1:]]]
+
+    def later(self, seconds: float, call: Callable[[], None]) -> None:
+        """Plan a step of a disruption."""
+        self._plans.append((self.whole.now + seconds, call))
+
+    def note(self, text: str) -> None:
+        """For whoever reads a day that broke something."""
+        self.log.append(f"{self.whole.now:7.2f} {text} (leader {self.whole.leader()})")
+
+    # --- a day -----------------------------------------------------------------------------------
+
+    def run(self, seconds: float = 45.0) -> None:
+        """Play it; raises `Broken`."""
+        whole = self.whole
+        body = configuration(1)
+        self.operators.history.sent[body] = 1
+        whole.served(body)
+        self.operators.history.acknowledged[1] = body
+        self.operators.history.newest = 1
+        end = whole.now + seconds
+        while whole.now < end:
+            if whole.now >= self.free_at:
+                self.disrupt()
+            if self.rng.random() < 0.08:
+                self.operators.want()
+            self._step()
+        self._finish()
+
+    def _step(self) -> None:
+        self.whole.sleep(STEP_S)
+        due = [plan for plan in self._plans if plan[0] <= self.whole.now]
+        self._plans = [plan for plan in self._plans if plan[0] > self.whole.now]
+        for _, call in due:
+            call()
+        self.operators.step()
+
+    def _finish(self) -> None:
+        """All comes back; at last everything acknowledged is in force everywhere."""
+        while self._plans or self.whole.now < self.free_at - SYNC_S:
+            self._step()
+        self.note("the end")
+        back = self.whole.now
+        reads: list[Order] = []
+        while not any(read.status == 200 for read in reads):
+            if self.whole.now - back > RECOVERY_S + GIVE_UP_S:
+                raise Broken("nothing can be read after all is back")
+            if not reads or reads[-1].status:
+                reads.append(self.operators.begin(Order("GET", "/api/config")))
+            self._step()
+        self._check_orders_are_taken()
+        while self.operators.under_way:
+            self._step()
+        self.whole.sleep(APPLY_S)
+        for zone in ("n1", "n2"):
+            self.operators.check_zone(zone)
+        self._check_gateways()
+
+    def _check_orders_are_taken(self) -> None:
+        begun = self.whole.now
+        while True:
+            base = self.operators.history.newest
+            order = self.operators.begin(self.operators.change(base, base + 1))
+            while not order.status:
+                self._step()
+            if order.status == 200:
+                return
+            if self.whole.now - begun > RECOVERY_S:
+                raise Broken("no order is taken after all is back")
+
+    def _check_gateways(self) -> None:
+        leader = self.whole.leader()
+        if leader is None:
+            raise Broken("nobody leads in calm times")
+        state = self.whole.controllers[leader].replica.state
+        for name, gateway in self.whole.gateways.items():
+            table = gateway._watcher.routes
+            if table is None or table.revision != state.revision:
+                raise Broken(f"{name} has another configuration in calm times")
+            if gateway.instances.evacuated != frozenset(state.evacuated):
+                raise Broken(f"{name} has other zones evacuated in calm times")
+        for name in self.names:
+            other = self.whole.controllers[name].replica
+            if other.state.index != state.index:
+                raise Broken(f"{name} has not caught up in calm times")
+
+    # --- disruptions -----------------------------------------------------------------------------
+
+    def disrupt(self) -> None:
+        """One more loss, of a machine chosen at random, the leader more often."""
+        leader = self.whole.leader()
+        name = leader if leader in self.names and self.rng.random() < 0.4 else self.rng.choice(self.names)
+        assert name is not None
+        call = self.rng.choice(
+            [
+                self.cut_off,
+                self.one_way,
+                self.standstill,
+                self.power,
+                self.disk_lost,
+                self.disk_full,
+                self.restart,
+                self.planned_replacement,
+                self.sudden_replacement,
+                self.all_power,
+                self.resets,
+                self.split,
+                self.operators_cut,
+                self.zone_cut,
+                self.killed,
+            ]
+        )
+        self.note(f"{call.__name__} {name}")
+        call(name)
+
+    def busy(self, seconds: float) -> None:
+        """No further loss for a time, and not before `sync_s` after it."""
+        self.free_at = self.whole.now + seconds + SYNC_S
+
+    def cut_off(self, name: str) -> None:
+        """From the other controllers or from all but operators, for up to twenty seconds."""
+        seconds = self.rng.uniform(0.5, 20.0)
+        everyone = self.rng.random() < 0.3
+        others = [each for each in self.whole.world.machines if each not in (name, "caller")]
+        peers = others if everyone else [each for each in self.names if each != name]
+        for other in peers:
+            self.whole.world.network.cut(name, other)
+        self.later(seconds, lambda: self._join(name, peers))
+        self.busy(seconds)
+
+    def _join(self, name: str, peers: list[str]) -> None:
+        self.note(f"{name} is joined again")
+        for other in peers:
+            self.whole.world.network.mend(name, other)
+
+    def one_way(self, name: str) -> None:
+        """It sends and does not hear, or hears and can't send."""
+        seconds = self.rng.uniform(0.5, 10.0)
+        outwards = self.rng.random() < 0.5
+        pairs = [(name, each) if outwards else (each, name) for each in self.names if each != name]
+        network = self.whole.world.network
+        for here, there in pairs:
+            network.cut(here, there, one_way=True)
+
+        def mend() -> None:
+            for here, there in pairs:
+                network.mend(here, there, one_way=True)
+
+        self.later(seconds, mend)
+        self.busy(seconds)
+
+    def standstill(self, name: str) -> None:
+        """The process stands still and goes on where it was."""
+        seconds = self.rng.uniform(0.2, 20.0)
+        self.whole.process(name).stall(int(seconds * SECOND))
+        self.busy(seconds)
+
+    def power(self, name: str) -> None:
+        """Without power for a while; the disk stays."""
+        seconds = self.rng.uniform(0.1, 6.0)
+        self._off(name)
+        self.later(seconds, lambda: self.whole.power_on(name))
+        self.busy(seconds)
+
+    def _off(self, name: str) -> None:
+        self.whole.power_off(name, nothing_unsynced=self.rng.random() < 0.5)
+
+    def disk_lost(self, name: str) -> None:
+        """It comes back empty; at times all others lose power at that moment."""
+        seconds = self.rng.uniform(0.1, 3.0)
+        self._off(name)
+        self.whole.disks[name] = MemoryDisk()
+        others = [each for each in self.names if each != name] if self.rng.random() < 0.3 else []
+        for other in others:
+            self._off(other)
+        for each in [name, *others]:
+            self.later(self.rng.uniform(0.1, seconds + 0.1), partial(self.whole.power_on, each))
+        self.busy(seconds + 0.1)
+
+    def disk_full(self, name: str) -> None:
+        """The disk takes nothing for a while."""
+        seconds = self.rng.uniform(0.5, 8.0)
+        disk = self.whole.disks[name]
+        disk.full = True
+
+        def free() -> None:
+            disk.full = False
+
+        self.later(seconds, free)
+        self.busy(seconds)
+
+    def restart(self, name: str) -> None:
+        """SIGTERM, and a new start once it has ended."""
+        self.whole.process(name).signal(15)
+
+        def start() -> None:
+            if name in self.names and not self.whole.process(name).dead:
+                self.later(0.1, start)
+            else:
+                self._start_again(name)
+
+        self.later(0.5, start)
+        self.busy(GRACE_S)
+
+    def _add(self) -> str:
+        self._added += 1
+        name = f"c{self._added}"
+        self.whole.seeds = [f"{self.whole.world.machines[each].ip}:8166" for each in self.names[:3]]
+        self.whole.add_core(name, f"10.1.0.{self._added}")
+        self.names.append(name)
+        return name
+
+    def planned_replacement(self, name: str) -> None:
+        """The successor first, then SIGTERM; the machine is gone once the process has ended.
+
+        It counts until the successor has had its time, and not after that: the next loss may come at once.
+        """
+        self._add()
+        begun = self.whole.now
+        seconds = self.rng.uniform(0.5, 6.0)
+
+        def leave() -> None:
+            self.note(f"{name} gets SIGTERM")
+            if name in self.whole.controllers and not self.whole.process(name).dead:
+                self.whole.process(name).signal(15)
+            self.later(0.1, remove)
+
+        def remove() -> None:
+            if self.whole.process(name).dead or self.whole.now > begun + seconds + GRACE_S:
+                self.note(f"{name} is gone")
+                self._remove(name)
+            else:
+                self.later(0.05, remove)
+
+        self.later(seconds, leave)
+        self.free_at = max(begun + SYNC_S, begun + seconds) + self.rng.uniform(0.02, 2.0)
+
+    def _remove(self, name: str) -> None:
+        self.whole.power_off(name)
+        if name in self.names:
+            self.names.remove(name)
+            self.gone.append(name)
+
+    def sudden_replacement(self, name: str) -> None:
+        """Gone for good without a word, and a successor a second later."""
+        self._remove(name)
+        self.later(1.0, lambda: self.note(f"{self._add()} is added"))
+        self.busy(1.0)
+
+    def all_power(self, name: str) -> None:
+        """All controllers lose power at once and are back within a second or two."""
+        for each in self.names:
+            self._off(each)
+            self.later(self.rng.uniform(0.1, 2.0), partial(self.whole.power_on, each))
+        self.busy(2.0)
+
+    def resets(self, name: str) -> None:
+        """All connections of a machine are reset, more than once."""
+        machine = self.whole.world.machines[name]
+
+        def reset() -> None:
+            for connection in self.whole.world.network.connections(machine):
+                self.whole.world.network.reset(connection)
+
+        for _ in range(self.rng.randrange(1, 5)):
+            self.later(self.rng.uniform(0.0, 2.0), reset)
+        self.busy(2.0)
+
+    def operators_cut(self, name: str) -> None:
+        """What operators send to a machine is held up, and comes when they have long turned to others."""
+        seconds = self.rng.uniform(0.5, 6.0)
+        network = self.whole.world.network
+        network.cut("caller", name)
+        self.later(seconds, lambda: network.mend("caller", name))
+        self.busy(0.0)
+
+    def zone_cut(self, name: str) -> None:
+        """A controller and the gateways of its zone are cut off from all others; clients reach them."""
+        seconds = self.rng.uniform(0.5, 12.0)
+        zone = self.whole.controllers[name].settings.zone
+        inside = [
+            name,
+            *(each for each, gateway in self.whole.gateways.items() if gateway.settings.zone == zone),
+        ]
+        outside = [each for each in self.whole.world.machines if each not in (*inside, "caller")]
+        pairs = [(one, other) for one in inside for other in outside]
+        for one, other in pairs:
+            self.whole.world.network.cut(one, other)
+
+        def mend() -> None:
+            for one, other in pairs:
+                self.whole.world.network.mend(one, other)
+
+        self.later(seconds, mend)
+        self.busy(seconds)
+
+    def killed(self, name: str) -> None:
+        """Controllers are killed at once, one or all, and start again; the disk keeps what was written."""
+        for each in self.names if self.rng.random() < 0.5 else [name]:
+            self.whole.process(each).kill()
+            self.later(self.rng.uniform(0.1, 1.0), partial(self._start_again, each))
+        self.busy(1.0)
+
+    def _start_again(self, name: str) -> None:
+        if name in self.names and not self.whole.world.machines[name].gone and self.whole.process(name).dead:
+            self.whole.start_core(name)
+
+    def split(self, name: str) -> None:
+        """The controllers fall into two halves, then stand as before; nothing is lost by it."""
+        seconds = self.rng.uniform(0.5, 10.0)
+        half = self.rng.sample(self.names, len(self.names) // 2)
+        pairs = [(one, other) for one in half for other in self.names if other not in half]
+        for one, other in pairs:
+            self.whole.world.network.cut(one, other)
+
+        def mend() -> None:
+            for one, other in pairs:
+                self.whole.world.network.mend(one, other)
+
+        self.later(seconds, mend)
+        self.busy(seconds)
+
+
+@contextmanager
+def short_segments(size: int) -> Iterator[None]:
+    """Have snapshots come after a few changes, as after hundreds of them in service."""
+    usual, storage.SEGMENT_BYTES = storage.SEGMENT_BYTES, size
+    try:
+        yield
+    finally:
+        storage.SEGMENT_BYTES = usual
+
+
+def play(seed: int, cores: int = 3, tolerated: int = 1) -> None:
+    """One day, every other one with short segments; raises `Broken` with what happened on it."""
+    with short_segments(SHORT_SEGMENT if seed % 2 else storage.SEGMENT_BYTES):
+        day = Day(seed, cores, tolerated)
+        try:
+            day.run()
+        except Broken as error:
+            raise Broken(f"day {seed}: {error}\n" + "\n".join(day.log)) from error
+        finally:
+            day.whole.close()
