Gateway: an answer without an id is believed on a new connection only

Cause: an instance's second answer to the request before, without an id, was taken for the answer to the next request on a kept connection. Change: on a connection that has carried a request an answer must name the request; requests without an id get a connection of their own. Measured: the new test fails without the change and passes with it.

--- a/brambleusher/dataplane/upstream.py
+++ b/brambleusher/dataplane/upstream.py
@@ -47,6 +47,7 @@
     idle_since: float = 0.0
     idle_until: float = 0.0
     rested_s: float = 0.0  # before the attempt under way
+    used: bool = False  # whether it has carried a request before the one under way
 
 
 class Answer:
@@ -145,6 +146,7 @@
             self.close(instance, connection)
             return
         state.start_next_cycle()
+        connection.used = True
         connection.idle_since = self._scheduler.now()
         connection.idle_until = connection.idle_since + idle_s
         instance.idle.append(connection)
@@ -202,7 +204,9 @@
         once: bool,
     ) -> Result[Answer, AttemptFailure]:
         """Send a request and wait for the head of its answer; one that may run `once` takes no chances."""
-        connection = self._take(instance, once) or self._connect(instance, deadline)
+        # The answer to a request without an id can be told from another's only where there is no other.
+        kept = self._take(instance, once) if attempt_id else None
+        connection = kept or self._connect(instance, deadline)
         if connection is None:
             return Err(NotReached())
         try:
@@ -241,13 +245,17 @@
         return Err(Rejected(answer.status))
 
     def _head(self, connection: Connection, attempt_id: bytes, deadline: float) -> h11.Response | None:
-        """The head of the answer to this very request; answers to others are read and dropped."""
+        """The head of the answer to this very request; answers to others are read and dropped.
+
+        Instances echo the id of a request.  One that doesn't can be believed only on a new connection: on
+        a kept one a second answer to the request before would look the same.
+        """
         for _ in range(STRAY_ANSWERS_MAX):
             head = self._next_head(connection, deadline)
             if head is None:
                 return None
             echoed = dict(head.headers).get(ATTEMPT_HEADER)
-            if echoed is None or not attempt_id or echoed == attempt_id:
+            if echoed == attempt_id or (echoed is None and not connection.used):
                 return head
             if not self._drop_answer(connection, deadline):
                 return None
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -264,3 +264,33 @@
     whole.sleep(0.5)
     assert memory.held == 0
     assert whole.request("g1", attempt="third", body=b"x" * 50_000).status == 200
+
+
+def test_a_second_answer_without_an_id_on_a_kept_connection_is_not_taken(whole: Whole) -> None:
+    """What may come late to the request before looks like the answer to the next one, and is dropped."""
+    only(whole, "d1")
+    assert whole.request("g1", "/d/x", attempt="first").status == 200
+    whole.servers["d1"].stray, whole.servers["d1"].stray_id = 1, ""
+    reply = whole.request("g1", "/d/x", attempt="second")
+    assert (reply.status, reply.body) == (200, b"d1 ran second")
+    assert len(whole.arrivals("second")) == 1
+
+
+def test_an_answer_without_an_id_is_believed_on_a_new_connection_only(whole: Whole) -> None:
+    only(whole, "d1")
+    whole.servers["d1"].echoes = False
+    assert whole.request("g1", "/d/x", attempt="first").body == b"d1 ran first"
+    reply = whole.request("g1", "/d/x", attempt="second")
+    assert reply.status in (502, 504)
+    assert len(whole.arrivals("second")) == 1
+
+
+@pytest.mark.parametrize("how", ["silent", "cut"])
+def test_what_may_run_once_is_sent_once_after_no_response_or_a_reset(whole: Whole, how: str) -> None:
+    for name in ("d1", "d2"):
+        server = whole.servers[name]
+        server.silent, server.cut_after = how == "silent", 0 if how == "cut" else None
+    reply = whole.request("g1", "/d/x", attempt="once", headers={"X-Deadline-Remaining": "1500"})
+    assert reply.status in (502, 504)
+    whole.sleep(2.0)
+    assert len(whole.arrivals("once")) == 1
--- a/tests/system/whole.py
+++ b/tests/system/whole.py
@@ -113,6 +113,8 @@
         self.shed = False
         self.silent = False
         self.stray = 0  # answers to other requests ahead of the one that is due
+        self.stray_id = "other"  # that they name; empty: none
+        self.echoes = True  # whether its answers name the request that they are for
         self.arrivals: list[Arrival] = []
         self.machine = system.world.machine(name, ip)
         self.scheduler: Scheduler | None = None
@@ -177,8 +179,12 @@
             send(h11.EndOfMessage())
             return True
         for _ in range(self.stray):
-            stream.send(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 5\r\n\r\nother", deadline)
-        own = [("X-Attempt-Id", attempt), ("X-Server-Seal", f"{self.name}.{attempt}")]
+            name = f"X-Attempt-Id: {self.stray_id}\r\n" if self.stray_id else ""
+            stream.send(f"HTTP/1.1 200 OK\r\n{name}Content-Length: 5\r\n\r\nother".encode(), deadline)
+        own = [
+            *([("X-Attempt-Id", attempt)] if self.echoes else []),
+            ("X-Server-Seal", f"{self.name}.{attempt}"),
+        ]
         if self.service == "desk" or self.status != 200:
             body = f"{self.name} ran {attempt}".encode()
             length = ("Content-Length", str(len(body)))
--- a/tests/system/worst_days.py
+++ b/tests/system/worst_days.py
@@ -211,6 +211,7 @@
     def __init__(self, seed: int, cores: int = 3, tolerated: int = 1) -> None:
         self.rng = random.Random(f"worst day {seed}")
         self.whole = Whole(seed, cores=cores, gateways=2, tolerated=tolerated)
+        self.tolerated = tolerated
         self.names = [f"c{at + 1}" for at in range(cores)]
         self.gone: list[str] = []
         self.log: list[str] = []
@@ -241,6 +242,7 @@
         whole.served(body)
         self.operators.history.acknowledged[1] = body
         self.operators.history.newest = 1
+        self.busy(0.0)  # machines that have just started count as lost
         end = whole.now + seconds
         while whole.now < end:
             if whole.now >= self.free_at:
@@ -260,8 +262,11 @@
 
     def _finish(self) -> None:
         """All comes back; at last everything acknowledged is in force everywhere."""
-        while self._plans or self.whole.now < self.free_at - SYNC_S:
+        closing = self.rng.random() < 0.6
+        while self._plans or self.whole.now < self.free_at - (0.0 if closing else SYNC_S):
             self._step()
+        if closing:
+            self._lose_disks_after_an_acknowledgement()
         self.note("the end")
         back = self.whole.now
         reads: list[Order] = []
@@ -274,11 +279,30 @@
         self._check_orders_are_taken()
         while self.operators.under_way:
             self._step()
-        self.whole.sleep(APPLY_S)
+        self.whole.sleep(max(APPLY_S, back + SYNC_S - self.whole.now))
         for zone in ("n1", "n2"):
             self.operators.check_zone(zone)
         self._check_gateways()
 
+    def _lose_disks_after_an_acknowledgement(self) -> None:
+        """Right after an answer: as many disks as are borne, at times with the power of all controllers."""
+        base = self.operators.history.newest
+        order = self.operators.begin(self.operators.change(base, base + 1))
+        while not order.status:
+            self.whole.sleep(0.002)
+            self.operators.step()
+        lost = self.rng.sample(self.names, self.tolerated)
+        dark = self.names if self.rng.random() < 0.6 else lost
+        self.note(f"{order.status} for {order.revision}, then the disks of {lost}, power of {dark}")
+        for name in dark:
+            self._off(name)
+        for name in lost:
+            self.whole.disks[name] = MemoryDisk()
+        for name in dark:
+            self.later(self.rng.uniform(0.05, 3.0), partial(self._on, name))
+        while self._plans:
+            self._step()
+
     def _check_orders_are_taken(self) -> None:
         begun = self.whole.now
         while True:
@@ -310,35 +334,39 @@
     # --- disruptions -----------------------------------------------------------------------------
 
     def disrupt(self) -> None:
-        """One more loss, of a machine chosen at random, the leader more often."""
+        """One more loss, of a machine drawn by lot, the leader more often; at times as many as are borne."""
         leader = self.whole.leader()
-        name = leader if leader in self.names and self.rng.random() < 0.4 else self.rng.choice(self.names)
-        assert name is not None
-        call = self.rng.choice(
-            [
-                self.cut_off,
-                self.one_way,
-                self.standstill,
-                self.power,
-                self.disk_lost,
-                self.disk_full,
-                self.restart,
-                self.planned_replacement,
-                self.sudden_replacement,
-                self.all_power,
-                self.resets,
-                self.split,
-                self.operators_cut,
-                self.zone_cut,
-                self.killed,
-            ]
-        )
-        self.note(f"{call.__name__} {name}")
-        call(name)
+        names = self.rng.sample(self.names, self.tolerated if self.rng.random() < 0.5 else 1)
+        if leader in self.names and leader not in names and self.rng.random() < 0.3:
+            names[0] = leader
+        kinds = self.of_one_machine() if len(names) > 1 else [*self.of_one_machine(), *self.of_all()]
+        for name in names:
+            call = self.rng.choice(kinds)
+            self.note(f"{call.__name__} {name}")
+            call(name)
+
+    def of_one_machine(self) -> list[Callable[[str], None]]:
+        """Disruptions that two machines may have at once."""
+        return [
+            self.cut_off,
+            self.one_way,
+            self.standstill,
+            self.power,
+            self.disk_lost,
+            self.disk_full,
+            self.restart,
+            self.resets,
+            self.operators_cut,
+            self.sudden_replacement,
+        ]
+
+    def of_all(self) -> list[Callable[[str], None]]:
+        """Disruptions that come alone."""
+        return [self.planned_replacement, self.all_power, self.split, self.zone_cut, self.killed]
 
     def busy(self, seconds: float) -> None:
         """No further loss for a time, and not before `sync_s` after it."""
-        self.free_at = self.whole.now + seconds + SYNC_S
+        self.free_at = max(self.free_at, self.whole.now + seconds + SYNC_S)
 
     def cut_off(self, name: str) -> None:
         """From the other controllers or from all but operators, for up to twenty seconds."""
@@ -382,22 +410,28 @@
         """Without power for a while; the disk stays."""
         seconds = self.rng.uniform(0.1, 6.0)
         self._off(name)
-        self.later(seconds, lambda: self.whole.power_on(name))
+        self.later(seconds, partial(self._on, name))
         self.busy(seconds)
 
     def _off(self, name: str) -> None:
-        self.whole.power_off(name, nothing_unsynced=self.rng.random() < 0.5)
+        if not self.whole.world.machines[name].gone:
+            self.whole.power_off(name, nothing_unsynced=self.rng.random() < 0.5)
+
+    def _on(self, name: str) -> None:
+        if name in self.names and self.whole.world.machines[name].gone:
+            self.whole.power_on(name)
 
     def disk_lost(self, name: str) -> None:
         """It comes back empty; at times all others lose power at that moment."""
         seconds = self.rng.uniform(0.1, 3.0)
         self._off(name)
         self.whole.disks[name] = MemoryDisk()
-        others = [each for each in self.names if each != name] if self.rng.random() < 0.3 else []
+        alone = self.tolerated == 1 and self.rng.random() < 0.3
+        others = [each for each in self.names if each != name] if alone else []
         for other in others:
             self._off(other)
         for each in [name, *others]:
-            self.later(self.rng.uniform(0.1, seconds + 0.1), partial(self.whole.power_on, each))
+            self.later(self.rng.uniform(0.1, seconds + 0.1), partial(self._on, each))
         self.busy(seconds + 0.1)
 
     def disk_full(self, name: str) -> None:
@@ -474,7 +508,7 @@
         """All controllers lose power at once and are back within a second or two."""
         for each in self.names:
             self._off(each)
-            self.later(self.rng.uniform(0.1, 2.0), partial(self.whole.power_on, each))
+            self.later(self.rng.uniform(0.1, 2.0), partial(self._on, each))
         self.busy(2.0)
 
     def resets(self, name: str) -> None:
