--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -292,10 +292,14 @@
         self._waiting[index] = (term, waiter)
         self._pump()
         answer = self._wait(waiter, deadline)
-        if self._waiting.get(index, (0, None))[1] is waiter:  # else another leader's entry has the index
-            del self._waiting[index]
+        self._forget_place(index, waiter)
         return answer if isinstance(answer, Verdict) else None
 
+    def _forget_place(self, index: int, waiter: Waiter) -> None:
+        """Give up a place in the log, unless another caller's entry has come to have its index."""
+        if self._waiting.get(index, (0, None))[1] is waiter:
+            del self._waiting[index]
+
     def _forward(self, request: dict[str, Any], deadline: float) -> Any:
         leader = self.consensus.leader_member()
         if leader is None or leader.id == self.identity.id or len(self._forwarded) >= WAITERS_MAX:
