Gateway: one that starts takes its first configuration from a controller with a majority

Cause: a gateway that started took the configuration of whichever controller it reached first, also of one that had long been cut off, and passed requests on by it. Change: for 2 s after its start only a controller in contact with a majority will do, then any.

--- a/brambleusher/dataplane/watcher.py
+++ b/brambleusher/dataplane/watcher.py
@@ -26,6 +26,7 @@
 LIST_OLDER_S = 1.0  # behind another controller's reading: worth having that one sent
 STALE_LIST_S = 3.2  # a controller whose reading of the list is older is left for another
 FIGURES_EVERY_S = 0.8  # what this gateway saw of instances goes out, and what others saw comes in
+CONTACT_WAIT_S = 2.0  # after the start, for a controller with a majority, before another's state will do
 COUNT_KEPT_S = 30.0  # the most gateways counted within this time share the budgets
 
 
@@ -45,6 +46,7 @@
         self.index = -1
         self.routes: RouteTable | None = None
         self._figures_at = 0.0
+        self._started_at = scheduler.now()
         self._counts: list[tuple[float, int]] = []
         for number in range(WATCHERS):
             scheduler.spawn(self._run, number, name=f"watcher_{number}")
@@ -128,6 +130,9 @@
         index = int(answer["index"])
         if index <= self.index or "packed" not in answer:
             return
+        waited = now - self._started_at >= CONTACT_WAIT_S
+        if not answer.get("contact") and self.routes is None and not waited:
+            return  # it may be long cut off, and others know better
         packed = answer["packed"]
         routes = RouteTable(configuration.read_checked(unpack(packed))) if packed else None
         self.index = index
--- a/tests/system/test_worst_days.py
+++ b/tests/system/test_worst_days.py
@@ -115,6 +115,36 @@
     assert whole.control(other, "GET", "/api/config").body == configuration(3, route("/n/"))
 
 
+def test_a_gateway_that_starts_takes_nothing_old_from_one_that_is_cut_off(whole: Whole) -> None:
+    """It reaches all three; the one that is cut off from the others knows an old configuration."""
+    whole.served()
+    alone = follower_of(whole)
+    rest = [name for name in CORES if name != alone]
+    for name in rest:
+        whole.world.network.cut(alone, name)
+    put_until_taken(whole, rest[0], 1, configuration(2, route("/n/")))
+    whole.sleep(1.0)
+    for number in range(2, 8):
+        name = f"g{number}"
+        whole.add_gateway(name, f"10.2.0.{number}", whole.zones[number % 3])
+        seen = set()
+        for _ in range(100):
+            whole.sleep(0.03)
+            gateway = whole.gateways.get(name)
+            table = gateway._watcher.routes if gateway is not None else None
+            seen.add(0 if table is None else table.revision)
+        assert seen - {0} == {2}
+
+
+def test_a_gateway_that_starts_without_any_majority_takes_what_there_is(whole: Whole) -> None:
+    whole.served()
+    for name in (leader_of(whole), follower_of(whole)):
+        whole.power_off(name)
+    whole.sleep(2.0)
+    whole.add_gateway("g2", "10.2.0.2", "n1")
+    whole.wait(lambda: "g2" in whole.gateways and whole.gateways["g2"].ready, 6.0)
+
+
 # --- 2: one number, one content; the same order again --------------------------------------------
 
 
