Operators' door: the test waits for the list; a further one holds the list back

Cause of the verdict that went with the load: the rig waited until discovery was asked, not until the sidecar had the answer; on a busy machine the call came first and 'ready' rightly said 503 starting. A fault of the test, not of the program. Change: the test waits for the list as others do; a new test holds the list back and sees 503, then 200, whatever the load. Also: a replica that lost its disk asks whoever speaks to it for membership, not its seeds alone, which may all be gone.

--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -344,7 +344,8 @@
             return
         self._joined_at = now
         request = wire.as_json(wire.JoinRequest(self.identity.id, self.identity))
-        for address in {*self.seeds, *self.known_controllers()} - {self.identity.address}:
+        heard = self._routes.values()  # one that lost its disk is still spoken to, maybe by none of its seeds
+        for address in {*self.seeds, *self.known_controllers(), *heard} - {self.identity.address}:
             self._send(address, request)
 
     def _pump(self) -> None:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -4,8 +4,10 @@
 
 import queue
 import socket
+import threading
 import time
 import unittest
+from typing import Any
 
 from brambleusher.admin.calls import Call, find
 from brambleusher.admin.door import MOST
@@ -44,6 +46,20 @@
             self.assertEqual(caught.exception.status, status)
 
 
+class HeldDiscovery(Discovery):
+    """Takes the watch, and answers when it is told to."""
+
+    def __init__(self, servers: list[dict[str, Any]]) -> None:
+        self.may_answer = threading.Event()
+        super().__init__(servers)
+
+    def serve(self, sock: socket.socket) -> None:
+        self.asked.put(sock.recv(65536).split(b" ")[1].decode())
+        self.may_answer.wait(WAIT)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + self._chunk(self.first))
+        sock.recv(65536)
+
+
 class Door(unittest.TestCase):
     def rig(self, *nodes: Node) -> Rig:
         rig = Rig([node.entry(f"h{at}") for at, node in enumerate(nodes)], admin=True)
@@ -125,6 +141,7 @@
 
     def test_callers_that_say_nothing_or_half_a_call_hold_up_nobody(self) -> None:
         rig = self.rig(self.node())
+        rig.listed(1)  # until the list is in, the answer is 503: see the test below
         silent = [self.connect(rig) for _ in range(MOST * 2)]
         for sock in silent[::2]:
             sock.sendall(b"GET /control/rea")
@@ -137,6 +154,17 @@
             self.assertEqual(read(sock).status, status)
         self.assertEqual(read(silent[-2]).status, 408)  # in time, half a call is told so
 
+    def test_it_is_not_ready_until_the_list_is_in(self) -> None:
+        """However busy the machine is: what a caller is told goes by the list alone."""
+        discovery = HeldDiscovery([self.node().entry("h0")])
+        rig = Rig([], admin=True, discovery=discovery)
+        self.addCleanup(rig.end)
+        got = self.call(rig, "GET", "ready")
+        self.assertEqual((got.status, got.body), (503, b"starting\n"))
+        discovery.may_answer.set()
+        rig.listed(1)
+        self.assertEqual(self.call(rig, "GET", "ready").status, 200)
+
     def test_out_of_service_sends_clients_away_and_back(self) -> None:
         rig = self.rig(self.node())
         resting, idle = rig.connect(), rig.connect()
