Votes follow zones that are known, and a leader whose disk takes nothing hands over

Cause (by reading): founders do not tell their zones, so a fourth controller looked like the only one of an empty zone and would have got the vote of a founder whose zone it may share with another; the records of a disk that takes nothing grew without bound at a leader; sixteen members of which some are gone left no room for newcomers. Change: the leader fills in zones that the partial view has heard; without all of them no vote moves for a zone's sake. At 256 unsynced entries a leader hands over, at 512 it takes none.

--- a/brambleusher/controller.py
+++ b/brambleusher/controller.py
@@ -50,6 +50,7 @@
         self.view = PartialView(self._rng)
         self.replica = Replica(self.scheduler, settings, disk, self._send, self._rng, self._changed)
         self.replica.known_controllers = self._known_controllers
+        self.replica.known_zones = self._known_zones
         self.instances = PlatformList(
             self.scheduler,
             settings,
@@ -143,6 +144,11 @@
         known |= {peer.address for peer in self.view.alive("controller", now)}
         return sorted(known - {self.settings.peer_address, ""})
 
+    def _known_zones(self) -> dict[str, str]:
+        """Zones of the other controllers by address."""
+        peers = self.view.alive("controller", self.scheduler.now(), FORGET_S)
+        return {peer.address: peer.zone for peer in peers}
+
     def _controllers(self) -> list[tuple[str, str, str]]:
         """Address, zone and region of all controllers; zone and region are empty until they were heard of."""
         heard = {peer.address: peer for peer in self.view.alive("controller", self.scheduler.now(), FORGET_S)}
--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -37,6 +37,9 @@
 )
 TRANSFER_S = 1.0  # for a planned successor to show up, then proposals are taken again
 JOIN_QUIET_S = 1.5  # without a leader for so long, a replica asks whether it still is a member
+UNSYNCED_MAX = (
+    256  # own entries that a leader's disk has not taken: then it hands over; at twice that it stops
+)
 UNLIKELY_WAITS_S = 0.6  # longer than others a replica without a vote, or about to end, waits before it stands
 
 
@@ -71,6 +74,7 @@
         self._heard_at = now
         self._majority_at = now
         self._requests = MembershipRequests(identity.id)
+        self.zones: Callable[[], Mapping[str, str]] = dict  # zone by address, of replicas that told it since
         self.leaves = False  # whether this process is about to end
         self._transfer_until = 0.0
         self._successor = ""
@@ -111,7 +115,8 @@
 
     def taking_proposals(self) -> bool:
         """Whether a proposal made here now would be appended."""
-        return self.leading and self._now >= self._transfer_until
+        full = self.log.last_index - self._synced_index > UNSYNCED_MAX * 2
+        return self.leading and self._now >= self._transfer_until and not full
 
     def has_vote(self) -> bool:
         """Whether this replica may be needed for a quorum: its vote is not known to be taken away."""
@@ -360,7 +365,8 @@
             self._follow(self.term, "")
             self._election_at = self._now + self._timeout()
             return
-        if not self._is_voter() and self.taking_proposals():
+        behind = self.log.last_index - self._synced_index > UNSYNCED_MAX
+        if (behind or not self._is_voter()) and self.taking_proposals():
             self.transfer()
         self._majority_at = max(self._majority_at, self._heard_majority_at())
         self._heartbeat_at = self._now + HEARTBEAT_S
@@ -378,7 +384,7 @@
             return  # one change at a time, and none before this term has committed something
         near = self._replication.heard_within(ELECTION_MIN_S, self._now)
         group = Group(
-            self.log.members,
+            self._members_with_zones(),
             self.identity.id,
             self.voters_wanted,
             self._replication.quiet_s(self._now),
@@ -390,6 +396,13 @@
             self._append_own("members", [member.as_json() for member in changed])
             self._replicate()
 
+    def _members_with_zones(self) -> tuple[Member, ...]:
+        zones = self.zones()
+        return tuple(
+            each if each.zone else replace(each, zone=zones.get(each.address, ""))
+            for each in self.log.members
+        )
+
     def _append_own(self, kind: str, data: Any) -> Entry:
         entry = Entry(self.log.last_index + 1, self.term, kind, data)
         self._append_entry(entry)
--- a/brambleusher/controlplane/membership_changes.py
+++ b/brambleusher/controlplane/membership_changes.py
@@ -46,6 +46,11 @@
         """Whether a member should not keep a vote that another can have."""
         return member.id != self.leader and (member.id in self.leaving or self.lost(member))
 
+    @property
+    def zones_known(self) -> bool:
+        """Whether every voter's zone is known: founders do not tell theirs, until somebody heard of it."""
+        return all(member.zone for member in self.voters)
+
     def zone_load(self, zone: str) -> int:
         """Votes in a zone that are to stay."""
         return sum(member.zone == zone and not self.going(member) for member in self.voters)
@@ -114,6 +119,8 @@
     """Whether a vote for this learner in place of another's leaves the group better off."""
     if any(group.going(member) for member in group.voters):
         return True
+    if not group.zones_known or not learner.zone:
+        return False
     least = group.zone_load(learner.zone)
     return any(
         group.zone_load(member.zone) >= least + 2 for member in group.voters if member.id != group.leader
@@ -142,6 +149,10 @@
 
 
 def _forgotten(group: Group) -> tuple[Member, ...] | None:
-    quiet_s = group.quiet_s
-    gone = [each for each in group.members if not each.voter and quiet_s.get(each.id, 0.0) > LOST_LEARNER_S]
-    return tuple(member for member in group.members if member is not gone[0]) if gone else None
+    """The learner that has been silent longest, if for too long; sooner where there is no room for others."""
+    after_s = LOST_LEARNER_S if len(group.members) < MEMBERS_MAX else LOST_VOTER_S
+    silent = {each.id: group.quiet_s.get(each.id, 0.0) for each in group.members if not each.voter}
+    gone = max(silent, key=lambda identity: (silent[identity], identity), default="")
+    if not gone or silent[gone] <= after_s:
+        return None
+    return tuple(member for member in group.members if member.id != gone)
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -107,6 +107,8 @@
         self._joined_at = self._sleeps_until = 0.0
         self.seeds: tuple[str, ...] = settings.seed_peers()
         self.known_controllers: Callable[[], list[str]] = list
+        self.consensus.zones = self._zones
+        self.known_zones: Callable[[], dict[str, str]] = dict
         self._event = Event()
         self._resting = False  # after an error of the disk
         self._worker = scheduler.system.worker("disk", self._disk_due, self._disk_turn)
@@ -262,6 +264,10 @@
         if waiter is not None and asked == sender:
             waiter.done(data.get("answer"))
 
+    def _zones(self) -> dict[str, str]:
+        """Zones of replicas by address, as far as they told them."""
+        return {**self.known_zones(), self.identity.address: self.identity.zone}
+
     def _route(self, identity: str, address: str) -> None:
         self._routes[identity] = address
         if len(self._routes) > WAITERS_MAX:
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from brambleusher.controlplane.consensus import Consensus
+from brambleusher.controlplane.consensus import UNSYNCED_MAX, Consensus
 from brambleusher.controlplane.consensus_types import HardState, Outgoing, Role
-from brambleusher.controlplane.membership_changes import Group, next_members
+from brambleusher.controlplane.membership_changes import MEMBERS_MAX, Group, next_members
 from brambleusher.wire import consensus_messages as wire
 from brambleusher.wire.errors import InvalidMessage
 from tests.system.cluster import Broken, Cluster, member
@@ -404,6 +404,52 @@
     assert votes_after(replace_in(following, members=following.with_vote("d", False))) is None
 
 
+def test_votes_are_not_moved_for_zones_while_those_of_voters_are_unknown() -> None:
+    founders = tuple(replace_in(member(name), zone="") for name in "abc")
+    newcomer = replace_in(member("d", voter=False), zone="1")
+    group = Group((*founders, newcomer), "a", 3, {}, {"b", "c", "d"})
+    assert votes_after(group) is None
+
+
+def test_a_learner_that_is_silent_makes_room_sooner_where_there_is_none() -> None:
+    learners = tuple(member(f"l{number}", voter=False) for number in range(MEMBERS_MAX - 1))
+    group = Group((member("a"), *learners), "a", 1, {"l3": 5.0, "l4": 7.0}, {"l1"})
+    changed = next_members(group, [member("new", voter=False)])
+    assert changed is not None
+    assert "l4" not in {each.id for each in changed}
+    assert len(changed) == MEMBERS_MAX - 1
+    fewer = replace_in(group, members=(member("a"), *learners[:5]))
+    assert next_members(fewer, []) is None
+
+
+def test_a_leader_whose_disk_takes_nothing_hands_over_before_its_memory_fills() -> None:
+    cluster = Cluster("abc", seed=4)
+    change(cluster)
+    leader = cluster.leader()
+    assert leader is not None
+    leader.slow_disk = True
+    for number in range(UNSYNCED_MAX * 3):
+        cluster.propose(number)
+        if cluster.leader() is not leader:
+            break
+        cluster.step()
+    assert cluster.run(lambda: cluster.leader() not in (None, leader))
+    assert cluster.commit("after")
+    assert leader.consensus.log.last_index - leader.synced < UNSYNCED_MAX * 3
+
+
+def test_a_leader_whose_disk_takes_nothing_and_that_nobody_can_succeed_stops_taking_more() -> None:
+    cluster = Cluster("a", seed=4)
+    assert cluster.commit("first")
+    leader = cluster.leader()
+    assert leader is not None
+    leader.slow_disk = True
+    for number in range(UNSYNCED_MAX * 4):
+        cluster.propose(number)
+        cluster.step()
+    assert leader.consensus.log.last_index <= UNSYNCED_MAX * 2 + 10
+
+
 def test_messages_survive_the_wire_and_faults_in_them_are_told() -> None:
     message = wire.Append(3, "a", 1, 1, [wire.Entry(2, 3, "command", {"op": "x"})], 1, 9)
     data = wire.as_json(message)
--- a/tests/system/test_consensus_losses.py
+++ b/tests/system/test_consensus_losses.py
@@ -173,7 +173,7 @@
                     for holding in combinations(names, count // 2 + 1):
                         survivors = set(holding) - lost
                         # Where all that held it lost their disks, more was lost than is borne.
-                        assert lost_count > 1 or survivors & set(agreeing), (count, lost, agreeing, holding)
+                        assert not survivors or survivors & set(agreeing), (count, lost, agreeing, holding)
 
 
 def test_one_lost_disk_of_four_costs_no_quorum_and_of_three_it_does() -> None:
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -400,6 +400,7 @@
 
     whole.served()
     whole.wait(lambda: len(voters()) == 5)
+    whole.sleep(3.0)
     leader = whole.leader()
     assert leader is not None
     others_with_a_vote = [
@@ -415,3 +416,30 @@
     whole.wait(lambda: in_force(whole, 3))
     assert whole.control(rest, "GET", "/api/config").body == configuration(3, route("/n/"))
     whole.close()
+
+
+def test_votes_are_spread_over_zones_and_move_back_when_a_zone_returns() -> None:
+    """Two of six controllers stand in each zone: no zone may come to hold three of five votes."""
+    whole = Whole(cores=6, tolerated=2)
+
+    def votes_by_zone() -> list[int]:
+        leader = whole.leader()
+        known = whole.controllers[leader].replica.consensus.log.members if leader is not None else ()
+        zones = {f"{whole.world.machines[name].ip}:7720": zone_of(name) for name in whole.controllers}
+        held = [zones[member.address] for member in known if member.voter]
+        return sorted(held.count(zone) for zone in whole.zones)
+
+    def zone_of(name: str) -> str:
+        return whole.controllers[name].settings.zone
+
+    whole.served()
+    whole.wait(lambda: votes_by_zone() == [1, 2, 2])
+    dark = [name for name in whole.controllers if zone_of(name) == "n2"]
+    for name in dark:
+        whole.power_off(name)
+    whole.sleep(6.0)
+    for name in dark:
+        whole.power_on(name)
+    whole.wait(lambda: votes_by_zone() == [1, 2, 2])
+    assert whole.put("c1", 1, configuration(2)).status == 200
+    whole.close()
