--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -22,9 +22,11 @@
     Role,
     Truncate,
 )
+from brambleusher.controlplane.durability import Durability
 from brambleusher.controlplane.log import Log
 from brambleusher.controlplane.membership_changes import Group, next_members
 from brambleusher.controlplane.membership_requests import MembershipRequests
+from brambleusher.controlplane.pending_reads import PendingReads
 from brambleusher.controlplane.quorum import agreed_value, has_quorum
 from brambleusher.controlplane.replication import Progress, Replication
 from brambleusher.wire import consensus_messages as wire
@@ -65,9 +67,7 @@
         self.output = Output()
         self._rng = rng
         self._now = now
-        self._recorded = 0  # records handed out
-        self._synced_index = log.last_index
-        self._entry_records: list[tuple[int, int]] = []  # (record number, index) not synced yet
+        self._durability = Durability(log.last_index)
         self._votes: set[str] = set()
         self._replication = Replication()
         self._round = 0
@@ -78,7 +78,7 @@
         self.leaves = False  # whether this process is about to end
         self._transfer_until = 0.0
         self._successor = ""
-        self._reads: list[tuple[int, Callable[[bool], None]]] = []
+        self._reads = PendingReads()
         self._heartbeat_at = now
         self._election_at = now + rng.uniform(0.05, FIRST_ELECTION_S)
 
@@ -115,7 +115,7 @@
 
     def taking_proposals(self) -> bool:
         """Whether a proposal made here now would be appended."""
-        full = self.log.last_index - self._synced_index > UNSYNCED_MAX * 2
+        full = self.log.last_index - self._durability.synced_index > UNSYNCED_MAX * 2
         return self.leading and self._now >= self._transfer_until and not full
 
     def has_vote(self) -> bool:
@@ -131,7 +131,7 @@
             "leader": self.leader,
             "commit": self.commit,
             "last_index": self.log.last_index,
-            "synced_index": self._synced_index,
+            "synced_index": self._durability.synced_index,
             "members": [member.as_json() for member in self.log.members],
         }
 
@@ -166,15 +166,13 @@
             done(False)
             return
         self._round += 1
-        self._reads.append((self._round, done))
+        self._reads.add(self._round, done)
         self._replicate(heartbeat=True)
         self._finish_reads()
 
     def synced(self, record: int) -> None:
         """Records up to this number are on the disk."""
-        while self._entry_records and self._entry_records[0][0] <= record:
-            _, index = self._entry_records.pop(0)
-            self._synced_index = min(max(self._synced_index, index), self.log.last_index)
+        self._durability.synced(record, self.log.last_index)
         if self.leading:
             self._advance_commit()
 
@@ -265,9 +263,7 @@
     def _become(self, role: Role) -> None:
         """The one place where the role changes."""
         if self.role is Role.LEADER and role is not Role.LEADER:
-            reads, self._reads = self._reads, []
-            for _, done in reads:
-                done(False)
+            self._reads.fail()
             self._replication, self._transfer_until = Replication(), 0.0
         self.role = role
 
@@ -321,7 +317,7 @@
 
     def _reply_vote(self, request: wire.VoteRequest, granted: bool) -> None:
         reply = wire.VoteReply(self.term, self.identity.id, request.term, request.pre, granted)
-        self._send_to(request.sender, reply, 0 if request.pre else self._recorded)
+        self._send_to(request.sender, reply, 0 if request.pre else self._durability.recorded)
 
     def _voted(self, reply: wire.VoteReply) -> None:
         if reply.term > self.term:
@@ -365,7 +361,7 @@
             self._follow(self.term, "")
             self._election_at = self._now + self._timeout()
             return
-        behind = self.log.last_index - self._synced_index > UNSYNCED_MAX
+        behind = self.log.last_index - self._durability.synced_index > UNSYNCED_MAX
         if (behind or not self._is_voter()) and self.taking_proposals():
             self.transfer()
         self._majority_at = max(self._majority_at, self._heard_majority_at())
@@ -413,7 +409,7 @@
 
     def _append_entry(self, entry: Entry) -> None:
         self.log.append(entry)
-        self._entry_records.append((self._record(entry), entry.index))
+        self._durability.appended(self._record(entry), entry.index)
 
     def _replicate(self, heartbeat: bool = False) -> None:
         for member in self.log.members:
@@ -473,7 +469,7 @@
 
     def _advance_commit(self) -> None:
         matched = {identity: known.matched for identity, known in self._replication.progress.items()}
-        matched[self.identity.id] = self._synced_index
+        matched[self.identity.id] = self._durability.synced_index
         agreed = int(agreed_value(self.voters, matched, self._lost()))
         if agreed <= self.commit or self.log.term_at(agreed) != self.term:
             return
@@ -488,10 +484,7 @@
             return
         rounds = {identity: known.round for identity, known in self._replication.progress.items()}
         agreed = agreed_value(self.voters, {**rounds, self.identity.id: self._round}, self._lost())
-        ready = [read for read in self._reads if read[0] <= agreed]
-        self._reads = [read for read in self._reads if read[0] > agreed]
-        for _, done in ready:
-            done(True)
+        self._reads.confirmed(agreed)
 
     # --- the follower ----------------------------------------------------------------------------
 
@@ -532,8 +525,7 @@
             if held is not None:
                 self.log.truncate(entry.index)
                 self._record(Truncate(entry.index))
-                self._entry_records = [pair for pair in self._entry_records if pair[1] < entry.index]
-                self._synced_index = min(self._synced_index, entry.index - 1)
+                self._durability.truncated(entry.index)
             self._append_entry(entry)
         if entries:
             self._become(Role.FOLLOWER if self._is_voter() else Role.LEARNER)
@@ -553,16 +545,15 @@
         members = tuple(message.members)
         self.log = Log(message.index, message.index_term, members)
         restore = Restore(message.index, message.index_term, members, message.state)
-        self._entry_records = [(self._record(restore), message.index)]
-        self._synced_index = 0
+        self._durability.restored(self._record(restore), message.index)
         self.commit = message.index
         self.output.restored.append(restore)
 
     def _reply_append(self, accepted: bool, matched: int, number: int) -> None:
         reply = wire.AppendReply(self.term, self.identity.id, accepted, matched, number)
         # A heartbeat of what is synced already is answered at once, however slow the disk is.
-        waits = accepted and (matched > self._synced_index)
-        self._send_to(self.leader, reply, self._recorded if waits else 0)
+        waits = accepted and (matched > self._durability.synced_index)
+        self._send_to(self.leader, reply, self._durability.recorded if waits else 0)
 
     # --- shared ----------------------------------------------------------------------------------
 
@@ -575,9 +566,8 @@
         self.commit = index
 
     def _record(self, record: Record) -> int:
-        self._recorded += 1
         self.output.records.append(record)
-        return self._recorded
+        return self._durability.next_record()
 
     def _send(self, to: Member, message: wire.Message, after: int = 0) -> None:
         self.output.messages.append(Outgoing(to, message, after))
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -118,7 +118,7 @@
 class ForgetsVotes(Consensus):
     def _record(self, record: Any) -> int:
         if isinstance(record, HardState):
-            return self._recorded
+            return self._durability.recorded
         return super()._record(record)
 
 
@@ -130,7 +130,7 @@
 class CountsItselfUnsynced(Consensus):
     def _append_entry(self, entry: wire.Entry) -> None:
         super()._append_entry(entry)
-        self._synced_index = self.log.last_index
+        self._durability.synced_index = self.log.last_index
 
 
 class VotesForTheShorter(Consensus):
@@ -184,7 +184,7 @@
     def _advance_commit(self) -> None:
         if self.leading:
             progress = self._replication.progress.values()
-            matched = max([self._synced_index, *(known.matched for known in progress)])
+            matched = max([self._durability.synced_index, *(known.matched for known in progress)])
             if matched > self.commit and self.log.term_at(matched) == self.term:
                 self._commit_to(matched)
 
