--- a/tests/system/worst_days.py
+++ b/tests/system/control_plane_faults.py
@@ -209,7 +209,7 @@
     """One day: the system, its operators, and one loss after the other."""
 
     def __init__(self, seed: int, cores: int = 3, tolerated: int = 1) -> None:
-        self.rng = random.Random(f"worst day {seed}")
+        self.rng = random.Random(f"faults {seed}")
         self.whole = Whole(seed, cores=cores, gateways=2, tolerated=tolerated)
         self.tolerated = tolerated
         self.names = [f"c{at + 1}" for at in range(cores)]
