--- a/tests/system/test_control_plane_faults.py
+++ b/tests/system/test_control_plane_faults.py
@@ -18,9 +18,9 @@
     Verdict,
     command_of,
 )
+from tests.system.control_plane_faults import SHORT_SEGMENT, play, short_segments
 from tests.system.memory_disk import MemoryDisk
 from tests.system.whole import Whole, configuration, route
-from tests.system.control_plane_faults import SHORT_SEGMENT, play, short_segments
 
 CORES = ("c1", "c2", "c3")
 SYNC_S = 4.0
--- /dev/null
+++ b/tests/system/test_failures_page.py
@@ -0,0 +1,22 @@
+"""docs/design/control-plane-failures.md names tests: each of them is there."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+PAGE = Path("docs/design/control-plane-failures.md")
+SHORT = {
+    "F": "tests/system/test_control_plane_faults.py",
+    "L": "tests/system/test_consensus_losses.py",
+    "C": "tests/system/test_consensus.py",
+}
+NAMED = re.compile(r"`([\w/.]+)::(\w+)`")
+
+
+def test_each_test_that_the_page_names_is_there() -> None:
+    named = NAMED.findall(PAGE.read_text())
+    assert len(named) > 20
+    for file, test in named:
+        path = Path(SHORT.get(file, file))
+        assert f"def {test}(" in path.read_text(), f"{path}::{test}"
--- /dev/null
+++ b/tests/system/test_fault_days_find_faults.py
@@ -0,0 +1,113 @@
+"""Faults put into the control plane on purpose: days of faults have to find each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from result import Ok
+
+from brambleusher.controller import Controller
+from brambleusher.controlplane.orders import Orders
+from brambleusher.controlplane.replica import ReadResult, Replica
+from brambleusher.controlplane.state_machine import (
+    PutConfiguration,
+    SetEvacuation,
+    SharedState,
+    Verdict,
+)
+from brambleusher.runtime.http_server import HttpRequest, HttpResponse
+from tests.system.cluster import Broken
+from tests.system.control_plane_faults import play
+
+Patch = pytest.MonkeyPatch
+
+
+def reads_are_not_confirmed(patch: Patch) -> None:
+    """A controller answers with what it holds."""
+
+    def read(self: Replica, deadline: float) -> ReadResult:
+        return Ok(self.state)
+
+    patch.setattr(Replica, "read", read)
+
+
+def orders_are_refused_by_what_is_held(patch: Patch) -> None:
+    """A controller compares the version itself, before it asks anybody."""
+    submit = Replica.submit
+
+    def refuse(self: Replica, command: Any, deadline: float) -> Any:
+        if isinstance(command, PutConfiguration) and command.base != self.state.revision:
+            return Ok(Verdict.STALE)
+        return submit(self, command, deadline)
+
+    patch.setattr(Replica, "submit", refuse)
+
+
+def repeats_are_refused(patch: Patch) -> None:
+    """What was taken is not remembered."""
+    put = SharedState._put
+
+    def forget(self: SharedState, index: int, command: PutConfiguration) -> Verdict:
+        self.digests = []
+        return put(self, index, command)
+
+    patch.setattr(SharedState, "_put", forget)
+
+
+def numbers_are_taken_twice(patch: Patch) -> None:
+    """The version that a change builds on is not compared."""
+
+    def put(self: SharedState, index: int, command: PutConfiguration) -> Verdict:
+        if command.digest in self.digests:
+            return Verdict.REPEATED
+        self.index, self.revision, self.packed = index, command.revision, command.packed
+        self.digests = [*self.digests, command.digest]
+        return Verdict.ACCEPTED
+
+    patch.setattr(SharedState, "_put", put)
+
+
+def old_evacuations_act(patch: Patch) -> None:
+    """As it was: an order carries nothing that tells its age, whoever hung up."""
+    evacuate = Orders._evacuate
+
+    def act(self: Orders, request: HttpRequest, zone: str) -> HttpResponse:
+        fresh = HttpRequest(request.method, request.path, request.query, request.headers, request.body)
+        return evacuate(self, fresh, zone)
+
+    def submit(command: SetEvacuation) -> dict[str, Any]:
+        return {"op": "evacuate", "zone": command.zone, "evacuated": command.evacuated}
+
+    patch.setattr(Orders, "_evacuate", act)
+    patch.setattr(SetEvacuation, "as_json", submit)
+
+
+def votes_stay_with_those_that_leave(patch: Patch) -> None:
+    """As it was: a controller that ends hands over the lead alone."""
+
+    def leave(self: Replica) -> None:
+        self.consensus.transfer()
+        self._pump()
+
+    patch.setattr(Replica, "leave", leave)
+    patch.setattr(Controller, "_successors", lambda self: [])
+
+
+FAULTS: list[Callable[[Patch], None]] = [
+    reads_are_not_confirmed,
+    orders_are_refused_by_what_is_held,
+    repeats_are_refused,
+    numbers_are_taken_twice,
+    old_evacuations_act,
+    votes_stay_with_those_that_leave,
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_days_of_faults_find_it(fault: Callable[[Patch], None], monkeypatch: Patch) -> None:
+    fault(monkeypatch)
+    with pytest.raises((Broken, AssertionError)):
+        for seed in range(32):
+            play(seed)
