--- a/tests/system/control_plane_faults.py
+++ b/tests/system/control_plane_faults.py
@@ -358,6 +358,8 @@
             self.resets,
             self.operators_cut,
             self.sudden_replacement,
+            self.slow_links,
+            self.clock_step,
         ]
 
     def of_all(self) -> list[Callable[[str], None]]:
@@ -374,32 +376,29 @@
         everyone = self.rng.random() < 0.3
         others = [each for each in self.whole.world.machines if each not in (name, "caller")]
         peers = others if everyone else [each for each in self.names if each != name]
-        for other in peers:
-            self.whole.world.network.cut(name, other)
-        self.later(seconds, lambda: self._join(name, peers))
-        self.busy(seconds)
-
-    def _join(self, name: str, peers: list[str]) -> None:
-        self.note(f"{name} is joined again")
-        for other in peers:
-            self.whole.world.network.mend(name, other)
+        self._cut([(name, other) for other in peers], seconds)
 
-    def one_way(self, name: str) -> None:
-        """It sends and does not hear, or hears and can't send."""
-        seconds = self.rng.uniform(0.5, 10.0)
-        outwards = self.rng.random() < 0.5
-        pairs = [(name, each) if outwards else (each, name) for each in self.names if each != name]
+    def _cut(self, pairs: list[tuple[str, str]], seconds: float, one_way: bool = False) -> None:
+        """Cut machines from each other for a time."""
         network = self.whole.world.network
-        for here, there in pairs:
-            network.cut(here, there, one_way=True)
+        for one, other in pairs:
+            network.cut(one, other, one_way)
 
         def mend() -> None:
-            for here, there in pairs:
-                network.mend(here, there, one_way=True)
+            self.note("a cut ends")
+            for one, other in pairs:
+                network.mend(one, other, one_way)
 
         self.later(seconds, mend)
         self.busy(seconds)
 
+    def one_way(self, name: str) -> None:
+        """It sends and does not hear, or hears and can't send."""
+        seconds = self.rng.uniform(0.5, 10.0)
+        outwards = self.rng.random() < 0.5
+        pairs = [(name, each) if outwards else (each, name) for each in self.names if each != name]
+        self._cut(pairs, seconds, one_way=True)
+
     def standstill(self, name: str) -> None:
         """The process stands still and goes on where it was."""
         seconds = self.rng.uniform(0.2, 20.0)
@@ -504,6 +503,36 @@
         self.later(1.0, lambda: self.note(f"{self._add()} is added"))
         self.busy(1.0)
 
+    def slow_links(self, name: str) -> None:
+        """Its messages take long, and are there when others have long been sent over new connections."""
+        seconds = self.rng.uniform(0.5, 8.0)
+        network = self.whole.world.network
+        others = [each for each in self.names if each != name]
+        for other in others:
+            network.slow_link(name, other, int(self.rng.uniform(0.05, 1.5) * SECOND))
+
+        def mend() -> None:
+            for other in others:
+                network.slow_link(name, other, 0)
+
+        self.later(seconds, mend)
+        self.resets(name)
+        self.busy(seconds)
+
+    def clock_step(self, name: str) -> None:
+        """The time of day jumps, and back; the process is killed in between."""
+        machine = self.whole.world.machines[name]
+        by_ns = int(self.rng.uniform(-8.0, 8.0) * SECOND)
+        machine.shift_wall(by_ns)
+        self.later(1.0, partial(self._kill, name))
+        self.later(3.0, lambda: machine.shift_wall(-by_ns))
+        self.busy(3.0)
+
+    def _kill(self, name: str) -> None:
+        if name in self.names and not self.whole.process(name).dead:
+            self.whole.process(name).kill()
+            self.later(self.rng.uniform(0.1, 1.0), partial(self._start_again, name))
+
     def all_power(self, name: str) -> None:
         """All controllers lose power at once and are back within a second or two."""
         for each in self.names:
@@ -540,22 +569,12 @@
             *(each for each, gateway in self.whole.gateways.items() if gateway.settings.zone == zone),
         ]
         outside = [each for each in self.whole.world.machines if each not in (*inside, "caller")]
-        pairs = [(one, other) for one in inside for other in outside]
-        for one, other in pairs:
-            self.whole.world.network.cut(one, other)
-
-        def mend() -> None:
-            for one, other in pairs:
-                self.whole.world.network.mend(one, other)
-
-        self.later(seconds, mend)
-        self.busy(seconds)
+        self._cut([(one, other) for one in inside for other in outside], seconds)
 
     def killed(self, name: str) -> None:
         """Controllers are killed at once, one or all, and start again; the disk keeps what was written."""
         for each in self.names if self.rng.random() < 0.5 else [name]:
-            self.whole.process(each).kill()
-            self.later(self.rng.uniform(0.1, 1.0), partial(self._start_again, each))
+            self._kill(each)
         self.busy(1.0)
 
     def _start_again(self, name: str) -> None:
@@ -566,16 +585,7 @@
         """The controllers fall into two halves, then stand as before; nothing is lost by it."""
         seconds = self.rng.uniform(0.5, 10.0)
         half = self.rng.sample(self.names, len(self.names) // 2)
-        pairs = [(one, other) for one in half for other in self.names if other not in half]
-        for one, other in pairs:
-            self.whole.world.network.cut(one, other)
-
-        def mend() -> None:
-            for one, other in pairs:
-                self.whole.world.network.mend(one, other)
-
-        self.later(seconds, mend)
-        self.busy(seconds)
+        self._cut([(one, other) for one in half for other in self.names if other not in half], seconds)
 
 
 @contextmanager
