--- a/brambleusher/admin/__init__.py
+++ b/brambleusher/admin/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' door: a second listener for calls that on-call staff and the platform make."""
+"""The admin endpoint: a second listener for calls that on-call staff and the platform make."""
--- a/brambleusher/admin/calls.py
+++ b/brambleusher/admin/calls.py
@@ -21,7 +21,7 @@
 
 
 ID = "ID"  # stands for the id of an endpoint
-# Method and path; what is done and what comes back is `door.Door.answer`'s, call by call.
+# Method and path; what is done and what comes back is `server.AdminServer.answer`'s, call by call.
 TABLE: tuple[tuple[str, tuple[str, ...], Call], ...] = (
     ("GET", ("control", "ready"), Call.READY),
     ("GET", ("control", "counters"), Call.COUNTERS),
--- a/brambleusher/admin/door.py
+++ b/brambleusher/admin/server.py
@@ -45,7 +45,7 @@
         """Back to work."""
 
 
-class Door:
+class AdminServer:
     """Serves operators' calls."""
 
     def __init__(self, scheduler: Scheduler, service: Service) -> None:
@@ -57,7 +57,7 @@
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         """Bind, and start to take calls; says where.  Raises `OSError`."""
         self._listener = listener = self._scheduler.system.listen(address, BACKLOG)
-        self._accepting = self._scheduler.spawn(self._accept_all, listener, name="door", urgent=True)
+        self._accepting = self._scheduler.spawn(self._accept_all, listener, name="admin", urgent=True)
         host, port = listener.getsockname()[:2]
         return str(host), int(port)
 
--- a/brambleusher/lab/checker/books.py
+++ b/brambleusher/lab/checker/books.py
@@ -261,7 +261,7 @@
 
 
 class Calling:
-    """An operators' connection to a sidecar's door."""
+    """An operators' connection to a sidecar's admin endpoint."""
 
     __slots__ = ("answers", "arrived", "asked", "calls", "life", "reader")
 
--- a/brambleusher/lab/checker/checker.py
+++ b/brambleusher/lab/checker/checker.py
@@ -58,7 +58,7 @@
         self._processes: dict[Address, Process] = {}
         self._bad: dict[Address | str, int] = {}
         self._wires: dict[int, Submission | Passage | Watching | Calling] = {}
-        self._doors: dict[Address, str] = {}
+        self._admin_addresses: dict[Address, str] = {}
         self._takings: dict[tuple[str, str], list[Taking]] = {}  # by sidecar and request
         self._allowed: dict[str, int] = {}  # how often a request may run: as often as it was taken
         self._due: list[tuple[int, int, Taking | Submission | Life]] = []
@@ -83,8 +83,8 @@
         self._lives[machine] = life
         self._listens[listen] = machine
         self._discoveries.add(discovery)
-        if (door := raw.get("admin_addr")) is not None:
-            self._doors[address_of(door)] = machine
+        if (admin := raw.get("admin_addr")) is not None:
+            self._admin_addresses[address_of(admin)] = machine
         known = raw.get("known")
         if known is not None:
             told = Told(int(known.get("version", 0)), True, entries_of(known["servers"]))
@@ -177,7 +177,7 @@
         if (machine := self._listens.get(target)) is not None:
             self._client(now, conn.id, self._lives[machine], client)
             return
-        if (machine := self._doors.get(target)) is not None:
+        if (machine := self._admin_addresses.get(target)) is not None:
             self._wires[conn.id] = Calling(self._lives[machine])
             return
         asker = self._lives.get(client.machine)
--- a/brambleusher/lab/faults/effects.py
+++ b/brambleusher/lab/faults/effects.py
@@ -549,7 +549,7 @@
 
 
 def _said(operators: Operators, calls: list[tuple[Address, str, str]], wait_s: float = 0.0) -> End:
-    """Operators say these at doors after a while, and call each back at the end, if it was said by then."""
+    """Operators say these after a while, and call each back at the end, if it was said by then."""
     stops: list[Callable[[], None]] = []
     over: list[bool] = []
     scheduler = operators.scheduler
@@ -583,7 +583,7 @@
         crash = faults.NodeCrashed(at_s=0.0, target=place.figures.id)
         _after(fleet, down_s, partial(_for_a_while, crash, fleet, down_s))
     paths = [f"/control/registry-nodes/{quote(place.id, safe='')}/" for place in there]
-    calls = [(each.door, path + "offline", path + "online") for path in paths for each in fleet.sidecars]
+    calls = [(each.admin, path + "offline", path + "online") for path in paths for each in fleet.sidecars]
     return _said(fleet.operators, calls)
 
 
@@ -596,7 +596,7 @@
         # Connections that rest when the call comes, and that nobody uses again.
         bad = fleet.bad[place.number]
         bad.scheduler.call_soon(partial(bad.begin, "ask-and-stay", RESTING))
-    calls = [(place.door, "/control/out-of-service", "/control/in-service") for place in there]
+    calls = [(place.admin, "/control/out-of-service", "/control/in-service") for place in there]
     return _said(fleet.operators, calls, REST_S)
 
 
--- a/brambleusher/lab/faults/kinds.py
+++ b/brambleusher/lab/faults/kinds.py
@@ -452,7 +452,7 @@
 
 
 class NodeBanned(Fault, frozen=True, tag="node-banned"):
-    """Operators leave it out at every sidecar's door; meanwhile it is started again, or not."""
+    """Operators leave it out at every sidecar's admin endpoint; meanwhile it is started again, or not."""
 
     restart: bool
 
@@ -696,7 +696,11 @@
     "sidecar-unreachable", "discovery-unreachable", "lists-differ", "link-jitter", "link-throttled",
 )  # fmt: skip
 # What operators do, and what happens to the fleet meanwhile.
-CALLED = ("node-banned", "sidecar-out-of-service", "sidecars-released")  # in these runs sidecars have doors
+CALLED = (
+    "node-banned",
+    "sidecar-out-of-service",
+    "sidecars-released",
+)  # in these runs sidecars have admin endpoints
 _OPERATORS = (
     *CALLED, *CALLED, "node-crashed", "node-restarted", "fleet-shrinks", "drain-taken-back", "discovery-down",
     "discovery-moved", "discovery-garbage", "sidecar-killed", "sidecar-terminated", "descriptors-used-up",
--- a/brambleusher/lab/fleets/fleet.py
+++ b/brambleusher/lab/fleets/fleet.py
@@ -146,7 +146,7 @@
     seed: int,
     known: Iterable[Entry] = (),
     version: int = 0,
-    door: Address | None = None,
+    admin: Address | None = None,
 ) -> bytes:
     """A sidecar's configuration file, in whichever world."""
     own = world.sidecars[number]
@@ -159,7 +159,7 @@
                 "version": version, "full": True, "servers": [msgspec.to_builtins(each) for each in known]
             },
             "settings": world.sidecar_settings(number),
-            **({} if door is None else {"admin_addr": f"{door[0]}:{door[1]}"}),
+            **({} if admin is None else {"admin_addr": f"{admin[0]}:{admin[1]}"}),
         }
     ).encode()  # fmt: skip
 
@@ -477,7 +477,7 @@
         return self.machine.address(SIDECAR_PORT)
 
     @property
-    def door(self) -> Address:
+    def admin(self) -> Address:
         """Where operators call, in runs in which they do."""
         return self.machine.address(DOOR_PORT)
 
@@ -500,7 +500,7 @@
             fleet.scenario.world, self.number, self.address, self.discovery_address,
             fleet.draw_seed(f"sidecar {self.number} {self.starts}"),
             [fleet.seen_by(self.machine.ip, entry) for entry in entries], version,
-            self.door if fleet.called else None,
+            self.admin if fleet.called else None,
         )  # fmt: skip
 
     @property
@@ -598,8 +598,8 @@
             clients=sidecar.clients.connections, claims=nodes.claims_out,
             node_connections=nodes.open_connections, node_idle=idle, timers=sidecar.scheduler.timers,
             descriptors=process.descriptors,
-            # The waker's two, the listener, the door, the watch, and connections to nodes.
-            descriptors_due=3 + (sidecar.door is not None) + sidecar.endpoint_list.watching + idle,
+            # The waker's two, the listener, the admin endpoint, the watch, and connections to nodes.
+            descriptors_due=3 + (sidecar.admin_server is not None) + sidecar.endpoint_list.watching + idle,
             stderr=bytes(process.stderr),
         )  # fmt: skip
 
@@ -634,7 +634,7 @@
         self._bad_machine = self.world.machine(BAD_CLIENTS, "10.3.0.2")
         self.clients: list[Client] = []
         self.bad: list[BadClients] = []
-        # Runs without operators stay what they were: no door, no machine more.
+        # Runs without operators stay what they were: no admin endpoint, no machine more.
         self.called = any(fault.kind in CALLED for fault in scenario.faults)
         self.operators: Operators | None = None
         self._operators_machine = self.world.machine(OPERATORS, "10.4.0.1") if self.called else None
--- a/brambleusher/lab/processes/fleet.py
+++ b/brambleusher/lab/processes/fleet.py
@@ -186,7 +186,7 @@
         ]  # fmt: skip
         environment = {"NODE_CONFIG": str(self._config), "PYTHONPATH": os.pathsep.join(sys.path)}
         if self.fleet.called:
-            environment["NODE_ADMIN_ADDR"] = "{}:{}".format(*self.door)
+            environment["NODE_ADMIN_ADDR"] = "{}:{}".format(*self.admin)
         process = SidecarProcess(self, command, environment)
         self.real.process = process
         self.stage.scheduler.spawn(self._await, process, name="sidecar ready")
@@ -207,7 +207,7 @@
                     return
                 self.stage.network.heard(self.address, True)
                 if self.fleet.called:
-                    self.stage.network.heard(self.door, True)
+                    self.stage.network.heard(self.admin, True)
                 self.ready = says_ready(stream, deadline)
             except (OSError, Timeout, HttpError):
                 pass
@@ -224,7 +224,7 @@
         if process is self.process:
             self.ready = False
             self.stage.network.heard(self.address, False)
-            self.stage.network.heard(self.door, False)
+            self.stage.network.heard(self.admin, False)
 
     def pause(self, wait_ns: int) -> None:
         """Its process is stopped for a while."""
--- a/brambleusher/lab/processes/real_fleet.py
+++ b/brambleusher/lab/processes/real_fleet.py
@@ -38,7 +38,7 @@
 END_SECONDS = 4.0
 LOOK_SECONDS = 0.05
 KEPT_EXECUTIONS = 20_000
-DOOR = re.compile(r"msg=\"operators' door\" .*?address=(\S+)")
+ADMIN_LINE = re.compile(r"msg=\"admin endpoint\" .*?address=(\S+)")
 LISTENING = re.compile(r"msg=listening .*?address=(\S+)")
 FIGURE = re.compile(r"brambleusher\.(\w+):(-?\d+)\|([cg])")
 
@@ -63,7 +63,7 @@
     figures: socket.socket  # its figures come in here, as datagrams
     process: subprocess.Popen[bytes] | None = None
     address: Address | None = None
-    door: str = ""  # where operators call it
+    admin: str = ""  # where operators call it
     ready: bool = False
     counts: dict[str, int] = field(default_factory=dict)  # by figure
 
@@ -188,8 +188,8 @@
                 if found is not None:
                     host, _, port = found[1].rpartition(":")
                     sidecar.address = host, int(port)
-                    door = DOOR.search(sidecar.log.read_text("utf-8", "replace"))
-                    sidecar.door = "" if door is None else door[1]
+                    admin = ADMIN_LINE.search(sidecar.log.read_text("utf-8", "replace"))
+                    sidecar.admin = "" if admin is None else admin[1]
             elif self._asked_ready(sidecar.address):
                 sidecar.ready = True
                 return
--- a/brambleusher/lab/processes/up.py
+++ b/brambleusher/lab/processes/up.py
@@ -78,7 +78,7 @@
     )
     for sidecar in fleet.sidecars:
         assert sidecar.address is not None
-        print(f"    {sidecar.name}  http://{text_of(sidecar.address)}  operators' door {sidecar.door}")
+        print(f"    {sidecar.name}  http://{text_of(sidecar.address)}  admin endpoint {sidecar.admin}")
     print(f"\none request by hand:\n    {curl_line(fleet)}")
     print(
         f"\nten minutes of demand, played on it:\n    brambleusher load make -o demand\n"
--- a/brambleusher/lab/stand_ins/operators.py
+++ b/brambleusher/lab/stand_ins/operators.py
@@ -1,4 +1,4 @@
-"""Stand-in operators: staff who call at sidecars' doors, and a front that asks whether a sidecar is ready."""
+"""Stand-in operators: staff who call sidecars' admin endpoints, and a front that asks whether it is ready."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
         self.book: list[Called] = []
         self._tasks: list[Task] = []
 
-    def say(self, door: Address, out: str, back: str) -> Callable[[], None]:
+    def say(self, admin: Address, out: str, back: str) -> Callable[[], None]:
         """Call `out` again and again, as staff do who can't know what a sidecar remembers.
 
         What is returned ends that: `back` is called then, until there is a yes.
@@ -43,10 +43,10 @@
 
         def run() -> None:
             while not over:
-                self.call(door, "POST", out)
+                self.call(admin, "POST", out)
                 self.scheduler.sleep(AGAIN_SECONDS)
             for _ in range(BACK_TRIES):
-                if 200 <= self.call(door, "POST", back).status < 300:
+                if 200 <= self.call(admin, "POST", back).status < 300:
                     return
                 self.scheduler.sleep(AGAIN_SECONDS)
 
--- a/brambleusher/sidecar.py
+++ b/brambleusher/sidecar.py
@@ -11,8 +11,8 @@
 from typing import TYPE_CHECKING, Any
 
 from brambleusher.admin import figures as service_figures
-from brambleusher.admin.door import DESCRIPTORS as DOOR_DESCRIPTORS
-from brambleusher.admin.door import Door
+from brambleusher.admin.server import DESCRIPTORS as ADMIN_DESCRIPTORS
+from brambleusher.admin.server import AdminServer
 from brambleusher.config import Config, ConfigError, fixed_keys_changed
 from brambleusher.counters import Counters
 from brambleusher.decisions import Clock, Decisions, Observer, Observers
@@ -129,8 +129,8 @@
         rooms = self._rooms(1.0 if self.takeover is None else self.takeover.room)
         self.tally = Tally(cls.name for cls in config.settings.classes)
         self.nodes = UpstreamPool(self.scheduler, config.settings, self.counters, rooms.nodes, self._relayed)
-        self.door = None if config.admin is None else Door(self.scheduler, self)
-        self.door_address: tuple[str, int] | None = None  # where it listens
+        self.admin_server = None if config.admin is None else AdminServer(self.scheduler, self)
+        self.admin_address: tuple[str, int] | None = None  # where it listens
         self.capture = None if operator.capture is None else self._capture(operator.capture)
         self.status = (
             None
@@ -171,7 +171,7 @@
         memory -= memory_of_features(operator, memory // 2)
         spare = SPARE_DESCRIPTORS + (DESCRIPTORS if operator.status is not None else 0)
         if self.config.admin is not None:
-            spare += DOOR_DESCRIPTORS
+            spare += ADMIN_DESCRIPTORS
         if self.takeover is not None:
             spare += TAKEOVER_DESCRIPTORS
         if operator.mysql is not None:
@@ -330,12 +330,12 @@
             self.status.start(self.config.listen[0])
         if self.mysql is not None:
             self.mysql.start(known)
-        if self.door is not None and self.config.admin is not None:
+        if self.admin_server is not None and self.config.admin is not None:
             try:
-                self.door_address = host, port = self.door.listen(self.config.admin)
+                self.admin_address = host, port = self.admin_server.listen(self.config.admin)
             except OSError as error:
                 raise ConfigError(f"admin_addr: {error.strerror}") from None
-            log.info("operators' door", extra={"fields": {"address": f"{host}:{port}"}})
+            log.info("admin endpoint", extra={"fields": {"address": f"{host}:{port}"}})
         if self.takeover is not None:
             if self.takeover.processes > 1:
                 self.decisions.part(self.takeover.sends)
@@ -385,8 +385,8 @@
 
     def close(self) -> None:
         """Release what the scheduler holds, and write what waits to be written."""
-        if self.door is not None:
-            self.door.close()
+        if self.admin_server is not None:
+            self.admin_server.close()
         if self.takeover is not None:
             self.takeover.leave()
         self.scheduler.close()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,4 +1,4 @@
-"""The operators' door: the table of calls, and the calls on real sockets."""
+"""The admin endpoint: the table of calls, and the calls on real sockets."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from typing import Any
 
 from brambleusher.admin.calls import Call, find
-from brambleusher.admin.door import MOST
+from brambleusher.admin.server import MOST
 from brambleusher.net.http import HttpError, Message
 from tests.rig import WAIT, Discovery, Node, Rig, Script, answer, read
 
@@ -60,7 +60,7 @@
         sock.recv(65536)
 
 
-class Door(unittest.TestCase):
+class AdminEndpoint(unittest.TestCase):
     def rig(self, *nodes: Node) -> Rig:
         rig = Rig([node.entry(f"h{at}") for at, node in enumerate(nodes)], admin=True)
         self.addCleanup(rig.end)
@@ -72,8 +72,8 @@
         return node
 
     def connect(self, rig: Rig) -> socket.socket:
-        assert rig.sidecar.door_address is not None
-        sock = socket.create_connection(rig.sidecar.door_address, WAIT)
+        assert rig.sidecar.admin_address is not None
+        sock = socket.create_connection(rig.sidecar.admin_address, WAIT)
         self.addCleanup(sock.close)
         return sock
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -1118,7 +1118,7 @@
 
 
 def called(play: Play, target: str, status: int | None = 200) -> None:
-    """A call at the door; None: it is not answered."""
+    """A call at the admin endpoint; None: it is not answered."""
     conn = play.connect(("10.0.0.1", 81), "operators")
     play.pass_(conn, "client", http(f"POST /control/{target} HTTP/1.1"))
     if status is not None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -40,7 +40,7 @@
         ):
             self.assertEqual(parse_config(json.dumps(raw).encode(), {**env, **more}).admin, admin)
         with self.assertRaisesRegex(ConfigError, "NODE_ADMIN_ADDR"):
-            parse_config(json.dumps(few).encode(), {**env, "NODE_ADMIN_ADDR": "door"})
+            parse_config(json.dumps(few).encode(), {**env, "NODE_ADMIN_ADDR": "admin"})
 
     def test_the_faulty_key_is_named(self) -> None:
         for key, value, named in (
@@ -48,7 +48,7 @@
             ("listen", "here", "listen"),
             ("discovery", "127.0.0.1:99999", "discovery"),
             ("seed", "xyz", "seed"),
-            ("admin_addr", "door", "admin_addr"),
+            ("admin_addr", "admin", "admin_addr"),
             ("limits", {"sockets": 3}, "limits.sockets"),
             ("limits", {"memory_mb": "big"}, "limits.memory_mb"),
             ("known", {"servers": [{}]}, "known"),
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -10,6 +10,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 PATHS = (
     "quillpass",
+    "brambleusher/admin",
     "brambleusher/net",
     "brambleusher/runtime",
     "brambleusher/decisions.py",
@@ -21,7 +22,7 @@
     "brambleusher/gateway.py",
     "brambleusher/controller.py",
 )
-WITHDRAWN = ("submitter", "execute.?node", "machine.?list", "requeue.?notice", r"\bbells?\b")
+WITHDRAWN = ("submitter", "execute.?node", "machine.?list", "requeue.?notice", r"\bbells?\b", r"\bdoors?\b")
 # Counters keep the names that operators read, and a message of the simulator's wire has its own.
 KEPT = ("submitters_closed_silent", "submitters_closed", "submitters_told_to_close", '"bell"')
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -214,19 +214,19 @@
         )  # fmt: skip
         self.addCleanup(self.stop, process)
         assert process.stderr is not None
-        door: tuple[str, int] | None = None
-        while door is None:
+        admin: tuple[str, int] | None = None
+        while admin is None:
             line = process.stderr.readline()
             assert line, "it ended"
-            if "operators' door" in line:
+            if "admin endpoint" in line:
                 host, _, port = line.rpartition("address=")[2].strip().rpartition(":")
-                door = host, int(port)
+                admin = host, int(port)
         threading.Thread(target=process.stderr.read, daemon=True).start()
         until = time.monotonic() + WAIT
-        while self.call(door, "GET", "ready").status != 200:
+        while self.call(admin, "GET", "ready").status != 200:
             assert time.monotonic() < until
             time.sleep(0.01)
-        return process, door
+        return process, admin
 
     @staticmethod
     def stop(process: subprocess.Popen[str]) -> None:
@@ -236,8 +236,8 @@
         process.stderr.close()
 
     @staticmethod
-    def call(door: tuple[str, int], method: str, path: str) -> Message:
-        with socket.create_connection(door, WAIT) as sock:
+    def call(admin: tuple[str, int], method: str, path: str) -> Message:
+        with socket.create_connection(admin, WAIT) as sock:
             sock.sendall(f"{method} /control/{path} HTTP/1.1\r\nContent-Length: 0\r\n\r\n".encode())
             return read(sock)
 
@@ -293,7 +293,7 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config), encoding="utf-8")
         with tempfile.TemporaryFile() as file:
-            for fd, fds in ((str(file.fileno()), [file.fileno()]), ("door", []), ("1", [])):
+            for fd, fds in ((str(file.fileno()), [file.fileno()]), ("admin", []), ("1", [])):
                 done = subprocess.run(
                     [sys.executable, "-m", "brambleusher"], cwd=ROOT, capture_output=True, text=True,
                     timeout=WAIT, pass_fds=fds,
