Agreement: a candidate counts its own vote once it is synced

Cause (second reading): with one vote enough, as after a proven loss of the other disk of two, a candidate won before its vote was on the disk; a loss of power then let it win the same term again and write other entries at the same place. Change: the own vote counts when its record is synced; requests for votes waited for that sync already, so nothing gets slower.

--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -69,6 +69,7 @@
         self._now = now
         self._durability = Durability(log.last_index)
         self._votes: set[str] = set()
+        self._own_vote_record = 0  # number of the record of this replica's vote for itself
         self._replication = Replication()
         self._round = 0
         self._heard_at = now
@@ -175,6 +176,10 @@
         self._durability.synced(record, self.log.last_index)
         if self.leading:
             self._advance_commit()
+        elif self.role is Role.CANDIDATE and record >= self._own_vote_record:
+            # One that lost it with its power could win the same term twice, where no other vote is needed.
+            self._votes.add(self.identity.id)
+            self._count_votes()
 
     def transfer(self) -> bool:
         """Ask the voter that is furthest to take over; False where there is none or this is no leader."""
@@ -276,14 +281,15 @@
 
     def _stand(self, pre: bool, transfer: bool = False) -> None:
         self.leader = ""
-        self._votes = {self.identity.id}
         after = 0
         if pre:
             self._become(Role.PRE_CANDIDATE)
+            self._votes = {self.identity.id}
         else:
             self._become(Role.CANDIDATE)
             self.term, self.vote = self.term + 1, self.identity.id
-            after = self._record(HardState(self.term, self.vote))
+            after = self._own_vote_record = self._record(HardState(self.term, self.vote))
+            self._votes = set()  # the own vote counts once it is synced, see `synced`
         self._election_at = self._now + self._timeout()
         asked = self.term + 1 if pre else self.term
         request = wire.VoteRequest(
--- a/tests/system/test_consensus_losses.py
+++ b/tests/system/test_consensus_losses.py
@@ -296,6 +296,27 @@
     assert not group_without_its_leader(WithoutAVoteNobodyStands, ends).commit("after")
 
 
+class CountsItsVoteUnsynced(Consensus):
+    """As it was: a candidate counts its own vote before its disk has it."""
+
+    def _stand(self, pre: bool, transfer: bool = False) -> None:
+        super()._stand(pre, transfer)
+        self._votes.add(self.identity.id)
+        self._count_votes()
+
+
+@pytest.mark.parametrize("make", [Consensus, CountsItsVoteUnsynced])
+def test_where_one_vote_is_enough_it_counts_once_it_is_synced(make: type[Consensus]) -> None:
+    """Else a loss of power lets it lead the same term again, and write other entries at the same place."""
+    alone = make(member("a", voter=False), Log(0, 0, (member("a"),)), 1, "", 0.0, random.Random(1))
+    alone.tick(2.0)
+    records = alone.take_output().records
+    assert records[0] == HardState(2, "a")
+    assert alone.leading is (make is CountsItsVoteUnsynced)
+    alone.synced(len(records))
+    assert alone.leading
+
+
 # --- members that leave --------------------------------------------------------------------------
 
 
