A vote moves for the sake of zones only in a settled group; who leaves tells all members

Change: votes move for zones after 3 s of leading with all voters there; a member that leaves tells all members, not the leader alone; a leaver stays while the group has a vote too many.

--- a/brambleusher/controller.py
+++ b/brambleusher/controller.py
@@ -102,10 +102,15 @@
         begin = self.scheduler.now()
         latest = begin + self.settings.bounds.grace_s - KILL_MARGIN_S
         self.scheduler.sleep(LEAVE_S)
-        while self.scheduler.now() < latest and self.replica.has_vote() and self._successors():
+        while self.scheduler.now() < latest and self._needed():
             self.scheduler.sleep(LEAVE_LOOK_S)
         self.scheduler.stop()
 
+    def _needed(self) -> bool:
+        """Whether this vote may count while another can still get it, or just got one and this one stays."""
+        replacing = len(self.replica.voters()) > self.replica.consensus.voters_wanted
+        return self.replica.has_vote() and (replacing or bool(self._successors()))
+
     def _successors(self) -> list[str]:
         """Controllers that are there and have no vote yet."""
         voters = self.replica.voters()
--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -39,6 +39,7 @@
 )
 TRANSFER_S = 1.0  # for a planned successor to show up, then proposals are taken again
 JOIN_QUIET_S = 1.5  # without a leader for so long, a replica asks whether it still is a member
+SETTLED_S = 3.0  # of leading, before votes move for the sake of zones alone
 UNSYNCED_MAX = (
     256  # own entries that a leader's disk has not taken: then it hands over; at twice that it stops
 )
@@ -73,7 +74,7 @@
         self._replication = Replication()
         self._round = 0
         self._heard_at = now
-        self._majority_at = now
+        self._majority_at = self._led_since = now
         self._requests = MembershipRequests(identity.id)
         self.zones: Callable[[], Mapping[str, str]] = dict  # zone by address, of replicas that told it since
         self.leaves = False  # whether this process is about to end
@@ -348,7 +349,7 @@
     def _win(self) -> None:
         self._become(Role.LEADER)
         self.leader = self.identity.id
-        self._majority_at = self._heartbeat_at = self._now
+        self._led_since = self._majority_at = self._heartbeat_at = self._now
         self._replication = Replication()
         self._follow_members()
         self._append_own("none", None)
@@ -392,12 +393,18 @@
             self._replication.quiet_s(self._now),
             self._replication.holding(self.commit, near),
             self._requests.leaving(),
+            self._settled(near),
         )
         changed = next_members(group, self._requests.admissible(self.log.members, self._now))
         if changed is not None:
             self._append_own("members", [member.as_json() for member in changed])
             self._replicate()
 
+    def _settled(self, near: set[str]) -> bool:
+        """Whether this replica has led for a while and all voters are there."""
+        others = {member.id for member in self.voters} - {self.identity.id}
+        return others <= near and self._now - self._led_since >= SETTLED_S
+
     def _members_with_zones(self) -> tuple[Member, ...]:
         zones = self.zones()
         return tuple(
--- a/brambleusher/controlplane/membership_changes.py
+++ b/brambleusher/controlplane/membership_changes.py
@@ -23,7 +23,7 @@
     """What a leader knows of its group.
 
     `quiet_s` has the seconds since each other member answered, `caught_up` those that hold everything,
-    `leaving` those that are about to end.
+    `leaving` those that are about to end.  `settled`: all voters are there, and have been for a while.
     """
 
     members: Sequence[Member]
@@ -32,6 +32,7 @@
     quiet_s: Mapping[str, float] = field(default_factory=dict)
     caught_up: Collection[str] = ()
     leaving: Collection[str] = ()
+    settled: bool = False
 
     @property
     def voters(self) -> list[Member]:
@@ -119,8 +120,8 @@
     """Whether a vote for this learner in place of another's leaves the group better off."""
     if any(group.going(member) for member in group.voters):
         return True
-    if not group.zones_known or not learner.zone:
-        return False
+    if not group.settled or not group.zones_known or not learner.zone:
+        return False  # a vote for the sake of zones alone must not meet a loss that is not noticed yet
     least = group.zone_load(learner.zone)
     return any(
         group.zone_load(member.zone) >= least + 2 for member in group.voters if member.id != group.leader
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -204,13 +204,15 @@
             self._scheduler.spawn(self._give_away, name="leave")
 
     def _give_away(self) -> None:
+        """Tell all members, since whoever leads next has to know too."""
+        request = wire.as_json(wire.LeaveRequest(self.identity.id))
         while True:
-            leader = self.consensus.leader_member()
             if self.consensus.taking_proposals():
                 self.consensus.transfer()
                 self._pump()
-            elif leader is not None and leader.id != self.identity.id:
-                self._send(leader.address, wire.as_json(wire.LeaveRequest(self.identity.id)))
+            for member in self.consensus.log.members:
+                if member.id != self.identity.id:
+                    self._send(member.address, request)
             self._scheduler.sleep(LEAVE_EVERY_S)
 
     def has_vote(self) -> bool:
--- a/tests/system/exploration.py
+++ b/tests/system/exploration.py
@@ -168,11 +168,9 @@
         if node.consensus.leading:
             node.consensus.transfer()
             self.cluster.pump(node)
-            return
-        leader = node.consensus.leader_member()
+        request = wire.LeaveRequest(node.consensus.identity.id)
         for other in self.cluster.nodes.values():
-            if leader is not None and other.consensus.identity.id == leader.id:
-                request = wire.LeaveRequest(node.consensus.identity.id)
+            if other is not node:
                 self.cluster.post(node.name, other.name, request)
 
     def end(self) -> None:
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -397,7 +397,8 @@
 def test_votes_spread_over_zones_again_once_a_zone_is_back() -> None:
     zones = {"a": "1", "b": "2", "c": "3", "d": "2"}
     members = tuple(replace_in(member(name, voter=name != "c"), zone=zone) for name, zone in zones.items())
-    group = Group(members, "a", 3, {}, {"b", "c", "d"})
+    group = Group(members, "a", 3, {}, {"b", "c", "d"}, settled=True)
+    assert votes_after(replace_in(group, settled=False)) is None
     assert votes_after(group) == "abcd"
     following = replace_in(group, members=group.with_vote("c", True))
     assert votes_after(following) == "abc"
@@ -407,7 +408,7 @@
 def test_votes_are_not_moved_for_zones_while_those_of_voters_are_unknown() -> None:
     founders = tuple(replace_in(member(name), zone="") for name in "abc")
     newcomer = replace_in(member("d", voter=False), zone="1")
-    group = Group((*founders, newcomer), "a", 3, {}, {"b", "c", "d"})
+    group = Group((*founders, newcomer), "a", 3, {}, {"b", "c", "d"}, settled=True)
     assert votes_after(group) is None
 
 
--- a/tests/system/test_control_plane_faults.py
+++ b/tests/system/test_control_plane_faults.py
@@ -288,6 +288,51 @@
     put_until_taken(whole, "c4", 1, configuration(2, route("/n/")))
 
 
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_a_disk_is_lost_between_the_two_changes_of_a_replacement(seed: int) -> None:
+    """The successor has its vote, the one that leaves has its own still, and the leader's disk is gone."""
+    whole = Whole(seed=seed, gateways=1)
+    whole.served()
+    whole.add_core("c4", "10.1.0.4")
+    whole.sleep(SYNC_S + 1.0)
+    lost, leaving = leader_of(whole), follower_of(whole)
+    whole.process(leaving).signal(15)
+    while len(replica_of(whole, lost).voters()) != 4:
+        whole.sleep(0.0002)
+    whole.sleep(0.0005 * (seed % 4))
+    whole.power_off(lost)
+    whole.disks[lost] = MemoryDisk()
+    ended(whole, leaving)
+    whole.power_off(leaving)
+    for name in ("c4", next(name for name in CORES if name not in (lost, leaving))):
+        whole.power_off(name)
+        whole.power_on(name)
+    whole.sleep(0.5)
+    whole.power_on(lost)
+    put_until_taken(whole, "c4", 1, configuration(2, route("/n/")))
+    whole.close()
+
+
+@pytest.mark.parametrize("after_s", [0.10, 0.14, 0.18, 0.22, 0.42, 0.46, 0.50])
+@pytest.mark.parametrize("seed", [1, 3])
+def test_one_that_has_just_ended_gets_no_vote_for_the_sake_of_zones(seed: int, after_s: float) -> None:
+    """Its successor stands in another zone, and whoever leads next heard it a moment ago."""
+    whole = Whole(seed=seed, gateways=1)
+    whole.served()
+    whole.add_core("c4", "10.1.0.4")  # in the zone of c1
+    whole.sleep(SYNC_S + 1.0)
+    whole.process("c2").signal(15)
+    whole.sleep(after_s)
+    whole.power_off("c1")
+    whole.disks["c1"] = MemoryDisk()
+    ended(whole, "c2")
+    whole.power_off("c2")
+    whole.sleep(0.5)
+    whole.power_on("c1")
+    put_until_taken(whole, "c4", 1, configuration(2, route("/n/")))
+    whole.close()
+
+
 def test_without_a_successor_one_that_leaves_ends_soon(whole: Whole) -> None:
     whole.served()
     leaving = follower_of(whole)
