Replication counts the bytes it sent to a member, not all that is unconfirmed

Change: each member's progress keeps index and size of what was sent and not confirmed; acceptance and refusal are one function each. Log.between is gone with its only caller.

--- a/brambleusher/controlplane/log.py
+++ b/brambleusher/controlplane/log.py
@@ -38,10 +38,6 @@
         begin = index - self.base_index
         return self.entries[begin : begin + most]
 
-    def between(self, after: int, last: int) -> list[Entry]:
-        """Entries behind an index up to another, as far as they are held."""
-        return self.entries[max(0, after - self.base_index) : max(0, last - self.base_index)]
-
     def append(self, entry: Entry) -> None:
         """Add the next entry; one that changes members acts at once."""
         self.entries.append(entry)
--- a/brambleusher/controlplane/replication.py
+++ b/brambleusher/controlplane/replication.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
@@ -25,6 +26,19 @@
     heard_at: float = 0.0
     round: int = 0
     snapshot_at: float = -SNAPSHOT_EVERY_S
+    in_flight: deque[tuple[int, int]] = field(default_factory=deque)  # index and bytes, sent, not confirmed
+
+    def confirmed(self, matched: int) -> None:
+        """It holds everything up to an index."""
+        self.matched = max(self.matched, matched)
+        self.next_index = max(self.next_index, self.matched + 1)
+        while self.in_flight and self.in_flight[0][0] <= self.matched:
+            self.in_flight.popleft()
+
+    def refused(self, hint: int) -> None:
+        """What was sent does not fit: go back, to behind the hinted index or further."""
+        self.next_index = max(1, min(self.next_index - 1, hint + 1))
+        self.in_flight.clear()
 
 
 def wire_bytes(entry: Entry) -> int:
@@ -57,25 +71,25 @@
             return None
         known.heard_at = now
         if reply.accepted:
-            known.matched = max(known.matched, reply.matched)
-            known.next_index = max(known.next_index, known.matched + 1)
+            known.confirmed(reply.matched)
         elif reply.round >= known.round:
-            known.next_index = max(1, min(known.next_index - 1, reply.matched + 1))
+            known.refused(reply.matched)
         known.round = max(known.round, reply.round)
         return known
 
     def next_entries(self, log: Log, known: Progress) -> list[Entry]:
         """Entries to send a member now: within the bounds, and counted as sent."""
-        unconfirmed = log.between(known.matched, known.next_index - 1)
-        if sum(wire_bytes(entry) for entry in unconfirmed) >= UNCONFIRMED_BYTES:
+        if sum(size for _, size in known.in_flight) >= UNCONFIRMED_BYTES:
             return []
         chosen: list[Entry] = []
         total = 0
         for entry in log.after(known.next_index - 1, ENTRIES_A_MESSAGE):
-            total += wire_bytes(entry)
+            size = wire_bytes(entry)
+            total += size
             if chosen and total > MESSAGE_BYTES:
                 break
             chosen.append(entry)
+            known.in_flight.append((entry.index, size))
         known.next_index += len(chosen)
         return chosen
 
--- a/tests/system/test_consensus_losses.py
+++ b/tests/system/test_consensus_losses.py
@@ -390,6 +390,18 @@
     assert replication.next_entries(log, known)
 
 
+def test_what_a_member_may_have_got_from_others_does_not_count_as_sent() -> None:
+    """A new leader knows nothing confirmed yet; its first entry must not wait for an answer."""
+    log = Log(0, 0, FOUNDERS)
+    for index in range(1, 66):
+        log.append(Entry(index, 1, "command", {"packed": "x" * 35_000}))
+    replication = Replication({"b": Progress(next_index=65)})
+    known = replication.progress["b"]
+    assert [entry.index for entry in replication.next_entries(log, known)] == [65]
+    replication.replied(wire.AppendReply(1, "b", False, 40, 1), 1.0)
+    assert replication.next_entries(log, known)[0].index == 41
+
+
 def test_an_entry_over_the_bound_goes_alone() -> None:
     log = Log(0, 0, FOUNDERS)
     for index in (1, 2):
