--- a/brambleusher/controller.py
+++ b/brambleusher/controller.py
@@ -151,12 +151,15 @@
 
     def _known_zones(self) -> dict[str, str]:
         """Zones of the other controllers by address."""
-        peers = self.view.alive("controller", self.scheduler.now(), FORGET_S)
-        return {peer.address: peer.zone for peer in peers}
+        return {address: peer.zone for address, peer in self._heard_controllers().items()}
+
+    def _heard_controllers(self) -> dict[str, Peer]:
+        """Controllers by address, as the partial view has them."""
+        return {peer.address: peer for peer in self.view.alive("controller", self.scheduler.now(), FORGET_S)}
 
     def _controllers(self) -> list[tuple[str, str, str]]:
         """Address, zone and region of all controllers; zone and region are empty until they were heard of."""
-        heard = {peer.address: peer for peer in self.view.alive("controller", self.scheduler.now(), FORGET_S)}
+        heard = self._heard_controllers()
         named = [*self._known_controllers(), self.settings.peer_address]
         return [
             (address, heard[address].zone, heard[address].region) if address in heard else (address, "", "")
--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -451,13 +451,18 @@
         # The driver fills in what is applied when the message leaves: see `with_state`.
         self._send(member, wire.InstallSnapshot(self.term, self.identity.id, 0, 0, [], None, self._round))
 
-    def with_state(self, message: wire.InstallSnapshot, applied: int, state: Any) -> wire.InstallSnapshot:
-        """The message with a state that holds just what is committed up to the index `applied`."""
+    def snapshot(self, applied: int, state: Any) -> Restore:
+        """A state that holds just what is committed up to the index `applied`, with what belongs to it."""
         term = self.log.term_at(applied)
         if term is None or applied > self.commit:
             raise AssertionError(f"{applied} is no index of a state: {self.log.base_index}..{self.commit}")
-        members = list(self.log.members_at(applied))
-        return replace(message, index=applied, index_term=term, members=members, state=state)
+        return Restore(applied, term, self.log.members_at(applied), state)
+
+    def with_state(self, message: wire.InstallSnapshot, applied: int, state: Any) -> wire.InstallSnapshot:
+        """The message with a state that holds just what is committed up to the index `applied`."""
+        made = self.snapshot(applied, state)
+        members = list(made.members)
+        return replace(message, index=made.index, index_term=made.term, members=members, state=state)
 
     def _appended(self, reply: wire.AppendReply) -> None:
         if not self.leading or reply.term != self.term:
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -15,7 +15,7 @@
 from brambleusher.controlplane.consensus_types import HardState, Outgoing, Record
 from brambleusher.controlplane.log import Log
 from brambleusher.controlplane.state_machine import Command, SharedState, Verdict, command_of
-from brambleusher.controlplane.storage import CorruptStorage, Recovered, Storage
+from brambleusher.controlplane.storage import CorruptStorage, Recovered, Storage, snapshot_as_json
 from brambleusher.runtime.disk import Disk
 from brambleusher.runtime.scheduler import Event, Scheduler, Timeout
 from brambleusher.wire import consensus_messages as wire
@@ -459,13 +459,8 @@
 
     def _begin_snapshot(self) -> None:
         consensus = self.consensus
-        index = self._applied
-        header = {
-            "index": index,
-            "term": consensus.log.term_at(index),
-            "members": [member.as_json() for member in consensus.log.members_at(index)],
-            "state": self.state.as_json(),
-        }
-        rest = consensus.log.after(index, consensus.log.last_index - index)
+        made = consensus.snapshot(self._applied, self.state.as_json())
+        header = snapshot_as_json(made.index, made.term, made.members, made.state)
+        rest = consensus.log.after(made.index, consensus.log.last_index - made.index)
         self._snapshot_under_way = True
         self._queue(self._handed, SnapshotJob(header, HardState(consensus.term, consensus.vote), rest))
--- a/brambleusher/dataplane/upstream.py
+++ b/brambleusher/dataplane/upstream.py
@@ -47,7 +47,11 @@
     idle_since: float = 0.0
     idle_until: float = 0.0
     rested_s: float = 0.0  # before the attempt under way
-    used: bool = False  # whether it has carried a request before the one under way
+
+    @property
+    def used(self) -> bool:
+        """Whether it has carried a request before the one under way."""
+        return self.idle_since > 0.0
 
 
 class Answer:
@@ -146,7 +150,6 @@
             self.close(instance, connection)
             return
         state.start_next_cycle()
-        connection.used = True
         connection.idle_since = self._scheduler.now()
         connection.idle_until = connection.idle_since + idle_s
         instance.idle.append(connection)
--- a/brambleusher/runtime/http_server.py
+++ b/brambleusher/runtime/http_server.py
@@ -21,7 +21,7 @@
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 
-def _still_there() -> bool:
+def _never() -> bool:
     return False
 
 
@@ -34,7 +34,7 @@
     query: dict[str, str]
     headers: dict[bytes, bytes]
     body: bytes
-    hung_up: Callable[[], bool] = _still_there
+    hung_up: Callable[[], bool] = _never
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -145,9 +145,7 @@
         if node.synced < len(node.records):
             return  # the snapshot waits for what is written before it
         consensus, log = node.consensus, node.consensus.log
-        snapshot = Restore(
-            node.applied, log.term_at(node.applied) or 0, log.members_at(node.applied), dict(node.state)
-        )
+        snapshot = consensus.snapshot(node.applied, dict(node.state))
         rest = log.after(node.applied, log.last_index - node.applied)
         records = [snapshot, HardState(consensus.term, consensus.vote), *rest]
         node.base += len(node.records) - len(records)
