Agreement: votes are spread over regions, and within these over zones

Cause: the newest deployment bears the loss of a region; votes were spread over zones alone, so a region with two zones could come to hold three of five. Change: the load of a place is its region's votes, then its zone's; a vote moves only where that makes the spread better, so moves end. Measured: 340 drawn groups in tests/system/test_votes_over_regions.py, moves end in each; three regions of two zones settle at 2, 2, 1. Ruled out: moving a vote for zones alone into a region with as many votes: it flips back and forth.

--- a/brambleusher/controlplane/consensus.py
+++ b/brambleusher/controlplane/consensus.py
@@ -77,6 +77,7 @@
         self._majority_at = self._led_since = now
         self._requests = MembershipRequests(identity.id)
         self.zones: Callable[[], Mapping[str, str]] = dict  # zone by address, of replicas that told it since
+        self.regions: Mapping[str, str] = {}  # region by zone
         self.leaves = False  # whether this process is about to end
         self._transfer_until = 0.0
         self._successor = ""
@@ -394,6 +395,7 @@
             self._replication.holding(self.commit, near),
             self._requests.leaving(),
             self._settled(near),
+            self.regions,
         )
         changed = next_members(group, self._requests.admissible(self.log.members, self._now))
         if changed is not None:
--- a/brambleusher/controlplane/membership_changes.py
+++ b/brambleusher/controlplane/membership_changes.py
@@ -24,6 +24,7 @@
 
     `quiet_s` has the seconds since each other member answered, `caught_up` those that hold everything,
     `leaving` those that are about to end.  `settled`: all voters are there, and have been for a while.
+    Votes are spread over regions, and within these over zones.
     """
 
     members: Sequence[Member]
@@ -33,6 +34,7 @@
     caught_up: Collection[str] = ()
     leaving: Collection[str] = ()
     settled: bool = False
+    regions: Mapping[str, str] = field(default_factory=dict)  # region by zone
 
     @property
     def voters(self) -> list[Member]:
@@ -56,6 +58,12 @@
         """Votes in a zone that are to stay."""
         return sum(member.zone == zone and not self.going(member) for member in self.voters)
 
+    def load(self, zone: str) -> tuple[int, int]:
+        """Votes in a zone's region and in the zone itself that are to stay."""
+        region = self.regions.get(zone, "")
+        zones = {zone} if not region else {name for name, its in self.regions.items() if its == region}
+        return sum(self.zone_load(name) for name in zones), self.zone_load(zone)
+
     def with_vote(self, identity: str, voter: bool) -> tuple[Member, ...]:
         """The members with one vote changed."""
         return tuple(replace(each, voter=voter) if each.id == identity else each for each in self.members)
@@ -92,7 +100,7 @@
 
 
 def _promotion(group: Group) -> tuple[Member, ...] | None:
-    """A learner that holds everything becomes a voter, from the zone with the fewest votes."""
+    """A learner that holds everything becomes a voter, where there are the fewest votes."""
     learners = [
         member
         for member in group.members
@@ -100,7 +108,7 @@
     ]
     if not learners:
         return None
-    chosen = min(learners, key=lambda member: (group.zone_load(member.zone), member.id))
+    chosen = min(learners, key=lambda member: (group.load(member.zone), member.id))
     missing = len(group.voters) < group.voters_wanted
     if not missing and not (_may_exceed(group) and _improves(group, chosen)):
         return None
@@ -122,14 +130,25 @@
         return True
     if not group.settled or not group.zones_known or not learner.zone:
         return False  # a vote for the sake of zones alone must not meet a loss that is not noticed yet
-    least = group.zone_load(learner.zone)
     return any(
-        group.zone_load(member.zone) >= least + 2 for member in group.voters if member.id != group.leader
+        _more_crowded(group, member.zone, learner.zone)
+        for member in group.voters
+        if member.id != group.leader
     )
 
 
+def _more_crowded(group: Group, zone: str, other: str) -> bool:
+    """Whether a vote is better off in the other zone; never so both ways, or votes would move for ever."""
+    in_region, in_zone = group.load(zone)
+    in_other_region, in_other = group.load(other)
+    if in_region >= in_other_region + 2:
+        return True
+    near = group.regions.get(zone) == group.regions.get(other) or in_region == in_other_region + 1
+    return near and in_zone >= in_other + 2
+
+
 def _demotion(group: Group) -> tuple[Member, ...] | None:
-    """With a vote too many: one that leaves or is lost loses it, else one of the fullest zone."""
+    """With a vote too many: one that leaves or is lost loses it, else one of the fullest region and zone."""
     voters = group.voters
     others = [member for member in voters if member.id != group.leader]
     if len(voters) <= group.voters_wanted or not others:
@@ -139,7 +158,7 @@
         key=lambda member: (
             group.lost(member),
             member.id in group.leaving,
-            group.zone_load(member.zone),
+            group.load(member.zone),
             member.id,
         ),
     )
--- /dev/null
+++ b/tests/system/test_votes_over_regions.py
@@ -0,0 +1,92 @@
+"""Votes are spread over regions and, within these, over zones; moving them comes to an end."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from brambleusher.controlplane.membership_changes import Group, next_members
+from brambleusher.wire.consensus_messages import Member
+
+MOVES_MAX = 40
+
+Places = dict[str, str]  # region by zone
+
+
+def settled_group(places: Places, zones: list[str], voters: set[int], leader: int, wanted: int) -> Group:
+    members = [Member(f"m{at}", f"at-{at}", "", zone, at in voters) for at, zone in enumerate(zones)]
+    return Group(
+        members,
+        f"m{leader}",
+        wanted,
+        caught_up={member.id for member in members},
+        settled=True,
+        regions=places,
+    )
+
+
+def final_members(group: Group) -> list[Member]:
+    """The members once nothing is to change any more; votes change one at a time."""
+    members = list(group.members)
+    for _ in range(MOVES_MAX):
+        before = {member.id for member in members if member.voter}
+        changed = next_members(
+            Group(
+                members,
+                group.leader,
+                group.voters_wanted,
+                caught_up=group.caught_up,
+                settled=True,
+                regions=group.regions,
+            ),
+            (),
+        )
+        if changed is None:
+            return members
+        members = list(changed)
+        assert len(before ^ {member.id for member in members if member.voter}) == 1
+    raise AssertionError("votes move for ever")
+
+
+def votes(members: list[Member], places: Places) -> list[int]:
+    counts = Counter(places[member.zone] for member in members if member.voter)
+    return sorted(counts.values())
+
+
+THREE_REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_five_votes_over_three_regions_bear_the_loss_of_any(seed: int) -> None:
+    rng = random.Random(seed)
+    zones = list(THREE_REGIONS)
+    voters = set(rng.sample(range(6), rng.choice([1, 3, 5])))
+    group = settled_group(THREE_REGIONS, zones, voters, rng.choice(sorted(voters)), 5)
+    assert votes(final_members(group), THREE_REGIONS) == [1, 2, 2]
+
+
+def test_after_replacements_votes_return_to_the_region_that_has_too_few() -> None:
+    """Three of region a, two of b, while c has two controllers without a vote."""
+    zones = ["a1", "a2", "a2", "b1", "b2", "c1", "c2"]
+    group = settled_group(THREE_REGIONS, zones, {0, 1, 2, 3, 4}, 0, 5)
+    assert votes(final_members(group), THREE_REGIONS) == [1, 2, 2]
+
+
+@pytest.mark.parametrize("seed", range(300))
+def test_moving_votes_ends_wherever_controllers_stand(seed: int) -> None:
+    rng = random.Random(seed)
+    places = {f"z{at}": rng.choice("abc") for at in range(rng.randrange(1, 7))}
+    zones = [rng.choice(list(places)) for _ in range(rng.randrange(3, 11))]
+    wanted = rng.choice([3, 5])
+    voters = set(rng.sample(range(len(zones)), min(wanted, len(zones))))
+    group = settled_group(places, zones, voters, rng.choice(sorted(voters)), wanted)
+    members = final_members(group)
+    assert sum(member.voter for member in members) == min(wanted, len(zones))
+
+
+def test_without_regions_zones_alone_count() -> None:
+    group = settled_group({}, ["x", "x", "x", "y", "z"], {0, 1, 2}, 0, 3)
+    counts = Counter(member.zone for member in final_members(group) if member.voter)
+    assert max(counts.values()) == 1
