PATCH /api/config: named items change on the terms of a whole configuration

Change: the controller that is called reads the state of a majority, merges, checks the result as a whole configuration and puts the result into the log, with a digest of the patch as it was sent. A patch whose base is not current goes in without a body and only finds out whether it was taken before. Weighed: the patch in the log is smaller, but each replica would merge and check it, and versions of the program that merge differently would diverge. An upsert and a remove of one name in one patch are refused. Measured: tests/system/test_configuration_patch.py, 33 cases, among them races, repeats on any controller, lost power, 4 MB.

--- a/brambleusher/controlplane/orders.py
+++ b/brambleusher/controlplane/orders.py
@@ -7,17 +7,25 @@
 import orjson
 from result import Err
 
-from brambleusher.controlplane.replica import Replica
-from brambleusher.controlplane.state_machine import Command, PutConfiguration, SetEvacuation, Verdict
+from brambleusher.controlplane.replicated_state import ReplicatedState
+from brambleusher.controlplane.state_machine import (
+    Command,
+    PutConfiguration,
+    SetEvacuation,
+    SharedState,
+    Verdict,
+)
 from brambleusher.runtime.http_server import HttpRequest, HttpResponse, json_response
 from brambleusher.runtime.scheduler import Scheduler
-from brambleusher.wire import configuration
+from brambleusher.wire import configuration, configuration_patch
+from brambleusher.wire.configuration_patch import Patch
 from brambleusher.wire.errors import InvalidConfiguration
 from brambleusher.wire.packing import unpack
 
 log = logging.getLogger(__name__)
 
 ANSWER_S = 0.85  # callers go on to another controller after a second of silence
+CONFIGURATION_BYTES = 8 * 1024 * 1024  # of the body of one call
 CONFIGURATION_PATH = "/api/config"
 EVACUATIONS_PATH = "/api/evacuations/"
 STATUS_PATH = "/api/status"
@@ -28,16 +36,32 @@
     return json_response(status, {"error": reason})
 
 
+def _base(request: HttpRequest) -> int:
+    """The revision that a change builds on; raises `InvalidConfiguration`."""
+    base = request.headers.get(b"if-match", b"").strip().strip(b'"')
+    if not base.isdigit() or int(base) > REVISION_MAX:
+        raise InvalidConfiguration("If-Match", "it is no revision")
+    return int(base)
+
+
+def _bounded(revision: int) -> int:
+    if revision > REVISION_MAX:
+        raise InvalidConfiguration("revision", "it is too large")
+    return revision
+
+
 class Orders:
     """Answers calls on a controller's `control` address."""
 
-    def __init__(self, scheduler: Scheduler, replica: Replica, zones: frozenset[str]) -> None:
+    def __init__(self, scheduler: Scheduler, replica: ReplicatedState, zones: frozenset[str]) -> None:
         self._scheduler, self._replica, self._zones = scheduler, replica, zones
 
     def handle(self, request: HttpRequest) -> HttpResponse:
         """One call."""
         if request.path == CONFIGURATION_PATH and request.method == "PUT":
             return self._put(request)
+        if request.path == CONFIGURATION_PATH and request.method == "PATCH":
+            return self._patch(request)
         if request.path == CONFIGURATION_PATH and request.method == "GET":
             return self._get()
         if request.path.startswith(EVACUATIONS_PATH) and request.method in ("POST", "DELETE"):
@@ -60,28 +84,51 @@
         return HttpResponse(200, unpack(state.packed))
 
     def _put(self, request: HttpRequest) -> HttpResponse:
-        base = request.headers.get(b"if-match", b"").strip().strip(b'"')
-        if not base.isdigit() or int(base) > REVISION_MAX:
-            return _error(400, "If-Match: it is no revision")
         try:
-            checked = configuration.read(request.body)
+            base = _base(request)
+            revision = _bounded(configuration.read(request.body).revision)
         except InvalidConfiguration as error:
             return _error(400, str(error))
-        if checked.revision > REVISION_MAX:
-            return _error(400, "revision: it is too large")
-        return self._submit(PutConfiguration.of(int(base), checked.revision, request.body))
+        return self._submit(PutConfiguration.of(base, revision, request.body), self._deadline())
+
+    def _patch(self, request: HttpRequest) -> HttpResponse:
+        """What a patch makes of its base goes into the log, whole: nobody has to merge it again."""
+        deadline = self._deadline()
+        try:
+            base = _base(request)
+            patch = configuration_patch.read(request.body)
+            _bounded(patch.revision)
+            held = self._replica.read(deadline)
+            if isinstance(held, Err):
+                return _error(503, "no majority answered in time")
+            merged = self._merged(held.ok_value, base, patch)
+        except InvalidConfiguration as error:
+            return _error(400, str(error))
+        command = PutConfiguration.of_patch(base, patch.revision, request.body, merged)
+        return self._submit(command, deadline)
+
+    @staticmethod
+    def _merged(state: SharedState, base: int, patch: Patch) -> bytes | None:
+        """The configuration after a patch; None where its base is not the current one."""
+        if state.revision != base or not state.packed:
+            return None
+        return configuration_patch.merge(unpack(state.packed), patch)
 
     def _evacuate(self, request: HttpRequest, zone: str) -> HttpResponse:
         evacuated = request.method == "POST"
         if zone not in self._zones:
             return _error(404, f"zone {zone} is unknown")
+        deadline = self._deadline()
+        seen = self._replica.seen_index(deadline)
+        if isinstance(seen, Err):
+            return _error(503, "no controller answered in time")
         if request.hung_up():
             # It was held back on its way, and its caller has sent it again elsewhere or given it up.
             return _error(503, "the caller has gone")
-        return self._submit(SetEvacuation(zone, evacuated, self._replica.applied))
+        return self._submit(SetEvacuation(zone, evacuated, seen.ok_value), deadline)
 
-    def _submit(self, command: Command) -> HttpResponse:
-        submitted = self._replica.submit(command, self._deadline())
+    def _submit(self, command: Command, deadline: float) -> HttpResponse:
+        submitted = self._replica.submit(command, deadline)
         if isinstance(submitted, Err):
             return _error(503, "no majority took it in time; it may be in force or not")
         verdict = submitted.ok_value
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -9,11 +9,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from brambleusher.controlplane.consensus import Consensus
 from brambleusher.controlplane.consensus_types import HardState, Outgoing, Record
 from brambleusher.controlplane.log import Log
+from brambleusher.controlplane.replicated_state import IndexResult, NoLeader, OrderResult, ReadResult
 from brambleusher.controlplane.state_machine import Command, SharedState, Verdict, command_of
 from brambleusher.controlplane.storage import CorruptStorage, Recovered, Storage, snapshot_as_json
 from brambleusher.runtime.disk import Disk
@@ -34,15 +35,6 @@
 FOUNDER = "founder-"  # begins the identities of the first group, followed by the address
 
 
-@dataclass(frozen=True, slots=True)
-class NoLeader:
-    """Failure: no leader could be reached in time; whether the command was taken is unknown."""
-
-
-OrderResult = Result[Verdict, NoLeader]
-ReadResult = Result[SharedState, NoLeader]
-
-
 class Waiter:
     """A task that waits for an answer to what it proposed, forwarded or read."""
 
@@ -108,6 +100,7 @@
         self.seeds: tuple[str, ...] = settings.seed_peers()
         self.known_controllers: Callable[[], list[str]] = list
         self.consensus.zones = self._zones
+        self.consensus.regions = settings.zones
         self.known_zones: Callable[[], dict[str, str]] = dict
         self._event = Event()
         self._resting = False  # after an error of the disk
@@ -177,6 +170,10 @@
         """The index up to which `state` holds everything."""
         return self._applied
 
+    def seen_index(self, deadline: float) -> IndexResult:
+        """The same, known at once here."""
+        return Ok(self.applied)
+
     def read(self, deadline: float) -> ReadResult:
         """The state as a majority has it at this moment."""
         while self._scheduler.now() < deadline:
--- a/brambleusher/controlplane/state_machine.py
+++ b/brambleusher/controlplane/state_machine.py
@@ -9,6 +9,7 @@
 
 from brambleusher.wire.packing import pack
 
+PATCH = b"PATCH\n"  # ahead of a patch in its digest: a whole configuration never begins so
 HISTORY_MAX = 4096  # digests of configurations taken; a day holds hundreds
 
 
@@ -22,11 +23,17 @@
     OUTDATED = "outdated"  # its subject was changed after the order was received: it may be an old copy
 
 
+def digest_of(base: int, order: bytes) -> str:
+    """What tells an order from all others."""
+    return hashlib.sha256(b"%d\n%b" % (base, order)).hexdigest()
+
+
 @dataclass(frozen=True, slots=True)
 class PutConfiguration:
     """Command: a checked configuration on top of the revision `base`.
 
-    `packed` is its body (see `wire.packing`); `digest` tells this very order from all others.
+    `packed` is its body (see `wire.packing`); `digest` tells this very order from all others.  Without a
+    body it never comes into force, and only finds out whether this very order was taken before.
     """
 
     base: int
@@ -36,9 +43,13 @@
 
     @classmethod
     def of(cls, base: int, revision: int, body: bytes) -> PutConfiguration:
-        """The command for a body as it was sent."""
-        digest = hashlib.sha256(b"%d\n%b" % (base, body)).hexdigest()
-        return cls(base, revision, digest, pack(body))
+        """The command for a whole configuration as it was sent."""
+        return cls(base, revision, digest_of(base, body), pack(body))
+
+    @classmethod
+    def of_patch(cls, base: int, revision: int, patch: bytes, merged: bytes | None) -> PutConfiguration:
+        """The command for a patch as it was sent, with what it makes of the configuration `base`."""
+        return cls(base, revision, digest_of(base, PATCH + patch), pack(merged) if merged else "")
 
     def as_json(self) -> dict[str, Any]:
         """The form in the log."""
@@ -73,7 +84,7 @@
 
 
 def command_of(data: dict[str, Any]) -> Command:
-    """A command from its form in the log."""
+    """A command from its form in the log; raises `KeyError` where a part is missing."""
     if data["op"] == "put":
         return PutConfiguration(data["base"], data["revision"], data["digest"], data["packed"])
     return SetEvacuation(data["zone"], data["evacuated"], data.get("seen"))
@@ -100,7 +111,7 @@
         digest = command.digest
         if digest in self.digests:
             return Verdict.REPEATED
-        if command.base != self.revision:
+        if command.base != self.revision or not command.packed:
             return Verdict.STALE
         if command.revision <= self.revision:
             return Verdict.NOT_HIGHER
--- a/brambleusher/wire/configuration.py
+++ b/brambleusher/wire/configuration.py
@@ -96,17 +96,27 @@
     return keys
 
 
+def load(body: bytes) -> Any:
+    """The JSON of a call of the operator; raises `InvalidConfiguration`."""
+    try:
+        return json.loads(body, object_pairs_hook=_unique)
+    except (ValueError, RecursionError) as error:
+        raise InvalidConfiguration("body", f"it can't be read whole: {error}") from error
+
+
+def invalid(error: ValidationError) -> InvalidConfiguration:
+    """The first fault that pydantic found, with its key."""
+    first = error.errors()[0]
+    key = ".".join(str(part) for part in first["loc"]) or "body"
+    return InvalidConfiguration(key, first["msg"])
+
+
 def read(body: bytes) -> Configuration:
     """A configuration from the bytes sent, checked; raises `InvalidConfiguration`."""
     try:
-        given = json.loads(body, object_pairs_hook=_unique)
-        configuration = Configuration.model_validate(given)
+        configuration = Configuration.model_validate(load(body))
     except ValidationError as error:
-        first = error.errors()[0]
-        key = ".".join(str(part) for part in first["loc"]) or "body"
-        raise InvalidConfiguration(key, first["msg"]) from error
-    except (ValueError, RecursionError) as error:
-        raise InvalidConfiguration("body", f"it can't be read whole: {error}") from error
+        raise invalid(error) from error
     _check(configuration)
     return configuration
 
--- /dev/null
+++ b/tests/system/test_configuration_patch.py
@@ -0,0 +1,190 @@
+"""Patches of the configuration: what they make of it, and on what terms they are taken."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from brambleusher.controlplane.state_machine import PutConfiguration, SharedState, Verdict
+from brambleusher.wire import configuration_patch
+from brambleusher.wire.errors import InvalidConfiguration
+from tests.system.whole import CONTROL, Reply, Whole, configuration, route
+
+BASE = configuration(1, route("/a/"), route("/b/"), route("/c/"))
+
+
+@pytest.fixture
+def whole() -> Iterator[Whole]:
+    whole = Whole()
+    whole.served(BASE)
+    yield whole
+    whole.close()
+
+
+Items = dict[str, Any] | None
+
+
+def patch_body(revision: int, upsert: Items = None, remove: Items = None) -> bytes:
+    return json.dumps({"revision": revision, "upsert": upsert or {}, "remove": remove or {}}).encode()
+
+
+def patch(whole: Whole, core: str, base: int, body: bytes) -> Reply:
+    return whole.control(core, "PATCH", "/api/config", headers={"If-Match": str(base)}, body=body)
+
+
+def held(whole: Whole, core: str = "c1") -> Any:
+    return json.loads(whole.control(core, "GET", "/api/config").body)
+
+
+def names(configuration: Any) -> list[str]:
+    return [each["name"] for each in configuration["routes"]]
+
+
+def test_items_are_added_replaced_in_their_place_and_removed(whole: Whole) -> None:
+    changed = route("/b/", deadline_ms=1234)
+    body = patch_body(4, {"routes": [route("/d/"), changed]}, {"routes": ["/a/"]})
+    assert patch(whole, "c2", 1, body).status == 200
+    found = held(whole)
+    assert found["revision"] == 4
+    assert names(found) == ["/b/", "/c/", "/d/"]
+    assert found["routes"][0] == changed
+    assert found["services"] == json.loads(BASE)["services"]
+    whole.sleep(1.0)
+    table = whole.gateways["g1"]._watcher.routes
+    assert table is not None
+    assert table.revision == 4
+
+
+def test_keys_that_this_version_does_not_know_stay(whole: Whole) -> None:
+    body = patch_body(2, {"routes": [route("/d/", later={"x": [1]})], "services": [{"name": "new", "y": 2}]})
+    assert patch(whole, "c1", 1, body).status == 200
+    assert patch(whole, "c2", 2, patch_body(3, remove={"routes": ["/a/"]})).status == 200
+    found = held(whole)
+    assert found["routes"][-1]["later"] == {"x": [1]}
+    assert found["services"][-1] == {"name": "new", "y": 2}
+
+
+def test_the_same_patch_sent_again_is_acknowledged_by_anyone_even_after_others(whole: Whole) -> None:
+    first = patch_body(2, {"routes": [route("/d/")]})
+    assert patch(whole, "c1", 1, first).status == 200
+    assert patch(whole, "c2", 2, patch_body(5, remove={"routes": ["/d/"]})).status == 200
+    for core in ("c1", "c2", "c3"):
+        assert patch(whole, core, 1, first).status == 200
+    assert held(whole)["revision"] == 5
+    assert names(held(whole)) == ["/a/", "/b/", "/c/"]
+
+
+def test_a_patch_of_a_patch_that_was_lost_is_refused(whole: Whole) -> None:
+    """The operator believes that 2 was taken; nobody has it."""
+    assert patch(whole, "c1", 2, patch_body(3, {"routes": [route("/d/")]})).status == 412
+    assert held(whole) == json.loads(BASE)
+
+
+def test_a_patch_on_an_old_version_is_refused_even_if_it_no_longer_fits(whole: Whole) -> None:
+    assert patch(whole, "c1", 1, patch_body(2, remove={"routes": ["/a/"]})).status == 200
+    assert patch(whole, "c1", 1, patch_body(3, {"routes": [route("/d/")]})).status == 412
+    assert patch(whole, "c1", 1, patch_body(3, remove={"routes": ["/a/"]})).status == 412
+
+
+def test_two_patches_that_race_on_different_items_have_one_winner(whole: Whole) -> None:
+    bodies = [patch_body(3, {"routes": [route("/x/")]}), patch_body(3, {"routes": [route("/y/")]})]
+    replies = [
+        whole.start_call(
+            (whole.world.machines[core].ip, CONTROL),
+            "PATCH",
+            "/api/config",
+            headers={"If-Match": "1"},
+            body=body,
+        )
+        for core, body in zip(("c2", "c3"), bodies, strict=True)
+    ]
+    whole.wait(lambda: all(reply.error for reply in replies))
+    assert sorted(reply.status for reply in replies) == [200, 412]
+    added = ["/x/", "/y/"][[reply.status for reply in replies].index(200)]
+    assert names(held(whole)) == ["/a/", "/b/", "/c/", added]
+
+
+def test_a_patch_that_was_acknowledged_survives_the_loss_of_power_of_all(whole: Whole) -> None:
+    assert patch(whole, "c1", 1, patch_body(2, {"routes": [route("/d/")]})).status == 200
+    for core in ("c1", "c2", "c3"):
+        whole.power_off(core, nothing_unsynced=True)
+    for core in ("c1", "c2", "c3"):
+        whole.power_on(core)
+    whole.wait(lambda: whole.control("c2", "GET", "/api/config").status == 200)
+    assert names(held(whole, "c2")) == ["/a/", "/b/", "/c/", "/d/"]
+
+
+def test_a_patch_without_any_configuration_is_refused() -> None:
+    whole = Whole()
+    whole.wait(lambda: whole.leader() is not None)
+    whole.wait(lambda: patch(whole, "c1", 1, patch_body(2)).status == 412)
+    whole.close()
+
+
+def test_a_body_of_four_megabytes_is_taken(whole: Whole) -> None:
+    services = [{"name": f"s{at}", "note": f"{at}" * 400} for at in range(2400)]
+    body = patch_body(2, {"services": services})
+    assert 2 * 2**20 < len(body) <= 4 * 2**20
+    whole.wait(lambda: patch(whole, "c1", 1, body).status == 200)
+    assert len(held(whole)["services"]) == 2402
+
+
+INVALID = [
+    (b"{", "body"),
+    (b"[]", "body"),
+    (patch_body(0), "revision"),
+    (patch_body(1), "revision"),
+    (patch_body(2**60), "revision"),
+    (b'{"revision":2,"insert":{}}', "insert"),
+    (b'{"revision":2,"upsert":{"limits":[]}}', "upsert.limits"),
+    (b'{"revision":2,"upsert":{"routes":{}}}', "upsert.routes"),
+    (b'{"revision":2,"upsert":{"routes":[3]}}', "upsert.routes.0"),
+    (b'{"revision":2,"upsert":{"routes":[{"host":"h"}]}}', "upsert.routes.0.name"),
+    (b'{"revision":2,"upsert":{},"upsert":{}}', "body"),
+    (patch_body(2, remove={"routes": ["/nowhere/"]}), "remove.routes.0"),
+    (patch_body(2, remove={"routes": [3]}), "remove.routes.0"),
+    (patch_body(2, remove={"services": ["llm"]}), "routes.0"),
+    (patch_body(2, {"routes": [route("/d/", service="unknown")]}), "routes.3"),
+    (patch_body(2, {"routes": [route("/d/", deadline_ms=0)]}), "routes.3.deadline_ms"),
+    (patch_body(2, {"routes": [route("/d/", path_prefix="/a/")]}), "routes.3"),
+    (patch_body(2, {"routes": [route("/d/"), route("/d/")]}), "upsert.routes.1.name"),
+    (patch_body(2, {"routes": [route("/a/")]}, {"routes": ["/a/"]}), "remove.routes.0"),
+    (patch_body(2, remove={"routes": ["/a/", "/a/"]}), "remove.routes.1"),
+]
+
+
+@pytest.mark.parametrize(("body", "key"), INVALID, ids=[str(at) for at in range(len(INVALID))])
+def test_an_invalid_patch_says_why_and_leaves_no_trace(whole: Whole, body: bytes, key: str) -> None:
+    reply = patch(whole, "c3", 1, body)
+    assert reply.status == 400
+    assert key in reply.json()["error"]
+    assert held(whole) == json.loads(BASE)
+
+
+def test_a_patch_without_its_base_is_refused(whole: Whole) -> None:
+    reply = whole.control("c1", "PATCH", "/api/config", body=patch_body(2))
+    assert reply.status == 400
+    assert "If-Match" in reply.json()["error"]
+
+
+def test_an_order_without_a_body_never_comes_into_force() -> None:
+    """It only asks whether a patch was taken before: its base may become current meanwhile."""
+    state = SharedState()
+    assert state.apply(1, PutConfiguration.of(0, 4, BASE)) is Verdict.ACCEPTED
+    question = PutConfiguration.of_patch(4, 5, b"patch", None)
+    assert state.apply(2, question) is Verdict.STALE
+    assert state.revision == 4
+    assert state.apply(3, PutConfiguration.of_patch(4, 5, b"patch", BASE)) is Verdict.ACCEPTED
+    assert state.apply(4, question) is Verdict.REPEATED
+
+
+def test_a_patch_is_told_from_a_whole_configuration_of_the_same_bytes() -> None:
+    assert PutConfiguration.of(1, 2, b"x").digest != PutConfiguration.of_patch(1, 2, b"x", b"y").digest
+
+
+def test_two_items_of_one_name_are_told() -> None:
+    with pytest.raises(InvalidConfiguration, match="stands twice"):
+        configuration_patch.read(patch_body(2, {"services": [{"name": "a"}, {"name": "a"}]}))
--- a/tests/system/test_fault_days_find_faults.py
+++ b/tests/system/test_fault_days_find_faults.py
@@ -10,7 +10,8 @@
 
 from brambleusher.controller import Controller
 from brambleusher.controlplane.orders import Orders
-from brambleusher.controlplane.replica import ReadResult, Replica
+from brambleusher.controlplane.replica import Replica
+from brambleusher.controlplane.replicated_state import ReadResult
 from brambleusher.controlplane.state_machine import (
     PutConfiguration,
     SetEvacuation,
