Observers: a member of the control plane without a disk passes calls on

Cause: one deploy file has to serve deployments with and without core machines. A controller role on edge stands on machines without a disk where there is a core, and ended there at once. Change: 'member' is a controller where its machine has a disk, else an observer: no vote, no log, no reading of the list; orders, reads and questions to the registry go to a controller near by, over JSON lines. Gateways and controllers whose seeds are observers learn from them who is there. Which controllers to ask moved from the data plane to membership. Weighed: a gateway that serves the control plane too (all 90 would, seeds could lie on machines without a disk); 307 to a controller (the registry's clients do not follow it). Measured: tests/system/test_observer.py, 11 cases; a resting observer makes one call in two seconds.

--- a/brambleusher/controller.py
+++ b/brambleusher/controller.py
@@ -8,8 +8,9 @@
 
 from brambleusher.controlplane import registry
 from brambleusher.controlplane.announcer import Announcer
-from brambleusher.controlplane.orders import Orders
+from brambleusher.controlplane.orders import CONFIGURATION_BYTES, Orders
 from brambleusher.controlplane.platform_list import PlatformList
+from brambleusher.controlplane.relay import RELAY, RelayServer
 from brambleusher.controlplane.replica import Replica
 from brambleusher.logs import SparseLog
 from brambleusher.membership.line_connection import LineSender, LineServer
@@ -28,7 +29,6 @@
 
 SHUFFLE_S = 0.6
 SENDERS_MAX = 64
-CONFIGURATION_BYTES = 8 * 1024 * 1024
 LEAVE_S = 1.2  # after SIGTERM: time to hand the lead over and to answer what was taken
 LEAVE_LOOK_S = 0.1
 KILL_MARGIN_S = 1.0  # before `grace_s` is over the process has ended
@@ -68,6 +68,7 @@
             self._invalid,
             CONNECTIONS_MAX,
         )
+        self._relay = RelayServer(self.scheduler, self.replica, self._find, self._controllers)
         orders = Orders(self.scheduler, self.replica, frozenset(settings.zones))
         self._control = HttpServer(
             self.scheduler, parse_address(settings.bind.control), orders.handle, CONFIGURATION_BYTES
@@ -179,6 +180,8 @@
         kind = message.get("kind")
         if kind == "watch" and self._announcer is not None:
             return self._announcer.watch(message)
+        if kind == RELAY:
+            return self._relay.handle(message)
         sender = message.get("from")
         if not isinstance(sender, str):
             raise InvalidMessage("a message has no sender")
@@ -207,8 +210,12 @@
             self.scheduler.sleep(SHUFFLE_S * self._rng.uniform(0.8, 1.2))
 
     def _resolve(self, request: HttpRequest) -> HttpResponse:
+        return registry.answer(request, self._find, self.settings.bounds.ttl_max_s)
+
+    def _find(self, zone: str, region: str) -> list[str]:
+        """Addresses of gateways for a client of a zone."""
         gateways = self.view.alive("gateway", self.scheduler.now())
-        return registry.answer(request, gateways, self._rng, self.settings.bounds.ttl_max_s)
+        return registry.chosen(gateways, zone, region, self._rng)
 
     def _settings_changed(self, settings: Settings) -> None:
         self.settings = settings
--- a/brambleusher/controlplane/registry.py
+++ b/brambleusher/controlplane/registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from brambleusher.membership.views import Peer, State
 from brambleusher.runtime.http_server import HttpRequest, HttpResponse, json_response
@@ -24,15 +24,20 @@
     return in_region if len(in_region) >= NEAR_ENOUGH else ready
 
 
-def answer(
-    request: HttpRequest, gateways: Sequence[Peer], rng: random.Random, ttl_max_s: float
-) -> HttpResponse:
-    """The answer to one question; without a gateway a failure, so that the client asks elsewhere."""
+def chosen(gateways: Sequence[Peer], zone: str, region: str, rng: random.Random) -> list[str]:
+    """Addresses for a client of a zone, in no order; empty where no gateway is known to be ready."""
+    near = nearest(gateways, zone, region)
+    return [peer.address for peer in rng.sample(near, min(ADDRESSES_MAX, len(near)))]
+
+
+def answer(request: HttpRequest, find: Callable[[str, str], list[str]], ttl_max_s: float) -> HttpResponse:
+    """The answer to one question, with what `find` gives for a zone and region.
+
+    Without a gateway it is a failure, so that the client asks elsewhere.
+    """
     if request.path != PATH or request.method != "GET":
         return json_response(404, {"error": f"{request.method} {request.path} is no call of the registry"})
-    near = nearest(gateways, request.query.get("zone", ""), request.query.get("region", ""))
-    if not near:
+    addresses = find(request.query.get("zone", ""), request.query.get("region", ""))
+    if not addresses:
         return json_response(503, {"error": "no gateway is known to be ready"})
-    chosen = rng.sample(near, min(ADDRESSES_MAX, len(near)))
-    addresses = [peer.address for peer in chosen]
     return json_response(200, {"addresses": addresses, "ttl_s": min(TTL_S, ttl_max_s)})
--- a/brambleusher/dataplane/watcher.py
+++ b/brambleusher/dataplane/watcher.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from brambleusher.dataplane.controllers import Controllers, Place
 from brambleusher.dataplane.instances import Instance, Instances
 from brambleusher.dataplane.routes import RouteTable
+from brambleusher.membership.controllers import Controllers, places_of
 from brambleusher.membership.line_connection import LineClient
 from brambleusher.membership.views import Peer
 from brambleusher.runtime.scheduler import Scheduler, Timeout
@@ -82,6 +82,9 @@
                     self._figures_at = self._scheduler.now() + FIGURES_EVERY_S
                     question["figures"] = self._instances.report()
                 answer = client.call(question, ANSWER_S)
+                if answer.get("observer"):
+                    self._controllers.is_observer(address, places_of(answer.get("controllers")))
+                    return
                 self._take(answer)
                 if not first and brief and self._behind(answer):
                     # The other controller should bring it; if it does not, this one is asked for it all.
@@ -120,9 +123,7 @@
                 self._instances.hear(int(answer["reporters"]), answer["figures"], now)
             known = answer.get("controllers")
             if isinstance(known, list) and known and answer.get("contact"):
-                self._controllers.learn(
-                    (str(address), Place(str(zone), str(region))) for address, zone, region in known
-                )
+                self._controllers.learn(places_of(known))
         except (KeyError, TypeError, ValueError, InvalidConfiguration) as error:
             raise InvalidMessage(f"an answer can't be read: {error!r}") from error
 
--- a/brambleusher/gateway.py
+++ b/brambleusher/gateway.py
@@ -8,12 +8,12 @@
 import h11
 
 from brambleusher.dataplane.client_connection import NO_MEMORY, BodyMemory, ClientConnection, RequestTooLarge
-from brambleusher.dataplane.controllers import Controllers, Place
 from brambleusher.dataplane.counters import Counters
 from brambleusher.dataplane.instances import Instance, Instances
 from brambleusher.dataplane.serving import Serving
 from brambleusher.dataplane.upstream import Upstream
 from brambleusher.dataplane.watcher import Watcher
+from brambleusher.membership.controllers import Controllers, Place
 from brambleusher.membership.process import run_until_signalled
 from brambleusher.membership.settings_watch import SettingsWatch
 from brambleusher.membership.views import Peer, State
--- a/brambleusher/membership/controllers.py
+++ b/brambleusher/membership/controllers.py
@@ -1,10 +1,13 @@
-"""Which controllers a gateway follows, and how it leaves one that is silent or out of contact; pure."""
+"""Which controllers a process asks, and how it leaves one that is silent or out of contact; pure."""
 
 from __future__ import annotations
 
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
+
+from brambleusher.wire.errors import InvalidMessage
 
 KNOWN_MAX = 32
 REST_S = 1.0  # for a controller that failed, before it is tried again, doubled each time
@@ -25,6 +28,14 @@
         return 1 if self.region == other.region else 2
 
 
+def places_of(data: Any) -> list[tuple[str, Place]]:
+    """Addresses and places from their form on the wire; raises `InvalidMessage`."""
+    try:
+        return [(str(address), Place(str(zone), str(region))) for address, zone, region in data]
+    except (TypeError, ValueError) as error:
+        raise InvalidMessage(f"no list of controllers: {error}") from error
+
+
 class Controllers:
     """Known controllers; each watcher holds one, all different while there are enough, near ones first."""
 
@@ -32,18 +43,41 @@
         self._rng, self._here = rng, here
         self._seeds = seeds
         self._known: dict[str, Place] = dict.fromkeys(seeds, Place())
+        self._learned: dict[str, Place] = {}
+        self._observers: set[str] = set()
         self._rests: dict[str, tuple[float, float]] = {}  # address: until, for how long
         self._held: dict[int, str] = {}
 
     def learn(self, named: Iterable[tuple[str, Place]]) -> None:
         """A controller named others: they replace what was known, but for the seeds."""
-        places = dict(list(named)[:KNOWN_MAX])
-        self._known = {**dict.fromkeys(self._seeds, Place()), **places}
+        self._learned = dict(list(named)[:KNOWN_MAX])
+        self._follow()
 
     def reseed(self, seeds: tuple[str, ...]) -> None:
         """The settings name other seeds."""
         self._seeds = seeds
-        self._known = {**dict.fromkeys(seeds, Place()), **self._known}
+        self._follow()
+
+    def is_observer(self, address: str, named: Iterable[tuple[str, Place]]) -> None:
+        """A process said that it is no controller, and which controllers it knows."""
+        self._observers.add(address)
+        self._learned = {**dict(list(named)[:KNOWN_MAX]), **self._learned}
+        self._follow()
+
+    def _follow(self) -> None:
+        """Seeds that are observers are asked only while nobody else is known."""
+        known = {**dict.fromkeys(self._seeds, Place()), **self._learned}
+        controllers = {address: place for address, place in known.items() if address not in self._observers}
+        self._known = controllers or known
+        self._observers &= known.keys()
+
+    def learned(self) -> list[str]:
+        """Addresses that a controller named."""
+        return list(self._learned)
+
+    def places(self) -> list[tuple[str, str, str]]:
+        """Address, zone and region of the controllers that were named."""
+        return [(address, place.zone, place.region) for address, place in self._learned.items()]
 
     def take(self, watcher: int, now: float) -> str:
         """A controller for a watcher: one that rested enough, and that no other watcher holds."""
--- a/brambleusher/system_main.py
+++ b/brambleusher/system_main.py
@@ -14,6 +14,8 @@
 
 SETTINGS_VARIABLE = "BRAMBLEUSHER_SETTINGS"
 USAGE_STATUS = 2
+MEMBER = "member"
+ROLES = ("gateway", "controller", MEMBER)
 
 
 def start(role: str, path: str) -> int:
@@ -29,19 +31,32 @@
 
         Gateway(RealSystem(), settings, path).run()
         return 0
+    if not settings.data_dir:
+        return _start_without_disk(role, settings, path)
     from brambleusher.controller import Controller
 
-    if not settings.data_dir:
+    Controller(RealSystem(), settings, FolderDisk(settings.data_dir), path).run()
+    return 0
+
+
+def _start_without_disk(role: str, settings: reader.Settings, path: str) -> int:
+    """Where a controller may run on any machine of a class, one without a disk passes calls on."""
+    if role != MEMBER:
         print(f"brambleusher: {path}: data_dir: a controller needs a folder", file=sys.stderr)
         return USAGE_STATUS
-    Controller(RealSystem(), settings, FolderDisk(settings.data_dir), path).run()
+    from brambleusher.observer import Observer
+
+    Observer(RealSystem(), settings, path).run()
     return 0
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """`gateway`, `controller`, or one of the tools; the exit status."""
+    """`gateway`, `controller`, `member`, or one of the tools; the exit status.
+
+    A `member` of the control plane is a controller where its machine has a disk, and else an observer.
+    """
     words = sys.argv[1:] if arguments is None else list(arguments)
-    if words[:1] in (["gateway"], ["controller"]) and len(words) == 1:
+    if len(words) == 1 and words[0] in ROLES:
         path = os.environ.get(SETTINGS_VARIABLE, "")
         if not path:
             print(f"brambleusher: {SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
--- a/tests/system/test_dataplane_parts.py
+++ b/tests/system/test_dataplane_parts.py
@@ -8,12 +8,12 @@
 import pytest
 
 from brambleusher.dataplane.budgets import ColdBudget, RetryBudget, connections_of
-from brambleusher.dataplane.controllers import Controllers, Place
 from brambleusher.dataplane.events import EventSplitter, EventTooLong
 from brambleusher.dataplane.instances import COLD_MARGIN_S, Instances, Standing
 from brambleusher.dataplane.placement import Placement, Wanted
 from brambleusher.dataplane.prefixes import keepers, shared_prefix
 from brambleusher.dataplane.routes import RouteTable, pick_service
+from brambleusher.membership.controllers import Controllers, Place
 from brambleusher.wire.configuration import Configuration, Route, Service
 
 ZONES = {"n1": "north", "n2": "north", "s1": "south"}
--- /dev/null
+++ b/tests/system/test_observer.py
@@ -0,0 +1,149 @@
+"""Observers: machines that serve the control plane's callers without a disk, by asking controllers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from brambleusher.controlplane.relay import RelayServer
+from brambleusher.membership.controllers import Controllers, Place, places_of
+from brambleusher.wire.errors import InvalidMessage
+from tests.system.test_configuration_patch import patch, patch_body
+from tests.system.whole import DIRECTORY, Whole, configuration, route
+
+
+@pytest.fixture
+def whole() -> Iterator[Whole]:
+    whole = Whole(gateways=3, observers=3)
+    whole.add_server("a")
+    whole.served()
+    whole.sleep(3.0)
+    yield whole
+    whole.close()
+
+
+def test_orders_and_reads_pass_through(whole: Whole) -> None:
+    second = configuration(2, route("/n/"))
+    assert whole.put("o1", 1, second).status == 200
+    assert whole.put("o2", 1, second).status == 200
+    assert whole.control("o3", "GET", "/api/config").body == second
+    assert whole.put("o1", 1, configuration(3)).status == 412
+    assert whole.put("o1", 2, configuration(2)).status == 400
+    assert whole.put("o1", 2, b"{").status == 400
+    assert patch(whole, "o2", 2, patch_body(3, {"routes": [route("/d/")]})).status == 200
+    assert whole.control("o1", "POST", "/api/evacuations/n1").status == 200
+    whole.sleep(1.0)
+    assert whole.gateways["g1"].instances.evacuated == {"n1"}
+    assert whole.control("o2", "DELETE", "/api/evacuations/n1").status == 200
+    assert whole.control("o2", "GET", "/api/status").json()["role"] == "observer"
+
+
+def test_the_registry_answers_as_a_controller_does(whole: Whole) -> None:
+    ask = "/api/resolution?name=h&region=south&zone=s1"
+    for name in ("o1", "c1"):
+        reply = whole.call((whole.world.machines[name].ip, DIRECTORY), "GET", ask)
+        assert reply.status == 200
+        assert reply.json()["ttl_s"] > 0
+    ask = "/api/resolution?name=h&region=north&zone=n1"
+    near = whole.call((whole.world.machines["o1"].ip, DIRECTORY), "GET", ask)
+    assert set(near.json()["addresses"]) == {"10.2.0.1:8161", "10.2.0.2:8161"}
+
+
+def test_without_a_majority_nothing_is_acknowledged_and_nothing_is_read(whole: Whole) -> None:
+    for name in ("c1", "c2"):
+        whole.power_off(name)
+    assert whole.put("o1", 1, configuration(2)).status == 503
+    assert whole.control("o1", "GET", "/api/config").status == 503
+    assert whole.control("o1", "POST", "/api/evacuations/n1").status == 503
+
+
+def test_an_observer_leaves_a_controller_that_is_lost(whole: Whole) -> None:
+    for name in ("c1", "c2", "c3"):
+        whole.power_off(name)
+        whole.wait(lambda: whole.control("o1", "GET", "/api/config").status == 200)
+        whole.power_on(name)
+        whole.sleep(4.0)
+
+
+def test_the_registry_lives_on_its_last_answer_for_a_while(whole: Whole) -> None:
+    ask = ((whole.world.machines["o1"].ip, DIRECTORY), "GET", "/api/resolution?name=h&region=north&zone=n1")
+    assert whole.call(*ask).status == 200
+    for name in ("c1", "c2", "c3"):
+        whole.power_off(name)
+    whole.sleep(1.0)
+    assert whole.call(*ask).status == 200
+    whole.sleep(6.0)
+    assert whole.call(*ask).status == 503
+
+
+def test_an_observer_rests_while_nobody_calls(whole: Whole) -> None:
+    """It asks who the controllers are, every two seconds, and does nothing else."""
+    calls: list[str] = []
+    for controller in whole.controllers.values():
+        handle = controller._relay.handle
+
+        def counted(message: dict[str, Any], handle: Any = handle) -> dict[str, Any]:
+            calls.append(str(message["what"]))
+            return handle(message)  # type: ignore[no-any-return]
+
+        controller._relay.handle = counted  # type: ignore[method-assign]
+    whole.sleep(20.0)
+    assert set(calls) == {"controllers"}
+    assert 3 * 8 <= len(calls) <= 3 * 13
+
+
+def test_gateways_and_new_controllers_find_the_others_through_observers() -> None:
+    """All seeds are observers by now: whoever starts learns from them who is there."""
+    whole = Whole(gateways=2, observers=3)
+    whole.add_server("a")
+    whole.served()
+    whole.sleep(3.0)
+    whole.seeds = [f"10.4.0.{at}:8166" for at in (1, 2, 3)]
+    whole.add_gateway("g9", "10.2.0.9", "n1")
+    whole.wait(lambda: "g9" in whole.gateways and whole.gateways["g9"].ready, seconds=8.0)
+    whole.add_core("c9", "10.1.0.9")
+    whole.wait(lambda: "c9" in whole.controllers, seconds=5.0)
+    replica = whole.controllers["c9"].replica
+    whole.wait(lambda: replica.state.revision == 1, seconds=8.0)
+    whole.close()
+
+
+def test_what_an_observer_passed_on_is_not_passed_on_again(whole: Whole) -> None:
+    observer = whole.observers["o1"]
+    sent: list[str] = []
+    observer._send = lambda address, message: sent.append(address)  # type: ignore[method-assign]
+    assert observer._message({"kind": "join", "from": "x", "passed": True}, "host") is None
+    assert not sent
+    observer._message({"kind": "join", "from": "x"}, "host")
+    assert sorted(sent) == sorted(observer.controllers.learned())
+    assert sent
+
+
+HERE = Place("n1", "north")
+
+
+def test_seeds_that_are_observers_are_asked_only_while_nobody_else_is_known() -> None:
+    known = Controllers(("seed",), random.Random(1), HERE)
+    known.is_observer("seed", [])
+    assert known.take(0, 0.0) == "seed"
+    known.is_observer("seed", [("c", HERE)])
+    assert {known.take(0, float(at)) for at in range(20)} == {"c"}
+    known.learn([])
+    assert known.take(0, 0.0) == "seed"
+
+
+def test_a_list_of_controllers_that_is_none_is_told() -> None:
+    for data in (None, 3, [["a", "b"]], {"a": 1}):
+        with pytest.raises(InvalidMessage):
+            places_of(data)
+
+
+def test_a_relayed_call_that_can_not_be_read_is_told(whole: Whole) -> None:
+    controller = whole.controllers["c1"]
+    server = RelayServer(controller.scheduler, controller.replica, lambda zone, region: [], list)
+    for message in ({}, {"what": "else"}, {"what": "submit"}, {"what": "submit", "command": {"op": "put"}}):
+        with pytest.raises(InvalidMessage):
+            server.handle(message)
--- a/tests/system/test_system_tools.py
+++ b/tests/system/test_system_tools.py
@@ -33,7 +33,7 @@
 
 def test_the_deploy_file_of_this_project_is_whole(capsys: pytest.CaptureFixture[str]) -> None:
     assert system_main.main(["check-deploy", str(ROOT / "deploy" / "system.toml")]) == 0
-    assert "2 roles" in capsys.readouterr().out
+    assert "3 roles" in capsys.readouterr().out
 
 
 @pytest.mark.parametrize(
--- a/tests/system/whole.py
+++ b/tests/system/whole.py
@@ -13,6 +13,7 @@
 from brambleusher.controller import Controller
 from brambleusher.gateway import Gateway
 from brambleusher.lab.virtual.world import Machine, Process, VirtualSystem, World, WorldSettings
+from brambleusher.observer import Observer
 from brambleusher.runtime.acceptor import Acceptor
 from brambleusher.runtime.http_server import HttpRequest, HttpResponse, HttpServer, json_response
 from brambleusher.runtime.scheduler import Scheduler, Timeout
@@ -252,13 +253,16 @@
 class Whole:
     """Machines, processes, the platform's list, and calls from outside."""
 
-    def __init__(self, seed: int = 1, cores: int = 3, gateways: int = 2, tolerated: int = 1) -> None:
+    def __init__(
+        self, seed: int = 1, cores: int = 3, gateways: int = 2, tolerated: int = 1, observers: int = 0
+    ) -> None:
         self.world = World(seed, PLAIN)
         self.rng = random.Random(seed)
         self.tolerated = tolerated
         self.disks: dict[str, MemoryDisk] = {}
         self.controllers: dict[str, Controller] = {}
         self.gateways: dict[str, Gateway] = {}
+        self.observers: dict[str, Observer] = {}
         self.servers: dict[str, Server] = {}
         self.platform_down = False
         self.platform_calls = 0
@@ -271,7 +275,10 @@
             self.add_core(f"c{at + 1}", f"10.1.0.{at + 1}", bootstrap=True)
         for at in range(gateways):
             self.add_gateway(f"g{at + 1}", f"10.2.0.{at + 1}", self.zones[at % len(self.zones)])
+        for at in range(observers):
+            self.add_observer(f"o{at + 1}", f"10.4.0.{at + 1}")
         self.wait(lambda: len(self.controllers) == cores and len(self.gateways) == gateways)
+        self.wait(lambda: len(self.observers) == observers)
 
     # --- machines --------------------------------------------------------------------------------
 
@@ -326,6 +333,17 @@
 
         return machine.start(main, name)
 
+    def add_observer(self, name: str, ip: str) -> None:
+        """A machine that serves the control plane's callers without a disk."""
+        zone = self.zones[(int(name[1:]) - 1) % len(self.zones)]
+        settings = self._settings(name, ip, zone, True, core=True).model_copy(update={"data_dir": ""})
+
+        def main(system: VirtualSystem) -> None:
+            self.observers[name] = Observer(system, settings)
+            self.observers[name].run()
+
+        self.world.machine(name, ip).start(main, name)
+
     def add_gateway(self, name: str, ip: str, zone: str) -> None:
         self.world.machine(name, ip)
         self.start_gateway(name, zone)
