Gateways: a policy file with a checked key a mechanism; reported load in the weights

Cause: mechanisms could be measured only by editing, and X-Instance-Load was read nowhere. A fresh reported load (own, or others' by the sums) goes ahead of the estimate from attempts; it fades over 3 s, one report is bounded, malformed ones are ignored and counted. Sums have two figures more; six are still read.

--- a/brambleusher/controlplane/fleet_figures.py
+++ b/brambleusher/controlplane/fleet_figures.py
@@ -19,8 +19,12 @@
 INSTANCES_MOST = 2000
 DECIMALS = 2
 
-Figures = list[float]  # served, failed, in use, answers, sum of their latencies in aims, requests a second
-WIDTH = 6
+# Served, failed, in use, answers, sum of their latencies in aims, requests a second, reported loads (parts of
+# the slots) times their weights, these weights.
+Figures = list[float]
+WIDTH = 8
+WIDTH_BEFORE = 6  # of gateways that do not know reported loads
+LOAD_MOST = 2.0  # of one reported load
 
 
 def checked(report: Any) -> dict[str, Figures]:
@@ -29,16 +33,17 @@
         raise InvalidMessage("a report is no object of bounded size")
     bounded: dict[str, Figures] = {}
     for name, figures in report.items():
-        if not isinstance(figures, list) or len(figures) != WIDTH:
-            raise InvalidMessage("figures are no list of six")
+        if not isinstance(figures, list) or len(figures) not in (WIDTH_BEFORE, WIDTH):
+            raise InvalidMessage(f"figures are no list of {WIDTH}")
         if not all(isinstance(figure, int | float) and figure >= 0 for figure in figures):
             raise InvalidMessage("a figure is no number")
-        bounded[str(name)] = _bounded([float(figure) for figure in figures])
+        padded = [float(figure) for figure in figures] + [0.0] * (WIDTH - len(figures))
+        bounded[str(name)] = _bounded(padded)
     return bounded
 
 
 def _bounded(figures: Figures) -> Figures:
-    served, failed, used, answers, latency, rate = figures
+    served, failed, used, answers, latency, rate, load, weight = figures
     scale = min(
         1.0,
         COUNT_MOST / max(served + failed, COUNT_MOST),
@@ -46,7 +51,9 @@
     )
     kept = min(1.0, COUNT_MOST / max(answers, COUNT_MOST))
     latency = min(latency, INDEX_MOST * answers)
-    return [served * scale, failed * scale, used, answers * kept, latency * kept, rate]
+    weight = min(weight, 1.0)
+    load = min(load, LOAD_MOST * weight)
+    return [served * scale, failed * scale, used, answers * kept, latency * kept, rate, load, weight]
 
 
 class FleetFigures:
--- a/brambleusher/dataplane/instances.py
+++ b/brambleusher/dataplane/instances.py
@@ -12,7 +12,9 @@
 from brambleusher.runtime.streams import parse_address
 from brambleusher.runtime.system import Address
 from brambleusher.wire.configuration import Route, Service
-from quillpass.instance_weights import InstanceWeights
+from brambleusher.wire.instance_load import InstanceLoad
+from brambleusher.wire.policy import Policy
+from quillpass.instance_weights import InstanceWeights, Mechanisms
 
 DOWN_FIRST_S, DOWN_MOST_S = 0.25, 2.0  # after a failed connection an instance rests, longer each time
 COLD_MARGIN_S = 1.5  # the list lags: an instance may have started later than it seems
@@ -64,8 +66,9 @@
 class Instances:
     """All instances, and the weights of each service."""
 
-    def __init__(self, zones: Mapping[str, str], rng: random.Random) -> None:
+    def __init__(self, zones: Mapping[str, str], rng: random.Random, policy: Policy | None = None) -> None:
         self._zones, self._rng = zones, rng
+        self._policy = policy or Policy()
         self._known: dict[str, Instance] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self.weights: dict[str, InstanceWeights] = {}
@@ -125,6 +128,17 @@
         self._known[instance.id] = instance
         return instance
 
+    def _mechanisms(self) -> Mechanisms:
+        policy = self._policy
+        return Mechanisms(
+            spare=policy.spare_weights,
+            latency_index=policy.latency_index,
+            health=policy.health,
+            silence=policy.silence,
+            room_above_share=policy.room_above_share,
+            reported_load=policy.reported_load,
+        )
+
     def _warmup_s(self, service: str) -> float:
         known = self.services.get(service)
         return known.warmup_s + COLD_MARGIN_S if known is not None and known.warmup_s > 0 else 0.0
@@ -133,7 +147,7 @@
         for service, instances in self._by_service.items():
             weights = self.weights.get(service)
             if weights is None:
-                weights = self.weights[service] = InstanceWeights(self._rng)
+                weights = self.weights[service] = InstanceWeights(self._rng, self._mechanisms())
             weights.follow(
                 {
                     instance.id: instance.capacity
@@ -155,6 +169,12 @@
         for weights in self.weights.values():
             weights.tick(now, self.gateways)
 
+    def reported(self, instance: Instance, load: InstanceLoad) -> None:
+        """An instance told its load."""
+        weights = self.weights.get(instance.service)
+        if weights is not None:
+            weights.reported(instance.id, load.running, load.waiting, load.slots)
+
     def report(self) -> dict[str, list[float]]:
         """What this gateway saw of all instances, for the others."""
         reports: dict[str, list[float]] = {}
@@ -164,6 +184,8 @@
 
     def hear(self, reporters: int, sums: Mapping[str, list[float]], now: float) -> None:
         """What so many other gateways saw, added up."""
+        if not self._policy.fleet_figures:
+            return
         for weights in self.weights.values():
             weights.hear(reporters, sums, now)
 
@@ -178,13 +200,14 @@
             if instance.standing is Standing.READY
             and instance.zone not in self.evacuated
             and (not homes or instance.region in homes)
-            and instance.down_until <= now
+            and (instance.down_until <= now or not self._policy.rest_after_failure)
         ]
 
     def admits(self, instance: Instance, now: float) -> bool:
         """Whether one more send keeps within the bound of a cold instance; takes of its budget."""
         service = self.services.get(instance.service)
-        if not self.is_cold(instance, now) or service is None or service.cold_per_s <= 0:
+        bounded = service is not None and service.cold_per_s > 0 and self._policy.cold_budget
+        if not self.is_cold(instance, now) or service is None or not bounded:
             return True
         if instance.cold_budget is None:
             instance.cold_budget = ColdBudget(instance.id, now)
--- a/brambleusher/dataplane/placement.py
+++ b/brambleusher/dataplane/placement.py
@@ -8,6 +8,7 @@
 from brambleusher.dataplane.instances import Instance, Instances
 from brambleusher.dataplane.prefixes import LARGE_PREFIX_TOKENS, keepers
 from brambleusher.wire.configuration import Route
+from brambleusher.wire.policy import Policy
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,8 +24,9 @@
 class Placement:
     """Chooses among the instances of one gateway."""
 
-    def __init__(self, instances: Instances, region: str) -> None:
+    def __init__(self, instances: Instances, region: str, policy: Policy | None = None) -> None:
         self._instances, self._region = instances, region
+        self._policy = policy or Policy()
 
     def choose(self, wanted: Wanted, tried: Collection[str], now: float) -> Instance | None:
         """The instance for the next attempt, none of those tried; None where none may be used now."""
@@ -44,17 +46,21 @@
 
         A prompt on its way to another region is far less than its shared part read once more there.
         """
-        if wanted.prefix_tokens >= LARGE_PREFIX_TOKENS:
+        if self._kept(wanted) or not self._policy.own_region_first:
             return [usable]
         near = [instance for instance in usable if instance.region == self._region]
         return [near, [instance for instance in usable if instance.region != self._region]]
 
+    def _kept(self, wanted: Wanted) -> bool:
+        """Whether a request's shared prefix is worth one instance that keeps it."""
+        return self._policy.prefix_keepers and wanted.prefix_tokens >= LARGE_PREFIX_TOKENS
+
     def _among(self, wanted: Wanted, group: list[Instance], now: float, only_well: bool) -> Instance | None:
         weights = self._instances.weights.get(wanted.service)
         if weights is None:
             return None
         by_id = {instance.id: instance for instance in group if not only_well or weights.well(instance.id)}
-        if wanted.prefix_tokens >= LARGE_PREFIX_TOKENS:
+        if self._kept(wanted):
             for name in keepers(wanted.prefix_key, by_id):
                 if self._instances.admits(by_id[name], now):
                     weights.choose([name], now)
--- a/brambleusher/dataplane/serving.py
+++ b/brambleusher/dataplane/serving.py
@@ -19,6 +19,7 @@
 from brambleusher.dataplane.upstream import Answer, Upstream
 from brambleusher.runtime.scheduler import Scheduler, Timeout
 from brambleusher.wire.configuration import Route
+from brambleusher.wire.policy import Policy
 from brambleusher.wire.settings import Bounds
 
 SENDS_MAX = 4  # of one request, rejections and failed connections included
@@ -63,10 +64,12 @@
         upstream: Upstream,
         counters: Counters,
         rng: random.Random,
+        policy: Policy | None = None,
     ) -> None:
         self._scheduler, self._bounds, self._rng = scheduler, bounds, rng
         self._instances, self._upstream, self._counters = instances, upstream, counters
-        self._placement = Placement(instances, region)
+        self._policy = policy or Policy()
+        self._placement = Placement(instances, region, self._policy)
         self._budgets: dict[str, RetryBudget] = {}
 
     def serve(self, client: ClientConnection, request: Request, routes: RouteTable) -> None:
@@ -132,7 +135,7 @@
             if not self._upstream.has_room(instance):
                 work.refusal = "connections"
                 continue
-            if work.sends and not budget.take(now):
+            if work.sends and self._policy.retry_budget and not budget.take(now):
                 work.refusal = "retry_budget"
                 return None
             result = self._attempt(work, instance)
@@ -247,7 +250,7 @@
         """Go on with a stream at another instance; None where that may not be."""
         if last_id is not None:
             work.last_event = str(last_id).encode()
-        answer = self._attempts(work, budget)
+        answer = self._attempts(work, budget) if self._policy.resume else None
         if answer is None:
             return None
         if answer.status != 200:
--- a/brambleusher/dataplane/upstream.py
+++ b/brambleusher/dataplane/upstream.py
@@ -15,6 +15,8 @@
 from brambleusher.runtime.h11_messages import next_event, whole
 from brambleusher.runtime.scheduler import Scheduler, Timeout
 from brambleusher.runtime.streams import Stream
+from brambleusher.wire import instance_load
+from brambleusher.wire.policy import Policy
 from quillpass.api import Status
 from quillpass.idle import Trust
 
@@ -106,11 +108,19 @@
 class Upstream:
     """The pools of connections, one an instance."""
 
-    def __init__(self, scheduler: Scheduler, instances: Instances, forgetful: bool = False) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        instances: Instances,
+        forgetful: bool = False,
+        policy: Policy | None = None,
+    ) -> None:
         """With `forgetful` instances may drop idle connections unseen, at any time."""
         self._scheduler, self._instances = scheduler, instances
         self._trust = Trust(IDLE_MOST_S * SECOND, TRUSTED_S * SECOND)
         self._forgetful = forgetful
+        self._policy = policy or Policy()
+        self.malformed_loads = 0
 
     # --- the pool --------------------------------------------------------------------------------
 
@@ -161,7 +171,7 @@
 
     def _take(self, instance: Instance, once: bool) -> Connection | None:
         now = self._scheduler.now()
-        trusted = self._trust.trust_ns / SECOND
+        trusted = self._trust.trust_ns / SECOND if self._policy.idle_trust else IDLE_MOST_S
         if once and self._forgetful:
             trusted = min(trusted, TRUSTED_S)
         while instance.idle:
@@ -233,11 +243,21 @@
         if connection.rested_s:
             self._trust.ended(Status.OK, int(connection.rested_s * SECOND))
             connection.rested_s = 0.0
+        self._note_load(instance, head.headers)
         answer = Answer(self, instance, connection, head)
         if head.status_code == 421 or any(name == b"x-not-executed" for name, _ in head.headers):
             return self._rejected(answer, deadline)
         return Ok(answer)
 
+    def _note_load(self, instance: Instance, headers: Headers) -> None:
+        for name, value in headers:
+            if name == instance_load.HEADER:
+                load = instance_load.read(value)
+                if load is None:
+                    self.malformed_loads += 1
+                else:
+                    self._instances.reported(instance, load)
+
     @staticmethod
     def _rejected(answer: Answer, deadline: float) -> Result[Answer, AttemptFailure]:
         try:
--- a/brambleusher/gateway.py
+++ b/brambleusher/gateway.py
@@ -23,6 +23,7 @@
 from brambleusher.runtime.streams import Stream, parse_address
 from brambleusher.runtime.system import System
 from brambleusher.wire.configuration import Limits
+from brambleusher.wire.policy import Policy
 from brambleusher.wire.settings import Settings
 
 log = logging.getLogger(__name__)
@@ -44,7 +45,9 @@
 class Gateway:
     """One process of the data plane."""
 
-    def __init__(self, system: System, settings: Settings, path: str = "") -> None:
+    def __init__(
+        self, system: System, settings: Settings, path: str = "", policy: Policy | None = None
+    ) -> None:
         self.scheduler = Scheduler(system)
         self.settings = settings
         rng = random.Random(f"{settings.node_name} {system.wall_ns()}")
@@ -54,9 +57,10 @@
         self._active = 0
         self._clients: set[ClientConnection] = set()
         self._body_memory = BodyMemory(settings.limits.memory_mb * BYTES_A_MB // BODIES_PART)
+        policy = policy or Policy()
         self.counters = Counters()
-        self.instances = Instances(settings.zones, rng)
-        self._upstream = Upstream(self.scheduler, self.instances, POOL_CONTRACT in settings.in_force)
+        self.instances = Instances(settings.zones, rng, policy)
+        self._upstream = Upstream(self.scheduler, self.instances, POOL_CONTRACT in settings.in_force, policy)
         self._controllers = Controllers(settings.seed_peers(), rng, Place(settings.zone, settings.region))
         self._watcher = Watcher(
             self.scheduler, self._controllers, self.instances, self._self, self._close_idle
@@ -69,6 +73,7 @@
             self._upstream,
             self.counters,
             rng,
+            policy,
         )
         self._ready = HttpServer(self.scheduler, parse_address(settings.bind.ready), self._answer_ready)
         self._front = Acceptor(self.scheduler, parse_address(settings.bind.front), self._serve, CLIENTS_MAX)
@@ -208,6 +213,7 @@
             "revision": routes.revision if routes is not None else 0,
             "gateways": self.instances.gateways,
             "weights": {name: weights.weights() for name, weights in self.instances.weights.items()},
+            "malformed_loads": self._upstream.malformed_loads,
             "counters": self.counters.as_json(),
         }
 
--- a/brambleusher/system_main.py
+++ b/brambleusher/system_main.py
@@ -9,8 +9,10 @@
 from brambleusher import logs
 from brambleusher.runtime.disk import FolderDisk
 from brambleusher.runtime.real import RealSystem
+from brambleusher.wire import policy as policy_reader
 from brambleusher.wire import settings as reader
-from brambleusher.wire.errors import InvalidSettings
+from brambleusher.wire.errors import InvalidFile
+from brambleusher.wire.policy import Policy
 
 SETTINGS_VARIABLE = "BRAMBLEUSHER_SETTINGS"
 USAGE_STATUS = 2
@@ -18,18 +20,19 @@
 ROLES = ("gateway", "controller", MEMBER)
 
 
-def start(role: str, path: str) -> int:
+def start(role: str, path: str, policy_path: str = "") -> int:
     """Run a role with a settings file until it ends; the exit status."""
     logs.configure()
     try:
         settings = reader.read(path)
-    except InvalidSettings as error:
+        policy = policy_reader.read(policy_path) if policy_path else Policy()
+    except InvalidFile as error:
         print(f"brambleusher: {error}", file=sys.stderr)
         return USAGE_STATUS
     if role == "gateway":
         from brambleusher.gateway import Gateway
 
-        Gateway(RealSystem(), settings, path).run()
+        Gateway(RealSystem(), settings, path, policy).run()
         return 0
     if not settings.data_dir:
         return _start_without_disk(role, settings, path)
@@ -53,15 +56,19 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """`gateway`, `controller`, `member`, or one of the tools; the exit status.
 
-    A `member` of the control plane is a controller where its machine has a disk, and else an observer.
+    A gateway takes `--policy FILE` too.  A `member` of the control plane is a controller where its
+    machine has a disk, and else an observer.
     """
     words = sys.argv[1:] if arguments is None else list(arguments)
+    policy_path = ""
+    if words[:2] == ["gateway", "--policy"] and len(words) == 3:
+        words, policy_path = words[:1], words[2]
     if len(words) == 1 and words[0] in ROLES:
         path = os.environ.get(SETTINGS_VARIABLE, "")
         if not path:
             print(f"brambleusher: {SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
             return USAGE_STATUS
-        return start(words[0], path)
+        return start(words[0], path, policy_path)
     from brambleusher.system_tools import run
 
     return run(words)
--- a/brambleusher/system_tools.py
+++ b/brambleusher/system_tools.py
@@ -16,8 +16,9 @@
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.streams import parse_address
 from brambleusher.wire import configuration
+from brambleusher.wire import policy as policy_reader
 from brambleusher.wire import settings as settings_reader
-from brambleusher.wire.errors import InvalidConfiguration, InvalidSettings
+from brambleusher.wire.errors import InvalidConfiguration, InvalidPolicy, InvalidSettings
 
 CALL_S = 3.0
 SERVES = frozenset({"edge", "controller", "registry"})
@@ -68,6 +69,23 @@
     return f"{path}: {len(data['roles'])} roles"
 
 
+def check_policy(path: str) -> str:
+    """Read a policy file as a gateway would at its start."""
+    try:
+        held = policy_reader.read(path)
+    except InvalidPolicy as error:
+        raise Fault(str(error)) from error
+    off = [name for name, _, _ in policy_reader.described() if not getattr(held, name)]
+    return f"{path}: switched off: {', '.join(off) or 'nothing'}"
+
+
+def policy() -> str:
+    """List the keys of a policy file with their defaults and meanings."""
+    return "\n".join(
+        f"{name} = {default}  # {meaning}" for name, default, meaning in policy_reader.described()
+    )
+
+
 def state(folder: str) -> str:
     """Verify a controller's state folder, changing nothing, and show what it holds as one JSON object."""
     if not Path(folder).is_dir():
@@ -105,6 +123,8 @@
     "check-settings": check_settings,
     "check-configuration": check_configuration,
     "check-deploy": check_deploy,
+    "check-policy": check_policy,
+    "policy": policy,
     "state": state,
     "status": status,
 }
--- a/brambleusher/wire/errors.py
+++ b/brambleusher/wire/errors.py
@@ -29,8 +29,8 @@
 
 
 @dataclass(eq=False)
-class InvalidSettings(Exception):
-    """A settings file that can't be used; names the file and the key."""
+class InvalidFile(Exception):
+    """A file that can't be used; names the file and the key."""
 
     path: str
     key: str
@@ -39,3 +39,11 @@
     def __str__(self) -> str:
         """For logs and answers."""
         return f"{self.path}: {self.key}: {self.reason}"
+
+
+class InvalidSettings(InvalidFile):
+    """A settings file that can't be used."""
+
+
+class InvalidPolicy(InvalidFile):
+    """A policy file that can't be used."""
--- a/quillpass/instance_weights.py
+++ b/quillpass/instance_weights.py
@@ -1,9 +1,9 @@
-"""Weights of a service's instances as one gateway sees them: the design's path without reports; pure.
+"""Weights of a service's instances as one gateway sees them, on the design's path; pure.
 
-Instances send no figures of their own.  A gateway derives an instance's throughput and utilisation from
-its own traffic and the capacity on the list: of so many slots, this gateway's part is used by its own
-attempts.  Spare capacity is throughput over utilisation times one minus utilisation.  From there on it is
-the path of `quillpass/balance.py`, with the same functions.  Times are seconds.
+Some instances tell their load with their answers, others tell nothing.  For these a gateway derives
+utilisation from its own traffic and the capacity on the list: of so many slots, this gateway's part is used
+by its own attempts.  Spare capacity is throughput over utilisation times one minus utilisation.  From there
+on it is the path of `quillpass/balance.py`, with the same functions.  Times are seconds.
 """
 
 from __future__ import annotations
@@ -28,9 +28,23 @@
 PRIORITIES = 10
 SILENCE_PASSED_OVER = 0.6  # of an aim: usual answers begin within a third
 ROOM_ABOVE_SHARE = 1.25  # times its share of the attempts out that an instance may hold
+LOAD_FRESH_S = 3.0  # a reported load counts less and less; after so long about a third
+LOAD_BELIEVED = 0.3  # of one fresh report: with less the estimate from attempts is better
+LOAD_MOST = 2.0  # of the slots: what one report may claim
 
+NO_FIGURES = (0.0,) * 8
 
-NO_FIGURES = (0.0,) * 6
+
+@dataclass(frozen=True, slots=True)
+class Mechanisms:
+    """Which parts of the path act; all of them in service."""
+
+    spare: bool = True
+    latency_index: bool = True
+    health: bool = True
+    silence: bool = True
+    room_above_share: bool = True
+    reported_load: bool = True
 
 
 @dataclass(slots=True)
@@ -50,7 +64,10 @@
     failed: float = 0.0
     answered_at: float = -math.inf  # when an answer began last
     quiet_index: float = 0.0  # of the last quiet spell, which counts where nothing is recent
-    # Sums over the other gateways: served, failed, in use, answers, latencies in aims, requests a second.
+    load: float = 0.0  # that the instance told last, as a part of its slots
+    load_weight: float = 0.0  # 1 for a report of this moment, less for an older one
+    # Sums over the other gateways: served, failed, in use, answers, latencies in aims, requests a second,
+    # reported loads times their weights, these weights.
     others: Sequence[float] = NO_FIGURES
     weight: float = 0.0
     tokens: int = 0
@@ -92,7 +109,13 @@
         return weights <= 0 or len(self.out) < ROOM_ABOVE_SHARE * out * self.weight / weights + 1
 
     def utilisation(self, gateways: float, reporters: int) -> float | None:
-        """The part of its capacity in use, were all gateways like those heard of; None without figures."""
+        """The part of its capacity in use: as it says, else as if all gateways were like those heard of.
+
+        None without figures.
+        """
+        told = self.load_weight + self.others[7]
+        if told >= LOAD_BELIEVED:
+            return min(1.0, (self.load * self.load_weight + self.others[6]) / told)
         if self.seen < TICK_S:
             return None
         used = (self.used + self.others[2]) * gateways / (reporters + 1)
@@ -107,6 +130,8 @@
             sum(self.late_n),
             sum(self.late_sum),
             self.rate,
+            self.load * self.load_weight,
+            self.load_weight,
         )
         return [round(max(0.0, figure), 2) for figure in figures]
 
@@ -114,8 +139,9 @@
 class InstanceWeights:
     """Weights and tokens of one service's ready instances."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, mechanisms: Mechanisms | None = None) -> None:
         self._rng = rng
+        self._mechanisms = mechanisms or Mechanisms()
         self._known: dict[str, Figures] = {}
         self._ring: list[Figures] = []
         self._at = 0
@@ -179,6 +205,13 @@
         if figures is not None:
             figures.failed += 1
 
+    def reported(self, name: str, running: float, waiting: float, slots: float) -> None:
+        """An instance told its load with an answer."""
+        figures = self._known.get(name)
+        if figures is not None and self._mechanisms.reported_load:
+            figures.load = min(LOAD_MOST, (running + waiting) / max(slots, 1.0))
+            figures.load_weight = 1.0
+
     # --- other gateways ---------------------------------------------------------------------------
 
     def report(self) -> dict[str, list[float]]:
@@ -187,10 +220,10 @@
         return {name: report for name, report in reports.items() if any(report)}
 
     def hear(self, reporters: int, sums: Mapping[str, Sequence[float]], now: float) -> None:
-        """What so many other gateways saw, added up."""
+        """What so many other gateways saw, added up; an older version's sums have no reported loads."""
         self._reporters, self._heard_at = reporters, now
         for figures in self._known.values():
-            figures.others = sums.get(figures.name, NO_FIGURES)
+            figures.others = (*sums.get(figures.name, ()), *NO_FIGURES)[: len(NO_FIGURES)]
 
     def _forget_others(self, now: float) -> None:
         if self._reporters and now - self._heard_at > OTHERS_FRESH_S:
@@ -218,6 +251,7 @@
         figures.used = figures.used * kept + len(figures.out) * (1 - kept)
         figures.seen = min(FIGURES_S, figures.seen + gap)
         figures.ended = 0
+        figures.load_weight *= math.exp(-gap / LOAD_FRESH_S)
         recent, health = math.exp(-gap / INDEX_S), math.exp(-gap / HEALTH_S)
         if sum(figures.late_n) >= 1 and not figures.failed > 0.5:
             figures.quiet_index = min(PI_GOAL, sum(figures.late_sum) / sum(figures.late_n))
@@ -232,10 +266,11 @@
         known = [spare for spare in spares if spare is not None]
         middle = median(known) if known else 1.0
         base = [middle if spare is None else spare for spare in spares]
+        acts = self._mechanisms
         weights = final_weights(
-            base,
-            [figures.index(now) for figures in self._ring],
-            [figures.health() for figures in self._ring],
+            base if acts.spare else [1.0] * len(base),
+            [figures.index(now) if acts.latency_index else 0.0 for figures in self._ring],
+            [figures.health() if acts.health else 1.0 for figures in self._ring],
         )
         scale = len(self._ring) / WEIGHT_TOTAL
         for figures, weight in zip(self._ring, weights, strict=True):
@@ -294,8 +329,8 @@
         for step in range(len(self._ring)):
             place = (self._at + step) % len(self._ring)
             figures = self._ring[place]
-            fits = figures.tokens > 0 and figures.name in wanted and figures.has_room(out, share)
-            if fits and figures.silence(now) < SILENCE_PASSED_OVER:
+            fits = figures.tokens > 0 and figures.name in wanted and self._has_room(figures, out, share)
+            if fits and not self._silent(figures, now):
                 figures.tokens -= 1
                 self._at = place + 1
                 return figures.name
@@ -309,14 +344,19 @@
             figures.credit -= fresh
             figures.tokens = max(figures.tokens, fresh)
 
-    @staticmethod
-    def _borrow(candidates: Iterable[Figures], now: float) -> str | None:
+    def _has_room(self, figures: Figures, out: int, share: float) -> bool:
+        return not self._mechanisms.room_above_share or figures.has_room(out, share)
+
+    def _silent(self, figures: Figures, now: float) -> bool:
+        return self._mechanisms.silence and figures.silence(now) >= SILENCE_PASSED_OVER
+
+    def _borrow(self, candidates: Iterable[Figures], now: float) -> str | None:
         """Those without weight come last: all-zero candidates count as equal."""
         best = min(
             candidates,
             key=lambda figures: (
                 figures.weight <= 0,
-                figures.silence(now) >= SILENCE_PASSED_OVER,
+                self._silent(figures, now),
                 (len(figures.out) + 1) / (figures.weight or 1.0),
                 figures.name,
             ),
--- a/tests/system/test_fleet_figures.py
+++ b/tests/system/test_fleet_figures.py
@@ -16,7 +16,7 @@
 )
 from brambleusher.wire.errors import InvalidMessage
 
-ONE = [2.0, 1.0, 0.5, 2.0, 0.8, 3.0]
+ONE = [2.0, 1.0, 0.5, 2.0, 0.8, 3.0, 0.5, 1.0]
 
 
 def test_the_sum_leaves_out_who_asks() -> None:
@@ -25,7 +25,7 @@
         figures.take(name, checked({"a": ONE}), 0.0)
     reporters, sums = figures.others("g1", 0.1)
     assert reporters == 2
-    assert sums["a"] == [4.0, 2.0, 1.0, 4.0, 1.6, 6.0]
+    assert sums["a"] == [4.0, 2.0, 1.0, 4.0, 1.6, 6.0, 1.0, 2.0]
     assert figures.others("other", 0.1)[0] == 3
 
 
@@ -40,18 +40,19 @@
     """Nineteen saw an instance well, one claims that everything failed."""
     figures = FleetFigures()
     for number in range(19):
-        figures.take(f"g{number}", checked({"a": [5.0, 0.0, 0.0, 0.0, 0.0, 0.0]}), 0.0)
-    figures.take("liar", checked({"a": [0.0, 1e9, 0.0, 1e9, 1e18, 0.0]}), 0.0)
-    served, failed, _, answers, latency, _ = figures.others("x", 0.1)[1]["a"]
+        figures.take(f"g{number}", checked({"a": [5.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.2, 1.0]}), 0.0)
+    figures.take("liar", checked({"a": [0.0, 1e9, 0.0, 1e9, 1e18, 0.0, 1e9, 1e9]}), 0.0)
+    served, failed, _, answers, latency, _, load, weight = figures.others("x", 0.1)[1]["a"]
     assert failed <= FAILED_MOST
     assert served / (served + failed) > 0.95
     assert answers <= COUNT_MOST
     assert latency <= 4.0 * COUNT_MOST
+    assert load / weight < 0.3
 
 
 @pytest.mark.parametrize(
     "report",
-    [[], {"a": 1}, {"a": [1, 2]}, {"a": [1, 2, 3, 4, 5, "6"]}, {"a": [1, 2, 3, 4, 5, -6]}, {"a": [None] * 6}],
+    [[], {"a": 1}, {"a": [1, 2]}, {"a": [1, 2, 3, 4, 5, "6"]}, {"a": [1, 2, 3, 4, 5, -6]}, {"a": [None] * 8}],
 )
 def test_a_report_that_is_none_is_refused(report: Any) -> None:
     with pytest.raises(InvalidMessage):
--- /dev/null
+++ b/tests/system/test_policy.py
@@ -0,0 +1,201 @@
+"""The policy file: keys, defaults, what a wrong one says, and that each key switches its mechanism off."""
+
+from __future__ import annotations
+
+import random
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from brambleusher import system_main
+from brambleusher.dataplane.instances import Instances
+from brambleusher.dataplane.placement import Placement
+from brambleusher.wire import instance_load, policy
+from brambleusher.wire.configuration import Service
+from brambleusher.wire.errors import InvalidPolicy
+from brambleusher.wire.instance_load import InstanceLoad
+from brambleusher.wire.policy import Policy
+from quillpass.instance_weights import (
+    LOAD_FRESH_S,
+    LOAD_MOST,
+    SILENCE_PASSED_OVER,
+    TICK_S,
+    InstanceWeights,
+    Mechanisms,
+)
+from tests.system.test_dataplane_parts import ZONES, entry, wanted
+from tests.system.test_instance_weights import AIM_S, send, ticks
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("own_region = true", "own_region"),
+        ("health = 1", "health"),
+        ('resume = "no"', "resume"),
+        ("x", "file"),
+    ],
+)
+def test_a_wrong_key_is_named(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], text: str, key: str
+) -> None:
+    path = tmp_path / "policy.toml"
+    path.write_text(text)
+    with pytest.raises(InvalidPolicy) as told:
+        policy.read(str(path))
+    assert told.value.key == key
+    assert system_main.main(["check-policy", str(path)]) == 1
+    assert key in capsys.readouterr().err
+
+
+def test_all_keys_are_listed_and_the_list_is_a_policy_file(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert system_main.main(["policy"]) == 0
+    listed = capsys.readouterr().out
+    assert set(tomllib.loads(listed)) == set(Policy.model_fields)
+    path = tmp_path / "policy.toml"
+    path.write_text(listed)
+    assert policy.read(str(path)) == Policy()
+
+
+def test_a_missing_file_is_told(tmp_path: Path) -> None:
+    with pytest.raises(InvalidPolicy):
+        policy.read(str(tmp_path / "none.toml"))
+
+
+def known(held: Policy, *entries: dict[str, object]) -> Instances:
+    made = Instances(ZONES, random.Random(1), held)
+    made.services = {"llm": Service(name="llm", warmup_s=3.0, cold_per_s=10.0)}
+    made.take_list(list(entries), 0.0, 0.0)
+    return made
+
+
+def chosen(held: Policy, key: str = "", tokens: int = 0) -> set[str]:
+    instances = known(held, entry("a"), entry("b", "n2"), entry("c", "s1"))
+    placement = Placement(instances, "north", held)
+    found = [placement.choose(wanted(key, tokens), (), 0.0) for _ in range(12)]
+    return {instance.id for instance in found if instance}
+
+
+def test_own_region_and_keepers_are_switched_off() -> None:
+    assert chosen(Policy()) == {"a", "b"}
+    assert chosen(Policy(own_region_first=False)) == {"a", "b", "c"}
+    assert len(chosen(Policy(), "k", 5000)) == 1
+    assert len(chosen(Policy(prefix_keepers=False), "k", 5000)) == 2
+
+
+def test_cold_budget_and_rest_are_switched_off() -> None:
+    for held, most in ((Policy(), 1), (Policy(cold_budget=False), 5)):
+        instances = known(held, entry("a"))
+        instances.gateways = 1.0
+        instances.take_list([entry("a"), entry("b")], 1.0, 1.0)
+        cold = next(instance for instance in instances.of("llm") if instance.id == "b")
+        assert sum(instances.admits(cold, 1.0) for _ in range(5)) == most
+        cold.failed_to_connect(1.0)
+        usable = {instance.id for instance in instances.usable(wanted().route, "llm", 1.0)}
+        assert ("b" in usable) is not held.rest_after_failure
+    rests = known(Policy(rest_after_failure=False), entry("a"))
+    rests.of("llm")[0].failed_to_connect(1.0)
+    assert rests.usable(wanted().route, "llm", 1.0)
+
+
+def weights_with(**off: bool) -> InstanceWeights:
+    weights = InstanceWeights(random.Random(1), Mechanisms(**off))
+    weights.follow({"a": 64.0, "b": 64.0})
+    weights.tick(0.0, 1.0)
+    return weights
+
+
+def test_health_and_latency_are_switched_off() -> None:
+    for off, differs in (({}, True), ({"health": False}, False)):
+        weights = weights_with(**off, latency_index=False, spare=False)
+        for at in range(8):
+            send(weights, "a", at / 100, well=False)
+            send(weights, "b", at / 100)
+        ticks(weights, 0.0, 2)
+        held = weights.weights()
+        assert (held["a"] < held["b"]) is differs
+    for off, differs in (({}, True), ({"latency_index": False}, False)):
+        weights = weights_with(**off, spare=False)
+        for at in range(8):
+            send(weights, "a", at / 100, latency=AIM_S * 1.3)
+            send(weights, "b", at / 100)
+        ticks(weights, 0.0, 1)
+        held = weights.weights()
+        assert (held["a"] < held["b"]) is differs
+
+
+def test_silence_is_switched_off() -> None:
+    for off, expected in (({}, {"b"}), ({"silence": False}, {"a", "b"})):
+        weights = weights_with(**off, room_above_share=False)
+        weights.started("a", 0, AIM_S, 0.0)
+        now = AIM_S * (SILENCE_PASSED_OVER + 0.1)
+        assert {weights.choose(["a", "b"], now) for _ in range(2)} == expected
+
+
+# --- the load that instances tell ------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,1,96", InstanceLoad(3, 1, 96)),
+        (b" 3 , 1 , 96 ", InstanceLoad(3, 1, 96)),
+        (b"0,0,1", InstanceLoad(0, 0, 1)),
+        *(
+            (bad, None)
+            for bad in (b"", b"3,1", b"3,1,96,2", b"a,1,96", b"-1,0,96", b"1.5,0,9", b"1,1,0", b"9" * 40)
+        ),
+    ],
+)
+def test_a_load_is_read_or_ignored(value: bytes, load: InstanceLoad | None) -> None:
+    assert instance_load.read(value) == load
+
+
+def test_the_fuller_instance_gets_less_at_once() -> None:
+    weights = weights_with()
+    weights.reported("a", 48, 0, 64)
+    weights.reported("b", 0, 0, 64)
+    ticks(weights, 0.0, 1)
+    held = weights.weights()
+    assert held["a"] == pytest.approx(held["b"] / 4, rel=0.1)
+
+
+def test_without_the_mechanism_and_without_reports_nothing_changes() -> None:
+    weights = weights_with(reported_load=False)
+    weights.reported("a", 64, 10, 64)
+    ticks(weights, 0.0, 1)
+    assert weights.weights() == {"a": 32.0, "b": 32.0}
+
+
+def test_what_others_were_told_counts_and_a_report_fades() -> None:
+    weights = weights_with()
+    weights.hear(5, {"a": [0, 0, 0, 0, 0, 0, 4.0, 5.0], "b": [0, 0, 0, 0, 0, 0, 0.0, 5.0]}, 0.0)
+    ticks(weights, 0.0, 1)
+    assert weights.weights()["a"] < weights.weights()["b"] / 3
+    alone = weights_with()
+    alone.reported("a", 60, 0, 64)
+    steps = int(3 * LOAD_FRESH_S / TICK_S)
+    ticks(alone, 0.0, steps)
+    assert alone.weights() == {"a": 32.0, "b": 32.0}
+
+
+def test_sums_of_an_older_controller_have_no_reports() -> None:
+    weights = weights_with()
+    weights.hear(2, {"a": [3.0, 0.0, 1.0, 3.0, 0.3, 1.0]}, 0.0)
+    ticks(weights, 0.0, 1)
+    assert set(weights.weights()) == {"a", "b"}
+
+
+def test_what_one_liar_can_move_is_bounded() -> None:
+    """One that claims to be idle gets no more than an idle one would; one that claims anything gets none."""
+    weights = weights_with()
+    weights.reported("a", 0, 0, 1)
+    weights.reported("b", 32, 0, 64)
+    ticks(weights, 0.0, 1)
+    held = weights.weights()
+    assert held["a"] <= 2.1 * held["b"]
+    weights.reported("a", 10**6, 10**6, 1)
+    assert weights.report()["a"][6] <= LOAD_MOST
