--- /dev/null
+++ b/benchmarks/ablation.py
@@ -0,0 +1,225 @@
+"""What each mechanism of a gateway's policy is worth: the standard days of sites with one key off at a time.
+
+Each variant is a copy of this repository's newest commit with its own `deploy/policy.toml`; a bench plays the
+standard days of a site on it, each with the seed of the day, so that two variants are paired by day.
+Results go to a file of JSON lines, one play a line: what stands there is not played again.
+Run: python -m benchmarks.ablation plan --bench PATH --sites A.toml,B.toml --out FOLDER [--keys health]
+Then: python -m benchmarks.ablation table --out FOLDER
+"""
+
+from __future__ import annotations
+
+import json
+import shutil
+import subprocess
+import sys
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from statistics import mean, stdev
+
+from rich.progress import Progress
+
+from brambleusher.wire.policy import Policy
+
+ROOT = Path(__file__).resolve().parent.parent
+RESULTS = "plays.jsonl"
+DEFAULT = "all on"
+PLAY_S = 1500.0  # one site with one variant
+NOISE = 0.03  # of a score: below it a difference says nothing
+
+
+class AblationError(Exception):
+    """A wrong call, or a bench that could not play."""
+
+
+@dataclass(frozen=True)
+class Play:
+    """One day as one variant played it; `worth` is the bench's, less prices, not cut to 0 and 1."""
+
+    variant: str
+    site: str
+    day: str
+    round: int
+    worth: float
+    broken: str
+    journal: str
+
+    @property
+    def key(self) -> tuple[str, str, int]:
+        """Which plays of two variants belong together."""
+        return self.site, self.day, self.round
+
+
+def _listed(given: object) -> list[str]:
+    """Words separated by commas; `fire` makes tuples of them."""
+    if isinstance(given, list | tuple):
+        return [str(each) for each in given]
+    return [word for word in str(given).split(",") if word]
+
+
+def _variants(keys: list[str]) -> list[str]:
+    unknown = sorted(set(keys) - set(Policy.model_fields))
+    if unknown:
+        raise AblationError(f"--keys: {', '.join(unknown)}: no key of the policy")
+    return [DEFAULT, *(keys or list(Policy.model_fields))]
+
+
+def read_plays(folder: Path) -> list[Play]:
+    """The plays of a folder, in the order in which they were made."""
+    path = folder / RESULTS
+    if not path.exists():
+        return []
+    return [Play(**json.loads(line)) for line in path.read_text(encoding="utf-8").splitlines()]
+
+
+def _copy(folder: Path, variant: str) -> Path:
+    """The repository's newest commit, with one key off."""
+    copy = folder / f"copy-{variant.replace(' ', '-')}"
+    if copy.exists():
+        shutil.rmtree(copy)
+    subprocess.run(["git", "clone", "-q", str(ROOT), str(copy)], check=True)
+    text = "" if variant == DEFAULT else f"{variant} = false\n"
+    (copy / "deploy" / "policy.toml").write_text(text, encoding="utf-8")
+    return copy
+
+
+def _play(bench: Path, copy: Path, site: Path, jobs: int, small: bool, why: str) -> dict[str, object]:
+    """Score a site on a copy; the journal's entry."""
+    journal = copy / "journal"
+    before = set(journal.glob("*.json"))
+    call = [
+        str(bench),
+        "score",
+        str(site),
+        "--jobs",
+        str(jobs),
+        "--why",
+        why,
+        *(["--small"] if small else []),
+    ]
+    done = subprocess.run(call, cwd=copy, capture_output=True, text=True, timeout=PLAY_S, check=False)
+    made = sorted(set(journal.glob("*.json")) - before)
+    if not made:
+        raise AblationError(f"{site.name}: the bench left no entry: {done.stdout[-300:]}{done.stderr[-300:]}")
+    entry: dict[str, object] = json.loads(made[-1].read_text(encoding="utf-8"))
+    kept = ROOT / "journal" / made[-1].name
+    shutil.copy(made[-1], kept)
+    return entry
+
+
+def _plays_of(entry: dict[str, object], variant: str, number: int) -> Iterator[Play]:
+    days = entry["days"]
+    assert isinstance(days, list)
+    for day in days:
+        if str(day["name"]).startswith("fresh"):
+            continue  # drawn anew in each score: it has no pair
+        broken = ", ".join(day["rules"] or ())
+        yield Play(variant, str(entry["site"]), day["name"], number, day["G"], broken, str(entry["id"]))
+
+
+def plan(
+    bench: str,
+    sites: object,
+    out: str,
+    keys: object = "",
+    rounds: int = 1,
+    jobs: int = 4,
+    small: bool = False,
+) -> str:
+    """Play every variant on every site, as many rounds as asked, one bench at a time."""
+    variants = _variants(_listed(keys))
+    folder = Path(out).resolve()
+    folder.mkdir(parents=True, exist_ok=True)
+    paths = [Path(site).resolve() for site in _listed(sites)]
+    for path in [Path(bench), *paths]:
+        if not path.is_file():
+            raise AblationError(f"{path}: no such file")
+    held = {(play.variant, play.site, play.round) for play in read_plays(folder)}
+    with Progress() as progress:
+        bar = progress.add_task("plays", total=rounds * len(variants) * len(paths))
+        for number in range(1, rounds + 1):
+            for variant in variants:
+                for site in paths:
+                    progress.update(bar, advance=1, description=f"{variant}, {site.stem}")
+                    if (variant, site.stem, number) in held:
+                        continue
+                    copy = _copy(folder, variant)
+                    why = f"Ablation, round {number}: {variant} {'' if variant == DEFAULT else 'off'}".strip()
+                    entry = _play(Path(bench).resolve(), copy, site, jobs, small, why)
+                    with (folder / RESULTS).open("a", encoding="utf-8") as results:
+                        for play in _plays_of(entry, variant, number):
+                            results.write(json.dumps(asdict(play)) + "\n")
+                    shutil.rmtree(copy)
+    return table(out)
+
+
+def differences(plays: list[Play], variant: str, site: str) -> list[float]:
+    """Worth without the mechanism less worth with all, by pairs."""
+    base = {play.key: play.worth for play in plays if play.variant == DEFAULT and play.site == site}
+    mine = [play for play in plays if play.variant == variant and play.site == site]
+    return [play.worth - base[play.key] for play in mine if play.key in base]
+
+
+def _row(plays: list[Play], variant: str, site: str) -> str:
+    found = differences(plays, variant, site)
+    if not found:
+        return f"| {variant} | {site} | no pair | | 0 | |"
+    spread = stdev(found) if len(found) > 1 else 0.0
+    broken = sorted({play.broken for play in plays if (play.variant, play.site) == (variant, site)} - {""})
+    return f"| {variant} | {site} | {mean(found):+.3f} | {spread:.3f} | {len(found)} | {', '.join(broken)} |"
+
+
+def table(out: str) -> str:
+    """The paired differences, as a table in Markdown."""
+    plays = read_plays(Path(out))
+    sites = sorted({play.site for play in plays})
+    variants = [name for name in Policy.model_fields if any(play.variant == name for play in plays)]
+    lines = [
+        "| switched off | site | worth, difference | spread | pairs | rules broken |",
+        "| --- " * 6 + "|",
+    ]
+    lines += [_row(plays, variant, site) for variant in variants for site in sites]
+    return "\n".join(lines)
+
+
+def plot(out: str, path: str) -> str:
+    """The paired differences as a picture: a point a pair, a row a mechanism."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    plays = read_plays(Path(out))
+    sites = sorted({play.site for play in plays})
+    variants = [name for name in Policy.model_fields if any(play.variant == name for play in plays)]
+    figure, axes = pyplot.subplots(figsize=(9, 1 + 0.4 * max(1, len(variants))))
+    for at, site in enumerate(sites):
+        pairs = [
+            (value, row) for row, name in enumerate(variants) for value in differences(plays, name, site)
+        ]
+        rows = [row + (at - len(sites) / 2) * 0.15 for _, row in pairs]
+        axes.plot([value for value, _ in pairs], rows, "o", label=site)
+    axes.axvspan(-NOISE, NOISE, alpha=0.15)
+    axes.set_yticks(range(len(variants)), variants)
+    axes.set_xlabel("worth without the mechanism, less worth with all")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    return path
+
+
+def main() -> int:
+    """`plan`, `table` or `plot`; 2 for a wrong call."""
+    import fire
+
+    try:
+        fire.Fire({"plan": plan, "table": table, "plot": plot}, name="ablation")
+    except AblationError as error:
+        print(error, file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
