Gateways move to controllers of their own zone once they know where these are

Cause: at the start nobody's place is known and all gateways hold the three seeds; a watcher left its controller only when that failed. Change: after each answer a watcher looks whether a nearer controller that rests from no failure is free, and moves there.

--- a/brambleusher/dataplane/watcher.py
+++ b/brambleusher/dataplane/watcher.py
@@ -55,14 +55,19 @@
         while True:
             address = self._controllers.take(number, self._scheduler.now())
             try:
-                self._follow(address, first=number == 0)
+                if self._follow(address, number):
+                    continue
             except (OSError, Timeout, InvalidMessage) as error:
                 log.debug("a controller is left", extra={"fields": {"address": address, "why": repr(error)}})
             self._controllers.failed(address, self._scheduler.now())
             self._scheduler.sleep(PAUSE_S)
 
-    def _follow(self, address: str, first: bool) -> None:
-        """Ask one controller again and again, until it is no use; the first watcher exchanges figures too."""
+    def _follow(self, address: str, number: int) -> bool:
+        """Ask one controller again and again, until it is no use (False) or a nearer one is known (True).
+
+        The first watcher exchanges figures too.
+        """
+        first = number == 0
         client = LineClient(self._scheduler, parse_address(address))
         source, version, brief = "", -1, True
         try:
@@ -84,7 +89,7 @@
                 answer = client.call(question, ANSWER_S)
                 if answer.get("observer"):
                     self._controllers.is_observer(address, places_of(answer.get("controllers")))
-                    return
+                    return False
                 self._take(answer)
                 if not first and brief and self._behind(answer):
                     # The other controller should bring it; if it does not, this one is asked for it all.
@@ -94,8 +99,10 @@
                 brief = True
                 source, version = str(answer.get("source")), int(answer.get("version", -1))
                 if not self._useful(answer):
-                    return
+                    return False
                 self._controllers.worked(address)
+                if self._controllers.nearer(number, address, self._scheduler.now()):
+                    return True
         finally:
             client.close()
 
--- a/brambleusher/membership/controllers.py
+++ b/brambleusher/membership/controllers.py
@@ -96,6 +96,21 @@
         self._held[watcher] = chosen
         return chosen
 
+    def nearer(self, watcher: int, address: str, now: float) -> bool:
+        """Whether a controller nearer than the one that a watcher holds could be had: it moves there.
+
+        At the start nobody's place is known, and all gateways hold the seeds.
+        """
+        if address not in self._known:
+            return False
+        others = {held for holder, held in self._held.items() if holder != watcher}
+        own = self._here.distance(self._known[address])
+        return any(
+            self._here.distance(place) < own and self._rests.get(other, (0.0, 0.0))[0] <= now
+            for other, place in self._known.items()
+            if other not in others and place.zone
+        )
+
     def failed(self, address: str, now: float) -> None:
         """A controller was silent, or out of contact with a majority."""
         rest = min(REST_MOST_S, max(REST_S, self._rests.get(address, (0.0, 0.0))[1] * 2))
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from brambleusher.gateway import Gateway
 from tests.system.whole import DIRECTORY, Whole, configuration, route
 
 
@@ -443,3 +444,21 @@
     whole.wait(lambda: votes_by_zone() == [1, 2, 2])
     assert whole.put("c1", 1, configuration(2)).status == 200
     whole.close()
+
+
+def test_gateways_come_to_follow_controllers_of_their_own_zone() -> None:
+    """Seeds are known first, wherever they are: what gateways ask all the time should not cross regions."""
+    whole = Whole(cores=6, gateways=6, tolerated=2)
+    whole.served()
+
+    def held_near(gateway: Gateway) -> bool:
+        zone = gateway.settings.zone
+        near = {
+            f"{whole.world.machines[name].ip}:7720"
+            for name, controller in whole.controllers.items()
+            if controller.settings.zone == zone
+        }
+        return set(gateway._controllers._held.values()) == near
+
+    whole.wait(lambda: all(held_near(gateway) for gateway in whole.gateways.values()), seconds=6.0)
+    whole.close()
--- a/tests/system/test_dataplane_parts.py
+++ b/tests/system/test_dataplane_parts.py
@@ -320,6 +320,21 @@
     assert known.take(0, 0.0) == "zone"
 
 
+def test_a_watcher_moves_once_a_nearer_controller_is_known_and_rested() -> None:
+    known = Controllers(("far",), random.Random(3), HERE)
+    assert known.take(0, 0.0) == "far"
+    assert not known.nearer(0, "far", 0.0)
+    known.learn([("far", Place("s1", "south")), ("zone", Place("n1", "north"))])
+    assert known.nearer(0, "far", 0.0)
+    known.failed("zone", 0.0)
+    assert not known.nearer(0, "far", 0.1)
+    known.worked("zone")
+    assert known.take(0, 0.2) == "zone"
+    assert not known.nearer(0, "zone", 0.2)
+    assert known.take(1, 0.2) == "far"
+    assert not known.nearer(1, "far", 0.2)  # the nearer one is the other watcher's
+
+
 def test_two_watchers_follow_two_controllers() -> None:
     known = Controllers(("a", "b", "c"), random.Random(3), HERE)
     assert known.take(0, 0.0) != known.take(1, 0.0)
