Gateways try zones in which connections time out last

Change: two instances of a zone that time out without one taking a connection in between let the zone rest (0.5 s, doubled to 2 s), then one request at a time tries it; a request leaves a region in which a connection of its own timed out. A refused connection is no evidence.

--- a/brambleusher/dataplane/failures.py
+++ b/brambleusher/dataplane/failures.py
@@ -9,6 +9,8 @@
 class NotReached:
     """No connection came about: the request never left this gateway."""
 
+    timed_out: bool = False  # nobody answered; else it was refused
+
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
--- a/brambleusher/dataplane/instances.py
+++ b/brambleusher/dataplane/instances.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from brambleusher.dataplane.budgets import ColdBudget
+from brambleusher.dataplane.zone_rests import ZoneRests
 from brambleusher.runtime.streams import parse_address
 from brambleusher.runtime.system import Address
 from brambleusher.wire.configuration import Route, Service
@@ -76,6 +77,7 @@
         self.services: Mapping[str, Service] = {}
         self.gateways = DEFAULT_GATEWAYS
         self.rank = 0  # of this gateway among them, in the order of their names
+        self.zone_rests = ZoneRests()
         self.read_at = -1.0  # when the platform gave the list that is held, on the local clock
 
     @property
--- a/brambleusher/dataplane/placement.py
+++ b/brambleusher/dataplane/placement.py
@@ -28,13 +28,30 @@
         self._instances, self._region = instances, region
         self._policy = policy or Policy()
 
-    def choose(self, wanted: Wanted, tried: Collection[str], now: float) -> Instance | None:
-        """The instance for the next attempt, none of those tried; None where none may be used now."""
+    def choose(
+        self, wanted: Wanted, tried: Collection[str], now: float, silent_regions: Collection[str] = ()
+    ) -> Instance | None:
+        """The instance for the next attempt, none of those tried; None where none may be used now.
+
+        Regions in which a connection of this very request timed out, and zones that rest, come last.
+        """
         usable = [
             instance
             for instance in self._instances.usable(wanted.route, wanted.service, now)
             if instance.id not in tried
         ]
+        rests = self._instances.zone_rests
+        resting = rests.resting(now) if self._policy.zone_rests else frozenset()
+        last = silent_regions if self._policy.zone_rests else ()
+        awake = [each for each in usable if each.zone not in resting and each.region not in last]
+        chosen = self._of(wanted, awake, now)
+        if chosen is None and len(awake) < len(usable):
+            chosen = self._of(wanted, usable, now)
+        if chosen is not None:
+            rests.tried(chosen.zone, now)
+        return chosen
+
+    def _of(self, wanted: Wanted, usable: list[Instance], now: float) -> Instance | None:
         for group in self._groups(wanted, usable):
             chosen = self._among(wanted, group, now, only_well=True)
             if chosen is not None:
--- a/brambleusher/dataplane/serving.py
+++ b/brambleusher/dataplane/serving.py
@@ -42,6 +42,7 @@
     deadline: float
     last_event: bytes
     tried: set[str] = field(default_factory=set)
+    silent_regions: set[str] = field(default_factory=set)  # in which a connection of its own timed out
     sends: int = 0  # arrivals at instances
     runs: int = 0  # instances that may have run it
     refusal: str = ""  # why no further attempt was made
@@ -127,7 +128,7 @@
             if work.deadline - now < LEAST_SEND_S or (work.ran and not self._may_run_again(work)):
                 work.refusal = "time" if work.deadline - now < LEAST_SEND_S else "ran"
                 return None
-            instance = self._placement.choose(work.wanted, work.tried, now)
+            instance = self._placement.choose(work.wanted, work.tried, now, work.silent_regions)
             if instance is None:
                 work.refusal = work.refusal or "no_instance"
                 return None
@@ -158,6 +159,8 @@
         if isinstance(failure, NotReached):
             if weights is not None:
                 weights.unreachable(instance.id)
+            if failure.timed_out:
+                work.silent_regions.add(instance.region)
             return
         work.sends += 1
         if isinstance(failure, Lost):
--- a/brambleusher/dataplane/upstream.py
+++ b/brambleusher/dataplane/upstream.py
@@ -183,7 +183,7 @@
             self.close(instance, connection)
         return None
 
-    def _connect(self, instance: Instance, deadline: float) -> Connection | None:
+    def _connect(self, instance: Instance, deadline: float) -> Result[Connection, NotReached]:
         now = self._scheduler.now()
         instance.connections += 1
         try:
@@ -193,15 +193,20 @@
                 min(now + CONNECT_S, now + (deadline - now) / 2),
                 prepare=lambda sock: self._scheduler.system.bound_silence(sock, SILENT_S),
             )
-        except (OSError, Timeout):
+        except (OSError, Timeout) as error:
             instance.connections -= 1
             instance.failed_to_connect(self._scheduler.now())
-            return None
+            timed_out = isinstance(error, Timeout)
+            if timed_out:
+                self._instances.zone_rests.timed_out(instance.zone, instance.id, self._scheduler.now())
+            return Err(NotReached(timed_out))
         except BaseException:
             instance.connections -= 1
             raise
         instance.connected()
-        return Connection(stream, h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_MAX))
+        self._instances.zone_rests.connected(instance.zone)
+        made = Connection(stream, h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_MAX))
+        return Ok(made)
 
     # --- one attempt -----------------------------------------------------------------------------
 
@@ -218,10 +223,12 @@
     ) -> Result[Answer, AttemptFailure]:
         """Send a request and wait for the head of its answer; one that may run `once` takes no chances."""
         # The answer to a request without an id can be told from another's only where there is no other.
-        kept = self._take(instance, once) if attempt_id else None
-        connection = kept or self._connect(instance, deadline)
+        connection = self._take(instance, once) if attempt_id else None
         if connection is None:
-            return Err(NotReached())
+            made = self._connect(instance, deadline)
+            if isinstance(made, Err):
+                return made
+            connection = made.ok_value
         try:
             request = h11.Request(method=method, target=target, headers=list(headers))
             connection.stream.send(whole(connection.h11, request, body), deadline)
--- a/brambleusher/wire/policy.py
+++ b/brambleusher/wire/policy.py
@@ -36,6 +36,7 @@
     cold_budget: bool = _switch("sends to an instance that warms up are bounded")
     retry_budget: bool = _switch("sends past the first of a request are bounded")
     rest_after_failure: bool = _switch("an instance that takes no connection rests")
+    zone_rests: bool = _switch("a zone in which connections time out is tried last")
     resume: bool = _switch("a resumable stream that broke off goes on at another instance")
     idle_trust: bool = _switch("one lost idle connection speaks against the others")
 
