Gateways take figures and large news from the nearest of their two controllers

Change: whichever watcher holds the nearest controller exchanges figures and takes large news. Hypothesis: bytes between zones fall below what they were.

--- a/brambleusher/dataplane/watcher.py
+++ b/brambleusher/dataplane/watcher.py
@@ -65,13 +65,13 @@
     def _follow(self, address: str, number: int) -> bool:
         """Ask one controller again and again, until it is no use (False) or a nearer one is known (True).
 
-        The first watcher exchanges figures too.
+        The watcher with the nearest controller takes large news and exchanges figures.
         """
-        first = number == 0
         client = LineClient(self._scheduler, parse_address(address))
         source, version, brief = "", -1, True
         try:
             while True:
+                first = self._controllers.foremost(number)
                 question: dict[str, Any] = {
                     "kind": "watch",
                     "me": self._describe().as_json(),
--- a/brambleusher/membership/controllers.py
+++ b/brambleusher/membership/controllers.py
@@ -96,6 +96,15 @@
         self._held[watcher] = chosen
         return chosen
 
+    def foremost(self, watcher: int) -> bool:
+        """Whether a watcher holds the nearest of the controllers held; of two as near the first one does."""
+        unknown = Place()
+        order = {
+            holder: (self._here.distance(self._known.get(held, unknown)), holder)
+            for holder, held in self._held.items()
+        }
+        return min(order, key=lambda holder: order[holder], default=watcher) == watcher
+
     def nearer(self, watcher: int, address: str, now: float) -> bool:
         """Whether a controller nearer than the one that a watcher holds could be had: it moves there.
 
--- a/tests/system/test_dataplane_parts.py
+++ b/tests/system/test_dataplane_parts.py
@@ -335,6 +335,16 @@
     assert not known.nearer(1, "far", 0.2)  # the nearer one is the other watcher's
 
 
+def test_the_watcher_with_the_nearest_controller_is_foremost() -> None:
+    known = Controllers(("far", "zone"), random.Random(3), HERE)
+    known._held = {0: "far", 1: "zone"}
+    assert known.foremost(0)  # nobody's place is known yet
+    assert not known.foremost(1)
+    known.learn([("far", Place("s1", "south")), ("zone", Place("n1", "north"))])
+    assert known.foremost(1)
+    assert not known.foremost(0)
+
+
 def test_two_watchers_follow_two_controllers() -> None:
     known = Controllers(("a", "b", "c"), random.Random(3), HERE)
     assert known.take(0, 0.0) != known.take(1, 0.0)
