Gateways use few instances, always the same, while these have room

Cause: a gateway of many uses each of 90 instances every half a minute: two requests in three open a connection anew, and each gateway finds out by itself, with a client's request, which instance fails. Change: while use is low a gateway prefers four near instances, by a hash of both names; the more use the more, from two fifths of full use on all.

--- a/brambleusher/dataplane/instances.py
+++ b/brambleusher/dataplane/instances.py
@@ -15,6 +15,7 @@
 from brambleusher.wire.instance_load import InstanceLoad
 from brambleusher.wire.policy import Policy
 from quillpass.instance_weights import InstanceWeights, Mechanisms
+from quillpass.subsets import place
 
 DOWN_FIRST_S, DOWN_MOST_S = 0.25, 2.0  # after a failed connection an instance rests, longer each time
 COLD_MARGIN_S = 1.5  # the list lags: an instance may have started later than it seems
@@ -44,6 +45,7 @@
     down_until: float = 0.0
     down_for: float = 0.0
     cold_budget: ColdBudget | None = None
+    rank: int = 0  # its place in this gateway's order of preference, lowest first
     connections: int = 0
     idle: list[Any] = field(default_factory=list)
 
@@ -66,8 +68,14 @@
 class Instances:
     """All instances, and the weights of each service."""
 
-    def __init__(self, zones: Mapping[str, str], rng: random.Random, policy: Policy | None = None) -> None:
-        self._zones, self._rng = zones, rng
+    def __init__(
+        self,
+        zones: Mapping[str, str],
+        rng: random.Random,
+        policy: Policy | None = None,
+        gateway: str = "",
+    ) -> None:
+        self._zones, self._rng, self._gateway = zones, rng, gateway
         self._policy = policy or Policy()
         self._known: dict[str, Instance] = {}
         self._by_service: dict[str, list[Instance]] = {}
@@ -122,6 +130,7 @@
             zone,
             self._zones.get(zone, ""),
             float(entry.get("capacity", 1) or 1),
+            rank=place(f"{self._gateway} {entry['id']}"),
         )
         if not first:
             instance.cold_until = now + self._warmup_s(service)
--- a/brambleusher/dataplane/placement.py
+++ b/brambleusher/dataplane/placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+import math
 from collections.abc import Collection
 from dataclasses import dataclass
 
@@ -10,6 +12,9 @@
 from brambleusher.wire.configuration import Route
 from brambleusher.wire.policy import Policy
 
+FEW_LEAST = 4  # instances that a gateway uses at the least: one may be slow, one may be lost
+FEW_HEADROOM = 2.5  # all are used from 1 / 2.5 of full use on
+
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
@@ -35,12 +40,41 @@
             for instance in self._instances.usable(wanted.route, wanted.service, now)
             if instance.id not in tried
         ]
+        few = self._few(wanted, usable)
+        if few:
+            chosen = self._among(wanted, few, now, only_well=True, among_few=True)
+            if chosen is not None:
+                return chosen
         for group in self._groups(wanted, usable):
             chosen = self._among(wanted, group, now, only_well=True)
             if chosen is not None:
                 return chosen
         return self._among(wanted, usable, now, only_well=False)
 
+    def _few(self, wanted: Wanted, usable: list[Instance]) -> list[Instance]:
+        """The near instances that this gateway prefers, as many as the load asks for.
+
+        Few instances for each gateway mean that connections are used again, and that one which fails is
+        noticed by the few that use it after as many requests.  The fuller the instances are the more
+        evenly they have to be used.  Empty where all of them are needed.
+        """
+        weights = self._instances.weights.get(wanted.service)
+        if not self._policy.subset or self._kept(wanted) or weights is None:
+            return []
+        near = [
+            instance
+            for instance in usable
+            if (instance.region == self._region or not self._policy.own_region_first)
+            and weights.well(instance.id)
+        ]
+        size = max(FEW_LEAST, math.ceil(len(near) * weights.mean_utilisation * FEW_HEADROOM))
+        if size >= len(near):
+            return []
+        return heapq.nsmallest(size, near, key=lambda instance: instance.rank)
+
+    def _near(self, instance: Instance) -> bool:
+        return instance.region == self._region or not self._policy.own_region_first
+
     def _groups(self, wanted: Wanted, usable: list[Instance]) -> list[list[Instance]]:
         """Nearer instances first; for a large prefix all together, so that it has one keeper everywhere.
 
@@ -55,7 +89,9 @@
         """Whether a request's shared prefix is worth one instance that keeps it."""
         return self._policy.prefix_keepers and wanted.prefix_tokens >= LARGE_PREFIX_TOKENS
 
-    def _among(self, wanted: Wanted, group: list[Instance], now: float, only_well: bool) -> Instance | None:
+    def _among(
+        self, wanted: Wanted, group: list[Instance], now: float, only_well: bool, among_few: bool = False
+    ) -> Instance | None:
         weights = self._instances.weights.get(wanted.service)
         if weights is None:
             return None
@@ -67,7 +103,7 @@
                     return by_id[name]
             return None
         while by_id:
-            chosen = weights.choose(list(by_id), now)
+            chosen = weights.choose(list(by_id), now, among_few)
             if chosen is None:
                 return None
             if self._instances.admits(by_id[chosen], now):
--- a/brambleusher/gateway.py
+++ b/brambleusher/gateway.py
@@ -59,7 +59,7 @@
         self._body_memory = BodyMemory(settings.limits.memory_mb * BYTES_A_MB // BODIES_PART)
         policy = policy or Policy()
         self.counters = Counters()
-        self.instances = Instances(settings.zones, rng, policy)
+        self.instances = Instances(settings.zones, rng, policy, settings.node_name)
         self._upstream = Upstream(self.scheduler, self.instances, POOL_CONTRACT in settings.in_force, policy)
         self._controllers = Controllers(settings.seed_peers(), rng, Place(settings.zone, settings.region))
         self._watcher = Watcher(
--- a/brambleusher/wire/policy.py
+++ b/brambleusher/wire/policy.py
@@ -25,6 +25,7 @@
     model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
 
     own_region_first: bool = _switch("instances of the gateway's own region are used first")
+    subset: bool = _switch("a gateway uses as few instances as the load allows, always the same")
     prefix_keepers: bool = _switch("a large shared prefix has one instance that keeps it")
     spare_weights: bool = _switch("weights go by spare capacity, else all begin alike")
     latency_index: bool = _switch("weights are cut by latency over aim")
--- a/quillpass/instance_weights.py
+++ b/quillpass/instance_weights.py
@@ -146,6 +146,7 @@
         self._ring: list[Figures] = []
         self._at = 0
         self._attempts = 0
+        self.mean_utilisation = 1.0  # of the instances with figures; until there are any, as if all were full
         self._ticked: float | None = None
         self._reporters, self._heard_at = 0, -math.inf
 
@@ -263,6 +264,9 @@
     def _weigh(self, now: float, gateways: float) -> None:
         throughput = self._throughput()
         spares = [self._spare(figures, throughput, gateways) for figures in self._ring]
+        used = [figures.utilisation(gateways, self._reporters) for figures in self._ring]
+        told = [each for each in used if each is not None]
+        self.mean_utilisation = sum(told) / len(told) if told else 1.0
         known = [spare for spare in spares if spare is not None]
         middle = median(known) if known else 1.0
         base = [middle if spare is None else spare for spare in spares]
@@ -311,9 +315,12 @@
 
     # --- spending --------------------------------------------------------------------------------
 
-    def choose(self, candidates: Sequence[str], now: float) -> str | None:
+    def choose(self, candidates: Sequence[str], now: float, among_few: bool = False) -> str | None:
         """Spend a token of a candidate, in round robin.
 
+        With `among_few` the candidates are all that this gateway uses as a rule: their tokens are reloaded
+        once they are spent, whatever others hold.
+
         Open case of the design: the candidates have no tokens while others have some.  Then the one that is
         least occupied for its weight is borrowed from, and no token is reloaded: others keep their turn.
 
@@ -325,7 +332,11 @@
         out = sum(len(figures.out) for figures in self._ring if figures.name in wanted) + 1
         share = sum(figures.weight for figures in self._ring if figures.name in wanted)
         if not any(figures.tokens > 0 for figures in self._ring):
-            self._load()
+            self._load(self._ring)
+        elif among_few:
+            few = [figures for figures in self._ring if figures.name in wanted]
+            if not any(figures.tokens > 0 for figures in few):
+                self._load(few)
         for step in range(len(self._ring)):
             place = (self._at + step) % len(self._ring)
             figures = self._ring[place]
@@ -336,9 +347,9 @@
                 return figures.name
         return self._borrow((figures for figures in self._ring if figures.name in wanted), now)
 
-    def _load(self) -> None:
+    def _load(self, ring: Sequence[Figures]) -> None:
         scale = len(self._ring) / WEIGHT_TOTAL
-        for figures in self._ring:
+        for figures in ring:
             figures.credit += figures.weight * scale
             fresh = int(figures.credit)
             figures.credit -= fresh
