Once-only requests go over kept connections that have proven to be there

Change: all but the last byte of such a request is sent; an instance that has forgotten the connection resets it within a round trip, and a request that is not whole can't have run, so it goes over a new connection. An instance that was not heard of for 0.5 s is connected anew: it may have gone dark.

--- a/brambleusher/dataplane/instances.py
+++ b/brambleusher/dataplane/instances.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -16,9 +17,11 @@
 from brambleusher.wire.instance_load import InstanceLoad
 from brambleusher.wire.policy import Policy
 from quillpass.instance_weights import InstanceWeights, Mechanisms
+from quillpass.subsets import place
 
 DOWN_FIRST_S, DOWN_MOST_S = 0.25, 2.0  # after a failed connection an instance rests, longer each time
 COLD_MARGIN_S = 1.5  # the list lags: an instance may have started later than it seems
+HEARD_S = 0.5  # without a word of an instance for so long, only a new connection shows that it is there
 DEFAULT_GATEWAYS = 8.0  # until a controller has counted them
 
 
@@ -45,6 +48,8 @@
     down_until: float = 0.0
     down_for: float = 0.0
     cold_budget: ColdBudget | None = None
+    rank: int = 0  # its place in this gateway's order of preference, lowest first
+    heard_at: float = -math.inf  # when anything came from it last
     connections: int = 0
     idle: list[Any] = field(default_factory=list)
 
@@ -67,8 +72,14 @@
 class Instances:
     """All instances, and the weights of each service."""
 
-    def __init__(self, zones: Mapping[str, str], rng: random.Random, policy: Policy | None = None) -> None:
-        self._zones, self._rng = zones, rng
+    def __init__(
+        self,
+        zones: Mapping[str, str],
+        rng: random.Random,
+        policy: Policy | None = None,
+        gateway: str = "",
+    ) -> None:
+        self._zones, self._rng, self._gateway = zones, rng, gateway
         self._policy = policy or Policy()
         self._known: dict[str, Instance] = {}
         self._by_service: dict[str, list[Instance]] = {}
@@ -124,6 +135,7 @@
             zone,
             self._zones.get(zone, ""),
             float(entry.get("capacity", 1) or 1),
+            rank=place(f"{self._gateway} {entry['id']}"),
         )
         if not first:
             instance.cold_until = now + self._warmup_s(service)
--- a/brambleusher/dataplane/upstream.py
+++ b/brambleusher/dataplane/upstream.py
@@ -11,7 +11,7 @@
 
 from brambleusher.dataplane.budgets import connections_of
 from brambleusher.dataplane.failures import AnswerBroken, AttemptFailure, Lost, NotReached, Rejected
-from brambleusher.dataplane.instances import Instance, Instances
+from brambleusher.dataplane.instances import HEARD_S, Instance, Instances
 from brambleusher.runtime.h11_messages import next_event, whole
 from brambleusher.runtime.scheduler import Scheduler, Timeout
 from brambleusher.runtime.streams import Stream
@@ -29,6 +29,9 @@
 SECOND = 1e9  # of the nanoseconds that `Trust` counts in
 IDLE_MOST_S = 60.0
 TRUSTED_S = 0.5  # of rest that is always trusted
+UNPROVEN_S = 0.05  # of rest after which a connection may have been forgotten by an instance
+PROOF_MARGIN_S = 0.004  # beside a round trip: timers and small queues
+PROOF_MOST_S = 0.1
 TRUST_AIM_S = 0.5  # an aim, in whose multiples trust comes back
 TRUST_WINDOW = 10.0  # aims for which resets are remembered
 ATTEMPT_HEADER = b"x-attempt-id"
@@ -49,6 +52,7 @@
     idle_since: float = 0.0
     idle_until: float = 0.0
     rested_s: float = 0.0  # before the attempt under way
+    round_trip_s: float = 0.0  # that its handshake took
 
     @property
     def used(self) -> bool:
@@ -80,6 +84,7 @@
         except Timeout:
             self.abandon()
             raise
+        self.instance.heard_at = self._upstream.now()
         if isinstance(event, h11.Data):
             if not self._first:
                 self._first = True
@@ -122,6 +127,10 @@
         self._policy = policy or Policy()
         self.malformed_loads = 0
 
+    def now(self) -> float:
+        """The time of the scheduler."""
+        return self._scheduler.now()
+
     # --- the pool --------------------------------------------------------------------------------
 
     def has_room(self, instance: Instance) -> bool:
@@ -172,8 +181,8 @@
     def _take(self, instance: Instance, once: bool) -> Connection | None:
         now = self._scheduler.now()
         trusted = self._trust.trust_ns / SECOND if self._policy.idle_trust else IDLE_MOST_S
-        if once and self._forgetful:
-            trusted = min(trusted, TRUSTED_S)
+        if once and self._forgetful and now - instance.heard_at > HEARD_S:
+            return None
         while instance.idle:
             connection: Connection = instance.idle.pop()
             rested = now - connection.idle_since
@@ -204,9 +213,10 @@
             instance.connections -= 1
             raise
         instance.connected()
+        instance.heard_at = self._scheduler.now()
         self._instances.zone_rests.connected(instance.zone)
-        made = Connection(stream, h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_MAX))
-        return Ok(made)
+        protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_MAX)
+        return Ok(Connection(stream, protocol, round_trip_s=self._scheduler.now() - now))
 
     # --- one attempt -----------------------------------------------------------------------------
 
@@ -223,15 +233,22 @@
     ) -> Result[Answer, AttemptFailure]:
         """Send a request and wait for the head of its answer; one that may run `once` takes no chances."""
         # The answer to a request without an id can be told from another's only where there is no other.
+        request = h11.Request(method=method, target=target, headers=list(headers))
         connection = self._take(instance, once) if attempt_id else None
+        rest = b""
+        if connection is not None:
+            rest = whole(connection.h11, request, body)
+            if once and self._forgetful and connection.rested_s > UNPROVEN_S:
+                proven = self._prove(instance, connection, rest[:-1], deadline)
+                connection, rest = (connection, rest[-1:]) if proven else (None, b"")
         if connection is None:
             made = self._connect(instance, deadline)
             if isinstance(made, Err):
                 return made
             connection = made.ok_value
+            rest = whole(connection.h11, request, body)
         try:
-            request = h11.Request(method=method, target=target, headers=list(headers))
-            connection.stream.send(whole(connection.h11, request, body), deadline)
+            connection.stream.send(rest, deadline)
             head = self._head(connection, attempt_id, deadline)
         except (OSError, h11.ProtocolError):
             self.close(instance, connection)
@@ -256,6 +273,31 @@
             return self._rejected(answer, deadline)
         return Ok(answer)
 
+    def _prove(self, instance: Instance, connection: Connection, begin: bytes, deadline: float) -> bool:
+        """Send all but the last byte of a request, and see whether the connection is still there.
+
+        An instance that has forgotten a connection resets it when anything comes.  What is not whole can't
+        have run, so that the request may go over another connection then.
+        """
+        until = self.now() + min(connection.round_trip_s * 1.5 + PROOF_MARGIN_S, PROOF_MOST_S)
+        try:
+            connection.stream.send(begin, deadline)
+            self._scheduler.park(min(until, deadline), connection.stream.sock)
+        except Timeout:
+            return True
+        except OSError:
+            self._forgotten(instance, connection)
+            return False
+        except BaseException:
+            self.close(instance, connection)
+            raise
+        self._forgotten(instance, connection)
+        return False
+
+    def _forgotten(self, instance: Instance, connection: Connection) -> None:
+        self.close(instance, connection)
+        self._trust.ended(Status.RESET, int(connection.rested_s * SECOND))
+
     def _note_load(self, instance: Instance, headers: Headers) -> None:
         for name, value in headers:
             if name == instance_load.HEADER:
--- a/tests/system/test_system_tools.py
+++ b/tests/system/test_system_tools.py
@@ -24,6 +24,7 @@
         "region": "north",
         "seeds": '["10.0.0.1:1"]',
         "bootstrap": "true",
+        "in_force": "[]",
         "data_dir": "/data",
         "tolerated": "1",
         "bind": 'control = "10.0.0.1:1"',
--- a/tests/system/whole.py
+++ b/tests/system/whole.py
@@ -36,6 +36,7 @@
 port_range = [7720, 7735]
 seeds = {seeds}
 bootstrap = {bootstrap}
+in_force = {in_force}
 data_dir = "{data_dir}"
 unknown_key = "is ignored"
 [zones]
@@ -115,6 +116,8 @@
         self.silent = False
         self.stray = 0  # answers to other requests ahead of the one that is due
         self.stray_id = "other"  # that they name; empty: none
+        self.forgets_after_s: float | None = None  # of rest a connection is reset when anything comes
+        self.connections = 0  # taken so far
         self.echoes = True  # whether its answers name the request that they are for
         self.arrivals: list[Arrival] = []
         self.machine = system.world.machine(name, ip)
@@ -143,7 +146,11 @@
     def _serve(self, stream: Stream, peer: str) -> None:
         assert self.scheduler is not None
         connection = h11.Connection(h11.SERVER)
+        self.connections += 1
+        answered_at = None
         while True:
+            if answered_at is not None and self._forgotten(stream, answered_at):
+                return
             got = read_message(self.scheduler, stream, connection)
             if got is None:
                 return
@@ -159,6 +166,17 @@
             if not self._answer(stream, connection, headers, attempt):
                 return
             connection.start_next_cycle()
+            answered_at = self.scheduler.now()
+
+    def _forgotten(self, stream: Stream, answered_at: float) -> bool:
+        """Whether the connection was reset because something came after too long a rest."""
+        assert self.scheduler is not None
+        self.scheduler.park(None, stream.sock)
+        rested = self.scheduler.now() - answered_at
+        if self.forgets_after_s is None or rested <= self.forgets_after_s:
+            return False
+        self.scheduler.system.reset(stream.sock)
+        return True
 
     def _answer(
         self, stream: Stream, connection: h11.Connection, headers: dict[str, str], attempt: str
@@ -254,8 +272,15 @@
     """Machines, processes, the platform's list, and calls from outside."""
 
     def __init__(
-        self, seed: int = 1, cores: int = 3, gateways: int = 2, tolerated: int = 1, observers: int = 0
+        self,
+        seed: int = 1,
+        cores: int = 3,
+        gateways: int = 2,
+        tolerated: int = 1,
+        observers: int = 0,
+        in_force: tuple[str, ...] = (),
     ) -> None:
+        self.in_force = in_force
         self.world = World(seed, PLAIN)
         self.rng = random.Random(seed)
         self.tolerated = tolerated
@@ -308,6 +333,7 @@
             zone=zone,
             region=ZONES[zone],
             seeds=json.dumps(self.seeds),
+            in_force=json.dumps(self.in_force),
             bootstrap=str(bootstrap).lower(),
             data_dir="/data" if core else "",
             serves='["controller", "registry"]' if core else '["edge"]',
