--- a/tests/system/test_fault_days_find_faults.py
+++ b/tests/system/test_fault_days_find_faults.py
@@ -107,7 +107,7 @@
 
 
 # Rare ones: the search begins at a day shortly before one that finds it, which keeps this file short to run.
-FIRST_DAY = {votes_stay_with_those_that_leave: 60}
+FIRST_DAY: dict[Callable[[Patch], None], int] = {votes_stay_with_those_that_leave: 60}
 DAYS = 160
 
 
