An instance that another answers in place of rests until the list has dropped it

Change: a 421 lets the instance that was named rest for 3 s, the list's lag and reading. Hypothesis: refusals after a return of a region fall.

--- a/brambleusher/dataplane/instances.py
+++ b/brambleusher/dataplane/instances.py
@@ -20,6 +20,7 @@
 from quillpass.subsets import place
 
 DOWN_FIRST_S, DOWN_MOST_S = 0.25, 2.0  # after a failed connection an instance rests, longer each time
+REPLACED_S = 3.0  # until the list has dropped an instance that another was found in place of
 COLD_MARGIN_S = 1.5  # the list lags: an instance may have started later than it seems
 HEARD_S = 0.5  # without a word of an instance for so long, only a new connection shows that it is there
 DEFAULT_GATEWAYS = 8.0  # until a controller has counted them
@@ -47,6 +48,7 @@
     cold_until: float = 0.0
     down_until: float = 0.0
     down_for: float = 0.0
+    replaced_until: float = 0.0  # another incarnation was found at its address
     cold_budget: ColdBudget | None = None
     rank: int = 0  # its place in this gateway's order of preference, lowest first
     heard_at: float = -math.inf  # when anything came from it last
@@ -64,9 +66,15 @@
         self.down_for = min(DOWN_MOST_S, max(DOWN_FIRST_S, self.down_for * 2))
         self.down_until = now + self.down_for
 
+    def is_another(self, now: float) -> None:
+        """Another incarnation answers at its address: the list, which lags, will not name it much longer."""
+        self.replaced_until = now + REPLACED_S
+        self.down_until = max(self.down_until, self.replaced_until)
+
     def connected(self) -> None:
         """It takes connections again."""
-        self.down_for = self.down_until = 0.0
+        self.down_for = 0.0
+        self.down_until = self.replaced_until
 
 
 class Instances:
--- a/brambleusher/dataplane/serving.py
+++ b/brambleusher/dataplane/serving.py
@@ -27,6 +27,7 @@
 RETRY_AFTER_S = 0.25
 RETRY_AFTER_PART = 0.25  # of the time left at most: clients honour up to a third of it
 PRIORITY_MAX = 9
+MISDIRECTED = 421  # of an instance that is not the one named: the one named is gone
 EVENT_STREAM = b"text/event-stream"
 REPLACED_HEADERS = frozenset({b"x-deadline-remaining", b"x-target-instance", b"priority", b"last-event-id"})
 
@@ -165,6 +166,8 @@
         work.sends += 1
         if isinstance(failure, Lost):
             work.runs += 1
+        elif failure.status == MISDIRECTED:
+            instance.is_another(self._scheduler.now())
 
     def _attempt(self, work: Work, instance: Instance) -> Result[Answer, AttemptFailure]:
         now = self._scheduler.now()
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -202,6 +202,16 @@
     assert whole.arrivals("reuse")[0].headers["x-target-instance"] == "a"
 
 
+def test_an_instance_that_another_was_found_in_place_of_is_asked_once(whole: Whole) -> None:
+    """After a region was lost its instances come back as others; the list still names the old ones."""
+    only(whole, "d1", "d2")
+    whole.servers["d1"].name = "reborn"
+    for number in range(8):
+        assert whole.request("g1", "/d/x", attempt=f"r{number}").status == 200
+    asked = [arrival for number in range(8) for arrival in whole.arrivals(f"r{number}")]
+    assert [arrival.instance for arrival in asked].count("reborn") <= 1
+
+
 def test_a_gateway_that_knows_no_configuration_promises_and_is_not_ready() -> None:
     whole = Whole(gateways=1)
     address = whole.world.machines["g1"].ip
