--- a/tests/system/test_control_plane_faults.py
+++ b/tests/system/test_control_plane_faults.py
@@ -452,3 +452,12 @@
 def test_days_of_six_controllers_that_bear_the_loss_of_two(block: int) -> None:
     for seed in range(block * 4, block * 4 + 4):
         play(seed, cores=6, tolerated=2)
+
+
+THREE_REGIONS = {"n1": "north", "n2": "north", "s1": "south", "s2": "south", "w1": "west", "w2": "west"}
+
+
+@pytest.mark.parametrize("block", range(2))
+def test_days_of_six_controllers_over_three_regions(block: int) -> None:
+    for seed in range(1000 + block * 4, 1000 + block * 4 + 4):
+        play(seed, cores=6, tolerated=2, zones=THREE_REGIONS)
--- a/tests/system/test_system_tools.py
+++ b/tests/system/test_system_tools.py
@@ -25,6 +25,7 @@
         "seeds": '["10.0.0.1:1"]',
         "bootstrap": "true",
         "in_force": "[]",
+        "zones": "",
         "data_dir": "/data",
         "tolerated": "1",
         "bind": 'control = "10.0.0.1:1"',
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -32,6 +32,13 @@
         "brambleusher.wire",
         "brambleusher.runtime",
     ),
+    "brambleusher/observer.py": (
+        "brambleusher.controlplane",
+        "brambleusher.membership",
+        "brambleusher.wire",
+        "brambleusher.runtime",
+        "brambleusher.logs",
+    ),
     "brambleusher/controller.py": (
         "brambleusher.controlplane",
         "brambleusher.membership",
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -21,6 +21,7 @@
     "brambleusher/dataplane",
     "brambleusher/gateway.py",
     "brambleusher/controller.py",
+    "brambleusher/observer.py",
 )
 WITHDRAWN = ("submitter", "execute.?node", "machine.?list", "requeue.?notice", r"\bbells?\b", r"\bdoors?\b")
 # Counters keep the names that operators read, and a message of the simulator's wire has its own.
