A list that does not change is not sent again by the second controller

Change: an answer of the controller that the list was taken from, with the same version, moves its time on. A watcher that becomes the foremost asks for the list anew, since what brief answers name was not taken.

--- a/brambleusher/dataplane/watcher.py
+++ b/brambleusher/dataplane/watcher.py
@@ -68,10 +68,13 @@
         The watcher with the nearest controller takes large news and exchanges figures.
         """
         client = LineClient(self._scheduler, parse_address(address))
-        source, version, brief = "", -1, True
+        source, version, brief, was_first = "", -1, True, False
         try:
             while True:
                 first = self._controllers.foremost(number)
+                if first and not was_first:
+                    source, version = "", -1  # what brief answers named was not taken from here
+                was_first = first
                 question: dict[str, Any] = {
                     "kind": "watch",
                     "me": self._describe().as_json(),
@@ -90,7 +93,8 @@
                 if answer.get("observer"):
                     self._controllers.is_observer(address, places_of(answer.get("controllers")))
                     return False
-                self._take(answer)
+                same = first and (answer.get("source"), answer.get("version")) == (source, version)
+                self._take(answer, confirms=same)
                 if not first and brief and self._behind(answer):
                     # The other controller should bring it; if it does not, this one is asked for it all.
                     self._scheduler.sleep(BRIEF_WAIT_S)
@@ -119,11 +123,12 @@
 
     # --- what is newer ---------------------------------------------------------------------------
 
-    def _take(self, answer: dict[str, Any]) -> None:
+    def _take(self, answer: dict[str, Any], confirms: bool = False) -> None:
+        """Take what is newer; `confirms` says that the list which was taken from there is still the same."""
         now = self._scheduler.now()
         try:
             self._take_state(answer, now)
-            self._take_instances(answer, now)
+            self._take_instances(answer, now, confirms)
             self._take_count(int(answer["gateways"]), now)
             self._instances.rank = int(answer["rank"])
             if "figures" in answer:
@@ -149,12 +154,15 @@
             self._instances.services = routes.services
         self._instances.set_evacuated(frozenset(answer["evacuated"]), now)
 
-    def _take_instances(self, answer: dict[str, Any], now: float) -> None:
+    def _take_instances(self, answer: dict[str, Any], now: float, confirms: bool) -> None:
         if "age_ms" not in answer:
             return
         read_at = now - int(answer["age_ms"]) / 1000
         if "instances" in answer and read_at > self._instances.read_at:
             self._unusable(self._instances.take_list(answer["instances"], read_at, now))
+        elif confirms and self._instances.listed:
+            # Else a list that does not change would seem to grow old, and be asked for anew.
+            self._instances.read_at = max(self._instances.read_at, read_at)
 
     def _take_count(self, gateways: int, now: float) -> None:
         self._counts = [(at, count) for at, count in self._counts if now - at < COUNT_KEPT_S]
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -8,6 +8,7 @@
 import pytest
 
 from brambleusher.gateway import Gateway
+from brambleusher.membership.line_connection import LineClient
 from tests.system.whole import DIRECTORY, Whole, configuration, route
 
 
@@ -462,3 +463,32 @@
 
     whole.wait(lambda: all(held_near(gateway) for gateway in whole.gateways.values()), seconds=6.0)
     whole.close()
+
+
+def test_a_list_that_does_not_change_is_sent_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It seemed to grow old at gateways, which had it sent by their second controller every two seconds."""
+    whole = Whole(gateways=2)
+    whole.add_server("a")
+    whole.served()
+    whole.sleep(5.0)
+    sent: list[str] = []
+    call = LineClient.call
+
+    def counted(self: LineClient, message: dict[str, Any], timeout_s: float) -> dict[str, Any]:
+        answer = call(self, message, timeout_s)
+        if "instances" in answer:
+            sent.append(answer["source"])
+        return answer
+
+    monkeypatch.setattr(LineClient, "call", counted)
+    whole.sleep(10.0)
+    assert not sent
+    whole.servers["a"].state = "draining"
+    whole.sleep(3.0)
+    assert 2 <= len(sent) <= 6
+    for gateway in whole.gateways.values():
+        routes = gateway._watcher.routes
+        found = routes.find("h", "/s/") if routes is not None else None
+        assert found is not None
+        assert not gateway.instances.usable(found, "llm", whole.now)
+    whole.close()
