Few far instances too where no near one may be used; listeners of control in one place

Cause: routes with homes sent a third region's requests to any of 35 far instances, a new connection each; observer and controller had the same lines for their listeners. Change: the few come from the far ones where there is no near one; controlplane/endpoints.py serves both programs.

--- a/brambleusher/controller.py
+++ b/brambleusher/controller.py
@@ -8,7 +8,8 @@
 
 from brambleusher.controlplane import registry
 from brambleusher.controlplane.announcer import Announcer
-from brambleusher.controlplane.orders import CONFIGURATION_BYTES, Orders
+from brambleusher.controlplane.endpoints import Endpoints
+from brambleusher.controlplane.orders import Orders
 from brambleusher.controlplane.platform_list import PlatformList
 from brambleusher.controlplane.relay import RELAY, RelayServer
 from brambleusher.controlplane.replica import Replica
@@ -18,7 +19,7 @@
 from brambleusher.membership.settings_watch import SettingsWatch
 from brambleusher.membership.views import FORGET_S, PartialView, Peer, State
 from brambleusher.runtime.disk import Disk
-from brambleusher.runtime.http_server import HttpRequest, HttpResponse, HttpServer
+from brambleusher.runtime.http_server import HttpRequest, HttpResponse
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.streams import parse_address
 from brambleusher.runtime.system import System
@@ -70,14 +71,7 @@
         )
         self._relay = RelayServer(self.scheduler, self.replica, self._find, self._controllers)
         orders = Orders(self.scheduler, self.replica, frozenset(settings.zones))
-        self._control = HttpServer(
-            self.scheduler, parse_address(settings.bind.control), orders.handle, CONFIGURATION_BYTES
-        )
-        self._directory: HttpServer | None = None
-        if settings.bind.directory:
-            self._directory = HttpServer(
-                self.scheduler, parse_address(settings.bind.directory), self._resolve, 4096
-            )
+        self._endpoints = Endpoints(self.scheduler, settings.bind, orders.handle, self._resolve)
         self._watch = SettingsWatch(self.scheduler, path, self._settings_changed)
         self.scheduler.spawn(self._shuffle, name="shuffle")
 
@@ -92,9 +86,7 @@
             return
         self._state = State.LEAVING
         log.info("controller leaves")
-        self._control.closing = True
-        if self._directory is not None:
-            self._directory.closing = True
+        self._endpoints.leave()
         self.replica.leave()
         self.scheduler.spawn(self._end, name="end")
 
--- a/brambleusher/dataplane/placement.py
+++ b/brambleusher/dataplane/placement.py
@@ -69,7 +69,7 @@
         return self._among(wanted, usable, now, only_well=False)
 
     def _few(self, wanted: Wanted, usable: list[Instance]) -> list[Instance]:
-        """The near instances that this gateway prefers, as many as the load asks for.
+        """The instances that this gateway prefers, near ones if any, as many as the load asks for.
 
         Few instances for each gateway mean that connections are used again, and that one which fails is
         noticed by the few that use it after as many requests.  The fuller the instances are the more
@@ -78,12 +78,8 @@
         weights = self._instances.weights.get(wanted.service)
         if not self._policy.subset or self._kept(wanted) or weights is None:
             return []
-        near = [
-            instance
-            for instance in usable
-            if (instance.region == self._region or not self._policy.own_region_first)
-            and weights.well(instance.id)
-        ]
+        well = [instance for instance in usable if weights.well(instance.id)]
+        near = [instance for instance in well if self._near(instance)] or well
         size = max(FEW_LEAST, math.ceil(len(near) * weights.mean_utilisation * FEW_HEADROOM))
         if size >= len(near):
             return []
@@ -97,10 +93,10 @@
 
         A prompt on its way to another region is far less than its shared part read once more there.
         """
-        if self._kept(wanted) or not self._policy.own_region_first:
+        if self._kept(wanted):
             return [usable]
-        near = [instance for instance in usable if instance.region == self._region]
-        return [near, [instance for instance in usable if instance.region != self._region]]
+        near = [instance for instance in usable if self._near(instance)]
+        return [near, [instance for instance in usable if not self._near(instance)]]
 
     def _kept(self, wanted: Wanted) -> bool:
         """Whether a request's shared prefix is worth one instance that keeps it."""
--- a/brambleusher/observer.py
+++ b/brambleusher/observer.py
@@ -11,14 +11,15 @@
 from typing import Any
 
 from brambleusher.controlplane import registry
-from brambleusher.controlplane.orders import CONFIGURATION_BYTES, Orders
+from brambleusher.controlplane.endpoints import Endpoints
+from brambleusher.controlplane.orders import Orders
 from brambleusher.controlplane.relay import RELAY, RelayClient, RemoteState
 from brambleusher.logs import SparseLog
 from brambleusher.membership.controllers import Controllers, Place
 from brambleusher.membership.line_connection import LineSender, LineServer
 from brambleusher.membership.process import run_until_signalled
 from brambleusher.membership.settings_watch import SettingsWatch
-from brambleusher.runtime.http_server import HttpRequest, HttpResponse, HttpServer
+from brambleusher.runtime.http_server import HttpRequest, HttpResponse
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.streams import parse_address
 from brambleusher.runtime.system import System
@@ -58,18 +59,7 @@
             CONNECTIONS_MAX,
         )
         orders = Orders(self.scheduler, RemoteState(self._relay), frozenset(settings.zones))
-        self._servers = [
-            HttpServer(
-                self.scheduler,
-                parse_address(settings.bind.control),
-                orders.handle,
-                CONFIGURATION_BYTES,
-                CONNECTIONS_MAX,
-            )
-        ]
-        if settings.bind.directory:
-            directory = parse_address(settings.bind.directory)
-            self._servers.append(HttpServer(self.scheduler, directory, self._resolve, 4096, CONNECTIONS_MAX))
+        self._endpoints = Endpoints(self.scheduler, settings.bind, orders.handle, self._resolve)
         self._watch = SettingsWatch(self.scheduler, path, self._settings_changed)
         self.scheduler.spawn(self._learn, name="learn")
 
@@ -83,8 +73,7 @@
         if self._leaving:
             return
         self._leaving = True
-        for server in self._servers:
-            server.closing = True
+        self._endpoints.leave()
         self.scheduler.spawn(self._end, name="end")
 
     def _end(self) -> None:
--- a/tests/system/test_dataplane_parts.py
+++ b/tests/system/test_dataplane_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import Any
 
 import pytest
@@ -10,7 +11,7 @@
 from brambleusher.dataplane.budgets import ColdBudget, RetryBudget, connections_of
 from brambleusher.dataplane.events import EventSplitter, EventTooLong
 from brambleusher.dataplane.instances import COLD_MARGIN_S, Instances, Standing
-from brambleusher.dataplane.placement import Placement, Wanted
+from brambleusher.dataplane.placement import FEW_LEAST, Placement, Wanted
 from brambleusher.dataplane.prefixes import keepers, shared_prefix
 from brambleusher.dataplane.routes import RouteTable, pick_service
 from brambleusher.membership.controllers import Controllers, Place
@@ -270,6 +271,55 @@
     assert {instance.id for instance in chosen if instance} == {"a", "b"}
 
 
+def used_by(gateway: str, known_zones: dict[str, str], **given: Any) -> set[str]:
+    """The instances that a gateway in the north prefers, at low use."""
+    known = Instances(ZONES, random.Random(1), gateway=gateway)
+    known.services = {"llm": Service(name="llm")}
+    known.take_list([entry(name, zone, capacity=100) for name, zone in known_zones.items()], 0.0, 0.0)
+    known.tick(0.0)
+    for number in range(1, 6):
+        known.tick(number * 0.5)
+    placement = Placement(known, "north")
+    chosen = [placement.choose(wanted(**given), (), 3.0) for _ in range(40)]
+    return {instance.id for instance in chosen if instance}
+
+
+def test_a_gateway_uses_few_instances_always_the_same_and_others_use_others() -> None:
+    zones = {f"i{number}": "n1" if number % 2 else "n2" for number in range(20)}
+    first, again, other = (used_by(name, zones) for name in ("g1", "g1", "g2"))
+    assert len(first) == FEW_LEAST
+    assert first == again
+    assert first != other
+    users = Counter(name for number in range(40) for name in used_by(f"g{number}", zones))
+    assert set(users) == set(zones)
+    assert max(users.values()) <= 4 * 40 * FEW_LEAST / 20
+
+
+def test_few_far_instances_are_used_where_no_near_one_may_be() -> None:
+    zones = {f"i{number}": "s1" for number in range(20)}
+    assert len(used_by("g1", zones, home_regions=("south",))) == FEW_LEAST
+
+
+def test_all_instances_are_used_where_they_are_full() -> None:
+    known = instances(*(entry(f"i{number}", capacity=2) for number in range(12)))
+    weights = known.weights["llm"]
+    for number in range(12):
+        weights.reported(f"i{number}", 1, 0, 2)
+    known.tick(0.0)
+    known.tick(0.5)
+    placement = Placement(known, "north")
+    chosen = {each.id for _ in range(60) if (each := placement.choose(wanted(), (), 0.6)) is not None}
+    assert len(chosen) == 12
+
+
+def test_the_turn_begins_at_an_instance_with_a_connection_to_use_again() -> None:
+    known = instances(*(entry(f"i{number}") for number in range(3)))
+    weights = known.weights["llm"]
+    chosen = [weights.choose(["i0", "i1", "i2"], 0.0, among_few=True, first=["i2"]) for _ in range(3)]
+    assert chosen[0] == "i2"
+    assert set(chosen) == {"i0", "i1", "i2"}
+
+
 def test_far_instances_take_over_where_near_ones_are_tried_or_down() -> None:
     known = instances(entry("a"), entry("c", "s1"))
     placement = Placement(known, "north")
