--- a/benchmarks/system_cost.py
+++ b/benchmarks/system_cost.py
@@ -78,7 +78,12 @@
                 return
 
     def _answer(self, stream: Stream, connection: h11.Connection, head: h11.Request) -> None:
-        headers = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
+        attempt = dict(head.headers).get(b"x-attempt-id", b"")  # without it no kept connection is used
+        headers = [
+            ("Content-Type", "text/event-stream"),
+            ("Transfer-Encoding", "chunked"),
+            ("X-Attempt-Id", attempt.decode("latin-1")),
+        ]
         deadline = self.scheduler.now() + 5
         stream.send(connection.send(h11.Response(status_code=200, headers=headers)) or b"", deadline)
         for number in range(1, int(head.target.rpartition(b"/")[2]) + 1):
