--- a/brambleusher/controller.py
+++ b/brambleusher/controller.py
@@ -11,7 +11,7 @@
 from brambleusher.controlplane.endpoints import Endpoints
 from brambleusher.controlplane.orders import Orders
 from brambleusher.controlplane.platform_list import PlatformList
-from brambleusher.controlplane.relay import RELAY, RelayServer
+from brambleusher.controlplane.relay import NAMED, RELAY, RelayServer
 from brambleusher.controlplane.replica import Replica
 from brambleusher.logs import SparseLog
 from brambleusher.membership.line_connection import LineSender, LineServer
@@ -174,6 +174,8 @@
             return self._announcer.watch(message)
         if kind == RELAY:
             return self._relay.handle(message)
+        if kind == NAMED:
+            return None  # it was meant for an observer
         sender = message.get("from")
         if not isinstance(sender, str):
             raise InvalidMessage("a message has no sender")
@@ -199,8 +201,16 @@
             ]
             if others:
                 self._send(self._rng.choice(others), {"kind": "shuffle", "sample": self.view.sample(now)})
+            self._tell_observers()
             self.scheduler.sleep(SHUFFLE_S * self._rng.uniform(0.8, 1.2))
 
+    def _tell_observers(self) -> None:
+        """Seeds that are no controllers may be observers, which after a loss of power know nobody else."""
+        known = {*self._known_controllers(), self.settings.peer_address}
+        for address in self.replica.seeds:
+            if address not in known:
+                self._send(address, {"kind": NAMED, "controllers": self._controllers()})
+
     def _resolve(self, request: HttpRequest) -> HttpResponse:
         return registry.answer(request, self._find, self.settings.bounds.ttl_max_s)
 
--- a/brambleusher/controlplane/relay.py
+++ b/brambleusher/controlplane/relay.py
@@ -28,7 +28,8 @@
 TRY_S = 0.55  # for the answer to reach the observer, before it asks another controller
 LOOK_AGAIN_S = 0.03
 IDLE_CLIENTS_MAX = 16
-RELAY = "relay"
+RELAY = "relay"  # an observer asks a controller
+NAMED = "controllers"  # a controller tells an observer which controllers there are
 
 Find = Callable[[str, str], list[str]]
 Named = list[tuple[str, str, str]]  # address, zone and region of controllers
--- a/brambleusher/observer.py
+++ b/brambleusher/observer.py
@@ -13,9 +13,9 @@
 from brambleusher.controlplane import registry
 from brambleusher.controlplane.endpoints import Endpoints
 from brambleusher.controlplane.orders import Orders
-from brambleusher.controlplane.relay import RELAY, RelayClient, RemoteState
+from brambleusher.controlplane.relay import NAMED, RELAY, RelayClient, RemoteState
 from brambleusher.logs import SparseLog
-from brambleusher.membership.controllers import Controllers, Place
+from brambleusher.membership.controllers import Controllers, Place, places_of
 from brambleusher.membership.line_connection import LineSender, LineServer
 from brambleusher.membership.process import run_until_signalled
 from brambleusher.membership.settings_watch import SettingsWatch
@@ -117,6 +117,9 @@
         """A gateway, an observer or a controller that knows nobody else has this one among its seeds."""
         if message.get("kind") in ("watch", RELAY):
             return {"observer": True, "answer": None, "controllers": self.controllers.places()}
+        if message.get("kind") == NAMED:
+            self.controllers.learn(places_of(message.get("controllers")))
+            return None
         if not message.get("passed"):
             for address in self.controllers.learned():
                 self._send(address, {**message, "passed": True})
--- a/tests/system/test_observer.py
+++ b/tests/system/test_observer.py
@@ -111,6 +111,25 @@
     whole.close()
 
 
+def test_all_lose_power_while_the_seeds_are_observers() -> None:
+    """The settings name observers alone by then: nobody but the controllers knows a controller."""
+    whole = Whole(gateways=3, observers=3)
+    whole.add_server("a")
+    whole.served()
+    whole.sleep(3.0)
+    whole.seeds = [f"10.4.0.{at}:8166" for at in (1, 2, 3)]
+    names = [*whole.controllers, *whole.gateways, *whole.observers]
+    for name in names:
+        whole.power_off(name)
+    for name in names:
+        whole.power_on(name)
+    back = whole.now
+    whole.wait(lambda: all(gateway.ready for gateway in whole.gateways.values()), seconds=6.0)
+    whole.wait(lambda: whole.control("o1", "GET", "/api/config").status == 200, seconds=2.0)
+    assert whole.now - back < 6.0
+    whole.close()
+
+
 def test_what_an_observer_passed_on_is_not_passed_on_again(whole: Whole) -> None:
     observer = whole.observers["o1"]
     sent: list[str] = []
--- a/tests/system/whole.py
+++ b/tests/system/whole.py
@@ -362,14 +362,20 @@
 
     def add_observer(self, name: str, ip: str) -> None:
         """A machine that serves the control plane's callers without a disk."""
+        self.world.machine(name, ip)
+        self.start_observer(name)
+
+    def start_observer(self, name: str) -> Process:
+        machine = self.world.machines[name]
         zone = self.zones[(int(name[1:]) - 1) % len(self.zones)]
-        settings = self._settings(name, ip, zone, True, core=True).model_copy(update={"data_dir": ""})
+        settings = self._settings(name, machine.ip, zone, True, core=True)
+        settings = settings.model_copy(update={"data_dir": ""})
 
         def main(system: VirtualSystem) -> None:
             self.observers[name] = Observer(system, settings)
             self.observers[name].run()
 
-        self.world.machine(name, ip).start(main, name)
+        return machine.start(main, name)
 
     def add_gateway(self, name: str, ip: str, zone: str) -> None:
         self.world.machine(name, ip)
@@ -396,8 +402,10 @@
         self.world.machines[name].come_back()
         if name in self.disks:
             self.start_core(name)
+        elif name in self.observers:
+            self.start_observer(name)
         else:
-            self.start_gateway(name)
+            self.start_gateway(name, self.gateways[name].settings.zone)
 
     def process(self, name: str) -> Process:
         process = self.world.machines[name].process
