--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,11 +2,24 @@
 
 from __future__ import annotations
 
+import logging
+from collections.abc import Iterator
+
 import pytest
 
 from tests.known_red import KnownRedError, known_red
 
 
+@pytest.fixture(autouse=True)
+def log_as_it_was() -> Iterator[None]:
+    """A test that starts a program configures the log; its stream is closed once that test is over."""
+    log = logging.getLogger("brambleusher")
+    handlers, level, propagate = list(log.handlers), log.level, log.propagate
+    yield
+    log.handlers[:], log.propagate = handlers, propagate
+    log.setLevel(level)
+
+
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Mark them, strictly: one that passes fails the run; so does, in a whole run, one that is not there."""
     try:
