Gateway metrics: requests whose client has left, attempts in flight, lateness

Cause: the record of the incident could not decide between two hypotheses, since nothing showed what a gateway does for clients that have left, and counters were only written by a process that stops. Change: metrics in Prometheus text at the endpoint that the deploy file names in 'metrics', and a counter for clients that left. No logic of requests is changed. The list of layers lets a gateway import the text format, as the import contract does.

--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -119,6 +119,10 @@
         self._protocol.start_next_cycle()
         return True
 
+    def has_departed(self) -> bool:
+        """Whether the client has closed its connection and everything that it sent has been read."""
+        return self.stream.peek() == b""
+
     # --- responses --------------------------------------------------------------------------------
 
     def begin_response(self, status: int, headers: HeaderList) -> None:
--- a/brambleusher/dataplane/counters.py
+++ b/brambleusher/dataplane/counters.py
@@ -22,6 +22,7 @@
     NOT_SERVING = "not_serving"  # no configuration yet, or too late in a shutdown
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
+    CLIENT_LEFT = "client_left"  # the client closed its connection before its response was complete
 
 
 class Counters:
--- a/brambleusher/dataplane/instance_table.py
+++ b/brambleusher/dataplane/instance_table.py
@@ -54,6 +54,11 @@
         """Return the instances of a service that are on the list."""
         return self._by_service.get(service, [])
 
+    @property
+    def attempts_in_flight(self) -> int:
+        """How many connections to listed instances are in use."""
+        return sum(each.connection_count - len(each.idle_connections) for each in self._instances.values())
+
     def update(self, entries: Iterable[InstanceEntry], read_at_s: float, now_s: float) -> list[Instance]:
         """Apply a newer list; return the instances that drain or were removed.
 
--- a/brambleusher/gateway/app.py
+++ b/brambleusher/gateway/app.py
@@ -18,7 +18,9 @@
 from brambleusher.dataplane.routing import RouteTable
 from brambleusher.dataplane.upstream_client import UpstreamClient
 from brambleusher.gateway.client_server import ClientServer
+from brambleusher.gateway.gateway_metrics import GatewayMetrics
 from brambleusher.gateway.graceful_shutdown import GracefulShutdown
+from brambleusher.gateway.metrics_server import MetricsServer
 from brambleusher.membership.controllers import Controllers, Locality
 from brambleusher.membership.process import run_until_signalled
 from brambleusher.membership.settings_watch import SettingsWatcher
@@ -27,6 +29,7 @@
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import parse_address
 from brambleusher.runtime.system import System
+from brambleusher.wire.metrics_endpoint import MetricsEndpoint
 from brambleusher.wire.policy import Policy
 from brambleusher.wire.settings import Settings
 
@@ -46,9 +49,22 @@
     """One process of the data plane."""
 
     def __init__(
-        self, system: System, settings: Settings, path: str = "", policy: Policy | None = None
+        self,
+        system: System,
+        settings: Settings,
+        path: str = "",
+        policy: Policy | None = None,
+        metrics_endpoint: MetricsEndpoint | None = None,
     ) -> None:
-        """Build all parts and listen; `path` names the settings file to watch, empty for none."""
+        """Build all parts and listen.
+
+        Args:
+            system: The machine that it runs on.
+            settings: What its settings file said.
+            path: The settings file to watch, empty for none.
+            policy: Which mechanisms are switched on.
+            metrics_endpoint: Where metrics are scraped; None: nowhere.
+        """
         self.scheduler = Scheduler(system)
         self.settings = settings
         policy = policy or Policy()
@@ -82,6 +98,9 @@
             lambda: self._configuration.routes,
             self._accepts_requests,
         )
+        if metrics_endpoint is not None:
+            metrics = GatewayMetrics(self.scheduler, self.counters, self._clients, self.instances)
+            MetricsServer(self.scheduler, settings.ip, metrics_endpoint, metrics)
         self._settings_watcher = SettingsWatcher(self.scheduler, path, self._apply_settings)
         self.scheduler.spawn(self._run_maintenance, name="maintenance")
 
--- a/brambleusher/gateway/client_server.py
+++ b/brambleusher/gateway/client_server.py
@@ -54,6 +54,11 @@
         """Whether no request is under way and none came for so long."""
         return not self.active_requests and self._scheduler.now() - self._last_request_s > idle_s
 
+    @property
+    def departed_requests(self) -> int:
+        """How many requests are under way whose client has closed its connection."""
+        return sum(not client.is_idle and client.has_departed() for client in self._connections)
+
     def close_after_responses(self) -> None:
         """From now on close each connection with its next response."""
         self._closes_after_responses = True
@@ -92,6 +97,9 @@
         self._last_request_s = self._scheduler.now()
         try:
             self._respond(client, request)
+        except OSError:
+            self._counters.add(RequestCounter.CLIENT_LEFT)
+            raise
         finally:
             self.active_requests -= 1
         if client.closes_after_response:
--- /dev/null
+++ b/brambleusher/gateway/gateway_metrics.py
@@ -0,0 +1,50 @@
+"""Metrics of a gateway, as operators and their monitoring read them."""
+
+from __future__ import annotations
+
+from brambleusher.dataplane.counters import Counters
+from brambleusher.dataplane.instance_table import InstanceTable
+from brambleusher.gateway.client_server import ClientServer
+from brambleusher.observability.prometheus_text import Metric, counter, gauge
+from brambleusher.runtime.scheduler import Scheduler
+
+PREFIX = "brambleusher_gateway_"
+
+
+class GatewayMetrics:
+    """Collects the metrics of one gateway at the moment they are asked for."""
+
+    def __init__(
+        self, scheduler: Scheduler, counters: Counters, clients: ClientServer, instances: InstanceTable
+    ) -> None:
+        self._scheduler, self._counters = scheduler, counters
+        self._clients, self._instances = clients, instances
+
+    def collect(self) -> list[Metric]:
+        """Return all metrics."""
+        return [
+            counter(
+                f"{PREFIX}requests_total",
+                "Requests by outcome and attempts by failure.",
+                "outcome",
+                self._counters.as_json(),
+            ),
+            gauge(
+                f"{PREFIX}active_requests", "Requests that are being served.", self._clients.active_requests
+            ),
+            gauge(
+                f"{PREFIX}departed_requests",
+                "Requests that are being served although their client has closed its connection.",
+                self._clients.departed_requests,
+            ),
+            gauge(
+                f"{PREFIX}attempts_in_flight",
+                "Connections to instances on which a response is awaited or read.",
+                self._instances.attempts_in_flight,
+            ),
+            gauge(
+                f"{PREFIX}scheduler_lateness_seconds",
+                "How late timers are, 0 where none was late recently.",
+                self._scheduler.lateness_s,
+            ),
+        ]
--- a/brambleusher/runtime/http_server.py
+++ b/brambleusher/runtime/http_server.py
@@ -18,7 +18,7 @@
 IDLE_S = 60.0
 REQUEST_S = 10.0  # from the first byte of a request to its last
 SEND_S = 5.0
-JSON_TYPE = (b"Content-Type", b"application/json")
+JSON_TYPE = b"application/json"
 
 
 def _never() -> bool:
@@ -39,11 +39,12 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """One answer; the body is JSON."""
+    """One answer."""
 
     status: int
     body: bytes = b""
     headers: tuple[tuple[bytes, bytes], ...] = field(default=())
+    content_type: bytes = JSON_TYPE
 
 
 def json_response(status: int, data: object, *headers: tuple[bytes, bytes]) -> HttpResponse:
@@ -119,7 +120,11 @@
         return HttpRequest(method, target.path, query, headers, body, lambda: stream.peek() == b"")
 
     def _answer(self, stream: Stream, connection: h11.Connection, response: HttpResponse) -> None:
-        headers = [JSON_TYPE, (b"Content-Length", str(len(response.body)).encode()), *response.headers]
+        headers = [
+            (b"Content-Type", response.content_type),
+            (b"Content-Length", str(len(response.body)).encode()),
+            *response.headers,
+        ]
         if self.closing:
             headers.append((b"Connection", b"close"))
         head = h11.Response(status_code=response.status, headers=headers)
--- a/tests/dataplane/test_counters.py
+++ b/tests/dataplane/test_counters.py
@@ -13,6 +13,7 @@
     assert set(counters.as_json()) == {
         "bad_request",
         "broken",
+        "client_left",
         "failed",
         "no_route",
         "not_serving",
--- a/tests/project/test_layers.py
+++ b/tests/project/test_layers.py
@@ -32,6 +32,7 @@
         "brambleusher.membership",
         "brambleusher.wire",
         "brambleusher.runtime",
+        "brambleusher.observability.prometheus_text",
     ),
     "brambleusher/controller": (
         "brambleusher.controller",
--- a/tests/system/stub_instance.py
+++ b/tests/system/stub_instance.py
@@ -10,7 +10,7 @@
 
 from brambleusher.lab.virtual.world import Machine
 from brambleusher.runtime.acceptor import Acceptor
-from brambleusher.runtime.scheduler import Scheduler
+from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream
 
 
@@ -25,6 +25,9 @@
     headers: dict[str, str]
     body: bytes
     at: float
+    cancelled_at: float | None = (
+        None  # when its caller closed the connection before the response was complete
+    )
 
 
 class StubInstance:
@@ -35,6 +38,7 @@
         self.state, self.is_listed, self.warmup_ms = "ready", True, 0
         self.events = 5
         self.pause_s = 0.02
+        self.head_delay_s = 0.0  # before anything of a response is sent
         self.resets_after_events: int | None = None  # events, then a reset in the middle of the next
         self.status = 200
         self.rejects_requests = False
@@ -81,13 +85,12 @@
             head, body = got
             headers = {key.decode(): value.decode() for key, value in head.headers}
             attempt = headers.get("x-attempt-id", "")
-            self.arrivals.append(
-                Arrival(
-                    self.name, attempt, head.method.decode(), head.target.decode(), headers, body,
-                    self.scheduler.now(),
-                )
+            arrival = Arrival(
+                self.name, attempt, head.method.decode(), head.target.decode(), headers, body,
+                self.scheduler.now(),
             )  # fmt: skip
-            if not self._answer(stream, connection, headers, attempt):
+            self.arrivals.append(arrival)
+            if not self._answer(stream, connection, arrival):
                 return
             connection.start_next_cycle()
             answered_at = self.scheduler.now()
@@ -102,17 +105,30 @@
         self.scheduler.system.reset(stream.sock)
         return True
 
-    def _answer(
-        self, stream: Stream, connection: h11.Connection, headers: dict[str, str], attempt: str
-    ) -> bool:
+    def _work(self, stream: Stream, arrival: Arrival, seconds: float) -> bool:
+        """Work for so long; false where the caller closed its connection meanwhile."""
         assert self.scheduler is not None
+        try:
+            self.scheduler.park(self.scheduler.now() + seconds, stream.sock)
+        except TaskTimeoutError:
+            return True
+        if stream.peek() == b"":
+            arrival.cancelled_at = self.scheduler.now()
+            return False
+        raise AssertionError("a caller sent something before its response was complete")
+
+    def _answer(self, stream: Stream, connection: h11.Connection, arrival: Arrival) -> bool:
+        assert self.scheduler is not None
+        headers, attempt = arrival.headers, arrival.attempt
         deadline = self.scheduler.now() + 5
 
         def send(event: Any) -> None:
             stream.send(connection.send(event) or b"", deadline)
 
         if self.is_unresponsive:
-            self.scheduler.sleep(30.0)
+            self._work(stream, arrival, 30.0)
+            return False
+        if not self._work(stream, arrival, self.head_delay_s):
             return False
         named = headers.get("x-target-instance")
         plain = [("X-Attempt-Id", attempt), ("Content-Length", "0")]
@@ -139,14 +155,16 @@
             send(h11.Data(data=body))
             send(h11.EndOfMessage())
             return True
-        return self._stream(stream, send, own, int(headers.get("last-event-id", "0")))
+        return self._stream(stream, send, own, arrival)
 
-    def _stream(self, stream: Stream, send: Callable[[Any], None], own: list[Any], last: int) -> bool:
+    def _stream(self, stream: Stream, send: Callable[[Any], None], own: list[Any], arrival: Arrival) -> bool:
         assert self.scheduler is not None
+        last = int(arrival.headers.get("last-event-id", "0"))
         kind = ("Content-Type", "text/event-stream")
         send(h11.Response(status_code=200, headers=[*own, kind, ("Transfer-Encoding", "chunked")]))
         for number in range(last + 1, self.events + 1):
-            self.scheduler.sleep(self.pause_s)
+            if not self._work(stream, arrival, self.pause_s):
+                return False
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             if self.resets_after_events is not None and number > self.resets_after_events:
                 send(h11.Data(data=event[:7]))
--- a/tests/system/test_system_tools.py
+++ b/tests/system/test_system_tools.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -10,6 +11,7 @@
 from brambleusher.controlplane.consensus.outputs import HardState
 from brambleusher.controlplane.storage.storage import Storage
 from brambleusher.runtime.disk import FolderDisk
+from brambleusher.wire.metrics_endpoint import InvalidMetricsEndpointError, MetricsEndpoint
 from tests.system.virtual_deployment import SETTINGS, configuration, route
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -134,3 +136,25 @@
     project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
     assert set(listed) <= set(project["optional-dependencies"]["system"] + project["dependencies"])
     assert set(project["optional-dependencies"]["system"]) <= set(listed)
+
+
+@pytest.mark.parametrize("text", ["9464", "/metrics", "0/metrics", "65536/metrics", "port/metrics", ""])
+def test_a_metrics_endpoint_that_is_none_is_named(text: str) -> None:
+    with pytest.raises(InvalidMetricsEndpointError, match="is not PORT/PATH"):
+        MetricsEndpoint.parse(text)
+
+
+def test_the_deploy_file_names_the_metrics_endpoint_that_its_gateway_is_started_with() -> None:
+    role = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["gateway"]
+    assert f"--metrics {role['metrics']}" in role["run"]
+    assert MetricsEndpoint.parse(role["metrics"]) == MetricsEndpoint(9464, "/metrics")
+
+
+@pytest.mark.parametrize(
+    ("words", "named"), [(["--metrics"], "'--metrics'"), (["--polcy", "x"], "'--polcy'")]
+)
+def test_a_wrong_option_of_a_gateway_is_named(
+    capsys: pytest.CaptureFixture[str], words: list[str], named: str
+) -> None:
+    assert system_main.main(["gateway", *words]) == 2
+    assert named in capsys.readouterr().err
--- a/tests/system/virtual_deployment.py
+++ b/tests/system/virtual_deployment.py
@@ -18,12 +18,14 @@
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream
 from brambleusher.wire import settings as settings_reader
+from brambleusher.wire.metrics_endpoint import MetricsEndpoint
 from tests.system.memory_disk import MemoryDisk
 from tests.system.stub_instance import Arrival, StubInstance
 
 SECOND = 10**9
 ZONES = {"n1": "north", "n2": "north", "s1": "south"}
 CONTROL, DIRECTORY, FRONT, READY, PEER = 8166, 8164, 8161, 8167, 7720
+METRICS = MetricsEndpoint(9464, "/metrics")
 PLATFORM = "10.9.0.1"
 PLAIN = WorldSettings(split=0.0, short_send=0.0, short_receive=0.0)
 
@@ -223,7 +225,7 @@
         settings = self._settings(name, machine.ip, zone, bootstrap=False, core=False)
 
         def main(system: VirtualSystem) -> None:
-            gateway = Gateway(system, settings)
+            gateway = Gateway(system, settings, metrics_endpoint=METRICS)
             self.gateways[name] = gateway
             gateway.run()
 
@@ -370,6 +372,12 @@
         given.setdefault("body", b"prompt")
         return (self.world.machines[gateway].ip, FRONT), "POST", target
 
+    def metrics(self, gateway: str) -> dict[str, float]:
+        """The metrics of a gateway, as they are scraped: names with labels, and values."""
+        reply = self.call((self.world.machines[gateway].ip, METRICS.port), "GET", METRICS.path)
+        lines = [line for line in reply.body.decode().splitlines() if not line.startswith("#")]
+        return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in lines)}
+
     def arrivals(self, attempt: str) -> list[Arrival]:
         """What instances saw of a request."""
         seen = [arrival for instance in self.stub_instances.values() for arrival in instance.arrivals]
