--- a/tests/system/stub_instance.py
+++ b/tests/system/stub_instance.py
@@ -13,6 +13,8 @@
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream
 
+STALL_S = 30.0  # that an instance stands still
+
 
 @dataclass
 class Arrival:
@@ -38,6 +40,7 @@
         self.state, self.is_listed, self.warmup_ms = "ready", True, 0
         self.events = 5
         self.pause_s = 0.02
+        self.slows_after_events: int | None = None  # after so many, the next comes after `STALL_S`
         self.head_delay_s = 0.0  # before anything of a response is sent
         self.resets_after_events: int | None = None  # events, then a reset in the middle of the next
         self.status = 200
@@ -126,7 +129,7 @@
             stream.send(connection.send(event) or b"", deadline)
 
         if self.is_unresponsive:
-            self._work(stream, arrival, 30.0)
+            self._work(stream, arrival, STALL_S)
             return False
         if not self._work(stream, arrival, self.head_delay_s):
             return False
@@ -163,7 +166,8 @@
         kind = ("Content-Type", "text/event-stream")
         send(h11.Response(status_code=200, headers=[*own, kind, ("Transfer-Encoding", "chunked")]))
         for number in range(last + 1, self.events + 1):
-            if not self._work(stream, arrival, self.pause_s):
+            is_slow = self.slows_after_events is not None and number > self.slows_after_events
+            if not self._work(stream, arrival, STALL_S if is_slow else self.pause_s):
                 return False
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             if self.resets_after_events is not None and number > self.resets_after_events:
