A gateway ends a request's work when its client leaves, wherever it waits

Cause: the task of a request waited on one connection at a time, the instance's, and learned from a failed write that its client had left; a client of an instance that stands still was never seen to leave. The class: a wait that does not include the reason for which it is made (cancellation is not propagated). Change: a watch on the client's connection, held for the whole request in the scheduler's poll, raises PeerDisconnectedError in the request's task wherever it is parked (connect, liveness check, head, events, a body read to its end, a rejection's body), so that no wait has to think of it; the client is also looked at ahead of each attempt. Runs of requests that may run once and are no streams are finished without their client. Failures of the client's connection have a type of their own and are never charged to the instance, nor resumed elsewhere. What an abandoned wait shows of a hung instance is kept. The sidecar's ClientPresence moves to runtime and serves both.

--- a/brambleusher/dataplane/attempts.py
+++ b/brambleusher/dataplane/attempts.py
@@ -42,10 +42,18 @@
         """Record the first bytes of the body."""
         self._weights.record_first_byte(self._instance_id, self._number, self._scheduler.now())
 
-    def attempt_finished(self, has_succeeded: bool | None) -> None:
-        """Record the end of the attempt; None: it says nothing of the instance."""
+    def attempt_finished(self, has_succeeded: bool) -> None:
+        """Record the end of the attempt."""
         self._weights.finish_attempt(self._instance_id, self._number, has_succeeded)
 
+    def attempt_abandoned(self) -> None:
+        """Record that the rest of the attempt is not wanted: its client has left."""
+        self._weights.abandon_attempt(self._instance_id, self._number, self._scheduler.now())
+
+    def attempt_not_started(self) -> None:
+        """Record that nothing was sent, so that the attempt says nothing of the instance."""
+        self._weights.finish_attempt(self._instance_id, self._number, None)
+
 
 class AttemptRunner:
     """Runs the attempts of requests."""
@@ -66,6 +74,9 @@
         """Try instances until one responds; None where none did and none may be tried any more.
 
         The reason is in the context then.
+
+        Raises:
+            PeerDisconnectedError: The client has left.
         """
         failed_attempts = 0
         while failed_attempts < FAILED_ATTEMPTS_MAX:
@@ -76,6 +87,8 @@
             if context.may_have_run and not context.may_run_again:
                 context.rejection_reason = RejectionReason.MUST_NOT_RUN_AGAIN
                 return None
+            context.client.resume()
+            context.client.raise_if_left()
             instance = self._placement.choose(
                 context.placement, context.tried, now_s, context.unresponsive_regions
             )
@@ -106,7 +119,7 @@
         if response is None:
             return None
         if response.status != HTTPStatus.OK:
-            response.abandon()
+            response.fail()
             return None
         self._counters.add(RequestCounter.RESUMED)
         return response
@@ -125,11 +138,13 @@
         try:
             result = self._upstream.send(self._upstream_request(context, instance), attempt)
         except BaseException:
-            attempt.attempt_finished(None)
+            attempt.attempt_abandoned()
             raise
         if not isinstance(result, Ok):
-            is_connect_failure = isinstance(result.err_value, ConnectFailed)
-            attempt.attempt_finished(None if is_connect_failure else False)
+            if isinstance(result.err_value, ConnectFailed):
+                attempt.attempt_not_started()
+            else:
+                attempt.attempt_finished(False)
         return result
 
     def _upstream_request(self, context: RequestContext, instance: Instance) -> UpstreamRequest:
@@ -143,6 +158,7 @@
             attempt_id=context.attempt_id,
             deadline_s=context.deadline_s,
             must_run_once=not context.route.is_idempotent,
+            begin_run=context.begin_run,
         )
 
     def _headers(self, context: RequestContext, instance: Instance) -> HeaderList:
--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -10,7 +10,9 @@
 from brambleusher.dataplane.body_memory import BodyMemory
 from brambleusher.dataplane.client_request import HOP_BY_HOP_HEADERS, ClientRequest, HeaderList
 from brambleusher.dataplane.errors import RequestTooLargeError
+from brambleusher.runtime.disconnect_watch import PeerDisconnectedError
 from brambleusher.runtime.h11_messages import encode_message, send_continue
+from brambleusher.runtime.peer_presence import PeerPresence
 from brambleusher.runtime.scheduler import Event, Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import RECEIVE_BYTES, Stream
 from brambleusher.wire.configuration import Limits
@@ -20,6 +22,23 @@
 HEAD_TIMEOUT_MIN_S = 1.0
 MS_PER_S = 1000
 HEADER_LINE_OVERHEAD_BYTES = 4  # colon, space and line end
+READ_AHEAD_MAX_BYTES = 16 * 1024  # of the requests that follow, while one is served; the rest stays unread
+
+
+class _ParserBuffer:
+    """The bytes that a connection's parser holds for the next request."""
+
+    __slots__ = ("_protocol",)
+
+    def __init__(self, protocol: h11.Connection) -> None:
+        self._protocol = protocol
+
+    @property
+    def buffered(self) -> int:
+        return len(self._protocol.trailing_data[0])
+
+    def feed(self, data: bytes) -> None:
+        self._protocol.receive_data(data)
 
 
 class ClientConnection:
@@ -35,6 +54,8 @@
         self.closes_when_idle = False
         self.has_response_begun = False  # the head of a response was sent
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        buffer = _ParserBuffer(self._protocol)
+        self.presence = PeerPresence(stream, buffer, READ_AHEAD_MAX_BYTES, max_discarded=0)
 
     # --- requests ---------------------------------------------------------------------------------
 
@@ -46,7 +67,7 @@
             RequestTooLargeError: The request exceeds a limit.
         """
         self.release_body()
-        self.is_idle, self.has_response_begun = True, False
+        self.is_idle, self.has_response_begun = not self._protocol.trailing_data[0], False
         head: h11.Request | None = None
         body: list[bytes] = []
         deadline_s = self._scheduler.now() + self.limits.idle_ms / MS_PER_S
@@ -121,7 +142,7 @@
 
     def has_departed(self) -> bool:
         """Whether the client has closed its connection and everything that it sent has been read."""
-        return self.stream.peek() == b""
+        return self.presence.has_left or self.stream.peek() == b""
 
     # --- responses --------------------------------------------------------------------------------
 
@@ -167,4 +188,8 @@
         return h11.Response(status_code=status, headers=sent)
 
     def _write(self, data: bytes) -> None:
-        self.stream.send(data, self._scheduler.now() + SEND_TIMEOUT_S)
+        """Send bytes; raises `PeerDisconnectedError` where the client takes them no more."""
+        try:
+            self.stream.send(data, self._scheduler.now() + SEND_TIMEOUT_S)
+        except (OSError, TaskTimeoutError) as error:
+            raise PeerDisconnectedError from error
--- a/brambleusher/dataplane/request_handler.py
+++ b/brambleusher/dataplane/request_handler.py
@@ -18,6 +18,7 @@
 from brambleusher.dataplane.routing import RouteTable, pick_service
 from brambleusher.dataplane.streaming import StreamRelay, is_event_stream
 from brambleusher.dataplane.upstream_response import UpstreamResponse
+from brambleusher.runtime.disconnect_watch import DisconnectWatch
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.wire.configuration import Route
 from brambleusher.wire.settings import Bounds
@@ -43,7 +44,11 @@
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     def handle(self, client: ClientConnection, request: ClientRequest, routes: RouteTable) -> None:
-        """Respond to one request."""
+        """Respond to one request.
+
+        Raises:
+            PeerDisconnectedError: The client left before its response was complete.
+        """
         path = request.target.decode("latin-1")
         route = routes.find(request.header(b"host").decode("latin-1"), path)
         attempt_id = request.header(b"x-attempt-id")
@@ -51,7 +56,10 @@
             self._counters.add(RequestCounter.NO_ROUTE)
             client.send_error(HTTPStatus.NOT_FOUND, "there is no route", attempt_id)
             return
-        context = self._context(request, route, attempt_id)
+        with DisconnectWatch(self._scheduler, client.presence) as watch:
+            self._serve(client, self._context(request, route, attempt_id, watch))
+
+    def _serve(self, client: ClientConnection, context: RequestContext) -> None:
         context.retry_budget.record_request()
         response = self._attempts.run(context)
         if response is None:
@@ -61,7 +69,9 @@
         else:
             self._relay_complete(client, context, response)
 
-    def _context(self, request: ClientRequest, route: Route, attempt_id: bytes) -> RequestContext:
+    def _context(
+        self, request: ClientRequest, route: Route, attempt_id: bytes, watch: DisconnectWatch
+    ) -> RequestContext:
         prefix_key, prefix_tokens = "", 0
         if route.has_affinity:
             prefix_key, prefix_tokens = shared_prefix(request.header(b"x-prompt-prefix").decode("latin-1"))
@@ -78,6 +88,7 @@
             attempt_id,
             request.received_at_s + limit_s,
             request.header(b"last-event-id"),
+            watch,
         )
 
     def _retry_budget(self, service: str) -> RetryBudget:
--- a/brambleusher/dataplane/streaming.py
+++ b/brambleusher/dataplane/streaming.py
@@ -58,10 +58,10 @@
                     self._begin_response()
                     self._client.send_data(events)
         except (ResponseBrokenError, TaskTimeoutError, EventTooLongError):
-            response.abandon()
+            response.fail()
             return False
-        except BaseException:  # the client disconnected, or the task was cancelled: no fault of the instance
-            response.abandon(None)
+        except BaseException:  # the client left, or the task was cancelled: no fault of the instance
+            response.abandon()
             raise
         if self._splitter.has_partial_event:
             return False
--- a/brambleusher/dataplane/upstream_client.py
+++ b/brambleusher/dataplane/upstream_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
@@ -41,6 +42,7 @@
     attempt_id: bytes
     deadline_s: float
     must_run_once: bool  # it can't be sent again once it may have run
+    begin_run: Callable[[], None]  # called ahead of the byte with which it may run
 
     def head(self) -> h11.Request:
         """Return the request line and headers."""
@@ -141,6 +143,7 @@
         connection = prepared.connection
         head: h11.Response | None = None
         try:
+            request.begin_run()
             connection.stream.send(prepared.unsent, request.deadline_s)
             head = _read_matching_head(connection, request)
         except (OSError, h11.ProtocolError):
--- a/brambleusher/dataplane/upstream_response.py
+++ b/brambleusher/dataplane/upstream_response.py
@@ -22,8 +22,11 @@
     def response_started(self) -> None:
         """Record the first bytes of the body."""
 
-    def attempt_finished(self, has_succeeded: bool | None) -> None:
-        """Record the end of the attempt; None: it says nothing of the instance."""
+    def attempt_finished(self, has_succeeded: bool) -> None:
+        """Record the end of the attempt."""
+
+    def attempt_abandoned(self) -> None:
+        """Record that the rest of the attempt is not wanted: its client has left."""
 
 
 class OutcomeIgnored:
@@ -32,7 +35,10 @@
     def response_started(self) -> None:
         """Do nothing."""
 
-    def attempt_finished(self, has_succeeded: bool | None) -> None:
+    def attempt_finished(self, has_succeeded: bool) -> None:
+        """Do nothing."""
+
+    def attempt_abandoned(self) -> None:
         """Do nothing."""
 
 
@@ -69,9 +75,12 @@
         try:
             event = receive_event(self._connection.protocol, self._connection.stream, deadline_s)
         except (OSError, h11.ProtocolError) as error:
-            self.abandon()
+            self.fail()
             raise ResponseBrokenError(f"{self._instance.id}: the response broke off: {error!r}") from error
         except TaskTimeoutError:
+            self.fail()
+            raise
+        except BaseException:  # the client left, or the task was cancelled: no fault of the instance
             self.abandon()
             raise
         self._instance.last_contact_s = self._scheduler.now()
@@ -83,15 +92,26 @@
         if isinstance(event, h11.EndOfMessage):
             self._finish()
             return b""
-        self.abandon()
+        self.fail()
         raise ResponseBrokenError(f"{self._instance.id}: the connection ended within the response")
 
-    def abandon(self, has_succeeded: bool | None = False) -> None:
-        """Close the connection: the rest can't be had or, with `has_succeeded` None, is not wanted."""
-        if not self._is_finished:
-            self._is_finished = True
-            self._pool.close(self._instance, self._connection)
-            self._listener.attempt_finished(has_succeeded)
+    def fail(self) -> None:
+        """Close the connection: the rest can't be had."""
+        if self._close():
+            self._listener.attempt_finished(False)
+
+    def abandon(self) -> None:
+        """Close the connection: the rest is not wanted."""
+        if self._close():
+            self._listener.attempt_abandoned()
+
+    def _close(self) -> bool:
+        """Close the connection; false where the response was finished before."""
+        if self._is_finished:
+            return False
+        self._is_finished = True
+        self._pool.close(self._instance, self._connection)
+        return True
 
     def _finish(self) -> None:
         if not self._is_finished:
--- a/brambleusher/gateway/client_server.py
+++ b/brambleusher/gateway/client_server.py
@@ -16,6 +16,7 @@
 from brambleusher.dataplane.request_handler import RequestHandler
 from brambleusher.dataplane.routing import RouteTable
 from brambleusher.runtime.acceptor import Acceptor
+from brambleusher.runtime.disconnect_watch import PeerDisconnectedError
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import Address
@@ -82,6 +83,8 @@
         try:
             while self._serve_next(client):
                 pass
+        except PeerDisconnectedError:
+            return  # while it was told that its request can't be read
         except h11.LocalProtocolError:
             log.exception("response serialization failed")
         finally:
@@ -97,9 +100,9 @@
         self._last_request_s = self._scheduler.now()
         try:
             self._respond(client, request)
-        except OSError:
+        except PeerDisconnectedError:
             self._counters.add(RequestCounter.CLIENT_LEFT)
-            raise
+            return False
         finally:
             self.active_requests -= 1
         if client.closes_after_response:
--- a/brambleusher/lab/processes/breakages.py
+++ b/brambleusher/lab/processes/breakages.py
@@ -5,8 +5,8 @@
 from contextlib import AbstractContextManager
 
 from brambleusher.lab.faults.breakages import BREAKAGES, Breakage, Patches
-from brambleusher.net.client_presence import ClientPresence
 from brambleusher.runtime.operating_system import RealSystem
+from brambleusher.runtime.peer_presence import PeerPresence
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Socket
 
@@ -59,7 +59,7 @@
     Two guards are taken out: the look at requests found late, and that before each attempt.
     """
     patches.set(Scheduler, "lateness_s", property(lambda self: 0.0))
-    patches.set(ClientPresence, "check_left", lambda self: False)
+    patches.set(PeerPresence, "check_left", lambda self: False)
 
 
 OWN = {
--- a/brambleusher/loadbalancing/instance_metrics.py
+++ b/brambleusher/loadbalancing/instance_metrics.py
@@ -58,6 +58,19 @@
     target_s: float  # infinite once its answer has begun: its wait is over, its slot is not
 
 
+class AbandonedWait(NamedTuple):
+    """A wait for the first byte of an answer that ended because the client left."""
+
+    sent_s: float
+    ended_s: float
+    target_s: float
+
+    @property
+    def ratio(self) -> float:
+        """How long it took, over the target."""
+        return (self.ended_s - self.sent_s) / self.target_s
+
+
 def _zeros() -> list[float]:
     return [0.0] * PRIORITIES
 
@@ -79,6 +92,7 @@
     served: float = PRIOR_SUCCESSES
     failed: float = 0.0
     last_response_s: float = -math.inf  # when an answer began last
+    abandoned_wait: AbandonedWait | None = None  # the longest lately, over its target
     unloaded_index: float = 0.0  # of the last unloaded spell, which counts where nothing is recent
     load: float = 0.0  # that the instance reported last, as a part of its slots
     load_weight: float = 0.0  # 1 for a report of this moment, less for an older one
@@ -131,8 +145,30 @@
             for _, sent_s, target_s in self.in_flight.values()
             if sent_s > self.last_response_s
         ]
+        abandoned = self._current_abandoned_wait(now)
+        if abandoned is not None:
+            ages.append(abandoned.ratio)
         return min(max(ages, default=0.0), MAX_AGE_RATIO)
 
+    def abandon(self, attempt: int, now: float) -> None:
+        """End an attempt whose client has left: what is known is that its answer had not begun.
+
+        Race: a client that leaves takes the attempt with it that would have shown a hung instance.
+        """
+        _, sent_s, target_s = self.in_flight.pop(attempt)
+        if math.isinf(target_s):
+            return
+        wait, longest = AbandonedWait(sent_s, now, target_s), self._current_abandoned_wait(now)
+        if longest is None or wait.ratio >= longest.ratio:
+            self.abandoned_wait = wait
+
+    def _current_abandoned_wait(self, now: float) -> AbandonedWait | None:
+        """Return the longest abandoned wait, as long as nothing was answered since it began."""
+        wait = self.abandoned_wait
+        if wait is None or wait.sent_s <= self.last_response_s or now - wait.ended_s > LATENCY_WINDOW_S:
+            return None
+        return wait
+
     def has_slot(self, in_flight: int, weight_sum: float) -> bool:
         """Return whether its share of `in_flight` attempts is within its weight, out of `weight_sum`."""
         if weight_sum <= 0:
--- a/brambleusher/loadbalancing/instance_weights.py
+++ b/brambleusher/loadbalancing/instance_weights.py
@@ -118,6 +118,12 @@
             instance.failed += not has_succeeded
         instance.served_since_tick += bool(has_succeeded)
 
+    def abandon_attempt(self, name: str, attempt: int, now: float) -> None:
+        """End an attempt because its client has left."""
+        instance = self._instances.get(name)
+        if instance is not None and attempt in instance.in_flight:
+            instance.abandon(attempt, now)
+
     def record_connect_failure(self, name: str) -> None:
         """Count a connection to an instance that failed."""
         instance = self._instances.get(name)
--- a/brambleusher/net/client_request_handler.py
+++ b/brambleusher/net/client_request_handler.py
@@ -12,7 +12,6 @@
 from brambleusher.loadbalancing.client_draining import ClientDraining
 from brambleusher.net.client_connection import ClientConnection
 from brambleusher.net.client_connections import ClientConnections
-from brambleusher.net.client_presence import ClientPresence
 from brambleusher.net.client_request_parser import ClientRequestParser
 from brambleusher.net.client_response import COUNTED_AS, ClientResponse, word_response
 from brambleusher.net.header_forwarding import HeaderRewriter
@@ -21,6 +20,7 @@
 from brambleusher.net.streamed_bodies import RequestBodyStream, request_body_stream, response_body_stream
 from brambleusher.observability.counters import Counters
 from brambleusher.observability.request_counts import RequestCounts
+from brambleusher.runtime.peer_presence import PeerPresence
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.system import Socket
 
@@ -38,7 +38,7 @@
     arrived_ns: int  # Unix time; earlier than its read where it waited unseen
     due: float  # seconds on the scheduler's clock; a streamed body has a deadline of its own
     unseen_s: float  # for which it may have waited unseen
-    presence: ClientPresence
+    presence: PeerPresence
 
     def deadline(self) -> float:
         """When the response has to leave."""
@@ -145,7 +145,7 @@
         due = min(self._clock.seconds(now_ns + request.time_left_ns), self.latest_response_at)
         if body_stream is not None:
             self._start_time_with_last_byte(body_stream, request.time_left_ns)
-        presence = ClientPresence(connection.stream, reader)
+        presence = PeerPresence(connection.stream, reader)
         return _Exchange(connection, path, request, body_stream, arrived_ns, due, unseen_s, presence)
 
     def _unseen_s(self, connection: ClientConnection) -> float:
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -125,6 +125,7 @@
         self._timers: list[tuple[float, int, Timer]] = []
         self._timer_count = self._cancelled_timers = 0
         self._waiting: dict[int, Task] = {}  # by the descriptor that they wait on
+        self._readable_callbacks: dict[int, Callable[[], object]] = {}  # by the descriptor that they watch
         self._soon: deque[Callable[[], object]] = deque()
         self._yielding: deque[Event] = deque()  # of tasks with long work, in turn
         self._lateness_s, self._late_until = 0.0, 0.0
@@ -150,6 +151,11 @@
         """
         return self._lateness_s if self.now() < self._late_until else 0.0
 
+    @property
+    def current_task(self) -> Task:
+        """The task that runs; raises `RuntimeError` outside one."""
+        return self._current()
+
     def spawn(
         self, function: Callable[..., object], *args: object, name: str = "", urgent: bool = False
     ) -> Task:
@@ -216,10 +222,31 @@
         fd = sock.fileno()
         if fd in self._waiting:
             raise RuntimeError("two tasks wait on one socket")
+        if fd in self._readable_callbacks:
+            if events & READ:
+                raise RuntimeError("a task waits to receive from a socket that is watched")
+            events |= READ
         task.sock_fd = fd
         self._waiting[fd] = task
         self._poll.register(fd, events)
 
+    def watch_readable(self, fd: int, callback: Callable[[], object]) -> None:
+        """Have the hub call a short function whenever a descriptor is readable; it must not park.
+
+        A task may wait to send on the same descriptor, not to receive.  The watch has to end before the
+        descriptor is polled closed.
+        """
+        if fd in self._readable_callbacks or fd in self._waiting:
+            raise RuntimeError("the socket is watched or waited for already")
+        self._readable_callbacks[fd] = callback
+        self._poll.register(fd, READ)
+
+    def unwatch_readable(self, fd: int) -> None:
+        """End the watch of a descriptor."""
+        del self._readable_callbacks[fd]
+        if fd not in self._waiting:
+            self._poll.unregister(fd)
+
     def sleep(self, seconds: float) -> None:
         """Let others run for a while."""
         try:
@@ -353,7 +380,11 @@
             self._lateness_s, self._late_until = lateness_s, now + lateness_s
 
     def _poll_once(self, timeout_ms: int) -> None:
-        for fd, _ in self._poll.poll(timeout_ms):
+        for fd, events in self._poll.poll(timeout_ms):
+            callback = self._readable_callbacks.get(fd)
+            if callback is not None:
+                self._notify_watched(fd, events, callback)
+                continue
             task = self._waiting.get(fd)
             if task is not None:
                 self.wake(task, _SOCKET)
@@ -362,10 +393,20 @@
             else:  # nobody waits for this socket: it would end every poll at once
                 self._poll.unregister(fd)
 
+    def _notify_watched(self, fd: int, events: int, callback: Callable[[], object]) -> None:
+        if events != WRITE:
+            callback()
+        task = self._waiting.get(fd)
+        if task is not None and events & WRITE:
+            self.wake(task, _SOCKET)
+
     def _unhook(self, task: Task) -> None:
         if task.sock_fd >= 0:
             del self._waiting[task.sock_fd]
-            self._poll.unregister(task.sock_fd)
+            if task.sock_fd in self._readable_callbacks:
+                self._poll.register(task.sock_fd, READ)
+            else:
+                self._poll.unregister(task.sock_fd)
             task.sock_fd = -1
         if task.event is not None:
             task.event.task = None
--- a/brambleusher/wire/configuration.py
+++ b/brambleusher/wire/configuration.py
@@ -48,6 +48,11 @@
         """Whether a request may run more than once."""
         return self.kind == "idempotent" or (self.kind == "streaming" and self.is_resumable)
 
+    @property
+    def is_cancellable(self) -> bool:
+        """Whether a run may be broken off once nobody waits for its response."""
+        return self.kind in {"idempotent", "streaming"}
+
     @property
     def weighted_services(self) -> tuple[WeightedService, ...]:
         """Services and their weights; a single service has all requests."""
--- a/tests/dataplane/test_request_context.py
+++ b/tests/dataplane/test_request_context.py
@@ -12,10 +12,25 @@
 from tests.dataplane.dataplane_builders import placement_request, route
 
 
+class ClientStays:
+    """A client that never leaves."""
+
+    def raise_if_left(self) -> None:
+        return
+
+    def suspend(self) -> None:
+        return
+
+    def resume(self) -> None:
+        return
+
+
 def context(**given: Any) -> RequestContext:
     request = ClientRequest(b"POST", b"/", [], b"", 0.0)
     budget = RetryBudget(0.2, 56, 10, 8, 0.0)
-    return RequestContext(request, route(**given), placement_request(**given), budget, b"a", 1.0, b"")
+    return RequestContext(
+        request, route(**given), placement_request(**given), budget, b"a", 1.0, b"", ClientStays()
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/net/test_guards.py
+++ b/tests/net/test_guards.py
@@ -18,12 +18,12 @@
 from brambleusher.net.client_connection_server import ClientConnectionServer
 from brambleusher.net.client_connections import ClientConnections
 from brambleusher.net.client_listener import ClientListener
-from brambleusher.net.client_presence import ClientPresence
 from brambleusher.net.http import MessageReader
 from brambleusher.net.json_text_assembler import TextAssembler
 from brambleusher.net.upstream_connections import UpstreamConnections
 from brambleusher.net.upstream_pool import UpstreamPool
 from brambleusher.net.upstream_response_reader import UpstreamResponseReader
+from brambleusher.runtime.peer_presence import PeerPresence
 from brambleusher.runtime.streams import Stream
 from brambleusher.sidecar.lifecycle import Lifecycle
 from tests import crossing, rig
@@ -38,18 +38,18 @@
     """The connection is closed at once."""
 
 
-def never_gone(presence: ClientPresence) -> bool:
+def never_gone(presence: PeerPresence) -> bool:
     return False
 
 
-def reads_and_sees_no_end(presence: ClientPresence) -> bool:
+def reads_and_sees_no_end(presence: PeerPresence) -> bool:
     presence._read()
     return False
 
 
-def gone_only_ahead_of_bytes(presence: ClientPresence) -> bool:
+def gone_only_ahead_of_bytes(presence: PeerPresence) -> bool:
     """As before floods were read: no more is looked at once enough has been sent ahead."""
-    if presence._reader.buffered >= 128 * 1024:
+    if presence._buffer.buffered >= 128 * 1024:
         return False
     presence._read()
     return presence.has_left
@@ -166,20 +166,20 @@
         "requests sent ahead where room is made",
         [
             (ClientConnections, "mark_idle", rests_always),
-            (ClientPresence, "check_left", reads_and_sees_no_end),
+            (PeerPresence, "check_left", reads_and_sees_no_end),
         ],
         test_crossings_client.Closes,
         "test_a_connection_that_is_given_up_carries_no_further_request",
     ),
     (
         "look before the first byte",
-        [(ClientPresence, "check_left", never_gone)],
+        [(PeerPresence, "check_left", never_gone)],
         test_crossings_client.Leaves,
         "test_nothing_is_sent_for_a_client_that_leaves_while_its_node_is_connected",
     ),
     (
         "floods are read",
-        [(ClientPresence, "check_left", gone_only_ahead_of_bytes)],
+        [(PeerPresence, "check_left", gone_only_ahead_of_bytes)],
         test_crossings_client.Leaves,
         "test_a_flood_that_leaves_is_seen_to_leave_and_gets_no_further_attempt",
     ),
