No work for clients that left: streamed responses of the sidecar, reads of the control plane

Cause: the same class on other paths. A sidecar that relays a streamed response waited up to 5 s for its endpoint's next piece without a look at its client; reads of the control plane and of ready addresses were finished for callers that had left. Change: both wait under the same watch; a client that takes no data for 10 s is no failure of its instance any more.

--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -11,7 +11,7 @@
 from brambleusher.dataplane.client_request import HOP_BY_HOP_HEADERS, ClientRequest, HeaderList
 from brambleusher.dataplane.errors import RequestTooLargeError
 from brambleusher.runtime.disconnect_watch import PeerDisconnectedError
-from brambleusher.runtime.h11_messages import encode_message, send_continue
+from brambleusher.runtime.h11_messages import ParserBuffer, encode_message, send_continue
 from brambleusher.runtime.peer_presence import PeerPresence
 from brambleusher.runtime.scheduler import Event, Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import RECEIVE_BYTES, Stream
@@ -25,22 +25,6 @@
 READ_AHEAD_MAX_BYTES = 16 * 1024  # of the requests that follow, while one is served; the rest stays unread
 
 
-class _ParserBuffer:
-    """The bytes that a connection's parser holds for the next request."""
-
-    __slots__ = ("_protocol",)
-
-    def __init__(self, protocol: h11.Connection) -> None:
-        self._protocol = protocol
-
-    @property
-    def buffered(self) -> int:
-        return len(self._protocol.trailing_data[0])
-
-    def feed(self, data: bytes) -> None:
-        self._protocol.receive_data(data)
-
-
 class ClientConnection:
     """Reads requests and writes responses, one at a time."""
 
@@ -54,7 +38,7 @@
         self.closes_when_idle = False
         self.has_response_begun = False  # the head of a response was sent
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-        buffer = _ParserBuffer(self._protocol)
+        buffer = ParserBuffer(self._protocol)
         self.presence = PeerPresence(stream, buffer, READ_AHEAD_MAX_BYTES, max_discarded=0)
 
     # --- requests ---------------------------------------------------------------------------------
--- a/brambleusher/net/client_request_handler.py
+++ b/brambleusher/net/client_request_handler.py
@@ -193,4 +193,5 @@
         response.must_close = exchange.presence.discarded_bytes > 0
         if isinstance(final.payload, Message):
             response.body_stream = response_body_stream(final.payload)
+            response.presence = exchange.presence
         return response
--- a/brambleusher/net/client_response.py
+++ b/brambleusher/net/client_response.py
@@ -11,6 +11,8 @@
 from brambleusher.net.streamed_bodies import ResponseBodyStream
 from brambleusher.observability.counters import Counters
 from brambleusher.observability.request_counts import FAILED, REJECTED, SERVED, RequestCounts
+from brambleusher.runtime.disconnect_watch import DisconnectWatch, PeerDisconnectedError
+from brambleusher.runtime.peer_presence import PeerPresence
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream
 
@@ -36,6 +38,7 @@
     counted_as: str = FAILED
     is_request_complete: bool = True
     body_stream: ResponseBodyStream | None = None  # in place of `body`
+    presence: PeerPresence | None = None  # of the client, where the body is streamed
     must_close: bool = False  # its connection can't carry another request
 
 
@@ -98,7 +101,7 @@
     def _relay_body(self, relay: _BodyRelay) -> bool:
         """Relay a body piece by piece; false where the rest of it does not come."""
         try:
-            relay.run()
+            self._run_relay(relay)
         except ResponseTruncatedError as error:
             # Once, and so that the client can tell: short of its length, or without its last chunk.
             self._counters.add("answers_cut")
@@ -108,6 +111,18 @@
         relay.finish()
         return True
 
+    def _run_relay(self, relay: _BodyRelay) -> None:
+        """Relay all pieces; raises `OSError` where the client leaves, also while no piece comes."""
+        presence = relay.presence
+        if presence is None:
+            relay.run()
+            return
+        try:
+            with DisconnectWatch(self._scheduler, presence):
+                relay.run()
+        except PeerDisconnectedError:
+            raise ConnectionResetError("the client has left") from None
+
 
 class _BodyRelay:
     """One response whose body is relayed piece by piece as it comes."""
@@ -121,6 +136,11 @@
         self._response, self._body = response, body
         self._framing, self._head = Framing.LENGTH, b""
 
+    @property
+    def presence(self) -> PeerPresence | None:
+        """Whether the client is still there; None: it is not watched."""
+        return self._response.presence
+
     def choose_framing(self, keep_alive: bool, http_minor: int) -> bool:
         """Choose how the body's end is marked; returns whether the connection may be kept."""
         body, response = self._body, self._response
--- a/brambleusher/runtime/h11_messages.py
+++ b/brambleusher/runtime/h11_messages.py
@@ -11,6 +11,24 @@
 SEND_S = 5.0  # for a peer to take a line that tells it to go on
 
 
+class ParserBuffer:
+    """The bytes that a connection's parser holds for the next message."""
+
+    __slots__ = ("_connection",)
+
+    def __init__(self, connection: h11.Connection) -> None:
+        self._connection = connection
+
+    @property
+    def buffered(self) -> int:
+        """How many bytes it holds."""
+        return len(self._connection.trailing_data[0])
+
+    def feed(self, data: bytes) -> None:
+        """Give it bytes that have come."""
+        self._connection.receive_data(data)
+
+
 def receive_event(connection: h11.Connection, stream: Stream, deadline: float) -> Any:
     """Wait for the next event of the peer; raises `OSError`, `TaskTimeoutError`, `h11.ProtocolError`.
 
--- a/brambleusher/runtime/http_server.py
+++ b/brambleusher/runtime/http_server.py
@@ -10,7 +10,9 @@
 import orjson
 
 from brambleusher.runtime.acceptor import Acceptor
-from brambleusher.runtime.h11_messages import encode_message, receive_event
+from brambleusher.runtime.disconnect_watch import DisconnectWatch, PeerDisconnectedError
+from brambleusher.runtime.h11_messages import ParserBuffer, encode_message, receive_event
+from brambleusher.runtime.peer_presence import PeerPresence
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.streams import Stream
 from brambleusher.runtime.system import Address
@@ -18,6 +20,8 @@
 IDLE_S = 60.0
 REQUEST_S = 10.0  # from the first byte of a request to its last
 SEND_S = 5.0
+READ_METHODS = frozenset({"GET", "HEAD"})  # they change nothing, and are not worth finishing for nobody
+READ_AHEAD_MAX_BYTES = 16 * 1024  # of the requests that follow, while one is handled
 JSON_TYPE = b"application/json"
 
 
@@ -86,12 +90,28 @@
                 return
             if request is None:
                 return
-            self._answer(stream, connection, self._handler(request))
+            response = self._handle(stream, connection, request)
+            if response is None:
+                return
+            self._answer(stream, connection, response)
             if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
                 stream.finish()
                 return
             connection.start_next_cycle()
 
+    def _handle(
+        self, stream: Stream, connection: h11.Connection, request: HttpRequest
+    ) -> HttpResponse | None:
+        """Have a request handled; None where it was a read whose caller has left."""
+        if request.method not in READ_METHODS:
+            return self._handler(request)
+        presence = PeerPresence(stream, ParserBuffer(connection), READ_AHEAD_MAX_BYTES, max_discarded=0)
+        try:
+            with DisconnectWatch(self._scheduler, presence):
+                return self._handler(request)
+        except PeerDisconnectedError:
+            return None
+
     def _read(self, stream: Stream, connection: h11.Connection) -> HttpRequest | None:
         head: h11.Request | None = None
         parts: list[bytes] = []
--- a/tests/gateway/test_departed_clients.py
+++ b/tests/gateway/test_departed_clients.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from tests.system.virtual_deployment import VirtualDeployment, configuration, route
+from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
+from brambleusher.runtime.streams import Stream
+from tests.system.virtual_deployment import FRONT, VirtualDeployment, configuration, route
 
 LEAVES_AFTER_S = 0.3  # a client, after its request
 NOTICE_MAX_S = 0.1  # from there until its instance has been told
@@ -15,6 +17,8 @@
 ACTIVE = "brambleusher_gateway_active_requests"
 RESUMED = 'brambleusher_gateway_requests_total{outcome="resumed"}'
 ONCE = route("/o/", resumable=False, tries=1)
+PLAIN = route("/p/", kind="idempotent", resumable=False, affine=False, service="desk")
+DESK = route("/d/", kind="mutating", resumable=False, affine=False, tries=1, service="desk")
 
 
 @pytest.fixture
@@ -22,7 +26,8 @@
     made = VirtualDeployment(gateways=1)
     for name, zone in (("a", "n1"), ("b", "n2"), ("c", "n1")):
         made.add_instance(name, zone=zone)
-    made.served(configuration(1, route(), ONCE))
+    made.add_instance("d", "desk", "n1")
+    made.served(configuration(1, route(), ONCE, PLAIN, DESK))
     made.sleep(6.0)  # until the instances are warm
     yield made
     made.close()
@@ -82,3 +87,156 @@
     assert [metrics[name] for name in (ACTIVE, DEPARTED, IN_FLIGHT)] == [0, 0, 0]
     assert len(runs) == len(attempts)
     assert all(arrival.cancelled_at is not None for arrival in stalled)
+
+
+def assert_nothing_is_left(deployment: VirtualDeployment) -> None:
+    """Neither requests nor attempts are under way, and no connection is counted that is not there."""
+    metrics = deployment.metrics("g1")
+    assert [metrics[name] for name in (ACTIVE, DEPARTED, IN_FLIGHT)] == [0, 0, 0]
+    weights = deployment.gateways["g1"].instances.weights
+    assert not any(weights["llm"].attempts_in_flight(name) for name in "abc")
+    assert not weights["desk"].attempts_in_flight("d")
+
+
+def test_a_run_ends_when_its_client_leaves_while_its_response_is_buffered(
+    deployment: VirtualDeployment,
+) -> None:
+    deployment.stub_instances["d"].head_delay_s = 3.0
+    leaving_request(deployment, "/p/x", attempt="gone")
+    deployment.sleep(LEAVES_AFTER_S + 0.5)
+    notice_s = cancelled_after_s(deployment, "gone")
+    assert notice_s is not None
+    assert notice_s < NOTICE_MAX_S
+    assert_nothing_is_left(deployment)
+
+
+def test_a_request_that_may_run_once_is_finished_without_its_client(deployment: VirtualDeployment) -> None:
+    deployment.stub_instances["d"].head_delay_s = 1.0
+    connections = deployment.stub_instances["d"].connections
+    leaving_request(deployment, "/d/x", attempt="gone")
+    deployment.sleep(LEAVES_AFTER_S + 1.5)
+    assert cancelled_after_s(deployment, "gone") is None
+    assert_nothing_is_left(deployment)
+    deployment.stub_instances["d"].head_delay_s = 0.0
+    assert deployment.request("g1", "/d/x", attempt="next").status == 200
+    assert deployment.stub_instances["d"].connections == connections + 1  # the connection was kept
+
+
+@pytest.mark.parametrize("target", ["/s/x", "/d/x"])
+def test_nothing_is_sent_for_a_client_that_leaves_while_its_instance_is_connected(
+    deployment: VirtualDeployment, target: str
+) -> None:
+    for name in deployment.stub_instances:
+        deployment.world.network.swallow_connects(name)
+    deployment.start_request("g1", target, attempt="gone", timeout_s=0.05)
+    deployment.sleep(0.1)
+    for name in deployment.stub_instances:
+        deployment.world.network.stop_swallowing(name)
+    deployment.sleep(2.0)
+    assert deployment.arrivals("gone") == []
+    assert_nothing_is_left(deployment)
+
+
+def test_nothing_is_sent_for_clients_that_left_while_the_gateway_stood_still(
+    deployment: VirtualDeployment,
+) -> None:
+    assert deployment.request("g1", attempt="before").status == 200  # a connection is idle now
+    deployment.world.machines["g1"].stall(1_000_000_000)
+    for target in ("/s/x", "/o/x", "/p/x", "/d/x"):
+        leaving_request(deployment, target, attempt=target)
+    deployment.sleep(2.0)
+    assert [deployment.arrivals(target) for target in ("/s/x", "/o/x", "/p/x", "/d/x")] == [[]] * 4
+    assert_nothing_is_left(deployment)
+
+
+def test_a_stream_that_breaks_off_is_not_resumed_for_a_client_that_has_left(
+    deployment: VirtualDeployment,
+) -> None:
+    for instance in deployment.stub_instances.values():
+        instance.pause_s, instance.resets_after_events = (
+            LEAVES_AFTER_S / 3,
+            2,
+        )  # it resets as the client leaves
+    leaving_request(deployment, attempt="gone")
+    deployment.sleep(2.0)
+    assert len(deployment.arrivals("gone")) == 1
+    assert deployment.metrics("g1").get(RESUMED, 0) == 0
+    assert_nothing_is_left(deployment)
+
+
+def test_a_rejected_request_is_not_tried_again_for_a_client_that_has_left(
+    deployment: VirtualDeployment,
+) -> None:
+    for instance in deployment.stub_instances.values():
+        instance.rejects_requests, instance.head_delay_s = True, LEAVES_AFTER_S + 0.2
+    for target in ("/s/x", "/d/x"):
+        leaving_request(deployment, target, attempt=target)
+    deployment.sleep(2.0)
+    assert len(deployment.arrivals("/s/x")) == len(deployment.arrivals("/d/x")) == 1
+    assert_nothing_is_left(deployment)
+
+
+def raw_client(deployment: VirtualDeployment, sent: bytes, stays_s: float, reads: bool = True) -> list[bytes]:
+    """Send bytes as they are, and close after a while; returns what is received, as the world runs."""
+    received: list[bytes] = []
+
+    def run(scheduler: Scheduler) -> None:
+        address = (deployment.world.machines["g1"].ip, FRONT)
+        end = scheduler.now() + stays_s
+        stream = Stream.connect(scheduler, address, end)
+        stream.send(sent, end)
+        while reads:
+            try:
+                data = stream.receive(end)
+            except TaskTimeoutError:
+                break
+            if not data:
+                break
+            received.append(data)
+        if not reads:
+            scheduler.sleep(stays_s)
+        stream.close()
+        scheduler.stop()
+
+    deployment.caller.serve(lambda scheduler: scheduler.spawn(run, scheduler), "raw")
+    return received
+
+
+def encoded(target: str, attempt: str, body: bytes = b"") -> bytes:
+    head = (
+        f"POST {target} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {attempt}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def test_a_client_is_seen_to_leave_behind_the_next_request_that_it_sent_ahead(
+    deployment: VirtualDeployment,
+) -> None:
+    for instance in deployment.stub_instances.values():
+        instance.is_unresponsive = True
+    raw_client(deployment, encoded("/s/x", "gone") + encoded("/s/x", "ahead"), LEAVES_AFTER_S)
+    deployment.sleep(LEAVES_AFTER_S + 0.5)
+    notice_s = cancelled_after_s(deployment, "gone")
+    assert notice_s is not None
+    assert notice_s < NOTICE_MAX_S
+    assert deployment.arrivals("ahead") == []
+
+
+def test_requests_sent_ahead_are_all_answered(deployment: VirtualDeployment) -> None:
+    body = b"x" * 20_000  # together more than is read ahead
+    sent = b"".join(encoded("/d/x", f"ahead{number}", body) for number in range(4))
+    received = raw_client(deployment, sent, 3.0)
+    deployment.sleep(2.0)
+    assert b"".join(received).count(b"HTTP/1.1 200") == 4
+    arrivals = [arrival for number in range(4) for arrival in deployment.arrivals(f"ahead{number}")]
+    assert [arrival.body for arrival in arrivals] == [body] * 4
+
+
+def test_a_client_that_takes_no_data_is_no_failure_of_its_instance(deployment: VirtualDeployment) -> None:
+    for instance in deployment.stub_instances.values():
+        instance.event_bytes, instance.events = 256 * 1024, 8
+    raw_client(deployment, encoded("/s/x", "full"), 30.0, reads=False)
+    deployment.sleep(15.0)
+    assert len(deployment.arrivals("full")) == 1
+    assert deployment.metrics("g1").get(RESUMED, 0) == 0
+    assert_nothing_is_left(deployment)
--- a/tests/loadbalancing/test_instance_weights.py
+++ b/tests/loadbalancing/test_instance_weights.py
@@ -196,3 +196,38 @@
     weights.start_attempt("a", 0, AIM_S, 0.1)
     chosen = {weights.choose(["a", "b", "c"], 0.1 + 0.7 * AIM_S) for _ in range(6)}
     assert chosen == {"b", "c"}
+
+
+def test_a_hung_instance_is_known_though_its_clients_leave() -> None:
+    weights = weights_of("a", "b")
+    attempt = weights.start_attempt("a", 0, AIM_S, 1.0)
+    weights.abandon_attempt("a", attempt, 1.0 + 2 * AIM_S)
+    assert weights.attempts_in_flight("a") == 0
+    assert {weights.choose(["a", "b"], 2.1) for _ in range(10)} == {"b"}
+
+
+def test_a_client_that_leaves_early_says_nothing_against_its_instance() -> None:
+    weights = weights_of("a", "b")
+    for _ in range(5):
+        weights.abandon_attempt("a", weights.start_attempt("a", 0, AIM_S, 1.0), 1.0 + AIM_S / 2)
+    assert {weights.choose(["a", "b"], 2.1) for _ in range(10)} == {"a", "b"}
+
+
+def test_an_answer_ends_what_an_abandoned_wait_says_and_so_does_time() -> None:
+    weights = weights_of("a", "b")
+    for now in (1.0, 10.0):
+        weights.abandon_attempt("a", weights.start_attempt("a", 0, AIM_S, now), now + 4 * AIM_S)
+    assert {weights.choose(["a", "b"], 12.1) for _ in range(10)} == {"b"}
+    assert {weights.choose(["a", "b"], 16.5) for _ in range(10)} == {"a", "b"}
+    weights.abandon_attempt("a", weights.start_attempt("a", 0, AIM_S, 20.0), 22.0)
+    send(weights, "a", 22.0)
+    assert {weights.choose(["a", "b"], 22.2) for _ in range(10)} == {"a", "b"}
+
+
+def test_a_wait_that_ends_after_the_first_byte_says_nothing() -> None:
+    weights = weights_of("a", "b")
+    attempt = weights.start_attempt("a", 0, AIM_S, 1.0)
+    weights.record_first_byte("a", attempt, 1.1)
+    weights.abandon_attempt("a", attempt, 9.0)
+    assert weights.attempts_in_flight("a") == 0
+    assert {weights.choose(["a", "b"], 9.1) for _ in range(10)} == {"a", "b"}
--- a/tests/net/test_bodies.py
+++ b/tests/net/test_bodies.py
@@ -188,6 +188,20 @@
                             reader.feed(sock.recv(65536))
                     self.assertEqual(body, LARGE)
 
+    def test_one_whose_node_stands_still_ends_with_its_client(self) -> None:
+        def script(sock: socket.socket, request: Message) -> None:
+            sock.sendall(OK + b"Content-Length: %d\r\n\r\n" % len(LARGE) + LARGE[:1000])
+
+        node = self.node(script)
+        rig = self.rig(node)
+        with rig.send("a") as sock:
+            self.assertTrue(sock.recv(65536).startswith(OK))
+        left_at = time.monotonic()
+        node.left.get(timeout=WAIT)
+        self.assertLess(time.monotonic() - left_at, 1.0)  # a piece of the body has 5 s
+        settled(rig)
+        self.assertEqual(rig.sidecar.counters.count("answers_cut"), 0)
+
     def test_one_that_breaks_ends_where_it_is_and_counts_as_failed(self) -> None:
         def cut(data: bytes) -> Script:
             def script(sock: socket.socket, request: Message) -> None:
--- a/tests/system/stub_instance.py
+++ b/tests/system/stub_instance.py
@@ -40,6 +40,7 @@
         self.state, self.is_listed, self.warmup_ms = "ready", True, 0
         self.events = 5
         self.pause_s = 0.02
+        self.event_bytes = 0  # added to each event
         self.slows_after_events: int | None = None  # after so many, the next comes after `STALL_S`
         self.head_delay_s = 0.0  # before anything of a response is sent
         self.resets_after_events: int | None = None  # events, then a reset in the middle of the next
@@ -169,7 +170,7 @@
             is_slow = self.slows_after_events is not None and number > self.slows_after_events
             if not self._work(stream, arrival, STALL_S if is_slow else self.pause_s):
                 return False
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            event = f"id: {number}\ndata: token {number}{'.' * self.event_bytes}\n\n".encode()
             if self.resets_after_events is not None and number > self.resets_after_events:
                 send(h11.Data(data=event[:7]))
                 self.scheduler.sleep(self.pause_s)
