--- /dev/null
+++ b/brambleusher/cli/soak.py
@@ -0,0 +1,51 @@
+"""`brambleusher soak`: the whole system as real processes, under overlapping signals and changes."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from brambleusher.lab.soak.run import SoakError, play
+from brambleusher.lab.soak.settings import InvalidSoakSettingsError, SoakSettings
+
+VIOLATIONS_PRINTED = 10
+
+
+def seeds_of(text: str) -> range:
+    """Return the seeds that FROM:TO names, or the single one; raises `click.BadParameter`."""
+    first, colon, last = text.partition(":")
+    if not first.isdigit() or (colon and not last.isdigit()):
+        raise click.BadParameter(f"{text!r} is not FROM:TO", param_hint="--seeds")
+    return range(int(first), int(last) if colon else int(first) + 1)
+
+
+@click.command(help="Play seeded soaks of the whole system with real processes, and check every rule.")
+@click.option("--seeds", default="1:2", metavar="FROM:TO", help="Which seeds, the last one not included.")
+@click.option("--seconds", default=30.0, show_default=True, help="How long actions go on, each.")
+@click.option("--gateways", default=4, show_default=True, help="Gateways.")
+@click.option("--clients", default=24, show_default=True, help="Clients.")
+@click.option("--instances", default=6, show_default=True, help="Instances, of two services.")
+@click.option("--logs", "folder", metavar="FOLDER", help="Keep settings and logs of all processes there.")
+def command(
+    seeds: str, seconds: float, gateways: int, clients: int, instances: int, folder: str | None
+) -> int:
+    """Play soaks one after the other.
+
+    Returns:
+        Exit status 0 where no rule was broken, 1 where one was, 2 where a soak could not be played.
+    """
+    is_broken = False
+    for seed in seeds_of(seeds):
+        try:
+            settings = SoakSettings(seed, seconds, gateways, instances=instances, clients=clients)
+            result = play(settings, Path(folder) / str(seed) if folder else None)
+        except (InvalidSoakSettingsError, SoakError) as error:
+            print(f"brambleusher: seed {seed}: {error}", file=sys.stderr)
+            return 2
+        print(result.summary(), flush=True)
+        for violation in result.violations[:VIOLATIONS_PRINTED]:
+            print(f"  {violation}", flush=True)
+        is_broken = is_broken or bool(result.violations)
+    return int(is_broken)
--- /dev/null
+++ b/brambleusher/lab/soak/checks.py
@@ -0,0 +1,197 @@
+"""The checks of a soak: pure, from what was observed to what is broken."""
+
+from __future__ import annotations
+
+import bisect
+from collections import defaultdict
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from brambleusher.lab.soak.clients import DEADLINE_S
+from brambleusher.lab.soak.instances import whole_body, whole_stream
+from brambleusher.lab.soak.records import (
+    ProcessEventKind,
+    RequestOutcome,
+    RequestRecord,
+    RunOutcome,
+    RunRecord,
+    SoakRecord,
+)
+from brambleusher.lab.soak.settings import GRACE_S
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # promises that a request has not run and never will
+UNREAD_S = 0.5  # a connection that ends so soon after a request may not have been read
+AROUND_KILL_S = 1.5  # SIGKILL of a gateway explains what ends so close to it
+DEPARTED_S = 1.5  # that a run may go on after its client left; 0.5 s with a processor to spare
+EXIT_SLACK_S = 1.0  # past the grace period, on a busy machine
+RESIDENT_MAX_MB = 150.0
+DESCRIPTORS_MAX = 600
+READ_LAG_S = 2.5  # after its acknowledgement a change may be missing from a read for so long
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken rule."""
+
+    rule: str
+    at_s: float
+    what: str
+
+    def __str__(self) -> str:
+        """Return one line."""
+        return f"{self.rule} at {self.at_s:.3f} s: {self.what}"
+
+
+def check(record: SoakRecord) -> list[Violation]:
+    """Return all that is broken, in the order of the rules."""
+    return _Check(record).run()
+
+
+class _Check:
+    def __init__(self, record: SoakRecord) -> None:
+        self._record = record
+        self._found: list[Violation] = []
+        self._runs: dict[str, list[RunRecord]] = defaultdict(list)
+        for run in record.runs:
+            self._runs[run.attempt].append(run)
+        self._kills: dict[str, list[float]] = defaultdict(list)
+        for event in record.processes:
+            if event.kind is ProcessEventKind.KILLED:
+                self._kills[event.process].append(event.at_s)
+
+    def run(self) -> list[Violation]:
+        for request in self._record.requests:
+            self._check_response(request)
+            self._check_run_once(request)
+            self._check_not_lost(request)
+            self._check_departed(request)
+        self._check_configuration()
+        self._check_processes()
+        self._check_end()
+        return self._found
+
+    def _add(self, rule: str, at_s: float, what: str) -> None:
+        self._found.append(Violation(rule, at_s, what))
+
+    # --- requests ---------------------------------------------------------------------------------
+
+    def _check_response(self, request: RequestRecord) -> None:
+        """A complete success has the whole body of this very request."""
+        if request.outcome is not RequestOutcome.COMPLETE:
+            return
+        if request.answered_attempt != request.attempt:
+            self._add("wrong-answer", request.ended_s, f"{request.attempt} got {request.answered_attempt!r}")
+        if request.status != HTTPStatus.OK:
+            return
+        due = whole_stream(request.attempt) if request.kind.is_stream else whole_body(request.attempt)
+        if request.body != due:
+            self._add(
+                "incomplete", request.ended_s, f"{request.attempt} ({request.kind}) got {request.body!r}"
+            )
+
+    def _check_run_once(self, request: RequestRecord) -> None:
+        ran = [run for run in self._runs[request.attempt] if run.outcome is not RunOutcome.REJECTED]
+        if not request.kind.runs_once:
+            return
+        if len(ran) > 1:
+            places = ", ".join(f"{run.instance} at {run.begun_s:.3f}" for run in ran)
+            self._add("run-twice", ran[1].begun_s, f"{request.attempt} ({request.kind}): {places}")
+        is_refused = request.outcome is RequestOutcome.COMPLETE and request.status in NOT_RUN_STATUSES
+        if ran and is_refused:
+            self._add("refused-after-run", request.ended_s, f"{request.attempt} ran and got {request.status}")
+
+    def _was_killed(self, process: str, since_s: float, until_s: float) -> bool:
+        kills = self._kills[process]
+        at = bisect.bisect_left(kills, since_s - AROUND_KILL_S)
+        return at < len(kills) and kills[at] <= until_s + AROUND_KILL_S
+
+    def _check_not_lost(self, request: RequestRecord) -> None:
+        """A connection ends within a response only after a kill, an instance's fault or the deadline."""
+        if request.outcome is not RequestOutcome.CLOSED or request.sent_s is None:
+            return
+        runs = self._runs[request.attempt]
+        is_late = request.ended_s - request.begun_s >= DEADLINE_S - UNREAD_S
+        is_unread = not runs and request.ended_s - request.sent_s < UNREAD_S
+        is_broken = any(run.outcome is RunOutcome.BROKEN for run in runs)
+        if (
+            is_late
+            or is_unread
+            or is_broken
+            or self._was_killed(request.gateway, request.begun_s, request.ended_s)
+        ):
+            return
+        after_s = request.ended_s - request.sent_s
+        where = f"{request.attempt} ({request.kind}) at {request.gateway}"
+        what = f"{where} was cut {after_s:.3f} s after it was sent"
+        self._add("lost", request.ended_s, what)
+
+    def _check_departed(self, request: RequestRecord) -> None:
+        """Nothing is begun, and nothing that may be broken off goes on, for a client that has left."""
+        if request.outcome is not RequestOutcome.LEFT:
+            return
+        left_s = request.ended_s
+        for run in self._runs[request.attempt]:
+            if run.begun_s > left_s + DEPARTED_S:
+                self._add(
+                    "departed", run.begun_s, f"{request.attempt} began {run.begun_s - left_s:.3f} s late"
+                )
+            elif request.kind.value != "notice" and run.ended_s > left_s + DEPARTED_S:
+                went_on_s = run.ended_s - left_s
+                self._add(
+                    "departed", run.ended_s, f"{request.attempt} ({request.kind}) ran on {went_on_s:.3f} s"
+                )
+
+    # --- the control plane ------------------------------------------------------------------------
+
+    def _check_configuration(self) -> None:
+        for first, second in self._record.conflicts:
+            self._add("conflict", 0.0, f"revisions {first} and {second} on one base were both acknowledged")
+        for read in self._record.reads:
+            due = [change for change in self._record.changes if change.at_s + READ_LAG_S < read.asked_s]
+            newest = max((change.revision for change in due), default=0)
+            if read.revision < newest:
+                what = f"{read.controller} answered revision {read.revision}, {newest} was acknowledged"
+                self._add("change-lost", read.asked_s, what)
+
+    # --- processes --------------------------------------------------------------------------------
+
+    def _check_processes(self) -> None:
+        last: dict[str, tuple[ProcessEventKind, float]] = {}
+        for event in self._record.processes:
+            signal_kind, signal_s = last.get(event.process, (ProcessEventKind.STARTED, 0.0))
+            if event.kind is ProcessEventKind.EXITED:
+                self._check_exit(event.process, event.at_s, event.status, signal_kind, signal_s)
+                last.pop(event.process, None)
+            elif event.kind is ProcessEventKind.KILLED or (
+                event.kind is ProcessEventKind.TERMINATED and signal_kind is ProcessEventKind.STARTED
+            ):
+                last[event.process] = (event.kind, event.at_s)
+
+    def _check_exit(
+        self, process: str, at_s: float, status: int, signal_kind: ProcessEventKind, signal_s: float
+    ) -> None:
+        if signal_kind is ProcessEventKind.KILLED:
+            return
+        if signal_kind is ProcessEventKind.STARTED:
+            self._add("exit", at_s, f"{process} ended by itself with {status}")
+        elif status != 0:
+            self._add("exit", at_s, f"{process} ended with {status} after SIGTERM")
+        elif at_s - signal_s > GRACE_S + EXIT_SLACK_S:
+            self._add("exit", at_s, f"{process} took {at_s - signal_s:.3f} s to end")
+
+    def _check_end(self) -> None:
+        """Once all is calm nothing is left over, and every gateway serves."""
+        for line in self._record.faulty_log_lines:
+            self._add("log", 0.0, line)
+        for use in self._record.last_uses:
+            if use.resident_mb > RESIDENT_MAX_MB or use.descriptors > DESCRIPTORS_MAX:
+                what = f"{use.process} holds {use.resident_mb:.0f} MB and {use.descriptors} descriptors"
+                self._add("bounds", 0.0, what)
+        for gateway, metrics in self._record.last_metrics.items():
+            for name in ("active_requests", "departed_requests", "attempts_in_flight"):
+                value = metrics.get(f"brambleusher_gateway_{name}")
+                if value != 0:
+                    self._add("left-over", 0.0, f"{gateway}: {name} is {value}")
+        for gateway, statuses in self._record.last_statuses.items():
+            if any(status != HTTPStatus.OK for status in statuses):
+                self._add("recovery", 0.0, f"{gateway} answers {statuses} once all is calm")
--- /dev/null
+++ b/brambleusher/lab/soak/clients.py
@@ -0,0 +1,205 @@
+"""Clients of a soak: each uses its connection until it is told to close it or the process is gone."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from http import HTTPStatus
+
+import h11
+import orjson
+
+from brambleusher.lab.soak.records import RequestKind, RequestOutcome, RequestRecord, SoakRecord
+from brambleusher.lab.soak.settings import DIRECTORY_PORT
+from brambleusher.runtime.h11_messages import encode_message, receive_event
+from brambleusher.runtime.http_client import HttpCallError, HttpClient
+from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
+from brambleusher.runtime.streams import Stream, parse_address
+from brambleusher.runtime.system import Address
+
+HOST = "soak.example"
+DEADLINE_S = 4.0  # of every route
+PATIENCE_S = 1.0  # past the deadline: a response that comes so late is seen
+CONNECT_S = 1.0
+RESOLUTION_S = 0.5
+ADDRESSES_KEPT_S = 2.0  # that an answer of the registry is used for a new connection
+PAUSE_S = (0.0, 0.25)  # between two requests
+LEAVES_AFTER_S = (0.0, 0.4)
+LEAVES_USUALLY = 0.02  # of the requests
+LEAVES_WHEN_EARLY = 0.6  # while clients leave early
+LONG_PAUSE_PROBABILITY = 0.05
+LONG_PAUSE_S = 1.5
+BODY = b"x" * 200
+
+
+class Clients:
+    """All clients, and what they share: the registry's last answer and whether they leave early."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        now: Callable[[], float],
+        record: SoakRecord,
+        rng: random.Random,
+        registries: list[str],
+        names_by_address: dict[str, str],
+    ) -> None:
+        """`registries` are addresses that answer resolutions, `names_by_address` has the gateways."""
+        self._scheduler, self._now, self._record, self._rng = scheduler, now, record, rng
+        self._registries, self._names = registries, names_by_address
+        self._addresses: list[str] = []
+        self._resolved_s = -ADDRESSES_KEPT_S
+        self.leave_early_until_s = 0.0
+        self.is_over = False
+        self.running = 0
+
+    def start(self, count: int) -> None:
+        """Start so many clients."""
+        for number in range(count):
+            self._scheduler.spawn(self._run, number, name="client")
+
+    def _run(self, number: int) -> None:
+        client = Client(self._scheduler, self._now, random.Random(f"{self._rng.random()} {number}"))
+        self.running += 1
+        sequence = 0
+        try:
+            while not self.is_over:
+                sequence += 1
+                self._request(client, f"{number}-{sequence}")
+                self._scheduler.sleep(client.pause_s())
+        finally:
+            client.close()
+            self.running -= 1
+
+    def _request(self, client: Client, attempt: str) -> None:
+        if not client.is_connected:
+            address = self._choose_address(client.rng)
+            if address is None or not client.connect(parse_address(address), self._names[address]):
+                return
+        record = RequestRecord(
+            attempt, client.rng.choice(list(RequestKind)), client.gateway, self._now(), client.is_reused
+        )
+        self._record.requests.append(record)
+        is_early = self._now() < self.leave_early_until_s
+        leaves = client.rng.random() < (LEAVES_WHEN_EARLY if is_early else LEAVES_USUALLY)
+        client.request(record, client.rng.uniform(*LEAVES_AFTER_S) if leaves else None)
+
+    def _choose_address(self, rng: random.Random) -> str | None:
+        if self._now() - self._resolved_s > ADDRESSES_KEPT_S:
+            self._resolve(rng)
+        known = [address for address in self._addresses if address in self._names]
+        return rng.choice(known) if known else None
+
+    def _resolve(self, rng: random.Random) -> None:
+        """Ask one registry after the other; the last answer is kept where none answers."""
+        for registry in rng.sample(self._registries, len(self._registries)):
+            client = HttpClient(self._scheduler, parse_address(registry))
+            try:
+                status, body = client.get(f"/api/resolution?name={HOST}&region=north&zone=n1", RESOLUTION_S)
+            except HttpCallError:
+                continue
+            finally:
+                client.close()
+            if status == HTTPStatus.OK:
+                self._addresses = orjson.loads(body)["addresses"]
+                self._resolved_s = self._now()
+                return
+
+
+class Client:
+    """One client with at most one connection."""
+
+    def __init__(self, scheduler: Scheduler, now: Callable[[], float], rng: random.Random) -> None:
+        self._scheduler, self._now, self.rng = scheduler, now, rng
+        self._stream: Stream | None = None
+        self._protocol = h11.Connection(h11.CLIENT)
+        self.gateway = ""
+        self.is_reused = False
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether it has a connection that it may use."""
+        return self._stream is not None
+
+    def pause_s(self) -> float:
+        """Draw how long it waits before its next request."""
+        is_long = self.rng.random() < LONG_PAUSE_PROBABILITY
+        return LONG_PAUSE_S if is_long else self.rng.uniform(*PAUSE_S)
+
+    def connect(self, address: Address, gateway: str) -> bool:
+        """Open a connection; whether that succeeded."""
+        self.close()
+        try:
+            self._stream = Stream.connect(self._scheduler, address, self._scheduler.now() + CONNECT_S)
+        except (OSError, TaskTimeoutError):
+            return False
+        self._protocol = h11.Connection(h11.CLIENT)
+        self.gateway, self.is_reused = gateway, False
+        return True
+
+    def close(self) -> None:
+        """Close the connection, if there is one."""
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    def request(self, record: RequestRecord, leaves_after_s: float | None) -> None:
+        """Send a request and read its response; the record is filled in."""
+        is_kept = False
+        try:
+            self._send(record)
+            is_kept = self._receive(record, leaves_after_s)
+        except TaskTimeoutError:
+            left = leaves_after_s is not None
+            record.outcome = RequestOutcome.LEFT if left else RequestOutcome.TIMED_OUT
+        except (OSError, h11.RemoteProtocolError):
+            if record.sent_s is not None:
+                record.outcome = RequestOutcome.CLOSED
+        record.ended_s = self._now()
+        self.is_reused = True
+        if not is_kept:
+            self.close()
+
+    def _send(self, record: RequestRecord) -> None:
+        assert self._stream is not None
+        head = h11.Request(
+            method=b"POST",
+            target=f"/{record.kind.value}/x".encode(),
+            headers=[
+                ("Host", HOST),
+                ("X-Attempt-Id", record.attempt),
+                ("X-Kind", record.kind.value),
+                ("X-Deadline-Remaining", str(int(DEADLINE_S * 1000))),
+                ("Content-Length", str(len(BODY))),
+            ],
+        )
+        data = encode_message(self._protocol, head, BODY)
+        self._stream.send(data, self._scheduler.now() + CONNECT_S)
+        record.sent_s = self._now()
+
+    def _receive(self, record: RequestRecord, leaves_after_s: float | None) -> bool:
+        """Read the response; whether the connection may be used again."""
+        assert self._stream is not None
+        wait_s = DEADLINE_S + PATIENCE_S if leaves_after_s is None else leaves_after_s
+        deadline = self._scheduler.now() + wait_s
+        while True:
+            received = receive_event(self._protocol, self._stream, deadline)
+            if isinstance(received, h11.Response):
+                record.status = received.status_code
+                record.answered_attempt = dict(received.headers).get(b"x-attempt-id", b"").decode()
+            elif isinstance(received, h11.Data):
+                record.body += bytes(received.data)
+            elif isinstance(received, h11.EndOfMessage):
+                record.outcome = RequestOutcome.COMPLETE
+                break
+            else:
+                raise ConnectionResetError("the connection ended before the response")
+        if self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE:
+            self._protocol.start_next_cycle()
+            return True
+        return False
+
+
+def registry_addresses(controller_ips: list[str]) -> list[str]:
+    """Return where clients ask which gateway to use."""
+    return [f"{ip}:{DIRECTORY_PORT}" for ip in controller_ips]
--- /dev/null
+++ b/brambleusher/lab/soak/instances.py
@@ -0,0 +1,202 @@
+"""Stand-ins for what is outside of the system: model instances, and the platform's list of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+from brambleusher.lab.soak.records import RequestKind, RunOutcome, RunRecord, SoakRecord
+from brambleusher.lab.soak.settings import INSTANCE_PORT, PLATFORM_PORT
+from brambleusher.runtime.acceptor import Acceptor
+from brambleusher.runtime.h11_messages import encode_message, receive_event
+from brambleusher.runtime.http_server import HttpRequest, HttpResponse, HttpServer, json_response
+from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
+from brambleusher.runtime.streams import Stream
+
+EVENTS = 6
+EVENT_INTERVAL_S = 0.04
+HEAD_DELAY_S = 0.03
+SLOW_FACTOR = 12
+CAPACITY = 64
+IDLE_S = 60.0
+SEND_S = 10.0
+HANG_POLL_S = 0.05
+
+
+@dataclass(slots=True)
+class InstanceFaults:
+    """How an instance fails at this moment."""
+
+    hangs: bool = False
+    resets: bool = False
+    rejects: bool = False
+    is_slow: bool = False
+    drains: bool = False
+
+
+def event(attempt: str, number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+
+
+def whole_stream(attempt: str) -> bytes:
+    """Return all events of a stream, as its client has to get them."""
+    return b"".join(event(attempt, number) for number in range(1, EVENTS + 1))
+
+
+def whole_body(attempt: str) -> bytes:
+    """Return the body of a response that is no stream."""
+    return f"ran {attempt}".encode()
+
+
+class _CallerLeftError(Exception):
+    """The caller closed its connection before the response was complete."""
+
+
+class _BrokenOffError(Exception):
+    """A fault of the instance ended the response."""
+
+
+class SoakInstance:
+    """Runs requests and records each run; its faults are set from outside."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        now: Callable[[], float],
+        record: SoakRecord,
+        name: str,
+        zone: str,
+        ip: str,
+    ) -> None:
+        self._scheduler, self._now, self._record = scheduler, now, record
+        self.name, self.zone, self._ip = name, zone, ip
+        self.faults = InstanceFaults()
+        Acceptor(scheduler, (ip, INSTANCE_PORT), self._serve, max_connections=4096)
+
+    def entry(self, service: str) -> dict[str, object]:
+        """Return its entry on the platform's list."""
+        return {
+            "id": self.name,
+            "service": service,
+            "address": f"{self._ip}:{INSTANCE_PORT}",
+            "zone": self.zone,
+            "revision": "v1",
+            "capacity": CAPACITY,
+            "state": "draining" if self.faults.drains else "ready",
+            "warmup_ms": 0,
+        }
+
+    def _serve(self, stream: Stream, _peer: str) -> None:
+        connection = h11.Connection(h11.SERVER)
+        while True:
+            head = self._read(stream, connection)
+            if head is None:
+                return
+            headers = dict(head.headers)
+            run = RunRecord(headers.get(b"x-attempt-id", b"").decode(), self.name, self._now())
+            self._record.runs.append(run)
+            try:
+                self._answer(stream, connection, headers, run)
+            except (_CallerLeftError, OSError, TaskTimeoutError):
+                run.outcome = RunOutcome.CANCELLED
+                return
+            except _BrokenOffError:
+                run.outcome = RunOutcome.BROKEN
+                self._scheduler.system.reset(stream.sock)
+                return
+            finally:
+                run.ended_s = self._now()
+            connection.start_next_cycle()
+
+    def _read(self, stream: Stream, connection: h11.Connection) -> h11.Request | None:
+        """Read a whole request; None where the caller has closed the connection."""
+        head: h11.Request | None = None
+        deadline = self._scheduler.now() + IDLE_S
+        try:
+            while True:
+                received = receive_event(connection, stream, deadline)
+                if isinstance(received, h11.Request):
+                    head = received
+                elif isinstance(received, h11.EndOfMessage):
+                    return head
+                elif not isinstance(received, h11.Data):
+                    return None
+        except h11.RemoteProtocolError:
+            return None  # it was closed within a request
+
+    def _answer(
+        self, stream: Stream, connection: h11.Connection, headers: dict[bytes, bytes], run: RunRecord
+    ) -> None:
+        named = headers.get(b"x-target-instance", self.name.encode()).decode()
+        if self.faults.rejects or named != self.name:
+            run.outcome = RunOutcome.REJECTED
+            self._send_rejection(stream, connection, run, 503 if named == self.name else 421)
+            return
+        self._work(stream, HEAD_DELAY_S)
+        if headers.get(b"x-kind", b"").decode() in (RequestKind.STREAM, RequestKind.STREAM_ONCE):
+            self._send_stream(stream, connection, run, int(headers.get(b"last-event-id", b"0")))
+        else:
+            self._send_body(stream, connection, run)
+        run.outcome = RunOutcome.COMPLETE
+
+    def _work(self, stream: Stream, seconds: float) -> None:
+        """Work for so long, longer while slow, without end while hung; notices a caller that leaves."""
+        until = self._scheduler.now() + seconds * (SLOW_FACTOR if self.faults.is_slow else 1)
+        while self.faults.hangs or self._scheduler.now() < until:
+            pause_s = HANG_POLL_S if self.faults.hangs else until - self._scheduler.now()
+            try:
+                self._scheduler.park(self._scheduler.now() + pause_s, stream.sock)
+            except TaskTimeoutError:
+                continue
+            if stream.peek() == b"":
+                raise _CallerLeftError
+            raise _BrokenOffError  # bytes where none are due
+        if self.faults.resets:
+            raise _BrokenOffError
+
+    def _fields(self, run: RunRecord, *more: tuple[str, str]) -> list[tuple[str, str]]:
+        seal = ("X-Server-Seal", f"{self.name}.{run.attempt}")
+        return [("X-Attempt-Id", run.attempt), seal, *more]
+
+    def _send(self, stream: Stream, data: bytes) -> None:
+        stream.send(data, self._scheduler.now() + SEND_S)
+
+    def _send_rejection(
+        self, stream: Stream, connection: h11.Connection, run: RunRecord, status: int
+    ) -> None:
+        fields = [("X-Attempt-Id", run.attempt), ("X-Not-Executed", "1"), ("Content-Length", "0")]
+        self._send(stream, encode_message(connection, h11.Response(status_code=status, headers=fields)))
+
+    def _send_body(self, stream: Stream, connection: h11.Connection, run: RunRecord) -> None:
+        body = whole_body(run.attempt)
+        fields = self._fields(run, ("Content-Length", str(len(body))))
+        self._send(stream, encode_message(connection, h11.Response(status_code=200, headers=fields), body))
+
+    def _send_stream(self, stream: Stream, connection: h11.Connection, run: RunRecord, last: int) -> None:
+        kind, framing = ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")
+        head = h11.Response(status_code=200, headers=self._fields(run, kind, framing))
+        self._send(stream, connection.send(head) or b"")
+        for number in range(last + 1, EVENTS + 1):
+            self._work(stream, EVENT_INTERVAL_S)
+            self._send(stream, connection.send(h11.Data(data=event(run.attempt, number))) or b"")
+        self._send(stream, connection.send(h11.EndOfMessage()) or b"")
+
+
+class PlatformList:
+    """The platform's list of instances, half of them of each service."""
+
+    def __init__(
+        self, scheduler: Scheduler, ip: str, instances: list[SoakInstance], services: list[str]
+    ) -> None:
+        self._instances, self._services = instances, services
+        HttpServer(scheduler, (ip, PLATFORM_PORT), self._handle)
+
+    def _handle(self, _request: HttpRequest) -> HttpResponse:
+        entries = [
+            instance.entry(self._services[number % len(self._services)])
+            for number, instance in enumerate(self._instances)
+        ]
+        return json_response(200, {"instances": entries, "next_token": None})
--- /dev/null
+++ b/brambleusher/lab/soak/operator.py
@@ -0,0 +1,185 @@
+"""The operator of a soak: changes of the configuration, evacuations, and reads of what is in force."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from http import HTTPStatus
+
+import h11
+import orjson
+
+from brambleusher.lab.soak.clients import DEADLINE_S, HOST
+from brambleusher.lab.soak.records import AcknowledgedChange, ConfigurationRead, RequestKind, SoakRecord
+from brambleusher.runtime.h11_messages import encode_message, receive_event
+from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
+from brambleusher.runtime.streams import Stream
+from brambleusher.runtime.system import Address
+
+SERVICES = ("model", "notices")
+CALL_S = 1.0  # for one controller, before another is asked
+PAUSE_S = 0.1
+CHANGE_S = 12.0  # that one change is sent again and again
+TRIES_MAX = 2  # of a route: instances that may run one of its requests
+LATENCY_TARGET_MS = 500
+
+
+def configuration(revision: int, weight: int) -> bytes:
+    """Return a whole configuration; `weight` makes it differ from others."""
+    routes = [
+        {
+            "name": kind.value,
+            "host": HOST,
+            "path_prefix": f"/{kind.value}/",
+            "kind": "streaming" if kind.is_stream else ("mutating" if kind.runs_once else "idempotent"),
+            "deadline_ms": DEADLINE_S * 1000,
+            "setpoint_ms": LATENCY_TARGET_MS + weight,
+            "split": [{"service": _service(kind), "gain": weight}],
+            "tries": 1 if kind.runs_once else TRIES_MAX,
+            "resumable": kind is RequestKind.STREAM,
+        }
+        for kind in RequestKind
+    ]
+    services = [{"name": name, "conn_limit": 4000} for name in SERVICES]
+    limits = {"idle_ms": 15000}
+    return orjson.dumps({"revision": revision, "routes": routes, "services": services, "limits": limits})
+
+
+def _service(kind: RequestKind) -> str:
+    return SERVICES[0] if kind.is_stream else SERVICES[1]
+
+
+class Operator:
+    """Sends changes to any controller until one acknowledges them."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        now: Callable[[], float],
+        record: SoakRecord,
+        rng: random.Random,
+        controllers: dict[str, Address],
+    ) -> None:
+        self._scheduler, self._now, self._record, self._rng = scheduler, now, record, rng
+        self._controllers = controllers
+        self._used_revision = 0  # the highest that was ever sent
+        self.changes_under_way = 0
+
+    @property
+    def acknowledged_revision(self) -> int:
+        """The newest revision that was acknowledged."""
+        return max((change.revision for change in self._record.changes), default=0)
+
+    def change(self) -> bool:
+        """Change the configuration; whether that was acknowledged."""
+        return self._change(self._current_base())
+
+    def race(self) -> None:
+        """Send two changes on the same base at once: one of them may be acknowledged."""
+        base = self._current_base()
+        outcomes: list[bool] = []
+        revisions: list[int] = []
+
+        def send() -> None:
+            revisions.append(self._used_revision + 1)
+            outcomes.append(self._change(base))
+
+        other = self._scheduler.spawn(send, name="racing change")
+        send()
+        while not other.done:
+            self._scheduler.sleep(PAUSE_S)
+        if all(outcomes):
+            self._record.conflicts.append((revisions[0], revisions[1]))
+
+    def evacuate(self, zone: str, is_restored: bool) -> None:
+        """Evacuate a zone, or take it back."""
+        method = "DELETE" if is_restored else "POST"
+        until = self._now() + CHANGE_S
+        while self._now() < until:
+            status, _ = self._call(self._any(), method, f"/api/evacuations/{zone}")
+            if 0 < status < HTTPStatus.INTERNAL_SERVER_ERROR:
+                return
+            self._scheduler.sleep(PAUSE_S)
+
+    def read(self, controller: str) -> int | None:
+        """Ask one controller for the configuration; its revision, None where it gives none."""
+        asked_s = self._now()
+        status, body = self._call(controller, "GET", "/api/config")
+        if status != HTTPStatus.OK:
+            return None
+        revision = int(orjson.loads(body).get("revision", 0))
+        self._record.reads.append(ConfigurationRead(controller, asked_s, revision))
+        return revision
+
+    def _any(self) -> str:
+        return self._rng.choice(list(self._controllers))
+
+    def _current_base(self) -> int:
+        """Return the revision in force, as any controller answers it."""
+        until = self._now() + CHANGE_S
+        while self._now() < until:
+            revision = self.read(self._any())
+            if revision is not None:
+                return revision
+            self._scheduler.sleep(PAUSE_S)
+        return self.acknowledged_revision
+
+    def _change(self, base: int) -> bool:
+        self._used_revision = revision = max(self._used_revision, base) + 1
+        body = configuration(revision, self._rng.randint(1, 100))
+        self.changes_under_way += 1
+        try:
+            return self._send(base, revision, body)
+        finally:
+            self.changes_under_way -= 1
+
+    def _send(self, base: int, revision: int, body: bytes) -> bool:
+        until = self._now() + CHANGE_S
+        while self._now() < until:
+            status, _ = self._call(self._any(), "PUT", "/api/config", body, {"If-Match": str(base)})
+            if status == HTTPStatus.OK:
+                self._record.changes.append(AcknowledgedChange(revision, self._now()))
+                return True
+            if status and status < HTTPStatus.INTERNAL_SERVER_ERROR:
+                return False
+            self._scheduler.sleep(PAUSE_S)
+        return False
+
+    def _call(
+        self,
+        controller: str,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Call a controller; status 0 where no whole response came."""
+        deadline = self._scheduler.now() + CALL_S
+        protocol = h11.Connection(h11.CLIENT)
+        fields = [("Host", "controller"), ("Content-Length", str(len(body))), *(headers or {}).items()]
+        head = h11.Request(method=method, target=target, headers=fields)
+        try:
+            stream = Stream.connect(self._scheduler, self._controllers[controller], deadline)
+        except (OSError, TaskTimeoutError):
+            return 0, b""
+        try:
+            stream.send(encode_message(protocol, head, body), deadline)
+            return self._read(protocol, stream, deadline)
+        except (OSError, TaskTimeoutError, h11.ProtocolError):
+            return 0, b""
+        finally:
+            stream.close()
+
+    @staticmethod
+    def _read(protocol: h11.Connection, stream: Stream, deadline: float) -> tuple[int, bytes]:
+        status, parts = 0, []
+        while True:
+            received = receive_event(protocol, stream, deadline)
+            if isinstance(received, h11.Response):
+                status = received.status_code
+            elif isinstance(received, h11.Data):
+                parts.append(bytes(received.data))
+            elif isinstance(received, h11.EndOfMessage):
+                return status, b"".join(parts)
+            else:
+                return 0, b""
--- /dev/null
+++ b/brambleusher/lab/soak/plan.py
@@ -0,0 +1,133 @@
+"""The plan of a soak: which signals, restarts, faults and changes come when, drawn from a seed.  Pure."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+
+from brambleusher.lab.soak.settings import SoakSettings
+
+CALM_START_S = 2.0  # without actions, after all processes are ready
+CALM_END_S = 3.0  # without new actions, ahead of the last look at the system
+CONTROLLER_SPACING_S = 8.0  # one controller at a time may be lost: so long until it counts again
+SERIES_GAP_S = (0.05, 1.2)  # between two actions of a series: most are shorter than a shutdown takes
+FAULT_S = (0.5, 3.0)  # that a fault of an instance lasts
+SERIES_EVERY_S = 0.9  # a new series begins so often, whatever others go on
+
+
+class ActionKind(StrEnum):
+    """What is done."""
+
+    TERMINATE_GATEWAY = "terminate_gateway"  # SIGTERM; it is started again once it has ended
+    KILL_GATEWAY = "kill_gateway"  # SIGKILL; the same
+    RELOAD_GATEWAY = "reload_gateway"  # its settings name other seeds; SIGHUP
+    TERMINATE_CONTROLLER = "terminate_controller"
+    KILL_CONTROLLER = "kill_controller"
+    HANG_INSTANCE = "hang_instance"  # it answers nothing and ends nothing
+    RESET_INSTANCE = "reset_instance"  # it breaks its answers off
+    REJECT_INSTANCE = "reject_instance"  # it is full
+    SLOW_INSTANCE = "slow_instance"
+    DRAIN_INSTANCE = "drain_instance"  # the platform's list says so
+    CHANGE_CONFIGURATION = "change_configuration"
+    RACE_CONFIGURATION = "race_configuration"  # two changes on the same revision at once
+    EVACUATE_ZONE = "evacuate_zone"
+    RESTORE_ZONE = "restore_zone"
+    LEAVE_EARLY = "leave_early"  # clients leave before their responses are complete
+
+
+@dataclass(frozen=True, slots=True)
+class ScheduledAction:
+    """One action; `target` is a process, an instance or a zone, empty where the kind needs none."""
+
+    at_s: float
+    kind: ActionKind
+    target: str = ""
+    duration_s: float = 0.0
+
+
+INSTANCE_FAULTS = (
+    ActionKind.HANG_INSTANCE,
+    ActionKind.RESET_INSTANCE,
+    ActionKind.REJECT_INSTANCE,
+    ActionKind.SLOW_INSTANCE,
+    ActionKind.DRAIN_INSTANCE,
+)
+
+
+class SoakPlanner:
+    """Draws the plan of one soak."""
+
+    def __init__(self, settings: SoakSettings) -> None:
+        self._settings = settings
+        self._rng = random.Random(f"soak {settings.seed}")
+        self._end_s = settings.duration_s - CALM_END_S
+        self._controller_free_at_s = CALM_START_S
+
+    def plan(self) -> list[ScheduledAction]:
+        """Return all actions, in the order of their times."""
+        draws: list[Callable[[float], Iterator[ScheduledAction]]] = [
+            self._roll_gateways,
+            self._roll_gateways,
+            self._signal_storm,
+            self._controller,
+            self._instance_faults,
+            self._instance_faults,
+            self._changes,
+            self._evacuation,
+            self._early_leavers,
+        ]
+        actions: list[ScheduledAction] = []
+        at_s = CALM_START_S
+        while at_s < self._end_s:
+            actions += self._rng.choice(draws)(at_s)
+            at_s += self._rng.uniform(0.4, 1.6) * SERIES_EVERY_S
+        return sorted((each for each in actions if each.at_s < self._end_s), key=lambda each: each.at_s)
+
+    def _gap_s(self) -> float:
+        return self._rng.uniform(*SERIES_GAP_S)
+
+    def _roll_gateways(self, at_s: float) -> Iterator[ScheduledAction]:
+        """SIGTERM one gateway after the other, the next before the last is back."""
+        names = list(self._settings.gateway_names)
+        self._rng.shuffle(names)
+        for name in names[: self._rng.randint(1, max(1, len(names) - 1))]:
+            yield ScheduledAction(at_s, ActionKind.TERMINATE_GATEWAY, name)
+            at_s += self._gap_s()
+
+    def _signal_storm(self, at_s: float) -> Iterator[ScheduledAction]:
+        """Signals of all kinds to a few gateways, some of which are on their way out."""
+        kinds = (ActionKind.TERMINATE_GATEWAY, ActionKind.RELOAD_GATEWAY, ActionKind.KILL_GATEWAY)
+        names = self._rng.sample(self._settings.gateway_names, min(2, len(self._settings.gateway_names)))
+        for _ in range(self._rng.randint(3, 8)):
+            yield ScheduledAction(at_s, self._rng.choice(kinds), self._rng.choice(names))
+            at_s += self._gap_s() / 2
+
+    def _controller(self, at_s: float) -> Iterator[ScheduledAction]:
+        """One controller goes; another one only once it is back."""
+        at_s = max(at_s, self._controller_free_at_s)
+        self._controller_free_at_s = at_s + CONTROLLER_SPACING_S
+        kind = self._rng.choice((ActionKind.TERMINATE_CONTROLLER, ActionKind.KILL_CONTROLLER))
+        yield ScheduledAction(at_s, kind, self._rng.choice(self._settings.controller_names))
+
+    def _instance_faults(self, at_s: float) -> Iterator[ScheduledAction]:
+        names = self._settings.instance_names
+        for name in self._rng.sample(names, self._rng.randint(1, max(1, len(names) // 2))):
+            kind = self._rng.choice(INSTANCE_FAULTS)
+            yield ScheduledAction(at_s, kind, name, self._rng.uniform(*FAULT_S))
+            at_s += self._gap_s() / 2
+
+    def _changes(self, at_s: float) -> Iterator[ScheduledAction]:
+        for _ in range(self._rng.randint(2, 6)):
+            kind = self._rng.choice((ActionKind.CHANGE_CONFIGURATION, ActionKind.RACE_CONFIGURATION))
+            yield ScheduledAction(at_s, kind)
+            at_s += self._gap_s()
+
+    def _evacuation(self, at_s: float) -> Iterator[ScheduledAction]:
+        zone = self._rng.choice(self._settings.zone_names)
+        yield ScheduledAction(at_s, ActionKind.EVACUATE_ZONE, zone)
+        yield ScheduledAction(at_s + self._rng.uniform(*FAULT_S), ActionKind.RESTORE_ZONE, zone)
+
+    def _early_leavers(self, at_s: float) -> Iterator[ScheduledAction]:
+        yield ScheduledAction(at_s, ActionKind.LEAVE_EARLY, duration_s=self._rng.uniform(*FAULT_S))
--- /dev/null
+++ b/brambleusher/lab/soak/processes.py
@@ -0,0 +1,259 @@
+"""The system's own processes in a soak: started, signalled, and started again when they have ended."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+from brambleusher.lab.processes.parent import tied_to
+from brambleusher.lab.soak.records import ProcessEvent, ProcessEventKind, ProcessUse, SoakRecord
+from brambleusher.lab.soak.settings import (
+    CONTROL_PORT,
+    DIRECTORY_PORT,
+    FRONT_PORT,
+    GRACE_S,
+    METRICS_PATH,
+    METRICS_PORT,
+    PEER_PORT,
+    PLATFORM_PORT,
+    READY_PORT,
+    ZONES,
+    SoakSettings,
+)
+from brambleusher.runtime.scheduler import Scheduler, Timer
+
+RESTART_DELAY_S = 0.3  # after a process has ended
+LOOK_INTERVAL_S = 0.05  # between two looks whether processes have ended
+KIB_PER_MIB = 1024
+PAGE_BYTES = os.sysconf("SC_PAGESIZE")
+FAULTY_LINE_WORDS = ("Traceback", "level=error", "task failed", "timer failed")
+
+SETTINGS = """
+node_name = "{name}"
+serves = {serves}
+ip = "{ip}"
+zone = "{zone}"
+region = "{region}"
+port_range = [{peer_port}, {peer_port_last}]
+seeds = {seeds}
+bootstrap = {bootstrap}
+data_dir = "{data_dir}"
+[zones]
+{zones}
+[bind]
+{bind}
+[limits]
+memory_mb = 300
+fd_limit = 4100
+[tolerance]
+machines = 1
+[bounds]
+grace_s = {grace_s}
+[cloud_api]
+address = "{platform}:{platform_port}"
+rate_per_s = 40.0
+"""
+
+
+class SoakProcess:
+    """One process of the system over all its starts."""
+
+    def __init__(
+        self, name: str, ip: str, command: list[str], settings: Callable[[bool], str], folder: Path
+    ) -> None:
+        """`settings` makes the text of its settings file, given whether it is the very first start."""
+        self.name, self.ip = name, ip
+        self._command, self._settings = command, settings
+        self.settings_path = folder / f"{name}.toml"
+        self.log_path = folder / f"{name}.log"
+        self.popen: subprocess.Popen[bytes] | None = None
+        self.starts = 0
+        self.kill_timer: Timer | None = None
+
+    def start(self) -> None:
+        """Start it with the settings of this moment."""
+        self.write_settings()
+        self.starts += 1
+        with self.log_path.open("ab") as log:
+            self.popen = subprocess.Popen(
+                self._command,
+                env={**os.environ, "BRAMBLEUSHER_SETTINGS": str(self.settings_path)},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+                preexec_fn=tied_to(os.getpid(), signal.SIGKILL),
+            )
+
+    def write_settings(self) -> None:
+        """Write its settings file, complete at every moment."""
+        made = self.settings_path.with_suffix(".new")
+        made.write_text(self._settings(self.starts == 0), encoding="utf-8")
+        made.replace(self.settings_path)
+
+    def use(self) -> ProcessUse | None:
+        """Return what it holds; None where it is not running."""
+        if self.popen is None:
+            return None
+        try:
+            folder = Path(f"/proc/{self.popen.pid}")
+            pages = int((folder / "statm").read_text().split()[1])
+            descriptors = len(list((folder / "fd").iterdir()))
+        except OSError:
+            return None
+        return ProcessUse(self.name, pages * PAGE_BYTES / KIB_PER_MIB / KIB_PER_MIB, descriptors)
+
+
+class Processes:
+    """All processes; each that ends is started again after a short delay."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        now: Callable[[], float],
+        record: SoakRecord,
+        settings: SoakSettings,
+        folder: Path,
+    ) -> None:
+        self._scheduler, self._now, self._record = scheduler, now, record
+        self._settings, self._folder = settings, folder
+        self.platform_ip = settings.ip(4, 1)
+        self.by_name: dict[str, SoakProcess] = {}
+        self.is_over = False
+        self.seed_shift = 0  # which controllers the settings name first
+        for number, name in enumerate(settings.controller_names, 1):
+            self._add(name, settings.ip(1, number), settings.zone_of(number), is_controller=True)
+        for number, name in enumerate(settings.gateway_names, 1):
+            self._add(name, settings.ip(2, number), settings.zone_of(number), is_controller=False)
+
+    def _add(self, name: str, ip: str, zone: str, is_controller: bool) -> None:
+        command = [sys.executable, "-m", "brambleusher.system_main"]
+        if is_controller:
+            command += ["controller"]
+        else:
+            command += ["gateway", "--metrics", f"{METRICS_PORT}{METRICS_PATH}"]
+
+        def settings(is_first: bool) -> str:
+            return self._settings_text(name, ip, zone, is_controller, is_first)
+
+        self.by_name[name] = SoakProcess(name, ip, command, settings, self._folder)
+
+    def _seeds(self) -> list[str]:
+        ips = [self._settings.ip(1, number) for number in range(1, self._settings.controllers + 1)]
+        shift = self.seed_shift % len(ips)
+        return [f"{ip}:{CONTROL_PORT}" for ip in (ips[shift:] + ips[:shift])[:3]]
+
+    def _settings_text(self, name: str, ip: str, zone: str, is_controller: bool, is_first: bool) -> str:
+        data_dir = self._folder / f"{name}.data"
+        if is_controller:
+            data_dir.mkdir(exist_ok=True)
+            bind = f'control = "{ip}:{CONTROL_PORT}"\ndirectory = "{ip}:{DIRECTORY_PORT}"'
+        else:
+            bind = f'front = "{ip}:{FRONT_PORT}"\nready = "{ip}:{READY_PORT}"'
+        return SETTINGS.format(
+            name=name,
+            serves='["controller", "registry"]' if is_controller else '["edge"]',
+            ip=ip,
+            zone=zone,
+            region=ZONES[zone],
+            peer_port=PEER_PORT,
+            peer_port_last=PEER_PORT + 15,
+            seeds=json.dumps(self._seeds()),
+            bootstrap=str(is_first).lower(),
+            data_dir=data_dir if is_controller else "",
+            zones="\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items()),
+            bind=bind,
+            grace_s=GRACE_S,
+            platform=self.platform_ip,
+            platform_port=PLATFORM_PORT,
+        )
+
+    # --- life -------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Start all, and look after them from now on."""
+        for process in self.by_name.values():
+            self._start(process)
+        self._scheduler.spawn(self._look_after, name="processes")
+
+    def _start(self, process: SoakProcess) -> None:
+        process.start()
+        self._tell(process, ProcessEventKind.STARTED)
+
+    def _tell(self, process: SoakProcess, kind: ProcessEventKind, status: int = 0) -> None:
+        self._record.processes.append(ProcessEvent(process.name, self._now(), kind, status))
+
+    def _look_after(self) -> None:
+        while not self.is_over:
+            for process in self.by_name.values():
+                self._look_at(process)
+            self._scheduler.sleep(LOOK_INTERVAL_S)
+
+    def _look_at(self, process: SoakProcess) -> None:
+        status = process.popen.poll() if process.popen is not None else None
+        if status is None:
+            return
+        process.popen = None
+        if process.kill_timer is not None:
+            process.kill_timer.cancel()
+            process.kill_timer = None
+        self._tell(process, ProcessEventKind.EXITED, status)
+        self._scheduler.call_at(self._scheduler.now() + RESTART_DELAY_S, lambda: self._restart(process))
+
+    def _restart(self, process: SoakProcess) -> None:
+        if not self.is_over:
+            self._start(process)
+
+    # --- signals ----------------------------------------------------------------------------------
+
+    def terminate(self, name: str) -> None:
+        """Send SIGTERM, and SIGKILL after the grace period; a second SIGTERM is sent as well."""
+        process = self.by_name[name]
+        if process.popen is None:
+            return
+        process.popen.send_signal(signal.SIGTERM)
+        self._tell(process, ProcessEventKind.TERMINATED)
+        if process.kill_timer is None:
+            deadline = self._scheduler.now() + GRACE_S
+            process.kill_timer = self._scheduler.call_at(deadline, lambda: self.kill(name))
+
+    def kill(self, name: str) -> None:
+        """Send SIGKILL."""
+        process = self.by_name[name]
+        if process.popen is not None:
+            self._tell(process, ProcessEventKind.KILLED)
+            process.popen.kill()
+
+    def reload(self, name: str) -> None:
+        """Name other seeds in its settings and send SIGHUP."""
+        process = self.by_name[name]
+        self.seed_shift += 1
+        process.write_settings()
+        if process.popen is not None and process.popen.poll() is None and process.starts:
+            process.popen.send_signal(signal.SIGHUP)
+            self._tell(process, ProcessEventKind.RELOADED)
+
+    def stop(self) -> None:
+        """Kill all, and wait until they are gone."""
+        self.is_over = True
+        for process in self.by_name.values():
+            if process.popen is not None:
+                process.popen.kill()
+                process.popen.wait()
+
+    def faulty_log_lines(self) -> list[str]:
+        """Return the lines of all logs that tell of a fault of the program."""
+        found = []
+        for process in self.by_name.values():
+            text = process.log_path.read_text(encoding="utf-8", errors="replace") if process.starts else ""
+            found += [
+                f"{process.name}: {line}"
+                for line in text.splitlines()
+                if any(word in line for word in FAULTY_LINE_WORDS)
+            ]
+        return found
--- /dev/null
+++ b/brambleusher/lab/soak/run.py
@@ -0,0 +1,265 @@
+"""Plays one soak: assembles its parts, follows its plan, and looks at what is left in the end."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from http import HTTPStatus
+from pathlib import Path
+
+from brambleusher.lab.soak.checks import Violation, check
+from brambleusher.lab.soak.clients import Client, Clients, registry_addresses
+from brambleusher.lab.soak.instances import PlatformList, SoakInstance
+from brambleusher.lab.soak.operator import SERVICES, Operator
+from brambleusher.lab.soak.plan import ActionKind, ScheduledAction, SoakPlanner
+from brambleusher.lab.soak.processes import Processes
+from brambleusher.lab.soak.records import RequestKind, RequestRecord, SoakRecord
+from brambleusher.lab.soak.settings import (
+    CONTROL_PORT,
+    FRONT_PORT,
+    METRICS_PATH,
+    METRICS_PORT,
+    READY_PORT,
+    SoakSettings,
+)
+from brambleusher.runtime.http_client import HttpCallError, HttpClient
+from brambleusher.runtime.operating_system import RealSystem
+from brambleusher.runtime.scheduler import Scheduler, Task
+from brambleusher.runtime.system import Address
+
+START_S = 90.0  # for all processes to be ready, many at once on one machine
+SETTLE_S = 30.0  # for all to be ready again after the last action
+CALM_S = 6.0  # longer than any request, before what is left over is looked at
+CALL_S = 1.0
+POLL_S = 0.1
+LAST_REQUESTS = 4  # to each gateway, once all is calm
+
+
+class SoakError(Exception):
+    """A soak could not be played."""
+
+
+@dataclass(frozen=True, slots=True)
+class SoakResult:
+    """What one soak showed."""
+
+    settings: SoakSettings
+    violations: list[Violation]
+    record: SoakRecord
+    actions: int
+    took_s: float
+
+    def summary(self) -> str:
+        """Return one line."""
+        outcomes = Counter(request.outcome.value for request in self.record.requests)
+        complete = [request for request in self.record.requests if request.status]
+        served = sum(request.status == HTTPStatus.OK for request in complete)
+        counts = ", ".join(f"{name} {count}" for name, count in sorted(outcomes.items()))
+        verdict = f"{len(self.violations)} broken" if self.violations else "no rule broken"
+        return (
+            f"seed {self.settings.seed}: {verdict}; {self.actions} actions, "
+            f"{len(self.record.requests)} requests ({counts}), 200 for {served} of {len(complete)}, "
+            f"{len(self.record.changes)} changes, {self.took_s:.0f} s"
+        )
+
+
+def play(settings: SoakSettings, folder: Path | None = None) -> SoakResult:
+    """Play one soak; `folder` keeps settings and logs of its processes.
+
+    Raises:
+        SoakError: The system did not come up, or the folder is not empty.
+    """
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+        if any(folder.iterdir()):
+            raise SoakError(f"{folder} is not empty")
+        return _SoakRun(settings, folder).play()
+    with tempfile.TemporaryDirectory(prefix="brambleusher-soak-") as made:
+        return _SoakRun(settings, Path(made)).play()
+
+
+class _SoakRun:
+    """One soak while it is played."""
+
+    def __init__(self, settings: SoakSettings, folder: Path) -> None:
+        self._settings = settings
+        self._scheduler = Scheduler(RealSystem())
+        self._begun_s = time.monotonic()
+        self._record = SoakRecord()
+        rng = random.Random(f"traffic {settings.seed}")
+        self._processes = Processes(self._scheduler, self._now, self._record, settings, folder)
+        self._instances = self._make_instances()
+        ips = {name: process.ip for name, process in self._processes.by_name.items()}
+        controllers = {name: ips[name] for name in settings.controller_names}
+        self._gateways = {name: ips[name] for name in settings.gateway_names}
+        fronts = {f"{ip}:{FRONT_PORT}": name for name, ip in self._gateways.items()}
+        registries = registry_addresses(list(controllers.values()))
+        self._clients = Clients(self._scheduler, self._now, self._record, rng, registries, fronts)
+        addresses: dict[str, Address] = {name: (ip, CONTROL_PORT) for name, ip in controllers.items()}
+        self._operator = Operator(self._scheduler, self._now, self._record, rng, addresses)
+        self._changes: list[Task] = []
+        self._failure: Exception | None = None
+        self._handlers: dict[ActionKind, Callable[[ScheduledAction], None]] = {
+            ActionKind.TERMINATE_GATEWAY: lambda action: self._processes.terminate(action.target),
+            ActionKind.KILL_GATEWAY: lambda action: self._processes.kill(action.target),
+            ActionKind.RELOAD_GATEWAY: lambda action: self._processes.reload(action.target),
+            ActionKind.TERMINATE_CONTROLLER: lambda action: self._processes.terminate(action.target),
+            ActionKind.KILL_CONTROLLER: lambda action: self._processes.kill(action.target),
+            ActionKind.CHANGE_CONFIGURATION: lambda _action: self._begin_change(self._operator.change),
+            ActionKind.RACE_CONFIGURATION: lambda _action: self._begin_change(self._operator.race),
+            ActionKind.EVACUATE_ZONE: lambda action: self._evacuate(action, is_restored=False),
+            ActionKind.RESTORE_ZONE: lambda action: self._evacuate(action, is_restored=True),
+            ActionKind.LEAVE_EARLY: self._leave_early,
+        }
+
+    def _now(self) -> float:
+        return time.monotonic() - self._begun_s
+
+    def _make_instances(self) -> dict[str, SoakInstance]:
+        settings = self._settings
+        made = {
+            name: SoakInstance(
+                self._scheduler,
+                self._now,
+                self._record,
+                name,
+                settings.zone_of(number),
+                settings.ip(3, number),
+            )
+            for number, name in enumerate(settings.instance_names, 1)
+        }
+        # Neighbours on the list are of one zone: each service has instances in every zone.
+        listed = sorted(made.values(), key=lambda instance: instance.zone)
+        PlatformList(self._scheduler, self._processes.platform_ip, listed, list(SERVICES))
+        return made
+
+    def play(self) -> SoakResult:
+        """Play it to its end."""
+        actions = SoakPlanner(self._settings).plan()
+        self._scheduler.spawn(self._play, actions, name="soak")
+        try:
+            self._scheduler.run()
+        finally:
+            self._processes.stop()
+            self._scheduler.close()
+        if self._failure is not None:
+            raise self._failure
+        self._record.faulty_log_lines = self._processes.faulty_log_lines()
+        return SoakResult(self._settings, check(self._record), self._record, len(actions), self._now())
+
+    def _play(self, actions: list[ScheduledAction]) -> None:
+        try:
+            self._start()
+            self._follow(actions)
+            self._settle()
+            self._look_at_the_end()
+        except Exception as error:
+            self._failure = error
+        finally:
+            self._scheduler.stop()
+
+    # --- the course -------------------------------------------------------------------------------
+
+    def _start(self) -> None:
+        self._processes.start()
+        if not self._operator.change():
+            self._wait(self._operator.change, START_S, "no controller acknowledges the first configuration")
+        self._wait(self._are_all_ready, START_S, "not all gateways are ready")
+        self._clients.start(self._settings.clients)
+
+    def _follow(self, actions: list[ScheduledAction]) -> None:
+        begun_s = self._scheduler.now()
+        for action in actions:
+            self._scheduler.sleep(max(0.0, begun_s + action.at_s - self._scheduler.now()))
+            handler = self._handlers.get(action.kind, self._fail_instance)
+            handler(action)
+        self._scheduler.sleep(max(0.0, begun_s + self._settings.duration_s - self._scheduler.now()))
+
+    def _settle(self) -> None:
+        """End the traffic, and wait until every change is through and every process is back."""
+        self._wait(lambda: all(task.done for task in self._changes), SETTLE_S, "changes do not end")
+        self._wait(self._are_all_ready, SETTLE_S, "not all gateways are ready in the end")
+        self._clients.is_over = True
+        self._wait(lambda: not self._clients.running, SETTLE_S, "clients do not end")
+        self._scheduler.sleep(CALM_S)
+
+    def _look_at_the_end(self) -> None:
+        record = self._record
+        for name in self._settings.controller_names:
+            self._wait(partial(self._answers_read, name), SETTLE_S, f"{name} can't be read")
+        record.last_uses = [use for process in self._processes.by_name.values() if (use := process.use())]
+        for name, ip in self._gateways.items():
+            record.last_statuses[name] = [self._last_request(name, ip) for _ in range(LAST_REQUESTS)]
+            record.last_metrics[name] = self._metrics(ip)
+
+    def _answers_read(self, controller: str) -> bool:
+        return self._operator.read(controller) is not None
+
+    def _last_request(self, name: str, ip: str) -> int:
+        request = RequestRecord(f"last {name}", RequestKind.READ, name, self._now())
+        client = Client(self._scheduler, self._now, random.Random(0))
+        if client.connect((ip, FRONT_PORT), name):
+            client.request(request, None)
+        client.close()
+        return request.status
+
+    # --- actions ----------------------------------------------------------------------------------
+
+    def _begin_change(self, change: Callable[[], object]) -> None:
+        self._changes.append(self._scheduler.spawn(change, name="change"))
+
+    def _evacuate(self, action: ScheduledAction, is_restored: bool) -> None:
+        self._begin_change(lambda: self._operator.evacuate(action.target, is_restored))
+
+    def _leave_early(self, action: ScheduledAction) -> None:
+        self._clients.leave_early_until_s = self._now() + action.duration_s
+
+    def _fail_instance(self, action: ScheduledAction) -> None:
+        faults = self._instances[action.target].faults
+        names = {
+            ActionKind.HANG_INSTANCE: "hangs",
+            ActionKind.RESET_INSTANCE: "resets",
+            ActionKind.REJECT_INSTANCE: "rejects",
+            ActionKind.SLOW_INSTANCE: "is_slow",
+            ActionKind.DRAIN_INSTANCE: "drains",
+        }
+        name = names[action.kind]
+        setattr(faults, name, True)
+        until = self._scheduler.now() + action.duration_s
+        self._scheduler.call_at(until, lambda: setattr(faults, name, False))
+
+    # --- what the system says ---------------------------------------------------------------------
+
+    def _wait(self, condition: Callable[[], bool], seconds: float, what: str) -> None:
+        until = self._scheduler.now() + seconds
+        while not condition():
+            if self._scheduler.now() > until:
+                raise SoakError(f"{what} within {seconds:g} s")
+            self._scheduler.sleep(POLL_S)
+
+    def _get(self, address: Address, path: str) -> tuple[int, bytes]:
+        client = HttpClient(self._scheduler, address)
+        try:
+            return client.get(path, CALL_S)
+        except HttpCallError:
+            return 0, b""
+        finally:
+            client.close()
+
+    def _are_all_ready(self) -> bool:
+        return all(
+            self._get((ip, READY_PORT), "/api/readiness")[0] == HTTPStatus.OK
+            for ip in self._gateways.values()
+        )
+
+    def _metrics(self, ip: str) -> dict[str, float]:
+        status, body = self._get((ip, METRICS_PORT), METRICS_PATH)
+        if status != HTTPStatus.OK:
+            return {}
+        lines = [line for line in body.decode().splitlines() if not line.startswith("#")]
+        return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in lines)}
