--- a/brambleusher/__main__.py
+++ b/brambleusher/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from collections.abc import Sequence
 
@@ -33,5 +34,18 @@
     return run_command(arguments)
 
 
+def _main_process() -> int:
+    """Run as a process of its own; return the exit status."""
+    if parse_serving_options(sys.argv[1:]) is None:
+        return main()
+    from brambleusher.runtime.signal_holding import hold_signals, ignore_signals
+
+    hold_signals(signal.SIGHUP)
+    try:
+        return main()
+    finally:
+        ignore_signals(signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+
+
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(_main_process())
--- a/brambleusher/dataplane/request_handler.py
+++ b/brambleusher/dataplane/request_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from http import HTTPStatus
 
 from brambleusher.dataplane.attempts import ATTEMPT_MIN_S, MS_PER_S, AttemptRunner
@@ -38,9 +39,12 @@
         attempts: AttemptRunner,
         counters: Counters,
         rng: random.Random,
+        can_finish: Callable[[float], bool],
     ) -> None:
+        """Build it; `can_finish` says whether the process stays until a deadline of the scheduler's clock."""
         self._scheduler, self._bounds, self._rng = scheduler, bounds, rng
         self._instances, self._attempts, self._counters = instances, attempts, counters
+        self._can_finish = can_finish
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     def handle(self, client: ClientConnection, request: ClientRequest, routes: RouteTable) -> None:
@@ -60,6 +64,13 @@
             self._serve(client, self._context(request, route, attempt_id, watch))
 
     def _serve(self, client: ClientConnection, context: RequestContext) -> None:
+        if not self._can_finish(context.deadline_s):
+            self._counters.add(RequestCounter.NOT_SERVING)
+            reason = "this gateway shuts down before the deadline"
+            client.send_error(
+                HTTPStatus.SERVICE_UNAVAILABLE, reason, context.attempt_id, self._retry_after_s(context)
+            )
+            return
         context.retry_budget.record_request()
         response = self._attempts.run(context)
         if response is None:
@@ -118,11 +129,15 @@
             client.send_error(status, "no whole answer came", context.attempt_id)
             return
         self._counters.add_rejection(context.rejection_reason)
-        retry_after_s = max(0.0, min(RETRY_AFTER_S, remaining_s * RETRY_AFTER_FRACTION))
+        reason = "no instance can take it now"
         client.send_error(
-            HTTPStatus.SERVICE_UNAVAILABLE, "no instance can take it now", context.attempt_id, retry_after_s
+            HTTPStatus.SERVICE_UNAVAILABLE, reason, context.attempt_id, self._retry_after_s(context)
         )
 
+    def _retry_after_s(self, context: RequestContext) -> float:
+        remaining_s = context.remaining_s(self._scheduler.now())
+        return max(0.0, min(RETRY_AFTER_S, remaining_s * RETRY_AFTER_FRACTION))
+
     def _relay_stream(
         self, client: ClientConnection, context: RequestContext, response: UpstreamResponse
     ) -> None:
--- a/brambleusher/gateway/app.py
+++ b/brambleusher/gateway/app.py
@@ -110,7 +110,15 @@
         attempts = AttemptRunner(
             self.scheduler, self.instances, placement, self._upstream, self.counters, policy
         )
-        return RequestHandler(self.scheduler, settings.bounds, self.instances, attempts, self.counters, rng)
+        return RequestHandler(
+            self.scheduler,
+            settings.bounds,
+            self.instances,
+            attempts,
+            self.counters,
+            rng,
+            self._shutdown.can_finish,
+        )
 
     # --- lifecycle --------------------------------------------------------------------------------
 
--- a/brambleusher/gateway/graceful_shutdown.py
+++ b/brambleusher/gateway/graceful_shutdown.py
@@ -38,6 +38,18 @@
             return False
         return self._scheduler.now() > self._started_at_s + self._grace_s() - LAST_REQUESTS_S
 
+    def can_finish(self, deadline_s: float) -> bool:
+        """Whether a request that comes now, and may take until its deadline, is answered before the end.
+
+        Those that come while clients can't know of the shutdown yet are taken all the same.
+        """
+        if self._started_at_s is None or self._scheduler.now() < self._started_at_s + CLIENTS_NOTICE_S:
+            return True
+        return deadline_s <= self._end_s(self._started_at_s)
+
+    def _end_s(self, started_at_s: float) -> float:
+        return started_at_s + self._grace_s() - KILL_MARGIN_S
+
     def begin(self, clients: ClientServer) -> None:
         """Begin, once: client connections close with their responses, later the process ends."""
         if self._started_at_s is not None:
@@ -49,7 +61,7 @@
         self._scheduler.spawn(self._finish, clients, self._started_at_s, name="graceful_shutdown")
 
     def _finish(self, clients: ClientServer, started_at_s: float) -> None:
-        deadline_s = started_at_s + self._grace_s() - KILL_MARGIN_S
+        deadline_s = self._end_s(started_at_s)
         earliest_s = min(started_at_s + CLIENTS_NOTICE_S, deadline_s)
         while (now_s := self._scheduler.now()) < deadline_s:
             if now_s >= earliest_s and clients.is_idle(IDLE_S):
--- a/brambleusher/lab/soak/checks.py
+++ b/brambleusher/lab/soak/checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import signal
 from collections import defaultdict
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -26,6 +27,7 @@
 EXIT_SLACK_S = 1.0  # past the grace period, on a busy machine
 RESIDENT_MAX_MB = 150.0
 DESCRIPTORS_MAX = 600
+START_S = 2.0  # a process that gets SIGTERM while it starts may end by it at once
 READ_LAG_S = 2.5  # after its acknowledgement a change may be missing from a read for so long
 
 
@@ -157,10 +159,14 @@
 
     def _check_processes(self) -> None:
         last: dict[str, tuple[ProcessEventKind, float]] = {}
+        started: dict[str, float] = {}
         for event in self._record.processes:
             signal_kind, signal_s = last.get(event.process, (ProcessEventKind.STARTED, 0.0))
-            if event.kind is ProcessEventKind.EXITED:
-                self._check_exit(event.process, event.at_s, event.status, signal_kind, signal_s)
+            if event.kind is ProcessEventKind.STARTED:
+                started[event.process] = event.at_s
+            elif event.kind is ProcessEventKind.EXITED:
+                since_s = started[event.process]
+                self._check_exit(event.process, event.at_s, event.status, signal_kind, signal_s, since_s)
                 last.pop(event.process, None)
             elif event.kind is ProcessEventKind.KILLED or (
                 event.kind is ProcessEventKind.TERMINATED and signal_kind is ProcessEventKind.STARTED
@@ -168,13 +174,19 @@
                 last[event.process] = (event.kind, event.at_s)
 
     def _check_exit(
-        self, process: str, at_s: float, status: int, signal_kind: ProcessEventKind, signal_s: float
+        self,
+        process: str,
+        at_s: float,
+        status: int,
+        signal_kind: ProcessEventKind,
+        signal_s: float,
+        started_s: float,
     ) -> None:
         if signal_kind is ProcessEventKind.KILLED:
             return
         if signal_kind is ProcessEventKind.STARTED:
             self._add("exit", at_s, f"{process} ended by itself with {status}")
-        elif status != 0:
+        elif status != 0 and not (status == -signal.SIGTERM and signal_s - started_s < START_S):
             self._add("exit", at_s, f"{process} ended with {status} after SIGTERM")
         elif at_s - signal_s > GRACE_S + EXIT_SLACK_S:
             self._add("exit", at_s, f"{process} took {at_s - signal_s:.3f} s to end")
--- a/brambleusher/lab/soak/instances.py
+++ b/brambleusher/lab/soak/instances.py
@@ -74,7 +74,11 @@
         self._scheduler, self._now, self._record = scheduler, now, record
         self.name, self.zone, self._ip = name, zone, ip
         self.faults = InstanceFaults()
-        Acceptor(scheduler, (ip, INSTANCE_PORT), self._serve, max_connections=4096)
+        self._acceptor = Acceptor(scheduler, (ip, INSTANCE_PORT), self._serve, max_connections=4096)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._acceptor.close()
 
     def entry(self, service: str) -> dict[str, object]:
         """Return its entry on the platform's list."""
@@ -192,7 +196,11 @@
         self, scheduler: Scheduler, ip: str, instances: list[SoakInstance], services: list[str]
     ) -> None:
         self._instances, self._services = instances, services
-        HttpServer(scheduler, (ip, PLATFORM_PORT), self._handle)
+        self._server = HttpServer(scheduler, (ip, PLATFORM_PORT), self._handle)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.acceptor.close()
 
     def _handle(self, _request: HttpRequest) -> HttpResponse:
         entries = [
--- a/brambleusher/lab/soak/run.py
+++ b/brambleusher/lab/soak/run.py
@@ -135,7 +135,7 @@
         }
         # Neighbours on the list are of one zone: each service has instances in every zone.
         listed = sorted(made.values(), key=lambda instance: instance.zone)
-        PlatformList(self._scheduler, self._processes.platform_ip, listed, list(SERVICES))
+        self._platform = PlatformList(self._scheduler, self._processes.platform_ip, listed, list(SERVICES))
         return made
 
     def play(self) -> SoakResult:
@@ -146,6 +146,9 @@
             self._scheduler.run()
         finally:
             self._processes.stop()
+            self._platform.close()
+            for instance in self._instances.values():
+                instance.close()
             self._scheduler.close()
         if self._failure is not None:
             raise self._failure
--- a/brambleusher/runtime/operating_system.py
+++ b/brambleusher/runtime/operating_system.py
@@ -14,6 +14,7 @@
 
 import greenlet
 
+from brambleusher.runtime.signal_holding import take_held_signal
 from brambleusher.runtime.sinks import DescriptorSink, FileSink, UdpSink
 from brambleusher.runtime.system import Address, Poller, Sink, Socket, Waker, Worker
 
@@ -192,6 +193,8 @@
             call()
 
         signal.signal(number, handler)
+        if take_held_signal(number):
+            call()
 
     def worker(self, name: str, due: Callable[[], bool], turn: Callable[[], None]) -> Worker:
         """Start a thread."""
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -10,6 +10,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from enum import Enum
 
 import greenlet
@@ -391,7 +392,16 @@
             elif fd == self._waker.fileno():
                 self._waker.clear()
             else:  # nobody waits for this socket: it would end every poll at once
-                self._poll.unregister(fd)
+                self._unregister_unwaited(fd)
+
+    def _unregister_unwaited(self, fd: int) -> None:
+        """Stop polling a descriptor that nobody waits for.
+
+        Race: the callback of a watched descriptor may have woken the task that waited for this one, and have
+        unregistered it, in the same round.
+        """
+        with suppress(KeyError):
+            self._poll.unregister(fd)
 
     def _notify_watched(self, fd: int, events: int, callback: Callable[[], object]) -> None:
         if events != WRITE:
--- /dev/null
+++ b/brambleusher/system_roles.py
@@ -0,0 +1,65 @@
+"""Starts the roles of the whole serving system; imported once it is clear that one is to run."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+
+from brambleusher.observability import log_format as logs
+from brambleusher.runtime.disk import FolderDisk
+from brambleusher.runtime.operating_system import RealSystem
+from brambleusher.wire import policy as policy_reader
+from brambleusher.wire import settings as reader
+from brambleusher.wire.errors import WireError
+from brambleusher.wire.metrics_endpoint import MetricsEndpoint
+from brambleusher.wire.policy import Policy
+
+USAGE_EXIT_STATUS = 2
+MEMBER = "member"
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayOptions:
+    """What the command line of a gateway may say; empty: nothing."""
+
+    policy_path: str = ""
+    metrics: str = ""  # PORT/PATH
+
+
+def start(role: str, path: str, options: GatewayOptions | None = None) -> int:
+    """Run a role with a settings file until it ends; return the exit status."""
+    logs.configure()
+    try:
+        settings = reader.read(path)
+        if role == "gateway":
+            return _start_gateway(settings, path, options or GatewayOptions())
+    except WireError as error:
+        print(f"brambleusher: {error}", file=sys.stderr)
+        return USAGE_EXIT_STATUS
+    if not settings.data_dir:
+        return _start_without_disk(role, settings, path)
+    from brambleusher.controller.app import Controller
+
+    Controller(RealSystem(), settings, FolderDisk(settings.data_dir), path).run()
+    return 0
+
+
+def _start_gateway(settings: reader.Settings, path: str, options: GatewayOptions) -> int:
+    """Run a gateway; raises `InvalidFileError` and `InvalidMetricsEndpointError`."""
+    from brambleusher.gateway.app import Gateway
+
+    policy = policy_reader.read(options.policy_path) if options.policy_path else Policy()
+    metrics = MetricsEndpoint.parse(options.metrics) if options.metrics else None
+    Gateway(RealSystem(), settings, path, policy, metrics).run()
+    return 0
+
+
+def _start_without_disk(role: str, settings: reader.Settings, path: str) -> int:
+    """Run an observer on a machine without a disk, where a controller may run on any machine of a class."""
+    if role != MEMBER:
+        print(f"brambleusher: {path}: data_dir: a controller needs a folder", file=sys.stderr)
+        return USAGE_EXIT_STATUS
+    from brambleusher.controller.observer import Observer
+
+    Observer(RealSystem(), settings, path).run()
+    return 0
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -253,6 +253,29 @@
     assert deployment.process("g1").ended == 0
 
 
+def test_a_late_request_that_could_outlast_a_graceful_shutdown_is_rejected(
+    deployment: VirtualDeployment,
+) -> None:
+    for server in deployment.stub_instances.values():
+        server.pause_s = 0.7
+    reply = deployment.start_request("g1", attempt="under-way")
+    deployment.sleep(0.3)
+    deployment.process("g1").signal(15)
+    deployment.sleep(2.0)
+    known = deployment.start_request("g1", attempt="known-late")  # its client can't know of the shutdown yet
+    deployment.sleep(1.2)
+    late = deployment.start_request("g1", attempt="late")  # 4 s are left until its deadline, 4.5 s to the end
+    deployment.sleep(0.8)
+    too_late = deployment.start_request("g1", attempt="too-late")
+    deployment.wait(lambda: bool(reply.error and known.error and late.error and too_late.error))
+    assert [each.status for each in (reply, known, late, too_late)] == [200, 200, 200, 503]
+    assert all(each.is_complete for each in (reply, known, late, too_late))
+    assert 0 < float(too_late.headers["retry-after"]) < 1
+    assert deployment.arrivals("too-late") == []
+    deployment.wait(lambda: deployment.process("g1").dead, 9.0)
+    assert deployment.process("g1").ended == 0
+
+
 def test_the_status_is_one_object(deployment: VirtualDeployment) -> None:
     deployment.request("g1")
     address = deployment.world.machines["g1"].ip
--- a/tests/project/test_seam.py
+++ b/tests/project/test_seam.py
@@ -12,9 +12,14 @@
 # The real implementation, and programs of their own that never run in a virtual world.
 OUTSIDE = (
     "runtime/operating_system.py", "runtime/sinks.py", "xds/", "cli/", "lab/control/xds_", "lab/processes/",
-    "load/processes.py",
+    "lab/soak/", "load/processes.py",
 )  # fmt: skip
-INSIDE = ("lab/processes/up.py", "lab/processes/parent.py")  # all the same
+INSIDE = (
+    "lab/processes/up.py",
+    "lab/processes/parent.py",
+    "lab/soak/plan.py",
+    "lab/soak/checks.py",
+)  # all the same
 
 
 def imported(source: str) -> set[str]:
--- a/tests/runtime/test_disconnect_watch.py
+++ b/tests/runtime/test_disconnect_watch.py
@@ -167,3 +167,19 @@
     pair.scheduler.call_at(pair.scheduler.now() + SOON_S, pair.scheduler.stop)
     pair.scheduler.run()
     assert pair.outcome == "done"
+
+
+def test_a_peer_leaves_in_the_round_in_which_another_socket_has_what_the_task_waits_for(pair: Pair) -> None:
+    """Race: the watch's wake-up unregisters a descriptor whose event is in the same list."""
+    mine, other = socket.socketpair()
+    mine.setblocking(False)
+    upstream = Stream(pair.scheduler, mine)
+
+    def work(_watch: DisconnectWatch) -> None:
+        pair.peer.close()
+        other.sendall(b"data")
+        pair.scheduler.park(sock=upstream.sock)
+
+    assert pair.run(work) == "PeerDisconnectedError"
+    upstream.close()
+    other.close()
--- /dev/null
+++ b/tests/runtime/test_signal_holding.py
@@ -0,0 +1,54 @@
+"""A reload that crosses the start of a process is neither lost nor the end of it."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[2]
+PROGRAM = """
+import os, signal, sys
+from brambleusher.runtime.operating_system import RealSystem
+from brambleusher.runtime.signal_holding import hold_signals, ignore_signals
+hold_signals(signal.SIGHUP)
+os.kill(os.getpid(), signal.SIGHUP)
+seen = []
+RealSystem().on_signal(signal.SIGHUP, lambda: seen.append("handled"))
+os.kill(os.getpid(), signal.SIGHUP)
+print(seen)
+ignore_signals(signal.SIGHUP, signal.SIGTERM)
+os.kill(os.getpid(), signal.SIGHUP)
+os.kill(os.getpid(), signal.SIGTERM)
+"""
+
+
+def test_a_signal_that_was_held_is_handled_once_there_is_a_handler() -> None:
+    done = subprocess.run(
+        [sys.executable, "-c", PROGRAM], cwd=ROOT, capture_output=True, text=True, timeout=60, check=False
+    )
+    assert (done.returncode, done.stdout.strip()) == (0, "['handled', 'handled']"), done.stderr
+
+
+@pytest.mark.parametrize("module", ["brambleusher.system_main", "brambleusher"])
+def test_programs_hold_a_reload_from_their_first_line(module: str, tmp_path: Path) -> None:
+    """Each is started with a settings file that never comes: it waits, in its start, for the pipe."""
+    pipe = tmp_path / "settings"
+    os.mkfifo(pipe)
+    words = [module, "gateway"] if module.endswith("system_main") else [module]
+    environment = {**os.environ, "BRAMBLEUSHER_SETTINGS": str(pipe), "NODE_CONFIG": str(pipe)}
+    program = subprocess.Popen(
+        [sys.executable, "-m", *words], cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True
+    )
+    try:
+        with pipe.open("w") as writer:  # opens once the program reads
+            program.send_signal(signal.SIGHUP)
+            writer.write("nonsense")
+        _, errors = program.communicate(timeout=60)
+    finally:
+        program.kill()
+    assert program.returncode == 2, errors  # the file is wrong, and that is what ends it
