--- a/brambleusher/lab/soak/settings.py
+++ b/brambleusher/lab/soak/settings.py
@@ -12,6 +12,7 @@
 DURATION_MIN_S = 10.0
 GATEWAYS_MAX = 240  # a few hundred processes on one machine
 CONTROLLERS_MIN = 3
+OWN_ADDRESSES, FIRST_OCTET = 100, 100  # soaks that can have addresses of their own, and the first of these
 GRACE_S = 8.0  # between SIGTERM and SIGKILL
 
 
@@ -68,5 +69,5 @@
 
     def ip(self, machine_class: int, number: int) -> str:
         """Return a loopback address that no other machine of this or another soak has."""
-        own = self.processes_id % 50
-        return f"127.{100 + own}.{machine_class}.{number}"
+        own = self.processes_id % OWN_ADDRESSES
+        return f"127.{FIRST_OCTET + own}.{machine_class}.{number}"
