--- a/brambleusher/lab/soak/checks.py
+++ b/brambleusher/lab/soak/checks.py
@@ -127,11 +127,20 @@
         what = f"{where} was cut {after_s:.3f} s after it was sent"
         self._add("lost", request.ended_s, what)
 
+    def _own_lateness_s(self, at_s: float) -> float:
+        """Return how long the soak itself stood still within the time that a departure may take."""
+        until_s = at_s + DEPARTED_S
+        return sum(
+            min(end_s, until_s) - max(begin_s, at_s)
+            for begin_s, end_s in self._record.late_spells
+            if begin_s < until_s and end_s > at_s
+        )
+
     def _check_departed(self, request: RequestRecord) -> None:
         """Nothing is begun, and nothing that may be broken off goes on, for a client that has left."""
         if request.outcome is not RequestOutcome.LEFT:
             return
-        left_s = request.ended_s
+        left_s = request.ended_s + self._own_lateness_s(request.ended_s)
         for run in self._runs[request.attempt]:
             if run.begun_s > left_s + DEPARTED_S:
                 self._add(
--- a/brambleusher/lab/soak/instances.py
+++ b/brambleusher/lab/soak/instances.py
@@ -18,7 +18,7 @@
 EVENTS = 6
 EVENT_INTERVAL_S = 0.04
 HEAD_DELAY_S = 0.03
-SLOW_FACTOR = 12
+SLOW_FACTOR = 40
 CAPACITY = 64
 IDLE_S = 60.0
 SEND_S = 10.0
--- a/brambleusher/lab/soak/plan.py
+++ b/brambleusher/lab/soak/plan.py
@@ -14,6 +14,7 @@
 CONTROLLER_SPACING_S = 8.0  # one controller at a time may be lost: so long until it counts again
 SERIES_GAP_S = (0.05, 1.2)  # between two actions of a series: most are shorter than a shutdown takes
 FAULT_S = (0.5, 3.0)  # that a fault of an instance lasts
+STALL_S = (2.5, 4.5)  # that instances stand still while clients leave: a request's deadline lies within it
 SERIES_EVERY_S = 0.9  # a new series begins so often, whatever others go on
 
 
@@ -77,6 +78,8 @@
             self._changes,
             self._evacuation,
             self._early_leavers,
+            self._stalled_instances,
+            self._stalled_instances,
         ]
         actions: list[ScheduledAction] = []
         at_s = CALM_START_S
@@ -129,5 +132,13 @@
         yield ScheduledAction(at_s, ActionKind.EVACUATE_ZONE, zone)
         yield ScheduledAction(at_s + self._rng.uniform(*FAULT_S), ActionKind.RESTORE_ZONE, zone)
 
+    def _stalled_instances(self, at_s: float) -> Iterator[ScheduledAction]:
+        """Instances stand still while clients leave early."""
+        names = self._settings.instance_names
+        duration_s = self._rng.uniform(*STALL_S)
+        for name in self._rng.sample(names, max(1, len(names) * 2 // 3)):
+            yield ScheduledAction(at_s, ActionKind.HANG_INSTANCE, name, duration_s)
+        yield ScheduledAction(at_s, ActionKind.LEAVE_EARLY, duration_s=duration_s)
+
     def _early_leavers(self, at_s: float) -> Iterator[ScheduledAction]:
         yield ScheduledAction(at_s, ActionKind.LEAVE_EARLY, duration_s=self._rng.uniform(*FAULT_S))
--- a/brambleusher/lab/soak/records.py
+++ b/brambleusher/lab/soak/records.py
@@ -132,4 +132,7 @@
     last_uses: list[ProcessUse] = field(default_factory=list)
     last_metrics: dict[str, dict[str, float]] = field(default_factory=dict)  # by gateway
     last_statuses: dict[str, list[int]] = field(default_factory=dict)  # by gateway, of requests at the end
+    late_spells: list[tuple[float, float]] = field(
+        default_factory=list
+    )  # in which the soak itself stood still
     faulty_log_lines: list[str] = field(default_factory=list)
--- a/brambleusher/lab/soak/run.py
+++ b/brambleusher/lab/soak/run.py
@@ -37,6 +37,7 @@
 CALM_S = 6.0  # longer than any request, before what is left over is looked at
 CALL_S = 1.0
 POLL_S = 0.1
+LATENESS_MIN_S = 0.2
 LAST_REQUESTS = 4  # to each gateway, once all is calm
 
 
@@ -54,6 +55,9 @@
     actions: int
     took_s: float
 
+    def _late_s(self) -> float:
+        return sum(until_s - since_s for since_s, until_s in self.record.late_spells)
+
     def summary(self) -> str:
         """Return one line."""
         outcomes = Counter(request.outcome.value for request in self.record.requests)
@@ -64,7 +68,7 @@
         return (
             f"seed {self.settings.seed}: {verdict}; {self.actions} actions, "
             f"{len(self.record.requests)} requests ({counts}), 200 for {served} of {len(complete)}, "
-            f"{len(self.record.changes)} changes, {self.took_s:.0f} s"
+            f"{len(self.record.changes)} changes, {self.took_s:.0f} s, late itself for {self._late_s():.1f} s"
         )
 
 
@@ -170,11 +174,20 @@
 
     def _start(self) -> None:
         self._processes.start()
+        self._scheduler.spawn(self._watch_own_lateness, name="own lateness")
         if not self._operator.change():
             self._wait(self._operator.change, START_S, "no controller acknowledges the first configuration")
         self._wait(self._are_all_ready, START_S, "not all gateways are ready")
         self._clients.start(self._settings.clients)
 
+    def _watch_own_lateness(self) -> None:
+        """Record when this process stood still: what it saw then came to it late."""
+        while True:
+            since_s = self._now()
+            self._scheduler.sleep(POLL_S)
+            if self._now() - since_s > POLL_S + LATENESS_MIN_S:
+                self._record.late_spells.append((since_s, self._now()))
+
     def _follow(self, actions: list[ScheduledAction]) -> None:
         begun_s = self._scheduler.now()
         for action in actions:
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -153,6 +153,10 @@
     assert broken(SoakRecord([left], [run(ended_s=10.6)])) == []
     assert broken(SoakRecord([left], [run(ended_s=14.0)])) == ["departed"]
     assert broken(SoakRecord([left], [run(begun_s=13.0, ended_s=13.1)])) == ["departed"]
+    late = SoakRecord([left], [run(ended_s=12.2)])
+    assert broken(late) == ["departed"]
+    late.late_spells = [(10.6, 11.4)]  # the soak itself saw it late
+    assert broken(late) == []
     notice = request(RequestKind.NOTICE, outcome=RequestOutcome.LEFT, status=0)
     assert broken(SoakRecord([notice], [run(ended_s=14.0)])) == []
 
