--- a/brambleusher/gateway/app.py
+++ b/brambleusher/gateway/app.py
@@ -56,15 +56,7 @@
         policy: Policy | None = None,
         metrics_endpoint: MetricsEndpoint | None = None,
     ) -> None:
-        """Build all parts and listen.
-
-        Args:
-            system: The machine that it runs on.
-            settings: What its settings file said.
-            path: The settings file to watch, empty for none.
-            policy: Which mechanisms are switched on.
-            metrics_endpoint: Where metrics are scraped; None: nowhere.
-        """
+        """Build all parts and listen; `path` names the settings file to watch, empty for none."""
         self.scheduler = Scheduler(system)
         self.settings = settings
         policy = policy or Policy()
@@ -84,25 +76,30 @@
         self._configuration_client = ConfigurationClient(
             self.scheduler, self.controllers, self.instances, self._configuration, self._describe_self
         )
-        handler = self._request_handler(policy, rng)
         self._ready_server = HttpServer(
             self.scheduler, parse_address(settings.bind.ready), self._handle_request
         )
         self.body_memory = BodyMemory(settings.limits.memory_mb * BYTES_PER_MB // BODY_MEMORY_DIVISOR)
-        self._clients = ClientServer(
+        self._clients = self._client_server(self._request_handler(policy, rng))
+        if metrics_endpoint is not None:
+            self._serve_metrics(metrics_endpoint)
+        self._settings_watcher = SettingsWatcher(self.scheduler, path, self._apply_settings)
+        self.scheduler.spawn(self._run_maintenance, name="maintenance")
+
+    def _client_server(self, handler: RequestHandler) -> ClientServer:
+        return ClientServer(
             self.scheduler,
-            parse_address(settings.bind.front),
+            parse_address(self.settings.bind.front),
             handler,
             self.counters,
             self.body_memory,
             lambda: self._configuration.routes,
             self._accepts_requests,
         )
-        if metrics_endpoint is not None:
-            metrics = GatewayMetrics(self.scheduler, self.counters, self._clients, self.instances)
-            MetricsServer(self.scheduler, settings.ip, metrics_endpoint, metrics)
-        self._settings_watcher = SettingsWatcher(self.scheduler, path, self._apply_settings)
-        self.scheduler.spawn(self._run_maintenance, name="maintenance")
+
+    def _serve_metrics(self, endpoint: MetricsEndpoint) -> None:
+        metrics = GatewayMetrics(self.scheduler, self.counters, self._clients, self.instances)
+        MetricsServer(self.scheduler, self.settings.ip, endpoint, metrics)
 
     def _request_handler(self, policy: Policy, rng: random.Random) -> RequestHandler:
         settings = self.settings
--- a/brambleusher/lab/soak/checks.py
+++ b/brambleusher/lab/soak/checks.py
@@ -9,7 +9,7 @@
 from http import HTTPStatus
 
 from brambleusher.lab.soak.clients import DEADLINE_S
-from brambleusher.lab.soak.instances import whole_body, whole_stream
+from brambleusher.lab.soak.instances import complete_body, complete_stream
 from brambleusher.lab.soak.records import (
     ProcessEventKind,
     RequestOutcome,
@@ -65,7 +65,7 @@
         for request in self._record.requests:
             self._check_response(request)
             self._check_run_once(request)
-            self._check_not_lost(request)
+            self._check_connection_lost(request)
             self._check_departed(request)
         self._check_configuration()
         self._check_processes()
@@ -85,7 +85,7 @@
             self._add("wrong-answer", request.ended_s, f"{request.attempt} got {request.answered_attempt!r}")
         if request.status != HTTPStatus.OK:
             return
-        due = whole_stream(request.attempt) if request.kind.is_stream else whole_body(request.attempt)
+        due = complete_stream(request.attempt) if request.kind.is_stream else complete_body(request.attempt)
         if request.body != due:
             self._add(
                 "incomplete", request.ended_s, f"{request.attempt} ({request.kind}) got {request.body!r}"
@@ -96,10 +96,10 @@
         if not request.kind.runs_once:
             return
         if len(ran) > 1:
-            places = ", ".join(f"{run.instance} at {run.begun_s:.3f}" for run in ran)
-            self._add("run-twice", ran[1].begun_s, f"{request.attempt} ({request.kind}): {places}")
-        is_refused = request.outcome is RequestOutcome.COMPLETE and request.status in NOT_RUN_STATUSES
-        if ran and is_refused:
+            instances = ", ".join(f"{run.instance} at {run.begun_s:.3f}" for run in ran)
+            self._add("run-twice", ran[1].begun_s, f"{request.attempt} ({request.kind}): {instances}")
+        is_rejected = request.outcome is RequestOutcome.COMPLETE and request.status in NOT_RUN_STATUSES
+        if ran and is_rejected:
             self._add("refused-after-run", request.ended_s, f"{request.attempt} ran and got {request.status}")
 
     def _was_killed(self, process: str, since_s: float, until_s: float) -> bool:
@@ -107,7 +107,7 @@
         at = bisect.bisect_left(kills, since_s - AROUND_KILL_S)
         return at < len(kills) and kills[at] <= until_s + AROUND_KILL_S
 
-    def _check_not_lost(self, request: RequestRecord) -> None:
+    def _check_connection_lost(self, request: RequestRecord) -> None:
         """A connection ends within a response only after a kill, an instance's fault or the deadline."""
         if request.outcome is not RequestOutcome.CLOSED or request.sent_s is None:
             return
--- a/brambleusher/lab/soak/clients.py
+++ b/brambleusher/lab/soak/clients.py
@@ -22,11 +22,11 @@
 PATIENCE_S = 1.0  # past the deadline: a response that comes so late is seen
 CONNECT_S = 1.0
 RESOLUTION_S = 0.5
-ADDRESSES_KEPT_S = 2.0  # that an answer of the registry is used for a new connection
+ADDRESSES_CACHED_S = 2.0  # that an answer of the registry is used for a new connection
 PAUSE_S = (0.0, 0.25)  # between two requests
-LEAVES_AFTER_S = (0.0, 0.4)
-LEAVES_USUALLY = 0.05  # of the requests
-LEAVES_WHEN_EARLY = 0.8  # while clients leave early
+DISCONNECT_DELAY_S = (0.0, 0.4)
+DISCONNECT_PROBABILITY = 0.05  # of the requests
+EARLY_DISCONNECT_PROBABILITY = 0.8  # while clients leave early
 LONG_PAUSE_PROBABILITY = 0.05
 LONG_PAUSE_S = 1.5
 BODY = b"x" * 200
@@ -48,8 +48,8 @@
         self._scheduler, self._now, self._record, self._rng = scheduler, now, record, rng
         self._registries, self._names = registries, names_by_address
         self._addresses: list[str] = []
-        self._resolved_s = -ADDRESSES_KEPT_S
-        self.leave_early_until_s = 0.0
+        self._resolved_s = -ADDRESSES_CACHED_S
+        self.disconnects_until_s = 0.0
         self.is_over = False
         self.running = 0
 
@@ -80,12 +80,14 @@
             attempt, client.rng.choice(list(RequestKind)), client.gateway, self._now(), client.is_reused
         )
         self._record.requests.append(record)
-        is_early = self._now() < self.leave_early_until_s
-        leaves = client.rng.random() < (LEAVES_WHEN_EARLY if is_early else LEAVES_USUALLY)
-        client.request(record, client.rng.uniform(*LEAVES_AFTER_S) if leaves else None)
+        is_early = self._now() < self.disconnects_until_s
+        disconnects = client.rng.random() < (
+            EARLY_DISCONNECT_PROBABILITY if is_early else DISCONNECT_PROBABILITY
+        )
+        client.request(record, client.rng.uniform(*DISCONNECT_DELAY_S) if disconnects else None)
 
     def _choose_address(self, rng: random.Random) -> str | None:
-        if self._now() - self._resolved_s > ADDRESSES_KEPT_S:
+        if self._now() - self._resolved_s > ADDRESSES_CACHED_S:
             self._resolve(rng)
         known = [address for address in self._addresses if address in self._names]
         return rng.choice(known) if known else None
@@ -143,21 +145,21 @@
             self._stream.close()
             self._stream = None
 
-    def request(self, record: RequestRecord, leaves_after_s: float | None) -> None:
+    def request(self, record: RequestRecord, disconnect_delay_s: float | None) -> None:
         """Send a request and read its response; the record is filled in."""
-        is_kept = False
+        is_reusable = False
         try:
             self._send(record)
-            is_kept = self._receive(record, leaves_after_s)
+            is_reusable = self._receive(record, disconnect_delay_s)
         except TaskTimeoutError:
-            left = leaves_after_s is not None
+            left = disconnect_delay_s is not None
             record.outcome = RequestOutcome.LEFT if left else RequestOutcome.TIMED_OUT
         except (OSError, h11.RemoteProtocolError):
             if record.sent_s is not None:
                 record.outcome = RequestOutcome.CLOSED
         record.ended_s = self._now()
         self.is_reused = True
-        if not is_kept:
+        if not is_reusable:
             self.close()
 
     def _send(self, record: RequestRecord) -> None:
@@ -177,10 +179,10 @@
         self._stream.send(data, self._scheduler.now() + CONNECT_S)
         record.sent_s = self._now()
 
-    def _receive(self, record: RequestRecord, leaves_after_s: float | None) -> bool:
+    def _receive(self, record: RequestRecord, disconnect_delay_s: float | None) -> bool:
         """Read the response; whether the connection may be used again."""
         assert self._stream is not None
-        wait_s = DEADLINE_S + PATIENCE_S if leaves_after_s is None else leaves_after_s
+        wait_s = DEADLINE_S + PATIENCE_S if disconnect_delay_s is None else disconnect_delay_s
         deadline = self._scheduler.now() + wait_s
         while True:
             received = receive_event(self._protocol, self._stream, deadline)
--- a/brambleusher/lab/soak/instances.py
+++ b/brambleusher/lab/soak/instances.py
@@ -41,12 +41,12 @@
     return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
 
 
-def whole_stream(attempt: str) -> bytes:
+def complete_stream(attempt: str) -> bytes:
     """Return all events of a stream, as its client has to get them."""
     return b"".join(event(attempt, number) for number in range(1, EVENTS + 1))
 
 
-def whole_body(attempt: str) -> bytes:
+def complete_body(attempt: str) -> bytes:
     """Return the body of a response that is no stream."""
     return f"ran {attempt}".encode()
 
@@ -175,7 +175,7 @@
         self._send(stream, encode_message(connection, h11.Response(status_code=status, headers=fields)))
 
     def _send_body(self, stream: Stream, connection: h11.Connection, run: RunRecord) -> None:
-        body = whole_body(run.attempt)
+        body = complete_body(run.attempt)
         fields = self._fields(run, ("Content-Length", str(len(body))))
         self._send(stream, encode_message(connection, h11.Response(status_code=200, headers=fields), body))
 
--- a/brambleusher/lab/soak/operator.py
+++ b/brambleusher/lab/soak/operator.py
@@ -17,7 +17,7 @@
 from brambleusher.runtime.system import Address
 
 SERVICES = ("model", "notices")
-CALL_S = 1.0  # for one controller, before another is asked
+REQUEST_TIMEOUT_S = 1.0  # for one controller, before another is asked
 PAUSE_S = 0.1
 CHANGE_S = 12.0  # that one change is sent again and again
 TRIES_MAX = 2  # of a route: instances that may run one of its requests
@@ -96,7 +96,7 @@
         method = "DELETE" if is_restored else "POST"
         until = self._now() + CHANGE_S
         while self._now() < until:
-            status, _ = self._call(self._any(), method, f"/api/evacuations/{zone}")
+            status, _ = self._request(self._any(), method, f"/api/evacuations/{zone}")
             if 0 < status < HTTPStatus.INTERNAL_SERVER_ERROR:
                 return
             self._scheduler.sleep(PAUSE_S)
@@ -104,7 +104,7 @@
     def read(self, controller: str) -> int | None:
         """Ask one controller for the configuration; its revision, None where it gives none."""
         asked_s = self._now()
-        status, body = self._call(controller, "GET", "/api/config")
+        status, body = self._request(controller, "GET", "/api/config")
         if status != HTTPStatus.OK:
             return None
         revision = int(orjson.loads(body).get("revision", 0))
@@ -136,7 +136,7 @@
     def _send(self, base: int, revision: int, body: bytes) -> bool:
         until = self._now() + CHANGE_S
         while self._now() < until:
-            status, _ = self._call(self._any(), "PUT", "/api/config", body, {"If-Match": str(base)})
+            status, _ = self._request(self._any(), "PUT", "/api/config", body, {"If-Match": str(base)})
             if status == HTTPStatus.OK:
                 self._record.changes.append(AcknowledgedChange(revision, self._now()))
                 return True
@@ -145,7 +145,7 @@
             self._scheduler.sleep(PAUSE_S)
         return False
 
-    def _call(
+    def _request(
         self,
         controller: str,
         method: str,
@@ -154,7 +154,7 @@
         headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes]:
         """Call a controller; status 0 where no whole response came."""
-        deadline = self._scheduler.now() + CALL_S
+        deadline = self._scheduler.now() + REQUEST_TIMEOUT_S
         protocol = h11.Connection(h11.CLIENT)
         fields = [("Host", "controller"), ("Content-Length", str(len(body))), *(headers or {}).items()]
         head = h11.Request(method=method, target=target, headers=fields)
--- a/brambleusher/lab/soak/plan.py
+++ b/brambleusher/lab/soak/plan.py
@@ -35,7 +35,7 @@
     RACE_CONFIGURATION = "race_configuration"  # two changes on the same revision at once
     EVACUATE_ZONE = "evacuate_zone"
     RESTORE_ZONE = "restore_zone"
-    LEAVE_EARLY = "leave_early"  # clients leave before their responses are complete
+    DISCONNECT_CLIENTS = "disconnect_clients"  # clients leave before their responses are complete
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +77,7 @@
             self._instance_faults,
             self._changes,
             self._evacuation,
-            self._early_leavers,
+            self._client_disconnects,
             self._stalled_instances,
             self._stalled_instances,
         ]
@@ -138,7 +138,7 @@
         duration_s = self._rng.uniform(*STALL_S)
         for name in self._rng.sample(names, max(1, len(names) * 2 // 3)):
             yield ScheduledAction(at_s, ActionKind.HANG_INSTANCE, name, duration_s)
-        yield ScheduledAction(at_s, ActionKind.LEAVE_EARLY, duration_s=duration_s)
+        yield ScheduledAction(at_s, ActionKind.DISCONNECT_CLIENTS, duration_s=duration_s)
 
-    def _early_leavers(self, at_s: float) -> Iterator[ScheduledAction]:
-        yield ScheduledAction(at_s, ActionKind.LEAVE_EARLY, duration_s=self._rng.uniform(*FAULT_S))
+    def _client_disconnects(self, at_s: float) -> Iterator[ScheduledAction]:
+        yield ScheduledAction(at_s, ActionKind.DISCONNECT_CLIENTS, duration_s=self._rng.uniform(*FAULT_S))
--- a/brambleusher/lab/soak/processes.py
+++ b/brambleusher/lab/soak/processes.py
@@ -28,10 +28,10 @@
 from brambleusher.runtime.scheduler import Scheduler, Timer
 
 RESTART_DELAY_S = 0.3  # after a process has ended
-LOOK_INTERVAL_S = 0.05  # between two looks whether processes have ended
+POLL_INTERVAL_S = 0.05  # between two looks whether processes have ended
 KIB_PER_MIB = 1024
 PAGE_BYTES = os.sysconf("SC_PAGESIZE")
-FAULTY_LINE_WORDS = ("Traceback", "level=error", "task failed", "timer failed")
+FAULT_MARKERS = ("Traceback", "level=error", "task failed", "timer failed")
 
 SETTINGS = """
 node_name = "{name}"
@@ -179,22 +179,22 @@
         """Start all, and look after them from now on."""
         for process in self.by_name.values():
             self._start(process)
-        self._scheduler.spawn(self._look_after, name="processes")
+        self._scheduler.spawn(self._supervise, name="processes")
 
     def _start(self, process: SoakProcess) -> None:
         process.start()
-        self._tell(process, ProcessEventKind.STARTED)
+        self._record_event(process, ProcessEventKind.STARTED)
 
-    def _tell(self, process: SoakProcess, kind: ProcessEventKind, status: int = 0) -> None:
+    def _record_event(self, process: SoakProcess, kind: ProcessEventKind, status: int = 0) -> None:
         self._record.processes.append(ProcessEvent(process.name, self._now(), kind, status))
 
-    def _look_after(self) -> None:
+    def _supervise(self) -> None:
         while not self.is_over:
             for process in self.by_name.values():
-                self._look_at(process)
-            self._scheduler.sleep(LOOK_INTERVAL_S)
+                self._reap(process)
+            self._scheduler.sleep(POLL_INTERVAL_S)
 
-    def _look_at(self, process: SoakProcess) -> None:
+    def _reap(self, process: SoakProcess) -> None:
         status = process.popen.poll() if process.popen is not None else None
         if status is None:
             return
@@ -202,7 +202,7 @@
         if process.kill_timer is not None:
             process.kill_timer.cancel()
             process.kill_timer = None
-        self._tell(process, ProcessEventKind.EXITED, status)
+        self._record_event(process, ProcessEventKind.EXITED, status)
         self._scheduler.call_at(self._scheduler.now() + RESTART_DELAY_S, lambda: self._restart(process))
 
     def _restart(self, process: SoakProcess) -> None:
@@ -217,7 +217,7 @@
         if process.popen is None:
             return
         process.popen.send_signal(signal.SIGTERM)
-        self._tell(process, ProcessEventKind.TERMINATED)
+        self._record_event(process, ProcessEventKind.TERMINATED)
         if process.kill_timer is None:
             deadline = self._scheduler.now() + GRACE_S
             process.kill_timer = self._scheduler.call_at(deadline, lambda: self.kill(name))
@@ -226,7 +226,7 @@
         """Send SIGKILL."""
         process = self.by_name[name]
         if process.popen is not None:
-            self._tell(process, ProcessEventKind.KILLED)
+            self._record_event(process, ProcessEventKind.KILLED)
             process.popen.kill()
 
     def reload(self, name: str) -> None:
@@ -236,7 +236,7 @@
         process.write_settings()
         if process.popen is not None and process.popen.poll() is None and process.starts:
             process.popen.send_signal(signal.SIGHUP)
-            self._tell(process, ProcessEventKind.RELOADED)
+            self._record_event(process, ProcessEventKind.RELOADED)
 
     def stop(self) -> None:
         """Kill all, and wait until they are gone."""
@@ -254,6 +254,6 @@
             found += [
                 f"{process.name}: {line}"
                 for line in text.splitlines()
-                if any(word in line for word in FAULTY_LINE_WORDS)
+                if any(marker in line for marker in FAULT_MARKERS)
             ]
         return found
--- a/brambleusher/lab/soak/run.py
+++ b/brambleusher/lab/soak/run.py
@@ -33,9 +33,9 @@
 from brambleusher.runtime.system import Address
 
 START_S = 90.0  # for all processes to be ready, many at once on one machine
-SETTLE_S = 30.0  # for all to be ready again after the last action
+RECOVERY_TIMEOUT_S = 30.0  # for all to be ready again after the last action
 CALM_S = 6.0  # longer than any request, before what is left over is looked at
-CALL_S = 1.0
+REQUEST_TIMEOUT_S = 1.0
 POLL_S = 0.1
 LATENESS_MIN_S = 0.2
 LAST_REQUESTS = 4  # to each gateway, once all is calm
@@ -118,7 +118,7 @@
             ActionKind.RACE_CONFIGURATION: lambda _action: self._begin_change(self._operator.race),
             ActionKind.EVACUATE_ZONE: lambda action: self._evacuate(action, is_restored=False),
             ActionKind.RESTORE_ZONE: lambda action: self._evacuate(action, is_restored=True),
-            ActionKind.LEAVE_EARLY: self._leave_early,
+            ActionKind.DISCONNECT_CLIENTS: self._disconnect_clients,
         }
 
     def _now(self) -> float:
@@ -163,8 +163,8 @@
         try:
             self._start()
             self._follow(actions)
-            self._settle()
-            self._look_at_the_end()
+            self._await_recovery()
+            self._inspect_final_state()
         except Exception as error:
             self._failure = error
         finally:
@@ -196,18 +196,18 @@
             handler(action)
         self._scheduler.sleep(max(0.0, begun_s + self._settings.duration_s - self._scheduler.now()))
 
-    def _settle(self) -> None:
+    def _await_recovery(self) -> None:
         """End the traffic, and wait until every change is through and every process is back."""
-        self._wait(lambda: all(task.done for task in self._changes), SETTLE_S, "changes do not end")
-        self._wait(self._are_all_ready, SETTLE_S, "not all gateways are ready in the end")
+        self._wait(lambda: all(task.done for task in self._changes), RECOVERY_TIMEOUT_S, "changes do not end")
+        self._wait(self._are_all_ready, RECOVERY_TIMEOUT_S, "not all gateways are ready in the end")
         self._clients.is_over = True
-        self._wait(lambda: not self._clients.running, SETTLE_S, "clients do not end")
+        self._wait(lambda: not self._clients.running, RECOVERY_TIMEOUT_S, "clients do not end")
         self._scheduler.sleep(CALM_S)
 
-    def _look_at_the_end(self) -> None:
+    def _inspect_final_state(self) -> None:
         record = self._record
         for name in self._settings.controller_names:
-            self._wait(partial(self._answers_read, name), SETTLE_S, f"{name} can't be read")
+            self._wait(partial(self._answers_read, name), RECOVERY_TIMEOUT_S, f"{name} can't be read")
         record.last_uses = [use for process in self._processes.by_name.values() if (use := process.use())]
         for name, ip in self._gateways.items():
             record.last_statuses[name] = [self._last_request(name, ip) for _ in range(LAST_REQUESTS)]
@@ -232,8 +232,8 @@
     def _evacuate(self, action: ScheduledAction, is_restored: bool) -> None:
         self._begin_change(lambda: self._operator.evacuate(action.target, is_restored))
 
-    def _leave_early(self, action: ScheduledAction) -> None:
-        self._clients.leave_early_until_s = self._now() + action.duration_s
+    def _disconnect_clients(self, action: ScheduledAction) -> None:
+        self._clients.disconnects_until_s = self._now() + action.duration_s
 
     def _fail_instance(self, action: ScheduledAction) -> None:
         faults = self._instances[action.target].faults
@@ -261,7 +261,7 @@
     def _get(self, address: Address, path: str) -> tuple[int, bytes]:
         client = HttpClient(self._scheduler, address)
         try:
-            return client.get(path, CALL_S)
+            return client.get(path, REQUEST_TIMEOUT_S)
         except HttpCallError:
             return 0, b""
         finally:
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -10,7 +10,7 @@
 import pytest
 
 from brambleusher.lab.soak.checks import check
-from brambleusher.lab.soak.instances import whole_body, whole_stream
+from brambleusher.lab.soak.instances import complete_body, complete_stream
 from brambleusher.lab.soak.plan import CONTROLLER_SPACING_S, ActionKind, SoakPlanner
 from brambleusher.lab.soak.records import (
     AcknowledgedChange,
@@ -32,7 +32,7 @@
 
 
 def request(kind: RequestKind = RequestKind.STREAM, **given: object) -> RequestRecord:
-    body = whole_stream("a") if kind.is_stream else whole_body("a")
+    body = complete_stream("a") if kind.is_stream else complete_body("a")
     made = RequestRecord("a", kind, "g", 10.0, False, 10.0, 10.5, RequestOutcome.COMPLETE, 200, body, "a")
     for name, value in given.items():
         setattr(made, name, value)
@@ -115,8 +115,8 @@
 @pytest.mark.parametrize(
     ("given", "rule"),
     [
-        ({"body": whole_stream("a")[:-3]}, "incomplete"),
-        ({"body": whole_stream("b")}, "incomplete"),
+        ({"body": complete_stream("a")[:-3]}, "incomplete"),
+        ({"body": complete_stream("b")}, "incomplete"),
         ({"answered_attempt": "b"}, "wrong-answer"),
     ],
 )
