Soak: sidecars beside the serving system

Change: sidecars run as real processes with clients, endpoints and a discovery of their own, get the same series of signals and faults, and are held to the same checks.

--- a/brambleusher/cli/soak.py
+++ b/brambleusher/cli/soak.py
@@ -27,9 +27,10 @@
 @click.option("--gateways", default=4, show_default=True, help="Gateways.")
 @click.option("--clients", default=24, show_default=True, help="Clients.")
 @click.option("--instances", default=6, show_default=True, help="Instances, of two services.")
+@click.option("--sidecars", default=2, show_default=True, help="Sidecars, with endpoints of their own.")
 @click.option("--logs", "folder", metavar="FOLDER", help="Keep settings and logs of all processes there.")
 def command(
-    seeds: str, seconds: float, gateways: int, clients: int, instances: int, folder: str | None
+    seeds: str, seconds: float, gateways: int, clients: int, instances: int, sidecars: int, folder: str | None
 ) -> int:
     """Play soaks one after the other.
 
@@ -39,7 +40,9 @@
     is_broken = False
     for seed in seeds_of(seeds):
         try:
-            settings = SoakSettings(seed, seconds, gateways, instances=instances, clients=clients)
+            settings = SoakSettings(
+                seed, seconds, gateways, instances=instances, clients=clients, sidecars=sidecars
+            )
             result = play(settings, Path(folder) / str(seed) if folder else None)
         except (InvalidSoakSettingsError, SoakError) as error:
             print(f"brambleusher: seed {seed}: {error}", file=sys.stderr)
--- a/brambleusher/lab/soak/checks.py
+++ b/brambleusher/lab/soak/checks.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from brambleusher.lab.soak.clients import DEADLINE_S
 from brambleusher.lab.soak.instances import complete_body, complete_stream
 from brambleusher.lab.soak.records import (
     ProcessEventKind,
@@ -19,6 +18,7 @@
     SoakRecord,
 )
 from brambleusher.lab.soak.settings import GRACE_S
+from brambleusher.lab.soak.wires import DEADLINE_S
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # promises that a request has not run and never will
 UNREAD_S = 0.5  # a connection that ends so soon after a request may not have been read
--- a/brambleusher/lab/soak/clients.py
+++ b/brambleusher/lab/soak/clients.py
@@ -9,16 +9,15 @@
 import h11
 import orjson
 
-from brambleusher.lab.soak.records import RequestKind, RequestOutcome, RequestRecord, SoakRecord
+from brambleusher.lab.soak.records import RequestOutcome, RequestRecord, SoakRecord
 from brambleusher.lab.soak.settings import DIRECTORY_PORT
+from brambleusher.lab.soak.wires import DEADLINE_S, HOST, GatewayWire, Wire
 from brambleusher.runtime.h11_messages import encode_message, receive_event
 from brambleusher.runtime.http_client import HttpCallError, HttpClient
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream, parse_address
 from brambleusher.runtime.system import Address
 
-HOST = "soak.example"
-DEADLINE_S = 4.0  # of every route
 PATIENCE_S = 1.0  # past the deadline: a response that comes so late is seen
 CONNECT_S = 1.0
 RESOLUTION_S = 0.5
@@ -29,7 +28,9 @@
 EARLY_DISCONNECT_PROBABILITY = 0.8  # while clients leave early
 LONG_PAUSE_PROBABILITY = 0.05
 LONG_PAUSE_S = 1.5
-BODY = b"x" * 200
+
+
+AddressChoice = Callable[[random.Random], str | None]
 
 
 class Clients:
@@ -54,30 +55,39 @@
         self.running = 0
 
     def start(self, count: int) -> None:
-        """Start so many clients."""
+        """Start so many clients of gateways."""
+        for number in range(count):
+            rng = random.Random(f"{self._rng.random()} {number}")
+            client = Client(self._scheduler, self._now, rng, GatewayWire())
+            self._scheduler.spawn(self._run, client, str(number), self._choose_address, name="client")
+
+    def start_of_sidecar(self, address: str, name: str, count: int, wire: Wire) -> None:
+        """Start so many clients of one sidecar, which is the only one that they use."""
+        self._names[address] = name
         for number in range(count):
-            self._scheduler.spawn(self._run, number, name="client")
+            rng = random.Random(f"{self._rng.random()} {name} {number}")
+            client = Client(self._scheduler, self._now, rng, wire)
+            self._scheduler.spawn(self._run, client, f"{name}-{number}", lambda _rng: address, name="client")
 
-    def _run(self, number: int) -> None:
-        client = Client(self._scheduler, self._now, random.Random(f"{self._rng.random()} {number}"))
+    def _run(self, client: Client, prefix: str, choose_address: AddressChoice) -> None:
         self.running += 1
         sequence = 0
         try:
             while not self.is_over:
                 sequence += 1
-                self._request(client, f"{number}-{sequence}")
+                self._request(client, f"{prefix}-{sequence}", choose_address)
                 self._scheduler.sleep(client.pause_s())
         finally:
             client.close()
             self.running -= 1
 
-    def _request(self, client: Client, attempt: str) -> None:
+    def _request(self, client: Client, attempt: str, choose_address: AddressChoice) -> None:
         if not client.is_connected:
-            address = self._choose_address(client.rng)
+            address = choose_address(client.rng)
             if address is None or not client.connect(parse_address(address), self._names[address]):
                 return
         record = RequestRecord(
-            attempt, client.rng.choice(list(RequestKind)), client.gateway, self._now(), client.is_reused
+            attempt, client.rng.choice(client.wire.kinds), client.gateway, self._now(), client.is_reused
         )
         self._record.requests.append(record)
         is_early = self._now() < self.disconnects_until_s
@@ -111,8 +121,10 @@
 class Client:
     """One client with at most one connection."""
 
-    def __init__(self, scheduler: Scheduler, now: Callable[[], float], rng: random.Random) -> None:
-        self._scheduler, self._now, self.rng = scheduler, now, rng
+    def __init__(
+        self, scheduler: Scheduler, now: Callable[[], float], rng: random.Random, wire: Wire
+    ) -> None:
+        self._scheduler, self._now, self.rng, self.wire = scheduler, now, rng, wire
         self._stream: Stream | None = None
         self._protocol = h11.Connection(h11.CLIENT)
         self.gateway = ""
@@ -164,18 +176,7 @@
 
     def _send(self, record: RequestRecord) -> None:
         assert self._stream is not None
-        head = h11.Request(
-            method=b"POST",
-            target=f"/{record.kind.value}/x".encode(),
-            headers=[
-                ("Host", HOST),
-                ("X-Attempt-Id", record.attempt),
-                ("X-Kind", record.kind.value),
-                ("X-Deadline-Remaining", str(int(DEADLINE_S * 1000))),
-                ("Content-Length", str(len(BODY))),
-            ],
-        )
-        data = encode_message(self._protocol, head, BODY)
+        data = encode_message(self._protocol, self.wire.head(record), self.wire.body(record))
         self._stream.send(data, self._scheduler.now() + CONNECT_S)
         record.sent_s = self._now()
 
@@ -188,7 +189,7 @@
             received = receive_event(self._protocol, self._stream, deadline)
             if isinstance(received, h11.Response):
                 record.status = received.status_code
-                record.answered_attempt = dict(received.headers).get(b"x-attempt-id", b"").decode()
+                record.answered_attempt = self.wire.answered_attempt(record, dict(received.headers))
             elif isinstance(received, h11.Data):
                 record.body += bytes(received.data)
             elif isinstance(received, h11.EndOfMessage):
--- a/brambleusher/lab/soak/instances.py
+++ b/brambleusher/lab/soak/instances.py
@@ -23,6 +23,7 @@
 IDLE_S = 60.0
 SEND_S = 10.0
 HANG_POLL_S = 0.05
+NOT_RUN_FIELDS = (("X-Not-Executed", "1"), ("Not-Started", "1"))  # to a gateway and to a sidecar
 
 
 @dataclass(slots=True)
@@ -51,6 +52,11 @@
     return f"ran {attempt}".encode()
 
 
+def _attempt_of(headers: dict[bytes, bytes]) -> str:
+    """Return the id of a request, as a gateway or a sidecar sends it."""
+    return (headers.get(b"x-attempt-id") or headers.get(b"request-id", b"")).decode()
+
+
 class _CallerLeftError(Exception):
     """The caller closed its connection before the response was complete."""
 
@@ -72,7 +78,7 @@
         ip: str,
     ) -> None:
         self._scheduler, self._now, self._record = scheduler, now, record
-        self.name, self.zone, self._ip = name, zone, ip
+        self.name, self.zone, self.ip = name, zone, ip
         self.faults = InstanceFaults()
         self._acceptor = Acceptor(scheduler, (ip, INSTANCE_PORT), self._serve, max_connections=4096)
 
@@ -85,7 +91,7 @@
         return {
             "id": self.name,
             "service": service,
-            "address": f"{self._ip}:{INSTANCE_PORT}",
+            "address": f"{self.ip}:{INSTANCE_PORT}",
             "zone": self.zone,
             "revision": "v1",
             "capacity": CAPACITY,
@@ -100,7 +106,7 @@
             if head is None:
                 return
             headers = dict(head.headers)
-            run = RunRecord(headers.get(b"x-attempt-id", b"").decode(), self.name, self._now())
+            run = RunRecord(_attempt_of(headers), self.name, self._now())
             self._record.runs.append(run)
             try:
                 self._answer(stream, connection, headers, run)
@@ -171,7 +177,7 @@
     def _send_rejection(
         self, stream: Stream, connection: h11.Connection, run: RunRecord, status: int
     ) -> None:
-        fields = [("X-Attempt-Id", run.attempt), ("X-Not-Executed", "1"), ("Content-Length", "0")]
+        fields = [("X-Attempt-Id", run.attempt), *NOT_RUN_FIELDS, ("Content-Length", "0")]
         self._send(stream, encode_message(connection, h11.Response(status_code=status, headers=fields)))
 
     def _send_body(self, stream: Stream, connection: h11.Connection, run: RunRecord) -> None:
--- a/brambleusher/lab/soak/operator.py
+++ b/brambleusher/lab/soak/operator.py
@@ -9,8 +9,8 @@
 import h11
 import orjson
 
-from brambleusher.lab.soak.clients import DEADLINE_S, HOST
 from brambleusher.lab.soak.records import AcknowledgedChange, ConfigurationRead, RequestKind, SoakRecord
+from brambleusher.lab.soak.wires import DEADLINE_S, HOST
 from brambleusher.runtime.h11_messages import encode_message, receive_event
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream
--- a/brambleusher/lab/soak/plan.py
+++ b/brambleusher/lab/soak/plan.py
@@ -21,11 +21,9 @@
 class ActionKind(StrEnum):
     """What is done."""
 
-    TERMINATE_GATEWAY = "terminate_gateway"  # SIGTERM; it is started again once it has ended
-    KILL_GATEWAY = "kill_gateway"  # SIGKILL; the same
-    RELOAD_GATEWAY = "reload_gateway"  # its settings name other seeds; SIGHUP
-    TERMINATE_CONTROLLER = "terminate_controller"
-    KILL_CONTROLLER = "kill_controller"
+    TERMINATE = "terminate"  # SIGTERM to a process; it is started again once it has ended
+    KILL = "kill"  # SIGKILL; the same
+    RELOAD = "reload"  # its settings change; SIGHUP
     HANG_INSTANCE = "hang_instance"  # it answers nothing and ends nothing
     RESET_INSTANCE = "reset_instance"  # it breaks its answers off
     REJECT_INSTANCE = "reject_instance"  # it is full
@@ -71,6 +69,8 @@
         draws: list[Callable[[float], Iterator[ScheduledAction]]] = [
             self._roll_gateways,
             self._roll_gateways,
+            self._roll_sidecars,
+            self._signal_storm,
             self._signal_storm,
             self._controller,
             self._instance_faults,
@@ -93,16 +93,23 @@
 
     def _roll_gateways(self, at_s: float) -> Iterator[ScheduledAction]:
         """SIGTERM one gateway after the other, the next before the last is back."""
-        names = list(self._settings.gateway_names)
+        yield from self._roll(at_s, self._settings.gateway_names)
+
+    def _roll_sidecars(self, at_s: float) -> Iterator[ScheduledAction]:
+        """SIGTERM one sidecar after the other."""
+        yield from self._roll(at_s, self._settings.sidecar_names)
+
+    def _roll(self, at_s: float, names: list[str]) -> Iterator[ScheduledAction]:
         self._rng.shuffle(names)
         for name in names[: self._rng.randint(1, max(1, len(names) - 1))]:
-            yield ScheduledAction(at_s, ActionKind.TERMINATE_GATEWAY, name)
+            yield ScheduledAction(at_s, ActionKind.TERMINATE, name)
             at_s += self._gap_s()
 
     def _signal_storm(self, at_s: float) -> Iterator[ScheduledAction]:
-        """Signals of all kinds to a few gateways, some of which are on their way out."""
-        kinds = (ActionKind.TERMINATE_GATEWAY, ActionKind.RELOAD_GATEWAY, ActionKind.KILL_GATEWAY)
-        names = self._rng.sample(self._settings.gateway_names, min(2, len(self._settings.gateway_names)))
+        """Signals of all kinds to a few processes, some of which start or are on their way out."""
+        kinds = (ActionKind.TERMINATE, ActionKind.RELOAD, ActionKind.KILL)
+        processes = self._settings.gateway_names + self._settings.sidecar_names
+        names = self._rng.sample(processes, min(2, len(processes)))
         for _ in range(self._rng.randint(3, 8)):
             yield ScheduledAction(at_s, self._rng.choice(kinds), self._rng.choice(names))
             at_s += self._gap_s() / 2
@@ -111,11 +118,11 @@
         """One controller goes; another one only once it is back."""
         at_s = max(at_s, self._controller_free_at_s)
         self._controller_free_at_s = at_s + CONTROLLER_SPACING_S
-        kind = self._rng.choice((ActionKind.TERMINATE_CONTROLLER, ActionKind.KILL_CONTROLLER))
+        kind = self._rng.choice((ActionKind.TERMINATE, ActionKind.KILL))
         yield ScheduledAction(at_s, kind, self._rng.choice(self._settings.controller_names))
 
     def _instance_faults(self, at_s: float) -> Iterator[ScheduledAction]:
-        names = self._settings.instance_names
+        names = self._settings.instance_names + self._settings.endpoint_names
         for name in self._rng.sample(names, self._rng.randint(1, max(1, len(names) // 2))):
             kind = self._rng.choice(INSTANCE_FAULTS)
             yield ScheduledAction(at_s, kind, name, self._rng.uniform(*FAULT_S))
@@ -134,7 +141,7 @@
 
     def _stalled_instances(self, at_s: float) -> Iterator[ScheduledAction]:
         """Instances stand still while clients leave early."""
-        names = self._settings.instance_names
+        names = self._settings.instance_names + self._settings.endpoint_names
         duration_s = self._rng.uniform(*STALL_S)
         for name in self._rng.sample(names, max(1, len(names) * 2 // 3)):
             yield ScheduledAction(at_s, ActionKind.HANG_INSTANCE, name, duration_s)
--- a/brambleusher/lab/soak/processes.py
+++ b/brambleusher/lab/soak/processes.py
@@ -15,6 +15,7 @@
 from brambleusher.lab.soak.settings import (
     CONTROL_PORT,
     DIRECTORY_PORT,
+    DISCOVERY_PORT,
     FRONT_PORT,
     GRACE_S,
     METRICS_PATH,
@@ -22,15 +23,19 @@
     PEER_PORT,
     PLATFORM_PORT,
     READY_PORT,
+    SIDECAR_GRACE_S,
+    SIDECAR_PORT,
     ZONES,
     SoakSettings,
 )
+from brambleusher.lab.soak.sidecars import sidecar_configuration
 from brambleusher.runtime.scheduler import Scheduler, Timer
 
 RESTART_DELAY_S = 0.3  # after a process has ended
 POLL_INTERVAL_S = 0.05  # between two looks whether processes have ended
 KIB_PER_MIB = 1024
 PAGE_BYTES = os.sysconf("SC_PAGESIZE")
+SETTINGS_VARIABLES = ("BRAMBLEUSHER_SETTINGS", "NODE_CONFIG")  # of the system's programs, of the sidecar
 FAULT_MARKERS = ("Traceback", "level=error", "task failed", "timer failed")
 
 SETTINGS = """
@@ -69,7 +74,8 @@
         """`settings` makes the text of its settings file, given whether it is the very first start."""
         self.name, self.ip = name, ip
         self._command, self._settings = command, settings
-        self.settings_path = folder / f"{name}.toml"
+        self.settings_path = folder / f"{name}.settings"
+        self.grace_s = GRACE_S
         self.log_path = folder / f"{name}.log"
         self.popen: subprocess.Popen[bytes] | None = None
         self.starts = 0
@@ -82,7 +88,7 @@
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
                 self._command,
-                env={**os.environ, "BRAMBLEUSHER_SETTINGS": str(self.settings_path)},
+                env={**os.environ, **dict.fromkeys(SETTINGS_VARIABLES, str(self.settings_path))},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -130,6 +136,18 @@
             self._add(name, settings.ip(1, number), settings.zone_of(number), is_controller=True)
         for number, name in enumerate(settings.gateway_names, 1):
             self._add(name, settings.ip(2, number), settings.zone_of(number), is_controller=False)
+        for number, name in enumerate(settings.sidecar_names, 1):
+            self._add_sidecar(name, settings.ip(5, number))
+
+    def _add_sidecar(self, name: str, ip: str) -> None:
+        discovery = f"{self._settings.ip(7, 1)}:{DISCOVERY_PORT}"
+
+        def configuration(_is_first: bool) -> str:
+            return sidecar_configuration(name, f"{ip}:{SIDECAR_PORT}", discovery)
+
+        process = SoakProcess(name, ip, [sys.executable, "-m", "brambleusher"], configuration, self._folder)
+        process.grace_s = SIDECAR_GRACE_S
+        self.by_name[name] = process
 
     def _add(self, name: str, ip: str, zone: str, is_controller: bool) -> None:
         command = [sys.executable, "-m", "brambleusher.system_main"]
@@ -219,7 +237,7 @@
         process.popen.send_signal(signal.SIGTERM)
         self._record_event(process, ProcessEventKind.TERMINATED)
         if process.kill_timer is None:
-            deadline = self._scheduler.now() + GRACE_S
+            deadline = self._scheduler.now() + process.grace_s
             process.kill_timer = self._scheduler.call_at(deadline, lambda: self.kill(name))
 
     def kill(self, name: str) -> None:
--- a/brambleusher/lab/soak/run.py
+++ b/brambleusher/lab/soak/run.py
@@ -25,8 +25,11 @@
     METRICS_PATH,
     METRICS_PORT,
     READY_PORT,
+    SIDECAR_PORT,
     SoakSettings,
 )
+from brambleusher.lab.soak.sidecars import SidecarDiscovery
+from brambleusher.lab.soak.wires import GatewayWire, SidecarWire
 from brambleusher.runtime.http_client import HttpCallError, HttpClient
 from brambleusher.runtime.operating_system import RealSystem
 from brambleusher.runtime.scheduler import Scheduler, Task
@@ -38,6 +41,7 @@
 REQUEST_TIMEOUT_S = 1.0
 POLL_S = 0.1
 LATENESS_MIN_S = 0.2
+SIDECAR_CLIENTS = 6  # of each sidecar
 LAST_REQUESTS = 4  # to each gateway, once all is calm
 
 
@@ -97,7 +101,12 @@
         self._record = SoakRecord()
         rng = random.Random(f"traffic {settings.seed}")
         self._processes = Processes(self._scheduler, self._now, self._record, settings, folder)
-        self._instances = self._make_instances()
+        self._instances = self._make_instances(settings.instance_names, 3)
+        self._endpoints = self._make_instances(settings.endpoint_names, 6)
+        # Neighbours on the list are of one zone: each service has instances in every zone.
+        listed = sorted(self._instances.values(), key=lambda instance: instance.zone)
+        self._platform = PlatformList(self._scheduler, self._processes.platform_ip, listed, list(SERVICES))
+        self._discovery = SidecarDiscovery(self._scheduler, settings.ip(7, 1), list(self._endpoints.values()))
         ips = {name: process.ip for name, process in self._processes.by_name.items()}
         controllers = {name: ips[name] for name in settings.controller_names}
         self._gateways = {name: ips[name] for name in settings.gateway_names}
@@ -109,11 +118,9 @@
         self._changes: list[Task] = []
         self._failure: Exception | None = None
         self._handlers: dict[ActionKind, Callable[[ScheduledAction], None]] = {
-            ActionKind.TERMINATE_GATEWAY: lambda action: self._processes.terminate(action.target),
-            ActionKind.KILL_GATEWAY: lambda action: self._processes.kill(action.target),
-            ActionKind.RELOAD_GATEWAY: lambda action: self._processes.reload(action.target),
-            ActionKind.TERMINATE_CONTROLLER: lambda action: self._processes.terminate(action.target),
-            ActionKind.KILL_CONTROLLER: lambda action: self._processes.kill(action.target),
+            ActionKind.TERMINATE: lambda action: self._processes.terminate(action.target),
+            ActionKind.KILL: lambda action: self._processes.kill(action.target),
+            ActionKind.RELOAD: lambda action: self._processes.reload(action.target),
             ActionKind.CHANGE_CONFIGURATION: lambda _action: self._begin_change(self._operator.change),
             ActionKind.RACE_CONFIGURATION: lambda _action: self._begin_change(self._operator.race),
             ActionKind.EVACUATE_ZONE: lambda action: self._evacuate(action, is_restored=False),
@@ -124,22 +131,12 @@
     def _now(self) -> float:
         return time.monotonic() - self._begun_s
 
-    def _make_instances(self) -> dict[str, SoakInstance]:
+    def _make_instances(self, names: list[str], machine_class: int) -> dict[str, SoakInstance]:
         settings = self._settings
-        made = {
-            name: SoakInstance(
-                self._scheduler,
-                self._now,
-                self._record,
-                name,
-                settings.zone_of(number),
-                settings.ip(3, number),
-            )
-            for number, name in enumerate(settings.instance_names, 1)
-        }
-        # Neighbours on the list are of one zone: each service has instances in every zone.
-        listed = sorted(made.values(), key=lambda instance: instance.zone)
-        self._platform = PlatformList(self._scheduler, self._processes.platform_ip, listed, list(SERVICES))
+        made = {}
+        for number, name in enumerate(names, 1):
+            zone, ip = settings.zone_of(number), settings.ip(machine_class, number)
+            made[name] = SoakInstance(self._scheduler, self._now, self._record, name, zone, ip)
         return made
 
     def play(self) -> SoakResult:
@@ -151,7 +148,8 @@
         finally:
             self._processes.stop()
             self._platform.close()
-            for instance in self._instances.values():
+            self._discovery.close()
+            for instance in (*self._instances.values(), *self._endpoints.values()):
                 instance.close()
             self._scheduler.close()
         if self._failure is not None:
@@ -179,6 +177,9 @@
             self._wait(self._operator.change, START_S, "no controller acknowledges the first configuration")
         self._wait(self._are_all_ready, START_S, "not all gateways are ready")
         self._clients.start(self._settings.clients)
+        for name in self._settings.sidecar_names:
+            address = f"{self._processes.by_name[name].ip}:{SIDECAR_PORT}"
+            self._clients.start_of_sidecar(address, name, SIDECAR_CLIENTS, SidecarWire())
 
     def _watch_own_lateness(self) -> None:
         """Record when this process stood still: what it saw then came to it late."""
@@ -218,7 +219,7 @@
 
     def _last_request(self, name: str, ip: str) -> int:
         request = RequestRecord(f"last {name}", RequestKind.READ, name, self._now())
-        client = Client(self._scheduler, self._now, random.Random(0))
+        client = Client(self._scheduler, self._now, random.Random(0), GatewayWire())
         if client.connect((ip, FRONT_PORT), name):
             client.request(request, None)
         client.close()
@@ -236,7 +237,7 @@
         self._clients.disconnects_until_s = self._now() + action.duration_s
 
     def _fail_instance(self, action: ScheduledAction) -> None:
-        faults = self._instances[action.target].faults
+        target = self._instances.get(action.target) or self._endpoints[action.target]
         names = {
             ActionKind.HANG_INSTANCE: "hangs",
             ActionKind.RESET_INSTANCE: "resets",
@@ -245,9 +246,13 @@
             ActionKind.DRAIN_INSTANCE: "drains",
         }
         name = names[action.kind]
-        setattr(faults, name, True)
+        self._set_fault(target, name, True)
         until = self._scheduler.now() + action.duration_s
-        self._scheduler.call_at(until, lambda: setattr(faults, name, False))
+        self._scheduler.call_at(until, lambda: self._set_fault(target, name, False))
+
+    def _set_fault(self, instance: SoakInstance, name: str, value: bool) -> None:
+        setattr(instance.faults, name, value)
+        self._discovery.update()
 
     # --- what the system says ---------------------------------------------------------------------
 
@@ -268,10 +273,10 @@
             client.close()
 
     def _are_all_ready(self) -> bool:
-        return all(
-            self._get((ip, READY_PORT), "/api/readiness")[0] == HTTPStatus.OK
-            for ip in self._gateways.values()
-        )
+        addresses = [(ip, READY_PORT, "/api/readiness") for ip in self._gateways.values()]
+        for name in self._settings.sidecar_names:
+            addresses.append((self._processes.by_name[name].ip, SIDECAR_PORT, "/ready"))
+        return all(self._get((ip, port), path)[0] == HTTPStatus.OK for ip, port, path in addresses)
 
     def _metrics(self, ip: str) -> dict[str, float]:
         status, body = self._get((ip, METRICS_PORT), METRICS_PATH)
--- a/brambleusher/lab/soak/settings.py
+++ b/brambleusher/lab/soak/settings.py
@@ -8,11 +8,14 @@
 ZONES = {"n1": "north", "n2": "north", "s1": "south"}
 CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, READY_PORT, PEER_PORT = 8166, 8164, 8161, 8167, 7720
 INSTANCE_PORT, PLATFORM_PORT, METRICS_PORT = 8180, 8169, 9464
+SIDECAR_PORT, DISCOVERY_PORT = 8190, 8191
 METRICS_PATH = "/metrics"
 DURATION_MIN_S = 10.0
 GATEWAYS_MAX = 240  # a few hundred processes on one machine
 CONTROLLERS_MIN = 3
 OWN_ADDRESSES, FIRST_OCTET = 100, 100  # soaks that can have addresses of their own, and the first of these
+ENDPOINTS_MIN = 2
+SIDECAR_GRACE_S = 5.0  # the longest deadline and 0.7 s more lie within it
 GRACE_S = 8.0  # between SIGTERM and SIGKILL
 
 
@@ -30,6 +33,8 @@
     controllers: int = CONTROLLERS_MIN
     instances: int = 6
     clients: int = 24
+    sidecars: int = 2
+    endpoints: int = 4
     processes_id: int = os.getpid()  # keeps the addresses of two soaks on one machine apart
 
     def __post_init__(self) -> None:
@@ -42,6 +47,8 @@
             raise InvalidSoakSettingsError(f"controllers: {self.controllers} is under {CONTROLLERS_MIN}")
         if self.instances < len(ZONES) or self.clients < 1:
             raise InvalidSoakSettingsError("instances, clients: one a zone and one client at least")
+        if self.sidecars < 0 or (self.sidecars and self.endpoints < ENDPOINTS_MIN):
+            raise InvalidSoakSettingsError(f"sidecars: they need {ENDPOINTS_MIN} endpoints at least")
 
     @property
     def zone_names(self) -> list[str]:
@@ -58,6 +65,16 @@
         """All controllers."""
         return [f"controller-{number}" for number in range(1, self.controllers + 1)]
 
+    @property
+    def sidecar_names(self) -> list[str]:
+        """All sidecars."""
+        return [f"sidecar-{number}" for number in range(1, self.sidecars + 1)]
+
+    @property
+    def endpoint_names(self) -> list[str]:
+        """All endpoints of the sidecars."""
+        return [f"endpoint-{number}" for number in range(1, self.endpoints + 1)] if self.sidecars else []
+
     @property
     def instance_names(self) -> list[str]:
         """All instances, of both services."""
--- /dev/null
+++ b/brambleusher/lab/soak/wires.py
@@ -0,0 +1,83 @@
+"""How clients of a soak speak to the two programs: a gateway, or a sidecar."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import h11
+
+from brambleusher.lab.soak.records import RequestKind, RequestRecord
+
+HOST = "soak.example"
+DEADLINE_S = 4.0  # of every request
+MS_PER_S = 1000
+BODY = b"x" * 200
+READ_CLASS, NOTICE_CLASS = "read", "notice"
+
+
+class Wire(Protocol):
+    """The protocol between clients and one of the programs."""
+
+    kinds: tuple[RequestKind, ...]
+
+    def head(self, record: RequestRecord) -> h11.Request:
+        """Return the head of a request."""
+
+    def body(self, record: RequestRecord) -> bytes:
+        """Return the body of a request."""
+
+    def answered_attempt(self, record: RequestRecord, headers: dict[bytes, bytes]) -> str:
+        """Return the id that a response names."""
+
+
+class GatewayWire:
+    """A gateway of the serving system."""
+
+    kinds: tuple[RequestKind, ...] = tuple(RequestKind)
+
+    def head(self, record: RequestRecord) -> h11.Request:
+        """Return the head of a request."""
+        fields = [
+            ("Host", HOST),
+            ("X-Attempt-Id", record.attempt),
+            ("X-Kind", record.kind.value),
+            ("X-Deadline-Remaining", str(int(DEADLINE_S * MS_PER_S))),
+            ("Content-Length", str(len(BODY))),
+        ]
+        return h11.Request(method="POST", target=f"/{record.kind.value}/x", headers=fields)
+
+    def body(self, _record: RequestRecord) -> bytes:
+        """Return the body of a request."""
+        return BODY
+
+    def answered_attempt(self, _record: RequestRecord, headers: dict[bytes, bytes]) -> str:
+        """Return the id that a response names."""
+        return headers.get(b"x-attempt-id", b"").decode()
+
+
+class SidecarWire:
+    """A sidecar in front of endpoints; its responses name no id, their bodies do."""
+
+    kinds: tuple[RequestKind, ...] = (RequestKind.READ, RequestKind.NOTICE)
+
+    def head(self, record: RequestRecord) -> h11.Request:
+        """Return the head of a request."""
+        request_class = NOTICE_CLASS if record.kind.runs_once else READ_CLASS
+        fields = [
+            ("Host", HOST),
+            ("Request-Id", record.attempt),
+            ("Request-Class", request_class),
+            ("Request-Timeout-Ms", str(int(DEADLINE_S * MS_PER_S))),
+        ]
+        if record.kind.runs_once:
+            fields.append(("Content-Length", str(len(BODY))))
+        method = "POST" if record.kind.runs_once else "GET"
+        return h11.Request(method=method, target=f"/{request_class}?n=1", headers=fields)
+
+    def body(self, record: RequestRecord) -> bytes:
+        """Return the body of a request."""
+        return BODY if record.kind.runs_once else b""
+
+    def answered_attempt(self, record: RequestRecord, _headers: dict[bytes, bytes]) -> str:
+        """Return the id of the request: only the body tells whose response it is."""
+        return record.attempt
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -28,8 +28,6 @@
 from brambleusher.lab.soak.run import SoakError, play
 from brambleusher.lab.soak.settings import InvalidSoakSettingsError, SoakSettings
 
-CONTROLLER_ACTIONS = {ActionKind.TERMINATE_CONTROLLER, ActionKind.KILL_CONTROLLER}
-
 
 def request(kind: RequestKind = RequestKind.STREAM, **given: object) -> RequestRecord:
     body = complete_stream("a") if kind.is_stream else complete_body("a")
@@ -63,11 +61,11 @@
         plan = SoakPlanner(SoakSettings(seed, 40.0)).plan()
         assert [action.at_s for action in plan] == sorted(action.at_s for action in plan)
         assert all(action.at_s < 40.0 for action in plan)
-        lost = [action.at_s for action in plan if action.kind in CONTROLLER_ACTIONS]
+        lost = [action.at_s for action in plan if action.target.startswith("controller")]
         assert all(
             later - earlier > CONTROLLER_SPACING_S - 1e-6 for earlier, later in itertools.pairwise(lost)
         )
-        ends = [action.at_s for action in plan if action.kind is ActionKind.TERMINATE_GATEWAY]
+        ends = [action.at_s for action in plan if action.kind is ActionKind.TERMINATE]
         overlaps += sum(later - earlier < 2.6 for earlier, later in itertools.pairwise(ends))
         kinds |= {action.kind for action in plan}
     assert kinds == set(ActionKind)
@@ -82,6 +80,7 @@
         ({"gateways": 1000}, "gateways"),
         ({"controllers": 2}, "controllers"),
         ({"instances": 1}, "instances"),
+        ({"endpoints": 1}, "endpoints"),
     ],
 )
 def test_settings_that_can_not_be_played_are_named(given: dict[str, float], named: str) -> None:
