--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -66,7 +66,7 @@
 
 
 def read_plays(folder: Path) -> list[Play]:
-    """The plays of a folder, in the order in which they were made."""
+    """Return the plays of a folder, in the order in which they were made."""
     path = folder / RESULTS
     if not path.exists():
         return []
@@ -74,7 +74,7 @@
 
 
 def _copy(folder: Path, variant: str) -> Path:
-    """The repository's newest commit, with one key off."""
+    """Check out the repository's newest commit, with one key off."""
     copy = folder / f"copy-{variant.replace(' ', '-')}"
     if copy.exists():
         shutil.rmtree(copy)
@@ -171,7 +171,7 @@
 
 
 def table(out: str) -> str:
-    """The paired differences, as a table in Markdown."""
+    """Return the paired differences, as a table in Markdown."""
     plays = read_plays(Path(out))
     sites = sorted({play.site for play in plays})
     variants = [name for name in policy.key_names() if any(play.variant == name for play in plays)]
@@ -184,7 +184,7 @@
 
 
 def plot(out: str, path: str) -> str:
-    """The paired differences as a picture: a point a pair, a row a mechanism."""
+    """Draw the paired differences as a picture: a point a pair, a row a mechanism."""
     import matplotlib
 
     matplotlib.use("Agg")
--- a/benchmarks/bodies.py
+++ b/benchmarks/bodies.py
@@ -33,7 +33,7 @@
 
 
 def serve(listener: socket.socket, body: bytes) -> None:
-    """An endpoint that answers everything with one body, as fast as it is taken."""
+    """Run an endpoint that answers everything with one body, as fast as it is taken."""
     head = b'HTTP/1.1 200 OK\r\nServer-Load: {"qps":9,"util":0.3}\r\nContent-Length: %d\r\n\r\n' % len(body)
 
     def one(sock: socket.socket) -> None:
@@ -54,7 +54,7 @@
 
 
 def memory_kb(processes: list[subprocess.Popen[bytes]]) -> int:
-    """What these processes hold together."""
+    """Return what these processes hold together."""
     total = 0
     for process in processes:
         try:
@@ -135,7 +135,7 @@
 
 
 def main() -> None:
-    """The table."""
+    """Measure, and print the table."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--answers", type=int, default=100)
     parser.add_argument("--seconds", type=float, default=4.0)
--- a/benchmarks/breakages.py
+++ b/benchmarks/breakages.py
@@ -22,12 +22,12 @@
 def rules_broken(
     seed: int, profile: str, breakage: AbstractContextManager[object] | None = None
 ) -> frozenset[str]:
-    """What one run breaks."""
+    """Return what one run breaks."""
     return frozenset(play(draw_scenario(seed, profile), breakage).rules)
 
 
 def measure(task: tuple[str, int, int]) -> tuple[str, int | None, int, Counter[str]]:
-    """A breakage's first seed, how many of the first `share` seeds tell, and the rules that told."""
+    """Return a breakage's first seed, how many of the first `share` seeds tell, and the rules that told."""
     name, most, share = task
     breakage = BREAKAGES[name]
     first, told, rules = None, 0, Counter[str]()
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -133,7 +133,7 @@
 
     @staticmethod
     def chunk(line: bytes) -> bytes:
-        """A line as a chunk."""
+        """Return a line as a chunk."""
         return b"%x\r\n%s\n\r\n" % (len(line) + 1, line)
 
     def change(self, version: int, changed: dict[str, Any]) -> int:
@@ -230,13 +230,12 @@
 
     def cpu_s(self) -> float:
         """Processor seconds used so far, to the nanosecond."""
-        with open(f"/proc/{self.process.pid}/schedstat", encoding="ascii") as file:
-            return int(file.read().split()[0]) / SECOND
+        return int(Path(f"/proc/{self.process.pid}/schedstat").read_text("ascii").split()[0]) / SECOND
 
     def memory_mb(self) -> float:
         """Resident memory."""
-        with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as file:
-            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+        pages = int(Path(f"/proc/{self.process.pid}/statm").read_text("ascii").split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
     def call(self, sock: socket.socket, name: str, query: str = "") -> None:
         """One request and its whole answer."""
@@ -253,7 +252,7 @@
             reader.feed(data)
 
     def connect(self) -> socket.socket:
-        """A client's connection."""
+        """Open a client's connection."""
         sock = socket.create_connection(self.address, WAIT)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return sock
@@ -269,7 +268,7 @@
 
 @contextmanager
 def sidecar(endpoints: int) -> Iterator[Sidecar]:
-    """A sidecar that is ready."""
+    """Start a sidecar, and return it once it is ready."""
     made = Sidecar(endpoints)
     try:
         yield made
@@ -449,7 +448,7 @@
 
 
 def show(row: Row) -> None:
-    """A row of the table, and what was measured below it."""
+    """Return a row of the table, and what was measured below it."""
     line = fit(row.points)
     print(f"| {row.name} | {line.slope:.4g} {row.unit} | {line.at_zero:.4g} | {line.residual:.1%} |")
     print("|   " + ", ".join(f"{x:g}: {y:.4g}" for x, y in row.points) + " | | | |", flush=True)
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -72,7 +72,7 @@
 
 
 def configuration(folder: Path, discovery: str) -> Path:
-    """The service's file."""
+    """Return the service's file."""
     (folder / "secret").write_text("a secret of the benchmark")
     path = folder / "control.yaml"
     path.write_text(
@@ -89,7 +89,7 @@
 
 @contextlib.contextmanager
 def service(nodes: list[dict[str, Any]]) -> Iterator[tuple[ControlProgram, LiveDiscovery]]:
-    """The program and its discovery."""
+    """Start the program and its discovery."""
     with tempfile.TemporaryDirectory() as folder:
         discovery = LiveDiscovery(nodes)
         program = ControlProgram(configuration(Path(folder), discovery.address))
@@ -101,7 +101,7 @@
 
 
 def usage(pid: int) -> tuple[float, float]:
-    """A process's processor seconds so far, and its memory in MB."""
+    """Return a process's processor seconds so far, and its memory in MB."""
     stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
     return (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK"), pages * os.sysconf(
@@ -110,7 +110,7 @@
 
 
 def share(values: list[float], part: float) -> float:
-    """The value that `part` of all do not exceed."""
+    """Return the value that `part` of all do not exceed."""
     held = sorted(values)
     return held[min(len(held) - 1, math.ceil(part * len(held)) - 1)]
 
@@ -154,7 +154,7 @@
 
 
 def _acknowledge(proxy: ProxyStandIn, data: bytes) -> bytes:
-    """The answer to an assignment, read from the response's end alone, where its nonce is."""
+    """Return the answer to an assignment, read from the response's end alone, where its nonce is."""
     found = _NONCE.search(data[-16:])
     if found is None:
         raise ValueError("the response does not end in its nonce")
@@ -162,7 +162,7 @@
 
 
 def subscribers(target: str, names: list[str], pipe: Connection, stalls: int) -> None:
-    """A process full of subscribers; tells when all have all, then at each ask what came since."""
+    """Run a process full of subscribers; say when all have all, then at each ask what came since."""
     asyncio.run(_subscribers(target, names, pipe, stalls))
 
 
@@ -344,7 +344,7 @@
         self.recent: dict[str, list[tuple[float, float, float]]] = {name: [] for name in self.names}
 
     def capacity(self, mean: float) -> float:
-        """Requests a second of all nodes together, at a mean of so many seconds' work."""
+        """Return requests a second of all nodes together, at a mean of so many seconds' work."""
         return sum(self.places[name] * self.speed[name] / mean for name in self.names)
 
     def serve(self, name: str, now: float, work: float) -> tuple[float, api.LoadReport]:
@@ -359,7 +359,7 @@
         return ends, self.report(name, ends)
 
     def report(self, name: str, now: float, window: float = 1.0) -> api.LoadReport:
-        """A node's share of its places in use, and its answers a second, over the last `window` seconds."""
+        """Return a node's share of slots in use, and its answers a second, over the last `window` seconds."""
         held = [each for each in self.recent[name] if each[2] > now - 2 * window]
         self.recent[name] = held
         busy = sum(max(0.0, min(end, now) - max(begin, now - window)) for _, begin, end in held)
@@ -385,7 +385,7 @@
     senders: int = 16,
     seconds: float = 60.0,
 ) -> Day:
-    """The same arrivals, work and slow spells, sent by sidecars or by weighted proxies.
+    """Play the same arrivals, work and slow spells, sent by sidecars or by weighted proxies.
 
     A proxy with a `limit` (the cluster's `requests`) refuses what would be out beyond it.
 
@@ -403,7 +403,7 @@
     events: list[tuple[float, int, str, Any]] = []
     count = 0
 
-    def at(when: float, kind: str, what: Any = None) -> None:
+    def at(when: float, kind: str, what: object = None) -> None:
         nonlocal count
         count += 1
         heapq.heappush(events, (when, count, kind, what))
--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -74,7 +74,7 @@
 
 
 def high(figures: Iterable[float], part: float = 0.95) -> float:
-    """The figure that this part of all do not exceed."""
+    """Return the figure that this part of all do not exceed."""
     held = sorted(figures)
     return held[min(int(len(held) * part), len(held) - 1)]
 
@@ -100,7 +100,7 @@
         self.due: list[tuple[int, str, str]] = []
 
     def entry(self, at: int, state: api.HostState = api.HostState.READY, started: int = 0) -> api.HostEntry:
-        """The host of a number."""
+        """Return the host of a number."""
         return api.HostEntry(f"node-{at:05d}", ZONES[at % 4], f"kind-{at % 3}", at % 50, state, 1.0, started)
 
     def whole(self) -> float:
@@ -114,7 +114,7 @@
         return spent(lambda: self.balancer.handle(event, self.now))
 
     def traffic(self, seconds: float, rate: float) -> None:
-        """Requests at a rate, answered after 20 ms on average, and a tick each 12 ms."""
+        """Send requests at a rate, answered after 20 ms on average, and a tick each 12 ms."""
         end, tick = self.now + int(seconds * 1e9), self.now
         while self.now < end:
             self.now += int(self.rng.expovariate(rate) * 1e9)
@@ -149,8 +149,8 @@
         mine = []
         for _ in range(40):
             at = run.rng.randrange(nodes)
-            for state in (api.HostState.DRAINING, api.HostState.REMOVED, api.HostState.READY):
-                mine.append(run.change(state, at))
+            states = (api.HostState.DRAINING, api.HostState.REMOVED, api.HostState.READY)
+            mine += [run.change(state, at) for state in states]
             run.traffic(0.02, 200)
         run.traffic(0.5, 1500)  # a burst: more hosts come into use
         run.traffic(0.5, 50)
@@ -195,7 +195,7 @@
 
 
 def text_of(entries: list[dict[str, Any]], version: int, full: bool) -> bytes:
-    """A list as discovery words it."""
+    """Return a list as discovery words it."""
     return json.dumps({"version": version, "full": full, "servers": entries}).encode()
 
 
@@ -258,7 +258,7 @@
     def _guarded(self, address: tuple[str, int]) -> None:
         try:
             self._drive(address)
-        except BaseException as error:
+        except Exception as error:  # noqa: BLE001 - raised again in the main task once the sidecar has ended
             self.failed = error
         self.sidecar.begin_graceful_shutdown()
 
@@ -331,7 +331,7 @@
         self._one_change(others)
 
     def _listed(self, stream: Stream, entries: list[dict[str, Any]]) -> Taken:
-        """A whole list, while requests go on."""
+        """Apply a whole list, while requests go on."""
         self.version += 1
         text, count, last = text_of(entries, self.version, True), self.sidecar.counters, entries[-1]
         gc.collect()  # what was made here for the list is none of the sidecar's work
@@ -396,7 +396,7 @@
             while sidecar.status is not None and sidecar.status._rows._stale:
                 sidecar.scheduler.sleep(0.001)
             gc.collect()
-        except BaseException as error:
+        except Exception as error:  # noqa: BLE001 - raised again in the main task once the sidecar has ended
             failed.append(error)
         sidecar.begin_graceful_shutdown()
 
--- a/benchmarks/load_build.py
+++ b/benchmarks/load_build.py
@@ -28,7 +28,7 @@
 
 
 def make(path: Path, size: int, seed: int = 1) -> int:
-    """A log in the format `platform`, of lines a little out of order; says how many."""
+    """Write a log in the format `platform`, of lines a little out of order; return how many."""
     rng = random.Random(seed)
     recipe = synthetic.Recipe(seconds=60, rate=200, burst=None)
     samples = [synthetic.log_line(each, True).decode() for each in synthetic.requests(recipe, seed)]
@@ -36,7 +36,7 @@
     tails = [line.split("]")[1] for line in samples]
     count = written = 0
     at = float(synthetic.NOON_NS // 10**9)
-    with open(path, "w", encoding="ascii") as log:
+    with path.open("w", encoding="ascii") as log:
         while written < size:
             lines = []
             for _ in range(CHUNK):
@@ -52,10 +52,10 @@
 
 
 def make_har(path: Path, size: int) -> int:
-    """A HAR file whose entries are mostly what was answered; says how many."""
+    """Write a HAR file whose entries are mostly what was answered; return how many."""
     answer = {"size": 24_000, "mimeType": "text/html", "text": '<p class="x">\u00e9\n</p>' * 1200}
     count = 0
-    with open(path, "wb") as out:
+    with path.open("wb") as out:
         out.write(b'{"log":{"version":"1.2","entries":[')
         for second in itertools.count():
             recipe = synthetic.Recipe(seconds=1, burst=None, start_ns=synthetic.NOON_NS + second * 10**9)
--- a/benchmarks/mysql.py
+++ b/benchmarks/mysql.py
@@ -50,7 +50,7 @@
 
 
 def settings(promise_s: float, give_up_s: float = 60.0) -> dict[str, Any]:
-    """The platform's settings with these aims."""
+    """Return the platform's settings with these aims."""
     times = {"promise_ns": int(promise_s * SECOND), "give_up_ns": int(give_up_s * SECOND)}
     return {
         "zone": "z", "fleet_size": 1, "membership_mode": "subscribe",
@@ -71,8 +71,10 @@
 
 
 def serve_stand_ins(count: int, report_file: Path) -> None:
-    """The child that runs stand-in servers: their addresses go to standard output, the most connections that
-    any had to a file, five times a second."""
+    """Run stand-in servers in a child process.
+
+    Their addresses go to standard output, the most connections that any had to a file, five times a second.
+    """
     scheduler = Scheduler(RealSystem())
     servers = []
     for at in range(count):
@@ -97,7 +99,7 @@
 
 @contextmanager
 def child(*arguments: str, env: dict[str, str] | None = None) -> Iterator[subprocess.Popen[str]]:
-    """A child process, ended with the block."""
+    """Start a child process, ended with the block."""
     process = subprocess.Popen(
         [sys.executable, *arguments], stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
         env={**os.environ, **(env or {})},
@@ -121,7 +123,7 @@
         self.more, self.promise_s = more, 1.0
 
     def operator(self) -> Path:
-        """The operator file."""
+        """Return the operator file."""
         (self.folder / "users").write_text(f"web {NATIVE} {Secret.of(NATIVE, b'f').stored()}\n")
         (self.folder / "accounts").write_text("registry s\n")
         addresses = ", ".join(f"h{at}: '{host}:{port}'" for at, (host, port) in enumerate(self.servers))
@@ -134,7 +136,7 @@
         return path
 
     def config(self) -> Path:
-        """The platform's configuration."""
+        """Return the platform's configuration."""
         entries = [
             {"id": f"h{at}", "addr": "127.0.0.1:9", "zone": "z", "kind": "k", "state": "Ready"}
             for at in range(len(self.servers))
@@ -149,7 +151,7 @@
 
     @contextmanager
     def sidecar(self, mysql: bool = True) -> Iterator[tuple[subprocess.Popen[str], tuple[str, int], float]]:
-        """A sidecar: its process, where the front listens, and the seconds until it did."""
+        """Start a sidecar; return its process, where the front listens, and the seconds until it did."""
         arguments = ["-m", "brambleusher", *(["--operator", str(self.operator())] if mysql else [])]
         begun = time.monotonic()
         with child(*arguments, env={"NODE_CONFIG": str(self.config())}) as process:
@@ -169,7 +171,7 @@
             yield process, where, took
 
     def most_open(self) -> int:
-        """The most connections that any server ever had."""
+        """Return the most connections that any server ever had."""
         time.sleep(0.5)  # it is told five times a second
         return int((self.folder / "most").read_text())
 
@@ -188,7 +190,7 @@
     raise RuntimeError(f"no {key}")
 
 
-class TurnedAway(Exception):
+class RejectedError(Exception):
     """Not run, and may be asked again."""
 
 
@@ -224,7 +226,7 @@
                     break
                 if kind == 0xFF:
                     if int.from_bytes(buffer[at + 5 : at + 7], "little") == Errno.SERVER_ISNT_AVAILABLE:
-                        raise TurnedAway
+                        raise RejectedError
                     raise RuntimeError(bytes(buffer[at + 13 : at + 4 + length]).decode())
                 if (first and kind == 0) or (kind == 0xFE and length < 0xFFFFFF):
                     return size
@@ -245,7 +247,7 @@
             try:
                 self.send(text)
                 self.take()
-            except TurnedAway:
+            except RejectedError:
                 self.turned_away += 1
                 time.sleep(0.05)
                 continue
@@ -339,8 +341,8 @@
     return [f"{most} connections to a node, 25 allowed"] if most > 25 else []
 
 
-def memory(rig: Rig, quick: bool) -> Broken:
-    """What the sidecar holds of a result of 100 MB that its client reads slowly."""
+def memory(rig: Rig, _quick: bool) -> Broken:
+    """Measure what the sidecar holds of a result of 100 MB that its client reads slowly."""
     rows = 100_000  # of 1,000 bytes
     with rig.sidecar() as (process, where, _):
         client = Client(where, "web", b"f")
@@ -398,7 +400,7 @@
 
 
 def sale(seed: int, pinned: bool) -> tuple[int, int, int]:
-    """An opening of sales on six nodes, one of which turns slow: statements asked, in time, failed."""
+    """Play an opening of sales on six nodes, one of which turns slow: statements asked, in time, failed."""
     world = World(seed)
     counts = [0, 0, 0]
     servers: list[MysqlServer] = []
@@ -491,8 +493,8 @@
     return counts[0], counts[1], counts[2]
 
 
-def slow_node(rig: Rig, quick: bool) -> Broken:
-    """The share in time, with the sidecar and with clients that are pinned to nodes at random."""
+def slow_node(_rig: Rig, quick: bool) -> Broken:
+    """Measure the share in time, with the sidecar and with clients that are pinned to nodes at random."""
     print(f"## an opening of sales, one of {SALE_NODES} nodes turns 12 times slower (virtual time)\n")
     print(f"| clients | statements | within {IN_TIME_S * 1000:.0f} ms | failed |")
     print("| --- | --- | --- | --- |")
@@ -507,7 +509,7 @@
     return [] if shares[1] > shares[0] else ["no more in time than with clients pinned at random"]
 
 
-def promises(rig: Rig, quick: bool) -> Broken:
+def promises(_rig: Rig, quick: bool) -> Broken:
     """Fault schedules in virtual time: a few of those of `brambleusher.lab.mysql.replay`."""
     count = 30 if quick else 200
     begun = time.monotonic()
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -77,7 +77,7 @@
 
 
 def settings(tenants: tuple[api.Tenant, ...] = ()) -> api.Settings:
-    """What each sidecar is told."""
+    """Return what each sidecar is told."""
     return api.Settings(
         zone="z0", fleet_size=SIDECARS, tenants=tenants, tick_ns=5 * MS, max_attempts=6,
         classes=tuple(
@@ -103,14 +103,14 @@
         raise NotImplementedError
 
     def ended(self, status: api.AttemptStatus, seconds: float, out: int, now: float) -> None:
-        """An attempt has ended."""
+        """Record that an attempt has ended."""
 
 
 class NoLimit(Way):
     """Everything."""
 
     def admits(self, out: int, now: float) -> bool:
-        """Always."""
+        """Admit everything."""
         return True
 
 
@@ -139,7 +139,7 @@
         return out < self.limit
 
     def ended(self, status: api.AttemptStatus, seconds: float, out: int, now: float) -> None:
-        """A round trip more, if there was one."""
+        """Count a round trip more, if there was one."""
         if status not in (api.AttemptStatus.OK, api.AttemptStatus.TIMEOUT) or seconds <= 0:
             return
         self.count += 1
@@ -181,7 +181,7 @@
         return self._rng.random() >= odds
 
     def ended(self, status: api.AttemptStatus, seconds: float, out: int, now: float) -> None:
-        """An answer counts as accepted; what is turned away or not answered does not."""
+        """Count an answer as accepted, and nothing that is rejected or not answered."""
         self._fade(now)
         self._accepts += status in (api.AttemptStatus.OK, api.AttemptStatus.ERROR)
 
@@ -272,7 +272,7 @@
     seconds: float
     rate: Callable[[float], float]
     peak: float
-    tenants: Callable[[float], dict[str | None, float]] = lambda at: {None: 1.0}  # parts of the rate
+    tenants: Callable[[float], dict[str | None, float]] = lambda _at: {None: 1.0}  # parts of the rate
     fails: frozenset[int] = frozenset()  # nodes that answer 500 to everything
 
 
@@ -322,7 +322,7 @@
     # --- clients ---
 
     def _arrive(self) -> None:
-        """The next first request: a Poisson stream, thinned to the rate of the moment."""
+        """Schedule the next first request: a Poisson stream, thinned to the rate of the moment."""
         rng, demand = self.rng, self.demand
         at = self.now
         while True:
@@ -358,7 +358,7 @@
         )  # fmt: skip
 
     def _answered(self, name: str, refused: bool, wait: float) -> None:
-        """A refusal or a failure: the client may ask again."""
+        """Handle a rejection or a failure: the client may ask again."""
         asked = self.open[name][0]
         cls = CLASSES[asked.cls]
         if asked.tries >= TRIES or (cls.effect is api.Idempotency.UNSAFE and not refused):
@@ -439,7 +439,7 @@
             self.attempts += 1
             noise = NODES[node].work_noise
             work = asked.work * math.exp(noise * self.rng.gauss(0, 1) - noise**2 / 2)
-            attempt.job = Job(work, lambda at: True, lambda at: reply(api.AttemptStatus.OK))
+            attempt.job = Job(work, lambda _at: True, lambda _at: reply(api.AttemptStatus.OK))
             machine.add(attempt.job, self.now)
             self._wake(node)
 
@@ -462,7 +462,7 @@
 
 
 def steady(way: str, load: float, seed: int, calm: bool = True) -> float:
-    """Served worth at a load, as a part of what the fleet can serve; from a calm start, or from nothing."""
+    """Return served worth at a load, over what the fleet can serve; from a calm start, or from nothing."""
     rate, before = load * RATE, (min(load, CALM) if calm else load) * RATE
     demand = Demand(WARM_UP + MEASURED, lambda at: rate if at >= CALM_SECONDS else before, max(rate, before))
     world = World(way, seed).run(demand)
@@ -498,13 +498,13 @@
     """Work that reaches nodes over what is first asked, and the part served, with a third failing."""
     rate = 0.4 * RATE
     world = World(way, seed, marks=marks)
-    world.run(Demand(10.0, lambda at: rate, rate, fails=frozenset({1, 4})))
+    world.run(Demand(10.0, lambda _at: rate, rate, fails=frozenset({1, 4})))
     served = sum(asked.answered is not None for asked in world.asked)
     return world.attempts / len(world.asked), served / len(world.asked)
 
 
 def greedy(way: str, seed: int) -> tuple[float, float]:
-    """The parts served of a marketplace within its share, and of one that sends 20 times its own."""
+    """Return the parts served of a marketplace within its share, and of one that sends 20 times its own."""
     shares = {"modest": 0.3, "greedy": 0.5}  # of what the fleet can serve
     told = settings(tuple(api.Tenant(name, share, share * RATE) for name, share in shares.items()))
 
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -68,7 +68,7 @@
 
 
 def listed(port: int) -> dict[str, Any]:
-    """The endpoint list: names enough for the connections, all of them the one server."""
+    """Return the endpoint list: names enough for the connections, all of them the one server."""
     return {
         "version": 1, "full": True,
         "servers": [
@@ -217,8 +217,8 @@
                 )  # fmt: skip
             self.port = self._found(log)
         os.sched_setaffinity(self.process.pid, cores)
-        for task in os.listdir(f"/proc/{self.process.pid}/task"):
-            os.sched_setaffinity(int(task), cores)
+        for task in Path(f"/proc/{self.process.pid}/task").iterdir():
+            os.sched_setaffinity(int(task.name), cores)
 
     def _found(self, log: Path) -> int:
         until = time.monotonic() + WAIT
--- a/benchmarks/ring.py
+++ b/benchmarks/ring.py
@@ -18,7 +18,7 @@
 
 
 def cell_of(seed: int) -> Cell:
-    """A minute with a burst on the usual world, in virtual time."""
+    """Play a minute with a burst on the usual world, in virtual time."""
     return Cell(
         world="usual", demand="on-sale", settings="usual", seed=seed, where="virtual", through="sidecars",
         speed=1.0, timeout_ms=2000, check=False, figures=WorldFile(), spec=DemandSpec(recipe=RECIPE),
--- a/benchmarks/subsets.py
+++ b/benchmarks/subsets.py
@@ -44,7 +44,7 @@
 
 
 def spread(way: Way, ring: Ring, instances: int, size: int) -> tuple[float, float]:
-    """The least and the most use of a host, of the mean."""
+    """Return the least and the most use of a host, of the mean."""
     used = dict.fromkeys(ring.names, 0.0)
     for number in range(instances):
         subset = way(ring, number, size, instances)
--- a/benchmarks/system_cost.py
+++ b/benchmarks/system_cost.py
@@ -17,6 +17,7 @@
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 from http.client import HTTPConnection
 from pathlib import Path
 from typing import Any
@@ -59,7 +60,7 @@
         self.scheduler.run()
 
     @staticmethod
-    def _list(request: HttpRequest) -> HttpResponse:
+    def _list(_request: HttpRequest) -> HttpResponse:
         return json_response(200, {"instances": [ENTRY], "next_token": None})
 
     def _serve(self, stream: Stream, peer: str) -> None:
@@ -164,7 +165,7 @@
 
 
 def configuration(revision: int, routes: int) -> bytes:
-    """A configuration with so many routes beside the one that is used."""
+    """Return a configuration with so many routes beside the one that is used."""
     listed = [
         {
             "name": f"r-{number}",
@@ -182,7 +183,7 @@
     return json.dumps({"revision": revision, "routes": listed, "services": [{"name": "llm"}]}).encode()
 
 
-def wait_until(done: Any, seconds: float = 20.0) -> None:
+def wait_until(done: Callable[[], object], seconds: float = 20.0) -> None:
     """Ask again and again, within a bound."""
     end = time.monotonic() + seconds
     while True:
@@ -296,7 +297,7 @@
 
 
 def main() -> None:
-    """The command line."""
+    """Run the command line."""
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -200,7 +200,7 @@
 def worst(
     runs: Sequence[Books], begin: int, end: int, rest: Sequence[Books] = (), window: int = 2
 ) -> tuple[float, int, str]:
-    """The least part served by class and window, over all seeds; of what `rest` served, where it is given.
+    """Return the least part served by class and window over all seeds, of what `rest` served where given.
 
     Says also when, and of which class.
     """
@@ -219,7 +219,7 @@
 
 
 def moving(runs: Sequence[Books], begin: int, end: int, period: int, zone: str = ZONE) -> float:
-    """The part of all requests that changes between a zone and the others, a second.
+    """Return the part of all requests that changes between a zone and the others, a second.
 
     The zone's share of each phase of the flaps (and of as long before the first) is compared with that of
     the next; what moved is spread over the phase.  Shares are of all seeds together.
@@ -277,7 +277,7 @@
 
 
 def dark(plan: Plan) -> list[str]:
-    """The first two demands, and the comparison."""
+    """Play the first two demands, and the comparison."""
     day = dark_day(plan)
     back = LOST_AT + int(day.faults[0].for_s)
     end = int(day.length_s) - 2
@@ -336,7 +336,7 @@
 
 
 def flaps(plan: Plan) -> list[str]:
-    """A zone that comes and goes."""
+    """Play a zone that comes and goes."""
     periods = (2.0,) if plan.quick else (2.0, 5.0, 10.0)
     length = 60 if plan.quick else 120
     after = 2 if plan.quick else 70
@@ -380,7 +380,7 @@
 
 
 def others(plan: Plan) -> list[str]:
-    """The table of outcomes."""
+    """Print the table of outcomes."""
     end = 20.0 if plan.quick else 40.0
     length = 6.0 if plan.quick else 20.0
     one = {zone: 1 for zone in ZONES if zone == ZONE}
