--- a/brambleusher/net/client_request_handler.py
+++ b/brambleusher/net/client_request_handler.py
@@ -142,12 +142,20 @@
         if self._rewriter is not None:
             forwarded = self._rewriter.inward(message, path, request.request_class, connection.peer)
             request = replace(request, payload=forwarded)
-        due = min(self._clock.seconds(now_ns + request.time_left_ns), self.latest_response_at)
+        request = self._limit_to_shutdown(request, now_ns)
+        due = self._clock.seconds(now_ns + request.time_left_ns)
         if body_stream is not None:
             self._start_time_with_last_byte(body_stream, request.time_left_ns)
         presence = PeerPresence(connection.stream, reader)
         return _Exchange(connection, path, request, body_stream, arrived_ns, due, unseen_s, presence)
 
+    def _limit_to_shutdown(self, request: ClientRequest, now_ns: int) -> ClientRequest:
+        """Give a request no more time than the process has: the balancer has to decide before that."""
+        if self.latest_response_at == math.inf:
+            return request
+        left_ns = int((self.latest_response_at - self._clock.seconds(now_ns)) * _NS_PER_S)
+        return replace(request, time_left_ns=max(0, min(request.time_left_ns, left_ns)))
+
     def _unseen_s(self, connection: ClientConnection) -> float:
         """Seconds for which a request that was read now may have waited unseen."""
         return max(self._scheduler.lateness_s, 0.0 if connection.was_served else connection.accept_delay_s)
--- a/tests/sidecar/test_crossings_shutdown.py
+++ b/tests/sidecar/test_crossings_shutdown.py
@@ -13,6 +13,8 @@
 from typing import Any
 from unittest import mock
 
+from brambleusher.decisions.balancer_driver import BalancerDriver
+from brambleusher.decisions.requests import ClientRequest, PendingRequest
 from brambleusher.sidecar import lifecycle
 from brambleusher.sidecar.configuration import ConfigError
 from tests.crossing import held_still
@@ -177,14 +179,37 @@
             .replace(b"GET /look", b"POST /move")
             .replace(b"Class: look", b"Class: move")
         )
-        _, _, message = self.held(node)
-        self.assertLess(int(message.headers["request-timeout-ms"]), 1100)
-        self.assertEqual(read(sock).status, 502)
+        with self.assertNoLogs("brambleusher.net.request_lifecycle"):  # the balancer decides before that
+            _, _, message = self.held(node)
+            self.assertLess(int(message.headers["request-timeout-ms"]), 1100)
+            self.assertEqual(read(sock).status, 502)
         self.assertLess(
             rig.sidecar.scheduler.now(), rig.sidecar.client_listener.latest_response_at + WAIT / 10
         )
         self.ended(rig)
 
+    def test_the_balancer_knows_how_little_time_is_left_after_the_end_began(self) -> None:
+        """Otherwise it owes a decision at a deadline at which the request has been failed long ago."""
+        node = Node(answer(b"ok"))
+        self.addCleanup(node.close)
+        rig = self.rig(node)
+        sock = self.connect(rig)
+        with held_still(rig):
+            rig.sidecar.begin_graceful_shutdown()
+        self.until(lambda: rig.sidecar.client_listener.latest_response_at < math.inf)
+        times_left_ns: list[int] = []
+        submit = BalancerDriver.submit
+
+        def recorded(driver: BalancerDriver, submitted: ClientRequest) -> PendingRequest:
+            times_left_ns.append(submitted.time_left_ns)
+            return submit(driver, submitted)
+
+        with mock.patch.object(BalancerDriver, "submit", recorded):
+            sock.sendall(request("r1"))  # its client would wait for 5 s
+            self.assertEqual(read(sock).status, 200)
+        self.assertLess(times_left_ns[0], 1_100_000_000)
+        self.ended(rig)
+
     def test_a_second_signal_and_a_reload_beside_the_first(self) -> None:
         for order in ("reload first", "end first"):
             with self.subTest(order):
