A gateway sees a client's end behind whatever the client sent ahead

Cause: a gateway read 16 KB ahead of a response and stopped, since it discarded nothing; so did reads at the control plane. A close behind more bytes came to light with the next write.

Change: bytes ahead are read on, kept up to 1 MB a connection within the memory of all bodies, and discarded past that, up to 16 MB, as the sidecar does; a connection of which bytes were discarded closes with its response. Reads of the control plane discard past 16 KB. POLLRDHUP was weighed: the end does not arrive behind a full receive window, so that bytes have to be read in any case. The kernel is left to say so where a client is without power: the deadline of its request ends the wait.

--- a/brambleusher/dataplane/body_memory.py
+++ b/brambleusher/dataplane/body_memory.py
@@ -7,12 +7,12 @@
     """Accounts for the bytes of request bodies, within a limit."""
 
     def __init__(self, limit_bytes: int) -> None:
-        self._limit_bytes = limit_bytes
+        self.limit_bytes = limit_bytes
         self.reserved_bytes = 0
 
     def reserve(self, size_bytes: int) -> bool:
         """Reserve memory; False, and nothing is reserved, where the limit would be exceeded."""
-        if self.reserved_bytes + size_bytes > self._limit_bytes:
+        if self.reserved_bytes + size_bytes > self.limit_bytes:
             return False
         self.reserved_bytes += size_bytes
         return True
--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -10,8 +10,9 @@
 from brambleusher.dataplane.body_memory import BodyMemory
 from brambleusher.dataplane.client_request import HOP_BY_HOP_HEADERS, ClientRequest, HeaderList
 from brambleusher.dataplane.errors import RequestTooLargeError
+from brambleusher.dataplane.read_ahead import ReadAhead
 from brambleusher.runtime.disconnect_watch import PeerDisconnectedError
-from brambleusher.runtime.h11_messages import ParserBuffer, encode_message, send_continue
+from brambleusher.runtime.h11_messages import encode_message, send_continue
 from brambleusher.runtime.peer_presence import PeerPresence
 from brambleusher.runtime.scheduler import Event, Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import RECEIVE_BYTES, Stream
@@ -22,7 +23,7 @@
 HEAD_TIMEOUT_MIN_S = 1.0
 MS_PER_S = 1000
 HEADER_LINE_OVERHEAD_BYTES = 4  # colon, space and line end
-READ_AHEAD_MAX_BYTES = 16 * 1024  # of the requests that follow, while one is served; the rest stays unread
+READ_AHEAD_MAX_BYTES = 1024 * 1024  # of the requests that follow, while one is served; the rest is discarded
 
 
 class ClientConnection:
@@ -38,8 +39,15 @@
         self.closes_when_idle = False
         self.has_response_begun = False  # the head of a response was sent
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-        buffer = ParserBuffer(self._protocol)
-        self.presence = PeerPresence(stream, buffer, READ_AHEAD_MAX_BYTES, max_discarded=0)
+        self._read_ahead = ReadAhead(self._protocol, body_memory)
+        self.presence = PeerPresence(
+            stream, self._read_ahead, READ_AHEAD_MAX_BYTES, reserve=self._read_ahead.reserve
+        )
+
+    @property
+    def must_close(self) -> bool:
+        """Whether the connection closes with its next response; part of a next request may be discarded."""
+        return self.closes_after_response or self.presence.discarded_bytes > 0
 
     # --- requests ---------------------------------------------------------------------------------
 
@@ -50,7 +58,8 @@
             h11.RemoteProtocolError: The client does not speak HTTP/1.1.
             RequestTooLargeError: The request exceeds a limit.
         """
-        self.release_body()
+        self._release_body()
+        self._read_ahead.settle()
         self.is_idle, self.has_response_begun = not self._protocol.trailing_data[0], False
         head: h11.Request | None = None
         body: list[bytes] = []
@@ -77,6 +86,7 @@
                 return None
 
     def _request(self, head: h11.Request, body: bytes) -> ClientRequest:
+        self._read_ahead.settle()
         return ClientRequest(head.method, head.target, list(head.headers), body, self._scheduler.now())
 
     def _check_head(self, head: h11.Request) -> None:
@@ -91,7 +101,12 @@
             raise RequestTooLargeError(HTTPStatus.SERVICE_UNAVAILABLE, "the memory for all request bodies")
         self._body_bytes += size_bytes
 
-    def release_body(self) -> None:
+    def release_memory(self) -> None:
+        """Give all memory back: the connection is over."""
+        self._release_body()
+        self._read_ahead.release()
+
+    def _release_body(self) -> None:
         """Give the memory of the last request's body back."""
         self._body_memory.release(self._body_bytes)
         self._body_bytes = 0
@@ -166,7 +181,7 @@
         )
         sent = [header for header in headers if header[0].lower() not in HOP_BY_HOP_HEADERS]
         sent.append(framing)
-        if self.closes_after_response:
+        if self.must_close:
             sent.append((b"Connection", b"close"))
         self.has_response_begun = True
         return h11.Response(status_code=status, headers=sent)
--- a/brambleusher/gateway/client_server.py
+++ b/brambleusher/gateway/client_server.py
@@ -88,7 +88,7 @@
         except h11.LocalProtocolError:
             log.exception("response serialization failed")
         finally:
-            client.release_body()
+            client.release_memory()
             self._connections.discard(client)
 
     def _serve_next(self, client: ClientConnection) -> bool:
@@ -105,7 +105,7 @@
             return False
         finally:
             self.active_requests -= 1
-        if client.closes_after_response:
+        if client.must_close:
             if client.stream.open:
                 client.stream.finish()
             return False
--- a/brambleusher/runtime/http_server.py
+++ b/brambleusher/runtime/http_server.py
@@ -21,7 +21,7 @@
 REQUEST_S = 10.0  # from the first byte of a request to its last
 SEND_S = 5.0
 READ_METHODS = frozenset({"GET", "HEAD"})  # they change nothing, and are not worth finishing for nobody
-READ_AHEAD_MAX_BYTES = 16 * 1024  # of the requests that follow, while one is handled
+READ_AHEAD_MAX_BYTES = 16 * 1024  # of the requests that follow, while one is handled; the rest is discarded
 JSON_TYPE = b"application/json"
 
 
@@ -90,22 +90,21 @@
                 return
             if request is None:
                 return
-            response = self._handle(stream, connection, request)
+            presence = PeerPresence(stream, ParserBuffer(connection), READ_AHEAD_MAX_BYTES)
+            response = self._handle(presence, request)
             if response is None:
                 return
             self._answer(stream, connection, response)
-            if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
+            is_reusable = connection.our_state is h11.DONE and connection.their_state is h11.DONE
+            if not is_reusable or presence.discarded_bytes:
                 stream.finish()
                 return
             connection.start_next_cycle()
 
-    def _handle(
-        self, stream: Stream, connection: h11.Connection, request: HttpRequest
-    ) -> HttpResponse | None:
+    def _handle(self, presence: PeerPresence, request: HttpRequest) -> HttpResponse | None:
         """Have a request handled; None where it was a read whose caller has left."""
         if request.method not in READ_METHODS:
             return self._handler(request)
-        presence = PeerPresence(stream, ParserBuffer(connection), READ_AHEAD_MAX_BYTES, max_discarded=0)
         try:
             with DisconnectWatch(self._scheduler, presence):
                 return self._handler(request)
--- a/brambleusher/runtime/peer_presence.py
+++ b/brambleusher/runtime/peer_presence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from brambleusher.runtime.streams import Stream
@@ -32,7 +33,15 @@
     the connection unusable, since part of a request may be missing from it.
     """
 
-    __slots__ = ("_buffer", "_max_discarded", "_max_read_ahead", "_stream", "discarded_bytes", "has_left")
+    __slots__ = (
+        "_buffer",
+        "_max_discarded",
+        "_max_read_ahead",
+        "_reserve",
+        "_stream",
+        "discarded_bytes",
+        "has_left",
+    )
 
     def __init__(
         self,
@@ -40,21 +49,21 @@
         buffer: ReadAheadBuffer,
         max_read_ahead: int = MAX_READ_AHEAD_BYTES,
         max_discarded: int = MAX_DISCARDED_BYTES,
+        reserve: Callable[[int], bool] | None = None,
     ) -> None:
         """Watch a connection within limits in bytes.
 
-        With `max_discarded` 0 what lies beyond `max_read_ahead` stays unread, and the close behind it unseen.
+        `reserve` is asked for memory for bytes that are to be kept; they are discarded where it has none.
         """
         self._stream, self._buffer = stream, buffer
         self._max_read_ahead, self._max_discarded = max_read_ahead, max_discarded
+        self._reserve = reserve
         self.has_left = False
         self.discarded_bytes = 0
 
     def socket(self) -> Socket | None:
         """Return what to watch for the client's leaving; None once it has sent ahead more than is read."""
-        if self._max_discarded:
-            return self._stream.sock if self.discarded_bytes < self._max_discarded else None
-        return None if self._is_full else self._stream.sock
+        return self._stream.sock if self._reads_on else None
 
     def check_left(self) -> bool:
         """Read what has come, without waiting; true once the client has left."""
@@ -63,13 +72,9 @@
                 break
         return self.has_left
 
-    @property
-    def _is_full(self) -> bool:
-        return self._buffer.buffered >= self._max_read_ahead
-
     def _read(self) -> bool:
         """Read once; false where nothing has come, or where what may have come stays unread."""
-        if not self._max_discarded and self._is_full:
+        if not self._reads_on:
             return False
         try:
             data = self._stream.sock.recv(min(READ_BYTES, self._max_read_ahead))
@@ -79,8 +84,19 @@
             data = b""
         if not data:
             self.has_left = True
-        elif self.discarded_bytes or self._is_full:
-            self.discarded_bytes += len(data)
-        else:
+        elif self._may_keep(len(data)):
             self._buffer.feed(data)
+        else:
+            self.discarded_bytes += len(data)
         return True
+
+    @property
+    def _has_room(self) -> bool:
+        return not self.discarded_bytes and self._buffer.buffered < self._max_read_ahead
+
+    @property
+    def _reads_on(self) -> bool:
+        return self.discarded_bytes < self._max_discarded or self._has_room
+
+    def _may_keep(self, size: int) -> bool:
+        return self._has_room and (self._reserve is None or self._reserve(size))
--- a/tests/gateway/test_departed_clients.py
+++ b/tests/gateway/test_departed_clients.py
@@ -223,13 +223,32 @@
 
 
 def test_requests_sent_ahead_are_all_answered(deployment: VirtualDeployment) -> None:
-    body = b"x" * 20_000  # together more than is read ahead
-    sent = b"".join(encoded("/d/x", f"ahead{number}", body) for number in range(4))
+    body = b"x" * 20_000
+    sent = b"".join(encoded("/d/x", f"ahead{number}", body) for number in range(12))
     received = raw_client(deployment, sent, 3.0)
     deployment.sleep(2.0)
-    assert b"".join(received).count(b"HTTP/1.1 200") == 4
-    arrivals = [arrival for number in range(4) for arrival in deployment.arrivals(f"ahead{number}")]
-    assert [arrival.body for arrival in arrivals] == [body] * 4
+    assert b"".join(received).count(b"HTTP/1.1 200") == 12
+    arrivals = [arrival for number in range(12) for arrival in deployment.arrivals(f"ahead{number}")]
+    assert [arrival.body for arrival in arrivals] == [body] * 12
+    assert deployment.gateways["g1"].body_memory.reserved_bytes == 0
+
+
+def test_a_connection_closes_after_its_response_where_no_memory_is_left_for_what_follows(
+    deployment: VirtualDeployment,
+) -> None:
+    deployment.stub_instances["d"].head_delay_s = 0.5
+    memory = deployment.gateways["g1"].body_memory
+    left_bytes = 30_000
+    taken_bytes = memory.limit_bytes - left_bytes
+    assert memory.reserve(taken_bytes)
+    sent = encoded("/p/x", "first") + encoded("/p/x", "ahead", b"x" * 200_000)
+    received = raw_client(deployment, sent, 3.0)
+    deployment.sleep(2.0)
+    response = b"".join(received)
+    assert response.count(b"HTTP/1.1 200") == 1
+    assert b"connection: close" in response.lower()
+    assert deployment.arrivals("ahead") == []
+    assert memory.reserved_bytes == taken_bytes
 
 
 def test_a_client_that_takes_no_data_is_no_failure_of_its_instance(deployment: VirtualDeployment) -> None:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -289,7 +289,7 @@
     memory = deployment.gateways["g1"].body_memory
     deployment.request("g1", attempt="fits", body=b"x" * 50_000)
     assert memory.reserved_bytes == 0
-    memory._limit_bytes = 60_000
+    memory.limit_bytes = 60_000
     for server in deployment.stub_instances.values():
         server.pause_s = 0.3
     first = deployment.start_request("g1", attempt="first", body=b"x" * 50_000)
