--- a/brambleusher/__main__.py
+++ b/brambleusher/__main__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 from collections.abc import Sequence
 
@@ -38,13 +37,9 @@
     """Run as a process of its own; return the exit status."""
     if parse_serving_options(sys.argv[1:]) is None:
         return main()
-    from brambleusher.runtime.signal_holding import hold_signals, ignore_signals
+    from brambleusher.runtime.signal_holding import run_holding_reload
 
-    hold_signals(signal.SIGHUP)
-    try:
-        return main()
-    finally:
-        ignore_signals(signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    return run_holding_reload(main)
 
 
 if __name__ == "__main__":
--- a/brambleusher/runtime/signal_holding.py
+++ b/brambleusher/runtime/signal_holding.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Callable
 from types import FrameType
 
 _held: set[int] = set()
@@ -33,3 +34,16 @@
     """From now on ignore these signals: the process ends anyway, with the status that it has."""
     for number in numbers:
         signal.signal(number, signal.SIG_IGN)
+
+
+def run_holding_reload(program: Callable[[], int]) -> int:
+    """Run a program that handles SIGHUP, SIGTERM and SIGINT once it serves; return its exit status.
+
+    Race: a reload that comes earlier is held until there is a handler, and signals that come while the
+    process ends are ignored.
+    """
+    hold_signals(signal.SIGHUP)
+    try:
+        return program()
+    finally:
+        ignore_signals(signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
--- a/brambleusher/system_main.py
+++ b/brambleusher/system_main.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import signal
 import sys
 from collections.abc import Sequence
 from itertools import zip_longest
@@ -62,13 +61,9 @@
     """Run as a process of its own; return the exit status."""
     if not set(sys.argv[1:2]) & set(ROLES):
         return main()
-    from brambleusher.runtime.signal_holding import hold_signals, ignore_signals
+    from brambleusher.runtime.signal_holding import run_holding_reload
 
-    hold_signals(signal.SIGHUP)
-    try:
-        return main()
-    finally:
-        ignore_signals(signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    return run_holding_reload(main)
 
 
 if __name__ == "__main__":
--- a/brambleusher/system_tools.py
+++ b/brambleusher/system_tools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import sys
 import tomllib
 from collections.abc import Callable, Sequence
@@ -26,6 +27,7 @@
 CALL_TIMEOUT_S = 3.0
 SERVED_PARTIES = frozenset({"edge", "controller", "registry"})
 FAULT_EXIT_STATUS = 1
+PACKAGE_NAME = re.compile(r"[a-z0-9][a-z0-9+.-]+")  # of Debian (policy, 5.6.1)
 
 
 class ToolError(Exception):
@@ -58,6 +60,7 @@
         raise ToolError(f"{path}: {error}") from error
     if not isinstance(data.get("build"), str):
         raise ToolError(f"{path}: build: it is missing")
+    _check_packages(path, data.get("packages"))
     served: set[str] = set()
     for name, role in data.get("roles", {}).items():
         for key in ("run", "on"):
@@ -72,6 +75,15 @@
     return f"{path}: {len(data['roles'])} roles"
 
 
+def _check_packages(path: str, packages: object) -> None:
+    """Check a list of system packages; raises `ToolError`."""
+    if not isinstance(packages, list) or not packages:
+        raise ToolError(f"{path}: packages: it lists no system package, and a clean machine has none")
+    for package in packages:
+        if not isinstance(package, str) or not PACKAGE_NAME.fullmatch(package):
+            raise ToolError(f"{path}: packages: {package!r} is no package name")
+
+
 def check_policy(path: str) -> str:
     """Read a policy file as a gateway would at its start."""
     try:
--- a/tests/net/test_end_of_client.py
+++ b/tests/net/test_end_of_client.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from tests.rig import WAIT, Message, Node, Rig, Script
+from brambleusher.net.http import Message
+from tests.rig import WAIT, Node, Rig, Script
 
 KB = 1024
 AHEAD = {"nothing": 0, "15 KB": 15 * KB, "17 KB": 17 * KB, "300 KB": 300 * KB}
--- a/tests/system/test_system_tools.py
+++ b/tests/system/test_system_tools.py
@@ -15,6 +15,7 @@
 from tests.system.virtual_deployment import SETTINGS, configuration, route
 
 ROOT = Path(__file__).resolve().parents[2]
+LISTED = 'build = "x"\npackages = ["python3"]'
 
 
 def settings_text(**given: str) -> str:
@@ -44,9 +45,14 @@
     ("text", "named"),
     [
         ("build = 1", "build"),
-        ('build = "x"\n[roles.a]\nrun = "x"\non = "edge"\nserves = ["edge"]', "controller, registry"),
-        ('build = "x"\n[roles.a]\non = "edge"', "roles.a.run"),
-        ('build = "x"\n[roles.a]\nrun = "x"\non = "edge"\nserves = ["all"]', "roles.a.serves"),
+        ('build = "x"', "packages"),
+        ('build = "x"\npackages = []', "packages"),
+        ('build = "x"\npackages = "python3"', "packages"),
+        ('build = "x"\npackages = ["python3", "Not One"]', "packages: 'Not One'"),
+        ('build = "x"\npackages = [3]', "packages: 3"),
+        (f'{LISTED}\n[roles.a]\nrun = "x"\non = "edge"\nserves = ["edge"]', "controller, registry"),
+        (f'{LISTED}\n[roles.a]\non = "edge"', "roles.a.run"),
+        (f'{LISTED}\n[roles.a]\nrun = "x"\non = "edge"\nserves = ["all"]', "roles.a.serves"),
         ("build = ", "Invalid value"),
     ],
 )
