Clients that all leave early no longer hide a hung instance

Change: what clients leave behind is taken as right-censored. Per service, a Kaplan-Meier estimate of how many answers begin later than a wait; per instance, the waits that clients ended one after the other since its last answer (those that overlap count once). An instance whose waits a sound one would leave unanswered once in a million times gets no weight and is passed over; for 4 s after the last wait, then one request shows whether it is still so.

--- a/brambleusher/loadbalancing/instance_metrics.py
+++ b/brambleusher/loadbalancing/instance_metrics.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from brambleusher.loadbalancing.first_byte_survival import AbandonedWaits, FirstByteSurvival
 from brambleusher.loadbalancing.performance_index import MIN_COUNT, PI_GOAL, aggregate_pi
 
 TICK_S = 0.5  # weights are recomputed so often: news is acted on within the shortest target
@@ -27,6 +28,9 @@
 MAX_LOAD = 2.0  # of the slots: what one report may claim
 UNLOADED_FAILURES = 0.5  # with more failures lately, latencies are not those of an unloaded spell
 MIN_LATENCY_TARGET_S = 0.01
+# Abandoned waits that a sound instance leaves unanswered once in a million times are those of a hung one: a
+# new chance is taken after each answer, some thousand times an hour.
+HUNG_LOG_SURVIVAL = math.log(1e-6)
 
 
 class ObservedTotals(NamedTuple):
@@ -93,6 +97,7 @@
     failed: float = 0.0
     last_response_s: float = -math.inf  # when an answer began last
     abandoned_wait: AbandonedWait | None = None  # the longest lately, over its target
+    abandoned_waits: AbandonedWaits = field(default_factory=AbandonedWaits)
     unloaded_index: float = 0.0  # of the last unloaded spell, which counts where nothing is recent
     load: float = 0.0  # that the instance reported last, as a part of its slots
     load_weight: float = 0.0  # 1 for a report of this moment, less for an older one
@@ -148,9 +153,25 @@
         abandoned = self._current_abandoned_wait(now)
         if abandoned is not None:
             ages.append(abandoned.ratio)
+        if self._is_hung_by_abandoned_waits(now):
+            return MAX_AGE_RATIO
         return min(max(ages, default=0.0), MAX_AGE_RATIO)
 
-    def abandon(self, attempt: int, now: float) -> None:
+    def _is_hung_by_abandoned_waits(self, now: float) -> bool:
+        """Return whether clients left too often, one after the other, without an answer to any of them.
+
+        It holds for a while after the last of them: then the next request shows whether it is still so.
+        """
+        waits = self.abandoned_waits
+        return waits.log_survival <= HUNG_LOG_SURVIVAL and now - waits.last_ended_s <= LATENCY_WINDOW_S
+
+    def record_answer(self, now: float, first_bytes: FirstByteSurvival) -> None:
+        """Take in that an answer has begun: the instance does not hang, its abandoned waits were usual."""
+        self.last_response_s = now
+        for ratio in self.abandoned_waits.clear():
+            first_bytes.record_abandoned(ratio)
+
+    def abandon(self, attempt: int, now: float, first_bytes: FirstByteSurvival) -> None:
         """End an attempt whose client has left: what is known is that its answer had not begun.
 
         Race: a client that leaves takes the attempt with it that would have shown a hung instance.
@@ -159,6 +180,9 @@
         if math.isinf(target_s):
             return
         wait, longest = AbandonedWait(sent_s, now, target_s), self._current_abandoned_wait(now)
+        if sent_s > self.last_response_s:
+            log_survival = math.log(first_bytes.survival(wait.ratio))
+            self.abandoned_waits.add(sent_s, now, wait.ratio, log_survival)
         if longest is None or wait.ratio >= longest.ratio:
             self.abandoned_wait = wait
 
--- a/brambleusher/loadbalancing/instance_weights.py
+++ b/brambleusher/loadbalancing/instance_weights.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from statistics import median
 
+from brambleusher.loadbalancing.first_byte_survival import FirstByteSurvival
 from brambleusher.loadbalancing.instance_metrics import (
     MAX_LOAD,
     MIN_LATENCY_TARGET_S,
@@ -54,6 +55,7 @@
         self._ring: list[InstanceMetrics] = []  # the ready ones, in the order of turns
         self._next = 0
         self._attempts = 0
+        self._first_bytes = FirstByteSurvival()
         # Of the instances with figures; until there are any, as if all were full.
         self.mean_utilisation = 1.0
         self._ticked_s: float | None = None
@@ -102,8 +104,10 @@
         instance = self._instances.get(name)
         if instance is None or attempt not in instance.in_flight:
             return
-        instance.last_response_s = now
+        instance.record_answer(now, self._first_bytes)
         priority, sent_s, target_s = instance.in_flight[attempt]
+        if math.isfinite(target_s):
+            self._first_bytes.record_answer((now - sent_s) / target_s)
         instance.latency_counts[priority] += 1
         instance.latency_ratio_totals[priority] += (now - sent_s) / target_s
         instance.in_flight[attempt] = InFlight(priority, now, math.inf)
@@ -122,7 +126,7 @@
         """End an attempt because its client has left."""
         instance = self._instances.get(name)
         if instance is not None and attempt in instance.in_flight:
-            instance.abandon(attempt, now)
+            instance.abandon(attempt, now, self._first_bytes)
 
     def record_connect_failure(self, name: str) -> None:
         """Count a connection to an instance that failed."""
@@ -216,6 +220,11 @@
             return False
         return instance.weight * len(self._ring) >= WEIGHT_TOTAL / FAIR_WEIGHT_DIVISOR
 
+    def is_unresponsive(self, name: str, now: float) -> bool:
+        """Return whether an instance is passed over, since nothing has been answered there for long."""
+        instance = self._instances.get(name)
+        return instance is not None and self._is_unresponsive(instance, now)
+
     def attempts_in_flight(self, name: str) -> int:
         """Return the number of own attempts in flight at an instance."""
         instance = self._instances.get(name)
