Soak: how long departed requests go on by state, what overlaps, planted faults

Cause: a soak judged departures against 1.5 s and told no times; it seldom brought together what breaks rules; with a sidecar's watch off nothing was found, since no response of a soak was streamed by a sidecar.

Change: a histogram of the time from the client's close to the end of its run, by program and state of the request, beyond the soak's own lateness (looked at every 20 ms), judged against 0.5 s; clients that half-close, and that close behind 20 KB sent ahead; responses in pieces, which sidecars stream; each second a fault of instances, clients that leave in one way and a change come together, in turn over all 90 triples; tables of what overlapped and was judged; 28 planted faults and soak-mutations. A process that outlives its grace period breaks a rule (it was taken for a planned kill). A stand-in that drained comes back as another incarnation: gateways rightly never use the old one again, and two of the first two new soaks ended with gateways that had nobody left.

--- a/brambleusher/cli/__init__.py
+++ b/brambleusher/cli/__init__.py
@@ -19,6 +19,7 @@
     "control": ("Serve the decisions to other proxies over xDS.", "control"),
     "lab": ("A stand-in fleet to try things on, and experiments with reports.", "lab"),
     "load": ("Demand from HAR files, access logs, JSON lines and captures.", "lab"),
+    "soak-mutations": ("Count the seeds that a soak takes to find each planted fault.", "all"),
     "soak": ("Play the whole system as real processes, under series of signals and changes.", "all"),
     "replay": ("Rerun the decisions of a capture and print those that differ.", "lab"),
 }
--- a/brambleusher/cli/group.py
+++ b/brambleusher/cli/group.py
@@ -24,7 +24,7 @@
         """Return the command of a name, importing it; None where there is none."""
         if cmd_name not in COMMANDS:
             return None
-        command = importlib.import_module(f"brambleusher.cli.{cmd_name}").command
+        command = importlib.import_module(f"brambleusher.cli.{cmd_name.replace('-', '_')}").command
         assert isinstance(command, click.Command)
         return command
 
--- a/brambleusher/cli/soak.py
+++ b/brambleusher/cli/soak.py
@@ -7,8 +7,11 @@
 
 import click
 
-from brambleusher.lab.soak.run import SoakError, play
-from brambleusher.lab.soak.settings import InvalidSoakSettingsError, SoakSettings
+from brambleusher.lab.soak.coincidences import Coincidences
+from brambleusher.lab.soak.departures import DepartureTimes, departures
+from brambleusher.lab.soak.mutations import UnknownMutationError, find
+from brambleusher.lab.soak.run import SoakError, SoakResult, play
+from brambleusher.lab.soak.settings import DEPARTED_S, InvalidSoakSettingsError, SoakSettings
 
 VIOLATIONS_PRINTED = 10
 
@@ -28,27 +31,59 @@
 @click.option("--clients", default=24, show_default=True, help="Clients.")
 @click.option("--instances", default=6, show_default=True, help="Instances, of two services.")
 @click.option("--sidecars", default=2, show_default=True, help="Sidecars, with endpoints of their own.")
+@click.option(
+    "--departed",
+    default=DEPARTED_S,
+    show_default=True,
+    help="Seconds that a run may go on after its client left, beyond the soak's own lateness.",
+)
+@click.option("--mutation", default="", metavar="NAME", help="Plant a fault in all processes.")
 @click.option("--logs", "folder", metavar="FOLDER", help="Keep settings and logs of all processes there.")
 def command(
-    seeds: str, seconds: float, gateways: int, clients: int, instances: int, sidecars: int, folder: str | None
+    seeds: str,
+    seconds: float,
+    gateways: int,
+    clients: int,
+    instances: int,
+    sidecars: int,
+    departed: float,
+    mutation: str,
+    folder: str | None,
 ) -> int:
-    """Play soaks one after the other.
+    """Play soaks one after the other, then print how soon departures ended and what overlapped.
 
     Returns:
         Exit status 0 where no rule was broken, 1 where one was, 2 where a soak could not be played.
     """
     is_broken = False
+    times, coincidences = DepartureTimes(), Coincidences()
     for seed in seeds_of(seeds):
         try:
+            if mutation:
+                find(mutation)
             settings = SoakSettings(
-                seed, seconds, gateways, instances=instances, clients=clients, sidecars=sidecars
+                seed,
+                seconds,
+                gateways,
+                instances=instances,
+                clients=clients,
+                sidecars=sidecars,
+                departed_s=departed,
+                mutation=mutation,
             )
             result = play(settings, Path(folder) / str(seed) if folder else None)
-        except (InvalidSoakSettingsError, SoakError) as error:
+        except (InvalidSoakSettingsError, SoakError, UnknownMutationError) as error:
             print(f"brambleusher: seed {seed}: {error}", file=sys.stderr)
             return 2
-        print(result.summary(), flush=True)
-        for violation in result.violations[:VIOLATIONS_PRINTED]:
-            print(f"  {violation}", flush=True)
+        _print_result(result)
+        times.add(departures(result.record))
+        coincidences.add(result.record)
         is_broken = is_broken or bool(result.violations)
+    print("\n".join(["", *times.rows(), "", *coincidences.rows()]))
     return int(is_broken)
+
+
+def _print_result(result: SoakResult) -> None:
+    print(result.summary(), flush=True)
+    for violation in result.violations[:VIOLATIONS_PRINTED]:
+        print(f"  {violation}", flush=True)
--- a/brambleusher/lab/soak/clients.py
+++ b/brambleusher/lab/soak/clients.py
@@ -9,14 +9,14 @@
 import h11
 import orjson
 
-from brambleusher.lab.soak.records import RequestOutcome, RequestRecord, SoakRecord
+from brambleusher.lab.soak.records import ClientAct, RequestOutcome, RequestRecord, SoakRecord
 from brambleusher.lab.soak.settings import DIRECTORY_PORT
 from brambleusher.lab.soak.wires import DEADLINE_S, HOST, GatewayWire, Wire
 from brambleusher.runtime.h11_messages import encode_message, receive_event
 from brambleusher.runtime.http_client import HttpCallError, HttpClient
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream, parse_address
-from brambleusher.runtime.system import Address
+from brambleusher.runtime.system import SHUTDOWN_WRITE, Address
 
 PATIENCE_S = 1.0  # past the deadline: a response that comes so late is seen
 CONNECT_S = 1.0
@@ -26,10 +26,14 @@
 DISCONNECT_DELAY_S = (0.0, 0.4)
 DISCONNECT_PROBABILITY = 0.05  # of the requests
 EARLY_DISCONNECT_PROBABILITY = 0.8  # while clients leave early
+AHEAD_BYTES = 20 * 1024  # of a next request, behind which a client closes
+HALF_CLOSED_S = 1.0  # that a client waits after it ended its sending side
 LONG_PAUSE_PROBABILITY = 0.05
 LONG_PAUSE_S = 1.5
 
 
+NEXT_REQUEST = f"POST /notice HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {2 * AHEAD_BYTES}\r\n\r\n".encode()
+
 AddressChoice = Callable[[random.Random], str | None]
 
 
@@ -51,6 +55,7 @@
         self._addresses: list[str] = []
         self._resolved_s = -ADDRESSES_CACHED_S
         self.disconnects_until_s = 0.0
+        self.act: ClientAct | None = None  # how clients leave until then; None: each as it likes
         self.is_over = False
         self.running = 0
 
@@ -94,6 +99,8 @@
         disconnects = client.rng.random() < (
             EARLY_DISCONNECT_PROBABILITY if is_early else DISCONNECT_PROBABILITY
         )
+        if disconnects:
+            record.act = (self.act if is_early else None) or client.rng.choice(list(ClientAct))
         client.request(record, client.rng.uniform(*DISCONNECT_DELAY_S) if disconnects else None)
 
     def _choose_address(self, rng: random.Random) -> str | None:
@@ -166,17 +173,35 @@
         except TaskTimeoutError:
             left = disconnect_delay_s is not None
             record.outcome = RequestOutcome.LEFT if left else RequestOutcome.TIMED_OUT
+            if record.act is ClientAct.HALF_CLOSE:
+                self._half_close(record)
+                return
         except (OSError, h11.RemoteProtocolError):
             if record.sent_s is not None:
                 record.outcome = RequestOutcome.CLOSED
         record.ended_s = self._now()
         self.is_reused = True
-        if not is_reusable:
+        if not is_reusable or record.act is ClientAct.CLOSE_AHEAD:
             self.close()
 
+    def _half_close(self, record: RequestRecord) -> None:
+        """End the sending side; that is when the client has left, whatever it still reads."""
+        assert self._stream is not None
+        record.ended_s = self._now()
+        try:
+            self._stream.sock.shutdown(SHUTDOWN_WRITE)
+            deadline = self._scheduler.now() + HALF_CLOSED_S
+            while self._stream.receive(deadline):
+                pass
+        except (OSError, TaskTimeoutError):
+            pass
+        self.close()
+
     def _send(self, record: RequestRecord) -> None:
         assert self._stream is not None
         data = encode_message(self._protocol, self.wire.head(record), self.wire.body(record))
+        if record.act is ClientAct.CLOSE_AHEAD:
+            data += NEXT_REQUEST + b"x" * AHEAD_BYTES
         self._stream.send(data, self._scheduler.now() + CONNECT_S)
         record.sent_s = self._now()
 
--- /dev/null
+++ b/brambleusher/lab/soak/departures.py
@@ -0,0 +1,144 @@
+"""How long runs go on after their clients have left, by the state in which the request was; pure."""
+
+from __future__ import annotations
+
+import bisect
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from hdrh.histogram import HdrHistogram
+
+from brambleusher.lab.soak.records import (
+    RequestKind,
+    RequestOutcome,
+    RequestRecord,
+    RunOutcome,
+    RunRecord,
+    SoakRecord,
+)
+
+US_PER_S = 1_000_000
+LONGEST_S = 60  # what a run that never ended counts as
+LONGEST_US = LONGEST_S * US_PER_S
+DIGITS = 3  # significant ones, of a histogram
+PERCENTILES = (50.0, 99.0)
+
+
+class DepartedState(Enum):
+    """Where a request was when its client left, as its instances saw it."""
+
+    NOT_STARTED = "queued or connecting"
+    WAITING = "waiting for a head"
+    STREAMING = "streaming"
+    BETWEEN_ATTEMPTS = "between attempts"
+    RESUMING = "resuming"
+
+
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """One request whose client left.  Times are seconds of the soak."""
+
+    attempt: str
+    kind: RequestKind
+    process: str
+    state: DepartedState
+    left_s: float
+    went_on_s: float  # from there to the end of its last run; 0 where no run went on or began
+    own_lateness_s: float  # of the soak, within that time
+
+    @property
+    def beyond_own_lateness_s(self) -> float:
+        """How long it went on for which the soak's own standing still is no explanation."""
+        return max(0.0, self.went_on_s - self.own_lateness_s)
+
+
+class _LateSpells:
+    """The times in which the soak itself stood still."""
+
+    def __init__(self, spells: list[tuple[float, float]]) -> None:
+        self._spells = sorted(spells)
+        self._begins = [since_s for since_s, _ in self._spells]
+
+    def within_s(self, since_s: float, until_s: float) -> float:
+        """Return how many seconds of a time lie in them."""
+        at = max(0, bisect.bisect_right(self._begins, since_s) - 1)
+        late_s = 0.0
+        for begin_s, end_s in self._spells[at:]:
+            if begin_s >= until_s:
+                break
+            late_s += max(0.0, min(end_s, until_s) - max(begin_s, since_s))
+        return late_s
+
+
+def departures(record: SoakRecord) -> Iterator[Departure]:
+    """Yield the requests that must end with their client, and whose client left.
+
+    A request that may run once and is no stream is finished without its client: of its runs only those count
+    that began after its client had left.
+    """
+    runs: dict[str, list[RunRecord]] = defaultdict(list)
+    for run in record.runs:
+        runs[run.attempt].append(run)
+    late = _LateSpells(record.late_spells)
+    for request in record.requests:
+        if request.outcome is RequestOutcome.LEFT:
+            yield _departure(request, runs[request.attempt], late)
+
+
+def _departure(request: RequestRecord, runs: list[RunRecord], late: _LateSpells) -> Departure:
+    left_s = request.ended_s
+    is_finished_alone = request.kind is RequestKind.NOTICE
+    counted = [run for run in runs if not is_finished_alone or run.begun_s > left_s]
+    ends = [left_s + LONGEST_S if run.outcome is RunOutcome.RUNNING else run.ended_s for run in counted]
+    until_s = max([left_s, *ends])
+    state = _state(runs, left_s)
+    lateness_s = late.within_s(left_s, until_s)
+    return Departure(
+        request.attempt, request.kind, request.gateway, state, left_s, until_s - left_s, lateness_s
+    )
+
+
+def _state(runs: list[RunRecord], at_s: float) -> DepartedState:
+    begun = [run for run in runs if run.begun_s <= at_s]
+    if not begun:
+        return DepartedState.NOT_STARTED
+    last = max(begun, key=lambda run: run.begun_s)
+    if last.ended_s <= at_s and last.outcome is not RunOutcome.COMPLETE:
+        return DepartedState.BETWEEN_ATTEMPTS
+    if last.is_resumed:
+        return DepartedState.RESUMING
+    is_streaming = last.head_s is not None and last.head_s <= at_s
+    return DepartedState.STREAMING if is_streaming else DepartedState.WAITING
+
+
+class DepartureTimes:
+    """Histograms of departures, by program and state."""
+
+    def __init__(self) -> None:
+        self._histograms: dict[tuple[str, DepartedState], HdrHistogram] = {}
+
+    def add(self, found: Iterable[Departure]) -> None:
+        """Take departures in."""
+        for departure in found:
+            program = departure.process.partition("-")[0]
+            histogram = self._histograms.setdefault(
+                (program, departure.state), HdrHistogram(1, LONGEST_US, DIGITS)
+            )
+            histogram.record_value(min(LONGEST_US, max(1, int(departure.beyond_own_lateness_s * US_PER_S))))
+
+    def rows(self) -> list[str]:
+        """Return a line for each program and state, with milliseconds."""
+        lines = ["program   state                 departures   p50 ms   p99 ms  most ms"]
+        for program, state in sorted(
+            self._histograms, key=lambda key: (key[0], list(DepartedState).index(key[1]))
+        ):
+            histogram = self._histograms[program, state]
+            p50, p99 = (histogram.get_value_at_percentile(each) / 1000 for each in PERCENTILES)
+            most = histogram.get_max_value() / 1000
+            lines.append(
+                f"{program:9} {state.value:21} {histogram.get_total_count():10}"
+                f" {p50:8.1f} {p99:8.1f} {most:8.1f}"
+            )
+        return lines
--- a/brambleusher/lab/soak/plan.py
+++ b/brambleusher/lab/soak/plan.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import StrEnum
 
+from brambleusher.lab.soak.records import ClientAct
 from brambleusher.lab.soak.settings import SoakSettings
 
 CALM_START_S = 2.0  # without actions, after all processes are ready
@@ -55,6 +57,20 @@
 )
 
 
+CHANGES = (
+    ActionKind.TERMINATE,
+    ActionKind.KILL,
+    ActionKind.RELOAD,
+    ActionKind.CHANGE_CONFIGURATION,
+    ActionKind.RACE_CONFIGURATION,
+    ActionKind.EVACUATE_ZONE,
+)
+TRIPLES = tuple(itertools.product(INSTANCE_FAULTS, ClientAct, CHANGES))
+TRIPLE_STEP = 37  # from one to the next: prime to their count, so that neighbours differ in all three
+COINCIDENCE_S = (0.8, 1.6)  # that a fault and clients that leave go on together
+TRIPLES_PER_SEED = 16  # about as many as a soak of 30 s plays
+
+
 class SoakPlanner:
     """Draws the plan of one soak."""
 
@@ -63,6 +79,7 @@
         self._rng = random.Random(f"soak {settings.seed}")
         self._end_s = settings.duration_s - CALM_END_S
         self._controller_free_at_s = CALM_START_S
+        self._triple = settings.seed * TRIPLES_PER_SEED  # a range of seeds goes through all of them in turn
 
     def plan(self) -> list[ScheduledAction]:
         """Return all actions, in the order of their times."""
@@ -85,6 +102,7 @@
         at_s = CALM_START_S
         while at_s < self._end_s:
             actions += self._rng.choice(draws)(at_s)
+            actions += self._coincidence(at_s)
             at_s += self._rng.uniform(0.4, 1.6) * SERIES_EVERY_S
         return sorted((each for each in actions if each.at_s < self._end_s), key=lambda each: each.at_s)
 
@@ -147,5 +165,23 @@
             yield ScheduledAction(at_s, ActionKind.HANG_INSTANCE, name, duration_s)
         yield ScheduledAction(at_s, ActionKind.DISCONNECT_CLIENTS, duration_s=duration_s)
 
+    def _coincidence(self, at_s: float) -> Iterator[ScheduledAction]:
+        """Instances fail, clients leave in one way, and something changes, all at once."""
+        fault, act, change = TRIPLES[self._triple * TRIPLE_STEP % len(TRIPLES)]
+        self._triple += 1
+        duration_s = self._rng.uniform(*COINCIDENCE_S)
+        for names in (self._settings.instance_names, self._settings.endpoint_names):
+            for name in self._rng.sample(names, len(names) // 2):
+                yield ScheduledAction(at_s, fault, name, duration_s)
+        yield ScheduledAction(at_s, ActionKind.DISCONNECT_CLIENTS, act.value, duration_s)
+        change_at_s = at_s + self._rng.uniform(0.0, duration_s)
+        target = ""
+        if change in (ActionKind.TERMINATE, ActionKind.KILL, ActionKind.RELOAD):
+            target = self._rng.choice(self._settings.gateway_names + self._settings.sidecar_names)
+        elif change is ActionKind.EVACUATE_ZONE:
+            target = self._rng.choice(self._settings.zone_names)
+            yield ScheduledAction(change_at_s + duration_s, ActionKind.RESTORE_ZONE, target)
+        yield ScheduledAction(change_at_s, change, target)
+
     def _client_disconnects(self, at_s: float) -> Iterator[ScheduledAction]:
         yield ScheduledAction(at_s, ActionKind.DISCONNECT_CLIENTS, duration_s=self._rng.uniform(*FAULT_S))
--- a/brambleusher/lab/soak/processes.py
+++ b/brambleusher/lab/soak/processes.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from brambleusher.lab.processes.parent import tied_to
+from brambleusher.lab.soak.mutated_process import SIDECAR, SYSTEM
 from brambleusher.lab.soak.records import ProcessEvent, ProcessEventKind, ProcessUse, SoakRecord
 from brambleusher.lab.soak.settings import (
     CONTROL_PORT,
@@ -36,6 +37,7 @@
 KIB_PER_MIB = 1024
 PAGE_BYTES = os.sysconf("SC_PAGESIZE")
 SETTINGS_VARIABLES = ("BRAMBLEUSHER_SETTINGS", "NODE_CONFIG")  # of the system's programs, of the sidecar
+MUTATED_MODULE = "brambleusher.lab.soak.mutated_process"
 FAULT_MARKERS = ("Traceback", "level=error", "task failed", "timer failed")
 
 SETTINGS = """
@@ -83,7 +85,7 @@
     ) -> None:
         """`settings` makes the text of its settings file, given whether it is the very first start."""
         self.name, self.ip = name, ip
-        self._command, self._settings = command, settings
+        self.command, self._settings = command, settings
         self.settings_path = folder / f"{name}.settings"
         self.grace_s = GRACE_S
         self.log_path = folder / f"{name}.log"
@@ -97,7 +99,7 @@
         self.starts += 1
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
-                self._command,
+                self.command,
                 env={**os.environ, **dict.fromkeys(SETTINGS_VARIABLES, str(self.settings_path))},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
@@ -149,18 +151,25 @@
         for number, name in enumerate(settings.sidecar_names, 1):
             self._add_sidecar(name, settings.ip(5, number))
 
+    def _command(self, program: str, module: str) -> list[str]:
+        """Return how a program is started, with a planted fault where the soak has one."""
+        if self._settings.mutation:
+            return [sys.executable, "-m", MUTATED_MODULE, self._settings.mutation, program]
+        return [sys.executable, "-m", module]
+
     def _add_sidecar(self, name: str, ip: str) -> None:
         discovery = f"{self._settings.ip(7, 1)}:{DISCOVERY_PORT}"
 
         def configuration(_is_first: bool) -> str:
             return sidecar_configuration(name, f"{ip}:{SIDECAR_PORT}", discovery)
 
-        process = SoakProcess(name, ip, [sys.executable, "-m", "brambleusher"], configuration, self._folder)
+        command = self._command(SIDECAR, "brambleusher")
+        process = SoakProcess(name, ip, command, configuration, self._folder)
         process.grace_s = SIDECAR_GRACE_S
         self.by_name[name] = process
 
     def _add(self, name: str, ip: str, zone: str, is_controller: bool) -> None:
-        command = [sys.executable, "-m", "brambleusher.system_main"]
+        command = self._command(SYSTEM, "brambleusher.system_main")
         if is_controller:
             command += ["controller"]
         else:
@@ -248,7 +257,7 @@
         self._record_event(process, ProcessEventKind.TERMINATED)
         if process.kill_timer is None:
             deadline = self._scheduler.now() + process.grace_s
-            process.kill_timer = self._scheduler.call_at(deadline, lambda: self.kill(name))
+            process.kill_timer = self._scheduler.call_at(deadline, lambda: self._kill_overdue(name))
 
     def kill(self, name: str) -> None:
         """Send SIGKILL."""
@@ -257,6 +266,12 @@
             self._record_event(process, ProcessEventKind.KILLED)
             process.popen.kill()
 
+    def _kill_overdue(self, name: str) -> None:
+        process = self.by_name[name]
+        if process.popen is not None and process.popen.poll() is None:
+            self._record_event(process, ProcessEventKind.OVERDUE)
+            process.popen.kill()
+
     def reload(self, name: str) -> None:
         """Name other seeds in its settings and send SIGHUP."""
         process = self.by_name[name]
--- a/brambleusher/lab/soak/records.py
+++ b/brambleusher/lab/soak/records.py
@@ -13,6 +13,7 @@
     STREAM_ONCE = "stream-once"  # a stream that may run once
     READ = "read"  # a response that is no stream, of a request that may run again
     NOTICE = "notice"  # the same, of one that may run once
+    PIECES = "pieces"  # a response without a length, in pieces with pauses, of one that may run again
 
     @property
     def runs_once(self) -> bool:
@@ -25,6 +26,14 @@
         return self in (RequestKind.STREAM, RequestKind.STREAM_ONCE)
 
 
+class ClientAct(StrEnum):
+    """How a client leaves before its response is complete."""
+
+    CLOSE = "close"
+    HALF_CLOSE = "half-close"  # it ends its sending side, and waits
+    CLOSE_AHEAD = "close-ahead"  # it closes behind the beginning of a next request, longer than 16 KB
+
+
 class RequestOutcome(Enum):
     """How a request ended for its client."""
 
@@ -50,6 +59,7 @@
     status: int = 0
     body: bytes = b""
     answered_attempt: str = ""  # the id that the response names
+    act: ClientAct | None = None  # how its client is going to leave
 
 
 class RunOutcome(Enum):
@@ -71,6 +81,8 @@
     begun_s: float
     ended_s: float = 0.0
     outcome: RunOutcome = RunOutcome.RUNNING
+    head_s: float | None = None  # when the head of its response was sent
+    is_resumed: bool = False  # it goes on with a stream that another run began
 
 
 class ProcessEventKind(Enum):
@@ -80,6 +92,7 @@
     TERMINATED = "terminated"  # SIGTERM was sent
     RELOADED = "reloaded"  # SIGHUP was sent
     KILLED = "killed"  # SIGKILL was sent
+    OVERDUE = "overdue"  # it had not ended by the end of its grace period, and SIGKILL was sent
     EXITED = "exited"
 
 
@@ -93,6 +106,24 @@
     status: int = 0  # of an exit: negative for the signal that ended it
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceFaultSpell:
+    """A time in which an instance failed in some way."""
+
+    instance: str
+    kind: str  # of the action that brought it about
+    since_s: float
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeEvent:
+    """A change of a process or of the configuration that was begun."""
+
+    kind: str  # of the action that brought it about
+    at_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationRead:
     """A revision that a controller answered when it was asked for the configuration."""
@@ -136,3 +167,5 @@
         default_factory=list
     )  # in which the soak itself stood still
     faulty_log_lines: list[str] = field(default_factory=list)
+    fault_spells: list[InstanceFaultSpell] = field(default_factory=list)
+    change_events: list[ChangeEvent] = field(default_factory=list)
--- a/brambleusher/lab/soak/settings.py
+++ b/brambleusher/lab/soak/settings.py
@@ -17,6 +17,8 @@
 ENDPOINTS_MIN = 2
 SIDECAR_GRACE_S = 5.0  # the longest deadline and 0.7 s more lie within it
 GRACE_S = 8.0  # between SIGTERM and SIGKILL
+DEPARTED_S = 0.5  # that a run may go on after its client left, beyond the soak's own lateness
+DEPARTED_MIN_S = 0.05  # an event loop that is not late needs less
 
 
 class InvalidSoakSettingsError(ValueError):
@@ -35,6 +37,8 @@
     clients: int = 24
     sidecars: int = 2
     endpoints: int = 4
+    departed_s: float = DEPARTED_S
+    mutation: str = ""  # a fault that is planted in all processes; empty: none
     processes_id: int = os.getpid()  # keeps the addresses of two soaks on one machine apart
 
     def __post_init__(self) -> None:
@@ -47,6 +51,8 @@
             raise InvalidSoakSettingsError(f"controllers: {self.controllers} is under {CONTROLLERS_MIN}")
         if self.instances < len(ZONES) or self.clients < 1:
             raise InvalidSoakSettingsError("instances, clients: one a zone and one client at least")
+        if not self.departed_s >= DEPARTED_MIN_S:
+            raise InvalidSoakSettingsError(f"departed: {self.departed_s:g} is under {DEPARTED_MIN_S:g}")
         if self.sidecars < 0 or (self.sidecars and self.endpoints < ENDPOINTS_MIN):
             raise InvalidSoakSettingsError(f"sidecars: they need {ENDPOINTS_MIN} endpoints at least")
 
--- a/brambleusher/lab/soak/sidecars.py
+++ b/brambleusher/lab/soak/sidecars.py
@@ -82,7 +82,7 @@
     def _entries(self) -> list[Entry]:
         return [
             Entry(
-                id=endpoint.name,
+                id=endpoint.id,
                 addr=f"{endpoint.ip}:{INSTANCE_PORT}",
                 zone="n1",
                 kind="std",
