--- a/tests/xds/test_control_live.py
+++ b/tests/xds/test_control_live.py
@@ -246,7 +246,7 @@
         assert good.ended is None
         await good.stop()
 
-    # Race: at 100 a second a busy machine sends 300 requests too slowly to exceed the limit, and nothing ends.
+    # Race: at 100 a second a busy machine sends 300 requests too slowly to exceed the limit.
     run(serving(tmp_path, discovery, main, bounds={"requests_per_s": 20}))
 
 
