Gateway: headers read once, a stream's head sent with its first event

Change: headers become a list once, and a response's a dictionary; the watch asks for its socket only where it is not watching; the head of a stream goes out with its first event, one system call less.

Processor time is not measured yet: the machine is busy.

--- /dev/null
+++ b/benchmarks/gateway_calls.py
@@ -0,0 +1,91 @@
+"""What one request costs a gateway in function calls: a figure that a busy machine does not change much.
+
+Runs a gateway under the profiler beside three controllers, as `benchmarks.system_cost` does, with two numbers
+of requests; what the larger number adds is divided by the requests that it has more.
+
+    python -m benchmarks.gateway_calls [--against DIR] [--requests 1500]
+"""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from benchmarks.request_calls import calls, print_comparison
+from benchmarks.system_cost import ROOT, Deployment, StandIns, requests
+
+FEW = 100  # of the smaller number
+EVENTS = 1  # of each answer
+END_S = 10.0
+RUNNER = """
+import cProfile, runpy, sys
+sys.path.insert(0, {root!r})
+sys.argv = ["brambleusher", "gateway"]
+profile = cProfile.Profile()
+try:
+    profile.enable()
+    runpy.run_module("brambleusher.system_main", run_name="__main__")
+except SystemExit:
+    pass
+finally:
+    profile.disable()
+    profile.dump_stats({output!r})
+"""
+
+
+class ProfiledDeployment(Deployment):
+    """One whose gateway runs under the profiler."""
+
+    def __init__(self, folder: Path, root: Path) -> None:
+        super().__init__(folder, root)
+        self.output = folder / "profile"
+        self._runner = folder / "runner.py"
+        self._runner.write_text(RUNNER.format(root=str(root), output=str(self.output)), encoding="utf-8")
+
+    def command(self, name: str, role: str) -> list[str]:
+        """Return how a process is started."""
+        return [sys.executable, str(self._runner)] if role == "gateway" else super().command(name, role)
+
+    def end_gateway(self) -> Counter[str]:
+        """End the gateway, and return its calls."""
+        gateway = self.processes["gateway-0"]
+        gateway.send_signal(signal.SIGTERM)
+        gateway.wait(END_S)
+        return calls(self.output)
+
+
+def profiled(root: Path, count: int) -> Counter[str]:
+    """Return how often each function is called for so many requests, by its name."""
+    few, many = (_calls_of(root, each) for each in (FEW, FEW + count))
+    return Counter({name: many[name] - few[name] for name in many if many[name] > few[name]})
+
+
+def _calls_of(root: Path, count: int) -> Counter[str]:
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = ProfiledDeployment(Path(folder), root)
+        try:
+            deployment.start_serving()
+            requests(count, EVENTS)
+            return deployment.end_gateway()
+        finally:
+            deployment.close()
+
+
+def main() -> None:
+    """Run the command line."""
+    parser = argparse.ArgumentParser(description="Function calls a request at a gateway.")
+    parser.add_argument("--against", type=Path, help="another checkout, with the same interpreter")
+    parser.add_argument("--requests", type=int, default=1500)
+    given = parser.parse_args()
+    StandIns()
+    here = profiled(ROOT, given.requests)
+    other = None if given.against is None else profiled(given.against.resolve(), given.requests)
+    print_comparison(here, other, given.requests)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/request_calls.py
+++ b/benchmarks/request_calls.py
@@ -110,13 +110,18 @@
     words.add_argument("--requests", type=int, default=3000)
     given = words.parse_args()
     here = profiled(ROOT, given.requests)
-    print(f"calls a request: {here.total() / given.requests:.1f}")
-    if given.against is None:
+    other = None if given.against is None else profiled(given.against.resolve(), given.requests)
+    print_comparison(here, other, given.requests)
+
+
+def print_comparison(here: Counter[str], other: Counter[str] | None, requests: int) -> None:
+    """Print calls a request, and which functions another checkout calls more or less often."""
+    print(f"calls a request: {here.total() / requests:.1f}")
+    if other is None:
         return
-    other = profiled(given.against.resolve(), given.requests)
     ratio = here.total() / other.total()
-    print(f"calls a request there: {other.total() / given.requests:.1f}; here {ratio:.3f} times as many")
-    differences = sorted(((here[name] - other[name]) / given.requests, name) for name in here | other)
+    print(f"calls a request there: {other.total() / requests:.1f}; here {ratio:.3f} times as many")
+    differences = sorted(((here[name] - other[name]) / requests, name) for name in here | other)
     for title, rows in (
         ("less often here", differences[:DIFFERENCES]),
         ("more often here", differences[-DIFFERENCES:]),
--- a/benchmarks/system_cost.py
+++ b/benchmarks/system_cost.py
@@ -32,6 +32,7 @@
 from brambleusher.runtime.streams import Stream
 from brambleusher.wire import lines
 
+ROOT = Path(__file__).resolve().parent.parent
 PLATFORM, INSTANCE = ("127.0.9.1", 18169), ("127.0.9.2", 18080)
 CONTROL, DIRECTORY, FRONT, READY, PEER = 18166, 18164, 18161, 18167, 17720
 TICK_S = 1 / os.sysconf("SC_CLK_TCK")
@@ -103,10 +104,14 @@
 class Deployment:
     """The processes, each with its settings file and address."""
 
-    def __init__(self, folder: Path) -> None:
-        self._folder = folder
+    def __init__(self, folder: Path, root: Path = ROOT) -> None:
+        self._folder, self.root = folder, root
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
+    def command(self, _name: str, role: str) -> list[str]:
+        """Return how a process is started."""
+        return [sys.executable, "-m", "brambleusher.system_main", role]
+
     def start(self, name: str, ip: str, role: str) -> None:
         """Start a process of a role."""
         seeds = [f"127.0.1.{at + 1}:{CONTROL}" for at in range(CONTROLLERS)]
@@ -130,7 +135,8 @@
         path = self._folder / f"{name}.toml"
         path.write_text(text)
         self.processes[name] = subprocess.Popen(
-            [sys.executable, "-m", "brambleusher.system_main", role],
+            self.command(name, role),
+            cwd=self.root,
             env={**os.environ, "BRAMBLEUSHER_SETTINGS": str(path)},
             stderr=(self._folder / f"{name}.log").open("wb"),
         )
@@ -144,6 +150,15 @@
                 total += (int(fields[11]) + int(fields[12])) * TICK_S
         return total
 
+    def start_serving(self) -> None:
+        """Start the controllers and one gateway, and wait until it serves with a first configuration."""
+        for at in range(CONTROLLERS):
+            self.start(f"core-{at}", f"127.0.1.{at + 1}", "controller")
+        self.start("gateway-0", "127.0.2.1", "gateway")
+        body = configuration(1, 50)
+        wait_until(lambda: call("127.0.1.1", CONTROL, "PUT", "/api/config", body, If_Match="0")[0] == 200)
+        wait_until(lambda: call("127.0.2.1", READY, "GET", "/api/readiness")[0] == 200)
+
     def close(self) -> None:
         """End all processes."""
         for process in self.processes.values():
@@ -239,16 +254,7 @@
         deployment = Deployment(Path(folder))
         try:
             StandIns()
-            for at in range(CONTROLLERS):
-                deployment.start(f"core-{at}", f"127.0.1.{at + 1}", "controller")
-            deployment.start("gateway-0", "127.0.2.1", "gateway")
-            wait_until(
-                lambda: (
-                    call("127.0.1.1", CONTROL, "PUT", "/api/config", configuration(1, 50), If_Match="0")[0]
-                    == 200
-                )
-            )
-            wait_until(lambda: call("127.0.2.1", READY, "GET", "/api/readiness")[0] == 200)
+            deployment.start_serving()
 
             def resting(prefix: str) -> float:
                 begun = deployment.cpu_s(prefix)
--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -12,7 +12,7 @@
 from brambleusher.dataplane.errors import RequestTooLargeError
 from brambleusher.dataplane.read_ahead import ReadAhead
 from brambleusher.runtime.disconnect_watch import PeerDisconnectedError
-from brambleusher.runtime.h11_messages import encode_message, send_continue
+from brambleusher.runtime.h11_messages import encode_message, header_list, send_continue
 from brambleusher.runtime.peer_presence import PeerPresence
 from brambleusher.runtime.scheduler import Event, Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import RECEIVE_BYTES, Stream
@@ -37,7 +37,8 @@
         self.is_idle = True
         self.closes_after_response = False
         self.closes_when_idle = False
-        self.has_response_begun = False  # the head of a response was sent
+        self.has_response_begun = False  # the head of a response was made
+        self._unsent_head = b""
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         self._read_ahead = ReadAhead(self._protocol, body_memory)
         self.presence = PeerPresence(
@@ -59,9 +60,9 @@
             RequestTooLargeError: The request exceeds a limit.
         """
         self._release_body()
-        self._read_ahead.settle()
         self.is_idle, self.has_response_begun = not self._protocol.trailing_data[0], False
         head: h11.Request | None = None
+        headers: HeaderList = []
         body: list[bytes] = []
         deadline_s = self._scheduler.now() + self.limits.idle_ms / MS_PER_S
         while True:
@@ -76,21 +77,22 @@
             elif isinstance(event, h11.Request):
                 self.is_idle = False
                 head, deadline_s = event, self._scheduler.now() + BODY_TIMEOUT_S
-                self._check_head(head)
+                headers = header_list(head.headers)
+                self._check_headers(headers)
             elif isinstance(event, h11.Data):
                 self._reserve_body(len(event.data))
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return self._request(head, b"".join(body))
+                self._read_ahead.settle()
+                now_s = self._scheduler.now()
+                return ClientRequest(head.method, head.target, headers, b"".join(body), now_s)
             else:
                 return None
 
-    def _request(self, head: h11.Request, body: bytes) -> ClientRequest:
-        self._read_ahead.settle()
-        return ClientRequest(head.method, head.target, list(head.headers), body, self._scheduler.now())
-
-    def _check_head(self, head: h11.Request) -> None:
-        size_bytes = sum(len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES for name, value in head.headers)
+    def _check_headers(self, headers: HeaderList) -> None:
+        size_bytes = len(headers) * HEADER_LINE_OVERHEAD_BYTES
+        for name, value in headers:
+            size_bytes += len(name) + len(value)
         if size_bytes > self.limits.header_bytes:
             raise RequestTooLargeError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "limits.header_bytes")
 
@@ -146,8 +148,8 @@
     # --- responses --------------------------------------------------------------------------------
 
     def begin_response(self, status: int, headers: HeaderList) -> None:
-        """Send the head of a response whose body follows in chunks."""
-        self._write(self._protocol.send(self._head(status, headers, None)) or b"")
+        """Begin a response whose body follows in chunks; its head is sent with the first of them."""
+        self._unsent_head = self._protocol.send(self._head(status, headers, None)) or b""
 
     def send_data(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -173,13 +175,16 @@
         self.send_response(status, headers, orjson.dumps({"error": reason}))
 
     def _head(self, status: int, headers: HeaderList, length_bytes: int | None) -> h11.Response:
-        """Build the head of a response, with a length or, where that is None, in chunks."""
+        """Build the head of a response, with a length or, where that is None, in chunks.
+
+        Names of forwarded headers are in lower case; those of the gateway's own are never hop-by-hop.
+        """
         framing = (
             (b"Transfer-Encoding", b"chunked")
             if length_bytes is None
             else (b"Content-Length", str(length_bytes).encode())
         )
-        sent = [header for header in headers if header[0].lower() not in HOP_BY_HOP_HEADERS]
+        sent = [header for header in headers if header[0] not in HOP_BY_HOP_HEADERS]
         sent.append(framing)
         if self.must_close:
             sent.append((b"Connection", b"close"))
@@ -188,6 +193,8 @@
 
     def _write(self, data: bytes) -> None:
         """Send bytes; raises `PeerDisconnectedError` where the client takes them no more."""
+        if self._unsent_head:
+            data, self._unsent_head = self._unsent_head + data, b""
         try:
             self.stream.send(data, self._scheduler.now() + SEND_TIMEOUT_S)
         except (OSError, TaskTimeoutError) as error:
--- a/brambleusher/dataplane/upstream_client.py
+++ b/brambleusher/dataplane/upstream_client.py
@@ -10,13 +10,18 @@
 
 from brambleusher.dataplane.attempt_failure import AttemptFailure, AttemptLost, AttemptRejected, ConnectFailed
 from brambleusher.dataplane.client_request import HeaderList
-from brambleusher.dataplane.connection_pool import RESPONSE_HEAD_MAX_BYTES, ConnectionPool, Headers
+from brambleusher.dataplane.connection_pool import RESPONSE_HEAD_MAX_BYTES, ConnectionPool
 from brambleusher.dataplane.errors import ResponseBrokenError
 from brambleusher.dataplane.instance import Instance
 from brambleusher.dataplane.instance_table import InstanceTable
 from brambleusher.dataplane.upstream_connection import UpstreamConnection
-from brambleusher.dataplane.upstream_response import AttemptListener, OutcomeIgnored, UpstreamResponse
-from brambleusher.runtime.h11_messages import encode_message, receive_event
+from brambleusher.dataplane.upstream_response import (
+    AttemptListener,
+    OutcomeIgnored,
+    ResponseHead,
+    UpstreamResponse,
+)
+from brambleusher.runtime.h11_messages import encode_message, header_list, receive_event
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.wire import instance_load
 
@@ -81,7 +86,7 @@
         if head is None:
             return Err(AttemptLost())
         self._pool.record_response(connection)
-        self._record_load(request.instance, head.headers)
+        self._record_load(request.instance, head)
         if _is_rejection(head):
             return Err(self._drain_rejection(request, connection, head))
         return Ok(UpstreamResponse(self._scheduler, self._pool, request.instance, connection, head, listener))
@@ -138,10 +143,10 @@
 
     # --- the response -----------------------------------------------------------------------------
 
-    def _exchange(self, request: UpstreamRequest, prepared: _PreparedAttempt) -> h11.Response | None:
+    def _exchange(self, request: UpstreamRequest, prepared: _PreparedAttempt) -> ResponseHead | None:
         """Send the rest of a request and read the response's head; None where the attempt is lost."""
         connection = prepared.connection
-        head: h11.Response | None = None
+        head: ResponseHead | None = None
         try:
             request.begin_run()
             connection.stream.send(prepared.unsent, request.deadline_s)
@@ -157,17 +162,18 @@
             self._pool.close(request.instance, connection)
         return head
 
-    def _record_load(self, instance: Instance, headers: Headers) -> None:
-        for name, value in headers:
-            if name == instance_load.HEADER:
-                load = instance_load.read(value)
-                if load is None:
-                    self.malformed_loads += 1
-                else:
-                    self._instances.record_load(instance, load)
+    def _record_load(self, instance: Instance, head: ResponseHead) -> None:
+        value = head.values.get(instance_load.HEADER)
+        if value is None:
+            return
+        load = instance_load.read(value)
+        if load is None:
+            self.malformed_loads += 1
+        else:
+            self._instances.record_load(instance, load)
 
     def _drain_rejection(
-        self, request: UpstreamRequest, connection: UpstreamConnection, head: h11.Response
+        self, request: UpstreamRequest, connection: UpstreamConnection, head: ResponseHead
     ) -> AttemptRejected:
         """Read the body of a rejection, so that the connection can be reused."""
         response = UpstreamResponse(
@@ -181,14 +187,12 @@
         return AttemptRejected(response.status)
 
 
-def _is_rejection(head: h11.Response) -> bool:
+def _is_rejection(head: ResponseHead) -> bool:
     """Whether an instance promises that it has not run the request and never will."""
-    return head.status_code == MISDIRECTED_REQUEST or any(
-        name == NOT_EXECUTED_HEADER for name, _ in head.headers
-    )
+    return head.status == MISDIRECTED_REQUEST or NOT_EXECUTED_HEADER in head.values
 
 
-def _read_matching_head(connection: UpstreamConnection, request: UpstreamRequest) -> h11.Response | None:
+def _read_matching_head(connection: UpstreamConnection, request: UpstreamRequest) -> ResponseHead | None:
     """Read the head of the response to this very request; responses to others are dropped.
 
     Instances echo the id of a request.  One that doesn't can be believed only on a new connection: on
@@ -198,7 +202,7 @@
         head = _read_head(connection, request.deadline_s)
         if head is None:
             return None
-        echoed = dict(head.headers).get(ATTEMPT_HEADER)
+        echoed = head.values.get(ATTEMPT_HEADER)
         if echoed == request.attempt_id or (echoed is None and not connection.is_reused):
             return head
         if not _drop_response(connection, request.deadline_s):
@@ -206,11 +210,11 @@
     return None
 
 
-def _read_head(connection: UpstreamConnection, deadline_s: float) -> h11.Response | None:
+def _read_head(connection: UpstreamConnection, deadline_s: float) -> ResponseHead | None:
     while True:
         event = receive_event(connection.protocol, connection.stream, deadline_s)
         if isinstance(event, h11.Response):
-            return event
+            return ResponseHead(event.status_code, header_list(event.headers))
         if not isinstance(event, h11.InformationalResponse):
             return None
 
--- a/brambleusher/dataplane/upstream_response.py
+++ b/brambleusher/dataplane/upstream_response.py
@@ -16,6 +16,16 @@
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 
 
+class ResponseHead:
+    """Status and headers of a response, names in lower case; `values` has the last value of each name."""
+
+    __slots__ = ("headers", "status", "values")
+
+    def __init__(self, status: int, headers: HeaderList) -> None:
+        self.status, self.headers = status, headers
+        self.values = dict(headers)
+
+
 class AttemptListener(Protocol):
     """Is notified of the outcome of an attempt that has a response."""
 
@@ -51,19 +61,18 @@
         pool: ConnectionPool,
         instance: Instance,
         connection: UpstreamConnection,
-        head: h11.Response,
+        head: ResponseHead,
         listener: AttemptListener,
     ) -> None:
         self._scheduler, self._pool = scheduler, pool
         self._instance, self._connection = instance, connection
         self._listener = listener
-        self.status = head.status_code
-        self.headers: HeaderList = list(head.headers)
+        self.status, self.headers, self._values = head.status, head.headers, head.values
         self._is_finished = self._has_body_begun = False
 
     def header(self, name: bytes) -> bytes:
         """Return a header's value by its name in lower case, empty where it is missing."""
-        return next((value for key, value in self.headers if key == name), b"")
+        return self._values.get(name, b"")
 
     def read(self, deadline_s: float) -> bytes:
         """Read the next bytes of the body, empty at its end.
--- a/brambleusher/runtime/disconnect_watch.py
+++ b/brambleusher/runtime/disconnect_watch.py
@@ -39,10 +39,13 @@
 
     def resume(self) -> None:
         """Watch, from the start or after `suspend`."""
+        if self._fd >= 0:
+            return
         sock = self._presence.socket()
-        if self._fd < 0 and sock is not None and sock.fileno() >= 0:
-            self._fd = sock.fileno()
-            self._scheduler.watch_readable(self._fd, self._on_readable)
+        fd = -1 if sock is None else sock.fileno()
+        if fd >= 0:
+            self._fd = fd
+            self._scheduler.watch_readable(fd, self._on_readable)
 
     def suspend(self) -> None:
         """Let the task go on without its peer, for work that must not be broken off."""
--- a/brambleusher/runtime/h11_messages.py
+++ b/brambleusher/runtime/h11_messages.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import h11
+from h11._headers import Headers
 
 from brambleusher.runtime.streams import RECEIVE_BYTES, Stream
 
@@ -29,13 +30,19 @@
         self._connection.receive_data(data)
 
 
+def header_list(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return headers as pairs, names in lower case: h11 makes each pair anew whenever it is iterated over."""
+    return [(name.lower(), value) for name, value in headers.raw_items()]
+
+
 def receive_event(connection: h11.Connection, stream: Stream, deadline: float) -> Any:
     """Wait for the next event of the peer; raises `OSError`, `TaskTimeoutError`, `h11.ProtocolError`.
 
     A client that waits to be told to go on with its body is told so.
     """
     while (event := connection.next_event()) is h11.NEED_DATA:
-        send_continue(connection, stream)
+        if connection.our_role is h11.SERVER:
+            send_continue(connection, stream)
         connection.receive_data(stream.receive(deadline, size=RECEIVE_BYTES) or b"")
     return event
 
