MySQL front: clients and their listener in modules of their own

Cause: the front repeated the accept loop of runtime/listening.py, and one file of 1,149 lines held listener, clients and commands.

Change: client.py (Client, ConnectionLostError, ClientLeftError, which were Lost and Left), session_listener.py over accept_connection; behaviour stays.

--- a/brambleusher/fronts/mysql/front.py
+++ b/brambleusher/fronts/mysql/front.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import os
 import random
@@ -18,7 +17,8 @@
 from brambleusher.decisions.clock import Clock
 from brambleusher.decisions.requests import ClientRequest
 from brambleusher.fronts.mysql.auth import RsaKey, Secret, ServerLogin, Turn
-from brambleusher.fronts.mysql.channel import Channel, server_context
+from brambleusher.fronts.mysql.channel import server_context
+from brambleusher.fronts.mysql.client import Client, ClientLeftError, ConnectionLostError
 from brambleusher.fronts.mysql.constants import (
     CURSOR_READ_ONLY,
     SCRAMBLE,
@@ -33,28 +33,26 @@
 )
 from brambleusher.fronts.mysql.mapping import Mapping
 from brambleusher.fronts.mysql.messages import Column, Eof, Err, Execute, Ok, text_row
-from brambleusher.fronts.mysql.nodes import Conn, Held, Mode, MysqlNodes, Reply, TuneFailed, Work
-from brambleusher.fronts.mysql.packets import PacketReader, ProtocolError, frame, frames, lenenc
+from brambleusher.fronts.mysql.nodes import Held, Mode, MysqlNodes, Reply, TuneFailed, Work
+from brambleusher.fronts.mysql.packets import ProtocolError, frame, frames, lenenc
 from brambleusher.fronts.mysql.replies import ReplyRelay
 from brambleusher.fronts.mysql.session import PreparedText, Session
+from brambleusher.fronts.mysql.session_listener import SessionListener
 from brambleusher.fronts.mysql.settings import MysqlSettings
 from brambleusher.fronts.mysql.statements import Kind, Statement, Statements, words
 from brambleusher.loadbalancing.api import AttemptStatus
 from brambleusher.net.request_lifecycle import ClientHandle, FinalResponse, RequestLifecycle
 from brambleusher.net.request_lifecycle import ResponseKind as AnswerKind
 from brambleusher.observability.counters import Counters
-from brambleusher.runtime.scheduler import Event, Scheduler, Task, TaskTimeoutError
-from brambleusher.runtime.streams import Stream
-from brambleusher.runtime.system import RESOURCE_EXHAUSTION_ERRNOS, Address, Socket
+from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
+from brambleusher.runtime.system import Address, Socket
 
 log = logging.getLogger(__name__)
 
-BACKLOG = 512
 WRITE_SECONDS = 30.0  # for a client that reads its rows slowly, a piece at a time
 READ_SECONDS = 30.0  # without a byte of a command that has begun
 WATCH_SECONDS = 0.05  # while a node is waited for, its client is looked at so often
 SOFT_SECONDS = 1.0  # without a command: what softly ties a session is let go
-NO_DESCRIPTOR_SECONDS = 0.05
 # While a claim is out, its client may take so much time in all; then the claim counts as served.  Guards
 # against a node that looks slow, or full, because clients think within their transactions.
 THINK_SECONDS = 0.1
@@ -76,54 +74,6 @@
 _KNOWN_COMMANDS = frozenset(int(command) for command in Command)
 
 
-class Lost(Exception):
-    """A connection of a session broke, or was given up; the client is to be told once."""
-
-    def __init__(self, error: Err, status: AttemptStatus, stop: bool = False) -> None:
-        super().__init__(error.text)
-        self.error, self.status, self.stop = error, status, stop
-
-
-class Left(Exception):
-    """The client has gone."""
-
-
-class Client:
-    """One client: its connection, its session, and the node's connection that the session holds."""
-
-    __slots__ = (
-        "accepted_at", "event", "challenge", "chance", "channel", "charged", "deadline", "held", "id_conn",
-        "kept", "last", "leave_at", "lost", "peer", "reader", "request_class", "session", "task", "thread",
-        "work",
-    )  # fmt: skip
-
-    def __init__(self, channel: Channel, peer: str, thread: int, most: int) -> None:
-        self.channel, self.peer, self.thread = channel, peer, thread
-        self.reader = PacketReader(most)
-        self.challenge = b""  # of its first login
-        self.session = Session("", "", 0, 0)
-        self.event = Event()  # rings when something about its connection has changed
-        self.held: Held | None = None
-        self.last: Conn | None = None
-        self.id_conn: Conn | None = None
-        self.work: Work | None = None  # the command that is on its way
-        self.task: Task | None = None
-        self.accepted_at = channel.stream.used_at
-        self.charged = 0  # bytes of the memory of all, for the command under way
-        self.kept = 0  # and for what it has prepared
-        self.deadline: float | None = None  # of its transaction
-        self.leave_at: float | None = None  # its node drains
-        self.chance = 0.0  # which part of what drains are spread over it is given
-        self.lost: Err | None = None  # told with the next command, and the session is over
-        self.request_class = ""  # of the request that it is tied by
-
-    def leave(self, held: Held) -> None:
-        """Its node drains: `Front` says until when it may stay."""
-        if self.leave_at is None:  # guards against a grace that begins anew with each list
-            self.leave_at = -1.0
-            self.event.set()
-
-
 class Front:
     """Accepts MySQL clients and serves their sessions."""
 
@@ -148,10 +98,9 @@
         self._life = RequestLifecycle(decisions, nodes, scheduler)
         self._most = settings.max_packet_mb * 1024 * 1024
         self._memory_left = settings.memory_mb * 1024 * 1024
-        self._listener: Socket | None = None
-        self._accepting: Task | None = None
-        self._clients: dict[int, Client] = {}
-        self._threads = self._requests = 0
+        self._listener = SessionListener(scheduler, self._serve, settings.sessions, self._most)
+        self._clients = self._listener.clients
+        self._requests = 0
         self._closing = False
         self._context = (
             server_context(settings.tls.cert_file, settings.tls.key_file)
@@ -183,47 +132,7 @@
 
     def listen(self, address: Address) -> Address:
         """Bind, and start to accept; says where."""
-        listener = self._scheduler.system.listen(address, BACKLOG)
-        self._listener = listener
-        self._accepting = self._scheduler.spawn(self._accept_all, listener, name="mysql accept")
-        host, port = listener.getsockname()[:2]
-        return str(host), int(port)
-
-    def _accept_all(self, listener: Socket) -> None:
-        while True:
-            if not self._accept_one(listener):
-                self._scheduler.park(sock=listener)
-
-    def _accept_one(self, listener: Socket) -> bool:
-        """Take one connection that waits; false if none does."""
-        try:
-            sock, peer = self._scheduler.system.accept(listener)
-        except BlockingIOError:
-            return False
-        except OSError as error:
-            if error.errno in RESOURCE_EXHAUSTION_ERRNOS:
-                # Guards against a loop at full speed while no descriptor is free.
-                log.warning("no descriptor to accept with", extra={"fields": {"error": error.strerror}})
-                self._scheduler.sleep(NO_DESCRIPTOR_SECONDS)
-            return True
-        self._threads = self._threads % 0xFFFFFFFF + 1
-        while self._threads in self._clients:
-            self._threads = self._threads % 0xFFFFFFFF + 1
-        client = Client(Channel(Stream(self._scheduler, sock)), peer, self._threads, self._most)
-        if len(self._clients) >= self._settings.sessions:
-            self._turn_away(client)
-            return True
-        self._clients[client.thread] = client
-        self._counters.add("mysql_sessions")
-        client.task = self._scheduler.spawn(self._serve, client, name="mysql session")
-        return True
-
-    def _turn_away(self, client: Client) -> None:
-        """One session too many: an error for a greeting, as far as it goes out at once."""
-        error = Err.of(Errno.CON_COUNT, "Too many connections")
-        with contextlib.suppress(OSError):
-            client.channel.stream.sock.send(frame(error.encode(), 0))
-        client.channel.close()
+        return self._listener.listen(address)
 
     @property
     def connections(self) -> int:
@@ -233,11 +142,7 @@
     def wind_down(self) -> None:
         """Take no new session; end each one as soon as nothing ties it and nothing is owed on it."""
         self._closing = True
-        if self._accepting is not None:
-            self._accepting.cancel()
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
+        self._listener.close()
         for client in self._clients.values():
             if client.held is not None and client.leave_at is None:
                 client.leave(client.held)
@@ -256,6 +161,7 @@
     # --- one session ----------------------------------------------------------------------------
 
     def _serve(self, client: Client) -> None:
+        self._counters.add("mysql_sessions")
         try:
             if self._log_in(client):
                 while self._command(client):
@@ -264,7 +170,7 @@
             self._counters.add("mysql_bad_packets")
             log.info("bad packet", extra={"fields": {"peer": client.peer, "reason": error}})
             self._last_word(client, Err(error.errno, error.state, str(error)))
-        except (OSError, TaskTimeoutError, Left):
+        except (OSError, TaskTimeoutError, ClientLeftError):
             return
         except Exception:
             # Guards against a session that ends without a word over a fault of ours.
@@ -276,7 +182,7 @@
 
     def _over(self, client: Client) -> None:
         """Let go of all that a session has; what runs for it is stopped."""
-        self._clients.pop(client.thread, None)
+        self._listener.forget(client)
         self._uncharge(client)
         self._memory_left += client.kept
         client.kept = 0
@@ -633,7 +539,7 @@
                 kind = "served" if work.taken.relay.error is None or done else "failed"
                 return done
             if answer is None:
-                raise Left
+                raise ClientLeftError
             kind = "failed" if answer.kind is AnswerKind.SERVED else answer.kind.value
             return self._say_error(client, self._sorry(answer, work, statement))
         finally:
@@ -758,7 +664,7 @@
                     log.warning("bad response", extra={"fields": {"node": held.node.name, "reason": error}})
                     spoilt = Err(error.errno, error.state, str(error))
                     told = self._unless_unknown(session.in_transaction, statement, spoilt)
-                    raise Lost(told, AttemptStatus.ERROR) from None
+                    raise ConnectionLostError(told, AttemptStatus.ERROR) from None
                 if relay.extra:
                     held.conn.doomed = True
                 if relay.done:
@@ -771,7 +677,7 @@
                 if held.claimed and held.client_took(self._scheduler.now()) > THINK_SECONDS:
                     held.finish(AttemptStatus.OK)  # it reads slowly: that is not the node's doing
             return not (statement.release and relay.error is None)
-        except Lost as lost:
+        except ConnectionLostError as lost:
             client.held = None
             self._counters.add("mysql_broken_answers")
             if lost.stop:
@@ -787,11 +693,11 @@
                 client.channel.stream.finish()
                 return False
             return True
-        except (OSError, TaskTimeoutError, Left):
+        except (OSError, TaskTimeoutError, ClientLeftError):
             if not whole and not relay.done:  # the client has gone: the statement has nobody to run for
                 client.held = None
                 held.stop(AttemptStatus.CANCELLED)
-            raise Left from None
+            raise ClientLeftError from None
 
     def _keep(self, client: Client, held: Held, mode: Mode) -> None:
         if mode is Mode.RELEASE:
@@ -804,7 +710,12 @@
             client.deadline = None
 
     def _from_node(self, client: Client, held: Held, deadline: float | None, statement: Statement) -> bytes:
-        """The next bytes of an answer; raises `Lost` where none will come, `Left` where none are wanted."""
+        """Return the next bytes of an answer.
+
+        Raises:
+            ConnectionLostError: None will come.
+            ClientLeftError: None are wanted.
+        """
         channel, begun = held.conn.channel, self._scheduler.now()
         in_transaction = client.session.in_transaction
         commit = statement.kind is Kind.COMMIT
@@ -815,24 +726,26 @@
                     text = "Query execution was interrupted, maximum statement execution time exceeded"
                     late = Err.of(Errno.QUERY_TIMEOUT, text)
                     error = self._unless_unknown(in_transaction, statement, late)
-                    raise Lost(error, AttemptStatus.TIMEOUT, stop=not commit)
+                    raise ConnectionLostError(error, AttemptStatus.TIMEOUT, stop=not commit)
                 if client.leave_at is not None and now >= self._leaves_at(client, now) and not commit:
                     self._counters.add("mysql_drained")
                     error = self._unless_unknown(in_transaction, statement, _drain_error(client.session))
-                    raise Lost(error, AttemptStatus.CANCELLED, stop=True)
+                    raise ConnectionLostError(error, AttemptStatus.CANCELLED, stop=True)
                 until = now + WATCH_SECONDS if deadline is None else min(now + WATCH_SECONDS, deadline)
                 try:
                     data = channel.receive(until, client.event)
                 except TaskTimeoutError:
                     if self._has_left(client):
-                        raise Left from None
+                        raise ClientLeftError from None
                     continue
                 if data:
                     return data
                 if data is not None:
                     raise ConnectionResetError
         except _BROKEN as error:
-            raise Lost(self._lost_error(in_transaction, statement), AttemptStatus.RESET) from error
+            raise ConnectionLostError(
+                self._lost_error(in_transaction, statement), AttemptStatus.RESET
+            ) from error
         finally:
             held.waited_ns += int((self._scheduler.now() - begun) * 1e9)
 
--- a/brambleusher/lab/mysql/replay.py
+++ b/brambleusher/lab/mysql/replay.py
@@ -28,8 +28,9 @@
 from unittest import mock
 
 from brambleusher.fronts.mysql.auth import Secret
+from brambleusher.fronts.mysql.client import ConnectionLostError
 from brambleusher.fronts.mysql.constants import NATIVE, Command, Errno
-from brambleusher.fronts.mysql.front import Front, Lost
+from brambleusher.fronts.mysql.front import Front
 from brambleusher.fronts.mysql.messages import Err
 from brambleusher.fronts.mysql.nodes import Held, MysqlNodes, Work
 from brambleusher.fronts.mysql.packets import frame
@@ -746,7 +747,7 @@
     def from_node(self: Any, client: Any, held: Any, deadline: Any, statement: Any) -> bytes:
         try:
             return real(self, client, held, deadline, statement)
-        except Lost:
+        except ConnectionLostError:
             if statement.kind is not Kind.COMMIT:
                 raise
             for node in self._nodes._nodes.values():
--- a/brambleusher/lab/soak/mutations.py
+++ b/brambleusher/lab/soak/mutations.py
@@ -18,6 +18,7 @@
 from brambleusher.dataplane.attempts import AttemptRunner
 from brambleusher.dataplane.client_connection import ClientConnection
 from brambleusher.dataplane.connection_pool import ConnectionPool
+from brambleusher.dataplane.event_stream import EventSplitter
 from brambleusher.dataplane.request_context import RequestContext
 from brambleusher.dataplane.request_handler import RequestHandler
 from brambleusher.dataplane.streaming import StreamRelay
@@ -205,6 +206,13 @@
 
 @mutation("resumed-from-start", "gateway", "a resumed stream repeats its events", "incomplete")
 def _resumed_from_start(patches: Patches) -> None:
+    """Two guards are taken out: an instance is told where to go on, and events that were sent are dropped."""
+
+    def init(self: EventSplitter, _after_id: int | None = None) -> None:
+        old_init(self, None)
+
+    old_init = patches.set(EventSplitter, "__init__", init)
+
     def resume(
         self: AttemptRunner, context: RequestContext, _last_event_id: int | None
     ) -> UpstreamResponse | None:
