A sidecar ends within its grace period where a streamed response stands still

Cause: a response that is relayed as it comes waits up to 5 s for its endpoint's next piece, also after SIGTERM; buffered responses have a deadline ahead of the process's end, streamed ones had none.

Change: once responses should have left (0.25 s before SIGKILL may come), 0.2 s without a byte end a streamed response, visibly incomplete; one whose pieces come is finished. A piece for a client that takes nothing has 1 s from then on.

--- a/brambleusher/net/client_request_handler.py
+++ b/brambleusher/net/client_request_handler.py
@@ -156,6 +156,9 @@
         left_ns = int((self.latest_response_at - self._clock.seconds(now_ns)) * _NS_PER_S)
         return replace(request, time_left_ns=max(0, min(request.time_left_ns, left_ns)))
 
+    def _latest_response_at(self) -> float:
+        return self.latest_response_at
+
     def _unseen_s(self, connection: ClientConnection) -> float:
         """Seconds for which a request that was read now may have waited unseen."""
         return max(self._scheduler.lateness_s, 0.0 if connection.was_served else connection.accept_delay_s)
@@ -202,4 +205,5 @@
         if isinstance(final.payload, Message):
             response.body_stream = response_body_stream(final.payload)
             response.presence = exchange.presence
+            response.latest_at = self._latest_response_at
         return response
--- a/brambleusher/net/client_response.py
+++ b/brambleusher/net/client_response.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from brambleusher.net.header_forwarding import HeaderRewriter, end_to_end
@@ -19,10 +21,15 @@
 log = logging.getLogger(__name__)
 
 WRITE_TIMEOUT_S = 10.0  # for a client that reads its response, or a piece of it, slowly
+LAST_WRITE_TIMEOUT_S = 1.0  # the same for a piece, once responses should have left
 
 COUNTED_AS = {ResponseKind.SERVED: SERVED, ResponseKind.REJECTED: REJECTED, ResponseKind.FAILED: FAILED}
 
 
+def _never() -> float:
+    return math.inf
+
+
 class ResponseTruncatedError(Exception):
     """The rest of a streamed response does not come from its endpoint."""
 
@@ -39,6 +46,7 @@
     is_request_complete: bool = True
     body_stream: ResponseBodyStream | None = None  # in place of `body`
     presence: PeerPresence | None = None  # of the client, where the body is streamed
+    latest_at: Callable[[], float] = _never  # when it should have left, on the scheduler's clock
     must_close: bool = False  # its connection can't carry another request
 
 
@@ -173,10 +181,12 @@
             self._stream.open = False
 
     def _send(self, data: bytes) -> None:
-        self._stream.send(data, self._scheduler.now() + WRITE_TIMEOUT_S)
+        now = self._scheduler.now()
+        latest_at = max(self._response.latest_at(), now + LAST_WRITE_TIMEOUT_S)
+        self._stream.send(data, min(now + WRITE_TIMEOUT_S, latest_at))
 
     def _next_piece(self) -> bytes:
         try:
-            return self._body.next_piece()
+            return self._body.next_piece(self._response.latest_at)
         except (HttpError, OSError, TaskTimeoutError) as error:
             raise ResponseTruncatedError(f"{type(error).__name__}: {error}") from None
--- a/brambleusher/net/streamed_bodies.py
+++ b/brambleusher/net/streamed_bodies.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from brambleusher.net.http import HttpError, Message, MessageReader
@@ -18,6 +19,10 @@
 MIN_BYTES_PER_S = 48_000  # that a request's body comes with, on the whole
 
 
+def _never() -> float:
+    return math.inf
+
+
 class EarlyResponseError(Exception):
     """The endpoint has said something, or left, before the request it was sent was complete."""
 
@@ -33,9 +38,13 @@
         self.closed_event = Event()
         self.is_complete = False
 
-    def next_piece(self) -> bytes:
+    def next_piece(self, latest_at: Callable[[], float] = _never) -> bytes:
         """Take the next bytes, empty at the end.
 
+        Args:
+            latest_at: Returns when responses should have left, in seconds on the scheduler's clock: from then
+                on a body is waited for only as long as its pieces come.
+
         Raises:
             HttpError: the body is malformed or too large.
             OSError: the connection was lost.
@@ -48,8 +57,7 @@
                 return data
             if self.is_complete:
                 break
-            deadline = self._stream.scheduler.now() + RESPONSE_PIECE_TIMEOUT_S
-            data = self._stream.receive(deadline, size=PIECE_BYTES) or b""
+            data = self._receive(latest_at)
             if not data:
                 if not self._reader.ends_with_connection:
                     raise ConnectionResetError("the connection ended before its answer")
@@ -57,6 +65,22 @@
             self._reader.feed(data)
         return b""
 
+    def _receive(self, latest_at: Callable[[], float]) -> bytes:
+        """Wait for the next bytes.
+
+        Race: a shutdown may begin while this waits; in steps it is seen before the process has to end.
+        """
+        now = self._stream.scheduler.now
+        waits_since = now()
+        while True:
+            until = waits_since + RESPONSE_PIECE_TIMEOUT_S
+            step_until = min(until, now() + CHECK_INTERVAL_S)
+            try:
+                return self._stream.receive(step_until, size=PIECE_BYTES) or b""
+            except TaskTimeoutError:
+                if now() >= min(until, latest_at()):
+                    raise
+
     @property
     def is_connection_reusable(self) -> bool:
         """Whether the connection can serve another attempt."""
