--- a/brambleusher/lab/soak/settings.py
+++ b/brambleusher/lab/soak/settings.py
@@ -21,6 +21,11 @@
 DEPARTED_MIN_S = 0.05  # an event loop that is not late needs less
 
 
+def grace_of(process: str) -> float:
+    """Return the seconds between SIGTERM and SIGKILL that a process has."""
+    return SIDECAR_GRACE_S if process.startswith("sidecar") else GRACE_S
+
+
 class InvalidSoakSettingsError(ValueError):
     """A soak can't be played so; the message names the option."""
 
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -164,6 +164,24 @@
     assert broken(SoakRecord([request(outcome=RequestOutcome.CLOSED, ended_s=11.0)], [])) == ["lost"]
 
 
+@pytest.mark.parametrize(
+    ("terminated_s", "run_ended_s", "rules"),
+    [
+        (6.0, 10.4, []),  # 4.5 of 8 s have passed, and the instance is at work
+        (7.0, 10.4, ["lost"]),  # 3.5 of 8
+        (6.0, 10.2, ["lost"]),  # the instance had ended before
+        (1.0, 10.4, ["lost"]),  # the grace period is long over
+    ],
+)
+def test_a_response_that_outlasts_half_of_the_grace_period_may_be_cut(
+    terminated_s: float, run_ended_s: float, rules: list[str]
+) -> None:
+    cut = request(outcome=RequestOutcome.CLOSED, status=200)
+    terminated = ProcessEvent("g", terminated_s, ProcessEventKind.TERMINATED)
+    started = ProcessEvent("g", 0.0, ProcessEventKind.STARTED)
+    assert broken(SoakRecord([cut], [run(ended_s=run_ended_s)], [started, terminated])) == rules
+
+
 def test_nothing_goes_on_for_a_client_that_has_left() -> None:
     left = request(outcome=RequestOutcome.LEFT, status=0)
     assert broken(SoakRecord([left], [run(ended_s=10.6)])) == []
