One runner for the two counts of function calls, one moment that never comes

Cause: benchmarks.gateway_calls repeated the program that runs a module under the profiler, and two modules of net had the same default.

Change: write_runner and never stand once.

--- a/benchmarks/gateway_calls.py
+++ b/benchmarks/gateway_calls.py
@@ -15,26 +15,12 @@
 from collections import Counter
 from pathlib import Path
 
-from benchmarks.request_calls import calls, print_comparison
+from benchmarks.request_calls import calls, print_comparison, write_runner
 from benchmarks.system_cost import ROOT, Deployment, StandIns, requests
 
 FEW = 100  # of the smaller number
 EVENTS = 1  # of each answer
 END_S = 10.0
-RUNNER = """
-import cProfile, runpy, sys
-sys.path.insert(0, {root!r})
-sys.argv = ["brambleusher", "gateway"]
-profile = cProfile.Profile()
-try:
-    profile.enable()
-    runpy.run_module("brambleusher.system_main", run_name="__main__")
-except SystemExit:
-    pass
-finally:
-    profile.disable()
-    profile.dump_stats({output!r})
-"""
 
 
 class ProfiledDeployment(Deployment):
@@ -44,7 +30,7 @@
         super().__init__(folder, root)
         self.output = folder / "profile"
         self._runner = folder / "runner.py"
-        self._runner.write_text(RUNNER.format(root=str(root), output=str(self.output)), encoding="utf-8")
+        write_runner(self._runner, root, self.output, "brambleusher.system_main", ["brambleusher", "gateway"])
 
     def command(self, name: str, role: str) -> list[str]:
         """Return how a process is started."""
--- a/benchmarks/request_calls.py
+++ b/benchmarks/request_calls.py
@@ -30,11 +30,11 @@
 RUNNER = """
 import cProfile, runpy, sys
 sys.path.insert(0, {root!r})
-sys.argv = ["brambleusher"]
+sys.argv = {words!r}
 profile = cProfile.Profile()
 try:
     profile.enable()
-    runpy.run_module("brambleusher", run_name="__main__")
+    runpy.run_module({module!r}, run_name="__main__")
 except SystemExit:
     pass
 finally:
@@ -56,6 +56,12 @@
         server.close()
 
 
+def write_runner(path: Path, root: Path, output: Path, module: str, words: list[str]) -> None:
+    """Write a program that runs a module of a checkout under the profiler."""
+    text = RUNNER.format(root=str(root), output=str(output), module=module, words=words)
+    path.write_text(text, encoding="utf-8")
+
+
 def run_sidecar(root: Path, folder: Path, output: Path, server: int, requests: int) -> None:
     """Run a sidecar under the profiler, send it requests, and end it."""
     config: dict[str, Any] = {
@@ -68,7 +74,7 @@
     }
     config_path, log_path, runner = folder / "config.json", folder / "log", folder / "runner.py"
     config_path.write_text(json.dumps(config), encoding="utf-8")
-    runner.write_text(RUNNER.format(root=str(root), output=str(output)), encoding="utf-8")
+    write_runner(runner, root, output, "brambleusher", ["brambleusher"])
     with log_path.open("wb") as log:
         process = subprocess.Popen(
             [sys.executable, str(runner)],
--- a/brambleusher/net/client_response.py
+++ b/brambleusher/net/client_response.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import logging
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from brambleusher.net.header_forwarding import HeaderRewriter, end_to_end
 from brambleusher.net.http import Framing, HeaderField, HttpError, Message, chunk, write_response
 from brambleusher.net.request_lifecycle import FinalResponse, ResponseKind
-from brambleusher.net.streamed_bodies import ResponseBodyStream
+from brambleusher.net.streamed_bodies import ResponseBodyStream, never
 from brambleusher.observability.counters import Counters
 from brambleusher.observability.request_counts import FAILED, REJECTED, SERVED, RequestCounts
 from brambleusher.runtime.disconnect_watch import DisconnectWatch, PeerDisconnectedError
@@ -26,10 +25,6 @@
 COUNTED_AS = {ResponseKind.SERVED: SERVED, ResponseKind.REJECTED: REJECTED, ResponseKind.FAILED: FAILED}
 
 
-def _never() -> float:
-    return math.inf
-
-
 class ResponseTruncatedError(Exception):
     """The rest of a streamed response does not come from its endpoint."""
 
@@ -46,7 +41,7 @@
     is_request_complete: bool = True
     body_stream: ResponseBodyStream | None = None  # in place of `body`
     presence: PeerPresence | None = None  # of the client, where the body is streamed
-    latest_at: Callable[[], float] = _never  # when it should have left, on the scheduler's clock
+    latest_at: Callable[[], float] = never  # when it should have left, on the scheduler's clock
     must_close: bool = False  # its connection can't carry another request
 
 
--- a/brambleusher/net/streamed_bodies.py
+++ b/brambleusher/net/streamed_bodies.py
@@ -19,7 +19,8 @@
 MIN_BYTES_PER_S = 48_000  # that a request's body comes with, on the whole
 
 
-def _never() -> float:
+def never() -> float:
+    """Return a moment that does not come, in seconds on any clock."""
     return math.inf
 
 
@@ -38,7 +39,7 @@
         self.closed_event = Event()
         self.is_complete = False
 
-    def next_piece(self, latest_at: Callable[[], float] = _never) -> bytes:
+    def next_piece(self, latest_at: Callable[[], float] = never) -> bytes:
         """Take the next bytes, empty at the end.
 
         Args:
