--- a/brambleusher/lab/soak/mutations.py
+++ b/brambleusher/lab/soak/mutations.py
@@ -322,7 +322,7 @@
     old = patches.set(RealSystem, "accept", accept)
 
 
-@mutation("connections-kept", "gateway", "connections to instances are never closed", "bounds")
+@mutation("connections-kept", "gateway", "connections to instances are never closed", "bounds", "departed")
 def _connections_kept(patches: Patches) -> None:
     kept: list[Stream] = []
 
