--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -20,6 +20,7 @@
 import time
 import tomllib
 from pathlib import Path
+from typing import ClassVar
 
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -227,7 +228,7 @@
 class Deployment:
     """Machines on loopback addresses; starts the roles with the commands of deploy/system.toml."""
 
-    ZONES = {"atl-capitol": "atlanta", "aug-river": "atlanta", "sav-port": "savannah"}
+    ZONES: ClassVar = {"atl-capitol": "atlanta", "aug-river": "atlanta", "sav-port": "savannah"}
 
     def __init__(self, record: Record) -> None:
         self.record = record
@@ -245,14 +246,14 @@
     def ip(self, host: int) -> str:
         return f"{self.prefix}.{host}"
 
-    def start(self, name: str, role: str, host: int, zone: str) -> None:
-        """Write the settings of a machine's process and start it."""
+    def start(self, name: str, role: str, host: int, zone: str, machine: str = "") -> None:
+        """Write the settings of a machine's process and start it; `machine` is its name where it has two roles."""
         ip, core = self.ip(host), role == "controller"
         bind = {"front": f"{ip}:{self.front}", "ready": f"{ip}:{self.ready}"}
         if role != "gateway":
             bind = {"control": f"{ip}:{self.control}", "directory": f"{ip}:{self.directory}"}
         head: dict[str, object] = {
-            "node_name": name, "role": role, "machine_class": "core" if core else "edge",
+            "node_name": machine or name, "role": role, "machine_class": "core" if core else "edge",
             "serves": ["edge"] if role == "gateway" else ["controller", "registry"],
             "ip": ip, "zone": zone, "region": self.ZONES[zone], "port_range": [self.peer, self.peer + 15],
             "seeds": self.seeds, "bootstrap": self.bootstrap, "counts_for_quorum": core,
@@ -325,9 +326,7 @@
         attempt = f"{random.getrandbits(64):016x}"
         headers = {"Host": name, "X-Attempt-Id": attempt, "X-Deadline-Remaining": str(int(timeout * 1000))}
         try:
-            status, answered, body = call(
-                f"{self.ip(host)}:{self.front}", "POST", path, b"x" * 50, headers, timeout
-            )
+            status, answered, body = call(f"{self.ip(host)}:{self.front}", "POST", path, b"x" * 50, headers, timeout)
         except (OSError, Closed) as error:
             self.record(f"client: {path} at {self.ip(host)} {attempt}: no whole answer ({error!r})")
             return 0, attempt
