--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -218,6 +218,48 @@
             )
 
 
+class Link(Server):
+    """A link to one address that stands still for a while, as behind a cut, and then heals.
+
+    Nothing is lost: what was held passes on when the link heals. The end of a connection passes on one round trip
+    after the bytes before it, since a sender that had no answer for long sends one segment and awaits its answer.
+    """
+
+    def __init__(self, address: str, target: str, round_trip_s: float) -> None:
+        self.target, self.round_trip_s = target, round_trip_s
+        self.cut_until = 0.0
+        super().__init__(address)
+
+    def cut(self, seconds: float) -> None:
+        """Hold everything for a number of seconds from now on."""
+        self.cut_until = time.monotonic() + seconds
+
+    def _await_heal(self) -> bool:
+        held = time.monotonic() < self.cut_until
+        while (left := self.cut_until - time.monotonic()) > 0:
+            time.sleep(left)
+        return held
+
+    def serve(self, sock: socket.socket, _reader: Reader) -> None:
+        host, _, port = self.target.rpartition(":")
+        with socket.create_connection((host, int(port)), 5) as far:
+            far.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self._pass, args=(far, sock), daemon=True).start()
+            self._pass(sock, far)
+
+    def _pass(self, source: socket.socket, sink: socket.socket) -> None:
+        held = False
+        try:
+            while data := source.recv(65536):
+                held = self._await_heal() or held
+                sink.sendall(data)
+            if self._await_heal() or held:
+                time.sleep(self.round_trip_s)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+
+
 # --- the deployment ---------------------------------------------------------------------------------
 
 
