--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -413,6 +413,7 @@
 def main(case: object, folder: str) -> None:
     """Run a case in its folder: exit 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     record = Record(Path(folder) / "record.txt")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that a script that is stopped ends its processes too
     record(f"TROUBLE={int(TROUBLE)}")
     deployment = None
     status = 2
