--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from fleet import BOUNDS, TROUBLE, Closed, Deployment, Record, Sidecar, call, configuration, main, route  # noqa: E402
 
 CORES, EDGES = [1, 2, 3], [11, 12, 13]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from fleet import (  # noqa: E402
     BOUNDS,
     TROUBLE,
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")" && exec python3 - <<'END'
 import ast
 from pathlib import Path
-for path in [*Path("common").glob("*.py"), *Path(".").glob("[0-9]/*.py")]:
+for path in [*Path(".").glob("*.py"), *Path(".").glob("[0-9]/*.py")]:
     ast.parse(path.read_text(), str(path))
 END
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 from typing import ClassVar
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Bounds of the sheet of gtroo-resale (SYSTEM.md).
 BOUNDS = {
