A system starts with observers among its first seeds, or with observers alone

Cause: each seed was taken for a voter of the first group, and only seeds were. An observer never votes, so that one voter of three was left. Only a process itself knows whether it has a disk, and nobody asked. Change: a controller without a log asks the other seeds what they are (controlplane/bootstrap.py). Observers are removed from the initial members, which is safe at any moment: a voter that never votes only raises the votes that are needed. Where all seeds are observers, one other controller forms the group with the grant of each of them; an observer grants once, and only while its settings say bootstrap = true. Seeds that are all controllers are asked nothing, and the recorded messages are unchanged.

--- a/brambleusher/controller/app.py
+++ b/brambleusher/controller/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from brambleusher.controller.bootstrap_client import BootstrapClient
 from brambleusher.controller.messages import MessageKind
 from brambleusher.controller.peer_directory import CONTROLLER_ROLE, GATEWAY_ROLE, PeerDirectory
 from brambleusher.controller.process import ControlPlaneProcess
@@ -16,6 +17,7 @@
 from brambleusher.membership.views import PartialView, Peer, PeerState
 from brambleusher.runtime.disk import Disk
 from brambleusher.runtime.system import System
+from brambleusher.wire.bootstrap_messages import BOOTSTRAP_QUERY, BootstrapAnswer
 from brambleusher.wire.errors import InvalidMessageError
 from brambleusher.wire.settings import Settings
 
@@ -64,6 +66,7 @@
             self.view,
             self._directory.as_json,
         )
+        self._bootstrap_client = BootstrapClient(self.scheduler, self.replica)
         self._relay = RelayServer(self.scheduler, self.replica, self.find_gateways, self._directory.as_json)
         self._listen(AdminApi(self.scheduler, self.replica, frozenset(settings.zones)), path)
         self.scheduler.spawn(self._shuffle, name="shuffle")
@@ -101,6 +104,8 @@
             return self._publisher.handle_long_poll(message)
         if kind == RELAY:
             return self._relay.handle(message)
+        if kind == BOOTSTRAP_QUERY:
+            return BootstrapAnswer(is_observer=False).as_json()
         if kind == CONTROLLERS_ANNOUNCEMENT:
             return None  # the message is meant for observers
         sender = message.get("from")
@@ -163,6 +168,7 @@
                 sample = self.view.sample(now_s)
                 self._send(peer, {"kind": MessageKind.SHUFFLE.value, "sample": sample})
             self._announce_controllers()
+            self._bootstrap_client.check()
             self.scheduler.sleep(SHUFFLE_INTERVAL_S * self._rng.uniform(*SHUFFLE_JITTER))
 
     def _announce_controllers(self) -> None:
--- a/brambleusher/controller/observer.py
+++ b/brambleusher/controller/observer.py
@@ -9,12 +9,14 @@
 
 from brambleusher.controller.gateway_lookup import GatewayLookup
 from brambleusher.controller.process import ControlPlaneProcess
+from brambleusher.controlplane.bootstrap import ObserverGrant
 from brambleusher.controlplane.configuration.admin_api import AdminApi
 from brambleusher.controlplane.configuration.long_poll_messages import LONG_POLL
 from brambleusher.controlplane.relay.client import RelayClient, RemoteState
 from brambleusher.controlplane.relay.messages import CONTROLLERS_ANNOUNCEMENT, RELAY
 from brambleusher.membership.controllers import Controllers, Locality, controllers_from_json
 from brambleusher.runtime.system import System
+from brambleusher.wire.bootstrap_messages import BOOTSTRAP_QUERY, BootstrapQuery
 from brambleusher.wire.settings import Settings
 
 REFRESH_INTERVAL_S = 2.0  # how often the list of controllers is refreshed
@@ -34,6 +36,7 @@
         super().__init__(system, settings)
         locality = Locality(settings.zone, settings.region)
         self.controllers = Controllers(_other_seeds(settings), self._rng, locality)
+        self._grant = ObserverGrant(settings.bootstrap)
         self._relay = RelayClient(self.scheduler, self.controllers)
         self._gateway_lookup = GatewayLookup(self.scheduler, self._relay)
         state = RemoteState(self._relay)
@@ -58,6 +61,8 @@
         kind = message.get("kind")
         if kind in (LONG_POLL, RELAY):
             return {"observer": True, "answer": None, "controllers": self.controllers.announced_as_json()}
+        if kind == BOOTSTRAP_QUERY:
+            return self._grant.answer(BootstrapQuery.from_json(message)).as_json()
         if kind == CONTROLLERS_ANNOUNCEMENT:
             self.controllers.set_announced(controllers_from_json(message.get("controllers")))
             return None
--- a/brambleusher/controlplane/consensus/outputs.py
+++ b/brambleusher/controlplane/consensus/outputs.py
@@ -61,7 +61,14 @@
     state: object
 
 
-Record = HardState | Truncate | Restore | Entry
+@dataclass(frozen=True, slots=True)
+class BootstrapMembersRecord:
+    """Record of the initial members of the group; a later one replaces an earlier one."""
+
+    members: tuple[Member, ...]
+
+
+Record = HardState | Truncate | Restore | Entry | BootstrapMembersRecord
 
 
 @dataclass(slots=True)
--- a/brambleusher/controlplane/consensus/raft.py
+++ b/brambleusher/controlplane/consensus/raft.py
@@ -14,6 +14,7 @@
 
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from brambleusher.controlplane.consensus.election import Election
 from brambleusher.controlplane.consensus.follower import Follower
@@ -39,6 +40,22 @@
 DEFAULT_VOTERS = 3  # tolerates the loss of one voter
 
 
+@dataclass(frozen=True, slots=True)
+class InitialGrowth:
+    """How far a new group grows before its first command.
+
+    Attributes:
+        voters: How many voters the group must have before the first command is accepted.
+        timeout_s: How long a leader waits for these voters before it accepts commands without them.
+    """
+
+    voters: int = 1
+    timeout_s: float = 0.0
+
+
+NO_INITIAL_GROWTH = InitialGrowth()
+
+
 class Consensus:
     """One replica of a replica group.
 
@@ -52,6 +69,7 @@
         required_voters: How many voters the group should have.
         zone_by_address: Returns the known zones of replicas by their addresses.
         region_by_zone: The region of each zone; None if no regions are configured.
+        initial_growth: How far a new group grows before its first command.
     """
 
     def __init__(
@@ -65,8 +83,10 @@
         required_voters: int = DEFAULT_VOTERS,
         zone_by_address: Callable[[], Mapping[str, str]] = dict,
         region_by_zone: Mapping[str, str] | None = None,
+        initial_growth: InitialGrowth = NO_INITIAL_GROWTH,
     ) -> None:
         self.required_voters = required_voters
+        self._initial_growth = initial_growth
         self.state = ReplicaState(identity, log, HardState(term, vote), now, rng)
         self._election = Election(self.state)
         self._snapshots = Snapshots(self.state)
@@ -147,6 +167,10 @@
         is_member = self.state.member(self.identity.id) is not None
         return not is_member or self.seconds_since_leader_contact(now) >= REJOIN_AFTER_S
 
+    def has_empty_log(self) -> bool:
+        """Return whether this replica has neither an entry nor a snapshot of any leader."""
+        return self.state.log.last_index == 0
+
     def accepts_proposals(self) -> bool:
         """Return whether a proposal made now would be appended to the log."""
         return self._leader_for_proposals() is not None
@@ -190,6 +214,11 @@
 
     # --- events ----------------------------------------------------------------------------------
 
+    def replace_bootstrap_members(self, members: tuple[Member, ...]) -> None:
+        """Replace the initial members of the group, unless the log has an entry or a snapshot already."""
+        if self.has_empty_log() and members != self.state.log.members:
+            self.state.replace_bootstrap_members(members)
+
     def tick(self, now: float) -> None:
         """Advance the clock, and send a heartbeat or start an election if it is due."""
         state = self.state
@@ -348,10 +377,31 @@
             self._replication.broadcast(leader_state)
 
     def _leader_for_proposals(self) -> LeaderState | None:
-        """Return the leader state, or None if proposals are rejected because of a transfer or a slow disk."""
+        """Return the leader state, or None if proposals are rejected.
+
+        The reason is a transfer, a slow disk, or a group that is too small for its first command.
+        """
         state = self.state
         leader_state = state.leader_state
         if leader_state is None or self._transfer.is_in_progress(leader_state):
             return None
+        if self._should_grow_first(leader_state):
+            return None
         unsynced = state.log.last_index - state.durability.synced_index
         return None if unsynced > UNSYNCED_MAX * 2 else leader_state
+
+    def _should_grow_first(self, leader_state: LeaderState) -> bool:
+        """Return whether a new group should get more voters before it accepts its first command.
+
+        A command in a group that is too small could be lost with fewer disks than may be lost at once. All
+        voters must know that the group has grown: with a lost disk, a voter that does not could be elected
+        by a quorum of the smaller group (see `quorum`).
+        """
+        log = self.state.log
+        if log.base_index or any(entry.kind is EntryKind.COMMAND for entry in log.entries):
+            return False
+        if self.state.now - leader_state.since_s >= self._initial_growth.timeout_s:
+            return False
+        others = {member.id for member in self.state.other_voters()}
+        is_large_enough = len(others) + 1 >= self._initial_growth.voters
+        return not is_large_enough or leader_state.progress.caught_up(log.members_index, others) != others
--- a/brambleusher/controlplane/consensus/replica_state.py
+++ b/brambleusher/controlplane/consensus/replica_state.py
@@ -14,7 +14,15 @@
 from brambleusher.controlplane.consensus.durability import Durability
 from brambleusher.controlplane.consensus.leader_state import LeaderState
 from brambleusher.controlplane.consensus.membership_requests import MembershipRequests
-from brambleusher.controlplane.consensus.outputs import HardState, Outgoing, Output, Record, Restore, Role
+from brambleusher.controlplane.consensus.outputs import (
+    BootstrapMembersRecord,
+    HardState,
+    Outgoing,
+    Output,
+    Record,
+    Restore,
+    Role,
+)
 from brambleusher.controlplane.consensus.quorum import agreed_value, has_quorum
 from brambleusher.controlplane.consensus.replicated_log import Log
 from brambleusher.controlplane.consensus.timing import (
@@ -55,7 +63,7 @@
         self.membership_requests = MembershipRequests(identity.id)
         self._output = Output()
         self._rng = rng
-        self.election_due_s = now + rng.uniform(FIRST_ELECTION_MIN_S, FIRST_ELECTION_MAX_S)
+        self._begin_first_election_timer()
 
     # --- members and quorums ---------------------------------------------------------------------
 
@@ -158,6 +166,9 @@
         delay_s = DEFERRED_ELECTION_DELAY_S if self.is_shutting_down or not self.is_voter else 0.0
         self.election_due_s = self.now + (self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S) + delay_s)
 
+    def _begin_first_election_timer(self) -> None:
+        self.election_due_s = self.now + self._rng.uniform(FIRST_ELECTION_MIN_S, FIRST_ELECTION_MAX_S)
+
     # --- log -------------------------------------------------------------------------------------
 
     def append_entry(self, entry: Entry) -> None:
@@ -177,6 +188,16 @@
         self._output.committed += self.log.entries[begin : index - self.log.base_index]
         self.commit_index = index
 
+    def replace_bootstrap_members(self, members: tuple[Member, ...]) -> None:
+        """Replace the initial members of the group; the log must be empty.
+
+        No message waits for the record: it precedes every record that a quorum of these members relies on.
+        """
+        self.log = Log(0, 0, members)
+        self.record(BootstrapMembersRecord(members))
+        self.become_passive()
+        self._begin_first_election_timer()
+
     # --- outputs ---------------------------------------------------------------------------------
 
     def record(self, record: Record) -> int:
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from brambleusher.controlplane import forwarding
+from brambleusher.controlplane.bootstrap import Bootstrap
 from brambleusher.controlplane.configuration.commands import Command, Verdict, command_from_json
 from brambleusher.controlplane.configuration.replicated_state import (
     IndexResult,
@@ -21,7 +22,7 @@
 )
 from brambleusher.controlplane.configuration.state_machine import SharedState
 from brambleusher.controlplane.consensus.outputs import HardState, Outgoing
-from brambleusher.controlplane.consensus.raft import Consensus
+from brambleusher.controlplane.consensus.raft import Consensus, InitialGrowth
 from brambleusher.controlplane.disk_writer import DiskWriter
 from brambleusher.controlplane.forwarding import ForwardedRequest, LeaderForwarding, SendMessage
 from brambleusher.controlplane.outbox import Outbox, ReplicaAddresses
@@ -31,6 +32,7 @@
 from brambleusher.runtime.disk import Disk
 from brambleusher.runtime.scheduler import Event, Scheduler, TaskTimeoutError
 from brambleusher.wire import consensus_messages as wire
+from brambleusher.wire.bootstrap_messages import BootstrapAnswer
 from brambleusher.wire.consensus_messages import Entry, EntryKind
 from brambleusher.wire.settings import Settings
 
@@ -39,12 +41,19 @@
 TICK_MIN_S = 0.005
 RETRY_BACKOFF_S = 0.03
 VOTERS_MIN = 3
+INITIAL_GROWTH_TIMEOUT_S = 4.0  # a first group that stays smaller for this time accepts commands all the same
 FORWARD_NUMBER_MAX = 1 << 40
 
 
-def _voter_count(settings: Settings) -> int:
+def _tolerant_voters(settings: Settings) -> int:
     """Return how many voters keep a majority when the tolerated number of machines fails."""
-    return max(VOTERS_MIN, settings.tolerance.machines * 2 + 1)
+    return settings.tolerance.machines * 2 + 1
+
+
+def _initial_growth(settings: Settings) -> InitialGrowth:
+    """Return how far the first group grows: to the size that it has at once if all seeds are controllers."""
+    voters = min(len(settings.seeds), _tolerant_voters(settings))
+    return InitialGrowth(voters, INITIAL_GROWTH_TIMEOUT_S)
 
 
 class Replica:
@@ -79,6 +88,7 @@
         self.state = SharedState.from_json(recovered.state)
         self._applied_index = recovered.log.base_index
         self.identity = establish_identity(scheduler.system, settings, storage, recovered, rng)
+        self.bootstrap = Bootstrap(self.identity, recovered.log.members, recovered.bootstrap_seeds)
         self.consensus = self._start_consensus(settings, recovered, rng)
         self._addresses = ReplicaAddresses()
         self._outbox = Outbox(self._deliver)
@@ -103,9 +113,10 @@
             recovered.vote,
             self._scheduler.now(),
             rng,
-            _voter_count(settings),
+            max(VOTERS_MIN, _tolerant_voters(settings)),
             self._zones,
             settings.zones,
+            _initial_growth(settings),
         )
 
     # --- client requests -------------------------------------------------------------------------
@@ -161,6 +172,21 @@
             "disk_jobs": self._disk_writer.pending_jobs,
         }
 
+    # --- the first start of the system -----------------------------------------------------------
+
+    @property
+    def is_bootstrapping(self) -> bool:
+        """Whether this replica has no log yet, and may have to form the first group with other seeds."""
+        return self.consensus.has_empty_log() and bool(self.bootstrap.other_seeds)
+
+    def record_bootstrap_answer(self, seed: str, answer: BootstrapAnswer) -> None:
+        """Record a seed's answer, and adopt the initial members that follow from it."""
+        self.bootstrap.record_answer(seed, answer)
+        members = self.bootstrap.initial_members()
+        if members:
+            self.consensus.replace_bootstrap_members(members)
+            self._process_output()
+
     # --- graceful shutdown -----------------------------------------------------------------------
 
     def begin_graceful_shutdown(self) -> None:
--- a/brambleusher/controlplane/startup.py
+++ b/brambleusher/controlplane/startup.py
@@ -48,13 +48,18 @@
         bootstrap_members = _bootstrap_members(settings)
         if bootstrap_members:
             identity = BOOTSTRAP_PREFIX + settings.peer_address
-        _write_identity(system, storage, identity, bootstrap_members)
+        elif settings.bootstrap:
+            recovered.bootstrap_seeds = settings.seed_peers()
+        _write_identity(system, storage, identity, bootstrap_members, recovered.bootstrap_seeds)
         recovered.log = Log(0, 0, bootstrap_members)
     return Member(identity, settings.peer_address, settings.bind.control, settings.zone, False)
 
 
 def _bootstrap_members(settings: Settings) -> tuple[Member, ...]:
-    """Return the seeds as bootstrap members, or no members if this process does not bootstrap the group."""
+    """Return the seeds as bootstrap members, or no members if this process is not among the seeds.
+
+    Seeds that turn out to be observers are removed later; see `bootstrap`.
+    """
     seeds = dict(zip(settings.seed_peers(), settings.seeds, strict=True))
     if not settings.bootstrap or settings.peer_address not in seeds:
         return ()
@@ -62,12 +67,16 @@
 
 
 def _write_identity(
-    system: System, storage: Storage, identity: str, bootstrap_members: tuple[Member, ...]
+    system: System,
+    storage: Storage,
+    identity: str,
+    bootstrap_members: tuple[Member, ...],
+    bootstrap_seeds: tuple[str, ...],
 ) -> None:
     """Write a new identity, and retry until it is durable: no message may be sent under it before that."""
     while True:
         try:
-            storage.begin(identity, bootstrap_members)
+            storage.begin(identity, bootstrap_members, bootstrap_seeds)
         except OSError as error:
             log.warning("disk write failed", extra={"fields": {"reason": str(error), "record": "identity"}})
             system.sleep(WRITE_RETRY_S)
--- a/brambleusher/controlplane/storage/records.py
+++ b/brambleusher/controlplane/storage/records.py
@@ -13,7 +13,13 @@
 
 import orjson
 
-from brambleusher.controlplane.consensus.outputs import HardState, Record, Restore, Truncate
+from brambleusher.controlplane.consensus.outputs import (
+    BootstrapMembersRecord,
+    HardState,
+    Record,
+    Restore,
+    Truncate,
+)
 from brambleusher.wire.consensus_messages import Entry, Member
 from brambleusher.wire.errors import InvalidMessageError
 from brambleusher.wire.json_fields import JsonObject, as_object, require_int, require_list, require_str
@@ -26,6 +32,7 @@
 
     IDENTITY = "identity"
     BOOTSTRAP_MEMBERS = "founders"
+    BOOTSTRAP_SEEDS = "bootstrap_seeds"
     HARD_STATE = "hard"
     TRUNCATE = "cut"
     RESTORE = "restore"
@@ -40,13 +47,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BootstrapMembersRecord:
-    """Record of the initial members of the group, which bootstrap members know from their settings."""
+class BootstrapSeedsRecord:
+    """Record of the seeds of a replica that is none of them, as it was created at the system's first start.
 
-    members: tuple[Member, ...]
+    `seeds` are the addresses for messages of other processes.
+    """
+
+    seeds: tuple[str, ...]
 
 
-StoredRecord = IdentityRecord | BootstrapMembersRecord | Record
+StoredRecord = IdentityRecord | BootstrapSeedsRecord | Record
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +102,8 @@
             return {"t": RecordKind.IDENTITY.value, "id": record.identity}
         case BootstrapMembersRecord():
             return {"t": RecordKind.BOOTSTRAP_MEMBERS.value, "members": _members_to_json(record.members)}
+        case BootstrapSeedsRecord():
+            return {"t": RecordKind.BOOTSTRAP_SEEDS.value, "seeds": list(record.seeds)}
         case HardState():
             return {"t": RecordKind.HARD_STATE.value, "term": record.term, "vote": record.vote}
         case Truncate():
@@ -160,6 +172,9 @@
 _PARSERS: dict[str, Callable[[JsonObject], StoredRecord]] = {
     RecordKind.IDENTITY.value: lambda data: IdentityRecord(require_str(data, "id")),
     RecordKind.BOOTSTRAP_MEMBERS.value: lambda data: BootstrapMembersRecord(_members_from_json(data)),
+    RecordKind.BOOTSTRAP_SEEDS.value: lambda data: BootstrapSeedsRecord(
+        tuple(str(seed) for seed in require_list(data, "seeds"))
+    ),
     RecordKind.HARD_STATE.value: lambda data: HardState(require_int(data, "term"), require_str(data, "vote")),
     RecordKind.TRUNCATE.value: lambda data: Truncate(require_int(data, "first")),
     RecordKind.RESTORE.value: _snapshot_from_json,
--- a/brambleusher/controlplane/storage/recovery.py
+++ b/brambleusher/controlplane/storage/recovery.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from brambleusher.controlplane.consensus.outputs import HardState, Restore, Truncate
+from brambleusher.controlplane.consensus.outputs import BootstrapMembersRecord, HardState, Restore, Truncate
 from brambleusher.controlplane.consensus.replicated_log import Log
 from brambleusher.controlplane.storage.errors import CorruptStorageError
 from brambleusher.controlplane.storage.records import (
-    BootstrapMembersRecord,
+    BootstrapSeedsRecord,
     IdentityRecord,
     SnapshotFile,
     StoredRecord,
@@ -33,6 +33,8 @@
         vote: The identity of the candidate that the replica voted for in that term, or "".
         log: The log after the newest snapshot.
         state: The state of the state machine as the snapshot stores it, or None if there is no snapshot.
+        bootstrap_seeds: The addresses of the seeds at the system's first start, as a replica that was created
+            then and is no seed has stored them; else empty.
         record_count: The number of records read from segments, for reports to operators.
     """
 
@@ -41,6 +43,7 @@
     vote: str = ""
     log: Log = field(default_factory=Log)
     state: object = None
+    bootstrap_seeds: tuple[str, ...] = ()
     record_count: int = 0
 
     def load_snapshot(self, file: SnapshotFile) -> None:
@@ -61,6 +64,8 @@
                 self.identity = record.identity
             case BootstrapMembersRecord():
                 self.log = Log(0, 0, record.members)
+            case BootstrapSeedsRecord():
+                self.bootstrap_seeds = record.seeds
             case HardState():
                 self._apply_hard_state(record)
             case Truncate():
--- a/brambleusher/controlplane/storage/storage.py
+++ b/brambleusher/controlplane/storage/storage.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Sequence
 
-from brambleusher.controlplane.consensus.outputs import HardState, Record, Restore
+from brambleusher.controlplane.consensus.outputs import BootstrapMembersRecord, HardState, Record, Restore
 from brambleusher.controlplane.storage.records import (
-    BootstrapMembersRecord,
+    BootstrapSeedsRecord,
     IdentityRecord,
     SnapshotFile,
     StoredRecord,
@@ -53,16 +53,25 @@
         self._disk.sync(segment.name)
         self._writer.resume(segment.name, segment.complete_bytes)
 
-    def begin(self, identity: str, bootstrap_members: tuple[Member, ...] = ()) -> None:
+    def begin(
+        self,
+        identity: str,
+        bootstrap_members: tuple[Member, ...] = (),
+        bootstrap_seeds: tuple[str, ...] = (),
+    ) -> None:
         """Write the first segment of a new disk.
 
         Args:
             identity: The identity of the replica.
             bootstrap_members: The initial members of the group; empty if this replica is not one of them.
+            bootstrap_seeds: The addresses of the seeds, if this replica is created at the system's first
+                start and is none of them; else empty.
         """
         records: list[StoredRecord] = [IdentityRecord(identity)]
         if bootstrap_members:
             records.append(BootstrapMembersRecord(bootstrap_members))
+        if bootstrap_seeds:
+            records.append(BootstrapSeedsRecord(bootstrap_seeds))
         self._writer.open_next(records)
 
     def write(self, records: Sequence[Record]) -> None:
--- a/tests/controlplane/consensus/cluster.py
+++ b/tests/controlplane/consensus/cluster.py
@@ -13,7 +13,14 @@
 from enum import Enum
 from typing import Any
 
-from brambleusher.controlplane.consensus.outputs import HardState, LogPosition, Outgoing, Restore, Truncate
+from brambleusher.controlplane.consensus.outputs import (
+    BootstrapMembersRecord,
+    HardState,
+    LogPosition,
+    Outgoing,
+    Restore,
+    Truncate,
+)
 from brambleusher.controlplane.consensus.raft import Consensus
 from brambleusher.controlplane.consensus.replicated_log import Log
 from brambleusher.wire import consensus_messages as wire
@@ -132,6 +139,8 @@
                 term, vote = record.term, record.vote
             elif isinstance(record, Truncate):
                 log.truncate(record.first)
+            elif isinstance(record, BootstrapMembersRecord):
+                log = Log(0, 0, record.members)
             elif isinstance(record, Restore):
                 log = Log(record.index, record.term, record.members)
                 state = machine_state(record)
--- a/tests/controlplane/storage/test_storage.py
+++ b/tests/controlplane/storage/test_storage.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from brambleusher.controlplane.consensus.outputs import HardState, Record, Restore, Truncate
+from brambleusher.controlplane.consensus.outputs import (
+    BootstrapMembersRecord,
+    HardState,
+    Record,
+    Restore,
+    Truncate,
+)
 from brambleusher.controlplane.storage.errors import CorruptStorageError
 from brambleusher.controlplane.storage.storage import Storage, inspect, recover_read_only
 from brambleusher.wire.consensus_messages import Entry, EntryKind, Member
@@ -37,6 +43,20 @@
     assert found.log.members == MEMBERS
 
 
+def test_records_of_the_first_start_are_recovered() -> None:
+    disk = MemoryDisk()
+    begun(disk).write([HardState(1, "a"), BootstrapMembersRecord(MEMBERS[:1]), entry(1)])
+    found = Storage(disk).recover()
+    assert (found.log.members, found.log.last_index, found.bootstrap_seeds) == (MEMBERS[:1], 1, ())
+    disk = MemoryDisk()
+    storage = Storage(disk)
+    storage.recover()
+    storage.begin("a", bootstrap_seeds=("10.0.0.1:1", "10.0.0.2:1"))
+    found = Storage(disk).recover()
+    assert (found.identity, found.log.members) == ("a", ())
+    assert found.bootstrap_seeds == ("10.0.0.1:1", "10.0.0.2:1")
+
+
 def test_a_restored_snapshot_replaces_earlier_entries() -> None:
     disk = MemoryDisk()
     storage = begun(disk)
--- a/tests/system/virtual_deployment.py
+++ b/tests/system/virtual_deployment.py
@@ -4,7 +4,7 @@
 
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -116,7 +116,9 @@
         observers: int = 0,
         in_force: tuple[str, ...] = (),
         zones: dict[str, str] | None = None,
+        seeds: Sequence[str] | None = None,
     ) -> None:
+        """Start all processes; `seeds` are the hosts of the seeds, by default of the first three cores."""
         self.in_force = in_force
         self.world = World(seed, PLAIN)
         self.rng = random.Random(seed)
@@ -130,7 +132,8 @@
         self.platform_calls = 0
         self.regions = zones or ZONES
         self.zones = list(self.regions)
-        self.seeds = [f"10.1.0.{at + 1}:{CONTROL}" for at in range(min(cores, 3))]
+        hosts = seeds or [f"10.1.0.{at + 1}" for at in range(min(cores, 3))]
+        self.seeds = [f"{host}:{CONTROL}" for host in hosts]
         self.caller = self.world.machine("caller", "10.8.0.1")
         platform = self.world.machine("platform", PLATFORM)
         platform.serve(lambda scheduler: HttpServer(scheduler, (PLATFORM, 8169), self._list))
