Spill over zones with subnormal weights is no longer rounded to their multiples

Change: weights are first divided by the power of two that brings the largest between 0.5 and 1, which is exact for all others. The other product of this form (WEIGHT_TOTAL * spare / total in weights.py) multiplies by a power of two and is exact.

--- a/brambleusher/loadbalancing/spill_grants.py
+++ b/brambleusher/loadbalancing/spill_grants.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -72,7 +73,7 @@
         Requests per second by zone; their sum is less than the demand if all limits are reached.
     """
     distributed: dict[str, float] = {}
-    remaining, unfilled = demand, {name: weight for name, weight in weights.items() if weight > 0}
+    remaining, unfilled = demand, _scaled_to_one(weights)
     while unfilled:
         total = sum(unfilled.values())
         full = [name for name, weight in unfilled.items() if 0 <= limits[name] <= remaining * weight / total]
@@ -86,6 +87,16 @@
     return distributed
 
 
+def _scaled_to_one(weights: Mapping[str, float]) -> dict[str, float]:
+    """Return the positive weights, divided by the power of two that brings the largest between 0.5 and 1.
+
+    Products with subnormal weights would be rounded to multiples of the smallest positive number.
+    """
+    positive = {name: weight for name, weight in weights.items() if weight > 0}
+    _, exponent = math.frexp(max(positive.values(), default=1.0))
+    return {name: math.ldexp(weight, -exponent) for name, weight in positive.items()}
+
+
 class SpillGrants:
     """Sets the limit and the offered fraction of each zone."""
 
