A configuration that no gateway can read is refused; parts are applied on their own

Cause: controllers read bodies with json.loads, gateways with pydantic's parser, which takes none of these (nor nesting of over 200 levels). At a gateway the error left ConfigurationStore.apply before evacuations and instances were applied. Change: one reader for controller, gateway and patch; what isn't plain UTF-8 JSON gets 400 with the byte, or line and column. A gateway applies each part of a response independently; a configuration that it can't read is logged with its index, counted (brambleusher_gateway_update_failures_total) and left out.

--- a/brambleusher/gateway/app.py
+++ b/brambleusher/gateway/app.py
@@ -98,7 +98,9 @@
         )
 
     def _serve_metrics(self, endpoint: MetricsEndpoint) -> None:
-        metrics = GatewayMetrics(self.scheduler, self.counters, self._clients, self.instances)
+        metrics = GatewayMetrics(
+            self.scheduler, self.counters, self._clients, self.instances, self._configuration
+        )
         MetricsServer(self.scheduler, self.settings.ip, endpoint, metrics)
 
     def _request_handler(self, policy: Policy, rng: random.Random) -> RequestHandler:
--- a/brambleusher/gateway/gateway_metrics.py
+++ b/brambleusher/gateway/gateway_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from brambleusher.dataplane.configuration_store import ConfigurationStore
 from brambleusher.dataplane.counters import Counters
 from brambleusher.dataplane.instance_table import InstanceTable
 from brambleusher.gateway.client_server import ClientServer
@@ -15,10 +16,15 @@
     """Collects the current metrics of one gateway for each scrape."""
 
     def __init__(
-        self, scheduler: Scheduler, counters: Counters, clients: ClientServer, instances: InstanceTable
+        self,
+        scheduler: Scheduler,
+        counters: Counters,
+        clients: ClientServer,
+        instances: InstanceTable,
+        configuration: ConfigurationStore,
     ) -> None:
         self._scheduler, self._counters = scheduler, counters
-        self._clients, self._instances = clients, instances
+        self._clients, self._instances, self._configuration = clients, instances, configuration
 
     def collect(self) -> list[Metric]:
         """Return all metrics with their current values."""
@@ -29,6 +35,12 @@
                 "outcome",
                 self._counters.as_json(),
             ),
+            counter(
+                f"{PREFIX}update_failures_total",
+                "Parts of controllers' responses that could not be applied.",
+                "part",
+                self._configuration.failed_parts,
+            ),
             gauge(
                 f"{PREFIX}active_requests", "Requests that are being served.", self._clients.active_requests
             ),
--- a/brambleusher/wire/configuration.py
+++ b/brambleusher/wire/configuration.py
@@ -5,12 +5,22 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import re
+from typing import TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from brambleusher.wire.errors import InvalidConfigurationError
 
+BYTE_ORDER_MARK = "\ufeff"
+LONE_SURROGATE = re.compile("[\ud800-\udfff]")  # half of a character, which UTF-8 cannot represent
+REPLACEMENT_CHARACTER = "\ufffd"
+
+
+Model = TypeVar("Model", bound=BaseModel)
+
 
 class _Section(BaseModel):
     """Base of all sections; ignores unknown keys, which later versions of operators' tools may send."""
@@ -107,14 +117,31 @@
     """Parse the JSON body of an operator's request.
 
     Raises:
-        InvalidConfigurationError: The body is not valid JSON, or an object contains a key twice.
+        InvalidConfigurationError: The body is not JSON in plain UTF-8, or an object contains a key twice.
     """
     try:
-        return json.loads(body, object_pairs_hook=_reject_duplicate_keys)
+        return json.loads(_decode(body), object_pairs_hook=_reject_duplicate_keys)
     except (ValueError, RecursionError) as error:
         raise InvalidConfigurationError("body", f"it can't be read whole: {error}") from error
 
 
+def _decode(body: bytes) -> str:
+    """Return the text of a body; JSON is exchanged in UTF-8 without a byte order mark (RFC 8259, 8.1)."""
+    try:
+        text = body.decode()
+    except UnicodeDecodeError as error:
+        raise InvalidConfigurationError("body", f"byte {error.start}: it is not UTF-8") from error
+    if text.startswith(BYTE_ORDER_MARK):
+        raise InvalidConfigurationError("body", "byte 0: a byte order mark precedes the JSON text")
+    return text
+
+
+def encode(data: object) -> bytes:
+    """Encode parsed JSON as a body that `parse` can read; lone surrogates are replaced."""
+    text = json.dumps(data, ensure_ascii=False, separators=(",", ":"))
+    return LONE_SURROGATE.sub(REPLACEMENT_CHARACTER, text).encode()
+
+
 def configuration_error(error: ValidationError) -> InvalidConfigurationError:
     """Convert a pydantic error to an exception with its first error and the key concerned."""
     first = error.errors()[0]
@@ -128,24 +155,48 @@
     Raises:
         InvalidConfigurationError: The configuration is invalid; the error names the key concerned.
     """
+    load(body)
+    configuration = parse(body)
+    _check(configuration)
+    return configuration
+
+
+def parse(body: bytes) -> Configuration:
+    """Parse a configuration, without the checks across its sections; all other readers use this one.
+
+    Raises:
+        InvalidConfigurationError: The body is not a configuration; the error names the key concerned.
+    """
+    return parse_as(Configuration, body)
+
+
+def parse_as(model: type[Model], body: bytes) -> Model:
+    """Parse a JSON body as a model.
+
+    Raises:
+        InvalidConfigurationError: The body does not match the model; the error names the key concerned.
+    """
     try:
-        configuration = Configuration.model_validate(load(body))
+        return model.model_validate_json(body)
     except ValidationError as error:
         raise configuration_error(error) from error
-    _check(configuration)
-    return configuration
 
 
-def parse_validated(body: bytes) -> Configuration:
-    """Parse a configuration that a controller has already validated.
+def parse_stored(body: bytes) -> Configuration:
+    """Parse a configuration that was accepted by this version, or by an earlier one.
+
+    Versions before 2026-12-04 accepted texts that `parse` rejects: other encodings than UTF-8, byte order
+    marks and lone surrogates. Their log entries and snapshots may still contain such a text.
 
     Raises:
         InvalidConfigurationError: The body is not a configuration.
     """
+    with contextlib.suppress(InvalidConfigurationError):
+        return parse(body)
     try:
-        return Configuration.model_validate_json(body)
-    except ValidationError as error:
-        raise InvalidConfigurationError("body", str(error.errors()[0]["msg"])) from error
+        return parse(encode(json.loads(body)))
+    except (ValueError, RecursionError) as error:
+        raise InvalidConfigurationError("body", f"it can't be read whole: {error}") from error
 
 
 def _check(configuration: Configuration) -> None:
--- a/brambleusher/wire/configuration_patch.py
+++ b/brambleusher/wire/configuration_patch.py
@@ -9,7 +9,7 @@
 import json
 from collections.abc import Collection
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
 from brambleusher.wire import configuration
 from brambleusher.wire.errors import InvalidConfigurationError
@@ -59,10 +59,8 @@
     Raises:
         InvalidConfigurationError: The patch is invalid; the error names the key concerned.
     """
-    try:
-        patch = Patch.model_validate(configuration.load(body))
-    except ValidationError as error:
-        raise configuration.configuration_error(error) from error
+    configuration.load(body)
+    patch = configuration.parse_as(Patch, body)
     for section in SECTIONS:
         _check_names(section, patch)
     return patch
@@ -100,7 +98,7 @@
             section, items, patch.upsert.in_section(section), patch.remove.in_section(section)
         )
     merged["revision"] = patch.revision
-    result = json.dumps(merged, ensure_ascii=False, separators=(",", ":")).encode()
+    result = configuration.encode(merged)
     configuration.read(result)
     return result
 
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from brambleusher.controlplane.configuration.commands import PutConfiguration
 from brambleusher.gateway.app import Gateway
 from brambleusher.membership.line_connection import LineClient
 from tests.system.virtual_deployment import DIRECTORY, VirtualDeployment, configuration, route
@@ -516,3 +517,36 @@
         assert found is not None
         assert not gateway.instances.usable(found, "llm", deployment.now)
     deployment.close()
+
+
+def test_a_stored_configuration_of_an_earlier_version_is_in_force(deployment: VirtualDeployment) -> None:
+    """Earlier versions accepted texts with a byte order mark, which were never in force at a gateway."""
+    deployment.served()
+    body = b"\xef\xbb\xbf" + configuration(2, route("/n/"))
+    replica = deployment.controllers["c1"].replica
+    submitted: list[Any] = []
+
+    def submit() -> None:
+        command = PutConfiguration.from_body(1, 2, body)
+        submitted.append(replica.submit(command, deployment.controllers["c1"].scheduler.now() + 1.0))
+
+    deployment.controllers["c1"].scheduler.spawn(submit, name="submit")
+    deployment.wait(lambda: bool(submitted), seconds=3.0)
+    assert deployment.control("c2", "POST", "/api/evacuations/n1").status == 200
+    deployment.sleep(1.0)
+    for gateway in deployment.gateways.values():
+        assert gateway.routes is not None
+        assert gateway.routes.find("h", "/n/x") is not None
+        assert gateway.instances.evacuated_zones == {"n1"}
+    deployment.add_gateway("g9", "10.2.0.9", "n1")
+    deployment.wait(lambda: "g9" in deployment.gateways and deployment.gateways["g9"].is_ready, seconds=8.0)
+
+
+@pytest.mark.parametrize("method", ["PUT", "PATCH"])
+def test_a_change_with_a_lone_surrogate_gets_an_answer(deployment: VirtualDeployment, method: str) -> None:
+    """Guards against an error in a request that closes its connection without an answer."""
+    deployment.served()
+    body = b'{"revision": 2, "upsert": {"routes": [{"name": "\\ud83d"}]}}'
+    reply = deployment.control("c1", method, "/api/config", headers={"If-Match": "1"}, body=body)
+    assert (reply.status, reply.is_complete) == (400, True)
+    assert "line 1 column 55" in reply.json()["error"]
