Reproduce: an order that a link held up acts after a later one (known red)

The test holds the bytes in virtual time, with the end of the connection behind them by a round trip, so that has_disconnected can't see it.

--- a/tests/system/test_control_plane_faults.py
+++ b/tests/system/test_control_plane_faults.py
@@ -16,6 +16,8 @@
     Verdict,
 )
 from brambleusher.controlplane.replica import Replica
+from brambleusher.runtime.scheduler import Scheduler
+from brambleusher.runtime.streams import Stream
 from tests.system.control_plane_faults import SHORT_SEGMENT_BYTES, play, short_segments
 from tests.system.memory_disk import MemoryDisk
 from tests.system.virtual_deployment import VirtualDeployment, configuration, route
@@ -236,6 +238,34 @@
     assert replica_of(deployment, other).state.evacuated_zones == []
 
 
+def test_an_order_that_a_link_held_up_does_not_act_after_a_later_one(deployment: VirtualDeployment) -> None:
+    """Guards against an old order that arrives before the end of its connection, once the link heals."""
+    deployment.served()
+    assert deployment.control("c1", "POST", "/api/evacuations/n1").status == 200
+    address = (deployment.world.machines["c1"].ip, 8166)
+    order = b"DELETE /api/evacuations/n1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+    begun: list[float] = []
+
+    def send(scheduler: Scheduler) -> None:
+        stream = Stream.connect(scheduler, address, scheduler.now() + 1.0)
+        begun.append(deployment.now)
+        deployment.world.network.partition("caller", "c1")
+        stream.send(order, scheduler.now() + 1.0)
+        # The sender has closed its end; that follows the held bytes only once they are acknowledged.
+        stream.receive(scheduler.now() + 8.0)
+        stream.close()
+
+    deployment.caller.serve(lambda scheduler: scheduler.spawn(send, scheduler), "send")
+    deployment.wait(lambda: bool(begun))
+    deployment.sleep(1.0)
+    assert deployment.control("c2", "DELETE", "/api/evacuations/n1").status == 200
+    assert deployment.control("c3", "POST", "/api/evacuations/n1").status == 200
+    deployment.sleep(begun[0] + 3.0 - deployment.now)
+    deployment.world.network.heal("caller", "c1")
+    deployment.sleep(4.0)
+    assert [replica_of(deployment, name).state.evacuated_zones for name in CORES] == [["n1"]] * 3
+
+
 # --- requirement 3: a second loss right after a repair or a replacement --------------------------
 
 
--- a/tests/system/test_first_start.py
+++ b/tests/system/test_first_start.py
@@ -69,3 +69,47 @@
     assert groups(deployment) == {frozenset(f"{host}:7720" for host in CORES)}
     assert {controller.replica.state.revision for controller in deployment.controllers.values()} == {1}
     deployment.close()
+
+
+def start_drawn_deployment(seed: int) -> VirtualDeployment:
+    """Start a deployment as the operators may draw it, its processes in any order within 0.3 s."""
+    rng = random.Random(f"drawn deployment {seed}")
+    tolerated = rng.choice([0, 1, 1, 2, 2, 3])
+    cores = 2 * tolerated + 1 + rng.choice([0, 0, 1, 2])
+    observers = rng.randrange(7)
+    regions = rng.choice([{"n1": "north"}, {"n1": "north", "s1": "south"}, None])
+    hosts = {f"c{at}": f"10.1.0.{at}" for at in range(1, cores + 1)}
+    hosts |= {f"o{at}": f"10.4.0.{at}" for at in range(1, observers + 1)}
+    seeds = rng.sample(sorted(hosts.values()), min(3, len(hosts)))
+    deployment = VirtualDeployment(seed, 0, 0, tolerated, zones=regions, seeds=seeds)
+    names = [*hosts, "g1", "g2"]
+    rng.shuffle(names)
+    for name in names:
+        deployment.sleep(rng.uniform(0.0, 0.3 / len(names)))
+        if name.startswith("c"):
+            deployment.add_core(name, hosts[name], bootstrap=True)
+        elif name.startswith("o"):
+            deployment.add_observer(name, hosts[name])
+        else:
+            deployment.add_gateway(name, f"10.2.0.{name[1:]}", deployment.zones[0])
+    deployment.sleep(0.0)
+    return deployment
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_a_drawn_deployment_starts_with_one_group_of_the_size_that_it_needs(seed: int) -> None:
+    deployment = start_drawn_deployment(seed)
+    callers = random.Random(f"callers {seed}")
+    named = [name for name in deployment.world.machines if name[0] in "co" and name != "caller"]
+
+    def is_accepted() -> bool:
+        return deployment.put(callers.choice(named), 0, configuration(1)).status == 200
+
+    deployment.wait(is_accepted, READY_S)
+    deployment.wait(lambda: all(gateway.routes is not None for gateway in deployment.gateways.values()), 3.0)
+    deployment.sleep(8.0)
+    (voters,) = groups(deployment)
+    cores = len(deployment.controllers)
+    assert len(voters) == min(cores, max(3, 2 * deployment.tolerated + 1))
+    assert {controller.replica.state.revision for controller in deployment.controllers.values()} == {1}
+    deployment.close()
