--- a/tests/controlplane/test_bootstrap.py
+++ b/tests/controlplane/test_bootstrap.py
@@ -83,10 +83,14 @@
 class Run:
     """Controllers that are no seeds, and three observers as the only seeds; messages are answered at once."""
 
-    controllers: list[Bootstrap] = field(default_factory=list)
+    restarted_observers: tuple[int, ...] = ()
+    controllers: list[Bootstrap] = field(init=False)
     observers: list[ObserverGrant] = field(default_factory=lambda: [ObserverGrant(True) for _ in SEEDS])
     formed: set[int] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        self.controllers = [self.create(at) for at in range(3)]
+
     def create(self, at: int) -> Bootstrap:
         return Bootstrap(member(f"10.0.1.{at}:1", voter=False), (), SEEDS)
 
@@ -98,6 +102,16 @@
         if self.controllers[at].initial_members():
             self.formed.add(at)
 
+    def play(self, steps: list[tuple[int, int, int]]) -> None:
+        """Restart observers as if at the first start, restart controllers, and exchange messages."""
+        for kind, at, seed in steps:
+            if kind == 0 and seed in self.restarted_observers:
+                self.observers[seed] = ObserverGrant(True)
+            elif kind == 1:
+                self.controllers[at] = self.create(at)
+            else:
+                self.exchange(at, seed, is_answer_lost=kind == 2)
+
 
 STEPS = st.lists(st.tuples(st.integers(0, 9), st.integers(0, 2), st.integers(0, 2)), max_size=60)
 
@@ -106,15 +120,8 @@
 @given(STEPS)
 def test_at_most_one_controller_forms_a_group_whatever_is_lost(steps: list[tuple[int, int, int]]) -> None:
     """Two observers restart again and again, each time as if at the first start; the third never does."""
-    run = Run()
-    run.controllers = [run.create(at) for at in range(3)]
-    for kind, at, seed in steps:
-        if kind == 0 and seed != 2:
-            run.observers[seed] = ObserverGrant(True)
-        elif kind == 1:
-            run.controllers[at] = run.create(at)
-        else:
-            run.exchange(at, seed, is_answer_lost=kind == 2)
+    run = Run(restarted_observers=(0, 1))
+    run.play(steps)
     assert len(run.formed) <= 1
 
 
@@ -122,12 +129,7 @@
 @given(STEPS)
 def test_one_controller_forms_a_group_once_messages_arrive(steps: list[tuple[int, int, int]]) -> None:
     run = Run()
-    run.controllers = [run.create(at) for at in range(3)]
-    for kind, at, seed in steps:
-        if kind == 1:
-            run.controllers[at] = run.create(at)
-        else:
-            run.exchange(at, seed, is_answer_lost=kind == 2)
+    run.play(steps)
     for _ in range(2 * len(SEEDS)):
         for at in range(len(run.controllers)):
             for seed in range(len(SEEDS)):
