--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -162,6 +162,8 @@
     for name in ("c1", "c2", "c3", "g1", "g2"):
         deployment.power_on(name)
     back = deployment.now
+    # A process that has not started yet refuses connections.
+    deployment.wait(lambda: deployment.control("c3", "GET", "/api/config").status == 200)
     deployment.wait(lambda: deployment.leader() is not None and in_force(deployment, 2))
     assert deployment.now - back < 2.0
     assert deployment.control("c3", "GET", "/api/config").body == configuration(2, route("/n/"))
