--- a/brambleusher/controlplane/configuration/admin_api.py
+++ b/brambleusher/controlplane/configuration/admin_api.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import logging
 from http import HTTPStatus
 
 import orjson
@@ -16,15 +17,18 @@
     SetEvacuation,
     Verdict,
 )
+from brambleusher.controlplane.configuration.preceding_index import PrecedingIndex
 from brambleusher.controlplane.configuration.replicated_state import ReplicatedState
 from brambleusher.controlplane.configuration.state_machine import SharedState
-from brambleusher.runtime.http_server import HttpRequest, HttpResponse, json_response
+from brambleusher.runtime.http_server import Handler, HttpRequest, HttpResponse, json_response
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.wire import configuration, configuration_patch
 from brambleusher.wire.configuration_patch import Patch
 from brambleusher.wire.errors import InvalidConfigurationError
 from brambleusher.wire.packing import unpack
 
+log = logging.getLogger(__name__)
+
 # Operators' tools retry at another controller after one second without a response.
 RESPONSE_TIMEOUT_S = 0.85
 CONFIGURATION_BYTES_MAX = 8 * 1024 * 1024  # upper bound on the body of one request
@@ -66,6 +70,17 @@
     return revision
 
 
+def _log_evacuation(method: str, zone: str, applied_index: int | None, response: HttpResponse) -> None:
+    fields = {
+        "method": method,
+        "zone": zone,
+        "preceding_index": applied_index,
+        "status": int(response.status),
+        "response": response.body.decode(),
+    }
+    log.info("evacuation requested", extra={"fields": fields})
+
+
 class AdminApi:
     """Handles HTTP requests on a controller's `control` address."""
 
@@ -73,7 +88,20 @@
         self._scheduler, self._state, self._zones = scheduler, state, zones
 
     def handle(self, request: HttpRequest) -> HttpResponse:
-        """Return the response to one request."""
+        """Return the response to a request whose connection was not ready for it before now."""
+        return self.next_handler()(request)
+
+    def next_handler(self, waited_s: float = 0.0) -> Handler:
+        """Return the handler of a connection's next request; called when the connection is ready for it.
+
+        `waited_s` are the seconds for which the client may have been able to send it already.
+        """
+        preceding_index = PrecedingIndex(self._scheduler, self._state, waited_s)
+        return lambda request: self._handle(request, preceding_index)
+
+    def _handle(self, request: HttpRequest, preceding_index: PrecedingIndex) -> HttpResponse:
+        if not request.path.startswith(EVACUATIONS_PATH):
+            preceding_index.cancel()
         match request.method, request.path:
             case "PUT", path if path == CONFIGURATION_PATH:
                 return self._put_configuration(request)
@@ -84,7 +112,7 @@
             case "GET", path if path == STATUS_PATH:
                 return json_response(HTTPStatus.OK, self._state.status())
             case "POST" | "DELETE", path if path.startswith(EVACUATIONS_PATH):
-                return self._set_evacuation(request, path.removeprefix(EVACUATIONS_PATH))
+                return self._set_evacuation(request, path.removeprefix(EVACUATIONS_PATH), preceding_index)
         return _error(HTTPStatus.NOT_FOUND, f"{request.method} {request.path} is no call of this controller")
 
     def _deadline(self) -> float:
@@ -134,19 +162,25 @@
             return None
         return configuration_patch.merge(unpack(state.packed), patch)
 
-    def _set_evacuation(self, request: HttpRequest, zone: str) -> HttpResponse:
+    def _set_evacuation(
+        self, request: HttpRequest, zone: str, preceding_index: PrecedingIndex
+    ) -> HttpResponse:
         if zone not in self._zones:
             return _error(HTTPStatus.NOT_FOUND, f"zone {zone} is unknown")
         deadline = self._deadline()
-        applied_index = self._state.read_applied_index(deadline)
-        if isinstance(applied_index, Err):
-            return _error(HTTPStatus.SERVICE_UNAVAILABLE, "no controller answered in time")
-        if request.has_disconnected():
-            # The client disconnected: it has retried elsewhere or given up. A delayed copy of its request
-            # must not take effect after a later request.
-            return _error(HTTPStatus.SERVICE_UNAVAILABLE, "the caller has gone")
-        command = SetEvacuation(zone, request.method == "POST", applied_index.ok_value)
-        return self._submit(command, deadline)
+        applied_index = preceding_index.wait(deadline)
+        if preceding_index.was_held_up:
+            response = _error(HTTPStatus.SERVICE_UNAVAILABLE, "it was held up on its way; send it again")
+        elif request.has_disconnected():
+            # The client disconnected: it has retried elsewhere or given up. A delayed request must not take
+            # effect after a later one.
+            response = _error(HTTPStatus.SERVICE_UNAVAILABLE, "the caller has gone")
+        elif applied_index is None:
+            response = _error(HTTPStatus.SERVICE_UNAVAILABLE, "no controller answered in time")
+        else:
+            response = self._submit(SetEvacuation(zone, request.method == "POST", applied_index), deadline)
+        _log_evacuation(request.method, zone, applied_index, response)
+        return response
 
     def _submit(self, command: Command, deadline: float) -> HttpResponse:
         submitted = self._state.submit(command, deadline)
--- a/brambleusher/controlplane/configuration/state_machine.py
+++ b/brambleusher/controlplane/configuration/state_machine.py
@@ -67,18 +67,26 @@
         return Verdict.ACCEPTED
 
     def _set_evacuation(self, index: int, command: SetEvacuation) -> Verdict:
-        zone = command.zone
-        if (zone in self.evacuated_zones) is command.is_evacuated:
+        if self.is_repeated(command):
             return Verdict.REPEATED
-        applied_index = command.applied_index
-        if applied_index is not None and applied_index < self.zone_change_index.get(zone, 0):
+        if self.is_outdated(command):
             return Verdict.OUTDATED
+        zone = command.zone
         others = [other for other in self.evacuated_zones if other != zone]
         self.evacuated_zones = [*others, zone] if command.is_evacuated else others
         self.zone_change_index = {**self.zone_change_index, zone: index}
         self.index = index
         return Verdict.ACCEPTED
 
+    def is_repeated(self, command: SetEvacuation) -> bool:
+        """Return whether the command's zone already is in the state that the command asks for."""
+        return (command.zone in self.evacuated_zones) is command.is_evacuated
+
+    def is_outdated(self, command: SetEvacuation) -> bool:
+        """Return whether the command's zone was changed after the command's applied index."""
+        applied_index = command.applied_index
+        return applied_index is not None and applied_index < self.zone_change_index.get(command.zone, 0)
+
     def as_json(self) -> dict[str, object]:
         """Return the state as the JSON object that snapshots store."""
         return {
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -13,7 +13,12 @@
 
 from brambleusher.controlplane import forwarding
 from brambleusher.controlplane.bootstrap import Bootstrap
-from brambleusher.controlplane.configuration.commands import Command, Verdict, command_from_json
+from brambleusher.controlplane.configuration.commands import (
+    Command,
+    SetEvacuation,
+    Verdict,
+    command_from_json,
+)
 from brambleusher.controlplane.configuration.replicated_state import (
     IndexResult,
     NoLeaderError,
@@ -124,6 +129,8 @@
     def submit(self, command: Command, deadline: float) -> SubmitResult:
         """Commit and apply a command, either here or by forwarding it to the leader."""
         while self._scheduler.now() < deadline:
+            if self._is_outdated(command):
+                return Ok(Verdict.OUTDATED)
             if self.consensus.accepts_proposals():
                 verdict = self._propose(command, deadline)
             else:
@@ -253,6 +260,12 @@
             answer = self.state.as_read_json()
         self._send(sender, forwarding.reply_to_json(request.number, answer))
 
+    def _is_outdated(self, command: Command) -> bool:
+        """Return whether this replica's state suffices to tell that a command is outdated."""
+        if not isinstance(command, SetEvacuation):
+            return False
+        return self.state.is_outdated(command) and not self.state.is_repeated(command)
+
     # --- proposals and reads ---------------------------------------------------------------------
 
     def _request_deadline(self) -> float:
--- a/brambleusher/lab/virtual/network.py
+++ b/brambleusher/lab/virtual/network.py
@@ -217,10 +217,10 @@
 
     __slots__ = (
         "_pump_due", "_unacked", "_unsent", "_unsent_size", "_used", "_want_write", "_window",
-        "_window_updates", "_write_due", "conn", "connect_state", "err", "fd", "fin_acked_ns",
-        "fin_in", "fin_out", "fin_queued", "host", "last_arrival", "link", "machine", "network",
-        "orphan", "peer", "port", "process", "received_ns", "rx", "rx_size", "shut_receive",
-        "shut_send", "side", "state", "unacknowledged_timeout_ns", "undelivered",
+        "_window_updates", "_write_due", "answered_ns", "conn", "connect_state", "err", "fd",
+        "fin_acked_ns", "fin_in", "fin_out", "fin_queued", "host", "last_arrival", "link", "machine",
+        "network", "opened_ns", "orphan", "peer", "port", "process", "received_ns", "rx", "rx_size",
+        "shut_receive", "shut_send", "side", "state", "unacknowledged_timeout_ns", "undelivered",
         "undelivered_since", "world",
     )  # fmt: skip
 
@@ -253,6 +253,7 @@
         self.fin_queued = False
         self.fin_acked_ns = 0
         self.last_arrival = 0
+        self.answered_ns = self.opened_ns = 0  # times of the SYN-ACK and of its acknowledgement; 0 for none
         self.received_ns = 0  # time of the last received bytes on the world's monotonic clock; 0 for none
         self.undelivered: list[Any] = []  # bytes and FIN that a fault keeps from the peer, in order
         self.undelivered_since = 0
@@ -845,6 +846,7 @@
         server = VirtualSocket(self.network, listener.machine, None, State.SYN_RECV)
         server.conn, server.side, server.peer, server.link = conn, SERVER, self, back
         server.host, server.port = conn.server.ip, conn.server.port
+        server.answered_ns = self.world.now_ns
         self.peer, conn.server_socket = server, server
         if self.world.taps:
             self.world.notify_taps("established", conn)
@@ -872,6 +874,7 @@
             self._retry_ack(listener, tries)
         else:
             self.state = State.OPEN
+            self.opened_ns = self.world.now_ns
             listener.queue.append(self)
             if listener.fd >= 0:
                 listener.process.notify_pollers(listener.fd)
--- a/brambleusher/lab/virtual/world.py
+++ b/brambleusher/lab/virtual/world.py
@@ -1037,6 +1037,13 @@
             return 0.0
         return (self.world.now_ns - sock.received_ns) / 1e9
 
+    def seconds_to_open(self, sock: Socket) -> float:
+        """Return the seconds from the SYN-ACK of an accepted connection to its acknowledgement."""
+        self._check()
+        if not isinstance(sock, VirtualSocket):
+            return 0.0
+        return (sock.opened_ns - sock.answered_ns) / 1e9
+
     def set_unacknowledged_timeout(self, sock: Socket, seconds: float) -> None:
         """Set the time after which unacknowledged bytes fail a connection; no keepalive probes are sent."""
         assert isinstance(sock, VirtualSocket)
--- a/brambleusher/runtime/http_server.py
+++ b/brambleusher/runtime/http_server.py
@@ -56,6 +56,9 @@
     return HttpResponse(status, orjson.dumps(data), headers)
 
 
+Handler = Callable[[HttpRequest], HttpResponse]
+
+
 class BodyTooLargeError(Exception):
     """Raised when a request body is larger than the server's limit."""
 
@@ -67,7 +70,7 @@
         self,
         scheduler: Scheduler,
         address: Address,
-        handler: Callable[[HttpRequest], HttpResponse],
+        handler: Handler,
         body_bytes: int = 64 * 1024,
         connections: int = 1024,
     ) -> None:
@@ -75,11 +78,24 @@
         self.acceptor = Acceptor(scheduler, address, self._serve, connections)
         self.closing = False
 
+    def await_first_request(self, _stream: Stream, /) -> Handler:
+        """Return the handler of a connection's first request; called after the connection was accepted."""
+        return self._handler
+
+    def await_next_request(self) -> Handler:
+        """Return the handler of a connection's next request; called after each response.
+
+        A subclass overrides these methods if its handlers depend on when a connection became ready.
+        """
+        return self._handler
+
     def _serve(self, stream: Stream, _peer: str) -> None:
         connection = h11.Connection(h11.SERVER)
+        handler = self.await_first_request(stream)
         while True:
+            presence = PeerPresence(stream, ParserBuffer(connection), READ_AHEAD_MAX_BYTES)
             try:
-                request = self._read(stream, connection)
+                request = self._read(stream, connection, presence)
             except BodyTooLargeError:
                 self._answer(stream, connection, json_response(413, {"error": "the body is too large"}))
                 return
@@ -90,8 +106,7 @@
                 return
             if request is None:
                 return
-            presence = PeerPresence(stream, ParserBuffer(connection), READ_AHEAD_MAX_BYTES)
-            response = self._handle(presence, request)
+            response = self._handle(handler, presence, request)
             if response is None:
                 return
             self._answer(stream, connection, response)
@@ -100,18 +115,19 @@
                 stream.finish()
                 return
             connection.start_next_cycle()
+            handler = self.await_next_request()
 
-    def _handle(self, presence: PeerPresence, request: HttpRequest) -> HttpResponse | None:
+    def _handle(self, handler: Handler, presence: PeerPresence, request: HttpRequest) -> HttpResponse | None:
         """Call the handler; return None if the client of a safe request has disconnected."""
         if request.method not in READ_METHODS:
-            return self._handler(request)
+            return handler(request)
         try:
             with DisconnectWatch(self._scheduler, presence):
-                return self._handler(request)
+                return handler(request)
         except PeerDisconnectedError:
             return None
 
-    def _read(self, stream: Stream, connection: h11.Connection) -> HttpRequest | None:
+    def _read(self, stream: Stream, connection: h11.Connection, presence: PeerPresence) -> HttpRequest | None:
         head: h11.Request | None = None
         parts: list[bytes] = []
         received_bytes = 0
@@ -126,17 +142,17 @@
                 if received_bytes > self._body_bytes:
                     raise BodyTooLargeError
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return self._complete_request(head, b"".join(parts), stream)
+                return self._complete_request(head, b"".join(parts), presence)
             else:
                 return None
 
     @staticmethod
-    def _complete_request(head: h11.Request, body: bytes, stream: Stream) -> HttpRequest:
+    def _complete_request(head: h11.Request, body: bytes, presence: PeerPresence) -> HttpRequest:
         target = urlsplit(head.target.decode("latin-1"))
         query = dict(parse_qsl(target.query))
         method = head.method.decode("latin-1")
         headers = dict(head.headers)
-        return HttpRequest(method, target.path, query, headers, body, lambda: stream.peek() == b"")
+        return HttpRequest(method, target.path, query, headers, body, presence.check_left)
 
     def _answer(self, stream: Stream, connection: h11.Connection, response: HttpResponse) -> None:
         headers = [
--- a/brambleusher/runtime/operating_system.py
+++ b/brambleusher/runtime/operating_system.py
@@ -18,8 +18,20 @@
 from brambleusher.runtime.sinks import DescriptorSink, FileSink, UdpSink
 from brambleusher.runtime.system import Address, Poller, Sink, Socket, Waker, Worker
 
-# From linux/tcp.h and tcp(7): the bytes of tcp_info, and the offset of tcpi_last_data_recv in milliseconds.
-TCP_INFO_BYTES, LAST_DATA_RECEIVED = 104, 52
+# From linux/tcp.h and tcp(7): the bytes of tcp_info, and the offsets of tcpi_last_data_recv in milliseconds,
+# of tcpi_rtt in microseconds, and of tcpi_total_retrans.
+TCP_INFO_BYTES, LAST_DATA_RECEIVED, ROUND_TRIP, RETRANSMISSIONS = 104, 52, 68, 100
+SYN_ACK_RETRANSMIT_S = 1.0  # time until an unanswered SYN-ACK is sent again: RFC 6298, section 2
+
+
+def _tcp_info(sock: socket.socket, offset: int) -> int:
+    """Return a field of a connection's tcp_info; 0 if the operating system does not tell."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        (value,) = struct.unpack_from("=I", info, offset)
+    except (OSError, struct.error):
+        return 0
+    return int(value)
 
 
 class PairWaker:
@@ -168,12 +180,14 @@
     def seconds_since_data(self, sock: Socket) -> float:
         """Return the seconds since data last arrived on a connection, read or unread; 0 if unknown."""
         assert isinstance(sock, socket.socket)
-        try:
-            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-            (milliseconds,) = struct.unpack_from("=I", info, LAST_DATA_RECEIVED)
-        except (OSError, struct.error):
-            return 0.0
-        return float(milliseconds) / 1000
+        return _tcp_info(sock, LAST_DATA_RECEIVED) / 1e3
+
+    def seconds_to_open(self, sock: Socket) -> float:
+        """Return the seconds that an accepted connection took to open, at least; 0 if unknown."""
+        assert isinstance(sock, socket.socket)
+        round_trip_s = _tcp_info(sock, ROUND_TRIP) / 1e6
+        is_late = _tcp_info(sock, RETRANSMISSIONS) > 0
+        return max(round_trip_s, SYN_ACK_RETRANSMIT_S) if is_late else round_trip_s
 
     def set_unacknowledged_timeout(self, sock: Socket, seconds: float) -> None:
         """Make a connection fail when sent bytes or probes stay unacknowledged for `seconds`."""
--- a/brambleusher/runtime/system.py
+++ b/brambleusher/runtime/system.py
@@ -153,6 +153,13 @@
     def seconds_since_data(self, sock: Socket) -> float:
         """Return the seconds since data last arrived on a connection, read or unread; 0 if unknown."""
 
+    def seconds_to_open(self, sock: Socket) -> float:
+        """Return the seconds that an accepted connection took to open, at least; 0 if unknown.
+
+        They begin when the request of the peer to connect was answered, and end when the peer's first
+        acknowledgement arrived. The result is meaningful until the first bytes are sent.
+        """
+
     def set_unacknowledged_timeout(self, sock: Socket, seconds: float) -> None:
         """Make a connection fail when sent bytes or keep-alive probes stay unacknowledged for `seconds`.
 
--- /dev/null
+++ b/tests/system/test_held_up_orders.py
@@ -0,0 +1,205 @@
+"""Evacuation orders of an operator that a link holds up while later orders are acknowledged elsewhere."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import pytest
+
+from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
+from brambleusher.runtime.streams import Stream
+from tests.system.virtual_deployment import CONTROL, VirtualDeployment
+
+CORES = ("c1", "c2", "c3")
+ZONE = "n1"
+PATH = f"/api/evacuations/{ZONE}"
+HELD_UP_S = 3.0
+CALLER_TIMEOUT_S = 1.0  # PROTOCOL.md, the operator's API: a second of silence
+TAKEN_WITHIN_S = 2.0  # in which a proper order gets an answer from any machine
+
+
+@dataclass(frozen=True)
+class Link:
+    """How a link passes on a connection that it holds up.
+
+    Attributes:
+        opening_is_held_up: Whether the connection opens only once the link passes bytes again.
+        carried_an_order: Whether the connection has carried an earlier order.
+        end_after_s: How long after the order the end of the connection arrives; None if the caller keeps the
+            connection open.
+    """
+
+    opening_is_held_up: bool = False
+    carried_an_order: bool = False
+    end_after_s: float | None = None
+
+
+LINKS = [
+    Link(end_after_s=0.002),
+    Link(end_after_s=0.042),
+    Link(end_after_s=0.15),
+    Link(),
+    Link(carried_an_order=True, end_after_s=0.042),
+    Link(carried_an_order=True),
+    Link(opening_is_held_up=True, end_after_s=0.042),
+    Link(opening_is_held_up=True, end_after_s=0.15),
+]
+
+
+@pytest.fixture
+def deployment() -> Iterator[VirtualDeployment]:
+    deployment = VirtualDeployment(gateways=1, observers=1)
+    deployment.served()
+    deployment.sleep(3.0)
+    yield deployment
+    deployment.close()
+
+
+def request(method: str, path: str = PATH) -> bytes:
+    return f"{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n".encode()
+
+
+def run_as_caller(deployment: VirtualDeployment, run: Callable[[Scheduler], object]) -> None:
+    deployment.caller.serve(lambda scheduler: scheduler.spawn(run, scheduler), "caller")
+
+
+def hold_up(deployment: VirtualDeployment, machine: str, method: str, link: Link) -> None:
+    """Send an order now; it arrives `HELD_UP_S` later, and the end of its connection as the link has it."""
+    address = (deployment.world.machines[machine].ip, CONTROL)
+
+    def run(scheduler: Scheduler) -> None:
+        arrives_at = scheduler.now() + HELD_UP_S
+        stream: Stream | None = None
+        if not link.opening_is_held_up:
+            stream = Stream.connect(scheduler, address, arrives_at)
+            if link.carried_an_order:
+                stream.send(request("POST" if method == "DELETE" else "DELETE"), arrives_at)
+                assert b" 200 " in (stream.receive(arrives_at) or b"")
+        scheduler.sleep(arrives_at - scheduler.now())
+        stream = stream or Stream.connect(scheduler, address, arrives_at + 1.0)
+        stream.send(request(method), arrives_at + 1.0)
+        if link.end_after_s is None:
+            stream.receive(arrives_at + 5.0)
+        else:
+            scheduler.sleep(link.end_after_s)
+        stream.close()
+
+    run_as_caller(deployment, run)
+
+
+def acknowledged(deployment: VirtualDeployment, machine: str, method: str) -> None:
+    assert deployment.control(machine, method, PATH).status == 200
+
+
+def is_evacuated(deployment: VirtualDeployment) -> bool:
+    states = {ZONE in deployment.controllers[name].replica.state.evacuated_zones for name in CORES}
+    assert len(states) == 1
+    return states.pop()
+
+
+@pytest.mark.parametrize("link", LINKS, ids=str)
+@pytest.mark.parametrize("machine", ["c1", "o1"])
+def test_a_held_up_order_does_not_act_after_later_ones(
+    deployment: VirtualDeployment, machine: str, link: Link
+) -> None:
+    """Guards against a zone that gets requests again though its evacuation was acknowledged last."""
+    acknowledged(deployment, "c3", "POST")
+    deployment.sleep(0.5)
+    hold_up(deployment, machine, "DELETE", link)
+    deployment.sleep(CALLER_TIMEOUT_S)
+    acknowledged(deployment, "c2", "DELETE")
+    acknowledged(deployment, "c3", "POST")
+    deployment.sleep(HELD_UP_S + 1.0)
+    assert is_evacuated(deployment)
+
+
+@pytest.mark.parametrize("machine", ["c1", "o1"])
+def test_a_held_up_evacuation_does_not_act_after_later_orders(
+    deployment: VirtualDeployment, machine: str
+) -> None:
+    """Guards against a zone that gets no requests though it was taken back last."""
+    hold_up(deployment, machine, "POST", Link(end_after_s=0.042))
+    deployment.sleep(CALLER_TIMEOUT_S)
+    acknowledged(deployment, "c2", "POST")
+    acknowledged(deployment, "c3", "DELETE")
+    deployment.sleep(HELD_UP_S + 1.0)
+    assert not is_evacuated(deployment)
+
+
+def test_bytes_behind_an_order_do_not_hide_the_end_of_its_connection(deployment: VirtualDeployment) -> None:
+    """Guards against an order that acts though its caller has gone, as a line end follows the request."""
+    address = (deployment.world.machines["c1"].ip, CONTROL)
+
+    def run(scheduler: Scheduler) -> None:
+        stream = Stream.connect(scheduler, address, scheduler.now() + 1.0)
+        stream.send(request("POST"), scheduler.now() + 1.0)
+        scheduler.sleep(0.02)
+        stream.send(b"\r\n", scheduler.now() + 1.0)
+        stream.close()
+
+    run_as_caller(deployment, run)
+    deployment.sleep(2.0)
+    assert not is_evacuated(deployment)
+
+
+# --- proper orders -------------------------------------------------------------------------------
+
+
+def take_by_kept_connections(
+    deployment: VirtualDeployment, machines: list[str], method: str, rest_s: float, statuses: list[int]
+) -> list[float]:
+    """Open connections, let them rest, then send an order by one after the other until it is taken.
+
+    Each answer's status is added to `statuses`. The returned list gets the seconds until the order is taken.
+    """
+    seconds: list[float] = []
+
+    def run(scheduler: Scheduler) -> None:
+        begun_at = scheduler.now()
+        addresses = [(deployment.world.machines[name].ip, CONTROL) for name in machines]
+        streams = [Stream.connect(scheduler, address, begun_at + 1.0) for address in addresses]
+        scheduler.sleep(rest_s)
+        begun_at = scheduler.now()
+        while not seconds:
+            stream = streams[len(statuses) % len(streams)]
+            stream.send(request(method), None)
+            try:
+                answer = stream.receive(scheduler.now() + CALLER_TIMEOUT_S) or b"HTTP/1.1 000 "
+            except TaskTimeoutError:
+                answer = b"HTTP/1.1 000 "
+            statuses.append(int(answer.split()[1]))
+            if statuses[-1] == 200:
+                seconds.append(scheduler.now() - begun_at)
+            scheduler.sleep(0.1)
+        for stream in streams:
+            stream.close()
+
+    run_as_caller(deployment, run)
+    return seconds
+
+
+@pytest.mark.parametrize("machines", [["c1", "c2", "c3", "o1"], ["o1", "c1", "c2", "c3"], ["o1"]])
+def test_a_proper_order_on_connections_that_rested_is_taken(
+    deployment: VirtualDeployment, machines: list[str]
+) -> None:
+    statuses: list[int] = []
+    seconds = take_by_kept_connections(deployment, machines, "DELETE", 3.0, statuses)
+    deployment.sleep(1.0)
+    acknowledged(deployment, "c2", "POST")
+    deployment.sleep(6.0)
+    assert not is_evacuated(deployment)
+    assert seconds[0] <= TAKEN_WITHIN_S
+    assert set(statuses) <= {200, 503}
+
+
+def test_proper_orders_one_right_after_the_other_are_taken(deployment: VirtualDeployment) -> None:
+    machines = ["c1", "c2", "o1", "c3"]
+    for at in range(48):
+        begun_at, method = deployment.now, ("POST", "DELETE")[at % 2]
+        statuses = [deployment.control(machines[at % 4], method, PATH).status]
+        while statuses[-1] != 200:
+            statuses.append(deployment.control(machines[(at + len(statuses)) % 4], method, PATH).status)
+        assert deployment.now - begun_at <= TAKEN_WITHIN_S
+        assert set(statuses) <= {200, 503}
+    assert not is_evacuated(deployment)
