--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -13,6 +13,7 @@
 
 from brambleusher.controlplane import forwarding
 from brambleusher.controlplane.bootstrap import Bootstrap
+from brambleusher.controlplane.configuration.acknowledged_evacuations import AcknowledgedEvacuations
 from brambleusher.controlplane.configuration.commands import (
     Command,
     SetEvacuation,
@@ -98,6 +99,7 @@
         self._addresses = ReplicaAddresses()
         self._outbox = Outbox(self._deliver)
         self._proposals = PendingProposals()
+        self._evacuations = AcknowledgedEvacuations()
         self._forwarding = LeaderForwarding(scheduler, send, rng.randrange(FORWARD_NUMBER_MAX))
         self._last_join_at = self._wake_at = 0.0
         self.seeds: tuple[str, ...] = settings.seed_peers()
@@ -280,6 +282,9 @@
         if self._proposals.is_full:
             self._scheduler.sleep(RETRY_BACKOFF_S)
             return None
+        self._evacuations.begin_term(self.consensus.term, self.consensus.log.last_index)
+        if isinstance(command, SetEvacuation) and self._evacuations.is_overtaken(command, self.state):
+            return Verdict.OUTDATED
         position = self.consensus.propose(command.as_json())
         if position is None:
             return None
@@ -287,6 +292,8 @@
         self._process_output()
         verdict = pending.wait(self._scheduler, deadline)
         self._proposals.discard(position.index, pending)
+        if isinstance(command, SetEvacuation) and verdict is Verdict.REPEATED:
+            self._evacuations.record_repeated(command.zone, position.index)
         return verdict
 
     def _forward_command(self, command: Command, deadline: float) -> Verdict | None:
--- a/tests/system/test_held_up_orders.py
+++ b/tests/system/test_held_up_orders.py
@@ -127,6 +127,27 @@
     assert not is_evacuated(deployment)
 
 
+@pytest.mark.parametrize("leader_fails", [False, True])
+@pytest.mark.parametrize("machine", ["c1", "o1"])
+def test_an_order_that_was_given_up_does_not_act_after_the_opposite_was_acknowledged(
+    deployment: VirtualDeployment, machine: str, leader_fails: bool
+) -> None:
+    """Guards against an old order that acts after one that was acknowledged without changing the zone."""
+    acknowledged(deployment, "c3", "POST")
+    deployment.sleep(0.5)
+    hold_up(deployment, machine, "DELETE", Link())
+    deployment.sleep(CALLER_TIMEOUT_S)
+    acknowledged(deployment, "c2", "POST")
+    leader = deployment.leader()
+    assert leader is not None
+    if leader_fails and leader != machine:
+        deployment.power_off(leader)
+        deployment.sleep(0.5)
+        deployment.power_on(leader)
+    deployment.sleep(HELD_UP_S + 2.0)
+    assert is_evacuated(deployment)
+
+
 def test_bytes_behind_an_order_do_not_hide_the_end_of_its_connection(deployment: VirtualDeployment) -> None:
     """Guards against an order that acts though its caller has gone, as a line end follows the request."""
     address = (deployment.world.machines["c1"].ip, CONTROL)
