--- a/brambleusher/controller/observer.py
+++ b/brambleusher/controller/observer.py
@@ -39,7 +39,7 @@
         self._grant = ObserverGrant(settings.bootstrap)
         self._relay = RelayClient(self.scheduler, self.controllers)
         self._gateway_lookup = GatewayLookup(self.scheduler, self._relay)
-        state = RemoteState(self._relay)
+        state = RemoteState(self.scheduler, self._relay)
         self._listen(AdminApi(self.scheduler, state, frozenset(settings.zones)), path)
         self.scheduler.spawn(self._refresh_controllers, name="refresh_controllers")
 
--- a/brambleusher/controller/process.py
+++ b/brambleusher/controller/process.py
@@ -48,7 +48,7 @@
             self._log_invalid_message,
             self.peer_connections_max,
         )
-        self._admin_listeners = AdminListeners(self.scheduler, settings.bind, admin_api, self._resolve)
+        self._admin_listeners = AdminListeners(self.scheduler, settings.bind, admin_api.handle, self._resolve)
         self._settings_watcher = SettingsWatcher(self.scheduler, settings_path, self._apply_settings)
 
     # --- lifecycle --------------------------------------------------------------------------------
--- a/brambleusher/controlplane/configuration/acknowledged_evacuations.py
+++ b/brambleusher/controlplane/configuration/acknowledged_evacuations.py
@@ -33,8 +33,12 @@
         self._repeated_index[zone] = max(index, self._repeated_index.get(zone, 0))
 
     def is_overtaken(self, command: SetEvacuation, state: SharedState) -> bool:
-        """Return whether the command would change its zone although a later order may be acknowledged."""
+        """Return whether an acknowledged order that changed nothing may be later than the command.
+
+        A command that repeats its zone's state, or that is outdated by it, is left to the replicated state.
+        """
         if command.applied_index is None or state.is_repeated(command):
             return False
         acknowledged_index = max(self._term_index, self._repeated_index.get(command.zone, 0))
-        return command.applied_index < acknowledged_index or state.is_outdated(command)
+        changed_index = state.zone_change_index.get(command.zone, 0)
+        return changed_index <= command.applied_index < acknowledged_index
--- a/brambleusher/controlplane/configuration/admin_api.py
+++ b/brambleusher/controlplane/configuration/admin_api.py
@@ -17,10 +17,9 @@
     SetEvacuation,
     Verdict,
 )
-from brambleusher.controlplane.configuration.preceding_index import PrecedingIndex
 from brambleusher.controlplane.configuration.replicated_state import ReplicatedState
 from brambleusher.controlplane.configuration.state_machine import SharedState
-from brambleusher.runtime.http_server import Handler, HttpRequest, HttpResponse, json_response
+from brambleusher.runtime.http_server import HttpRequest, HttpResponse, json_response
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.wire import configuration, configuration_patch
 from brambleusher.wire.configuration_patch import Patch
@@ -31,6 +30,10 @@
 
 # Operators' tools retry at another controller after one second without a response.
 RESPONSE_TIMEOUT_S = 0.85
+# An evacuation order that comes right after its connection was opened waits this long for the end of the
+# connection. Where a link held up both, the end follows by a round trip. Within the wait followers learn of
+# the last commit; it is shorter than the second after which a caller can have sent a later order.
+SETTLE_S = 0.2
 CONFIGURATION_BYTES_MAX = 8 * 1024 * 1024  # upper bound on the body of one request
 CONFIGURATION_PATH = "/api/config"
 EVACUATIONS_PATH = "/api/evacuations/"
@@ -70,11 +73,11 @@
     return revision
 
 
-def _log_evacuation(method: str, zone: str, applied_index: int | None, response: HttpResponse) -> None:
+def _log_evacuation(request: HttpRequest, zone: str, ready_for_s: float, response: HttpResponse) -> None:
     fields = {
-        "method": method,
+        "method": request.method,
         "zone": zone,
-        "preceding_index": applied_index,
+        "ready_for_s": round(ready_for_s, 3),
         "status": int(response.status),
         "response": response.body.decode(),
     }
@@ -88,20 +91,7 @@
         self._scheduler, self._state, self._zones = scheduler, state, zones
 
     def handle(self, request: HttpRequest) -> HttpResponse:
-        """Return the response to a request whose connection was not ready for it before now."""
-        return self.next_handler()(request)
-
-    def next_handler(self, waited_s: float = 0.0) -> Handler:
-        """Return the handler of a connection's next request; called when the connection is ready for it.
-
-        `waited_s` are the seconds for which the client may have been able to send it already.
-        """
-        preceding_index = PrecedingIndex(self._scheduler, self._state, waited_s)
-        return lambda request: self._handle(request, preceding_index)
-
-    def _handle(self, request: HttpRequest, preceding_index: PrecedingIndex) -> HttpResponse:
-        if not request.path.startswith(EVACUATIONS_PATH):
-            preceding_index.cancel()
+        """Return the response to one request."""
         match request.method, request.path:
             case "PUT", path if path == CONFIGURATION_PATH:
                 return self._put_configuration(request)
@@ -112,7 +102,7 @@
             case "GET", path if path == STATUS_PATH:
                 return json_response(HTTPStatus.OK, self._state.status())
             case "POST" | "DELETE", path if path.startswith(EVACUATIONS_PATH):
-                return self._set_evacuation(request, path.removeprefix(EVACUATIONS_PATH), preceding_index)
+                return self._set_evacuation(request, path.removeprefix(EVACUATIONS_PATH))
         return _error(HTTPStatus.NOT_FOUND, f"{request.method} {request.path} is no call of this controller")
 
     def _deadline(self) -> float:
@@ -162,24 +152,26 @@
             return None
         return configuration_patch.merge(unpack(state.packed), patch)
 
-    def _set_evacuation(
-        self, request: HttpRequest, zone: str, preceding_index: PrecedingIndex
-    ) -> HttpResponse:
+    def _set_evacuation(self, request: HttpRequest, zone: str) -> HttpResponse:
         if zone not in self._zones:
             return _error(HTTPStatus.NOT_FOUND, f"zone {zone} is unknown")
         deadline = self._deadline()
-        applied_index = preceding_index.wait(deadline)
-        if preceding_index.was_held_up:
-            response = _error(HTTPStatus.SERVICE_UNAVAILABLE, "it was held up on its way; send it again")
+        ready_for_s = max(0.0, self._scheduler.now() - request.ready_at)
+        if ready_for_s < SETTLE_S:
+            # A link may have held up the opening of the connection too; its end then follows.
+            self._scheduler.sleep(SETTLE_S)
+        sent_after = min(request.ready_at + SETTLE_S, self._scheduler.now())
+        applied_index = self._state.read_applied_index(sent_after, deadline)
+        if isinstance(applied_index, Err):
+            response = _error(HTTPStatus.SERVICE_UNAVAILABLE, "no controller answered in time")
         elif request.has_disconnected():
             # The client disconnected: it has retried elsewhere or given up. A delayed request must not take
             # effect after a later one.
             response = _error(HTTPStatus.SERVICE_UNAVAILABLE, "the caller has gone")
-        elif applied_index is None:
-            response = _error(HTTPStatus.SERVICE_UNAVAILABLE, "no controller answered in time")
         else:
-            response = self._submit(SetEvacuation(zone, request.method == "POST", applied_index), deadline)
-        _log_evacuation(request.method, zone, applied_index, response)
+            command = SetEvacuation(zone, request.method == "POST", applied_index.ok_value)
+            response = self._submit(command, deadline)
+        _log_evacuation(request, zone, ready_for_s, response)
         return response
 
     def _submit(self, command: Command, deadline: float) -> HttpResponse:
--- a/brambleusher/controlplane/configuration/commands.py
+++ b/brambleusher/controlplane/configuration/commands.py
@@ -29,7 +29,7 @@
     REPEATED = "repeated"  # the same change request was accepted before
     STALE = "stale"  # the command is not based on the current revision
     NOT_HIGHER = "not_higher"  # the new revision is not above the current revision
-    # The zone was changed after the request may have been sent, so the request may be delayed.
+    # The zone was changed after the request can have been sent, so the request may be delayed.
     OUTDATED = "outdated"
 
 
@@ -80,8 +80,8 @@
 class SetEvacuation:
     """Evacuates a zone, or ends its evacuation.
 
-    `applied_index` is an index that a replica had applied before any request was sent that overtakes this
-    one (see `preceding_index`), or None for commands written by versions that did not record it. It guards
+    `applied_index` is the index up to which the receiving replica had applied the log when the request can
+    have been sent at the earliest, or None for commands written by versions that did not record it. It guards
     against delayed requests and copies of them: the command has no effect on a zone that was changed after
     that index.
     """
--- a/brambleusher/controlplane/configuration/replicated_state.py
+++ b/brambleusher/controlplane/configuration/replicated_state.py
@@ -30,8 +30,8 @@
     def read(self, deadline: float) -> ReadResult:
         """Return the current state by a linearizable read."""
 
-    def read_applied_index(self, deadline: float, /) -> IndexResult:
-        """Return the index up to which a replica has applied the log."""
+    def read_applied_index(self, at: float, deadline: float, /) -> IndexResult:
+        """Return an index up to which a replica had applied the log at a time that is not in the future."""
 
     def status(self) -> dict[str, object]:
         """Return this process's view of the group as a JSON object."""
--- a/brambleusher/controlplane/configuration/state_machine.py
+++ b/brambleusher/controlplane/configuration/state_machine.py
@@ -69,9 +69,9 @@
     def _set_evacuation(self, index: int, command: SetEvacuation) -> Verdict:
         if self.is_repeated(command):
             return Verdict.REPEATED
-        if self.is_outdated(command):
+        zone, applied_index = command.zone, command.applied_index
+        if applied_index is not None and applied_index < self.zone_change_index.get(zone, 0):
             return Verdict.OUTDATED
-        zone = command.zone
         others = [other for other in self.evacuated_zones if other != zone]
         self.evacuated_zones = [*others, zone] if command.is_evacuated else others
         self.zone_change_index = {**self.zone_change_index, zone: index}
@@ -82,11 +82,6 @@
         """Return whether the command's zone already is in the state that the command asks for."""
         return (command.zone in self.evacuated_zones) is command.is_evacuated
 
-    def is_outdated(self, command: SetEvacuation) -> bool:
-        """Return whether the command's zone was changed after the command's applied index."""
-        applied_index = command.applied_index
-        return applied_index is not None and applied_index < self.zone_change_index.get(command.zone, 0)
-
     def as_json(self) -> dict[str, object]:
         """Return the state as the JSON object that snapshots store."""
         return {
--- a/brambleusher/controlplane/relay/client.py
+++ b/brambleusher/controlplane/relay/client.py
@@ -33,6 +33,7 @@
 ATTEMPT_TIMEOUT_S = 0.55  # how long to wait for a controller's reply before trying another controller
 RETRY_BACKOFF_S = 0.03
 IDLE_CONNECTIONS_MAX = 16  # maximum number of idle connections kept per controller
+MS_PER_S = 1000
 CONNECTION_SLOT = 0  # an observer needs only one slot, since it uses one controller at a time
 
 
@@ -95,8 +96,8 @@
 class RemoteState:
     """The replicated state for an observer, which relays every request to a controller."""
 
-    def __init__(self, relay: RelayClient) -> None:
-        self._relay = relay
+    def __init__(self, scheduler: Scheduler, relay: RelayClient) -> None:
+        self._scheduler, self._relay = scheduler, relay
 
     def submit(self, command: Command, deadline: float) -> SubmitResult:
         """Commit and apply a command, and return its outcome."""
@@ -108,9 +109,10 @@
         answer = self._relay.request(ReadRequest(), deadline)
         return Ok(SharedState.from_json(answer)) if isinstance(answer, dict) else Err(NoLeaderError())
 
-    def read_applied_index(self, deadline: float, /) -> IndexResult:
-        """Return the applied index of a controller, read after this call began."""
-        answer = self._relay.request(AppliedIndexRequest(), deadline)
+    def read_applied_index(self, at: float, deadline: float, /) -> IndexResult:
+        """Return the index that a controller had applied at a time, or later by the time of asking it."""
+        age_ms = max(0, int((self._scheduler.now() - at) * MS_PER_S))
+        answer = self._relay.request(AppliedIndexRequest(age_ms), deadline)
         return Ok(answer) if isinstance(answer, int) else Err(NoLeaderError())
 
     def status(self) -> dict[str, object]:
--- a/brambleusher/controlplane/relay/messages.py
+++ b/brambleusher/controlplane/relay/messages.py
@@ -9,7 +9,7 @@
 from brambleusher.controlplane.configuration.commands import Command, command_from_json
 from brambleusher.membership.controllers import KnownController, controllers_from_json
 from brambleusher.wire.errors import InvalidMessageError
-from brambleusher.wire.json_fields import JsonObject
+from brambleusher.wire.json_fields import JsonObject, require_int
 
 RELAY = "relay"  # value of the "kind" field in requests from an observer to a controller
 CONTROLLERS_ANNOUNCEMENT = "controllers"  # value of the "kind" field in messages that list the controllers
@@ -50,11 +50,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AppliedIndexRequest:
-    """Request for the index up to which the controller has applied the log."""
+    """Request for the index up to which the controller had applied the log some milliseconds ago."""
+
+    age_ms: int = 0
 
     def as_json(self) -> dict[str, object]:
-        """Return the request in its wire format."""
-        return _request_to_json(RequestKind.APPLIED_INDEX)
+        """Return the request in its wire format; controllers of earlier versions ignore the age."""
+        if self.age_ms == 0:
+            return _request_to_json(RequestKind.APPLIED_INDEX)
+        return _request_to_json(RequestKind.APPLIED_INDEX, age_ms=self.age_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,7 +101,7 @@
         case RequestKind.READ.value:
             return ReadRequest()
         case RequestKind.APPLIED_INDEX.value:
-            return AppliedIndexRequest()
+            return AppliedIndexRequest(require_int({"age_ms": 0, **data}, "age_ms"))
         case RequestKind.RESOLVE.value:
             return ResolveRequest(str(data.get("zone", "")), str(data.get("region", "")))
         case RequestKind.CONTROLLERS.value:
--- a/brambleusher/controlplane/relay/server.py
+++ b/brambleusher/controlplane/relay/server.py
@@ -22,6 +22,7 @@
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.wire.json_fields import JsonObject
 
+MS_PER_S = 1000
 RESPONSE_TIMEOUT_S = 0.45  # time limit for a request, including forwarding it to the leader
 
 
@@ -55,7 +56,8 @@
                 state = self._state.read(deadline)
                 return None if isinstance(state, Err) else state.ok_value.as_read_json()
             case AppliedIndexRequest():
-                index = self._state.read_applied_index(deadline)
+                at = self._scheduler.now() - request.age_ms / MS_PER_S
+                index = self._state.read_applied_index(at, deadline)
                 return None if isinstance(index, Err) else index.ok_value
             case ResolveRequest():
                 return self._find_gateways(request.zone, request.region)
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from brambleusher.controlplane import forwarding
+from brambleusher.controlplane.applied_index_history import AppliedIndexHistory
 from brambleusher.controlplane.bootstrap import Bootstrap
 from brambleusher.controlplane.configuration.acknowledged_evacuations import AcknowledgedEvacuations
 from brambleusher.controlplane.configuration.commands import (
@@ -93,6 +94,7 @@
         storage, recovered = recover_storage(disk)
         self.state = SharedState.from_json(recovered.state)
         self._applied_index = recovered.log.base_index
+        self._applied_index_history = AppliedIndexHistory(scheduler.now(), self._applied_index)
         self.identity = establish_identity(scheduler.system, settings, storage, recovered, rng)
         self.bootstrap = Bootstrap(self.identity, recovered.log.members, recovered.bootstrap_seeds)
         self.consensus = self._start_consensus(settings, recovered, rng)
@@ -131,8 +133,6 @@
     def submit(self, command: Command, deadline: float) -> SubmitResult:
         """Commit and apply a command, either here or by forwarding it to the leader."""
         while self._scheduler.now() < deadline:
-            if self._is_outdated(command):
-                return Ok(Verdict.OUTDATED)
             if self.consensus.accepts_proposals():
                 verdict = self._propose(command, deadline)
             else:
@@ -159,9 +159,9 @@
         """The index up to which the log is applied to `state`."""
         return self._applied_index
 
-    def read_applied_index(self, _deadline: float, /) -> IndexResult:
-        """Return the index up to which the log is applied to `state`."""
-        return Ok(self.applied_index)
+    def read_applied_index(self, at: float, _deadline: float, /) -> IndexResult:
+        """Return the index up to which the log was applied to `state` at a time."""
+        return Ok(self._applied_index_history.index_at(at))
 
     def has_vote(self) -> bool:
         """Return whether a quorum may need this replica's vote."""
@@ -262,12 +262,6 @@
             answer = self.state.as_read_json()
         self._send(sender, forwarding.reply_to_json(request.number, answer))
 
-    def _is_outdated(self, command: Command) -> bool:
-        """Return whether this replica's state suffices to tell that a command is outdated."""
-        if not isinstance(command, SetEvacuation):
-            return False
-        return self.state.is_outdated(command) and not self.state.is_repeated(command)
-
     # --- proposals and reads ---------------------------------------------------------------------
 
     def _request_deadline(self) -> float:
@@ -352,6 +346,7 @@
             self.state, self._applied_index = SharedState.from_json(restore.state), restore.index
         for entry in output.committed:
             self._apply(entry)
+        self._applied_index_history.record(self._scheduler.now(), self._applied_index)
         for message in output.messages:
             self._outbox.post(message, self._disk_writer.synced_number)
         if self.consensus.next_tick_at() < self._wake_at:
--- a/brambleusher/runtime/http_server.py
+++ b/brambleusher/runtime/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl, urlsplit
@@ -31,7 +32,13 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A complete request; `has_disconnected` returns whether its client has closed the connection."""
+    """A complete request.
+
+    Attributes:
+        has_disconnected: Returns whether the client has closed the connection.
+        ready_at: The time of the scheduler's clock before which the client can't have sent the request: when
+            its connection began to open, or when the response before was sent. Infinity if unknown.
+    """
 
     method: str
     path: str
@@ -39,6 +46,7 @@
     headers: dict[bytes, bytes]
     body: bytes
     has_disconnected: Callable[[], bool] = _never
+    ready_at: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,9 +64,6 @@
     return HttpResponse(status, orjson.dumps(data), headers)
 
 
-Handler = Callable[[HttpRequest], HttpResponse]
-
-
 class BodyTooLargeError(Exception):
     """Raised when a request body is larger than the server's limit."""
 
@@ -70,7 +75,7 @@
         self,
         scheduler: Scheduler,
         address: Address,
-        handler: Handler,
+        handler: Callable[[HttpRequest], HttpResponse],
         body_bytes: int = 64 * 1024,
         connections: int = 1024,
     ) -> None:
@@ -78,24 +83,13 @@
         self.acceptor = Acceptor(scheduler, address, self._serve, connections)
         self.closing = False
 
-    def await_first_request(self, _stream: Stream, /) -> Handler:
-        """Return the handler of a connection's first request; called after the connection was accepted."""
-        return self._handler
-
-    def await_next_request(self) -> Handler:
-        """Return the handler of a connection's next request; called after each response.
-
-        A subclass overrides these methods if its handlers depend on when a connection became ready.
-        """
-        return self._handler
-
     def _serve(self, stream: Stream, _peer: str) -> None:
         connection = h11.Connection(h11.SERVER)
-        handler = self.await_first_request(stream)
+        ready_at = self._began_to_open_at(stream)
         while True:
             presence = PeerPresence(stream, ParserBuffer(connection), READ_AHEAD_MAX_BYTES)
             try:
-                request = self._read(stream, connection, presence)
+                request = self._read(stream, connection, presence, ready_at)
             except BodyTooLargeError:
                 self._answer(stream, connection, json_response(413, {"error": "the body is too large"}))
                 return
@@ -106,7 +100,7 @@
                 return
             if request is None:
                 return
-            response = self._handle(handler, presence, request)
+            response = self._handle(presence, request)
             if response is None:
                 return
             self._answer(stream, connection, response)
@@ -115,19 +109,30 @@
                 stream.finish()
                 return
             connection.start_next_cycle()
-            handler = self.await_next_request()
+            ready_at = self._scheduler.now()
+
+    def _began_to_open_at(self, stream: Stream) -> float:
+        """Return the time at which a connection that was just accepted began to open, as far as it is known.
+
+        Bytes that have arrived already may have waited for this process to accept the connection.
+        """
+        system = self._scheduler.system
+        opening_s = system.seconds_to_open(stream.sock)
+        return self._scheduler.now() - opening_s - system.seconds_since_data(stream.sock)
 
-    def _handle(self, handler: Handler, presence: PeerPresence, request: HttpRequest) -> HttpResponse | None:
+    def _handle(self, presence: PeerPresence, request: HttpRequest) -> HttpResponse | None:
         """Call the handler; return None if the client of a safe request has disconnected."""
         if request.method not in READ_METHODS:
-            return handler(request)
+            return self._handler(request)
         try:
             with DisconnectWatch(self._scheduler, presence):
-                return handler(request)
+                return self._handler(request)
         except PeerDisconnectedError:
             return None
 
-    def _read(self, stream: Stream, connection: h11.Connection, presence: PeerPresence) -> HttpRequest | None:
+    def _read(
+        self, stream: Stream, connection: h11.Connection, presence: PeerPresence, ready_at: float
+    ) -> HttpRequest | None:
         head: h11.Request | None = None
         parts: list[bytes] = []
         received_bytes = 0
@@ -142,17 +147,19 @@
                 if received_bytes > self._body_bytes:
                     raise BodyTooLargeError
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return self._complete_request(head, b"".join(parts), presence)
+                return self._complete_request(head, b"".join(parts), presence, ready_at)
             else:
                 return None
 
     @staticmethod
-    def _complete_request(head: h11.Request, body: bytes, presence: PeerPresence) -> HttpRequest:
+    def _complete_request(
+        head: h11.Request, body: bytes, presence: PeerPresence, ready_at: float
+    ) -> HttpRequest:
         target = urlsplit(head.target.decode("latin-1"))
         query = dict(parse_qsl(target.query))
         method = head.method.decode("latin-1")
         headers = dict(head.headers)
-        return HttpRequest(method, target.path, query, headers, body, presence.check_left)
+        return HttpRequest(method, target.path, query, headers, body, presence.check_left, ready_at)
 
     def _answer(self, stream: Stream, connection: h11.Connection, response: HttpResponse) -> None:
         headers = [
--- a/tests/system/test_fault_days_find_faults.py
+++ b/tests/system/test_fault_days_find_faults.py
@@ -15,7 +15,6 @@
     SetEvacuation,
     Verdict,
 )
-from brambleusher.controlplane.configuration.preceding_index import PrecedingIndex
 from brambleusher.controlplane.configuration.replicated_state import ReadResult
 from brambleusher.controlplane.configuration.state_machine import SharedState
 from brambleusher.controlplane.replica import Replica
@@ -72,12 +71,12 @@
 
 
 def old_evacuations_act(patch: Patch) -> None:
-    """Inject a former fault: commands have no applied index, and held-up requests are not detected."""
+    """Inject a former fault: commands have no applied index, and disconnected clients are not detected."""
     evacuate = AdminApi._set_evacuation
 
-    def act(self: AdminApi, request: HttpRequest, zone: str, _index: PrecedingIndex) -> HttpResponse:
+    def act(self: AdminApi, request: HttpRequest, zone: str) -> HttpResponse:
         fresh = HttpRequest(request.method, request.path, request.query, request.headers, request.body)
-        return evacuate(self, fresh, zone, PrecedingIndex(self._scheduler, self._state))
+        return evacuate(self, fresh, zone)
 
     def submit(command: SetEvacuation) -> dict[str, Any]:
         return {"op": "evacuate", "zone": command.zone, "evacuated": command.is_evacuated}
