--- a/tests/project/test_failures_page.py
+++ b/tests/project/test_failures_page.py
@@ -9,6 +9,7 @@
 SHORT = {
     "F": "tests/system/test_control_plane_faults.py",
     "L": "tests/controlplane/consensus/test_consensus_losses.py",
+    "H": "tests/system/test_held_up_orders.py",
     "C": "tests/controlplane/consensus/test_consensus.py",
 }
 NAMED = re.compile(r"`([\w/.]+)::(\w+)`")
