--- a/tests/system/test_held_up_orders.py
+++ b/tests/system/test_held_up_orders.py
@@ -7,8 +7,12 @@
 
 import pytest
 
+from brambleusher.controlplane.applied_index_history import AppliedIndexHistory
+from brambleusher.controlplane.configuration import admin_api
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream
+from tests.controlplane.consensus.cluster import SafetyViolationError
+from tests.system import held_up_days
 from tests.system.virtual_deployment import CONTROL, VirtualDeployment
 
 CORES = ("c1", "c2", "c3")
@@ -224,3 +228,31 @@
         assert deployment.now - begun_at <= TAKEN_WITHIN_S
         assert set(statuses) <= {200, 503}
     assert not is_evacuated(deployment)
+
+
+# --- randomized days -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_day_of_held_up_orders_breaks_a_rule(seed: int) -> None:
+    held_up_days.play(seed)
+
+
+def read_with_the_bytes(patch: pytest.MonkeyPatch) -> None:
+    """Inject the former fault: the index is the one that is applied when the bytes are read."""
+    patch.setattr(AppliedIndexHistory, "index_at", lambda self, _time: self._indexes[-1])
+
+
+def proposed_at_once(patch: pytest.MonkeyPatch) -> None:
+    """Inject a fault: an order does not wait for the end of its connection."""
+    patch.setattr(admin_api, "SETTLE_S", 0.0)
+
+
+@pytest.mark.parametrize("fault", [read_with_the_bytes, proposed_at_once])
+def test_days_of_held_up_orders_find_it(
+    fault: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fault(monkeypatch)
+    with pytest.raises(SafetyViolationError):
+        for seed in range(8):
+            held_up_days.play(seed)
