--- a/brambleusher/lab/soak/checks.py
+++ b/brambleusher/lab/soak/checks.py
@@ -5,11 +5,11 @@
 import bisect
 import signal
 from collections import defaultdict
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from brambleusher.lab.soak.departures import Departure, departures
 from brambleusher.lab.soak.instances import complete_response
+from brambleusher.lab.soak.order_checks import check_orders
 from brambleusher.lab.soak.records import (
     ProcessEventKind,
     RequestOutcome,
@@ -19,6 +19,7 @@
     SoakRecord,
 )
 from brambleusher.lab.soak.settings import DEPARTED_S, GRACE_S, grace_period_s
+from brambleusher.lab.soak.violations import Violation
 from brambleusher.lab.soak.wires import DEADLINE_S
 
 # Statuses that promise that a request has not run and never will.
@@ -34,19 +35,6 @@
 READ_LAG_S = 2.5  # a read may miss an acknowledged change for at most this long
 
 
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """One broken rule."""
-
-    rule: str
-    at_s: float
-    what: str
-
-    def __str__(self) -> str:
-        """Return the violation as one line."""
-        return f"{self.rule} at {self.at_s:.3f} s: {self.what}"
-
-
 def check(record: SoakRecord, departed_s: float = DEPARTED_S) -> list[Violation]:
     """Return all violations, in the order of the rules.
 
@@ -81,6 +69,7 @@
         for departure in departures(self._record):
             self._check_departed(departure)
         self._check_configuration()
+        self._violations += check_orders(self._record)
         self._check_processes()
         self._check_end()
         return self._violations
--- a/brambleusher/lab/soak/instances.py
+++ b/brambleusher/lab/soak/instances.py
@@ -132,7 +132,7 @@
             if head is None:
                 return
             headers = dict(head.headers)
-            run = RunRecord(_attempt_of(headers), self.name, self._now())
+            run = RunRecord(_attempt_of(headers), self.name, self._now(), zone=self.zone, incarnation=self.id)
             self._record.runs.append(run)
             try:
                 self._answer(stream, connection, head, run)
@@ -167,7 +167,7 @@
         headers = dict(head.headers)
         named = headers.get(b"x-target-instance", self.id.encode()).decode()
         if self.faults.rejects or named != self.id:
-            run.outcome = RunOutcome.REJECTED
+            run.outcome, run.is_misdirected = RunOutcome.REJECTED, named != self.id
             self._send_rejection(stream, connection, run, 503 if named == self.id else 421)
             return
         self._simulate_work(stream, HEAD_DELAY_S)
--- a/brambleusher/lab/soak/mutations.py
+++ b/brambleusher/lab/soak/mutations.py
@@ -12,6 +12,7 @@
 from http import HTTPStatus
 from typing import Any
 
+from brambleusher.controlplane.applied_index_history import AppliedIndexHistory
 from brambleusher.controlplane.configuration.admin_api import AdminApi
 from brambleusher.controlplane.configuration.commands import PutConfiguration, Verdict
 from brambleusher.controlplane.configuration.state_machine import SharedState
@@ -19,6 +20,8 @@
 from brambleusher.dataplane.client_connection import ClientConnection
 from brambleusher.dataplane.connection_pool import ConnectionPool
 from brambleusher.dataplane.event_stream import EventSplitter
+from brambleusher.dataplane.instance import Instance, InstanceStatus
+from brambleusher.dataplane.instance_table import InstanceTable
 from brambleusher.dataplane.request_context import RequestContext
 from brambleusher.dataplane.request_handler import RequestHandler
 from brambleusher.dataplane.streaming import StreamRelay
@@ -377,6 +380,28 @@
     original = patches.set(AdminApi, "_put_configuration", put)
 
 
+# --- orders on zones, draining instances ------------------------------------------------------------
+
+
+@mutation("evacuation-ignored", "gateway", "evacuated zones are used as any other", "evacuated-zone-used")
+def _evacuation_ignored(patches: Patches) -> None:
+    patches.set(InstanceTable, "set_evacuated_zones", lambda self, zones, now_s: None)
+
+
+@mutation("draining-used", "gateway", "draining instances are used as any other", "draining-used")
+def _draining_used(patches: Patches) -> None:
+    def set_status(self: Instance, status: InstanceStatus) -> None:
+        if status is not InstanceStatus.DRAINING:
+            original(self, status)
+
+    original = patches.set(Instance, "set_status", set_status)
+
+
+@mutation("old-order-acts", "controller", "a held-up order acts after later ones", "evacuated-zone-used")
+def _old_order_acts(patches: Patches) -> None:
+    patches.set(AppliedIndexHistory, "index_at", lambda self, time: self._indexes[-1])
+
+
 # --- gateways that do not recover -------------------------------------------------------------------
 
 
--- a/brambleusher/lab/soak/operator.py
+++ b/brambleusher/lab/soak/operator.py
@@ -9,7 +9,13 @@
 import h11
 import orjson
 
-from brambleusher.lab.soak.records import AcknowledgedChange, ConfigurationRead, RequestKind, SoakRecord
+from brambleusher.lab.soak.records import (
+    AcknowledgedChange,
+    ConfigurationRead,
+    RequestKind,
+    SoakRecord,
+    ZoneOrder,
+)
 from brambleusher.lab.soak.wires import DEADLINE_S, HOST
 from brambleusher.runtime.h11_messages import encode_message, receive_event
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
@@ -22,6 +28,7 @@
 CHANGE_TIMEOUT_S = 12.0  # how long one change is retried
 TRIES_MAX = 2  # the number of instances to which a route may send one request
 LATENCY_TARGET_MS = 500
+ROUND_TRIP_S = 0.042  # between an operator and a controller in another region
 
 
 def configuration(revision: int, weight: int) -> bytes:
@@ -45,6 +52,12 @@
     return orjson.dumps({"revision": revision, "routes": routes, "services": services, "limits": limits})
 
 
+def _zone_head(order: ZoneOrder) -> h11.Request:
+    fields = [("Host", "controller"), ("Content-Length", "0")]
+    method = "POST" if order.is_evacuated else "DELETE"
+    return h11.Request(method=method, target=f"/api/evacuations/{order.zone}", headers=fields)
+
+
 def _service(kind: RequestKind) -> str:
     return SERVICES[0] if kind.is_stream else SERVICES[1]
 
@@ -93,13 +106,58 @@
 
     def evacuate(self, zone: str, is_restored: bool) -> None:
         """Evacuate a zone, or end its evacuation if `is_restored` is set."""
-        method = "DELETE" if is_restored else "POST"
+        self._send_zone_order(ZoneOrder(zone, not is_restored, self._now()))
+
+    def restore_over_held_up_link(self, zone: str, held_up_s: float) -> None:
+        """End the evacuation of a zone by a link that holds the order up, then evacuate the zone again.
+
+        The order is sent again elsewhere after `REQUEST_TIMEOUT_S`, and the held-up bytes arrive later.
+        """
+        order = ZoneOrder(zone, False, self._now())
+        is_kept_open = self._rng.random() < 0.5
+        address = self._controllers[self._any()]
+        self._scheduler.spawn(
+            self._send_held_up, address, _zone_head(order), held_up_s, is_kept_open, name="held-up order"
+        )
+        self._scheduler.sleep(REQUEST_TIMEOUT_S)
+        self._send_zone_order(order)
+        self.evacuate(zone, is_restored=False)
+
+    def _send_zone_order(self, order: ZoneOrder) -> None:
+        self._record.zone_orders.append(order)
         until = self._now() + CHANGE_TIMEOUT_S
-        while self._now() < until:
-            status, _ = self._request(self._any(), method, f"/api/evacuations/{zone}")
-            if 0 < status < HTTPStatus.INTERNAL_SERVER_ERROR:
-                return
-            self._scheduler.sleep(PAUSE_S)
+        while self._now() < until and not order.is_acknowledged:
+            head = _zone_head(order)
+            status, _ = self._request(self._any(), head.method.decode(), head.target.decode())
+            if HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR:
+                self._record.refused_orders.append((self._now(), f"{order} got {status}"))
+                break
+            order.is_acknowledged = status == HTTPStatus.OK
+            if not order.is_acknowledged:
+                self._scheduler.sleep(PAUSE_S)
+        order.ended_s = self._now()
+
+    def _send_held_up(
+        self, address: Address, head: h11.Request, held_up_s: float, is_kept_open: bool
+    ) -> None:
+        """Open a connection now, and send an order on it later; its end follows the order by a round trip."""
+        arrives_at = self._scheduler.now() + held_up_s
+        try:
+            stream = Stream.connect(self._scheduler, address, arrives_at)
+        except (OSError, TaskTimeoutError):
+            return
+        try:
+            self._scheduler.sleep(arrives_at - self._scheduler.now())
+            end = self._scheduler.now() + REQUEST_TIMEOUT_S
+            stream.send(encode_message(h11.Connection(h11.CLIENT), head), end)
+            if is_kept_open:
+                stream.receive(end)
+            else:
+                self._scheduler.sleep(ROUND_TRIP_S)
+        except (OSError, TaskTimeoutError):
+            return
+        finally:
+            stream.close()
 
     def read(self, controller: str) -> int | None:
         """Read the configuration from one controller; return its revision, or None if there was no answer."""
--- a/brambleusher/lab/soak/plan.py
+++ b/brambleusher/lab/soak/plan.py
@@ -19,6 +19,10 @@
 FAULT_S = (0.5, 3.0)  # how long a fault of an instance, an evacuation or early departures last
 # How long instances hang while clients leave; a request's deadline of 4 s lies within this range.
 STALL_S = (2.5, 4.5)
+# How long a zone of its own stays evacuated, and an instance draining: longer than the bounds on both.
+LASTING_S = (6.5, 9.0)
+HELD_UP_AFTER_S = 1.0  # the time from an evacuation to the order that a link holds up
+HELD_UP_S = (1.8, 4.0)  # how long a link holds an order up, until after the next evacuation
 SERIES_INTERVAL_S = 0.9  # the mean interval between the starts of series, which may overlap
 
 
@@ -38,6 +42,8 @@
     RACE_CONFIGURATION = "race_configuration"  # two concurrent changes are sent on the same revision
     EVACUATE_ZONE = "evacuate_zone"
     RESTORE_ZONE = "restore_zone"
+    # A zone is restored by an order that a link holds up for the duration, and evacuated again meanwhile.
+    HOLD_UP_RESTORE = "hold_up_restore"
     DISCONNECT_CLIENTS = "disconnect_clients"  # many clients leave before their responses are complete
 
 
@@ -87,6 +93,9 @@
         self._end_s = settings.duration_s - CALM_END_S
         self._controller_free_at_s = CALM_START_S
         self._next_triple = settings.seed * TRIPLES_PER_SEED  # a range of seeds covers all triples in turn
+        # One zone is evacuated only by lasting series, so that each of its evacuations outlasts the bound.
+        self._lasting_zone = settings.zone_names[settings.seed % len(settings.zone_names)]
+        self._brief_zones = [zone for zone in settings.zone_names if zone != self._lasting_zone]
 
     def plan(self) -> list[ScheduledAction]:
         """Return all actions, ordered by time."""
@@ -105,7 +114,7 @@
             self._stalled_instances,
             self._stalled_instances,
         ]
-        actions: list[ScheduledAction] = []
+        actions = [*self._lasting_evacuations(), *self._lasting_drains()]
         at_s = CALM_START_S
         while at_s < self._end_s:
             actions += self._rng.choice(draws)(at_s)
@@ -160,10 +169,37 @@
             at_s += self._gap_s()
 
     def _evacuation(self, at_s: float) -> Iterator[ScheduledAction]:
-        zone = self._rng.choice(self._settings.zone_names)
+        zone = self._rng.choice(self._brief_zones)
         yield ScheduledAction(at_s, ActionKind.EVACUATE_ZONE, zone)
         yield ScheduledAction(at_s + self._rng.uniform(*FAULT_S), ActionKind.RESTORE_ZONE, zone)
 
+    def _lasting_evacuations(self) -> Iterator[ScheduledAction]:
+        """Evacuate one zone again and again, every other time with a held-up order to restore it."""
+        rng = random.Random(f"lasting zone {self._settings.seed}")
+        zone, is_held_up, at_s = self._lasting_zone, self._settings.seed % 2 == 0, CALM_START_S
+        while at_s < self._end_s:
+            yield ScheduledAction(at_s, ActionKind.EVACUATE_ZONE, zone)
+            if is_held_up:
+                at_s += HELD_UP_AFTER_S
+                held_up_s = rng.uniform(*HELD_UP_S)
+                yield ScheduledAction(at_s, ActionKind.HOLD_UP_RESTORE, zone, held_up_s)
+                at_s += held_up_s
+            at_s += rng.uniform(*LASTING_S)
+            yield ScheduledAction(at_s, ActionKind.RESTORE_ZONE, zone)
+            at_s += rng.uniform(*FAULT_S)
+            is_held_up = not is_held_up
+
+    def _lasting_drains(self) -> Iterator[ScheduledAction]:
+        """Let one instance after the other drain for longer than gateways may still use it."""
+        rng = random.Random(f"lasting drains {self._settings.seed}")
+        at_s = CALM_START_S + rng.uniform(*FAULT_S)
+        while at_s < self._end_s:
+            duration_s = rng.uniform(*LASTING_S)
+            yield ScheduledAction(
+                at_s, ActionKind.DRAIN_INSTANCE, rng.choice(self._settings.instance_names), duration_s
+            )
+            at_s += duration_s + rng.uniform(*FAULT_S)
+
     def _stalled_instances(self, at_s: float) -> Iterator[ScheduledAction]:
         """Let instances hang while clients leave early."""
         names = self._settings.instance_names + self._settings.endpoint_names
@@ -188,7 +224,7 @@
         if change in (ActionKind.TERMINATE, ActionKind.KILL, ActionKind.RELOAD):
             target = self._rng.choice(self._settings.gateway_names + self._settings.sidecar_names)
         elif change is ActionKind.EVACUATE_ZONE:
-            target = self._rng.choice(self._settings.zone_names)
+            target = self._rng.choice(self._brief_zones)
             yield ScheduledAction(change_at_s + duration_s, ActionKind.RESTORE_ZONE, target)
         yield ScheduledAction(change_at_s, change, target)
 
--- a/brambleusher/lab/soak/records.py
+++ b/brambleusher/lab/soak/records.py
@@ -83,6 +83,9 @@
     outcome: RunOutcome = RunOutcome.RUNNING
     head_s: float | None = None  # the time when the head of a streamed response was sent
     is_resumed: bool = False  # whether the run continues a stream that another run began
+    zone: str = ""
+    incarnation: str = ""  # the id of the instance's incarnation on the platform's list
+    is_misdirected: bool = False  # whether the request was meant for another incarnation and got 421
 
 
 class ProcessEventKind(Enum):
@@ -141,6 +144,25 @@
     at_s: float
 
 
+@dataclass(slots=True)
+class ZoneOrder:
+    """An operator's order to evacuate a zone, or to end its evacuation, with all attempts to send it."""
+
+    zone: str
+    is_evacuated: bool
+    sent_s: float
+    ended_s: float | None = None  # when it was acknowledged or given up; None while it is in progress
+    is_acknowledged: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DrainStart:
+    """The time at which the platform's list first showed an incarnation of an instance as draining."""
+
+    incarnation: str
+    at_s: float
+
+
 @dataclass(slots=True)
 class ProcessUsage:
     """The resources that a process used at one moment."""
@@ -171,3 +193,6 @@
     faulty_log_lines: list[str] = field(default_factory=list)
     fault_intervals: list[InstanceFaultInterval] = field(default_factory=list)
     change_events: list[ChangeEvent] = field(default_factory=list)
+    zone_orders: list[ZoneOrder] = field(default_factory=list)
+    refused_orders: list[tuple[float, str]] = field(default_factory=list)  # time and order
+    drains: list[DrainStart] = field(default_factory=list)
--- a/brambleusher/lab/soak/run.py
+++ b/brambleusher/lab/soak/run.py
@@ -12,7 +12,7 @@
 from http import HTTPStatus
 from pathlib import Path
 
-from brambleusher.lab.soak.checks import Violation, check
+from brambleusher.lab.soak.checks import check
 from brambleusher.lab.soak.clients import Client, Clients, registry_addresses
 from brambleusher.lab.soak.instances import PlatformList, SoakInstance
 from brambleusher.lab.soak.operator import SERVICES, Operator
@@ -21,6 +21,7 @@
 from brambleusher.lab.soak.records import (
     ChangeEvent,
     ClientAct,
+    DrainStart,
     InstanceFaultInterval,
     RequestKind,
     RequestRecord,
@@ -36,6 +37,7 @@
     SoakSettings,
 )
 from brambleusher.lab.soak.sidecars import SidecarDiscovery
+from brambleusher.lab.soak.violations import Violation
 from brambleusher.lab.soak.wires import GatewayWire, SidecarWire
 from brambleusher.runtime.http_client import HttpClient, HttpRequestError
 from brambleusher.runtime.operating_system import RealSystem
@@ -133,6 +135,9 @@
             ActionKind.RACE_CONFIGURATION: lambda _action: self._begin_change(self._operator.race),
             ActionKind.EVACUATE_ZONE: lambda action: self._evacuate(action, is_restored=False),
             ActionKind.RESTORE_ZONE: lambda action: self._evacuate(action, is_restored=True),
+            ActionKind.HOLD_UP_RESTORE: lambda action: self._begin_change(
+                lambda: self._operator.restore_over_held_up_link(action.target, action.duration_s)
+            ),
             ActionKind.DISCONNECT_CLIENTS: self._disconnect_clients,
         }
 
@@ -280,7 +285,9 @@
 
     def _set_fault(self, instance: SoakInstance, name: str, value: bool) -> None:
         setattr(instance.faults, name, value)
-        if name == "drains" and not value:
+        if name == "drains" and value:
+            self._record.drains.append(DrainStart(instance.id, self._now()))
+        elif name == "drains":
             instance.restart()
         self._discovery.update()
 
--- a/tests/lab/test_soak_mutations.py
+++ b/tests/lab/test_soak_mutations.py
@@ -11,13 +11,13 @@
 from brambleusher.cli.group import run
 from brambleusher.lab.faults.breakages import Patches
 from brambleusher.lab.soak import mutation_runs
-from brambleusher.lab.soak.checks import Violation
 from brambleusher.lab.soak.mutation_runs import MutationResult, run_mutations
 from brambleusher.lab.soak.mutations import MUTATIONS, UnknownMutationError, find_mutation
 from brambleusher.lab.soak.processes import Processes
 from brambleusher.lab.soak.records import SoakRecord
 from brambleusher.lab.soak.run import SoakError, SoakResult
 from brambleusher.lab.soak.settings import SoakSettings
+from brambleusher.lab.soak.violations import Violation
 from brambleusher.runtime.operating_system import RealSystem
 from brambleusher.runtime.scheduler import Scheduler
 
@@ -25,6 +25,7 @@
 RULES = {
     *("wrong-answer", "incomplete", "run-twice", "refused-after-run", "lost", "departed", "conflict"),
     *("change-lost", "exit", "log", "recovery", "left-over", "bounds"),
+    *("evacuated-zone-used", "draining-used"),
 }
 
 
