--- a/brambleusher/runtime/http_server.py
+++ b/brambleusher/runtime/http_server.py
@@ -21,7 +21,8 @@
 IDLE_TIMEOUT_S = 60.0
 REQUEST_TIMEOUT_S = 10.0  # limit in seconds from the first to the last byte of a request
 SEND_TIMEOUT_S = 5.0
-READ_METHODS = frozenset({"GET", "HEAD"})  # these change nothing, so a request ends if its client disconnects
+HEAD = "HEAD"  # its response has the headers of a body, but no body: RFC 9110, section 9.3.2
+READ_METHODS = frozenset({"GET", HEAD})  # these change nothing, so a request ends if its client disconnects
 READ_AHEAD_MAX_BYTES = 16 * 1024  # pipelined bytes kept while a request is handled; the rest is discarded
 JSON_TYPE = b"application/json"
 
@@ -68,6 +69,56 @@
     """Raised when a request body is larger than the server's limit."""
 
 
+class _RequestReader:
+    """Reads the next request of a connection.
+
+    Attributes:
+        presence: Watches the connection while the request is handled.
+        is_head_request: Whether the request that is being read or was read is a HEAD request.
+    """
+
+    def __init__(
+        self, scheduler: Scheduler, stream: Stream, connection: h11.Connection, body_bytes: int
+    ) -> None:
+        self._scheduler, self.stream, self.connection = scheduler, stream, connection
+        self._body_bytes = body_bytes
+        self.presence = PeerPresence(stream, ParserBuffer(connection), READ_AHEAD_MAX_BYTES)
+        self.is_head_request = False
+
+    def read(self, ready_at: float) -> HttpRequest | None:
+        """Return the request, or None if the client has closed the connection.
+
+        Raises:
+            BodyTooLargeError: The body is larger than the server's limit.
+            h11.RemoteProtocolError: The bytes are not a complete request.
+        """
+        head: h11.Request | None = None
+        parts: list[bytes] = []
+        received_bytes = 0
+        deadline = self._scheduler.now() + IDLE_TIMEOUT_S
+        while True:
+            event = receive_event(self.connection, self.stream, deadline)
+            if isinstance(event, h11.Request):
+                head, deadline = event, self._scheduler.now() + REQUEST_TIMEOUT_S
+                self.is_head_request = event.method == HEAD.encode()
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                received_bytes += len(event.data)
+                if received_bytes > self._body_bytes:
+                    raise BodyTooLargeError
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return self._complete_request(head, b"".join(parts), ready_at)
+            else:
+                return None
+
+    def _complete_request(self, head: h11.Request, body: bytes, ready_at: float) -> HttpRequest:
+        target = urlsplit(head.target.decode("latin-1"))
+        query = dict(parse_qsl(target.query))
+        method = head.method.decode("latin-1")
+        headers = dict(head.headers)
+        return HttpRequest(method, target.path, query, headers, body, self.presence.check_left, ready_at)
+
+
 class HttpServer:
     """Listens on one address and calls a handler, which may block its task, for each request."""
 
@@ -87,25 +138,25 @@
         connection = h11.Connection(h11.SERVER)
         ready_at = self._began_to_open_at(stream)
         while True:
-            presence = PeerPresence(stream, ParserBuffer(connection), READ_AHEAD_MAX_BYTES)
+            reader = _RequestReader(self._scheduler, stream, connection, self._body_bytes)
             try:
-                request = self._read(stream, connection, presence, ready_at)
+                request = reader.read(ready_at)
             except BodyTooLargeError:
-                self._answer(stream, connection, json_response(413, {"error": "the body is too large"}))
+                self._answer(reader, json_response(413, {"error": "the body is too large"}))
                 return
             except h11.RemoteProtocolError as error:
                 if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                     status = error.error_status_hint
-                    self._answer(stream, connection, json_response(status, {"error": str(error)}))
+                    self._answer(reader, json_response(status, {"error": str(error)}))
                 return
             if request is None:
                 return
-            response = self._handle(presence, request)
+            response = self._handle(reader.presence, request)
             if response is None:
                 return
-            self._answer(stream, connection, response)
+            self._answer(reader, response)
             is_reusable = connection.our_state is h11.DONE and connection.their_state is h11.DONE
-            if not is_reusable or presence.discarded_bytes:
+            if not is_reusable or reader.presence.discarded_bytes:
                 stream.finish()
                 return
             connection.start_next_cycle()
@@ -130,38 +181,7 @@
         except PeerDisconnectedError:
             return None
 
-    def _read(
-        self, stream: Stream, connection: h11.Connection, presence: PeerPresence, ready_at: float
-    ) -> HttpRequest | None:
-        head: h11.Request | None = None
-        parts: list[bytes] = []
-        received_bytes = 0
-        deadline = self._scheduler.now() + IDLE_TIMEOUT_S
-        while True:
-            event = receive_event(connection, stream, deadline)
-            if isinstance(event, h11.Request):
-                head, deadline = event, self._scheduler.now() + REQUEST_TIMEOUT_S
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                received_bytes += len(event.data)
-                if received_bytes > self._body_bytes:
-                    raise BodyTooLargeError
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return self._complete_request(head, b"".join(parts), presence, ready_at)
-            else:
-                return None
-
-    @staticmethod
-    def _complete_request(
-        head: h11.Request, body: bytes, presence: PeerPresence, ready_at: float
-    ) -> HttpRequest:
-        target = urlsplit(head.target.decode("latin-1"))
-        query = dict(parse_qsl(target.query))
-        method = head.method.decode("latin-1")
-        headers = dict(head.headers)
-        return HttpRequest(method, target.path, query, headers, body, presence.check_left, ready_at)
-
-    def _answer(self, stream: Stream, connection: h11.Connection, response: HttpResponse) -> None:
+    def _answer(self, reader: _RequestReader, response: HttpResponse) -> None:
         headers = [
             (b"Content-Type", response.content_type),
             (b"Content-Length", str(len(response.body)).encode()),
@@ -170,4 +190,6 @@
         if self.closing:
             headers.append((b"Connection", b"close"))
         head = h11.Response(status_code=response.status, headers=headers)
-        stream.send(encode_message(connection, head, response.body), self._scheduler.now() + SEND_TIMEOUT_S)
+        body = b"" if reader.is_head_request else response.body
+        data = encode_message(reader.connection, head, body)
+        reader.stream.send(data, self._scheduler.now() + SEND_TIMEOUT_S)
