--- a/brambleusher/lab/soak/clients.py
+++ b/brambleusher/lab/soak/clients.py
@@ -9,7 +9,13 @@
 import h11
 import orjson
 
-from brambleusher.lab.soak.records import ClientAct, RequestOutcome, RequestRecord, SoakRecord
+from brambleusher.lab.soak.records import (
+    ClientAct,
+    RequestKind,
+    RequestOutcome,
+    RequestRecord,
+    SoakRecord,
+)
 from brambleusher.lab.soak.settings import DIRECTORY_PORT
 from brambleusher.lab.soak.wires import DEADLINE_S, HOST, GatewayWire, Wire
 from brambleusher.runtime.h11_messages import encode_message, receive_event
@@ -30,6 +36,7 @@
 HALF_CLOSED_S = 1.0  # how long a client still reads after it has shut down its sending side
 LONG_PAUSE_PROBABILITY = 0.05
 LONG_PAUSE_S = 1.5
+REVISION_ROUTE_PROBABILITY = 0.5  # the share of reads that use the route of the newest acknowledged revision
 
 
 NEXT_REQUEST = f"POST /notice HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {2 * AHEAD_BYTES}\r\n\r\n".encode()
@@ -95,6 +102,8 @@
         record = RequestRecord(
             attempt, client.rng.choice(client.wire.kinds), client.gateway, self._now(), client.is_reused
         )
+        if record.kind is RequestKind.READ and client.rng.random() < REVISION_ROUTE_PROBABILITY:
+            record.route_revision = max((change.revision for change in self._record.changes), default=0)
         self._record.requests.append(record)
         is_early = self._now() < self.disconnects_until_s
         disconnects = client.rng.random() < (
--- a/brambleusher/lab/soak/mutations.py
+++ b/brambleusher/lab/soak/mutations.py
@@ -18,12 +18,15 @@
 from brambleusher.controlplane.configuration.state_machine import SharedState
 from brambleusher.dataplane.attempts import AttemptRunner
 from brambleusher.dataplane.client_connection import ClientConnection
+from brambleusher.dataplane.configuration_store import ConfigurationStore
 from brambleusher.dataplane.connection_pool import ConnectionPool
 from brambleusher.dataplane.event_stream import EventSplitter
 from brambleusher.dataplane.instance import Instance, InstanceStatus
 from brambleusher.dataplane.instance_table import InstanceTable
+from brambleusher.dataplane.long_poll_messages import LongPollResponse
 from brambleusher.dataplane.request_context import RequestContext
 from brambleusher.dataplane.request_handler import RequestHandler
+from brambleusher.dataplane.routing import RouteTable
 from brambleusher.dataplane.streaming import StreamRelay
 from brambleusher.dataplane.upstream_response import UpstreamResponse
 from brambleusher.gateway.app import Gateway
@@ -402,6 +405,25 @@
     patches.set(AppliedIndexHistory, "index_at", lambda self, time: self._indexes[-1])
 
 
+@mutation("list-not-applied", "gateway", "only the first instance list is applied", "draining-used")
+def _list_not_applied(patches: Patches) -> None:
+    def apply(
+        self: ConfigurationStore, response: LongPollResponse, now_s: float, confirms_list: bool
+    ) -> None:
+        if not self._instances.has_list:
+            original(self, response, now_s, confirms_list)
+
+    original = patches.set(ConfigurationStore, "_apply_instances", apply)
+
+
+@mutation("routes-kept", "gateway", "the first configuration stays in force", "route-missing")
+def _routes_kept(patches: Patches) -> None:
+    def read_routes(self: ConfigurationStore, body: bytes, index: int) -> RouteTable | None:
+        return self.routes or original(self, body, index)
+
+    original = patches.set(ConfigurationStore, "_read_routes", read_routes)
+
+
 # --- gateways that do not recover -------------------------------------------------------------------
 
 
--- a/brambleusher/lab/soak/operator.py
+++ b/brambleusher/lab/soak/operator.py
@@ -16,7 +16,7 @@
     SoakRecord,
     ZoneOrder,
 )
-from brambleusher.lab.soak.wires import DEADLINE_S, HOST
+from brambleusher.lab.soak.wires import DEADLINE_S, HOST, revision_path
 from brambleusher.runtime.h11_messages import encode_message, receive_event
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream
@@ -28,12 +28,13 @@
 CHANGE_TIMEOUT_S = 12.0  # how long one change is retried
 TRIES_MAX = 2  # the number of instances to which a route may send one request
 LATENCY_TARGET_MS = 500
+REVISION_ROUTES_MAX = 60  # a configuration has the routes of this many revisions; a soak has fewer
 ROUND_TRIP_S = 0.042  # between an operator and a controller in another region
 
 
 def configuration(revision: int, weight: int) -> bytes:
     """Return a complete configuration; `weight` makes its contents differ from those of other revisions."""
-    routes = [
+    routes: list[dict[str, object]] = [
         {
             "name": kind.value,
             "host": HOST,
@@ -47,11 +48,27 @@
         }
         for kind in RequestKind
     ]
+    oldest = max(1, revision - REVISION_ROUTES_MAX + 1)
+    routes += [_revision_route(number) for number in range(oldest, revision + 1)]
     services = [{"name": name, "conn_limit": 4000} for name in SERVICES]
     limits = {"idle_ms": 15000}
     return orjson.dumps({"revision": revision, "routes": routes, "services": services, "limits": limits})
 
 
+def _revision_route(revision: int) -> dict[str, object]:
+    """Return a route that exists from a revision on."""
+    return {
+        "name": f"revision {revision}",
+        "host": HOST,
+        "path_prefix": revision_path(revision),
+        "kind": "idempotent",
+        "deadline_ms": DEADLINE_S * 1000,
+        "setpoint_ms": LATENCY_TARGET_MS,
+        "service": _service(RequestKind.READ),
+        "tries": TRIES_MAX,
+    }
+
+
 def _zone_head(order: ZoneOrder) -> h11.Request:
     fields = [("Host", "controller"), ("Content-Length", "0")]
     method = "POST" if order.is_evacuated else "DELETE"
--- a/brambleusher/lab/soak/order_checks.py
+++ b/brambleusher/lab/soak/order_checks.py
@@ -1,4 +1,4 @@
-"""The checks of an operator's orders on zones and of draining instances, by the instances' own records.
+"""The checks of an operator's changes and of draining instances, by the records of instances and clients.
 
 The bounds are those of the deployment sheets (SYSTEM.md). They hold for gateways in touch with the control
 plane: those that have run for `CONTACT_S`.
@@ -9,6 +9,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Iterator
+from http import HTTPStatus
 
 from brambleusher.lab.soak.records import (
     ProcessEventKind,
@@ -21,6 +22,7 @@
 
 EVACUATE_S = 5.0  # from the acknowledgement of an evacuation until no request may reach the zone
 STRETCH_S = 6.0  # extra time while controllers end or start
+APPLY_S = 2.5  # from the acknowledgement of a configuration until gateways have to know it
 DRAIN_S = 4.0  # from the list that shows an instance as draining until it may get nothing new
 CONTACT_S = 4.0  # how long a process has to run to be in touch, and controllers to be stable
 CONTROLLER, SIDECAR = "controller", "sidecar"  # prefixes of the names of processes
@@ -35,6 +37,7 @@
         if order.is_evacuated and order.is_acknowledged:
             yield from checks.evacuation(order)
     yield from checks.drains()
+    yield from checks.routes()
 
 
 class _OrderChecks:
@@ -90,13 +93,32 @@
                 what = f"{run.attempt} by {request.gateway} ran {where}"
                 yield Violation("draining-used", run.begun_s, what)
 
+    def routes(self) -> Iterator[Violation]:
+        """Yield the requests on a route of an acknowledged revision that a gateway does not know in time."""
+        acknowledged = {change.revision: change.at_s for change in self._record.changes}
+        for request in self._record.requests:
+            if request.status != HTTPStatus.NOT_FOUND or request.sent_s is None:
+                continue
+            acknowledged_s = acknowledged.get(request.route_revision, math.inf)
+            after_s = request.sent_s - acknowledged_s
+            if after_s <= APPLY_S or not self._is_in_touch(request.gateway, request.sent_s):
+                continue
+            if after_s > APPLY_S + self._stretch_s(acknowledged_s, request.sent_s):
+                what = f"{request.gateway} has no route of revision {request.route_revision}"
+                yield Violation(
+                    "route-missing", request.sent_s, f"{what}, acknowledged {after_s:.3f} s before"
+                )
+
+    def _is_in_touch(self, gateway: str, at_s: float) -> bool:
+        started_s = max((start for start in self._starts[gateway] if start <= at_s), default=-math.inf)
+        return at_s - started_s >= CONTACT_S
+
     def _judged_request(self, run: RunRecord) -> RequestRecord | None:
         """Return the request of a run if its gateway was in touch with the control plane."""
         request = self._requests.get(run.attempt)
         if run.is_misdirected or request is None or request.gateway.startswith(SIDECAR):
             return None
-        started_s = max((at for at in self._starts[request.gateway] if at <= run.begun_s), default=-math.inf)
-        return request if run.begun_s - started_s >= CONTACT_S else None
+        return request if self._is_in_touch(request.gateway, run.begun_s) else None
 
     def _stretch_s(self, since_s: float, until_s: float) -> float:
         is_unstable = any(since_s - CONTACT_S <= at <= until_s for at in self._controller_events)
--- a/brambleusher/lab/soak/records.py
+++ b/brambleusher/lab/soak/records.py
@@ -60,6 +60,7 @@
     body: bytes = b""
     answered_attempt: str = ""  # the id that the response names
     act: ClientAct | None = None  # how the client leaves early, or None if it does not plan to
+    route_revision: int = 0  # the acknowledged revision whose own route the request uses; 0 for none
 
 
 class RunOutcome(Enum):
--- a/brambleusher/lab/soak/wires.py
+++ b/brambleusher/lab/soak/wires.py
@@ -15,6 +15,11 @@
 READ_CLASS, NOTICE_CLASS = "read", "notice"
 
 
+def revision_path(revision: int) -> str:
+    """Return the path prefix of the route that exists from a revision on."""
+    return f"/revision-{revision}/"
+
+
 class Wire(Protocol):
     """The protocol between clients and one of the programs."""
 
@@ -44,7 +49,8 @@
             ("X-Deadline-Remaining", str(int(DEADLINE_S * MS_PER_S))),
             ("Content-Length", str(len(BODY))),
         ]
-        return h11.Request(method="POST", target=f"/{record.kind.value}/x", headers=fields)
+        path = revision_path(record.route_revision) if record.route_revision else f"/{record.kind.value}/"
+        return h11.Request(method="POST", target=f"{path}x", headers=fields)
 
     def body(self, _record: RequestRecord) -> bytes:
         """Return the body of a request."""
--- a/tests/lab/test_soak_mutations.py
+++ b/tests/lab/test_soak_mutations.py
@@ -25,7 +25,7 @@
 RULES = {
     *("wrong-answer", "incomplete", "run-twice", "refused-after-run", "lost", "departed", "conflict"),
     *("change-lost", "exit", "log", "recovery", "left-over", "bounds"),
-    *("evacuated-zone-used", "draining-used"),
+    *("evacuated-zone-used", "draining-used", "route-missing"),
 }
 
 
--- a/tests/lab/test_soak_orders.py
+++ b/tests/lab/test_soak_orders.py
@@ -9,6 +9,7 @@
 from brambleusher.lab.soak.order_checks import check_orders
 from brambleusher.lab.soak.plan import CALM_START_S, ActionKind, SoakPlanner
 from brambleusher.lab.soak.records import (
+    AcknowledgedChange,
     DrainStart,
     ProcessEvent,
     ProcessEventKind,
@@ -94,6 +95,18 @@
     assert rules(made) == ["draining-used"] * is_broken
 
 
+@pytest.mark.parametrize(
+    ("sent_s", "status", "is_broken"), [(12.4, 404, False), (12.6, 404, True), (12.6, 200, False)]
+)
+def test_a_route_is_there_after_the_bound(sent_s: float, status: int, is_broken: bool) -> None:
+    request = RequestRecord("a", RequestKind.READ, "gateway-1", sent_s, sent_s=sent_s, status=status)
+    request.route_revision = 7
+    started = ProcessEvent("gateway-1", 0.0, ProcessEventKind.STARTED)
+    changes = [AcknowledgedChange(7, 10.0)]
+    made = SoakRecord(requests=[request], processes=[started], changes=changes)
+    assert rules(made) == ["route-missing"] * is_broken
+
+
 def test_a_refused_order_is_told() -> None:
     assert rules(SoakRecord(refused_orders=[(1.0, "DELETE n1 got 409")])) == ["order-refused"]
 
