--- a/brambleusher/lab/soak/checks.py
+++ b/brambleusher/lab/soak/checks.py
@@ -197,7 +197,11 @@
                 f"{process} ended by itself with {status}, {at_s - started_s:.3f} s after it started",
             )
         elif status != 0 and not (status == -signal.SIGTERM and signal_s - started_s < START_S):
-            self._add("exit", at_s, f"{process} ended with {status} after SIGTERM")
+            after_s, up_s = at_s - signal_s, signal_s - started_s
+            what = (
+                f"{process} ended with {status}, {after_s:.3f} s after SIGTERM, {up_s:.3f} s after its start"
+            )
+            self._add("exit", at_s, what)
         elif at_s - signal_s > GRACE_S + EXIT_SLACK_S:
             self._add("exit", at_s, f"{process} took {at_s - signal_s:.3f} s to end")
 
--- a/brambleusher/lab/soak/run.py
+++ b/brambleusher/lab/soak/run.py
@@ -217,9 +217,10 @@
 
     def _await_recovery(self) -> None:
         """Wait until all changes have ended and all processes are ready, then end the traffic."""
-        self._wait(
-            lambda: all(task.done for task in self._changes), RECOVERY_TIMEOUT_S, "changes did not end"
-        )
+        self._await_changes()
+        for zone in self._settings.zone_names:
+            self._begin_change(partial(self._operator.evacuate, zone, is_restored=True))
+        self._await_changes()
         self._wait(
             self._are_all_ready, RECOVERY_TIMEOUT_S, "not all gateways were ready after the last action"
         )
@@ -227,6 +228,11 @@
         self._wait(lambda: not self._clients.running, RECOVERY_TIMEOUT_S, "clients did not end")
         self._scheduler.sleep(QUIET_PERIOD_S)
 
+    def _await_changes(self) -> None:
+        self._wait(
+            lambda: all(task.done for task in self._changes), RECOVERY_TIMEOUT_S, "changes did not end"
+        )
+
     def _inspect_final_state(self) -> None:
         record = self._record
         for name in self._settings.controller_names:
