--- a/tests/system/test_held_up_orders.py
+++ b/tests/system/test_held_up_orders.py
@@ -13,7 +13,7 @@
 from brambleusher.runtime.streams import Stream
 from tests.controlplane.consensus.cluster import SafetyViolationError
 from tests.system import held_up_days
-from tests.system.virtual_deployment import CONTROL, VirtualDeployment
+from tests.system.virtual_deployment import CONTROL, SECOND, VirtualDeployment
 
 CORES = ("c1", "c2", "c3")
 ZONE = "n1"
@@ -152,6 +152,31 @@
     assert is_evacuated(deployment)
 
 
+@pytest.mark.parametrize("is_observer", [False, True])
+def test_an_order_that_waited_for_a_process_that_stood_still_does_not_act(
+    deployment: VirtualDeployment, is_observer: bool
+) -> None:
+    """Guards against an old order whose connection is accepted late, and whose caller never ends it."""
+    followers = [name for name in CORES if name != deployment.leader()]
+    machine, others = ("o1", followers) if is_observer else (followers[0], followers[1:])
+    acknowledged(deployment, others[0], "POST")
+    deployment.process(machine).stall(int(HELD_UP_S * SECOND))
+    address = (deployment.world.machines[machine].ip, CONTROL)
+
+    def run(scheduler: Scheduler) -> None:
+        stream = Stream.connect(scheduler, address, scheduler.now() + 1.0)
+        stream.send(request("DELETE"), scheduler.now() + 1.0)
+        stream.receive(scheduler.now() + 8.0)
+        stream.close()
+
+    run_as_caller(deployment, run)
+    deployment.sleep(CALLER_TIMEOUT_S)
+    acknowledged(deployment, others[0], "DELETE")
+    acknowledged(deployment, others[0], "POST")
+    deployment.sleep(HELD_UP_S + 1.0)
+    assert is_evacuated(deployment)
+
+
 def test_bytes_behind_an_order_do_not_hide_the_end_of_its_connection(deployment: VirtualDeployment) -> None:
     """Guards against an order that acts though its caller has gone, as a line end follows the request."""
     address = (deployment.world.machines["c1"].ip, CONTROL)
