--- a/tests/system/test_held_up_orders.py
+++ b/tests/system/test_held_up_orders.py
@@ -102,6 +102,15 @@
     return states.pop()
 
 
+def overtake(deployment: VirtualDeployment, machine: str, method: str, opposite: str, link: Link) -> None:
+    """Hold an order up while it is sent again and its opposite is acknowledged, until it has arrived."""
+    hold_up(deployment, machine, method, link)
+    deployment.sleep(CALLER_TIMEOUT_S)
+    acknowledged(deployment, "c2", method)
+    acknowledged(deployment, "c3", opposite)
+    deployment.sleep(HELD_UP_S + 1.0)
+
+
 @pytest.mark.parametrize("link", LINKS, ids=str)
 @pytest.mark.parametrize("machine", ["c1", "o1"])
 def test_a_held_up_order_does_not_act_after_later_ones(
@@ -110,11 +119,7 @@
     """Guards against a zone that gets requests again though its evacuation was acknowledged last."""
     acknowledged(deployment, "c3", "POST")
     deployment.sleep(0.5)
-    hold_up(deployment, machine, "DELETE", link)
-    deployment.sleep(CALLER_TIMEOUT_S)
-    acknowledged(deployment, "c2", "DELETE")
-    acknowledged(deployment, "c3", "POST")
-    deployment.sleep(HELD_UP_S + 1.0)
+    overtake(deployment, machine, "DELETE", "POST", link)
     assert is_evacuated(deployment)
 
 
@@ -123,11 +128,7 @@
     deployment: VirtualDeployment, machine: str
 ) -> None:
     """Guards against a zone that gets no requests though it was taken back last."""
-    hold_up(deployment, machine, "POST", Link(end_after_s=0.042))
-    deployment.sleep(CALLER_TIMEOUT_S)
-    acknowledged(deployment, "c2", "POST")
-    acknowledged(deployment, "c3", "DELETE")
-    deployment.sleep(HELD_UP_S + 1.0)
+    overtake(deployment, machine, "POST", "DELETE", Link(end_after_s=0.042))
     assert not is_evacuated(deployment)
 
 
