A forwarded order waits for a slow disk instead of being proposed again

Cause: a follower gave up a forwarded command after 0.45 s and proposed it again as a new entry, whose sync began only after the first one's; the leader dropped the first one's outcome after 0.45 s too. So no command that takes longer than 0.45 s was ever acknowledged by a follower. An observer's controller gave up after 0.45 s, the observer after 0.55 s.

Fix: a follower keeps the number of its request and sends it again to the same leader, which ignores a number that is in progress, and serves a command for up to 0.9 s. An observer waits for an evacuation as long as its caller does, as the controller has answered just before.

--- a/brambleusher/controlplane/pending_proposals.py
+++ b/brambleusher/controlplane/pending_proposals.py
@@ -15,15 +15,16 @@
 class PendingResult(Generic[ResultT]):
     """A result that one task waits for; None means that the operation failed."""
 
-    __slots__ = ("event", "result")
+    __slots__ = ("event", "is_resolved", "result")
 
     def __init__(self) -> None:
         self.event = Event()
+        self.is_resolved = False
         self.result: ResultT | None = None
 
     def resolve(self, result: ResultT | None) -> None:
         """Set the result and wake the waiting task."""
-        self.result = result
+        self.is_resolved, self.result = True, result
         self.event.set()
 
     def wait(self, scheduler: Scheduler, deadline: float) -> ResultT | None:
--- a/brambleusher/controlplane/relay/client.py
+++ b/brambleusher/controlplane/relay/client.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
+import math
+
 from result import Err, Ok
 
-from brambleusher.controlplane.configuration.commands import Command, Verdict
+from brambleusher.controlplane.configuration.commands import Command, SetEvacuation, Verdict
 from brambleusher.controlplane.configuration.replicated_state import (
     IndexResult,
     NoLeaderError,
@@ -44,11 +46,13 @@
         self._scheduler, self._controllers = scheduler, controllers
         self._idle: dict[str, list[LineClient]] = {}
 
-    def request(self, request: RelayRequest, deadline: float) -> object:
+    def request(
+        self, request: RelayRequest, deadline: float, attempt_timeout_s: float = ATTEMPT_TIMEOUT_S
+    ) -> object:
         """Return a controller's answer, or None if no controller answered before the deadline."""
         while (now := self._scheduler.now()) < deadline:
             address = self._controllers.acquire(CONNECTION_SLOT, now)
-            answer = self._attempt(address, request, min(ATTEMPT_TIMEOUT_S, deadline - now))
+            answer = self._attempt(address, request, min(attempt_timeout_s, deadline - now))
             if answer is not None:
                 self._controllers.record_success(address)
                 return answer
@@ -101,7 +105,9 @@
 
     def submit(self, command: Command, deadline: float) -> SubmitResult:
         """Commit and apply a command, and return its outcome."""
-        answer = self._relay.request(SubmitRequest(command), deadline)
+        # A controller has just answered the question for its index, so if it is silent its disks are slow.
+        timeout_s = math.inf if isinstance(command, SetEvacuation) else ATTEMPT_TIMEOUT_S
+        answer = self._relay.request(SubmitRequest(command), deadline, timeout_s)
         return Ok(Verdict(answer)) if isinstance(answer, str) else Err(NoLeaderError())
 
     def read(self, deadline: float) -> ReadResult:
--- a/brambleusher/controlplane/relay/server.py
+++ b/brambleusher/controlplane/relay/server.py
@@ -8,6 +8,7 @@
 
 from brambleusher.controlplane.configuration.commands import Command
 from brambleusher.controlplane.configuration.replicated_state import ReplicatedState
+from brambleusher.controlplane.forwarding import COMMAND_TIMEOUT_S
 from brambleusher.controlplane.relay.messages import (
     AppliedIndexRequest,
     ControllersJson,
@@ -23,7 +24,7 @@
 from brambleusher.wire.json_fields import JsonObject
 
 MS_PER_S = 1000
-RESPONSE_TIMEOUT_S = 0.45  # time limit for a request, including forwarding it to the leader
+RESPONSE_TIMEOUT_S = 0.45  # time limit for a request that changes nothing, with forwarding it to the leader
 
 
 class RelayServer:
@@ -46,7 +47,8 @@
             InvalidMessageError: The request is invalid.
         """
         request = request_from_json(message)
-        return reply_to_json(self._answer(request, self._scheduler.now() + RESPONSE_TIMEOUT_S))
+        timeout_s = COMMAND_TIMEOUT_S if isinstance(request, SubmitRequest) else RESPONSE_TIMEOUT_S
+        return reply_to_json(self._answer(request, self._scheduler.now() + timeout_s))
 
     def _answer(self, request: RelayRequest, deadline: float) -> object:
         match request:
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -102,7 +102,9 @@
         self._outbox = Outbox(self._deliver)
         self._proposals = PendingProposals()
         self._evacuations = AcknowledgedEvacuations()
-        self._forwarding = LeaderForwarding(scheduler, send, rng.randrange(FORWARD_NUMBER_MAX))
+        first_number = rng.randrange(FORWARD_NUMBER_MAX)
+        self._forwarding = LeaderForwarding(scheduler, send, self._leader_address, first_number)
+        self._forwarded_commands: set[tuple[str, int]] = set()  # in progress: sender and number of each
         self._last_join_at = self._wake_at = 0.0
         self.seeds: tuple[str, ...] = settings.seed_peers()
         self._wake_up = Event()
@@ -145,11 +147,11 @@
         """Return the current state by a linearizable read."""
         while self._scheduler.now() < deadline:
             if self.consensus.is_leader:
-                if self._confirm_leadership(min(deadline, self._request_deadline())):
+                if self._confirm_leadership(min(deadline, self._read_deadline())):
                     return Ok(self.state)
                 self._scheduler.sleep(RETRY_BACKOFF_S)
                 continue
-            answer = self._forwarding.forward(self._leader_address(), None, deadline)
+            answer = self._forwarding.forward(None, deadline)
             if isinstance(answer, dict):
                 return Ok(SharedState.from_json(answer))
         return Err(NoLeaderError())
@@ -252,20 +254,27 @@
             self._send(leader.address, wire.encode_message(request))
 
     def _serve_forwarded(self, request: ForwardedRequest, sender: str) -> None:
-        deadline = self._request_deadline()
         answer: object = None
-        if request.command is not None:
-            if self.consensus.accepts_proposals():
-                verdict = self._propose(request.command, deadline)
-                answer = verdict.value if verdict is not None else None
-        elif self.consensus.is_leader and self._confirm_leadership(deadline):
-            answer = self.state.as_read_json()
+        if request.command is None:
+            if self.consensus.is_leader and self._confirm_leadership(self._read_deadline()):
+                answer = self.state.as_read_json()
+        elif self.consensus.accepts_proposals():
+            key = (sender, request.number)
+            if key in self._forwarded_commands:
+                return  # sent again while it is in progress
+            self._forwarded_commands.add(key)
+            answer = self._propose_forwarded(request.command)
+            self._forwarded_commands.discard(key)
         self._send(sender, forwarding.reply_to_json(request.number, answer))
 
+    def _propose_forwarded(self, command: Command) -> str | None:
+        verdict = self._propose(command, self._scheduler.now() + forwarding.COMMAND_TIMEOUT_S)
+        return verdict.value if verdict is not None else None
+
     # --- proposals and reads ---------------------------------------------------------------------
 
-    def _request_deadline(self) -> float:
-        return self._scheduler.now() + forwarding.REPLY_TIMEOUT_S
+    def _read_deadline(self) -> float:
+        return self._scheduler.now() + forwarding.RESEND_INTERVAL_S
 
     def _propose(self, command: Command, deadline: float) -> Verdict | None:
         """Append a command to the log and wait until it is applied.
@@ -291,7 +300,7 @@
         return verdict
 
     def _forward_command(self, command: Command, deadline: float) -> Verdict | None:
-        answer = self._forwarding.forward(self._leader_address(), command, deadline)
+        answer = self._forwarding.forward(command, deadline)
         return Verdict(answer) if isinstance(answer, str) else None
 
     def _leader_address(self) -> str | None:
