--- a/brambleusher/controller/process.py
+++ b/brambleusher/controller/process.py
@@ -15,6 +15,7 @@
 from brambleusher.membership.process import run_until_signalled
 from brambleusher.membership.settings_watch import SettingsWatcher
 from brambleusher.observability.log_format import RateLimitedLog
+from brambleusher.runtime.build_identity import read_build_id
 from brambleusher.runtime.http_server import HttpRequest, HttpResponse
 from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.runtime.streams import parse_address
@@ -55,7 +56,8 @@
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then until the graceful shutdown is complete."""
-        log.info("process started", extra={"fields": {"role": self.role, "name": self.settings.node_name}})
+        fields = {"role": self.role, "name": self.settings.node_name, "build": read_build_id()}
+        log.info("process started", extra={"fields": fields})
         run_until_signalled(self.scheduler, self.begin_graceful_shutdown, self._settings_watcher)
 
     def begin_graceful_shutdown(self) -> None:
--- a/brambleusher/gateway/app.py
+++ b/brambleusher/gateway/app.py
@@ -25,6 +25,7 @@
 from brambleusher.membership.process import run_until_signalled
 from brambleusher.membership.settings_watch import SettingsWatcher
 from brambleusher.membership.views import Peer, PeerState
+from brambleusher.runtime.build_identity import read_build_id
 from brambleusher.runtime.http_server import HttpRequest, HttpResponse, HttpServer, json_response
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import parse_address
@@ -123,7 +124,8 @@
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then until the graceful shutdown is complete."""
-        log.info("process started", extra={"fields": {"role": ROLE, "name": self.settings.node_name}})
+        fields = {"role": ROLE, "name": self.settings.node_name, "build": read_build_id()}
+        log.info("process started", extra={"fields": fields})
         run_until_signalled(self.scheduler, self.begin_graceful_shutdown, self._settings_watcher)
         log.info("process stopped", extra={"fields": {"role": ROLE, **self.counters.as_json()}})
 
