Bytecode of other sources is removed by a build, which writes only what changed

Cause: compileall -f writes every file at each build, which fails where a tree that was built is not writable any more, and before it bytecode of an earlier checkout with equal time and size stayed in use.

Change: the step that writes the identity of the build removes the package's bytecode if the sources have changed, and writes nothing otherwise; compileall then makes what is missing, as before.

--- a/brambleusher/runtime/build_identity.py
+++ b/brambleusher/runtime/build_identity.py
@@ -1,6 +1,6 @@
 """The identity of a build, so that a log tells which sources a process runs.
 
-`python3 -m brambleusher.runtime.build_identity`, the last step of a build, writes `target/build-id`.
+`python3 -m brambleusher.runtime.build_identity`, a step of each build, writes `target/build-id`.
 """
 
 from __future__ import annotations
@@ -37,11 +37,23 @@
         return UNKNOWN_BUILD
 
 
-def main() -> None:
-    """Write the identity of the sources of this package."""
-    BUILD_ID.parent.mkdir(exist_ok=True)
-    BUILD_ID.write_text(f"{digest_of_sources(PACKAGE)}\n", encoding="ascii")
+def record_build(package: Path, path: Path) -> None:
+    """Write the identity of a package's sources, and remove the bytecode of other sources.
+
+    Bytecode counts as that of a source with equal time and size, which the source of an earlier build may
+    have too. Where the identity is recorded already, nothing is written.
+
+    Raises:
+        OSError: A module can't be read, or the identity or the bytecode can't be replaced.
+    """
+    identity = digest_of_sources(package)
+    if read_build_id(path) == identity:
+        return
+    for bytecode in package.rglob("*.pyc"):
+        bytecode.unlink()
+    path.parent.mkdir(exist_ok=True)
+    path.write_text(f"{identity}\n", encoding="ascii")
 
 
 if __name__ == "__main__":
-    main()
+    record_build(PACKAGE, BUILD_ID)
