Drawn plays of held-up orders on slow machines and beside wrong ages of connections

Cause: the cases of held-up orders were played on one kind of machine, so that nothing showed an order that gets 503 where a disk or a process is slow, or where a system tells wrong times.

Change: a seed draws how slow disks and processes are, what the system tells, which controller leads, the machines, the link and the pauses; each proper order has to be acknowledged at its first attempt within a second, and the zone to be as it was acknowledged last. The links and the slow machines are modules that the tests share.

--- a/tests/system/test_held_up_orders.py
+++ b/tests/system/test_held_up_orders.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 
 import pytest
 
@@ -14,32 +13,14 @@
 from brambleusher.runtime.streams import Stream
 from tests.controlplane.consensus.cluster import SafetyViolationError
 from tests.system import held_up_days
+from tests.system.held_up_links import HELD_UP_S, PATH, ZONE, Link, hold_up, request, run_as_caller
 from tests.system.virtual_deployment import CONTROL, SECOND, VirtualDeployment
 
 CORES = ("c1", "c2", "c3")
-ZONE = "n1"
-PATH = f"/api/evacuations/{ZONE}"
-HELD_UP_S = 3.0
 CALLER_TIMEOUT_S = 1.0  # PROTOCOL.md, the operator's API: a second of silence
 TAKEN_WITHIN_S = 2.0  # in which a proper order gets an answer from any machine
 
 
-@dataclass(frozen=True)
-class Link:
-    """How a link passes on a connection that it holds up.
-
-    Attributes:
-        opening_is_held_up: Whether the connection opens only once the link passes bytes again.
-        carried_an_order: Whether the connection has carried an earlier order.
-        end_after_s: How long after the order the end of the connection arrives; None if the caller keeps the
-            connection open.
-    """
-
-    opening_is_held_up: bool = False
-    carried_an_order: bool = False
-    end_after_s: float | None = None
-
-
 LINKS = [
     Link(end_after_s=0.002),
     Link(end_after_s=0.042),
@@ -61,38 +42,6 @@
     deployment.close()
 
 
-def request(method: str, path: str = PATH) -> bytes:
-    return f"{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n".encode()
-
-
-def run_as_caller(deployment: VirtualDeployment, run: Callable[[Scheduler], object]) -> None:
-    deployment.caller.serve(lambda scheduler: scheduler.spawn(run, scheduler), "caller")
-
-
-def hold_up(deployment: VirtualDeployment, machine: str, method: str, link: Link) -> None:
-    """Send an order now; it arrives `HELD_UP_S` later, and the end of its connection as the link has it."""
-    address = (deployment.world.machines[machine].ip, CONTROL)
-
-    def run(scheduler: Scheduler) -> None:
-        arrives_at = scheduler.now() + HELD_UP_S
-        stream: Stream | None = None
-        if not link.opening_is_held_up:
-            stream = Stream.connect(scheduler, address, arrives_at)
-            if link.carried_an_order:
-                stream.send(request("POST" if method == "DELETE" else "DELETE"), arrives_at)
-                assert b" 200 " in (stream.receive(arrives_at) or b"")
-        scheduler.sleep(arrives_at - scheduler.now())
-        stream = stream or Stream.connect(scheduler, address, arrives_at + 1.0)
-        stream.send(request(method), arrives_at + 1.0)
-        if link.end_after_s is None:
-            stream.receive(arrives_at + 5.0)
-        else:
-            scheduler.sleep(link.end_after_s)
-        stream.close()
-
-    run_as_caller(deployment, run)
-
-
 def acknowledged(deployment: VirtualDeployment, machine: str, method: str) -> None:
     assert deployment.control(machine, method, PATH).status == 200
 
--- a/tests/system/test_orders_on_slow_machines.py
+++ b/tests/system/test_orders_on_slow_machines.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from dataclasses import replace
-from functools import partial
+from collections.abc import Callable, Iterator
 
-import greenlet
 import pytest
 
-from tests.system.virtual_deployment import SECOND, VirtualDeployment
+from brambleusher.controlplane import forwarding
+from brambleusher.runtime.connection_timing import ConnectionTiming, RequestReadiness
+from brambleusher.runtime.streams import Stream
+from tests.system import held_up_plays
+from tests.system.slow_machines import slow_down_disks, slow_down_steps
+from tests.system.virtual_deployment import VirtualDeployment
 
 PATH = "/api/evacuations/n1"
 CALLER_TIMEOUT_S = 1.0  # PROTOCOL.md, the operator's API: a second of silence
@@ -26,35 +28,6 @@
     deployment.close()
 
 
-def slow_down_disks(deployment: VirtualDeployment, sync_s: float) -> None:
-    """Make every sync of the controllers' disks, which their workers wait for, take a number of seconds."""
-    for name, disk in deployment.disks.items():
-        disk.before = partial(before_change, deployment, name, sync_s)
-
-
-def before_change(deployment: VirtualDeployment, machine: str, sync_s: float, _count: int, what: str) -> None:
-    """Suspend the worker that is about to sync, while the process goes on."""
-    world, process, worker = deployment.world, deployment.process(machine), greenlet.getcurrent()
-
-    def resume() -> None:
-        world.current = process
-        worker.switch()
-        world.current = None
-
-    if what == "sync":
-        world.push(world.now_ns + int(sync_s * SECOND), resume)
-        world.current = None
-        world.main_greenlet.switch()
-
-
-def slow_down_steps(deployment: VirtualDeployment, step_s: float) -> None:
-    """Make every process of the control plane poll only once in a number of seconds."""
-    step_ns = int(step_s * SECOND)
-    for name in (*deployment.controllers, *deployment.observers):
-        process = deployment.process(name)
-        process._pace = replace(process._pace, poll_interval_ns=(step_ns, step_ns))
-
-
 @pytest.mark.parametrize("sync_s", [0.0, 0.2, 0.4, 0.5, 0.6])
 def test_orders_are_taken_at_the_first_attempt_however_slow_the_disks_sync(
     deployment: VirtualDeployment, sync_s: float
@@ -80,3 +53,37 @@
         reply = deployment.control(MACHINES[at % 4], method, PATH, timeout_s=CALLER_TIMEOUT_S)
         assert reply.status == 200, (at, reply)
         deployment.sleep(PAUSE_S)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_play_of_a_held_up_order_breaks_a_rule(seed: int) -> None:
+    held_up_plays.play(seed)
+
+
+def believe_the_system(patch: pytest.MonkeyPatch) -> None:
+    """Inject the former fault: what the system tells of a connection's age counts without a bound."""
+
+    def of_accepted(
+        self: ConnectionTiming, stream: Stream, accepted_at: float, _queued_after: float
+    ) -> RequestReadiness:
+        system = self._scheduler.system
+        return RequestReadiness(
+            accepted_at, system.seconds_since_data(stream.sock), system.seconds_to_open(stream.sock)
+        )
+
+    patch.setattr(ConnectionTiming, "of_accepted", of_accepted)
+
+
+def give_up_early(patch: pytest.MonkeyPatch) -> None:
+    """Inject the former fault: a leader gives a command up while it is being synced."""
+    patch.setattr(forwarding, "COMMAND_TIMEOUT_S", 0.45)
+
+
+@pytest.mark.parametrize("fault", [believe_the_system, give_up_early])
+def test_plays_of_held_up_orders_find_it(
+    fault: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fault(monkeypatch)
+    with pytest.raises(held_up_plays.PlayFailedError):
+        for seed in range(60):
+            held_up_plays.play(seed)
