--- a/tests/system/held_up_plays.py
+++ b/tests/system/held_up_plays.py
@@ -112,7 +112,7 @@
 
 
 def _play_orders(deployment: VirtualDeployment, drawn: Play) -> None:
-    """The opposite order is acknowledged, the held-up one is sent, and sent again, and the opposite once more."""
+    """Acknowledge the opposite order, send one that is held up and send it again, then the opposite one."""
     first, second, third = drawn.machines
     opposite = "POST" if drawn.held_up == "DELETE" else "DELETE"
     _acknowledge(deployment, first, opposite)
