Tests of evacuation orders share the path, the caller's time-out and the machines

Cause: found by reading the change again: three constants stood twice in the tests of held-up orders and of slow machines. Change: one place each; the tests keep their assertions.

--- a/tests/system/test_held_up_orders.py
+++ b/tests/system/test_held_up_orders.py
@@ -14,10 +14,10 @@
 from tests.controlplane.consensus.cluster import SafetyViolationError
 from tests.system import held_up_days
 from tests.system.held_up_links import HELD_UP_S, PATH, ZONE, Link, hold_up, request, run_as_caller
+from tests.system.held_up_plays import CALLER_TIMEOUT_S, MACHINES
 from tests.system.virtual_deployment import CONTROL, SECOND, VirtualDeployment
 
 CORES = ("c1", "c2", "c3")
-CALLER_TIMEOUT_S = 1.0  # PROTOCOL.md, the operator's API: a second of silence
 TAKEN_WITHIN_S = 2.0  # in which a proper order gets an answer from any machine
 
 
@@ -223,9 +223,8 @@
     deployment = VirtualDeployment(gateways=1, observers=1)
     deployment.served()
     deployment.sleep(3.0)
-    machines = ["c1", "c2", "c3", "o1"]
     for at in range(12):
-        acknowledged(deployment, machines[at % 4], ("POST", "DELETE")[at % 2])
+        acknowledged(deployment, MACHINES[at % 4], ("POST", "DELETE")[at % 2])
         deployment.sleep(0.5)
     deployment.close()
 
--- a/tests/system/test_orders_on_slow_machines.py
+++ b/tests/system/test_orders_on_slow_machines.py
@@ -1,4 +1,4 @@
-"""Proper orders of an operator at controllers and an observer whose disks or links are slow."""
+"""Proper orders of an operator at controllers and an observer whose disks or processes are slow."""
 
 from __future__ import annotations
 
@@ -10,13 +10,12 @@
 from brambleusher.runtime.connection_timing import ConnectionTiming, RequestReadiness
 from brambleusher.runtime.streams import Stream
 from tests.system import held_up_plays
+from tests.system.held_up_links import PATH
+from tests.system.held_up_plays import CALLER_TIMEOUT_S, MACHINES
 from tests.system.slow_machines import slow_down_disks, slow_down_steps
 from tests.system.virtual_deployment import VirtualDeployment
 
-PATH = "/api/evacuations/n1"
-CALLER_TIMEOUT_S = 1.0  # PROTOCOL.md, the operator's API: a second of silence
 PAUSE_S = 0.5  # between the response to an order and the next order
-MACHINES = ("c1", "c2", "c3", "o1")
 
 
 @pytest.fixture
