Controllers remember observers, so that observers who know nobody are found

After SIGKILL to all processes all gateways answered 503 for good; also where the edge alone was restarted.

Cause: an observer keeps the addresses of controllers in memory alone. After a restart the three knew each other and nobody else.

--- a/brambleusher/controller/app.py
+++ b/brambleusher/controller/app.py
@@ -4,7 +4,12 @@
 
 from brambleusher.controller.bootstrap_client import BootstrapClient
 from brambleusher.controller.messages import MessageKind
-from brambleusher.controller.peer_directory import CONTROLLER_ROLE, GATEWAY_ROLE, PeerDirectory
+from brambleusher.controller.peer_directory import (
+    CONTROLLER_ROLE,
+    GATEWAY_ROLE,
+    OBSERVER_ROLE,
+    PeerDirectory,
+)
 from brambleusher.controller.process import ControlPlaneProcess
 from brambleusher.controlplane.configuration.admin_api import AdminApi
 from brambleusher.controlplane.configuration.long_poll_messages import LONG_POLL
@@ -14,7 +19,7 @@
 from brambleusher.controlplane.relay.messages import CONTROLLERS_ANNOUNCEMENT, RELAY
 from brambleusher.controlplane.relay.server import RelayServer
 from brambleusher.controlplane.replica import Replica
-from brambleusher.membership.views import PartialView, Peer, PeerState
+from brambleusher.membership.views import ALIVE_WITHIN_S, PartialView, Peer, PeerState
 from brambleusher.runtime.disk import Disk
 from brambleusher.runtime.system import System
 from brambleusher.wire.bootstrap_messages import BOOTSTRAP_QUERY, BootstrapAnswer
@@ -22,6 +27,7 @@
 from brambleusher.wire.settings import Settings
 
 SHUFFLE_INTERVAL_S = 0.6
+OBSERVERS_PER_ANNOUNCEMENT = 8  # observers without contact that get one announcement
 SHUFFLE_JITTER = (0.8, 1.2)  # random factor of the interval, so that controllers do not shuffle in step
 SHUTDOWN_MIN_S = 1.2  # minimum time after SIGTERM to transfer leadership and answer pending requests
 SHUTDOWN_POLL_S = 0.1
@@ -167,17 +173,21 @@
                 peer = self._rng.choice(peers)
                 sample = self.view.sample(now_s)
                 self._send(peer, {"kind": MessageKind.SHUFFLE.value, "sample": sample})
+            self.replica.record_observers(peer.address for peer in self.view.alive(OBSERVER_ROLE, now_s))
             self._announce_controllers()
             self._bootstrap_client.check()
             self.scheduler.sleep(SHUFFLE_INTERVAL_S * self._rng.uniform(*SHUFFLE_JITTER))
 
     def _announce_controllers(self) -> None:
-        """Send the list of controllers to the seeds that are not known as controllers.
+        """Send the list of controllers to observers that may not know any controller after a restart.
 
-        These seeds may be observers, which know no other process after a power loss.
+        These are the seeds that are not known as controllers, and the observers without recent contact.
         """
+        now_s = self.scheduler.now()
+        silent = self.replica.observers.sample_silent(now_s, ALIVE_WITHIN_S, OBSERVERS_PER_ANNOUNCEMENT)
+        recipients = dict.fromkeys([*self.replica.seeds, *silent])
         known = {*self._directory.addresses(), self.settings.peer_address}
-        for address in self.replica.seeds:
+        for address in recipients:
             if address not in known:
                 controllers = self._directory.as_json()
                 self._send(address, {"kind": CONTROLLERS_ANNOUNCEMENT, "controllers": controllers})
--- a/brambleusher/controlplane/disk_writer.py
+++ b/brambleusher/controlplane/disk_writer.py
@@ -1,4 +1,4 @@
-"""Writes a replica's log records and snapshots to disk in order, on a worker thread."""
+"""Writes a replica's log records, snapshots and known observers to disk in order, on a worker thread."""
 
 from __future__ import annotations
 
@@ -38,7 +38,14 @@
     entries: list[Entry]
 
 
-Job = RecordsJob | SnapshotJob
+@dataclass(frozen=True, slots=True)
+class ObserversJob:
+    """The addresses of all known observers."""
+
+    addresses: tuple[str, ...]
+
+
+Job = RecordsJob | SnapshotJob | ObserversJob
 
 
 class DiskWriter:
@@ -93,6 +100,10 @@
         self._is_snapshot_pending = True
         self._queue(SnapshotJob(snapshot, hard_state, entries))
 
+    def write_observers(self, addresses: tuple[str, ...]) -> None:
+        """Queue the addresses of all known observers, which replace those on the disk."""
+        self._queue(ObserversJob(addresses))
+
     def _queue(self, job: Job) -> None:
         with self._worker.lock:
             self._jobs.append(job)
@@ -108,10 +119,7 @@
         with self._worker.lock:
             job, job_count = self._next_job()
         try:
-            if isinstance(job, SnapshotJob):
-                self._storage.write_snapshot(job.snapshot, self._identity, job.hard_state, job.entries)
-            else:
-                self._storage.write(job.records)
+            self._execute(job)
         except OSError as error:
             with self._worker.lock:
                 self._is_backing_off = True
@@ -123,15 +131,24 @@
                 self._jobs.popleft()
         self._scheduler.call_soon(lambda: self._done(job))
 
+    def _execute(self, job: Job) -> None:
+        match job:
+            case RecordsJob():
+                self._storage.write(job.records)
+            case SnapshotJob():
+                self._storage.write_snapshot(job.snapshot, self._identity, job.hard_state, job.entries)
+            case ObserversJob():
+                self._storage.write_observers(job.addresses)
+
     def _next_job(self) -> tuple[Job, int]:
         """Return the next job, and how many queued jobs it combines."""
         first = self._jobs[0]
-        if isinstance(first, SnapshotJob):
+        if not isinstance(first, RecordsJob):
             return first, 1
         records, last_number, job_count = list(first.records), first.last_number, 1
         while job_count < len(self._jobs):
             following = self._jobs[job_count]
-            if isinstance(following, SnapshotJob):
+            if not isinstance(following, RecordsJob):
                 break
             records += following.records
             last_number, job_count = following.last_number, job_count + 1
@@ -149,9 +166,12 @@
             self._worker.wake()
 
     def _done(self, job: Job) -> None:
-        if isinstance(job, SnapshotJob):
-            self._is_snapshot_pending = False
-            self._on_snapshot_written(job.snapshot.index)
-            return
-        self.synced_number = max(self.synced_number, job.last_number)
-        self._on_synced()
+        match job:
+            case RecordsJob():
+                self.synced_number = max(self.synced_number, job.last_number)
+                self._on_synced()
+            case SnapshotJob():
+                self._is_snapshot_pending = False
+                self._on_snapshot_written(job.snapshot.index)
+            case ObserversJob():
+                pass
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -8,7 +8,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from result import Err, Ok
 
@@ -33,6 +33,7 @@
 from brambleusher.controlplane.consensus.raft import Consensus, InitialGrowth
 from brambleusher.controlplane.disk_writer import DiskWriter
 from brambleusher.controlplane.forwarding import ForwardedRequest, LeaderForwarding, SendMessage
+from brambleusher.controlplane.known_observers import KnownObservers
 from brambleusher.controlplane.outbox import Outbox, ReplicaAddresses
 from brambleusher.controlplane.pending_proposals import PendingProposals, PendingResult
 from brambleusher.controlplane.startup import establish_identity, recover_storage
@@ -99,6 +100,7 @@
         self._applied_index = recovered.log.base_index
         self._applied_index_history = AppliedIndexHistory(scheduler.now(), self._applied_index)
         self.identity = establish_identity(scheduler.system, settings, storage, recovered, rng)
+        self.observers = KnownObservers(recovered.observers, rng)
         self.bootstrap = Bootstrap(self.identity, recovered.log.members, recovered.bootstrap_seeds)
         self.consensus = self._start_consensus(settings, recovered, rng)
         self._addresses = ReplicaAddresses()
@@ -205,6 +207,15 @@
             self.consensus.replace_bootstrap_members(members)
             self._process_output()
 
+    # --- observers -------------------------------------------------------------------------------
+
+    def record_observers(self, addresses: Iterable[str]) -> None:
+        """Record a contact with observers, and store their addresses if one of them was not known."""
+        now = self._scheduler.now()
+        changes = [self.observers.record_contact(address, now) for address in addresses]
+        if any(changes):
+            self._disk_writer.write_observers(self.observers.addresses())
+
     # --- graceful shutdown -----------------------------------------------------------------------
 
     def begin_graceful_shutdown(self) -> None:
--- a/brambleusher/controlplane/storage/recovery.py
+++ b/brambleusher/controlplane/storage/recovery.py
@@ -8,6 +8,7 @@
 from brambleusher.controlplane.consensus.outputs import BootstrapMembersRecord, HardState, Restore, Truncate
 from brambleusher.controlplane.consensus.replicated_log import Log
 from brambleusher.controlplane.storage.errors import CorruptStorageError
+from brambleusher.controlplane.storage.observers_file import read_observers_file
 from brambleusher.controlplane.storage.records import (
     BootstrapSeedsRecord,
     IdentityRecord,
@@ -36,6 +37,7 @@
         bootstrap_seeds: The addresses of the seeds at the system's first start, as a replica that was created
             then and is no seed has stored them; else empty.
         record_count: The number of records read from segments, for reports to operators.
+        observers: The addresses of the observers that the replica has heard of.
     """
 
     identity: str = ""
@@ -45,6 +47,7 @@
     state: object = None
     bootstrap_seeds: tuple[str, ...] = ()
     record_count: int = 0
+    observers: tuple[str, ...] = ()
 
     def load_snapshot(self, file: SnapshotFile) -> None:
         """Initialize the state from a snapshot."""
@@ -116,7 +119,7 @@
     Raises:
         CorruptStorageError: Records are unreadable at a place where an interrupted write cannot be the cause.
     """
-    recovered = RecoveredState()
+    recovered = RecoveredState(observers=read_observers_file(disk))
     names = disk.names()
     snapshot = read_newest_snapshot(disk, names)
     if snapshot is not None:
--- a/brambleusher/controlplane/storage/storage.py
+++ b/brambleusher/controlplane/storage/storage.py
@@ -1,7 +1,8 @@
-"""The durable state of a replica: log segments of records with checksums, and snapshots.
+"""The durable state of a replica: log segments of records with checksums, snapshots, and known observers.
 
-Snapshots and new segments are created atomically (written under another name, synced and renamed). Older
-files are removed once a newer segment repeats every entry that is not in the snapshot.
+Snapshots, new segments and the file of observers are created atomically (written under another name, synced
+and renamed). Older segments and snapshots are removed once a newer segment repeats every entry that is not
+in the snapshot.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 from collections.abc import Sequence
 
 from brambleusher.controlplane.consensus.outputs import BootstrapMembersRecord, HardState, Record, Restore
+from brambleusher.controlplane.storage.observers_file import write_observers_file
 from brambleusher.controlplane.storage.records import (
     BootstrapSeedsRecord,
     IdentityRecord,
@@ -89,6 +91,10 @@
         """Append records and sync them; the call may be repeated after an `OSError`."""
         self._writer.append(records)
 
+    def write_observers(self, addresses: Sequence[str]) -> None:
+        """Replace the stored addresses of observers; the call may be repeated after an `OSError`."""
+        write_observers_file(self._disk, addresses)
+
     @property
     def is_snapshot_due(self) -> bool:
         """Whether the segment is large enough for a snapshot."""
--- a/tests/controlplane/storage/test_storage.py
+++ b/tests/controlplane/storage/test_storage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 
 import pytest
@@ -14,6 +15,7 @@
     Truncate,
 )
 from brambleusher.controlplane.storage.errors import CorruptStorageError
+from brambleusher.controlplane.storage.observers_file import OBSERVERS_FILE
 from brambleusher.controlplane.storage.storage import Storage, inspect, recover_read_only
 from brambleusher.wire.consensus_messages import Entry, EntryKind, Member
 from tests.system.memory_disk import MemoryDisk, PowerLossError
@@ -208,3 +210,47 @@
     shown = inspect(disk)
     assert (shown["identity"], shown["last_index"]) == ("a", 1)
     assert {name: disk.read(name) for name in disk.names()} == before
+
+
+OLD_OBSERVERS, NEW_OBSERVERS = ("10.4.0.1:1",), ("10.4.0.1:1", "10.4.0.2:1")
+
+
+def test_observers_are_recovered_beside_the_log_and_outlive_a_snapshot() -> None:
+    disk = MemoryDisk()
+    storage = begun(disk)
+    assert Storage(disk).recover().observers == ()
+    storage.write_observers(NEW_OBSERVERS)
+    storage.write([entry(1), entry(2)])
+    storage.write_snapshot(snapshot(1), "a", HardState(1, ""), [entry(2)])
+    found = Storage(disk).recover()
+    assert (found.observers, found.log.last_index) == (NEW_OBSERVERS, 2)
+
+
+def test_power_lost_at_every_change_leaves_the_old_or_the_new_observers() -> None:
+    for at in range(1, 6):
+        for seed in range(12):
+            disk = MemoryDisk()
+            storage = begun(disk)
+            storage.write_observers(OLD_OBSERVERS)
+            last_change = disk.changes + at
+
+            def lose(change: int, what: str, last_change: int = last_change) -> None:
+                if change == last_change:
+                    raise PowerLossError
+
+            disk.before = lose
+            with contextlib.suppress(PowerLossError):
+                storage.write_observers(NEW_OBSERVERS)
+            disk.before = None
+            disk.lose_power(random.Random(seed), nothing_unsynced=seed == 0)
+            assert Storage(disk).recover().observers in (OLD_OBSERVERS, NEW_OBSERVERS), (at, seed)
+
+
+def test_unreadable_observers_are_dropped_and_the_log_is_kept() -> None:
+    disk = MemoryDisk()
+    storage = begun(disk)
+    storage.write_observers(NEW_OBSERVERS)
+    storage.write([entry(1)])
+    disk.files[OBSERVERS_FILE].data[-4] ^= 1
+    found = Storage(disk).recover()
+    assert (found.observers, found.log.last_index) == ((), 1)
--- a/tests/controlplane/test_disk_writer.py
+++ b/tests/controlplane/test_disk_writer.py
@@ -129,6 +129,17 @@
     return [Entry(index, 1, EntryKind.COMMAND, {})]
 
 
+def test_observers_are_written_between_records_without_a_callback(rig: Rig) -> None:
+    rig.writer.append(entries(1, 1))
+    rig.writer.write_observers(("10.4.0.1:1",))
+    rig.writer.append(entries(2, 2))
+    assert rig.worker.run() == 3
+    rig.scheduler.run_calls()
+    assert (rig.synced, rig.snapshots) == ([1, 2], [])
+    assert Storage(rig.disk).recover().observers == ("10.4.0.1:1",)
+    assert rig.recovered_index() == 2
+
+
 def test_a_failed_write_is_retried_after_a_backoff_and_loses_nothing(rig: Rig) -> None:
     rig.disk.full = True
     rig.writer.append(entries(1, 1))
--- a/tests/system/test_observer.py
+++ b/tests/system/test_observer.py
@@ -11,9 +11,13 @@
 from brambleusher.controlplane.relay.server import RelayServer
 from brambleusher.membership.controllers import Controllers, Locality, controllers_from_json
 from brambleusher.wire.errors import InvalidMessageError
+from tests.system.memory_disk import MemoryDisk
 from tests.system.virtual_deployment import DIRECTORY, VirtualDeployment, configuration, route
 from tests.wire.test_configuration_patch import patch, patch_body
 
+RECOVERY_S = 12.0  # bound of the settings for serving again
+START_S = 0.5  # within this time the new processes have taken the place of the old ones
+
 
 @pytest.fixture
 def deployment() -> Iterator[VirtualDeployment]:
@@ -134,6 +138,50 @@
     deployment.close()
 
 
+def restart(deployment: VirtualDeployment, names: list[str], seeds: list[str]) -> None:
+    """Start processes that were killed or lost power; their settings name `seeds`."""
+    deployment.seeds = seeds
+    for name in names:
+        deployment.power_on(name)
+    deployment.sleep(START_S)
+
+
+@pytest.mark.parametrize("lost_disk", ["", "c1"])
+def test_observers_that_are_each_others_only_seeds_serve_again_after_a_power_loss_of_all(
+    lost_disk: str,
+) -> None:
+    """Guards against gateways that find no controller, as no seed of theirs knows one after a restart."""
+    deployment = VirtualDeployment(gateways=3, observers=3)
+    deployment.add_instance("a")
+    deployment.served()
+    deployment.sleep(5.0)
+    cores, edges = list(deployment.controllers), [*deployment.gateways, *deployment.observers]
+    core_seeds, edge_seeds = deployment.seeds, [f"10.4.0.{at}:8166" for at in (1, 2, 3)]
+    for name in [*cores, *edges]:
+        deployment.power_off(name, nothing_unsynced=True)
+    if lost_disk:
+        deployment.disks[lost_disk] = MemoryDisk()
+    restart(deployment, cores, core_seeds)
+    restart(deployment, edges, edge_seeds)
+    deployment.wait(lambda: all(gateway.is_ready for gateway in deployment.gateways.values()), RECOVERY_S)
+    deployment.wait(lambda: deployment.control("o1", "GET", "/api/config").status == 200, RECOVERY_S)
+    deployment.close()
+
+
+def test_observers_that_are_each_others_only_seeds_serve_again_after_they_alone_restart() -> None:
+    """Guards against an edge that finds the running controllers no more."""
+    deployment = VirtualDeployment(gateways=3, observers=3)
+    deployment.add_instance("a")
+    deployment.served()
+    deployment.sleep(5.0)
+    edges = [*deployment.gateways, *deployment.observers]
+    for name in edges:
+        deployment.power_off(name)
+    restart(deployment, edges, [f"10.4.0.{at}:8166" for at in (1, 2, 3)])
+    deployment.wait(lambda: all(gateway.is_ready for gateway in deployment.gateways.values()), RECOVERY_S)
+    deployment.close()
+
+
 def test_a_forwarded_message_is_not_forwarded_again(deployment: VirtualDeployment) -> None:
     observer = deployment.observers["o1"]
     sent: list[str] = []
