A request that may run once is not sent again after an early answer

Where the second sending was rejected, the client got 503 for a request that had run.

Cause: the liveness check of an idle connection sent all but the last byte, and took whatever arrived for the end of the connection, as "an incomplete request can't have run". An instance may answer before it has read a long body, so with the head complete it may have run.

Change: the check sends the head without its end. Nothing can run or answer a request whose head is incomplete, so sending it elsewhere stays safe; after the check it counts as possibly run. A long body now starts after the wait (0.1 s at most).

--- a/brambleusher/dataplane/upstream_client.py
+++ b/brambleusher/dataplane/upstream_client.py
@@ -35,6 +35,7 @@
 LIVENESS_MARGIN_S = 0.004  # added to the round trips for timer inaccuracy and short queues
 LIVENESS_ROUND_TRIPS = 1.5  # the liveness check waits for this many round trips
 LIVENESS_MAX_S = 0.1  # upper bound of the wait of the liveness check
+HEAD_END = b"\r\n\r\n"
 ATTEMPT_HEADER = b"x-attempt-id"
 NOT_EXECUTED_HEADER = b"x-not-executed"
 MISDIRECTED_REQUEST = 421  # HTTP status of an instance that is not the one named in the request
@@ -120,17 +121,19 @@
         needs_check = request.must_run_once and self._pool.drops_idle_silently
         if not needs_check or connection.idle_s <= UNCHECKED_IDLE_S:
             return _PreparedAttempt(connection, data)
-        if self._is_alive(request, connection, data[:-1]):
-            return _PreparedAttempt(connection, data[-1:])
+        probe_bytes = data.index(HEAD_END)  # the head without its end
+        if self._is_alive(request, connection, data[:probe_bytes]):
+            return _PreparedAttempt(connection, data[probe_bytes:])
         self._pool.close(request.instance, connection)
         self._pool.record_reset(connection)
         return None
 
     def _is_alive(self, request: UpstreamRequest, connection: UpstreamConnection, begin: bytes) -> bool:
-        """Send all but the last byte of a request; return whether the connection is still alive.
+        """Send the begin of a request's head; return whether the connection is still alive.
 
-        An instance that has silently dropped a connection resets it when bytes arrive.  An incomplete
-        request can't have run, so it may then be sent over another connection.
+        An instance that has silently dropped a connection resets it when bytes arrive.  A request whose head
+        is incomplete can't have run, so it may then be sent over another connection.  One whose body is
+        incomplete may have run: an instance may answer before it has read the body.
         """
         timeout_s = min(connection.handshake_s * LIVENESS_ROUND_TRIPS + LIVENESS_MARGIN_S, LIVENESS_MAX_S)
         until_s = self._scheduler.now() + timeout_s
@@ -144,7 +147,7 @@
         except BaseException:
             self._pool.close(request.instance, connection)
             raise
-        return False  # nothing should arrive before the request is complete, except the end of the connection
+        return False  # the end of the connection, or bytes that can't answer this request
 
     # --- response ---------------------------------------------------------------------------------
 
--- a/tests/dataplane/test_idle_connections.py
+++ b/tests/dataplane/test_idle_connections.py
@@ -14,6 +14,8 @@
 from brambleusher.dataplane.upstream_client import UNCHECKED_IDLE_S
 from tests.system.virtual_deployment import StubInstance, VirtualDeployment, configuration, route
 
+LONG_BODY = b"filing " * 8000
+APPLIED_S = 3.0  # time after which an acknowledged configuration is in force
 WARM_S = 6.0  # time after which the instance list is known and its instances are warm
 ONCE = route("/d/", kind="mutating", service="desk", resumable=False, affine=False)
 
@@ -55,6 +57,44 @@
     assert desk(deployment).connections == 2
 
 
+@pytest.mark.parametrize("kind", ["mutating", "streaming"])
+def test_a_request_that_failed_before_its_body_was_in_is_not_sent_again(
+    deployment: VirtualDeployment, kind: str
+) -> None:
+    """Guards against a second run: an answer that comes early is no sign of a dropped connection."""
+    assert deployment.put("c1", 1, configuration(2, {**ONCE, "kind": kind})).status == 200
+    assert send_request(deployment, "a", idle_s=APPLIED_S) == 200
+    desk(deployment).fails_early = True
+    deployment.sleep(4 * UNCHECKED_IDLE_S)
+    assert deployment.request("g1", "/d/x", attempt="b", body=LONG_BODY).status == 500
+    assert len(deployment.arrivals("b")) == 1
+    assert desk(deployment).connections == 1
+
+
+def test_a_request_that_failed_early_is_not_refused_as_one_that_has_not_run(
+    deployment: VirtualDeployment,
+) -> None:
+    """Guards against 503 for a request that has run, where the instance becomes full right after it."""
+    assert send_request(deployment, "a") == 200
+    desk(deployment).fails_early = True
+    deployment.sleep(4 * UNCHECKED_IDLE_S)
+    reply = deployment.start_request("g1", "/d/x", attempt="b", body=LONG_BODY)
+    deployment.wait(lambda: bool(deployment.arrivals("b")))
+    desk(deployment).fails_early, desk(deployment).rejects_requests = False, True
+    deployment.wait(lambda: bool(reply.error))
+    assert (reply.status, len(deployment.arrivals("b"))) == (500, 1)
+
+
+def test_bytes_of_no_request_on_an_idle_connection_cost_no_request(
+    deployment: VirtualDeployment,
+) -> None:
+    """Bytes that arrive before the head of a request is complete answer none, and it has not run."""
+    assert send_request(deployment, "a") == 200
+    desk(deployment).sends_stray_bytes_when_idle = True
+    assert send_request(deployment, "b", idle_s=0.2) == 200
+    assert desk(deployment).connections == 2
+
+
 def test_after_a_reset_connections_idle_for_as_long_are_not_reused(
     deployment: VirtualDeployment,
 ) -> None:
--- a/tests/system/stub_instance.py
+++ b/tests/system/stub_instance.py
@@ -44,10 +44,12 @@
         self.resets_after_events: int | None = None  # a reset interrupts the event after this number
         self.status = 200
         self.rejects_requests = False
+        self.fails_early = False  # requests are run and get 500 before their body is received
         self.is_unresponsive = False
         self.stray_responses = 0  # number of responses to other requests sent before the due response
         self.stray_attempt_id = "other"  # attempt identifier in stray responses; empty to send none
         self.forgets_after_s: float | None = None  # data on a connection idle for longer causes a reset
+        self.sends_stray_bytes_when_idle = False  # once data arrives on an idle connection
         self.connections = 0  # number of accepted connections
         self.echoes_attempt_id = True  # whether responses contain the identifier of their attempt
         self.arrivals: list[Arrival] = []
@@ -81,27 +83,52 @@
         while True:
             if answered_at is not None and self._forgotten(stream, answered_at):
                 return
-            message = read_message(self.scheduler, stream, connection)
-            if message is None:
+            head = read_head(self.scheduler, stream, connection)
+            if head is None:
                 return
-            head, body = message
-            headers = {key.decode(): value.decode() for key, value in head.headers}
-            attempt = headers.get("x-attempt-id", "")
-            arrival = Arrival(
-                self.name, attempt, head.method.decode(), head.target.decode(), headers, body,
-                self.scheduler.now(),
-            )  # fmt: skip
-            self.arrivals.append(arrival)
-            if not self._answer(stream, connection, arrival):
+            failed_early = self.fails_early
+            if failed_early:
+                self._fail_early(stream, connection, self._arrival(head, b""))
+            body = read_body(self.scheduler, stream, connection)
+            if body is None:
+                return
+            if not failed_early and not self._answer(stream, connection, self._arrival(head, body)):
                 return
             connection.start_next_cycle()
             answered_at = self.scheduler.now()
 
+    def _arrival(self, head: h11.Request, body: bytes) -> Arrival:
+        """Record the arrival of a request that the instance is going to run."""
+        assert self.scheduler is not None
+        headers = {key.decode(): value.decode() for key, value in head.headers}
+        arrival = Arrival(
+            self.name,
+            headers.get("x-attempt-id", ""),
+            head.method.decode(),
+            head.target.decode(),
+            headers,
+            body,
+            self.scheduler.now(),
+        )
+        self.arrivals.append(arrival)
+        return arrival
+
+    def _fail_early(self, stream: Stream, connection: h11.Connection, arrival: Arrival) -> None:
+        """Answer a request whose body has not been received; the connection stays open."""
+        assert self.scheduler is not None
+        headers = [("X-Attempt-Id", arrival.attempt), ("X-Server-Seal", f"{self.name}.{arrival.attempt}")]
+        response = h11.Response(status_code=500, headers=[*headers, ("Content-Length", "0")])
+        data = (connection.send(response) or b"") + (connection.send(h11.EndOfMessage()) or b"")
+        stream.send(data, self.scheduler.now() + 5)
+
     def _forgotten(self, stream: Stream, answered_at: float) -> bool:
         """Whether the connection was reset because data arrived after it was idle for too long."""
         assert self.scheduler is not None
         self.scheduler.park(None, stream.sock)
         rested = self.scheduler.now() - answered_at
+        if self.sends_stray_bytes_when_idle:
+            self.sends_stray_bytes_when_idle = False
+            stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", self.scheduler.now() + 5)
         if self.forgets_after_s is None or rested <= self.forgets_after_s:
             return False
         self.scheduler.system.reset(stream.sock)
@@ -181,20 +208,22 @@
         return True
 
 
-def read_message(
-    scheduler: Scheduler, stream: Stream, connection: h11.Connection
-) -> tuple[h11.Request, bytes] | None:
-    """Receive a complete request, or return None if the connection ends before that."""
-    head, parts = None, []
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(stream.receive(scheduler.now() + 60) or b"")
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            parts.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            return head, b"".join(parts)
-        else:
-            return None
+def next_event(scheduler: Scheduler, stream: Stream, connection: h11.Connection) -> Any:
+    """Wait for the next event of a client; the event is `ConnectionClosed` at the end of the connection."""
+    while (event := connection.next_event()) is h11.NEED_DATA:
+        connection.receive_data(stream.receive(scheduler.now() + 60) or b"")
+    return event
+
+
+def read_head(scheduler: Scheduler, stream: Stream, connection: h11.Connection) -> h11.Request | None:
+    """Receive the head of a request, or return None if the connection ends before that."""
+    event = next_event(scheduler, stream, connection)
+    return event if isinstance(event, h11.Request) else None
+
+
+def read_body(scheduler: Scheduler, stream: Stream, connection: h11.Connection) -> bytes | None:
+    """Receive the complete body of a request, or return None if the connection ends before that."""
+    parts = []
+    while isinstance(event := next_event(scheduler, stream, connection), h11.Data):
+        parts.append(bytes(event.data))
+    return b"".join(parts) if isinstance(event, h11.EndOfMessage) else None
