Configurations with NaN or with an unknown service in a split are refused

Causes: Python's and pydantic's JSON parsers accept NaN, Infinity and numbers that overflow, which JSON does not have. The check of services left `split` out where `service` takes its place. The scheduler accepted NaN as a time, which leaves the heap of timers without an order, and raised outside of every task once it came first.

Change: the one reader of configurations rejects them, and figures beyond 2^53 in known keys; all services of `service` and `split` are checked. The scheduler raises in the task that sets such a time, and an infinite time is waited for. Stored texts of earlier versions stay readable (NaN is left out, larger numbers are cut to the bound).

--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -8,6 +8,7 @@
 
 import heapq
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -113,6 +114,12 @@
             self.scheduler.wake(self, TaskCancelledError())
 
 
+def _check_time(when: float) -> None:
+    """Raise `ValueError` for NaN, which would leave the heap of timers without an order."""
+    if math.isnan(when):
+        raise ValueError("a time is not a number")
+
+
 class Scheduler:
     """Runs ready tasks in the hub greenlet, then polls until a socket or a timer is ready."""
 
@@ -201,11 +208,14 @@
 
         Raises:
             TaskTimeoutError: Neither occurred before the deadline, in seconds on the clock `now`.
+            ValueError: The deadline is not a number.
             TaskCancelledError: The task was cancelled.
         """
         if event is not None and event.is_set:
             event.is_set = False
             return _EVENT
+        if deadline is not None:
+            _check_time(deadline)
         task = self._current()
         if sock is not None:
             self._watch(task, sock, events)
@@ -282,7 +292,12 @@
         self.park(event=event)
 
     def call_at(self, when: float, callback: Callable[[], object]) -> Timer:
-        """Make the hub call a short function, which must not park, at a set time."""
+        """Make the hub call a short function, which must not park, at a set time.
+
+        Raises:
+            ValueError: The time is not a number.
+        """
+        _check_time(when)
         timer = Timer(self, callback)
         self._timer_count += 1
         heapq.heappush(self._timers, (when, self._timer_count, timer))
@@ -366,8 +381,8 @@
             self._cancelled_timers -= 1
         if not self._timers:
             return POLL_TIMEOUT_MAX_MS
-        left_ms = int((self._timers[0][0] - self.now()) * _MS_PER_S + 0.999)  # milliseconds, rounded up
-        return max(0, min(POLL_TIMEOUT_MAX_MS, left_ms))
+        left_ms = (self._timers[0][0] - self.now()) * _MS_PER_S + 0.999  # rounded up by `int`
+        return max(0, int(min(POLL_TIMEOUT_MAX_MS, left_ms)))
 
     def _fire(self, now: float) -> None:
         """Call the callbacks that are due."""
--- a/brambleusher/wire/configuration_patch.py
+++ b/brambleusher/wire/configuration_patch.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Collection
 
 from pydantic import BaseModel, ConfigDict, Field
@@ -91,7 +90,7 @@
         InvalidConfigurationError: An item to remove does not exist, or the resulting configuration is
             invalid.
     """
-    merged = json.loads(body)
+    merged = configuration.load_stored(body)
     for section in SECTIONS:
         items = merged.get(section, [])
         merged[section] = _merge_items(
--- a/tests/system/test_observer.py
+++ b/tests/system/test_observer.py
@@ -45,6 +45,24 @@
     assert deployment.control("o2", "GET", "/api/status").json()["role"] == "observer"
 
 
+@pytest.mark.parametrize("core", ["c1", "o1"])
+@pytest.mark.parametrize(
+    "invalid",
+    [
+        configuration(2, limits={"idle_ms": float("nan")}),
+        configuration(2, route("/n/", split=[{"service": "llm", "gain": 9}, {"service": "gone", "gain": 1}])),
+    ],
+    ids=["NaN", "unknown service in a split"],
+)
+def test_an_invalid_configuration_is_refused_everywhere(
+    deployment: VirtualDeployment, core: str, invalid: bytes
+) -> None:
+    """Guards against an acknowledged configuration that ends all gateways, or names no service."""
+    refused = deployment.put(core, 1, invalid)
+    assert (refused.status, deployment.control(core, "GET", "/api/config").body) == (400, configuration(1))
+    assert deployment.put(core, 1, configuration(3)).status == 200
+
+
 def test_the_registry_answers_as_a_controller_does(deployment: VirtualDeployment) -> None:
     ask = "/api/resolution?name=h&region=south&zone=s1"
     for name in ("o1", "c1"):
--- a/tests/wire/test_configuration.py
+++ b/tests/wire/test_configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
 import pytest
@@ -62,6 +63,81 @@
         configuration_patch.read(b'{"revision": 4, "upsert": {"routes": [{"name": "\\ud83d"}]}}')
 
 
+NUMBERS: tuple[tuple[str | int, ...], ...] = (
+    *(
+        ("routes", 0, key)
+        for key in ("deadline_ms", "setpoint_ms", "priority", "tries", "gap_aim_ms", "unknown")
+    ),
+    ("routes", 0, "split", 0, "gain"),
+    *(("services", 0, key) for key in ("conn_limit", "warmup_s", "cold_per_s")),
+    *(("services", 0, "engine", key) for key in ("capacity", "cache_tokens", "stride")),
+    *(("limits", key) for key in ("header_bytes", "body_bytes", "header_ms", "idle_ms")),
+    ("unknown",),
+)
+NUMBER_MARK = 123454321
+
+
+def with_number(place: tuple[str | int, ...], number: str) -> bytes:
+    """Return a configuration with the text of a number at a place."""
+    data = json.loads(body_of(3, route("/a/", split=[{"service": "llm", "gain": 1}])))
+    data["services"][0]["engine"] = {}
+    inner = data
+    for step in place[:-1]:
+        inner = inner[step]
+    inner[place[-1]] = NUMBER_MARK
+    return json.dumps(data).replace(str(NUMBER_MARK), number).encode()
+
+
+@pytest.mark.parametrize("place", NUMBERS, ids=str)
+@pytest.mark.parametrize("number", ["NaN", "Infinity", "-Infinity", "1e400", "-1e400"])
+def test_a_number_that_is_not_finite_is_rejected(place: tuple[str | int, ...], number: str) -> None:
+    """Guards against an acknowledged configuration that ends all gateways: NaN is no JSON."""
+    assert configuration.read(with_number(place, "7")).revision == 3
+    with pytest.raises(InvalidConfigurationError, match=re.escape(f"{number} is")):
+        configuration.read(with_number(place, number))
+    with pytest.raises(InvalidConfigurationError, match=re.escape(f"{number} is")):
+        configuration_patch.read(
+            b'{"revision": 4, "upsert": {"routes": [{"name": "r", "x": %s}]}}' % number.encode()
+        )
+
+
+@pytest.mark.parametrize("place", [place for place in NUMBERS if place[-1] != "unknown"], ids=str)
+@pytest.mark.parametrize("number", ["1e300", "1" + "0" * 400, str(2**53 + 2)])
+def test_a_number_beyond_what_parsers_read_alike_is_rejected(
+    place: tuple[str | int, ...], number: str
+) -> None:
+    """Guards against figures that overflow where a gateway computes with them."""
+    assert configuration.read(with_number(place, str(2**53))).revision == 3
+    with pytest.raises(InvalidConfigurationError) as raised:
+        configuration.read(with_number(place, number))
+    assert str(place[-1]) in raised.value.key
+
+
+def test_each_service_that_a_route_names_has_to_exist() -> None:
+    """Guards against an unknown service in a split that `service` takes the place of."""
+    split = [{"service": "llm", "gain": 90}, {"service": "gone", "gain": 10}]
+    for names in ({"service": "llm", "split": split}, {"service": None, "split": split}):
+        with pytest.raises(InvalidConfigurationError, match="routes.0: service gone is unknown"):
+            configuration.read(body_of(3, route("/a/", **names)))
+    weightless = [{"service": "llm", "gain": 0}]
+    with pytest.raises(InvalidConfigurationError, match="routes.0: the weights of its services sum to 0"):
+        configuration.read(body_of(3, route("/a/", service="llm", split=weightless)))
+
+
+def test_a_stored_number_of_an_earlier_version_is_replaced() -> None:
+    """A configuration that an earlier version acknowledged stays in force where it can."""
+    not_a_number = configuration.parse_stored(with_number(("limits", "idle_ms"), "NaN"))
+    assert not_a_number.limits.idle_ms == configuration.Limits().idle_ms
+    endless = configuration.parse_stored(with_number(("routes", 0, "deadline_ms"), "Infinity"))
+    assert endless.routes[0].deadline_ms == configuration.NUMBER_MAX
+    huge = configuration.parse_stored(with_number(("services", 0, "conn_limit"), "1" + "0" * 400))
+    assert huge.services[0].connection_limit == configuration.NUMBER_MAX
+    patch = configuration_patch.read(b'{"revision": 4}')
+    merged = configuration_patch.merge(with_number(("limits", "idle_ms"), "NaN"), patch)
+    assert configuration.read(merged).limits.idle_ms == configuration.Limits().idle_ms
+    assert configuration.load(configuration_patch.merge(with_number(("unknown",), str(2**60)), patch))
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
