A fleet of the lab knows each sidecar that it starts, also when it is interrupted

Cause: test_an_experiment_that_is_stopped_leaves_no_sidecar interrupts the run once it sees the second sidecar, at times before `Popen` has returned in its parent. SIGTERM, which the run sends to the process of a cell, does the same there as SIGINT.

Change: both signals are held back from the start of a sidecar until the fleet knows it. The test is unchanged, and looks once and at once as before.

--- a/brambleusher/lab/processes/real_fleet.py
+++ b/brambleusher/lab/processes/real_fleet.py
@@ -24,6 +24,7 @@
 from brambleusher.lab.fleets.figures import NodeSpec, WorldSpec
 from brambleusher.lab.fleets.fleet import configuration
 from brambleusher.lab.fleets.worlds import WorldFile
+from brambleusher.lab.processes.deferred_signals import signals_deferred
 from brambleusher.lab.processes.parent import signal_on_parent_end
 from brambleusher.lab.stand_ins.client import reports_ready
 from brambleusher.lab.stand_ins.discovery import Discovery, Entry
@@ -164,7 +165,8 @@
         operator = {"figures": {"target": target, "flush_ms": 500, "format": "statsd"}}
         path = self.folder / f"{name}.operator.yaml"
         path.write_text(yaml.safe_dump(operator))
-        with open(sidecar.log, "wb") as log:
+        # An interrupt between the start and the assignment would leave a process that `close` doesn't know.
+        with signals_deferred(), open(sidecar.log, "wb") as log:
             sidecar_environment = {
                 "NODE_CONFIG": str(sidecar.config), "PYTHONPATH": os.pathsep.join(sys.path),
                 "NODE_ADMIN_ADDR": f"{LOOPBACK}:0",
