Test machines with real processes have a loopback address of their own

Cause: `free_ports` lets its ports go before the process of the test binds them, and all tests used 127.0.0.1, where others take ports that the system picks.

Change: each machine of tests has an address of its own from 127.216.0.0 on, which no other test, rig or soak uses; so has the HTTP server's test, which took its port in the same way. What the tests assert is unchanged. The log of a process is shown where its test has failed, so that another cause would be seen.

--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -10,7 +10,7 @@
 from brambleusher.runtime.http_server import HttpRequest, HttpResponse, HttpServer, json_response
 from brambleusher.runtime.operating_system import RealSystem
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
-from tests.system.real_processes import free_ports
+from tests.system.real_processes import free_ports, own_loopback_address
 
 TIMEOUT_S = 5.0
 
@@ -27,9 +27,10 @@
         return json_response(200, {})
 
     scheduler = Scheduler(RealSystem())
-    (port,) = free_ports("127.0.0.1", 1)
-    HttpServer(scheduler, ("127.0.0.1", port), handle)
-    client = HttpClient(scheduler, ("127.0.0.1", port))
+    ip = own_loopback_address()
+    (port,) = free_ports(ip, 1)
+    HttpServer(scheduler, (ip, port), handle)
+    client = HttpClient(scheduler, (ip, port))
     statuses: list[int] = []
 
     def ask() -> None:
--- a/tests/system/conftest.py
+++ b/tests/system/conftest.py
@@ -16,3 +16,4 @@
     made = RoleMachine(tmp_path, str(request.param))
     yield made
     made.close()
+    print(made.log())  # shown where the test has failed
--- a/tests/system/real_processes.py
+++ b/tests/system/real_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import signal
@@ -18,6 +19,11 @@
 ROOT = Path(__file__).resolve().parents[2]
 WAIT_S = 30.0  # upper bound of a wait for something that takes milliseconds on an idle machine
 POLL_S = 0.002
+FIRST_OWN_NETWORK = 216  # second octet of the first network
+OWN_NETWORKS = 1 << 13  # each process of tests has a network 127.x.y.0 for its machines
+MACHINES_MAX = 254  # of one process of tests; then their addresses come again
+
+_machine_numbers = itertools.cycle(range(1, MACHINES_MAX + 1))
 
 SETTINGS = """
 node_name = "{role}-1"
@@ -48,6 +54,15 @@
         time.sleep(POLL_S)
 
 
+def own_loopback_address() -> str:
+    """Return a loopback address that no other test uses, so that none takes the ports of its machine.
+
+    The ports of other tests, of their clients too, are those of 127.0.0.1.
+    """
+    network = os.getpid() % OWN_NETWORKS
+    return f"127.{FIRST_OWN_NETWORK + (network >> 8)}.{network & 255}.{next(_machine_numbers)}"
+
+
 def free_ports(ip: str, count: int) -> list[int]:
     """Return ports of an address at which nothing listens."""
     sockets = [socket.socket() for _ in range(count)]
@@ -98,18 +113,18 @@
 class RoleMachine:
     """The settings, the ports and the process of one role."""
 
-    def __init__(self, folder: Path, role: str, ip: str = "127.0.0.1") -> None:
-        self.role, self.ip = role, ip
+    def __init__(self, folder: Path, role: str) -> None:
+        self.role, self.ip = role, own_loopback_address()
         self.log_path = folder / "log"
         self.settings_path = folder / "settings.toml"
         names = ("peer", "front", "ready", "control", "directory")
-        self.ports = dict(zip(names, free_ports(ip, len(names)), strict=True))
+        self.ports = dict(zip(names, free_ports(self.ip, len(names)), strict=True))
         data_dir = folder / "data"
         data_dir.mkdir()
         self.settings_path.write_text(
             SETTINGS.format(
                 role=role,
-                ip=ip,
+                ip=self.ip,
                 data_dir=json.dumps(str(data_dir) if role == "controller" else ""),
                 peer_last=self.ports["peer"] + 15,
                 **self.ports,
