Numbers of peers that can't be represented cost no answer and reach no timer

What callers saw: a request whose X-Deadline-Remaining has 400 digits, or whose X-Prompt-Prefix or Last-Event-Id has a number of 5,000, lost its connection without an answer, as its task failed (OverflowError, ValueError).

On the same path `capacity` and `warmup_ms` of the platform's list accepted the texts nan and inf, and bounds of the settings file NaN and Infinity.

Change: a number in a header is one of at most 20 ASCII digits, anything else counts as absent. A list with a figure that is not finite is an invalid message; a settings file with one is an error that names the key.

--- a/brambleusher/dataplane/connection_pool.py
+++ b/brambleusher/dataplane/connection_pool.py
@@ -17,6 +17,7 @@
 from brambleusher.loadbalancing.idle_timeout import IdleTimeout
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream
+from brambleusher.wire.digits import parse_digits
 from brambleusher.wire.policy import Policy
 
 CONNECT_TIMEOUT_S = 0.25  # two round trips between far regions; capped at half of the remaining time
@@ -198,7 +199,8 @@
             return 0.0
         if name == b"keep-alive":
             for parameter in value.split(b","):
-                key, _, number = parameter.strip().partition(b"=")
-                if key.strip().lower() == b"timeout" and number.strip().isdigit():
-                    return float(number) - IDLE_MARGIN_S
+                key, _, digits = parameter.strip().partition(b"=")
+                timeout_s = parse_digits(digits.strip())
+                if key.strip().lower() == b"timeout" and timeout_s is not None:
+                    return timeout_s - IDLE_MARGIN_S
     return IDLE_DEFAULT_S
--- a/brambleusher/dataplane/event_stream.py
+++ b/brambleusher/dataplane/event_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from brambleusher.dataplane.errors import EventTooLongError
+from brambleusher.wire.digits import parse_digits
 
 EVENT_MAX_BYTES = 1024 * 1024
 LF_END, CRLF_END = b"\n\n", b"\r\n\r\n"
@@ -77,6 +78,5 @@
     """Return the numeric id of an event, None if the event has no numeric id."""
     for line in event.splitlines():
         if line.startswith(ID_FIELD):
-            number = line[len(ID_FIELD) :].strip()
-            return int(number) if number.isdigit() else None
+            return parse_digits(line[len(ID_FIELD) :].strip())
     return None
--- a/brambleusher/dataplane/instance_entry.py
+++ b/brambleusher/dataplane/instance_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from brambleusher.wire.errors import InvalidMessageError
@@ -47,6 +48,9 @@
     if not isinstance(value, int | float | str):
         raise InvalidMessageError(f"{key} is not a number: {value!r:.80}")
     try:
-        return float(value)
-    except ValueError as error:
+        number = float(value)
+    except (OverflowError, ValueError) as error:
         raise InvalidMessageError(f"{key} is not a number: {value!r:.80}") from error
+    if not math.isfinite(number):
+        raise InvalidMessageError(f"{key} is not finite: {value!r:.80}")
+    return number
--- a/brambleusher/dataplane/prefix_affinity.py
+++ b/brambleusher/dataplane/prefix_affinity.py
@@ -5,6 +5,8 @@
 import hashlib
 from collections.abc import Iterable
 
+from brambleusher.wire.digits import parse_digits
+
 LARGE_PREFIX_TOKENS = 1000  # for shorter prefixes another prefill costs less than a worse choice of instance
 
 
@@ -18,11 +20,12 @@
     names: list[str] = []
     tokens = 0
     for segment in segments[:-1]:
-        name, _, count = segment.partition(":")
-        if not count.isdigit():
+        name, _, digits = segment.partition(":")
+        count = parse_digits(digits)
+        if count is None:
             break
         names.append(name)
-        tokens += int(count)
+        tokens += count
     return "/".join(names), tokens
 
 
--- a/brambleusher/dataplane/request_handler.py
+++ b/brambleusher/dataplane/request_handler.py
@@ -22,6 +22,7 @@
 from brambleusher.runtime.disconnect_watch import DisconnectWatch
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.wire.configuration import Route
+from brambleusher.wire.digits import parse_digits
 from brambleusher.wire.settings import Bounds
 
 RETRY_AFTER_S = 0.25  # upper bound of the `Retry-After` value
@@ -87,9 +88,9 @@
         if route.has_affinity:
             prefix_key, prefix_tokens = shared_prefix(request.header(b"x-prompt-prefix").decode("latin-1"))
         limit_s = route.deadline_ms / MS_PER_S
-        remaining_ms = request.header(b"x-deadline-remaining")
-        if remaining_ms.isdigit():
-            limit_s = min(limit_s, int(remaining_ms) / MS_PER_S)
+        remaining_ms = parse_digits(request.header(b"x-deadline-remaining"))
+        if remaining_ms is not None:
+            limit_s = min(limit_s, remaining_ms / MS_PER_S)
         service = pick_service(route, self._rng)
         return RequestContext(
             request,
--- a/brambleusher/dataplane/streaming.py
+++ b/brambleusher/dataplane/streaming.py
@@ -12,6 +12,7 @@
 from brambleusher.dataplane.request_context import RequestContext
 from brambleusher.dataplane.upstream_response import UpstreamResponse
 from brambleusher.runtime.scheduler import TaskTimeoutError
+from brambleusher.wire.digits import parse_digits
 
 EVENT_STREAM_TYPE = b"text/event-stream"
 STREAMING_KIND = "streaming"
@@ -31,8 +32,7 @@
 
     def __init__(self, attempts: AttemptRunner, client: ClientConnection, context: RequestContext) -> None:
         self._attempts, self._client, self._context = attempts, client, context
-        last_event_id = context.last_event_id
-        self._splitter = EventSplitter(int(last_event_id) if last_event_id.isdigit() else None)
+        self._splitter = EventSplitter(parse_digits(context.last_event_id))
         self._headers: HeaderList = []
 
     def run(self, response: UpstreamResponse) -> bool:
--- a/brambleusher/wire/settings.py
+++ b/brambleusher/wire/settings.py
@@ -11,7 +11,7 @@
 
 
 class _Section(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
 
 class Bind(_Section):
--- a/tests/dataplane/test_prefix_affinity.py
+++ b/tests/dataplane/test_prefix_affinity.py
@@ -15,6 +15,8 @@
         ("e4:250", ("", 0)),
         ("", ("", 0)),
         ("5c:x,e4:250", ("", 0)),
+        ("5c:\u00b2,e4:250", ("", 0)),
+        ("5c:" + "9" * 5000 + ",e4:250", ("", 0)),
     ],
 )
 def test_the_shared_prefix_is_all_but_the_last_segment(header: str, expected: tuple[str, int]) -> None:
--- a/tests/system/stub_instance.py
+++ b/tests/system/stub_instance.py
@@ -12,6 +12,7 @@
 from brambleusher.runtime.acceptor import Acceptor
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
 from brambleusher.runtime.streams import Stream
+from brambleusher.wire.digits import parse_digits
 
 STALL_S = 30.0  # how long a stalled instance does not respond
 
@@ -190,7 +191,7 @@
         self, stream: Stream, send: Callable[[Any], None], common_headers: list[Any], arrival: Arrival
     ) -> bool:
         assert self.scheduler is not None
-        last = int(arrival.headers.get("last-event-id", "0"))
+        last = parse_digits(arrival.headers.get("last-event-id", "")) or 0
         kind = ("Content-Type", "text/event-stream")
         send(h11.Response(status_code=200, headers=[*common_headers, kind, ("Transfer-Encoding", "chunked")]))
         for number in range(last + 1, self.events + 1):
