The contact with an observer counts from when it was, not from when it is looked at

Cause: a controller took an observer in its partial view for one that it had contact with just then, so that after a restart of the edge alone the silence began up to 3 s late: 6 s of the 12 s of `recovery_s` before the first announcement.

Change: the view's own time of contact is recorded.

--- a/brambleusher/controller/app.py
+++ b/brambleusher/controller/app.py
@@ -173,7 +173,7 @@
                 peer = self._rng.choice(peers)
                 sample = self.view.sample(now_s)
                 self._send(peer, {"kind": MessageKind.SHUFFLE.value, "sample": sample})
-            self.replica.record_observers(peer.address for peer in self.view.alive(OBSERVER_ROLE, now_s))
+            self.replica.record_observers(self.view.contacts(OBSERVER_ROLE))
             self._announce_controllers()
             self._bootstrap_client.check()
             self.scheduler.sleep(SHUFFLE_INTERVAL_S * self._rng.uniform(*SHUFFLE_JITTER))
--- a/brambleusher/controlplane/known_observers.py
+++ b/brambleusher/controlplane/known_observers.py
@@ -22,12 +22,12 @@
         self._rng = rng
         self._contact_at_s = dict.fromkeys(list(stored)[:OBSERVERS_MAX], NEVER_S)
 
-    def record_contact(self, address: str, now: float) -> bool:
+    def record_contact(self, address: str, at_s: float) -> bool:
         """Record a contact with an observer; return whether the addresses have changed."""
         is_new = address not in self._contact_at_s
-        if is_new and len(self._contact_at_s) >= OBSERVERS_MAX and not self._drop_longest_silent(now):
+        if is_new and len(self._contact_at_s) >= OBSERVERS_MAX and not self._drop_longest_silent(at_s):
             return False
-        self._contact_at_s[address] = now
+        self._contact_at_s[address] = max(at_s, self._contact_at_s.get(address, NEVER_S))
         return is_new
 
     def _drop_longest_silent(self, now: float) -> bool:
--- a/brambleusher/controlplane/replica.py
+++ b/brambleusher/controlplane/replica.py
@@ -38,6 +38,7 @@
 from brambleusher.controlplane.pending_proposals import PendingProposals, PendingResult
 from brambleusher.controlplane.startup import establish_identity, recover_storage
 from brambleusher.controlplane.storage.recovery import RecoveredState
+from brambleusher.membership.views import Contact
 from brambleusher.runtime.disk import Disk
 from brambleusher.runtime.scheduler import Event, Scheduler, TaskTimeoutError
 from brambleusher.wire import consensus_messages as wire
@@ -209,10 +210,9 @@
 
     # --- observers -------------------------------------------------------------------------------
 
-    def record_observers(self, addresses: Iterable[str]) -> None:
-        """Record a contact with observers, and store their addresses if one of them was not known."""
-        now = self._scheduler.now()
-        changes = [self.observers.record_contact(address, now) for address in addresses]
+    def record_observers(self, contacts: Iterable[Contact]) -> None:
+        """Record the last contacts with observers, and store the addresses if one was not known."""
+        changes = [self.observers.record_contact(peer.address, at_s) for peer, at_s in contacts]
         if any(changes):
             self._disk_writer.write_observers(self.observers.addresses())
 
