--- a/tests/system/test_observer.py
+++ b/tests/system/test_observer.py
@@ -16,6 +16,8 @@
 from tests.wire.test_configuration_patch import patch, patch_body
 
 RECOVERY_S = 12.0  # bound of the settings for serving again
+KNOWN_S = 2.0  # within this time after the first seconds all controllers know all observers
+OBSERVER_SEEDS = [f"10.4.0.{at}:8166" for at in (1, 2, 3)]
 START_S = 0.5  # within this time the new processes have taken the place of the old ones
 
 
@@ -127,7 +129,7 @@
     deployment.add_instance("a")
     deployment.served()
     deployment.sleep(3.0)
-    deployment.seeds = [f"10.4.0.{at}:8166" for at in (1, 2, 3)]
+    deployment.seeds = OBSERVER_SEEDS
     deployment.add_gateway("g9", "10.2.0.9", "n1")
     deployment.wait(lambda: "g9" in deployment.gateways and deployment.gateways["g9"].is_ready, seconds=8.0)
     deployment.add_core("c9", "10.1.0.9")
@@ -143,7 +145,7 @@
     deployment.add_instance("a")
     deployment.served()
     deployment.sleep(3.0)
-    deployment.seeds = [f"10.4.0.{at}:8166" for at in (1, 2, 3)]
+    deployment.seeds = OBSERVER_SEEDS
     names = [*deployment.controllers, *deployment.gateways, *deployment.observers]
     for name in names:
         deployment.power_off(name)
@@ -164,40 +166,40 @@
     deployment.sleep(START_S)
 
 
+def assert_serves_again(deployment: VirtualDeployment) -> None:
+    """Check that all gateways are ready and all observers answer within the bound."""
+    gateways, observers = deployment.gateways, deployment.observers
+    deployment.wait(lambda: all(gateway.is_ready for gateway in gateways.values()), RECOVERY_S - START_S)
+    for name in observers:
+        assert deployment.control(name, "GET", "/api/config").status == 200
+
+
 @pytest.mark.parametrize("lost_disk", ["", "c1"])
 def test_observers_that_are_each_others_only_seeds_serve_again_after_a_power_loss_of_all(
-    lost_disk: str,
+    deployment: VirtualDeployment, lost_disk: str
 ) -> None:
     """Guards against gateways that find no controller, as no seed of theirs knows one after a restart."""
-    deployment = VirtualDeployment(gateways=3, observers=3)
-    deployment.add_instance("a")
-    deployment.served()
-    deployment.sleep(5.0)
+    deployment.sleep(KNOWN_S)
     cores, edges = list(deployment.controllers), [*deployment.gateways, *deployment.observers]
-    core_seeds, edge_seeds = deployment.seeds, [f"10.4.0.{at}:8166" for at in (1, 2, 3)]
     for name in [*cores, *edges]:
         deployment.power_off(name, nothing_unsynced=True)
     if lost_disk:
         deployment.disks[lost_disk] = MemoryDisk()
-    restart(deployment, cores, core_seeds)
-    restart(deployment, edges, edge_seeds)
-    deployment.wait(lambda: all(gateway.is_ready for gateway in deployment.gateways.values()), RECOVERY_S)
-    deployment.wait(lambda: deployment.control("o1", "GET", "/api/config").status == 200, RECOVERY_S)
-    deployment.close()
+    restart(deployment, cores, deployment.seeds)
+    restart(deployment, edges, OBSERVER_SEEDS)
+    assert_serves_again(deployment)
 
 
-def test_observers_that_are_each_others_only_seeds_serve_again_after_they_alone_restart() -> None:
+def test_observers_that_are_each_others_only_seeds_serve_again_after_they_alone_restart(
+    deployment: VirtualDeployment,
+) -> None:
     """Guards against an edge that finds the running controllers no more."""
-    deployment = VirtualDeployment(gateways=3, observers=3)
-    deployment.add_instance("a")
-    deployment.served()
-    deployment.sleep(5.0)
+    deployment.sleep(KNOWN_S)
     edges = [*deployment.gateways, *deployment.observers]
     for name in edges:
         deployment.power_off(name)
-    restart(deployment, edges, [f"10.4.0.{at}:8166" for at in (1, 2, 3)])
-    deployment.wait(lambda: all(gateway.is_ready for gateway in deployment.gateways.values()), RECOVERY_S)
-    deployment.close()
+    restart(deployment, edges, OBSERVER_SEEDS)
+    assert_serves_again(deployment)
 
 
 def test_a_forwarded_message_is_not_forwarded_again(deployment: VirtualDeployment) -> None:
