A controller takes only addresses that it can connect to for those of observers

Cause: the sender of an introduction was stored unchecked. A text that is no host:port would have failed the task that announces the controllers, at each start again; a name would have been looked up in the serving thread. More than some fifty observers could have pushed the connections between controllers out of the 64 that a process keeps.

Change: an introduction without an IPv4 address and a port is an invalid message. 32 observers are kept at most.

Measured: the cases of test_known_observers.py and test_hostile_bytes.py pass, beside them the recorded messages, the tests of observers and the drawn restarts (140).

--- a/brambleusher/controlplane/known_observers.py
+++ b/brambleusher/controlplane/known_observers.py
@@ -6,14 +6,19 @@
 
 from __future__ import annotations
 
+import ipaddress
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-OBSERVERS_MAX = 64
+from brambleusher.wire.digits import parse_digits
+from brambleusher.wire.errors import InvalidMessageError
+
+OBSERVERS_MAX = 32  # beside the controllers in the connections of `PeerSenders`
 FORGOTTEN_AFTER_S = 60.0  # without an introduction for this time an observer may be replaced
 ANNOUNCEMENT_INTERVAL_S = 3.0  # time between two announcements to an observer
 ANNOUNCEMENTS_MAX = 8  # at once
 NEVER_S = float("-inf")
+PORT_MAX = 65535
 
 
 @dataclass(slots=True)
@@ -30,7 +35,12 @@
         self._times = {address: _Times() for address in list(stored)[:OBSERVERS_MAX]}
 
     def record_introduction(self, address: str, now: float) -> bool:
-        """Record that an observer introduced itself; return whether the addresses have changed."""
+        """Record that an observer introduced itself; return whether the addresses have changed.
+
+        Raises:
+            InvalidMessageError: The address is not an IPv4 address with a port.
+        """
+        _check_address(address)
         is_new = address not in self._times
         if is_new and len(self._times) >= OBSERVERS_MAX and not self._drop_longest_silent(now):
             return False
@@ -62,3 +72,14 @@
         for address in due:
             self._times[address].announced_s = now
         return due
+
+
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    number = parse_digits(port)
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise InvalidMessageError(f"an observer's address is not host:port: {address!r:.80}") from error
+    if number is None or not 0 < number <= PORT_MAX:
+        raise InvalidMessageError(f"an observer's address has no valid port: {address!r:.80}")
--- a/tests/system/test_hostile_bytes.py
+++ b/tests/system/test_hostile_bytes.py
@@ -10,7 +10,7 @@
 
 from tests.system import hostile_bytes
 from tests.system.hostile_bytes import Input, Target
-from tests.system.virtual_deployment import CONTROL, DIRECTORY
+from tests.system.virtual_deployment import CONTROL, DIRECTORY, PEER
 
 
 @pytest.fixture(scope="module")
@@ -39,3 +39,10 @@
     target.play([Input("c1", port, (b"HEAD /api/status HTTP/1.1\r\nHost: h\r\n\r\n",))])
     address = (target.deployment.world.machines["c1"].ip, port)
     assert target.deployment.call(address, "HEAD", "/api/status").status == 404
+
+
+@pytest.mark.parametrize("sender", ["nonsense", "10.4.0.1", "name:7720", "10.4.0.1:99999999999"])
+def test_an_observer_without_an_address_holds_up_no_announcement(target: Target, sender: str) -> None:
+    controller = target.deployment.controllers["c1"]
+    target.play([Input("c1", PEER, (b'{"kind":"observer","from":"%s"}\n' % sender.encode(),))])
+    assert sender not in controller.replica.observers.addresses()
