Tests: racing changes and experiments on sockets are set up in one place each

Cause: the race of two changes stood in the tests of PUT and of PATCH, the experiment of five minutes in two tests of the lab. Change: VirtualDeployment.race_changes and experiment_on_sockets; what is asserted stays.

--- a/tests/lab/test_lab_experiments.py
+++ b/tests/lab/test_lab_experiments.py
@@ -242,11 +242,18 @@
 # --- on sockets -----------------------------------------------------------------------------------
 
 
-def test_an_experiment_that_is_stopped_leaves_no_sidecar(tmp_path: Path) -> None:
+def experiment_on_sockets(tmp_path: Path, sidecars: int) -> tuple[Path, Path]:
+    """Write an experiment of five minutes; return its file, and a folder for temporary files of its run."""
     path, folder = tmp_path / "e.yaml", tmp_path / "tmp"
     folder.mkdir()
-    recipe = "{seconds: 300, rate: 5, burst: null}"
-    path.write_text(f"where: [sockets]\nworlds: {{w: {{sidecars: 2}}}}\ndemands: {{d: {{recipe: {recipe}}}}}")
+    world = f"{{w: {{sidecars: {sidecars}}}}}"
+    demand = "{d: {recipe: {seconds: 300, rate: 5, burst: null}}}"
+    path.write_text(f"where: [sockets]\nworlds: {world}\ndemands: {demand}")
+    return path, folder
+
+
+def test_an_experiment_that_is_stopped_leaves_no_sidecar(tmp_path: Path) -> None:
+    path, folder = experiment_on_sockets(tmp_path, sidecars=2)
     run = subprocess.Popen(
         [sys.executable, "-c", f"import signal; signal.signal(2, signal.default_int_handler)\n"
          f"from brambleusher.__main__ import main; raise SystemExit(main(['lab', 'run', {str(path)!r}]))"],
@@ -278,10 +285,7 @@
 
 
 def test_an_experiment_that_is_killed_leaves_no_process(tmp_path: Path) -> None:
-    path, folder = tmp_path / "e.yaml", tmp_path / "tmp"
-    folder.mkdir()
-    recipe = "{seconds: 300, rate: 5, burst: null}"
-    path.write_text(f"where: [sockets]\nworlds: {{w: {{sidecars: 1}}}}\ndemands: {{d: {{recipe: {recipe}}}}}")
+    path, folder = experiment_on_sockets(tmp_path, sidecars=1)
     run = subprocess.Popen(
         [sys.executable, "-m", "brambleusher", "lab", "run", str(path)],
         cwd=ROOT, stderr=subprocess.DEVNULL, env={**os.environ, "TMPDIR": str(folder)},
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -57,19 +57,7 @@
 def test_two_changes_on_one_version_have_one_winner(deployment: VirtualDeployment) -> None:
     deployment.served()
     bodies = [configuration(5, route("/x/")), configuration(5, route("/y/"))]
-    replies = [
-        deployment.start_call(
-            (deployment.world.machines[core].ip, 8166),
-            "PUT",
-            "/api/config",
-            headers={"If-Match": "1"},
-            body=body,
-        )
-        for core, body in zip(("c2", "c3"), bodies, strict=True)
-    ]
-    deployment.wait(lambda: all(reply.error for reply in replies))
-    assert sorted(reply.status for reply in replies) == [200, 412]
-    winner = bodies[[reply.status for reply in replies].index(200)]
+    winner = bodies[deployment.race_changes("PUT", 1, bodies)]
     assert deployment.control("c1", "GET", "/api/config").body == winner
 
 
--- a/tests/system/virtual_deployment.py
+++ b/tests/system/virtual_deployment.py
@@ -356,6 +356,26 @@
         """Send a configuration that is based on a revision."""
         return self.control(core, "PUT", "/api/config", headers={"If-Match": str(base)}, body=body)
 
+    def race_changes(self, method: str, base: int, bodies: list[bytes]) -> int:
+        """Send two changes on one revision to two controllers at once; return which one was accepted.
+
+        The other one has to be refused because the revision is outdated.
+        """
+        replies = [
+            self.start_call(
+                (self.world.machines[core].ip, CONTROL),
+                method,
+                "/api/config",
+                headers={"If-Match": str(base)},
+                body=body,
+            )
+            for core, body in zip(("c2", "c3"), bodies, strict=True)
+        ]
+        self.wait(lambda: all(reply.error for reply in replies))
+        statuses = [reply.status for reply in replies]
+        assert sorted(statuses) == [200, 412]
+        return statuses.index(200)
+
     def request(self, gateway: str, target: str = "/s/x", attempt: str = "a1", **given: Any) -> Reply:
         """Send a client's request to a gateway, and wait for its end."""
         return self.call(*self._request(gateway, target, attempt, given), **given)
--- a/tests/wire/test_configuration_patch.py
+++ b/tests/wire/test_configuration_patch.py
@@ -10,7 +10,7 @@
 
 from brambleusher.wire import configuration_patch
 from brambleusher.wire.errors import InvalidConfigurationError
-from tests.system.virtual_deployment import CONTROL, Reply, VirtualDeployment, configuration, route
+from tests.system.virtual_deployment import Reply, VirtualDeployment, configuration, route
 
 BASE = configuration(1, route("/a/"), route("/b/"), route("/c/"))
 
@@ -94,19 +94,7 @@
 
 def test_two_patches_that_race_on_different_items_have_one_winner(deployment: VirtualDeployment) -> None:
     bodies = [patch_body(3, {"routes": [route("/x/")]}), patch_body(3, {"routes": [route("/y/")]})]
-    replies = [
-        deployment.start_call(
-            (deployment.world.machines[core].ip, CONTROL),
-            "PATCH",
-            "/api/config",
-            headers={"If-Match": "1"},
-            body=body,
-        )
-        for core, body in zip(("c2", "c3"), bodies, strict=True)
-    ]
-    deployment.wait(lambda: all(reply.error for reply in replies))
-    assert sorted(reply.status for reply in replies) == [200, 412]
-    added = ["/x/", "/y/"][[reply.status for reply in replies].index(200)]
+    added = ["/x/", "/y/"][deployment.race_changes("PATCH", 1, bodies)]
     assert names(current_configuration(deployment)) == ["/a/", "/b/", "/c/", added]
 
 
