Tests: the control service's tests stand in one file for each of its modules

Cause: tests/xds/test_control.py had 1,038 lines on eight modules of the program, and another test file imported its builders from it.

Change: eight test files, named after what they test, and the builders that several of them use in control_builders.py. No case or assertion is changed.

--- a/tests/xds/test_control_live.py
+++ b/tests/xds/test_control_live.py
@@ -50,7 +50,7 @@
 from brambleusher.xds.config import StreamLimits, parse_control_config
 from brambleusher.xds.service import Service
 from brambleusher.xds.wire import LRS
-from tests.xds.test_control import config_text, control_config
+from tests.xds.control_builders import config_text, control_config
 
 ROOT = Path(__file__).resolve().parents[2]
 WAIT = 30.0
