--- a/tests/system/real_processes.py
+++ b/tests/system/real_processes.py
@@ -31,7 +31,7 @@
 zone = "north"
 region = "r"
 port_range = [{peer}, {peer_last}]
-seeds = ["{ip}:{control}"]
+seeds = ["{seed}:{control}"]
 bootstrap = true
 data_dir = {data_dir}
 [zones]
@@ -41,8 +41,13 @@
 ready = "{ip}:{ready}"
 control = "{ip}:{control}"
 directory = "{ip}:{directory}"
+[limits]
+memory_mb = 300
+fd_limit = 4100
+[tolerance]
+machines = 0
 [cloud_api]
-address = "{ip}:9"
+address = "{platform}"
 """
 
 
@@ -113,18 +118,25 @@
 class RoleMachine:
     """The settings, the ports and the process of one role."""
 
-    def __init__(self, folder: Path, role: str) -> None:
+    def __init__(
+        self, folder: Path, role: str, seed: RoleMachine | None = None, platform: str | None = None
+    ) -> None:
+        """Write the settings; the ports are those of `seed`, as the ports of all machines are the same."""
         self.role, self.ip = role, own_loopback_address()
         self.log_path = folder / "log"
         self.settings_path = folder / "settings.toml"
         names = ("peer", "front", "ready", "control", "directory")
-        self.ports = dict(zip(names, free_ports(self.ip, len(names)), strict=True))
+        self.ports: dict[str, int] = (
+            dict(zip(names, free_ports(self.ip, len(names)), strict=True)) if seed is None else seed.ports
+        )
         data_dir = folder / "data"
         data_dir.mkdir()
         self.settings_path.write_text(
             SETTINGS.format(
                 role=role,
                 ip=self.ip,
+                seed=self.ip if seed is None else seed.ip,
+                platform=platform or f"{self.ip}:9",
                 data_dir=json.dumps(str(data_dir) if role == "controller" else ""),
                 peer_last=self.ports["peer"] + 15,
                 **self.ports,
