Failed responses are counted by reason, logged with their instance, and their bytes gauged

Change: counters response_*, one log line a second ('response failed'), the metric buffered_response_bytes. BodyMemory is MemoryBudget now, since responses are counted with it too. Measured: tests/dataplane, tests/gateway and tests/project pass; behaviour is unchanged.

--- a/brambleusher/dataplane/attempts.py
+++ b/brambleusher/dataplane/attempts.py
@@ -14,6 +14,7 @@
 from brambleusher.dataplane.placement import Placement
 from brambleusher.dataplane.rejection_reason import RejectionReason
 from brambleusher.dataplane.request_context import RequestContext
+from brambleusher.dataplane.response_failures import ResponseFailure
 from brambleusher.dataplane.upstream_client import MISDIRECTED_REQUEST, UpstreamClient, UpstreamRequest
 from brambleusher.dataplane.upstream_response import UpstreamResponse
 from brambleusher.loadbalancing.instance_weights import InstanceWeights
@@ -119,7 +120,7 @@
         if response is None:
             return None
         if response.status != HTTPStatus.OK:
-            response.fail()
+            response.fail(ResponseFailure.NOT_RESUMED)
             return None
         self._counters.add(RequestCounter.RESUMED)
         return response
--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -9,9 +9,9 @@
 import h11
 import orjson
 
-from brambleusher.dataplane.body_memory import BodyMemory
 from brambleusher.dataplane.client_request import HOP_BY_HOP_HEADERS, ClientRequest, HeaderList
 from brambleusher.dataplane.errors import RequestTooLargeError
+from brambleusher.dataplane.memory_budget import MemoryBudget
 from brambleusher.dataplane.read_ahead import ReadAhead
 from brambleusher.runtime.disconnect_watch import PeerDisconnectedError
 from brambleusher.runtime.h11_messages import encode_message, header_list, send_continue
@@ -36,7 +36,7 @@
         scheduler: Scheduler,
         stream: Stream,
         current_limits: Callable[[], Limits],
-        body_memory: BodyMemory,
+        body_memory: MemoryBudget,
     ) -> None:
         """Create a connection; `current_limits` returns the limits in force for a request that begins now."""
         self._scheduler, self.stream = scheduler, stream
--- a/brambleusher/dataplane/body_memory.py
+++ b/brambleusher/dataplane/memory_budget.py
@@ -1,10 +1,10 @@
-"""Memory accounting for the request bodies of all clients together."""
+"""Memory that all connections of a process reserve from together, such as for the bodies of requests."""
 
 from __future__ import annotations
 
 
-class BodyMemory:
-    """Counts the bytes reserved for request bodies and enforces a limit on their sum."""
+class MemoryBudget:
+    """Counts reserved bytes and enforces a limit on their sum."""
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
--- a/brambleusher/dataplane/read_ahead.py
+++ b/brambleusher/dataplane/read_ahead.py
@@ -4,7 +4,7 @@
 
 import h11
 
-from brambleusher.dataplane.body_memory import BodyMemory
+from brambleusher.dataplane.memory_budget import MemoryBudget
 from brambleusher.runtime.h11_messages import ParserBuffer
 
 UNRESERVED_BYTES = 16 * 1024  # each connection may buffer this much outside the shared memory limit
@@ -15,7 +15,7 @@
 
     __slots__ = ("_memory", "_reserved_bytes")
 
-    def __init__(self, protocol: h11.Connection, memory: BodyMemory) -> None:
+    def __init__(self, protocol: h11.Connection, memory: MemoryBudget) -> None:
         super().__init__(protocol)
         self._memory = memory
         self._reserved_bytes = 0
--- a/brambleusher/dataplane/request_handler.py
+++ b/brambleusher/dataplane/request_handler.py
@@ -12,6 +12,7 @@
 from brambleusher.dataplane.counters import Counters, RequestCounter
 from brambleusher.dataplane.errors import ResponseBrokenError
 from brambleusher.dataplane.instance_table import InstanceTable
+from brambleusher.dataplane.memory_budget import MemoryBudget
 from brambleusher.dataplane.placement import PlacementRequest
 from brambleusher.dataplane.prefix_affinity import shared_prefix
 from brambleusher.dataplane.request_context import RequestContext
@@ -41,11 +42,12 @@
         counters: Counters,
         rng: random.Random,
         can_finish: Callable[[float], bool],
+        response_memory: MemoryBudget,
     ) -> None:
         """Create a handler; `can_finish` tells whether the process keeps running until a given deadline."""
         self._scheduler, self._bounds, self._rng = scheduler, bounds, rng
         self._instances, self._attempts, self._counters = instances, attempts, counters
-        self._can_finish = can_finish
+        self._can_finish, self._response_memory = can_finish, response_memory
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     def handle(self, client: ClientConnection, request: ClientRequest, routes: RouteTable) -> None:
@@ -158,11 +160,14 @@
             body: list[bytes] = []
             try:
                 while data := pending.read(context.deadline_s):
+                    self._response_memory.reserve(len(data))
                     body.append(data)
             except (ResponseBrokenError, TaskTimeoutError):
                 self._counters.add(RequestCounter.BROKEN)
                 pending = self._attempts.run(context)
                 continue
+            finally:
+                self._response_memory.release(sum(map(len, body)))
             is_served = pending.status < HTTPStatus.BAD_REQUEST
             self._counters.add(RequestCounter.SERVED if is_served else RequestCounter.ERROR_FORWARDED)
             client.send_response(pending.status, pending.headers, b"".join(body))
--- a/brambleusher/dataplane/streaming.py
+++ b/brambleusher/dataplane/streaming.py
@@ -10,6 +10,7 @@
 from brambleusher.dataplane.errors import EventTooLongError, ResponseBrokenError
 from brambleusher.dataplane.event_stream import EventSplitter
 from brambleusher.dataplane.request_context import RequestContext
+from brambleusher.dataplane.response_failures import ResponseFailure
 from brambleusher.dataplane.upstream_response import UpstreamResponse
 from brambleusher.runtime.scheduler import TaskTimeoutError
 from brambleusher.wire.digits import parse_digits
@@ -57,8 +58,10 @@
                 if events:
                     self._begin_response()
                     self._client.send_data(events)
-        except (ResponseBrokenError, TaskTimeoutError, EventTooLongError):
-            response.fail()
+        except (ResponseBrokenError, TaskTimeoutError):
+            return False
+        except EventTooLongError:
+            response.fail(ResponseFailure.EVENT_TOO_LONG)
             return False
         except BaseException:  # client disconnected or task cancelled; not a failure of the instance
             response.abandon()
--- a/brambleusher/dataplane/upstream_client.py
+++ b/brambleusher/dataplane/upstream_client.py
@@ -19,6 +19,7 @@
 from brambleusher.dataplane.errors import ResponseBrokenError
 from brambleusher.dataplane.instance import Instance
 from brambleusher.dataplane.instance_table import InstanceTable
+from brambleusher.dataplane.response_failures import ResponseFailure, ResponseFailureLog
 from brambleusher.dataplane.upstream_connection import UpstreamConnection
 from brambleusher.dataplane.upstream_response import (
     AttemptListener,
@@ -69,8 +70,15 @@
 class UpstreamClient:
     """Sends requests to instances over pooled connections."""
 
-    def __init__(self, scheduler: Scheduler, instances: InstanceTable, pool: ConnectionPool) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        instances: InstanceTable,
+        pool: ConnectionPool,
+        failures: ResponseFailureLog,
+    ) -> None:
         self._scheduler, self._instances, self._pool = scheduler, instances, pool
+        self._failures = failures
         self.malformed_loads = 0
 
     def has_capacity(self, instance: Instance) -> bool:
@@ -95,7 +103,7 @@
         self._record_load(request.instance, head)
         if _is_rejection(head):
             return Err(self._drain_rejection(request, connection, head))
-        return Ok(UpstreamResponse(self._scheduler, self._pool, request.instance, connection, head, listener))
+        return Ok(self._response(request, connection, head, listener))
 
     # --- connection -------------------------------------------------------------------------------
 
@@ -151,6 +159,17 @@
 
     # --- response ---------------------------------------------------------------------------------
 
+    def _response(
+        self,
+        request: UpstreamRequest,
+        connection: UpstreamConnection,
+        head: ResponseHead,
+        listener: AttemptListener,
+    ) -> UpstreamResponse:
+        return UpstreamResponse(
+            self._scheduler, self._pool, request.instance, connection, head, listener, self._failures
+        )
+
     def _exchange(self, request: UpstreamRequest, prepared: _PreparedAttempt) -> ResponseHead | None:
         """Send the rest of a request and read the head of its response; return None if no head arrives."""
         connection = prepared.connection
@@ -159,7 +178,10 @@
             request.begin_run()
             connection.stream.send(prepared.unsent, request.deadline_s)
             head = _read_matching_head(connection, request)
-        except (OSError, h11.ProtocolError):
+        except h11.ProtocolError:
+            self._pool.record_reset(connection)
+            self._failures.record(ResponseFailure.INVALID, request.instance, 0, 0)
+        except OSError:
             self._pool.record_reset(connection)
         except TaskTimeoutError:
             pass  # no evidence against the connection: the instance may be slow
@@ -184,9 +206,7 @@
         self, request: UpstreamRequest, connection: UpstreamConnection, head: ResponseHead
     ) -> AttemptRejected:
         """Read the body of a rejection, so that the connection can be reused."""
-        response = UpstreamResponse(
-            self._scheduler, self._pool, request.instance, connection, head, NullAttemptListener()
-        )
+        response = self._response(request, connection, head, NullAttemptListener())
         try:
             while response.read(request.deadline_s):
                 pass
--- a/brambleusher/dataplane/upstream_response.py
+++ b/brambleusher/dataplane/upstream_response.py
@@ -11,6 +11,7 @@
 from brambleusher.dataplane.connection_pool import ConnectionPool
 from brambleusher.dataplane.errors import ResponseBrokenError
 from brambleusher.dataplane.instance import Instance
+from brambleusher.dataplane.response_failures import ResponseFailure, ResponseFailureLog
 from brambleusher.dataplane.upstream_connection import UpstreamConnection
 from brambleusher.runtime.h11_messages import receive_event
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
@@ -63,10 +64,12 @@
         connection: UpstreamConnection,
         head: ResponseHead,
         listener: AttemptListener,
+        failures: ResponseFailureLog,
     ) -> None:
         self._scheduler, self._pool = scheduler, pool
         self._instance, self._connection = instance, connection
-        self._listener = listener
+        self._listener, self._failures = listener, failures
+        self.received_bytes = 0  # of the body
         self.status, self.headers, self._values = head.status, head.headers, head.values
         self._is_finished = self._has_body_begun = False
 
@@ -84,10 +87,11 @@
         try:
             event = receive_event(self._connection.protocol, self._connection.stream, deadline_s)
         except (OSError, h11.ProtocolError) as error:
-            self.fail()
+            is_invalid = isinstance(error, h11.ProtocolError)
+            self.fail(ResponseFailure.INVALID if is_invalid else ResponseFailure.BROKEN_OFF)
             raise ResponseBrokenError(f"{self._instance.id}: the response broke off: {error!r}") from error
         except TaskTimeoutError:
-            self.fail()
+            self.fail(ResponseFailure.DEADLINE)
             raise
         except BaseException:  # client disconnected or task cancelled; not a failure of the instance
             self.abandon()
@@ -97,16 +101,18 @@
             if not self._has_body_begun:
                 self._has_body_begun = True
                 self._listener.response_started()
+            self.received_bytes += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._finish()
             return b""
-        self.fail()
+        self.fail(ResponseFailure.BROKEN_OFF)
         raise ResponseBrokenError(f"{self._instance.id}: the connection ended within the response")
 
-    def fail(self) -> None:
+    def fail(self, failure: ResponseFailure) -> None:
         """Close the connection and record a failure, as the rest of the response can't be read."""
         if self._close():
+            self._failures.record(failure, self._instance, self.status, self.received_bytes)
             self._listener.attempt_finished(False)
 
     def abandon(self) -> None:
--- a/brambleusher/gateway/app.py
+++ b/brambleusher/gateway/app.py
@@ -4,17 +4,19 @@
 
 import logging
 import random
+import sys
 from http import HTTPStatus
 
 from brambleusher.dataplane.attempts import AttemptRunner
-from brambleusher.dataplane.body_memory import BodyMemory
 from brambleusher.dataplane.configuration_client import ConfigurationClient
 from brambleusher.dataplane.configuration_store import ConfigurationStore
 from brambleusher.dataplane.connection_pool import ConnectionPool
 from brambleusher.dataplane.counters import Counters
 from brambleusher.dataplane.instance_table import InstanceTable
+from brambleusher.dataplane.memory_budget import MemoryBudget
 from brambleusher.dataplane.placement import Placement
 from brambleusher.dataplane.request_handler import RequestHandler
+from brambleusher.dataplane.response_failures import ResponseFailureLog
 from brambleusher.dataplane.routing import RouteTable
 from brambleusher.dataplane.upstream_client import UpstreamClient
 from brambleusher.gateway.client_server import ClientServer
@@ -68,7 +70,8 @@
         self.instances = InstanceTable(settings.zones, rng, policy, settings.node_name)
         drops_idle_silently = DROPS_IDLE_SILENTLY in settings.in_force
         self.connection_pool = ConnectionPool(self.scheduler, self.instances, drops_idle_silently, policy)
-        self._upstream = UpstreamClient(self.scheduler, self.instances, self.connection_pool)
+        failures = ResponseFailureLog(self.scheduler, self.counters)
+        self._upstream = UpstreamClient(self.scheduler, self.instances, self.connection_pool, failures)
         locality = Locality(settings.zone, settings.region)
         self.controllers = Controllers(settings.seed_peers(), rng, locality)
         self._configuration = ConfigurationStore(
@@ -80,7 +83,8 @@
         self._ready_server = HttpServer(
             self.scheduler, parse_address(settings.bind.ready), self._handle_request
         )
-        self.body_memory = BodyMemory(settings.limits.memory_mb * BYTES_PER_MB // BODY_MEMORY_DIVISOR)
+        self.body_memory = MemoryBudget(settings.limits.memory_mb * BYTES_PER_MB // BODY_MEMORY_DIVISOR)
+        self.response_memory = MemoryBudget(sys.maxsize)
         self._clients = self._client_server(self._request_handler(policy, rng))
         if metrics_endpoint is not None:
             self._serve_metrics(metrics_endpoint)
@@ -100,7 +104,12 @@
 
     def _serve_metrics(self, endpoint: MetricsEndpoint) -> None:
         metrics = GatewayMetrics(
-            self.scheduler, self.counters, self._clients, self.instances, self._configuration
+            self.scheduler,
+            self.counters,
+            self._clients,
+            self.instances,
+            self._configuration,
+            self.response_memory,
         )
         MetricsServer(self.scheduler, self.settings.ip, endpoint, metrics)
 
@@ -118,6 +127,7 @@
             self.counters,
             rng,
             self._shutdown.can_finish,
+            self.response_memory,
         )
 
     # --- lifecycle --------------------------------------------------------------------------------
--- a/brambleusher/gateway/client_server.py
+++ b/brambleusher/gateway/client_server.py
@@ -8,11 +8,11 @@
 
 import h11
 
-from brambleusher.dataplane.body_memory import BodyMemory
 from brambleusher.dataplane.client_connection import ClientConnection
 from brambleusher.dataplane.client_request import ClientRequest
 from brambleusher.dataplane.counters import Counters, RequestCounter
 from brambleusher.dataplane.errors import RequestTooLargeError
+from brambleusher.dataplane.memory_budget import MemoryBudget
 from brambleusher.dataplane.request_handler import RequestHandler
 from brambleusher.dataplane.routing import RouteTable
 from brambleusher.runtime.acceptor import Acceptor
@@ -37,7 +37,7 @@
         address: Address,
         handler: RequestHandler,
         counters: Counters,
-        body_memory: BodyMemory,
+        body_memory: MemoryBudget,
         current_routes: Callable[[], RouteTable | None],
         accepts_requests: Callable[[], bool],
     ) -> None:
--- a/brambleusher/gateway/gateway_metrics.py
+++ b/brambleusher/gateway/gateway_metrics.py
@@ -5,6 +5,7 @@
 from brambleusher.dataplane.configuration_store import ConfigurationStore
 from brambleusher.dataplane.counters import Counters
 from brambleusher.dataplane.instance_table import InstanceTable
+from brambleusher.dataplane.memory_budget import MemoryBudget
 from brambleusher.gateway.client_server import ClientServer
 from brambleusher.observability.prometheus_text import Metric, counter, gauge
 from brambleusher.runtime.scheduler import Scheduler
@@ -22,9 +23,11 @@
         clients: ClientServer,
         instances: InstanceTable,
         configuration: ConfigurationStore,
+        response_memory: MemoryBudget,
     ) -> None:
         self._scheduler, self._counters = scheduler, counters
         self._clients, self._instances, self._configuration = clients, instances, configuration
+        self._response_memory = response_memory
 
     def collect(self) -> list[Metric]:
         """Return all metrics with their current values."""
@@ -54,6 +57,11 @@
                 "Connections to instances on which a response is awaited or read.",
                 self._instances.attempts_in_flight,
             ),
+            gauge(
+                f"{PREFIX}buffered_response_bytes",
+                "Bytes of incomplete responses of instances that are kept in memory.",
+                self._response_memory.reserved_bytes,
+            ),
             gauge(
                 f"{PREFIX}scheduler_lateness_seconds",
                 "How late timers are, 0 where none was late recently.",
--- a/tests/dataplane/test_body_memory.py
+++ b/tests/dataplane/test_memory_budget.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from brambleusher.dataplane.body_memory import BodyMemory
+from brambleusher.dataplane.memory_budget import MemoryBudget
 
 
 def test_a_reservation_over_the_limit_reserves_nothing() -> None:
-    memory = BodyMemory(100)
+    memory = MemoryBudget(100)
     assert memory.reserve(60)
     assert not memory.reserve(41)
     assert memory.reserved_bytes == 60
--- a/tests/dataplane/test_read_ahead.py
+++ b/tests/dataplane/test_read_ahead.py
@@ -4,13 +4,13 @@
 
 import h11
 
-from brambleusher.dataplane.body_memory import BodyMemory
+from brambleusher.dataplane.memory_budget import MemoryBudget
 from brambleusher.dataplane.read_ahead import UNRESERVED_BYTES, ReadAhead
 
 KB = 1024
 
 
-def read_ahead(memory: BodyMemory) -> ReadAhead:
+def read_ahead(memory: MemoryBudget) -> ReadAhead:
     """Create a buffer for a connection that has received its first request, so later bytes stay buffered."""
     protocol = h11.Connection(h11.SERVER)
     protocol.receive_data(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -28,7 +28,7 @@
 
 
 def test_each_connection_keeps_a_little_without_shared_memory() -> None:
-    memory = BodyMemory(0)
+    memory = MemoryBudget(0)
     buffer = read_ahead(memory)
     assert buffer_bytes(buffer, UNRESERVED_BYTES)
     assert not buffer_bytes(buffer, 1)
@@ -36,7 +36,7 @@
 
 
 def test_what_is_beyond_takes_shared_memory_and_gives_it_back() -> None:
-    memory = BodyMemory(100 * KB)
+    memory = MemoryBudget(100 * KB)
     buffer = read_ahead(memory)
     for _ in range(4):
         assert buffer_bytes(buffer, 16 * KB)
@@ -51,7 +51,7 @@
 
 
 def test_what_the_parser_has_taken_is_given_back() -> None:
-    memory = BodyMemory(100 * KB)
+    memory = MemoryBudget(100 * KB)
     protocol = h11.Connection(h11.SERVER)
     buffer = ReadAhead(protocol, memory)
     head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40960\r\n\r\n"
