--- a/tests/system/endless_deployment.py
+++ b/tests/system/endless_deployment.py
@@ -34,7 +34,6 @@
     wait_until,
 )
 
-MEMORY_LIMIT_MB = 300  # `memory_mb` of the settings
 STOP_AT_MB = 600  # a play ends here, so that it does not exhaust the memory of the machine
 SAMPLE_S = 0.05
 SOUND_DEADLINE_S = 2.0
--- a/tests/system/real_processes.py
+++ b/tests/system/real_processes.py
@@ -20,6 +20,7 @@
 WAIT_S = 30.0  # upper bound of a wait for something that takes milliseconds on an idle machine
 POLL_S = 0.002
 FIRST_OWN_NETWORK = 216  # second octet of the first network
+MEMORY_LIMIT_MB = 100  # of each process: `memory_mb` of the settings
 OWN_NETWORKS = 1 << 13  # each process of tests has a network 127.x.y.0 for its machines
 MACHINES_MAX = 254  # of one process of tests; then their addresses come again
 
@@ -42,7 +43,7 @@
 control = "{ip}:{control}"
 directory = "{ip}:{directory}"
 [limits]
-memory_mb = 300
+memory_mb = {memory_mb}
 fd_limit = 4100
 [tolerance]
 machines = 0
@@ -135,6 +136,7 @@
             SETTINGS.format(
                 role=role,
                 ip=self.ip,
+                memory_mb=MEMORY_LIMIT_MB,
                 seed=self.ip if seed is None else seed.ip,
                 platform=platform or f"{self.ip}:9",
                 data_dir=json.dumps(str(data_dir) if role == "controller" else ""),
