A task whose peer always sends passes checkpoints, at which others run and deadlines pass

Callers saw: while an instance sent chunks of one byte, pieces of events, events, interim responses, a rejection or an answer to another request without end, a gateway answered nobody on any port, and its callers were held for as long as the instance sent, past their deadline. Cause: a receive parks only where no bytes are there, and only a parked task sees its deadline and lets others run. Change: each iteration of a loop over received bytes or parsed events passes a checkpoint; after 16 without a park the task yields until the others are idle, or for half a millisecond, and then looks at its deadline. A receive that finds nothing after its deadline raises at once, as a poll would find the next byte of a trickle.

--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -80,6 +80,7 @@
         self._idle_since_s = self._scheduler.now()
         deadline_s = self._idle_since_s + self._limits.idle_ms / MS_PER_S
         while True:
+            self._scheduler.checkpoint(deadline_s)
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
                 was_idle = self.is_idle
--- a/brambleusher/runtime/h11_messages.py
+++ b/brambleusher/runtime/h11_messages.py
@@ -40,6 +40,7 @@
 
     A client that waits for a 100 Continue response is sent this response.
     """
+    stream.scheduler.checkpoint(deadline)
     while (event := connection.next_event()) is h11.NEED_DATA:
         if connection.our_role is h11.SERVER:
             send_continue(connection, stream)
--- a/brambleusher/runtime/scheduler.py
+++ b/brambleusher/runtime/scheduler.py
@@ -21,6 +21,7 @@
 log = logging.getLogger(__name__)
 
 LATENESS_MIN_S = 0.05  # a timer late by more seconds than this means that the process has fallen behind
+CHECKPOINTS_PER_TURN = 16  # checkpoints that a task may pass before it lets other tasks run
 YIELD_MAX_S = 0.0005  # longest time in seconds for other tasks between two steps of long work
 POLL_TIMEOUT_MAX_MS = 1000
 CANCELLED_TIMERS_MIN = 512  # cancelled timers in the heap before it is compacted
@@ -142,6 +143,7 @@
             self.now()
         )  # when the latest two polls had returned
         self._running: Task | None = None
+        self._checkpoints_left = CHECKPOINTS_PER_TURN
         self._stopped = False
         # Signal handlers use the waker to end a poll in progress.
         self._waker = system.waker()
@@ -291,6 +293,22 @@
         self._yielding.append(event)
         self.park(event=event)
 
+    def checkpoint(self, deadline: float | None = None) -> None:
+        """Let other tasks run if this one has passed `CHECKPOINTS_PER_TURN` checkpoints since it last parked.
+
+        Each iteration of a loop over what a peer sends passes one: as long as the peer sends faster than the
+        loop works, no receive parks, so neither other tasks nor the deadline would get a turn.
+
+        Raises:
+            TaskTimeoutError: The deadline had passed after the other tasks ran.
+        """
+        self._checkpoints_left -= 1
+        if self._checkpoints_left > 0:
+            return
+        self.yield_until_idle()
+        if deadline is not None and self.now() >= deadline:
+            raise TaskTimeoutError
+
     def call_at(self, when: float, callback: Callable[[], object]) -> Timer:
         """Make the hub call a short function, which must not park, at a set time.
 
@@ -347,6 +365,7 @@
                 task, reason = self._ready.popleft()
                 task.parked = False
                 self._running = task
+                self._checkpoints_left = CHECKPOINTS_PER_TURN
                 task.glet.switch(reason)
                 self._running = None
             self._poll_once(0 if self._ready or self._yielding else self._poll_timeout_ms())
--- a/brambleusher/runtime/streams.py
+++ b/brambleusher/runtime/streams.py
@@ -76,18 +76,35 @@
     def receive(
         self, deadline: float | None, event: Event | None = None, size: int = RECEIVE_BYTES
     ) -> bytes | None:
-        """Wait for at most `size` bytes; return empty bytes at the end, None if the event was set first."""
+        """Wait for at most `size` bytes; return empty bytes at the end, None if the event was set first.
+
+        Raises:
+            OSError: The connection failed.
+            TaskTimeoutError: The deadline has passed.
+        """
+        self.scheduler.checkpoint(deadline)
         while True:
             try:
                 return self.sock.recv(size)
             except BlockingIOError:
+                self._check_deadline(deadline)
                 if self.scheduler.park(deadline, self.sock, READ, event) is _EVENT:
                     return None
 
+    def _check_deadline(self, deadline: float | None) -> None:
+        """Raise `TaskTimeoutError` after the deadline.
+
+        A park with a deadline in the past returns for bytes that arrive at once, so that a peer that always
+        sends some would never be timed out.
+        """
+        if deadline is not None and self.scheduler.now() >= deadline:
+            raise TaskTimeoutError
+
     def send(self, data: bytes, deadline: float | None) -> None:
         """Send all of `data`; return once the last byte was passed to the operating system."""
         view = memoryview(data)
         while view:
+            self.scheduler.checkpoint(deadline)
             try:
                 view = view[self.sock.send(view) :]
             except BlockingIOError:
--- a/tests/system/test_endless_responses.py
+++ b/tests/system/test_endless_responses.py
@@ -15,7 +15,17 @@
 
 
 # Guards against gateways that run out of memory or stand still while an instance sends bytes without end.
-@pytest.mark.parametrize(("form", "kind", "status"), [(EndlessForm.ONE_CHUNK, "mutating", 200)])
+@pytest.mark.parametrize(
+    ("form", "kind", "status"),
+    [
+        (EndlessForm.ONE_CHUNK, "mutating", 200),
+        (EndlessForm.SMALL_CHUNKS, "mutating", 200),
+        (EndlessForm.SMALL_CHUNKS, "streaming", 200),
+        (EndlessForm.EVENT_PIECES, "mutating", 500),
+        (EndlessForm.EVENT_PIECES, "streaming", 200),
+        (EndlessForm.INFORMATIONAL, "mutating", 200),
+    ],
+)
 def test_an_endless_response_harms_nobody(form: EndlessForm, kind: str, status: int, tmp_path: Path) -> None:
     with endless_deployment(tmp_path) as deployment:
         play = deployment.play(form, kind, status, DEADLINE_S)
