Responses larger than a bound are passed on as they arrive, within a memory for all of them

Callers saw: a gateway went over its memory while an instance sent one chunk, a told length or a body until the close without end; with it went the requests of all its other clients. Cause: a response that is no event stream was put together whole before its first byte was sent on, so that it could be requested again where it broke off. Nothing bounded one of them, nor all together. Change: up to 1 MB of a response is buffered, beyond 16 KB out of an eighth of the machine's memory for all. A larger one, or one for which no memory is left, is sent on as it arrives, with its told length, and is not requested again. Where it breaks off, its client sees an incomplete response: no last chunk, missing bytes, or a reset for a client of HTTP/1.0, to whom the close alone would look like the end. A response to a request that may run once is read to its end without its client, as before.

--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 from collections.abc import Callable
 from http import HTTPStatus
@@ -24,6 +25,7 @@
 BODY_TIMEOUT_S = 10.0
 HEAD_TIMEOUT_MIN_S = 1.0
 MS_PER_S = 1000
+FIRST_CHUNKED_VERSION = b"1.1"  # HTTP/1.0 has no chunked bodies
 HEADER_LINE_OVERHEAD_BYTES = 4  # the colon, the space and the CRLF of a header line
 READ_AHEAD_MAX_BYTES = 1024 * 1024  # pipelined bytes kept while a request is served; more is discarded
 
@@ -177,16 +179,16 @@
 
     # --- responses --------------------------------------------------------------------------------
 
-    def begin_response(self, status: int, headers: HeaderList) -> None:
-        """Begin a chunked response; its head is sent together with the first chunk of the body."""
-        self._unsent_head = self._protocol.send(self._head(status, headers, None)) or b""
+    def begin_response(self, status: int, headers: HeaderList, length_bytes: int | None = None) -> None:
+        """Begin a response, chunked without a length; its head is sent with the first part of the body."""
+        self._unsent_head = self._protocol.send(self._head(status, headers, length_bytes)) or b""
 
-    def send_data(self, data: bytes) -> None:
-        """Send one chunk of the response body."""
-        self._write(self._protocol.send(h11.Data(data=data)) or b"")
+    def send_data(self, data: bytes, deadline_s: float = math.inf) -> None:
+        """Send one part of the response body, which the client has to take by the deadline."""
+        self._write(self._protocol.send(h11.Data(data=data)) or b"", deadline_s)
 
     def end_response(self) -> None:
-        """Send the last chunk, which ends the response body."""
+        """End the response body, with the last chunk if it is chunked."""
         self._write(self._protocol.send(h11.EndOfMessage()) or b"")
 
     def send_response(self, status: int, headers: HeaderList, body: bytes) -> None:
@@ -221,11 +223,18 @@
         self.has_response_begun = True
         return h11.Response(status_code=status, headers=sent)
 
-    def _write(self, data: bytes) -> None:
+    def break_off(self) -> None:
+        """Close the connection within a response, so that the client sees that it is incomplete."""
+        is_delimited = (self._protocol.their_http_version or b"") >= FIRST_CHUNKED_VERSION
+        if not is_delimited:  # without a length, the end of the connection would look like that of the body
+            self._scheduler.system.reset(self.stream.sock)
+        self.stream.close()
+
+    def _write(self, data: bytes, deadline_s: float = math.inf) -> None:
         """Send bytes; raises `PeerDisconnectedError` if the client has disconnected or stopped reading."""
         if self._unsent_head:
             data, self._unsent_head = self._unsent_head + data, b""
         try:
-            self.stream.send(data, self._scheduler.now() + SEND_TIMEOUT_S)
+            self.stream.send(data, min(self._scheduler.now() + SEND_TIMEOUT_S, deadline_s))
         except (OSError, TaskTimeoutError) as error:
             raise PeerDisconnectedError from error
--- a/brambleusher/dataplane/request_handler.py
+++ b/brambleusher/dataplane/request_handler.py
@@ -10,18 +10,18 @@
 from brambleusher.dataplane.client_connection import ClientConnection
 from brambleusher.dataplane.client_request import ClientRequest
 from brambleusher.dataplane.counters import Counters, RequestCounter
-from brambleusher.dataplane.errors import ResponseBrokenError
 from brambleusher.dataplane.instance_table import InstanceTable
 from brambleusher.dataplane.memory_budget import MemoryBudget
 from brambleusher.dataplane.placement import PlacementRequest
 from brambleusher.dataplane.prefix_affinity import shared_prefix
 from brambleusher.dataplane.request_context import RequestContext
+from brambleusher.dataplane.response_relay import RelayOutcome, ResponseRelay
 from brambleusher.dataplane.retry_budget import RetryBudget
 from brambleusher.dataplane.routing import RouteTable, pick_service
 from brambleusher.dataplane.streaming import StreamRelay, is_event_stream
 from brambleusher.dataplane.upstream_response import UpstreamResponse
 from brambleusher.runtime.disconnect_watch import DisconnectWatch
-from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
+from brambleusher.runtime.scheduler import Scheduler
 from brambleusher.wire.configuration import Route
 from brambleusher.wire.digits import parse_digits
 from brambleusher.wire.settings import Bounds
@@ -147,29 +147,23 @@
         if StreamRelay(self._attempts, client, context).run(response):
             self._counters.add(RequestCounter.SERVED)
         elif client.has_response_begun:
-            client.stream.close()  # no final chunk, so that the client sees that the response is incomplete
+            client.break_off()
         else:
             self._reject(client, context)
 
     def _relay_complete(
         self, client: ClientConnection, context: RequestContext, response: UpstreamResponse
     ) -> None:
-        """Buffer a response until it is complete, so that a response that breaks off can be retried."""
+        """Relay a response; one that breaks off before any of it was sent is requested again."""
         pending: UpstreamResponse | None = response
         while pending is not None:
-            body: list[bytes] = []
-            try:
-                while data := pending.read(context.deadline_s):
-                    self._response_memory.reserve(len(data))
-                    body.append(data)
-            except (ResponseBrokenError, TaskTimeoutError):
-                self._counters.add(RequestCounter.BROKEN)
-                pending = self._attempts.run(context)
-                continue
-            finally:
-                self._response_memory.release(sum(map(len, body)))
-            is_served = pending.status < HTTPStatus.BAD_REQUEST
-            self._counters.add(RequestCounter.SERVED if is_served else RequestCounter.ERROR_FORWARDED)
-            client.send_response(pending.status, pending.headers, b"".join(body))
-            return
+            outcome = ResponseRelay(client, context, self._response_memory).run(pending)
+            if outcome is RelayOutcome.COMPLETE:
+                is_served = pending.status < HTTPStatus.BAD_REQUEST
+                self._counters.add(RequestCounter.SERVED if is_served else RequestCounter.ERROR_FORWARDED)
+                return
+            self._counters.add(RequestCounter.BROKEN)
+            if outcome is RelayOutcome.BROKEN_OFF:
+                return
+            pending = self._attempts.run(context)
         self._reject(client, context)
--- a/brambleusher/dataplane/upstream_response.py
+++ b/brambleusher/dataplane/upstream_response.py
@@ -15,6 +15,7 @@
 from brambleusher.dataplane.upstream_connection import UpstreamConnection
 from brambleusher.runtime.h11_messages import receive_event
 from brambleusher.runtime.scheduler import Scheduler, TaskTimeoutError
+from brambleusher.wire.digits import parse_digits
 
 
 class ResponseHead:
@@ -77,6 +78,13 @@
         """Return a header's value by its lower-case name, empty if the header is missing."""
         return self._values.get(name, b"")
 
+    @property
+    def told_length(self) -> int | None:
+        """The length of the body in bytes by its head, None if the body is delimited otherwise."""
+        if self.header(b"transfer-encoding"):
+            return None
+        return parse_digits(self.header(b"content-length"))
+
     def read(self, deadline_s: float) -> bytes:
         """Read the next bytes of the body; empty bytes mark its end.
 
--- a/brambleusher/gateway/app.py
+++ b/brambleusher/gateway/app.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-import sys
 from http import HTTPStatus
 
 from brambleusher.dataplane.attempts import AttemptRunner
@@ -42,6 +41,7 @@
 BYTES_PER_MB = 1024 * 1024
 NS_PER_MS = 1_000_000
 BODY_MEMORY_DIVISOR = 4  # client request bodies may use 1/4 of the machine's memory
+RESPONSE_MEMORY_DIVISOR = 8  # incomplete responses may use 1/8 of it
 MAINTENANCE_INTERVAL_S = 0.25
 DROPS_IDLE_SILENTLY = "pool"  # value in `in_force`: instances may drop idle connections without closing them
 READY_PATH = "/api/readiness"
@@ -84,7 +84,9 @@
             self.scheduler, parse_address(settings.bind.ready), self._handle_request
         )
         self.body_memory = MemoryBudget(settings.limits.memory_mb * BYTES_PER_MB // BODY_MEMORY_DIVISOR)
-        self.response_memory = MemoryBudget(sys.maxsize)
+        self.response_memory = MemoryBudget(
+            settings.limits.memory_mb * BYTES_PER_MB // RESPONSE_MEMORY_DIVISOR
+        )
         self._clients = self._client_server(self._request_handler(policy, rng))
         if metrics_endpoint is not None:
             self._serve_metrics(metrics_endpoint)
--- a/tests/system/stub_instance.py
+++ b/tests/system/stub_instance.py
@@ -43,6 +43,8 @@
         self.slows_after_events: int | None = None  # events after this number are delayed by `STALL_S`
         self.head_delay_s = 0.0  # delay before the head of a response is sent
         self.resets_after_events: int | None = None  # a reset interrupts the event after this number
+        self.body_bytes = 0  # number of padding bytes in a response that is no event stream
+        self.breaks_off_after_bytes: int | None = None  # resets a response that is no event stream
         self.status = 200
         self.rejects_requests = False
         self.fails_early = False  # requests are run and get 500 before their body is received
@@ -54,6 +56,7 @@
         self.connections = 0  # number of accepted connections
         self.echoes_attempt_id = True  # whether responses contain the identifier of their attempt
         self.arrivals: list[Arrival] = []
+        self.completed: list[str] = []  # attempts whose plain response was sent to its end
         self.scheduler: Scheduler | None = None
         self.start()
 
@@ -175,15 +178,17 @@
             ("X-Server-Seal", f"{self.name}.{attempt}"),
         ]
         if self.service == "desk" or self.status != 200:
-            body = f"{self.name} ran {attempt}".encode()
+            body = f"{self.name} ran {attempt}".encode() + b"." * self.body_bytes
             length = ("Content-Length", str(len(body)))
             send(h11.Response(status_code=self.status, headers=[*common_headers, length]))
-            if self.resets_after_events is not None:
-                stream.send(body[:3], deadline)
+            if self.resets_after_events is not None or self.breaks_off_after_bytes is not None:
+                stream.send(body[: self.breaks_off_after_bytes or 3], deadline)
+                self.scheduler.sleep(self.pause_s)
                 self.scheduler.system.reset(stream.sock)
                 return False
             send(h11.Data(data=body))
             send(h11.EndOfMessage())
+            self.completed.append(attempt)
             return True
         return self._stream(stream, send, common_headers, arrival)
 
