--- a/brambleusher/dataplane/request_handler.py
+++ b/brambleusher/dataplane/request_handler.py
@@ -144,7 +144,7 @@
     def _relay_stream(
         self, client: ClientConnection, context: RequestContext, response: UpstreamResponse
     ) -> None:
-        if StreamRelay(self._attempts, client, context).run(response):
+        if StreamRelay(self._attempts, client, context, self._response_memory).run(response):
             self._counters.add(RequestCounter.SERVED)
         elif client.has_response_begun:
             client.break_off()
--- a/brambleusher/dataplane/streaming.py
+++ b/brambleusher/dataplane/streaming.py
@@ -9,8 +9,10 @@
 from brambleusher.dataplane.client_request import HeaderList
 from brambleusher.dataplane.errors import EventTooLongError, ResponseBrokenError
 from brambleusher.dataplane.event_stream import EventSplitter
+from brambleusher.dataplane.memory_budget import MemoryBudget, Reservation
 from brambleusher.dataplane.request_context import RequestContext
 from brambleusher.dataplane.response_failures import ResponseFailure
+from brambleusher.dataplane.response_relay import UNRESERVED_BYTES
 from brambleusher.dataplane.upstream_response import UpstreamResponse
 from brambleusher.runtime.scheduler import TaskTimeoutError
 from brambleusher.wire.digits import parse_digits
@@ -31,13 +33,27 @@
 class StreamRelay:
     """Relays one event stream and resumes it at another instance if it breaks off."""
 
-    def __init__(self, attempts: AttemptRunner, client: ClientConnection, context: RequestContext) -> None:
+    def __init__(
+        self,
+        attempts: AttemptRunner,
+        client: ClientConnection,
+        context: RequestContext,
+        memory: MemoryBudget,
+    ) -> None:
+        """Create a relay; `memory` bounds the incomplete events of all streams together."""
         self._attempts, self._client, self._context = attempts, client, context
-        self._splitter = EventSplitter(parse_digits(context.last_event_id))
+        self._reservation = Reservation(memory, UNRESERVED_BYTES)
+        self._splitter = EventSplitter(parse_digits(context.last_event_id), self._reservation)
         self._headers: HeaderList = []
 
     def run(self, response: UpstreamResponse) -> bool:
         """Relay the stream until it is complete; return False if it broke off and can't be resumed."""
+        try:
+            return self._relay_and_resume(response)
+        finally:
+            self._reservation.release()
+
+    def _relay_and_resume(self, response: UpstreamResponse) -> bool:
         self._headers = response.headers
         while not self._relay(response):
             last_event_id = self._splitter.last_id
@@ -47,7 +63,8 @@
             response = resumed
             if not self._client.has_response_begun:
                 self._headers = response.headers
-            self._splitter = EventSplitter(last_event_id)
+            self._reservation.release()
+            self._splitter = EventSplitter(last_event_id, self._reservation)
         return True
 
     def _relay(self, response: UpstreamResponse) -> bool:
--- a/tests/system/test_endless_responses.py
+++ b/tests/system/test_endless_responses.py
@@ -36,6 +36,7 @@
         (EndlessForm.EVENTS, "mutating", 200),
         (EndlessForm.EVENTS, "streaming", 200),
         (EndlessForm.MANY_EVENTS, "mutating", 200),
+        (EndlessForm.MANY_EVENTS, "streaming", 200),
         (EndlessForm.INFORMATIONAL, "mutating", 200),
     ],
 )
@@ -55,6 +56,7 @@
     ("form", "kind"),
     [
         (EndlessForm.ONE_CHUNK, "mutating"),
+        (EndlessForm.ONE_CHUNK, "streaming"),
         (EndlessForm.EVENT_PIECES, "streaming"),
     ],
 )
