Bodies and lines are gathered in one buffer each, and an endless list of the platform is tried

Cause: bodies of requests, calls and responses of the platform were lists of their pieces: a body in chunks of a few bytes took many times the memory that its limit counts. Lines of peers were lists of what each read brought. Change: one growing buffer each, so that the limits count what is used.

--- a/brambleusher/dataplane/client_connection.py
+++ b/brambleusher/dataplane/client_connection.py
@@ -77,7 +77,7 @@
         self.is_idle, self.has_response_begun = not self._protocol.trailing_data[0], False
         head: h11.Request | None = None
         headers: HeaderList = []
-        body: list[bytes] = []
+        body = bytearray()
         self._limits = self._current_limits()
         self._idle_since_s = self._scheduler.now()
         deadline_s = self._idle_since_s + self._limits.idle_ms / MS_PER_S
@@ -101,11 +101,11 @@
                 self._check_headers(headers)
             elif isinstance(event, h11.Data):
                 self._reserve_body(len(event.data))
-                body.append(bytes(event.data))
+                body += event.data
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 self._read_ahead.release_consumed()
                 now_s = self._scheduler.now()
-                return ClientRequest(head.method, head.target, headers, b"".join(body), now_s)
+                return ClientRequest(head.method, head.target, headers, bytes(body), now_s)
             else:
                 return None
 
--- a/brambleusher/runtime/http_client.py
+++ b/brambleusher/runtime/http_client.py
@@ -63,15 +63,14 @@
         host = f"{self._address[0]}:{self._address[1]}".encode()
         request = h11.Request(method=b"GET", target=target.encode(), headers=[(b"Host", host)])
         stream.send(encode_message(connection, request), deadline)
-        status, parts, received_bytes = 0, [], 0
+        status, body = 0, bytearray()
         while True:
             event = receive_event(connection, stream, deadline)
             if isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                received_bytes += len(event.data)
-                if received_bytes > BODY_BYTES_MAX:
+                body += event.data
+                if len(body) > BODY_BYTES_MAX:
                     raise OSError("the response is too long")
             elif isinstance(event, h11.EndOfMessage):
                 break
@@ -81,4 +80,4 @@
             connection.start_next_cycle()
         else:
             self.close()
-        return status, b"".join(parts)
+        return status, bytes(body)
--- a/brambleusher/runtime/http_server.py
+++ b/brambleusher/runtime/http_server.py
@@ -95,8 +95,7 @@
             h11.RemoteProtocolError: The bytes are not a complete request.
         """
         head: h11.Request | None = None
-        parts: list[bytes] = []
-        received_bytes = 0
+        body = bytearray()
         deadline = self._scheduler.now() + IDLE_TIMEOUT_S
         while True:
             event = receive_event(self.connection, self.stream, deadline)
@@ -104,12 +103,11 @@
                 head, deadline = event, self._scheduler.now() + REQUEST_TIMEOUT_S
                 self.is_head_request = event.method == HEAD.encode()
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                received_bytes += len(event.data)
-                if received_bytes > self._body_bytes:
+                body += event.data
+                if len(body) > self._body_bytes:
                     raise BodyTooLargeError
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return self._complete_request(head, b"".join(parts), readiness)
+                return self._complete_request(head, bytes(body), readiness)
             else:
                 return None
 
--- a/brambleusher/wire/lines.py
+++ b/brambleusher/wire/lines.py
@@ -33,8 +33,7 @@
 
     def __init__(self, max_bytes: int = LINE_BYTES_MAX) -> None:
         """Create a buffer for lines of at most `max_bytes` bytes."""
-        self._parts: list[bytes] = []
-        self._buffered_bytes = 0
+        self._partial = bytearray()
         self._max_bytes = max_bytes
 
     def feed(self, data: bytes) -> list[bytes]:
@@ -47,14 +46,12 @@
             self._append(data)
             return []
         *complete, remainder = data.split(b"\n")
-        complete[0] = b"".join([*self._parts, complete[0]])
-        self._parts, self._buffered_bytes = [], 0
+        complete[0] = bytes(self._partial) + complete[0]
+        self._partial.clear()
         self._append(remainder)
         return complete
 
     def _append(self, data: bytes) -> None:
-        if data:
-            self._parts.append(data)
-            self._buffered_bytes += len(data)
-        if self._buffered_bytes > self._max_bytes:
+        self._partial += data
+        if len(self._partial) > self._max_bytes:
             raise InvalidMessageError(f"a line is longer than {self._max_bytes} bytes")
--- a/tests/system/endless_deployment.py
+++ b/tests/system/endless_deployment.py
@@ -138,6 +138,23 @@
     }
 
 
+def start_endless_instance(ip: str, port: int, *only_form: str) -> subprocess.Popen[bytes]:
+    """Start the process of an instance that answers without end."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "tests.system.endless_instance", ip, str(port), *only_form],
+        cwd=ROOT,
+        env=environment_of_tests(),
+    )
+
+
+def resident_mb(process: subprocess.Popen[bytes] | None) -> float:
+    """Return the resident memory of a process."""
+    assert process is not None
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    line = next((each for each in status.splitlines() if each.startswith("VmRSS:")), "VmRSS: 0 kB")
+    return int(line.split()[1]) / KIB_PER_MB
+
+
 class EndlessDeployment:
     """One controller, one gateway, the platform's list, a faulty instance and a sound one."""
 
@@ -154,11 +171,7 @@
         ]
         for server in self._servers:
             threading.Thread(target=server.serve_forever, daemon=True).start()
-        self._faulty = subprocess.Popen(
-            [sys.executable, "-m", "tests.system.endless_instance", self._ip, str(faulty_port)],
-            cwd=ROOT,
-            env=environment_of_tests(),
-        )
+        self._faulty = start_endless_instance(self._ip, faulty_port)
         platform = f"{self._ip}:{platform_port}"
         self.controller = self._machine(folder, "controller", None, platform)
         self.gateway = self._machine(folder, "gateway", self.controller, platform)
@@ -242,26 +255,12 @@
         asking = threading.Thread(target=self._ask_until, args=(play, ended))
         asking.start()
         while any(thread.is_alive() for thread in threads) and play.peak_mb < STOP_AT_MB:
-            play.peak_mb = max(play.peak_mb, self.gateway_mb())
+            play.peak_mb = max(play.peak_mb, resident_mb(self.gateway.process))
             time.sleep(SAMPLE_S)
         ended.set()
         asking.join()
         return play
 
-    def gateway_mb(self) -> float:
-        """Return the resident memory of the gateway's process."""
-        assert self.gateway.process is not None
-        status = Path(f"/proc/{self.gateway.process.pid}/status").read_text()
-        line = next((each for each in status.splitlines() if each.startswith("VmRSS:")), "VmRSS: 0 kB")
-        return int(line.split()[1]) / KIB_PER_MB
-
-    def status(self) -> dict[str, Any]:
-        """Return the status page of the gateway."""
-        connection = http.client.HTTPConnection(self.gateway.ip, self.gateway.ports["ready"], 5.0)
-        connection.request("GET", "/api/status")
-        found: dict[str, Any] = json.loads(connection.getresponse().read())
-        return found
-
     def _next_attempt_id(self) -> str:
         self._number += 1
         return f"a{self._number}"
--- a/tests/system/endless_instance.py
+++ b/tests/system/endless_instance.py
@@ -1,8 +1,9 @@
 """An instance that answers without end, as a process of its own: the path of a request names the form.
 
-    python -m tests.system.endless_instance HOST PORT
+    python -m tests.system.endless_instance HOST PORT [FORM]
 
-A path ends with `/FORM/STATUS`, the name of an `EndlessForm` and the status of the answer.
+A path ends with `/FORM/STATUS`, the name of an `EndlessForm` and the status of the answer; with `FORM` every
+request is answered in that form and with status 200.
 """
 
 from __future__ import annotations
@@ -101,7 +102,7 @@
     return first.split(" ")[1], headers.get("x-attempt-id", "")
 
 
-def _serve(connection: socket.socket) -> None:
+def _serve(connection: socket.socket, only_form: str) -> None:
     """Answer the first request of a connection until the caller closes it."""
     with connection:
         try:
@@ -109,7 +110,7 @@
             if request is None:
                 return
             path, attempt_id = request
-            form, status = path.split("/")[-2:]
+            form, status = (only_form, "200") if only_form else path.split("/")[-2:]
             answer = EndlessAnswer(EndlessForm(form), int(status), attempt_id)
             connection.sendall(answer.head())
             block = answer.block()
@@ -121,11 +122,11 @@
 
 def main() -> None:
     """Serve until the process is killed."""
-    host, port = sys.argv[1], int(sys.argv[2])
+    host, port, only_form = sys.argv[1], int(sys.argv[2]), "".join(sys.argv[3:])
     with socket.create_server((host, port), backlog=BACKLOG) as listener:
         while True:
             connection, _ = listener.accept()
-            threading.Thread(target=_serve, args=(connection,), daemon=True).start()
+            threading.Thread(target=_serve, args=(connection, only_form), daemon=True).start()
 
 
 if __name__ == "__main__":
--- a/tests/system/test_endless_responses.py
+++ b/tests/system/test_endless_responses.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import http.client
 import socket
+import time
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 
-from tests.system.endless_deployment import endless_deployment
+from tests.system.endless_deployment import endless_deployment, resident_mb, start_endless_instance
 from tests.system.endless_instance import EndlessForm
-from tests.system.real_processes import MEMORY_LIMIT_MB
+from tests.system.real_processes import (
+    MEMORY_LIMIT_MB,
+    RoleMachine,
+    free_ports,
+    own_loopback_address,
+    wait_until,
+)
 
 DEADLINE_S = 1.5
 LATENESS_MAX_S = 0.25  # RULES.md, the score: a request held past its deadline by this costs
@@ -87,6 +96,35 @@
     assert not play.sound_failures
 
 
+# Guards against a controller that stands still while the platform sends its list.
+@pytest.mark.parametrize("form", [EndlessForm.SMALL_CHUNKS, EndlessForm.ONE_CHUNK, EndlessForm.HEADER_LINE])
+def test_an_endless_list_of_the_platform_harms_no_controller(form: EndlessForm, tmp_path: Path) -> None:
+    ip = own_loopback_address()
+    (port,) = free_ports(ip, 1)
+    platform = start_endless_instance(ip, port, form)
+    controller = RoleMachine(tmp_path, "controller", platform=f"{ip}:{port}")
+    try:
+        controller.start()
+        wait_until(lambda: get_configuration(controller) == 404, "a controller answers")
+        until_s = time.monotonic() + 3.0
+        while time.monotonic() < until_s:
+            assert get_configuration(controller) == 404
+            assert resident_mb(controller.process) < MEMORY_LIMIT_MB
+    finally:
+        controller.close()
+        platform.kill()
+        platform.wait()
+
+
+def get_configuration(controller: RoleMachine) -> int:
+    """Return the status of the operator's call, 0 if no answer comes within a second."""
+    with suppress(OSError, http.client.HTTPException):
+        connection = http.client.HTTPConnection(controller.ip, controller.ports["control"], 1.0)
+        connection.request("GET", "/api/config")
+        return connection.getresponse().status
+    return 0
+
+
 # Guards against an incomplete response that a client of HTTP/1.0 takes for a complete one.
 def test_the_end_of_an_endless_response_is_a_reset_where_only_the_close_delimits_it(tmp_path: Path) -> None:
     with endless_deployment(tmp_path) as deployment:
