--- a/tests/project/test_waits_page.py
+++ b/tests/project/test_waits_page.py
@@ -30,7 +30,7 @@
     "streams",
     "disconnect_watch",
 )  # modules of `runtime` whose waits are listed
-WAITS = frozenset({"park", "receive", "sleep", "yield_now", "yield_until_idle"})
+WAITS = frozenset({"checkpoint", "park", "receive", "sleep", "yield_now", "yield_until_idle"})
 ROW = re.compile(r"^\| `([\w/]+\.py)` `([\w.]+)` \|", re.MULTILINE)
 
 
