--- a/tests/system/test_endless_responses.py
+++ b/tests/system/test_endless_responses.py
@@ -4,6 +4,7 @@
 
 import http.client
 import socket
+import threading
 import time
 from contextlib import suppress
 from pathlib import Path
@@ -21,6 +22,7 @@
 )
 
 DEADLINE_S = 1.5
+GRACE_S = 8.0  # `grace_s`
 LATENESS_MAX_S = 0.25  # RULES.md, the score: a request held past its deadline by this costs
 
 
@@ -125,6 +127,24 @@
     return 0
 
 
+# Guards against a gateway that SIGKILL finds still busy with what an instance sends.
+@pytest.mark.parametrize(
+    ("form", "kind"), [(EndlessForm.SMALL_CHUNKS, "mutating"), (EndlessForm.EVENTS, "streaming")]
+)
+def test_a_gateway_ends_in_time_beside_endless_responses(
+    form: EndlessForm, kind: str, tmp_path: Path
+) -> None:
+    with endless_deployment(tmp_path) as deployment:
+        process = deployment.gateway.process
+        assert process is not None
+        terminate = threading.Timer(1.0, process.terminate)
+        terminate.start()
+        play = deployment.play(form, kind, 200, deadline_s=3.0)
+        assert process.wait(GRACE_S) == 0
+    assert all(caller.status >= 400 or not caller.is_complete for caller in play.callers)
+    assert all(caller.seconds < 3.0 + LATENESS_MAX_S for caller in play.callers)
+
+
 # Guards against an incomplete response that a client of HTTP/1.0 takes for a complete one.
 def test_the_end_of_an_endless_response_is_a_reset_where_only_the_close_delimits_it(tmp_path: Path) -> None:
     with endless_deployment(tmp_path) as deployment:
